--- /dev/null
+++ b/api/client/client.go
@@ -0,0 +1,253 @@
+// Package client is the client of the resource API and of the parts of the
+// OpenAI API that operators use from the command line.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("client")
+
+// StatusError is a refusal by the server.
+type StatusError struct {
+	Status int
+	// Executed is the X-Wheelhoist-Executed header: yes, no, unknown or empty.
+	Executed string
+	Message  string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("%d: %s", e.Status, e.Message) }
+
+// ErrTooOld reports that a watch asked for changes that are no longer held.
+var ErrTooOld = errors.New("resource version too old, list again")
+
+// Client calls one node.
+type Client struct {
+	// Base is the node's base URL.
+	Base string
+	// Key is an operators' or a tenant's key.
+	Key  string
+	HTTP *http.Client
+}
+
+// New returns a client.
+func New(base, key string) *Client { return &Client{Base: base, Key: key, HTTP: http.DefaultClient} }
+
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, Error.Wrap(statusError(response))
+	}
+	return response, nil
+}
+
+func statusError(response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	const maxBody = 64 << 10
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	var answer openai.ErrorAnswer
+	message := string(bytes.TrimSpace(body))
+	if json.Unmarshal(body, &answer) == nil && answer.Error.Message != "" {
+		message = answer.Error.Message
+	}
+	return &StatusError{
+		Status: response.StatusCode, Executed: response.Header.Get("X-Wheelhoist-Executed"), Message: message,
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, request, answer any) error {
+	var body io.Reader
+	if request != nil {
+		encoded, err := json.Marshal(request)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		body = bytes.NewReader(encoded)
+		if header == nil {
+			header = http.Header{}
+		}
+		header.Set("Content-Type", "application/json")
+	}
+	response, err := c.do(ctx, method, path, header, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if answer == nil {
+		return nil
+	}
+	return Error.Wrap(json.NewDecoder(response.Body).Decode(answer))
+}
+
+const apiPath = "/apis/wheelhoist/v1/"
+
+func resourcePath(kind v1.Kind, name string) string {
+	return apiPath + string(kind) + "/" + url.PathEscape(name)
+}
+
+// Put declares a resource. ifMatch, unless nil, is the version it must have; 0
+// means that it must not exist.
+func (c *Client) Put(ctx context.Context, resource *v1.Resource, ifMatch *uint64) (*v1.Resource, error) {
+	header := http.Header{}
+	if ifMatch != nil {
+		header.Set("If-Match", strconv.FormatUint(*ifMatch, 10))
+	}
+	answer := &v1.Resource{}
+	err := c.call(ctx, http.MethodPut, resourcePath(resource.Kind, resource.Metadata.Name), header, resource, answer)
+	return answer, err
+}
+
+// Get returns a resource with its status.
+func (c *Client) Get(ctx context.Context, kind v1.Kind, name string) (*v1.Resource, error) {
+	answer := &v1.Resource{}
+	err := c.call(ctx, http.MethodGet, resourcePath(kind, name), nil, nil, answer)
+	return answer, err
+}
+
+// List returns all resources of a kind.
+func (c *Client) List(ctx context.Context, kind v1.Kind) (*v1.List, error) {
+	answer := &v1.List{}
+	err := c.call(ctx, http.MethodGet, apiPath+string(kind), nil, nil, answer)
+	return answer, err
+}
+
+// Delete removes a resource; for a batch job it cancels it.
+func (c *Client) Delete(ctx context.Context, kind v1.Kind, name string) (*v1.Resource, error) {
+	answer := &v1.Resource{}
+	err := c.call(ctx, http.MethodDelete, resourcePath(kind, name), nil, nil, answer)
+	return answer, err
+}
+
+// Watch calls handle for each change after a version until the context ends.
+func (c *Client) Watch(ctx context.Context, kind v1.Kind, after uint64, handle func(v1.Event) error) error {
+	query := url.Values{"resourceVersion": {strconv.FormatUint(after, 10)}}
+	if kind != "" {
+		query.Set("kind", string(kind))
+	}
+	response, err := c.do(ctx, http.MethodGet, apiPath+"watch?"+query.Encode(), nil, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	decoder := json.NewDecoder(bufio.NewReader(response.Body))
+	for {
+		var event v1.Event
+		if err := decoder.Decode(&event); err != nil {
+			return Error.Wrap(err)
+		}
+		if event.Type == v1.EventTooOld {
+			return Error.Wrap(ErrTooOld)
+		}
+		if err := handle(event); err != nil {
+			return err
+		}
+	}
+}
+
+// Status returns a node's own view, as JSON.
+func (c *Client) Status(ctx context.Context) (json.RawMessage, error) {
+	var answer json.RawMessage
+	err := c.call(ctx, http.MethodGet, apiPath+"status", nil, nil, &answer)
+	return answer, err
+}
+
+// Drain asks the node for a planned stop.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, apiPath+"drain", nil, nil, nil)
+}
+
+// Upload stores an input file.
+func (c *Client) Upload(ctx context.Context, name string, content io.Reader) (*openai.File, error) {
+	reader, writer := io.Pipe()
+	form := multipart.NewWriter(writer)
+	go func() {
+		err := form.WriteField("purpose", "batch")
+		if err == nil {
+			var part io.Writer
+			if part, err = form.CreateFormFile("file", name); err == nil {
+				_, err = io.Copy(part, content)
+			}
+		}
+		if err == nil {
+			err = form.Close()
+		}
+		_ = writer.CloseWithError(err)
+	}()
+	response, err := c.do(ctx, http.MethodPost, openai.PathFiles, http.Header{"Content-Type": {form.FormDataContentType()}}, reader)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	file := &openai.File{}
+	return file, Error.Wrap(json.NewDecoder(response.Body).Decode(file))
+}
+
+// CreateBatch submits a job. key, unless empty, names it over all sendings.
+func (c *Client) CreateBatch(ctx context.Context, request openai.BatchRequest, key string) (*openai.Batch, error) {
+	header := http.Header{}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	batch := &openai.Batch{}
+	err := c.call(ctx, http.MethodPost, openai.PathBatches, header, request, batch)
+	return batch, err
+}
+
+// Batch returns a job.
+func (c *Client) Batch(ctx context.Context, id string) (*openai.Batch, error) {
+	batch := &openai.Batch{}
+	err := c.call(ctx, http.MethodGet, openai.PathBatches+"/"+url.PathEscape(id), nil, nil, batch)
+	return batch, err
+}
+
+// Batches lists the tenant's jobs.
+func (c *Client) Batches(ctx context.Context) ([]openai.Batch, error) {
+	var listing openai.Listing[openai.Batch]
+	err := c.call(ctx, http.MethodGet, openai.PathBatches, nil, nil, &listing)
+	return listing.Data, err
+}
+
+// CancelBatch cancels a job.
+func (c *Client) CancelBatch(ctx context.Context, id string) (*openai.Batch, error) {
+	batch := &openai.Batch{}
+	err := c.call(ctx, http.MethodPost, openai.PathBatches+"/"+url.PathEscape(id)+"/cancel", nil, nil, batch)
+	return batch, err
+}
+
+// Content copies a file to output.
+func (c *Client) Content(ctx context.Context, id string, output io.Writer) error {
+	response, err := c.do(ctx, http.MethodGet, openai.PathFiles+"/"+url.PathEscape(id)+"/content", nil, nil)
+	if err != nil {
+		return err
+	}
+	_, copyErr := io.Copy(output, response.Body)
+	return Error.Wrap(errors.Join(copyErr, response.Body.Close()))
+}
--- /dev/null
+++ b/api/v1/resource.go
@@ -0,0 +1,154 @@
+// Package v1 holds the kinds of the resource API, version 1. Operators write
+// the state they want as resources and read back what is in force.
+package v1
+
+import (
+	"encoding/json"
+	"regexp"
+
+	"github.com/wheelhoist/wheelhoist/internal/findings"
+)
+
+// APIVersion is the value of the apiVersion field of every resource.
+const APIVersion = "wheelhoist/v1"
+
+// Kind names a kind of resource.
+type Kind string
+
+// Kinds of resources.
+const (
+	KindModelPool   Kind = "ModelPool"
+	KindMachineRole Kind = "MachineRole"
+	KindTenant      Kind = "Tenant"
+	KindBatchJob    Kind = "BatchJob"
+	KindSitePolicy  Kind = "SitePolicy"
+)
+
+// Kinds lists all kinds.
+var Kinds = []Kind{KindModelPool, KindMachineRole, KindTenant, KindBatchJob, KindSitePolicy}
+
+// Known reports whether the kind exists.
+func (k Kind) Known() bool {
+	for _, kind := range Kinds {
+		if k == kind {
+			return true
+		}
+	}
+	return false
+}
+
+// Metadata identifies a resource.
+type Metadata struct {
+	Name string `json:"name"`
+	// ResourceVersion is the configuration revision that last changed the
+	// resource. A write names it to make sure it changes what was read.
+	ResourceVersion uint64 `json:"resourceVersion,omitempty"`
+}
+
+// Resource is one declared object.
+type Resource struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       Kind            `json:"kind"`
+	Metadata   Metadata        `json:"metadata"`
+	Spec       json.RawMessage `json:"spec"`
+	Status     *Status         `json:"status,omitempty"`
+}
+
+// Status tells where a resource is in force.
+type Status struct {
+	// Revision is the configuration revision the counts are about.
+	Revision uint64 `json:"revision"`
+	// InForce counts the nodes that hold the revision; Expected those that must.
+	InForce  int `json:"inForce"`
+	Expected int `json:"expected"`
+	// Laggards names nodes that must hold the revision and do not yet.
+	Laggards []string `json:"laggards,omitempty"`
+	// Batch is set for kind BatchJob.
+	Batch *BatchJobStatus `json:"batch,omitempty"`
+}
+
+// Accepted reports whether every node that must hold the revision does.
+func (s *Status) Accepted() bool { return s.InForce >= s.Expected }
+
+// List is the answer of a list call.
+type List struct {
+	APIVersion string `json:"apiVersion"`
+	// ResourceVersion is the revision the list was read at; a watch that starts
+	// from it misses nothing.
+	ResourceVersion uint64     `json:"resourceVersion"`
+	Items           []Resource `json:"items"`
+}
+
+// EventType says what happened to a watched resource.
+type EventType string
+
+// Event types of a watch.
+const (
+	EventPut     EventType = "PUT"
+	EventDeleted EventType = "DELETED"
+	EventTooOld  EventType = "TOO_OLD"
+)
+
+// Event is one line of a watch.
+type Event struct {
+	Type            EventType `json:"type"`
+	ResourceVersion uint64    `json:"resourceVersion"`
+	Resource        *Resource `json:"resource,omitempty"`
+}
+
+// Spec is the typed specification of a kind.
+type Spec interface {
+	// Validate reports what is wrong, with paths below "spec".
+	Validate(found *findings.List)
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,98}[a-z0-9])?$`)
+
+// NewSpec returns an empty specification of a kind, or nil for an unknown kind.
+func NewSpec(kind Kind) Spec {
+	switch kind {
+	case KindModelPool:
+		return &ModelPoolSpec{}
+	case KindMachineRole:
+		return &MachineRoleSpec{}
+	case KindTenant:
+		return &TenantSpec{}
+	case KindBatchJob:
+		return &BatchJobSpec{}
+	case KindSitePolicy:
+		return &SitePolicySpec{}
+	default:
+		return nil
+	}
+}
+
+// Validate checks the envelope and the specification and returns the typed
+// specification. It reports all findings, with paths from the resource's root.
+func (r *Resource) Validate() (Spec, []findings.Finding) {
+	var found findings.List
+	if r.APIVersion != APIVersion {
+		found.Add("apiVersion", "must be %q", APIVersion)
+	}
+	if !namePattern.MatchString(r.Metadata.Name) {
+		found.Add("metadata.name", "must be 1 to 100 of a-z, 0-9, '-' and '.', beginning and ending with a letter or digit")
+	}
+	spec := NewSpec(r.Kind)
+	if spec == nil {
+		found.Add("kind", "unknown kind %q", r.Kind)
+		return nil, found.All()
+	}
+	source := r.Spec
+	if len(source) == 0 {
+		source = json.RawMessage("{}")
+	}
+	for _, finding := range findings.DecodeJSON(source, spec) {
+		if finding.Path == "" {
+			finding.Path = "spec"
+		} else {
+			finding.Path = "spec." + finding.Path
+		}
+		found.Append(finding)
+	}
+	spec.Validate(&found)
+	return spec, found.All()
+}
--- /dev/null
+++ b/internal/batch/upload.go
@@ -0,0 +1,207 @@
+package batch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// MaxLineBytes bounds one line of an input file.
+	MaxLineBytes = 1 << 20
+	// MaxLines bounds the items of one job.
+	MaxLines = 270_000
+	// maxFindings bounds the findings kept about one file.
+	maxFindings = 100
+)
+
+// Findings about input lines.
+const (
+	codeInvalidJSON  = "invalid_json_line"
+	codeInvalidItem  = "invalid_item"
+	codeDuplicateID  = "duplicate_custom_id"
+	codeLineTooLong  = "line_too_long"
+	codeTooManyItems = "too_many_items"
+	codeEmptyFile    = "empty_file"
+)
+
+// ParseItem decodes and checks one line of an input file.
+func ParseItem(line []byte) (openai.BatchItem, *openai.BatchError) {
+	var item openai.BatchItem
+	if err := json.Unmarshal(line, &item); err != nil {
+		return item, &openai.BatchError{Code: codeInvalidJSON, Message: "line is not valid JSON: " + err.Error()}
+	}
+	problem := ""
+	switch {
+	case item.CustomID == "":
+		problem = "custom_id must be set"
+	case item.Method != http.MethodPost:
+		problem = "method must be POST"
+	case item.URL != openai.PathChatCompletions && item.URL != openai.PathCompletions:
+		problem = "url must be " + openai.PathChatCompletions + " or " + openai.PathCompletions
+	}
+	if problem == "" {
+		if _, err := openai.ParseCompletion(item.Body); err != nil {
+			problem = "body: " + err.Error()
+		}
+	}
+	if problem != "" {
+		return item, &openai.BatchError{Code: codeInvalidItem, Message: problem}
+	}
+	return item, nil
+}
+
+// uploader reads a file once: it checks every line and stores the lines in
+// segments, so that no more than one segment is in memory.
+type uploader struct {
+	store   object.Store
+	record  *FileRecord
+	digest  hash.Hash
+	seen    map[uint64]bool
+	segment bytes.Buffer
+	stored  int
+}
+
+// Upload stores an input file and returns its record. Findings about lines do
+// not fail the upload; they fail a job over the file.
+func (s *Service) Upload(ctx context.Context, tenant, name string, content io.Reader) (*FileRecord, error) {
+	record := &FileRecord{ID: "file-" + table.NewOperation(), Tenant: tenant, Name: name, CreatedAt: time.Now().UTC()}
+	upload := &uploader{store: s.objects, record: record, digest: sha256.New(), seen: map[uint64]bool{}}
+	if err := upload.readAll(ctx, content); err != nil {
+		return nil, err
+	}
+	record.SHA256 = upload.digest.Sum(nil)
+	body, err := encode(record)
+	if err != nil {
+		return nil, err
+	}
+	err = table.CommitSettled(ctx, s.table, table.NewOperation(),
+		table.Write{Key: fileKey(record.ID), Expect: table.Absent, Body: body})
+	if err != nil {
+		// Nobody knows the file's id, so an undecided upload is as good as none.
+		return nil, Error.Wrap(fmt.Errorf("%w: %w", ErrNotAccepted, err))
+	}
+	return record, nil
+}
+
+func (u *uploader) readAll(ctx context.Context, content io.Reader) error {
+	reader := bufio.NewReaderSize(content, 64<<10)
+	for {
+		line, tooLong, err := readLine(reader)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return Error.Wrap(outcome.Failed(err))
+		}
+		ended := err != nil
+		if len(line) > 0 || tooLong || !ended {
+			if err := u.take(ctx, line, tooLong); err != nil {
+				return err
+			}
+		}
+		if ended {
+			break
+		}
+	}
+	if u.record.Lines == 0 {
+		u.find(0, openai.BatchError{Code: codeEmptyFile, Message: "the file has no items"})
+	}
+	return u.flush(ctx)
+}
+
+// readLine returns the next line without its newline. A line over the limit is
+// skipped and reported as too long.
+func readLine(reader *bufio.Reader) (line []byte, tooLong bool, err error) {
+	for {
+		part, err := reader.ReadSlice('\n')
+		if len(line)+len(part) > MaxLineBytes {
+			tooLong = true
+			line = line[:0]
+		}
+		if !tooLong {
+			line = append(line, part...)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		return bytes.TrimRight(line, "\r\n"), tooLong, err
+	}
+}
+
+func (u *uploader) take(ctx context.Context, line []byte, tooLong bool) error {
+	if len(bytes.TrimSpace(line)) == 0 && !tooLong {
+		return nil
+	}
+	u.record.Lines++
+	u.record.Bytes += int64(len(line)) + 1
+	_, _ = u.digest.Write(line)
+	_, _ = u.digest.Write([]byte{'\n'})
+	switch {
+	case tooLong:
+		u.find(u.record.Lines, openai.BatchError{Code: codeLineTooLong, Message: "line is longer than 1 MiB"})
+	case u.record.Lines > MaxLines:
+		if u.record.Lines == MaxLines+1 {
+			u.find(u.record.Lines, openai.BatchError{Code: codeTooManyItems, Message: "a file holds at most 270,000 items"})
+		}
+		return nil
+	default:
+		u.check(line)
+	}
+	u.segment.Write(line)
+	u.segment.WriteByte('\n')
+	if u.record.Lines%SegmentLines == 0 {
+		return u.flush(ctx)
+	}
+	return nil
+}
+
+func (u *uploader) check(line []byte) {
+	item, problem := ParseItem(line)
+	if problem != nil {
+		u.find(u.record.Lines, *problem)
+		return
+	}
+	id := xxhash.Sum64String(item.CustomID)
+	if u.seen[id] {
+		u.find(u.record.Lines, openai.BatchError{Code: codeDuplicateID, Message: fmt.Sprintf("custom_id %q stands on an earlier line", item.CustomID)})
+	}
+	u.seen[id] = true
+	u.record.NotRepeatable = u.record.NotRepeatable || item.NotRepeatable
+	if u.record.Model == "" {
+		request, _ := openai.ParseCompletion(item.Body)
+		u.record.Model = request.Model
+	}
+}
+
+func (u *uploader) find(line int, problem openai.BatchError) {
+	if len(u.record.Findings) < maxFindings {
+		problem.Line = line
+		u.record.Findings = append(u.record.Findings, problem)
+	}
+}
+
+func (u *uploader) flush(ctx context.Context) error {
+	if u.segment.Len() == 0 {
+		return nil
+	}
+	err := u.store.Put(ctx, segmentKey(u.record.ID, u.stored), bytes.Clone(u.segment.Bytes()))
+	if err != nil {
+		return Error.Wrap(fmt.Errorf("%w: %w", ErrNotAccepted, err))
+	}
+	u.stored++
+	u.segment.Reset()
+	return nil
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/internal/server"
+)
+
+func statusCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist status", std)
+	var connect connection
+	connect.register(flags)
+	var output format
+	registerFormat(flags, &output)
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "wheelhoist status [flags]", FlagSet: flags, Options: options(),
+		ShortHelp: "show a node, its peers and the replicas as it sees them",
+		Exec: func(ctx context.Context, _ []string) error {
+			body, err := connect.client().Status(ctx)
+			if err != nil {
+				return err
+			}
+			var status server.NodeStatus
+			if err := json.Unmarshal(body, &status); err != nil {
+				return err
+			}
+			return output.write(std.out, status, func() table { return statusTable(&status) })
+		},
+	}
+}
+
+func statusTable(status *server.NodeStatus) table {
+	state := "serving"
+	switch {
+	case status.Draining:
+		state = "draining"
+	case !status.Serving:
+		state = "not serving"
+	}
+	content := table{header: []string{"WHAT", "NAME", "ZONE", "STATE", "DETAIL"}}
+	content.rows = append(content.rows, []string{
+		"this node", status.Node, status.Zone, state,
+		fmt.Sprintf("revision %d, %d open requests", status.Revision, status.Open),
+	})
+	for _, member := range status.Members {
+		content.rows = append(content.rows, []string{"node", member.ID, member.Zone, member.Status, ""})
+	}
+	for _, replica := range status.Replicas {
+		state := string(replica.State)
+		if replica.Ejected {
+			state += ", ejected"
+		}
+		content.rows = append(content.rows, []string{
+			"replica", replica.ID, replica.Zone, state,
+			fmt.Sprintf("%s %s %s, %d online, %d batch", replica.Pool, replica.Version, replica.Role, replica.Online, replica.Batch),
+		})
+	}
+	return content
+}
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,277 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+)
+
+// Attempt is one sending of a request to one engine.
+type Attempt struct {
+	// ID is unique to this attempt; the engine refuses an id it knows.
+	ID string
+	// Path is the OpenAI path.
+	Path string
+	// Body is the caller's JSON body; priority and stream are set by Encode.
+	Body []byte
+}
+
+// Encode appends the fields that the system decides to a caller's JSON object.
+// They come last, so that they override fields of the same name.
+func Encode(body []byte, priority Priority, stream bool) []byte {
+	trimmed := bytes.TrimRight(body, " \t\r\n")
+	end := bytes.LastIndexByte(trimmed, '}')
+	if end < 0 {
+		return body
+	}
+	encoded := make([]byte, 0, len(trimmed)+40)
+	encoded = append(encoded, trimmed[:end]...)
+	if len(bytes.TrimSpace(trimmed[:end])) > 1 {
+		encoded = append(encoded, ',')
+	}
+	encoded = append(encoded, `"priority":`...)
+	encoded = strconv.AppendInt(encoded, int64(priority), 10)
+	encoded = append(encoded, `,"stream":`...)
+	encoded = strconv.AppendBool(encoded, stream)
+	return append(encoded, '}')
+}
+
+// RefusedError is an engine's refusal; the request did not run.
+type RefusedError struct {
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("engine answered %d: %s", e.Status, e.Message)
+}
+
+// Is makes the error match ErrRefused.
+func (e *RefusedError) Is(target error) bool { return target == ErrRefused }
+
+// Temporary reports whether another replica, or a later time, may accept it.
+func (e *RefusedError) Temporary() bool {
+	return e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests
+}
+
+// Client talks to engines. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// maxIdlePerEngine keeps connections for bursts without dialling.
+	maxIdlePerEngine = 64
+	controlTimeout   = 2 * time.Second
+)
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdlePerEngine,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+		WriteBufferSize:     8 << 10,
+		ReadBufferSize:      8 << 10,
+	}}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) send(ctx context.Context, method, address string, body []byte, header http.Header) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return nil, Error.Wrap(outcome.Failed(err))
+	}
+	// No GetBody: the HTTP client must never send a request twice on its own.
+	request.GetBody = nil
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, Error.Wrap(classifySend(err))
+	}
+	return response, nil
+}
+
+func classifySend(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return outcome.Failed(fmt.Errorf("%w: %w", ErrUnreachable, err))
+	}
+	return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
+}
+
+// Stream sends a streaming attempt and returns its events.
+func (c *Client) Stream(ctx context.Context, base string, attempt Attempt) (*Stream, error) {
+	header := http.Header{HeaderRequestID: {attempt.ID}, "Content-Type": {"application/json"}}
+	response, err := c.send(ctx, http.MethodPost, base+attempt.Path, attempt.Body, header)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(response)
+	}
+	return newStream(response), nil
+}
+
+// Resume continues the stream of an attempt after an event id. It returns
+// ErrUnknownRequest when the engine no longer has it.
+func (c *Client) Resume(ctx context.Context, base, id, path string, after int) (*Stream, error) {
+	api := "chat"
+	if path == openai.PathCompletions {
+		api = "completions"
+	}
+	address := base + "/v1/requests/" + url.PathEscape(id) + "/stream?api=" + api
+	header := http.Header{HeaderLastEventID: {strconv.Itoa(after)}}
+	response, err := c.send(ctx, http.MethodGet, address, nil, header)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusNotFound {
+		drain(response)
+		return nil, Error.Wrap(ErrUnknownRequest)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(response)
+	}
+	return newStream(response), nil
+}
+
+// Complete sends an attempt and returns the whole answer's body.
+func (c *Client) Complete(ctx context.Context, base string, attempt Attempt) ([]byte, error) {
+	header := http.Header{HeaderRequestID: {attempt.ID}, "Content-Type": {"application/json"}}
+	response, err := c.send(ctx, http.MethodPost, base+attempt.Path, attempt.Body, header)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(response)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, Error.Wrap(outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err)))
+	}
+	return body, nil
+}
+
+// Abort gives an attempt up and returns what became of it.
+func (c *Client) Abort(ctx context.Context, base, id string) (RequestStatus, error) {
+	return c.requestStatus(ctx, http.MethodPost, base+"/v1/requests/"+url.PathEscape(id)+"/abort")
+}
+
+// Status returns what the engine knows of an attempt.
+func (c *Client) Status(ctx context.Context, base, id string) (RequestStatus, error) {
+	return c.requestStatus(ctx, http.MethodGet, base+"/v1/requests/"+url.PathEscape(id))
+}
+
+func (c *Client) requestStatus(ctx context.Context, method, address string) (RequestStatus, error) {
+	var status RequestStatus
+	err := c.control(ctx, method, address, nil, &status)
+	return status, err
+}
+
+// Load returns the engine's lagging load report.
+func (c *Client) Load(ctx context.Context, base string) (Load, error) {
+	var load Load
+	err := c.control(ctx, http.MethodGet, base+"/load", nil, &load)
+	return load, err
+}
+
+// Order sends a fenced order. It returns ErrStaleFence if a newer order is in force.
+func (c *Client) Order(ctx context.Context, base string, order Order) error {
+	return c.control(ctx, http.MethodPut, base+"/orders", order, nil)
+}
+
+// ExportKV stops a running attempt and returns its KV cache.
+func (c *Client) ExportKV(ctx context.Context, base, id string) ([]byte, error) {
+	response, err := c.send(ctx, http.MethodGet, base+"/v1/requests/"+url.PathEscape(id)+"/kv", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(response)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return body, Error.Wrap(err)
+}
+
+// ImportKV goes on with an exported attempt under a new id.
+func (c *Client) ImportKV(ctx context.Context, base, id string, export []byte) error {
+	response, err := c.send(ctx, http.MethodPost, base+"/v1/kv", export, http.Header{HeaderRequestID: {id}})
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return refusal(response)
+	}
+	drain(response)
+	return nil
+}
+
+// control makes a short call with a JSON request and answer.
+func (c *Client) control(ctx context.Context, method, address string, request, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body []byte
+	if request != nil {
+		encoded, err := json.Marshal(request)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		body = encoded
+	}
+	response, err := c.send(ctx, method, address, body, nil)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode == http.StatusConflict {
+		drain(response)
+		return Error.Wrap(outcome.Failed(ErrStaleFence))
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return refusal(response)
+	}
+	defer drain(response)
+	if answer == nil {
+		return nil
+	}
+	return Error.Wrap(json.NewDecoder(response.Body).Decode(answer))
+}
+
+func refusal(response *http.Response) error {
+	const maxRefusalBytes = 4096
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	_ = response.Body.Close()
+	var answer openai.ErrorAnswer
+	message := strings.TrimSpace(string(body))
+	if json.Unmarshal(body, &answer) == nil && answer.Error.Message != "" {
+		message = answer.Error.Message
+	}
+	return Error.Wrap(outcome.Failed(&RefusedError{Status: response.StatusCode, Message: message}))
+}
+
+func drain(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 64<<10))
+	_ = response.Body.Close()
+}
--- /dev/null
+++ b/internal/findings/yaml.go
@@ -0,0 +1,214 @@
+package findings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// Place is a position in a source.
+type Place struct {
+	Line   int
+	Column int
+}
+
+// Document is a YAML document whose values can be located.
+type Document struct {
+	file   string
+	node   ast.Node
+	places map[string]Place
+}
+
+// ParseYAML splits a source into its documents. Empty documents are left out.
+func ParseYAML(file string, source []byte) ([]Document, error) {
+	parsed, err := parser.ParseBytes(source, 0)
+	if err != nil {
+		return nil, &Error{Findings: []Finding{syntaxFinding(file, err)}}
+	}
+	var documents []Document
+	for _, document := range parsed.Docs {
+		if document.Body == nil || document.Body.Type() == ast.NullType {
+			continue
+		}
+		located := Document{file: file, node: document.Body, places: map[string]Place{}}
+		located.index("", document.Body)
+		documents = append(documents, located)
+	}
+	return documents, nil
+}
+
+func syntaxFinding(file string, err error) Finding {
+	finding := Finding{File: file, Message: err.Error()}
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		finding.Message = syntax.GetMessage()
+		if token := syntax.GetToken(); token != nil {
+			finding.Line, finding.Column = token.Position.Line, token.Position.Column
+		}
+	}
+	return finding
+}
+
+func (d *Document) index(path string, node ast.Node) {
+	token := node.GetToken()
+	if _, known := d.places[path]; !known && token != nil {
+		d.places[path] = Place{Line: token.Position.Line, Column: token.Position.Column}
+	}
+	switch typed := node.(type) {
+	case *ast.MappingNode:
+		for _, entry := range typed.Values {
+			d.indexEntry(path, entry)
+		}
+	case *ast.MappingValueNode:
+		d.indexEntry(path, typed)
+	case *ast.SequenceNode:
+		for i, value := range typed.Values {
+			d.index(path+"["+strconv.Itoa(i)+"]", value)
+		}
+	}
+}
+
+func (d *Document) indexEntry(path string, entry *ast.MappingValueNode) {
+	child := join(path, entry.Key.String())
+	position := entry.Key.GetToken().Position
+	d.places[child] = Place{Line: position.Line, Column: position.Column}
+	d.index(child, entry.Value)
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// Locate fills in the place of findings made about this document's values. A
+// path that is absent from the source gets the place of its nearest parent.
+func (d *Document) Locate(found []Finding) []Finding {
+	located := make([]Finding, len(found))
+	for i, finding := range found {
+		finding.File = d.file
+		place := d.nearest(finding.Path)
+		finding.Line, finding.Column = place.Line, place.Column
+		located[i] = finding
+	}
+	return located
+}
+
+func (d *Document) nearest(path string) Place {
+	for {
+		if place, ok := d.places[path]; ok {
+			return place
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			return d.places[""]
+		}
+		path = path[:cut]
+	}
+}
+
+// JSON converts the document to JSON.
+func (d *Document) JSON() ([]byte, error) {
+	return yaml.YAMLToJSON([]byte(d.node.String()))
+}
+
+// Decode fills target, a pointer to a struct with json tags, from the
+// document and reports unknown keys and values of the wrong type.
+func (d *Document) Decode(target any) []Finding {
+	source, err := d.JSON()
+	if err != nil {
+		return d.Locate([]Finding{{Message: err.Error()}})
+	}
+	return d.Locate(DecodeJSON(source, target))
+}
+
+// DecodeJSON fills target from JSON and reports all unknown keys and the
+// first value of the wrong type, each with its path.
+func DecodeJSON(source []byte, target any) []Finding {
+	var found List
+	var generic any
+	if err := json.Unmarshal(source, &generic); err != nil {
+		found.Add("", "%v", err)
+		return found.All()
+	}
+	unknownKeys(&found, "", generic, reflect.TypeOf(target).Elem())
+	err := json.NewDecoder(bytes.NewReader(source)).Decode(target)
+	var mismatch *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &mismatch):
+		found.Add(mismatch.Field, "must be %s, not %s", typeName(mismatch.Type), mismatch.Value)
+	case err != nil:
+		found.Add("", "%v", err)
+	}
+	return found.All()
+}
+
+var rawMessage = reflect.TypeOf(json.RawMessage(nil))
+
+func typeName(kind reflect.Type) string {
+	switch kind.Kind() {
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct, reflect.Map:
+		return "a mapping"
+	default:
+		return kind.Kind().String()
+	}
+}
+
+func unknownKeys(found *List, path string, value any, kind reflect.Type) {
+	for kind.Kind() == reflect.Pointer {
+		kind = kind.Elem()
+	}
+	if kind == rawMessage || reflect.PointerTo(kind).Implements(reflect.TypeFor[json.Unmarshaler]()) {
+		return
+	}
+	switch typed := value.(type) {
+	case map[string]any:
+		if kind.Kind() != reflect.Struct {
+			return
+		}
+		fields := jsonFields(kind)
+		for key, child := range typed {
+			field, ok := fields[key]
+			if !ok {
+				found.Add(join(path, key), "unknown key")
+				continue
+			}
+			unknownKeys(found, join(path, key), child, field)
+		}
+	case []any:
+		if kind.Kind() != reflect.Slice {
+			return
+		}
+		for i, child := range typed {
+			unknownKeys(found, path+"["+strconv.Itoa(i)+"]", child, kind.Elem())
+		}
+	}
+}
+
+func jsonFields(kind reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range kind.NumField() {
+		field := kind.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.Anonymous && name == "" {
+			for inner, innerKind := range jsonFields(field.Type) {
+				fields[inner] = innerKind
+			}
+			continue
+		}
+		if name != "" && name != "-" {
+			fields[name] = field.Type
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/fleet/registry.go
@@ -0,0 +1,203 @@
+// Package fleet keeps a node's view of the replicas: which exist, what they
+// last reported, what this node has open there and which of them misbehave.
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/machines"
+	"github.com/wheelhoist/wheelhoist/internal/routing"
+)
+
+// snapshotInterval bounds how often the snapshot is rebuilt.
+const snapshotInterval = 20 * time.Millisecond
+
+// replica is the registry's record of one back end.
+type replica struct {
+	machine    machines.Machine
+	load       engine.Load
+	reported   bool
+	receivedAt time.Time
+	usage      routing.Usage
+	health     health
+}
+
+// Registry is safe for concurrent use.
+type Registry struct {
+	zone string
+
+	mu       sync.Mutex
+	replicas map[string]*replica
+	dirty    bool
+	builtAt  time.Time
+	snapshot atomic.Pointer[routing.Snapshot]
+}
+
+// NewRegistry returns an empty registry for a node of a zone.
+func NewRegistry(zone string) *Registry {
+	registry := &Registry{zone: zone, replicas: map[string]*replica{}}
+	registry.snapshot.Store(&routing.Snapshot{Zone: zone})
+	return registry
+}
+
+// SetMachines takes in the machine list. Machines off the list are forgotten
+// once nothing of this node is open there.
+func (r *Registry) SetMachines(list []machines.Machine) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := map[string]bool{}
+	for _, machine := range list {
+		if machine.Role != machines.RoleEngine {
+			continue
+		}
+		listed[machine.ID] = true
+		known, ok := r.replicas[machine.ID]
+		if !ok || known.machine.Address != machine.Address {
+			known = &replica{}
+			r.replicas[machine.ID] = known
+		}
+		known.machine = machine
+	}
+	for id, known := range r.replicas {
+		if listed[id] {
+			continue
+		}
+		known.machine.State = machines.Leaving
+		if known.usage.Open.Load() == 0 {
+			delete(r.replicas, id)
+		}
+	}
+	r.dirty = true
+}
+
+// SetLoad takes in a load report received now.
+func (r *Registry) SetLoad(id string, load engine.Load, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.replicas[id]
+	if !ok || load.ReportedUnixMs < known.load.ReportedUnixMs {
+		return
+	}
+	if load.ReportedUnixMs > known.load.ReportedUnixMs {
+		known.usage.SinceReport.Store(0)
+	}
+	known.load = load
+	known.reported = true
+	known.receivedAt = now
+	r.dirty = true
+}
+
+// Replicas returns the machines of all replicas in the order of their ids.
+func (r *Registry) Replicas() []machines.Machine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]machines.Machine, 0, len(r.replicas))
+	for _, known := range r.replicas {
+		list = append(list, known.machine)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Snapshot returns the current view; it is at most snapshotInterval old.
+func (r *Registry) Snapshot(now time.Time) *routing.Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dirty || now.Sub(r.builtAt) > snapshotInterval {
+		r.build(now)
+	}
+	return r.snapshot.Load()
+}
+
+// build makes a new snapshot. The caller holds mu.
+func (r *Registry) build(now time.Time) {
+	ids := make([]string, 0, len(r.replicas))
+	for id := range r.replicas {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	ejected := r.judge(now)
+	next := &routing.Snapshot{Zone: r.zone, Replicas: make([]*routing.Replica, 0, len(ids))}
+	for _, id := range ids {
+		known := r.replicas[id]
+		next.Replicas = append(next.Replicas, &routing.Replica{
+			ID: id, Address: known.machine.Address, Zone: known.machine.Zone, Pool: known.machine.Pool,
+			Model: known.load.Model, Version: known.load.Version, Adapters: known.load.Adapters,
+			Role: known.load.Role, State: known.state(), Load: known.load, Reported: known.reported,
+			ReportAge: now.Sub(known.receivedAt), Ejected: ejected[id], Usage: &known.usage,
+		})
+	}
+	r.snapshot.Store(next)
+	r.dirty = false
+	r.builtAt = now
+}
+
+// state is the stricter of the platform's and the engine's own word.
+func (r *replica) state() engine.State {
+	if r.machine.State == machines.Leaving {
+		return engine.StateLeaving
+	}
+	return r.load.State
+}
+
+// Lease counts one request at a replica until End.
+type Lease struct {
+	registry *Registry
+	id       string
+	replica  *replica
+	usage    *routing.Usage
+	words    int64
+	sent     time.Time
+	first    bool
+}
+
+// Begin counts a request about to be sent; words is its uncached prompt length.
+func (r *Registry) Begin(chosen *routing.Replica, words int, now time.Time) *Lease {
+	usage := chosen.Usage
+	usage.Open.Add(1)
+	usage.Pending.Add(1)
+	usage.PendingWords.Add(int64(words))
+	usage.SinceReport.Add(1)
+	r.mu.Lock()
+	known := r.replicas[chosen.ID]
+	r.mu.Unlock()
+	return &Lease{registry: r, id: chosen.ID, replica: known, usage: usage, words: int64(words), sent: now}
+}
+
+// FirstToken notes that the answer has begun.
+func (l *Lease) FirstToken(now time.Time) {
+	if l.first {
+		return
+	}
+	l.first = true
+	l.usage.Pending.Add(-1)
+	l.usage.PendingWords.Add(-l.words)
+	l.registry.observe(l.replica, now.Sub(l.sent), now)
+}
+
+// End stops counting. failed tells that the replica, not the caller, broke it.
+func (l *Lease) End(failed bool, now time.Time) {
+	if !l.first {
+		l.first = true
+		l.usage.Pending.Add(-1)
+		l.usage.PendingWords.Add(-l.words)
+	}
+	l.usage.Open.Add(-1)
+	if failed {
+		l.registry.fail(l.replica, now)
+	}
+}
+
+// Zone returns the zone of a replica, empty if it is not known.
+func (r *Registry) Zone(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, ok := r.replicas[id]; ok {
+		return known.machine.Zone
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/emulator/answer.go
@@ -0,0 +1,64 @@
+package emulator
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DefaultMaxTokens bounds an answer whose request names no limit.
+const DefaultMaxTokens = 64
+
+// minAnswerShare is the shortest answer, as a share of the limit, in percent.
+const minAnswerShare = 50
+
+var vocabulary = strings.Fields(`crew site hours Monday Tuesday Wednesday Thursday Friday
+	concrete scaffold crane shift paper glass plastic bin street calendar holiday week
+	north south east west gate close open early late confirmed entered moved collected`)
+
+// Answer is the text that an emulated engine generates. It is a function of
+// prompt, seed, model, version and limit alone, so that any reader can check
+// whether an answer is whole and belongs to its request.
+type Answer struct {
+	key    uint64
+	length int
+}
+
+// NewAnswer returns the answer to a prompt.
+func NewAnswer(model, version, prompt string, seed int64, maxTokens int) Answer {
+	if maxTokens <= 0 {
+		maxTokens = DefaultMaxTokens
+	}
+	digest := xxhash.New()
+	for _, part := range []string{model, version, strconv.FormatInt(seed, 10), prompt} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	key := digest.Sum64()
+	shortest := max(1, maxTokens*minAnswerShare/100)
+	length := shortest + int((key>>8)%uint64(maxTokens-shortest+1))
+	return Answer{key: key, length: length}
+}
+
+// Length is the number of tokens.
+func (a Answer) Length() int { return a.length }
+
+// Token returns token i, with its trailing space.
+func (a Answer) Token(i int) string {
+	mixed := a.key ^ (uint64(i)+1)*0x9E3779B97F4A7C15
+	mixed ^= mixed >> 29
+	mixed *= 0xBF58476D1CE4E5B9
+	mixed ^= mixed >> 32
+	word := vocabulary[mixed%uint64(len(vocabulary))]
+	return word + strconv.FormatUint((mixed>>40)%1000, 10) + " "
+}
+
+// Text returns the whole answer.
+func (a Answer) Text() string {
+	var builder strings.Builder
+	for i := range a.length {
+		builder.WriteString(a.Token(i))
+	}
+	return builder.String()
+}
--- /dev/null
+++ b/internal/lab/emulator/engine.go
@@ -0,0 +1,282 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/object"
+)
+
+const (
+	loadSampleInterval = 50 * time.Millisecond
+	maxRequestBytes    = 4 << 20
+)
+
+// EngineConfig configures an emulated engine.
+type EngineConfig struct {
+	Replica    string
+	Model      string
+	Version    string
+	Adapters   []string
+	Generation Generation
+	// LoadLag is the age of the load reports.
+	LoadLag time.Duration
+	// CacheEventLag is the delay of cache events; CacheEventLoss their loss share.
+	CacheEventLag  time.Duration
+	CacheEventLoss float64
+	// Weights is the weight store; nil loads at once.
+	Weights  object.Store
+	Recorder *history.Recorder
+	Seed     uint64
+}
+
+// Engine is an emulated model engine (one replica).
+type Engine struct {
+	config    EngineConfig
+	scheduler *scheduler
+	events    *cacheFeed
+	mux       *http.ServeMux
+
+	mu       sync.Mutex
+	state    engine.State
+	serving  engine.Order
+	reports  []engine.Load
+	loadings int
+}
+
+// NewEngine returns an engine that serves its configured version. Run steps it.
+func NewEngine(config EngineConfig) *Engine {
+	e := &Engine{
+		config:  config,
+		events:  newCacheFeed(config.CacheEventLag, config.CacheEventLoss, config.Seed),
+		state:   engine.StateReady,
+		serving: engine.Order{Version: config.Version, Adapters: config.Adapters, Role: engine.RoleMixed},
+	}
+	e.scheduler = newScheduler(config.Replica, config.Generation, config.Recorder, e.events.publish)
+	e.mux = http.NewServeMux()
+	e.mux.HandleFunc("POST "+openai.PathChatCompletions, e.complete)
+	e.mux.HandleFunc("POST "+openai.PathCompletions, e.complete)
+	e.mux.HandleFunc("GET /v1/requests/{id}", e.requestStatus)
+	e.mux.HandleFunc("GET /v1/requests/{id}/stream", e.resume)
+	e.mux.HandleFunc("POST /v1/requests/{id}/abort", e.abort)
+	e.mux.HandleFunc("GET /v1/requests/{id}/kv", e.exportKV)
+	e.mux.HandleFunc("POST /v1/kv", e.importKV)
+	e.mux.HandleFunc("GET /load", e.loadReport)
+	e.mux.HandleFunc("GET /cache/events", e.events.serve)
+	e.mux.HandleFunc("GET /orders", e.currentOrder)
+	e.mux.HandleFunc("PUT /orders", e.obey)
+	return e
+}
+
+// Handler serves the engine protocol.
+func (e *Engine) Handler() http.Handler { return e.mux }
+
+// Run steps the engine until the context ends.
+func (e *Engine) Run(ctx context.Context) {
+	go e.sampleLoad(ctx)
+	e.scheduler.run(ctx)
+}
+
+// Leave marks the engine as leaving in its load reports.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = engine.StateLeaving
+}
+
+// SetSlowdown multiplies the time of every step from now on.
+func (e *Engine) SetSlowdown(factor float64) {
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	e.scheduler.slowdown = factor
+}
+
+// Totals returns the engine's work counters.
+func (e *Engine) Totals() EngineTotals {
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	return e.scheduler.totals
+}
+
+// Open returns the number of attempts that wait or run.
+func (e *Engine) Open() int {
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	return len(e.scheduler.waiting) + len(e.scheduler.running)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		return
+	}
+	request, err := openai.ParseCompletion(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, openai.TypeInvalidRequest, err.Error())
+		return
+	}
+	seq, refusal := e.newSequence(r.Header.Get(engine.HeaderRequestID), &request)
+	if refusal != "" {
+		refuse(w, http.StatusServiceUnavailable, openai.TypeOverloaded, refusal)
+		return
+	}
+	seq.readers = 1
+	if !e.scheduler.add(seq) {
+		refuse(w, http.StatusTooManyRequests, openai.TypeOverloaded, "queue full or request id in use")
+		return
+	}
+	e.answer(w, r, seq, request.Stream, r.URL.Path == openai.PathChatCompletions, 0)
+}
+
+// newSequence builds the sequence of a request, or says why it is refused.
+func (e *Engine) newSequence(id string, request *openai.CompletionRequest) (*sequence, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if id == "" {
+		return nil, "request id missing"
+	}
+	if e.state == engine.StateLoading {
+		return nil, "loading weights"
+	}
+	model, adapter, _ := strings.Cut(request.Model, ":")
+	if model != e.config.Model || !e.hasAdapter(adapter) {
+		return nil, "model not served here"
+	}
+	version := e.serving.Version
+	prompt := request.PromptText()
+	return &sequence{
+		id: id, priority: engine.Priority(request.Priority), prompt: prompt, seed: request.Seed,
+		maxTokens: request.Limit(), version: version,
+		blocks: engine.PrefixBlocks(prompt), promptWords: max(1, len(strings.Fields(prompt))),
+		answer: NewAnswer(request.Model, version, prompt, request.Seed, request.Limit()),
+	}, ""
+}
+
+func (e *Engine) hasAdapter(adapter string) bool {
+	if adapter == "" {
+		return true
+	}
+	for _, loaded := range e.serving.Adapters {
+		if loaded == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+func refuse(w http.ResponseWriter, status int, kind openai.ErrorType, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(openai.ErrorAnswer{Error: openai.ErrorDetail{Message: message, Type: kind}})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (e *Engine) requestStatus(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	e.scheduler.mu.Lock()
+	seq, ok := e.scheduler.byID[id]
+	status := engine.RequestStatus{ID: id, State: engine.RequestUnknown}
+	if ok {
+		status = seq.status()
+	}
+	e.scheduler.mu.Unlock()
+	writeJSON(w, status)
+}
+
+func (e *Engine) abort(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, e.scheduler.abort(r.PathValue("id")))
+}
+
+// sampleLoad keeps the reports of the recent past, so that an old one can be served.
+func (e *Engine) sampleLoad(ctx context.Context) {
+	ticker := time.NewTicker(loadSampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			report := e.measure(now)
+			e.mu.Lock()
+			e.reports = append(e.reports, report)
+			for len(e.reports) > 1 && e.reports[1].ReportedUnixMs <= now.Add(-e.config.LoadLag).UnixMilli() {
+				e.reports = e.reports[1:]
+			}
+			e.mu.Unlock()
+		}
+	}
+}
+
+func (e *Engine) measure(now time.Time) engine.Load {
+	e.mu.Lock()
+	load := engine.Load{
+		State: e.state, Role: e.serving.Role, Model: e.config.Model,
+		Version: e.serving.Version, Adapters: e.serving.Adapters, Fence: e.serving.Fence,
+		Generation: e.config.Generation.Name, MaxSequences: e.config.Generation.MaxSequences,
+		KVTotalTokens: e.config.Generation.KVTokens,
+		PrefillPerSec: e.config.Generation.PrefillTokensPerSecond, ReportedUnixMs: now.UnixMilli(),
+	}
+	e.mu.Unlock()
+	e.scheduler.mu.Lock()
+	defer e.scheduler.mu.Unlock()
+	for _, seq := range e.scheduler.running {
+		if seq.priority == engine.PriorityOnline {
+			load.RunningOnline++
+		} else {
+			load.RunningBatch++
+		}
+	}
+	for _, seq := range e.scheduler.waiting {
+		if seq.priority == engine.PriorityOnline {
+			load.WaitingOnline++
+		} else {
+			load.WaitingBatch++
+		}
+	}
+	load.KVUsedTokens = e.scheduler.kvUsed()
+	load.StepMillis = float64(e.scheduler.stepTime) / float64(time.Millisecond)
+	return load
+}
+
+// lagged returns the newest report that is at least LoadLag old.
+func (e *Engine) lagged() engine.Load {
+	e.mu.Lock()
+	if len(e.reports) > 0 {
+		report := e.reports[0]
+		e.mu.Unlock()
+		return report
+	}
+	e.mu.Unlock()
+	return e.measure(time.Now())
+}
+
+func (e *Engine) loadReport(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.lagged()) }
+
+func (e *Engine) loadHeader() string {
+	report, err := json.Marshal(e.lagged())
+	if err != nil {
+		return ""
+	}
+	return "JSON " + string(report)
+}
+
+// attemptID makes the id of an imported attempt.
+func attemptID(header string, fallback string) string {
+	if header != "" {
+		return header
+	}
+	return fmt.Sprintf("%s-imported", fallback)
+}
--- /dev/null
+++ b/internal/lab/emulator/engineorders.go
@@ -0,0 +1,123 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/object"
+)
+
+// loadRetryDelay is the pause before weights are asked for again.
+const loadRetryDelay = 200 * time.Millisecond
+
+func (e *Engine) currentOrder(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.serving)
+}
+
+// obey carries out a fenced order, or refuses it with the order in force when
+// its fence is lower than that one's.
+func (e *Engine) obey(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		refuse(w, http.StatusBadRequest, openai.TypeInvalidRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	if order.Fence < e.serving.Fence {
+		current := e.serving
+		e.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(current)
+		return
+	}
+	previous := e.serving
+	e.serving = order
+	newVersion := order.Version != previous.Version
+	fetch := missingWeights(e.config.Model, previous, order)
+	if newVersion && e.state == engine.StateReady {
+		e.state = engine.StateLoading
+	}
+	e.loadings++
+	loading := e.loadings
+	e.mu.Unlock()
+	e.config.Recorder.Record(history.Event{
+		Source: "engine/" + e.config.Replica, Type: history.EngineOrder, Replica: e.config.Replica,
+		Revision: order.Fence, Value: order.Version, Detail: string(order.Role),
+	})
+	if newVersion {
+		e.scheduler.mu.Lock()
+		e.scheduler.cache.clear()
+		e.scheduler.mu.Unlock()
+	}
+	go e.load(fetch, loading, newVersion)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// missingWeights names the weight objects that an order needs anew.
+func missingWeights(model string, previous, next engine.Order) []string {
+	var keys []string
+	if next.Version != previous.Version {
+		keys = append(keys, WeightKey(model, next.Version))
+	}
+	have := map[string]bool{}
+	for _, adapter := range previous.Adapters {
+		have[adapter] = true
+	}
+	for _, adapter := range next.Adapters {
+		if !have[adapter] {
+			keys = append(keys, WeightKey(model, "adapter-"+adapter))
+		}
+	}
+	return keys
+}
+
+// WeightKey is the key of a version's or adapter's weights in the weight store.
+func WeightKey(model, version string) string { return "weights/" + model + "/" + version }
+
+// load fetches weights and then serves, unless a newer order came meanwhile.
+func (e *Engine) load(keys []string, loading int, restart bool) {
+	if restart {
+		e.awaitIdle()
+	}
+	for _, key := range keys {
+		e.fetch(key)
+	}
+	if restart {
+		time.Sleep(e.config.Generation.LoadBase)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loadings == loading && e.state == engine.StateLoading {
+		e.state = engine.StateReady
+	}
+}
+
+// awaitIdle lets the attempts of the old version end before it is unloaded.
+func (e *Engine) awaitIdle() {
+	const checkInterval = 20 * time.Millisecond
+	for e.Open() > 0 {
+		time.Sleep(checkInterval)
+	}
+}
+
+func (e *Engine) fetch(key string) {
+	if e.config.Weights == nil {
+		return
+	}
+	const attempts = 200
+	for range attempts {
+		_, err := object.ReadAll(context.Background(), e.config.Weights, key)
+		if err == nil {
+			return
+		}
+		time.Sleep(loadRetryDelay)
+	}
+}
--- /dev/null
+++ b/internal/lab/emulator/machinelist.go
@@ -0,0 +1,94 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/machines"
+)
+
+// MachineList is a stand-in for the platform's machine list. Changes show
+// only after Lag.
+type MachineList struct {
+	// Faults guards all calls.
+	Faults *Faults
+
+	mu      sync.Mutex
+	lag     time.Duration
+	current map[string]machines.Machine
+	pending []pendingMachine
+}
+
+type pendingMachine struct {
+	visible time.Time
+	machine machines.Machine
+	removed bool
+}
+
+// NewMachineList returns an empty list whose changes show after lag.
+func NewMachineList(seed uint64, lag time.Duration) *MachineList {
+	return &MachineList{
+		Faults: NewFaults(seed, func(w http.ResponseWriter) {
+			http.Error(w, "rate exceeded", http.StatusTooManyRequests)
+		}),
+		lag:     lag,
+		current: map[string]machines.Machine{},
+	}
+}
+
+// Add lists a machine at once, as one that has long been there.
+func (l *MachineList) Add(machine machines.Machine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current[machine.ID] = machine
+}
+
+// Set changes or adds a machine after the lag.
+func (l *MachineList) Set(machine machines.Machine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, pendingMachine{visible: time.Now().Add(l.lag), machine: machine})
+}
+
+// Remove takes a machine off the list after the lag.
+func (l *MachineList) Remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change := pendingMachine{visible: time.Now().Add(l.lag), removed: true}
+	change.machine.ID = id
+	l.pending = append(l.pending, change)
+}
+
+// Handler serves the list as a JSON array.
+func (l *MachineList) Handler() http.Handler {
+	return l.Faults.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(l.visible(time.Now()))
+	}))
+}
+
+func (l *MachineList) visible(now time.Time) []machines.Machine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var waiting []pendingMachine
+	for _, change := range l.pending {
+		switch {
+		case change.visible.After(now):
+			waiting = append(waiting, change)
+		case change.removed:
+			delete(l.current, change.machine.ID)
+		default:
+			l.current[change.machine.ID] = change.machine
+		}
+	}
+	l.pending = waiting
+	list := make([]machines.Machine, 0, len(l.current))
+	for _, machine := range l.current {
+		list = append(list, machine)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/internal/lab/emulator/tablestore.go
@@ -0,0 +1,307 @@
+package emulator
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+)
+
+// attributeValue is a DynamoDB attribute value in its JSON form. Only the
+// types S, N and B are supported.
+type attributeValue struct {
+	S *string `json:"S,omitempty"`
+	N *string `json:"N,omitempty"`
+	B *string `json:"B,omitempty"`
+}
+
+func (v attributeValue) equal(other attributeValue) bool {
+	return same(v.S, other.S) && same(v.N, other.N) && same(v.B, other.B)
+}
+
+func same(a, b *string) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
+type item map[string]attributeValue
+
+func (i item) text(name string) string {
+	if value := i[name].S; value != nil {
+		return *value
+	}
+	return ""
+}
+
+// TableStore is a stand-in for the table service. It speaks the part of the
+// DynamoDB protocol (API version 2012-08-10) that wheelhoist uses and rejects
+// every other call and every condition form it does not know.
+type TableStore struct {
+	// Faults guards all calls.
+	Faults  *Faults
+	history *history.Recorder
+
+	mu         sync.Mutex
+	partitions map[string]map[string]item
+	tokens     map[string]string
+	writes     uint64
+	reads      uint64
+}
+
+// NewTableStore returns an empty table that records its effects.
+func NewTableStore(seed uint64, recorder *history.Recorder) *TableStore {
+	store := &TableStore{
+		history:    recorder,
+		partitions: map[string]map[string]item{},
+		tokens:     map[string]string{},
+	}
+	store.Faults = NewFaults(seed, func(w http.ResponseWriter) {
+		writeTableError(w, tableError{kind: "ThrottlingException", message: "rate exceeded"})
+	})
+	return store
+}
+
+// Handler serves the protocol.
+func (t *TableStore) Handler() http.Handler { return t.Faults.Wrap(http.HandlerFunc(t.serve)) }
+
+// Counts returns how many row writes and read calls were carried out.
+func (t *TableStore) Counts() (writes, reads uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.writes, t.reads
+}
+
+type tableError struct {
+	kind    string
+	message string
+	// reasons are the codes of a TransactionCanceledException, one an item.
+	reasons []string
+}
+
+func (e tableError) Error() string { return e.kind + ": " + e.message }
+
+func writeTableError(w http.ResponseWriter, failure tableError) {
+	type reason struct{ Code string }
+	var reasons []reason
+	for _, code := range failure.reasons {
+		reasons = append(reasons, reason{Code: code})
+	}
+	w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+	w.WriteHeader(http.StatusBadRequest)
+	_ = json.NewEncoder(w).Encode(struct {
+		Type    string   `json:"__type"`
+		Message string   `json:"message"`
+		Reasons []reason `json:"CancellationReasons,omitempty"`
+	}{"com.amazonaws.dynamodb.v20120810#" + failure.kind, failure.message, reasons})
+}
+
+func (t *TableStore) serve(w http.ResponseWriter, r *http.Request) {
+	_, operation, _ := strings.Cut(r.Header.Get("X-Amz-Target"), ".")
+	decoder := json.NewDecoder(r.Body)
+	var answer any
+	var err error
+	switch operation {
+	case "GetItem":
+		answer, err = handle(decoder, t.getItem)
+	case "Query":
+		answer, err = handle(decoder, t.query)
+	case "TransactWriteItems":
+		answer, err = handle(decoder, t.transact)
+	default:
+		err = tableError{kind: "UnknownOperationException", message: operation}
+	}
+	if err != nil {
+		failure, ok := err.(tableError)
+		if !ok {
+			failure = tableError{kind: "SerializationException", message: err.Error()}
+		}
+		writeTableError(w, failure)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func handle[Input, Output any](decoder *json.Decoder, call func(Input) (Output, error)) (Output, error) {
+	var input Input
+	if err := decoder.Decode(&input); err != nil {
+		var none Output
+		return none, err
+	}
+	return call(input)
+}
+
+type getItemInput struct{ Key item }
+type getItemOutput struct {
+	Item item `json:",omitempty"`
+}
+
+func (t *TableStore) getItem(input getItemInput) (getItemOutput, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	return getItemOutput{Item: t.partitions[input.Key.text("pk")][input.Key.text("sk")]}, nil
+}
+
+type queryInput struct {
+	KeyConditionExpression    string
+	ExpressionAttributeValues item
+	Limit                     int
+}
+type queryOutput struct {
+	Items []item
+	Count int
+}
+
+func (t *TableStore) query(input queryInput) (queryOutput, error) {
+	if input.KeyConditionExpression != "pk = :partition AND sk > :after" {
+		return queryOutput{}, tableError{kind: "ValidationException", message: "key condition not supported: " + input.KeyConditionExpression}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	partition := t.partitions[input.ExpressionAttributeValues.text(":partition")]
+	after := input.ExpressionAttributeValues.text(":after")
+	keys := make([]string, 0, len(partition))
+	for key := range partition {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	if input.Limit > 0 && len(keys) > input.Limit {
+		keys = keys[:input.Limit]
+	}
+	output := queryOutput{Items: []item{}, Count: len(keys)}
+	for _, key := range keys {
+		output.Items = append(output.Items, partition[key])
+	}
+	return output, nil
+}
+
+type conditionalWrite struct {
+	Key                       item
+	Item                      item
+	ConditionExpression       string
+	ExpressionAttributeValues item
+}
+
+func (w conditionalWrite) key() (partition, sortKey string) {
+	source := w.Key
+	if source == nil {
+		source = w.Item
+	}
+	return source.text("pk"), source.text("sk")
+}
+
+type transactInput struct {
+	ClientRequestToken string
+	TransactItems      []struct {
+		Put            *conditionalWrite
+		Delete         *conditionalWrite
+		ConditionCheck *conditionalWrite
+	}
+}
+type transactOutput struct{}
+
+func (t *TableStore) transact(input transactInput) (transactOutput, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fingerprint, err := json.Marshal(input)
+	if err != nil {
+		return transactOutput{}, err
+	}
+	if seen, ok := t.tokens[input.ClientRequestToken]; ok {
+		if seen != string(fingerprint) {
+			return transactOutput{}, tableError{kind: "IdempotentParameterMismatchException", message: "token used with other parameters"}
+		}
+		return transactOutput{}, nil
+	}
+	reasons := make([]string, len(input.TransactItems))
+	failed := false
+	for i, entry := range input.TransactItems {
+		write := firstWrite(entry.Put, entry.Delete, entry.ConditionCheck)
+		if write == nil {
+			return transactOutput{}, tableError{kind: "ValidationException", message: "empty transaction item"}
+		}
+		holds, err := t.holds(*write)
+		if err != nil {
+			return transactOutput{}, err
+		}
+		reasons[i] = "None"
+		if !holds {
+			reasons[i] = "ConditionalCheckFailed"
+			failed = true
+		}
+	}
+	if failed {
+		return transactOutput{}, tableError{kind: "TransactionCanceledException", message: "condition failed", reasons: reasons}
+	}
+	for _, entry := range input.TransactItems {
+		t.apply(entry.Put, entry.Delete)
+	}
+	if input.ClientRequestToken != "" {
+		t.tokens[input.ClientRequestToken] = string(fingerprint)
+	}
+	return transactOutput{}, nil
+}
+
+func firstWrite(candidates ...*conditionalWrite) *conditionalWrite {
+	for _, candidate := range candidates {
+		if candidate != nil {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// holds evaluates a condition. The caller holds mu.
+func (t *TableStore) holds(write conditionalWrite) (bool, error) {
+	partition, sortKey := write.key()
+	current, exists := t.partitions[partition][sortKey]
+	switch write.ConditionExpression {
+	case "":
+		return true, nil
+	case "attribute_not_exists(pk)":
+		return !exists, nil
+	case "version = :expect":
+		return exists && current["version"].equal(write.ExpressionAttributeValues[":expect"]), nil
+	default:
+		return false, tableError{kind: "ValidationException", message: "condition not supported: " + write.ConditionExpression}
+	}
+}
+
+// apply carries out one item of a transaction. The caller holds mu.
+func (t *TableStore) apply(put, remove *conditionalWrite) {
+	switch {
+	case put != nil:
+		partition, sortKey := put.key()
+		if t.partitions[partition] == nil {
+			t.partitions[partition] = map[string]item{}
+		}
+		t.partitions[partition][sortKey] = put.Item
+		t.writes++
+		t.recordEffect(partition, sortKey, put.Item)
+	case remove != nil:
+		partition, sortKey := remove.key()
+		delete(t.partitions[partition], sortKey)
+		t.writes++
+	}
+}
+
+func (t *TableStore) recordEffect(partition, sortKey string, stored item) {
+	var version uint64
+	if value := stored["version"].N; value != nil {
+		version, _ = strconv.ParseUint(*value, 10, 64)
+	}
+	t.history.Record(history.Event{
+		Source: "table", Type: history.TableEffect,
+		Key: partition + "/" + sortKey, Operation: stored.text("operation"), Revision: version,
+	})
+}
--- /dev/null
+++ b/internal/lab/labcmd/demo.go
@@ -0,0 +1,192 @@
+package labcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/schollz/progressbar/v3"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/lab/load"
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+)
+
+const (
+	demoSeed   = 1
+	demoNodes  = 3
+	demoOnline = 8 * time.Second
+	demoItems  = 1500
+	demoLimit  = 28 * time.Second
+	// progressInterval is the time between two looks at the job.
+	progressInterval = time.Second
+)
+
+// demoResult is the last line of the demo.
+type demoResult struct {
+	Online       load.Online `json:"online"`
+	BatchItems   int         `json:"batch_items"`
+	BatchSeconds float64     `json:"batch_seconds"`
+	ItemsPerSec  float64     `json:"items_per_s"`
+	Revision     uint64      `json:"config_revision"`
+	InForceNodes int         `json:"config_in_force_nodes"`
+	InForceMs    float64     `json:"config_in_force_ms"`
+	Violations   []string    `json:"violations"`
+}
+
+func demoCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist-lab demo", std)
+	asJSON := flags.Bool("json", false, "end with one JSON line")
+	profileName := flags.String("profile", "urnik", "deployment: urnik or kalendarik")
+	return &ffcli.Command{
+		Name: "demo", ShortUsage: "wheelhoist-lab demo [flags]", FlagSet: flags,
+		ShortHelp: "online streams beside a batch job, in one process, in under 30 s",
+		Exec: func(ctx context.Context, _ []string) error {
+			chosen, err := profile.Find(*profileName)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, demoLimit)
+			defer cancel()
+			result, err := runDemo(ctx, chosen, std.out)
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				if err := json.NewEncoder(std.out).Encode(result); err != nil {
+					return err
+				}
+			}
+			if len(result.Violations) > 0 {
+				return fmt.Errorf("%w: %v", errViolations, result.Violations)
+			}
+			return nil
+		},
+	}
+}
+
+func runDemo(ctx context.Context, chosen profile.Profile, out io.Writer) (*demoResult, error) {
+	say := func(format string, arguments ...any) { _, _ = fmt.Fprintf(out, format+"\n", arguments...) }
+	recorder := &history.Recorder{}
+	running, err := site.Start(ctx, site.Config{
+		Profile: chosen, Nodes: demoNodes, Listen: "127.0.0.1:0", Seed: demoSeed, Recorder: recorder,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer running.Close()
+	say("site %s: %d nodes in %d zones before %d replicas of two hardware generations",
+		chosen.Name, demoNodes, len(chosen.Zones), chosen.ReplicaCount())
+
+	result := &demoResult{Violations: []string{}}
+	stats := load.NewStats()
+	caller := (&load.Caller{
+		Model: chosen.Model, Key: site.TenantKey, Version: chosen.Version, Recorder: recorder,
+		Stats: stats, URLs: running.URLs, Delay: chosen.ClientDelay,
+	}).Open()
+	defer caller.Close()
+	online := make(chan struct{})
+	go func() {
+		defer close(online)
+		caller.Replay(ctx, load.Schedule(chosen.Online, demoSeed, demoOnline, 1))
+	}()
+	if err := demoConfig(ctx, running, result); err != nil {
+		return nil, err
+	}
+	say("configuration revision %d in force on %d nodes after %.0f ms", result.Revision, result.InForceNodes, result.InForceMs)
+	if err := demoBatch(ctx, running, chosen, recorder, out, result); err != nil {
+		return nil, err
+	}
+	<-online
+	result.Online = stats.Summary()
+	say("batch: %d items in %.1f s (%.0f items/s), each with exactly one result, all as expected",
+		result.BatchItems, result.BatchSeconds, result.ItemsPerSec)
+	say("online beside it: %d streams, %d whole and as expected, %d refused, %d failed",
+		result.Online.Requests, result.Online.Answered-result.Online.Wrong, result.Online.Refused, result.Online.Failed)
+	say("first token p50 %.0f ms, p99 %.0f ms; between tokens p95 %.1f ms",
+		result.Online.TTFTP50, result.Online.TTFTP99, result.Online.GapP95)
+	if result.Online.Wrong > 0 || result.Online.Failed > 0 {
+		result.Violations = append(result.Violations, "online answers wrong or failed")
+	}
+	return result, nil
+}
+
+// demoConfig changes the site policy through one node and waits for it to be
+// in force on all.
+func demoConfig(ctx context.Context, running *site.Site, result *demoResult) error {
+	spec, err := json.Marshal(v1.SitePolicySpec{QueueTimeout: v1.Duration(3 * time.Second), Note: "demo"})
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	applied, err := running.Operator(1).Put(ctx, &v1.Resource{
+		APIVersion: v1.APIVersion, Kind: v1.KindSitePolicy, Metadata: v1.Metadata{Name: "site"}, Spec: spec,
+	}, nil)
+	if err != nil {
+		return err
+	}
+	result.InForceMs = float64(time.Since(started)) / float64(time.Millisecond)
+	result.Revision = applied.Metadata.ResourceVersion
+	result.InForceNodes = applied.Status.InForce
+	if !applied.Status.Accepted() {
+		result.Violations = append(result.Violations, "configuration not in force everywhere")
+	}
+	return nil
+}
+
+func demoBatch(ctx context.Context, running *site.Site, chosen profile.Profile, recorder *history.Recorder, out io.Writer, result *demoResult) error {
+	submitter := &load.Submitter{Model: chosen.Model, Key: site.TenantKey, Recorder: recorder, URLs: running.URLs}
+	started := time.Now()
+	job, err := submitter.Submit(ctx, load.Items(chosen.Batch, demoSeed, "demo", demoItems, false), time.Hour, "")
+	if err != nil {
+		return err
+	}
+	bar := progressbar.NewOptions(demoItems, progressbar.OptionSetWriter(out),
+		progressbar.OptionSetDescription("batch items"), progressbar.OptionShowCount(),
+		progressbar.OptionThrottle(progressInterval), progressbar.OptionUseANSICodes(true))
+	progress, stop := context.WithCancel(ctx)
+	defer stop()
+	go showProgress(progress, running, job.ID, bar)
+	batch, err := submitter.Await(ctx, job)
+	if err != nil {
+		return err
+	}
+	result.BatchSeconds = time.Since(started).Seconds()
+	stop()
+	_ = bar.Finish()
+	_, _ = fmt.Fprintln(out)
+	lines, err := submitter.Verify(ctx, job)
+	if err != nil {
+		return err
+	}
+	result.BatchItems = batch.RequestCounts.Completed
+	result.ItemsPerSec = float64(result.BatchItems) / result.BatchSeconds
+	if lines != demoItems || result.BatchItems != demoItems {
+		result.Violations = append(result.Violations, fmt.Sprintf("%d results for %d items", lines, demoItems))
+	}
+	for _, event := range recorder.Events() {
+		if event.Type == history.BatchResult && !event.Match {
+			result.Violations = append(result.Violations, "wrong result for item "+event.Item)
+		}
+	}
+	return nil
+}
+
+func showProgress(ctx context.Context, running *site.Site, job string, bar *progressbar.ProgressBar) {
+	tenant := running.Tenant(0)
+	for {
+		if batch, err := tenant.Batch(ctx, job); err == nil {
+			_ = bar.Set(batch.RequestCounts.Completed + batch.RequestCounts.Failed)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(progressInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/labcmd/root.go
@@ -0,0 +1,70 @@
+// Package labcmd implements the command line of the lab, one file a
+// subcommand.
+package labcmd
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/internal/command"
+)
+
+// errViolations reports that a run broke an invariant.
+var errViolations = errors.New("invariants violated")
+
+// streams are the standard streams of a command.
+type streams struct {
+	out, err io.Writer
+}
+
+// Main runs the command line and returns the exit code. The command "node" is
+// the product's own: experiments run nodes as processes of this program.
+func Main(arguments []string) int {
+	if len(arguments) > 0 && arguments[0] == "node" {
+		return command.Main(arguments)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	std := streams{out: os.Stdout, err: os.Stderr}
+	root := newRoot(std)
+	err := root.ParseAndRun(ctx, arguments)
+	switch {
+	case err == nil:
+		return command.ExitOK
+	case errors.Is(err, flag.ErrHelp):
+		return command.ExitUsage
+	default:
+		_, _ = fmt.Fprintln(std.err, "wheelhoist-lab:", err)
+		return command.ExitFailed
+	}
+}
+
+func newRoot(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist-lab", std)
+	root := &ffcli.Command{
+		Name: "wheelhoist-lab", ShortUsage: "wheelhoist-lab <command> [flags]", FlagSet: flags,
+		ShortHelp: "stand-ins, load, faults and checks; never needed in production",
+		Subcommands: []*ffcli.Command{
+			demoCommand(std), siteCommand(std), runCommand(std), checkCommand(std), hollowCommand(std),
+		},
+	}
+	root.Exec = func(context.Context, []string) error {
+		_, _ = fmt.Fprintln(std.err, ffcli.DefaultUsageFunc(root))
+		return flag.ErrHelp
+	}
+	return root
+}
+
+func newFlags(name string, std streams) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(std.err)
+	return flags
+}
--- /dev/null
+++ b/internal/lab/labcmd/site.go
@@ -0,0 +1,59 @@
+package labcmd
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+)
+
+// readyLine is what the site command prints once the site serves.
+type readyLine struct {
+	Ready       bool           `json:"ready"`
+	Nodes       []string       `json:"nodes"`
+	Model       string         `json:"model"`
+	TenantKey   string         `json:"tenant_key"`
+	OperatorKey string         `json:"operator_key"`
+	Platform    site.Endpoints `json:"platform"`
+	Engines     []string       `json:"engines"`
+}
+
+func siteCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist-lab site", std)
+	profileName := flags.String("profile", "urnik", "deployment: urnik or kalendarik")
+	nodes := flags.Int("nodes", 3, "number of nodes")
+	listen := flags.String("listen", "127.0.0.1:8080", "host:port of the first node; the next ones take the next ports")
+	seed := flags.Uint64("seed", 1, "seed of all chance")
+	return &ffcli.Command{
+		Name: "site", ShortUsage: "wheelhoist-lab site [flags]", FlagSet: flags,
+		ShortHelp: "run a whole site in this process until SIGTERM",
+		Exec: func(ctx context.Context, _ []string) error {
+			chosen, err := profile.Find(*profileName)
+			if err != nil {
+				return err
+			}
+			running, err := site.Start(ctx, site.Config{
+				Profile: chosen, Nodes: *nodes, Listen: *listen, Seed: *seed, Log: std.err,
+			})
+			if err != nil {
+				return err
+			}
+			defer running.Close()
+			line := readyLine{
+				Ready: true, Nodes: running.URLs(), Model: chosen.Model, TenantKey: site.TenantKey,
+				OperatorKey: site.OperatorKey, Platform: running.Platform.Endpoints(),
+			}
+			for _, engine := range running.Engines() {
+				line.Engines = append(line.Engines, engine.URL)
+			}
+			if err := json.NewEncoder(std.out).Encode(line); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/load/online.go
@@ -0,0 +1,266 @@
+// Package load generates the lab's load and checks the answers it gets.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("load")
+
+// Arrival is one online request of a schedule.
+type Arrival struct {
+	// At is the time after the start of the load.
+	At        time.Duration
+	ID        string
+	Prompt    string
+	MaxTokens int
+	Seed      int64
+	// Once marks a request that may run at most once.
+	Once bool
+	// Key is its Idempotency-Key, if any.
+	Key string
+}
+
+// Schedule makes the arrivals of a profile for a time. It is a function of the
+// seed, so that runs with and without batch get the same requests.
+func Schedule(p profile.Online, seed uint64, length time.Duration, scale float64) []Arrival {
+	random := rand.New(rand.NewPCG(seed, 7))
+	var arrivals []Arrival
+	exponential := func(mean time.Duration) time.Duration {
+		return time.Duration(random.ExpFloat64() * float64(mean))
+	}
+	at := exponential(p.Quiet)
+	for at < length {
+		end := at + exponential(p.Busy)
+		for at < end && at < length {
+			arrivals = append(arrivals, arrival(p, random, at, len(arrivals), seed))
+			at += time.Duration(random.ExpFloat64() / (p.Rate * scale) * float64(time.Second))
+		}
+		at = max(at, end) + exponential(p.Quiet)
+	}
+	return arrivals
+}
+
+const conversations = 40
+
+func arrival(p profile.Online, random *rand.Rand, at time.Duration, number int, seed uint64) Arrival {
+	prompt := words(random, p.PromptWords/2+random.IntN(p.PromptWords))
+	if random.Float64() < p.ConversationShare {
+		// The shared beginning is a function of the conversation alone.
+		conversation := random.IntN(conversations)
+		shared := rand.New(rand.NewPCG(seed, 1000+uint64(conversation)))
+		prompt = words(shared, p.SharedWords) + " " + prompt
+	}
+	return Arrival{
+		At: at, ID: fmt.Sprintf("online-%d-%d", seed, number), Prompt: prompt,
+		MaxTokens: p.MaxTokens/2 + random.IntN(p.MaxTokens), Seed: int64(number),
+	}
+}
+
+func words(random *rand.Rand, count int) string {
+	var builder strings.Builder
+	for i := range count {
+		if i > 0 {
+			builder.WriteByte(' ')
+		}
+		fmt.Fprintf(&builder, "w%x", random.Uint32N(1<<20))
+	}
+	return builder.String()
+}
+
+// Caller sends online requests to the nodes of a site.
+type Caller struct {
+	Model string
+	Key   string
+	// Version is the fallback when an answer names none.
+	Version  string
+	Recorder *history.Recorder
+	Stats    *Stats
+	// URLs returns the nodes to call; they are used in turn.
+	URLs func() []string
+	// Delay is the way from the caller to a node, added to each request.
+	Delay time.Duration
+	// Retries is how often a refusal that says "not run" is sent again.
+	Retries int
+
+	client *http.Client
+	turn   atomic.Uint64
+}
+
+// Open prepares the caller's connections. Call it before anything else.
+func (c *Caller) Open() *Caller {
+	const idle = 512
+	c.client = &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: idle, MaxIdleConns: 0, IdleConnTimeout: 30 * time.Second,
+	}}
+	return c
+}
+
+// Close drops idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Replay sends a schedule at its times and waits for all answers.
+func (c *Caller) Replay(ctx context.Context, arrivals []Arrival) {
+	start := time.Now()
+	var group sync.WaitGroup
+	for _, one := range arrivals {
+		timer := time.NewTimer(time.Until(start.Add(one.At)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			group.Wait()
+			return
+		case <-timer.C:
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			c.Ask(ctx, one)
+		}()
+	}
+	group.Wait()
+}
+
+// Ask sends one request, again after a refusal that says it did not run, and
+// records what came of it.
+func (c *Caller) Ask(ctx context.Context, one Arrival) {
+	c.Recorder.Record(history.Event{
+		Source: "client", Type: history.ClientSend, Class: history.Online, Request: one.ID, Repeatable: !one.Once,
+	})
+	sent := time.Now()
+	for attempt := 0; ; attempt++ {
+		result := c.once(ctx, one, sent)
+		c.Recorder.Record(result)
+		again := result.Type == history.ClientRefused && result.Executed == "no" && attempt < c.Retries
+		if !again || ctx.Err() != nil {
+			c.Stats.Add(result)
+			return
+		}
+		const retryDelay = 100 * time.Millisecond
+		time.Sleep(retryDelay)
+	}
+}
+
+func (c *Caller) once(ctx context.Context, one Arrival, sent time.Time) history.Event {
+	event := history.Event{Source: "client", Class: history.Online, Request: one.ID, Repeatable: !one.Once}
+	urls := c.URLs()
+	if len(urls) == 0 {
+		event.Type, event.Detail = history.ClientFailed, "no node"
+		return event
+	}
+	time.Sleep(c.Delay)
+	url := urls[c.turn.Add(1)%uint64(len(urls))]
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+openai.PathChatCompletions, bytes.NewReader(c.body(one)))
+	if err != nil {
+		event.Type, event.Detail = history.ClientFailed, err.Error()
+		return event
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	request.Header.Set("X-Request-Id", one.ID)
+	if one.Once {
+		request.Header.Set("X-Wheelhoist-Repeatable", "no")
+	}
+	if one.Key != "" {
+		request.Header.Set("Idempotency-Key", one.Key)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		event.Type, event.Detail = history.ClientFailed, err.Error()
+		return event
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
+		event.Type = history.ClientRefused
+		event.Executed = response.Header.Get("X-Wheelhoist-Executed")
+		event.Detail = fmt.Sprintf("%d %s", response.StatusCode, body)
+		return event
+	}
+	c.read(response.Body, one, sent, &event)
+	return event
+}
+
+func (c *Caller) body(one Arrival) []byte {
+	body, err := json.Marshal(openai.CompletionRequest{
+		Model: c.Model, Stream: true, MaxTokens: one.MaxTokens, Seed: one.Seed,
+		Messages: []openai.Message{{Role: "user", Content: openai.Content(one.Prompt)}},
+	})
+	if err != nil {
+		// A struct of strings and numbers always encodes.
+		panic(err)
+	}
+	return body
+}
+
+// read takes the streamed answer in and compares it with the expected one.
+func (c *Caller) read(body io.Reader, one Arrival, sent time.Time, event *history.Event) {
+	var text strings.Builder
+	version := c.Version
+	event.Type = history.ClientFailed
+	var last time.Time
+	reader := bufio.NewReader(body)
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			event.Detail = "answer broke off: " + err.Error()
+			return
+		}
+		data, isData := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !isData {
+			continue
+		}
+		if string(data) == openai.DoneMarker {
+			break
+		}
+		var chunk openai.Completion
+		if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
+			event.Detail = "error event: " + string(data)
+			return
+		}
+		now := time.Now()
+		if text.Len() == 0 {
+			event.TTFT = milliseconds(now.Sub(sent))
+		} else {
+			c.Stats.Gap(now.Sub(last))
+		}
+		last = now
+		if chunk.SystemFingerprint != "" {
+			version = chunk.SystemFingerprint
+		}
+		text.WriteString(chunk.Text())
+		event.Tokens++
+	}
+	event.Type, event.Whole, event.Value = history.ClientAnswer, true, version
+	event.Elapsed = milliseconds(time.Since(sent))
+	event.Match = text.String() == c.expected(one, version)
+}
+
+func (c *Caller) expected(one Arrival, version string) string {
+	prompt := (&openai.CompletionRequest{
+		Messages: []openai.Message{{Role: "user", Content: openai.Content(one.Prompt)}},
+	}).PromptText()
+	return emulator.NewAnswer(c.Model, version, prompt, one.Seed, one.MaxTokens).Text()
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/lab/load/stats.go
@@ -0,0 +1,119 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+)
+
+const (
+	histogramMax    = int64(2 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Stats collects what callers measured. It is safe for concurrent use.
+type Stats struct {
+	mu       sync.Mutex
+	ttft     *hdrhistogram.Histogram
+	total    *hdrhistogram.Histogram
+	gaps     *hdrhistogram.Histogram
+	requests int
+	answered int
+	refused  int
+	failed   int
+	wrong    int
+	tokens   int
+	// points keep the time series for plots.
+	points []Point
+	start  time.Time
+}
+
+// Point is one answered request of the time series.
+type Point struct {
+	// At is seconds since the first answer.
+	At float64
+	// TTFT is in milliseconds.
+	TTFT float64
+}
+
+// NewStats returns empty statistics.
+func NewStats() *Stats {
+	create := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMax, histogramDigits) }
+	return &Stats{ttft: create(), total: create(), gaps: create()}
+}
+
+// Add takes in the outcome of a request.
+func (s *Stats) Add(event history.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	switch event.Type {
+	case history.ClientAnswer:
+		s.answered++
+		s.tokens += event.Tokens
+		if !event.Match {
+			s.wrong++
+		}
+		_ = s.ttft.RecordValue(int64(event.TTFT * 1000))
+		_ = s.total.RecordValue(int64(event.Elapsed * 1000))
+		if s.start.IsZero() {
+			s.start = time.Now()
+		}
+		s.points = append(s.points, Point{At: time.Since(s.start).Seconds(), TTFT: event.TTFT})
+	case history.ClientRefused:
+		s.refused++
+	default:
+		s.failed++
+	}
+}
+
+// Gap takes in the time between two tokens.
+func (s *Stats) Gap(gap time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.gaps.RecordValue(gap.Microseconds())
+}
+
+// Online is the summary of online requests.
+type Online struct {
+	Requests  int     `json:"requests"`
+	Answered  int     `json:"answered"`
+	Refused   int     `json:"refused"`
+	Failed    int     `json:"failed"`
+	Wrong     int     `json:"wrong"`
+	Tokens    int     `json:"tokens"`
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	TTFTP50   float64 `json:"ttft_p50_ms"`
+	TTFTP95   float64 `json:"ttft_p95_ms"`
+	TTFTP99   float64 `json:"ttft_p99_ms"`
+	GapP95    float64 `json:"token_gap_p95_ms"`
+	GapP99    float64 `json:"token_gap_p99_ms"`
+	TTFTWorst float64 `json:"ttft_max_ms"`
+}
+
+// Summary returns the figures so far, in milliseconds.
+func (s *Stats) Summary() Online {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	quantile := func(histogram *hdrhistogram.Histogram, q float64) float64 {
+		return float64(histogram.ValueAtQuantile(q)) / 1000
+	}
+	return Online{
+		Requests: s.requests, Answered: s.answered, Refused: s.refused, Failed: s.failed, Wrong: s.wrong,
+		Tokens: s.tokens, P50: quantile(s.total, 50), P99: quantile(s.total, 99),
+		TTFTP50: quantile(s.ttft, 50), TTFTP95: quantile(s.ttft, 95), TTFTP99: quantile(s.ttft, 99),
+		GapP95: quantile(s.gaps, 95), GapP99: quantile(s.gaps, 99),
+		TTFTWorst: float64(s.ttft.Max()) / 1000,
+	}
+}
+
+// Points returns the time series.
+func (s *Stats) Points() []Point {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Point(nil), s.points...)
+}
--- /dev/null
+++ b/internal/lab/site/declare.go
@@ -0,0 +1,106 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/api/client"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/membership"
+	"github.com/wheelhoist/wheelhoist/internal/server"
+)
+
+// Operator returns an operators' client of a node.
+func (s *Site) Operator(slot int) *client.Client {
+	return client.New(s.Nodes()[slot].URL(), OperatorKey)
+}
+
+// Tenant returns the lab tenant's client of a node.
+func (s *Site) Tenant(slot int) *client.Client {
+	return client.New(s.Nodes()[slot].URL(), TenantKey)
+}
+
+// Pool returns the declaration of the profile's pool at a version.
+func (s *Site) Pool(version string) *v1.Resource {
+	policy := s.config.Profile.Policy
+	if s.config.Policy != nil {
+		policy = *s.config.Policy
+	}
+	return newResource(v1.KindModelPool, s.config.Profile.Pool, v1.ModelPoolSpec{
+		Model: s.config.Profile.Model, Version: version,
+		Replicas:       v1.ReplicaRange{Min: s.config.Profile.ReplicaCount() / 2, Max: 4 * s.config.Profile.ReplicaCount()},
+		MaxUnavailable: 2, Batch: policy,
+	})
+}
+
+func newResource(kind v1.Kind, name string, spec any) *v1.Resource {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		// Specifications are plain structs; they always encode.
+		panic(err)
+	}
+	return &v1.Resource{APIVersion: v1.APIVersion, Kind: kind, Metadata: v1.Metadata{Name: name}, Spec: encoded}
+}
+
+// declare applies the site's resources through the first node.
+func (s *Site) declare(ctx context.Context) error {
+	const limit = 10 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := s.await(ctx, s.Nodes()[0], s.ready); err != nil {
+		return err
+	}
+	operator := s.Operator(0)
+	resources := []*v1.Resource{
+		newResource(v1.KindTenant, TenantName, v1.TenantSpec{Key: TenantKey, Weight: 1}),
+		s.Pool(s.config.Profile.Version),
+	}
+	for _, resource := range resources {
+		if _, err := operator.Put(ctx, resource, nil); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// ready reports whether a node admits work.
+func (s *Site) ready(ctx context.Context, member *Member) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, member.URL()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// settled reports whether a node sees all running nodes and replicas, and the
+// declared resources.
+func (s *Site) settled(ctx context.Context, member *Member) bool {
+	body, err := client.New(member.URL(), OperatorKey).Status(ctx)
+	var status server.NodeStatus
+	if err != nil || json.Unmarshal(body, &status) != nil {
+		return false
+	}
+	alive, ready := 0, 0
+	for _, other := range status.Members {
+		if other.Status == membership.Alive.String() {
+			alive++
+		}
+	}
+	for _, replica := range status.Replicas {
+		if replica.State == engine.StateReady {
+			ready++
+		}
+	}
+	return alive >= len(s.URLs()) && ready >= s.config.Profile.ReplicaCount() && status.Revision >= declaredResources
+}
+
+// declaredResources is the number of resources that a site begins with.
+const declaredResources = 2
--- /dev/null
+++ b/internal/lease/named.go
@@ -0,0 +1,59 @@
+package lease
+
+import (
+	"context"
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// namedPartition holds the rows of named leases.
+const namedPartition = "leases"
+
+// Grant is the right to act under a name. Its epoch rises with each holder, so
+// that effects fenced by it are refused once another holder has acted.
+type Grant struct {
+	Holder string
+	Epoch  uint64
+}
+
+// ErrHeld reports that another session holds the lease.
+var ErrHeld = errors.New("lease held by another session")
+
+// Acquire takes a named lease for a session, or confirms that it holds it. It
+// returns ErrHeld while the holder's session has not expired.
+func Acquire(ctx context.Context, service table.Service, session *Session, watcher *Watcher, name string) (Grant, error) {
+	key := table.Key{Partition: namedPartition, Sort: name}
+	row, err := service.Get(ctx, key)
+	var current Grant
+	switch {
+	case errors.Is(err, table.ErrNotFound):
+	case err != nil:
+		return Grant{}, Error.Wrap(err)
+	default:
+		if err := cbor.Unmarshal(row.Body, &current); err != nil {
+			return Grant{}, Error.Wrap(err)
+		}
+	}
+	if current.Holder == session.ID() {
+		return current, nil
+	}
+	if current.Holder != "" && !watcher.Expired(current.Holder) {
+		return Grant{}, Error.Wrap(ErrHeld)
+	}
+	if err := session.Ensure(ctx); err != nil {
+		return Grant{}, err
+	}
+	next := Grant{Holder: session.ID(), Epoch: current.Epoch + 1}
+	body, err := cbor.Marshal(next)
+	if err != nil {
+		return Grant{}, Error.Wrap(err)
+	}
+	err = table.CommitSettled(ctx, service, table.NewOperation(), table.Write{Key: key, Expect: row.Version, Body: body})
+	if errors.Is(err, table.ErrConflict) {
+		return Grant{}, Error.Wrap(ErrHeld)
+	}
+	return next, Error.Wrap(err)
+}
--- /dev/null
+++ b/internal/lease/session.go
@@ -0,0 +1,215 @@
+// Package lease lets a node hold work in the table service such that another
+// node can take it over when the holder is gone.
+//
+// A node holds everything through one session row, which it renews. A
+// contender may take work of a session over once it has itself watched the row
+// unchanged for the time to live, on its own monotonic clock; so no clock is
+// compared between machines, and while the store is down nobody can take over.
+// Every effect of a holder is conditional on the version of the row it holds,
+// so a holder that wakes up late is refused by the store.
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("lease")
+
+const (
+	// TimeToLive is how long a session must be seen unchanged before its work
+	// may be taken over.
+	TimeToLive = 8 * time.Second
+	// RenewInterval leaves room for two failed renewals within TimeToLive.
+	RenewInterval = 2500 * time.Millisecond
+	// partition holds the session rows.
+	partition = "sessions"
+	// sweepMultiple times TimeToLive is the age at which an abandoned row is deleted.
+	sweepMultiple = 10
+)
+
+// Session is a node's own session. It is safe for concurrent use.
+type Session struct {
+	service table.Service
+	id      string
+
+	mu      sync.Mutex
+	version uint64
+	created bool
+}
+
+// NewSession returns a session with a fresh id for this run of a node.
+func NewSession(service table.Service, node string) *Session {
+	return &Session{service: service, id: node + "#" + table.NewOperation()[:12]}
+}
+
+// ID identifies the session; it is never used again after a restart.
+func (s *Session) ID() string { return s.id }
+
+// Ensure creates the row unless it exists. Work is held only afterwards.
+func (s *Session) Ensure(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.created {
+		return nil
+	}
+	return s.renew(ctx)
+}
+
+// Renew raises the version of the row.
+func (s *Session) Renew(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.created {
+		return nil
+	}
+	return s.renew(ctx)
+}
+
+// renew writes the next version. The caller holds mu. Nobody else writes the
+// row, so after an unknown outcome the version is read back.
+func (s *Session) renew(ctx context.Context) error {
+	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Expect: s.version}
+	err := s.service.Commit(ctx, table.NewOperation(), write)
+	if err == nil {
+		s.version = write.NextVersion()
+		s.created = true
+		return nil
+	}
+	if outcome.Of(err) == outcome.NotDone && !errors.Is(err, table.ErrConflict) {
+		return Error.Wrap(err)
+	}
+	row, readErr := s.service.Get(ctx, write.Key)
+	switch {
+	case readErr == nil:
+		s.version = row.Version
+		s.created = true
+	case errors.Is(readErr, table.ErrNotFound):
+		s.version = table.Absent
+	}
+	return Error.Wrap(err)
+}
+
+// End deletes the row, so that what is still held can be taken over at once.
+func (s *Session) End(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.created {
+		return nil
+	}
+	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Kind: table.Delete, Expect: s.version}
+	return Error.Wrap(s.service.Commit(ctx, table.NewOperation(), write))
+}
+
+// Run renews until the context ends.
+func (s *Session) Run(ctx context.Context) {
+	ticker := time.NewTicker(RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			callCtx, cancel := context.WithTimeout(ctx, RenewInterval)
+			// A failed renewal is made up for by the next one.
+			_ = s.Renew(callCtx)
+			cancel()
+		}
+	}
+}
+
+// sighting is when a session's version was first seen.
+type sighting struct {
+	version uint64
+	since   time.Time
+}
+
+// Watcher tells which sessions have expired. It is safe for concurrent use.
+type Watcher struct {
+	service table.Service
+	now     func() time.Time
+
+	mu   sync.Mutex
+	seen map[string]sighting
+	last time.Time
+}
+
+// NewWatcher returns a watcher that has seen nothing yet. now must be monotonic.
+func NewWatcher(service table.Service, now func() time.Time) *Watcher {
+	return &Watcher{service: service, now: now, seen: map[string]sighting{}}
+}
+
+// Refresh reads all sessions. A reading counts from before it was asked for,
+// so a slow store cannot make a session look older than it is.
+func (w *Watcher) Refresh(ctx context.Context) error {
+	rows, err := table.ListAll(ctx, w.service, partition)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	read := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	present := map[string]bool{}
+	for _, row := range rows {
+		present[row.Sort] = true
+		known, ok := w.seen[row.Sort]
+		if !ok || known.version != row.Version {
+			w.seen[row.Sort] = sighting{version: row.Version, since: read}
+		}
+	}
+	for id, known := range w.seen {
+		if !present[id] && known.version != table.Absent {
+			// Ended by its holder: the work is free at once.
+			w.seen[id] = sighting{version: table.Absent, since: read.Add(-TimeToLive)}
+		}
+	}
+	w.last = read
+	return nil
+}
+
+// Age returns the time since the last successful Refresh.
+func (w *Watcher) Age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now().Sub(w.last)
+}
+
+// Expired reports whether a session's work may be taken over, as of the last
+// Refresh. A session never seen is one whose row was gone before the first
+// look; it expires after the time to live as well.
+func (w *Watcher) Expired(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, ok := w.seen[id]
+	if !ok {
+		w.seen[id] = sighting{version: table.Absent, since: w.last}
+		return false
+	}
+	return w.last.Sub(known.since) >= TimeToLive
+}
+
+// Sweep deletes rows that have been expired for long, so that restarts do not
+// pile rows up.
+func (w *Watcher) Sweep(ctx context.Context) {
+	w.mu.Lock()
+	var old []table.Write
+	for id, known := range w.seen {
+		if known.version != table.Absent && w.last.Sub(known.since) > sweepMultiple*TimeToLive {
+			key := table.Key{Partition: partition, Sort: id}
+			old = append(old, table.Write{Key: key, Kind: table.Delete, Expect: known.version})
+		}
+	}
+	w.mu.Unlock()
+	for _, write := range old {
+		// A conflict means that the session lives after all, or is gone already.
+		_ = w.service.Commit(ctx, table.NewOperation(), write)
+	}
+}
--- /dev/null
+++ b/internal/machines/machines.go
@@ -0,0 +1,84 @@
+// Package machines is the port to the platform's list of machines.
+//
+// The list lags behind the truth: it is a seed for membership and a hint that
+// a machine is leaving, never a proof of life.
+package machines
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("machines")
+
+// State is the platform's view of a machine.
+type State string
+
+const (
+	// Live machines are in service.
+	Live State = "live"
+	// Leaving machines have been told to stop.
+	Leaving State = "leaving"
+)
+
+// Role says what runs on a machine.
+type Role string
+
+const (
+	// RoleNode is a machine that runs a wheelhoist node.
+	RoleNode Role = "node"
+	// RoleEngine is a machine that runs a model engine (a replica).
+	RoleEngine Role = "engine"
+)
+
+// Machine is one entry of the list.
+type Machine struct {
+	ID         string `json:"id"`
+	Role       Role   `json:"role"`
+	Zone       string `json:"zone"`
+	Region     string `json:"region"`
+	Generation string `json:"generation"`
+	State      State  `json:"state"`
+	// Address is the base URL of an engine, or host:port of a node's peer endpoint.
+	Address string `json:"address"`
+	// Pool is the model pool an engine's machine was rented for.
+	Pool string `json:"pool,omitempty"`
+}
+
+// List reads the platform's machine list.
+type List interface {
+	Machines(ctx context.Context) ([]Machine, error)
+}
+
+// HTTPList reads the list as a JSON array from a URL.
+type HTTPList struct {
+	URL    string
+	Client *http.Client
+}
+
+var _ List = (*HTTPList)(nil)
+
+// Machines implements List.
+func (l *HTTPList) Machines(ctx context.Context) ([]Machine, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.URL, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	response, err := l.Client.Do(request)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, Error.New("machine list answered %s", response.Status)
+	}
+	var machines []Machine
+	if err := json.NewDecoder(response.Body).Decode(&machines); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return machines, nil
+}
--- /dev/null
+++ b/internal/membership/agent.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/peer"
+)
+
+const (
+	ticksPerPeriod = 5
+	// syncInterval is the time between full exchanges with a random member;
+	// they repair what the datagrams lost.
+	syncInterval = 20 * time.Second
+)
+
+// SyncMessage is a full exchange of members.
+type SyncMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Members []Member
+	Applied uint64
+}
+
+// Agent runs a State over a transport. It is safe for concurrent use.
+type Agent struct {
+	transport *peer.Transport
+	config    Config
+	seeds     func() []string
+	random    *rand.Rand
+
+	mu    sync.Mutex
+	state *State
+	// snapshot caches the member list of state version snapshotOf.
+	snapshot   []Member
+	snapshotOf uint64
+}
+
+// AgentOptions configures an Agent.
+type AgentOptions struct {
+	Config    Config
+	Self      Member
+	Transport *peer.Transport
+	// Seeds returns peer addresses to join through; this node's own is skipped.
+	Seeds func() []string
+	// Confirmed is told of every answered probe. It must not block.
+	Confirmed func(Confirmation)
+	Seed      uint64
+}
+
+// NewAgent returns an agent that answers peers from now on; Run makes it probe.
+func NewAgent(options AgentOptions) *Agent {
+	agent := &Agent{
+		transport: options.Transport, config: options.Config, seeds: options.Seeds,
+		random: rand.New(rand.NewPCG(options.Seed, 4)),
+	}
+	stateRandom := rand.New(rand.NewPCG(options.Seed, 3))
+	agent.state = NewState(options.Config, options.Self, stateRandom, options.Confirmed)
+	options.Transport.HandleDatagram(peer.KindMembership, agent.receive)
+	options.Transport.Handle(peer.KindMemberSync, agent.answerSync)
+	return agent
+}
+
+// Run probes until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	a.join(ctx)
+	ticker := time.NewTicker(a.config.ProbePeriod / ticksPerPeriod)
+	defer ticker.Stop()
+	nextSync := time.Now().Add(syncInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		a.mu.Lock()
+		packets := a.state.Tick(now)
+		alone := len(a.state.members) == 0
+		a.mu.Unlock()
+		a.send(packets)
+		if now.After(nextSync) || alone {
+			nextSync = now.Add(syncInterval)
+			go a.join(ctx)
+		}
+	}
+}
+
+// join exchanges members with the seeds when alone, else with a random member.
+func (a *Agent) join(ctx context.Context) {
+	targets := a.syncTargets()
+	for _, address := range targets {
+		if address == a.transport.Address() {
+			continue
+		}
+		a.syncWith(ctx, address)
+	}
+}
+
+func (a *Agent) syncTargets() []string {
+	var live []string
+	for _, member := range a.Members() {
+		if member.Live() && member.Address != a.transport.Address() {
+			live = append(live, member.Address)
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(live) > 0 {
+		return []string{live[a.random.IntN(len(live))]}
+	}
+	seeds := append([]string(nil), a.seeds()...)
+	a.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	const enoughSeeds = 3
+	return seeds[:min(len(seeds), enoughSeeds)]
+}
+
+func (a *Agent) syncWith(ctx context.Context, address string) {
+	var answer SyncMessage
+	if err := a.transport.Call(ctx, address, peer.KindMemberSync, a.fullState(), &answer); err != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.Merge(time.Now(), answer.Members)
+}
+
+func (a *Agent) fullState() SyncMessage {
+	members := a.Members()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return SyncMessage{Members: members, Applied: a.state.applied}
+}
+
+func (a *Agent) answerSync(_ context.Context, body []byte) (any, error) {
+	var message SyncMessage
+	if err := peer.Decode(body, &message); err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	a.state.Merge(time.Now(), message.Members)
+	a.mu.Unlock()
+	return a.fullState(), nil
+}
+
+func (a *Agent) receive(from string, body []byte) {
+	var message Message
+	if peer.Decode(body, &message) != nil {
+		return
+	}
+	a.mu.Lock()
+	packets := a.state.Handle(time.Now(), from, message)
+	a.mu.Unlock()
+	a.send(packets)
+}
+
+func (a *Agent) send(packets []Packet) {
+	for _, packet := range packets {
+		// Loss is what the protocol is made for; a failed send is a lost one.
+		_ = a.transport.Send(packet.Address, peer.KindMembership, packet.Message)
+	}
+}
+
+// SetApplied sets the configuration revision told to peers.
+func (a *Agent) SetApplied(revision uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.SetApplied(revision)
+}
+
+// Members returns all known members, this node among them, ordered by id. The
+// caller must not change the list.
+func (a *Agent) Members() []Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.snapshot == nil || a.snapshotOf != a.state.Version() {
+		a.snapshot = a.state.Members()
+		a.snapshotOf = a.state.Version()
+	}
+	return a.snapshot
+}
+
+// Self returns this node's own entry.
+func (a *Agent) Self() Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Self()
+}
+
+// CutZones returns the zones believed to be unreachable.
+func (a *Agent) CutZones() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.CutZones()
+}
+
+// IsDelegate reports whether this node is a delegate of its zone.
+func (a *Agent) IsDelegate() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.IsDelegate()
+}
+
+// Delegates returns the ids of a zone's delegates.
+func (a *Agent) Delegates(zone string) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Delegates(zone)
+}
+
+// DeadSince returns when a member was declared dead.
+func (a *Agent) DeadSince(id string) (time.Time, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.DeadSince(id)
+}
+
+// Forget removes a member that is off the machine list.
+func (a *Agent) Forget(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.Forget(id)
+}
+
+// Counters returns the judgement counters.
+func (a *Agent) Counters() Counters {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Counters()
+}
+
+// Leave announces a planned stop and tells some members at once.
+func (a *Agent) Leave(status Status) {
+	a.mu.Lock()
+	a.state.Leave(status)
+	var packets []Packet
+	for _, member := range a.state.members {
+		if member.Live() {
+			packets = append(packets, a.state.packet(*member, Message{Type: Ping, Sequence: 0}))
+		}
+	}
+	a.mu.Unlock()
+	a.send(packets)
+}
--- /dev/null
+++ b/internal/placement/controller.go
@@ -0,0 +1,199 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/resource"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// planInterval is the time between two plans of a lease holder.
+	planInterval = 500 * time.Millisecond
+	// contendInterval bounds how often a node without the lease asks for it; it
+	// grows with the fleet, so that the store's load does not.
+	contendInterval = 2 * time.Second
+	contendPerNode  = 100 * time.Millisecond
+	// orderPatience is how long an order may take to show in the reports before
+	// it is sent anew.
+	orderPatience = 10 * time.Second
+	callTimeout   = 3 * time.Second
+)
+
+// Orders sends fenced orders.
+type Orders interface {
+	Order(ctx context.Context, base string, order engine.Order) error
+}
+
+// Options configures a Controller.
+type Options struct {
+	Table    table.Service
+	Session  *lease.Session
+	Watcher  *lease.Watcher
+	Store    *resource.Store
+	Orders   Orders
+	Replicas func() []Replica
+	Nodes    func() int
+	Log      zerolog.Logger
+}
+
+// Controller carries plans out for the pools whose lease it holds.
+type Controller struct {
+	options Options
+	held    map[string]*holding
+}
+
+// holding is the state of a held pool.
+type holding struct {
+	grant lease.Grant
+	// sent counts the orders under this epoch; with the epoch it makes the fence.
+	sent    uint64
+	ordered map[string]sentOrder
+}
+
+type sentOrder struct {
+	content Content
+	fence   uint64
+	at      time.Time
+}
+
+// NewController returns a controller; Run makes it work.
+func NewController(options Options) *Controller {
+	return &Controller{options: options, held: map[string]*holding{}}
+}
+
+// Run contends for the pools' leases and carries plans out until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	nextContend := time.Now()
+	for {
+		if now := time.Now(); now.After(nextContend) {
+			nextContend = now.Add(contendInterval + time.Duration(c.options.Nodes())*contendPerNode)
+			c.contend(ctx)
+		}
+		c.planAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) pools() []Pool {
+	var pools []Pool
+	for _, entry := range c.options.Store.Snapshot().List(v1.KindModelPool) {
+		if spec, ok := entry.Spec.(*v1.ModelPoolSpec); ok {
+			pools = append(pools, Pool{Name: entry.Change.Name, Spec: spec})
+		}
+	}
+	return pools
+}
+
+func (c *Controller) roles() []*v1.MachineRoleSpec {
+	var roles []*v1.MachineRoleSpec
+	for _, entry := range c.options.Store.Snapshot().List(v1.KindMachineRole) {
+		if spec, ok := entry.Spec.(*v1.MachineRoleSpec); ok {
+			roles = append(roles, spec)
+		}
+	}
+	return roles
+}
+
+// contend asks for the leases of all pools. A holder that cannot reach the
+// store goes on: nobody can have taken the lease over, or if somebody has, the
+// engines refuse the lower fence.
+func (c *Controller) contend(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if c.options.Watcher.Refresh(callCtx) != nil {
+		return
+	}
+	for _, pool := range c.pools() {
+		grant, err := lease.Acquire(callCtx, c.options.Table, c.options.Session, c.options.Watcher, "placement/"+pool.Name)
+		switch {
+		case errors.Is(err, lease.ErrHeld):
+			delete(c.held, pool.Name)
+		case err == nil:
+			c.take(pool.Name, grant)
+		}
+	}
+}
+
+func (c *Controller) take(pool string, grant lease.Grant) {
+	current, ok := c.held[pool]
+	if ok && current.grant.Epoch == grant.Epoch {
+		return
+	}
+	c.held[pool] = &holding{grant: grant, ordered: map[string]sentOrder{}}
+	c.options.Log.Info().Str("pool", pool).Uint64("epoch", grant.Epoch).Msg("placement lease taken")
+}
+
+func (c *Controller) planAll(ctx context.Context) {
+	if len(c.held) == 0 {
+		return
+	}
+	replicas := c.options.Replicas()
+	roles := c.roles()
+	for _, pool := range c.pools() {
+		held, ok := c.held[pool.Name]
+		if !ok {
+			continue
+		}
+		held.annotate(replicas, time.Now())
+		for _, action := range Plan(pool, roles, replicas) {
+			if !c.order(ctx, pool.Name, held, action) {
+				delete(c.held, pool.Name)
+				break
+			}
+		}
+	}
+}
+
+// annotate marks the replicas whose order has not shown in a report yet.
+func (h *holding) annotate(replicas []Replica, now time.Time) {
+	for i := range replicas {
+		sent, ok := h.ordered[replicas[i].ID]
+		if !ok {
+			continue
+		}
+		if replicas[i].Fence >= sent.fence || now.Sub(sent.at) > orderPatience {
+			delete(h.ordered, replicas[i].ID)
+			continue
+		}
+		content := sent.content
+		replicas[i].Ordered = &content
+	}
+}
+
+// fenceBits is the part of a fence that counts the orders of one epoch.
+const fenceBits = 24
+
+// order sends one order; it reports false when a newer holder has acted.
+func (c *Controller) order(ctx context.Context, pool string, held *holding, action Action) bool {
+	held.sent++
+	fence := held.grant.Epoch<<fenceBits | held.sent
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := c.options.Orders.Order(callCtx, action.Address, engine.Order{
+		Fence: fence, Version: action.Content.Version, Adapters: action.Content.Adapters, Role: action.Content.Role,
+	})
+	if errors.Is(err, engine.ErrStaleFence) {
+		c.options.Log.Warn().Str("pool", pool).Str("replica", action.Replica).Msg("order refused, the lease has moved")
+		return false
+	}
+	if err == nil {
+		held.ordered[action.Replica] = sentOrder{content: action.Content, fence: fence, at: time.Now()}
+		c.options.Log.Info().Str("pool", pool).Str("replica", action.Replica).Uint64("fence", fence).
+			Str("version", action.Content.Version).Str("role", string(action.Content.Role)).Msg("order sent")
+	}
+	return true
+}
--- /dev/null
+++ b/internal/server/answer.go
@@ -0,0 +1,75 @@
+package server
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/batch"
+	"github.com/wheelhoist/wheelhoist/internal/findings"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/resource"
+)
+
+// storeRetryAfter is what a caller is told to wait while the store is down.
+const storeRetryAfter = 2 * time.Second
+
+// fail answers with an error in the form of the OpenAI API.
+func fail(ctx iris.Context, status int, kind openai.ErrorType, message string) {
+	ctx.StatusCode(status)
+	_ = ctx.JSON(openai.ErrorAnswer{Error: openai.ErrorDetail{Message: message, Type: kind}})
+}
+
+// refuse answers a request that did not run.
+func refuse(ctx iris.Context, status int, kind openai.ErrorType, message string, retryAfter time.Duration) {
+	ctx.Header(HeaderExecuted, outcome.NotDone.String())
+	if retryAfter > 0 {
+		ctx.Header("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	fail(ctx, status, kind, message)
+}
+
+// failFindings answers with everything that is wrong with an input.
+func failFindings(ctx iris.Context, found []findings.Finding) {
+	list := &findings.Error{Findings: found}
+	ctx.StatusCode(iris.StatusBadRequest)
+	_ = ctx.JSON(struct {
+		openai.ErrorAnswer
+		Findings []findings.Finding `json:"findings"`
+	}{
+		openai.ErrorAnswer{Error: openai.ErrorDetail{Message: list.Error(), Type: openai.TypeInvalidRequest}},
+		found,
+	})
+}
+
+// failBatch answers an error of the batch service.
+func failBatch(ctx iris.Context, err error) {
+	switch {
+	case errors.Is(err, batch.ErrNotFound):
+		refuse(ctx, iris.StatusNotFound, openai.TypeNotFound, "no such file or batch", 0)
+	case errors.Is(err, batch.ErrUndecided):
+		ctx.Header(HeaderExecuted, outcome.Unknown.String())
+		fail(ctx, iris.StatusServiceUnavailable, openai.TypeServer, err.Error())
+	default:
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeServer, err.Error(), storeRetryAfter)
+	}
+}
+
+// failResource answers an error of a configuration write.
+func failResource(ctx iris.Context, err error) {
+	switch {
+	case errors.Is(err, resource.ErrVersionMismatch):
+		refuse(ctx, iris.StatusPreconditionFailed, openai.TypeConflict, err.Error(), 0)
+	case errors.Is(err, resource.ErrNotFound):
+		refuse(ctx, iris.StatusNotFound, openai.TypeNotFound, "no such resource", 0)
+	case errors.Is(err, resource.ErrUndecided):
+		ctx.Header(HeaderExecuted, outcome.Unknown.String())
+		fail(ctx, iris.StatusServiceUnavailable, openai.TypeServer, err.Error())
+	default:
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeServer, err.Error(), storeRetryAfter)
+	}
+}
--- /dev/null
+++ b/internal/server/auth.go
@@ -0,0 +1,105 @@
+package server
+
+import (
+	"crypto/subtle"
+	"strings"
+	"sync/atomic"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/admission"
+	"github.com/wheelhoist/wheelhoist/internal/resource"
+)
+
+// tenant is a caller as found by its key.
+type tenant struct {
+	name   string
+	limits admission.Limits
+}
+
+// tenantIndex finds tenants by the hash of their key. It is rebuilt when the
+// configuration changes.
+type tenantIndex struct {
+	store   *resource.Store
+	current atomic.Pointer[tenantTable]
+}
+
+type tenantTable struct {
+	revision uint64
+	byKey    map[string]tenant
+}
+
+func newTenantIndex(store *resource.Store) *tenantIndex {
+	index := &tenantIndex{store: store}
+	index.current.Store(&tenantTable{byKey: map[string]tenant{}})
+	return index
+}
+
+func (i *tenantIndex) find(key string) (tenant, bool) {
+	snapshot := i.store.Snapshot()
+	table := i.current.Load()
+	if table.revision != snapshot.Revision {
+		table = buildTenants(snapshot)
+		i.current.Store(table)
+	}
+	found, ok := table.byKey[v1.HashKey(key)]
+	return found, ok
+}
+
+func buildTenants(snapshot *resource.Snapshot) *tenantTable {
+	table := &tenantTable{revision: snapshot.Revision, byKey: map[string]tenant{}}
+	for _, entry := range snapshot.List(v1.KindTenant) {
+		spec, ok := entry.Spec.(*v1.TenantSpec)
+		if !ok {
+			continue
+		}
+		table.byKey[spec.KeySHA256] = tenant{
+			name: entry.Change.Name,
+			limits: admission.Limits{
+				RequestsPerSecond: spec.RequestsPerSecond, TokensPerSecond: spec.TokensPerSecond,
+				Concurrency: spec.Concurrency, Weight: spec.Weight,
+			},
+		}
+	}
+	return table
+}
+
+func bearer(ctx iris.Context) string {
+	key, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+const tenantValue = "tenant"
+
+// identify finds the calling tenant.
+func (s *Server) identify(ctx iris.Context) {
+	ctx.Header(HeaderNode, s.options.NodeID)
+	found, ok := s.tenants.find(bearer(ctx))
+	if !ok {
+		refuse(ctx, iris.StatusUnauthorized, openai.TypeAuthentication, "the key is not known", 0)
+		return
+	}
+	ctx.Values().Set(tenantValue, found)
+	ctx.Next()
+}
+
+func caller(ctx iris.Context) tenant {
+	found, _ := ctx.Values().Get(tenantValue).(tenant)
+	return found
+}
+
+// requireOperator lets only the operators' key through.
+func (s *Server) requireOperator(ctx iris.Context) {
+	ctx.Header(HeaderNode, s.options.NodeID)
+	given := v1.HashKey(bearer(ctx))
+	if subtle.ConstantTimeCompare([]byte(given), []byte(s.options.OperatorKeySHA256)) != 1 {
+		refuse(ctx, iris.StatusForbidden, openai.TypePermission, "this needs the operators' key", 0)
+		return
+	}
+	ctx.Next()
+}
--- /dev/null
+++ b/internal/server/completion.go
@@ -0,0 +1,263 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/admission"
+	"github.com/wheelhoist/wheelhoist/internal/dispatch"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/idempotency"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/routing"
+)
+
+const (
+	// maxBodyBytes bounds a completion request.
+	maxBodyBytes = 4 << 20
+	// fencedRetryAfter is what a caller of a node that is out of step waits.
+	fencedRetryAfter = time.Second
+	// overloadRetryAfter is what a caller waits when no replica can take it.
+	overloadRetryAfter = time.Second
+	// defaultQueueTimeout is the predicted wait from which requests are shed.
+	defaultQueueTimeout = 2 * time.Second
+	// assumedTokens is charged to a token rate when a request names no limit.
+	assumedTokens = 64
+)
+
+// complete serves chat and text completions.
+func (s *Server) complete(ctx iris.Context) {
+	if !s.serving() {
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, "this node takes no new work", fencedRetryAfter)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
+	if err != nil {
+		refuseBody(ctx, err)
+		return
+	}
+	if ctx.GetHeader(engine.HeaderLastEventID) != "" && ctx.GetHeader(HeaderAttempt) != "" {
+		s.reconnect(ctx)
+		return
+	}
+	parsed, err := openai.ParseCompletion(body)
+	if err != nil {
+		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, err.Error(), 0)
+		return
+	}
+	if s.open.Load() >= int64(s.options.MaxStreams) {
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, "too many open requests at this node", overloadRetryAfter)
+		return
+	}
+	ticket, err := s.admit(ctx, &parsed)
+	if err != nil {
+		s.refuseAdmission(ctx, err)
+		return
+	}
+	defer ticket.Release()
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	s.answer(ctx, newRequest(ctx, body, &parsed), parsed.Stream)
+}
+
+func refuseBody(ctx iris.Context, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		refuse(ctx, iris.StatusRequestEntityTooLarge, openai.TypeInvalidRequest, "the body is larger than 4 MiB", 0)
+		return
+	}
+	refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "the body could not be read", 0)
+}
+
+func (s *Server) admit(ctx iris.Context, parsed *openai.CompletionRequest) (*admission.Ticket, error) {
+	who := caller(ctx)
+	tokens := parsed.Limit()
+	if tokens == 0 {
+		tokens = assumedTokens
+	}
+	return s.options.Admission.Admit(who.name, who.limits, tokens, time.Now())
+}
+
+func (s *Server) refuseAdmission(ctx iris.Context, err error) {
+	var refusal *admission.RefusalError
+	if !errors.As(err, &refusal) {
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, err.Error(), overloadRetryAfter)
+		return
+	}
+	s.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
+	status := iris.StatusTooManyRequests
+	kind := openai.TypeRateLimit
+	if refusal.Reason == admission.ReasonOverload {
+		status, kind = iris.StatusServiceUnavailable, openai.TypeOverloaded
+	}
+	refuse(ctx, status, kind, err.Error(), refusal.RetryAfter)
+}
+
+func newRequest(ctx iris.Context, body []byte, parsed *openai.CompletionRequest) *dispatch.Request {
+	id := ctx.GetHeader(engine.HeaderRequestID)
+	if id == "" || len(id) > 100 || strings.ContainsAny(id, "~@/ ") {
+		id = uuid.NewString()
+	}
+	model, adapter, _ := strings.Cut(parsed.Model, ":")
+	prompt := parsed.PromptText()
+	return &dispatch.Request{
+		ID: id, Path: ctx.Path(), Body: engine.Encode(body, engine.PriorityOnline, true),
+		Repeatable: ctx.GetHeader(HeaderRepeatable) != "no",
+		Route: routing.Request{
+			Model: model, Adapter: adapter,
+			Blocks: engine.PrefixBlocks(prompt), Words: len(strings.Fields(prompt)),
+		},
+	}
+}
+
+// answer runs a request, through a claim if it may run only once and has a key.
+func (s *Server) answer(ctx iris.Context, request *dispatch.Request, stream bool) {
+	ctx.Header(engine.HeaderRequestID, request.ID)
+	key := ctx.GetHeader(HeaderIdempotencyKey)
+	if request.Repeatable || key == "" {
+		s.run(ctx, request, stream)
+		return
+	}
+	who := caller(ctx)
+	claim, err := s.options.Claims.Begin(ctx.Request().Context(), who.name, key, request.Body)
+	if err != nil {
+		refuseClaim(ctx, err)
+		return
+	}
+	if claim.State == idempotency.Answered {
+		ctx.ContentType(claim.ContentType)
+		_, _ = ctx.Write(claim.Body)
+		return
+	}
+	recording, err := s.run(ctx, request, stream)
+	s.settle(claim, recording, err)
+}
+
+// settle records how a claimed request ended.
+func (s *Server) settle(claim *idempotency.Claim, recording *recording, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	switch {
+	case err == nil:
+		err = s.options.Claims.Answer(ctx, claim, recording.contentType, recording.body())
+	case outcome.Of(err) == outcome.NotDone:
+		err = s.options.Claims.Release(ctx, claim)
+	default:
+		return
+	}
+	if err != nil {
+		s.options.Log.Warn().Err(err).Msg("claim not settled, resends will be refused")
+	}
+}
+
+const claimTimeout = 5 * time.Second
+
+func refuseClaim(ctx iris.Context, err error) {
+	switch {
+	case errors.Is(err, idempotency.ErrInProgress):
+		ctx.Header(HeaderExecuted, outcome.Of(err).String())
+		fail(ctx, iris.StatusConflict, openai.TypeConflict, err.Error())
+	case errors.Is(err, idempotency.ErrMismatch):
+		refuse(ctx, iris.StatusConflict, openai.TypeConflict, err.Error(), 0)
+	default:
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeServer, err.Error(), storeRetryAfter)
+	}
+}
+
+// run dispatches a request and writes its answer or its error.
+func (s *Server) run(ctx iris.Context, request *dispatch.Request, stream bool) (*recording, error) {
+	if err := s.shed(ctx, request); err != nil {
+		s.refuseAdmission(ctx, err)
+		return nil, outcome.Failed(err)
+	}
+	keep := !request.Repeatable
+	var sink answerSink = &wholeSink{ctx: ctx, path: request.Path}
+	if stream {
+		sink = &streamSink{ctx: ctx, keep: keep}
+	}
+	started := time.Now()
+	result, err := s.options.Dispatcher.Do(ctx.Request().Context(), request, sink)
+	s.metrics.observe(result, err, time.Since(started))
+	if err != nil {
+		s.options.Log.Debug().Err(err).Str("request", request.ID).Msg("request failed")
+		sink.fail(err)
+		return nil, err
+	}
+	return sink.finish(), nil
+}
+
+// shed refuses a request that no replica is predicted to begin in time.
+func (s *Server) shed(ctx iris.Context, request *dispatch.Request) error {
+	now := time.Now()
+	decision, err := s.options.Dispatcher.Router.Pick(s.options.Registry.Snapshot(now), &request.Route)
+	if err != nil {
+		// The dispatcher answers this with its own error.
+		return nil
+	}
+	return s.options.Admission.Overloaded(caller(ctx).name, decision.Predicted, s.queueTimeout(), now)
+}
+
+func (s *Server) queueTimeout() time.Duration {
+	for _, entry := range s.options.Store.Snapshot().List(v1.KindSitePolicy) {
+		if spec, ok := entry.Spec.(*v1.SitePolicySpec); ok && spec.QueueTimeout > 0 {
+			return time.Duration(spec.QueueTimeout)
+		}
+	}
+	return defaultQueueTimeout
+}
+
+// reconnect continues an answer whose caller lost its node. The attempt is
+// named by the header that began the answer.
+func (s *Server) reconnect(ctx iris.Context) {
+	attempt, replicaID, _ := strings.Cut(ctx.GetHeader(HeaderAttempt), "@")
+	after, err := strconv.Atoi(ctx.GetHeader(engine.HeaderLastEventID))
+	if err != nil || after < 0 {
+		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "Last-Event-ID must be a number", 0)
+		return
+	}
+	address := s.addressOf(replicaID)
+	if address == "" {
+		ctx.Header(HeaderExecuted, outcome.Unknown.String())
+		fail(ctx, iris.StatusNotFound, openai.TypeNotFound, "the replica is gone")
+		return
+	}
+	stream, err := s.options.Engines.Resume(ctx.Request().Context(), address, attempt, ctx.Path(), after)
+	if err != nil {
+		ctx.Header(HeaderExecuted, outcome.Unknown.String())
+		fail(ctx, iris.StatusNotFound, openai.TypeNotFound, "the answer is no longer held: "+err.Error())
+		return
+	}
+	defer stream.Close()
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	sink := &streamSink{ctx: ctx}
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			sink.fail(outcome.Undecided(err))
+			return
+		}
+		if sink.Event(event) != nil || event.Done {
+			return
+		}
+	}
+}
+
+func (s *Server) addressOf(replica string) string {
+	for _, machine := range s.options.Registry.Replicas() {
+		if machine.ID == replica {
+			return machine.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,186 @@
+// Package server serves callers and operators over HTTP. Its handlers decode,
+// check and encode; the decisions are made elsewhere.
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/admission"
+	"github.com/wheelhoist/wheelhoist/internal/batch"
+	"github.com/wheelhoist/wheelhoist/internal/dispatch"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/fleet"
+	"github.com/wheelhoist/wheelhoist/internal/idempotency"
+	"github.com/wheelhoist/wheelhoist/internal/resource"
+)
+
+// HTTP headers towards callers.
+const (
+	// HeaderExecuted tells of a failed request whether it ran: yes, no or unknown.
+	HeaderExecuted = "X-Wheelhoist-Executed"
+	// HeaderRepeatable set to "no" marks a request that may run at most once.
+	HeaderRepeatable = "X-Wheelhoist-Repeatable"
+	// HeaderIdempotencyKey names a request over all its sendings.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderAttempt names the attempt that answers, as attempt@replica.
+	HeaderAttempt = "X-Wheelhoist-Attempt"
+	// HeaderNode names the node that answered.
+	HeaderNode = "X-Wheelhoist-Node"
+)
+
+// Resources is the resource API's view of the configuration.
+type Resources interface {
+	Write(ctx context.Context, change resource.Change, precondition resource.Precondition) (resource.Change, v1.Status, error)
+	Status(revision uint64) v1.Status
+	Refresh(ctx context.Context, revision uint64)
+}
+
+// NodeStatus describes a node and what it sees of the others.
+type NodeStatus struct {
+	Node     string         `json:"node"`
+	Zone     string         `json:"zone"`
+	Revision uint64         `json:"revision"`
+	Serving  bool           `json:"serving"`
+	Draining bool           `json:"draining"`
+	Open     int64          `json:"openRequests"`
+	CutZones []string       `json:"cutZones,omitempty"`
+	Members  []MemberStatus `json:"members"`
+	Replicas []ReplicaView  `json:"replicas"`
+	Batch    batch.Counters `json:"batch"`
+}
+
+// MemberStatus is a member as this node sees it.
+type MemberStatus struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	Status      string `json:"status"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// ReplicaView is a replica as this node sees it.
+type ReplicaView struct {
+	ID      string       `json:"id"`
+	Zone    string       `json:"zone"`
+	Pool    string       `json:"pool"`
+	State   engine.State `json:"state"`
+	Role    engine.Role  `json:"role"`
+	Version string       `json:"version"`
+	Online  int          `json:"online"`
+	Batch   int          `json:"batch"`
+	Ejected bool         `json:"ejected,omitempty"`
+}
+
+// Options are the parts that the handlers use.
+type Options struct {
+	NodeID     string
+	Log        zerolog.Logger
+	Store      *resource.Store
+	Fence      *resource.Fence
+	Resources  Resources
+	Registry   *fleet.Registry
+	Dispatcher *dispatch.Dispatcher
+	Engines    dispatch.Engines
+	Admission  *admission.Controller
+	Claims     *idempotency.Store
+	Batch      *batch.Service
+	Status     func() NodeStatus
+	Metrics    *prometheus.Registry
+	// OperatorKeySHA256 is the hash of the operators' key.
+	OperatorKeySHA256 string
+	MaxStreams        int
+	// Drain starts a planned stop.
+	Drain func()
+}
+
+// Server holds the handlers. It is an http.Handler.
+type Server struct {
+	options  Options
+	app      *iris.Application
+	tenants  *tenantIndex
+	draining atomic.Bool
+	open     atomic.Int64
+	metrics  *metrics
+}
+
+// New builds the handlers.
+func New(options Options) (*Server, error) {
+	s := &Server{options: options, app: iris.New(), tenants: newTenantIndex(options.Store)}
+	s.metrics = newMetrics(options.Metrics, &s.open)
+	s.app.Configure(
+		iris.WithoutStartupLog,
+		iris.WithoutInterruptHandler,
+		iris.WithoutBodyConsumptionOnUnmarshal,
+	)
+	s.app.Logger().SetLevel("disable")
+	s.routes()
+	if err := s.app.Build(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) routes() {
+	callers := s.app.Party("/", s.identify)
+	callers.Post(openai.PathChatCompletions, s.complete)
+	callers.Post(openai.PathCompletions, s.complete)
+	callers.Get(openai.PathModels, s.listModels)
+	callers.Post(openai.PathFiles, s.uploadFile)
+	callers.Get(openai.PathFiles+"/{id}", s.getFile)
+	callers.Get(openai.PathFiles+"/{id}/content", s.fileContent)
+	callers.Post(openai.PathBatches, s.createBatch)
+	callers.Get(openai.PathBatches, s.listBatches)
+	callers.Get(openai.PathBatches+"/{id}", s.getBatch)
+	callers.Post(openai.PathBatches+"/{id}/cancel", s.cancelBatch)
+
+	operators := s.app.Party("/apis/wheelhoist/v1", s.requireOperator)
+	operators.Get("/status", s.nodeStatus)
+	operators.Post("/drain", s.drain)
+	operators.Get("/watch", s.watch)
+	operators.Get("/{kind}", s.listResources)
+	operators.Get("/{kind}/{name}", s.getResource)
+	operators.Put("/{kind}/{name}", s.putResource)
+	operators.Delete("/{kind}/{name}", s.deleteResource)
+
+	s.app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
+	s.app.Get("/readyz", s.ready)
+	s.app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(s.options.Metrics, promhttp.HandlerOpts{})))
+	s.app.OnErrorCode(iris.StatusNotFound, func(ctx iris.Context) {
+		fail(ctx, iris.StatusNotFound, openai.TypeNotFound, "no such path")
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
+
+// StartDraining fails readiness and refuses new requests from now on.
+func (s *Server) StartDraining() { s.draining.Store(true) }
+
+// Draining reports whether a planned stop has begun.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Open returns the number of online requests being answered.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// serving reports whether new work may be admitted.
+func (s *Server) serving() bool {
+	return !s.draining.Load() && s.options.Fence.Open(time.Now())
+}
+
+func (s *Server) ready(ctx iris.Context) {
+	if !s.serving() {
+		ctx.StatusCode(iris.StatusServiceUnavailable)
+		_, _ = ctx.WriteString("not ready\n")
+		return
+	}
+	_, _ = ctx.WriteString("ready\n")
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,264 @@
+// Package settings reads and checks the settings of a node: a YAML file,
+// environment variables and flags. Flags come before the environment, the
+// environment before the file, the file before the defaults.
+package settings
+
+import (
+	"errors"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/findings"
+)
+
+// Settings are the settings of a node.
+type Settings struct {
+	Node     Node     `json:"node"`
+	Platform Platform `json:"platform"`
+	Operator Operator `json:"operator"`
+	TLS      TLS      `json:"tls,omitempty"`
+	Log      Log      `json:"log,omitempty"`
+	Lab      Lab      `json:"lab,omitempty"`
+}
+
+// Node says who this node is and where it listens.
+type Node struct {
+	ID     string `json:"id"`
+	Zone   string `json:"zone"`
+	Region string `json:"region,omitempty"`
+	// Listen is host:port for callers and operators.
+	Listen string `json:"listen"`
+	// PeerListen is host:port, TCP and UDP, for other nodes.
+	PeerListen string `json:"peerListen"`
+	// PeerAdvertise is the host:port told to other nodes; default PeerListen.
+	PeerAdvertise string `json:"peerAdvertise,omitempty"`
+	// Seeds are peer addresses to join through, beside the machine list.
+	Seeds []string `json:"seeds,omitempty"`
+	// MaxStreams bounds the online requests open at this node; default 2000.
+	MaxStreams int `json:"maxStreams,omitempty"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	Table    TableService `json:"table"`
+	Objects  ObjectStore  `json:"objects"`
+	Machines MachineList  `json:"machines"`
+}
+
+// TableService is a DynamoDB-compatible service.
+type TableService struct {
+	Endpoint  string `json:"endpoint"`
+	Region    string `json:"region,omitempty"`
+	Table     string `json:"table"`
+	AccessKey string `json:"accessKey,omitempty"`
+	SecretKey string `json:"secretKey,omitempty"`
+}
+
+// ObjectStore is an S3-compatible store.
+type ObjectStore struct {
+	Endpoint  string `json:"endpoint"`
+	Region    string `json:"region,omitempty"`
+	Bucket    string `json:"bucket"`
+	AccessKey string `json:"accessKey,omitempty"`
+	SecretKey string `json:"secretKey,omitempty"`
+}
+
+// MachineList is the platform's list of machines.
+type MachineList struct {
+	URL string `json:"url"`
+}
+
+// Operator holds the operators' credential.
+type Operator struct {
+	// KeySHA256 is the hex SHA-256 of the operators' key.
+	KeySHA256 string `json:"keySHA256"`
+}
+
+// TLS names PEM files. They are read again when they change.
+type TLS struct {
+	// Peer secures the traffic between nodes, both sides with certificates.
+	Peer TLSFiles `json:"peer,omitempty"`
+	// Serve secures the port for callers and operators.
+	Serve TLSFiles `json:"serve,omitempty"`
+}
+
+// TLSFiles names a certificate, its key and the authority to trust.
+type TLSFiles struct {
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	Authority   string `json:"authority,omitempty"`
+}
+
+// Set reports whether any file is named.
+func (t TLSFiles) Set() bool { return t.Certificate != "" || t.Key != "" || t.Authority != "" }
+
+// Log configures the log.
+type Log struct {
+	// Level is debug, info, warn or error; default info.
+	Level string `json:"level,omitempty"`
+}
+
+// Lab holds switches for measurements; production leaves them unset.
+type Lab struct {
+	// RoutingPolicy chooses a baseline routing policy.
+	RoutingPolicy string `json:"routingPolicy,omitempty"`
+	// EqualPriority sends batch items with the priority of online requests.
+	EqualPriority bool `json:"equalPriority,omitempty"`
+}
+
+// Defaults.
+const (
+	DefaultRegion     = "local"
+	DefaultLogLevel   = "info"
+	DefaultMaxStreams = 2000
+	// ShutdownTimeout bounds a planned stop; open streams end within it.
+	ShutdownTimeout = 5 * time.Minute
+)
+
+// ApplyDefaults fills in what may be left out.
+func (s *Settings) ApplyDefaults() {
+	fill(&s.Node.Region, DefaultRegion)
+	fill(&s.Platform.Table.Region, DefaultRegion)
+	fill(&s.Platform.Objects.Region, DefaultRegion)
+	fill(&s.Log.Level, DefaultLogLevel)
+	fill(&s.Node.PeerAdvertise, s.Node.PeerListen)
+	if s.Node.MaxStreams == 0 {
+		s.Node.MaxStreams = DefaultMaxStreams
+	}
+}
+
+func fill(target *string, value string) {
+	if *target == "" {
+		*target = value
+	}
+}
+
+// Validate reports everything that is wrong.
+func (s *Settings) Validate() []findings.Finding {
+	var found findings.List
+	required := []struct{ path, value string }{
+		{"node.id", s.Node.ID},
+		{"node.zone", s.Node.Zone},
+		{"platform.table.table", s.Platform.Table.Table},
+		{"platform.objects.bucket", s.Platform.Objects.Bucket},
+	}
+	for _, field := range required {
+		if field.value == "" {
+			found.Add(field.path, "must be set")
+		}
+	}
+	addressFinding(&found, "node.listen", s.Node.Listen)
+	addressFinding(&found, "node.peerListen", s.Node.PeerListen)
+	urlFinding(&found, "platform.table.endpoint", s.Platform.Table.Endpoint)
+	urlFinding(&found, "platform.objects.endpoint", s.Platform.Objects.Endpoint)
+	urlFinding(&found, "platform.machines.url", s.Platform.Machines.URL)
+	for _, seed := range s.Node.Seeds {
+		addressFinding(&found, "node.seeds", seed)
+	}
+	if len(s.Operator.KeySHA256) != len(v1.HashKey("")) {
+		found.Add("operator.keySHA256", "must be 64 hex digits")
+	}
+	if s.Node.MaxStreams < 0 {
+		found.Add("node.maxStreams", "must not be negative")
+	}
+	levels := []string{"", "debug", "info", "warn", "error"}
+	if !contains(levels, s.Log.Level) {
+		found.Add("log.level", "must be debug, info, warn or error")
+	}
+	tlsFindings(&found, "tls.peer", s.TLS.Peer, true)
+	tlsFindings(&found, "tls.serve", s.TLS.Serve, false)
+	return found.All()
+}
+
+func contains(list []string, value string) bool {
+	for _, candidate := range list {
+		if candidate == value {
+			return true
+		}
+	}
+	return false
+}
+
+func addressFinding(found *findings.List, path, address string) {
+	host, _, err := net.SplitHostPort(address)
+	switch {
+	case err != nil:
+		found.Add(path, "must be host:port")
+	case net.ParseIP(host) == nil:
+		found.Add(path, "host must be an IP address")
+	}
+}
+
+func urlFinding(found *findings.List, path, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Host == "" || !strings.HasPrefix(parsed.Scheme, "http") {
+		found.Add(path, "must be an http or https URL")
+	}
+}
+
+func tlsFindings(found *findings.List, path string, files TLSFiles, mutual bool) {
+	if !files.Set() {
+		return
+	}
+	if files.Certificate == "" || files.Key == "" {
+		found.Add(path, "certificate and key must both be set")
+	}
+	if mutual && files.Authority == "" {
+		found.Add(path+".authority", "must be set, peers are verified against it")
+	}
+	for _, file := range []string{files.Certificate, files.Key, files.Authority} {
+		if file == "" {
+			continue
+		}
+		if _, err := os.Stat(file); err != nil {
+			found.Add(path, "file not readable: %v", err)
+		}
+	}
+}
+
+// Load reads a settings file and reports all findings with their place. An
+// empty path yields empty settings. Overrides are applied before the check.
+func Load(path string, overrides func(*Settings)) (*Settings, error) {
+	settings := &Settings{}
+	var found []findings.Finding
+	locate := func(list []findings.Finding) []findings.Finding { return list }
+	if path != "" {
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return nil, &findings.Error{Findings: []findings.Finding{{File: path, Message: err.Error()}}}
+		}
+		documents, err := findings.ParseYAML(path, source)
+		if err != nil {
+			return nil, err
+		}
+		if len(documents) != 1 {
+			return nil, &findings.Error{Findings: []findings.Finding{{File: path, Message: "must hold one document"}}}
+		}
+		found = documents[0].Decode(settings)
+		locate = documents[0].Locate
+	}
+	if overrides != nil {
+		overrides(settings)
+	}
+	settings.ApplyDefaults()
+	var list findings.List
+	list.Append(found...)
+	list.Append(locate(settings.Validate())...)
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// Findings returns the findings within an error of Load.
+func Findings(err error) []findings.Finding {
+	var collected *findings.Error
+	if errors.As(err, &collected) {
+		return collected.Findings
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/table/dynamo.go
@@ -0,0 +1,235 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+)
+
+// Attribute names of a stored row.
+const (
+	attributePartition = "pk"
+	attributeSort      = "sk"
+	attributeVersion   = "version"
+	attributeOperation = "operation"
+	attributeBody      = "body"
+)
+
+// DynamoConfig configures the adapter to a DynamoDB-compatible service.
+type DynamoConfig struct {
+	Endpoint  string
+	Region    string
+	Table     string
+	AccessKey string
+	SecretKey string
+	// HTTPClient may be nil.
+	HTTPClient *http.Client
+}
+
+// Dynamo is a Service on the DynamoDB protocol (API version 2012-08-10).
+type Dynamo struct {
+	client *dynamodb.Client
+	table  string
+}
+
+var _ Service = (*Dynamo)(nil)
+
+// NewDynamo returns the adapter. The SDK's own retries are off: retries are
+// budgeted by the callers.
+func NewDynamo(config DynamoConfig) *Dynamo {
+	options := dynamodb.Options{
+		Region:       config.Region,
+		BaseEndpoint: aws.String(config.Endpoint),
+		Credentials:  credentials.NewStaticCredentialsProvider(config.AccessKey, config.SecretKey, ""),
+		Retryer:      aws.NopRetryer{},
+	}
+	if config.HTTPClient != nil {
+		options.HTTPClient = config.HTTPClient
+	}
+	return &Dynamo{client: dynamodb.New(options), table: config.Table}
+}
+
+// Get implements Service.
+func (d *Dynamo) Get(ctx context.Context, key Key) (Row, error) {
+	answer, err := d.client.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      aws.String(d.table),
+		Key:            keyAttributes(key),
+		ConsistentRead: aws.Bool(true),
+	})
+	if err != nil {
+		return Row{}, classify(err)
+	}
+	if len(answer.Item) == 0 {
+		return Row{}, Error.Wrap(ErrNotFound)
+	}
+	return decodeRow(answer.Item)
+}
+
+// List implements Service.
+func (d *Dynamo) List(ctx context.Context, partition, after string, limit int) ([]Row, error) {
+	answer, err := d.client.Query(ctx, &dynamodb.QueryInput{
+		TableName:              aws.String(d.table),
+		KeyConditionExpression: aws.String("pk = :partition AND sk > :after"),
+		ExpressionAttributeValues: map[string]types.AttributeValue{
+			":partition": text(partition),
+			":after":     text(after + "\x00"),
+		},
+		ConsistentRead: aws.Bool(true),
+		Limit:          aws.Int32(int32(limit)),
+	})
+	if err != nil {
+		return nil, classify(err)
+	}
+	rows := make([]Row, 0, len(answer.Items))
+	for _, item := range answer.Items {
+		row, err := decodeRow(item)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// Commit implements Service.
+func (d *Dynamo) Commit(ctx context.Context, operation string, writes ...Write) error {
+	items := make([]types.TransactWriteItem, 0, len(writes))
+	for _, write := range writes {
+		items = append(items, d.transactItem(operation, write))
+	}
+	_, err := d.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{
+		TransactItems:      items,
+		ClientRequestToken: aws.String(operation),
+	})
+	return classify(err)
+}
+
+func (d *Dynamo) transactItem(operation string, write Write) types.TransactWriteItem {
+	condition, values := conditionFor(write.Expect)
+	table := aws.String(d.table)
+	switch write.Kind {
+	case Delete:
+		return types.TransactWriteItem{Delete: &types.Delete{
+			TableName: table, Key: keyAttributes(write.Key),
+			ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	case Check:
+		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
+			TableName: table, Key: keyAttributes(write.Key),
+			ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	default:
+		item := keyAttributes(write.Key)
+		item[attributeVersion] = number(write.NextVersion())
+		item[attributeOperation] = text(operation)
+		item[attributeBody] = &types.AttributeValueMemberB{Value: write.Body}
+		return types.TransactWriteItem{Put: &types.Put{
+			TableName: table, Item: item,
+			ConditionExpression: condition, ExpressionAttributeValues: values,
+		}}
+	}
+}
+
+func conditionFor(expect uint64) (*string, map[string]types.AttributeValue) {
+	if expect == Absent {
+		return aws.String("attribute_not_exists(pk)"), nil
+	}
+	return aws.String("version = :expect"), map[string]types.AttributeValue{":expect": number(expect)}
+}
+
+func keyAttributes(key Key) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		attributePartition: text(key.Partition),
+		attributeSort:      text(key.Sort),
+	}
+}
+
+func text(value string) types.AttributeValue {
+	return &types.AttributeValueMemberS{Value: value}
+}
+
+func number(value uint64) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(value, 10)}
+}
+
+func decodeRow(item map[string]types.AttributeValue) (Row, error) {
+	var row Row
+	var found rowDecoder
+	row.Partition = found.text(item, attributePartition)
+	row.Sort = found.text(item, attributeSort)
+	row.Operation = found.text(item, attributeOperation)
+	row.Version = found.number(item, attributeVersion)
+	if body, ok := item[attributeBody].(*types.AttributeValueMemberB); ok {
+		row.Body = body.Value
+	}
+	return row, found.err
+}
+
+// rowDecoder collects the first decoding error of a row.
+type rowDecoder struct{ err error }
+
+func (e *rowDecoder) text(item map[string]types.AttributeValue, name string) string {
+	value, ok := item[name].(*types.AttributeValueMemberS)
+	if !ok {
+		e.err = Error.New("row lacks string attribute %q", name)
+		return ""
+	}
+	return value.Value
+}
+
+func (e *rowDecoder) number(item map[string]types.AttributeValue, name string) uint64 {
+	value, ok := item[name].(*types.AttributeValueMemberN)
+	if !ok {
+		e.err = Error.New("row lacks number attribute %q", name)
+		return 0
+	}
+	parsed, err := strconv.ParseUint(value.Value, 10, 64)
+	if err != nil {
+		e.err = Error.Wrap(err)
+	}
+	return parsed
+}
+
+// classify maps an SDK error to this package's errors with an outcome.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var canceled *types.TransactionCanceledException
+	var conditional *types.ConditionalCheckFailedException
+	var conflict *types.TransactionConflictException
+	var throughput *types.ProvisionedThroughputExceededException
+	var limit *types.RequestLimitExceeded
+	var throttling *types.ThrottlingException
+	switch {
+	case errors.As(err, &canceled), errors.As(err, &conditional), errors.As(err, &conflict):
+		return Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", ErrConflict, err)))
+	case errors.As(err, &throughput), errors.As(err, &limit), errors.As(err, &throttling):
+		return Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", ErrThrottled, err)))
+	case refusedConnection(err):
+		return Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", ErrUnavailable, err)))
+	default:
+		return Error.Wrap(outcome.Undecided(fmt.Errorf("%w: %w", ErrUnavailable, err)))
+	}
+}
+
+// refusedConnection reports whether no connection was made, so that no byte of
+// the request can have reached the service.
+func refusedConnection(err error) bool {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
