Check recorded histories and inject faults into running sites

Scenarios are a family of load (batch, online, config, placement, membership) with faults alone or joined by '+'.

--- /dev/null
+++ b/internal/lab/experiment/fault.go
@@ -0,0 +1,240 @@
+package experiment
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+	"github.com/wheelhoist/wheelhoist/internal/machines"
+)
+
+// Fault is a failure that is injected while the load runs.
+type Fault struct {
+	Name  string
+	About string
+	// Processes tells that the nodes must be real processes.
+	Processes bool
+	// Inject injects the fault, possibly several times, and heals it before it
+	// returns. The context ends with the run.
+	Inject func(ctx context.Context, r *run)
+}
+
+// Times of the faults.
+const (
+	killEvery    = 4 * time.Second
+	restartAfter = time.Second
+	// pauseLength is beyond the lease's time to live and its detection.
+	pauseLength   = 11 * time.Second
+	slowDelay     = 400 * time.Millisecond
+	throttledRate = 25
+	lostShare     = 0.15
+	stopLimit     = 30 * time.Second
+)
+
+var faults = []Fault{
+	{"kill-node", "SIGKILL of a random node every 4 s, restarted after 1 s", true, killNodes},
+	{"kill-after-ack", "SIGKILL of the node that acknowledged, right after", true, killAfterAck},
+	{"pause-node", "SIGSTOP of a random node beyond its lease, then SIGCONT", true, pauseNodes},
+	{"store-down", "table and object store down for half of the run", false, storeDown},
+	{"store-slow", "every store call takes 400 ms longer", false, storeSlow},
+	{"store-throttled", "the table allows 25 calls a second", false, storeThrottled},
+	{"store-lost-answers", "15% of store calls take effect and lose their answer", false, storeLostAnswers},
+	{"engine-death", "a random engine dies every 4 s and is replaced", false, killEngines},
+	{"engine-leaving", "a random engine is told to leave every 4 s", false, leaveEngines},
+	{"engine-slow", "a random engine becomes 8 times slower for a while", false, slowEngines},
+	{"zone-cut", "a zone is cut off from the others for a third of the run", false, cutZone},
+	{"rolling-restart", "every node in turn is stopped as planned and started again", true, rollingRestart},
+	{"none", "no fault", false, func(context.Context, *run) {}},
+}
+
+func faultByName(name string) (Fault, bool) {
+	for _, fault := range faults {
+		if fault.Name == name {
+			return fault, true
+		}
+	}
+	return Fault{}, false
+}
+
+// sleep waits; it reports false when the context ended.
+func sleep(ctx context.Context, delay time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(delay):
+		return true
+	}
+}
+
+func (r *run) randomNode() *site.Member {
+	nodes := r.site.Nodes()
+	return nodes[r.random.IntN(len(nodes))]
+}
+
+// restart starts a killed node again; the run must not end without it.
+func (r *run) restart(ctx context.Context, member *site.Member) {
+	if _, err := r.site.StartNode(context.WithoutCancel(ctx), member.Slot); err != nil {
+		r.fail(err)
+	}
+}
+
+func killNodes(ctx context.Context, r *run) {
+	for sleep(ctx, killEvery) {
+		victim := r.randomNode()
+		if !victim.Running() {
+			continue
+		}
+		r.options.Progress("kill %s", victim.ID)
+		victim.Kill()
+		sleep(ctx, restartAfter)
+		r.restart(ctx, victim)
+	}
+}
+
+// killAfterAck kills the node that has just acknowledged a job.
+func killAfterAck(ctx context.Context, r *run) {
+	submitter := r.submitter()
+	for round := 0; sleep(ctx, killEvery); round++ {
+		victim := r.randomNode()
+		if !victim.Running() {
+			continue
+		}
+		submitter.URLs = func() []string { return []string{victim.URL()} }
+		job, err := submitter.Submit(ctx, r.smallJob(round), jobWindow, "")
+		victim.Kill()
+		r.options.Progress("killed %s right after its answer", victim.ID)
+		if err == nil {
+			r.mu.Lock()
+			r.jobs = append(r.jobs, job)
+			r.mu.Unlock()
+		}
+		sleep(ctx, restartAfter)
+		r.restart(ctx, victim)
+	}
+}
+
+func pauseNodes(ctx context.Context, r *run) {
+	for sleep(ctx, time.Second) {
+		victim := r.randomNode()
+		if victim.Signal(syscall.SIGSTOP) != nil {
+			continue
+		}
+		r.options.Progress("paused %s", victim.ID)
+		time.Sleep(pauseLength)
+		if err := victim.Signal(syscall.SIGCONT); err != nil {
+			r.fail(err)
+		}
+		r.options.Progress("woke %s", victim.ID)
+	}
+}
+
+// storeFault changes the condition of the table and the object store for half
+// of the run, from its second quarter on.
+func (r *run) storeFault(ctx context.Context, edit func(*emulator.Condition)) {
+	quarter := r.options.Duration / 4
+	sleep(ctx, quarter)
+	r.options.Progress("store fault begins")
+	r.site.Platform.Table.Faults.Change(edit)
+	r.site.Platform.Objects.Faults.Change(edit)
+	sleep(ctx, 2*quarter)
+	heal := func(condition *emulator.Condition) { *condition = emulator.Condition{} }
+	r.site.Platform.Table.Faults.Change(heal)
+	r.site.Platform.Objects.Faults.Change(heal)
+	r.options.Progress("store fault ends")
+}
+
+func storeDown(ctx context.Context, r *run) {
+	r.storeFault(ctx, func(condition *emulator.Condition) { condition.Down = true })
+}
+
+func storeSlow(ctx context.Context, r *run) {
+	r.storeFault(ctx, func(condition *emulator.Condition) { condition.Delay = slowDelay })
+}
+
+func storeThrottled(ctx context.Context, r *run) {
+	r.storeFault(ctx, func(condition *emulator.Condition) { condition.CallsPerSecond = throttledRate })
+}
+
+func storeLostAnswers(ctx context.Context, r *run) {
+	r.storeFault(ctx, func(condition *emulator.Condition) { condition.LoseAnswers = lostShare })
+}
+
+func (r *run) randomEngine() *site.Engine {
+	engines := r.site.LiveEngines()
+	return engines[r.random.IntN(len(engines))]
+}
+
+func killEngines(ctx context.Context, r *run) {
+	for sleep(ctx, killEvery) {
+		victim := r.randomEngine()
+		r.options.Progress("kill %s", victim.ID)
+		r.site.KillEngine(victim)
+		sleep(ctx, restartAfter)
+		if err := r.site.ReplaceEngine(victim); err != nil {
+			r.fail(err)
+		}
+	}
+}
+
+func leaveEngines(ctx context.Context, r *run) {
+	for sleep(ctx, killEvery) {
+		leaver := r.randomEngine()
+		r.options.Progress("%s leaves", leaver.ID)
+		r.recorder.Record(history.Event{Source: "lab", Type: history.ReplicaLeaving, Replica: leaver.ID})
+		leaver.Leave()
+		r.site.SetEngineState(leaver, machines.Leaving)
+		if err := r.site.ReplaceEngine(leaver); err != nil {
+			r.fail(err)
+		}
+	}
+}
+
+func slowEngines(ctx context.Context, r *run) {
+	const factor = 8
+	for sleep(ctx, killEvery) {
+		victim := r.randomEngine()
+		r.options.Progress("%s becomes slow", victim.ID)
+		victim.SetSlowdown(factor)
+		sleep(ctx, killEvery)
+		victim.SetSlowdown(1)
+	}
+}
+
+func cutZone(ctx context.Context, r *run) {
+	third := r.options.Duration / 3
+	sleep(ctx, third)
+	zones := r.options.Profile.Zones
+	lost := zones[r.random.IntN(len(zones))]
+	r.options.Progress("zone %s cut off", lost)
+	for _, zone := range zones {
+		if zone != lost {
+			r.site.Cut(lost, zone, true)
+		}
+	}
+	sleep(ctx, third)
+	for _, zone := range zones {
+		if zone != lost {
+			r.site.Cut(lost, zone, false)
+		}
+	}
+	r.options.Progress("zone %s back", lost)
+}
+
+func rollingRestart(ctx context.Context, r *run) {
+	for _, member := range r.site.Nodes() {
+		if !sleep(ctx, restartAfter) {
+			return
+		}
+		r.options.Progress("stop %s as planned", member.ID)
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+		err := r.site.DrainNode(stopCtx, member)
+		cancel()
+		if err != nil {
+			r.fail(err)
+		}
+		r.restart(ctx, member)
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/scenario.go
@@ -0,0 +1,372 @@
+// Package experiment runs the lab's scenarios: a site under load, with faults,
+// whose history is checked at the end.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/lab/load"
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("experiment")
+
+// Options are the choices of one run.
+type Options struct {
+	Profile  profile.Profile
+	Seed     uint64
+	Duration time.Duration
+	// Nodes is the number of nodes; 0 takes the scenario's own.
+	Nodes int
+	// Progress is told what happens; nil drops it.
+	Progress func(format string, arguments ...any)
+}
+
+// Mix is the load of a scenario beside its faults.
+type Mix struct {
+	// Online scales the profile's online rate; 0 means none.
+	Online float64
+	// OnceShare is the share of online requests that may run only once; half
+	// of them carry an Idempotency-Key.
+	OnceShare float64
+	// Jobs is the number of jobs of one heap; 0 means no batch.
+	Jobs int
+	// Items is the number of items of a job; 0 takes the profile's.
+	Items int
+	// OnceItems makes every third job's items not repeatable.
+	OnceItems bool
+	// Cancel cancels every fourth job while it runs.
+	Cancel bool
+	// Resend submits every job twice at the same time.
+	Resend bool
+	// Operators is the number of operators that race on two resources.
+	Operators int
+	// Rollout changes the pool's version in the middle of the run.
+	Rollout bool
+}
+
+// Scenario is a named experiment.
+type Scenario struct {
+	Name  string
+	About string
+	Mix   Mix
+	Nodes int
+	// Faults are injected while the load runs.
+	Faults []Fault
+	// Run, when set, replaces the common course of a run.
+	Run func(ctx context.Context, options Options) (*Result, error)
+}
+
+// processes reports whether a fault needs the nodes to be real processes.
+func (s *Scenario) processes() bool {
+	for _, fault := range s.Faults {
+		if fault.Processes {
+			return true
+		}
+	}
+	return false
+}
+
+// Batch is the summary of the batch work.
+type Batch struct {
+	Jobs       int     `json:"jobs"`
+	Items      int     `json:"items"`
+	PerSecond  float64 `json:"items_per_s"`
+	WastedPart float64 `json:"wasted_token_share"`
+	// TableWrites is the number of row writes of the table per 1,000 items.
+	TableWrites float64 `json:"table_writes_per_1000_items,omitempty"`
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Scenario   string             `json:"scenario"`
+	Profile    string             `json:"profile"`
+	Seed       uint64             `json:"seed"`
+	Violations []string           `json:"violations"`
+	Online     load.Online        `json:"online"`
+	Batch      Batch              `json:"batch"`
+	VersusOne  *float64           `json:"ttft_p99_vs_alone,omitempty"`
+	IdleUse    *float64           `json:"idle_use,omitempty"`
+	Figures    map[string]float64 `json:"figures,omitempty"`
+	Rows       []Row              `json:"rows,omitempty"`
+
+	Events []history.Event `json:"-"`
+	Points []load.Point    `json:"-"`
+}
+
+// Row is one line of a comparison.
+type Row struct {
+	Name    string             `json:"name"`
+	Figures map[string]float64 `json:"figures"`
+}
+
+// run is the state of a scenario that follows the common course.
+type run struct {
+	options  Options
+	scenario *Scenario
+	site     *site.Site
+	recorder *history.Recorder
+	stats    *load.Stats
+	random   *lockedRandom
+	started  time.Time
+
+	mu     sync.Mutex
+	jobs   []*load.Job
+	errors []error
+}
+
+// lockedRandom is a random source for several goroutines.
+type lockedRandom struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+func newRandom(seed uint64) *lockedRandom {
+	return &lockedRandom{source: rand.New(rand.NewPCG(seed, 99))}
+}
+
+// IntN returns a number in [0, n).
+func (r *lockedRandom) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source.IntN(n)
+}
+
+// Float64 returns a number in [0, 1).
+func (r *lockedRandom) Float64() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source.Float64()
+}
+
+const (
+	defaultNodes = 4
+	// finishLimit bounds the wait for the jobs after the load has ended.
+	finishLimit = 90 * time.Second
+)
+
+// Execute runs a scenario.
+func Execute(ctx context.Context, scenario *Scenario, options Options) (*Result, error) {
+	if options.Progress == nil {
+		options.Progress = func(string, ...any) {}
+	}
+	if scenario.Run != nil {
+		result, err := scenario.Run(ctx, options)
+		if err != nil {
+			return nil, err
+		}
+		result.Scenario, result.Profile, result.Seed = scenario.Name, options.Profile.Name, options.Seed
+		return result, nil
+	}
+	return executeMix(ctx, scenario, options, settings.Lab{}, nil)
+}
+
+// executeMix runs the common course: load and faults side by side, then the
+// wait for all jobs, then the check.
+func executeMix(ctx context.Context, scenario *Scenario, options Options, lab settings.Lab, policy *v1.BatchPolicy) (*Result, error) {
+	nodes := options.Nodes
+	if nodes == 0 {
+		nodes = scenario.Nodes
+	}
+	if nodes == 0 {
+		nodes = defaultNodes
+	}
+	r := &run{
+		options: options, scenario: scenario, recorder: &history.Recorder{},
+		stats: load.NewStats(), random: newRandom(options.Seed),
+	}
+	var err error
+	r.site, err = site.Start(ctx, site.Config{
+		Profile: options.Profile, Nodes: nodes, Listen: "127.0.0.1:0", Seed: options.Seed,
+		Recorder: r.recorder, Processes: scenario.processes(), Lab: lab, Policy: policy,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer r.site.Close()
+	options.Progress("site ready: %d nodes, %d replicas", nodes, options.Profile.ReplicaCount())
+	r.started = time.Now()
+	r.loadAndFaults(ctx)
+	r.finishJobs(ctx)
+	return r.result(), nil
+}
+
+// loadAndFaults runs everything that lasts for the run's duration.
+func (r *run) loadAndFaults(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.Duration)
+	defer cancel()
+	var group sync.WaitGroup
+	start := func(action func(context.Context)) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			action(ctx)
+		}()
+	}
+	mix := r.scenario.Mix
+	if mix.Online > 0 {
+		start(r.online)
+	}
+	if mix.Jobs > 0 {
+		start(r.submitHeaps)
+	}
+	for operator := range mix.Operators {
+		start(func(ctx context.Context) { r.operate(ctx, operator) })
+	}
+	if mix.Rollout {
+		start(r.rollout)
+	}
+	for _, fault := range r.scenario.Faults {
+		start(func(ctx context.Context) {
+			r.recorder.Record(history.Event{Source: "lab", Type: history.FaultStart, Detail: fault.Name})
+			fault.Inject(ctx, r)
+			r.recorder.Record(history.Event{Source: "lab", Type: history.FaultEnd, Detail: fault.Name})
+		})
+	}
+	group.Wait()
+}
+
+func (r *run) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errors = append(r.errors, err)
+}
+
+// result checks the history and sums up.
+func (r *run) result() *Result {
+	elapsed := time.Since(r.started).Seconds()
+	events := r.recorder.Events()
+	result := &Result{
+		Scenario: r.scenario.Name, Profile: r.options.Profile.Name, Seed: r.options.Seed,
+		Violations: []string{}, Online: r.stats.Summary(), Events: events, Points: r.stats.Points(),
+	}
+	for _, violation := range history.Check(events) {
+		result.Violations = append(result.Violations, violation.String())
+	}
+	for _, err := range r.errors {
+		result.Violations = append(result.Violations, "run: "+err.Error())
+	}
+	result.Batch = r.batchSummary(events, elapsed)
+	return result
+}
+
+func (r *run) batchSummary(events []history.Event, elapsed float64) Batch {
+	summary := Batch{Jobs: len(r.jobs)}
+	var last int64
+	for _, event := range events {
+		if event.Type == history.BatchResult && event.Outcome == "completed" {
+			summary.Items++
+		}
+		if event.Type == history.BatchFinal {
+			last = event.Time
+		}
+	}
+	if last > 0 {
+		elapsed = time.Unix(0, last).Sub(r.started).Seconds()
+	}
+	if elapsed > 0 {
+		summary.PerSecond = float64(summary.Items) / elapsed
+	}
+	var batchTokens, wasted uint64
+	for _, engine := range r.site.Engines() {
+		totals := engine.Totals()
+		batchTokens += totals.BatchTokens
+		wasted += totals.AbortedTokens
+	}
+	if batchTokens > 0 {
+		summary.WastedPart = float64(wasted) / float64(batchTokens)
+	}
+	if summary.Items > 0 {
+		writes, _ := r.site.Platform.Table.Counts()
+		summary.TableWrites = float64(writes) / float64(summary.Items) * 1000
+	}
+	return summary
+}
+
+// Find returns a scenario by its name. A name may join faults of one family
+// with "+", as in "batch-kill-node+store-down".
+func Find(name string) (*Scenario, error) {
+	for _, scenario := range All() {
+		if scenario.Name == name {
+			return scenario, nil
+		}
+	}
+	family, list, found := strings.Cut(name, "-")
+	base, known := families[family]
+	if !found || !known {
+		return nil, Error.New("unknown scenario %q, see run --list", name)
+	}
+	combined := &Scenario{Name: name, Mix: base.mix, Nodes: base.nodes}
+	for _, part := range strings.Split(list, "+") {
+		fault, ok := faultByName(part)
+		if !ok {
+			return nil, Error.New("unknown scenario %q: no fault %q", name, part)
+		}
+		combined.Faults = append(combined.Faults, fault)
+	}
+	return combined, nil
+}
+
+// All returns the named scenarios: each family with each fault alone, and the
+// ones with a course of their own.
+func All() []*Scenario {
+	var list []*Scenario
+	var names []string
+	for name := range families {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		for _, fault := range faults {
+			list = append(list, &Scenario{
+				Name: name + "-" + fault.Name, About: fmt.Sprintf("%s under: %s", families[name].about, fault.About),
+				Mix: families[name].mix, Nodes: families[name].nodes, Faults: []Fault{fault},
+			})
+		}
+	}
+	return append(list, special...)
+}
+
+// family is a load that every fault can be combined with.
+type family struct {
+	about string
+	mix   Mix
+	nodes int
+}
+
+var families = map[string]family{
+	"batch": {
+		about: "jobs in heaps, some resent, cancelled or not repeatable, beside light online load",
+		mix:   Mix{Online: 0.3, Jobs: 3, OnceItems: true, Cancel: true, Resend: true},
+	},
+	"online": {
+		about: "online bursts, a part not repeatable, beside a batch",
+		mix:   Mix{Online: 1, OnceShare: 0.2, Jobs: 1},
+	},
+	"config": {
+		about: "operators racing on the same resources",
+		mix:   Mix{Online: 0.2, Operators: 6},
+	},
+	"placement": {
+		about: "a new version rolled out under load",
+		mix:   Mix{Online: 0.5, Jobs: 1, Operators: 1, Rollout: true},
+	},
+	"membership": {
+		about: "nodes watching each other under light load",
+		mix:   Mix{Online: 0.2, Operators: 2},
+		nodes: 6,
+	},
+}
--- /dev/null
+++ b/internal/lab/experiment/special.go
@@ -0,0 +1,4 @@
+package experiment
+
+// special are the scenarios with a course of their own.
+var special []*Scenario
--- /dev/null
+++ b/internal/lab/history/checkfleet.go
@@ -0,0 +1,111 @@
+package history
+
+import (
+	"strings"
+	"time"
+)
+
+// checkBehindBatch: no engine starts a batch item while an online request that
+// it has received waits.
+func (c *checker) checkBehindBatch() {
+	waiting := map[string]map[string]bool{}
+	for _, event := range c.events {
+		if event.Type == EngineDied {
+			delete(waiting, event.Replica)
+		}
+		if event.Replica == "" {
+			continue
+		}
+		if waiting[event.Replica] == nil {
+			waiting[event.Replica] = map[string]bool{}
+		}
+		switch {
+		case event.Type == EngineReceived && event.Class == Online:
+			waiting[event.Replica][event.Attempt] = true
+		case event.Type == EngineStart && event.Class == Online, event.Type == EngineAbort:
+			delete(waiting[event.Replica], event.Attempt)
+		case event.Type == EngineStart && event.Class == Batch && len(waiting[event.Replica]) > 0:
+			c.violate(RuleBehindBatch, "%s started %s while %d online requests waited", event.Replica, event.Attempt, len(waiting[event.Replica]))
+		}
+	}
+}
+
+// checkLeaving: a leaving replica receives nothing after the grace.
+func (c *checker) checkLeaving() {
+	leaving := map[string]int64{}
+	for _, event := range c.events {
+		switch event.Type {
+		case ReplicaLeaving:
+			leaving[event.Replica] = event.Time
+		case EngineReceived:
+			since, ok := leaving[event.Replica]
+			if ok && time.Duration(event.Time-since) > LeavingGrace {
+				c.violate(RuleLeaving, "%s received %s %.1f s after it began to leave", event.Replica, event.Attempt, time.Duration(event.Time-since).Seconds())
+			}
+		}
+	}
+}
+
+// checkPlannedStops: in a history without any crash, no caller loses an answer.
+func (c *checker) checkPlannedStops() {
+	stops := 0
+	for _, event := range c.events {
+		switch event.Type {
+		case NodeStopping:
+			stops++
+		case NodeKilled, EngineDied:
+			return
+		case FaultStart:
+			if !plannedFault(event.Detail) {
+				return
+			}
+		}
+	}
+	for _, event := range c.events {
+		if event.Type == ClientFailed && stops > 0 {
+			c.violate(RulePlannedStop, "%s was cut off: %s", event.Request, event.Detail)
+		}
+	}
+}
+
+// plannedFault reports whether a fault is a planned action of operators.
+func plannedFault(name string) bool {
+	return strings.HasPrefix(name, "rolling-") || strings.HasPrefix(name, "racing-") || strings.HasPrefix(name, "engine-leaving")
+}
+
+// checkCancel: within the grace after a cancellation, while the store is up,
+// no item of the job starts or goes on.
+func (c *checker) checkCancel() {
+	cancelled := map[string]int64{}
+	storeDown := false
+	for _, event := range c.events {
+		switch event.Type {
+		case FaultStart:
+			storeDown = storeDown || strings.HasPrefix(event.Detail, "store-")
+		case BatchCancelled:
+			cancelled[event.Job] = event.Time
+		case EngineStart, EngineEnd:
+			if event.Class != Batch || storeDown {
+				continue
+			}
+			since, ok := cancelled[jobOf(event.Attempt)]
+			if ok && time.Duration(event.Time-since) > CancelGrace {
+				c.violate(RuleCancelStops, "%s of %s %.1f s after the job was cancelled", event.Type, event.Attempt, time.Duration(event.Time-since).Seconds())
+			}
+		}
+	}
+}
+
+// checkOrders: an engine obeys orders with rising fences only.
+func (c *checker) checkOrders() {
+	highest := map[string]uint64{}
+	for _, event := range c.events {
+		if event.Type != EngineOrder {
+			continue
+		}
+		if event.Revision < highest[event.Replica] {
+			c.violate(RuleFencedOrders, "%s obeyed fence %d after %d", event.Replica, event.Revision, highest[event.Replica])
+		}
+		highest[event.Replica] = max(highest[event.Replica], event.Revision)
+	}
+}
--- a/internal/lab/load/online.go
+++ b/internal/lab/load/online.go
@@ -145,11 +145,11 @@
 // Ask sends one request, again after a refusal that says it did not run, and
 // records what came of it.
 func (c *Caller) Ask(ctx context.Context, one Arrival) {
-	c.Recorder.Record(history.Event{
-		Source: "client", Type: history.ClientSend, Class: history.Online, Request: one.ID, Repeatable: !one.Once,
-	})
 	sent := time.Now()
 	for attempt := 0; ; attempt++ {
+		c.Recorder.Record(history.Event{
+			Source: "client", Type: history.ClientSend, Class: history.Online, Request: one.ID, Repeatable: !one.Once,
+		})
 		result := c.once(ctx, one, sent)
 		c.Recorder.Record(result)
 		again := result.Type == history.ClientRefused && result.Executed == "no" && attempt < c.Retries
--- a/internal/lab/site/platform.go
+++ b/internal/lab/site/platform.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -134,6 +135,8 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	once     sync.Once
+	// gone is set once the engine is killed or leaving.
+	gone atomic.Bool
 }
 
 // StartEngine starts an emulated engine.
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -349,3 +349,48 @@
 	}
 	return nil
 }
+
+// LiveEngines returns the engines that run and are not leaving.
+func (s *Site) LiveEngines() []*Engine {
+	var live []*Engine
+	for _, one := range s.Engines() {
+		if !one.gone.Load() {
+			live = append(live, one)
+		}
+	}
+	return live
+}
+
+// KillEngine kills an engine; its machine leaves the list after the lag.
+func (s *Site) KillEngine(victim *Engine) {
+	victim.gone.Store(true)
+	victim.Kill()
+	s.config.Recorder.Record(history.Event{Source: "lab", Type: history.EngineDied, Replica: victim.ID})
+	s.Platform.Machines.Remove(victim.ID)
+}
+
+// ReplaceEngine starts a new engine like a given one.
+func (s *Site) ReplaceEngine(old *Engine) error {
+	s.mu.Lock()
+	id := fmt.Sprintf("replica-%02d", len(s.engines))
+	s.mu.Unlock()
+	_, err := s.StartEngine(id, old.Zone, old.Generation)
+	return err
+}
+
+// SetEngineState changes an engine's state on the machine list, after the lag.
+func (s *Site) SetEngineState(one *Engine, state machines.State) {
+	if state == machines.Leaving {
+		one.gone.Store(true)
+	}
+	s.Platform.Machines.Set(machines.Machine{
+		ID: one.ID, Role: machines.RoleEngine, Zone: one.Zone, Region: s.config.Profile.Region,
+		Generation: one.Generation, State: state, Address: one.URL, Pool: s.config.Profile.Pool,
+	})
+}
+
+// DrainNode stops a node as planned: callers are no longer sent to it, as a
+// load balancer does that looks at readiness, and then it drains.
+func (s *Site) DrainNode(ctx context.Context, member *Member) error {
+	return member.Drain(ctx)
+}
--- a/internal/server/resources.go
+++ b/internal/server/resources.go
@@ -31,6 +31,16 @@
 	ctx.StatusCode(iris.StatusAccepted)
 }
 
+// current reports whether this node's view may be shown; a node that is out of
+// step would show a past that others have left behind.
+func (s *Server) current(ctx iris.Context) bool {
+	if s.options.Fence.Open(time.Now()) {
+		return true
+	}
+	refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, "this node is out of step", fencedRetryAfter)
+	return false
+}
+
 // kindOf returns the kind named in the path, or answers 404.
 func kindOf(ctx iris.Context) (v1.Kind, bool) {
 	kind := v1.Kind(ctx.Params().Get("kind"))
@@ -50,6 +60,9 @@
 		s.listBatchJobs(ctx)
 		return
 	}
+	if !s.current(ctx) {
+		return
+	}
 	snapshot := s.options.Store.Snapshot()
 	list := v1.List{APIVersion: v1.APIVersion, ResourceVersion: snapshot.Revision, Items: []v1.Resource{}}
 	for _, entry := range snapshot.List(kind) {
@@ -67,6 +80,9 @@
 		s.getBatchJob(ctx)
 		return
 	}
+	if !s.current(ctx) {
+		return
+	}
 	entry, ok := s.options.Store.Snapshot().Get(kind, ctx.Params().Get("name"))
 	if !ok {
 		refuse(ctx, iris.StatusNotFound, openai.TypeNotFound, "no such resource", 0)
