Ask stopped nodes before leaving them out of a configuration count

A node that had stopped as planned was left out of the count while it was being started again; it had read the store before the commit. Ruled out: the draining node itself (it stays counted until its listener is closed) and gossip order. Now a node is left out only after it was asked, after the commit, and did not answer.

--- a/internal/lab/experiment/fault.go
+++ b/internal/lab/experiment/fault.go
@@ -230,7 +230,7 @@
 		}
 		r.options.Progress("stop %s as planned", member.ID)
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
-		err := r.site.DrainNode(stopCtx, member)
+		err := member.Drain(stopCtx)
 		cancel()
 		if err != nil {
 			r.fail(err)
--- a/internal/lab/experiment/mix.go
+++ b/internal/lab/experiment/mix.go
@@ -27,7 +27,7 @@
 func (r *run) online(ctx context.Context) {
 	caller := (&load.Caller{
 		Model: r.options.Profile.Model, Key: site.TenantKey, Version: r.options.Profile.Version,
-		Recorder: r.recorder, Stats: r.stats, URLs: r.site.URLs, Delay: r.options.Profile.ClientDelay,
+		Recorder: r.recorder, Stats: r.stats, URLs: r.site.ReadyURLs, Delay: r.options.Profile.ClientDelay,
 		Retries: onlineRetries,
 	}).Open()
 	defer caller.Close()
@@ -47,7 +47,7 @@
 
 func (r *run) submitter() *load.Submitter {
 	return &load.Submitter{
-		Model: r.options.Profile.Model, Key: site.TenantKey, Recorder: r.recorder, URLs: r.site.URLs,
+		Model: r.options.Profile.Model, Key: site.TenantKey, Recorder: r.recorder, URLs: r.site.ReadyURLs,
 	}
 }
 
--- /dev/null
+++ b/internal/lab/site/balancer.go
@@ -0,0 +1,83 @@
+package site
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// balanceInterval is how often the balancer looks at the nodes' readiness.
+const balanceInterval = 200 * time.Millisecond
+
+// balancer keeps the list of nodes that are ready, as a load balancer before
+// the callers does.
+type balancer struct {
+	client *http.Client
+
+	mu    sync.Mutex
+	ready []string
+}
+
+func newBalancer() *balancer {
+	return &balancer{client: &http.Client{Timeout: 4 * balanceInterval}}
+}
+
+// run looks at readiness until the context ends.
+func (b *balancer) run(ctx context.Context, site *Site) {
+	ticker := time.NewTicker(balanceInterval)
+	defer ticker.Stop()
+	for {
+		b.look(ctx, site)
+		select {
+		case <-ctx.Done():
+			b.client.CloseIdleConnections()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *balancer) look(ctx context.Context, site *Site) {
+	members := site.Nodes()
+	results := make([]bool, len(members))
+	var group sync.WaitGroup
+	for i, member := range members {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			results[i] = probeReady(ctx, b.client, member.URL())
+		}()
+	}
+	group.Wait()
+	var ready []string
+	for i, member := range members {
+		if results[i] {
+			ready = append(ready, member.URL())
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+// probeReady asks a node's readiness endpoint.
+func probeReady(ctx context.Context, client *http.Client, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// ReadyURLs returns the base URLs of the nodes that were ready a moment ago.
+func (s *Site) ReadyURLs() []string {
+	s.balancer.mu.Lock()
+	defer s.balancer.mu.Unlock()
+	return append([]string(nil), s.balancer.ready...)
+}
--- a/internal/lab/site/declare.go
+++ b/internal/lab/site/declare.go
@@ -68,16 +68,7 @@
 
 // ready reports whether a node admits work.
 func (s *Site) ready(ctx context.Context, member *Member) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, member.URL()+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return probeReady(ctx, http.DefaultClient, member.URL())
 }
 
 // settled reports whether a node sees all running nodes and replicas, and the
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -52,6 +52,9 @@
 	config   Config
 	Platform *Platform
 
+	balancer *balancer
+	stop     context.CancelFunc
+
 	mu      sync.Mutex
 	engines []*Engine
 	nodes   []*Member
@@ -65,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{config: config, Platform: platform, cut: map[string]bool{}}
+	s := &Site{config: config, Platform: platform, cut: map[string]bool{}, balancer: newBalancer()}
 	model := config.Profile.Model
 	platform.SeedWeights(model, config.Profile.Version)
 	platform.SeedWeights(model, "v2")
@@ -81,7 +84,14 @@
 	if err := s.declare(ctx); err != nil {
 		return nil, err
 	}
-	return s, s.AwaitReady(ctx)
+	if err := s.AwaitReady(ctx); err != nil {
+		return nil, err
+	}
+	balanceCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.stop = cancel
+	s.balancer.look(balanceCtx, s)
+	go s.balancer.run(balanceCtx, s)
+	return s, nil
 }
 
 func (s *Site) startEngines() error {
@@ -316,6 +326,7 @@
 
 // Close stops everything.
 func (s *Site) Close() {
+	s.stop()
 	var group sync.WaitGroup
 	for _, member := range s.Nodes() {
 		group.Add(1)
@@ -388,9 +399,3 @@
 		Generation: one.Generation, State: state, Address: one.URL, Pool: s.config.Profile.Pool,
 	})
 }
-
-// DrainNode stops a node as planned: callers are no longer sent to it, as a
-// load balancer does that looks at readiness, and then it drains.
-func (s *Site) DrainNode(ctx context.Context, member *Member) error {
-	return member.Drain(ctx)
-}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -19,10 +19,12 @@
 	// pollOther is the same for other nodes, which hear of changes by heartbeat.
 	pollOther = 15 * time.Second
 	// pollAlone is the same for a node that hears no peer.
-	pollAlone    = time.Second
-	pollTimeout  = 2 * time.Second
-	loadRetry    = 500 * time.Millisecond
-	drainNotice  = 300 * time.Millisecond
+	pollAlone   = time.Second
+	pollTimeout = 2 * time.Second
+	loadRetry   = 500 * time.Millisecond
+	// drainNotice is how long a draining node goes on admitting after readiness
+	// has begun to fail: callers and load balancers look at it every second or so.
+	drainNotice  = 1500 * time.Millisecond
 	drainChecked = 50 * time.Millisecond
 )
 
@@ -128,11 +130,10 @@
 // bounds the wait.
 func (n *Node) Drain(ctx context.Context) error {
 	n.log.Info().Int64("open", n.server.Open()).Msg("draining")
-	n.server.StartDraining()
+	n.server.FailReadiness()
 	n.agent.Leave(membership.Leaving)
-	// Callers that looked at readiness just now may still send; the listener
-	// stays open until they have had time to look again.
 	sleep(ctx, drainNotice)
+	n.server.StartDraining()
 	for n.server.Open() > 0 && sleep(ctx, drainChecked) {
 	}
 	err := n.httpServer.Shutdown(ctx)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -228,3 +228,27 @@
 	}
 	return encode(message.Kind, "", result)
 }
+
+// Loopback calls a handler in this process, through the encoding that a call
+// over the network would take.
+func Loopback(ctx context.Context, handler Handler, request, response any) error {
+	frame, err := encode(0, "", request)
+	if err != nil {
+		return err
+	}
+	message, err := decode(frame)
+	if err != nil {
+		return err
+	}
+	result, err := handler(ctx, message.Body)
+	if err != nil {
+		return Error.Wrap(fmt.Errorf("%w: %w", ErrRemote, err))
+	}
+	if frame, err = encode(0, "", result); err != nil {
+		return err
+	}
+	if message, err = decode(frame); err != nil || response == nil {
+		return err
+	}
+	return Decode(message.Body, response)
+}
--- a/internal/resource/propagate.go
+++ b/internal/resource/propagate.go
@@ -31,7 +31,7 @@
 	ID      string
 	Zone    string
 	Address string
-	// Gone nodes have stopped as planned and are not counted.
+	// Gone nodes have stopped as planned.
 	Gone bool
 	// DeadFor is how long the node has been taken for dead; 0 if it is not.
 	DeadFor time.Duration
@@ -148,6 +148,13 @@
 	p.pulling.Lock()
 	defer p.pulling.Unlock()
 	for p.store.Revision() < revision {
+		if p.store.Revision() == 0 {
+			// A node that has just started must not go through the past.
+			if err := p.pullSnapshot(ctx, address); err != nil {
+				return err
+			}
+			continue
+		}
 		var answer changesAnswer
 		request := changesRequest{Since: p.store.Revision()}
 		if err := p.peers.Call(ctx, address, peer.KindConfigChanges, request, &answer); err != nil {
@@ -253,7 +260,8 @@
 		if err := p.applyAll(changes); err != nil {
 			return err
 		}
-		go p.push(context.WithoutCancel(ctx), changes[len(changes)-1])
+		last := changes[len(changes)-1]
+		go p.push(context.WithoutCancel(ctx), last, newRound(last.Revision))
 	}
 	p.fence.Prove(sent)
 	return nil
@@ -272,22 +280,19 @@
 			return committed, p.Status(committed.Revision), nil
 		}
 	}
-	pushed := make(chan struct{})
-	go func() {
-		defer close(pushed)
-		p.push(context.WithoutCancel(ctx), committed)
-	}()
-	p.awaitAccepted(ctx, committed.Revision, pushed)
-	return committed, p.Status(committed.Revision), nil
+	round := newRound(committed.Revision)
+	go p.push(context.WithoutCancel(ctx), committed, round)
+	p.awaitAccepted(ctx, round)
+	return committed, p.roundStatus(round), nil
 }
 
-func (p *Propagator) awaitAccepted(ctx context.Context, revision uint64, pushed <-chan struct{}) {
+func (p *Propagator) awaitAccepted(ctx context.Context, round *round) {
 	const checkInterval = 5 * time.Millisecond
 	deadline := time.After(acceptWait)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
-		status := p.Status(revision)
+		status := p.roundStatus(round)
 		if status.Accepted() {
 			return
 		}
@@ -296,23 +301,21 @@
 			return
 		case <-deadline:
 			return
-		case <-pushed:
-			pushed = nil
 		case <-ticker.C:
 		}
 	}
 }
 
 // push sends a change to all nodes that may not hold it, until they do.
-func (p *Propagator) push(ctx context.Context, change Change) {
+func (p *Propagator) push(ctx context.Context, change Change, round *round) {
 	ctx, cancel := context.WithTimeout(ctx, pushTime)
 	defer cancel()
 	for {
 		missing := p.missing(change.Revision)
-		if len(missing) == 0 {
+		p.pushOnce(ctx, missing, change, round)
+		if len(p.missingRunning(change.Revision)) == 0 {
 			return
 		}
-		p.pushOnce(ctx, missing, change)
 		select {
 		case <-ctx.Done():
 			return
@@ -321,26 +324,41 @@
 	}
 }
 
+// missing returns the nodes not known to hold a revision. Those that have
+// stopped are among them: they may have been started again a moment ago.
 func (p *Propagator) missing(revision uint64) []Node {
 	var missing []Node
 	for _, node := range p.peers.Nodes() {
-		if !node.Gone && !p.holds(node.ID, revision) {
+		if !p.holds(node.ID, revision) {
 			missing = append(missing, node)
 		}
 	}
 	return missing
 }
 
-func (p *Propagator) pushOnce(ctx context.Context, nodes []Node, change Change) {
+func (p *Propagator) missingRunning(revision uint64) []Node {
+	var running []Node
+	for _, node := range p.missing(revision) {
+		if !node.Gone {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+func (p *Propagator) pushOnce(ctx context.Context, nodes []Node, change Change, round *round) {
 	var group errgroup.Group
 	group.SetLimit(pushParallel)
 	for _, node := range nodes {
 		group.Go(func() error {
 			var answer appliedMessage
 			message := pushMessage{From: p.address, Change: change}
-			if p.peers.Call(ctx, node.Address, peer.KindConfigPush, message, &answer) == nil {
-				p.note(node.ID, answer.Revision)
+			err := p.peers.Call(ctx, node.Address, peer.KindConfigPush, message, &answer)
+			if err != nil {
+				round.failed(node.ID)
+				return nil
 			}
+			p.note(node.ID, answer.Revision)
 			return nil
 		})
 	}
@@ -351,7 +369,7 @@
 func (p *Propagator) Refresh(ctx context.Context, revision uint64) {
 	var group errgroup.Group
 	group.SetLimit(pushParallel)
-	for _, node := range p.missing(revision) {
+	for _, node := range p.missingRunning(revision) {
 		group.Go(func() error {
 			var answer appliedMessage
 			if p.peers.Call(ctx, node.Address, peer.KindConfigApplied, nil, &answer) == nil {
@@ -362,37 +380,3 @@
 	}
 	_ = group.Wait()
 }
-
-// Status counts the nodes that hold a revision, from what is known here.
-func (p *Propagator) Status(revision uint64) v1.Status {
-	status := v1.Status{Revision: revision, Expected: 1}
-	if p.store.Revision() >= revision {
-		status.InForce = 1
-	}
-	var silent []Node
-	for _, node := range p.peers.Nodes() {
-		switch {
-		case node.Gone:
-			continue
-		case p.holds(node.ID, revision):
-			status.InForce++
-			status.Expected++
-		default:
-			status.Expected++
-			status.Laggards = append(status.Laggards, node.ID)
-			silent = append(silent, node)
-		}
-	}
-	if fencedAlone(silent) {
-		status.Expected--
-		status.Laggards = nil
-	}
-	return status
-}
-
-// fencedAlone reports whether the only node out of step is one that has been
-// silent for long enough to have fenced itself. Two silent nodes may hear each
-// other behind a network split and go on serving, so they stay counted.
-func fencedAlone(silent []Node) bool {
-	return len(silent) == 1 && silent[0].DeadFor > SelfFenceAfter
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -104,9 +104,11 @@
 
 // Server holds the handlers. It is an http.Handler.
 type Server struct {
-	options  Options
-	app      *iris.Application
-	tenants  *tenantIndex
+	options Options
+	app     *iris.Application
+	tenants *tenantIndex
+	// unready fails readiness; draining refuses new requests as well.
+	unready  atomic.Bool
 	draining atomic.Bool
 	open     atomic.Int64
 	metrics  *metrics
@@ -162,7 +164,10 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
 
-// StartDraining fails readiness and refuses new requests from now on.
+// FailReadiness makes readiness fail, so that callers go elsewhere.
+func (s *Server) FailReadiness() { s.unready.Store(true) }
+
+// StartDraining refuses new requests from now on.
 func (s *Server) StartDraining() { s.draining.Store(true) }
 
 // Draining reports whether a planned stop has begun.
@@ -177,7 +182,7 @@
 }
 
 func (s *Server) ready(ctx iris.Context) {
-	if !s.serving() {
+	if s.unready.Load() || !s.serving() {
 		ctx.StatusCode(iris.StatusServiceUnavailable)
 		_, _ = ctx.WriteString("not ready\n")
 		return
