Run the control plane with hollow nodes and cut its traffic

Cause: at 40 nodes and 75 replicas a node's control traffic was 68.0 KB/s at most (21.0 KB/s of it between nodes) and a hollow node used 1.1% of a core. Found: whole machine lists read every second, replicas' loads polled over new requests ten times a second, load digests of other zones relayed to every node one by one, all session rows read by every node, and each steward computing the owner of every replica four times a second.

Now: the machine list is asked for with its ETag, load reports come as a stream (out-of-band reports), digests are brief with full ones at changes, other zones' summaries go down a tree of the zone, one session is read at a time, owners are worked out once for each state of the lists.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
 
 // Attempt is one sending of a request to one engine.
@@ -70,6 +71,9 @@
 // Client talks to engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// watch carries load reports, cache events and orders, whose bytes count as
+	// control traffic.
+	watch *http.Client
 }
 
 const (
@@ -79,23 +83,42 @@
 	controlTimeout   = 2 * time.Second
 )
 
-// NewClient returns a client with its own connection pool.
-func NewClient() *Client {
+// NewClient returns a client with its own connection pools. counter, which may
+// be nil, counts the bytes of control traffic.
+func NewClient(counter *traffic.Counter) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerEngine,
+	watchDial := dialer.DialContext
+	if counter != nil {
+		watchDial = counter.Dial(dialer.DialContext)
+	}
+	return &Client{
+		http:  &http.Client{Transport: newTransport(dialer.DialContext, maxIdlePerEngine)},
+		watch: &http.Client{Transport: newTransport(watchDial, 1)},
+	}
+}
+
+func newTransport(dial traffic.DialContext, idle int) *http.Transport {
+	return &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 		WriteBufferSize:     8 << 10,
 		ReadBufferSize:      8 << 10,
-	}}}
+	}
 }
 
 // Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+	c.watch.CloseIdleConnections()
+}
 
 func (c *Client) send(ctx context.Context, method, address string, body []byte, header http.Header) (*http.Response, error) {
+	return sendWith(ctx, c.http, method, address, body, header)
+}
+
+func sendWith(ctx context.Context, client *http.Client, method, address string, body []byte, header http.Header) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return nil, Error.Wrap(outcome.Failed(err))
@@ -105,7 +128,7 @@
 	for name, values := range header {
 		request.Header[name] = values
 	}
-	response, err := c.http.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, Error.Wrap(classifySend(err))
 	}
@@ -241,7 +264,7 @@
 		}
 		body = encoded
 	}
-	response, err := c.send(ctx, method, address, body, nil)
+	response, err := sendWith(ctx, c.watch, method, address, body, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex
 	replicas map[string]*replica
+	version  uint64
 	dirty    bool
 	builtAt  time.Time
 	snapshot atomic.Pointer[routing.Snapshot]
@@ -49,6 +50,7 @@
 func (r *Registry) SetMachines(list []machines.Machine) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.version++
 	listed := map[string]bool{}
 	for _, machine := range list {
 		if machine.Role != machines.RoleEngine {
@@ -91,8 +93,9 @@
 	r.dirty = true
 }
 
-// Replicas returns the machines of all replicas in the order of their ids.
-func (r *Registry) Replicas() []machines.Machine {
+// Replicas returns the machines of all replicas in the order of their ids, and
+// the version of the list, which rises with each change of the machine list.
+func (r *Registry) Replicas() ([]machines.Machine, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]machines.Machine, 0, len(r.replicas))
@@ -100,7 +103,7 @@
 		list = append(list, known.machine)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
+	return list, r.version
 }
 
 // Snapshot returns the current view; it is at most snapshotInterval old.
@@ -192,12 +195,28 @@
 	}
 }
 
-// Zone returns the zone of a replica, empty if it is not known.
-func (r *Registry) Zone(id string) string {
+// Loads returns the last reports of a zone's replicas.
+func (r *Registry) Loads(zone string) map[string]engine.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if known, ok := r.replicas[id]; ok {
-		return known.machine.Zone
+	loads := map[string]engine.Load{}
+	for id, known := range r.replicas {
+		if known.reported && known.machine.Zone == zone {
+			loads[id] = known.load
+		}
 	}
-	return ""
+	return loads
+}
+
+// UpdateLoad changes the last report of a replica of which one is known.
+func (r *Registry) UpdateLoad(id string, edit func(engine.Load) engine.Load, now time.Time) {
+	r.mu.Lock()
+	known, ok := r.replicas[id]
+	if !ok || !known.reported {
+		r.mu.Unlock()
+		return
+	}
+	load := edit(known.load)
+	r.mu.Unlock()
+	r.SetLoad(id, load, now)
 }
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -263,7 +263,18 @@
 	return e.measure(time.Now())
 }
 
-func (e *Engine) loadReport(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.lagged()) }
+func (e *Engine) loadReport(w http.ResponseWriter, r *http.Request) {
+	if text := r.URL.Query().Get("watch"); text != "" {
+		interval, err := time.ParseDuration(text)
+		if err != nil || interval <= 0 {
+			refuse(w, http.StatusBadRequest, openai.TypeInvalidRequest, "watch must be a time")
+			return
+		}
+		StreamLoad(w, r, interval, e.lagged)
+		return
+	}
+	writeJSON(w, e.lagged())
+}
 
 func (e *Engine) loadHeader() string {
 	report, err := json.Marshal(e.lagged())
--- a/internal/lab/emulator/machinelist.go
+++ b/internal/lab/emulator/machinelist.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wheelhoist/wheelhoist/internal/machines"
 )
 
@@ -64,9 +68,20 @@
 
 // Handler serves the list as a JSON array.
 func (l *MachineList) Handler() http.Handler {
-	return l.Faults.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return l.Faults.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := json.Marshal(l.visible(time.Now()))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+		w.Header().Set("ETag", etag)
+		if r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(l.visible(time.Now()))
+		_, _ = w.Write(body)
 	}))
 }
 
--- /dev/null
+++ b/internal/lab/hollow/engines.go
@@ -0,0 +1,123 @@
+// Package hollow runs the control plane at size: hollow nodes, which are whole
+// nodes without callers, share a few processes beside real node processes.
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("hollow")
+
+// engines is one HTTP server that stands for many replicas: each has a path
+// prefix of its own, with load reports, cache events and orders.
+type engines struct {
+	server *http.Server
+	base   string
+
+	mu     sync.Mutex
+	orders map[string]engine.Order
+	hash   uint64
+}
+
+func startEngines() (*engines, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	e := &engines{base: "http://" + listener.Addr().String(), orders: map[string]engine.Order{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{replica}/load", e.load)
+	mux.HandleFunc("GET /{replica}/cache/events", e.events)
+	mux.HandleFunc("PUT /{replica}/orders", e.obey)
+	e.server = &http.Server{Handler: mux}
+	go func() { _ = e.server.Serve(listener) }()
+	return e, nil
+}
+
+func (e *engines) address(replica string) string { return e.base + "/" + replica }
+
+func (e *engines) load(w http.ResponseWriter, r *http.Request) {
+	interval, err := time.ParseDuration(r.URL.Query().Get("watch"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	emulator.StreamLoad(w, r, interval, func() engine.Load { return e.report(r.PathValue("replica")) })
+}
+
+// report is a load that changes, as one does under traffic.
+func (e *engines) report(replica string) engine.Load {
+	e.mu.Lock()
+	order, ordered := e.orders[replica]
+	e.mu.Unlock()
+	if !ordered {
+		order = engine.Order{Version: "v1", Role: engine.RoleMixed}
+	}
+	now := time.Now()
+	generation := emulator.Newer
+	return engine.Load{
+		State: engine.StateReady, Role: order.Role, Model: modelName, Version: order.Version, Fence: order.Fence,
+		Generation: generation.Name, MaxSequences: generation.MaxSequences, KVTotalTokens: generation.KVTokens,
+		RunningOnline: int(now.UnixMilli()/100) % generation.MaxSequences,
+		StepMillis:    float64(generation.StepBase) / float64(time.Millisecond),
+		PrefillPerSec: generation.PrefillTokensPerSecond, ReportedUnixMs: now.UnixMilli(),
+	}
+}
+
+// eventInterval is the time between two cache events of a hollow replica.
+const eventInterval = 500 * time.Millisecond
+
+func (e *engines) events(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush()
+	ticker := time.NewTicker(eventInterval)
+	defer ticker.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		e.hash++
+		block := e.hash
+		e.mu.Unlock()
+		body, err := json.Marshal(engine.CacheEvent{Sequence: sequence, Stored: []uint64{block, block << 20, block << 40}})
+		if err != nil {
+			return
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", body); err != nil || flusher.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (e *engines) obey(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Fence < e.orders[r.PathValue("replica")].Fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.orders[r.PathValue("replica")] = order
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *engines) close() { _ = e.server.Close() }
--- /dev/null
+++ b/internal/lab/labcmd/hollow.go
@@ -0,0 +1,62 @@
+package labcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/hollow"
+)
+
+func hollowCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist-lab hollow", std)
+	nodes := flags.Int("nodes", 320, "number of nodes, real ones among them")
+	replicas := flags.Int("replicas", 600, "number of replicas")
+	duration := flags.Duration("duration", 30*time.Second, "length of the measurement")
+	seed := flags.Uint64("seed", 1, "seed of all chance")
+	loss := flags.Float64("loss", 0.01, "share of messages between hollow nodes that are lost")
+	tenants := flags.Int("tenants", 100, "number of tenants declared")
+	day := flags.Bool("day", true, "replay a day's failures after the measurement")
+	asJSON := flags.Bool("json", false, "end with one JSON line")
+	return &ffcli.Command{
+		Name: "hollow", ShortUsage: "wheelhoist-lab hollow [flags]", FlagSet: flags,
+		ShortHelp: "run the control plane at size and measure what it costs a node",
+		Exec: func(ctx context.Context, _ []string) error {
+			result, err := hollow.Run(ctx, hollow.Options{
+				Nodes: *nodes, Replicas: *replicas, Duration: *duration, Seed: *seed, Loss: *loss, Tenants: *tenants, Day: *day,
+				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
+			})
+			if err != nil {
+				return err
+			}
+			encoder := json.NewEncoder(std.out)
+			if !*asJSON {
+				encoder.SetIndent("", "  ")
+			}
+			if err := encoder.Encode(result); err != nil {
+				return err
+			}
+			if len(result.Violations) > 0 {
+				return fmt.Errorf("%w: %d", errViolations, len(result.Violations))
+			}
+			return nil
+		},
+	}
+}
+
+// hollowWorkerCommand is used by hollow itself to share processes.
+func hollowWorkerCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist-lab hollow-worker", std)
+	plan := flags.String("plan", "", "plan file")
+	return &ffcli.Command{
+		Name: "hollow-worker", ShortUsage: "wheelhoist-lab hollow-worker --plan FILE", FlagSet: flags,
+		ShortHelp: "run hollow nodes; used by hollow",
+		Exec: func(ctx context.Context, _ []string) error {
+			return hollow.RunWorker(ctx, *plan, os.Stdin, std.out)
+		},
+	}
+}
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -14,6 +14,7 @@
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
 	"github.com/wheelhoist/wheelhoist/internal/lab/history"
+	"github.com/wheelhoist/wheelhoist/internal/lab/port"
 	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
 	"github.com/wheelhoist/wheelhoist/internal/node"
@@ -237,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peerListen, err := freeAddress()
+	peerListen, err := port.Free()
 	if err != nil {
 		return nil, err
 	}
@@ -259,31 +260,14 @@
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	port, err := strconv.Atoi(portText)
+	first, err := strconv.Atoi(portText)
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	if port == 0 {
-		return freeAddress()
-	}
-	return net.JoinHostPort(host, strconv.Itoa(port+slot)), nil
-}
-
-// freeAddress finds a port that is free for TCP and UDP.
-func freeAddress() (string, error) {
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", Error.Wrap(err)
-		}
-		address := listener.Addr().String()
-		packets, udpErr := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if udpErr != nil {
-			continue
-		}
-		return address, packets.Close()
+	if first == 0 {
+		return port.Free()
 	}
+	return net.JoinHostPort(host, strconv.Itoa(first+slot)), nil
 }
 
 func (s *Site) nodeSettings(id, zone, listen, peerListen string) *settings.Settings {
--- a/internal/lease/named.go
+++ b/internal/lease/named.go
@@ -40,8 +40,13 @@
 	if current.Holder == session.ID() {
 		return current, nil
 	}
-	if current.Holder != "" && !watcher.Expired(current.Holder) {
-		return Grant{}, Error.Wrap(ErrHeld)
+	if current.Holder != "" {
+		if err := watcher.Look(ctx, current.Holder); err != nil {
+			return Grant{}, err
+		}
+		if !watcher.Expired(current.Holder) {
+			return Grant{}, Error.Wrap(ErrHeld)
+		}
 	}
 	if err := session.Ensure(ctx); err != nil {
 		return Grant{}, err
--- /dev/null
+++ b/internal/lease/watcher.go
@@ -0,0 +1,127 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// sighting is what was seen of a session: its version, since when, and when it
+// was last looked at.
+type sighting struct {
+	version uint64
+	since   time.Time
+	checked time.Time
+}
+
+// Watcher tells which sessions have expired. It is safe for concurrent use.
+type Watcher struct {
+	service table.Service
+	now     func() time.Time
+
+	mu   sync.Mutex
+	seen map[string]sighting
+	last time.Time
+}
+
+// NewWatcher returns a watcher that has seen nothing yet. now must be monotonic.
+func NewWatcher(service table.Service, now func() time.Time) *Watcher {
+	return &Watcher{service: service, now: now, seen: map[string]sighting{}}
+}
+
+// Refresh reads all sessions.
+func (w *Watcher) Refresh(ctx context.Context) error {
+	rows, err := table.ListAll(ctx, w.service, partition)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	read := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	present := map[string]bool{}
+	for _, row := range rows {
+		present[row.Sort] = true
+		w.see(row.Sort, row.Version, read)
+	}
+	for id := range w.seen {
+		if !present[id] {
+			w.see(id, table.Absent, read)
+		}
+	}
+	w.last = read
+	return nil
+}
+
+// Look reads one session.
+func (w *Watcher) Look(ctx context.Context, id string) error {
+	row, err := w.service.Get(ctx, table.Key{Partition: partition, Sort: id})
+	if err != nil && !errors.Is(err, table.ErrNotFound) {
+		return Error.Wrap(err)
+	}
+	read := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A missing row has version table.Absent.
+	w.see(id, row.Version, read)
+	return nil
+}
+
+// see takes in a reading. The caller holds mu.
+//
+// An unchanged version counts from the end of the first reading that showed
+// it, so a slow store cannot make a session look older than it is. A row that
+// was there and is gone was ended by its holder: its work is free at once.
+func (w *Watcher) see(id string, version uint64, read time.Time) {
+	known, ok := w.seen[id]
+	switch {
+	case ok && known.version == version:
+		known.checked = read
+	case ok && version == table.Absent:
+		known = sighting{since: read.Add(-TimeToLive), checked: read}
+	default:
+		known = sighting{version: version, since: read, checked: read}
+	}
+	w.seen[id] = known
+}
+
+// Age returns the time since the last successful Refresh.
+func (w *Watcher) Age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now().Sub(w.last)
+}
+
+// Expired reports whether a session's work may be taken over, as of the last
+// look at it.
+func (w *Watcher) Expired(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known, ok := w.seen[id]
+	if !ok {
+		// Not among the rows of the last Refresh; it counts from then on.
+		w.see(id, table.Absent, w.last)
+		return false
+	}
+	return known.checked.Sub(known.since) >= TimeToLive
+}
+
+// Sweep deletes rows that have been expired for long, so that restarts do not
+// pile rows up.
+func (w *Watcher) Sweep(ctx context.Context) {
+	w.mu.Lock()
+	var old []table.Write
+	for id, known := range w.seen {
+		if known.version != table.Absent && known.checked.Sub(known.since) > sweepMultiple*TimeToLive {
+			key := table.Key{Partition: partition, Sort: id}
+			old = append(old, table.Write{Key: key, Kind: table.Delete, Expect: known.version})
+		}
+	}
+	w.mu.Unlock()
+	for _, write := range old {
+		// A conflict means that the session lives after all, or is gone already.
+		_ = w.service.Commit(ctx, table.NewOperation(), write)
+	}
+}
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 
 	"github.com/zeebo/errs"
 )
@@ -55,9 +56,16 @@
 }
 
 // HTTPList reads the list as a JSON array from a URL.
+//
+// It asks with If-None-Match (RFC 9110), so that an unchanged list costs a few
+// bytes. It is safe for concurrent use.
 type HTTPList struct {
 	URL    string
 	Client *http.Client
+
+	mu   sync.Mutex
+	etag string
+	last []Machine
 }
 
 var _ List = (*HTTPList)(nil)
@@ -68,11 +76,19 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.etag != "" {
+		request.Header.Set("If-None-Match", l.etag)
+	}
 	response, err := l.Client.Do(request)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotModified {
+		return l.last, nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, Error.New("machine list answered %s", response.Status)
 	}
@@ -80,5 +96,6 @@
 	if err := json.NewDecoder(response.Body).Decode(&machines); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	l.etag, l.last = response.Header.Get("ETag"), machines
 	return machines, nil
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -71,6 +71,9 @@
 	confirmed  func(Confirmation)
 	counters   Counters
 	version    uint64
+	// delegates caches the delegates by zone for version delegatesOf.
+	delegates   map[string][]string
+	delegatesOf uint64
 }
 
 // NewState returns a state that knows only itself. confirmed may be nil.
@@ -255,8 +258,22 @@
 	return s.zoneSize(member.Zone) < smallZone || s.zoneSize(s.self.Zone) < smallZone
 }
 
-// Delegates returns the ids of a zone's delegates, by rank of hash.
+// Delegates returns the ids of a zone's delegates, by rank of hash. The caller
+// must not change the list.
 func (s *State) Delegates(zone string) []string {
+	if s.delegatesOf != s.version || s.delegates == nil {
+		s.delegates = map[string][]string{}
+		s.delegatesOf = s.version
+	}
+	chosen, ok := s.delegates[zone]
+	if !ok {
+		chosen = s.chooseDelegates(zone)
+		s.delegates[zone] = chosen
+	}
+	return chosen
+}
+
+func (s *State) chooseDelegates(zone string) []string {
 	var ids []string
 	if s.self.Zone == zone && s.self.Status == Alive {
 		ids = append(ids, s.self.ID)
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -152,7 +152,8 @@
 
 func (n *Node) placementReplicas() []placement.Replica {
 	generations := map[string]string{}
-	for _, machine := range n.registry.Replicas() {
+	listed, _ := n.registry.Replicas()
+	for _, machine := range listed {
 		generations[machine.ID] = machine.Generation
 	}
 	var replicas []placement.Replica
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -47,7 +47,7 @@
 	for {
 		n.readMachines(ctx)
 		interval := machinesOther
-		if n.agent.IsDelegate() || !n.hasMachines() {
+		if n.firstDelegate() || !n.hasMachines() {
 			interval = machinesDelegate
 		}
 		if !sleep(ctx, interval) {
@@ -56,6 +56,12 @@
 	}
 }
 
+// firstDelegate reports whether this node is the first delegate of its zone.
+func (n *Node) firstDelegate() bool {
+	delegates := n.agent.Delegates(n.settings.Node.Zone)
+	return len(delegates) > 0 && delegates[0] == n.settings.Node.ID
+}
+
 func (n *Node) hasMachines() bool {
 	n.machineState.mu.Lock()
 	defer n.machineState.mu.Unlock()
@@ -69,7 +75,7 @@
 	if err != nil {
 		return
 	}
-	if n.takeMachines(list) && n.agent.IsDelegate() {
+	if n.takeMachines(list) && n.firstDelegate() {
 		n.passMachines(ctx, list)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/internal/steward"
 	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
 
 // Error is the class of all errors of this package.
@@ -58,6 +59,8 @@
 	objects    object.Store
 	machines   machines.List
 	engines    *engine.Client
+	// control counts the traffic with the platform and the engines' watches.
+	control traffic.Counter
 
 	store      *resource.Store
 	fence      *resource.Fence
@@ -132,7 +135,7 @@
 
 func (n *Node) buildPlatform() {
 	platform := n.settings.Platform
-	client := platformClient()
+	client := platformClient(&n.control)
 	n.table = table.NewDynamo(table.DynamoConfig{
 		Endpoint: platform.Table.Endpoint, Region: platform.Table.Region, Table: platform.Table.Table,
 		AccessKey: platform.Table.AccessKey, SecretKey: platform.Table.SecretKey, HTTPClient: client,
@@ -142,15 +145,15 @@
 		AccessKey: platform.Objects.AccessKey, SecretKey: platform.Objects.SecretKey, HTTPClient: client,
 	})
 	n.machines = &machines.HTTPList{URL: platform.Machines.URL, Client: client}
-	n.engines = engine.NewClient()
+	n.engines = engine.NewClient(&n.control)
 }
 
 // platformClient bounds every call to the platform, so that a hung service
 // looks like one that is down.
-func platformClient() *http.Client {
+func platformClient(counter *traffic.Counter) *http.Client {
 	const callTimeout = 5 * time.Second
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         counter.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -48,6 +48,12 @@
 		func() float64 { return float64(n.transport.Stats().BytesSent) })
 	counter("wheelhoist_peer_received_bytes_total", "Bytes received from other nodes.",
 		func() float64 { return float64(n.transport.Stats().BytesReceived) })
+	counter("wheelhoist_control_sent_bytes_total", "Bytes sent to the platform and to the engines for control.",
+		func() float64 { return float64(n.control.Sent()) })
+	counter("wheelhoist_control_received_bytes_total", "Bytes received from the platform and from the engines for control.",
+		func() float64 { return float64(n.control.Received()) })
+	counter("wheelhoist_membership_deaths_total", "Members declared dead by this node.",
+		func() float64 { return float64(n.agent.Counters().Deaths) })
 	counter("wheelhoist_membership_suspicions_total", "Members suspected by this node.",
 		func() float64 { return float64(n.agent.Counters().Suspicions) })
 	counter("wheelhoist_batch_items_total", "Batch items answered by replicas fed from this node.",
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -114,9 +114,6 @@
 func (c *Controller) contend(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if c.options.Watcher.Refresh(callCtx) != nil {
-		return
-	}
 	for _, pool := range c.pools() {
 		grant, err := lease.Acquire(callCtx, c.options.Table, c.options.Session, c.options.Watcher, "placement/"+pool.Name)
 		switch {
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -254,7 +254,8 @@
 }
 
 func (s *Server) addressOf(replica string) string {
-	for _, machine := range s.options.Registry.Replicas() {
+	machines, _ := s.options.Registry.Replicas()
+	for _, machine := range machines {
 		if machine.ID == replica {
 			return machine.Address
 		}
--- a/internal/steward/digest.go
+++ b/internal/steward/digest.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -11,19 +12,28 @@
 )
 
 const (
-	// digestBudget is what a node may spend on digests, in bytes a second; the
-	// time between digests grows with the zone so that it is kept.
-	digestBudget = 4000
-	// digestBytes is the size of one digest datagram, headers included.
-	digestBytes = 110
+	// digestBudget is what a node may spend on sending digests within its zone,
+	// in bytes a second; the time between digests grows with the zone.
+	digestBudget = 2500
+	// briefBytes is the size of a brief digest, frameBytes that of its frame.
+	briefBytes = 34
+	frameBytes = 16
 	// digestMin is the least time between two digests.
 	digestMin = 250 * time.Millisecond
-	// remoteInterval is the time between digests to other zones.
-	remoteInterval = time.Second
+	// fullEvery is how many digests pass between two full ones, beside those
+	// that a change calls for.
+	fullEvery = 10
+	// remoteInterval is the time between two summaries to other zones. A zone
+	// that is spilled to is chosen by its summary; what was sent there since
+	// corrects it.
+	remoteInterval = 10 * time.Second
 	// noticeInterval bounds the notices about one replica to its steward.
 	noticeInterval = 25 * time.Millisecond
-	// digestsPerDatagram keeps a datagram below the size limit.
-	digestsPerDatagram = 12
+	// briefsPerDatagram and fullsPerDatagram keep datagrams below the size limit.
+	briefsPerDatagram = 30
+	fullsPerDatagram  = 9
+	// relayFanout is the number of children of a node in its zone's relay tree.
+	relayFanout = 2
 )
 
 // onlineNotice tells a replica's steward of an online request.
@@ -32,99 +42,178 @@
 	Replica string
 }
 
-// loadDigest is what routers need of a load report.
-type loadDigest struct {
+// briefDigest is the part of a load report that changes all the time.
+type briefDigest struct {
 	_        struct{} `cbor:",toarray"`
 	Replica  string
+	Online   int
+	Waiting  int
+	Batch    int
+	StepTens int
+	Reported int64
+}
+
+// fullDigest is what routers need of a load report.
+type fullDigest struct {
+	_        struct{} `cbor:",toarray"`
+	Brief    briefDigest
 	State    engine.State
 	Role     engine.Role
 	Model    string
 	Version  string
 	Adapters []string
 	Slots    int
-	Online   int
-	Waiting  int
-	Batch    int
-	Step     float32
 	Prefill  float32
-	Reported int64
 	Fence    uint64
 }
 
+// digestMessage carries digests. A summary of another zone goes down the relay
+// tree of this zone: Hops counts the levels passed.
 type digestMessage struct {
-	_       struct{} `cbor:",toarray"`
-	Relayed bool
-	Loads   []loadDigest
+	_      struct{} `cbor:",toarray"`
+	Hops   int
+	Remote bool
+	Briefs []briefDigest
+	Fulls  []fullDigest
 }
 
-func newDigest(replica string, load engine.Load) loadDigest {
-	return loadDigest{
-		Replica: replica, State: load.State, Role: load.Role, Model: load.Model, Version: load.Version,
-		Adapters: load.Adapters, Slots: load.MaxSequences, Online: load.RunningOnline,
-		Waiting: load.WaitingOnline, Batch: load.RunningBatch, Step: float32(load.StepMillis),
-		Prefill: float32(load.PrefillPerSec), Reported: load.ReportedUnixMs, Fence: load.Fence,
+func newBrief(replica string, load engine.Load) briefDigest {
+	return briefDigest{
+		Replica: replica, Online: load.RunningOnline, Waiting: load.WaitingOnline, Batch: load.RunningBatch,
+		StepTens: int(load.StepMillis * 10), Reported: load.ReportedUnixMs,
 	}
 }
 
-func (d loadDigest) load() engine.Load {
-	return engine.Load{
-		State: d.State, Role: d.Role, Model: d.Model, Version: d.Version, Adapters: d.Adapters,
-		MaxSequences: d.Slots, RunningOnline: d.Online, WaitingOnline: d.Waiting, RunningBatch: d.Batch,
-		StepMillis: float64(d.Step), PrefillPerSec: float64(d.Prefill), ReportedUnixMs: d.Reported, Fence: d.Fence,
+func newFull(replica string, load engine.Load) fullDigest {
+	return fullDigest{
+		Brief: newBrief(replica, load), State: load.State, Role: load.Role, Model: load.Model,
+		Version: load.Version, Adapters: load.Adapters, Slots: load.MaxSequences,
+		Prefill: float32(load.PrefillPerSec), Fence: load.Fence,
 	}
 }
 
+// merge puts the brief part into a load report.
+func (d briefDigest) merge(load engine.Load) engine.Load {
+	load.RunningOnline, load.WaitingOnline, load.RunningBatch = d.Online, d.Waiting, d.Batch
+	load.StepMillis, load.ReportedUnixMs = float64(d.StepTens)/10, d.Reported
+	return load
+}
+
+func (d fullDigest) load() engine.Load {
+	return d.Brief.merge(engine.Load{
+		State: d.State, Role: d.Role, Model: d.Model, Version: d.Version, Adapters: d.Adapters,
+		MaxSequences: d.Slots, PrefillPerSec: float64(d.Prefill), Fence: d.Fence,
+	})
+}
+
+// slowPart identifies the part of a report that only full digests carry.
+func slowPart(load engine.Load) string {
+	return fmt.Sprint(load.State, load.Role, load.Model, load.Version, load.Adapters, load.MaxSequences, load.Fence)
+}
+
 // digester sends digests and notices within the budget.
 type digester struct {
 	options Options
-
-	mu         sync.Mutex
+	// The fields up to nextRemote belong to the steward's loop.
 	nextZone   time.Time
+	sentFull   map[string]string
+	rounds     int
 	nextRemote time.Time
-	noticed    map[string]time.Time
+
+	mu      sync.Mutex
+	noticed map[string]time.Time
 }
 
 func newDigester(options Options) *digester {
-	return &digester{options: options, noticed: map[string]time.Time{}}
+	return &digester{options: options, noticed: map[string]time.Time{}, sentFull: map[string]string{}}
 }
 
 // interval is the time between digests to the zone's nodes.
 func interval(peers, replicas int) time.Duration {
-	datagrams := max(1, (replicas+digestsPerDatagram-1)/digestsPerDatagram)
-	bytes := peers * (datagrams*digestBytes/2 + replicas*digestBytes/2)
+	bytes := peers * (frameBytes + replicas*briefBytes)
 	return max(digestMin, time.Duration(float64(bytes)/digestBudget*float64(time.Second)))
 }
 
+// send sends what is due.
 func (d *digester) send(now time.Time, loads map[string]engine.Load) {
-	if len(loads) == 0 {
-		return
-	}
-	digests := make([]loadDigest, 0, len(loads))
-	for id, load := range loads {
-		digests = append(digests, newDigest(id, load))
-	}
 	members := d.options.Members()
-	if !now.Before(d.nextZone) {
+	if len(loads) > 0 {
 		peers := zonePeers(members, d.options.Zone, d.options.Self)
-		d.nextZone = now.Add(interval(len(peers), len(loads)))
-		d.broadcast(peers, digests, false)
+		d.sendChanged(peers, loads)
+		if !now.Before(d.nextZone) {
+			d.nextZone = now.Add(interval(len(peers), len(loads)))
+			d.sendZone(peers, loads)
+		}
 	}
 	if !now.Before(d.nextRemote) {
 		d.nextRemote = now.Add(remoteInterval)
-		d.broadcast(d.remoteDelegates(members), digests, false)
+		d.sendRemote(members)
+	}
+}
+
+// sendChanged tells of a change of what a replica serves at once, to all zones:
+// a replica that leaves must get nothing new within seconds.
+func (d *digester) sendChanged(peers []membership.Member, loads map[string]engine.Load) {
+	var changed []fullDigest
+	for id, load := range loads {
+		if key := slowPart(load); d.sentFull[id] != key {
+			d.sentFull[id] = key
+			changed = append(changed, newFull(id, load))
+		}
+	}
+	if len(changed) == 0 {
+		return
 	}
+	d.sendFulls(peers, changed, false)
+	d.sendFulls(d.remoteDelegates(d.options.Members()), changed, true)
 }
 
-func (d *digester) broadcast(targets []membership.Member, digests []loadDigest, relayed bool) {
-	for part := range slices.Chunk(digests, digestsPerDatagram) {
-		message := digestMessage{Relayed: relayed, Loads: part}
-		for _, target := range targets {
-			// A lost digest is made up for by the next one.
-			_ = d.options.Transport.Send(target.Address, peer.KindLoadDigest, message)
+func (d *digester) sendZone(peers []membership.Member, loads map[string]engine.Load) {
+	d.rounds++
+	if d.rounds%fullEvery == 0 {
+		var fulls []fullDigest
+		for id, load := range loads {
+			fulls = append(fulls, newFull(id, load))
 		}
+		d.sendFulls(peers, fulls, false)
+		return
+	}
+	var briefs []briefDigest
+	for id, load := range loads {
+		briefs = append(briefs, newBrief(id, load))
+	}
+	for part := range slices.Chunk(briefs, briefsPerDatagram) {
+		d.sendAll(peers, digestMessage{Briefs: part})
 	}
 }
 
+func (d *digester) sendFulls(targets []membership.Member, fulls []fullDigest, remote bool) {
+	for part := range slices.Chunk(fulls, fullsPerDatagram) {
+		d.sendAll(targets, digestMessage{Fulls: part, Remote: remote})
+	}
+}
+
+func (d *digester) sendAll(targets []membership.Member, message digestMessage) {
+	for _, target := range targets {
+		// A lost digest is made up for by the next one.
+		_ = d.options.Transport.Send(target.Address, peer.KindLoadDigest, message)
+	}
+}
+
+// sendRemote lets the first delegate of a zone send a summary of the zone's
+// replicas to one delegate of each other zone.
+func (d *digester) sendRemote(members []membership.Member) {
+	delegates := d.options.Delegates(d.options.Zone)
+	if len(delegates) == 0 || delegates[0] != d.options.Self {
+		return
+	}
+	var fulls []fullDigest
+	for id, load := range d.options.Registry.Loads(d.options.Zone) {
+		fulls = append(fulls, newFull(id, load))
+	}
+	d.sendFulls(d.remoteDelegates(members), fulls, true)
+}
+
 func zonePeers(members []membership.Member, zone, self string) []membership.Member {
 	var peers []membership.Member
 	for _, member := range members {
@@ -160,41 +249,66 @@
 	return chosen
 }
 
-// takeDigest takes in a digest; one from another zone is passed on once within
-// this zone.
+// takeDigest takes in a digest; one from another zone goes on down the tree.
 func (s *Steward) takeDigest(_ string, body []byte) {
 	var message digestMessage
 	if peer.Decode(body, &message) != nil {
 		return
 	}
 	now := time.Now()
-	remote := false
-	for _, digest := range message.Loads {
-		s.options.Registry.SetLoad(digest.Replica, digest.load(), now)
-		remote = remote || s.options.Registry.Zone(digest.Replica) != s.options.Zone
+	for _, digest := range message.Fulls {
+		s.options.Registry.SetLoad(digest.Brief.Replica, digest.load(), now)
+	}
+	for _, digest := range message.Briefs {
+		s.options.Registry.UpdateLoad(digest.Replica, digest.merge, now)
 	}
-	if remote && !message.Relayed {
-		peers := zonePeers(s.options.Members(), s.options.Zone, s.options.Self)
-		s.sending.broadcast(peers, message.Loads, true)
+	if message.Remote {
+		s.sending.relay(message)
+	}
+}
+
+// maxHops bounds a relay; a tree of this depth reaches 8,191 nodes.
+const maxHops = 12
+
+// relay passes a message on in the zone along a tree that is the same for all
+// its nodes: the members in the order of their ids, each node's children at the
+// positions after twice its own. The delegate that got the message from
+// outside hands it to the root.
+func (d *digester) relay(message digestMessage) {
+	if message.Hops > maxHops {
+		return
+	}
+	peers := zonePeers(d.options.Members(), d.options.Zone, "")
+	position := slices.IndexFunc(peers, func(member membership.Member) bool { return member.ID == d.options.Self })
+	fromOutside := message.Hops == 0
+	message.Hops++
+	if fromOutside && position != 0 {
+		if len(peers) > 0 {
+			_ = d.options.Transport.Send(peers[0].Address, peer.KindLoadDigest, message)
+		}
+		return
+	}
+	for child := relayFanout*position + 1; child <= relayFanout*position+relayFanout && child < len(peers); child++ {
+		if position >= 0 {
+			_ = d.options.Transport.Send(peers[child].Address, peer.KindLoadDigest, message)
+		}
 	}
 }
 
 // notice tells the steward of a replica of an online request, at most once in
 // noticeInterval for each replica.
-func (d *digester) notice(replica, zone string) {
+func (d *digester) notice(replica, address string) {
+	if address == "" {
+		return
+	}
 	now := time.Now()
 	d.mu.Lock()
-	if now.Sub(d.noticed[replica]) < noticeInterval {
-		d.mu.Unlock()
-		return
+	recent := now.Sub(d.noticed[replica]) < noticeInterval
+	if !recent {
+		d.noticed[replica] = now
 	}
-	d.noticed[replica] = now
 	d.mu.Unlock()
-	members := d.options.Members()
-	owner := Owner(members, replica, zone)
-	for _, member := range members {
-		if member.ID == owner {
-			_ = d.options.Transport.Send(member.Address, peer.KindOnlineNotice, onlineNotice{Replica: replica})
-		}
+	if !recent {
+		_ = d.options.Transport.Send(address, peer.KindOnlineNotice, onlineNotice{Replica: replica})
 	}
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -13,8 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/batch"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
@@ -25,22 +23,27 @@
 )
 
 const (
-	// loadInterval is the time between two reads of a replica's load report.
-	loadInterval = 100 * time.Millisecond
+	// loadInterval is the least time between two load reports of a replica;
+	// loadPerCharge times the replicas in charge, if longer, bounds what a node
+	// with many of them reads.
+	loadInterval  = 200 * time.Millisecond
+	loadPerCharge = 100 * time.Millisecond
+	// loadRetry is the pause before a broken report stream is opened again.
+	loadRetry = 250 * time.Millisecond
 	// assignInterval is how often the set of replicas is worked out.
 	assignInterval = 250 * time.Millisecond
 	// feedInterval is how often the room for batch is decided without a signal.
 	feedInterval = 20 * time.Millisecond
 	// eventRetry is the pause before a broken event stream is opened again.
 	eventRetry = time.Second
-	// unreachableAfter is how many failed load reads in a row mean that nothing
-	// should be fed.
-	unreachableAfter = 3
+	// unreachableAfter is how many report streams in a row must fail before
+	// nothing is fed any more.
+	unreachableAfter = 2
 )
 
 // Engines is what a steward needs of the engines.
 type Engines interface {
-	Load(ctx context.Context, base string) (engine.Load, error)
+	WatchLoad(ctx context.Context, base string, interval time.Duration, handle func(engine.Load)) error
 	CacheEvents(ctx context.Context, base string, handle func(engine.CacheEvent)) error
 }
 
@@ -69,6 +72,7 @@
 
 	mu      sync.Mutex
 	mine    map[string]*charge
+	owners  *ownership
 	sending *digester
 }
 
@@ -86,40 +90,13 @@
 
 // New returns a steward; Run makes it watch.
 func New(options Options) *Steward {
-	s := &Steward{options: options, signal: make(chan struct{}, 1), mine: map[string]*charge{}}
+	s := &Steward{options: options, signal: make(chan struct{}, 1), mine: map[string]*charge{}, owners: newOwnership()}
 	s.sending = newDigester(options)
 	options.Transport.HandleDatagram(peer.KindOnlineNotice, s.takeNotice)
 	options.Transport.HandleDatagram(peer.KindLoadDigest, s.takeDigest)
 	return s
 }
 
-// Owner returns the id of the steward of a replica among the members.
-func Owner(members []membership.Member, replica, zone string) string {
-	owner := best(members, replica, zone)
-	if owner == "" {
-		owner = best(members, replica, "")
-	}
-	return owner
-}
-
-func best(members []membership.Member, replica, zone string) string {
-	owner := ""
-	var highest uint64
-	for _, member := range members {
-		if member.Status != membership.Alive && member.Status != membership.Suspect {
-			continue
-		}
-		if zone != "" && member.Zone != zone {
-			continue
-		}
-		weight := xxhash.Sum64String(member.ID + "\x00" + replica)
-		if owner == "" || weight > highest {
-			owner, highest = member.ID, weight
-		}
-	}
-	return owner
-}
-
 // Run watches until the context ends.
 func (s *Steward) Run(ctx context.Context) {
 	assign := time.NewTicker(assignInterval)
@@ -147,11 +124,15 @@
 // assign takes charge of the replicas this node is the steward of.
 func (s *Steward) assign(ctx context.Context) {
 	members := s.options.Members()
+	replicas, version := s.options.Registry.Replicas()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.owners.reset(members, version) {
+		return
+	}
 	wanted := map[string]machines.Machine{}
-	for _, machine := range s.options.Registry.Replicas() {
-		if Owner(members, machine.ID, machine.Zone) == s.options.Self {
+	for _, machine := range replicas {
+		if s.owners.of(machine.ID, machine.Zone) == s.options.Self {
 			wanted[machine.ID] = machine
 		}
 	}
@@ -170,41 +151,34 @@
 		held := &charge{machine: machine, cancel: cancel}
 		s.mine[id] = held
 		s.group.Add(2)
-		go s.watchLoad(watchCtx, held, machine)
+		go s.watchLoad(watchCtx, held, machine, max(loadInterval, time.Duration(len(wanted))*loadPerCharge))
 		go s.watchCache(watchCtx, machine)
 	}
 }
 
-func (s *Steward) watchLoad(ctx context.Context, held *charge, machine machines.Machine) {
+func (s *Steward) watchLoad(ctx context.Context, held *charge, machine machines.Machine, interval time.Duration) {
 	defer s.group.Done()
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		load, err := s.options.Engines.Load(ctx, machine.Address)
-		if ctx.Err() != nil {
-			return
-		}
-		s.takeLoad(held, machine.ID, load, err)
+	for ctx.Err() == nil {
+		_ = s.options.Engines.WatchLoad(ctx, machine.Address, interval, func(load engine.Load) {
+			s.takeLoad(held, machine.ID, load)
+		})
+		s.mu.Lock()
+		held.failures++
+		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-time.After(loadRetry):
 		}
 	}
 }
 
-func (s *Steward) takeLoad(held *charge, id string, load engine.Load, err error) {
+func (s *Steward) takeLoad(held *charge, id string, load engine.Load) {
 	now := time.Now()
+	online := load.RunningOnline + load.WaitingOnline
 	s.mu.Lock()
-	if err != nil {
-		held.failures++
-		s.mu.Unlock()
-		return
-	}
 	held.failures = 0
 	held.known = true
 	held.load = load
-	online := load.RunningOnline + load.WaitingOnline
 	held.peak.observe(now, online)
 	if online > 0 {
 		held.lastOnline = now
@@ -255,12 +229,13 @@
 	if mine {
 		held.lastOnline = time.Now()
 	}
+	owner := s.owners.address(s.owners.of(replica, zone))
 	s.mu.Unlock()
 	if mine {
 		s.poke()
 		return
 	}
-	s.sending.notice(replica, zone)
+	s.sending.notice(replica, owner)
 }
 
 func (s *Steward) poke() {
