--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -44,6 +44,8 @@
 	YieldShrink YieldPolicy = "shrink"
 	// YieldAbort aborts all items as soon as an online request arrives.
 	YieldAbort YieldPolicy = "abort"
+	// YieldPriority leaves it all to the engine's priorities and goes on feeding.
+	YieldPriority YieldPolicy = "priority"
 )
 
 // BatchPolicy says how a pool's replicas take batch work.
@@ -102,7 +104,7 @@
 	if s.Batch.Headroom < 0 || s.Batch.Headroom > 0.9 {
 		found.Add("spec.batch.headroom", "must be between 0 and 0.9")
 	}
-	if !oneOf(s.Batch.Yield, "", YieldPause, YieldShrink, YieldAbort) {
+	if !oneOf(s.Batch.Yield, "", YieldPause, YieldShrink, YieldAbort, YieldPriority) {
 		found.Add("spec.batch.yield", "unknown policy %q", s.Batch.Yield)
 	}
 	if !oneOf(s.Batch.Estimator, "", EstimateFixed, EstimatePeak) {
--- /dev/null
+++ b/cmd/wheelhoist/main_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wheelhoist/wheelhoist/internal/command"
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"wheelhoist": func() { os.Exit(command.Main(os.Args[1:])) },
+	})
+}
+
+// The scripts drive the command line against a running site.
+func TestScripts(t *testing.T) {
+	running, err := site.Start(t.Context(), site.Config{Profile: profile.Urnik, Nodes: 2, Listen: "127.0.0.1:0", Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(running.Close)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("WHEELHOIST_SERVER", running.Nodes()[0].URL())
+			env.Setenv("OTHER_NODE", running.Nodes()[1].URL())
+			env.Setenv("OPERATOR_KEY", site.OperatorKey)
+			env.Setenv("TENANT_KEY", site.TenantKey)
+			return nil
+		},
+	})
+}
--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -46,6 +46,8 @@
 		return Room{Target: idle}
 	}
 	switch policy.Yield {
+	case v1.YieldPriority:
+		return Room{Target: max(0, idle-signal.Online)}
 	case v1.YieldPause:
 		return Room{Target: 0}
 	case v1.YieldAbort:
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -107,6 +107,9 @@
 	return e.scheduler.totals
 }
 
+// Slots returns the number of sequences that run at a time.
+func (e *Engine) Slots() int { return e.config.Generation.MaxSequences }
+
 // Open returns the number of attempts that wait or run.
 func (e *Engine) Open() int {
 	e.scheduler.mu.Lock()
--- a/internal/lab/emulator/scheduler.go
+++ b/internal/lab/emulator/scheduler.go
@@ -47,18 +47,21 @@
 
 // EngineTotals counts an engine's work since it started.
 type EngineTotals struct {
-	OnlineTokens    uint64
-	BatchTokens     uint64
-	PrefillTokens   uint64
-	CachedTokens    uint64
-	PromptTokens    uint64
-	RecomputeTokens uint64
-	AbortedTokens   uint64
-	Preemptions     uint64
-	BusySteps       uint64
-	BusyTime        time.Duration
-	SlotTime        time.Duration
-	OnlineSlotTime  time.Duration
+	OnlineTokens  uint64
+	BatchTokens   uint64
+	PrefillTokens uint64
+	CachedTokens  uint64
+	PromptTokens  uint64
+	// OnlinePromptTokens and OnlineCachedTokens are those of online requests.
+	OnlinePromptTokens uint64
+	OnlineCachedTokens uint64
+	RecomputeTokens    uint64
+	AbortedTokens      uint64
+	Preemptions        uint64
+	BusySteps          uint64
+	BusyTime           time.Duration
+	SlotTime           time.Duration
+	OnlineSlotTime     time.Duration
 }
 
 func newScheduler(replica string, generation Generation, recorder *history.Recorder, cacheChanged func(stored, removed []uint64)) *scheduler {
@@ -213,6 +216,10 @@
 		seq.started = true
 		s.totals.PromptTokens += uint64(seq.promptWords)
 		s.totals.CachedTokens += uint64(max(0, seq.prefilled))
+		if seq.priority == engine.PriorityOnline {
+			s.totals.OnlinePromptTokens += uint64(seq.promptWords)
+			s.totals.OnlineCachedTokens += uint64(max(0, seq.prefilled))
+		}
 		s.record(history.EngineStart, seq)
 	}
 	s.running = append(s.running, seq)
--- a/internal/lab/experiment/special.go
+++ b/internal/lab/experiment/special.go
@@ -1,4 +1,9 @@
 package experiment
 
 // special are the scenarios with a course of their own.
-var special []*Scenario
+var special = []*Scenario{
+	{Name: "yield", About: "both measures: the online tail against online alone, and the idle capacity used", Run: runYield},
+	{Name: "yield-frontier", About: "yield policies and estimators against the baselines", Run: runFrontier},
+	{Name: "routing-compare", About: "routing policies against each other", Run: runRoutingCompare},
+	{Name: "overload", About: "goodput at half, one and two times the capacity", Run: runOverload},
+}
--- a/internal/lab/site/declare.go
+++ b/internal/lab/site/declare.go
@@ -93,5 +93,13 @@
 	return alive >= len(s.URLs()) && ready >= s.config.Profile.ReplicaCount() && status.Revision >= declaredResources
 }
 
+// DeclareRole gives replicas a role.
+func (s *Site) DeclareRole(ctx context.Context, role string, replicas []string) error {
+	_, err := s.Operator(0).Put(ctx, newResource(v1.KindMachineRole, "role-"+role, v1.MachineRoleSpec{
+		Pool: s.config.Profile.Pool, Role: role, Machines: replicas,
+	}), nil)
+	return Error.Wrap(err)
+}
+
 // declaredResources is the number of resources that a site begins with.
 const declaredResources = 2
--- /dev/null
+++ b/internal/lab/site/site_test.go
@@ -0,0 +1,235 @@
+package site_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	wire "github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
+	"github.com/wheelhoist/wheelhoist/internal/lab/load"
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+)
+
+func start(t *testing.T, nodes int) *site.Site {
+	t.Helper()
+	running, err := site.Start(t.Context(), site.Config{Profile: profile.Urnik, Nodes: nodes, Listen: "127.0.0.1:0", Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(running.Close)
+	return running
+}
+
+func sdk(running *site.Site, node int) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL(running.Nodes()[node].URL()+"/v1"), option.WithAPIKey(site.TenantKey), option.WithMaxRetries(0),
+	)
+}
+
+// The official client streams, uploads a file, and creates, polls, reads and
+// cancels a batch, each call through another node.
+func TestSite_OpenAIClient(t *testing.T) {
+	running := start(t, 3)
+	ctx := t.Context()
+	streamWith(ctx, t, running)
+
+	items := load.Items(profile.Urnik.Batch, 5, "sdk", 60, false)
+	client := sdk(running, 1)
+	file, err := client.Files.New(ctx, openai.FileNewParams{
+		File:    openai.File(bytes.NewReader(load.JSONL(profile.Urnik.Model, items)), "items.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch, err := client.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions,
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client = sdk(running, 2)
+	for batch.Status != openai.BatchStatusCompleted {
+		time.Sleep(100 * time.Millisecond)
+		if batch, err = client.Batches.Get(ctx, batch.ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	content, err := client.Files.Content(ctx, batch.OutputFileID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResults(t, content.Body, items)
+	cancelWith(ctx, t, running)
+}
+
+func streamWith(ctx context.Context, t *testing.T, running *site.Site) {
+	t.Helper()
+	client := sdk(running, 0)
+	stream := client.Chat.Completions.NewStreaming(ctx, openai.ChatCompletionNewParams{
+		Model: profile.Urnik.Model, MaxTokens: openai.Int(40), Seed: openai.Int(3),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hours of crew 7")},
+	})
+	var text strings.Builder
+	for stream.Next() {
+		if chunk := stream.Current(); len(chunk.Choices) > 0 {
+			text.WriteString(chunk.Choices[0].Delta.Content)
+		}
+	}
+	if err := stream.Err(); err != nil {
+		t.Fatal(err)
+	}
+	expected := emulator.NewAnswer(profile.Urnik.Model, "v1", "user: hours of crew 7\n", 3, 40).Text()
+	if text.String() != expected {
+		t.Fatalf("streamed %q, want %q", text.String(), expected)
+	}
+	whole, err := client.Chat.Completions.New(ctx, openai.ChatCompletionNewParams{
+		Model: profile.Urnik.Model, MaxTokens: openai.Int(40), Seed: openai.Int(3),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hours of crew 7")},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if whole.Choices[0].Message.Content != expected {
+		t.Fatalf("whole answer %q, want %q", whole.Choices[0].Message.Content, expected)
+	}
+}
+
+func checkResults(t *testing.T, body io.Reader, items []load.Item) {
+	t.Helper()
+	results := map[string]string{}
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		var line wire.BatchResult
+		var completion wire.Completion
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(line.Response.Body, &completion); err != nil {
+			t.Fatal(err)
+		}
+		if _, twice := results[line.CustomID]; twice {
+			t.Errorf("item %s has two results", line.CustomID)
+		}
+		results[line.CustomID] = completion.Text()
+	}
+	if len(results) != len(items) {
+		t.Fatalf("%d results for %d items", len(results), len(items))
+	}
+	for _, item := range items {
+		prompt := "user: " + item.Prompt + "\n"
+		expected := emulator.NewAnswer(profile.Urnik.Model, "v1", prompt, item.Seed, item.MaxTokens).Text()
+		if results[item.ID] != expected {
+			t.Fatalf("item %s has another item's answer", item.ID)
+		}
+	}
+}
+
+func cancelWith(ctx context.Context, t *testing.T, running *site.Site) {
+	t.Helper()
+	client := sdk(running, 0)
+	items := load.Items(profile.Urnik.Batch, 6, "cancel", 5000, false)
+	file, err := client.Files.New(ctx, openai.FileNewParams{
+		File:    openai.File(bytes.NewReader(load.JSONL(profile.Urnik.Model, items)), "items.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch, err := client.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions,
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := sdk(running, 1)
+	cancelled, err := other.Batches.Cancel(ctx, batch.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cancelled.Status != openai.BatchStatusCancelled {
+		t.Fatalf("cancelled batch is %s", cancelled.Status)
+	}
+	again, err := client.Batches.Get(ctx, batch.ID)
+	if err != nil || again.Status != openai.BatchStatusCancelled {
+		t.Fatalf("batch is %s afterwards, error %v", again.Status, err)
+	}
+}
+
+// Bad input is refused with an error in the form of the API that says that
+// nothing ran.
+func TestSite_BadInput(t *testing.T) {
+	running := start(t, 1)
+	url := running.Nodes()[0].URL()
+	good := `{"model":"urnik-llm","messages":[{"role":"user","content":"x"}]}`
+	cases := []struct {
+		name, path, key, body string
+		status                int
+	}{
+		{"malformed", wire.PathChatCompletions, site.TenantKey, `{"model":`, http.StatusBadRequest},
+		{"no messages", wire.PathChatCompletions, site.TenantKey, `{"model":"urnik-llm"}`, http.StatusBadRequest},
+		{"unknown model", wire.PathChatCompletions, site.TenantKey, strings.Replace(good, "urnik-llm", "none", 1), http.StatusNotFound},
+		{"wrong key", wire.PathChatCompletions, "nobody", good, http.StatusUnauthorized},
+		{"operator is no tenant", wire.PathChatCompletions, site.OperatorKey, good, http.StatusUnauthorized},
+		{"too large", wire.PathChatCompletions, site.TenantKey, strings.Repeat(" ", 5<<20) + good, http.StatusRequestEntityTooLarge},
+		{"unknown file", wire.PathBatches, site.TenantKey, `{"input_file_id":"file-x","endpoint":"/v1/chat/completions"}`, http.StatusNotFound},
+		{"bad window", wire.PathBatches, site.TenantKey, `{"input_file_id":"file-x","completion_window":"soon"}`, http.StatusBadRequest},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+test.path, strings.NewReader(test.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Authorization", "Bearer "+test.key)
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			var answer wire.ErrorAnswer
+			if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != test.status || answer.Error.Message == "" {
+				t.Errorf("answer %d %+v, want %d", response.StatusCode, answer, test.status)
+			}
+			if executed := response.Header.Get("X-Wheelhoist-Executed"); executed != "no" {
+				t.Errorf("executed %q, want no", executed)
+			}
+		})
+	}
+}
+
+// A job over a file with broken lines fails, and says which lines.
+func TestSite_BrokenLines(t *testing.T) {
+	running := start(t, 1)
+	tenant := running.Tenant(0)
+	items := load.Items(profile.Urnik.Batch, 5, "broken", 3, false)
+	source := string(load.JSONL(profile.Urnik.Model, items)) + "{\"custom_id\":\n"
+	file, err := tenant.Upload(t.Context(), "items.jsonl", strings.NewReader(source))
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch, err := tenant.CreateBatch(t.Context(), wire.BatchRequest{InputFileID: file.ID, Endpoint: wire.PathChatCompletions}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if batch.Status != wire.BatchFailed || batch.Errors == nil || batch.Errors.Data[0].Line != 4 {
+		t.Fatalf("batch %+v, want failed with a finding on line 4", batch)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,9 +119,16 @@
 	if err != nil {
 		return err
 	}
+	datagramKey, err := n.datagramKey()
+	if err != nil {
+		return err
+	}
 	n.transport, err = peer.Listen(peer.Options{
 		Address: n.settings.Node.PeerListen, Advertise: n.settings.Node.PeerAdvertise,
-		TLS: peerTLS, Drop: n.options.Drop,
+		TLS: peerTLS, DatagramKey: datagramKey, Drop: n.options.Drop,
+		Refused: func(address string, err error) {
+			n.log.Warn().Str("peer", address).Err(err).Msg("peer refused")
+		},
 	})
 	if err != nil {
 		return Error.Wrap(err)
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -192,6 +192,9 @@
 		delete(t.open, conn)
 		t.mu.Unlock()
 	}()
+	if err := t.handshake(conn); err != nil {
+		return
+	}
 	reader := bufio.NewReader(conn)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(2 * idleConnectionTime))
@@ -206,6 +209,21 @@
 	}
 }
 
+// handshake verifies a TLS peer before anything is read from it.
+func (t *Transport) handshake(conn net.Conn) error {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	err := secured.HandshakeContext(ctx)
+	if err != nil && t.options.Refused != nil {
+		t.options.Refused(conn.RemoteAddr().String(), err)
+	}
+	return err
+}
+
 func (t *Transport) dispatch(frame []byte) ([]byte, error) {
 	message, err := decode(frame)
 	if errors.Is(err, ErrVersion) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -30,6 +30,10 @@
 	Advertise string
 	// TLS secures calls when set. It must ask for client certificates.
 	TLS *tls.Config
+	// DatagramKey authenticates datagrams when set; all nodes share it.
+	DatagramKey []byte
+	// Refused is told of calls from peers whose certificate is refused.
+	Refused func(address string, err error)
 	// Drop reports whether traffic to a peer is lost. Production leaves it
 	// nil; the lab cuts networks with it.
 	Drop func(address string) bool
@@ -159,14 +163,14 @@
 	if err != nil {
 		return err
 	}
-	if len(frame) > MaxDatagramBytes {
+	if len(frame)+tagBytes > MaxDatagramBytes {
 		return Error.Wrap(ErrTooLarge)
 	}
 	target, err := t.resolve(address)
 	if err != nil {
 		return err
 	}
-	sent, err := t.packets.WriteTo(frame, target)
+	sent, err := t.packets.WriteTo(seal(t.options.DatagramKey, frame), target)
 	t.bytesSent.Add(uint64(sent))
 	t.datagramCount.Add(1)
 	return Error.Wrap(err)
@@ -201,7 +205,11 @@
 			continue
 		}
 		t.bytesReceived.Add(uint64(size))
-		message, err := decode(buffer[:size])
+		frame, genuine := open(t.options.DatagramKey, buffer[:size])
+		if !genuine {
+			continue
+		}
+		message, err := decode(frame)
 		if err != nil {
 			continue
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"encoding/hex"
 	"errors"
 	"net"
 	"net/url"
@@ -84,6 +85,9 @@
 	Peer TLSFiles `json:"peer,omitempty"`
 	// Serve secures the port for callers and operators.
 	Serve TLSFiles `json:"serve,omitempty"`
+	// DatagramKey, 32 bytes in hex and the same on all nodes, authenticates the
+	// datagrams between nodes. It must be set together with Peer.
+	DatagramKey string `json:"datagramKey,omitempty"`
 }
 
 // TLSFiles names a certificate, its key and the authority to trust.
@@ -171,6 +175,7 @@
 	}
 	tlsFindings(&found, "tls.peer", s.TLS.Peer, true)
 	tlsFindings(&found, "tls.serve", s.TLS.Serve, false)
+	datagramKeyFinding(&found, s.TLS)
 	return found.All()
 }
 
@@ -220,6 +225,16 @@
 	}
 }
 
+func datagramKeyFinding(found *findings.List, files TLS) {
+	const keyBytes = 32
+	key, err := hex.DecodeString(files.DatagramKey)
+	switch {
+	case files.DatagramKey == "" && !files.Peer.Set():
+	case err != nil || len(key) != keyBytes:
+		found.Add("tls.datagramKey", "must be 64 hex digits when tls.peer is set")
+	}
+}
+
 // Load reads a settings file and reports all findings with their place. An
 // empty path yields empty settings. Overrides are applied before the check.
 func Load(path string, overrides func(*Settings)) (*Settings, error) {
