--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
 	"github.com/wheelhoist/wheelhoist/internal/routing"
@@ -32,6 +34,7 @@
 
 	mu       sync.Mutex
 	replicas map[string]*replica
+	byKey    map[uint64]string
 	version  uint64
 	dirty    bool
 	builtAt  time.Time
@@ -51,6 +54,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
+	r.byKey = make(map[uint64]string, len(list))
 	listed := map[string]bool{}
 	for _, machine := range list {
 		if machine.Role != machines.RoleEngine {
@@ -63,6 +67,7 @@
 			r.replicas[machine.ID] = known
 		}
 		known.machine = machine
+		r.byKey[Key(machine.ID)] = machine.ID
 	}
 	for id, known := range r.replicas {
 		if listed[id] {
@@ -208,9 +213,13 @@
 	return loads
 }
 
-// UpdateLoad changes the last report of a replica of which one is known.
-func (r *Registry) UpdateLoad(id string, edit func(engine.Load) engine.Load, now time.Time) {
+// Key is the short form of a replica's id in messages between nodes.
+func Key(id string) uint64 { return xxhash.Sum64String(id) }
+
+// UpdateLoad changes the last report of the replica with a key, if one is known.
+func (r *Registry) UpdateLoad(key uint64, edit func(engine.Load) engine.Load, now time.Time) {
 	r.mu.Lock()
+	id := r.byKey[key]
 	known, ok := r.replicas[id]
 	if !ok || !known.reported {
 		r.mu.Unlock()
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -48,7 +48,9 @@
 	// Tenants is the number of tenants declared.
 	Tenants int
 	// Day replays a day's failures after the measurement.
-	Day      bool
+	Day bool
+	// Profile is the file for a CPU profile of the first worker; empty for none.
+	Profile  string
 	Progress func(format string, arguments ...any)
 }
 
@@ -159,8 +161,12 @@
 	for _, config := range nodes {
 		started.nodes = append(started.nodes, config.Node.ID)
 	}
+	arguments := []string{"hollow-worker", "--plan", path}
+	if f.options.Profile != "" && len(f.workers) == 0 {
+		arguments = append(arguments, "--cpuprofile", f.options.Profile)
+	}
 	f.workers = append(f.workers, started)
-	return f.launch(ctx, started, "hollow-worker", "--plan", path)
+	return f.launch(ctx, started, arguments...)
 }
 
 func (f *fleet) startReal(ctx context.Context, config settings.Settings) error {
@@ -260,8 +266,14 @@
 }
 
 func (f *fleet) close() {
-	for _, one := range append(append([]*process(nil), f.workers...), f.real...) {
+	for _, worker := range f.workers {
+		// A worker ends when its input does.
+		_ = worker.input.Close()
+	}
+	for _, one := range f.real {
 		_ = one.command.Process.Kill()
+	}
+	for _, one := range append(append([]*process(nil), f.workers...), f.real...) {
 		one.readers.Wait()
 		_ = one.command.Wait()
 	}
--- a/internal/lab/labcmd/hollow.go
+++ b/internal/lab/labcmd/hollow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -21,13 +22,14 @@
 	loss := flags.Float64("loss", 0.01, "share of messages between hollow nodes that are lost")
 	tenants := flags.Int("tenants", 100, "number of tenants declared")
 	day := flags.Bool("day", true, "replay a day's failures after the measurement")
+	profilePath := flags.String("cpuprofile", "", "file for a CPU profile of the first hollow process")
 	asJSON := flags.Bool("json", false, "end with one JSON line")
 	return &ffcli.Command{
 		Name: "hollow", ShortUsage: "wheelhoist-lab hollow [flags]", FlagSet: flags,
 		ShortHelp: "run the control plane at size and measure what it costs a node",
 		Exec: func(ctx context.Context, _ []string) error {
 			result, err := hollow.Run(ctx, hollow.Options{
-				Nodes: *nodes, Replicas: *replicas, Duration: *duration, Seed: *seed, Loss: *loss, Tenants: *tenants, Day: *day,
+				Nodes: *nodes, Replicas: *replicas, Duration: *duration, Seed: *seed, Loss: *loss, Tenants: *tenants, Day: *day, Profile: *profilePath,
 				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
 			})
 			if err != nil {
@@ -48,14 +50,37 @@
 	}
 }
 
+// startProfile writes a CPU profile until the returned function is called.
+func startProfile(path string) (func(), error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
+
 // hollowWorkerCommand is used by hollow itself to share processes.
 func hollowWorkerCommand(std streams) *ffcli.Command {
 	flags := newFlags("wheelhoist-lab hollow-worker", std)
 	plan := flags.String("plan", "", "plan file")
+	profilePath := flags.String("cpuprofile", "", "file for a CPU profile")
 	return &ffcli.Command{
 		Name: "hollow-worker", ShortUsage: "wheelhoist-lab hollow-worker --plan FILE", FlagSet: flags,
 		ShortHelp: "run hollow nodes; used by hollow",
 		Exec: func(ctx context.Context, _ []string) error {
+			if *profilePath != "" {
+				stop, err := startProfile(*profilePath)
+				if err != nil {
+					return err
+				}
+				defer stop()
+			}
 			return hollow.RunWorker(ctx, *plan, os.Stdin, std.out)
 		},
 	}
--- a/internal/steward/digest.go
+++ b/internal/steward/digest.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/fleet"
 	"github.com/wheelhoist/wheelhoist/internal/membership"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
@@ -14,10 +15,10 @@
 const (
 	// digestBudget is what a node may spend on sending digests within its zone,
 	// in bytes a second; the time between digests grows with the zone.
-	digestBudget = 2500
+	digestBudget = 1800
 	// briefBytes is the size of a brief digest, frameBytes that of its frame.
-	briefBytes = 34
-	frameBytes = 16
+	briefBytes = 26
+	frameBytes = 14
 	// digestMin is the least time between two digests.
 	digestMin = 250 * time.Millisecond
 	// fullEvery is how many digests pass between two full ones, beside those
@@ -30,7 +31,7 @@
 	// noticeInterval bounds the notices about one replica to its steward.
 	noticeInterval = 25 * time.Millisecond
 	// briefsPerDatagram and fullsPerDatagram keep datagrams below the size limit.
-	briefsPerDatagram = 30
+	briefsPerDatagram = 45
 	fullsPerDatagram  = 9
 	// relayFanout is the number of children of a node in its zone's relay tree.
 	relayFanout = 2
@@ -44,19 +45,24 @@
 
 // briefDigest is the part of a load report that changes all the time.
 type briefDigest struct {
-	_        struct{} `cbor:",toarray"`
-	Replica  string
-	Online   int
-	Waiting  int
-	Batch    int
+	_ struct{} `cbor:",toarray"`
+	// Replica is the hash of the replica's id, see fleet.Key.
+	Replica uint64
+	Online  int
+	Waiting int
+	Batch   int
+	// StepTens is the step time in tenths of a millisecond.
 	StepTens int
-	Reported int64
+	// Reported is the low half of the report's time in milliseconds.
+	Reported uint32
 }
 
 // fullDigest is what routers need of a load report.
 type fullDigest struct {
 	_        struct{} `cbor:",toarray"`
+	Replica  string
 	Brief    briefDigest
+	Reported int64
 	State    engine.State
 	Role     engine.Role
 	Model    string
@@ -73,20 +79,22 @@
 	_      struct{} `cbor:",toarray"`
 	Hops   int
 	Remote bool
+	// Round turns the relay tree, so that its inner places are shared.
+	Round  int
 	Briefs []briefDigest
 	Fulls  []fullDigest
 }
 
 func newBrief(replica string, load engine.Load) briefDigest {
 	return briefDigest{
-		Replica: replica, Online: load.RunningOnline, Waiting: load.WaitingOnline, Batch: load.RunningBatch,
-		StepTens: int(load.StepMillis * 10), Reported: load.ReportedUnixMs,
+		Replica: fleet.Key(replica), Online: load.RunningOnline, Waiting: load.WaitingOnline, Batch: load.RunningBatch,
+		StepTens: int(load.StepMillis * 10), Reported: uint32(load.ReportedUnixMs),
 	}
 }
 
 func newFull(replica string, load engine.Load) fullDigest {
 	return fullDigest{
-		Brief: newBrief(replica, load), State: load.State, Role: load.Role, Model: load.Model,
+		Replica: replica, Brief: newBrief(replica, load), Reported: load.ReportedUnixMs, State: load.State, Role: load.Role, Model: load.Model,
 		Version: load.Version, Adapters: load.Adapters, Slots: load.MaxSequences,
 		Prefill: float32(load.PrefillPerSec), Fence: load.Fence,
 	}
@@ -95,13 +103,15 @@
 // merge puts the brief part into a load report.
 func (d briefDigest) merge(load engine.Load) engine.Load {
 	load.RunningOnline, load.WaitingOnline, load.RunningBatch = d.Online, d.Waiting, d.Batch
-	load.StepMillis, load.ReportedUnixMs = float64(d.StepTens)/10, d.Reported
+	load.StepMillis = float64(d.StepTens) / 10
+	// The full time is the known one moved on by the difference of the low halves.
+	load.ReportedUnixMs += int64(int32(d.Reported - uint32(load.ReportedUnixMs)))
 	return load
 }
 
 func (d fullDigest) load() engine.Load {
 	return d.Brief.merge(engine.Load{
-		State: d.State, Role: d.Role, Model: d.Model, Version: d.Version, Adapters: d.Adapters,
+		ReportedUnixMs: d.Reported, State: d.State, Role: d.Role, Model: d.Model, Version: d.Version, Adapters: d.Adapters,
 		MaxSequences: d.Slots, PrefillPerSec: float64(d.Prefill), Fence: d.Fence,
 	})
 }
@@ -119,6 +129,8 @@
 	sentFull   map[string]string
 	rounds     int
 	nextRemote time.Time
+	// remoteRounds counts the summaries to other zones.
+	remoteRounds int
 
 	mu      sync.Mutex
 	noticed map[string]time.Time
@@ -178,18 +190,12 @@
 		d.sendFulls(peers, fulls, false)
 		return
 	}
-	var briefs []briefDigest
-	for id, load := range loads {
-		briefs = append(briefs, newBrief(id, load))
-	}
-	for part := range slices.Chunk(briefs, briefsPerDatagram) {
-		d.sendAll(peers, digestMessage{Briefs: part})
-	}
+	d.sendBriefs(peers, loads, false)
 }
 
 func (d *digester) sendFulls(targets []membership.Member, fulls []fullDigest, remote bool) {
 	for part := range slices.Chunk(fulls, fullsPerDatagram) {
-		d.sendAll(targets, digestMessage{Fulls: part, Remote: remote})
+		d.sendAll(targets, digestMessage{Fulls: part, Remote: remote, Round: d.remoteRounds})
 	}
 }
 
@@ -207,11 +213,28 @@
 	if len(delegates) == 0 || delegates[0] != d.options.Self {
 		return
 	}
-	var fulls []fullDigest
-	for id, load := range d.options.Registry.Loads(d.options.Zone) {
-		fulls = append(fulls, newFull(id, load))
+	d.remoteRounds++
+	targets := d.remoteDelegates(members)
+	loads := d.options.Registry.Loads(d.options.Zone)
+	if d.remoteRounds%fullEvery == 1 {
+		var fulls []fullDigest
+		for id, load := range loads {
+			fulls = append(fulls, newFull(id, load))
+		}
+		d.sendFulls(targets, fulls, true)
+		return
+	}
+	d.sendBriefs(targets, loads, true)
+}
+
+func (d *digester) sendBriefs(targets []membership.Member, loads map[string]engine.Load, remote bool) {
+	var briefs []briefDigest
+	for id, load := range loads {
+		briefs = append(briefs, newBrief(id, load))
+	}
+	for part := range slices.Chunk(briefs, briefsPerDatagram) {
+		d.sendAll(targets, digestMessage{Briefs: part, Remote: remote, Round: d.remoteRounds})
 	}
-	d.sendFulls(d.remoteDelegates(members), fulls, true)
 }
 
 func zonePeers(members []membership.Member, zone, self string) []membership.Member {
@@ -257,7 +280,7 @@
 	}
 	now := time.Now()
 	for _, digest := range message.Fulls {
-		s.options.Registry.SetLoad(digest.Brief.Replica, digest.load(), now)
+		s.options.Registry.SetLoad(digest.Replica, digest.load(), now)
 	}
 	for _, digest := range message.Briefs {
 		s.options.Registry.UpdateLoad(digest.Replica, digest.merge, now)
@@ -271,14 +294,14 @@
 const maxHops = 12
 
 // relay passes a message on in the zone along a tree that is the same for all
-// its nodes: the members in the order of their ids, each node's children at the
-// positions after twice its own. The delegate that got the message from
-// outside hands it to the root.
+// its nodes: the members in the order of their ids, turned by the message's
+// round, each node's children at the positions after twice its own. The
+// delegate that got the message from outside hands it to the root.
 func (d *digester) relay(message digestMessage) {
 	if message.Hops > maxHops {
 		return
 	}
-	peers := zonePeers(d.options.Members(), d.options.Zone, "")
+	peers := turned(zonePeers(d.options.Members(), d.options.Zone, ""), message.Round)
 	position := slices.IndexFunc(peers, func(member membership.Member) bool { return member.ID == d.options.Self })
 	fromOutside := message.Hops == 0
 	message.Hops++
@@ -295,6 +318,16 @@
 	}
 }
 
+// turned returns a list that begins at another place each round.
+func turned(list []membership.Member, round int) []membership.Member {
+	if len(list) == 0 {
+		return list
+	}
+	const stride = 7 // moves the inner places far in each round
+	start := round * stride % len(list)
+	return append(append([]membership.Member(nil), list[start:]...), list[:start]...)
+}
+
 // notice tells the steward of a replica of an online request, at most once in
 // noticeInterval for each replica.
 func (d *digester) notice(replica, address string) {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -32,8 +32,9 @@
 	loadRetry = 250 * time.Millisecond
 	// assignInterval is how often the set of replicas is worked out.
 	assignInterval = 250 * time.Millisecond
-	// feedInterval is how often the room for batch is decided without a signal.
-	feedInterval = 20 * time.Millisecond
+	// feedInterval is how often the room for batch is decided without a signal;
+	// giving way does not wait for it, only filling up does.
+	feedInterval = 50 * time.Millisecond
 	// eventRetry is the pause before a broken event stream is opened again.
 	eventRetry = time.Second
 	// unreachableAfter is how many report streams in a row must fail before
