Reserve replicas for online work and let batch fill the others

Cause: with bursts spread over all 12 replicas each of them saw online work every 200 ms, so batch gave way everywhere.

Now the fastest replicas that hold the recent peak are reserved: online work goes there first, others are filled with batch and give way only when spilled to. When online work comes, the newer half of a replica's items is given up and the older half ends by itself. A waiting item or two fill freed slots.

Also: a node that joins asks for the reports it has missed; a site with 4 nodes once took over 15 s to see all replicas.

--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -44,6 +44,10 @@
 	YieldShrink YieldPolicy = "shrink"
 	// YieldAbort aborts all items as soon as an online request arrives.
 	YieldAbort YieldPolicy = "abort"
+	// YieldReserve keeps enough of the fastest replicas for online work, with
+	// batch work only in what Headroom leaves there, and fills all others; a
+	// replica outside the reserve that online work spills to pauses.
+	YieldReserve YieldPolicy = "reserve"
 	// YieldPriority leaves it all to the engine's priorities and goes on feeding.
 	YieldPriority YieldPolicy = "priority"
 )
@@ -104,7 +108,7 @@
 	if s.Batch.Headroom < 0 || s.Batch.Headroom > 0.9 {
 		found.Add("spec.batch.headroom", "must be between 0 and 0.9")
 	}
-	if !oneOf(s.Batch.Yield, "", YieldPause, YieldShrink, YieldAbort, YieldPriority) {
+	if !oneOf(s.Batch.Yield, "", YieldPause, YieldShrink, YieldAbort, YieldReserve, YieldPriority) {
 		found.Add("spec.batch.yield", "unknown policy %q", s.Batch.Yield)
 	}
 	if !oneOf(s.Batch.Estimator, "", EstimateFixed, EstimatePeak) {
--- a/internal/batch/feed.go
+++ b/internal/batch/feed.go
@@ -60,7 +60,7 @@
 	}
 	for id, target := range r.feeds {
 		if !listed[id] {
-			target.feed.Room.Target = 0
+			target.feed.Room = Room{Keep: keepAll}
 			if len(target.running) == 0 {
 				delete(r.feeds, id)
 			}
@@ -69,12 +69,9 @@
 	signal(r.kick)
 }
 
-// shed aborts the newest items beyond the room. The caller holds mu.
+// shed aborts the newest items beyond what the room keeps. The caller holds mu.
 func (r *Runner) shed(target *feed) {
-	if !target.feed.Room.Abort {
-		return
-	}
-	excess := -target.feed.Room.Target
+	excess := -target.feed.Room.Keep
 	for _, one := range target.running {
 		if !one.yielded {
 			excess++
--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -7,10 +7,23 @@
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 )
 
-// Defaults of a pool's batch policy.
 const (
+	// DefaultQuietPeriod is how long a replica must be free of online work
+	// before it is filled up again.
 	DefaultQuietPeriod = 150 * time.Millisecond
-	DefaultHeadroom    = 0.0
+	// DefaultReserveHeadroom is the share of a reserved replica's slots that is
+	// kept free of batch work.
+	DefaultReserveHeadroom = 0.85
+	// shrinkFactor is the number of batch slots given up for each online
+	// request. One slot is the least; more make the engine's steps shorter.
+	shrinkFactor = 4
+	// reservedIdleShare is the share of a reserved replica's slots that is filled
+	// while it is quiet.
+	reservedIdleShare = 0.75
+	// queueShare is the number of items kept waiting at a full replica, as a
+	// share of its slots, so that a slot is filled in the step after it falls
+	// free and not a round trip later.
+	queueShare = 0.125
 )
 
 // Signal is what is known of a replica when its room for batch is decided.
@@ -23,17 +36,25 @@
 	Quiet time.Duration
 	// Peak is the greatest recent number of online requests.
 	Peak int
+	// Reserved tells that online work goes to this replica first.
+	Reserved bool
 }
 
 // Room is the decision about a replica.
 type Room struct {
-	// Target is the number of items to keep running.
+	// Target is the number of items to keep there.
 	Target int
-	// Abort tells to give up the newest items beyond Target at once, instead of
-	// waiting for them to end.
-	Abort bool
+	// Keep is the number of items that may end by themselves; the newest beyond
+	// it are given up at once. It is at least Target.
+	Keep int
 }
 
+// keepAll is a Keep beyond any number of items.
+const keepAll = math.MaxInt32
+
+// NoRoom takes no more items and lets the running ones end.
+var NoRoom = Room{Keep: keepAll}
+
 // DecideRoom applies a pool's policy to a replica. It is a pure function.
 func DecideRoom(policy v1.BatchPolicy, signal Signal) Room {
 	idle := idleTarget(policy, signal)
@@ -41,34 +62,63 @@
 	if quiet == 0 {
 		quiet = DefaultQuietPeriod
 	}
-	busy := signal.Online > 0 || signal.Quiet < quiet
-	if !busy {
-		return Room{Target: idle}
+	if policy.Yield == v1.YieldReserve && signal.Reserved {
+		return reservedRoom(policy, signal, quiet)
+	}
+	if busy := signal.Online > 0 || signal.Quiet < quiet; !busy {
+		return Room{Target: withQueue(idle), Keep: keepAll}
 	}
 	switch policy.Yield {
 	case v1.YieldPriority:
-		return Room{Target: max(0, idle-signal.Online)}
-	case v1.YieldPause:
-		return Room{Target: 0}
+		return Room{Target: max(0, idle-signal.Online), Keep: keepAll}
 	case v1.YieldAbort:
-		return Room{Target: 0, Abort: true}
+		return Room{}
+	case v1.YieldShrink:
+		target := shrunk(idle, signal)
+		return Room{Target: target, Keep: target}
+	case v1.YieldReserve:
+		return Room{Keep: halfOf(signal.Slots)}
 	default:
-		return Room{Target: shrunk(idle, signal), Abort: true}
+		return Room{Keep: keepAll}
 	}
 }
 
+// halfOf is what may end by itself when online work arrives: the older half.
+// The newer half has little progress to lose, and without it the steps are
+// short at once.
+func halfOf(slots int) int { return slots / 2 }
+
+// withQueue adds the items that wait at the replica.
+func withQueue(target int) int {
+	return target + int(math.Ceil(queueShare*float64(target)))
+}
+
 // idleTarget is the room on a replica without online work.
 func idleTarget(policy v1.BatchPolicy, signal Signal) int {
-	keep := int(math.Ceil(policy.Headroom * float64(signal.Slots)))
+	keep := 0
+	if policy.Yield != v1.YieldReserve {
+		keep = int(math.Ceil(policy.Headroom * float64(signal.Slots)))
+	}
 	if policy.Estimator == v1.EstimatePeak {
 		keep = max(keep, signal.Peak)
 	}
 	return max(0, signal.Slots-keep)
 }
 
-// shrinkFactor is the number of batch slots given up for each online request.
-// One slot is the least; more make the engine's steps shorter for the request.
-const shrinkFactor = 4
+// reservedRoom is the room on a replica that online work goes to first: little
+// beside online work, most of it when that has been quiet.
+func reservedRoom(policy v1.BatchPolicy, signal Signal, quiet time.Duration) Room {
+	headroom := policy.Headroom
+	if headroom == 0 {
+		headroom = DefaultReserveHeadroom
+	}
+	if signal.Online == 0 && signal.Quiet >= quiet {
+		return Room{Target: int(reservedIdleShare * float64(signal.Slots)), Keep: keepAll}
+	}
+	target := int((1 - headroom) * float64(signal.Slots))
+	target = max(0, min(target, signal.Slots-signal.Online))
+	return Room{Target: target, Keep: max(target, halfOf(signal.Slots))}
+}
 
 func shrunk(idle int, signal Signal) int {
 	return max(0, min(idle, signal.Slots-shrinkFactor*max(1, signal.Online)))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -196,6 +196,7 @@
 	stream, err := engines.Stream(ctx, c.replica.Address, attempt)
 	if err == nil {
 		c.sink.Begin(c.attempt, c.replica.ID)
+		c.learn(stream)
 		err = c.relay(ctx, stream)
 	}
 	for tries := 0; c.resumable(ctx, err, tries); tries++ {
@@ -219,6 +220,14 @@
 	return err
 }
 
+// learn takes in the load report that comes with an answer: the freshest word
+// on a replica that this node uses.
+func (c *call) learn(stream *engine.Stream) {
+	if load, ok := stream.Load(); ok {
+		c.dispatcher.Registry.SetLoad(c.replica.ID, load, time.Now())
+	}
+}
+
 // resumable reports whether the attempt may still be running at its engine.
 func (c *call) resumable(ctx context.Context, err error, tries int) bool {
 	if err == nil || ctx.Err() != nil || errors.Is(err, ErrCallerLeft) {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -51,6 +53,16 @@
 // Header returns the answer's HTTP header.
 func (s *Stream) Header() http.Header { return s.response.Header }
 
+// Load returns the load report in the answer's header, if there is one.
+func (s *Stream) Load() (Load, bool) {
+	var load Load
+	text, ok := strings.CutPrefix(s.response.Header.Get(HeaderLoad), "JSON ")
+	if !ok || json.Unmarshal([]byte(text), &load) != nil {
+		return load, false
+	}
+	return load, true
+}
+
 // Close releases the connection. Closing before the end breaks it off.
 func (s *Stream) Close() { _ = s.response.Body.Close() }
 
--- a/internal/steward/peak.go
+++ b/internal/fleet/peak.go
@@ -1,20 +1,21 @@
-package steward
+package fleet
 
 import "time"
 
 const (
-	peakBucket  = time.Second
+	peakBucket  = time.Minute
 	peakBuckets = 10
 )
 
-// peakMeter is the greatest value of the last peakBuckets buckets of time.
-type peakMeter struct {
+// PeakMeter is the greatest value of the last peakBuckets buckets of time.
+type PeakMeter struct {
 	values [peakBuckets]int
 	starts [peakBuckets]time.Time
 	at     int
 }
 
-func (p *peakMeter) observe(now time.Time, value int) {
+// Observe takes in a value.
+func (p *PeakMeter) Observe(now time.Time, value int) {
 	if now.Sub(p.starts[p.at]) >= peakBucket {
 		p.at = (p.at + 1) % peakBuckets
 		p.starts[p.at] = now
@@ -23,7 +24,8 @@
 	p.values[p.at] = max(p.values[p.at], value)
 }
 
-func (p *peakMeter) value(now time.Time) int {
+// Value returns the peak.
+func (p *PeakMeter) Value(now time.Time) int {
 	peak := 0
 	for i, start := range p.starts {
 		if now.Sub(start) < peakBuckets*peakBucket {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	replicas map[string]*replica
 	byKey    map[uint64]string
+	peaks    map[string]*PeakMeter
 	version  uint64
 	dirty    bool
 	builtAt  time.Time
@@ -43,7 +44,7 @@
 
 // NewRegistry returns an empty registry for a node of a zone.
 func NewRegistry(zone string) *Registry {
-	registry := &Registry{zone: zone, replicas: map[string]*replica{}}
+	registry := &Registry{zone: zone, replicas: map[string]*replica{}, peaks: map[string]*PeakMeter{}}
 	registry.snapshot.Store(&routing.Snapshot{Zone: zone})
 	return registry
 }
@@ -139,11 +140,33 @@
 			ReportAge: now.Sub(known.receivedAt), Ejected: ejected[id], Usage: &known.usage,
 		})
 	}
+	routing.Reserve(next.Replicas, r.peakOnline(now, next.Replicas))
 	r.snapshot.Store(next)
 	r.dirty = false
 	r.builtAt = now
 }
 
+// peakOnline returns, for each model, the recent peak of online requests open at
+// all replicas together. The caller holds mu.
+func (r *Registry) peakOnline(now time.Time, replicas []*routing.Replica) map[string]int {
+	current := map[string]int{}
+	for _, replica := range replicas {
+		reported := replica.Load.RunningOnline + replica.Load.WaitingOnline
+		current[replica.Model] += max(reported, int(replica.Usage.Open.Load()))
+	}
+	peaks := map[string]int{}
+	for model, online := range current {
+		meter := r.peaks[model]
+		if meter == nil {
+			meter = &PeakMeter{}
+			r.peaks[model] = meter
+		}
+		meter.Observe(now, online)
+		peaks[model] = meter.Value(now)
+	}
+	return peaks
+}
+
 // state is the stricter of the platform's and the engine's own word.
 func (r *replica) state() engine.State {
 	if r.machine.State == machines.Leaving {
@@ -213,6 +236,32 @@
 	return loads
 }
 
+// AllLoads returns the last reports of all replicas.
+func (r *Registry) AllLoads() map[string]engine.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := make(map[string]engine.Load, len(r.replicas))
+	for id, known := range r.replicas {
+		if known.reported {
+			loads[id] = known.load
+		}
+	}
+	return loads
+}
+
+// Unreported counts the replicas of which no report is known.
+func (r *Registry) Unreported() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, known := range r.replicas {
+		if !known.reported {
+			count++
+		}
+	}
+	return count
+}
+
 // Key is the short form of a replica's id in messages between nodes.
 func Key(id string) uint64 { return xxhash.Sum64String(id) }
 
--- a/internal/lab/experiment/special.go
+++ b/internal/lab/experiment/special.go
@@ -4,6 +4,7 @@
 var special = []*Scenario{
 	{Name: "yield", About: "both measures: the online tail against online alone, and the idle capacity used", Run: runYield},
 	{Name: "yield-frontier", About: "yield policies and estimators against the baselines", Run: runFrontier},
+	{Name: "batch-alone", About: "how much of an idle fleet a batch uses", Run: runBatchAlone},
 	{Name: "routing-compare", About: "routing policies against each other", Run: runRoutingCompare},
 	{Name: "overload", About: "goodput at half, one and two times the capacity", Run: runOverload},
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -40,18 +40,18 @@
 
 // Kinds of messages.
 const (
-	KindMembership      Kind = 1
-	KindMemberSync      Kind = 2
-	KindConfigPush      Kind = 3
-	KindConfigChanges   Kind = 4
-	KindConfigSnapshot  Kind = 5
-	KindConfigApplied   Kind = 6
-	KindLoadDigest      Kind = 7
-	KindBatchNotice     Kind = 8
-	KindOnlineNotice    Kind = 9
-	KindMachineList     Kind = 10
-	KindShareReport     Kind = 11
-	KindLoadDigestRelay Kind = 12
+	KindMembership     Kind = 1
+	KindMemberSync     Kind = 2
+	KindConfigPush     Kind = 3
+	KindConfigChanges  Kind = 4
+	KindConfigSnapshot Kind = 5
+	KindConfigApplied  Kind = 6
+	KindLoadDigest     Kind = 7
+	KindBatchNotice    Kind = 8
+	KindOnlineNotice   Kind = 9
+	KindMachineList    Kind = 10
+	KindShareReport    Kind = 11
+	KindLoadReports    Kind = 12
 )
 
 // envelope frames every message.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -72,7 +72,36 @@
 	}
 }
 
+// pickPredicted prefers the reserve: another replica must gain SpillMargin over
+// it, since it has to give batch work up for the request.
 func (r *Router) pickPredicted(zone string, passed []*Replica, request *Request) Decision {
+	reserved, others := splitReserved(passed)
+	if len(reserved) == 0 || len(others) == 0 {
+		return r.pickZone(zone, passed, request)
+	}
+	best := r.pickZone(zone, reserved, request)
+	if best.Predicted < SpillMargin {
+		return best
+	}
+	other := r.pickZone(zone, others, request)
+	if other.Predicted+SpillMargin < best.Predicted {
+		return other
+	}
+	return best
+}
+
+func splitReserved(replicas []*Replica) (reserved, others []*Replica) {
+	for _, replica := range replicas {
+		if replica.Reserved {
+			reserved = append(reserved, replica)
+		} else {
+			others = append(others, replica)
+		}
+	}
+	return reserved, others
+}
+
+func (r *Router) pickZone(zone string, passed []*Replica, request *Request) Decision {
 	local, remote := splitByZone(zone, passed)
 	if len(local) == 0 {
 		return r.bestOf(remote, request)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -86,7 +86,7 @@
 	failures int
 	// lastOnline is when online work was last seen, by any sign.
 	lastOnline time.Time
-	peak       peakMeter
+	peak       fleet.PeakMeter
 }
 
 // New returns a steward; Run makes it watch.
@@ -95,6 +95,7 @@
 	s.sending = newDigester(options)
 	options.Transport.HandleDatagram(peer.KindOnlineNotice, s.takeNotice)
 	options.Transport.HandleDatagram(peer.KindLoadDigest, s.takeDigest)
+	options.Transport.Handle(peer.KindLoadReports, s.answerReports)
 	return s
 }
 
@@ -105,6 +106,8 @@
 	feed := time.NewTicker(feedInterval)
 	defer feed.Stop()
 	s.assign(ctx)
+	s.group.Add(1)
+	go s.pullLoop(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -180,7 +183,7 @@
 	held.failures = 0
 	held.known = true
 	held.load = load
-	held.peak.observe(now, online)
+	held.peak.Observe(now, online)
 	if online > 0 {
 		held.lastOnline = now
 	}
@@ -264,11 +267,15 @@
 
 // feed decides the room for batch on every replica in charge.
 func (s *Steward) feed(now time.Time) {
+	reserved := map[string]bool{}
+	for _, replica := range s.options.Registry.Snapshot(now).Replicas {
+		reserved[replica.ID] = replica.Reserved
+	}
 	s.mu.Lock()
 	feeds := make([]batch.Feed, 0, len(s.mine))
 	for id, held := range s.mine {
 		feeds = append(feeds, batch.Feed{
-			ID: id, Address: held.machine.Address, Model: held.load.Model, Room: s.room(held, now),
+			ID: id, Address: held.machine.Address, Model: held.load.Model, Room: s.room(held, reserved[id], now),
 		})
 	}
 	s.mu.Unlock()
@@ -279,12 +286,12 @@
 // until the lagging load report must show it.
 const onlineWindow = 400 * time.Millisecond
 
-func (s *Steward) room(held *charge, now time.Time) batch.Room {
+func (s *Steward) room(held *charge, reserved bool, now time.Time) batch.Room {
 	load := held.load
 	serving := held.known && held.failures < unreachableAfter && load.State == engine.StateReady
 	leaving := held.machine.State == machines.Leaving
 	if !serving || leaving || load.Role == engine.RoleOnline {
-		return batch.Room{}
+		return batch.NoRoom
 	}
 	online := load.RunningOnline + load.WaitingOnline
 	quiet := now.Sub(held.lastOnline)
@@ -292,6 +299,6 @@
 		online = 1
 	}
 	return batch.DecideRoom(s.options.Policy(held.machine.Pool), batch.Signal{
-		Slots: load.MaxSequences, Online: online, Quiet: quiet, Peak: held.peak.value(now),
+		Slots: load.MaxSequences, Online: online, Quiet: quiet, Peak: held.peak.Value(now), Reserved: reserved,
 	})
 }
