--- a/internal/fleet/outlier.go
+++ b/internal/fleet/outlier.go
@@ -58,7 +58,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known.health.failures++
-	r.dirty = true
+	r.builtAt = time.Time{}
 }
 
 // judge returns the replicas left out now. The caller holds mu.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -15,11 +15,16 @@
 	"github.com/wheelhoist/wheelhoist/internal/routing"
 )
 
-// snapshotInterval bounds how often the snapshot is rebuilt.
-const snapshotInterval = 20 * time.Millisecond
+const (
+	// snapshotInterval bounds how often the snapshot is rebuilt for requests.
+	snapshotInterval = 20 * time.Millisecond
+	// viewInterval is the same for those who can do with an older one.
+	viewInterval = 500 * time.Millisecond
+)
 
 // replica is the registry's record of one back end.
 type replica struct {
+	key        uint64
 	machine    machines.Machine
 	load       engine.Load
 	reported   bool
@@ -37,6 +42,9 @@
 	byKey    map[uint64]string
 	peaks    map[string]*PeakMeter
 	version  uint64
+	// builtOf is the version that the snapshot and ids were built of.
+	builtOf  uint64
+	ids      []string
 	dirty    bool
 	builtAt  time.Time
 	snapshot atomic.Pointer[routing.Snapshot]
@@ -64,7 +72,7 @@
 		listed[machine.ID] = true
 		known, ok := r.replicas[machine.ID]
 		if !ok || known.machine.Address != machine.Address {
-			known = &replica{}
+			known = &replica{key: Key(machine.ID)}
 			r.replicas[machine.ID] = known
 		}
 		known.machine = machine
@@ -112,11 +120,20 @@
 	return list, r.version
 }
 
-// Snapshot returns the current view; it is at most snapshotInterval old.
+// Snapshot returns the current view; changes show within snapshotInterval.
 func (r *Registry) Snapshot(now time.Time) *routing.Snapshot {
+	return r.viewOf(now, snapshotInterval)
+}
+
+// View returns a view that may be viewInterval old, for work that goes on all
+// the time: building a snapshot of a large fleet is not free.
+func (r *Registry) View(now time.Time) *routing.Snapshot { return r.viewOf(now, viewInterval) }
+
+func (r *Registry) viewOf(now time.Time, maxAge time.Duration) *routing.Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.dirty || now.Sub(r.builtAt) > snapshotInterval {
+	age := now.Sub(r.builtAt)
+	if (r.dirty && age >= maxAge) || age >= viewInterval || r.builtOf != r.version {
 		r.build(now)
 	}
 	return r.snapshot.Load()
@@ -124,20 +141,23 @@
 
 // build makes a new snapshot. The caller holds mu.
 func (r *Registry) build(now time.Time) {
-	ids := make([]string, 0, len(r.replicas))
-	for id := range r.replicas {
-		ids = append(ids, id)
+	if r.builtOf != r.version {
+		r.ids = r.ids[:0]
+		for id := range r.replicas {
+			r.ids = append(r.ids, id)
+		}
+		sort.Strings(r.ids)
+		r.builtOf = r.version
 	}
-	sort.Strings(ids)
 	ejected := r.judge(now)
-	next := &routing.Snapshot{Zone: r.zone, Replicas: make([]*routing.Replica, 0, len(ids))}
-	for _, id := range ids {
+	next := &routing.Snapshot{Zone: r.zone, Replicas: make([]*routing.Replica, 0, len(r.ids))}
+	for _, id := range r.ids {
 		known := r.replicas[id]
 		next.Replicas = append(next.Replicas, &routing.Replica{
 			ID: id, Address: known.machine.Address, Zone: known.machine.Zone, Pool: known.machine.Pool,
 			Model: known.load.Model, Version: known.load.Version, Adapters: known.load.Adapters,
 			Role: known.load.Role, State: known.state(), Load: known.load, Reported: known.reported,
-			ReportAge: now.Sub(known.receivedAt), Ejected: ejected[id], Usage: &known.usage,
+			ReportAge: now.Sub(known.receivedAt), Ejected: ejected[id], Usage: &known.usage, Key: known.key,
 		})
 	}
 	routing.Reserve(next.Replicas, r.peakOnline(now, next.Replicas))
--- a/internal/lab/hollow/engines.go
+++ b/internal/lab/hollow/engines.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
 )
@@ -40,6 +41,7 @@
 	mux.HandleFunc("GET /{replica}/load", e.load)
 	mux.HandleFunc("GET /{replica}/cache/events", e.events)
 	mux.HandleFunc("PUT /{replica}/orders", e.obey)
+	mux.HandleFunc("POST /{replica}"+openai.PathChatCompletions, e.pacedAnswer)
 	e.server = &http.Server{Handler: mux}
 	go func() { _ = e.server.Serve(listener) }()
 	return e, nil
--- a/internal/lab/labcmd/root.go
+++ b/internal/lab/labcmd/root.go
@@ -54,7 +54,7 @@
 		ShortHelp: "stand-ins, load, faults and checks; never needed in production",
 		Subcommands: []*ffcli.Command{
 			demoCommand(std), siteCommand(std), runCommand(std), checkCommand(std), hollowCommand(std),
-			hollowWorkerCommand(std),
+			hollowWorkerCommand(std), streamsCommand(std),
 		},
 	}
 	root.Exec = func(context.Context, []string) error {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -157,7 +157,7 @@
 		generations[machine.ID] = machine.Generation
 	}
 	var replicas []placement.Replica
-	for _, replica := range n.registry.Snapshot(time.Now()).Replicas {
+	for _, replica := range n.registry.View(time.Now()).Replicas {
 		replicas = append(replicas, placement.Replica{
 			ID: replica.ID, Address: replica.Address, Zone: replica.Zone, Pool: replica.Pool,
 			Generation: generations[replica.ID], State: replica.State, Reported: replica.Reported,
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Policy names a way to pick; all but PolicyPredict are baselines to measure against.
@@ -165,7 +163,7 @@
 	best := replicas[0]
 	var bestWeight uint64
 	for _, replica := range replicas {
-		weight := mix(xxhash.Sum64String(replica.ID) ^ key)
+		weight := mix(replica.Key ^ key)
 		if weight >= bestWeight {
 			best, bestWeight = replica, weight
 		}
--- a/internal/routing/reserve.go
+++ b/internal/routing/reserve.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 )
 
@@ -62,5 +60,5 @@
 	if a.Load.PrefillPerSec != b.Load.PrefillPerSec {
 		return a.Load.PrefillPerSec > b.Load.PrefillPerSec
 	}
-	return mix(xxhash.Sum64String(a.ID)) > mix(xxhash.Sum64String(b.ID))
+	return mix(a.Key) > mix(b.Key)
 }
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -53,6 +53,8 @@
 	ReportAge time.Duration
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
+	// Key is a hash of ID, for the orders that all nodes agree on.
+	Key uint64
 	// Reserved replicas are kept for online work, see Reserve.
 	Reserved bool
 	// Usage is this node's own use of the replica.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -268,7 +268,7 @@
 // feed decides the room for batch on every replica in charge.
 func (s *Steward) feed(now time.Time) {
 	reserved := map[string]bool{}
-	for _, replica := range s.options.Registry.Snapshot(now).Replicas {
+	for _, replica := range s.options.Registry.View(now).Replicas {
 		reserved[replica.ID] = replica.Reserved
 	}
 	s.mu.Lock()
