--- a/internal/lab/experiment/fault.go
+++ b/internal/lab/experiment/fault.go
@@ -136,6 +136,7 @@
 func (r *run) storeFault(ctx context.Context, edit func(*emulator.Condition)) {
 	quarter := r.options.Duration / 4
 	sleep(ctx, quarter)
+	before := r.tableRate(ctx, rateWindow)
 	r.options.Progress("store fault begins")
 	r.site.Platform.Table.Faults.Change(edit)
 	r.site.Platform.Objects.Faults.Change(edit)
@@ -144,6 +145,22 @@
 	r.site.Platform.Table.Faults.Change(heal)
 	r.site.Platform.Objects.Faults.Change(heal)
 	r.options.Progress("store fault ends")
+	// What callers and nodes held back must not come all at once.
+	returning := r.tableRate(context.WithoutCancel(ctx), rateWindow)
+	r.figure("table_calls_per_s_before", before)
+	r.figure("table_calls_per_s_at_return", returning)
+}
+
+// rateWindow is the time over which the table's calls are counted.
+const rateWindow = 2 * time.Second
+
+// tableRate counts the calls to the table over a time.
+func (r *run) tableRate(ctx context.Context, window time.Duration) float64 {
+	first, _ := r.site.Platform.Table.Faults.Calls()
+	began := time.Now()
+	sleep(ctx, window)
+	last, _ := r.site.Platform.Table.Faults.Calls()
+	return float64(last-first) / time.Since(began).Seconds()
 }
 
 func storeDown(ctx context.Context, r *run) {
--- a/internal/lab/experiment/scenario.go
+++ b/internal/lab/experiment/scenario.go
@@ -123,9 +123,10 @@
 	random   *lockedRandom
 	started  time.Time
 
-	mu     sync.Mutex
-	jobs   []*load.Job
-	errors []error
+	mu      sync.Mutex
+	jobs    []*load.Job
+	errors  []error
+	figures map[string]float64
 }
 
 // lockedRandom is a random source for several goroutines.
@@ -186,7 +187,7 @@
 	}
 	r := &run{
 		options: options, scenario: scenario, recorder: &history.Recorder{},
-		stats: load.NewStats(), random: newRandom(options.Seed),
+		stats: load.NewStats(), random: newRandom(options.Seed), figures: map[string]float64{},
 	}
 	var err error
 	r.site, err = site.Start(ctx, site.Config{
@@ -245,13 +246,20 @@
 	r.errors = append(r.errors, err)
 }
 
+// figure adds a figure to the result.
+func (r *run) figure(name string, value float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.figures[name] = value
+}
+
 // result checks the history and sums up.
 func (r *run) result() *Result {
 	elapsed := time.Since(r.started).Seconds()
 	events := r.recorder.Events()
 	result := &Result{
 		Scenario: r.scenario.Name, Profile: r.options.Profile.Name, Seed: r.options.Seed,
-		Violations: []string{}, Online: r.stats.Summary(), Events: events, Points: r.stats.Points(),
+		Violations: []string{}, Figures: r.figures, Online: r.stats.Summary(), Events: events, Points: r.stats.Points(),
 	}
 	for _, violation := range history.Check(events) {
 		result.Violations = append(result.Violations, violation.String())
--- a/internal/lab/load/online.go
+++ b/internal/lab/load/online.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -163,18 +164,61 @@
 }
 
 func (c *Caller) once(ctx context.Context, one Arrival, sent time.Time) history.Event {
-	event := history.Event{Source: "client", Class: history.Online, Request: one.ID, Repeatable: !one.Once}
+	event := history.Event{Source: "client", Class: history.Online, Request: one.ID, Repeatable: !one.Once, Type: history.ClientFailed}
+	time.Sleep(c.Delay)
+	response, err := c.post(ctx, one, nil)
+	if err != nil {
+		event.Detail = err.Error()
+		return event
+	}
+	if response.StatusCode != http.StatusOK {
+		refused(response, &event)
+		return event
+	}
+	answer := &answerReader{caller: c, version: c.Version, sent: sent, event: &event}
+	broken := answer.read(response)
+	for tries := 0; broken && tries < reconnectTries && ctx.Err() == nil; tries++ {
+		time.Sleep(reconnectPause)
+		header := http.Header{headerAttempt: {answer.attempt}, "Last-Event-Id": {strconv.Itoa(answer.last)}}
+		response, err := c.post(ctx, one, header)
+		if err != nil {
+			continue
+		}
+		if response.StatusCode != http.StatusOK {
+			_ = response.Body.Close()
+			continue
+		}
+		broken = answer.read(response)
+		event.Outcome = "reconnected"
+	}
+	if event.Type == history.ClientAnswer {
+		event.Elapsed = milliseconds(time.Since(sent))
+		event.Match = answer.text.String() == c.expected(one, answer.version)
+	}
+	return event
+}
+
+const (
+	headerAttempt = "X-Wheelhoist-Attempt"
+	// reconnectTries and reconnectPause bound a caller's way back to an answer
+	// whose node is gone.
+	reconnectTries = 6
+	reconnectPause = 300 * time.Millisecond
+)
+
+// post sends a request to the next node.
+func (c *Caller) post(ctx context.Context, one Arrival, header http.Header) (*http.Response, error) {
 	urls := c.URLs()
 	if len(urls) == 0 {
-		event.Type, event.Detail = history.ClientFailed, "no node"
-		return event
+		return nil, Error.New("no node is ready")
 	}
-	time.Sleep(c.Delay)
 	url := urls[c.turn.Add(1)%uint64(len(urls))]
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+openai.PathChatCompletions, bytes.NewReader(c.body(one)))
 	if err != nil {
-		event.Type, event.Detail = history.ClientFailed, err.Error()
-		return event
+		return nil, Error.Wrap(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Key)
 	request.Header.Set("X-Request-Id", one.ID)
@@ -185,20 +229,16 @@
 		request.Header.Set("Idempotency-Key", one.Key)
 	}
 	response, err := c.client.Do(request)
-	if err != nil {
-		event.Type, event.Detail = history.ClientFailed, err.Error()
-		return event
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
-		event.Type = history.ClientRefused
-		event.Executed = response.Header.Get("X-Wheelhoist-Executed")
-		event.Detail = fmt.Sprintf("%d %s", response.StatusCode, body)
-		return event
-	}
-	c.read(response.Body, one, sent, &event)
-	return event
+	return response, Error.Wrap(err)
+}
+
+func refused(response *http.Response, event *history.Event) {
+	const maxDetail = 4096
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxDetail))
+	_ = response.Body.Close()
+	event.Type = history.ClientRefused
+	event.Executed = response.Header.Get("X-Wheelhoist-Executed")
+	event.Detail = fmt.Sprintf("%d %s", response.StatusCode, body)
 }
 
 func (c *Caller) body(one Arrival) []byte {
@@ -213,47 +253,72 @@
 	return body
 }
 
-// read takes the streamed answer in and compares it with the expected one.
-func (c *Caller) read(body io.Reader, one Arrival, sent time.Time, event *history.Event) {
-	var text strings.Builder
-	version := c.Version
-	event.Type = history.ClientFailed
-	var last time.Time
-	reader := bufio.NewReader(body)
+// answerReader takes one answer in, over one connection or several.
+type answerReader struct {
+	caller  *Caller
+	sent    time.Time
+	event   *history.Event
+	version string
+	attempt string
+	text    strings.Builder
+	// last is the id of the last event taken in.
+	last    int
+	tokenAt time.Time
+}
+
+// read takes a response in; it reports true when the answer broke off and may
+// be continued.
+func (a *answerReader) read(response *http.Response) bool {
+	defer func() { _ = response.Body.Close() }()
+	if attempt := response.Header.Get(headerAttempt); attempt != "" {
+		a.attempt = attempt
+	}
+	reader := bufio.NewReader(response.Body)
 	for {
 		line, err := reader.ReadBytes('\n')
 		if err != nil {
-			event.Detail = "answer broke off: " + err.Error()
-			return
+			a.event.Detail = "answer broke off: " + err.Error()
+			return a.attempt != "" && a.last > 0
+		}
+		line = bytes.TrimSpace(line)
+		if text, isID := bytes.CutPrefix(line, []byte("id: ")); isID {
+			a.last, _ = strconv.Atoi(string(text))
+			continue
 		}
-		data, isData := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		data, isData := bytes.CutPrefix(line, []byte("data: "))
 		if !isData {
 			continue
 		}
 		if string(data) == openai.DoneMarker {
-			break
-		}
-		var chunk openai.Completion
-		if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
-			event.Detail = "error event: " + string(data)
-			return
+			a.event.Type, a.event.Whole, a.event.Value = history.ClientAnswer, true, a.version
+			return false
 		}
-		now := time.Now()
-		if text.Len() == 0 {
-			event.TTFT = milliseconds(now.Sub(sent))
-		} else {
-			c.Stats.Gap(now.Sub(last))
+		if !a.chunk(data) {
+			return false
 		}
-		last = now
-		if chunk.SystemFingerprint != "" {
-			version = chunk.SystemFingerprint
-		}
-		text.WriteString(chunk.Text())
-		event.Tokens++
 	}
-	event.Type, event.Whole, event.Value = history.ClientAnswer, true, version
-	event.Elapsed = milliseconds(time.Since(sent))
-	event.Match = text.String() == c.expected(one, version)
+}
+
+// chunk takes one chunk in; it reports false for an error event.
+func (a *answerReader) chunk(data []byte) bool {
+	var chunk openai.Completion
+	if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
+		a.event.Detail = "error event: " + string(data)
+		return false
+	}
+	now := time.Now()
+	if a.text.Len() == 0 {
+		a.event.TTFT = milliseconds(now.Sub(a.sent))
+	} else {
+		a.caller.Stats.Gap(now.Sub(a.tokenAt))
+	}
+	a.tokenAt = now
+	if chunk.SystemFingerprint != "" {
+		a.version = chunk.SystemFingerprint
+	}
+	a.text.WriteString(chunk.Text())
+	a.event.Tokens++
+	return true
 }
 
 func (c *Caller) expected(one Arrival, version string) string {
--- a/internal/lab/load/stats.go
+++ b/internal/lab/load/stats.go
@@ -22,10 +22,12 @@
 	gaps     *hdrhistogram.Histogram
 	requests int
 	answered int
-	refused  int
-	failed   int
-	wrong    int
-	tokens   int
+	// reconnected counts the answers that were continued through another node.
+	reconnected int
+	refused     int
+	failed      int
+	wrong       int
+	tokens      int
 	// points keep the time series for plots.
 	points []Point
 	start  time.Time
@@ -53,6 +55,9 @@
 	switch event.Type {
 	case history.ClientAnswer:
 		s.answered++
+		if event.Outcome == "reconnected" {
+			s.reconnected++
+		}
 		s.tokens += event.Tokens
 		if !event.Match {
 			s.wrong++
@@ -79,20 +84,22 @@
 
 // Online is the summary of online requests.
 type Online struct {
-	Requests  int     `json:"requests"`
-	Answered  int     `json:"answered"`
-	Refused   int     `json:"refused"`
-	Failed    int     `json:"failed"`
-	Wrong     int     `json:"wrong"`
-	Tokens    int     `json:"tokens"`
-	P50       float64 `json:"p50_ms"`
-	P99       float64 `json:"p99_ms"`
-	TTFTP50   float64 `json:"ttft_p50_ms"`
-	TTFTP95   float64 `json:"ttft_p95_ms"`
-	TTFTP99   float64 `json:"ttft_p99_ms"`
-	GapP95    float64 `json:"token_gap_p95_ms"`
-	GapP99    float64 `json:"token_gap_p99_ms"`
-	TTFTWorst float64 `json:"ttft_max_ms"`
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	// Reconnected answers were continued through another node.
+	Reconnected int     `json:"reconnected"`
+	Refused     int     `json:"refused"`
+	Failed      int     `json:"failed"`
+	Wrong       int     `json:"wrong"`
+	Tokens      int     `json:"tokens"`
+	P50         float64 `json:"p50_ms"`
+	P99         float64 `json:"p99_ms"`
+	TTFTP50     float64 `json:"ttft_p50_ms"`
+	TTFTP95     float64 `json:"ttft_p95_ms"`
+	TTFTP99     float64 `json:"ttft_p99_ms"`
+	GapP95      float64 `json:"token_gap_p95_ms"`
+	GapP99      float64 `json:"token_gap_p99_ms"`
+	TTFTWorst   float64 `json:"ttft_max_ms"`
 }
 
 // Summary returns the figures so far, in milliseconds.
@@ -103,7 +110,7 @@
 		return float64(histogram.ValueAtQuantile(q)) / 1000
 	}
 	return Online{
-		Requests: s.requests, Answered: s.answered, Refused: s.refused, Failed: s.failed, Wrong: s.wrong,
+		Requests: s.requests, Answered: s.answered, Reconnected: s.reconnected, Refused: s.refused, Failed: s.failed, Wrong: s.wrong,
 		Tokens: s.tokens, P50: quantile(s.total, 50), P99: quantile(s.total, 99),
 		TTFTP50: quantile(s.ttft, 50), TTFTP95: quantile(s.ttft, 95), TTFTP99: quantile(s.ttft, 99),
 		GapP95: quantile(s.gaps, 95), GapP99: quantile(s.gaps, 99),
