--- a/api/openai/completion.go
+++ b/api/openai/completion.go
@@ -153,5 +153,21 @@
 	}
 }
 
+// WholeAnswer turns the last chunk of a streamed answer and its collected text
+// into the answer of a call that does not stream.
+func WholeAnswer(last Completion, text, path string) Completion {
+	reason := "stop"
+	choice := Choice{FinishReason: &reason}
+	if path == PathChatCompletions {
+		last.Object = "chat.completion"
+		choice.Message = &Message{Role: "assistant", Content: Content(text)}
+	} else {
+		last.Object = "text_completion"
+		choice.Text = text
+	}
+	last.Choices = []Choice{choice}
+	return last
+}
+
 // DoneMarker ends a streamed answer.
 const DoneMarker = "[DONE]"
--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -55,7 +55,8 @@
 // BatchPolicy says how a pool's replicas take batch work.
 type BatchPolicy struct {
 	Yield YieldPolicy `json:"yield,omitempty"`
-	// Headroom is the share of sequence slots kept free of batch work, 0 to 0.9.
+	// Headroom is the share of sequence slots kept free of batch work, 0 to 1.
+	// With YieldReserve it is about the reserved replicas while online work runs.
 	Headroom float64 `json:"headroom,omitempty"`
 	// Estimator names how the room for batch work is estimated.
 	Estimator HeadroomEstimator `json:"estimator,omitempty"`
@@ -105,8 +106,8 @@
 	if s.MaxUnavailable < 0 {
 		found.Add("spec.maxUnavailable", "must not be negative")
 	}
-	if s.Batch.Headroom < 0 || s.Batch.Headroom > 0.9 {
-		found.Add("spec.batch.headroom", "must be between 0 and 0.9")
+	if s.Batch.Headroom < 0 || s.Batch.Headroom > 1 {
+		found.Add("spec.batch.headroom", "must be between 0 and 1")
 	}
 	if !oneOf(s.Batch.Yield, "", YieldPause, YieldShrink, YieldAbort, YieldReserve, YieldPriority) {
 		found.Add("spec.batch.yield", "unknown policy %q", s.Batch.Yield)
--- a/internal/batch/commit.go
+++ b/internal/batch/commit.go
@@ -217,7 +217,7 @@
 			return nil, err
 		}
 		if event.Done {
-			return json.Marshal(wholeAnswer(last, text.String(), path))
+			return json.Marshal(openai.WholeAnswer(last, text.String(), path))
 		}
 		var chunk openai.Completion
 		if err := json.Unmarshal(event.Data, &chunk); err != nil {
@@ -227,18 +227,3 @@
 		last = chunk
 	}
 }
-
-// wholeAnswer turns the last chunk of a stream into a whole answer.
-func wholeAnswer(last openai.Completion, text, path string) openai.Completion {
-	reason := "stop"
-	choice := openai.Choice{FinishReason: &reason}
-	last.Object = "text_completion"
-	if path == openai.PathChatCompletions {
-		last.Object = "chat.completion"
-		choice.Message = &openai.Message{Role: "assistant", Content: openai.Content(text)}
-	} else {
-		choice.Text = text
-	}
-	last.Choices = []openai.Choice{choice}
-	return last
-}
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -10,14 +10,10 @@
 // CacheEvents reads an engine's cache events until the context ends or the
 // stream breaks. A gap in the sequence numbers shows that events were lost.
 func (c *Client) CacheEvents(ctx context.Context, base string, handle func(CacheEvent)) error {
-	response, err := sendWith(ctx, c.watch, http.MethodGet, base+"/cache/events", nil, nil)
+	stream, err := c.subscribe(ctx, base+"/cache/events")
 	if err != nil {
 		return err
 	}
-	if response.StatusCode != http.StatusOK {
-		return refusal(response)
-	}
-	stream := newStream(response)
 	defer stream.Close()
 	for {
 		event, err := stream.Next()
@@ -43,14 +39,10 @@
 	// An engine that hangs keeps the connection open and says nothing.
 	silence := time.AfterFunc(2*MaxReportGap, cancel)
 	defer silence.Stop()
-	response, err := sendWith(ctx, c.watch, http.MethodGet, address, nil, nil)
+	stream, err := c.subscribe(ctx, address)
 	if err != nil {
 		return err
 	}
-	if response.StatusCode != http.StatusOK {
-		return refusal(response)
-	}
-	stream := newStream(response)
 	defer stream.Close()
 	for {
 		event, err := stream.Next()
@@ -68,3 +60,15 @@
 
 // MaxReportGap is the longest time between two reports of a load stream.
 const MaxReportGap = time.Second
+
+// subscribe opens a stream of events that belongs to control traffic.
+func (c *Client) subscribe(ctx context.Context, address string) (*Stream, error) {
+	response, err := sendWith(ctx, c.watch, http.MethodGet, address, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refusal(response)
+	}
+	return newStream(response), nil
+}
--- a/internal/lab/emulator/enginestream.go
+++ b/internal/lab/emulator/enginestream.go
@@ -90,16 +90,13 @@
 }
 
 func (a *answerWriter) whole(w http.ResponseWriter) {
-	completion := a.completion()
-	reason := "stop"
-	choice := openai.Choice{FinishReason: &reason}
+	path := openai.PathCompletions
 	if a.chat {
-		choice.Message = &openai.Message{Role: "assistant", Content: openai.Content(a.seq.answer.Text())}
-	} else {
-		choice.Text = a.seq.answer.Text()
+		path = openai.PathChatCompletions
 	}
-	completion.Choices = []openai.Choice{choice}
+	completion := a.completion()
 	completion.Usage = a.usage()
+	completion = openai.WholeAnswer(completion, a.seq.answer.Text(), path)
 	w.Header().Set(engine.HeaderLoad, a.engine.loadHeader())
 	writeJSON(w, completion)
 }
--- a/internal/lab/experiment/yield.go
+++ b/internal/lab/experiment/yield.go
@@ -265,25 +265,29 @@
 		{name: "baseline equal priority", batch: true, lab: settings.Lab{EqualPriority: true}, policy: &v1.BatchPolicy{Yield: v1.YieldPause}},
 		{name: "baseline static split", batch: true, split: true},
 	}
-	quiet := v1.Duration(100 * time.Millisecond)
-	for _, yield := range []v1.YieldPolicy{v1.YieldPause, v1.YieldShrink, v1.YieldAbort, v1.YieldPriority, v1.YieldReserve} {
-		for _, estimator := range []v1.HeadroomEstimator{v1.EstimateFixed, v1.EstimatePeak} {
-			variants = append(variants, variant{
-				name: fmt.Sprintf("%s, %s", yield, estimator), batch: true,
-				policy: &v1.BatchPolicy{Yield: yield, Estimator: estimator, QuietPeriod: quiet},
-			})
-		}
-	}
-	for _, headroom := range []float64{0.5, 0.95} {
-		variants = append(variants, variant{
-			name: fmt.Sprintf("reserve, headroom %g", headroom), batch: true,
-			policy: &v1.BatchPolicy{Yield: v1.YieldReserve, Headroom: headroom, QuietPeriod: quiet},
-		})
+	short := 100 * time.Millisecond
+	for _, yield := range []v1.YieldPolicy{v1.YieldPriority, v1.YieldPause, v1.YieldShrink, v1.YieldAbort} {
+		variants = append(variants, policyVariant(yield, v1.EstimateFixed, 0, short))
 	}
+	variants = append(variants,
+		policyVariant(v1.YieldPause, v1.EstimatePeak, 0, short),
+		policyVariant(v1.YieldReserve, v1.EstimateFixed, 0.75, short),
+		policyVariant(v1.YieldReserve, v1.EstimateFixed, 1, short),
+		policyVariant(v1.YieldReserve, v1.EstimatePeak, 1, short),
+		policyVariant(v1.YieldReserve, v1.EstimateFixed, 1, 2*time.Second),
+		policyVariant(v1.YieldReserve, v1.EstimateFixed, 1, 10*time.Second),
+	)
 	result, _, err := compare(ctx, options, variants)
 	return result, err
 }
 
+func policyVariant(yield v1.YieldPolicy, estimator v1.HeadroomEstimator, headroom float64, quiet time.Duration) variant {
+	return variant{
+		name: fmt.Sprintf("%s %s headroom %g quiet %s", yield, estimator, headroom, quiet), batch: true,
+		policy: &v1.BatchPolicy{Yield: yield, Estimator: estimator, Headroom: headroom, QuietPeriod: v1.Duration(quiet)},
+	}
+}
+
 // runBatchAlone measures the batch without online work.
 func runBatchAlone(ctx context.Context, options Options) (*Result, error) {
 	result, all, err := compare(ctx, options, []variant{{name: "batch alone", batch: true, online: nearlyNone}})
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -45,7 +45,26 @@
 	streamWith(ctx, t, running)
 
 	items := load.Items(profile.Urnik.Batch, 5, "sdk", 60, false)
-	client := sdk(running, 1)
+	batch := submitWith(ctx, t, sdk(running, 1), items)
+	client := sdk(running, 2)
+	var err error
+	for batch.Status != openai.BatchStatusCompleted {
+		time.Sleep(100 * time.Millisecond)
+		if batch, err = client.Batches.Get(ctx, batch.ID); err != nil {
+			t.Fatal(err)
+		}
+	}
+	content, err := client.Files.Content(ctx, batch.OutputFileID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResults(t, content.Body, items)
+	cancelWith(ctx, t, running)
+}
+
+// submitWith uploads items and creates a batch over them.
+func submitWith(ctx context.Context, t *testing.T, client openai.Client, items []load.Item) *openai.Batch {
+	t.Helper()
 	file, err := client.Files.New(ctx, openai.FileNewParams{
 		File:    openai.File(bytes.NewReader(load.JSONL(profile.Urnik.Model, items)), "items.jsonl", "application/jsonl"),
 		Purpose: openai.FilePurposeBatch,
@@ -60,19 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client = sdk(running, 2)
-	for batch.Status != openai.BatchStatusCompleted {
-		time.Sleep(100 * time.Millisecond)
-		if batch, err = client.Batches.Get(ctx, batch.ID); err != nil {
-			t.Fatal(err)
-		}
-	}
-	content, err := client.Files.Content(ctx, batch.OutputFileID)
-	if err != nil {
-		t.Fatal(err)
-	}
-	checkResults(t, content.Body, items)
-	cancelWith(ctx, t, running)
+	return batch
 }
 
 func streamWith(ctx context.Context, t *testing.T, running *site.Site) {
@@ -141,21 +148,7 @@
 func cancelWith(ctx context.Context, t *testing.T, running *site.Site) {
 	t.Helper()
 	client := sdk(running, 0)
-	items := load.Items(profile.Urnik.Batch, 6, "cancel", 5000, false)
-	file, err := client.Files.New(ctx, openai.FileNewParams{
-		File:    openai.File(bytes.NewReader(load.JSONL(profile.Urnik.Model, items)), "items.jsonl", "application/jsonl"),
-		Purpose: openai.FilePurposeBatch,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	batch, err := client.Batches.New(ctx, openai.BatchNewParams{
-		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions,
-		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	batch := submitWith(ctx, t, client, load.Items(profile.Urnik.Batch, 6, "cancel", 5000, false))
 	other := sdk(running, 1)
 	cancelled, err := other.Batches.Cancel(ctx, batch.ID)
 	if err != nil {
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -116,17 +116,7 @@
 func (s *wholeSink) fail(err error) { failDispatch(s.ctx, err) }
 
 func (s *wholeSink) finish() *recording {
-	answer := s.last
-	reason := "stop"
-	choice := openai.Choice{FinishReason: &reason}
-	answer.Object = "text_completion"
-	if s.path == openai.PathChatCompletions {
-		answer.Object = "chat.completion"
-		choice.Message = &openai.Message{Role: "assistant", Content: openai.Content(s.text.String())}
-	} else {
-		choice.Text = s.text.String()
-	}
-	answer.Choices = []openai.Choice{choice}
+	answer := openai.WholeAnswer(s.last, s.text.String(), s.path)
 	kept := &recording{contentType: "application/json"}
 	_ = json.NewEncoder(&kept.buffer).Encode(answer)
 	s.ctx.ContentType(kept.contentType)
