Keep clusters apart by an id in every message between nodes

Cause: two hollow runs of 160 and 320 nodes saw 2 nodes less than there were while real nodes of an earlier, killed run still sent to addresses given to new nodes. Messages now carry a hash of the table that the cluster shares, and others are refused.

--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -20,6 +20,8 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/port"
 	"github.com/wheelhoist/wheelhoist/internal/lab/site"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
+	"github.com/wheelhoist/wheelhoist/internal/membership"
+	"github.com/wheelhoist/wheelhoist/internal/server"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
 
@@ -259,12 +261,38 @@
 		}
 		select {
 		case <-ctx.Done():
-			return Error.New("fleet not ready: %.0f of %d nodes seen", metrics["wheelhoist_members_live"], f.options.Nodes)
+			return Error.New("fleet not ready: %.0f of %d nodes seen, without %v", metrics["wheelhoist_members_live"], f.options.Nodes, f.unseen())
 		case <-time.After(200 * time.Millisecond):
 		}
 	}
 }
 
+// unseen lists the nodes that the first node does not take for live.
+func (f *fleet) unseen() []string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	body, err := f.operator(0).Status(ctx)
+	var status server.NodeStatus
+	if err != nil || json.Unmarshal(body, &status) != nil {
+		return nil
+	}
+	states := map[string]string{}
+	for _, member := range status.Members {
+		states[member.ID] = member.Status
+	}
+	var unseen []string
+	for _, config := range f.nodes {
+		state, known := states[config.Node.ID]
+		if !known {
+			state = "unknown"
+		}
+		if state == "unknown" || state == membership.Dead.String() || state == membership.Left.String() {
+			unseen = append(unseen, config.Node.ID+" "+state)
+		}
+	}
+	return unseen
+}
+
 func (f *fleet) close() {
 	for _, worker := range f.workers {
 		// A worker ends when its input does.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,7 +125,8 @@
 	}
 	n.transport, err = peer.Listen(peer.Options{
 		Address: n.settings.Node.PeerListen, Advertise: n.settings.Node.PeerAdvertise,
-		TLS: peerTLS, DatagramKey: datagramKey, Drop: n.options.Drop,
+		Cluster: peer.ClusterID(n.settings.Platform.Table.Endpoint, n.settings.Platform.Table.Table),
+		TLS:     peerTLS, DatagramKey: datagramKey, Drop: n.options.Drop,
 		Refused: func(address string, err error) {
 			n.log.Warn().Str("peer", address).Err(err).Msg("peer refused")
 		},
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -58,7 +58,7 @@
 	if t.dropped(address) {
 		return Error.Wrap(ErrUnreachable)
 	}
-	frame, err := encode(kind, "", request)
+	frame, err := encode(t.options.Cluster, kind, "", request)
 	if err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 	}
 	var answer envelope
 	if err == nil {
-		answer, err = decode(answerFrame)
+		answer, err = decode(t.options.Cluster, answerFrame)
 	}
 	if err != nil {
 		_ = conn.conn.Close()
@@ -225,9 +225,9 @@
 }
 
 func (t *Transport) dispatch(frame []byte) ([]byte, error) {
-	message, err := decode(frame)
-	if errors.Is(err, ErrVersion) {
-		return encode(message.Kind, err.Error(), nil)
+	message, err := decode(t.options.Cluster, frame)
+	if errors.Is(err, ErrVersion) || errors.Is(err, ErrCluster) {
+		return encode(t.options.Cluster, message.Kind, err.Error(), nil)
 	}
 	if err != nil {
 		return nil, err
@@ -236,25 +236,25 @@
 	handler := t.handlers[message.Kind]
 	t.mu.RUnlock()
 	if handler == nil {
-		return encode(message.Kind, "unknown kind of call", nil)
+		return encode(t.options.Cluster, message.Kind, "unknown kind of call", nil)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	result, err := handler(ctx, message.Body)
 	if err != nil {
-		return encode(message.Kind, err.Error(), nil)
+		return encode(t.options.Cluster, message.Kind, err.Error(), nil)
 	}
-	return encode(message.Kind, "", result)
+	return encode(t.options.Cluster, message.Kind, "", result)
 }
 
 // Loopback calls a handler in this process, through the encoding that a call
 // over the network would take.
 func Loopback(ctx context.Context, handler Handler, request, response any) error {
-	frame, err := encode(0, "", request)
+	frame, err := encode(0, 0, "", request)
 	if err != nil {
 		return err
 	}
-	message, err := decode(frame)
+	message, err := decode(0, frame)
 	if err != nil {
 		return err
 	}
@@ -262,10 +262,10 @@
 	if err != nil {
 		return Error.Wrap(fmt.Errorf("%w: %w", ErrRemote, err))
 	}
-	if frame, err = encode(0, "", result); err != nil {
+	if frame, err = encode(0, 0, "", result); err != nil {
 		return err
 	}
-	if message, err = decode(frame); err != nil || response == nil {
+	if message, err = decode(0, frame); err != nil || response == nil {
 		return err
 	}
 	return Decode(message.Body, response)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -15,7 +15,7 @@
 
 // ProtocolVersion is the version of the messages this build sends. A node
 // accepts messages of its own version only.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // MaxFrameBytes bounds one message of a call.
 const MaxFrameBytes = 16 << 20
@@ -27,6 +27,8 @@
 var (
 	// ErrVersion reports a message of another protocol version.
 	ErrVersion = errors.New("peer speaks another protocol version")
+	// ErrCluster reports a message from a node of another cluster.
+	ErrCluster = errors.New("peer belongs to another cluster")
 	// ErrTooLarge reports a message beyond the size limit.
 	ErrTooLarge = errors.New("peer message too large")
 	// ErrUnreachable reports that the peer could not be connected.
@@ -58,12 +60,15 @@
 type envelope struct {
 	_       struct{} `cbor:",toarray"`
 	Version uint8
+	// Cluster tells apart clusters whose machines reach each other: addresses
+	// are given to new machines, and an old node may still send to them.
+	Cluster uint32
 	Kind    Kind
 	Failure string
 	Body    cbor.RawMessage
 }
 
-func encode(kind Kind, failure string, message any) ([]byte, error) {
+func encode(cluster uint32, kind Kind, failure string, message any) ([]byte, error) {
 	var body cbor.RawMessage
 	if message != nil {
 		encoded, err := cbor.Marshal(message)
@@ -74,12 +79,12 @@
 	} else {
 		body = cbor.RawMessage{0xf6} // CBOR null
 	}
-	frame, err := cbor.Marshal(envelope{Version: ProtocolVersion, Kind: kind, Failure: failure, Body: body})
+	frame, err := cbor.Marshal(envelope{Version: ProtocolVersion, Cluster: cluster, Kind: kind, Failure: failure, Body: body})
 	return frame, Error.Wrap(err)
 }
 
 // decode parses a frame of untrusted origin.
-func decode(frame []byte) (envelope, error) {
+func decode(cluster uint32, frame []byte) (envelope, error) {
 	var message envelope
 	if err := cbor.Unmarshal(frame, &message); err != nil {
 		return message, Error.Wrap(err)
@@ -87,6 +92,9 @@
 	if message.Version != ProtocolVersion {
 		return message, Error.Wrap(fmt.Errorf("%w: %d", ErrVersion, message.Version))
 	}
+	if message.Cluster != cluster {
+		return message, Error.Wrap(ErrCluster)
+	}
 	return message, nil
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -5,9 +5,12 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -30,6 +33,8 @@
 	Advertise string
 	// TLS secures calls when set. It must ask for client certificates.
 	TLS *tls.Config
+	// Cluster is the same for all nodes of a cluster; see ClusterID.
+	Cluster uint32
 	// DatagramKey authenticates datagrams when set; all nodes share it.
 	DatagramKey []byte
 	// Refused is told of calls from peers whose certificate is refused.
@@ -39,6 +44,11 @@
 	Drop func(address string) bool
 }
 
+// ClusterID makes a cluster's id from what its nodes have in common.
+func ClusterID(common ...string) uint32 {
+	return uint32(xxhash.Sum64String(strings.Join(common, "\x00")))
+}
+
 // Stats counts a transport's traffic since it started.
 type Stats struct {
 	BytesSent     uint64
@@ -159,7 +169,7 @@
 	if t.dropped(address) {
 		return nil
 	}
-	frame, err := encode(kind, "", message)
+	frame, err := encode(t.options.Cluster, kind, "", message)
 	if err != nil {
 		return err
 	}
@@ -209,7 +219,7 @@
 		if !genuine {
 			continue
 		}
-		message, err := decode(frame)
+		message, err := decode(t.options.Cluster, frame)
 		if err != nil {
 			continue
 		}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// A node of another cluster, at an address that was given on, is not listened to.
+func TestCall_OtherCluster(t *testing.T) {
+	ours, theirs := listen(t, Options{Cluster: ClusterID("a", "t")}), listen(t, Options{Cluster: ClusterID("b", "t")})
+	if err := ours.Call(t.Context(), theirs.Address(), KindBatchNotice, greeting{Text: "x"}, nil); !errors.Is(err, ErrCluster) {
+		t.Fatalf("error %v", err)
+	}
+	frame, err := encode(theirs.options.Cluster, KindBatchNotice, "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decode(ours.options.Cluster, frame); !errors.Is(err, ErrCluster) {
+		t.Fatalf("datagram: %v", err)
+	}
+}
+
 // An idle connection that the peer closed when it restarted is not an error.
 func TestCall_PeerRestarted(t *testing.T) {
 	a := listen(t, Options{})
@@ -99,12 +114,12 @@
 }
 
 func TestDecode_OtherVersionIsRefused(t *testing.T) {
-	frame, err := encode(KindBatchNotice, "", nil)
+	frame, err := encode(0, KindBatchNotice, "", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	frame[1] = ProtocolVersion + 1 // the version is the first item of the array
-	if _, err := decode(frame); !errors.Is(err, ErrVersion) {
+	if _, err := decode(0, frame); !errors.Is(err, ErrVersion) {
 		t.Fatalf("error %v", err)
 	}
 }
@@ -234,11 +249,11 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	frame, _ := encode(KindBatchNotice, "", greeting{Text: "x"})
+	frame, _ := encode(0, KindBatchNotice, "", greeting{Text: "x"})
 	f.Add(frame)
 	f.Add([]byte{0x85, 1, 2})
 	f.Fuzz(func(t *testing.T, frame []byte) {
-		message, err := decode(frame)
+		message, err := decode(0, frame)
 		if err == nil && message.Version != ProtocolVersion {
 			t.Fatal("message of another version accepted")
 		}
