Compare member lists by hash; look at the replicas' owners only when lists change

Profile of 40 hollow nodes in a fleet of 320: 14.5% of the time built a set of all replicas 20 times a second, 7% copied and sorted the replica list 4 times a second. Traffic between nodes was 19.4 KB/s at most, of which two full member lists every 20 s make about 5.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -107,6 +107,13 @@
 	r.dirty = true
 }
 
+// Version rises with each change of the machine list.
+func (r *Registry) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
 // Replicas returns the machines of all replicas in the order of their ids, and
 // the version of the list, which rises with each change of the machine list.
 func (r *Registry) Replicas() ([]machines.Machine, uint64) {
@@ -160,7 +167,7 @@
 			ReportAge: now.Sub(known.receivedAt), Ejected: ejected[id], Usage: &known.usage, Key: known.key,
 		})
 	}
-	routing.Reserve(next.Replicas, r.peakOnline(now, next.Replicas))
+	next.Reserved = routing.Reserve(next.Replicas, r.peakOnline(now, next.Replicas))
 	r.snapshot.Store(next)
 	r.dirty = false
 	r.builtAt = now
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
 
@@ -16,11 +19,14 @@
 	syncInterval = 20 * time.Second
 )
 
-// SyncMessage is a full exchange of members.
+// SyncMessage compares or exchanges all members. A question with only Hash is
+// answered with Same, or with all members if the hashes differ; so an exchange
+// of 320 members is rare and not 26 KB every time.
 type SyncMessage struct {
 	_       struct{} `cbor:",toarray"`
+	Hash    uint64
+	Same    bool
 	Members []Member
-	Applied uint64
 }
 
 // Agent runs a State over a transport. It is safe for concurrent use.
@@ -118,19 +124,29 @@
 
 func (a *Agent) syncWith(ctx context.Context, address string) {
 	var answer SyncMessage
-	if err := a.transport.Call(ctx, address, peer.KindMemberSync, a.fullState(), &answer); err != nil {
+	question := SyncMessage{Hash: hashOf(a.Members())}
+	if a.transport.Call(ctx, address, peer.KindMemberSync, question, &answer) != nil || answer.Same {
 		return
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.state.Merge(time.Now(), answer.Members)
+	a.mu.Unlock()
+	mine := SyncMessage{Members: a.Members()}
+	// A lost half of the exchange is made up for by the next one.
+	_ = a.transport.Call(ctx, address, peer.KindMemberSync, mine, nil)
 }
 
-func (a *Agent) fullState() SyncMessage {
-	members := a.Members()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return SyncMessage{Members: members, Applied: a.state.applied}
+// hashOf identifies a list of members, which is in the order of their ids.
+func hashOf(members []Member) uint64 {
+	digest := xxhash.New()
+	for _, member := range members {
+		_, _ = digest.WriteString(member.ID)
+		var state [9]byte
+		binary.LittleEndian.PutUint64(state[:], member.Incarnation)
+		state[8] = byte(member.Status)
+		_, _ = digest.Write(state[:])
+	}
+	return digest.Sum64()
 }
 
 func (a *Agent) answerSync(_ context.Context, body []byte) (any, error) {
@@ -138,10 +154,17 @@
 	if err := peer.Decode(body, &message); err != nil {
 		return nil, err
 	}
-	a.mu.Lock()
-	a.state.Merge(time.Now(), message.Members)
-	a.mu.Unlock()
-	return a.fullState(), nil
+	if len(message.Members) > 0 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.state.Merge(time.Now(), message.Members)
+		return SyncMessage{Same: true}, nil
+	}
+	members := a.Members()
+	if hashOf(members) == message.Hash {
+		return SyncMessage{Same: true}, nil
+	}
+	return SyncMessage{Members: members}, nil
 }
 
 func (a *Agent) receive(from string, body []byte) {
--- a/internal/routing/reserve.go
+++ b/internal/routing/reserve.go
@@ -18,7 +18,7 @@
 	reserveLeast = 0.1
 )
 
-// Reserve marks the replicas that are kept for online work: enough of each
+// Reserve marks and returns the replicas that are kept for online work: enough of each
 // model's replicas, the fastest first, to take the recent peak of online
 // requests. Online work goes there first, so that the other replicas can be
 // filled with batch work and need not give way at every burst.
@@ -26,7 +26,8 @@
 // All nodes work the reserve out from the same reports and the same order, so
 // they nearly always agree; where they do not, a request meets a replica with
 // batch work, which gives way.
-func Reserve(replicas []*Replica, peak map[string]int) {
+func Reserve(replicas []*Replica, peak map[string]int) map[string]bool {
+	reserved := map[string]bool{}
 	byModel := map[string][]*Replica{}
 	for _, replica := range replicas {
 		if replica.Model != "" && replica.State == engine.StateReady && takesOnline(replica, nil) {
@@ -46,9 +47,11 @@
 				break
 			}
 			replica.Reserved = true
+			reserved[replica.ID] = true
 			held += reserveFill * float64(replica.Load.MaxSequences)
 		}
 	}
+	return reserved
 }
 
 // reservedBefore orders replicas: those that only take online work, then the
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -66,6 +66,8 @@
 	// Zone is the zone of this node.
 	Zone     string
 	Replicas []*Replica
+	// Reserved holds the ids of the reserved replicas.
+	Reserved map[string]bool
 }
 
 // Request is what matters of a request for its routing.
--- a/internal/steward/owner.go
+++ b/internal/steward/owner.go
@@ -10,6 +10,8 @@
 // once for each state of the member and machine lists: done anew each time, it
 // would cost a fleet of 320 nodes and 600 replicas 192,000 hashes a look.
 type ownership struct {
+	// list is the member list last taken in; lists are never changed in place.
+	list     []membership.Member
 	members  []candidate
 	replicas uint64
 	memo     map[string]string
@@ -27,8 +29,15 @@
 	return &ownership{memo: map[string]string{}, byID: map[string]string{}}
 }
 
+// current reports whether the lists are those taken in last.
+func (o *ownership) current(members []membership.Member, replicas uint64) bool {
+	same := len(members) > 0 && len(o.list) == len(members) && &o.list[0] == &members[0]
+	return same && replicas == o.replicas
+}
+
 // reset takes in the lists; it reports whether they have changed.
 func (o *ownership) reset(members []membership.Member, replicas uint64) bool {
+	o.list = members
 	var next []candidate
 	for _, member := range members {
 		if member.Status == membership.Alive || member.Status == membership.Suspect {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -128,6 +128,9 @@
 // assign takes charge of the replicas this node is the steward of.
 func (s *Steward) assign(ctx context.Context) {
 	members := s.options.Members()
+	if s.owners.current(members, s.options.Registry.Version()) {
+		return
+	}
 	replicas, version := s.options.Registry.Replicas()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -267,10 +270,7 @@
 
 // feed decides the room for batch on every replica in charge.
 func (s *Steward) feed(now time.Time) {
-	reserved := map[string]bool{}
-	for _, replica := range s.options.Registry.View(now).Replicas {
-		reserved[replica.ID] = replica.Reserved
-	}
+	reserved := s.options.Registry.View(now).Reserved
 	s.mu.Lock()
 	feeds := make([]batch.Feed, 0, len(s.mine))
 	for id, held := range s.mine {
