Choose stewards among the listed nodes while a fleet starts

Cause: a node that had just started and knew nobody took itself for the steward of all replicas. When 320 nodes started at once the stand-ins ran out of open files (two streams for each of 600 replicas from many nodes).

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -51,7 +51,7 @@
 	n.transport.HandleDatagram(peer.KindBatchNotice, n.takeBatchNotice)
 	n.steward = steward.New(steward.Options{
 		Self: n.settings.Node.ID, Zone: n.settings.Node.Zone, Registry: n.registry, Index: n.index,
-		Engines: n.engines, Transport: n.transport, Members: n.agent.Members,
+		Engines: n.engines, Transport: n.transport, Members: n.stewardCandidates,
 		Delegates: n.agent.Delegates, Policy: n.batchPolicy, Feed: n.runner.SetFeeds,
 	})
 	n.placement = placement.NewController(placement.Options{
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -25,6 +25,9 @@
 	read bool
 	// firstListed is when a node's machine was first on the list.
 	firstListed map[string]time.Time
+	// lastListed is when a node was last new on the list.
+	lastListed time.Time
+	candidates candidateCache
 }
 
 // machineMessage passes a machine list on within a zone.
@@ -96,7 +99,7 @@
 	n.machineState.mu.Lock()
 	changed := !sameMachines(n.machineState.list, list)
 	n.machineState.list, n.machineState.read = list, true
-	n.machineState.firstListed = listedSince(n.machineState.firstListed, list, time.Now())
+	n.machineState.note(list, time.Now())
 	n.machineState.mu.Unlock()
 	if !changed {
 		return false
@@ -121,19 +124,22 @@
 	return true
 }
 
-// listedSince keeps the times of the machines that are still listed.
-func listedSince(before map[string]time.Time, list []machines.Machine, now time.Time) map[string]time.Time {
+// note keeps the times since when nodes are listed. The caller holds mu.
+func (s *machineState) note(list []machines.Machine, now time.Time) {
 	since := map[string]time.Time{}
 	for _, machine := range list {
 		if machine.Role != machines.RoleNode {
 			continue
 		}
-		since[machine.ID] = now
-		if first, ok := before[machine.ID]; ok {
-			since[machine.ID] = first
+		first, known := s.firstListed[machine.ID]
+		if !known {
+			first = now
+			s.lastListed = now
 		}
+		since[machine.ID] = first
 	}
-	return since
+	s.firstListed = since
+	s.candidates.changes++
 }
 
 func sameMachines(a, b []machines.Machine) bool {
