Give holders their whole time anew after a store outage

Found while writing the lease tests: after an outage the first look showed the session unchanged for longer than its time to live, and its work was free at once, though its holder could not have renewed it. The work was safe (row versions) but would have been run again.

--- a/internal/lab/experiment/special.go
+++ b/internal/lab/experiment/special.go
@@ -1,10 +1,16 @@
 package experiment
 
+import "context"
+
 // special are the scenarios with a course of their own.
 var special = []*Scenario{
 	{Name: "yield", About: "both measures: the online tail against online alone, and the idle capacity used", Run: runYield},
 	{Name: "yield-frontier", About: "yield policies and estimators against the baselines", Run: runFrontier},
 	{Name: "batch-alone", About: "how much of an idle fleet a batch uses", Run: runBatchAlone},
+	{
+		Name: "batch-large", About: "one job of 12,000 items: what it costs the table",
+		Mix: Mix{Jobs: 1, Items: endlessItems}, Faults: []Fault{{Name: "none", Inject: func(context.Context, *run) {}}},
+	},
 	{Name: "routing-compare", About: "routing policies against each other", Run: runRoutingCompare},
 	{Name: "overload", About: "goodput at half, one and two times the capacity", Run: runOverload},
 }
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,133 @@
+package lease
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// clock is a monotonic clock that tests move.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func newService(t *testing.T) (table.Service, *emulator.TableStore) {
+	t.Helper()
+	store := emulator.NewTableStore(1, nil)
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	return table.NewDynamo(table.DynamoConfig{
+		Endpoint: server.URL, Region: "local", Table: "t", AccessKey: "a", SecretKey: "s",
+	}), store
+}
+
+func look(t *testing.T, watcher *Watcher, id string) {
+	t.Helper()
+	if err := watcher.Look(t.Context(), id); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestWatcher_ExpiresOnlyWhatStoodStill(t *testing.T) {
+	service, _ := newService(t)
+	session := NewSession(service, "a")
+	if err := session.Ensure(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	time := &clock{now: time.Unix(100, 0)}
+	watcher := NewWatcher(service, time.read)
+	look(t, watcher, session.ID())
+	time.now = time.now.Add(TimeToLive)
+	if err := session.Renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	look(t, watcher, session.ID())
+	if watcher.Expired(session.ID()) {
+		t.Fatal("a renewed session expired")
+	}
+	time.now = time.now.Add(TimeToLive)
+	look(t, watcher, session.ID())
+	if !watcher.Expired(session.ID()) {
+		t.Fatal("a session that stood still did not expire")
+	}
+}
+
+// While the store is down nobody sees anything, so nothing expires however long
+// it takes; after its return a holder has a whole time to live.
+func TestWatcher_StoreOutageExpiresNothing(t *testing.T) {
+	service, store := newService(t)
+	session := NewSession(service, "a")
+	if err := session.Ensure(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	time := &clock{now: time.Unix(100, 0)}
+	watcher := NewWatcher(service, time.read)
+	look(t, watcher, session.ID())
+	store.Faults.Set(emulator.Condition{Down: true})
+	time.now = time.now.Add(100 * TimeToLive)
+	if watcher.Look(t.Context(), session.ID()) == nil {
+		t.Fatal("the store answered while it was down")
+	}
+	if watcher.Expired(session.ID()) {
+		t.Fatal("a session expired while the store was down")
+	}
+	store.Faults.Set(emulator.Condition{})
+	look(t, watcher, session.ID())
+	time.now = time.now.Add(TimeToLive / 2)
+	look(t, watcher, session.ID())
+	if watcher.Expired(session.ID()) {
+		t.Fatal("a session expired before a whole time to live after the outage")
+	}
+	time.now = time.now.Add(TimeToLive)
+	look(t, watcher, session.ID())
+	if !watcher.Expired(session.ID()) {
+		t.Fatal("a dead session does not expire after an outage")
+	}
+}
+
+func TestWatcher_EndedSessionIsFreeAtOnce(t *testing.T) {
+	service, _ := newService(t)
+	session := NewSession(service, "a")
+	if err := session.Ensure(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	watcher := NewWatcher(service, (&clock{now: time.Unix(100, 0)}).read)
+	look(t, watcher, session.ID())
+	if err := session.End(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	look(t, watcher, session.ID())
+	if !watcher.Expired(session.ID()) {
+		t.Fatal("an ended session holds its work")
+	}
+}
+
+// A named lease has one holder, and each next holder a higher epoch.
+func TestAcquire_EpochRises(t *testing.T) {
+	service, _ := newService(t)
+	time := &clock{now: time.Unix(100, 0)}
+	first, second := NewSession(service, "a"), NewSession(service, "b")
+	watcher := NewWatcher(service, time.read)
+	grant, err := Acquire(t.Context(), service, first, watcher, "placement/p")
+	if err != nil || grant.Epoch != 1 {
+		t.Fatalf("grant %+v, error %v", grant, err)
+	}
+	for range 2 {
+		if _, err := Acquire(t.Context(), service, second, watcher, "placement/p"); !errors.Is(err, ErrHeld) {
+			t.Fatalf("second holder: %v", err)
+		}
+		time.now = time.now.Add(TimeToLive / 2)
+	}
+	time.now = time.now.Add(TimeToLive)
+	grant, err = Acquire(t.Context(), service, second, watcher, "placement/p")
+	if err != nil || grant.Epoch != 2 {
+		t.Fatalf("takeover: grant %+v, error %v", grant, err)
+	}
+	if _, err := Acquire(t.Context(), service, first, watcher, "placement/p"); !errors.Is(err, ErrHeld) {
+		t.Fatalf("the old holder, woken: %v", err)
+	}
+}
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -25,6 +25,9 @@
 	mu   sync.Mutex
 	seen map[string]sighting
 	last time.Time
+	// failed is set by a reading that failed: the store may be down, and then
+	// holders cannot renew either.
+	failed bool
 }
 
 // NewWatcher returns a watcher that has seen nothing yet. now must be monotonic.
@@ -36,11 +39,13 @@
 func (w *Watcher) Refresh(ctx context.Context) error {
 	rows, err := table.ListAll(ctx, w.service, partition)
 	if err != nil {
+		w.fail()
 		return Error.Wrap(err)
 	}
 	read := w.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recover(read)
 	present := map[string]bool{}
 	for _, row := range rows {
 		present[row.Sort] = true
@@ -59,16 +64,40 @@
 func (w *Watcher) Look(ctx context.Context, id string) error {
 	row, err := w.service.Get(ctx, table.Key{Partition: partition, Sort: id})
 	if err != nil && !errors.Is(err, table.ErrNotFound) {
+		w.fail()
 		return Error.Wrap(err)
 	}
 	read := w.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recover(read)
 	// A missing row has version table.Absent.
 	w.see(id, row.Version, read)
 	return nil
 }
 
+func (w *Watcher) fail() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed = true
+}
+
+// recover gives every session its whole time anew after a failed reading, so
+// that holders are not taken over for an outage they had to sit out. The caller
+// holds mu.
+func (w *Watcher) recover(read time.Time) {
+	if !w.failed {
+		return
+	}
+	w.failed = false
+	for id, known := range w.seen {
+		if known.version != table.Absent {
+			known.since, known.checked = read, read
+			w.seen[id] = known
+		}
+	}
+}
+
 // see takes in a reading. The caller holds mu.
 //
 // An unchanged version counts from the end of the first reading that showed
