Bound the replicas of a steward; let the reserve policy weigh the two measures

Spilled requests emptied the replicas they came to: each pause costs a replica about a second. A pool with a headroom below 1 now serves up to two spilled requests beside the batch; with a headroom of 1 the tail comes first.

--- a/internal/batch/yield.go
+++ b/internal/batch/yield.go
@@ -20,6 +20,12 @@
 	// reservedIdleShare is the share of a reserved replica's slots that is filled
 	// while it is quiet.
 	reservedIdleShare = 0.75
+	// spillTolerance is the number of online requests outside the reserve that a
+	// replica serves beside its batch work. A request that spilled over has been
+	// predicted to be better off there with the batch work and all; a pause for
+	// it would empty the replica for a second. A pool with a headroom of 1 puts
+	// the online tail first and pauses all the same.
+	spillTolerance = 2
 	// queueShare is the number of items kept waiting at a full replica, as a
 	// share of its slots, so that a slot is filled in the step after it falls
 	// free and not a round trip later.
@@ -77,6 +83,9 @@
 		target := shrunk(idle, signal)
 		return Room{Target: target, Keep: target}
 	case v1.YieldReserve:
+		if policy.Headroom < 1 && signal.Online <= spillTolerance {
+			return Room{Target: max(0, idle-signal.Online), Keep: keepAll}
+		}
 		return Room{Keep: halfOf(signal.Slots)}
 	default:
 		return Room{Keep: keepAll}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,7 +83,7 @@
 	Engines  Engines
 	Budget   *retry.Budget
 	// Sent is told of every attempt before it is sent, to make batch give way.
-	Sent func(replica, zone string)
+	Sent func(replica string)
 	// Unique makes attempt ids differ between nodes and runs.
 	Unique string
 }
@@ -169,7 +169,7 @@
 	c.attempt = fmt.Sprintf("%s~%s.%d", c.request.ID, d.Unique, c.result.Attempts)
 	uncached := max(1, c.request.Route.Words-decision.CachedBlocks*engine.PrefixBlockWords)
 	c.lease = d.Registry.Begin(decision.Replica, uncached, time.Now())
-	d.Sent(decision.Replica.ID, decision.Replica.Zone)
+	d.Sent(decision.Replica.ID)
 	err = c.stream(ctx)
 	failed := err != nil && !errors.Is(err, ErrCallerLeft)
 	c.lease.End(failed, time.Now())
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -113,7 +113,7 @@
 	b.dispatcher = &Dispatcher{
 		Registry: registry, Index: index, Engines: client, Budget: retry.NewBudget(0.1), Unique: "u",
 		Router: routing.NewRouter(routing.PolicyRoundRobin, index, func() uint64 { turn++; return turn }),
-		Sent:   func(string, string) {},
+		Sent:   func(string) {},
 	}
 	return b
 }
--- a/internal/lab/experiment/special.go
+++ b/internal/lab/experiment/special.go
@@ -11,6 +11,18 @@
 		Name: "batch-large", About: "one job of 12,000 items: what it costs the table",
 		Mix: Mix{Jobs: 1, Items: endlessItems}, Faults: []Fault{{Name: "none", Inject: func(context.Context, *run) {}}},
 	},
+	{
+		Name: "rolling-restart", About: "every node stopped as planned and started again under load: nothing cut, nothing refused",
+		Mix: Mix{Online: 1, Jobs: 1}, Faults: []Fault{mustFault("rolling-restart")},
+	},
 	{Name: "routing-compare", About: "routing policies against each other", Run: runRoutingCompare},
 	{Name: "overload", About: "goodput at half, one and two times the capacity", Run: runOverload},
 }
+
+func mustFault(name string) Fault {
+	fault, ok := faultByName(name)
+	if !ok {
+		panic("no fault " + name)
+	}
+	return fault
+}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -35,7 +35,7 @@
 		Registry: n.registry, Index: n.index,
 		Router:  routing.NewRouter(policy, n.index, turnCounter()),
 		Engines: n.engines, Budget: retry.NewBudget(defaultRetryShare),
-		Sent:   func(replica, zone string) { n.steward.OnlineSent(replica, zone) },
+		Sent:   func(replica string) { n.steward.OnlineSent(replica) },
 		Unique: table.NewOperation()[:8],
 	}
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -134,12 +134,12 @@
 	replicas, version := s.options.Registry.Replicas()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.owners.reset(members, version) {
+	if !s.owners.reset(members, replicas, version) {
 		return
 	}
 	wanted := map[string]machines.Machine{}
 	for _, machine := range replicas {
-		if s.owners.of(machine.ID, machine.Zone) == s.options.Self {
+		if s.owners.of(machine.ID) == s.options.Self {
 			wanted[machine.ID] = machine
 		}
 	}
@@ -230,13 +230,13 @@
 
 // OnlineSent tells that this node sends an online request to a replica. The
 // replica's steward hears of it at once, wherever it is.
-func (s *Steward) OnlineSent(replica, zone string) {
+func (s *Steward) OnlineSent(replica string) {
 	s.mu.Lock()
 	held, mine := s.mine[replica]
 	if mine {
 		held.lastOnline = time.Now()
 	}
-	owner := s.owners.address(s.owners.of(replica, zone))
+	owner := s.owners.address(s.owners.of(replica))
 	s.mu.Unlock()
 	if mine {
 		s.poke()
