--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -138,7 +138,7 @@
 	return nil
 }
 
-func (b *bench) ask(t *testing.T, repeatable bool) (Result, error, *collector) {
+func (b *bench) ask(t *testing.T, repeatable bool) (Result, *collector, error) {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":%q,"max_tokens":30,"seed":4,"messages":[{"role":"user","content":"hours of crew 7"}]}`, model)
 	request := &Request{
@@ -147,7 +147,7 @@
 	}
 	sink := &collector{}
 	result, err := b.dispatcher.Do(t.Context(), request, sink)
-	return result, err, sink
+	return result, sink, err
 }
 
 func (b *bench) starts() int {
@@ -168,7 +168,7 @@
 	for _, repeatable := range []bool{true, false} {
 		b := newBench(t, 1)
 		b.breakers[0].breaks, b.breakers[0].after = 2, 1500
-		_, err, sink := b.ask(t, repeatable)
+		_, sink, err := b.ask(t, repeatable)
 		if err != nil || !sink.done || sink.text.String() != expected {
 			t.Errorf("repeatable %v: error %v, text %q", repeatable, err, sink.text.String())
 		}
@@ -186,7 +186,7 @@
 		one.breaks, one.after = 1, 1500
 	}
 	b.breakers[1].dead = true // round robin begins with the second
-	result, err, sink := b.ask(t, true)
+	result, sink, err := b.ask(t, true)
 	if err != nil || !sink.done || sink.text.String() != expected {
 		t.Fatalf("error %v, text %q", err, sink.text.String())
 	}
@@ -200,7 +200,7 @@
 func TestDo_OnceMeansOnce(t *testing.T) {
 	b := newBench(t, 2)
 	b.breakers[1].breaks, b.breakers[1].after, b.breakers[1].dead = 1, 600, true
-	_, err, _ := b.ask(t, false)
+	_, _, err := b.ask(t, false)
 	if err == nil || outcome.Of(err) != outcome.Unknown {
 		t.Fatalf("error %v with outcome %s, want unknown", err, outcome.Of(err))
 	}
@@ -213,11 +213,11 @@
 func TestDo_Refusals(t *testing.T) {
 	b := newBench(t, 2)
 	b.breakers[1].refuses = true
-	if _, err, sink := b.ask(t, false); err != nil || sink.text.String() != expected {
+	if _, sink, err := b.ask(t, false); err != nil || sink.text.String() != expected {
 		t.Fatalf("error %v, text %q", err, sink.text.String())
 	}
 	b.breakers[0].refuses = true
-	if _, err, _ := b.ask(t, true); outcome.Of(err) != outcome.NotDone {
+	if _, _, err := b.ask(t, true); outcome.Of(err) != outcome.NotDone {
 		t.Fatalf("error %v with outcome %s, want not done", err, outcome.Of(err))
 	}
 }
