Try unknown seeds until there are none, so that islands merge

Now seeds that are not members are tried every 2 s. A test builds two islands of two nodes; it merges them.

--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -17,6 +17,10 @@
 	// syncInterval is the time between full exchanges with a random member;
 	// they repair what the datagrams lost.
 	syncInterval = 20 * time.Second
+	// seedInterval is the same while some seed is not a known member.
+	seedInterval = 2 * time.Second
+	// seedsPerSync is the number of unknown seeds that one exchange tries.
+	seedsPerSync = 3
 )
 
 // SyncMessage compares or exchanges all members. A question with only Hash is
@@ -88,12 +92,15 @@
 		a.send(packets)
 		if now.After(nextSync) || alone {
 			nextSync = now.Add(syncInterval)
+			if len(a.unknownSeeds()) > 0 {
+				nextSync = now.Add(seedInterval)
+			}
 			go a.join(ctx)
 		}
 	}
 }
 
-// join exchanges members with the seeds when alone, else with a random member.
+// join exchanges members with a random member and with unknown seeds.
 func (a *Agent) join(ctx context.Context) {
 	targets := a.syncTargets()
 	for _, address := range targets {
@@ -111,15 +118,34 @@
 			live = append(live, member.Address)
 		}
 	}
+	unknown := a.unknownSeeds()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.random.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	targets := unknown[:min(len(unknown), seedsPerSync)]
 	if len(live) > 0 {
-		return []string{live[a.random.IntN(len(live))]}
+		targets = append(targets, live[a.random.IntN(len(live))])
 	}
-	seeds := append([]string(nil), a.seeds()...)
-	a.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	const enoughSeeds = 3
-	return seeds[:min(len(seeds), enoughSeeds)]
+	return targets
+}
+
+// unknownSeeds returns the seeds that are not members in any state.
+//
+// They must be tried for as long as there are any: two nodes that start at the
+// same time may find nobody but each other, and would stay an island if they
+// went on asking known members only.
+func (a *Agent) unknownSeeds() []string {
+	known := map[string]bool{a.transport.Address(): true}
+	for _, member := range a.Members() {
+		known[member.Address] = true
+	}
+	var unknown []string
+	for _, seed := range a.seeds() {
+		if !known[seed] {
+			unknown = append(unknown, seed)
+		}
+	}
+	return unknown
 }
 
 func (a *Agent) syncWith(ctx context.Context, address string) {
