--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -18,7 +18,7 @@
 	// they repair what the datagrams lost.
 	syncInterval = 20 * time.Second
 	// seedInterval is the same while some seed is not a known member.
-	seedInterval = 2 * time.Second
+	seedInterval = 5 * time.Second
 	// seedsPerSync is the number of unknown seeds that one exchange tries.
 	seedsPerSync = 3
 )
@@ -157,11 +157,30 @@
 	a.mu.Lock()
 	a.state.Merge(time.Now(), answer.Members)
 	a.mu.Unlock()
-	mine := SyncMessage{Members: a.Members()}
+	mine := SyncMessage{Members: newer(a.Members(), answer.Members)}
+	if len(mine.Members) == 0 {
+		return
+	}
 	// A lost half of the exchange is made up for by the next one.
 	_ = a.transport.Call(ctx, address, peer.KindMemberSync, mine, nil)
 }
 
+// newer returns the members of which the first list knows more than the second.
+func newer(mine, theirs []Member) []Member {
+	known := make(map[string]Member, len(theirs))
+	for _, member := range theirs {
+		known[member.ID] = member
+	}
+	var news []Member
+	for _, member := range mine {
+		other, ok := known[member.ID]
+		if !ok || member.overrides(other) {
+			news = append(news, member)
+		}
+	}
+	return news
+}
+
 // hashOf identifies a list of members, which is in the order of their ids.
 func hashOf(members []Member) uint64 {
 	digest := xxhash.New()
