--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -8,14 +8,27 @@
 // drainCheck is how often a drain looks whether it is done.
 const drainCheck = 50 * time.Millisecond
 
-// Drain prepares a planned stop. It claims nothing more and waits until no item
-// is running and until chunks are committed that hold started items which may
-// run only once: nobody else could run those. Other chunks are left to be taken
-// over. The context bounds the wait.
-func (r *Runner) Drain(ctx context.Context) {
+// drainRoom is the number of items a draining node may have at a replica.
+const drainRoom = 8
+
+// BeginDrain begins a planned stop: nothing is claimed any more. Call it before
+// the node announces that it leaves, while it still has replicas to feed.
+func (r *Runner) BeginDrain() {
 	r.mu.Lock()
 	r.draining = true
+	// This node is no steward any more; it keeps a little room at the replicas
+	// it had, for the items that nobody else may send.
+	for _, target := range r.feeds {
+		target.feed.Room = Room{Target: max(target.feed.Room.Target, drainRoom), Keep: keepAll}
+	}
 	r.mu.Unlock()
+	signal(r.kick)
+}
+
+// Drain waits until no item is running and until chunks are committed that hold
+// started items which may run only once: nobody else could run those. Other
+// chunks are left to be taken over. The context bounds the wait.
+func (r *Runner) Drain(ctx context.Context) {
 	for !r.drained() {
 		select {
 		case <-ctx.Done():
@@ -29,7 +42,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, held := range r.works {
-		if held.running > 0 || held.committing || held.mustFinish() {
+		if held.running > 0 || held.committing || held.marking || held.mustFinish() {
 			return false
 		}
 	}
--- a/internal/batch/feed.go
+++ b/internal/batch/feed.go
@@ -47,6 +47,9 @@
 func (r *Runner) SetFeeds(feeds []Feed) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.draining {
+		return
+	}
 	listed := map[string]bool{}
 	for _, next := range feeds {
 		listed[next.ID] = true
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -133,6 +133,7 @@
 func (n *Node) Drain(ctx context.Context) error {
 	n.log.Info().Int64("open", n.server.Open()).Msg("draining")
 	n.server.FailReadiness()
+	n.runner.BeginDrain()
 	n.agent.Leave(membership.Leaving)
 	sleep(ctx, drainNotice)
 	n.server.StartDraining()
