Use one way to list and send load reports; drop what nothing reads

Loads and AllLoads were twins, and three loops built the same full digests. The time of a load report's receipt and its age were kept and read by nobody. An unchanged machine list still counted as new for the choice of stewards, so the candidates were merged anew at every read of it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -224,7 +224,7 @@
 // on a replica that this node uses.
 func (c *call) learn(stream *engine.Stream) {
 	if load, ok := stream.Load(); ok {
-		c.dispatcher.Registry.SetLoad(c.replica.ID, load, time.Now())
+		c.dispatcher.Registry.SetLoad(c.replica.ID, load)
 	}
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
@@ -107,7 +106,7 @@
 	for i := range engines {
 		registry.SetLoad(fmt.Sprintf("r%d", i), engine.Load{
 			State: engine.StateReady, Role: engine.RoleMixed, Model: model, Version: "v1", MaxSequences: 8, PrefillPerSec: 8000,
-		}, time.Now())
+		})
 	}
 	turn := uint64(0)
 	b.dispatcher = &Dispatcher{
--- a/internal/fleet/outlier_test.go
+++ b/internal/fleet/outlier_test.go
@@ -10,7 +10,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/routing"
 )
 
-func registryOf(count int, now time.Time) *Registry {
+func registryOf(count int) *Registry {
 	registry := NewRegistry("z")
 	var list []machines.Machine
 	for i := range count {
@@ -18,7 +18,7 @@
 	}
 	registry.SetMachines(list)
 	for _, machine := range list {
-		registry.SetLoad(machine.ID, engine.Load{State: engine.StateReady, Model: "m", MaxSequences: 8}, now)
+		registry.SetLoad(machine.ID, engine.Load{State: engine.StateReady, Model: "m", MaxSequences: 8})
 	}
 	return registry
 }
@@ -46,7 +46,7 @@
 
 func TestOutlier_FailuresEjectAndTimeBringsBack(t *testing.T) {
 	now := time.Unix(100, 0)
-	registry := registryOf(6, now)
+	registry := registryOf(6)
 	for range failuresToEject {
 		registry.Begin(find(t, registry, "r2", now), 1, now).End(true, now)
 	}
@@ -65,7 +65,7 @@
 
 func TestOutlier_SlowReplicaIsEjected(t *testing.T) {
 	now := time.Unix(100, 0)
-	registry := registryOf(6, now)
+	registry := registryOf(6)
 	for i := range 6 {
 		took := 50 * time.Millisecond
 		if i == 4 {
@@ -85,7 +85,7 @@
 // A fault of this node's own makes all replicas fail; most stay in use.
 func TestOutlier_NeverEmptiesTheFleet(t *testing.T) {
 	now := time.Unix(100, 0)
-	registry := registryOf(10, now)
+	registry := registryOf(10)
 	for i := range 10 {
 		for range 2 * failuresToEject {
 			registry.Begin(find(t, registry, fmt.Sprintf("r%d", i), now), 1, now).End(true, now)
@@ -98,7 +98,7 @@
 
 func TestReserve_HoldsThePeakWithTheFastest(t *testing.T) {
 	now := time.Unix(100, 0)
-	registry := registryOf(8, now)
+	registry := registryOf(8)
 	for i := range 8 {
 		speed := 5000.0
 		if i >= 4 {
@@ -110,7 +110,7 @@
 		}
 		registry.SetLoad(fmt.Sprintf("r%d", i), engine.Load{
 			State: engine.StateReady, Model: "m", MaxSequences: 8, PrefillPerSec: speed, RunningOnline: online, ReportedUnixMs: 1,
-		}, now)
+		})
 	}
 	reserved := 0
 	for _, replica := range registry.Snapshot(now.Add(time.Second)).Replicas {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -24,13 +24,12 @@
 
 // replica is the registry's record of one back end.
 type replica struct {
-	key        uint64
-	machine    machines.Machine
-	load       engine.Load
-	reported   bool
-	receivedAt time.Time
-	usage      routing.Usage
-	health     health
+	key      uint64
+	machine  machines.Machine
+	load     engine.Load
+	reported bool
+	usage    routing.Usage
+	health   health
 }
 
 // Registry is safe for concurrent use.
@@ -91,7 +90,7 @@
 }
 
 // SetLoad takes in a load report received now.
-func (r *Registry) SetLoad(id string, load engine.Load, now time.Time) {
+func (r *Registry) SetLoad(id string, load engine.Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, ok := r.replicas[id]
@@ -103,7 +102,6 @@
 	}
 	known.load = load
 	known.reported = true
-	known.receivedAt = now
 	r.dirty = true
 }
 
@@ -164,7 +162,7 @@
 			ID: id, Address: known.machine.Address, Zone: known.machine.Zone, Pool: known.machine.Pool,
 			Model: known.load.Model, Version: known.load.Version, Adapters: known.load.Adapters,
 			Role: known.load.Role, State: known.state(), Load: known.load, Reported: known.reported,
-			ReportAge: now.Sub(known.receivedAt), Ejected: ejected[id], Usage: &known.usage, Key: known.key,
+			Ejected: ejected[id], Usage: &known.usage, Key: known.key,
 		})
 	}
 	next.Reserved = routing.Reserve(next.Replicas, r.peakOnline(now, next.Replicas))
@@ -205,7 +203,6 @@
 // Lease counts one request at a replica until End.
 type Lease struct {
 	registry *Registry
-	id       string
 	replica  *replica
 	usage    *routing.Usage
 	words    int64
@@ -223,7 +220,7 @@
 	r.mu.Lock()
 	known := r.replicas[chosen.ID]
 	r.mu.Unlock()
-	return &Lease{registry: r, id: chosen.ID, replica: known, usage: usage, words: int64(words), sent: now}
+	return &Lease{registry: r, replica: known, usage: usage, words: int64(words), sent: now}
 }
 
 // FirstToken notes that the answer has begun.
@@ -250,26 +247,16 @@
 	}
 }
 
+// AllZones stands for the replicas of every zone in Loads.
+const AllZones = ""
+
 // Loads returns the last reports of a zone's replicas.
 func (r *Registry) Loads(zone string) map[string]engine.Load {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	loads := map[string]engine.Load{}
-	for id, known := range r.replicas {
-		if known.reported && known.machine.Zone == zone {
-			loads[id] = known.load
-		}
-	}
-	return loads
-}
-
-// AllLoads returns the last reports of all replicas.
-func (r *Registry) AllLoads() map[string]engine.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	loads := make(map[string]engine.Load, len(r.replicas))
 	for id, known := range r.replicas {
-		if known.reported {
+		if known.reported && (zone == AllZones || known.machine.Zone == zone) {
 			loads[id] = known.load
 		}
 	}
@@ -293,7 +280,7 @@
 func Key(id string) uint64 { return xxhash.Sum64String(id) }
 
 // UpdateLoad changes the last report of the replica with a key, if one is known.
-func (r *Registry) UpdateLoad(key uint64, edit func(engine.Load) engine.Load, now time.Time) {
+func (r *Registry) UpdateLoad(key uint64, edit func(engine.Load) engine.Load) {
 	r.mu.Lock()
 	id := r.byKey[key]
 	known, ok := r.replicas[id]
@@ -303,5 +290,5 @@
 	}
 	load := edit(known.load)
 	r.mu.Unlock()
-	r.SetLoad(id, load, now)
+	r.SetLoad(id, load)
 }
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -99,7 +99,9 @@
 	n.machineState.mu.Lock()
 	changed := !sameMachines(n.machineState.list, list)
 	n.machineState.list, n.machineState.read = list, true
-	n.machineState.note(list, time.Now())
+	if changed {
+		n.machineState.note(list, time.Now())
+	}
 	n.machineState.mu.Unlock()
 	if !changed {
 		return false
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -49,8 +49,6 @@
 	Load engine.Load
 	// Reported is whether Load was ever received.
 	Reported bool
-	// ReportAge is the age of Load when the snapshot was built.
-	ReportAge time.Duration
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
 	// Key is a hash of ID, for the orders that all nodes agree on.
--- a/internal/steward/digest.go
+++ b/internal/steward/digest.go
@@ -100,6 +100,14 @@
 	}
 }
 
+func newFulls(loads map[string]engine.Load) []fullDigest {
+	fulls := make([]fullDigest, 0, len(loads))
+	for id, load := range loads {
+		fulls = append(fulls, newFull(id, load))
+	}
+	return fulls
+}
+
 // merge puts the brief part into a load report.
 func (d briefDigest) merge(load engine.Load) engine.Load {
 	load.RunningOnline, load.WaitingOnline, load.RunningBatch = d.Online, d.Waiting, d.Batch
@@ -182,15 +190,16 @@
 
 func (d *digester) sendZone(peers []membership.Member, loads map[string]engine.Load) {
 	d.rounds++
-	if d.rounds%fullEvery == 0 {
-		var fulls []fullDigest
-		for id, load := range loads {
-			fulls = append(fulls, newFull(id, load))
-		}
-		d.sendFulls(peers, fulls, false)
+	d.sendLoads(peers, loads, d.rounds%fullEvery == 0, false)
+}
+
+// sendLoads sends the reports of replicas, in full or in brief.
+func (d *digester) sendLoads(targets []membership.Member, loads map[string]engine.Load, full, remote bool) {
+	if full {
+		d.sendFulls(targets, newFulls(loads), remote)
 		return
 	}
-	d.sendBriefs(peers, loads, false)
+	d.sendBriefs(targets, loads, remote)
 }
 
 func (d *digester) sendFulls(targets []membership.Member, fulls []fullDigest, remote bool) {
@@ -216,15 +225,7 @@
 	d.remoteRounds++
 	targets := d.remoteDelegates(members)
 	loads := d.options.Registry.Loads(d.options.Zone)
-	if d.remoteRounds%fullEvery == 1 {
-		var fulls []fullDigest
-		for id, load := range loads {
-			fulls = append(fulls, newFull(id, load))
-		}
-		d.sendFulls(targets, fulls, true)
-		return
-	}
-	d.sendBriefs(targets, loads, true)
+	d.sendLoads(targets, loads, d.remoteRounds%fullEvery == 1, true)
 }
 
 func (d *digester) sendBriefs(targets []membership.Member, loads map[string]engine.Load, remote bool) {
@@ -278,12 +279,11 @@
 	if peer.Decode(body, &message) != nil {
 		return
 	}
-	now := time.Now()
 	for _, digest := range message.Fulls {
-		s.options.Registry.SetLoad(digest.Replica, digest.load(), now)
+		s.options.Registry.SetLoad(digest.Replica, digest.load())
 	}
 	for _, digest := range message.Briefs {
-		s.options.Registry.UpdateLoad(digest.Replica, digest.merge, now)
+		s.options.Registry.UpdateLoad(digest.Replica, digest.merge)
 	}
 	if message.Remote {
 		s.sending.relay(message)
--- a/internal/steward/pull.go
+++ b/internal/steward/pull.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/fleet"
 	"github.com/wheelhoist/wheelhoist/internal/membership"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
@@ -20,11 +21,7 @@
 
 // answerReports sends everything this node knows of the replicas.
 func (s *Steward) answerReports(context.Context, []byte) (any, error) {
-	var message reportsMessage
-	for id, load := range s.options.Registry.AllLoads() {
-		message.Fulls = append(message.Fulls, newFull(id, load))
-	}
-	return message, nil
+	return reportsMessage{Fulls: newFulls(s.options.Registry.Loads(fleet.AllZones))}, nil
 }
 
 // pullLoop asks other nodes for reports as long as some replica has none: a
@@ -54,9 +51,8 @@
 	if s.options.Transport.Call(ctx, target.Address, peer.KindLoadReports, nil, &answer) != nil {
 		return
 	}
-	now := time.Now()
 	for _, digest := range answer.Fulls {
-		s.options.Registry.SetLoad(digest.Replica, digest.load(), now)
+		s.options.Registry.SetLoad(digest.Replica, digest.load())
 	}
 }
 
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -191,7 +191,7 @@
 		held.lastOnline = now
 	}
 	s.mu.Unlock()
-	s.options.Registry.SetLoad(id, load, now)
+	s.options.Registry.SetLoad(id, load)
 }
 
 // watchCache keeps the prefix index of a replica. After a gap in the events
