--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -1,7 +1,7 @@
 // Package steward watches the replicas that this node is in charge of.
 //
 // Each replica has one steward: the live node of its zone with the highest
-// rendezvous hash. The steward reads the replica's load report and cache
+// rendezvous weight that is not full yet, see ownership. The steward reads the replica's load report and cache
 // events, feeds it batch work and sends digests of the report to the other
 // nodes. For a moment two nodes may both take themselves for the steward; that
 // costs a little batch work and nothing else, since orders are fenced
@@ -231,18 +231,28 @@
 // OnlineSent tells that this node sends an online request to a replica. The
 // replica's steward hears of it at once, wherever it is.
 func (s *Steward) OnlineSent(replica string) {
+	if s.sawOnline(replica) {
+		return
+	}
+	s.mu.Lock()
+	owner := s.owners.address(s.owners.of(replica))
+	s.mu.Unlock()
+	s.sending.notice(replica, owner)
+}
+
+// sawOnline makes batch give way at a replica in this node's care; it reports
+// false for any other.
+func (s *Steward) sawOnline(replica string) bool {
 	s.mu.Lock()
 	held, mine := s.mine[replica]
 	if mine {
 		held.lastOnline = time.Now()
 	}
-	owner := s.owners.address(s.owners.of(replica))
 	s.mu.Unlock()
 	if mine {
 		s.poke()
-		return
 	}
-	s.sending.notice(replica, owner)
+	return mine
 }
 
 func (s *Steward) poke() {
@@ -254,17 +264,8 @@
 
 func (s *Steward) takeNotice(_ string, body []byte) {
 	var message onlineNotice
-	if peer.Decode(body, &message) != nil {
-		return
-	}
-	s.mu.Lock()
-	held, mine := s.mine[message.Replica]
-	if mine {
-		held.lastOnline = time.Now()
-	}
-	s.mu.Unlock()
-	if mine {
-		s.poke()
+	if peer.Decode(body, &message) == nil {
+		s.sawOnline(message.Replica)
 	}
 }
 
