--- a/internal/batch/jsonl_test.go
+++ b/internal/batch/jsonl_test.go
@@ -42,7 +42,9 @@
 	return nil, nil
 }
 
-func (acceptingTable) Commit(context.Context, string, ...table.Write) error { return nil }
+func (acceptingTable) Commit(context.Context, string, ...table.Write) ([]uint64, error) {
+	return nil, nil
+}
 
 const goodLine = `{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[{"role":"user","content":"hi"}]}}`
 
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -79,6 +79,9 @@
 		return err
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
+	if config.Gateway.Enabled() {
+		return runGateway(ctx, config, std, level)
+	}
 	log := zerolog.New(std.out).Level(level).With().Timestamp().Logger()
 	applied := log.With().Str("node", config.Node.ID).Logger()
 	running, err := node.Start(ctx, config, node.Options{
--- /dev/null
+++ b/internal/forward/answer.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/sse"
+)
+
+const (
+	// maxWhole bounds an answer that is held until it is whole.
+	maxWhole = 8 << 20
+	// silenceFactor is how many objectives, or gaps, a replica may be silent
+	// before a stream that may go on elsewhere leaves it.
+	silenceFactor = 4
+	// silenceLeast keeps streams at replicas that are only busy.
+	silenceLeast = 700 * time.Millisecond
+)
+
+// passEvents passes events on as they arrive, leaving out those the caller has.
+func (c *call) passEvents(answer *Answer, use *replica.Use, watch *silenceWatch) error {
+	reader := sse.NewReader(answer.Body)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return c.endOfEvents(answer)
+		}
+		if err != nil {
+			return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
+		}
+		watch.heard()
+		use.First(time.Now())
+		if event.HasID && event.ID <= c.after {
+			continue
+		}
+		if event.HasID && c.after > 0 && event.ID != c.after+1 {
+			return outcome.Undecided(fmt.Errorf("%w: event %d follows event %d", ErrBroken, event.ID, c.after))
+		}
+		if err := c.passEvent(answer, event, reader.Buffered()); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *call) passEvent(answer *Answer, event sse.Event, more bool) error {
+	if err := c.passHead(answer); err != nil {
+		return err
+	}
+	now := time.Now()
+	if c.result.Events > 0 {
+		c.result.MaxGap = max(c.result.MaxGap, now.Sub(c.lastEvent))
+	}
+	c.lastEvent = now
+	c.result.Events++
+	if err := c.sink.Write(event.Raw, more); err != nil {
+		return outcome.Undecided(ErrCallerLeft)
+	}
+	if event.HasID {
+		c.after = event.ID
+	}
+	return nil
+}
+
+func (c *call) endOfEvents(answer *Answer) error { return c.passHead(answer) }
+
+// passHead passes on the head of the first replica that answered; streams that
+// go on elsewhere keep it.
+func (c *call) passHead(answer *Answer) error {
+	if c.result.Started {
+		return nil
+	}
+	c.result.Started = true
+	c.result.Status = answer.Status
+	c.result.First = time.Since(c.request.Received)
+	if err := c.sink.Head(answer.Status, answer.Header); err != nil {
+		return outcome.Undecided(ErrCallerLeft)
+	}
+	return nil
+}
+
+// passWhole passes on an answer once all of it has arrived, so that a broken
+// one can still be replaced by another or by a truthful failure.
+func (c *call) passWhole(answer *Answer, use *replica.Use) error {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
+	if err != nil {
+		return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
+	}
+	if len(body) > maxWhole {
+		return outcome.Undecided(fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxWhole))
+	}
+	use.First(time.Now())
+	if c.result.Started {
+		// The stream began elsewhere; this failure cannot replace its head.
+		return outcome.Undecided(fmt.Errorf("%w: status %d", ErrBroken, answer.Status))
+	}
+	if answer.Status >= http.StatusInternalServerError && c.anotherTry() {
+		return outcome.Undecided(fmt.Errorf("%w: status %d", ErrBroken, answer.Status))
+	}
+	if err := c.passHead(answer); err != nil {
+		return err
+	}
+	if err := c.sink.Write(body, false); err != nil {
+		return outcome.Undecided(ErrCallerLeft)
+	}
+	return nil
+}
+
+// anotherTry reports whether a failure that a replica answered need not be the
+// last word.
+func (c *call) anotherTry() bool {
+	return c.route.MayRepeat() && c.result.Attempts < c.route.MaxAttempts
+}
+
+// silenceWatch gives an attempt up when its replica says nothing for too long.
+type silenceWatch struct {
+	timer *time.Timer
+	next  time.Duration
+}
+
+// watchSilence starts a watch where the request can go on elsewhere; a
+// replica's silence is no reason to end any other answer.
+func (c *call) watchSilence(cancel context.CancelCauseFunc) *silenceWatch {
+	if !c.anotherTry() || c.route.Objective == 0 {
+		return &silenceWatch{}
+	}
+	first := max(silenceFactor*c.route.Objective, silenceLeast)
+	next := max(silenceFactor*c.route.Gap, silenceLeast)
+	timer := time.AfterFunc(first, func() { cancel(ErrSilent) })
+	return &silenceWatch{timer: timer, next: next}
+}
+
+func (w *silenceWatch) heard() {
+	if w.timer != nil {
+		w.timer.Reset(w.next)
+	}
+}
+
+func (w *silenceWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,116 @@
+// Package forward carries one opaque request to a replica and its answer back.
+//
+// Every attempt ends as done, not run, or unknown (package outcome). A request
+// is sent anew only if the last attempt provably did not run, or if its route
+// lets it run again. Events are passed on whole, so that a stream that broke
+// off goes on at another replica after the last event, without a seam.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("forward")
+
+var (
+	// ErrCallerLeft reports that the caller went away.
+	ErrCallerLeft = errors.New("caller left")
+	// ErrTimeout reports that the time for the request was over.
+	ErrTimeout = errors.New("time is over")
+	// ErrBusy reports that no replica had room in time.
+	ErrBusy = errors.New("no replica had room in time")
+	// ErrRefused reports that a replica turned the request away; it did not run.
+	ErrRefused = errors.New("replica refused the request")
+	// ErrMoved reports that another replica has the address; the request did not run.
+	ErrMoved = errors.New("another replica has this address")
+	// ErrUnreachable reports that no connection came up; the request did not run.
+	ErrUnreachable = errors.New("replica unreachable")
+	// ErrBroken reports that an answer broke off, was wrong or never came.
+	ErrBroken = errors.New("replica answer broke off")
+	// ErrSilent reports that a replica said nothing for too long.
+	ErrSilent = errors.New("replica is silent")
+)
+
+// Request is an opaque request of a route.
+type Request struct {
+	// ID is the caller's request id, passed on unchanged.
+	ID     string
+	Method string
+	// Target is the path with its query, passed on unchanged.
+	Target string
+	Host   string
+	// Header holds the headers to pass on.
+	Header http.Header
+	Body   []byte
+	Prompt route.Prompt
+	// After is the last event that the caller has; 0 for none.
+	After int
+	// Received is when the request came in.
+	Received time.Time
+	// Deadline is when the caller stops waiting; zero if it did not say.
+	Deadline time.Time
+}
+
+// Attempt is one sending of a request to one replica.
+type Attempt struct {
+	Request *Request
+	Replica replica.Info
+	// After is the last event passed on so far; 0 for none.
+	After int
+	// Deadline is when the replica may stop.
+	Deadline time.Time
+}
+
+// Answer is a replica's answer whose head has arrived.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Events tells that the body is a stream of events.
+	Events bool
+	// Load is what the replica said of its load; nil if it said nothing.
+	Load *replica.Load
+	// Body must be closed. Closing it before its end breaks the answer off.
+	Body io.ReadCloser
+}
+
+// Backend sends attempts. The outcome of its errors (package outcome) tells
+// whether the request may have run. It is safe for concurrent use.
+type Backend interface {
+	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
+}
+
+// Sink takes an answer for the caller. Its errors mean that the caller left.
+type Sink interface {
+	// Head is called once, before any Write.
+	Head(status int, header http.Header) error
+	// Write passes on a piece of the body. It returns when the piece is sent
+	// or, with more set, may wait for the next one.
+	Write(piece []byte, more bool) error
+}
+
+// Result tells how a request ended, for logs and metrics.
+type Result struct {
+	Pool     string
+	Replica  string
+	Status   int
+	Attempts int
+	// Refusals counts replicas that turned the request away unrun.
+	Refusals int
+	Events   int
+	// Started tells that the head of an answer has been passed on.
+	Started bool
+	// First is the time from receipt to the first byte of the body.
+	First time.Duration
+	// MaxGap is the longest pause between two events.
+	MaxGap time.Duration
+}
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+const (
+	// waitForRoom is the pause before replicas that refused are asked again.
+	waitForRoom = 25 * time.Millisecond
+	// leastUseful is the least time left that is worth an attempt.
+	leastUseful = 5 * time.Millisecond
+)
+
+// Notice is told of what happens to a request, for the log.
+type Notice interface {
+	// Sent tells of an attempt and of what made the replica the best.
+	Sent(request *Request, attempt int, chosen *replica.Candidate)
+	// Failed tells of an attempt that did not bring the whole answer.
+	Failed(request *Request, attempt int, chosen replica.Info, err error)
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	Replicas *replica.Set
+	Backend  Backend
+	Budget   *retry.Budget
+	Weights  replica.Weights
+	Zone     string
+	Notice   Notice
+}
+
+// call is the state of one request.
+type call struct {
+	forwarder *Forwarder
+	route     *route.Route
+	request   *Request
+	sink      Sink
+	deadline  time.Time
+	result    Result
+	demand    replica.Demand
+	// after is the last event passed on; next is when its successor is overdue.
+	after     int
+	lastEvent time.Time
+	// ran tells whether the request may have run anywhere.
+	ran bool
+}
+
+// Do carries out a request. A nil error means that a replica's whole answer
+// reached the sink. The outcome of an error tells whether the request ran.
+func (f *Forwarder) Do(ctx context.Context, target *route.Route, request *Request, sink Sink) (Result, error) {
+	f.Budget.Request()
+	one := &call{forwarder: f, route: target, request: request, sink: sink, after: request.After}
+	one.deadline = deadlineOf(target, request)
+	one.result.Pool = target.Pool()
+	one.demand = replica.Demand{
+		Zone: f.Zone, Tokens: request.Prompt.Tokens, Affinity: affinityOf(request.Prompt),
+		Exclude: map[string]bool{},
+	}
+	if !one.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, one.deadline, ErrTimeout)
+		defer cancel()
+	}
+	err := one.run(ctx)
+	return one.result, err
+}
+
+// deadlineOf returns when the final answer is due: the earlier of the route's
+// time-out and the caller's own deadline.
+func deadlineOf(target *route.Route, request *Request) time.Time {
+	deadline := request.Deadline
+	if target.Timeout > 0 {
+		limit := request.Received.Add(target.Timeout)
+		if deadline.IsZero() || limit.Before(deadline) {
+			deadline = limit
+		}
+	}
+	return deadline
+}
+
+// affinityOf spreads requests by the part before the last, which several share.
+func affinityOf(prompt route.Prompt) uint64 {
+	if len(prompt.Parts) < 2 {
+		return 0
+	}
+	return prompt.Parts[len(prompt.Parts)-2].Key
+}
+
+func (c *call) run(ctx context.Context) error {
+	for {
+		chosen, err := c.pick()
+		if err != nil {
+			if waitErr := c.waitForRoom(ctx); waitErr != nil {
+				return c.failure(waitErr)
+			}
+			continue
+		}
+		err = c.attempt(ctx, chosen)
+		if err == nil {
+			return nil
+		}
+		if outcome.Of(err) != outcome.NotDone {
+			c.ran = true
+		}
+		if ctx.Err() != nil {
+			return c.failure(contextError(ctx))
+		}
+		if errors.Is(err, ErrCallerLeft) || !c.mayGoOn(err) {
+			return c.failure(err)
+		}
+		c.demand.Exclude[chosen.ID] = true
+	}
+}
+
+// contextError tells a time-out from a caller that left.
+func contextError(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), ErrTimeout) {
+		return ErrTimeout
+	}
+	return ErrCallerLeft
+}
+
+func (c *call) failure(err error) error {
+	if c.ran {
+		return Error.Wrap(outcome.Undecided(err))
+	}
+	return Error.Wrap(outcome.Failed(err))
+}
+
+func (c *call) pick() (*replica.Candidate, error) {
+	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, time.Now())
+	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
+}
+
+// waitForRoom waits until refusals may be over, as long as the route allows.
+func (c *call) waitForRoom(ctx context.Context) error {
+	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+waitForRoom {
+		return ErrBusy
+	}
+	timer := time.NewTimer(waitForRoom)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return contextError(ctx)
+	case <-timer.C:
+		c.demand.Exclude = map[string]bool{}
+		return nil
+	}
+}
+
+// mayGoOn decides whether another attempt may be made after a failed one.
+func (c *call) mayGoOn(err error) bool {
+	if outcome.Of(err) == outcome.NotDone {
+		c.result.Refusals++
+		return true
+	}
+	if c.result.Attempts >= c.route.MaxAttempts || !c.route.MayRepeat() {
+		return false
+	}
+	if c.result.Started && c.route.Kind != route.Stream {
+		return false
+	}
+	return c.forwarder.Budget.Retry()
+}
+
+func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
+	now := time.Now()
+	c.result.Attempts++
+	c.result.Replica = chosen.ID
+	if c.forwarder.Notice != nil {
+		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen)
+	}
+	use := c.forwarder.Replicas.Begin(chosen.ID, c.request.Prompt.Tokens, false, now)
+	err := c.exchange(ctx, chosen.Info, use)
+	use.End(resultOf(ctx, err), time.Now())
+	if err == nil {
+		return nil
+	}
+	if outcome.Of(err) == outcome.NotDone {
+		c.result.Attempts--
+	}
+	if c.forwarder.Notice != nil {
+		c.forwarder.Notice.Failed(c.request, c.result.Attempts, chosen.Info, err)
+	}
+	return err
+}
+
+// resultOf tells what an attempt's error means for the replica's health.
+func resultOf(ctx context.Context, err error) replica.Result {
+	switch {
+	case err == nil:
+		return replica.Succeeded
+	case errors.Is(err, ErrUnreachable), errors.Is(err, ErrMoved):
+		return replica.Unreachable
+	case errors.Is(err, ErrRefused):
+		return replica.Refused
+	case errors.Is(err, ErrCallerLeft), ctx.Err() != nil:
+		return replica.Abandoned
+	default:
+		return replica.Failed
+	}
+}
+
+// exchange sends one attempt and passes its answer on.
+func (c *call) exchange(ctx context.Context, chosen replica.Info, use *replica.Use) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := c.watchSilence(cancel)
+	defer watch.stop()
+	answer, err := c.forwarder.Backend.Send(ctx, &Attempt{
+		Request: c.request, Replica: chosen, After: c.after, Deadline: c.deadline,
+	})
+	if err != nil {
+		return c.silent(ctx, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Load != nil {
+		use.Load(*answer.Load, time.Now())
+	}
+	if answer.Events && answer.Status == http.StatusOK {
+		return c.silent(ctx, c.passEvents(answer, use, watch))
+	}
+	return c.silent(ctx, c.passWhole(answer, use))
+}
+
+// silent replaces an error that comes of this side's own giving up.
+func (c *call) silent(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
+		return outcome.Undecided(ErrSilent)
+	}
+	return err
+}
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -78,7 +78,7 @@
 // row, so after an unknown outcome the version is read back.
 func (s *Session) renew(ctx context.Context) error {
 	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Expect: s.version}
-	err := s.service.Commit(ctx, table.NewOperation(), write)
+	_, err := s.service.Commit(ctx, table.NewOperation(), write)
 	if err == nil {
 		s.version = write.NextVersion()
 		s.created = true
@@ -106,7 +106,8 @@
 		return nil
 	}
 	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Kind: table.Delete, Expect: s.version}
-	return Error.Wrap(s.service.Commit(ctx, table.NewOperation(), write))
+	_, err := s.service.Commit(ctx, table.NewOperation(), write)
+	return Error.Wrap(err)
 }
 
 // Run renews until the context ends.
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -151,6 +151,6 @@
 	w.mu.Unlock()
 	for _, write := range old {
 		// A conflict means that the session lives after all, or is gone already.
-		_ = w.service.Commit(ctx, table.NewOperation(), write)
+		_, _ = w.service.Commit(ctx, table.NewOperation(), write)
 	}
 }
--- /dev/null
+++ b/internal/node/gatewaymetrics.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// gatewayMetrics are a gateway's metrics, named by the Prometheus conventions.
+// Labels are kinds and outcomes only, so their number is bounded.
+type gatewayMetrics struct {
+	registry    *prometheus.Registry
+	requests    *prometheus.CounterVec
+	turned      *prometheus.CounterVec
+	attempts    *prometheus.CounterVec
+	first       *prometheus.HistogramVec
+	gap         *prometheus.HistogramVec
+	open        prometheus.Gauge
+	connections prometheus.Counter
+	storeCalls  *prometheus.CounterVec
+	storeTime   *prometheus.HistogramVec
+	droppedLogs prometheus.Counter
+}
+
+func newGatewayMetrics(g *Gateway) *gatewayMetrics {
+	seconds := []float64{.01, .025, .05, .1, .2, .34, .5, 1, 2, 5}
+	m := &gatewayMetrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_gateway_requests_total", Help: "Forwarded requests by route kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		turned: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_gateway_turned_away_total", Help: "Requests turned away before they were forwarded, by reason.",
+		}, []string{"reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_gateway_attempts_total", Help: "Attempts at replicas by route kind.",
+		}, []string{"kind"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "wheelhoist_gateway_first_event_seconds", Help: "Time from receipt to the first event.", Buckets: seconds,
+		}, []string{"kind"}),
+		gap: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "wheelhoist_gateway_event_gap_seconds", Help: "Longest pause between two events of an answer.", Buckets: seconds,
+		}, []string{"kind"}),
+		open: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "wheelhoist_gateway_requests_open", Help: "Requests being forwarded.",
+		}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wheelhoist_gateway_replica_connections_total", Help: "New connections to replicas.",
+		}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call and outcome.",
+		}, []string{"call", "outcome"}),
+		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "wheelhoist_store_call_seconds", Help: "Time of calls to the platform's store.", Buckets: seconds,
+		}, []string{"call"}),
+		droppedLogs: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wheelhoist_log_lines_dropped_total", Help: "Log lines dropped because output was slow.",
+		}),
+	}
+	m.registry.MustRegister(m.requests, m.turned, m.attempts, m.first, m.gap, m.open, m.connections,
+		m.storeCalls, m.storeTime, m.droppedLogs)
+	m.registerViews(g)
+	return m
+}
+
+// registerViews adds what is read when it is asked for.
+func (m *gatewayMetrics) registerViews(g *Gateway) {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("wheelhoist_gateway_config_version", "Version of the configuration in force.", func() float64 {
+		if routes := g.routes.Load(); routes != nil {
+			return float64(routes.Version)
+		}
+		return 0
+	})
+	gauge("wheelhoist_gateway_replicas", "Listed replicas.", func() float64 {
+		listed, _ := g.replicas.Count(time.Now())
+		return float64(listed)
+	})
+	gauge("wheelhoist_gateway_replicas_ejected", "Replicas left out on this node's own evidence.", func() float64 {
+		_, ejected := g.replicas.Count(time.Now())
+		return float64(ejected)
+	})
+	gauge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", func() float64 {
+		return g.configWatch.Age().Seconds()
+	})
+	gauge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", func() float64 {
+		return g.replicaWatch.Age().Seconds()
+	})
+}
+
+func (m *gatewayMetrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *gatewayMetrics) storeCall(call string, took time.Duration, err error) {
+	label := "done"
+	if err != nil {
+		label = "failed_" + outcome.Of(err).String()
+	}
+	m.storeCalls.WithLabelValues(call, label).Inc()
+	m.storeTime.WithLabelValues(call).Observe(took.Seconds())
+}
+
+func (m *gatewayMetrics) forwarded(target *route.Route, result forward.Result, err error) {
+	kind := string(target.Kind)
+	label := "done"
+	if err != nil {
+		label = "failed_executed_" + outcome.Of(err).String()
+	}
+	m.requests.WithLabelValues(kind, label).Inc()
+	m.attempts.WithLabelValues(kind).Add(float64(result.Attempts))
+	if result.Started {
+		m.first.WithLabelValues(kind).Observe(result.First.Seconds())
+	}
+	if result.Events > 1 {
+		m.gap.WithLabelValues(kind).Observe(result.MaxGap.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/node/gatewaystop.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// stopNotice is how long a stopping gateway goes on accepting connections,
+	// for those who send callers here look at it every second or so.
+	stopNotice = 2600 * time.Millisecond
+	// stopReserve is the part of the grace period kept for the very end.
+	stopReserve = 600 * time.Millisecond
+	// defaultGrace is used when the settings name none.
+	defaultGrace = 8 * time.Second
+)
+
+// Stop ends the gateway without cutting a request: it fails readiness at once,
+// serves on while callers may still come, finishes what is open and returns
+// within the grace period.
+func (g *Gateway) Stop() {
+	began := time.Now()
+	grace := time.Duration(g.settings.Gateway.Grace)
+	if grace == 0 {
+		grace = defaultGrace
+	}
+	g.stopping.Store(true)
+	g.log.Info().Dur("grace_ms", grace).Msg("gateway stopping")
+	time.Sleep(min(stopNotice, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
+	defer cancel()
+	for _, server := range g.servers {
+		// What is still open at the deadline is cut by the end of the process.
+		_ = server.Shutdown(ctx)
+	}
+	g.cancel()
+	g.store.Close()
+	g.backend.Close()
+	g.log.Info().Dur("took_ms", time.Since(began)).Msg("gateway stopped")
+}
--- /dev/null
+++ b/internal/replica/pick.go
@@ -0,0 +1,115 @@
+package replica
+
+import (
+	"errors"
+	"math"
+	"time"
+)
+
+var (
+	// ErrNoReplica reports that no replica of the pool can take the request now.
+	ErrNoReplica = errors.New("no replica can take the request now")
+)
+
+// Demand is what a request asks of a replica.
+type Demand struct {
+	// Zone is the zone of this node.
+	Zone string
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Affinity spreads prompts that share a prefix; 0 if there is none.
+	Affinity uint64
+	// Batch items take only what online requests leave.
+	Batch bool
+	// Exclude are the replicas that have failed or refused this request.
+	Exclude map[string]bool
+}
+
+// Weights say what a picker gives up for what. They come from settings.
+type Weights struct {
+	// CrossZone is the time that a request may wait longer to stay in its zone.
+	CrossZone time.Duration
+	// BatchFill is the share of a replica's slots up to which batch items may fill it.
+	BatchFill float64
+}
+
+const (
+	// defaultRate, in prompt tokens a second, stands in until one is learned.
+	defaultRate = 50000.0
+	// slotTime is the assumed time until a busy slot frees.
+	slotTime = 60 * time.Millisecond
+	// busyCost is the cost of each request that runs beside, for it slows the steps.
+	busyCost = 4 * time.Millisecond
+)
+
+// Pick returns the candidate with the least predicted time to the first event.
+// Filters come first, the score decides, and the order of the ids, turned by
+// the affinity, breaks ties.
+func Pick(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
+	best := pickAmong(candidates, demand, weights, sound)
+	if best == nil && !demand.Batch {
+		best = pickAmong(candidates, demand, weights, lastResort)
+	}
+	if best == nil {
+		return nil, ErrNoReplica
+	}
+	return best, nil
+}
+
+type filter func(*Candidate, *Demand, Weights) bool
+
+func sound(candidate *Candidate, demand *Demand, weights Weights) bool {
+	if candidate.Ejected || candidate.Doubtful {
+		return false
+	}
+	if !demand.Batch {
+		return true
+	}
+	return candidate.Busy()+1 <= weights.BatchFill*float64(candidate.Slots)
+}
+
+// lastResort takes ejected and doubtful replicas rather than none.
+func lastResort(*Candidate, *Demand, Weights) bool { return true }
+
+func pickAmong(candidates []Candidate, demand *Demand, weights Weights, passes filter) *Candidate {
+	var best *Candidate
+	bestScore := math.Inf(1)
+	for i := range candidates {
+		candidate := &candidates[i]
+		if demand.Exclude[candidate.ID] || !passes(candidate, demand, weights) {
+			continue
+		}
+		score := predict(candidate, demand, weights).Seconds()
+		score += float64(mix(candidate.Key^demand.Affinity)>>40) * 1e-12
+		if score < bestScore {
+			best, bestScore = candidate, score
+		}
+	}
+	return best
+}
+
+// predict estimates the time to the first event.
+func predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
+	rate := candidate.TokensPerSecond
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	reading := time.Duration(float64(candidate.PendingTokens) / rate * float64(time.Second))
+	total := reading + time.Duration(candidate.Busy()*float64(busyCost))
+	if waiting := -candidate.Free(); waiting >= 0 {
+		total += time.Duration((waiting + 1) * float64(slotTime))
+	}
+	if candidate.Zone != demand.Zone {
+		total += weights.CrossZone
+	}
+	return total
+}
+
+// mix spreads a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,62 @@
+// Package replica keeps a node's view of the replicas behind its routes: which
+// are listed, what they last said of their load, what this node has open there
+// and which of them misbehave, as far as this node's own evidence goes.
+package replica
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Info describes a listed replica.
+type Info struct {
+	// ID is unique to one life of the replica.
+	ID      string
+	Pool    string
+	Address string
+	Zone    string
+	// Slots is the number of requests that it runs at the same time.
+	Slots int
+	// Leaving replicas finish what they have and take nothing new.
+	Leaving bool
+}
+
+// Load is what a replica said of its requests from all callers.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Candidate is a replica in a snapshot, as the picker sees it.
+type Candidate struct {
+	Info
+	// Key is a hash of the ID, for orders that all nodes agree on.
+	Key uint64
+	// Open counts this node's requests there, Batch those of them that are items.
+	Open  int
+	Batch int
+	// Others estimates the requests of other nodes there.
+	Others float64
+	// PendingTokens counts prompt tokens that this node sent there and that
+	// have not led to a first event yet.
+	PendingTokens int
+	// Step is the usual time to the first event beyond the prompt's own reading.
+	Step time.Duration
+	// TokensPerSecond is the learned rate of reading prompts; 0 if unknown.
+	TokensPerSecond float64
+	// Ejected replicas are left out for their failures or slowness.
+	Ejected bool
+	// Doubtful replicas are not listed any more, though nobody saw them leave.
+	Doubtful bool
+}
+
+// Busy estimates the requests running or waiting there, of all nodes.
+func (c *Candidate) Busy() float64 { return float64(c.Open) + c.Others }
+
+// Free estimates the free slots; negative when requests wait.
+func (c *Candidate) Free() float64 { return float64(c.Slots) - c.Busy() }
+
+// Key is the hash of a replica's id.
+func Key(id string) uint64 { return xxhash.Sum64String(id) }
--- /dev/null
+++ b/internal/replica/set.go
@@ -0,0 +1,243 @@
+package replica
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// doubtTime is how long a replica that vanished from the list around an
+	// outage of the platform's store may still be used as a last resort.
+	doubtTime = 6 * time.Second
+	// outageShadow is how long after an outage a vanished replica is doubtful
+	// rather than gone.
+	outageShadow = 4 * time.Second
+	// othersWeight is the weight of the newest load report.
+	othersWeight = 0.6
+	// othersFade is the time after which a report tells little.
+	othersFade = 3 * time.Second
+	stepWeight = 0.1
+)
+
+// entry is the set's record of a replica.
+type entry struct {
+	info     Info
+	key      uint64
+	open     int
+	batch    int
+	pending  int
+	others   float64
+	reported time.Time
+	step     time.Duration
+	rate     float64
+	health   health
+	// vanished is when the entry left the list; zero while it is listed.
+	vanished time.Time
+}
+
+// Set is a node's view of all replicas. It is safe for concurrent use.
+type Set struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+	byPool  map[string][]*entry
+	// outageEnd is when the list was last known to be cut off from its source.
+	outageEnd time.Time
+	changed   chan struct{}
+	// Ejected is told of each ejection, outside the lock.
+	Ejected func(info Info, result Result)
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{entries: map[string]*entry{}, byPool: map[string][]*entry{}, changed: make(chan struct{})}
+}
+
+// Put takes in a listed replica. It reports whether the replica is new.
+func (s *Set) Put(info Info) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[info.ID]
+	if !ok {
+		known = &entry{key: Key(info.ID)}
+		s.entries[info.ID] = known
+	}
+	known.info = info
+	known.vanished = time.Time{}
+	s.index()
+	return !ok
+}
+
+// Remove takes in that a replica is listed no more.
+func (s *Set) Remove(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	if known.info.Leaving || now.Sub(s.outageEnd) > outageShadow {
+		delete(s.entries, id)
+	} else {
+		known.vanished = now
+	}
+	s.index()
+}
+
+// Outage notes that the list's source does not answer, or has just come back:
+// entries may be missing from the list though their replicas are well.
+func (s *Set) Outage(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outageEnd = now
+}
+
+// index rebuilds the lists by pool. The caller holds mu.
+func (s *Set) index() {
+	byPool := make(map[string][]*entry, len(s.byPool))
+	for _, known := range s.entries {
+		byPool[known.info.Pool] = append(byPool[known.info.Pool], known)
+	}
+	for _, list := range byPool {
+		sort.Slice(list, func(i, j int) bool { return list[i].info.ID < list[j].info.ID })
+	}
+	s.byPool = byPool
+	s.wake()
+}
+
+// wake tells those that wait for a change. The caller holds mu.
+func (s *Set) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change that may free
+// room: an ended request, a listed replica.
+func (s *Set) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Count returns the numbers of listed and of ejected replicas.
+func (s *Set) Count(now time.Time) (listed, ejected int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range s.entries {
+		listed++
+		if known.health.ejected(now) {
+			ejected++
+		}
+	}
+	return listed, ejected
+}
+
+// Snapshot returns the replicas of a pool that may take requests now, in the
+// order of their ids.
+func (s *Set) Snapshot(pool string, now time.Time) []Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.byPool[pool]
+	candidates := make([]Candidate, 0, len(list))
+	for _, known := range list {
+		doubtful := !known.vanished.IsZero()
+		if known.info.Leaving || (doubtful && now.Sub(known.vanished) > doubtTime) {
+			continue
+		}
+		candidates = append(candidates, Candidate{
+			Info: known.info, Key: known.key, Open: known.open, Batch: known.batch,
+			Others: known.othersAt(now), PendingTokens: known.pending, Step: known.step,
+			TokensPerSecond: known.rate, Ejected: known.health.ejected(now), Doubtful: doubtful,
+		})
+	}
+	return candidates
+}
+
+// othersAt fades the estimate as the report grows old.
+func (e *entry) othersAt(now time.Time) float64 {
+	age := now.Sub(e.reported)
+	if e.others == 0 || age >= othersFade {
+		return 0
+	}
+	return e.others * (1 - float64(age)/float64(othersFade))
+}
+
+// Use counts one request at a replica until End.
+type Use struct {
+	set    *Set
+	entry  *entry
+	tokens int
+	batch  bool
+	sent   time.Time
+	first  bool
+	ended  bool
+}
+
+// Begin counts a request about to be sent to a replica. tokens is the part of
+// its prompt that the replica is expected to read.
+func (s *Set) Begin(id string, tokens int, batch bool, now time.Time) *Use {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	if !ok {
+		known = &entry{}
+	}
+	known.open++
+	known.pending += tokens
+	if batch {
+		known.batch++
+	}
+	return &Use{set: s, entry: known, tokens: tokens, batch: batch, sent: now}
+}
+
+// Load takes in what the replica said of its load with an answer.
+func (u *Use) Load(load Load, now time.Time) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	others := max(0, float64(load.Running+load.Waiting-u.entry.open))
+	previous := u.entry.othersAt(now)
+	u.entry.others = previous + othersWeight*(others-previous)
+	u.entry.reported = now
+}
+
+// First notes that the answer has begun.
+func (u *Use) First(now time.Time) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	if u.first {
+		return
+	}
+	u.first = true
+	u.entry.pending -= u.tokens
+	took := now.Sub(u.sent)
+	if u.entry.step == 0 {
+		u.entry.step = took
+	}
+	u.entry.step += time.Duration(stepWeight * float64(took-u.entry.step))
+}
+
+// End stops counting and takes in how the request ended.
+func (u *Use) End(result Result, now time.Time) {
+	if u.finish(result, now) && u.set.Ejected != nil {
+		u.set.Ejected(u.entry.info, result)
+	}
+}
+
+func (u *Use) finish(result Result, now time.Time) (ejected bool) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	if u.ended {
+		return false
+	}
+	u.ended = true
+	if !u.first {
+		u.entry.pending -= u.tokens
+	}
+	u.entry.open--
+	if u.batch {
+		u.entry.batch--
+	}
+	ejected = u.entry.health.observe(result, now)
+	u.set.wake()
+	return ejected
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,220 @@
+// Package route holds the routes of opaque requests: which pool of replicas
+// takes a request, how often it may be tried and how long it may take.
+//
+// A Table is immutable. Nodes replace it as a whole when a newer configuration
+// comes into force, and never by an older one.
+package route
+
+import (
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/findings"
+)
+
+// Kind says how often a request of a route may run.
+type Kind string
+
+// Route kinds.
+const (
+	// Repeatable requests may run more than once.
+	Repeatable Kind = "repeatable"
+	// Once requests run at most once.
+	Once Kind = "once"
+	// Stream answers are events; they may run again only if Resumable.
+	Stream Kind = "stream"
+	// Batch routes take jobs of many items.
+	Batch Kind = "batch"
+)
+
+// Share is one pool's share of a route's requests.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// Route says what may be done with the requests of a host and path prefix.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Shares are the pools that take the requests; never empty.
+	Shares []Share
+	// Timeout is the longest time that a request is held; 0 means no limit.
+	Timeout time.Duration
+	// Objective is the time within which the answer, or its first event, is in time.
+	Objective time.Duration
+	// Gap is the longest pause between two events of an answer in time.
+	Gap time.Duration
+	// MaxAttempts bounds the replicas that one request may run on.
+	MaxAttempts int
+	// Priority is the rank of the requests; 0 comes first.
+	Priority int
+	// Resumable streams may go on at another replica after an event.
+	Resumable bool
+	// MaxQueuedTokens bounds the tokens of unfinished batch items over all
+	// nodes; 0 means no limit.
+	MaxQueuedTokens int64
+	// Completion is the time from a job's submission until its results are due.
+	Completion time.Duration
+	// Retention is the time from a job's submission until items may be given up.
+	Retention time.Duration
+
+	turn atomic.Uint64
+}
+
+// MayRepeat reports whether a request that may have run can be sent again.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || r.Kind == Batch || (r.Kind == Stream && r.Resumable)
+}
+
+// goldenRatio spreads successive turns evenly over the weights (a Weyl sequence).
+const goldenRatio = 0x9E3779B97F4A7C15
+
+// Pool returns the pool for the next request. Successive calls meet the
+// weights as closely as possible.
+func (r *Route) Pool() string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Pool
+	}
+	total := 0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Pool
+	}
+	point := float64(r.turn.Add(goldenRatio)) / (1 << 64) * float64(total)
+	for _, share := range r.Shares {
+		point -= float64(share.Weight)
+		if point < 0 {
+			return share.Pool
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Pool
+}
+
+// Pool describes a pool of replicas.
+type Pool struct {
+	Name string
+	// HealthPath answers a GET while a replica is well.
+	HealthPath string
+	// MaxConnections bounds the connections to one replica from all callers.
+	MaxConnections int
+	// Slots is the number of requests that a replica runs at the same time.
+	Slots int
+	// CacheTokens is the memory of a replica, in tokens.
+	CacheTokens int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is a whole configuration of routes as it is declared.
+type Config struct {
+	Version uint64
+	Routes  []*Route
+	Pools   []Pool
+	Limits  Limits
+}
+
+// Validate reports everything that keeps the configuration from coming into force.
+func (c *Config) Validate() []findings.Finding {
+	var found findings.List
+	for i, route := range c.Routes {
+		place := "routes[" + route.Name + "]"
+		if route.Name == "" {
+			found.Add("routes", "route %d has no name", i)
+		}
+		if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+			found.Add(place+".prefix", "must begin and end with a slash")
+		}
+		switch route.Kind {
+		case Repeatable, Once, Stream, Batch:
+		default:
+			found.Add(place+".kind", "unknown kind %q", route.Kind)
+		}
+		if len(route.Shares) == 0 {
+			found.Add(place, "names no pool")
+		}
+		if route.MaxAttempts < 1 {
+			found.Add(place+".maxAttempts", "must be at least 1")
+		}
+	}
+	return found.All()
+}
+
+// Table finds the route of a request.
+type Table struct {
+	Version uint64
+	Limits  Limits
+	byHost  map[string][]*Route
+	byName  map[string]*Route
+	pools   map[string]Pool
+}
+
+// NewTable builds the table of a valid configuration.
+func NewTable(config *Config) *Table {
+	table := &Table{
+		Version: config.Version, Limits: config.Limits,
+		byHost: map[string][]*Route{}, byName: map[string]*Route{}, pools: map[string]Pool{},
+	}
+	for _, route := range config.Routes {
+		table.byHost[route.Host] = append(table.byHost[route.Host], route)
+		table.byName[route.Name] = route
+	}
+	for _, routes := range table.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for _, pool := range config.Pools {
+		table.pools[pool.Name] = pool
+	}
+	return table
+}
+
+// Match returns the route with the longest prefix of a path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.byHost[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Named returns the route with a name, or nil.
+func (t *Table) Named(name string) *Route { return t.byName[name] }
+
+// Pool returns what is declared of a pool.
+func (t *Table) Pool(name string) Pool { return t.pools[name] }
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return len(t.byName) }
+
+// Current holds the table in force. It is safe for concurrent use.
+type Current struct{ table atomic.Pointer[Table] }
+
+// Load returns the table in force, or nil before the first one.
+func (c *Current) Load() *Table { return c.table.Load() }
+
+// Replace puts a table in force unless a newer one is. It reports whether it did.
+func (c *Current) Replace(next *Table) bool {
+	for {
+		known := c.table.Load()
+		if known != nil && known.Version >= next.Version {
+			return false
+		}
+		if c.table.CompareAndSwap(known, next) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,73 @@
+package settings
+
+import (
+	"net"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/findings"
+)
+
+// Gateway are the settings of a node that serves declared routes of opaque
+// requests, with all lasting state in the store of the platform it runs on.
+type Gateway struct {
+	// Store is host:port of the platform's store. Setting it makes the node a gateway.
+	Store string `json:"store,omitempty"`
+	// Readiness is host:port where the platform asks whether callers should come.
+	Readiness string `json:"readiness,omitempty"`
+	// Metrics is host:port where metrics are served.
+	Metrics string `json:"metrics,omitempty"`
+	// Grace is the time from SIGTERM until the process is killed; default 8s.
+	Grace v1.Duration `json:"grace,omitempty"`
+	// MemoryMegabytes is the memory that the process may use; 0 means unknown.
+	MemoryMegabytes int     `json:"memoryMegabytes,omitempty"`
+	Routing         Routing `json:"routing,omitempty"`
+}
+
+// Routing weighs what the choice of a replica gives up for what.
+type Routing struct {
+	// CrossZone is how much longer a request may wait to stay in its zone.
+	CrossZone v1.Duration `json:"crossZone,omitempty"`
+	// BatchFill is the share of a replica's slots up to which batch items fill
+	// it, 0 to 1; default 0.75.
+	BatchFill float64 `json:"batchFill,omitempty"`
+}
+
+// DefaultBatchFill leaves a quarter of each replica to online requests.
+const DefaultBatchFill = 0.75
+
+// Enabled reports whether the node is a gateway.
+func (g *Gateway) Enabled() bool { return g.Store != "" }
+
+func (g *Gateway) applyDefaults() {
+	if g.Routing.BatchFill == 0 {
+		g.Routing.BatchFill = DefaultBatchFill
+	}
+}
+
+func (g *Gateway) validate(found *findings.List) {
+	hostPortFinding(found, "gateway.store", g.Store)
+	if g.Readiness != "" {
+		addressFinding(found, "gateway.readiness", g.Readiness)
+	}
+	if g.Metrics != "" {
+		addressFinding(found, "gateway.metrics", g.Metrics)
+	}
+	if g.Grace < 0 {
+		found.Add("gateway.grace", "must not be negative")
+	}
+	if g.MemoryMegabytes < 0 {
+		found.Add("gateway.memoryMegabytes", "must not be negative")
+	}
+	if g.Routing.CrossZone < 0 {
+		found.Add("gateway.routing.crossZone", "must not be negative")
+	}
+	if g.Routing.BatchFill < 0 || g.Routing.BatchFill > 1 {
+		found.Add("gateway.routing.batchFill", "must be between 0 and 1")
+	}
+}
+
+func hostPortFinding(found *findings.List, path, address string) {
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		found.Add(path, "must be host:port")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,8 +19,9 @@
 // Settings are the settings of a node.
 type Settings struct {
 	Node     Node     `json:"node"`
-	Platform Platform `json:"platform"`
-	Operator Operator `json:"operator"`
+	Platform Platform `json:"platform,omitempty"`
+	Operator Operator `json:"operator,omitempty"`
+	Gateway  Gateway  `json:"gateway,omitempty"`
 	TLS      TLS      `json:"tls,omitempty"`
 	Log      Log      `json:"log,omitempty"`
 	Lab      Lab      `json:"lab,omitempty"`
@@ -126,6 +127,7 @@
 // ApplyDefaults fills in what may be left out.
 func (s *Settings) ApplyDefaults() {
 	fill(&s.Node.Region, DefaultRegion)
+	s.Gateway.applyDefaults()
 	fill(&s.Platform.Table.Region, DefaultRegion)
 	fill(&s.Platform.Objects.Region, DefaultRegion)
 	fill(&s.Log.Level, DefaultLogLevel)
@@ -144,24 +146,31 @@
 // Validate reports everything that is wrong.
 func (s *Settings) Validate() []findings.Finding {
 	var found findings.List
-	required := []struct{ path, value string }{
-		{"node.id", s.Node.ID},
-		{"node.zone", s.Node.Zone},
-		{"platform.table.table", s.Platform.Table.Table},
-		{"platform.objects.bucket", s.Platform.Objects.Bucket},
+	requiredFinding(&found, "node.id", s.Node.ID)
+	requiredFinding(&found, "node.zone", s.Node.Zone)
+	addressFinding(&found, "node.listen", s.Node.Listen)
+	if s.Gateway.Enabled() {
+		s.Gateway.validate(&found)
+	} else {
+		s.validateServing(&found)
 	}
-	for _, field := range required {
-		if field.value == "" {
-			found.Add(field.path, "must be set")
-		}
+	levels := []string{"", "debug", "info", "warn", "error"}
+	if !contains(levels, s.Log.Level) {
+		found.Add("log.level", "must be debug, info, warn or error")
 	}
-	addressFinding(&found, "node.listen", s.Node.Listen)
-	addressFinding(&found, "node.peerListen", s.Node.PeerListen)
-	urlFinding(&found, "platform.table.endpoint", s.Platform.Table.Endpoint)
-	urlFinding(&found, "platform.objects.endpoint", s.Platform.Objects.Endpoint)
-	urlFinding(&found, "platform.machines.url", s.Platform.Machines.URL)
+	return found.All()
+}
+
+// validateServing checks what a node with the product's own API needs.
+func (s *Settings) validateServing(found *findings.List) {
+	requiredFinding(found, "platform.table.table", s.Platform.Table.Table)
+	requiredFinding(found, "platform.objects.bucket", s.Platform.Objects.Bucket)
+	addressFinding(found, "node.peerListen", s.Node.PeerListen)
+	urlFinding(found, "platform.table.endpoint", s.Platform.Table.Endpoint)
+	urlFinding(found, "platform.objects.endpoint", s.Platform.Objects.Endpoint)
+	urlFinding(found, "platform.machines.url", s.Platform.Machines.URL)
 	for _, seed := range s.Node.Seeds {
-		addressFinding(&found, "node.seeds", seed)
+		addressFinding(found, "node.seeds", seed)
 	}
 	if len(s.Operator.KeySHA256) != len(v1.HashKey("")) {
 		found.Add("operator.keySHA256", "must be 64 hex digits")
@@ -169,14 +178,15 @@
 	if s.Node.MaxStreams < 0 {
 		found.Add("node.maxStreams", "must not be negative")
 	}
-	levels := []string{"", "debug", "info", "warn", "error"}
-	if !contains(levels, s.Log.Level) {
-		found.Add("log.level", "must be debug, info, warn or error")
+	tlsFindings(found, "tls.peer", s.TLS.Peer, true)
+	tlsFindings(found, "tls.serve", s.TLS.Serve, false)
+	datagramKeyFinding(found, s.TLS)
+}
+
+func requiredFinding(found *findings.List, path, value string) {
+	if value == "" {
+		found.Add(path, "must be set")
 	}
-	tlsFindings(&found, "tls.peer", s.TLS.Peer, true)
-	tlsFindings(&found, "tls.serve", s.TLS.Serve, false)
-	datagramKeyFinding(&found, s.TLS)
-	return found.All()
 }
 
 func contains(list []string, value string) bool {
--- a/internal/table/dynamo.go
+++ b/internal/table/dynamo.go
@@ -103,7 +103,7 @@
 }
 
 // Commit implements Service.
-func (d *Dynamo) Commit(ctx context.Context, operation string, writes ...Write) error {
+func (d *Dynamo) Commit(ctx context.Context, operation string, writes ...Write) ([]uint64, error) {
 	items := make([]types.TransactWriteItem, 0, len(writes))
 	for _, write := range writes {
 		items = append(items, d.transactItem(operation, write))
@@ -112,7 +112,18 @@
 		TransactItems:      items,
 		ClientRequestToken: aws.String(operation),
 	})
-	return classify(err)
+	if err != nil {
+		return nil, classify(err)
+	}
+	return nextVersions(writes), nil
+}
+
+func nextVersions(writes []Write) []uint64 {
+	versions := make([]uint64, len(writes))
+	for i, write := range writes {
+		versions[i] = write.NextVersion()
+	}
+	return versions
 }
 
 func (d *Dynamo) transactItem(operation string, write Write) types.TransactWriteItem {
--- /dev/null
+++ b/internal/table/feed.go
@@ -0,0 +1,62 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrCompacted reports that the service has forgotten the changes asked for.
+// A whole read is needed to go on.
+var ErrCompacted = errors.New("table history compacted")
+
+// Change is a row that was put, or one that was removed.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Changes are changes of a group of rows in the order of their versions.
+type Changes struct {
+	Changes []Change
+	// Revision is the newest version that the changes reflect; the next call
+	// goes on from here.
+	Revision uint64
+	// Now is the service's steady clock; clocks of machines are never compared.
+	Now time.Duration
+}
+
+// Feed delivers a group of rows and its changes. Implementations are safe for
+// concurrent use.
+type Feed interface {
+	// All reads the whole group as changes, none of them Removed.
+	All(ctx context.Context) (Changes, error)
+	// After waits for changes after a revision, up to wait. It returns none,
+	// or ErrCompacted.
+	After(ctx context.Context, revision uint64, wait time.Duration) (Changes, error)
+}
+
+// ConflictError is an ErrConflict that carries the rows named by the conditions
+// as they stand, so that the caller need not read them again.
+type ConflictError struct {
+	// Rows that exist, of those that the commit had conditions on.
+	Rows []Row
+	// Revision is the newest version of the service at that moment.
+	Revision uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Is makes the error match ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Row returns the row with a key, if it exists.
+func (e *ConflictError) Row(key Key) (Row, bool) {
+	for _, row := range e.Rows {
+		if row.Key == key {
+			return row, true
+		}
+	}
+	return Row{}, false
+}
--- a/internal/table/settle.go
+++ b/internal/table/settle.go
@@ -21,7 +21,7 @@
 // another operation, nobody can tell any more, and the unknown error stays.
 // Put the row that is never overwritten first to make the read-back decisive.
 func CommitSettled(ctx context.Context, service Service, operation string, writes ...Write) error {
-	err := service.Commit(ctx, operation, writes...)
+	_, err := service.Commit(ctx, operation, writes...)
 	delay := settleFirstDelay
 	sentBefore := false
 	for {
@@ -38,7 +38,7 @@
 			return err
 		}
 		delay = min(2*delay, settleMaxDelay)
-		err = service.Commit(ctx, operation, writes...)
+		_, err = service.Commit(ctx, operation, writes...)
 	}
 }
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -89,7 +89,8 @@
 	List(ctx context.Context, partition, after string, limit int) ([]Row, error)
 	// Commit applies all writes or none. The operation id makes a resent
 	// commit idempotent and is stored with every row that is put.
-	Commit(ctx context.Context, operation string, writes ...Write) error
+	// It returns the versions of the rows written, in the order of writes.
+	Commit(ctx context.Context, operation string, writes ...Write) ([]uint64, error)
 }
 
 // ListAll reads a whole partition in pages.
--- /dev/null
+++ b/internal/table/watch.go
@@ -0,0 +1,175 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+// Watch timing.
+const (
+	// watchWait bounds one wait for changes, so that a silent connection is noticed.
+	watchWait = 1500 * time.Millisecond
+	// watchSlack is how much longer than its wait a call may take.
+	watchSlack = 900 * time.Millisecond
+	// watchReadTimeout bounds a whole read.
+	watchReadTimeout = 2 * time.Second
+	watchRetryFirst  = 25 * time.Millisecond
+	watchRetryMax    = 300 * time.Millisecond
+)
+
+// Watcher follows a feed and hands every change to Apply, in order. A view
+// never steps back: of each row only newer versions are handed on, and a row is
+// taken as removed by a whole read only if that read is newer than what is known.
+type Watcher struct {
+	Feed Feed
+	// Apply takes changes. whole marks the answer of a whole read.
+	Apply func(changes Changes, whole bool)
+	// Spacing is the least time between two calls, which bounds their number
+	// while much changes.
+	Spacing time.Duration
+	// Lost and Regained are told when the service stops and starts to answer.
+	Lost     func(error)
+	Regained func(outage time.Duration)
+
+	known    map[Key]uint64
+	revision uint64
+	fresh    atomic.Int64
+	failedAt time.Time
+	refresh  chan struct{}
+}
+
+// clockOrigin makes steady times comparable as integers.
+var clockOrigin = time.Now()
+
+// NewWatcher returns a watcher that has seen nothing.
+func NewWatcher(feed Feed, apply func(Changes, bool)) *Watcher {
+	return &Watcher{Feed: feed, Apply: apply, known: map[Key]uint64{}, refresh: make(chan struct{}, 1)}
+}
+
+// Age returns the time since the service last answered.
+func (w *Watcher) Age() time.Duration {
+	fresh := w.fresh.Load()
+	if fresh == 0 {
+		return time.Since(clockOrigin)
+	}
+	return time.Since(clockOrigin) - time.Duration(fresh)
+}
+
+// Ready reports whether the whole group has been read once.
+func (w *Watcher) Ready() bool { return w.fresh.Load() != 0 }
+
+// Refresh asks for a whole read soon, because the feed seems to be behind.
+func (w *Watcher) Refresh() {
+	select {
+	case w.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the feed until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	whole := true
+	delay := watchRetryFirst
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := w.step(ctx, whole)
+		switch {
+		case err == nil:
+			w.succeeded()
+			whole = false
+			delay = watchRetryFirst
+			sleep(ctx, w.Spacing-time.Since(began))
+		case errors.Is(err, ErrCompacted):
+			whole = true
+		case ctx.Err() == nil:
+			w.failed(err)
+			sleep(ctx, delay)
+			delay = min(2*delay, watchRetryMax)
+		}
+		select {
+		case <-w.refresh:
+			whole = true
+		default:
+		}
+	}
+}
+
+func (w *Watcher) step(ctx context.Context, whole bool) error {
+	if whole {
+		callCtx, cancel := context.WithTimeout(ctx, watchReadTimeout)
+		defer cancel()
+		changes, err := w.Feed.All(callCtx)
+		if err == nil {
+			w.takeWhole(changes)
+		}
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changes, err := w.Feed.After(callCtx, w.revision, watchWait)
+	if err == nil {
+		w.take(changes, false)
+	}
+	return err
+}
+
+// takeWhole turns a whole read into changes: rows that it lacks were removed.
+func (w *Watcher) takeWhole(read Changes) {
+	if read.Revision < w.revision {
+		return
+	}
+	present := make(map[Key]bool, len(read.Changes))
+	for _, change := range read.Changes {
+		present[change.Key] = true
+	}
+	for key := range w.known {
+		if !present[key] {
+			removed := Change{Row: Row{Key: key, Version: read.Revision}, Removed: true}
+			read.Changes = append(read.Changes, removed)
+		}
+	}
+	w.take(read, true)
+}
+
+func (w *Watcher) take(changes Changes, whole bool) {
+	newer := changes.Changes[:0]
+	for _, change := range changes.Changes {
+		if change.Version <= w.known[change.Key] {
+			continue
+		}
+		if change.Removed {
+			delete(w.known, change.Key)
+		} else {
+			w.known[change.Key] = change.Version
+		}
+		newer = append(newer, change)
+	}
+	changes.Changes = newer
+	w.revision = max(w.revision, changes.Revision)
+	w.Apply(changes, whole)
+}
+
+func (w *Watcher) succeeded() {
+	w.fresh.Store(int64(time.Since(clockOrigin)))
+	if !w.failedAt.IsZero() && w.Regained != nil {
+		w.Regained(time.Since(w.failedAt))
+	}
+	w.failedAt = time.Time{}
+}
+
+func (w *Watcher) failed(err error) {
+	if w.failedAt.IsZero() {
+		w.failedAt = time.Now()
+		if w.Lost != nil {
+			w.Lost(err)
+		}
+	}
+}
+
+func sleep(ctx context.Context, delay time.Duration) {
+	if delay > 0 {
+		pause(ctx, delay)
+	}
+}
