--- /dev/null
+++ b/internal/jobs/accept.go
@@ -0,0 +1,261 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// Check reports what is wrong with a submission, as ErrInvalid.
+func (s *Submission) Check() error {
+	if s.ID == "" {
+		return invalid("the job has no id")
+	}
+	if len(s.Items) == 0 {
+		return invalid("the job has no items")
+	}
+	if len(s.Items) > MaxItems {
+		return invalid("the job has %d items, at most %d are taken", len(s.Items), MaxItems)
+	}
+	seen := make(map[string]bool, len(s.Items))
+	for i, item := range s.Items {
+		switch {
+		case item.ID == "":
+			return invalid("item %d has no id", i)
+		case seen[item.ID]:
+			return invalid("item %d repeats the id %q", i, item.ID)
+		case item.Path == "" || item.Path[0] != '/':
+			return invalid("item %q has no path", item.ID)
+		case item.Tokens < 0:
+			return invalid("item %q has a negative number of tokens", item.ID)
+		}
+		seen[item.ID] = true
+	}
+	return nil
+}
+
+func invalid(format string, arguments ...any) error {
+	return Error.Wrap(fmt.Errorf("%w: %s", ErrInvalid, fmt.Sprintf(format, arguments...)))
+}
+
+func (s *Submission) tokens() int64 {
+	var total int64
+	for _, item := range s.Items {
+		total += item.Tokens
+	}
+	return total
+}
+
+// Submit accepts a job for good, or says that it never runs (ErrQuota,
+// ErrNotAccepted), or that nobody can tell yet (ErrUndecided).
+func (s *Service) Submit(ctx context.Context, submission *Submission) error {
+	began := time.Now()
+	if err := submission.Check(); err != nil {
+		return err
+	}
+	if entry := s.View.Get(submission.ID); entry != nil {
+		s.Events.Accepted(entry.Job, time.Since(began), true)
+		return nil
+	}
+	if err := s.fits(submission); err != nil {
+		return err
+	}
+	if err := s.putContent(ctx, submission); err != nil {
+		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
+		return Error.Wrap(errors.Join(ErrNotAccepted, err))
+	}
+	return s.admit(ctx, submission, began)
+}
+
+// fits reports ErrQuota if the job does not fit by what is known now.
+func (s *Service) fits(submission *Submission) error {
+	if submission.Quota <= 0 {
+		return nil
+	}
+	used, _ := s.View.quota(submission.Route)
+	if used+submission.tokens() <= submission.Quota {
+		return nil
+	}
+	err := Error.Wrap(ErrQuota)
+	s.Events.Refused(submission.ID, used, submission.tokens(), submission.Quota, err)
+	return err
+}
+
+// putContent stores the items before the rows that make the job theirs. The
+// object is only ever written with this content, so it may be written twice.
+func (s *Service) putContent(ctx context.Context, submission *Submission) error {
+	body := encode(submission.Items)
+	delay := retryFirst
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
+		err := s.Objects.Put(callCtx, contentKey(submission.ID), body)
+		cancel()
+		if err == nil {
+			s.remember(submission.ID, submission.Items)
+			return nil
+		}
+		if !wait(ctx, delay) {
+			return err
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+// admission is the state of one try to get a job admitted.
+type admission struct {
+	submission *Submission
+	operation  string
+	// pending is set while a write without an answer may still land.
+	pending bool
+}
+
+// admit writes the job's rows in one transaction.
+//
+// With a quota the transaction also moves the admission row on. A conflict then
+// proves that no earlier write of this job can land any more: the version that
+// it was conditional on is gone.
+func (s *Service) admit(ctx context.Context, submission *Submission, began time.Time) error {
+	try := &admission{submission: submission, operation: table.NewOperation()}
+	delay := retryFirst
+	for {
+		if entry := s.View.Get(submission.ID); entry != nil {
+			s.Events.Accepted(entry.Job, time.Since(began), try.pending)
+			return nil
+		}
+		err := s.tryAdmit(ctx, try)
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, ErrQuota) {
+			return err
+		}
+		if errors.Is(err, table.ErrConflict) {
+			continue
+		}
+		if outcome.Of(err) != outcome.NotDone {
+			try.pending = true
+		}
+		if !wait(ctx, delay) {
+			return s.unadmitted(try, err)
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+func (s *Service) unadmitted(try *admission, err error) error {
+	final := errors.Join(ErrNotAccepted, err)
+	if try.pending {
+		final = errors.Join(ErrUndecided, err)
+	}
+	s.Events.Refused(try.submission.ID, 0, try.submission.tokens(), try.submission.Quota, final)
+	return Error.Wrap(final)
+}
+
+func (s *Service) tryAdmit(ctx context.Context, try *admission) error {
+	submission := try.submission
+	used, version := s.View.quota(submission.Route)
+	if submission.Quota > 0 && used+submission.tokens() > submission.Quota {
+		if try.pending {
+			return s.withdraw(ctx, try, version)
+		}
+		err := Error.Wrap(ErrQuota)
+		s.Events.Refused(submission.ID, used, submission.tokens(), submission.Quota, err)
+		return err
+	}
+	writes, err := s.admissionWrites(ctx, submission, version)
+	if err != nil {
+		return outcome.Failed(err)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	versions, err := s.Table.Commit(callCtx, try.operation, writes...)
+	if err == nil {
+		rows := make([]table.Row, len(writes))
+		for i, write := range writes {
+			rows[i] = table.Row{Key: write.Key, Version: versions[i], Body: write.Body}
+		}
+		s.View.Put(rows...)
+		return nil
+	}
+	return s.afterConflict(ctx, try, err)
+}
+
+// withdraw makes sure that no unanswered write of the job can land any more, by
+// moving the admission row on under the condition that the job is not there.
+func (s *Service) withdraw(ctx context.Context, try *admission, version uint64) error {
+	key := admissionKey(try.submission.Route)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	versions, err := s.Table.Commit(callCtx, table.NewOperation(),
+		table.Write{Key: key, Expect: version, Body: []byte(try.operation)},
+		table.Write{Key: jobKey(try.submission.ID), Kind: table.Check, Expect: table.Absent})
+	if err == nil {
+		s.View.Put(table.Row{Key: key, Version: versions[0]})
+		try.pending = false
+		return outcome.Failed(ErrQuota)
+	}
+	return s.afterConflict(ctx, try, err)
+}
+
+func (s *Service) admissionWrites(ctx context.Context, submission *Submission, version uint64) ([]table.Write, error) {
+	session, err := s.Session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := s.View.Now()
+	job := &Job{
+		ID: submission.ID, Route: submission.Route, Host: submission.Host, Created: now,
+		Due: now + submission.Completion, Expires: now + submission.Retention,
+	}
+	for _, item := range submission.Items {
+		job.Items = append(job.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
+	}
+	writes := []table.Write{
+		{Key: jobKey(job.ID), Expect: table.Absent, Body: encode(job)},
+		{Key: progressKey(job.ID), Expect: table.Absent, Body: encode(&Progress{Owner: session})},
+	}
+	if submission.Quota > 0 {
+		key := admissionKey(submission.Route)
+		writes = append(writes, table.Write{Key: key, Expect: version, Body: []byte(job.ID)})
+	}
+	return writes, nil
+}
+
+// afterConflict makes the view catch up with what the conflict showed.
+func (s *Service) afterConflict(ctx context.Context, try *admission, err error) error {
+	var conflict *table.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	jobRow, accepted := conflict.Row(jobKey(try.submission.ID))
+	if accepted {
+		s.View.Put(jobRow)
+		if row, ok := conflict.Row(progressKey(try.submission.ID)); ok {
+			s.View.Put(row)
+		}
+		return err
+	}
+	if try.submission.Quota > 0 {
+		try.pending = false
+	}
+	s.catchUp(ctx, conflict.Revision)
+	return err
+}
+
+// catchUp waits for the feed, and asks for a whole read if it is behind.
+func (s *Service) catchUp(ctx context.Context, revision uint64) {
+	waitCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if s.View.await(waitCtx, revision) == nil {
+		return
+	}
+	s.Refresh()
+	again, cancelAgain := context.WithTimeout(ctx, callTimeout)
+	defer cancelAgain()
+	// If the view is still behind, the next conflict says so.
+	_ = s.View.await(again, revision)
+}
--- /dev/null
+++ b/internal/jobs/commit.go
@@ -0,0 +1,163 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// commitRows bounds the results of one transaction.
+	commitRows = 20
+	// keepTimeout bounds the writing of texts when a node stops.
+	keepTimeout = 1500 * time.Millisecond
+)
+
+// finish notes an item's outcome and has it listed.
+func (r *Runner) finish(one *task, dead bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	one.state = taskFinished
+	one.dead = dead
+	owned := one.work
+	owned.finished = append(owned.finished, one)
+	if !owned.commits {
+		owned.commits = true
+		go r.commitAll(owned)
+	}
+}
+
+// commitAll lists finished items until there are none. What finishes during a
+// commit goes together into the next one.
+func (r *Runner) commitAll(owned *work) {
+	for {
+		r.mu.Lock()
+		batch := owned.finished[:min(len(owned.finished), commitRows)]
+		owned.finished = owned.finished[len(batch):]
+		if len(batch) == 0 {
+			owned.commits = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		r.commit(owned, batch)
+	}
+}
+
+func (r *Runner) commit(owned *work, batch []*task) {
+	// The results outlive the ownership: who has them may list them.
+	ctx := context.WithoutCancel(owned.ctx)
+	err := r.Service.list(ctx, owned.job, batch)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		r.Service.Events.ItemFailed(owned.job, "", "", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, one := range batch {
+		one.state = taskListed
+	}
+}
+
+// list gives items their positions and texts in one transaction.
+func (s *Service) list(ctx context.Context, job *Job, batch []*task) error {
+	rows := make([][]byte, len(batch))
+	for i, one := range batch {
+		row, err := s.resultRow(ctx, job, one)
+		if err != nil {
+			return err
+		}
+		rows[i] = row
+	}
+	var positions []int
+	err := s.update(ctx, job.ID, func(progress *Progress) ([]table.Write, bool) {
+		positions = positions[:0]
+		if progress.Ended {
+			return nil, false
+		}
+		var writes []table.Write
+		for i, one := range batch {
+			if progress.has(one.index) {
+				continue
+			}
+			position := len(progress.Listed)
+			progress.Listed = append(progress.Listed, Listed{Item: one.index, Dead: one.dead})
+			writes = append(writes, table.Write{Key: resultKey(job.ID, position), Expect: table.Absent, Body: rows[i]})
+			positions = append(positions, position)
+		}
+		return writes, len(writes) > 0
+	})
+	if err == nil {
+		s.listed(job, batch)
+	}
+	return err
+}
+
+func (s *Service) listed(job *Job, batch []*task) {
+	entry := s.View.Get(job.ID)
+	if entry == nil {
+		return
+	}
+	position := map[int]int{}
+	for place, listed := range entry.Progress.Listed {
+		position[listed.Item] = place
+	}
+	for _, one := range batch {
+		if place, ok := position[one.index]; ok {
+			s.Events.ItemListed(job, job.Items[one.index].ID, place, one.dead, time.Since(one.started))
+		}
+	}
+}
+
+// resultRow encodes a result, with a long text in an object of its own.
+func (s *Service) resultRow(ctx context.Context, job *Job, one *task) ([]byte, error) {
+	if one.dead {
+		return encode(storedResult{}), nil
+	}
+	if len(one.text) <= maxRowText {
+		return encode(storedResult{Text: string(one.text)}), nil
+	}
+	name := textObject(job.ID, one.index)
+	delay := retryFirst
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
+		err := s.Objects.Put(callCtx, name, one.text)
+		cancel()
+		if err == nil {
+			return encode(storedResult{Object: name}), nil
+		}
+		if !wait(ctx, delay) {
+			return nil, Error.Wrap(err)
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+// keptTexts returns the texts that an earlier owner kept of unfinished items.
+// Without them items only begin anew.
+func (s *Service) keptTexts(ctx context.Context, entry *Entry) map[int]storedResult {
+	kept := map[int]storedResult{}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	prefix := entry.Job.ID + "/kept/"
+	rows, err := s.Table.List(callCtx, resultPartition(entry.Job.ID), prefix, MaxItems)
+	if err != nil {
+		return kept
+	}
+	for _, row := range rows {
+		number, ok := strings.CutPrefix(row.Sort, prefix)
+		if !ok {
+			break
+		}
+		var index int
+		var text storedResult
+		if _, err := fmt.Sscanf(number, "%d", &index); err != nil || decode(row.Body, &text) != nil {
+			continue
+		}
+		kept[index] = text
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/jobs/item.go
@@ -0,0 +1,169 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/sse"
+)
+
+const (
+	// itemSilence is how long a replica may say nothing before an item is
+	// taken elsewhere.
+	itemSilence = 4 * time.Second
+	// refusedPause is the pause after a replica had no room.
+	refusedPause = 60 * time.Millisecond
+	// brokenPause is the pause after an answer broke off.
+	brokenPause = 20 * time.Millisecond
+	// failedPause is the pause after a replica reported a failed run.
+	failedPause = 150 * time.Millisecond
+	// invalidAnswers is the number of answers that an item can never be done
+	// after which it is dead.
+	invalidAnswers = 1
+)
+
+// errItemFailed reports a run that the replica itself says failed.
+var errItemFailed = errors.New("replica reported a failed run")
+
+// errItemInvalid reports an item that can never be done.
+var errItemInvalid = errors.New("replica says that the item can never be done")
+
+// run makes one attempt at an item.
+func (r *Runner) run(one *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
+	r.Service.Events.ItemSent(one.work.job, item.ID, chosen.ID, one.after)
+	err := r.exchange(one, item, chosen, use)
+	use.End(itemResult(one.work.ctx, err), time.Now())
+	if err != nil && one.work.ctx.Err() == nil {
+		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
+	}
+	r.settle(one, target, chosen, err)
+	r.wake()
+}
+
+func itemResult(ctx context.Context, err error) replica.Result {
+	switch {
+	case err == nil, errors.Is(err, errItemInvalid), errors.Is(err, errItemFailed):
+		return replica.Succeeded
+	case ctx.Err() != nil:
+		return replica.Abandoned
+	case errors.Is(err, forward.ErrUnreachable), errors.Is(err, forward.ErrMoved):
+		return replica.Unreachable
+	case outcome.Of(err) == outcome.NotDone:
+		return replica.Refused
+	default:
+		return replica.Failed
+	}
+}
+
+// settle decides what becomes of an item after an attempt.
+func (r *Runner) settle(one *task, target *route.Route, chosen replica.Info, err error) {
+	if err == nil {
+		r.finish(one, false)
+		return
+	}
+	r.mu.Lock()
+	one.state = taskWaiting
+	pause := brokenPause
+	switch {
+	case errors.Is(err, errItemInvalid):
+		one.invalid++
+		pause = failedPause
+	case errors.Is(err, errItemFailed):
+		one.failures++
+		pause = failedPause
+	case outcome.Of(err) == outcome.NotDone:
+		pause = refusedPause
+		one.exclude[chosen.ID] = true
+	default:
+		one.exclude[chosen.ID] = true
+	}
+	one.notUntil = time.Now().Add(pause)
+	dead := one.failures >= target.MaxAttempts || one.invalid >= invalidAnswers
+	r.mu.Unlock()
+	if dead {
+		r.finish(one, true)
+	}
+}
+
+// exchange sends an item and collects the data of its events. What has come
+// stays with the task, so that the next attempt goes on after it.
+func (r *Runner) exchange(one *task, item *Item, chosen replica.Info, use *replica.Use) error {
+	ctx, cancel := context.WithCancelCause(one.work.ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(itemSilence, func() { cancel(forward.ErrSilent) })
+	defer silence.Stop()
+	answer, err := r.Backend.Send(ctx, &forward.Attempt{
+		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after,
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Load != nil {
+		use.Load(*answer.Load, time.Now())
+	}
+	switch {
+	case answer.Status == http.StatusUnprocessableEntity:
+		return outcome.Undecided(errItemInvalid)
+	case answer.Status == http.StatusInternalServerError:
+		return outcome.Undecided(errItemFailed)
+	case answer.Status != http.StatusOK || !answer.Events:
+		return outcome.Undecided(fmt.Errorf("%w: status %d", forward.ErrBroken, answer.Status))
+	}
+	return r.collect(one, answer, use, silence)
+}
+
+func (r *Runner) collect(one *task, answer *forward.Answer, use *replica.Use, silence *time.Timer) error {
+	reader := sse.NewReader(answer.Body)
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err))
+		}
+		silence.Reset(itemSilence)
+		use.First(time.Now())
+		if err := r.add(one, event); err != nil {
+			return err
+		}
+	}
+}
+
+// add appends an event's data to the item's text, each event exactly once.
+func (r *Runner) add(one *task, event sse.Event) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if event.ID <= one.after {
+		return nil
+	}
+	if event.ID != one.after+1 {
+		return outcome.Undecided(fmt.Errorf("%w: event %d follows event %d", forward.ErrBroken, event.ID, one.after))
+	}
+	if one.after > 0 {
+		one.text = append(one.text, '\n')
+	}
+	one.text = append(one.text, event.Data...)
+	one.after = event.ID
+	return nil
+}
+
+func itemRequest(job *Job, item *Item) *forward.Request {
+	header := make(http.Header, len(item.Header))
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	return &forward.Request{
+		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: job.Host,
+		Header: header, Body: item.Body,
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,211 @@
+// Package jobs runs batch jobs of opaque items and keeps their results by
+// position.
+//
+// A job is two rows of one group that every node follows: a job row, written
+// once when the job is accepted, and a progress row, changed by every commit
+// of results, take-over and end. A result is given its position in the very
+// write that lists it, under the condition that the progress row is as the
+// writer knows it; so an item has one position for good, whoever ran it and
+// however often. Acceptance over a quota is serialized by one admission row a
+// route: it is conditional on that row, and the row arrives in the same feed
+// as the jobs, so a writer that knows its newest version knows all jobs that
+// were accepted before.
+package jobs
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("jobs")
+
+var (
+	// ErrNotFound reports that there is no such job, item or content.
+	ErrNotFound = errors.New("job not found")
+	// ErrQuota reports that a job does not fit; it did not run and never will.
+	ErrQuota = errors.New("job does not fit the quota")
+	// ErrNotAccepted reports that a job was not accepted; it never runs.
+	ErrNotAccepted = errors.New("store unavailable, job not accepted")
+	// ErrUndecided reports that a job may have been accepted. Sending it again
+	// is safe: it meets the same job.
+	ErrUndecided = errors.New("job acceptance undecided, send it again")
+	// ErrUnavailable reports that the store did not answer in time.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrInvalid reports a submission that can never be accepted.
+	ErrInvalid = errors.New("invalid job")
+)
+
+const (
+	// Group is the table group that holds jobs, progress and admission rows.
+	Group = "work"
+	// groupResults holds results and kept texts. Nobody follows it.
+	groupResults = "results"
+	// admissionPart is read before the shards, so that a node never knows an
+	// admission row without the jobs admitted up to it.
+	admissionPart = "admission"
+	// shards spreads jobs, for a part of the table takes a limited rate of writes.
+	shards = 4
+	// MaxItems bounds the items of a job.
+	MaxItems = 200
+	// maxRowText bounds the text in a result row; longer ones become objects.
+	maxRowText = 40 << 10
+)
+
+// Item is one request of a job.
+type Item struct {
+	ID     string            `cbor:"1,keyasint"`
+	Path   string            `cbor:"2,keyasint"`
+	Header map[string]string `cbor:"3,keyasint"`
+	Body   []byte            `cbor:"4,keyasint"`
+	// Tokens counts the prompt and the most of the answer.
+	Tokens int64 `cbor:"5,keyasint"`
+}
+
+// Submission is a job as it is handed in.
+type Submission struct {
+	ID    string
+	Route string
+	Host  string
+	Items []Item
+	// Quota bounds the tokens of unfinished items on the route; 0 means none.
+	Quota      int64
+	Completion time.Duration
+	Retention  time.Duration
+}
+
+// ItemHead is what is always known of an item.
+type ItemHead struct {
+	ID     string `cbor:"1,keyasint"`
+	Tokens int64  `cbor:"2,keyasint"`
+}
+
+// Job is the job row. Times are of the store's steady clock.
+type Job struct {
+	ID      string        `cbor:"1,keyasint"`
+	Route   string        `cbor:"2,keyasint"`
+	Host    string        `cbor:"3,keyasint"`
+	Items   []ItemHead    `cbor:"4,keyasint"`
+	Created time.Duration `cbor:"5,keyasint"`
+	// Due is when all results are due, Expires when items may be given up.
+	Due     time.Duration `cbor:"6,keyasint"`
+	Expires time.Duration `cbor:"7,keyasint"`
+}
+
+// Listed is a result's place in the list of a job.
+type Listed struct {
+	Item int  `cbor:"1,keyasint"`
+	Dead bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Progress is the progress row.
+type Progress struct {
+	// Owner is the session of the node that runs the items.
+	Owner string `cbor:"1,keyasint,omitempty"`
+	// Ended jobs take no more results.
+	Ended bool `cbor:"2,keyasint,omitempty"`
+	// Listed results by position. The list only grows.
+	Listed []Listed `cbor:"3,keyasint,omitempty"`
+	// Failures counts failed runs of items, as of the last hand-over.
+	Failures map[int]int `cbor:"4,keyasint,omitempty"`
+}
+
+// has reports whether an item is listed.
+func (p *Progress) has(item int) bool {
+	for _, listed := range p.Listed {
+		if listed.Item == item {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Progress) clone() *Progress {
+	copied := *p
+	copied.Listed = append([]Listed(nil), p.Listed...)
+	copied.Failures = make(map[int]int, len(p.Failures))
+	for item, count := range p.Failures {
+		copied.Failures[item] = count
+	}
+	return &copied
+}
+
+// Result is one listed result.
+type Result struct {
+	Item string
+	Dead bool
+	Text string
+}
+
+// storedResult is a result row, or the text kept of an unfinished item.
+type storedResult struct {
+	Text string `cbor:"1,keyasint,omitempty"`
+	// Object names the object that holds a text too long for a row.
+	Object string `cbor:"2,keyasint,omitempty"`
+	// After is the last event of a kept text.
+	After int `cbor:"3,keyasint,omitempty"`
+}
+
+func shardOf(job string) string {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(job))
+	return fmt.Sprintf("%d", sum.Sum32()%shards)
+}
+
+// Parts lists the parts of Group in the order in which they must be read.
+func Parts() []string {
+	parts := []string{admissionPart}
+	for shard := range shards {
+		parts = append(parts, fmt.Sprintf("%d", shard))
+	}
+	return parts
+}
+
+const (
+	prefixJob      = "job/"
+	prefixProgress = "progress/"
+)
+
+func jobKey(id string) table.Key {
+	return table.Key{Partition: Group + "/" + shardOf(id), Sort: prefixJob + id}
+}
+
+func progressKey(id string) table.Key {
+	return table.Key{Partition: Group + "/" + shardOf(id), Sort: prefixProgress + id}
+}
+
+func admissionKey(route string) table.Key {
+	return table.Key{Partition: Group + "/" + admissionPart, Sort: route}
+}
+
+func resultPartition(job string) string { return groupResults + "/" + shardOf(job) }
+
+func resultKey(job string, position int) table.Key {
+	return table.Key{Partition: resultPartition(job), Sort: fmt.Sprintf("%s/%06d", job, position)}
+}
+
+func keptKey(job string, item int) table.Key {
+	return table.Key{Partition: resultPartition(job), Sort: fmt.Sprintf("%s/kept/%06d", job, item)}
+}
+
+func contentKey(job string) string { return "job-" + job }
+
+func textObject(job string, item int) string { return fmt.Sprintf("text-%s-%d", job, item) }
+
+func encode(record any) []byte {
+	body, err := cbor.Marshal(record)
+	if err != nil {
+		// The records of this package hold nothing that cannot be encoded.
+		panic(err)
+	}
+	return body
+}
+
+func decode(body []byte, record any) error { return Error.Wrap(cbor.Unmarshal(body, record)) }
--- /dev/null
+++ b/internal/jobs/read.go
@@ -0,0 +1,264 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/object"
+)
+
+const (
+	// maxAnswerText bounds the texts of one read.
+	maxAnswerText = 900 << 10
+	// maxCachedText bounds the texts kept in memory.
+	maxCachedText = 16 << 20
+	// maxContents bounds the jobs whose items are kept in memory.
+	maxContents = 64
+)
+
+// Reading is an answer to a read of a job's results.
+type Reading struct {
+	Total   int
+	Results []Result
+	// Next is the position after the last result.
+	Next int
+}
+
+// Read returns the results from a position on. It waits for one, up to patience.
+func (s *Service) Read(ctx context.Context, id string, position int, patience time.Duration) (*Reading, error) {
+	entry, err := s.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	entry = s.awaitResult(ctx, entry, position, patience)
+	reading := &Reading{Total: len(entry.Job.Items), Next: position}
+	texts, err := s.texts(ctx, entry, position)
+	if err != nil {
+		return nil, err
+	}
+	for _, text := range texts {
+		listed := entry.Progress.Listed[reading.Next]
+		reading.Results = append(reading.Results, Result{Item: entry.Job.Items[listed.Item].ID, Dead: listed.Dead, Text: text})
+		reading.Next++
+	}
+	return reading, nil
+}
+
+// awaitResult waits until the job has a result at a position, cannot get one
+// any more, or patience ends.
+func (s *Service) awaitResult(ctx context.Context, entry *Entry, position int, patience time.Duration) *Entry {
+	deadline := time.NewTimer(patience)
+	defer deadline.Stop()
+	for {
+		changed := s.View.Changed()
+		if known := s.View.Get(entry.Job.ID); known != nil {
+			entry = known
+		}
+		if len(entry.Progress.Listed) > position || !entry.open() || patience <= 0 {
+			return entry
+		}
+		select {
+		case <-ctx.Done():
+			return entry
+		case <-deadline.C:
+			return entry
+		case <-changed:
+		}
+	}
+}
+
+// texts returns the texts from a position on, as many as fit an answer.
+func (s *Service) texts(ctx context.Context, entry *Entry, position int) ([]string, error) {
+	var texts []string
+	size := 0
+	for ; position < len(entry.Progress.Listed); position++ {
+		text, ok := s.cache.get(entry.Job.ID, position)
+		if !ok {
+			if err := s.fetchTexts(ctx, entry, position); err != nil {
+				return texts, partly(texts, err)
+			}
+			if text, ok = s.cache.get(entry.Job.ID, position); !ok {
+				return texts, partly(texts, Error.Wrap(ErrUnavailable))
+			}
+		}
+		size += len(text)
+		if len(texts) > 0 && size > maxAnswerText {
+			return texts, nil
+		}
+		texts = append(texts, text)
+	}
+	return texts, nil
+}
+
+// partly lets a read answer with what it has.
+func partly(texts []string, err error) error {
+	if len(texts) > 0 {
+		return nil
+	}
+	return err
+}
+
+// fetchTexts reads result rows from a position on into the cache.
+func (s *Service) fetchTexts(ctx context.Context, entry *Entry, position int) error {
+	const batchRows = 25
+	id := entry.Job.ID
+	limit := min(batchRows, len(entry.Progress.Listed)-position)
+	after := resultKey(id, position-1).Sort
+	if position == 0 {
+		after = id + "/"
+	}
+	delay := retryFirst
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		rows, err := s.Table.List(callCtx, resultPartition(id), after, limit)
+		cancel()
+		if err == nil {
+			for i, row := range rows {
+				if row.Key != resultKey(id, position+i) {
+					break
+				}
+				if err := s.cacheRow(ctx, id, position+i, row.Body); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		if !wait(ctx, delay) {
+			return Error.Wrap(errors.Join(ErrUnavailable, err))
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+func (s *Service) cacheRow(ctx context.Context, id string, position int, body []byte) error {
+	var stored storedResult
+	if err := decode(body, &stored); err != nil {
+		return err
+	}
+	if stored.Object != "" {
+		text, err := s.getObject(ctx, stored.Object)
+		if err != nil {
+			return err
+		}
+		stored.Text = string(text)
+	}
+	s.cache.put(id, position, stored.Text)
+	return nil
+}
+
+// Body returns the content of an item.
+func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
+	if _, err := s.find(ctx, id); err != nil {
+		return nil, err
+	}
+	items, err := s.content(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	for i := range items {
+		if items[i].ID == item {
+			return items[i].Body, nil
+		}
+	}
+	return nil, Error.Wrap(ErrNotFound)
+}
+
+// content returns the items of a job from memory or from the store.
+func (s *Service) content(ctx context.Context, id string) ([]Item, error) {
+	s.contentMu.Lock()
+	items, ok := s.contents[id]
+	s.contentMu.Unlock()
+	if ok {
+		return items, nil
+	}
+	body, err := s.getObject(ctx, contentKey(id))
+	if err != nil {
+		return nil, err
+	}
+	if err := decode(body, &items); err != nil {
+		return nil, err
+	}
+	return items, nil
+}
+
+// remember keeps the items of a job that this node runs.
+func (s *Service) remember(id string, items []Item) {
+	s.contentMu.Lock()
+	defer s.contentMu.Unlock()
+	if s.contents == nil {
+		s.contents = map[string][]Item{}
+	}
+	if len(s.contents) < maxContents {
+		s.contents[id] = items
+	}
+}
+
+// forget drops the items of a job that is done.
+func (s *Service) forget(id string) {
+	s.contentMu.Lock()
+	defer s.contentMu.Unlock()
+	delete(s.contents, id)
+}
+
+func (s *Service) getObject(ctx context.Context, key string) ([]byte, error) {
+	delay := retryFirst
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
+		body, err := object.ReadAll(callCtx, s.Objects, key)
+		cancel()
+		switch {
+		case err == nil:
+			return body, nil
+		case errors.Is(err, object.ErrNotFound):
+			return nil, Error.Wrap(fmt.Errorf("%w: %w", ErrNotFound, err))
+		}
+		if !wait(ctx, delay) {
+			return nil, Error.Wrap(errors.Join(ErrUnavailable, err))
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+type textKey struct {
+	job      string
+	position int
+}
+
+// textCache keeps texts of listed results, which never change.
+type textCache struct {
+	mu    sync.Mutex
+	texts map[textKey]string
+	order []textKey
+	size  int
+}
+
+func (c *textCache) get(job string, position int) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	text, ok := c.texts[textKey{job, position}]
+	return text, ok
+}
+
+func (c *textCache) put(job string, position int, text string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := textKey{job, position}
+	if _, ok := c.texts[key]; ok {
+		return
+	}
+	if c.texts == nil {
+		c.texts = map[textKey]string{}
+	}
+	c.texts[key] = text
+	c.order = append(c.order, key)
+	c.size += len(text)
+	for c.size > maxCachedText {
+		oldest := c.order[0]
+		c.order = c.order[1:]
+		c.size -= len(c.texts[oldest])
+		delete(c.texts, oldest)
+	}
+}
--- /dev/null
+++ b/internal/jobs/runner.go
@@ -0,0 +1,265 @@
+package jobs
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+const (
+	// tick bounds the time between two looks at what can be run.
+	tick = 100 * time.Millisecond
+	// claimInterval is the time between two looks at jobs whose owner is gone.
+	claimInterval = 400 * time.Millisecond
+	// staleView is the age of the view beyond which no new items are sent: an
+	// end of a job would not be noticed.
+	staleView = 2500 * time.Millisecond
+)
+
+// Owners tells which sessions are gone. The lease watcher implements it.
+type Owners interface {
+	Refresh(ctx context.Context) error
+	Expired(session string) bool
+	Live() []string
+}
+
+// RunnerOptions are what a runner needs.
+type RunnerOptions struct {
+	Service  *Service
+	Replicas *replica.Set
+	Backend  forward.Backend
+	Routes   func() *route.Table
+	Owners   Owners
+	Weights  replica.Weights
+	Zone     string
+	// ViewAge is the time since the view's source last answered.
+	ViewAge func() time.Duration
+}
+
+// Runner runs the items of the jobs that this node owns. It is safe for
+// concurrent use.
+type Runner struct {
+	RunnerOptions
+
+	mu     sync.Mutex
+	owned  map[string]*work
+	paused bool
+	freed  chan struct{}
+}
+
+// NewRunner returns a runner that owns nothing yet.
+func NewRunner(options RunnerOptions) *Runner {
+	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1)}
+}
+
+// work is an owned job. The runner's lock guards it.
+type work struct {
+	job      *Job
+	items    []Item
+	tasks    []*task
+	finished []*task
+	commits  bool
+	// cancel stops the items when the job ends or is lost.
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+type taskState int
+
+const (
+	taskWaiting taskState = iota
+	taskRunning
+	// taskFinished tasks have an outcome that is not listed yet.
+	taskFinished
+	taskListed
+)
+
+// task is an item to run.
+type task struct {
+	work  *work
+	index int
+	state taskState
+	// text and after are what earlier runs have brought.
+	text  []byte
+	after int
+	dead  bool
+	// failures counts runs that the replica itself reported as failed.
+	failures int
+	// invalid counts answers that the item can never be done.
+	invalid  int
+	notUntil time.Time
+	exclude  map[string]bool
+	started  time.Time
+}
+
+// Run runs items until the context ends.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		changed := r.Service.View.Changed()
+		r.reconcile(ctx)
+		r.dispatch(time.Now())
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-changed:
+		case <-r.freed:
+		}
+	}
+}
+
+// wake makes Run look again at once.
+func (r *Runner) wake() {
+	select {
+	case r.freed <- struct{}{}:
+	default:
+	}
+}
+
+// reconcile takes up jobs that the view says are this node's, and drops those
+// that are not any more.
+func (r *Runner) reconcile(ctx context.Context) {
+	session, err := r.Service.Session(ctx)
+	if err != nil {
+		return
+	}
+	open := map[string]bool{}
+	for _, entry := range r.Service.View.Open() {
+		if entry.Progress.Owner != session {
+			continue
+		}
+		open[entry.Job.ID] = true
+		r.takeUp(ctx, entry)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, owned := range r.owned {
+		if !open[id] {
+			owned.cancel()
+			delete(r.owned, id)
+			r.Service.forget(id)
+		}
+	}
+}
+
+// takeUp loads a job's items, and the texts kept of them, in the background.
+func (r *Runner) takeUp(ctx context.Context, entry *Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.owned[entry.Job.ID] != nil || r.paused {
+		return
+	}
+	workCtx, cancel := context.WithCancel(ctx)
+	owned := &work{job: entry.Job, ctx: workCtx, cancel: cancel}
+	r.owned[entry.Job.ID] = owned
+	go r.load(owned, entry)
+}
+
+func (r *Runner) load(owned *work, entry *Entry) {
+	items, err := r.Service.content(owned.ctx, entry.Job.ID)
+	if err != nil || len(items) != len(entry.Job.Items) {
+		// The next reconcile tries again.
+		r.mu.Lock()
+		delete(r.owned, entry.Job.ID)
+		r.mu.Unlock()
+		return
+	}
+	kept := r.Service.keptTexts(owned.ctx, entry)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owned.items = items
+	for index := range items {
+		if entry.Progress.has(index) {
+			continue
+		}
+		one := &task{work: owned, index: index, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
+		if text, ok := kept[index]; ok {
+			one.text, one.after = []byte(text.Text), text.After
+		}
+		owned.tasks = append(owned.tasks, one)
+	}
+	r.wake()
+}
+
+// dispatch sends what can be sent, the earliest due first.
+func (r *Runner) dispatch(now time.Time) {
+	if r.ViewAge() > staleView {
+		return
+	}
+	routes := r.Routes()
+	if routes == nil {
+		return
+	}
+	for _, one := range r.waiting(now) {
+		if !r.start(one, routes, now) {
+			return
+		}
+	}
+}
+
+func (r *Runner) waiting(now time.Time) []*task {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.paused {
+		return nil
+	}
+	var ready []*task
+	for _, owned := range r.owned {
+		for _, one := range owned.tasks {
+			if one.state == taskWaiting && !now.Before(one.notUntil) {
+				ready = append(ready, one)
+			}
+		}
+	}
+	sort.Slice(ready, func(i, j int) bool {
+		a, b := ready[i], ready[j]
+		if a.work.job.Due != b.work.job.Due {
+			return a.work.job.Due < b.work.job.Due
+		}
+		if a.work.job.ID != b.work.job.ID {
+			return a.work.job.ID < b.work.job.ID
+		}
+		return a.index < b.index
+	})
+	return ready
+}
+
+// start sends one task if a replica has room. It reports false if none has.
+func (r *Runner) start(one *task, routes *route.Table, now time.Time) bool {
+	item := &one.work.items[one.index]
+	target := routes.Match(one.work.job.Host, item.Path)
+	if target == nil || target.Kind != route.Batch {
+		return true
+	}
+	if r.Service.View.until(one.work.job.Expires) < 0 {
+		r.finish(one, true)
+		return true
+	}
+	demand := &replica.Demand{Zone: r.Zone, Tokens: int(item.Tokens), Batch: true, Exclude: one.exclude}
+	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), now), demand, r.Weights)
+	if err != nil {
+		if len(one.exclude) == 0 {
+			return false
+		}
+		one.exclude = map[string]bool{}
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if one.state != taskWaiting || one.work.ctx.Err() != nil {
+		return true
+	}
+	one.state = taskRunning
+	if one.started.IsZero() {
+		one.started = now
+	}
+	use := r.Replicas.Begin(chosen.ID, int(item.Tokens), true, now)
+	go r.run(one, item, target, chosen.Info, use)
+	return true
+}
--- /dev/null
+++ b/internal/jobs/service.go
@@ -0,0 +1,197 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// Timing of calls to the store.
+const (
+	// callTimeout bounds one call, so that a hung connection is left.
+	callTimeout = 1200 * time.Millisecond
+	// slowCallTimeout bounds a call that was given up for slowness before.
+	slowCallTimeout = 3 * time.Second
+	retryFirst      = 20 * time.Millisecond
+	retryMax        = 250 * time.Millisecond
+	// catchUpTimeout is how long a writer waits for the feed before it asks
+	// for a whole read.
+	catchUpTimeout = 250 * time.Millisecond
+	// objectTimeout bounds one call that moves an object.
+	objectTimeout = 4 * time.Second
+)
+
+// Events is told of what happens to jobs, for logs and metrics.
+type Events interface {
+	Accepted(job *Job, took time.Duration, resent bool)
+	Refused(id string, used, asked, quota int64, err error)
+	Ended(id string, err error)
+	Claimed(entry *Entry, from string, err error)
+	ItemSent(job *Job, item string, replica string, after int)
+	ItemFailed(job *Job, item string, replica string, err error)
+	ItemListed(job *Job, item string, position int, dead bool, took time.Duration)
+	Resolved(operation string, attempts int, err error)
+}
+
+// Service accepts, reads and ends jobs. It is safe for concurrent use.
+type Service struct {
+	Table   table.Service
+	Objects object.Store
+	View    *View
+	Events  Events
+	// Session is the id under which this node owns jobs; it must be renewed
+	// before it is named in a row.
+	Session func(ctx context.Context) (string, error)
+	// Refresh asks for a whole read of the view.
+	Refresh func()
+
+	cache textCache
+	// contents are the items of jobs that this node accepted lately.
+	contentMu sync.Mutex
+	contents  map[string][]Item
+}
+
+// update changes a job's progress row until the change is in or not needed any
+// more. change returns the further writes that belong to it, or false if there
+// is nothing to do; it is called again whenever the row has moved on, so it
+// also finds out that an unanswered write of its own has landed.
+func (s *Service) update(ctx context.Context, id string, change func(*Progress) ([]table.Write, bool)) error {
+	delay := retryFirst
+	attempts := 0
+	operation := table.NewOperation()
+	for {
+		entry := s.View.Get(id)
+		if entry == nil {
+			return Error.Wrap(ErrNotFound)
+		}
+		next := entry.Progress.clone()
+		more, needed := change(next)
+		if !needed {
+			s.resolved(operation, attempts, nil)
+			return nil
+		}
+		attempts++
+		err := s.commitProgress(ctx, id, entry.Version, next, operation, more)
+		if err == nil {
+			s.resolved(operation, attempts, nil)
+			return nil
+		}
+		if s.learn(err) {
+			continue
+		}
+		if !wait(ctx, delay) {
+			s.resolved(operation, attempts, err)
+			return Error.Wrap(outcome.Undecided(err))
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+func (s *Service) resolved(operation string, attempts int, err error) {
+	if attempts > 1 {
+		s.Events.Resolved(operation, attempts, err)
+	}
+}
+
+func (s *Service) commitProgress(ctx context.Context, id string, version uint64, next *Progress, operation string, more []table.Write) error {
+	write := table.Write{Key: progressKey(id), Expect: version, Body: encode(next)}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	versions, err := s.Table.Commit(callCtx, operation, append([]table.Write{write}, more...)...)
+	if err != nil {
+		return err
+	}
+	s.View.Put(table.Row{Key: write.Key, Version: versions[0], Body: write.Body})
+	return nil
+}
+
+// learn takes in the rows of a conflict. It reports whether there were any.
+func (s *Service) learn(err error) bool {
+	var conflict *table.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	learned := false
+	for _, row := range conflict.Rows {
+		if row.Partition == Group+"/"+admissionPart {
+			continue
+		}
+		if row.Partition[:len(Group)] == Group {
+			s.View.Put(row)
+			learned = true
+		}
+	}
+	return learned
+}
+
+// End ends a job. A nil error means that no more results are listed from now on.
+func (s *Service) End(ctx context.Context, id string) error {
+	if _, err := s.find(ctx, id); err != nil {
+		return err
+	}
+	err := s.update(ctx, id, func(progress *Progress) ([]table.Write, bool) {
+		if progress.Ended {
+			return nil, false
+		}
+		progress.Ended = true
+		progress.Owner = ""
+		return nil, true
+	})
+	s.Events.Ended(id, err)
+	return err
+}
+
+// find returns a job from the view or else from the store, so that a job that
+// was accepted a moment ago elsewhere is known here too.
+func (s *Service) find(ctx context.Context, id string) (*Entry, error) {
+	if entry := s.View.Get(id); entry != nil {
+		return entry, nil
+	}
+	for _, key := range []table.Key{jobKey(id), progressKey(id)} {
+		row, err := s.getRow(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		s.View.Put(row)
+	}
+	if entry := s.View.Get(id); entry != nil {
+		return entry, nil
+	}
+	return nil, Error.Wrap(ErrUnavailable)
+}
+
+func (s *Service) getRow(ctx context.Context, key table.Key) (table.Row, error) {
+	delay := retryFirst
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		row, err := s.Table.Get(callCtx, key)
+		cancel()
+		switch {
+		case err == nil:
+			return row, nil
+		case errors.Is(err, table.ErrNotFound):
+			return row, Error.Wrap(ErrNotFound)
+		}
+		if !wait(ctx, delay) {
+			return row, Error.Wrap(errors.Join(ErrUnavailable, err))
+		}
+		delay = min(2*delay, retryMax)
+	}
+}
+
+// wait pauses; it reports false if the context ended first.
+func wait(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -34,12 +34,12 @@
 
 func TestWatcher_ExpiresOnlyWhatStoodStill(t *testing.T) {
 	service, _ := newService(t)
-	session := NewSession(service, "a")
+	session := NewSession(service, "a", DefaultTiming())
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	time := &clock{now: time.Unix(100, 0)}
-	watcher := NewWatcher(service, time.read)
+	watcher := NewWatcher(service, time.read, DefaultTiming())
 	look(t, watcher, session.ID())
 	time.now = time.now.Add(TimeToLive)
 	if err := session.Renew(t.Context()); err != nil {
@@ -60,12 +60,12 @@
 // it takes; after its return a holder has a whole time to live.
 func TestWatcher_StoreOutageExpiresNothing(t *testing.T) {
 	service, store := newService(t)
-	session := NewSession(service, "a")
+	session := NewSession(service, "a", DefaultTiming())
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	time := &clock{now: time.Unix(100, 0)}
-	watcher := NewWatcher(service, time.read)
+	watcher := NewWatcher(service, time.read, DefaultTiming())
 	look(t, watcher, session.ID())
 	store.Faults.Set(emulator.Condition{Down: true})
 	time.now = time.now.Add(100 * TimeToLive)
@@ -91,11 +91,11 @@
 
 func TestWatcher_EndedSessionIsFreeAtOnce(t *testing.T) {
 	service, _ := newService(t)
-	session := NewSession(service, "a")
+	session := NewSession(service, "a", DefaultTiming())
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	watcher := NewWatcher(service, (&clock{now: time.Unix(100, 0)}).read)
+	watcher := NewWatcher(service, (&clock{now: time.Unix(100, 0)}).read, DefaultTiming())
 	look(t, watcher, session.ID())
 	if err := session.End(t.Context()); err != nil {
 		t.Fatal(err)
@@ -110,8 +110,8 @@
 func TestAcquire_EpochRises(t *testing.T) {
 	service, _ := newService(t)
 	time := &clock{now: time.Unix(100, 0)}
-	first, second := NewSession(service, "a"), NewSession(service, "b")
-	watcher := NewWatcher(service, time.read)
+	first, second := NewSession(service, "a", DefaultTiming()), NewSession(service, "b", DefaultTiming())
+	watcher := NewWatcher(service, time.read, DefaultTiming())
 	grant, err := Acquire(t.Context(), service, first, watcher, "placement/p")
 	if err != nil || grant.Epoch != 1 {
 		t.Fatalf("grant %+v, error %v", grant, err)
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -44,11 +44,26 @@
 	mu      sync.Mutex
 	version uint64
 	created bool
+	timing  Timing
+}
+
+// Timing is how fast lost holders are noticed.
+type Timing struct {
+	// TimeToLive is how long a session must be seen unchanged before its work
+	// may be taken over.
+	TimeToLive time.Duration
+	// RenewInterval should leave room for two failed renewals within TimeToLive.
+	RenewInterval time.Duration
+}
+
+// DefaultTiming suits work that runs for minutes.
+func DefaultTiming() Timing {
+	return Timing{TimeToLive: TimeToLive, RenewInterval: RenewInterval}
 }
 
 // NewSession returns a session with a fresh id for this run of a node.
-func NewSession(service table.Service, node string) *Session {
-	return &Session{service: service, id: node + "#" + table.NewOperation()[:12]}
+func NewSession(service table.Service, node string, timing Timing) *Session {
+	return &Session{service: service, id: node + "#" + table.NewOperation()[:12], timing: timing}
 }
 
 // ID identifies the session; it is never used again after a restart.
@@ -78,9 +93,9 @@
 // row, so after an unknown outcome the version is read back.
 func (s *Session) renew(ctx context.Context) error {
 	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Expect: s.version}
-	_, err := s.service.Commit(ctx, table.NewOperation(), write)
+	versions, err := s.service.Commit(ctx, table.NewOperation(), write)
 	if err == nil {
-		s.version = write.NextVersion()
+		s.version = versions[0]
 		s.created = true
 		return nil
 	}
@@ -112,14 +127,14 @@
 
 // Run renews until the context ends.
 func (s *Session) Run(ctx context.Context) {
-	ticker := time.NewTicker(RenewInterval)
+	ticker := time.NewTicker(s.timing.RenewInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			callCtx, cancel := context.WithTimeout(ctx, RenewInterval)
+			callCtx, cancel := context.WithTimeout(ctx, s.timing.RenewInterval)
 			// A failed renewal is made up for by the next one.
 			_ = s.Renew(callCtx)
 			cancel()
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -19,8 +19,9 @@
 
 // Watcher tells which sessions have expired. It is safe for concurrent use.
 type Watcher struct {
-	service table.Service
-	now     func() time.Time
+	service    table.Service
+	now        func() time.Time
+	timeToLive time.Duration
 
 	mu   sync.Mutex
 	seen map[string]sighting
@@ -31,8 +32,8 @@
 }
 
 // NewWatcher returns a watcher that has seen nothing yet. now must be monotonic.
-func NewWatcher(service table.Service, now func() time.Time) *Watcher {
-	return &Watcher{service: service, now: now, seen: map[string]sighting{}}
+func NewWatcher(service table.Service, now func() time.Time, timing Timing) *Watcher {
+	return &Watcher{service: service, now: now, timeToLive: timing.TimeToLive, seen: map[string]sighting{}}
 }
 
 // Refresh reads all sessions.
@@ -109,7 +110,7 @@
 	case ok && known.version == version:
 		known.checked = read
 	case ok && version == table.Absent:
-		known = sighting{since: read.Add(-TimeToLive), checked: read}
+		known = sighting{since: read.Add(-w.timeToLive), checked: read}
 	default:
 		known = sighting{version: version, since: read, checked: read}
 	}
@@ -134,7 +135,7 @@
 		w.see(id, table.Absent, w.last)
 		return false
 	}
-	return known.checked.Sub(known.since) >= TimeToLive
+	return known.checked.Sub(known.since) >= w.timeToLive
 }
 
 // Sweep deletes rows that have been expired for long, so that restarts do not
@@ -143,7 +144,7 @@
 	w.mu.Lock()
 	var old []table.Write
 	for id, known := range w.seen {
-		if known.version != table.Absent && known.checked.Sub(known.since) > sweepMultiple*TimeToLive {
+		if known.version != table.Absent && known.checked.Sub(known.since) > sweepMultiple*w.timeToLive {
 			key := table.Key{Partition: partition, Sort: id}
 			old = append(old, table.Write{Key: key, Kind: table.Delete, Expect: known.version})
 		}
@@ -154,3 +155,16 @@
 		_, _ = w.service.Commit(ctx, table.NewOperation(), write)
 	}
 }
+
+// Live returns the sessions that were there at the last Refresh and are not expired.
+func (w *Watcher) Live() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var live []string
+	for id, known := range w.seen {
+		if known.version != table.Absent && known.checked.Sub(known.since) < w.timeToLive {
+			live = append(live, id)
+		}
+	}
+	return live
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -50,6 +52,11 @@
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
+	jobWatch     *table.Watcher
+	session      *lease.Session
+	owners       *lease.Watcher
+	jobs         *jobs.Service
+	runner       *jobs.Runner
 
 	servers   []*http.Server
 	listeners []net.Listener
@@ -88,6 +95,7 @@
 		Weights: g.weights(), Zone: g.settings.Node.Zone, Notice: &requestLog{log: g.log},
 	}
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
+	g.buildJobs()
 	g.replicaWatch = g.watch("replica list", platform.ServerFeed(g.store), g.applyReplicas)
 }
 
@@ -99,7 +107,9 @@
 }
 
 func (g *Gateway) listen() error {
-	front := &platform.Front{Gateway: g, Jobs: &platform.JobFront{}}
+	front := &platform.Front{Gateway: g, Jobs: &platform.JobFront{
+		Service: g.jobs, Patience: jobPatience, ComeBack: g.ComeBack,
+	}}
 	served := []struct {
 		address string
 		handler http.Handler
@@ -143,6 +153,7 @@
 	}
 	g.spawn(func() { g.configWatch.Run(ctx) })
 	g.spawn(func() { g.replicaWatch.Run(ctx) })
+	g.runJobs(ctx)
 }
 
 func (g *Gateway) spawn(run func()) {
--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -26,7 +26,7 @@
 
 // Ready implements platform.Gateway: routes and replicas are known.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.routes.Load() != nil && g.replicaWatch.Ready()
+	return !g.stopping.Load() && g.routes.Load() != nil && g.replicaWatch.Ready() && g.jobWatch.Ready()
 }
 
 // Forward implements platform.Gateway.
--- a/internal/node/gatewaymetrics.go
+++ b/internal/node/gatewaymetrics.go
@@ -26,6 +26,8 @@
 	storeCalls  *prometheus.CounterVec
 	storeTime   *prometheus.HistogramVec
 	droppedLogs prometheus.Counter
+	jobs        *prometheus.CounterVec
+	items       *prometheus.CounterVec
 }
 
 func newGatewayMetrics(g *Gateway) *gatewayMetrics {
@@ -63,7 +65,13 @@
 			Name: "wheelhoist_log_lines_dropped_total", Help: "Log lines dropped because output was slow.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.turned, m.attempts, m.first, m.gap, m.open, m.connections,
+	m.jobs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_jobs_total", Help: "Batch jobs by what happened to them at this node.",
+	}, []string{"event"})
+	m.items = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_job_items_total", Help: "Batch items by what happened to them at this node.",
+	}, []string{"event"})
+	m.registry.MustRegister(m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.open, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	m.registerViews(g)
 	return m
--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -26,7 +26,8 @@
 	}
 	g.stopping.Store(true)
 	g.log.Info().Dur("grace_ms", grace).Msg("gateway stopping")
-	time.Sleep(min(stopNotice, grace/2))
+	g.handBackJobs()
+	time.Sleep(min(stopNotice, grace/2) - time.Since(began))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
 	defer cancel()
 	for _, server := range g.servers {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,8 +187,8 @@
 	n.fence = resource.NewFence(resource.SelfFenceAfter)
 	n.propagator = resource.NewPropagator(n.store, resource.NewWriter(n.table), n.fence, &configPeers{node: n}, n.transport.Address())
 	n.propagator.Register(n.transport)
-	n.session = lease.NewSession(n.table, n.settings.Node.ID)
-	n.watcher = lease.NewWatcher(n.table, time.Now)
+	n.session = lease.NewSession(n.table, n.settings.Node.ID, lease.DefaultTiming())
+	n.watcher = lease.NewWatcher(n.table, time.Now, lease.DefaultTiming())
 }
 
 // confirmed hands a probe's answer to the configuration without blocking the
