Bound batch items in flight over all nodes by a plan from the feed

Cause: thirteen nodes each took the same free slots for batch; replicas then rejected 11,754 of 18,788 arrivals and online requests hammered on. Ruled out: ejections (480 bad runs only). A pure plan shares out places by due time from the feed that all nodes follow; a replica that refused counts as full for 0.4 s.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -15,6 +15,8 @@
 const (
 	// waitForRoom is the pause before replicas that refused are asked again.
 	waitForRoom = 25 * time.Millisecond
+	// refusalsInARow is the number of refusals after which a request pauses.
+	refusalsInARow = 3
 	// leastUseful is the least time left that is worth an attempt.
 	leastUseful = 5 * time.Millisecond
 )
@@ -117,6 +119,11 @@
 			return c.failure(err)
 		}
 		c.demand.Exclude[chosen.ID] = true
+		if c.result.Refusals >= refusalsInARow && c.result.Refusals%refusalsInARow == 0 {
+			if waitErr := c.waitForRoom(ctx); waitErr != nil {
+				return c.failure(waitErr)
+			}
+		}
 	}
 }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -196,13 +196,49 @@
 	if routes == nil {
 		return
 	}
+	grants := r.grants(routes)
 	for _, one := range r.waiting(now) {
+		if r.inFlight(one.work) >= grants[one.work.job.ID] {
+			continue
+		}
 		if !r.start(one, routes, now) {
 			return
 		}
 	}
 }
 
+// grants plans the places of all pools that batch routes lead to.
+func (r *Runner) grants(routes *route.Table) Grant {
+	byPool := map[string][]*Entry{}
+	for _, entry := range r.Service.View.Open() {
+		if target := routes.Named(entry.Job.Route); target != nil {
+			pool := target.Shares[0].Pool
+			byPool[pool] = append(byPool[pool], entry)
+		}
+	}
+	all := Grant{}
+	for pool, open := range byPool {
+		places := int(r.Weights.BatchFill * float64(r.Replicas.Slots(pool)))
+		for job, share := range PlanGrants(open, places) {
+			all[job] = share
+		}
+	}
+	return all
+}
+
+// inFlight counts the items of a job that run or wait to be listed.
+func (r *Runner) inFlight(owned *work) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, one := range owned.tasks {
+		if one.state == taskRunning || one.state == taskFinished {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *Runner) waiting(now time.Time) []*task {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -18,6 +18,10 @@
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
 	stepWeight = 0.1
+	// refusedFill is the assumed load, in slots, of a replica that refused, and
+	// refusedFade how fast that assumption fades.
+	refusedFill = 2.0
+	refusedFade = 400 * time.Millisecond
 )
 
 // entry is the set's record of a replica.
@@ -132,6 +136,20 @@
 	return listed, ejected
 }
 
+// Slots returns the number of requests that a pool's replicas run at the same
+// time, those that are leaving left out.
+func (s *Set) Slots(pool string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, known := range s.byPool[pool] {
+		if !known.info.Leaving {
+			total += known.info.Slots
+		}
+	}
+	return total
+}
+
 // Snapshot returns the replicas of a pool that may take requests now, in the
 // order of their ids.
 func (s *Set) Snapshot(pool string, now time.Time) []Candidate {
@@ -238,6 +256,11 @@
 		u.entry.batch--
 	}
 	ejected = u.entry.health.observe(result, now)
+	if result == Refused {
+		// A replica that refuses has its slots and its queue full.
+		u.entry.others = max(u.entry.others, refusedFill*float64(u.entry.info.Slots))
+		u.entry.reported = now.Add(refusedFade - othersFade)
+	}
 	u.set.wake()
 	return ejected
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,12 +28,12 @@
 	// CrossZone is how much longer a request may wait to stay in its zone.
 	CrossZone v1.Duration `json:"crossZone,omitempty"`
 	// BatchFill is the share of a replica's slots up to which batch items fill
-	// it, 0 to 1; default 0.75.
+	// it, 0 to 1; default 0.6.
 	BatchFill float64 `json:"batchFill,omitempty"`
 }
 
-// DefaultBatchFill leaves a quarter of each replica to online requests.
-const DefaultBatchFill = 0.75
+// DefaultBatchFill leaves two fifths of each replica to online requests.
+const DefaultBatchFill = 0.6
 
 // Enabled reports whether the node is a gateway.
 func (g *Gateway) Enabled() bool { return g.Store != "" }
