Prefer the replica where prompts with the same prefix meet

Cause: long prompts share 6,300 tokens, read again at whichever replica was the least busy. All nodes now agree on a home for a prefix by rendezvous hashing and count its tokens as read there; ruled out for now: cache events (priced calls).

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -63,7 +63,7 @@
 	one.deadline = deadlineOf(target, request)
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
-		Zone: f.Zone, Tokens: request.Prompt.Tokens, Affinity: affinityOf(request.Prompt),
+		Zone: f.Zone, Tokens: request.Prompt.Tokens, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
 		Exclude: map[string]bool{},
 	}
 	if !one.deadline.IsZero() {
@@ -96,6 +96,17 @@
 	return prompt.Parts[len(prompt.Parts)-2].Key
 }
 
+// sharedTokens is the length of a prompt up to its last part.
+func sharedTokens(prompt route.Prompt) int {
+	total := 0
+	for i := range prompt.Parts {
+		if i+1 < len(prompt.Parts) {
+			total += prompt.Parts[i].Tokens
+		}
+	}
+	return total
+}
+
 func (c *call) run(ctx context.Context) error {
 	for {
 		chosen, err := c.pick()
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -19,6 +19,10 @@
 	Tokens int
 	// Affinity spreads prompts that share a prefix; 0 if there is none.
 	Affinity uint64
+	// Shared is the length of that prefix.
+	Shared int
+	// Home is the replica that is believed to keep the prefix; Pick sets it.
+	home uint64
 	// Batch items take only what online requests leave.
 	Batch bool
 	// Exclude are the replicas that have failed or refused this request.
@@ -46,6 +50,7 @@
 // Filters come first, the score decides, and the order of the ids, turned by
 // the affinity, breaks ties.
 func Pick(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
+	demand.home = homeOf(candidates, demand)
 	best := pickAmong(candidates, demand, weights, sound)
 	if best == nil && !demand.Batch {
 		best = pickAmong(candidates, demand, weights, lastResort)
@@ -88,6 +93,33 @@
 	return best
 }
 
+// homeOf returns the key of the replica where prompts with the same prefix meet
+// (rendezvous hashing, Thaler and Ravishankar, 1998), so that it stays cached there.
+func homeOf(candidates []Candidate, demand *Demand) uint64 {
+	var home, best uint64
+	if demand.Affinity == 0 {
+		return 0
+	}
+	for i := range candidates {
+		if candidates[i].Ejected || candidates[i].Doubtful {
+			continue
+		}
+		if weight := mix(candidates[i].Key ^ demand.Affinity); home == 0 || weight > best {
+			home, best = candidates[i].Key, weight
+		}
+	}
+	return home
+}
+
+// uncached estimates the time to read what the replica is not believed to keep.
+func uncached(candidate *Candidate, demand *Demand, rate float64) time.Duration {
+	tokens := demand.Tokens
+	if candidate.Key == demand.home {
+		tokens -= demand.Shared
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
 // predict estimates the time to the first event.
 func predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
 	rate := candidate.TokensPerSecond
@@ -95,7 +127,7 @@
 		rate = defaultRate
 	}
 	reading := time.Duration(float64(candidate.PendingTokens) / rate * float64(time.Second))
-	total := reading + time.Duration(candidate.Busy()*float64(busyCost))
+	total := reading + uncached(candidate, demand, rate) + time.Duration(candidate.Busy()*float64(busyCost))
 	if waiting := -candidate.Free(); waiting >= 0 {
 		total += time.Duration((waiting + 1) * float64(slotTime))
 	}
