--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -1,29 +1,68 @@
 package jobs
 
-import "sort"
+import (
+	"sort"
+	"time"
+)
 
-// Grant says how many items of a job may be in flight.
-type Grant map[string]int
+// Grant says how many items of a job may be in flight, and whether they are
+// urgent, so that they may fill replicas further.
+type Grant struct {
+	Items  int
+	Urgent bool
+}
+
+// PlanInput is what a plan is made of.
+type PlanInput struct {
+	Open []*Entry
+	// Now is the store's clock.
+	Now time.Duration
+	// Places is the number of items that may be in flight, UrgentPlaces the
+	// number that may be if some would be late otherwise.
+	Places       int
+	UrgentPlaces int
+}
+
+const (
+	// urgentSlack is the time to a job's due time from which on it is urgent.
+	urgentSlack = 10 * time.Second
+	// hopelessSlack is the time to a job's due time below which it is too late
+	// for items that have not begun; they come after those that can be in time.
+	hopelessSlack = 2 * time.Second
+)
 
 // PlanGrants shares out places among all open jobs, the earliest due first. It
 // is a pure function of what every node learns from the same feed, so nodes
 // that own different jobs keep to one bound together without a word between
 // them; a view that lags moves a place from one node to another a moment late.
-func PlanGrants(open []*Entry, places int) Grant {
-	ordered := append([]*Entry(nil), open...)
-	sort.Slice(ordered, func(i, j int) bool {
-		a, b := ordered[i].Job, ordered[j].Job
-		if a.Due != b.Due {
-			return a.Due < b.Due
-		}
-		return a.ID < b.ID
-	})
-	granted := Grant{}
+func PlanGrants(input PlanInput) map[string]Grant {
+	ordered := append([]*Entry(nil), input.Open...)
+	sort.Slice(ordered, func(i, j int) bool { return before(ordered[i].Job, ordered[j].Job, input.Now) })
+	granted := make(map[string]Grant, len(ordered))
+	used := 0
 	for _, entry := range ordered {
 		unlisted := len(entry.Job.Items) - len(entry.Progress.Listed)
-		share := min(unlisted, max(0, places))
-		granted[entry.Job.ID] = share
-		places -= share
+		slack := entry.Job.Due - input.Now
+		urgent := slack < urgentSlack && slack >= hopelessSlack
+		limit := input.Places
+		if urgent {
+			limit = max(limit, input.UrgentPlaces)
+		}
+		share := min(unlisted, max(0, limit-used))
+		granted[entry.Job.ID] = Grant{Items: share, Urgent: urgent}
+		used += share
 	}
 	return granted
 }
+
+// before orders jobs: those that can be in time first, then the earliest due.
+func before(a, b *Job, now time.Duration) bool {
+	lateA, lateB := a.Due-now < hopelessSlack, b.Due-now < hopelessSlack
+	if lateA != lateB {
+		return lateB
+	}
+	if a.Due != b.Due {
+		return a.Due < b.Due
+	}
+	return a.ID < b.ID
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -198,17 +198,18 @@
 	}
 	grants := r.grants(routes)
 	for _, one := range r.waiting(now) {
-		if r.inFlight(one.work) >= grants[one.work.job.ID] {
+		grant := grants[one.work.job.ID]
+		if r.inFlight(one.work) >= grant.Items {
 			continue
 		}
-		if !r.start(one, routes, now) {
+		if !r.start(one, routes, grant.Urgent, now) {
 			return
 		}
 	}
 }
 
 // grants plans the places of all pools that batch routes lead to.
-func (r *Runner) grants(routes *route.Table) Grant {
+func (r *Runner) grants(routes *route.Table) map[string]Grant {
 	byPool := map[string][]*Entry{}
 	for _, entry := range r.Service.View.Open() {
 		if target := routes.Named(entry.Job.Route); target != nil {
@@ -216,10 +217,14 @@
 			byPool[pool] = append(byPool[pool], entry)
 		}
 	}
-	all := Grant{}
+	all := map[string]Grant{}
 	for pool, open := range byPool {
-		places := int(r.Weights.BatchFill * float64(r.Replicas.Slots(pool)))
-		for job, share := range PlanGrants(open, places) {
+		slots := float64(r.Replicas.Slots(pool))
+		plan := PlanGrants(PlanInput{
+			Open: open, Now: r.Service.View.Now(),
+			Places: int(r.Weights.BatchFill * slots), UrgentPlaces: int(r.Weights.UrgentFill * slots),
+		})
+		for job, share := range plan {
 			all[job] = share
 		}
 	}
@@ -267,7 +272,7 @@
 }
 
 // start sends one task if a replica has room. It reports false if none has.
-func (r *Runner) start(one *task, routes *route.Table, now time.Time) bool {
+func (r *Runner) start(one *task, routes *route.Table, urgent bool, now time.Time) bool {
 	item := &one.work.items[one.index]
 	target := routes.Match(one.work.job.Host, item.Path)
 	if target == nil || target.Kind != route.Batch {
@@ -277,7 +282,7 @@
 		r.finish(one, true)
 		return true
 	}
-	demand := &replica.Demand{Zone: r.Zone, Tokens: int(item.Tokens), Batch: true, Exclude: one.exclude}
+	demand := &replica.Demand{Zone: r.Zone, Tokens: int(item.Tokens), Batch: true, Urgent: urgent, Exclude: one.exclude}
 	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), now), demand, r.Weights)
 	if err != nil {
 		if len(one.exclude) == 0 {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -101,8 +101,9 @@
 
 func (g *Gateway) weights() replica.Weights {
 	return replica.Weights{
-		CrossZone: time.Duration(g.settings.Gateway.Routing.CrossZone),
-		BatchFill: g.settings.Gateway.Routing.BatchFill,
+		CrossZone:  time.Duration(g.settings.Gateway.Routing.CrossZone),
+		BatchFill:  g.settings.Gateway.Routing.BatchFill,
+		UrgentFill: g.settings.Gateway.Routing.UrgentFill,
 	}
 }
 
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -25,6 +25,8 @@
 	home uint64
 	// Batch items take only what online requests leave.
 	Batch bool
+	// Urgent items would be late if they waited; they may fill replicas further.
+	Urgent bool
 	// Exclude are the replicas that have failed or refused this request.
 	Exclude map[string]bool
 }
@@ -35,6 +37,8 @@
 	CrossZone time.Duration
 	// BatchFill is the share of a replica's slots up to which batch items may fill it.
 	BatchFill float64
+	// UrgentFill is the same for urgent items.
+	UrgentFill float64
 }
 
 const (
@@ -70,7 +74,11 @@
 	if !demand.Batch {
 		return true
 	}
-	return candidate.Busy()+1 <= weights.BatchFill*float64(candidate.Slots)
+	fill := weights.BatchFill
+	if demand.Urgent {
+		fill = weights.UrgentFill
+	}
+	return candidate.Busy()+1 <= fill*float64(candidate.Slots)
 }
 
 // lastResort takes ejected and doubtful replicas rather than none.
