Let batch items give way where online requests wait

Ruled out: dead replicas, memory (no preemption). One item in three waiting requests is broken off at the replica that reports them and goes on later after its text; a replica that answers anything counts as busy, not silent.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -34,8 +35,9 @@
 		if err != nil {
 			return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
 		}
-		watch.heard()
+		use.Heard(time.Now())
 		use.First(time.Now())
+		watch.begun(c.route.Gap)
 		if event.HasID && event.ID <= c.after {
 			continue
 		}
@@ -117,28 +119,41 @@
 	return c.route.MayRepeat() && c.result.Attempts < c.route.MaxAttempts
 }
 
-// silenceWatch gives an attempt up when its replica says nothing for too long.
+// silenceWatch gives an attempt up when its replica says nothing for too long,
+// to any request of this node: a replica that answers others is only busy, and
+// sending its requests elsewhere as well would add to the load.
 type silenceWatch struct {
+	use   *replica.Use
+	limit atomic.Int64
 	timer *time.Timer
-	next  time.Duration
 }
 
 // watchSilence starts a watch where the request can go on elsewhere; a
 // replica's silence is no reason to end any other answer.
-func (c *call) watchSilence(cancel context.CancelCauseFunc) *silenceWatch {
+func (c *call) watchSilence(use *replica.Use, cancel context.CancelCauseFunc) *silenceWatch {
+	watch := &silenceWatch{use: use}
 	if !c.anotherTry() || c.route.Objective == 0 {
-		return &silenceWatch{}
+		return watch
 	}
 	first := max(silenceFactor*c.route.Objective, silenceLeast)
-	next := max(silenceFactor*c.route.Gap, silenceLeast)
-	timer := time.AfterFunc(first, func() { cancel(ErrSilent) })
-	return &silenceWatch{timer: timer, next: next}
+	watch.limit.Store(int64(first))
+	watch.timer = time.AfterFunc(first, func() { watch.check(cancel) })
+	return watch
 }
 
-func (w *silenceWatch) heard() {
-	if w.timer != nil {
-		w.timer.Reset(w.next)
-	}
+// check cancels the attempt, or looks again when the silence could be too long.
+func (w *silenceWatch) check(cancel context.CancelCauseFunc) {
+	left := time.Duration(w.limit.Load()) - w.use.Silence(time.Now())
+	if left <= 0 {
+		cancel(ErrSilent)
+		return
+	}
+	w.timer.Reset(left)
+}
+
+// begun sets the limit between two events.
+func (w *silenceWatch) begun(gap time.Duration) {
+	w.limit.Store(int64(max(silenceFactor*gap, silenceLeast)))
 }
 
 func (w *silenceWatch) stop() {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -231,7 +231,7 @@
 func (c *call) exchange(ctx context.Context, chosen replica.Info, use *replica.Use) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := c.watchSilence(cancel)
+	watch := c.watchSilence(use, cancel)
 	defer watch.stop()
 	answer, err := c.forwarder.Backend.Send(ctx, &Attempt{
 		Request: c.request, Replica: chosen, After: c.after, Deadline: c.deadline,
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -18,7 +18,7 @@
 const (
 	// itemSilence is how long a replica may say nothing before an item is
 	// taken elsewhere.
-	itemSilence = 4 * time.Second
+	itemSilence = 2 * time.Second
 	// refusedPause is the pause after a replica had no room.
 	refusedPause = 60 * time.Millisecond
 	// brokenPause is the pause after an answer broke off.
@@ -37,9 +37,10 @@
 var errItemInvalid = errors.New("replica says that the item can never be done")
 
 // run makes one attempt at an item.
-func (r *Runner) run(one *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
+func (r *Runner) run(ctx context.Context, one *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
+	defer one.cancel(nil)
 	r.Service.Events.ItemSent(one.work.job, item.ID, chosen.ID, one.after)
-	err := r.exchange(one, item, chosen, use)
+	err := r.exchange(ctx, one, item, chosen, use)
 	use.End(itemResult(one.work.ctx, err), time.Now())
 	if err != nil && one.work.ctx.Err() == nil {
 		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
@@ -52,7 +53,7 @@
 	switch {
 	case err == nil, errors.Is(err, errItemInvalid), errors.Is(err, errItemFailed):
 		return replica.Succeeded
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errYielded):
 		return replica.Abandoned
 	case errors.Is(err, forward.ErrUnreachable), errors.Is(err, forward.ErrMoved):
 		return replica.Unreachable
@@ -79,6 +80,8 @@
 	case errors.Is(err, errItemFailed):
 		one.failures++
 		pause = failedPause
+	case errors.Is(err, errYielded):
+		pause = yieldPause
 	case outcome.Of(err) == outcome.NotDone:
 		pause = refusedPause
 		one.exclude[chosen.ID] = true
@@ -95,11 +98,17 @@
 
 // exchange sends an item and collects the data of its events. What has come
 // stays with the task, so that the next attempt goes on after it.
-func (r *Runner) exchange(one *task, item *Item, chosen replica.Info, use *replica.Use) error {
-	ctx, cancel := context.WithCancelCause(one.work.ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(itemSilence, func() { cancel(forward.ErrSilent) })
-	defer silence.Stop()
+func (r *Runner) exchange(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
+	stop := watchSilence(use, one.cancel)
+	defer stop()
+	err := r.send(ctx, one, item, chosen, use)
+	if err != nil && errors.Is(context.Cause(ctx), errYielded) {
+		return outcome.Undecided(errYielded)
+	}
+	return err
+}
+
+func (r *Runner) send(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
 	answer, err := r.Backend.Send(ctx, &forward.Attempt{
 		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after,
 	})
@@ -118,10 +127,32 @@
 	case answer.Status != http.StatusOK || !answer.Events:
 		return outcome.Undecided(fmt.Errorf("%w: status %d", forward.ErrBroken, answer.Status))
 	}
-	return r.collect(one, answer, use, silence)
+	return r.collect(one, answer, use)
+}
+
+// watchSilence gives an attempt up when its replica says nothing to any request
+// of this node for itemSilence.
+func watchSilence(use *replica.Use, cancel context.CancelCauseFunc) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(itemSilence / 8)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				if use.Silence(time.Now()) > itemSilence {
+					cancel(forward.ErrSilent)
+					return
+				}
+			}
+		}
+	}()
+	return func() { close(done) }
 }
 
-func (r *Runner) collect(one *task, answer *forward.Answer, use *replica.Use, silence *time.Timer) error {
+func (r *Runner) collect(one *task, answer *forward.Answer, use *replica.Use) error {
 	reader := sse.NewReader(answer.Body)
 	for {
 		event, err := reader.Next()
@@ -131,7 +162,7 @@
 		if err != nil {
 			return outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
-		silence.Reset(itemSilence)
+		use.Heard(time.Now())
 		use.First(time.Now())
 		if err := r.add(one, event); err != nil {
 			return err
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -95,6 +95,9 @@
 	notUntil time.Time
 	exclude  map[string]bool
 	started  time.Time
+	// replica and cancel belong to the run under way.
+	replica string
+	cancel  context.CancelCauseFunc
 }
 
 // Run runs items until the context ends.
@@ -301,6 +304,8 @@
 		one.started = now
 	}
 	use := r.Replicas.Begin(chosen.ID, int(item.Tokens), true, now)
-	go r.run(one, item, target, chosen.Info, use)
+	ctx, cancel := context.WithCancelCause(one.work.ctx)
+	one.replica, one.cancel = chosen.ID, cancel
+	go r.run(ctx, one, item, target, chosen.Info, use)
 	return true
 }
--- a/internal/node/gatewayjobs.go
+++ b/internal/node/gatewayjobs.go
@@ -43,6 +43,7 @@
 		Service: g.jobs, Replicas: g.replicas, Backend: g.backend, Routes: g.routes.Load, Owners: g.owners,
 		Weights: g.weights(), Zone: g.settings.Node.Zone, ViewAge: g.jobWatch.Age,
 	})
+	g.replicas.Pressed = g.runner.Yield
 }
 
 // ownSession returns this node's session, which exists in the store.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -18,6 +18,9 @@
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
 	stepWeight = 0.1
+	// yieldDivisor is the number of waiting requests for which one batch item
+	// gives way; several nodes see the same queue and each gives way.
+	yieldDivisor = 3
 	// refusedFill is the assumed load, in slots, of a replica that refused, and
 	// refusedFade how fast that assumption fades.
 	refusedFill = 2.0
@@ -36,6 +39,8 @@
 	step     time.Duration
 	rate     float64
 	health   health
+	// heard is when anything last came from the replica.
+	heard time.Time
 	// vanished is when the entry left the list; zero while it is listed.
 	vanished time.Time
 }
@@ -50,6 +55,9 @@
 	changed   chan struct{}
 	// Ejected is told of each ejection, outside the lock.
 	Ejected func(info Info, result Result)
+	// Pressed is told, outside the lock, how many batch items of this node
+	// should give way at a replica where requests wait.
+	Pressed func(id string, items int)
 }
 
 // NewSet returns an empty set.
@@ -210,12 +218,22 @@
 
 // Load takes in what the replica said of its load with an answer.
 func (u *Use) Load(load Load, now time.Time) {
+	batch := u.takeLoad(load, now)
+	yield := load.Waiting / yieldDivisor
+	if yield > 0 && batch > 0 && u.set.Pressed != nil {
+		u.set.Pressed(u.entry.info.ID, yield)
+	}
+}
+
+// takeLoad returns the number of this node's batch items at the replica.
+func (u *Use) takeLoad(load Load, now time.Time) int {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	others := max(0, float64(load.Running+load.Waiting-u.entry.open))
 	previous := u.entry.othersAt(now)
 	u.entry.others = previous + othersWeight*(others-previous)
 	u.entry.reported = now
+	return u.entry.batch
 }
 
 // First notes that the answer has begun.
@@ -234,6 +252,24 @@
 	u.entry.step += time.Duration(stepWeight * float64(took-u.entry.step))
 }
 
+// Heard notes that something came from the replica: it is busy, not silent.
+func (u *Use) Heard(now time.Time) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	u.entry.heard = now
+}
+
+// Silence returns the time since anything of any request came from the replica,
+// or since this request was sent, whichever is shorter.
+func (u *Use) Silence(now time.Time) time.Duration {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	if u.entry.heard.After(u.sent) {
+		return now.Sub(u.entry.heard)
+	}
+	return now.Sub(u.sent)
+}
+
 // End stops counting and takes in how the request ended.
 func (u *Use) End(result Result, now time.Time) {
 	if u.finish(result, now) && u.set.Ejected != nil {
