Keep replicas in use whose entries lapsed while the store was down

Cause: after an outage of 6 s the list lacks live replicas until their next heartbeat; the watcher also told of the outage only after the removals were applied.

--- a/internal/node/gatewayviews.go
+++ b/internal/node/gatewayviews.go
@@ -13,11 +13,10 @@
 func (g *Gateway) watch(name string, feed table.Feed, apply func(table.Changes, bool)) *table.Watcher {
 	watcher := table.NewWatcher(feed, apply)
 	watcher.Lost = func(err error) {
-		g.replicas.Outage(time.Now())
 		g.log.Warn().Str("dependency", name).Err(err).Msg("dependency lost")
 	}
 	watcher.Regained = func(outage time.Duration) {
-		g.replicas.Outage(time.Now())
+		g.replicas.Outage(outage, time.Now())
 		g.log.Info().Str("dependency", name).Dur("outage_ms", outage).Msg("dependency regained")
 	}
 	return watcher
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -68,7 +68,7 @@
 type filter func(*Candidate, *Demand, Weights) bool
 
 func sound(candidate *Candidate, demand *Demand, weights Weights) bool {
-	if candidate.Ejected || candidate.Doubtful {
+	if candidate.Ejected {
 		return false
 	}
 	if !demand.Batch {
@@ -81,7 +81,7 @@
 	return candidate.Busy()+1 <= fill*float64(candidate.Slots)
 }
 
-// lastResort takes ejected and doubtful replicas rather than none.
+// lastResort takes ejected replicas rather than none.
 func lastResort(*Candidate, *Demand, Weights) bool { return true }
 
 func pickAmong(candidates []Candidate, demand *Demand, weights Weights, passes filter) *Candidate {
@@ -109,7 +109,7 @@
 		return 0
 	}
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].Doubtful {
+		if candidates[i].Ejected {
 			continue
 		}
 		if weight := mix(candidates[i].Key ^ demand.Affinity); home == 0 || weight > best {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,8 +48,6 @@
 	TokensPerSecond float64
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
-	// Doubtful replicas are not listed any more, though nobody saw them leave.
-	Doubtful bool
 }
 
 // Busy estimates the requests running or waiting there, of all nodes.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -8,13 +8,14 @@
 
 const (
 	// doubtTime is how long a replica that vanished from the list around an
-	// outage of the platform's store may still be used as a last resort.
-	doubtTime = 6 * time.Second
-	// outageShadow is how long after an outage a vanished replica is doubtful
-	// rather than gone.
-	outageShadow = 4 * time.Second
+	// outage of the platform's store may still be used, on own evidence.
+	doubtTime = 2500 * time.Millisecond
+	// outageShadow is how long after an outage a vanished replica is kept.
+	outageShadow = 200 * time.Millisecond
 	// othersWeight is the weight of the newest load report.
 	othersWeight = 0.6
+	// lapseAfter is the length of an outage from which on entries lapse.
+	lapseAfter = 2500 * time.Millisecond
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
 	stepWeight = 0.1
@@ -50,7 +51,7 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	byPool  map[string][]*entry
-	// outageEnd is when the list was last known to be cut off from its source.
+	// outageEnd is when the list's source came back after a long outage.
 	outageEnd time.Time
 	changed   chan struct{}
 	// Ejected is told of each ejection, outside the lock.
@@ -96,9 +97,13 @@
 	s.index()
 }
 
-// Outage notes that the list's source does not answer, or has just come back:
-// entries may be missing from the list though their replicas are well.
-func (s *Set) Outage(now time.Time) {
+// Outage notes that the list's source has come back after an outage. After a
+// long one, entries may be missing though their replicas are well, for these
+// could not renew them; after a short one, who is missing has left.
+func (s *Set) Outage(length time.Duration, now time.Time) {
+	if length < lapseAfter {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outageEnd = now
@@ -166,19 +171,24 @@
 	list := s.byPool[pool]
 	candidates := make([]Candidate, 0, len(list))
 	for _, known := range list {
-		doubtful := !known.vanished.IsZero()
-		if known.info.Leaving || (doubtful && now.Sub(known.vanished) > doubtTime) {
+		if known.info.Leaving || known.forgotten(now) {
 			continue
 		}
 		candidates = append(candidates, Candidate{
 			Info: known.info, Key: known.key, Open: known.open, Batch: known.batch,
 			Others: known.othersAt(now), PendingTokens: known.pending, Step: known.step,
-			TokensPerSecond: known.rate, Ejected: known.health.ejected(now), Doubtful: doubtful,
+			TokensPerSecond: known.rate, Ejected: known.health.ejected(now),
 		})
 	}
 	return candidates
 }
 
+// forgotten reports whether an entry that left the list around an outage has
+// been used without a new listing for long enough.
+func (e *entry) forgotten(now time.Time) bool {
+	return !e.vanished.IsZero() && now.Sub(e.vanished) > doubtTime
+}
+
 // othersAt fades the estimate as the report grows old.
 func (e *entry) othersAt(now time.Time) float64 {
 	age := now.Sub(e.reported)
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -77,7 +77,6 @@
 		err := w.step(ctx, whole)
 		switch {
 		case err == nil:
-			w.succeeded()
 			whole = false
 			delay = watchRetryFirst
 			sleep(ctx, w.Spacing-time.Since(began))
@@ -102,6 +101,7 @@
 		defer cancel()
 		changes, err := w.Feed.All(callCtx)
 		if err == nil {
+			w.succeeded()
 			w.takeWhole(changes)
 		}
 		return err
@@ -110,6 +110,7 @@
 	defer cancel()
 	changes, err := w.Feed.After(callCtx, w.revision, watchWait)
 	if err == nil {
+		w.succeeded()
 		w.take(changes, false)
 	}
 	return err
@@ -151,6 +152,8 @@
 	w.Apply(changes, whole)
 }
 
+// succeeded notes an answer. It comes before the changes are applied, so that
+// those who take them know of an outage that lies behind.
 func (w *Watcher) succeeded() {
 	w.fresh.Store(int64(time.Since(clockOrigin)))
 	if !w.failedAt.IsZero() && w.Regained != nil {
