Hand jobs back with their texts and take one's own up at once after a restart

Cause: a stopping node broke its items off before their texts were kept, and lost both while the store was down; after a restart of all nodes jobs waited 3 s for the old sessions to expire; no items were sent 2.5 s into an outage.

--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -47,13 +48,22 @@
 	}
 	live := r.Owners.Live()
 	for _, entry := range foreign {
-		owner := entry.Progress.Owner
-		if (owner == "" || r.Owners.Expired(owner)) && preferred(live, entry.Job.ID) == session {
+		if r.mayClaim(entry, live, session) {
 			r.claim(ctx, entry, session)
 		}
 	}
 }
 
+// mayClaim reports whether this node should take a job over: its own from
+// before a restart at once, those of others once their owner is gone.
+func (r *Runner) mayClaim(entry *Entry, live []string, session string) bool {
+	owner := entry.Progress.Owner
+	if owner != "" && lease.SameNode(owner, session) {
+		return true
+	}
+	return (owner == "" || r.Owners.Expired(owner)) && preferred(live, entry.Job.ID) == session
+}
+
 // claim makes this node the owner, unless another one is by then.
 func (r *Runner) claim(ctx context.Context, entry *Entry, session string) {
 	callCtx, cancel := context.WithTimeout(ctx, slowCallTimeout)
@@ -95,60 +105,3 @@
 	defer r.mu.Unlock()
 	return r.paused
 }
-
-// HandBack stops all items, keeps what they have brought so far and gives the
-// jobs free for others.
-func (r *Runner) HandBack(ctx context.Context) {
-	r.mu.Lock()
-	r.paused = true
-	var owned []*work
-	for _, one := range r.owned {
-		owned = append(owned, one)
-	}
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
-	defer cancel()
-	done := make(chan struct{}, len(owned))
-	for _, one := range owned {
-		go func() {
-			r.handBack(ctx, one)
-			done <- struct{}{}
-		}()
-	}
-	for range owned {
-		<-done
-	}
-}
-
-func (r *Runner) handBack(ctx context.Context, owned *work) {
-	owned.cancel()
-	r.mu.Lock()
-	failures := map[int]int{}
-	var kept []table.Write
-	for _, one := range owned.tasks {
-		if one.failures > 0 {
-			failures[one.index] = one.failures
-		}
-		unlisted := one.state == taskWaiting || one.state == taskRunning
-		if unlisted && one.after > 0 && len(one.text) <= maxRowText && len(kept) < commitRows {
-			body := encode(storedResult{Text: string(one.text), After: one.after})
-			kept = append(kept, table.Write{Key: keptKey(owned.job.ID, one.index), Expect: table.Absent, Body: body})
-		}
-	}
-	r.mu.Unlock()
-	if len(kept) > 0 {
-		// A text that an earlier owner kept stands; then these are lost.
-		_, _ = r.Service.Table.Commit(ctx, table.NewOperation(), kept...)
-	}
-	// If this fails, the job is taken over once the session is gone.
-	_ = r.Service.update(ctx, owned.job.ID, func(progress *Progress) ([]table.Write, bool) {
-		if progress.Ended || progress.Owner == "" {
-			return nil, false
-		}
-		progress.Owner = ""
-		for item, count := range failures {
-			progress.Failures[item] = max(progress.Failures[item], count)
-		}
-		return nil, true
-	})
-}
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -13,8 +13,6 @@
 const (
 	// commitRows bounds the results of one transaction.
 	commitRows = 20
-	// keepTimeout bounds the writing of texts when a node stops.
-	keepTimeout = 1500 * time.Millisecond
 )
 
 // finish notes an item's outcome and has it listed.
@@ -157,6 +155,7 @@
 		if _, err := fmt.Sscanf(number, "%d", &index); err != nil || decode(row.Body, &text) != nil {
 			continue
 		}
+		text.version = row.Version
 		kept[index] = text
 	}
 	return kept
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -151,6 +151,9 @@
 	Object string `cbor:"2,keyasint,omitempty"`
 	// After is the last event of a kept text.
 	After int `cbor:"3,keyasint,omitempty"`
+
+	// version is that of the row this was read from.
+	version uint64
 }
 
 func shardOf(job string) string {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -18,7 +18,7 @@
 	claimInterval = 400 * time.Millisecond
 	// staleView is the age of the view beyond which no new items are sent: an
 	// end of a job would not be noticed.
-	staleView = 2500 * time.Millisecond
+	staleView = 8 * time.Second
 )
 
 // Owners tells which sessions are gone. The lease watcher implements it.
@@ -98,6 +98,8 @@
 	// replica and cancel belong to the run under way.
 	replica string
 	cancel  context.CancelCauseFunc
+	// keptVersion is the version of the row with the item's kept text.
+	keptVersion uint64
 }
 
 // Run runs items until the context ends.
@@ -183,7 +185,7 @@
 		}
 		one := &task{work: owned, index: index, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
 		if text, ok := kept[index]; ok {
-			one.text, one.after = []byte(text.Text), text.After
+			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
 		}
 		owned.tasks = append(owned.tasks, one)
 	}
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	TimeToLive = 8 * time.Second
 	// RenewInterval leaves room for two failed renewals within TimeToLive.
 	RenewInterval = 2500 * time.Millisecond
+	// sessionSeparator parts the node's id from the run's in a session's id.
+	sessionSeparator = "#"
 	// partition holds the session rows.
 	partition = "sessions"
 	// sweepMultiple times TimeToLive is the age at which an abandoned row is deleted.
@@ -63,7 +66,15 @@
 
 // NewSession returns a session with a fresh id for this run of a node.
 func NewSession(service table.Service, node string, timing Timing) *Session {
-	return &Session{service: service, id: node + "#" + table.NewOperation()[:12], timing: timing}
+	return &Session{service: service, id: node + sessionSeparator + table.NewOperation()[:12], timing: timing}
+}
+
+// SameNode reports whether two sessions belong to runs of the same node. Only
+// one run lives at a time, so the other session is over.
+func SameNode(a, b string) bool {
+	nodeA, _, _ := strings.Cut(a, sessionSeparator)
+	nodeB, _, _ := strings.Cut(b, sessionSeparator)
+	return nodeA == nodeB
 }
 
 // ID identifies the session; it is never used again after a restart.
--- a/internal/node/gatewayjobs.go
+++ b/internal/node/gatewayjobs.go
@@ -17,8 +17,6 @@
 	jobSpacing = 120 * time.Millisecond
 	// jobPatience bounds how long a call about a job waits for the store.
 	jobPatience = 2500 * time.Millisecond
-	// handBackTime bounds the giving back of jobs at a stop.
-	handBackTime = 2 * time.Second
 )
 
 // gatewayTiming makes lost owners be noticed within a few seconds, for items
@@ -60,9 +58,7 @@
 }
 
 // handBackJobs gives this node's jobs to others before it stops.
-func (g *Gateway) handBackJobs() {
-	ctx, cancel := context.WithTimeout(context.Background(), handBackTime)
-	defer cancel()
+func (g *Gateway) handBackJobs(ctx context.Context) {
 	g.runner.HandBack(ctx)
 	if err := g.session.End(ctx); err != nil {
 		g.log.Warn().Err(err).Msg("session not ended, others wait for it to expire")
--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -26,14 +26,19 @@
 	}
 	g.stopping.Store(true)
 	g.log.Info().Dur("grace_ms", grace).Msg("gateway stopping")
-	g.handBackJobs()
-	time.Sleep(min(stopNotice, grace/2) - time.Since(began))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
 	defer cancel()
+	handedBack := make(chan struct{})
+	go func() {
+		g.handBackJobs(ctx)
+		close(handedBack)
+	}()
+	time.Sleep(min(stopNotice, grace/2))
 	for _, server := range g.servers {
 		// What is still open at the deadline is cut by the end of the process.
 		_ = server.Shutdown(ctx)
 	}
+	<-handedBack
 	g.cancel()
 	g.store.Close()
 	g.backend.Close()
