Call jobs urgent when the items ahead of them would make them late

Cause: with a backlog, jobs became urgent only 10 s before they were due, so valleys between pulses stayed at 0.45 of the slots while jobs were refused over the quota. The plan now estimates each job's end from the items ahead of it.

--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -40,7 +40,11 @@
 func (r *Runner) run(ctx context.Context, one *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
 	defer one.cancel(nil)
 	r.Service.Events.ItemSent(one.work.job, item.ID, chosen.ID, one.after)
+	began, fresh := time.Now(), one.after == 0
 	err := r.exchange(ctx, one, item, chosen, use)
+	if err == nil && fresh {
+		r.learnTime(time.Since(began))
+	}
 	use.End(itemResult(one.work.ctx, err), time.Now())
 	if err != nil && one.work.ctx.Err() == nil {
 		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -21,11 +21,14 @@
 	// number that may be if some would be late otherwise.
 	Places       int
 	UrgentPlaces int
+	// ItemTime is how long an item usually takes.
+	ItemTime time.Duration
 }
 
 const (
-	// urgentSlack is the time to a job's due time from which on it is urgent.
-	urgentSlack = 10 * time.Second
+	// urgentMargin is how much longer than estimated a job may take before it
+	// counts as urgent.
+	urgentMargin = 1.4
 	// hopelessSlack is the time to a job's due time below which it is too late
 	// for items that have not begun; they come after those that can be in time.
 	hopelessSlack = 2 * time.Second
@@ -39,11 +42,12 @@
 	ordered := append([]*Entry(nil), input.Open...)
 	sort.Slice(ordered, func(i, j int) bool { return before(ordered[i].Job, ordered[j].Job, input.Now) })
 	granted := make(map[string]Grant, len(ordered))
-	used := 0
+	used, ahead := 0, 0
 	for _, entry := range ordered {
 		unlisted := len(entry.Job.Items) - len(entry.Progress.Listed)
 		slack := entry.Job.Due - input.Now
-		urgent := slack < urgentSlack && slack >= hopelessSlack
+		urgent := slack >= hopelessSlack && slack < input.expected(ahead+unlisted)
+		ahead += unlisted
 		limit := input.Places
 		if urgent {
 			limit = max(limit, input.UrgentPlaces)
@@ -55,6 +59,13 @@
 	return granted
 }
 
+// expected estimates the time until so many items are done, if no more than
+// Places are in flight.
+func (p *PlanInput) expected(items int) time.Duration {
+	rounds := 1 + float64(items)/float64(max(1, p.Places))
+	return time.Duration(urgentMargin * rounds * float64(p.ItemTime))
+}
+
 // before orders jobs: those that can be in time first, then the earliest due.
 func before(a, b *Job, now time.Duration) bool {
 	lateA, lateB := a.Due-now < hopelessSlack, b.Due-now < hopelessSlack
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -50,11 +50,32 @@
 	owned  map[string]*work
 	paused bool
 	freed  chan struct{}
+	// usual is how long items take, learned.
+	usual time.Duration
+}
+
+const (
+	// itemTimeFirst stands in until it is learned how long items take.
+	itemTimeFirst  = 5 * time.Second
+	itemTimeWeight = 0.05
+)
+
+func (r *Runner) itemTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usual
+}
+
+// learnTime takes in how long a run from first to last event took.
+func (r *Runner) learnTime(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usual += time.Duration(itemTimeWeight * float64(took-r.usual))
 }
 
 // NewRunner returns a runner that owns nothing yet.
 func NewRunner(options RunnerOptions) *Runner {
-	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1)}
+	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1), usual: itemTimeFirst}
 }
 
 // work is an owned job. The runner's lock guards it.
@@ -228,6 +249,7 @@
 		plan := PlanGrants(PlanInput{
 			Open: open, Now: r.Service.View.Now(),
 			Places: int(r.Weights.BatchFill * slots), UrgentPlaces: int(r.Weights.UrgentFill * slots),
+			ItemTime: r.itemTime(),
 		})
 		for job, share := range plan {
 			all[job] = share
