--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -154,7 +154,7 @@
 }
 
 func (c *call) pick() (*replica.Candidate, error) {
-	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, time.Now())
+	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, c.demand.Affinity, time.Now())
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
 }
 
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -61,14 +61,24 @@
 		s.Events.Accepted(entry.Job, time.Since(began), true)
 		return nil
 	}
+	if err := s.View.await(ctx, 0); err != nil {
+		return Error.Wrap(errors.Join(ErrNotAccepted, err))
+	}
 	if err := s.fits(submission); err != nil {
 		return err
 	}
-	if err := s.putContent(ctx, submission); err != nil {
+	content := encode(submission.Items)
+	if err := s.putContent(ctx, submission.ID, content); err != nil {
 		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
 		return Error.Wrap(errors.Join(ErrNotAccepted, err))
 	}
-	return s.admit(ctx, submission, began)
+	// The runner may take the job up before admit returns.
+	s.remember(submission.ID, submission.Items)
+	err := s.admit(ctx, submission, content, began)
+	if err != nil {
+		s.forget(submission.ID)
+	}
+	return err
 }
 
 // fits reports ErrQuota if the job does not fit by what is known now.
@@ -85,30 +95,12 @@
 	return err
 }
 
-// putContent stores the items before the rows that make the job theirs. The
-// object is only ever written with this content, so it may be written twice.
-func (s *Service) putContent(ctx context.Context, submission *Submission) error {
-	body := encode(submission.Items)
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
-		err := s.Objects.Put(callCtx, contentKey(submission.ID), body)
-		cancel()
-		if err == nil {
-			s.remember(submission.ID, submission.Items)
-			return nil
-		}
-		if !wait(ctx, delay) {
-			return err
-		}
-		delay = min(2*delay, retryMax)
-	}
-}
-
 // admission is the state of one try to get a job admitted.
 type admission struct {
 	submission *Submission
-	operation  string
+	// content holds the encoded items.
+	content   []byte
+	operation string
 	// pending is set while a write without an answer may still land.
 	pending bool
 }
@@ -118,8 +110,8 @@
 // With a quota the transaction also moves the admission row on. A conflict then
 // proves that no earlier write of this job can land any more: the version that
 // it was conditional on is gone.
-func (s *Service) admit(ctx context.Context, submission *Submission, began time.Time) error {
-	try := &admission{submission: submission, operation: table.NewOperation()}
+func (s *Service) admit(ctx context.Context, submission *Submission, content []byte, began time.Time) error {
+	try := &admission{submission: submission, content: content, operation: table.NewOperation()}
 	delay := retryFirst
 	for {
 		if entry := s.View.Get(submission.ID); entry != nil {
@@ -166,7 +158,7 @@
 		s.Events.Refused(submission.ID, used, submission.tokens(), submission.Quota, err)
 		return err
 	}
-	writes, err := s.admissionWrites(ctx, submission, version)
+	writes, err := s.admissionWrites(ctx, submission, try.content, version)
 	if err != nil {
 		return outcome.Failed(err)
 	}
@@ -201,7 +193,7 @@
 	return s.afterConflict(ctx, try, err)
 }
 
-func (s *Service) admissionWrites(ctx context.Context, submission *Submission, version uint64) ([]table.Write, error) {
+func (s *Service) admissionWrites(ctx context.Context, submission *Submission, content []byte, version uint64) ([]table.Write, error) {
 	session, err := s.Session(ctx)
 	if err != nil {
 		return nil, err
@@ -211,6 +203,8 @@
 		ID: submission.ID, Route: submission.Route, Host: submission.Host, Created: now,
 		Due: now + submission.Completion, Expires: now + submission.Retention,
 	}
+	chunks := contentChunks(content)
+	job.Chunks = len(chunks)
 	for _, item := range submission.Items {
 		job.Items = append(job.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
 	}
@@ -218,6 +212,9 @@
 		{Key: jobKey(job.ID), Expect: table.Absent, Body: encode(job)},
 		{Key: progressKey(job.ID), Expect: table.Absent, Body: encode(&Progress{Owner: session})},
 	}
+	for number, chunk := range chunks {
+		writes = append(writes, table.Write{Key: chunkKey(job.ID, number), Expect: table.Absent, Body: chunk})
+	}
 	if submission.Quota > 0 {
 		key := admissionKey(submission.Route)
 		writes = append(writes, table.Write{Key: key, Expect: version, Body: []byte(job.ID)})
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -119,19 +119,10 @@
 		return encode(storedResult{Text: string(one.text)}), nil
 	}
 	name := textObject(job.ID, one.index)
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
-		err := s.Objects.Put(callCtx, name, one.text)
-		cancel()
-		if err == nil {
-			return encode(storedResult{Object: name}), nil
-		}
-		if !wait(ctx, delay) {
-			return nil, Error.Wrap(err)
-		}
-		delay = min(2*delay, retryMax)
+	if err := s.putObject(ctx, name, one.text); err != nil {
+		return nil, err
 	}
+	return encode(storedResult{Object: name}), nil
 }
 
 // keptTexts returns the texts that an earlier owner kept of unfinished items.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -106,7 +106,8 @@
 	stop := watchSilence(use, one.cancel)
 	defer stop()
 	err := r.send(ctx, one, item, chosen, use)
-	if err != nil && errors.Is(context.Cause(ctx), errYielded) {
+	verdict := errors.Is(err, errItemInvalid) || errors.Is(err, errItemFailed)
+	if err != nil && !verdict && errors.Is(context.Cause(ctx), errYielded) {
 		return outcome.Undecided(errYielded)
 	}
 	return err
@@ -120,9 +121,6 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.Load != nil {
-		use.Load(*answer.Load, time.Now())
-	}
 	switch {
 	case answer.Status == http.StatusUnprocessableEntity:
 		return outcome.Undecided(errItemInvalid)
@@ -131,6 +129,10 @@
 	case answer.Status != http.StatusOK || !answer.Events:
 		return outcome.Undecided(fmt.Errorf("%w: status %d", forward.ErrBroken, answer.Status))
 	}
+	// A verdict on the item stands; only a run that goes on can give way.
+	if answer.Load != nil {
+		use.Load(*answer.Load, time.Now())
+	}
 	return r.collect(one, answer, use)
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -97,6 +97,8 @@
 	// Due is when all results are due, Expires when items may be given up.
 	Due     time.Duration `cbor:"6,keyasint"`
 	Expires time.Duration `cbor:"7,keyasint"`
+	// Chunks is the number of rows with the content; 0 means an object holds it.
+	Chunks int `cbor:"8,keyasint,omitempty"`
 }
 
 // Listed is a result's place in the list of a job.
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
-
-	"github.com/wheelhoist/wheelhoist/internal/object"
 )
 
 const (
@@ -15,8 +12,6 @@
 	maxAnswerText = 900 << 10
 	// maxCachedText bounds the texts kept in memory.
 	maxCachedText = 16 << 20
-	// maxContents bounds the jobs whose items are kept in memory.
-	maxContents = 64
 )
 
 // Reading is an answer to a read of a job's results.
@@ -151,10 +146,11 @@
 
 // Body returns the content of an item.
 func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
-	if _, err := s.find(ctx, id); err != nil {
+	entry, err := s.find(ctx, id)
+	if err != nil {
 		return nil, err
 	}
-	items, err := s.content(ctx, id)
+	items, err := s.content(ctx, entry.Job)
 	if err != nil {
 		return nil, err
 	}
@@ -166,62 +162,6 @@
 	return nil, Error.Wrap(ErrNotFound)
 }
 
-// content returns the items of a job from memory or from the store.
-func (s *Service) content(ctx context.Context, id string) ([]Item, error) {
-	s.contentMu.Lock()
-	items, ok := s.contents[id]
-	s.contentMu.Unlock()
-	if ok {
-		return items, nil
-	}
-	body, err := s.getObject(ctx, contentKey(id))
-	if err != nil {
-		return nil, err
-	}
-	if err := decode(body, &items); err != nil {
-		return nil, err
-	}
-	return items, nil
-}
-
-// remember keeps the items of a job that this node runs.
-func (s *Service) remember(id string, items []Item) {
-	s.contentMu.Lock()
-	defer s.contentMu.Unlock()
-	if s.contents == nil {
-		s.contents = map[string][]Item{}
-	}
-	if len(s.contents) < maxContents {
-		s.contents[id] = items
-	}
-}
-
-// forget drops the items of a job that is done.
-func (s *Service) forget(id string) {
-	s.contentMu.Lock()
-	defer s.contentMu.Unlock()
-	delete(s.contents, id)
-}
-
-func (s *Service) getObject(ctx context.Context, key string) ([]byte, error) {
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
-		body, err := object.ReadAll(callCtx, s.Objects, key)
-		cancel()
-		switch {
-		case err == nil:
-			return body, nil
-		case errors.Is(err, object.ErrNotFound):
-			return nil, Error.Wrap(fmt.Errorf("%w: %w", ErrNotFound, err))
-		}
-		if !wait(ctx, delay) {
-			return nil, Error.Wrap(errors.Join(ErrUnavailable, err))
-		}
-		delay = min(2*delay, retryMax)
-	}
-}
-
 type textKey struct {
 	job      string
 	position int
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -188,7 +188,7 @@
 }
 
 func (r *Runner) load(owned *work, entry *Entry) {
-	items, err := r.Service.content(owned.ctx, entry.Job.ID)
+	items, err := r.Service.content(owned.ctx, entry.Job)
 	if err != nil || len(items) != len(entry.Job.Items) {
 		// The next reconcile tries again.
 		r.mu.Lock()
@@ -310,7 +310,7 @@
 		return true
 	}
 	demand := &replica.Demand{Zone: r.Zone, Tokens: int(item.Tokens), Batch: true, Urgent: urgent, Exclude: one.exclude}
-	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), now), demand, r.Weights)
+	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), 0, now), demand, r.Weights)
 	if err != nil {
 		if len(one.exclude) == 0 {
 			return false
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -209,11 +209,12 @@
 // until is the time left until a moment of the store's clock.
 func (v *View) until(moment time.Duration) time.Duration { return moment - v.Now() }
 
-// await waits until the view reflects a revision.
+// await waits until the view reflects a revision, and anything at all: before
+// that neither the store's clock nor the quota in use is known.
 func (v *View) await(ctx context.Context, revision uint64) error {
 	for {
 		v.mu.Lock()
-		reached, changed := v.revision >= revision, v.changed
+		reached, changed := v.revision >= revision && !v.readAt.IsZero(), v.changed
 		v.mu.Unlock()
 		if reached {
 			return nil
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -19,6 +21,8 @@
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
 	stepWeight = 0.1
+	// sampleSize is the most replicas that a choice looks at.
+	sampleSize = 48
 	// yieldDivisor is the number of waiting requests for which one batch item
 	// gives way; several nodes see the same queue and each gives way.
 	yieldDivisor = 3
@@ -50,7 +54,9 @@
 type Set struct {
 	mu      sync.Mutex
 	entries map[string]*entry
-	byPool  map[string][]*entry
+	// byPool is rebuilt from entries when stale is set.
+	byPool map[string][]*entry
+	stale  bool
 	// outageEnd is when the list's source came back after a long outage.
 	outageEnd time.Time
 	changed   chan struct{}
@@ -109,8 +115,21 @@
 	s.outageEnd = now
 }
 
-// index rebuilds the lists by pool. The caller holds mu.
+// index marks the lists by pool as out of date. The caller holds mu.
 func (s *Set) index() {
+	s.stale = true
+	s.wake()
+}
+
+// pool returns the entries of a pool in the order of their ids. The caller holds mu.
+func (s *Set) pool(name string) []*entry {
+	if s.stale {
+		s.rebuild()
+	}
+	return s.byPool[name]
+}
+
+func (s *Set) rebuild() {
 	byPool := make(map[string][]*entry, len(s.byPool))
 	for _, known := range s.entries {
 		byPool[known.info.Pool] = append(byPool[known.info.Pool], known)
@@ -119,7 +138,7 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].info.ID < list[j].info.ID })
 	}
 	s.byPool = byPool
-	s.wake()
+	s.stale = false
 }
 
 // wake tells those that wait for a change. The caller holds mu.
@@ -155,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := 0
-	for _, known := range s.byPool[pool] {
+	for _, known := range s.pool(pool) {
 		if !known.info.Leaving {
 			total += known.info.Slots
 		}
@@ -164,11 +183,47 @@
 }
 
 // Snapshot returns the replicas of a pool that may take requests now, in the
-// order of their ids.
-func (s *Set) Snapshot(pool string, now time.Time) []Candidate {
+// order of their ids. Of a large pool it returns a sample, of replicas that
+// lie together at a random place, and the home of a prefix: the least busy of
+// many random choices is nearly the least busy of all, and the cost of a
+// request does not grow with the fleet.
+func (s *Set) Snapshot(pool string, affinity uint64, now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.byPool[pool]
+	list := s.pool(pool)
+	if len(list) <= sampleSize {
+		return candidatesOf(list, now)
+	}
+	begin := rand.IntN(len(list))
+	sample := make([]*entry, 0, sampleSize+1)
+	for i := range sampleSize {
+		sample = append(sample, list[(begin+i)%len(list)])
+	}
+	if home := homeAmong(list, affinity, now); home != nil && !slices.Contains(sample, home) {
+		sample = append(sample, home)
+	}
+	return candidatesOf(sample, now)
+}
+
+// homeAmong returns the entry where prompts with the same prefix meet.
+func homeAmong(list []*entry, affinity uint64, now time.Time) *entry {
+	var home *entry
+	var best uint64
+	if affinity == 0 {
+		return nil
+	}
+	for _, known := range list {
+		if known.info.Leaving || known.forgotten(now) || known.health.ejected(now) {
+			continue
+		}
+		if weight := mix(known.key ^ affinity); home == nil || weight > best {
+			home, best = known, weight
+		}
+	}
+	return home
+}
+
+func candidatesOf(list []*entry, now time.Time) []Candidate {
 	candidates := make([]Candidate, 0, len(list))
 	for _, known := range list {
 		if known.info.Leaving || known.forgotten(now) {
--- /dev/null
+++ b/internal/table/tabletest/tabletest.go
@@ -0,0 +1,250 @@
+// Package tabletest is a table service in memory with faults, for tests.
+package tabletest
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// errLost is the cause of an answer that never comes.
+var errLost = errors.New("answer lost")
+
+// Fault is what happens to a commit.
+type Fault int
+
+// Faults of commits.
+const (
+	// None lets the commit through.
+	None Fault = iota
+	// Down refuses it; nothing is done.
+	Down
+	// Lost does it and loses the answer.
+	Lost
+	// Late loses the answer and does it when Land is called, if its conditions
+	// still hold then.
+	Late
+)
+
+// Table keeps rows in memory. One counter gives the versions of all rows, as
+// with the platform's store. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[table.Key]table.Row
+	log     []table.Change
+	version uint64
+	began   time.Time
+	late    []lateCommit
+	changed chan struct{}
+	// CommitFault, if set, decides the fate of each commit. ReadFault, if set,
+	// is the error of each reading call.
+	CommitFault func(writes []table.Write) Fault
+	ReadFault   func() error
+}
+
+type lateCommit struct {
+	operation string
+	writes    []table.Write
+}
+
+var _ table.Service = (*Table)(nil)
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{rows: map[table.Key]table.Row{}, began: time.Now(), changed: make(chan struct{})}
+}
+
+func (t *Table) readFault() error {
+	if t.ReadFault == nil {
+		return nil
+	}
+	return t.ReadFault()
+}
+
+// Get implements table.Service.
+func (t *Table) Get(_ context.Context, key table.Key) (table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.readFault(); err != nil {
+		return table.Row{}, err
+	}
+	row, ok := t.rows[key]
+	if !ok {
+		return table.Row{}, outcome.Failed(table.ErrNotFound)
+	}
+	return row, nil
+}
+
+// List implements table.Service.
+func (t *Table) List(_ context.Context, partition, after string, limit int) ([]table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.readFault(); err != nil {
+		return nil, err
+	}
+	var rows []table.Row
+	for key, row := range t.rows {
+		if key.Partition == partition && key.Sort > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Sort < rows[j].Sort })
+	return rows[:min(limit, len(rows))], nil
+}
+
+// Commit implements table.Service.
+func (t *Table) Commit(_ context.Context, operation string, writes ...table.Write) ([]uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fault := None
+	if t.CommitFault != nil {
+		fault = t.CommitFault(writes)
+	}
+	switch fault {
+	case Down:
+		return nil, outcome.Failed(table.ErrUnavailable)
+	case Late:
+		t.late = append(t.late, lateCommit{operation, writes})
+		return nil, outcome.Undecided(errLost)
+	}
+	versions, err := t.apply(operation, writes)
+	if fault == Lost {
+		return nil, outcome.Undecided(errLost)
+	}
+	return versions, err
+}
+
+// Land carries out the late commits whose conditions still hold. It returns how
+// many did.
+func (t *Table) Land() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	landed := 0
+	for _, commit := range t.late {
+		if _, err := t.apply(commit.operation, commit.writes); err == nil {
+			landed++
+		}
+	}
+	t.late = nil
+	return landed
+}
+
+// apply carries out a commit. The caller holds mu.
+func (t *Table) apply(operation string, writes []table.Write) ([]uint64, error) {
+	conflict := &table.ConflictError{Revision: t.version}
+	holds := true
+	for _, write := range writes {
+		row, ok := t.rows[write.Key]
+		if ok {
+			conflict.Rows = append(conflict.Rows, row)
+		}
+		holds = holds && row.Version == write.Expect
+	}
+	if !holds {
+		return nil, outcome.Failed(conflict)
+	}
+	t.version++
+	versions := make([]uint64, len(writes))
+	for i, write := range writes {
+		versions[i] = t.version
+		t.change(operation, write)
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return versions, nil
+}
+
+func (t *Table) change(operation string, write table.Write) {
+	row := table.Row{Key: write.Key, Version: t.version, Operation: operation, Body: write.Body}
+	switch write.Kind {
+	case table.Put:
+		t.rows[write.Key] = row
+		t.log = append(t.log, table.Change{Row: row})
+	case table.Delete:
+		delete(t.rows, write.Key)
+		t.log = append(t.log, table.Change{Row: row, Removed: true})
+	}
+}
+
+// Compact forgets the history of changes.
+func (t *Table) Compact() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.log = nil
+}
+
+// Feed follows the partitions of a group of the table.
+func (t *Table) Feed(group string) table.Feed { return &feed{table: t, group: group} }
+
+type feed struct {
+	table *Table
+	group string
+}
+
+func (f *feed) member(key table.Key) bool {
+	return key.Partition == f.group || strings.HasPrefix(key.Partition, f.group+"/")
+}
+
+// All implements table.Feed.
+func (f *feed) All(context.Context) (table.Changes, error) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	if err := f.table.readFault(); err != nil {
+		return table.Changes{}, err
+	}
+	all := f.table.stamp()
+	for key, row := range f.table.rows {
+		if f.member(key) {
+			all.Changes = append(all.Changes, table.Change{Row: row})
+		}
+	}
+	return all, nil
+}
+
+// After implements table.Feed.
+func (f *feed) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		changes, changed, err := f.since(revision)
+		if err != nil || len(changes.Changes) > 0 {
+			return changes, err
+		}
+		select {
+		case <-ctx.Done():
+			return table.Changes{}, outcome.Undecided(ctx.Err())
+		case <-deadline.C:
+			return changes, nil
+		case <-changed:
+		}
+	}
+}
+
+func (f *feed) since(revision uint64) (table.Changes, <-chan struct{}, error) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	if err := f.table.readFault(); err != nil {
+		return table.Changes{}, nil, err
+	}
+	changes := f.table.stamp()
+	if revision < f.table.version && len(f.table.log) == 0 {
+		return changes, nil, table.ErrCompacted
+	}
+	for _, change := range f.table.log {
+		if change.Version > revision && f.member(change.Key) {
+			changes.Changes = append(changes.Changes, change)
+		}
+	}
+	return changes, f.table.changed, nil
+}
+
+// stamp returns changes without rows. The caller holds mu.
+func (t *Table) stamp() table.Changes {
+	return table.Changes{Revision: t.version, Now: time.Since(t.began)}
+}
