--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,194 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+const testPool = "pool"
+
+func newSet(count int) *Set {
+	set := NewSet()
+	for i := range count {
+		id := fmt.Sprintf("r%02d", i)
+		set.Put(Info{ID: id, Pool: testPool, Address: id, Zone: "z", Slots: 4})
+	}
+	return set
+}
+
+func ids(candidates []Candidate) map[string]bool {
+	found := map[string]bool{}
+	for _, candidate := range candidates {
+		found[candidate.ID] = true
+	}
+	return found
+}
+
+func TestSet_LeavingReplicasAreNoCandidates(t *testing.T) {
+	set := newSet(2)
+	set.Put(Info{ID: "r00", Pool: testPool, Leaving: true})
+	if found := ids(set.Snapshot(testPool, 0, time.Now())); found["r00"] || !found["r01"] {
+		t.Fatalf("candidates are %v", found)
+	}
+}
+
+func TestSet_GoneInCalmIsGoneAtOnce(t *testing.T) {
+	set, now := newSet(2), time.Now()
+	set.Remove("r00", now)
+	if found := ids(set.Snapshot(testPool, 0, now)); found["r00"] {
+		t.Fatal("a replica that left the list is still a candidate")
+	}
+}
+
+func TestSet_LapsedInALongOutageStaysForAWhile(t *testing.T) {
+	set, now := newSet(2), time.Now()
+	set.Outage(6*time.Second, now)
+	set.Remove("r00", now)
+	if found := ids(set.Snapshot(testPool, 0, now)); !found["r00"] {
+		t.Fatal("a replica whose entry lapsed in an outage is no candidate")
+	}
+	if found := ids(set.Snapshot(testPool, 0, now.Add(doubtTime+time.Millisecond))); found["r00"] {
+		t.Fatal("a lapsed replica that is not listed again is still a candidate")
+	}
+}
+
+func TestSet_GoneSoonAfterAnOutageIsGoneAtOnce(t *testing.T) {
+	// A finding: a replica that left 3 s after an outage was sent requests for
+	// 2.7 s more, past the drain bound.
+	set, now := newSet(2), time.Now()
+	set.Outage(6*time.Second, now)
+	later := now.Add(3 * time.Second)
+	set.Remove("r00", later)
+	if found := ids(set.Snapshot(testPool, 0, later)); found["r00"] {
+		t.Fatal("a replica that left after the outage is still a candidate")
+	}
+}
+
+func TestSet_GoneInAShortOutageIsGoneAtOnce(t *testing.T) {
+	set, now := newSet(2), time.Now()
+	set.Outage(500*time.Millisecond, now)
+	set.Remove("r00", now)
+	if found := ids(set.Snapshot(testPool, 0, now)); found["r00"] {
+		t.Fatal("no entry lapses in half a second")
+	}
+}
+
+func TestSet_FailuresEjectAndTimeBringsBack(t *testing.T) {
+	set, now := newSet(2), time.Now()
+	for range failuresToEject {
+		set.Begin("r00", 0, false, now).End(Failed, now)
+	}
+	if _, ejected := set.Count(now); ejected != 1 {
+		t.Fatalf("%d replicas are ejected, want 1", ejected)
+	}
+	if _, ejected := set.Count(now.Add(ejectionFirst + time.Millisecond)); ejected != 0 {
+		t.Fatal("the replica does not come back")
+	}
+}
+
+func TestSet_AbandonedRequestsTellNothing(t *testing.T) {
+	set, now := newSet(1), time.Now()
+	for range 10 {
+		set.Begin("r00", 0, false, now).End(Abandoned, now)
+	}
+	if _, ejected := set.Count(now); ejected != 0 {
+		t.Fatal("callers that left ejected a replica")
+	}
+}
+
+func TestUse_BusyReplicaIsNotSilent(t *testing.T) {
+	set, now := newSet(1), time.Now()
+	waiting := set.Begin("r00", 0, false, now)
+	answered := set.Begin("r00", 0, false, now)
+	later := now.Add(time.Second)
+	answered.Heard(later)
+	if silence := waiting.Silence(later); silence != 0 {
+		t.Fatalf("silence is %v while the replica answers others", silence)
+	}
+}
+
+func TestUse_PressedAsksBatchToGiveWay(t *testing.T) {
+	set, now := newSet(1), time.Now()
+	asked := 0
+	set.Pressed = func(_ string, items int) { asked = items }
+	online := set.Begin("r00", 0, false, now)
+	online.Load(Load{Running: 4, Waiting: 9, Slots: 4}, now)
+	if asked != 0 {
+		t.Fatal("a node without batch items there is asked to give way")
+	}
+	set.Begin("r00", 0, true, now)
+	online.Load(Load{Running: 4, Waiting: 9, Slots: 4}, now)
+	if asked != 9/yieldDivisor {
+		t.Fatalf("%d items are asked to give way, want %d", asked, 9/yieldDivisor)
+	}
+}
+
+func TestSet_SampleOfALargePoolHoldsTheHome(t *testing.T) {
+	set, now := newSet(300), time.Now()
+	const affinity = 12345
+	all := set.pool(testPool)
+	home := homeAmong(all, affinity, now)
+	for range 20 {
+		sample := set.Snapshot(testPool, affinity, now)
+		if len(sample) > sampleSize+1 || !ids(sample)[home.info.ID] {
+			t.Fatalf("sample of %d replicas lacks the home", len(sample))
+		}
+	}
+}
+
+func TestPick_LeastBusy(t *testing.T) {
+	candidates := []Candidate{
+		{Info: Info{ID: "a", Slots: 4}, Key: 1, Open: 3},
+		{Info: Info{ID: "b", Slots: 4}, Key: 2, Open: 1},
+	}
+	best, err := Pick(candidates, &Demand{}, Weights{})
+	if err != nil || best.ID != "b" {
+		t.Fatalf("Pick = %v, %v, want b", best, err)
+	}
+}
+
+func TestPick_BatchLeavesRoom(t *testing.T) {
+	candidates := []Candidate{{Info: Info{ID: "a", Slots: 10}, Key: 1, Open: 5}}
+	weights := Weights{BatchFill: 0.5, UrgentFill: 0.8}
+	if _, err := Pick(candidates, &Demand{Batch: true}, weights); !errors.Is(err, ErrNoReplica) {
+		t.Fatalf("an item was placed beyond the fill: %v", err)
+	}
+	if _, err := Pick(candidates, &Demand{Batch: true, Urgent: true}, weights); err != nil {
+		t.Fatalf("an urgent item was not placed: %v", err)
+	}
+}
+
+func TestPick_PrefixMeetsAtItsHomeUnlessThatIsBusy(t *testing.T) {
+	var candidates []Candidate
+	for i := range 8 {
+		candidates = append(candidates, Candidate{Info: Info{ID: fmt.Sprint(i), Slots: 12}, Key: Key(fmt.Sprint(i))})
+	}
+	demand := Demand{Tokens: 9000, Shared: 6000, Affinity: 77}
+	home, err := Pick(candidates, &demand, Weights{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	home.Open = 3
+	if again, _ := Pick(candidates, &demand, Weights{}); again.ID != home.ID {
+		t.Fatal("a few requests drove the prefix from its home")
+	}
+	home.Open = 14
+	if again, _ := Pick(candidates, &demand, Weights{}); again.ID == home.ID {
+		t.Fatal("a full home still takes the prefix")
+	}
+}
+
+func TestPick_EjectedOnlyAsLastResort(t *testing.T) {
+	candidates := []Candidate{
+		{Info: Info{ID: "a", Slots: 4}, Key: 1, Ejected: true},
+		{Info: Info{ID: "b", Slots: 4}, Key: 2, Open: 6},
+	}
+	if best, _ := Pick(candidates, &Demand{}, Weights{}); best.ID != "b" {
+		t.Fatal("an ejected replica was picked though another is sound")
+	}
+	if best, err := Pick(candidates[:1], &Demand{}, Weights{}); err != nil || best.ID != "a" {
+		t.Fatal("no replica was picked though an ejected one is there")
+	}
+}
--- /dev/null
+++ b/internal/table/watch_test.go
@@ -0,0 +1,140 @@
+package table_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+const group = "group"
+
+func key(name string) table.Key { return table.Key{Partition: group, Sort: name} }
+
+func commit(t *testing.T, service *tabletest.Table, write table.Write) uint64 {
+	t.Helper()
+	versions, err := service.Commit(t.Context(), "op", write)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return versions[0]
+}
+
+// follow runs a watcher until the test ends.
+func follow(t *testing.T, watcher *table.Watcher) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watcher.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func TestWatcher_RemovedWhileHistoryIsForgotten(t *testing.T) {
+	service := tabletest.New()
+	version := commit(t, service, table.Write{Key: key("a")})
+	var removed, put atomic.Int32
+	watcher := table.NewWatcher(service.Feed(group), func(changes table.Changes, _ bool) {
+		for _, change := range changes.Changes {
+			if change.Removed {
+				removed.Add(1)
+			} else {
+				put.Add(1)
+			}
+		}
+	})
+	follow(t, watcher)
+	eventually(t, "first read", func() bool { return put.Load() == 1 })
+	commit(t, service, table.Write{Key: key("a"), Kind: table.Delete, Expect: version})
+	service.Compact()
+	commit(t, service, table.Write{Key: key("b")})
+	service.Compact()
+	eventually(t, "removal seen", func() bool { return removed.Load() == 1 && put.Load() >= 2 })
+}
+
+// scripted is a feed that answers as told.
+type scripted struct {
+	answers chan func() (table.Changes, error)
+}
+
+func (s *scripted) All(ctx context.Context) (table.Changes, error) {
+	return s.After(ctx, 0, 0)
+}
+
+func (s *scripted) After(ctx context.Context, _ uint64, _ time.Duration) (table.Changes, error) {
+	select {
+	case answer := <-s.answers:
+		return answer()
+	case <-ctx.Done():
+		return table.Changes{}, ctx.Err()
+	}
+}
+
+func TestWatcher_NeverStepsBack(t *testing.T) {
+	feed := &scripted{answers: make(chan func() (table.Changes, error))}
+	applied := make(chan uint64, 10)
+	watcher := table.NewWatcher(feed, func(changes table.Changes, _ bool) {
+		for _, change := range changes.Changes {
+			applied <- change.Version
+		}
+		applied <- 0
+	})
+	follow(t, watcher)
+	at := func(version uint64) func() (table.Changes, error) {
+		return func() (table.Changes, error) {
+			row := table.Row{Key: key("a"), Version: version}
+			return table.Changes{Changes: []table.Change{{Row: row}}, Revision: version}, nil
+		}
+	}
+	feed.answers <- at(5)
+	feed.answers <- at(3)
+	feed.answers <- at(6)
+	var seen []uint64
+	for range 5 {
+		seen = append(seen, <-applied)
+	}
+	want := []uint64{5, 0, 0, 6, 0}
+	for i := range want {
+		if seen[i] != want[i] {
+			t.Fatalf("versions applied are %v, want %v", seen, want)
+		}
+	}
+}
+
+func TestWatcher_TellsOfTheOutageBeforeTheChanges(t *testing.T) {
+	// A finding: removals that an outage caused were applied before those who
+	// take them knew that there had been one.
+	feed := &scripted{answers: make(chan func() (table.Changes, error))}
+	order := make(chan string, 4)
+	watcher := table.NewWatcher(feed, func(table.Changes, bool) { order <- "applied" })
+	watcher.Lost = func(error) { order <- "lost" }
+	watcher.Regained = func(time.Duration) { order <- "regained" }
+	follow(t, watcher)
+	feed.answers <- func() (table.Changes, error) { return table.Changes{}, errors.New("down") }
+	feed.answers <- func() (table.Changes, error) { return table.Changes{Revision: 1}, nil }
+	for _, want := range []string{"lost", "regained", "applied"} {
+		if got := <-order; got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	}
+}
