--- /dev/null
+++ b/internal/jobs/commit_test.go
@@ -0,0 +1,206 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// TestList_OnePositionForGood lets two owners list the results of one job at
+// the same time, under any faults, and checks that each item is listed once,
+// that what was read stays, and that nothing is listed after the end.
+func TestList_OnePositionForGood(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const items = 6
+		shared := tabletest.New()
+		objects := &memoryObjects{}
+		nodes := []*testNode{startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")}
+		if err := nodes[0].Submit(context.Background(), submission("j", items)); err != nil {
+			rt.Fatal(err)
+		}
+		script := rapid.SliceOfN(rapid.SampledFrom([]tabletest.Fault{
+			tabletest.None, tabletest.None, tabletest.Down, tabletest.Lost, tabletest.Late,
+		}), 4, 20).Draw(rt, "faults")
+		endAfter := rapid.IntRange(0, 2*items).Draw(rt, "end after")
+		next := 0
+		shared.CommitFault = func([]table.Write) tabletest.Fault {
+			next++
+			return script[next%len(script)]
+		}
+		listAtOnce(rt, nodes, items, endAfter)
+		shared.CommitFault = nil
+		before := listedAt(rt, nodes[0])
+		shared.Land()
+		after := listedAt(rt, nodes[1])
+		checkListed(rt, before, after, items)
+	})
+}
+
+func listAtOnce(rt *rapid.T, nodes []*testNode, items, endAfter int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	var done sync.WaitGroup
+	for number, node := range nodes {
+		entry, err := node.find(ctx, "j")
+		if err != nil {
+			rt.Fatal(err)
+		}
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			for step := range items {
+				index := step
+				if number == 1 {
+					index = items - 1 - step
+				}
+				one := &task{index: index, text: []byte(fmt.Sprintf("text of %d by %d", index, number))}
+				_ = node.list(ctx, entry.Job, []*task{one})
+				if number == 0 && step == endAfter {
+					_ = node.End(ctx, "j")
+				}
+			}
+		}()
+	}
+	done.Wait()
+}
+
+// listedAt reads the list as the store has it.
+func listedAt(rt *rapid.T, node *testNode) []Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	row, err := node.getRow(ctx, progressKey("j"))
+	if err != nil {
+		rt.Fatal(err)
+	}
+	node.View.Put(row)
+	reading, err := node.Read(ctx, "j", 0, 0)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	return reading.Results
+}
+
+func checkListed(rt *rapid.T, before, after []Result, items int) {
+	if len(after) > items {
+		rt.Fatalf("%d results of %d items", len(after), items)
+	}
+	seen := map[string]bool{}
+	for position, result := range after {
+		if seen[result.Item] {
+			rt.Fatalf("item %s has two positions", result.Item)
+		}
+		seen[result.Item] = true
+		if position < len(before) && before[position] != result {
+			rt.Fatalf("position %d was %+v and is %+v", position, before[position], result)
+		}
+	}
+	if len(after) < len(before) {
+		rt.Fatalf("%d results were listed, %d are", len(before), len(after))
+	}
+}
+
+func TestEnd_NothingIsListedAfterwards(t *testing.T) {
+	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 2)); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := node.End(t.Context(), "j"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	entry := node.View.Get("j")
+	if err := node.list(t.Context(), entry.Job, []*task{{index: 0, text: []byte("late")}}); err != nil {
+		t.Fatal(err)
+	}
+	if listed := node.View.Get("j").Progress.Listed; len(listed) != 0 {
+		t.Fatalf("an ended job lists %v", listed)
+	}
+}
+
+func TestPlanGrants_EarliestDueFirstAndHopelessLast(t *testing.T) {
+	entry := func(id string, due time.Duration, items int) *Entry {
+		job := &Job{ID: id, Due: due}
+		for range items {
+			job.Items = append(job.Items, ItemHead{})
+		}
+		return &Entry{Job: job, Progress: &Progress{}}
+	}
+	grants := PlanGrants(PlanInput{
+		Open: []*Entry{
+			entry("late", 1*time.Second, 4), entry("soon", 100*time.Second, 4), entry("later", 200*time.Second, 4),
+		},
+		Now: 10 * time.Second, Places: 6, UrgentPlaces: 12, ItemTime: time.Second,
+	})
+	want := map[string]Grant{"soon": {Items: 4}, "later": {Items: 2}, "late": {}}
+	for id, grant := range want {
+		if grants[id] != grant {
+			t.Errorf("grant of %s is %+v, want %+v", id, grants[id], grant)
+		}
+	}
+}
+
+func TestPlanGrants_UrgentJobsMayFillFurther(t *testing.T) {
+	job := &Job{ID: "j", Due: 14 * time.Second, Items: make([]ItemHead, 12)}
+	grants := PlanGrants(PlanInput{
+		Open: []*Entry{{Job: job, Progress: &Progress{}}}, Now: 10 * time.Second,
+		Places: 4, UrgentPlaces: 8, ItemTime: 3 * time.Second,
+	})
+	if grants["j"] != (Grant{Items: 8, Urgent: true}) {
+		t.Fatalf("grant is %+v", grants["j"])
+	}
+}
+
+func TestHandBack_NextOwnerGoesOnAfterTheText(t *testing.T) {
+	shared := tabletest.New()
+	objects := &memoryObjects{}
+	first, second := startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")
+	if err := first.Submit(t.Context(), submission("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	runner := NewRunner(RunnerOptions{Service: first.Service})
+	ctx, cancel := context.WithCancel(t.Context())
+	owned := &work{job: first.View.Get("j").Job, ctx: ctx, cancel: cancel}
+	owned.tasks = []*task{{work: owned, state: taskRunning, text: []byte("so far"), after: 7}}
+	runner.owned["j"] = owned
+	runner.HandBack(t.Context())
+	if ctx.Err() == nil {
+		t.Fatal("the item goes on after its job was handed back")
+	}
+	entry, err := second.find(t.Context(), "j")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := second.keptTexts(t.Context(), entry)
+	if kept[0].Text != "so far" || kept[0].After != 7 {
+		t.Fatalf("kept texts are %+v", kept)
+	}
+}
+
+func TestHandBack_RunningItemsGoOnWhileTheStoreIsDown(t *testing.T) {
+	shared := tabletest.New()
+	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	shared.CommitFault = func([]table.Write) tabletest.Fault { return tabletest.Down }
+	runner := NewRunner(RunnerOptions{Service: node.Service})
+	workCtx, cancelWork := context.WithCancel(context.Background())
+	owned := &work{job: node.View.Get("j").Job, ctx: workCtx, cancel: cancelWork}
+	runner.owned["j"] = owned
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	time.AfterFunc(100*time.Millisecond, func() {
+		if workCtx.Err() != nil {
+			t.Error("items were broken off before their job was handed back")
+		}
+	})
+	runner.HandBack(ctx)
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -131,3 +131,9 @@
 		t.Fatalf("the old holder, woken: %v", err)
 	}
 }
+
+func TestSameNode(t *testing.T) {
+	if !SameNode("a#1", "a#2") || SameNode("a#1", "ab#1") {
+		t.Fatal("sessions of a node are told apart by its whole id")
+	}
+}
