Stand-in of the platform and tests of whole gateways; read sessions less often in large fleets

The stand-in plays the store (conditions, feed, forgotten history, refused, reset and lost answers) and servers (shed, moved, cut, lost, foreign, unsigned, failed, silent).

--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -15,18 +15,18 @@
 
 // RunClaims takes over jobs whose owner is gone, until the context ends.
 func (r *Runner) RunClaims(ctx context.Context) {
-	ticker := time.NewTicker(claimInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.claimLost(ctx)
-		}
+	for wait(ctx, claimPause(len(r.Owners.Live()))) {
+		r.claimLost(ctx)
 	}
 }
 
+// claimPause is the time until the next look at the sessions. Each look reads
+// all of them, so it grows with their number and a node's share of the store
+// stays the same.
+func claimPause(sessions int) time.Duration {
+	return max(claimInterval, time.Duration(sessions)*claimPausePerSession)
+}
+
 func (r *Runner) claimLost(ctx context.Context) {
 	session, err := r.Service.Session(ctx)
 	if err != nil || r.stopped() {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -16,6 +16,8 @@
 	tick = 100 * time.Millisecond
 	// claimInterval is the time between two looks at jobs whose owner is gone.
 	claimInterval = 400 * time.Millisecond
+	// claimPausePerSession keeps the reading of sessions at some 15 KB a second.
+	claimPausePerSession = 8 * time.Millisecond
 	// staleView is the age of the view beyond which no new items are sent: an
 	// end of a job would not be noticed.
 	staleView = 8 * time.Second
--- /dev/null
+++ b/internal/node/gateway_test.go
@@ -0,0 +1,418 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+const (
+	siteHost   = "site.example"
+	siteEvents = 6
+)
+
+// gatewaySite is a stand-in of the platform with gateways before it.
+type gatewaySite struct {
+	t        *testing.T
+	store    *standin.Store
+	storeAt  string
+	servers  []*standin.Server
+	gateways []*Gateway
+}
+
+func newGatewaySite(t *testing.T, servers int) *gatewaySite {
+	t.Helper()
+	site := &gatewaySite{t: t, store: standin.NewStore()}
+	storeServer := httptest.NewServer(site.store)
+	t.Cleanup(storeServer.Close)
+	site.storeAt = storeServer.Listener.Addr().String()
+	for i := range servers {
+		one := &standin.Server{ID: fmt.Sprintf("i-%d", i), Events: siteEvents, EventTime: 2 * time.Millisecond}
+		listening := httptest.NewServer(one)
+		t.Cleanup(listening.Close)
+		site.servers = append(site.servers, one)
+		site.list(one.ID, listening.Listener.Addr().String(), "ready")
+	}
+	site.configure(1, "resume")
+	return site
+}
+
+func (s *gatewaySite) list(id, address, state string) {
+	s.store.Put("servers", id, map[string]any{
+		"service": "llm", "address": address, "zone": "z", "slots": 8, "state": state,
+	})
+}
+
+// configure puts a configuration with a stream route under each prefix, and a
+// batch route, in force.
+func (s *gatewaySite) configure(version int, prefixes ...string) {
+	routes := []map[string]any{{
+		"name": "batch", "host": siteHost, "pathPrefix": "/batch/", "routeType": "batch", "service": "llm",
+		"sloMs": 400, "maxAttempts": 3, "completionTargetMs": 20000, "retentionS": 60, "maxQueuedTokens": 100000,
+	}}
+	for _, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": prefix, "host": siteHost, "pathPrefix": "/" + prefix + "/", "routeType": "stream", "service": "llm",
+			"timeoutMs": 5000, "sloMs": 200, "maxAttempts": 2, "resumable": prefix != "once", "gapTargetMs": 250,
+		})
+	}
+	s.store.Put("op", "config", map[string]any{
+		"version": version, "routes": routes, "services": []map[string]any{{"name": "llm", "healthPath": "/health"}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20},
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start starts a gateway and waits until it is ready.
+func (s *gatewaySite) start(id string) *Gateway {
+	s.t.Helper()
+	config := &settings.Settings{
+		Node: settings.Node{ID: id, Zone: "z", Listen: freeAddress(s.t)},
+		Gateway: settings.Gateway{
+			Store: s.storeAt, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Grace: v1.Duration(4 * time.Second),
+		},
+	}
+	config.ApplyDefaults()
+	gateway, err := StartGateway(context.Background(), config, zerolog.Nop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(gateway.Kill)
+	s.gateways = append(s.gateways, gateway)
+	s.eventually("gateway ready", func() bool {
+		return gateway.Ready() && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == len(s.servers)
+	})
+	return gateway
+}
+
+func (s *gatewaySite) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *gatewaySite) call(gateway *Gateway, method, path, id string, body []byte) (int, string, http.Header) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), 10*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway.settings.Node.Listen+path, bytes.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = siteHost
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", "m")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, err.Error(), response.Header
+	}
+	return response.StatusCode, string(text), response.Header
+}
+
+func wholeStream() string {
+	var text strings.Builder
+	for id := 1; id <= siteEvents; id++ {
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", id, standin.Event(id))
+	}
+	return text.String()
+}
+
+func wholeText() string {
+	var pieces []string
+	for id := 1; id <= siteEvents; id++ {
+		pieces = append(pieces, standin.Event(id))
+	}
+	return strings.Join(pieces, "\n")
+}
+
+func (s *gatewaySite) behave(behaviour standin.Behaviour, first int) {
+	for _, server := range s.servers {
+		server.Behave(func(number int) standin.Behaviour {
+			if number <= first {
+				return behaviour
+			}
+			return standin.Whole
+		})
+	}
+}
+
+func TestGateway_StreamIsWholeWhateverOneServerDoes(t *testing.T) {
+	cases := map[string]standin.Behaviour{
+		"whole": standin.Whole, "cut in an event": standin.CutInEvent, "answer lost": standin.LoseAnswer,
+		"shed": standin.Shed, "address taken over": standin.Moved, "answer of another request": standin.Foreign,
+		"unsigned bytes": standin.Unsigned, "failed run": standin.Fail, "silent": standin.Silent,
+	}
+	for name, behaviour := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			site := newGatewaySite(t, 2)
+			gateway := site.start("a")
+			site.servers[0].Behave(func(int) standin.Behaviour { return behaviour })
+			for number := range 4 {
+				status, text, header := site.call(gateway, http.MethodPost, "/resume/x?q=1", fmt.Sprintf("q%d", number), []byte("prompt"))
+				if status != http.StatusOK || text != wholeStream() || header.Get("Response-Signature") == "" {
+					t.Fatalf("caller got %d %q", status, text)
+				}
+			}
+		})
+	}
+}
+
+func TestGateway_StreamThatMayNotResumeRunsOnce(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	site.configure(2, "once")
+	gateway := site.start("a")
+	site.behave(standin.LoseAnswer, 100)
+	status, _, _ := site.call(gateway, http.MethodPost, "/once/x", "q", nil)
+	if runs := len(site.servers[0].Runs()) + len(site.servers[1].Runs()); status != http.StatusBadGateway || runs != 1 {
+		t.Fatalf("status %d after %d runs, want 502 after one", status, runs)
+	}
+}
+
+func TestGateway_RefusalSaysWhenToComeBack(t *testing.T) {
+	site := newGatewaySite(t, 1)
+	gateway := site.start("a")
+	site.behave(standin.Shed, 1<<30)
+	began := time.Now()
+	status, _, header := site.call(gateway, http.MethodPost, "/resume/x", "q", nil)
+	if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, header %v", status, header)
+	}
+	if took := time.Since(began); took > 6*time.Second {
+		t.Fatalf("the refusal took %v", took)
+	}
+}
+
+func TestGateway_BadInput(t *testing.T) {
+	site := newGatewaySite(t, 1)
+	gateway := site.start("a")
+	tooMany := `{"requests":[` + strings.TrimSuffix(strings.Repeat(`{"id":"x","path":"/batch/x","tokenCount":1},`, 201), ",") + `]}`
+	cases := []struct {
+		name, path, id, body string
+		status               int
+	}{
+		{"unknown route", "/nowhere/x", "q1", "", http.StatusNotFound},
+		{"no id", "/resume/x", "", "", http.StatusBadRequest},
+		{"body over the limit", "/resume/x", "q2", strings.Repeat("x", 2<<20), http.StatusRequestEntityTooLarge},
+		{"no job", "/batch/j", "j1", "no json", http.StatusBadRequest},
+		{"no items", "/batch/j", "j2", `{"requests":[]}`, http.StatusBadRequest},
+		{"too many items", "/batch/j", "j3", tooMany, http.StatusBadRequest},
+		{"no token count", "/batch/j", "j4", `{"requests":[{"id":"x","path":"/batch/x"}]}`, http.StatusBadRequest},
+		{"over the quota", "/batch/j", "j5", `{"requests":[{"id":"x","path":"/batch/x","tokenCount":100001}]}`, http.StatusTooManyRequests},
+	}
+	for _, one := range cases {
+		if status, text, _ := site.call(gateway, http.MethodPost, one.path, one.id, []byte(one.body)); status != one.status {
+			t.Errorf("%s: %d %q, want %d", one.name, status, text, one.status)
+		}
+	}
+	if status, _, _ := site.call(gateway, http.MethodGet, "/v1/lots/unknown", "q3", nil); status != http.StatusNotFound {
+		t.Errorf("unknown job: %d", status)
+	}
+}
+
+func TestGateway_UnreadableConfigurationLeavesTheLastOneInForce(t *testing.T) {
+	site := newGatewaySite(t, 1)
+	gateway := site.start("a")
+	site.store.Put("op", "config", map[string]any{"version": 5, "routes": []map[string]any{{"name": "r", "routeType": "odd"}}})
+	site.store.Put("op", "config", "no configuration at all")
+	site.configure(6, "resume", "added")
+	site.eventually("next good version in force", func() bool { return gateway.routes.Load().Version == 6 })
+	if status, _, _ := site.call(gateway, http.MethodPost, "/added/x", "q", nil); status != http.StatusOK {
+		t.Fatalf("request on the added route: %d", status)
+	}
+}
+
+func job(id string, items int) []byte {
+	var list []map[string]any
+	for i := range items {
+		list = append(list, map[string]any{
+			"id": fmt.Sprintf("%s-%d", id, i), "path": "/batch/x", "headers": map[string]string{"Model": "m"},
+			"body": []byte("prompt"), "tokenCount": 100,
+		})
+	}
+	body, err := json.Marshal(map[string]any{"requests": list})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+type listing struct {
+	Total     int `json:"total"`
+	NextToken int `json:"nextToken"`
+	Results   []struct {
+		ID      string `json:"id"`
+		State   string `json:"state"`
+		Message string `json:"message"`
+	} `json:"results"`
+}
+
+// awaitJob reads a job at a gateway until all items are listed.
+func (s *gatewaySite) awaitJob(gateway *Gateway, id string) listing {
+	s.t.Helper()
+	var read listing
+	s.eventually("job "+id+" done", func() bool {
+		status, text, _ := s.call(gateway, http.MethodGet, "/v1/lots/"+id+"?sinceRev=0", "read", nil)
+		if status != http.StatusOK {
+			return false
+		}
+		read = listing{}
+		if err := json.Unmarshal([]byte(text), &read); err != nil {
+			s.t.Fatal(err)
+		}
+		return len(read.Results) == read.Total
+	})
+	return read
+}
+
+func TestGateway_JobIsDoneAndReadAtAnyNode(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	first, second := site.start("a"), site.start("b")
+	for _, gateway := range []*Gateway{first, second} {
+		if status, text, _ := site.call(gateway, http.MethodPost, "/batch/j", "j", job("j", 5)); status != http.StatusAccepted {
+			t.Fatalf("submission: %d %q", status, text)
+		}
+	}
+	read := site.awaitJob(second, "j")
+	for _, result := range read.Results {
+		if result.State != "completed" || result.Message != wholeText() {
+			t.Fatalf("result is %+v", result)
+		}
+	}
+	if status, text, _ := site.call(second, http.MethodGet, "/v1/items/j?id=j-3", "read", nil); status != http.StatusOK || text != "prompt" {
+		t.Fatalf("body of an item: %d %q", status, text)
+	}
+	for range 2 {
+		if status, _, _ := site.call(second, http.MethodDelete, "/v1/lots/j", "end", nil); status != http.StatusOK {
+			t.Fatalf("end: %d", status)
+		}
+	}
+}
+
+func TestGateway_AcknowledgedJobSurvivesAllNodes(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	for _, server := range site.servers {
+		server.EventTime = 150 * time.Millisecond
+	}
+	first := site.start("a")
+	if status, _, _ := site.call(first, http.MethodPost, "/batch/j", "j", job("j", 3)); status != http.StatusAccepted {
+		t.Fatalf("submission: %d", status)
+	}
+	first.Kill()
+	read := site.awaitJob(site.start("a"), "j")
+	for _, result := range read.Results {
+		if result.Message != wholeText() {
+			t.Fatalf("result is %+v", result)
+		}
+	}
+}
+
+func TestGateway_StopHandsJobsOverAndCutsNoStream(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	for _, server := range site.servers {
+		server.EventTime = 100 * time.Millisecond
+	}
+	first, second := site.start("a"), site.start("b")
+	if status, _, _ := site.call(first, http.MethodPost, "/batch/j", "j", job("j", 3)); status != http.StatusAccepted {
+		t.Fatalf("submission: %d", status)
+	}
+	streamed := make(chan string, 1)
+	go func() {
+		_, text, _ := site.call(first, http.MethodPost, "/resume/x", "q", nil)
+		streamed <- text
+	}()
+	time.Sleep(150 * time.Millisecond)
+	first.Stop()
+	if text := <-streamed; text != wholeStream() {
+		t.Fatalf("the stop cut a stream: %q", text)
+	}
+	site.awaitJob(second, "j")
+}
+
+func TestGateway_StoreOutageStopsNoStream(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	gateway := site.start("a")
+	site.store.SetTrouble(func(string) standin.Trouble { return standin.Reset })
+	for number := range 3 {
+		if status, text, _ := site.call(gateway, http.MethodPost, "/resume/x", fmt.Sprintf("q%d", number), nil); status != http.StatusOK || text != wholeStream() {
+			t.Fatalf("during the outage: %d %q", status, text)
+		}
+	}
+	if status, _, header := site.call(gateway, http.MethodPost, "/batch/j", "j", job("j", 1)); status < 500 {
+		t.Fatalf("a job was answered %d %v with the store down", status, header)
+	}
+	site.store.SetTrouble(nil)
+	site.eventually("job taken after the outage", func() bool {
+		status, _, _ := site.call(gateway, http.MethodPost, "/batch/j", "j", job("j", 1))
+		return status == http.StatusAccepted
+	})
+	site.awaitJob(gateway, "j")
+}
+
+func TestGateway_LostAnswersOfTheStoreAreFoundOut(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	gateway := site.start("a")
+	calls := 0
+	site.store.SetTrouble(func(path string) standin.Trouble {
+		if !strings.HasSuffix(path, "rows-tx") {
+			return standin.Calm
+		}
+		calls++
+		if calls%2 == 1 {
+			return standin.AnswerLost
+		}
+		return standin.Calm
+	})
+	if status, text, _ := site.call(gateway, http.MethodPost, "/batch/j", "j", job("j", 4)); status != http.StatusAccepted {
+		t.Fatalf("submission: %d %q", status, text)
+	}
+	read := site.awaitJob(gateway, "j")
+	seen := map[string]bool{}
+	for _, result := range read.Results {
+		if seen[result.ID] {
+			t.Fatalf("item %s is listed twice", result.ID)
+		}
+		seen[result.ID] = true
+	}
+}
+
+func TestGateway_HistoryForgottenWhileAServerLeaves(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	gateway := site.start("a")
+	site.store.Remove("servers", "i-0")
+	site.store.Forget()
+	site.eventually("server gone", func() bool { return len(gateway.replicas.Snapshot("llm", 0, time.Now())) == 1 })
+}
--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -44,3 +44,14 @@
 	g.backend.Close()
 	g.log.Info().Dur("took_ms", time.Since(began)).Msg("gateway stopped")
 }
+
+// Kill ends the gateway at once, as a crash would; for tests.
+func (g *Gateway) Kill() {
+	for _, server := range g.servers {
+		_ = server.Close()
+	}
+	g.cancel()
+	g.running.Wait()
+	g.store.Close()
+	g.backend.Close()
+}
