--- a/internal/node/gatewayjobs.go
+++ b/internal/node/gatewayjobs.go
@@ -112,12 +112,12 @@
 
 // ItemListed implements jobs.Events.
 func (l *jobLog) ItemListed(job *jobs.Job, item string, position int, dead bool, took time.Duration) {
-	label := "completed"
+	label, entry := "completed", l.log.Debug()
 	if dead {
-		label = "dead"
+		label, entry = "dead", l.log.Info()
 	}
 	l.metrics.items.WithLabelValues(label).Inc()
-	l.log.Debug().Str("job", job.ID).Str("item", item).Int("position", position).Bool("dead", dead).
+	entry.Str("job", job.ID).Str("item", item).Int("position", position).Bool("dead", dead).
 		Dur("took_ms", took).Msg("item listed")
 }
 
