--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -1,17 +1,16 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
 // Event is one server-sent event of an answer. Its bytes are valid until the
@@ -30,24 +29,13 @@
 // Stream reads the events of one answer.
 type Stream struct {
 	response *http.Response
-	reader   *bufio.Reader
-	raw      []byte
-	last     int
+	reader   *sse.Reader
 }
 
-const (
-	streamBuffer  = 4 << 10
-	maxEventBytes = 256 << 10
-)
-
-var (
-	fieldID   = []byte("id: ")
-	fieldData = []byte("data: ")
-	doneData  = []byte(openai.DoneMarker)
-)
+var doneData = []byte(openai.DoneMarker)
 
 func newStream(response *http.Response) *Stream {
-	return &Stream{response: response, reader: bufio.NewReaderSize(response.Body, streamBuffer)}
+	return &Stream{response: response, reader: sse.NewReader(response.Body)}
 }
 
 // Header returns the answer's HTTP header.
@@ -69,33 +57,11 @@
 // Next returns the next event. Every error, the end of input before the Done
 // event included, is ErrBroken with an unknown outcome.
 func (s *Stream) Next() (Event, error) {
-	s.raw = s.raw[:0]
-	dataStart, dataEnd := 0, 0
-	for {
-		line, err := s.reader.ReadSlice('\n')
-		s.raw = append(s.raw, line...)
-		if err == bufio.ErrBufferFull && len(s.raw) < maxEventBytes {
-			continue
-		}
-		if err != nil {
-			return Event{}, s.broken(err)
-		}
-		if len(line) == 1 {
-			break
-		}
-		lineStart := bytes.LastIndexByte(s.raw[:len(s.raw)-1], '\n') + 1
-		whole := s.raw[lineStart : len(s.raw)-1]
-		switch {
-		case bytes.HasPrefix(whole, fieldID):
-			if id, err := strconv.Atoi(string(whole[len(fieldID):])); err == nil {
-				s.last = id
-			}
-		case bytes.HasPrefix(whole, fieldData):
-			dataStart, dataEnd = lineStart+len(fieldData), len(s.raw)-1
-		}
+	event, err := s.reader.Next()
+	if err != nil {
+		return Event{}, s.broken(err)
 	}
-	data := s.raw[dataStart:dataEnd]
-	return Event{ID: s.last, Raw: s.raw, Data: data, Done: bytes.Equal(data, doneData)}, nil
+	return Event{ID: event.ID, Raw: event.Raw, Data: event.Data, Done: bytes.Equal(event.Data, doneData)}, nil
 }
 
 func (s *Stream) broken(err error) error {
