Give a write's answer up for lost after six usual times

Cause: with answers of the store lost, an acceptance waited 1.2 s before it sent its conditional write again, past the 400 ms that a job has. Ruled out: the conflict handling (resolved at the second try). The time to wait is learned.

--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -103,6 +103,8 @@
 	operation string
 	// pending is set while a write without an answer may still land.
 	pending bool
+	// count is the number of tries so far.
+	count int
 }
 
 // admit writes the job's rows in one transaction.
@@ -119,6 +121,7 @@
 			return nil
 		}
 		err := s.tryAdmit(ctx, try)
+		try.count++
 		if err == nil {
 			continue
 		}
@@ -162,9 +165,11 @@
 	if err != nil {
 		return outcome.Failed(err)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	versions, err := s.Table.Commit(callCtx, try.operation, writes...)
+	var versions []uint64
+	err = s.pace.call(ctx, try.count, func(callCtx context.Context) error {
+		versions, err = s.Table.Commit(callCtx, try.operation, writes...)
+		return err
+	})
 	if err == nil {
 		rows := make([]table.Row, len(writes))
 		for i, write := range writes {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -51,6 +51,7 @@
 	Refresh func()
 
 	cache textCache
+	pace  pace
 	// contents are the items of jobs that this node accepted lately.
 	contentMu sync.Mutex
 	contents  map[string][]Item
@@ -76,7 +77,9 @@
 			return nil
 		}
 		attempts++
-		err := s.commitProgress(ctx, id, entry.Version, next, operation, more)
+		err := s.pace.call(ctx, attempts-1, func(callCtx context.Context) error {
+			return s.commitProgress(callCtx, id, entry.Version, next, operation, more)
+		})
 		if err == nil {
 			s.resolved(operation, attempts, nil)
 			return nil
@@ -100,9 +103,7 @@
 
 func (s *Service) commitProgress(ctx context.Context, id string, version uint64, next *Progress, operation string, more []table.Write) error {
 	write := table.Write{Key: progressKey(id), Expect: version, Body: encode(next)}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	versions, err := s.Table.Commit(callCtx, operation, append([]table.Write{write}, more...)...)
+	versions, err := s.Table.Commit(ctx, operation, append([]table.Write{write}, more...)...)
 	if err != nil {
 		return err
 	}
