--- /dev/null
+++ b/internal/jobs/keep_test.go
@@ -0,0 +1,62 @@
+package jobs
+
+import (
+	"context"
+	"testing"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+func runningTask(t *testing.T, node *testNode, runner *Runner) *task {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	owned := &work{job: node.View.Get("j").Job, ctx: ctx, cancel: cancel}
+	one := &task{work: owned, state: taskRunning, text: []byte("so far"), after: keepEvents}
+	owned.tasks = []*task{one}
+	runner.owned["j"] = owned
+	return one
+}
+
+func TestKeepTexts_CrashCostsOnlyWhatCameSince(t *testing.T) {
+	shared := tabletest.New()
+	objects := &memoryObjects{}
+	first, second := startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")
+	if err := first.Submit(t.Context(), submission("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	runner := NewRunner(RunnerOptions{Service: first.Service})
+	one := runningTask(t, first, runner)
+	if !runner.keepTexts(t.Context(), one.work, keepEvents) {
+		t.Fatal("the text was not written")
+	}
+	entry, err := second.find(t.Context(), "j")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if kept := second.keptTexts(t.Context(), entry); kept[0].Text != "so far" || kept[0].After != keepEvents {
+		t.Fatalf("kept texts are %+v", kept)
+	}
+}
+
+func TestKeepTexts_LostAnswerDoesNotStopLaterOnes(t *testing.T) {
+	shared := tabletest.New()
+	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	runner := NewRunner(RunnerOptions{Service: node.Service})
+	one := runningTask(t, node, runner)
+	shared.CommitFault = func([]table.Write) tabletest.Fault { return tabletest.Lost }
+	runner.keepTexts(t.Context(), one.work, keepEvents)
+	shared.CommitFault = nil
+	one.text, one.after = []byte("further"), 2*keepEvents
+	for range 2 {
+		runner.keepTexts(t.Context(), one.work, keepEvents)
+	}
+	entry := node.View.Get("j")
+	if kept := node.keptTexts(t.Context(), entry); kept[0].Text != "further" {
+		t.Fatalf("kept texts are %+v", kept)
+	}
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -123,6 +123,8 @@
 	cancel  context.CancelCauseFunc
 	// keptVersion is the version of the row with the item's kept text.
 	keptVersion uint64
+	// keptAfter is the last event of that text.
+	keptAfter int
 }
 
 // Run runs items until the context ends.
@@ -209,6 +211,7 @@
 		one := &task{work: owned, index: index, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
 		if text, ok := kept[index]; ok {
 			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
+			one.keptAfter = text.After
 		}
 		owned.tasks = append(owned.tasks, one)
 	}
--- a/internal/node/gatewayjobs.go
+++ b/internal/node/gatewayjobs.go
@@ -55,6 +55,7 @@
 	g.spawn(func() { g.session.Run(ctx) })
 	g.spawn(func() { g.runner.Run(ctx) })
 	g.spawn(func() { g.runner.RunClaims(ctx) })
+	g.spawn(func() { g.runner.RunKeeping(ctx) })
 }
 
 // handBackJobs gives this node's jobs to others before it stops.
