--- a/internal/table/feed.go
+++ b/internal/table/feed.go
@@ -26,11 +26,22 @@
 	Now time.Duration
 }
 
+// Cursor is a place within the whole read of a group.
+type Cursor struct {
+	// Part counts the parts that have been read.
+	Part int
+	// Key is the first key to read of the next part.
+	Key  string
+	Done bool
+}
+
 // Feed delivers a group of rows and its changes. Implementations are safe for
 // concurrent use.
 type Feed interface {
-	// All reads the whole group as changes, none of them Removed.
-	All(ctx context.Context) (Changes, error)
+	// Page reads a piece of the whole group as changes, none of them Removed.
+	// It begins at the zero Cursor and returns the Cursor to go on from, which
+	// is Done after the last piece.
+	Page(ctx context.Context, cursor Cursor) (Changes, Cursor, error)
 	// After waits for changes after a revision, up to wait. It returns none,
 	// or ErrCompacted.
 	After(ctx context.Context, revision uint64, wait time.Duration) (Changes, error)
--- a/internal/table/tabletest/tabletest.go
+++ b/internal/table/tabletest/tabletest.go
@@ -191,12 +191,12 @@
 	return key.Partition == f.group || strings.HasPrefix(key.Partition, f.group+"/")
 }
 
-// All implements table.Feed.
-func (f *feed) All(context.Context) (table.Changes, error) {
+// Page implements table.Feed.
+func (f *feed) Page(_ context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
 	f.table.mu.Lock()
 	defer f.table.mu.Unlock()
 	if err := f.table.readFault(); err != nil {
-		return table.Changes{}, err
+		return table.Changes{}, cursor, err
 	}
 	all := f.table.stamp()
 	for key, row := range f.table.rows {
@@ -204,7 +204,7 @@
 			all.Changes = append(all.Changes, table.Change{Row: row})
 		}
 	}
-	return all, nil
+	return all, table.Cursor{Done: true}, nil
 }
 
 // After implements table.Feed.
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 )
@@ -17,6 +18,10 @@
 	watchReadTimeout = 2 * time.Second
 	watchRetryFirst  = 25 * time.Millisecond
 	watchRetryMax    = 300 * time.Millisecond
+	// pageFailures in a row end a whole read, and pageRetryMax bounds the pause
+	// between them.
+	pageFailures = 6
+	pageRetryMax = time.Second
 )
 
 // Watcher follows a feed and hands every change to Apply, in order. A view
@@ -84,7 +89,7 @@
 			whole = true
 		case ctx.Err() == nil:
 			w.failed(err)
-			sleep(ctx, delay)
+			sleep(ctx, jittered(delay))
 			delay = min(2*delay, watchRetryMax)
 		}
 		select {
@@ -97,9 +102,7 @@
 
 func (w *Watcher) step(ctx context.Context, whole bool) error {
 	if whole {
-		callCtx, cancel := context.WithTimeout(ctx, watchReadTimeout)
-		defer cancel()
-		changes, err := w.Feed.All(callCtx)
+		changes, err := w.readWhole(ctx)
 		if err == nil {
 			w.succeeded()
 			w.takeWhole(changes)
@@ -116,6 +119,45 @@
 	return err
 }
 
+// readWhole reads all pages. A page that fails is read again by itself, so that
+// many nodes that start at the same time get through a store that refuses some.
+// The read counts as of its first page: what changes meanwhile comes by the feed.
+func (w *Watcher) readWhole(ctx context.Context) (Changes, error) {
+	var whole Changes
+	var cursor Cursor
+	failures := 0
+	for first := true; !cursor.Done; {
+		page, next, err := w.readPage(ctx, cursor)
+		if err != nil {
+			failures++
+			if failures > pageFailures || ctx.Err() != nil {
+				return Changes{}, err
+			}
+			sleep(ctx, jittered(min(watchRetryFirst<<min(failures, 8), pageRetryMax)))
+			continue
+		}
+		failures = 0
+		whole.Changes = append(whole.Changes, page.Changes...)
+		if first {
+			whole.Revision = page.Revision
+		}
+		whole.Now, cursor, first = page.Now, next, false
+	}
+	return whole, nil
+}
+
+func (w *Watcher) readPage(ctx context.Context, cursor Cursor) (Changes, Cursor, error) {
+	callCtx, cancel := context.WithTimeout(ctx, watchReadTimeout)
+	defer cancel()
+	return w.Feed.Page(callCtx, cursor)
+}
+
+// jittered returns between half and all of a delay, so that nodes that were
+// refused together do not come back together.
+func jittered(delay time.Duration) time.Duration {
+	return delay/2 + rand.N(delay/2+1)
+}
+
 // takeWhole turns a whole read into changes: rows that it lacks were removed.
 func (w *Watcher) takeWhole(read Changes) {
 	if read.Revision < w.revision {
