Space the looks at job changes by the size of the fleet

Spacing grows with the sessions (0.45 s at 300), a page may take 4 s, and twenty refusals in a row do not end a whole read.

--- a/internal/node/gatewayjobs.go
+++ b/internal/node/gatewayjobs.go
@@ -13,8 +13,10 @@
 
 const (
 	// jobSpacing is the least time between two looks at the jobs' changes; it
-	// bounds the calls while many results are listed.
-	jobSpacing = 120 * time.Millisecond
+	// bounds the calls while many results are listed. It grows with the number
+	// of sessions, so that all nodes together stay below 700 calls a second.
+	jobSpacing           = 120 * time.Millisecond
+	jobSpacingPerSession = 1500 * time.Microsecond
 	// jobPatience bounds how long a call about a job waits for the store.
 	jobPatience = 2500 * time.Millisecond
 )
@@ -32,7 +34,7 @@
 	g.owners = lease.NewWatcher(rows, time.Now, timing)
 	view := jobs.NewView()
 	g.jobWatch = g.watch("job table", platform.JobFeed(g.store, jobs.Group, jobs.Parts()), view.Apply)
-	g.jobWatch.Spacing = jobSpacing
+	g.jobWatch.Spacing = g.jobSpacing
 	g.jobs = &jobs.Service{
 		Table: rows, Objects: platform.Objects{Store: g.store}, View: view,
 		Events: &jobLog{log: g.log, metrics: g.metrics}, Session: g.ownSession, Refresh: g.jobWatch.Refresh,
@@ -44,6 +46,11 @@
 	g.replicas.Pressed = g.runner.Yield
 }
 
+// jobSpacing returns the least time between two looks at the jobs' changes.
+func (g *Gateway) jobSpacing() time.Duration {
+	return max(jobSpacing, time.Duration(len(g.owners.Live()))*jobSpacingPerSession)
+}
+
 // ownSession returns this node's session, which exists in the store.
 func (g *Gateway) ownSession(ctx context.Context) (string, error) {
 	return g.session.ID(), g.session.Ensure(ctx)
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -14,13 +14,14 @@
 	watchWait = 1500 * time.Millisecond
 	// watchSlack is how much longer than its wait a call may take.
 	watchSlack = 900 * time.Millisecond
-	// watchReadTimeout bounds a whole read.
-	watchReadTimeout = 2 * time.Second
+	// watchReadTimeout bounds the read of a page; many nodes that start at the
+	// same time share the store's link.
+	watchReadTimeout = 4 * time.Second
 	watchRetryFirst  = 25 * time.Millisecond
 	watchRetryMax    = 300 * time.Millisecond
 	// pageFailures in a row end a whole read, and pageRetryMax bounds the pause
 	// between them.
-	pageFailures = 6
+	pageFailures = 20
 	pageRetryMax = time.Second
 )
 
@@ -31,9 +32,9 @@
 	Feed Feed
 	// Apply takes changes. whole marks the answer of a whole read.
 	Apply func(changes Changes, whole bool)
-	// Spacing is the least time between two calls, which bounds their number
-	// while much changes.
-	Spacing time.Duration
+	// Spacing, if set, is the least time between two calls, which bounds their
+	// number while much changes.
+	Spacing func() time.Duration
 	// Lost and Regained are told when the service stops and starts to answer.
 	Lost     func(error)
 	Regained func(outage time.Duration)
@@ -84,7 +85,7 @@
 		case err == nil:
 			whole = false
 			delay = watchRetryFirst
-			sleep(ctx, w.Spacing-time.Since(began))
+			sleep(ctx, w.spacing()-time.Since(began))
 		case errors.Is(err, ErrCompacted):
 			whole = true
 		case ctx.Err() == nil:
@@ -100,6 +101,13 @@
 	}
 }
 
+func (w *Watcher) spacing() time.Duration {
+	if w.Spacing == nil {
+		return 0
+	}
+	return w.Spacing()
+}
+
 func (w *Watcher) step(ctx context.Context, whole bool) error {
 	if whole {
 		changes, err := w.readWhole(ctx)
