--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -36,7 +36,7 @@
 			return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
 		}
 		use.Heard(time.Now())
-		use.First(time.Now())
+		use.First()
 		watch.begun(c.route.Gap)
 		if event.HasID && event.ID <= c.after {
 			continue
@@ -96,7 +96,7 @@
 	if len(body) > maxWhole {
 		return outcome.Undecided(fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxWhole))
 	}
-	use.First(time.Now())
+	use.First()
 	if c.result.Started {
 		// The stream began elsewhere; this failure cannot replace its head.
 		return outcome.Undecided(fmt.Errorf("%w: status %d", ErrBroken, answer.Status))
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -169,7 +169,7 @@
 			return outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
 		use.Heard(time.Now())
-		use.First(time.Now())
+		use.First()
 		if err := r.add(one, event); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/node/gatewaysite_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+const (
+	siteHost   = "site.example"
+	siteEvents = 6
+)
+
+// gatewaySite is a stand-in of the platform with gateways before it.
+type gatewaySite struct {
+	t        *testing.T
+	store    *standin.Store
+	storeAt  string
+	servers  []*standin.Server
+	gateways []*Gateway
+}
+
+func newGatewaySite(t *testing.T, servers int) *gatewaySite {
+	t.Helper()
+	site := &gatewaySite{t: t, store: standin.NewStore()}
+	storeServer := httptest.NewServer(site.store)
+	t.Cleanup(storeServer.Close)
+	site.storeAt = storeServer.Listener.Addr().String()
+	for i := range servers {
+		one := &standin.Server{ID: fmt.Sprintf("i-%d", i), Events: siteEvents, EventTime: 2 * time.Millisecond}
+		listening := httptest.NewServer(one)
+		t.Cleanup(listening.Close)
+		site.servers = append(site.servers, one)
+		site.list(one.ID, listening.Listener.Addr().String(), "ready")
+	}
+	site.configure(1, "resume")
+	return site
+}
+
+func (s *gatewaySite) list(id, address, state string) {
+	s.store.Put("servers", id, map[string]any{
+		"service": "llm", "address": address, "zone": "z", "slots": 8, "state": state,
+	})
+}
+
+// configure puts a configuration with a stream route under each prefix, and a
+// batch route, in force.
+func (s *gatewaySite) configure(version int, prefixes ...string) {
+	routes := []map[string]any{{
+		"name": "batch", "host": siteHost, "pathPrefix": "/batch/", "routeType": "batch", "service": "llm",
+		"sloMs": 400, "maxAttempts": 3, "completionTargetMs": 20000, "retentionS": 60, "maxQueuedTokens": 100000,
+	}}
+	for _, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": prefix, "host": siteHost, "pathPrefix": "/" + prefix + "/", "routeType": "stream", "service": "llm",
+			"timeoutMs": 5000, "sloMs": 200, "maxAttempts": 2, "resumable": prefix != "once", "gapTargetMs": 250,
+		})
+	}
+	s.store.Put("op", "config", map[string]any{
+		"version": version, "routes": routes, "services": []map[string]any{{"name": "llm", "healthPath": "/health"}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20},
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start starts a gateway and waits until it is ready.
+func (s *gatewaySite) start(id string) *Gateway {
+	s.t.Helper()
+	config := &settings.Settings{
+		Node: settings.Node{ID: id, Zone: "z", Listen: freeAddress(s.t)},
+		Gateway: settings.Gateway{
+			Store: s.storeAt, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Grace: v1.Duration(4 * time.Second),
+		},
+	}
+	config.ApplyDefaults()
+	gateway, err := StartGateway(context.Background(), config, zerolog.Nop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(gateway.Kill)
+	s.gateways = append(s.gateways, gateway)
+	s.eventually("gateway ready", func() bool {
+		return gateway.Ready() && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == len(s.servers)
+	})
+	return gateway
+}
+
+func (s *gatewaySite) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *gatewaySite) call(gateway *Gateway, method, path, id string, body []byte) (int, string, http.Header) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), 10*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway.settings.Node.Listen+path, bytes.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = siteHost
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Model", "m")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, err.Error(), response.Header
+	}
+	return response.StatusCode, string(text), response.Header
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -21,7 +21,7 @@
 	Affinity uint64
 	// Shared is the length of that prefix.
 	Shared int
-	// Home is the replica that is believed to keep the prefix; Pick sets it.
+	// home is the replica that is believed to keep the prefix; Pick sets it.
 	home uint64
 	// Batch items take only what online requests leave.
 	Batch bool
@@ -42,8 +42,8 @@
 }
 
 const (
-	// defaultRate, in prompt tokens a second, stands in until one is learned.
-	defaultRate = 50000.0
+	// readingRate is the assumed rate of reading prompts, in tokens a second.
+	readingRate = 50000.0
 	// slotTime is the assumed time until a busy slot frees.
 	slotTime = 60 * time.Millisecond
 	// busyCost is the cost of each request that runs beside, for it slows the steps.
@@ -120,22 +120,22 @@
 }
 
 // uncached estimates the time to read what the replica is not believed to keep.
-func uncached(candidate *Candidate, demand *Demand, rate float64) time.Duration {
+func uncached(candidate *Candidate, demand *Demand) time.Duration {
 	tokens := demand.Tokens
 	if candidate.Key == demand.home {
 		tokens -= demand.Shared
 	}
-	return time.Duration(float64(tokens) / rate * float64(time.Second))
+	return readingTime(tokens)
+}
+
+func readingTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readingRate * float64(time.Second))
 }
 
 // predict estimates the time to the first event.
 func predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
-	rate := candidate.TokensPerSecond
-	if rate <= 0 {
-		rate = defaultRate
-	}
-	reading := time.Duration(float64(candidate.PendingTokens) / rate * float64(time.Second))
-	total := reading + uncached(candidate, demand, rate) + time.Duration(candidate.Busy()*float64(busyCost))
+	reading := readingTime(candidate.PendingTokens)
+	total := reading + uncached(candidate, demand) + time.Duration(candidate.Busy()*float64(busyCost))
 	if waiting := -candidate.Free(); waiting >= 0 {
 		total += time.Duration((waiting + 1) * float64(slotTime))
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,11 +3,7 @@
 // and which of them misbehave, as far as this node's own evidence goes.
 package replica
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Info describes a listed replica.
 type Info struct {
@@ -42,10 +38,6 @@
 	// PendingTokens counts prompt tokens that this node sent there and that
 	// have not led to a first event yet.
 	PendingTokens int
-	// Step is the usual time to the first event beyond the prompt's own reading.
-	Step time.Duration
-	// TokensPerSecond is the learned rate of reading prompts; 0 if unknown.
-	TokensPerSecond float64
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -20,7 +20,6 @@
 	lapseAfter = 2500 * time.Millisecond
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
-	stepWeight = 0.1
 	// sampleSize is the most replicas that a choice looks at.
 	sampleSize = 48
 	// yieldDivisor is the number of waiting requests for which one batch item
@@ -41,8 +40,6 @@
 	pending  int
 	others   float64
 	reported time.Time
-	step     time.Duration
-	rate     float64
 	health   health
 	// heard is when anything last came from the replica.
 	heard time.Time
@@ -231,8 +228,7 @@
 		}
 		candidates = append(candidates, Candidate{
 			Info: known.info, Key: known.key, Open: known.open, Batch: known.batch,
-			Others: known.othersAt(now), PendingTokens: known.pending, Step: known.step,
-			TokensPerSecond: known.rate, Ejected: known.health.ejected(now),
+			Others: known.othersAt(now), PendingTokens: known.pending, Ejected: known.health.ejected(now),
 		})
 	}
 	return candidates
@@ -301,8 +297,8 @@
 	return u.entry.batch
 }
 
-// First notes that the answer has begun.
-func (u *Use) First(now time.Time) {
+// First notes that the answer has begun: its prompt has been read.
+func (u *Use) First() {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	if u.first {
@@ -310,11 +306,6 @@
 	}
 	u.first = true
 	u.entry.pending -= u.tokens
-	took := now.Sub(u.sent)
-	if u.entry.step == 0 {
-		u.entry.step = took
-	}
-	u.entry.step += time.Duration(stepWeight * float64(took-u.entry.step))
 }
 
 // Heard notes that something came from the replica: it is busy, not silent.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -98,19 +98,6 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
-// Pool describes a pool of replicas.
-type Pool struct {
-	Name string
-	// HealthPath answers a GET while a replica is well.
-	HealthPath string
-	// MaxConnections bounds the connections to one replica from all callers.
-	MaxConnections int
-	// Slots is the number of requests that a replica runs at the same time.
-	Slots int
-	// CacheTokens is the memory of a replica, in tokens.
-	CacheTokens int
-}
-
 // Limits bound what callers may send.
 type Limits struct {
 	MaxHeaderBytes int
@@ -123,7 +110,6 @@
 type Config struct {
 	Version uint64
 	Routes  []*Route
-	Pools   []Pool
 	Limits  Limits
 }
 
@@ -159,14 +145,13 @@
 	Limits  Limits
 	byHost  map[string][]*Route
 	byName  map[string]*Route
-	pools   map[string]Pool
 }
 
 // NewTable builds the table of a valid configuration.
 func NewTable(config *Config) *Table {
 	table := &Table{
 		Version: config.Version, Limits: config.Limits,
-		byHost: map[string][]*Route{}, byName: map[string]*Route{}, pools: map[string]Pool{},
+		byHost: map[string][]*Route{}, byName: map[string]*Route{},
 	}
 	for _, route := range config.Routes {
 		table.byHost[route.Host] = append(table.byHost[route.Host], route)
@@ -175,9 +160,6 @@
 	for _, routes := range table.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
-	for _, pool := range config.Pools {
-		table.pools[pool.Name] = pool
-	}
 	return table
 }
 
@@ -194,9 +176,6 @@
 // Named returns the route with a name, or nil.
 func (t *Table) Named(name string) *Route { return t.byName[name] }
 
-// Pool returns what is declared of a pool.
-func (t *Table) Pool(name string) Pool { return t.pools[name] }
-
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.byName) }
 
