Repeat readings and object writes of jobs in one place

Cause, from the last read: five loops made the same call with the same pauses and told what is not there from a store that does not answer, each by itself. Behaviour stays; tests are as they were.

--- a/internal/jobs/content.go
+++ b/internal/jobs/content.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
@@ -52,16 +51,9 @@
 }
 
 func (s *Service) putObject(ctx context.Context, key string, body []byte) error {
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
-		err := s.Objects.Put(callCtx, key, body)
-		cancel()
-		if err == nil || !wait(ctx, delay) {
-			return Error.Wrap(err)
-		}
-		delay = min(2*delay, retryMax)
-	}
+	return Error.Wrap(repeat(ctx, objectTimeout, func(callCtx context.Context) error {
+		return s.Objects.Put(callCtx, key, body)
+	}))
 }
 
 // content returns the items of a job from memory or from the store.
@@ -83,19 +75,15 @@
 	if job.Chunks == 0 {
 		return s.getObject(ctx, contentKey(job.ID))
 	}
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, slowCallTimeout)
-		rows, err := s.Table.List(callCtx, resultPartition(job.ID), chunkPrefix(job.ID), job.Chunks)
-		cancel()
-		if err == nil {
-			return joinChunks(job, rows)
-		}
-		if !wait(ctx, delay) {
-			return nil, Error.Wrap(errors.Join(ErrUnavailable, err))
-		}
-		delay = min(2*delay, retryMax)
+	var rows []table.Row
+	err := repeat(ctx, slowCallTimeout, func(callCtx context.Context) (err error) {
+		rows, err = s.Table.List(callCtx, resultPartition(job.ID), chunkPrefix(job.ID), job.Chunks)
+		return err
+	})
+	if err != nil {
+		return nil, readError(err)
 	}
+	return joinChunks(job, rows)
 }
 
 func joinChunks(job *Job, rows []table.Row) ([]byte, error) {
@@ -130,21 +118,10 @@
 	delete(s.contents, id)
 }
 
-func (s *Service) getObject(ctx context.Context, key string) ([]byte, error) {
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
-		body, err := object.ReadAll(callCtx, s.Objects, key)
-		cancel()
-		switch {
-		case err == nil:
-			return body, nil
-		case errors.Is(err, object.ErrNotFound):
-			return nil, Error.Wrap(fmt.Errorf("%w: %w", ErrNotFound, err))
-		}
-		if !wait(ctx, delay) {
-			return nil, Error.Wrap(errors.Join(ErrUnavailable, err))
-		}
-		delay = min(2*delay, retryMax)
-	}
+func (s *Service) getObject(ctx context.Context, key string) (body []byte, err error) {
+	err = repeat(ctx, objectTimeout, func(callCtx context.Context) error {
+		body, err = object.ReadAll(callCtx, s.Objects, key)
+		return err
+	})
+	return body, readError(err)
 }
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
 const (
@@ -105,27 +106,23 @@
 	if position == 0 {
 		after = id + "/"
 	}
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		rows, err := s.Table.List(callCtx, resultPartition(id), after, limit)
-		cancel()
-		if err == nil {
-			for i, row := range rows {
-				if row.Key != resultKey(id, position+i) {
-					break
-				}
-				if err := s.cacheRow(ctx, id, position+i, row.Body); err != nil {
-					return err
-				}
-			}
-			return nil
+	var rows []table.Row
+	err := repeat(ctx, callTimeout, func(callCtx context.Context) (err error) {
+		rows, err = s.Table.List(callCtx, resultPartition(id), after, limit)
+		return err
+	})
+	if err != nil {
+		return readError(err)
+	}
+	for i, row := range rows {
+		if row.Key != resultKey(id, position+i) {
+			break
 		}
-		if !wait(ctx, delay) {
-			return Error.Wrap(errors.Join(ErrUnavailable, err))
+		if err := s.cacheRow(ctx, id, position+i, row.Body); err != nil {
+			return err
 		}
-		delay = min(2*delay, retryMax)
 	}
+	return nil
 }
 
 func (s *Service) cacheRow(ctx context.Context, id string, position int, body []byte) error {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -166,23 +166,12 @@
 	return nil, Error.Wrap(ErrUnavailable)
 }
 
-func (s *Service) getRow(ctx context.Context, key table.Key) (table.Row, error) {
-	delay := retryFirst
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		row, err := s.Table.Get(callCtx, key)
-		cancel()
-		switch {
-		case err == nil:
-			return row, nil
-		case errors.Is(err, table.ErrNotFound):
-			return row, Error.Wrap(ErrNotFound)
-		}
-		if !wait(ctx, delay) {
-			return row, Error.Wrap(errors.Join(ErrUnavailable, err))
-		}
-		delay = min(2*delay, retryMax)
-	}
+func (s *Service) getRow(ctx context.Context, key table.Key) (row table.Row, err error) {
+	err = repeat(ctx, callTimeout, func(callCtx context.Context) error {
+		row, err = s.Table.Get(callCtx, key)
+		return err
+	})
+	return row, readError(err)
 }
 
 // wait pauses; it reports false if the context ended first.
