Claim and run nothing before the jobs have been looked at once

A caller's read puts a job's rows into the view before the feed has answered; the view's clock is then the age of the zero time, centuries ahead, and the item counts as expired.

Ruled out: a 422 or 500 counted wrongly (the item had not been sent by this node), a configuration with another retention.

--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -29,7 +29,7 @@
 
 func (r *Runner) claimLost(ctx context.Context) {
 	session, err := r.Service.Session(ctx)
-	if err != nil || r.stopped() {
+	if err != nil || r.stopped() || !r.Service.View.Known() {
 		return
 	}
 	var foreign []*Entry
--- /dev/null
+++ b/internal/jobs/known_test.go
@@ -0,0 +1,38 @@
+package jobs
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// A finding (urnik hunt-f317-7): a node that had just been restarted was asked
+// for a job before it had read the jobs once. It took the job over, and by a
+// clock that was not set yet the item had expired.
+func TestRunner_NothingExpiresBeforeTheFirstLook(t *testing.T) {
+	shared := tabletest.New()
+	first := startNode(t, shared, &memoryObjects{}, "node#1")
+	if err := first.Submit(t.Context(), submission("job", 1)); err != nil {
+		t.Fatal(err)
+	}
+	restarted := &testNode{session: "node#2", Service: &Service{
+		Table: shared, Objects: &memoryObjects{}, View: NewView(), Events: quietEvents{}, Refresh: func() {},
+		Session: first.Session,
+	}}
+	if _, err := restarted.find(t.Context(), "job"); err != nil {
+		t.Fatal(err)
+	}
+	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
+		return answerOf(http.StatusOK, events(1, 2)), nil
+	}}
+	startRunner(t, restarted, backend)
+	time.Sleep(500 * time.Millisecond)
+	for _, listed := range restarted.View.Get("job").Progress.Listed {
+		if listed.Dead {
+			t.Fatal("an item expired by a clock that is not known yet")
+		}
+	}
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -220,7 +220,7 @@
 
 // dispatch sends what can be sent, the earliest due first.
 func (r *Runner) dispatch(now time.Time) {
-	if r.ViewAge() > staleView {
+	if !r.Service.View.Known() || r.ViewAge() > staleView {
 		return
 	}
 	routes := r.Routes()
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -206,6 +206,14 @@
 	return v.storeNow + time.Since(v.readAt)
 }
 
+// Known reports whether the jobs have been looked at once. Before that neither
+// the store's clock is known nor what has become of a job.
+func (v *View) Known() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.readAt.IsZero()
+}
+
 // until is the time left until a moment of the store's clock.
 func (v *View) until(moment time.Duration) time.Duration { return moment - v.Now() }
 
