Follow groups of a table that tells nobody of changes

The platform's store has a feed; the DynamoDB protocol has none that this project speaks. Logged adds a head row and a log row to each commit of a group, in the same transaction, so a group can be followed by polling one partition of heads, and the version of a row is the revision of the commit that wrote it, as on the platform. A conflict carries the rows as they stand.

List of the DynamoDB adapter follows LastEvaluatedKey: the service cuts an answer at 1 MB, and a page of large rows was taken for the end of a partition.

Tests: every change is seen, also a row made again after its removal; racing writers all commit; who is behind the kept log reads the whole.

--- a/internal/table/dynamo.go
+++ b/internal/table/dynamo.go
@@ -76,30 +76,36 @@
 	return decodeRow(answer.Item)
 }
 
-// List implements Service.
+// List implements Service. The service cuts an answer at 1 MB, so it may take
+// several calls.
 func (d *Dynamo) List(ctx context.Context, partition, after string, limit int) ([]Row, error) {
-	answer, err := d.client.Query(ctx, &dynamodb.QueryInput{
-		TableName:              aws.String(d.table),
-		KeyConditionExpression: aws.String("pk = :partition AND sk > :after"),
-		ExpressionAttributeValues: map[string]types.AttributeValue{
-			":partition": text(partition),
-			":after":     text(after + "\x00"),
-		},
-		ConsistentRead: aws.Bool(true),
-		Limit:          aws.Int32(int32(limit)),
-	})
-	if err != nil {
-		return nil, classify(err)
-	}
-	rows := make([]Row, 0, len(answer.Items))
-	for _, item := range answer.Items {
-		row, err := decodeRow(item)
+	var rows []Row
+	for {
+		answer, err := d.client.Query(ctx, &dynamodb.QueryInput{
+			TableName:              aws.String(d.table),
+			KeyConditionExpression: aws.String("pk = :partition AND sk > :after"),
+			ExpressionAttributeValues: map[string]types.AttributeValue{
+				":partition": text(partition),
+				":after":     text(after + "\x00"),
+			},
+			ConsistentRead: aws.Bool(true),
+			Limit:          aws.Int32(int32(limit - len(rows))),
+		})
 		if err != nil {
-			return nil, err
+			return nil, classify(err)
+		}
+		for _, item := range answer.Items {
+			row, err := decodeRow(item)
+			if err != nil {
+				return nil, err
+			}
+			rows = append(rows, row)
+		}
+		if len(answer.LastEvaluatedKey) == 0 || len(answer.Items) == 0 || len(rows) >= limit {
+			return rows, nil
 		}
-		rows = append(rows, row)
+		after = rows[len(rows)-1].Sort
 	}
-	return rows, nil
 }
 
 // Commit implements Service.
--- /dev/null
+++ b/internal/table/log.go
@@ -0,0 +1,206 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+)
+
+const (
+	// logKept is the number of changes that a log holds; who is further behind
+	// reads the whole group.
+	logKept = 1024
+	// logTries bounds how often a commit is tried anew because another commit
+	// to the same group came first.
+	logTries = 40
+	// logPause is the longest pause before such a try.
+	logPause  = 10 * time.Millisecond
+	logPrefix = "log/"
+	// headsPartition holds the head rows of all groups, so that one call reads them.
+	headsPartition = "log-heads"
+)
+
+// Logged makes the groups of a Service followable by polling, for services that
+// tell nobody of changes. Each commit to a group also moves the group's head
+// row on and adds a log row with the changes, in the same transaction; so
+// revisions are numbered without gaps, and the version of a row is the revision
+// of the commit that wrote it.
+//
+// A group is a name; its partitions are the name itself and "name/...". A
+// commit touches one group at most.
+type Logged struct {
+	Service
+	Groups []string
+
+	mu sync.Mutex
+	// heads are the revisions last seen.
+	heads map[string]uint64
+}
+
+var _ Service = (*Logged)(nil)
+
+// loggedChange is a change in a log row.
+type loggedChange struct {
+	Partition string `cbor:"1,keyasint"`
+	Sort      string `cbor:"2,keyasint"`
+	Body      []byte `cbor:"3,keyasint,omitempty"`
+	Removed   bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// InGroup reports whether a partition belongs to a group.
+func InGroup(partition, group string) bool {
+	return partition == group || strings.HasPrefix(partition, group+"/")
+}
+
+func headKey(group string) Key { return Key{Partition: headsPartition, Sort: group} }
+
+func logKey(group string, revision uint64) Key {
+	return Key{Partition: logPrefix + group, Sort: fmt.Sprintf("%020d", revision)}
+}
+
+// groupOf returns the group that a commit changes, or "".
+func (l *Logged) groupOf(writes []Write) string {
+	for _, write := range writes {
+		if write.Kind == Check {
+			continue
+		}
+		for _, group := range l.Groups {
+			if InGroup(write.Partition, group) {
+				return group
+			}
+		}
+	}
+	return ""
+}
+
+// Commit implements Service. A conflict carries the rows as they stand.
+func (l *Logged) Commit(ctx context.Context, operation string, writes ...Write) ([]uint64, error) {
+	group := l.groupOf(writes)
+	if group == "" {
+		versions, err := l.Service.Commit(ctx, operation, writes...)
+		if errors.Is(err, ErrConflict) {
+			return nil, l.explain(ctx, writes, 0, err)
+		}
+		return versions, err
+	}
+	var err error
+	for try := range logTries {
+		var head uint64
+		if head, err = l.head(ctx, group, try > 0); err != nil {
+			return nil, outcome.Failed(err)
+		}
+		var versions []uint64
+		versions, err = l.commitAt(ctx, group, head, fmt.Sprintf("%s.%d", operation, try), writes)
+		if err == nil || !errors.Is(err, ErrConflict) {
+			return versions, err
+		}
+		explained := l.explain(ctx, writes, head, err)
+		if !errors.Is(explained, errHeadMoved) {
+			return nil, explained
+		}
+		if !pause(ctx, jittered(logPause)) {
+			return nil, outcome.Failed(ErrUnavailable)
+		}
+	}
+	return nil, outcome.Failed(errors.Join(ErrThrottled, err))
+}
+
+// errHeadMoved reports a conflict about nothing but the head of the log.
+var errHeadMoved = errors.New("log head has moved")
+
+// head returns the revision of a group, from memory unless fresh.
+func (l *Logged) head(ctx context.Context, group string, fresh bool) (uint64, error) {
+	l.mu.Lock()
+	known, ok := l.heads[group]
+	l.mu.Unlock()
+	if ok && !fresh {
+		return known, nil
+	}
+	revision, err := readHead(ctx, l.Service, group)
+	if err == nil {
+		l.learn(group, revision)
+	}
+	return revision, err
+}
+
+func (l *Logged) learn(group string, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heads == nil {
+		l.heads = map[string]uint64{}
+	}
+	l.heads[group] = max(l.heads[group], revision)
+}
+
+func readHead(ctx context.Context, service Service, group string) (uint64, error) {
+	row, err := service.Get(ctx, headKey(group))
+	if errors.Is(err, ErrNotFound) {
+		return 0, nil
+	}
+	return row.Version, err
+}
+
+// commitAt commits under the condition that the group's head has not moved.
+func (l *Logged) commitAt(ctx context.Context, group string, head uint64, operation string, writes []Write) ([]uint64, error) {
+	revision := head + 1
+	all := make([]Write, 0, len(writes)+3)
+	versions := make([]uint64, len(writes))
+	var changes []loggedChange
+	for i, write := range writes {
+		if write.Kind == Put && InGroup(write.Partition, group) {
+			write.Next = revision
+		}
+		versions[i] = write.NextVersion()
+		all = append(all, write)
+		if write.Kind != Check && InGroup(write.Partition, group) {
+			changes = append(changes, loggedChange{
+				Partition: write.Partition, Sort: write.Sort, Body: write.Body, Removed: write.Kind == Delete,
+			})
+		}
+	}
+	body, err := cbor.Marshal(changes)
+	if err != nil {
+		return nil, outcome.Failed(Error.Wrap(err))
+	}
+	all = append(all,
+		Write{Key: headKey(group), Expect: head, Next: revision},
+		Write{Key: logKey(group, revision), Expect: Absent, Next: revision, Body: body})
+	if revision > logKept {
+		old := revision - logKept
+		all = append(all, Write{Key: logKey(group, old), Kind: Delete, Expect: old})
+	}
+	if _, err := l.Service.Commit(ctx, operation, all...); err != nil {
+		return nil, err
+	}
+	l.learn(group, revision)
+	return versions, nil
+}
+
+// explain turns a conflict into one that carries the rows of the conditions, or
+// into errHeadMoved if all of them hold.
+func (l *Logged) explain(ctx context.Context, writes []Write, head uint64, conflict error) error {
+	explained := &ConflictError{Revision: head}
+	broken := false
+	for _, write := range writes {
+		row, err := l.Service.Get(ctx, write.Key)
+		switch {
+		case errors.Is(err, ErrNotFound):
+		case err != nil:
+			return conflict
+		default:
+			explained.Rows = append(explained.Rows, row)
+		}
+		broken = broken || row.Version != write.Expect
+	}
+	if !broken {
+		return outcome.Failed(errHeadMoved)
+	}
+	return outcome.Failed(explained)
+}
--- a/internal/table/settle.go
+++ b/internal/table/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -21,44 +22,61 @@
 // another operation, nobody can tell any more, and the unknown error stays.
 // Put the row that is never overwritten first to make the read-back decisive.
 func CommitSettled(ctx context.Context, service Service, operation string, writes ...Write) error {
-	_, err := service.Commit(ctx, operation, writes...)
+	_, err := commitSettled(ctx, service, operation, writes...)
+	return err
+}
+
+// CommitRow is CommitSettled for one row that is put. It returns the row's version.
+func CommitRow(ctx context.Context, service Service, operation string, write Write) (uint64, error) {
+	versions, err := commitSettled(ctx, service, operation, write)
+	if err != nil {
+		return 0, err
+	}
+	return versions[0], nil
+}
+
+// commitSettled returns the versions of the rows, or only that of the first put
+// row if it had to be read back.
+func commitSettled(ctx context.Context, service Service, operation string, writes ...Write) ([]uint64, error) {
+	versions, err := service.Commit(ctx, operation, writes...)
 	delay := settleFirstDelay
 	sentBefore := false
 	for {
 		switch {
 		case err == nil:
-			return nil
+			return versions, nil
 		case outcome.Of(err) == outcome.NotDone && !sentBefore:
-			return err
+			return nil, err
 		case errors.Is(err, ErrConflict):
 			return resolveConflict(ctx, service, operation, writes, err)
 		}
 		sentBefore = true
 		if !pause(ctx, delay) {
-			return err
+			return nil, err
 		}
 		delay = min(2*delay, settleMaxDelay)
-		_, err = service.Commit(ctx, operation, writes...)
+		versions, err = service.Commit(ctx, operation, writes...)
 	}
 }
 
 // resolveConflict decides a conflict answered to a resent commit: the first
 // sending may be what changed the row.
-func resolveConflict(ctx context.Context, service Service, operation string, writes []Write, conflict error) error {
+func resolveConflict(ctx context.Context, service Service, operation string, writes []Write, conflict error) ([]uint64, error) {
 	probe, ok := firstPut(writes)
 	if !ok {
-		return outcome.Undecided(conflict)
+		return nil, outcome.Undecided(conflict)
 	}
 	row, err := service.Get(ctx, probe.Key)
 	switch {
-	case err == nil && row.Operation == operation:
-		return nil
+	case err == nil && strings.HasPrefix(row.Operation, operation):
+		// A Logged service ends the id with the number of its try.
+		return []uint64{row.Version}, nil
 	case err == nil && row.Version == probe.Expect:
-		return conflict
+		return nil, conflict
 	case errors.Is(err, ErrNotFound) && probe.Expect == Absent:
-		return conflict
+		return nil, conflict
 	default:
-		return outcome.Undecided(conflict)
+		return nil, outcome.Undecided(conflict)
 	}
 }
 
