A backend of engines for the one forwarder; versions, adapters and roles of replicas

engine.Backend sends opaque requests to engines over the product's protocol: a broken stream goes on at the same engine by id and offset, as dispatch did, an answer that nobody reads to its end is given up there, and a refusal that no replica would decide otherwise is passed on. Replicas carry version, adapters and the kinds of work they take; a stream that goes on elsewhere keeps to the version that began it. A request may be marked to run once whatever its route says, and may wait for room only so long.

--- /dev/null
+++ b/internal/engine/backend.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// HeaderAttempt names the attempt that answers, as attempt@replica, so that a
+// caller that lost its node can go on at another one.
+const HeaderAttempt = "X-Wheelhoist-Attempt"
+
+const (
+	// attemptSeparator parts a request's id from its attempt's.
+	attemptSeparator = "~"
+	// attemptOnce ends the attempt id of an item that may run only once.
+	attemptOnce = attemptSeparator + "once"
+	abortTime   = time.Second
+)
+
+// Engines is what a Backend needs of a Client.
+type Engines interface {
+	Stream(ctx context.Context, base string, attempt Attempt) (*Stream, error)
+	Resume(ctx context.Context, base, id, path string, after int) (*Stream, error)
+	Abort(ctx context.Context, base, id string) (RequestStatus, error)
+}
+
+// Backend sends the attempts of opaque requests to engines. A stream that
+// breaks is first continued at the same engine, where it still runs; only then
+// does the attempt fail. It is safe for concurrent use.
+type Backend struct {
+	engines Engines
+	// unique makes attempt ids differ between nodes and runs.
+	unique string
+	turn   atomic.Uint64
+}
+
+var _ forward.Backend = (*Backend)(nil)
+
+// NewBackend returns a backend over a client.
+func NewBackend(engines Engines) *Backend {
+	return &Backend{engines: engines, unique: uuid.NewString()[:8]}
+}
+
+// Send implements forward.Backend.
+func (b *Backend) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+	request := attempt.Request
+	priority := PriorityOnline
+	if request.Batch {
+		priority = PriorityBatch
+	}
+	id := b.attemptID(request)
+	sent := Attempt{ID: id, Path: request.Target, Body: Encode(request.Body, priority, true)}
+	stream, err := b.engines.Stream(ctx, attempt.Replica.Address, sent)
+	if err != nil {
+		return b.notStreamed(ctx, attempt, id, err)
+	}
+	body := &answerBody{
+		ctx: ctx, engines: b.engines, stream: stream, base: attempt.Replica.Address,
+		id: id, path: request.Target, render: renderEvent,
+	}
+	if request.Batch {
+		body.render = renderToken
+	}
+	header := http.Header{}
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set(HeaderAttempt, id+"@"+attempt.Replica.ID)
+	return &forward.Answer{Status: http.StatusOK, Header: header, Events: true, Load: loadOf(stream), Body: body}, nil
+}
+
+func (b *Backend) attemptID(request *forward.Request) string {
+	if request.Once && request.Batch {
+		return request.ID + attemptOnce
+	}
+	return fmt.Sprintf("%s%s%s.%d", request.ID, attemptSeparator, b.unique, b.turn.Add(1))
+}
+
+// notStreamed turns the failure of a sending into a refusal that another
+// replica may not repeat, an answer that is final, or an attempt of unknown fate.
+func (b *Backend) notStreamed(ctx context.Context, attempt *forward.Attempt, id string, err error) (*forward.Answer, error) {
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused) && refused.Temporary():
+		return nil, Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", forward.ErrRefused, err)))
+	case errors.As(err, &refused):
+		return refusalAnswer(refused, attempt.Request.Batch), nil
+	case errors.Is(err, ErrUnreachable):
+		return nil, Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", forward.ErrUnreachable, err)))
+	}
+	if ctx.Err() != nil {
+		b.abort(attempt.Replica.Address, id)
+	}
+	return nil, Error.Wrap(outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err)))
+}
+
+// refusalAnswer passes on a refusal that no replica would decide otherwise.
+func refusalAnswer(refused *RefusedError, batch bool) *forward.Answer {
+	status := refused.Status
+	if batch {
+		status = http.StatusUnprocessableEntity
+	}
+	text := refused.Message
+	if !batch {
+		text = encodeRefusal(refused)
+	}
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	return &forward.Answer{Status: status, Header: header, Body: io.NopCloser(strings.NewReader(text))}
+}
+
+func encodeRefusal(refused *RefusedError) string {
+	detail := openai.ErrorDetail{Message: refused.Message, Type: openai.TypeInvalidRequest}
+	body, err := json.Marshal(openai.ErrorAnswer{Error: detail})
+	if err != nil {
+		return "{}"
+	}
+	return string(body)
+}
+
+func loadOf(stream *Stream) *replica.Load {
+	load, ok := stream.Load()
+	if !ok {
+		return nil
+	}
+	return &replica.Load{
+		Running: load.RunningOnline + load.RunningBatch, Waiting: load.WaitingOnline, Slots: load.MaxSequences,
+	}
+}
+
+// abort tells an engine that nobody wants an answer any more.
+func (b *Backend) abort(base, id string) { abortAttempt(b.engines, base, id) }
+
+func abortAttempt(engines Engines, base, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	// If the call is lost the engine drops the attempt for lack of readers.
+	_, _ = engines.Abort(ctx, base, id)
+}
--- /dev/null
+++ b/internal/engine/backend_test.go
@@ -0,0 +1,211 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// fakeEngine answers with a stream of tokens and can break it off.
+type fakeEngine struct {
+	mu sync.Mutex
+	// breakAfter is the number of tokens after which the first sending breaks.
+	breakAfter int
+	// forgets makes resumed attempts unknown.
+	forgets bool
+	status  int
+	tokens  int
+	sent    []string
+	resumed []string
+	aborted chan string
+}
+
+func (f *fakeEngine) start(t *testing.T) (*Backend, replica.Info) {
+	t.Helper()
+	f.aborted = make(chan string, 4)
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	client := NewClient(nil)
+	t.Cleanup(client.Close)
+	return NewBackend(client), replica.Info{ID: "r1", Address: server.URL}
+}
+
+func (f *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case strings.HasSuffix(r.URL.Path, "/abort"):
+		f.aborted <- r.URL.Path
+	case r.Method == http.MethodGet:
+		f.resume(w, r)
+	case f.status != 0:
+		w.WriteHeader(f.status)
+	default:
+		f.mu.Lock()
+		f.sent = append(f.sent, r.Header.Get(HeaderRequestID))
+		f.mu.Unlock()
+		f.stream(w, 0, f.breakAfter)
+	}
+}
+
+func (f *fakeEngine) resume(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.resumed = append(f.resumed, r.Header.Get(HeaderLastEventID))
+	f.mu.Unlock()
+	if f.forgets {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	after := 0
+	_, _ = fmt.Sscan(r.Header.Get(HeaderLastEventID), &after)
+	f.stream(w, after, 0)
+}
+
+// stream sends the tokens after one, and the end unless it breaks off before.
+func (f *fakeEngine) stream(w http.ResponseWriter, after, breakAfter int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for token := after + 1; token <= f.tokens; token++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", token, token)
+		if token == breakAfter {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"model\":\"m\",\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", f.tokens)
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func attemptOf(info replica.Info, batch, once bool) *forward.Attempt {
+	return &forward.Attempt{Replica: info, Request: &forward.Request{
+		ID: "q", Target: "/v1/chat/completions", Body: []byte(`{"model":"m"}`), Batch: batch, Once: once,
+	}}
+}
+
+func TestBackend_BrokenStreamGoesOnAtTheSameEngine(t *testing.T) {
+	engine := &fakeEngine{tokens: 5, breakAfter: 3}
+	backend, info := engine.start(t)
+	answer, err := backend.Send(t.Context(), attemptOf(info, false, false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for token := 1; token <= 5; token++ {
+		if count := strings.Count(string(body), fmt.Sprintf(`"t%d "`, token)); count != 1 {
+			t.Fatalf("token %d stands %d times in %q", token, count, body)
+		}
+	}
+	if len(engine.sent) != 1 || len(engine.resumed) != 1 || engine.resumed[0] != "3" {
+		t.Fatalf("sent %v, resumed after %v", engine.sent, engine.resumed)
+	}
+	if !strings.HasSuffix(string(body), "data: [DONE]\n\n") {
+		t.Fatalf("answer ends with %q", body[len(body)-30:])
+	}
+}
+
+func TestBackend_EngineThatForgotItIsABrokenAnswer(t *testing.T) {
+	engine := &fakeEngine{tokens: 5, breakAfter: 3, forgets: true}
+	backend, info := engine.start(t)
+	answer, err := backend.Send(t.Context(), attemptOf(info, false, false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(answer.Body); err == nil {
+		t.Fatal("half an answer looks whole")
+	}
+}
+
+func TestBackend_AnswerNotReadToItsEndIsGivenUpAtTheEngine(t *testing.T) {
+	engine := &fakeEngine{tokens: 5}
+	backend, info := engine.start(t)
+	answer, err := backend.Send(t.Context(), attemptOf(info, false, false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	select {
+	case path := <-engine.aborted:
+		if !strings.Contains(path, "q~") {
+			t.Fatalf("aborted %s", path)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing was given up")
+	}
+}
+
+func TestBackend_Refusals(t *testing.T) {
+	for name, one := range map[string]struct {
+		status int
+		batch  bool
+		want   int
+		failed error
+	}{
+		"full":                {status: http.StatusServiceUnavailable, failed: forward.ErrRefused},
+		"invalid online":      {status: http.StatusBadRequest, want: http.StatusBadRequest},
+		"invalid batch item":  {status: http.StatusBadRequest, batch: true, want: http.StatusUnprocessableEntity},
+		"full for batch item": {status: http.StatusTooManyRequests, batch: true, failed: forward.ErrRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := &fakeEngine{status: one.status}
+			backend, info := engine.start(t)
+			answer, err := backend.Send(t.Context(), attemptOf(info, one.batch, false))
+			if one.failed != nil {
+				if !errors.Is(err, one.failed) || outcome.Of(err) != outcome.NotDone {
+					t.Fatalf("error is %v", err)
+				}
+				return
+			}
+			if err != nil || answer.Status != one.want {
+				t.Fatalf("answer %+v, %v", answer, err)
+			}
+		})
+	}
+}
+
+func TestBackend_UnreachableDidNotRun(t *testing.T) {
+	backend := NewBackend(NewClient(nil))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := backend.Send(ctx, attemptOf(replica.Info{Address: "http://127.0.0.1:1"}, false, false))
+	if !errors.Is(err, forward.ErrUnreachable) || outcome.Of(err) != outcome.NotDone {
+		t.Fatalf("error is %v", err)
+	}
+}
+
+// The text of an item becomes one whole answer, whichever event it broke after.
+func TestWholeText_JoinsWhatABackendRendered(t *testing.T) {
+	engine := &fakeEngine{tokens: 4, breakAfter: 2}
+	backend, info := engine.start(t)
+	answer, err := backend.Send(t.Context(), attemptOf(info, true, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var data []string
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if text, ok := strings.CutPrefix(line, "data: "); ok {
+			data = append(data, text)
+		}
+	}
+	whole, err := WholeText(strings.Join(data, "\n"), "/v1/chat/completions")
+	if err != nil || !strings.Contains(string(whole), `"content":"t1 t2 t3 t4 "`) {
+		t.Fatalf("whole answer %s, %v", whole, err)
+	}
+	if engine.sent[0] != "q~once" {
+		t.Fatalf("an item that may run only once was sent as %s", engine.sent[0])
+	}
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -116,7 +116,7 @@
 // anotherTry reports whether a failure that a replica answered need not be the
 // last word.
 func (c *call) anotherTry() bool {
-	return c.route.MayRepeat() && c.result.Attempts < c.route.MaxAttempts
+	return c.mayRepeat() && c.result.Attempts < c.route.MaxAttempts
 }
 
 // silenceWatch gives an attempt up when its replica says nothing for too long,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -55,6 +55,11 @@
 	Prompt route.Prompt
 	// After is the last event that the caller has; 0 for none.
 	After int
+	// Once requests are never sent again once they may have run, whatever their
+	// route says.
+	Once bool
+	// Batch requests give way to others.
+	Batch bool
 	// Received is when the request came in.
 	Received time.Time
 	// Deadline is when the caller stops waiting; zero if it did not say.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -64,7 +64,7 @@
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
 		Zone: f.Zone, Tokens: request.Prompt.Tokens, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
-		Exclude: map[string]bool{},
+		Adapter: target.Adapter, Exclude: map[string]bool{},
 	}
 	if !one.deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -75,6 +75,17 @@
 	return one.result, err
 }
 
+// Predict estimates the time until a request would get its first event. It
+// returns replica.ErrNoReplica if no replica could take it.
+func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
+	demand := &replica.Demand{Zone: f.Zone, Tokens: request.Prompt.Tokens, Adapter: target.Adapter}
+	best, err := replica.Pick(f.Replicas.Snapshot(target.Pool(), 0, now), demand, f.Weights)
+	if err != nil {
+		return 0, err
+	}
+	return replica.Predict(best, demand, f.Weights), nil
+}
+
 // deadlineOf returns when the final answer is due: the earlier of the route's
 // time-out and the caller's own deadline.
 func deadlineOf(target *route.Route, request *Request) time.Time {
@@ -163,6 +174,9 @@
 	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+waitForRoom {
 		return ErrBusy
 	}
+	if c.route.MaxWait > 0 && time.Since(c.request.Received) > c.route.MaxWait {
+		return ErrBusy
+	}
 	timer := time.NewTimer(waitForRoom)
 	defer timer.Stop()
 	select {
@@ -180,7 +194,7 @@
 		c.result.Refusals++
 		return true
 	}
-	if c.result.Attempts >= c.route.MaxAttempts || !c.route.MayRepeat() {
+	if c.result.Attempts >= c.route.MaxAttempts || !c.mayRepeat() {
 		return false
 	}
 	if c.result.Started && c.route.Kind != route.Stream {
@@ -189,6 +203,9 @@
 	return c.forwarder.Budget.Retry()
 }
 
+// mayRepeat reports whether the request may run more than once.
+func (c *call) mayRepeat() bool { return !c.request.Once && c.route.MayRepeat() }
+
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
 	now := time.Now()
 	c.result.Attempts++
@@ -198,6 +215,9 @@
 	}
 	use := c.forwarder.Replicas.Begin(chosen.ID, c.request.Prompt.Tokens, false, now)
 	err := c.exchange(ctx, chosen.Info, use)
+	if c.result.Events > 0 {
+		c.demand.Version = chosen.Version
+	}
 	use.End(resultOf(ctx, err), time.Now())
 	if err == nil {
 		return nil
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -250,7 +250,7 @@
 	}
 	all := map[string]Grant{}
 	for pool, open := range byPool {
-		slots := float64(r.Replicas.Slots(pool))
+		slots := float64(r.Replicas.BatchSlots(pool))
 		plan := PlanGrants(PlanInput{
 			Open: open, Now: r.Service.View.Now(),
 			Places: int(r.Weights.BatchFill * slots), UrgentPlaces: int(r.Weights.UrgentFill * slots),
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -27,6 +28,11 @@
 	Batch bool
 	// Urgent items would be late if they waited; they may fill replicas further.
 	Urgent bool
+	// Version, if set, is the only version allowed; an answer that goes on
+	// elsewhere needs the one that began it.
+	Version string
+	// Adapter, if set, must be loaded.
+	Adapter string
 	// Exclude are the replicas that have failed or refused this request.
 	Exclude map[string]bool
 }
@@ -67,6 +73,18 @@
 
 type filter func(*Candidate, *Demand, Weights) bool
 
+// serves reports whether a replica serves what is asked for at all.
+func serves(candidate *Candidate, demand *Demand) bool {
+	switch {
+	case demand.Batch && candidate.NoBatch, !demand.Batch && candidate.NoOnline:
+		return false
+	case demand.Version != "" && candidate.Version != "" && candidate.Version != demand.Version:
+		return false
+	default:
+		return demand.Adapter == "" || slices.Contains(candidate.Adapters, demand.Adapter)
+	}
+}
+
 func sound(candidate *Candidate, demand *Demand, weights Weights) bool {
 	if candidate.Ejected {
 		return false
@@ -89,10 +107,10 @@
 	bestScore := math.Inf(1)
 	for i := range candidates {
 		candidate := &candidates[i]
-		if demand.Exclude[candidate.ID] || !passes(candidate, demand, weights) {
+		if demand.Exclude[candidate.ID] || !serves(candidate, demand) || !passes(candidate, demand, weights) {
 			continue
 		}
-		score := predict(candidate, demand, weights).Seconds()
+		score := Predict(candidate, demand, weights).Seconds()
 		score += float64(mix(candidate.Key^demand.Affinity)>>40) * 1e-12
 		if score < bestScore {
 			best, bestScore = candidate, score
@@ -109,7 +127,7 @@
 		return 0
 	}
 	for i := range candidates {
-		if candidates[i].Ejected {
+		if candidates[i].Ejected || !serves(&candidates[i], demand) {
 			continue
 		}
 		if weight := mix(candidates[i].Key ^ demand.Affinity); home == 0 || weight > best {
@@ -132,8 +150,8 @@
 	return time.Duration(float64(tokens) / readingRate * float64(time.Second))
 }
 
-// predict estimates the time to the first event.
-func predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
+// Predict estimates the time to the first event at a candidate.
+func Predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
 	reading := readingTime(candidate.PendingTokens)
 	total := reading + uncached(candidate, demand) + time.Duration(candidate.Busy()*float64(busyCost))
 	if waiting := -candidate.Free(); waiting >= 0 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,13 @@
 	Slots int
 	// Leaving replicas finish what they have and take nothing new.
 	Leaving bool
+	// Version is the version of the model that it serves; empty if unknown.
+	Version string
+	// Adapters are those that it has loaded.
+	Adapters []string
+	// NoOnline and NoBatch keep a kind of work away.
+	NoOnline bool
+	NoBatch  bool
 }
 
 // Load is what a replica said of its requests from all callers.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -165,14 +165,37 @@
 	return listed, ejected
 }
 
-// Slots returns the number of requests that a pool's replicas run at the same
-// time, those that are leaving left out.
-func (s *Set) Slots(pool string) int {
+// Get returns a listed replica.
+func (s *Set) Get(id string) (Info, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	if !ok {
+		return Info{}, false
+	}
+	return known.info, true
+}
+
+// List returns all listed replicas of all pools.
+func (s *Set) List(now time.Time) []Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Candidate
+	for _, known := range s.entries {
+		list = append(list, known.candidate(now))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// BatchSlots returns the number of requests that those of a pool's replicas run
+// at the same time that take batch work and are not leaving.
+func (s *Set) BatchSlots(pool string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := 0
 	for _, known := range s.pool(pool) {
-		if !known.info.Leaving {
+		if !known.info.Leaving && !known.info.NoBatch {
 			total += known.info.Slots
 		}
 	}
@@ -226,14 +249,18 @@
 		if known.info.Leaving || known.forgotten(now) {
 			continue
 		}
-		candidates = append(candidates, Candidate{
-			Info: known.info, Key: known.key, Open: known.open, Batch: known.batch,
-			Others: known.othersAt(now), PendingTokens: known.pending, Ejected: known.health.ejected(now),
-		})
+		candidates = append(candidates, known.candidate(now))
 	}
 	return candidates
 }
 
+func (e *entry) candidate(now time.Time) Candidate {
+	return Candidate{
+		Info: e.info, Key: e.key, Open: e.open, Batch: e.batch,
+		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now),
+	}
+}
+
 // forgotten reports whether an entry that left the list around an outage has
 // been used without a new listing for long enough.
 func (e *entry) forgotten(now time.Time) bool {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,6 +46,13 @@
 	Shares []Share
 	// Timeout is the longest time that a request is held; 0 means no limit.
 	Timeout time.Duration
+	// MaxWait is the longest wait for a replica to have room; 0 means until Timeout.
+	MaxWait time.Duration
+	// BatchFill is the share of a replica's slots that items of the route may
+	// fill; 0 leaves it to the node's settings.
+	BatchFill float64
+	// Adapter must be loaded by the replicas that take the requests; may be empty.
+	Adapter string
 	// Objective is the time within which the answer, or its first event, is in time.
 	Objective time.Duration
 	// Gap is the longest pause between two events of an answer in time.
