--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -32,50 +32,14 @@
 	Max int `json:"max"`
 }
 
-// YieldPolicy says how batch work gives way to online work on a replica.
-type YieldPolicy string
-
-// Yield policies, measured against each other in docs/design/0004.
-const (
-	// YieldPause stops feeding while online work runs; running items go on.
-	YieldPause YieldPolicy = "pause"
-	// YieldShrink keeps only as many items as the headroom leaves room for,
-	// and aborts the newest beyond that.
-	YieldShrink YieldPolicy = "shrink"
-	// YieldAbort aborts all items as soon as an online request arrives.
-	YieldAbort YieldPolicy = "abort"
-	// YieldReserve keeps enough of the fastest replicas for online work, with
-	// batch work only in what Headroom leaves there, and fills all others; a
-	// replica outside the reserve that online work spills to pauses.
-	YieldReserve YieldPolicy = "reserve"
-	// YieldPriority leaves it all to the engine's priorities and goes on feeding.
-	YieldPriority YieldPolicy = "priority"
-)
-
 // BatchPolicy says how a pool's replicas take batch work.
 type BatchPolicy struct {
-	Yield YieldPolicy `json:"yield,omitempty"`
-	// Headroom is the share of sequence slots kept free of batch work, 0 to 1.
-	// With YieldReserve it is about the reserved replicas while online work runs.
+	// Headroom is the share of sequence slots kept free of batch work, 0 to 1;
+	// 0 means a tenth. Engines run online requests first; the headroom keeps the
+	// engines' steps short for them.
 	Headroom float64 `json:"headroom,omitempty"`
-	// Estimator names how the room for batch work is estimated.
-	Estimator HeadroomEstimator `json:"estimator,omitempty"`
-	// QuietPeriod is how long a replica must be free of online work before it
-	// is filled up again.
-	QuietPeriod Duration `json:"quietPeriod,omitempty"`
 }
 
-// HeadroomEstimator names a way to estimate how much batch work fits.
-type HeadroomEstimator string
-
-// Headroom estimators.
-const (
-	// EstimateFixed keeps the headroom share free, whatever the load.
-	EstimateFixed HeadroomEstimator = "fixed"
-	// EstimatePeak keeps room for the recent peak of online sequences.
-	EstimatePeak HeadroomEstimator = "peak"
-)
-
 // ModelPoolSpec declares a pool of replicas that serve one model.
 type ModelPoolSpec struct {
 	Model    string       `json:"model"`
@@ -109,12 +73,6 @@
 	if s.Batch.Headroom < 0 || s.Batch.Headroom > 1 {
 		found.Add("spec.batch.headroom", "must be between 0 and 1")
 	}
-	if !oneOf(s.Batch.Yield, "", YieldPause, YieldShrink, YieldAbort, YieldReserve, YieldPriority) {
-		found.Add("spec.batch.yield", "unknown policy %q", s.Batch.Yield)
-	}
-	if !oneOf(s.Batch.Estimator, "", EstimateFixed, EstimatePeak) {
-		found.Add("spec.batch.estimator", "unknown estimator %q", s.Batch.Estimator)
-	}
 }
 
 func oneOf[T comparable](value T, allowed ...T) bool {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"testing"
 	"time"
 )
@@ -79,67 +78,3 @@
 		t.Errorf("the light user is refused: %v", err)
 	}
 }
-
-// cluster connects the shares of many nodes in virtual time.
-type cluster struct {
-	now    time.Time
-	nodes  []Node
-	shares map[string]*Shares
-}
-
-func newCluster(size int) *cluster {
-	c := &cluster{now: time.Unix(100, 0), shares: map[string]*Shares{}}
-	for i := range size {
-		c.nodes = append(c.nodes, Node{ID: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("n%d", i)})
-	}
-	for _, node := range c.nodes {
-		c.shares[node.ID] = &Shares{
-			self: node.ID, nodes: func() []Node { return c.nodes }, now: func() time.Time { return c.now },
-			grants: map[uint64]grant{}, reports: map[uint64]map[string]grant{},
-			send: func(address string, message any) error {
-				c.shares[address].handle(message.(shareMessage))
-				return nil
-			},
-		}
-	}
-	return c
-}
-
-func (c *cluster) report(demand map[string]map[string]float64) {
-	for range 4 {
-		c.now = c.now.Add(ShareInterval)
-		for node, tenants := range demand {
-			c.shares[node].Report(tenants)
-		}
-	}
-}
-
-func (c *cluster) total(tenant string) float64 {
-	total := 0.0
-	for _, shares := range c.shares {
-		total += shares.Of(tenant)
-	}
-	return total
-}
-
-// The parts follow the demand and never add up to more than the whole.
-func TestShares_FollowDemand(t *testing.T) {
-	c := newCluster(8)
-	c.report(map[string]map[string]float64{"n0": {"a": 30}, "n1": {"a": 10}})
-	if total := c.total("a"); total > 1.0001 {
-		t.Fatalf("parts add up to %.3f", total)
-	}
-	busy, quiet := c.shares["n0"].Of("a"), c.shares["n1"].Of("a")
-	if busy < 0.65 || quiet < 0.2 || quiet > 0.3 {
-		t.Fatalf("parts %.3f and %.3f for a demand of 30 and 10", busy, quiet)
-	}
-	c.report(map[string]map[string]float64{"n5": {"a": 40}})
-	c.now = c.now.Add(grantLife)
-	c.report(map[string]map[string]float64{"n5": {"a": 40}})
-	if moved := c.shares["n5"].Of("a"); moved < 0.85 {
-		t.Fatalf("the node that now has all demand has %.3f", moved)
-	}
-	if total := c.total("a"); total > 1.0001 {
-		t.Fatalf("parts add up to %.3f after the move", total)
-	}
-}
--- /dev/null
+++ b/internal/batch/group.go
@@ -0,0 +1,209 @@
+package batch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// submission builds the job of a group from the lines of the input file.
+func (s *Service) submission(ctx context.Context, batch *Job, number int) (*jobs.Submission, error) {
+	if batch.active == table.Absent {
+		return nil, Error.New("batch %s is not known to be active", batch.ID)
+	}
+	lines, err := s.lines(ctx, batch, number)
+	if err != nil {
+		return nil, err
+	}
+	first, _ := batch.groupRange(number)
+	submitted := &jobs.Submission{
+		ID: groupID(batch.ID, number), Route: RouteOf(batch.Model), Host: RouteOf(batch.Model),
+		Completion: time.Until(batch.Deadline), Retention: time.Until(batch.Deadline), Turns: true,
+		// Neither a batch that has ended nor a group that is done is begun again.
+		Guards: []table.Write{
+			{Key: activeKey(batch.ID), Expect: batch.active},
+			{Key: groupKey(batch.ID, number), Expect: table.Absent},
+		},
+	}
+	for i, line := range lines {
+		item, problem := ParseItem(line)
+		if problem != nil {
+			return nil, Error.New("line %d of %s: %s", first+i+1, batch.File, problem.Message)
+		}
+		request, _ := openai.ParseCompletion(item.Body)
+		submitted.Items = append(submitted.Items, jobs.Item{
+			ID: fmt.Sprintf("%s-%d", batch.ID, first+i), Path: item.URL, Body: item.Body,
+			Tokens: int64(len(item.Body)/bytesPerToken + request.Limit()),
+			Once:   item.NotRepeatable, Label: item.CustomID,
+		})
+	}
+	return submitted, nil
+}
+
+// bytesPerToken is the usual length of a token, for estimates of sizes.
+const bytesPerToken = 4
+
+// RouteOf names the route that a model's batches take.
+func RouteOf(model string) string { return "batch/" + model }
+
+// lines reads the lines of a group from the segments of the input file.
+func (s *Service) lines(ctx context.Context, batch *Job, number int) ([][]byte, error) {
+	first, end := batch.groupRange(number)
+	var lines [][]byte
+	for segment := first / SegmentLines; segment*SegmentLines < end; segment++ {
+		body, err := object.ReadAll(ctx, s.Objects, segmentKey(batch.File, segment))
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		lines = append(lines, linesBetween(body, segment*SegmentLines, first, end)...)
+	}
+	if len(lines) != end-first {
+		return nil, Error.New("group %d of %s has %d lines, not %d", number, batch.ID, len(lines), end-first)
+	}
+	return lines, nil
+}
+
+// linesBetween returns the lines of a segment, which begins at a line of the
+// file, that lie in a range of the file.
+func linesBetween(segment []byte, line, first, end int) [][]byte {
+	var lines [][]byte
+	reader := bufio.NewReaderSize(bytes.NewReader(segment), 64<<10)
+	for ; ; line++ {
+		source, _, err := readLine(reader)
+		if len(source) == 0 && errors.Is(err, io.EOF) {
+			return lines
+		}
+		if line >= first && line < end {
+			lines = append(lines, bytes.Clone(source))
+		}
+		if err != nil {
+			return lines
+		}
+	}
+}
+
+// finishGroup makes the listed results of a group its result for good.
+func (s *Service) finishGroup(ctx context.Context, batch *Job, number int, entry *jobs.Entry) error {
+	results, err := s.itemResults(ctx, entry)
+	if err != nil {
+		return err
+	}
+	outputs, failures, group := render(results)
+	if err := s.Objects.Put(ctx, resultKey(batch.ID, number), outputs); err != nil {
+		return Error.Wrap(err)
+	}
+	if group.Errors {
+		if err := s.Objects.Put(ctx, errorKey(batch.ID, number), failures); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	body, err := encode(group)
+	if err != nil {
+		return err
+	}
+	return s.Work.Remove(ctx, entry,
+		table.Write{Key: groupKey(batch.ID, number), Expect: table.Absent, Body: body},
+		table.Write{Key: activeKey(batch.ID), Kind: table.Check, Expect: batch.active})
+}
+
+// itemResults reads all results of a group that is done, with its items.
+func (s *Service) itemResults(ctx context.Context, entry *jobs.Entry) ([]itemResult, error) {
+	items, err := s.Work.Items(ctx, entry.Job)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	byID := make(map[string]*jobs.Item, len(items))
+	for i := range items {
+		byID[items[i].ID] = &items[i]
+	}
+	var results []itemResult
+	for len(results) < len(items) {
+		reading, err := s.Work.Read(ctx, entry.Job.ID, len(results), 0)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if len(reading.Results) == 0 {
+			return nil, Error.New("group %s has %d of %d results", entry.Job.ID, len(results), len(items))
+		}
+		for _, result := range reading.Results {
+			results = append(results, itemResult{item: byID[result.Item], result: result})
+		}
+	}
+	return results, nil
+}
+
+// itemResult is a listed result with its item.
+type itemResult struct {
+	item   *jobs.Item
+	result jobs.Result
+}
+
+// render builds the lines of the output and the error object.
+func render(results []itemResult) (outputs, failures []byte, group Group) {
+	var outputBuffer, failureBuffer bytes.Buffer
+	for _, one := range results {
+		line, failed := one.line()
+		target := &outputBuffer
+		if failed {
+			target = &failureBuffer
+			group.Failed++
+		} else {
+			group.Completed++
+		}
+		if one.result.Reason == jobs.Expired {
+			group.Expired++
+		}
+		target.Write(line)
+		target.WriteByte('\n')
+	}
+	group.Errors = failureBuffer.Len() > 0
+	return outputBuffer.Bytes(), failureBuffer.Bytes(), group
+}
+
+// line renders a result as a line of a file. It reports whether the item failed.
+func (r *itemResult) line() ([]byte, bool) {
+	rendered := openai.BatchResult{ID: "batch_req_" + r.item.ID, CustomID: r.item.Label}
+	if !r.result.Dead {
+		body, err := engine.WholeText(r.result.Text, r.item.Path)
+		if err == nil {
+			rendered.Response = &openai.BatchItemResponse{StatusCode: 200, RequestID: r.item.ID, Body: body}
+			return marshal(rendered), false
+		}
+	}
+	rendered.Error = failureOf(r.result.Reason)
+	return marshal(rendered), true
+}
+
+func marshal(rendered openai.BatchResult) []byte {
+	line, err := json.Marshal(rendered)
+	if err != nil {
+		// Its parts are strings and JSON that has been made here.
+		panic(err)
+	}
+	return line
+}
+
+// failureOf tells the caller why an item has no answer.
+func failureOf(reason jobs.Reason) *openai.BatchItemError {
+	switch reason {
+	case jobs.Expired:
+		return &openai.BatchItemError{Code: openai.CodeBatchExpired, Message: "the deadline passed before the item ran"}
+	case jobs.Undecided:
+		return &openai.BatchItemError{Code: openai.CodeOutcomeUnknown, Message: "the item may have run"}
+	case jobs.Invalid:
+		return &openai.BatchItemError{Code: openai.CodeItemFailed, Message: "the engine says that the item can never be done"}
+	default:
+		return &openai.BatchItemError{Code: openai.CodeItemFailed, Message: "the item failed at each run"}
+	}
+}
--- a/internal/batch/jsonl_test.go
+++ b/internal/batch/jsonl_test.go
@@ -63,7 +63,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			service := NewService(acceptingTable{}, &memoryObjects{objects: map[string]string{}}, nil)
+			service := &Service{Table: acceptingTable{}, Objects: &memoryObjects{objects: map[string]string{}}}
 			record, err := service.Upload(t.Context(), "tenant", "f", strings.NewReader(test.content))
 			if err != nil {
 				t.Fatal(err)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -1,22 +1,26 @@
-// Package batch runs batch jobs: each accepted item completes exactly once,
-// with a result that stays readable.
+// Package batch serves batch jobs over files in the form of the OpenAI API:
+// each accepted item completes exactly once, with a result that stays readable.
 //
-// A job is cut into chunks of lines. A node claims a chunk by a conditional
-// write, runs its items at the replicas it feeds, stores the results as one
-// object and makes that object the chunk's result by a second conditional
-// write, which also requires that the job is still active. The first commit
-// wins; so the store's load grows with chunks, not with items.
+// A batch is cut into groups of lines. The Feeder hands groups over to package
+// jobs, a few at a time, so the state that every node follows stays small
+// however long a batch is. When all results of a group are listed they become
+// one object of answers and one of errors, and one transaction makes these the
+// group's result and takes the group off the table; it requires that the batch
+// is still active.
 package batch
 
 import (
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -41,16 +45,16 @@
 	partitionActive = "batch-active"
 	partitionKeys   = "batch-keys"
 	partitionFiles  = "batch-files"
-	partitionChunks = "batch-chunks/"
+	partitionGroups = "batch-groups/"
 )
 
 const (
 	// SegmentLines is the number of lines in one stored part of an input file.
 	SegmentLines = 256
-	minChunk     = 16
-	maxChunk     = 512
-	// chunksWanted spreads small jobs over nodes.
-	chunksWanted = 32
+	minGroup     = 16
+	maxGroup     = jobs.MaxItems
+	// groupsWanted spreads small batches over nodes.
+	groupsWanted = 16
 	// DefaultWindow is the time to the deadline when a job names none.
 	DefaultWindow = 24 * time.Hour
 )
@@ -86,7 +90,7 @@
 	File        string
 	Model       string
 	Lines       int
-	ChunkLines  int
+	GroupLines  int
 	State       openai.BatchStatus
 	Window      string
 	CreatedAt   time.Time
@@ -100,67 +104,63 @@
 
 	// Version is the version of the row this record was read from.
 	Version uint64 `cbor:"-"`
+	// active is the version of the row on the list of active batches.
+	active uint64
 }
 
-// Chunks returns the number of chunks.
-func (j *Job) Chunks() int { return (j.Lines + j.ChunkLines - 1) / j.ChunkLines }
+// Groups returns the number of groups.
+func (j *Job) Groups() int { return (j.Lines + j.GroupLines - 1) / j.GroupLines }
 
-// chunkRange returns the first line of a chunk and the line after its last.
-func (j *Job) chunkRange(chunk int) (first, end int) {
-	first = chunk * j.ChunkLines
-	return first, min(first+j.ChunkLines, j.Lines)
+// groupRange returns the first line of a group and the line after its last.
+func (j *Job) groupRange(number int) (first, end int) {
+	first = number * j.GroupLines
+	return first, min(first+j.GroupLines, j.Lines)
 }
 
-// chunkLines chooses the chunk size of a job: small jobs are spread over
+// groupLines chooses the group size of a batch: small ones are spread over
 // nodes, large ones cost few writes.
-func chunkLines(lines int) int {
-	size := (lines + chunksWanted - 1) / chunksWanted
-	return min(max(size, minChunk), maxChunk)
+func groupLines(lines int) int {
+	size := (lines + groupsWanted - 1) / groupsWanted
+	return min(max(size, minGroup), maxGroup)
 }
 
-// ChunkState is the state of a chunk row. A chunk without a row is open.
-type ChunkState uint8
-
-// Chunk states.
-const (
-	// ChunkHeld chunks are run by the holder.
-	ChunkHeld ChunkState = iota + 1
-	// ChunkDone chunks have their result.
-	ChunkDone
-)
-
-// Chunk is the record of a chunk.
-type Chunk struct {
-	State  ChunkState
-	Holder string
-	// Epoch rises with each claim; it is part of the result's key.
-	Epoch uint64
-	// Started marks items that may run at most once and were about to be sent.
-	Started   []byte
+// Group is the record of a group that is done.
+type Group struct {
 	Completed int
 	Failed    int
 	Expired   int
 	// Errors tells whether there is an error object beside the result object.
 	Errors bool
+}
 
-	// Version is the version of the row this record was read from.
-	Version uint64 `cbor:"-"`
+// groupSeparator parts a batch's id from the number of a group.
+const groupSeparator = "."
+
+// groupID names a group among the jobs of all batches.
+func groupID(batch string, number int) string {
+	return fmt.Sprintf("%s%s%05d", batch, groupSeparator, number)
 }
 
-func (c *Chunk) started(item int) bool {
-	return item/8 < len(c.Started) && c.Started[item/8]&(1<<(item%8)) != 0
+// parseGroupID is the inverse of groupID.
+func parseGroupID(id string) (batch string, number int, ok bool) {
+	cut := strings.LastIndex(id, groupSeparator)
+	if cut < 0 {
+		return "", 0, false
+	}
+	number, err := strconv.Atoi(id[cut+1:])
+	return id[:cut], number, err == nil
 }
 
-func chunkKey(job string, chunk int) table.Key {
-	return table.Key{Partition: partitionChunks + job, Sort: fmt.Sprintf("%06d", chunk)}
+func groupKey(batch string, number int) table.Key {
+	return table.Key{Partition: partitionGroups + batch, Sort: fmt.Sprintf("%05d", number)}
 }
 
-func resultKey(job string, chunk int, epoch uint64) string {
-	return fmt.Sprintf("results/%s/%06d-%d.out.jsonl", job, chunk, epoch)
+func resultKey(batch string, number int) string {
+	return fmt.Sprintf("results/%s/%05d.out.jsonl", batch, number)
 }
 
-func errorKey(job string, chunk int, epoch uint64) string {
-	return fmt.Sprintf("results/%s/%06d-%d.err.jsonl", job, chunk, epoch)
+func errorKey(batch string, number int) string {
+	return fmt.Sprintf("results/%s/%05d.err.jsonl", batch, number)
 }
 
 func jobKey(id string) table.Key    { return table.Key{Partition: partitionJobs, Sort: id} }
@@ -181,13 +181,10 @@
 	return job, nil
 }
 
-func decodeChunk(row table.Row) (Chunk, error) {
-	var chunk Chunk
-	if err := cbor.Unmarshal(row.Body, &chunk); err != nil {
-		return chunk, Error.Wrap(err)
-	}
-	chunk.Version = row.Version
-	return chunk, nil
+func decodeGroup(row table.Row) (Group, error) {
+	var group Group
+	err := cbor.Unmarshal(row.Body, &group)
+	return group, Error.Wrap(err)
 }
 
 // API returns the job in the form of the OpenAI API.
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -9,39 +9,27 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
-// Service accepts, describes and cancels jobs and reads their results. All its
-// state is in the platform, so any node answers for any job.
+// Service accepts, describes and cancels batches and reads their results. All
+// its state is in the platform, so any node answers for any batch.
 type Service struct {
-	table   table.Service
-	objects object.Store
-	// announce tells other nodes of a new or ended job; it does not block.
-	announce func(Notice)
-}
-
-// Notice tells nodes of a change to a job, ahead of their next look at the table.
-type Notice struct {
-	_     struct{} `cbor:",toarray"`
-	Job   string
-	Ended bool
-}
-
-// NewService returns a service. announce may be nil.
-func NewService(service table.Service, objects object.Store, announce func(Notice)) *Service {
-	if announce == nil {
-		announce = func(Notice) {}
-	}
-	return &Service{table: service, objects: objects, announce: announce}
+	Table   table.Service
+	Objects object.Store
+	Work    *jobs.Service
+	// Accepted is told of each accepted batch; it does not block. It may be nil.
+	Accepted func(*Job)
 }
 
 // Submission asks for a job.
@@ -68,7 +56,7 @@
 
 // File returns the record of an uploaded file of a tenant.
 func (s *Service) File(ctx context.Context, tenant, id string) (*FileRecord, error) {
-	row, err := s.table.Get(ctx, fileKey(id))
+	row, err := s.Table.Get(ctx, fileKey(id))
 	if err != nil {
 		return nil, notFound(err)
 	}
@@ -112,11 +100,10 @@
 	if !job.State.Final() {
 		writes = append(writes, table.Write{Key: activeKey(job.ID), Expect: table.Absent, Body: body})
 	}
-	err = table.CommitSettled(ctx, s.table, table.NewOperation(), writes...)
+	err = table.CommitSettled(ctx, s.Table, table.NewOperation(), writes...)
 	switch {
 	case err == nil:
-		job.Version = writes[1].NextVersion()
-		s.announce(Notice{Job: job.ID})
+		s.accepted(ctx, job)
 		return job, nil
 	case errors.Is(err, table.ErrConflict):
 		return s.earlier(ctx, key)
@@ -127,9 +114,20 @@
 	}
 }
 
+// accepted completes a batch that is durable with the version of its row, and
+// has its first groups begun.
+func (s *Service) accepted(ctx context.Context, job *Job) {
+	if stored, err := s.job(ctx, job.ID); err == nil {
+		job.Version = stored.Version
+	}
+	if s.Accepted != nil {
+		s.Accepted(job)
+	}
+}
+
 // earlier returns the job that holds a fingerprint.
 func (s *Service) earlier(ctx context.Context, key table.Key) (*Job, error) {
-	row, err := s.table.Get(ctx, key)
+	row, err := s.Table.Get(ctx, key)
 	if err != nil {
 		return nil, Error.Wrap(fmt.Errorf("%w: %w", ErrUndecided, err))
 	}
@@ -145,7 +143,7 @@
 	job := &Job{
 		ID: "batch-" + table.NewOperation(), Tenant: submission.Tenant,
 		Endpoint: submission.Request.Endpoint, File: file.ID, Model: file.Model,
-		Lines: file.Lines, ChunkLines: chunkLines(file.Lines), State: openai.BatchInProgress,
+		Lines: file.Lines, GroupLines: groupLines(file.Lines), State: openai.BatchInProgress,
 		Window: submission.Request.CompletionWindow, CreatedAt: now, Deadline: now.Add(window),
 		Metadata: submission.Request.Metadata, Fingerprint: submission.fingerprint(file),
 	}
@@ -158,7 +156,7 @@
 }
 
 func (s *Service) job(ctx context.Context, id string) (*Job, error) {
-	row, err := s.table.Get(ctx, jobKey(id))
+	row, err := s.Table.Get(ctx, jobKey(id))
 	if err != nil {
 		return nil, notFound(err)
 	}
@@ -176,51 +174,65 @@
 		return nil, Error.Wrap(ErrNotFound)
 	}
 	if job.State == openai.BatchInProgress {
-		chunks, err := s.chunks(ctx, job.ID)
+		groups, err := s.groups(ctx, job.ID)
 		if err != nil {
 			return nil, err
 		}
-		job.Completed, job.Failed, _ = countDone(chunks)
+		job.Completed, job.Failed, _ = count(groups)
+		s.countOpen(job, groups)
 	}
 	return job, nil
 }
 
-func countDone(chunks map[int]Chunk) (completed, failed, expired int) {
-	for _, chunk := range chunks {
-		if chunk.State == ChunkDone {
-			completed += chunk.Completed
-			failed += chunk.Failed
-			expired += chunk.Expired
-		}
+func count(groups map[int]Group) (completed, failed, expired int) {
+	for _, group := range groups {
+		completed += group.Completed
+		failed += group.Failed
+		expired += group.Expired
 	}
 	return completed, failed, expired
 }
 
-// chunks reads all chunk rows of a job.
-func (s *Service) chunks(ctx context.Context, job string) (map[int]Chunk, error) {
-	rows, err := table.ListAll(ctx, s.table, partitionChunks+job)
+// countOpen adds the results of groups that are not done yet.
+func (s *Service) countOpen(job *Job, done map[int]Group) {
+	for _, entry := range s.Work.View.All() {
+		batch, number, ok := parseGroupID(entry.Job.ID)
+		if _, counted := done[number]; !ok || batch != job.ID || counted {
+			continue
+		}
+		for _, listed := range entry.Progress.Listed {
+			if listed.Dead {
+				job.Failed++
+			} else {
+				job.Completed++
+			}
+		}
+	}
+}
+
+// groups reads the rows of all groups of a batch that are done.
+func (s *Service) groups(ctx context.Context, batch string) (map[int]Group, error) {
+	rows, err := table.ListAll(ctx, s.Table, partitionGroups+batch)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	chunks := make(map[int]Chunk, len(rows))
+	groups := make(map[int]Group, len(rows))
 	for _, row := range rows {
-		chunk, err := decodeChunk(row)
+		number, err := strconv.Atoi(row.Sort)
 		if err != nil {
-			return nil, err
-		}
-		var number int
-		if _, err := fmt.Sscanf(row.Sort, "%d", &number); err != nil {
 			return nil, Error.Wrap(err)
 		}
-		chunks[number] = chunk
+		if groups[number], err = decodeGroup(row); err != nil {
+			return nil, err
+		}
 	}
-	return chunks, nil
+	return groups, nil
 }
 
 // Jobs returns the jobs of a tenant, the newest first; an empty tenant stands
 // for all.
 func (s *Service) Jobs(ctx context.Context, tenant string, limit int) ([]*Job, error) {
-	rows, err := table.ListAll(ctx, s.table, partitionJobs)
+	rows, err := table.ListAll(ctx, s.Table, partitionJobs)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -240,7 +252,7 @@
 
 // Active returns the jobs that are not final.
 func (s *Service) Active(ctx context.Context) ([]*Job, error) {
-	rows, err := table.ListAll(ctx, s.table, partitionActive)
+	rows, err := table.ListAll(ctx, s.Table, partitionActive)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -250,6 +262,7 @@
 		if err != nil {
 			return nil, err
 		}
+		job.active = row.Version
 		jobs = append(jobs, job)
 	}
 	return jobs, nil
@@ -274,29 +287,50 @@
 	if err != nil {
 		return nil, err
 	}
+	s.endGroups(ctx, job.ID)
 	return job, nil
 }
 
+// endGroups stops the groups of a batch that this node knows. The feeders stop
+// those it does not know.
+func (s *Service) endGroups(ctx context.Context, id string) {
+	for _, entry := range s.Work.View.Open() {
+		if batch, _, ok := parseGroupID(entry.Job.ID); ok && batch == id {
+			// A feeder makes up for a failure.
+			_ = s.Work.End(ctx, entry.Job.ID)
+		}
+	}
+}
+
 // end writes a job's final state and takes it off the active list.
 func (s *Service) end(ctx context.Context, job *Job) error {
 	body, err := encode(job)
 	if err != nil {
 		return err
 	}
-	err = table.CommitSettled(ctx, s.table, table.NewOperation(),
+	if err := s.findActive(ctx, job); err != nil {
+		return err
+	}
+	err = table.CommitSettled(ctx, s.Table, table.NewOperation(),
 		table.Write{Key: jobKey(job.ID), Expect: job.Version, Body: body},
-		table.Write{Key: activeKey(job.ID), Kind: table.Delete, Expect: activeVersion},
+		table.Write{Key: activeKey(job.ID), Kind: table.Delete, Expect: job.active},
 	)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	job.Version++
-	s.announce(Notice{Job: job.ID, Ended: true})
 	return nil
 }
 
-// activeVersion is the only version a row of the active list ever has.
-const activeVersion = table.Absent + 1
+// findActive reads the version of a batch's row on the list of active ones. It
+// returns table.ErrConflict if the batch has ended.
+func (s *Service) findActive(ctx context.Context, job *Job) error {
+	row, err := s.Table.Get(ctx, activeKey(job.ID))
+	if errors.Is(err, table.ErrNotFound) {
+		return Error.Wrap(outcome.Failed(table.ErrConflict))
+	}
+	job.active = row.Version
+	return Error.Wrap(err)
+}
 
 // Content opens a file: an uploaded input, or the results or errors of a job
 // as far as they are committed.
@@ -324,21 +358,21 @@
 	if err != nil {
 		return err
 	}
-	chunks, err := s.chunks(ctx, id)
+	groups, err := s.groups(ctx, id)
 	if err != nil {
 		return err
 	}
-	for number := range job.Chunks() {
-		chunk := chunks[number]
-		if chunk.State != ChunkDone {
+	for number := range job.Groups() {
+		group, done := groups[number]
+		if !done {
 			continue
 		}
-		key := resultKey(id, number, chunk.Epoch)
+		key := resultKey(id, number)
 		if errorsOnly {
-			if !chunk.Errors {
+			if !group.Errors {
 				continue
 			}
-			key = errorKey(id, number, chunk.Epoch)
+			key = errorKey(id, number)
 		}
 		if err := s.copyObject(ctx, key, output); err != nil {
 			return err
@@ -348,7 +382,7 @@
 }
 
 func (s *Service) copyObject(ctx context.Context, key string, output io.Writer) error {
-	reader, err := s.objects.Get(ctx, key)
+	reader, err := s.Objects.Get(ctx, key)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/batch/upload.go
+++ b/internal/batch/upload.go
@@ -81,7 +81,7 @@
 // not fail the upload; they fail a job over the file.
 func (s *Service) Upload(ctx context.Context, tenant, name string, content io.Reader) (*FileRecord, error) {
 	record := &FileRecord{ID: "file-" + table.NewOperation(), Tenant: tenant, Name: name, CreatedAt: time.Now().UTC()}
-	upload := &uploader{store: s.objects, record: record, digest: sha256.New(), seen: map[uint64]bool{}}
+	upload := &uploader{store: s.Objects, record: record, digest: sha256.New(), seen: map[uint64]bool{}}
 	if err := upload.readAll(ctx, content); err != nil {
 		return nil, err
 	}
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	err = table.CommitSettled(ctx, s.table, table.NewOperation(),
+	err = table.CommitSettled(ctx, s.Table, table.NewOperation(),
 		table.Write{Key: fileKey(record.ID), Expect: table.Absent, Body: body})
 	if err != nil {
 		// Nobody knows the file's id, so an undecided upload is as good as none.
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"flag"
-	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/node"
-	"github.com/wheelhoist/wheelhoist/internal/resource"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
 
@@ -21,8 +19,6 @@
 	zone     string
 	region   string
 	listen   string
-	peer     string
-	seeds    string
 	logLevel string
 }
 
@@ -32,8 +28,6 @@
 	flags.StringVar(&f.zone, "zone", "", "zone, overrides node.zone")
 	flags.StringVar(&f.region, "region", "", "region, overrides node.region")
 	flags.StringVar(&f.listen, "listen", "", "host:port for callers, overrides node.listen")
-	flags.StringVar(&f.peer, "peer-listen", "", "host:port for nodes, overrides node.peerListen")
-	flags.StringVar(&f.seeds, "seeds", "", "comma-separated peer addresses, overrides node.seeds")
 	flags.StringVar(&f.logLevel, "log-level", "", "debug, info, warn or error, overrides log.level")
 }
 
@@ -48,11 +42,7 @@
 	set(&config.Node.Zone, f.zone)
 	set(&config.Node.Region, f.region)
 	set(&config.Node.Listen, f.listen)
-	set(&config.Node.PeerListen, f.peer)
 	set(&config.Log.Level, f.logLevel)
-	if f.seeds != "" {
-		config.Node.Seeds = strings.Split(f.seeds, ",")
-	}
 }
 
 func nodeCommand(std streams) *ffcli.Command {
@@ -86,9 +76,9 @@
 	applied := log.With().Str("node", config.Node.ID).Logger()
 	running, err := node.Start(ctx, config, node.Options{
 		Log: log,
-		Applied: func(change resource.Change) {
-			applied.Info().Uint64("revision", change.Revision).Int64("unix_ns", time.Now().UnixNano()).
-				Msg("configuration in force")
+		Applied: func(revision uint64) {
+			applied.Info().Uint64("revision", revision).Int64("unix_ns", time.Now().UnixNano()).
+				Msg("configuration applied")
 		},
 	})
 	if err != nil {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -44,10 +44,10 @@
 	content := table{header: []string{"WHAT", "NAME", "ZONE", "STATE", "DETAIL"}}
 	content.rows = append(content.rows, []string{
 		"this node", status.Node, status.Zone, state,
-		fmt.Sprintf("revision %d, %d open requests", status.Revision, status.Open),
+		fmt.Sprintf("revision %d, %.1f s old, %d open requests", status.Revision, status.ConfigAge, status.Open),
 	})
 	for _, member := range status.Members {
-		content.rows = append(content.rows, []string{"node", member.ID, member.Zone, member.Status, ""})
+		content.rows = append(content.rows, []string{"node", member.ID, "", member.Status, ""})
 	}
 	for _, replica := range status.Replicas {
 		state := string(replica.State)
@@ -56,7 +56,7 @@
 		}
 		content.rows = append(content.rows, []string{
 			"replica", replica.ID, replica.Zone, state,
-			fmt.Sprintf("%s %s %s, %d online, %d batch", replica.Pool, replica.Version, replica.Role, replica.Online, replica.Batch),
+			fmt.Sprintf("%s %s %s, %d open here, %d of them batch", replica.Pool, replica.Version, replica.Role, replica.Open, replica.Batch),
 		})
 	}
 	return content
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -125,7 +125,7 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, ErrQuota) {
+		if errors.Is(err, ErrQuota) || errors.Is(err, ErrSuperseded) {
 			return err
 		}
 		if errors.Is(err, table.ErrConflict) {
@@ -171,9 +171,11 @@
 		return err
 	})
 	if err == nil {
-		rows := make([]table.Row, len(writes))
+		var rows []table.Row
 		for i, write := range writes {
-			rows[i] = table.Row{Key: write.Key, Version: versions[i], Body: write.Body}
+			if write.Kind == table.Put {
+				rows = append(rows, table.Row{Key: write.Key, Version: versions[i], Body: write.Body})
+			}
 		}
 		s.View.Put(rows...)
 		return nil
@@ -208,6 +210,9 @@
 		ID: submission.ID, Route: submission.Route, Host: submission.Host, Created: now,
 		Due: now + submission.Completion, Expires: now + submission.Retention,
 	}
+	if submission.Turns {
+		job.Rank = now - submission.Advance
+	}
 	chunks := contentChunks(content)
 	job.Chunks = len(chunks)
 	for _, item := range submission.Items {
@@ -220,6 +225,10 @@
 	for number, chunk := range chunks {
 		writes = append(writes, table.Write{Key: chunkKey(job.ID, number), Expect: table.Absent, Body: chunk})
 	}
+	for _, guard := range submission.Guards {
+		guard.Kind = table.Check
+		writes = append(writes, guard)
+	}
 	if submission.Quota > 0 {
 		key := admissionKey(submission.Route)
 		writes = append(writes, table.Write{Key: key, Expect: version, Body: []byte(job.ID)})
@@ -241,6 +250,9 @@
 		}
 		return err
 	}
+	if try.submission.broken(conflict) {
+		return Error.Wrap(outcome.Failed(ErrSuperseded))
+	}
 	if try.submission.Quota > 0 {
 		try.pending = false
 	}
@@ -248,6 +260,17 @@
 	return err
 }
 
+// broken reports whether a conflict is about one of the guards.
+func (s *Submission) broken(conflict *table.ConflictError) bool {
+	for _, guard := range s.Guards {
+		row, _ := conflict.Row(guard.Key)
+		if row.Version != guard.Expect {
+			return true
+		}
+	}
+	return false
+}
+
 // catchUp waits for the feed, and asks for a whole read if it is behind.
 func (s *Service) catchUp(ctx context.Context, revision uint64) {
 	waitCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/lease"
@@ -61,7 +60,7 @@
 	if owner != "" && lease.SameNode(owner, session) {
 		return true
 	}
-	return (owner == "" || r.Owners.Expired(owner)) && preferred(live, entry.Job.ID) == session
+	return (owner == "" || r.Owners.Expired(owner)) && lease.Preferred(live, entry.Job.ID) == session
 }
 
 // claim makes this node the owner, unless another one is by then.
@@ -84,22 +83,6 @@
 	r.Service.Events.Claimed(entry, from, err)
 }
 
-// preferred is the live session that should take a job over (rendezvous
-// hashing), so that lost jobs are spread and nodes seldom race.
-func preferred(live []string, job string) string {
-	best := ""
-	var bestWeight uint64
-	for _, session := range live {
-		sum := fnv.New64a()
-		_, _ = sum.Write([]byte(session))
-		_, _ = sum.Write([]byte(job))
-		if weight := sum.Sum64(); best == "" || weight > bestWeight {
-			best, bestWeight = session, weight
-		}
-	}
-	return best
-}
-
 func (r *Runner) stopped() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -11,16 +11,26 @@
 )
 
 const (
-	// commitRows bounds the results of one transaction.
-	commitRows = 20
+	// commitRows and commitBytes bound the results of one transaction.
+	commitRows  = 60
+	commitBytes = 300 << 10
 )
 
-// finish notes an item's outcome and has it listed.
-func (r *Runner) finish(one *task, dead bool) {
+// finish notes an item's outcome, without a reason if it has its answer, and has
+// it listed.
+func (r *Runner) finish(one *task, reason Reason) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.finishLocked(one, reason)
+}
+
+// finishLocked is finish for a caller that holds mu.
+func (r *Runner) finishLocked(one *task, reason Reason) {
+	if one.state == taskFinished || one.state == taskListed {
+		return
+	}
 	one.state = taskFinished
-	one.dead = dead
+	one.reason = reason
 	owned := one.work
 	owned.finished = append(owned.finished, one)
 	if !owned.commits {
@@ -33,8 +43,9 @@
 // commit goes together into the next one.
 func (r *Runner) commitAll(owned *work) {
 	for {
+		r.gather(owned)
 		r.mu.Lock()
-		batch := owned.finished[:min(len(owned.finished), commitRows)]
+		batch := owned.finished[:owned.commitSize()]
 		owned.finished = owned.finished[len(batch):]
 		if len(batch) == 0 {
 			owned.commits = false
@@ -46,6 +57,41 @@
 	}
 }
 
+// gather waits for more results to commit together, if that is wanted and more
+// are to come.
+func (r *Runner) gather(owned *work) {
+	r.mu.Lock()
+	more := !r.paused && owned.unfinished()
+	r.mu.Unlock()
+	if more && r.CommitInterval > 0 {
+		wait(owned.ctx, r.CommitInterval)
+	}
+}
+
+// unfinished reports whether items have no outcome yet. The caller holds the
+// runner's lock.
+func (w *work) unfinished() bool {
+	for _, one := range w.tasks {
+		if one.state == taskWaiting || one.state == taskRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// commitSize is the number of finished items that go into one transaction. The
+// caller holds the runner's lock.
+func (w *work) commitSize() int {
+	size := 0
+	for i, one := range w.finished {
+		size += len(one.text)
+		if i >= commitRows || (i > 0 && size > commitBytes) {
+			return i
+		}
+	}
+	return len(w.finished)
+}
+
 func (r *Runner) commit(owned *work, batch []*task) {
 	// The results outlive the ownership: who has them may list them.
 	ctx := context.WithoutCancel(owned.ctx)
@@ -82,7 +128,7 @@
 				continue
 			}
 			position := len(progress.Listed)
-			progress.Listed = append(progress.Listed, Listed{Item: one.index, Dead: one.dead})
+			progress.Listed = append(progress.Listed, Listed{Item: one.index, Dead: one.reason != ""})
 			writes = append(writes, table.Write{Key: resultKey(job.ID, position), Expect: table.Absent, Body: rows[i]})
 			positions = append(positions, position)
 		}
@@ -105,15 +151,15 @@
 	}
 	for _, one := range batch {
 		if place, ok := position[one.index]; ok {
-			s.Events.ItemListed(job, job.Items[one.index].ID, place, one.dead, time.Since(one.started))
+			s.Events.ItemListed(job, job.Items[one.index].ID, place, one.reason, time.Since(one.started))
 		}
 	}
 }
 
 // resultRow encodes a result, with a long text in an object of its own.
 func (s *Service) resultRow(ctx context.Context, job *Job, one *task) ([]byte, error) {
-	if one.dead {
-		return encode(storedResult{}), nil
+	if one.reason != "" {
+		return encode(storedResult{Reason: one.reason}), nil
 	}
 	if len(one.text) <= maxRowText {
 		return encode(storedResult{Text: string(one.text)}), nil
--- a/internal/jobs/content.go
+++ b/internal/jobs/content.go
@@ -71,6 +71,9 @@
 	return items, decode(body, &items)
 }
 
+// Items returns the items of a job.
+func (s *Service) Items(ctx context.Context, job *Job) ([]Item, error) { return s.content(ctx, job) }
+
 func (s *Service) readContent(ctx context.Context, job *Job) ([]byte, error) {
 	if job.Chunks == 0 {
 		return s.getObject(ctx, contentKey(job.ID))
--- a/internal/jobs/handback.go
+++ b/internal/jobs/handback.go
@@ -35,6 +35,10 @@
 func (r *Runner) handBack(ctx context.Context, owned *work) {
 	defer owned.cancel()
 	for ctx.Err() == nil && owned.ctx.Err() == nil {
+		if r.runsOnce(owned) {
+			wait(ctx, onceCheck)
+			continue
+		}
 		if r.keepTexts(ctx, owned, 1) && r.release(ctx, owned) {
 			return
 		}
@@ -45,6 +49,7 @@
 // release gives a job free, with the failures counted so far.
 func (r *Runner) release(ctx context.Context, owned *work) bool {
 	failures := map[int]int{}
+	notRun := r.markedNotRun(owned)
 	r.mu.Lock()
 	for _, one := range owned.tasks {
 		if one.failures > 0 {
@@ -59,6 +64,7 @@
 			return nil, false
 		}
 		progress.Owner = ""
+		progress.unmark(notRun)
 		for item, count := range failures {
 			progress.Failures[item] = max(progress.Failures[item], count)
 		}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -71,7 +71,11 @@
 // settle decides what becomes of an item after an attempt.
 func (r *Runner) settle(one *task, target *route.Route, chosen replica.Info, err error) {
 	if err == nil {
-		r.finish(one, false)
+		r.finish(one, "")
+		return
+	}
+	if reason := onceReason(one, err); reason != "" {
+		r.finish(one, reason)
 		return
 	}
 	r.mu.Lock()
@@ -93,18 +97,33 @@
 		one.exclude[chosen.ID] = true
 	}
 	one.notUntil = time.Now().Add(pause)
-	dead := one.failures >= target.MaxAttempts || one.invalid >= invalidAnswers
+	reason := one.verdict(target.MaxAttempts)
 	r.mu.Unlock()
-	if dead {
-		r.finish(one, true)
+	if reason != "" {
+		r.finish(one, reason)
+	}
+}
+
+// verdict says whether an item has failed for good. The caller holds the
+// runner's lock.
+func (t *task) verdict(maxAttempts int) Reason {
+	switch {
+	case t.invalid >= invalidAnswers:
+		return Invalid
+	case t.failures >= maxAttempts:
+		return Failed
+	default:
+		return ""
 	}
 }
 
 // exchange sends an item and collects the data of its events. What has come
 // stays with the task, so that the next attempt goes on after it.
 func (r *Runner) exchange(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
-	stop := watchSilence(use, one.cancel)
-	defer stop()
+	if !item.Once {
+		stop := watchSilence(use, one.cancel)
+		defer stop()
+	}
 	err := r.send(ctx, one, item, chosen, use)
 	verdict := errors.Is(err, errItemInvalid) || errors.Is(err, errItemFailed)
 	if err != nil && !verdict && errors.Is(context.Cause(ctx), errYielded) {
@@ -201,6 +220,6 @@
 	}
 	return &forward.Request{
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: job.Host,
-		Header: header, Body: item.Body,
+		Header: header, Body: item.Body, Once: item.Once, Batch: true,
 	}
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -37,6 +37,9 @@
 	// ErrUndecided reports that a job may have been accepted. Sending it again
 	// is safe: it meets the same job.
 	ErrUndecided = errors.New("job acceptance undecided, send it again")
+	// ErrSuperseded reports that a guard of the submission does not hold; the job
+	// did not run and never will.
+	ErrSuperseded = errors.New("job superseded")
 	// ErrUnavailable reports that the store did not answer in time.
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrInvalid reports a submission that can never be accepted.
@@ -67,6 +70,10 @@
 	Body   []byte            `cbor:"4,keyasint"`
 	// Tokens counts the prompt and the most of the answer.
 	Tokens int64 `cbor:"5,keyasint"`
+	// Once items are never sent again once they may have run.
+	Once bool `cbor:"6,keyasint,omitempty"`
+	// Label is the submitter's own, kept with the item.
+	Label string `cbor:"7,keyasint,omitempty"`
 }
 
 // Submission is a job as it is handed in.
@@ -79,6 +86,13 @@
 	Quota      int64
 	Completion time.Duration
 	Retention  time.Duration
+	// Turns says that jobs take turns in the order of their acceptance, not of
+	// their due times; Advance lets this one go so much before its turn.
+	Turns   bool
+	Advance time.Duration
+	// Guards are conditions on other rows: should one of them not hold, the job
+	// is not accepted (ErrSuperseded).
+	Guards []table.Write
 }
 
 // ItemHead is what is always known of an item.
@@ -95,10 +109,23 @@
 	Items   []ItemHead    `cbor:"4,keyasint"`
 	Created time.Duration `cbor:"5,keyasint"`
 	// Due is when all results are due, Expires when items may be given up.
-	Due     time.Duration `cbor:"6,keyasint"`
+	Due time.Duration `cbor:"6,keyasint"`
+	// Rank is the job's place among others that can be in time, the least first.
+	Rank    time.Duration `cbor:"9,keyasint,omitempty"`
 	Expires time.Duration `cbor:"7,keyasint"`
 	// Chunks is the number of rows with the content; 0 means an object holds it.
 	Chunks int `cbor:"8,keyasint,omitempty"`
+
+	// version is that of the row this was read from.
+	version uint64
+}
+
+// rank returns the job's place among others, the least first.
+func (j *Job) rank() time.Duration {
+	if j.Rank != 0 {
+		return j.Rank
+	}
+	return j.Due
 }
 
 // Listed is a result's place in the list of a job.
@@ -117,6 +144,8 @@
 	Listed []Listed `cbor:"3,keyasint,omitempty"`
 	// Failures counts failed runs of items, as of the last hand-over.
 	Failures map[int]int `cbor:"4,keyasint,omitempty"`
+	// Started items may run only once and were about to be sent.
+	Started []int `cbor:"5,keyasint,omitempty"`
 }
 
 // has reports whether an item is listed.
@@ -132,6 +161,7 @@
 func (p *Progress) clone() *Progress {
 	copied := *p
 	copied.Listed = append([]Listed(nil), p.Listed...)
+	copied.Started = append([]int(nil), p.Started...)
 	copied.Failures = make(map[int]int, len(p.Failures))
 	for item, count := range p.Failures {
 		copied.Failures[item] = count
@@ -139,11 +169,27 @@
 	return &copied
 }
 
+// Reason says why an item has no answer.
+type Reason string
+
+const (
+	// Expired items were not done before they could be given up.
+	Expired Reason = "expired"
+	// Invalid items can never be done.
+	Invalid Reason = "invalid"
+	// Failed items failed at each run that they could have.
+	Failed Reason = "failed"
+	// Undecided items may run only once and may have run.
+	Undecided Reason = "undecided"
+)
+
 // Result is one listed result.
 type Result struct {
 	Item string
 	Dead bool
 	Text string
+	// Reason says why a dead item has no answer.
+	Reason Reason
 }
 
 // storedResult is a result row, or the text kept of an unfinished item.
@@ -153,6 +199,8 @@
 	Object string `cbor:"2,keyasint,omitempty"`
 	// After is the last event of a kept text.
 	After int `cbor:"3,keyasint,omitempty"`
+	// Reason says why a dead item has no answer.
+	Reason Reason `cbor:"4,keyasint,omitempty"`
 
 	// version is that of the row this was read from.
 	version uint64
--- a/internal/jobs/keep.go
+++ b/internal/jobs/keep.go
@@ -14,6 +14,8 @@
 	keepInterval = 2 * time.Second
 	// keepEvents is the least progress of an item that is worth a write.
 	keepEvents = 20
+	// keepRows bounds the texts of one write.
+	keepRows = 20
 )
 
 // RunKeeping writes the texts of unfinished items now and then, until the
@@ -85,7 +87,7 @@
 	var reached []int
 	for _, one := range owned.tasks {
 		unlisted := one.state == taskWaiting || one.state == taskRunning
-		if !unlisted || one.after < one.keptAfter+events || len(one.text) > maxRowText || len(writes) >= commitRows {
+		if !unlisted || one.after < one.keptAfter+events || len(one.text) > maxRowText || len(writes) >= keepRows {
 			continue
 		}
 		body := encode(storedResult{Text: string(one.text), After: one.after})
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -66,14 +66,14 @@
 	return time.Duration(urgentMargin * rounds * float64(p.ItemTime))
 }
 
-// before orders jobs: those that can be in time first, then the earliest due.
+// before orders jobs: those that can be in time first, then by rank.
 func before(a, b *Job, now time.Duration) bool {
 	lateA, lateB := a.Due-now < hopelessSlack, b.Due-now < hopelessSlack
 	if lateA != lateB {
 		return lateB
 	}
-	if a.Due != b.Due {
-		return a.Due < b.Due
+	if a.rank() != b.rank() {
+		return a.rank() < b.rank()
 	}
 	return a.ID < b.ID
 }
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -37,7 +37,9 @@
 	}
 	for _, text := range texts {
 		listed := entry.Progress.Listed[reading.Next]
-		reading.Results = append(reading.Results, Result{Item: entry.Job.Items[listed.Item].ID, Dead: listed.Dead, Text: text})
+		reading.Results = append(reading.Results, Result{
+			Item: entry.Job.Items[listed.Item].ID, Dead: listed.Dead, Text: text.text, Reason: text.reason,
+		})
 		reading.Next++
 	}
 	return reading, nil
@@ -67,8 +69,8 @@
 }
 
 // texts returns the texts from a position on, as many as fit an answer.
-func (s *Service) texts(ctx context.Context, entry *Entry, position int) ([]string, error) {
-	var texts []string
+func (s *Service) texts(ctx context.Context, entry *Entry, position int) ([]keptText, error) {
+	var texts []keptText
 	size := 0
 	for ; position < len(entry.Progress.Listed); position++ {
 		text, ok := s.cache.get(entry.Job.ID, position)
@@ -80,7 +82,7 @@
 				return texts, partly(texts, Error.Wrap(ErrUnavailable))
 			}
 		}
-		size += len(text)
+		size += len(text.text)
 		if len(texts) > 0 && size > maxAnswerText {
 			return texts, nil
 		}
@@ -90,7 +92,7 @@
 }
 
 // partly lets a read answer with what it has.
-func partly(texts []string, err error) error {
+func partly(texts []keptText, err error) error {
 	if len(texts) > 0 {
 		return nil
 	}
@@ -137,7 +139,7 @@
 		}
 		stored.Text = string(text)
 	}
-	s.cache.put(id, position, stored.Text)
+	s.cache.put(id, position, keptText{text: stored.Text, reason: stored.Reason})
 	return nil
 }
 
@@ -164,22 +166,28 @@
 	position int
 }
 
+// keptText is what a listed result says.
+type keptText struct {
+	text   string
+	reason Reason
+}
+
 // textCache keeps texts of listed results, which never change.
 type textCache struct {
 	mu    sync.Mutex
-	texts map[textKey]string
+	texts map[textKey]keptText
 	order []textKey
 	size  int
 }
 
-func (c *textCache) get(job string, position int) (string, bool) {
+func (c *textCache) get(job string, position int) (keptText, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	text, ok := c.texts[textKey{job, position}]
 	return text, ok
 }
 
-func (c *textCache) put(job string, position int, text string) {
+func (c *textCache) put(job string, position int, text keptText) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := textKey{job, position}
@@ -187,15 +195,15 @@
 		return
 	}
 	if c.texts == nil {
-		c.texts = map[textKey]string{}
+		c.texts = map[textKey]keptText{}
 	}
 	c.texts[key] = text
 	c.order = append(c.order, key)
-	c.size += len(text)
+	c.size += len(text.text)
 	for c.size > maxCachedText {
 		oldest := c.order[0]
 		c.order = c.order[1:]
-		c.size -= len(c.texts[oldest])
+		c.size -= len(c.texts[oldest].text)
 		delete(c.texts, oldest)
 	}
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	Owners   Owners
 	Weights  replica.Weights
 	Zone     string
+	// CommitInterval is the time for which finished items wait for others to be
+	// listed together; zero lists them at once.
+	CommitInterval time.Duration
 	// ViewAge is the time since the view's source last answered.
 	ViewAge func() time.Duration
 }
@@ -87,6 +91,8 @@
 	tasks    []*task
 	finished []*task
 	commits  bool
+	// marking is set while items are being marked as started.
+	marking bool
 	// cancel stops the items when the job ends or is lost.
 	cancel context.CancelFunc
 	ctx    context.Context
@@ -110,7 +116,11 @@
 	// text and after are what earlier runs have brought.
 	text  []byte
 	after int
-	dead  bool
+	// reason says why a finished item has no answer; empty if it has one.
+	reason Reason
+	// once items may run only once; marked ones are marked as started.
+	once   bool
+	marked bool
 	// failures counts runs that the replica itself reported as failed.
 	failures int
 	// invalid counts answers that the item can never be done.
@@ -208,12 +218,16 @@
 		if entry.Progress.has(index) {
 			continue
 		}
-		one := &task{work: owned, index: index, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
+		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
 		if text, ok := kept[index]; ok {
 			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
 			one.keptAfter = text.After
 		}
 		owned.tasks = append(owned.tasks, one)
+		if slices.Contains(entry.Progress.Started, index) {
+			// An owner before this one may have sent it.
+			r.finishLocked(one, Undecided)
+		}
 	}
 	r.wake()
 }
@@ -229,6 +243,10 @@
 	}
 	grants := r.grants(routes)
 	for _, one := range r.waiting(now) {
+		if r.Service.View.until(one.work.job.Expires) < 0 {
+			r.finish(one, Expired)
+			continue
+		}
 		grant := grants[one.work.job.ID]
 		if r.inFlight(one.work) >= grant.Items {
 			continue
@@ -242,10 +260,12 @@
 // grants plans the places of all pools that batch routes lead to.
 func (r *Runner) grants(routes *route.Table) map[string]Grant {
 	byPool := map[string][]*Entry{}
+	weights := map[string]replica.Weights{}
 	for _, entry := range r.Service.View.Open() {
 		if target := routes.Named(entry.Job.Route); target != nil {
 			pool := target.Shares[0].Pool
 			byPool[pool] = append(byPool[pool], entry)
+			weights[pool] = r.weights(target)
 		}
 	}
 	all := map[string]Grant{}
@@ -253,7 +273,7 @@
 		slots := float64(r.Replicas.BatchSlots(pool))
 		plan := PlanGrants(PlanInput{
 			Open: open, Now: r.Service.View.Now(),
-			Places: int(r.Weights.BatchFill * slots), UrgentPlaces: int(r.Weights.UrgentFill * slots),
+			Places: int(weights[pool].BatchFill * slots), UrgentPlaces: int(weights[pool].UrgentFill * slots),
 			ItemTime: r.itemTime(),
 		})
 		for job, share := range plan {
@@ -263,6 +283,16 @@
 	return all
 }
 
+// weights returns the node's weights with what the route says instead.
+func (r *Runner) weights(target *route.Route) replica.Weights {
+	weights := r.Weights
+	if target.BatchFill > 0 {
+		weights.BatchFill = target.BatchFill
+		weights.UrgentFill = max(weights.UrgentFill, target.BatchFill)
+	}
+	return weights
+}
+
 // inFlight counts the items of a job that run or wait to be listed.
 func (r *Runner) inFlight(owned *work) int {
 	r.mu.Lock()
@@ -292,8 +322,8 @@
 	}
 	sort.Slice(ready, func(i, j int) bool {
 		a, b := ready[i], ready[j]
-		if a.work.job.Due != b.work.job.Due {
-			return a.work.job.Due < b.work.job.Due
+		if a.work.job.rank() != b.work.job.rank() {
+			return a.work.job.rank() < b.work.job.rank()
 		}
 		if a.work.job.ID != b.work.job.ID {
 			return a.work.job.ID < b.work.job.ID
@@ -310,12 +340,14 @@
 	if target == nil || target.Kind != route.Batch {
 		return true
 	}
-	if r.Service.View.until(one.work.job.Expires) < 0 {
-		r.finish(one, true)
+	if one.once && !one.marked {
+		r.markStarted(one.work)
 		return true
 	}
-	demand := &replica.Demand{Zone: r.Zone, Tokens: int(item.Tokens), Batch: true, Urgent: urgent, Exclude: one.exclude}
-	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), 0, now), demand, r.Weights)
+	demand := &replica.Demand{
+		Zone: r.Zone, Tokens: int(item.Tokens), Adapter: target.Adapter, Batch: true, Urgent: urgent, Exclude: one.exclude,
+	}
+	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), 0, now), demand, r.weights(target))
 	if err != nil {
 		if len(one.exclude) == 0 {
 			return false
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -96,14 +96,14 @@
 // quietEvents takes notices and keeps none.
 type quietEvents struct{}
 
-func (quietEvents) Accepted(*Job, time.Duration, bool)                 {}
-func (quietEvents) Refused(string, int64, int64, int64, error)         {}
-func (quietEvents) Ended(string, error)                                {}
-func (quietEvents) Claimed(*Entry, string, error)                      {}
-func (quietEvents) ItemSent(*Job, string, string, int)                 {}
-func (quietEvents) ItemFailed(*Job, string, string, error)             {}
-func (quietEvents) ItemListed(*Job, string, int, bool, time.Duration)  {}
-func (quietEvents) Resolved(operation string, attempts int, err error) {}
+func (quietEvents) Accepted(*Job, time.Duration, bool)                  {}
+func (quietEvents) Refused(string, int64, int64, int64, error)          {}
+func (quietEvents) Ended(string, error)                                 {}
+func (quietEvents) Claimed(*Entry, string, error)                       {}
+func (quietEvents) ItemSent(*Job, string, string, int)                  {}
+func (quietEvents) ItemFailed(*Job, string, string, error)              {}
+func (quietEvents) ItemListed(*Job, string, int, Reason, time.Duration) {}
+func (quietEvents) Resolved(operation string, attempts int, err error)  {}
 
 // testNode is a service with a view that follows a shared table.
 type testNode struct {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -34,7 +34,7 @@
 	Claimed(entry *Entry, from string, err error)
 	ItemSent(job *Job, item string, replica string, after int)
 	ItemFailed(job *Job, item string, replica string, err error)
-	ItemListed(job *Job, item string, position int, dead bool, took time.Duration)
+	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	Resolved(operation string, attempts int, err error)
 }
 
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -32,6 +32,9 @@
 	return total
 }
 
+// Done reports whether all items are listed.
+func (e *Entry) Done() bool { return len(e.Progress.Listed) == len(e.Job.Items) }
+
 // open reports whether results are still to come.
 func (e *Entry) open() bool {
 	return !e.Progress.Ended && len(e.Progress.Listed) < len(e.Job.Items)
@@ -110,6 +113,7 @@
 	if decode(row.Body, job) != nil {
 		return
 	}
+	job.version = row.Version
 	v.jobs[id] = job
 	if early, ok := v.early[id]; ok {
 		delete(v.early, id)
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -22,7 +22,7 @@
 	var running []*task
 	for _, owned := range r.owned {
 		for _, one := range owned.tasks {
-			if one.state == taskRunning && one.replica == replica {
+			if one.state == taskRunning && one.replica == replica && !one.once {
 				running = append(running, one)
 			}
 		}
--- a/internal/lab/experiment/fault.go
+++ b/internal/lab/experiment/fault.go
@@ -27,7 +27,7 @@
 	killEvery    = 4 * time.Second
 	restartAfter = time.Second
 	// pauseLength is beyond the lease's time to live and its detection.
-	pauseLength   = 11 * time.Second
+	pauseLength   = 6 * time.Second
 	slowDelay     = 400 * time.Millisecond
 	throttledRate = 25
 	lostShare     = 0.15
@@ -45,7 +45,7 @@
 	{"engine-death", "a random engine dies every 4 s and is replaced", false, killEngines},
 	{"engine-leaving", "a random engine is told to leave every 4 s", false, leaveEngines},
 	{"engine-slow", "a random engine becomes 8 times slower for a while", false, slowEngines},
-	{"zone-cut", "a zone is cut off from the others for a third of the run", false, cutZone},
+	{"zone-cut", "a zone is cut off from the table for a third of the run", false, cutZone},
 	{"rolling-restart", "every node in turn is stopped as planned and started again", true, rollingRestart},
 	{"none", "no fault", false, func(context.Context, *run) {}},
 }
@@ -225,18 +225,10 @@
 	sleep(ctx, third)
 	zones := r.options.Profile.Zones
 	lost := zones[r.random.IntN(len(zones))]
-	r.options.Progress("zone %s cut off", lost)
-	for _, zone := range zones {
-		if zone != lost {
-			r.site.Cut(lost, zone, true)
-		}
-	}
+	r.options.Progress("zone %s cut off from the table", lost)
+	r.site.Cut(lost, true)
 	sleep(ctx, third)
-	for _, zone := range zones {
-		if zone != lost {
-			r.site.Cut(lost, zone, false)
-		}
-	}
+	r.site.Cut(lost, false)
 	r.options.Progress("zone %s back", lost)
 }
 
--- /dev/null
+++ b/internal/lab/experiment/overload.go
@@ -0,0 +1,29 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+)
+
+// runOverload raises the load to twice what the site can take. Goodput is the
+// number of whole answers a second.
+func runOverload(ctx context.Context, options Options) (*Result, error) {
+	// Loads are multiples of the profile's rate; the largest is about twice the
+	// capacity of its replicas.
+	var variants []variant
+	for _, scale := range []float64{2, 4, 8, 12, 16, 24} {
+		variants = append(variants, variant{name: fmt.Sprintf("load x%g", scale), online: scale})
+	}
+	result, all, err := compare(ctx, options, variants)
+	if err != nil {
+		return nil, err
+	}
+	peak := 0.0
+	for _, one := range all {
+		peak = max(peak, one.row.Figures[figureGoodput])
+	}
+	last := all[len(all)-1]
+	result.Online, result.Points, result.Events = last.stats.Summary(), last.stats.Points(), last.events
+	result.Figures["goodput_share_at_highest_load"] = last.row.Figures[figureGoodput] / peak
+	return result, nil
+}
--- a/internal/lab/experiment/scenario.go
+++ b/internal/lab/experiment/scenario.go
@@ -13,12 +13,10 @@
 
 	"github.com/zeebo/errs"
 
-	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/lab/history"
 	"github.com/wheelhoist/wheelhoist/internal/lab/load"
 	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
 	"github.com/wheelhoist/wheelhoist/internal/lab/site"
-	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
 
 // Error is the class of all errors of this package.
@@ -172,12 +170,12 @@
 		result.Scenario, result.Profile, result.Seed = scenario.Name, options.Profile.Name, options.Seed
 		return result, nil
 	}
-	return executeMix(ctx, scenario, options, settings.Lab{}, nil)
+	return executeMix(ctx, scenario, options)
 }
 
 // executeMix runs the common course: load and faults side by side, then the
 // wait for all jobs, then the check.
-func executeMix(ctx context.Context, scenario *Scenario, options Options, lab settings.Lab, policy *v1.BatchPolicy) (*Result, error) {
+func executeMix(ctx context.Context, scenario *Scenario, options Options) (*Result, error) {
 	nodes := options.Nodes
 	if nodes == 0 {
 		nodes = scenario.Nodes
@@ -192,7 +190,7 @@
 	var err error
 	r.site, err = site.Start(ctx, site.Config{
 		Profile: options.Profile, Nodes: nodes, Listen: "127.0.0.1:0", Seed: options.Seed,
-		Recorder: r.recorder, Processes: scenario.processes(), Lab: lab, Policy: policy,
+		Recorder: r.recorder, Processes: scenario.processes(),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/experiment/special.go
+++ b/internal/lab/experiment/special.go
@@ -5,7 +5,7 @@
 // special are the scenarios with a course of their own.
 var special = []*Scenario{
 	{Name: "yield", About: "both measures: the online tail against online alone, and the idle capacity used", Run: runYield},
-	{Name: "yield-frontier", About: "yield policies and estimators against the baselines", Run: runFrontier},
+	{Name: "yield-frontier", About: "headrooms against the baselines", Run: runFrontier},
 	{Name: "batch-alone", About: "how much of an idle fleet a batch uses", Run: runBatchAlone},
 	{
 		Name: "batch-large", About: "one job of 12,000 items: what it costs the table",
@@ -15,7 +15,6 @@
 		Name: "rolling-restart", About: "every node stopped as planned and started again under load: nothing cut, nothing refused",
 		Mix: Mix{Online: 1, Jobs: 1}, Faults: []Fault{mustFault("rolling-restart")},
 	},
-	{Name: "routing-compare", About: "routing policies against each other", Run: runRoutingCompare},
 	{Name: "overload", About: "goodput at half, one and two times the capacity", Run: runOverload},
 }
 
--- a/internal/lab/experiment/yield.go
+++ b/internal/lab/experiment/yield.go
@@ -10,7 +10,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/history"
 	"github.com/wheelhoist/wheelhoist/internal/lab/load"
 	"github.com/wheelhoist/wheelhoist/internal/lab/site"
-	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
 
 // variant is one way to run the same online load.
@@ -19,7 +18,6 @@
 	// batch runs an endless batch beside the online load.
 	batch  bool
 	policy *v1.BatchPolicy
-	lab    settings.Lab
 	// split gives half of the replicas to online and half to batch.
 	split bool
 	// online scales the online load; 0 means 1.
@@ -69,7 +67,7 @@
 	}
 	running, err := site.Start(ctx, site.Config{
 		Profile: options.Profile, Nodes: nodes, Listen: "127.0.0.1:0", Seed: options.Seed,
-		Recorder: recorder, Lab: v.lab, Policy: v.policy,
+		Recorder: recorder, Policy: v.policy,
 	})
 	if err != nil {
 		return nil, err
@@ -143,7 +141,7 @@
 	var items uint64
 	for _, member := range running.Nodes() {
 		if inner := member.Inner(); inner != nil {
-			items += inner.BatchCounters().Items
+			items += inner.ItemsCompleted()
 		}
 	}
 	return items
@@ -257,37 +255,22 @@
 	return result, nil
 }
 
-// runFrontier measures policies and estimators against the baselines.
+// runFrontier measures headrooms against the baselines.
 func runFrontier(ctx context.Context, options Options) (*Result, error) {
 	variants := []variant{
 		aloneVariant(),
 		{name: "batch alone", batch: true, online: nearlyNone},
-		{name: "baseline equal priority", batch: true, lab: settings.Lab{EqualPriority: true}, policy: &v1.BatchPolicy{Yield: v1.YieldPause}},
 		{name: "baseline static split", batch: true, split: true},
 	}
-	short := 100 * time.Millisecond
-	for _, yield := range []v1.YieldPolicy{v1.YieldPriority, v1.YieldPause, v1.YieldShrink, v1.YieldAbort} {
-		variants = append(variants, policyVariant(yield, v1.EstimateFixed, 0, short))
+	for _, headroom := range []float64{0.05, 0.1, 0.2, 0.35, 0.5, 0.65} {
+		variants = append(variants, variant{
+			name: fmt.Sprintf("headroom %g", headroom), batch: true, policy: &v1.BatchPolicy{Headroom: headroom},
+		})
 	}
-	variants = append(variants,
-		policyVariant(v1.YieldPause, v1.EstimatePeak, 0, short),
-		policyVariant(v1.YieldReserve, v1.EstimateFixed, 0.75, short),
-		policyVariant(v1.YieldReserve, v1.EstimateFixed, 1, short),
-		policyVariant(v1.YieldReserve, v1.EstimatePeak, 1, short),
-		policyVariant(v1.YieldReserve, v1.EstimateFixed, 1, 2*time.Second),
-		policyVariant(v1.YieldReserve, v1.EstimateFixed, 1, 10*time.Second),
-	)
 	result, _, err := compare(ctx, options, variants)
 	return result, err
 }
 
-func policyVariant(yield v1.YieldPolicy, estimator v1.HeadroomEstimator, headroom float64, quiet time.Duration) variant {
-	return variant{
-		name: fmt.Sprintf("%s %s headroom %g quiet %s", yield, estimator, headroom, quiet), batch: true,
-		policy: &v1.BatchPolicy{Yield: yield, Estimator: estimator, Headroom: headroom, QuietPeriod: v1.Duration(quiet)},
-	}
-}
-
 // runBatchAlone measures the batch without online work.
 func runBatchAlone(ctx context.Context, options Options) (*Result, error) {
 	result, all, err := compare(ctx, options, []variant{{name: "batch alone", batch: true, online: nearlyNone}})
--- a/internal/lab/hollow/day.go
+++ b/internal/lab/hollow/day.go
@@ -40,10 +40,10 @@
 		}
 		f.bounce(ctx, id, command)
 	}
-	f.options.Progress("losing a rack, a zone, a region link")
+	f.options.Progress("losing a rack, and the table for a zone and a region")
 	f.loseRack(ctx, hollow[0].Node.Zone)
-	f.loseLink(ctx, "west-b|")
-	f.loseLink(ctx, "west|east")
+	f.cutOff(ctx, "west-b")
+	f.cutOff(ctx, "east")
 	f.agree(ctx)
 }
 
@@ -84,15 +84,14 @@
 	sleep(ctx, recovery/2)
 }
 
-// loseLink cuts the network between two sides, "a|b". Only hollow nodes are
-// cut; the real ones stay on the side of their zone's others.
-func (f *fleet) loseLink(ctx context.Context, sides string) {
+// cutOff cuts the hollow nodes of a zone, or of a region, off from the table.
+func (f *fleet) cutOff(ctx context.Context, zone string) {
 	for _, worker := range f.workers {
-		worker.tell(commandCut, sides)
+		worker.tell(commandCut, zone)
 	}
 	f.changeDuringLoss(ctx)
 	for _, worker := range f.workers {
-		worker.tell(commandHeal, sides)
+		worker.tell(commandHeal, zone)
 	}
 	sleep(ctx, recovery/2)
 }
--- a/internal/lab/hollow/engines.go
+++ b/internal/lab/hollow/engines.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -21,14 +20,13 @@
 var Error = errs.Class("hollow")
 
 // engines is one HTTP server that stands for many replicas: each has a path
-// prefix of its own, with load reports, cache events and orders.
+// prefix of its own, with load reports and orders.
 type engines struct {
 	server *http.Server
 	base   string
 
 	mu     sync.Mutex
 	orders map[string]engine.Order
-	hash   uint64
 }
 
 func startEngines() (*engines, error) {
@@ -39,7 +37,6 @@
 	e := &engines{base: "http://" + listener.Addr().String(), orders: map[string]engine.Order{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /{replica}/load", e.load)
-	mux.HandleFunc("GET /{replica}/cache/events", e.events)
 	mux.HandleFunc("PUT /{replica}/orders", e.obey)
 	mux.HandleFunc("POST /{replica}"+openai.PathChatCompletions, e.pacedAnswer)
 	e.server = &http.Server{Handler: mux}
@@ -50,12 +47,9 @@
 func (e *engines) address(replica string) string { return e.base + "/" + replica }
 
 func (e *engines) load(w http.ResponseWriter, r *http.Request) {
-	interval, err := time.ParseDuration(r.URL.Query().Get("watch"))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	emulator.StreamLoad(w, r, interval, func() engine.Load { return e.report(r.PathValue("replica")) })
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has left cannot be told.
+	_ = json.NewEncoder(w).Encode(e.report(r.PathValue("replica")))
 }
 
 // report is a load that changes, as one does under traffic.
@@ -77,35 +71,6 @@
 	}
 }
 
-// eventInterval is the time between two cache events of a hollow replica.
-const eventInterval = 500 * time.Millisecond
-
-func (e *engines) events(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	flusher := http.NewResponseController(w)
-	_ = flusher.Flush()
-	ticker := time.NewTicker(eventInterval)
-	defer ticker.Stop()
-	for sequence := uint64(1); ; sequence++ {
-		select {
-		case <-r.Context().Done():
-			return
-		case <-ticker.C:
-		}
-		e.mu.Lock()
-		e.hash++
-		block := e.hash
-		e.mu.Unlock()
-		body, err := json.Marshal(engine.CacheEvent{Sequence: sequence, Stored: []uint64{block, block << 20, block << 40}})
-		if err != nil {
-			return
-		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", body); err != nil || flusher.Flush() != nil {
-			return
-		}
-	}
-}
-
 func (e *engines) obey(w http.ResponseWriter, r *http.Request) {
 	var order engine.Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
--- a/internal/lab/hollow/fleet.go
+++ b/internal/lab/hollow/fleet.go
@@ -20,7 +20,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/port"
 	"github.com/wheelhoist/wheelhoist/internal/lab/site"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
-	"github.com/wheelhoist/wheelhoist/internal/membership"
 	"github.com/wheelhoist/wheelhoist/internal/server"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
@@ -45,8 +44,6 @@
 	Replicas int
 	Duration time.Duration
 	Seed     uint64
-	// Loss is the share of messages between hollow nodes that are lost.
-	Loss float64
 	// Tenants is the number of tenants declared.
 	Tenants int
 	// Day replays a day's failures after the measurement.
@@ -63,7 +60,6 @@
 	platform  *site.Platform
 	engines   *engines
 	recorder  *history.Recorder
-	zoneOf    map[string]string
 	nodes     []settings.Settings
 	workers   []*process
 	real      []*process
@@ -79,7 +75,7 @@
 }
 
 func startFleet(ctx context.Context, options Options) (*fleet, error) {
-	f := &fleet{options: options, recorder: &history.Recorder{}, zoneOf: map[string]string{}}
+	f := &fleet{options: options, recorder: &history.Recorder{}}
 	var err error
 	if f.directory, err = os.MkdirTemp("", "wheelhoist-hollow-"); err != nil {
 		return nil, Error.Wrap(err)
@@ -118,12 +114,8 @@
 		if err != nil {
 			return err
 		}
-		peerListen, err := port.Free()
-		if err != nil {
-			return err
-		}
 		config := settings.Settings{
-			Node: settings.Node{ID: fmt.Sprintf("node-%03d", i), Zone: place.zone, Region: place.region, Listen: listen, PeerListen: peerListen},
+			Node: settings.Node{ID: fmt.Sprintf("node-%03d", i), Zone: place.zone, Region: place.region, Listen: listen},
 			Platform: settings.Platform{
 				Table:    settings.TableService{Endpoint: endpoints.Table, Table: "wheelhoist", AccessKey: "lab", SecretKey: "lab"},
 				Objects:  settings.ObjectStore{Endpoint: endpoints.Objects, Bucket: "wheelhoist", AccessKey: "lab", SecretKey: "lab"},
@@ -132,11 +124,10 @@
 			Operator: settings.Operator{KeySHA256: v1.HashKey(site.OperatorKey)},
 		}
 		config.ApplyDefaults()
-		f.zoneOf[peerListen] = place.zone
 		f.nodes = append(f.nodes, config)
 		f.platform.Machines.Add(machines.Machine{
 			ID: config.Node.ID, Role: machines.RoleNode, Zone: place.zone, Region: place.region,
-			State: machines.Live, Address: peerListen,
+			State: machines.Live, Address: listen,
 		})
 	}
 	for i := range f.options.Replicas {
@@ -152,7 +143,7 @@
 
 func (f *fleet) startWorker(ctx context.Context, nodes []settings.Settings) error {
 	path := filepath.Join(f.directory, fmt.Sprintf("worker-%d.json", len(f.workers)))
-	source, err := json.Marshal(workerPlan{Nodes: nodes, Loss: f.options.Loss, Zones: f.zoneOf})
+	source, err := json.Marshal(workerPlan{Nodes: nodes})
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -255,42 +246,32 @@
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	for {
-		metrics, err := scrape(ctx, f.real[0].url)
-		if err == nil && int(metrics["wheelhoist_members_live"]) >= f.options.Nodes {
+		live := f.seen(ctx)
+		if live >= f.options.Nodes {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return Error.New("fleet not ready: %.0f of %d nodes seen, without %v", metrics["wheelhoist_members_live"], f.options.Nodes, f.unseen())
+			return Error.New("fleet not ready: %d of %d nodes seen", live, f.options.Nodes)
 		case <-time.After(200 * time.Millisecond):
 		}
 	}
 }
 
-// unseen lists the nodes that the first node does not take for live.
-func (f *fleet) unseen() []string {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
+// seen counts the nodes that the first node takes for live.
+func (f *fleet) seen(ctx context.Context) int {
 	body, err := f.operator(0).Status(ctx)
 	var status server.NodeStatus
 	if err != nil || json.Unmarshal(body, &status) != nil {
-		return nil
+		return 0
 	}
-	states := map[string]string{}
+	live := 0
 	for _, member := range status.Members {
-		states[member.ID] = member.Status
-	}
-	var unseen []string
-	for _, config := range f.nodes {
-		state, known := states[config.Node.ID]
-		if !known {
-			state = "unknown"
-		}
-		if state == "unknown" || state == membership.Dead.String() || state == membership.Left.String() {
-			unseen = append(unseen, config.Node.ID+" "+state)
+		if member.Status == server.MemberAlive {
+			live++
 		}
 	}
-	return unseen
+	return live
 }
 
 func (f *fleet) close() {
--- a/internal/lab/hollow/measure.go
+++ b/internal/lab/hollow/measure.go
@@ -69,8 +69,7 @@
 }
 
 // controlBytes is the whole control traffic of a node, both directions, with
-// other nodes, the platform and the engines.
+// the platform and the engines.
 func controlBytes(metrics map[string]float64) float64 {
-	return metrics["wheelhoist_peer_sent_bytes_total"] + metrics["wheelhoist_peer_received_bytes_total"] +
-		metrics["wheelhoist_control_sent_bytes_total"] + metrics["wheelhoist_control_received_bytes_total"]
+	return metrics["wheelhoist_control_sent_bytes"] + metrics["wheelhoist_control_received_bytes"]
 }
--- a/internal/lab/hollow/run.go
+++ b/internal/lab/hollow/run.go
@@ -23,13 +23,11 @@
 	RealMemoryMax   *float64 `json:"rss_mb_real_max"`
 	HollowMemory    *float64 `json:"state_mb_per_hollow"`
 	BytesMax        *float64 `json:"bytes_per_s_max"`
-	PeerBytesMax    *float64 `json:"peer_bytes_per_s_max"`
 	InForceP50      *float64 `json:"config_in_force_p50_s"`
 	InForceP99      *float64 `json:"config_in_force_p99_s"`
 	InForceMax      *float64 `json:"config_in_force_max_s"`
 	Changes         int      `json:"config_changes"`
 	FalseSuspicions *float64 `json:"false_suspicions"`
-	FalseDeaths     *float64 `json:"false_deaths"`
 	TotalMemoryMB   float64  `json:"total_memory_mb"`
 	Violations      []string `json:"violations"`
 }
@@ -162,24 +160,14 @@
 		raise(&result.CPUShareHollow, hollowCPU/float64(hollowNodes))
 		raise(&result.HollowMemory, hollowMemory/float64(hollowNodes))
 	}
-	suspicions, deaths := 0.0, 0.0
 	for i, metrics := range after.metrics {
-		earlier, ok := before.metrics[i]
-		if !ok {
-			continue
+		if earlier, ok := before.metrics[i]; ok {
+			raise(&result.BytesMax, (controlBytes(metrics)-controlBytes(earlier))/elapsed)
 		}
-		peer := func(m map[string]float64) float64 {
-			return m["wheelhoist_peer_sent_bytes_total"] + m["wheelhoist_peer_received_bytes_total"]
-		}
-		raise(&result.BytesMax, (controlBytes(metrics)-controlBytes(earlier))/elapsed)
-		raise(&result.PeerBytesMax, (peer(metrics)-peer(earlier))/elapsed)
-		suspicions += metrics["wheelhoist_membership_suspicions_total"] - earlier["wheelhoist_membership_suspicions_total"]
-		deaths += metrics["wheelhoist_membership_deaths_total"] - earlier["wheelhoist_membership_deaths_total"]
-	}
-	// No node has died up to here, so every one of these was wrong.
-	scale := float64(len(f.nodes)) / float64(max(1, len(after.metrics)))
-	raise(&result.FalseSuspicions, suspicions*scale)
-	raise(&result.FalseDeaths, deaths*scale)
+	}
+	// No node has died up to here, so every session that is missing was wrongly
+	// taken for expired.
+	raise(&result.FalseSuspicions, float64(f.options.Nodes-f.seen(ctx)))
 }
 
 func raise(target **float64, value float64) {
--- a/internal/lab/hollow/worker.go
+++ b/internal/lab/hollow/worker.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
 	"strings"
 	"sync"
@@ -15,17 +14,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/node"
-	"github.com/wheelhoist/wheelhoist/internal/resource"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
 
 // workerPlan tells a worker process which hollow nodes to run.
 type workerPlan struct {
 	Nodes []settings.Settings `json:"nodes"`
-	// Loss is the share of messages between nodes that are lost.
-	Loss float64 `json:"loss"`
-	// Zones maps peer addresses to zones, for cuts.
-	Zones map[string]string `json:"zones"`
 }
 
 // appliedLine is what a worker prints when a revision comes into force.
@@ -46,9 +40,8 @@
 
 // worker runs hollow nodes in this process.
 type worker struct {
-	plan   workerPlan
-	out    io.Writer
-	random *rand.Rand
+	plan workerPlan
+	out  io.Writer
 
 	mu      sync.Mutex
 	running map[string]*node.Node
@@ -63,7 +56,6 @@
 		return Error.Wrap(err)
 	}
 	w := &worker{out: out, running: map[string]*node.Node{}, ending: map[string]chan struct{}{}, cut: map[string]bool{}}
-	w.random = rand.New(rand.NewPCG(uint64(os.Getpid()), 5))
 	if err := json.Unmarshal(source, &w.plan); err != nil {
 		return Error.Wrap(err)
 	}
@@ -138,8 +130,8 @@
 		}
 		started, err := node.Start(ctx, config, node.Options{
 			Log:     zerolog.Nop(),
-			Drop:    func(address string) bool { return w.dropped(config.Node.Zone, address) },
-			Applied: func(change resource.Change) { w.applied(id, change.Revision) },
+			Cut:     func() bool { return w.cutOff(config.Node.Zone) },
+			Applied: func(revision uint64) { w.applied(id, revision) },
 		})
 		if err != nil {
 			return err
@@ -161,25 +153,15 @@
 	_, _ = fmt.Fprintf(w.out, "%s\n", line)
 }
 
-// dropped decides about a message from a zone to an address: lost by chance,
-// or cut. A cut is named by the two sides, "a|b"; a side is the beginning of
-// zone names, so that it can stand for a region.
-func (w *worker) dropped(zone, address string) bool {
+// cutOff reports whether a zone is cut off from the table. A cut is named by the
+// beginning of zone names, so that it can stand for a region.
+func (w *worker) cutOff(zone string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.random.Float64() < w.plan.Loss {
-		return true
-	}
-	other := w.plan.Zones[address]
 	for cut, active := range w.cut {
-		a, b, _ := strings.Cut(cut, "|")
-		if active && (separates(a, b, zone, other) || separates(b, a, zone, other)) {
+		if active && strings.HasPrefix(zone, cut) {
 			return true
 		}
 	}
 	return false
 }
-
-func separates(a, b, zone, other string) bool {
-	return strings.HasPrefix(zone, a) && strings.HasPrefix(other, b) && zone != other
-}
--- a/internal/lab/labcmd/hollow.go
+++ b/internal/lab/labcmd/hollow.go
@@ -19,7 +19,6 @@
 	replicas := flags.Int("replicas", 600, "number of replicas")
 	duration := flags.Duration("duration", 30*time.Second, "length of the measurement")
 	seed := flags.Uint64("seed", 1, "seed of all chance")
-	loss := flags.Float64("loss", 0.01, "share of messages between hollow nodes that are lost")
 	tenants := flags.Int("tenants", 100, "number of tenants declared")
 	day := flags.Bool("day", true, "replay a day's failures after the measurement")
 	profilePath := flags.String("cpuprofile", "", "file for a CPU profile of the first hollow process")
@@ -29,7 +28,7 @@
 		ShortHelp: "run the control plane at size and measure what it costs a node",
 		Exec: func(ctx context.Context, _ []string) error {
 			result, err := hollow.Run(ctx, hollow.Options{
-				Nodes: *nodes, Replicas: *replicas, Duration: *duration, Seed: *seed, Loss: *loss, Tenants: *tenants, Day: *day, Profile: *profilePath,
+				Nodes: *nodes, Replicas: *replicas, Duration: *duration, Seed: *seed, Tenants: *tenants, Day: *day, Profile: *profilePath,
 				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
 			})
 			if err != nil {
--- a/internal/lab/site/declare.go
+++ b/internal/lab/site/declare.go
@@ -9,7 +9,6 @@
 	"github.com/wheelhoist/wheelhoist/api/client"
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
-	"github.com/wheelhoist/wheelhoist/internal/membership"
 	"github.com/wheelhoist/wheelhoist/internal/server"
 )
 
@@ -81,7 +80,7 @@
 	}
 	alive, ready := 0, 0
 	for _, other := range status.Members {
-		if other.Status == membership.Alive.String() {
+		if other.Status == server.MemberAlive {
 			alive++
 		}
 	}
--- a/internal/lab/site/member.go
+++ b/internal/lab/site/member.go
@@ -90,7 +90,7 @@
 			Revision uint64 `json:"revision"`
 			UnixNano int64  `json:"unix_ns"`
 		}
-		if json.Unmarshal(scanner.Bytes(), &line) != nil || line.Message != "configuration in force" {
+		if json.Unmarshal(scanner.Bytes(), &line) != nil || line.Message != "configuration applied" {
 			continue
 		}
 		m.recorder.Record(history.Event{
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -18,7 +18,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
 	"github.com/wheelhoist/wheelhoist/internal/node"
-	"github.com/wheelhoist/wheelhoist/internal/resource"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 )
 
@@ -42,8 +41,6 @@
 	Processes bool
 	// Log takes the logs of in-process nodes; nil drops them.
 	Log io.Writer
-	// Lab is passed to the nodes' settings.
-	Lab settings.Lab
 	// Policy, when set, replaces the profile's batch policy.
 	Policy *v1.BatchPolicy
 }
@@ -208,11 +205,11 @@
 		output = io.Discard
 	}
 	inner, err := node.Start(ctx, member.settings, node.Options{
-		Log:  zerolog.New(output).With().Timestamp().Logger(),
-		Drop: func(address string) bool { return s.dropped(member, address) },
-		Applied: func(change resource.Change) {
+		Log: zerolog.New(output).With().Timestamp().Logger(),
+		Cut: func() bool { return s.cutOff(member.Zone) },
+		Applied: func(revision uint64) {
 			s.config.Recorder.Record(history.Event{
-				Source: "node/" + member.ID, Type: history.ConfigApplied, Revision: change.Revision,
+				Source: "node/" + member.ID, Type: history.ConfigApplied, Revision: revision,
 			})
 		},
 	})
@@ -238,19 +235,15 @@
 	if err != nil {
 		return nil, err
 	}
-	peerListen, err := port.Free()
-	if err != nil {
-		return nil, err
-	}
 	zone := zones[slot%len(zones)]
 	member := &Member{
 		Slot: slot, ID: id, Zone: zone, recorder: s.config.Recorder,
-		settings: s.nodeSettings(id, zone, listen, peerListen),
+		settings: s.nodeSettings(id, zone, listen),
 	}
 	s.nodes = append(s.nodes, member)
 	s.Platform.Machines.Add(machines.Machine{
 		ID: id, Role: machines.RoleNode, Zone: zone, Region: s.config.Profile.Region,
-		State: machines.Live, Address: peerListen,
+		State: machines.Live, Address: listen,
 	})
 	return member, nil
 }
@@ -270,42 +263,32 @@
 	return net.JoinHostPort(host, strconv.Itoa(first+slot)), nil
 }
 
-func (s *Site) nodeSettings(id, zone, listen, peerListen string) *settings.Settings {
+func (s *Site) nodeSettings(id, zone, listen string) *settings.Settings {
 	endpoints := s.Platform.Endpoints()
 	config := &settings.Settings{
-		Node: settings.Node{ID: id, Zone: zone, Region: s.config.Profile.Region, Listen: listen, PeerListen: peerListen},
+		Node: settings.Node{ID: id, Zone: zone, Region: s.config.Profile.Region, Listen: listen},
 		Platform: settings.Platform{
 			Table:    settings.TableService{Endpoint: endpoints.Table, Table: tableName, AccessKey: labAccessKey, SecretKey: labSecretKey},
 			Objects:  settings.ObjectStore{Endpoint: endpoints.Objects, Bucket: bucketName, AccessKey: labAccessKey, SecretKey: labSecretKey},
 			Machines: settings.MachineList{URL: endpoints.Machines},
 		},
 		Operator: settings.Operator{KeySHA256: v1.HashKey(OperatorKey)},
-		Lab:      s.config.Lab,
 	}
 	config.ApplyDefaults()
 	return config
 }
 
-// Cut cuts or heals the network between two zones.
-func (s *Site) Cut(zoneA, zoneB string, cut bool) {
+// Cut cuts a zone's nodes off from the table, or heals the cut.
+func (s *Site) Cut(zone string, cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cut[zoneA+"|"+zoneB] = cut
-	s.cut[zoneB+"|"+zoneA] = cut
+	s.cut[zone] = cut
 }
 
-func (s *Site) dropped(from *Member, address string) bool {
+func (s *Site) cutOff(zone string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.cut) == 0 {
-		return false
-	}
-	for _, other := range s.nodes {
-		if other.settings.Node.PeerListen == address {
-			return s.cut[from.Zone+"|"+other.Zone]
-		}
-	}
-	return false
+	return s.cut[zone]
 }
 
 // Close stops everything.
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -44,6 +44,9 @@
 	service table.Service
 	id      string
 
+	// Body, if set before the session is used, returns what the row says.
+	Body func() []byte
+
 	mu      sync.Mutex
 	version uint64
 	created bool
@@ -103,7 +106,7 @@
 // renew writes the next version. The caller holds mu. Nobody else writes the
 // row, so after an unknown outcome the version is read back.
 func (s *Session) renew(ctx context.Context) error {
-	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Expect: s.version}
+	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Expect: s.version, Body: s.body()}
 	versions, err := s.service.Commit(ctx, table.NewOperation(), write)
 	if err == nil {
 		s.version = versions[0]
@@ -124,6 +127,32 @@
 	return Error.Wrap(err)
 }
 
+func (s *Session) body() []byte {
+	if s.Body == nil {
+		return nil
+	}
+	return s.Body()
+}
+
+// Replace deletes the rows that earlier runs of this node have left. A run that
+// is gone holds nothing; what it held is taken over at once.
+func (s *Session) Replace(ctx context.Context) error {
+	rows, err := table.ListAll(ctx, s.service, partition)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	for _, row := range rows {
+		if row.Sort == s.id || !SameNode(row.Sort, s.id) {
+			continue
+		}
+		write := table.Write{Key: row.Key, Kind: table.Delete, Expect: row.Version}
+		if _, err := s.service.Commit(ctx, table.NewOperation(), write); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
 // End deletes the row, so that what is still held can be taken over at once.
 func (s *Session) End(ctx context.Context) error {
 	s.mu.Lock()
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
+	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +15,7 @@
 // sighting is what was seen of a session: its version, since when, and when it
 // was last looked at.
 type sighting struct {
+	body    []byte
 	version uint64
 	since   time.Time
 	checked time.Time
@@ -50,11 +54,11 @@
 	present := map[string]bool{}
 	for _, row := range rows {
 		present[row.Sort] = true
-		w.see(row.Sort, row.Version, read)
+		w.see(row.Sort, row.Version, row.Body, read)
 	}
 	for id := range w.seen {
 		if !present[id] {
-			w.see(id, table.Absent, read)
+			w.see(id, table.Absent, nil, read)
 		}
 	}
 	w.last = read
@@ -73,7 +77,7 @@
 	defer w.mu.Unlock()
 	w.recover(read)
 	// A missing row has version table.Absent.
-	w.see(id, row.Version, read)
+	w.see(id, row.Version, row.Body, read)
 	return nil
 }
 
@@ -104,7 +108,7 @@
 // An unchanged version counts from the end of the first reading that showed
 // it, so a slow store cannot make a session look older than it is. A row that
 // was there and is gone was ended by its holder: its work is free at once.
-func (w *Watcher) see(id string, version uint64, read time.Time) {
+func (w *Watcher) see(id string, version uint64, body []byte, read time.Time) {
 	known, ok := w.seen[id]
 	switch {
 	case ok && known.version == version:
@@ -114,9 +118,40 @@
 	default:
 		known = sighting{version: version, since: read, checked: read}
 	}
+	known.body = body
 	w.seen[id] = known
 }
 
+// Sighting is what the last look showed of a session.
+type Sighting struct {
+	ID      string
+	Body    []byte
+	Expired bool
+}
+
+// Node returns the id of the session's node.
+func (s *Sighting) Node() string {
+	node, _, _ := strings.Cut(s.ID, sessionSeparator)
+	return node
+}
+
+// Sessions returns the sessions that the last look showed, expired ones too, in
+// the order of their ids.
+func (w *Watcher) Sessions() []Sighting {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []Sighting
+	for id, known := range w.seen {
+		if known.version == table.Absent {
+			continue
+		}
+		expired := known.checked.Sub(known.since) >= w.timeToLive
+		list = append(list, Sighting{ID: id, Body: known.body, Expired: expired})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
 // Age returns the time since the last successful Refresh.
 func (w *Watcher) Age() time.Duration {
 	w.mu.Lock()
@@ -132,7 +167,7 @@
 	known, ok := w.seen[id]
 	if !ok {
 		// Not among the rows of the last Refresh; it counts from then on.
-		w.see(id, table.Absent, w.last)
+		w.see(id, table.Absent, nil, w.last)
 		return false
 	}
 	return known.checked.Sub(known.since) >= w.timeToLive
@@ -156,6 +191,25 @@
 	}
 }
 
+// Preferred is the live session that should do a piece of work that any could
+// do (rendezvous hashing), so that work is spread and nodes seldom race.
+func Preferred(live []string, work string) string {
+	best := ""
+	var bestWeight uint64
+	for _, session := range live {
+		sum := fnv.New64a()
+		_, _ = sum.Write([]byte(session))
+		_, _ = sum.Write([]byte(work))
+		if weight := sum.Sum64(); best == "" || weight > bestWeight {
+			best, bestWeight = session, weight
+		}
+	}
+	return best
+}
+
+// Preferred returns the live session that should do a piece of work.
+func (w *Watcher) Preferred(work string) string { return Preferred(w.Live(), work) }
+
 // Live returns the sessions that were there at the last Refresh and are not expired.
 func (w *Watcher) Live() []string {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/node/configuration.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"time"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/batch"
+	"github.com/wheelhoist/wheelhoist/internal/placement"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/resource"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// staleConfiguration is the silence of the table after which a node does not
+	// show its view of the configuration as the present one.
+	staleConfiguration = 3 * time.Second
+	// servingAttempts bounds the replicas that one online request may run on.
+	servingAttempts = 4
+	// servingObjective and servingGap say when a replica counts as silent.
+	servingObjective = time.Second
+	servingGap       = 250 * time.Millisecond
+	// defaultQueueTimeout is the longest wait for a replica to have room.
+	defaultQueueTimeout = 2 * time.Second
+	// itemAttempts bounds the runs of an item that a replica reports as failed.
+	itemAttempts = 3
+	// servingCrossZone is what a request may wait longer to stay in its zone.
+	servingCrossZone = 2 * time.Millisecond
+	// servingFill is the share of a replica's slots that batch items fill where a
+	// pool names no headroom. Engines run online requests first, so the items
+	// need leave little.
+	servingFill = 0.9
+)
+
+func servingWeights() replica.Weights {
+	return replica.Weights{CrossZone: servingCrossZone, BatchFill: servingFill, UrgentFill: 1}
+}
+
+// routesOf turns the declared pools into routes: for each model, and for each
+// adapter of it, one for online requests and one for the items of batches.
+func routesOf(snapshot *resource.Snapshot) *route.Config {
+	config := &route.Config{Version: snapshot.Revision}
+	byHost := map[string]*route.Route{}
+	for _, entry := range snapshot.List(v1.KindModelPool) {
+		spec, ok := entry.Spec.(*v1.ModelPoolSpec)
+		if !ok {
+			continue
+		}
+		addPool(config, byHost, entry.Change.Name, spec, queueTimeout(snapshot))
+	}
+	return config
+}
+
+func addPool(config *route.Config, byHost map[string]*route.Route, pool string, spec *v1.ModelPoolSpec, wait time.Duration) {
+	for _, adapter := range append([]string{""}, spec.Adapters...) {
+		model := spec.Model
+		if adapter != "" {
+			model += ":" + adapter
+		}
+		online := &route.Route{
+			Name: model, Host: model, Prefix: "/", Kind: route.Stream, Resumable: true,
+			MaxAttempts: servingAttempts, MaxWait: wait, Objective: servingObjective, Gap: servingGap, Adapter: adapter,
+		}
+		items := &route.Route{
+			Name: batch.RouteOf(model), Host: batch.RouteOf(model), Prefix: "/", Kind: route.Batch,
+			MaxAttempts: itemAttempts, Adapter: adapter, BatchFill: 1 - spec.Batch.Headroom,
+		}
+		if spec.Batch.Headroom == 0 {
+			items.BatchFill = servingFill
+		}
+		for _, declared := range []*route.Route{online, items} {
+			known := byHost[declared.Host]
+			if known == nil {
+				byHost[declared.Host], known = declared, declared
+				config.Routes = append(config.Routes, declared)
+			}
+			known.Shares = append(known.Shares, route.Share{Pool: pool, Weight: 1})
+		}
+	}
+}
+
+func queueTimeout(snapshot *resource.Snapshot) time.Duration {
+	for _, entry := range snapshot.List(v1.KindSitePolicy) {
+		if spec, ok := entry.Spec.(*v1.SitePolicySpec); ok && spec.QueueTimeout > 0 {
+			return time.Duration(spec.QueueTimeout)
+		}
+	}
+	return defaultQueueTimeout
+}
+
+// configApplied puts the routes of a new revision in force and has others told.
+func (n *Node) configApplied(revision uint64) {
+	n.replaceRoutes(routesOf(n.resources.Snapshot()), revision)
+	if n.options.Applied != nil {
+		n.options.Applied(revision)
+	}
+	select {
+	case n.applied <- struct{}{}:
+	default:
+	}
+}
+
+// current reports whether this node's view of the configuration is the present one.
+func (n *Node) current() bool {
+	return n.configWatch.Ready() && n.configWatch.Age() < staleConfiguration
+}
+
+// knowsConfiguration reports whether requests can be decided about.
+func (n *Node) knowsConfiguration() bool {
+	return n.joined.Load() && n.configWatch.Ready() && n.replicaWatch.Ready() && n.jobWatch.Ready()
+}
+
+// applyReplicas takes in changes of the list of replicas.
+func (n *Node) applyReplicas(changes table.Changes, whole bool) {
+	for _, change := range changes.Changes {
+		listed, ok := n.inventory.Apply(change)
+		if !ok {
+			n.dropReplica(change.Sort, change.Version, whole)
+			continue
+		}
+		n.listReplica(listed.Info(listed.ID), listed.Version)
+	}
+}
+
+// placementReplicas returns the replicas as the planner sees them.
+func (n *Node) placementReplicas() []placement.Replica {
+	var replicas []placement.Replica
+	for _, listed := range n.inventory.List() {
+		replicas = append(replicas, placement.Replica{
+			ID: listed.ID, Address: listed.Address, Zone: listed.Zone, Pool: listed.Pool,
+			Generation: listed.Generation, State: listed.State, Reported: listed.Reported(),
+			Version: listed.Entry.Version, Adapters: listed.Adapters, Role: listed.Role, Fence: listed.Fence,
+		})
+	}
+	return replicas
+}
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// jobSpacing is the least time between two looks at the jobs' changes; it
+	// bounds the calls while many results are listed. It grows with the number
+	// of sessions, so that all nodes together stay below 700 calls a second.
+	jobSpacing           = 120 * time.Millisecond
+	jobSpacingPerSession = 1500 * time.Microsecond
+	// retryShare bounds repeated attempts.
+	retryShare = 0.3
+)
+
+// ports are the outside as a core needs it: one set for each interface.
+type ports struct {
+	id      string
+	zone    string
+	table   table.Service
+	objects object.Store
+	backend forward.Backend
+	jobFeed table.Feed
+	timing  lease.Timing
+	weights replica.Weights
+	// commitInterval is how long finished items wait to be listed together.
+	commitInterval time.Duration
+}
+
+// core is what serves requests and runs jobs, whichever interface they come by.
+// All of its lasting state is in the table and the object store; its memory is
+// a cache of them.
+type core struct {
+	log     zerolog.Logger
+	metrics *coreMetrics
+
+	routes    route.Current
+	replicas  *replica.Set
+	forwarder *forward.Forwarder
+	jobWatch  *table.Watcher
+	session   *lease.Session
+	owners    *lease.Watcher
+	jobs      *jobs.Service
+	runner    *jobs.Runner
+
+	running sync.WaitGroup
+}
+
+func newCore(log zerolog.Logger, metrics *coreMetrics, outside ports) *core {
+	c := &core{log: log, metrics: metrics, replicas: replica.NewSet()}
+	c.replicas.Ejected = c.logEjected
+	c.forwarder = &forward.Forwarder{
+		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
+		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log},
+	}
+	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
+	c.owners = lease.NewWatcher(outside.table, time.Now, outside.timing)
+	view := jobs.NewView()
+	c.jobWatch = c.watch("job table", outside.jobFeed, view.Apply)
+	c.jobWatch.Spacing = c.jobSpacing
+	c.jobs = &jobs.Service{
+		Table: outside.table, Objects: outside.objects, View: view,
+		Events: &jobLog{log: log, metrics: metrics}, Session: c.ownSession, Refresh: c.jobWatch.Refresh,
+	}
+	c.runner = jobs.NewRunner(jobs.RunnerOptions{
+		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
+		Weights: outside.weights, Zone: outside.zone, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
+	})
+	c.replicas.Pressed = c.runner.Yield
+	return c
+}
+
+// jobSpacing returns the least time between two looks at the jobs' changes.
+func (c *core) jobSpacing() time.Duration {
+	return max(jobSpacing, time.Duration(len(c.owners.Live()))*jobSpacingPerSession)
+}
+
+// ownSession returns this node's session, which exists in the store.
+func (c *core) ownSession(ctx context.Context) (string, error) {
+	return c.session.ID(), c.session.Ensure(ctx)
+}
+
+// watch returns a watcher of a feed that logs when its source is lost and regained.
+func (c *core) watch(name string, feed table.Feed, apply func(table.Changes, bool)) *table.Watcher {
+	watcher := table.NewWatcher(feed, apply)
+	watcher.Lost = func(err error) {
+		c.log.Warn().Str("dependency", name).Err(err).Msg("dependency lost")
+	}
+	watcher.Regained = func(outage time.Duration) {
+		c.replicas.Outage(outage, time.Now())
+		c.log.Info().Str("dependency", name).Dur("outage_ms", outage).Msg("dependency regained")
+	}
+	return watcher
+}
+
+func (c *core) spawn(run func()) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		run()
+	}()
+}
+
+// runJobs runs the loops about jobs.
+func (c *core) runJobs(ctx context.Context) {
+	c.spawn(func() { c.jobWatch.Run(ctx) })
+	c.spawn(func() { c.session.Run(ctx) })
+	c.spawn(func() { c.runner.Run(ctx) })
+	c.spawn(func() { c.runner.RunClaims(ctx) })
+	c.spawn(func() { c.runner.RunKeeping(ctx) })
+}
+
+// handBackJobs gives this node's jobs to others before it stops.
+func (c *core) handBackJobs(ctx context.Context) {
+	c.runner.HandBack(ctx)
+	if err := c.session.End(ctx); err != nil {
+		c.log.Warn().Err(err).Msg("session not ended, others wait for it to expire")
+	}
+}
+
+// forward carries out a request, and logs and counts how it ended.
+func (c *core) forward(ctx context.Context, target *route.Route, request *forward.Request, sink forward.Sink) (forward.Result, error) {
+	c.metrics.open.Inc()
+	defer c.metrics.open.Dec()
+	result, err := c.forwarder.Do(ctx, target, request, sink)
+	c.metrics.forwarded(target, result, err)
+	c.logRequest(target, request, result, err)
+	return result, err
+}
+
+func (c *core) logRequest(target *route.Route, request *forward.Request, result forward.Result, err error) {
+	entry := c.log.Debug()
+	if err != nil {
+		entry = c.log.Warn().Err(err).Stringer("ran", outcome.Of(err))
+	}
+	entry.Str("request", request.ID).Str("route", target.Name).Str("pool", result.Pool).
+		Str("replica", result.Replica).Int("status", result.Status).Int("attempts", result.Attempts).
+		Int("refusals", result.Refusals).Int("events", result.Events).Bool("started", result.Started).
+		Dur("first_ms", result.First).Dur("max_gap_ms", result.MaxGap).
+		Dur("took_ms", time.Since(request.Received)).Msg("request ended")
+}
+
+func (c *core) logEjected(info replica.Info, result replica.Result) {
+	c.log.Warn().Str("replica", info.ID).Str("address", info.Address).Stringer("result", result).Msg("replica ejected")
+}
+
+// listReplica takes in that a replica is listed, with the version of its row.
+func (c *core) listReplica(info replica.Info, version uint64) {
+	added := c.replicas.Put(info)
+	if added || info.Leaving {
+		c.log.Info().Str("replica", info.ID).Str("pool", info.Pool).Str("address", info.Address).
+			Str("zone", info.Zone).Bool("leaving", info.Leaving).Uint64("row_version", version).Msg("replica listed")
+	}
+}
+
+// dropReplica takes in that a replica is listed no more.
+func (c *core) dropReplica(id string, version uint64, whole bool) {
+	c.replicas.Remove(id, time.Now())
+	c.log.Info().Str("replica", id).Uint64("row_version", version).Bool("whole_read", whole).Msg("replica gone from list")
+}
+
+// replaceRoutes puts a configuration of routes in force unless a newer one is.
+func (c *core) replaceRoutes(config *route.Config, version uint64) {
+	next := route.NewTable(config)
+	if c.routes.Replace(next) {
+		c.log.Info().Uint64("version", config.Version).Uint64("row_version", version).
+			Int("routes", next.Routes()).Msg("configuration in force")
+	}
+}
+
+// LogDropped counts log lines that were dropped.
+func (c *core) LogDropped(lines int) { c.metrics.droppedLogs.Add(float64(lines)) }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -6,18 +6,15 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 
-	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
-	"github.com/wheelhoist/wheelhoist/internal/retry"
-	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/platform"
@@ -31,48 +28,41 @@
 	gatewayHeaderBytes = 128 << 10
 	// memoryShare of the allowed memory is where collection becomes eager.
 	memoryShare = 0.7
-	// gatewayRetryShare and gatewayRetryReserve bound repeated attempts.
-	gatewayRetryShare = 0.3
+	// jobPatience bounds how long a call about a job waits for the store.
+	jobPatience = 2500 * time.Millisecond
 	// comeBack is how long callers wait after a request that did not run.
 	comeBack = 100 * time.Millisecond
 )
 
-// Gateway is a node that serves declared routes of opaque requests. All of its
-// lasting state is in the platform's store; its memory is a cache of it.
+// Error is the class of all errors of this package.
+var Error = errs.Class("node")
+
+// Gateway is a node that serves declared routes of opaque requests on the
+// users' platform.
 type Gateway struct {
+	*core
 	settings *settings.Settings
-	log      zerolog.Logger
 
-	store     *platform.Store
-	backend   *platform.Backend
-	routes    route.Current
-	replicas  *replica.Set
-	forwarder *forward.Forwarder
-	metrics   *gatewayMetrics
+	store   *platform.Store
+	backend *platform.Backend
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
-	jobWatch     *table.Watcher
-	session      *lease.Session
-	owners       *lease.Watcher
-	jobs         *jobs.Service
-	runner       *jobs.Runner
 
 	servers   []*http.Server
 	listeners []net.Listener
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
-	running  sync.WaitGroup
 }
 
 // StartGateway builds a gateway and makes it serve as soon as it knows routes.
 func StartGateway(ctx context.Context, config *settings.Settings, log zerolog.Logger) (*Gateway, error) {
-	g := &Gateway{settings: config, log: log.With().Str("node", config.Node.ID).Logger()}
+	g := &Gateway{settings: config}
 	if config.Gateway.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
 	}
-	g.build()
+	g.build(log.With().Str("node", config.Node.ID).Logger())
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -84,19 +74,26 @@
 	return g, nil
 }
 
-func (g *Gateway) build() {
-	g.metrics = newGatewayMetrics(g)
-	g.store = platform.NewStore(g.settings.Gateway.Store, g.metrics.storeCall)
-	g.backend = platform.NewBackend(g.metrics.connections.Inc)
-	g.replicas = replica.NewSet()
-	g.replicas.Ejected = g.logEjected
-	g.forwarder = &forward.Forwarder{
-		Replicas: g.replicas, Backend: g.backend, Budget: retry.NewBudget(gatewayRetryShare),
-		Weights: g.weights(), Zone: g.settings.Node.Zone, Notice: &requestLog{log: g.log},
-	}
+func (g *Gateway) build(log zerolog.Logger) {
+	metrics := newCoreMetrics()
+	g.store = platform.NewStore(g.settings.Gateway.Store, metrics.storeCall)
+	g.backend = platform.NewBackend(metrics.connections.Inc)
+	g.core = newCore(log, metrics, ports{
+		id: g.settings.Node.ID, zone: g.settings.Node.Zone,
+		table: platform.Rows{Store: g.store}, objects: platform.Objects{Store: g.store}, backend: g.backend,
+		jobFeed: platform.JobFeed(g.store, jobs.Group, jobs.Parts()), timing: fastTiming(), weights: g.weights(),
+	})
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
-	g.buildJobs()
 	g.replicaWatch = g.watch("replica list", platform.ServerFeed(g.store), g.applyReplicas)
+	metrics.registerViews(g.core)
+	metrics.registerAge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", g.configWatch)
+	metrics.registerAge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", g.replicaWatch)
+}
+
+// fastTiming makes lost owners be noticed within a few seconds, for items are
+// due soon.
+func fastTiming() lease.Timing {
+	return lease.Timing{TimeToLive: 3 * time.Second, RenewInterval: time.Second}
 }
 
 func (g *Gateway) weights() replica.Weights {
@@ -156,14 +153,3 @@
 	g.spawn(func() { g.replicaWatch.Run(ctx) })
 	g.runJobs(ctx)
 }
-
-func (g *Gateway) spawn(run func()) {
-	g.running.Add(1)
-	go func() {
-		defer g.running.Done()
-		run()
-	}()
-}
-
-// LogDropped counts log lines that were dropped.
-func (g *Gateway) LogDropped(lines int) { g.metrics.droppedLogs.Add(float64(lines)) }
--- /dev/null
+++ b/internal/node/joblog.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+)
+
+// jobLog logs and counts what happens to jobs.
+type jobLog struct {
+	log     zerolog.Logger
+	metrics *coreMetrics
+}
+
+var _ jobs.Events = (*jobLog)(nil)
+
+// Accepted implements jobs.Events.
+func (l *jobLog) Accepted(job *jobs.Job, took time.Duration, resent bool) {
+	l.metrics.jobs.WithLabelValues("accepted").Inc()
+	l.log.Info().Str("job", job.ID).Str("route", job.Route).Int("items", len(job.Items)).
+		Bool("resent", resent).Dur("took_ms", took).Msg("job accepted")
+}
+
+// Refused implements jobs.Events.
+func (l *jobLog) Refused(id string, used, asked, quota int64, err error) {
+	l.metrics.jobs.WithLabelValues("refused").Inc()
+	l.log.Warn().Str("job", id).Int64("tokens_used", used).Int64("tokens_asked", asked).
+		Int64("quota", quota).Err(err).Msg("job refused")
+}
+
+// Ended implements jobs.Events.
+func (l *jobLog) Ended(id string, err error) {
+	l.metrics.jobs.WithLabelValues("ended").Inc()
+	l.log.Info().Str("job", id).Err(err).Msg("job end asked for")
+}
+
+// Claimed implements jobs.Events.
+func (l *jobLog) Claimed(entry *jobs.Entry, from string, err error) {
+	l.log.Info().Str("job", entry.Job.ID).Str("from", from).Uint64("row_version", entry.Version).Err(err).Msg("job taken over")
+}
+
+// ItemSent implements jobs.Events.
+func (l *jobLog) ItemSent(job *jobs.Job, item, replica string, after int) {
+	l.metrics.items.WithLabelValues("sent").Inc()
+	l.log.Debug().Str("job", job.ID).Str("item", item).Str("replica", replica).Int("after", after).Msg("item sent")
+}
+
+// ItemFailed implements jobs.Events.
+func (l *jobLog) ItemFailed(job *jobs.Job, item, replica string, err error) {
+	l.metrics.items.WithLabelValues("failed").Inc()
+	l.log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Msg("item attempt failed")
+}
+
+// ItemListed implements jobs.Events.
+func (l *jobLog) ItemListed(job *jobs.Job, item string, position int, dead jobs.Reason, took time.Duration) {
+	label, entry := "completed", l.log.Debug()
+	if dead != "" {
+		label, entry = "dead", l.log.Info()
+	} else {
+		l.metrics.completed.Add(1)
+	}
+	l.metrics.items.WithLabelValues(label).Inc()
+	entry.Str("job", job.ID).Str("item", item).Int("position", position).Str("dead", string(dead)).
+		Dur("took_ms", took).Msg("item listed")
+}
+
+// Resolved implements jobs.Events.
+func (l *jobLog) Resolved(operation string, attempts int, err error) {
+	l.log.Info().Str("operation", operation).Int("attempts", attempts).Err(err).Msg("write resolved")
+}
--- a/internal/node/gatewaymetrics.go
+++ b/internal/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,11 +11,12 @@
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
-// gatewayMetrics are a gateway's metrics, named by the Prometheus conventions.
+// coreMetrics are the metrics of a core, named by the Prometheus conventions.
 // Labels are kinds and outcomes only, so their number is bounded.
-type gatewayMetrics struct {
+type coreMetrics struct {
 	registry    *prometheus.Registry
 	requests    *prometheus.CounterVec
 	turned      *prometheus.CounterVec
@@ -28,11 +30,13 @@
 	droppedLogs prometheus.Counter
 	jobs        *prometheus.CounterVec
 	items       *prometheus.CounterVec
+	// completed counts the completed items, for measurements.
+	completed atomic.Uint64
 }
 
-func newGatewayMetrics(g *Gateway) *gatewayMetrics {
+func newCoreMetrics() *coreMetrics {
 	seconds := []float64{.01, .025, .05, .1, .2, .34, .5, 1, 2, 5}
-	m := &gatewayMetrics{
+	m := &coreMetrics{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wheelhoist_gateway_requests_total", Help: "Forwarded requests by route kind and outcome.",
@@ -73,42 +77,42 @@
 	}, []string{"event"})
 	m.registry.MustRegister(m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.open, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
-	m.registerViews(g)
 	return m
 }
 
-// registerViews adds what is read when it is asked for.
-func (m *gatewayMetrics) registerViews(g *Gateway) {
-	gauge := func(name, help string, value func() float64) {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
-	}
-	gauge("wheelhoist_gateway_config_version", "Version of the configuration in force.", func() float64 {
-		if routes := g.routes.Load(); routes != nil {
+// gauge adds a metric that is read when it is asked for.
+func (m *coreMetrics) gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+// registerViews adds what a core knows.
+func (m *coreMetrics) registerViews(c *core) {
+	m.gauge("wheelhoist_gateway_config_version", "Version of the configuration in force.", func() float64 {
+		if routes := c.routes.Load(); routes != nil {
 			return float64(routes.Version)
 		}
 		return 0
 	})
-	gauge("wheelhoist_gateway_replicas", "Listed replicas.", func() float64 {
-		listed, _ := g.replicas.Count(time.Now())
+	m.gauge("wheelhoist_gateway_replicas", "Listed replicas.", func() float64 {
+		listed, _ := c.replicas.Count(time.Now())
 		return float64(listed)
 	})
-	gauge("wheelhoist_gateway_replicas_ejected", "Replicas left out on this node's own evidence.", func() float64 {
-		_, ejected := g.replicas.Count(time.Now())
+	m.gauge("wheelhoist_gateway_replicas_ejected", "Replicas left out on this node's own evidence.", func() float64 {
+		_, ejected := c.replicas.Count(time.Now())
 		return float64(ejected)
 	})
-	gauge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", func() float64 {
-		return g.configWatch.Age().Seconds()
-	})
-	gauge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", func() float64 {
-		return g.replicaWatch.Age().Seconds()
-	})
 }
 
-func (m *gatewayMetrics) handler() http.Handler {
+// registerAge adds the age of a watched source.
+func (m *coreMetrics) registerAge(name, help string, watcher *table.Watcher) {
+	m.gauge(name, help, func() float64 { return watcher.Age().Seconds() })
+}
+
+func (m *coreMetrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *gatewayMetrics) storeCall(call string, took time.Duration, err error) {
+func (m *coreMetrics) storeCall(call string, took time.Duration, err error) {
 	label := "done"
 	if err != nil {
 		label = "failed_" + outcome.Of(err).String()
@@ -117,7 +121,7 @@
 	m.storeTime.WithLabelValues(call).Observe(took.Seconds())
 }
 
-func (m *gatewayMetrics) forwarded(target *route.Route, result forward.Result, err error) {
+func (m *coreMetrics) forwarded(target *route.Route, result forward.Result, err error) {
 	kind := string(target.Kind)
 	label := "done"
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,203 +1,236 @@
-// Package node wires the parts of a node together and runs them. It is the
-// only package that knows all of them.
 package node
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
-	"github.com/zeebo/errs"
 
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/admission"
 	"github.com/wheelhoist/wheelhoist/internal/batch"
-	"github.com/wheelhoist/wheelhoist/internal/dispatch"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
-	"github.com/wheelhoist/wheelhoist/internal/fleet"
-	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/idempotency"
+	"github.com/wheelhoist/wheelhoist/internal/inventory"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
-	"github.com/wheelhoist/wheelhoist/internal/membership"
 	"github.com/wheelhoist/wheelhoist/internal/object"
-	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/placement"
 	"github.com/wheelhoist/wheelhoist/internal/resource"
 	"github.com/wheelhoist/wheelhoist/internal/server"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
-	"github.com/wheelhoist/wheelhoist/internal/steward"
 	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/tlsfile"
 	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
 
-// Error is the class of all errors of this package.
-var Error = errs.Class("node")
+const (
+	headerTimeout = 5 * time.Second
+	// pollPerSession makes the looks at the heads rarer in large fleets.
+	pollPerSession = 1500 * time.Microsecond
+	// commitInterval is how long finished items wait for others: jobs last for
+	// minutes, and the table is paid by the write.
+	commitInterval = 200 * time.Millisecond
+)
 
 // Options are what a node needs beside its settings.
 type Options struct {
 	Log zerolog.Logger
-	// Drop cuts the traffic to peers; only the lab sets it.
-	Drop func(address string) bool
-	// Applied is told of every configuration change that comes into force.
-	Applied func(resource.Change)
+	// Cut, if set, cuts the node off from the table while it returns true; only
+	// the lab sets it.
+	Cut func() bool
+	// Applied is told of every configuration revision that comes into force.
+	Applied func(revision uint64)
 }
 
-// Node is one running node.
+// Node is one running node with the product's own interface.
 type Node struct {
+	*core
 	settings *settings.Settings
 	options  Options
-	log      zerolog.Logger
 
-	transport  *peer.Transport
 	listener   net.Listener
 	httpServer *http.Server
-	table      table.Service
-	objects    object.Store
-	machines   machines.List
+	server     *server.Server
 	engines    *engine.Client
-	// control counts the traffic with the platform and the engines' watches.
+	// control counts the traffic with the platform and the engines' reports.
 	control traffic.Counter
 
-	store      *resource.Store
-	fence      *resource.Fence
-	propagator *resource.Propagator
-	agent      *membership.Agent
-	registry   *fleet.Registry
-	index      *fleet.PrefixIndex
-	admission  *admission.Controller
-	shares     *admission.Shares
-	session    *lease.Session
-	watcher    *lease.Watcher
-	batch      *batch.Service
-	runner     *batch.Runner
-	steward    *steward.Steward
-	placement  *placement.Controller
-	dispatcher *dispatch.Dispatcher
-	server     *server.Server
-
-	confirmations chan membership.Confirmation
-	drainOnce     sync.Once
-	drainAsked    chan struct{}
-	machineState  machineState
-
+	table     *table.Logged
+	heads     *table.Heads
+	resources *resource.Store
+	publisher *resource.Publisher
+	inventory inventory.View
+	observer  *inventory.Observer
+	placement *placement.Controller
+	admission *admission.Controller
+	batches   *batch.Service
+	feeder    *batch.Feeder
+	machines  machineList
+
+	configWatch  *table.Watcher
+	replicaWatch *table.Watcher
+
+	drainOnce  sync.Once
+	drainAsked chan struct{}
+	// applied wakes the loop that tells others of a revision in force.
+	applied chan struct{}
+	joined  atomic.Bool
 	cancel  context.CancelFunc
-	running sync.WaitGroup
 }
 
-// Start builds a node, brings it up to date and makes it serve.
+// Start builds a node and makes it serve as soon as it knows its configuration.
 func Start(ctx context.Context, config *settings.Settings, options Options) (*Node, error) {
+	log := options.Log.With().Str("node", config.Node.ID).Str("zone", config.Node.Zone).Logger()
 	n := &Node{
 		settings: config, options: options,
-		log:           options.Log.With().Str("node", config.Node.ID).Str("zone", config.Node.Zone).Logger(),
-		confirmations: make(chan membership.Confirmation, 64),
-		drainAsked:    make(chan struct{}),
+		drainAsked: make(chan struct{}), applied: make(chan struct{}, 1),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	n.buildPlatform()
-	n.buildCoordination()
-	n.buildOnline()
-	n.buildBatch()
+	n.build(log)
 	if err := n.buildServer(); err != nil {
-		return nil, Error.Wrap(errors.Join(err, n.transport.Close(), n.listener.Close()))
+		return nil, Error.Wrap(errors.Join(err, n.listener.Close()))
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	n.cancel = cancel
-	n.transport.Serve()
 	n.run(runCtx)
-	n.log.Info().Str("listen", n.listener.Addr().String()).Str("peer", n.transport.Address()).Msg("node started")
+	n.log.Info().Str("listen", n.listener.Addr().String()).Msg("node started")
 	return n, nil
 }
 
 func (n *Node) listen() error {
-	peerTLS, err := n.peerTLS()
+	listener, err := net.Listen("tcp", n.settings.Node.Listen)
 	if err != nil {
-		return err
+		return Error.Wrap(err)
 	}
-	datagramKey, err := n.datagramKey()
-	if err != nil {
-		return err
+	n.listener = listener
+	files := n.settings.TLS.Serve
+	if !files.Set() {
+		return nil
 	}
-	n.transport, err = peer.Listen(peer.Options{
-		Address: n.settings.Node.PeerListen, Advertise: n.settings.Node.PeerAdvertise,
-		Cluster: peer.ClusterID(n.settings.Platform.Table.Endpoint, n.settings.Platform.Table.Table),
-		TLS:     peerTLS, DatagramKey: datagramKey, Drop: n.options.Drop,
-		Refused: func(address string, err error) {
-			n.log.Warn().Str("peer", address).Err(err).Msg("peer refused")
-		},
+	loader, err := tlsfile.NewLoader(tlsfile.Files{
+		Certificate: files.Certificate, Key: files.Key, Authority: files.Authority,
 	})
 	if err != nil {
-		return Error.Wrap(err)
-	}
-	n.listener, err = net.Listen("tcp", n.settings.Node.Listen)
-	if err != nil {
-		return Error.Wrap(errors.Join(err, n.transport.Close()))
+		return Error.Wrap(errors.Join(err, listener.Close()))
 	}
-	return n.secureListener()
+	n.listener = tls.NewListener(listener, loader.Server())
+	return nil
 }
 
-func (n *Node) buildPlatform() {
+// build makes the parts and joins them.
+func (n *Node) build(log zerolog.Logger) {
 	platform := n.settings.Platform
-	client := platformClient(&n.control)
-	n.table = table.NewDynamo(table.DynamoConfig{
-		Endpoint: platform.Table.Endpoint, Region: platform.Table.Region, Table: platform.Table.Table,
-		AccessKey: platform.Table.AccessKey, SecretKey: platform.Table.SecretKey, HTTPClient: client,
-	})
-	n.objects = object.NewS3(object.S3Config{
+	client := &http.Client{Transport: n.transport()}
+	n.table = &table.Logged{
+		Groups: []string{resource.Group, inventory.Group, jobs.Group},
+		Service: table.NewDynamo(table.DynamoConfig{
+			Endpoint: platform.Table.Endpoint, Region: platform.Table.Region, Table: platform.Table.Table,
+			AccessKey: platform.Table.AccessKey, SecretKey: platform.Table.SecretKey, HTTPClient: client,
+		}),
+	}
+	objects := object.NewS3(object.S3Config{
 		Endpoint: platform.Objects.Endpoint, Region: platform.Objects.Region, Bucket: platform.Objects.Bucket,
 		AccessKey: platform.Objects.AccessKey, SecretKey: platform.Objects.SecretKey, HTTPClient: client,
 	})
-	n.machines = &machines.HTTPList{URL: platform.Machines.URL, Client: client}
 	n.engines = engine.NewClient(&n.control)
+	n.machines.source = &machines.HTTPList{URL: platform.Machines.URL, Client: &http.Client{Transport: n.counted()}}
+	n.heads = table.NewHeads(n.table)
+	n.core = newCore(log, newCoreMetrics(), ports{
+		id: n.settings.Node.ID, zone: n.settings.Node.Zone, table: n.table, objects: objects,
+		backend: engine.NewBackend(n.engines), jobFeed: n.feed(jobs.Group, jobPartitions()),
+		timing: fastTiming(), weights: servingWeights(), commitInterval: commitInterval,
+	})
+	n.heads.Interval = n.pollInterval
+	n.buildConfiguration()
+	n.buildBatch(objects)
 }
 
-// platformClient bounds every call to the platform, so that a hung service
-// looks like one that is down.
-func platformClient(counter *traffic.Counter) *http.Client {
-	const callTimeout = 5 * time.Second
-	transport := &http.Transport{
-		DialContext:         counter.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     time.Minute,
+func jobPartitions() []string {
+	parts := jobs.Parts()
+	for i := range parts {
+		parts[i] = jobs.Group + "/" + parts[i]
 	}
-	return &http.Client{Transport: transport, Timeout: callTimeout}
+	return parts
 }
 
-func (n *Node) buildCoordination() {
-	seed := xxhash.Sum64String(n.settings.Node.ID) ^ uint64(time.Now().UnixNano())
-	n.agent = membership.NewAgent(membership.AgentOptions{
-		Config: membership.DefaultConfig(),
-		Self: membership.Member{
-			ID: n.settings.Node.ID, Zone: n.settings.Node.Zone, Region: n.settings.Node.Region,
-			Address: n.transport.Address(), HTTP: n.listener.Addr().String(),
-		},
-		Transport: n.transport, Seeds: n.seeds, Confirmed: n.confirmed, Seed: seed,
+func (n *Node) feed(group string, parts []string) table.Feed {
+	return table.PolledFeed{Heads: n.heads, Group: group, Parts: parts}
+}
+
+func (n *Node) pollInterval() time.Duration {
+	return max(table.DefaultPoll, time.Duration(len(n.owners.Live()))*pollPerSession)
+}
+
+func (n *Node) buildConfiguration() {
+	n.resources = resource.NewStore(n.configApplied)
+	n.session.Body = func() []byte { return resource.EncodeApplied(n.resources.Revision()) }
+	n.configWatch = n.watch("configuration", n.feed(resource.Group, []string{resource.Group}), n.resources.Apply)
+	n.replicaWatch = n.watch("replica list", n.feed(inventory.Group, []string{inventory.Group}), n.applyReplicas)
+	n.publisher = &resource.Publisher{
+		Writer: resource.NewWriter(n.table), Sessions: n.owners, Listed: n.machines.listed,
+	}
+	n.observer = &inventory.Observer{
+		Table: n.table, View: &n.inventory, Engines: n.engines, Machines: n.machines.current,
+		Mine: func(zone string) bool { return n.preferred("replicas/" + zone) }, Log: n.log,
+	}
+	n.placement = placement.NewController(placement.Options{
+		Table: n.table, Session: n.session, Watcher: n.owners, Store: n.resources,
+		Orders: n.engines, Replicas: n.placementReplicas, Nodes: n.liveNodes, Log: n.log,
 	})
-	n.store = resource.NewStore(func(change resource.Change) {
-		n.agent.SetApplied(change.Revision)
-		if n.options.Applied != nil {
-			n.options.Applied(change)
-		}
+	n.admission = admission.NewController(n.share)
+}
+
+func (n *Node) buildBatch(objects object.Store) {
+	n.batches = &batch.Service{Table: n.table, Objects: objects, Work: n.jobs}
+	n.feeder = &batch.Feeder{
+		Service: n.batches, Sessions: n.owners, Self: n.session.ID(), Weight: n.tenantWeight, Log: n.log,
+	}
+	n.batches.Accepted = n.feeder.Accept
+}
+
+func (n *Node) buildServer() error {
+	n.metrics.registerViews(n.core)
+	n.metrics.registerTraffic(&n.control)
+	handler, err := server.New(server.Options{
+		NodeID: n.settings.Node.ID, Log: n.log, Store: n.resources, Resources: n.publisher,
+		Current: n.current, Serving: n.knowsConfiguration, Routes: n.routes.Load, Forward: n.forward,
+		Predict: n.forwarder.Predict, Replicas: n.replicas, Engines: n.engines, Admission: n.admission,
+		Claims: idempotency.NewStore(n.table), Batch: n.batches, Status: n.Status, Metrics: n.metrics.registry,
+		OperatorKeySHA256: n.settings.Operator.KeySHA256, MaxStreams: n.settings.Node.MaxStreams,
+		Drain: n.AskDrain,
 	})
-	n.fence = resource.NewFence(resource.SelfFenceAfter)
-	n.propagator = resource.NewPropagator(n.store, resource.NewWriter(n.table), n.fence, &configPeers{node: n}, n.transport.Address())
-	n.propagator.Register(n.transport)
-	n.session = lease.NewSession(n.table, n.settings.Node.ID, lease.DefaultTiming())
-	n.watcher = lease.NewWatcher(n.table, time.Now, lease.DefaultTiming())
+	if err != nil {
+		return err
+	}
+	n.server = handler
+	n.httpServer = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	return nil
 }
 
-// confirmed hands a probe's answer to the configuration without blocking the
-// membership protocol.
-func (n *Node) confirmed(confirmation membership.Confirmation) {
-	select {
-	case n.confirmations <- confirmation:
-	default:
+// share is this node's part of a tenant's limits: all live nodes have the same.
+func (n *Node) share(string) float64 { return 1 / float64(n.liveNodes()) }
+
+func (n *Node) liveNodes() int { return max(1, len(n.owners.Live())) }
+
+// preferred reports whether this node should do a piece of work that any could do.
+func (n *Node) preferred(work string) bool { return n.owners.Preferred(work) == n.session.ID() }
+
+func (n *Node) tenantWeight(name string) float64 {
+	if entry, ok := n.resources.Snapshot().Get(v1.KindTenant, name); ok {
+		if spec, ok := entry.Spec.(*v1.TenantSpec); ok {
+			return spec.Weight
+		}
 	}
+	return 1
 }
 
 // URL returns the base URL for callers.
@@ -212,24 +245,10 @@
 // ID returns the node's id.
 func (n *Node) ID() string { return n.settings.Node.ID }
 
-// PeerAddress returns the address for other nodes.
-func (n *Node) PeerAddress() string { return n.transport.Address() }
-
 // Revision returns the configuration revision in force.
-func (n *Node) Revision() uint64 { return n.store.Revision() }
+func (n *Node) Revision() uint64 { return n.resources.Revision() }
 
-// PeerStats returns the traffic with other nodes.
-func (n *Node) PeerStats() peer.Stats { return n.transport.Stats() }
-
-// MembershipCounters returns the judgements of the membership protocol.
-func (n *Node) MembershipCounters() membership.Counters { return n.agent.Counters() }
-
-// BatchCounters returns the counters of the batch runner.
-func (n *Node) BatchCounters() batch.Counters { return n.runner.Counters() }
-
-// Serving reports whether the node admits work.
-func (n *Node) Serving() bool { return !n.server.Draining() && n.fence.Open(time.Now()) }
-
-// newMetricsRegistry returns a registry of this node alone, so that several
-// nodes can share a process in the lab.
-func newMetricsRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
+// ControlTraffic returns the bytes sent and received for control.
+func (n *Node) ControlTraffic() (sent, received uint64) {
+	return n.control.Sent(), n.control.Received()
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -3,90 +3,103 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
-	"github.com/wheelhoist/wheelhoist/internal/admission"
-	"github.com/wheelhoist/wheelhoist/internal/membership"
+	"github.com/wheelhoist/wheelhoist/internal/machines"
 )
 
 const (
-	// pollDelegate is the time between a delegate's looks at the store; with
-	// a push lost, a change is still in force within the goal of 4 s.
-	pollDelegate = 1500 * time.Millisecond
-	// pollOther is the same for other nodes, which hear of changes by heartbeat.
-	pollOther = 15 * time.Second
-	// pollAlone is the same for a node that hears no peer.
-	pollAlone   = time.Second
-	pollTimeout = 2 * time.Second
-	loadRetry   = 500 * time.Millisecond
+	// machinesInterval is the time between two looks at the machine list.
+	machinesInterval = time.Second
+	callTimeout      = 2 * time.Second
+	joinRetry        = 300 * time.Millisecond
+	// sessionsInterval is the time between two looks at the other nodes; it
+	// grows with the fleet, so that the table's load does not.
+	sessionsInterval   = time.Second
+	sessionsPerSession = 25 * time.Millisecond
 	// drainNotice is how long a draining node goes on admitting after readiness
 	// has begun to fail: callers and load balancers look at it every second or so.
 	drainNotice  = 1500 * time.Millisecond
 	drainChecked = 50 * time.Millisecond
-	// batchDrain bounds the wait for batch items that only this node can finish.
-	batchDrain = 20 * time.Second
+	// jobsDrain bounds the wait for items that only this node can finish.
+	jobsDrain = 20 * time.Second
 )
 
 // run starts the loops of a node.
 func (n *Node) run(ctx context.Context) {
-	loops := []func(context.Context){
-		n.serveHTTP, n.machineLoop, n.agent.Run, n.configLoop, n.confirmLoop, n.shareLoop,
-		n.session.Run, n.runner.Run, n.steward.Run, n.placement.Run,
-	}
-	for _, loop := range loops {
-		n.running.Add(1)
-		go func() {
-			defer n.running.Done()
-			loop(ctx)
-		}()
-	}
-}
-
-func (n *Node) serveHTTP(context.Context) {
-	if err := n.httpServer.Serve(n.listener); !errors.Is(err, http.ErrServerClosed) {
-		n.log.Error().Err(err).Msg("listener failed")
-	}
+	n.spawn(n.serveHTTP)
+	n.spawn(func() { n.heads.Run(ctx) })
+	n.spawn(func() { n.machineLoop(ctx) })
+	n.spawn(func() {
+		if !n.join(ctx) {
+			return
+		}
+		n.runJobs(ctx)
+		n.spawn(func() { n.configWatch.Run(ctx) })
+		n.spawn(func() { n.replicaWatch.Run(ctx) })
+		n.spawn(func() { n.announceLoop(ctx) })
+		n.spawn(func() { n.sessionsLoop(ctx) })
+		n.spawn(func() { n.observer.Run(ctx) })
+		n.spawn(func() { n.placement.Run(ctx) })
+		n.spawn(func() { n.feeder.Run(ctx) })
+	})
 }
 
-// configLoop loads the configuration and then polls the store for it.
-func (n *Node) configLoop(ctx context.Context) {
+// join makes the node's session exist before it reads the configuration: a
+// write that does not see the session yet is one that the reading will see.
+func (n *Node) join(ctx context.Context) bool {
 	for {
-		loadCtx, cancel := context.WithTimeout(ctx, pollTimeout)
-		err := n.propagator.Load(loadCtx)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := n.session.Replace(callCtx)
+		if err == nil {
+			err = n.session.Ensure(callCtx)
+		}
+		if err == nil {
+			err = n.owners.Refresh(callCtx)
+		}
 		cancel()
 		if err == nil {
-			break
+			n.joined.Store(true)
+			return true
 		}
-		if !sleep(ctx, loadRetry) {
-			return
+		n.log.Warn().Err(err).Msg("not joined yet")
+		if !sleep(ctx, joinRetry) {
+			return false
 		}
 	}
+}
+
+// announceLoop makes the session say at once which revision is in force.
+func (n *Node) announceLoop(ctx context.Context) {
 	for {
-		interval := n.pollInterval()
-		jitter := time.Duration(rand.Int64N(int64(interval / 4)))
-		if !sleep(ctx, interval-interval/8+jitter) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-n.applied:
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		// The next renewal makes up for a failure.
+		_ = n.session.Renew(callCtx)
+		cancel()
+	}
+}
+
+// sessionsLoop keeps the view of the other nodes.
+func (n *Node) sessionsLoop(ctx context.Context) {
+	for sleep(ctx, max(sessionsInterval, time.Duration(n.liveNodes())*sessionsPerSession)) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		if n.owners.Refresh(callCtx) == nil && n.preferred("sweep") {
+			n.owners.Sweep(callCtx)
 		}
-		pollCtx, cancel := context.WithTimeout(ctx, pollTimeout)
-		// While the store is down the peers keep this node up to date.
-		_ = n.propagator.Poll(pollCtx)
 		cancel()
 	}
 }
 
-func (n *Node) pollInterval() time.Duration {
-	peers := n.liveNodes() - 1
-	n.fence.SetAlone(peers == 0 && len(n.seeds()) <= 1)
-	switch {
-	case peers == 0:
-		return pollAlone
-	case n.agent.IsDelegate():
-		return pollDelegate
-	default:
-		return pollOther
+func (n *Node) serveHTTP() {
+	if err := n.httpServer.Serve(n.listener); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error().Err(err).Msg("listener failed")
 	}
 }
 
@@ -102,22 +115,67 @@
 	}
 }
 
-// confirmLoop takes the answers of probes as proof of being up to date.
-func (n *Node) confirmLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case heard := <-n.confirmations:
-			n.propagator.Heard(ctx, heard.Peer.ID, heard.Peer.Address, heard.Applied, heard.Sent)
+// machineList is the platform's list of machines as last read.
+type machineList struct {
+	source machines.List
+
+	mu   sync.Mutex
+	list []machines.Machine
+}
+
+// current returns the list, nil before it has been read once.
+func (l *machineList) current() []machines.Machine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list
+}
+
+// listed reports whether a node's machine is on the list. Before the list has
+// been read every machine may be.
+func (l *machineList) listed(node string) bool {
+	list := l.current()
+	for _, machine := range list {
+		if machine.Role == machines.RoleNode && machine.ID == node {
+			return true
 		}
 	}
+	return list == nil
 }
 
-// shareLoop reports the tenants' demand to their allocators.
-func (n *Node) shareLoop(ctx context.Context) {
-	for sleep(ctx, admission.ShareInterval) {
-		n.shares.Report(n.admission.Demand(time.Now()))
+func (l *machineList) read(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := l.source.Machines(callCtx)
+	if err != nil {
+		return err
+	}
+	if list == nil {
+		list = []machines.Machine{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = list
+	return nil
+}
+
+// machineLoop reads the machine list and drains the node when its own machine
+// is leaving.
+func (n *Node) machineLoop(ctx context.Context) {
+	lost := false
+	for {
+		err := n.machines.read(ctx)
+		if failed := err != nil; failed != lost && ctx.Err() == nil {
+			lost = failed
+			n.log.Warn().Bool("lost", lost).Err(err).Str("dependency", "machine list").Msg("dependency changed")
+		}
+		for _, machine := range n.machines.current() {
+			if machine.ID == n.settings.Node.ID && machine.State == machines.Leaving {
+				n.AskDrain()
+			}
+		}
+		if !sleep(ctx, machinesInterval) {
+			return
+		}
 	}
 }
 
@@ -127,37 +185,42 @@
 // DrainAsked is closed when a planned stop has been asked for.
 func (n *Node) DrainAsked() <-chan struct{} { return n.drainAsked }
 
-// Drain stops the node as planned: it fails readiness, tells its peers, gives
-// back its leases, lets every open answer end, and then stops. The context
-// bounds the wait.
+// Serving reports whether the node admits work.
+func (n *Node) Serving() bool { return !n.server.Draining() && n.knowsConfiguration() }
+
+// Drain stops the node as planned: it fails readiness, hands its jobs on, lets
+// every open answer end, and then stops. The context bounds the wait.
 func (n *Node) Drain(ctx context.Context) error {
 	n.log.Info().Int64("open", n.server.Open()).Msg("draining")
 	n.server.FailReadiness()
-	n.runner.BeginDrain()
-	n.agent.Leave(membership.Leaving)
+	jobsCtx, cancel := context.WithTimeout(ctx, jobsDrain)
+	defer cancel()
+	handedBack := make(chan struct{})
+	go func() {
+		n.runner.HandBack(jobsCtx)
+		close(handedBack)
+	}()
 	sleep(ctx, drainNotice)
 	n.server.StartDraining()
 	for n.server.Open() > 0 && sleep(ctx, drainChecked) {
 	}
-	batchCtx, cancel := context.WithTimeout(ctx, batchDrain)
-	n.runner.Drain(batchCtx)
-	cancel()
+	<-handedBack
 	err := n.httpServer.Shutdown(ctx)
-	n.agent.Leave(membership.Left)
 	n.stop()
-	endCtx, cancelEnd := context.WithTimeout(context.Background(), pollTimeout)
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), callTimeout)
 	defer cancelEnd()
 	if endErr := n.session.End(endCtx); endErr != nil {
-		n.log.Warn().Err(endErr).Msg("session not ended, its work waits for the lease to lapse")
+		n.log.Warn().Err(endErr).Msg("session not ended, others wait for it to expire")
 	}
-	return Error.Wrap(errors.Join(err, n.transport.Close()))
+	n.log.Info().Msg("node stopped")
+	return Error.Wrap(err)
 }
 
 // Close stops the node at once, as far as others can see like a crash.
 func (n *Node) Close() error {
 	err := n.httpServer.Close()
 	n.stop()
-	return Error.Wrap(errors.Join(err, n.transport.Close()))
+	return Error.Wrap(err)
 }
 
 func (n *Node) stop() {
@@ -165,9 +228,3 @@
 	n.running.Wait()
 	n.engines.Close()
 }
-
-// turnCounter returns a function that counts up.
-func turnCounter() func() uint64 {
-	var turn atomic.Uint64
-	return func() uint64 { return turn.Add(1) }
-}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,65 +1,88 @@
 package node
 
 import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
+	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/server"
+	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
 
 // Status describes this node and what it sees of the others.
 func (n *Node) Status() server.NodeStatus {
 	status := server.NodeStatus{
-		Node: n.settings.Node.ID, Zone: n.settings.Node.Zone, Revision: n.store.Revision(),
+		Node: n.settings.Node.ID, Zone: n.settings.Node.Zone, Revision: n.resources.Revision(),
 		Serving: n.Serving(), Draining: n.server.Draining(), Open: n.server.Open(),
-		CutZones: n.agent.CutZones(), Batch: n.runner.Counters(),
-		Members: []server.MemberStatus{}, Replicas: []server.ReplicaView{},
+		ConfigAge: n.configWatch.Age().Seconds(), Members: []server.MemberStatus{}, Replicas: []server.ReplicaView{},
 	}
-	for _, member := range n.agent.Members() {
-		status.Members = append(status.Members, server.MemberStatus{
-			ID: member.ID, Zone: member.Zone, Status: member.Status.String(), Incarnation: member.Incarnation,
-		})
+	for _, session := range n.owners.Sessions() {
+		state := server.MemberAlive
+		if session.Expired {
+			state = server.MemberExpired
+		}
+		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Status: state})
 	}
-	for _, replica := range n.registry.Snapshot(time.Now()).Replicas {
+	reports := map[string]engine.State{}
+	roles := map[string]engine.Role{}
+	for _, listed := range n.inventory.List() {
+		reports[listed.ID], roles[listed.ID] = listed.State, listed.Role
+	}
+	for _, known := range n.replicas.List(time.Now()) {
 		status.Replicas = append(status.Replicas, server.ReplicaView{
-			ID: replica.ID, Zone: replica.Zone, Pool: replica.Pool, State: replica.State, Role: replica.Role,
-			Version: replica.Version, Online: replica.Load.RunningOnline + replica.Load.WaitingOnline,
-			Batch: replica.Load.RunningBatch, Ejected: replica.Ejected,
+			ID: known.ID, Zone: known.Zone, Pool: known.Pool, State: reports[known.ID], Role: roles[known.ID],
+			Version: known.Version, Open: known.Open, Batch: known.Batch, Ejected: known.Ejected,
 		})
 	}
 	return status
 }
 
-// registerMetrics publishes the counters of the parts, named by the Prometheus
-// conventions.
-func (n *Node) registerMetrics(registry *prometheus.Registry) {
-	counter := func(name, help string, value func() float64) {
-		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+// ItemsCompleted returns the number of batch items that this node has completed.
+func (n *Node) ItemsCompleted() uint64 { return n.metrics.completed.Load() }
+
+// registerTraffic adds the bytes that control costs.
+func (m *coreMetrics) registerTraffic(control *traffic.Counter) {
+	m.gauge("wheelhoist_control_sent_bytes", "Bytes sent to the platform and to the engines for control.",
+		func() float64 { return float64(control.Sent()) })
+	m.gauge("wheelhoist_control_received_bytes", "Bytes received from the platform and the engines for control.",
+		func() float64 { return float64(control.Received()) })
+}
+
+// errCut is what calls fail with that the lab has cut off.
+var errCut = errors.New("cut off by the lab")
+
+// cutTransport fails calls while the node is cut off.
+type cutTransport struct {
+	http.RoundTripper
+	cut func() bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.cut() {
+		return nil, errCut
 	}
-	gauge := func(name, help string, value func() float64) {
-		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	return t.RoundTripper.RoundTrip(r)
+}
+
+// counted returns a transport whose bytes count as control traffic.
+func (n *Node) counted() http.RoundTripper {
+	dialer := &net.Dialer{Timeout: callTimeout}
+	return &http.Transport{
+		DialContext: n.control.Dial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, address)
+		}),
+		MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
+	}
+}
+
+// transport returns the transport to the table and the object store.
+func (n *Node) transport() http.RoundTripper {
+	if n.options.Cut == nil {
+		return n.counted()
 	}
-	gauge("wheelhoist_config_revision", "Configuration revision in force.",
-		func() float64 { return float64(n.store.Revision()) })
-	gauge("wheelhoist_members_live", "Nodes taken to run.",
-		func() float64 { return float64(n.liveNodes()) })
-	counter("wheelhoist_peer_sent_bytes_total", "Bytes sent to other nodes.",
-		func() float64 { return float64(n.transport.Stats().BytesSent) })
-	counter("wheelhoist_peer_received_bytes_total", "Bytes received from other nodes.",
-		func() float64 { return float64(n.transport.Stats().BytesReceived) })
-	counter("wheelhoist_control_sent_bytes_total", "Bytes sent to the platform and to the engines for control.",
-		func() float64 { return float64(n.control.Sent()) })
-	counter("wheelhoist_control_received_bytes_total", "Bytes received from the platform and from the engines for control.",
-		func() float64 { return float64(n.control.Received()) })
-	counter("wheelhoist_membership_deaths_total", "Members declared dead by this node.",
-		func() float64 { return float64(n.agent.Counters().Deaths) })
-	counter("wheelhoist_membership_suspicions_total", "Members suspected by this node.",
-		func() float64 { return float64(n.agent.Counters().Suspicions) })
-	counter("wheelhoist_batch_items_total", "Batch items answered by replicas fed from this node.",
-		func() float64 { return float64(n.runner.Counters().Items) })
-	counter("wheelhoist_batch_yielded_total", "Batch items given up to let online work pass.",
-		func() float64 { return float64(n.runner.Counters().Yielded) })
-	counter("wheelhoist_batch_commits_total", "Batch chunks committed by this node.",
-		func() float64 { return float64(n.runner.Counters().Commits) })
+	return cutTransport{RoundTripper: n.counted(), cut: n.options.Cut}
 }
--- a/internal/resource/change.go
+++ b/internal/resource/change.go
@@ -1,16 +1,15 @@
 // Package resource holds the configuration: the declared resources, their
 // revisions, and how a committed revision comes into force on every node.
 //
-// The table service holds the truth: a head row with the latest revision, one
-// row a resource and one row a revision. A write is one transaction over the
-// three, so revisions are numbered without gaps and each is one change. Nodes
-// hold a copy whose applied revision only rises.
+// The table service holds the truth: one row a resource, in a group that keeps
+// a log, so revisions are numbered without gaps and each is one change. Every
+// node follows the group; its copy's applied revision only rises, and its
+// session says which revision that is.
 package resource
 
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
@@ -29,8 +28,6 @@
 	ErrVersionMismatch = errors.New("resource version does not match")
 	// ErrTooOld reports that changes since a revision are no longer held.
 	ErrTooOld = errors.New("revision too old")
-	// ErrGap reports a change that does not follow the applied revision.
-	ErrGap = errors.New("change does not follow the applied revision")
 	// ErrStoreUnavailable reports that the table service could not carry out a
 	// write. Nothing was written.
 	ErrStoreUnavailable = errors.New("configuration store unavailable")
@@ -38,19 +35,13 @@
 	ErrUndecided = errors.New("configuration write undecided")
 )
 
-// Table partitions and the head row.
-const (
-	partitionHead      = "config-head"
-	partitionResources = "config"
-	partitionLog       = "config-log"
-	headSort           = "head"
-)
-
-var headKey = table.Key{Partition: partitionHead, Sort: headSort}
+// Group is the table group of the configuration, and its one partition.
+const Group = "config"
 
 // Change is one revision of the configuration.
 type Change struct {
-	_         struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Revision is that of the row; the row itself does not repeat it.
 	Revision  uint64
 	Operation string
 	Kind      v1.Kind
@@ -69,12 +60,10 @@
 	}
 }
 
+// resourceKey names a resource's row. The row of a deleted resource stays, so
+// that its deletion is a change like any other.
 func resourceKey(kind v1.Kind, name string) table.Key {
-	return table.Key{Partition: partitionResources, Sort: string(kind) + "/" + name}
-}
-
-func logKey(revision uint64) table.Key {
-	return table.Key{Partition: partitionLog, Sort: fmt.Sprintf("%020d", revision)}
+	return table.Key{Partition: Group, Sort: string(kind) + "/" + name}
 }
 
 func encodeChange(change Change) ([]byte, error) {
@@ -82,8 +71,10 @@
 	return body, Error.Wrap(err)
 }
 
-func decodeChange(body []byte) (Change, error) {
+// decodeChange reads a change from its row.
+func decodeChange(row table.Row) (Change, error) {
 	var change Change
-	err := cbor.Unmarshal(body, &change)
+	err := cbor.Unmarshal(row.Body, &change)
+	change.Revision = row.Version
 	return change, Error.Wrap(err)
 }
--- /dev/null
+++ b/internal/resource/publish_test.go
@@ -0,0 +1,198 @@
+package resource
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+func policyChange(name, note string) Change {
+	return Change{Operation: note, Kind: v1.KindSitePolicy, Name: name, Spec: []byte(fmt.Sprintf(`{"note":%q}`, note))}
+}
+
+// newCopy is a node's copy of the configuration.
+func newCopy(t *testing.T, shared *tabletest.Table) *Store {
+	t.Helper()
+	store := NewStore(nil)
+	watcher := table.NewWatcher(shared.Feed(Group), store.Apply)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watcher.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return store
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// seenSessions are the sessions that a publisher sees.
+type seenSessions struct {
+	mu   sync.Mutex
+	list []lease.Sighting
+}
+
+func (s *seenSessions) Refresh(context.Context) error { return nil }
+
+func (s *seenSessions) Sessions() []lease.Sighting {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]lease.Sighting(nil), s.list...)
+}
+
+func (s *seenSessions) set(id string, applied uint64, expired bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := lease.Sighting{ID: id, Body: EncodeApplied(applied), Expired: expired}
+	for i := range s.list {
+		if s.list[i].ID == id {
+			s.list[i] = next
+			return
+		}
+	}
+	s.list = append(s.list, next)
+}
+
+func TestWriter_RacingWritersOfOneResource(t *testing.T) {
+	shared := tabletest.New()
+	writer := NewWriter(shared)
+	var mu sync.Mutex
+	won := 0
+	var group sync.WaitGroup
+	for operator := range 8 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_, err := writer.Commit(t.Context(), policyChange("site", fmt.Sprint(operator)), Precondition{Set: true})
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				won++
+			case !errors.Is(err, ErrVersionMismatch):
+				t.Errorf("operator %d: %v", operator, err)
+			}
+		}()
+	}
+	group.Wait()
+	if won != 1 {
+		t.Fatalf("%d operators created the resource", won)
+	}
+}
+
+func TestWriter_DeletedResourceIsNotThere(t *testing.T) {
+	shared := tabletest.New()
+	writer := NewWriter(shared)
+	if _, err := writer.Commit(t.Context(), policyChange("site", "a"), Precondition{}); err != nil {
+		t.Fatal(err)
+	}
+	remove := Change{Kind: v1.KindSitePolicy, Name: "site", Deleted: true}
+	if _, err := writer.Commit(t.Context(), remove, Precondition{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := writer.Commit(t.Context(), remove, Precondition{}); !errors.Is(err, ErrNotFound) {
+		t.Fatalf("deleting it again: %v", err)
+	}
+	store := newCopy(t, shared)
+	eventually(t, "the copy", func() bool { return store.Revision() > 0 })
+	if _, ok := store.Snapshot().Get(v1.KindSitePolicy, "site"); ok {
+		t.Fatal("a deleted resource is in the copy")
+	}
+	// A resource that must not exist may be created after its deletion.
+	if _, err := writer.Commit(t.Context(), policyChange("site", "b"), Precondition{Set: true}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the resource made again", func() bool {
+		_, ok := store.Snapshot().Get(v1.KindSitePolicy, "site")
+		return ok
+	})
+}
+
+func TestWriter_LostAnswerIsFoundOut(t *testing.T) {
+	shared := tabletest.New()
+	faults := []tabletest.Fault{tabletest.Lost}
+	shared.CommitFault = func([]table.Write) tabletest.Fault {
+		if len(faults) == 0 {
+			return tabletest.None
+		}
+		fault := faults[0]
+		faults = faults[1:]
+		return fault
+	}
+	committed, err := NewWriter(shared).Commit(t.Context(), policyChange("site", "a"), Precondition{})
+	if err != nil || committed.Revision == 0 {
+		t.Fatalf("committed %+v, %v", committed, err)
+	}
+}
+
+func TestStore_NeverGoesBack(t *testing.T) {
+	store := NewStore(nil)
+	row := func(revision uint64, note string) table.Change {
+		body, err := encodeChange(policyChange("site", note))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return table.Change{Row: table.Row{Key: resourceKey(v1.KindSitePolicy, "site"), Version: revision, Body: body}}
+	}
+	store.Apply(table.Changes{Revision: 7, Changes: []table.Change{row(7, "new")}}, true)
+	store.Apply(table.Changes{Revision: 5, Changes: []table.Change{row(5, "old")}}, false)
+	entry, _ := store.Snapshot().Get(v1.KindSitePolicy, "site")
+	if store.Revision() != 7 || entry.Spec.(*v1.SitePolicySpec).Note != "new" {
+		t.Fatalf("revision %d, note %q", store.Revision(), entry.Spec.(*v1.SitePolicySpec).Note)
+	}
+}
+
+func TestPublisher_AcceptedOnlyWhenInForceEverywhere(t *testing.T) {
+	shared := tabletest.New()
+	sessions := &seenSessions{}
+	listed := map[string]bool{"a": true, "b": true, "cut": true}
+	publisher := &Publisher{
+		Writer: NewWriter(shared), Sessions: sessions, Listed: func(node string) bool { return listed[node] },
+	}
+	sessions.set("a#1", 0, false)
+	sessions.set("b#1", 0, false)
+	committed, status, err := publisher.Write(t.Context(), policyChange("site", "x"), Precondition{})
+	if err != nil || status.Accepted() || len(status.Laggards) != 2 {
+		t.Fatalf("status %+v, %v", status, err)
+	}
+	sessions.set("a#1", committed.Revision, false)
+	sessions.set("b#1", committed.Revision, false)
+	if status := publisher.Status(committed.Revision); !status.Accepted() {
+		t.Fatalf("status %+v", status)
+	}
+	// A node that has lost the table may still serve the older revision, until
+	// its machine is off the list.
+	sessions.set("cut#1", committed.Revision, true)
+	if status := publisher.Status(committed.Revision); status.Accepted() {
+		t.Fatal("accepted though a node may serve another revision")
+	}
+	listed["cut"] = false
+	if status := publisher.Status(committed.Revision); !status.Accepted() {
+		t.Fatalf("status %+v after its machine has left", status)
+	}
+	// A node that was started again counts by its new session alone.
+	sessions.set("b#1", 0, true)
+	sessions.set("b#2", committed.Revision, false)
+	if status := publisher.Status(committed.Revision); !status.Accepted() {
+		t.Fatalf("status %+v after a restart", status)
+	}
+}
--- a/internal/resource/status.go
+++ b/internal/resource/status.go
@@ -1,80 +1,101 @@
 package resource
 
 import (
-	"sync"
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 )
 
-// round is one write's way to the nodes. It remembers which nodes were asked
-// after the commit and did not answer.
-//
-// A node may be left out of the count only after that. Otherwise one that has
-// just been started again could have read the store before the commit, serve
-// the older revision, and be taken for stopped by this writer.
-type round struct {
-	revision uint64
-
-	mu     sync.Mutex
-	silent map[string]bool
-}
-
-func newRound(revision uint64) *round { return &round{revision: revision, silent: map[string]bool{}} }
-
-func (r *round) failed(node string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.silent[node] = true
-}
+const (
+	// acceptWait is how long a write waits for the revision to be in force on
+	// all nodes before it is answered as pending. It stays below the goal of 4 s.
+	acceptWait = 3500 * time.Millisecond
+	// acceptCheck is the time between two looks at the sessions meanwhile.
+	acceptCheck = 40 * time.Millisecond
+)
 
-func (r *round) asked(node string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.silent[node]
+// Sessions tells which nodes there are. The lease watcher implements it.
+type Sessions interface {
+	Refresh(ctx context.Context) error
+	Sessions() []lease.Sighting
 }
 
-// roundStatus counts the nodes that hold the revision of a write.
-func (p *Propagator) roundStatus(round *round) v1.Status {
-	return p.count(round.revision, round.asked)
+// Publisher brings writes into force: it commits them and waits until the
+// sessions of all nodes say that they have applied them.
+type Publisher struct {
+	Writer   *Writer
+	Sessions Sessions
+	// Listed reports whether a node's machine is on the platform's list. A node
+	// whose session has expired may still serve, cut off from the table, until
+	// its machine leaves the list; it counts as one that is behind.
+	Listed func(node string) bool
 }
 
-// Status counts the nodes that hold a revision, from what is known here.
-func (p *Propagator) Status(revision uint64) v1.Status {
-	return p.count(revision, func(string) bool { return true })
+// EncodeApplied is what a node's session says of the revision it has applied.
+func EncodeApplied(revision uint64) []byte {
+	body, err := cbor.Marshal(revision)
+	if err != nil {
+		// A number always encodes.
+		panic(err)
+	}
+	return body
 }
 
-// count decides about each node whether it holds a revision, must hold it, or
-// is left out: nodes that have stopped as planned, and a node that has fenced
-// itself. unanswered tells whether a node was asked in vain.
-func (p *Propagator) count(revision uint64, unanswered func(node string) bool) v1.Status {
-	status := v1.Status{Revision: revision, Expected: 1}
-	if p.store.Revision() >= revision {
-		status.InForce = 1
+// Status counts the nodes that have a revision in force, as of the last look at
+// the sessions.
+func (p *Publisher) Status(revision uint64) v1.Status {
+	status := v1.Status{Revision: revision}
+	seen := p.Sessions.Sessions()
+	live := map[string]bool{}
+	for _, session := range seen {
+		if !session.Expired {
+			live[session.Node()] = true
+		}
 	}
-	var silent []Node
-	for _, node := range p.peers.Nodes() {
-		switch {
-		case p.holds(node.ID, revision):
+	for _, session := range seen {
+		node := session.Node()
+		if session.Expired && (live[node] || !p.Listed(node)) {
+			continue
+		}
+		status.Expected++
+		var applied uint64
+		if !session.Expired && cbor.Unmarshal(session.Body, &applied) == nil && applied >= revision {
 			status.InForce++
-			status.Expected++
-		case node.Gone && unanswered(node.ID):
 			continue
-		default:
-			status.Expected++
-			status.Laggards = append(status.Laggards, node.ID)
-			silent = append(silent, node)
 		}
-	}
-	if fencedAlone(silent) && unanswered(silent[0].ID) {
-		status.Expected--
-		status.Laggards = nil
+		status.Laggards = append(status.Laggards, node)
 	}
 	return status
 }
 
-// fencedAlone reports whether the only node out of step is one that has been
-// silent for long enough to have fenced itself. Two silent nodes may hear each
-// other behind a network split and go on serving, so they stay counted.
-func fencedAlone(silent []Node) bool {
-	return len(silent) == 1 && silent[0].DeadFor > SelfFenceAfter
+// Refresh looks at the sessions.
+func (p *Publisher) Refresh(ctx context.Context) {
+	// Without an answer the last look stands.
+	_ = p.Sessions.Refresh(ctx)
+}
+
+// Write commits a change, waits for it to come into force and reports where it
+// is. The status is accepted or pending when the error is nil.
+func (p *Publisher) Write(ctx context.Context, change Change, precondition Precondition) (Change, v1.Status, error) {
+	committed, err := p.Writer.Commit(ctx, change, precondition)
+	if err != nil {
+		return Change{}, v1.Status{}, err
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, acceptWait)
+	defer cancel()
+	for waitCtx.Err() == nil {
+		p.Refresh(waitCtx)
+		if status := p.Status(committed.Revision); status.Accepted() {
+			return committed, status, nil
+		}
+		select {
+		case <-waitCtx.Done():
+		case <-time.After(acceptCheck):
+		}
+	}
+	return committed, p.Status(committed.Revision), nil
 }
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -1,11 +1,13 @@
 package resource
 
 import (
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
 // historyLimit is the number of changes a node keeps for watches and peers.
@@ -43,23 +45,22 @@
 // Resource returns a resource in its API form.
 func (e Entry) Resource() *v1.Resource { return e.Change.resource() }
 
-// with returns a copy that has the change applied. Only the map of the changed
-// kind is copied.
-func (s *Snapshot) with(change Change) *Snapshot {
-	next := &Snapshot{Revision: change.Revision, entries: make(map[v1.Kind]map[string]Entry, len(s.entries)+1)}
+// with returns a copy that has changes applied, at a revision.
+func (s *Snapshot) with(changes []Change, revision uint64) *Snapshot {
+	next := &Snapshot{Revision: max(s.Revision, revision), entries: make(map[v1.Kind]map[string]Entry, len(s.entries)+1)}
 	for kind, entries := range s.entries {
-		next.entries[kind] = entries
+		next.entries[kind] = maps.Clone(entries)
 	}
-	entries := make(map[string]Entry, len(s.entries[change.Kind])+1)
-	for name, entry := range s.entries[change.Kind] {
-		entries[name] = entry
-	}
-	if change.Deleted {
-		delete(entries, change.Name)
-	} else {
-		entries[change.Name] = newEntry(change)
+	for _, change := range changes {
+		if next.entries[change.Kind] == nil {
+			next.entries[change.Kind] = map[string]Entry{}
+		}
+		if change.Deleted {
+			delete(next.entries[change.Kind], change.Name)
+			continue
+		}
+		next.entries[change.Kind][change.Name] = newEntry(change)
 	}
-	next.entries[change.Kind] = entries
 	return next
 }
 
@@ -78,14 +79,14 @@
 	changes []Change
 	// changed is closed and replaced at every change.
 	changed chan struct{}
-	applied func(Change)
+	applied func(revision uint64)
 }
 
 // NewStore returns an empty copy. applied, which may be nil, is called with
-// every change that comes into force, in order.
-func NewStore(applied func(Change)) *Store {
+// every revision that comes into force, in order.
+func NewStore(applied func(revision uint64)) *Store {
 	if applied == nil {
-		applied = func(Change) {}
+		applied = func(uint64) {}
 	}
 	store := &Store{changed: make(chan struct{}), applied: applied}
 	store.snapshot.Store(&Snapshot{entries: map[v1.Kind]map[string]Entry{}})
@@ -98,47 +99,40 @@
 // Revision returns the applied revision.
 func (s *Store) Revision() uint64 { return s.Snapshot().Revision }
 
-// Apply puts the next change in force. A change already applied is ignored; a
-// change further ahead is refused with ErrGap.
-func (s *Store) Apply(change Change) error {
+// Apply takes in changes of Group, as a table.Watcher hands them on: in the
+// order of their revisions, each once. A whole read brings the newest state
+// only, so watches of the API cannot go on over it.
+func (s *Store) Apply(read table.Changes, whole bool) {
+	var changes []Change
+	for _, row := range read.Changes {
+		if change, err := decodeChange(row.Row); err == nil && !row.Removed {
+			changes = append(changes, change)
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.snapshot.Load()
-	if change.Revision <= current.Revision {
-		return nil
-	}
-	if change.Revision != current.Revision+1 {
-		return ErrGap
-	}
-	s.snapshot.Store(current.with(change))
-	s.changes = append(s.changes, change)
-	if len(s.changes) > historyLimit {
-		s.changes = append([]Change(nil), s.changes[len(s.changes)-historyLimit:]...)
+	if read.Revision <= current.Revision {
+		return
 	}
+	s.snapshot.Store(current.with(changes, read.Revision))
+	s.keep(changes, whole)
 	s.announce()
-	s.applied(change)
-	return nil
+	s.applied(read.Revision)
 }
 
-// Load replaces the copy by a full state if that is newer. Changes before it
-// are not known afterwards.
-func (s *Store) Load(revision uint64, resources []Change) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if revision <= s.snapshot.Load().Revision {
+// keep adds changes to the history, which begins anew with a whole read. The
+// caller holds mu.
+func (s *Store) keep(changes []Change, whole bool) {
+	if whole {
+		s.changes = nil
 		return
 	}
-	next := &Snapshot{Revision: revision, entries: map[v1.Kind]map[string]Entry{}}
-	for _, change := range resources {
-		if next.entries[change.Kind] == nil {
-			next.entries[change.Kind] = map[string]Entry{}
-		}
-		next.entries[change.Kind][change.Name] = newEntry(change)
+	s.changes = append(s.changes, changes...)
+	if len(s.changes) > historyLimit {
+		s.changes = append([]Change(nil), s.changes[len(s.changes)-historyLimit:]...)
 	}
-	s.snapshot.Store(next)
-	s.changes = nil
-	s.announce()
-	s.applied(Change{Revision: revision})
 }
 
 // announce wakes the watchers. The caller holds mu.
@@ -163,15 +157,3 @@
 	first := int(revision + 1 - s.changes[0].Revision)
 	return append([]Change(nil), s.changes[first:]...), applied, s.changed, nil
 }
-
-// All returns the full state as changes.
-func (s *Store) All() (uint64, []Change) {
-	snapshot := s.Snapshot()
-	var resources []Change
-	for _, kind := range v1.Kinds {
-		for _, entry := range snapshot.List(kind) {
-			resources = append(resources, entry.Change)
-		}
-	}
-	return snapshot.Revision, resources
-}
--- a/internal/resource/writer.go
+++ b/internal/resource/writer.go
@@ -4,20 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"time"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
-const (
-	// commitAttempts bounds how often a write runs anew because another write
-	// took the head revision. 16 racing operators need at most 16 rounds.
-	commitAttempts = 24
-	commitBackoff  = 10 * time.Millisecond
-)
+// commitAttempts bounds how often a write runs anew because another write to
+// the same resource came first.
+const commitAttempts = 24
 
 // Precondition says which version of the resource a write expects.
 type Precondition struct {
@@ -38,51 +33,40 @@
 // NewWriter returns a writer.
 func NewWriter(service table.Service) *Writer { return &Writer{service: service} }
 
-// Commit writes a change under the operation id and returns it with its
-// revision. The errors are ErrVersionMismatch, ErrNotFound,
-// ErrStoreUnavailable and ErrUndecided.
+// Commit writes a change and returns it with its revision. The errors are
+// ErrVersionMismatch, ErrNotFound, ErrStoreUnavailable and ErrUndecided.
 func (w *Writer) Commit(ctx context.Context, change Change, precondition Precondition) (Change, error) {
-	for attempt := range commitAttempts {
-		committed, err := w.try(ctx, change, precondition, attempt)
+	for range commitAttempts {
+		committed, err := w.try(ctx, change, precondition)
 		if !errors.Is(err, table.ErrConflict) {
 			return committed, err
 		}
-		delay := commitBackoff + time.Duration(rand.Int64N(int64(commitBackoff)*int64(attempt+1)))
-		select {
-		case <-ctx.Done():
-			return Change{}, Error.Wrap(fmt.Errorf("%w: %w", ErrStoreUnavailable, ctx.Err()))
-		case <-time.After(delay):
-		}
 	}
 	return Change{}, Error.Wrap(fmt.Errorf("%w: too many competing writes", ErrStoreUnavailable))
 }
 
-func (w *Writer) try(ctx context.Context, change Change, precondition Precondition, attempt int) (Change, error) {
-	head, err := w.version(ctx, headKey)
-	if err != nil {
-		return Change{}, err
-	}
+func (w *Writer) try(ctx context.Context, change Change, precondition Precondition) (Change, error) {
 	key := resourceKey(change.Kind, change.Name)
-	current, err := w.version(ctx, key)
+	row, version, err := w.current(ctx, key)
 	if err != nil {
 		return Change{}, err
 	}
-	if !precondition.holds(current) {
-		return Change{}, Error.Wrap(fmt.Errorf("%w: it is %d", ErrVersionMismatch, current))
+	if !precondition.holds(version) {
+		return Change{}, Error.Wrap(fmt.Errorf("%w: it is %d", ErrVersionMismatch, version))
 	}
-	if change.Deleted && current == table.Absent {
+	if change.Deleted && version == table.Absent {
 		return Change{}, Error.Wrap(ErrNotFound)
 	}
-	change.Revision = head + 1
-	writes, err := transaction(change, head, current)
+	body, err := encodeChange(change)
 	if err != nil {
 		return Change{}, err
 	}
-	// Each attempt is an operation of its own: it carries another revision.
-	operation := fmt.Sprintf("%s.%d", change.Operation, attempt)
-	err = table.CommitSettled(ctx, w.service, operation, writes...)
+	// Each attempt is an operation of its own, for it expects another version.
+	operation := table.NewOperation()
+	written, err := table.CommitRow(ctx, w.service, operation, table.Write{Key: key, Expect: row.Version, Body: body})
 	switch {
 	case err == nil:
+		change.Revision = written
 		return change, nil
 	case errors.Is(err, table.ErrConflict) && outcome.Of(err) == outcome.NotDone:
 		return Change{}, err
@@ -94,87 +78,24 @@
 	}
 }
 
-// version reads a row's version; a missing row has table.Absent.
-func (w *Writer) version(ctx context.Context, key table.Key) (uint64, error) {
+// current reads a resource's row and the version that callers know: one that
+// was deleted is not there for them.
+func (w *Writer) current(ctx context.Context, key table.Key) (table.Row, uint64, error) {
 	row, err := w.service.Get(ctx, key)
 	if errors.Is(err, table.ErrNotFound) {
-		return table.Absent, nil
+		return table.Row{}, table.Absent, nil
 	}
 	if err != nil {
-		return 0, Error.Wrap(fmt.Errorf("%w: %w", ErrStoreUnavailable, err))
+		return row, 0, Error.Wrap(fmt.Errorf("%w: %w", ErrStoreUnavailable, err))
 	}
-	return row.Version, nil
-}
-
-// transaction builds the writes of a change. The log row comes first: it is
-// never overwritten, so reading it back decides an unknown outcome.
-func transaction(change Change, head, current uint64) ([]table.Write, error) {
-	body, err := encodeChange(change)
+	change, err := decodeChange(row)
 	if err != nil {
-		return nil, err
-	}
-	resourceWrite := table.Write{
-		Key: resourceKey(change.Kind, change.Name), Kind: table.Put,
-		Expect: current, Next: change.Revision, Body: body,
+		return row, 0, err
 	}
 	if change.Deleted {
-		resourceWrite.Kind = table.Delete
-	}
-	return []table.Write{
-		{Key: logKey(change.Revision), Kind: table.Put, Expect: table.Absent, Next: change.Revision, Body: body},
-		{Key: headKey, Kind: table.Put, Expect: head, Next: change.Revision},
-		resourceWrite,
-	}, nil
-}
-
-// readHead returns the latest committed revision.
-func (w *Writer) readHead(ctx context.Context) (uint64, error) { return w.version(ctx, headKey) }
-
-// readLog returns committed changes after a revision, in order.
-func (w *Writer) readLog(ctx context.Context, after uint64, limit int) ([]Change, error) {
-	rows, err := w.service.List(ctx, partitionLog, logKey(after).Sort, limit)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	changes := make([]Change, 0, len(rows))
-	for _, row := range rows {
-		change, err := decodeChange(row.Body)
-		if err != nil {
-			return nil, err
-		}
-		changes = append(changes, change)
-	}
-	return changes, nil
-}
-
-// readAll returns the whole configuration at one revision.
-func (w *Writer) readAll(ctx context.Context) (uint64, []Change, error) {
-	for {
-		before, err := w.readHead(ctx)
-		if err != nil {
-			return 0, nil, err
-		}
-		rows, err := table.ListAll(ctx, w.service, partitionResources)
-		if err != nil {
-			return 0, nil, Error.Wrap(err)
-		}
-		after, err := w.readHead(ctx)
-		if err != nil {
-			return 0, nil, err
-		}
-		if before != after {
-			continue
-		}
-		resources := make([]Change, 0, len(rows))
-		for _, row := range rows {
-			change, err := decodeChange(row.Body)
-			if err != nil {
-				return 0, nil, err
-			}
-			resources = append(resources, change)
-		}
-		return after, resources, nil
+		return row, table.Absent, nil
 	}
+	return row, row.Version, nil
 }
 
 // NewChange builds the change that puts a checked resource.
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -13,13 +13,12 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
-	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/admission"
-	"github.com/wheelhoist/wheelhoist/internal/dispatch"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
-	"github.com/wheelhoist/wheelhoist/internal/routing"
+	"github.com/wheelhoist/wheelhoist/internal/route"
 )
 
 const (
@@ -29,8 +28,6 @@
 	fencedRetryAfter = time.Second
 	// overloadRetryAfter is what a caller waits when no replica can take it.
 	overloadRetryAfter = time.Second
-	// defaultQueueTimeout is the predicted wait from which requests are shed.
-	defaultQueueTimeout = 2 * time.Second
 	// assumedTokens is charged to a token rate when a request names no limit.
 	assumedTokens = 64
 )
@@ -46,7 +43,7 @@
 		refuseBody(ctx, err)
 		return
 	}
-	if ctx.GetHeader(engine.HeaderLastEventID) != "" && ctx.GetHeader(HeaderAttempt) != "" {
+	if ctx.GetHeader(engine.HeaderLastEventID) != "" && ctx.GetHeader(engine.HeaderAttempt) != "" {
 		s.reconnect(ctx)
 		return
 	}
@@ -67,7 +64,13 @@
 	defer ticket.Release()
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	s.answer(ctx, newRequest(ctx, body, &parsed), parsed.Stream)
+	routes := s.options.Routes()
+	target := routes.Match(parsed.Model, ctx.Path())
+	if target == nil {
+		refuse(ctx, iris.StatusNotFound, openai.TypeNotFound, "the model is not served here", 0)
+		return
+	}
+	s.answer(ctx, target, newRequest(ctx, body, &parsed), parsed.Stream)
 }
 
 func refuseBody(ctx iris.Context, err error) {
@@ -103,29 +106,45 @@
 	refuse(ctx, status, kind, err.Error(), refusal.RetryAfter)
 }
 
-func newRequest(ctx iris.Context, body []byte, parsed *openai.CompletionRequest) *dispatch.Request {
+func newRequest(ctx iris.Context, body []byte, parsed *openai.CompletionRequest) *forward.Request {
 	id := ctx.GetHeader(engine.HeaderRequestID)
 	if id == "" || len(id) > 100 || strings.ContainsAny(id, "~@/ ") {
 		id = uuid.NewString()
 	}
-	model, adapter, _ := strings.Cut(parsed.Model, ":")
-	prompt := parsed.PromptText()
-	return &dispatch.Request{
-		ID: id, Path: ctx.Path(), Body: engine.Encode(body, engine.PriorityOnline, true),
-		Repeatable: ctx.GetHeader(HeaderRepeatable) != "no",
-		Route: routing.Request{
-			Model: model, Adapter: adapter,
-			Blocks: engine.PrefixBlocks(prompt), Words: len(strings.Fields(prompt)),
-		},
+	return &forward.Request{
+		ID: id, Method: http.MethodPost, Target: ctx.Path(), Host: parsed.Model, Body: body,
+		Header: http.Header{}, Received: time.Now(), Prompt: promptOf(parsed),
+		Once: ctx.GetHeader(HeaderRepeatable) == "no",
+	}
+}
+
+// promptOf describes a prompt by the parts that others may share: its blocks up
+// to sharedBlocks, and the rest.
+func promptOf(parsed *openai.CompletionRequest) route.Prompt {
+	text := parsed.PromptText()
+	words := len(strings.Fields(text))
+	prompt := route.Prompt{Model: parsed.Model, Tokens: words, MaxOutput: parsed.Limit()}
+	blocks := engine.PrefixBlocks(text)
+	if len(blocks) == 0 {
+		return prompt
 	}
+	shared := min(len(blocks), sharedBlocks)
+	tokens := shared * engine.PrefixBlockWords
+	prompt.Parts = []route.Part{{Key: blocks[shared-1], Tokens: tokens}, {Tokens: words - tokens}}
+	return prompt
 }
 
+// sharedBlocks is the number of leading blocks by which prompts that share a
+// prefix meet at a replica: long enough to tell system prompts apart, short
+// enough that the questions after them do not.
+const sharedBlocks = 4
+
 // answer runs a request, through a claim if it may run only once and has a key.
-func (s *Server) answer(ctx iris.Context, request *dispatch.Request, stream bool) {
+func (s *Server) answer(ctx iris.Context, target *route.Route, request *forward.Request, stream bool) {
 	ctx.Header(engine.HeaderRequestID, request.ID)
 	key := ctx.GetHeader(HeaderIdempotencyKey)
-	if request.Repeatable || key == "" {
-		s.run(ctx, request, stream)
+	if !request.Once || key == "" {
+		s.run(ctx, target, request, stream)
 		return
 	}
 	who := caller(ctx)
@@ -139,7 +158,7 @@
 		_, _ = ctx.Write(claim.Body)
 		return
 	}
-	recording, err := s.run(ctx, request, stream)
+	recording, err := s.run(ctx, target, request, stream)
 	s.settle(claim, recording, err)
 }
 
@@ -148,6 +167,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 	defer cancel()
 	switch {
+	case err == nil && recording.refused:
+		err = s.options.Claims.Release(ctx, claim)
 	case err == nil:
 		err = s.options.Claims.Answer(ctx, claim, recording.contentType, recording.body())
 	case outcome.Of(err) == outcome.NotDone:
@@ -174,22 +195,19 @@
 	}
 }
 
-// run dispatches a request and writes its answer or its error.
-func (s *Server) run(ctx iris.Context, request *dispatch.Request, stream bool) (*recording, error) {
-	if err := s.shed(ctx, request); err != nil {
+// run forwards a request and writes its answer or its error.
+func (s *Server) run(ctx iris.Context, target *route.Route, request *forward.Request, stream bool) (*recording, error) {
+	if err := s.shed(ctx, target, request); err != nil {
 		s.refuseAdmission(ctx, err)
 		return nil, outcome.Failed(err)
 	}
-	keep := !request.Repeatable
-	var sink answerSink = &wholeSink{ctx: ctx, path: request.Path}
+	var sink answerSink = &wholeSink{ctx: ctx, path: request.Target}
 	if stream {
-		sink = &streamSink{ctx: ctx, keep: keep}
+		sink = &streamSink{ctx: ctx, keep: request.Once}
 	}
-	started := time.Now()
-	result, err := s.options.Dispatcher.Do(ctx.Request().Context(), request, sink)
-	s.metrics.observe(result, err, time.Since(started))
+	result, err := s.options.Forward(ctx.Request().Context(), target, request, sink)
+	s.metrics.observe(result, err, time.Since(request.Received))
 	if err != nil {
-		s.options.Log.Debug().Err(err).Str("request", request.ID).Msg("request failed")
 		sink.fail(err)
 		return nil, err
 	}
@@ -197,29 +215,20 @@
 }
 
 // shed refuses a request that no replica is predicted to begin in time.
-func (s *Server) shed(ctx iris.Context, request *dispatch.Request) error {
+func (s *Server) shed(ctx iris.Context, target *route.Route, request *forward.Request) error {
 	now := time.Now()
-	decision, err := s.options.Dispatcher.Router.Pick(s.options.Registry.Snapshot(now), &request.Route)
+	predicted, err := s.options.Predict(target, request, now)
 	if err != nil {
-		// The dispatcher answers this with its own error.
+		// The forwarder waits for a replica, and answers with its own error.
 		return nil
 	}
-	return s.options.Admission.Overloaded(caller(ctx).name, decision.Predicted, s.queueTimeout(), now)
-}
-
-func (s *Server) queueTimeout() time.Duration {
-	for _, entry := range s.options.Store.Snapshot().List(v1.KindSitePolicy) {
-		if spec, ok := entry.Spec.(*v1.SitePolicySpec); ok && spec.QueueTimeout > 0 {
-			return time.Duration(spec.QueueTimeout)
-		}
-	}
-	return defaultQueueTimeout
+	return s.options.Admission.Overloaded(caller(ctx).name, predicted, target.MaxWait, now)
 }
 
 // reconnect continues an answer whose caller lost its node. The attempt is
 // named by the header that began the answer.
 func (s *Server) reconnect(ctx iris.Context) {
-	attempt, replicaID, _ := strings.Cut(ctx.GetHeader(HeaderAttempt), "@")
+	attempt, replicaID, _ := strings.Cut(ctx.GetHeader(engine.HeaderAttempt), "@")
 	after, err := strconv.Atoi(ctx.GetHeader(engine.HeaderLastEventID))
 	if err != nil || after < 0 {
 		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "Last-Event-ID must be a number", 0)
@@ -241,24 +250,22 @@
 	s.open.Add(1)
 	defer s.open.Add(-1)
 	sink := &streamSink{ctx: ctx}
+	if sink.Head(http.StatusOK, http.Header{"Content-Type": {eventStream}}) != nil {
+		return
+	}
 	for {
 		event, err := stream.Next()
 		if err != nil {
 			sink.fail(outcome.Undecided(err))
 			return
 		}
-		if sink.Event(event) != nil || event.Done {
+		if sink.Write(event.Raw, false) != nil || event.Done {
 			return
 		}
 	}
 }
 
-func (s *Server) addressOf(replica string) string {
-	machines, _ := s.options.Registry.Replicas()
-	for _, machine := range machines {
-		if machine.ID == replica {
-			return machine.Address
-		}
-	}
-	return ""
+func (s *Server) addressOf(id string) string {
+	known, _ := s.options.Replicas.Get(id)
+	return known.Address
 }
--- a/internal/server/resources.go
+++ b/internal/server/resources.go
@@ -34,7 +34,7 @@
 // current reports whether this node's view may be shown; a node that is out of
 // step would show a past that others have left behind.
 func (s *Server) current(ctx iris.Context) bool {
-	if s.options.Fence.Open(time.Now()) {
+	if s.options.Current() {
 		return true
 	}
 	refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, "this node is out of step", fencedRetryAfter)
@@ -91,7 +91,7 @@
 	found := entry.Resource()
 	status := s.options.Resources.Status(entry.Change.Revision)
 	if !status.Accepted() {
-		s.options.Resources.Refresh(ctx.Request().Context(), entry.Change.Revision)
+		s.options.Resources.Refresh(ctx.Request().Context())
 		status = s.options.Resources.Status(entry.Change.Revision)
 	}
 	found.Status = &status
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,14 +17,16 @@
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/admission"
 	"github.com/wheelhoist/wheelhoist/internal/batch"
-	"github.com/wheelhoist/wheelhoist/internal/dispatch"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
-	"github.com/wheelhoist/wheelhoist/internal/fleet"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/resource"
+	"github.com/wheelhoist/wheelhoist/internal/route"
 )
 
-// HTTP headers towards callers.
+// HTTP headers towards callers. A failed request tells by HeaderExecuted
+// whether it ran, and a begun answer by engine.HeaderAttempt how to go on with it.
 const (
 	// HeaderExecuted tells of a failed request whether it ran: yes, no or unknown.
 	HeaderExecuted = "X-Wheelhoist-Executed"
@@ -32,8 +34,6 @@
 	HeaderRepeatable = "X-Wheelhoist-Repeatable"
 	// HeaderIdempotencyKey names a request over all its sendings.
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderAttempt names the attempt that answers, as attempt@replica.
-	HeaderAttempt = "X-Wheelhoist-Attempt"
 	// HeaderNode names the node that answered.
 	HeaderNode = "X-Wheelhoist-Node"
 )
@@ -42,29 +42,36 @@
 type Resources interface {
 	Write(ctx context.Context, change resource.Change, precondition resource.Precondition) (resource.Change, v1.Status, error)
 	Status(revision uint64) v1.Status
-	Refresh(ctx context.Context, revision uint64)
+	Refresh(ctx context.Context)
 }
 
 // NodeStatus describes a node and what it sees of the others.
 type NodeStatus struct {
-	Node     string         `json:"node"`
-	Zone     string         `json:"zone"`
-	Revision uint64         `json:"revision"`
-	Serving  bool           `json:"serving"`
-	Draining bool           `json:"draining"`
-	Open     int64          `json:"openRequests"`
-	CutZones []string       `json:"cutZones,omitempty"`
-	Members  []MemberStatus `json:"members"`
-	Replicas []ReplicaView  `json:"replicas"`
-	Batch    batch.Counters `json:"batch"`
+	Node     string `json:"node"`
+	Zone     string `json:"zone"`
+	Revision uint64 `json:"revision"`
+	Serving  bool   `json:"serving"`
+	Draining bool   `json:"draining"`
+	Open     int64  `json:"openRequests"`
+	// ConfigAge is the time, in seconds, since the table last answered about
+	// the configuration.
+	ConfigAge float64        `json:"configAgeSeconds"`
+	Members   []MemberStatus `json:"members"`
+	Replicas  []ReplicaView  `json:"replicas"`
 }
 
+// States of a member.
+const (
+	// MemberAlive members renew their session.
+	MemberAlive = "alive"
+	// MemberExpired members have not renewed it for its time to live.
+	MemberExpired = "expired"
+)
+
 // MemberStatus is a member as this node sees it.
 type MemberStatus struct {
-	ID          string `json:"id"`
-	Zone        string `json:"zone"`
-	Status      string `json:"status"`
-	Incarnation uint64 `json:"incarnation"`
+	ID     string `json:"id"`
+	Status string `json:"status"`
 }
 
 // ReplicaView is a replica as this node sees it.
@@ -75,26 +82,33 @@
 	State   engine.State `json:"state"`
 	Role    engine.Role  `json:"role"`
 	Version string       `json:"version"`
-	Online  int          `json:"online"`
-	Batch   int          `json:"batch"`
-	Ejected bool         `json:"ejected,omitempty"`
+	// Open and Batch count what this node has open there, and the items among it.
+	Open    int  `json:"open"`
+	Batch   int  `json:"batch"`
+	Ejected bool `json:"ejected,omitempty"`
 }
 
 // Options are the parts that the handlers use.
 type Options struct {
-	NodeID     string
-	Log        zerolog.Logger
-	Store      *resource.Store
-	Fence      *resource.Fence
-	Resources  Resources
-	Registry   *fleet.Registry
-	Dispatcher *dispatch.Dispatcher
-	Engines    dispatch.Engines
-	Admission  *admission.Controller
-	Claims     *idempotency.Store
-	Batch      *batch.Service
-	Status     func() NodeStatus
-	Metrics    *prometheus.Registry
+	NodeID    string
+	Log       zerolog.Logger
+	Store     *resource.Store
+	Resources Resources
+	// Current reports whether the view of the configuration is the present one.
+	Current func() bool
+	// Serving reports whether requests can be decided about.
+	Serving func() bool
+	Routes  func() *route.Table
+	Forward func(context.Context, *route.Route, *forward.Request, forward.Sink) (forward.Result, error)
+	// Predict estimates the time to the first event of a request.
+	Predict   func(*route.Route, *forward.Request, time.Time) (time.Duration, error)
+	Replicas  *replica.Set
+	Engines   engine.Engines
+	Admission *admission.Controller
+	Claims    *idempotency.Store
+	Batch     *batch.Service
+	Status    func() NodeStatus
+	Metrics   *prometheus.Registry
 	// OperatorKeySHA256 is the hash of the operators' key.
 	OperatorKeySHA256 string
 	MaxStreams        int
@@ -178,7 +192,7 @@
 
 // serving reports whether new work may be admitted.
 func (s *Server) serving() bool {
-	return !s.draining.Load() && s.options.Fence.Open(time.Now())
+	return !s.draining.Load() && s.options.Serving()
 }
 
 func (s *Server) ready(ctx iris.Context) {
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -4,28 +4,32 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"strings"
 
 	"github.com/kataras/iris/v12"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
-	"github.com/wheelhoist/wheelhoist/internal/dispatch"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
-	"github.com/wheelhoist/wheelhoist/internal/routing"
+	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
 // recording is an answer kept for later sendings of the same request.
 type recording struct {
 	contentType string
-	buffer      bytes.Buffer
+	// refused answers are refusals that no replica would decide otherwise; the
+	// request did not run.
+	refused bool
+	buffer  bytes.Buffer
 }
 
 func (r *recording) body() []byte { return r.buffer.Bytes() }
 
 // answerSink writes an answer to the caller in one of its forms.
 type answerSink interface {
-	dispatch.Sink
+	forward.Sink
 	// fail writes an error, as far as the answer's form still allows.
 	fail(error)
 	// finish ends the answer and returns it if it was kept.
@@ -34,6 +38,15 @@
 
 const eventStream = "text/event-stream"
 
+// passHeader passes on the headers of an answer.
+func passHeader(ctx iris.Context, header http.Header) {
+	for name, values := range header {
+		for _, value := range values {
+			ctx.Header(name, value)
+		}
+	}
+}
+
 // streamSink passes events on as they come.
 type streamSink struct {
 	ctx     iris.Context
@@ -42,33 +55,36 @@
 	kept    recording
 }
 
-// Begin implements dispatch.Sink.
-func (s *streamSink) Begin(attempt, replica string) {
-	if !s.started {
-		s.ctx.Header(HeaderAttempt, attempt+"@"+replica)
+// Head implements forward.Sink.
+func (s *streamSink) Head(status int, header http.Header) error {
+	s.started = true
+	s.kept.contentType = header.Get("Content-Type")
+	passHeader(s.ctx, header)
+	if status != http.StatusOK {
+		s.kept.refused = true
+		s.ctx.Header(HeaderExecuted, outcome.NotDone.String())
 	}
+	s.ctx.StatusCode(status)
+	return nil
 }
 
-// Event implements dispatch.Sink.
-func (s *streamSink) Event(event engine.Event) error {
-	if !s.started {
-		s.started = true
-		s.ctx.ContentType(eventStream)
-		s.ctx.Header("Cache-Control", "no-store")
-	}
+// Write implements forward.Sink.
+func (s *streamSink) Write(piece []byte, more bool) error {
 	if s.keep {
-		s.kept.buffer.Write(event.Raw)
+		s.kept.buffer.Write(piece)
 	}
-	if _, err := s.ctx.ResponseWriter().Write(event.Raw); err != nil {
+	if _, err := s.ctx.ResponseWriter().Write(piece); err != nil {
 		return err
 	}
-	s.ctx.ResponseWriter().Flush()
+	if !more {
+		s.ctx.ResponseWriter().Flush()
+	}
 	return s.ctx.Request().Context().Err()
 }
 
 func (s *streamSink) fail(err error) {
 	if !s.started {
-		failDispatch(s.ctx, err)
+		failForward(s.ctx, err)
 		return
 	}
 	// The status is sent already; an error event without the closing marker
@@ -82,61 +98,74 @@
 	s.ctx.ResponseWriter().Flush()
 }
 
-func (s *streamSink) finish() *recording {
-	s.kept.contentType = eventStream
-	return &s.kept
-}
+func (s *streamSink) finish() *recording { return &s.kept }
 
 // wholeSink collects an answer and writes it in one piece.
 type wholeSink struct {
-	ctx  iris.Context
-	path string
-	text strings.Builder
-	last openai.Completion
+	ctx    iris.Context
+	path   string
+	status int
+	header http.Header
+	events bytes.Buffer
 }
 
-// Begin implements dispatch.Sink. A replay after a broken attempt goes on
-// where that one ended, so nothing is reset.
-func (s *wholeSink) Begin(string, string) {}
+// Head implements forward.Sink.
+func (s *wholeSink) Head(status int, header http.Header) error {
+	s.status, s.header = status, header
+	return nil
+}
 
-// Event implements dispatch.Sink.
-func (s *wholeSink) Event(event engine.Event) error {
-	if event.Done {
-		return nil
-	}
-	var chunk openai.Completion
-	if err := json.Unmarshal(event.Data, &chunk); err != nil {
-		return err
-	}
-	s.text.WriteString(chunk.Text())
-	s.last = chunk
+// Write implements forward.Sink.
+func (s *wholeSink) Write(piece []byte, _ bool) error {
+	s.events.Write(piece)
 	return s.ctx.Request().Context().Err()
 }
 
-func (s *wholeSink) fail(err error) { failDispatch(s.ctx, err) }
+func (s *wholeSink) fail(err error) { failForward(s.ctx, err) }
 
 func (s *wholeSink) finish() *recording {
-	answer := openai.WholeAnswer(s.last, s.text.String(), s.path)
 	kept := &recording{contentType: "application/json"}
-	_ = json.NewEncoder(&kept.buffer).Encode(answer)
+	if s.status != http.StatusOK {
+		s.ctx.Header(HeaderExecuted, outcome.NotDone.String())
+		s.ctx.StatusCode(s.status)
+		kept.refused = true
+		kept.buffer = s.events
+	} else {
+		passHeader(s.ctx, http.Header{engine.HeaderAttempt: s.header[engine.HeaderAttempt]})
+		answer := s.join()
+		_ = json.NewEncoder(&kept.buffer).Encode(answer)
+	}
 	s.ctx.ContentType(kept.contentType)
 	_, _ = s.ctx.Write(kept.body())
 	return kept
 }
 
-// failDispatch answers a request that could not be completed.
-func failDispatch(ctx iris.Context, err error) {
-	var refused *engine.RefusedError
+// join makes one answer of the chunks of a stream.
+func (s *wholeSink) join() openai.Completion {
+	var text strings.Builder
+	var last openai.Completion
+	reader := sse.NewReader(&s.events)
+	for {
+		event, err := reader.Next()
+		var chunk openai.Completion
+		if err != nil || json.Unmarshal(event.Data, &chunk) != nil {
+			// The forwarder has passed on whole events only; what is no chunk is
+			// the marker at the end.
+			return openai.WholeAnswer(last, text.String(), s.path)
+		}
+		text.WriteString(chunk.Text())
+		last = chunk
+	}
+}
+
+// failForward answers a request that could not be completed.
+func failForward(ctx iris.Context, err error) {
 	switch {
-	case errors.Is(err, dispatch.ErrCallerLeft):
+	case errors.Is(err, forward.ErrCallerLeft):
 		return
-	case errors.Is(err, routing.ErrNoModel):
-		refuse(ctx, iris.StatusNotFound, openai.TypeNotFound, "the model is not served here", 0)
 	case outcome.Of(err) != outcome.NotDone:
 		ctx.Header(HeaderExecuted, outcome.Unknown.String())
 		fail(ctx, iris.StatusBadGateway, openai.TypeServer, err.Error())
-	case errors.As(err, &refused) && !refused.Temporary():
-		refuse(ctx, refused.Status, openai.TypeInvalidRequest, refused.Message, 0)
 	default:
 		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, err.Error(), overloadRetryAfter)
 	}
