--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,6 @@
 package settings
 
 import (
-	"encoding/hex"
 	"errors"
 	"net"
 	"net/url"
@@ -24,7 +23,6 @@
 	Gateway  Gateway  `json:"gateway,omitempty"`
 	TLS      TLS      `json:"tls,omitempty"`
 	Log      Log      `json:"log,omitempty"`
-	Lab      Lab      `json:"lab,omitempty"`
 }
 
 // Node says who this node is and where it listens.
@@ -34,12 +32,6 @@
 	Region string `json:"region,omitempty"`
 	// Listen is host:port for callers and operators.
 	Listen string `json:"listen"`
-	// PeerListen is host:port, TCP and UDP, for other nodes.
-	PeerListen string `json:"peerListen"`
-	// PeerAdvertise is the host:port told to other nodes; default PeerListen.
-	PeerAdvertise string `json:"peerAdvertise,omitempty"`
-	// Seeds are peer addresses to join through, beside the machine list.
-	Seeds []string `json:"seeds,omitempty"`
 	// MaxStreams bounds the online requests open at this node; default 2000.
 	MaxStreams int `json:"maxStreams,omitempty"`
 }
@@ -82,13 +74,8 @@
 
 // TLS names PEM files. They are read again when they change.
 type TLS struct {
-	// Peer secures the traffic between nodes, both sides with certificates.
-	Peer TLSFiles `json:"peer,omitempty"`
 	// Serve secures the port for callers and operators.
 	Serve TLSFiles `json:"serve,omitempty"`
-	// DatagramKey, 32 bytes in hex and the same on all nodes, authenticates the
-	// datagrams between nodes. It must be set together with Peer.
-	DatagramKey string `json:"datagramKey,omitempty"`
 }
 
 // TLSFiles names a certificate, its key and the authority to trust.
@@ -107,14 +94,6 @@
 	Level string `json:"level,omitempty"`
 }
 
-// Lab holds switches for measurements; production leaves them unset.
-type Lab struct {
-	// RoutingPolicy chooses a baseline routing policy.
-	RoutingPolicy string `json:"routingPolicy,omitempty"`
-	// EqualPriority sends batch items with the priority of online requests.
-	EqualPriority bool `json:"equalPriority,omitempty"`
-}
-
 // Defaults.
 const (
 	DefaultRegion     = "local"
@@ -131,7 +110,6 @@
 	fill(&s.Platform.Table.Region, DefaultRegion)
 	fill(&s.Platform.Objects.Region, DefaultRegion)
 	fill(&s.Log.Level, DefaultLogLevel)
-	fill(&s.Node.PeerAdvertise, s.Node.PeerListen)
 	if s.Node.MaxStreams == 0 {
 		s.Node.MaxStreams = DefaultMaxStreams
 	}
@@ -165,22 +143,16 @@
 func (s *Settings) validateServing(found *findings.List) {
 	requiredFinding(found, "platform.table.table", s.Platform.Table.Table)
 	requiredFinding(found, "platform.objects.bucket", s.Platform.Objects.Bucket)
-	addressFinding(found, "node.peerListen", s.Node.PeerListen)
 	urlFinding(found, "platform.table.endpoint", s.Platform.Table.Endpoint)
 	urlFinding(found, "platform.objects.endpoint", s.Platform.Objects.Endpoint)
 	urlFinding(found, "platform.machines.url", s.Platform.Machines.URL)
-	for _, seed := range s.Node.Seeds {
-		addressFinding(found, "node.seeds", seed)
-	}
 	if len(s.Operator.KeySHA256) != len(v1.HashKey("")) {
 		found.Add("operator.keySHA256", "must be 64 hex digits")
 	}
 	if s.Node.MaxStreams < 0 {
 		found.Add("node.maxStreams", "must not be negative")
 	}
-	tlsFindings(found, "tls.peer", s.TLS.Peer, true)
-	tlsFindings(found, "tls.serve", s.TLS.Serve, false)
-	datagramKeyFinding(found, s.TLS)
+	tlsFindings(found, "tls.serve", s.TLS.Serve)
 }
 
 func requiredFinding(found *findings.List, path, value string) {
@@ -215,16 +187,13 @@
 	}
 }
 
-func tlsFindings(found *findings.List, path string, files TLSFiles, mutual bool) {
+func tlsFindings(found *findings.List, path string, files TLSFiles) {
 	if !files.Set() {
 		return
 	}
 	if files.Certificate == "" || files.Key == "" {
 		found.Add(path, "certificate and key must both be set")
 	}
-	if mutual && files.Authority == "" {
-		found.Add(path+".authority", "must be set, peers are verified against it")
-	}
 	for _, file := range []string{files.Certificate, files.Key, files.Authority} {
 		if file == "" {
 			continue
@@ -235,16 +204,6 @@
 	}
 }
 
-func datagramKeyFinding(found *findings.List, files TLS) {
-	const keyBytes = 32
-	key, err := hex.DecodeString(files.DatagramKey)
-	switch {
-	case files.DatagramKey == "" && !files.Peer.Set():
-	case err != nil || len(key) != keyBytes:
-		found.Add("tls.datagramKey", "must be 64 hex digits when tls.peer is set")
-	}
-}
-
 // Load reads a settings file and reports all findings with their place. An
 // empty path yields empty settings. Overrides are applied before the check.
 func Load(path string, overrides func(*Settings)) (*Settings, error) {
