Replicas tell how fast they read, and items leave the fastest to online requests

The choice of a replica assumed 50,000 tokens a second for all, right for the users' platform, while the emulated generations read 18,000 and 7,000; and items filled all replicas alike.

Now the observer lists the reading rate that engines report, the choice uses it, and items leave the fastest replicas that hold the headroom's share of the slots.

--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -34,9 +34,9 @@
 
 // BatchPolicy says how a pool's replicas take batch work.
 type BatchPolicy struct {
-	// Headroom is the share of sequence slots kept free of batch work, 0 to 1;
-	// 0 means a tenth. Engines run online requests first; the headroom keeps the
-	// engines' steps short for them.
+	// Headroom is the share of the pool's sequence slots, those of its fastest
+	// replicas, that is kept free of batch work, 0 to 1; 0 means 0.35. Engines run
+	// online requests first everywhere; the headroom keeps steps short for them.
 	Headroom float64 `json:"headroom,omitempty"`
 }
 
--- a/internal/inventory/entry.go
+++ b/internal/inventory/entry.go
@@ -41,6 +41,8 @@
 	Adapters []string     `cbor:"9,keyasint,omitempty"`
 	Fence    uint64       `cbor:"10,keyasint,omitempty"`
 	Slots    int          `cbor:"11,keyasint,omitempty"`
+	// ReadingRate is how fast the engine reads prompts, in tokens a second.
+	ReadingRate float64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Reported reports whether the engine has ever answered.
@@ -55,13 +57,15 @@
 func (e *Entry) sameScalars(other *Entry) bool {
 	return e.Address == other.Address && e.Zone == other.Zone && e.Pool == other.Pool &&
 		e.Generation == other.Generation && e.Machine == other.Machine && e.State == other.State &&
-		e.Role == other.Role && e.Version == other.Version && e.Fence == other.Fence && e.Slots == other.Slots
+		e.Role == other.Role && e.Version == other.Version && e.Fence == other.Fence && e.Slots == other.Slots &&
+		e.ReadingRate == other.ReadingRate
 }
 
 // report takes in what an engine says of itself.
 func (e *Entry) report(load *engine.Load) {
 	e.State, e.Role, e.Version = load.State, load.Role, load.Version
 	e.Adapters, e.Fence, e.Slots = load.Adapters, load.Fence, load.MaxSequences
+	e.ReadingRate = load.PrefillPerSec
 }
 
 // Info returns the entry as the choice of a replica sees it.
@@ -69,7 +73,7 @@
 	return replica.Info{
 		ID: id, Pool: e.Pool, Address: e.Address, Zone: e.Zone, Slots: e.Slots,
 		Leaving: e.Machine == machines.Leaving || e.State != engine.StateReady,
-		Version: e.Version, Adapters: e.Adapters,
+		Version: e.Version, Adapters: e.Adapters, ReadingRate: e.ReadingRate,
 		NoOnline: e.Role == engine.RoleBatch, NoBatch: e.Role == engine.RoleOnline,
 	}
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -261,11 +261,13 @@
 func (r *Runner) grants(routes *route.Table) map[string]Grant {
 	byPool := map[string][]*Entry{}
 	weights := map[string]replica.Weights{}
+	targets := map[string]*route.Route{}
 	for _, entry := range r.Service.View.Open() {
 		if target := routes.Named(entry.Job.Route); target != nil {
 			pool := target.Shares[0].Pool
 			byPool[pool] = append(byPool[pool], entry)
 			weights[pool] = r.weights(target)
+			targets[pool] = target
 		}
 	}
 	all := map[string]Grant{}
@@ -273,8 +275,9 @@
 		slots := float64(r.Replicas.BatchSlots(pool))
 		plan := PlanGrants(PlanInput{
 			Open: open, Now: r.Service.View.Now(),
-			Places: int(weights[pool].BatchFill * slots), UrgentPlaces: int(weights[pool].UrgentFill * slots),
-			ItemTime: r.itemTime(),
+			Places:       places(targets[pool], weights[pool].BatchFill, slots),
+			UrgentPlaces: places(targets[pool], weights[pool].UrgentFill, slots),
+			ItemTime:     r.itemTime(),
 		})
 		for job, share := range plan {
 			all[job] = share
@@ -293,6 +296,11 @@
 	return weights
 }
 
+// places is the number of items that may be in flight, at a fill.
+func places(target *route.Route, fill, slots float64) int {
+	return int(fill * (1 - target.Reserve) * slots)
+}
+
 // inFlight counts the items of a job that run or wait to be listed.
 func (r *Runner) inFlight(owned *work) int {
 	r.mu.Lock()
@@ -345,7 +353,8 @@
 		return true
 	}
 	demand := &replica.Demand{
-		Zone: r.Zone, Tokens: int(item.Tokens), Adapter: target.Adapter, Batch: true, Urgent: urgent, Exclude: one.exclude,
+		Zone: r.Zone, Tokens: int(item.Tokens), Adapter: target.Adapter, Batch: true, Urgent: urgent,
+		Reserve: target.Reserve, Exclude: one.exclude,
 	}
 	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), 0, now), demand, r.weights(target))
 	if err != nil {
--- a/internal/lab/profile/profile.go
+++ b/internal/lab/profile/profile.go
@@ -77,7 +77,7 @@
 		ConversationShare: 0.6, SharedWords: 320, PromptWords: 90, MaxTokens: 64,
 	},
 	Batch:  Batch{HeapEvery: 8 * time.Second, Jobs: 3, Items: 400, PromptWords: 120, MaxTokens: 48},
-	Policy: v1.BatchPolicy{Headroom: 0.1},
+	Policy: v1.BatchPolicy{},
 }
 
 // Kalendarik is the bin-calendar deployment: four zones, 18 replicas, large
@@ -97,7 +97,7 @@
 		ConversationShare: 0.35, SharedWords: 240, PromptWords: 60, MaxTokens: 56,
 	},
 	Batch:  Batch{HeapEvery: 9 * time.Second, Jobs: 4, Items: 900, PromptWords: 100, MaxTokens: 40},
-	Policy: v1.BatchPolicy{Headroom: 0.1},
+	Policy: v1.BatchPolicy{},
 }
 
 // All lists the profiles.
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -27,10 +27,12 @@
 	itemAttempts = 3
 	// servingCrossZone is what a request may wait longer to stay in its zone.
 	servingCrossZone = 2 * time.Millisecond
-	// servingFill is the share of a replica's slots that batch items fill where a
-	// pool names no headroom. Engines run online requests first, so the items
-	// need leave little.
+	// servingFill is the share of a replica's slots that batch items fill where
+	// they may. Engines run online requests first, so the items need leave little.
 	servingFill = 0.9
+	// servingReserve is the share of a pool's slots, those of its fastest
+	// replicas, that items leave free where the pool names no headroom.
+	servingReserve = 0.35
 )
 
 func servingWeights() replica.Weights {
@@ -64,10 +66,10 @@
 		}
 		items := &route.Route{
 			Name: batch.RouteOf(model), Host: batch.RouteOf(model), Prefix: "/", Kind: route.Batch,
-			MaxAttempts: itemAttempts, Adapter: adapter, BatchFill: 1 - spec.Batch.Headroom,
+			MaxAttempts: itemAttempts, Adapter: adapter, BatchFill: servingFill, Reserve: spec.Batch.Headroom,
 		}
 		if spec.Batch.Headroom == 0 {
-			items.BatchFill = servingFill
+			items.Reserve = servingReserve
 		}
 		for _, declared := range []*route.Route{online, items} {
 			known := byHost[declared.Host]
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -42,7 +42,7 @@
 		t.Fatalf("route of the adapter is %+v", adapted)
 	}
 	items := routes.Match("batch/m", "/v1/chat/completions")
-	if items == nil || items.Kind != route.Batch || items.BatchFill != 0.6 {
+	if items == nil || items.Kind != route.Batch || items.Reserve != 0.4 {
 		t.Fatalf("batch route is %+v", items)
 	}
 	if routes.Match("m:b", "/v1/completions") != nil {
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"slices"
@@ -26,6 +27,9 @@
 	home uint64
 	// Batch items take only what online requests leave.
 	Batch bool
+	// Reserve is the share of the slots, those of the fastest replicas, that items
+	// leave to online requests.
+	Reserve float64
 	// Urgent items would be late if they waited; they may fill replicas further.
 	Urgent bool
 	// Version, if set, is the only version allowed; an answer that goes on
@@ -48,7 +52,8 @@
 }
 
 const (
-	// readingRate is the assumed rate of reading prompts, in tokens a second.
+	// readingRate is the assumed rate of reading prompts, in tokens a second, of
+	// replicas that do not tell theirs.
 	readingRate = 50000.0
 	// slotTime is the assumed time until a busy slot frees.
 	slotTime = 60 * time.Millisecond
@@ -61,6 +66,9 @@
 // the affinity, breaks ties.
 func Pick(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
 	demand.home = homeOf(candidates, demand)
+	if demand.Batch && demand.Reserve > 0 {
+		candidates = unreserved(candidates, demand.Reserve)
+	}
 	best := pickAmong(candidates, demand, weights, sound)
 	if best == nil && !demand.Batch {
 		best = pickAmong(candidates, demand, weights, lastResort)
@@ -71,6 +79,31 @@
 	return best, nil
 }
 
+// unreserved returns the candidates without the fastest ones that hold a share
+// of the slots. Replicas that do not tell their speed go by their keys, so that
+// all nodes reserve the same.
+func unreserved(candidates []Candidate, share float64) []Candidate {
+	ordered := slices.Clone(candidates)
+	slices.SortFunc(ordered, func(a, b Candidate) int {
+		if bySpeed := cmp.Compare(a.ReadingRate, b.ReadingRate); bySpeed != 0 {
+			return bySpeed
+		}
+		return cmp.Compare(a.Key, b.Key)
+	})
+	total := 0
+	for i := range ordered {
+		total += ordered[i].Slots
+	}
+	open := (1 - share) * float64(total)
+	for i := range ordered {
+		open -= float64(ordered[i].Slots)
+		if open < 0 {
+			return ordered[:i]
+		}
+	}
+	return ordered
+}
+
 type filter func(*Candidate, *Demand, Weights) bool
 
 // serves reports whether a replica serves what is asked for at all.
@@ -137,23 +170,27 @@
 	return home
 }
 
-// uncached estimates the time to read what the replica is not believed to keep.
-func uncached(candidate *Candidate, demand *Demand) time.Duration {
-	tokens := demand.Tokens
+// uncached counts the tokens of a prompt that the replica is not believed to keep.
+func uncached(candidate *Candidate, demand *Demand) int {
 	if candidate.Key == demand.home {
-		tokens -= demand.Shared
+		return demand.Tokens - demand.Shared
 	}
-	return readingTime(tokens)
+	return demand.Tokens
 }
 
-func readingTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / readingRate * float64(time.Second))
+// readingTime is how long the replica takes to read so many tokens.
+func (c *Candidate) readingTime(tokens int) time.Duration {
+	rate := c.ReadingRate
+	if rate <= 0 {
+		rate = readingRate
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
 // Predict estimates the time to the first event at a candidate.
 func Predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
-	reading := readingTime(candidate.PendingTokens)
-	total := reading + uncached(candidate, demand) + time.Duration(candidate.Busy()*float64(busyCost))
+	total := candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
+		time.Duration(candidate.Busy()*float64(busyCost))
 	if waiting := -candidate.Free(); waiting >= 0 {
 		total += time.Duration((waiting + 1) * float64(slotTime))
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -14,6 +14,9 @@
 	Zone    string
 	// Slots is the number of requests that it runs at the same time.
 	Slots int
+	// ReadingRate is how fast it reads prompts, in tokens a second; 0 if it does
+	// not say.
+	ReadingRate float64
 	// Leaving replicas finish what they have and take nothing new.
 	Leaving bool
 	// Version is the version of the model that it serves; empty if unknown.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -132,7 +132,7 @@
 	home := homeAmong(all, affinity, now)
 	for range 20 {
 		sample := set.Snapshot(testPool, affinity, now)
-		if len(sample) > sampleSize+1 || !ids(sample)[home.info.ID] {
+		if len(sample) > sampleRandom+1 || !ids(sample)[home.info.ID] {
 			t.Fatalf("sample of %d replicas lacks the home", len(sample))
 		}
 	}
@@ -192,3 +192,25 @@
 		t.Fatal("no replica was picked though an ejected one is there")
 	}
 }
+
+func TestPick_ItemsLeaveTheFastestToOnlineRequests(t *testing.T) {
+	candidates := []Candidate{
+		{Info: Info{ID: "fast", Slots: 10, ReadingRate: 18000}, Key: 1},
+		{Info: Info{ID: "slow", Slots: 10, ReadingRate: 7000}, Key: 2},
+		{Info: Info{ID: "slower", Slots: 10, ReadingRate: 5000}, Key: 3},
+	}
+	weights := Weights{BatchFill: 1}
+	for range 20 {
+		best, err := Pick(candidates, &Demand{Batch: true, Reserve: 0.34}, weights)
+		if err != nil || best.ID == "fast" {
+			t.Fatalf("Pick = %v, %v", best, err)
+		}
+		best.Open++
+	}
+	if best, err := Pick(candidates, &Demand{Tokens: 100}, weights); err != nil || best.ID != "fast" {
+		t.Fatalf("an online request goes to %v, %v", best, err)
+	}
+	if _, err := Pick(candidates, &Demand{Batch: true, Reserve: 1}, weights); !errors.Is(err, ErrNoReplica) {
+		t.Fatalf("an item was placed on reserved replicas: %v", err)
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,6 +48,9 @@
 	Timeout time.Duration
 	// MaxWait is the longest wait for a replica to have room; 0 means until Timeout.
 	MaxWait time.Duration
+	// Reserve is the share of the pool's slots, those of its fastest replicas, that
+	// items of the route leave to others.
+	Reserve float64
 	// BatchFill is the share of a replica's slots that items of the route may
 	// fill; 0 leaves it to the node's settings.
 	BatchFill float64
