--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -20,8 +20,12 @@
 	lapseAfter = 2500 * time.Millisecond
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
-	// sampleSize is the most replicas that a choice looks at.
-	sampleSize = 48
+	// smallPool is the number of replicas up to which a choice looks at all.
+	smallPool = 48
+	// sampleRandom is the number of random replicas that a choice among more looks
+	// at, beside those that this node has heard from within freshFor.
+	sampleRandom = 2
+	freshFor     = 3 * time.Second
 	// yieldDivisor is the number of waiting requests for which one batch item
 	// gives way; several nodes see the same queue and each gives way.
 	yieldDivisor = 3
@@ -203,26 +207,40 @@
 }
 
 // Snapshot returns the replicas of a pool that may take requests now, in the
-// order of their ids. Of a large pool it returns a sample, of replicas that
-// lie together at a random place, and the home of a prefix: the least busy of
-// many random choices is nearly the least busy of all, and the cost of a
-// request does not grow with the fleet.
+// order of their ids. Of a large pool it returns those that this node has heard
+// from a moment ago, a few random ones, and the home of a prefix. What a node
+// knows of the others is old; the least busy of all by that knowledge would be
+// flooded, the least busy of a few random ones is not (Mitzenmacher, 2001). Nor
+// does the cost of a request grow with the fleet.
 func (s *Set) Snapshot(pool string, affinity uint64, now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.pool(pool)
-	if len(list) <= sampleSize {
+	if len(list) <= smallPool {
 		return candidatesOf(list, now)
 	}
-	begin := rand.IntN(len(list))
-	sample := make([]*entry, 0, sampleSize+1)
-	for i := range sampleSize {
-		sample = append(sample, list[(begin+i)%len(list)])
+	chosen := sample(list, now)
+	if home := homeAmong(list, affinity, now); home != nil && !slices.Contains(chosen, home) {
+		chosen = append(chosen, home)
 	}
-	if home := homeAmong(list, affinity, now); home != nil && !slices.Contains(sample, home) {
-		sample = append(sample, home)
+	return candidatesOf(chosen, now)
+}
+
+// sample returns the replicas that were heard from a moment ago and some random
+// others.
+func sample(list []*entry, now time.Time) []*entry {
+	var chosen []*entry
+	for _, known := range list {
+		if now.Sub(known.heard) < freshFor {
+			chosen = append(chosen, known)
+		}
+	}
+	for range sampleRandom {
+		if random := list[rand.IntN(len(list))]; !slices.Contains(chosen, random) {
+			chosen = append(chosen, random)
+		}
 	}
-	return candidatesOf(sample, now)
+	return chosen
 }
 
 // homeAmong returns the entry where prompts with the same prefix meet.
