Remove old jobs, log what goes well as well, and show a gateway's status

Old jobs: rows, objects and the view of a job stayed for good, so memory and the store grew with every job ever accepted.

Logs: requests and items that went well were at debug only. They are logged at info, sampled (20 a second, then one in 20); failures never are.

Status: the metrics address of a gateway serves /status, and 'wheelhoist status -gateway' prints it as it prints a node's.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -103,6 +103,7 @@
 func (quiet) ItemSent(*jobs.Job, string, string, int)                       {}
 func (quiet) ItemFailed(*jobs.Job, string, string, error)                   {}
 func (quiet) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration) {}
+func (quiet) Removed(*jobs.Job, error)                                      {}
 func (quiet) Resolved(string, int, error)                                   {}
 
 // member is a node that serves, feeds and runs batches until it is stopped.
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -16,11 +18,12 @@
 	connect.register(flags)
 	var output format
 	registerFormat(flags, &output)
+	gateway := flags.String("gateway", "", "host:port of a gateway's metrics address, instead of -server")
 	return &ffcli.Command{
 		Name: "status", ShortUsage: "wheelhoist status [flags]", FlagSet: flags, Options: options(),
 		ShortHelp: "show a node, its peers and the replicas as it sees them",
 		Exec: func(ctx context.Context, _ []string) error {
-			body, err := connect.client().Status(ctx)
+			body, err := readStatus(ctx, &connect, *gateway)
 			if err != nil {
 				return err
 			}
@@ -33,6 +36,26 @@
 	}
 }
 
+// readStatus asks a node, or a gateway where one is named.
+func readStatus(ctx context.Context, connect *connection, gateway string) ([]byte, error) {
+	if gateway == "" {
+		return connect.client().Status(ctx)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+server.PathStatus, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("gateway answered %s", response.Status)
+	}
+	return io.ReadAll(response.Body)
+}
+
 func statusTable(status *server.NodeStatus) table {
 	state := "serving"
 	switch {
--- a/internal/jobs/remove.go
+++ b/internal/jobs/remove.go
@@ -23,9 +23,23 @@
 	s.View.Drop(entry.Job.ID)
 	s.forget(entry.Job.ID)
 	s.sweep(ctx, entry.Job)
+	s.dropObjects(ctx, entry)
 	return nil
 }
 
+// dropObjects removes the objects of a job's content and long texts.
+func (s *Service) dropObjects(ctx context.Context, entry *Entry) {
+	if entry.Job.Chunks == 0 {
+		// An object that stays is only a waste.
+		_ = s.Objects.Delete(ctx, contentKey(entry.Job.ID))
+	}
+	for position, listed := range entry.Progress.Listed {
+		if text, ok := s.cache.get(entry.Job.ID, position); ok && len(text.text) > maxRowText {
+			_ = s.Objects.Delete(ctx, textObject(entry.Job.ID, listed.Item))
+		}
+	}
+}
+
 // sweep removes the rows of a job's contents, results and kept texts.
 func (s *Service) sweep(ctx context.Context, job *Job) {
 	prefix := job.ID + "/"
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -29,6 +29,9 @@
 	Refresh(ctx context.Context) error
 	Expired(session string) bool
 	Live() []string
+	// Preferred returns the live session that should do a piece of work that any
+	// could do.
+	Preferred(work string) string
 }
 
 // RunnerOptions are what a runner needs.
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -103,6 +103,7 @@
 func (quietEvents) ItemSent(*Job, string, string, int)                  {}
 func (quietEvents) ItemFailed(*Job, string, string, error)              {}
 func (quietEvents) ItemListed(*Job, string, int, Reason, time.Duration) {}
+func (quietEvents) Removed(*Job, error)                                 {}
 func (quietEvents) Resolved(operation string, attempts int, err error)  {}
 
 // testNode is a service with a view that follows a shared table.
@@ -138,6 +139,7 @@
 func (noOwners) Refresh(context.Context) error { return nil }
 func (noOwners) Expired(string) bool           { return false }
 func (noOwners) Live() []string                { return nil }
+func (noOwners) Preferred(string) string       { return "a#1" }
 
 const (
 	testHost = "jobs.example"
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -36,6 +36,7 @@
 	ItemFailed(job *Job, item string, replica string, err error)
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	Resolved(operation string, attempts int, err error)
+	Removed(job *Job, err error)
 }
 
 // Service accepts, reads and ends jobs. It is safe for concurrent use.
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +25,9 @@
 	// of sessions, so that all nodes together stay below 700 calls a second.
 	jobSpacing           = 120 * time.Millisecond
 	jobSpacingPerSession = 1500 * time.Microsecond
+	// sampleBurst and sampleEvery bound the lines about what goes well.
+	sampleBurst = 20
+	sampleEvery = 20
 	// retryShare bounds repeated attempts.
 	retryShare = 0.3
 )
@@ -46,7 +50,10 @@
 // All of its lasting state is in the table and the object store; its memory is
 // a cache of them.
 type core struct {
-	log     zerolog.Logger
+	log zerolog.Logger
+	// sampled is for what goes well: of more than sampleBurst lines a second it
+	// lets one in sampleEvery through.
+	sampled zerolog.Logger
 	metrics *coreMetrics
 
 	routes    route.Current
@@ -58,15 +65,20 @@
 	jobs      *jobs.Service
 	runner    *jobs.Runner
 
+	// open counts the requests being forwarded.
+	open    atomic.Int64
 	running sync.WaitGroup
 }
 
 func newCore(log zerolog.Logger, metrics *coreMetrics, outside ports) *core {
 	c := &core{log: log, metrics: metrics, replicas: replica.NewSet()}
+	c.sampled = log.Sample(&zerolog.BurstSampler{
+		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
+	})
 	c.replicas.Ejected = c.logEjected
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
-		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log},
+		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = lease.NewWatcher(outside.table, time.Now, outside.timing)
@@ -75,7 +87,7 @@
 	c.jobWatch.Spacing = c.jobSpacing
 	c.jobs = &jobs.Service{
 		Table: outside.table, Objects: outside.objects, View: view,
-		Events: &jobLog{log: log, metrics: metrics}, Session: c.ownSession, Refresh: c.jobWatch.Refresh,
+		Events: &jobLog{log: log, sampled: c.sampled, metrics: metrics}, Session: c.ownSession, Refresh: c.jobWatch.Refresh,
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
@@ -135,8 +147,8 @@
 
 // forward carries out a request, and logs and counts how it ended.
 func (c *core) forward(ctx context.Context, target *route.Route, request *forward.Request, sink forward.Sink) (forward.Result, error) {
-	c.metrics.open.Inc()
-	defer c.metrics.open.Dec()
+	c.open.Add(1)
+	defer c.open.Add(-1)
 	result, err := c.forwarder.Do(ctx, target, request, sink)
 	c.metrics.forwarded(target, result, err)
 	c.logRequest(target, request, result, err)
@@ -144,7 +156,7 @@
 }
 
 func (c *core) logRequest(target *route.Route, request *forward.Request, result forward.Result, err error) {
-	entry := c.log.Debug()
+	entry := c.sampled.Info()
 	if err != nil {
 		entry = c.log.Warn().Err(err).Stringer("ran", outcome.Of(err))
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -114,7 +114,7 @@
 	}{
 		{g.settings.Node.Listen, front},
 		{g.settings.Gateway.Readiness, front.ReadyHandler()},
-		{g.settings.Gateway.Metrics, g.metrics.handler()},
+		{g.settings.Gateway.Metrics, g.statusHandler()},
 	}
 	for _, one := range served {
 		if one.address == "" {
@@ -152,4 +152,5 @@
 	g.spawn(func() { g.configWatch.Run(ctx) })
 	g.spawn(func() { g.replicaWatch.Run(ctx) })
 	g.runJobs(ctx)
+	g.spawn(func() { g.runner.RunSweeping(ctx, time.Duration(g.settings.Gateway.KeepJobs)) })
 }
--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"encoding/json"
 	"net/http"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/server"
 	"github.com/wheelhoist/wheelhoist/platform"
 )
 
@@ -30,6 +32,33 @@
 	return g.forward(r.Context(), target, request, sink)
 }
 
+// Status describes this gateway and what it sees.
+func (g *Gateway) Status() server.NodeStatus {
+	status := g.core.status()
+	status.Node, status.Zone = g.settings.Node.ID, g.settings.Node.Zone
+	if routes := g.routes.Load(); routes != nil {
+		status.Revision = routes.Version
+	}
+	status.Serving, status.Draining = g.Ready(), g.Stopping()
+	status.Open = g.open.Load()
+	status.ConfigAge = g.configWatch.Age().Seconds()
+	return status
+}
+
+// statusHandler serves the metrics, and the status beside them.
+func (g *Gateway) statusHandler() http.Handler {
+	metrics := g.metrics.handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != server.PathStatus {
+			metrics.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A caller that has left cannot be told.
+		_ = json.NewEncoder(w).Encode(g.Status())
+	})
+}
+
 // Turned implements platform.Gateway.
 func (g *Gateway) Turned(id, reason string, status int) {
 	g.metrics.turned.WithLabelValues(reason).Inc()
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -11,6 +11,7 @@
 // jobLog logs and counts what happens to jobs.
 type jobLog struct {
 	log     zerolog.Logger
+	sampled zerolog.Logger
 	metrics *coreMetrics
 }
 
@@ -44,7 +45,7 @@
 // ItemSent implements jobs.Events.
 func (l *jobLog) ItemSent(job *jobs.Job, item, replica string, after int) {
 	l.metrics.items.WithLabelValues("sent").Inc()
-	l.log.Debug().Str("job", job.ID).Str("item", item).Str("replica", replica).Int("after", after).Msg("item sent")
+	l.sampled.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Int("after", after).Msg("item sent")
 }
 
 // ItemFailed implements jobs.Events.
@@ -55,7 +56,7 @@
 
 // ItemListed implements jobs.Events.
 func (l *jobLog) ItemListed(job *jobs.Job, item string, position int, dead jobs.Reason, took time.Duration) {
-	label, entry := "completed", l.log.Debug()
+	label, entry := "completed", l.sampled.Info()
 	if dead != "" {
 		label, entry = "dead", l.log.Info()
 	} else {
@@ -66,6 +67,12 @@
 		Dur("took_ms", took).Msg("item listed")
 }
 
+// Removed implements jobs.Events.
+func (l *jobLog) Removed(job *jobs.Job, err error) {
+	l.metrics.jobs.WithLabelValues("removed").Inc()
+	l.log.Info().Str("job", job.ID).Dur("accepted_at_ms", job.Created).Err(err).Msg("job removed")
+}
+
 // Resolved implements jobs.Events.
 func (l *jobLog) Resolved(operation string, attempts int, err error) {
 	l.log.Info().Str("operation", operation).Int("attempts", attempts).Err(err).Msg("write resolved")
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -23,7 +23,6 @@
 	attempts    *prometheus.CounterVec
 	first       *prometheus.HistogramVec
 	gap         *prometheus.HistogramVec
-	open        prometheus.Gauge
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
 	storeTime   *prometheus.HistogramVec
@@ -53,9 +52,6 @@
 		gap: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "wheelhoist_gateway_event_gap_seconds", Help: "Longest pause between two events of an answer.", Buckets: seconds,
 		}, []string{"kind"}),
-		open: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "wheelhoist_gateway_requests_open", Help: "Requests being forwarded.",
-		}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "wheelhoist_gateway_replica_connections_total", Help: "New connections to replicas.",
 		}),
@@ -75,7 +71,7 @@
 	m.items = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_job_items_total", Help: "Batch items by what happened to them at this node.",
 	}, []string{"event"})
-	m.registry.MustRegister(m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.open, m.connections,
+	m.registry.MustRegister(m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
@@ -87,6 +83,7 @@
 
 // registerViews adds what a core knows.
 func (m *coreMetrics) registerViews(c *core) {
+	m.gauge("wheelhoist_gateway_requests_open", "Requests being forwarded.", func() float64 { return float64(c.open.Load()) })
 	m.gauge("wheelhoist_gateway_config_version", "Version of the configuration in force.", func() float64 {
 		if routes := c.routes.Load(); routes != nil {
 			return float64(routes.Version)
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -9,11 +9,11 @@
 )
 
 // requestLog logs the attempts of requests.
-type requestLog struct{ log zerolog.Logger }
+type requestLog struct{ log, sampled zerolog.Logger }
 
 // Sent implements forward.Notice.
 func (l *requestLog) Sent(request *forward.Request, attempt int, chosen *replica.Candidate) {
-	l.log.Debug().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
+	l.sampled.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
 		Int("open", chosen.Open).Float64("others", chosen.Others).Int("pending_tokens", chosen.PendingTokens).
 		Msg("attempt sent")
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,38 +8,55 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/inventory"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/server"
 	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
 
 // Status describes this node and what it sees of the others.
 func (n *Node) Status() server.NodeStatus {
-	status := server.NodeStatus{
-		Node: n.settings.Node.ID, Zone: n.settings.Node.Zone, Revision: n.resources.Revision(),
-		Serving: n.Serving(), Draining: n.server.Draining(), Open: n.server.Open(),
-		ConfigAge: n.configWatch.Age().Seconds(), Members: []server.MemberStatus{}, Replicas: []server.ReplicaView{},
+	status := n.core.status()
+	status.Node, status.Zone, status.Revision = n.settings.Node.ID, n.settings.Node.Zone, n.resources.Revision()
+	status.Serving, status.Draining, status.Open = n.Serving(), n.server.Draining(), n.server.Open()
+	status.ConfigAge = n.configWatch.Age().Seconds()
+	reported := map[string]inventory.Listed{}
+	for _, listed := range n.inventory.List() {
+		reported[listed.ID] = listed
+	}
+	for i := range status.Replicas {
+		known := reported[status.Replicas[i].ID]
+		status.Replicas[i].State, status.Replicas[i].Role = known.State, known.Role
 	}
-	for _, session := range n.owners.Sessions() {
+	return status
+}
+
+// status describes the other nodes and the replicas as this one sees them.
+func (c *core) status() server.NodeStatus {
+	status := server.NodeStatus{Members: []server.MemberStatus{}, Replicas: []server.ReplicaView{}}
+	for _, session := range c.owners.Sessions() {
 		state := server.MemberAlive
 		if session.Expired {
 			state = server.MemberExpired
 		}
 		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Status: state})
 	}
-	reports := map[string]engine.State{}
-	roles := map[string]engine.Role{}
-	for _, listed := range n.inventory.List() {
-		reports[listed.ID], roles[listed.ID] = listed.State, listed.Role
-	}
-	for _, known := range n.replicas.List(time.Now()) {
+	for _, known := range c.replicas.List(time.Now()) {
 		status.Replicas = append(status.Replicas, server.ReplicaView{
-			ID: known.ID, Zone: known.Zone, Pool: known.Pool, State: reports[known.ID], Role: roles[known.ID],
-			Version: known.Version, Open: known.Open, Batch: known.Batch, Ejected: known.Ejected,
+			ID: known.ID, Zone: known.Zone, Pool: known.Pool, Version: known.Version,
+			State: replicaState(&known), Open: known.Open, Batch: known.Batch, Ejected: known.Ejected,
 		})
 	}
 	return status
 }
 
+func replicaState(known *replica.Candidate) engine.State {
+	if known.Leaving {
+		return engine.StateLeaving
+	}
+	return engine.StateReady
+}
+
 // ItemsCompleted returns the number of batch items that this node has completed.
 func (n *Node) ItemsCompleted() uint64 { return n.metrics.completed.Load() }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,6 +45,9 @@
 	Refresh(ctx context.Context)
 }
 
+// PathStatus is where a gateway serves its NodeStatus, at its metrics address.
+const PathStatus = "/status"
+
 // NodeStatus describes a node and what it sees of the others.
 type NodeStatus struct {
 	Node     string `json:"node"`
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,6 +18,9 @@
 	Metrics string `json:"metrics,omitempty"`
 	// Grace is the time from SIGTERM until the process is killed; default 8s.
 	Grace v1.Duration `json:"grace,omitempty"`
+	// KeepJobs is how long after its acceptance a job that is done can be read;
+	// 0 keeps all jobs.
+	KeepJobs v1.Duration `json:"keepJobs,omitempty"`
 	// MemoryMegabytes is the memory that the process may use; 0 means unknown.
 	MemoryMegabytes int     `json:"memoryMegabytes,omitempty"`
 	Routing         Routing `json:"routing,omitempty"`
@@ -64,6 +67,9 @@
 	if g.Grace < 0 {
 		found.Add("gateway.grace", "must not be negative")
 	}
+	if g.KeepJobs < 0 {
+		found.Add("gateway.keepJobs", "must not be negative")
+	}
 	if g.MemoryMegabytes < 0 {
 		found.Add("gateway.memoryMegabytes", "must not be negative")
 	}
