Drop what nothing uses since both interfaces share a core; one store and one follower for tests

Engine client and emulator: cache events, watched load reports, whole answers, status calls, KV export and import, prefill and decode roles. Certificates of peers.

Tests: the object store in memory stood in two packages, and the start of a watcher in four; they are internal/object/objecttest and tabletest.Follow now. No assertion has changed.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -18,6 +18,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -29,39 +30,6 @@
 	testModel  = "model"
 )
 
-// objectMap is an object store in memory.
-type objectMap struct {
-	mu      sync.Mutex
-	objects map[string][]byte
-}
-
-func (o *objectMap) Put(_ context.Context, key string, body []byte) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.objects == nil {
-		o.objects = map[string][]byte{}
-	}
-	o.objects[key] = bytes.Clone(body)
-	return nil
-}
-
-func (o *objectMap) Get(_ context.Context, key string) (io.ReadCloser, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	body, ok := o.objects[key]
-	if !ok {
-		return nil, object.ErrNotFound
-	}
-	return io.NopCloser(bytes.NewReader(body)), nil
-}
-
-func (o *objectMap) Delete(_ context.Context, key string) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.objects, key)
-	return nil
-}
-
 // answeringBackend completes every item, or fails those whose body says so.
 type answeringBackend struct {
 	mu   sync.Mutex
@@ -229,7 +197,7 @@
 func TestFeeder_EveryItemHasOneResultAndNoRowStays(t *testing.T) {
 	shared := tabletest.New()
 	backend := &answeringBackend{runs: map[string]int{}}
-	node := startMember(t, shared, &objectMap{}, backend, "a#1")
+	node := startMember(t, shared, &objecttest.Store{}, backend, "a#1")
 	bodies := prompts(500)
 	bodies[7] = "invalid"
 	batch := submitLines(t, node.Service, bodies, time.Hour)
@@ -248,7 +216,7 @@
 }
 
 func TestFeeder_AnotherNodeGoesOn(t *testing.T) {
-	shared, objects := tabletest.New(), &objectMap{}
+	shared, objects := tabletest.New(), &objecttest.Store{}
 	held := &answeringBackend{runs: map[string]int{}, hold: make(chan struct{})}
 	first := startMember(t, shared, objects, held, "a#1")
 	batch := submitLines(t, first.Service, prompts(300), time.Hour)
@@ -270,7 +238,7 @@
 func TestFeeder_CancelledBatchStopsAndLeavesNothing(t *testing.T) {
 	shared := tabletest.New()
 	backend := &answeringBackend{runs: map[string]int{}, hold: make(chan struct{})}
-	node := startMember(t, shared, &objectMap{}, backend, "a#1")
+	node := startMember(t, shared, &objecttest.Store{}, backend, "a#1")
 	batch := submitLines(t, node.Service, prompts(300), time.Hour)
 	time.Sleep(200 * time.Millisecond)
 	late := *batch
@@ -303,7 +271,7 @@
 
 func TestFeeder_ItemsPastTheDeadlineExpire(t *testing.T) {
 	backend := &answeringBackend{runs: map[string]int{}, hold: make(chan struct{})}
-	node := startMember(t, tabletest.New(), &objectMap{}, backend, "a#1")
+	node := startMember(t, tabletest.New(), &objecttest.Store{}, backend, "a#1")
 	batch := submitLines(t, node.Service, prompts(200), 600*time.Millisecond)
 	time.AfterFunc(time.Second, func() { close(backend.hold) })
 	ended := awaitFinal(t, node.Service, batch.ID)
@@ -332,7 +300,7 @@
 func TestFeeder_GroupsFinishedByAnotherFeederCount(t *testing.T) {
 	shared := tabletest.New()
 	view := jobs.NewView()
-	service := &Service{Table: shared, Objects: &objectMap{}, Work: &jobs.Service{Table: shared, View: view, Events: quiet{}}}
+	service := &Service{Table: shared, Objects: &objecttest.Store{}, Work: &jobs.Service{Table: shared, View: view, Events: quiet{}}}
 	batch := submitLines(t, service, prompts(40), time.Hour)
 	for number := range batch.Groups() {
 		first, end := batch.groupRange(number)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -71,9 +71,9 @@
 // Client talks to engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
-	// watch carries load reports, cache events and orders, whose bytes count as
+	// reports carries load reports, orders and aborts, whose bytes count as
 	// control traffic.
-	watch *http.Client
+	reports *http.Client
 }
 
 const (
@@ -87,13 +87,13 @@
 // be nil, counts the bytes of control traffic.
 func NewClient(counter *traffic.Counter) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	watchDial := dialer.DialContext
+	reportDial := dialer.DialContext
 	if counter != nil {
-		watchDial = counter.Dial(dialer.DialContext)
+		reportDial = counter.Dial(dialer.DialContext)
 	}
 	return &Client{
-		http:  &http.Client{Transport: newTransport(dialer.DialContext, maxIdlePerEngine)},
-		watch: &http.Client{Transport: newTransport(watchDial, 1)},
+		http:    &http.Client{Transport: newTransport(dialer.DialContext, maxIdlePerEngine)},
+		reports: &http.Client{Transport: newTransport(reportDial, 1)},
 	}
 }
 
@@ -111,7 +111,7 @@
 // Close drops idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
-	c.watch.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
 }
 
 func (c *Client) send(ctx context.Context, method, address string, body []byte, header http.Header) (*http.Response, error) {
@@ -179,34 +179,11 @@
 	return newStream(response), nil
 }
 
-// Complete sends an attempt and returns the whole answer's body.
-func (c *Client) Complete(ctx context.Context, base string, attempt Attempt) ([]byte, error) {
-	header := http.Header{HeaderRequestID: {attempt.ID}, "Content-Type": {"application/json"}}
-	response, err := c.send(ctx, http.MethodPost, base+attempt.Path, attempt.Body, header)
-	if err != nil {
-		return nil, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, refusal(response)
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, Error.Wrap(outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err)))
-	}
-	return body, nil
-}
-
 // Abort gives an attempt up and returns what became of it.
 func (c *Client) Abort(ctx context.Context, base, id string) (RequestStatus, error) {
 	return c.requestStatus(ctx, http.MethodPost, base+"/v1/requests/"+url.PathEscape(id)+"/abort")
 }
 
-// Status returns what the engine knows of an attempt.
-func (c *Client) Status(ctx context.Context, base, id string) (RequestStatus, error) {
-	return c.requestStatus(ctx, http.MethodGet, base+"/v1/requests/"+url.PathEscape(id))
-}
-
 func (c *Client) requestStatus(ctx context.Context, method, address string) (RequestStatus, error) {
 	var status RequestStatus
 	err := c.control(ctx, method, address, nil, &status)
@@ -225,33 +202,6 @@
 	return c.control(ctx, http.MethodPut, base+"/orders", order, nil)
 }
 
-// ExportKV stops a running attempt and returns its KV cache.
-func (c *Client) ExportKV(ctx context.Context, base, id string) ([]byte, error) {
-	response, err := c.send(ctx, http.MethodGet, base+"/v1/requests/"+url.PathEscape(id)+"/kv", nil, nil)
-	if err != nil {
-		return nil, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, refusal(response)
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return body, Error.Wrap(err)
-}
-
-// ImportKV goes on with an exported attempt under a new id.
-func (c *Client) ImportKV(ctx context.Context, base, id string, export []byte) error {
-	response, err := c.send(ctx, http.MethodPost, base+"/v1/kv", export, http.Header{HeaderRequestID: {id}})
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return refusal(response)
-	}
-	drain(response)
-	return nil
-}
-
 // control makes a short call with a JSON request and answer.
 func (c *Client) control(ctx context.Context, method, address string, request, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
@@ -264,7 +214,7 @@
 		}
 		body = encoded
 	}
-	response, err := sendWith(ctx, c.watch, method, address, body, nil)
+	response, err := sendWith(ctx, c.reports, method, address, body, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -1,6 +1,6 @@
 // Package engine is the port to the model engines (replicas): the OpenAI HTTP
-// API with priorities, request ids, resume, abort, load reports, cache events
-// and fenced orders.
+// API with priorities, request ids, resume, abort, load reports and fenced
+// orders.
 package engine
 
 import (
@@ -44,8 +44,6 @@
 	HeaderLastEventID = "Last-Event-ID"
 	// HeaderLoad carries an ORCA-style load report in JSON.
 	HeaderLoad = "Endpoint-Load-Metrics"
-	// HeaderNotRepeatable marks a request that may run at most once.
-	HeaderNotRepeatable = "X-Not-Repeatable"
 )
 
 // Role says which work a replica takes.
@@ -58,10 +56,6 @@
 	RoleOnline Role = "online"
 	// RoleBatch replicas take batch work only.
 	RoleBatch Role = "batch"
-	// RolePrefill replicas compute prompts and export their KV cache.
-	RolePrefill Role = "prefill"
-	// RoleDecode replicas import KV caches and generate.
-	RoleDecode Role = "decode"
 )
 
 // State is an engine's own state.
@@ -130,11 +124,3 @@
 	State  RequestState `json:"state"`
 	Tokens int          `json:"tokens"`
 }
-
-// CacheEvent tells of blocks that entered or left an engine's prefix cache.
-// Sequence rises by one an event, so that a gap shows.
-type CacheEvent struct {
-	Sequence uint64   `json:"sequence"`
-	Stored   []uint64 `json:"stored,omitempty"`
-	Removed  []uint64 `json:"removed,omitempty"`
-}
--- a/internal/jobs/accept_test.go
+++ b/internal/jobs/accept_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
@@ -39,7 +40,7 @@
 
 func TestSubmit_ResentJobIsTakenOnce(t *testing.T) {
 	shared := tabletest.New()
-	objects := &memoryObjects{}
+	objects := &objecttest.Store{}
 	first, second := startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")
 	for _, node := range []*testNode{first, second, first} {
 		if err := node.Submit(t.Context(), submission("j", 2)); err != nil {
@@ -63,7 +64,7 @@
 		faults = faults[1:]
 		return next
 	}
-	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	node := startNode(t, shared, &objecttest.Store{}, "a#1")
 	limited := submission("j", 2)
 	limited.Quota = 1000
 	if err := node.Submit(t.Context(), limited); err != nil {
@@ -74,7 +75,7 @@
 func TestSubmit_NeverRefusedWhileAWriteMayStillLand(t *testing.T) {
 	shared := tabletest.New()
 	shared.CommitFault = func([]table.Write) tabletest.Fault { return tabletest.Late }
-	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	node := startNode(t, shared, &objecttest.Store{}, "a#1")
 	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
 	defer cancel()
 	err := node.Submit(ctx, submission("j", 1))
@@ -86,7 +87,7 @@
 func TestSubmit_StoreDownIsNotAccepted(t *testing.T) {
 	shared := tabletest.New()
 	shared.CommitFault = func([]table.Write) tabletest.Fault { return tabletest.Down }
-	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	node := startNode(t, shared, &objecttest.Store{}, "a#1")
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	if err := node.Submit(ctx, submission("j", 1)); !errors.Is(err, ErrNotAccepted) {
@@ -95,7 +96,7 @@
 }
 
 func TestSubmit_LargeContentBecomesAnObject(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	large := submission("j", 3)
 	for i := range large.Items {
 		large.Items[i].Body = make([]byte, 300<<10)
@@ -139,7 +140,7 @@
 	var mu sync.Mutex
 	var done sync.WaitGroup
 	for _, name := range []string{"a", "b"} {
-		node := startNode(t, shared, &memoryObjects{}, name+"#1")
+		node := startNode(t, shared, &objecttest.Store{}, name+"#1")
 		done.Add(1)
 		go func() {
 			defer done.Done()
--- a/internal/jobs/commit_test.go
+++ b/internal/jobs/commit_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
@@ -20,7 +21,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		const items = 6
 		shared := tabletest.New()
-		objects := &memoryObjects{}
+		objects := &objecttest.Store{}
 		nodes := []*testNode{startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")}
 		if err := nodes[0].Submit(context.Background(), submission("j", items)); err != nil {
 			rt.Fatal(err)
@@ -107,7 +108,7 @@
 }
 
 func TestEnd_NothingIsListedAfterwards(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	if err := node.Submit(t.Context(), submission("j", 2)); err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +161,7 @@
 
 func TestHandBack_NextOwnerGoesOnAfterTheText(t *testing.T) {
 	shared := tabletest.New()
-	objects := &memoryObjects{}
+	objects := &objecttest.Store{}
 	first, second := startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")
 	if err := first.Submit(t.Context(), submission("j", 1)); err != nil {
 		t.Fatal(err)
@@ -186,7 +187,7 @@
 
 func TestHandBack_RunningItemsGoOnWhileTheStoreIsDown(t *testing.T) {
 	shared := tabletest.New()
-	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	node := startNode(t, shared, &objecttest.Store{}, "a#1")
 	if err := node.Submit(t.Context(), submission("j", 1)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/jobs/expire_test.go
+++ b/internal/jobs/expire_test.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
 func TestSweepOld_RemovesWhatIsDoneAndOldOnly(t *testing.T) {
 	shared := tabletest.New()
-	objects := &memoryObjects{}
+	objects := &objecttest.Store{}
 	node := startNode(t, shared, objects, "a#1")
 	backend := &scriptedBackend{answer: func(attempt *forward.Attempt, _ int) (*forward.Answer, error) {
 		if attempt.Request.ID == "open-0" {
@@ -42,8 +43,8 @@
 	if node.View.Get("open") == nil {
 		t.Fatal("a job with items to run was removed")
 	}
-	if len(objects.objects) != 0 {
-		t.Fatalf("objects are left: %d", len(objects.objects))
+	if objects.Len() != 0 {
+		t.Fatalf("objects are left: %d", objects.Len())
 	}
 	if _, err := node.Read(t.Context(), "done", 0, 0); !errors.Is(err, ErrNotFound) {
 		t.Fatalf("reading a removed job: %v", err)
--- a/internal/jobs/keep_test.go
+++ b/internal/jobs/keep_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
@@ -21,7 +22,7 @@
 
 func TestKeepTexts_CrashCostsOnlyWhatCameSince(t *testing.T) {
 	shared := tabletest.New()
-	objects := &memoryObjects{}
+	objects := &objecttest.Store{}
 	first, second := startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")
 	if err := first.Submit(t.Context(), submission("j", 1)); err != nil {
 		t.Fatal(err)
@@ -42,7 +43,7 @@
 
 func TestKeepTexts_LostAnswerDoesNotStopLaterOnes(t *testing.T) {
 	shared := tabletest.New()
-	node := startNode(t, shared, &memoryObjects{}, "a#1")
+	node := startNode(t, shared, &objecttest.Store{}, "a#1")
 	if err := node.Submit(t.Context(), submission("j", 1)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/jobs/known_test.go
+++ b/internal/jobs/known_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -14,12 +15,12 @@
 // clock that was not set yet the item had expired.
 func TestRunner_NothingExpiresBeforeTheFirstLook(t *testing.T) {
 	shared := tabletest.New()
-	first := startNode(t, shared, &memoryObjects{}, "node#1")
+	first := startNode(t, shared, &objecttest.Store{}, "node#1")
 	if err := first.Submit(t.Context(), submission("job", 1)); err != nil {
 		t.Fatal(err)
 	}
 	restarted := &testNode{session: "node#2", Service: &Service{
-		Table: shared, Objects: &memoryObjects{}, View: NewView(), Events: quietEvents{}, Refresh: func() {},
+		Table: shared, Objects: &objecttest.Store{}, View: NewView(), Events: quietEvents{}, Refresh: func() {},
 		Session: first.Session,
 	}}
 	if _, err := restarted.find(t.Context(), "job"); err != nil {
--- a/internal/jobs/once_test.go
+++ b/internal/jobs/once_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
@@ -33,7 +34,7 @@
 
 func TestRunner_OnceItemIsMarkedBeforeItIsSent(t *testing.T) {
 	shared := tabletest.New()
-	node := startNode(t, shared, &memoryObjects{}, "node#1")
+	node := startNode(t, shared, &objecttest.Store{}, "node#1")
 	var unmarked []int
 	backend := &scriptedBackend{answer: func(attempt *forward.Attempt, _ int) (*forward.Answer, error) {
 		entry := node.View.Get("job")
@@ -60,7 +61,7 @@
 }
 
 func TestRunner_OnceItemOfUnknownFateIsNotSentAgain(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "node#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "node#1")
 	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		return nil, outcome.Undecided(forward.ErrBroken)
 	}}
@@ -76,7 +77,7 @@
 
 func TestRunner_OnceItemOfALostOwnerIsNotSentAgain(t *testing.T) {
 	shared := tabletest.New()
-	lost := startNode(t, shared, &memoryObjects{}, "node#1")
+	lost := startNode(t, shared, &objecttest.Store{}, "node#1")
 	released := make(chan struct{})
 	hanging := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		<-released
@@ -91,7 +92,7 @@
 	runner.mu.Lock()
 	runner.paused = true
 	runner.mu.Unlock()
-	next := startNode(t, shared, &memoryObjects{}, "node#2")
+	next := startNode(t, shared, &objecttest.Store{}, "node#2")
 	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		return answerOf(http.StatusOK, events(1, 2)), nil
 	}}
@@ -106,7 +107,7 @@
 
 func TestService_RemovedJobLeavesNothing(t *testing.T) {
 	shared := tabletest.New()
-	node := startNode(t, shared, &memoryObjects{}, "node#1")
+	node := startNode(t, shared, &objecttest.Store{}, "node#1")
 	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		return answerOf(http.StatusOK, events(1, 2)), nil
 	}}
@@ -125,7 +126,7 @@
 }
 
 func TestService_GuardKeepsAJobOut(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "node#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "node#1")
 	submitted := submission("job", 1)
 	submitted.Guards = []table.Write{{Key: jobKey("other"), Expect: 7}}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -143,7 +144,7 @@
 // sent it.
 func TestMark_OnlyTheOwnerMarks(t *testing.T) {
 	shared := tabletest.New()
-	first, next := startNode(t, shared, &memoryObjects{}, "a#1"), startNode(t, shared, &memoryObjects{}, "b#1")
+	first, next := startNode(t, shared, &objecttest.Store{}, "a#1"), startNode(t, shared, &objecttest.Store{}, "b#1")
 	if err := first.Submit(t.Context(), onceSubmission("job", 1)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -60,39 +60,6 @@
 	return text.String()
 }
 
-// memoryObjects is an object store in memory.
-type memoryObjects struct {
-	mu      sync.Mutex
-	objects map[string][]byte
-}
-
-func (o *memoryObjects) Put(_ context.Context, key string, body []byte) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.objects == nil {
-		o.objects = map[string][]byte{}
-	}
-	o.objects[key] = bytes.Clone(body)
-	return nil
-}
-
-func (o *memoryObjects) Get(_ context.Context, key string) (io.ReadCloser, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	body, ok := o.objects[key]
-	if !ok {
-		return nil, object.ErrNotFound
-	}
-	return io.NopCloser(bytes.NewReader(body)), nil
-}
-
-func (o *memoryObjects) Delete(_ context.Context, key string) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.objects, key)
-	return nil
-}
-
 // quietEvents takes notices and keeps none.
 type quietEvents struct{}
 
@@ -120,16 +87,7 @@
 		Table: shared, Objects: objects, View: view, Events: quietEvents{}, Refresh: watcher.Refresh,
 		Session: func(context.Context) (string, error) { return session, nil },
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watcher.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	tabletest.Follow(t, watcher)
 	return &testNode{Service: service, session: session}
 }
 
@@ -206,7 +164,7 @@
 }
 
 func TestRunner_InvalidItemIsDeadThoughItsReplicaIsPressed(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		answer := answerOf(http.StatusUnprocessableEntity, "never")
 		answer.Load = &replica.Load{Running: 8, Waiting: 9, Slots: 8}
@@ -226,7 +184,7 @@
 }
 
 func TestRunner_BrokenItemGoesOnAfterItsText(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	backend := &scriptedBackend{answer: func(attempt *forward.Attempt, number int) (*forward.Answer, error) {
 		if number == 1 {
 			return answerOf(http.StatusOK, events(1, 3)+"id: 4\ndata: half"), nil
@@ -248,7 +206,7 @@
 }
 
 func TestRunner_FailedItemIsDeadAfterMaxAttempts(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		return answerOf(http.StatusInternalServerError, ""), nil
 	}}
@@ -265,7 +223,7 @@
 }
 
 func TestRunner_RefusedItemIsNoFailure(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	backend := &scriptedBackend{answer: func(_ *forward.Attempt, number int) (*forward.Answer, error) {
 		if number <= 6 {
 			return nil, outcome.Failed(forward.ErrRefused)
@@ -282,7 +240,7 @@
 }
 
 func TestRunner_EndedJobStopsItsItems(t *testing.T) {
-	node := startNode(t, tabletest.New(), &memoryObjects{}, "a#1")
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	closed := make(chan struct{})
 	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
 		answer := answerOf(http.StatusOK, "")
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -30,9 +29,6 @@
 	Generation Generation
 	// LoadLag is the age of the load reports.
 	LoadLag time.Duration
-	// CacheEventLag is the delay of cache events; CacheEventLoss their loss share.
-	CacheEventLag  time.Duration
-	CacheEventLoss float64
 	// Weights is the weight store; nil loads at once.
 	Weights  object.Store
 	Recorder *history.Recorder
@@ -43,7 +39,6 @@
 type Engine struct {
 	config    EngineConfig
 	scheduler *scheduler
-	events    *cacheFeed
 	mux       *http.ServeMux
 
 	mu       sync.Mutex
@@ -57,21 +52,17 @@
 func NewEngine(config EngineConfig) *Engine {
 	e := &Engine{
 		config:  config,
-		events:  newCacheFeed(config.CacheEventLag, config.CacheEventLoss, config.Seed),
 		state:   engine.StateReady,
 		serving: engine.Order{Version: config.Version, Adapters: config.Adapters, Role: engine.RoleMixed},
 	}
-	e.scheduler = newScheduler(config.Replica, config.Generation, config.Recorder, e.events.publish)
+	e.scheduler = newScheduler(config.Replica, config.Generation, config.Recorder)
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST "+openai.PathChatCompletions, e.complete)
 	e.mux.HandleFunc("POST "+openai.PathCompletions, e.complete)
 	e.mux.HandleFunc("GET /v1/requests/{id}", e.requestStatus)
 	e.mux.HandleFunc("GET /v1/requests/{id}/stream", e.resume)
 	e.mux.HandleFunc("POST /v1/requests/{id}/abort", e.abort)
-	e.mux.HandleFunc("GET /v1/requests/{id}/kv", e.exportKV)
-	e.mux.HandleFunc("POST /v1/kv", e.importKV)
 	e.mux.HandleFunc("GET /load", e.loadReport)
-	e.mux.HandleFunc("GET /cache/events", e.events.serve)
 	e.mux.HandleFunc("GET /orders", e.currentOrder)
 	e.mux.HandleFunc("PUT /orders", e.obey)
 	return e
@@ -266,16 +257,7 @@
 	return e.measure(time.Now())
 }
 
-func (e *Engine) loadReport(w http.ResponseWriter, r *http.Request) {
-	if text := r.URL.Query().Get("watch"); text != "" {
-		interval, err := time.ParseDuration(text)
-		if err != nil || interval <= 0 {
-			refuse(w, http.StatusBadRequest, openai.TypeInvalidRequest, "watch must be a time")
-			return
-		}
-		StreamLoad(w, r, interval, e.lagged)
-		return
-	}
+func (e *Engine) loadReport(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, e.lagged())
 }
 
@@ -286,11 +268,3 @@
 	}
 	return "JSON " + string(report)
 }
-
-// attemptID makes the id of an imported attempt.
-func attemptID(header string, fallback string) string {
-	if header != "" {
-		return header
-	}
-	return fmt.Sprintf("%s-imported", fallback)
-}
--- a/internal/lab/emulator/objectstore.go
+++ b/internal/lab/emulator/objectstore.go
@@ -45,13 +45,6 @@
 // Handler serves the protocol.
 func (o *ObjectStore) Handler() http.Handler { return o.Faults.Wrap(http.HandlerFunc(o.serve)) }
 
-// Counts returns how many objects were put and read.
-func (o *ObjectStore) Counts() (puts, gets uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.puts, o.gets
-}
-
 // Seed stores an object without a call, as if it had always been there.
 func (o *ObjectStore) Seed(path string, body []byte) {
 	o.mu.Lock()
--- a/internal/lab/emulator/scheduler.go
+++ b/internal/lab/emulator/scheduler.go
@@ -64,14 +64,14 @@
 	OnlineSlotTime     time.Duration
 }
 
-func newScheduler(replica string, generation Generation, recorder *history.Recorder, cacheChanged func(stored, removed []uint64)) *scheduler {
+func newScheduler(replica string, generation Generation, recorder *history.Recorder) *scheduler {
 	return &scheduler{
 		generation: generation,
 		replica:    replica,
 		recorder:   recorder,
 		wake:       make(chan struct{}, 1),
 		byID:       map[string]*sequence{},
-		cache:      newPrefixCache(cacheChanged),
+		cache:      newPrefixCache(),
 		slowdown:   1,
 	}
 }
@@ -207,11 +207,6 @@
 	seq.state = engine.RequestRunning
 	cached := s.cache.match(seq.blocks)
 	seq.prefilled = min(cached, seq.promptWords-1)
-	if seq.imported {
-		seq.imported = false
-		seq.recompute = seq.generated
-		seq.prefilled = seq.prefillTokens() - 1
-	}
 	if !seq.started {
 		seq.started = true
 		s.totals.PromptTokens += uint64(seq.promptWords)
--- a/internal/lab/emulator/sequence.go
+++ b/internal/lab/emulator/sequence.go
@@ -34,8 +34,6 @@
 	detached time.Time
 	// changed is closed and replaced whenever generated or state changes.
 	changed chan struct{}
-	// imported sequences start with their KV cache already computed.
-	imported bool
 }
 
 // prefillTokens is the length of what must be in the KV cache before the next
--- a/internal/lab/site/member.go
+++ b/internal/lab/site/member.go
@@ -144,16 +144,6 @@
 	return Error.Wrap(err)
 }
 
-// PID returns the process id, or 0.
-func (m *Member) PID() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.process == nil {
-		return 0
-	}
-	return m.process.command.Process.Pid
-}
-
 // await waits until a node meets a condition.
 func (s *Site) await(ctx context.Context, member *Member, met func(context.Context, *Member) bool) error {
 	const interval = 50 * time.Millisecond
--- a/internal/lab/site/platform.go
+++ b/internal/lab/site/platform.go
@@ -25,12 +25,9 @@
 	// MachineLag is the lag of the machine list.
 	MachineLag = 3 * time.Second
 	// LoadLag is the lag of the engines' load reports.
-	LoadLag = 150 * time.Millisecond
-	// CacheEventLag and CacheEventLoss make cache events late and gappy.
-	CacheEventLag  = 100 * time.Millisecond
-	CacheEventLoss = 0.02
-	weightBytes    = 256 << 10
-	weightPerSec   = 1 << 20
+	LoadLag      = 150 * time.Millisecond
+	weightBytes  = 256 << 10
+	weightPerSec = 1 << 20
 
 	tableName    = "wheelhoist"
 	bucketName   = "wheelhoist"
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -116,7 +116,7 @@
 	s.mu.Unlock()
 	started, err := StartEngine(emulator.EngineConfig{
 		Replica: id, Model: s.config.Profile.Model, Version: s.config.Profile.Version, Generation: hardware,
-		LoadLag: LoadLag, CacheEventLag: CacheEventLag, CacheEventLoss: CacheEventLoss,
+		LoadLag: LoadLag,
 		Weights: s.Platform.WeightStore(), Recorder: s.config.Recorder, Seed: s.config.Seed + order,
 	}, zone)
 	if err != nil {
@@ -173,9 +173,6 @@
 // URL returns the node's base URL.
 func (m *Member) URL() string { return "http://" + m.settings.Node.Listen }
 
-// Settings returns the node's settings.
-func (m *Member) Settings() *settings.Settings { return m.settings }
-
 // Inner returns the in-process node, or nil.
 func (m *Member) Inner() *node.Node {
 	m.mu.Lock()
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -10,6 +10,9 @@
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
+// testTiming leaves room for two failed renewals.
+var testTiming = Timing{TimeToLive: 8 * time.Second, RenewInterval: 2500 * time.Millisecond}
+
 // clock is a monotonic clock that tests move.
 type clock struct{ now time.Time }
 
@@ -34,14 +37,14 @@
 
 func TestWatcher_ExpiresOnlyWhatStoodStill(t *testing.T) {
 	service, _ := newService(t)
-	session := NewSession(service, "a", DefaultTiming())
+	session := NewSession(service, "a", testTiming)
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	time := &clock{now: time.Unix(100, 0)}
-	watcher := NewWatcher(service, time.read, DefaultTiming())
+	watcher := NewWatcher(service, time.read, testTiming)
 	look(t, watcher, session.ID())
-	time.now = time.now.Add(TimeToLive)
+	time.now = time.now.Add(testTiming.TimeToLive)
 	if err := session.Renew(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +52,7 @@
 	if watcher.Expired(session.ID()) {
 		t.Fatal("a renewed session expired")
 	}
-	time.now = time.now.Add(TimeToLive)
+	time.now = time.now.Add(testTiming.TimeToLive)
 	look(t, watcher, session.ID())
 	if !watcher.Expired(session.ID()) {
 		t.Fatal("a session that stood still did not expire")
@@ -60,15 +63,15 @@
 // it takes; after its return a holder has a whole time to live.
 func TestWatcher_StoreOutageExpiresNothing(t *testing.T) {
 	service, store := newService(t)
-	session := NewSession(service, "a", DefaultTiming())
+	session := NewSession(service, "a", testTiming)
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	time := &clock{now: time.Unix(100, 0)}
-	watcher := NewWatcher(service, time.read, DefaultTiming())
+	watcher := NewWatcher(service, time.read, testTiming)
 	look(t, watcher, session.ID())
 	store.Faults.Set(emulator.Condition{Down: true})
-	time.now = time.now.Add(100 * TimeToLive)
+	time.now = time.now.Add(100 * testTiming.TimeToLive)
 	if watcher.Look(t.Context(), session.ID()) == nil {
 		t.Fatal("the store answered while it was down")
 	}
@@ -77,12 +80,12 @@
 	}
 	store.Faults.Set(emulator.Condition{})
 	look(t, watcher, session.ID())
-	time.now = time.now.Add(TimeToLive / 2)
+	time.now = time.now.Add(testTiming.TimeToLive / 2)
 	look(t, watcher, session.ID())
 	if watcher.Expired(session.ID()) {
 		t.Fatal("a session expired before a whole time to live after the outage")
 	}
-	time.now = time.now.Add(TimeToLive)
+	time.now = time.now.Add(testTiming.TimeToLive)
 	look(t, watcher, session.ID())
 	if !watcher.Expired(session.ID()) {
 		t.Fatal("a dead session does not expire after an outage")
@@ -91,11 +94,11 @@
 
 func TestWatcher_EndedSessionIsFreeAtOnce(t *testing.T) {
 	service, _ := newService(t)
-	session := NewSession(service, "a", DefaultTiming())
+	session := NewSession(service, "a", testTiming)
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	watcher := NewWatcher(service, (&clock{now: time.Unix(100, 0)}).read, DefaultTiming())
+	watcher := NewWatcher(service, (&clock{now: time.Unix(100, 0)}).read, testTiming)
 	look(t, watcher, session.ID())
 	if err := session.End(t.Context()); err != nil {
 		t.Fatal(err)
@@ -110,8 +113,8 @@
 func TestAcquire_EpochRises(t *testing.T) {
 	service, _ := newService(t)
 	time := &clock{now: time.Unix(100, 0)}
-	first, second := NewSession(service, "a", DefaultTiming()), NewSession(service, "b", DefaultTiming())
-	watcher := NewWatcher(service, time.read, DefaultTiming())
+	first, second := NewSession(service, "a", testTiming), NewSession(service, "b", testTiming)
+	watcher := NewWatcher(service, time.read, testTiming)
 	grant, err := Acquire(t.Context(), service, first, watcher, "placement/p")
 	if err != nil || grant.Epoch != 1 {
 		t.Fatalf("grant %+v, error %v", grant, err)
@@ -120,9 +123,9 @@
 		if _, err := Acquire(t.Context(), service, second, watcher, "placement/p"); !errors.Is(err, ErrHeld) {
 			t.Fatalf("second holder: %v", err)
 		}
-		time.now = time.now.Add(TimeToLive / 2)
+		time.now = time.now.Add(testTiming.TimeToLive / 2)
 	}
-	time.now = time.now.Add(TimeToLive)
+	time.now = time.now.Add(testTiming.TimeToLive)
 	grant, err = Acquire(t.Context(), service, second, watcher, "placement/p")
 	if err != nil || grant.Epoch != 2 {
 		t.Fatalf("takeover: grant %+v, error %v", grant, err)
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -26,11 +26,6 @@
 var Error = errs.Class("lease")
 
 const (
-	// TimeToLive is how long a session must be seen unchanged before its work
-	// may be taken over.
-	TimeToLive = 8 * time.Second
-	// RenewInterval leaves room for two failed renewals within TimeToLive.
-	RenewInterval = 2500 * time.Millisecond
 	// sessionSeparator parts the node's id from the run's in a session's id.
 	sessionSeparator = "#"
 	// partition holds the session rows.
@@ -62,11 +57,6 @@
 	RenewInterval time.Duration
 }
 
-// DefaultTiming suits work that runs for minutes.
-func DefaultTiming() Timing {
-	return Timing{TimeToLive: TimeToLive, RenewInterval: RenewInterval}
-}
-
 // NewSession returns a session with a fresh id for this run of a node.
 func NewSession(service table.Service, node string, timing Timing) *Session {
 	return &Session{service: service, id: node + sessionSeparator + table.NewOperation()[:12], timing: timing}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,9 +116,7 @@
 	if !files.Set() {
 		return nil
 	}
-	loader, err := tlsfile.NewLoader(tlsfile.Files{
-		Certificate: files.Certificate, Key: files.Key, Authority: files.Authority,
-	})
+	loader, err := tlsfile.NewLoader(tlsfile.Files{Certificate: files.Certificate, Key: files.Key})
 	if err != nil {
 		return Error.Wrap(errors.Join(err, listener.Close()))
 	}
@@ -232,23 +230,3 @@
 	}
 	return 1
 }
-
-// URL returns the base URL for callers.
-func (n *Node) URL() string {
-	scheme := "http://"
-	if n.settings.TLS.Serve.Set() {
-		scheme = "https://"
-	}
-	return scheme + n.listener.Addr().String()
-}
-
-// ID returns the node's id.
-func (n *Node) ID() string { return n.settings.Node.ID }
-
-// Revision returns the configuration revision in force.
-func (n *Node) Revision() uint64 { return n.resources.Revision() }
-
-// ControlTraffic returns the bytes sent and received for control.
-func (n *Node) ControlTraffic() (sent, received uint64) {
-	return n.control.Sent(), n.control.Received()
-}
--- a/internal/resource/publish_test.go
+++ b/internal/resource/publish_test.go
@@ -23,16 +23,7 @@
 	t.Helper()
 	store := NewStore(nil)
 	watcher := table.NewWatcher(shared.Feed(Group), store.Apply)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watcher.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	tabletest.Follow(t, watcher)
 	return store
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,6 @@
 package settings
 
 import (
-	"errors"
 	"net"
 	"net/url"
 	"os"
@@ -78,15 +77,14 @@
 	Serve TLSFiles `json:"serve,omitempty"`
 }
 
-// TLSFiles names a certificate, its key and the authority to trust.
+// TLSFiles names a certificate and its key.
 type TLSFiles struct {
 	Certificate string `json:"certificate,omitempty"`
 	Key         string `json:"key,omitempty"`
-	Authority   string `json:"authority,omitempty"`
 }
 
 // Set reports whether any file is named.
-func (t TLSFiles) Set() bool { return t.Certificate != "" || t.Key != "" || t.Authority != "" }
+func (t TLSFiles) Set() bool { return t.Certificate != "" || t.Key != "" }
 
 // Log configures the log.
 type Log struct {
@@ -194,7 +192,7 @@
 	if files.Certificate == "" || files.Key == "" {
 		found.Add(path, "certificate and key must both be set")
 	}
-	for _, file := range []string{files.Certificate, files.Key, files.Authority} {
+	for _, file := range []string{files.Certificate, files.Key} {
 		if file == "" {
 			continue
 		}
@@ -237,12 +235,3 @@
 	}
 	return settings, nil
 }
-
-// Findings returns the findings within an error of Load.
-func Findings(err error) []findings.Finding {
-	var collected *findings.Error
-	if errors.As(err, &collected) {
-		return collected.Findings
-	}
-	return nil
-}
--- a/internal/table/log_test.go
+++ b/internal/table/log_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
 // plainTable is a service whose rows have versions of their own and that tells
@@ -94,17 +95,8 @@
 			rows[change.Sort] = string(change.Body)
 		}
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watcher.Run(ctx)
-	}()
-	go heads.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	go heads.Run(t.Context())
+	tabletest.Follow(t, watcher)
 	return func() map[string]string {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/table/watch_test.go
+++ b/internal/table/watch_test.go
@@ -25,20 +25,6 @@
 }
 
 // follow runs a watcher until the test ends.
-func follow(t *testing.T, watcher *table.Watcher) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watcher.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-}
-
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
@@ -63,7 +49,7 @@
 			}
 		}
 	})
-	follow(t, watcher)
+	tabletest.Follow(t, watcher)
 	eventually(t, "first read", func() bool { return put.Load() == 1 })
 	commit(t, service, table.Write{Key: key("a"), Kind: table.Delete, Expect: version})
 	service.Compact()
@@ -103,7 +89,7 @@
 		}
 		applied <- 0
 	})
-	follow(t, watcher)
+	tabletest.Follow(t, watcher)
 	at := func(version uint64) func() (table.Changes, error) {
 		return func() (table.Changes, error) {
 			row := table.Row{Key: key("a"), Version: version}
@@ -133,7 +119,7 @@
 	watcher := table.NewWatcher(feed, func(table.Changes, bool) { order <- "applied" })
 	watcher.Lost = func(error) { order <- "lost" }
 	watcher.Regained = func(time.Duration) { order <- "regained" }
-	follow(t, watcher)
+	tabletest.Follow(t, watcher)
 	feed.answers <- func() (table.Changes, error) { return table.Changes{Revision: 1}, nil }
 	feed.answers <- func() (table.Changes, error) { return table.Changes{}, errors.New("down") }
 	feed.answers <- func() (table.Changes, error) { return table.Changes{Revision: 2}, nil }
@@ -175,7 +161,7 @@
 	feed := &pages{}
 	applied := make(chan int, 1)
 	watcher := table.NewWatcher(feed, func(changes table.Changes, _ bool) { applied <- len(changes.Changes) })
-	follow(t, watcher)
+	tabletest.Follow(t, watcher)
 	if rows := <-applied; rows != 3 {
 		t.Fatalf("%d rows were read, want 3", rows)
 	}
--- a/internal/tlsfile/tlsfile.go
+++ b/internal/tlsfile/tlsfile.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"os"
 	"sync"
 	"time"
@@ -18,13 +17,10 @@
 // checkInterval bounds how often the files' times are looked at.
 const checkInterval = time.Second
 
-// Files names the PEM files of one end.
+// Files names the PEM files of a server.
 type Files struct {
 	Certificate string
 	Key         string
-	// Authority verifies the other end; empty for a server without client
-	// certificates.
-	Authority string
 }
 
 // Loader holds the current content of the files. It is safe for concurrent use.
@@ -35,7 +31,6 @@
 	checked     time.Time
 	modified    time.Time
 	certificate *tls.Certificate
-	authority   *x509.CertPool
 }
 
 // NewLoader reads the files for the first time.
@@ -50,7 +45,7 @@
 
 func (l *Loader) lastModified() (time.Time, error) {
 	var last time.Time
-	for _, path := range []string{l.files.Certificate, l.files.Key, l.files.Authority} {
+	for _, path := range []string{l.files.Certificate, l.files.Key} {
 		if path == "" {
 			continue
 		}
@@ -71,24 +66,13 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	var authority *x509.CertPool
-	if l.files.Authority != "" {
-		source, err := os.ReadFile(l.files.Authority)
-		if err != nil {
-			return Error.Wrap(err)
-		}
-		authority = x509.NewCertPool()
-		if !authority.AppendCertsFromPEM(source) {
-			return Error.New("%s: no certificate found", l.files.Authority)
-		}
-	}
-	l.certificate, l.authority, l.modified = &certificate, authority, modified
+	l.certificate, l.modified = &certificate, modified
 	return nil
 }
 
 // current returns the content, read anew if the files have changed. Files that
 // are broken or half written leave the earlier content in use.
-func (l *Loader) current() (*tls.Certificate, *x509.CertPool) {
+func (l *Loader) current() *tls.Certificate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now := time.Now(); now.Sub(l.checked) >= checkInterval {
@@ -97,7 +81,7 @@
 			_ = l.read(modified)
 		}
 	}
-	return l.certificate, l.authority
+	return l.certificate
 }
 
 // Server returns the configuration of a server for callers.
@@ -105,50 +89,7 @@
 	return &tls.Config{
 		MinVersion: tls.VersionTLS12,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			certificate, _ := l.current()
-			return certificate, nil
-		},
-	}
-}
-
-// Peer returns the configuration of a node towards other nodes: both ends show
-// a certificate of the same authority. Names are not checked, since machines
-// are replaced at any time and known by address only; whoever holds a
-// certificate of the authority is a node.
-func (l *Loader) Peer() *tls.Config {
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13,
-		ClientAuth: tls.RequireAnyClientCert,
-		// Verification is done below, against the authority as it is now.
-		InsecureSkipVerify: true,
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			certificate, _ := l.current()
-			return certificate, nil
-		},
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			certificate, _ := l.current()
-			return certificate, nil
+			return l.current(), nil
 		},
-		VerifyConnection: l.verify,
-	}
-}
-
-// verify checks the other end's certificate. Its error is the finding that
-// both ends log.
-func (l *Loader) verify(state tls.ConnectionState) error {
-	if len(state.PeerCertificates) == 0 {
-		return Error.New("the peer shows no certificate")
 	}
-	_, authority := l.current()
-	intermediates := x509.NewCertPool()
-	for _, certificate := range state.PeerCertificates[1:] {
-		intermediates.AddCert(certificate)
-	}
-	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
-		Roots: authority, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
-	})
-	if err != nil {
-		return Error.New("peer certificate of %q refused: %v", state.PeerCertificates[0].Subject.CommonName, err)
-	}
-	return nil
 }
