--- a/internal/batch/feeder.go
+++ b/internal/batch/feeder.go
@@ -70,7 +70,8 @@
 	done map[int]Group
 	// next is the first group that may not have been begun yet.
 	next int
-	// rate is the number of items done a second since began.
+	// began is when this node took the batch up, first how many items were done
+	// then; they tell the rate.
 	began time.Time
 	first int
 }
