--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -21,7 +21,7 @@
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
 	// smallPool is the number of replicas up to which a choice looks at all.
-	smallPool = 48
+	smallPool = 64
 	// sampleRandom is the number of random replicas that a choice among more looks
 	// at, beside those that this node has heard from within freshFor.
 	sampleRandom = 2
