Find a removed job's objects by the rows that name them; fewer copies on the way

The test (a node that never read the text removes the job) covers it; the old code kept no such list.

Without a change of behaviour: the weights of a pool were kept beside the route they follow from, the engine client had a call of one user, the backend a wrapper of one line.

--- a/internal/engine/backend.go
+++ b/internal/engine/backend.go
@@ -102,7 +102,7 @@
 		return nil, Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", forward.ErrUnreachable, err)))
 	}
 	if ctx.Err() != nil {
-		b.abort(attempt.Replica.Address, id)
+		abortAttempt(b.engines, attempt.Replica.Address, id)
 	}
 	return nil, Error.Wrap(outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err)))
 }
@@ -141,9 +141,7 @@
 	}
 }
 
-// abort tells an engine that nobody wants an answer any more.
-func (b *Backend) abort(base, id string) { abortAttempt(b.engines, base, id) }
-
+// abortAttempt tells an engine that nobody wants an answer any more.
 func abortAttempt(engines Engines, base, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
 	defer cancel()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -181,12 +181,8 @@
 
 // Abort gives an attempt up and returns what became of it.
 func (c *Client) Abort(ctx context.Context, base, id string) (RequestStatus, error) {
-	return c.requestStatus(ctx, http.MethodPost, base+"/v1/requests/"+url.PathEscape(id)+"/abort")
-}
-
-func (c *Client) requestStatus(ctx context.Context, method, address string) (RequestStatus, error) {
 	var status RequestStatus
-	err := c.control(ctx, method, address, nil, &status)
+	err := c.control(ctx, http.MethodPost, base+"/v1/requests/"+url.PathEscape(id)+"/abort", nil, &status)
 	return status, err
 }
 
--- a/internal/jobs/expire_test.go
+++ b/internal/jobs/expire_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +51,26 @@
 		t.Fatalf("reading a removed job: %v", err)
 	}
 }
+
+// A long text's object goes with its job, also at a node that never read it.
+func TestRemove_LongTextsGoWithoutHavingBeenRead(t *testing.T) {
+	shared, objects := tabletest.New(), &objecttest.Store{}
+	first, other := startNode(t, shared, objects, "a#1"), startNode(t, shared, objects, "b#1")
+	long := "id: 1\ndata: " + strings.Repeat("x", maxRowText+1) + "\n\n"
+	startRunner(t, first, &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
+		return answerOf(http.StatusOK, long), nil
+	}})
+	if err := first.Submit(t.Context(), submission("job", 1)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool {
+		entry := other.View.Get("job")
+		return entry != nil && entry.Done()
+	})
+	if err := other.Remove(t.Context(), other.View.Get("job")); err != nil {
+		t.Fatal(err)
+	}
+	if objects.Len() != 0 {
+		t.Fatalf("%d objects are left", objects.Len())
+	}
+}
--- a/internal/jobs/remove.go
+++ b/internal/jobs/remove.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -22,25 +23,19 @@
 	}
 	s.View.Drop(entry.Job.ID)
 	s.forget(entry.Job.ID)
+	if entry.Job.Chunks == 0 {
+		s.dropObject(ctx, contentKey(entry.Job.ID))
+	}
 	s.sweep(ctx, entry.Job)
-	s.dropObjects(ctx, entry)
 	return nil
 }
 
-// dropObjects removes the objects of a job's content and long texts.
-func (s *Service) dropObjects(ctx context.Context, entry *Entry) {
-	if entry.Job.Chunks == 0 {
-		// An object that stays is only a waste.
-		_ = s.Objects.Delete(ctx, contentKey(entry.Job.ID))
-	}
-	for position, listed := range entry.Progress.Listed {
-		if text, ok := s.cache.get(entry.Job.ID, position); ok && len(text.text) > maxRowText {
-			_ = s.Objects.Delete(ctx, textObject(entry.Job.ID, listed.Item))
-		}
-	}
-}
+// dropObject removes an object that no row names any more. One that stays is
+// only a waste.
+func (s *Service) dropObject(ctx context.Context, key string) { _ = s.Objects.Delete(ctx, key) }
 
-// sweep removes the rows of a job's contents, results and kept texts.
+// sweep removes the rows of a job's contents, results and kept texts, and the
+// objects that results name.
 func (s *Service) sweep(ctx context.Context, job *Job) {
 	prefix := job.ID + "/"
 	for {
@@ -50,8 +45,13 @@
 		}
 		var writes []table.Write
 		for _, row := range rows {
-			if len(row.Sort) > len(prefix) && row.Sort[:len(prefix)] == prefix {
-				writes = append(writes, table.Write{Key: row.Key, Kind: table.Delete, Expect: row.Version})
+			if !strings.HasPrefix(row.Sort, prefix) {
+				break
+			}
+			writes = append(writes, table.Write{Key: row.Key, Kind: table.Delete, Expect: row.Version})
+			var stored storedResult
+			if decode(row.Body, &stored) == nil && stored.Object != "" {
+				s.dropObject(ctx, stored.Object)
 			}
 		}
 		if len(writes) == 0 {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -263,23 +263,23 @@
 // grants plans the places of all pools that batch routes lead to.
 func (r *Runner) grants(routes *route.Table) map[string]Grant {
 	byPool := map[string][]*Entry{}
-	weights := map[string]replica.Weights{}
 	targets := map[string]*route.Route{}
 	for _, entry := range r.Service.View.Open() {
 		if target := routes.Named(entry.Job.Route); target != nil {
 			pool := target.Shares[0].Pool
 			byPool[pool] = append(byPool[pool], entry)
-			weights[pool] = r.weights(target)
 			targets[pool] = target
 		}
 	}
 	all := map[string]Grant{}
 	for pool, open := range byPool {
 		slots := float64(r.Replicas.BatchSlots(pool))
+		target := targets[pool]
+		weights := r.weights(target)
 		plan := PlanGrants(PlanInput{
 			Open: open, Now: r.Service.View.Now(),
-			Places:       places(targets[pool], weights[pool].BatchFill, slots),
-			UrgentPlaces: places(targets[pool], weights[pool].UrgentFill, slots),
+			Places:       places(target, weights.BatchFill, slots),
+			UrgentPlaces: places(target, weights.UrgentFill, slots),
 			ItemTime:     r.itemTime(),
 		})
 		for job, share := range plan {
