--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -35,8 +35,9 @@
 		if err != nil {
 			return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
 		}
-		use.Heard(time.Now())
-		use.First()
+		now := time.Now()
+		use.Heard(now)
+		use.First(now)
 		watch.begun(c.route.Gap)
 		if event.HasID && event.ID <= c.after {
 			continue
@@ -96,7 +97,7 @@
 	if len(body) > maxWhole {
 		return outcome.Undecided(fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxWhole))
 	}
-	use.First()
+	use.First(time.Now())
 	if c.result.Started {
 		// The stream began elsewhere; this failure cannot replace its head.
 		return outcome.Undecided(fmt.Errorf("%w: status %d", ErrBroken, answer.Status))
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -63,7 +63,7 @@
 	one.deadline = deadlineOf(target, request)
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
-		Zone: f.Zone, Tokens: request.Prompt.Tokens, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
+		Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
 		Adapter: target.Adapter, Exclude: map[string]bool{},
 	}
 	if !one.deadline.IsZero() {
@@ -78,7 +78,7 @@
 // Predict estimates the time until a request would get its first event. It
 // returns replica.ErrNoReplica if no replica could take it.
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
-	demand := &replica.Demand{Zone: f.Zone, Tokens: request.Prompt.Tokens, Adapter: target.Adapter}
+	demand := &replica.Demand{Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
 	best, err := replica.Pick(f.Replicas.Snapshot(target.Pool(), 0, now), demand, f.Weights)
 	if err != nil {
 		return 0, err
@@ -165,7 +165,9 @@
 }
 
 func (c *call) pick() (*replica.Candidate, error) {
-	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, c.demand.Affinity, time.Now())
+	now := time.Now()
+	c.demand.Objective = max(0, c.route.Objective-now.Sub(c.request.Received))
+	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, c.demand.Affinity, now)
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
 }
 
@@ -213,7 +215,7 @@
 	if c.forwarder.Notice != nil {
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen)
 	}
-	use := c.forwarder.Replicas.Begin(chosen.ID, c.request.Prompt.Tokens, false, now)
+	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
 	err := c.exchange(ctx, chosen.Info, use)
 	if c.result.Events > 0 {
 		c.demand.Version = chosen.Version
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -218,9 +218,14 @@
 	for _, item := range submission.Items {
 		job.Items = append(job.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
 	}
+	s.spread(job, submission)
+	progress := &Progress{Owner: session}
+	if len(job.Nodes) > 0 {
+		progress.Owner = ""
+	}
 	writes := []table.Write{
 		{Key: jobKey(job.ID), Expect: table.Absent, Body: encode(job)},
-		{Key: progressKey(job.ID), Expect: table.Absent, Body: encode(&Progress{Owner: session})},
+		{Key: progressKey(job.ID), Expect: table.Absent, Body: encode(progress)},
 	}
 	for number, chunk := range chunks {
 		writes = append(writes, table.Write{Key: chunkKey(job.ID, number), Expect: table.Absent, Body: chunk})
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/lease"
@@ -31,28 +32,71 @@
 	if err != nil || r.stopped() || !r.Service.View.Known() {
 		return
 	}
-	var foreign []*Entry
-	for _, entry := range r.Service.View.Open() {
-		if entry.Progress.Owner != session {
-			foreign = append(foreign, entry)
-		}
-	}
-	if len(foreign) == 0 {
-		return
-	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if r.Owners.Refresh(callCtx) != nil {
 		return
 	}
+	r.Replicas.Divide(lease.Node(session), r.Owners.Nodes())
 	live := r.Owners.Live()
-	for _, entry := range foreign {
-		if r.mayClaim(entry, live, session) {
-			r.claim(ctx, entry, session)
+	for _, entry := range r.Service.View.Open() {
+		if len(entry.Job.Nodes) == 0 {
+			if entry.Progress.Owner != session && r.mayClaim(entry, live, session) {
+				r.claim(ctx, entry, session)
+			}
+			continue
+		}
+		for _, node := range r.lostNodes(entry, session) {
+			if lease.Preferred(live, entry.Job.ID+node) == session {
+				r.claimItems(ctx, entry, node, session)
+			}
 		}
 	}
 }
 
+// lostNodes returns the nodes that are gone and have items of a job to run.
+func (r *Runner) lostNodes(entry *Entry, session string) []string {
+	var lost []string
+	listed := entry.Progress.listed(len(entry.Job.Items))
+	for i := range entry.Job.Items {
+		node := entry.runner(i)
+		if listed[i] || node == lease.Node(session) || slices.Contains(lost, node) {
+			continue
+		}
+		if r.Owners.Gone(node) {
+			lost = append(lost, node)
+		}
+	}
+	return lost
+}
+
+// claimItems makes this node run what a lost one had to, unless another one does
+// by then.
+func (r *Runner) claimItems(ctx context.Context, entry *Entry, lost, session string) {
+	callCtx, cancel := context.WithTimeout(ctx, slowCallTimeout)
+	defer cancel()
+	items := entry.itemsOf(lost)
+	err := r.Service.update(callCtx, entry.Job.ID, func(progress *Progress) ([]table.Write, bool) {
+		if progress.Ended {
+			return nil, false
+		}
+		next := Entry{Job: entry.Job, Progress: progress}
+		changed := false
+		for _, item := range items {
+			if next.runner(item) != lost || progress.has(item) {
+				continue
+			}
+			if progress.Moved == nil {
+				progress.Moved = map[int]string{}
+			}
+			progress.Moved[item] = lease.Node(session)
+			changed = true
+		}
+		return nil, changed
+	})
+	r.Service.Events.Claimed(entry, lost, err)
+}
+
 // mayClaim reports whether this node should take a job over: its own from
 // before a restart at once, those of others once their owner is gone.
 func (r *Runner) mayClaim(entry *Entry, live []string, session string) bool {
--- a/internal/jobs/handback.go
+++ b/internal/jobs/handback.go
@@ -60,7 +60,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.Service.update(callCtx, owned.job.ID, func(progress *Progress) ([]table.Write, bool) {
-		if progress.Ended || progress.Owner == "" {
+		if progress.Ended || (progress.Owner == "" && len(failures) == 0) {
 			return nil, false
 		}
 		progress.Owner = ""
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -40,11 +40,9 @@
 func (r *Runner) run(ctx context.Context, one *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
 	defer one.cancel(nil)
 	r.Service.Events.ItemSent(one.work.job, item.ID, chosen.ID, one.after)
-	began, fresh := time.Now(), one.after == 0
+	began, from := time.Now(), one.after
 	err := r.exchange(ctx, one, item, chosen, use)
-	if err == nil && fresh {
-		r.learnTime(time.Since(began))
-	}
+	r.learn(one, from, time.Since(began), err == nil)
 	use.End(itemResult(one.work.ctx, err), time.Now())
 	if err != nil && one.work.ctx.Err() == nil {
 		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
@@ -187,8 +185,9 @@
 		if err != nil {
 			return outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
-		use.Heard(time.Now())
-		use.First()
+		now := time.Now()
+		use.Heard(now)
+		use.First(now)
 		if err := r.add(one, event); err != nil {
 			return err
 		}
@@ -223,3 +222,13 @@
 		Header: header, Body: item.Body, Once: item.Once, Batch: true,
 	}
 }
+
+// learn takes in a run that began after an event.
+func (r *Runner) learn(one *task, from int, took time.Duration, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usual.pace(one.after-from, took)
+	if whole {
+		r.usual.run(one.after)
+	}
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -99,6 +100,8 @@
 type ItemHead struct {
 	ID     string `cbor:"1,keyasint"`
 	Tokens int64  `cbor:"2,keyasint"`
+	// Node is the index, in Nodes of the job, of the node that runs the item.
+	Node int `cbor:"3,keyasint,omitempty"`
 }
 
 // Job is the job row. Times are of the store's steady clock.
@@ -115,6 +118,9 @@
 	Expires time.Duration `cbor:"7,keyasint"`
 	// Chunks is the number of rows with the content; 0 means an object holds it.
 	Chunks int `cbor:"8,keyasint,omitempty"`
+	// Nodes are the nodes that run the items between them; without any, the owner
+	// named in the progress row runs all.
+	Nodes []string `cbor:"10,keyasint,omitempty"`
 
 	// version is that of the row this was read from.
 	version uint64
@@ -146,6 +152,8 @@
 	Failures map[int]int `cbor:"4,keyasint,omitempty"`
 	// Started items may run only once and were about to be sent.
 	Started []int `cbor:"5,keyasint,omitempty"`
+	// Moved names the nodes that took items over from lost ones.
+	Moved map[int]string `cbor:"6,keyasint,omitempty"`
 }
 
 // has reports whether an item is listed.
@@ -166,6 +174,7 @@
 	for item, count := range p.Failures {
 		copied.Failures[item] = count
 	}
+	copied.Moved = maps.Clone(p.Moved)
 	return &copied
 }
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -1,79 +1,72 @@
 package jobs
 
-import (
-	"sort"
-	"time"
+import "time"
+
+const (
+	// paceFirstEvents and paceFirstEvent stand in until it is learned how many
+	// events an item has and how long each takes.
+	usualEventsFirst = 100
+	usualEventFirst  = 30 * time.Millisecond
+	usualWeight      = 0.05
 )
 
-// Grant says how many items of a job may be in flight, and whether they are
-// urgent, so that they may fill replicas further.
-type Grant struct {
-	Items  int
-	Urgent bool
+// usual is what items are like, learned. The zero value knows nothing yet.
+type usual struct {
+	events float64
+	event  time.Duration
 }
 
-// PlanInput is what a plan is made of.
-type PlanInput struct {
-	Open []*Entry
-	// Now is the store's clock.
-	Now time.Duration
-	// Places is the number of items that may be in flight, UrgentPlaces the
-	// number that may be if some would be late otherwise.
-	Places       int
-	UrgentPlaces int
-	// ItemTime is how long an item usually takes.
-	ItemTime time.Duration
+// run takes in a run of an item that brought its last event.
+func (u *usual) run(events int) {
+	if u.events == 0 {
+		u.events = float64(events)
+	}
+	u.events += usualWeight * (float64(events) - u.events)
 }
 
-const (
-	// urgentMargin is how much longer than estimated a job may take before it
-	// counts as urgent.
-	urgentMargin = 1.4
-	// hopelessSlack is the time to a job's due time below which it is too late
-	// for items that have not begun; they come after those that can be in time.
-	hopelessSlack = 2 * time.Second
-)
+// pace takes in how long a run took for so many events.
+func (u *usual) pace(events int, took time.Duration) {
+	if events <= 0 {
+		return
+	}
+	each := took / time.Duration(events)
+	if u.event == 0 {
+		u.event = each
+	}
+	u.event += time.Duration(usualWeight * float64(each-u.event))
+}
 
-// PlanGrants shares out places among all open jobs, the earliest due first. It
-// is a pure function of what every node learns from the same feed, so nodes
-// that own different jobs keep to one bound together without a word between
-// them; a view that lags moves a place from one node to another a moment late.
-func PlanGrants(input PlanInput) map[string]Grant {
-	ordered := append([]*Entry(nil), input.Open...)
-	sort.Slice(ordered, func(i, j int) bool { return before(ordered[i].Job, ordered[j].Job, input.Now) })
-	granted := make(map[string]Grant, len(ordered))
-	used, ahead := 0, 0
-	for _, entry := range ordered {
-		unlisted := len(entry.Job.Items) - len(entry.Progress.Listed)
-		slack := entry.Job.Due - input.Now
-		urgent := slack >= hopelessSlack && slack < input.expected(ahead+unlisted)
-		ahead += unlisted
-		limit := input.Places
-		if urgent {
-			limit = max(limit, input.UrgentPlaces)
-		}
-		share := min(unlisted, max(0, limit-used))
-		granted[entry.Job.ID] = Grant{Items: share, Urgent: urgent}
-		used += share
+// remaining estimates how long an item still has to run after an event.
+func (u *usual) remaining(after int) time.Duration {
+	events, event := u.events, u.event
+	if events == 0 {
+		events = usualEventsFirst
 	}
-	return granted
+	if event == 0 {
+		event = usualEventFirst
+	}
+	return time.Duration(max(0, events-float64(after)) * float64(event))
 }
 
-// expected estimates the time until so many items are done, if no more than
-// Places are in flight.
-func (p *PlanInput) expected(items int) time.Duration {
-	rounds := 1 + float64(items)/float64(max(1, p.Places))
-	return time.Duration(urgentMargin * rounds * float64(p.ItemTime))
+// turn is an item's place among those that wait.
+type turn struct {
+	// late is set if the item cannot be in time any more.
+	late bool
+	rank time.Duration
+	job  string
+	item int
 }
 
-// before orders jobs: those that can be in time first, then by rank.
-func before(a, b *Job, now time.Duration) bool {
-	lateA, lateB := a.Due-now < hopelessSlack, b.Due-now < hopelessSlack
-	if lateA != lateB {
-		return lateB
-	}
-	if a.rank() != b.rank() {
-		return a.rank() < b.rank()
+// before orders items: those that can be in time first, then by rank.
+func (t turn) before(other turn) bool {
+	switch {
+	case t.late != other.late:
+		return other.late
+	case t.rank != other.rank:
+		return t.rank < other.rank
+	case t.job != other.job:
+		return t.job < other.job
+	default:
+		return t.item < other.item
 	}
-	return a.ID < b.ID
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -32,6 +32,10 @@
 	// Preferred returns the live session that should do a piece of work that any
 	// could do.
 	Preferred(work string) string
+	// Nodes returns the nodes of the live sessions, Gone reports whether a node has
+	// none.
+	Nodes() []string
+	Gone(node string) bool
 }
 
 // RunnerOptions are what a runner needs.
@@ -59,32 +63,13 @@
 	owned  map[string]*work
 	paused bool
 	freed  chan struct{}
-	// usual is how long items take, learned.
-	usual time.Duration
-}
-
-const (
-	// itemTimeFirst stands in until it is learned how long items take.
-	itemTimeFirst  = 5 * time.Second
-	itemTimeWeight = 0.05
-)
-
-func (r *Runner) itemTime() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.usual
-}
-
-// learnTime takes in how long a run from first to last event took.
-func (r *Runner) learnTime(took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.usual += time.Duration(itemTimeWeight * float64(took-r.usual))
+	// usual is what items are like.
+	usual usual
 }
 
 // NewRunner returns a runner that owns nothing yet.
 func NewRunner(options RunnerOptions) *Runner {
-	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1), usual: itemTimeFirst}
+	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1)}
 }
 
 // work is an owned job. The runner's lock guards it.
@@ -94,6 +79,8 @@
 	tasks    []*task
 	finished []*task
 	commits  bool
+	// loading is set while items are read from the store.
+	loading bool
 	// marking is set while items are being marked as started.
 	marking bool
 	// cancel stops the items when the job ends or is lost.
@@ -134,6 +121,9 @@
 	// replica and cancel belong to the run under way.
 	replica string
 	cancel  context.CancelCauseFunc
+	use     *replica.Use
+	// yielding is set once the run was told to give way.
+	yielding bool
 	// keptVersion is the version of the row with the item's kept text.
 	keptVersion uint64
 	// keptAfter is the last event of that text.
@@ -165,8 +155,8 @@
 	}
 }
 
-// reconcile takes up jobs that the view says are this node's, and drops those
-// that are not any more.
+// reconcile takes up the items that the view says are this node's, and drops
+// those that are not any more.
 func (r *Runner) reconcile(ctx context.Context) {
 	session, err := r.Service.Session(ctx)
 	if err != nil {
@@ -174,11 +164,10 @@
 	}
 	open := map[string]bool{}
 	for _, entry := range r.Service.View.Open() {
-		if entry.Progress.Owner != session {
-			continue
+		if own := entry.own(session); len(own) > 0 {
+			open[entry.Job.ID] = true
+			r.takeUp(ctx, entry, own)
 		}
-		open[entry.Job.ID] = true
-		r.takeUp(ctx, entry)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -191,36 +180,65 @@
 	}
 }
 
-// takeUp loads a job's items, and the texts kept of them, in the background.
-func (r *Runner) takeUp(ctx context.Context, entry *Entry) {
+// takeUp loads items, and the texts kept of them, in the background.
+func (r *Runner) takeUp(ctx context.Context, entry *Entry, own []int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.owned[entry.Job.ID] != nil || r.paused {
+	if r.paused {
 		return
 	}
-	workCtx, cancel := context.WithCancel(ctx)
-	owned := &work{job: entry.Job, ctx: workCtx, cancel: cancel}
-	r.owned[entry.Job.ID] = owned
-	go r.load(owned, entry)
+	owned := r.owned[entry.Job.ID]
+	if owned == nil {
+		workCtx, cancel := context.WithCancel(ctx)
+		owned = &work{job: entry.Job, ctx: workCtx, cancel: cancel}
+		r.owned[entry.Job.ID] = owned
+	}
+	owned.drop(own)
+	if missing := owned.missing(own); len(missing) > 0 && !owned.loading {
+		owned.loading = true
+		go r.load(owned, entry, missing)
+	}
 }
 
-func (r *Runner) load(owned *work, entry *Entry) {
+// missing returns the items that are not among the tasks. The caller holds the
+// runner's lock.
+func (w *work) missing(own []int) []int {
+	return slices.DeleteFunc(slices.Clone(own), func(item int) bool {
+		return slices.ContainsFunc(w.tasks, func(one *task) bool { return one.index == item })
+	})
+}
+
+// drop stops and removes the tasks of items that another node runs now. The
+// caller holds the runner's lock.
+func (w *work) drop(own []int) {
+	w.tasks = slices.DeleteFunc(w.tasks, func(one *task) bool {
+		if one.state == taskFinished || one.state == taskListed || slices.Contains(own, one.index) {
+			return false
+		}
+		if one.state == taskRunning {
+			one.cancel(errMoved)
+		}
+		return true
+	})
+}
+
+func (r *Runner) load(owned *work, entry *Entry, indexes []int) {
 	items, err := r.Service.content(owned.ctx, entry.Job)
 	if err != nil || len(items) != len(entry.Job.Items) {
 		// The next reconcile tries again.
 		r.mu.Lock()
-		delete(r.owned, entry.Job.ID)
+		owned.loading = false
 		r.mu.Unlock()
 		return
 	}
-	kept := r.Service.keptTexts(owned.ctx, entry)
+	var kept map[int]storedResult
+	if len(entry.Progress.Moved) > 0 || r.Service.View.Now()-entry.Job.Created >= keepInterval {
+		kept = r.Service.keptTexts(owned.ctx, entry)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	owned.items = items
-	for index := range items {
-		if entry.Progress.has(index) {
-			continue
-		}
+	owned.items, owned.loading = items, false
+	for _, index := range indexes {
 		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
 		if text, ok := kept[index]; ok {
 			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
@@ -244,77 +262,29 @@
 	if routes == nil {
 		return
 	}
-	grants := r.grants(routes)
+	room := map[string]int{}
 	for _, one := range r.waiting(now) {
 		if r.Service.View.until(one.work.job.Expires) < 0 {
 			r.finish(one, Expired)
 			continue
 		}
-		grant := grants[one.work.job.ID]
-		if r.inFlight(one.work) >= grant.Items {
+		target := routes.Match(one.work.job.Host, one.work.items[one.index].Path)
+		if target == nil || target.Kind != route.Batch {
 			continue
 		}
-		if !r.start(one, routes, grant.Urgent, now) {
-			return
+		pool := target.Pool()
+		if _, ok := room[pool]; !ok {
+			room[pool] = r.Replicas.ItemRoom(pool, now)
 		}
-	}
-}
-
-// grants plans the places of all pools that batch routes lead to.
-func (r *Runner) grants(routes *route.Table) map[string]Grant {
-	byPool := map[string][]*Entry{}
-	targets := map[string]*route.Route{}
-	for _, entry := range r.Service.View.Open() {
-		if target := routes.Named(entry.Job.Route); target != nil {
-			pool := target.Shares[0].Pool
-			byPool[pool] = append(byPool[pool], entry)
-			targets[pool] = target
-		}
-	}
-	all := map[string]Grant{}
-	for pool, open := range byPool {
-		slots := float64(r.Replicas.BatchSlots(pool))
-		target := targets[pool]
-		weights := r.weights(target)
-		plan := PlanGrants(PlanInput{
-			Open: open, Now: r.Service.View.Now(),
-			Places:       places(target, weights.BatchFill, slots),
-			UrgentPlaces: places(target, weights.UrgentFill, slots),
-			ItemTime:     r.itemTime(),
-		})
-		for job, share := range plan {
-			all[job] = share
+		if room[pool] <= 0 {
+			continue
 		}
-	}
-	return all
-}
-
-// weights returns the node's weights with what the route says instead.
-func (r *Runner) weights(target *route.Route) replica.Weights {
-	weights := r.Weights
-	if target.BatchFill > 0 {
-		weights.BatchFill = target.BatchFill
-		weights.UrgentFill = max(weights.UrgentFill, target.BatchFill)
-	}
-	return weights
-}
-
-// places is the number of items that may be in flight, at a fill.
-func places(target *route.Route, fill, slots float64) int {
-	return int(fill * (1 - target.Reserve) * slots)
-}
-
-// inFlight counts the items of a job that run or wait to be listed.
-func (r *Runner) inFlight(owned *work) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	count := 0
-	for _, one := range owned.tasks {
-		if one.state == taskRunning || one.state == taskFinished {
-			count++
+		if r.start(one, target, pool, now) {
+			room[pool]--
+		} else {
+			room[pool] = 0
 		}
 	}
-	return count
 }
 
 func (r *Runner) waiting(now time.Time) []*task {
@@ -331,54 +301,53 @@
 			}
 		}
 	}
-	sort.Slice(ready, func(i, j int) bool {
-		a, b := ready[i], ready[j]
-		if a.work.job.rank() != b.work.job.rank() {
-			return a.work.job.rank() < b.work.job.rank()
-		}
-		if a.work.job.ID != b.work.job.ID {
-			return a.work.job.ID < b.work.job.ID
-		}
-		return a.index < b.index
-	})
+	storeNow := r.Service.View.Now()
+	turns := make(map[*task]turn, len(ready))
+	for _, one := range ready {
+		turns[one] = r.turnOf(one, storeNow)
+	}
+	sort.Slice(ready, func(i, j int) bool { return turns[ready[i]].before(turns[ready[j]]) })
 	return ready
 }
 
-// start sends one task if a replica has room. It reports false if none has.
-func (r *Runner) start(one *task, routes *route.Table, urgent bool, now time.Time) bool {
-	item := &one.work.items[one.index]
-	target := routes.Match(one.work.job.Host, item.Path)
-	if target == nil || target.Kind != route.Batch {
-		return true
+// turnOf returns an item's place among others. The caller holds mu.
+func (r *Runner) turnOf(one *task, storeNow time.Duration) turn {
+	job := one.work.job
+	return turn{
+		late: job.Due != 0 && job.Due-storeNow < r.usual.remaining(one.after),
+		rank: job.rank(), job: job.ID, item: one.index,
 	}
+}
+
+// start sends one task if a replica has room. It reports whether it did.
+func (r *Runner) start(one *task, target *route.Route, pool string, now time.Time) bool {
+	item := &one.work.items[one.index]
 	if one.once && !one.marked {
 		r.markStarted(one.work)
-		return true
+		return false
 	}
 	demand := &replica.Demand{
-		Zone: r.Zone, Tokens: int(item.Tokens), Adapter: target.Adapter, Batch: true, Urgent: urgent,
+		Zone: r.Zone, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
 		Reserve: target.Reserve, Exclude: one.exclude,
 	}
-	chosen, err := replica.Pick(r.Replicas.Snapshot(target.Pool(), 0, now), demand, r.weights(target))
+	chosen, err := replica.Pick(r.Replicas.Snapshot(pool, 0, now), demand, r.Weights)
 	if err != nil {
-		if len(one.exclude) == 0 {
-			return false
-		}
 		one.exclude = map[string]bool{}
-		return true
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if one.state != taskWaiting || one.work.ctx.Err() != nil {
-		return true
+		return false
 	}
 	one.state = taskRunning
 	if one.started.IsZero() {
 		one.started = now
 	}
-	use := r.Replicas.Begin(chosen.ID, int(item.Tokens), true, now)
+	one.yielding = false
+	one.use = r.Replicas.Begin(chosen.ID, demand.Ask, now)
 	ctx, cancel := context.WithCancelCause(one.work.ctx)
 	one.replica, one.cancel = chosen.ID, cancel
-	go r.run(ctx, one, item, target, chosen.Info, use)
+	go r.run(ctx, one, item, target, chosen.Info, one.use)
 	return true
 }
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -50,6 +50,8 @@
 	Session func(ctx context.Context) (string, error)
 	// Refresh asks for a whole read of the view.
 	Refresh func()
+	// Nodes, if set, returns the nodes that items are spread over.
+	Nodes func() []string
 
 	cache textCache
 	pace  pace
--- /dev/null
+++ b/internal/jobs/spread_test.go
@@ -0,0 +1,130 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// someOwners tells which nodes live.
+type someOwners struct {
+	noOwners
+	live []string
+}
+
+func (o *someOwners) Live() []string { return o.live }
+func (o *someOwners) Nodes() []string {
+	var nodes []string
+	for _, session := range o.live {
+		nodes = append(nodes, lease.Node(session))
+	}
+	return nodes
+}
+func (o *someOwners) Gone(node string) bool {
+	for _, session := range o.live {
+		if lease.Node(session) == node {
+			return false
+		}
+	}
+	return true
+}
+
+func wholeAnswers(attempt *forward.Attempt, _ int) (*forward.Answer, error) {
+	return answerOf(http.StatusOK, events(attempt.After+1, 5)), nil
+}
+
+// spreadNodes starts nodes that run jobs between them.
+func spreadNodes(t *testing.T, shared *tabletest.Table, owners *someOwners) (nodes []*testNode, runners []*Runner, backends []*scriptedBackend) {
+	t.Helper()
+	objects := &objecttest.Store{}
+	for _, session := range owners.live {
+		node := startNode(t, shared, objects, session)
+		node.Nodes = owners.Nodes
+		backend := &scriptedBackend{answer: wholeAnswers}
+		runner, _ := startRunner(t, node, backend)
+		runner.Owners = owners
+		nodes, runners, backends = append(nodes, node), append(runners, runner), append(backends, backend)
+	}
+	return nodes, runners, backends
+}
+
+func TestSpread_AllNodesRunItemsOfOneJob(t *testing.T) {
+	owners := &someOwners{live: []string{"a#1", "b#1", "c#1"}}
+	nodes, _, backends := spreadNodes(t, tabletest.New(), owners)
+	if err := nodes[0].Submit(t.Context(), submission("j", 9)); err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for _, result := range readAll(t, nodes[1], "j") {
+		if seen[result.Item] || result.Dead {
+			t.Fatalf("result is %+v", result)
+		}
+		seen[result.Item] = true
+	}
+	for i, backend := range backends {
+		if backend.attempts() != 3 {
+			t.Errorf("node %d ran %d items of 9, want 3", i, backend.attempts())
+		}
+	}
+}
+
+func TestSpread_ItemsThatMayRunOnceStayWithTheirOwner(t *testing.T) {
+	owners := &someOwners{live: []string{"a#1", "b#1"}}
+	nodes, _, backends := spreadNodes(t, tabletest.New(), owners)
+	if err := nodes[0].Submit(t.Context(), onceSubmission("j", 4)); err != nil {
+		t.Fatal(err)
+	}
+	readAll(t, nodes[0], "j")
+	if backends[0].attempts() != 4 || backends[1].attempts() != 0 {
+		t.Fatalf("%d and %d items ran", backends[0].attempts(), backends[1].attempts())
+	}
+}
+
+func TestSpread_AnotherNodeRunsWhatALostOneHad(t *testing.T) {
+	shared := tabletest.New()
+	owners := &someOwners{live: []string{"a#1", "b#1"}}
+	nodes, runners, _ := spreadNodes(t, shared, owners)
+	hanging := make(chan struct{})
+	t.Cleanup(func() { close(hanging) })
+	runners[1].Backend = &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
+		<-hanging
+		return nil, forward.ErrBroken
+	}}
+	if err := nodes[0].Submit(t.Context(), submission("j", 6)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return len(nodes[0].View.Get("j").Progress.Listed) == 3 })
+	runners[1].mu.Lock()
+	runners[1].paused = true
+	runners[1].mu.Unlock()
+	after := &someOwners{live: owners.live[:1]}
+	runners[0].Owners = after
+	runners[0].claimLost(t.Context())
+	if results := readAll(t, nodes[0], "j"); len(results) != 6 {
+		t.Fatalf("%d results of 6", len(results))
+	}
+	if moved := nodes[0].View.Get("j").Progress.Moved; len(moved) != 3 {
+		t.Fatalf("moved items are %v, want 3", moved)
+	}
+}
+
+func TestLoad_NewItemsGoToTheNodeWithTheFewest(t *testing.T) {
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
+	node.Nodes = func() []string { return []string{"a", "b", "c", "d"} }
+	for i := range 5 {
+		if err := node.Submit(context.Background(), submission(fmt.Sprint("j", i), 3)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, items := range node.View.load() {
+		if items < 3 || items > 4 {
+			t.Errorf("node %s has %d of 15 items, want 3 or 4", name, items)
+		}
+	}
+}
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -13,22 +13,29 @@
 // on after the text it has.
 const yieldPause = 250 * time.Millisecond
 
-// Yield makes room at a replica where requests wait: some of this node's items
-// there are broken off, those first that have the least text to read
-// again when they go on.
+// errMoved reports an item that another node runs now.
+var errMoved = errors.New("another node runs the item")
+
+// Yield makes room at a replica for online requests: some of this node's items
+// there are broken off, those first that are due last.
 func (r *Runner) Yield(replica string, items int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var running []*task
 	for _, owned := range r.owned {
 		for _, one := range owned.tasks {
-			if one.state == taskRunning && one.replica == replica && !one.once {
+			if one.state == taskRunning && one.replica == replica && !one.once && !one.yielding {
 				running = append(running, one)
 			}
 		}
 	}
-	sort.Slice(running, func(i, j int) bool { return running[i].after < running[j].after })
+	storeNow := r.Service.View.Now()
+	sort.Slice(running, func(i, j int) bool {
+		return r.turnOf(running[j], storeNow).before(r.turnOf(running[i], storeNow))
+	})
 	for _, one := range running[:min(items, len(running))] {
+		one.yielding = true
+		one.use.GiveWay()
 		one.cancel(errYielded)
 	}
 }
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -62,13 +62,15 @@
 	return &Session{service: service, id: node + sessionSeparator + table.NewOperation()[:12], timing: timing}
 }
 
+// Node returns the node of a session.
+func Node(session string) string {
+	node, _, _ := strings.Cut(session, sessionSeparator)
+	return node
+}
+
 // SameNode reports whether two sessions belong to runs of the same node. Only
 // one run lives at a time, so the other session is over.
-func SameNode(a, b string) bool {
-	nodeA, _, _ := strings.Cut(a, sessionSeparator)
-	nodeB, _, _ := strings.Cut(b, sessionSeparator)
-	return nodeA == nodeB
-}
+func SameNode(a, b string) bool { return Node(a) == Node(b) }
 
 // ID identifies the session; it is never used again after a restart.
 func (s *Session) ID() string { return s.id }
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"slices"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -132,10 +132,7 @@
 }
 
 // Node returns the id of the session's node.
-func (s *Sighting) Node() string {
-	node, _, _ := strings.Cut(s.ID, sessionSeparator)
-	return node
-}
+func (s *Sighting) Node() string { return Node(s.ID) }
 
 // Sessions returns the sessions that the last look showed, expired ones too, in
 // the order of their ids.
@@ -256,3 +253,34 @@
 	}
 	return live
 }
+
+// Nodes returns the nodes of the live sessions, each once.
+func (w *Watcher) Nodes() []string {
+	var nodes []string
+	for _, session := range w.Live() {
+		nodes = append(nodes, Node(session))
+	}
+	slices.Sort(nodes)
+	return slices.Compact(nodes)
+}
+
+// Gone reports whether a node has no session that may be alive, as of the last
+// look. One that was never seen counts from then on.
+func (w *Watcher) Gone(node string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	seen := false
+	for id, known := range w.seen {
+		if Node(id) != node {
+			continue
+		}
+		seen = true
+		if known.checked.Sub(known.since) < w.timeToLive {
+			return false
+		}
+	}
+	if !seen {
+		w.see(node+sessionSeparator, table.Absent, nil, w.last)
+	}
+	return seen
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -27,16 +27,13 @@
 	itemAttempts = 3
 	// servingCrossZone is what a request may wait longer to stay in its zone.
 	servingCrossZone = 2 * time.Millisecond
-	// servingFill is the share of a replica's slots that batch items fill where
-	// they may. Engines run online requests first, so the items need leave little.
-	servingFill = 0.9
 	// servingReserve is the share of a pool's slots, those of its fastest
 	// replicas, that items leave free where the pool names no headroom.
 	servingReserve = 0.35
 )
 
 func servingWeights() replica.Weights {
-	return replica.Weights{CrossZone: servingCrossZone, BatchFill: servingFill, UrgentFill: 1}
+	return replica.Weights{CrossZone: servingCrossZone}
 }
 
 // routesOf turns the declared pools into routes: for each model, and for each
@@ -66,7 +63,7 @@
 		}
 		items := &route.Route{
 			Name: batch.RouteOf(model), Host: batch.RouteOf(model), Prefix: "/", Kind: route.Batch,
-			MaxAttempts: itemAttempts, Adapter: adapter, BatchFill: servingFill, Reserve: spec.Batch.Headroom,
+			MaxAttempts: itemAttempts, Adapter: adapter, Reserve: spec.Batch.Headroom,
 		}
 		if spec.Batch.Headroom == 0 {
 			items.Reserve = servingReserve
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -88,6 +88,7 @@
 	c.jobs = &jobs.Service{
 		Table: outside.table, Objects: outside.objects, View: view,
 		Events: &jobLog{log: log, sampled: c.sampled, metrics: metrics}, Session: c.ownSession, Refresh: c.jobWatch.Refresh,
+		Nodes: c.owners.Nodes,
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -97,11 +97,7 @@
 }
 
 func (g *Gateway) weights() replica.Weights {
-	return replica.Weights{
-		CrossZone:  time.Duration(g.settings.Gateway.Routing.CrossZone),
-		BatchFill:  g.settings.Gateway.Routing.BatchFill,
-		UrgentFill: g.settings.Gateway.Routing.UrgentFill,
-	}
+	return replica.Weights{CrossZone: time.Duration(g.settings.Gateway.Routing.CrossZone)}
 }
 
 func (g *Gateway) listen() error {
--- /dev/null
+++ b/internal/replica/demand.go
@@ -0,0 +1,138 @@
+package replica
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// stayFirst stands in until it is learned how long requests hold a slot, and
+	// counts as so many requests.
+	stayFirst      = 500 * time.Millisecond
+	stayFirstCount = 2
+	// learnWeight is the weight of the newest request in what is learned of all.
+	learnWeight = 0.05
+	// turnoverMemory is how far back the turnover of slots is looked at.
+	turnoverMemory = 5 * time.Second
+	// patienceShare is the part of the time that is left to the objective which a
+	// request may wait for a slot; the rest is for what the estimate misses.
+	patienceShare = 0.5
+)
+
+// demand is what a node has learned of a pool from its own requests. The zero
+// value knows nothing. The set's lock guards it.
+type demand struct {
+	// open counts the online requests under way.
+	open int
+	// peak is the largest number of late, as of peakAt; it decays.
+	peak   float64
+	peakAt time.Time
+	// stay is how long an online request holds a slot.
+	stay time.Duration
+	// first is the time to the first event of a request that need not wait.
+	first time.Duration
+	// patience is how long an online request may usually wait for a slot.
+	patience time.Duration
+	// running counts requests and items; busy, in slot seconds, and ends are what
+	// they came to of late, as of turnoverAt.
+	running    int
+	busy       float64
+	ends       float64
+	turnoverAt time.Time
+}
+
+// begin takes in that a request was sent.
+func (d *demand) begin(ask Ask, now time.Time) {
+	d.turnover(now)
+	d.running++
+	if ask.Batch {
+		return
+	}
+	d.patience += time.Duration(learnWeight * float64(ask.patience(d.first)-d.patience))
+	d.peak, d.peakAt = max(d.level(now), float64(d.open+1)), now
+	d.open++
+}
+
+// end takes in that a request has left its slot, of its own accord or not.
+func (d *demand) end(ask Ask, own bool, result Result, took time.Duration, now time.Time) {
+	d.turnover(now)
+	d.running--
+	if own {
+		d.ends++
+	}
+	if ask.Batch {
+		return
+	}
+	d.peak, d.peakAt = d.level(now), now
+	d.open--
+	if result == Succeeded {
+		learn(&d.stay, took)
+	}
+}
+
+// begun takes in the first event of a request that did not have to wait.
+func (d *demand) begun(took time.Duration) { learn(&d.first, took) }
+
+// learn moves what is known towards what was seen.
+func learn(known *time.Duration, seen time.Duration) {
+	if *known == 0 {
+		*known = seen
+	}
+	*known += time.Duration(learnWeight * float64(seen-*known))
+}
+
+// level is the number of slots that online requests are expected to need: those
+// that they hold, or held a moment ago, for what comes in a burst comes on.
+func (d *demand) level(now time.Time) float64 {
+	stay := d.stay
+	if stay == 0 {
+		stay = stayFirst
+	}
+	faded := d.peak * math.Exp(-float64(now.Sub(d.peakAt))/float64(stay))
+	return max(float64(d.open), faded)
+}
+
+// turnover brings the sums up to now.
+func (d *demand) turnover(now time.Time) {
+	passed := now.Sub(d.turnoverAt)
+	if d.turnoverAt.IsZero() || passed <= 0 {
+		d.turnoverAt = now
+		return
+	}
+	kept := math.Exp(-float64(passed) / float64(turnoverMemory))
+	d.busy = d.busy*kept + float64(d.running)*passed.Seconds()
+	d.ends *= kept
+	d.turnoverAt = now
+}
+
+// hold is how long a slot is held at a time, by requests and items together.
+func (d *demand) hold() time.Duration {
+	seconds := (d.busy + stayFirstCount*stayFirst.Seconds()) / (d.ends + stayFirstCount)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// demandOf returns what is known of a pool. The caller holds mu.
+func (s *Set) demandOf(pool string) *demand {
+	known := s.demand[pool]
+	if known == nil {
+		known = &demand{}
+		s.demand[pool] = known
+	}
+	return known
+}
+
+// ItemRoom returns how many more items of this node may run now: its slots less
+// what online requests hold or are expected to need.
+func (s *Set) ItemRoom(pool string, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share, items := 0, 0
+	for _, known := range s.pool(pool) {
+		if !known.info.Leaving && !known.info.NoBatch {
+			share += known.share
+		}
+		items += known.batch - known.leaving
+	}
+	level := s.demandOf(pool).level(now)
+	return int(float64(share)-level) - items
+}
--- /dev/null
+++ b/internal/replica/divide_test.go
@@ -0,0 +1,59 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func testNodes(count int) []string {
+	var nodes []string
+	for i := range count {
+		nodes = append(nodes, fmt.Sprintf("node-%02d", i))
+	}
+	return nodes
+}
+
+func testReplicas(count, slots int) []Slots {
+	var replicas []Slots
+	for i := range count {
+		replicas = append(replicas, Slots{Key: Key(fmt.Sprintf("replica-%d", i)), Count: slots})
+	}
+	return replicas
+}
+
+// All nodes divide alike, so each slot is one node's, and no node has two more
+// than another.
+func TestShares_EachSlotIsOneNodes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes := testNodes(rapid.IntRange(1, 40).Draw(rt, "nodes"))
+		replicas := testReplicas(rapid.IntRange(1, 30).Draw(rt, "replicas"), rapid.IntRange(1, 12).Draw(rt, "slots"))
+		dealt := make([]int, len(replicas))
+		least, most := 1<<30, 0
+		for _, node := range nodes {
+			total := 0
+			for i, share := range Shares(node, nodes, replicas) {
+				dealt[i] += share
+				total += share
+			}
+			least, most = min(least, total), max(most, total)
+		}
+		for i, one := range replicas {
+			if dealt[i] != one.Count {
+				rt.Fatalf("%d of %d slots of a replica are dealt", dealt[i], one.Count)
+			}
+		}
+		if most-least > 1 {
+			rt.Fatalf("nodes have %d to %d slots", least, most)
+		}
+	})
+}
+
+func TestShares_NodeThatIsNotKnownHasAll(t *testing.T) {
+	for _, share := range Shares("new", testNodes(3), testReplicas(4, 8)) {
+		if share != 8 {
+			t.Fatalf("share is %d of 8", share)
+		}
+	}
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -17,21 +17,16 @@
 type Demand struct {
 	// Zone is the zone of this node.
 	Zone string
-	// Tokens is the length of the prompt.
-	Tokens int
+	Ask
 	// Affinity spreads prompts that share a prefix; 0 if there is none.
 	Affinity uint64
 	// Shared is the length of that prefix.
 	Shared int
 	// home is the replica that is believed to keep the prefix; Pick sets it.
 	home uint64
-	// Batch items take only what online requests leave.
-	Batch bool
 	// Reserve is the share of the slots, those of the fastest replicas, that items
 	// leave to online requests.
 	Reserve float64
-	// Urgent items would be late if they waited; they may fill replicas further.
-	Urgent bool
 	// Version, if set, is the only version allowed; an answer that goes on
 	// elsewhere needs the one that began it.
 	Version string
@@ -45,20 +40,16 @@
 type Weights struct {
 	// CrossZone is the time that a request may wait longer to stay in its zone.
 	CrossZone time.Duration
-	// BatchFill is the share of a replica's slots up to which batch items may fill it.
-	BatchFill float64
-	// UrgentFill is the same for urgent items.
-	UrgentFill float64
 }
 
 const (
 	// readingRate is the assumed rate of reading prompts, in tokens a second, of
 	// replicas that do not tell theirs.
 	readingRate = 50000.0
-	// slotTime is the assumed time until a busy slot frees.
-	slotTime = 60 * time.Millisecond
 	// busyCost is the cost of each request that runs beside, for it slows the steps.
 	busyCost = 4 * time.Millisecond
+	// swapCost is the cost of an item that gives way.
+	swapCost = 10 * time.Millisecond
 )
 
 // Pick returns the candidate with the least predicted time to the first event.
@@ -125,11 +116,7 @@
 	if !demand.Batch {
 		return true
 	}
-	fill := weights.BatchFill
-	if demand.Urgent {
-		fill = weights.UrgentFill
-	}
-	return candidate.Busy()+1 <= fill*float64(candidate.Slots)
+	return candidate.Open < candidate.Share && candidate.Free() >= 1
 }
 
 // lastResort takes ejected replicas rather than none.
@@ -191,8 +178,10 @@
 func Predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
 	total := candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
 		time.Duration(candidate.Busy()*float64(busyCost))
-	if waiting := -candidate.Free(); waiting >= 0 {
-		total += time.Duration((waiting + 1) * float64(slotTime))
+	if wait := candidate.waitForSlot(); candidate.swaps(demand.Ask.patience(candidate.First)) {
+		total += min(wait, swapCost)
+	} else {
+		total += wait
 	}
 	if candidate.Zone != demand.Zone {
 		total += weights.CrossZone
@@ -200,6 +189,25 @@
 	return total
 }
 
+// spare reports whether one of this node's slots there is free.
+func (c *Candidate) spare() bool { return c.Open < c.Share && c.Waiting < 1 }
+
+// waitForSlot estimates the wait for a slot. Where this node has none to spare,
+// the others are taken to use theirs.
+func (c *Candidate) waitForSlot() time.Duration {
+	waiting := c.Waiting
+	if c.Open >= c.Share {
+		waiting = max(waiting, 1-c.Free(), 1)
+	}
+	return time.Duration(waiting * float64(c.SlotTime))
+}
+
+// swaps reports whether an item of this node gives way there to a request that
+// may wait no longer than patience.
+func (c *Candidate) swaps(patience time.Duration) bool {
+	return c.Batch > 0 && c.waitForSlot() > patience
+}
+
 // mix spreads a hash (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,7 +3,11 @@
 // and which of them misbehave, as far as this node's own evidence goes.
 package replica
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Info describes a listed replica.
 type Info struct {
@@ -50,6 +54,15 @@
 	PendingTokens int
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
+	// Share is the number of its slots that are this node's by the division among
+	// the nodes.
+	Share int
+	// SlotTime is how long it usually takes until one of its slots is free.
+	SlotTime time.Duration
+	// First is the usual time to the first event of a request that need not wait.
+	First time.Duration
+	// Waiting estimates the requests that wait there for a slot.
+	Waiting float64
 }
 
 // Busy estimates the requests running or waiting there, of all nodes.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -26,9 +26,9 @@
 	// at, beside those that this node has heard from within freshFor.
 	sampleRandom = 2
 	freshFor     = 3 * time.Second
-	// yieldDivisor is the number of waiting requests for which one batch item
-	// gives way; several nodes see the same queue and each gives way.
-	yieldDivisor = 3
+	// waitingFade is the time after which a report of waiting requests tells
+	// nothing.
+	waitingFade = 400 * time.Millisecond
 	// refusedFill is the assumed load, in slots, of a replica that refused, and
 	// refusedFade how fast that assumption fades.
 	refusedFill = 2.0
@@ -37,14 +37,21 @@
 
 // entry is the set's record of a replica.
 type entry struct {
-	info     Info
-	key      uint64
-	open     int
-	batch    int
+	info  Info
+	key   uint64
+	open  int
+	batch int
+	// leaving counts the items among batch that were asked to give way.
+	leaving int
+	// share is the number of slots that are this node's.
+	share    int
 	pending  int
 	others   float64
 	reported time.Time
-	health   health
+	// waiting is the number of requests that the last report says were waiting.
+	waiting   int
+	waitingAt time.Time
+	health    health
 	// heard is when anything last came from the replica.
 	heard time.Time
 	// vanished is when the entry left the list; zero while it is listed.
@@ -58,19 +65,25 @@
 	// byPool is rebuilt from entries when stale is set.
 	byPool map[string][]*entry
 	stale  bool
+	// self and nodes are between whom the slots are divided; none means that all
+	// are this node's.
+	self  string
+	nodes []string
+	// demand is what online requests take of each pool, at this node.
+	demand map[string]*demand
 	// outageEnd is when the list's source came back after a long outage.
 	outageEnd time.Time
 	changed   chan struct{}
 	// Ejected is told of each ejection, outside the lock.
 	Ejected func(info Info, result Result)
-	// Pressed is told, outside the lock, how many batch items of this node
-	// should give way at a replica where requests wait.
+	// Pressed is asked, outside the lock, to make batch items of this node give
+	// way at a replica.
 	Pressed func(id string, items int)
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{entries: map[string]*entry{}, byPool: map[string][]*entry{}, changed: make(chan struct{})}
+	return &Set{entries: map[string]*entry{}, byPool: map[string][]*entry{}, demand: map[string]*demand{}, changed: make(chan struct{})}
 }
 
 // Put takes in a listed replica. It reports whether the replica is new.
@@ -140,6 +153,7 @@
 	}
 	s.byPool = byPool
 	s.stale = false
+	s.divide()
 }
 
 // wake tells those that wait for a change. The caller holds mu.
@@ -186,26 +200,12 @@
 	defer s.mu.Unlock()
 	var list []Candidate
 	for _, known := range s.entries {
-		list = append(list, known.candidate(now))
+		list = append(list, s.candidate(known, now))
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
 
-// BatchSlots returns the number of requests that those of a pool's replicas run
-// at the same time that take batch work and are not leaving.
-func (s *Set) BatchSlots(pool string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	total := 0
-	for _, known := range s.pool(pool) {
-		if !known.info.Leaving && !known.info.NoBatch {
-			total += known.info.Slots
-		}
-	}
-	return total
-}
-
 // Snapshot returns the replicas of a pool that may take requests now, in the
 // order of their ids. Of a large pool it returns those that this node has heard
 // from a moment ago, a few random ones, and the home of a prefix. What a node
@@ -217,13 +217,13 @@
 	defer s.mu.Unlock()
 	list := s.pool(pool)
 	if len(list) <= smallPool {
-		return candidatesOf(list, now)
+		return s.candidatesOf(list, now)
 	}
 	chosen := sample(list, now)
 	if home := homeAmong(list, affinity, now); home != nil && !slices.Contains(chosen, home) {
 		chosen = append(chosen, home)
 	}
-	return candidatesOf(chosen, now)
+	return s.candidatesOf(chosen, now)
 }
 
 // sample returns the replicas that were heard from a moment ago and some random
@@ -261,22 +261,35 @@
 	return home
 }
 
-func candidatesOf(list []*entry, now time.Time) []Candidate {
+func (s *Set) candidatesOf(list []*entry, now time.Time) []Candidate {
 	candidates := make([]Candidate, 0, len(list))
 	for _, known := range list {
 		if known.info.Leaving || known.forgotten(now) {
 			continue
 		}
-		candidates = append(candidates, known.candidate(now))
+		candidates = append(candidates, s.candidate(known, now))
 	}
 	return candidates
 }
 
-func (e *entry) candidate(now time.Time) Candidate {
+// candidate returns an entry as the picker sees it. The caller holds mu.
+func (s *Set) candidate(e *entry, now time.Time) Candidate {
+	known := s.demandOf(e.info.Pool)
+	known.turnover(now)
 	return Candidate{
-		Info: e.info, Key: e.key, Open: e.open, Batch: e.batch,
-		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now),
+		First: known.first, SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
+		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
+		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
+	}
+}
+
+// waitingAtTime fades the last report of waiting requests.
+func (e *entry) waitingAtTime(now time.Time) float64 {
+	age := now.Sub(e.waitingAt)
+	if e.waiting == 0 || age >= waitingFade {
+		return 0
 	}
+	return float64(e.waiting) * (1 - float64(age)/float64(waitingFade))
 }
 
 // forgotten reports whether an entry that left the list around an outage has
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -2,44 +2,73 @@
 
 import "time"
 
+// Ask is what a request wants of a replica.
+type Ask struct {
+	// Tokens is the part of its prompt that the replica is expected to read.
+	Tokens int
+	Batch  bool
+	// Objective is the time left until the first event is late; 0 if nobody minds.
+	Objective time.Duration
+}
+
+// patience is how long a request may wait for a slot, if its first event then
+// takes so long.
+func (a Ask) patience(first time.Duration) time.Duration {
+	return time.Duration(patienceShare * float64(max(0, a.Objective-first)))
+}
+
 // Use counts one request at a replica until End.
 type Use struct {
-	set    *Set
-	entry  *entry
-	tokens int
-	batch  bool
-	sent   time.Time
-	first  bool
-	ended  bool
+	set   *Set
+	entry *entry
+	ask   Ask
+	sent  time.Time
+	// spare is set if one of this node's slots was free when it was sent.
+	spare bool
+	first bool
+	ended bool
+	// gaveWay is set on items that were asked to give way.
+	gaveWay bool
 }
 
-// Begin counts a request about to be sent to a replica. tokens is the part of
-// its prompt that the replica is expected to read.
-func (s *Set) Begin(id string, tokens int, batch bool, now time.Time) *Use {
+// Begin counts a request about to be sent to a replica. An online request that
+// would wait there for longer than it has time has an item of this node give way.
+func (s *Set) Begin(id string, ask Ask, now time.Time) *Use {
+	use, press := s.begin(id, ask, now)
+	if press && s.Pressed != nil {
+		s.Pressed(id, 1)
+	}
+	return use
+}
+
+func (s *Set) begin(id string, ask Ask, now time.Time) (use *Use, press bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.entries[id]
 	if !ok {
 		known = &entry{}
 	}
-	known.open++
-	known.pending += tokens
-	if batch {
+	candidate := s.candidate(known, now)
+	press = !ask.Batch && candidate.swaps(ask.patience(candidate.First))
+	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: candidate.spare()}
+	s.demandOf(known.info.Pool).begin(ask, now)
+	if ask.Batch {
 		known.batch++
 	}
-	return &Use{set: s, entry: known, tokens: tokens, batch: batch, sent: now}
+	known.open++
+	known.pending += ask.Tokens
+	return use, press
 }
 
-// Load takes in what the replica said of its load with an answer.
+// Load takes in what the replica said of its load with an answer. If requests
+// wait there for longer than they have time, items of this node give way.
 func (u *Use) Load(load Load, now time.Time) {
-	batch := u.takeLoad(load, now)
-	yield := load.Waiting / yieldDivisor
-	if yield > 0 && batch > 0 && u.set.Pressed != nil {
-		u.set.Pressed(u.entry.info.ID, yield)
+	if items := u.takeLoad(load, now); items > 0 && u.set.Pressed != nil {
+		u.set.Pressed(u.entry.info.ID, items)
 	}
 }
 
-// takeLoad returns the number of this node's batch items at the replica.
+// takeLoad returns the number of this node's items there that should give way.
 func (u *Use) takeLoad(load Load, now time.Time) int {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
@@ -47,18 +76,34 @@
 	previous := u.entry.othersAt(now)
 	u.entry.others = previous + othersWeight*(others-previous)
 	u.entry.reported = now
-	return u.entry.batch
+	u.entry.waiting, u.entry.waitingAt = load.Waiting, now
+	candidate := u.set.candidate(u.entry, now)
+	bearable := int(u.set.demandOf(u.entry.info.Pool).patience / max(time.Millisecond, candidate.SlotTime))
+	return min(candidate.Batch, load.Waiting-bearable)
+}
+
+// GiveWay notes that an item was asked to give way: its slot counts as free.
+func (u *Use) GiveWay() {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	if u.ask.Batch && !u.gaveWay && !u.ended {
+		u.gaveWay = true
+		u.entry.leaving++
+	}
 }
 
 // First notes that the answer has begun: its prompt has been read.
-func (u *Use) First() {
+func (u *Use) First(now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	if u.first {
 		return
 	}
 	u.first = true
-	u.entry.pending -= u.tokens
+	u.entry.pending -= u.ask.Tokens
+	if u.spare && !u.ask.Batch {
+		u.set.demandOf(u.entry.info.Pool).begun(now.Sub(u.sent))
+	}
 }
 
 // Heard notes that something came from the replica: it is busy, not silent.
@@ -94,12 +139,16 @@
 	}
 	u.ended = true
 	if !u.first {
-		u.entry.pending -= u.tokens
+		u.entry.pending -= u.ask.Tokens
 	}
 	u.entry.open--
-	if u.batch {
+	if u.ask.Batch {
 		u.entry.batch--
 	}
+	u.set.demandOf(u.entry.info.Pool).end(u.ask, !u.gaveWay, result, now.Sub(u.sent), now)
+	if u.gaveWay {
+		u.entry.leaving--
+	}
 	ejected = u.entry.health.observe(result, now)
 	if result == Refused {
 		// A replica that refuses has its slots and its queue full.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -51,9 +51,6 @@
 	// Reserve is the share of the pool's slots, those of its fastest replicas, that
 	// items of the route leave to others.
 	Reserve float64
-	// BatchFill is the share of a replica's slots that items of the route may
-	// fill; 0 leaves it to the node's settings.
-	BatchFill float64
 	// Adapter must be loaded by the replicas that take the requests; may be empty.
 	Adapter string
 	// Objective is the time within which the answer, or its first event, is in time.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -30,32 +30,11 @@
 type Routing struct {
 	// CrossZone is how much longer a request may wait to stay in its zone.
 	CrossZone v1.Duration `json:"crossZone,omitempty"`
-	// BatchFill is the share of a replica's slots up to which batch items fill
-	// it, 0 to 1; default 0.45.
-	BatchFill float64 `json:"batchFill,omitempty"`
-	// UrgentFill is the same for items that would be late otherwise; default 0.75.
-	UrgentFill float64 `json:"urgentFill,omitempty"`
 }
 
-// Defaults of Routing. Items that have time leave more than half of each
-// replica to online requests, those that would be late a quarter.
-const (
-	DefaultBatchFill  = 0.45
-	DefaultUrgentFill = 0.75
-)
-
 // Enabled reports whether the node is a gateway.
 func (g *Gateway) Enabled() bool { return g.Store != "" }
 
-func (g *Gateway) applyDefaults() {
-	if g.Routing.BatchFill == 0 {
-		g.Routing.BatchFill = DefaultBatchFill
-	}
-	if g.Routing.UrgentFill == 0 {
-		g.Routing.UrgentFill = DefaultUrgentFill
-	}
-}
-
 func (g *Gateway) validate(found *findings.List) {
 	hostPortFinding(found, "gateway.store", g.Store)
 	if g.Readiness != "" {
@@ -76,12 +55,6 @@
 	if g.Routing.CrossZone < 0 {
 		found.Add("gateway.routing.crossZone", "must not be negative")
 	}
-	if g.Routing.UrgentFill < 0 || g.Routing.UrgentFill > 1 {
-		found.Add("gateway.routing.urgentFill", "must be between 0 and 1")
-	}
-	if g.Routing.BatchFill < 0 || g.Routing.BatchFill > 1 {
-		found.Add("gateway.routing.batchFill", "must be between 0 and 1")
-	}
 }
 
 func hostPortFinding(found *findings.List, path, address string) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,7 +104,6 @@
 // ApplyDefaults fills in what may be left out.
 func (s *Settings) ApplyDefaults() {
 	fill(&s.Node.Region, DefaultRegion)
-	s.Gateway.applyDefaults()
 	fill(&s.Platform.Table.Region, DefaultRegion)
 	fill(&s.Platform.Objects.Region, DefaultRegion)
 	fill(&s.Log.Level, DefaultLogLevel)
