Wait longer for a slot where moving an item costs more than the request takes

An item that goes on elsewhere is read again, 40 ms of a replica of 12 slots, to spare a request of 0.3 s a wait of one slot.

Change: the share of the time to its objective that a request waits before an item gives way is at least one half, or else the cost of a move in slot time against that cost and the request's own. How fast prompts are read is learned from the first events (least squares), the constant is only the first guess.

Ruled out by a trial: that items come too late because others that can't be in time any more hold slots.

--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -14,9 +14,10 @@
 	learnWeight = 0.05
 	// turnoverMemory is how far back the turnover of slots is looked at.
 	turnoverMemory = 5 * time.Second
-	// patienceShare is the part of the time that is left to the objective which a
-	// request may wait for a slot; the rest is for what the estimate misses.
-	patienceShare = 0.5
+	// patienceLeast is the part of the time that is left to the objective which a
+	// request waits for a slot at least before an item gives way; the rest is for
+	// what the estimate misses.
+	patienceLeast = 0.5
 )
 
 // demand is what a node has learned of a pool from its own requests. The zero
@@ -35,6 +36,10 @@
 	patience time.Duration
 	// running counts requests and items; busy, in slot seconds, and ends are what
 	// they came to of late, as of turnoverAt.
+	// reading is how the time to the first event grows with the prompt.
+	reading slope
+	// itemTokens is the length of items, prompt and answer.
+	itemTokens float64
 	running    int
 	busy       float64
 	ends       float64
@@ -46,9 +51,10 @@
 	d.turnover(now)
 	d.running++
 	if ask.Batch {
+		d.itemTokens += learnWeight * (float64(ask.Tokens) - d.itemTokens)
 		return
 	}
-	d.patience += time.Duration(learnWeight * float64(ask.patience(d.first)-d.patience))
+	d.patience += time.Duration(learnWeight * float64(ask.patience(d.first, patienceLeast)-d.patience))
 	d.peak, d.peakAt = max(d.level(now), float64(d.open+1)), now
 	d.open++
 }
@@ -71,7 +77,31 @@
 }
 
 // begun takes in the first event of a request that did not have to wait.
-func (d *demand) begun(took time.Duration) { learn(&d.first, took) }
+func (d *demand) begun(ask Ask, took time.Duration) {
+	learn(&d.first, took)
+	d.reading.add(float64(ask.Tokens), took.Seconds())
+}
+
+// patienceShare is the part of the time that is left which a request waits before
+// an item gives way. An item that goes on elsewhere is read again, which holds up
+// all that run there; where this costs more slot time than the request itself
+// takes, the request waits longer.
+func (d *demand) patienceShare(slots int) float64 {
+	cost := d.itemTokens / d.readingRate() * float64(slots)
+	stay := d.stay
+	if stay == 0 {
+		stay = stayFirst
+	}
+	return max(patienceLeast, cost/(cost+stay.Seconds()))
+}
+
+// readingRate is how fast replicas read prompts, in tokens a second.
+func (d *demand) readingRate() float64 {
+	if seconds, ok := d.reading.get(); ok && seconds > 0 {
+		return 1 / seconds
+	}
+	return readingRate
+}
 
 // learn moves what is known towards what was seen.
 func learn(known *time.Duration, seen time.Duration) {
--- a/internal/replica/demand_test.go
+++ b/internal/replica/demand_test.go
@@ -102,3 +102,25 @@
 		t.Fatalf("slots are held for %v, want some 800 ms", hold)
 	}
 }
+
+// What an item must read again holds up all that run beside it. Where that is
+// more than a request takes itself, the request waits longer before it has an
+// item give way.
+func TestDemand_PatienceGrowsWithTheCostOfAMove(t *testing.T) {
+	learned := func(rate float64, stay time.Duration) *demand {
+		known := &demand{stay: stay, itemTokens: 2500}
+		for i := range 100 {
+			tokens := 500 + 4000*(i%3)
+			known.begun(Ask{Tokens: tokens}, 50*time.Millisecond+time.Duration(float64(tokens)/rate*float64(time.Second)))
+		}
+		return known
+	}
+	cheap := learned(125000, 800*time.Millisecond).patienceShare(8)
+	dear := learned(50000, 300*time.Millisecond).patienceShare(12)
+	if cheap != patienceLeast {
+		t.Errorf("share of a cheap move is %v, want %v", cheap, patienceLeast)
+	}
+	if dear < 0.6 || dear > 0.75 {
+		t.Errorf("share of a dear move is %v, want some 0.67", dear)
+	}
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -178,7 +178,7 @@
 func Predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
 	total := candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
 		time.Duration(candidate.Busy()*float64(busyCost))
-	if wait := candidate.waitForSlot(); candidate.swaps(demand.Ask.patience(candidate.First)) {
+	if wait := candidate.waitForSlot(); candidate.swaps(demand.Ask) {
 		total += min(wait, swapCost)
 	} else {
 		total += wait
@@ -203,9 +203,9 @@
 }
 
 // swaps reports whether an item of this node gives way there to a request that
-// may wait no longer than patience.
-func (c *Candidate) swaps(patience time.Duration) bool {
-	return c.Batch > 0 && c.waitForSlot() > patience
+// would wait there for longer than it has time.
+func (c *Candidate) swaps(ask Ask) bool {
+	return c.Batch > 0 && c.waitForSlot() > ask.patience(c.First, c.PatienceShare)
 }
 
 // mix spreads a hash (the finalizer of SplitMix64).
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -61,6 +61,9 @@
 	SlotTime time.Duration
 	// First is the usual time to the first event of a request that need not wait.
 	First time.Duration
+	// PatienceShare is the part of the time left to its objective which a request
+	// waits for a slot before an item gives way.
+	PatienceShare float64
 	// Waiting estimates the requests that wait there for a slot.
 	Waiting float64
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -277,7 +277,7 @@
 	known := s.demandOf(e.info.Pool)
 	known.turnover(now)
 	return Candidate{
-		First: known.first, SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
+		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
 	}
--- /dev/null
+++ b/internal/replica/slope_test.go
@@ -0,0 +1,30 @@
+package replica
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+func TestSlope_IsLearnedThroughNoise(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var s slope
+	for range 400 {
+		x := 500 + 9000*random.Float64()
+		s.add(x, 0.05+x/50000+0.02*random.NormFloat64())
+	}
+	got, ok := s.get()
+	if !ok || math.Abs(got*50000-1) > 0.1 {
+		t.Fatalf("slope is %v, %v, want 1/50000", got, ok)
+	}
+}
+
+func TestSlope_IsNotToldWhereAllAreAlike(t *testing.T) {
+	var s slope
+	for range 400 {
+		s.add(450, 0.08)
+	}
+	if got, ok := s.get(); ok {
+		t.Fatalf("slope is %v though all prompts have one length", got)
+	}
+}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -11,10 +11,10 @@
 	Objective time.Duration
 }
 
-// patience is how long a request may wait for a slot, if its first event then
-// takes so long.
-func (a Ask) patience(first time.Duration) time.Duration {
-	return time.Duration(patienceShare * float64(max(0, a.Objective-first)))
+// patience is how long a request may wait for a slot: a share of the time that is
+// left if its first event then takes so long.
+func (a Ask) patience(first time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(max(0, a.Objective-first)))
 }
 
 // Use counts one request at a replica until End.
@@ -49,7 +49,7 @@
 		known = &entry{}
 	}
 	candidate := s.candidate(known, now)
-	press = !ask.Batch && candidate.swaps(ask.patience(candidate.First))
+	press = !ask.Batch && candidate.swaps(ask)
 	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: candidate.spare()}
 	s.demandOf(known.info.Pool).begin(ask, now)
 	if ask.Batch {
@@ -78,7 +78,8 @@
 	u.entry.reported = now
 	u.entry.waiting, u.entry.waitingAt = load.Waiting, now
 	candidate := u.set.candidate(u.entry, now)
-	bearable := int(u.set.demandOf(u.entry.info.Pool).patience / max(time.Millisecond, candidate.SlotTime))
+	patience := candidate.PatienceShare / patienceLeast * float64(u.set.demandOf(u.entry.info.Pool).patience)
+	bearable := int(patience / float64(max(time.Millisecond, candidate.SlotTime)))
 	return min(candidate.Batch, load.Waiting-bearable)
 }
 
@@ -102,7 +103,7 @@
 	u.first = true
 	u.entry.pending -= u.ask.Tokens
 	if u.spare && !u.ask.Batch {
-		u.set.demandOf(u.entry.info.Pool).begun(now.Sub(u.sent))
+		u.set.demandOf(u.entry.info.Pool).begun(u.ask, now.Sub(u.sent))
 	}
 }
 
