Count as waiting only requests that wait for a slot

A replica counts a request as waiting until its first token, so also while its prompt is read in a slot of its own.

Change: queued = running + waiting - slots, both for items that give way and for the estimate of the wait. (The shares of a set nobody has looked at yet are divided before a request is counted; found by the new test.)

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -39,6 +39,10 @@
 	Slots   int
 }
 
+// queued counts the requests that wait for a slot. A replica also counts those
+// as waiting that have a slot and whose prompt is being read.
+func (l Load) queued() int { return max(0, l.Running+l.Waiting-l.Slots) }
+
 // Candidate is a replica in a snapshot, as the picker sees it.
 type Candidate struct {
 	Info
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -125,6 +125,20 @@
 	}
 }
 
+// A finding (kalendarik trouble-2): a replica counts requests whose prompt it reads
+// as waiting. Items gave way to them though slots were free: 1,407 times a day.
+func TestUse_NoItemGivesWayWhileSlotsAreFree(t *testing.T) {
+	set, now := newSet(1), time.Now()
+	asked := 0
+	set.Pressed = func(_ string, items int) { asked += items }
+	set.Begin("r00", Ask{Batch: true}, now)
+	online := set.Begin("r00", Ask{}, now)
+	online.Load(Load{Running: 1, Waiting: 3, Slots: 4}, now)
+	if asked != 0 {
+		t.Fatalf("%d items are asked to give way though the slots suffice", asked)
+	}
+}
+
 func TestSet_SampleOfALargePoolHoldsTheHome(t *testing.T) {
 	set, now := newSet(300), time.Now()
 	const affinity = 12345
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -48,6 +48,9 @@
 	if !ok {
 		known = &entry{}
 	}
+	if s.stale {
+		s.rebuild()
+	}
 	candidate := s.candidate(known, now)
 	press = !ask.Batch && candidate.swaps(ask)
 	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: candidate.spare()}
@@ -76,11 +79,11 @@
 	previous := u.entry.othersAt(now)
 	u.entry.others = previous + othersWeight*(others-previous)
 	u.entry.reported = now
-	u.entry.waiting, u.entry.waitingAt = load.Waiting, now
+	u.entry.waiting, u.entry.waitingAt = load.queued(), now
 	candidate := u.set.candidate(u.entry, now)
 	patience := candidate.PatienceShare / patienceLeast * float64(u.set.demandOf(u.entry.info.Pool).patience)
 	bearable := int(patience / float64(max(time.Millisecond, candidate.SlotTime)))
-	return min(candidate.Batch, load.Waiting-bearable)
+	return min(candidate.Batch, load.queued()-bearable)
 }
 
 // GiveWay notes that an item was asked to give way: its slot counts as free.
