A fault soak: real gateway processes under faults from outside, promises checked

The seed fixes the plan: processes killed, stopped, paused, all killed; store connections slow, reset, cut one way; the store busy, losing answers, writing late, forgetting its history; servers cut, misbehaving, leaving; configurations. What callers and servers see is checked for 13 promises.

The checker is shown to find each promise broken in a history that differs from a sound one in that alone.

--- /dev/null
+++ b/internal/lab/labcmd/soak.go
@@ -0,0 +1,42 @@
+package labcmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/internal/lab/soak"
+)
+
+func soakCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist-lab soak", std)
+	seed := flags.Uint64("seed", 1, "seed of the plan of faults")
+	length := flags.Duration("for", time.Minute, "time with faults")
+	nodes := flags.Int("nodes", 4, "number of gateway processes, 3 to 7")
+	return &ffcli.Command{
+		Name: "soak", ShortUsage: "wheelhoist-lab soak [flags]", FlagSet: flags,
+		ShortHelp: "real gateway processes under faults from outside; exits 1 on a broken promise",
+		Exec: func(ctx context.Context, _ []string) error {
+			report, err := soak.Run(ctx, soak.Options{
+				Seed: *seed, For: *length, Nodes: min(max(*nodes, 3), 7),
+				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
+			})
+			if err != nil {
+				return err
+			}
+			for _, one := range report.Broken {
+				_, _ = fmt.Fprintln(std.out, "broken:", one)
+			}
+			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d jobs, %d results, %d runs, %d promises checked, %d broken\n",
+				report.Seed, report.Faults, report.Whole, report.Requests, report.Jobs, report.Items, report.Runs,
+				len(soak.Promises()), len(report.Broken))
+			if len(report.Broken) > 0 {
+				_, _ = fmt.Fprintln(std.out, "logs of the nodes:", report.Logs)
+				return fmt.Errorf("%w: %d", errViolations, len(report.Broken))
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/callers.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+const (
+	onlineWait  = 5 * time.Second
+	onlinePause = 60 * time.Millisecond
+	jobPause    = 700 * time.Millisecond
+	jobItems    = 12
+	// jobTries bounds the tries to hand a job in, each at another node.
+	jobTries = 12
+	// endShare is the part of the jobs that are ended while they run.
+	endShare = 0.15
+	callWait = 4 * time.Second
+)
+
+// random is the chance of one caller, from the run's seed.
+func (s *soak) random(caller int, kind uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(s.Seed+uint64(caller), kind))
+}
+
+// callOnline asks for streams, one after the other, until the context ends.
+func (s *soak) callOnline(ctx context.Context, caller int) {
+	random := s.random(caller, 1)
+	for number := 0; pause(ctx, onlinePause); number++ {
+		chosen := s.gateways[random.IntN(len(s.gateways))]
+		prefix := s.prefix(random)
+		one := Request{
+			ID: fmt.Sprintf("online-%d-%d", caller, number), Prefix: prefix, Once: strings.HasPrefix(prefix, "once"),
+			Node: chosen.id, Life: chosen.lives(), Sent: time.Now(),
+		}
+		client := &standin.Client{Address: chosen.address, Host: host}
+		one.Answer = client.Stream(context.WithoutCancel(ctx), prefix, one.ID, onlineWait)
+		one.Ended = time.Now()
+		if chosen.lives() != one.Life {
+			// The node was started again meanwhile; the answer is of one of two lives.
+			one.Life = -number - 1
+		}
+		s.request(one)
+	}
+}
+
+// callJobs hands jobs in, one after the other, until the context ends.
+func (s *soak) callJobs(ctx context.Context, caller int) {
+	random := s.random(caller, 2)
+	for number := 0; pause(ctx, jobPause); number++ {
+		one := Job{ID: fmt.Sprintf("job-%d-%d", caller, number), Tokens: itemTokens}
+		for item := range 1 + random.IntN(jobItems) {
+			one.Items = append(one.Items, fmt.Sprintf("%s-item-%d", one.ID, item))
+		}
+		s.submit(context.WithoutCancel(ctx), &one, random)
+		if one.Accepted && random.Float64() < endShare {
+			pause(ctx, time.Second)
+			s.end(context.WithoutCancel(ctx), &one, random)
+		}
+		s.job(one)
+	}
+}
+
+// submit tries until a job is accepted, at another node each time. Only if all
+// answers promise that nothing runs the job counts as refused.
+func (s *soak) submit(ctx context.Context, one *Job, random *rand.Rand) {
+	one.Refused = true
+	for range jobTries {
+		callCtx, cancel := context.WithTimeout(ctx, callWait)
+		answer := s.client(random.IntN(len(s.gateways))).Submit(callCtx, one.ID, one.Items, one.Tokens)
+		cancel()
+		if answer.Status == http.StatusAccepted {
+			one.Accepted, one.At = true, time.Now()
+			return
+		}
+		// A refused connection was not read either.
+		one.Refused = one.Refused && answer.NotRun()
+		pause(ctx, 200*time.Millisecond)
+	}
+}
+
+func (s *soak) end(ctx context.Context, one *Job, random *rand.Rand) {
+	for range jobTries {
+		callCtx, cancel := context.WithTimeout(ctx, callWait)
+		ended := s.client(random.IntN(len(s.gateways))).End(callCtx, one.ID)
+		cancel()
+		if ended {
+			one.EndedAt = time.Now()
+			return
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+}
+
+// readJobs reads lists from any position at any node, until the context ends.
+func (s *soak) readJobs(ctx context.Context) {
+	random := s.random(0, 3)
+	for pause(ctx, 20*time.Millisecond) {
+		jobs := s.jobs()
+		if len(jobs) == 0 {
+			continue
+		}
+		one := jobs[random.IntN(len(jobs))]
+		if !one.Accepted {
+			continue
+		}
+		from := random.IntN(len(one.Items))
+		callCtx, cancel := context.WithTimeout(ctx, callWait)
+		results, _, err := s.client(random.IntN(len(s.gateways))).Results(callCtx, one.ID, from)
+		cancel()
+		if err == nil {
+			s.reading(one.ID, from, results)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/history.go
@@ -0,0 +1,104 @@
+// Package soak runs real gateway processes before stand-ins of the users'
+// platform, makes faults from outside, and checks what callers and servers see
+// against what is promised. A seed fixes the plan of faults.
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// Request is an online request as its caller saw it.
+type Request struct {
+	ID     string
+	Prefix string
+	// Once requests may run once only.
+	Once bool
+	// Node is the gateway that was asked, Life counts its processes.
+	Node   string
+	Life   int
+	Sent   time.Time
+	Ended  time.Time
+	Answer *standin.Answer
+}
+
+// Job is a job as its caller saw it.
+type Job struct {
+	ID       string
+	Items    []string
+	Tokens   int
+	Accepted bool
+	// Refused tells that each answer promised that nothing runs.
+	Refused bool
+	// At is when it was accepted.
+	At time.Time
+	// EndedAt is when its end was acknowledged; zero if it was not ended.
+	EndedAt time.Time
+}
+
+// Reading is a result as one reading of a job's list showed it.
+type Reading struct {
+	Job      string
+	Position int
+	standin.Listed
+}
+
+// Drain is a server that was listed as draining in calm.
+type Drain struct {
+	Server string
+	At     time.Time
+}
+
+// ServerRun is a request or item that a server began to work on.
+type ServerRun struct {
+	Server string
+	standin.Run
+}
+
+// History is all that callers and servers have seen. It is safe for concurrent
+// use while it is recorded.
+type History struct {
+	mu       sync.Mutex
+	Requests []Request
+	Jobs     []Job
+	Readings []Reading
+	Drains   []Drain
+	Runs     []ServerRun
+	// Calm tells when nothing was disturbed any more.
+	Calm time.Time
+	// Events is the number of events of a whole answer.
+	Events int
+	// Quota bounds the tokens of unfinished items.
+	Quota int
+	// Final are the lists read at the very end, by job.
+	Final map[string][]standin.Listed
+}
+
+func (h *History) request(one Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Requests = append(h.Requests, one)
+}
+
+func (h *History) job(one Job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Jobs = append(h.Jobs, one)
+}
+
+func (h *History) reading(job string, from int, results []standin.Listed) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, one := range results {
+		h.Readings = append(h.Readings, Reading{Job: job, Position: from + i, Listed: one})
+	}
+}
+
+// jobs returns the jobs so far.
+func (h *History) jobs() []Job {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Job(nil), h.Jobs...)
+}
--- /dev/null
+++ b/internal/lab/soak/plan.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// Kinds of faults.
+const (
+	KillNode    Kind = "kill-node"
+	StopNode    Kind = "stop-node"
+	PauseNode   Kind = "pause-node"
+	KillAll     Kind = "kill-all"
+	CutStore    Kind = "cut-store"
+	StoreBusy   Kind = "store-busy"
+	StoreLoses  Kind = "store-loses-answers"
+	StoreLate   Kind = "store-writes-late"
+	StoreForget Kind = "store-forgets"
+	ServerCut   Kind = "server-cut"
+	ServerBad   Kind = "server-misbehaves"
+	Configure   Kind = "configure"
+	DrainServer Kind = "drain-server"
+)
+
+// Fault is one fault of a plan.
+type Fault struct {
+	At   time.Duration
+	For  time.Duration
+	Kind Kind
+	// Target picks the node or server, Share is how much of something is harmed,
+	// Harm how a connection is.
+	Target int
+	Share  float64
+	Harm   Harm
+}
+
+// weights of the kinds in a plan.
+var weights = []struct {
+	kind  Kind
+	count int
+}{
+	{KillNode, 4}, {StopNode, 3}, {PauseNode, 3}, {KillAll, 1}, {CutStore, 4}, {StoreBusy, 2}, {StoreLoses, 3},
+	{StoreLate, 3}, {StoreForget, 2}, {ServerCut, 3}, {ServerBad, 4}, {Configure, 4}, {DrainServer, 2},
+}
+
+// Plan returns the faults of a seed, a new one every one to three seconds, so
+// that some overlap.
+func Plan(seed uint64, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, seed^0x9E3779B97F4A7C15))
+	var kinds []Kind
+	for _, one := range weights {
+		for range one.count {
+			kinds = append(kinds, one.kind)
+		}
+	}
+	var plan []Fault
+	for at := time.Second; at < length; at += time.Second + time.Duration(random.Int64N(int64(2*time.Second))) {
+		plan = append(plan, Fault{
+			At: at, For: 500*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second))),
+			Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(1 << 16),
+			Share: 0.1 + 0.4*random.Float64(), Harm: Slow + Harm(random.IntN(int(Mute))),
+		})
+	}
+	sort.Slice(plan, func(i, j int) bool { return plan[i].At < plan[j].At })
+	return plan
+}
+
+// bad are the ways in which servers misbehave.
+var bad = []standin.Behaviour{
+	standin.CutInEvent, standin.LoseAnswer, standin.Shed, standin.Moved, standin.Foreign, standin.Unsigned,
+	standin.Fail, standin.Invalid,
+}
--- /dev/null
+++ b/internal/lab/soak/proxy.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Harm is what befalls the connections of a proxy.
+type Harm int
+
+// Harms.
+const (
+	// Clear passes everything on.
+	Clear Harm = iota
+	// Slow delays each piece.
+	Slow
+	// Resets breaks connections, also those that are open.
+	Resets
+	// Deaf passes nothing on towards the upstream.
+	Deaf
+	// Mute passes nothing back.
+	Mute
+)
+
+const slowBy = 150 * time.Millisecond
+
+// proxy passes TCP connections on over loopback, and harms them.
+type proxy struct {
+	listener net.Listener
+	upstream string
+
+	mu    sync.Mutex
+	harm  Harm
+	open  map[net.Conn]bool
+	ended bool
+}
+
+// startProxy listens before an upstream.
+func startProxy(upstream string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	p := &proxy{listener: listener, upstream: upstream, open: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the harm. Resets breaks what is open.
+func (p *proxy) set(harm Harm) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.harm = harm
+	if harm != Resets {
+		return
+	}
+	for conn := range p.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+func (p *proxy) now() Harm {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.harm
+}
+
+func (p *proxy) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+	_ = p.listener.Close()
+	for conn := range p.open {
+		_ = conn.Close()
+	}
+}
+
+// track notes an open connection; it reports false if the proxy has ended.
+func (p *proxy) track(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		p.open[conn] = true
+	}
+	return !p.ended
+}
+
+func (p *proxy) untrack(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, conn)
+	_ = conn.Close()
+}
+
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *proxy) serve(caller net.Conn) {
+	if !p.track(caller) || p.now() == Resets {
+		p.untrack(caller)
+		return
+	}
+	defer p.untrack(caller)
+	upstream, err := net.Dial("tcp", p.upstream)
+	if err != nil {
+		return
+	}
+	if !p.track(upstream) {
+		_ = upstream.Close()
+		return
+	}
+	defer p.untrack(upstream)
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() {
+		defer both.Done()
+		p.copy(upstream, caller, Deaf)
+	}()
+	go func() {
+		defer both.Done()
+		p.copy(caller, upstream, Mute)
+	}()
+	both.Wait()
+}
+
+// copy passes pieces on, and holds them while the proxy has the harm.
+func (p *proxy) copy(to, from net.Conn, holds Harm) {
+	const pieceBytes = 32 << 10
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(piece)
+		for p.now() == holds {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if p.now() == Slow {
+			time.Sleep(slowBy)
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(piece[:n]); writeErr != nil {
+				break
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				if tcp, ok := to.(*net.TCPConn); ok {
+					_ = tcp.CloseWrite()
+					return
+				}
+			}
+			break
+		}
+	}
+	_ = to.Close()
+	_ = from.Close()
+}
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/command"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// TestMain lets the soak run nodes as processes of this program.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "node" {
+		os.Exit(command.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// A short soak with a fixed seed. Fresh seeds are for "wheelhoist-lab soak".
+func TestRun_PromisesHoldUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for some 20 s")
+	}
+	report, err := Run(t.Context(), Options{Seed: 1, For: 8 * time.Second, Nodes: 3, Progress: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, broken := range report.Broken {
+		t.Error(broken)
+	}
+	if report.Whole == 0 || report.Items == 0 {
+		t.Errorf("%d whole answers, %d results: nothing was proved", report.Whole, report.Items)
+	}
+}
+
+func TestPlan_IsFixedByItsSeed(t *testing.T) {
+	first, again, other := Plan(7, time.Minute), Plan(7, time.Minute), Plan(8, time.Minute)
+	if len(first) < 20 || len(first) != len(again) {
+		t.Fatalf("plans have %d and %d faults", len(first), len(again))
+	}
+	same := len(first) == len(other)
+	for i := range first {
+		if first[i] != again[i] {
+			t.Fatalf("fault %d is %+v and %+v", i, first[i], again[i])
+		}
+		same = same && first[i] == other[i]
+	}
+	if same {
+		t.Fatal("two seeds have one plan")
+	}
+}
+
+const testEvents = 3
+
+func wholeText() string {
+	var pieces []string
+	for id := 1; id <= testEvents; id++ {
+		pieces = append(pieces, standin.Event(id))
+	}
+	return strings.Join(pieces, "\n")
+}
+
+func wholeBody() []byte {
+	var body strings.Builder
+	for piece := range strings.SplitSeq(wholeText(), "\n") {
+		body.WriteString("data: " + piece + "\n\n")
+	}
+	return []byte(body.String())
+}
+
+// kept is a history in which all promises are kept.
+func kept() *History {
+	began := time.Now()
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	listed := []standin.Listed{{Item: "j-0", Text: wholeText()}, {Item: "j-1", Dead: true}}
+	run := func(server, id string, when float64, did standin.Behaviour) ServerRun {
+		return ServerRun{Server: server, Run: standin.Run{ID: id, At: at(when), Did: did}}
+	}
+	return &History{
+		Events: testEvents, Quota: 1000, Calm: at(5),
+		Requests: []Request{
+			{ID: "whole", Prefix: "once", Once: true, Node: "n", Life: 1, Sent: at(1), Ended: at(1.2), Answer: &standin.Answer{Status: 200, Whole: true, Body: wholeBody()}},
+			{ID: "shed", Prefix: "once", Once: true, Node: "n", Life: 1, Sent: at(2), Ended: at(2.1), Answer: &standin.Answer{Status: 503, ComeBack: true}},
+			{ID: "early", Prefix: "added", Node: "n", Life: 1, Sent: at(1), Ended: at(1.1), Answer: &standin.Answer{Status: 404}},
+			{ID: "added", Prefix: "added", Node: "n", Life: 1, Sent: at(3), Ended: at(3.1), Answer: &standin.Answer{Status: 200, Whole: true, Body: wholeBody()}},
+		},
+		Jobs: []Job{
+			{ID: "j", Items: []string{"j-0", "j-1"}, Tokens: 400, Accepted: true, At: at(1)},
+			{ID: "ended", Items: []string{"e-0"}, Tokens: 400, Accepted: true, At: at(5.5), EndedAt: at(6)},
+			{ID: "refused", Items: []string{"r-0"}, Tokens: 400, Refused: true},
+		},
+		Readings: []Reading{{Job: "j", Position: 0, Listed: listed[0]}, {Job: "j", Position: 1, Listed: listed[1]}, {Job: "j", Position: 0, Listed: listed[0]}},
+		Final:    map[string][]standin.Listed{"j": listed},
+		Drains:   []Drain{{Server: "s1", At: at(6)}},
+		Runs: []ServerRun{
+			run("s0", "whole", 1, standin.Whole), run("s0", "added", 3, standin.Whole), run("s0", "j-0", 2, standin.Whole),
+			run("s0", "j-1", 2, standin.Invalid), run("s0", "e-0", 5.8, standin.Whole), run("s1", "other", 7, standin.Whole),
+		},
+	}
+}
+
+// The checker finds each promise broken in a history that differs from a sound
+// one in this alone.
+func TestCheck_FindsWhatIsBroken(t *testing.T) {
+	if broken := Check(kept()); len(broken) > 0 {
+		t.Fatalf("a sound history breaks %v", broken)
+	}
+	mutations := map[Promise]func(h *History){
+		OnePosition: func(h *History) {
+			h.Readings = append(h.Readings, Reading{Job: "j", Position: 2, Listed: standin.Listed{Item: "j-0", Text: wholeText()}})
+		},
+		WholeText:      func(h *History) { h.Readings[0].Text, h.Readings[2].Text = "piece 1", "piece 1" },
+		JobFinishes:    func(h *History) { h.Final["j"] = h.Final["j"][:1] },
+		TrueDead:       func(h *History) { h.Runs[3].Did = standin.Whole },
+		AtMostOnce:     func(h *History) { h.Runs = append(h.Runs, h.Runs[0]) },
+		NotRunTrue:     func(h *History) { h.Runs[0].ID = "shed" },
+		WholeAnswer:    func(h *History) { h.Requests[0].Answer.Body = h.Requests[0].Answer.Body[:10] },
+		ConfigForward:  func(h *History) { h.Requests[2].Sent, h.Requests[2].Ended = h.Calm, h.Calm },
+		Drained:        func(h *History) { h.Runs[5].At = h.Drains[0].At.Add(3 * time.Second) },
+		EndStops:       func(h *History) { h.Runs[4].At = h.Jobs[1].EndedAt.Add(4 * time.Second) },
+		WithinQuota:    func(h *History) { h.Jobs[0].Tokens = 600 },
+		RefusedNotRun:  func(h *History) { h.Runs[5].ID, h.Runs[5].Server = "r-0", "s0" },
+		ComeBackIsSaid: func(h *History) { h.Requests[1].Answer.ComeBack = false },
+	}
+	for _, promise := range Promises() {
+		mutate := mutations[promise]
+		if mutate == nil {
+			t.Errorf("no history breaks %s", promise)
+			continue
+		}
+		history := kept()
+		mutate(history)
+		found := Check(history)
+		if len(found) == 0 || found[0].Promise != promise {
+			t.Errorf("a history that breaks %s is found to break %v", promise, found)
+		}
+	}
+}
+
+func TestProxy_Harms(t *testing.T) {
+	store := &soak{Options: Options{Nodes: 0}, store: standin.NewStore()}
+	t.Cleanup(store.close)
+	address, err := store.listen(store.store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, err := startProxy(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(before.close)
+	asked := func() int {
+		client := standin.Client{Address: before.address(), Host: host}
+		return client.Stream(t.Context(), "unknown", "id", 300*time.Millisecond).Status
+	}
+	const reached = 404
+	if status := asked(); status != reached {
+		t.Fatalf("status through a clear proxy is %d", status)
+	}
+	for _, harm := range []Harm{Resets, Deaf, Mute} {
+		before.set(harm)
+		if status := asked(); status != 0 {
+			t.Errorf("status under harm %d is %d", harm, status)
+		}
+	}
+	before.set(Clear)
+	if status := asked(); status != reached {
+		t.Errorf("status after all harms is %d", status)
+	}
+}
--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -50,28 +50,13 @@
 }
 
 func (s *gatewaySite) list(id, address, state string) {
-	s.store.Put("servers", id, map[string]any{
-		"service": "llm", "address": address, "zone": "z", "slots": 8, "state": state,
-	})
+	s.store.Put("servers", id, standin.Listing(address, "z", 8, state != "ready"))
 }
 
 // configure puts a configuration with a stream route under each prefix, and a
 // batch route, in force.
 func (s *gatewaySite) configure(version int, prefixes ...string) {
-	routes := []map[string]any{{
-		"name": "batch", "host": siteHost, "pathPrefix": "/batch/", "routeType": "batch", "service": "llm",
-		"sloMs": 400, "maxAttempts": 3, "completionTargetMs": 20000, "retentionS": 60, "maxQueuedTokens": 100000,
-	}}
-	for _, prefix := range prefixes {
-		routes = append(routes, map[string]any{
-			"name": prefix, "host": siteHost, "pathPrefix": "/" + prefix + "/", "routeType": "stream", "service": "llm",
-			"timeoutMs": 5000, "sloMs": 200, "maxAttempts": 2, "resumable": prefix != "once", "gapTargetMs": 250,
-		})
-	}
-	s.store.Put("op", "config", map[string]any{
-		"version": version, "routes": routes, "services": []map[string]any{{"name": "llm", "healthPath": "/health"}},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20},
-	})
+	s.store.Put("op", "config", standin.Declare(version, siteHost, 100000, prefixes...))
 }
 
 func freeAddress(t *testing.T) string {
