--- a/internal/batch/feeder.go
+++ b/internal/batch/feeder.go
@@ -12,6 +12,7 @@
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -100,19 +101,12 @@
 		case <-ctx.Done():
 		case <-changed:
 			// Results come in bursts; one look serves many.
-			pause(ctx, feedTick)
+			retry.Sleep(ctx, feedTick)
 		case <-time.After(f.activeInterval()):
 		}
 	}
 }
 
-func pause(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
-
 func (f *Feeder) activeInterval() time.Duration {
 	return max(activeInterval, time.Duration(len(f.Sessions.Live()))*activePerSession)
 }
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -134,7 +135,7 @@
 		if outcome.Of(err) != outcome.NotDone {
 			try.pending = true
 		}
-		if !wait(ctx, delay) {
+		if !retry.Sleep(ctx, delay) {
 			return s.unadmitted(try, err)
 		}
 		delay = min(2*delay, retryMax)
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -15,7 +16,7 @@
 
 // RunClaims takes over jobs whose owner is gone, until the context ends.
 func (r *Runner) RunClaims(ctx context.Context) {
-	for wait(ctx, claimPause(len(r.Owners.Live()))) {
+	for retry.Sleep(ctx, claimPause(len(r.Owners.Live()))) {
 		r.claimLost(ctx)
 	}
 }
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -64,7 +65,7 @@
 	more := !r.paused && owned.unfinished()
 	r.mu.Unlock()
 	if more && r.CommitInterval > 0 {
-		wait(owned.ctx, r.CommitInterval)
+		retry.Sleep(owned.ctx, r.CommitInterval)
 	}
 }
 
--- a/internal/jobs/expire.go
+++ b/internal/jobs/expire.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 const (
@@ -22,7 +24,7 @@
 	if keep <= 0 {
 		return
 	}
-	for wait(ctx, sweepInterval) {
+	for retry.Sleep(ctx, sweepInterval) {
 		r.sweepOld(ctx, keep)
 	}
 }
--- a/internal/jobs/handback.go
+++ b/internal/jobs/handback.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -36,13 +37,13 @@
 	defer owned.cancel()
 	for ctx.Err() == nil && owned.ctx.Err() == nil {
 		if r.runsOnce(owned) {
-			wait(ctx, onceCheck)
+			retry.Sleep(ctx, onceCheck)
 			continue
 		}
 		if r.keepTexts(ctx, owned, 1) && r.release(ctx, owned) {
 			return
 		}
-		wait(ctx, handBackRetry)
+		retry.Sleep(ctx, handBackRetry)
 	}
 }
 
--- a/internal/jobs/keep.go
+++ b/internal/jobs/keep.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -21,7 +22,7 @@
 // RunKeeping writes the texts of unfinished items now and then, until the
 // context ends, so that a crash does not make them begin anew.
 func (r *Runner) RunKeeping(ctx context.Context) {
-	for wait(ctx, keepInterval) {
+	for retry.Sleep(ctx, keepInterval) {
 		for _, owned := range r.ownedWork() {
 			if ctx.Err() != nil || r.stopped() {
 				return
--- a/internal/jobs/repeat.go
+++ b/internal/jobs/repeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -18,7 +19,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		err := call(callCtx)
 		cancel()
-		if err == nil || notFound(err) || !wait(ctx, delay) {
+		if err == nil || notFound(err) || !retry.Sleep(ctx, delay) {
 			return err
 		}
 		delay = min(2*delay, retryMax)
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -90,7 +91,7 @@
 		if s.learn(err) {
 			continue
 		}
-		if !wait(ctx, delay) {
+		if !retry.Sleep(ctx, delay) {
 			s.resolved(operation, attempts, err)
 			return Error.Wrap(outcome.Undecided(err))
 		}
@@ -176,15 +177,3 @@
 	})
 	return row, readError(err)
 }
-
-// wait pauses; it reports false if the context ended first.
-func wait(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/experiment/fault.go
+++ b/internal/lab/experiment/fault.go
@@ -9,6 +9,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/history"
 	"github.com/wheelhoist/wheelhoist/internal/lab/site"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 // Fault is a failure that is injected while the load runs.
@@ -59,16 +60,6 @@
 	return Fault{}, false
 }
 
-// sleep waits; it reports false when the context ended.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(delay):
-		return true
-	}
-}
-
 func (r *run) randomNode() *site.Member {
 	nodes := r.site.Nodes()
 	return nodes[r.random.IntN(len(nodes))]
@@ -82,14 +73,14 @@
 }
 
 func killNodes(ctx context.Context, r *run) {
-	for sleep(ctx, killEvery) {
+	for retry.Sleep(ctx, killEvery) {
 		victim := r.randomNode()
 		if !victim.Running() {
 			continue
 		}
 		r.options.Progress("kill %s", victim.ID)
 		victim.Kill()
-		sleep(ctx, restartAfter)
+		retry.Sleep(ctx, restartAfter)
 		r.restart(ctx, victim)
 	}
 }
@@ -97,7 +88,7 @@
 // killAfterAck kills the node that has just acknowledged a job.
 func killAfterAck(ctx context.Context, r *run) {
 	submitter := r.submitter()
-	for round := 0; sleep(ctx, killEvery); round++ {
+	for round := 0; retry.Sleep(ctx, killEvery); round++ {
 		victim := r.randomNode()
 		if !victim.Running() {
 			continue
@@ -111,13 +102,13 @@
 			r.jobs = append(r.jobs, job)
 			r.mu.Unlock()
 		}
-		sleep(ctx, restartAfter)
+		retry.Sleep(ctx, restartAfter)
 		r.restart(ctx, victim)
 	}
 }
 
 func pauseNodes(ctx context.Context, r *run) {
-	for sleep(ctx, time.Second) {
+	for retry.Sleep(ctx, time.Second) {
 		victim := r.randomNode()
 		if victim.Signal(syscall.SIGSTOP) != nil {
 			continue
@@ -135,12 +126,12 @@
 // of the run, from its second quarter on.
 func (r *run) storeFault(ctx context.Context, edit func(*emulator.Condition)) {
 	quarter := r.options.Duration / 4
-	sleep(ctx, quarter)
+	retry.Sleep(ctx, quarter)
 	before := r.tableRate(ctx, rateWindow)
 	r.options.Progress("store fault begins")
 	r.site.Platform.Table.Faults.Change(edit)
 	r.site.Platform.Objects.Faults.Change(edit)
-	sleep(ctx, 2*quarter)
+	retry.Sleep(ctx, 2*quarter)
 	heal := func(condition *emulator.Condition) { *condition = emulator.Condition{} }
 	r.site.Platform.Table.Faults.Change(heal)
 	r.site.Platform.Objects.Faults.Change(heal)
@@ -158,7 +149,7 @@
 func (r *run) tableRate(ctx context.Context, window time.Duration) float64 {
 	first, _ := r.site.Platform.Table.Faults.Calls()
 	began := time.Now()
-	sleep(ctx, window)
+	retry.Sleep(ctx, window)
 	last, _ := r.site.Platform.Table.Faults.Calls()
 	return float64(last-first) / time.Since(began).Seconds()
 }
@@ -185,11 +176,11 @@
 }
 
 func killEngines(ctx context.Context, r *run) {
-	for sleep(ctx, killEvery) {
+	for retry.Sleep(ctx, killEvery) {
 		victim := r.randomEngine()
 		r.options.Progress("kill %s", victim.ID)
 		r.site.KillEngine(victim)
-		sleep(ctx, restartAfter)
+		retry.Sleep(ctx, restartAfter)
 		if err := r.site.ReplaceEngine(victim); err != nil {
 			r.fail(err)
 		}
@@ -197,7 +188,7 @@
 }
 
 func leaveEngines(ctx context.Context, r *run) {
-	for sleep(ctx, killEvery) {
+	for retry.Sleep(ctx, killEvery) {
 		leaver := r.randomEngine()
 		r.options.Progress("%s leaves", leaver.ID)
 		r.recorder.Record(history.Event{Source: "lab", Type: history.ReplicaLeaving, Replica: leaver.ID})
@@ -211,30 +202,30 @@
 
 func slowEngines(ctx context.Context, r *run) {
 	const factor = 8
-	for sleep(ctx, killEvery) {
+	for retry.Sleep(ctx, killEvery) {
 		victim := r.randomEngine()
 		r.options.Progress("%s becomes slow", victim.ID)
 		victim.SetSlowdown(factor)
-		sleep(ctx, killEvery)
+		retry.Sleep(ctx, killEvery)
 		victim.SetSlowdown(1)
 	}
 }
 
 func cutZone(ctx context.Context, r *run) {
 	third := r.options.Duration / 3
-	sleep(ctx, third)
+	retry.Sleep(ctx, third)
 	zones := r.options.Profile.Zones
 	lost := zones[r.random.IntN(len(zones))]
 	r.options.Progress("zone %s cut off from the table", lost)
 	r.site.Cut(lost, true)
-	sleep(ctx, third)
+	retry.Sleep(ctx, third)
 	r.site.Cut(lost, false)
 	r.options.Progress("zone %s back", lost)
 }
 
 func rollingRestart(ctx context.Context, r *run) {
 	for _, member := range r.site.Nodes() {
-		if !sleep(ctx, restartAfter) {
+		if !retry.Sleep(ctx, restartAfter) {
 			return
 		}
 		r.options.Progress("stop %s as planned", member.ID)
--- a/internal/lab/experiment/yield.go
+++ b/internal/lab/experiment/yield.go
@@ -10,6 +10,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/history"
 	"github.com/wheelhoist/wheelhoist/internal/lab/load"
 	"github.com/wheelhoist/wheelhoist/internal/lab/site"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 // variant is one way to run the same online load.
@@ -85,7 +86,7 @@
 			return nil, err
 		}
 	}
-	sleep(ctx, warmup)
+	retry.Sleep(ctx, warmup)
 	stats := load.NewStats()
 	caller := (&load.Caller{
 		Model: options.Profile.Model, Key: site.TenantKey, Version: options.Profile.Version, Recorder: recorder,
@@ -125,7 +126,7 @@
 		}
 	}
 	const rolesInForce = 4 * time.Second
-	sleep(ctx, rolesInForce)
+	retry.Sleep(ctx, rolesInForce)
 	return nil
 }
 
--- a/internal/lab/labcmd/root.go
+++ b/internal/lab/labcmd/root.go
@@ -53,8 +53,7 @@
 		Name: "wheelhoist-lab", ShortUsage: "wheelhoist-lab <command> [flags]", FlagSet: flags,
 		ShortHelp: "stand-ins, load, faults and checks; never needed in production",
 		Subcommands: []*ffcli.Command{
-			demoCommand(std), siteCommand(std), runCommand(std), checkCommand(std), hollowCommand(std), soakCommand(std),
-			hollowWorkerCommand(std), streamsCommand(std),
+			demoCommand(std), siteCommand(std), runCommand(std), checkCommand(std), soakCommand(std),
 		},
 	}
 	root.Exec = func(context.Context, []string) error {
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
@@ -31,7 +32,7 @@
 // callOnline asks for streams, one after the other, until the context ends.
 func (s *soak) callOnline(ctx context.Context, caller int) {
 	random := s.random(caller, 1)
-	for number := 0; pause(ctx, onlinePause); number++ {
+	for number := 0; retry.Sleep(ctx, onlinePause); number++ {
 		chosen := s.gateways[random.IntN(len(s.gateways))]
 		prefix := s.prefix(random)
 		one := Request{
@@ -52,14 +53,14 @@
 // callJobs hands jobs in, one after the other, until the context ends.
 func (s *soak) callJobs(ctx context.Context, caller int) {
 	random := s.random(caller, 2)
-	for number := 0; pause(ctx, jobPause); number++ {
+	for number := 0; retry.Sleep(ctx, jobPause); number++ {
 		one := Job{ID: fmt.Sprintf("job-%d-%d", caller, number), Tokens: itemTokens}
 		for item := range 1 + random.IntN(jobItems) {
 			one.Items = append(one.Items, fmt.Sprintf("%s-item-%d", one.ID, item))
 		}
 		s.submit(context.WithoutCancel(ctx), &one, random)
 		if one.Accepted && random.Float64() < endShare {
-			pause(ctx, time.Second)
+			retry.Sleep(ctx, time.Second)
 			s.end(context.WithoutCancel(ctx), &one, random)
 		}
 		s.job(one)
@@ -80,7 +81,7 @@
 		}
 		// A refused connection was not read either.
 		one.Refused = one.Refused && answer.NotRun()
-		pause(ctx, 200*time.Millisecond)
+		retry.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -93,14 +94,14 @@
 			one.EndedAt = time.Now()
 			return
 		}
-		pause(ctx, 200*time.Millisecond)
+		retry.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
 // readJobs reads lists from any position at any node, until the context ends.
 func (s *soak) readJobs(ctx context.Context) {
 	random := s.random(0, 3)
-	for pause(ctx, 20*time.Millisecond) {
+	for retry.Sleep(ctx, 20*time.Millisecond) {
 		jobs := s.jobs()
 		if len(jobs) == 0 {
 			continue
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
@@ -33,15 +34,15 @@
 		all.Wait()
 	case PauseNode:
 		node.signal(syscall.SIGSTOP)
-		pause(ctx, fault.For)
+		retry.Sleep(ctx, fault.For)
 		node.signal(syscall.SIGCONT)
 	case CutStore:
 		node.store.set(fault.Harm)
-		pause(ctx, fault.For)
+		retry.Sleep(ctx, fault.For)
 		node.store.set(Clear)
 	case StoreBusy, StoreLoses, StoreLate:
 		s.store.SetTrouble(s.trouble(fault))
-		pause(ctx, fault.For)
+		retry.Sleep(ctx, fault.For)
 		s.store.SetTrouble(nil)
 	case StoreForget:
 		s.store.Forget()
@@ -58,7 +59,7 @@
 	defer node.restarting.Unlock()
 	node.signal(syscall.SIGCONT)
 	node.stop(signal)
-	pause(ctx, restartAfter)
+	retry.Sleep(ctx, restartAfter)
 	if err := node.start(); err != nil {
 		s.say("node %s does not start: %v", node.id, err)
 	}
@@ -85,11 +86,11 @@
 	switch fault.Kind {
 	case ServerCut:
 		one.proxy.set(fault.Harm)
-		pause(ctx, fault.For)
+		retry.Sleep(ctx, fault.For)
 		one.proxy.set(Clear)
 	case ServerBad:
 		one.Behave(s.misbehaviour(fault))
-		pause(ctx, fault.For)
+		retry.Sleep(ctx, fault.For)
 		one.Behave(nil)
 	case DrainServer:
 		s.drain(ctx, one, false)
@@ -116,6 +117,6 @@
 	if calm {
 		s.Drains = append(s.Drains, Drain{Server: one.id, At: time.Now()})
 	}
-	pause(ctx, drainLife)
+	retry.Sleep(ctx, drainLife)
 	s.store.Remove("servers", one.id)
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -14,6 +14,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
@@ -235,18 +236,18 @@
 	load.Go(func() { s.readJobs(loadCtx) })
 	began := time.Now()
 	for _, fault := range plan {
-		if !pause(ctx, time.Until(began.Add(fault.At))) {
+		if !retry.Sleep(ctx, time.Until(began.Add(fault.At))) {
 			break
 		}
 		s.say("%6.1f s  %s for %v", fault.At.Seconds(), fault.Kind, fault.For.Round(time.Millisecond))
 		s.faults.Go(func() { s.apply(ctx, fault) })
 	}
-	pause(ctx, time.Until(began.Add(s.For)))
+	retry.Sleep(ctx, time.Until(began.Add(s.For)))
 	s.faults.Wait()
 	s.store.SetTrouble(nil)
 	s.Calm = time.Now().Add(3 * time.Second)
 	// Load goes on in calm for a while, so that ends and a drain there count.
-	pause(ctx, time.Until(s.Calm))
+	retry.Sleep(ctx, time.Until(s.Calm))
 	s.drain(ctx, s.servers[0], true)
 	stopLoad()
 	load.Wait()
@@ -269,7 +270,7 @@
 					break
 				}
 			}
-			pause(ctx, 100*time.Millisecond)
+			retry.Sleep(ctx, 100*time.Millisecond)
 		}
 	}
 }
@@ -278,15 +279,3 @@
 func (s *soak) client(number int) *standin.Client {
 	return &standin.Client{Address: s.gateways[number%len(s.gateways)].address, Host: host}
 }
-
-// pause waits; it reports false if the context ended first.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/machines"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 const (
@@ -65,7 +66,7 @@
 			return true
 		}
 		n.log.Warn().Err(err).Msg("not joined yet")
-		if !sleep(ctx, joinRetry) {
+		if !retry.Sleep(ctx, joinRetry) {
 			return false
 		}
 	}
@@ -88,7 +89,7 @@
 
 // sessionsLoop keeps the view of the other nodes.
 func (n *Node) sessionsLoop(ctx context.Context) {
-	for sleep(ctx, max(sessionsInterval, time.Duration(n.liveNodes())*sessionsPerSession)) {
+	for retry.Sleep(ctx, max(sessionsInterval, time.Duration(n.liveNodes())*sessionsPerSession)) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		if n.owners.Refresh(callCtx) == nil && n.preferred("sweep") {
 			n.owners.Sweep(callCtx)
@@ -103,18 +104,6 @@
 	}
 }
 
-// sleep waits; it reports false when the context ended.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // machineList is the platform's list of machines as last read.
 type machineList struct {
 	source machines.List
@@ -173,7 +162,7 @@
 				n.AskDrain()
 			}
 		}
-		if !sleep(ctx, machinesInterval) {
+		if !retry.Sleep(ctx, machinesInterval) {
 			return
 		}
 	}
@@ -200,9 +189,9 @@
 		n.runner.HandBack(jobsCtx)
 		close(handedBack)
 	}()
-	sleep(ctx, drainNotice)
+	retry.Sleep(ctx, drainNotice)
 	n.server.StartDraining()
-	for n.server.Open() > 0 && sleep(ctx, drainChecked) {
+	for n.server.Open() > 0 && retry.Sleep(ctx, drainChecked) {
 	}
 	<-handedBack
 	err := n.httpServer.Shutdown(ctx)
--- a/internal/table/log.go
+++ b/internal/table/log.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 const (
@@ -105,7 +106,7 @@
 		if !errors.Is(explained, errHeadMoved) {
 			return nil, explained
 		}
-		if !pause(ctx, jittered(logPause)) {
+		if !retry.Sleep(ctx, jittered(logPause)) {
 			return nil, outcome.Failed(ErrUnavailable)
 		}
 	}
--- a/internal/table/poll.go
+++ b/internal/table/poll.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 const (
@@ -43,7 +45,7 @@
 func (h *Heads) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.look(ctx)
-		pause(ctx, h.interval())
+		retry.Sleep(ctx, h.interval())
 	}
 }
 
--- a/internal/table/settle.go
+++ b/internal/table/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 const (
@@ -51,7 +52,7 @@
 			return resolveConflict(ctx, service, operation, writes, err)
 		}
 		sentBefore = true
-		if !pause(ctx, delay) {
+		if !retry.Sleep(ctx, delay) {
 			return nil, err
 		}
 		delay = min(2*delay, settleMaxDelay)
@@ -88,14 +89,3 @@
 	}
 	return Write{}, false
 }
-
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 // Watch timing.
@@ -85,12 +87,12 @@
 		case err == nil:
 			whole = false
 			delay = watchRetryFirst
-			sleep(ctx, w.spacing()-time.Since(began))
+			retry.Sleep(ctx, w.spacing()-time.Since(began))
 		case errors.Is(err, ErrCompacted):
 			whole = true
 		case ctx.Err() == nil:
 			w.failed(err)
-			sleep(ctx, jittered(delay))
+			retry.Sleep(ctx, jittered(delay))
 			delay = min(2*delay, watchRetryMax)
 		}
 		select {
@@ -141,7 +143,7 @@
 			if failures > pageFailures || ctx.Err() != nil {
 				return Changes{}, err
 			}
-			sleep(ctx, jittered(min(watchRetryFirst<<min(failures, 8), pageRetryMax)))
+			retry.Sleep(ctx, jittered(min(watchRetryFirst<<min(failures, 8), pageRetryMax)))
 			continue
 		}
 		failures = 0
@@ -220,9 +222,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	if delay > 0 {
-		pause(ctx, delay)
-	}
-}
