Tell what decisions go by: pool figures, why items give way, the prediction's error

One log line per item that gives way (cause, queue, predicted wait, patience, age of the load report), the same inputs on each attempt, and metrics: wheelhoist_pool_* for what is learned of each pool (slots, demand, items, hold, stay, first event, patience, reading rate), items that gave way by cause, and the error of the predicted first event.

No decision changes. Tests: the figures of a pool, the collector.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -38,6 +38,7 @@
 		now := time.Now()
 		use.Heard(now)
 		use.First(now)
+		c.begun(now)
 		watch.begun(c.route.Gap)
 		if event.HasID && event.ID <= c.after {
 			continue
@@ -51,6 +52,14 @@
 	}
 }
 
+// begun tells of the first event of an attempt.
+func (c *call) begun(now time.Time) {
+	if !c.sent.IsZero() && c.forwarder.Notice != nil {
+		c.forwarder.Notice.Begun(c.request, c.predicted, now.Sub(c.sent))
+	}
+	c.sent = time.Time{}
+}
+
 func (c *call) passEvent(answer *Answer, event sse.Event, more bool) error {
 	if err := c.passHead(answer); err != nil {
 		return err
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -24,7 +24,9 @@
 // Notice is told of what happens to a request, for the log.
 type Notice interface {
 	// Sent tells of an attempt and of what made the replica the best.
-	Sent(request *Request, attempt int, chosen *replica.Candidate)
+	Sent(request *Request, attempt int, chosen *replica.Candidate, predicted time.Duration)
+	// Begun tells of the first event of an attempt and of its predicted time.
+	Begun(request *Request, predicted, actual time.Duration)
 	// Failed tells of an attempt that did not bring the whole answer.
 	Failed(request *Request, attempt int, chosen replica.Info, err error)
 }
@@ -53,6 +55,10 @@
 	lastEvent time.Time
 	// ran tells whether the request may have run anywhere.
 	ran bool
+	// predicted is the time to the first event of the attempt under way, sent when
+	// it was sent; zero once it has begun.
+	predicted time.Duration
+	sent      time.Time
 }
 
 // Do carries out a request. A nil error means that a replica's whole answer
@@ -212,8 +218,9 @@
 	now := time.Now()
 	c.result.Attempts++
 	c.result.Replica = chosen.ID
+	c.predicted, c.sent = chosen.Expected(c.demand.Ask), now
 	if c.forwarder.Notice != nil {
-		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen)
+		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
 	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
 	err := c.exchange(ctx, chosen.Info, use)
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -69,6 +69,7 @@
 func (quietEvents) Claimed(*Entry, string, error)                       {}
 func (quietEvents) ItemSent(*Job, string, string, int)                  {}
 func (quietEvents) ItemFailed(*Job, string, string, error)              {}
+func (quietEvents) GaveWay(*Job, string, string, int, replica.Pressure) {}
 func (quietEvents) ItemListed(*Job, string, int, Reason, time.Duration) {}
 func (quietEvents) Removed(*Job, error)                                 {}
 func (quietEvents) Resolved(operation string, attempts int, err error)  {}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -35,6 +36,8 @@
 	Claimed(entry *Entry, from string, err error)
 	ItemSent(job *Job, item string, replica string, after int)
 	ItemFailed(job *Job, item string, replica string, err error)
+	// GaveWay tells of an item that makes room for online requests, and why.
+	GaveWay(job *Job, item string, replica string, after int, why replica.Pressure)
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	Resolved(operation string, attempts int, err error)
 	Removed(job *Job, err error)
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -4,6 +4,8 @@
 	"errors"
 	"sort"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
 // errYielded reports an item that gave its slot to online requests.
@@ -18,13 +20,13 @@
 
 // Yield makes room at a replica for online requests: some of this node's items
 // there are broken off, those first that are due last.
-func (r *Runner) Yield(replica string, items int) {
+func (r *Runner) Yield(id string, items int, why replica.Pressure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var running []*task
 	for _, owned := range r.owned {
 		for _, one := range owned.tasks {
-			if one.state == taskRunning && one.replica == replica && !one.once && !one.yielding {
+			if one.state == taskRunning && one.replica == id && !one.once && !one.yielding {
 				running = append(running, one)
 			}
 		}
@@ -34,6 +36,7 @@
 		return r.turnOf(running[j], storeNow).before(r.turnOf(running[i], storeNow))
 	})
 	for _, one := range running[:min(items, len(running))] {
+		r.Service.Events.GaveWay(one.work.job, one.work.job.Items[one.index].ID, id, one.after, why)
 		one.yielding = true
 		one.use.GiveWay()
 		one.cancel(errYielded)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -78,7 +78,7 @@
 	c.replicas.Ejected = c.logEjected
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
-		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled},
+		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = lease.NewWatcher(outside.table, time.Now, outside.timing)
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
 // jobLog logs and counts what happens to jobs.
@@ -54,6 +55,18 @@
 	l.log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Msg("item attempt failed")
 }
 
+// GaveWay implements jobs.Events.
+func (l *jobLog) GaveWay(job *jobs.Job, item, id string, after int, why replica.Pressure) {
+	label := "arrival"
+	if why.Queued > 0 {
+		label = "queue"
+	}
+	l.metrics.gaveWay.WithLabelValues(label).Inc()
+	l.sampled.Info().Str("job", job.ID).Str("item", item).Str("replica", id).Int("after", after).
+		Int("queued", why.Queued).Dur("wait_ms", why.Wait).Dur("patience_ms", why.Patience).Dur("load_age_ms", why.Age).
+		Msg("item gives way")
+}
+
 // ItemListed implements jobs.Events.
 func (l *jobLog) ItemListed(job *jobs.Job, item string, position int, dead jobs.Reason, took time.Duration) {
 	label, entry := "completed", l.sampled.Info()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,9 @@
 	droppedLogs prometheus.Counter
 	jobs        *prometheus.CounterVec
 	items       *prometheus.CounterVec
+	gaveWay     *prometheus.CounterVec
+	// predictionError is how far the first event was from its prediction.
+	predictionError prometheus.Histogram
 	// completed counts the completed items, for measurements.
 	completed atomic.Uint64
 }
@@ -71,7 +74,14 @@
 	m.items = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_job_items_total", Help: "Batch items by what happened to them at this node.",
 	}, []string{"event"})
-	m.registry.MustRegister(m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.gaveWay = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_items_gave_way_total", Help: "Items that made room for online requests, by what asked for it.",
+	}, []string{"cause"})
+	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "wheelhoist_gateway_prediction_error_seconds", Help: "First event of an attempt, actual less predicted time.",
+		Buckets: []float64{-.5, -.2, -.1, -.05, -.02, 0, .02, .05, .1, .2, .5, 1},
+	})
+	m.registry.MustRegister(m.gaveWay, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
@@ -100,6 +110,11 @@
 	})
 }
 
+// registerPools adds what is learned of a pool, once it serves.
+func (m *coreMetrics) registerPools(c *core) {
+	m.registry.MustRegister(&poolCollector{replicas: c.replicas, now: time.Now})
+}
+
 // registerAge adds the age of a watched source.
 func (m *coreMetrics) registerAge(name, help string, watcher *table.Watcher) {
 	m.gauge(name, help, func() float64 { return watcher.Age().Seconds() })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,6 +197,7 @@
 
 func (n *Node) buildServer() error {
 	n.metrics.registerViews(n.core)
+	n.metrics.registerPools(n.core)
 	n.metrics.registerTraffic(&n.control)
 	handler, err := server.New(server.Options{
 		NodeID: n.settings.Node.ID, Log: n.log, Store: n.resources, Resources: n.publisher,
--- /dev/null
+++ b/internal/node/poolmetrics.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// poolCollector tells what decisions about each pool go by. The number of pools
+// bounds its series.
+type poolCollector struct {
+	replicas *replica.Set
+	now      func() time.Time
+}
+
+// poolFigure is one figure of a pool.
+type poolFigure struct {
+	description *prometheus.Desc
+	value       func(replica.Learned) float64
+}
+
+func describePool(name, help string, value func(replica.Learned) float64) poolFigure {
+	return poolFigure{prometheus.NewDesc("wheelhoist_pool_"+name, help, []string{"pool"}, nil), value}
+}
+
+var poolFigures = []poolFigure{
+	describePool("slots", "Slots of this node by the division among nodes.", func(l replica.Learned) float64 { return float64(l.Share) }),
+	describePool("online_open", "Online requests of this node under way.", func(l replica.Learned) float64 { return float64(l.Open) }),
+	describePool("online_level", "Slots that online requests of this node are expected to need.", func(l replica.Learned) float64 { return l.Level }),
+	describePool("items_running", "Items of this node under way.", func(l replica.Learned) float64 { return float64(l.Items) }),
+	describePool("slot_hold_seconds", "How long a slot is held at a time, learned.", func(l replica.Learned) float64 { return l.Hold.Seconds() }),
+	describePool("online_stay_seconds", "How long an online request holds a slot, learned.", func(l replica.Learned) float64 { return l.Stay.Seconds() }),
+	describePool("first_event_seconds", "Time to the first event where no slot is waited for, learned.", func(l replica.Learned) float64 { return l.First.Seconds() }),
+	describePool("patience_share", "Part of the time left to its objective that a request waits before an item gives way.", func(l replica.Learned) float64 { return l.PatienceShare }),
+	describePool("reading_tokens_per_second", "How fast prompts are read, learned.", func(l replica.Learned) float64 { return l.ReadingRate }),
+}
+
+// Describe implements prometheus.Collector.
+func (c *poolCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, figure := range poolFigures {
+		descriptions <- figure.description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *poolCollector) Collect(metrics chan<- prometheus.Metric) {
+	for pool, learned := range c.replicas.Learned(c.now()) {
+		for _, figure := range poolFigures {
+			metrics <- prometheus.MustNewConstMetric(figure.description, prometheus.GaugeValue, figure.value(learned), pool)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/poolmetrics_test.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+func TestPoolCollector_TellsEachPool(t *testing.T) {
+	set := replica.NewSet()
+	set.Put(replica.Info{ID: "a", Pool: "one", Slots: 8})
+	set.Put(replica.Info{ID: "b", Pool: "two", Slots: 4})
+	registry := prometheus.NewPedanticRegistry()
+	if err := registry.Register(&poolCollector{replicas: set, now: time.Now}); err != nil {
+		t.Fatal(err)
+	}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(families) != len(poolFigures) {
+		t.Fatalf("%d figures, want %d", len(families), len(poolFigures))
+	}
+	for _, family := range families {
+		if len(family.GetMetric()) != 2 {
+			t.Errorf("%s tells %d pools, want 2", family.GetName(), len(family.GetMetric()))
+		}
+	}
+}
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
@@ -9,15 +11,25 @@
 )
 
 // requestLog logs the attempts of requests.
-type requestLog struct{ log, sampled zerolog.Logger }
+type requestLog struct {
+	log, sampled zerolog.Logger
+	metrics      *coreMetrics
+}
 
 // Sent implements forward.Notice.
-func (l *requestLog) Sent(request *forward.Request, attempt int, chosen *replica.Candidate) {
+func (l *requestLog) Sent(request *forward.Request, attempt int, chosen *replica.Candidate, predicted time.Duration) {
 	l.sampled.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
-		Int("open", chosen.Open).Float64("others", chosen.Others).Int("pending_tokens", chosen.PendingTokens).
+		Int("open", chosen.Open).Int("share", chosen.Share).Int("items", chosen.Batch).Float64("others", chosen.Others).
+		Float64("waiting", chosen.Waiting).Dur("load_age_ms", chosen.Age).Dur("slot_ms", chosen.SlotTime).
+		Int("pending_tokens", chosen.PendingTokens).Dur("predicted_ms", predicted).
 		Msg("attempt sent")
 }
 
+// Begun implements forward.Notice.
+func (l *requestLog) Begun(_ *forward.Request, predicted, actual time.Duration) {
+	l.metrics.predictionError.Observe((actual - predicted).Seconds())
+}
+
 // Failed implements forward.Notice.
 func (l *requestLog) Failed(request *forward.Request, attempt int, chosen replica.Info, err error) {
 	l.log.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -151,18 +151,57 @@
 	return known
 }
 
-// ItemRoom returns how many more items of this node may run now: its slots less
-// what online requests hold or are expected to need.
-func (s *Set) ItemRoom(pool string, now time.Time) int {
+// Learned is what decisions about a pool go by at this node.
+type Learned struct {
+	// Share counts this node's slots, Open its online requests, Items its items.
+	Share, Open, Items int
+	// Level is the number of slots that online requests are expected to need.
+	Level float64
+	// Hold is how long a slot is held at a time, Stay how long by an online
+	// request, First the time to a first event that waits for no slot.
+	Hold, Stay, First time.Duration
+	// PatienceShare is the part of the time left that a request waits for a slot.
+	PatienceShare float64
+	// ReadingRate is how fast prompts are read, in tokens a second.
+	ReadingRate float64
+}
+
+// Learned returns what is known of each pool that has replicas.
+func (s *Set) Learned(now time.Time) map[string]Learned {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share, items := 0, 0
-	for _, known := range s.pool(pool) {
+	if s.stale {
+		s.rebuild()
+	}
+	all := map[string]Learned{}
+	for pool, list := range s.byPool {
+		known := s.demandOf(pool)
+		known.turnover(now)
+		share, items := sumShares(list)
+		all[pool] = Learned{
+			Share: share, Items: items, Open: known.open, Level: known.level(now), Hold: known.hold(), Stay: known.stay,
+			First: known.first, PatienceShare: known.patienceShare(list[0].info.Slots), ReadingRate: known.readingRate(),
+		}
+	}
+	return all
+}
+
+// sumShares returns the slots of this node that take items, and its items there.
+func sumShares(list []*entry) (share, items int) {
+	for _, known := range list {
 		if !known.info.Leaving && !known.info.NoBatch {
 			share += known.share
 		}
 		items += known.batch - known.leaving
 	}
-	level := s.demandOf(pool).level(now)
-	return int(float64(share)-level) - items
+	return share, items
+}
+
+// ItemRoom returns how many more items of this node may run now: its slots less
+// what online requests hold or are expected to need.
+func (s *Set) ItemRoom(pool string, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share, items := sumShares(s.pool(pool))
+	return int(float64(share)-s.demandOf(pool).level(now)) - items
 }
--- a/internal/replica/demand_test.go
+++ b/internal/replica/demand_test.go
@@ -24,7 +24,7 @@
 	items := fill(set, "r00", now)
 	now = now.Add(2 * time.Second)
 	asked := 0
-	set.Pressed = func(_ string, count int) {
+	set.Pressed = func(_ string, count int, _ Pressure) {
 		items[asked].GiveWay()
 		asked += count
 	}
@@ -52,7 +52,7 @@
 	}
 	fill(set, "r00", now)
 	asked := 0
-	set.Pressed = func(_ string, count int) { asked += count }
+	set.Pressed = func(_ string, count int, _ Pressure) { asked += count }
 	set.Begin("r00", ask, now)
 	if asked != 0 {
 		t.Fatal("an item gave way though a slot is free in a moment")
@@ -89,6 +89,17 @@
 	}
 }
 
+func TestLearned_ShowsWhatDecisionsGoBy(t *testing.T) {
+	set, now := newSet(3), time.Now()
+	set.Divide("a", []string{"a", "b", "c"})
+	set.Begin("r00", Ask{Batch: true}, now)
+	set.Begin("r01", ask, now)
+	learned := set.Learned(now)[testPool]
+	if learned.Share != 4 || learned.Items != 1 || learned.Open != 1 || learned.Level != 1 {
+		t.Fatalf("learned is %+v", learned)
+	}
+}
+
 func TestDemand_LearnsHowLongASlotIsHeld(t *testing.T) {
 	set, now := newSet(1), time.Now()
 	for range 50 {
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -202,6 +202,14 @@
 	return time.Duration(waiting * float64(c.SlotTime))
 }
 
+// Expected is the time to the first event of a request there, by what is learned.
+func (c *Candidate) Expected(ask Ask) time.Duration {
+	if c.swaps(ask) {
+		return c.First + swapCost
+	}
+	return c.First + c.waitForSlot()
+}
+
 // swaps reports whether an item of this node gives way there to a request that
 // would wait there for longer than it has time.
 func (c *Candidate) swaps(ask Ask) bool {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -112,7 +112,7 @@
 func TestUse_PressedAsksBatchToGiveWay(t *testing.T) {
 	set, now := newSet(1), time.Now()
 	asked := 0
-	set.Pressed = func(_ string, items int) { asked = items }
+	set.Pressed = func(_ string, items int, _ Pressure) { asked = items }
 	online := set.Begin("r00", Ask{}, now)
 	online.Load(Load{Running: 4, Waiting: 9, Slots: 4}, now)
 	if asked != 0 {
@@ -130,7 +130,7 @@
 func TestUse_NoItemGivesWayWhileSlotsAreFree(t *testing.T) {
 	set, now := newSet(1), time.Now()
 	asked := 0
-	set.Pressed = func(_ string, items int) { asked += items }
+	set.Pressed = func(_ string, items int, _ Pressure) { asked += items }
 	set.Begin("r00", Ask{Batch: true}, now)
 	online := set.Begin("r00", Ask{}, now)
 	online.Load(Load{Running: 1, Waiting: 3, Slots: 4}, now)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -78,7 +78,7 @@
 	Ejected func(info Info, result Result)
 	// Pressed is asked, outside the lock, to make batch items of this node give
 	// way at a replica.
-	Pressed func(id string, items int)
+	Pressed func(id string, items int, why Pressure)
 }
 
 // NewSet returns an empty set.
@@ -280,6 +280,7 @@
 		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
+		Age: now.Sub(e.waitingAt),
 	}
 }
 
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -17,6 +17,17 @@
 	return time.Duration(share * float64(max(0, a.Objective-first)))
 }
 
+// Pressure is what makes items give way at a replica, with what was known.
+type Pressure struct {
+	// Queued is the number of requests that the replica says wait for a slot; 0 if
+	// an arriving request was predicted to wait.
+	Queued int
+	// Wait is how long a request would wait, Patience how long it may.
+	Wait, Patience time.Duration
+	// Age is the age of what the replica last said of its load.
+	Age time.Duration
+}
+
 // Use counts one request at a replica until End.
 type Use struct {
 	set   *Set
@@ -34,14 +45,14 @@
 // Begin counts a request about to be sent to a replica. An online request that
 // would wait there for longer than it has time has an item of this node give way.
 func (s *Set) Begin(id string, ask Ask, now time.Time) *Use {
-	use, press := s.begin(id, ask, now)
-	if press && s.Pressed != nil {
-		s.Pressed(id, 1)
+	use, why := s.begin(id, ask, now)
+	if why != nil && s.Pressed != nil {
+		s.Pressed(id, 1, *why)
 	}
 	return use
 }
 
-func (s *Set) begin(id string, ask Ask, now time.Time) (use *Use, press bool) {
+func (s *Set) begin(id string, ask Ask, now time.Time) (use *Use, why *Pressure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.entries[id]
@@ -52,7 +63,9 @@
 		s.rebuild()
 	}
 	candidate := s.candidate(known, now)
-	press = !ask.Batch && candidate.swaps(ask)
+	if !ask.Batch && candidate.swaps(ask) {
+		why = &Pressure{Wait: candidate.waitForSlot(), Patience: ask.patience(candidate.First, candidate.PatienceShare), Age: candidate.Age}
+	}
 	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: candidate.spare()}
 	s.demandOf(known.info.Pool).begin(ask, now)
 	if ask.Batch {
@@ -60,19 +73,19 @@
 	}
 	known.open++
 	known.pending += ask.Tokens
-	return use, press
+	return use, why
 }
 
 // Load takes in what the replica said of its load with an answer. If requests
 // wait there for longer than they have time, items of this node give way.
 func (u *Use) Load(load Load, now time.Time) {
-	if items := u.takeLoad(load, now); items > 0 && u.set.Pressed != nil {
-		u.set.Pressed(u.entry.info.ID, items)
+	if items, why := u.takeLoad(load, now); items > 0 && u.set.Pressed != nil {
+		u.set.Pressed(u.entry.info.ID, items, why)
 	}
 }
 
 // takeLoad returns the number of this node's items there that should give way.
-func (u *Use) takeLoad(load Load, now time.Time) int {
+func (u *Use) takeLoad(load Load, now time.Time) (items int, why Pressure) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	others := max(0, float64(load.Running+load.Waiting-u.entry.open))
@@ -81,9 +94,10 @@
 	u.entry.reported = now
 	u.entry.waiting, u.entry.waitingAt = load.queued(), now
 	candidate := u.set.candidate(u.entry, now)
-	patience := candidate.PatienceShare / patienceLeast * float64(u.set.demandOf(u.entry.info.Pool).patience)
-	bearable := int(patience / float64(max(time.Millisecond, candidate.SlotTime)))
-	return min(candidate.Batch, load.queued()-bearable)
+	patience := time.Duration(candidate.PatienceShare / patienceLeast * float64(u.set.demandOf(u.entry.info.Pool).patience))
+	bearable := int(patience / max(time.Millisecond, candidate.SlotTime))
+	why = Pressure{Queued: load.queued(), Wait: time.Duration(load.queued()) * candidate.SlotTime, Patience: patience}
+	return min(candidate.Batch, load.queued()-bearable), why
 }
 
 // GiveWay notes that an item was asked to give way: its slot counts as free.
