Choose among the replicas where a node has slots, in pools of any size

Cause: of a pool of more than 64 a choice looked at replicas heard from lately and two random ones; the replicas where the node has slots by the division could be missing, so items found no room and requests went where the node had none. The bound of 64 was a constant without a reason of its own.

Change: a choice looks at the replicas where this node has slots, those heard from within 3 s, two random ones and the home of the prefix; in small fleets these are all.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -142,12 +142,19 @@
 func TestSet_SampleOfALargePoolHoldsTheHome(t *testing.T) {
 	set, now := newSet(300), time.Now()
 	const affinity = 12345
+	nodes := testNodes(200)
+	set.Divide(nodes[7], nodes)
 	all := set.pool(testPool)
 	home := homeAmong(all, affinity, now)
 	for range 20 {
 		sample := set.Snapshot(testPool, affinity, now)
-		if len(sample) > sampleRandom+1 || !ids(sample)[home.info.ID] {
-			t.Fatalf("sample of %d replicas lacks the home", len(sample))
+		own := 0
+		for _, candidate := range sample {
+			own += candidate.Share
+		}
+		// 1200 slots among 200 nodes.
+		if own != 6 || len(sample) > own+sampleRandom+1 || !ids(sample)[home.info.ID] {
+			t.Fatalf("sample of %d replicas with %d own slots lacks some or the home", len(sample), own)
 		}
 	}
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -20,10 +20,9 @@
 	lapseAfter = 2500 * time.Millisecond
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
-	// smallPool is the number of replicas up to which a choice looks at all.
-	smallPool = 64
-	// sampleRandom is the number of random replicas that a choice among more looks
-	// at, beside those that this node has heard from within freshFor.
+	// sampleRandom is the number of random replicas that a choice looks at, beside
+	// those that this node knows: where it has slots, and those that it has heard
+	// from within freshFor.
 	sampleRandom = 2
 	freshFor     = 3 * time.Second
 	// waitingFade is the time after which a report of waiting requests tells
@@ -206,19 +205,16 @@
 	return list
 }
 
-// Snapshot returns the replicas of a pool that may take requests now, in the
-// order of their ids. Of a large pool it returns those that this node has heard
-// from a moment ago, a few random ones, and the home of a prefix. What a node
-// knows of the others is old; the least busy of all by that knowledge would be
-// flooded, the least busy of a few random ones is not (Mitzenmacher, 2001). Nor
-// does the cost of a request grow with the fleet.
+// Snapshot returns the replicas of a pool that a choice looks at now, in the order
+// of their ids: those where this node has slots, those that it has heard from a
+// moment ago, a few random ones, and the home of a prefix. In a small fleet these
+// are all. What a node knows of others is old; the least busy of all by that
+// knowledge would be flooded, the least busy of a few random ones is not
+// (Mitzenmacher, 2001). Nor does the cost of a request grow with the fleet.
 func (s *Set) Snapshot(pool string, affinity uint64, now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.pool(pool)
-	if len(list) <= smallPool {
-		return s.candidatesOf(list, now)
-	}
 	chosen := sample(list, now)
 	if home := homeAmong(list, affinity, now); home != nil && !slices.Contains(chosen, home) {
 		chosen = append(chosen, home)
@@ -226,16 +222,15 @@
 	return s.candidatesOf(chosen, now)
 }
 
-// sample returns the replicas that were heard from a moment ago and some random
-// others.
+// sample returns the replicas that this node knows and some random others.
 func sample(list []*entry, now time.Time) []*entry {
-	var chosen []*entry
+	chosen := make([]*entry, 0, len(list))
 	for _, known := range list {
-		if now.Sub(known.heard) < freshFor {
+		if known.share > 0 || now.Sub(known.heard) < freshFor {
 			chosen = append(chosen, known)
 		}
 	}
-	for range sampleRandom {
+	for range min(sampleRandom, len(list)-len(chosen)) {
 		if random := list[rand.IntN(len(list))]; !slices.Contains(chosen, random) {
 			chosen = append(chosen, random)
 		}
