An item that must wait for something of its own does not hold up others; work in a file of its own

A task that is not marked yet, or whose replicas are all excluded, counted as "no room" and ended the look for its pool (found by reading the change again). The race detector finds nothing in jobs, replica, lease and forward.

--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -72,64 +71,6 @@
 	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1)}
 }
 
-// work is an owned job. The runner's lock guards it.
-type work struct {
-	job      *Job
-	items    []Item
-	tasks    []*task
-	finished []*task
-	commits  bool
-	// loading is set while items are read from the store.
-	loading bool
-	// marking is set while items are being marked as started.
-	marking bool
-	// cancel stops the items when the job ends or is lost.
-	cancel context.CancelFunc
-	ctx    context.Context
-}
-
-type taskState int
-
-const (
-	taskWaiting taskState = iota
-	taskRunning
-	// taskFinished tasks have an outcome that is not listed yet.
-	taskFinished
-	taskListed
-)
-
-// task is an item to run.
-type task struct {
-	work  *work
-	index int
-	state taskState
-	// text and after are what earlier runs have brought.
-	text  []byte
-	after int
-	// reason says why a finished item has no answer; empty if it has one.
-	reason Reason
-	// once items may run only once; marked ones are marked as started.
-	once   bool
-	marked bool
-	// failures counts runs that the replica itself reported as failed.
-	failures int
-	// invalid counts answers that the item can never be done.
-	invalid  int
-	notUntil time.Time
-	exclude  map[string]bool
-	started  time.Time
-	// replica and cancel belong to the run under way.
-	replica string
-	cancel  context.CancelCauseFunc
-	use     *replica.Use
-	// yielding is set once the run was told to give way.
-	yielding bool
-	// keptVersion is the version of the row with the item's kept text.
-	keptVersion uint64
-	// keptAfter is the last event of that text.
-	keptAfter int
-}
-
 // Run runs items until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -155,104 +96,6 @@
 	}
 }
 
-// reconcile takes up the items that the view says are this node's, and drops
-// those that are not any more.
-func (r *Runner) reconcile(ctx context.Context) {
-	session, err := r.Service.Session(ctx)
-	if err != nil {
-		return
-	}
-	open := map[string]bool{}
-	for _, entry := range r.Service.View.Open() {
-		if own := entry.own(session); len(own) > 0 {
-			open[entry.Job.ID] = true
-			r.takeUp(ctx, entry, own)
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, owned := range r.owned {
-		if !open[id] {
-			owned.cancel()
-			delete(r.owned, id)
-			r.Service.forget(id)
-		}
-	}
-}
-
-// takeUp loads items, and the texts kept of them, in the background.
-func (r *Runner) takeUp(ctx context.Context, entry *Entry, own []int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.paused {
-		return
-	}
-	owned := r.owned[entry.Job.ID]
-	if owned == nil {
-		workCtx, cancel := context.WithCancel(ctx)
-		owned = &work{job: entry.Job, ctx: workCtx, cancel: cancel}
-		r.owned[entry.Job.ID] = owned
-	}
-	owned.drop(own)
-	if missing := owned.missing(own); len(missing) > 0 && !owned.loading {
-		owned.loading = true
-		go r.load(owned, entry, missing)
-	}
-}
-
-// missing returns the items that are not among the tasks. The caller holds the
-// runner's lock.
-func (w *work) missing(own []int) []int {
-	return slices.DeleteFunc(slices.Clone(own), func(item int) bool {
-		return slices.ContainsFunc(w.tasks, func(one *task) bool { return one.index == item })
-	})
-}
-
-// drop stops and removes the tasks of items that another node runs now. The
-// caller holds the runner's lock.
-func (w *work) drop(own []int) {
-	w.tasks = slices.DeleteFunc(w.tasks, func(one *task) bool {
-		if one.state == taskFinished || one.state == taskListed || slices.Contains(own, one.index) {
-			return false
-		}
-		if one.state == taskRunning {
-			one.cancel(errMoved)
-		}
-		return true
-	})
-}
-
-func (r *Runner) load(owned *work, entry *Entry, indexes []int) {
-	items, err := r.Service.content(owned.ctx, entry.Job)
-	if err != nil || len(items) != len(entry.Job.Items) {
-		// The next reconcile tries again.
-		r.mu.Lock()
-		owned.loading = false
-		r.mu.Unlock()
-		return
-	}
-	var kept map[int]storedResult
-	if len(entry.Progress.Moved) > 0 || r.Service.View.Now()-entry.Job.Created >= keepInterval {
-		kept = r.Service.keptTexts(owned.ctx, entry)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	owned.items, owned.loading = items, false
-	for _, index := range indexes {
-		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
-		if text, ok := kept[index]; ok {
-			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
-			one.keptAfter = text.After
-		}
-		owned.tasks = append(owned.tasks, one)
-		if slices.Contains(entry.Progress.Started, index) {
-			// An owner before this one may have sent it.
-			r.finishLocked(one, Undecided)
-		}
-	}
-	r.wake()
-}
-
 // dispatch sends what can be sent, the earliest due first.
 func (r *Runner) dispatch(now time.Time) {
 	if !r.Service.View.Known() || r.ViewAge() > staleView {
@@ -279,14 +122,16 @@
 		if room[pool] <= 0 {
 			continue
 		}
-		if r.start(one, target, pool, now) {
+		switch r.start(one, target, pool, now) {
+		case startedItem:
 			room[pool]--
-		} else {
+		case noRoom:
 			room[pool] = 0
 		}
 	}
 }
 
+// waiting returns the tasks that could be sent, in the order of their turns.
 func (r *Runner) waiting(now time.Time) []*task {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -319,12 +164,23 @@
 	}
 }
 
-// start sends one task if a replica has room. It reports whether it did.
-func (r *Runner) start(one *task, target *route.Route, pool string, now time.Time) bool {
+// startResult is what came of a try to send an item.
+type startResult int
+
+const (
+	startedItem startResult = iota
+	// notNow items must wait for something of their own.
+	notNow
+	// noRoom tells that no replica takes an item.
+	noRoom
+)
+
+// start sends one task if a replica has room.
+func (r *Runner) start(one *task, target *route.Route, pool string, now time.Time) startResult {
 	item := &one.work.items[one.index]
 	if one.once && !one.marked {
 		r.markStarted(one.work)
-		return false
+		return notNow
 	}
 	demand := &replica.Demand{
 		Zone: r.Zone, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
@@ -332,13 +188,16 @@
 	}
 	chosen, err := replica.Pick(r.Replicas.Snapshot(pool, 0, now), demand, r.Weights)
 	if err != nil {
+		if len(one.exclude) == 0 {
+			return noRoom
+		}
 		one.exclude = map[string]bool{}
-		return false
+		return notNow
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if one.state != taskWaiting || one.work.ctx.Err() != nil {
-		return false
+		return notNow
 	}
 	one.state = taskRunning
 	if one.started.IsZero() {
@@ -349,5 +208,5 @@
 	ctx, cancel := context.WithCancelCause(one.work.ctx)
 	one.replica, one.cancel = chosen.ID, cancel
 	go r.run(ctx, one, item, target, chosen.Info, one.use)
-	return true
+	return startedItem
 }
