--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/lab/port"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
@@ -61,12 +61,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := port.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // start starts a gateway and waits until it is ready.
