--- a/internal/replica/demand_test.go
+++ b/internal/replica/demand_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// A finding (logs of aspsc-dakar quiet-1): before the first report the age was told as
+// 292 years.
+func TestCandidate_AgeOfNoReportIsNegative(t *testing.T) {
+	set, now := newSet(1), time.Now()
+	if age := set.Snapshot(testPool, 0, now)[0].Age; age >= 0 {
+		t.Fatalf("age is %v though nothing was reported", age)
+	}
+	set.Begin("r00", ask, now).Load(Load{Slots: 4}, now)
+	if age := set.Snapshot(testPool, 0, now.Add(time.Second))[0].Age; age != time.Second {
+		t.Fatalf("age is %v, want 1 s", age)
+	}
+}
+
 func TestDemand_LearnsHowLongASlotIsHeld(t *testing.T) {
 	set, now := newSet(1), time.Now()
 	for range 50 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,7 +68,7 @@
 	// PatienceShare is the part of the time left to its objective which a request
 	// waits for a slot before an item gives way.
 	PatienceShare float64
-	// Age is the age of what the replica last said of its load.
+	// Age is the age of what the replica last said of its load; -1 if it said nothing.
 	Age time.Duration
 	// Waiting estimates the requests that wait there for a slot.
 	Waiting float64
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -280,10 +280,18 @@
 		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
-		Age: now.Sub(e.waitingAt),
+		Age: e.loadAge(now),
 	}
 }
 
+// loadAge is the age of the last report of load; -1 if there was none.
+func (e *entry) loadAge(now time.Time) time.Duration {
+	if e.waitingAt.IsZero() {
+		return -1
+	}
+	return now.Sub(e.waitingAt)
+}
+
 // waitingAtTime fades the last report of waiting requests.
 func (e *entry) waitingAtTime(now time.Time) float64 {
 	age := now.Sub(e.waitingAt)
