One log line for a whole read of the replica list

Cause: a starting node logged each replica of its first read, nodes x replicas in sum: 38,350 lines in the first seconds of the large site (295 x 130, seen from outside). Now a whole read is one line with the numbers of listed and ejected replicas and the revision; replicas that come or go later are logged one by one.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -118,7 +118,10 @@
 			n.dropReplica(change.Sort, change.Version, whole)
 			continue
 		}
-		n.listReplica(listed.Info(listed.ID), listed.Version)
+		n.listReplica(listed.Info(listed.ID), listed.Version, whole)
+	}
+	if whole {
+		n.listedReplicas(changes.Revision)
 	}
 }
 
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -175,15 +175,23 @@
 	c.log.Warn().Str("replica", info.ID).Str("address", info.Address).Stringer("result", result).Msg("replica ejected")
 }
 
-// listReplica takes in that a replica is listed, with the version of its row.
-func (c *core) listReplica(info replica.Info, version uint64) {
+// listReplica takes in that a replica is listed, with the version of its row. Those
+// of a whole read are summed up by listedReplicas: a line for each would be nodes
+// times replicas when a fleet starts.
+func (c *core) listReplica(info replica.Info, version uint64, whole bool) {
 	added := c.replicas.Put(info)
-	if added || info.Leaving {
+	if !whole && (added || info.Leaving) {
 		c.log.Info().Str("replica", info.ID).Str("pool", info.Pool).Str("address", info.Address).
 			Str("zone", info.Zone).Bool("leaving", info.Leaving).Uint64("row_version", version).Msg("replica listed")
 	}
 }
 
+// listedReplicas logs that a whole read of the list has been taken in.
+func (c *core) listedReplicas(revision uint64) {
+	listed, ejected := c.replicas.Count(time.Now())
+	c.log.Info().Int("replicas", listed).Int("ejected", ejected).Uint64("revision", revision).Msg("replica list read")
+}
+
 // dropReplica takes in that a replica is listed no more.
 func (c *core) dropReplica(id string, version uint64, whole bool) {
 	c.replicas.Remove(id, time.Now())
--- a/internal/node/gatewayviews.go
+++ b/internal/node/gatewayviews.go
@@ -33,6 +33,9 @@
 			g.log.Error().Err(err).Str("replica", change.Sort).Msg("replica entry refused")
 			continue
 		}
-		g.listReplica(info, change.Version)
+		g.listReplica(info, change.Version, whole)
+	}
+	if whole {
+		g.listedReplicas(changes.Revision)
 	}
 }
