Members by the feed; each node watches a few sessions, not all

Now a session has a member row beside it, in the group of rows that all nodes follow anyway; both come and go in the same commits. A node reads the eight sessions that follow its own in the order of the rows, whose keys begin with a hash of the node, each 1.2 s at most, and ends those that have expired for everybody: all learn of it by the feed. A node that is paused and ended notices at its next renewal and writes both rows anew. The product's own interface keeps reading all sessions, for the revision in force is told in them.

Ruled out: longer pauses between whole looks (lost nodes are noticed later still); the feed of session rows (295 renewals a second to each of 295 nodes); fixed groups (their number depends on a fleet's size, on which nodes would have to agree).

Tests on a clock of their own: 24 of 40 nodes die at once, all live ones learn of all of them and of no other; a look costs the same in any fleet; an outage of the store ends nobody; a paused node comes back; an ended session is gone at once.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -58,6 +58,7 @@
 // aliveSessions are the live nodes of a test.
 type aliveSessions []string
 
+func (a aliveSessions) LookInterval() time.Duration   { return 10 * time.Millisecond }
 func (a aliveSessions) Live() []string                { return a }
 func (a aliveSessions) Preferred(string) string       { return a[0] }
 func (a aliveSessions) Nodes() []string               { return []string{lease.Node(a[0])} }
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -16,18 +15,11 @@
 
 // RunClaims takes over jobs whose owner is gone, until the context ends.
 func (r *Runner) RunClaims(ctx context.Context) {
-	for retry.Sleep(ctx, claimPause(len(r.Owners.Live()))) {
+	for retry.Sleep(ctx, r.Owners.LookInterval()) {
 		r.claimLost(ctx)
 	}
 }
 
-// claimPause is the time until the next look at the sessions. Each look reads
-// all of them, so it grows with their number and a node's share of the store
-// stays the same.
-func claimPause(sessions int) time.Duration {
-	return max(claimInterval, time.Duration(sessions)*claimPausePerSession)
-}
-
 func (r *Runner) claimLost(ctx context.Context) {
 	session, err := r.Service.Session(ctx)
 	if err != nil || r.stopped() || !r.Service.View.Known() {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -242,6 +242,10 @@
 	return parts
 }
 
+// MemberPartition is where the rows of the nodes that are there lie: in the group
+// that all nodes follow, in the partition that is read first.
+func MemberPartition() string { return Group + "/" + Parts()[0] }
+
 // Prefixes of the rows of a part. Counters come first, see counterKey.
 const (
 	prefixCounter  = "counter/"
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -14,10 +14,6 @@
 const (
 	// tick bounds the time between two looks at what can be run.
 	tick = 100 * time.Millisecond
-	// claimInterval is the time between two looks at jobs whose owner is gone.
-	claimInterval = 400 * time.Millisecond
-	// claimPausePerSession keeps the reading of sessions at some 15 KB a second.
-	claimPausePerSession = 8 * time.Millisecond
 	// staleView is the age of the view beyond which no new items are sent: an
 	// end of a job would not be noticed.
 	staleView = 8 * time.Second
@@ -26,6 +22,8 @@
 // Owners tells which sessions are gone. The lease watcher implements it.
 type Owners interface {
 	Refresh(ctx context.Context) error
+	// LookInterval is the time to leave between two calls of Refresh.
+	LookInterval() time.Duration
 	Expired(session string) bool
 	Live() []string
 	// Preferred returns the live session that should do a piece of work that any
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -96,6 +96,7 @@
 type noOwners struct{}
 
 func (noOwners) Refresh(context.Context) error { return nil }
+func (noOwners) LookInterval() time.Duration   { return 10 * time.Millisecond }
 func (noOwners) Expired(string) bool           { return false }
 func (noOwners) Live() []string                { return nil }
 func (noOwners) Preferred(string) string       { return "a#1" }
--- /dev/null
+++ b/internal/lease/roster.go
@@ -0,0 +1,222 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// memberPrefix begins the keys of member rows.
+const memberPrefix = "member/"
+
+const (
+	// lookLeast is the least time between two looks at sessions.
+	lookLeast = 400 * time.Millisecond
+	// lookPerSession bounds the looks of all nodes to 125 a second, some 15 KB a second
+	// for each node where a look reads all sessions.
+	lookPerSession = 8 * time.Millisecond
+	// lookNeighbours bounds the time between two looks at the neighbours, which cost the
+	// same in any fleet; two of them fit into a session's time to live of 3 s.
+	lookNeighbours = 1200 * time.Millisecond
+)
+
+// neighbours is the number of sessions that each node watches, and is watched by.
+// If 6 in 10 nodes die at once, all watchers of a given one die with it in 1.7% of
+// the cases; it is then noticed once those between it and the next live node are.
+const neighbours = 8
+
+func memberKey(partition, id string) table.Key {
+	return table.Key{Partition: partition, Sort: memberPrefix + id}
+}
+
+// Roster tells which sessions there are in a fleet where not every node reads all of
+// them, for that costs nodes x nodes. Beside its session, which is renewed, each node
+// has a member row in a group of rows that all nodes follow; both come and go in the
+// same commits. A node watches a few sessions only, and ends those that have expired
+// for everybody. The zero value is not usable. It is safe for concurrent use.
+type Roster struct {
+	service   table.Service
+	partition string
+	session   *Session
+	watcher   *Watcher
+	// Ended, if set, is told of each session that was ended because it had expired.
+	Ended func(id string, err error)
+
+	mu sync.Mutex
+	// members are the versions of the member rows, nodes the number of each node's.
+	members map[string]uint64
+	nodes   map[string]int
+	// missing are the nodes without a member that somebody asked about, since when.
+	missing map[string]time.Time
+}
+
+// NewRoster returns a roster that has seen nothing and whose own session is the
+// given one. Member rows lie in a partition that the node follows; now must be
+// monotonic.
+func NewRoster(service table.Service, session *Session, partition string, now func() time.Time, timing Timing) *Roster {
+	session.MemberPartition = partition
+	watcher := NewWatcher(service, now, timing)
+	watcher.Self, watcher.Neighbours = session.ID(), neighbours
+	return &Roster{
+		service: service, partition: partition, session: session, watcher: watcher,
+		members: map[string]uint64{}, nodes: map[string]int{}, missing: map[string]time.Time{},
+	}
+}
+
+// Apply takes in changes of the group with the member rows.
+func (r *Roster) Apply(changes table.Changes, _ bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, change := range changes.Changes {
+		id, ok := strings.CutPrefix(change.Sort, memberPrefix)
+		if !ok || change.Partition != r.partition {
+			continue
+		}
+		if change.Removed {
+			r.remove(id)
+		} else {
+			r.add(id, change.Version)
+		}
+	}
+}
+
+// add notes a member row. The caller holds mu.
+func (r *Roster) add(id string, version uint64) {
+	if _, ok := r.members[id]; !ok {
+		r.nodes[Node(id)]++
+	}
+	r.members[id] = version
+	delete(r.missing, Node(id))
+}
+
+// remove notes that a session was ended, by itself or by those who watched it. Its
+// work is free at once. The caller holds mu.
+func (r *Roster) remove(id string) {
+	if _, ok := r.members[id]; !ok {
+		return
+	}
+	delete(r.members, id)
+	node := Node(id)
+	if r.nodes[node]--; r.nodes[node] == 0 {
+		delete(r.nodes, node)
+	}
+	r.missing[node] = time.Time{}
+}
+
+// Refresh looks at the neighbours and ends the sessions of those that are gone.
+func (r *Roster) Refresh(ctx context.Context) error {
+	if err := r.watcher.Refresh(ctx); err != nil {
+		return err
+	}
+	for _, seen := range r.watcher.Sessions() {
+		if seen.Expired {
+			err := r.end(ctx, seen)
+			if r.Ended != nil {
+				r.Ended(seen.ID, err)
+			}
+		}
+	}
+	return nil
+}
+
+// errUnheard reports a session whose member row has not come by the feed yet.
+var errUnheard = errors.New("member row not known yet")
+
+// LookInterval is the time to leave between two calls of Refresh.
+func (r *Roster) LookInterval() time.Duration {
+	return min(max(lookLeast, time.Duration(len(r.Live()))*lookPerSession), lookNeighbours)
+}
+
+// end deletes both rows of an expired session, unless it has been renewed since it
+// was looked at. One row without the other would never go.
+func (r *Roster) end(ctx context.Context, seen Sighting) error {
+	r.mu.Lock()
+	member, known := r.members[seen.ID]
+	r.mu.Unlock()
+	if !known {
+		return Error.Wrap(errUnheard)
+	}
+	_, err := r.service.Commit(ctx, table.NewOperation(),
+		table.Write{Key: rowKey(seen.ID), Kind: table.Delete, Expect: seen.Version},
+		table.Write{Key: memberKey(r.partition, seen.ID), Kind: table.Delete, Expect: member})
+	return Error.Wrap(err)
+}
+
+// Live returns the sessions that are there, this node's own among them.
+func (r *Roster) Live() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	live := make([]string, 0, len(r.members)+1)
+	own := r.session.ID()
+	for id := range r.members {
+		if id != own && !SameNode(id, own) {
+			live = append(live, id)
+		}
+	}
+	return append(live, own)
+}
+
+// Preferred returns the live session that should do a piece of work.
+func (r *Roster) Preferred(work string) string { return Preferred(r.Live(), work) }
+
+// Nodes returns the nodes of the live sessions, each once.
+func (r *Roster) Nodes() []string {
+	var nodes []string
+	for _, session := range r.Live() {
+		nodes = append(nodes, Node(session))
+	}
+	slices.Sort(nodes)
+	return slices.Compact(nodes)
+}
+
+// Expired reports whether a session's work may be taken over.
+func (r *Roster) Expired(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.members[id]; ok || id == r.session.ID() {
+		return false
+	}
+	return r.missed(Node(id))
+}
+
+// Gone reports whether a node has no session.
+func (r *Roster) Gone(node string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if node == Node(r.session.ID()) || r.nodes[node] > 0 {
+		return false
+	}
+	return r.missed(node)
+}
+
+// missed reports whether a node has been without a member row for long enough. One
+// whose row was seen to go has; for one that was never seen its time begins with the
+// first question, for its row may still be on its way. The caller holds mu.
+func (r *Roster) missed(node string) bool {
+	since, ok := r.missing[node]
+	if !ok {
+		since = r.watcher.now()
+		r.missing[node] = since
+	}
+	return r.watcher.now().Sub(since) >= r.watcher.timeToLive
+}
+
+// Sessions returns the sessions that are there, in the order of their ids. Of those
+// that this node watches it tells whether they have expired.
+func (r *Roster) Sessions() []Sighting {
+	expired := map[string]bool{}
+	for _, seen := range r.watcher.Sessions() {
+		expired[seen.ID] = seen.Expired
+	}
+	var list []Sighting
+	for _, id := range r.Live() {
+		list = append(list, Sighting{ID: id, Expired: expired[id]})
+	}
+	slices.SortFunc(list, func(a, b Sighting) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
--- /dev/null
+++ b/internal/lease/roster_test.go
@@ -0,0 +1,183 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+const memberGroup = "members"
+
+// fleet is a fleet of nodes on a clock of its own, each with a session and a roster.
+type fleet struct {
+	t       *testing.T
+	shared  *tabletest.Table
+	now     time.Time
+	rosters []*Roster
+	// read is the revision up to which the rosters have the feed.
+	read []uint64
+	dead map[int]bool
+}
+
+var rosterTiming = Timing{TimeToLive: 3 * time.Second, RenewInterval: time.Second}
+
+func newFleet(t *testing.T, nodes int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, shared: tabletest.New(), now: time.Now(), dead: map[int]bool{}, read: make([]uint64, nodes)}
+	for i := range nodes {
+		session := NewSession(f.shared, fmt.Sprintf("n%03d", i), rosterTiming)
+		roster := NewRoster(f.shared, session, memberGroup, func() time.Time { return f.now }, rosterTiming)
+		f.rosters = append(f.rosters, roster)
+		if err := session.Ensure(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.follow()
+	return f
+}
+
+// follow brings all live rosters the changes of the members.
+func (f *fleet) follow() {
+	for i, roster := range f.rosters {
+		if f.dead[i] {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
+		changes, err := f.shared.Feed(memberGroup).After(ctx, f.read[i], 0)
+		cancel()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		roster.Apply(changes, false)
+		f.read[i] = changes.Revision
+	}
+}
+
+// pass lets time pass in looks of a second, in which the live nodes renew.
+func (f *fleet) pass(looks int) {
+	for range looks {
+		f.now = f.now.Add(time.Second)
+		for i, roster := range f.rosters {
+			if f.dead[i] {
+				continue
+			}
+			if err := roster.session.Renew(f.t.Context()); err != nil {
+				f.t.Logf("renewal of %d: %v", i, err)
+			}
+		}
+		for i, roster := range f.rosters {
+			if !f.dead[i] {
+				// A store that is down is a test's own doing.
+				_ = roster.Refresh(f.t.Context())
+			}
+		}
+		f.follow()
+	}
+}
+
+func (f *fleet) checkGone(want map[int]bool) {
+	f.t.Helper()
+	for i, roster := range f.rosters {
+		if f.dead[i] {
+			continue
+		}
+		for other := range f.rosters {
+			node := fmt.Sprintf("n%03d", other)
+			if roster.Gone(node) != want[other] {
+				f.t.Fatalf("node %d sees node %d as gone: %v, want %v", i, other, !want[other], want[other])
+			}
+			if slices.Contains(roster.Nodes(), node) == want[other] {
+				f.t.Fatalf("node %d lists node %d: %v", i, other, want[other])
+			}
+		}
+	}
+}
+
+// TestRoster_AllLearnOfTheDeadThoughFewWatch kills nodes of a fleet that is larger
+// than any one watches, among them a run of neighbours.
+func TestRoster_AllLearnOfTheDeadThoughFewWatch(t *testing.T) {
+	f := newFleet(t, 40)
+	f.pass(2)
+	f.checkGone(nil)
+	for i := range 24 {
+		f.dead[i] = true
+	}
+	// Those behind a run of dead neighbours are seen once these are ended.
+	f.pass(12)
+	f.checkGone(f.dead)
+}
+
+func TestRoster_ALookCostsTheSameInAnyFleet(t *testing.T) {
+	f := newFleet(t, 40)
+	f.pass(1)
+	for i, roster := range f.rosters {
+		if seen := len(roster.watcher.Sessions()); seen != neighbours {
+			t.Fatalf("node %d watches %d sessions, want %d", i, seen, neighbours)
+		}
+	}
+}
+
+func TestRoster_SmallFleetsWatchEachOther(t *testing.T) {
+	f := newFleet(t, 3)
+	f.dead[0], f.dead[1] = true, true
+	f.pass(5)
+	f.checkGone(f.dead)
+}
+
+// TestRoster_APausedNodeComesBack lets a node stand still until it is ended: it
+// notices at its next renewal and is a member again.
+func TestRoster_APausedNodeComesBack(t *testing.T) {
+	f := newFleet(t, 12)
+	f.dead[5] = true
+	f.pass(6)
+	f.checkGone(f.dead)
+	f.dead[5] = false
+	f.pass(3)
+	f.checkGone(nil)
+}
+
+func TestRoster_AnOutageOfTheStoreEndsNobody(t *testing.T) {
+	f := newFleet(t, 12)
+	f.pass(2)
+	f.shared.ReadFault = func() error { return table.ErrUnavailable }
+	f.shared.CommitFault = func([]table.Write) tabletest.Fault { return tabletest.Down }
+	for range 6 {
+		f.now = f.now.Add(time.Second)
+		for _, roster := range f.rosters {
+			if roster.Refresh(t.Context()) == nil {
+				t.Fatal("the store is not down")
+			}
+		}
+	}
+	f.shared.ReadFault, f.shared.CommitFault = nil, nil
+	f.pass(2)
+	f.checkGone(nil)
+}
+
+func TestRoster_AnEndedSessionIsGoneAtOnce(t *testing.T) {
+	f := newFleet(t, 12)
+	if err := f.rosters[3].session.End(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.dead[3] = true
+	f.follow()
+	f.checkGone(f.dead)
+}
+
+// TestRoster_ANodeNeverSeenIsNotGoneAtOnce asks about a node whose member row has
+// not come yet.
+func TestRoster_ANodeNeverSeenIsNotGoneAtOnce(t *testing.T) {
+	f := newFleet(t, 2)
+	if f.rosters[0].Gone("later") {
+		t.Fatal("a node that has not been seen yet counts as gone")
+	}
+	f.now = f.now.Add(rosterTiming.TimeToLive)
+	if !f.rosters[0].Gone("later") {
+		t.Fatal("a node that never came does not count as gone")
+	}
+}
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -12,10 +12,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -29,6 +31,8 @@
 const (
 	// sessionSeparator parts the node's id from the run's in a session's id.
 	sessionSeparator = "#"
+	// ringDigits is the number of digits of a hash that a row's key begins with.
+	ringDigits = 8
 	// partition holds the session rows.
 	partition = "sessions"
 	// sweepMultiple times TimeToLive is the age at which an abandoned row is deleted.
@@ -46,9 +50,14 @@
 
 	// Body, if set before the session is used, returns what the row says.
 	Body func() []byte
+	// MemberPartition, if set before the session is used, is where a second row says
+	// that the session is there, for as long as it is; see Roster.
+	MemberPartition string
 
 	mu      sync.Mutex
 	version uint64
+	// member is the version of the member row.
+	member  uint64
 	created bool
 	timing  Timing
 }
@@ -73,6 +82,16 @@
 	return node
 }
 
+// rowKey is the key of a session's row. It begins with a hash of the node, so the
+// rows that follow each other are of nodes from anywhere.
+func rowKey(id string) table.Key {
+	hash := fmt.Sprintf("%0*x", ringDigits, uint32(xxhash.Sum64String(Node(id))))
+	return table.Key{Partition: partition, Sort: hash + id}
+}
+
+// sessionOf returns the session whose row has a key.
+func sessionOf(sort string) string { return sort[min(len(sort), ringDigits):] }
+
 // SameNode reports whether two sessions belong to runs of the same node. Only
 // one run lives at a time, so the other session is over.
 func SameNode(a, b string) bool { return Node(a) == Node(b) }
@@ -103,9 +122,16 @@
 // renew writes the next version. The caller holds mu. Nobody else writes the
 // row, so after an unknown outcome the version is read back.
 func (s *Session) renew(ctx context.Context) error {
-	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Expect: s.version, Body: s.body()}
-	versions, err := s.service.Commit(ctx, table.NewOperation(), write)
+	write := table.Write{Key: rowKey(s.id), Expect: s.version, Body: s.body()}
+	writes := []table.Write{write}
+	if s.version == table.Absent && s.MemberPartition != "" {
+		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: table.Absent})
+	}
+	versions, err := s.service.Commit(ctx, table.NewOperation(), writes...)
 	if err == nil {
+		if len(versions) > 1 {
+			s.member = versions[1]
+		}
 		s.version = versions[0]
 		s.created = true
 		return nil
@@ -118,12 +144,25 @@
 	case readErr == nil:
 		s.version = row.Version
 		s.created = true
+		s.readMember(ctx)
 	case errors.Is(readErr, table.ErrNotFound):
 		s.version = table.Absent
 	}
 	return Error.Wrap(err)
 }
 
+// readMember reads the version of the member row back, which one commit has written
+// with the session's row. Without it the session cannot be ended, only expire. The
+// caller holds mu.
+func (s *Session) readMember(ctx context.Context) {
+	if s.MemberPartition == "" {
+		return
+	}
+	if row, err := s.service.Get(ctx, memberKey(s.MemberPartition, s.id)); err == nil {
+		s.member = row.Version
+	}
+}
+
 func (s *Session) body() []byte {
 	if s.Body == nil {
 		return nil
@@ -139,7 +178,8 @@
 		return Error.Wrap(err)
 	}
 	for _, row := range rows {
-		if row.Sort == s.id || !SameNode(row.Sort, s.id) {
+		id := sessionOf(row.Sort)
+		if id == s.id || !SameNode(id, s.id) {
 			continue
 		}
 		write := table.Write{Key: row.Key, Kind: table.Delete, Expect: row.Version}
@@ -157,8 +197,11 @@
 	if !s.created {
 		return nil
 	}
-	write := table.Write{Key: table.Key{Partition: partition, Sort: s.id}, Kind: table.Delete, Expect: s.version}
-	_, err := s.service.Commit(ctx, table.NewOperation(), write)
+	writes := []table.Write{{Key: rowKey(s.id), Kind: table.Delete, Expect: s.version}}
+	if s.MemberPartition != "" {
+		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Kind: table.Delete, Expect: s.member})
+	}
+	_, err := s.service.Commit(ctx, table.NewOperation(), writes...)
 	return Error.Wrap(err)
 }
 
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -28,6 +28,12 @@
 	service    table.Service
 	now        func() time.Time
 	timeToLive time.Duration
+	// Self and Neighbours, if set before the watcher is used, narrow Refresh to so
+	// many sessions that follow this one in the order of the rows, as in a ring. Each
+	// session is then watched by so many others, and a look costs the same in a fleet
+	// of any size.
+	Self       string
+	Neighbours int
 
 	mu   sync.Mutex
 	seen map[string]sighting
@@ -42,9 +48,9 @@
 	return &Watcher{service: service, now: now, timeToLive: timing.TimeToLive, seen: map[string]sighting{}}
 }
 
-// Refresh reads all sessions.
+// Refresh reads all sessions, or those of the neighbours.
 func (w *Watcher) Refresh(ctx context.Context) error {
-	rows, err := table.ListAll(ctx, w.service, partition)
+	rows, all, err := w.read(ctx)
 	if err != nil {
 		w.fail()
 		return Error.Wrap(err)
@@ -55,21 +61,68 @@
 	w.recover(read)
 	present := map[string]bool{}
 	for _, row := range rows {
-		present[row.Sort] = true
-		w.see(row.Sort, row.Version, row.Body, read)
+		id := sessionOf(row.Sort)
+		present[id] = true
+		w.see(id, row.Version, row.Body, read)
 	}
 	for id := range w.seen {
-		if !present[id] {
+		switch {
+		case present[id]:
+		case all || w.between(id, rows[len(rows)-1].Sort):
 			w.see(id, table.Absent, nil, read)
+		default:
+			// Others watch it now.
+			delete(w.seen, id)
 		}
 	}
 	w.last = read
 	return nil
 }
 
+// read returns the rows of the sessions to look at, and whether these are all.
+func (w *Watcher) read(ctx context.Context) (rows []table.Row, all bool, err error) {
+	if w.Neighbours == 0 {
+		rows, err = table.ListAll(ctx, w.service, partition)
+		return rows, true, err
+	}
+	own := rowKey(w.Self).Sort
+	rows, err = w.service.List(ctx, partition, own, w.Neighbours)
+	if err != nil || len(rows) == w.Neighbours {
+		return rows, false, err
+	}
+	first, err := w.service.List(ctx, partition, "", w.Neighbours-len(rows))
+	if err != nil {
+		return nil, false, err
+	}
+	for _, row := range first {
+		rows = append(rows, row)
+		if row.Sort >= own {
+			return rows, true, nil
+		}
+	}
+	return rows, len(rows) < w.Neighbours, nil
+}
+
+// between reports whether a session's row lies in the ring between this one's and
+// the last that was read.
+func (w *Watcher) between(id, last string) bool {
+	own, key := rowKey(w.Self).Sort, rowKey(id).Sort
+	if last > own {
+		return key > own && key <= last
+	}
+	return key > own || key <= last
+}
+
+// LookInterval is the time to leave between two calls of Refresh. Each reads all
+// sessions, so it grows with their number and a node's share of the store stays the
+// same.
+func (w *Watcher) LookInterval() time.Duration {
+	return max(lookLeast, time.Duration(len(w.Live()))*lookPerSession)
+}
+
 // Look reads one session.
 func (w *Watcher) Look(ctx context.Context, id string) error {
-	row, err := w.service.Get(ctx, table.Key{Partition: partition, Sort: id})
+	row, err := w.service.Get(ctx, rowKey(id))
 	if err != nil && !errors.Is(err, table.ErrNotFound) {
 		w.fail()
 		return Error.Wrap(err)
@@ -126,8 +179,10 @@
 
 // Sighting is what the last look showed of a session.
 type Sighting struct {
-	ID      string
-	Body    []byte
+	ID   string
+	Body []byte
+	// Version is that of the row.
+	Version uint64
 	Expired bool
 }
 
@@ -145,7 +200,7 @@
 			continue
 		}
 		expired := known.checked.Sub(known.since) >= w.timeToLive
-		list = append(list, Sighting{ID: id, Body: known.body, Expired: expired})
+		list = append(list, Sighting{ID: id, Body: known.body, Version: known.version, Expired: expired})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
@@ -179,8 +234,7 @@
 	var old []table.Write
 	for id, known := range w.seen {
 		if known.version != table.Absent && known.checked.Sub(known.since) > sweepMultiple*w.timeToLive {
-			key := table.Key{Partition: partition, Sort: id}
-			old = append(old, table.Write{Key: key, Kind: table.Delete, Expect: known.version})
+			old = append(old, table.Write{Key: rowKey(id), Kind: table.Delete, Expect: known.version})
 		}
 	}
 	w.mu.Unlock()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -41,11 +41,19 @@
 	backend forward.Backend
 	jobFeed table.Feed
 	timing  lease.Timing
-	weights replica.Weights
+	// sessions returns the view of all sessions, given this node's own.
+	sessions func(own *lease.Session) sessionView
+	weights  replica.Weights
 	// commitInterval is how long finished items wait to be listed together.
 	commitInterval time.Duration
 }
 
+// sessionView tells which nodes are there.
+type sessionView interface {
+	jobs.Owners
+	Sessions() []lease.Sighting
+}
+
 // core is what serves requests and runs jobs, whichever interface they come by.
 // All of its lasting state is in the table and the object store; its memory is
 // a cache of them.
@@ -61,7 +69,7 @@
 	forwarder *forward.Forwarder
 	jobWatch  *table.Watcher
 	session   *lease.Session
-	owners    *lease.Watcher
+	owners    sessionView
 	jobs      *jobs.Service
 	runner    *jobs.Runner
 
@@ -81,7 +89,7 @@
 		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
-	c.owners = lease.NewWatcher(outside.table, time.Now, outside.timing)
+	c.owners = outside.sessions(c.session)
 	view := jobs.NewView()
 	view.Malformed = func(key table.Key, err error) {
 		log.Error().Str("partition", key.Partition).Str("key", key.Sort).Err(err).Msg("row cannot be decoded")
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -78,11 +78,24 @@
 	metrics := newCoreMetrics()
 	g.store = platform.NewStore(g.settings.Gateway.Store, metrics.storeCall)
 	g.backend = platform.NewBackend(metrics.connections.Inc)
+	rows := platform.Rows{Store: g.store}
+	var roster *lease.Roster
 	g.core = newCore(log, metrics, ports{
 		id: g.settings.Node.ID, zone: g.settings.Node.Zone,
-		table: platform.Rows{Store: g.store}, objects: platform.Objects{Store: g.store}, backend: g.backend,
+		table: rows, objects: platform.Objects{Store: g.store}, backend: g.backend,
 		jobFeed: platform.JobFeed(g.store, jobs.Group, jobs.Parts()), timing: fastTiming(), weights: g.weights(),
+		sessions: func(own *lease.Session) sessionView {
+			roster = lease.NewRoster(rows, own, jobs.MemberPartition(), time.Now, fastTiming())
+			return roster
+		},
 	})
+	roster.Ended = g.logEnded
+	view := g.jobWatch.Apply
+	g.jobWatch.Apply = func(changes table.Changes, whole bool) {
+		// A job is never known without the nodes that it names.
+		roster.Apply(changes, whole)
+		view(changes, whole)
+	}
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
 	g.replicaWatch = g.watch("replica list", platform.ServerFeed(g.store), g.applyReplicas)
 	metrics.registerViews(g.core)
@@ -97,6 +110,18 @@
 	return lease.Timing{TimeToLive: 3 * time.Second, RenewInterval: time.Second}
 }
 
+// logEnded logs that the session of a node that is gone was ended, by this node.
+func (g *Gateway) logEnded(session string, err error) {
+	switch {
+	case errors.Is(err, table.ErrConflict):
+		// It was renewed, or another node was faster.
+	case err != nil:
+		g.log.Warn().Str("session", session).Err(err).Msg("expired session not ended yet")
+	default:
+		g.log.Info().Str("session", session).Msg("expired session ended")
+	}
+}
+
 func (g *Gateway) weights() replica.Weights {
 	return replica.Weights{CrossZone: time.Duration(g.settings.Gateway.Routing.CrossZone)}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/machines"
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/placement"
@@ -74,6 +75,8 @@
 	feeder    *batch.Feeder
 	machines  machineList
 
+	// sessions are those of all nodes; the revision in force is told in them.
+	sessions     *lease.Watcher
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
 
@@ -142,10 +145,11 @@
 	n.engines = engine.NewClient(&n.control)
 	n.machines.source = &machines.HTTPList{URL: platform.Machines.URL, Client: &http.Client{Transport: n.counted()}}
 	n.heads = table.NewHeads(n.table)
+	n.sessions = lease.NewWatcher(n.table, time.Now, fastTiming())
 	n.core = newCore(log, newCoreMetrics(), ports{
 		id: n.settings.Node.ID, zone: n.settings.Node.Zone, table: n.table, objects: objects,
 		backend: engine.NewBackend(n.engines), jobFeed: n.feed(jobs.Group, jobPartitions()),
-		timing: fastTiming(), weights: servingWeights(), commitInterval: commitInterval,
+		timing: fastTiming(), sessions: func(*lease.Session) sessionView { return n.sessions }, weights: servingWeights(), commitInterval: commitInterval,
 	})
 	n.heads.Interval = n.pollInterval
 	n.buildConfiguration()
@@ -174,14 +178,14 @@
 	n.configWatch = n.watch("configuration", n.feed(resource.Group, []string{resource.Group}), n.resources.Apply)
 	n.replicaWatch = n.watch("replica list", n.feed(inventory.Group, []string{inventory.Group}), n.applyReplicas)
 	n.publisher = &resource.Publisher{
-		Writer: resource.NewWriter(n.table), Sessions: n.owners, Listed: n.machines.listed,
+		Writer: resource.NewWriter(n.table), Sessions: n.sessions, Listed: n.machines.listed,
 	}
 	n.observer = &inventory.Observer{
 		Table: n.table, View: &n.inventory, Engines: n.engines, Machines: n.machines.current,
-		Ours: func(ids []string) map[string]bool { return n.owners.Share(n.session.ID(), ids) }, Log: n.log,
+		Ours: func(ids []string) map[string]bool { return n.sessions.Share(n.session.ID(), ids) }, Log: n.log,
 	}
 	n.placement = placement.NewController(placement.Options{
-		Table: n.table, Session: n.session, Watcher: n.owners, Store: n.resources,
+		Table: n.table, Session: n.session, Watcher: n.sessions, Store: n.resources,
 		Orders: n.engines, Replicas: n.placementReplicas, Nodes: n.liveNodes, Log: n.log,
 	})
 	n.admission = admission.NewController(n.share)
@@ -190,7 +194,7 @@
 func (n *Node) buildBatch(objects object.Store) {
 	n.batches = &batch.Service{Table: n.table, Objects: objects, Work: n.jobs}
 	n.feeder = &batch.Feeder{
-		Service: n.batches, Sessions: n.owners, Self: n.session.ID(), Weight: n.tenantWeight, Log: n.log,
+		Service: n.batches, Sessions: n.sessions, Self: n.session.ID(), Weight: n.tenantWeight, Log: n.log,
 	}
 	n.batches.Accepted = n.feeder.Accept
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -92,7 +92,7 @@
 	for retry.Sleep(ctx, max(sessionsInterval, time.Duration(n.liveNodes())*sessionsPerSession)) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		if n.owners.Refresh(callCtx) == nil && n.preferred("sweep") {
-			n.owners.Sweep(callCtx)
+			n.sessions.Sweep(callCtx)
 		}
 		cancel()
 	}
