Sessions in two partitions; the nearest live watcher ends an expired one

All 295 renew each second in one partition that takes 300 writes a second, so the code before stood at its limit too; eight watchers that all tried to end each session that fell behind pushed it over, sessions expired, were ended and created anew, and jobs' writes in the same partition took seconds (an end asked at 17.7 s was written at 30.7).

Now the ring of session rows is cut into two partitions, 148 writes a second each at 295 nodes, and a watcher with live sessions between it and an expired one waits 1.5 s more for each of them before it ends it itself.

Ruled out: one watcher only (it may be dead too), renewals spaced by the size of the fleet (lost nodes are noticed later).

--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -25,6 +25,10 @@
 	lookNeighbours = 1200 * time.Millisecond
 )
 
+// takeTurns is how much longer than a nearer watcher one waits before it ends an
+// expired session itself: a look of the nearer one and its commit fit into it.
+const takeTurns = 1500 * time.Millisecond
+
 // neighbours is the number of sessions that each node watches, and is watched by.
 // If 6 in 10 nodes die at once, all watchers of a given one die with it in 1.7% of
 // the cases; it is then noticed once those between it and the next live node are.
@@ -113,12 +117,10 @@
 	if err := r.watcher.Refresh(ctx); err != nil {
 		return err
 	}
-	for _, seen := range r.watcher.Sessions() {
-		if seen.Expired {
-			err := r.end(ctx, seen)
-			if r.Ended != nil {
-				r.Ended(seen.ID, err)
-			}
+	for _, seen := range r.watcher.lapsed(takeTurns) {
+		err := r.end(ctx, seen)
+		if r.Ended != nil {
+			r.Ended(seen.ID, err)
 		}
 	}
 	return nil
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -33,8 +33,10 @@
 	sessionSeparator = "#"
 	// ringDigits is the number of digits of a hash that a row's key begins with.
 	ringDigits = 8
-	// partition holds the session rows.
-	partition = "sessions"
+	// partitions is the number of partitions that hold the session rows. One of them
+	// takes a limited rate of writes (300 a second on the users' platform), and each of
+	// 320 nodes renews once a second.
+	partitions = 2
 	// sweepMultiple times TimeToLive is the age at which an abandoned row is deleted.
 	sweepMultiple = 10
 	// renewTries is how many tries fit into an interval at first, and renewRetry
@@ -85,8 +87,29 @@
 // rowKey is the key of a session's row. It begins with a hash of the node, so the
 // rows that follow each other are of nodes from anywhere.
 func rowKey(id string) table.Key {
-	hash := fmt.Sprintf("%0*x", ringDigits, uint32(xxhash.Sum64String(Node(id))))
-	return table.Key{Partition: partition, Sort: hash + id}
+	hash := ringHash(id)
+	return table.Key{Partition: partition(partitionOf(hash)), Sort: fmt.Sprintf("%0*x", ringDigits, hash) + id}
+}
+
+func ringHash(id string) uint32 { return uint32(xxhash.Sum64String(Node(id))) }
+
+// partitionOf cuts the ring of hashes into pieces, so that the order of partitions
+// and of keys in them is that of the ring.
+func partitionOf(hash uint32) int { return int(uint64(hash) * partitions >> 32) }
+
+func partition(number int) string { return fmt.Sprintf("sessions/%d", number) }
+
+// listSessions reads all session rows.
+func listSessions(ctx context.Context, service table.Service) ([]table.Row, error) {
+	var all []table.Row
+	for number := range partitions {
+		rows, err := table.ListAll(ctx, service, partition(number))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+	}
+	return all, nil
 }
 
 // sessionOf returns the session whose row has a key.
@@ -173,7 +196,7 @@
 // Replace deletes the rows that earlier runs of this node have left. A run that
 // is gone holds nothing; what it held is taken over at once.
 func (s *Session) Replace(ctx context.Context) error {
-	rows, err := table.ListAll(ctx, s.service, partition)
+	rows, err := listSessions(ctx, s.service)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -82,25 +83,31 @@
 // read returns the rows of the sessions to look at, and whether these are all.
 func (w *Watcher) read(ctx context.Context) (rows []table.Row, all bool, err error) {
 	if w.Neighbours == 0 {
-		rows, err = table.ListAll(ctx, w.service, partition)
+		rows, err = listSessions(ctx, w.service)
 		return rows, true, err
 	}
 	own := rowKey(w.Self).Sort
-	rows, err = w.service.List(ctx, partition, own, w.Neighbours)
-	if err != nil || len(rows) == w.Neighbours {
-		return rows, false, err
-	}
-	first, err := w.service.List(ctx, partition, "", w.Neighbours-len(rows))
-	if err != nil {
-		return nil, false, err
-	}
-	for _, row := range first {
-		rows = append(rows, row)
-		if row.Sort >= own {
-			return rows, true, nil
+	first := partitionOf(ringHash(w.Self))
+	for step := range partitions + 1 {
+		after := ""
+		if step == 0 {
+			after = own
+		}
+		page, err := w.service.List(ctx, partition((first+step)%partitions), after, w.Neighbours-len(rows))
+		if err != nil {
+			return nil, false, err
+		}
+		for _, row := range page {
+			if step == partitions && row.Sort >= own {
+				return rows, true, nil
+			}
+			rows = append(rows, row)
+		}
+		if len(rows) == w.Neighbours {
+			return rows, false, nil
 		}
 	}
-	return rows, len(rows) < w.Neighbours, nil
+	return rows, true, nil
 }
 
 // between reports whether a session's row lies in the ring between this one's and
@@ -181,8 +188,9 @@
 type Sighting struct {
 	ID   string
 	Body []byte
-	// Version is that of the row.
+	// Version is that of the row, Still how long it has been seen unchanged.
 	Version uint64
+	Still   time.Duration
 	Expired bool
 }
 
@@ -199,13 +207,39 @@
 		if known.version == table.Absent {
 			continue
 		}
-		expired := known.checked.Sub(known.since) >= w.timeToLive
-		list = append(list, Sighting{ID: id, Body: known.body, Version: known.version, Expired: expired})
+		still := known.checked.Sub(known.since)
+		list = append(list, Sighting{ID: id, Body: known.body, Version: known.version, Still: still, Expired: still >= w.timeToLive})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
 
+// lapsed returns the sessions that have expired and that this node should end: after
+// turn more for each live session that stands between, for their nodes are nearer.
+func (w *Watcher) lapsed(turn time.Duration) []Sighting {
+	sessions := w.Sessions()
+	own := rowKey(w.Self).Sort
+	slices.SortFunc(sessions, func(a, b Sighting) int {
+		keyA, keyB := rowKey(a.ID).Sort, rowKey(b.ID).Sort
+		if (keyA > own) != (keyB > own) {
+			// What lies behind the end of the ring comes last.
+			return cmp.Compare(keyB, keyA)
+		}
+		return cmp.Compare(keyA, keyB)
+	})
+	var lapsed []Sighting
+	nearer := 0
+	for _, seen := range sessions {
+		switch {
+		case !seen.Expired:
+			nearer++
+		case seen.Still >= w.timeToLive+time.Duration(nearer)*turn:
+			lapsed = append(lapsed, seen)
+		}
+	}
+	return lapsed
+}
+
 // Age returns the time since the last successful Refresh.
 func (w *Watcher) Age() time.Duration {
 	w.mu.Lock()
