Reserve slots at replicas: requests go where a free one is set aside

Cause: slots are divided among nodes, and a node of the large sites owns two or three; chance leaves many arrivals of a pulse without a free one while others stand empty, and a slot that is its node's by division may be taken by somebody else's request.

Ruled out: /v1/report (some 100 ms old), a request sent to see whether it is refused (it would be queued).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -74,6 +74,8 @@
 	After int
 	// Deadline is when the replica may stop.
 	Deadline time.Time
+	// Reservation names the slot set aside for the request; empty if there is none.
+	Reservation string
 }
 
 // Answer is a replica's answer whose head has arrived.
@@ -94,6 +96,17 @@
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 }
 
+// Reserver sets slots of replicas aside for requests about to be sent. It is safe
+// for concurrent use.
+type Reserver interface {
+	// Reserve sets a free slot, and memory for so many tokens, aside for as long as
+	// said and returns the name of the reservation. It returns ErrRefused if the
+	// replica has none.
+	Reserve(ctx context.Context, replica replica.Info, tokens int, hold time.Duration) (string, error)
+	// Release gives a reservation back that is not used.
+	Release(ctx context.Context, replica replica.Info, reservation string) error
+}
+
 // Sink takes an answer for the caller. Its errors mean that the caller left.
 type Sink interface {
 	// Head is called once, before any Write.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -87,7 +87,7 @@
 func do(t *testing.T, forwarder *Forwarder, target *route.Route) (*recordedSink, Result, error) {
 	t.Helper()
 	sink := &recordedSink{}
-	request := &Request{ID: "q", Method: http.MethodPost, Target: "/x", Received: time.Now()}
+	request := &Request{ID: "q", Method: http.MethodPost, Target: "/x", Received: time.Now(), Prompt: route.Prompt{Tokens: 100, MaxOutput: 20}}
 	result, err := forwarder.Do(t.Context(), target, request, sink)
 	return sink, result, err
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -25,6 +25,8 @@
 type Notice interface {
 	// Sent tells of an attempt and of what made the replica the best.
 	Sent(request *Request, attempt int, chosen *replica.Candidate, predicted time.Duration)
+	// Reserved tells of a replica that was asked for a free slot, and of its answer.
+	Reserved(request *Request, asked *replica.Candidate, took time.Duration, err error)
 	// Begun tells of the first event of an attempt and of its predicted time.
 	Begun(request *Request, predicted, actual time.Duration)
 	// Failed tells of an attempt that did not bring the whole answer.
@@ -39,6 +41,9 @@
 	Weights  replica.Weights
 	Zone     string
 	Notice   Notice
+	// Reserver, if set, is asked for a free slot elsewhere by requests that find none
+	// among their node's own.
+	Reserver Reserver
 }
 
 // call is the state of one request.
@@ -53,6 +58,8 @@
 	// after is the last event passed on; next is when its successor is overdue.
 	after     int
 	lastEvent time.Time
+	// reservation names the slot set aside for the next attempt.
+	reservation string
 	// ran tells whether the request may have run anywhere.
 	ran bool
 	// predicted is the time to the first event of the attempt under way, sent when
@@ -133,6 +140,7 @@
 			}
 			continue
 		}
+		chosen = c.reserve(ctx, chosen)
 		err = c.attempt(ctx, chosen)
 		if err == nil {
 			return nil
@@ -224,6 +232,7 @@
 	}
 	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
 	err := c.exchange(ctx, chosen.Info, use)
+	c.reservation, c.demand.Reserved = "", false
 	if c.result.Events > 0 {
 		c.demand.Version = chosen.Version
 	}
@@ -263,7 +272,7 @@
 	watch := c.watchSilence(use, cancel)
 	defer watch.stop()
 	answer, err := c.forwarder.Backend.Send(ctx, &Attempt{
-		Request: c.request, Replica: chosen, After: c.after, Deadline: c.deadline,
+		Request: c.request, Replica: chosen, After: c.after, Deadline: c.deadline, Reservation: c.reservation,
 	})
 	if err != nil {
 		return c.silent(ctx, err)
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,6 +26,24 @@
 		Msg("attempt sent")
 }
 
+// Reserved implements forward.Notice.
+func (l *requestLog) Reserved(request *forward.Request, asked *replica.Candidate, took time.Duration, err error) {
+	l.metrics.reservations.WithLabelValues(reservationOutcome(err)).Inc()
+	l.sampled.Info().Str("request", request.ID).Str("replica", asked.ID).Int("open", asked.Open).
+		Float64("others", asked.Others).Dur("took_ms", took).Err(err).Msg("slot asked for")
+}
+
+func reservationOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "reserved"
+	case errors.Is(err, forward.ErrRefused):
+		return "full"
+	default:
+		return "failed"
+	}
+}
+
 // Begun implements forward.Notice.
 func (l *requestLog) Begun(_ *forward.Request, predicted, actual time.Duration) {
 	l.metrics.predictionError.Observe((actual - predicted).Seconds())
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -48,6 +48,10 @@
 	readingRate = 50000.0
 	// busyCost is the cost of each request that runs beside, for it slows the steps.
 	busyCost = 4 * time.Millisecond
+	// strangerCost is the cost of asking a replica for a slot that this node has not
+	// heard from lately: a new connection takes 2 to 5 ms, and one that nothing is known
+	// of is likely as busy as others.
+	strangerCost = 10 * time.Millisecond
 	// swapCost is the cost of an item that gives way.
 	swapCost = 10 * time.Millisecond
 )
@@ -122,7 +126,14 @@
 // lastResort takes ejected replicas rather than none.
 func lastResort(*Candidate, *Demand, Weights) bool { return true }
 
+// predictor estimates the time to the first event at a candidate.
+type predictor func(*Candidate, *Demand, Weights) time.Duration
+
 func pickAmong(candidates []Candidate, demand *Demand, weights Weights, passes filter) *Candidate {
+	return pickLeast(candidates, demand, weights, passes, Predict)
+}
+
+func pickLeast(candidates []Candidate, demand *Demand, weights Weights, passes filter, predict predictor) *Candidate {
 	var best *Candidate
 	bestScore := math.Inf(1)
 	for i := range candidates {
@@ -130,7 +141,7 @@
 		if demand.Exclude[candidate.ID] || !serves(candidate, demand) || !passes(candidate, demand, weights) {
 			continue
 		}
-		score := Predict(candidate, demand, weights).Seconds()
+		score := predict(candidate, demand, weights).Seconds()
 		score += float64(mix(candidate.Key^demand.Affinity)>>40) * 1e-12
 		if score < bestScore {
 			best, bestScore = candidate, score
@@ -174,23 +185,53 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
-// Predict estimates the time to the first event at a candidate.
-func Predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
+// PickUnqueued returns the candidate with the least predicted time to the first
+// event if a slot is free there: the one to ask for a slot.
+func PickUnqueued(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
+	demand.home = homeOf(candidates, demand)
+	best := pickLeast(candidates, demand, weights, sound, predictAsked)
+	if best == nil {
+		return nil, ErrNoReplica
+	}
+	return best, nil
+}
+
+// predictAsked estimates the time to the first event where a slot is asked for and free.
+func predictAsked(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
+	total := predictUnqueued(candidate, demand, weights)
+	if !candidate.Fresh {
+		total += strangerCost
+	}
+	return total
+}
+
+// predictUnqueued estimates the time to the first event where a slot is free.
+func predictUnqueued(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
 	total := candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
 		time.Duration(candidate.Busy()*float64(busyCost))
+	if candidate.Zone != demand.Zone {
+		total += weights.CrossZone
+	}
+	return total
+}
+
+// Predict estimates the time to the first event at a candidate.
+func Predict(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
+	total := predictUnqueued(candidate, demand, weights)
 	if wait := candidate.waitForSlot(); candidate.swaps(demand.Ask) {
 		total += min(wait, swapCost)
 	} else {
 		total += wait
 	}
-	if candidate.Zone != demand.Zone {
-		total += weights.CrossZone
-	}
 	return total
 }
 
-// spare reports whether one of this node's slots there is free.
-func (c *Candidate) spare() bool { return c.Open < c.Share && c.Waiting < 1 }
+// Spare reports whether one of this node's slots there is free.
+func (c *Candidate) Spare() bool { return c.Open < c.Share && c.Waiting < 1 }
+
+// SurelySpare reports whether one of this node's slots there is free, and what was
+// heard from the replica a moment ago says so too: another node may have taken it.
+func (c *Candidate) SurelySpare() bool { return c.Spare() && c.Fresh && c.Free() >= 1 }
 
 // waitForSlot estimates the wait for a slot. Where this node has none to spare,
 // the others are taken to use theirs.
@@ -204,10 +245,14 @@
 
 // Expected is the time to the first event of a request there, by what is learned.
 func (c *Candidate) Expected(ask Ask) time.Duration {
-	if c.swaps(ask) {
+	switch {
+	case ask.Reserved:
+		return c.First
+	case c.swaps(ask):
 		return c.First + swapCost
+	default:
+		return c.First + c.waitForSlot()
 	}
-	return c.First + c.waitForSlot()
 }
 
 // swaps reports whether an item of this node gives way there to a request that
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -231,7 +231,7 @@
 func sample(list []*entry, now time.Time) []*entry {
 	chosen := make([]*entry, 0, len(list))
 	for _, known := range list {
-		if known.share > 0 || now.Sub(known.heard) < freshFor {
+		if known.share > 0 || known.fresh(now) {
 			chosen = append(chosen, known)
 		}
 	}
@@ -280,10 +280,13 @@
 		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
-		Age: e.loadAge(now),
+		Age: e.loadAge(now), Fresh: e.fresh(now),
 	}
 }
 
+// fresh reports whether something came from the replica a moment ago.
+func (e *entry) fresh(now time.Time) bool { return now.Sub(e.heard) < freshFor }
+
 // loadAge is the age of the last report of load; -1 if there was none.
 func (e *entry) loadAge(now time.Time) time.Duration {
 	if e.waitingAt.IsZero() {
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -7,6 +7,8 @@
 	// Tokens is the part of its prompt that the replica is expected to read.
 	Tokens int
 	Batch  bool
+	// Reserved is set if a slot of the replica is set aside for the request.
+	Reserved bool
 	// Objective is the time left until the first event is late; 0 if nobody minds.
 	Objective time.Duration
 }
@@ -63,10 +65,10 @@
 		s.rebuild()
 	}
 	candidate := s.candidate(known, now)
-	if !ask.Batch && candidate.swaps(ask) {
+	if !ask.Batch && !ask.Reserved && candidate.swaps(ask) {
 		why = &Pressure{Wait: candidate.waitForSlot(), Patience: ask.patience(candidate.First, candidate.PatienceShare), Age: candidate.Age}
 	}
-	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: candidate.spare()}
+	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: ask.Reserved || candidate.Spare()}
 	s.demandOf(known.info.Pool).begin(ask, now)
 	if ask.Batch {
 		known.batch++
@@ -100,6 +102,16 @@
 	return min(candidate.Batch, load.queued()-bearable), why
 }
 
+// Full notes that a replica has no free slot.
+func (s *Set) Full(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, ok := s.entries[id]; ok {
+		known.others = max(known.othersAt(now), float64(known.info.Slots-known.open))
+		known.reported = now
+	}
+}
+
 // GiveWay notes that an item was asked to give way: its slot counts as free.
 func (u *Use) GiveWay() {
 	u.set.mu.Lock()
--- a/internal/route/prompt.go
+++ b/internal/route/prompt.go
@@ -18,3 +18,6 @@
 	// request or to its session.
 	Parts []Part
 }
+
+// Total is the memory, in tokens, that the prompt and the longest answer take.
+func (p *Prompt) Total() int { return p.Tokens + p.MaxOutput }
