Round the rooms for items evenly over the nodes

Now each node adds a fraction between 0 and 1 before it rounds down, from a hash of its name and the pool, so nothing is lost in sum.

--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -203,5 +203,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	share, items := sumShares(s.pool(pool))
-	return int(float64(share)-s.demandOf(pool).level(now)) - items
+	return int(float64(share)-s.demandOf(pool).level(now)+s.rounding(pool)) - items
+}
+
+// rounding is what this node adds before it rounds its room down, between 0 and 1.
+// Where a node has two or three slots, rounding down alone would leave one of them
+// empty; spread evenly over the nodes, it loses nothing in sum.
+func (s *Set) rounding(pool string) float64 {
+	if len(s.nodes) == 0 {
+		return 0
+	}
+	const fractionBits = 53
+	return float64(mix(Key(s.self)^Key(pool))>>(64-fractionBits)) / (1 << fractionBits)
 }
