--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -100,11 +100,9 @@
 // for concurrent use.
 type Reserver interface {
 	// Reserve sets a free slot, and memory for so many tokens, aside for as long as
-	// said and returns the name of the reservation. It returns ErrRefused if the
-	// replica has none.
+	// said and returns the name of the reservation, which lapses by itself. It returns
+	// ErrRefused if the replica has none.
 	Reserve(ctx context.Context, replica replica.Info, tokens int, hold time.Duration) (string, error)
-	// Release gives a reservation back that is not used.
-	Release(ctx context.Context, replica replica.Info, reservation string) error
 }
 
 // Sink takes an answer for the caller. Its errors mean that the caller left.
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -25,19 +25,16 @@
 	reserveHold = 400 * time.Millisecond
 )
 
-// reserve asks for a free slot unless one is known, at the chosen replica first if this
-// node should have one there. It returns the replica to send the request to.
+// reserve asks other replicas for a free slot if this node has none at the chosen one.
+// It returns the replica to send the request to.
 func (c *call) reserve(ctx context.Context, chosen *replica.Candidate) *replica.Candidate {
-	if c.forwarder.Reserver == nil || c.request.Prompt.Total() == 0 || chosen.SurelySpare() {
+	if c.forwarder.Reserver == nil || c.request.Prompt.Total() == 0 || chosen.Spare() {
 		return chosen
 	}
 	demand := c.demand
 	demand.Exclude = maps.Clone(c.demand.Exclude)
-	asked := chosen
-	if !chosen.Spare() {
-		asked = c.pickUnqueued(&demand)
-	}
 	for range reserveTries {
+		asked := c.pickUnqueued(&demand)
 		if asked == nil {
 			break
 		}
@@ -45,7 +42,6 @@
 			return asked
 		}
 		demand.Exclude[asked.ID] = true
-		asked = c.pickUnqueued(&demand)
 	}
 	return chosen
 }
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -25,10 +25,6 @@
 	brokenPause = 20 * time.Millisecond
 	// failedPause is the pause after a replica reported a failed run.
 	failedPause = 150 * time.Millisecond
-	// reserveTimeout bounds the question for a slot, reserveHold is how long the slot
-	// is set aside: some ways there and back, and a stall of a weak machine.
-	reserveTimeout = 100 * time.Millisecond
-	reserveHold    = 400 * time.Millisecond
 	// invalidAnswers is the number of answers that an item can never be done
 	// after which it is dead.
 	invalidAnswers = 1
@@ -135,12 +131,8 @@
 }
 
 func (r *Runner) send(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
-	reservation, err := r.reserve(ctx, item, chosen)
-	if err != nil {
-		return err
-	}
 	answer, err := r.Backend.Send(ctx, &forward.Attempt{
-		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after, Reservation: reservation,
+		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after,
 	})
 	if err != nil {
 		return err
@@ -161,21 +153,6 @@
 	return r.collect(one, answer, use)
 }
 
-// reserve sets a slot aside for an item, so that it never waits at a replica ahead
-// of online requests. A replica that does not answer is left to the attempt itself.
-func (r *Runner) reserve(ctx context.Context, item *Item, chosen replica.Info) (string, error) {
-	if r.Reserver == nil {
-		return "", nil
-	}
-	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	reservation, err := r.Reserver.Reserve(callCtx, chosen, int(item.Tokens), reserveHold)
-	if errors.Is(err, forward.ErrRefused) {
-		return "", err
-	}
-	return reservation, nil
-}
-
 // watchSilence gives an attempt up when its replica says nothing to any request
 // of this node for itemSilence.
 func watchSilence(use *replica.Use, cancel context.CancelCauseFunc) (stop func()) {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -233,18 +233,22 @@
 
 func shardOf(job string) string { return shardName(shardNumber(job)) }
 
-// Parts lists the parts of Group.
+// memberPart holds the rows of the nodes that are there. It is read first, so that a
+// job is never known without the nodes that it names, and is apart from the shards,
+// whose rate of writes the jobs need.
+const memberPart = "members"
+
+// Parts lists the parts of Group in the order in which they must be read.
 func Parts() []string {
-	var parts []string
+	parts := []string{memberPart}
 	for shard := range shards {
 		parts = append(parts, shardName(shard))
 	}
 	return parts
 }
 
-// MemberPartition is where the rows of the nodes that are there lie: in the group
-// that all nodes follow, in the partition that is read first.
-func MemberPartition() string { return Group + "/" + Parts()[0] }
+// MemberPartition is the partition of the rows of the nodes that are there.
+func MemberPartition() string { return Group + "/" + memberPart }
 
 // Prefixes of the rows of a part. Counters come first, see counterKey.
 const (
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -40,8 +40,6 @@
 	Service  *Service
 	Replicas *replica.Set
 	Backend  forward.Backend
-	// Reserver, if set, is asked for a slot before an item is sent.
-	Reserver forward.Reserver
 	Routes   func() *route.Table
 	Owners   Owners
 	Weights  replica.Weights
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -97,7 +97,9 @@
 // and of keys in them is that of the ring.
 func partitionOf(hash uint32) int { return int(uint64(hash) * partitions >> 32) }
 
-func partition(number int) string { return fmt.Sprintf("sessions/%d", number) }
+// partition names a partition. The name within the table is unlike those of other
+// tables, for the users' platform counts the writes by it alone.
+func partition(number int) string { return fmt.Sprintf("sessions/session-%d", number) }
 
 // listSessions reads all session rows.
 func listSessions(ctx context.Context, service table.Service) ([]table.Row, error) {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -183,13 +183,17 @@
 	c.log.Warn().Str("replica", info.ID).Str("address", info.Address).Stringer("result", result).Msg("replica ejected")
 }
 
-// listReplica takes in that a replica is listed, with the version of its row. Those
-// of a whole read are summed up by listedReplicas: a line for each would be nodes
-// times replicas when a fleet starts.
+// listReplica takes in that a replica is listed, with the version of its row. New ones
+// of a whole read are summed up by listedReplicas, others are sampled: a line for each
+// would be nodes times replicas when a fleet starts.
 func (c *core) listReplica(info replica.Info, version uint64, whole bool) {
 	added := c.replicas.Put(info)
-	if !whole && (added || info.Leaving) {
-		c.log.Info().Str("replica", info.ID).Str("pool", info.Pool).Str("address", info.Address).
+	log := &c.sampled
+	if info.Leaving {
+		log = &c.log
+	}
+	if info.Leaving || (added && !whole) {
+		log.Info().Str("replica", info.ID).Str("pool", info.Pool).Str("address", info.Address).
 			Str("zone", info.Zone).Bool("leaving", info.Leaving).Uint64("row_version", version).Msg("replica listed")
 	}
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -96,7 +96,7 @@
 		roster.Apply(changes, whole)
 		view(changes, whole)
 	}
-	g.forwarder.Reserver, g.runner.Reserver = g.backend, g.backend
+	g.forwarder.Reserver = g.backend
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
 	g.replicaWatch = g.watch("replica list", platform.ServerFeed(g.store), g.applyReplicas)
 	metrics.registerViews(g.core)
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
@@ -53,13 +51,8 @@
 
 // ItemFailed implements jobs.Events.
 func (l *jobLog) ItemFailed(job *jobs.Job, item, replica string, err error) {
-	label, log := "failed", &l.log
-	if errors.Is(err, forward.ErrRefused) {
-		// In a full pool an item asks many times.
-		label, log = "refused", &l.sampled
-	}
-	l.metrics.items.WithLabelValues(label).Inc()
-	log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Msg("item attempt failed")
+	l.metrics.items.WithLabelValues("failed").Inc()
+	l.log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Msg("item attempt failed")
 }
 
 // GaveWay implements jobs.Events.
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -229,10 +229,6 @@
 // Spare reports whether one of this node's slots there is free.
 func (c *Candidate) Spare() bool { return c.Open < c.Share && c.Waiting < 1 }
 
-// SurelySpare reports whether one of this node's slots there is free, and what was
-// heard from the replica a moment ago says so too: another node may have taken it.
-func (c *Candidate) SurelySpare() bool { return c.Spare() && c.Fresh && c.Free() >= 1 }
-
 // waitForSlot estimates the wait for a slot. Where this node has none to spare,
 // the others are taken to use theirs.
 func (c *Candidate) waitForSlot() time.Duration {
