--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -92,6 +92,10 @@
 		one.Behave(s.misbehaviour(fault))
 		retry.Sleep(ctx, fault.For)
 		one.Behave(nil)
+	case ServerFull:
+		one.Fill(true)
+		retry.Sleep(ctx, fault.For)
+		one.Fill(false)
 	case DrainServer:
 		s.drain(ctx, one, false)
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -24,6 +24,7 @@
 	StoreForget Kind = "store-forgets"
 	ServerCut   Kind = "server-cut"
 	ServerBad   Kind = "server-misbehaves"
+	ServerFull  Kind = "server-full"
 	Configure   Kind = "configure"
 	DrainServer Kind = "drain-server"
 )
@@ -46,7 +47,7 @@
 	count int
 }{
 	{KillNode, 4}, {StopNode, 3}, {PauseNode, 3}, {KillAll, 1}, {CutStore, 4}, {StoreBusy, 2}, {StoreLoses, 3},
-	{StoreLate, 3}, {StoreForget, 2}, {ServerCut, 3}, {ServerBad, 4}, {Configure, 4}, {DrainServer, 2},
+	{StoreLate, 3}, {StoreForget, 2}, {ServerCut, 3}, {ServerBad, 4}, {ServerFull, 2}, {Configure, 4}, {DrainServer, 2},
 }
 
 // Plan returns the faults of a seed, a new one every one to three seconds, so
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -26,7 +26,9 @@
 	answerSize  = 12
 	eventTime   = 15 * time.Millisecond
 	serverCount = 8
-	serverSlots = 8
+	// serverSlots is so small that requests often find no slot of their node free and
+	// ask for one elsewhere.
+	serverSlots = 2
 	itemTokens  = 500
 	// tokenQuota is small enough that some jobs are refused.
 	tokenQuota = 40000
