An ended session is not written again; only the list's own outage keeps replicas

A stopping node ended its session, and its next renewals, which go on until the process leaves up to 7 s later, wrote it anew: the second renewal after the end found the row gone and created it. So a node that was stopping counted as alive, new jobs' items were spread to it, and waited until its session expired, 3 s after its end. Every rolling restart was struck. Now an ended session is never written again.

Whichever feed came back after an outage made replicas that left the list in the next 0.2 s stay for 2 s. The jobs' feed may come back seconds after the store is well (its connection hung), when machines are in touch again and a replica that leaves has left. Now only an outage of the list's own feed does so.

Names: connectCost, watcherStagger, errMemberUnknown instead of words of our own.

--- a/internal/jobs/quota_test.go
+++ b/internal/jobs/quota_test.go
@@ -16,8 +16,8 @@
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
-// deafNode is a node whose feed brings nothing after the first look.
-func deafNode(t testing.TB, shared table.Service, feed table.Feed, session string) *testNode {
+// detachedNode is a node whose feed brings nothing after the first look.
+func detachedNode(t testing.TB, shared table.Service, feed table.Feed, session string) *testNode {
 	t.Helper()
 	view := NewView()
 	all, _, err := feed.Page(context.Background(), table.Cursor{})
@@ -45,8 +45,8 @@
 	const quota, count = 6000, 30
 	shared := tabletest.New()
 	nodes := []*testNode{
-		deafNode(t, shared, shared.Feed(Group), "a#1"), deafNode(t, shared, shared.Feed(Group), "b#1"),
-		deafNode(t, shared, shared.Feed(Group), "c#1"),
+		detachedNode(t, shared, shared.Feed(Group), "a#1"), detachedNode(t, shared, shared.Feed(Group), "b#1"),
+		detachedNode(t, shared, shared.Feed(Group), "c#1"),
 	}
 	for number := range count {
 		err := nodes[number%len(nodes)].Submit(t.Context(), limited(fmt.Sprintf("j%d", number), 2, quota))
@@ -91,8 +91,8 @@
 // holds: nothing is accepted in the others that would exceed it in sum.
 func TestSubmit_ALoweredQuotaHoldsInAllShards(t *testing.T) {
 	shared := tabletest.New()
-	node := deafNode(t, shared, shared.Feed(Group), "a#1")
-	other := deafNode(t, shared, shared.Feed(Group), "b#1")
+	node := detachedNode(t, shared, shared.Feed(Group), "a#1")
+	other := detachedNode(t, shared, shared.Feed(Group), "b#1")
 	for number := range 40 {
 		if err := node.Submit(t.Context(), limited(fmt.Sprintf("j%d", number), 1, 100_000)); err != nil {
 			t.Fatal(err)
@@ -130,7 +130,7 @@
 		var mu sync.Mutex
 		var done sync.WaitGroup
 		for i, quota := range quotas {
-			node := deafNode(t, shared, shared.Feed(Group), fmt.Sprintf("n%d#1", i))
+			node := detachedNode(t, shared, shared.Feed(Group), fmt.Sprintf("n%d#1", i))
 			done.Add(1)
 			go func() {
 				defer done.Done()
@@ -174,7 +174,7 @@
 			shared := tabletest.New()
 			nodes := make([]*testNode, count)
 			for i := range nodes {
-				nodes[i] = deafNode(b, slowTable{shared, answer}, shared.Feed(Group), fmt.Sprintf("n%d#1", i))
+				nodes[i] = detachedNode(b, slowTable{shared, answer}, shared.Feed(Group), fmt.Sprintf("n%d#1", i))
 			}
 			var mu sync.Mutex
 			var took []time.Duration
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/lab/emulator"
 	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
 // testTiming leaves room for two failed renewals.
@@ -219,3 +220,24 @@
 		}
 	}
 }
+
+// TestSession_AnEndedOneIsNotRenewed guards that a stopping node, whose renewals go on
+// until the process leaves, does not write its session anew after it has ended it.
+func TestSession_AnEndedOneIsNotRenewed(t *testing.T) {
+	shared := tabletest.New()
+	session := NewSession(shared, "n", Timing{TimeToLive: 3 * time.Second, RenewInterval: time.Second})
+	if err := session.Ensure(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := session.End(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		// What a renewal after the end answers does not matter.
+		_ = session.Renew(t.Context())
+		_ = session.Ensure(t.Context())
+	}
+	if rows, err := listSessions(t.Context(), shared); err != nil || len(rows) != 0 {
+		t.Fatalf("rows %v, %v, want none", rows, err)
+	}
+}
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -25,9 +25,9 @@
 	lookNeighbours = 1200 * time.Millisecond
 )
 
-// takeTurns is how much longer than a nearer watcher one waits before it ends an
+// watcherStagger is how much longer than a nearer watcher one waits before it ends an
 // expired session itself: a look of the nearer one and its commit fit into it.
-const takeTurns = 1500 * time.Millisecond
+const watcherStagger = 1500 * time.Millisecond
 
 // neighbours is the number of sessions that each node watches, and is watched by.
 // If 6 in 10 nodes die at once, all watchers of a given one die with it in 1.7% of
@@ -117,7 +117,7 @@
 	if err := r.watcher.Refresh(ctx); err != nil {
 		return err
 	}
-	for _, seen := range r.watcher.lapsed(takeTurns) {
+	for _, seen := range r.watcher.lapsed(watcherStagger) {
 		err := r.end(ctx, seen)
 		if r.Ended != nil {
 			r.Ended(seen.ID, err)
@@ -126,8 +126,8 @@
 	return nil
 }
 
-// errUnheard reports a session whose member row has not come by the feed yet.
-var errUnheard = errors.New("member row not known yet")
+// errMemberUnknown reports a session whose member row has not come by the feed yet.
+var errMemberUnknown = errors.New("member row not known yet")
 
 // LookInterval is the time to leave between two calls of Refresh.
 func (r *Roster) LookInterval() time.Duration {
@@ -141,7 +141,7 @@
 	member, known := r.members[seen.ID]
 	r.mu.Unlock()
 	if !known {
-		return Error.Wrap(errUnheard)
+		return Error.Wrap(errMemberUnknown)
 	}
 	_, err := r.service.Commit(ctx, table.NewOperation(),
 		table.Write{Key: rowKey(seen.ID), Kind: table.Delete, Expect: seen.Version},
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -61,7 +61,9 @@
 	// member is the version of the member row.
 	member  uint64
 	created bool
-	timing  Timing
+	// ended is set once the session is to be ended: it is never written again.
+	ended  bool
+	timing Timing
 }
 
 // Timing is how fast lost holders are noticed.
@@ -128,7 +130,7 @@
 func (s *Session) Ensure(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.created {
+	if s.created || s.ended {
 		return nil
 	}
 	return s.renew(ctx)
@@ -138,7 +140,7 @@
 func (s *Session) Renew(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.created {
+	if !s.created || s.ended {
 		return nil
 	}
 	return s.renew(ctx)
@@ -215,10 +217,12 @@
 	return nil
 }
 
-// End deletes the row, so that what is still held can be taken over at once.
+// End deletes the row, so that what is still held can be taken over at once, and stops
+// renewals.
 func (s *Session) End(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	if !s.created {
 		return nil
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -126,12 +126,23 @@
 		c.log.Warn().Str("dependency", name).Err(err).Msg("dependency lost")
 	}
 	watcher.Regained = func(outage time.Duration) {
-		c.replicas.Outage(outage, time.Now())
 		c.log.Info().Str("dependency", name).Dur("outage_ms", outage).Msg("dependency regained")
 	}
 	return watcher
 }
 
+// watchReplicas returns a watcher of the list of replicas, which may lack some just
+// after an outage of its own.
+func (c *core) watchReplicas(feed table.Feed, apply func(table.Changes, bool)) *table.Watcher {
+	watcher := c.watch("replica list", feed, apply)
+	regained := watcher.Regained
+	watcher.Regained = func(outage time.Duration) {
+		c.replicas.Outage(outage, time.Now())
+		regained(outage)
+	}
+	return watcher
+}
+
 func (c *core) spawn(run func()) {
 	c.running.Add(1)
 	go func() {
--- /dev/null
+++ b/internal/node/core_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// TestCore_OnlyAnOutageOfTheListKeepsReplicasThatLeave guards that a replica which
+// leaves the list just after another feed has come back is not kept: that feed's
+// connection may have hung on seconds after the store was well again.
+func TestCore_OnlyAnOutageOfTheListKeepsReplicasThatLeave(t *testing.T) {
+	shared := tabletest.New()
+	c := newCore(zerolog.Nop(), newCoreMetrics(), ports{
+		id: "n", table: shared, jobFeed: shared.Feed(jobs.Group), timing: fastTiming(),
+		sessions: func(*lease.Session) sessionView { return lease.NewWatcher(shared, time.Now, fastTiming()) },
+	})
+	list := c.watchReplicas(shared.Feed("servers"), func(table.Changes, bool) {})
+	leave := func(regained *table.Watcher) int {
+		c.replicas.Put(replica.Info{ID: "r", Pool: "p", Slots: 1})
+		regained.Regained(6 * time.Second)
+		c.replicas.Remove("r", time.Now())
+		return len(c.replicas.Snapshot("p", 0, time.Now()))
+	}
+	if kept := leave(c.jobWatch); kept != 0 {
+		t.Fatal("a replica that left the list after the jobs' feed came back is kept")
+	}
+	if kept := leave(list); kept != 1 {
+		t.Fatal("a replica that is missing after an outage of the list is not kept")
+	}
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -98,7 +98,7 @@
 	}
 	g.forwarder.Reserver = g.backend
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
-	g.replicaWatch = g.watch("replica list", platform.ServerFeed(g.store), g.applyReplicas)
+	g.replicaWatch = g.watchReplicas(platform.ServerFeed(g.store), g.applyReplicas)
 	metrics.registerViews(g.core)
 	metrics.registerPools(g.core)
 	metrics.registerAge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", g.configWatch)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,7 +176,7 @@
 	n.resources = resource.NewStore(n.configApplied)
 	n.session.Body = func() []byte { return resource.EncodeApplied(n.resources.Revision()) }
 	n.configWatch = n.watch("configuration", n.feed(resource.Group, []string{resource.Group}), n.resources.Apply)
-	n.replicaWatch = n.watch("replica list", n.feed(inventory.Group, []string{inventory.Group}), n.applyReplicas)
+	n.replicaWatch = n.watchReplicas(n.feed(inventory.Group, []string{inventory.Group}), n.applyReplicas)
 	n.publisher = &resource.Publisher{
 		Writer: resource.NewWriter(n.table), Sessions: n.sessions, Listed: n.machines.listed,
 	}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -48,10 +48,10 @@
 	readingRate = 50000.0
 	// busyCost is the cost of each request that runs beside, for it slows the steps.
 	busyCost = 4 * time.Millisecond
-	// strangerCost is the cost of asking a replica for a slot that this node has not
+	// connectCost is the cost of asking a replica for a slot that this node has not
 	// heard from lately: a new connection takes 2 to 5 ms, and one that nothing is known
 	// of is likely as busy as others.
-	strangerCost = 10 * time.Millisecond
+	connectCost = 10 * time.Millisecond
 	// swapCost is the cost of an item that gives way.
 	swapCost = 10 * time.Millisecond
 )
@@ -200,7 +200,7 @@
 func predictAsked(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
 	total := predictUnqueued(candidate, demand, weights)
 	if !candidate.Fresh {
-		total += strangerCost
+		total += connectCost
 	}
 	return total
 }
