--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -167,14 +167,7 @@
 func (r *Roster) Preferred(work string) string { return Preferred(r.Live(), work) }
 
 // Nodes returns the nodes of the live sessions, each once.
-func (r *Roster) Nodes() []string {
-	var nodes []string
-	for _, session := range r.Live() {
-		nodes = append(nodes, Node(session))
-	}
-	slices.Sort(nodes)
-	return slices.Compact(nodes)
-}
+func (r *Roster) Nodes() []string { return nodesOf(r.Live()) }
 
 // Expired reports whether a session's work may be taken over.
 func (r *Roster) Expired(id string) bool {
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -343,9 +343,12 @@
 }
 
 // Nodes returns the nodes of the live sessions, each once.
-func (w *Watcher) Nodes() []string {
-	var nodes []string
-	for _, session := range w.Live() {
+func (w *Watcher) Nodes() []string { return nodesOf(w.Live()) }
+
+// nodesOf returns the nodes of sessions, each once.
+func nodesOf(sessions []string) []string {
+	nodes := make([]string, 0, len(sessions))
+	for _, session := range sessions {
 		nodes = append(nodes, Node(session))
 	}
 	slices.Sort(nodes)
