LOST: a restarted node read a job from the store before its first look, and kept that

From the logs: the node restarted at 4.2 s, in an outage that ended by 4.7; a page of its first read of all jobs was lost in it and was waited for for 4 s, until 8.2. A caller's read meanwhile took the job's rows from the store, and later reads were answered from them, though no news of them could come: at 7.9 s positions listed at 6.65 and 7.15 were missing.

Now a job is read from the store each time until all jobs have been read once, and a page has one second at first, twice as long with each failure up to the 4 s that many starting nodes need.

Each has a test that failed first.

--- a/internal/jobs/known_test.go
+++ b/internal/jobs/known_test.go
@@ -37,3 +37,29 @@
 		}
 	}
 }
+
+// A finding (aspsc-dakar trouble-2): a node that had just been restarted read a job from
+// the store for a caller, and answered later reads from that picture while its first look
+// at all jobs hung: results that others had shown were missing.
+func TestRead_BeforeTheFirstLookComesFromTheStore(t *testing.T) {
+	shared := tabletest.New()
+	first := startNode(t, shared, &objecttest.Store{}, "node#1")
+	if err := first.Submit(t.Context(), submission("job", 2)); err != nil {
+		t.Fatal(err)
+	}
+	restarted := &testNode{session: "other#2", Service: &Service{
+		Table: shared, Objects: &objecttest.Store{}, View: NewView(), Events: quietEvents{},
+		Session: first.Session,
+	}}
+	if reading, err := restarted.Read(t.Context(), "job", 0, 0); err != nil || len(reading.Results) != 0 {
+		t.Fatalf("before anything is listed: %+v, %v", reading, err)
+	}
+	entry := first.View.Get("job")
+	done := &task{work: &work{job: entry.Job}, index: 0, text: []byte("text")}
+	if err := first.list(t.Context(), entry.Job, []*task{done}); err != nil {
+		t.Fatal(err)
+	}
+	if reading, err := restarted.Read(t.Context(), "job", 0, 0); err != nil || len(reading.Results) != 1 {
+		t.Fatalf("after a result was listed: %+v, %v", reading, err)
+	}
+}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -152,9 +152,10 @@
 }
 
 // find returns a job from the view or else from the store, so that a job that
-// was accepted a moment ago elsewhere is known here too.
+// was accepted a moment ago elsewhere is known here too. Before all jobs have been
+// read once no news of a job comes by the feed, so it is read from the store each time.
 func (s *Service) find(ctx context.Context, id string) (*Entry, error) {
-	if entry := s.View.Get(id); entry != nil {
+	if entry := s.View.Get(id); entry != nil && s.View.Known() {
 		return entry, nil
 	}
 	for _, key := range []table.Key{jobKey(id), progressKey(id)} {
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -19,6 +19,9 @@
 	// watchReadTimeout bounds the read of a page; many nodes that start at the
 	// same time share the store's link.
 	watchReadTimeout = 4 * time.Second
+	// watchReadFirst bounds the first try of a page, and doubles with each failure: a
+	// page that was lost in an outage must not hold up the read long after it.
+	watchReadFirst = time.Second
 	watchRetryFirst  = 25 * time.Millisecond
 	watchRetryMax    = 300 * time.Millisecond
 	// pageFailures in a row end a whole read, and pageRetryMax bounds the pause
@@ -137,7 +140,7 @@
 	var cursor Cursor
 	failures := 0
 	for first := true; !cursor.Done; {
-		page, next, err := w.readPage(ctx, cursor)
+		page, next, err := w.readPage(ctx, cursor, failures)
 		if err != nil {
 			failures++
 			if failures > pageFailures || ctx.Err() != nil {
@@ -156,8 +159,9 @@
 	return whole, nil
 }
 
-func (w *Watcher) readPage(ctx context.Context, cursor Cursor) (Changes, Cursor, error) {
-	callCtx, cancel := context.WithTimeout(ctx, watchReadTimeout)
+// readPage makes one try of a page that has failed so many times.
+func (w *Watcher) readPage(ctx context.Context, cursor Cursor, failures int) (Changes, Cursor, error) {
+	callCtx, cancel := context.WithTimeout(ctx, min(watchReadFirst<<min(failures, 8), watchReadTimeout))
 	defer cancel()
 	return w.Feed.Page(callCtx, cursor)
 }
--- a/internal/table/watch_test.go
+++ b/internal/table/watch_test.go
@@ -169,3 +169,39 @@
 		t.Fatal("pages that had been read were read again")
 	}
 }
+
+// pageFeed is a feed whose pages hang until their time is up, as often as told.
+type pageFeed struct {
+	hang  int
+	times []time.Duration
+}
+
+func (f *pageFeed) Page(ctx context.Context, _ table.Cursor) (table.Changes, table.Cursor, error) {
+	deadline, _ := ctx.Deadline()
+	f.times = append(f.times, time.Until(deadline))
+	if len(f.times) <= f.hang {
+		return table.Changes{}, table.Cursor{}, context.DeadlineExceeded
+	}
+	return table.Changes{}, table.Cursor{Done: true}, nil
+}
+
+func (f *pageFeed) After(ctx context.Context, _ uint64, _ time.Duration) (table.Changes, error) {
+	<-ctx.Done()
+	return table.Changes{}, ctx.Err()
+}
+
+// TestWatcher_APageThatHangsIsAskedForAgainSoon guards that a first read which meets a
+// silent store does not hang on long after the store is well: a page has a second at
+// first, and more with each failure, for the store may be slow.
+func TestWatcher_APageThatHangsIsAskedForAgainSoon(t *testing.T) {
+	feed := &pageFeed{hang: 3}
+	ready := make(chan struct{})
+	watcher := table.NewWatcher(feed, func(table.Changes, bool) { close(ready) })
+	tabletest.Follow(t, watcher)
+	<-ready
+	for i, limit := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
+		if feed.times[i] > limit || feed.times[i] < limit/2 {
+			t.Errorf("try %d has %v, want %v", i, feed.times[i], limit)
+		}
+	}
+}
