A node whose first write of its session is lost tries again

From the logs: front-plateau-2, started at 4.2 s while a part of the store was silent, sends no item from 4 to 34 s, and chosen replicas show shares of 2 to 3 slots where 1 is due: some nodes take all slots for their own. Their session was never written: Ensure waited for its answer without a limit of its own, in the loop that takes items up, and so did the one that divides the slots.

Now Ensure gives up after an interval of renewals and the next look tries again. The test waited for its whole 5 s before.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -241,3 +241,34 @@
 		t.Fatalf("rows %v, %v, want none", rows, err)
 	}
 }
+
+// silentTable answers no commit until it is told to.
+type silentTable struct {
+	table.Service
+	silent atomic.Bool
+}
+
+func (s *silentTable) Commit(ctx context.Context, operation string, writes ...table.Write) ([]uint64, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, outcome.Undecided(ctx.Err())
+	}
+	return s.Service.Commit(ctx, operation, writes...)
+}
+
+// A finding (aspsc-dakar trouble-2): a node that started while the part with the sessions
+// was silent waited for its first write for good, and took no items for the whole day.
+func TestSession_EnsureLeavesAStoreThatIsSilent(t *testing.T) {
+	silent := &silentTable{Service: tabletest.New()}
+	silent.silent.Store(true)
+	session := NewSession(silent, "n", Timing{TimeToLive: 60 * time.Millisecond, RenewInterval: 20 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := session.Ensure(ctx); err == nil || ctx.Err() != nil {
+		t.Fatalf("%v, %v, want an error long before the caller's own time is up", err, ctx.Err())
+	}
+	silent.silent.Store(false)
+	if err := session.Ensure(ctx); err != nil {
+		t.Fatalf("once the store answers: %v", err)
+	}
+}
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -126,8 +126,12 @@
 // ID identifies the session; it is never used again after a restart.
 func (s *Session) ID() string { return s.id }
 
-// Ensure creates the row unless it exists. Work is held only afterwards.
+// Ensure creates the row unless it exists. Work is held only afterwards. It waits for an
+// answer no longer than the interval of renewals: a lost one never comes, and the next
+// call tries again.
 func (s *Session) Ensure(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timing.RenewInterval)
+	defer cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.created || s.ended {
