--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -21,9 +21,9 @@
 	watchReadTimeout = 4 * time.Second
 	// watchReadFirst bounds the first try of a page, and doubles with each failure: a
 	// page that was lost in an outage must not hold up the read long after it.
-	watchReadFirst = time.Second
-	watchRetryFirst  = 25 * time.Millisecond
-	watchRetryMax    = 300 * time.Millisecond
+	watchReadFirst  = time.Second
+	watchRetryFirst = 25 * time.Millisecond
+	watchRetryMax   = 300 * time.Millisecond
 	// pageFailures in a row end a whole read, and pageRetryMax bounds the pause
 	// between them.
 	pageFailures = 20
