Take out what the acceptance by counters made dead; one place says that a job is over quota

Found at the last read of the change: nobody waits for a revision of the jobs' feed any more, so View.await takes none and the view keeps none; the refusal of a job that does not fit stood in fits and in refuse, now in overQuota.

--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -63,7 +63,7 @@
 		s.Events.Accepted(entry.Job, time.Since(began), true)
 		return nil
 	}
-	if err := s.View.await(ctx, 0); err != nil {
+	if err := s.View.await(ctx); err != nil {
 		return Error.Wrap(errors.Join(ErrNotAccepted, err))
 	}
 	if err := s.fits(submission); err != nil {
@@ -92,6 +92,11 @@
 	if used+submission.tokens() <= submission.Quota {
 		return nil
 	}
+	return s.overQuota(submission, used)
+}
+
+// overQuota tells that a job does not fit beside what is used, and returns ErrQuota.
+func (s *Service) overQuota(submission *Submission, used int64) error {
 	err := Error.Wrap(ErrQuota)
 	s.Events.Refused(submission.ID, used, submission.tokens(), submission.Quota, err)
 	return err
@@ -215,9 +220,7 @@
 	if try.pending {
 		return s.withdraw(ctx, try, usages)
 	}
-	err := Error.Wrap(ErrQuota)
-	s.Events.Refused(try.submission.ID, total(usages), try.submission.tokens(), try.submission.Quota, err)
-	return err
+	return s.overQuota(try.submission, total(usages))
 }
 
 // withdraw makes sure that no unanswered write of the job can land any more, by
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -47,7 +47,6 @@
 	jobs     map[string]*Job
 	progress map[string]*Entry
 	counters map[table.Key]knownCounter
-	revision uint64
 	// storeNow is the store's clock as of readAt.
 	storeNow time.Duration
 	readAt   time.Time
@@ -76,7 +75,6 @@
 		v.put(change.Row)
 		v.settle(change.Row)
 	}
-	v.revision = max(v.revision, changes.Revision)
 	v.storeNow, v.readAt = changes.Now, time.Now()
 	v.wake()
 }
@@ -243,12 +241,12 @@
 // until is the time left until a moment of the store's clock.
 func (v *View) until(moment time.Duration) time.Duration { return moment - v.Now() }
 
-// await waits until the view reflects a revision, and anything at all: before
-// that neither the store's clock nor the quota in use is known.
-func (v *View) await(ctx context.Context, revision uint64) error {
+// await waits until the jobs have been looked at once: before that neither the
+// store's clock nor the quota in use is known.
+func (v *View) await(ctx context.Context) error {
 	for {
 		v.mu.Lock()
-		reached, changed := v.revision >= revision && !v.readAt.IsZero(), v.changed
+		reached, changed := !v.readAt.IsZero(), v.changed
 		v.mu.Unlock()
 		if reached {
 			return nil
