Say where nodes and replicas are, and why a replica may not be used

Cause: nothing in the code knows regions, zones that operators empty, or why a choice finds no replica; the parts that two new customers need would each say it anew.

Package place holds zones, their regions and sets of regions. A replica's exclusion is one typed reason that choice, reservation, log and metrics share; a request that all replicas are kept from by what operators declare fails at once instead of at its deadline. The set divides no slots of zones that operators empty. Member rows tell zone, region and capacity, readable beside rows of before. The list of all replicas was divided late after a change (Set.List), mended.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -92,7 +92,7 @@
 // returns replica.ErrNoReplica if no replica could take it.
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
 	demand := &replica.Demand{Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
-	best, err := replica.Pick(f.Replicas.Snapshot(target.Pool(), 0, now), demand, f.Weights)
+	best, err := replica.Pick(f.Replicas.SnapshotFor(target.Pool(), demand, now), demand, f.Weights)
 	if err != nil {
 		return 0, err
 	}
@@ -135,6 +135,10 @@
 	for {
 		chosen, err := c.pick()
 		if err != nil {
+			if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) && none.Lasts() {
+				// Nothing that may happen in time helps.
+				return c.failure(err)
+			}
 			if waitErr := c.waitForRoom(ctx); waitErr != nil {
 				return c.failure(waitErr)
 			}
@@ -181,7 +185,7 @@
 func (c *call) pick() (*replica.Candidate, error) {
 	now := time.Now()
 	c.demand.Objective = max(0, c.route.Objective-now.Sub(c.request.Received))
-	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, c.demand.Affinity, now)
+	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, &c.demand, now)
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
 }
 
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -48,7 +48,7 @@
 
 // pickUnqueued returns the replica to be asked for a slot, or nil.
 func (c *call) pickUnqueued(demand *replica.Demand) *replica.Candidate {
-	candidates := c.forwarder.Replicas.Snapshot(c.result.Pool, demand.Affinity, time.Now())
+	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, demand, time.Now())
 	best, err := replica.PickUnqueued(candidates, demand, c.forwarder.Weights)
 	if err != nil {
 		// None is left to ask.
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -192,7 +192,7 @@
 		Zone: r.Zone, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
 		Reserve: target.Reserve, Exclude: one.exclude,
 	}
-	chosen, err := replica.Pick(r.Replicas.Snapshot(pool, 0, now), demand, r.Weights)
+	chosen, err := replica.Pick(r.Replicas.SnapshotFor(pool, demand, now), demand, r.Weights)
 	if err != nil {
 		if len(one.exclude) == 0 {
 			return noRoom
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -40,18 +40,27 @@
 	return table.Key{Partition: partition, Sort: memberPrefix + id}
 }
 
-// member is what a member row says.
-type member struct {
+// Member is what a node tells of itself in its member row. A row of an earlier version
+// of the program tells less; what it leaves out is zero.
+type Member struct {
 	// Address is host:port for other nodes.
 	Address string `cbor:"1,keyasint,omitempty"`
+	// Zone and Region are where the node stands.
+	Zone   string `cbor:"2,keyasint,omitempty"`
+	Region string `cbor:"3,keyasint,omitempty"`
+	// Cores is the node's share of a core, LinkMbps the bandwidth of its link in Mbit/s,
+	// MemoryMB its memory in megabytes; 0 if they are not set.
+	Cores    float64 `cbor:"4,keyasint,omitempty"`
+	LinkMbps float64 `cbor:"5,keyasint,omitempty"`
+	MemoryMB int     `cbor:"6,keyasint,omitempty"`
 }
 
 // encodeMember returns the body of a member row; nil if there is nothing to say.
-func encodeMember(address string) []byte {
-	if address == "" {
+func encodeMember(told Member) []byte {
+	if told == (Member{}) {
 		return nil
 	}
-	body, err := cbor.Marshal(member{Address: address})
+	body, err := cbor.Marshal(told)
 	if err != nil {
 		// A member holds nothing that cannot be encoded.
 		panic(err)
@@ -61,10 +70,10 @@
 
 // decodeMember reads the body of a member row. One that cannot be read tells nothing:
 // its node is there all the same, and is asked nothing.
-func decodeMember(body []byte) member {
-	var told member
+func decodeMember(body []byte) Member {
+	var told Member
 	if err := cbor.Unmarshal(body, &told); err != nil {
-		return member{}
+		return Member{}
 	}
 	return told
 }
@@ -86,8 +95,8 @@
 	// members are the versions of the member rows, nodes the number of each node's.
 	members map[string]uint64
 	nodes   map[string]int
-	// addresses are where nodes are reached, as their newest member rows tell.
-	addresses map[string]string
+	// told is what the newest member rows of nodes tell.
+	told map[string]Member
 	// generation rises with each change of the nodes; sorted are these, nil if they have
 	// changed since they were last asked for.
 	generation uint64
@@ -106,7 +115,7 @@
 	return &Roster{
 		service: service, partition: partition, session: session, watcher: watcher,
 		members: map[string]uint64{}, nodes: map[string]int{}, missing: map[string]time.Time{},
-		addresses: map[string]string{},
+		told: map[string]Member{},
 	}
 }
 
@@ -135,8 +144,9 @@
 	}
 	r.members[id] = row.Version
 	delete(r.missing, Node(id))
-	if told := decodeMember(row.Body); told.Address != "" {
-		r.addresses[Node(id)] = told.Address
+	if told := decodeMember(row.Body); told != (Member{}) && told != r.told[Node(id)] {
+		r.told[Node(id)] = told
+		r.changed()
 	}
 }
 
@@ -151,7 +161,7 @@
 	node := Node(id)
 	if r.nodes[node]--; r.nodes[node] == 0 {
 		delete(r.nodes, node)
-		delete(r.addresses, node)
+		delete(r.told, node)
 	}
 	r.missing[node] = time.Time{}
 }
@@ -260,7 +270,17 @@
 func (r *Roster) Address(node string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.addresses[node]
+	return r.told[node].Address
+}
+
+// Member returns what a node has told of itself; zero if nothing.
+func (r *Roster) Member(node string) Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if node == Node(r.session.ID()) {
+		return r.session.Member
+	}
+	return r.told[node]
 }
 
 // Gone reports whether a node has no session.
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -55,9 +55,8 @@
 	// MemberPartition, if set before the session is used, is where a second row says
 	// that the session is there, for as long as it is; see Roster.
 	MemberPartition string
-	// Address, if set before the session is used, is where other nodes reach this one;
-	// the member row tells it.
-	Address string
+	// Member, if set before the session is used, is what the member row tells of the node.
+	Member Member
 
 	mu      sync.Mutex
 	version uint64
@@ -159,7 +158,7 @@
 	write := table.Write{Key: rowKey(s.id), Expect: s.version, Body: s.body()}
 	writes := []table.Write{write}
 	if s.version == table.Absent && s.MemberPartition != "" {
-		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: table.Absent, Body: encodeMember(s.Address)})
+		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: table.Absent, Body: encodeMember(s.Member)})
 	}
 	versions, err := s.service.Commit(ctx, table.NewOperation(), writes...)
 	if err == nil {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -13,6 +13,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -34,8 +35,10 @@
 
 // ports are the outside as a core needs it: one set for each interface.
 type ports struct {
-	id      string
-	zone    string
+	id   string
+	zone string
+	// places tells the regions of the zones of replicas.
+	places  place.Map
 	table   table.Service
 	objects object.Store
 	backend forward.Backend
@@ -64,6 +67,7 @@
 	sampled zerolog.Logger
 	metrics *coreMetrics
 
+	places    place.Map
 	routes    route.Current
 	replicas  *replica.Set
 	forwarder *forward.Forwarder
@@ -79,7 +83,7 @@
 }
 
 func newCore(log zerolog.Logger, metrics *coreMetrics, outside ports) *core {
-	c := &core{log: log, metrics: metrics, replicas: replica.NewSet()}
+	c := &core{log: log, metrics: metrics, places: outside.places, replicas: replica.NewSet()}
 	c.sampled = log.Sample(&zerolog.BurstSampler{
 		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
 	})
@@ -198,6 +202,7 @@
 // of a whole read are summed up by listedReplicas, others are sampled: a line for each
 // would be nodes times replicas when a fleet starts.
 func (c *core) listReplica(info replica.Info, version uint64, whole bool) {
+	info.Region = c.places.Region(info.Zone)
 	added := c.replicas.Put(info)
 	log := &c.sampled
 	if info.Leaving {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -92,7 +92,7 @@
 	rows := platform.Rows{Store: g.store}
 	var roster *lease.Roster
 	g.core = newCore(log, metrics, ports{
-		id: g.settings.Node.ID, zone: g.settings.Node.Zone,
+		id: g.settings.Node.ID, zone: g.settings.Node.Zone, places: g.settings.Node.Zones,
 		table: rows, objects: platform.Objects{Store: g.store}, backend: g.backend,
 		jobFeed: platform.JobFeed(g.store, jobs.Group, jobs.Parts()), timing: fastTiming(), weights: g.weights(),
 		sessions: func(own *lease.Session) sessionView {
@@ -102,7 +102,11 @@
 	})
 	g.roster = roster
 	roster.Ended = g.logEnded
-	g.session.Address = g.settings.Gateway.Peers
+	g.session.Member = lease.Member{
+		Address: g.settings.Gateway.Peers, Zone: g.settings.Node.Zone, Region: g.settings.Node.Region,
+		Cores: g.settings.Gateway.Capacity.Cores, LinkMbps: g.settings.Gateway.Capacity.LinkMbps,
+		MemoryMB: g.settings.Gateway.MemoryMegabytes,
+	}
 	g.buildQuota(roster)
 	view := g.jobWatch.Apply
 	g.jobWatch.Apply = func(changes table.Changes, whole bool) {
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,66 @@
+// Package place says where nodes and replicas are, and in which regions a request
+// may be served.
+package place
+
+import (
+	"slices"
+
+	"github.com/wheelhoist/wheelhoist/internal/findings"
+)
+
+// Place is where a machine is.
+type Place struct {
+	Zone   string
+	Region string
+}
+
+// Map tells the region of each zone. The zero value knows none.
+type Map map[string]string
+
+// Region returns the region of a zone; empty if it is not known.
+func (m Map) Region(zone string) string { return m[zone] }
+
+// Has reports whether a region has a zone.
+func (m Map) Has(region string) bool {
+	for _, known := range m {
+		if known == region {
+			return true
+		}
+	}
+	return false
+}
+
+// Validate adds what is wrong with the map to the findings of a place in the settings.
+func (m Map) Validate(found *findings.List, path string) {
+	for zone, region := range m {
+		if zone == "" || region == "" {
+			found.Add(path, "zone %q lies in region %q: both need a name", zone, region)
+		}
+	}
+}
+
+// Regions is a set of regions: nil is any region, an empty one is none.
+type Regions []string
+
+// Allows reports whether a region is in the set. A region that is not known is in no
+// set but that of any region.
+func (r Regions) Allows(region string) bool {
+	return r == nil || region != "" && slices.Contains(r, region)
+}
+
+// And returns the regions that are in both sets.
+func (r Regions) And(other Regions) Regions {
+	switch {
+	case r == nil:
+		return other
+	case other == nil:
+		return r
+	}
+	both := Regions{}
+	for _, region := range r {
+		if slices.Contains(other, region) {
+			both = append(both, region)
+		}
+	}
+	return both
+}
--- a/internal/replica/divide.go
+++ b/internal/replica/divide.go
@@ -16,12 +16,16 @@
 	s.index()
 }
 
-// divide sets the share of each entry. The caller holds mu.
+// divide sets the share of each entry. Those in zones that operators empty have none
+// to divide. The caller holds mu.
 func (s *Set) divide() {
 	for _, list := range s.byPool {
 		replicas := make([]Slots, len(list))
 		for i, known := range list {
 			replicas[i] = Slots{Key: known.key, Count: known.info.Slots}
+			if s.evacuated[known.info.Zone] {
+				replicas[i].Count = 0
+			}
 		}
 		shares := Shares(s.self, s.nodes, replicas)
 		for i, known := range list {
--- /dev/null
+++ b/internal/replica/evacuate.go
@@ -0,0 +1,22 @@
+package replica
+
+import "maps"
+
+// Evacuate takes in which zones operators empty: their replicas take nothing new until
+// the zone is not among them any more. What runs there runs on.
+func (s *Set) Evacuate(zones map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if maps.Equal(s.evacuated, zones) {
+		return
+	}
+	s.evacuated = maps.Clone(zones)
+	s.index()
+}
+
+// Evacuated returns the zones that operators empty.
+func (s *Set) Evacuated() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.evacuated)
+}
--- /dev/null
+++ b/internal/replica/exclusion.go
@@ -0,0 +1,109 @@
+package replica
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Exclusion says why a replica may not take a request now. Choice, reservation, log
+// and metrics share it. The zero value says that it may.
+type Exclusion uint8
+
+const (
+	// Usable replicas may take the request.
+	Usable Exclusion = iota
+	// Evacuated replicas stand in a zone that an operator empties.
+	Evacuated
+	// Elsewhere replicas stand in a region that may not serve the request.
+	Elsewhere
+	// Unsuitable replicas do not serve what is asked for: the kind of work, the
+	// version, the adapter.
+	Unsuitable
+	// Tried replicas have failed or refused the request already.
+	Tried
+	// Cold replicas have been sent as much as they bear while they are cold.
+	Cold
+	// Ejected replicas are left out for their failures.
+	Ejected
+	// Occupied replicas have no slot for an item.
+	Occupied
+	exclusions
+)
+
+// String returns the name used in logs and metrics.
+func (e Exclusion) String() string {
+	names := [exclusions]string{"usable", "evacuated", "elsewhere", "unsuitable", "tried", "cold", "ejected", "occupied"}
+	if e >= exclusions {
+		return "unknown"
+	}
+	return names[e]
+}
+
+// lasts reports whether the exclusion goes only by a change of what operators declare:
+// it is of no use to wait for it within a request.
+func (e Exclusion) lasts() bool { return e == Evacuated || e == Elsewhere }
+
+// NoReplicaError reports that no replica can take the request now, and why. It is
+// ErrNoReplica.
+type NoReplicaError struct {
+	// Counts counts the replicas looked at, by what excluded them.
+	Counts [exclusions]int
+}
+
+// Error implements error.
+func (e *NoReplicaError) Error() string {
+	var reasons []string
+	for reason, count := range e.Counts {
+		if count > 0 {
+			reasons = append(reasons, fmt.Sprintf("%d %s", count, Exclusion(reason)))
+		}
+	}
+	if len(reasons) == 0 {
+		return ErrNoReplica.Error() + ": none is listed"
+	}
+	return ErrNoReplica.Error() + ": " + strings.Join(reasons, ", ")
+}
+
+// Unwrap makes it ErrNoReplica.
+func (e *NoReplicaError) Unwrap() error { return ErrNoReplica }
+
+// Lasts reports whether waiting is of no use: there are replicas, and all of them are
+// excluded by what operators declare.
+func (e *NoReplicaError) Lasts() bool {
+	lasting := 0
+	for reason, count := range e.Counts {
+		if count > 0 && !Exclusion(reason).lasts() {
+			return false
+		}
+		lasting += count
+	}
+	return lasting > 0
+}
+
+// excludedByPlace reports what keeps a request from a replica for where it stands.
+func (c *Candidate) excludedByPlace(demand *Demand) Exclusion {
+	switch {
+	case c.Evacuated:
+		return Evacuated
+	case !demand.Regions.Allows(c.Region):
+		return Elsewhere
+	default:
+		return Usable
+	}
+}
+
+// excluded reports what keeps a request from a replica for good: trying it as a last
+// resort does not help.
+func (c *Candidate) excluded(demand *Demand) Exclusion {
+	if why := c.excludedByPlace(demand); why != Usable {
+		return why
+	}
+	switch {
+	case !serves(c, demand):
+		return Unsuitable
+	case demand.Exclude[c.ID]:
+		return Tried
+	default:
+		return Usable
+	}
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 var (
@@ -34,6 +36,8 @@
 	Adapter string
 	// Exclude are the replicas that have failed or refused this request.
 	Exclude map[string]bool
+	// Regions are where the request may be served.
+	Regions place.Regions
 }
 
 // Weights say what a picker gives up for what. They come from settings.
@@ -61,19 +65,37 @@
 // the affinity, breaks ties.
 func Pick(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
 	demand.home = homeOf(candidates, demand)
+	open := candidates
 	if demand.Batch && demand.Reserve > 0 {
-		candidates = unreserved(candidates, demand.Reserve)
+		open = unreserved(candidates, demand.Reserve)
 	}
-	best := pickAmong(candidates, demand, weights, sound)
+	best := pickLeast(open, demand, weights, sound, Predict)
 	if best == nil && !demand.Batch {
-		best = pickAmong(candidates, demand, weights, lastResort)
+		best = pickLeast(open, demand, weights, lastResort, Predict)
 	}
 	if best == nil {
-		return nil, ErrNoReplica
+		return nil, noReplica(candidates, demand)
 	}
 	return best, nil
 }
 
+// noReplica tells what keeps a request from each of the candidates.
+func noReplica(candidates []Candidate, demand *Demand) error {
+	failed := &NoReplicaError{}
+	for i := range candidates {
+		why := candidates[i].excluded(demand)
+		if why == Usable {
+			why = candidates[i].unsound(demand)
+		}
+		if why == Usable {
+			// Its slots are left to online requests.
+			why = Occupied
+		}
+		failed.Counts[why]++
+	}
+	return failed
+}
+
 // unreserved returns the candidates without the fastest ones that hold a share
 // of the slots. Replicas that do not tell their speed go by their keys, so that
 // all nodes reserve the same.
@@ -99,7 +121,7 @@
 	return ordered
 }
 
-type filter func(*Candidate, *Demand, Weights) bool
+type filter func(*Candidate, *Demand) bool
 
 // serves reports whether a replica serves what is asked for at all.
 func serves(candidate *Candidate, demand *Demand) bool {
@@ -113,32 +135,32 @@
 	}
 }
 
-func sound(candidate *Candidate, demand *Demand, weights Weights) bool {
-	if candidate.Ejected {
-		return false
-	}
-	if !demand.Batch {
-		return true
+// unsound reports what speaks against a replica for now.
+func (c *Candidate) unsound(demand *Demand) Exclusion {
+	switch {
+	case c.Ejected:
+		return Ejected
+	case demand.Batch && (c.Open >= c.Share || c.Free() < 1):
+		return Occupied
+	default:
+		return Usable
 	}
-	return candidate.Open < candidate.Share && candidate.Free() >= 1
 }
 
+func sound(candidate *Candidate, demand *Demand) bool { return candidate.unsound(demand) == Usable }
+
 // lastResort takes ejected replicas rather than none.
-func lastResort(*Candidate, *Demand, Weights) bool { return true }
+func lastResort(*Candidate, *Demand) bool { return true }
 
 // predictor estimates the time to the first event at a candidate.
 type predictor func(*Candidate, *Demand, Weights) time.Duration
 
-func pickAmong(candidates []Candidate, demand *Demand, weights Weights, passes filter) *Candidate {
-	return pickLeast(candidates, demand, weights, passes, Predict)
-}
-
 func pickLeast(candidates []Candidate, demand *Demand, weights Weights, passes filter, predict predictor) *Candidate {
 	var best *Candidate
 	bestScore := math.Inf(1)
 	for i := range candidates {
 		candidate := &candidates[i]
-		if demand.Exclude[candidate.ID] || !serves(candidate, demand) || !passes(candidate, demand, weights) {
+		if candidate.excluded(demand) != Usable || !passes(candidate, demand) {
 			continue
 		}
 		score := predict(candidate, demand, weights).Seconds()
@@ -158,7 +180,7 @@
 		return 0
 	}
 	for i := range candidates {
-		if candidates[i].Ejected || !serves(&candidates[i], demand) {
+		if candidates[i].Ejected || candidates[i].excludedByPlace(demand) != Usable || !serves(&candidates[i], demand) {
 			continue
 		}
 		if weight := mix(candidates[i].Key ^ demand.Affinity); home == 0 || weight > best {
@@ -191,7 +213,7 @@
 	demand.home = homeOf(candidates, demand)
 	best := pickLeast(candidates, demand, weights, sound, predictAsked)
 	if best == nil {
-		return nil, ErrNoReplica
+		return nil, noReplica(candidates, demand)
 	}
 	return best, nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,8 @@
 	Pool    string
 	Address string
 	Zone    string
+	// Region is the region of its zone; empty if it is not known.
+	Region string
 	// Slots is the number of requests that it runs at the same time.
 	Slots int
 	// ReadingRate is how fast it reads prompts, in tokens a second; 0 if it does
@@ -58,6 +60,8 @@
 	PendingTokens int
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
+	// Evacuated replicas stand in a zone that operators empty.
+	Evacuated bool
 	// Share is the number of its slots that are this node's by the division among
 	// the nodes.
 	Share int
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -70,6 +70,8 @@
 	nodes []string
 	// demand is what online requests take of each pool, at this node.
 	demand map[string]*demand
+	// evacuated are the zones that operators empty.
+	evacuated map[string]bool
 	// fleet is what nodes have told of each pool.
 	fleet map[string]*fleetView
 	// outageEnd is when the list's source came back after a long outage.
@@ -96,7 +98,7 @@
 		known = &entry{key: Key(info.ID)}
 		s.entries[info.ID] = known
 	}
-	moved := !ok || known.info.Pool != info.Pool || known.info.Slots != info.Slots
+	moved := !ok || known.info.Pool != info.Pool || known.info.Slots != info.Slots || known.info.Zone != info.Zone
 	known.info = info
 	known.vanished = time.Time{}
 	if moved {
@@ -204,6 +206,9 @@
 func (s *Set) List(now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stale {
+		s.rebuild()
+	}
 	var list []Candidate
 	for _, known := range s.entries {
 		list = append(list, s.candidate(known, now))
@@ -219,16 +224,41 @@
 // knowledge would be flooded, the least busy of a few random ones is not
 // (Mitzenmacher, 2001). Nor does the cost of a request grow with the fleet.
 func (s *Set) Snapshot(pool string, affinity uint64, now time.Time) []Candidate {
+	return s.SnapshotFor(pool, &Demand{Affinity: affinity}, now)
+}
+
+// SnapshotFor returns the replicas of a pool that a choice for a request looks at. If
+// operators keep the request from all of them, these are the ones returned, for the
+// choice to tell why there is none.
+func (s *Set) SnapshotFor(pool string, demand *Demand, now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.pool(pool)
+	list := s.allowed(s.pool(pool), demand)
 	chosen := sample(list, now)
-	if home := homeAmong(list, affinity, now); home != nil && !slices.Contains(chosen, home) {
+	if home := homeAmong(list, demand.Affinity, now); home != nil && !slices.Contains(chosen, home) {
 		chosen = append(chosen, home)
 	}
 	return s.candidatesOf(chosen, now)
 }
 
+// allowed returns the entries that a request may be sent to for where they stand; all
+// of them if it may be sent to none. The caller holds mu.
+func (s *Set) allowed(list []*entry, demand *Demand) []*entry {
+	if demand.Regions == nil && len(s.evacuated) == 0 {
+		return list
+	}
+	allowed := make([]*entry, 0, len(list))
+	for _, known := range list {
+		if !s.evacuated[known.info.Zone] && demand.Regions.Allows(known.info.Region) {
+			allowed = append(allowed, known)
+		}
+	}
+	if len(allowed) == 0 {
+		return list
+	}
+	return allowed
+}
+
 // sample returns the replicas that this node knows and some random others.
 func sample(list []*entry, now time.Time) []*entry {
 	chosen := make([]*entry, 0, len(list))
@@ -283,6 +313,7 @@
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
 		Age: e.loadAge(now), Fresh: e.fresh(now), Fleet: s.fleetUsage(e.info.Pool, now),
+		Evacuated: s.evacuated[e.info.Zone],
 	}
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,8 +23,10 @@
 	// 0 keeps all jobs.
 	KeepJobs v1.Duration `json:"keepJobs,omitempty"`
 	// MemoryMegabytes is the memory that the process may use; 0 means unknown.
-	MemoryMegabytes int     `json:"memoryMegabytes,omitempty"`
-	Routing         Routing `json:"routing,omitempty"`
+	MemoryMegabytes int `json:"memoryMegabytes,omitempty"`
+	// Capacity is what the machine has beside its memory; zero means unknown.
+	Capacity Capacity `json:"capacity,omitempty"`
+	Routing  Routing  `json:"routing,omitempty"`
 	// Peers is host:port where other nodes reach this one, by datagrams. Without it the
 	// node keeps tenants' limits by an equal part of them.
 	Peers string `json:"peers,omitempty"`
@@ -35,6 +37,14 @@
 	MaxConfigAge v1.Duration `json:"maxConfigAge,omitempty"`
 }
 
+// Capacity is what a machine has.
+type Capacity struct {
+	// Cores is the share of a core that the process may use.
+	Cores float64 `json:"cores,omitempty"`
+	// LinkMbps is the bandwidth of the machine's link in Mbit/s.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
+}
+
 // Quota says how tenants' limits of requests are judged.
 type Quota struct {
 	// Window is the length of the windows that count; default 5s.
@@ -89,6 +99,9 @@
 	if g.MemoryMegabytes < 0 {
 		found.Add("gateway.memoryMegabytes", "must not be negative")
 	}
+	if g.Capacity.Cores < 0 || g.Capacity.LinkMbps < 0 {
+		found.Add("gateway.capacity", "must not be negative")
+	}
 	if g.Routing.CrossZone < 0 {
 		found.Add("gateway.routing.crossZone", "must not be negative")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/findings"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // Settings are the settings of a node.
@@ -29,6 +30,8 @@
 	ID     string `json:"id"`
 	Zone   string `json:"zone"`
 	Region string `json:"region,omitempty"`
+	// Zones tells the region of each zone where nodes and replicas may stand.
+	Zones place.Map `json:"zones,omitempty"`
 	// Listen is host:port for callers and operators.
 	Listen string `json:"listen"`
 	// MaxStreams bounds the online requests open at this node; default 2000.
@@ -127,6 +130,10 @@
 	requiredFinding(&found, "node.id", s.Node.ID)
 	requiredFinding(&found, "node.zone", s.Node.Zone)
 	addressFinding(&found, "node.listen", s.Node.Listen)
+	s.Node.Zones.Validate(&found, "node.zones")
+	if region, ok := s.Node.Zones[s.Node.Zone]; ok && region != s.Node.Region {
+		found.Add("node.region", "zone %q lies in region %q by node.zones, not in %q", s.Node.Zone, region, s.Node.Region)
+	}
 	if s.Gateway.Enabled() {
 		s.Gateway.validate(&found)
 	} else {
