--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -234,6 +234,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.allowed(s.pool(pool), demand)
+	if len(list) == 0 {
+		return s.candidatesOf(s.pool(pool), now)
+	}
 	chosen := sample(list, now)
 	if home := homeAmong(list, demand.Affinity, now); home != nil && !slices.Contains(chosen, home) {
 		chosen = append(chosen, home)
@@ -241,8 +244,8 @@
 	return s.candidatesOf(chosen, now)
 }
 
-// allowed returns the entries that a request may be sent to for where they stand; all
-// of them if it may be sent to none. The caller holds mu.
+// allowed returns the entries that a request may be sent to for where they stand. The
+// caller holds mu.
 func (s *Set) allowed(list []*entry, demand *Demand) []*entry {
 	if demand.Regions == nil && len(s.evacuated) == 0 {
 		return list
@@ -253,9 +256,6 @@
 			allowed = append(allowed, known)
 		}
 	}
-	if len(allowed) == 0 {
-		return list
-	}
 	return allowed
 }
 
