--- a/internal/lab/port/port_test.go
+++ b/internal/lab/port/port_test.go
@@ -1,7 +1,9 @@
 package port
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -30,3 +32,28 @@
 		}
 	}
 }
+
+// A port that is in use by somebody who did not ask this package is not chosen.
+func TestFree_WhatOthersListenOnIsNotChosen(t *testing.T) {
+	for _, network := range []string{"tcp", "udp"} {
+		const low = 14910
+		here := chooser{first: low, last: low + 1}
+		listener, err := listen(network, "127.0.0.1:"+strconv.Itoa(low))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if address, err := here.free(); !errors.Is(err, ErrNone) {
+			t.Errorf("%s: got %s, error %v", network, address, err)
+		}
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func listen(network, address string) (io.Closer, error) {
+	if network == "udp" {
+		return net.ListenPacket(network, address)
+	}
+	return net.Listen(network, address)
+}
