Soak: a node that ends says so, one whose port is taken is started on others

Cause, as far as it can be shown: occupying any one of the three addresses of a node (front, readiness, the socket for other nodes) between their choice and its start gives this message word for word; its process has ended with "address already in use" and the soak called a dead node for 15 s. Ruled out: slowness.

Change: - each process is supervised. One that found a port in use is started on others (at most five times a life); any other end that nobody asked for, and a failure in an end that was asked for, is an EndedError with its exit state and the last 10 lines (4 KB) of its log. While nodes are waited for it is what Run returns, later a broken promise, node-ends-only-when-told, which nothing looked at before. - a node that runs and does not serve is an UnreadyError with the last status and lines. - the wait for nodes is not 15 s from the start of all any more: it ends when they serve or one has ended. The test's own deadline bounds it, 2 min in wheelhoist-lab soak. After 15 s the node and its last lines are spoken of, nothing is decided by it.

--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -10,6 +10,10 @@
 	"github.com/wheelhoist/wheelhoist/internal/lab/soak"
 )
 
+// soakReady is how long the nodes of a soak may take to serve: a thousand times what
+// they take on an idle machine (0.1 s), and an end for runs that nobody looks at.
+const soakReady = 2 * time.Minute
+
 func soakCommand(std streams) *ffcli.Command {
 	flags := newFlags("wheelhoist-lab soak", std)
 	seed := flags.Uint64("seed", 1, "seed of the plan of faults")
@@ -20,7 +24,7 @@
 		ShortHelp: "real gateway processes under faults from outside; exits 1 on a broken promise",
 		Exec: func(ctx context.Context, _ []string) error {
 			report, err := soak.Run(ctx, soak.Options{
-				Seed: *seed, For: *length, Nodes: min(max(*nodes, 3), 7),
+				Seed: *seed, For: *length, Nodes: min(max(*nodes, 3), 7), Ready: soakReady,
 				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
 			})
 			if err != nil {
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -55,7 +55,7 @@
 		ID: id, Prefix: prefix, Once: strings.HasPrefix(prefix, "once"), Tenant: tenant,
 		Node: chosen.id, Life: chosen.lives(), Sent: time.Now(),
 	}
-	client := &standin.Client{Address: chosen.address, Host: host, Key: keyOf(tenant)}
+	client := &standin.Client{Address: chosen.at(), Host: host, Key: keyOf(tenant)}
 	one.Answer = client.Stream(context.WithoutCancel(ctx), prefix, one.ID, onlineWait)
 	one.Ended = time.Now()
 	if chosen.lives() != one.Life {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -31,6 +31,7 @@
 	ComeBackIsSaid Promise = "refusal-says-when-to-come-back"
 	TenantNotKey   Promise = "back-end-learns-tenant-never-key"
 	WithinLimit    Promise = "within-limit-in-any-window"
+	NodeLives      Promise = "node-ends-only-when-told"
 )
 
 // Bounds of the promises, those of the users' pages.
@@ -48,7 +49,7 @@
 	return []Promise{
 		OnePosition, WholeText, JobFinishes, TrueDead, AtMostOnce, NotRunTrue, WholeAnswer, ConfigForward,
 		Drained, EndStops, WithinQuota, RefusedNotRun, ComeBackIsSaid,
-		TenantNotKey, WithinLimit,
+		TenantNotKey, WithinLimit, NodeLives,
 	}
 }
 
@@ -82,6 +83,7 @@
 	c.quota()
 	c.tenants()
 	c.limit()
+	c.lives()
 	return c.found
 }
 
@@ -298,3 +300,10 @@
 		}
 	}
 }
+
+// lives: a node ends only when it is told to, and then without a failure.
+func (c *check) lives() {
+	for _, one := range c.Ended {
+		c.broken(NodeLives, "%s", one.Error())
+	}
+}
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -68,6 +68,8 @@
 	Readings []Reading
 	Drains   []Drain
 	Runs     []ServerRun
+	// Ended are the ends of nodes that nobody had asked for.
+	Ended []EndedError
 	// Calm tells when nothing was disturbed any more.
 	Calm time.Time
 	// Events is the number of events of a whole answer.
--- /dev/null
+++ b/internal/lab/soak/process_test.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/settings"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// remaining is the time that a test has, less what the report of a failure and the
+// ends of the processes take; 0 if it has no end.
+func remaining(t *testing.T) time.Duration {
+	t.Helper()
+	const margin = 30 * time.Second
+	deadline, ok := t.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline)-margin, time.Second)
+}
+
+// newTrial returns a soak with a store, two servers and one node that is not started.
+func newTrial(t *testing.T) (*soak, *gateway) {
+	t.Helper()
+	s := &soak{store: standin.NewStore(), prefixes: []string{"resume"}, Options: Options{Nodes: 1, Ready: remaining(t), Progress: t.Logf}}
+	t.Cleanup(s.close)
+	storeAt, err := s.listen(s.store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 2 {
+		if err := s.addServer(fmt.Sprintf("server-%d", i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	node, err := newGateway("node-0", "z", storeAt, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.gateways = append(s.gateways, node)
+	return s, node
+}
+
+// occupy listens on an address of a node's settings.
+func occupy(t *testing.T, node *gateway, address func(*settings.Settings) string, network string) {
+	t.Helper()
+	config, err := settings.Load(node.settings, func(*settings.Settings) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listener io.Closer
+	if network == "udp" {
+		listener, err = net.ListenPacket(network, address(config))
+	} else {
+		listener, err = net.Listen(network, address(config))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+}
+
+// Each address of a node.
+var nodeAddresses = []struct {
+	name, network string
+	of            func(*settings.Settings) string
+}{
+	{"front", "tcp", func(c *settings.Settings) string { return c.Node.Listen }},
+	{"readiness", "tcp", func(c *settings.Settings) string { return c.Gateway.Readiness }},
+	{"peers", "udp", func(c *settings.Settings) string { return c.Gateway.Peers }},
+}
+
+// A finding (CI beside other work): "node node-2 does not serve". A port that somebody
+// took between its choice and the start of the node is chosen again.
+func TestGateway_PortTakenBeforeTheStart(t *testing.T) {
+	for _, one := range nodeAddresses {
+		t.Run(one.name, func(t *testing.T) {
+			s, node := newTrial(t)
+			s.configure()
+			occupy(t, node, one.of, one.network)
+			if err := node.start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.ready(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
+// The same while a node is away between two of its lives.
+func TestGateway_PortTakenBeforeTheNextLife(t *testing.T) {
+	s, node := newTrial(t)
+	s.configure()
+	if err := node.start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.ready(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	node.stop(syscall.SIGKILL)
+	occupy(t, node, nodeAddresses[0].of, nodeAddresses[0].network)
+	if err := node.start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.ready(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A finding (CI): "does not serve" after 15 s told nothing of a process that had ended.
+func TestReady_NodeThatEnds(t *testing.T) {
+	s, node := newTrial(t)
+	if err := os.WriteFile(node.settings, []byte("node: {id: x, unheardOf: 1}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := node.start(); err != nil {
+		t.Fatal(err)
+	}
+	var ended *EndedError
+	if err := s.ready(t.Context()); !errors.As(err, &ended) {
+		t.Fatalf("got %v", err)
+	}
+	if ended.Node != node.id || ended.State != "exit status 3" || !strings.Contains(ended.Error(), "unheardOf") {
+		t.Fatalf("got %v", ended)
+	}
+}
+
+// A node that runs and is refused what it needs is told apart from one that has ended.
+func TestReady_NodeThatDoesNotServe(t *testing.T) {
+	s, node := newTrial(t)
+	// There is no configuration, so there are no routes.
+	if err := node.start(); err != nil {
+		t.Fatal(err)
+	}
+	const started = "gateway started"
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for ctx.Err() == nil && !strings.Contains(node.lastLines(), started) {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	err := s.ready(ctx)
+	var unready *UnreadyError
+	if !errors.As(err, &unready) || !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+	if unready.Node != node.id || !strings.Contains(unready.Error(), started) {
+		t.Fatalf("got %v", unready)
+	}
+	if ends := node.ended(); len(ends) > 0 {
+		t.Fatalf("it ended: %v", ends)
+	}
+}
+
+func TestGateway_Ends(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(*gateway)
+		want string
+	}{
+		{"killed as told", func(g *gateway) { g.stop(syscall.SIGKILL) }, ""},
+		{"stopped as told", func(g *gateway) { g.stop(syscall.SIGTERM) }, ""},
+		{"killed by another", func(g *gateway) { g.signal(syscall.SIGKILL) }, "signal: killed"},
+		// The runtime of Go prints all stacks and exits with status 2.
+		{"crashed as it was told to stop", func(g *gateway) { g.stop(syscall.SIGQUIT) }, "exit status 2"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s, node := newTrial(t)
+			s.configure()
+			if err := node.start(); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.ready(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			node.mu.Lock()
+			exited := node.current.exited
+			node.mu.Unlock()
+			test.end(node)
+			<-exited
+			ends := node.ended()
+			if test.want == "" && len(ends) > 0 {
+				t.Fatalf("an end in order is noted: %v", ends)
+			}
+			if test.want != "" && (len(ends) != 1 || ends[0].State != test.want || ends[0].Life != 1) {
+				t.Fatalf("got %v, want %s", ends, test.want)
+			}
+		})
+	}
+}
+
+// A port that is in use again and again ends in an error that says so.
+func TestGateway_PortTakenEachTime(t *testing.T) {
+	s, node := newTrial(t)
+	s.configure()
+	occupy(t, node, nodeAddresses[0].of, nodeAddresses[0].network)
+	node.mu.Lock()
+	err := node.startLocked(portChoices)
+	node.mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ended *EndedError
+	if err := s.ready(t.Context()); !errors.As(err, &ended) {
+		t.Fatalf("got %v", err)
+	}
+	if !strings.Contains(ended.State, errChoices.Error()) || !strings.Contains(ended.Log, syscall.EADDRINUSE.Error()) {
+		t.Fatalf("got %v", ended)
+	}
+}
+
+func TestLastOf_IsBounded(t *testing.T) {
+	var text strings.Builder
+	for i := range 1000 {
+		_, _ = fmt.Fprintf(&text, "line %d\n", i)
+	}
+	got := strings.Split(lastOf([]byte(text.String())), "\n")
+	if len(got) != tailLines || got[tailLines-1] != "line 999" {
+		t.Errorf("got %q", got)
+	}
+	if long := lastOf([]byte(strings.Repeat("x", 10*tailBytes))); len(long) != tailBytes {
+		t.Errorf("got %d bytes of one long line", len(long))
+	}
+	if none := lastOf(nil); none != "" {
+		t.Errorf("got %q of nothing", none)
+	}
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -34,7 +34,15 @@
 	tokenQuota = 40000
 	// settleTime is how long the system has after the last fault.
 	settleTime = 25 * time.Second
-	readyTime  = 15 * time.Second
+	// headerTime is how long the stand-ins wait for the header of a request.
+	headerTime = 15 * time.Second
+	// readyCall is how long one call waits for a node that is to serve, readyPause
+	// the time between two calls, some ten times what an idle machine takes for one.
+	readyCall  = time.Second
+	readyPause = 50 * time.Millisecond
+	// readySlow is when a node that does not serve yet is spoken of; the first soaks
+	// gave up then. Nothing is decided by it.
+	readySlow = 15 * time.Second
 )
 
 // Options are the choices of a soak.
@@ -43,6 +51,8 @@
 	// For is the time with faults; the run takes some 20 s more.
 	For   time.Duration
 	Nodes int
+	// Ready is how long the nodes may take to serve; 0 means until the context ends.
+	Ready time.Duration
 	// Progress is told of each fault; nil drops it.
 	Progress func(format string, arguments ...any)
 }
@@ -85,7 +95,8 @@
 	gone atomic.Bool
 }
 
-// Run soaks the system and checks the promises.
+// Run soaks the system and checks the promises. A node that ends while it is
+// waited for is an EndedError, one that runs and does not serve an UnreadyError.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	directory, err := os.MkdirTemp("", "wheelhoist-soak-")
 	if err != nil {
@@ -110,6 +121,9 @@
 			s.Runs = append(s.Runs, ServerRun{Server: one.id, Run: run})
 		}
 	}
+	for _, one := range s.gateways {
+		s.Ended = append(s.Ended, one.ended()...)
+	}
 	report.Runs = len(s.Runs)
 	for _, results := range s.Final {
 		report.Items += len(results)
@@ -144,7 +158,7 @@
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	serving := &http.Server{Handler: handler, ReadHeaderTimeout: readyTime}
+	serving := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime}
 	go func() { _ = serving.Serve(listener) }()
 	s.closers = append(s.closers, func() { _ = serving.Close() })
 	return listener.Addr().String(), nil
@@ -207,19 +221,53 @@
 	return nil
 }
 
-// ready waits until all nodes serve.
+// ready waits until all nodes serve, one has ended or the time for it is over.
 func (s *soak) ready(ctx context.Context) error {
-	deadline := time.Now().Add(readyTime)
+	if s.Ready > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.Ready)
+		defer cancel()
+	}
 	for _, one := range s.gateways {
-		for number := 0; ; number++ {
-			client := standin.Client{Address: one.address, Host: host, Key: keyOf(tenantMain)}
-			if client.Stream(ctx, "resume", fmt.Sprintf("%s-ready-%d", one.id, number), time.Second).Status == http.StatusOK {
-				break
-			}
-			if time.Now().After(deadline) {
-				return Error.New("node %s does not serve", one.id)
+		if err := s.await(ctx, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// await waits until a node serves.
+func (s *soak) await(ctx context.Context, node *gateway) error {
+	began := time.Now()
+	said := false
+	for number := 0; ; number++ {
+		client := standin.Client{Address: node.at(), Host: host, Key: keyOf(tenantMain)}
+		status := client.Stream(ctx, "resume", fmt.Sprintf("%s-ready-%d", node.id, number), readyCall).Status
+		if status == http.StatusOK {
+			return nil
+		}
+		if err := s.firstEnd(); err != nil {
+			return err
+		}
+		waited := time.Since(began)
+		if ctx.Err() != nil {
+			return &UnreadyError{
+				Node: node.id, Waited: waited, Status: status, Log: node.lastLines(), Path: node.log, Cause: context.Cause(ctx),
 			}
-			time.Sleep(50 * time.Millisecond)
+		}
+		if waited > readySlow && !said {
+			said = true
+			s.say("node %s does not serve after %v, last status %d; its log ends in:\n%s", node.id, waited, status, node.lastLines())
+		}
+		retry.Sleep(ctx, readyPause)
+	}
+}
+
+// firstEnd returns the first end of a node that nobody had asked for, or nil.
+func (s *soak) firstEnd() error {
+	for _, one := range s.gateways {
+		if ends := one.ended(); len(ends) > 0 {
+			return &ends[0]
 		}
 	}
 	return nil
@@ -280,5 +328,5 @@
 
 // client returns a caller of one of the nodes.
 func (s *soak) client(number int) *standin.Client {
-	return &standin.Client{Address: s.gateways[number%len(s.gateways)].address, Host: host, Key: keyOf(tenantMain)}
+	return &standin.Client{Address: s.gateways[number%len(s.gateways)].at(), Host: host, Key: keyOf(tenantMain)}
 }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -25,7 +25,7 @@
 	if testing.Short() {
 		t.Skip("runs processes for some 20 s")
 	}
-	report, err := Run(t.Context(), Options{Seed: 1, For: 8 * time.Second, Nodes: 3, Progress: t.Logf})
+	report, err := Run(t.Context(), Options{Seed: 1, For: 8 * time.Second, Nodes: 3, Ready: remaining(t), Progress: t.Logf})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,6 +126,9 @@
 		RefusedNotRun:  func(h *History) { h.Runs[5].ID, h.Runs[5].Server = "r-0", "s0" },
 		ComeBackIsSaid: func(h *History) { h.Requests[1].Answer.ComeBack = false },
 		TenantNotKey:   func(h *History) { h.Runs[0].Header.Set("Authorization", "Bearer x") },
+		NodeLives: func(h *History) {
+			h.Ended = append(h.Ended, EndedError{Node: "n", Life: 1, State: "exit status 2", Log: "panic"})
+		},
 		WithinLimit: func(h *History) {
 			for number := range 50 {
 				id := fmt.Sprintf("beyond-%d", number)
