--- /dev/null
+++ b/internal/lab/tail/tail_test.go
@@ -0,0 +1,36 @@
+package tail
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestOf_IsBounded(t *testing.T) {
+	var text strings.Builder
+	for i := range 1000 {
+		_, _ = fmt.Fprintf(&text, "line %d\n", i)
+	}
+	got := strings.Split(Of([]byte(text.String())), "\n")
+	if len(got) != Lines || got[Lines-1] != "line 999" {
+		t.Errorf("got %q", got)
+	}
+	if long := Of([]byte(strings.Repeat("x", 10*Bytes))); len(long) != Bytes {
+		t.Errorf("got %d bytes of one long line", len(long))
+	}
+	if none := Of(nil); none != "" {
+		t.Errorf("got %q of nothing", none)
+	}
+}
+
+func TestWriter_KeepsTheEnd(t *testing.T) {
+	var w Writer
+	for i := range 10000 {
+		if n, err := fmt.Fprintf(&w, "line %d\n", i); err != nil || n == 0 {
+			t.Fatal(n, err)
+		}
+	}
+	if got := w.String(); !strings.HasSuffix(got, "line 9998\nline 9999") || len(w.kept) > 2*Bytes {
+		t.Errorf("got %q of %d bytes kept", got, len(w.kept))
+	}
+}
