Tests of ports choose their places by chance, outside the range of the others

They take places of chance below the range that package port chooses from, or a port of the kernel that they keep. What is checked is the same.

--- a/internal/lab/port/guard_linux_test.go
+++ b/internal/lab/port/guard_linux_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"testing"
@@ -60,7 +61,10 @@
 // in processes of their own at once, and a port that one had chosen for a node that was
 // still to be started was free for the choice of another.
 func TestFree_NoOtherProcessGetsThePortWhileItsOwnerLives(t *testing.T) {
-	const low, high = 14900, 14908
+	// Below the range that Free chooses from, so that no other package is disturbed, and
+	// at a place of chance, for the same test may run elsewhere on the machine.
+	low := first - 8*(1+rand.IntN(500))
+	high := low + 8
 	count, end := takeElsewhere(t, low, high)
 	if count == 0 {
 		t.Fatal("the other process found no port")
--- a/internal/lab/port/port_test.go
+++ b/internal/lab/port/port_test.go
@@ -36,12 +36,11 @@
 // A port that is in use by somebody who did not ask this package is not chosen.
 func TestFree_WhatOthersListenOnIsNotChosen(t *testing.T) {
 	for _, network := range []string{"tcp", "udp"} {
-		const low = 14910
-		here := chooser{first: low, last: low + 1}
-		listener, err := listen(network, "127.0.0.1:"+strconv.Itoa(low))
+		listener, taken, err := listen(network)
 		if err != nil {
 			t.Fatal(err)
 		}
+		here := chooser{first: taken, last: taken + 1}
 		if address, err := here.free(); !errors.Is(err, ErrNone) {
 			t.Errorf("%s: got %s, error %v", network, address, err)
 		}
@@ -51,9 +50,18 @@
 	}
 }
 
-func listen(network, address string) (io.Closer, error) {
+// listen takes any port.
+func listen(network string) (listener io.Closer, port int, err error) {
 	if network == "udp" {
-		return net.ListenPacket(network, address)
+		packets, err := net.ListenPacket(network, address(0))
+		if err != nil {
+			return nil, 0, err
+		}
+		return packets, packets.LocalAddr().(*net.UDPAddr).Port, nil
+	}
+	streams, err := net.Listen(network, address(0))
+	if err != nil {
+		return nil, 0, err
 	}
-	return net.Listen(network, address)
+	return streams, streams.Addr().(*net.TCPAddr).Port, nil
 }
--- a/internal/lab/site/process_test.go
+++ b/internal/lab/site/process_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/wheelhoist/wheelhoist/internal/command"
-	"github.com/wheelhoist/wheelhoist/internal/lab/port"
 	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
 )
 
@@ -24,12 +25,7 @@
 // As in the soak: a node whose process has ended is not waited for, and what it said last
 // is told. A site that does not start leaves no process behind.
 func TestStart_ProcessThatEnds(t *testing.T) {
-	first, second := neighbours(t)
-	occupied, err := net.Listen("tcp", second)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = occupied.Close() })
+	first := neighbours(t)
 	running, err := Start(t.Context(), Config{Profile: profile.Urnik, Nodes: 2, Listen: first, Seed: 1, Processes: true})
 	if err == nil {
 		running.Close()
@@ -48,20 +44,25 @@
 	_ = again.Close()
 }
 
-// neighbours returns two free addresses, the second one port above the first.
-func neighbours(t *testing.T) (first, second string) {
+// neighbours returns a free address and listens on the one a port above it. Both are
+// below the range that package port chooses from, so that no other package is disturbed.
+func neighbours(t *testing.T) (first string) {
 	t.Helper()
+	const low, high = 10000, 14000
 	for {
-		address, err := port.Free()
+		first = net.JoinHostPort("127.0.0.1", strconv.Itoa(low+rand.IntN(high-low)))
+		second, err := nodeAddress(first, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if second, err = nodeAddress(address, 1); err != nil {
-			t.Fatal(err)
+		free, err := net.Listen("tcp", first)
+		if err != nil {
+			continue
 		}
-		if listener, err := net.Listen("tcp", second); err == nil {
-			_ = listener.Close()
-			return address, second
+		_ = free.Close()
+		if occupied, err := net.Listen("tcp", second); err == nil {
+			t.Cleanup(func() { _ = occupied.Close() })
+			return first
 		}
 	}
 }
