--- a/internal/lab/port/port_test.go
+++ b/internal/lab/port/port_test.go
@@ -1,7 +1,9 @@
 package port
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -30,3 +32,36 @@
 		}
 	}
 }
+
+// A port that is in use by somebody who did not ask this package is not chosen.
+func TestFree_WhatOthersListenOnIsNotChosen(t *testing.T) {
+	for _, network := range []string{"tcp", "udp"} {
+		listener, taken, err := listen(network)
+		if err != nil {
+			t.Fatal(err)
+		}
+		here := chooser{first: taken, last: taken + 1}
+		if address, err := here.free(); !errors.Is(err, ErrNone) {
+			t.Errorf("%s: got %s, error %v", network, address, err)
+		}
+		if err := listener.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// listen takes any port.
+func listen(network string) (listener io.Closer, port int, err error) {
+	if network == "udp" {
+		packets, err := net.ListenPacket(network, address(0))
+		if err != nil {
+			return nil, 0, err
+		}
+		return packets, packets.LocalAddr().(*net.UDPAddr).Port, nil
+	}
+	streams, err := net.Listen(network, address(0))
+	if err != nil {
+		return nil, 0, err
+	}
+	return streams, streams.Addr().(*net.TCPAddr).Port, nil
+}
--- /dev/null
+++ b/internal/lab/site/process_test.go
@@ -0,0 +1,68 @@
+package site
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/wheelhoist/wheelhoist/internal/command"
+	"github.com/wheelhoist/wheelhoist/internal/lab/profile"
+)
+
+// TestMain lets a site run nodes as processes of this program.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "node" {
+		os.Exit(command.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// As in the soak: a node whose process has ended is not waited for, and what it said last
+// is told. A site that does not start leaves no process behind.
+func TestStart_ProcessThatEnds(t *testing.T) {
+	first := neighbours(t)
+	running, err := Start(t.Context(), Config{Profile: profile.Urnik, Nodes: 2, Listen: first, Seed: 1, Processes: true})
+	if err == nil {
+		running.Close()
+	}
+	var ended *EndedError
+	if !errors.As(err, &ended) {
+		t.Fatalf("got %v", err)
+	}
+	if ended.Node != "node-1" || ended.State != "exit status 1" || !strings.Contains(ended.Error(), syscall.EADDRINUSE.Error()) {
+		t.Fatalf("got %v", ended)
+	}
+	again, err := net.Listen("tcp", first)
+	if err != nil {
+		t.Fatalf("the first node still runs: %v", err)
+	}
+	_ = again.Close()
+}
+
+// neighbours returns a free address and listens on the one a port above it. Both are
+// below the range that package port chooses from, so that no other package is disturbed.
+func neighbours(t *testing.T) (first string) {
+	t.Helper()
+	const low, high = 10000, 14000
+	for {
+		first = net.JoinHostPort("127.0.0.1", strconv.Itoa(low+rand.IntN(high-low)))
+		second, err := nodeAddress(first, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		free, err := net.Listen("tcp", first)
+		if err != nil {
+			continue
+		}
+		_ = free.Close()
+		if occupied, err := net.Listen("tcp", second); err == nil {
+			t.Cleanup(func() { _ = occupied.Close() })
+			return first
+		}
+	}
+}
