Nodes look at the jobs by need; those who make news tell whom it concerns

A watcher rests a second now unless news is announced: by the node that accepts or ends a job, in a datagram to those who run its items; by a caller that waits for a result; by a submission that would be refused for its size; by the watcher of a session that it ended. A lost word makes news as late as the next look. Without an address for other nodes all is as it was.

Calls to the store are observed by call and table: names of objects were part of the label, so metrics grew by a series for each long text.

--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -65,7 +65,7 @@
 	if err := s.View.await(ctx); err != nil {
 		return Error.Wrap(errors.Join(ErrNotAccepted, err))
 	}
-	if err := s.fits(submission); err != nil {
+	if err := s.fits(ctx, submission); err != nil {
 		return err
 	}
 	content := encode(submission.Items)
@@ -91,18 +91,35 @@
 	return nil
 }
 
-// fits reports ErrQuota if the job does not fit by what is known now.
-func (s *Service) fits(submission *Submission) error {
+// fits reports ErrQuota if the job does not fit by what is known now. Before it does, it
+// asks for the newest news, for items may have been listed a moment ago.
+func (s *Service) fits(ctx context.Context, submission *Submission) error {
 	if submission.Quota <= 0 {
 		return nil
 	}
 	used := s.View.used(submission.account())
+	if used+submission.tokens() > submission.Quota && s.Awaited != nil {
+		s.awaitLook(ctx)
+		used = s.View.used(submission.account())
+	}
 	if used+submission.tokens() <= submission.Quota {
 		return nil
 	}
 	return s.overQuota(submission, used)
 }
 
+// awaitLook asks for a look at the jobs and waits for it, for lookPatience at most.
+func (s *Service) awaitLook(ctx context.Context) {
+	changed := s.View.Changed()
+	s.Awaited()
+	ctx, cancel := context.WithTimeout(ctx, lookPatience)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	}
+}
+
 // overQuota tells that a job does not fit beside what is used, and returns ErrQuota.
 func (s *Service) overQuota(submission *Submission, used int64) error {
 	err := Error.Wrap(ErrQuota)
@@ -136,6 +153,7 @@
 	delay := retryFirst
 	for {
 		if entry := s.View.Get(submission.ID); entry != nil {
+			s.tell(entry.runners(), submission.ID)
 			return s.again(submission, entry, began, try.pending)
 		}
 		err := s.tryAdmit(ctx, try)
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -50,6 +50,9 @@
 func (s *Service) awaitResult(ctx context.Context, entry *Entry, position int, patience time.Duration) *Entry {
 	deadline := time.NewTimer(patience)
 	defer deadline.Stop()
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	asked := false
 	for {
 		changed := s.View.Changed()
 		if known := s.View.Get(entry.Job.ID); known != nil {
@@ -58,6 +61,10 @@
 		if len(entry.Progress.Listed) > position || !entry.open() || patience <= 0 {
 			return entry
 		}
+		if !asked && s.Awaited != nil {
+			s.Awaited()
+		}
+		asked = true
 		select {
 		case <-ctx.Done():
 			return entry
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
@@ -28,6 +29,10 @@
 	conflictPauseMax = 60 * time.Millisecond
 	// objectTimeout bounds one call that moves an object.
 	objectTimeout = 4 * time.Second
+	// lookPatience bounds the wait for a look at the jobs before one is refused for its
+	// size: the rest between two looks that are asked for is 120 ms in a fleet of up to
+	// 80 nodes, and a caller is to have its answer within some 600 ms.
+	lookPatience = 150 * time.Millisecond
 )
 
 // Events is told of what happens to jobs, for logs and metrics.
@@ -56,6 +61,14 @@
 	Session func(ctx context.Context) (string, error)
 	// Nodes, if set, returns the nodes that items are spread over.
 	Nodes func() []string
+	// Tell, if set, tells nodes that there is news of a job for them. The word may be
+	// lost: the feed brings the news all the same.
+	Tell func(nodes []string, job string)
+	// Awaited, if set, is told that a caller waits for news of a job.
+	Awaited func()
+
+	// waiting counts the callers that wait for news.
+	waiting atomic.Int64
 
 	cache textCache
 	pace  pace
@@ -158,9 +171,22 @@
 		return nil, true
 	})
 	s.Events.Ended(id, err)
+	if entry := s.View.Get(id); err == nil && entry != nil {
+		s.tell(entry.runners(), id)
+	}
 	return err
 }
 
+// tell tells nodes that there is news of a job for them.
+func (s *Service) tell(nodes []string, job string) {
+	if s.Tell != nil && len(nodes) > 0 {
+		s.Tell(nodes, job)
+	}
+}
+
+// Waiting returns the number of callers that wait for news of a job.
+func (s *Service) Waiting() int { return int(s.waiting.Load()) }
+
 // find returns a job from the view or else from the store, so that a job that
 // was accepted a moment ago elsewhere is known here too. Before all jobs have been
 // read once no news of a job comes by the feed, so it is read from the store each time.
--- a/internal/jobs/spread.go
+++ b/internal/jobs/spread.go
@@ -73,6 +73,18 @@
 	return e.Job.Nodes[e.Job.Items[item].Node]
 }
 
+// runners returns the nodes that have unlisted items to run, each once.
+func (e *Entry) runners() []string {
+	var nodes []string
+	listed := e.Progress.listed(len(e.Job.Items))
+	for i := range e.Job.Items {
+		if node := e.runner(i); !listed[i] && node != "" && !slices.Contains(nodes, node) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
 // own returns the unlisted items that a session is to run.
 func (e *Entry) own(session string) []int {
 	if len(e.Job.Nodes) == 0 && e.Progress.Owner != session {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -21,11 +21,16 @@
 )
 
 const (
-	// jobSpacing is the least time between two looks at the jobs' changes; it
-	// bounds the calls while many results are listed. It grows with the number
-	// of sessions, so that all nodes together stay below 700 calls a second.
+	// jobSpacing is the least time between two looks at the jobs' changes while somebody
+	// waits for some; it bounds the calls while many results are listed. It grows with
+	// the number of sessions, so that all nodes together stay below 700 calls a second.
 	jobSpacing           = 120 * time.Millisecond
 	jobSpacingPerSession = 1500 * time.Microsecond
+	// jobSpacingUsual is the time between two looks while nobody waits here and other
+	// nodes tell of what concerns this one: an item that is to be stopped, and a node
+	// that has joined, is noticed as late where that word is lost. The users' deployments
+	// ask for items to be stopped within 3 s.
+	jobSpacingUsual = time.Second
 	// sampleBurst and sampleEvery bound the lines about what goes well.
 	sampleBurst = 20
 	sampleEvery = 20
@@ -99,11 +104,11 @@
 		log.Error().Str("partition", key.Partition).Str("key", key.Sort).Err(err).Msg("row cannot be decoded")
 	}
 	c.jobWatch = c.watch("job table", outside.jobFeed, view.Apply)
-	c.jobWatch.Spacing = c.jobSpacing
+	c.jobWatch.Pace = c.jobPace
 	c.jobs = &jobs.Service{
 		Table: outside.table, Objects: outside.objects, View: view,
 		Events: &jobLog{log: log, sampled: c.sampled, metrics: metrics}, Session: c.ownSession,
-		Nodes: c.owners.Nodes,
+		Nodes: c.owners.Nodes, Awaited: c.jobWatch.Announce,
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
@@ -113,9 +118,13 @@
 	return c
 }
 
-// jobSpacing returns the least time between two looks at the jobs' changes.
-func (c *core) jobSpacing() time.Duration {
-	return max(jobSpacing, time.Duration(len(c.owners.Live()))*jobSpacingPerSession)
+// jobPace returns the least time between two looks at the jobs' changes.
+func (c *core) jobPace() table.Pace {
+	spacing := max(jobSpacing, time.Duration(len(c.owners.Live()))*jobSpacingPerSession)
+	if c.jobs.Tell == nil || c.jobs.Waiting() > 0 {
+		return table.Pace{Announced: spacing, Usual: spacing}
+	}
+	return table.Pace{Announced: spacing, Usual: max(jobSpacingUsual, spacing)}
 }
 
 // ownSession returns this node's session, which exists in the store.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
+	"golang.org/x/time/rate"
 
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
@@ -52,6 +53,8 @@
 	peers  *peer.Socket
 	roster *lease.Roster
 	quota  *quota.Exchange
+	// toldAll bounds how often all nodes are told of news.
+	toldAll *rate.Limiter
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
@@ -65,7 +68,7 @@
 
 // StartGateway builds a gateway and makes it serve as soon as it knows routes.
 func StartGateway(ctx context.Context, config *settings.Settings, log zerolog.Logger) (*Gateway, error) {
-	g := &Gateway{settings: config}
+	g := &Gateway{settings: config, toldAll: rate.NewLimiter(rate.Every(tellAllEvery), 1)}
 	if config.Gateway.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
 	}
@@ -138,6 +141,7 @@
 		g.log.Warn().Str("session", session).Err(err).Msg("expired session not ended yet")
 	default:
 		g.log.Info().Str("session", session).Msg("expired session ended")
+		g.tellAllNews()
 	}
 }
 
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -128,6 +128,8 @@
 	socket.Handle(quota.KindReport, g.quota.TakeReports)
 	socket.Handle(quota.KindGrant, g.quota.TakeGrants)
 	socket.Handle(kindDemand, g.takeDemand)
+	socket.Handle(kindNews, g.takeNews)
+	g.jobs.Tell = g.tellNews
 	g.quota.Sender = socket
 	g.metrics.registerPeers(socket)
 	return nil
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/platform"
 )
 
 // coreMetrics are the metrics of a core, named by the Prometheus conventions.
@@ -62,8 +63,8 @@
 			Name: "wheelhoist_gateway_replica_connections_total", Help: "New connections to replicas.",
 		}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call and outcome.",
-		}, []string{"call", "outcome"}),
+			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call, table and outcome.",
+		}, []string{"call", "table", "outcome"}),
 		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "wheelhoist_store_call_seconds", Help: "Time of calls to the platform's store.", Buckets: seconds,
 		}, []string{"call"}),
@@ -140,13 +141,13 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *coreMetrics) storeCall(call string, took time.Duration, err error) {
+func (m *coreMetrics) storeCall(call platform.Call, took time.Duration, err error) {
 	label := "done"
 	if err != nil {
 		label = "failed_" + outcome.Of(err).String()
 	}
-	m.storeCalls.WithLabelValues(call, label).Inc()
-	m.storeTime.WithLabelValues(call).Observe(took.Seconds())
+	m.storeCalls.WithLabelValues(call.Path, call.Table, label).Inc()
+	m.storeTime.WithLabelValues(call.Path).Observe(took.Seconds())
 }
 
 func (m *coreMetrics) forwarded(target *route.Route, result forward.Result, err error) {
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -37,9 +37,8 @@
 	Feed Feed
 	// Apply takes changes. whole marks the answer of a whole read.
 	Apply func(changes Changes, whole bool)
-	// Spacing, if set, is the least time between two calls, which bounds their
-	// number while much changes.
-	Spacing func() time.Duration
+	// Pace, if set, bounds the number of calls while much changes.
+	Pace func() Pace
 	// Lost and Regained are told when the service stops and starts to answer.
 	Lost     func(error)
 	Regained func(outage time.Duration)
@@ -49,6 +48,14 @@
 	fresh    atomic.Int64
 	failedAt time.Time
 	refresh  chan struct{}
+	// announced holds an announcement of news until the next rest between calls.
+	announced chan struct{}
+}
+
+// Pace is the least time between the beginnings of two calls of a watcher.
+type Pace struct {
+	// Announced holds while somebody has announced news, Usual otherwise.
+	Announced, Usual time.Duration
 }
 
 // clockOrigin makes steady times comparable as integers.
@@ -56,7 +63,7 @@
 
 // NewWatcher returns a watcher that has seen nothing.
 func NewWatcher(feed Feed, apply func(Changes, bool)) *Watcher {
-	return &Watcher{Feed: feed, Apply: apply, known: map[Key]uint64{}, refresh: make(chan struct{}, 1)}
+	return &Watcher{Feed: feed, Apply: apply, known: map[Key]uint64{}, refresh: make(chan struct{}, 1), announced: make(chan struct{}, 1)}
 }
 
 // Age returns the time since the service last answered.
@@ -79,6 +86,15 @@
 	}
 }
 
+// Announce says that there is news, or that somebody waits for some: the rest between
+// two calls ends early.
+func (w *Watcher) Announce() {
+	select {
+	case w.announced <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the feed until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	whole := true
@@ -90,7 +106,7 @@
 		case err == nil:
 			whole = false
 			delay = watchRetryFirst
-			retry.Sleep(ctx, w.spacing()-time.Since(began))
+			w.rest(ctx, began)
 		case errors.Is(err, ErrCompacted):
 			whole = true
 		case ctx.Err() == nil:
@@ -106,11 +122,20 @@
 	}
 }
 
-func (w *Watcher) spacing() time.Duration {
-	if w.Spacing == nil {
-		return 0
+// rest waits until the next call after one that began at a time.
+func (w *Watcher) rest(ctx context.Context, began time.Time) {
+	if w.Pace == nil {
+		return
+	}
+	pace := w.Pace()
+	usual := time.NewTimer(pace.Usual - time.Since(began))
+	defer usual.Stop()
+	select {
+	case <-ctx.Done():
+	case <-usual.C:
+	case <-w.announced:
+		retry.Sleep(ctx, pace.Announced-time.Since(began))
 	}
-	return w.Spacing()
 }
 
 func (w *Watcher) step(ctx context.Context, whole bool) error {
