Replicas that fail for several nodes are left out by all

Two faults: a failure that is passed on as the last word (a request that cannot be sent again) counted as a success of the replica, so such requests never ejected one; and 87 nodes before 60 replicas each learned alone, a pair meeting each 20 s.

A replica's own 5xx speaks against it now whether it is passed on or not; so does a silence of 2 s in which a request ends. Nodes tell eight random others each 200 ms, in datagrams that may be lost, of replicas that failed for them in the last 3 s. A replica that failed for two nodes (of this node's zone, or of two zones), with two failures and half of their answers, is left out for 2 s, doubling to 8; then two nodes try it for 1.5 s before the others follow; one failure then brings the next exclusion. A node that blames more than a third of the replicas it used tells nothing, half of a pool always stays, and requests that cannot be sent again avoid replicas that anybody doubts.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -233,3 +233,29 @@
 		t.Fatalf("error is %v", err)
 	}
 }
+
+// TestDo_FailureThatIsPassedOnSpeaksAgainstTheReplica has a replica answer 500 to
+// requests that cannot be sent again: the answers are theirs, and the replica is left.
+func TestDo_FailureThatIsPassedOnSpeaksAgainstTheReplica(t *testing.T) {
+	backend := &scriptedBackend{answer: func(_ context.Context, attempt *Attempt, _ int) (*Answer, error) {
+		if attempt.Replica.ID == "r0" {
+			return wholeOf(http.StatusInternalServerError, "no"), nil
+		}
+		return streamOf(events(1, 3)), nil
+	}}
+	forwarder := newForwarder(backend, 2)
+	failed := 0
+	for i := range uint64(30) {
+		sink := &recordedSink{}
+		request := &Request{ID: "q", Received: time.Now(), Prompt: route.Prompt{Parts: []route.Part{{Key: i + 1}, {Key: 99}}}}
+		if _, err := forwarder.Do(t.Context(), routeOf(route.Once, false, 1), request, sink); err != nil {
+			t.Fatal(err)
+		}
+		if sink.status == http.StatusInternalServerError {
+			failed++
+		}
+	}
+	if failed == 0 || failed > 3 {
+		t.Errorf("%d of 30 requests met the replica that fails all, want it left after two in a row", failed)
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -66,6 +66,8 @@
 	// it was sent; zero once it has begun.
 	predicted time.Duration
 	sent      time.Time
+	// status is that of the answer of the last attempt; 0 if there was none.
+	status int
 }
 
 // Do carries out a request. A nil error means that a replica's whole answer
@@ -77,7 +79,7 @@
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
 		Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
-		Adapter: target.Adapter, Exclude: map[string]bool{},
+		Adapter: target.Adapter, Exclude: map[string]bool{}, Single: !one.mayRepeat() || target.MaxAttempts < 2,
 	}
 	if !one.deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -230,7 +232,7 @@
 	now := time.Now()
 	c.result.Attempts++
 	c.result.Replica = chosen.ID
-	c.predicted, c.sent = chosen.Expected(c.demand.Ask), now
+	c.predicted, c.sent, c.status = chosen.Expected(c.demand.Ask), now, 0
 	if c.forwarder.Notice != nil {
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
@@ -240,7 +242,7 @@
 	if c.result.Events > 0 {
 		c.demand.Version = chosen.Version
 	}
-	use.End(resultOf(ctx, err), time.Now())
+	use.End(c.evidence(ctx, use, err), time.Now())
 	if err == nil {
 		return nil
 	}
@@ -269,6 +271,27 @@
 	}
 }
 
+// silenceFails is the silence of a replica, to all requests of this node, from which on
+// it counts as a failure when a request ends in it: as long as items wait.
+const silenceFails = 2 * time.Second
+
+// evidence tells what the end of an attempt says of the replica. An answer that was
+// passed on because it was the last word may be a failure all the same.
+func (c *call) evidence(ctx context.Context, use *replica.Use, err error) replica.Result {
+	result := resultOf(ctx, err)
+	switch {
+	case result == replica.Abandoned && !c.sent.IsZero() && use.Silence(time.Now()) >= silenceFails:
+		return replica.Failed
+	case err == nil && c.status == http.StatusGatewayTimeout:
+		// It stopped at the deadline that it was given.
+		return replica.Abandoned
+	case err == nil && c.status >= http.StatusInternalServerError:
+		return replica.Failed
+	default:
+		return result
+	}
+}
+
 // exchange sends one attempt and passes its answer on.
 func (c *call) exchange(ctx context.Context, chosen replica.Info, use *replica.Use) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -281,6 +304,7 @@
 	if err != nil {
 		return c.silent(ctx, err)
 	}
+	c.status = answer.Status
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Load != nil {
 		use.Load(*answer.Load, time.Now())
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -93,6 +93,8 @@
 		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
 	})
 	c.replicas.Ejected = c.logEjected
+	c.replicas.Zone = outside.zone
+	c.replicas.Condemned = c.logCondemned
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
 		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -8,7 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -38,7 +37,7 @@
 
 // runDemand tells other nodes what online requests need here, and has items leave slots
 // that those of other nodes need, until the context ends.
-func (g *Gateway) runDemand(ctx context.Context, roster *lease.Roster) {
+func (g *Gateway) runDemand(ctx context.Context) {
 	for retry.Sleep(ctx, demandEvery) {
 		now := time.Now()
 		var told []demandTold
@@ -50,28 +49,30 @@
 				g.runner.YieldPool(need.Pool, need.Excess, replica.Pressure{Fleet: need.Fleet})
 			}
 		}
-		g.tellDemand(roster, told)
+		if len(told) > 0 {
+			g.tellSome(demandFanout, kindDemand, told)
+		}
 	}
 }
 
-// tellDemand sends a few random other nodes what is needed here.
-func (g *Gateway) tellDemand(roster *lease.Roster, told []demandTold) {
-	nodes := roster.Nodes()
-	if len(told) == 0 || len(nodes) < 2 {
+// tellSome sends a message to so many random other nodes.
+func (g *Gateway) tellSome(count int, kind peer.Kind, body any) {
+	nodes := g.roster.Nodes()
+	if len(nodes) < 2 {
 		return
 	}
-	for range min(demandFanout, len(nodes)-1) {
+	for range min(count, len(nodes)-1) {
 		node := nodes[rand.IntN(len(nodes))]
 		if node == g.settings.Node.ID {
 			continue
 		}
-		to, err := net.ResolveUDPAddr("udp4", roster.Address(node))
+		to, err := net.ResolveUDPAddr("udp4", g.roster.Address(node))
 		if err != nil {
 			// The node has not told its address.
 			continue
 		}
-		if err := g.peers.Send(to, kindDemand, told); err != nil {
-			g.sampled.Warn().Err(err).Msg("demand not told")
+		if err := g.peers.Send(to, kind, body); err != nil {
+			g.sampled.Warn().Uint8("kind", uint8(kind)).Err(err).Msg("message to a node not sent")
 		}
 	}
 }
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -129,6 +129,7 @@
 	socket.Handle(quota.KindGrant, g.quota.TakeGrants)
 	socket.Handle(kindDemand, g.takeDemand)
 	socket.Handle(kindNews, g.takeNews)
+	socket.Handle(kindEvidence, g.takeEvidence)
 	g.jobs.Tell = g.tellNews
 	g.quota.Sender = socket
 	g.metrics.registerPeers(socket)
@@ -140,7 +141,8 @@
 	if g.peers == nil {
 		return
 	}
-	g.spawn(func() { g.runDemand(ctx, g.roster) })
+	g.spawn(func() { g.runDemand(ctx) })
+	g.spawn(func() { g.runEvidence(ctx) })
 	g.spawn(func() {
 		if err := g.peers.Run(); err != nil && !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Msg("socket for other nodes failed")
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,6 +34,8 @@
 	gaveWay     *prometheus.CounterVec
 	// reservations counts the slots asked for at replicas, by the answer.
 	reservations *prometheus.CounterVec
+	// condemned counts replicas left out on the evidence of several nodes.
+	condemned prometheus.Counter
 	// predictionError is how far the first event was from its prediction.
 	predictionError prometheus.Histogram
 	// completed counts the completed items, for measurements.
@@ -84,11 +86,14 @@
 	m.reservations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_reservations_total", Help: "Slots asked for at replicas by requests that found none of their node free, by the answer.",
 	}, []string{"outcome"})
+	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_replicas_condemned_total", Help: "Replicas left out for a while on the evidence of several nodes.",
+	})
 	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "wheelhoist_gateway_prediction_error_seconds", Help: "First event of an attempt, actual less predicted time.",
 		Buckets: []float64{-.5, -.2, -.1, -.05, -.02, 0, .02, .05, .1, .2, .5, 1},
 	})
-	m.registry.MustRegister(m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.condemned, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
--- /dev/null
+++ b/internal/replica/evidence_test.go
@@ -0,0 +1,219 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// evidenceSet returns a set of node "n0" in zone "a" with so many replicas, and nodes n0
+// to n9 that know each other.
+func evidenceSet(replicas int) *Set {
+	set := newSet(replicas)
+	set.Zone = "a"
+	var nodes []string
+	for i := range 10 {
+		nodes = append(nodes, fmt.Sprintf("n%d", i))
+	}
+	set.Divide("n0", nodes)
+	return set
+}
+
+// blameOf is what a node tells of a replica that has just failed for it.
+func blameOf(id string, failures, successes float64) []Blame {
+	return []Blame{{Replica: Key(id), Failures: failures, Successes: successes}}
+}
+
+// out reports whether a replica is left out.
+func out(set *Set, id string, now time.Time) bool {
+	for _, one := range set.List(now) {
+		if one.ID == id {
+			return one.Ejected
+		}
+	}
+	return false
+}
+
+func TestEvidence_SeveralNodesCondemnAReplicaAndOneDoesNot(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(4)
+	var verdicts []Verdict
+	set.Condemned = func(verdict Verdict) { verdicts = append(verdicts, verdict) }
+	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 5, 0), now)
+	if out(set, "r00", now) {
+		t.Fatal("one node's word leaves a replica out")
+	}
+	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 6, 0), now)
+	if out(set, "r00", now) {
+		t.Fatal("a node that tells twice counts twice")
+	}
+	set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf("r00", 1, 0), now)
+	if !out(set, "r00", now) || out(set, "r01", now) {
+		t.Fatal("two nodes' word does not leave just that replica out")
+	}
+	if len(verdicts) != 1 || verdicts[0].Nodes != 2 || verdicts[0].Replica.ID != "r00" {
+		t.Errorf("verdicts %+v", verdicts)
+	}
+}
+
+// TestEvidence_OwnFailureCountsBesideAnotherNodes has a replica fail here after another
+// node has told of it: no second word is needed.
+func TestEvidence_OwnFailureCountsBesideAnotherNodes(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(4)
+	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 2, 0), now)
+	set.Begin("r00", Ask{}, now).End(Failed, now)
+	if !out(set, "r00", now) {
+		t.Error("a replica that failed for this node and for another is used")
+	}
+}
+
+func TestEvidence_WholeAnswersSpeakForAReplica(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(4)
+	for i := 1; i < 6; i++ {
+		set.TakeBlames(Witness{Node: fmt.Sprintf("n%d", i), Zone: "a"}, blameOf("r00", 1, 9), now)
+	}
+	if out(set, "r00", now) {
+		t.Error("a replica that spoils one answer of ten is left out by all")
+	}
+}
+
+// TestEvidence_FailingForOneZoneIsLeftOutThere has a replica fail for the callers of one
+// zone only.
+func TestEvidence_FailingForOneZoneIsLeftOutThere(t *testing.T) {
+	now := time.Now()
+	for _, one := range []struct {
+		zone string
+		want bool
+	}{{"a", true}, {"b", false}} {
+		set := evidenceSet(4)
+		set.Zone = one.zone
+		for i := 1; i < 4; i++ {
+			set.TakeBlames(Witness{Node: fmt.Sprintf("n%d", i), Zone: "a"}, blameOf("r00", 3, 0), now)
+		}
+		if got := out(set, "r00", now); got != one.want {
+			t.Errorf("zone %s: left out %v, want %v", one.zone, got, one.want)
+		}
+	}
+}
+
+func TestEvidence_ANodeThatBlamesManyTellsNothing(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(9)
+	fail := func(id string) { set.Begin(id, Ask{}, now).End(Failed, now) }
+	succeed := func(id string) { set.Begin(id, Ask{}, now).End(Succeeded, now) }
+	for i := range 9 {
+		succeed(fmt.Sprintf("r%02d", i))
+	}
+	for i := range 3 {
+		fail(fmt.Sprintf("r%02d", i))
+	}
+	if blames := set.Blames(now); len(blames) != 3 {
+		t.Fatalf("%d replicas of 9 blamed, want 3 told", len(blames))
+	}
+	fail("r03")
+	if blames := set.Blames(now); blames != nil {
+		t.Errorf("a node that blames 4 of 9 replicas tells of %d", len(blames))
+	}
+	if blames := set.Blames(now.Add(evidenceMemory + time.Second)); blames != nil {
+		t.Errorf("failures of long ago are told: %v", blames)
+	}
+}
+
+// TestEvidence_FewTryAReplicaAfterItsExclusion follows a replica through exclusion,
+// probation and relapse as all nodes see it.
+func TestEvidence_FewTryAReplicaAfterItsExclusion(t *testing.T) {
+	now := time.Now()
+	nodes := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"}
+	var sets []*Set
+	for _, node := range nodes {
+		set := evidenceSet(4)
+		set.Divide(node, nodes)
+		set.TakeBlames(Witness{Node: "x1", Zone: "a"}, blameOf("r00", 3, 0), now)
+		set.TakeBlames(Witness{Node: "x2", Zone: "b"}, blameOf("r00", 3, 0), now)
+		sets = append(sets, set)
+	}
+	excluded := func(at time.Time) int {
+		count := 0
+		for _, set := range sets {
+			if out(set, "r00", at) {
+				count++
+			}
+		}
+		return count
+	}
+	if got := excluded(now.Add(exclusionFirst - time.Millisecond)); got != 10 {
+		t.Fatalf("%d of 10 nodes leave it out", got)
+	}
+	after := now.Add(exclusionFirst + time.Millisecond)
+	if got := excluded(after); got != 10-probers {
+		t.Fatalf("%d of 10 nodes leave it out after the exclusion, want all but %d", got, probers)
+	}
+	if got := excluded(after.Add(probation)); got != 0 {
+		t.Fatalf("%d of 10 nodes leave it out when nobody told of a failure", got)
+	}
+	for _, set := range sets {
+		set.TakeBlames(Witness{Node: "x3", Zone: "a"}, blameOf("r00", 1, 0), after)
+	}
+	if got := excluded(after.Add(exclusionFirst + probation)); got != 10 {
+		t.Errorf("%d of 10 nodes leave it out for longer after one failure in its probation", got)
+	}
+}
+
+func TestEvidence_HalfOfAPoolStays(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(4)
+	for i := range 4 {
+		id := fmt.Sprintf("r%02d", i)
+		set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf(id, 3, 0), now)
+		set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf(id, 3, 0), now)
+	}
+	left := 0
+	for _, one := range set.List(now) {
+		if !one.Ejected {
+			left++
+		}
+	}
+	if left != 2 {
+		t.Errorf("%d of 4 replicas are used when all are blamed, want 2", left)
+	}
+}
+
+func TestEvidence_UnsoundWordsTellNothing(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(4)
+	for i := 1; i < 5; i++ {
+		node := Witness{Node: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i)}
+		set.TakeBlames(node, []Blame{{Replica: Key("r00"), Failures: -1}, {Replica: 7, Failures: 9}, {Replica: Key("r00"), Failures: 9, Age: -1}}, now)
+		set.TakeBlames(node, []Blame{{Replica: Key("r00"), Failures: 9, Age: evidenceMemory + time.Second}}, now)
+	}
+	if out(set, "r00", now) {
+		t.Error("words that cannot be, or are old, leave a replica out")
+	}
+}
+
+// TestPick_SingleRequestsAvoidDoubtfulReplicas has one node tell of a replica: requests
+// that can be sent again still go there.
+func TestPick_SingleRequestsAvoidDoubtfulReplicas(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(2)
+	set.Divide("n0", []string{"n0"})
+	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 3, 0), now)
+	seen := map[string]bool{}
+	for affinity := range uint64(40) {
+		demand := &Demand{Affinity: affinity + 1}
+		chosen, err := Pick(set.SnapshotFor(testPool, demand, now), demand, Weights{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen[chosen.ID] = true
+		demand.Single = true
+		if chosen, err = Pick(set.SnapshotFor(testPool, demand, now), demand, Weights{}); err != nil || chosen.ID != "r01" {
+			t.Fatalf("a request that cannot be sent again goes to %v, %v", chosen, err)
+		}
+	}
+	if !seen["r00"] {
+		t.Error("one node's word keeps all requests away")
+	}
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -36,6 +36,8 @@
 	Adapter string
 	// Exclude are the replicas that have failed or refused this request.
 	Exclude map[string]bool
+	// Single requests cannot be sent again once they may have run.
+	Single bool
 	// Regions are where the request may be served.
 	Regions place.Regions
 }
@@ -234,6 +236,9 @@
 	if candidate.Zone != demand.Zone {
 		total += weights.CrossZone
 	}
+	if demand.Single {
+		total += time.Duration(candidate.Doubt * float64(doubtCost))
+	}
 	return total
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -60,6 +60,9 @@
 	PendingTokens int
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
+	// Doubt is the share of failures among the answers of late that nodes tell of, from 0
+	// to 1.
+	Doubt float64
 	// Evacuated replicas stand in a zone that operators empty.
 	Evacuated bool
 	// Share is the number of its slots that are this node's by the division among
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -51,6 +51,10 @@
 	waiting   int
 	waitingAt time.Time
 	health    health
+	// own is what this node has seen of it of late, told what others tell.
+	own    Tally
+	told   map[string]testimony
+	shared sharedExclusion
 	// heard is when anything last came from the replica.
 	heard time.Time
 	// vanished is when the entry left the list; zero while it is listed.
@@ -63,7 +67,10 @@
 	entries map[string]*entry
 	// byPool is rebuilt from entries when stale is set.
 	byPool map[string][]*entry
+	byKey  map[uint64]*entry
 	stale  bool
+	// Zone is where this node stands. It is set before use.
+	Zone string
 	// self and nodes are between whom the slots are divided; none means that all
 	// are this node's.
 	self  string
@@ -79,6 +86,9 @@
 	changed   chan struct{}
 	// Ejected is told of each ejection, outside the lock.
 	Ejected func(info Info, result Result)
+	// Condemned is told, outside the lock, of each replica that is left out on the evidence
+	// of several nodes.
+	Condemned func(verdict Verdict)
 	// Pressed is asked, outside the lock, to make batch items of this node give
 	// way at a replica.
 	Pressed func(id string, items int, why Pressure)
@@ -153,13 +163,15 @@
 
 func (s *Set) rebuild() {
 	byPool := make(map[string][]*entry, len(s.byPool))
+	byKey := make(map[uint64]*entry, len(s.entries))
 	for _, known := range s.entries {
+		byKey[known.key] = known
 		byPool[known.info.Pool] = append(byPool[known.info.Pool], known)
 	}
 	for _, list := range byPool {
 		sort.Slice(list, func(i, j int) bool { return list[i].info.ID < list[j].info.ID })
 	}
-	s.byPool = byPool
+	s.byPool, s.byKey = byPool, byKey
 	s.stale = false
 	s.divide()
 }
@@ -184,7 +196,7 @@
 	defer s.mu.Unlock()
 	for _, known := range s.entries {
 		listed++
-		if known.health.ejected(now) {
+		if known.ejected(now) {
 			ejected++
 		}
 	}
@@ -283,7 +295,7 @@
 		return nil
 	}
 	for _, known := range list {
-		if known.info.Leaving || known.forgotten(now) || known.health.ejected(now) {
+		if known.info.Leaving || known.forgotten(now) || known.ejected(now) {
 			continue
 		}
 		if weight := mix(known.key ^ affinity); home == nil || weight > best {
@@ -311,7 +323,7 @@
 	return Candidate{
 		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
-		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
+		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.ejected(now), Doubt: s.doubt(e, now), Waiting: e.waitingAtTime(now),
 		Age: e.loadAge(now), Fresh: e.fresh(now), Fleet: s.fleetUsage(e.info.Pool, now),
 		Evacuated: s.evacuated[e.info.Zone],
 	}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -159,16 +159,18 @@
 
 // End stops counting and takes in how the request ended.
 func (u *Use) End(result Result, now time.Time) {
-	if u.finish(result, now) && u.set.Ejected != nil {
+	ejected, verdict := u.finish(result, now)
+	if ejected && u.set.Ejected != nil {
 		u.set.Ejected(u.entry.info, result)
 	}
+	u.set.condemned(verdict)
 }
 
-func (u *Use) finish(result Result, now time.Time) (ejected bool) {
+func (u *Use) finish(result Result, now time.Time) (ejected bool, verdict *Verdict) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	if u.ended {
-		return false
+		return false, nil
 	}
 	u.ended = true
 	if !u.first {
@@ -183,11 +185,15 @@
 		u.entry.leaving--
 	}
 	ejected = u.entry.health.observe(result, now)
+	u.entry.own.observe(result, now)
+	if result == Failed || result == Unreachable {
+		verdict = u.set.judge(u.entry, now)
+	}
 	if result == Refused {
 		// A replica that refuses has its slots and its queue full.
 		u.entry.others = max(u.entry.others, refusedFill*float64(u.entry.info.Slots))
 		u.entry.reported = now.Add(refusedFade - othersFade)
 	}
 	u.set.wake()
-	return ejected
+	return ejected, verdict
 }
