Evidence: nodes that are served well defend a replica; one zone's failures stay its own

Cause: only nodes that blame told their whole answers, so a replica that spoils one answer in fifty could look as if it failed mostly. Nodes whose answers were whole tell so while others blame the replica, and the answers to a zone's nodes are judged apart, for a replica may fail for one zone alone.

--- a/internal/node/gatewayevidence.go
+++ b/internal/node/gatewayevidence.go
@@ -25,7 +25,7 @@
 	evidenceFanout = 8
 )
 
-// blameTold is what a node has seen of a replica that failed for it.
+// blameTold is what a node has seen of a replica that failed for it or for others.
 type blameTold struct {
 	Replica   uint64  `cbor:"1,keyasint"`
 	Failures  float32 `cbor:"2,keyasint"`
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -18,7 +18,7 @@
 	// how many of their answers, faded, have to be failures.
 	accusers        = 2
 	accusedFailures = 2.0
-	// accusedShare is the share of failures among the answers of those nodes. Replicas
+	// accusedShare is the share of failures among the answers that nodes tell of. Replicas
 	// that spoil one answer in fifty stay far below it.
 	accusedShare = 0.5
 	// exclusionFirst is how long a replica is left out first; it doubles each time that
@@ -39,6 +39,8 @@
 	blamedLeast = 2
 	// excludedShare bounds the part of a pool that is left out on the word of others.
 	excludedShare = 0.5
+	// defendsLeast is the least count of whole answers that is worth telling.
+	defendsLeast = 0.3
 	// maxBlames bounds the replicas of one message, each of some 25 bytes.
 	maxBlames = 32
 	// doubtCost is what a replica whose answers all fail of late counts as slower to a
@@ -46,13 +48,14 @@
 	doubtCost = 200 * time.Millisecond
 )
 
-// Blame is what a node tells of a replica that failed for it.
+// Blame is what a node tells of a replica that failed for it, or of one that failed for
+// others and not for it.
 type Blame struct {
 	// Replica is the replica's Key.
 	Replica uint64
 	// Failures and Successes count the node's answers from it, fading.
 	Failures, Successes float64
-	// Age is the time since the last failure.
+	// Age is the time since the last failure, if there are any.
 	Age time.Duration
 }
 
@@ -102,29 +105,34 @@
 // ejected reports whether the replica is left out now, on own evidence or that of others.
 func (e *entry) ejected(now time.Time) bool { return e.health.ejected(now) || e.shared.holds(now) }
 
-// Blames returns what this node has to tell of replicas that failed for it of late:
-// nothing if these are so many that the fault is likely its own.
+// Blames returns what this node has to tell of replicas that failed for it of late, and
+// of those that others blame and that answered it well. It tells of no failures if the
+// replicas are so many that the fault is likely its own.
 func (s *Set) Blames(now time.Time) []Blame {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var blames []Blame
+	var blames, defences []Blame
 	used := 0
 	for _, known := range s.entries {
-		if known.own.used(now) {
-			used++
-		}
-		if !known.own.blames(time.Time{}, now) {
+		if !known.own.used(now) {
 			continue
 		}
+		used++
 		known.own.advance(now)
-		blames = append(blames, Blame{
-			Replica: known.key, Failures: known.own.Failures, Successes: known.own.Successes, Age: now.Sub(known.own.LastFailure),
-		})
+		told := Blame{Replica: known.key, Successes: known.own.Successes}
+		switch {
+		case known.own.blames(time.Time{}, now):
+			told.Failures, told.Age = known.own.Failures, now.Sub(known.own.LastFailure)
+			blames = append(blames, told)
+		case len(known.told) > 0 && told.Successes > defendsLeast:
+			defences = append(defences, told)
+		}
 	}
 	if len(blames) > blamedLeast && float64(len(blames)) > blamedShare*float64(used) {
-		return nil
+		blames = nil
 	}
 	slices.SortFunc(blames, func(a, b Blame) int { return cmp.Compare(b.Failures, a.Failures) })
+	blames = append(blames, defences...)
 	return blames[:min(len(blames), maxBlames)]
 }
 
@@ -157,9 +165,7 @@
 		if known.told == nil {
 			known.told = map[string]testimony{}
 		}
-		known.told[witness.Node] = testimony{zone: witness.Zone, Tally: Tally{
-			Failures: blame.Failures, Successes: blame.Successes, LastFailure: now.Add(-blame.Age), at: now,
-		}}
+		known.told[witness.Node] = testimony{zone: witness.Zone, Tally: blame.tally(now)}
 		if verdict := s.judge(known, now); verdict != nil {
 			verdicts = append(verdicts, *verdict)
 		}
@@ -167,59 +173,90 @@
 	return verdicts
 }
 
+// tally returns the counts that were told.
+func (b *Blame) tally(now time.Time) Tally {
+	told := Tally{Failures: b.Failures, Successes: b.Successes, at: now}
+	if b.Failures > 0 {
+		told.LastFailure = now.Add(-b.Age)
+	}
+	return told
+}
+
 // sound reports whether what another process tells can be.
 func (b *Blame) sound() bool {
 	return b.Failures >= 0 && b.Failures < 1e6 && b.Successes >= 0 && b.Successes < 1e6 && b.Age >= 0
 }
 
-// charge sums up what nodes have seen of a replica.
+// sum adds up what several nodes have seen of a replica.
+type sum struct {
+	Failures, Successes float64
+	// accusers counts the nodes for which it failed.
+	accusers int
+}
+
+func (s *sum) add(seen Tally, accuses bool) {
+	s.Successes += seen.Successes
+	if accuses {
+		s.Failures += seen.Failures
+		s.accusers++
+	}
+}
+
+// mostlyFails reports whether at least half of the answers were failures.
+func (s *sum) mostlyFails() bool {
+	return s.accusers > 0 && s.Failures >= accusedShare*(s.Failures+s.Successes)
+}
+
+// condemns reports whether the replica failed for several nodes, and mostly.
+func (s *sum) condemns() bool {
+	return s.accusers >= accusers && s.Failures >= accusedFailures && s.mostlyFails()
+}
+
+// charge is what nodes have seen of a replica: all of them, and those of this node's
+// zone, for a replica may fail for the callers of one zone alone.
 type charge struct {
-	Tally
-	nodes int
+	all, near sum
+	// zones are those of the nodes for which it failed.
 	zones map[string]bool
-	// near counts the nodes of this node's zone.
-	near int
 }
 
-func (c *charge) add(tally Tally, zone, own string) {
-	c.Failures += tally.Failures
-	c.Successes += tally.Successes
-	c.nodes++
-	c.zones[zone] = true
+func (c *charge) add(seen Tally, accuses bool, zone, own string) {
+	c.all.add(seen, accuses)
 	if zone == own {
-		c.near++
+		c.near.add(seen, accuses)
+	}
+	if accuses {
+		c.zones[zone] = true
 	}
 }
 
 // charges sums up the evidence of this node and of others that is newer than the last
 // exclusion. The caller holds mu.
 func (s *Set) charges(known *entry, now time.Time) charge {
-	sum := charge{zones: map[string]bool{}}
+	seen := charge{zones: map[string]bool{}}
 	known.own.advance(now)
-	if known.own.blames(known.shared.since, now) {
-		sum.add(known.own, s.Zone, s.Zone)
-	}
+	seen.add(known.own, known.own.blames(known.shared.since, now), s.Zone, s.Zone)
 	for node, told := range known.told {
+		accuses := told.blames(known.shared.since, now)
 		told.advance(now)
-		if !told.blames(known.shared.since, now) {
+		if !accuses && told.Successes <= defendsLeast {
 			delete(known.told, node)
 			continue
 		}
 		known.told[node] = told
-		sum.add(told.Tally, told.zone, s.Zone)
+		seen.add(told.Tally, accuses, told.zone, s.Zone)
 	}
-	return sum
+	return seen
 }
 
 // judge leaves a replica out if it fails for several nodes: of this node's zone, or of
-// several zones, for a replica may fail for the callers of one zone alone. The caller
-// holds mu.
+// several zones. The caller holds mu.
 func (s *Set) judge(known *entry, now time.Time) *Verdict {
 	if now.Before(known.shared.until) {
 		return nil
 	}
-	sum := s.charges(known, now)
-	if !s.guilty(known, &sum, now) || !s.mayExclude(known.info.Pool, now) {
+	seen := s.charges(known, now)
+	if !seen.guilty(known.shared.relapses(now)) || !s.mayExclude(known.info.Pool, now) {
 		return nil
 	}
 	if now.Sub(known.shared.until) > pardon {
@@ -229,21 +266,18 @@
 	known.shared = sharedExclusion{since: now, until: now.Add(length), count: known.shared.count + 1}
 	known.shared.prober = s.probes(known)
 	return &Verdict{
-		Replica: known.info, Nodes: sum.nodes, Failures: sum.Failures, Successes: sum.Successes,
+		Replica: known.info, Nodes: seen.all.accusers, Failures: seen.all.Failures, Successes: seen.all.Successes,
 		For: length, Prober: known.shared.prober,
 	}
 }
 
-// guilty reports whether the evidence is enough. The caller holds mu.
-func (s *Set) guilty(known *entry, sum *charge, now time.Time) bool {
-	if sum.nodes == 0 || sum.Failures < accusedShare*(sum.Failures+sum.Successes) {
-		return false
-	}
-	if known.shared.relapses(now) {
+// guilty reports whether the evidence is enough to leave the replica out, at once if it
+// was left out a moment ago.
+func (c *charge) guilty(relapsed bool) bool {
+	if relapsed && (c.near.mostlyFails() || c.all.mostlyFails()) {
 		return true
 	}
-	concerns := sum.near >= accusers || len(sum.zones) >= accusers
-	return sum.nodes >= accusers && concerns && sum.Failures >= accusedFailures
+	return c.near.condemns() || len(c.zones) > 1 && c.all.condemns()
 }
 
 // mayExclude reports whether a pool bears to lose one more replica. The caller holds mu.
@@ -281,10 +315,7 @@
 	if len(known.told) == 0 && !known.own.blames(known.shared.since, now) {
 		return 0
 	}
-	sum := s.charges(known, now)
-	if sum.nodes == 0 {
-		return 0
-	}
+	seen := s.charges(known, now)
 	// One whole answer is presumed, so that a single failure does not weigh as all.
-	return sum.Failures / (sum.Failures + sum.Successes + 1)
+	return seen.all.Failures / (seen.all.Failures + seen.all.Successes + 1)
 }
--- a/internal/replica/evidence_test.go
+++ b/internal/replica/evidence_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// TestEvidence_NodesThatAreServedWellDefendAReplica has a replica fail now and then for
+// few nodes, while others whose answers are whole tell so.
+func TestEvidence_NodesThatAreServedWellDefendAReplica(t *testing.T) {
+	now := time.Now()
+	set, other := evidenceSet(4), evidenceSet(4)
+	for range 3 {
+		other.Begin("r00", Ask{}, now).End(Succeeded, now)
+	}
+	if told := other.Blames(now); len(told) != 0 {
+		t.Fatalf("a node tells of a replica that nobody blames: %v", told)
+	}
+	other.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 1, 0), now)
+	told := other.Blames(now)
+	if len(told) != 1 || told[0].Failures != 0 || told[0].Successes != 3 {
+		t.Fatalf("a node that was served well tells %v", told)
+	}
+	set.TakeBlames(Witness{Node: "n3", Zone: "a"}, told, now)
+	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 1, 0), now)
+	set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf("r00", 1, 0), now)
+	if out(set, "r00", now) {
+		t.Error("two failures of five answers leave a replica out")
+	}
+	set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf("r00", 3, 0), now)
+	if !out(set, "r00", now) {
+		t.Error("four failures of seven answers do not leave a replica out")
+	}
+}
+
 // TestEvidence_FailingForOneZoneIsLeftOutThere has a replica fail for the callers of one
 // zone only.
 func TestEvidence_FailingForOneZoneIsLeftOutThere(t *testing.T) {
@@ -91,6 +119,7 @@
 		set.Zone = one.zone
 		for i := 1; i < 4; i++ {
 			set.TakeBlames(Witness{Node: fmt.Sprintf("n%d", i), Zone: "a"}, blameOf("r00", 3, 0), now)
+			set.TakeBlames(Witness{Node: fmt.Sprintf("m%d", i), Zone: "b"}, blameOf("r00", 0, 9), now)
 		}
 		if got := out(set, "r00", now); got != one.want {
 			t.Errorf("zone %s: left out %v, want %v", one.zone, got, one.want)
