--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/platform"
 )
 
 // coreMetrics are the metrics of a core, named by the Prometheus conventions.
@@ -33,6 +34,8 @@
 	gaveWay     *prometheus.CounterVec
 	// reservations counts the slots asked for at replicas, by the answer.
 	reservations *prometheus.CounterVec
+	// condemned counts replicas left out on the evidence of several nodes.
+	condemned prometheus.Counter
 	// predictionError is how far the first event was from its prediction.
 	predictionError prometheus.Histogram
 	// completed counts the completed items, for measurements.
@@ -62,8 +65,8 @@
 			Name: "wheelhoist_gateway_replica_connections_total", Help: "New connections to replicas.",
 		}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call and outcome.",
-		}, []string{"call", "outcome"}),
+			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call, table and outcome.",
+		}, []string{"call", "table", "outcome"}),
 		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "wheelhoist_store_call_seconds", Help: "Time of calls to the platform's store.", Buckets: seconds,
 		}, []string{"call"}),
@@ -83,11 +86,14 @@
 	m.reservations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_reservations_total", Help: "Slots asked for at replicas by requests that found none of their node free, by the answer.",
 	}, []string{"outcome"})
+	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_replicas_condemned_total", Help: "Replicas left out for a while on the evidence of several nodes.",
+	})
 	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "wheelhoist_gateway_prediction_error_seconds", Help: "First event of an attempt, actual less predicted time.",
 		Buckets: []float64{-.5, -.2, -.1, -.05, -.02, 0, .02, .05, .1, .2, .5, 1},
 	})
-	m.registry.MustRegister(m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.condemned, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
@@ -140,13 +146,13 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *coreMetrics) storeCall(call string, took time.Duration, err error) {
+func (m *coreMetrics) storeCall(call platform.Call, took time.Duration, err error) {
 	label := "done"
 	if err != nil {
 		label = "failed_" + outcome.Of(err).String()
 	}
-	m.storeCalls.WithLabelValues(call, label).Inc()
-	m.storeTime.WithLabelValues(call).Observe(took.Seconds())
+	m.storeCalls.WithLabelValues(call.Path, call.Table, label).Inc()
+	m.storeTime.WithLabelValues(call.Path).Observe(took.Seconds())
 }
 
 func (m *coreMetrics) forwarded(target *route.Route, result forward.Result, err error) {
