Divide slots by place; ask the own region first; tell demand within the region

Cause: the product decided as if the fleet stood in one place. On a fleet of three regions, 20 ms apart, two thirds of a node's own slots lay in other regions and a replica there cost as little as one in the next zone; a question for a slot of another region was given 40 ms, which is all of the way there and back, so each such reservation came too late.

Slots go to the nodes of their zone, then to those of their region, then to any: a group whose nodes have less than their least part of the mean (all of it among a region's zones, half of it among regions) gets slots of those beyond the mean. Counted in integers, so all nodes come to the same. Random samples and the home of a prefix are of the own region. Reservation asks three replicas of the region, then two elsewhere if there is time left. Demand is told within the region; requests that are guests in another are told there.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -20,6 +20,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -62,6 +63,7 @@
 func (a aliveSessions) Live() []string                { return a }
 func (a aliveSessions) Preferred(string) string       { return a[0] }
 func (a aliveSessions) Nodes() []string               { return []string{lease.Node(a[0])} }
+func (a aliveSessions) Places() []place.Node          { return nil }
 func (a aliveSessions) Gone(node string) bool         { return node != lease.Node(a[0]) }
 func (a aliveSessions) Refresh(context.Context) error { return nil }
 func (a aliveSessions) Expired(session string) bool   { return session != a[0] }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -39,8 +39,10 @@
 	Backend  Backend
 	Budget   *retry.Budget
 	Weights  replica.Weights
-	Zone     string
-	Notice   Notice
+	// Zone and Region are where this node is.
+	Zone   string
+	Region string
+	Notice Notice
 	// Reserver, if set, is asked for a free slot elsewhere by requests that find none
 	// among their node's own.
 	Reserver Reserver
@@ -76,7 +78,7 @@
 	one.deadline = deadlineOf(target, request)
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
-		Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
+		Zone: f.Zone, Region: f.Region, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
 		Adapter: target.Adapter, Exclude: map[string]bool{},
 	}
 	if !one.deadline.IsZero() {
@@ -91,7 +93,7 @@
 // Predict estimates the time until a request would get its first event. It
 // returns replica.ErrNoReplica if no replica could take it.
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
-	demand := &replica.Demand{Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
+	demand := &replica.Demand{Zone: f.Zone, Region: f.Region, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
 	best, err := replica.Pick(f.Replicas.SnapshotFor(target.Pool(), demand, now), demand, f.Weights)
 	if err != nil {
 		return 0, err
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
@@ -16,10 +17,16 @@
 // 2001), asked afresh and not remembered.
 
 const (
-	// reserveTries is the number of replicas that are asked for a slot.
+	// reserveTries is the number of replicas of the own region that are asked for a
+	// slot.
 	reserveTries = 3
+	// reserveAway is the number of those of other regions that are asked after them.
+	reserveAway = 2
 	// reserveTimeout bounds one question; a way there and back takes some 2 ms.
 	reserveTimeout = 40 * time.Millisecond
+	// reserveWays is how often a question to a replica far away takes the way there
+	// and back: a new connection, and the question itself.
+	reserveWays = 2
 	// reserveHold is how long a slot is set aside: the request follows at once, but a
 	// node with a small share of a core may be held up for a few times 100 ms.
 	reserveHold = 400 * time.Millisecond
@@ -33,23 +40,45 @@
 	}
 	demand := c.demand
 	demand.Exclude = maps.Clone(c.demand.Exclude)
-	for range reserveTries {
-		asked := c.pickUnqueued(&demand)
+	if asked := c.reserveAny(ctx, &demand, reserveTries, false); asked != nil {
+		return asked
+	}
+	if !c.hasTimeForAway(chosen) {
+		return chosen
+	}
+	if asked := c.reserveAny(ctx, &demand, reserveAway, true); asked != nil {
+		return asked
+	}
+	return chosen
+}
+
+// reserveAny asks up to so many replicas, one after the other, for a slot. It returns
+// the one that set a slot aside, or nil.
+func (c *call) reserveAny(ctx context.Context, demand *replica.Demand, tries int, away bool) *replica.Candidate {
+	for range tries {
+		asked := c.pickUnqueued(demand, away)
 		if asked == nil {
-			break
+			return nil
 		}
 		if c.reserveAt(ctx, asked) {
 			return asked
 		}
 		demand.Exclude[asked.ID] = true
 	}
-	return chosen
+	return nil
+}
+
+// hasTimeForAway reports whether a request that found no free slot in its region can
+// still be in time elsewhere, after a question there and the way of the request itself.
+func (c *call) hasTimeForAway(chosen *replica.Candidate) bool {
+	left := c.route.Objective - time.Since(c.request.Received)
+	return left > chosen.First+(reserveWays+1)*c.forwarder.Weights.Cost(place.OtherRegion)
 }
 
 // pickUnqueued returns the replica to be asked for a slot, or nil.
-func (c *call) pickUnqueued(demand *replica.Demand) *replica.Candidate {
+func (c *call) pickUnqueued(demand *replica.Demand, away bool) *replica.Candidate {
 	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, demand, time.Now())
-	best, err := replica.PickUnqueued(candidates, demand, c.forwarder.Weights)
+	best, err := replica.PickUnqueued(candidates, demand, c.forwarder.Weights, away)
 	if err != nil {
 		// None is left to ask.
 		return nil
@@ -57,10 +86,18 @@
 	return best
 }
 
+// reserveTimeout bounds a question to a replica.
+func (c *call) reserveTimeout(asked *replica.Candidate) time.Duration {
+	if c.demand.Distance(asked) != place.OtherRegion {
+		return reserveTimeout
+	}
+	return reserveTimeout + reserveWays*c.forwarder.Weights.Cost(place.OtherRegion)
+}
+
 // reserveAt asks a replica for a slot. It reports whether one was set aside.
 func (c *call) reserveAt(ctx context.Context, asked *replica.Candidate) bool {
 	began := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.reserveTimeout(asked))
 	defer cancel()
 	id, err := c.forwarder.Reserver.Reserve(callCtx, asked.Info, c.request.Prompt.Total(), reserveHold)
 	if c.forwarder.Notice != nil {
--- a/internal/forward/reserve_test.go
+++ b/internal/forward/reserve_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -34,7 +37,7 @@
 	t.Helper()
 	forwarder := newForwarder(backend, 6)
 	forwarder.Reserver = reserver
-	forwarder.Replicas.Divide("a", []string{"a", "b"})
+	forwarder.Replicas.Divide("a", []place.Node{{ID: "a"}, {ID: "b"}})
 	now := time.Now()
 	for _, one := range forwarder.Replicas.List(now) {
 		for range one.Slots {
@@ -123,3 +126,91 @@
 		t.Fatalf("asked %v, %v", reserver.asked, err)
 	}
 }
+
+// twoRegions returns a forwarder in the north, with so many replicas there and in the
+// south, and with all slots of its node taken. A question between regions costs 40 ms.
+func twoRegions(t *testing.T, reserver Reserver, north, south int) *Forwarder {
+	t.Helper()
+	forwarder := newForwarder(answerAll(), 0)
+	forwarder.Reserver, forwarder.Zone, forwarder.Region = reserver, "n", "north"
+	forwarder.Weights.CrossRegion = 40 * time.Millisecond
+	for i := range north + south {
+		info := replica.Info{ID: fmt.Sprintf("north-%d", i), Pool: testPool, Zone: "n", Region: "north", Slots: 4}
+		if i >= north {
+			info.ID, info.Zone, info.Region = fmt.Sprintf("south-%d", i), "s", "south"
+		}
+		forwarder.Replicas.Put(info)
+	}
+	own, other := place.Place{Zone: "n", Region: "north"}, place.Place{Zone: "s", Region: "south"}
+	forwarder.Replicas.Divide("a", []place.Node{{ID: "a", Place: own}, {ID: "b", Place: own}, {ID: "c", Place: other}, {ID: "d", Place: other}})
+	now := time.Now()
+	for _, one := range forwarder.Replicas.List(now) {
+		for range one.Share {
+			forwarder.Replicas.Begin(one.ID, replica.Ask{}, now)
+		}
+	}
+	return forwarder
+}
+
+func inTime(objective time.Duration) *route.Route {
+	target := routeOf(route.Stream, true, 2)
+	target.Objective = objective
+	return target
+}
+
+func TestReserve_OtherRegionsAreAskedLast(t *testing.T) {
+	reserver := &scriptedReserver{answer: func(string) (string, error) { return "", errFull }}
+	if _, _, err := do(t, twoRegions(t, reserver, 6, 40), inTime(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	away := 0
+	for i, id := range reserver.asked {
+		if strings.HasPrefix(id, "south") {
+			away++
+		} else if away > 0 {
+			t.Errorf("asked %v: %s, the %dth, is of the own region", reserver.asked, id, i)
+		}
+	}
+	if away == 0 || away > reserveAway {
+		t.Errorf("asked %v, want up to %d of the other region", reserver.asked, reserveAway)
+	}
+}
+
+func TestReserve_OtherRegionsAreNotAskedWithoutTime(t *testing.T) {
+	reserver := &scriptedReserver{answer: func(string) (string, error) { return "", errFull }}
+	if _, _, err := do(t, twoRegions(t, reserver, 6, 40), inTime(100*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range reserver.asked {
+		if strings.HasPrefix(id, "south") {
+			t.Errorf("%s was asked though the way there takes the time that is left", id)
+		}
+	}
+}
+
+// TestReserve_AnAnswerFromAnotherRegionIsWaitedFor: a finding; the way there and back
+// takes as long as all of the time-out was, so each slot set aside there was lost.
+func TestReserve_AnAnswerFromAnotherRegionIsWaitedFor(t *testing.T) {
+	reserver := &slowReserver{takes: reserveTimeout + 10*time.Millisecond}
+	backend := answerAll()
+	forwarder := twoRegions(t, reserver, 0, 40)
+	forwarder.Backend = backend
+	if _, _, err := do(t, forwarder, inTime(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if backend.sent[0].Reservation == "" {
+		t.Fatal("sent without the slot that was set aside")
+	}
+}
+
+// slowReserver sets slots aside after some time.
+type slowReserver struct{ takes time.Duration }
+
+func (r *slowReserver) Reserve(ctx context.Context, _ replica.Info, _ int, _ time.Duration) (string, error) {
+	select {
+	case <-ctx.Done():
+		return "", outcome.Undecided(ctx.Err())
+	case <-time.After(r.takes):
+		return "slot", nil
+	}
+}
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -30,7 +30,7 @@
 	if r.Owners.Refresh(callCtx) != nil {
 		return
 	}
-	r.Replicas.Divide(lease.Node(session), r.Owners.Nodes())
+	r.Replicas.Divide(lease.Node(session), r.Owners.Places())
 	live := r.Owners.Live()
 	for _, entry := range r.Service.View.Open() {
 		if len(entry.Job.Nodes) == 0 {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -32,6 +33,8 @@
 	// Nodes returns the nodes of the live sessions, Gone reports whether a node has
 	// none.
 	Nodes() []string
+	// Places returns these nodes with where they are.
+	Places() []place.Node
 	Gone(node string) bool
 }
 
@@ -44,6 +47,7 @@
 	Owners   Owners
 	Weights  replica.Weights
 	Zone     string
+	Region   string
 	// CommitInterval is the time for which finished items wait for others to be
 	// listed together; zero lists them at once.
 	CommitInterval time.Duration
@@ -189,7 +193,7 @@
 		return notNow
 	}
 	demand := &replica.Demand{
-		Zone: r.Zone, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
+		Zone: r.Zone, Region: r.Region, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
 		Reserve: target.Reserve, Exclude: one.exclude,
 	}
 	chosen, err := replica.Pick(r.Replicas.SnapshotFor(pool, demand, now), demand, r.Weights)
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -15,6 +15,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -101,6 +102,7 @@
 func (noOwners) Live() []string                { return nil }
 func (noOwners) Preferred(string) string       { return "a#1" }
 func (noOwners) Nodes() []string               { return nil }
+func (noOwners) Places() []place.Node          { return nil }
 func (noOwners) Gone(string) bool              { return false }
 
 const (
--- a/internal/jobs/spread_test.go
+++ b/internal/jobs/spread_test.go
@@ -9,6 +9,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -26,6 +27,13 @@
 	}
 	return nodes
 }
+func (o *someOwners) Places() []place.Node {
+	var nodes []place.Node
+	for _, node := range o.Nodes() {
+		nodes = append(nodes, place.Node{ID: node})
+	}
+	return nodes
+}
 func (o *someOwners) Gone(node string) bool {
 	for _, session := range o.live {
 		if lease.Node(session) == node {
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -236,6 +237,21 @@
 // Nodes returns the nodes of the live sessions, each once.
 func (r *Roster) Nodes() []string { return slices.Clone(r.nodesNow()) }
 
+// Self returns this node.
+func (r *Roster) Self() string { return Node(r.session.ID()) }
+
+// Places returns the nodes of the live sessions with where they are, as far as they
+// told: the place of those whose member row is of an earlier version is zero.
+func (r *Roster) Places() []place.Node {
+	nodes := r.nodesNow()
+	placed := make([]place.Node, 0, len(nodes))
+	for _, node := range nodes {
+		told := r.Member(node)
+		placed = append(placed, place.Node{ID: node, Place: place.Place{Zone: told.Zone, Region: told.Region}})
+	}
+	return placed
+}
+
 // Count returns the number of nodes of the live sessions.
 func (r *Roster) Count() int { return len(r.nodesNow()) }
 
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -345,6 +346,15 @@
 // Nodes returns the nodes of the live sessions, each once.
 func (w *Watcher) Nodes() []string { return nodesOf(w.Live()) }
 
+// Places returns the nodes of the live sessions, of which it is not known where they are.
+func (w *Watcher) Places() []place.Node {
+	var nodes []place.Node
+	for _, node := range w.Nodes() {
+		nodes = append(nodes, place.Node{ID: node})
+	}
+	return nodes
+}
+
 // nodesOf returns the nodes of sessions, each once.
 func nodesOf(sessions []string) []string {
 	nodes := make([]string, 0, len(sessions))
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -35,8 +35,9 @@
 
 // ports are the outside as a core needs it: one set for each interface.
 type ports struct {
-	id   string
-	zone string
+	id     string
+	zone   string
+	region string
 	// places tells the regions of the zones of replicas.
 	places  place.Map
 	table   table.Service
@@ -90,7 +91,7 @@
 	c.replicas.Ejected = c.logEjected
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
-		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
+		Weights: outside.weights, Zone: outside.zone, Region: outside.region, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = outside.sessions(c.session)
@@ -107,7 +108,7 @@
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
-		Weights: outside.weights, Zone: outside.zone, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
+		Weights: outside.weights, Zone: outside.zone, Region: outside.region, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
 	})
 	c.replicas.Pressed = c.runner.Yield
 	return c
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -92,7 +92,7 @@
 	rows := platform.Rows{Store: g.store}
 	var roster *lease.Roster
 	g.core = newCore(log, metrics, ports{
-		id: g.settings.Node.ID, zone: g.settings.Node.Zone, places: g.settings.Node.Zones,
+		id: g.settings.Node.ID, zone: g.settings.Node.Zone, region: g.settings.Node.Region, places: g.settings.Node.Zones,
 		table: rows, objects: platform.Objects{Store: g.store}, backend: g.backend,
 		jobFeed: platform.JobFeed(g.store, jobs.Group, jobs.Parts()), timing: fastTiming(), weights: g.weights(),
 		sessions: func(own *lease.Session) sessionView {
@@ -142,7 +142,8 @@
 }
 
 func (g *Gateway) weights() replica.Weights {
-	return replica.Weights{CrossZone: time.Duration(g.settings.Gateway.Routing.CrossZone)}
+	declared := g.settings.Gateway.Routing
+	return replica.Weights{CrossZone: time.Duration(declared.CrossZone), CrossRegion: time.Duration(declared.CrossRegion)}
 }
 
 func (g *Gateway) listen() error {
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -21,8 +21,8 @@
 	// demandEvery is the time between two words about demand: a pulse fills slots
 	// within the stay of a request, some 0.7 s on the users' deployments.
 	demandEvery = 100 * time.Millisecond
-	// demandFanout is the number of nodes told each time, whatever the fleet's size; a
-	// node hears of as many in the mean.
+	// demandFanout is the number of nodes of a region told each time, whatever the
+	// fleet's size; a node hears of as many of its own region in the mean.
 	demandFanout = 3
 	// maxDemandPools bounds the pools of one message, each of some 40 bytes.
 	maxDemandPools = 16
@@ -31,7 +31,8 @@
 // demandTold is what online requests need of a pool at a node.
 type demandTold struct {
 	Pool string `cbor:"1,keyasint"`
-	// Level is in slots, Share the node's number of them.
+	// Level is in slots, Share the node's number of them: 0 if its requests are guests
+	// in the region of the node that is told.
 	Level float32 `cbor:"2,keyasint"`
 	Share int     `cbor:"3,keyasint"`
 }
@@ -39,33 +40,40 @@
 // runDemand tells other nodes what online requests need here, and has items leave slots
 // that those of other nodes need, until the context ends.
 func (g *Gateway) runDemand(ctx context.Context, roster *lease.Roster) {
+	near := &neighbours{roster: roster}
 	for retry.Sleep(ctx, demandEvery) {
-		now := time.Now()
-		var told []demandTold
-		for _, need := range g.replicas.Needs(now) {
-			if len(told) < maxDemandPools {
-				told = append(told, demandTold{Pool: need.Pool, Level: float32(need.Level), Share: need.Share})
-			}
+		told := map[string][]demandTold{}
+		for _, need := range g.replicas.Needs(time.Now()) {
+			g.addNeed(told, near.region(), need)
 			if need.Excess > 0 {
 				g.runner.YieldPool(need.Pool, need.Excess, replica.Pressure{Fleet: need.Fleet})
 			}
 		}
-		g.tellDemand(roster, told)
+		for region, words := range told {
+			g.tellDemand(near.of(region), words)
+		}
 	}
 }
 
-// tellDemand sends a few random other nodes what is needed here.
-func (g *Gateway) tellDemand(roster *lease.Roster, told []demandTold) {
-	nodes := roster.Nodes()
-	if len(told) == 0 || len(nodes) < 2 {
-		return
+// addNeed adds a pool to what the node's own region is told, and to what those are told
+// where its requests are guests.
+func (g *Gateway) addNeed(told map[string][]demandTold, own string, need replica.Need) {
+	add := func(region string, one demandTold) {
+		if len(told[region]) < maxDemandPools {
+			told[region] = append(told[region], one)
+		}
+	}
+	add(own, demandTold{Pool: need.Pool, Level: float32(need.Level), Share: need.Share})
+	for region, open := range need.Away {
+		add(region, demandTold{Pool: need.Pool, Level: float32(open)})
 	}
-	for range min(demandFanout, len(nodes)-1) {
+}
+
+// tellDemand sends a few random ones of some nodes what is needed.
+func (g *Gateway) tellDemand(nodes []string, told []demandTold) {
+	for range min(demandFanout, len(nodes)) {
 		node := nodes[rand.IntN(len(nodes))]
-		if node == g.settings.Node.ID {
-			continue
-		}
-		to, err := net.ResolveUDPAddr("udp4", roster.Address(node))
+		to, err := net.ResolveUDPAddr("udp4", g.roster.Address(node))
 		if err != nil {
 			// The node has not told its address.
 			continue
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -64,3 +64,46 @@
 	}
 	return both
 }
+
+// Node is a node of the fleet and where it is.
+type Node struct {
+	ID string
+	Place
+}
+
+// Distance is how far apart two places are.
+type Distance uint8
+
+const (
+	// SameZone is the distance within a zone.
+	SameZone Distance = iota
+	// SameRegion is the distance between zones of a region, and that of places whose
+	// regions are not both known.
+	SameRegion
+	// OtherRegion is the distance between regions.
+	OtherRegion
+)
+
+// String returns the name used in metrics.
+func (d Distance) String() string {
+	switch d {
+	case SameZone:
+		return "zone"
+	case SameRegion:
+		return "region"
+	default:
+		return "elsewhere"
+	}
+}
+
+// To returns the distance to another place.
+func (p Place) To(other Place) Distance {
+	switch {
+	case p.Region != "" && other.Region != "" && p.Region != other.Region:
+		return OtherRegion
+	case p.Zone != other.Zone:
+		return SameRegion
+	default:
+		return SameZone
+	}
+}
--- a/internal/replica/demand_test.go
+++ b/internal/replica/demand_test.go
@@ -91,7 +91,7 @@
 
 func TestLearned_ShowsWhatDecisionsGoBy(t *testing.T) {
 	set, now := newSet(3), time.Now()
-	set.Divide("a", []string{"a", "b", "c"})
+	set.Divide("a", nowhere("a", "b", "c"))
 	set.Begin("r00", Ask{Batch: true}, now)
 	set.Begin("r01", ask, now)
 	learned := set.Learned(now)[testPool]
--- a/internal/replica/divide.go
+++ b/internal/replica/divide.go
@@ -1,18 +1,26 @@
 package replica
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
+)
 
 // Divide divides the slots of all replicas among nodes, this one being self.
 // All nodes that know the same nodes and replicas divide alike, so each keeps
 // to its own slots without a word between them.
-func (s *Set) Divide(self string, nodes []string) {
-	nodes = slices.Sorted(slices.Values(nodes))
+func (s *Set) Divide(self string, nodes []place.Node) {
+	nodes = slices.SortedFunc(slices.Values(nodes), func(a, b place.Node) int { return cmp.Compare(a.ID, b.ID) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.self == self && slices.Equal(s.nodes, nodes) {
 		return
 	}
-	s.self, s.nodes = self, nodes
+	s.self, s.nodes, s.here = self, nodes, place.Place{}
+	if at := indexOf(nodes, self); at >= 0 {
+		s.here = nodes[at].Place
+	}
 	s.index()
 }
 
@@ -22,7 +30,7 @@
 	for _, list := range s.byPool {
 		replicas := make([]Slots, len(list))
 		for i, known := range list {
-			replicas[i] = Slots{Key: known.key, Count: known.info.Slots}
+			replicas[i] = Slots{Key: known.key, Count: known.info.Slots, Place: known.info.place()}
 			if s.evacuated[known.info.Zone] {
 				replicas[i].Count = 0
 			}
@@ -38,30 +46,66 @@
 type Slots struct {
 	Key   uint64
 	Count int
+	Place place.Place
 }
 
-// Shares returns how many slots of each replica are self's. The slots of a replica
-// go to the nodes that have the least so far, ties are broken by rendezvous hashing,
-// so all nodes get alike and a node that comes or goes moves few slots. A node that
-// is not among the nodes has all. It takes time in proportion to nodes x replicas.
-func Shares(self string, nodes []string, replicas []Slots) []int {
+// Shares returns how many slots of each replica are self's. Slots go to the nodes of
+// their zone; where these have less than their part of the region's, to others of the
+// region; where those of a region have much less than others, to others at all (see
+// lend). Among nodes, the slots of a replica go to those that have the least so far and
+// ties are broken by rendezvous hashing, so a node that comes or goes moves few. A node
+// that is not among the nodes has all. It takes time in proportion to nodes x replicas.
+func Shares(self string, nodes []place.Node, replicas []Slots) []int {
 	shares := make([]int, len(replicas))
-	place := slices.Index(nodes, self)
-	if place < 0 {
+	at := indexOf(nodes, self)
+	if at < 0 {
 		for i, one := range replicas {
 			shares[i] = one.Count
 		}
 		return shares
 	}
-	deal := newDealer(nodes)
-	for i, one := range replicas {
-		shares[i] = deal.replica(one, place)
+	deal := newDealer(nodes, at)
+	toAll := lend(nodes, replicas, byRegion, leastOfRegion)
+	native := less(replicas, toAll)
+	toRegion := make([]int, len(replicas))
+	for region := range groups(native, byRegion) {
+		addWithin(toRegion, region, nodes, native)
 	}
+	deal.level(less(native, toRegion), byZone, shares)
+	deal.level(withCounts(replicas, toRegion), byRegion, shares)
+	deal.level(withCounts(replicas, toAll), anywhere, shares)
 	return shares
 }
 
+// indexOf returns the place of a node among others; -1 if it is not there.
+func indexOf(nodes []place.Node, id string) int {
+	return slices.IndexFunc(nodes, func(one place.Node) bool { return one.ID == id })
+}
+
+// addWithin adds the slots that zones of a region lend within it.
+func addWithin(lent []int, region place.Place, nodes []place.Node, replicas []Slots) {
+	var own []place.Node
+	for _, node := range nodes {
+		if byRegion(node.Place) == region {
+			own = append(own, node)
+		}
+	}
+	within := make([]Slots, len(replicas))
+	for i, one := range replicas {
+		within[i] = one
+		if byRegion(one.Place) != region {
+			within[i].Count = 0
+		}
+	}
+	for i, count := range lend(own, within, byZone, leastOfZone) {
+		lent[i] += count
+	}
+}
+
 // dealer deals the slots of one replica after the other.
 type dealer struct {
+	nodes []place.Node
+	self  int
 	keys  []uint64
 	dealt []int
 	first []bid
@@ -80,40 +124,52 @@
 	return b.weight > other.weight
 }
 
-func newDealer(nodes []string) *dealer {
-	d := &dealer{keys: make([]uint64, len(nodes)), dealt: make([]int, len(nodes))}
+func newDealer(nodes []place.Node, self int) *dealer {
+	d := &dealer{nodes: nodes, self: self, keys: make([]uint64, len(nodes)), dealt: make([]int, len(nodes))}
 	for i, node := range nodes {
-		d.keys[i] = Key(node)
+		d.keys[i] = Key(node.ID)
 	}
 	return d
 }
 
-// replica deals the slots of a replica and returns how many a node gets: each as
-// many, and one more to those that come first.
-func (d *dealer) replica(one Slots, node int) int {
-	all, rest := one.Count/len(d.keys), one.Count%len(d.keys)
-	d.choose(one.Key, rest)
-	share := all
-	for i := range d.dealt {
-		d.dealt[i] += all
+// level deals slots among the nodes of their own group and adds self's to its shares.
+func (d *dealer) level(replicas []Slots, group grouping, shares []int) {
+	members := map[place.Place][]int{}
+	for i, node := range d.nodes {
+		at := group(node.Place)
+		members[at] = append(members[at], i)
 	}
-	for _, chosen := range d.first {
-		d.dealt[chosen.node]++
-		if chosen.node == node {
-			share++
+	for i, one := range replicas {
+		shares[i] += d.replica(one, members[group(one.Place)])
+	}
+}
+
+// replica deals the slots of a replica among some nodes and returns how many are
+// self's. One after the other goes to the node that has the least.
+func (d *dealer) replica(one Slots, among []int) (share int) {
+	for left := one.Count; left > 0 && len(among) > 0; {
+		d.choose(one.Key, min(left, len(among)), among)
+		least := d.first[0].dealt
+		for _, chosen := range d.first {
+			if chosen.dealt > least {
+				// Those that have less come first again.
+				break
+			}
+			d.dealt[chosen.node]++
+			left--
+			if chosen.node == d.self {
+				share++
+			}
 		}
 	}
 	return share
 }
 
 // choose finds the nodes that come first for a replica, in order.
-func (d *dealer) choose(replica uint64, count int) {
+func (d *dealer) choose(replica uint64, count int, among []int) {
 	d.first = d.first[:0]
-	if count == 0 {
-		return
-	}
-	for node, key := range d.keys {
-		claim := bid{node: node, dealt: d.dealt[node], weight: mix(key ^ replica)}
+	for _, node := range among {
+		claim := bid{node: node, dealt: d.dealt[node], weight: mix(d.keys[node] ^ replica)}
 		if len(d.first) == count {
 			if !claim.before(d.first[count-1]) {
 				continue
--- a/internal/replica/divide_test.go
+++ b/internal/replica/divide_test.go
@@ -5,12 +5,23 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
-func testNodes(count int) []string {
-	var nodes []string
+// nowhere returns nodes that have not told where they are.
+func nowhere(ids ...string) []place.Node {
+	var nodes []place.Node
+	for _, id := range ids {
+		nodes = append(nodes, place.Node{ID: id})
+	}
+	return nodes
+}
+
+func testNodes(count int) []place.Node {
+	var nodes []place.Node
 	for i := range count {
-		nodes = append(nodes, fmt.Sprintf("node-%02d", i))
+		nodes = append(nodes, place.Node{ID: fmt.Sprintf("node-%02d", i)})
 	}
 	return nodes
 }
@@ -33,7 +44,7 @@
 		least, most := 1<<30, 0
 		for _, node := range nodes {
 			total := 0
-			for i, share := range Shares(node, nodes, replicas) {
+			for i, share := range Shares(node.ID, nodes, replicas) {
 				dealt[i] += share
 				total += share
 			}
@@ -63,6 +74,6 @@
 func BenchmarkShares(b *testing.B) {
 	nodes, replicas := testNodes(320), testReplicas(600, 8)
 	for b.Loop() {
-		Shares(nodes[7], nodes, replicas)
+		Shares(nodes[7].ID, nodes, replicas)
 	}
 }
--- a/internal/replica/exclusion_test.go
+++ b/internal/replica/exclusion_test.go
@@ -66,7 +66,7 @@
 
 func TestDivide_EvacuatedSlotsAreNobodys(t *testing.T) {
 	set := placed()
-	set.Divide("a", []string{"a"})
+	set.Divide("a", nowhere("a"))
 	set.Evacuate(map[string]bool{"n1": true})
 	for _, one := range set.List(time.Now()) {
 		if want := map[string]int{"north": 0, "south": 4}[one.ID]; one.Share != want {
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // What a node sees of a pool's demand by itself is little: it has a few slots, and by
@@ -40,10 +42,15 @@
 }
 
 // Told takes in what online requests of a node need of a pool, beside its slots there.
+// Without slots they are guests of this node's region, which add to what its own nodes
+// told.
 func (s *Set) Told(pool string, level float64, share int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.pool(pool)) == 0 || share <= 0 || level < 0 || math.IsNaN(level) || math.IsInf(level, 0) {
+	if len(s.pool(pool)) == 0 || share < 0 || level < 0 || math.IsNaN(level) || math.IsInf(level, 0) {
+		return
+	}
+	if share == 0 && s.fleet[pool] == nil {
 		return
 	}
 	s.told(pool, level, share, now)
@@ -68,6 +75,8 @@
 	// they told, Excess the number of this node's items that hold such slots.
 	Fleet  float64
 	Excess int
+	// Away counts the online requests under way in other regions, by region.
+	Away map[string]int
 }
 
 // Needs takes in what this node needs itself, and returns what it is to tell others. It
@@ -88,11 +97,29 @@
 		free := int(float64(share) - s.needed(pool, share, now) + s.rounding(pool))
 		needs = append(needs, Need{
 			Pool: pool, Level: level, Share: share, Fleet: s.fleetUsage(pool, now), Excess: min(items, items-free),
+			Away: s.away(list),
 		})
 	}
 	return needs
 }
 
+// away counts this node's online requests in other regions; nil if there are none. The
+// caller holds mu.
+func (s *Set) away(list []*entry) map[string]int {
+	var open map[string]int
+	for _, known := range list {
+		online := known.open - known.batch
+		if online <= 0 || s.here.To(known.info.place()) != place.OtherRegion {
+			continue
+		}
+		if open == nil {
+			open = map[string]int{}
+		}
+		open[known.info.Region] += online
+	}
+	return open
+}
+
 // needed is the number of this node's slots that online requests need: a fair part of
 // what all nodes need, for those that find no slot of their node free ask for any; where
 // nothing was told, what its own need. The caller holds mu.
--- a/internal/replica/fleet_test.go
+++ b/internal/replica/fleet_test.go
@@ -3,13 +3,15 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // newHalf returns a set with one replica of 8 slots, 4 of them this node's.
 func newHalf() *Set {
 	set := NewSet()
 	set.Put(Info{ID: "r", Pool: testPool, Slots: 8})
-	set.Divide("a", []string{"a", "b"})
+	set.Divide("a", nowhere("a", "b"))
 	return set
 }
 
@@ -51,3 +53,35 @@
 		t.Fatalf("taken in: %v", set.fleet)
 	}
 }
+
+// TestSet_ItemsLeaveSlotsThatGuestsNeed: online requests of another region that find no
+// room at home come here, and items of this region make room for them.
+func TestSet_ItemsLeaveSlotsThatGuestsNeed(t *testing.T) {
+	set, now := newHalf(), time.Unix(1000, 0)
+	for range 4 {
+		set.Begin("r", Ask{Batch: true}, now)
+	}
+	for range 3 {
+		set.Needs(now)
+		set.Told(testPool, 0, 4, now)
+		set.Told(testPool, 8, 0, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if excess := set.Needs(now)[0].Excess; excess < 3 {
+		t.Fatalf("%d of 4 items in excess though guests need all 8 slots", excess)
+	}
+}
+
+func TestSet_NeedsCountRequestsInOtherRegions(t *testing.T) {
+	set, now := NewSet(), time.Unix(1000, 0)
+	set.Put(Info{ID: "home", Pool: testPool, Zone: "n", Region: "north", Slots: 8})
+	set.Put(Info{ID: "away", Pool: testPool, Zone: "s", Region: "south", Slots: 8})
+	set.Divide("a", []place.Node{{ID: "a", Place: place.Place{Zone: "n", Region: "north"}}})
+	for _, id := range []string{"home", "away", "away"} {
+		set.Begin(id, Ask{}, now)
+	}
+	set.Begin("away", Ask{Batch: true}, now)
+	if away := set.Needs(now)[0].Away; len(away) != 1 || away["south"] != 2 {
+		t.Fatalf("away are %v, want 2 in the south", away)
+	}
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -17,8 +17,9 @@
 
 // Demand is what a request asks of a replica.
 type Demand struct {
-	// Zone is the zone of this node.
-	Zone string
+	// Zone and Region are where this node is.
+	Zone   string
+	Region string
 	Ask
 	// Affinity spreads prompts that share a prefix; 0 if there is none.
 	Affinity uint64
@@ -44,6 +45,25 @@
 type Weights struct {
 	// CrossZone is the time that a request may wait longer to stay in its zone.
 	CrossZone time.Duration
+	// CrossRegion is the same for its region; never less than CrossZone.
+	CrossRegion time.Duration
+}
+
+// Cost is what a distance costs a request.
+func (w Weights) Cost(distance place.Distance) time.Duration {
+	switch distance {
+	case place.SameZone:
+		return 0
+	case place.SameRegion:
+		return w.CrossZone
+	default:
+		return max(w.CrossZone, w.CrossRegion)
+	}
+}
+
+// Distance is how far a candidate is from the node that a request came to.
+func (d *Demand) Distance(candidate *Candidate) place.Distance {
+	return place.Place{Zone: d.Zone, Region: d.Region}.To(candidate.place())
 }
 
 const (
@@ -174,17 +194,22 @@
 
 // homeOf returns the key of the replica where prompts with the same prefix meet
 // (rendezvous hashing, Thaler and Ravishankar, 1998), so that it stays cached there.
+// Each region has its own: the way to another costs more than reading the prefix.
 func homeOf(candidates []Candidate, demand *Demand) uint64 {
 	var home, best uint64
 	if demand.Affinity == 0 {
 		return 0
 	}
+	near := false
 	for i := range candidates {
-		if candidates[i].Ejected || candidates[i].excludedByPlace(demand) != Usable || !serves(&candidates[i], demand) {
+		candidate := &candidates[i]
+		if candidate.Ejected || candidate.excludedByPlace(demand) != Usable || !serves(candidate, demand) {
 			continue
 		}
-		if weight := mix(candidates[i].Key ^ demand.Affinity); home == 0 || weight > best {
-			home, best = candidates[i].Key, weight
+		own := demand.Distance(candidate) != place.OtherRegion
+		weight := mix(candidate.Key ^ demand.Affinity)
+		if home == 0 || own && !near || own == near && weight > best {
+			home, best, near = candidate.Key, weight, own
 		}
 	}
 	return home
@@ -208,10 +233,14 @@
 }
 
 // PickUnqueued returns the candidate with the least predicted time to the first
-// event if a slot is free there: the one to ask for a slot.
-func PickUnqueued(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
+// event if a slot is free there: the one to ask for a slot. It looks at those of other
+// regions if away is set, and at the others otherwise.
+func PickUnqueued(candidates []Candidate, demand *Demand, weights Weights, away bool) (*Candidate, error) {
 	demand.home = homeOf(candidates, demand)
-	best := pickLeast(candidates, demand, weights, sound, predictAsked)
+	passes := func(candidate *Candidate, demand *Demand) bool {
+		return (demand.Distance(candidate) == place.OtherRegion) == away && sound(candidate, demand)
+	}
+	best := pickLeast(candidates, demand, weights, passes, predictAsked)
 	if best == nil {
 		return nil, noReplica(candidates, demand)
 	}
@@ -229,12 +258,8 @@
 
 // predictUnqueued estimates the time to the first event where a slot is free.
 func predictUnqueued(candidate *Candidate, demand *Demand, weights Weights) time.Duration {
-	total := candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
-		time.Duration(candidate.Busy()*float64(busyCost))
-	if candidate.Zone != demand.Zone {
-		total += weights.CrossZone
-	}
-	return total
+	return candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
+		time.Duration(candidate.Busy()*float64(busyCost)) + weights.Cost(demand.Distance(candidate))
 }
 
 // Predict estimates the time to the first event at a candidate.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // Info describes a listed replica.
@@ -34,6 +36,9 @@
 	NoBatch  bool
 }
 
+// place is where the replica stands.
+func (i *Info) place() place.Place { return place.Place{Zone: i.Zone, Region: i.Region} }
+
 // Load is what a replica said of its requests from all callers.
 type Load struct {
 	Running int
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -143,7 +143,7 @@
 	set, now := newSet(300), time.Now()
 	const affinity = 12345
 	nodes := testNodes(200)
-	set.Divide(nodes[7], nodes)
+	set.Divide(nodes[7].ID, nodes)
 	all := set.pool(testPool)
 	home := homeAmong(all, affinity, now)
 	for range 20 {
--- /dev/null
+++ b/internal/replica/sample.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// sampleRandom is the number of random replicas that a choice looks at, beside
+	// those that this node knows: where it has slots, and those that it has heard
+	// from within freshFor. They are of its own region if there are any.
+	sampleRandom = 2
+	freshFor     = 3 * time.Second
+	// sampleAway is the number of random replicas of other regions among them, for
+	// requests that find their region full.
+	sampleAway = 1
+)
+
+// nearby returns the entries of a region; all if there are none or it is not known.
+func nearby(list []*entry, region string) []*entry {
+	away := func(known *entry) bool { return known.info.Region != "" && known.info.Region != region }
+	if region == "" || !slices.ContainsFunc(list, away) {
+		return list
+	}
+	near := make([]*entry, 0, len(list))
+	for _, known := range list {
+		if !away(known) {
+			near = append(near, known)
+		}
+	}
+	if len(near) == 0 {
+		return list
+	}
+	return near
+}
+
+// sample returns the replicas that this node knows, some random others nearby, and a
+// few random ones anywhere if not all are nearby.
+func sample(list, near []*entry, now time.Time) []*entry {
+	chosen := make([]*entry, 0, len(list))
+	for _, known := range list {
+		if known.share > 0 || known.fresh(now) {
+			chosen = append(chosen, known)
+		}
+	}
+	chosen = addRandom(chosen, near, min(sampleRandom, len(list)-len(chosen)))
+	if len(near) < len(list) {
+		chosen = addRandom(chosen, list, sampleAway)
+	}
+	return chosen
+}
+
+// addRandom adds up to so many random entries of a list.
+func addRandom(chosen, list []*entry, count int) []*entry {
+	for range count {
+		if random := list[rand.IntN(len(list))]; !slices.Contains(chosen, random) {
+			chosen = append(chosen, random)
+		}
+	}
+	return chosen
+}
+
+// homeAmong returns the entry where prompts with the same prefix meet.
+func homeAmong(list []*entry, affinity uint64, now time.Time) *entry {
+	var home *entry
+	var best uint64
+	if affinity == 0 {
+		return nil
+	}
+	for _, known := range list {
+		if known.info.Leaving || known.forgotten(now) || known.health.ejected(now) {
+			continue
+		}
+		if weight := mix(known.key ^ affinity); home == nil || weight > best {
+			home, best = known, weight
+		}
+	}
+	return home
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -1,11 +1,12 @@
 package replica
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 const (
@@ -20,11 +21,6 @@
 	lapseAfter = 2500 * time.Millisecond
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
-	// sampleRandom is the number of random replicas that a choice looks at, beside
-	// those that this node knows: where it has slots, and those that it has heard
-	// from within freshFor.
-	sampleRandom = 2
-	freshFor     = 3 * time.Second
 	// waitingFade is the time after which a report of waiting requests tells
 	// nothing.
 	waitingFade = 400 * time.Millisecond
@@ -67,7 +63,9 @@
 	// self and nodes are between whom the slots are divided; none means that all
 	// are this node's.
 	self  string
-	nodes []string
+	nodes []place.Node
+	// here is where this node is, as nodes tell each other.
+	here place.Place
 	// demand is what online requests take of each pool, at this node.
 	demand map[string]*demand
 	// evacuated are the zones that operators empty.
@@ -98,7 +96,7 @@
 		known = &entry{key: Key(info.ID)}
 		s.entries[info.ID] = known
 	}
-	moved := !ok || known.info.Pool != info.Pool || known.info.Slots != info.Slots || known.info.Zone != info.Zone
+	moved := !ok || known.info.Pool != info.Pool || known.info.Slots != info.Slots || known.info.place() != info.place()
 	known.info = info
 	known.vanished = time.Time{}
 	if moved {
@@ -237,8 +235,9 @@
 	if len(list) == 0 {
 		return s.candidatesOf(s.pool(pool), now)
 	}
-	chosen := sample(list, now)
-	if home := homeAmong(list, demand.Affinity, now); home != nil && !slices.Contains(chosen, home) {
+	near := nearby(list, demand.Region)
+	chosen := sample(list, near, now)
+	if home := homeAmong(near, demand.Affinity, now); home != nil && !slices.Contains(chosen, home) {
 		chosen = append(chosen, home)
 	}
 	return s.candidatesOf(chosen, now)
@@ -259,40 +258,6 @@
 	return allowed
 }
 
-// sample returns the replicas that this node knows and some random others.
-func sample(list []*entry, now time.Time) []*entry {
-	chosen := make([]*entry, 0, len(list))
-	for _, known := range list {
-		if known.share > 0 || known.fresh(now) {
-			chosen = append(chosen, known)
-		}
-	}
-	for range min(sampleRandom, len(list)-len(chosen)) {
-		if random := list[rand.IntN(len(list))]; !slices.Contains(chosen, random) {
-			chosen = append(chosen, random)
-		}
-	}
-	return chosen
-}
-
-// homeAmong returns the entry where prompts with the same prefix meet.
-func homeAmong(list []*entry, affinity uint64, now time.Time) *entry {
-	var home *entry
-	var best uint64
-	if affinity == 0 {
-		return nil
-	}
-	for _, known := range list {
-		if known.info.Leaving || known.forgotten(now) || known.health.ejected(now) {
-			continue
-		}
-		if weight := mix(known.key ^ affinity); home == nil || weight > best {
-			home, best = known, weight
-		}
-	}
-	return home
-}
-
 func (s *Set) candidatesOf(list []*entry, now time.Time) []Candidate {
 	candidates := make([]Candidate, 0, len(list))
 	for _, known := range list {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -62,6 +62,9 @@
 type Routing struct {
 	// CrossZone is how much longer a request may wait to stay in its zone.
 	CrossZone v1.Duration `json:"crossZone,omitempty"`
+	// CrossRegion is how much longer a request may wait to stay in its region; that
+	// of a zone if it is less.
+	CrossRegion v1.Duration `json:"crossRegion,omitempty"`
 }
 
 // Enabled reports whether the node is a gateway.
@@ -105,6 +108,9 @@
 	if g.Routing.CrossZone < 0 {
 		found.Add("gateway.routing.crossZone", "must not be negative")
 	}
+	if g.Routing.CrossRegion < 0 {
+		found.Add("gateway.routing.crossRegion", "must not be negative")
+	}
 }
 
 func hostPortFinding(found *findings.List, path, address string) {
