--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -118,8 +119,11 @@
 
 // Result tells how a request ended, for logs and metrics.
 type Result struct {
-	Pool     string
-	Replica  string
+	Pool    string
+	Replica string
+	// Region is that of the replica, Distance how far it is from this node.
+	Region   string
+	Distance place.Distance
 	Status   int
 	Attempts int
 	// Refusals counts replicas that turned the request away unrun.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -231,7 +231,8 @@
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
 	now := time.Now()
 	c.result.Attempts++
-	c.result.Replica = chosen.ID
+	c.result.Replica, c.result.Region = chosen.ID, chosen.Region
+	c.result.Distance = c.demand.Distance(chosen)
 	c.predicted, c.sent = chosen.Expected(c.demand.Ask), now
 	if c.forwarder.Notice != nil {
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
--- /dev/null
+++ b/internal/lease/places_test.go
@@ -0,0 +1,44 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// TestRoster_PlacesAreThoseThatNodesTell: all nodes see each one alike, also one whose
+// member row is of an earlier version and tells no place.
+func TestRoster_PlacesAreThoseThatNodesTell(t *testing.T) {
+	f := newPlacedFleet(t, []place.Place{{Zone: "n-a", Region: "north"}, {Zone: "s-a", Region: "south"}, {}})
+	want := []place.Node{
+		{ID: "n000", Place: place.Place{Zone: "n-a", Region: "north"}},
+		{ID: "n001", Place: place.Place{Zone: "s-a", Region: "south"}},
+		{ID: "n002"},
+	}
+	for i, roster := range f.rosters {
+		if got := roster.Places(); !slices.Equal(got, want) {
+			t.Errorf("node %d sees %v, want %v", i, got, want)
+		}
+	}
+}
+
+// newPlacedFleet returns a fleet whose nodes tell where they are.
+func newPlacedFleet(t *testing.T, places []place.Place) *fleet {
+	t.Helper()
+	f := newFleet(t, 0)
+	f.shared, f.read = tabletest.New(), make([]uint64, len(places))
+	for i, at := range places {
+		session := NewSession(f.shared, fmt.Sprintf("n%03d", i), rosterTiming)
+		session.Member = Member{Zone: at.Zone, Region: at.Region}
+		f.rosters = append(f.rosters, NewRoster(f.shared, session, memberGroup, time.Now, rosterTiming))
+		if err := session.Ensure(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.follow()
+	return f
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -189,7 +189,7 @@
 		entry = c.log.Warn().Err(err).Stringer("ran", outcome.Of(err))
 	}
 	entry.Str("request", request.ID).Str("route", target.Name).Str("pool", result.Pool).
-		Str("replica", result.Replica).Int("status", result.Status).Int("attempts", result.Attempts).
+		Str("replica", result.Replica).Str("region", result.Region).Stringer("distance", result.Distance).Int("status", result.Status).Int("attempts", result.Attempts).
 		Int("refusals", result.Refusals).Int("events", result.Events).Bool("started", result.Started).
 		Dur("first_ms", result.First).Dur("max_gap_ms", result.MaxGap).
 		Dur("took_ms", time.Since(request.Received)).Msg("request ended")
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -25,6 +25,8 @@
 	first       *prometheus.HistogramVec
 	gap         *prometheus.HistogramVec
 	connections prometheus.Counter
+	// served counts requests by how far their replica was.
+	served      *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	storeTime   *prometheus.HistogramVec
 	droppedLogs prometheus.Counter
@@ -87,7 +89,10 @@
 		Name: "wheelhoist_gateway_prediction_error_seconds", Help: "First event of an attempt, actual less predicted time.",
 		Buckets: []float64{-.5, -.2, -.1, -.05, -.02, 0, .02, .05, .1, .2, .5, 1},
 	})
-	m.registry.MustRegister(m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.served = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_served_total", Help: "Requests served, by how far the replica is from this node.",
+	}, []string{"place"})
+	m.registry.MustRegister(m.served, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
@@ -156,6 +161,9 @@
 		label = "failed_executed_" + outcome.Of(err).String()
 	}
 	m.requests.WithLabelValues(kind, label).Inc()
+	if err == nil {
+		m.served.WithLabelValues(result.Distance.String()).Inc()
+	}
 	m.attempts.WithLabelValues(kind).Add(float64(result.Attempts))
 	if result.Started {
 		m.first.WithLabelValues(kind).Observe(result.First.Seconds())
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -20,7 +20,7 @@
 // Sent implements forward.Notice.
 func (l *requestLog) Sent(request *forward.Request, attempt int, chosen *replica.Candidate, predicted time.Duration) {
 	l.sampled.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
-		Int("open", chosen.Open).Int("share", chosen.Share).Int("items", chosen.Batch).Float64("others", chosen.Others).
+		Str("region", chosen.Region).Int("open", chosen.Open).Int("share", chosen.Share).Int("items", chosen.Batch).Float64("others", chosen.Others).
 		Float64("waiting", chosen.Waiting).Dur("load_age_ms", chosen.Age).Dur("slot_ms", chosen.SlotTime).
 		Int("pending_tokens", chosen.PendingTokens).Dur("predicted_ms", predicted).
 		Msg("attempt sent")
@@ -29,7 +29,7 @@
 // Reserved implements forward.Notice.
 func (l *requestLog) Reserved(request *forward.Request, asked *replica.Candidate, took time.Duration, err error) {
 	l.metrics.reservations.WithLabelValues(reservationOutcome(err)).Inc()
-	l.sampled.Info().Str("request", request.ID).Str("replica", asked.ID).Int("open", asked.Open).
+	l.sampled.Info().Str("request", request.ID).Str("replica", asked.ID).Str("region", asked.Region).Int("open", asked.Open).
 		Float64("others", asked.Others).Dur("took_ms", took).Err(err).Msg("slot asked for")
 }
 
--- /dev/null
+++ b/internal/replica/distance_test.go
@@ -0,0 +1,96 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// northAndSouth returns a set with so many replicas in either region.
+func northAndSouth(north, south int) *Set {
+	set := NewSet()
+	for i := range north {
+		set.Put(Info{ID: fmt.Sprintf("north-%d", i), Pool: testPool, Zone: "n", Region: "north", Slots: 4})
+	}
+	for i := range south {
+		set.Put(Info{ID: fmt.Sprintf("south-%d", i), Pool: testPool, Zone: "s", Region: "south", Slots: 4})
+	}
+	return set
+}
+
+var apart = Weights{CrossZone: 6 * time.Millisecond, CrossRegion: 40 * time.Millisecond}
+
+func pickNorth(t *testing.T, set *Set, affinity uint64) *Candidate {
+	t.Helper()
+	demand := &Demand{Zone: "n", Region: "north", Affinity: affinity, Shared: 200, Ask: Ask{Tokens: 450}}
+	best, err := Pick(set.SnapshotFor(testPool, demand, time.Now()), demand, apart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return best
+}
+
+func TestPick_StaysInItsRegionWhileThatIsSooner(t *testing.T) {
+	set, now := northAndSouth(1, 1), time.Now()
+	for range 3 {
+		set.Begin("north-0", Ask{}, now)
+	}
+	if best := pickNorth(t, set, 0); best.Region != "north" {
+		t.Fatalf("chose %s though a slot of the own region is free", best.ID)
+	}
+	for range 9 {
+		set.Begin("north-0", Ask{}, now)
+	}
+	if best := pickNorth(t, set, 0); best.Region != "south" {
+		t.Fatalf("chose %s though requests wait there for longer than the way to the other region takes", best.ID)
+	}
+}
+
+// TestPick_APrefixHasAHomeInEachRegion: the home of the whole fleet would be too far for
+// two of three regions, and their requests would read the prefix at any replica.
+func TestPick_APrefixHasAHomeInEachRegion(t *testing.T) {
+	set := northAndSouth(6, 60)
+	for affinity := range uint64(20) {
+		home := pickNorth(t, set, affinity+1)
+		if home.Region != "north" {
+			t.Fatalf("prefix %d: chose %s", affinity, home.ID)
+		}
+		for range 5 {
+			if again := pickNorth(t, set, affinity+1); again.ID != home.ID {
+				t.Fatalf("prefix %d: chose %s and %s", affinity, home.ID, again.ID)
+			}
+		}
+	}
+}
+
+// TestPick_ACostOfZonesAloneHoldsForRegions: settings of an earlier version know no
+// cost of regions.
+func TestPick_ACostOfZonesAloneHoldsForRegions(t *testing.T) {
+	set := northAndSouth(1, 1)
+	demand := &Demand{Zone: "n", Region: "north"}
+	best, err := Pick(set.SnapshotFor(testPool, demand, time.Now()), demand, Weights{CrossZone: time.Millisecond})
+	if err != nil || best.Region != "north" {
+		t.Fatalf("chose %v, %v", best, err)
+	}
+}
+
+// TestSet_SampleIsOfTheOwnRegion looks at a pool where this node has no slots: its
+// random ones are nearby but for a few.
+func TestSet_SampleIsOfTheOwnRegion(t *testing.T) {
+	set, now := northAndSouth(30, 300), time.Now()
+	set.Divide("elsewhere", nowhere("elsewhere"))
+	for _, known := range set.pool(testPool) {
+		known.share = 0
+	}
+	south := 0
+	for range 50 {
+		for _, candidate := range set.SnapshotFor(testPool, &Demand{Zone: "n", Region: "north"}, now) {
+			if candidate.Region == "south" {
+				south++
+			}
+		}
+	}
+	if south == 0 || south > 50*sampleAway {
+		t.Fatalf("%d replicas of the other region in 50 samples, want some, up to %d", south, 50*sampleAway)
+	}
+}
