--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -40,8 +40,9 @@
 
 // ports are the outside as a core needs it: one set for each interface.
 type ports struct {
-	id   string
-	zone string
+	id     string
+	zone   string
+	region string
 	// places tells the regions of the zones of replicas.
 	places  place.Map
 	table   table.Service
@@ -97,7 +98,7 @@
 	c.replicas.Condemned = c.logCondemned
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
-		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
+		Weights: outside.weights, Zone: outside.zone, Region: outside.region, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = outside.sessions(c.session)
@@ -114,7 +115,7 @@
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
-		Weights: outside.weights, Zone: outside.zone, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
+		Weights: outside.weights, Zone: outside.zone, Region: outside.region, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
 	})
 	c.replicas.Pressed = c.runner.Yield
 	return c
@@ -199,7 +200,7 @@
 		entry = c.log.Warn().Err(err).Stringer("ran", outcome.Of(err))
 	}
 	entry.Str("request", request.ID).Str("route", target.Name).Str("pool", result.Pool).
-		Str("replica", result.Replica).Int("status", result.Status).Int("attempts", result.Attempts).
+		Str("replica", result.Replica).Str("region", result.Region).Stringer("distance", result.Distance).Int("status", result.Status).Int("attempts", result.Attempts).
 		Int("refusals", result.Refusals).Int("events", result.Events).Bool("started", result.Started).
 		Dur("first_ms", result.First).Dur("max_gap_ms", result.MaxGap).
 		Dur("took_ms", time.Since(request.Received)).Msg("request ended")
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -20,9 +20,12 @@
 	// demandEvery is the time between two words about demand: a pulse fills slots
 	// within the stay of a request, some 0.7 s on the users' deployments.
 	demandEvery = 100 * time.Millisecond
-	// demandFanout is the number of nodes told each time, whatever the fleet's size; a
-	// node hears of as many in the mean.
+	// demandFanout is the number of nodes of a region told each time, whatever the
+	// fleet's size; a node hears of as many of its own region in the mean.
 	demandFanout = 3
+	// demandZone is how many of these are of the own zone: a byte to another zone is
+	// dear on some deployments, and slots are divided by zone first.
+	demandZone = 2
 	// maxDemandPools bounds the pools of one message, each of some 40 bytes.
 	maxDemandPools = 16
 )
@@ -30,7 +33,8 @@
 // demandTold is what online requests need of a pool at a node.
 type demandTold struct {
 	Pool string `cbor:"1,keyasint"`
-	// Level is in slots, Share the node's number of them.
+	// Level is in slots, Share the node's number of them: 0 if its requests are guests
+	// in the region of the node that is told.
 	Level float32 `cbor:"2,keyasint"`
 	Share int     `cbor:"3,keyasint"`
 }
@@ -39,33 +43,49 @@
 // that those of other nodes need, until the context ends.
 func (g *Gateway) runDemand(ctx context.Context) {
 	for retry.Sleep(ctx, demandEvery) {
-		now := time.Now()
-		var told []demandTold
-		for _, need := range g.replicas.Needs(now) {
-			if len(told) < maxDemandPools {
-				told = append(told, demandTold{Pool: need.Pool, Level: float32(need.Level), Share: need.Share})
-			}
+		told := map[string][]demandTold{}
+		for _, need := range g.replicas.Needs(time.Now()) {
+			addNeed(told, g.near.region(), need)
 			if need.Excess > 0 {
 				g.runner.YieldPool(need.Pool, need.Excess, replica.Pressure{Fleet: need.Fleet})
 			}
 		}
-		if len(told) > 0 {
-			g.tellSome(demandFanout, kindDemand, told)
+		for region, words := range told {
+			g.tellRegion(region, words)
 		}
 	}
 }
 
-// tellSome sends a message to so many random other nodes.
-func (g *Gateway) tellSome(count int, kind peer.Kind, body any) {
-	nodes := g.roster.Nodes()
-	if len(nodes) < 2 {
-		return
+// tellRegion tells a few random nodes of a region, most of them in the own zone if that
+// lies there.
+func (g *Gateway) tellRegion(region string, told []demandTold) {
+	fanout := demandFanout
+	if region == g.near.region() {
+		fanout -= g.tellSome(g.near.zone(), demandZone, kindDemand, told)
 	}
-	for range min(count, len(nodes)-1) {
-		node := nodes[rand.IntN(len(nodes))]
-		if node == g.settings.Node.ID {
-			continue
+	g.tellSome(g.near.of(region), fanout, kindDemand, told)
+}
+
+// addNeed adds a pool to what the node's own region is told, and to what those are told
+// where its requests are guests.
+func addNeed(told map[string][]demandTold, own string, need replica.Need) {
+	add := func(region string, one demandTold) {
+		if len(told[region]) < maxDemandPools {
+			told[region] = append(told[region], one)
 		}
+	}
+	add(own, demandTold{Pool: need.Pool, Level: float32(need.Level), Share: need.Share})
+	for region, open := range need.Away {
+		add(region, demandTold{Pool: need.Pool, Level: float32(open)})
+	}
+}
+
+// tellSome sends a message to so many random ones of some other nodes, fewer if they are
+// not as many. It returns the number.
+func (g *Gateway) tellSome(nodes []string, count int, kind peer.Kind, body any) int {
+	count = min(count, len(nodes))
+	for range count {
+		node := nodes[rand.IntN(len(nodes))]
 		to, err := net.ResolveUDPAddr("udp4", g.roster.Address(node))
 		if err != nil {
 			// The node has not told its address.
@@ -75,6 +95,7 @@
 			g.sampled.Warn().Uint8("kind", uint8(kind)).Err(err).Msg("message to a node not sent")
 		}
 	}
+	return count
 }
 
 // takeDemand handles messages of kindDemand.
--- a/internal/node/gatewayevidence.go
+++ b/internal/node/gatewayevidence.go
@@ -48,7 +48,7 @@
 				AgeMs: uint16(blame.Age.Milliseconds()),
 			}
 		}
-		g.tellSome(evidenceFanout, kindEvidence, told)
+		g.tellSome(g.near.others(), evidenceFanout, kindEvidence, told)
 	}
 }
 
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -302,7 +302,7 @@
 	own := mix(Key(s.self) ^ turn)
 	before := 0
 	for _, node := range s.nodes {
-		if mix(Key(node)^turn) > own {
+		if mix(Key(node.ID)^turn) > own {
 			before++
 		}
 	}
--- a/internal/replica/evidence_test.go
+++ b/internal/replica/evidence_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // evidenceSet returns a set of node "n0" in zone "a" with so many replicas, and nodes n0
@@ -11,12 +13,17 @@
 func evidenceSet(replicas int) *Set {
 	set := newSet(replicas)
 	set.Zone = "a"
-	var nodes []string
+	set.Divide("n0", evidenceNodes())
+	return set
+}
+
+// evidenceNodes are nodes n0 to n9, of which it is not known where they are.
+func evidenceNodes() []place.Node {
+	var nodes []place.Node
 	for i := range 10 {
-		nodes = append(nodes, fmt.Sprintf("n%d", i))
+		nodes = append(nodes, place.Node{ID: fmt.Sprintf("n%d", i)})
 	}
-	set.Divide("n0", nodes)
-	return set
+	return nodes
 }
 
 // blameOf is what a node tells of a replica that has just failed for it.
@@ -154,11 +161,11 @@
 // probation and relapse as all nodes see it.
 func TestEvidence_FewTryAReplicaAfterItsExclusion(t *testing.T) {
 	now := time.Now()
-	nodes := []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"}
+	nodes := evidenceNodes()
 	var sets []*Set
 	for _, node := range nodes {
 		set := evidenceSet(4)
-		set.Divide(node, nodes)
+		set.Divide(node.ID, nodes)
 		set.TakeBlames(Witness{Node: "x1", Zone: "a"}, blameOf("r00", 3, 0), now)
 		set.TakeBlames(Witness{Node: "x2", Zone: "b"}, blameOf("r00", 3, 0), now)
 		sets = append(sets, set)
@@ -227,7 +234,7 @@
 func TestPick_SingleRequestsAvoidDoubtfulReplicas(t *testing.T) {
 	now := time.Now()
 	set := evidenceSet(2)
-	set.Divide("n0", []string{"n0"})
+	set.Divide("n0", evidenceNodes()[:1])
 	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 3, 0), now)
 	seen := map[string]bool{}
 	for affinity := range uint64(40) {
