Feed cold replicas by a few nodes within what they bear

Nothing read coldPerS, coldStartS, coldLeftMs, Cold-Ms or the bounds.

Now a replica is taken as cold by its row, by its answers, after its zone was evacuated and after it was unreachable to a node that hears from others. Three nodes at most, by rendezvous hashing over the members, feed it; each spaces its sends by its part of the rate, which leaves room for two choices of nodes that share none. Set.Begin admits and sends in one step; a request whose replica has used its part up chooses again, and waits or is refused early where all are cold. The last resort never takes a cold replica. Items take what a whole interval of online requests left.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -77,6 +77,9 @@
 		if replica.Ejected {
 			state += ", ejected"
 		}
+		if replica.ColdLeft > 0 {
+			state += fmt.Sprintf(", cold for %.1f s, %.1f/s from here", replica.ColdLeft, replica.ColdRate)
+		}
 		content.rows = append(content.rows, []string{
 			"replica", replica.ID, replica.Zone, state,
 			fmt.Sprintf("%s %s %s, %d open here, %d of them batch", replica.Pool, replica.Version, replica.Role, replica.Open, replica.Batch),
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -88,6 +88,8 @@
 	Events bool
 	// Load is what the replica said of its load; nil if it said nothing.
 	Load *replica.Load
+	// ColdLeft is how long the replica says that it is cold yet; 0 if it said nothing.
+	ColdLeft time.Duration
 	// Body must be closed. Closing it before its end breaks the answer off.
 	Body io.ReadCloser
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -15,6 +15,9 @@
 const (
 	// waitForRoom is the pause before replicas that refused are asked again.
 	waitForRoom = 25 * time.Millisecond
+	// coldLook bounds the pause before cold replicas are looked at again: one may be
+	// listed, or told to be warm, meanwhile.
+	coldLook = 100 * time.Millisecond
 	// refusalsInARow is the number of refusals after which a request pauses.
 	refusalsInARow = 3
 	// leastUseful is the least time left that is worth an attempt.
@@ -93,6 +96,9 @@
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
 	demand := &replica.Demand{Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
 	best, err := replica.Pick(f.Replicas.SnapshotFor(target.Pool(), demand, now), demand, f.Weights)
+	if none := coldOnly(err); none != nil {
+		return none.ColdWait, nil
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -135,11 +141,7 @@
 	for {
 		chosen, err := c.pick()
 		if err != nil {
-			if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) && none.Lasts() {
-				// Nothing that may happen in time helps.
-				return c.failure(err)
-			}
-			if waitErr := c.waitForRoom(ctx); waitErr != nil {
+			if waitErr := c.waitForReplica(ctx, err); waitErr != nil {
 				return c.failure(waitErr)
 			}
 			continue
@@ -149,6 +151,10 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, errHeldBack) {
+			// Others have used the rate up meanwhile; the next choice knows.
+			continue
+		}
 		if outcome.Of(err) != outcome.NotDone {
 			c.ran = true
 		}
@@ -160,7 +166,7 @@
 		}
 		c.demand.Exclude[chosen.ID] = true
 		if c.result.Refusals >= refusalsInARow && c.result.Refusals%refusalsInARow == 0 {
-			if waitErr := c.waitForRoom(ctx); waitErr != nil {
+			if waitErr := c.waitForRoom(ctx, waitForRoom); waitErr != nil {
 				return c.failure(waitErr)
 			}
 		}
@@ -189,15 +195,16 @@
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
 }
 
-// waitForRoom waits until refusals may be over, as long as the route allows.
-func (c *call) waitForRoom(ctx context.Context) error {
-	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+waitForRoom {
+// waitForRoom waits until refusals may be over, as long as the route allows. room is when
+// there is room at the earliest: a request that has less time is refused now.
+func (c *call) waitForRoom(ctx context.Context, room time.Duration) error {
+	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+room {
 		return ErrBusy
 	}
-	if c.route.MaxWait > 0 && time.Since(c.request.Received) > c.route.MaxWait {
+	if c.route.MaxWait > 0 && time.Since(c.request.Received)+room > c.route.MaxWait+waitForRoom {
 		return ErrBusy
 	}
-	timer := time.NewTimer(waitForRoom)
+	timer := time.NewTimer(min(room, coldLook))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -228,13 +235,17 @@
 
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
 	now := time.Now()
+	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
+	if use == nil {
+		c.reservation, c.demand.Reserved = "", false
+		return errHeldBack
+	}
 	c.result.Attempts++
 	c.result.Replica = chosen.ID
 	c.predicted, c.sent = chosen.Expected(c.demand.Ask), now
 	if c.forwarder.Notice != nil {
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
-	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
 	err := c.exchange(ctx, chosen.Info, use)
 	c.reservation, c.demand.Reserved = "", false
 	if c.result.Events > 0 {
@@ -282,6 +293,9 @@
 		return c.silent(ctx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if answer.ColdLeft > 0 {
+		use.Chill(answer.ColdLeft, time.Now())
+	}
 	if answer.Load != nil {
 		use.Load(*answer.Load, time.Now())
 	}
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -28,7 +28,8 @@
 // reserve asks other replicas for a free slot if this node has none at the chosen one.
 // It returns the replica to send the request to.
 func (c *call) reserve(ctx context.Context, chosen *replica.Candidate) *replica.Candidate {
-	if c.forwarder.Reserver == nil || c.request.Prompt.Total() == 0 || chosen.Spare() {
+	if c.forwarder.Reserver == nil || c.request.Prompt.Total() == 0 || chosen.Spare() || chosen.Cold.Left > 0 {
+		// What is sent to a cold replica is bounded already.
 		return chosen
 	}
 	demand := c.demand
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -147,6 +147,9 @@
 		return outcome.Undecided(fmt.Errorf("%w: status %d", forward.ErrBroken, answer.Status))
 	}
 	// A verdict on the item stands; only a run that goes on can give way.
+	if answer.ColdLeft > 0 {
+		use.Chill(answer.ColdLeft, time.Now())
+	}
 	if answer.Load != nil {
 		use.Load(*answer.Load, time.Now())
 	}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -205,12 +205,17 @@
 	if one.state != taskWaiting || one.work.ctx.Err() != nil {
 		return notNow
 	}
+	use := r.Replicas.Begin(chosen.ID, demand.Ask, now)
+	if use == nil {
+		// The replica is cold and others have used its rate up meanwhile.
+		return notNow
+	}
 	one.state = taskRunning
 	if one.started.IsZero() {
 		one.started = now
 	}
 	one.yielding = false
-	one.use = r.Replicas.Begin(chosen.ID, demand.Ask, now)
+	one.use = use
 	ctx, cancel := context.WithCancelCause(one.work.ctx)
 	one.replica, one.pool, one.cancel = chosen.ID, pool, cancel
 	go r.run(ctx, one, item, target, chosen.Info, one.use)
--- /dev/null
+++ b/internal/node/cold.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// coldLogInterval is the time between two looks at which replicas turned cold or warm,
+// for the log alone.
+const coldLogInterval = 500 * time.Millisecond
+
+// coldLimits returns what cold replicas bear, by pool.
+func coldLimits(config *route.Config) map[string]replica.ColdLimit {
+	limits := map[string]replica.ColdLimit{}
+	for _, declared := range config.Pools {
+		if declared.ColdRate > 0 {
+			limits[declared.Name] = replica.ColdLimit{Rate: declared.ColdRate, Start: declared.ColdStart}
+		}
+	}
+	return limits
+}
+
+// runColdLog logs which replicas are taken as cold or warm, until the context ends.
+func (c *core) runColdLog(ctx context.Context) {
+	for retry.Sleep(ctx, coldLogInterval) {
+		for _, change := range c.replicas.ColdChanges(time.Now()) {
+			c.logCold(change)
+		}
+	}
+}
+
+func (c *core) logCold(change replica.ColdChange) {
+	entry := c.sampled.Info().Str("replica", change.Info.ID).Str("pool", change.Info.Pool).
+		Str("zone", change.Info.Zone).Stringer("reason", change.Reason).Dur("for_ms", change.For)
+	if change.Cold {
+		entry.Dur("left_ms", change.Left).Msg("replica taken as cold")
+		return
+	}
+	entry.Msg("replica taken as warm")
+}
+
+// registerCold adds what is known of cold replicas.
+func (m *coreMetrics) registerCold(replicas *replica.Set) {
+	m.gauge("wheelhoist_gateway_replicas_cold", "Replicas that are taken as cold.", func() float64 {
+		return float64(replicas.CountCold(time.Now()))
+	})
+	m.counter("wheelhoist_gateway_cold_held_total", "Sends held back, and waits, because replicas were cold.", func() float64 {
+		return float64(replicas.ColdHeld())
+	})
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -230,6 +230,7 @@
 func (c *core) replaceRoutes(config *route.Config, version uint64) {
 	next := route.NewTable(config)
 	if c.routes.Replace(next) {
+		c.replicas.LimitCold(coldLimits(config))
 		c.log.Info().Uint64("version", config.Version).Uint64("row_version", version).
 			Int("routes", next.Routes()).Msg("configuration in force")
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -100,6 +100,7 @@
 			return roster
 		},
 	})
+	g.replicas.ColdTolerance = replica.ColdTolerance{Over: g.settings.Gateway.Cold.Over, Slack: g.settings.Gateway.Cold.Slack}
 	g.roster = roster
 	roster.Ended = g.logEnded
 	g.session.Member = lease.Member{
@@ -119,6 +120,7 @@
 	g.replicaWatch = g.watchReplicas(platform.ServerFeed(g.store), g.applyReplicas)
 	metrics.registerViews(g.core)
 	metrics.registerPools(g.core)
+	metrics.registerCold(g.replicas)
 	metrics.registerAge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", g.configWatch)
 	metrics.registerAge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", g.replicaWatch)
 }
@@ -193,6 +195,7 @@
 	g.runPeers(ctx)
 	g.spawn(func() { g.configWatch.Run(ctx) })
 	g.spawn(func() { g.replicaWatch.Run(ctx) })
+	g.spawn(func() { g.runColdLog(ctx) })
 	g.runJobs(ctx)
 	g.spawn(func() { g.runner.RunSweeping(ctx, time.Duration(g.settings.Gateway.KeepJobs)) })
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -97,6 +97,11 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// counter adds a count that is read when it is asked for.
+func (m *coreMetrics) counter(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
 // registerViews adds what a core knows.
 func (m *coreMetrics) registerViews(c *core) {
 	m.gauge("wheelhoist_gateway_requests_open", "Requests being forwarded.", func() float64 { return float64(c.open.Load()) })
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -45,6 +45,7 @@
 		status.Replicas = append(status.Replicas, server.ReplicaView{
 			ID: known.ID, Zone: known.Zone, Pool: known.Pool, Version: known.Version,
 			State: replicaState(&known), Open: known.Open, Batch: known.Batch, Ejected: known.Ejected,
+			ColdLeft: known.Cold.Left.Seconds(), ColdRate: known.Cold.Rate,
 		})
 	}
 	return status
--- /dev/null
+++ b/internal/replica/cold.go
@@ -0,0 +1,266 @@
+package replica
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// A replica that has just started bears only a few requests a second. How many all nodes
+// together send it must hold without a word between them, and also while they differ
+// about who is there. So a few nodes, chosen by rendezvous hashing (Thaler and Ravishankar,
+// 1998) over the live ones, feed a cold replica; each of them keeps to its part of the
+// rate by spacing its sends, and all others send it nothing. See coldrate.go.
+
+const (
+	// heardLately is how long ago something must have come from any replica for one
+	// that cannot be reached to be taken as gone: otherwise it is this node that is cut
+	// off. Replicas of a busy pool are heard from many times a second.
+	heardLately = time.Second
+	// maxColdChanges bounds the changes that wait to be logged.
+	maxColdChanges = 256
+)
+
+// ColdLimit is what replicas of a pool bear while they are cold. The zero value bounds
+// nothing.
+type ColdLimit struct {
+	// Rate is in requests a second.
+	Rate float64
+	// Start is how long a replica is cold after its start.
+	Start time.Duration
+}
+
+// ColdReason says why a replica is taken as cold.
+type ColdReason uint8
+
+const (
+	// ColdTold replicas say so themselves.
+	ColdTold ColdReason = iota
+	// ColdReturned replicas stand in a zone that operators emptied a moment ago.
+	ColdReturned
+	// ColdUnreachable replicas took no connection a moment ago: they may have started.
+	ColdUnreachable
+)
+
+// String returns the name used in logs.
+func (r ColdReason) String() string {
+	switch r {
+	case ColdReturned:
+		return "its zone was evacuated"
+	case ColdUnreachable:
+		return "it was unreachable"
+	default:
+		return "it said so"
+	}
+}
+
+// coldness is what is known of a replica's warming up. The zero value is warm. The set's
+// lock guards it.
+type coldness struct {
+	since, until time.Time
+	reason       ColdReason
+	// next is when this node may send it the next request.
+	next time.Time
+	// feeds is whether this node is one of those that may, worked out for that division.
+	feeds    bool
+	division uint64
+	// logged is what ColdChanges last told.
+	logged bool
+}
+
+// LimitCold sets what cold replicas bear, by pool. Pools without a limit are not bounded.
+func (s *Set) LimitCold(limits map[string]ColdLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if maps.Equal(s.coldLimits, limits) {
+		return
+	}
+	s.coldLimits = limits
+	// How many nodes feed a cold replica depends on its limit.
+	s.division++
+	s.wake()
+}
+
+// coldLimit returns the limit of an entry that is cold now. The caller holds mu.
+func (s *Set) coldLimit(e *entry, now time.Time) (limit ColdLimit, cold bool) {
+	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) {
+		return ColdLimit{}, false
+	}
+	limit, cold = s.coldLimits[e.info.Pool]
+	return limit, cold && limit.Rate > 0
+}
+
+// chill takes an entry as cold until a moment, or for longer if it is known to be. The
+// caller holds mu.
+func (s *Set) chill(e *entry, until time.Time, reason ColdReason, now time.Time) {
+	if !until.After(e.cold.until) {
+		return
+	}
+	if !now.Before(e.cold.until) {
+		e.cold.since, e.cold.reason = now, reason
+		e.cold.feeds, e.cold.division = s.feeder(e), s.division
+	}
+	e.cold.until = until
+}
+
+// presumeCold takes an entry as cold though it did not say so: its row, written about
+// each heartbeat, may be older than what happened. The caller holds mu.
+func (s *Set) presumeCold(e *entry, from time.Time, reason ColdReason, now time.Time) {
+	if limit, ok := s.coldLimits[e.info.Pool]; ok && limit.Rate > 0 {
+		s.chill(e, from.Add(limit.Start), reason, now)
+	}
+}
+
+// Chill takes in that a replica says that it is cold for so long yet.
+func (u *Use) Chill(left time.Duration, now time.Time) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	u.set.chill(u.entry, now.Add(left), ColdTold, now)
+}
+
+// unreached takes in that a replica took no connection: once it does again it may be
+// cold. If nothing comes from any replica it is this node that is cut off. The caller
+// holds mu.
+func (s *Set) unreached(e *entry, now time.Time) {
+	if now.Sub(s.heard) < heardLately {
+		s.presumeCold(e, e.health.until, ColdUnreachable, now)
+	}
+}
+
+// returned takes in that zones are not emptied any more: their replicas have nothing to
+// do, so all nodes would fill them at once. The caller holds mu.
+func (s *Set) returned(zones map[string]bool, now time.Time) {
+	for _, known := range s.entries {
+		if s.evacuated[known.info.Zone] && !zones[known.info.Zone] {
+			s.presumeCold(known, now, ColdReturned, now)
+		}
+	}
+}
+
+// ColdView is what a node does with a cold replica.
+type ColdView struct {
+	// Left is how long it is taken as cold yet; 0 if it is warm.
+	Left time.Duration
+	// Wait is the time until this node may send it a request: until it is warm if other
+	// nodes feed it.
+	Wait time.Duration
+	// Idle is set if online requests have left this node's part of the rate unused.
+	Idle bool
+	// Rate is this node's part in requests a second.
+	Rate float64
+}
+
+// Holds reports whether a request must not be sent there now.
+func (v ColdView) Holds(batch bool) bool {
+	return v.Left > 0 && (v.Wait > 0 || batch && !v.Idle)
+}
+
+// coldView returns what this node may do with an entry. The caller holds mu.
+func (s *Set) coldView(e *entry, now time.Time) ColdView {
+	limit, cold := s.coldLimit(e, now)
+	if !cold {
+		return ColdView{}
+	}
+	view := ColdView{Left: e.cold.until.Sub(now)}
+	_, rate := s.ColdTolerance.parts(limit.Rate)
+	if rate <= 0 || !s.feeds(e, now) {
+		view.Wait = view.Left
+		return view
+	}
+	view.Rate = rate
+	view.Wait = min(max(0, e.cold.next.Sub(now)), view.Left)
+	view.Idle = !now.Before(e.cold.next.Add(interval(rate)))
+	return view
+}
+
+// allHeld reports whether all of some entries are cold and must not get a request now.
+// The caller holds mu.
+func (s *Set) allHeld(list []*entry, batch bool, now time.Time) bool {
+	if len(s.coldLimits) == 0 {
+		return false
+	}
+	for _, known := range list {
+		if !s.coldView(known, now).Holds(batch) {
+			return false
+		}
+	}
+	return true
+}
+
+// admitCold takes a request's place in this node's part of the rate, unless there is none
+// now. It reports whether the request may be sent. The caller holds mu.
+func (s *Set) admitCold(e *entry, ask Ask, now time.Time) bool {
+	view := s.coldView(e, now)
+	if view.Holds(ask.Batch) {
+		s.coldHeld++
+		return false
+	}
+	if view.Left > 0 {
+		e.cold.next = now.Add(interval(view.Rate))
+	}
+	return true
+}
+
+// interval is the time between two requests at a rate.
+func interval(rate float64) time.Duration {
+	return time.Duration(math.Ceil(float64(time.Second) / rate))
+}
+
+// ColdHeld counts the sends that were held back because a replica was cold.
+func (s *Set) ColdHeld() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.coldHeld
+}
+
+// HeldBack notes a request that waits because all replicas that it could go to are cold.
+func (s *Set) HeldBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldHeld++
+}
+
+// ColdChange is a replica that is taken as cold, or as warm again.
+type ColdChange struct {
+	Info   Info
+	Cold   bool
+	Reason ColdReason
+	// For is how long it has been cold, Left how long it will be.
+	For, Left time.Duration
+}
+
+// ColdChanges returns what has changed since the last call, maxColdChanges at most; the
+// rest comes with the next one. It is for the log.
+func (s *Set) ColdChanges(now time.Time) []ColdChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.coldLimits) == 0 {
+		return nil
+	}
+	var changes []ColdChange
+	for _, known := range s.entries {
+		_, cold := s.coldLimit(known, now)
+		if cold == known.cold.logged || len(changes) == maxColdChanges {
+			continue
+		}
+		known.cold.logged = cold
+		changes = append(changes, ColdChange{
+			Info: known.info, Cold: cold, Reason: known.cold.reason,
+			For: now.Sub(known.cold.since), Left: max(0, known.cold.until.Sub(now)),
+		})
+	}
+	return changes
+}
+
+// CountCold returns the number of replicas that are taken as cold.
+func (s *Set) CountCold(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, known := range s.entries {
+		if _, cold := s.coldLimit(known, now); cold {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/replica/cold_test.go
@@ -0,0 +1,182 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// coldSet returns a set of one of some nodes with a cold replica and, if it is asked for,
+// a warm one.
+func coldSet(self string, nodes []string, warm bool, now time.Time) *Set {
+	set := NewSet()
+	set.ColdTolerance = ColdTolerance{Over: 1.5, Slack: 5}
+	set.LimitCold(map[string]ColdLimit{testPool: {Rate: 15, Start: 3 * time.Second}})
+	set.Divide(self, nodes)
+	set.put(Info{ID: "cold", Pool: testPool, Slots: 8, ColdLeft: 3 * time.Second}, now)
+	if warm {
+		set.put(Info{ID: "warm", Pool: testPool, Slots: 8}, now)
+	}
+	return set
+}
+
+func TestCold_IsSentNoMoreThanItBearsWhenAllNodesPress(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var nodes []string
+	for i := range 300 {
+		nodes = append(nodes, fmt.Sprint("node", i))
+	}
+	sent := 0
+	for _, node := range nodes {
+		set := coldSet(node, nodes, false, now)
+		for at := now; at.Before(now.Add(time.Second)); at = at.Add(10 * time.Millisecond) {
+			if use := set.Begin("cold", Ask{}, at); use != nil {
+				sent++
+			}
+		}
+	}
+	if sent < 10 || sent > 15 {
+		t.Errorf("300 nodes sent %d requests in a second to a replica that bears 15", sent)
+	}
+}
+
+func TestPick_LastResortSparesColdReplicas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, false, now)
+	if set.Begin("cold", Ask{}, now) == nil {
+		t.Fatal("the first request was held back")
+	}
+	demand := &Demand{}
+	_, err := Pick(set.SnapshotFor(testPool, demand, now), demand, Weights{})
+	none := (*NoReplicaError)(nil)
+	if !errors.As(err, &none) || !none.Cold() || none.ColdWait <= 0 || none.ColdWait > 300*time.Millisecond {
+		t.Fatalf("chose, or waits wrongly: %v, %+v", err, none)
+	}
+	if _, err := Pick(set.SnapshotFor(testPool, demand, now.Add(none.ColdWait)), demand, Weights{}); err != nil {
+		t.Errorf("after the wait: %v", err)
+	}
+}
+
+func TestPick_TakesWarmReplicasWhileColdOnesHaveTheirRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, true, now)
+	set.Begin("cold", Ask{}, now)
+	for range 10 {
+		demand := &Demand{}
+		chosen, err := Pick(set.SnapshotFor(testPool, demand, now), demand, Weights{})
+		if err != nil || chosen.ID != "warm" {
+			t.Fatalf("chose %v, %v", chosen, err)
+		}
+		set.Begin(chosen.ID, Ask{}, now)
+	}
+}
+
+func TestCold_ItemsTakeWhatOnlineRequestsLeave(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, false, now)
+	set.Begin("cold", Ask{}, now)
+	for at := now; at.Before(now.Add(300 * time.Millisecond)); at = at.Add(time.Millisecond) {
+		if set.Begin("cold", Ask{Batch: true}, at) != nil {
+			t.Fatalf("an item was sent %v after a request", at.Sub(now))
+		}
+	}
+	if set.Begin("cold", Ask{Batch: true}, now.Add(time.Second)) == nil {
+		t.Error("an item was held back though no request wanted the rate")
+	}
+}
+
+func TestCold_PresumedAfterAnEvacuation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, true, now)
+	set.evacuate(map[string]bool{"": true}, now)
+	now = now.Add(10 * time.Second)
+	set.evacuate(nil, now)
+	if set.Begin("warm", Ask{}, now) == nil || set.Begin("warm", Ask{}, now) != nil {
+		t.Error("a replica of a zone that was emptied is filled at once")
+	}
+	later := now.Add(3 * time.Second)
+	if set.Begin("warm", Ask{}, later) == nil || set.Begin("warm", Ask{}, later) == nil {
+		t.Error("a replica is held to be cold for longer than its start takes")
+	}
+}
+
+func TestCold_PresumedOfAReplicaThatWasUnreachable(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, true, now)
+	now = now.Add(10 * time.Second)
+	set.Begin("cold", Ask{}, now).Heard(now)
+	set.Begin("warm", Ask{}, now).End(Unreachable, now)
+	later := now.Add(2 * time.Second)
+	if set.Begin("warm", Ask{}, later) == nil || set.Begin("warm", Ask{}, later) != nil {
+		t.Error("a replica that was unreachable is filled at once")
+	}
+}
+
+func TestCold_NotPresumedWhereTheNodeItselfIsCutOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, true, now)
+	now = now.Add(10 * time.Second)
+	set.Begin("warm", Ask{}, now).End(Unreachable, now)
+	if set.Begin("warm", Ask{}, now) == nil || set.Begin("warm", Ask{}, now) == nil {
+		t.Error("a replica is presumed to be cold by a node that hears from none")
+	}
+}
+
+func TestCold_NewFeederWaitsForTheOneBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nodes := []string{"a", "b", "c", "d", "e"}
+	for _, node := range nodes {
+		set := coldSet(node, nodes, false, now)
+		fed := set.Begin("cold", Ask{}, now) != nil
+		set.Divide(node, []string{node})
+		if sends := set.Begin("cold", Ask{}, now.Add(time.Millisecond)) != nil; sends && !fed {
+			t.Errorf("%s feeds the replica at once after a change of the members", node)
+		}
+		if set.Begin("cold", Ask{}, now.Add(1100*time.Millisecond)) == nil {
+			t.Errorf("%s does not feed the replica a second after it became the only node", node)
+		}
+	}
+}
+
+func TestCold_WithoutALimitNothingChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a", "b"}, false, now)
+	set.LimitCold(nil)
+	for range 50 {
+		if set.Begin("cold", Ask{}, now) == nil {
+			t.Fatal("a request was held back")
+		}
+	}
+}
+
+func TestColdChanges_TellsOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, true, now)
+	changes := set.ColdChanges(now)
+	if len(changes) != 1 || !changes[0].Cold || changes[0].Left != 3*time.Second || set.CountCold(now) != 1 {
+		t.Fatalf("told %+v", changes)
+	}
+	if again := set.ColdChanges(now); len(again) != 0 {
+		t.Errorf("told again: %+v", again)
+	}
+	later := now.Add(3 * time.Second)
+	if changes = set.ColdChanges(later); len(changes) != 1 || changes[0].Cold || changes[0].For != 3*time.Second {
+		t.Errorf("warm again: told %+v", changes)
+	}
+}
+
+func TestColdTolerance_PartsOfTwoViewsKeepTheBound(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 2, 4, 15, 100} {
+		for _, tolerance := range []ColdTolerance{{}, {Over: 1.5, Slack: 5}, {Over: 1, Slack: 10}, {Over: 3}} {
+			nodes, part := tolerance.parts(rate)
+			views := 2
+			if part < 1 {
+				views = 1
+			}
+			if most := float64(views*nodes) * (part + 1); part > 0 && most > max(2, tolerance.bound(rate)+1e-9) {
+				t.Errorf("rate %v, %+v: %d nodes with %v each", rate, tolerance, nodes, part)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/coldrate.go
@@ -0,0 +1,100 @@
+package replica
+
+import "time"
+
+const (
+	// coldFeeders is the most nodes that feed a cold replica: with one, a cold replica
+	// would stand idle for as long as that node is gone unnoticed; with many, the first
+	// request of each would leave little of the rate.
+	coldFeeders = 3
+	// coldViews is the number of choices of nodes that may be in force at once, in views
+	// of the members that share none of the chosen ones: that of before a change, also
+	// at nodes which are cut off, and that of after it.
+	coldViews = 2
+	// leastPart is the least that is worth a node of its own, in requests a second.
+	leastPart = 4
+	// feedHold is how long a node that has become a feeder by a change of the members
+	// waits: the second that is judged, in which the feeder before it may have sent.
+	feedHold = time.Second
+)
+
+// ColdTolerance is how far beyond its rate a cold replica may get requests in any one
+// second: rate x Over + Slack. A zero Over counts as 1.
+type ColdTolerance struct {
+	Over, Slack float64
+}
+
+// bound is the number of requests that a cold replica may get in any one second.
+func (t ColdTolerance) bound(rate float64) float64 {
+	if t.Over == 0 {
+		return rate + t.Slack
+	}
+	return rate*t.Over + t.Slack
+}
+
+// parts returns how many nodes feed a cold replica and the rate of each. In any one
+// second a node sends at most its rate and one request more.
+func (t ColdTolerance) parts(rate float64) (nodes int, part float64) {
+	bound := t.bound(rate)
+	each := bound / coldViews
+	nodes = min(max(int(each/leastPart), 1), coldFeeders)
+	part = min(each/float64(nodes)-1, rate/float64(nodes))
+	if part > 0 {
+		return nodes, part
+	}
+	if bound < 1 {
+		return 1, 0
+	}
+	// The bound is too small for two views: one request in somewhat over a second, which
+	// holds while nodes agree.
+	return 1, min(slowestPart, rate)
+}
+
+// slowestPart spaces requests by somewhat more than the second that is judged.
+const slowestPart = 0.9
+
+// feeds reports whether this node is one of those that feed an entry, which is cold. One
+// that becomes so by a change of the members waits first. The caller holds mu.
+func (s *Set) feeds(e *entry, now time.Time) bool {
+	if e.cold.division == s.division {
+		return e.cold.feeds
+	}
+	fed := e.cold.feeds
+	e.cold.feeds, e.cold.division = s.feeder(e), s.division
+	if held := now.Add(feedHold); !fed && e.cold.feeds && held.After(e.cold.next) {
+		e.cold.next = held
+	}
+	return e.cold.feeds
+}
+
+// feeder works out whether this node is one of those that feed an entry: those with the
+// largest weights. A node that is not among the nodes does not know them all. The caller
+// holds mu.
+func (s *Set) feeder(e *entry) bool {
+	limit := s.coldLimits[e.info.Pool]
+	places, _ := s.ColdTolerance.parts(limit.Rate)
+	own := mix(Key(s.self) ^ e.key)
+	listed := false
+	for _, node := range s.nodes {
+		if node == s.self {
+			listed = true
+		} else if mix(Key(node)^e.key) > own {
+			places--
+		}
+	}
+	return listed && places > 0
+}
+
+// shareOf is the number of an entry's slots that are this node's: while it is cold, the
+// nodes that feed it have them all. The caller holds mu.
+func (s *Set) shareOf(e *entry, now time.Time) int {
+	limit, cold := s.coldLimit(e, now)
+	if !cold {
+		return e.share
+	}
+	nodes, rate := s.ColdTolerance.parts(limit.Rate)
+	if rate <= 0 || !s.feeds(e, now) {
+		return 0
+	}
+	return (e.info.Slots + nodes - 1) / nodes
+}
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -178,7 +178,7 @@
 	for pool, list := range s.byPool {
 		known := s.demandOf(pool)
 		known.turnover(now)
-		share, items := sumShares(list)
+		share, items := s.sumShares(list, now)
 		all[pool] = Learned{
 			Share: share, Items: items, Open: known.open, Level: known.level(now), Fleet: s.fleetUsage(pool, now), Hold: known.hold(), Stay: known.stay,
 			First: known.first, PatienceShare: known.patienceShare(list[0].info.Slots), ReadingRate: known.readingRate(),
@@ -188,10 +188,10 @@
 }
 
 // sumShares returns the slots of this node that take items, and its items there.
-func sumShares(list []*entry) (share, items int) {
+func (s *Set) sumShares(list []*entry, now time.Time) (share, items int) {
 	for _, known := range list {
 		if !known.info.Leaving && !known.info.NoBatch {
-			share += known.share
+			share += s.shareOf(known, now)
 		}
 		items += known.batch - known.leaving
 	}
@@ -203,7 +203,7 @@
 func (s *Set) ItemRoom(pool string, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share, items := sumShares(s.pool(pool))
+	share, items := s.sumShares(s.pool(pool), now)
 	return int(float64(share)-s.needed(pool, share, now)+s.rounding(pool)) - items
 }
 
--- a/internal/replica/divide.go
+++ b/internal/replica/divide.go
@@ -13,6 +13,7 @@
 		return
 	}
 	s.self, s.nodes = self, nodes
+	s.division++
 	s.index()
 }
 
--- a/internal/replica/evacuate.go
+++ b/internal/replica/evacuate.go
@@ -1,15 +1,21 @@
 package replica
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // Evacuate takes in which zones operators empty: their replicas take nothing new until
 // the zone is not among them any more. What runs there runs on.
-func (s *Set) Evacuate(zones map[string]bool) {
+func (s *Set) Evacuate(zones map[string]bool) { s.evacuate(zones, time.Now()) }
+
+func (s *Set) evacuate(zones map[string]bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if maps.Equal(s.evacuated, zones) {
 		return
 	}
+	s.returned(zones, now)
 	s.evacuated = maps.Clone(zones)
 	s.index()
 }
--- a/internal/replica/exclusion.go
+++ b/internal/replica/exclusion.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Exclusion says why a replica may not take a request now. Choice, reservation, log
@@ -48,6 +49,8 @@
 type NoReplicaError struct {
 	// Counts counts the replicas looked at, by what excluded them.
 	Counts [exclusions]int
+	// ColdWait is the least time until a cold replica may get the request.
+	ColdWait time.Duration
 }
 
 // Error implements error.
@@ -80,6 +83,21 @@
 	return lasting > 0
 }
 
+// Cold reports whether the request waits for cold replicas alone: without the rate that
+// they bear, one of them would take it.
+func (e *NoReplicaError) Cold() bool {
+	others := e.Counts[Tried] + e.Counts[Ejected] + e.Counts[Occupied]
+	return e.Counts[Cold] > 0 && others == 0
+}
+
+// count takes in what excludes a replica.
+func (e *NoReplicaError) count(c *Candidate, why Exclusion) {
+	if why == Cold && (e.Counts[Cold] == 0 || c.Cold.Wait < e.ColdWait) {
+		e.ColdWait = c.Cold.Wait
+	}
+	e.Counts[why]++
+}
+
 // excludedByPlace reports what keeps a request from a replica for where it stands.
 func (c *Candidate) excludedByPlace(demand *Demand) Exclusion {
 	switch {
@@ -103,6 +121,8 @@
 		return Unsuitable
 	case demand.Exclude[c.ID]:
 		return Tried
+	case c.Cold.Holds(demand.Batch):
+		return Cold
 	default:
 		return Usable
 	}
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -80,7 +80,7 @@
 	}
 	needs := make([]Need, 0, len(s.byPool))
 	for pool, list := range s.byPool {
-		share, items := sumShares(list)
+		share, items := s.sumShares(list, now)
 		level := s.demandOf(pool).level(now)
 		if share > 0 {
 			s.told(pool, level, share, now)
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -91,7 +91,7 @@
 			// Its slots are left to online requests.
 			why = Occupied
 		}
-		failed.Counts[why]++
+		failed.count(&candidates[i], why)
 	}
 	return failed
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,8 @@
 	// ReadingRate is how fast it reads prompts, in tokens a second; 0 if it does
 	// not say.
 	ReadingRate float64
+	// ColdLeft is how long it said, when it was listed, that it is cold yet.
+	ColdLeft time.Duration
 	// Leaving replicas finish what they have and take nothing new.
 	Leaving bool
 	// Version is the version of the model that it serves; empty if unknown.
@@ -62,6 +64,8 @@
 	Ejected bool
 	// Evacuated replicas stand in a zone that operators empty.
 	Evacuated bool
+	// Cold is what this node may do with it while it is cold.
+	Cold ColdView
 	// Share is the number of its slots that are this node's by the division among
 	// the nodes.
 	Share int
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -55,6 +55,7 @@
 	heard time.Time
 	// vanished is when the entry left the list; zero while it is listed.
 	vanished time.Time
+	cold     coldness
 }
 
 // Set is a node's view of all replicas. It is safe for concurrent use.
@@ -68,6 +69,8 @@
 	// are this node's.
 	self  string
 	nodes []string
+	// division rises with each change of these.
+	division uint64
 	// demand is what online requests take of each pool, at this node.
 	demand map[string]*demand
 	// evacuated are the zones that operators empty.
@@ -76,7 +79,15 @@
 	fleet map[string]*fleetView
 	// outageEnd is when the list's source came back after a long outage.
 	outageEnd time.Time
-	changed   chan struct{}
+	// heard is when anything last came from any replica.
+	heard   time.Time
+	changed chan struct{}
+	// coldLimits are what cold replicas bear, by pool; coldHeld counts what was held
+	// back for it.
+	coldLimits map[string]ColdLimit
+	coldHeld   uint64
+	// ColdTolerance must be set before the first use.
+	ColdTolerance ColdTolerance
 	// Ejected is told of each ejection, outside the lock.
 	Ejected func(info Info, result Result)
 	// Pressed is asked, outside the lock, to make batch items of this node give
@@ -90,7 +101,9 @@
 }
 
 // Put takes in a listed replica. It reports whether the replica is new.
-func (s *Set) Put(info Info) bool {
+func (s *Set) Put(info Info) bool { return s.put(info, time.Now()) }
+
+func (s *Set) put(info Info, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.entries[info.ID]
@@ -101,6 +114,9 @@
 	moved := !ok || known.info.Pool != info.Pool || known.info.Slots != info.Slots || known.info.Zone != info.Zone
 	known.info = info
 	known.vanished = time.Time{}
+	if info.ColdLeft > 0 {
+		s.chill(known, now.Add(info.ColdLeft), ColdTold, now)
+	}
 	if moved {
 		s.index()
 	} else {
@@ -237,7 +253,10 @@
 	if len(list) == 0 {
 		return s.candidatesOf(s.pool(pool), now)
 	}
-	chosen := sample(list, now)
+	chosen := s.sample(list, now)
+	if s.allHeld(chosen, demand.Batch, now) {
+		return s.candidatesOf(list, now)
+	}
 	if home := homeAmong(list, demand.Affinity, now); home != nil && !slices.Contains(chosen, home) {
 		chosen = append(chosen, home)
 	}
@@ -259,11 +278,12 @@
 	return allowed
 }
 
-// sample returns the replicas that this node knows and some random others.
-func sample(list []*entry, now time.Time) []*entry {
+// sample returns the replicas that this node knows and some random others. Of cold ones it
+// knows those that it feeds. The caller holds mu.
+func (s *Set) sample(list []*entry, now time.Time) []*entry {
 	chosen := make([]*entry, 0, len(list))
 	for _, known := range list {
-		if known.share > 0 || known.fresh(now) {
+		if s.shareOf(known, now) > 0 || known.fresh(now) {
 			chosen = append(chosen, known)
 		}
 	}
@@ -310,7 +330,7 @@
 	known.turnover(now)
 	return Candidate{
 		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
-		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: e.share,
+		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: s.shareOf(e, now), Cold: s.coldView(e, now),
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.health.ejected(now), Waiting: e.waitingAtTime(now),
 		Age: e.loadAge(now), Fresh: e.fresh(now), Fleet: s.fleetUsage(e.info.Pool, now),
 		Evacuated: s.evacuated[e.info.Zone],
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -48,7 +48,8 @@
 }
 
 // Begin counts a request about to be sent to a replica. An online request that
-// would wait there for longer than it has time has an item of this node give way.
+// would wait there for longer than it has time has an item of this node give way. It
+// returns nil if the replica is cold and must not get the request now.
 func (s *Set) Begin(id string, ask Ask, now time.Time) *Use {
 	use, why := s.begin(id, ask, now)
 	if why != nil && s.Pressed != nil {
@@ -68,6 +69,9 @@
 		s.rebuild()
 	}
 	candidate := s.candidate(known, now)
+	if !s.admitCold(known, ask, now) {
+		return nil, nil
+	}
 	if !ask.Batch && !ask.Reserved && candidate.swaps(ask) {
 		why = &Pressure{Wait: candidate.waitForSlot(), Patience: ask.patience(candidate.First, candidate.PatienceShare), Age: candidate.Age}
 	}
@@ -143,7 +147,7 @@
 func (u *Use) Heard(now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	u.entry.heard = now
+	u.entry.heard, u.set.heard = now, now
 }
 
 // Silence returns the time since anything of any request came from the replica,
@@ -171,6 +175,9 @@
 		return false
 	}
 	u.ended = true
+	if result == Succeeded {
+		u.set.heard = now
+	}
 	if !u.first {
 		u.entry.pending -= u.ask.Tokens
 	}
@@ -183,6 +190,9 @@
 		u.entry.leaving--
 	}
 	ejected = u.entry.health.observe(result, now)
+	if result == Unreachable {
+		u.set.unreached(u.entry, now)
+	}
 	if result == Refused {
 		// A replica that refuses has its slots and its queue full.
 		u.entry.others = max(u.entry.others, refusedFill*float64(u.entry.info.Slots))
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -126,6 +126,8 @@
 	// Keyed says that callers are told apart by keys: those of Tenants.
 	Keyed   bool
 	Tenants []*tenant.Tenant
+	// Pools tell what is particular of pools of replicas.
+	Pools []Pool
 }
 
 // Validate reports everything that keeps the configuration from coming into force.
@@ -152,6 +154,7 @@
 		}
 	}
 	c.validateTenants(&found)
+	c.validatePools(&found)
 	return found.All()
 }
 
@@ -189,6 +192,8 @@
 	byKey  tenant.Directory[*tenant.Tenant]
 	// byTenant holds the tenants by name.
 	byTenant map[string]*tenant.Tenant
+	// Pools tell what is particular of pools of replicas.
+	Pools []Pool
 }
 
 // NewTable builds the table of a valid configuration.
@@ -196,7 +201,7 @@
 	table := &Table{
 		Version: config.Version, Limits: config.Limits, Keyed: config.Keyed,
 		byHost: map[string][]*Route{}, byName: map[string]*Route{},
-		byTenant: map[string]*tenant.Tenant{},
+		byTenant: map[string]*tenant.Tenant{}, Pools: config.Pools,
 	}
 	for _, route := range config.Routes {
 		table.byHost[route.Host] = append(table.byHost[route.Host], route)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -107,6 +107,10 @@
 	Open    int  `json:"open"`
 	Batch   int  `json:"batch"`
 	Ejected bool `json:"ejected,omitempty"`
+	// ColdLeft is how long it is taken as cold yet, in seconds; ColdRate is what this
+	// node may send it meanwhile, in requests a second.
+	ColdLeft float64 `json:"coldLeft,omitempty"`
+	ColdRate float64 `json:"coldRate,omitempty"`
 }
 
 // Options are the parts that the handlers use.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,6 +31,7 @@
 	// node keeps tenants' limits by an equal part of them.
 	Peers string `json:"peers,omitempty"`
 	Quota Quota  `json:"quota,omitempty"`
+	Cold  Cold   `json:"cold,omitempty"`
 	// MaxConfigAge bounds how long callers are told apart by a configuration whose
 	// source does not answer; 0 means no bound. Keys that were taken away meanwhile are
 	// served up to then.
@@ -55,6 +56,15 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// Cold says how cold replicas are judged: in any one second one may get the rate that it
+// bears x Over + Slack requests.
+type Cold struct {
+	// Over is 1 at least; default 1.
+	Over float64 `json:"over,omitempty"`
+	// Slack is in requests.
+	Slack float64 `json:"slack,omitempty"`
+}
+
 // DefaultQuotaWindow is what the users' deployments state.
 const DefaultQuotaWindow = v1.Duration(5 * time.Second)
 
@@ -90,6 +100,12 @@
 	if g.Quota.Slack < 0 {
 		found.Add("gateway.quota.slack", "must not be negative")
 	}
+	if g.Cold.Over != 0 && !(g.Cold.Over >= 1) {
+		found.Add("gateway.cold.over", "must be at least 1")
+	}
+	if !(g.Cold.Slack >= 0) {
+		found.Add("gateway.cold.slack", "must not be negative")
+	}
 	if g.Grace < 0 {
 		found.Add("gateway.grace", "must not be negative")
 	}
