--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+// admitted counts how many of some requests a set lets be sent at a moment.
+func admitted(set *Set, id string, requests int, now time.Time) int {
+	count := 0
+	for range requests {
+		if set.Begin(id, Ask{}, now) != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // coldSet returns a set of one of some nodes with a cold replica and, if it is asked for,
 // a warm one.
 func coldSet(self string, nodes []string, warm bool, now time.Time) *Set {
@@ -92,11 +103,11 @@
 	set.evacuate(map[string]bool{"": true}, now)
 	now = now.Add(10 * time.Second)
 	set.evacuate(nil, now)
-	if set.Begin("warm", Ask{}, now) == nil || set.Begin("warm", Ask{}, now) != nil {
+	if admitted(set, "warm", 5, now) != 1 {
 		t.Error("a replica of a zone that was emptied is filled at once")
 	}
 	later := now.Add(3 * time.Second)
-	if set.Begin("warm", Ask{}, later) == nil || set.Begin("warm", Ask{}, later) == nil {
+	if admitted(set, "warm", 5, later) != 5 {
 		t.Error("a replica is held to be cold for longer than its start takes")
 	}
 }
@@ -108,7 +119,7 @@
 	set.Begin("cold", Ask{}, now).Heard(now)
 	set.Begin("warm", Ask{}, now).End(Unreachable, now)
 	later := now.Add(2 * time.Second)
-	if set.Begin("warm", Ask{}, later) == nil || set.Begin("warm", Ask{}, later) != nil {
+	if admitted(set, "warm", 5, later) != 1 {
 		t.Error("a replica that was unreachable is filled at once")
 	}
 }
@@ -118,7 +129,7 @@
 	set := coldSet("a", []string{"a"}, true, now)
 	now = now.Add(10 * time.Second)
 	set.Begin("warm", Ask{}, now).End(Unreachable, now)
-	if set.Begin("warm", Ask{}, now) == nil || set.Begin("warm", Ask{}, now) == nil {
+	if admitted(set, "warm", 5, now) != 5 {
 		t.Error("a replica is presumed to be cold by a node that hears from none")
 	}
 }
@@ -180,3 +191,33 @@
 		}
 	}
 }
+
+// TestCold_HoldsWhileAPartOfTheNodesIsCutOff has half of the nodes see those that were
+// there before, and the other half only itself.
+func TestCold_HoldsWhileAPartOfTheNodesIsCutOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var all []string
+	for i := range 20 {
+		all = append(all, fmt.Sprint("node", i))
+	}
+	var sets []*Set
+	for i, node := range all {
+		view := all
+		if i >= len(all)/2 {
+			view = all[len(all)/2:]
+		}
+		sets = append(sets, coldSet(node, view, false, now))
+	}
+	for number := range 100 {
+		id, got := fmt.Sprint("r", number), 0
+		for _, set := range sets {
+			set.put(Info{ID: id, Pool: testPool, Slots: 8, ColdLeft: time.Second}, now)
+			for at := now; at.Before(now.Add(time.Second)); at = at.Add(10 * time.Millisecond) {
+				got += admitted(set, id, 2, at)
+			}
+		}
+		if got > 27 {
+			t.Errorf("%s got %d requests in a second, 27.5 allowed", id, got)
+		}
+	}
+}
