Feed cold replicas from their own zone first

Nodes of a zone that is cut off reach nothing but its replicas; where these are cold and fed from elsewhere they would stand idle. Feeders are now those of the replica's zone first, the rest by weight. The nodes' keys and zones are worked out once for each change of the members.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -101,6 +101,7 @@
 		},
 	})
 	g.replicas.ColdTolerance = replica.ColdTolerance{Over: g.settings.Gateway.Cold.Over, Slack: g.settings.Gateway.Cold.Slack}
+	g.replicas.ZoneOf = func(node string) string { return roster.Member(node).Zone }
 	g.roster = roster
 	roster.Ended = g.logEnded
 	g.session.Member = lease.Member{
--- a/internal/replica/cold_test.go
+++ b/internal/replica/cold_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -192,6 +194,23 @@
 	}
 }
 
+func TestCold_NodesOfTheZoneFeedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	zones := map[string]string{"a1": "a", "a2": "a", "a3": "a", "a4": "a", "b1": "b", "b2": "b", "b3": "b", "b4": "b"}
+	nodes := slices.Collect(maps.Keys(zones))
+	feeds := map[string]int{}
+	for _, node := range nodes {
+		set := coldSet(node, nil, false, now)
+		set.ZoneOf = func(node string) string { return zones[node] }
+		set.Divide(node, nodes)
+		set.put(Info{ID: "there", Pool: testPool, Zone: "b", Slots: 8, ColdLeft: time.Second}, now)
+		feeds[zones[node]] += admitted(set, "there", 2, now)
+	}
+	if feeds["a"] != 0 || feeds["b"] != coldFeeders {
+		t.Errorf("fed by zone: %v", feeds)
+	}
+}
+
 // TestCold_HoldsWhileAPartOfTheNodesIsCutOff has half of the nodes see those that were
 // there before, and the other half only itself.
 func TestCold_HoldsWhileAPartOfTheNodesIsCutOff(t *testing.T) {
--- a/internal/replica/coldrate.go
+++ b/internal/replica/coldrate.go
@@ -67,22 +67,69 @@
 	return e.cold.feeds
 }
 
-// feeder works out whether this node is one of those that feed an entry: those with the
-// largest weights. A node that is not among the nodes does not know them all. The caller
-// holds mu.
+// feeder works out whether this node is one of those that feed an entry: those of its
+// zone first, which reach it when the zone is cut off, then those with the largest
+// weights. A node that is not among the nodes does not know them all. The caller holds mu.
 func (s *Set) feeder(e *entry) bool {
 	limit := s.coldLimits[e.info.Pool]
 	places, _ := s.ColdTolerance.parts(limit.Rate)
-	own := mix(Key(s.self) ^ e.key)
-	listed := false
-	for _, node := range s.nodes {
-		if node == s.self {
-			listed = true
-		} else if mix(Key(node)^e.key) > own {
+	nodes, self := s.feedNodes()
+	if self < 0 {
+		return false
+	}
+	own := nodes[self].claim(e)
+	for i := range nodes {
+		if i != self && nodes[i].claim(e).before(own) {
 			places--
 		}
 	}
-	return listed && places > 0
+	return places > 0
+}
+
+// feedNode is a node that may feed replicas.
+type feedNode struct {
+	key  uint64
+	zone string
+}
+
+// feedClaim is a node's claim to feed a replica.
+type feedClaim struct {
+	near   bool
+	weight uint64
+}
+
+func (c feedClaim) before(other feedClaim) bool {
+	if c.near != other.near {
+		return c.near
+	}
+	return c.weight > other.weight
+}
+
+func (n *feedNode) claim(e *entry) feedClaim {
+	return feedClaim{near: n.zone == e.info.Zone, weight: mix(n.key ^ e.key)}
+}
+
+// feedNodes returns the nodes that may feed replicas, and this node's place among them; -1
+// if it is not there. They are worked out once for each division. The caller holds mu.
+func (s *Set) feedNodes() (nodes []feedNode, self int) {
+	if s.division == 0 {
+		return nil, -1
+	}
+	if s.feedDivision == s.division {
+		return s.feedList, s.feedSelf
+	}
+	s.feedList, s.feedSelf, s.feedDivision = s.feedList[:0], -1, s.division
+	for i, node := range s.nodes {
+		one := feedNode{key: Key(node)}
+		if s.ZoneOf != nil {
+			one.zone = s.ZoneOf(node)
+		}
+		if node == s.self {
+			s.feedSelf = i
+		}
+		s.feedList = append(s.feedList, one)
+	}
+	return s.feedList, s.feedSelf
 }
 
 // shareOf is the number of an entry's slots that are this node's: while it is cold, the
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -86,8 +86,16 @@
 	// back for it.
 	coldLimits map[string]ColdLimit
 	coldHeld   uint64
+	// feedList are the nodes that may feed cold replicas by the division feedDivision,
+	// feedSelf is this node's place among them.
+	feedList     []feedNode
+	feedSelf     int
+	feedDivision uint64
 	// ColdTolerance must be set before the first use.
 	ColdTolerance ColdTolerance
+	// ZoneOf, if set, returns the zone of a node, empty if it is not known. It is called
+	// with the set locked.
+	ZoneOf func(node string) string
 	// Ejected is told of each ejection, outside the lock.
 	Ejected func(info Info, result Result)
 	// Pressed is asked, outside the lock, to make batch items of this node give
