Ask feeders for places at cold replicas

Cause: where all replicas that a node can reach are cold, a node that feeds none of them had nothing to send to until they were warm, up to coldStartS.

Now it asks one of the feeders by datagram, 50 ms at most; what is granted comes out of the feeder's own part, so the bound holds as it did.

Not changed: where any warm replica may take the request nothing is asked.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -12,6 +13,18 @@
 // when it was chosen. Nothing was sent.
 var errHeldBack = errors.New("replica is cold and has been sent as much as it bears")
 
+// feederTimeout bounds the question for a place at a cold replica. A place is of use only
+// so long after it was asked for: later it would fall into another second. A way there
+// and back takes some 3 ms between zones.
+const feederTimeout = 50 * time.Millisecond
+
+// ColdFeeders are the nodes that feed cold replicas. It is safe for concurrent use.
+type ColdFeeders interface {
+	// Ask asks a node for a place at a replica that it feeds. It reports whether the
+	// node gave one before the context ended.
+	Ask(ctx context.Context, feeder replica.Feeder) bool
+}
+
 // coldOnly returns the error of a choice that waits for cold replicas alone, or nil.
 func coldOnly(err error) *replica.NoReplicaError {
 	if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) && none.Cold() {
@@ -20,6 +33,52 @@
 	return nil
 }
 
+// fedElsewhere reports whether a choice found none but cold replicas that other nodes
+// feed, or that this one may send a request no sooner.
+func (f *Forwarder) fedElsewhere(err error) bool {
+	none := coldOnly(err)
+	return none != nil && f.ColdFeeders != nil && none.ColdWait > coldLook
+}
+
+// askFeeder asks one of the nodes that feed cold replicas for a place. It returns the
+// replica to send the request to, or nil.
+func (c *call) askFeeder(ctx context.Context, failed error) *replica.Candidate {
+	if !c.forwarder.fedElsewhere(failed) {
+		return nil
+	}
+	feeders := c.forwarder.Replicas.Feeders(c.result.Pool, &c.demand, time.Now())
+	if len(feeders) == 0 {
+		return nil
+	}
+	asked := chooseFeeder(feeders, c.forwarder.Zone)
+	askCtx, cancel := context.WithTimeout(ctx, feederTimeout)
+	defer cancel()
+	if !c.forwarder.ColdFeeders.Ask(askCtx, asked) || askCtx.Err() != nil {
+		return nil
+	}
+	chosen, listed := c.forwarder.Replicas.Listed(asked.Replica, time.Now())
+	if !listed || chosen.Evacuated {
+		return nil
+	}
+	c.demand.Granted = true
+	return chosen
+}
+
+// chooseFeeder chooses at random, half of the times among those of replicas in a zone: if
+// the zone is cut off there is no way to others.
+func chooseFeeder(feeders []replica.Feeder, zone string) replica.Feeder {
+	var near []replica.Feeder
+	for _, one := range feeders {
+		if one.Zone == zone {
+			near = append(near, one)
+		}
+	}
+	if len(near) > 0 && rand.IntN(2) == 0 {
+		feeders = near
+	}
+	return feeders[rand.IntN(len(feeders))]
+}
+
 // waitForReplica waits until there may be a replica to choose, as long as the route
 // allows.
 func (c *call) waitForReplica(ctx context.Context, err error) error {
@@ -31,6 +90,9 @@
 	if none := coldOnly(err); none != nil {
 		c.forwarder.Replicas.HeldBack()
 		room = max(time.Millisecond, none.ColdWait)
+		if c.forwarder.fedElsewhere(err) {
+			room = coldLook
+		}
 	}
 	return c.waitForRoom(ctx, room)
 }
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -85,3 +85,40 @@
 		t.Error("the replica is not taken as cold")
 	}
 }
+
+// scriptedFeeders grant as told.
+type scriptedFeeders struct {
+	asked []replica.Feeder
+	grant func(number int) bool
+}
+
+func (f *scriptedFeeders) Ask(_ context.Context, feeder replica.Feeder) bool {
+	f.asked = append(f.asked, feeder)
+	return f.grant(len(f.asked))
+}
+
+func TestForward_AsksAFeederWhereItFeedsNoReplica(t *testing.T) {
+	backend := answerAll()
+	forwarder := coldForwarder(backend, []string{"b"}, 30*time.Second)
+	feeders := &scriptedFeeders{grant: func(number int) bool { return number == 3 }}
+	forwarder.ColdFeeders = feeders
+	if _, _, err := do(t, forwarder, routeOf(route.Stream, true, 2)); err != nil {
+		t.Fatal(err)
+	}
+	if len(backend.sent) != 1 || len(feeders.asked) != 3 || feeders.asked[0].Replica != "cold" || feeders.asked[0].Node != "b" {
+		t.Errorf("sent %d times, asked %v", len(backend.sent), feeders.asked)
+	}
+	if forwarder.Replicas.Begin("cold", replica.Ask{}, time.Now()) != nil {
+		t.Error("a place that was granted once lets another request be sent")
+	}
+}
+
+func TestForward_RefusesInTimeWhereNoFeederGrants(t *testing.T) {
+	backend := answerAll()
+	forwarder := coldForwarder(backend, []string{"b"}, 30*time.Second)
+	forwarder.ColdFeeders = &scriptedFeeders{grant: func(int) bool { return false }}
+	_, _, err := do(t, forwarder, routeOf(route.Stream, true, 2))
+	if !errors.Is(err, ErrBusy) || outcome.Of(err) != outcome.NotDone || len(backend.sent) > 0 {
+		t.Errorf("sent %d times, %v", len(backend.sent), err)
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -47,6 +47,9 @@
 	// Reserver, if set, is asked for a free slot elsewhere by requests that find none
 	// among their node's own.
 	Reserver Reserver
+	// ColdFeeders, if set, are asked by requests that find none but cold replicas which
+	// this node does not feed.
+	ColdFeeders ColdFeeders
 }
 
 // call is the state of one request.
@@ -141,12 +144,17 @@
 	for {
 		chosen, err := c.pick()
 		if err != nil {
+			chosen = c.askFeeder(ctx, err)
+		}
+		if chosen == nil {
 			if waitErr := c.waitForReplica(ctx, err); waitErr != nil {
 				return c.failure(waitErr)
 			}
 			continue
 		}
-		chosen = c.reserve(ctx, chosen)
+		if !c.demand.Granted {
+			chosen = c.reserve(ctx, chosen)
+		}
 		err = c.attempt(ctx, chosen)
 		if err == nil {
 			return nil
@@ -236,6 +244,7 @@
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
 	now := time.Now()
 	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
+	c.demand.Granted = false
 	if use == nil {
 		c.reservation, c.demand.Reserved = "", false
 		return errHeldBack
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -129,6 +129,7 @@
 	socket.Handle(quota.KindGrant, g.quota.TakeGrants)
 	socket.Handle(kindDemand, g.takeDemand)
 	g.quota.Sender = socket
+	g.answerCold(socket)
 	g.metrics.registerPeers(socket)
 	return nil
 }
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -190,6 +190,9 @@
 // admitCold takes a request's place in this node's part of the rate, unless there is none
 // now. It reports whether the request may be sent. The caller holds mu.
 func (s *Set) admitCold(e *entry, ask Ask, now time.Time) bool {
+	if ask.Granted {
+		return true
+	}
 	view := s.coldView(e, now)
 	if view.Holds(ask.Batch) {
 		s.coldHeld++
--- a/internal/replica/cold_model_test.go
+++ b/internal/replica/cold_model_test.go
@@ -23,6 +23,8 @@
 	sent    map[string][]time.Time
 	trueEnd map[string]time.Time
 	down    []time.Time
+	// turn counts the questions for a place.
+	turn int
 }
 
 // coldNews is something that reaches a node late.
@@ -148,40 +150,70 @@
 		f.hear()
 		for node, set := range f.sets {
 			if f.now.After(f.down[node]) {
-				f.press(set)
+				f.press(node, set)
 			}
 		}
 	}
 }
 
 func (f *coldFleet) hear() {
-	f.due = slices.DeleteFunc(f.due, func(news coldNews) bool {
+	waiting := f.due
+	f.due = nil
+	for _, news := range waiting {
 		if news.at.After(f.now) {
-			return false
+			f.due = append(f.due, news)
+			continue
 		}
 		news.apply(f.sets[news.node])
-		return true
-	})
+	}
 }
 
-func (f *coldFleet) press(set *Set) {
+func (f *coldFleet) press(node int, set *Set) {
 	demand := &Demand{Ask: Ask{Tokens: 100}}
 	for range 2 {
 		chosen, err := Pick(set.SnapshotFor(testPool, demand, f.now), demand, Weights{})
 		if err != nil {
+			f.ask(node, set)
 			return
 		}
 		use := set.Begin(chosen.ID, demand.Ask, f.now)
 		if use == nil {
 			f.t.Fatalf("a replica that may get nothing was chosen: %+v", chosen.Cold)
 		}
-		use.End(Succeeded, f.now)
-		if f.now.Before(f.trueEnd[chosen.ID]) {
-			f.sent[chosen.ID] = append(f.sent[chosen.ID], f.now)
-		}
+		f.record(use, chosen.ID)
+	}
+}
+
+func (f *coldFleet) record(use *Use, id string) {
+	use.End(Succeeded, f.now)
+	if f.now.Before(f.trueEnd[id]) {
+		f.sent[id] = append(f.sent[id], f.now)
 	}
 }
 
+// ask has a node ask one that feeds a replica for a place there. Both ways take time,
+// together no more than the asker waits.
+func (f *coldFleet) ask(node int, set *Set) {
+	feeders := set.Feeders(testPool, &Demand{}, f.now)
+	if len(feeders) == 0 {
+		return
+	}
+	f.turn++
+	asked := feeders[f.turn%len(feeders)]
+	there := time.Duration(f.turn%3) * coldModelStep
+	back := time.Duration(f.turn%4) * coldModelStep / 2
+	f.tell(slices.Index(f.names, asked.Node), there, func(feeder *Set) {
+		if !feeder.GrantCold(asked.Replica, f.now) || f.turn%9 == 0 {
+			return
+		}
+		f.tell(node, back, func(asker *Set) {
+			if use := asker.Begin(asked.Replica, Ask{Granted: true}, f.now); use != nil {
+				f.record(use, asked.Replica)
+			}
+		})
+	})
+}
+
 // check counts what each replica got in any one second while it was cold.
 func (f *coldFleet) check() {
 	for id, sent := range f.sent {
--- /dev/null
+++ b/internal/replica/coldgrant.go
@@ -0,0 +1,84 @@
+package replica
+
+import "time"
+
+// Where all replicas of a pool are cold, nodes that feed none of them would have nothing
+// to send their requests to. They ask a node that feeds one for a place; what it grants
+// comes out of its own part of the rate, so the bound holds as before.
+
+// Feeder is a node that feeds a cold replica.
+type Feeder struct {
+	Replica, Node string
+	// Zone is the replica's.
+	Zone string
+}
+
+// Feeders returns the nodes that feed the cold replicas which a request could go to, as
+// far as this node knows the members.
+func (s *Set) Feeders(pool string, demand *Demand, now time.Time) []Feeder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var feeders []Feeder
+	for _, known := range s.allowed(s.pool(pool), demand) {
+		candidate := s.candidate(known, now)
+		if known.info.Leaving || candidate.Ejected || candidate.excluded(demand) != Cold {
+			continue
+		}
+		for _, node := range s.feedersOf(known) {
+			if node != s.self {
+				feeders = append(feeders, Feeder{Replica: known.info.ID, Node: node, Zone: known.info.Zone})
+			}
+		}
+	}
+	return feeders
+}
+
+// feedersOf returns the nodes that feed an entry. The caller holds mu.
+func (s *Set) feedersOf(e *entry) []string {
+	places, _ := s.ColdTolerance.parts(s.coldLimits[e.info.Pool].Rate)
+	nodes, _ := s.feedNodes()
+	var chosen []int
+	for i := range nodes {
+		chosen = append(chosen, i)
+		for at := len(chosen) - 1; at > 0 && nodes[chosen[at]].claim(e).before(nodes[chosen[at-1]].claim(e)); at-- {
+			chosen[at], chosen[at-1] = chosen[at-1], chosen[at]
+		}
+		chosen = chosen[:min(len(chosen), places)]
+	}
+	names := make([]string, len(chosen))
+	for i, at := range chosen {
+		names[i] = s.nodes[at]
+	}
+	return names
+}
+
+// GrantCold takes a place in this node's part of a cold replica's rate for another node.
+// It reports whether there was one.
+func (s *Set) GrantCold(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	if !ok || s.evacuated[known.info.Zone] {
+		return false
+	}
+	view := s.coldView(known, now)
+	if view.Left == 0 || view.Holds(false) {
+		// What the other node takes for cold and this one for warm has changed meanwhile;
+		// one of them is yet to hear of it.
+		return false
+	}
+	known.cold.next = now.Add(interval(view.Rate))
+	return true
+}
+
+// Listed returns a replica as a choice sees it.
+func (s *Set) Listed(id string, now time.Time) (*Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	if !ok {
+		return nil, false
+	}
+	candidate := s.candidate(known, now)
+	return &candidate, true
+}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -9,6 +9,9 @@
 	Batch  bool
 	// Reserved is set if a slot of the replica is set aside for the request.
 	Reserved bool
+	// Granted is set if a node that feeds the replica, which is cold, gave the request a
+	// place in its part of the rate.
+	Granted bool
 	// Objective is the time left until the first event is late; 0 if nobody minds.
 	Objective time.Duration
 }
