--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -42,8 +42,8 @@
 
 // askFeeder asks one of the nodes that feed cold replicas for a place. It returns the
 // replica to send the request to, or nil.
-func (c *call) askFeeder(ctx context.Context, failed error) *replica.Candidate {
-	if !c.forwarder.fedElsewhere(failed) {
+func (c *call) askFeeder(ctx context.Context) *replica.Candidate {
+	if c.forwarder.ColdFeeders == nil {
 		return nil
 	}
 	feeders := c.forwarder.Replicas.Feeders(c.result.Pool, &c.demand, time.Now())
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -122,3 +122,20 @@
 		t.Errorf("sent %d times, %v", len(backend.sent), err)
 	}
 }
+
+func TestReserve_AsksAFeederOnceNoSlotIsSetAside(t *testing.T) {
+	backend := answerAll()
+	reserver := &scriptedReserver{answer: func(string) (string, error) { return "", errFull }}
+	forwarder := crowded(t, backend, reserver)
+	forwarder.Replicas.LimitCold(map[string]replica.ColdLimit{testPool: {Rate: 15, Start: 3 * time.Second}})
+	forwarder.Replicas.Divide("a", []string{"b", "c"})
+	forwarder.Replicas.Put(replica.Info{ID: "cold", Pool: testPool, Address: "cold", Slots: 4, ColdLeft: 3 * time.Second})
+	feeders := &scriptedFeeders{grant: func(int) bool { return true }}
+	forwarder.ColdFeeders = feeders
+	if _, _, err := do(t, forwarder, routeOf(route.Stream, true, 2)); err != nil {
+		t.Fatal(err)
+	}
+	if len(reserver.asked) != reserveTries || len(feeders.asked) != 1 || backend.sent[0].Replica.ID != "cold" {
+		t.Errorf("asked %v and %v, sent to %s", reserver.asked, feeders.asked, backend.sent[0].Replica.ID)
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -143,8 +143,8 @@
 func (c *call) run(ctx context.Context) error {
 	for {
 		chosen, err := c.pick()
-		if err != nil {
-			chosen = c.askFeeder(ctx, err)
+		if c.forwarder.fedElsewhere(err) {
+			chosen = c.askFeeder(ctx)
 		}
 		if chosen == nil {
 			if waitErr := c.waitForReplica(ctx, err); waitErr != nil {
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -44,6 +44,9 @@
 		}
 		demand.Exclude[asked.ID] = true
 	}
+	if granted := c.askFeeder(ctx); granted != nil {
+		return granted
+	}
 	return chosen
 }
 
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -61,7 +61,9 @@
 	reason       ColdReason
 	// next is when this node may send it the next request.
 	next time.Time
-	// feeds is whether this node is one of those that may, worked out for that division.
+	// feeders are the nodes that may, by their places among the set's, feeds is whether
+	// this node is one of them; both were worked out for that division.
+	feeders  []int
 	feeds    bool
 	division uint64
 	// logged is what ColdChanges last told.
@@ -98,7 +100,7 @@
 	}
 	if !now.Before(e.cold.until) {
 		e.cold.since, e.cold.reason = now, reason
-		e.cold.feeds, e.cold.division = s.feeder(e), s.division
+		s.chooseFeeders(e)
 	}
 	e.cold.until = until
 }
--- a/internal/replica/coldgrant.go
+++ b/internal/replica/coldgrant.go
@@ -24,8 +24,10 @@
 		if known.info.Leaving || candidate.Ejected || candidate.excluded(demand) != Cold {
 			continue
 		}
-		for _, node := range s.feedersOf(known) {
-			if node != s.self {
+		// That brings its feeders up to date.
+		s.feeds(known, now)
+		for _, place := range known.cold.feeders {
+			if node := s.nodes[place]; node != s.self {
 				feeders = append(feeders, Feeder{Replica: known.info.ID, Node: node, Zone: known.info.Zone})
 			}
 		}
@@ -33,25 +35,6 @@
 	return feeders
 }
 
-// feedersOf returns the nodes that feed an entry. The caller holds mu.
-func (s *Set) feedersOf(e *entry) []string {
-	places, _ := s.ColdTolerance.parts(s.coldLimits[e.info.Pool].Rate)
-	nodes, _ := s.feedNodes()
-	var chosen []int
-	for i := range nodes {
-		chosen = append(chosen, i)
-		for at := len(chosen) - 1; at > 0 && nodes[chosen[at]].claim(e).before(nodes[chosen[at-1]].claim(e)); at-- {
-			chosen[at], chosen[at-1] = chosen[at-1], chosen[at]
-		}
-		chosen = chosen[:min(len(chosen), places)]
-	}
-	names := make([]string, len(chosen))
-	for i, at := range chosen {
-		names[i] = s.nodes[at]
-	}
-	return names
-}
-
 // GrantCold takes a place in this node's part of a cold replica's rate for another node.
 // It reports whether there was one.
 func (s *Set) GrantCold(id string, now time.Time) bool {
--- a/internal/replica/coldrate.go
+++ b/internal/replica/coldrate.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// coldFeeders is the most nodes that feed a cold replica: with one, a cold replica
@@ -43,7 +46,7 @@
 		return nodes, part
 	}
 	if bound < 1 {
-		return 1, 0
+		return 0, 0
 	}
 	// The bound is too small for two views: one request in somewhat over a second, which
 	// holds while nodes agree.
@@ -60,30 +63,28 @@
 		return e.cold.feeds
 	}
 	fed := e.cold.feeds
-	e.cold.feeds, e.cold.division = s.feeder(e), s.division
+	s.chooseFeeders(e)
 	if held := now.Add(feedHold); !fed && e.cold.feeds && held.After(e.cold.next) {
 		e.cold.next = held
 	}
 	return e.cold.feeds
 }
 
-// feeder works out whether this node is one of those that feed an entry: those of its
-// zone first, which reach it when the zone is cut off, then those with the largest
-// weights. A node that is not among the nodes does not know them all. The caller holds mu.
-func (s *Set) feeder(e *entry) bool {
-	limit := s.coldLimits[e.info.Pool]
-	places, _ := s.ColdTolerance.parts(limit.Rate)
+// chooseFeeders works out which nodes feed an entry: those of its zone first, which reach
+// it when the zone is cut off, then those with the largest weights. A node that is not
+// among the nodes does not know them all, and feeds nothing. The caller holds mu.
+func (s *Set) chooseFeeders(e *entry) {
+	places, _ := s.ColdTolerance.parts(s.coldLimits[e.info.Pool].Rate)
 	nodes, self := s.feedNodes()
-	if self < 0 {
-		return false
-	}
-	own := nodes[self].claim(e)
+	chosen := make([]int, 0, coldFeeders+1)
 	for i := range nodes {
-		if i != self && nodes[i].claim(e).before(own) {
-			places--
+		chosen = append(chosen, i)
+		for at := len(chosen) - 1; at > 0 && nodes[chosen[at]].claim(e).before(nodes[chosen[at-1]].claim(e)); at-- {
+			chosen[at], chosen[at-1] = chosen[at-1], chosen[at]
 		}
+		chosen = chosen[:min(len(chosen), places)]
 	}
-	return places > 0
+	e.cold.feeders, e.cold.feeds, e.cold.division = chosen, slices.Contains(chosen, self), s.division
 }
 
 // feedNode is a node that may feed replicas.
