--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -38,7 +38,7 @@
 	ColdTold ColdReason = iota
 	// ColdReturned replicas stand in a zone that operators emptied a moment ago.
 	ColdReturned
-	// ColdUnreachable replicas took no connection a moment ago: they may have started.
+	// ColdUnreachable replicas took no connection a moment ago.
 	ColdUnreachable
 )
 
@@ -102,6 +102,9 @@
 		e.cold.since, e.cold.reason = now, reason
 		s.chooseFeeders(e)
 	}
+	if e.cold.reason == ColdUnreachable {
+		e.cold.reason = reason
+	}
 	e.cold.until = until
 }
 
@@ -120,12 +123,22 @@
 	u.set.chill(u.entry, now.Add(left), ColdTold, now)
 }
 
-// unreached takes in that a replica took no connection: once it does again it may be
-// cold. If nothing comes from any replica it is this node that is cut off. The caller
-// holds mu.
+// unreached takes in that a replica took no connection: as long as it is left out for
+// that, only the nodes that feed it try, also as a last resort. Once it answers it is as
+// warm as before, for one that has started has another id and refuses what is meant for
+// the one before. If nothing comes from any replica it is this node that is cut off. The
+// caller holds mu.
 func (s *Set) unreached(e *entry, now time.Time) {
-	if now.Sub(s.heard) < heardLately {
-		s.presumeCold(e, e.health.until, ColdUnreachable, now)
+	if limit := s.coldLimits[e.info.Pool]; limit.Rate > 0 && now.Sub(s.heard) < heardLately {
+		s.chill(e, e.health.until, ColdUnreachable, now)
+	}
+}
+
+// reached takes in that a replica answered. The caller holds mu.
+func (s *Set) reached(e *entry, now time.Time) {
+	s.heard = now
+	if e.cold.reason == ColdUnreachable && now.Before(e.cold.until) {
+		e.cold.until = now
 	}
 }
 
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -179,7 +179,7 @@
 	}
 	u.ended = true
 	if result == Succeeded {
-		u.set.heard = now
+		u.set.reached(u.entry, now)
 	}
 	if !u.first {
 		u.entry.pending -= u.ask.Tokens
