--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -15,6 +15,9 @@
 const (
 	// waitForRoom is the pause before replicas that refused are asked again.
 	waitForRoom = 25 * time.Millisecond
+	// coldLook bounds the pause before cold replicas are looked at again: one may be
+	// listed, or told to be warm, meanwhile.
+	coldLook = 100 * time.Millisecond
 	// refusalsInARow is the number of refusals after which a request pauses.
 	refusalsInARow = 3
 	// leastUseful is the least time left that is worth an attempt.
@@ -46,6 +49,9 @@
 	// Reserver, if set, is asked for a free slot elsewhere by requests that find none
 	// among their node's own.
 	Reserver Reserver
+	// ColdFeeders, if set, are asked by requests that find none but cold replicas which
+	// this node does not feed.
+	ColdFeeders ColdFeeders
 }
 
 // call is the state of one request.
@@ -97,6 +103,9 @@
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
 	demand := &replica.Demand{Zone: f.Zone, Region: f.Region, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
 	best, err := replica.Pick(f.Replicas.SnapshotFor(target.Pool(), demand, now), demand, f.Weights)
+	if none := coldOnly(err); none != nil {
+		return none.ColdWait, nil
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -138,21 +147,26 @@
 func (c *call) run(ctx context.Context) error {
 	for {
 		chosen, err := c.pick()
-		if err != nil {
-			if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) && none.Lasts() {
-				// Nothing that may happen in time helps.
-				return c.failure(err)
-			}
-			if waitErr := c.waitForRoom(ctx); waitErr != nil {
+		if c.forwarder.fedElsewhere(err) {
+			chosen = c.askFeeder(ctx)
+		}
+		if chosen == nil {
+			if waitErr := c.waitForReplica(ctx, err); waitErr != nil {
 				return c.failure(waitErr)
 			}
 			continue
 		}
-		chosen = c.reserve(ctx, chosen)
+		if !c.demand.Granted {
+			chosen = c.reserve(ctx, chosen)
+		}
 		err = c.attempt(ctx, chosen)
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, errHeldBack) {
+			// Others have used the rate up meanwhile; the next choice knows.
+			continue
+		}
 		if outcome.Of(err) != outcome.NotDone {
 			c.ran = true
 		}
@@ -164,7 +178,7 @@
 		}
 		c.demand.Exclude[chosen.ID] = true
 		if c.result.Refusals >= refusalsInARow && c.result.Refusals%refusalsInARow == 0 {
-			if waitErr := c.waitForRoom(ctx); waitErr != nil {
+			if waitErr := c.waitForRoom(ctx, waitForRoom); waitErr != nil {
 				return c.failure(waitErr)
 			}
 		}
@@ -193,15 +207,16 @@
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
 }
 
-// waitForRoom waits until refusals may be over, as long as the route allows.
-func (c *call) waitForRoom(ctx context.Context) error {
-	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+waitForRoom {
+// waitForRoom waits until refusals may be over, as long as the route allows. room is when
+// there is room at the earliest: a request that has less time is refused now.
+func (c *call) waitForRoom(ctx context.Context, room time.Duration) error {
+	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+room {
 		return ErrBusy
 	}
-	if c.route.MaxWait > 0 && time.Since(c.request.Received) > c.route.MaxWait {
+	if c.route.MaxWait > 0 && time.Since(c.request.Received)+room > c.route.MaxWait+waitForRoom {
 		return ErrBusy
 	}
-	timer := time.NewTimer(waitForRoom)
+	timer := time.NewTimer(min(room, coldLook))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -232,6 +247,12 @@
 
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
 	now := time.Now()
+	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
+	c.demand.Granted = false
+	if use == nil {
+		c.reservation, c.demand.Reserved = "", false
+		return errHeldBack
+	}
 	c.result.Attempts++
 	c.result.Replica, c.result.Region = chosen.ID, chosen.Region
 	c.result.Distance = c.demand.Distance(chosen)
@@ -239,7 +260,6 @@
 	if c.forwarder.Notice != nil {
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
-	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
 	err := c.exchange(ctx, chosen.Info, use)
 	c.reservation, c.demand.Reserved = "", false
 	if c.result.Events > 0 {
@@ -309,6 +329,9 @@
 	}
 	c.status = answer.Status
 	defer func() { _ = answer.Body.Close() }()
+	if answer.ColdLeft > 0 {
+		use.Chill(answer.ColdLeft, time.Now())
+	}
 	if answer.Load != nil {
 		use.Load(*answer.Load, time.Now())
 	}
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -35,7 +35,8 @@
 // reserve asks other replicas for a free slot if this node has none at the chosen one.
 // It returns the replica to send the request to.
 func (c *call) reserve(ctx context.Context, chosen *replica.Candidate) *replica.Candidate {
-	if c.forwarder.Reserver == nil || c.request.Prompt.Total() == 0 || chosen.Spare() {
+	if c.forwarder.Reserver == nil || c.request.Prompt.Total() == 0 || chosen.Spare() || chosen.Cold.Left > 0 {
+		// What is sent to a cold replica is bounded already.
 		return chosen
 	}
 	demand := c.demand
@@ -43,11 +44,13 @@
 	if asked := c.reserveAny(ctx, &demand, reserveTries, false); asked != nil {
 		return asked
 	}
-	if !c.hasTimeForAway(chosen) {
-		return chosen
+	if c.hasTimeForAway(chosen) {
+		if asked := c.reserveAny(ctx, &demand, reserveAway, true); asked != nil {
+			return asked
+		}
 	}
-	if asked := c.reserveAny(ctx, &demand, reserveAway, true); asked != nil {
-		return asked
+	if granted := c.askFeeder(ctx); granted != nil {
+		return granted
 	}
 	return chosen
 }
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -132,6 +132,7 @@
 	socket.Handle(kindEvidence, g.takeEvidence)
 	g.jobs.Tell = g.tellNews
 	g.quota.Sender = socket
+	g.answerCold(socket)
 	g.metrics.registerPeers(socket)
 	return nil
 }
--- a/internal/replica/divide.go
+++ b/internal/replica/divide.go
@@ -21,6 +21,7 @@
 	if at := indexOf(nodes, self); at >= 0 {
 		s.here = nodes[at].Place
 	}
+	s.division++
 	s.index()
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,6 +25,8 @@
 	// ReadingRate is how fast it reads prompts, in tokens a second; 0 if it does
 	// not say.
 	ReadingRate float64
+	// ColdLeft is how long it said, when it was listed, that it is cold yet.
+	ColdLeft time.Duration
 	// Leaving replicas finish what they have and take nothing new.
 	Leaving bool
 	// Version is the version of the model that it serves; empty if unknown.
@@ -70,6 +72,8 @@
 	Doubt float64
 	// Evacuated replicas stand in a zone that operators empty.
 	Evacuated bool
+	// Cold is what this node may do with it while it is cold.
+	Cold ColdView
 	// Share is the number of its slots that are this node's by the division among
 	// the nodes.
 	Share int
--- a/internal/replica/sample.go
+++ b/internal/replica/sample.go
@@ -36,11 +36,12 @@
 }
 
 // sample returns the replicas that this node knows, some random others nearby, and a
-// few random ones anywhere if not all are nearby.
-func sample(list, near []*entry, now time.Time) []*entry {
+// few random ones anywhere if not all are nearby. Of cold ones it knows those that it
+// feeds. The caller holds mu.
+func (s *Set) sample(list, near []*entry, now time.Time) []*entry {
 	chosen := make([]*entry, 0, len(list))
 	for _, known := range list {
-		if known.share > 0 || known.fresh(now) {
+		if s.shareOf(known, now) > 0 || known.fresh(now) {
 			chosen = append(chosen, known)
 		}
 	}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -9,6 +9,9 @@
 	Batch  bool
 	// Reserved is set if a slot of the replica is set aside for the request.
 	Reserved bool
+	// Granted is set if a node that feeds the replica, which is cold, gave the request a
+	// place in its part of the rate.
+	Granted bool
 	// Objective is the time left until the first event is late; 0 if nobody minds.
 	Objective time.Duration
 }
@@ -48,7 +51,8 @@
 }
 
 // Begin counts a request about to be sent to a replica. An online request that
-// would wait there for longer than it has time has an item of this node give way.
+// would wait there for longer than it has time has an item of this node give way. It
+// returns nil if the replica is cold and must not get the request now.
 func (s *Set) Begin(id string, ask Ask, now time.Time) *Use {
 	use, why := s.begin(id, ask, now)
 	if why != nil && s.Pressed != nil {
@@ -68,6 +72,9 @@
 		s.rebuild()
 	}
 	candidate := s.candidate(known, now)
+	if !s.admitCold(known, ask, now) {
+		return nil, nil
+	}
 	if !ask.Batch && !ask.Reserved && candidate.swaps(ask) {
 		why = &Pressure{Wait: candidate.waitForSlot(), Patience: ask.patience(candidate.First, candidate.PatienceShare), Age: candidate.Age}
 	}
@@ -143,7 +150,7 @@
 func (u *Use) Heard(now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	u.entry.heard = now
+	u.entry.heard, u.set.heard = now, now
 }
 
 // Silence returns the time since anything of any request came from the replica,
@@ -173,6 +180,9 @@
 		return false, nil
 	}
 	u.ended = true
+	if result == Succeeded {
+		u.set.reached(u.entry, now)
+	}
 	if !u.first {
 		u.entry.pending -= u.ask.Tokens
 	}
@@ -189,6 +199,9 @@
 	if result == Failed || result == Unreachable {
 		verdict = u.set.judge(u.entry, now)
 	}
+	if result == Unreachable {
+		u.set.unreached(u.entry, now)
+	}
 	if result == Refused {
 		// A replica that refuses has its slots and its queue full.
 		u.entry.others = max(u.entry.others, refusedFill*float64(u.entry.info.Slots))
