Kinds of messages between nodes stand in one place, and one kind has one handler

Cause: two parts built side by side had taken the numbers 10 and 11 each, so the later handler took the other's messages (node tests of cold replicas failed after the merge).

--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -14,14 +14,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
-// Kinds of messages about cold replicas.
-const (
-	// kindColdAsk carries a coldAsk to a node that feeds a replica.
-	kindColdAsk peer.Kind = 10
-	// kindColdAnswer carries a coldAnswer back.
-	kindColdAnswer peer.Kind = 11
-)
-
 // coldAsk asks for a place at a cold replica.
 type coldAsk struct {
 	Number  uint64 `cbor:"1,keyasint"`
@@ -49,8 +41,8 @@
 func (g *Gateway) answerCold(socket *peer.Socket) {
 	desk := &coldDesk{replicas: g.replicas, roster: g.roster, send: socket.Send}
 	desk.failed = func(err error) { g.sampled.Warn().Err(err).Msg("message about a cold replica failed") }
-	socket.Handle(kindColdAsk, desk.take(time.Now))
-	socket.Handle(kindColdAnswer, desk.answered)
+	socket.Handle(peer.KindColdAsk, desk.take(time.Now))
+	socket.Handle(peer.KindColdAnswer, desk.answered)
 	g.forwarder.ColdFeeders = desk
 }
 
@@ -64,7 +56,7 @@
 	}
 	number, answered := d.register()
 	defer d.forget(number)
-	if err := d.send(to, kindColdAsk, coldAsk{Number: number, Replica: feeder.Replica}); err != nil {
+	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica}); err != nil {
 		d.failed(err)
 		return false
 	}
@@ -93,7 +85,7 @@
 	delete(d.waiting, number)
 }
 
-// take handles messages of kindColdAsk.
+// take handles messages of peer.KindColdAsk.
 func (d *coldDesk) take(now func() time.Time) peer.Handler {
 	return func(_ string, source *net.UDPAddr, body []byte) {
 		var asked coldAsk
@@ -102,13 +94,13 @@
 			return
 		}
 		answer := coldAnswer{Number: asked.Number, Granted: d.replicas.GrantCold(asked.Replica, now())}
-		if err := d.send(source, kindColdAnswer, answer); err != nil {
+		if err := d.send(source, peer.KindColdAnswer, answer); err != nil {
 			d.failed(err)
 		}
 	}
 }
 
-// answered handles messages of kindColdAnswer.
+// answered handles messages of peer.KindColdAnswer.
 func (d *coldDesk) answered(_ string, _ *net.UDPAddr, body []byte) {
 	var answer coldAnswer
 	if err := cbor.Unmarshal(body, &answer); err != nil {
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -13,9 +13,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
-// kindDemand carries []demandTold.
-const kindDemand peer.Kind = 3
-
 const (
 	// demandEvery is the time between two words about demand: a pulse fills slots
 	// within the stay of a request, some 0.7 s on the users' deployments.
@@ -61,9 +58,9 @@
 func (g *Gateway) tellRegion(region string, told []demandTold) {
 	fanout := demandFanout
 	if region == g.near.region() {
-		fanout -= g.tellSome(g.near.zone(), demandZone, kindDemand, told)
+		fanout -= g.tellSome(g.near.zone(), demandZone, peer.KindDemand, told)
 	}
-	g.tellSome(g.near.of(region), fanout, kindDemand, told)
+	g.tellSome(g.near.of(region), fanout, peer.KindDemand, told)
 }
 
 // addNeed adds a pool to what the node's own region is told, and to what those are told
@@ -98,7 +95,7 @@
 	return count
 }
 
-// takeDemand handles messages of kindDemand.
+// takeDemand handles messages of peer.KindDemand.
 func (g *Gateway) takeDemand(_ string, _ *net.UDPAddr, body []byte) {
 	var told []demandTold
 	if err := cbor.Unmarshal(body, &told); err != nil {
--- a/internal/node/gatewayevidence.go
+++ b/internal/node/gatewayevidence.go
@@ -13,9 +13,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
-// kindEvidence carries []blameTold.
-const kindEvidence peer.Kind = 11
-
 const (
 	// evidenceEvery is the time between two words about replicas that fail, and
 	// evidenceFanout the number of random nodes that get one: as evidence is told for
@@ -48,11 +45,11 @@
 				AgeMs: uint16(blame.Age.Milliseconds()),
 			}
 		}
-		g.tellSome(g.near.others(), evidenceFanout, kindEvidence, told)
+		g.tellSome(g.near.others(), evidenceFanout, peer.KindEvidence, told)
 	}
 }
 
-// takeEvidence handles messages of kindEvidence.
+// takeEvidence handles messages of peer.KindEvidence.
 func (g *Gateway) takeEvidence(from string, _ *net.UDPAddr, body []byte) {
 	var told []blameTold
 	if err := cbor.Unmarshal(body, &told); err != nil {
--- a/internal/node/gatewaynews.go
+++ b/internal/node/gatewaynews.go
@@ -15,9 +15,6 @@
 // news tells those whom it concerns, who then look at once. The rows are the truth: a
 // word that is lost makes the news as late as the next look.
 
-// kindNews carries newsTold.
-const kindNews peer.Kind = 10
-
 // tellAllEvery is the least time between two words to all nodes about sessions that were
 // ended: when many nodes die at once, one of their watchers ends several in a row.
 const tellAllEvery = 250 * time.Millisecond
@@ -42,7 +39,7 @@
 		}
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err == nil {
-			err = g.peers.Send(to, kindNews, newsTold{Job: job})
+			err = g.peers.Send(to, peer.KindNews, newsTold{Job: job})
 		}
 		if err != nil {
 			g.sampled.Warn().Str("node", node).Str("job", job).Err(err).Msg("news not told, it comes by the feed")
@@ -57,7 +54,7 @@
 	}
 }
 
-// takeNews handles messages of kindNews.
+// takeNews handles messages of peer.KindNews.
 func (g *Gateway) takeNews(from string, _ *net.UDPAddr, body []byte) {
 	var told newsTold
 	if err := cbor.Unmarshal(body, &told); err != nil {
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -125,11 +125,11 @@
 		return Error.Wrap(err)
 	}
 	g.peers = socket
-	socket.Handle(quota.KindReport, g.quota.TakeReports)
-	socket.Handle(quota.KindGrant, g.quota.TakeGrants)
-	socket.Handle(kindDemand, g.takeDemand)
-	socket.Handle(kindNews, g.takeNews)
-	socket.Handle(kindEvidence, g.takeEvidence)
+	socket.Handle(peer.KindQuotaReport, g.quota.TakeReports)
+	socket.Handle(peer.KindQuotaGrant, g.quota.TakeGrants)
+	socket.Handle(peer.KindDemand, g.takeDemand)
+	socket.Handle(peer.KindNews, g.takeNews)
+	socket.Handle(peer.KindEvidence, g.takeEvidence)
 	g.jobs.Tell = g.tellNews
 	g.quota.Sender = socket
 	g.answerCold(socket)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -60,10 +61,13 @@
 // Address returns where the socket listens.
 func (s *Socket) Address() string { return s.conn.LocalAddr().String() }
 
-// Handle sets what takes messages of a kind.
+// Handle sets what takes messages of a kind. It panics if something does already.
 func (s *Socket) Handle(kind Kind, handler Handler) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.handlers[kind] != nil {
+		panic(fmt.Sprintf("peer: messages of kind %d are handled twice", kind))
+	}
 	s.handlers[kind] = handler
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -90,3 +90,20 @@
 		socket.receive(nil, datagram)
 	})
 }
+
+func TestSocket_AKindIsHandledOnce(t *testing.T) {
+	socket, err := Listen("127.0.0.1:0", "a#1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	nothing := func(string, *net.UDPAddr, []byte) {}
+	socket.Handle(KindNews, nothing)
+	socket.Handle(KindEvidence, nothing)
+	defer func() {
+		if recover() == nil {
+			t.Error("two handlers of one kind, and one of them hears nothing")
+		}
+	}()
+	socket.Handle(KindNews, nothing)
+}
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -20,14 +20,6 @@
 // errUnsound reports a message with figures that cannot be.
 var errUnsound = errors.New("report with figures that cannot be")
 
-// Kinds of messages between nodes.
-const (
-	// KindReport carries []Report to an owner.
-	KindReport peer.Kind = 1
-	// KindGrant carries []Grant back.
-	KindGrant peer.Kind = 2
-)
-
 const (
 	// reportTick is how often due reports are looked for.
 	reportTick = 100 * time.Millisecond
@@ -147,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	defer e.await(report.Number, answers)()
-	e.send(to, KindReport, []Report{report})
+	e.send(to, peer.KindQuotaReport, []Report{report})
 	again := time.NewTimer(askAgain)
 	defer again.Stop()
 	for {
@@ -159,7 +151,7 @@
 		case <-again.C:
 			if second, ok := e.Gate.Again(report.Tenant, time.Now()); ok {
 				defer e.await(second.Number, answers)()
-				e.send(to, KindReport, []Report{second})
+				e.send(to, peer.KindQuotaReport, []Report{second})
 			}
 		}
 	}
@@ -225,7 +217,7 @@
 		}
 		for len(reports) > 0 {
 			size := min(len(reports), maxReports)
-			e.send(to, KindReport, reports[:size])
+			e.send(to, peer.KindQuotaReport, reports[:size])
 			reports = reports[size:]
 		}
 	}
@@ -252,7 +244,7 @@
 		r.Demand >= 0 && !math.IsInf(r.Demand, 0)
 }
 
-// TakeReports handles messages of KindReport.
+// TakeReports handles messages of peer.KindQuotaReport, which carry []Report.
 func (e *Exchange) TakeReports(from string, source *net.UDPAddr, body []byte) {
 	var reports []Report
 	if err := cbor.Unmarshal(body, &reports); err != nil {
@@ -270,11 +262,11 @@
 		}
 	}
 	if len(grants) > 0 {
-		e.send(source, KindGrant, grants)
+		e.send(source, peer.KindQuotaGrant, grants)
 	}
 }
 
-// TakeGrants handles messages of KindGrant.
+// TakeGrants handles messages of peer.KindQuotaGrant, which carry []Grant.
 func (e *Exchange) TakeGrants(_ string, _ *net.UDPAddr, body []byte) {
 	var grants []Grant
 	if err := cbor.Unmarshal(body, &grants); err != nil {
--- a/internal/quota/exchange_test.go
+++ b/internal/quota/exchange_test.go
@@ -36,9 +36,9 @@
 		w.t.Fatal(err)
 	}
 	switch kind {
-	case KindReport:
+	case peer.KindQuotaReport:
 		w.to.TakeReports(w.from, &net.UDPAddr{}, encoded)
-	case KindGrant:
+	case peer.KindQuotaGrant:
 		w.to.TakeGrants(w.from, &net.UDPAddr{}, encoded)
 	}
 	return nil
