Evacuation of a zone: nodes obey the operator's rows

The feed of the configuration carries the rows; platform decodes the key, a small module of the node holds the set, independent of the configuration's version, and puts it in force before routes are, so that no node sends without having read it. A whole read that lacks a row ends it; a node that hears nothing keeps to what it knows. Items that run on in the zone hold no slot elsewhere, so they neither shrink the room for others nor are broken off for the fleet's needs.

The product's own interface has a resource kind Evacuation, the command evacuate, and zones in status. Metrics: evacuated zones, requests refused by what excluded their replicas; the error of a request that waited in vain names these reasons too.

Ruled out: a check before each send as well.

--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -212,3 +212,14 @@
 		found.Add("spec.retryBudget", "must be between 0 and 1")
 	}
 }
+
+// EvacuationSpec declares that nothing new is sent to the replicas of the zone that the
+// resource is named like, until the resource is deleted. What runs there runs on.
+type EvacuationSpec struct {
+	// Note is free text for operators: why, and by whom.
+	Note string `json:"note,omitempty"`
+}
+
+// Validate implements Spec. The name is checked with the envelope; whether a zone of that
+// name exists is no finding, for it may be emptied before it is built.
+func (s *EvacuationSpec) Validate(*findings.List) {}
--- a/api/v1/resource.go
+++ b/api/v1/resource.go
@@ -22,10 +22,12 @@
 	KindTenant      Kind = "Tenant"
 	KindBatchJob    Kind = "BatchJob"
 	KindSitePolicy  Kind = "SitePolicy"
+	// KindEvacuation is named like the zone that it empties.
+	KindEvacuation Kind = "Evacuation"
 )
 
 // Kinds lists all kinds.
-var Kinds = []Kind{KindModelPool, KindMachineRole, KindTenant, KindBatchJob, KindSitePolicy}
+var Kinds = []Kind{KindModelPool, KindMachineRole, KindTenant, KindBatchJob, KindSitePolicy, KindEvacuation}
 
 // Known reports whether the kind exists.
 func (k Kind) Known() bool {
@@ -117,6 +119,8 @@
 		return &BatchJobSpec{}
 	case KindSitePolicy:
 		return &SitePolicySpec{}
+	case KindEvacuation:
+		return &EvacuationSpec{}
 	default:
 		return nil
 	}
--- /dev/null
+++ b/internal/command/evacuate.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/api/client"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/server"
+)
+
+func evacuateCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist evacuate", std)
+	var connect connection
+	connect.register(flags)
+	var output format
+	registerFormat(flags, &output)
+	end := flags.Bool("end", false, "bring the zone back")
+	note := flags.String("note", "", "why, for other operators")
+	return &ffcli.Command{
+		Name: "evacuate", ShortUsage: "wheelhoist evacuate [flags] ZONE [--end]", FlagSet: flags, Options: options(),
+		ShortHelp: "send nothing more to the replicas of a zone, or bring it back",
+		LongHelp:  "What runs in the zone runs on; wheelhoist status shows what is still open there.\nExits 4 if the change is committed and not yet in force on all nodes.",
+		Exec: func(ctx context.Context, arguments []string) error {
+			zone, ending, err := evacuateArguments(arguments, *end)
+			if err != nil {
+				return err
+			}
+			var changed *v1.Resource
+			if ending {
+				changed, err = endEvacuation(ctx, &connect, zone)
+			} else {
+				changed, err = beginEvacuation(ctx, &connect, zone, *note, std)
+			}
+			if err != nil {
+				return err
+			}
+			if err := output.write(std.out, changed, func() table { return resourceTable([]v1.Resource{*changed}) }); err != nil {
+				return err
+			}
+			if changed.Status != nil && !changed.Status.Accepted() {
+				return &exitError{ExitPending}
+			}
+			return nil
+		},
+	}
+}
+
+// evacuateArguments reads the zone, and --end also where it stands behind it.
+func evacuateArguments(arguments []string, end bool) (zone string, ending bool, err error) {
+	if len(arguments) == 2 && (arguments[1] == "--end" || arguments[1] == "-end") {
+		arguments, end = arguments[:1], true
+	}
+	if len(arguments) != 1 {
+		return "", false, &usageError{"evacuate needs one ZONE"}
+	}
+	return arguments[0], end, nil
+}
+
+// beginEvacuation declares the evacuation, and warns of a zone that the node asked does
+// not know: it may be misspelt.
+func beginEvacuation(ctx context.Context, connect *connection, zone, note string, std streams) (*v1.Resource, error) {
+	caller := connect.client()
+	spec, err := json.Marshal(&v1.EvacuationSpec{Note: note})
+	if err != nil {
+		return nil, err
+	}
+	known, err := knowsZone(ctx, caller, zone)
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		_, _ = fmt.Fprintf(std.err, "wheelhoist: the node knows no zone %q; replicas that come up in it will take nothing\n", zone)
+	}
+	return caller.Put(ctx, &v1.Resource{
+		APIVersion: v1.APIVersion, Kind: v1.KindEvacuation, Metadata: v1.Metadata{Name: zone}, Spec: spec,
+	}, nil)
+}
+
+// knowsZone reports whether a node knows a zone, other than as one to evacuate.
+func knowsZone(ctx context.Context, caller *client.Client, zone string) (bool, error) {
+	body, err := caller.Status(ctx)
+	if err != nil {
+		return false, err
+	}
+	var status server.NodeStatus
+	if err := json.Unmarshal(body, &status); err != nil {
+		return false, err
+	}
+	for _, one := range status.Zones {
+		if one.Zone == zone {
+			return one.Region != "" || one.Nodes+one.Replicas > 0, nil
+		}
+	}
+	return false, nil
+}
+
+// endEvacuation takes the declaration back.
+func endEvacuation(ctx context.Context, connect *connection, zone string) (*v1.Resource, error) {
+	changed, err := connect.client().Delete(ctx, v1.KindEvacuation, zone)
+	var status *client.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound {
+		return nil, fmt.Errorf("zone %q is not evacuated", zone)
+	}
+	return changed, err
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -69,8 +69,9 @@
 		"this node", status.Node, status.Zone, state,
 		fmt.Sprintf("revision %d, %.1f s old, %d open requests", status.Revision, status.ConfigAge, status.Open),
 	})
+	content.rows = append(content.rows, zoneRows(status.Zones)...)
 	for _, member := range status.Members {
-		content.rows = append(content.rows, []string{"node", member.ID, "", member.Status, ""})
+		content.rows = append(content.rows, []string{"node", member.ID, member.Zone, member.Status, ""})
 	}
 	for _, replica := range status.Replicas {
 		state := string(replica.State)
@@ -90,3 +91,26 @@
 	}
 	return content
 }
+
+// zoneRows shows each zone: its region, and whether it takes requests.
+func zoneRows(zones []server.ZoneStatus) [][]string {
+	rows := make([][]string, 0, len(zones))
+	for _, one := range zones {
+		state := "in use"
+		if one.Evacuated {
+			state = fmt.Sprintf("evacuated for %.0f s", one.EvacuatedSeconds)
+		}
+		rows = append(rows, []string{
+			"zone", one.Zone, one.Zone, state,
+			fmt.Sprintf("region %s, %d nodes, %d replicas listed, %d open here", orDash(one.Region), one.Nodes, one.Replicas, one.Open),
+		})
+	}
+	return rows
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/forward/evacuate_test.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+func TestDo_AWaitingRequestKnowsOfAnEvacuationAtOnce(t *testing.T) {
+	set := replica.NewSet()
+	set.Put(replica.Info{ID: "r", Pool: testPool, Zone: "a", Slots: 4})
+	backend := &scriptedBackend{answer: func(_ context.Context, _ *Attempt, number int) (*Answer, error) {
+		if number == refusalsInARow {
+			set.Evacuate(map[string]bool{"a": true})
+		}
+		return nil, outcome.Failed(ErrRefused)
+	}}
+	began := time.Now()
+	_, _, err := do(t, &Forwarder{Replicas: set, Backend: backend, Budget: retry.NewBudget(1)}, routeOf(route.Stream, true, 2))
+	none := (*replica.NoReplicaError)(nil)
+	if !errors.As(err, &none) || !none.Lasts() || outcome.Of(err) != outcome.NotDone {
+		t.Fatalf("failed with %v", err)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("it took %v", took)
+	}
+	if len(backend.sent) != refusalsInARow {
+		t.Errorf("%d attempts, want none after the evacuation", len(backend.sent))
+	}
+}
+
+func TestDo_ARefusalTellsWhyNoReplicaCouldTakeIt(t *testing.T) {
+	set := replica.NewSet()
+	set.Put(replica.Info{ID: "r", Pool: testPool, Slots: 4})
+	backend := &scriptedBackend{answer: func(context.Context, *Attempt, int) (*Answer, error) {
+		return nil, outcome.Failed(ErrRefused)
+	}}
+	target := routeOf(route.Stream, true, 2)
+	target.Timeout = 100 * time.Millisecond
+	_, _, err := do(t, &Forwarder{Replicas: set, Backend: backend, Budget: retry.NewBudget(1)}, target)
+	if !errors.Is(err, ErrBusy) && !errors.Is(err, ErrTimeout) || !strings.Contains(err.Error(), "1 tried") {
+		t.Fatalf("failed with %v", err)
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -140,7 +141,8 @@
 				return c.failure(err)
 			}
 			if waitErr := c.waitForRoom(ctx); waitErr != nil {
-				return c.failure(waitErr)
+				// The log tells why no replica could take it.
+				return c.failure(fmt.Errorf("%w: %w", waitErr, err))
 			}
 			continue
 		}
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -25,9 +25,10 @@
 }
 
 // YieldPool makes room in a pool for online requests of other nodes: some of this
-// node's items there are broken off, those first that are due last.
+// node's items there are broken off, those first that are due last. The slots of those
+// that run on where operators empty the zone are of no use to others.
 func (r *Runner) YieldPool(pool string, items int, why replica.Pressure) {
-	r.yield(items, why, func(one *task) bool { return one.pool == pool })
+	r.yield(items, why, func(one *task) bool { return one.pool == pool && !r.Replicas.Emptied(one.replica) })
 }
 
 func (r *Runner) yield(items int, why replica.Pressure, concerns func(*task) bool) {
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -88,8 +88,20 @@
 	return defaultQueueTimeout
 }
 
-// configApplied puts the routes of a new revision in force and has others told.
+// evacuationsOf returns the zones that are declared to be evacuated, with the revisions
+// that declare them.
+func evacuationsOf(snapshot *resource.Snapshot) map[string]uint64 {
+	versions := map[string]uint64{}
+	for _, entry := range snapshot.List(v1.KindEvacuation) {
+		versions[entry.Change.Name] = entry.Change.Revision
+	}
+	return versions
+}
+
+// configApplied puts the evacuations and routes of a new revision in force and has others told.
 func (n *Node) configApplied(revision uint64) {
+	// Evacuations come first: nothing is sent before there are routes.
+	n.evacuate(evacuationsOf(n.resources.Snapshot()), revision)
 	n.replaceRoutes(routesOf(n.resources.Snapshot()), revision)
 	if n.options.Applied != nil {
 		n.options.Applied(revision)
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -49,3 +49,30 @@
 		t.Fatal("an adapter that nobody declared is served")
 	}
 }
+
+func TestEvacuationsOf_DeclaredZones(t *testing.T) {
+	shared := tabletest.New()
+	writer := resource.NewWriter(shared)
+	store := resource.NewStore(nil)
+	commit := func(change resource.Change) uint64 {
+		committed, err := writer.Commit(t.Context(), change, resource.Precondition{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, _, err := shared.Feed(resource.Group).Page(t.Context(), table.Cursor{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		store.Apply(read, true)
+		return committed.Revision
+	}
+	first := commit(resource.Change{Kind: v1.KindEvacuation, Name: "a", Spec: []byte(`{"note":"new switch"}`)})
+	second := commit(resource.Change{Kind: v1.KindEvacuation, Name: "b", Spec: []byte(`{"unknown":1}`)})
+	if got := evacuationsOf(store.Snapshot()); len(got) != 2 || got["a"] != first || got["b"] != second {
+		t.Fatalf("evacuations %v", got)
+	}
+	commit(resource.Change{Kind: v1.KindEvacuation, Name: "a", Deleted: true})
+	if got := evacuationsOf(store.Snapshot()); len(got) != 1 || got["b"] != second {
+		t.Fatalf("evacuations %v after one ended", got)
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -67,7 +67,10 @@
 	sampled zerolog.Logger
 	metrics *coreMetrics
 
-	places    place.Map
+	places      place.Map
+	evacuations evacuations
+	// zoneOf tells the zone of another node; empty if it is not known.
+	zoneOf    func(node string) string
 	routes    route.Current
 	replicas  *replica.Set
 	forwarder *forward.Forwarder
@@ -83,7 +86,10 @@
 }
 
 func newCore(log zerolog.Logger, metrics *coreMetrics, outside ports) *core {
-	c := &core{log: log, metrics: metrics, places: outside.places, replicas: replica.NewSet()}
+	c := &core{
+		log: log, metrics: metrics, places: outside.places, replicas: replica.NewSet(),
+		zoneOf: func(string) string { return "" },
+	}
 	c.sampled = log.Sample(&zerolog.BurstSampler{
 		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
 	})
@@ -178,6 +184,7 @@
 	defer c.open.Add(-1)
 	result, err := c.forwarder.Do(ctx, target, request, sink)
 	c.metrics.forwarded(target, result, err)
+	c.metrics.excluded(err)
 	c.logRequest(target, request, result, err)
 	return result, err
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -102,6 +102,7 @@
 	})
 	g.roster = roster
 	roster.Ended = g.logEnded
+	g.zoneOf = func(node string) string { return roster.Member(node).Zone }
 	g.session.Member = lease.Member{
 		Address: g.settings.Gateway.Peers, Zone: g.settings.Node.Zone, Region: g.settings.Node.Region,
 		Cores: g.settings.Gateway.Capacity.Cores, LinkMbps: g.settings.Gateway.Capacity.LinkMbps,
--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -44,9 +44,11 @@
 // Stopping implements platform.Gateway.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
-// Ready implements platform.Gateway: routes and replicas are known.
+// Ready implements platform.Gateway: routes, evacuations and replicas are known. It stays
+// ready while all zones are evacuated: it still accepts jobs, its refusals are truthful,
+// and callers would find no other node that can do more.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.routes.Load() != nil && g.replicaWatch.Ready() && g.jobWatch.Ready()
+	return !g.stopping.Load() && g.configWatch.Ready() && g.routes.Load() != nil && g.replicaWatch.Ready() && g.jobWatch.Ready()
 }
 
 // Forward implements platform.Gateway.
--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -15,6 +15,7 @@
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/lab/port"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
@@ -72,11 +73,21 @@
 	return address
 }
 
-// start starts a gateway and waits until it is ready.
+// start starts a gateway and waits until it is ready and knows all servers.
 func (s *gatewaySite) start(id string) *Gateway {
+	s.t.Helper()
+	gateway := s.launch(id, nil)
+	s.eventually("gateway ready", func() bool {
+		return gateway.Ready() && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == len(s.servers)
+	})
+	return gateway
+}
+
+// launch starts a gateway and waits for nothing.
+func (s *gatewaySite) launch(id string, zones place.Map) *Gateway {
 	s.t.Helper()
 	config := &settings.Settings{
-		Node: settings.Node{ID: id, Zone: "z", Listen: freeAddress(s.t)},
+		Node: settings.Node{ID: id, Zone: "z", Zones: zones, Listen: freeAddress(s.t)},
 		Gateway: settings.Gateway{
 			Store: s.storeAt, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second),
 		},
@@ -88,9 +99,6 @@
 	}
 	s.t.Cleanup(gateway.Kill)
 	s.gateways = append(s.gateways, gateway)
-	s.eventually("gateway ready", func() bool {
-		return gateway.Ready() && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == len(s.servers)
-	})
 	return gateway
 }
 
--- a/internal/node/gatewayviews.go
+++ b/internal/node/gatewayviews.go
@@ -5,9 +5,34 @@
 	"github.com/wheelhoist/wheelhoist/platform"
 )
 
-// applyConfig puts a newer configuration in force. One that cannot be read
-// leaves the last good one in force.
+// applyConfig takes in what the operator declares. Evacuations come first, whatever
+// their versions: no request is sent before there are routes, so none goes by routes
+// without the evacuations that were declared beside them. They go by the whole read as
+// well as by the feed; table.Watcher hands on what a whole read lacks as removed.
 func (g *Gateway) applyConfig(changes table.Changes, _ bool) {
+	g.applyEvacuations(changes)
+	g.applyRoutes(changes)
+}
+
+// applyEvacuations takes in which zones the operator empties.
+func (g *Gateway) applyEvacuations(changes table.Changes) {
+	versions := g.evacuations.versions()
+	for _, change := range changes.Changes {
+		zone, ok := platform.EvacuatedZone(change.Sort)
+		switch {
+		case !ok:
+		case change.Removed:
+			delete(versions, zone)
+		default:
+			versions[zone] = change.Version
+		}
+	}
+	g.evacuate(versions, changes.Revision)
+}
+
+// applyRoutes puts a newer configuration in force. One that cannot be read
+// leaves the last good one in force.
+func (g *Gateway) applyRoutes(changes table.Changes) {
 	for _, change := range changes.Changes {
 		if change.Removed || !platform.IsConfig(change.Sort) {
 			continue
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -33,6 +35,8 @@
 	gaveWay     *prometheus.CounterVec
 	// reservations counts the slots asked for at replicas, by the answer.
 	reservations *prometheus.CounterVec
+	// refused counts the requests that no replica could take, by what excluded most.
+	refused *prometheus.CounterVec
 	// predictionError is how far the first event was from its prediction.
 	predictionError prometheus.Histogram
 	// completed counts the completed items, for measurements.
@@ -83,11 +87,14 @@
 	m.reservations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_reservations_total", Help: "Slots asked for at replicas by requests that found none of their node free, by the answer.",
 	}, []string{"outcome"})
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_requests_excluded_total", Help: "Requests that ended because no replica could take them, by what excluded most replicas.",
+	}, []string{"reason"})
 	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "wheelhoist_gateway_prediction_error_seconds", Help: "First event of an attempt, actual less predicted time.",
 		Buckets: []float64{-.5, -.2, -.1, -.05, -.02, 0, .02, .05, .1, .2, .5, 1},
 	})
-	m.registry.MustRegister(m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.gaveWay, m.reservations, m.refused, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
@@ -106,6 +113,7 @@
 		}
 		return 0
 	})
+	m.gauge("wheelhoist_gateway_evacuated_zones", "Zones that operators empty.", func() float64 { return float64(len(c.evacuations.all())) })
 	m.gauge("wheelhoist_gateway_replicas", "Listed replicas.", func() float64 {
 		listed, _ := c.replicas.Count(time.Now())
 		return float64(listed)
@@ -149,6 +157,13 @@
 	m.storeTime.WithLabelValues(call).Observe(took.Seconds())
 }
 
+// excluded counts a request that ended because no replica could take it.
+func (m *coreMetrics) excluded(err error) {
+	if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) {
+		m.refused.WithLabelValues(none.Main().String()).Inc()
+	}
+}
+
 func (m *coreMetrics) forwarded(target *route.Route, result forward.Result, err error) {
 	kind := string(target.Kind)
 	label := "done"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,7 @@
 		backend: engine.NewBackend(n.engines), jobFeed: n.feed(jobs.Group, jobPartitions()),
 		timing: fastTiming(), sessions: func(*lease.Session) sessionView { return n.sessions }, weights: servingWeights(), commitInterval: commitInterval,
 	})
+	n.zoneOf = n.machines.zone
 	n.heads.Interval = n.pollInterval
 	n.buildConfiguration()
 	n.buildBatch(objects)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -131,6 +131,16 @@
 	return list == nil
 }
 
+// zone returns the zone of a node's machine; empty if it is not on the list.
+func (l *machineList) zone(node string) string {
+	for _, machine := range l.current() {
+		if machine.Role == machines.RoleNode && machine.ID == node {
+			return machine.Zone
+		}
+	}
+	return ""
+}
+
 func (l *machineList) read(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -39,7 +39,7 @@
 		if session.Expired {
 			state = server.MemberExpired
 		}
-		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Status: state})
+		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Zone: c.zoneOf(session.Node()), Status: state})
 	}
 	for _, known := range c.replicas.List(time.Now()) {
 		status.Replicas = append(status.Replicas, server.ReplicaView{
@@ -47,6 +47,7 @@
 			State: replicaState(&known), Open: known.Open, Batch: known.Batch, Ejected: known.Ejected,
 		})
 	}
+	status.Zones = c.zoneStatus(&status, time.Now())
 	return status
 }
 
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -187,13 +187,16 @@
 	return all
 }
 
-// sumShares returns the slots of this node that take items, and its items there.
+// sumShares returns the slots of this node that take items, and its items there. Items
+// that run on where operators empty the zone hold none of them.
 func sumShares(list []*entry) (share, items int) {
 	for _, known := range list {
 		if !known.info.Leaving && !known.info.NoBatch {
 			share += known.share
 		}
-		items += known.batch - known.leaving
+		if !known.evacuated {
+			items += known.batch - known.leaving
+		}
 	}
 	return share, items
 }
--- a/internal/replica/evacuate.go
+++ b/internal/replica/evacuate.go
@@ -20,3 +20,11 @@
 	defer s.mu.Unlock()
 	return maps.Clone(s.evacuated)
 }
+
+// Emptied reports whether operators empty the zone of a listed replica.
+func (s *Set) Emptied(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	return ok && s.evacuated[known.info.Zone]
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -42,6 +42,8 @@
 	batch int
 	// leaving counts the items among batch that were asked to give way.
 	leaving int
+	// evacuated is set if operators empty the zone; rebuild sets it.
+	evacuated bool
 	// share is the number of slots that are this node's.
 	share    int
 	pending  int
@@ -154,6 +156,7 @@
 func (s *Set) rebuild() {
 	byPool := make(map[string][]*entry, len(s.byPool))
 	for _, known := range s.entries {
+		known.evacuated = s.evacuated[known.info.Zone]
 		byPool[known.info.Pool] = append(byPool[known.info.Pool], known)
 	}
 	for _, list := range byPool {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -61,6 +61,8 @@
 	ConfigAge float64        `json:"configAgeSeconds"`
 	Members   []MemberStatus `json:"members"`
 	Replicas  []ReplicaView  `json:"replicas"`
+	// Zones are those that are declared, evacuated, or hold nodes or replicas.
+	Zones []ZoneStatus `json:"zones"`
 	// Tenants are those with a limit that called here of late.
 	Tenants []TenantUse `json:"tenants,omitempty"`
 }
@@ -92,9 +94,27 @@
 // MemberStatus is a member as this node sees it.
 type MemberStatus struct {
 	ID     string `json:"id"`
+	Zone   string `json:"zone,omitempty"`
 	Status string `json:"status"`
 }
 
+// ZoneStatus sums up a zone as this node sees it.
+type ZoneStatus struct {
+	Zone string `json:"zone"`
+	// Region is empty if the node's settings do not tell it.
+	Region string `json:"region,omitempty"`
+	// Nodes counts the nodes that are there, Replicas the listed replicas.
+	Nodes    int `json:"nodes"`
+	Replicas int `json:"replicas"`
+	// Open counts what this node has open at replicas there.
+	Open int `json:"open"`
+	// Evacuated zones take nothing new. EvacuatedSeconds is how long this node has known
+	// of it, EvacuatedVersion the version of the row that declares it.
+	Evacuated        bool    `json:"evacuated"`
+	EvacuatedSeconds float64 `json:"evacuatedSeconds,omitempty"`
+	EvacuatedVersion uint64  `json:"evacuatedVersion,omitempty"`
+}
+
 // ReplicaView is a replica as this node sees it.
 type ReplicaView struct {
 	ID      string       `json:"id"`
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/kataras/iris/v12"
 
@@ -13,6 +14,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
@@ -167,6 +169,14 @@
 		ctx.Header(HeaderExecuted, outcome.Unknown.String())
 		fail(ctx, iris.StatusBadGateway, openai.TypeServer, err.Error())
 	default:
-		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, err.Error(), overloadRetryAfter)
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, err.Error(), comeBack(err))
 	}
 }
+
+// comeBack is how long a caller whose request did not run should wait.
+func comeBack(err error) time.Duration {
+	if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) && none.Lasts() {
+		return replica.DeclaredComeBack
+	}
+	return overloadRetryAfter
+}
