--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -96,7 +96,7 @@
 	c.replicas.Ejected = c.logEjected
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
-		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
+		Weights: outside.weights, Zone: outside.zone, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics, evacuated: c.evacuations.names},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = outside.sessions(c.session)
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -39,6 +40,9 @@
 	return maps.Clone(e.zones)
 }
 
+// names returns the zones in the order of their names.
+func (e *evacuations) names() []string { return slices.Sorted(maps.Keys(e.all())) }
+
 // replace takes in all zones that are evacuated now, with the versions of their rows. It
 // returns those that were not before, and those that were and are no more.
 func (e *evacuations) replace(versions map[string]uint64, now time.Time) (begun, ended map[string]evacuation) {
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/place"
@@ -414,6 +415,22 @@
 	}
 }
 
+func TestRequestLog_AttemptsTellTheZonesThatAreEvacuated(t *testing.T) {
+	gateway, log := evacuationCore(nil)
+	sent := func() string {
+		log.Reset()
+		gateway.forwarder.Notice.Sent(&forward.Request{ID: "q"}, 1, &replica.Candidate{Info: replica.Info{ID: "r", Zone: "c"}}, 0)
+		return log.String()
+	}
+	if line := sent(); strings.Contains(line, "evacuated") || !strings.Contains(line, `"zone":"c"`) {
+		t.Errorf("without an evacuation: %s", line)
+	}
+	gateway.applyConfig(table.Changes{Changes: []table.Change{opRow("evacuate/b", 1, false), opRow("evacuate/a", 2, false)}}, false)
+	if line := sent(); !strings.Contains(line, `"evacuated":["a","b"]`) {
+		t.Errorf("with two: %s", line)
+	}
+}
+
 func TestApplyConfig_ARowWrittenAgainIsOneEvacuation(t *testing.T) {
 	gateway, log := evacuationCore(nil)
 	gateway.applyConfig(table.Changes{Changes: []table.Change{opRow("evacuate/a", 1, false)}}, false)
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -15,11 +15,20 @@
 type requestLog struct {
 	log, sampled zerolog.Logger
 	metrics      *coreMetrics
+	// evacuated returns the zones that operators empty.
+	evacuated func() []string
 }
 
 // Sent implements forward.Notice.
 func (l *requestLog) Sent(request *forward.Request, attempt int, chosen *replica.Candidate, predicted time.Duration) {
-	l.sampled.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
+	entry := l.sampled.Info()
+	if !entry.Enabled() {
+		return
+	}
+	if zones := l.evacuated(); len(zones) > 0 {
+		entry.Strs("evacuated", zones)
+	}
+	entry.Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).Str("zone", chosen.Zone).
 		Int("open", chosen.Open).Int("share", chosen.Share).Int("items", chosen.Batch).Float64("others", chosen.Others).
 		Float64("waiting", chosen.Waiting).Dur("load_age_ms", chosen.Age).Dur("slot_ms", chosen.SlotTime).
 		Int("pending_tokens", chosen.PendingTokens).Dur("predicted_ms", predicted).
