--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -94,5 +95,9 @@
 			room = coldLook
 		}
 	}
-	return c.waitForRoom(ctx, room)
+	if waitErr := c.waitForRoom(ctx, room); waitErr != nil {
+		// The log tells why no replica could take it.
+		return fmt.Errorf("%w: %w", waitErr, err)
+	}
+	return nil
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -179,7 +180,7 @@
 		c.demand.Exclude[chosen.ID] = true
 		if c.result.Refusals >= refusalsInARow && c.result.Refusals%refusalsInARow == 0 {
 			if waitErr := c.waitForRoom(ctx, waitForRoom); waitErr != nil {
-				return c.failure(waitErr)
+				return c.failure(fmt.Errorf("%w: %w", waitErr, err))
 			}
 		}
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -73,7 +73,10 @@
 	sampled zerolog.Logger
 	metrics *coreMetrics
 
-	places    place.Map
+	places      place.Map
+	evacuations evacuations
+	// zoneOf tells the zone of another node; empty if it is not known.
+	zoneOf    func(node string) string
 	routes    route.Current
 	replicas  *replica.Set
 	forwarder *forward.Forwarder
@@ -89,7 +92,10 @@
 }
 
 func newCore(log zerolog.Logger, metrics *coreMetrics, outside ports) *core {
-	c := &core{log: log, metrics: metrics, places: outside.places, replicas: replica.NewSet()}
+	c := &core{
+		log: log, metrics: metrics, places: outside.places, replicas: replica.NewSet(),
+		zoneOf: func(string) string { return "" },
+	}
 	c.sampled = log.Sample(&zerolog.BurstSampler{
 		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
 	})
@@ -98,7 +104,8 @@
 	c.replicas.Condemned = c.logCondemned
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
-		Weights: outside.weights, Zone: outside.zone, Region: outside.region, Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics},
+		Weights: outside.weights, Zone: outside.zone, Region: outside.region,
+		Notice: &requestLog{log: log, sampled: c.sampled, metrics: metrics, evacuated: c.evacuations.names},
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = outside.sessions(c.session)
@@ -190,6 +197,7 @@
 	defer c.open.Add(-1)
 	result, err := c.forwarder.Do(ctx, target, request, sink)
 	c.metrics.forwarded(target, result, err)
+	c.metrics.excluded(err)
 	c.logRequest(target, request, result, err)
 	return result, err
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/platform"
@@ -38,6 +40,8 @@
 	reservations *prometheus.CounterVec
 	// condemned counts replicas left out on the evidence of several nodes.
 	condemned prometheus.Counter
+	// refused counts the requests that no replica could take, by what excluded most.
+	refused *prometheus.CounterVec
 	// predictionError is how far the first event was from its prediction.
 	predictionError prometheus.Histogram
 	// completed counts the completed items, for measurements.
@@ -91,6 +95,9 @@
 	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_replicas_condemned_total", Help: "Replicas left out for a while on the evidence of several nodes.",
 	})
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_requests_excluded_total", Help: "Requests that ended because no replica could take them, by what excluded most replicas.",
+	}, []string{"reason"})
 	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "wheelhoist_gateway_prediction_error_seconds", Help: "First event of an attempt, actual less predicted time.",
 		Buckets: []float64{-.5, -.2, -.1, -.05, -.02, 0, .02, .05, .1, .2, .5, 1},
@@ -98,7 +105,7 @@
 	m.served = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_served_total", Help: "Requests served, by how far the replica is from this node.",
 	}, []string{"place"})
-	m.registry.MustRegister(m.served, m.condemned, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.served, m.condemned, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
@@ -122,6 +129,7 @@
 		}
 		return 0
 	})
+	m.gauge("wheelhoist_gateway_evacuated_zones", "Zones that operators empty.", func() float64 { return float64(len(c.evacuations.all())) })
 	m.gauge("wheelhoist_gateway_replicas", "Listed replicas.", func() float64 {
 		listed, _ := c.replicas.Count(time.Now())
 		return float64(listed)
@@ -165,6 +173,13 @@
 	m.storeTime.WithLabelValues(call.Path).Observe(took.Seconds())
 }
 
+// excluded counts a request that ended because no replica could take it.
+func (m *coreMetrics) excluded(err error) {
+	if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) {
+		m.refused.WithLabelValues(none.Main().String()).Inc()
+	}
+}
+
 func (m *coreMetrics) forwarded(target *route.Route, result forward.Result, err error) {
 	kind := string(target.Kind)
 	label := "done"
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -39,7 +39,7 @@
 		if session.Expired {
 			state = server.MemberExpired
 		}
-		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Status: state})
+		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Zone: c.zoneOf(session.Node()), Status: state})
 	}
 	for _, known := range c.replicas.List(time.Now()) {
 		status.Replicas = append(status.Replicas, server.ReplicaView{
@@ -48,6 +48,7 @@
 			ColdLeft: known.Cold.Left.Seconds(), ColdRate: known.Cold.Rate,
 		})
 	}
+	status.Zones = c.zoneStatus(&status, time.Now())
 	return status
 }
 
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -38,6 +38,8 @@
 	batch int
 	// leaving counts the items among batch that were asked to give way.
 	leaving int
+	// evacuated is set if operators empty the zone; rebuild sets it.
+	evacuated bool
 	// share is the number of slots that are this node's.
 	share    int
 	pending  int
@@ -185,6 +187,7 @@
 	byKey := make(map[uint64]*entry, len(s.entries))
 	for _, known := range s.entries {
 		byKey[known.key] = known
+		known.evacuated = s.evacuated[known.info.Zone]
 		byPool[known.info.Pool] = append(byPool[known.info.Pool], known)
 	}
 	for _, list := range byPool {
