quota: an owner cut off from the store keeps counting, alone or with its successor

Until 4.x s all ask the owner front-pl-south-a-5, which is among them; then 49 nodes see its session end and ask front-pl-south-c-10, while the 27 keep their view and the old owner. Both grant the whole limit: of the 342 to 360 requests in 5 s, none was let through alone.

--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -88,6 +88,8 @@
 	nodes   map[string]int
 	// addresses are where nodes are reached, as their newest member rows tell.
 	addresses map[string]string
+	// away are the nodes whose sessions were ended a short time ago.
+	away map[string]away
 	// generation rises with each change of the nodes; sorted are these, nil if they have
 	// changed since they were last asked for.
 	generation uint64
@@ -106,7 +108,7 @@
 	return &Roster{
 		service: service, partition: partition, session: session, watcher: watcher,
 		members: map[string]uint64{}, nodes: map[string]int{}, missing: map[string]time.Time{},
-		addresses: map[string]string{},
+		addresses: map[string]string{}, away: map[string]away{},
 	}
 }
 
@@ -131,6 +133,7 @@
 func (r *Roster) add(id string, row table.Row) {
 	if _, ok := r.members[id]; !ok {
 		r.nodes[Node(id)]++
+		delete(r.away, Node(id))
 		r.changed()
 	}
 	r.members[id] = row.Version
@@ -150,8 +153,7 @@
 	r.changed()
 	node := Node(id)
 	if r.nodes[node]--; r.nodes[node] == 0 {
-		delete(r.nodes, node)
-		delete(r.addresses, node)
+		r.leave(node)
 	}
 	r.missing[node] = time.Time{}
 }
@@ -216,10 +218,12 @@
 	r.sorted = nil
 }
 
-// Generation is a number that is another whenever the nodes may have changed.
+// Generation is a number that is another whenever the nodes may have changed, those that
+// are away included.
 func (r *Roster) Generation() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetAway()
 	return r.generation
 }
 
@@ -256,10 +260,14 @@
 	return r.missed(Node(id))
 }
 
-// Address returns where a node is reached; empty if it has not told.
+// Address returns where a node is reached, or was before it was away; empty if it has not
+// told.
 func (r *Roster) Address(node string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if known, ok := r.away[node]; ok {
+		return known.address
+	}
 	return r.addresses[node]
 }
 
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -13,8 +13,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,11 +61,16 @@
 	// the member row tells it.
 	Address string
 
+	// confirmed is when the last write of the row that is known to be done was begun.
+	confirmed atomic.Pointer[time.Time]
+
 	mu      sync.Mutex
 	version uint64
 	// member is the version of the member row.
 	member  uint64
 	created bool
+	// unresolved is when the first write was begun of those whose outcome is not known.
+	unresolved time.Time
 	// ended is set once the session is to be ended: it is never written again.
 	ended  bool
 	timing Timing
@@ -161,6 +168,10 @@
 	if s.version == table.Absent && s.MemberPartition != "" {
 		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: table.Absent, Body: encodeMember(s.Address)})
 	}
+	began := time.Now()
+	if s.unresolved.IsZero() {
+		s.unresolved = began
+	}
 	versions, err := s.service.Commit(ctx, table.NewOperation(), writes...)
 	if err == nil {
 		if len(versions) > 1 {
@@ -168,6 +179,7 @@
 		}
 		s.version = versions[0]
 		s.created = true
+		s.confirm(began)
 		return nil
 	}
 	if outcome.Of(err) == outcome.NotDone && !errors.Is(err, table.ErrConflict) {
@@ -176,6 +188,10 @@
 	row, readErr := s.service.Get(ctx, write.Key)
 	switch {
 	case readErr == nil:
+		if row.Version != s.version {
+			// One of the writes was done whose answers were lost.
+			s.confirm(s.unresolved)
+		}
 		s.version = row.Version
 		s.created = true
 		s.readMember(ctx)
@@ -185,6 +201,23 @@
 	return Error.Wrap(err)
 }
 
+// confirm notes that a write was done that was begun at a time. The caller holds mu.
+func (s *Session) confirm(began time.Time) {
+	s.confirmed.Store(&began)
+	s.unresolved = time.Time{}
+}
+
+// Unconfirmed is how long ago the last write of the row that is known to be done was
+// begun. Others may take the session for lost once that is TimeToLive, never before. It
+// is the longest time there is for a session that was never written.
+func (s *Session) Unconfirmed() time.Duration {
+	began := s.confirmed.Load()
+	if began == nil {
+		return math.MaxInt64
+	}
+	return time.Since(*began)
+}
+
 // readMember reads the version of the member row back, which one commit has written
 // with the session's row. Without it the session cannot be ended, only expire. The
 // caller holds mu.
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -6,7 +6,6 @@
 	"net"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
@@ -17,39 +16,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/server"
 )
 
-// quotaFleet is a roster as the quota sees it. It remembers the owners of tenants until
-// the nodes change: to find one takes time in proportion to the nodes.
-type quotaFleet struct {
-	self   string
-	roster *lease.Roster
-
-	mu         sync.Mutex
-	generation uint64
-	owners     map[string]string
-}
-
-// Self implements quota.Fleet.
-func (f *quotaFleet) Self() string { return f.self }
-
-// Owner implements quota.Fleet.
-func (f *quotaFleet) Owner(tenant string) (node, address string) {
-	generation := f.roster.Generation()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.owners == nil || f.generation != generation {
-		f.owners, f.generation = map[string]string{}, generation
-	}
-	node, known := f.owners[tenant]
-	if !known {
-		node = lease.Preferred(f.roster.Nodes(), tenant)
-		f.owners[tenant] = node
-	}
-	return node, f.roster.Address(node)
-}
-
-// Count implements quota.Fleet.
-func (f *quotaFleet) Count() int { return f.roster.Count() }
-
 // noPeers takes the place of a socket where nodes do not reach each other.
 type noPeers struct{}
 
@@ -62,7 +28,7 @@
 	declared := g.settings.Gateway.Quota
 	g.quota = quota.NewExchange(quota.Tolerance{
 		Slack: declared.Slack, Window: time.Duration(declared.Window), Over: declared.Over,
-	}, &quotaFleet{self: g.settings.Node.ID, roster: roster})
+	}, &quotaFleet{session: g.session, self: g.settings.Node.ID, roster: roster})
 	g.quota.Session, g.quota.Sender, g.quota.Limit = g.session.ID(), noPeers{}, g.tenantLimit
 	g.quota.Failed = func(err error) { g.sampled.Warn().Err(err).Msg("message between nodes failed") }
 }
@@ -125,8 +91,9 @@
 		return Error.Wrap(err)
 	}
 	g.peers = socket
-	socket.Handle(quota.KindReport, g.quota.TakeReports)
-	socket.Handle(quota.KindGrant, g.quota.TakeGrants)
+	for kind, handler := range g.quota.Handlers() {
+		socket.Handle(kind, handler)
+	}
 	socket.Handle(kindDemand, g.takeDemand)
 	g.quota.Sender = socket
 	g.metrics.registerPeers(socket)
--- /dev/null
+++ b/internal/node/quotafleet.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/quota"
+)
+
+// quotaFleet is a roster as the quota sees it. It remembers the owners of tenants until
+// the nodes change: to find one takes time in proportion to the nodes.
+type quotaFleet struct {
+	session *lease.Session
+	self    string
+	roster  *lease.Roster
+
+	mu         sync.Mutex
+	generation uint64
+	// away are the nodes that have lost their sessions a short time ago, all those and
+	// the ones that are there.
+	away, all []string
+	owners    map[string]owner
+}
+
+// owner is the node that counts for a tenant.
+type owner struct {
+	node string
+	// successor stands in if the node is away; it is the node itself otherwise.
+	successor string
+}
+
+// Self implements quota.Fleet.
+func (f *quotaFleet) Self() string { return f.self }
+
+// Owner implements quota.Fleet.
+func (f *quotaFleet) Owner(tenant string) (node, address string) {
+	node = f.owner(tenant).node
+	return node, f.roster.Address(node)
+}
+
+// Successor implements quota.Fleet.
+func (f *quotaFleet) Successor(tenant string) (node, address string) {
+	node = f.owner(tenant).successor
+	return node, f.roster.Address(node)
+}
+
+func (f *quotaFleet) owner(tenant string) owner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	known, ok := f.owners[tenant]
+	if !ok {
+		known.node = lease.Preferred(f.all, tenant)
+		known.successor = known.node
+		if slices.Contains(f.away, known.node) {
+			known.successor = lease.Preferred(f.roster.Nodes(), tenant)
+		}
+		f.owners[tenant] = known
+	}
+	return known
+}
+
+// refresh takes in the nodes if they have changed. The caller holds mu.
+func (f *quotaFleet) refresh() {
+	generation := f.roster.Generation()
+	if f.owners != nil && f.generation == generation {
+		return
+	}
+	f.owners, f.generation = map[string]owner{}, generation
+	f.away = f.roster.Away()
+	f.all = append(f.roster.Nodes(), f.away...)
+}
+
+// Away implements quota.Fleet.
+func (f *quotaFleet) Away(node string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	return slices.Contains(f.away, node)
+}
+
+// Others implements quota.Fleet.
+func (f *quotaFleet) Others() []quota.Other {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	others := make([]quota.Other, 0, len(f.all))
+	for i, node := range f.all {
+		if node != f.self {
+			others = append(others, quota.Other{
+				Node: node, Address: f.roster.Address(node), Away: i >= len(f.all)-len(f.away),
+			})
+		}
+	}
+	return others
+}
+
+// Count implements quota.Fleet.
+func (f *quotaFleet) Count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	return max(1, len(f.all))
+}
+
+// Unconfirmed implements quota.Fleet.
+func (f *quotaFleet) Unconfirmed() time.Duration { return f.session.Unconfirmed() }
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -26,6 +26,9 @@
 	KindReport peer.Kind = 1
 	// KindGrant carries []Grant back.
 	KindGrant peer.Kind = 2
+	// KindProbe asks whether a node is there, KindContact answers with a Contact.
+	KindProbe   peer.Kind = 4
+	KindContact peer.Kind = 5
 )
 
 const (
@@ -43,10 +46,27 @@
 	// Self is this node's name.
 	Self() string
 	// Owner returns the node that owns a tenant, and its address; empty if it is not
-	// known.
+	// known. A node whose session was lost a short time ago remains an owner: it may be
+	// cut off from the store alone.
 	Owner(tenant string) (node, address string)
-	// Count returns the number of nodes.
+	// Successor returns the node that stands in for an owner whose session was lost.
+	Successor(tenant string) (node, address string)
+	// Away reports whether a node's session was lost a short time ago.
+	Away(node string) bool
+	// Others returns all other nodes, those that are away included.
+	Others() []Other
+	// Count returns the number of nodes, those that are away included.
 	Count() int
+	// Unconfirmed is how long this node's own session has not been confirmed by the
+	// store.
+	Unconfirmed() time.Duration
+}
+
+// Other is another node.
+type Other struct {
+	Node, Address string
+	// Away says that its session was lost a short time ago.
+	Away bool
 }
 
 // Sender sends a message to a node.
@@ -72,6 +92,8 @@
 	waiting map[uint64]chan Grant
 	silent  map[string]time.Time
 	urgent  chan struct{}
+
+	contacts contacts
 }
 
 // NewExchange returns an exchange of a gate and a ledger.
@@ -80,6 +102,7 @@
 		Gate: &Gate{Tolerance: tolerance, Nodes: fleet.Count}, Ledger: &Ledger{Tolerance: tolerance}, Fleet: fleet,
 		waiting: map[uint64]chan Grant{}, silent: map[string]time.Time{}, urgent: make(chan struct{}, 1),
 	}
+	e.Ledger.Outside = e.outside
 	e.Gate.Urgent = func() {
 		select {
 		case e.urgent <- struct{}{}:
@@ -96,9 +119,9 @@
 	if admitted {
 		return nil
 	}
-	owner, address := e.Fleet.Owner(tenant)
+	owner, address := e.counter(tenant, time.Now())
 	if owner == e.Fleet.Self() {
-		if grant, ok := e.Ledger.Report(e.Session, report, limit, time.Now()); ok {
+		if grant, ok := e.answer(e.Session, report, time.Now()); ok {
 			return e.Gate.Settle(grant, time.Now())
 		}
 		return e.Gate.Alone(tenant, time.Now())
@@ -200,6 +223,7 @@
 		case <-ticker.C:
 		case <-e.urgent:
 		}
+		e.probeDue(time.Now())
 		e.reportDue()
 	}
 }
@@ -208,7 +232,7 @@
 	now := time.Now()
 	byOwner := map[string][]Report{}
 	for _, report := range e.Gate.Due(now) {
-		owner, address := e.Fleet.Owner(report.Tenant)
+		owner, address := e.counter(report.Tenant, now)
 		if owner != e.Fleet.Self() {
 			byOwner[address] = append(byOwner[address], report)
 			continue
@@ -235,12 +259,13 @@
 func (e *Exchange) Leave() {
 	e.Gate.leave()
 	e.reportDue()
+	e.tellAll(e.Fleet.Others(), KindContact, Contact{Stops: true})
 }
 
 // answer takes in a report if this node owns the tenant.
 func (e *Exchange) answer(session string, report Report, now time.Time) (Grant, bool) {
 	limit, known := e.Limit(report.Tenant)
-	if owner, _ := e.Fleet.Owner(report.Tenant); !known || limit.Rate <= 0 || owner != e.Fleet.Self() {
+	if !known || limit.Rate <= 0 || !e.counts(report.Tenant, now) {
 		return Grant{}, false
 	}
 	return e.Ledger.Report(session, report, limit, now)
@@ -249,7 +274,7 @@
 // sound reports whether a report of another process can be taken.
 func (r *Report) sound() bool {
 	return r.Admitted >= 0 && r.Asking >= 0 && r.Room >= 0 && !math.IsInf(r.Room, 0) &&
-		r.Demand >= 0 && !math.IsInf(r.Demand, 0)
+		r.Demand >= 0 && !math.IsInf(r.Demand, 0) && r.Allowance >= 0 && !math.IsInf(r.Allowance, 0)
 }
 
 // TakeReports handles messages of KindReport.
@@ -259,6 +284,7 @@
 		e.failed(err)
 		return
 	}
+	e.contacts.take(from, Contact{}, time.Now())
 	var grants []Grant
 	for _, report := range reports[:min(len(reports), maxReports)] {
 		if !report.sound() {
--- a/internal/quota/exchange_test.go
+++ b/internal/quota/exchange_test.go
@@ -18,6 +18,11 @@
 func (p pair) Owner(string) (string, string) { return "b", "127.0.0.1:1" }
 func (p pair) Count() int                    { return 2 }
 
+func (p pair) Successor(tenant string) (string, string) { return p.Owner(tenant) }
+func (p pair) Away(string) bool                         { return false }
+func (p pair) Others() []Other                          { return nil }
+func (p pair) Unconfirmed() time.Duration               { return 0 }
+
 // wire carries messages between two exchanges through their encoding.
 type wire struct {
 	t    testing.TB
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -153,13 +153,22 @@
 // mayAlone reports whether a request may run without an owner's word. For partKept after
 // the last answer the node replaces what leaves its own window, and uses its part of
 // what is not only given out to those who ask: the owner counts that. After it, the node
-// has an equal part of the limit. The caller holds mu.
+// has an equal part of the limit for soloKept, which the owner holds back. The node has
+// one request in a window where no owner knows of it. The caller holds mu.
 func (g *Gate) mayAlone(known *account, now time.Time) bool {
-	allowance := known.allowance
-	if known.told.IsZero() || now.Sub(known.told) >= partKept {
-		allowance = g.Tolerance.capacity(known.limit) / g.nodes()
+	return known.recent.total+1 <= max(1, g.allowance(known, now))
+}
+
+// allowance is what a node's window may come to without an owner's word. The caller
+// holds mu.
+func (g *Gate) allowance(known *account, now time.Time) float64 {
+	switch age := known.toldAge(now); {
+	case age < 0 || age >= soloKept:
+		return 0
+	case age < partKept:
+		return known.allowance
 	}
-	return known.recent.total+1 <= max(1, allowance)
+	return g.Tolerance.capacity(known.limit) / g.nodes()
 }
 
 func (a *account) refusal(tenant string, part, seconds float64, now time.Time) error {
@@ -258,6 +267,7 @@
 	return Report{
 		Tenant: tenant, Number: g.number, Admitted: known.admitted,
 		Recent: known.recent.spans(), Room: known.roomAt(now), Demand: known.reportedDemand, Asking: known.asking,
+		Allowance: g.allowance(known, now), Granted: known.granted,
 	}
 }
 
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,8 +1,11 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 )
 
 const (
@@ -10,8 +13,13 @@
 	// dies holds its part back from others for as long, and nodes die more often than
 	// they are cut off from all others; it is as long as a lost session is waited for.
 	partKept = 3 * time.Second
-	// forgetNode is the silence after which nothing of a node's counts any more.
-	forgetNode = 4 * partKept
+	// soloKept is how long a node that was told a part once goes on alone with an equal
+	// part of the limit, without another word: as long as cuts of nodes have been seen
+	// to last (12 s). An owner holds that part back for as long.
+	soloKept = 4 * partKept
+	// forgetNode is the silence after which nothing of a node's counts any more: what it
+	// let through alone has left all windows.
+	forgetNode = 2 * soloKept
 	// asked is the share of the capacity that is given out to those who ask only; what
 	// is above it, nodes use by their parts without asking.
 	asked = 0.5
@@ -45,6 +53,10 @@
 	// the node do.
 	Asks   bool  `cbor:"6,keyasint,omitempty"`
 	Asking int64 `cbor:"7,keyasint,omitempty"`
+	// Allowance is what the node's own window may come to without another word, as the
+	// answer to the report with the number Granted told it.
+	Allowance float64 `cbor:"9,keyasint,omitempty"`
+	Granted   uint64  `cbor:"10,keyasint,omitempty"`
 }
 
 // Grant is the owner's answer.
@@ -65,12 +77,23 @@
 // nothing yet. It is safe for concurrent use.
 type Ledger struct {
 	Tolerance Tolerance
+	// Outside, if set, tells which nodes may be serving a tenant by another owner.
+	Outside func(tenant string) Outside
 
 	mu      sync.Mutex
 	tenants map[string]*ledgerEntry
 	swept   time.Time
 }
 
+// Outside is the part of a fleet that an owner cannot count for.
+type Outside struct {
+	// Nodes is the number of all nodes.
+	Nodes int
+	// Unheard are the names of nodes that do not answer this one and may serve by the
+	// word of another owner, or alone.
+	Unheard []string
+}
+
 type ledgerEntry struct {
 	// nodes are those that have reported, by the session of the node.
 	nodes map[string]*usage
@@ -87,15 +110,24 @@
 	counted int64
 	// used counts the node's requests of the last window.
 	used window
-	// recent is what the node itself counted of them at its last report, above its part
-	// of what it may use without asking.
-	recent, above float64
-	demand        float64
+	// above is the node's part of what it may use without asking.
+	above  float64
+	demand float64
+	// allowance is what the node's window may come to without another word as it told,
+	// promised what answers that it has not confirmed would raise that to.
+	allowance float64
+	promised  []promise
 	// part is the node's part of the limit as it was told.
 	part  float64
 	heard time.Time
 }
 
+// promise is what an answer lets a node's window come to without another word.
+type promise struct {
+	number    uint64
+	allowance float64
+}
+
 // recent returns the number of requests of the last window that a report tells of.
 func (r *Report) recent() float64 {
 	total := 0.0
@@ -127,28 +159,56 @@
 	entry.heard = now
 	known.used.advance(l.Tolerance.window(), now)
 	known.count(report)
-	known.number, known.recent, known.demand, known.heard = report.Number, report.recent(), report.Demand, now
-	allowed := report.Asks && l.room(entry, limit, now) >= 1
+	known.number, known.demand, known.heard = report.Number, report.Demand, now
+	known.confirm(report)
+	l.replace(entry, session)
+	allowed := report.Asks && l.room(entry, report.Tenant, limit, now) >= 1
 	if allowed {
 		known.used.add(1)
 		known.counted++
 		entry.allowed++
 	}
-	room := l.room(entry, limit, now)
+	room := l.room(entry, report.Tenant, limit, now)
 	known.part = entry.part(known, now)
 	known.above = max(0, room-asked*l.Tolerance.capacity(limit)) * known.part
+	known.promise(report, allowed)
 	return Grant{
 		Tenant: report.Tenant, Number: report.Number, Counted: known.counted,
 		Room: room, Part: known.part, Allowed: allowed,
 	}, true
 }
 
+// replace notes that earlier runs of a session's node are over: one run lives at a time.
+func (l *Ledger) replace(entry *ledgerEntry, session string) {
+	for other, usage := range entry.nodes {
+		if other != session && lease.SameNode(other, session) {
+			usage.demand = 0
+		}
+	}
+}
+
 // room is how many more requests may run now.
-func (l *Ledger) room(entry *ledgerEntry, limit Limit, now time.Time) float64 {
-	room := l.Tolerance.capacity(limit)
-	for _, node := range entry.nodes {
-		room -= l.used(node, now)
+func (l *Ledger) room(entry *ledgerEntry, tenant string, limit Limit, now time.Time) float64 {
+	capacity := l.Tolerance.capacity(limit)
+	var outside Outside
+	if l.Outside != nil {
+		outside = l.Outside(tenant)
+	}
+	solo := capacity / float64(max(1, outside.Nodes))
+	unheard := map[string]bool{}
+	for _, node := range outside.Unheard {
+		unheard[node] = true
+	}
+	room := capacity
+	for session, node := range entry.nodes {
+		used := l.used(node, solo, now)
+		if name := lease.Node(session); unheard[name] {
+			used = max(used, solo)
+			delete(unheard, name)
+		}
+		room -= used
 	}
+	room -= solo * float64(len(unheard))
 	if now.Sub(entry.begun) < hearing {
 		first := entry.inherited
 		if first == 0 {
@@ -159,15 +219,45 @@
 	return room
 }
 
-// used is what a node has let through in the last window. One that is silent is taken
-// to have replaced what has left the window, and to have used its part of what it need
-// not ask for, as Gate.mayAlone lets it.
-func (l *Ledger) used(node *usage, now time.Time) float64 {
+// used is what a node has let through in the last window. One that is silent is taken to
+// have done what Gate.mayAlone lets it, until that has left the window.
+func (l *Ledger) used(node *usage, solo float64, now time.Time) float64 {
 	node.used.advance(l.Tolerance.window(), now)
-	if silent := now.Sub(node.heard); node.demand == 0 || silent <= node.mayBeSilent() || silent >= partKept {
+	silent := now.Sub(node.heard)
+	window := l.Tolerance.window() + silentAfter
+	switch {
+	case node.demand == 0 || silent <= node.mayBeSilent():
 		return node.used.total
+	case silent < partKept+window:
+		return max(node.used.total, node.mostAlone(), solo)
+	case silent < soloKept+window:
+		return max(node.used.total, solo)
+	}
+	return node.used.total
+}
+
+// promise notes what the answer to a report lets a node do alone.
+func (u *usage) promise(report Report, allowed bool) {
+	most := report.recent() + u.above
+	if allowed {
+		most++
+	}
+	u.promised = append(u.promised, promise{number: report.Number, allowance: most})
+}
+
+// confirm takes in which answers a node has taken in.
+func (u *usage) confirm(report Report) {
+	u.allowance = max(report.Allowance, report.recent())
+	u.promised = slices.DeleteFunc(u.promised, func(one promise) bool { return one.number <= report.Granted })
+}
+
+// mostAlone is what a node's window may come to by any of the answers that it may hold.
+func (u *usage) mostAlone() float64 {
+	most := u.allowance
+	for _, one := range u.promised {
+		most = max(most, one.allowance)
 	}
-	return max(node.used.total, node.recent+node.above)
+	return most
 }
 
 // mayBeSilent is how long nothing need be heard of a node that can be reached.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -49,7 +49,7 @@
 		f.gates = append(f.gates, &Gate{Tolerance: tolerance, Nodes: func() int { return nodes }})
 	}
 	for range 2 {
-		f.ledgers = append(f.ledgers, &Ledger{Tolerance: tolerance})
+		f.ledgers = append(f.ledgers, &Ledger{Tolerance: tolerance, Outside: func(string) Outside { return Outside{Nodes: nodes} }})
 	}
 	return f
 }
