quota: presume what silent nodes may do until it has left the window; model of nodes cut off

TestQuota_HoldsWhileNodesAreCutOff drives real exchanges under a simulated clock with up to a third of the nodes cut off from the store, from each other or from both.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// partKept is how long a part that was told holds without another word. A node that
-	// dies holds its part back from others for as long, and nodes die more often than
-	// they are cut off from all others; it is as long as a lost session is waited for.
+	// partKept is how long a part that was told holds without another word: as long as a
+	// lost session is waited for. A node that dies holds its part back from others until
+	// that would have left the window, or until its next run reports.
 	partKept = 3 * time.Second
 	// soloKept is how long a node that was told a part once goes on alone with an equal
 	// part of the limit, without another word: as long as cuts of nodes have been seen
--- a/internal/quota/partition_test.go
+++ b/internal/quota/partition_test.go
@@ -20,8 +20,10 @@
 
 // world is a fleet of real exchanges whose nodes may lose the store, each other, or both.
 type world struct {
-	t      testing.TB
+	t testing.TB
+	// random plays the network, under mu, calls the callers.
 	random *rand.Rand
+	calls  *rand.Rand
 	limit  Limit
 	mu     sync.Mutex
 	nodes  []*worldNode
@@ -58,7 +60,7 @@
 )
 
 func newWorld(t testing.TB, seed uint64, nodes int, limit Limit) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), limit: limit, members: map[string]bool{}, gone: map[string]time.Time{}}
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), calls: rand.New(rand.NewPCG(seed, 2)), limit: limit, members: map[string]bool{}, gone: map[string]time.Time{}}
 	for i := range nodes {
 		node := &worldNode{w: w, name: fmt.Sprintf("n%02d", i), renewed: time.Now()}
 		node.exchange = NewExchange(tolerance, node)
@@ -201,7 +203,7 @@
 		w.tick()
 		for i, rate := range rates {
 			for expected := rate * step.Seconds(); expected > 0; expected-- {
-				if w.random.Float64() < expected && !w.nodes[i].dead {
+				if w.calls.Float64() < expected && !w.nodes[i].dead {
 					w.ask(w.nodes[i])
 				}
 			}
@@ -245,7 +247,7 @@
 	rates := make([]float64, len(w.nodes))
 	sum := 0.0
 	for _, node := range nodes {
-		rates[node] = 0.05 + w.random.Float64()
+		rates[node] = 0.05 + w.calls.Float64()
 		sum += rates[node]
 	}
 	for i := range rates {
@@ -311,7 +313,7 @@
 
 func (w *world) playCut(number int, random *rand.Rand) {
 	cut := cuts[number]
-	ctx, stop := contextOf(w.t)
+	ctx, stop := context.WithCancel(w.t.Context())
 	var running sync.WaitGroup
 	for _, node := range w.nodes {
 		running.Go(func() { node.exchange.Run(ctx) })
@@ -362,7 +364,3 @@
 	running.Wait()
 	synctest.Wait()
 }
-
-func contextOf(t testing.TB) (context.Context, context.CancelFunc) {
-	return context.WithCancel(t.Context())
-}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -10,8 +10,13 @@
 //
 // Messages carry sums since the node's start, so one that is lost, late or doubled
 // changes nothing for good. A node that hears nothing of an owner keeps to its part of
-// the demand as it was told last, and the owner goes on counting that part, for
-// partKept; after it, to an equal part of all nodes'.
+// the demand as it was told last for partKept, and then to an equal part of all nodes'
+// until soloKept. The owner presumes either of it until that has left the window. A node
+// that was never told has one request in a window.
+//
+// An owner that is cut off from the store alone goes on counting for all who reach it.
+// One that is cut off from other nodes too has a successor, and each of the two holds
+// back an equal part of the limit for every node that does not answer it.
 package quota
 
 import (
