--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -98,6 +98,8 @@
 	nodes   map[string]int
 	// told is what the newest member rows of nodes tell.
 	told map[string]Member
+	// away are the nodes whose sessions were ended a short time ago.
+	away map[string]away
 	// generation rises with each change of the nodes; sorted are these, nil if they have
 	// changed since they were last asked for.
 	generation uint64
@@ -116,7 +118,7 @@
 	return &Roster{
 		service: service, partition: partition, session: session, watcher: watcher,
 		members: map[string]uint64{}, nodes: map[string]int{}, missing: map[string]time.Time{},
-		told: map[string]Member{},
+		told: map[string]Member{}, away: map[string]away{},
 	}
 }
 
@@ -141,6 +143,7 @@
 func (r *Roster) add(id string, row table.Row) {
 	if _, ok := r.members[id]; !ok {
 		r.nodes[Node(id)]++
+		delete(r.away, Node(id))
 		r.changed()
 	}
 	r.members[id] = row.Version
@@ -161,8 +164,7 @@
 	r.changed()
 	node := Node(id)
 	if r.nodes[node]--; r.nodes[node] == 0 {
-		delete(r.nodes, node)
-		delete(r.told, node)
+		r.leave(node)
 	}
 	r.missing[node] = time.Time{}
 }
@@ -227,10 +229,12 @@
 	r.sorted = nil
 }
 
-// Generation is a number that is another whenever the nodes may have changed.
+// Generation is a number that is another whenever the nodes may have changed, those that
+// are away included.
 func (r *Roster) Generation() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetAway()
 	return r.generation
 }
 
@@ -282,20 +286,28 @@
 	return r.missed(Node(id))
 }
 
-// Address returns where a node is reached; empty if it has not told.
+// Address returns where a node is reached, or was before it was away; empty if it has not
+// told.
 func (r *Roster) Address(node string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if known, ok := r.away[node]; ok {
+		return known.told.Address
+	}
 	return r.told[node].Address
 }
 
-// Member returns what a node has told of itself; zero if nothing.
+// Member returns what a node has told of itself, or had before it was away; zero if
+// nothing.
 func (r *Roster) Member(node string) Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if node == Node(r.session.ID()) {
 		return r.session.Member
 	}
+	if known, ok := r.away[node]; ok {
+		return known.told
+	}
 	return r.told[node]
 }
 
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -18,4 +18,8 @@
 	KindNews Kind = 6
 	// KindEvidence carries what a node has seen of replicas that failed.
 	KindEvidence Kind = 7
+	// KindQuotaProbe asks whether a node is there, and KindQuotaContact is its answer, for
+	// the owners of tenants.
+	KindQuotaProbe   Kind = 8
+	KindQuotaContact Kind = 9
 )
