Homes: what a route or a tenant keeps to its regions stays there; items by place

Cause: nothing knew allowedRegions, so a request went to any replica, an item ran at any node, and a lost node's items were taken over anywhere; bodies and results of items crossed regions at chance (two of three on a site with three).

route.Route and tenant.Tenant hold Regions, both bind. A request asks only replicas there, in all tries, and fails at once (503, come back after 1.2 s) where none is listed. Items run only at nodes whose member row tells a home; the homes in force at each look bind, so a change moves what waits, and without a live node at home items wait, one line says so, and they are listed as dead after the retention without their bodies being read. Nodes elsewhere answer looks and keep nothing. Findings about homes (unknown region, none in common) are logged with their place; the configuration stays in force.

An item runs in the region of the node that accepted its job unless its slots have an item each and another region's have not; a lost node's items stay in their region while anybody there lives. With one region, or none told, the choice is the one of before (property).

Ruled out: a check of the node's own region at each sending (an item of a route declared after its acceptance would never run; its replica is bound all the same); the region of a lost node from the roster (nodes that started later do not know it, and nobody would claim): the job row holds it. Contents of a job are forgotten by a node that runs none of its items; before, the first 64 stayed for good.

Fakes of existing tests got methods for the region and the new event, Nodes became Fleet; no check of theirs has changed.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -20,6 +20,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -62,6 +63,7 @@
 func (a aliveSessions) Live() []string                { return a }
 func (a aliveSessions) Preferred(string) string       { return a[0] }
 func (a aliveSessions) Nodes() []string               { return []string{lease.Node(a[0])} }
+func (a aliveSessions) Region(string) string          { return "" }
 func (a aliveSessions) Gone(node string) bool         { return node != lease.Node(a[0]) }
 func (a aliveSessions) Refresh(context.Context) error { return nil }
 func (a aliveSessions) Expired(session string) bool   { return session != a[0] }
@@ -77,6 +79,7 @@
 func (quiet) GaveWay(*jobs.Job, string, string, int, replica.Pressure)      {}
 func (quiet) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration) {}
 func (quiet) Removed(*jobs.Job, error)                                      {}
+func (quiet) Homeless(*jobs.Job, place.Regions)                             {}
 func (quiet) Resolved(string, int, error)                                   {}
 
 // member is a node that serves, feeds and runs batches until it is stopped.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -62,6 +63,9 @@
 	Batch bool
 	// Tenant names the caller; empty where callers are not told apart.
 	Tenant string
+	// Regions are where the caller allows the request to be served; nil is anywhere. Those
+	// of the route bind beside them.
+	Regions place.Regions
 	// Received is when the request came in.
 	Received time.Time
 	// Deadline is when the caller stops waiting; zero if it did not say.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -77,7 +77,7 @@
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
 		Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
-		Adapter: target.Adapter, Exclude: map[string]bool{},
+		Adapter: target.Adapter, Exclude: map[string]bool{}, Regions: target.Regions.And(request.Regions),
 	}
 	if !one.deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -91,7 +91,10 @@
 // Predict estimates the time until a request would get its first event. It
 // returns replica.ErrNoReplica if no replica could take it.
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
-	demand := &replica.Demand{Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
+	demand := &replica.Demand{
+		Zone: f.Zone, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter,
+		Regions: target.Regions.And(request.Regions),
+	}
 	best, err := replica.Pick(f.Replicas.SnapshotFor(target.Pool(), demand, now), demand, f.Weights)
 	if err != nil {
 		return 0, err
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -68,6 +69,13 @@
 	if err := s.fits(submission); err != nil {
 		return err
 	}
+	described := &Job{}
+	s.declare(described, submission)
+	if described.Homes != nil && len(described.Homes) == 0 {
+		err := Error.Wrap(errors.Join(ErrNotAccepted, ErrHomeless))
+		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
+		return err
+	}
 	content := encode(submission.Items)
 	if err := s.putContent(ctx, submission.ID, content); err != nil {
 		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
@@ -76,7 +84,7 @@
 	// The runner may take the job up before admit returns.
 	s.remember(submission.ID, submission.Items)
 	err := s.admit(ctx, submission, content, began)
-	if err != nil {
+	if err != nil || !s.runsHere(ctx, submission.ID) {
 		s.forget(submission.ID)
 	}
 	return err
@@ -255,9 +263,10 @@
 	}
 	now := s.View.Now()
 	job := &Job{
-		ID: submission.ID, Route: submission.Route, Host: submission.Host, Tenant: submission.Tenant, Created: now, Accepted: accepted,
+		ID: submission.ID, Created: now, Accepted: accepted,
 		Due: now + submission.Completion, Expires: now + submission.Retention,
 	}
+	s.declare(job, submission)
 	if submission.Turns {
 		job.Rank = now - submission.Advance
 	}
@@ -266,10 +275,10 @@
 	for _, item := range submission.Items {
 		job.Items = append(job.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
 	}
-	s.spread(job, submission)
-	progress := &Progress{Owner: session}
-	if len(job.Nodes) > 0 {
-		progress.Owner = ""
+	s.spread(job, submission, lease.Node(session))
+	progress := &Progress{}
+	if len(job.Nodes) == 0 && s.mayHold(job, session) {
+		progress.Owner = session
 	}
 	writes := []table.Write{
 		{Key: jobKey(job.ID), Expect: table.Absent, Body: encode(job)},
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -22,7 +23,7 @@
 
 func (r *Runner) claimLost(ctx context.Context) {
 	session, err := r.Service.Session(ctx)
-	if err != nil || r.stopped() || !r.Service.View.Known() {
+	if err != nil || r.stopped() || !r.Service.View.Known() || r.Service.Routes != nil && r.Service.Routes() == nil {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -33,31 +34,64 @@
 	r.Replicas.Divide(lease.Node(session), r.Owners.Nodes())
 	live := r.Owners.Live()
 	for _, entry := range r.Service.View.Open() {
-		if len(entry.Job.Nodes) == 0 {
-			if entry.Progress.Owner != session && r.mayClaim(entry, live, session) {
-				r.claim(ctx, entry, session)
-			}
-			continue
+		r.claimEntry(ctx, entry, live, session)
+	}
+}
+
+// claimEntry takes over what this node should of a job. Only nodes in its homes do, those
+// of the region where the items were first.
+func (r *Runner) claimEntry(ctx context.Context, entry *Entry, live []string, session string) {
+	homes := r.Service.homes(entry.Job)
+	allowed := r.Service.allowed(live, homes)
+	if homes != nil && len(allowed) == 0 {
+		r.awaitHome(ctx, entry, homes, live, session)
+		return
+	}
+	delete(r.homeless, entry.Job.ID)
+	if len(entry.Job.Nodes) == 0 {
+		if entry.Progress.Owner != session && r.mayClaim(entry, homes, allowed, session) {
+			r.claim(ctx, entry, session)
 		}
-		for _, node := range r.lostNodes(entry, session) {
-			if lease.Preferred(live, entry.Job.ID+node) == session {
-				r.claimItems(ctx, entry, node, session)
-			}
+		return
+	}
+	for _, lost := range r.lostItems(entry, homes, session) {
+		if lease.Preferred(r.near(allowed, lost.region), entry.Job.ID+lost.node) == session {
+			r.claimItems(ctx, entry, lost, session)
+		}
+	}
+}
+
+// near returns those of some sessions whose nodes stand in a region, all if none does.
+func (r *Runner) near(sessions []string, region string) []string {
+	var near []string
+	for _, session := range sessions {
+		if region != "" && r.Owners.Region(lease.Node(session)) == region {
+			near = append(near, session)
 		}
 	}
+	if len(near) == 0 {
+		return sessions
+	}
+	return near
 }
 
-// lostNodes returns the nodes that are gone and have items of a job to run.
-func (r *Runner) lostNodes(entry *Entry, session string) []string {
-	var lost []string
+// lostItems are the items of a job that a node cannot run any more, by the region where
+// they were to run when the job was accepted: all nodes know that one alike, and a lost
+// node tells none.
+type lostItems struct{ node, region string }
+
+// lostItems returns what nodes have to run of a job that are gone, or stand outside its
+// homes.
+func (r *Runner) lostItems(entry *Entry, homes place.Regions, session string) []lostItems {
+	var lost []lostItems
 	listed := entry.Progress.listed(len(entry.Job.Items))
 	for i := range entry.Job.Items {
-		node := entry.runner(i)
-		if listed[i] || node == lease.Node(session) || slices.Contains(lost, node) {
+		one := lostItems{node: entry.runner(i), region: entry.region(i)}
+		if listed[i] || one.node == lease.Node(session) || slices.Contains(lost, one) {
 			continue
 		}
-		if r.Owners.Gone(node) {
-			lost = append(lost, node)
+		if r.Owners.Gone(one.node) || r.displaced(one.node, homes) {
+			lost = append(lost, one)
 		}
 	}
 	return lost
@@ -65,10 +99,10 @@
 
 // claimItems makes this node run what a lost one had to, unless another one does
 // by then.
-func (r *Runner) claimItems(ctx context.Context, entry *Entry, lost, session string) {
+func (r *Runner) claimItems(ctx context.Context, entry *Entry, lost lostItems, session string) {
 	callCtx, cancel := context.WithTimeout(ctx, slowCallTimeout)
 	defer cancel()
-	items := entry.itemsOf(lost)
+	items := entry.itemsOf(lost.node)
 	err := r.Service.update(callCtx, entry.Job.ID, func(progress *Progress) ([]table.Write, bool) {
 		if progress.Ended {
 			return nil, false
@@ -76,7 +110,7 @@
 		next := Entry{Job: entry.Job, Progress: progress}
 		changed := false
 		for _, item := range items {
-			if next.runner(item) != lost || progress.has(item) {
+			if next.runner(item) != lost.node || entry.region(item) != lost.region || progress.has(item) {
 				continue
 			}
 			if progress.Moved == nil {
@@ -87,17 +121,18 @@
 		}
 		return nil, changed
 	})
-	r.Service.Events.Claimed(entry, lost, err)
+	r.Service.Events.Claimed(entry, lost.node, err)
 }
 
-// mayClaim reports whether this node should take a job over: its own from
-// before a restart at once, those of others once their owner is gone.
-func (r *Runner) mayClaim(entry *Entry, live []string, session string) bool {
+// mayClaim reports whether this node should take a job over: its own from before a
+// restart at once, those of others once their owner is gone or outside the job's homes.
+func (r *Runner) mayClaim(entry *Entry, homes place.Regions, allowed []string, session string) bool {
 	owner := entry.Progress.Owner
 	if owner != "" && lease.SameNode(owner, session) {
-		return true
+		return r.Service.mayHold(entry.Job, session)
 	}
-	return (owner == "" || r.Owners.Expired(owner)) && lease.Preferred(live, entry.Job.ID) == session
+	free := owner == "" || r.Owners.Expired(owner) || r.displaced(lease.Node(owner), homes)
+	return free && lease.Preferred(allowed, entry.Job.ID) == session
 }
 
 // claim makes this node the owner, unless another one is by then.
--- /dev/null
+++ b/internal/jobs/homesprop_test.go
@@ -0,0 +1,151 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/place"
+)
+
+// strictBackend refuses to see an item at a replica outside the homes in force. The
+// runner holds no lock between its look at the homes and the sending, so those of a
+// moment ago count too.
+type strictBackend struct {
+	*homeNode
+	site *homeSite
+	// before and changed are the homes before the last change, and when it was.
+	before  *atomic.Pointer[place.Regions]
+	changed *atomic.Int64
+	broken  *atomic.Pointer[string]
+}
+
+// changeSlack is how long after a change an item that was chosen before may arrive.
+const changeSlack = 100 * time.Millisecond
+
+func (b *strictBackend) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+	homes := b.site.routes.Load().Named("batch").Regions
+	region := regionOf(attempt.Replica.ID)
+	late := time.Since(time.Unix(0, b.changed.Load())) > changeSlack
+	if !homes.Allows(region) && (late || !b.before.Load().Allows(region)) {
+		said := fmt.Sprintf("an item reached %s, homes are %v", attempt.Replica.ID, homes)
+		b.broken.Store(&said)
+	}
+	return b.homeNode.Send(ctx, attempt)
+}
+
+// TestHomes_ExactlyOnceUnderChanges changes homes and takes nodes away and brings them
+// back while jobs run, and checks that each item is listed once, that no position
+// changes, and that no item reaches a replica outside the homes.
+func TestHomes_ExactlyOnceUnderChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		names := []string{"n-1", "n-2", "s-1", "x-1"}
+		site := newHomeSite(t, nil, nil, names...)
+		strict := strictBackend{site: site, before: &atomic.Pointer[place.Regions]{}, changed: &atomic.Int64{}, broken: &atomic.Pointer[string]{}}
+		anywhere := place.Regions(nil)
+		strict.before.Store(&anywhere)
+		for _, name := range names {
+			backend := strict
+			backend.homeNode = site.nodes[name]
+			site.nodes[name].runner.mu.Lock()
+			site.nodes[name].runner.Backend = &backend
+			site.nodes[name].runner.mu.Unlock()
+		}
+		declare := func(homes place.Regions) {
+			before := site.routes.Load().Named("batch").Regions
+			strict.before.Store(&before)
+			strict.changed.Store(time.Now().UnixNano())
+			site.declare(homes, nil)
+		}
+		var jobs []string
+		seen := map[string][]Result{}
+		for range rapid.IntRange(4, 10).Draw(rt, "steps") {
+			node := site.nodes[rapid.SampledFrom(names).Draw(rt, "node")]
+			switch rapid.SampledFrom([]string{"submit", "submit", "homes", "live", "claim"}).Draw(rt, "step") {
+			case "submit":
+				id := fmt.Sprint("j", len(jobs))
+				if node.Submit(t.Context(), submission(id, 4)) == nil {
+					jobs = append(jobs, id)
+				}
+			case "homes":
+				declare(rapid.SampledFrom([]place.Regions{nil, {"n"}, {"s"}, {"n", "s"}, {"m"}}).Draw(rt, "homes"))
+			case "live":
+				live := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, len(names), rapid.ID).Draw(rt, "live")
+				for i := range live {
+					live[i] += "#1"
+				}
+				site.fleet.set(live...)
+			case "claim":
+				site.claim(names...)
+			}
+			checkSteady(rt, node.testNode, jobs, seen)
+		}
+		declare(nil)
+		site.fleet.set("n-1#1", "n-2#1", "s-1#1", "x-1#1")
+		for _, id := range jobs {
+			eventually(t, func() bool {
+				site.claim(names...)
+				entry := site.nodes["s-1"].View.Get(id)
+				return entry != nil && entry.Done()
+			})
+		}
+		checkSteady(rt, site.nodes["x-1"].testNode, jobs, seen)
+		checkWhole(rt, site.nodes["n-1"].testNode, jobs)
+		if said := strict.broken.Load(); said != nil {
+			rt.Fatal(*said)
+		}
+	})
+}
+
+// checkSteady reads jobs and fails if a position holds something else than before.
+func checkSteady(rt *rapid.T, node *testNode, jobs []string, seen map[string][]Result) {
+	for _, id := range jobs {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		reading, err := node.Read(ctx, id, 0, 0)
+		cancel()
+		if err != nil {
+			rt.Fatalf("job %s: %v", id, err)
+		}
+		known := seen[id]
+		shared := min(len(known), len(reading.Results))
+		if !slices.Equal(known[:shared], reading.Results[:shared]) {
+			rt.Fatalf("job %s listed %v and lists %v", id, known, reading.Results)
+		}
+		if len(reading.Results) > len(known) {
+			seen[id] = reading.Results
+		}
+	}
+}
+
+// checkWhole fails if an item is not listed exactly once, or not done.
+func checkWhole(rt *rapid.T, node *testNode, jobs []string) {
+	for _, id := range jobs {
+		eventuallyDone(rt, node, id)
+		reading, err := node.Read(context.Background(), id, 0, 0)
+		if err != nil || len(reading.Results) != reading.Total {
+			rt.Fatalf("job %s: %+v, %v", id, reading, err)
+		}
+		items := map[string]bool{}
+		for _, result := range reading.Results {
+			if items[result.Item] || result.Dead {
+				rt.Fatalf("job %s lists %v", id, reading.Results)
+			}
+			items[result.Item] = true
+		}
+	}
+}
+
+func eventuallyDone(rt *rapid.T, node *testNode, id string) {
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if entry := node.View.Get(id); entry != nil && entry.Done() {
+			return
+		}
+	}
+	rt.Fatalf("job %s is not done in time", id)
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -21,6 +21,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -126,6 +127,13 @@
 	Accepted int64 `cbor:"11,keyasint,omitempty"`
 	// Tenant names who submitted the job; empty where callers are not told apart.
 	Tenant string `cbor:"12,keyasint,omitempty"`
+	// Regions are those of Nodes, one if all stand in the same, none if they do not tell.
+	Regions []string `cbor:"13,keyasint,omitempty"`
+	// Others are the routes beside Route that items belong to.
+	Others []string `cbor:"14,keyasint,omitempty"`
+	// Homes are the regions where the job might run when it was accepted, none for
+	// anywhere; those declared since take precedence.
+	Homes place.Regions `cbor:"15,keyasint,omitempty"`
 
 	// version is that of the row this was read from.
 	version uint64
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -31,7 +31,12 @@
 	}
 	entry = s.awaitResult(ctx, entry, position, patience)
 	reading := &Reading{Total: len(entry.Job.Items), Next: position}
-	texts, err := s.texts(ctx, entry, position)
+	cache := &s.cache
+	if !s.holdsHere(ctx, entry.Job) {
+		// The texts pass through to the caller; nothing of them stays here.
+		cache = &textCache{}
+	}
+	texts, err := s.texts(ctx, cache, entry, position)
 	if err != nil {
 		return nil, err
 	}
@@ -69,16 +74,16 @@
 }
 
 // texts returns the texts from a position on, as many as fit an answer.
-func (s *Service) texts(ctx context.Context, entry *Entry, position int) ([]keptText, error) {
+func (s *Service) texts(ctx context.Context, cache *textCache, entry *Entry, position int) ([]keptText, error) {
 	var texts []keptText
 	size := 0
 	for ; position < len(entry.Progress.Listed); position++ {
-		text, ok := s.cache.get(entry.Job.ID, position)
+		text, ok := cache.get(entry.Job.ID, position)
 		if !ok {
-			if err := s.fetchTexts(ctx, entry, position); err != nil {
+			if err := s.fetchTexts(ctx, cache, entry, position); err != nil {
 				return texts, partly(texts, err)
 			}
-			if text, ok = s.cache.get(entry.Job.ID, position); !ok {
+			if text, ok = cache.get(entry.Job.ID, position); !ok {
 				return texts, partly(texts, Error.Wrap(ErrUnavailable))
 			}
 		}
@@ -99,8 +104,8 @@
 	return err
 }
 
-// fetchTexts reads result rows from a position on into the cache.
-func (s *Service) fetchTexts(ctx context.Context, entry *Entry, position int) error {
+// fetchTexts reads result rows from a position on into a cache.
+func (s *Service) fetchTexts(ctx context.Context, cache *textCache, entry *Entry, position int) error {
 	const batchRows = 25
 	id := entry.Job.ID
 	limit := min(batchRows, len(entry.Progress.Listed)-position)
@@ -120,14 +125,14 @@
 		if row.Key != resultKey(id, position+i) {
 			break
 		}
-		if err := s.cacheRow(ctx, id, position+i, row.Body); err != nil {
+		if err := s.cacheRow(ctx, cache, id, position+i, row.Body); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Service) cacheRow(ctx context.Context, id string, position int, body []byte) error {
+func (s *Service) cacheRow(ctx context.Context, cache *textCache, id string, position int, body []byte) error {
 	var stored storedResult
 	if err := decode(body, &stored); err != nil {
 		return err
@@ -139,11 +144,12 @@
 		}
 		stored.Text = string(text)
 	}
-	s.cache.put(id, position, keptText{text: stored.Text, reason: stored.Reason})
+	cache.put(id, position, keptText{text: stored.Text, reason: stored.Reason})
 	return nil
 }
 
-// Body returns the content of an item.
+// Body returns the content of an item. It may be read at any node: this one is the
+// machine that the caller has come to, and keeps nothing of it.
 func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
 	entry, err := s.find(ctx, id)
 	if err != nil {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -26,12 +28,11 @@
 	LookInterval() time.Duration
 	Expired(session string) bool
 	Live() []string
+	Fleet
 	// Preferred returns the live session that should do a piece of work that any
 	// could do.
 	Preferred(work string) string
-	// Nodes returns the nodes of the live sessions, Gone reports whether a node has
-	// none.
-	Nodes() []string
+	// Gone reports whether a node has no live session.
 	Gone(node string) bool
 }
 
@@ -62,11 +63,13 @@
 	freed  chan struct{}
 	// usual is what items are like.
 	usual usual
+	// homeless are the jobs that no live node may run; RunClaims alone uses it.
+	homeless map[string]bool
 }
 
 // NewRunner returns a runner that owns nothing yet.
 func NewRunner(options RunnerOptions) *Runner {
-	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1)}
+	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1), homeless: map[string]bool{}}
 }
 
 // Run runs items until the context ends.
@@ -103,7 +106,7 @@
 	if routes == nil {
 		return
 	}
-	room := map[string]int{}
+	room := itemRoom{free: map[string]int{}, full: map[lane]bool{}}
 	for _, ready := range r.waiting(now) {
 		one := ready.task
 		if r.Service.View.until(one.work.job.Expires) < 0 {
@@ -114,19 +117,35 @@
 		if target == nil || target.Kind != route.Batch {
 			continue
 		}
-		pool := target.Pool()
-		if _, ok := room[pool]; !ok {
-			room[pool] = r.Replicas.ItemRoom(pool, now)
-		}
-		if room[pool] <= 0 {
-			continue
-		}
-		switch r.start(one, target, pool, now) {
-		case startedItem:
-			room[pool]--
-		case noRoom:
-			room[pool] = 0
-		}
+		r.offer(one, target, homesBy(routes, one.work.job, target), &room, now)
+	}
+}
+
+// lane is a pool and the regions of it that items may be served in.
+type lane struct{ pool, homes string }
+
+// itemRoom is where items found room in one look at those that wait.
+type itemRoom struct {
+	// free is the room that this node has left in each pool.
+	free map[string]int
+	// full are the lanes where no replica takes an item.
+	full map[lane]bool
+}
+
+// offer sends an item if there is room for it where it may be served.
+func (r *Runner) offer(one *task, target *route.Route, homes place.Regions, room *itemRoom, now time.Time) {
+	where := lane{pool: target.Pool(), homes: strings.Join(homes, ",")}
+	if _, ok := room.free[where.pool]; !ok {
+		room.free[where.pool] = r.Replicas.ItemRoom(where.pool, now)
+	}
+	if room.free[where.pool] <= 0 || room.full[where] {
+		return
+	}
+	switch r.start(one, target, where.pool, homes, now) {
+	case startedItem:
+		room.free[where.pool]--
+	case noRoom:
+		room.full[where] = true
 	}
 }
 
@@ -182,7 +201,7 @@
 )
 
 // start sends one task if a replica has room.
-func (r *Runner) start(one *task, target *route.Route, pool string, now time.Time) startResult {
+func (r *Runner) start(one *task, target *route.Route, pool string, homes place.Regions, now time.Time) startResult {
 	item := &one.work.items[one.index]
 	if one.once && !one.marked {
 		r.markStarted(one.work)
@@ -190,7 +209,7 @@
 	}
 	demand := &replica.Demand{
 		Zone: r.Zone, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
-		Reserve: target.Reserve, Exclude: one.exclude,
+		Reserve: target.Reserve, Exclude: one.exclude, Regions: homes,
 	}
 	chosen, err := replica.Pick(r.Replicas.SnapshotFor(pool, demand, now), demand, r.Weights)
 	if err != nil {
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -15,6 +15,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -72,6 +73,7 @@
 func (quietEvents) GaveWay(*Job, string, string, int, replica.Pressure) {}
 func (quietEvents) ItemListed(*Job, string, int, Reason, time.Duration) {}
 func (quietEvents) Removed(*Job, error)                                 {}
+func (quietEvents) Homeless(*Job, place.Regions)                        {}
 func (quietEvents) Resolved(operation string, attempts int, err error)  {}
 
 // testNode is a service with a view that follows a shared table.
@@ -101,6 +103,7 @@
 func (noOwners) Live() []string                { return nil }
 func (noOwners) Preferred(string) string       { return "a#1" }
 func (noOwners) Nodes() []string               { return nil }
+func (noOwners) Region(string) string          { return "" }
 func (noOwners) Gone(string) bool              { return false }
 
 const (
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -8,8 +8,10 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -43,6 +45,8 @@
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	Resolved(operation string, attempts int, err error)
 	Removed(job *Job, err error)
+	// Homeless tells of a job whose items wait because no node of its homes lives.
+	Homeless(job *Job, homes place.Regions)
 }
 
 // Service accepts, reads and ends jobs. It is safe for concurrent use.
@@ -54,8 +58,12 @@
 	// Session is the id under which this node owns jobs; it must be renewed
 	// before it is named in a row.
 	Session func(ctx context.Context) (string, error)
-	// Nodes, if set, returns the nodes that items are spread over.
-	Nodes func() []string
+	// Fleet, if set, tells the nodes that items are spread over.
+	Fleet Fleet
+	// Routes, if set, returns the routes in force, whose homes bind; nil before the first.
+	Routes func() *route.Table
+	// Slots, if set, returns the slots of a pool's replicas by region.
+	Slots func(pool string) map[string]int
 
 	cache textCache
 	pace  pace
--- a/internal/jobs/spread.go
+++ b/internal/jobs/spread.go
@@ -9,34 +9,39 @@
 // Items of a job are spread over all nodes, so that every node has some that
 // can give way to its own online requests, and no node has many to lose.
 
-// spread names the nodes that run the items of a job: each item goes to the node
-// that has the fewest to run. Items that may run only once stay with the owner,
+// spread names the nodes that run the items of a job: each item goes to the node of its
+// region that has the fewest to run. Items that may run only once stay with the owner,
 // for only an owner may mark them.
-func (s *Service) spread(job *Job, submission *Submission) {
-	if s.Nodes == nil || slices.ContainsFunc(submission.Items, func(item Item) bool { return item.Once }) {
+func (s *Service) spread(job *Job, submission *Submission, self string) {
+	if s.Fleet == nil || slices.ContainsFunc(submission.Items, func(item Item) bool { return item.Once }) {
 		return
 	}
-	nodes := s.Nodes()
-	if len(nodes) == 0 {
+	placing := s.placing(job, s.homes(job), self)
+	if placing == nil {
 		return
 	}
-	slices.SortFunc(nodes, func(a, b string) int {
-		if lease.Preferred([]string{a, b}, job.ID) == a {
-			return -1
-		}
-		return 1
-	})
-	load := s.View.load()
 	index := map[string]int{}
 	for i := range job.Items {
-		node := slices.MinFunc(nodes, func(a, b string) int { return load[a] - load[b] })
-		load[node]++
+		node, region := placing.next()
 		if _, ok := index[node]; !ok {
 			index[node] = len(job.Nodes)
 			job.Nodes = append(job.Nodes, node)
+			job.Regions = append(job.Regions, region)
 		}
 		job.Items[i].Node = index[node]
 	}
+	job.Regions = shorten(job.Regions)
+}
+
+// shorten returns the regions of nodes as a job row holds them.
+func shorten(regions []string) []string {
+	if len(slices.Compact(slices.Clone(regions))) > 1 {
+		return regions
+	}
+	if regions[0] == "" {
+		return nil
+	}
+	return regions[:1]
 }
 
 // load counts the unlisted items of each node.
@@ -73,6 +78,19 @@
 	return e.Job.Nodes[e.Job.Items[item].Node]
 }
 
+// region returns the region where an item was to run when its job was accepted; empty if
+// it is not known.
+func (e *Entry) region(item int) string {
+	switch len(e.Job.Regions) {
+	case 0:
+		return ""
+	case 1:
+		return e.Job.Regions[0]
+	default:
+		return e.Job.Regions[e.Job.Items[item].Node]
+	}
+}
+
 // own returns the unlisted items that a session is to run.
 func (e *Entry) own(session string) []int {
 	if len(e.Job.Nodes) == 0 && e.Progress.Owner != session {
--- a/internal/jobs/spread_test.go
+++ b/internal/jobs/spread_test.go
@@ -16,9 +16,12 @@
 type someOwners struct {
 	noOwners
 	live []string
+	// regions are those of nodes; a node that is not among them tells none.
+	regions map[string]string
 }
 
-func (o *someOwners) Live() []string { return o.live }
+func (o *someOwners) Region(node string) string { return o.regions[node] }
+func (o *someOwners) Live() []string            { return o.live }
 func (o *someOwners) Nodes() []string {
 	var nodes []string
 	for _, session := range o.live {
@@ -45,7 +48,7 @@
 	objects := &objecttest.Store{}
 	for _, session := range owners.live {
 		node := startNode(t, shared, objects, session)
-		node.Nodes = owners.Nodes
+		node.Fleet = owners
 		backend := &scriptedBackend{answer: wholeAnswers}
 		runner, _ := startRunner(t, node, backend)
 		runner.Owners = owners
@@ -116,7 +119,7 @@
 
 func TestLoad_NewItemsGoToTheNodeWithTheFewest(t *testing.T) {
 	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
-	node.Nodes = func() []string { return []string{"a", "b", "c", "d"} }
+	node.Fleet = &someOwners{live: []string{"a#1", "b#1", "c#1", "d#1"}}
 	for i := range 5 {
 		if err := node.Submit(context.Background(), submission(fmt.Sprint("j", i), 3)); err != nil {
 			t.Fatal(err)
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -72,7 +72,7 @@
 }
 
 // reconcile takes up the items that the view says are this node's, and drops
-// those that are not any more.
+// those that are not any more, or whose homes the node is not in any more.
 func (r *Runner) reconcile(ctx context.Context) {
 	session, err := r.Service.Session(ctx)
 	if err != nil {
@@ -80,7 +80,7 @@
 	}
 	open := map[string]bool{}
 	for _, entry := range r.Service.View.Open() {
-		if own := entry.own(session); len(own) > 0 {
+		if own := entry.own(session); len(own) > 0 && r.Service.mayHold(entry.Job, session) {
 			open[entry.Job.ID] = true
 			r.takeUp(ctx, entry, own)
 		}
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -283,6 +283,9 @@
 	return r.told[node]
 }
 
+// Region returns the region that a node has told; empty if it has not.
+func (r *Roster) Region(node string) string { return r.Member(node).Region }
+
 // Gone reports whether a node has no session.
 func (r *Roster) Gone(node string) bool {
 	r.mu.Lock()
--- a/internal/lease/roster_test.go
+++ b/internal/lease/roster_test.go
@@ -181,3 +181,19 @@
 		t.Fatal("a node that never came does not count as gone")
 	}
 }
+
+// TestRoster_ARowWithoutARegionTellsNone has a row of before beside one that tells.
+func TestRoster_ARowWithoutARegionTellsNone(t *testing.T) {
+	f := newFleet(t, 1)
+	rows := table.Changes{Revision: 100}
+	for id, told := range map[string]Member{"old#1": {Address: "a:1"}, "new#1": {Address: "b:1", Region: "north"}} {
+		row := table.Row{Key: memberKey(memberGroup, id), Version: 99, Body: encodeMember(told)}
+		rows.Changes = append(rows.Changes, table.Change{Row: row})
+	}
+	f.rosters[0].Apply(rows, false)
+	for node, want := range map[string]string{"old": "", "new": "north", "unknown": ""} {
+		if got := f.rosters[0].Region(node); got != want {
+			t.Errorf("node %s stands in %q, want %q", node, got, want)
+		}
+	}
+}
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -345,6 +345,9 @@
 // Nodes returns the nodes of the live sessions, each once.
 func (w *Watcher) Nodes() []string { return nodesOf(w.Live()) }
 
+// Region returns the empty region: sessions do not tell where nodes stand.
+func (w *Watcher) Region(string) string { return "" }
+
 // nodesOf returns the nodes of sessions, each once.
 func nodesOf(sessions []string) []string {
 	nodes := make([]string, 0, len(sessions))
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,7 +104,7 @@
 	c.jobs = &jobs.Service{
 		Table: outside.table, Objects: outside.objects, View: view,
 		Events: &jobLog{log: log, sampled: c.sampled, metrics: metrics}, Session: c.ownSession,
-		Nodes: c.owners.Nodes,
+		Fleet: c.owners, Routes: c.routes.Load, Slots: c.replicas.RegionSlots,
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
@@ -186,6 +187,9 @@
 	entry := c.sampled.Info()
 	if err != nil {
 		entry = c.log.Warn().Err(err).Stringer("ran", outcome.Of(err))
+		if none := (*replica.NoReplicaError)(nil); errors.As(err, &none) {
+			entry = entry.Str("excluded", none.Reasons()).Strs("homes", target.Regions.And(request.Regions))
+		}
 	}
 	entry.Str("request", request.ID).Str("route", target.Name).Str("pool", result.Pool).
 		Str("replica", result.Replica).Int("status", result.Status).Int("attempts", result.Attempts).
@@ -232,6 +236,15 @@
 	if c.routes.Replace(next) {
 		c.log.Info().Uint64("version", config.Version).Uint64("row_version", version).
 			Int("routes", next.Routes()).Msg("configuration in force")
+		c.logPlaceFindings(config)
+	}
+}
+
+// logPlaceFindings logs what is wrong with the homes of a configuration in force.
+func (c *core) logPlaceFindings(config *route.Config) {
+	for _, found := range config.PlaceFindings(c.places) {
+		c.log.Warn().Uint64("version", config.Version).Str("path", found.Path).
+			Str("finding", found.Message).Msg("homes of the configuration")
 	}
 }
 
--- /dev/null
+++ b/internal/node/gatewayhomes_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+var homeZones = place.Map{"n1": "north", "s1": "south"}
+
+// newHomesSite is a site with a server and a gateway in each of two regions.
+func newHomesSite(t *testing.T) (site *gatewaySite, north, south *Gateway) {
+	t.Helper()
+	site = newGatewaySite(t, 0)
+	for _, zone := range []string{"n1", "s1"} {
+		one := &standin.Server{ID: "i-" + zone, Events: siteEvents, EventTime: 2 * time.Millisecond}
+		listening := httptest.NewServer(one)
+		t.Cleanup(listening.Close)
+		site.servers = append(site.servers, one)
+		site.store.Put("servers", one.ID, standin.Listing(listening.Listener.Addr().String(), zone, 8, false))
+	}
+	north = site.startAt(settings.Node{ID: "n", Zone: "n1", Region: "north", Zones: homeZones})
+	south = site.startAt(settings.Node{ID: "s", Zone: "s1", Region: "south", Zones: homeZones})
+	return site, north, south
+}
+
+// configureHomes puts a configuration in force in which all routes have homes, and waits
+// for the gateways.
+func (s *gatewaySite) configureHomes(version int, homes ...string) {
+	s.t.Helper()
+	declared := standin.Declare(version, siteHost, 100000, "resume").(map[string]any)
+	for _, target := range declared["routes"].([]map[string]any) {
+		target["allowedRegions"] = append([]string{}, homes...)
+	}
+	s.store.Put("op", "config", declared)
+	for _, gateway := range s.gateways {
+		s.eventually("homes in force", func() bool { return gateway.routes.Load().Version == uint64(version) })
+	}
+}
+
+func TestGateway_RequestsStayAtHome(t *testing.T) {
+	site, north, south := newHomesSite(t)
+	site.configureHomes(2, "north")
+	for number := range 12 {
+		gateway := []*Gateway{north, south}[number%2]
+		if status, text, _ := site.call(gateway, http.MethodPost, "/resume/x", fmt.Sprint("q", number), nil); status != http.StatusOK {
+			t.Fatalf("request: %d %q", status, text)
+		}
+	}
+	if status, text, _ := site.call(south, http.MethodPost, "/batch/j", "j", job("j", 6)); status != http.StatusAccepted {
+		t.Fatalf("submission: %d %q", status, text)
+	}
+	site.awaitJob(south, "j")
+	if runs := site.servers[1].Runs(); len(runs) != 0 {
+		t.Fatalf("%d requests ran in another region", len(runs))
+	}
+}
+
+// TestGateway_NoServerAtHomeIsRefusedAtOnce takes the only server at home off the list.
+func TestGateway_NoServerAtHomeIsRefusedAtOnce(t *testing.T) {
+	site, north, south := newHomesSite(t)
+	site.configureHomes(2, "north")
+	site.store.Remove("servers", "i-n1")
+	for _, gateway := range []*Gateway{north, south} {
+		site.eventually("server gone", func() bool { return len(gateway.replicas.Snapshot("llm", 0, time.Now())) == 1 })
+		began := time.Now()
+		status, _, header := site.call(gateway, http.MethodPost, "/resume/x", "q", nil)
+		if status != http.StatusServiceUnavailable || header.Get("Retry-After") != "1.20" || time.Since(began) > time.Second {
+			t.Errorf("%d after %v, come back %q", status, time.Since(began), header.Get("Retry-After"))
+		}
+	}
+	site.configureHomes(3)
+	if status, text, header := site.call(north, http.MethodPost, "/batch/j", "j", job("j", 1)); status != http.StatusServiceUnavailable || header.Get("Retry-After") != "1.20" {
+		t.Errorf("a job that may be kept nowhere: %d %q", status, text)
+	}
+	if runs := site.servers[1].Runs(); len(runs) != 0 {
+		t.Fatalf("%d requests ran in another region", len(runs))
+	}
+}
--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -75,8 +75,15 @@
 // start starts a gateway and waits until it is ready.
 func (s *gatewaySite) start(id string) *Gateway {
 	s.t.Helper()
+	return s.startAt(settings.Node{ID: id, Zone: "z"})
+}
+
+// startAt starts a gateway at a place and waits until it is ready.
+func (s *gatewaySite) startAt(at settings.Node) *Gateway {
+	s.t.Helper()
+	at.Listen = freeAddress(s.t)
 	config := &settings.Settings{
-		Node: settings.Node{ID: id, Zone: "z", Listen: freeAddress(s.t)},
+		Node: at,
 		Gateway: settings.Gateway{
 			Store: s.storeAt, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second),
 		},
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
@@ -89,6 +90,13 @@
 	l.log.Info().Str("job", job.ID).Dur("accepted_at_ms", job.Created).Err(err).Msg("job removed")
 }
 
+// Homeless implements jobs.Events.
+func (l *jobLog) Homeless(job *jobs.Job, homes place.Regions) {
+	l.metrics.jobs.WithLabelValues("homeless").Inc()
+	l.log.Warn().Str("job", job.ID).Str("route", job.Route).Str("tenant", job.Tenant).Strs("homes", homes).
+		Msg("items wait, no node of an allowed region lives")
+}
+
 // Resolved implements jobs.Events.
 func (l *jobLog) Resolved(operation string, attempts int, err error) {
 	l.log.Info().Str("operation", operation).Int("attempts", attempts).Err(err).Msg("write resolved")
--- a/internal/replica/exclusion.go
+++ b/internal/replica/exclusion.go
@@ -48,27 +48,36 @@
 type NoReplicaError struct {
 	// Counts counts the replicas looked at, by what excluded them.
 	Counts [exclusions]int
+	// Bound says that the request may be served in some regions only.
+	Bound bool
 }
 
 // Error implements error.
-func (e *NoReplicaError) Error() string {
+func (e *NoReplicaError) Error() string { return ErrNoReplica.Error() + ": " + e.Reasons() }
+
+// Reasons counts the replicas that were looked at by what excluded them, for the log.
+func (e *NoReplicaError) Reasons() string {
 	var reasons []string
 	for reason, count := range e.Counts {
 		if count > 0 {
 			reasons = append(reasons, fmt.Sprintf("%d %s", count, Exclusion(reason)))
 		}
 	}
-	if len(reasons) == 0 {
-		return ErrNoReplica.Error() + ": none is listed"
+	switch {
+	case len(reasons) > 0:
+		return strings.Join(reasons, ", ")
+	case e.Bound:
+		return "none is listed where the request may be served"
+	default:
+		return "none is listed"
 	}
-	return ErrNoReplica.Error() + ": " + strings.Join(reasons, ", ")
 }
 
 // Unwrap makes it ErrNoReplica.
 func (e *NoReplicaError) Unwrap() error { return ErrNoReplica }
 
 // Lasts reports whether waiting is of no use: there are replicas, and all of them are
-// excluded by what operators declare.
+// excluded by what operators declare, or none stands where the request may be served.
 func (e *NoReplicaError) Lasts() bool {
 	lasting := 0
 	for reason, count := range e.Counts {
@@ -77,7 +86,7 @@
 		}
 		lasting += count
 	}
-	return lasting > 0
+	return lasting > 0 || e.Bound
 }
 
 // excludedByPlace reports what keeps a request from a replica for where it stands.
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -81,7 +81,7 @@
 
 // noReplica tells what keeps a request from each of the candidates.
 func noReplica(candidates []Candidate, demand *Demand) error {
-	failed := &NoReplicaError{}
+	failed := &NoReplicaError{Bound: demand.Regions != nil}
 	for i := range candidates {
 		why := candidates[i].excluded(demand)
 		if why == Usable {
--- /dev/null
+++ b/internal/replica/regions.go
@@ -0,0 +1,15 @@
+package replica
+
+// RegionSlots returns the slots that the replicas of a pool have in each region. Replicas
+// that are leaving, or stand in a zone that operators empty, have none.
+func (s *Set) RegionSlots(pool string) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots := map[string]int{}
+	for _, known := range s.pool(pool) {
+		if !known.info.Leaving && !s.evacuated[known.info.Zone] {
+			slots[known.info.Region] += known.info.Slots
+		}
+	}
+	return slots
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/findings"
+	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/tenant"
 )
 
@@ -75,6 +76,8 @@
 	Completion time.Duration
 	// Retention is the time from a job's submission until items may be given up.
 	Retention time.Duration
+	// Regions are where the requests may be served and kept; nil is anywhere.
+	Regions place.Regions
 
 	turn atomic.Uint64
 }
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -12,6 +12,8 @@
 	"strings"
 
 	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // Error is the class of all errors of this package.
@@ -38,6 +40,8 @@
 	// Rate is the number of requests a second that the tenant may make over all nodes,
 	// Burst how many on top of it; a rate of 0 means no limit.
 	Rate, Burst float64
+	// Regions are where the tenant's requests may be served and kept; nil is anywhere.
+	Regions place.Regions
 }
 
 // Hash is the SHA-256 of a key.
