Homes: the property of changes is judged without a clock

Cause: the property let items of the last 100 ms pass by the homes of before.

Now a change waits until each runner has looked at the new routes twice and nothing that was chosen before holds a slot; from then on the new homes alone count. With the regions taken out of an item's demand it fails at its first check.

Ruled out: a longer pause after each change, which hangs on how fast the machine is.

--- a/internal/jobs/homes_test.go
+++ b/internal/jobs/homes_test.go
@@ -101,6 +101,8 @@
 	mu     sync.Mutex
 	// sent are the replicas that items went to.
 	sent []string
+	// looks counts the runner's looks at the routes, one at the begin of each dispatch.
+	looks atomic.Int64
 	// refuse makes replicas refuse.
 	refuse atomic.Bool
 }
@@ -115,6 +117,27 @@
 	return answerOf(http.StatusOK, events(attempt.After+1, 5)), nil
 }
 
+func (n *homeNode) countedRoutes() *route.Table {
+	n.looks.Add(1)
+	return n.Routes()
+}
+
+// settled waits until nothing is under way that was chosen by routes of before.
+func (n *homeNode) settled(t *testing.T) {
+	for range 2 {
+		seen := n.looks.Load()
+		eventually(t, func() bool {
+			n.runner.wake()
+			return n.looks.Load() > seen
+		})
+	}
+	eventually(t, func() bool {
+		// Also a run whose job was dropped meanwhile holds its slot until it ends.
+		replicas := n.runner.Replicas.List(time.Now())
+		return !slices.ContainsFunc(replicas, func(one replica.Candidate) bool { return one.Open > 0 })
+	})
+}
+
 // owned counts the jobs that a node has items of.
 func (n *homeNode) owned() int {
 	n.runner.mu.Lock()
@@ -181,7 +204,7 @@
 	node.Service.Table, node.Service.Events = node.rows, node.events
 	node.Fleet, node.Routes, node.Slots = s.fleet, s.routes.Load, replicas.RegionSlots
 	node.runner = NewRunner(RunnerOptions{
-		Service: node.Service, Replicas: replicas, Backend: node, Routes: s.routes.Load, Owners: s.fleet,
+		Service: node.Service, Replicas: replicas, Backend: node, Routes: node.countedRoutes, Owners: s.fleet,
 		ViewAge: func() time.Duration { return 0 },
 	})
 	replicas.Pressed = node.runner.Yield
--- a/internal/jobs/homesprop_test.go
+++ b/internal/jobs/homesprop_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,29 +14,36 @@
 	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
-// strictBackend refuses to see an item at a replica outside the homes in force. The
-// runner holds no lock between its look at the homes and the sending, so those of a
-// moment ago count too.
+// homeWatch notes items that reach a replica outside the homes in force. While homes
+// change those of before and those to come count.
+type homeWatch struct {
+	mu      sync.Mutex
+	inForce []place.Regions
+	broken  string
+}
+
+func (w *homeWatch) set(homes ...place.Regions) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.inForce = homes
+}
+
+func (w *homeWatch) sent(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !slices.ContainsFunc(w.inForce, func(homes place.Regions) bool { return homes.Allows(regionOf(id)) }) {
+		w.broken = fmt.Sprintf("an item reached %s, homes are %v", id, w.inForce)
+	}
+}
+
+// strictBackend tells a watch where items go.
 type strictBackend struct {
 	*homeNode
-	site *homeSite
-	// before and changed are the homes before the last change, and when it was.
-	before  *atomic.Pointer[place.Regions]
-	changed *atomic.Int64
-	broken  *atomic.Pointer[string]
+	watch *homeWatch
 }
 
-// changeSlack is how long after a change an item that was chosen before may arrive.
-const changeSlack = 100 * time.Millisecond
-
 func (b *strictBackend) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
-	homes := b.site.routes.Load().Named("batch").Regions
-	region := regionOf(attempt.Replica.ID)
-	late := time.Since(time.Unix(0, b.changed.Load())) > changeSlack
-	if !homes.Allows(region) && (late || !b.before.Load().Allows(region)) {
-		said := fmt.Sprintf("an item reached %s, homes are %v", attempt.Replica.ID, homes)
-		b.broken.Store(&said)
-	}
+	b.watch.sent(attempt.Replica.ID)
 	return b.homeNode.Send(ctx, attempt)
 }
 
@@ -47,21 +54,20 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		names := []string{"n-1", "n-2", "s-1", "x-1"}
 		site := newHomeSite(t, nil, nil, names...)
-		strict := strictBackend{site: site, before: &atomic.Pointer[place.Regions]{}, changed: &atomic.Int64{}, broken: &atomic.Pointer[string]{}}
-		anywhere := place.Regions(nil)
-		strict.before.Store(&anywhere)
-		for _, name := range names {
-			backend := strict
-			backend.homeNode = site.nodes[name]
-			site.nodes[name].runner.mu.Lock()
-			site.nodes[name].runner.Backend = &backend
-			site.nodes[name].runner.mu.Unlock()
-		}
+		watch := &homeWatch{inForce: []place.Regions{nil}}
 		declare := func(homes place.Regions) {
 			before := site.routes.Load().Named("batch").Regions
-			strict.before.Store(&before)
-			strict.changed.Store(time.Now().UnixNano())
+			watch.set(before, homes)
 			site.declare(homes, nil)
+			for _, name := range names {
+				site.nodes[name].settled(t)
+			}
+			watch.set(homes)
+		}
+		for _, name := range names {
+			site.nodes[name].runner.mu.Lock()
+			site.nodes[name].runner.Backend = &strictBackend{homeNode: site.nodes[name], watch: watch}
+			site.nodes[name].runner.mu.Unlock()
 		}
 		var jobs []string
 		seen := map[string][]Result{}
@@ -97,8 +103,10 @@
 		}
 		checkSteady(rt, site.nodes["x-1"].testNode, jobs, seen)
 		checkWhole(rt, site.nodes["n-1"].testNode, jobs)
-		if said := strict.broken.Load(); said != nil {
-			rt.Fatal(*said)
+		watch.mu.Lock()
+		defer watch.mu.Unlock()
+		if watch.broken != "" {
+			rt.Fatal(watch.broken)
 		}
 	})
 }
