--- a/internal/jobs/homesite_test.go
+++ b/internal/jobs/homesite_test.go
@@ -267,4 +267,3 @@
 		s.t.Errorf("node %s has read bodies %d times and keeps those of %d jobs", name, reads, kept)
 	}
 }
-
