--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -64,6 +64,7 @@
 func (a aliveSessions) Preferred(string) string       { return a[0] }
 func (a aliveSessions) Nodes() []string               { return []string{lease.Node(a[0])} }
 func (a aliveSessions) Places() []place.Node          { return nil }
+func (a aliveSessions) Region(string) string          { return "" }
 func (a aliveSessions) Gone(node string) bool         { return node != lease.Node(a[0]) }
 func (a aliveSessions) Refresh(context.Context) error { return nil }
 func (a aliveSessions) Expired(session string) bool   { return session != a[0] }
@@ -79,6 +80,7 @@
 func (quiet) GaveWay(*jobs.Job, string, string, int, replica.Pressure)      {}
 func (quiet) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration) {}
 func (quiet) Removed(*jobs.Job, error)                                      {}
+func (quiet) Homeless(*jobs.Job, place.Regions)                             {}
 func (quiet) Resolved(string, int, error)                                   {}
 
 // member is a node that serves, feeds and runs batches until it is stopped.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -88,7 +88,8 @@
 	one.result.Pool = target.Pool()
 	one.demand = replica.Demand{
 		Zone: f.Zone, Region: f.Region, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Affinity: affinityOf(request.Prompt), Shared: sharedTokens(request.Prompt),
-		Adapter: target.Adapter, Exclude: map[string]bool{}, Single: !one.mayRepeat() || target.MaxAttempts < 2,
+		Adapter: target.Adapter, Exclude: map[string]bool{}, Regions: target.Regions.And(request.Regions),
+		Single: !one.mayRepeat() || target.MaxAttempts < 2,
 	}
 	if !one.deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -102,7 +103,10 @@
 // Predict estimates the time until a request would get its first event. It
 // returns replica.ErrNoReplica if no replica could take it.
 func (f *Forwarder) Predict(target *route.Route, request *Request, now time.Time) (time.Duration, error) {
-	demand := &replica.Demand{Zone: f.Zone, Region: f.Region, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter}
+	demand := &replica.Demand{
+		Zone: f.Zone, Region: f.Region, Ask: replica.Ask{Tokens: request.Prompt.Tokens}, Adapter: target.Adapter,
+		Regions: target.Regions.And(request.Regions),
+	}
 	best, err := replica.Pick(f.Replicas.SnapshotFor(target.Pool(), demand, now), demand, f.Weights)
 	if none := coldOnly(err); none != nil {
 		return none.ColdWait, nil
--- a/internal/jobs/tell_test.go
+++ b/internal/jobs/tell_test.go
@@ -37,7 +37,7 @@
 func TestService_TellsThoseWhoRunItems(t *testing.T) {
 	shared := tabletest.New()
 	node := detachedNode(t, shared, shared.Feed(Group), "a#1")
-	node.Nodes = func() []string { return []string{"a", "b", "c", "d"} }
+	node.Fleet = &someOwners{live: []string{"a#1", "b#1", "c#1", "d#1"}}
 	var told toldNodes
 	node.Tell = told.tell
 	if err := node.Submit(t.Context(), submission("j", 3)); err != nil {
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -355,6 +355,9 @@
 	return nodes
 }
 
+// Region returns the empty region: sessions do not tell where nodes stand.
+func (w *Watcher) Region(string) string { return "" }
+
 // nodesOf returns the nodes of sessions, each once.
 func nodesOf(sessions []string) []string {
 	nodes := make([]string, 0, len(sessions))
--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -76,7 +76,13 @@
 // start starts a gateway and waits until it is ready and knows all servers.
 func (s *gatewaySite) start(id string) *Gateway {
 	s.t.Helper()
-	gateway := s.launch(id, nil)
+	return s.startAt(settings.Node{ID: id, Zone: "z"})
+}
+
+// startAt starts a gateway at a place and waits until it is ready and knows all servers.
+func (s *gatewaySite) startAt(at settings.Node) *Gateway {
+	s.t.Helper()
+	gateway := s.launchAt(at)
 	s.eventually("gateway ready", func() bool {
 		return gateway.Ready() && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == len(s.servers)
 	})
@@ -86,8 +92,15 @@
 // launch starts a gateway and waits for nothing.
 func (s *gatewaySite) launch(id string, zones place.Map) *Gateway {
 	s.t.Helper()
+	return s.launchAt(settings.Node{ID: id, Zone: "z", Zones: zones})
+}
+
+// launchAt starts a gateway at a place and waits for nothing.
+func (s *gatewaySite) launchAt(at settings.Node) *Gateway {
+	s.t.Helper()
+	at.Listen = freeAddress(s.t)
 	config := &settings.Settings{
-		Node: settings.Node{ID: id, Zone: "z", Zones: zones, Listen: freeAddress(s.t)},
+		Node: at,
 		Gateway: settings.Gateway{
 			Store: s.storeAt, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second),
 		},
--- a/internal/replica/refusal.go
+++ b/internal/replica/refusal.go
@@ -10,6 +10,20 @@
 // longer than that allows.
 const DeclaredComeBack = 5 * time.Second
 
+// ListedComeBack is what a caller is told to wait where no replica is listed in the
+// regions of its request. One that starts is listed after a heartbeat, 1.2 s on the users'
+// platform.
+const ListedComeBack = 1200 * time.Millisecond
+
+// ComeBack is how long a caller should wait whose request no replica may serve for where
+// it stands.
+func (e *NoReplicaError) ComeBack() time.Duration {
+	if e.Counts[Evacuated] > 0 {
+		return DeclaredComeBack
+	}
+	return ListedComeBack
+}
+
 // Main returns what excludes most of the replicas, the first by order among equals;
 // Usable if there is none.
 func (e *NoReplicaError) Main() Exclusion {
