Feed cold replicas by one node of their zone and by any others

Now one node of the zone feeds, for a zone that is cut off, and any others by weight, which are there when the zone was lost. A node that had not known the members does not wait. The test of the zones says so for 50 replicas.

--- a/internal/replica/coldrate.go
+++ b/internal/replica/coldrate.go
@@ -62,27 +62,32 @@
 	if e.cold.division == s.division {
 		return e.cold.feeds
 	}
-	fed := e.cold.feeds
+	// A node that did not know the members takes nobody's place in its own view.
+	others := !e.cold.feeds && len(e.cold.feeders) > 0
 	s.chooseFeeders(e)
-	if held := now.Add(feedHold); !fed && e.cold.feeds && held.After(e.cold.next) {
+	if held := now.Add(feedHold); others && e.cold.feeds && held.After(e.cold.next) {
 		e.cold.next = held
 	}
 	return e.cold.feeds
 }
 
-// chooseFeeders works out which nodes feed an entry: those of its zone first, which reach
-// it when the zone is cut off, then those with the largest weights. A node that is not
+// chooseFeeders works out which nodes feed an entry: one of its zone, which reaches it when
+// the zone is cut off, then those with the largest weights, which are there when its zone
+// was lost and comes back. A node that is not
 // among the nodes does not know them all, and feeds nothing. The caller holds mu.
 func (s *Set) chooseFeeders(e *entry) {
 	places, _ := s.ColdTolerance.parts(s.coldLimits[e.info.Pool].Rate)
 	nodes, self := s.feedNodes()
-	chosen := make([]int, 0, coldFeeders+1)
-	for i := range nodes {
-		chosen = append(chosen, i)
-		for at := len(chosen) - 1; at > 0 && nodes[chosen[at]].claim(e).before(nodes[chosen[at-1]].claim(e)); at-- {
-			chosen[at], chosen[at-1] = chosen[at-1], chosen[at]
+	var chosen []int
+	if near := best(nodes, e, func(i int) bool { return nodes[i].zone == e.info.Zone }); near >= 0 && places > 0 {
+		chosen = append(chosen, near)
+	}
+	for len(chosen) < places {
+		next := best(nodes, e, func(i int) bool { return !slices.Contains(chosen, i) })
+		if next < 0 {
+			break
 		}
-		chosen = chosen[:min(len(chosen), places)]
+		chosen = append(chosen, next)
 	}
 	e.cold.feeders, e.cold.feeds, e.cold.division = chosen, slices.Contains(chosen, self), s.division
 }
@@ -93,21 +98,16 @@
 	zone string
 }
 
-// feedClaim is a node's claim to feed a replica.
-type feedClaim struct {
-	near   bool
-	weight uint64
-}
-
-func (c feedClaim) before(other feedClaim) bool {
-	if c.near != other.near {
-		return c.near
+// best returns the place of the node with the largest weight for an entry, of those that
+// are eligible; -1 if there is none.
+func best(nodes []feedNode, e *entry, eligible func(i int) bool) int {
+	found, most := -1, uint64(0)
+	for i := range nodes {
+		if weight := mix(nodes[i].key ^ e.key); eligible(i) && (found < 0 || weight > most) {
+			found, most = i, weight
+		}
 	}
-	return c.weight > other.weight
-}
-
-func (n *feedNode) claim(e *entry) feedClaim {
-	return feedClaim{near: n.zone == e.info.Zone, weight: mix(n.key ^ e.key)}
+	return found
 }
 
 // feedNodes returns the nodes that may feed replicas, and this node's place among them; -1
