--- a/internal/replica/lend_test.go
+++ b/internal/replica/lend_test.go
@@ -135,7 +135,6 @@
 	}
 }
 
-// TestShares_SlotsOfARegionWithoutNodesGoToTheOthers.
 func TestShares_SlotsOfARegionWithoutNodesGoToTheOthers(t *testing.T) {
 	nodes := append(placedNodes("north", 4), placedNodes("south", 4)...)
 	replicas := append(append(placedReplicas("north", 4, 8), placedReplicas("south", 4, 8)...), placedReplicas("west", 4, 8)...)
