A node that starts while the store is away goes by what another node knows

Cause: a node that starts in an outage of the store serves nothing until it answers.

A node that has read nothing 0.7 s after its start asks, over TCP at the address of the datagrams, one of the nodes that tell it things for what that one holds: configuration and evacuations, replicas, members. It serves by that, with its age, until its own first whole read takes the place of it (table.Watcher.Seed). Jobs are not passed on. A machine that nobody knows, and a fleet that starts whole, wait for the store as before.

Tests: a gateway restarted while the store answers nobody serves, obeys an evacuation and divides slots among two; after the outage it goes by the store, with what was removed meanwhile gone. Failed first: it never became ready.

--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// Held returns the member rows that are known.
+func (r *Roster) Held() []table.Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := make([]table.Change, 0, len(r.members))
+	for id, version := range r.members {
+		row := table.Row{Key: memberKey(r.partition, id), Version: version, Body: encodeMember(r.told[Node(id)])}
+		held = append(held, table.Change{Row: row})
+	}
+	return held
+}
+
 // remove notes that a session was ended, by itself or by those who watched it. Its
 // work is free at once. The caller holds mu.
 func (r *Roster) remove(id string) {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -57,6 +57,9 @@
 	// toldAll bounds how often all nodes are told of news.
 	toldAll *rate.Limiter
 
+	// peerHTTP passes on to nodes that start what this one knows.
+	peerHTTP *http.Server
+
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
 
@@ -123,6 +126,7 @@
 	g.forwarder.Reserver = g.backend
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
 	g.replicaWatch = g.watchReplicas(platform.ServerFeed(g.store), g.applyReplicas)
+	g.configWatch.Keep, g.replicaWatch.Keep = true, true
 	metrics.registerViews(g.core)
 	metrics.registerPools(g.core)
 	metrics.registerCold(g.replicas)
--- /dev/null
+++ b/internal/node/gatewaybootstrap_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// TestGateway_StartsByWhatAnotherNodeKnowsWhileTheStoreIsAway kills a gateway and starts it
+// anew while the store answers nobody: it serves as its neighbour does, and goes by the
+// store again once that is back.
+func TestGateway_StartsByWhatAnotherNodeKnowsWhileTheStoreIsAway(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	site.store.Put("op", "evacuate/far", map[string]any{})
+	first, second := site.start("a"), site.start("b")
+	site.eventually("nodes know each other", func() bool {
+		return first.roster.Address("b") != "" && second.roster.Address("a") != ""
+	})
+	second.Kill()
+	site.store.SetTrouble(func(string) standin.Trouble { return standin.Busy })
+	again, err := StartGateway(context.Background(), second.settings, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(again.Kill)
+	site.eventually("the gateway is ready though the store is away", again.Ready)
+	if again.configWatch.Ready() || again.replicaWatch.Ready() || again.jobWatch.Ready() {
+		t.Fatal("the store has answered")
+	}
+	if status, text, _ := site.call(again, http.MethodPost, "/resume/x", "q", nil); status != http.StatusOK {
+		t.Fatalf("status %d, %s", status, text)
+	}
+	if !again.replicas.Evacuated()["far"] {
+		t.Error("it does not know of the zone that is emptied")
+	}
+	if nodes := again.roster.Nodes(); len(nodes) != 2 {
+		t.Errorf("it divides slots among %v", nodes)
+	}
+	site.store.Remove("op", "evacuate/far")
+	site.store.Remove("servers", site.servers[0].ID)
+	site.configure(2, "resume", "more")
+	site.store.SetTrouble(nil)
+	site.eventually("it goes by the store again", func() bool {
+		status, _, _ := site.call(again, http.MethodPost, "/more/x", "q2", nil)
+		return status == http.StatusOK && again.jobWatch.Ready() && !again.replicas.Evacuated()["far"] &&
+			len(again.replicas.List(time.Now())) == 1
+	})
+}
+
+// TestGateway_ANodeThatNobodyTellsAnythingWaitsForTheStore has a gateway start alone while
+// the store is away.
+func TestGateway_ANodeThatNobodyTellsAnythingWaitsForTheStore(t *testing.T) {
+	site := newGatewaySite(t, 1)
+	site.store.SetTrouble(func(string) standin.Trouble { return standin.Busy })
+	gateway := site.launch("a", nil)
+	for number := range 3 {
+		status, _, header := site.call(gateway, http.MethodPost, "/resume/x", fmt.Sprint(number), nil)
+		if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+			t.Fatalf("status %d, header %v", status, header)
+		}
+	}
+	if gateway.Ready() {
+		t.Error("a node that knows nothing calls itself ready")
+	}
+	response, err := http.Get("http://" + gateway.peers.Address() + pathHeld)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a node that knows nothing passes on %d", response.StatusCode)
+	}
+	site.store.SetTrouble(nil)
+	site.eventually("ready once the store answers", gateway.Ready)
+}
--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -48,7 +48,7 @@
 // ready while all zones are evacuated: it still accepts jobs, its refusals are truthful,
 // and callers would find no other node that can do more.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.configWatch.Ready() && g.routes.Load() != nil && g.replicaWatch.Ready() && g.jobWatch.Ready()
+	return !g.stopping.Load() && g.routes.Load() != nil && g.informed()
 }
 
 // Forward implements platform.Gateway.
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -101,7 +101,7 @@
 	g.quota.Sender = socket
 	g.answerCold(socket)
 	g.metrics.registerPeers(socket)
-	return nil
+	return g.listenHeld()
 }
 
 func (g *Gateway) runPeers(ctx context.Context) {
@@ -111,6 +111,7 @@
 	}
 	g.spawn(func() { g.runDemand(ctx) })
 	g.spawn(func() { g.runEvidence(ctx) })
+	g.spawn(func() { g.runBootstrap(ctx) })
 	g.spawn(func() {
 		if err := g.peers.Run(); err != nil && !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Msg("socket for other nodes failed")
@@ -122,6 +123,7 @@
 	if g.peers == nil {
 		return
 	}
+	g.closeHeld()
 	if err := g.peers.Close(); err != nil {
 		g.log.Warn().Err(err).Msg("socket for other nodes not closed")
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -21,6 +23,9 @@
 // less the headers of IPv4 and UDP.
 const maxDatagram = 1472
 
+// maxSources is the number of nodes that Sources returns at most.
+const maxSources = 8
+
 // Kind says what a message is about.
 type Kind uint8
 
@@ -41,6 +46,8 @@
 	session  string
 	mu       sync.Mutex
 	handlers map[Kind]Handler
+	// sources are where the last messages came from, the newest last.
+	sources []netip.AddrPort
 	// sent, received and malformed count datagrams.
 	sent, received, malformed atomic.Int64
 }
@@ -110,6 +117,7 @@
 	}
 	s.mu.Lock()
 	handler := s.handlers[message.Kind]
+	s.heard(source.AddrPort())
 	s.mu.Unlock()
 	if handler == nil {
 		s.malformed.Add(1)
@@ -118,6 +126,23 @@
 	handler(message.From, source, message.Body)
 }
 
+// heard notes where a message came from. The caller holds mu.
+func (s *Socket) heard(source netip.AddrPort) {
+	s.sources = slices.DeleteFunc(s.sources, func(known netip.AddrPort) bool { return known == source })
+	if len(s.sources) == maxSources {
+		s.sources = s.sources[1:]
+	}
+	s.sources = append(s.sources, source)
+}
+
+// Sources returns the addresses of a few nodes that messages came from lately, the newest
+// last.
+func (s *Socket) Sources() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sources)
+}
+
 // Counts returns the numbers of datagrams sent, received and malformed among these.
 func (s *Socket) Counts() (sent, received, malformed int64) {
 	return s.sent.Load(), s.received.Load(), s.malformed.Load()
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,9 +44,18 @@
 	Lost     func(error)
 	Regained func(outage time.Duration)
 
+	// Keep has the watcher keep the rows themselves, for Held. It is set before use.
+	Keep bool
+
+	// mu orders what is taken in from the service and from Seed.
+	mu       sync.Mutex
 	known    map[Key]uint64
+	held     map[Key]Row
 	revision uint64
+	// fresh is when the service last answered, seeded when it last answered the one that
+	// a seed came from, since clockOrigin; 0 is never.
 	fresh    atomic.Int64
+	seeded   atomic.Int64
 	failedAt time.Time
 	refresh  chan struct{}
 	// announced holds an announcement of news until the next rest between calls.
@@ -63,18 +73,64 @@
 
 // NewWatcher returns a watcher that has seen nothing.
 func NewWatcher(feed Feed, apply func(Changes, bool)) *Watcher {
-	return &Watcher{Feed: feed, Apply: apply, known: map[Key]uint64{}, refresh: make(chan struct{}, 1), announced: make(chan struct{}, 1)}
+	return &Watcher{Feed: feed, Apply: apply, known: map[Key]uint64{}, held: map[Key]Row{}, refresh: make(chan struct{}, 1), announced: make(chan struct{}, 1)}
 }
 
-// Age returns the time since the service last answered.
+// Age returns the time since the service last answered, here or, before the first answer,
+// where a seed came from.
 func (w *Watcher) Age() time.Duration {
 	fresh := w.fresh.Load()
 	if fresh == 0 {
-		return time.Since(clockOrigin)
+		fresh = w.seeded.Load()
 	}
 	return time.Since(clockOrigin) - time.Duration(fresh)
 }
 
+// Informed reports whether the whole group has been read once, here or where a seed came
+// from.
+func (w *Watcher) Informed() bool { return w.Ready() || w.seeded.Load() != 0 }
+
+// Held returns the rows of the group as they were known an age ago. Keep must be set.
+func (w *Watcher) Held() (held Changes, age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held.Revision = w.revision
+	for _, row := range w.held {
+		held.Changes = append(held.Changes, Change{Row: row})
+	}
+	return held, w.Age()
+}
+
+// Seed takes in the rows of the group as somebody else knew them an age ago, until the
+// service answers here: its first whole read then takes the place of them. They go to
+// apply. It reports whether they were taken.
+func (w *Watcher) Seed(held Changes, age time.Duration, apply func(Changes, bool)) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.Informed() {
+		return false
+	}
+	w.seeded.Store(int64(time.Since(clockOrigin) - age))
+	w.note(held.Changes)
+	apply(held, true)
+	return true
+}
+
+// note notes the versions of rows, and the rows if they are kept. The caller holds mu.
+func (w *Watcher) note(changes []Change) {
+	for _, change := range changes {
+		if change.Removed {
+			delete(w.known, change.Key)
+			delete(w.held, change.Key)
+			continue
+		}
+		w.known[change.Key] = change.Version
+		if w.Keep {
+			w.held[change.Key] = change.Row
+		}
+	}
+}
+
 // Ready reports whether the whole group has been read once.
 func (w *Watcher) Ready() bool { return w.fresh.Load() != 0 }
 
@@ -199,6 +255,8 @@
 
 // takeWhole turns a whole read into changes: rows that it lacks were removed.
 func (w *Watcher) takeWhole(read Changes) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if read.Revision < w.revision {
 		return
 	}
@@ -212,22 +270,25 @@
 			read.Changes = append(read.Changes, removed)
 		}
 	}
-	w.take(read, true)
+	w.takeLocked(read, true)
 }
 
 func (w *Watcher) take(changes Changes, whole bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.takeLocked(changes, whole)
+}
+
+// takeLocked is take for a caller that holds mu.
+func (w *Watcher) takeLocked(changes Changes, whole bool) {
 	newer := changes.Changes[:0]
 	for _, change := range changes.Changes {
 		if change.Version <= w.known[change.Key] {
 			continue
 		}
-		if change.Removed {
-			delete(w.known, change.Key)
-		} else {
-			w.known[change.Key] = change.Version
-		}
 		newer = append(newer, change)
 	}
+	w.note(newer)
 	changes.Changes = newer
 	w.revision = max(w.revision, changes.Revision)
 	w.Apply(changes, whole)
