--- a/internal/node/gatewaybootstrap_test.go
+++ b/internal/node/gatewaybootstrap_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/platform/standin"
@@ -79,3 +80,24 @@
 	site.store.SetTrouble(nil)
 	site.eventually("ready once the store answers", gateway.Ready)
 }
+
+// FuzzHeldTold decodes what another process may send to a node that starts.
+func FuzzHeldTold(f *testing.F) {
+	whole, err := cbor.Marshal(heldTold{Config: feedTold{AgeMs: 5, Rows: []rowTold{{Partition: "op", Sort: "config", Version: 3, Body: []byte("{}")}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add([]byte{0xa1, 0x01, 0xf6})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		told := &heldTold{}
+		if cbor.Unmarshal(body, told) != nil {
+			return
+		}
+		for _, feed := range []feedTold{told.Config, told.Replicas, told.Members} {
+			if len(feed.changes().Changes) != len(feed.Rows) || feed.age() < 0 {
+				t.Errorf("%d rows, age %v", len(feed.Rows), feed.age())
+			}
+		}
+	})
+}
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -77,24 +76,6 @@
 	}
 }
 
-// tellSome sends a message to so many random ones of some other nodes, fewer if they are
-// not as many. It returns the number.
-func (g *Gateway) tellSome(nodes []string, count int, kind peer.Kind, body any) int {
-	count = min(count, len(nodes))
-	for range count {
-		node := nodes[rand.IntN(len(nodes))]
-		to, err := net.ResolveUDPAddr("udp4", g.roster.Address(node))
-		if err != nil {
-			// The node has not told its address.
-			continue
-		}
-		if err := g.peers.Send(to, kind, body); err != nil {
-			g.sampled.Warn().Uint8("kind", uint8(kind)).Err(err).Msg("message to a node not sent")
-		}
-	}
-	return count
-}
-
 // takeDemand handles messages of peer.KindDemand.
 func (g *Gateway) takeDemand(_ string, _ *net.UDPAddr, body []byte) {
 	var told []demandTold
--- a/internal/node/gatewaynews.go
+++ b/internal/node/gatewaynews.go
@@ -32,18 +32,7 @@
 			g.jobWatch.Announce()
 			continue
 		}
-		address := g.roster.Address(node)
-		if address == "" {
-			// The node has not told where it is reached.
-			continue
-		}
-		to, err := net.ResolveUDPAddr("udp4", address)
-		if err == nil {
-			err = g.peers.Send(to, peer.KindNews, newsTold{Job: job})
-		}
-		if err != nil {
-			g.sampled.Warn().Str("node", node).Str("job", job).Err(err).Msg("news not told, it comes by the feed")
-		}
+		g.tellNode(node, peer.KindNews, newsTold{Job: job})
 	}
 }
 
