A node asks others for what they know only if the store answers nothing at all

A page that comes counts as an answer now (table.Watcher.Silence), a node tells two others at a time, and the patience is a setting, gateway.bootstrapAfter.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -59,6 +59,8 @@
 
 	// peerHTTP passes on to nodes that start what this one knows.
 	peerHTTP *http.Server
+	// passingOn counts the nodes that are being told.
+	passingOn atomic.Int64
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -24,13 +24,13 @@
 // on: nothing of them may change while the store is away.
 
 const (
-	// bootstrapAfter is how long a node waits for the store before it asks others: a first
-	// read takes some 50 ms, and some hundreds when a whole fleet starts.
-	bootstrapAfter = 700 * time.Millisecond
 	// bootstrapEvery is the time between two questions, and bootstrapTimeout bounds one:
 	// 300 KB of 600 replicas take 80 ms over the weakest link, 30 Mbit/s.
 	bootstrapEvery   = 200 * time.Millisecond
 	bootstrapTimeout = time.Second
+	// heldAtOnce is how many nodes are answered at the same time: when many start, the
+	// others ask elsewhere.
+	heldAtOnce = 2
 	// maxHeld bounds an answer in bytes: a large configuration has some 1 MB.
 	maxHeld = 16 << 20
 	// pathHeld is where nodes pass on what they know.
@@ -118,7 +118,8 @@
 
 // serveHeld passes on what this node knows.
 func (g *Gateway) serveHeld(w http.ResponseWriter, r *http.Request) {
-	if !g.informed() {
+	defer g.passingOn.Add(-1)
+	if g.passingOn.Add(1) > heldAtOnce || !g.informed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -140,9 +141,10 @@
 // runBootstrap asks other nodes for what they know until this one knows it.
 func (g *Gateway) runBootstrap(ctx context.Context) {
 	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	for retry.Sleep(ctx, bootstrapAfter); ctx.Err() == nil && !g.informed(); retry.Sleep(ctx, bootstrapEvery) {
+	after := time.Duration(g.settings.Gateway.BootstrapAfter)
+	for retry.Sleep(ctx, after); ctx.Err() == nil && !g.informed(); retry.Sleep(ctx, bootstrapEvery) {
 		sources := g.peers.Sources()
-		if len(sources) == 0 {
+		if len(sources) == 0 || g.storeSilence() < after {
 			continue
 		}
 		from := sources[rand.IntN(len(sources))]
@@ -155,6 +157,11 @@
 	}
 }
 
+// storeSilence is the time since the store last answered a look of this node.
+func (g *Gateway) storeSilence() time.Duration {
+	return min(g.configWatch.Silence(), g.replicaWatch.Silence(), g.jobWatch.Silence())
+}
+
 // fetchHeld asks a node for what it knows.
 func fetchHeld(ctx context.Context, client *http.Client, from netip.AddrPort) (*heldTold, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+pathHeld, nil)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,9 @@
 	Peers string `json:"peers,omitempty"`
 	Quota Quota  `json:"quota,omitempty"`
 	Cold  Cold   `json:"cold,omitempty"`
+	// BootstrapAfter is how long the store answers nothing until a node that starts asks
+	// another one for what that knows; default 700ms.
+	BootstrapAfter v1.Duration `json:"bootstrapAfter,omitempty"`
 	// MaxConfigAge bounds how long callers are told apart by a configuration whose
 	// source does not answer; 0 means no bound. Keys that were taken away meanwhile are
 	// served up to then.
@@ -65,6 +68,10 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// DefaultBootstrapAfter: a page of a first read takes some 50 ms on the users' platform, and
+// some hundreds when a whole fleet starts.
+const DefaultBootstrapAfter = v1.Duration(700 * time.Millisecond)
+
 // DefaultQuotaWindow is what the users' deployments state.
 const DefaultQuotaWindow = v1.Duration(5 * time.Second)
 
@@ -91,6 +98,9 @@
 	if g.Peers != "" {
 		addressFinding(found, "gateway.peers", g.Peers)
 	}
+	if g.BootstrapAfter < 0 {
+		found.Add("gateway.bootstrapAfter", "must not be negative")
+	}
 	if g.MaxConfigAge < 0 {
 		found.Add("gateway.maxConfigAge", "must not be negative")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,9 @@
 	fill(&s.Platform.Table.Region, DefaultRegion)
 	fill(&s.Platform.Objects.Region, DefaultRegion)
 	fill(&s.Log.Level, DefaultLogLevel)
+	if s.Gateway.BootstrapAfter == 0 {
+		s.Gateway.BootstrapAfter = DefaultBootstrapAfter
+	}
 	if s.Gateway.Quota.Window == 0 {
 		s.Gateway.Quota.Window = DefaultQuotaWindow
 	}
--- a/internal/table/seed_test.go
+++ b/internal/table/seed_test.go
@@ -1,10 +1,12 @@
 package table_test
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -75,3 +77,43 @@
 		t.Error("a seed was taken after the service had answered")
 	}
 }
+
+// slowPages is a feed of many pages, each of which takes a while.
+type slowPages struct {
+	busyFeed
+	page  time.Duration
+	pages int
+}
+
+func (f *slowPages) Page(_ context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
+	time.Sleep(f.page)
+	next := table.Cursor{Part: cursor.Part + 1}
+	next.Done = next.Part == f.pages
+	return table.Changes{Revision: 1}, next, nil
+}
+
+// TestWatcher_ASlowFirstReadIsNoSilence has a first read take long, as it does when a whole
+// fleet starts. In a sweep, 300 machines before 3,000 replicas took that for a store that is
+// away: they asked each other for all they knew, some 300 MB between regions.
+func TestWatcher_ASlowFirstReadIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &slowPages{page: 400 * time.Millisecond, pages: 10}
+		watcher := table.NewWatcher(feed, func(table.Changes, bool) {})
+		watcher.Pace = func() table.Pace { return table.Pace{Announced: time.Second, Usual: time.Second} }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go watcher.Run(ctx)
+		time.Sleep(feed.page + time.Millisecond)
+		for !watcher.Ready() {
+			if silence := watcher.Silence(); silence > feed.page+time.Millisecond {
+				t.Fatalf("silent for %v while pages come each %v", silence, feed.page)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		if silence := watcher.Silence(); silence < time.Minute {
+			t.Errorf("silent for %v after a minute without a call", silence)
+		}
+	})
+}
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -54,8 +54,10 @@
 	revision uint64
 	// fresh is when the service last answered, seeded when it last answered the one that
 	// a seed came from, since clockOrigin; 0 is never.
-	fresh    atomic.Int64
-	seeded   atomic.Int64
+	fresh  atomic.Int64
+	seeded atomic.Int64
+	// answered is when any call was last answered, a page of a whole read also.
+	answered atomic.Int64
 	failedAt time.Time
 	refresh  chan struct{}
 	// announced holds an announcement of news until the next rest between calls.
@@ -86,6 +88,12 @@
 	return time.Since(clockOrigin) - time.Duration(fresh)
 }
 
+// Silence returns the time since the service last answered any call of this watcher, a
+// page of a whole read that is not done yet also; since the start of the process if none.
+func (w *Watcher) Silence() time.Duration {
+	return time.Since(clockOrigin) - time.Duration(w.answered.Load())
+}
+
 // Informed reports whether the whole group has been read once, here or where a seed came
 // from.
 func (w *Watcher) Informed() bool { return w.Ready() || w.seeded.Load() != 0 }
@@ -244,7 +252,11 @@
 func (w *Watcher) readPage(ctx context.Context, cursor Cursor, failures int) (Changes, Cursor, error) {
 	callCtx, cancel := context.WithTimeout(ctx, min(watchReadFirst<<min(failures, 8), watchReadTimeout))
 	defer cancel()
-	return w.Feed.Page(callCtx, cursor)
+	page, next, err := w.Feed.Page(callCtx, cursor)
+	if err == nil {
+		w.answered.Store(int64(time.Since(clockOrigin)))
+	}
+	return page, next, err
 }
 
 // jittered returns between half and all of a delay, so that nodes that were
@@ -298,6 +310,7 @@
 // those who take them know of an outage that lies behind.
 func (w *Watcher) succeeded() {
 	w.fresh.Store(int64(time.Since(clockOrigin)))
+	w.answered.Store(w.fresh.Load())
 	if !w.failedAt.IsZero() && w.Regained != nil {
 		w.Regained(time.Since(w.failedAt))
 	}
