An attempt that cannot bring anything in time is not begun

A request that is always refused asks again until its deadline; the last attempt was begun a few ms before it, and its refusal came after: a true "not run" became "nobody knows". Reproduced without the machine's speed by a backend that refuses after a fixed delay, on a fake clock (testing/synctest): of 18 x 4 combinations of delay and replicas, one attempt each that straddled the deadline ended as unknown.

Now an attempt is begun only if the time left suffices for (a) the soonest first event by what is learned, the mean less two mean deviations, so that what is mixed or not learned keeps nobody back, (b) twice the slowest refusal that this request has met, 125 ms counted at most, (c) the word of a replica that it waited in vain. For (c) replicas get a deadline 10 ms (50 ms in other regions) before the caller's: a request that waited in a queue and did not run used to be lost with the race between the replica's word and our own timer.

Ruled out: waiting past the deadline for the refusal (callers with a deadline have left); calling what was cut a refusal (untrue: it may have run).

Tests: node, platform, jobs, forward and replica pass.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -21,8 +21,6 @@
 	coldLook = 100 * time.Millisecond
 	// refusalsInARow is the number of refusals after which a request pauses.
 	refusalsInARow = 3
-	// leastUseful is the least time left that is worth an attempt.
-	leastUseful = 5 * time.Millisecond
 )
 
 // Notice is told of what happens to a request, for the log.
@@ -77,6 +75,8 @@
 	sent      time.Time
 	// status is that of the answer of the last attempt; 0 if there was none.
 	status int
+	// slowestRefusal is the longest time that an attempt took which did not run.
+	slowestRefusal time.Duration
 }
 
 // Do carries out a request. A nil error means that a replica's whole answer
@@ -160,6 +160,9 @@
 		if !c.demand.Granted {
 			chosen = c.reserve(ctx, chosen)
 		}
+		if now := time.Now(); !c.inTime(chosen, now) {
+			return c.failure(c.outOfTime(now))
+		}
 		err = c.attempt(ctx, chosen)
 		if err == nil {
 			return nil
@@ -208,26 +211,6 @@
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
 }
 
-// waitForRoom waits until refusals may be over, as long as the route allows. room is when
-// there is room at the earliest: a request that has less time is refused now.
-func (c *call) waitForRoom(ctx context.Context, room time.Duration) error {
-	if !c.deadline.IsZero() && time.Until(c.deadline) < leastUseful+room {
-		return ErrBusy
-	}
-	if c.route.MaxWait > 0 && time.Since(c.request.Received)+room > c.route.MaxWait+waitForRoom {
-		return ErrBusy
-	}
-	timer := time.NewTimer(min(room, coldLook))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return contextError(ctx)
-	case <-timer.C:
-		c.demand.Exclude = map[string]bool{}
-		return nil
-	}
-}
-
 // mayGoOn decides whether another attempt may be made after a failed one.
 func (c *call) mayGoOn(err error) bool {
 	if outcome.Of(err) == outcome.NotDone {
@@ -262,6 +245,7 @@
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
 	err := c.exchange(ctx, chosen.Info, use)
+	c.refused(err, time.Since(now))
 	c.reservation, c.demand.Reserved = "", false
 	if c.result.Events > 0 {
 		c.demand.Version = chosen.Version
@@ -323,7 +307,7 @@
 	watch := c.watchSilence(use, cancel)
 	defer watch.stop()
 	answer, err := c.forwarder.Backend.Send(ctx, &Attempt{
-		Request: c.request, Replica: chosen, After: c.after, Deadline: c.deadline, Reservation: c.reservation,
+		Request: c.request, Replica: chosen, After: c.after, Deadline: c.replicaDeadline(c.result.Distance), Reservation: c.reservation,
 	})
 	if err != nil {
 		return c.silent(ctx, err)
--- /dev/null
+++ b/internal/forward/refusal_test.go
@@ -0,0 +1,171 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// afterDelay waits; it reports whether the attempt's time was over before.
+func afterDelay(ctx context.Context, delay time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(delay):
+		return true
+	}
+}
+
+// slowRefuser refuses each attempt after a delay. lost counts the attempts whose refusal
+// came too late to be known.
+func slowRefuser(delay time.Duration, lost *int) *scriptedBackend {
+	return &scriptedBackend{answer: func(ctx context.Context, _ *Attempt, _ int) (*Answer, error) {
+		if !afterDelay(ctx, delay) {
+			*lost++
+			return nil, outcome.Undecided(ErrBroken)
+		}
+		return nil, outcome.Failed(ErrRefused)
+	}}
+}
+
+// TestDo_ARequestThatIsAlwaysRefusedIsKnownNotToHaveRun: an attempt whose refusal can only
+// come after the deadline turns a true "not run" into "nobody knows".
+func TestDo_ARequestThatIsAlwaysRefusedIsKnownNotToHaveRun(t *testing.T) {
+	for delay := time.Millisecond; delay <= 120*time.Millisecond; delay += 7 * time.Millisecond {
+		for replicas := 1; replicas <= 4; replicas++ {
+			synctest.Test(t, func(t *testing.T) {
+				lost := 0
+				began := time.Now()
+				_, _, err := do(t, newForwarder(slowRefuser(delay, &lost), replicas), routeOf(route.Stream, true, 2))
+				if !errors.Is(err, ErrBusy) || outcome.Of(err) != outcome.NotDone || lost > 0 {
+					t.Errorf("%d replicas that refuse after %v: %v, ran: %v, %d refusals too late", replicas, delay, err, outcome.Of(err), lost)
+				}
+				if took := time.Since(began); took < 1700*time.Millisecond {
+					t.Errorf("%d replicas that refuse after %v: refused after %v of 2 s", replicas, delay, took)
+				}
+			})
+		}
+	}
+}
+
+// slowStream answers with its first event after a delay.
+func slowStream(delay time.Duration) *scriptedBackend {
+	return &scriptedBackend{answer: func(ctx context.Context, _ *Attempt, _ int) (*Answer, error) {
+		if !afterDelay(ctx, delay) {
+			return nil, outcome.Undecided(ErrBroken)
+		}
+		return streamOf(events(1, 3)), nil
+	}}
+}
+
+// doWithin carries out a request that has so much time.
+func doWithin(t *testing.T, forwarder *Forwarder, left time.Duration) error {
+	t.Helper()
+	request := &Request{ID: "q", Method: http.MethodPost, Target: "/x", Received: time.Now(), Deadline: time.Now().Add(left)}
+	_, err := forwarder.Do(t.Context(), routeOf(route.Stream, true, 2), request, &recordedSink{})
+	return err
+}
+
+func TestDo_AnAttemptThatCannotBeginInTimeIsNotBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := slowStream(300 * time.Millisecond)
+		forwarder := newForwarder(backend, 2)
+		for range 40 {
+			if err := doWithin(t, forwarder, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		sent := len(backend.sent)
+		began := time.Now()
+		err := doWithin(t, forwarder, 200*time.Millisecond)
+		if !errors.Is(err, ErrBusy) || outcome.Of(err) != outcome.NotDone || len(backend.sent) != sent {
+			t.Errorf("200 ms for an event that takes 300: %v, sent %d times", err, len(backend.sent)-sent)
+		}
+		if took := time.Since(began); took > 0 {
+			t.Errorf("was held for %v", took)
+		}
+		if err := doWithin(t, forwarder, 320*time.Millisecond); err != nil {
+			t.Errorf("320 ms for an event that takes 300: %v", err)
+		}
+	})
+}
+
+// TestDo_NothingLearnedKeepsNoRequestBack: what is not known is tried.
+func TestDo_NothingLearnedKeepsNoRequestBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if err := doWithin(t, newForwarder(slowStream(20*time.Millisecond), 1), 60*time.Millisecond); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestDo_MixedTimesKeepNoRequestBack: where some answers begin far sooner than others, an
+// attempt may still be in time.
+func TestDo_MixedTimesKeepNoRequestBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &scriptedBackend{answer: func(ctx context.Context, _ *Attempt, number int) (*Answer, error) {
+			delay := 20 * time.Millisecond
+			if number%2 == 0 {
+				delay = 500 * time.Millisecond
+			}
+			if !afterDelay(ctx, delay) {
+				return nil, outcome.Undecided(ErrBroken)
+			}
+			return streamOf(events(1, 3)), nil
+		}}
+		forwarder := newForwarder(backend, 1)
+		for range 40 {
+			if err := doWithin(t, forwarder, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := doWithin(t, forwarder, 60*time.Millisecond); err != nil {
+			t.Errorf("the 41st takes 20 ms: %v", err)
+		}
+	})
+}
+
+// patientRoute has no objective, so that no replica's silence ends an attempt.
+func patientRoute() *route.Route {
+	target := routeOf(route.Repeatable, true, 3)
+	target.Objective = 0
+	return target
+}
+
+// TestDo_ARunThatTheDeadlineEndsIsATimeout: what may have run is never called refused.
+func TestDo_ARunThatTheDeadlineEndsIsATimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &scriptedBackend{answer: func(ctx context.Context, attempt *Attempt, _ int) (*Answer, error) {
+			afterDelay(ctx, time.Until(attempt.Deadline))
+			return wholeOf(http.StatusGatewayTimeout, ""), nil
+		}}
+		_, _, err := do(t, newForwarder(backend, 2), patientRoute())
+		if !errors.Is(err, ErrTimeout) || outcome.Of(err) != outcome.Unknown {
+			t.Errorf("%v, ran: %v", err, outcome.Of(err))
+		}
+	})
+}
+
+// TestDo_AQueuedRequestThatDidNotRunSaysSo: a replica's word that the deadline passed in
+// its queue comes back before the caller's own deadline.
+func TestDo_AQueuedRequestThatDidNotRunSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const way = 2 * time.Millisecond
+		backend := &scriptedBackend{answer: func(ctx context.Context, attempt *Attempt, _ int) (*Answer, error) {
+			if !afterDelay(ctx, time.Until(attempt.Deadline)+2*way) {
+				return nil, outcome.Undecided(ErrBroken)
+			}
+			return nil, outcome.Failed(ErrRefused)
+		}}
+		_, _, err := do(t, newForwarder(backend, 1), patientRoute())
+		if !errors.Is(err, ErrBusy) || outcome.Of(err) != outcome.NotDone {
+			t.Errorf("%v, ran: %v", err, outcome.Of(err))
+		}
+	})
+}
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -30,8 +30,10 @@
 	peakAt time.Time
 	// stay is how long an online request holds a slot.
 	stay time.Duration
-	// first is the time to the first event of a request that need not wait.
-	first time.Duration
+	// first is the time to the first event of a request that need not wait, spread its
+	// mean deviation.
+	first  time.Duration
+	spread time.Duration
 	// patience is how long an online request may usually wait for a slot.
 	patience time.Duration
 	// running counts requests and items; busy, in slot seconds, and ends are what
@@ -78,10 +80,23 @@
 
 // begun takes in the first event of a request that did not have to wait.
 func (d *demand) begun(ask Ask, took time.Duration) {
+	if d.first == 0 {
+		d.spread = took / 2
+	}
+	d.spread += time.Duration(learnWeight * float64((took-d.first).Abs()-d.spread))
 	learn(&d.first, took)
 	d.reading.add(float64(ask.Tokens), took.Seconds())
 }
 
+// soonestSpread is the number of mean deviations below the mean where the soonest first
+// event is looked for: some 5 in 100 come sooner if their times are normal. A sender's
+// time-out is found in the same way, four above the mean (Jacobson, 1988; RFC 6298).
+const soonestSpread = 2
+
+// soonest is the least time to the first event that is to be expected; 0 where nothing is
+// learned, or times differ widely.
+func (d *demand) soonest() time.Duration { return max(0, d.first-soonestSpread*d.spread) }
+
 // patienceShare is the part of the time that is left which a request waits before
 // an item gives way. An item that goes on elsewhere is read again, which holds up
 // all that run there; where this costs more slot time than the request itself
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -81,6 +81,8 @@
 	SlotTime time.Duration
 	// First is the usual time to the first event of a request that need not wait.
 	First time.Duration
+	// Soonest is the least time to the first event that is to be expected.
+	Soonest time.Duration
 	// PatienceShare is the part of the time left to its objective which a request
 	// waits for a slot before an item gives way.
 	PatienceShare float64
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -48,6 +48,8 @@
 	// waiting is the number of requests that the last report says were waiting.
 	waiting   int
 	waitingAt time.Time
+	// refusedAt is when it last refused a request of this node.
+	refusedAt time.Time
 	health    health
 	// own is what this node has seen of it of late, told what others tell.
 	own    Tally
@@ -313,7 +315,7 @@
 	known := s.demandOf(e.info.Pool)
 	known.turnover(now)
 	return Candidate{
-		First: known.first, PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
+		First: known.first, Soonest: known.soonest(), PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: s.shareOf(e, now), Cold: s.coldView(e, now),
 		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.ejected(now), Doubt: s.doubt(e, now), Waiting: e.waitingAtTime(now),
 		Age: e.loadAge(now), Fresh: e.fresh(now), Fleet: s.fleetUsage(e.info.Pool, now),
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -206,6 +206,7 @@
 		// A replica that refuses has its slots and its queue full.
 		u.entry.others = max(u.entry.others, refusedFill*float64(u.entry.info.Slots))
 		u.entry.reported = now.Add(refusedFade - othersFade)
+		u.entry.refusedAt = now
 	}
 	u.set.wake()
 	return ejected, verdict
