--- a/internal/lab/soak/checkzones.go
+++ b/internal/lab/soak/checkzones.go
@@ -59,12 +59,18 @@
 		nodeOf[one.ID] = one.Node
 	}
 	for _, one := range c.Evacuations {
+		var late []ServerRun
 		for _, run := range c.Runs {
-			late := run.At.After(one.From.Add(evacuationBound)) && run.At.Before(one.To)
-			if late && c.ServerZones[run.Server] == one.Zone && c.inTouch(nodeOf, run) {
-				c.broken(ZoneEmpty, "server %s got %s %v after its zone was evacuated", run.Server, run.ID, run.At.Sub(one.From))
+			inTime := !run.At.After(one.From.Add(evacuationBound)) || !run.At.Before(one.To)
+			if !inTime && c.ServerZones[run.Server] == one.Zone && c.inTouch(nodeOf, run) {
+				late = append(late, run)
 			}
 		}
+		if len(late) > 0 {
+			last := late[len(late)-1]
+			c.broken(ZoneEmpty, "%d runs in %s too late, one of them %s at %s %v after it was evacuated",
+				len(late), one.Zone, last.ID, last.Server, last.At.Sub(one.From))
+		}
 	}
 }
 
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -84,7 +84,7 @@
 func (f *Fault) lengthen(length time.Duration) {
 	switch f.Kind {
 	case EvacuateZone, LoseZone, CutFlood:
-		f.For = min(f.For+longer, max(length-f.At, time.Second))
+		f.For = min(f.For+longer, max(length-f.At, leastOut))
 	}
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -79,8 +79,9 @@
 	// cold are the servers that are to say that they are warm again, which may outlast
 	// the fault that chilled them.
 	cold sync.WaitGroup
-	// zoneOut is held while a zone is emptied or lost.
+	// zoneOut is held while a zone is emptied or lost, none longer than until ends.
 	zoneOut sync.Mutex
+	ends    time.Time
 }
 
 // newSoak returns a soak without nodes and servers.
@@ -187,6 +188,7 @@
 	load.Go(func() { s.callLittle(loadCtx) })
 	load.Go(func() { s.readJobs(loadCtx) })
 	began := time.Now()
+	s.ends = began.Add(s.For + leastOut)
 	for _, fault := range plan {
 		if !retry.Sleep(ctx, time.Until(began.Add(fault.At))) {
 			break
--- a/internal/lab/soak/zones.go
+++ b/internal/lab/soak/zones.go
@@ -13,6 +13,8 @@
 const (
 	// chillBefore is how long before its end servers of an emptied zone turn cold.
 	chillBefore = 500 * time.Millisecond
+	// leastOut is the least time that a zone is out.
+	leastOut = time.Second
 	// calmEvacuation is a second longer than nodes in touch have to obey.
 	calmEvacuation = evacuationBound + time.Second
 	// floodCallers pause for floodPause after each answer: up to 50 requests a second
@@ -56,24 +58,26 @@
 	return list
 }
 
-// harmZone makes a fault of a zone. One zone is out at a time: what is left must be able
-// to serve.
+// harmZone makes a fault of a zone. One zone is out at a time, the next one waits: what is
+// left must be able to serve.
 func (s *soak) harmZone(ctx context.Context, fault Fault) {
 	at := s.zoneOf(fault.Target)
 	if fault.Kind == ChillZone {
 		s.chillZone(ctx, at, fault.For)
 		return
 	}
-	if !s.zoneOut.TryLock() {
-		s.say("        %s of %s left out: a zone is out", fault.Kind, at.name)
+	s.zoneOut.Lock()
+	defer s.zoneOut.Unlock()
+	length := min(fault.For, time.Until(s.ends))
+	if length < leastOut {
+		s.say("        %s of %s left out: another zone was out too long", fault.Kind, at.name)
 		return
 	}
-	defer s.zoneOut.Unlock()
 	if fault.Kind == LoseZone {
-		s.loseZone(ctx, at, fault.For)
+		s.loseZone(ctx, at, length)
 		return
 	}
-	s.evacuate(ctx, at, fault.For)
+	s.evacuate(ctx, at, length)
 }
 
 // chillZone has a zone's servers turn cold.
