--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -34,8 +34,8 @@
 			for _, one := range report.Broken {
 				_, _ = fmt.Fprintln(std.out, "broken:", one)
 			}
-			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d promises checked, %d broken\n",
-				report.Seed, report.Faults, report.Whole, report.Requests, report.Jobs, report.Items, report.Runs,
+			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d promises checked, %d broken\n",
+				report.Seed, report.Faults, report.Whole, report.Requests, report.Limited, report.Jobs, report.Items, report.Runs,
 				report.Evacuations, report.Losses, report.ColdSends,
 				len(soak.Promises()), len(report.Broken))
 			if len(report.Broken) > 0 {
--- a/internal/lab/soak/checkzones.go
+++ b/internal/lab/soak/checkzones.go
@@ -96,7 +96,7 @@
 	}
 	allowed := coldPerS*coldOver + coldSlack
 	for server, moments := range sent {
-		if count := most(moments, coldWindow); float64(count) > allowed {
+		if count, _ := most(moments, coldWindow); float64(count) > allowed {
 			c.broken(ColdSpared, "cold server %s got %d requests in %v, %.1f are allowed", server, count, coldWindow, allowed)
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -52,9 +52,11 @@
 	Faults   int
 	Requests int
 	Whole    int
-	Jobs     int
-	Items    int
-	Runs     int
+	// Limited counts the requests that were refused beyond a tenant's limit.
+	Limited int
+	Jobs    int
+	Items   int
+	Runs    int
 	// Evacuations and Losses count zones, ColdSends what cold servers got.
 	Evacuations, Losses, ColdSends int
 	Broken                         []Broken
@@ -147,8 +149,11 @@
 		Evacuations: len(s.Evacuations), Losses: len(s.Losses), ColdSends: len(s.ColdSends),
 	}
 	for _, one := range s.Requests {
-		if one.Answer.Status == http.StatusOK && one.Answer.Whole {
+		switch {
+		case one.Answer.Status == http.StatusOK && one.Answer.Whole:
 			report.Whole++
+		case one.Answer.Status == http.StatusTooManyRequests:
+			report.Limited++
 		}
 	}
 	for _, results := range s.Final {
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -66,20 +67,45 @@
 		}
 	}
 	allowed := (limitRate*limitWindow.Seconds()+limitBurst)*(1+quotaOver) + limitSlack
-	if count := most(began, limitWindow); float64(count) > allowed {
-		c.broken(promise, "%d requests of tenant %s ran in %v, %.1f are allowed", count, tenant, limitWindow, allowed)
+	if count, from := most(began, limitWindow); float64(count) > allowed {
+		c.broken(promise, "%d requests of tenant %s ran in %v from %s on, %.1f are allowed; %s",
+			count, tenant, limitWindow, from.Format(time.StampMilli), allowed, c.ranBy(tenant, from))
 	}
 }
 
-// most returns the largest number of moments in any window of a length.
-func most(moments []time.Time, window time.Duration) int {
+// ranBy tells how many of a tenant's requests ran in the window from a moment on, by the
+// node that was asked, and how the nodes were disturbed around it.
+func (c *check) ranBy(tenant string, from time.Time) string {
+	to := from.Add(limitWindow)
+	nodes := map[string]int{}
+	for _, one := range c.Requests {
+		for _, run := range c.runs[one.ID][:min(1, len(c.runs[one.ID]))] {
+			if one.Tenant == tenant && !run.At.Before(from) && !run.At.After(to) {
+				nodes[one.Node]++
+			}
+		}
+	}
+	text := fmt.Sprint("by node ", nodes)
+	for _, one := range c.Disturbances {
+		if one.From.Before(to) && one.To.After(from.Add(-contactBound)) {
+			text += fmt.Sprintf("; %q disturbed %v to %v (restart: %t)", one.Name, one.From.Sub(from), one.To.Sub(from), one.Restart)
+		}
+	}
+	return text
+}
+
+// most returns the largest number of moments in any window of a length, and where that
+// begins.
+func most(moments []time.Time, window time.Duration) (count int, from time.Time) {
 	slices.SortFunc(moments, time.Time.Compare)
-	first, count := 0, 0
+	first := 0
 	for i, at := range moments {
 		for at.Sub(moments[first]) > window {
 			first++
 		}
-		count = max(count, i-first+1)
+		if i-first+1 > count {
+			count, from = i-first+1, moments[first]
+		}
 	}
-	return count
+	return count, from
 }
