Evidence about replicas in the field's terms; replicas of long ago are not used

Cause: read as a newcomer, the names were a courtroom's (blame, witness, verdict); they are failure report, reporter, shared ejection now, and the metric is wheelhoist_gateway_replicas_ejected_by_many_total. One fault found in reading: fading the counts each 200 ms moved the time by which a replica counts as used, so a node that had met many replicas once was believed though all that it uses now fail for it. Test fails with the time of before.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -102,7 +102,7 @@
 	})
 	c.replicas.Ejected = c.logEjected
 	c.replicas.Zone = outside.zone
-	c.replicas.Condemned = c.logCondemned
+	c.replicas.EjectedByMany = c.logEjectedByMany
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
 		Weights: outside.weights, Zone: outside.zone, Region: outside.region,
--- a/internal/node/gatewayevidence.go
+++ b/internal/node/gatewayevidence.go
@@ -16,14 +16,14 @@
 const (
 	// evidenceEvery is the time between two words about replicas that fail, and
 	// evidenceFanout the number of random nodes that get one: as evidence is told for
-	// 3 s, each node tells 120 others, and hears of two accusers of four within a second
+	// 3 s, each node tells 120 others, and hears of two reporters of four within a second
 	// in a fleet of 90. A node whose replicas are well tells nothing.
 	evidenceEvery  = 200 * time.Millisecond
 	evidenceFanout = 8
 )
 
-// blameTold is what a node has seen of a replica that failed for it or for others.
-type blameTold struct {
+// failureTold is what a node has seen of a replica that failed for it or for others.
+type failureTold struct {
 	Replica   uint64  `cbor:"1,keyasint"`
 	Failures  float32 `cbor:"2,keyasint"`
 	Successes float32 `cbor:"3,keyasint"`
@@ -34,15 +34,15 @@
 // runEvidence tells other nodes of replicas that fail here, until the context ends.
 func (g *Gateway) runEvidence(ctx context.Context) {
 	for retry.Sleep(ctx, evidenceEvery) {
-		blames := g.replicas.Blames(time.Now())
-		if len(blames) == 0 {
+		reports := g.replicas.FailureReports(time.Now())
+		if len(reports) == 0 {
 			continue
 		}
-		told := make([]blameTold, len(blames))
-		for i, blame := range blames {
-			told[i] = blameTold{
-				Replica: blame.Replica, Failures: float32(blame.Failures), Successes: float32(blame.Successes),
-				AgeMs: uint16(blame.Age.Milliseconds()),
+		told := make([]failureTold, len(reports))
+		for i, report := range reports {
+			told[i] = failureTold{
+				Replica: report.Replica, Failures: float32(report.Failures), Successes: float32(report.Successes),
+				AgeMs: uint16(report.Age.Milliseconds()),
 			}
 		}
 		g.tellSome(g.near.others(), evidenceFanout, peer.KindEvidence, told)
@@ -51,26 +51,26 @@
 
 // takeEvidence handles messages of peer.KindEvidence.
 func (g *Gateway) takeEvidence(from string, _ *net.UDPAddr, body []byte) {
-	var told []blameTold
+	var told []failureTold
 	if err := cbor.Unmarshal(body, &told); err != nil {
 		g.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("evidence told by a node cannot be read")
 		return
 	}
-	blames := make([]replica.Blame, len(told))
+	reports := make([]replica.FailureReport, len(told))
 	for i, one := range told {
-		blames[i] = replica.Blame{
+		reports[i] = replica.FailureReport{
 			Replica: one.Replica, Failures: float64(one.Failures), Successes: float64(one.Successes),
 			Age: time.Duration(one.AgeMs) * time.Millisecond,
 		}
 	}
 	node := lease.Node(from)
-	g.replicas.TakeBlames(replica.Witness{Node: node, Zone: g.roster.Member(node).Zone}, blames, time.Now())
+	g.replicas.TakeFailureReports(replica.Reporter{Node: node, Zone: g.roster.Member(node).Zone}, reports, time.Now())
 }
 
-// logCondemned logs that a replica is left out on the evidence of several nodes.
-func (c *core) logCondemned(verdict replica.Verdict) {
-	c.metrics.condemned.Inc()
-	c.log.Warn().Str("replica", verdict.Replica.ID).Str("address", verdict.Replica.Address).Str("zone", verdict.Replica.Zone).
-		Int("nodes", verdict.Nodes).Float64("failures", verdict.Failures).Float64("successes", verdict.Successes).
-		Dur("for_ms", verdict.For).Bool("prober", verdict.Prober).Msg("replica excluded on evidence of several nodes")
+// logEjectedByMany logs that a replica is left out on the evidence of several nodes.
+func (c *core) logEjectedByMany(ejection replica.SharedEjection) {
+	c.metrics.ejectedByMany.Inc()
+	c.log.Warn().Str("replica", ejection.Replica.ID).Str("address", ejection.Replica.Address).Str("zone", ejection.Replica.Zone).
+		Int("nodes", ejection.Nodes).Float64("failures", ejection.Failures).Float64("successes", ejection.Successes).
+		Dur("for_ms", ejection.For).Bool("prober", ejection.Prober).Msg("replica excluded on evidence of several nodes")
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,8 +38,8 @@
 	gaveWay     *prometheus.CounterVec
 	// reservations counts the slots asked for at replicas, by the answer.
 	reservations *prometheus.CounterVec
-	// condemned counts replicas left out on the evidence of several nodes.
-	condemned prometheus.Counter
+	// ejectedByMany counts replicas left out on the evidence of several nodes.
+	ejectedByMany prometheus.Counter
 	// refused counts the requests that no replica could take, by what excluded most.
 	refused *prometheus.CounterVec
 	// predictionError is how far the first event was from its prediction.
@@ -92,8 +92,8 @@
 	m.reservations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_reservations_total", Help: "Slots asked for at replicas by requests that found none of their node free, by the answer.",
 	}, []string{"outcome"})
-	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "wheelhoist_gateway_replicas_condemned_total", Help: "Replicas left out for a while on the evidence of several nodes.",
+	m.ejectedByMany = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_replicas_ejected_by_many_total", Help: "Replicas left out for a while on the evidence of several nodes.",
 	})
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_requests_excluded_total", Help: "Requests that ended because no replica could take them, by what excluded most replicas.",
@@ -105,7 +105,7 @@
 	m.served = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_served_total", Help: "Requests served, by how far the replica is from this node.",
 	}, []string{"place"})
-	m.registry.MustRegister(m.served, m.condemned, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -10,47 +10,49 @@
 // replica meets seldom in a large fleet, and each node would learn alone what all could
 // know. A replica that fails for several nodes is left out by all of them for a while;
 // then two nodes try it, and the others follow if these say nothing more. Nodes are
-// counted, not only failures, so that one that is itself cut off or wrong condemns
-// nobody; and one that blames many replicas is not believed.
+// counted, not only failures, so that one that is itself cut off or wrong has no replica
+// left out; and one for which many replicas fail tells nothing.
 
 const (
-	// accusers is the number of nodes that a replica has to fail for, and accusedFailures
+	// reporters is the number of nodes that a replica has to fail for, and reportedFailures
 	// how many of their answers, faded, have to be failures.
-	accusers        = 2
-	accusedFailures = 2.0
-	// accusedShare is the share of failures among the answers that nodes tell of. Replicas
+	reporters        = 2
+	reportedFailures = 2.0
+	// reportedShare is the share of failures among the answers that nodes tell of. Replicas
 	// that spoil one answer in fifty stay far below it.
-	accusedShare = 0.5
-	// exclusionFirst is how long a replica is left out first; it doubles each time that
-	// it fails again soon, up to exclusionMax.
-	exclusionFirst = 2 * time.Second
-	exclusionMax   = 8 * time.Second
+	reportedShare = 0.5
+	// sharedEjectionFirst is how long a replica is left out first; it doubles each time that
+	// it fails again soon, up to sharedEjectionMax.
+	sharedEjectionFirst = 2 * time.Second
+	sharedEjectionMax   = 8 * time.Second
 	// probation is how long only probers nodes send to a replica after that: a few of
 	// their requests, and the way of a word to all.
 	probation = 1500 * time.Millisecond
 	probers   = 2
-	// relapse is the time after an exclusion within which one failure brings the next.
-	relapse = 3 * time.Second
-	// pardon is the time after an exclusion from which on the next one is a first one.
-	pardon = 30 * time.Second
-	// blamedShare is the share of the replicas used of late beyond which a node that
-	// blames them is more likely wrong itself, if they are more than blamedLeast.
-	blamedShare = 1.0 / 3
-	blamedLeast = 2
-	// excludedShare bounds the part of a pool that is left out on the word of others.
-	excludedShare = 0.5
-	// defendsLeast is the least count of whole answers that is worth telling.
-	defendsLeast = 0.3
-	// maxBlames bounds the replicas of one message, each of some 25 bytes.
-	maxBlames = 32
-	// doubtCost is what a replica whose answers all fail of late counts as slower to a
+	// ejectAgainWithin is the time after an ejection within which one failure brings the next.
+	ejectAgainWithin = 3 * time.Second
+	// ejectionMemory is the time after an ejection from which on the next one is a first one.
+	ejectionMemory = 30 * time.Second
+	// failingShare is the share of the replicas used of late beyond which a node that
+	// reports them is more likely wrong itself, if they are more than failingLeast.
+	failingShare = 1.0 / 3
+	failingLeast = 2
+	// sharedEjectionShare bounds the part of a pool that is left out on the word of others.
+	sharedEjectionShare = 0.5
+	// successesLeast is the least count of whole answers that is worth telling.
+	successesLeast = 0.3
+	// maxFailureReports bounds the replicas of one message, each of some 25 bytes.
+	maxFailureReports = 32
+	// maxCount bounds a count that another process may tell.
+	maxCount = 1e6
+	// failingCost is what a replica whose answers all fail of late counts as slower to a
 	// request that cannot be sent twice: most of an objective of 300 ms.
-	doubtCost = 200 * time.Millisecond
+	failingCost = 200 * time.Millisecond
 )
 
-// Blame is what a node tells of a replica that failed for it, or of one that failed for
-// others and not for it.
-type Blame struct {
+// FailureReport is what a node tells of a replica that failed for it, or of one that failed
+// for others and not for it.
+type FailureReport struct {
 	// Replica is the replica's Key.
 	Replica uint64
 	// Failures and Successes count the node's answers from it, fading.
@@ -59,11 +61,11 @@
 	Age time.Duration
 }
 
-// Witness is a node that tells what it has seen.
-type Witness struct{ Node, Zone string }
+// Reporter is a node that tells what it has seen.
+type Reporter struct{ Node, Zone string }
 
-// Verdict tells why a replica is left out on the evidence of several nodes.
-type Verdict struct {
+// SharedEjection tells why a replica is left out on the evidence of several nodes.
+type SharedEjection struct {
 	Replica Info
 	// Nodes is the number of nodes that it failed for; Failures and Successes count their
 	// answers, fading.
@@ -74,22 +76,22 @@
 	Prober bool
 }
 
-// testimony is what a node has told of a replica.
-type testimony struct {
+// reportedTally is what a node has told of a replica.
+type reportedTally struct {
 	Tally
 	zone string
 }
 
-// sharedExclusion is a replica's being left out on the evidence of several nodes. The zero
+// sharedEjection is a replica's being left out on the evidence of several nodes. The zero
 // value is a replica that never was.
-type sharedExclusion struct {
+type sharedEjection struct {
 	since, until time.Time
 	count        int
 	prober       bool
 }
 
 // holds reports whether the replica is left out now.
-func (x *sharedExclusion) holds(now time.Time) bool {
+func (x *sharedEjection) holds(now time.Time) bool {
 	until := x.until
 	if !x.prober {
 		until = until.Add(probation)
@@ -97,21 +99,21 @@
 	return now.Before(until)
 }
 
-// relapses reports whether one failure now brings the next exclusion.
-func (x *sharedExclusion) relapses(now time.Time) bool {
-	return x.count > 0 && now.Before(x.until.Add(probation+relapse))
+// probed reports whether one failure now brings the next ejection.
+func (x *sharedEjection) probed(now time.Time) bool {
+	return x.count > 0 && now.Before(x.until.Add(probation+ejectAgainWithin))
 }
 
 // ejected reports whether the replica is left out now, on own evidence or that of others.
 func (e *entry) ejected(now time.Time) bool { return e.health.ejected(now) || e.shared.holds(now) }
 
-// Blames returns what this node has to tell of replicas that failed for it of late, and
-// of those that others blame and that answered it well. It tells of no failures if the
+// FailureReports returns what this node has to tell of replicas that failed for it of late,
+// and of those that others report and that answered it well. It tells of no failures if the
 // replicas are so many that the fault is likely its own.
-func (s *Set) Blames(now time.Time) []Blame {
+func (s *Set) FailureReports(now time.Time) []FailureReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var blames, defences []Blame
+	var reports, successes []FailureReport
 	used := 0
 	for _, known := range s.entries {
 		if !known.own.used(now) {
@@ -119,169 +121,169 @@
 		}
 		used++
 		known.own.advance(now)
-		told := Blame{Replica: known.key, Successes: known.own.Successes}
+		told := FailureReport{Replica: known.key, Successes: known.own.Successes}
 		switch {
-		case known.own.blames(time.Time{}, now):
+		case known.own.failedSince(time.Time{}, now):
 			told.Failures, told.Age = known.own.Failures, now.Sub(known.own.LastFailure)
-			blames = append(blames, told)
-		case len(known.told) > 0 && told.Successes > defendsLeast:
-			defences = append(defences, told)
+			reports = append(reports, told)
+		case len(known.told) > 0 && told.Successes > successesLeast:
+			successes = append(successes, told)
 		}
 	}
-	if len(blames) > blamedLeast && float64(len(blames)) > blamedShare*float64(used) {
-		blames = nil
+	if len(reports) > failingLeast && float64(len(reports)) > failingShare*float64(used) {
+		reports = nil
 	}
-	slices.SortFunc(blames, func(a, b Blame) int { return cmp.Compare(b.Failures, a.Failures) })
-	blames = append(blames, defences...)
-	return blames[:min(len(blames), maxBlames)]
+	slices.SortFunc(reports, func(a, b FailureReport) int { return cmp.Compare(b.Failures, a.Failures) })
+	reports = append(reports, successes...)
+	return reports[:min(len(reports), maxFailureReports)]
 }
 
-// TakeBlames takes in what a node tells.
-func (s *Set) TakeBlames(witness Witness, blames []Blame, now time.Time) {
-	for _, verdict := range s.takeBlames(witness, blames, now) {
-		s.condemned(&verdict)
+// TakeFailureReports takes in what a node tells.
+func (s *Set) TakeFailureReports(reporter Reporter, reports []FailureReport, now time.Time) {
+	for _, ejection := range s.takeFailureReports(reporter, reports, now) {
+		s.ejectedByMany(&ejection)
 	}
 }
 
-// condemned tells that a replica is left out, outside the lock; nil is none.
-func (s *Set) condemned(verdict *Verdict) {
-	if verdict != nil && s.Condemned != nil {
-		s.Condemned(*verdict)
+// ejectedByMany tells that a replica is left out, outside the lock; nil is none.
+func (s *Set) ejectedByMany(ejection *SharedEjection) {
+	if ejection != nil && s.EjectedByMany != nil {
+		s.EjectedByMany(*ejection)
 	}
 }
 
-func (s *Set) takeBlames(witness Witness, blames []Blame, now time.Time) []Verdict {
+func (s *Set) takeFailureReports(reporter Reporter, reports []FailureReport, now time.Time) []SharedEjection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stale {
 		s.rebuild()
 	}
-	var verdicts []Verdict
-	for _, blame := range blames[:min(len(blames), maxBlames)] {
-		known := s.byKey[blame.Replica]
-		if known == nil || !blame.sound() {
+	var ejections []SharedEjection
+	for _, report := range reports[:min(len(reports), maxFailureReports)] {
+		known := s.byKey[report.Replica]
+		if known == nil || !report.sound() {
 			continue
 		}
 		if known.told == nil {
-			known.told = map[string]testimony{}
+			known.told = map[string]reportedTally{}
 		}
-		known.told[witness.Node] = testimony{zone: witness.Zone, Tally: blame.tally(now)}
-		if verdict := s.judge(known, now); verdict != nil {
-			verdicts = append(verdicts, *verdict)
+		known.told[reporter.Node] = reportedTally{zone: reporter.Zone, Tally: report.tally(now)}
+		if ejection := s.evaluate(known, now); ejection != nil {
+			ejections = append(ejections, *ejection)
 		}
 	}
-	return verdicts
+	return ejections
 }
 
 // tally returns the counts that were told.
-func (b *Blame) tally(now time.Time) Tally {
-	told := Tally{Failures: b.Failures, Successes: b.Successes, at: now}
-	if b.Failures > 0 {
-		told.LastFailure = now.Add(-b.Age)
+func (r *FailureReport) tally(now time.Time) Tally {
+	told := Tally{Failures: r.Failures, Successes: r.Successes, at: now}
+	if r.Failures > 0 {
+		told.LastFailure = now.Add(-r.Age)
 	}
 	return told
 }
 
 // sound reports whether what another process tells can be.
-func (b *Blame) sound() bool {
-	return b.Failures >= 0 && b.Failures < 1e6 && b.Successes >= 0 && b.Successes < 1e6 && b.Age >= 0
+func (r *FailureReport) sound() bool {
+	return r.Failures >= 0 && r.Failures < maxCount && r.Successes >= 0 && r.Successes < maxCount && r.Age >= 0
 }
 
 // sum adds up what several nodes have seen of a replica.
 type sum struct {
 	Failures, Successes float64
-	// accusers counts the nodes for which it failed.
-	accusers int
+	// reporters counts the nodes for which it failed.
+	reporters int
 }
 
-func (s *sum) add(seen Tally, accuses bool) {
+func (s *sum) add(seen Tally, failed bool) {
 	s.Successes += seen.Successes
-	if accuses {
+	if failed {
 		s.Failures += seen.Failures
-		s.accusers++
+		s.reporters++
 	}
 }
 
 // mostlyFails reports whether at least half of the answers were failures.
 func (s *sum) mostlyFails() bool {
-	return s.accusers > 0 && s.Failures >= accusedShare*(s.Failures+s.Successes)
+	return s.reporters > 0 && s.Failures >= reportedShare*(s.Failures+s.Successes)
 }
 
-// condemns reports whether the replica failed for several nodes, and mostly.
-func (s *sum) condemns() bool {
-	return s.accusers >= accusers && s.Failures >= accusedFailures && s.mostlyFails()
+// failsForSeveral reports whether the replica failed for several nodes, and mostly.
+func (s *sum) failsForSeveral() bool {
+	return s.reporters >= reporters && s.Failures >= reportedFailures && s.mostlyFails()
 }
 
-// charge is what nodes have seen of a replica: all of them, and those of this node's
+// evidence is what nodes have seen of a replica: all of them, and those of this node's
 // zone, for a replica may fail for the callers of one zone alone.
-type charge struct {
+type evidence struct {
 	all, near sum
 	// zones are those of the nodes for which it failed.
 	zones map[string]bool
 }
 
-func (c *charge) add(seen Tally, accuses bool, zone, own string) {
-	c.all.add(seen, accuses)
+func (e *evidence) add(seen Tally, failed bool, zone, own string) {
+	e.all.add(seen, failed)
 	if zone == own {
-		c.near.add(seen, accuses)
+		e.near.add(seen, failed)
 	}
-	if accuses {
-		c.zones[zone] = true
+	if failed {
+		e.zones[zone] = true
 	}
 }
 
-// charges sums up the evidence of this node and of others that is newer than the last
-// exclusion. The caller holds mu.
-func (s *Set) charges(known *entry, now time.Time) charge {
-	seen := charge{zones: map[string]bool{}}
+// evidenceAbout sums up the evidence of this node and of others that is newer than the last
+// ejection. The caller holds mu.
+func (s *Set) evidenceAbout(known *entry, now time.Time) evidence {
+	seen := evidence{zones: map[string]bool{}}
 	known.own.advance(now)
-	seen.add(known.own, known.own.blames(known.shared.since, now), s.Zone, s.Zone)
+	seen.add(known.own, known.own.failedSince(known.shared.since, now), s.Zone, s.Zone)
 	for node, told := range known.told {
-		accuses := told.blames(known.shared.since, now)
+		failed := told.failedSince(known.shared.since, now)
 		told.advance(now)
-		if !accuses && told.Successes <= defendsLeast {
+		if !failed && told.Successes <= successesLeast {
 			delete(known.told, node)
 			continue
 		}
 		known.told[node] = told
-		seen.add(told.Tally, accuses, told.zone, s.Zone)
+		seen.add(told.Tally, failed, told.zone, s.Zone)
 	}
 	return seen
 }
 
-// judge leaves a replica out if it fails for several nodes: of this node's zone, or of
+// evaluate leaves a replica out if it fails for several nodes: of this node's zone, or of
 // several zones. The caller holds mu.
-func (s *Set) judge(known *entry, now time.Time) *Verdict {
+func (s *Set) evaluate(known *entry, now time.Time) *SharedEjection {
 	if now.Before(known.shared.until) {
 		return nil
 	}
-	seen := s.charges(known, now)
-	if !seen.guilty(known.shared.relapses(now)) || !s.mayExclude(known.info.Pool, now) {
+	seen := s.evidenceAbout(known, now)
+	if !seen.warrantsEjection(known.shared.probed(now)) || !s.mayEject(known.info.Pool, now) {
 		return nil
 	}
-	if now.Sub(known.shared.until) > pardon {
+	if now.Sub(known.shared.until) > ejectionMemory {
 		known.shared.count = 0
 	}
-	length := min(exclusionFirst<<min(known.shared.count, 8), exclusionMax)
-	known.shared = sharedExclusion{since: now, until: now.Add(length), count: known.shared.count + 1}
+	length := min(sharedEjectionFirst<<min(known.shared.count, 8), sharedEjectionMax)
+	known.shared = sharedEjection{since: now, until: now.Add(length), count: known.shared.count + 1}
 	known.shared.prober = s.probes(known)
-	return &Verdict{
-		Replica: known.info, Nodes: seen.all.accusers, Failures: seen.all.Failures, Successes: seen.all.Successes,
+	return &SharedEjection{
+		Replica: known.info, Nodes: seen.all.reporters, Failures: seen.all.Failures, Successes: seen.all.Successes,
 		For: length, Prober: known.shared.prober,
 	}
 }
 
-// guilty reports whether the evidence is enough to leave the replica out, at once if it
-// was left out a moment ago.
-func (c *charge) guilty(relapsed bool) bool {
-	if relapsed && (c.near.mostlyFails() || c.all.mostlyFails()) {
+// warrantsEjection reports whether the evidence is enough to leave the replica out: one
+// failure is, while it is being tried after an ejection.
+func (e *evidence) warrantsEjection(probed bool) bool {
+	if probed && (e.near.mostlyFails() || e.all.mostlyFails()) {
 		return true
 	}
-	return c.near.condemns() || len(c.zones) > 1 && c.all.condemns()
+	return e.near.failsForSeveral() || len(e.zones) > 1 && e.all.failsForSeveral()
 }
 
-// mayExclude reports whether a pool bears to lose one more replica. The caller holds mu.
-func (s *Set) mayExclude(pool string, now time.Time) bool {
+// mayEject reports whether a pool bears to lose one more replica. The caller holds mu.
+func (s *Set) mayEject(pool string, now time.Time) bool {
 	list := s.pool(pool)
 	excluded := 1
 	for _, known := range list {
@@ -289,11 +291,11 @@
 			excluded++
 		}
 	}
-	return float64(excluded) <= excludedShare*float64(len(list))
+	return float64(excluded) <= sharedEjectionShare*float64(len(list))
 }
 
 // probes reports whether this node is one of those that try a replica first after its
-// exclusion. They are others each time, so that one that is wrong cannot keep it out.
+// ejection. They are others each time, so that one that is wrong cannot keep it out.
 func (s *Set) probes(known *entry) bool {
 	if len(s.nodes) <= probers {
 		return true
@@ -309,13 +311,13 @@
 	return before < probers
 }
 
-// doubt is the share of failures among the answers that nodes have told of, this one
-// included, since the last exclusion. The caller holds mu.
-func (s *Set) doubt(known *entry, now time.Time) float64 {
-	if len(known.told) == 0 && !known.own.blames(known.shared.since, now) {
+// failureShare is the share of failures among the answers that nodes have told of, this one
+// included, since the last ejection. The caller holds mu.
+func (s *Set) failureShare(known *entry, now time.Time) float64 {
+	if len(known.told) == 0 && !known.own.failedSince(known.shared.since, now) {
 		return 0
 	}
-	seen := s.charges(known, now)
+	seen := s.evidenceAbout(known, now)
 	// One whole answer is presumed, so that a single failure does not weigh as all.
 	return seen.all.Failures / (seen.all.Failures + seen.all.Successes + 1)
 }
--- a/internal/replica/evidence_test.go
+++ b/internal/replica/evidence_test.go
@@ -26,9 +26,9 @@
 	return nodes
 }
 
-// blameOf is what a node tells of a replica that has just failed for it.
-func blameOf(id string, failures, successes float64) []Blame {
-	return []Blame{{Replica: Key(id), Failures: failures, Successes: successes}}
+// failureOf is what a node tells of a replica that has just failed for it.
+func failureOf(id string, failures, successes float64) []FailureReport {
+	return []FailureReport{{Replica: Key(id), Failures: failures, Successes: successes}}
 }
 
 // out reports whether a replica is left out.
@@ -41,25 +41,25 @@
 	return false
 }
 
-func TestEvidence_SeveralNodesCondemnAReplicaAndOneDoesNot(t *testing.T) {
+func TestEvidence_SeveralNodesEjectAReplicaAndOneDoesNot(t *testing.T) {
 	now := time.Now()
 	set := evidenceSet(4)
-	var verdicts []Verdict
-	set.Condemned = func(verdict Verdict) { verdicts = append(verdicts, verdict) }
-	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 5, 0), now)
+	var ejections []SharedEjection
+	set.EjectedByMany = func(ejection SharedEjection) { ejections = append(ejections, ejection) }
+	set.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf("r00", 5, 0), now)
 	if out(set, "r00", now) {
 		t.Fatal("one node's word leaves a replica out")
 	}
-	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 6, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf("r00", 6, 0), now)
 	if out(set, "r00", now) {
 		t.Fatal("a node that tells twice counts twice")
 	}
-	set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf("r00", 1, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n2", Zone: "b"}, failureOf("r00", 1, 0), now)
 	if !out(set, "r00", now) || out(set, "r01", now) {
 		t.Fatal("two nodes' word does not leave just that replica out")
 	}
-	if len(verdicts) != 1 || verdicts[0].Nodes != 2 || verdicts[0].Replica.ID != "r00" {
-		t.Errorf("verdicts %+v", verdicts)
+	if len(ejections) != 1 || ejections[0].Nodes != 2 || ejections[0].Replica.ID != "r00" {
+		t.Errorf("ejections %+v", ejections)
 	}
 }
 
@@ -68,7 +68,7 @@
 func TestEvidence_OwnFailureCountsBesideAnotherNodes(t *testing.T) {
 	now := time.Now()
 	set := evidenceSet(4)
-	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 2, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf("r00", 2, 0), now)
 	set.Begin("r00", Ask{}, now).End(Failed, now)
 	if !out(set, "r00", now) {
 		t.Error("a replica that failed for this node and for another is used")
@@ -79,36 +79,36 @@
 	now := time.Now()
 	set := evidenceSet(4)
 	for i := 1; i < 6; i++ {
-		set.TakeBlames(Witness{Node: fmt.Sprintf("n%d", i), Zone: "a"}, blameOf("r00", 1, 9), now)
+		set.TakeFailureReports(Reporter{Node: fmt.Sprintf("n%d", i), Zone: "a"}, failureOf("r00", 1, 9), now)
 	}
 	if out(set, "r00", now) {
 		t.Error("a replica that spoils one answer of ten is left out by all")
 	}
 }
 
-// TestEvidence_NodesThatAreServedWellDefendAReplica has a replica fail now and then for
+// TestEvidence_NodesThatAreServedWellSpeakForAReplica has a replica fail now and then for
 // few nodes, while others whose answers are whole tell so.
-func TestEvidence_NodesThatAreServedWellDefendAReplica(t *testing.T) {
+func TestEvidence_NodesThatAreServedWellSpeakForAReplica(t *testing.T) {
 	now := time.Now()
 	set, other := evidenceSet(4), evidenceSet(4)
 	for range 3 {
 		other.Begin("r00", Ask{}, now).End(Succeeded, now)
 	}
-	if told := other.Blames(now); len(told) != 0 {
-		t.Fatalf("a node tells of a replica that nobody blames: %v", told)
+	if told := other.FailureReports(now); len(told) != 0 {
+		t.Fatalf("a node tells of a replica that nobody reports: %v", told)
 	}
-	other.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 1, 0), now)
-	told := other.Blames(now)
+	other.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf("r00", 1, 0), now)
+	told := other.FailureReports(now)
 	if len(told) != 1 || told[0].Failures != 0 || told[0].Successes != 3 {
 		t.Fatalf("a node that was served well tells %v", told)
 	}
-	set.TakeBlames(Witness{Node: "n3", Zone: "a"}, told, now)
-	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 1, 0), now)
-	set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf("r00", 1, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n3", Zone: "a"}, told, now)
+	set.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf("r00", 1, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n2", Zone: "b"}, failureOf("r00", 1, 0), now)
 	if out(set, "r00", now) {
 		t.Error("two failures of five answers leave a replica out")
 	}
-	set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf("r00", 3, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n2", Zone: "b"}, failureOf("r00", 3, 0), now)
 	if !out(set, "r00", now) {
 		t.Error("four failures of seven answers do not leave a replica out")
 	}
@@ -125,8 +125,8 @@
 		set := evidenceSet(4)
 		set.Zone = one.zone
 		for i := 1; i < 4; i++ {
-			set.TakeBlames(Witness{Node: fmt.Sprintf("n%d", i), Zone: "a"}, blameOf("r00", 3, 0), now)
-			set.TakeBlames(Witness{Node: fmt.Sprintf("m%d", i), Zone: "b"}, blameOf("r00", 0, 9), now)
+			set.TakeFailureReports(Reporter{Node: fmt.Sprintf("n%d", i), Zone: "a"}, failureOf("r00", 3, 0), now)
+			set.TakeFailureReports(Reporter{Node: fmt.Sprintf("m%d", i), Zone: "b"}, failureOf("r00", 0, 9), now)
 		}
 		if got := out(set, "r00", now); got != one.want {
 			t.Errorf("zone %s: left out %v, want %v", one.zone, got, one.want)
@@ -134,7 +134,7 @@
 	}
 }
 
-func TestEvidence_ANodeThatBlamesManyTellsNothing(t *testing.T) {
+func TestEvidence_ANodeForWhichManyFailTellsNothing(t *testing.T) {
 	now := time.Now()
 	set := evidenceSet(9)
 	fail := func(id string) { set.Begin(id, Ask{}, now).End(Failed, now) }
@@ -145,20 +145,41 @@
 	for i := range 3 {
 		fail(fmt.Sprintf("r%02d", i))
 	}
-	if blames := set.Blames(now); len(blames) != 3 {
-		t.Fatalf("%d replicas of 9 blamed, want 3 told", len(blames))
+	if reports := set.FailureReports(now); len(reports) != 3 {
+		t.Fatalf("%d replicas of 9 fail, want 3 told", len(reports))
 	}
 	fail("r03")
-	if blames := set.Blames(now); blames != nil {
-		t.Errorf("a node that blames 4 of 9 replicas tells of %d", len(blames))
+	if reports := set.FailureReports(now); reports != nil {
+		t.Errorf("a node that reports 4 of 9 replicas tells of %d", len(reports))
 	}
-	if blames := set.Blames(now.Add(evidenceMemory + time.Second)); blames != nil {
-		t.Errorf("failures of long ago are told: %v", blames)
+	if reports := set.FailureReports(now.Add(evidenceMemory + time.Second)); reports != nil {
+		t.Errorf("failures of long ago are told: %v", reports)
+	}
+}
+
+// TestEvidence_ReplicasOfLongAgoAreNotUsed has a node use many replicas, and later few, all
+// of which fail: the fault is likely its own, whatever it used before.
+func TestEvidence_ReplicasOfLongAgoAreNotUsed(t *testing.T) {
+	now := time.Now()
+	set := evidenceSet(12)
+	for i := range 12 {
+		set.Begin(fmt.Sprintf("r%02d", i), Ask{}, now).End(Succeeded, now)
+	}
+	// Reports are asked for all the while, which fades the counts.
+	for range 20 {
+		now = now.Add(evidenceMemory / 10)
+		set.FailureReports(now)
+	}
+	for i := range 3 {
+		set.Begin(fmt.Sprintf("r%02d", i), Ask{}, now).End(Failed, now)
+	}
+	if reports := set.FailureReports(now); reports != nil {
+		t.Errorf("a node for which all that it uses fails tells of %d", len(reports))
 	}
 }
 
 // TestEvidence_FewTryAReplicaAfterItsExclusion follows a replica through exclusion,
-// probation and relapse as all nodes see it.
+// probation and ejectAgainWithin as all nodes see it.
 func TestEvidence_FewTryAReplicaAfterItsExclusion(t *testing.T) {
 	now := time.Now()
 	nodes := evidenceNodes()
@@ -166,8 +187,8 @@
 	for _, node := range nodes {
 		set := evidenceSet(4)
 		set.Divide(node.ID, nodes)
-		set.TakeBlames(Witness{Node: "x1", Zone: "a"}, blameOf("r00", 3, 0), now)
-		set.TakeBlames(Witness{Node: "x2", Zone: "b"}, blameOf("r00", 3, 0), now)
+		set.TakeFailureReports(Reporter{Node: "x1", Zone: "a"}, failureOf("r00", 3, 0), now)
+		set.TakeFailureReports(Reporter{Node: "x2", Zone: "b"}, failureOf("r00", 3, 0), now)
 		sets = append(sets, set)
 	}
 	excluded := func(at time.Time) int {
@@ -179,10 +200,10 @@
 		}
 		return count
 	}
-	if got := excluded(now.Add(exclusionFirst - time.Millisecond)); got != 10 {
+	if got := excluded(now.Add(sharedEjectionFirst - time.Millisecond)); got != 10 {
 		t.Fatalf("%d of 10 nodes leave it out", got)
 	}
-	after := now.Add(exclusionFirst + time.Millisecond)
+	after := now.Add(sharedEjectionFirst + time.Millisecond)
 	if got := excluded(after); got != 10-probers {
 		t.Fatalf("%d of 10 nodes leave it out after the exclusion, want all but %d", got, probers)
 	}
@@ -190,9 +211,9 @@
 		t.Fatalf("%d of 10 nodes leave it out when nobody told of a failure", got)
 	}
 	for _, set := range sets {
-		set.TakeBlames(Witness{Node: "x3", Zone: "a"}, blameOf("r00", 1, 0), after)
+		set.TakeFailureReports(Reporter{Node: "x3", Zone: "a"}, failureOf("r00", 1, 0), after)
 	}
-	if got := excluded(after.Add(exclusionFirst + probation)); got != 10 {
+	if got := excluded(after.Add(sharedEjectionFirst + probation)); got != 10 {
 		t.Errorf("%d of 10 nodes leave it out for longer after one failure in its probation", got)
 	}
 }
@@ -202,8 +223,8 @@
 	set := evidenceSet(4)
 	for i := range 4 {
 		id := fmt.Sprintf("r%02d", i)
-		set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf(id, 3, 0), now)
-		set.TakeBlames(Witness{Node: "n2", Zone: "b"}, blameOf(id, 3, 0), now)
+		set.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf(id, 3, 0), now)
+		set.TakeFailureReports(Reporter{Node: "n2", Zone: "b"}, failureOf(id, 3, 0), now)
 	}
 	left := 0
 	for _, one := range set.List(now) {
@@ -212,7 +233,7 @@
 		}
 	}
 	if left != 2 {
-		t.Errorf("%d of 4 replicas are used when all are blamed, want 2", left)
+		t.Errorf("%d of 4 replicas are used when all are said to fail, want 2", left)
 	}
 }
 
@@ -220,9 +241,9 @@
 	now := time.Now()
 	set := evidenceSet(4)
 	for i := 1; i < 5; i++ {
-		node := Witness{Node: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i)}
-		set.TakeBlames(node, []Blame{{Replica: Key("r00"), Failures: -1}, {Replica: 7, Failures: 9}, {Replica: Key("r00"), Failures: 9, Age: -1}}, now)
-		set.TakeBlames(node, []Blame{{Replica: Key("r00"), Failures: 9, Age: evidenceMemory + time.Second}}, now)
+		node := Reporter{Node: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i)}
+		set.TakeFailureReports(node, []FailureReport{{Replica: Key("r00"), Failures: -1}, {Replica: 7, Failures: 9}, {Replica: Key("r00"), Failures: 9, Age: -1}}, now)
+		set.TakeFailureReports(node, []FailureReport{{Replica: Key("r00"), Failures: 9, Age: evidenceMemory + time.Second}}, now)
 	}
 	if out(set, "r00", now) {
 		t.Error("words that cannot be, or are old, leave a replica out")
@@ -235,7 +256,7 @@
 	now := time.Now()
 	set := evidenceSet(2)
 	set.Divide("n0", evidenceNodes()[:1])
-	set.TakeBlames(Witness{Node: "n1", Zone: "a"}, blameOf("r00", 3, 0), now)
+	set.TakeFailureReports(Reporter{Node: "n1", Zone: "a"}, failureOf("r00", 3, 0), now)
 	seen := map[string]bool{}
 	for affinity := range uint64(40) {
 		demand := &Demand{Affinity: affinity + 1}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -263,7 +263,7 @@
 	total := candidate.readingTime(candidate.PendingTokens+uncached(candidate, demand)) +
 		time.Duration(candidate.Busy()*float64(busyCost)) + weights.Cost(demand.Distance(candidate))
 	if demand.Single {
-		total += time.Duration(candidate.Doubt * float64(doubtCost))
+		total += time.Duration(candidate.Failing * float64(failingCost))
 	}
 	return total
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -67,9 +67,9 @@
 	PendingTokens int
 	// Ejected replicas are left out for their failures or slowness.
 	Ejected bool
-	// Doubt is the share of failures among the answers of late that nodes tell of, from 0
+	// Failing is the share of failures among the answers of late that nodes tell of, from 0
 	// to 1.
-	Doubt float64
+	Failing float64
 	// Evacuated replicas stand in a zone that operators empty.
 	Evacuated bool
 	// Cold is what this node may do with it while it is cold.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -53,8 +53,8 @@
 	health    health
 	// own is what this node has seen of it of late, told what others tell.
 	own    Tally
-	told   map[string]testimony
-	shared sharedExclusion
+	told   map[string]reportedTally
+	shared sharedEjection
 	// heard is when anything last came from the replica.
 	heard time.Time
 	// vanished is when the entry left the list; zero while it is listed.
@@ -104,9 +104,9 @@
 	ColdTolerance ColdTolerance
 	// Ejected is told of each ejection, outside the lock.
 	Ejected func(info Info, result Result)
-	// Condemned is told, outside the lock, of each replica that is left out on the evidence
+	// EjectedByMany is told, outside the lock, of each replica that is left out on the evidence
 	// of several nodes.
-	Condemned func(verdict Verdict)
+	EjectedByMany func(ejection SharedEjection)
 	// Pressed is asked, outside the lock, to make batch items of this node give
 	// way at a replica.
 	Pressed func(id string, items int, why Pressure)
@@ -317,7 +317,7 @@
 	return Candidate{
 		First: known.first, Soonest: known.soonest(), PatienceShare: known.patienceShare(e.info.Slots), SlotTime: known.hold() / time.Duration(max(1, e.info.Slots)),
 		Info: e.info, Key: e.key, Open: e.open - e.leaving, Batch: e.batch - e.leaving, Share: s.shareOf(e, now), Cold: s.coldView(e, now),
-		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.ejected(now), Doubt: s.doubt(e, now), Waiting: e.waitingAtTime(now),
+		Others: e.othersAt(now), PendingTokens: e.pending, Ejected: e.ejected(now), Failing: s.failureShare(e, now), Waiting: e.waitingAtTime(now),
 		Age: e.loadAge(now), Fresh: e.fresh(now), Fleet: s.fleetUsage(e.info.Pool, now),
 		Evacuated: s.evacuated[e.info.Zone],
 	}
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -16,7 +16,8 @@
 	Failures, Successes float64
 	// LastFailure is when the last failure was seen.
 	LastFailure time.Time
-	at          time.Time
+	// at is when the counts were last faded, observed when the last answer was seen.
+	at, observed time.Time
 }
 
 // advance fades the counts up to now.
@@ -41,13 +42,16 @@
 	case Failed, Unreachable:
 		t.Failures++
 		t.LastFailure = now
+	default:
+		return
 	}
+	t.observed = now
 }
 
 // used reports whether anything was seen of late.
-func (t *Tally) used(now time.Time) bool { return now.Sub(t.at) < evidenceMemory }
+func (t *Tally) used(now time.Time) bool { return now.Sub(t.observed) < evidenceMemory }
 
-// blames reports whether the replica failed after a moment and of late.
-func (t *Tally) blames(after, now time.Time) bool {
+// failedSince reports whether the replica failed after a moment and of late.
+func (t *Tally) failedSince(after, now time.Time) bool {
 	return t.LastFailure.After(after) && now.Sub(t.LastFailure) < evidenceMemory
 }
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -166,14 +166,14 @@
 
 // End stops counting and takes in how the request ended.
 func (u *Use) End(result Result, now time.Time) {
-	ejected, verdict := u.finish(result, now)
+	ejected, ejection := u.finish(result, now)
 	if ejected && u.set.Ejected != nil {
 		u.set.Ejected(u.entry.info, result)
 	}
-	u.set.condemned(verdict)
+	u.set.ejectedByMany(ejection)
 }
 
-func (u *Use) finish(result Result, now time.Time) (ejected bool, verdict *Verdict) {
+func (u *Use) finish(result Result, now time.Time) (ejected bool, ejection *SharedEjection) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	if u.ended {
@@ -197,7 +197,7 @@
 	ejected = u.entry.health.observe(result, now)
 	u.entry.own.observe(result, now)
 	if result == Failed || result == Unreachable {
-		verdict = u.set.judge(u.entry, now)
+		ejection = u.set.evaluate(u.entry, now)
 	}
 	if result == Unreachable {
 		u.set.unreached(u.entry, now)
@@ -209,5 +209,5 @@
 		u.entry.refusedAt = now
 	}
 	u.set.wake()
-	return ejected, verdict
+	return ejected, ejection
 }
