Findings about homes name the product's own fields

Cause: names of the platform's wire stood in internal/route and, as a constant, in the soak. The test of the findings asks for the new names, as strictly.

--- a/internal/lab/soak/checkzones.go
+++ b/internal/lab/soak/checkzones.go
@@ -14,7 +14,7 @@
 	evacuationBound = 5 * time.Second
 	// contactBound is how long after a disturbance a node is in touch again (contactMs).
 	contactBound = 4 * time.Second
-	// coldOver and coldSlack are what a cold server may get in a second beyond coldPerS
+	// coldOver and coldSlack are what a cold server may get in a second beyond coldRate
 	// (coldOver, coldSlack).
 	coldOver   = 1.5
 	coldSlack  = 5.0
@@ -94,7 +94,7 @@
 			sent[one.Server] = append(sent[one.Server], one.At)
 		}
 	}
-	allowed := coldPerS*coldOver + coldSlack
+	allowed := coldRate*coldOver + coldSlack
 	for server, moments := range sent {
 		if count, _ := most(moments, coldWindow); float64(count) > allowed {
 			c.broken(ColdSpared, "cold server %s got %d requests in %v, %.1f are allowed", server, count, coldWindow, allowed)
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -15,10 +15,10 @@
 	drainLife = 4 * time.Second
 	// lapse is how long the row of a server that is lost stays: three heartbeats.
 	lapse = time.Second
-	// coldStart is how long a server is cold after a start, coldPerS the requests a
+	// coldStart is how long a server is cold after a start, coldRate the requests a
 	// second that it bears meanwhile.
 	coldStart = 3 * time.Second
-	coldPerS  = 2.0
+	coldRate  = 2.0
 )
 
 // server is a stand-in server behind a proxy.
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -70,7 +70,7 @@
 		s.prefixes = append(s.prefixes, fmt.Sprintf("added-%d", s.version))
 	}
 	config := standin.DeclareKeyed(s.version, host, tokenQuota, tenants(), s.prefixes...)
-	s.store.Put("op", "config", standin.DeclareCold(config, coldStart, coldPerS))
+	s.store.Put("op", "config", standin.DeclareCold(config, coldStart, coldRate))
 }
 
 // prefix picks a declared prefix.
--- a/internal/route/homes.go
+++ b/internal/route/homes.go
@@ -14,10 +14,10 @@
 func (c *Config) PlaceFindings(zones place.Map) []findings.Finding {
 	var found findings.List
 	for _, target := range c.Routes {
-		homeFindings(&found, "routes["+target.Name+"].allowedRegions", target.Regions, zones)
+		homeFindings(&found, "routes["+target.Name+"].regions", target.Regions, zones)
 	}
 	for _, caller := range c.Tenants {
-		path := "tenants[" + caller.Name + "].allowedRegions"
+		path := "tenants[" + caller.Name + "].regions"
 		homeFindings(&found, path, caller.Regions, zones)
 		c.disjointFindings(&found, path, caller.Regions)
 	}
@@ -43,7 +43,7 @@
 	}
 	for _, target := range c.Routes {
 		if len(target.Regions) > 0 && len(homes.And(target.Regions)) == 0 {
-			found.Add(path, "has no region in common with routes[%s].allowedRegions: requests are served nowhere", target.Name)
+			found.Add(path, "has no region in common with routes[%s].regions: requests are served nowhere", target.Name)
 		}
 	}
 }
--- a/internal/route/homes_test.go
+++ b/internal/route/homes_test.go
@@ -18,10 +18,10 @@
 	}
 	found := config.PlaceFindings(place.Map{"a": "north", "b": "south"})
 	want := []string{
-		`routes[lost].allowedRegions: no zone of node.zones lies in region "nowhere"`,
-		`routes[none].allowedRegions: holds no region: requests are served nowhere`,
-		`tenants[south].allowedRegions: has no region in common with routes[north].allowedRegions: requests are served nowhere`,
-		`tenants[south].allowedRegions: has no region in common with routes[lost].allowedRegions: requests are served nowhere`,
+		`routes[lost].regions: no zone of node.zones lies in region "nowhere"`,
+		`routes[none].regions: holds no region: requests are served nowhere`,
+		`tenants[south].regions: has no region in common with routes[north].regions: requests are served nowhere`,
+		`tenants[south].regions: has no region in common with routes[lost].regions: requests are served nowhere`,
 	}
 	if fmt.Sprint(found) != fmt.Sprint(want) {
 		t.Errorf("findings are\n%v, want\n%v", found, want)
