A node that counts for no tenant probes nobody

Read in the code: while its session is in doubt, as when 300 nodes renew at a slow store, a node probed all others each 0.3 s for the owners of tenants' limits, 1,000 datagrams a second each, which keeps the store's answers slow. Now only a node that counts for a tenant probes; what it has not heard it holds back for, so that is safe at the first request. With tenants the probes still grow as the square of the nodes while the store is away.

--- a/internal/quota/contacts.go
+++ b/internal/quota/contacts.go
@@ -204,9 +204,11 @@
 	return names
 }
 
-// probeDue probes other nodes if this one has to know which of them it reaches.
+// probeDue probes other nodes if this one has to know which of them it reaches. One that
+// counts for no tenant need not: each probes all others, which grows as the square of the
+// nodes, and what it does not hear it holds back for anyway.
 func (e *Exchange) probeDue(now time.Time) {
-	doubt := e.Fleet.Unconfirmed() >= probeFrom || e.inDoubt(now)
+	doubt := e.Ledger.counts() && (e.Fleet.Unconfirmed() >= probeFrom || e.inDoubt(now))
 	e.contacts.mu.Lock()
 	due := now.Sub(e.contacts.probed) >= probeEvery && (doubt || e.contacts.standsIn(now))
 	if due {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -299,6 +299,13 @@
 	return entry
 }
 
+// counts reports whether this node counts for any tenant.
+func (l *Ledger) counts() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.tenants) > 0
+}
+
 // sweep forgets tenants that nobody has reported for long. The caller holds mu.
 func (l *Ledger) sweep(now time.Time) {
 	l.swept = now
