Attempts that broke off log the identity of their work

The identity is a hash over caller, method, host, path and body, cut to 128 bits; the body itself is never logged. It is computed for attempts that may have run and failed only, so it costs calm traffic nothing. No change of logic.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -72,6 +73,12 @@
 	Deadline time.Time
 }
 
+// Work identifies what the request asks for, under whatever id it comes.
+func (r *Request) Work() quarantine.Work {
+	content := quarantine.Content{Caller: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+	return content.Work()
+}
+
 // Attempt is one sending of a request to one replica.
 type Attempt struct {
 	Request *Request
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -60,6 +60,11 @@
 
 // Failed implements forward.Notice.
 func (l *requestLog) Failed(request *forward.Request, attempt int, chosen replica.Info, err error) {
-	l.log.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
-		Str("address", chosen.Address).Err(err).Stringer("ran", outcome.Of(err)).Msg("attempt failed")
+	entry := l.log.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
+		Str("address", chosen.Address).Err(err).Stringer("ran", outcome.Of(err))
+	if outcome.Of(err) != outcome.NotDone {
+		// What was at work on a replica that broke off may have been the cause.
+		entry = entry.Stringer("work", request.Work())
+	}
+	entry.Msg("attempt failed")
 }
