--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -35,6 +35,8 @@
 	storeAt  string
 	servers  []*standin.Server
 	gateways []*Gateway
+	// alone gateways are not told where others are reached.
+	alone bool
 }
 
 func newGatewaySite(t *testing.T, servers int) *gatewaySite {
@@ -105,6 +107,9 @@
 			Store: s.storeAt, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second),
 		},
 	}
+	if s.alone {
+		config.Gateway.Peers = ""
+	}
 	config.ApplyDefaults()
 	gateway, err := StartGateway(context.Background(), config, zerolog.Nop())
 	if err != nil {
