--- a/api/openai/batch.go
+++ b/api/openai/batch.go
@@ -108,6 +108,8 @@
 	CodeBatchExpired = "batch_expired"
 	// CodeItemFailed marks an item that the engine refused.
 	CodeItemFailed = "item_failed"
+	// CodeQuarantined marks an item, or a request, that ended the replicas which ran it.
+	CodeQuarantined = "quarantined"
 )
 
 // BatchResult is one line of an output or error file.
--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -77,6 +77,7 @@
 func (quiet) Claimed(*jobs.Entry, string, error)                            {}
 func (quiet) ItemSent(*jobs.Job, string, string, int)                       {}
 func (quiet) ItemFailed(*jobs.Job, string, string, error)                   {}
+func (quiet) ItemQuarantined(*jobs.Job, string, error)                      {}
 func (quiet) GaveWay(*jobs.Job, string, string, int, replica.Pressure)      {}
 func (quiet) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration) {}
 func (quiet) Removed(*jobs.Job, error)                                      {}
--- a/internal/batch/group.go
+++ b/internal/batch/group.go
@@ -201,6 +201,8 @@
 		return &openai.BatchItemError{Code: openai.CodeBatchExpired, Message: "the deadline passed before the item ran"}
 	case jobs.Undecided:
 		return &openai.BatchItemError{Code: openai.CodeOutcomeUnknown, Message: "the item may have run"}
+	case jobs.Quarantined:
+		return &openai.BatchItemError{Code: openai.CodeQuarantined, Message: "replicas ended while they ran the item"}
 	case jobs.Invalid:
 		return &openai.BatchItemError{Code: openai.CodeItemFailed, Message: "the engine says that the item can never be done"}
 	default:
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -51,6 +51,8 @@
 	// ColdFeeders, if set, are asked by requests that find none but cold replicas which
 	// this node does not feed.
 	ColdFeeders ColdFeeders
+	// Quarantine, if set, keeps work from replicas that ended others.
+	Quarantine Quarantine
 }
 
 // call is the state of one request.
@@ -151,6 +153,9 @@
 
 func (c *call) run(ctx context.Context) error {
 	for {
+		if err := c.quarantined(); err != nil {
+			return c.failure(err)
+		}
 		chosen, err := c.pick()
 		if c.forwarder.fedElsewhere(err) {
 			chosen = c.askFeeder(ctx)
@@ -168,6 +173,7 @@
 			return c.failure(c.outOfTime(now))
 		}
 		err = c.attempt(ctx, chosen)
+		c.tellQuarantine(ctx, chosen, err)
 		if err == nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/forward/quarantine.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// Quarantine keeps work from replicas that ended those it ran on. The functions that return
+// the work are called only if some is suspected. It is safe for concurrent use.
+type Quarantine interface {
+	// Refuse returns a quarantine.RefusedError for work that must not be sent.
+	Refuse(work func() quarantine.Work) error
+	// EndedWell takes in a whole answer to a work.
+	EndedWell(work func() quarantine.Work)
+	// BrokeOff takes in that a replica's answer to a work broke off. It returns when it is
+	// known whether the replica ended, or after a short time.
+	BrokeOff(ctx context.Context, replica quarantine.Replica, work quarantine.Work)
+}
+
+// MayHaveEnded reports whether an attempt ended as it does if its replica ends: after the
+// request may have begun to run, and not by an answer or by this side's giving up. status is
+// that of the answer, 0 if none came.
+func MayHaveEnded(err error, status int) bool {
+	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
+		return false
+	}
+	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent)
+}
+
+// quarantined returns the error of a request whose work must not be sent.
+func (c *call) quarantined() error {
+	if c.forwarder.Quarantine == nil {
+		return nil
+	}
+	return c.forwarder.Quarantine.Refuse(c.request.Work)
+}
+
+// tellQuarantine tells how an attempt ended. After one that may have ended its replica it
+// waits for word of that, for the next attempt is decided about by it.
+func (c *call) tellQuarantine(ctx context.Context, chosen *replica.Candidate, err error) {
+	guard := c.forwarder.Quarantine
+	switch {
+	case guard == nil:
+	case err == nil && c.status < http.StatusInternalServerError:
+		guard.EndedWell(c.request.Work)
+	case MayHaveEnded(err, c.status):
+		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, c.request.Work())
+	}
+}
--- /dev/null
+++ b/internal/jobs/harm.go
@@ -0,0 +1,68 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// quarantinedPause is the time between two looks whether an item still is quarantined.
+const quarantinedPause = time.Second
+
+// identity returns the identity of a task's item, which is computed once. The caller does not
+// hold the runner's lock.
+func (r *Runner) identity(one *task, item *Item) quarantine.Work {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if one.identity == nil {
+		identity := itemRequest(one.work.job, item).Work()
+		one.identity = &identity
+	}
+	return *one.identity
+}
+
+// quarantined reports whether an item must not be sent to any replica. It has then been put
+// off, or ended.
+func (r *Runner) quarantined(one *task, item *Item, now time.Time) bool {
+	if r.Quarantine == nil {
+		return false
+	}
+	err := r.Quarantine.Refuse(func() quarantine.Work { return r.identity(one, item) })
+	r.mu.Lock()
+	first := err != nil && !one.held
+	one.held = err != nil
+	if one.held {
+		one.notUntil = now.Add(quarantinedPause)
+	}
+	r.mu.Unlock()
+	if err == nil {
+		return false
+	}
+	if first {
+		r.Service.Events.ItemQuarantined(one.work.job, item.ID, err)
+	}
+	if r.EndQuarantined {
+		r.finish(one, Quarantined)
+	}
+	return true
+}
+
+// tellQuarantine tells how an attempt at an item ended that began after an event. Runs that
+// brought new events do not speak against it: items run for long, so many of them are there
+// when a replica ends, and those that go on after what they have come to an end.
+func (r *Runner) tellQuarantine(ctx context.Context, one *task, item *Item, chosen replica.Info, from int, err error) {
+	if r.Quarantine == nil {
+		return
+	}
+	if err == nil {
+		r.Quarantine.EndedWell(func() quarantine.Work { return r.identity(one, item) })
+		return
+	}
+	if one.after > from || !forward.MayHaveEnded(err, 0) {
+		return
+	}
+	r.Quarantine.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, r.identity(one, item))
+}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -44,6 +44,7 @@
 	err := r.exchange(ctx, one, item, chosen, use)
 	r.learn(one, from, time.Since(began), err == nil)
 	use.End(itemResult(one.work.ctx, err), time.Now())
+	r.tellQuarantine(one.work.ctx, one, item, chosen, from, err)
 	if err != nil && one.work.ctx.Err() == nil && !errors.Is(err, errYielded) {
 		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -212,6 +212,8 @@
 	Failed Reason = "failed"
 	// Undecided items may run only once and may have run.
 	Undecided Reason = "undecided"
+	// Quarantined items ended the replicas that ran them.
+	Quarantined Reason = "quarantined"
 )
 
 // Result is one listed result.
@@ -254,13 +256,20 @@
 
 // Parts lists the parts of Group in the order in which they must be read.
 func Parts() []string {
-	parts := []string{memberPart}
+	parts := []string{memberPart, quarantinePart}
 	for shard := range shards {
 		parts = append(parts, shardName(shard))
 	}
 	return parts
 }
 
+// quarantinePart holds the rows of replicas that ended and of the work that ran there.
+const quarantinePart = "quarantine"
+
+// QuarantinePartition is the partition of the rows of replicas that ended and of the work
+// that ran there. Nodes follow it with the jobs, which costs them no calls of its own.
+func QuarantinePartition() string { return Group + "/" + quarantinePart }
+
 // MemberPartition is the partition of the rows of the nodes that are there.
 func MemberPartition() string { return Group + "/" + memberPart }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -53,6 +53,11 @@
 	CommitInterval time.Duration
 	// ViewAge is the time since the view's source last answered.
 	ViewAge func() time.Duration
+	// Quarantine, if set, keeps items from replicas that ended others.
+	Quarantine forward.Quarantine
+	// EndQuarantined has such items end; others wait until they expire, for callers who
+	// were promised that items end for no other reasons.
+	EndQuarantined bool
 }
 
 // Runner runs the items of the jobs that this node owns. It is safe for
@@ -206,6 +211,9 @@
 // start sends one task if a replica has room.
 func (r *Runner) start(one *task, target *route.Route, pool string, homes place.Regions, now time.Time) startResult {
 	item := &one.work.items[one.index]
+	if r.quarantined(one, item, now) {
+		return notNow
+	}
 	if one.once && !one.marked {
 		r.markStarted(one.work)
 		return notNow
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -70,6 +70,7 @@
 func (quietEvents) Claimed(*Entry, string, error)                       {}
 func (quietEvents) ItemSent(*Job, string, string, int)                  {}
 func (quietEvents) ItemFailed(*Job, string, string, error)              {}
+func (quietEvents) ItemQuarantined(*Job, string, error)                 {}
 func (quietEvents) GaveWay(*Job, string, string, int, replica.Pressure) {}
 func (quietEvents) ItemListed(*Job, string, int, Reason, time.Duration) {}
 func (quietEvents) Removed(*Job, error)                                 {}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -45,6 +45,8 @@
 	Claimed(entry *Entry, from string, err error)
 	ItemSent(job *Job, item string, replica string, after int)
 	ItemFailed(job *Job, item string, replica string, err error)
+	// ItemQuarantined tells of an item that is not sent, for it ended replicas.
+	ItemQuarantined(job *Job, item string, err error)
 	// GaveWay tells of an item that makes room for online requests, and why.
 	GaveWay(job *Job, item string, replica string, after int, why replica.Pressure)
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
@@ -69,6 +70,10 @@
 	keptVersion uint64
 	// keptAfter is the last event of that text.
 	keptAfter int
+	// identity tells the item from others by its content; nil until it is asked for.
+	identity *quarantine.Work
+	// held is set while the item is known to be quarantined.
+	held bool
 }
 
 // reconcile takes up the items that the view says are this node's, and drops
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -56,6 +56,8 @@
 	weights  replica.Weights
 	// commitInterval is how long finished items wait to be listed together.
 	commitInterval time.Duration
+	// endQuarantined has items end that are quarantined.
+	endQuarantined bool
 }
 
 // sessionView tells which nodes are there.
@@ -86,6 +88,7 @@
 	owners    sessionView
 	jobs      *jobs.Service
 	runner    *jobs.Runner
+	harm      *harm
 
 	// open counts the requests being forwarded.
 	open    atomic.Int64
@@ -110,11 +113,14 @@
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = outside.sessions(c.session)
+	c.buildQuarantine(outside.table)
 	view := jobs.NewView()
-	view.Malformed = func(key table.Key, err error) {
-		log.Error().Str("partition", key.Partition).Str("key", key.Sort).Err(err).Msg("row cannot be decoded")
-	}
-	c.jobWatch = c.watch("job table", outside.jobFeed, view.Apply)
+	view.Malformed = c.logMalformed
+	c.jobWatch = c.watch("job table", outside.jobFeed, func(changes table.Changes, whole bool) {
+		// No item is sent by what is known of jobs before what is known of harm.
+		c.harm.rows.Apply(changes, whole)
+		view.Apply(changes, whole)
+	})
 	c.jobWatch.Pace = c.jobPace
 	c.jobs = &jobs.Service{
 		Table: outside.table, Objects: outside.objects, View: view,
@@ -124,6 +130,7 @@
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
 		Weights: outside.weights, Zone: outside.zone, Region: outside.region, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
+		Quarantine: &c.harm.guard, EndQuarantined: outside.endQuarantined,
 	})
 	c.replicas.Pressed = c.runner.Yield
 	return c
@@ -182,6 +189,7 @@
 	c.spawn(func() { c.runner.Run(ctx) })
 	c.spawn(func() { c.runner.RunClaims(ctx) })
 	c.spawn(func() { c.runner.RunKeeping(ctx) })
+	c.spawn(func() { c.harm.publisher.Run(ctx) })
 }
 
 // handBackJobs gives this node's jobs to others before it stops.
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -25,6 +25,9 @@
 	socket.Handle(peer.KindDemand, g.takeDemand)
 	socket.Handle(peer.KindNews, g.takeNews)
 	socket.Handle(peer.KindEvidence, g.takeEvidence)
+	socket.Handle(peer.KindHarm, g.takeHarm)
+	g.harm.publisher.Tell = g.tellHarm
+	g.harm.publisher.Written = g.tellAllNews
 	g.jobs.Tell = g.tellNews
 	g.quota.Sender = socket
 	g.answerCold(socket)
--- /dev/null
+++ b/internal/node/gatewayquarantine.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+)
+
+// harmWorksAtOnce bounds the works of one message, and harmEndsAtOnce the ends: of 18 and
+// some 45 bytes each, of the 1,472 of a datagram.
+const (
+	harmWorksAtOnce = 50
+	harmEndsAtOnce  = 8
+)
+
+// harmTold is what a node tells of work that ends replicas, or does not.
+type harmTold struct {
+	Ends    []endTold     `cbor:"1,keyasint,omitempty"`
+	Cleared []clearedTold `cbor:"2,keyasint,omitempty"`
+}
+
+// endTold is the end of a replica.
+type endTold struct {
+	Replica string            `cbor:"1,keyasint"`
+	Works   []quarantine.Work `cbor:"2,keyasint"`
+	AgeMs   int64             `cbor:"3,keyasint"`
+}
+
+// clearedTold is a work of which a run ended well, or that was released.
+type clearedTold struct {
+	Work  quarantine.Work `cbor:"1,keyasint"`
+	AgeMs int64           `cbor:"2,keyasint"`
+}
+
+// tellHarm tells all other nodes what ended here, and what ended well. A word that is lost
+// comes by the table.
+func (g *Gateway) tellHarm(news quarantine.News) {
+	now := time.Now()
+	var told harmTold
+	works := 0
+	flush := func() {
+		if works == 0 {
+			return
+		}
+		for _, node := range g.near.others() {
+			g.tellNode(node, peer.KindHarm, told)
+		}
+		told, works = harmTold{}, 0
+	}
+	for _, report := range news.Reports {
+		for rest := report.Works; len(rest) > 0; {
+			if works >= harmWorksAtOnce || len(told.Ends) >= harmEndsAtOnce {
+				flush()
+			}
+			some := rest[:min(len(rest), harmWorksAtOnce-works)]
+			rest = rest[len(some):]
+			told.Ends = append(told.Ends, endTold{Replica: report.Replica, Works: some, AgeMs: now.Sub(report.At).Milliseconds()})
+			works += len(some)
+		}
+	}
+	for _, clearing := range news.Clearings {
+		if works >= harmWorksAtOnce {
+			flush()
+		}
+		told.Cleared = append(told.Cleared, clearedTold{Work: clearing.Work, AgeMs: now.Sub(clearing.At).Milliseconds()})
+		works++
+	}
+	flush()
+}
+
+// takeHarm handles messages of peer.KindHarm.
+func (g *Gateway) takeHarm(from string, _ *net.UDPAddr, body []byte) {
+	var told harmTold
+	if err := cbor.Unmarshal(body, &told); err != nil {
+		g.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("ends of replicas told by a node cannot be read")
+		return
+	}
+	now := time.Now()
+	for _, ended := range told.Ends {
+		g.harm.guard.Take(quarantine.Report{Replica: ended.Replica, Works: ended.Works, At: ago(now, ended.AgeMs)})
+	}
+	for _, cleared := range told.Cleared {
+		g.harm.Clear(cleared.Work, ago(now, cleared.AgeMs))
+	}
+}
+
+// ago is the time so many ms ago; what others tell of the future is now.
+func ago(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(max(0, ms)) * time.Millisecond)
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,9 @@
 	reservations *prometheus.CounterVec
 	// ejectedByMany counts replicas left out on the evidence of several nodes.
 	ejectedByMany prometheus.Counter
+	// quarantined counts works that were, cleared those of which a run ended well, released
+	// those that operators released.
+	quarantined, cleared, released prometheus.Counter
 	// refused counts the requests that no replica could take, by what excluded most.
 	refused *prometheus.CounterVec
 	// predictionError is how far the first event was from its prediction.
@@ -95,6 +98,15 @@
 	m.ejectedByMany = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_replicas_ejected_by_many_total", Help: "Replicas left out for a while on the evidence of several nodes.",
 	})
+	m.quarantined = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_quarantine_works_total", Help: "Works that this node found to end the replicas which run them.",
+	})
+	m.cleared = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_quarantine_cleared_total", Help: "Suspected works of which a run at this node ended well.",
+	})
+	m.released = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_quarantine_released_total", Help: "Works that operators released at this node.",
+	})
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_requests_excluded_total", Help: "Requests that ended because no replica could take them, by what excluded most replicas.",
 	}, []string{"reason"})
@@ -105,7 +117,7 @@
 	m.served = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_served_total", Help: "Requests served, by how far the replica is from this node.",
 	}, []string{"place"})
-	m.registry.MustRegister(m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.quarantined, m.cleared, m.released, m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
--- /dev/null
+++ b/internal/node/quarantine.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// probeTimeout bounds a try of a connection to a replica whose answer broke off. A way there
+// and back takes 2 to 6 ms within a region, 40 ms to another one.
+const probeTimeout = 400 * time.Millisecond
+
+// harm is what a node knows of work that ends replicas.
+type harm struct {
+	quarantine.List
+	guard     quarantine.Guard
+	rows      quarantine.Rows
+	publisher *quarantine.Publisher
+}
+
+// buildQuarantine joins the parts that find and keep what ends replicas.
+func (c *core) buildQuarantine(service table.Service) {
+	h := &harm{}
+	h.guard = quarantine.Guard{List: &h.List, Replicas: standings{c}, Events: c}
+	h.rows = quarantine.Rows{Partition: jobs.QuarantinePartition(), Guard: &h.guard, Malformed: c.logMalformed}
+	h.publisher = quarantine.NewPublisher(service, &h.rows, c.session.ID)
+	h.publisher.Failed = func(err error) {
+		c.log.Warn().Err(err).Msg("ends of replicas not written yet")
+	}
+	h.publisher.Sweeps = func() bool { return c.owners.Preferred(jobs.QuarantinePartition()) == c.session.ID() }
+	c.harm = h
+	c.forwarder.Quarantine = &h.guard
+}
+
+// standings tells the quarantine about replicas.
+type standings struct{ *core }
+
+var _ quarantine.Replicas = standings{}
+
+// Standing implements quarantine.Replicas.
+func (s standings) Standing(id string) quarantine.Standing {
+	known, listed := s.replicas.Get(id)
+	switch {
+	case !listed:
+		return quarantine.Gone
+	case known.Leaving:
+		return quarantine.Leaving
+	default:
+		return quarantine.Serving
+	}
+}
+
+// Probe implements quarantine.Replicas.
+func (s standings) Probe(ctx context.Context, address string) quarantine.Probe {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", strings.TrimPrefix(address, "http://"))
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return quarantine.Accepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return quarantine.Refused
+	default:
+		return quarantine.Unclear
+	}
+}
+
+// Ended implements quarantine.Events.
+func (c *core) Ended(report quarantine.Report) {
+	works := make([]string, len(report.Works))
+	for i, work := range report.Works {
+		works[i] = work.String()
+	}
+	c.log.Warn().Str("replica", report.Replica).Strs("works", works).Msg("replica ended under work of this node")
+	c.harm.publisher.Report(report)
+}
+
+// Cleared implements quarantine.Events. Others learn of it for good if one more end would
+// have the work quarantined; otherwise a word that is lost costs nothing.
+func (c *core) Cleared(before quarantine.Verdict, at time.Time) {
+	c.metrics.cleared.Inc()
+	c.log.Info().Stringer("work", before.Work).Strs("replicas", before.Replicas).
+		Bool("quarantined", before.Quarantined).Msg("suspected work ended well")
+	lasting := len(before.Replicas) >= quarantine.DefaultReplicas-1
+	c.harm.publisher.Clear(quarantine.Clearing{Work: before.Work, At: at, Lasting: lasting})
+}
+
+// Quarantined implements quarantine.Events.
+func (c *core) Quarantined(verdict quarantine.Verdict) {
+	c.metrics.quarantined.Inc()
+	c.log.Warn().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).
+		Dur("for_ms", time.Until(verdict.Until)).Msg("work quarantined")
+}
+
+// release has nothing of the past count against a work, at all nodes. It returns the verdict
+// until now.
+func (c *core) release(work quarantine.Work) quarantine.Verdict {
+	now := time.Now()
+	before := c.harm.Clear(work, now)
+	if len(before.Replicas) > 0 {
+		c.metrics.released.Inc()
+		c.log.Warn().Stringer("work", work).Strs("replicas", before.Replicas).Msg("work released by an operator")
+		c.harm.publisher.Clear(quarantine.Clearing{Work: work, At: now, Lasting: true})
+	}
+	return before
+}
+
+// logMalformed logs a row that cannot be read.
+func (c *core) logMalformed(key table.Key, err error) {
+	c.log.Error().Str("partition", key.Partition).Str("key", key.Sort).Err(err).Msg("row cannot be decoded")
+}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -22,4 +22,7 @@
 	// the owners of tenants.
 	KindQuotaProbe   Kind = 8
 	KindQuotaContact Kind = 9
+	// KindHarm carries replicas that ended with the work that ran there, and work of which
+	// a run ended well.
+	KindHarm Kind = 10
 )
--- /dev/null
+++ b/internal/quarantine/guard.go
@@ -0,0 +1,211 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// answerWithin bounds how long an attempt that broke off waits for word of its replica
+	// before the next one is decided about: a refused connection takes one way there and
+	// back, 2 to 6 ms within a region.
+	answerWithin = 100 * time.Millisecond
+	// leaveWithin is how long after a broken answer the replica's leaving the list still
+	// shows that it ended: entries lapse after three heartbeats of silence, within a second
+	// on the users' platform.
+	leaveWithin = 5 * time.Second
+	// leaveLook is the time between two looks at the list for that.
+	leaveLook = 100 * time.Millisecond
+	// maxWatched bounds the replicas that are looked after at the same time.
+	maxWatched = 1000
+)
+
+// Probe tells what is at an address.
+type Probe int
+
+// Answers of a probe.
+const (
+	// Unclear is no answer in time.
+	Unclear Probe = iota
+	// Refused means that no process listens there.
+	Refused
+	// Accepted means that a process listens: the same one, or the next one there.
+	Accepted
+)
+
+// Standing is what the list says of a replica.
+type Standing int
+
+// Standings of a replica.
+const (
+	// Gone replicas are not listed.
+	Gone Standing = iota
+	// Leaving replicas have said that they will end.
+	Leaving
+	Serving
+)
+
+// Replica is what the guard needs to know of a replica.
+type Replica struct{ ID, Address string }
+
+// Replicas tells about replicas. It is safe for concurrent use.
+type Replicas interface {
+	// Standing returns what the list says of a replica.
+	Standing(id string) Standing
+	// Probe tries a connection to an address.
+	Probe(ctx context.Context, address string) Probe
+}
+
+// Events is told of decisions, for logs and other nodes. It is safe for concurrent use.
+type Events interface {
+	// Ended tells of a replica that ended while this node's work ran there.
+	Ended(report Report)
+	// Cleared tells of a run that ended well of work that was suspected.
+	Cleared(before Verdict, at time.Time)
+	// Quarantined tells of work that is refused from now on.
+	Quarantined(verdict Verdict)
+}
+
+// Guard finds out which replicas ended under which work of this node, and refuses work that
+// is quarantined. A broken answer alone is no end: connections are reset and cut, and answers
+// come garbled, while the replica goes on. It is one if nothing listens at the replica's
+// address any more, or if the replica leaves the list soon without having said that it would.
+// It is safe for concurrent use.
+type Guard struct {
+	List     *List
+	Replicas Replicas
+	Events   Events
+
+	mu      sync.Mutex
+	watched map[string]*watch
+}
+
+// watch looks after a replica whose answers broke off.
+type watch struct {
+	// probed is closed when the probe has answered.
+	probed chan struct{}
+	// ended is when the replica was found to have ended; zero if it was not.
+	ended time.Time
+	// works are those that broke off before it was known whether it ended.
+	works []Work
+}
+
+// before reports whether the watch is about an earlier life of the replica.
+func (w *watch) before(now time.Time) bool { return !w.ended.IsZero() && now.Sub(w.ended) > sameEnd }
+
+// Refuse returns a RefusedError for work that is quarantined. The work is asked for only if
+// any is suspected.
+func (g *Guard) Refuse(work func() Work) error {
+	if g.List.Empty() {
+		return nil
+	}
+	if verdict := g.List.Check(work(), time.Now()); verdict.Quarantined {
+		return &RefusedError{Verdict: verdict}
+	}
+	return nil
+}
+
+// EndedWell takes in a run that ended well.
+func (g *Guard) EndedWell(work func() Work) {
+	if g.List.Empty() {
+		return
+	}
+	now := time.Now()
+	if before := g.List.Clear(work(), now); len(before.Replicas) > 0 {
+		g.Events.Cleared(before, now)
+	}
+}
+
+// BrokeOff takes in that a replica's answer to a work broke off. It returns when it is known
+// whether the replica ended, or after a short time.
+func (g *Guard) BrokeOff(ctx context.Context, replica Replica, work Work) {
+	known := g.attach(replica, work)
+	if known == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	select {
+	case <-known.probed:
+	case <-ctx.Done():
+	}
+}
+
+// attach adds a work to the watch of a replica, and begins one if there is none. It returns
+// nil if the replica's end would be no news.
+func (g *Guard) attach(replica Replica, work Work) *watch {
+	g.mu.Lock()
+	known := g.watched[replica.ID]
+	if known == nil || known.before(time.Now()) {
+		if len(g.watched) >= maxWatched || g.Replicas.Standing(replica.ID) != Serving {
+			g.mu.Unlock()
+			return nil
+		}
+		if g.watched == nil {
+			g.watched = map[string]*watch{}
+		}
+		known = &watch{probed: make(chan struct{})}
+		g.watched[replica.ID] = known
+		go g.look(replica, known)
+	}
+	if ended := known.ended; !ended.IsZero() {
+		g.mu.Unlock()
+		g.report(Report{Replica: replica.ID, Works: []Work{work}, At: ended})
+		return known
+	}
+	known.works = append(known.works, work)
+	g.mu.Unlock()
+	return known
+}
+
+// look finds out whether a replica ended, and forgets the watch when its answers that break
+// off can be due to that no more.
+func (g *Guard) look(replica Replica, known *watch) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
+	defer cancel()
+	if g.Replicas.Probe(ctx, replica.Address) == Refused {
+		g.settle(replica, known, began)
+	}
+	close(known.probed)
+	ticker := time.NewTicker(leaveLook)
+	defer ticker.Stop()
+	for standing := Serving; standing == Serving && ctx.Err() == nil; {
+		<-ticker.C
+		if standing = g.Replicas.Standing(replica.ID); standing == Gone {
+			g.settle(replica, known, began)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.watched[replica.ID] == known {
+		delete(g.watched, replica.ID)
+	}
+}
+
+// settle takes in that a replica ended, once.
+func (g *Guard) settle(replica Replica, known *watch, at time.Time) {
+	g.mu.Lock()
+	if !known.ended.IsZero() {
+		g.mu.Unlock()
+		return
+	}
+	known.ended = at
+	works := known.works
+	g.mu.Unlock()
+	g.report(Report{Replica: replica.ID, Works: works, At: at})
+}
+
+// report takes in an end that this node saw.
+func (g *Guard) report(report Report) {
+	g.Take(report)
+	g.Events.Ended(report)
+}
+
+// Take takes in an end that this node or another one saw.
+func (g *Guard) Take(report Report) {
+	for _, verdict := range g.List.Add(report, time.Now()) {
+		g.Events.Quarantined(verdict)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/guard_test.go
@@ -0,0 +1,163 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fakeReplicas answers probes as told.
+type fakeReplicas struct {
+	mu    sync.Mutex
+	left  map[string]Standing
+	probe Probe
+	asked int
+}
+
+func (f *fakeReplicas) Standing(id string) Standing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if standing, ok := f.left[id]; ok {
+		return standing
+	}
+	return Serving
+}
+
+func (f *fakeReplicas) Probe(context.Context, string) Probe {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	return f.probe
+}
+
+func (f *fakeReplicas) leave(id string, standing Standing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left[id] = standing
+}
+
+// told records events.
+type told struct {
+	mu          sync.Mutex
+	ended       []Report
+	cleared     []Verdict
+	quarantined []Verdict
+}
+
+func (t *told) Ended(report Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = append(t.ended, report)
+}
+
+func (t *told) Cleared(before Verdict, _ time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cleared = append(t.cleared, before)
+}
+
+func (t *told) Quarantined(verdict Verdict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.quarantined = append(t.quarantined, verdict)
+}
+
+func (t *told) ends() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.ended)
+}
+
+func newGuard(probe Probe) (*Guard, *fakeReplicas, *told) {
+	replicas, events := &fakeReplicas{left: map[string]Standing{}, probe: probe}, &told{}
+	return &Guard{List: &List{}, Replicas: replicas, Events: events}, replicas, events
+}
+
+func (g *Guard) breakOff(ctx context.Context, replica string, work Work) {
+	g.BrokeOff(ctx, Replica{ID: replica, Address: replica}, work)
+}
+
+func TestGuard_ARefusedConnectionIsAnEndAtOnce(t *testing.T) {
+	guard, replicas, events := newGuard(Refused)
+	bad := work("bad")
+	asked := func() Work { return bad }
+	for _, replica := range []string{"a", "b", "c"} {
+		if err := guard.Refuse(asked); err != nil {
+			t.Fatalf("refused before %s: %v", replica, err)
+		}
+		guard.breakOff(t.Context(), replica, bad)
+	}
+	var refused *RefusedError
+	if err := guard.Refuse(asked); !errors.As(err, &refused) || len(refused.Replicas) != 3 {
+		t.Fatalf("got %v", err)
+	}
+	if events.ends() != 3 || len(events.quarantined) != 1 {
+		t.Fatalf("told of %d ends, %d verdicts", events.ends(), len(events.quarantined))
+	}
+	guard.breakOff(t.Context(), "a", work("beside"))
+	if replicas.asked != 3 || events.ends() != 4 {
+		t.Fatalf("%d probes, %d reports: what breaks off later at the same replica is reported without a probe", replicas.asked, events.ends())
+	}
+}
+
+func TestGuard_ABrokenAnswerOfAReplicaThatLivesIsNoEnd(t *testing.T) {
+	for _, probe := range []Probe{Accepted, Unclear} {
+		guard, _, events := newGuard(probe)
+		for _, replica := range []string{"a", "b", "c", "d"} {
+			guard.breakOff(t.Context(), replica, work("w"))
+		}
+		time.Sleep(3 * leaveLook)
+		if events.ends() != 0 || guard.Refuse(func() Work { return work("w") }) != nil {
+			t.Errorf("probe %v: an end was taken from a broken answer alone", probe)
+		}
+	}
+}
+
+func TestGuard_AReplicaThatLeavesTheListAfterABrokenAnswerEnded(t *testing.T) {
+	guard, replicas, events := newGuard(Accepted)
+	guard.breakOff(t.Context(), "a", work("w"))
+	replicas.leave("a", Gone)
+	deadline := time.Now().Add(5 * time.Second)
+	for events.ends() == 0 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if verdict := guard.List.Check(work("w"), time.Now()); len(verdict.Replicas) != 1 {
+		t.Fatalf("%d ends count", len(verdict.Replicas))
+	}
+}
+
+func TestGuard_ThePlannedEndOfAReplicaIsNone(t *testing.T) {
+	guard, replicas, events := newGuard(Refused)
+	for id, standing := range map[string]Standing{"a": Leaving, "b": Gone} {
+		replicas.leave(id, standing)
+		guard.breakOff(t.Context(), id, work("w"))
+	}
+	if events.ends() != 0 || replicas.asked != 0 {
+		t.Fatal("an answer that broke off at a replica about to leave counts")
+	}
+}
+
+func TestGuard_AReplicaThatSaysThatItLeavesAfterABrokenAnswerDidNotEnd(t *testing.T) {
+	guard, replicas, events := newGuard(Accepted)
+	guard.breakOff(t.Context(), "a", work("w"))
+	replicas.leave("a", Leaving)
+	time.Sleep(2 * leaveLook)
+	replicas.leave("a", Gone)
+	time.Sleep(2 * leaveLook)
+	if events.ends() != 0 {
+		t.Fatal("a planned leave counts as an end")
+	}
+}
+
+func TestGuard_EndedWellClearsAndTellsOnlyOfSuspects(t *testing.T) {
+	guard, _, events := newGuard(Refused)
+	guard.EndedWell(func() Work { t.Error("asked for work while nothing is suspected"); return Work{} })
+	guard.breakOff(t.Context(), "a", work("w"))
+	guard.EndedWell(func() Work { return work("other") })
+	guard.EndedWell(func() Work { return work("w") })
+	if len(events.cleared) != 1 || events.cleared[0].Work != work("w") {
+		t.Fatalf("told of %v", events.cleared)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/list.go
@@ -0,0 +1,292 @@
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// DefaultReplicas is how many replicas work may end until it is kept from all others.
+	// Two would condemn what two replicas that end by themselves happen to have had one
+	// after the other: a request and its one retry.
+	DefaultReplicas = 3
+	// DefaultFor is how long the end of a replica counts against the work that ran there.
+	DefaultFor = time.Hour
+	// maxWorks bounds the works that are remembered: what ran on some thousand replicas
+	// when they ended, of 8 to 17 slots each. The oldest ends are forgotten first.
+	maxWorks = 10000
+	// sameEnd is how far apart two nodes may see the same end of a replica: one that was held
+	// up hears of it late. A replica is back no sooner than after some seconds, with another
+	// id where ids are those of lives, or with the same one.
+	sameEnd = 2 * time.Second
+)
+
+// Report tells that a replica ended while a node's requests ran there.
+type Report struct {
+	// Replica is its id.
+	Replica string
+	// Works are what the node had there.
+	Works []Work
+	// At is when it ended.
+	At time.Time
+}
+
+// Verdict is what is known of a work.
+type Verdict struct {
+	Work Work
+	// Replicas are those whose ends count against it, the oldest first; one that ended twice
+	// stands there twice.
+	Replicas []string
+	// Quarantined work is sent to no replica, until Until.
+	Quarantined bool
+	Until       time.Time
+	// Last is the end of the newest of Replicas.
+	Last time.Time
+}
+
+// RefusedError reports work that is kept from all replicas. It did not run this time.
+type RefusedError struct{ Verdict }
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("quarantined: %d replicas ended while they ran this work", len(e.Replicas))
+}
+
+// List tells harmful work from the ends of replicas: a work may end Replicas of them within
+// For, and then runs nowhere until the oldest of these ends is For ago. An end counts against
+// all that ran there, until a run of the work ends well, or another one that ran there is
+// quarantined. The zero value goes by the defaults. It is safe for concurrent use.
+type List struct {
+	// Replicas and For are set before use; zero means the default.
+	Replicas int
+	For      time.Duration
+
+	mu sync.Mutex
+	// ends are those of each replica.
+	ends  map[string][]*end
+	works map[Work]*suspect
+	// oldest are the ends in the order in which they were learned.
+	oldest []*end
+	// reports counts the reports.
+	reports uint64
+	// count is the number of works, for those who have nothing to look up.
+	count atomic.Int64
+}
+
+// end is that of a replica.
+type end struct {
+	replica string
+	at      time.Time
+	works   map[Work]struct{}
+}
+
+// suspect is a work that ran on replicas which ended.
+type suspect struct {
+	ends map[*end]struct{}
+	// cleared is when a run ended well or an operator released it; what came before does not
+	// count.
+	cleared time.Time
+	// quarantined is 0 for work that is not, else the number of the report that brought it
+	// about.
+	quarantined uint64
+}
+
+func (l *List) limit() int {
+	if l.Replicas > 0 {
+		return l.Replicas
+	}
+	return DefaultReplicas
+}
+
+func (l *List) memory() time.Duration {
+	if l.For > 0 {
+		return l.For
+	}
+	return DefaultFor
+}
+
+// Empty reports whether nothing is suspected.
+func (l *List) Empty() bool { return l.count.Load() == 0 }
+
+// Add takes in a report and returns the verdicts on what it has quarantined. A report that
+// comes again changes nothing.
+func (l *List) Add(report Report, now time.Time) []Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	if now.Sub(report.At) >= l.memory() || len(report.Works) == 0 {
+		return nil
+	}
+	l.note(report)
+	var condemned []Verdict
+	for _, work := range report.Works {
+		// All works of the report are judged by what was quarantined before it.
+		if verdict := l.judge(work, now); verdict.Quarantined && l.works[work].quarantined == 0 {
+			condemned = append(condemned, verdict)
+		}
+	}
+	l.reports++
+	for _, verdict := range condemned {
+		l.works[verdict.Work].quarantined = l.reports
+	}
+	return condemned
+}
+
+// note notes what a report tells. The caller holds mu.
+func (l *List) note(report Report) {
+	known := l.endOf(report)
+	for _, work := range report.Works {
+		known.works[work] = struct{}{}
+		if l.works[work] == nil {
+			l.works[work] = &suspect{ends: map[*end]struct{}{}}
+		}
+		l.works[work].ends[known] = struct{}{}
+	}
+	for len(l.works) > maxWorks && len(l.oldest) > 1 {
+		l.forgetOldest()
+	}
+	l.count.Store(int64(len(l.works)))
+}
+
+// endOf returns the end that a report tells of. The caller holds mu.
+func (l *List) endOf(report Report) *end {
+	if l.ends == nil {
+		l.ends, l.works = map[string][]*end{}, map[Work]*suspect{}
+	}
+	for _, known := range l.ends[report.Replica] {
+		if report.At.Sub(known.at).Abs() <= sameEnd {
+			return known
+		}
+	}
+	known := &end{replica: report.Replica, at: report.At, works: map[Work]struct{}{}}
+	l.ends[report.Replica] = append(l.ends[report.Replica], known)
+	l.oldest = append(l.oldest, known)
+	return known
+}
+
+// prune forgets what is too long ago to count. The caller holds mu.
+func (l *List) prune(now time.Time) {
+	for len(l.oldest) > 0 && now.Sub(l.oldest[0].at) >= l.memory() {
+		l.forgetOldest()
+	}
+	l.count.Store(int64(len(l.works)))
+}
+
+// forgetOldest forgets the end that was learned first. The caller holds mu.
+func (l *List) forgetOldest() {
+	forgotten := l.oldest[0]
+	l.oldest = l.oldest[1:]
+	for work := range forgotten.works {
+		known := l.works[work]
+		delete(known.ends, forgotten)
+		if len(known.ends) == 0 {
+			delete(l.works, work)
+		}
+	}
+	left := slices.DeleteFunc(l.ends[forgotten.replica], func(one *end) bool { return one == forgotten })
+	if len(left) == 0 {
+		delete(l.ends, forgotten.replica)
+	} else {
+		l.ends[forgotten.replica] = left
+	}
+}
+
+// judge sums up what counts against a work. The caller holds mu.
+func (l *List) judge(work Work, now time.Time) Verdict {
+	verdict := Verdict{Work: work}
+	known := l.works[work]
+	if known == nil {
+		return verdict
+	}
+	var counted []*end
+	for ended := range known.ends {
+		if ended.at.After(known.cleared) && now.Sub(ended.at) < l.memory() && !l.explained(ended, known) {
+			counted = append(counted, ended)
+		}
+	}
+	slices.SortFunc(counted, func(a, b *end) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.replica, b.replica))
+	})
+	for _, ended := range counted {
+		verdict.Replicas = append(verdict.Replicas, ended.replica)
+		verdict.Last = ended.at
+	}
+	if beyond := len(counted) - l.limit(); beyond >= 0 {
+		verdict.Quarantined = true
+		verdict.Until = counted[beyond].at.Add(l.memory())
+	}
+	return verdict
+}
+
+// explained reports whether work that was quarantined before a suspect ran at a replica when
+// it ended. The caller holds mu.
+func (l *List) explained(ended *end, known *suspect) bool {
+	for work := range ended.works {
+		other := l.works[work]
+		if other != known && other.quarantined != 0 && (known.quarantined == 0 || other.quarantined < known.quarantined) {
+			return true
+		}
+	}
+	return false
+}
+
+// Check returns the verdict on a work.
+func (l *List) Check(work Work, now time.Time) Verdict {
+	if l.Empty() {
+		return Verdict{Work: work}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check(work, now)
+}
+
+// check returns the verdict on a work. One whose time is over is not quarantined any more.
+// The caller holds mu.
+func (l *List) check(work Work, now time.Time) Verdict {
+	verdict := l.judge(work, now)
+	if known := l.works[work]; known != nil && !verdict.Quarantined {
+		known.quarantined = 0
+	}
+	return verdict
+}
+
+// Clear has nothing before a time count against a work: a run of it ended well then, or an
+// operator released it. It returns the verdict until then, which holds no replicas if there
+// was nothing to clear.
+func (l *List) Clear(work Work, at time.Time) Verdict {
+	if l.Empty() {
+		return Verdict{Work: work}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.works[work]
+	if known == nil || !at.After(known.cleared) {
+		return Verdict{Work: work}
+	}
+	before := l.judge(work, at)
+	known.cleared = at
+	l.check(work, at)
+	return before
+}
+
+// All returns the verdicts on all works against which something counts, the most suspected
+// first.
+func (l *List) All(now time.Time) []Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	var all []Verdict
+	for work := range l.works {
+		if verdict := l.check(work, now); len(verdict.Replicas) > 0 {
+			all = append(all, verdict)
+		}
+	}
+	slices.SortFunc(all, func(a, b Verdict) int {
+		return cmp.Or(cmp.Compare(len(b.Replicas), len(a.Replicas)), b.Last.Compare(a.Last), cmp.Compare(a.Work.String(), b.Work.String()))
+	})
+	return all
+}
--- /dev/null
+++ b/internal/quarantine/list_test.go
@@ -0,0 +1,173 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func work(name string) Work {
+	content := Content{Target: name}
+	return content.Work()
+}
+
+// ended reports that a replica ended with works, some seconds after start.
+func ended(list *List, replica string, second int, works ...Work) []Verdict {
+	at := start.Add(time.Duration(second) * time.Second)
+	return list.Add(Report{Replica: replica, Works: works, At: at}, at)
+}
+
+func quarantined(list *List, work Work, second int) bool {
+	return list.Check(work, start.Add(time.Duration(second)*time.Second)).Quarantined
+}
+
+func TestList_QuarantinesWhatEndedThreeReplicas(t *testing.T) {
+	var list List
+	bad := work("bad")
+	for i := range 2 {
+		if got := ended(&list, fmt.Sprintf("r%d", i), i, bad, work(fmt.Sprintf("beside %d", i))); len(got) != 0 {
+			t.Fatalf("quarantined after %d replicas: %v", i+1, got)
+		}
+	}
+	got := ended(&list, "r2", 2, bad, work("beside"))
+	if len(got) != 1 || got[0].Work != bad || len(got[0].Replicas) != 3 {
+		t.Fatalf("verdicts %v", got)
+	}
+	if !quarantined(&list, bad, 10) || quarantined(&list, work("beside"), 10) {
+		t.Fatal("the wrong work is quarantined")
+	}
+}
+
+func TestList_AReportThatComesAgainChangesNothing(t *testing.T) {
+	var list List
+	for range 5 {
+		ended(&list, "r", 0, work("w"))
+	}
+	if verdict := list.Check(work("w"), start); len(verdict.Replicas) != 1 {
+		t.Fatalf("%d replicas count", len(verdict.Replicas))
+	}
+}
+
+func TestList_AReplicaThatIsBackUnderTheSameIDCountsAgain(t *testing.T) {
+	var list List
+	for i := range 3 {
+		ended(&list, "machine", 10*i, work("w"))
+	}
+	if !quarantined(&list, work("w"), 21) {
+		t.Fatal("three ends of one replica count as fewer")
+	}
+}
+
+func TestList_ARunThatEndedWellClears(t *testing.T) {
+	var list List
+	popular := work("popular")
+	for i := range 10 {
+		ended(&list, fmt.Sprintf("r%d", i), 2*i, popular)
+		list.Clear(popular, start.Add(time.Duration(2*i+1)*time.Second))
+		if quarantined(&list, popular, 2*i+1) {
+			t.Fatalf("quarantined after %d ends with whole runs between", i+1)
+		}
+	}
+	// What ends after the clearing counts.
+	for i := range 3 {
+		ended(&list, fmt.Sprintf("later%d", i), 100+i, popular)
+	}
+	if !quarantined(&list, popular, 103) {
+		t.Fatal("three ends in a row do not count")
+	}
+}
+
+func TestList_AClearingThatComesLateClearsWhatWasBefore(t *testing.T) {
+	var list List
+	for i := range 3 {
+		ended(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	list.Clear(work("w"), start.Add(1500*time.Millisecond))
+	if verdict := list.Check(work("w"), start.Add(5*time.Second)); verdict.Quarantined || len(verdict.Replicas) != 1 {
+		t.Fatalf("verdict %+v", verdict)
+	}
+}
+
+func TestList_EndsUnderQuarantinedWorkDoNotCountAgainstOthers(t *testing.T) {
+	var list List
+	bad, unlucky := work("bad"), work("unlucky")
+	ended(&list, "r0", 0, bad)
+	ended(&list, "r1", 1, bad, unlucky)
+	ended(&list, "r2", 2, bad)
+	// Runs that had begun before the verdict.
+	ended(&list, "r3", 3, bad, unlucky)
+	ended(&list, "r4", 3, bad, unlucky)
+	if quarantined(&list, unlucky, 4) {
+		t.Fatal("work that ran beside harmful work is quarantined")
+	}
+	if verdict := list.Check(unlucky, start.Add(4*time.Second)); len(verdict.Replicas) != 0 {
+		t.Fatalf("%d ends count against it", len(verdict.Replicas))
+	}
+}
+
+// TestList_HarmfulWorkDoesNotHideBehindOthers guards that what ends replicas is found
+// though other work that ran beside it each time was quarantined with it.
+func TestList_HarmfulWorkDoesNotHideBehindOthers(t *testing.T) {
+	var list List
+	bad, beside := work("bad"), work("beside")
+	for i := range 3 {
+		ended(&list, fmt.Sprintf("r%d", i), i, beside, bad)
+	}
+	if !quarantined(&list, bad, 3) {
+		t.Fatal("harmful work is not quarantined")
+	}
+}
+
+func TestList_FadesAndMayTryAgain(t *testing.T) {
+	list := List{Replicas: 3, For: time.Minute}
+	bad := work("bad")
+	for i := range 3 {
+		ended(&list, fmt.Sprintf("r%d", i), 10*i, bad)
+	}
+	if verdict := list.Check(bad, start.Add(30*time.Second)); !verdict.Until.Equal(start.Add(time.Minute)) {
+		t.Fatalf("until %v", verdict.Until.Sub(start))
+	}
+	if !quarantined(&list, bad, 59) || quarantined(&list, bad, 60) {
+		t.Fatal("the quarantine does not end when the oldest end is a minute ago")
+	}
+	if ended(&list, "again", 61, bad); !quarantined(&list, bad, 62) {
+		t.Fatal("the next end does not count with those of the last minute")
+	}
+	if ended(&list, "late", 500, work("other")); quarantined(&list, bad, 500) {
+		t.Fatal("still quarantined")
+	}
+	if all := list.All(start.Add(10 * time.Hour)); len(all) != 0 || !list.Empty() {
+		t.Fatalf("%d works are remembered", len(all))
+	}
+}
+
+func TestList_ForgetsTheOldestBeyondItsBound(t *testing.T) {
+	var list List
+	for i := range maxWorks + 100 {
+		ended(&list, fmt.Sprintf("r%d", i), 0, work(fmt.Sprint(i)))
+	}
+	if count := list.count.Load(); count != maxWorks {
+		t.Fatalf("%d works are remembered", count)
+	}
+	if len(list.Check(work("0"), start).Replicas) != 0 || len(list.Check(work(fmt.Sprint(maxWorks)), start).Replicas) != 1 {
+		t.Fatal("not the oldest were forgotten")
+	}
+}
+
+// BenchmarkList_TenThousand measures the memory of a full list and the time of a look.
+func BenchmarkList_TenThousand(b *testing.B) {
+	var list List
+	for i := range maxWorks / 8 {
+		var beside []Work
+		for slot := range 8 {
+			beside = append(beside, work(fmt.Sprint(8*i+slot)))
+		}
+		ended(&list, fmt.Sprintf("i-%010x", i), 0, beside...)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		list.Check(work("innocent"), start)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/publisher.go
@@ -0,0 +1,247 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// gather is how long news waits for more of the same moment: the requests that a node
+	// had at a replica see its end within a few ms.
+	gather = 20 * time.Millisecond
+	// writeTimeout bounds one write, writeRetryFirst and writeRetryMax the pauses between
+	// tries of it.
+	writeTimeout    = 2 * time.Second
+	writeRetryFirst = 100 * time.Millisecond
+	writeRetryMax   = time.Second
+	// maxPending bounds the reports and the clearings that wait while the table is away.
+	maxPending = 1000
+	// rowsAtOnce bounds the rows of one transaction.
+	rowsAtOnce = 50
+	// sweepEvery is the time between two looks for rows that count no more.
+	sweepEvery = time.Minute
+)
+
+// Clearing tells that nothing before a time counts against a work.
+type Clearing struct {
+	Work Work
+	At   time.Time
+	// Lasting clearings are written to the table; others are told only.
+	Lasting bool
+}
+
+// News is what a node has seen.
+type News struct {
+	Reports   []Report
+	Clearings []Clearing
+}
+
+func (n *News) empty() bool { return len(n.Reports)+len(n.Clearings) == 0 }
+
+// Publisher lets all nodes know what this one has seen: at once by messages, which may be
+// lost, and for good by rows of the table, which every node follows and which outlive the
+// restart of all. It is safe for concurrent use.
+type Publisher struct {
+	Table table.Service
+	Rows  *Rows
+	// Session names this life of the node.
+	Session func() string
+	// Tell, if set, sends news to all other nodes.
+	Tell func(News)
+	// Written, if set, is told that rows have been written.
+	Written func()
+	// Failed, if set, is told of writes that failed and are tried again, and of news that
+	// was dropped.
+	Failed func(error)
+	// Sweeps reports whether this node is the one to remove rows that count no more.
+	Sweeps func() bool
+
+	mu      sync.Mutex
+	pending News
+	wake    chan struct{}
+	// written counts the rows of reports, for their keys.
+	written int
+}
+
+// NewPublisher returns a publisher that has nothing to tell.
+func NewPublisher(service table.Service, rows *Rows, session func() string) *Publisher {
+	return &Publisher{Table: service, Rows: rows, Session: session, wake: make(chan struct{}, 1), Sweeps: func() bool { return false }}
+}
+
+// Report has all nodes learn of an end.
+func (p *Publisher) Report(report Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.pending.Reports {
+		if known := &p.pending.Reports[i]; known.Replica == report.Replica {
+			known.Works = append(known.Works, report.Works...)
+			return
+		}
+	}
+	p.pending.Reports = append(p.pending.Reports, report)
+	p.notify()
+}
+
+// Clear has all nodes learn of a clearing.
+func (p *Publisher) Clear(clearing Clearing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending.Clearings = append(p.pending.Clearings, clearing)
+	p.notify()
+}
+
+// notify wakes Run. The caller holds mu.
+func (p *Publisher) notify() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells and writes what there is until the context ends.
+func (p *Publisher) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	var unwritten News
+	delay := writeRetryFirst
+	for ctx.Err() == nil {
+		if unwritten.empty() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				p.sweep(ctx)
+				continue
+			case <-p.wake:
+			}
+		}
+		if !retry.Sleep(ctx, gather) {
+			return
+		}
+		p.addTo(&unwritten)
+		if err := p.write(ctx, &unwritten); err != nil {
+			p.failed(err)
+			retry.Sleep(ctx, delay)
+			delay = min(2*delay, writeRetryMax)
+			continue
+		}
+		delay = writeRetryFirst
+	}
+}
+
+// addTo tells others what is new and adds it to what is to be written.
+func (p *Publisher) addTo(unwritten *News) {
+	p.mu.Lock()
+	fresh := p.pending
+	p.pending = News{}
+	p.mu.Unlock()
+	if fresh.empty() {
+		return
+	}
+	if p.Tell != nil {
+		p.Tell(fresh)
+	}
+	unwritten.Reports = append(unwritten.Reports, fresh.Reports...)
+	for _, clearing := range fresh.Clearings {
+		if clearing.Lasting {
+			unwritten.Clearings = append(unwritten.Clearings, clearing)
+		}
+	}
+	dropped := len(unwritten.Reports) - maxPending
+	if dropped > 0 {
+		unwritten.Reports = unwritten.Reports[dropped:]
+		p.failed(Error.New("the table has been away for too long, %d ends are not written", dropped))
+	}
+	if dropped := len(unwritten.Clearings) - maxPending; dropped > 0 {
+		unwritten.Clearings = unwritten.Clearings[dropped:]
+		p.failed(Error.New("the table has been away for too long, %d clearings are not written", dropped))
+	}
+}
+
+func (p *Publisher) failed(err error) {
+	if p.Failed != nil {
+		p.Failed(err)
+	}
+}
+
+// write writes all that is to be written and takes off what is.
+func (p *Publisher) write(ctx context.Context, unwritten *News) error {
+	for !unwritten.empty() {
+		reports := unwritten.Reports[:min(len(unwritten.Reports), rowsAtOnce)]
+		clearings := unwritten.Clearings[:min(len(unwritten.Clearings), rowsAtOnce-len(reports))]
+		writes, err := p.encode(reports, clearings)
+		if err != nil {
+			return err
+		}
+		if err := p.commit(ctx, writes); err != nil {
+			return err
+		}
+		p.written += len(reports)
+		unwritten.Reports = unwritten.Reports[len(reports):]
+		unwritten.Clearings = unwritten.Clearings[len(clearings):]
+		if p.Written != nil {
+			p.Written()
+		}
+	}
+	return nil
+}
+
+func (p *Publisher) encode(reports []Report, clearings []Clearing) ([]table.Write, error) {
+	writes := make([]table.Write, 0, len(reports)+len(clearings))
+	for i, report := range reports {
+		key := fmt.Sprintf("%s/%s/%d", report.Replica, p.Session(), p.written+i)
+		write, err := p.Rows.putEnd(key, report)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, write)
+	}
+	seen := map[Work]bool{}
+	for _, clearing := range clearings {
+		if seen[clearing.Work] {
+			continue
+		}
+		seen[clearing.Work] = true
+		write, err := p.Rows.putClearing(clearing)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, write)
+	}
+	return writes, nil
+}
+
+// commit makes one try of a write. A conflict tells that an earlier try, whose answer was
+// lost, was done, or that another node has cleared a work, so the versions are learned.
+func (p *Publisher) commit(ctx context.Context, writes []table.Write) error {
+	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err := p.Table.Commit(callCtx, table.NewOperation(), writes...)
+	var conflict *table.ConflictError
+	if errors.As(err, &conflict) {
+		p.Rows.learn(conflict.Rows)
+	}
+	return err
+}
+
+// sweep removes rows that count no more.
+func (p *Publisher) sweep(ctx context.Context) {
+	if !p.Sweeps() {
+		return
+	}
+	writes := p.Rows.outdated(rowsAtOnce)
+	if len(writes) == 0 {
+		return
+	}
+	if err := p.commit(ctx, writes); err != nil && outcome.Of(err) != outcome.NotDone {
+		// The next sweep looks again.
+		p.failed(err)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/rows.go
@@ -0,0 +1,209 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// Prefixes of the rows: one for each end and node that had work there, one for each work
+// that was cleared.
+const (
+	prefixEnd      = "end/"
+	prefixClearing = "cleared/"
+)
+
+// errClockUnknown reports that the table's clock has not been seen yet.
+var errClockUnknown = Error.New("the table's clock is not known yet")
+
+// endRow is the body of the row of an end. Times are of the table's steady clock, in ms.
+type endRow struct {
+	Replica string `cbor:"1,keyasint"`
+	Works   []Work `cbor:"2,keyasint"`
+	At      int64  `cbor:"3,keyasint"`
+}
+
+// clearingRow is the body of the row of a clearing.
+type clearingRow struct {
+	At int64 `cbor:"1,keyasint"`
+}
+
+// Rows are the rows of ends and clearings in the table, as the node follows them. It is safe
+// for concurrent use.
+type Rows struct {
+	// Partition is where the rows are; rows of others are passed over.
+	Partition string
+	// Guard takes in ends; its list takes in clearings.
+	Guard *Guard
+	// Malformed, if set, is told of rows that cannot be read; they are passed over.
+	Malformed func(key table.Key, err error)
+
+	mu sync.Mutex
+	// tableNow is the table's clock as of readAt.
+	tableNow time.Duration
+	readAt   time.Time
+	rows     map[string]rowState
+}
+
+// rowState is what is known of a row.
+type rowState struct {
+	version uint64
+	// at is the time that the row tells, by this node's clock.
+	at time.Time
+}
+
+// fact is what a row tells.
+type fact struct {
+	at       time.Time
+	report   *Report
+	clearing *Clearing
+}
+
+// Apply takes in changes of the group that the partition belongs to.
+func (r *Rows) Apply(changes table.Changes, _ bool) {
+	facts := r.take(changes)
+	slices.SortStableFunc(facts, func(a, b fact) int { return a.at.Compare(b.at) })
+	for _, one := range facts {
+		if one.report != nil {
+			r.Guard.Take(*one.report)
+		} else {
+			r.Guard.List.Clear(one.clearing.Work, one.clearing.At)
+		}
+	}
+}
+
+func (r *Rows) take(changes table.Changes) []fact {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tableNow, r.readAt = changes.Now, time.Now()
+	if r.rows == nil {
+		r.rows = map[string]rowState{}
+	}
+	var facts []fact
+	for _, change := range changes.Changes {
+		if change.Partition != r.Partition {
+			continue
+		}
+		if change.Removed {
+			delete(r.rows, change.Sort)
+			continue
+		}
+		one, err := r.decode(change.Row)
+		if err != nil {
+			if r.Malformed != nil {
+				r.Malformed(change.Key, err)
+			}
+			continue
+		}
+		r.rows[change.Sort] = rowState{version: change.Version, at: one.at}
+		facts = append(facts, one)
+	}
+	return facts
+}
+
+// decode reads a row. The caller holds mu.
+func (r *Rows) decode(row table.Row) (fact, error) {
+	if name, ok := strings.CutPrefix(row.Sort, prefixClearing); ok {
+		work, err := ParseWork(name)
+		if err != nil {
+			return fact{}, err
+		}
+		var body clearingRow
+		if err := cbor.Unmarshal(row.Body, &body); err != nil {
+			return fact{}, Error.Wrap(err)
+		}
+		at := r.local(body.At)
+		return fact{at: at, clearing: &Clearing{Work: work, At: at}}, nil
+	}
+	var body endRow
+	if err := cbor.Unmarshal(row.Body, &body); err != nil {
+		return fact{}, Error.Wrap(err)
+	}
+	at := r.local(body.At)
+	return fact{at: at, report: &Report{Replica: body.Replica, Works: body.Works, At: at}}, nil
+}
+
+// local returns a time of the table's clock by this node's. The caller holds mu.
+func (r *Rows) local(at int64) time.Time {
+	age := r.tableNow - time.Duration(at)*time.Millisecond
+	return r.readAt.Add(-max(0, age))
+}
+
+// tableTime returns a time of this node's clock by the table's. The caller holds mu.
+func (r *Rows) tableTime(at time.Time) (int64, error) {
+	if r.readAt.IsZero() {
+		return 0, errClockUnknown
+	}
+	return (r.tableNow + at.Sub(r.readAt)).Milliseconds(), nil
+}
+
+// putEnd returns the write of the row of an end.
+func (r *Rows) putEnd(name string, report Report) (table.Write, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, err := r.tableTime(report.At)
+	if err != nil {
+		return table.Write{}, err
+	}
+	return r.put(prefixEnd+name, endRow{Replica: report.Replica, Works: report.Works, At: at})
+}
+
+// putClearing returns the write of the row of a clearing.
+func (r *Rows) putClearing(clearing Clearing) (table.Write, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, err := r.tableTime(clearing.At)
+	if err != nil {
+		return table.Write{}, err
+	}
+	return r.put(prefixClearing+clearing.Work.String(), clearingRow{At: at})
+}
+
+// put returns a write that takes the place of what is known of a row. The caller holds mu.
+func (r *Rows) put(name string, body any) (table.Write, error) {
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return table.Write{}, Error.Wrap(err)
+	}
+	key := table.Key{Partition: r.Partition, Sort: name}
+	return table.Write{Key: key, Kind: table.Put, Expect: r.rows[name].version, Body: encoded}, nil
+}
+
+// learn takes in the versions of rows that a write met.
+func (r *Rows) learn(rows []table.Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range rows {
+		known := r.rows[row.Sort]
+		known.version = max(known.version, row.Version)
+		if known.at.IsZero() {
+			known.at = time.Now()
+		}
+		if r.rows == nil {
+			r.rows = map[string]rowState{}
+		}
+		r.rows[row.Sort] = known
+	}
+}
+
+// outdated returns writes that remove up to so many rows that count no more.
+func (r *Rows) outdated(limit int) []table.Write {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var writes []table.Write
+	for name, known := range r.rows {
+		if len(writes) == limit {
+			break
+		}
+		if time.Since(known.at) > r.Guard.List.memory() {
+			key := table.Key{Partition: r.Partition, Sort: name}
+			writes = append(writes, table.Write{Key: key, Kind: table.Delete, Expect: known.version})
+		}
+	}
+	return writes
+}
--- a/internal/server/answer.go
+++ b/internal/server/answer.go
@@ -20,8 +20,12 @@
 
 // fail answers with an error in the form of the OpenAI API.
 func fail(ctx iris.Context, status int, kind openai.ErrorType, message string) {
+	failWith(ctx, status, openai.ErrorDetail{Message: message, Type: kind})
+}
+
+func failWith(ctx iris.Context, status int, detail openai.ErrorDetail) {
 	ctx.StatusCode(status)
-	_ = ctx.JSON(openai.ErrorAnswer{Error: openai.ErrorDetail{Message: message, Type: kind}})
+	_ = ctx.JSON(openai.ErrorAnswer{Error: detail})
 }
 
 // refuse answers a request that did not run.
--- a/internal/server/sink.go
+++ b/internal/server/sink.go
@@ -14,6 +14,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
@@ -168,6 +169,12 @@
 	case outcome.Of(err) != outcome.NotDone:
 		ctx.Header(HeaderExecuted, outcome.Unknown.String())
 		fail(ctx, iris.StatusBadGateway, openai.TypeServer, err.Error())
+	case errors.As(err, new(*quarantine.RefusedError)):
+		// It is the request: clients try again after a status of 5xx, in vain.
+		ctx.Header(HeaderExecuted, outcome.NotDone.String())
+		failWith(ctx, iris.StatusUnprocessableEntity, openai.ErrorDetail{
+			Message: err.Error(), Type: openai.TypeInvalidRequest, Code: openai.CodeQuarantined,
+		})
 	default:
 		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, err.Error(), comeBack(err))
 	}
