Quarantine: seen and released by operators, items kept back, settings

wheelhoist quarantine list, show and release, at a node or at a gateway's metrics address; release at a gateway needs the operators' key, and is refused where the settings hold none. Settings quarantine.replicas (3) and quarantine.for (1h), checked with their place. Items count against themselves only by runs that brought no event: they run for long, so many are there when a replica ends.

Tests: the way of an operator from the refusal to the release at all nodes; replicas that end by themselves every 80 ms for 3 s under one popular request condemn nobody; answers that break off at replicas which live on suspect nobody.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -184,6 +184,26 @@
 	return c.call(ctx, http.MethodPost, apiPath+"drain", nil, nil, nil)
 }
 
+const quarantinePath = apiPath + "quarantine"
+
+// Suspects returns the work that the node suspects, or refuses, for it ended replicas.
+func (c *Client) Suspects(ctx context.Context) (*v1.SuspectList, error) {
+	answer := &v1.SuspectList{}
+	return answer, c.call(ctx, http.MethodGet, quarantinePath, nil, nil, answer)
+}
+
+// Suspect returns what counts against one work.
+func (c *Client) Suspect(ctx context.Context, work string) (*v1.Suspect, error) {
+	answer := &v1.Suspect{}
+	return answer, c.call(ctx, http.MethodGet, quarantinePath+"/"+url.PathEscape(work), nil, nil, answer)
+}
+
+// Release lets a work run again, at all nodes, and returns what counted against it.
+func (c *Client) Release(ctx context.Context, work string) (*v1.Suspect, error) {
+	answer := &v1.Suspect{}
+	return answer, c.call(ctx, http.MethodDelete, quarantinePath+"/"+url.PathEscape(work), nil, nil, answer)
+}
+
 // Upload stores an input file.
 func (c *Client) Upload(ctx context.Context, name string, content io.Reader) (*openai.File, error) {
 	reader, writer := io.Pipe()
--- /dev/null
+++ b/internal/command/quarantine.go
@@ -0,0 +1,119 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/wheelhoist/wheelhoist/api/client"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+)
+
+// quarantineCall is the flags of the commands about quarantined work.
+type quarantineCall struct {
+	connect connection
+	output  format
+	gateway string
+}
+
+func quarantineCommand(std streams) *ffcli.Command {
+	flags := newFlags("wheelhoist quarantine", std)
+	command := &ffcli.Command{
+		Name: "quarantine", ShortUsage: "wheelhoist quarantine <list|show|release> [flags]", FlagSet: flags,
+		ShortHelp: "see and release work that ended the replicas it ran on",
+		LongHelp:  "Work is named by a hash of its content, as \"work\" in the log lines of attempts that\nfailed. Work that ended three replicas within an hour is sent to no replica.",
+		Subcommands: []*ffcli.Command{
+			quarantineListCommand(std), quarantineShowCommand(std), quarantineReleaseCommand(std),
+		},
+	}
+	command.Exec = helpExec(command)
+	return command
+}
+
+// newQuarantineCommand returns a command with the flags that all of them have.
+func newQuarantineCommand(std streams, name, usage, help string, run func(context.Context, *quarantineCall, []string) error) *ffcli.Command {
+	flags := newFlags("wheelhoist quarantine "+name, std)
+	call := &quarantineCall{}
+	call.connect.register(flags)
+	registerFormat(flags, &call.output)
+	flags.StringVar(&call.gateway, "gateway", "", "host:port of a gateway's metrics address, instead of -server")
+	return &ffcli.Command{
+		Name: name, ShortUsage: "wheelhoist quarantine " + usage, FlagSet: flags, Options: options(), ShortHelp: help,
+		Exec: func(ctx context.Context, arguments []string) error { return run(ctx, call, arguments) },
+	}
+}
+
+func quarantineListCommand(std streams) *ffcli.Command {
+	return newQuarantineCommand(std, "list", "list [flags]", "show all work that is suspected or quarantined",
+		func(ctx context.Context, call *quarantineCall, arguments []string) error {
+			if len(arguments) > 0 {
+				return &usageError{"quarantine list takes no arguments"}
+			}
+			list, err := call.client().Suspects(ctx)
+			if err != nil {
+				return err
+			}
+			return call.output.write(std.out, list, func() table { return suspectTable(list.Items) })
+		})
+}
+
+func quarantineShowCommand(std streams) *ffcli.Command {
+	return newQuarantineCommand(std, "show", "show [flags] WORK", "show what counts against a work",
+		func(ctx context.Context, call *quarantineCall, arguments []string) error {
+			work, err := workArgument(arguments)
+			if err != nil {
+				return err
+			}
+			suspect, err := call.client().Suspect(ctx, work)
+			if err != nil {
+				return err
+			}
+			return call.output.write(std.out, suspect, func() table { return suspectTable([]v1.Suspect{*suspect}) })
+		})
+}
+
+func quarantineReleaseCommand(std streams) *ffcli.Command {
+	return newQuarantineCommand(std, "release", "release [flags] WORK", "let a work run again, at all nodes",
+		func(ctx context.Context, call *quarantineCall, arguments []string) error {
+			work, err := workArgument(arguments)
+			if err != nil {
+				return err
+			}
+			released, err := call.client().Release(ctx, work)
+			if err != nil {
+				return err
+			}
+			return call.output.write(std.out, released, func() table { return suspectTable([]v1.Suspect{*released}) })
+		})
+}
+
+// client returns a client of the node, or of the gateway that is named.
+func (c *quarantineCall) client() *client.Client {
+	if c.gateway == "" {
+		return c.connect.client()
+	}
+	return client.New("http://"+c.gateway, c.connect.key)
+}
+
+func workArgument(arguments []string) (string, error) {
+	if len(arguments) != 1 {
+		return "", &usageError{"name one WORK, by its 32 hexadecimal digits"}
+	}
+	return arguments[0], nil
+}
+
+func suspectTable(suspects []v1.Suspect) table {
+	content := table{header: []string{"WORK", "STATE", "LAST END", "REPLICAS"}}
+	for _, suspect := range suspects {
+		state := "suspected"
+		if suspect.Quarantined {
+			state = fmt.Sprintf("quarantined for %.0f s", suspect.SecondsLeft)
+		}
+		content.rows = append(content.rows, []string{
+			suspect.Work, state, fmt.Sprintf("%.0f s ago", suspect.SecondsSinceEnd), strings.Join(suspect.Replicas, ","),
+		})
+	}
+	return content
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -94,7 +94,7 @@
 		ShortHelp: "serves online and batch LLM inference on one shared fleet",
 		Subcommands: []*ffcli.Command{
 			nodeCommand(std), applyCommand(std), getCommand(std), watchCommand(std), deleteCommand(std),
-			statusCommand(std), batchCommand(std), drainCommand(std), evacuateCommand(std), settingsCommand(std),
+			statusCommand(std), batchCommand(std), drainCommand(std), evacuateCommand(std), quarantineCommand(std), settingsCommand(std),
 		},
 	}
 	root.Exec = helpExec(root)
--- /dev/null
+++ b/internal/jobs/harm_test.go
@@ -0,0 +1,142 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// countingQuarantine refuses work after three broken answers.
+type countingQuarantine struct {
+	mu     sync.Mutex
+	broken map[quarantine.Work]int
+	well   int
+}
+
+func (q *countingQuarantine) Refuse(work func() quarantine.Work) error {
+	identity := work()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.broken[identity] < 3 {
+		return nil
+	}
+	return &quarantine.RefusedError{}
+}
+
+func (q *countingQuarantine) EndedWell(func() quarantine.Work) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.well++
+}
+
+func (q *countingQuarantine) BrokeOff(_ context.Context, _ quarantine.Replica, work quarantine.Work) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.broken == nil {
+		q.broken = map[quarantine.Work]int{}
+	}
+	q.broken[work]++
+}
+
+var errReplicaEnded = outcome.Undecided(errors.Join(forward.ErrBroken, errors.New("EOF")))
+
+// harmfulJob runs a job whose first item breaks each answer off, after as many new events as
+// told, and returns what was sent of it.
+func harmfulJob(t *testing.T, end bool, eventsEach int) (*testNode, *harmfulBackend, *countingQuarantine) {
+	t.Helper()
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
+	backend := &harmfulBackend{eventsEach: eventsEach}
+	runner, _ := startRunner(t, node, backend)
+	guard := &countingQuarantine{}
+	runner.mu.Lock()
+	runner.Quarantine, runner.EndQuarantined = guard, end
+	runner.mu.Unlock()
+	items := []Item{{ID: "bad", Path: "/batch/bad", Body: []byte("bad")}, {ID: "good", Path: "/batch/good", Body: []byte("good")}}
+	if err := node.Submit(t.Context(), &Submission{ID: "j", Route: "batch", Host: testHost, Items: items, Completion: time.Minute, Retention: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	return node, backend, guard
+}
+
+// harmfulBackend breaks off what is sent of the item "bad".
+type harmfulBackend struct {
+	eventsEach int
+	mu         sync.Mutex
+	sent       int
+}
+
+func (b *harmfulBackend) Send(_ context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+	if attempt.Request.ID != "bad" {
+		return answerOf(200, events(attempt.After+1, 3)), nil
+	}
+	b.mu.Lock()
+	b.sent++
+	b.mu.Unlock()
+	if b.eventsEach == 0 {
+		return nil, errReplicaEnded
+	}
+	last := attempt.After + b.eventsEach
+	if last >= 40 {
+		return answerOf(200, events(attempt.After+1, 40)), nil
+	}
+	return answerOf(200, events(attempt.After+1, last)+"id: "), nil
+}
+
+func (b *harmfulBackend) sends() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sent
+}
+
+// listedItems counts the items of a job that are listed.
+func listedItems(node *testNode, id string) int {
+	if entry := node.View.Get(id); entry != nil {
+		return len(entry.Progress.Listed)
+	}
+	return 0
+}
+
+func TestRunner_AQuarantinedItemIsSentNoMoreAndOthersGoOn(t *testing.T) {
+	node, backend, _ := harmfulJob(t, false, 0)
+	eventually(t, func() bool { return listedItems(node, "j") == 1 })
+	eventually(t, func() bool { return backend.sends() == 3 })
+	time.Sleep(1500 * time.Millisecond)
+	if backend.sends() != 3 || listedItems(node, "j") != 1 {
+		t.Fatalf("%d sends, %d items listed", backend.sends(), listedItems(node, "j"))
+	}
+}
+
+func TestRunner_AQuarantinedItemEndsWithItsReason(t *testing.T) {
+	node, backend, _ := harmfulJob(t, true, 0)
+	eventually(t, func() bool { return listedItems(node, "j") == 2 })
+	reading, err := node.Read(t.Context(), "j", 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, result := range reading.Results {
+		if result.Item == "bad" && (!result.Dead || result.Reason != Quarantined) {
+			t.Errorf("the item ended as %+v", result)
+		}
+	}
+	if backend.sends() != 3 {
+		t.Errorf("%d sends", backend.sends())
+	}
+}
+
+func TestRunner_RunsThatBringEventsDoNotSpeakAgainstAnItem(t *testing.T) {
+	node, backend, guard := harmfulJob(t, true, 4)
+	eventually(t, func() bool { return listedItems(node, "j") == 2 })
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	if len(guard.broken) != 0 || backend.sends() < 9 {
+		t.Fatalf("%d works suspected after %d sends", len(guard.broken), backend.sends())
+	}
+}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -18,6 +18,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -56,6 +57,7 @@
 	weights  replica.Weights
 	// commitInterval is how long finished items wait to be listed together.
 	commitInterval time.Duration
+	quarantine     settings.Quarantine
 	// endQuarantined has items end that are quarantined.
 	endQuarantined bool
 }
@@ -113,7 +115,7 @@
 	}
 	c.session = lease.NewSession(outside.table, outside.id, outside.timing)
 	c.owners = outside.sessions(c.session)
-	c.buildQuarantine(outside.table)
+	c.buildQuarantine(outside.table, outside.quarantine)
 	view := jobs.NewView()
 	view.Malformed = c.logMalformed
 	c.jobWatch = c.watch("job table", outside.jobFeed, func(changes table.Changes, whole bool) {
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -13,16 +13,21 @@
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
-// TestCore_OnlyAnOutageOfTheListKeepsReplicasThatLeave guards that a replica which
-// leaves the list just after another feed has come back is not kept: that feed's
-// connection may have hung on seconds after the store was well again.
-func TestCore_OnlyAnOutageOfTheListKeepsReplicasThatLeave(t *testing.T) {
+// testCore returns a core over a table in memory; nothing of it runs.
+func testCore() *core {
 	shared := tabletest.New()
-	c := newCore(zerolog.Nop(), newCoreMetrics(), ports{
+	return newCore(zerolog.Nop(), newCoreMetrics(), ports{
 		id: "n", table: shared, jobFeed: shared.Feed(jobs.Group), timing: fastTiming(),
 		sessions: func(*lease.Session) sessionView { return lease.NewWatcher(shared, time.Now, fastTiming()) },
 	})
-	list := c.watchReplicas(shared.Feed("servers"), func(table.Changes, bool) {})
+}
+
+// TestCore_OnlyAnOutageOfTheListKeepsReplicasThatLeave guards that a replica which
+// leaves the list just after another feed has come back is not kept: that feed's
+// connection may have hung on seconds after the store was well again.
+func TestCore_OnlyAnOutageOfTheListKeepsReplicasThatLeave(t *testing.T) {
+	c := testCore()
+	list := c.watchReplicas(tabletest.New().Feed("servers"), func(table.Changes, bool) {})
 	leave := func(regained *table.Watcher) int {
 		c.replicas.Put(replica.Info{ID: "r", Pool: "p", Slots: 1})
 		regained.Regained(6 * time.Second)
--- /dev/null
+++ b/internal/node/gatewayquarantine_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/api/client"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// TestGateway_QuarantineIsSeenAndReleased takes the way of an operator: from a refusal to the
+// work, and to its release at all nodes.
+func TestGateway_QuarantineIsSeenAndReleased(t *testing.T) {
+	site := newHarmSite(t, 8)
+	gateways := []*Gateway{site.gateway("a"), site.gateway("b")}
+	for _, gateway := range gateways {
+		gateway.settings.Operator.KeySHA256 = v1.HashKey("operator")
+	}
+	site.sendUntilThree(gateways)
+	site.eventually("both refuse", func() bool {
+		return len(gateways[0].harm.All(time.Now())) == 1 && len(gateways[1].harm.All(time.Now())) == 1 &&
+			gateways[0].Suspects().Items[0].Quarantined && gateways[1].Suspects().Items[0].Quarantined
+	})
+	status, _, header := site.call(gateways[1], "POST", "/resume/work", "refused", harmBody)
+	if status != http.StatusServiceUnavailable || header.Get("X-Wheelhoist-Reason") != "quarantined" || header.Get("Retry-After") != "" {
+		t.Fatalf("refused with %d, %v", status, header)
+	}
+	operator := client.New("http://"+gateways[0].settings.Gateway.Metrics, "operator")
+	list, err := operator.Suspects(t.Context())
+	if err != nil || len(list.Items) != 1 || len(list.Items[0].Replicas) < 3 || list.Items[0].SecondsLeft < 3000 {
+		t.Fatalf("suspects %+v, %v", list, err)
+	}
+	work := list.Items[0].Work
+	if shown, err := operator.Suspect(t.Context(), work); err != nil || shown.Work != work {
+		t.Fatalf("shown %+v, %v", shown, err)
+	}
+	if _, err := client.New(operator.Base, "other").Release(t.Context(), work); err == nil {
+		t.Fatal("released without the operators' key")
+	}
+	if _, err := operator.Release(t.Context(), work); err != nil {
+		t.Fatal(err)
+	}
+	site.eventually("both let it run again", func() bool {
+		return len(gateways[0].Suspects().Items) == 0 && len(gateways[1].Suspects().Items) == 0
+	})
+	ended := site.crashes(time.Time{})
+	site.send(gateways[1], harmBody)
+	if site.crashes(time.Time{}) == ended {
+		t.Fatal("released work does not run")
+	}
+}
+
+// TestGateway_ReplicasThatEndByThemselvesCondemnNobody ends replicas one after the other
+// under requests that are harmless.
+func TestGateway_ReplicasThatEndByThemselvesCondemnNobody(t *testing.T) {
+	site := newHarmSite(t, 6)
+	gateways := []*Gateway{site.gateway("a"), site.gateway("b")}
+	stop := time.After(3 * time.Second)
+	kill := time.NewTicker(80 * time.Millisecond)
+	defer kill.Stop()
+	popular := []byte("everybody asks this")
+	for turn := 0; ; turn++ {
+		select {
+		case <-stop:
+			for _, gateway := range gateways {
+				for _, suspect := range gateway.Suspects().Items {
+					if suspect.Quarantined {
+						t.Errorf("%s quarantined %+v", gateway.settings.Node.ID, suspect)
+					}
+				}
+			}
+			return
+		case <-kill.C:
+			site.processes[turn%len(site.processes)].Kill()
+		default:
+			site.send(gateways[turn%len(gateways)], popular)
+		}
+	}
+}
+
+// TestGateway_ResetConnectionsEndNothing has answers break off at servers that live on.
+func TestGateway_ResetConnectionsEndNothing(t *testing.T) {
+	site := newGatewaySite(t, 4)
+	for _, server := range site.servers {
+		server.Behave(func(int) standin.Behaviour { return standin.CutInEvent })
+	}
+	gateway := site.start("a")
+	for range 5 {
+		site.call(gateway, "POST", "/resume/work", "q", []byte("the same"))
+	}
+	if items := gateway.Suspects().Items; len(items) != 0 {
+		t.Fatalf("suspected: %+v", items)
+	}
+}
+
+func FuzzHarmTold(f *testing.F) {
+	body, err := cbor.Marshal(harmTold{
+		Ends:    []endTold{{Replica: "r", Works: []quarantine.Work{{1}}, AgeMs: 5}},
+		Cleared: []clearedTold{{Work: quarantine.Work{1}, AgeMs: -5}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Add([]byte{0xbf})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		g := &Gateway{core: testCore()}
+		g.takeHarm("a#1", nil, body)
+		for _, suspect := range g.Suspects().Items {
+			if suspect.SecondsSinceEnd < 0 {
+				t.Fatalf("an end of the future: %+v", suspect)
+			}
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	n.core = newCore(log, newCoreMetrics(), ports{
 		id: n.settings.Node.ID, zone: n.settings.Node.Zone, table: n.table, objects: objects,
 		backend: engine.NewBackend(n.engines), jobFeed: n.feed(jobs.Group, jobPartitions()),
-		timing: fastTiming(), sessions: func(*lease.Session) sessionView { return n.sessions }, weights: servingWeights(), commitInterval: commitInterval, endQuarantined: true,
+		timing: fastTiming(), sessions: func(*lease.Session) sessionView { return n.sessions }, weights: servingWeights(), commitInterval: commitInterval, quarantine: n.settings.Quarantine, endQuarantined: true,
 	})
 	n.zoneOf = n.machines.zone
 	n.heads.Interval = n.pollInterval
@@ -210,7 +210,7 @@
 		Predict: n.forwarder.Predict, Replicas: n.replicas, Engines: n.engines, Admission: n.admission,
 		Claims: idempotency.NewStore(n.table), Batch: n.batches, Status: n.Status, Metrics: n.metrics.registry,
 		OperatorKeySHA256: n.settings.Operator.KeySHA256, MaxStreams: n.settings.Node.MaxStreams,
-		Drain: n.AskDrain,
+		Drain: n.AskDrain, Quarantine: n,
 	})
 	if err != nil {
 		return err
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -8,8 +8,12 @@
 	"syscall"
 	"time"
 
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/server"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -26,8 +30,8 @@
 }
 
 // buildQuarantine joins the parts that find and keep what ends replicas.
-func (c *core) buildQuarantine(service table.Service) {
-	h := &harm{}
+func (c *core) buildQuarantine(service table.Service, declared settings.Quarantine) {
+	h := &harm{List: quarantine.List{Replicas: declared.Replicas, For: time.Duration(declared.For)}}
 	h.guard = quarantine.Guard{List: &h.List, Replicas: standings{c}, Events: c}
 	h.rows = quarantine.Rows{Partition: jobs.QuarantinePartition(), Guard: &h.guard, Malformed: c.logMalformed}
 	h.publisher = quarantine.NewPublisher(service, &h.rows, c.session.ID)
@@ -39,6 +43,8 @@
 	c.forwarder.Quarantine = &h.guard
 }
 
+var _ server.Quarantine = (*core)(nil)
+
 // standings tells the quarantine about replicas.
 type standings struct{ *core }
 
@@ -90,7 +96,7 @@
 	c.metrics.cleared.Inc()
 	c.log.Info().Stringer("work", before.Work).Strs("replicas", before.Replicas).
 		Bool("quarantined", before.Quarantined).Msg("suspected work ended well")
-	lasting := len(before.Replicas) >= quarantine.DefaultReplicas-1
+	lasting := len(before.Replicas) >= c.harm.Limit()-1
 	c.harm.publisher.Clear(quarantine.Clearing{Work: before.Work, At: at, Lasting: lasting})
 }
 
@@ -101,17 +107,42 @@
 		Dur("for_ms", time.Until(verdict.Until)).Msg("work quarantined")
 }
 
-// release has nothing of the past count against a work, at all nodes. It returns the verdict
-// until now.
-func (c *core) release(work quarantine.Work) quarantine.Verdict {
+// Suspects implements server.Quarantine.
+func (c *core) Suspects() v1.SuspectList {
+	now := time.Now()
+	list := v1.SuspectList{Node: lease.Node(c.session.ID()), Items: []v1.Suspect{}}
+	for _, verdict := range c.harm.All(now) {
+		list.Items = append(list.Items, suspectOf(verdict, now))
+	}
+	return list
+}
+
+func suspectOf(verdict quarantine.Verdict, now time.Time) v1.Suspect {
+	suspect := v1.Suspect{
+		Work: verdict.Work.String(), Replicas: verdict.Replicas, Quarantined: verdict.Quarantined,
+		SecondsSinceEnd: now.Sub(verdict.Last).Seconds(),
+	}
+	if verdict.Quarantined {
+		suspect.SecondsLeft = verdict.Until.Sub(now).Seconds()
+	}
+	return suspect
+}
+
+// Release implements server.Quarantine.
+func (c *core) Release(name string) (v1.Suspect, bool) {
+	work, err := quarantine.ParseWork(name)
+	if err != nil {
+		return v1.Suspect{}, false
+	}
 	now := time.Now()
 	before := c.harm.Clear(work, now)
-	if len(before.Replicas) > 0 {
-		c.metrics.released.Inc()
-		c.log.Warn().Stringer("work", work).Strs("replicas", before.Replicas).Msg("work released by an operator")
-		c.harm.publisher.Clear(quarantine.Clearing{Work: work, At: now, Lasting: true})
+	if len(before.Replicas) == 0 {
+		return v1.Suspect{}, false
 	}
-	return before
+	c.metrics.released.Inc()
+	c.log.Warn().Stringer("work", work).Strs("replicas", before.Replicas).Msg("work released by an operator")
+	c.harm.publisher.Clear(quarantine.Clearing{Work: work, At: now, Lasting: true})
+	return suspectOf(before, now), true
 }
 
 // logMalformed logs a row that cannot be read.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -95,7 +95,8 @@
 	quarantined uint64
 }
 
-func (l *List) limit() int {
+// Limit is how many replicas work may end.
+func (l *List) Limit() int {
 	if l.Replicas > 0 {
 		return l.Replicas
 	}
@@ -215,7 +216,7 @@
 		verdict.Replicas = append(verdict.Replicas, ended.replica)
 		verdict.Last = ended.at
 	}
-	if beyond := len(counted) - l.limit(); beyond >= 0 {
+	if beyond := len(counted) - l.Limit(); beyond >= 0 {
 		verdict.Quarantined = true
 		verdict.Until = counted[beyond].at.Add(l.memory())
 	}
--- /dev/null
+++ b/internal/server/quarantine.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+)
+
+// PathQuarantine is where a node shows suspects; a gateway does at its metrics address.
+const PathQuarantine = "/apis/wheelhoist/v1/quarantine"
+
+// Quarantine is what operators see and undo of work that ended replicas. It is safe for
+// concurrent use.
+type Quarantine interface {
+	// Suspects returns all suspects.
+	Suspects() v1.SuspectList
+	// Release has nothing of the past count against a work, at all nodes. It returns what
+	// counted, and whether anything did.
+	Release(work string) (v1.Suspect, bool)
+}
+
+// QuarantineHandler serves the list of suspects, one of them, and the release of one to
+// those who may.
+func QuarantineHandler(quarantine Quarantine, mayRelease func(*http.Request) bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, work, one := strings.Cut(r.URL.Path, PathQuarantine+"/")
+		switch {
+		case r.Method == http.MethodGet && !one:
+			writeJSON(w, http.StatusOK, quarantine.Suspects())
+		case r.Method == http.MethodGet:
+			showSuspect(w, quarantine, work)
+		case r.Method == http.MethodDelete && one && !mayRelease(r):
+			writeError(w, http.StatusForbidden, openai.TypePermission, "this needs the operators' key")
+		case r.Method == http.MethodDelete && one:
+			releaseSuspect(w, quarantine, work)
+		default:
+			writeError(w, http.StatusMethodNotAllowed, openai.TypeInvalidRequest, "GET the list or a work, DELETE a work to release it")
+		}
+	})
+}
+
+// mayReleaseAny is for handlers that only operators reach.
+func mayReleaseAny(*http.Request) bool { return true }
+
+func showSuspect(w http.ResponseWriter, quarantine Quarantine, work string) {
+	for _, suspect := range quarantine.Suspects().Items {
+		if suspect.Work == work {
+			writeJSON(w, http.StatusOK, suspect)
+			return
+		}
+	}
+	writeUnknownSuspect(w)
+}
+
+func releaseSuspect(w http.ResponseWriter, quarantine Quarantine, work string) {
+	suspect, known := quarantine.Release(work)
+	if !known {
+		writeUnknownSuspect(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, suspect)
+}
+
+func writeUnknownSuspect(w http.ResponseWriter) {
+	writeError(w, http.StatusNotFound, openai.TypeNotFound, "nothing counts against this work")
+}
+
+func writeError(w http.ResponseWriter, status int, kind openai.ErrorType, message string) {
+	writeJSON(w, status, openai.ErrorAnswer{Error: openai.ErrorDetail{Message: message, Type: kind}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has left cannot be told.
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -153,7 +153,9 @@
 	Claims    *idempotency.Store
 	Batch     *batch.Service
 	Status    func() NodeStatus
-	Metrics   *prometheus.Registry
+	// Quarantine is what operators see of work that ended replicas.
+	Quarantine Quarantine
+	Metrics    *prometheus.Registry
 	// OperatorKeySHA256 is the hash of the operators' key.
 	OperatorKeySHA256 string
 	MaxStreams        int
@@ -207,6 +209,10 @@
 	operators.Get("/status", s.nodeStatus)
 	operators.Post("/drain", s.drain)
 	operators.Get("/watch", s.watch)
+	quarantine := iris.FromStd(QuarantineHandler(s.options.Quarantine, mayReleaseAny))
+	operators.Get("/quarantine", quarantine)
+	operators.Get("/quarantine/{work}", quarantine)
+	operators.Delete("/quarantine/{work}", quarantine)
 	operators.Get("/{kind}", s.listResources)
 	operators.Get("/{kind}/{name}", s.getResource)
 	operators.Put("/{kind}/{name}", s.putResource)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,8 +21,10 @@
 	Platform Platform `json:"platform,omitempty"`
 	Operator Operator `json:"operator,omitempty"`
 	Gateway  Gateway  `json:"gateway,omitempty"`
-	TLS      TLS      `json:"tls,omitempty"`
-	Log      Log      `json:"log,omitempty"`
+	// Quarantine says when work is kept from replicas.
+	Quarantine Quarantine `json:"quarantine,omitempty"`
+	TLS        TLS        `json:"tls,omitempty"`
+	Log        Log        `json:"log,omitempty"`
 }
 
 // Node says who this node is and where it listens.
@@ -95,6 +97,26 @@
 	Level string `json:"level,omitempty"`
 }
 
+// Quarantine says when work is kept from all replicas, for it ends those that run it. It
+// should be the same at all nodes.
+type Quarantine struct {
+	// Replicas is how many replicas a work may end within For; default 3, for two may end by
+	// themselves that a request and its one retry happened to run on.
+	Replicas int `json:"replicas,omitempty"`
+	// For is how long the end of a replica counts, and so how long a work is kept back after
+	// the first of these ends; default 1h. The work may end so many replicas an hour at most.
+	For v1.Duration `json:"for,omitempty"`
+}
+
+func (q *Quarantine) validate(found *findings.List) {
+	if q.Replicas < 0 {
+		found.Add("quarantine.replicas", "must not be negative")
+	}
+	if q.For < 0 {
+		found.Add("quarantine.for", "must not be negative")
+	}
+}
+
 // Defaults.
 const (
 	DefaultRegion     = "local"
@@ -137,6 +159,7 @@
 	if region, ok := s.Node.Zones[s.Node.Zone]; ok && region != s.Node.Region {
 		found.Add("node.region", "zone %q lies in region %q by node.zones, not in %q", s.Node.Zone, region, s.Node.Region)
 	}
+	s.Quarantine.validate(&found)
 	if s.Gateway.Enabled() {
 		s.Gateway.validate(&found)
 	} else {
