Quarantined items are tried a few times more, apart

Items are at one node, so they can be tried without many sending at once: up to three times more, 5 s after the newest end, which stays within three ends and three retries.

--- a/internal/jobs/harm.go
+++ b/internal/jobs/harm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
@@ -31,6 +32,10 @@
 		return false
 	}
 	err := r.Quarantine.Refuse(func() quarantine.Work { return r.identity(one, item) })
+	if refused := (*quarantine.RefusedError)(nil); errors.As(err, &refused) && refused.TrialDue(now) {
+		// One node has the item, so it is tried at one replica at a time.
+		err = nil
+	}
 	r.mu.Lock()
 	first := err != nil && !one.held
 	one.held = err != nil
--- a/internal/jobs/harm_test.go
+++ b/internal/jobs/harm_test.go
@@ -19,6 +19,8 @@
 	mu     sync.Mutex
 	broken map[quarantine.Work]int
 	well   int
+	// trial has refused work be due for a trial.
+	trial bool
 }
 
 func (q *countingQuarantine) Refuse(work func() quarantine.Work) error {
@@ -28,7 +30,12 @@
 	if q.broken[identity] < 3 {
 		return nil
 	}
-	return &quarantine.RefusedError{}
+	refused := &quarantine.RefusedError{}
+	refused.Quarantined, refused.Limit, refused.Last = true, 3, time.Now()
+	if q.trial {
+		refused.Last = time.Time{}
+	}
+	return refused
 }
 
 func (q *countingQuarantine) EndedWell(func() quarantine.Work) {
@@ -131,6 +138,15 @@
 	}
 }
 
+func TestRunner_AQuarantinedItemIsTriedAgainWhenATrialIsDue(t *testing.T) {
+	_, backend, guard := harmfulJob(t, false, 0)
+	eventually(t, func() bool { return backend.sends() == 3 })
+	guard.mu.Lock()
+	guard.trial = true
+	guard.mu.Unlock()
+	eventually(t, func() bool { return backend.sends() == 4 })
+}
+
 func TestRunner_RunsThatBringEventsDoNotSpeakAgainstAnItem(t *testing.T) {
 	node, backend, guard := harmfulJob(t, true, 4)
 	eventually(t, func() bool { return listedItems(node, "j") == 2 })
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -19,6 +19,9 @@
 	// maxWorks bounds the works that are remembered: what ran on some thousand replicas
 	// when they ended, of 8 to 17 slots each. The oldest ends are forgotten first.
 	maxWorks = 10000
+	// trialPause is the time between two trials of quarantined work: a few replicas that end
+	// one after the other by themselves are over by then.
+	trialPause = 5 * time.Second
 	// sameEnd is how far apart two nodes may see the same end of a replica: one that was held
 	// up hears of it late. A replica is back no sooner than after some seconds, with another
 	// id where ids are those of lives, or with the same one.
@@ -46,6 +49,15 @@
 	Until       time.Time
 	// Last is the end of the newest of Replicas.
 	Last time.Time
+	// Limit is how many it may end.
+	Limit int
+}
+
+// TrialDue reports whether quarantined work may run once more to show that it is harmless:
+// some time after the newest end, and until as many ends more as it may bring about at first
+// speak against it. It is meant for work that is not sent by many at the same time.
+func (v *Verdict) TrialDue(now time.Time) bool {
+	return v.Quarantined && len(v.Replicas) < 2*v.Limit && now.Sub(v.Last) >= trialPause
 }
 
 // RefusedError reports work that is kept from all replicas. It did not run this time.
@@ -198,7 +210,7 @@
 
 // judge sums up what counts against a work. The caller holds mu.
 func (l *List) judge(work Work, now time.Time) Verdict {
-	verdict := Verdict{Work: work}
+	verdict := Verdict{Work: work, Limit: l.Limit()}
 	known := l.works[work]
 	if known == nil {
 		return verdict
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -143,6 +143,25 @@
 	}
 }
 
+func TestVerdict_TrialsAreFewAndApart(t *testing.T) {
+	var list List
+	for i := range 3 {
+		ended(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	second := 2
+	for i := range 3 {
+		verdict := list.Check(work("w"), start.Add(time.Duration(second)*time.Second))
+		if verdict.TrialDue(verdict.Last.Add(trialPause-1)) || !verdict.TrialDue(verdict.Last.Add(trialPause)) {
+			t.Fatalf("trial %d is not due %v after the newest end", i, trialPause)
+		}
+		second += 5
+		ended(&list, fmt.Sprintf("t%d", i), second, work("w"))
+	}
+	if verdict := list.Check(work("w"), start.Add(time.Minute)); verdict.TrialDue(start.Add(time.Minute)) {
+		t.Fatal("a fourth trial is due")
+	}
+}
+
 func TestList_ForgetsTheOldestBeyondItsBound(t *testing.T) {
 	var list List
 	for i := range maxWorks + 100 {
