--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/sse"
@@ -35,7 +36,7 @@
 		if err != nil {
 			return outcome.Undecided(fmt.Errorf("%w: %w", ErrBroken, err))
 		}
-		now := time.Now()
+		now := clock.Now()
 		use.Heard(now)
 		use.First(now)
 		c.begun(now)
@@ -64,7 +65,7 @@
 	if err := c.passHead(answer); err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	if c.result.Events > 0 {
 		c.result.MaxGap = max(c.result.MaxGap, now.Sub(c.lastEvent))
 	}
@@ -89,7 +90,7 @@
 	}
 	c.result.Started = true
 	c.result.Status = answer.Status
-	c.result.First = time.Since(c.request.Received)
+	c.result.First = clock.Since(c.request.Received)
 	if err := c.sink.Head(answer.Status, answer.Header); err != nil {
 		return outcome.Undecided(ErrCallerLeft)
 	}
@@ -106,7 +107,7 @@
 	if len(body) > maxWhole {
 		return outcome.Undecided(fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxWhole))
 	}
-	use.First(time.Now())
+	use.First(clock.Now())
 	if c.result.Started {
 		// The stream began elsewhere; this failure cannot replace its head.
 		return outcome.Undecided(fmt.Errorf("%w: status %d", ErrBroken, answer.Status))
@@ -153,7 +154,7 @@
 
 // check cancels the attempt, or looks again when the silence could be too long.
 func (w *silenceWatch) check(cancel context.CancelCauseFunc) {
-	left := time.Duration(w.limit.Load()) - w.use.Silence(time.Now())
+	left := time.Duration(w.limit.Load()) - w.use.Silence(clock.Now())
 	if left <= 0 {
 		cancel(ErrSilent)
 		return
--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
@@ -47,7 +48,7 @@
 	if c.forwarder.ColdFeeders == nil {
 		return nil
 	}
-	feeders := c.forwarder.Replicas.Feeders(c.result.Pool, &c.demand, time.Now())
+	feeders := c.forwarder.Replicas.Feeders(c.result.Pool, &c.demand, clock.Now())
 	if len(feeders) == 0 {
 		return nil
 	}
@@ -57,7 +58,7 @@
 	if !c.forwarder.ColdFeeders.Ask(askCtx, asked) || askCtx.Err() != nil {
 		return nil
 	}
-	chosen, listed := c.forwarder.Replicas.Listed(asked.Replica, time.Now())
+	chosen, listed := c.forwarder.Replicas.Listed(asked.Replica, clock.Now())
 	if !listed || chosen.Evacuated {
 		return nil
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -95,7 +96,7 @@
 	}
 	if !one.deadline.IsZero() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadlineCause(ctx, one.deadline, ErrTimeout)
+		ctx, cancel = clock.WithDeadline(ctx, one.deadline, ErrTimeout)
 		defer cancel()
 	}
 	err := one.run(ctx)
@@ -169,7 +170,7 @@
 		if !c.demand.Granted {
 			chosen = c.reserve(ctx, chosen)
 		}
-		if now := time.Now(); !c.inTime(chosen, now) {
+		if now := clock.Now(); !c.inTime(chosen, now) {
 			return c.failure(c.outOfTime(now))
 		}
 		err = c.attempt(ctx, chosen)
@@ -215,7 +216,7 @@
 }
 
 func (c *call) pick() (*replica.Candidate, error) {
-	now := time.Now()
+	now := clock.Now()
 	c.demand.Objective = max(0, c.route.Objective-now.Sub(c.request.Received))
 	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, &c.demand, now)
 	return replica.Pick(candidates, &c.demand, c.forwarder.Weights)
@@ -240,7 +241,7 @@
 func (c *call) mayRepeat() bool { return !c.request.Once && c.route.MayRepeat() }
 
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
-	now := time.Now()
+	now := clock.Now()
 	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
 	c.demand.Granted = false
 	if use == nil {
@@ -255,12 +256,12 @@
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
 	err := c.exchange(ctx, chosen.Info, use)
-	c.refused(err, time.Since(now))
+	c.refused(err, clock.Since(now))
 	c.reservation, c.demand.Reserved = "", false
 	if c.result.Events > 0 {
 		c.demand.Version = chosen.Version
 	}
-	use.End(c.evidence(ctx, use, err), time.Now())
+	use.End(c.evidence(ctx, use, err), clock.Now())
 	if err == nil {
 		return nil
 	}
@@ -298,7 +299,7 @@
 func (c *call) evidence(ctx context.Context, use *replica.Use, err error) replica.Result {
 	result := resultOf(ctx, err)
 	switch {
-	case result == replica.Abandoned && !c.sent.IsZero() && use.Silence(time.Now()) >= silenceFails:
+	case result == replica.Abandoned && !c.sent.IsZero() && use.Silence(clock.Now()) >= silenceFails:
 		return replica.Failed
 	case err == nil && c.status == http.StatusGatewayTimeout:
 		// It stopped at the deadline that it was given.
@@ -325,10 +326,10 @@
 	c.status = answer.Status
 	defer func() { _ = answer.Body.Close() }()
 	if answer.ColdLeft > 0 {
-		use.Chill(answer.ColdLeft, time.Now())
+		use.Chill(answer.ColdLeft, clock.Now())
 	}
 	if answer.Load != nil {
-		use.Load(*answer.Load, time.Now())
+		use.Load(*answer.Load, clock.Now())
 	}
 	if answer.Events && answer.Status == http.StatusOK {
 		return c.silent(ctx, c.passEvents(answer, use, watch))
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -110,7 +111,7 @@
 // waitForRoom waits until refusals may be over, as long as the route allows. room is when
 // there is room at the earliest: a request that has less time is refused now.
 func (c *call) waitForRoom(ctx context.Context, room time.Duration) error {
-	now := time.Now()
+	now := clock.Now()
 	if c.timeLeft(now) < leastUseful+room {
 		return c.busyFor(room, now)
 	}
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
@@ -74,13 +75,13 @@
 // hasTimeForAway reports whether a request that found no free slot in its region can
 // still be in time elsewhere, after a question there and the way of the request itself.
 func (c *call) hasTimeForAway(chosen *replica.Candidate) bool {
-	left := c.route.Objective - time.Since(c.request.Received)
+	left := c.route.Objective - clock.Since(c.request.Received)
 	return left > chosen.First+(reserveWays+1)*c.forwarder.Weights.Cost(place.OtherRegion)
 }
 
 // pickUnqueued returns the replica to be asked for a slot, or nil.
 func (c *call) pickUnqueued(demand *replica.Demand, away bool) *replica.Candidate {
-	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, demand, time.Now())
+	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, demand, clock.Now())
 	best, err := replica.PickUnqueued(candidates, demand, c.forwarder.Weights, away)
 	if err != nil {
 		// None is left to ask.
@@ -99,12 +100,12 @@
 
 // reserveAt asks a replica for a slot. It reports whether one was set aside.
 func (c *call) reserveAt(ctx context.Context, asked *replica.Candidate) bool {
-	began := time.Now()
+	began := clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, c.reserveTimeout(asked))
 	defer cancel()
 	id, err := c.forwarder.Reserver.Reserve(callCtx, asked.Info, c.request.Prompt.Total(), reserveHold)
 	if c.forwarder.Notice != nil {
-		c.forwarder.Notice.Reserved(c.request, asked, time.Since(began), err)
+		c.forwarder.Notice.Reserved(c.request, asked, clock.Since(began), err)
 	}
 	switch {
 	case err == nil:
--- /dev/null
+++ b/internal/forward/suspend_test.go
@@ -0,0 +1,35 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock/clocktest"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// TestDo_ARequestThatIsPastItsDeadlineAfterASuspensionEndsAtOnce guards that its caller, and
+// its replica, are not held for the time that the machine slept.
+func TestDo_ARequestThatIsPastItsDeadlineAfterASuspensionEndsAtOnce(t *testing.T) {
+	machine := clocktest.New(t)
+	sent := make(chan struct{})
+	backend := &scriptedBackend{answer: func(ctx context.Context, _ *Attempt, _ int) (*Answer, error) {
+		close(sent)
+		<-ctx.Done()
+		return nil, outcome.Undecided(ctx.Err())
+	}}
+	target := routeOf(route.Stream, false, 1)
+	target.Timeout = time.Minute
+	go func() {
+		<-sent
+		machine.Suspend(2 * time.Minute)
+	}()
+	began := time.Now()
+	_, _, err := do(t, newForwarder(backend, 2), target)
+	if took := time.Since(began); !errors.Is(err, ErrTimeout) || took > 10*time.Second {
+		t.Fatalf("ended with %v after %v", err, took)
+	}
+}
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -56,7 +57,7 @@
 // Submit accepts a job for good, or says that it never runs (ErrQuota,
 // ErrNotAccepted), or that nobody can tell yet (ErrUndecided).
 func (s *Service) Submit(ctx context.Context, submission *Submission) error {
-	began := time.Now()
+	began := clock.Now()
 	if err := submission.Check(); err != nil {
 		return err
 	}
@@ -95,7 +96,7 @@
 	if entry.Job.Tenant != submission.Tenant {
 		return Error.Wrap(ErrTaken)
 	}
-	s.Events.Accepted(entry.Job, time.Since(began), resent)
+	s.Events.Accepted(entry.Job, clock.Since(began), resent)
 	return nil
 }
 
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"strings"
-	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -152,7 +152,7 @@
 	}
 	for _, one := range batch {
 		if place, ok := position[one.index]; ok {
-			s.Events.ItemListed(job, job.Items[one.index].ID, place, one.reason, time.Since(one.started))
+			s.Events.ItemListed(job, job.Items[one.index].ID, place, one.reason, clock.Since(one.started))
 		}
 	}
 }
--- a/internal/jobs/homes.go
+++ b/internal/jobs/homes.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"slices"
-	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -153,7 +153,7 @@
 	var batch []*task
 	for i := range entry.Job.Items {
 		if !listed[i] && len(batch) < commitRows {
-			batch = append(batch, &task{index: i, reason: Expired, started: time.Now()})
+			batch = append(batch, &task{index: i, reason: Expired, started: clock.Now()})
 		}
 	}
 	if err := r.Service.list(callCtx, entry.Job, batch); err != nil {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -40,10 +41,10 @@
 func (r *Runner) run(ctx context.Context, one *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
 	defer one.cancel(nil)
 	r.Service.Events.ItemSent(one.work.job, item.ID, chosen.ID, one.after)
-	began, from := time.Now(), one.after
+	began, from := clock.Now(), one.after
 	err := r.exchange(ctx, one, item, chosen, use)
-	r.learn(one, from, time.Since(began), err == nil)
-	use.End(itemResult(one.work.ctx, err), time.Now())
+	r.learn(one, from, clock.Since(began), err == nil)
+	use.End(itemResult(one.work.ctx, err), clock.Now())
 	r.tellQuarantine(one.work.ctx, one, item, chosen, from, err)
 	if err != nil && one.work.ctx.Err() == nil && !errors.Is(err, errYielded) {
 		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
@@ -95,7 +96,7 @@
 	default:
 		one.exclude[chosen.ID] = true
 	}
-	one.notUntil = time.Now().Add(pause)
+	one.notUntil = clock.Now().Add(pause)
 	reason := one.verdict(target.MaxAttempts)
 	r.mu.Unlock()
 	if reason != "" {
@@ -149,10 +150,10 @@
 	}
 	// A verdict on the item stands; only a run that goes on can give way.
 	if answer.ColdLeft > 0 {
-		use.Chill(answer.ColdLeft, time.Now())
+		use.Chill(answer.ColdLeft, clock.Now())
 	}
 	if answer.Load != nil {
-		use.Load(*answer.Load, time.Now())
+		use.Load(*answer.Load, clock.Now())
 	}
 	return r.collect(one, answer, use)
 }
@@ -169,7 +170,7 @@
 			case <-done:
 				return
 			case <-ticker.C:
-				if use.Silence(time.Now()) > itemSilence {
+				if use.Silence(clock.Now()) > itemSilence {
 					cancel(forward.ErrSilent)
 					return
 				}
@@ -189,7 +190,7 @@
 		if err != nil {
 			return outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
-		now := time.Now()
+		now := clock.Now()
 		use.Heard(now)
 		use.First(now)
 		if err := r.add(one, event); err != nil {
--- a/internal/jobs/pace.go
+++ b/internal/jobs/pace.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 const (
@@ -50,10 +52,10 @@
 func (p *pace) call(ctx context.Context, try int, write func(context.Context) error) error {
 	callCtx, cancel := context.WithTimeout(ctx, p.limit(try))
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	err := write(callCtx)
 	if ctx.Err() == nil {
-		p.observe(time.Since(began))
+		p.observe(clock.Since(began))
 	}
 	return err
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -87,7 +88,7 @@
 	for ctx.Err() == nil {
 		changed := r.Service.View.Changed()
 		r.reconcile(ctx)
-		r.dispatch(time.Now())
+		r.dispatch(clock.Now())
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -75,7 +76,7 @@
 		v.put(change.Row)
 		v.settle(change.Row)
 	}
-	v.storeNow, v.readAt = changes.Now, time.Now()
+	v.storeNow, v.readAt = changes.Now, clock.Now()
 	v.wake()
 }
 
@@ -227,7 +228,7 @@
 func (v *View) Now() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.storeNow + time.Since(v.readAt)
+	return v.storeNow + clock.Since(v.readAt)
 }
 
 // Known reports whether the jobs have been looked at once. Before that neither
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -20,9 +20,9 @@
 var testTiming = Timing{TimeToLive: 8 * time.Second, RenewInterval: 2500 * time.Millisecond}
 
 // clock is a monotonic clock that tests move.
-type clock struct{ now time.Time }
+type manualClock struct{ now time.Time }
 
-func (c *clock) read() time.Time { return c.now }
+func (c *manualClock) read() time.Time { return c.now }
 
 func newService(t *testing.T) (table.Service, *emulator.TableStore) {
 	t.Helper()
@@ -47,7 +47,7 @@
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	time := &clock{now: time.Unix(100, 0)}
+	time := &manualClock{now: time.Unix(100, 0)}
 	watcher := NewWatcher(service, time.read, testTiming)
 	look(t, watcher, session.ID())
 	time.now = time.now.Add(testTiming.TimeToLive)
@@ -73,7 +73,7 @@
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	time := &clock{now: time.Unix(100, 0)}
+	time := &manualClock{now: time.Unix(100, 0)}
 	watcher := NewWatcher(service, time.read, testTiming)
 	look(t, watcher, session.ID())
 	store.Faults.Set(emulator.Condition{Down: true})
@@ -104,7 +104,7 @@
 	if err := session.Ensure(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	watcher := NewWatcher(service, (&clock{now: time.Unix(100, 0)}).read, testTiming)
+	watcher := NewWatcher(service, (&manualClock{now: time.Unix(100, 0)}).read, testTiming)
 	look(t, watcher, session.ID())
 	if err := session.End(t.Context()); err != nil {
 		t.Fatal(err)
@@ -118,7 +118,7 @@
 // A named lease has one holder, and each next holder a higher epoch.
 func TestAcquire_EpochRises(t *testing.T) {
 	service, _ := newService(t)
-	time := &clock{now: time.Unix(100, 0)}
+	time := &manualClock{now: time.Unix(100, 0)}
 	first, second := NewSession(service, "a", testTiming), NewSession(service, "b", testTiming)
 	watcher := NewWatcher(service, time.read, testTiming)
 	grant, err := Acquire(t.Context(), service, first, watcher, "placement/p")
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -167,7 +168,7 @@
 	if s.version == table.Absent && s.MemberPartition != "" {
 		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: table.Absent, Body: encodeMember(s.Member)})
 	}
-	began := time.Now()
+	began := clock.Now()
 	if s.unresolved.IsZero() {
 		s.unresolved = began
 	}
@@ -214,7 +215,7 @@
 	if began == nil {
 		return math.MaxInt64
 	}
-	return time.Since(*began)
+	return clock.Since(*began)
 }
 
 // readMember reads the version of the member row back, which one commit has written
--- /dev/null
+++ b/internal/lease/suspend_test.go
@@ -0,0 +1,34 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock/clocktest"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// TestSession_ASuspensionCountsAgainstIt guards that a node which slept does not take its
+// session for confirmed, for others have ended it meanwhile.
+func TestSession_ASuspensionCountsAgainstIt(t *testing.T) {
+	machine := clocktest.New(t)
+	session := NewSession(tabletest.New(), "a", testTiming)
+	if err := session.Ensure(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if since := session.Unconfirmed(); since > time.Second {
+		t.Fatalf("unconfirmed for %v after a renewal", since)
+	}
+	for slept := 300 * time.Millisecond; slept < 5*time.Second; slept += 300 * time.Millisecond {
+		machine.Suspend(300 * time.Millisecond)
+		if since := session.Unconfirmed(); since < slept {
+			t.Fatalf("unconfirmed for %v after sleeps of %v", since, slept)
+		}
+	}
+	if err := session.Renew(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if since := session.Unconfirmed(); since > time.Second {
+		t.Fatalf("unconfirmed for %v after the renewal that follows", since)
+	}
+}
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -27,7 +28,7 @@
 // runColdLog logs which replicas are taken as cold or warm, until the context ends.
 func (c *core) runColdLog(ctx context.Context) {
 	for retry.Sleep(ctx, coldLogInterval) {
-		for _, change := range c.replicas.ColdChanges(time.Now()) {
+		for _, change := range c.replicas.ColdChanges(clock.Now()) {
 			c.logCold(change)
 		}
 	}
@@ -46,7 +47,7 @@
 // registerCold adds what is known of cold replicas.
 func (m *coreMetrics) registerCold(replicas *replica.Set) {
 	m.gauge("wheelhoist_gateway_replicas_cold", "Replicas that are taken as cold.", func() float64 {
-		return float64(replicas.CountCold(time.Now()))
+		return float64(replicas.CountCold(clock.Now()))
 	})
 	m.counter("wheelhoist_gateway_cold_held_total", "Sends held back, and waits, because replicas were cold.", func() float64 {
 		return float64(replicas.ColdHeld())
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
@@ -36,6 +38,8 @@
 	// sampleBurst and sampleEvery bound the lines about what goes well.
 	sampleBurst = 20
 	sampleEvery = 20
+	// wakeLook is the time between two looks whether the machine was suspended, for the log.
+	wakeLook = time.Second
 	// retryShare bounds repeated attempts.
 	retryShare = 0.3
 )
@@ -131,13 +135,37 @@
 	}
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: outside.backend, Routes: c.routes.Load, Owners: c.owners,
-		Weights: outside.weights, Zone: outside.zone, Region: outside.region, ViewAge: c.jobWatch.Age, CommitInterval: outside.commitInterval,
+		Weights: outside.weights, Zone: outside.zone, Region: outside.region, ViewAge: c.viewAge, CommitInterval: outside.commitInterval,
 		Quarantine: &c.harm.guard, EndQuarantined: outside.endQuarantined,
 	})
 	c.replicas.Pressed = c.runner.Yield
 	return c
 }
 
+// viewAge is the age of the view of the jobs. One from before a suspension is as old as can
+// be: what it says is this node's may have been taken over, or ended, meanwhile.
+func (c *core) viewAge() time.Duration {
+	age := c.jobWatch.Age()
+	if since, woke := clock.SinceWake(); woke && age > since {
+		return math.MaxInt64
+	}
+	return age
+}
+
+// runWakeLog logs suspensions of the machine until the context ends.
+func (c *core) runWakeLog(ctx context.Context) {
+	if !clock.CountsSuspension() {
+		c.log.Warn().Msg("this system has no clock that counts suspensions: leases are not safe on a machine that sleeps")
+	}
+	known := clock.Slept()
+	for retry.Sleep(ctx, wakeLook) {
+		if slept := clock.Slept(); slept > known {
+			c.log.Warn().Dur("for_ms", slept-known).Msg("machine was suspended")
+			known = slept
+		}
+	}
+}
+
 // jobPace returns the least time between two looks at the jobs' changes.
 func (c *core) jobPace() table.Pace {
 	spacing := max(jobSpacing, time.Duration(len(c.owners.Live()))*jobSpacingPerSession)
@@ -170,7 +198,7 @@
 	watcher := c.watch("replica list", feed, apply)
 	regained := watcher.Regained
 	watcher.Regained = func(outage time.Duration) {
-		c.replicas.Outage(outage, time.Now())
+		c.replicas.Outage(outage, clock.Now())
 		regained(outage)
 	}
 	return watcher
@@ -192,6 +220,7 @@
 	c.spawn(func() { c.runner.RunClaims(ctx) })
 	c.spawn(func() { c.runner.RunKeeping(ctx) })
 	c.spawn(func() { c.harm.publisher.Run(ctx) })
+	c.spawn(func() { c.runWakeLog(ctx) })
 }
 
 // handBackJobs gives this node's jobs to others before it stops.
@@ -225,7 +254,7 @@
 		Str("replica", result.Replica).Str("region", result.Region).Stringer("distance", result.Distance).Int("status", result.Status).Int("attempts", result.Attempts).
 		Int("refusals", result.Refusals).Int("events", result.Events).Bool("started", result.Started).
 		Dur("first_ms", result.First).Dur("max_gap_ms", result.MaxGap).
-		Dur("took_ms", time.Since(request.Received)).Msg("request ended")
+		Dur("took_ms", clock.Since(request.Received)).Msg("request ended")
 }
 
 func (c *core) logEjected(info replica.Info, result replica.Result) {
@@ -250,13 +279,13 @@
 
 // listedReplicas logs that a whole read of the list has been taken in.
 func (c *core) listedReplicas(revision uint64) {
-	listed, ejected := c.replicas.Count(time.Now())
+	listed, ejected := c.replicas.Count(clock.Now())
 	c.log.Info().Int("replicas", listed).Int("ejected", ejected).Uint64("revision", revision).Msg("replica list read")
 }
 
 // dropReplica takes in that a replica is listed no more.
 func (c *core) dropReplica(id string, version uint64, whole bool) {
-	c.replicas.Remove(id, time.Now())
+	c.replicas.Remove(id, clock.Now())
 	c.log.Info().Str("replica", id).Uint64("row_version", version).Bool("whole_read", whole).Msg("replica gone from list")
 }
 
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 // evacuation is a zone that operators empty, as this node knows it.
@@ -70,7 +72,7 @@
 // declare them; revision is that of the declarations as a whole. It goes by nothing else:
 // the configuration may be older or newer.
 func (c *core) evacuate(versions map[string]uint64, revision uint64) {
-	now := time.Now()
+	now := clock.Now()
 	begun, ended := c.evacuations.replace(versions, now)
 	if len(begun) == 0 && len(ended) == 0 {
 		return
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/time/rate"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
@@ -105,7 +106,7 @@
 		table: rows, objects: platform.Objects{Store: g.store}, backend: g.backend,
 		jobFeed: platform.JobFeed(g.store, jobs.Group, jobs.Parts()), timing: fastTiming(), weights: g.weights(), quarantine: g.settings.Quarantine,
 		sessions: func(own *lease.Session) sessionView {
-			roster = lease.NewRoster(rows, own, jobs.MemberPartition(), time.Now, fastTiming())
+			roster = lease.NewRoster(rows, own, jobs.MemberPartition(), clock.Now, fastTiming())
 			return roster
 		},
 	})
--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -41,7 +42,7 @@
 func (g *Gateway) answerCold(socket *peer.Socket) {
 	desk := &coldDesk{replicas: g.replicas, roster: g.roster, send: socket.Send}
 	desk.failed = func(err error) { g.sampled.Warn().Err(err).Msg("message about a cold replica failed") }
-	socket.Handle(peer.KindColdAsk, desk.take(time.Now))
+	socket.Handle(peer.KindColdAsk, desk.take(clock.Now))
 	socket.Handle(peer.KindColdAnswer, desk.answered)
 	g.forwarder.ColdFeeders = desk
 }
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -40,7 +41,7 @@
 func (g *Gateway) runDemand(ctx context.Context) {
 	for retry.Sleep(ctx, demandEvery) {
 		told := map[string][]demandTold{}
-		for _, need := range g.replicas.Needs(time.Now()) {
+		for _, need := range g.replicas.Needs(clock.Now()) {
 			addNeed(told, g.near.region(), need)
 			if need.Excess > 0 {
 				g.runner.YieldPool(need.Pool, need.Excess, replica.Pressure{Fleet: need.Fleet})
@@ -83,7 +84,7 @@
 		g.sampled.Warn().Err(err).Msg("demand told by a node cannot be read")
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, one := range told[:min(len(told), maxDemandPools)] {
 		g.replicas.Told(one.Pool, float64(one.Level), one.Share, now)
 	}
--- a/internal/node/gatewayevidence.go
+++ b/internal/node/gatewayevidence.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -34,7 +35,7 @@
 // runEvidence tells other nodes of replicas that fail here, until the context ends.
 func (g *Gateway) runEvidence(ctx context.Context) {
 	for retry.Sleep(ctx, evidenceEvery) {
-		reports := g.replicas.FailureReports(time.Now())
+		reports := g.replicas.FailureReports(clock.Now())
 		if len(reports) == 0 {
 			continue
 		}
@@ -64,7 +65,7 @@
 		}
 	}
 	node := lease.Node(from)
-	g.replicas.TakeFailureReports(replica.Reporter{Node: node, Zone: g.roster.Member(node).Zone}, reports, time.Now())
+	g.replicas.TakeFailureReports(replica.Reporter{Node: node, Zone: g.roster.Member(node).Zone}, reports, clock.Now())
 }
 
 // logEjectedByMany logs that a replica is left out on the evidence of several nodes.
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
@@ -40,7 +41,7 @@
 // tellHarm tells all other nodes what ended here, and what ended well. A word that is lost
 // comes by the table.
 func (g *Gateway) tellHarm(news quarantine.News) {
-	now := time.Now()
+	now := clock.Now()
 	var told harmTold
 	works := 0
 	flush := func() {
@@ -80,7 +81,7 @@
 		g.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("ends of replicas told by a node cannot be read")
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, ended := range told.Ends {
 		g.harm.guard.Take(quarantine.Report{Replica: ended.Replica, Works: ended.Works, At: ago(now, ended.AgeMs)})
 	}
--- a/internal/node/gatewayquota.go
+++ b/internal/node/gatewayquota.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -52,13 +53,13 @@
 	if !known {
 		return nil
 	}
-	began := time.Now()
+	began := clock.Now()
 	err := g.quota.Admit(ctx, request.Tenant, limit)
 	if err == nil {
 		return nil
 	}
 	g.metrics.turned.WithLabelValues("over the limit").Inc()
-	entry := g.sampled.Info().Str("request", request.ID).Str("tenant", request.Tenant).Dur("took_ms", time.Since(began))
+	entry := g.sampled.Info().Str("request", request.ID).Str("tenant", request.Tenant).Dur("took_ms", clock.Since(began))
 	var refusal *quota.RefusalError
 	if errors.As(err, &refusal) {
 		entry.Float64("rate", limit.Rate).Float64("burst", limit.Burst).Float64("part", refusal.Part).
@@ -71,7 +72,7 @@
 // tenantUses returns the use that tenants make of their limits, by name.
 func (g *Gateway) tenantUses() []server.TenantUse {
 	var uses []server.TenantUse
-	for _, one := range g.quota.Gate.Uses(time.Now()) {
+	for _, one := range g.quota.Gate.Uses(clock.Now()) {
 		uses = append(uses, server.TenantUse{
 			Name: one.Tenant, Rate: one.Limit.Rate, Burst: one.Limit.Burst, Demand: one.Demand,
 			Admitted: one.Admitted, Part: one.Part, ToldAge: one.ToldAge.Seconds(),
--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 const (
@@ -19,14 +21,14 @@
 // serves on while callers may still come, finishes what is open and returns
 // within the grace period.
 func (g *Gateway) Stop() {
-	began := time.Now()
+	began := clock.Now()
 	grace := time.Duration(g.settings.Gateway.Grace)
 	if grace == 0 {
 		grace = defaultGrace
 	}
 	g.stopping.Store(true)
 	g.log.Info().Dur("grace_ms", grace).Msg("gateway stopping")
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
+	ctx, cancel := clock.WithDeadline(context.Background(), began.Add(grace-stopReserve), context.DeadlineExceeded)
 	defer cancel()
 	handedBack := make(chan struct{})
 	go func() {
@@ -44,7 +46,7 @@
 	g.closePeers()
 	g.store.Close()
 	g.backend.Close()
-	g.log.Info().Dur("took_ms", time.Since(began)).Msg("gateway stopped")
+	g.log.Info().Dur("took_ms", clock.Since(began)).Msg("gateway stopped")
 }
 
 // Kill ends the gateway at once, as a crash would; for tests.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
@@ -141,13 +142,14 @@
 		}
 		return 0
 	})
+	m.gauge("wheelhoist_suspended_seconds", "Time for which the machine has been suspended since the process began.", func() float64 { return clock.Slept().Seconds() })
 	m.gauge("wheelhoist_gateway_evacuated_zones", "Zones that operators empty.", func() float64 { return float64(len(c.evacuations.all())) })
 	m.gauge("wheelhoist_gateway_replicas", "Listed replicas.", func() float64 {
-		listed, _ := c.replicas.Count(time.Now())
+		listed, _ := c.replicas.Count(clock.Now())
 		return float64(listed)
 	})
 	m.gauge("wheelhoist_gateway_replicas_ejected", "Replicas left out on this node's own evidence.", func() float64 {
-		_, ejected := c.replicas.Count(time.Now())
+		_, ejected := c.replicas.Count(clock.Now())
 		return float64(ejected)
 	})
 }
@@ -164,7 +166,7 @@
 
 // registerPools adds what is learned of a pool, once it serves.
 func (m *coreMetrics) registerPools(c *core) {
-	m.registry.MustRegister(&poolCollector{replicas: c.replicas, now: time.Now})
+	m.registry.MustRegister(&poolCollector{replicas: c.replicas, now: clock.Now})
 }
 
 // registerAge adds the age of a watched source.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/admission"
 	"github.com/wheelhoist/wheelhoist/internal/batch"
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
@@ -145,7 +146,7 @@
 	n.engines = engine.NewClient(&n.control)
 	n.machines.source = &machines.HTTPList{URL: platform.Machines.URL, Client: &http.Client{Transport: n.counted()}}
 	n.heads = table.NewHeads(n.table)
-	n.sessions = lease.NewWatcher(n.table, time.Now, fastTiming())
+	n.sessions = lease.NewWatcher(n.table, clock.Now, fastTiming())
 	n.core = newCore(log, newCoreMetrics(), ports{
 		id: n.settings.Node.ID, zone: n.settings.Node.Zone, table: n.table, objects: objects,
 		backend: engine.NewBackend(n.engines), jobFeed: n.feed(jobs.Group, jobPartitions()),
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
@@ -104,12 +105,12 @@
 func (c *core) Quarantined(verdict quarantine.Verdict) {
 	c.metrics.quarantined.Inc()
 	c.log.Warn().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).
-		Dur("for_ms", time.Until(verdict.Until)).Msg("work quarantined")
+		Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
 }
 
 // Suspects implements server.Quarantine.
 func (c *core) Suspects() v1.SuspectList {
-	now := time.Now()
+	now := clock.Now()
 	list := v1.SuspectList{Node: lease.Node(c.session.ID()), Items: []v1.Suspect{}}
 	for _, verdict := range c.harm.All(now) {
 		list.Items = append(list.Items, suspectOf(verdict, now))
@@ -134,7 +135,7 @@
 	if err != nil {
 		return v1.Suspect{}, false
 	}
-	now := time.Now()
+	now := clock.Now()
 	before := c.harm.Clear(work, now)
 	if len(before.Replicas) == 0 {
 		return v1.Suspect{}, false
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -41,14 +42,14 @@
 		}
 		status.Members = append(status.Members, server.MemberStatus{ID: session.Node(), Zone: c.zoneOf(session.Node()), Status: state})
 	}
-	for _, known := range c.replicas.List(time.Now()) {
+	for _, known := range c.replicas.List(clock.Now()) {
 		status.Replicas = append(status.Replicas, server.ReplicaView{
 			ID: known.ID, Zone: known.Zone, Pool: known.Pool, Version: known.Version,
 			State: replicaState(&known), Open: known.Open, Batch: known.Batch, Ejected: known.Ejected,
 			ColdLeft: known.Cold.Left.Seconds(), ColdRate: known.Cold.Rate,
 		})
 	}
-	status.Zones = c.zoneStatus(&status, time.Now())
+	status.Zones = c.zoneStatus(&status, clock.Now())
 	return status
 }
 
--- /dev/null
+++ b/internal/node/suspend_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/clock/clocktest"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// TestCore_AViewFromBeforeASuspensionIsTooOldToSendBy guards that items are not sent by a
+// node that slept, however short, before it has looked whether they still are its own.
+func TestCore_AViewFromBeforeASuspensionIsTooOldToSendBy(t *testing.T) {
+	machine := clocktest.New(t)
+	c := testCore()
+	c.jobWatch.Pace = func() table.Pace { return table.Pace{Announced: time.Millisecond, Usual: time.Minute} }
+	tabletest.Follow(t, c.jobWatch)
+	fresh := func() bool { return c.viewAge() < time.Second }
+	wait := func(what string, holds func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal(what)
+			}
+		}
+	}
+	wait("the view is never fresh", fresh)
+	machine.Suspend(1500 * time.Millisecond)
+	if age := c.viewAge(); age < time.Hour {
+		t.Fatalf("aged %v", age)
+	}
+	c.jobWatch.Announce()
+	wait("the view stays old after a look", fresh)
+}
+
+// TestCore_QuarantineEndsInASuspensionToo guards that the time of a quarantine is not
+// longer at a node that slept, and that the age of an end that is told leaves no sleep out.
+func TestCore_QuarantineEndsInASuspensionToo(t *testing.T) {
+	machine := clocktest.New(t)
+	c := testCore()
+	c.harm.rows.Apply(table.Changes{Now: time.Hour}, true)
+	work := quarantine.Work{1}
+	for _, id := range []string{"a", "b", "c"} {
+		c.harm.guard.Take(quarantine.Report{Replica: id, Works: []quarantine.Work{work}, At: clock.Now()})
+	}
+	if !c.Suspects().Items[0].Quarantined {
+		t.Fatal("not quarantined")
+	}
+	machine.Suspend(40 * time.Minute)
+	if since := c.Suspects().Items[0].SecondsSinceEnd; since < 2400 {
+		t.Errorf("the newest end is told to be %v s ago", since)
+	}
+	machine.Suspend(25 * time.Minute)
+	if items := c.Suspects().Items; len(items) != 0 {
+		t.Errorf("suspected after more than an hour: %+v", items)
+	}
+	if jobs.QuarantinePartition() != c.harm.rows.Partition {
+		t.Error("the rows are elsewhere")
+	}
+}
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/resource"
@@ -73,9 +74,9 @@
 func (c *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	nextContend := time.Now()
+	nextContend := clock.Now()
 	for {
-		if now := time.Now(); now.After(nextContend) {
+		if now := clock.Now(); now.After(nextContend) {
 			nextContend = now.Add(contendInterval + time.Duration(c.options.Nodes())*contendPerNode)
 			c.contend(ctx)
 		}
@@ -145,7 +146,7 @@
 		if !ok {
 			continue
 		}
-		held.annotate(replicas, time.Now())
+		held.annotate(replicas, clock.Now())
 		for _, action := range Plan(pool, roles, replicas) {
 			if !c.order(ctx, pool.Name, held, action) {
 				delete(c.held, pool.Name)
@@ -188,7 +189,7 @@
 		return false
 	}
 	if err == nil {
-		held.ordered[action.Replica] = sentOrder{content: action.Content, fence: fence, at: time.Now()}
+		held.ordered[action.Replica] = sentOrder{content: action.Content, fence: fence, at: clock.Now()}
 		c.options.Log.Info().Str("pool", pool).Str("replica", action.Replica).Uint64("fence", fence).
 			Str("version", action.Content.Version).Str("role", string(action.Content.Role)).Msg("order sent")
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 const (
@@ -100,7 +102,7 @@
 	if g.List.Empty() {
 		return nil
 	}
-	if verdict := g.List.Check(work(), time.Now()); verdict.Quarantined {
+	if verdict := g.List.Check(work(), clock.Now()); verdict.Quarantined {
 		return &RefusedError{Verdict: verdict}
 	}
 	return nil
@@ -111,7 +113,7 @@
 	if g.List.Empty() {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if before := g.List.Clear(work(), now); len(before.Replicas) > 0 {
 		g.Events.Cleared(before, now)
 	}
@@ -137,7 +139,7 @@
 func (g *Guard) attach(replica Replica, work Work) *watch {
 	g.mu.Lock()
 	known := g.watched[replica.ID]
-	if known == nil || known.before(time.Now()) {
+	if known == nil || known.before(clock.Now()) {
 		if len(g.watched) >= maxWatched || g.Replicas.Standing(replica.ID) != Serving {
 			g.mu.Unlock()
 			return nil
@@ -162,7 +164,7 @@
 // look finds out whether a replica ended, and forgets the watch when its answers that break
 // off can be due to that no more.
 func (g *Guard) look(replica Replica, known *watch) {
-	began := time.Now()
+	began := clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
 	defer cancel()
 	if g.Replicas.Probe(ctx, replica.Address) == Refused {
@@ -205,7 +207,7 @@
 
 // Take takes in an end that this node or another one saw.
 func (g *Guard) Take(report Report) {
-	for _, verdict := range g.List.Add(report, time.Now()) {
+	for _, verdict := range g.List.Add(report, clock.Now()) {
 		g.Events.Quarantined(verdict)
 	}
 }
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -80,7 +81,7 @@
 func (r *Rows) take(changes table.Changes) []fact {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tableNow, r.readAt = changes.Now, time.Now()
+	r.tableNow, r.readAt = changes.Now, clock.Now()
 	if r.rows == nil {
 		r.rows = map[string]rowState{}
 	}
@@ -182,7 +183,7 @@
 		known := r.rows[row.Sort]
 		known.version = max(known.version, row.Version)
 		if known.at.IsZero() {
-			known.at = time.Now()
+			known.at = clock.Now()
 		}
 		if r.rows == nil {
 			r.rows = map[string]rowState{}
@@ -200,7 +201,7 @@
 		if len(writes) == limit {
 			break
 		}
-		if time.Since(known.at) > r.Guard.List.memory() {
+		if clock.Since(known.at) > r.Guard.List.memory() {
 			key := table.Key{Partition: r.Partition, Sort: name}
 			writes = append(writes, table.Write{Key: key, Kind: table.Delete, Expect: known.version})
 		}
--- a/internal/quota/contacts.go
+++ b/internal/quota/contacts.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
@@ -166,7 +167,7 @@
 // session is in doubt, all that do not answer; where it stands in, those that are away
 // and do not.
 func (e *Exchange) outside(tenant string) Outside {
-	now := time.Now()
+	now := clock.Now()
 	told := Outside{Nodes: e.Fleet.Count()}
 	if e.inDoubt(now) {
 		told.Unheard = e.unheard(now, false)
@@ -258,7 +259,7 @@
 		e.failed(err)
 		return
 	}
-	e.contacts.take(from, told, time.Now())
+	e.contacts.take(from, told, clock.Now())
 }
 
 // take notes what a node's session has told.
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
 
@@ -104,27 +105,27 @@
 // Admit decides about a request of a tenant. Its error is a RefusalError. It waits for
 // the owner's answer if the tenant is near its limit, for askTimeout at most.
 func (e *Exchange) Admit(ctx context.Context, tenant string, limit Limit) error {
-	report, admitted := e.Gate.Begin(tenant, limit, time.Now())
+	report, admitted := e.Gate.Begin(tenant, limit, clock.Now())
 	if admitted {
 		return nil
 	}
-	owner, address := e.counter(tenant, time.Now())
+	owner, address := e.counter(tenant, clock.Now())
 	if owner == e.Fleet.Self() {
-		if grant, ok := e.answer(e.Session, report, time.Now()); ok {
-			return e.Gate.Settle(grant, time.Now())
+		if grant, ok := e.answer(e.Session, report, clock.Now()); ok {
+			return e.Gate.Settle(grant, clock.Now())
 		}
-		return e.Gate.Alone(tenant, time.Now())
+		return e.Gate.Alone(tenant, clock.Now())
 	}
 	to := e.reachable(owner, address)
 	if to == nil {
-		return e.Gate.Alone(tenant, time.Now())
+		return e.Gate.Alone(tenant, clock.Now())
 	}
 	grant, ok := e.ask(ctx, to, report)
 	if !ok {
 		e.notAnswered(owner)
-		return e.Gate.Alone(tenant, time.Now())
+		return e.Gate.Alone(tenant, clock.Now())
 	}
-	return e.Gate.Settle(grant, time.Now())
+	return e.Gate.Settle(grant, clock.Now())
 }
 
 // reachable returns where a node is to be asked; nil if that is not known or the node
@@ -136,7 +137,7 @@
 	e.mu.Lock()
 	since, silent := e.silent[node]
 	e.mu.Unlock()
-	if silent && time.Since(since) < silentFor {
+	if silent && clock.Since(since) < silentFor {
 		return nil
 	}
 	to, err := net.ResolveUDPAddr("udp4", address)
@@ -150,7 +151,7 @@
 func (e *Exchange) notAnswered(node string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.silent[node] = time.Now()
+	e.silent[node] = clock.Now()
 }
 
 // ask sends a report and waits for the answer; it sends a second one if that is late.
@@ -169,7 +170,7 @@
 		case <-ctx.Done():
 			return Grant{}, false
 		case <-again.C:
-			if second, ok := e.Gate.Again(report.Tenant, time.Now()); ok {
+			if second, ok := e.Gate.Again(report.Tenant, clock.Now()); ok {
 				defer e.await(second.Number, answers)()
 				e.send(to, peer.KindQuotaReport, []Report{second})
 			}
@@ -212,13 +213,13 @@
 		case <-ticker.C:
 		case <-e.urgent:
 		}
-		e.probeDue(time.Now())
+		e.probeDue(clock.Now())
 		e.reportDue()
 	}
 }
 
 func (e *Exchange) reportDue() {
-	now := time.Now()
+	now := clock.Now()
 	byOwner := map[string][]Report{}
 	for _, report := range e.Gate.Due(now) {
 		owner, address := e.counter(report.Tenant, now)
@@ -273,14 +274,14 @@
 		e.failed(err)
 		return
 	}
-	e.contacts.take(from, Contact{}, time.Now())
+	e.contacts.take(from, Contact{}, clock.Now())
 	var grants []Grant
 	for _, report := range reports[:min(len(reports), maxReports)] {
 		if !report.sound() {
 			e.failed(errUnsound)
 			continue
 		}
-		if grant, ok := e.answer(from, report, time.Now()); ok {
+		if grant, ok := e.answer(from, report, clock.Now()); ok {
 			grants = append(grants, grant)
 		}
 	}
@@ -301,7 +302,7 @@
 		answers := e.waiting[grant.Number]
 		e.mu.Unlock()
 		if answers == nil {
-			e.Gate.Granted(grant, time.Now())
+			e.Gate.Granted(grant, clock.Now())
 			continue
 		}
 		select {
--- a/internal/replica/evacuate.go
+++ b/internal/replica/evacuate.go
@@ -3,11 +3,13 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 // Evacuate takes in which zones operators empty: their replicas take nothing new until
 // the zone is not among them any more. What runs there runs on.
-func (s *Set) Evacuate(zones map[string]bool) { s.evacuate(zones, time.Now()) }
+func (s *Set) Evacuate(zones map[string]bool) { s.evacuate(zones, clock.Now()) }
 
 func (s *Set) evacuate(zones map[string]bool, now time.Time) {
 	s.mu.Lock()
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
@@ -118,7 +119,7 @@
 }
 
 // Put takes in a listed replica. It reports whether the replica is new.
-func (s *Set) Put(info Info) bool { return s.put(info, time.Now()) }
+func (s *Set) Put(info Info) bool { return s.put(info, clock.Now()) }
 
 func (s *Set) put(info Info, now time.Time) bool {
 	s.mu.Lock()
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -14,6 +14,7 @@
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/admission"
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
@@ -88,7 +89,7 @@
 	if tokens == 0 {
 		tokens = assumedTokens
 	}
-	return s.options.Admission.Admit(who.name, who.limits, tokens, time.Now())
+	return s.options.Admission.Admit(who.name, who.limits, tokens, clock.Now())
 }
 
 func (s *Server) refuseAdmission(ctx iris.Context, err error) {
@@ -113,7 +114,7 @@
 	}
 	return &forward.Request{
 		ID: id, Method: http.MethodPost, Target: ctx.Path(), Host: parsed.Model, Body: body,
-		Header: http.Header{}, Received: time.Now(), Prompt: promptOf(parsed),
+		Header: http.Header{}, Received: clock.Now(), Prompt: promptOf(parsed),
 		Once: ctx.GetHeader(HeaderRepeatable) == "no",
 	}
 }
@@ -206,7 +207,7 @@
 		sink = &streamSink{ctx: ctx, keep: request.Once}
 	}
 	result, err := s.options.Forward(ctx.Request().Context(), target, request, sink)
-	s.metrics.observe(result, err, time.Since(request.Received))
+	s.metrics.observe(result, err, clock.Since(request.Received))
 	if err != nil {
 		sink.fail(err)
 		return nil, err
@@ -216,7 +217,7 @@
 
 // shed refuses a request that no replica is predicted to begin in time.
 func (s *Server) shed(ctx iris.Context, target *route.Route, request *forward.Request) error {
-	now := time.Now()
+	now := clock.Now()
 	predicted, err := s.options.Predict(target, request, now)
 	if err != nil {
 		// The forwarder waits for a replica, and answers with its own error.
--- a/internal/table/poll.go
+++ b/internal/table/poll.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return Changes{}, cursor, err
 	}
-	page := Changes{Revision: head, Now: clock()}
+	page := Changes{Revision: head, Now: timeOfDay()}
 	for _, row := range rows {
 		page.Changes = append(page.Changes, Change{Row: row})
 	}
@@ -148,7 +148,7 @@
 		return Changes{}, err
 	}
 	if !newer {
-		return Changes{Revision: revision, Now: clock()}, nil
+		return Changes{Revision: revision, Now: timeOfDay()}, nil
 	}
 	return f.since(ctx, revision)
 }
@@ -158,7 +158,7 @@
 	if err != nil {
 		return Changes{}, err
 	}
-	read := Changes{Revision: revision, Now: clock()}
+	read := Changes{Revision: revision, Now: timeOfDay()}
 	for _, row := range rows {
 		if row.Version != read.Revision+1 {
 			return Changes{}, Error.Wrap(ErrCompacted)
@@ -188,6 +188,6 @@
 	return changes, nil
 }
 
-// clock stands in for a service's steady clock where the protocol has none: the
+// timeOfDay stands in for a service's steady clock where the protocol has none: the
 // time of day. Only deadlines that are hours away are told by it.
-func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+func timeOfDay() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
@@ -71,7 +72,7 @@
 }
 
 // clockOrigin makes steady times comparable as integers.
-var clockOrigin = time.Now()
+var clockOrigin = clock.Now()
 
 // NewWatcher returns a watcher that has seen nothing.
 func NewWatcher(feed Feed, apply func(Changes, bool)) *Watcher {
@@ -85,13 +86,13 @@
 	if fresh == 0 {
 		fresh = w.seeded.Load()
 	}
-	return time.Since(clockOrigin) - time.Duration(fresh)
+	return clock.Since(clockOrigin) - time.Duration(fresh)
 }
 
 // Silence returns the time since the service last answered any call of this watcher, a
 // page of a whole read that is not done yet also; since the start of the process if none.
 func (w *Watcher) Silence() time.Duration {
-	return time.Since(clockOrigin) - time.Duration(w.answered.Load())
+	return clock.Since(clockOrigin) - time.Duration(w.answered.Load())
 }
 
 // Informed reports whether the whole group has been read once, here or where a seed came
@@ -118,7 +119,7 @@
 	if w.Informed() {
 		return false
 	}
-	w.seeded.Store(int64(time.Since(clockOrigin) - age))
+	w.seeded.Store(int64(clock.Since(clockOrigin) - age))
 	w.note(held.Changes)
 	apply(held, true)
 	return true
@@ -164,7 +165,7 @@
 	whole := true
 	delay := watchRetryFirst
 	for ctx.Err() == nil {
-		began := time.Now()
+		began := clock.Now()
 		err := w.step(ctx, whole)
 		switch {
 		case err == nil:
@@ -192,13 +193,13 @@
 		return
 	}
 	pace := w.Pace()
-	usual := time.NewTimer(pace.Usual - time.Since(began))
+	usual := time.NewTimer(pace.Usual - clock.Since(began))
 	defer usual.Stop()
 	select {
 	case <-ctx.Done():
 	case <-usual.C:
 	case <-w.announced:
-		retry.Sleep(ctx, pace.Announced-time.Since(began))
+		retry.Sleep(ctx, pace.Announced-clock.Since(began))
 	}
 }
 
@@ -254,7 +255,7 @@
 	defer cancel()
 	page, next, err := w.Feed.Page(callCtx, cursor)
 	if err == nil {
-		w.answered.Store(int64(time.Since(clockOrigin)))
+		w.answered.Store(int64(clock.Since(clockOrigin)))
 	}
 	return page, next, err
 }
@@ -309,17 +310,17 @@
 // succeeded notes an answer. It comes before the changes are applied, so that
 // those who take them know of an outage that lies behind.
 func (w *Watcher) succeeded() {
-	w.fresh.Store(int64(time.Since(clockOrigin)))
+	w.fresh.Store(int64(clock.Since(clockOrigin)))
 	w.answered.Store(w.fresh.Load())
 	if !w.failedAt.IsZero() && w.Regained != nil {
-		w.Regained(time.Since(w.failedAt))
+		w.Regained(clock.Since(w.failedAt))
 	}
 	w.failedAt = time.Time{}
 }
 
 func (w *Watcher) failed(err error) {
 	if w.failedAt.IsZero() {
-		w.failedAt = time.Now()
+		w.failedAt = clock.Now()
 		if w.Lost != nil {
 			w.Lost(err)
 		}
