--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -14,6 +14,12 @@
 // they take on an idle machine (0.1 s), and an end for runs that nobody looks at.
 const soakReady = 2 * time.Minute
 
+// leastSoakNodes and mostSoakNodes bound the nodes of a soak, each a process of some 25 MB.
+const (
+	leastSoakNodes = 3
+	mostSoakNodes  = 100
+)
+
 func soakCommand(std streams) *ffcli.Command {
 	flags := newFlags("wheelhoist-lab soak", std)
 	seed := flags.Uint64("seed", 1, "seed of the plan of faults")
@@ -25,7 +31,7 @@
 		ShortHelp: "real gateway processes under faults from outside; exits 1 on a broken promise",
 		Exec: func(ctx context.Context, _ []string) error {
 			report, err := soak.Run(ctx, soak.Options{
-				Seed: *seed, For: *length, Nodes: min(max(*nodes, 3), 7), Regions: *regions, Ready: soakReady,
+				Seed: *seed, For: *length, Nodes: min(max(*nodes, leastSoakNodes), mostSoakNodes), Regions: *regions, Ready: soakReady,
 				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
 			})
 			if err != nil {
@@ -34,9 +40,9 @@
 			for _, one := range report.Broken {
 				_, _ = fmt.Fprintln(std.out, "broken:", one)
 			}
-			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d promises checked, %d broken\n",
+			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d replicas ended by %d harmful requests, %d promises checked, %d broken\n",
 				report.Seed, report.Faults, report.Whole, report.Requests, report.Limited, report.Jobs, report.Items, report.Runs,
-				report.Evacuations, report.Losses, report.ColdSends,
+				report.Evacuations, report.Losses, report.ColdSends, report.HarmEnds, report.HarmSends,
 				len(soak.Promises()), len(report.Broken))
 			if len(report.Broken) > 0 {
 				_, _ = fmt.Fprintln(std.out, "logs of the nodes:", report.Logs)
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -36,6 +36,8 @@
 	ColdSpared     Promise = "cold-within-its-rate"
 	OthersServe    Promise = "lost-zone-others-serve"
 	LimitWhenCut   Promise = "limit-holds-when-cut"
+	HarmBounded    Promise = "harmful-work-ends-few-servers"
+	HarmlessServed Promise = "harmless-work-is-not-quarantined"
 )
 
 // Bounds of the promises, those of the users' pages.
@@ -53,7 +55,7 @@
 	return []Promise{
 		OnePosition, WholeText, JobFinishes, TrueDead, AtMostOnce, NotRunTrue, WholeAnswer, ConfigForward,
 		Drained, EndStops, WithinQuota, RefusedNotRun, ComeBackIsSaid,
-		TenantNotKey, WithinLimit, NodeLives, ZoneEmpty, ColdSpared, OthersServe, LimitWhenCut,
+		TenantNotKey, WithinLimit, NodeLives, ZoneEmpty, ColdSpared, OthersServe, LimitWhenCut, HarmBounded, HarmlessServed,
 	}
 }
 
@@ -91,6 +93,7 @@
 	c.evacuations()
 	c.coldSends()
 	c.losses()
+	c.harm()
 	c.lives()
 	return c.found
 }
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -65,6 +65,20 @@
 	standin.ColdSend
 }
 
+// HarmSend is a request with work that ends the servers which run it.
+type HarmSend struct {
+	ID, Work, Node string
+	Sent           time.Time
+	Answer         *standin.Answer
+}
+
+// HarmEnd is the end of a server under a request.
+type HarmEnd struct {
+	ID, Work, Server string
+	// Reached is when the request came to the server, At when the server ended.
+	Reached, At time.Time
+}
+
 // Outage is a time in which a zone was emptied, or lost.
 type Outage struct {
 	Zone     string
@@ -100,6 +114,9 @@
 	Disturbances []Disturbance
 	// NodeZones and ServerZones are the zones, by the names of those in them.
 	NodeZones, ServerZones map[string]string
+	// HarmSends are the requests with harmful work, HarmEnds the ends of servers under it.
+	HarmSends []HarmSend
+	HarmEnds  []HarmEnd
 	// Ended are the ends of nodes that nobody had asked for.
 	Ended []EndedError
 	// Calm tells when nothing was disturbed any more.
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -28,13 +28,15 @@
 
 // proxy passes TCP connections on over loopback, and harms them.
 type proxy struct {
-	listener net.Listener
 	upstream string
 
-	mu    sync.Mutex
-	harm  Harm
-	open  map[net.Conn]bool
-	ended bool
+	mu sync.Mutex
+	// listener is nil while connections are refused; at is its address.
+	listener net.Listener
+	at       string
+	harm     Harm
+	open     map[net.Conn]bool
+	ended    bool
 }
 
 // startProxy listens before an upstream.
@@ -43,12 +45,43 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &proxy{listener: listener, upstream: upstream, open: map[net.Conn]bool{}}
-	go p.accept()
+	p := &proxy{listener: listener, at: listener.Addr().String(), upstream: upstream, open: map[net.Conn]bool{}}
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
+
+// refuse breaks what is open and refuses connections, as the machine of a process that has
+// crashed does.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener == nil || p.ended {
+		return
+	}
+	_ = p.listener.Close()
+	p.listener = nil
+	for conn := range p.open {
+		_ = conn.Close()
+	}
+}
+
+// accepts takes connections again after refuse.
+func (p *proxy) accepts() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.ended {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.at)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
 
 // set changes the harm. Resets breaks what is open.
 func (p *proxy) set(harm Harm) {
@@ -76,7 +109,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ended = true
-	_ = p.listener.Close()
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 	for conn := range p.open {
 		_ = conn.Close()
 	}
@@ -99,9 +134,9 @@
 	_ = conn.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -33,8 +33,9 @@
 	// key is that of its row, which changes with each start.
 	key    string
 	starts int
-	// leaves is set once the server was told to leave, lost while it does not run.
-	leaves, lost bool
+	// leaves is set once the server was told to leave, lost while it does not run, crashed
+	// while a request has ended its process.
+	leaves, lost, crashed bool
 }
 
 func (s *soak) addServer(name string, at *zone) error {
@@ -42,7 +43,7 @@
 		Server: &standin.Server{ID: name, Events: answerSize, EventTime: eventTime},
 		name:   name, key: name, zone: at.name, store: s.store,
 	}
-	address, err := s.listen(one.Server)
+	address, err := s.listen(s.harmable(one))
 	if err != nil {
 		return err
 	}
@@ -60,7 +61,7 @@
 func (one *server) list() {
 	one.mu.Lock()
 	defer one.mu.Unlock()
-	if !one.leaves && !one.lost {
+	if !one.leaves && !one.lost && !one.crashed {
 		one.store.Put("servers", one.key, standin.ColdListing(one.proxy.address(), one.zone, serverSlots, one.ColdLeft()))
 	}
 }
@@ -70,7 +71,7 @@
 func (one *server) leave() bool {
 	one.mu.Lock()
 	defer one.mu.Unlock()
-	if one.leaves || one.lost {
+	if one.leaves || one.lost || one.crashed {
 		return false
 	}
 	one.leaves = true
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -59,7 +59,9 @@
 	Runs    int
 	// Evacuations and Losses count zones, ColdSends what cold servers got.
 	Evacuations, Losses, ColdSends int
-	Broken                         []Broken
+	// HarmSends counts requests with harmful work, HarmEnds the servers that it ended.
+	HarmSends, HarmEnds int
+	Broken              []Broken
 	// Logs is the directory with the nodes' logs, kept if a promise was broken.
 	Logs string
 }
@@ -147,6 +149,7 @@
 	report := &Report{
 		Seed: s.Seed, Requests: len(s.Requests), Jobs: len(s.Jobs), Runs: len(s.Runs),
 		Evacuations: len(s.Evacuations), Losses: len(s.Losses), ColdSends: len(s.ColdSends),
+		HarmSends: len(s.HarmSends), HarmEnds: len(s.HarmEnds),
 	}
 	for _, one := range s.Requests {
 		switch {
@@ -194,6 +197,9 @@
 	load.Go(func() { s.readJobs(loadCtx) })
 	began := time.Now()
 	s.ends = began.Add(s.For + leastOut)
+	harmCtx, stopHarm := context.WithDeadline(ctx, began.Add(s.For))
+	defer stopHarm()
+	load.Go(func() { s.callHarm(harmCtx) })
 	for _, fault := range plan {
 		if !retry.Sleep(ctx, time.Until(began.Add(fault.At))) {
 			break
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -39,6 +39,9 @@
 	if report.Evacuations == 0 || report.ColdSends == 0 {
 		t.Errorf("%d evacuations, %d sends to cold servers: nothing was proved of them", report.Evacuations, report.ColdSends)
 	}
+	if report.HarmEnds < harmFree || report.HarmSends < 20 {
+		t.Errorf("%d servers ended by %d harmful requests: nothing was proved of them", report.HarmEnds, report.HarmSends)
+	}
 }
 
 func TestPlan_IsFixedByItsSeed(t *testing.T) {
@@ -107,6 +110,7 @@
 		NodeZones: map[string]string{"n": "a", "m": "b"}, ServerZones: map[string]string{"s0": "a", "s1": "a", "s2": "b"},
 	}
 	keptZones(history, at)
+	keptHarm(history, at)
 	return history
 }
 
@@ -145,6 +149,7 @@
 		},
 	}
 	maps.Copy(mutations, zoneMutations())
+	maps.Copy(mutations, harmMutations())
 	for _, promise := range Promises() {
 		mutate := mutations[promise]
 		if mutate == nil {
