Ends of replicas side by side count once against a work

Only a run that was sent after an end is another try, so an end counts if its run began after the one that counts before it. Nodes tell how long each run had lasted.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -173,8 +173,9 @@
 		if now := clock.Now(); !c.inTime(chosen, now) {
 			return c.failure(c.outOfTime(now))
 		}
+		began := clock.Now()
 		err = c.attempt(ctx, chosen)
-		c.tellQuarantine(ctx, chosen, err)
+		c.tellQuarantine(ctx, chosen, began, err)
 		if err == nil {
 			return nil
 		}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
@@ -17,9 +18,9 @@
 	Refuse(work func() quarantine.Work) error
 	// EndedWell takes in a whole answer to a work.
 	EndedWell(work func() quarantine.Work)
-	// BrokeOff takes in that a replica's answer to a work broke off. It returns when it is
+	// BrokeOff takes in that a replica's answer to a run broke off. It returns when it is
 	// known whether the replica ended, or after a short time.
-	BrokeOff(ctx context.Context, replica quarantine.Replica, work quarantine.Work)
+	BrokeOff(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
 }
 
 // MayHaveEnded reports whether an attempt ended as it does if its replica ends: after the
@@ -42,13 +43,13 @@
 
 // tellQuarantine tells how an attempt ended. After one that may have ended its replica it
 // waits for word of that, for the next attempt is decided about by it.
-func (c *call) tellQuarantine(ctx context.Context, chosen *replica.Candidate, err error) {
+func (c *call) tellQuarantine(ctx context.Context, chosen *replica.Candidate, began time.Time, err error) {
 	guard := c.forwarder.Quarantine
 	switch {
 	case guard == nil:
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.EndedWell(c.request.Work)
 	case MayHaveEnded(err, c.status):
-		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, c.request.Work())
+		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), Began: began})
 	}
 }
--- a/internal/jobs/harm.go
+++ b/internal/jobs/harm.go
@@ -55,10 +55,10 @@
 	return true
 }
 
-// tellQuarantine tells how an attempt at an item ended that began after an event. Runs that
+// tellQuarantine tells how an attempt at an item ended that was sent at a time, after an event. Runs that
 // brought new events do not speak against it: items run for long, so many of them are there
 // when a replica ends, and those that go on after what they have come to an end.
-func (r *Runner) tellQuarantine(ctx context.Context, one *task, item *Item, chosen replica.Info, from int, err error) {
+func (r *Runner) tellQuarantine(ctx context.Context, one *task, item *Item, chosen replica.Info, began time.Time, from int, err error) {
 	if r.Quarantine == nil {
 		return
 	}
@@ -69,5 +69,5 @@
 	if one.after > from || !forward.MayHaveEnded(err, 0) {
 		return
 	}
-	r.Quarantine.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, r.identity(one, item))
+	r.Quarantine.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, quarantine.Run{Work: r.identity(one, item), Began: began})
 }
--- a/internal/jobs/harm_test.go
+++ b/internal/jobs/harm_test.go
@@ -44,13 +44,13 @@
 	q.well++
 }
 
-func (q *countingQuarantine) BrokeOff(_ context.Context, _ quarantine.Replica, work quarantine.Work) {
+func (q *countingQuarantine) BrokeOff(_ context.Context, _ quarantine.Replica, run quarantine.Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.broken == nil {
 		q.broken = map[quarantine.Work]int{}
 	}
-	q.broken[work]++
+	q.broken[run.Work]++
 }
 
 var errReplicaEnded = outcome.Undecided(errors.Join(forward.ErrBroken, errors.New("EOF")))
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -45,7 +45,7 @@
 	err := r.exchange(ctx, one, item, chosen, use)
 	r.learn(one, from, clock.Since(began), err == nil)
 	use.End(itemResult(one.work.ctx, err), clock.Now())
-	r.tellQuarantine(one.work.ctx, one, item, chosen, from, err)
+	r.tellQuarantine(one.work.ctx, one, item, chosen, began, from, err)
 	if err != nil && one.work.ctx.Err() == nil && !errors.Is(err, errYielded) {
 		r.Service.Events.ItemFailed(one.work.job, item.ID, chosen.ID, err)
 	}
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -12,10 +12,10 @@
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 )
 
-// harmWorksAtOnce bounds the works of one message, and harmEndsAtOnce the ends: of 18 and
+// harmWorksAtOnce bounds the works of one message, and harmEndsAtOnce the ends: of 23 and
 // some 45 bytes each, of the 1,472 of a datagram.
 const (
-	harmWorksAtOnce = 50
+	harmWorksAtOnce = 40
 	harmEndsAtOnce  = 8
 )
 
@@ -30,6 +30,8 @@
 	Replica string            `cbor:"1,keyasint"`
 	Works   []quarantine.Work `cbor:"2,keyasint"`
 	AgeMs   int64             `cbor:"3,keyasint"`
+	// Lasted is how long each of Works had run, in ms.
+	Lasted []int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // clearedTold is a work of which a run ended well, or that was released.
@@ -54,14 +56,16 @@
 		told, works = harmTold{}, 0
 	}
 	for _, report := range news.Reports {
-		for rest := report.Works; len(rest) > 0; {
+		for rest, lasted := report.Told(); len(rest) > 0; {
 			if works >= harmWorksAtOnce || len(told.Ends) >= harmEndsAtOnce {
 				flush()
 			}
-			some := rest[:min(len(rest), harmWorksAtOnce-works)]
-			rest = rest[len(some):]
-			told.Ends = append(told.Ends, endTold{Replica: report.Replica, Works: some, AgeMs: now.Sub(report.At).Milliseconds()})
-			works += len(some)
+			count := min(len(rest), harmWorksAtOnce-works)
+			told.Ends = append(told.Ends, endTold{
+				Replica: report.Replica, Works: rest[:count], Lasted: lasted[:count], AgeMs: now.Sub(report.At).Milliseconds(),
+			})
+			rest, lasted = rest[count:], lasted[count:]
+			works += count
 		}
 	}
 	for _, clearing := range news.Clearings {
@@ -83,7 +87,8 @@
 	}
 	now := clock.Now()
 	for _, ended := range told.Ends {
-		g.harm.guard.Take(quarantine.Report{Replica: ended.Replica, Works: ended.Works, At: ago(now, ended.AgeMs)})
+		at := ago(now, ended.AgeMs)
+		g.harm.guard.Take(quarantine.Report{Replica: ended.Replica, Runs: quarantine.RunsOf(ended.Works, ended.Lasted, at), At: at})
 	}
 	for _, cleared := range told.Cleared {
 		g.harm.Clear(cleared.Work, ago(now, cleared.AgeMs))
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -83,9 +83,9 @@
 
 // Ended implements quarantine.Events.
 func (c *core) Ended(report quarantine.Report) {
-	works := make([]string, len(report.Works))
-	for i, work := range report.Works {
-		works[i] = work.String()
+	works := make([]string, len(report.Runs))
+	for i, run := range report.Runs {
+		works[i] = run.Work.String()
 	}
 	c.log.Warn().Str("replica", report.Replica).Strs("works", works).Msg("replica ended under work of this node")
 	c.harm.publisher.Report(report)
--- a/internal/node/suspend_test.go
+++ b/internal/node/suspend_test.go
@@ -45,7 +45,8 @@
 	c.harm.rows.Apply(table.Changes{Now: time.Hour}, true)
 	work := quarantine.Work{1}
 	for _, id := range []string{"a", "b", "c"} {
-		c.harm.guard.Take(quarantine.Report{Replica: id, Works: []quarantine.Work{work}, At: clock.Now()})
+		now := clock.Now()
+		c.harm.guard.Take(quarantine.Report{Replica: id, Runs: []quarantine.Run{{Work: work, Began: now}}, At: now})
 	}
 	if !c.Suspects().Items[0].Quarantined {
 		t.Fatal("not quarantined")
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -89,8 +89,8 @@
 	probed chan struct{}
 	// ended is when the replica was found to have ended; zero if it was not.
 	ended time.Time
-	// works are those that broke off before it was known whether it ended.
-	works []Work
+	// runs are those that broke off before it was known whether it ended.
+	runs []Run
 }
 
 // before reports whether the watch is about an earlier life of the replica.
@@ -119,10 +119,10 @@
 	}
 }
 
-// BrokeOff takes in that a replica's answer to a work broke off. It returns when it is known
+// BrokeOff takes in that a replica's answer to a run broke off. It returns when it is known
 // whether the replica ended, or after a short time.
-func (g *Guard) BrokeOff(ctx context.Context, replica Replica, work Work) {
-	known := g.attach(replica, work)
+func (g *Guard) BrokeOff(ctx context.Context, replica Replica, run Run) {
+	known := g.attach(replica, run)
 	if known == nil {
 		return
 	}
@@ -134,9 +134,9 @@
 	}
 }
 
-// attach adds a work to the watch of a replica, and begins one if there is none. It returns
+// attach adds a run to the watch of a replica, and begins one if there is none. It returns
 // nil if the replica's end would be no news.
-func (g *Guard) attach(replica Replica, work Work) *watch {
+func (g *Guard) attach(replica Replica, run Run) *watch {
 	g.mu.Lock()
 	known := g.watched[replica.ID]
 	if known == nil || known.before(clock.Now()) {
@@ -153,10 +153,10 @@
 	}
 	if ended := known.ended; !ended.IsZero() {
 		g.mu.Unlock()
-		g.report(Report{Replica: replica.ID, Works: []Work{work}, At: ended})
+		g.report(Report{Replica: replica.ID, Runs: []Run{run}, At: ended})
 		return known
 	}
-	known.works = append(known.works, work)
+	known.runs = append(known.runs, run)
 	g.mu.Unlock()
 	return known
 }
@@ -194,9 +194,9 @@
 		return
 	}
 	known.ended = at
-	works := known.works
+	runs := known.runs
 	g.mu.Unlock()
-	g.report(Report{Replica: replica.ID, Works: works, At: at})
+	g.report(Report{Replica: replica.ID, Runs: runs, At: at})
 }
 
 // report takes in an end that this node saw.
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -76,7 +76,7 @@
 }
 
 func (g *Guard) breakOff(ctx context.Context, replica string, work Work) {
-	g.BrokeOff(ctx, Replica{ID: replica, Address: replica}, work)
+	g.BrokeOff(ctx, Replica{ID: replica, Address: replica}, Run{Work: work, Began: time.Now()})
 }
 
 func TestGuard_ARefusedConnectionIsAnEndAtOnce(t *testing.T) {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -26,18 +26,28 @@
 	// up hears of it late. A replica is back no sooner than after some seconds, with another
 	// id where ids are those of lives, or with the same one.
 	sameEnd = 2 * time.Second
+	// beganSlack is how much earlier than an end a run may seem to have begun that was sent
+	// after it, for their times come from different nodes.
+	beganSlack = 15 * time.Millisecond
 )
 
 // Report tells that a replica ended while a node's requests ran there.
 type Report struct {
 	// Replica is its id.
 	Replica string
-	// Works are what the node had there.
-	Works []Work
+	// Runs are what the node had there.
+	Runs []Run
 	// At is when it ended.
 	At time.Time
 }
 
+// Run is a run of a work.
+type Run struct {
+	Work Work
+	// Began is when it was sent.
+	Began time.Time
+}
+
 // Verdict is what is known of a work.
 type Verdict struct {
 	Work Work
@@ -71,7 +81,9 @@
 // List tells harmful work from the ends of replicas: a work may end Replicas of them within
 // For, and then runs nowhere until the oldest of these ends is For ago. An end counts against
 // all that ran there, until a run of the work ends well, or another one that ran there is
-// quarantined. The zero value goes by the defaults. It is safe for concurrent use.
+// quarantined. Of ends that befell runs side by side one counts, for they may have had a
+// cause in common: a rack, a zone, a link; only a run that was sent after an end is another
+// try at it. The zero value goes by the defaults. It is safe for concurrent use.
 type List struct {
 	// Replicas and For are set before use; zero means the default.
 	Replicas int
@@ -93,7 +105,8 @@
 type end struct {
 	replica string
 	at      time.Time
-	works   map[Work]struct{}
+	// works are what ran there, by when the newest run began.
+	works map[Work]time.Time
 }
 
 // suspect is a work that ran on replicas which ended.
@@ -131,33 +144,44 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prune(now)
-	if now.Sub(report.At) >= l.memory() || len(report.Works) == 0 {
+	if now.Sub(report.At) >= l.memory() || len(report.Runs) == 0 {
 		return nil
 	}
 	l.note(report)
 	var condemned []Verdict
-	for _, work := range report.Works {
+	l.reports++
+	for work := range report.works() {
 		// All works of the report are judged by what was quarantined before it.
 		if verdict := l.judge(work, now); verdict.Quarantined && l.works[work].quarantined == 0 {
 			condemned = append(condemned, verdict)
 		}
 	}
-	l.reports++
 	for _, verdict := range condemned {
 		l.works[verdict.Work].quarantined = l.reports
 	}
 	return condemned
 }
 
+// works returns the works of a report, each once.
+func (r *Report) works() map[Work]struct{} {
+	works := make(map[Work]struct{}, len(r.Runs))
+	for _, run := range r.Runs {
+		works[run.Work] = struct{}{}
+	}
+	return works
+}
+
 // note notes what a report tells. The caller holds mu.
 func (l *List) note(report Report) {
 	known := l.endOf(report)
-	for _, work := range report.Works {
-		known.works[work] = struct{}{}
-		if l.works[work] == nil {
-			l.works[work] = &suspect{ends: map[*end]struct{}{}}
+	for _, run := range report.Runs {
+		if began, ok := known.works[run.Work]; !ok || run.Began.After(began) {
+			known.works[run.Work] = run.Began
+		}
+		if l.works[run.Work] == nil {
+			l.works[run.Work] = &suspect{ends: map[*end]struct{}{}}
 		}
-		l.works[work].ends[known] = struct{}{}
+		l.works[run.Work].ends[known] = struct{}{}
 	}
 	for len(l.works) > maxWorks && len(l.oldest) > 1 {
 		l.forgetOldest()
@@ -175,7 +199,7 @@
 			return known
 		}
 	}
-	known := &end{replica: report.Replica, at: report.At, works: map[Work]struct{}{}}
+	known := &end{replica: report.Replica, at: report.At, works: map[Work]time.Time{}}
 	l.ends[report.Replica] = append(l.ends[report.Replica], known)
 	l.oldest = append(l.oldest, known)
 	return known
@@ -224,6 +248,7 @@
 	slices.SortFunc(counted, func(a, b *end) int {
 		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.replica, b.replica))
 	})
+	counted = oneAfterTheOther(counted, work)
 	for _, ended := range counted {
 		verdict.Replicas = append(verdict.Replicas, ended.replica)
 		verdict.Last = ended.at
@@ -235,6 +260,18 @@
 	return verdict
 }
 
+// oneAfterTheOther returns the most ends, of some in order, such that each befell a run of a
+// work that was sent after the one before.
+func oneAfterTheOther(ends []*end, work Work) []*end {
+	var chain []*end
+	for _, ended := range ends {
+		if len(chain) == 0 || !ended.works[work].Before(chain[len(chain)-1].at.Add(-beganSlack)) {
+			chain = append(chain, ended)
+		}
+	}
+	return chain
+}
+
 // explained reports whether work that was quarantined before a suspect ran at a replica when
 // it ended. The caller holds mu.
 func (l *List) explained(ended *end, known *suspect) bool {
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -16,7 +16,16 @@
 // ended reports that a replica ended with works, some seconds after start.
 func ended(list *List, replica string, second int, works ...Work) []Verdict {
 	at := start.Add(time.Duration(second) * time.Second)
-	return list.Add(Report{Replica: replica, Works: works, At: at}, at)
+	return list.Add(Report{Replica: replica, Runs: runsOf(at.Add(-100*time.Millisecond), works...), At: at}, at)
+}
+
+// runsOf returns runs of works that began at a time.
+func runsOf(began time.Time, works ...Work) []Run {
+	var runs []Run
+	for _, work := range works {
+		runs = append(runs, Run{Work: work, Began: began})
+	}
+	return runs
 }
 
 func quarantined(list *List, work Work, second int) bool {
@@ -60,6 +69,29 @@
 	}
 }
 
+// TestList_EndsSideBySideCountOnce: a rack or a zone takes many replicas at once, and a popular
+// request is on all of them.
+func TestList_EndsSideBySideCountOnce(t *testing.T) {
+	var list List
+	popular := work("popular")
+	for i := range 6 {
+		at := start.Add(time.Duration(i) * 300 * time.Millisecond)
+		list.Add(Report{Replica: fmt.Sprintf("r%d", i), Runs: runsOf(start.Add(-time.Second), popular), At: at}, at)
+	}
+	if verdict := list.Check(popular, start.Add(2*time.Second)); len(verdict.Replicas) != 1 {
+		t.Fatalf("%d ends count", len(verdict.Replicas))
+	}
+	// What is sent after them and ends replicas again counts, a hair early by another clock.
+	for i := range 2 {
+		at := start.Add(time.Duration(1+i) * time.Second)
+		ends := start.Add(time.Duration(i) * time.Second)
+		list.Add(Report{Replica: fmt.Sprintf("again%d", i), Runs: runsOf(ends.Add(-beganSlack), popular), At: at}, at)
+	}
+	if !quarantined(&list, popular, 3) {
+		t.Fatal("ends of runs that were sent after earlier ends do not count")
+	}
+}
+
 func TestList_ARunThatEndedWellClears(t *testing.T) {
 	var list List
 	popular := work("popular")
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -81,7 +81,7 @@
 	defer p.mu.Unlock()
 	for i := range p.pending.Reports {
 		if known := &p.pending.Reports[i]; known.Replica == report.Replica {
-			known.Works = append(known.Works, report.Works...)
+			known.Runs = append(known.Runs, report.Runs...)
 			return
 		}
 	}
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -27,6 +27,8 @@
 	Replica string `cbor:"1,keyasint"`
 	Works   []Work `cbor:"2,keyasint"`
 	At      int64  `cbor:"3,keyasint"`
+	// Lasted is how long each of Works had run.
+	Lasted []int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // clearingRow is the body of the row of a clearing.
@@ -126,7 +128,7 @@
 		return fact{}, Error.Wrap(err)
 	}
 	at := r.local(body.At)
-	return fact{at: at, report: &Report{Replica: body.Replica, Works: body.Works, At: at}}, nil
+	return fact{at: at, report: &Report{Replica: body.Replica, Runs: RunsOf(body.Works, body.Lasted, at), At: at}}, nil
 }
 
 // local returns a time of the table's clock by this node's. The caller holds mu.
@@ -143,6 +145,29 @@
 	return (r.tableNow + at.Sub(r.readAt)).Milliseconds(), nil
 }
 
+// Told returns the runs of a report as they are told: the works, and how long each had run, in
+// ms.
+func (r *Report) Told() (works []Work, lasted []int64) {
+	for _, run := range r.Runs {
+		works = append(works, run.Work)
+		lasted = append(lasted, r.At.Sub(run.Began).Milliseconds())
+	}
+	return works, lasted
+}
+
+// RunsOf returns runs that were told, at the end of a replica. One of which it is not told how
+// long it lasted counts as having begun with the replica's end.
+func RunsOf(works []Work, lasted []int64, at time.Time) []Run {
+	runs := make([]Run, len(works))
+	for i, work := range works {
+		runs[i] = Run{Work: work, Began: at}
+		if i < len(lasted) {
+			runs[i].Began = at.Add(-time.Duration(max(0, lasted[i])) * time.Millisecond)
+		}
+	}
+	return runs
+}
+
 // putEnd returns the write of the row of an end.
 func (r *Rows) putEnd(name string, report Report) (table.Write, error) {
 	r.mu.Lock()
@@ -151,7 +176,8 @@
 	if err != nil {
 		return table.Write{}, err
 	}
-	return r.put(prefixEnd+name, endRow{Replica: report.Replica, Works: report.Works, At: at})
+	works, lasted := report.Told()
+	return r.put(prefixEnd+name, endRow{Replica: report.Replica, Works: works, At: at, Lasted: lasted})
 }
 
 // putClearing returns the write of the row of a clearing.
