--- /dev/null
+++ b/internal/quarantine/fleet_test.go
@@ -0,0 +1,412 @@
+package quarantine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// Bounds of the property, those of the users' pages.
+const (
+	fleetContact = 3 * time.Second
+	fleetFree    = 3
+	fleetRetries = 3
+	// fleetAll bounds the replicas that end in all: the three, what is sent before any can
+	// know, and what is forgotten as nodes die that could not tell yet.
+	fleetAll = 12
+)
+
+// Times of the fleet.
+const (
+	fleetLasts  = 60 * time.Second
+	fleetWay    = 2 * time.Millisecond
+	fleetLook   = time.Second
+	fleetRun    = 30 * time.Millisecond
+	fleetDown   = 2 * time.Second
+	fleetLapse  = 700 * time.Millisecond
+	fleetArrive = 60 * time.Millisecond
+)
+
+// mutation takes something away from the mechanism.
+type mutation struct {
+	name string
+	// unsaid sends no messages, unwritten writes no rows, aloof has nodes hear nothing of
+	// others, forgetful does not read what is written at a start.
+	unsaid, unwritten, aloof, forgetful bool
+}
+
+// fleet is nodes with the real guard, publisher and rows before replicas that a piece of
+// work ends.
+type fleet struct {
+	mutation
+	random *rand.Rand
+	table  *flakyTable
+
+	mu       sync.Mutex
+	nodes    []*fleetNode
+	replicas []*fleetReplica
+	ends     []fleetEnd
+	refused  int
+	// storm is when each node's messages are lost; badUntil when the table is away.
+	lossy float64
+	// stable is when the table last came back.
+	stable time.Time
+}
+
+type fleetReplica struct {
+	name  string
+	lives int
+	down  bool
+	// gone is set once its row has lapsed.
+	gone bool
+}
+
+func (r *fleetReplica) id() string { return fmt.Sprintf("%s-%d", r.name, r.lives) }
+
+// fleetEnd is the end of a replica under the work.
+type fleetEnd struct {
+	at, sent time.Time
+	node     string
+	// since is when that node was last disturbed, or the table.
+	since time.Time
+}
+
+// fleetNode is a life of a node.
+type fleetNode struct {
+	fleet     *fleet
+	name      string
+	started   time.Time
+	cancel    context.CancelFunc
+	guard     quarantine.Guard
+	list      quarantine.List
+	rows      quarantine.Rows
+	publisher *quarantine.Publisher
+	watcher   *table.Watcher
+}
+
+// flakyTable answers nothing while it is away.
+type flakyTable struct {
+	*tabletest.Table
+	mu   sync.Mutex
+	away bool
+}
+
+var errAway = errors.New("away")
+
+func (t *flakyTable) set(away bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.away = away
+}
+
+func (t *flakyTable) isAway() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.away
+}
+
+func (t *flakyTable) Commit(ctx context.Context, operation string, writes ...table.Write) ([]uint64, error) {
+	if t.isAway() {
+		return nil, errAway
+	}
+	return t.Table.Commit(ctx, operation, writes...)
+}
+
+// flakyFeed is a feed of it.
+type flakyFeed struct {
+	table.Feed
+	table *flakyTable
+}
+
+func (f flakyFeed) Page(ctx context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
+	if f.table.isAway() {
+		return table.Changes{}, cursor, errAway
+	}
+	return f.Feed.Page(ctx, cursor)
+}
+
+func (f flakyFeed) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
+	if f.table.isAway() {
+		return table.Changes{}, errAway
+	}
+	changes, err := f.Feed.After(ctx, revision, wait)
+	if f.table.isAway() {
+		return table.Changes{}, errAway
+	}
+	return changes, err
+}
+
+// Standing implements quarantine.Replicas.
+func (n *fleetNode) Standing(id string) quarantine.Standing {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	for _, one := range n.fleet.replicas {
+		if one.id() == id && !one.gone {
+			return quarantine.Serving
+		}
+	}
+	return quarantine.Gone
+}
+
+// Probe implements quarantine.Replicas.
+func (n *fleetNode) Probe(_ context.Context, address string) quarantine.Probe {
+	time.Sleep(2 * fleetWay)
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	for _, one := range n.fleet.replicas {
+		if one.name == address && !one.down {
+			return quarantine.Accepted
+		}
+	}
+	return quarantine.Refused
+}
+
+// Ended implements quarantine.Events.
+func (n *fleetNode) Ended(report quarantine.Report) { n.publisher.Report(report) }
+
+// Cleared implements quarantine.Events.
+func (n *fleetNode) Cleared(before quarantine.Verdict, at time.Time) {
+	n.publisher.Clear(quarantine.Clearing{Work: before.Work, At: at, Lasting: true})
+}
+
+// Quarantined implements quarantine.Events.
+func (*fleetNode) Quarantined(quarantine.Verdict) {}
+
+// tell sends news to the other nodes, in messages that are lost, doubled and late.
+func (n *fleetNode) tell(news quarantine.News) {
+	if n.fleet.unsaid {
+		return
+	}
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	for _, other := range n.fleet.nodes {
+		if other == n || n.fleet.random.Float64() < n.fleet.lossy {
+			continue
+		}
+		for range 1 + n.fleet.random.IntN(2) {
+			late := fleetWay + time.Duration(n.fleet.random.Int64N(int64(100*time.Millisecond)))
+			time.AfterFunc(late, func() { other.take(news) })
+		}
+	}
+}
+
+func (n *fleetNode) take(news quarantine.News) {
+	if n.fleet.aloof {
+		return
+	}
+	for _, report := range news.Reports {
+		n.guard.Take(report)
+	}
+	for _, clearing := range news.Clearings {
+		n.list.Clear(clearing.Work, clearing.At)
+	}
+}
+
+// start begins a life of a node.
+func (f *fleet) start(ctx context.Context, name string) *fleetNode {
+	ctx, cancel := context.WithCancel(ctx)
+	n := &fleetNode{fleet: f, name: name, started: time.Now(), cancel: cancel}
+	n.guard = quarantine.Guard{List: &n.list, Replicas: n, Events: n}
+	n.rows = quarantine.Rows{Partition: "group/quarantine", Guard: &n.guard}
+	session := fmt.Sprintf("%s#%d", name, n.started.UnixNano())
+	n.publisher = quarantine.NewPublisher(f.table, &n.rows, func() string { return session })
+	n.publisher.Tell = n.tell
+	n.watcher = table.NewWatcher(flakyFeed{f.table.Feed("group"), f.table}, func(changes table.Changes, whole bool) {
+		if f.aloof || f.unwritten || (whole && f.forgetful) {
+			changes.Changes = nil
+		}
+		n.rows.Apply(changes, whole)
+	})
+	n.watcher.Pace = func() table.Pace { return table.Pace{Announced: fleetLook, Usual: fleetLook} }
+	go n.watcher.Run(ctx)
+	go n.publisher.Run(ctx)
+	return n
+}
+
+// call is a call of a client with the work at a node: two attempts at most.
+func (f *fleet) call(ctx context.Context, n *fleetNode, work quarantine.Work) {
+	for range 2 {
+		if n.guard.Refuse(func() quarantine.Work { return work }) != nil {
+			f.mu.Lock()
+			f.refused++
+			f.mu.Unlock()
+			return
+		}
+		chosen, id := f.pick()
+		if chosen == nil {
+			return
+		}
+		sent := time.Now()
+		time.Sleep(fleetRun)
+		if !f.end(ctx, chosen, id, fleetEnd{at: time.Now(), sent: sent, node: n.name, since: n.started}) {
+			return
+		}
+		n.guard.BrokeOff(ctx, quarantine.Replica{ID: id, Address: chosen.name}, quarantine.Run{Work: work, Began: sent})
+	}
+}
+
+func (f *fleet) pick() (*fleetReplica, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range 20 {
+		if one := f.replicas[f.random.IntN(len(f.replicas))]; !one.down {
+			return one, one.id()
+		}
+	}
+	return nil, ""
+}
+
+// end ends a replica, unless it has ended meanwhile.
+func (f *fleet) end(ctx context.Context, one *fleetReplica, id string, ended fleetEnd) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if one.down || one.id() != id {
+		return true
+	}
+	one.down = true
+	if f.stable.After(ended.since) {
+		ended.since = f.stable
+	}
+	f.ends = append(f.ends, ended)
+	time.AfterFunc(fleetLapse, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		one.gone = true
+	})
+	time.AfterFunc(fleetDown, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if ctx.Err() == nil {
+			one.lives, one.down, one.gone = one.lives+1, false, false
+		}
+	})
+	return true
+}
+
+// disturb kills and starts nodes, and takes the table away, as the seed says.
+func (f *fleet) disturb(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(2+f.chance(8)) * time.Second)
+		switch f.chance(4) {
+		case 0:
+			f.table.set(true)
+			time.Sleep(time.Duration(500+f.chance(4000)) * time.Millisecond)
+			f.table.set(false)
+			f.mu.Lock()
+			f.stable = time.Now()
+			f.mu.Unlock()
+		case 1:
+			for number := range f.nodes {
+				f.restart(ctx, number)
+			}
+		default:
+			f.restart(ctx, f.chance(len(f.nodes)))
+		}
+	}
+}
+
+func (f *fleet) chance(below int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(below)
+}
+
+func (f *fleet) restart(ctx context.Context, number int) {
+	f.mu.Lock()
+	old := f.nodes[number]
+	f.mu.Unlock()
+	old.cancel()
+	fresh := f.start(ctx, old.name)
+	f.mu.Lock()
+	f.nodes[number] = fresh
+	f.mu.Unlock()
+}
+
+// playFleet plays a seed and returns how many replicas the work ended in all, and how many by
+// nodes in touch when all had to know of it.
+func playFleet(t *testing.T, seed uint64, without mutation) (all, late int) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		random := rand.New(rand.NewPCG(seed, 17))
+		f := &fleet{mutation: without, random: random, table: &flakyTable{Table: tabletest.New()}, lossy: 0.5 * random.Float64()}
+		f.stable = time.Now()
+		for number := range 6 + random.IntN(6) {
+			f.replicas = append(f.replicas, &fleetReplica{name: fmt.Sprintf("r%d", number)})
+		}
+		for number := range 3 + random.IntN(6) {
+			f.nodes = append(f.nodes, f.start(ctx, fmt.Sprintf("n%d", number)))
+		}
+		time.Sleep(fleetContact)
+		go f.disturb(ctx)
+		content := quarantine.Content{Body: []byte("ends what runs it")}
+		for began := time.Now(); time.Since(began) < fleetLasts; time.Sleep(fleetArrive) {
+			f.mu.Lock()
+			chosen := f.nodes[random.IntN(len(f.nodes))]
+			f.mu.Unlock()
+			go f.call(ctx, chosen, content.Work())
+		}
+		all, late = f.count()
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return all, late
+}
+
+func (f *fleet) count() (all, late int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.ends) <= fleetFree {
+		return len(f.ends), 0
+	}
+	known := f.ends[fleetFree-1].at.Add(fleetContact)
+	for _, one := range f.ends[fleetFree:] {
+		if one.sent.After(known) && one.sent.Sub(one.since) > fleetContact && !f.table.isAway() {
+			late++
+		}
+	}
+	return len(f.ends), late
+}
+
+// TestFleet_EndsFewReplicas drives the real parts with seeded schedules of calls at all nodes,
+// messages that are lost, doubled and late, nodes and whole fleets that restart, and a table
+// that is away: of what nodes in touch send when all must know, three replicas at most end.
+func TestFleet_EndsFewReplicas(t *testing.T) {
+	most := 0
+	for seed := range uint64(100) {
+		all, late := playFleet(t, seed, mutation{})
+		most = max(most, all)
+		if late > fleetRetries || all > fleetAll {
+			t.Errorf("seed %d: %d replicas ended, %d of them late", seed, all, late)
+		}
+	}
+	t.Logf("at most %d replicas ended in all", most)
+}
+
+// TestFleet_MutationsAreCaught takes away what makes it hold.
+func TestFleet_MutationsAreCaught(t *testing.T) {
+	for _, without := range []mutation{
+		{name: "neither words nor rows", unsaid: true, unwritten: true},
+		{name: "each node counts alone", aloof: true},
+		{name: "memory dropped at a start, and no words", forgetful: true, unsaid: true},
+	} {
+		caught := 0
+		for seed := range uint64(10) {
+			if all, late := playFleet(t, seed, without); late > fleetRetries || all > fleetAll {
+				caught++
+			}
+		}
+		t.Logf("%s: caught by %d of 10 seeds", without.name, caught)
+		if caught == 0 {
+			t.Errorf("%s: not caught", without.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/sink_test.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+)
+
+// TestFailForward_QuarantinedWork: the caller learns that it is the request, that it did not
+// run this time, and of no time to come back, which would be in vain.
+func TestFailForward_QuarantinedWork(t *testing.T) {
+	refused := &quarantine.RefusedError{Verdict: quarantine.Verdict{Replicas: []string{"a", "b", "c"}, Quarantined: true}}
+	for _, ran := range []bool{false, true} {
+		app := iris.New()
+		app.Get("/", func(ctx iris.Context) {
+			if ran {
+				failForward(ctx, outcome.Undecided(refused))
+				return
+			}
+			failForward(ctx, outcome.Failed(refused))
+		})
+		if err := app.Build(); err != nil {
+			t.Fatal(err)
+		}
+		answer := httptest.NewRecorder()
+		app.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+		var body openai.ErrorAnswer
+		if err := json.Unmarshal(answer.Body.Bytes(), &body); err != nil {
+			t.Fatal(err)
+		}
+		status, executed := http.StatusUnprocessableEntity, "no"
+		if ran {
+			// An attempt of this very request may have run.
+			status, executed = http.StatusBadGateway, "unknown"
+		}
+		if answer.Code != status || answer.Header().Get(HeaderExecuted) != executed || answer.Header().Get("Retry-After") != "" {
+			t.Errorf("ran %v: %d, %v", ran, answer.Code, answer.Header())
+		}
+		if !ran && body.Error.Code != openai.CodeQuarantined {
+			t.Errorf("error %+v", body.Error)
+		}
+	}
+}
