No end is explained away; quarantined requests are tried at one node

The rule that an end under quarantined work counts against nobody else is taken out: harmful work must not hide behind others, and what it kept from harm is little, for quarantined work makes no ends.

One node of all, by rendezvous, tries a quarantined request 5 s, a minute, and twelve after the newest end; items go on as before.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -14,7 +14,9 @@
 // Quarantine keeps work from replicas that ended those it ran on. The functions that return
 // the work are called only if some is suspected. It is safe for concurrent use.
 type Quarantine interface {
-	// Refuse returns a quarantine.RefusedError for work that must not be sent.
+	// RefuseRequest returns a quarantine.RefusedError for a request that must not be sent,
+	// Refuse for other work.
+	RefuseRequest(work func() quarantine.Work) error
 	Refuse(work func() quarantine.Work) error
 	// EndedWell takes in a whole answer to a work.
 	EndedWell(work func() quarantine.Work)
@@ -38,7 +40,7 @@
 	if c.forwarder.Quarantine == nil {
 		return nil
 	}
-	return c.forwarder.Quarantine.Refuse(c.request.Work)
+	return c.forwarder.Quarantine.RefuseRequest(c.request.Work)
 }
 
 // tellQuarantine tells how an attempt ended. After one that may have ended its replica it
--- a/internal/jobs/harm_test.go
+++ b/internal/jobs/harm_test.go
@@ -38,6 +38,8 @@
 	return refused
 }
 
+func (q *countingQuarantine) RefuseRequest(work func() quarantine.Work) error { return q.Refuse(work) }
+
 func (q *countingQuarantine) EndedWell(func() quarantine.Work) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -39,6 +39,7 @@
 	h.publisher.Failed = func(err error) {
 		c.log.Warn().Err(err).Msg("ends of replicas not written yet")
 	}
+	h.guard.Tries = func(work quarantine.Work) bool { return c.owners.Preferred(work.String()) == c.session.ID() }
 	h.publisher.Sweeps = func() bool { return c.owners.Preferred(jobs.QuarantinePartition()) == c.session.ID() }
 	c.harm = h
 	c.forwarder.Quarantine = &h.guard
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -78,6 +79,9 @@
 	List     *List
 	Replicas Replicas
 	Events   Events
+	// Tries, if set, reports whether this node is the one, of all, that tries quarantined
+	// work now and then.
+	Tries func(work Work) bool
 
 	mu      sync.Mutex
 	watched map[string]*watch
@@ -102,10 +106,25 @@
 	if g.List.Empty() {
 		return nil
 	}
-	if verdict := g.List.Check(work(), clock.Now()); verdict.Quarantined {
-		return &RefusedError{Verdict: verdict}
+	verdict := g.List.Check(work(), clock.Now())
+	if !verdict.Quarantined {
+		return nil
+	}
+	return &RefusedError{Verdict: verdict}
+}
+
+// RefuseRequest is Refuse for a request, which may come at any node: work that is quarantined
+// is tried now and then, for it may be harmless, at one node.
+func (g *Guard) RefuseRequest(work func() Work) error {
+	err := g.Refuse(work)
+	var refused *RefusedError
+	if !errors.As(err, &refused) || g.Tries == nil || !g.Tries(refused.Work) {
+		return err
+	}
+	if g.List.BeginTrial(refused.Work, clock.Now()) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // EndedWell takes in a run that ended well.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -21,7 +21,11 @@
 	maxWorks = 10000
 	// trialPause is the time between two trials of quarantined work: a few replicas that end
 	// one after the other by themselves are over by then.
-	trialPause = 5 * time.Second
+	trialPause       = 5 * time.Second
+	trialPauseGrowth = 12
+	// trialLasts is how long a trial of a request keeps others from being tried at the same
+	// node: longer than requests of the users' deployments may take.
+	trialLasts = 10 * time.Second
 	// sameEnd is how far apart two nodes may see the same end of a replica: one that was held
 	// up hears of it late. A replica is back no sooner than after some seconds, with another
 	// id where ids are those of lives, or with the same one.
@@ -67,9 +71,24 @@
 // some time after the newest end, and until as many ends more as it may bring about at first
 // speak against it. It is meant for work that is not sent by many at the same time.
 func (v *Verdict) TrialDue(now time.Time) bool {
-	return v.Quarantined && len(v.Replicas) < 2*v.Limit && now.Sub(v.Last) >= trialPause
+	return v.mayTry() && now.Sub(v.Last) >= trialPause
 }
 
+// RareTrialDue is TrialDue with pauses that grow twelvefold, 5 s, 1 min and 12 min: for work
+// that comes again by itself for as long as its callers like.
+func (v *Verdict) RareTrialDue(now time.Time) bool {
+	if !v.mayTry() {
+		return false
+	}
+	pause := trialPause
+	for range len(v.Replicas) - v.Limit {
+		pause *= trialPauseGrowth
+	}
+	return now.Sub(v.Last) >= pause
+}
+
+func (v *Verdict) mayTry() bool { return v.Quarantined && len(v.Replicas) < 2*v.Limit }
+
 // RefusedError reports work that is kept from all replicas. It did not run this time.
 type RefusedError struct{ Verdict }
 
@@ -80,8 +99,7 @@
 
 // List tells harmful work from the ends of replicas: a work may end Replicas of them within
 // For, and then runs nowhere until the oldest of these ends is For ago. An end counts against
-// all that ran there, until a run of the work ends well, or another one that ran there is
-// quarantined. Of ends that befell runs side by side one counts, for they may have had a
+// all that ran there, until a run of the work ends well. Of ends that befell runs side by side one counts, for they may have had a
 // cause in common: a rack, a zone, a link; only a run that was sent after an end is another
 // try at it. The zero value goes by the defaults. It is safe for concurrent use.
 type List struct {
@@ -95,8 +113,6 @@
 	works map[Work]*suspect
 	// oldest are the ends in the order in which they were learned.
 	oldest []*end
-	// reports counts the reports.
-	reports uint64
 	// count is the number of works, for those who have nothing to look up.
 	count atomic.Int64
 }
@@ -114,10 +130,10 @@
 	ends map[*end]struct{}
 	// cleared is when a run ended well or an operator released it; what came before does not
 	// count.
-	cleared time.Time
-	// quarantined is 0 for work that is not, else the number of the report that brought it
-	// about.
-	quarantined uint64
+	cleared     time.Time
+	quarantined bool
+	// tried is when a trial was last begun here.
+	tried time.Time
 }
 
 // Limit is how many replicas work may end.
@@ -149,16 +165,12 @@
 	}
 	l.note(report)
 	var condemned []Verdict
-	l.reports++
 	for work := range report.works() {
-		// All works of the report are judged by what was quarantined before it.
-		if verdict := l.judge(work, now); verdict.Quarantined && l.works[work].quarantined == 0 {
+		if verdict := l.judge(work, now); verdict.Quarantined && !l.works[work].quarantined {
+			l.works[work].quarantined = true
 			condemned = append(condemned, verdict)
 		}
 	}
-	for _, verdict := range condemned {
-		l.works[verdict.Work].quarantined = l.reports
-	}
 	return condemned
 }
 
@@ -241,7 +253,7 @@
 	}
 	var counted []*end
 	for ended := range known.ends {
-		if ended.at.After(known.cleared) && now.Sub(ended.at) < l.memory() && !l.explained(ended, known) {
+		if ended.at.After(known.cleared) && now.Sub(ended.at) < l.memory() {
 			counted = append(counted, ended)
 		}
 	}
@@ -272,18 +284,6 @@
 	return chain
 }
 
-// explained reports whether work that was quarantined before a suspect ran at a replica when
-// it ended. The caller holds mu.
-func (l *List) explained(ended *end, known *suspect) bool {
-	for work := range ended.works {
-		other := l.works[work]
-		if other != known && other.quarantined != 0 && (known.quarantined == 0 || other.quarantined < known.quarantined) {
-			return true
-		}
-	}
-	return false
-}
-
 // Check returns the verdict on a work.
 func (l *List) Check(work Work, now time.Time) Verdict {
 	if l.Empty() {
@@ -299,11 +299,25 @@
 func (l *List) check(work Work, now time.Time) Verdict {
 	verdict := l.judge(work, now)
 	if known := l.works[work]; known != nil && !verdict.Quarantined {
-		known.quarantined = 0
+		known.quarantined = false
 	}
 	return verdict
 }
 
+// BeginTrial reports whether quarantined work may be tried at this node now, which it is then
+// taken to be.
+func (l *List) BeginTrial(work Work, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	verdict := l.judge(work, now)
+	known := l.works[work]
+	if !verdict.RareTrialDue(now) || now.Sub(known.tried) < trialLasts {
+		return false
+	}
+	known.tried = now
+	return true
+}
+
 // Clear has nothing before a time count against a work: a run of it ended well then, or an
 // operator released it. It returns the verdict until then, which holds no replicas if there
 // was nothing to clear.
