Work that ended well takes twice as many ends; nodes ask what speaks for a work

Each node remembers works that ended well, some minutes of them, tells when one that is suspected does, and a node that begins to refuse a work asks all others when they last saw it end well; a work with such a memory takes six ends. A node that hears of an end after the clearing does not count it. All clearings are written now: a node that started read three ends that had been cleared one by one.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -19,7 +19,7 @@
 	RefuseRequest(work func() quarantine.Work) error
 	Refuse(work func() quarantine.Work) error
 	// EndedWell takes in a whole answer to a work.
-	EndedWell(work func() quarantine.Work)
+	EndedWell(work quarantine.Work)
 	// BrokeOff takes in that a replica's answer to a run broke off. It returns when it is
 	// known whether the replica ended, or after a short time.
 	BrokeOff(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
@@ -50,7 +50,7 @@
 	switch {
 	case guard == nil:
 	case err == nil && c.status < http.StatusInternalServerError:
-		guard.EndedWell(c.request.Work)
+		guard.EndedWell(c.request.Work())
 	case MayHaveEnded(err, c.status):
 		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), Began: began})
 	}
--- a/internal/jobs/harm.go
+++ b/internal/jobs/harm.go
@@ -63,7 +63,7 @@
 		return
 	}
 	if err == nil {
-		r.Quarantine.EndedWell(func() quarantine.Work { return r.identity(one, item) })
+		r.Quarantine.EndedWell(r.identity(one, item))
 		return
 	}
 	if one.after > from || !forward.MayHaveEnded(err, 0) {
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -23,6 +23,9 @@
 type harmTold struct {
 	Ends    []endTold     `cbor:"1,keyasint,omitempty"`
 	Cleared []clearedTold `cbor:"2,keyasint,omitempty"`
+	// Asked is a work that the sender refuses from now on: who has seen it end well is to
+	// tell when.
+	Asked *quarantine.Work `cbor:"3,keyasint,omitempty"`
 }
 
 // endTold is the end of a replica.
@@ -78,6 +81,20 @@
 	flush()
 }
 
+// askHarm asks all other nodes for what speaks for a work.
+func (g *Gateway) askHarm(work quarantine.Work) {
+	for _, node := range g.near.others() {
+		g.tellNode(node, peer.KindHarm, harmTold{Asked: &work})
+	}
+}
+
+// answerHarm tells a node when a work was last seen to end well here, if it was.
+func (g *Gateway) answerHarm(node string, work quarantine.Work) {
+	if at, ok := g.harm.EndedWell(work); ok {
+		g.tellNode(node, peer.KindHarm, harmTold{Cleared: []clearedTold{{Work: work, AgeMs: clock.Since(at).Milliseconds()}}})
+	}
+}
+
 // takeHarm handles messages of peer.KindHarm.
 func (g *Gateway) takeHarm(from string, _ *net.UDPAddr, body []byte) {
 	var told harmTold
@@ -93,6 +110,9 @@
 	for _, cleared := range told.Cleared {
 		g.harm.Clear(cleared.Work, ago(now, cleared.AgeMs))
 	}
+	if told.Asked != nil {
+		g.answerHarm(lease.Node(from), *told.Asked)
+	}
 }
 
 // ago is the time so many ms ago; what others tell of the future is now.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -28,6 +28,9 @@
 	guard     quarantine.Guard
 	rows      quarantine.Rows
 	publisher *quarantine.Publisher
+	// ask, if set, asks other nodes for what speaks for a work: they may have seen it end
+	// well when this node did not listen, or did not run.
+	ask func(work quarantine.Work)
 }
 
 // buildQuarantine joins the parts that find and keep what ends replicas.
@@ -92,14 +95,12 @@
 	c.harm.publisher.Report(report)
 }
 
-// Cleared implements quarantine.Events. Others learn of it for good if one more end would
-// have the work quarantined; otherwise a word that is lost costs nothing.
+// Cleared implements quarantine.Events.
 func (c *core) Cleared(before quarantine.Verdict, at time.Time) {
 	c.metrics.cleared.Inc()
 	c.log.Info().Stringer("work", before.Work).Strs("replicas", before.Replicas).
 		Bool("quarantined", before.Quarantined).Msg("suspected work ended well")
-	lasting := len(before.Replicas) >= c.harm.Limit()-1
-	c.harm.publisher.Clear(quarantine.Clearing{Work: before.Work, At: at, Lasting: lasting})
+	c.harm.publisher.Clear(quarantine.Clearing{Work: before.Work, At: at})
 }
 
 // Quarantined implements quarantine.Events.
@@ -107,6 +108,9 @@
 	c.metrics.quarantined.Inc()
 	c.log.Warn().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).
 		Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
+	if c.harm.ask != nil {
+		c.harm.ask(verdict.Work)
+	}
 }
 
 // Suspects implements server.Quarantine.
@@ -143,7 +147,7 @@
 	}
 	c.metrics.released.Inc()
 	c.log.Warn().Stringer("work", work).Strs("replicas", before.Replicas).Msg("work released by an operator")
-	c.harm.publisher.Clear(quarantine.Clearing{Work: work, At: now, Lasting: true})
+	c.harm.publisher.Clear(quarantine.Clearing{Work: work, At: now})
 	return suspectOf(before, now), true
 }
 
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -110,6 +110,9 @@
 	if !verdict.Quarantined {
 		return nil
 	}
+	if verdict.Fresh {
+		g.Events.Quarantined(verdict)
+	}
 	return &RefusedError{Verdict: verdict}
 }
 
@@ -128,12 +131,9 @@
 }
 
 // EndedWell takes in a run that ended well.
-func (g *Guard) EndedWell(work func() Work) {
-	if g.List.Empty() {
-		return
-	}
+func (g *Guard) EndedWell(work Work) {
 	now := clock.Now()
-	if before := g.List.Clear(work(), now); len(before.Replicas) > 0 {
+	if before := g.List.Clear(work, now); len(before.Replicas) > 0 {
 		g.Events.Cleared(before, now)
 	}
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -21,11 +21,18 @@
 	maxWorks = 10000
 	// trialPause is the time between two trials of quarantined work: a few replicas that end
 	// one after the other by themselves are over by then.
-	trialPause       = 5 * time.Second
-	trialPauseGrowth = 12
+	trialPause = 5 * time.Second
 	// trialLasts is how long a trial of a request keeps others from being tried at the same
 	// node: longer than requests of the users' deployments may take.
 	trialLasts = 10 * time.Second
+	// provenFactor is how many times as many ends it takes for work that is remembered to have
+	// ended well: popular work runs on most replicas, and so on those that other work ends,
+	// three within a second, maybe all of a small pool. Work that begins to do harm after it
+	// did none is found after as many ends.
+	provenFactor = 2
+	// maxWell bounds the works that are remembered to have ended well, twice: some minutes of
+	// a node's requests.
+	maxWell = 4000
 	// sameEnd is how far apart two nodes may see the same end of a replica: one that was held
 	// up hears of it late. A replica is back no sooner than after some seconds, with another
 	// id where ids are those of lives, or with the same one.
@@ -35,6 +42,10 @@
 	beganSlack = 15 * time.Millisecond
 )
 
+// rareTrialPauses are the times from the newest end to a trial of a request, by how many ends
+// more than the limit count against it: two trials at most within two minutes.
+var rareTrialPauses = []time.Duration{trialPause, 4 * trialPause, 12 * time.Minute}
+
 // Report tells that a replica ended while a node's requests ran there.
 type Report struct {
 	// Replica is its id.
@@ -65,6 +76,8 @@
 	Last time.Time
 	// Limit is how many it may end.
 	Limit int
+	// Fresh is set on the first verdict by which the work is quarantined.
+	Fresh bool
 }
 
 // TrialDue reports whether quarantined work may run once more to show that it is harmless:
@@ -74,17 +87,14 @@
 	return v.mayTry() && now.Sub(v.Last) >= trialPause
 }
 
-// RareTrialDue is TrialDue with pauses that grow twelvefold, 5 s, 1 min and 12 min: for work
-// that comes again by itself for as long as its callers like.
+// RareTrialDue is TrialDue with pauses that grow: for work that comes again by itself for as
+// long as its callers like.
 func (v *Verdict) RareTrialDue(now time.Time) bool {
 	if !v.mayTry() {
 		return false
 	}
-	pause := trialPause
-	for range len(v.Replicas) - v.Limit {
-		pause *= trialPauseGrowth
-	}
-	return now.Sub(v.Last) >= pause
+	beyond := min(len(v.Replicas)-v.Limit, len(rareTrialPauses)-1)
+	return now.Sub(v.Last) >= rareTrialPauses[beyond]
 }
 
 func (v *Verdict) mayTry() bool { return v.Quarantined && len(v.Replicas) < 2*v.Limit }
@@ -113,10 +123,34 @@
 	works map[Work]*suspect
 	// oldest are the ends in the order in which they were learned.
 	oldest []*end
+	// well is when works were last seen to end well, or were released.
+	well recent
 	// count is the number of works, for those who have nothing to look up.
 	count atomic.Int64
 }
 
+// recent remembers times of works, of the newest maxWell at least. The zero value is ready to
+// use.
+type recent struct{ newest, older map[Work]time.Time }
+
+func (r *recent) note(work Work, at time.Time) {
+	if !at.After(r.at(work)) {
+		return
+	}
+	if r.newest == nil || len(r.newest) >= maxWell {
+		r.newest, r.older = make(map[Work]time.Time, maxWell/8), r.newest
+	}
+	r.newest[work] = at
+}
+
+// at returns the time of a work, zero if none is remembered.
+func (r *recent) at(work Work) time.Time {
+	if at, ok := r.newest[work]; ok {
+		return at
+	}
+	return r.older[work]
+}
+
 // end is that of a replica.
 type end struct {
 	replica string
@@ -127,10 +161,7 @@
 
 // suspect is a work that ran on replicas which ended.
 type suspect struct {
-	ends map[*end]struct{}
-	// cleared is when a run ended well or an operator released it; what came before does not
-	// count.
-	cleared     time.Time
+	ends        map[*end]struct{}
 	quarantined bool
 	// tried is when a trial was last begun here.
 	tried time.Time
@@ -166,8 +197,7 @@
 	l.note(report)
 	var condemned []Verdict
 	for work := range report.works() {
-		if verdict := l.judge(work, now); verdict.Quarantined && !l.works[work].quarantined {
-			l.works[work].quarantined = true
+		if verdict := l.check(work, now); verdict.Fresh {
 			condemned = append(condemned, verdict)
 		}
 	}
@@ -246,14 +276,18 @@
 
 // judge sums up what counts against a work. The caller holds mu.
 func (l *List) judge(work Work, now time.Time) Verdict {
+	well := l.well.at(work)
 	verdict := Verdict{Work: work, Limit: l.Limit()}
+	if !well.IsZero() {
+		verdict.Limit *= provenFactor
+	}
 	known := l.works[work]
 	if known == nil {
 		return verdict
 	}
 	var counted []*end
 	for ended := range known.ends {
-		if ended.at.After(known.cleared) && now.Sub(ended.at) < l.memory() {
+		if ended.at.After(well) && now.Sub(ended.at) < l.memory() {
 			counted = append(counted, ended)
 		}
 	}
@@ -265,7 +299,7 @@
 		verdict.Replicas = append(verdict.Replicas, ended.replica)
 		verdict.Last = ended.at
 	}
-	if beyond := len(counted) - l.Limit(); beyond >= 0 {
+	if beyond := len(counted) - verdict.Limit; beyond >= 0 {
 		verdict.Quarantined = true
 		verdict.Until = counted[beyond].at.Add(l.memory())
 	}
@@ -284,7 +318,7 @@
 	return chain
 }
 
-// Check returns the verdict on a work.
+// Check returns the verdict on a work. It is Fresh if the work was not known to be quarantined.
 func (l *List) Check(work Work, now time.Time) Verdict {
 	if l.Empty() {
 		return Verdict{Work: work}
@@ -294,12 +328,13 @@
 	return l.check(work, now)
 }
 
-// check returns the verdict on a work. One whose time is over is not quarantined any more.
-// The caller holds mu.
+// check returns the verdict on a work, and notes whether it is quarantined. The caller holds
+// mu.
 func (l *List) check(work Work, now time.Time) Verdict {
 	verdict := l.judge(work, now)
-	if known := l.works[work]; known != nil && !verdict.Quarantined {
-		known.quarantined = false
+	if known := l.works[work]; known != nil {
+		verdict.Fresh = verdict.Quarantined && !known.quarantined
+		known.quarantined = verdict.Quarantined
 	}
 	return verdict
 }
@@ -322,21 +357,23 @@
 // operator released it. It returns the verdict until then, which holds no replicas if there
 // was nothing to clear.
 func (l *List) Clear(work Work, at time.Time) Verdict {
-	if l.Empty() {
-		return Verdict{Work: work}
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.works[work]
-	if known == nil || !at.After(known.cleared) {
-		return Verdict{Work: work}
-	}
 	before := l.judge(work, at)
-	known.cleared = at
+	l.well.note(work, at)
 	l.check(work, at)
 	return before
 }
 
+// EndedWell returns when a work was last seen to end well, or was released; false if that is
+// not known.
+func (l *List) EndedWell(work Work) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := l.well.at(work)
+	return at, !at.IsZero()
+}
+
 // All returns the verdicts on all works against which something counts, the most suspected
 // first.
 func (l *List) All(now time.Time) []Verdict {
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -33,8 +33,6 @@
 type Clearing struct {
 	Work Work
 	At   time.Time
-	// Lasting clearings are written to the table; others are told only.
-	Lasting bool
 }
 
 // News is what a node has seen.
@@ -149,11 +147,7 @@
 		p.Tell(fresh)
 	}
 	unwritten.Reports = append(unwritten.Reports, fresh.Reports...)
-	for _, clearing := range fresh.Clearings {
-		if clearing.Lasting {
-			unwritten.Clearings = append(unwritten.Clearings, clearing)
-		}
-	}
+	unwritten.Clearings = append(unwritten.Clearings, fresh.Clearings...)
 	dropped := len(unwritten.Reports) - maxPending
 	if dropped > 0 {
 		unwritten.Reports = unwritten.Reports[dropped:]
