--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,20 +18,11 @@
 	// maxWorks bounds the works that are remembered: what ran on some thousand replicas
 	// when they ended, of 8 to 17 slots each. The oldest ends are forgotten first.
 	maxWorks = 10000
-	// trialPause is the time between two trials of quarantined work: a few replicas that end
-	// one after the other by themselves are over by then.
-	trialPause = 5 * time.Second
-	// trialLasts is how long a trial of a request keeps others from being tried at the same
-	// node: longer than requests of the users' deployments may take.
-	trialLasts = 10 * time.Second
 	// provenFactor is how many times as many ends it takes for work that is remembered to have
 	// ended well: popular work runs on most replicas, and so on those that other work ends,
 	// three within a second, maybe all of a small pool. Work that begins to do harm after it
 	// did none is found after as many ends.
 	provenFactor = 2
-	// maxWell bounds the works that are remembered to have ended well, twice: some minutes of
-	// a node's requests.
-	maxWell = 4000
 	// sameEnd is how far apart two nodes may see the same end of a replica: one that was held
 	// up hears of it late. A replica is back no sooner than after some seconds, with another
 	// id where ids are those of lives, or with the same one.
@@ -42,10 +32,6 @@
 	beganSlack = 15 * time.Millisecond
 )
 
-// rareTrialPauses are the times from the newest end to a trial of a request, by how many ends
-// more than the limit count against it: two trials at most within two minutes.
-var rareTrialPauses = []time.Duration{trialPause, 4 * trialPause, 12 * time.Minute}
-
 // Report tells that a replica ended while a node's requests ran there.
 type Report struct {
 	// Replica is its id.
@@ -63,55 +49,12 @@
 	Began time.Time
 }
 
-// Verdict is what is known of a work.
-type Verdict struct {
-	Work Work
-	// Replicas are those whose ends count against it, the oldest first; one that ended twice
-	// stands there twice.
-	Replicas []string
-	// Quarantined work is sent to no replica, until Until.
-	Quarantined bool
-	Until       time.Time
-	// Last is the end of the newest of Replicas.
-	Last time.Time
-	// Limit is how many it may end.
-	Limit int
-	// Fresh is set on the first verdict by which the work is quarantined.
-	Fresh bool
-}
-
-// TrialDue reports whether quarantined work may run once more to show that it is harmless:
-// some time after the newest end, and until as many ends more as it may bring about at first
-// speak against it. It is meant for work that is not sent by many at the same time.
-func (v *Verdict) TrialDue(now time.Time) bool {
-	return v.mayTry() && now.Sub(v.Last) >= trialPause
-}
-
-// RareTrialDue is TrialDue with pauses that grow: for work that comes again by itself for as
-// long as its callers like.
-func (v *Verdict) RareTrialDue(now time.Time) bool {
-	if !v.mayTry() {
-		return false
-	}
-	beyond := min(len(v.Replicas)-v.Limit, len(rareTrialPauses)-1)
-	return now.Sub(v.Last) >= rareTrialPauses[beyond]
-}
-
-func (v *Verdict) mayTry() bool { return v.Quarantined && len(v.Replicas) < 2*v.Limit }
-
-// RefusedError reports work that is kept from all replicas. It did not run this time.
-type RefusedError struct{ Verdict }
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("quarantined: %d replicas ended while they ran this work", len(e.Replicas))
-}
-
 // List tells harmful work from the ends of replicas: a work may end Replicas of them within
 // For, and then runs nowhere until the oldest of these ends is For ago. An end counts against
-// all that ran there, until a run of the work ends well. Of ends that befell runs side by side one counts, for they may have had a
-// cause in common: a rack, a zone, a link; only a run that was sent after an end is another
-// try at it. The zero value goes by the defaults. It is safe for concurrent use.
+// all that ran there, until a run of the work ends well. Of ends that befell runs side by side
+// one counts, for they may have had a cause in common: a rack, a zone, a link; only a run that
+// was sent after an end is another try at it. The zero value goes by the defaults. It is safe
+// for concurrent use.
 type List struct {
 	// Replicas and For are set before use; zero means the default.
 	Replicas int
@@ -129,28 +72,6 @@
 	count atomic.Int64
 }
 
-// recent remembers times of works, of the newest maxWell at least. The zero value is ready to
-// use.
-type recent struct{ newest, older map[Work]time.Time }
-
-func (r *recent) note(work Work, at time.Time) {
-	if !at.After(r.at(work)) {
-		return
-	}
-	if r.newest == nil || len(r.newest) >= maxWell {
-		r.newest, r.older = make(map[Work]time.Time, maxWell/8), r.newest
-	}
-	r.newest[work] = at
-}
-
-// at returns the time of a work, zero if none is remembered.
-func (r *recent) at(work Work) time.Time {
-	if at, ok := r.newest[work]; ok {
-		return at
-	}
-	return r.older[work]
-}
-
 // end is that of a replica.
 type end struct {
 	replica string
--- /dev/null
+++ b/internal/quarantine/verdict.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// trialPause is the time between two trials of quarantined work: a few replicas that end
+	// one after the other by themselves are over by then.
+	trialPause = 5 * time.Second
+	// trialLasts is how long a trial of a request keeps others from being tried at the same
+	// node: longer than requests of the users' deployments may take.
+	trialLasts = 10 * time.Second
+)
+
+// rareTrialPauses are the times from the newest end to a trial of a request, by how many ends
+// more than the limit count against it: two trials at most within two minutes.
+var rareTrialPauses = []time.Duration{trialPause, 4 * trialPause, 12 * time.Minute}
+
+// Verdict is what is known of a work.
+type Verdict struct {
+	Work Work
+	// Replicas are those whose ends count against it, the oldest first; one that ended twice
+	// stands there twice.
+	Replicas []string
+	// Quarantined work is sent to no replica, until Until.
+	Quarantined bool
+	Until       time.Time
+	// Last is the end of the newest of Replicas.
+	Last time.Time
+	// Limit is how many it may end.
+	Limit int
+	// Fresh is set on the first verdict by which the work is quarantined.
+	Fresh bool
+}
+
+// TrialDue reports whether quarantined work may run once more to show that it is harmless:
+// some time after the newest end, and until as many ends more as it may bring about at first
+// speak against it. It is meant for work that is not sent by many at the same time.
+func (v *Verdict) TrialDue(now time.Time) bool {
+	return v.mayTry() && now.Sub(v.Last) >= trialPause
+}
+
+// RareTrialDue is TrialDue with pauses that grow: for work that comes again by itself for as
+// long as its callers like.
+func (v *Verdict) RareTrialDue(now time.Time) bool {
+	if !v.mayTry() {
+		return false
+	}
+	beyond := min(len(v.Replicas)-v.Limit, len(rareTrialPauses)-1)
+	return now.Sub(v.Last) >= rareTrialPauses[beyond]
+}
+
+func (v *Verdict) mayTry() bool { return v.Quarantined && len(v.Replicas) < 2*v.Limit }
+
+// RefusedError reports work that is kept from all replicas. It did not run this time.
+type RefusedError struct{ Verdict }
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("quarantined: %d replicas ended while they ran this work", len(e.Replicas))
+}
