--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -259,3 +260,23 @@
 		list.Check(work("innocent"), start)
 	}
 }
+
+// BenchmarkList_Memory measures what a full list holds, in bytes.
+func BenchmarkList_Memory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var list List
+		for i := range maxWorks {
+			ended(&list, fmt.Sprintf("i-%010x", i/8), 0, work(fmt.Sprint(i)))
+		}
+		for i := range 2 * maxWell {
+			list.Clear(work(fmt.Sprint("well", i)), start)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B/list")
+		runtime.KeepAlive(&list)
+	}
+}
--- /dev/null
+++ b/internal/replica/divide_bench_test.go
@@ -0,0 +1,26 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
+)
+
+// BenchmarkShares_300Nodes divides 3,000 replicas of six zones in three regions.
+func BenchmarkShares_300Nodes(b *testing.B) {
+	at := func(i int) place.Place {
+		return place.Place{Zone: fmt.Sprintf("z%d", i%6), Region: fmt.Sprintf("r%d", i%6/2)}
+	}
+	var nodes []place.Node
+	for i := range 300 {
+		nodes = append(nodes, place.Node{ID: fmt.Sprintf("node-%d", i), Place: at(i)})
+	}
+	var replicas []Slots
+	for i := range 3000 {
+		replicas = append(replicas, Slots{Key: Key(fmt.Sprintf("i-%d", i)), Count: 8, Place: at(i)})
+	}
+	for b.Loop() {
+		Shares("node-7", nodes, replicas)
+	}
+}
