Rows: clearings before ends; a suspension is not read from two readings far apart

Read in the change: on a busy machine the two clocks may be read some ms apart at each of four tries, and the last was believed; now nothing is.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -55,11 +55,15 @@
 
 // sourceBegun returns what the source showed at origin.
 func sourceBegun() time.Duration {
-	now, steady, ok := readBoth(source)
-	if !ok {
-		return 0
+	for {
+		now, steady, ok := readBoth(source)
+		if ok {
+			return now - steady
+		}
+		if _, tells := source(); !tells {
+			return 0
+		}
 	}
-	return now - steady
 }
 
 // CountsSuspension reports whether this system has a clock that counts suspensions. If not,
@@ -131,7 +135,9 @@
 }
 
 // readBoth reads a source and the steady clock close together. It returns the reading of the
-// source, and that of the steady clock since origin.
+// source, and that of the steady clock since origin. It reports false if the source tells
+// nothing, or if each time something came between the two readings: what lies between them
+// would look like a suspension.
 func readBoth(source func() (time.Duration, bool)) (boot, steady time.Duration, ok bool) {
 	for range readTries {
 		before := time.Since(origin)
@@ -140,12 +146,11 @@
 			return 0, 0, false
 		}
 		after := time.Since(origin)
-		steady = before + (after-before)/2
 		if after-before < tolerance/2 {
-			break
+			return boot, before + (after-before)/2, true
 		}
 	}
-	return boot, steady, true
+	return 0, 0, false
 }
 
 // WithDeadline is context.WithDeadlineCause for a time of Now. A deadline that passes while
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -71,11 +71,15 @@
 func (r *Rows) Apply(changes table.Changes, _ bool) {
 	facts := r.take(changes)
 	slices.SortStableFunc(facts, func(a, b fact) int { return a.at.Compare(b.at) })
+	// Clearings come first: no work is refused, for a moment, by ends that were cleared.
+	for _, one := range facts {
+		if one.clearing != nil {
+			r.Guard.List.Clear(one.clearing.Work, one.clearing.At)
+		}
+	}
 	for _, one := range facts {
 		if one.report != nil {
 			r.Guard.Take(*one.report)
-		} else {
-			r.Guard.List.Clear(one.clearing.Work, one.clearing.At)
 		}
 	}
 }
--- /dev/null
+++ b/internal/quarantine/rows_test.go
@@ -0,0 +1,86 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// rowsOf returns the rows of what befell a work: ends at some times of the table's clock, and
+// one clearing.
+func rowsOf(t *testing.T, cleared time.Duration, ends ...time.Duration) table.Changes {
+	t.Helper()
+	var list List
+	writer := &Rows{Partition: "g/q", Guard: &Guard{List: &list}}
+	writer.Apply(table.Changes{Now: time.Hour}, true)
+	at := func(after time.Duration) time.Time { return writer.readAt.Add(after - time.Hour) }
+	var writes []table.Write
+	for i, ended := range ends {
+		report := Report{Replica: fmt.Sprintf("r%d", i), Runs: runsOf(at(ended-50*time.Millisecond), work("w")), At: at(ended)}
+		write, err := writer.putEnd(fmt.Sprint(i), report)
+		if err != nil {
+			t.Fatal(err)
+		}
+		writes = append(writes, write)
+	}
+	write, err := writer.putClearing(Clearing{Work: work("w"), At: at(cleared)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := table.Changes{Now: time.Hour}
+	for i, write := range append(writes, write) {
+		read.Changes = append(read.Changes, table.Change{Row: table.Row{Key: write.Key, Version: uint64(i + 1), Body: write.Body}})
+	}
+	return read
+}
+
+// TestRows_ANodeThatStartsRefusesNothingThatWasCleared: one row has the newest clearing, which
+// comes after all ends, so these must not be judged before it.
+func TestRows_ANodeThatStartsRefusesNothingThatWasCleared(t *testing.T) {
+	guard, _, events := newGuard(Refused)
+	rows := &Rows{Partition: "g/q", Guard: guard}
+	rows.Apply(rowsOf(t, 30*time.Minute, 10*time.Minute, 15*time.Minute, 20*time.Minute, 25*time.Minute), true)
+	if len(events.quarantined) != 0 {
+		t.Fatalf("quarantined for a moment: %+v", events.quarantined)
+	}
+	if verdict := guard.List.Check(work("w"), time.Now()); len(verdict.Replicas) != 0 {
+		t.Fatalf("%d ends count", len(verdict.Replicas))
+	}
+}
+
+func TestRows_ANodeThatStartsKnowsWhatIsQuarantined(t *testing.T) {
+	guard, _, events := newGuard(Refused)
+	rows := &Rows{Partition: "g/q", Guard: guard, Malformed: func(key table.Key, err error) { t.Error(key, err) }}
+	read := rowsOf(t, 5*time.Minute, 10*time.Minute, 15*time.Minute, 20*time.Minute, 25*time.Minute, 30*time.Minute, 35*time.Minute)
+	read.Changes = append(read.Changes, table.Change{Row: table.Row{Key: table.Key{Partition: "g/other", Sort: "end/x"}, Version: 90, Body: []byte{1}}})
+	rows.Apply(read, true)
+	if len(events.quarantined) != 1 || !guard.List.Check(work("w"), time.Now()).Quarantined {
+		t.Fatalf("verdicts %+v", events.quarantined)
+	}
+	if writes := rows.outdated(100); len(writes) != 0 {
+		t.Fatalf("%d rows are to be removed that count", len(writes))
+	}
+	// All is an hour later: nothing counts, and the rows go.
+	late := &Rows{Partition: "g/q", Guard: &Guard{List: &List{}, Events: events}}
+	read.Now = 2 * time.Hour
+	late.Apply(read, true)
+	if all := late.Guard.List.All(time.Now()); len(all) != 0 || len(late.outdated(100)) != 7 {
+		t.Fatalf("%d suspects, %d rows to be removed of 7", len(all), len(late.outdated(100)))
+	}
+}
+
+func TestRows_PassesOverWhatItCannotRead(t *testing.T) {
+	malformed := 0
+	guard, _, _ := newGuard(Refused)
+	rows := &Rows{Partition: "g/q", Guard: guard, Malformed: func(table.Key, error) { malformed++ }}
+	var read table.Changes
+	for i, key := range []string{"end/x", "cleared/zz", "cleared/" + work("w").String()} {
+		read.Changes = append(read.Changes, table.Change{Row: table.Row{Key: table.Key{Partition: "g/q", Sort: key}, Version: uint64(i + 1), Body: []byte{0xff}}})
+	}
+	rows.Apply(read, true)
+	if malformed != 3 || !guard.List.Empty() {
+		t.Fatalf("%d of 3 rows were told to be malformed", malformed)
+	}
+}
