Work is hashed once a request; one check of the operators' key, one way to tell all

Read again, cause: call.run asks for the work before each attempt and each 25 ms that a request waits for room, and hashed the body each time while anything was suspected, which lasts for an hour; the log hashed it once more. Request keeps it now, as a task of a job does already.

Written again by the change, now in one place: the operators' key (server.IsOperator, which requireOperator calls too, instead of a second comparison in the gateway), the loop over all other nodes (tellOthers), the bound on what waits for the table (newest).

Behaviour as before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -71,12 +71,20 @@
 	Received time.Time
 	// Deadline is when the caller stops waiting; zero if it did not say.
 	Deadline time.Time
+
+	// work is what Work has returned; nil until it is asked for.
+	work *quarantine.Work
 }
 
-// Work identifies what the request asks for, under whatever id it comes.
+// Work identifies what the request asks for, under whatever id it comes. The body is hashed
+// once, however often it is asked. It is not safe for concurrent use.
 func (r *Request) Work() quarantine.Work {
-	content := quarantine.Content{Caller: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
-	return content.Work()
+	if r.work == nil {
+		content := quarantine.Content{Caller: r.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+		work := content.Work()
+		r.work = &work
+	}
+	return *r.work
 }
 
 // Attempt is one sending of a request to one replica.
--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
 	"time"
 
-	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -83,7 +81,9 @@
 // statusHandler serves the metrics, and the status beside them.
 func (g *Gateway) statusHandler() http.Handler {
 	metrics := g.metrics.handler()
-	quarantine := server.QuarantineHandler(g, g.isOperator)
+	quarantine := server.QuarantineHandler(g, func(r *http.Request) bool {
+		return server.IsOperator(r.Header, g.settings.Operator.KeySHA256)
+	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, server.PathQuarantine) {
 			quarantine.ServeHTTP(w, r)
@@ -99,14 +99,6 @@
 	})
 }
 
-// isOperator reports whether a call holds the operators' key. Without one in the settings
-// nobody does.
-func (g *Gateway) isOperator(r *http.Request) bool {
-	key, held := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	expected := g.settings.Operator.KeySHA256
-	return held && expected != "" && subtle.ConstantTimeCompare([]byte(v1.HashKey(key)), []byte(expected)) == 1
-}
-
 // Turned implements platform.Gateway.
 func (g *Gateway) Turned(id, reason string, status int) {
 	g.metrics.turned.WithLabelValues(reason).Inc()
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// tellOthers sends a message to all other nodes.
+func (g *Gateway) tellOthers(kind peer.Kind, body any) {
+	for _, node := range g.near.others() {
+		g.tellNode(node, kind, body)
+	}
+}
+
 // tellSome sends a message to so many random ones of some other nodes, fewer if they are
 // not as many. It returns the number.
 func (g *Gateway) tellSome(nodes []string, count int, kind peer.Kind, body any) int {
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -53,9 +53,7 @@
 		if works == 0 {
 			return
 		}
-		for _, node := range g.near.others() {
-			g.tellNode(node, peer.KindHarm, told)
-		}
+		g.tellOthers(peer.KindHarm, told)
 		told, works = harmTold{}, 0
 	}
 	for _, report := range news.Reports {
@@ -83,9 +81,7 @@
 
 // askHarm asks all other nodes for what speaks for a work.
 func (g *Gateway) askHarm(work quarantine.Work) {
-	for _, node := range g.near.others() {
-		g.tellNode(node, peer.KindHarm, harmTold{Asked: &work})
-	}
+	g.tellOthers(peer.KindHarm, harmTold{Asked: &work})
 }
 
 // answerHarm tells a node when a work was last seen to end well here, if it was.
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -146,17 +146,19 @@
 	if p.Tell != nil {
 		p.Tell(fresh)
 	}
-	unwritten.Reports = append(unwritten.Reports, fresh.Reports...)
-	unwritten.Clearings = append(unwritten.Clearings, fresh.Clearings...)
-	dropped := len(unwritten.Reports) - maxPending
-	if dropped > 0 {
-		unwritten.Reports = unwritten.Reports[dropped:]
-		p.failed(Error.New("the table has been away for too long, %d ends are not written", dropped))
-	}
-	if dropped := len(unwritten.Clearings) - maxPending; dropped > 0 {
-		unwritten.Clearings = unwritten.Clearings[dropped:]
-		p.failed(Error.New("the table has been away for too long, %d clearings are not written", dropped))
+	unwritten.Reports = newest(p, "ends", append(unwritten.Reports, fresh.Reports...))
+	unwritten.Clearings = newest(p, "clearings", append(unwritten.Clearings, fresh.Clearings...))
+}
+
+// newest returns the newest maxPending of what waits to be written, and tells how many are
+// dropped.
+func newest[T any](p *Publisher, what string, waiting []T) []T {
+	dropped := len(waiting) - maxPending
+	if dropped <= 0 {
+		return waiting
 	}
+	p.failed(Error.New("the table has been away for too long, %d %s are not written", dropped, what))
+	return waiting[dropped:]
 }
 
 func (p *Publisher) failed(err error) {
--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/subtle"
+	"net/http"
 	"strings"
 	"sync/atomic"
 
@@ -66,20 +67,26 @@
 	return table
 }
 
-func bearer(ctx iris.Context) string {
-	key, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+func bearer(header http.Header) string {
+	key, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return ""
 	}
 	return strings.TrimSpace(key)
 }
 
+// IsOperator reports whether a call holds the operators' key, by its hash in the settings;
+// nobody does if these name none.
+func IsOperator(header http.Header, keySHA256 string) bool {
+	return subtle.ConstantTimeCompare([]byte(v1.HashKey(bearer(header))), []byte(keySHA256)) == 1
+}
+
 const tenantValue = "tenant"
 
 // identify finds the calling tenant.
 func (s *Server) identify(ctx iris.Context) {
 	ctx.Header(HeaderNode, s.options.NodeID)
-	found, ok := s.tenants.find(bearer(ctx))
+	found, ok := s.tenants.find(bearer(ctx.Request().Header))
 	if !ok {
 		refuse(ctx, iris.StatusUnauthorized, openai.TypeAuthentication, "the key is not known", 0)
 		return
@@ -96,8 +103,7 @@
 // requireOperator lets only the operators' key through.
 func (s *Server) requireOperator(ctx iris.Context) {
 	ctx.Header(HeaderNode, s.options.NodeID)
-	given := v1.HashKey(bearer(ctx))
-	if subtle.ConstantTimeCompare([]byte(given), []byte(s.options.OperatorKeySHA256)) != 1 {
+	if !IsOperator(ctx.Request().Header, s.options.OperatorKeySHA256) {
 		refuse(ctx, iris.StatusForbidden, openai.TypePermission, "this needs the operators' key", 0)
 		return
 	}
