One stand-in for work that ends its server; the soak names no header of the platform

Read again: the soak's server and standin.Process each read the body, compared Expect-Instance and waited for the fuse; the soak's copy named headers of the platform outside platform/. No test, bound or check changed.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -83,7 +83,7 @@
 		// The node was started again meanwhile; the answer is of one of two lives.
 		one.Life = -int(one.Ended.UnixNano())
 	}
-	s.request(one)
+	record(&s.History, &s.Requests, one)
 }
 
 // callJobs hands jobs in, one after the other, until the context ends.
@@ -99,7 +99,7 @@
 			retry.Sleep(ctx, time.Second)
 			s.end(context.WithoutCancel(ctx), &one, random)
 		}
-		s.job(one)
+		record(&s.History, &s.Jobs, one)
 	}
 }
 
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -1,10 +1,8 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -65,46 +63,33 @@
 		answers.Go(func() {
 			client := &standin.Client{Address: node.at(), Host: host, Key: keyOf(tenantMain)}
 			one.Answer = client.StreamOf(context.WithoutCancel(ctx), "resume", one.ID, []byte(one.Work), onlineWait)
-			s.harmSend(one)
+			record(&s.History, &s.HarmSends, one)
 		})
 	}
 }
 
 // harmable is a server's handler: harmful work ends the server.
 func (s *soak) harmable(one *server) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		if !strings.HasPrefix(string(body), harmPrefix) || !one.runs(r.Header.Get("Expect-Instance")) {
-			one.ServeHTTP(w, r)
-			return
-		}
-		ended := HarmEnd{ID: r.Header.Get("Request-Id"), Work: string(body), Server: one.name, Reached: time.Now()}
-		time.Sleep(fuse)
-		if one.crash() {
-			ended.At = time.Now()
-			s.harmEnd(ended)
+	return one.Harmed(standin.Harm{
+		Harmful: func(_ string, body []byte) bool { return strings.HasPrefix(string(body), harmPrefix) },
+		Fuse:    fuse,
+		End: func(id string, run standin.HarmfulRun) {
+			if !one.crash(id) {
+				return
+			}
+			record(&s.History, &s.HarmEnds, HarmEnd{
+				ID: run.ID, Work: string(run.Body), Server: one.name, Reached: run.Sent, At: time.Now(),
+			})
 			go one.recover()
-		}
-		panic(http.ErrAbortHandler)
+		},
 	})
 }
 
-// runs reports whether the server runs, under an id if one is named.
-func (one *server) runs(id string) bool {
-	one.mu.Lock()
-	defer one.mu.Unlock()
-	return !one.lost && !one.crashed && (id == "" || id == one.key)
-}
-
-// crash ends the server's process. It reports whether it ran.
-func (one *server) crash() bool {
+// crash ends the server's process. It reports whether it ran, in the life that had an id.
+func (one *server) crash(id string) bool {
 	one.mu.Lock()
 	defer one.mu.Unlock()
-	if one.lost || one.crashed {
+	if one.lost || one.crashed || one.key != id {
 		return false
 	}
 	one.crashed = true
@@ -133,18 +118,6 @@
 	one.list()
 }
 
-func (h *History) harmSend(one HarmSend) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.HarmSends = append(h.HarmSends, one)
-}
-
-func (h *History) harmEnd(one HarmEnd) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.HarmEnds = append(h.HarmEnds, one)
-}
-
 // harm: work that ended servers reaches few others once all nodes must know of it, and no
 // other work is taken for such.
 func (c *check) harm() {
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -129,16 +129,11 @@
 	Final map[string][]standin.Listed
 }
 
-func (h *History) request(one Request) {
+// record adds one to a list of a history.
+func record[T any](h *History, list *[]T, one T) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.Requests = append(h.Requests, one)
-}
-
-func (h *History) job(one Job) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Jobs = append(h.Jobs, one)
+	*list = append(*list, one)
 }
 
 func (h *History) reading(job string, from int, results []standin.Listed) {
@@ -149,30 +144,10 @@
 	}
 }
 
-func (h *History) drained(one Drain) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Drains = append(h.Drains, one)
-}
-
-func (h *History) evacuated(one Outage) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Evacuations = append(h.Evacuations, one)
-}
-
-func (h *History) lost(one Outage) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.Losses = append(h.Losses, one)
-}
-
 // disturbed notes a disturbance that ends now.
 func (h *History) disturbed(one Disturbance) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	one.To = time.Now()
-	h.Disturbances = append(h.Disturbances, one)
+	record(h, &h.Disturbances, one)
 }
 
 // jobs returns the jobs so far.
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -126,7 +126,7 @@
 		return
 	}
 	if calm {
-		s.drained(Drain{Server: one.name, At: time.Now()})
+		record(&s.History, &s.Drains, Drain{Server: one.name, At: time.Now()})
 	}
 	retry.Sleep(ctx, drainLife)
 	one.unlist()
--- a/internal/lab/soak/zones.go
+++ b/internal/lab/soak/zones.go
@@ -97,7 +97,7 @@
 	retry.Sleep(ctx, length-chillBefore)
 	s.cold.Go(func() { s.chillZone(ctx, at, coldStart) })
 	retry.Sleep(ctx, chillBefore)
-	s.evacuated(Outage{Zone: at.name, From: began, To: time.Now()})
+	record(&s.History, &s.Evacuations, Outage{Zone: at.name, From: began, To: time.Now()})
 	s.store.TakeBack(at.name)
 }
 
@@ -114,7 +114,7 @@
 		}
 	}
 	retry.Sleep(ctx, length)
-	s.lost(Outage{Zone: at.name, From: began, To: time.Now()})
+	record(&s.History, &s.Losses, Outage{Zone: at.name, From: began, To: time.Now()})
 	all.Wait()
 	for _, one := range s.serversIn(at) {
 		one.start()
