Replicas have a Born: a field for parts that are built side by side

The platform's replicas may start again under their id; the field born tells the lives apart. Nothing reads or writes it yet: the decoder and the view of replicas are changed in two parts that meet here.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,8 +13,12 @@
 
 // Info describes a listed replica.
 type Info struct {
-	// ID is unique to one life of the replica.
-	ID      string
+	// ID names the replica. It may start again under the same one.
+	ID string
+	// Born is when it started, as it says, in Unix milliseconds; 0 if it does not say. A
+	// replica that starts again under its ID is told from the one before by it. It is for
+	// comparing alone: clocks of machines differ and step back.
+	Born    int64
 	Pool    string
 	Address string
 	Zone    string
