Items say what they wait for, and for how long they have not come on

Each task has a typed Wait now, set where the decision is made; Runner.Account counts them with the oldest, as metrics by reason (wheelhoist_items_waiting, wheelhoist_items_waiting_oldest_seconds) and in the status; five log lines at most each 5 s tell of items that have not come on for 10 s, with the error that decided it. No item is sent, held or left otherwise than before.

--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -31,6 +31,8 @@
 		return
 	}
 	one.state = taskFinished
+	one.waits(WaitListing, nil)
+	one.cameOn = clock.Now()
 	one.reason = reason
 	owned := one.work
 	owned.finished = append(owned.finished, one)
--- a/internal/jobs/handback.go
+++ b/internal/jobs/handback.go
@@ -20,6 +20,7 @@
 	r.mu.Lock()
 	r.paused = true
 	r.mu.Unlock()
+	r.allWait(WaitHandBack)
 	owned := r.ownedWork()
 	done := make(chan struct{}, len(owned))
 	for _, one := range owned {
--- a/internal/jobs/harm.go
+++ b/internal/jobs/harm.go
@@ -41,6 +41,7 @@
 	one.held = err != nil
 	if one.held {
 		one.notUntil = now.Add(quarantinedPause)
+		one.waits(WaitQuarantine, err)
 	}
 	r.mu.Unlock()
 	if err == nil {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -80,6 +80,7 @@
 	}
 	r.mu.Lock()
 	one.state = taskWaiting
+	one.waits(WaitPause, err)
 	pause := brokenPause
 	switch {
 	case errors.Is(err, errItemInvalid):
@@ -214,6 +215,7 @@
 	}
 	one.text = append(one.text, event.Data...)
 	one.after = event.ID
+	one.cameOn = clock.Now()
 	return nil
 }
 
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -109,13 +109,15 @@
 // dispatch sends what can be sent, the earliest due first.
 func (r *Runner) dispatch(now time.Time) {
 	if !r.Service.View.Known() || r.ViewAge() > staleView {
+		r.allWait(WaitView)
 		return
 	}
 	routes := r.Routes()
 	if routes == nil {
+		r.allWait(WaitRoutes)
 		return
 	}
-	room := itemRoom{free: map[string]int{}, full: map[lane]bool{}}
+	room := itemRoom{free: map[string]int{}, full: map[lane]error{}}
 	for _, ready := range r.waiting(now) {
 		one := ready.task
 		if r.Service.View.until(one.work.job.Expires) < 0 {
@@ -124,6 +126,7 @@
 		}
 		target := routes.Match(one.work.job.Host, one.work.items[one.index].Path)
 		if target == nil || target.Kind != route.Batch {
+			r.noteWait(one, WaitRoute, nil)
 			continue
 		}
 		r.offer(one, target, homesBy(routes, one.work.job, target), &room, now)
@@ -137,8 +140,8 @@
 type itemRoom struct {
 	// free is the room that this node has left in each pool.
 	free map[string]int
-	// full are the lanes where no replica takes an item.
-	full map[lane]bool
+	// full are the lanes where no replica takes an item, with why.
+	full map[lane]error
 }
 
 // offer sends an item if there is room for it where it may be served.
@@ -147,14 +150,43 @@
 	if _, ok := room.free[where.pool]; !ok {
 		room.free[where.pool] = r.Replicas.ItemRoom(where.pool, now)
 	}
-	if room.free[where.pool] <= 0 || room.full[where] {
+	if room.free[where.pool] <= 0 {
+		r.noteWait(one, WaitRoom, nil)
 		return
 	}
-	switch r.start(one, target, where.pool, homes, now) {
+	if full := room.full[where]; full != nil {
+		r.noteWait(one, WaitReplica, full)
+		return
+	}
+	started, err := r.start(one, target, where.pool, homes, now)
+	switch started {
 	case startedItem:
 		room.free[where.pool]--
 	case noRoom:
-		room.full[where] = true
+		room.full[where] = err
+		r.noteWait(one, WaitReplica, err)
+	}
+}
+
+// noteWait notes what an item waits for that is not sent.
+func (r *Runner) noteWait(one *task, what Wait, cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if one.state == taskWaiting {
+		one.waits(what, cause)
+	}
+}
+
+// allWait notes that all items which are not under way wait for the same.
+func (r *Runner) allWait(what Wait) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, owned := range r.owned {
+		for _, one := range owned.tasks {
+			if one.state == taskWaiting {
+				one.waits(what, nil)
+			}
+		}
 	}
 }
 
@@ -209,15 +241,16 @@
 	noRoom
 )
 
-// start sends one task if a replica has room.
-func (r *Runner) start(one *task, target *route.Route, pool string, homes place.Regions, now time.Time) startResult {
+// start sends one task if a replica has room. The error says why there is none.
+func (r *Runner) start(one *task, target *route.Route, pool string, homes place.Regions, now time.Time) (startResult, error) {
 	item := &one.work.items[one.index]
 	if r.quarantined(one, item, now) {
-		return notNow
+		return notNow, nil
 	}
 	if one.once && !one.marked {
+		r.noteWait(one, WaitMark, nil)
 		r.markStarted(one.work)
-		return notNow
+		return notNow, nil
 	}
 	demand := &replica.Demand{
 		Zone: r.Zone, Region: r.Region, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
@@ -226,22 +259,24 @@
 	chosen, err := replica.Pick(r.Replicas.SnapshotFor(pool, demand, now), demand, r.Weights)
 	if err != nil {
 		if len(one.exclude) == 0 {
-			return noRoom
+			return noRoom, err
 		}
 		one.exclude = map[string]bool{}
-		return notNow
+		return notNow, nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if one.state != taskWaiting || one.work.ctx.Err() != nil {
-		return notNow
+		return notNow, nil
 	}
 	use := r.Replicas.Begin(chosen.ID, demand.Ask, now)
 	if use == nil {
 		// The replica is cold and others have used its rate up meanwhile.
-		return notNow
+		one.waits(WaitReplica, nil)
+		return notNow, nil
 	}
 	one.state = taskRunning
+	one.waits(WaitAnswer, nil)
 	if one.started.IsZero() {
 		one.started = now
 	}
@@ -250,5 +285,5 @@
 	ctx, cancel := context.WithCancelCause(one.work.ctx)
 	one.replica, one.pool, one.cancel = chosen.ID, pool, cancel
 	go r.run(ctx, one, item, target, chosen.Info, one.use)
-	return startedItem
+	return startedItem, nil
 }
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
@@ -74,6 +75,12 @@
 	identity *quarantine.Work
 	// held is set while the item is known to be quarantined.
 	held bool
+	// wait is what the item waits for, waitCause what decided it.
+	wait      Wait
+	waitCause error
+	// cameOn is when the item last came on: it was taken up, its answer brought an event, or
+	// it got its outcome.
+	cameOn time.Time
 }
 
 // reconcile takes up the items that the view says are this node's, and drops
@@ -173,7 +180,7 @@
 		owned.items = items
 	}
 	for _, index := range indexes {
-		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}}
+		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}, cameOn: clock.Now()}
 		if text, ok := kept[index]; ok {
 			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
 			one.keptAfter = text.After
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -221,6 +221,7 @@
 	c.spawn(func() { c.runner.RunKeeping(ctx) })
 	c.spawn(func() { c.harm.publisher.Run(ctx) })
 	c.spawn(func() { c.runWakeLog(ctx) })
+	c.spawn(func() { c.runWaitLog(ctx) })
 }
 
 // handBackJobs gives this node's jobs to others before it stops.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -164,9 +164,10 @@
 	m.gauge("wheelhoist_peer_datagrams_malformed", "Datagrams received that nobody could read.", count(func(_, _, malformed int64) int64 { return malformed }))
 }
 
-// registerPools adds what is learned of a pool, once it serves.
+// registerPools adds what is learned of a pool, once it serves, and what items wait for.
 func (m *coreMetrics) registerPools(c *core) {
 	m.registry.MustRegister(&poolCollector{replicas: c.replicas, now: clock.Now})
+	m.registry.MustRegister(&waitCollector{account: c.runner.Account, now: clock.Now})
 }
 
 // registerAge adds the age of a watched source.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -50,6 +50,7 @@
 		})
 	}
 	status.Zones = c.zoneStatus(&status, clock.Now())
+	status.Items = c.itemWaits()
 	return status
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -65,6 +65,17 @@
 	Zones []ZoneStatus `json:"zones"`
 	// Tenants are those with a limit that called here of late.
 	Tenants []TenantUse `json:"tenants,omitempty"`
+	// Items are the batch items that the node is to run and that are not listed, by what
+	// they wait for.
+	Items []ItemWait `json:"items,omitempty"`
+}
+
+// ItemWait counts batch items that wait for the same.
+type ItemWait struct {
+	Reason string `json:"reason"`
+	Items  int    `json:"items"`
+	// Oldest is the longest time, in seconds, for which one of them has not come on.
+	Oldest float64 `json:"oldestSeconds"`
 }
 
 // TenantUse is a tenant's use of its limit of requests as this node sees it.
