A set says when an item may borrow a slot of other nodes

Cause: a node runs items in its own slots alone.

Borrowed slots hold none of a node's own and are counted apart. Nodes tell each other how many slots for items they leave idle, less those borrowed, in the datagrams that they exchange anyway (one more field of a few bytes; programs that do not tell it count as 0). By that, or one at a time without such a word, MayBorrow lets an item ask a replica.

--- /dev/null
+++ b/internal/replica/borrow.go
@@ -0,0 +1,138 @@
+package replica
+
+import (
+	"math"
+	"time"
+)
+
+// Items run in their node's own slots. A node may have none, where there are fewer slots
+// than nodes or online requests need nearly all of its part, while slots of other nodes
+// stay free because these have nothing to run. Then an item borrows a slot: the replica
+// itself sets a free one aside, so no two nodes count on the same, and nothing has to be
+// agreed on or given back between nodes.
+
+const (
+	// BorrowAfter is how long an item finds no room before it borrows. Nodes without room
+	// for the length of a pulse of requests, some 2.4 s on the users' deployments, get it
+	// back by themselves; the users ask for items to be had by a replica within 5 s.
+	BorrowAfter = 3 * time.Second
+	// borrowBeside is the same at a node that runs items of the pool meanwhile. It is for
+	// nodes that hear of no idle room: in another region, or told by words that are lost.
+	borrowBeside = 15 * time.Second
+	// borrowFrom is the part of a pool's slots that online requests need from which on
+	// fewer and fewer of the nodes that run no item borrow. Below it the replicas are half
+	// empty and all may.
+	borrowFrom = 0.5
+	// borrowUsage is the most that online requests count as needing while they do not need
+	// all: a replica has the last word on whether a slot is free, so each node asks now and
+	// then.
+	borrowUsage = 0.9
+	// borrowTurn is how long a node's limit stays the same. Then it is another, so that the
+	// same nodes do not go without for good where online requests need most slots.
+	borrowTurn = 2 * time.Second
+	// goldenRatio less one: its multiples, less their whole part, are spread evenly however
+	// many there are, so a node's limit is above borrowUsage once in 13 turns at the least.
+	goldenRatio = 0.6180339887498949
+)
+
+// MayBorrow reports whether an item that has found no room among this node's own slots for
+// some time may ask replicas of a pool for a slot of others: where the nodes of the region
+// tell of more idle room than is borrowed; and, without such a word, one at a time where
+// online requests do not need the slots.
+func (s *Set) MayBorrow(pool string, waited time.Duration, now time.Time) bool {
+	if waited < BorrowAfter {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.pool(pool)
+	if known := s.fleet[pool]; known != nil && known.idleNow(now) > 0 {
+		return true
+	}
+	share, items := s.sumShares(list, now)
+	usage := s.usage(pool, share, now)
+	switch {
+	case borrowedOf(list) > 0:
+		return false
+	case items > 0:
+		return waited >= borrowBeside && usage < borrowFrom
+	default:
+		return usage < s.borrowLimit(pool, now)
+	}
+}
+
+// usage is the part of the slots that online requests need, as far as borrowing goes: as
+// other nodes told; where none did, of this node's own, which says little of the others'.
+// The caller holds mu.
+func (s *Set) usage(pool string, share int, now time.Time) float64 {
+	usage := s.fleetUsage(pool, now)
+	if s.wanted(pool, now) {
+		return usage
+	}
+	if share > 0 && !s.heardOf(pool, now) {
+		usage = s.needed(pool, share, now) / float64(share)
+	}
+	return min(usage, borrowUsage)
+}
+
+// wanted reports whether online requests need all slots of a pool by what other nodes told,
+// so that borrowed ones are to be left. The caller holds mu.
+func (s *Set) wanted(pool string, now time.Time) bool {
+	return s.heardOf(pool, now) && s.fleetUsage(pool, now) >= fullPool
+}
+
+// heardOf reports whether other nodes told of a pool a moment ago. The caller holds mu.
+func (s *Set) heardOf(pool string, now time.Time) bool {
+	known := s.fleet[pool]
+	return known != nil && now.Sub(known.heard) <= fleetStale
+}
+
+// borrowLimit is the part of the slots that online requests may need at most for this node
+// to borrow, between borrowFrom and fullPool, evenly spread over nodes and turns. The caller
+// holds mu.
+func (s *Set) borrowLimit(pool string, now time.Time) float64 {
+	turns := float64(now.UnixNano() / int64(borrowTurn) % (1 << 20))
+	_, at := math.Modf(s.rounding(pool) + turns*goldenRatio)
+	return borrowFrom + (fullPool-borrowFrom)*at
+}
+
+// borrowedOf counts this node's items in slots of others. The caller holds the set's lock.
+func borrowedOf(list []*entry) int {
+	borrowed := 0
+	for _, known := range list {
+		borrowed += known.borrowed
+	}
+	return borrowed
+}
+
+// PickIdle returns the replica to be asked for a slot for an item: one that is believed to
+// have a free one, of the own region if there is any.
+func PickIdle(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
+	if demand.Reserve > 0 {
+		candidates = unreserved(candidates, demand.Reserve)
+	}
+	near, err := PickUnqueued(candidates, demand, weights, false)
+	if err == nil {
+		return near, nil
+	}
+	return PickUnqueued(candidates, demand, weights, true)
+}
+
+// ToldIdle takes in how many slots a node has for items that it does not use, less those that
+// its items have borrowed.
+func (s *Set) ToldIdle(pool string, idle float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.fleet[pool]; known != nil && !math.IsNaN(idle) && !math.IsInf(idle, 0) {
+		known.idle += idle
+	}
+}
+
+// idleNow is the number of idle slots, less those borrowed, among the nodes that told of
+// late; 0 if nothing is known.
+func (f *fleetView) idleNow(now time.Time) float64 {
+	if now.Sub(f.at) > fleetStale {
+		return 0
+	}
+	return f.idle
+}
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -203,14 +203,14 @@
 }
 
 // sumShares returns the slots of this node that take items, and its items there. Items
-// that run on where operators empty the zone hold none of them.
+// that run on where operators empty the zone, or in borrowed slots, hold none of them.
 func (s *Set) sumShares(list []*entry, now time.Time) (share, items int) {
 	for _, known := range list {
 		if !known.info.Leaving && !known.info.NoBatch {
 			share += s.shareOf(known, now)
 		}
 		if !known.evacuated {
-			items += known.batch - known.leaving
+			items += known.batch - known.leaving - known.borrowed
 		}
 	}
 	return share, items
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -23,13 +23,18 @@
 // nothing.
 type fleetView struct {
 	level, share float64
-	at           time.Time
+	// idle sums up the slots for items that are not used, less those borrowed.
+	idle float64
+	at   time.Time
+	// heard is when another node last told.
+	heard time.Time
 }
 
 func (f *fleetView) add(level, share float64, now time.Time) {
 	kept := math.Exp(-float64(max(0, now.Sub(f.at))) / float64(fleetMemory))
 	f.level = f.level*kept + level
 	f.share = f.share*kept + share
+	f.idle *= kept
 	f.at = now
 }
 
@@ -54,6 +59,7 @@
 		return
 	}
 	s.told(pool, level, share, now)
+	s.fleet[pool].heard = now
 }
 
 func (s *Set) told(pool string, level float64, share int, now time.Time) {
@@ -75,6 +81,10 @@
 	// they told, Excess the number of this node's items that hold such slots.
 	Fleet  float64
 	Excess int
+	// Idle is the number of slots that this node has for items and does not use, less those
+	// that its items have borrowed; BorrowedExcess is how many of these are to be left.
+	Idle           int
+	BorrowedExcess int
 	// Away counts the online requests under way in other regions, by region.
 	Away map[string]int
 }
@@ -95,10 +105,17 @@
 			s.told(pool, level, share, now)
 		}
 		free := int(float64(share) - s.needed(pool, share, now) + s.rounding(pool))
-		needs = append(needs, Need{
+		need := Need{
 			Pool: pool, Level: level, Share: share, Fleet: s.fleetUsage(pool, now), Excess: min(items, items-free),
-			Away: s.away(list),
-		})
+			Away: s.away(list), Idle: max(0, free-items) - borrowedOf(list),
+		}
+		if s.wanted(pool, now) {
+			need.BorrowedExcess = borrowedOf(list)
+		}
+		if known := s.fleet[pool]; known != nil {
+			known.idle += float64(need.Idle)
+		}
+		needs = append(needs, need)
 	}
 	return needs
 }
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -162,7 +162,7 @@
 	switch {
 	case c.Ejected:
 		return Ejected
-	case demand.Batch && (c.Open >= c.Share || c.Free() < 1):
+	case demand.Batch && (c.Open >= c.Share && !demand.Borrowed || c.Free() < 1):
 		return Occupied
 	default:
 		return Usable
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -39,6 +39,8 @@
 	batch int
 	// leaving counts the items among batch that were asked to give way.
 	leaving int
+	// borrowed counts the items among batch, without those leaving, in slots of others.
+	borrowed int
 	// evacuated is set if operators empty the zone; rebuild sets it.
 	evacuated bool
 	// share is the number of slots that are this node's.
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -12,6 +12,8 @@
 	// Granted is set if a node that feeds the replica, which is cold, gave the request a
 	// place in its part of the rate.
 	Granted bool
+	// Borrowed is set if an item asks for a slot that is not its node's.
+	Borrowed bool
 	// Objective is the time left until the first event is late; 0 if nobody minds.
 	Objective time.Duration
 }
@@ -82,6 +84,9 @@
 	s.demandOf(known.info.Pool).begin(ask, now)
 	if ask.Batch {
 		known.batch++
+		if ask.Borrowed {
+			known.borrowed++
+		}
 	}
 	known.open++
 	known.pending += ask.Tokens
@@ -129,6 +134,9 @@
 	if u.ask.Batch && !u.gaveWay && !u.ended {
 		u.gaveWay = true
 		u.entry.leaving++
+		if u.ask.Borrowed {
+			u.entry.borrowed--
+		}
 	}
 }
 
@@ -191,8 +199,11 @@
 		u.entry.batch--
 	}
 	u.set.demandOf(u.entry.info.Pool).end(u.ask, !u.gaveWay, result, now.Sub(u.sent), now)
-	if u.gaveWay {
+	switch {
+	case u.gaveWay:
 		u.entry.leaving--
+	case u.ask.Borrowed:
+		u.entry.borrowed--
 	}
 	ejected = u.entry.health.observe(result, now)
 	u.entry.own.observe(result, now)
