An item without room at its node borrows a slot that a replica sets aside

It stays with its node: no write to the table, nothing runs twice, no other node has to live or to know. Borrowed slots are left when online requests need all slots by what other nodes told.

Also: one item that no replica takes closed its pool for all items behind it in that look. A look goes by lanes now, which tell adapters and reserves apart.

--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -135,7 +135,7 @@
 
 func (r *Runner) send(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
 	answer, err := r.Backend.Send(ctx, &forward.Attempt{
-		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after,
+		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after, Reservation: one.reservation,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/jobs/roomsite_test.go
@@ -0,0 +1,372 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// roomServer is a replica that takes no more than its slots and sets free ones aside.
+type roomServer struct {
+	name  string
+	slots int
+
+	mu      sync.Mutex
+	running int
+	holds   map[string]time.Time
+	asked   int
+	listed  bool
+}
+
+// Reserve sets a slot aside.
+func (s *roomServer) reserve(hold time.Duration) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	if s.taken() >= s.slots {
+		return "", forward.ErrRefused
+	}
+	id := fmt.Sprintf("%s-%d", s.name, s.asked)
+	s.holds[id] = clock.Now().Add(hold)
+	return id, nil
+}
+
+// taken counts the slots that are held or set aside. The caller holds mu.
+func (s *roomServer) taken() int {
+	taken := s.running
+	for id, until := range s.holds {
+		if clock.Now().After(until) {
+			delete(s.holds, id)
+			continue
+		}
+		taken++
+	}
+	return taken
+}
+
+// take takes a slot, one set aside if the reservation names it.
+func (s *roomServer) take(reservation string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	free := s.taken() < s.slots
+	if _, ok := s.holds[reservation]; ok {
+		delete(s.holds, reservation)
+		free = true
+	}
+	if free {
+		s.running++
+	}
+	return free
+}
+
+func (s *roomServer) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *roomServer) free() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		return 0
+	}
+	return s.slots - s.taken()
+}
+
+// roomOwners are the live nodes of a roomSite.
+type roomOwners struct {
+	homeFleet
+	look time.Duration
+}
+
+func (o *roomOwners) LookInterval() time.Duration { return o.look }
+
+func (o *roomOwners) Places() []place.Node {
+	var nodes []place.Node
+	for _, node := range o.Nodes() {
+		nodes = append(nodes, place.Node{ID: node, Place: place.Place{Region: regionOf(node)}})
+	}
+	return nodes
+}
+
+// roomNode is a node of a roomSite.
+type roomNode struct {
+	*testNode
+	site   *roomSite
+	name   string
+	set    *replica.Set
+	runner *Runner
+	cancel context.CancelFunc
+	dead   bool
+}
+
+// roomSite is a fleet before replicas, with all parts real but the replicas, the table and
+// the way of the words between nodes.
+type roomSite struct {
+	t       *testing.T
+	shared  *tabletest.Table
+	owners  *roomOwners
+	nodes   []*roomNode
+	servers map[string]*roomServer
+	// lostWords is the part of the words between nodes that are lost, lateWords how late
+	// the others come at most.
+	lostWords float64
+	lateWords time.Duration
+	eventTime time.Duration
+	itemSize  int
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	open    map[string]int
+	overlap []string
+}
+
+func newRoomSite(t *testing.T, seed uint64, nodes []string, servers map[string]int) *roomSite {
+	t.Helper()
+	s := &roomSite{
+		t: t, shared: tabletest.New(), owners: &roomOwners{look: 500 * time.Millisecond}, servers: map[string]*roomServer{},
+		eventTime: 20 * time.Millisecond, itemSize: 10, rng: rand.New(rand.NewPCG(seed, seed)), open: map[string]int{},
+	}
+	for name, slots := range servers {
+		s.servers[name] = &roomServer{name: name, slots: slots, holds: map[string]time.Time{}, listed: true}
+	}
+	var live []string
+	for _, name := range nodes {
+		live = append(live, name+"#1")
+	}
+	s.owners.set(live...)
+	objects := &objecttest.Store{}
+	for _, name := range nodes {
+		s.start(name, objects)
+	}
+	return s
+}
+
+func (s *roomSite) start(name string, objects *objecttest.Store) {
+	node := &roomNode{testNode: startNode(s.t, s.shared, objects, name+"#1"), site: s, name: name, set: replica.NewSet()}
+	for _, server := range s.servers {
+		node.set.Put(server.info())
+	}
+	node.set.Divide(name, s.owners.Places())
+	node.Fleet = s.owners
+	node.runner = NewRunner(RunnerOptions{
+		Service: node.Service, Replicas: node.set, Backend: node, Reserver: node, Routes: batchTable, Owners: s.owners,
+		ViewAge: func() time.Duration { return 0 }, Region: regionOf(name),
+	})
+	node.set.Pressed = node.runner.Yield
+	ctx, cancel := context.WithCancel(context.Background())
+	node.cancel = cancel
+	var running sync.WaitGroup
+	running.Go(func() { node.runner.Run(ctx) })
+	running.Go(func() { node.runner.RunClaims(ctx) })
+	running.Go(func() { node.tell(ctx) })
+	s.t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	s.nodes = append(s.nodes, node)
+}
+
+func (s *roomServer) info() replica.Info {
+	return replica.Info{ID: s.name, Pool: testPool, Address: s.name, Slots: s.slots, Region: regionOf(s.name)}
+}
+
+// tell does what a gateway does with its needs.
+func (n *roomNode) tell(ctx context.Context) {
+	for retry.Sleep(ctx, 100*time.Millisecond) {
+		for _, need := range n.set.Needs(clock.Now()) {
+			why := replica.Pressure{Fleet: need.Fleet}
+			if need.Excess > 0 {
+				n.runner.YieldPool(need.Pool, need.Excess, why)
+			}
+			if need.BorrowedExcess > 0 {
+				n.runner.YieldBorrowed(need.Pool, need.BorrowedExcess, why)
+			}
+			for _, other := range n.site.someOthers(n, 3) {
+				late := n.site.late()
+				if late < 0 {
+					continue
+				}
+				time.AfterFunc(late, func() {
+					other.set.Told(need.Pool, need.Level, need.Share, clock.Now())
+					other.set.ToldIdle(need.Pool, float64(need.Idle), clock.Now())
+				})
+			}
+		}
+	}
+}
+
+// late is how late a word comes; negative if it is lost.
+func (s *roomSite) late() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rng.Float64() < s.lostWords {
+		return -1
+	}
+	return time.Duration(s.rng.Float64() * float64(s.lateWords))
+}
+
+// someOthers returns random other nodes of the same region.
+func (s *roomSite) someOthers(self *roomNode, count int) []*roomNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var others []*roomNode
+	for _, at := range s.rng.Perm(len(s.nodes)) {
+		one := s.nodes[at]
+		if one != self && regionOf(one.name) == regionOf(self.name) && len(others) < count {
+			others = append(others, one)
+		}
+	}
+	return others
+}
+
+// Reserve implements forward.Reserver.
+func (n *roomNode) Reserve(_ context.Context, chosen replica.Info, _ int, hold time.Duration) (string, error) {
+	time.Sleep(time.Millisecond)
+	return n.site.servers[chosen.ID].reserve(hold)
+}
+
+// Send implements forward.Backend.
+func (n *roomNode) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+	time.Sleep(time.Millisecond)
+	server := n.site.servers[attempt.Replica.ID]
+	if !server.take(attempt.Reservation) {
+		return nil, outcome.Failed(forward.ErrRefused)
+	}
+	n.site.began(attempt.Request.ID)
+	body := &roomBody{ctx: ctx, node: n, server: server, item: attempt.Request.ID, next: attempt.After + 1}
+	return &forward.Answer{Status: http.StatusOK, Header: http.Header{}, Events: true, Body: body}, nil
+}
+
+func (s *roomSite) began(item string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[item]++
+	if s.open[item] > 1 {
+		s.overlap = append(s.overlap, item)
+	}
+}
+
+func (s *roomSite) ended(item string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[item]--
+}
+
+// roomBody is an answer whose events come one by one.
+type roomBody struct {
+	ctx    context.Context
+	node   *roomNode
+	server *roomServer
+	item   string
+	next   int
+	left   []byte
+	once   sync.Once
+}
+
+func (b *roomBody) Read(into []byte) (int, error) {
+	if len(b.left) == 0 {
+		if b.next > b.node.site.itemSize {
+			return 0, io.EOF
+		}
+		if !retry.Sleep(b.ctx, b.node.site.eventTime) {
+			return 0, context.Cause(b.ctx)
+		}
+		b.left = []byte(events(b.next, b.next))
+		b.next++
+	}
+	count := copy(into, b.left)
+	b.left = b.left[count:]
+	return count, nil
+}
+
+func (b *roomBody) Close() error {
+	b.once.Do(func() {
+		b.server.leave()
+		b.node.site.ended(b.item)
+	})
+	return nil
+}
+
+// load runs a part of the load until the test ends.
+func (s *roomSite) load(run func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// kill ends a node's processes; the others learn of it when its session has run out.
+func (s *roomSite) kill(node *roomNode) {
+	node.dead = true
+	node.cancel()
+	time.AfterFunc(3*time.Second, func() {
+		var live []string
+		for _, session := range s.owners.Live() {
+			if session != node.session {
+				live = append(live, session)
+			}
+		}
+		s.owners.set(live...)
+	})
+}
+
+// list lists a server, or takes it off the list.
+func (s *roomSite) list(server *roomServer, listed bool) {
+	server.mu.Lock()
+	server.listed = listed
+	server.mu.Unlock()
+	for _, node := range s.nodes {
+		if listed {
+			node.set.Put(server.info())
+		} else {
+			node.set.Remove(server.name, clock.Now())
+		}
+	}
+}
+
+func (s *roomSite) free() int {
+	free := 0
+	for _, server := range s.servers {
+		free += server.free()
+	}
+	return free
+}
+
+// online holds a slot of a server for a request of a node, if one is free.
+func (n *roomNode) online(server *roomServer, hold time.Duration) {
+	now := clock.Now()
+	use := n.set.Begin(server.name, replica.Ask{Tokens: 10, Objective: time.Second}, now)
+	if use == nil {
+		return
+	}
+	result := replica.Refused
+	if server.take("") {
+		use.First(clock.Now())
+		time.Sleep(hold)
+		server.leave()
+		result = replica.Succeeded
+	}
+	use.End(result, clock.Now())
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -44,6 +44,8 @@
 	Service  *Service
 	Replicas *replica.Set
 	Backend  forward.Backend
+	// Reserver, if set, sets slots of other nodes aside for items that borrow one.
+	Reserver forward.Reserver
 	Routes   func() *route.Table
 	Owners   Owners
 	Weights  replica.Weights
@@ -74,11 +76,16 @@
 	usual usual
 	// homeless are the jobs that no live node may run; RunClaims alone uses it.
 	homeless map[string]bool
+	// borrowAt is when replicas may next be asked for a slot of others.
+	borrowAt map[lane]time.Time
 }
 
 // NewRunner returns a runner that owns nothing yet.
 func NewRunner(options RunnerOptions) *Runner {
-	return &Runner{RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1), homeless: map[string]bool{}}
+	return &Runner{
+		RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1), homeless: map[string]bool{},
+		borrowAt: map[lane]time.Time{},
+	}
 }
 
 // Run runs items until the context ends.
@@ -117,7 +124,7 @@
 		r.allWait(WaitRoutes)
 		return
 	}
-	room := itemRoom{free: map[string]int{}, full: map[lane]error{}}
+	room := itemRoom{free: map[string]int{}, full: map[lane]error{}, borrowed: map[lane]bool{}}
 	for _, ready := range r.waiting(now) {
 		one := ready.task
 		if r.Service.View.until(one.work.job.Expires) < 0 {
@@ -133,8 +140,12 @@
 	}
 }
 
-// lane is a pool and the regions of it that items may be served in.
-type lane struct{ pool, homes string }
+// lane is a part of a pool that items may be served in: the regions, those with an adapter,
+// without the replicas that are left to online requests.
+type lane struct {
+	pool, homes, adapter string
+	reserve              float64
+}
 
 // itemRoom is where items found room in one look at those that wait.
 type itemRoom struct {
@@ -142,29 +153,35 @@
 	free map[string]int
 	// full are the lanes where no replica takes an item, with why.
 	full map[lane]error
+	// borrowed are the lanes where an item has tried to borrow a slot.
+	borrowed map[lane]bool
 }
 
 // offer sends an item if there is room for it where it may be served.
 func (r *Runner) offer(one *task, target *route.Route, homes place.Regions, room *itemRoom, now time.Time) {
-	where := lane{pool: target.Pool(), homes: strings.Join(homes, ",")}
+	where := lane{pool: target.Pool(), homes: strings.Join(homes, ","), adapter: target.Adapter, reserve: target.Reserve}
 	if _, ok := room.free[where.pool]; !ok {
 		room.free[where.pool] = r.Replicas.ItemRoom(where.pool, now)
 	}
+	send := itemSend{task: one, target: target, lane: where, homes: homes}
 	if room.free[where.pool] <= 0 {
 		r.noteWait(one, WaitRoom, nil)
+		r.borrow(send, room, now)
 		return
 	}
 	if full := room.full[where]; full != nil {
 		r.noteWait(one, WaitReplica, full)
+		r.borrow(send, room, now)
 		return
 	}
-	started, err := r.start(one, target, where.pool, homes, now)
+	started, err := r.start(send, now)
 	switch started {
 	case startedItem:
 		room.free[where.pool]--
 	case noRoom:
 		room.full[where] = err
 		r.noteWait(one, WaitReplica, err)
+		r.borrow(send, room, now)
 	}
 }
 
@@ -229,61 +246,3 @@
 		rank: job.rank(), job: job.ID, item: one.index,
 	}
 }
-
-// startResult is what came of a try to send an item.
-type startResult int
-
-const (
-	startedItem startResult = iota
-	// notNow items must wait for something of their own.
-	notNow
-	// noRoom tells that no replica takes an item.
-	noRoom
-)
-
-// start sends one task if a replica has room. The error says why there is none.
-func (r *Runner) start(one *task, target *route.Route, pool string, homes place.Regions, now time.Time) (startResult, error) {
-	item := &one.work.items[one.index]
-	if r.quarantined(one, item, now) {
-		return notNow, nil
-	}
-	if one.once && !one.marked {
-		r.noteWait(one, WaitMark, nil)
-		r.markStarted(one.work)
-		return notNow, nil
-	}
-	demand := &replica.Demand{
-		Zone: r.Zone, Region: r.Region, Ask: replica.Ask{Tokens: int(item.Tokens), Batch: true}, Adapter: target.Adapter,
-		Reserve: target.Reserve, Exclude: one.exclude, Regions: homes,
-	}
-	chosen, err := replica.Pick(r.Replicas.SnapshotFor(pool, demand, now), demand, r.Weights)
-	if err != nil {
-		if len(one.exclude) == 0 {
-			return noRoom, err
-		}
-		one.exclude = map[string]bool{}
-		return notNow, nil
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if one.state != taskWaiting || one.work.ctx.Err() != nil {
-		return notNow, nil
-	}
-	use := r.Replicas.Begin(chosen.ID, demand.Ask, now)
-	if use == nil {
-		// The replica is cold and others have used its rate up meanwhile.
-		one.waits(WaitReplica, nil)
-		return notNow, nil
-	}
-	one.state = taskRunning
-	one.waits(WaitAnswer, nil)
-	if one.started.IsZero() {
-		one.started = now
-	}
-	one.yielding = false
-	one.use = use
-	ctx, cancel := context.WithCancelCause(one.work.ctx)
-	one.replica, one.pool, one.cancel = chosen.ID, pool, cancel
-	go r.run(ctx, one, item, target, chosen.Info, one.use)
-	return startedItem, nil
-}
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -65,6 +65,10 @@
 	pool    string
 	cancel  context.CancelCauseFunc
 	use     *replica.Use
+	// reservation names the slot set aside for the run, borrowed is set if it is not one of
+	// this node's.
+	reservation string
+	borrowed    bool
 	// yielding is set once the run was told to give way.
 	yielding bool
 	// keptVersion is the version of the row with the item's kept text.
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -28,7 +28,12 @@
 // node's items there are broken off, those first that are due last. The slots of those
 // that run on where operators empty the zone are of no use to others.
 func (r *Runner) YieldPool(pool string, items int, why replica.Pressure) {
-	r.yield(items, why, func(one *task) bool { return one.pool == pool && !r.Replicas.Emptied(one.replica) })
+	r.yield(items, why, func(one *task) bool { return one.pool == pool && !one.borrowed && !r.Replicas.Emptied(one.replica) })
+}
+
+// YieldBorrowed has items leave slots of a pool that they borrowed from other nodes.
+func (r *Runner) YieldBorrowed(pool string, items int, why replica.Pressure) {
+	r.yield(items, why, func(one *task) bool { return one.pool == pool && one.borrowed })
 }
 
 func (r *Runner) yield(items int, why replica.Pressure, concerns func(*task) bool) {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -127,6 +127,7 @@
 		view(changes, whole)
 	}
 	g.forwarder.Reserver = g.backend
+	g.runner.Reserver = g.backend
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
 	g.replicaWatch = g.watchReplicas(platform.ServerFeed(g.store), g.applyReplicas)
 	g.configWatch.Keep, g.replicaWatch.Keep = true, true
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -34,6 +34,9 @@
 	// in the region of the node that is told.
 	Level float32 `cbor:"2,keyasint"`
 	Share int     `cbor:"3,keyasint"`
+	// Idle is the number of slots that the node has for items and does not use, less those
+	// that its items have borrowed; 0 also from programs that do not tell it.
+	Idle int `cbor:"4,keyasint,omitempty"`
 }
 
 // runDemand tells other nodes what online requests need here, and has items leave slots
@@ -46,6 +49,9 @@
 			if need.Excess > 0 {
 				g.runner.YieldPool(need.Pool, need.Excess, replica.Pressure{Fleet: need.Fleet})
 			}
+			if need.BorrowedExcess > 0 {
+				g.runner.YieldBorrowed(need.Pool, need.BorrowedExcess, replica.Pressure{Fleet: need.Fleet})
+			}
 		}
 		for region, words := range told {
 			g.tellRegion(region, words)
@@ -71,7 +77,7 @@
 			told[region] = append(told[region], one)
 		}
 	}
-	add(own, demandTold{Pool: need.Pool, Level: float32(need.Level), Share: need.Share})
+	add(own, demandTold{Pool: need.Pool, Level: float32(need.Level), Share: need.Share, Idle: need.Idle})
 	for region, open := range need.Away {
 		add(region, demandTold{Pool: need.Pool, Level: float32(open)})
 	}
@@ -87,5 +93,6 @@
 	now := clock.Now()
 	for _, one := range told[:min(len(told), maxDemandPools)] {
 		g.replicas.Told(one.Pool, float64(one.Level), one.Share, now)
+		g.replicas.ToldIdle(one.Pool, float64(one.Idle), now)
 	}
 }
