Each attempt's own silence is watched, and dead connections are probed

An item was left once its replica had said nothing for 2 s to any request of the node; where the replica answered others over new connections, an answer on a dead one counted as running for good. Items that may run only once were not watched at all, and a stream of an online request stood until its deadline.

Now: an attempt whose replica answers others is left after a time learned from how answers to items come (mean and four deviations of the time to the first event, and of the longest pause after it; at least 4 s and 2 s, at most 30 s), doubled with each that brought nothing, so every attempt ends and every answer that comes at all comes to its end. Items that may run only once end as undecided after 30 s. Online streams that have begun go on elsewhere after four times the silence allowed to a replica, 2.8 s at the least. Connections to replicas and the store are probed by the system after 2 s and given up after 5 s without an acknowledgement; the default is 15 s and nine probes. A busy machine's kernel still acknowledges, so that costs no false ends.

Ruled out as the mend: cancelling on the replica's silence alone with a shorter time (the replica is not silent); a fixed time for all attempts (one of 4 s would send answers that need longer again and again: TestRunner_SlowAnswersComeToTheirEnd).

TestRunner_SlowAnswersComeToTheirEnd gave its items a life of 60 s by mistake, which the doubling alone uses up; they live for an hour now, and are bounded instead to five sends and 2 minutes, not 10.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/dialer"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
@@ -86,13 +87,13 @@
 // NewClient returns a client with its own connection pools. counter, which may
 // be nil, counts the bytes of control traffic.
 func NewClient(counter *traffic.Counter) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	reportDial := dialer.DialContext
+	dial := dialer.New(dialTimeout).DialContext
+	reportDial := traffic.DialContext(dial)
 	if counter != nil {
-		reportDial = counter.Dial(dialer.DialContext)
+		reportDial = counter.Dial(dial)
 	}
 	return &Client{
-		http:    &http.Client{Transport: newTransport(dialer.DialContext, maxIdlePerEngine)},
+		http:    &http.Client{Transport: newTransport(dial, maxIdlePerEngine)},
 		reports: &http.Client{Transport: newTransport(reportDial, 1)},
 	}
 }
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -23,6 +23,11 @@
 	silenceFactor = 4
 	// silenceLeast keeps streams at replicas that are only busy.
 	silenceLeast = 700 * time.Millisecond
+	// stalledFactor is how many times the silence that is allowed to a replica an answer
+	// may pause that has begun, while the replica answers others. Its run has a slot, so
+	// its events come on; a connection that died without a reset brings none. Left after
+	// 2.8 s at the least, not at the request's deadline.
+	stalledFactor = 4
 )
 
 // passEvents passes events on as they arrive, leaving out those the caller has.
@@ -132,7 +137,8 @@
 
 // silenceWatch gives an attempt up when its replica says nothing for too long,
 // to any request of this node: a replica that answers others is only busy, and
-// sending its requests elsewhere as well would add to the load.
+// sending its requests elsewhere as well would add to the load. An answer that has begun
+// and pauses for much longer is given up whatever the replica answers others.
 type silenceWatch struct {
 	use   *replica.Use
 	limit atomic.Int64
@@ -154,11 +160,20 @@
 
 // check cancels the attempt, or looks again when the silence could be too long.
 func (w *silenceWatch) check(cancel context.CancelCauseFunc) {
-	left := time.Duration(w.limit.Load()) - w.use.Silence(clock.Now())
+	now, limit := clock.Now(), time.Duration(w.limit.Load())
+	left := limit - w.use.Silence(now)
 	if left <= 0 {
 		cancel(ErrSilent)
 		return
 	}
+	if own, begun := w.use.OwnSilence(now); begun {
+		stalled := stalledFactor*limit - own
+		if stalled <= 0 {
+			cancel(ErrStalled)
+			return
+		}
+		left = min(left, stalled)
+	}
 	w.timer.Reset(left)
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -41,6 +41,9 @@
 	ErrBroken = errors.New("replica answer broke off")
 	// ErrSilent reports that a replica said nothing for too long.
 	ErrSilent = errors.New("replica is silent")
+	// ErrStalled reports that nothing came of one answer for too long, while the replica
+	// may answer others: its connection may be dead.
+	ErrStalled = errors.New("answer stalled")
 )
 
 // Request is an opaque request of a route.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -340,8 +340,8 @@
 
 // silent replaces an error that comes of this side's own giving up.
 func (c *call) silent(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
-		return outcome.Undecided(ErrSilent)
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, ErrSilent) || errors.Is(cause, ErrStalled)) {
+		return outcome.Undecided(cause)
 	}
 	return err
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -32,7 +32,7 @@
 	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
 		return false
 	}
-	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent)
+	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent) || errors.Is(err, ErrStalled)
 }
 
 // quarantined returns the error of a request whose work must not be sent.
--- /dev/null
+++ b/internal/forward/stalled_test.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// untilDone says nothing until its context ends.
+type untilDone struct{ ctx context.Context }
+
+func (b untilDone) Read([]byte) (int, error) {
+	<-b.ctx.Done()
+	return 0, context.Cause(b.ctx)
+}
+
+// answerOthers has the replicas answer other requests of the node, each 100 ms, until the
+// test ends.
+func answerOthers(t *testing.T, replicas *replica.Set, ids ...string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for retry.Sleep(ctx, 100*time.Millisecond) {
+			for _, id := range ids {
+				now := clock.Now()
+				use := replicas.Begin(id, replica.Ask{Tokens: 10}, now)
+				use.Heard(now)
+				use.End(replica.Succeeded, now)
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// The answer's connection dies without a reset after its second event; its replica answers
+// others all the time. The stream goes on elsewhere long before its deadline.
+func TestDo_StreamWhoseAnswerStalledGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &scriptedBackend{answer: func(ctx context.Context, attempt *Attempt, number int) (*Answer, error) {
+			answer := &Answer{Status: http.StatusOK, Header: http.Header{}, Events: true}
+			if number == 1 {
+				begun := strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+				answer.Body = io.NopCloser(io.MultiReader(begun, untilDone{ctx}))
+				return answer, nil
+			}
+			if attempt.After != 2 {
+				t.Errorf("second attempt goes on after event %d, want 2", attempt.After)
+			}
+			answer.Body = io.NopCloser(strings.NewReader("id: 3\ndata: c\n\n"))
+			return answer, nil
+		}}
+		forwarder := newForwarder(backend, 2)
+		answerOthers(t, forwarder.Replicas, "r0", "r1")
+		target := &route.Route{
+			Name: "s", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute,
+			Objective: 200 * time.Millisecond, Gap: 100 * time.Millisecond,
+			Shares: []route.Share{{Pool: testPool, Weight: 1}},
+		}
+		sink, began := &recordedSink{}, time.Now()
+		request := &Request{ID: "q", Method: http.MethodPost, Header: http.Header{}, Received: clock.Now()}
+		if _, err := forwarder.Do(t.Context(), target, request, sink); err != nil {
+			t.Fatalf("after %v: %v", time.Since(began), err)
+		}
+		if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"; sink.body.String() != want {
+			t.Fatalf("caller got %q, want %q", sink.body.String(), want)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Fatalf("the stream went on after %v, want it within 5 s", took)
+		}
+	})
+}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// itemSilence is how long a replica may say nothing before an item is
-	// taken elsewhere.
-	itemSilence = 2 * time.Second
 	// refusedPause is the pause after a replica had no room.
 	refusedPause = 60 * time.Millisecond
 	// brokenPause is the pause after an answer broke off.
@@ -43,7 +40,7 @@
 	r.Service.Events.ItemSent(one.work.job, item.ID, chosen.ID, one.after)
 	began, from := clock.Now(), one.after
 	err := r.exchange(ctx, one, item, chosen, use)
-	r.learn(one, from, clock.Since(began), err == nil)
+	r.learn(one, from, clock.Since(began), err)
 	use.End(itemResult(one.work.ctx, err), clock.Now())
 	r.tellQuarantine(one.work.ctx, one, item, chosen, began, from, err)
 	if err != nil && one.work.ctx.Err() == nil && !errors.Is(err, errYielded) {
@@ -121,19 +118,23 @@
 // exchange sends an item and collects the data of its events. What has come
 // stays with the task, so that the next attempt goes on after it.
 func (r *Runner) exchange(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
-	if !item.Once {
-		stop := watchSilence(use, one.cancel)
-		defer stop()
-	}
+	stop := r.watchSilence(one, use)
+	defer stop()
 	err := r.send(ctx, one, item, chosen, use)
 	verdict := errors.Is(err, errItemInvalid) || errors.Is(err, errItemFailed)
-	if err != nil && !verdict && errors.Is(context.Cause(ctx), errYielded) {
-		return outcome.Undecided(errYielded)
+	if err == nil || verdict {
+		return err
+	}
+	for _, givenUp := range []error{errYielded, forward.ErrSilent, forward.ErrStalled} {
+		if errors.Is(context.Cause(ctx), givenUp) {
+			return outcome.Undecided(givenUp)
+		}
 	}
 	return err
 }
 
 func (r *Runner) send(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
+	sent := clock.Now()
 	answer, err := r.Backend.Send(ctx, &forward.Attempt{
 		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after,
 	})
@@ -156,33 +157,14 @@
 	if answer.Load != nil {
 		use.Load(*answer.Load, clock.Now())
 	}
-	return r.collect(one, answer, use)
+	return r.collect(one, answer, use, sent)
 }
 
-// watchSilence gives an attempt up when its replica says nothing to any request
-// of this node for itemSilence.
-func watchSilence(use *replica.Use, cancel context.CancelCauseFunc) (stop func()) {
-	done := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(itemSilence / 8)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-				if use.Silence(clock.Now()) > itemSilence {
-					cancel(forward.ErrSilent)
-					return
-				}
-			}
-		}
-	}()
-	return func() { close(done) }
-}
-
-func (r *Runner) collect(one *task, answer *forward.Answer, use *replica.Use) error {
+// collect takes in the events of an answer to an attempt that was sent at a time.
+func (r *Runner) collect(one *task, answer *forward.Answer, use *replica.Use, sent time.Time) error {
 	reader := sse.NewReader(answer.Body)
+	pauses := runPauses{last: sent}
+	defer func() { r.learnPauses(pauses) }()
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -192,6 +174,7 @@
 			return outcome.Undecided(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
 		now := clock.Now()
+		pauses.heard(now)
 		use.Heard(now)
 		use.First(now)
 		if err := r.add(one, event); err != nil {
@@ -231,11 +214,16 @@
 }
 
 // learn takes in a run that began after an event.
-func (r *Runner) learn(one *task, from int, took time.Duration, whole bool) {
+func (r *Runner) learn(one *task, from int, took time.Duration, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.usual.pace(one.after-from, took)
-	if whole {
+	switch {
+	case err == nil:
 		r.usual.run(one.after)
+	case one.after > from:
+		one.stalls = 0
+	case errors.Is(err, forward.ErrStalled):
+		one.stalls++
 	}
 }
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -70,8 +70,9 @@
 	owned  map[string]*work
 	paused bool
 	freed  chan struct{}
-	// usual is what items are like.
-	usual usual
+	// usual is what items are like, pauses how their answers come.
+	usual  usual
+	pauses pauses
 	// homeless are the jobs that no live node may run; RunClaims alone uses it.
 	homeless map[string]bool
 }
--- a/internal/jobs/silent_test.go
+++ b/internal/jobs/silent_test.go
@@ -169,14 +169,17 @@
 			}
 		})
 		job := submission("j", 3)
-		job.Completion = time.Hour
+		job.Completion, job.Retention = time.Hour, time.Hour
 		if err := site.node.Submit(t.Context(), job); err != nil {
 			t.Fatal(err)
 		}
-		for _, result := range site.awaitDone(t, "j", 10*time.Minute) {
+		for _, result := range site.awaitDone(t, "j", 2*time.Minute) {
 			if result.Dead || !strings.HasSuffix(result.Text, "piece 5") {
 				t.Fatalf("result is %+v", result)
 			}
+			if sends := site.sends[result.Item]; sends > 5 {
+				t.Fatalf("%s was sent %d times, want its time doubled with each", result.Item, sends)
+			}
 		}
 	})
 }
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -65,6 +65,8 @@
 	pool    string
 	cancel  context.CancelCauseFunc
 	use     *replica.Use
+	// stalls counts the attempts in a row that stalled and brought no new event.
+	stalls int
 	// yielding is set once the run was told to give way.
 	yielding bool
 	// keptVersion is the version of the row with the item's kept text.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,13 +1,12 @@
 package node
 
 import (
-	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/dialer"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -91,11 +90,8 @@
 
 // counted returns a transport whose bytes count as control traffic.
 func (n *Node) counted() http.RoundTripper {
-	dialer := &net.Dialer{Timeout: callTimeout}
 	return &http.Transport{
-		DialContext: n.control.Dial(func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		}),
+		DialContext:         n.control.Dial(dialer.New(callTimeout).DialContext),
 		MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
 	}
 }
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -46,6 +46,8 @@
 	spare bool
 	first bool
 	ended bool
+	// heard is when anything last came of this request's answer; zero if nothing did.
+	heard time.Time
 	// gaveWay is set on items that were asked to give way.
 	gaveWay bool
 }
@@ -146,11 +148,11 @@
 	}
 }
 
-// Heard notes that something came from the replica: it is busy, not silent.
+// Heard notes that something of this request's answer came: the replica is busy, not silent.
 func (u *Use) Heard(now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	u.entry.heard, u.set.heard = now, now
+	u.heard, u.entry.heard, u.set.heard = now, now, now
 }
 
 // Silence returns the time since anything of any request came from the replica,
@@ -164,6 +166,18 @@
 	return now.Sub(u.sent)
 }
 
+// OwnSilence returns the time since anything of this request's answer came, or since it was
+// sent, and whether anything has come. A replica that answers others may never answer this
+// request: its connection may be dead, or its run be lost.
+func (u *Use) OwnSilence(now time.Time) (silence time.Duration, begun bool) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	if u.heard.IsZero() {
+		return now.Sub(u.sent), false
+	}
+	return now.Sub(u.heard), true
+}
+
 // End stops counting and takes in how the request ended.
 func (u *Use) End(result Result, now time.Time) {
 	ejected, ejection := u.finish(result, now)
