--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -69,6 +69,8 @@
 	// this node's.
 	reservation string
 	borrowed    bool
+	// stalls counts the attempts in a row that stalled and brought no new event.
+	stalls int
 	// yielding is set once the run was told to give way.
 	yielding bool
 	// keptVersion is the version of the row with the item's kept text.
