Items that borrow ask again soon, by turns, though replicas refused

Seen in TestRunner_ItemsOfNodesWithoutSlotsRun with 24 nodes before 2 slots: all ask in the same moment, a refused replica of one slot counts as full for 3 s by the estimate of others' requests, so the slots stand empty for 2.7 of each 3 s; the last item was run after 18 s. A replica has the last word anyway, so an estimate leaves none out; pauses double up to 1 s and are spread, and each node asks in another order. Bound: 3 questions a second and lane where all are full.

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -19,9 +20,13 @@
 	// borrowTries is the number of replicas asked each time.
 	borrowTries = 3
 	// borrowPause is the pause at this node before replicas of a lane are asked again after
-	// they refused, borrowedPause after one had a slot. They bound what a node asks to
-	// 12 questions a second and lane, and what it takes on words of some 100 ms ago.
-	borrowPause   = 250 * time.Millisecond
+	// all of them refused. It doubles with each time in a row, up to borrowPauseMax, and is
+	// spread by half to either side, so that nodes that were refused together come apart.
+	// A node asks 3 times a second and lane where all are full.
+	borrowPause    = 200 * time.Millisecond
+	borrowPauseMax = time.Second
+	// borrowedPause is the pause after one had a slot. It bounds what a node takes on words
+	// of some 100 ms ago.
 	borrowedPause = 50 * time.Millisecond
 	// borrowTimeout bounds one question, a way there and back and a new connection.
 	borrowTimeout = 250 * time.Millisecond
@@ -44,32 +49,54 @@
 	if !r.Replicas.MayBorrow(send.pool, waited, now) || !r.prepared(send, now) {
 		return
 	}
-	// No other item of the lane looks meanwhile.
-	r.pauseBorrowing(send.lane, now.Add(borrowTries*borrowTimeout+borrowPause))
 	demand := r.demand(send)
 	demand.Borrowed, demand.Exclude = true, map[string]bool{}
+	// Replicas that are as good as each other are asked by each node in another order.
+	demand.Affinity = rand.Uint64()
+	r.setBorrowing(send.lane, func(state *borrowing) { state.asking = true })
 	go func() {
-		pause := borrowPause
-		if r.borrowAny(send, demand) {
-			pause = borrowedPause
-		}
-		r.pauseBorrowing(send.lane, clock.Now().Add(pause))
+		sent := r.borrowAny(send, demand)
+		r.setBorrowing(send.lane, func(state *borrowing) { state.asked(sent, clock.Now()) })
 	}()
 }
 
+// borrowing is the state of the questions for slots of a lane.
+type borrowing struct {
+	// asking is set while replicas are asked, for one item at a time.
+	asking bool
+	// next is when they may be asked again, refused how often in a row all refused.
+	next    time.Time
+	refused int
+}
+
+// asked takes in what came of a question.
+func (b *borrowing) asked(sent bool, now time.Time) {
+	b.asking = false
+	if sent {
+		b.refused, b.next = 0, now.Add(borrowedPause)
+		return
+	}
+	pause := min(borrowPause<<min(b.refused, 8), borrowPauseMax)
+	b.refused++
+	b.next = now.Add(pause/2 + rand.N(pause))
+}
+
 // borrowDue returns how long an item has not come on, and reports whether it is time to ask
 // replicas for slots of others.
 func (r *Runner) borrowDue(send itemSend, now time.Time) (waited time.Duration, due bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Sub(send.task.cameOn), !now.Before(r.borrowAt[send.lane])
+	state := r.borrows[send.lane]
+	return now.Sub(send.task.cameOn), !state.asking && !now.Before(state.next)
 }
 
-// pauseBorrowing has replicas be asked no sooner than at a time.
-func (r *Runner) pauseBorrowing(where lane, until time.Time) {
+// setBorrowing changes the state of a lane.
+func (r *Runner) setBorrowing(where lane, change func(*borrowing)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.borrowAt[where] = until
+	state := r.borrows[where]
+	change(&state)
+	r.borrows[where] = state
 }
 
 // borrowAny asks a few replicas, one after the other, for a slot. It reports whether the
@@ -78,7 +105,7 @@
 	for range borrowTries {
 		now := clock.Now()
 		chosen, err := replica.PickIdle(r.Replicas.SnapshotFor(send.pool, demand, now), demand, r.Weights)
-		if err != nil {
+		if err != nil || r.Reserver == nil && chosen.Free() < 1 {
 			// The next look tries again.
 			return false
 		}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -77,15 +77,15 @@
 	pauses pauses
 	// homeless are the jobs that no live node may run; RunClaims alone uses it.
 	homeless map[string]bool
-	// borrowAt is when replicas may next be asked for a slot of others.
-	borrowAt map[lane]time.Time
+	// borrows are the lanes where items asked for slots of others.
+	borrows map[lane]borrowing
 }
 
 // NewRunner returns a runner that owns nothing yet.
 func NewRunner(options RunnerOptions) *Runner {
 	return &Runner{
 		RunnerOptions: options, owned: map[string]*work{}, freed: make(chan struct{}, 1), homeless: map[string]bool{},
-		borrowAt: map[lane]time.Time{},
+		borrows: map[lane]borrowing{},
 	}
 }
 
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -105,8 +105,9 @@
 	return borrowed
 }
 
-// PickIdle returns the replica to be asked for a slot for an item: one that is believed to
-// have a free one, of the own region if there is any.
+// PickIdle returns the replica to be asked for a slot for an item: the least busy one, of the
+// own region if there is any. What is believed of the requests of others leaves none out: a
+// replica with few slots that refused once would be passed over for seconds.
 func PickIdle(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
 	if demand.Reserve > 0 {
 		candidates = unreserved(candidates, demand.Reserve)
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -162,7 +162,9 @@
 	switch {
 	case c.Ejected:
 		return Ejected
-	case demand.Batch && (c.Open >= c.Share && !demand.Borrowed || c.Free() < 1):
+	case demand.Borrowed && c.Open >= c.Slots:
+		return Occupied
+	case demand.Batch && !demand.Borrowed && (c.Open >= c.Share || c.Free() < 1):
 		return Occupied
 	default:
 		return Usable
