Results that could not be listed, and content that could not be read, are tried again

With either part taken out: TestRunner_ItemWhoseTextCannotBeWrittenIsListedLater finds no item that waits for its listing (the job is left with 3 of 4 listed), and TestRunner_ItemsWhoseContentCannotBeReadExpire finds nothing listed 5 s after the expiry.

--- a/internal/jobs/account.go
+++ b/internal/jobs/account.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 // Wait says what an item that is not listed waits for. Each has an end that is bound to
@@ -35,13 +37,15 @@
 	WaitAnswer
 	// WaitListing items have their outcome and wait for it to be listed.
 	WaitListing
+	// WaitContent items wait for their content to be read.
+	WaitContent
 	waits
 )
 
 // String returns the name used in logs and metrics.
 func (w Wait) String() string {
 	names := [waits]string{
-		"look", "pause", "view", "routes", "route", "room", "replica", "quarantine", "mark", "hand-back", "answer", "listing",
+		"look", "pause", "view", "routes", "route", "room", "replica", "quarantine", "mark", "hand-back", "answer", "listing", "content",
 	}
 	if w >= waits {
 		return "unknown"
@@ -56,6 +60,8 @@
 	// Since is when the item last came on, by package clock: it was taken up, its answer
 	// brought an event, or it got its outcome.
 	Since time.Time
+	// Begun is since when it waits for this, all the time.
+	Begun time.Time
 	// Replica is where a running item is.
 	Replica string
 	// Cause is what decided it; nil if the wait says all.
@@ -71,7 +77,12 @@
 }
 
 // waits notes what the task waits for from now on. The caller holds the runner's lock.
-func (t *task) waits(what Wait, cause error) { t.wait, t.waitCause = what, cause }
+func (t *task) waits(what Wait, cause error) {
+	if t.wait != what || t.waitBegun.IsZero() {
+		t.waitBegun = clock.Now()
+	}
+	t.wait, t.waitCause = what, cause
+}
 
 // Waiting returns what each unlisted item of this node waits for, that which came on longest ago first.
 func (r *Runner) Waiting() []Waiting {
@@ -84,6 +95,12 @@
 				all = append(all, one.waiting())
 			}
 		}
+		for _, index := range owned.unread {
+			all = append(all, Waiting{
+				Job: owned.job.ID, Item: owned.job.Items[index].ID, For: WaitContent,
+				Since: owned.unreadSince, Begun: owned.unreadSince, Cause: owned.loadErr,
+			})
+		}
 	}
 	slices.SortFunc(all, func(a, b Waiting) int { return a.Since.Compare(b.Since) })
 	return all
@@ -93,7 +110,10 @@
 func (t *task) waiting() Waiting {
 	waiting := Waiting{
 		Job: t.work.job.ID, Item: t.work.job.Items[t.index].ID,
-		For: t.wait, Since: t.cameOn, Cause: t.waitCause,
+		For: t.wait, Since: t.cameOn, Begun: t.waitBegun, Cause: t.waitCause,
+	}
+	if waiting.Begun.IsZero() {
+		waiting.Begun = t.cameOn
 	}
 	if t.state == taskRunning {
 		waiting.Replica = t.replica
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -15,6 +17,11 @@
 	// commitRows and commitBytes bound the results of one transaction.
 	commitRows  = 60
 	commitBytes = 300 << 10
+	// commitRetry is the pause before results are tried again that could not be listed.
+	commitRetry = 250 * time.Millisecond
+	// textPatience bounds the tries to write the text of one result as an object, in each of
+	// which the others of its job wait to be listed.
+	textPatience = 2 * objectTimeout
 )
 
 // finish notes an item's outcome, without a reason if it has its answer, and has
@@ -56,10 +63,21 @@
 			return
 		}
 		r.mu.Unlock()
-		r.commit(owned, batch)
+		if left := r.commit(owned, batch); left > 0 && !retry.Sleep(owned.ctx, commitRetry) {
+			// Another node has the job by now, or it ended.
+			r.dropFinished(owned)
+			return
+		}
 	}
 }
 
+// dropFinished forgets the results of a job that could not be listed.
+func (r *Runner) dropFinished(owned *work) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owned.finished, owned.commits = nil, false
+}
+
 // gather waits for more results to commit together, if that is wanted and more
 // are to come.
 func (r *Runner) gather(owned *work) {
@@ -95,52 +113,72 @@
 	return len(w.finished)
 }
 
-func (r *Runner) commit(owned *work, batch []*task) {
+// commit lists results, and returns the number of those that are to be tried again.
+func (r *Runner) commit(owned *work, batch []*task) (left int) {
 	// The results outlive the ownership: who has them may list them.
-	ctx := context.WithoutCancel(owned.ctx)
-	err := r.Service.list(ctx, owned.job, batch)
-	if err != nil && !errors.Is(err, ErrNotFound) {
+	failed, err := r.Service.listMost(context.WithoutCancel(owned.ctx), owned.job, batch)
+	if err != nil {
 		r.Service.Events.ItemFailed(owned.job, "", "", err)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, one := range batch {
+		if slices.Contains(failed, one) {
+			one.waits(WaitListing, err)
+			continue
+		}
 		one.state = taskListed
 	}
+	owned.finished = append(owned.finished, failed...)
+	return len(failed)
 }
 
 // list gives items their positions and texts in one transaction.
 func (s *Service) list(ctx context.Context, job *Job, batch []*task) error {
-	rows := make([][]byte, len(batch))
-	for i, one := range batch {
-		row, err := s.resultRow(ctx, job, one)
-		if err != nil {
-			return err
+	_, err := s.listMost(ctx, job, batch)
+	return err
+}
+
+// listMost gives items their positions and texts in one transaction, but for those whose text
+// cannot be written. It returns the items that are not listed, with why.
+func (s *Service) listMost(ctx context.Context, job *Job, batch []*task) (failed []*task, err error) {
+	rows := make(map[*task][]byte, len(batch))
+	for _, one := range batch {
+		row, rowErr := s.resultRow(ctx, job, one)
+		if rowErr != nil {
+			failed, err = append(failed, one), rowErr
+			continue
 		}
-		rows[i] = row
+		rows[one] = row
+	}
+	if len(rows) == 0 {
+		return failed, err
 	}
-	var positions []int
-	err := s.update(ctx, job.ID, func(progress *Progress) ([]table.Write, bool) {
-		positions = positions[:0]
+	updateErr := s.update(ctx, job.ID, func(progress *Progress) ([]table.Write, bool) {
 		if progress.Ended {
 			return nil, false
 		}
 		var writes []table.Write
-		for i, one := range batch {
-			if progress.has(one.index) {
+		for _, one := range batch {
+			if rows[one] == nil || progress.has(one.index) {
 				continue
 			}
 			position := len(progress.Listed)
 			progress.Listed = append(progress.Listed, Listed{Item: one.index, Dead: one.reason != ""})
-			writes = append(writes, table.Write{Key: resultKey(job.ID, position), Expect: table.Absent, Body: rows[i]})
-			positions = append(positions, position)
+			writes = append(writes, table.Write{Key: resultKey(job.ID, position), Expect: table.Absent, Body: rows[one]})
 		}
 		return writes, len(writes) > 0
 	})
-	if err == nil {
+	switch {
+	case updateErr == nil:
 		s.listed(job, batch)
+	case errors.Is(updateErr, ErrNotFound):
+		// The job was removed, so nothing is to be listed any more.
+		return nil, nil
+	default:
+		return batch, updateErr
 	}
-	return err
+	return failed, err
 }
 
 func (s *Service) listed(job *Job, batch []*task) {
@@ -168,7 +206,9 @@
 		return encode(storedResult{Text: string(one.text)}), nil
 	}
 	name := textObject(job.ID, one.index)
-	if err := s.putObject(ctx, name, one.text); err != nil {
+	putCtx, cancel := context.WithTimeout(ctx, textPatience)
+	defer cancel()
+	if err := s.putObject(putCtx, name, one.text); err != nil {
 		return nil, err
 	}
 	return encode(storedResult{Object: name}), nil
--- /dev/null
+++ b/internal/jobs/leftover_test.go
@@ -0,0 +1,116 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// failingObjects refuses to write or to find objects for as long as it is told to.
+type failingObjects struct {
+	objecttest.Store
+	put, get atomic.Pointer[error]
+	gets     atomic.Int64
+}
+
+func (s *failingObjects) Put(ctx context.Context, key string, body []byte) error {
+	if err := s.put.Load(); err != nil {
+		return *err
+	}
+	return s.Store.Put(ctx, key, body)
+}
+
+func failWith(err error) *error { return &err }
+
+// longAnswer is an answer whose text is too long for a row.
+func longAnswer(_ context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+	if strings.HasSuffix(attempt.Request.ID, "-0") {
+		return answerOf(200, "id: 1\ndata: "+strings.Repeat("x", 2*maxRowText)+"\n\n"), nil
+	}
+	return answerOf(200, events(attempt.After+1, 5)), nil
+}
+
+// Seen by reading: an item whose result could not be listed for good counted as listed at its
+// node. It was never sent and never listed again, and the job never ended.
+//
+// The object store refuses the text of the first item, at once or by not answering; the others
+// are listed meanwhile, and the first once the text can be written.
+func TestRunner_ItemWhoseTextCannotBeWrittenIsListedLater(t *testing.T) {
+	for name, err := range map[string]error{"refused": object.ErrNotFound, "unavailable": errors.New("unavailable")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				objects := &failingObjects{}
+				objects.put.Store(failWith(err))
+				node := startNode(t, tabletest.New(), objects, "a#1")
+				runner, _ := startRunner(t, node, sendFunc(longAnswer))
+				if err := node.Submit(t.Context(), submission("j", 4)); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second + textPatience)
+				if listed := len(node.View.Get("j").Progress.Listed); listed != 3 {
+					t.Fatalf("%d items are listed, want the three whose texts need no object", listed)
+				}
+				if waiting := runner.Waiting(); len(waiting) != 1 || waiting[0].For != WaitListing || waiting[0].Cause == nil {
+					t.Fatalf("waiting are %+v, want one item for its listing, with the cause", waiting)
+				}
+				objects.put.Store(nil)
+				time.Sleep(textPatience)
+				if entry := node.View.Get("j"); !entry.Done() {
+					t.Fatalf("listed are %v: %+v", entry.Progress.Listed, runner.Waiting())
+				}
+			})
+		})
+	}
+}
+
+// Seen by reading: while the items of a job could not be read they had no tasks, so nothing
+// said that they wait, and they never expired; a content that is not there was asked for at
+// each look, ten times a second.
+func TestRunner_ItemsWhoseContentCannotBeReadExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared, objects := tabletest.New(), &objecttest.Store{}
+		accepting := startNode(t, shared, objects, "b#1")
+		job := submission("j", 3)
+		job.Items[0].Body = []byte(strings.Repeat("x", 2*maxInline))
+		job.Retention = 20 * time.Second
+		if err := accepting.Submit(t.Context(), job); err != nil {
+			t.Fatal(err)
+		}
+		if err := objects.Delete(t.Context(), contentKey("j")); err != nil {
+			t.Fatal(err)
+		}
+		node := startNode(t, shared, objects, "b#2")
+		runner, _ := startRunner(t, node, sendFunc(longAnswer))
+		takeOver(t, runner, "j", "b#2")
+		time.Sleep(5 * time.Second)
+		waiting := runner.Waiting()
+		if len(waiting) != 3 || waiting[0].For != WaitContent || waiting[0].Cause == nil {
+			t.Fatalf("waiting are %+v, want three items for their content, with the cause", waiting)
+		}
+		if since := clock.Since(waiting[0].Since); since < 4*time.Second {
+			t.Fatalf("waits for %v, want since it was taken up", since)
+		}
+		time.Sleep(20 * time.Second)
+		entry := node.View.Get("j")
+		if !entry.Done() || !entry.Progress.Listed[0].Dead {
+			t.Fatalf("listed are %v, want three expired items", entry.Progress.Listed)
+		}
+	})
+}
+
+// takeOver makes a session the owner of a job.
+func takeOver(t *testing.T, runner *Runner, id, session string) {
+	t.Helper()
+	eventually(t, func() bool { return runner.Service.View.Get(id) != nil })
+	runner.claim(t.Context(), runner.Service.View.Get(id), session)
+}
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -10,6 +10,10 @@
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
+// loadPause is the pause before content is read again that could not be: one that is not there
+// costs a call to the store each time.
+const loadPause = time.Second
+
 // work is an owned job. The runner's lock guards it.
 type work struct {
 	job      *Job
@@ -17,8 +21,14 @@
 	tasks    []*task
 	finished []*task
 	commits  bool
-	// loading is set while items are read from the store.
+	// loading is set while items are read from the store. After they could not be read for
+	// loadErr they are tried again at loadAt.
 	loading bool
+	loadErr error
+	loadAt  time.Time
+	// unread are the items of this node that have no task yet, since when.
+	unread      []int
+	unreadSince time.Time
 	// version is that of the progress that the tasks are made of; complete is set
 	// once each item of this node has one.
 	version  uint64
@@ -81,9 +91,10 @@
 	identity *quarantine.Work
 	// held is set while the item is known to be quarantined.
 	held bool
-	// wait is what the item waits for, waitCause what decided it.
+	// wait is what the item waits for, waitCause what decided it, waitBegun since when.
 	wait      Wait
 	waitCause error
+	waitBegun time.Time
 	// cameOn is when the item last came on: it was taken up, its answer brought an event, or
 	// it got its outcome.
 	cameOn time.Time
@@ -133,12 +144,37 @@
 	owned.version = entry.Version
 	missing := owned.assign(own)
 	owned.complete = len(missing) == 0
-	if !owned.complete && !owned.loading {
+	now := clock.Now()
+	owned.await(missing, now)
+	switch {
+	case owned.complete:
+	case r.Service.View.Known() && r.Service.View.until(owned.job.Expires) < 0:
+		r.expireUnread(owned, now)
+	case !owned.loading && !now.Before(owned.loadAt):
 		owned.loading = true
 		go r.load(owned, entry, missing)
 	}
 }
 
+// await notes the items that have no task yet. The caller holds the runner's lock.
+func (w *work) await(missing []int, now time.Time) {
+	if len(w.unread) == 0 {
+		w.unreadSince = now
+	}
+	w.unread = missing
+}
+
+// expireUnread ends items that were not read in time, for which no content is needed. The
+// caller holds the runner's lock.
+func (r *Runner) expireUnread(owned *work, now time.Time) {
+	for _, index := range owned.unread {
+		one := &task{work: owned, index: index, started: now}
+		owned.tasks = append(owned.tasks, one)
+		r.finishLocked(one, Expired)
+	}
+	owned.unread = nil
+}
+
 // assign stops and removes the tasks of items that another node runs now, and
 // returns the items that have no task yet. The caller holds the runner's lock.
 func (w *work) assign(own []int) (missing []int) {
@@ -168,11 +204,11 @@
 // load reads items and makes tasks of them.
 func (r *Runner) load(owned *work, entry *Entry, indexes []int) {
 	items, err := r.Service.content(owned.ctx, entry.Job)
-	if err != nil || len(items) != len(entry.Job.Items) {
-		// The next reconcile tries again.
-		r.mu.Lock()
-		owned.loading = false
-		r.mu.Unlock()
+	if err == nil && len(items) != len(entry.Job.Items) {
+		err = Error.New("content of job %s has %d items of %d", entry.Job.ID, len(items), len(entry.Job.Items))
+	}
+	if err != nil {
+		r.loadFailed(owned, err)
 		return
 	}
 	var kept map[int]storedResult
@@ -181,11 +217,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	owned.loading = false
+	owned.loading, owned.loadErr = false, nil
 	if owned.items == nil {
 		owned.items = items
 	}
 	for _, index := range indexes {
+		if !slices.Contains(owned.unread, index) {
+			// It has expired, or is another node's by now.
+			continue
+		}
 		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}, cameOn: clock.Now()}
 		if text, ok := kept[index]; ok {
 			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
@@ -197,5 +237,17 @@
 			r.finishLocked(one, Undecided)
 		}
 	}
+	owned.unread = slices.DeleteFunc(owned.unread, func(index int) bool { return slices.Contains(indexes, index) })
 	r.wake()
 }
+
+// loadFailed has items be read again after a pause.
+func (r *Runner) loadFailed(owned *work, err error) {
+	r.mu.Lock()
+	first := owned.loadErr == nil && owned.ctx.Err() == nil
+	owned.loading, owned.loadErr, owned.loadAt = false, err, clock.Now().Add(loadPause)
+	r.mu.Unlock()
+	if first {
+		r.Service.Events.ItemFailed(owned.job, "", "", err)
+	}
+}
