Each wait has a bound, and items without tasks are accounted for

The account of items told of those with tasks alone, by one bound for all. Now: - a wait has its begin and its bound (jobs.Wait.Bound); an item is overdue beyond it, or after 10 s without coming on whatever it waits for by turns; - an item that waits for room says what decided it: share, needed, rounding, items, borrowed, what others told (replica.ItemRoom, the same value that decides); - items of jobs whose node is gone ('owner') or whose homes have no node ('home') are told of by the node that sees to them, those whose content is not read ('content') by their node; - groups of batches say what they wait for: turn, begin, items, result; metrics, one bounded log line, and one line instead of one each half second for a group that cannot be begun; - status prints items by reason, a batch job's resource says which node runs what is left of it.

TestWait_NamesAndBounds, TestAccount_*, TestWhereabouts_NamesTheNodesThatRunTheItems.

--- a/api/v1/kinds.go
+++ b/api/v1/kinds.go
@@ -186,6 +186,18 @@
 	Total     int    `json:"total"`
 	Completed int    `json:"completed"`
 	Failed    int    `json:"failed"`
+	// Waiting tells, of a batch that runs, who runs the items that are begun and not done,
+	// and what those of the node that was asked wait for.
+	Waiting []BatchWait `json:"waiting,omitempty"`
+}
+
+// BatchWait counts items of a batch that wait for the same at one node.
+type BatchWait struct {
+	Node string `json:"node,omitempty"`
+	// Reason is empty for those of other nodes than the one that was asked.
+	Reason        string  `json:"reason,omitempty"`
+	Items         int     `json:"items"`
+	OldestSeconds float64 `json:"oldestSeconds,omitempty"`
 }
 
 // SitePolicySpec holds limits that apply to the whole site.
--- a/internal/batch/feeder.go
+++ b/internal/batch/feeder.go
@@ -62,6 +62,8 @@
 	fed map[string]*feeding
 	// accepted are batches that were accepted here since the last look.
 	accepted []*Job
+	// waiting is what the groups waited for after the last look.
+	waiting []WaitingGroup
 }
 
 // feeding is the state of a batch that this node feeds.
@@ -75,6 +77,11 @@
 	// then; they tell the rate.
 	began time.Time
 	first int
+	// waits is what its groups wait for; beginErr is why the next one could not be begun,
+	// finishErr why results could not be made permanent; nil if the last try succeeded.
+	waits     map[int]WaitingGroup
+	beginErr  error
+	finishErr error
 }
 
 // Accept takes a batch that was accepted at this node, so that its first groups
@@ -194,6 +201,7 @@
 			open[tenant]++
 		}
 	}
+	f.noteWaits(time.Now())
 }
 
 // ordered returns the batches, the earliest deadline first.
@@ -250,6 +258,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, feedTimeout)
 		err := f.Service.finishGroup(callCtx, fed.batch, number, entry)
 		cancel()
+		fed.finishErr = err
 		if err != nil {
 			f.Log.Info().Str("batch", fed.batch.ID).Int("group", number).Err(err).Msg("group not finished yet")
 			f.reload(ctx, fed)
@@ -318,10 +327,16 @@
 		callCtx, cancel := context.WithTimeout(ctx, feedTimeout)
 		err := f.submit(callCtx, fed)
 		cancel()
+		failing := fed.beginErr != nil
+		fed.beginErr = err
 		if errors.Is(err, jobs.ErrSuperseded) {
 			f.reload(ctx, fed)
 			return false
 		}
+		if err != nil && failing {
+			// It is in the account, and in the log again once it is overdue.
+			return false
+		}
 		if err != nil {
 			f.Log.Warn().Str("batch", fed.batch.ID).Int("group", fed.next).Err(err).Msg("group not handed over yet")
 			return false
--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -87,7 +87,8 @@
 // member is a node that serves, feeds and runs batches until it is stopped.
 type member struct {
 	*Service
-	stop func()
+	stop   func()
+	feeder *Feeder
 }
 
 func startMember(t *testing.T, shared *tabletest.Table, objects object.Store, backend forward.Backend, session string) *member {
@@ -129,7 +130,7 @@
 		running.Wait()
 	})
 	t.Cleanup(stop)
-	return &member{Service: service, stop: stop}
+	return &member{Service: service, stop: stop, feeder: feeder}
 }
 
 // submitLines uploads items, each with a body, and submits a batch over them.
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -151,6 +151,15 @@
 	return id[:cut], number, err == nil
 }
 
+// BatchOf returns the batch that a job is a group of; empty if it is none.
+func BatchOf(job string) string {
+	batch, _, ok := parseGroupID(job)
+	if !ok {
+		return ""
+	}
+	return batch
+}
+
 func groupKey(batch string, number int) table.Key {
 	return table.Key{Partition: partitionGroups + batch, Sort: fmt.Sprintf("%05d", number)}
 }
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -86,6 +86,11 @@
 			fmt.Sprintf("%s %s %s, %d open here, %d of them batch", replica.Pool, replica.Version, replica.Role, replica.Open, replica.Batch),
 		})
 	}
+	for _, one := range status.Items {
+		content.rows = append(content.rows, []string{
+			"items", one.Reason, "", "waiting", fmt.Sprintf("%d, the oldest for %.1f s", one.Items, one.Oldest),
+		})
+	}
 	for _, one := range status.Tenants {
 		content.rows = append(content.rows, []string{
 			"tenant", one.Name, "", "",
--- a/internal/jobs/account.go
+++ b/internal/jobs/account.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -39,6 +40,10 @@
 	WaitListing
 	// WaitContent items wait for their content to be read.
 	WaitContent
+	// WaitOwner items wait to be taken over from a node that is gone, or outside their homes.
+	WaitOwner
+	// WaitHome items wait for a node of their homes.
+	WaitHome
 	waits
 )
 
@@ -46,6 +51,7 @@
 func (w Wait) String() string {
 	names := [waits]string{
 		"look", "pause", "view", "routes", "route", "room", "replica", "quarantine", "mark", "hand-back", "answer", "listing", "content",
+		"owner", "home",
 	}
 	if w >= waits {
 		return "unknown"
@@ -84,7 +90,8 @@
 	t.wait, t.waitCause = what, cause
 }
 
-// Waiting returns what each unlisted item of this node waits for, that which came on longest ago first.
+// Waiting returns what each unlisted item of this node waits for, and those that this node
+// should take over, that which came on longest ago first.
 func (r *Runner) Waiting() []Waiting {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -102,6 +109,7 @@
 			})
 		}
 	}
+	all = append(all, r.nobodys...)
 	slices.SortFunc(all, func(a, b Waiting) int { return a.Since.Compare(b.Since) })
 	return all
 }
@@ -136,20 +144,38 @@
 	return counts
 }
 
-// overdueAfter is the time without progress from which on an item is worth a log line. An
-// item that runs brings events many times a second, and one that waits for a slot gets one
-// when another ends, within a few seconds; while nodes, replicas or the store are away it
-// takes longer.
+// overdueAfter is how long an item may go without progress at most before it is worth a log
+// line, whatever it waits for, by turns.
 const overdueAfter = 10 * time.Second
 
-// Overdue returns the items that have not come on for longer than they usually need, that
-// which came on longest ago first.
-func (r *Runner) Overdue(now time.Time) []Waiting {
-	all := r.Waiting()
-	for i, one := range all {
-		if now.Sub(one.Since) < overdueAfter {
-			return all[:i]
-		}
+// unbounded waits end by what operators or callers do, or when the item expires. What begins
+// them is logged once.
+const unbounded = time.Duration(math.MaxInt64)
+
+// Bound is how long an item usually waits for the same at most, while nodes, replicas and the
+// store are there. Design 0018 tells what ends each wait and who sees to it if that does not
+// come.
+func (w Wait) Bound() time.Duration {
+	switch w {
+	case WaitLook, WaitPause:
+		return 2 * time.Second
+	case WaitMark, WaitListing, WaitContent:
+		return 5 * time.Second
+	case WaitRoute, WaitQuarantine, WaitHome:
+		return unbounded
+	default:
+		return overdueAfter
 	}
-	return all
+}
+
+// overdue reports whether an item has waited for longer than it should.
+func (w *Waiting) overdue(now time.Time) bool {
+	bound := w.For.Bound()
+	return bound != unbounded && (now.Sub(w.Begun) >= bound || now.Sub(w.Since) >= overdueAfter)
+}
+
+// Overdue returns the items that have waited for longer than they should, that which came on
+// longest ago first.
+func (r *Runner) Overdue(now time.Time) []Waiting {
+	return slices.DeleteFunc(r.Waiting(), func(one Waiting) bool { return !one.overdue(now) })
 }
--- a/internal/jobs/account_test.go
+++ b/internal/jobs/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -71,3 +74,90 @@
 		t.Fatalf("overdue are %+v, want all 10", overdue)
 	}
 }
+
+// Each wait has a name of its own, and a bound unless it ends by what others declare.
+func TestWait_NamesAndBounds(t *testing.T) {
+	names := map[string]bool{}
+	for what := range waits {
+		names[what.String()] = true
+		if bound := what.Bound(); bound <= 0 || bound > overdueAfter && bound != unbounded {
+			t.Errorf("%s is bounded by %v", what, bound)
+		}
+	}
+	if len(names) != int(waits) || names["unknown"] {
+		t.Errorf("the names of %d waits are %v", waits, names)
+	}
+}
+
+// An item that waits for room tells what decided it.
+func TestAccount_TellsWhatDecidedTheRoom(t *testing.T) {
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
+	runner, replicas := startRunner(t, node, sendFunc(func(ctx context.Context, _ *forward.Attempt) (*forward.Answer, error) {
+		return hangingAnswer(ctx, events(1, 3)), nil
+	}))
+	nodes := []place.Node{{ID: "a"}}
+	for _, id := range names("n", 60) {
+		nodes = append(nodes, place.Node{ID: id})
+	}
+	replicas.Divide("a", nodes)
+	if err := node.Submit(t.Context(), submission("j", 10)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return runner.Account(clock.Now())[WaitRoom].Count > 0 })
+	for _, one := range runner.Waiting() {
+		var room replica.ItemRoom
+		if one.For == WaitRoom && (!errors.As(one.Cause, &room) || room.Share > 1) {
+			t.Fatalf("item waits for room because of %v", one.Cause)
+		}
+	}
+}
+
+// Items whose node is gone, and those that no live node may run, are told of by the node that
+// sees to them, since when they were first found so.
+func TestAccount_TellsOfItemsThatNobodyRuns(t *testing.T) {
+	site := newHomeSite(t, nil, nil, "n-1", "s-1")
+	site.nodes["n-1"].refuse.Store(true)
+	site.submit("n-1", "j", 4)
+	site.declare(place.Regions{"m"}, nil)
+	eventually(t, func() bool { return site.nodes["s-1"].View.Get("j") != nil })
+	site.claim("n-1", "s-1")
+	time.Sleep(20 * time.Millisecond)
+	site.claim("n-1", "s-1")
+	told := 0
+	for _, node := range site.nodes {
+		told += node.runner.Account(clock.Now())[WaitHome].Count
+		if oldest := node.runner.Account(clock.Now())[WaitHome].Oldest; oldest > 0 && oldest < 20*time.Millisecond {
+			t.Errorf("waits for %v, want since it was first found", oldest)
+		}
+	}
+	if told != 4 {
+		t.Fatalf("%d items wait for their homes, want 4 at one node", told)
+	}
+}
+
+// Whoever asks any node learns who runs what is left of a job.
+func TestWhereabouts_NamesTheNodesThatRunTheItems(t *testing.T) {
+	site := newHomeSite(t, nil, nil, "n-1", "s-1")
+	for _, node := range site.nodes {
+		node.refuse.Store(true)
+	}
+	site.submit("n-1", "j", 4)
+	at := site.nodes["s-1"]
+	var waits []NodeWait
+	eventually(t, func() bool {
+		waits = at.runner.Whereabouts(at.session, clock.Now(), func(job string) bool { return job == "j" })
+		items := 0
+		for _, one := range waits {
+			items += one.Items
+		}
+		return items == 4
+	})
+	for _, one := range waits {
+		if one.Known != (one.Node == "s-1") {
+			t.Fatalf("whereabouts are %+v", waits)
+		}
+	}
+	if other := at.runner.Whereabouts(at.session, clock.Now(), func(string) bool { return false }); len(other) > 0 {
+		t.Fatalf("whereabouts of no job are %+v", other)
+	}
+}
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -33,29 +33,36 @@
 	}
 	r.Replicas.Divide(lease.Node(session), r.Owners.Places())
 	live := r.Owners.Live()
+	var found nobodys
 	for _, entry := range r.Service.View.Open() {
-		r.claimEntry(ctx, entry, live, session)
+		r.claimEntry(ctx, entry, live, session, &found)
 	}
+	r.noteNobodys(found)
 }
 
 // claimEntry takes over what this node should of a job. Only nodes in its homes do, those
 // of the region where the items were first.
-func (r *Runner) claimEntry(ctx context.Context, entry *Entry, live []string, session string) {
+func (r *Runner) claimEntry(ctx context.Context, entry *Entry, live []string, session string, found *nobodys) {
 	homes := r.Service.homes(entry.Job)
 	allowed := r.Service.allowed(live, homes)
 	if homes != nil && len(allowed) == 0 {
-		r.awaitHome(ctx, entry, homes, live, session)
+		if lease.Preferred(live, entry.Job.ID) == session {
+			found.add(entry, entry.unlisted(), WaitHome)
+			r.awaitHome(ctx, entry, homes)
+		}
 		return
 	}
 	delete(r.homeless, entry.Job.ID)
 	if len(entry.Job.Nodes) == 0 {
 		if entry.Progress.Owner != session && r.mayClaim(entry, homes, allowed, session) {
+			found.add(entry, entry.unlisted(), WaitOwner)
 			r.claim(ctx, entry, session)
 		}
 		return
 	}
 	for _, lost := range r.lostItems(entry, homes, session) {
 		if lease.Preferred(r.near(allowed, lost.region), entry.Job.ID+lost.node) == session {
+			found.add(entry, entry.itemsOf(lost.node), WaitOwner)
 			r.claimItems(ctx, entry, lost, session)
 		}
 	}
--- a/internal/jobs/homes.go
+++ b/internal/jobs/homes.go
@@ -129,13 +129,10 @@
 	return homes != nil && slices.Contains(r.Owners.Nodes(), node) && !homes.Allows(r.Owners.Region(node))
 }
 
-// awaitHome looks after a job that no live node may run. Its items wait, listed as not
-// done, until they may be given up. One node of the fleet says so and, in the end, lists
-// them as dead, for which it needs no body.
-func (r *Runner) awaitHome(ctx context.Context, entry *Entry, homes place.Regions, live []string, session string) {
-	if lease.Preferred(live, entry.Job.ID) != session {
-		return
-	}
+// awaitHome looks after a job that no live node may run, at one node of the fleet. Its items
+// wait, listed as not done, until they may be given up. The node says so and, in the end,
+// lists them as dead, for which it needs no body.
+func (r *Runner) awaitHome(ctx context.Context, entry *Entry, homes place.Regions) {
 	if !r.homeless[entry.Job.ID] {
 		r.homeless[entry.Job.ID] = true
 		r.Service.Events.Homeless(entry.Job, homes)
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -77,6 +77,8 @@
 	pauses pauses
 	// homeless are the jobs that no live node may run; RunClaims alone uses it.
 	homeless map[string]bool
+	// nobodys are the items that no live node runs, as of the last look at lost owners.
+	nobodys nobodys
 	// borrows are the lanes where items asked for slots of others.
 	borrows map[lane]borrowing
 }
@@ -125,7 +127,7 @@
 		r.allWait(WaitRoutes)
 		return
 	}
-	room := itemRoom{free: map[string]int{}, full: map[lane]error{}, borrowed: map[lane]bool{}}
+	room := itemRoom{free: map[string]int{}, none: map[string]error{}, full: map[lane]error{}, borrowed: map[lane]bool{}}
 	for _, ready := range r.waiting(now) {
 		one := ready.task
 		if r.Service.View.until(one.work.job.Expires) < 0 {
@@ -150,8 +152,9 @@
 
 // itemRoom is where items found room in one look at those that wait.
 type itemRoom struct {
-	// free is the room that this node has left in each pool.
+	// free is the room that this node has left in each pool, none what decided it.
 	free map[string]int
+	none map[string]error
 	// full are the lanes where no replica takes an item, with why.
 	full map[lane]error
 	// borrowed are the lanes where an item has tried to borrow a slot.
@@ -162,11 +165,12 @@
 func (r *Runner) offer(one *task, target *route.Route, homes place.Regions, room *itemRoom, now time.Time) {
 	where := lane{pool: target.Pool(), homes: strings.Join(homes, ","), adapter: target.Adapter, reserve: target.Reserve}
 	if _, ok := room.free[where.pool]; !ok {
-		room.free[where.pool] = r.Replicas.ItemRoom(where.pool, now)
+		decided := r.Replicas.RoomForItems(where.pool, now)
+		room.free[where.pool], room.none[where.pool] = decided.Free(), decided
 	}
 	send := itemSend{task: one, target: target, lane: where, homes: homes}
 	if room.free[where.pool] <= 0 {
-		r.noteWait(one, WaitRoom, nil)
+		r.noteWait(one, WaitRoom, room.none[where.pool])
 		r.borrow(send, room, now)
 		return
 	}
--- a/internal/jobs/spread.go
+++ b/internal/jobs/spread.go
@@ -111,6 +111,17 @@
 	return e.itemsOf(lease.Node(session))
 }
 
+// unlisted returns the items that are not listed.
+func (e *Entry) unlisted() []int {
+	var items []int
+	for i, listed := range e.Progress.listed(len(e.Job.Items)) {
+		if !listed {
+			items = append(items, i)
+		}
+	}
+	return items
+}
+
 // itemsOf returns the unlisted items that a node is to run.
 func (e *Entry) itemsOf(node string) []int {
 	var items []int
--- a/internal/node/itemwaits.go
+++ b/internal/node/itemwaits.go
@@ -58,15 +58,15 @@
 	return waits
 }
 
-// runWaitLog logs items that have not come on for longer than they should, until the
-// context ends.
+// runWaitLog logs items that wait for longer than they should, until the context ends.
 func (c *core) runWaitLog(ctx context.Context) {
 	for retry.Sleep(ctx, waitLook) {
 		overdue := c.runner.Overdue(clock.Now())
 		for _, one := range overdue[:min(len(overdue), waitLines)] {
 			c.log.Warn().Str("job", one.Job).Str("item", one.Item).Str("waits_for", one.For.String()).
-				Str("replica", one.Replica).Dur("for_ms", clock.Since(one.Since)).Int("overdue", len(overdue)).
-				AnErr("cause", one.Cause).Msg("item does not come on")
+				Str("replica", one.Replica).Dur("for_ms", clock.Since(one.Begun)).Dur("still_ms", clock.Since(one.Since)).
+				Dur("bound_ms", one.For.Bound()).Int("overdue", len(overdue)).AnErr("cause", one.Cause).
+				Msg("item does not come on")
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,12 +204,13 @@
 func (n *Node) buildServer() error {
 	n.metrics.registerViews(n.core)
 	n.metrics.registerPools(n.core)
+	n.metrics.registry.MustRegister(&groupCollector{account: n.feeder.Account, now: clock.Now})
 	n.metrics.registerTraffic(&n.control)
 	handler, err := server.New(server.Options{
 		NodeID: n.settings.Node.ID, Log: n.log, Store: n.resources, Resources: n.publisher,
 		Current: n.current, Serving: n.knowsConfiguration, Routes: n.routes.Load, Forward: n.forward,
 		Predict: n.forwarder.Predict, Replicas: n.replicas, Engines: n.engines, Admission: n.admission,
-		Claims: idempotency.NewStore(n.table), Batch: n.batches, Status: n.Status, Metrics: n.metrics.registry,
+		Claims: idempotency.NewStore(n.table), Batch: n.batches, BatchWaits: n.batchWaits, Status: n.Status, Metrics: n.metrics.registry,
 		OperatorKeySHA256: n.settings.Operator.KeySHA256, MaxStreams: n.settings.Node.MaxStreams,
 		Drain: n.AskDrain, Quarantine: n,
 	})
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -45,6 +45,7 @@
 		n.spawn(func() { n.observer.Run(ctx) })
 		n.spawn(func() { n.placement.Run(ctx) })
 		n.spawn(func() { n.feeder.Run(ctx) })
+		n.spawn(func() { n.runGroupLog(ctx) })
 	})
 }
 
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -218,11 +218,22 @@
 
 // ItemRoom returns how many more items of this node may run now: its slots less
 // what online requests hold or are expected to need.
-func (s *Set) ItemRoom(pool string, now time.Time) int {
+func (s *Set) ItemRoom(pool string, now time.Time) int { return s.RoomForItems(pool, now).Free() }
+
+// RoomForItems returns what decides how many items of this node may run.
+func (s *Set) RoomForItems(pool string, now time.Time) ItemRoom {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share, items := s.sumShares(s.pool(pool), now)
-	return int(float64(share)-s.needed(pool, share, now)+s.rounding(pool)) - items
+	list := s.pool(pool)
+	share, items := s.sumShares(list, now)
+	room := ItemRoom{
+		Share: share, Items: items, Borrowed: borrowedOf(list), Needed: s.needed(pool, share, now),
+		Rounding: s.rounding(pool), Fleet: s.fleetUsage(pool, now), Heard: s.heardOf(pool, now),
+	}
+	if known := s.fleet[pool]; known != nil {
+		room.Idle = known.idleNow(now)
+	}
+	return room
 }
 
 // rounding is what this node adds before it rounds its room down, between 0 and 1.
--- a/internal/server/batchjobs.go
+++ b/internal/server/batchjobs.go
@@ -53,7 +53,11 @@
 		failBatch(ctx, err)
 		return
 	}
-	_ = ctx.JSON(jobResource(job))
+	found := jobResource(job)
+	if s.options.BatchWaits != nil && !job.State.Final() {
+		found.Status.Batch.Waiting = s.options.BatchWaits(job.ID)
+	}
+	_ = ctx.JSON(found)
 }
 
 // putBatchJob submits a job; its name is the idempotency key, so applying the
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -163,7 +163,9 @@
 	Admission *admission.Controller
 	Claims    *idempotency.Store
 	Batch     *batch.Service
-	Status    func() NodeStatus
+	// BatchWaits, if set, tells what the items of a batch wait for.
+	BatchWaits func(batch string) []v1.BatchWait
+	Status     func() NodeStatus
 	// Quarantine is what operators see of work that ended replicas.
 	Quarantine Quarantine
 	Metrics    *prometheus.Registry
