--- a/internal/jobs/roomsite_test.go
+++ b/internal/jobs/roomsite_test.go
@@ -198,14 +198,14 @@
 }
 
 // Reserve implements forward.Reserver.
-func (n *roomNode) Reserve(_ context.Context, chosen replica.Info, _ int, hold time.Duration) (string, error) {
-	time.Sleep(time.Millisecond)
+func (n *roomNode) Reserve(ctx context.Context, chosen replica.Info, _ int, hold time.Duration) (string, error) {
+	retry.Sleep(ctx, time.Millisecond)
 	return n.site.servers[chosen.ID].reserve(hold)
 }
 
 // Send implements forward.Backend.
 func (n *roomNode) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
-	time.Sleep(time.Millisecond)
+	retry.Sleep(ctx, time.Millisecond)
 	server := n.site.servers[attempt.Replica.ID]
 	if !server.take(attempt.Reservation) {
 		return nil, outcome.Failed(forward.ErrRefused)
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -168,8 +168,9 @@
 
 // Learned is what decisions about a pool go by at this node.
 type Learned struct {
-	// Share counts this node's slots, Open its online requests, Items its items.
-	Share, Open, Items int
+	// Share counts this node's slots, Open its online requests, Items its items in these,
+	// Borrowed those in slots of others.
+	Share, Open, Items, Borrowed int
 	// Level is the number of slots that online requests are expected to need, Fleet the
 	// part of all slots that online requests of all nodes need as far as they told.
 	Level, Fleet float64
@@ -195,7 +196,7 @@
 		known.turnover(now)
 		share, items := s.sumShares(list, now)
 		all[pool] = Learned{
-			Share: share, Items: items, Open: known.open, Level: known.level(now), Fleet: s.fleetUsage(pool, now), Hold: known.hold(), Stay: known.stay,
+			Share: share, Items: items, Borrowed: borrowedOf(list), Open: known.open, Level: known.level(now), Fleet: s.fleetUsage(pool, now), Hold: known.hold(), Stay: known.stay,
 			First: known.first, PatienceShare: known.patienceShare(list[0].info.Slots), ReadingRate: known.readingRate(),
 		}
 	}
