--- a/internal/jobs/roomprop_test.go
+++ b/internal/jobs/roomprop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,8 +143,10 @@
 			}
 		}
 	}()
+	end := sync.OnceFunc(func() { close(stop) })
+	s.t.Cleanup(end)
 	return func() string {
-		close(stop)
+		end()
 		return <-found
 	}
 }
