Starved items keep their slots, and replicas of other regions are asked too

Now an item that has not come on for 30 s borrows, one at a time at a node, and is not broken off for online requests; after three replicas of the own region two of others are asked; turns last 1 s.

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -17,12 +17,14 @@
 // to know.
 
 const (
-	// borrowTries is the number of replicas asked each time.
+	// borrowTries is the number of replicas of the own region that are asked each time,
+	// borrowAway that of those of other regions after them.
 	borrowTries = 3
+	borrowAway  = 2
 	// borrowPause is the pause at this node before replicas of a lane are asked again after
 	// all of them refused. It doubles with each time in a row, up to borrowPauseMax, and is
 	// spread by half to either side, so that nodes that were refused together come apart.
-	// A node asks 3 times a second and lane where all are full.
+	// A node asks 3 times a second and lane where all are full, 5 times in a fleet of regions.
 	borrowPause    = 200 * time.Millisecond
 	borrowPauseMax = time.Second
 	// borrowedPause is the pause after one had a slot. It bounds what a node takes on words
@@ -51,6 +53,7 @@
 	}
 	demand := r.demand(send)
 	demand.Borrowed, demand.Exclude = true, map[string]bool{}
+	demand.Starved = waited >= replica.BorrowStarved
 	// Replicas that are as good as each other are asked by each node in another order.
 	demand.Affinity = rand.Uint64()
 	r.setBorrowing(send.lane, func(state *borrowing) { state.asking = true })
@@ -102,9 +105,14 @@
 // borrowAny asks a few replicas, one after the other, for a slot. It reports whether the
 // item was sent.
 func (r *Runner) borrowAny(send itemSend, demand *replica.Demand) bool {
-	for range borrowTries {
+	return r.borrowFrom(send, demand, borrowTries, false) || r.borrowFrom(send, demand, borrowAway, true)
+}
+
+// borrowFrom asks up to so many replicas, of other regions if away is set.
+func (r *Runner) borrowFrom(send itemSend, demand *replica.Demand, tries int, away bool) bool {
+	for range tries {
 		now := clock.Now()
-		chosen, err := replica.PickIdle(r.Replicas.SnapshotFor(send.pool, demand, now), demand, r.Weights)
+		chosen, err := replica.PickIdle(r.Replicas.SnapshotFor(send.pool, demand, now), demand, r.Weights, away)
 		if err != nil || r.Reserver == nil && chosen.Free() < 1 {
 			// The next look tries again.
 			return false
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -96,6 +96,7 @@
 	}
 	one.yielding = false
 	one.use, one.reservation, one.borrowed = use, reservation, demand.Borrowed
+	one.starved = now.Sub(one.cameOn) >= replica.BorrowStarved
 	ctx, cancel := context.WithCancelCause(one.work.ctx)
 	one.replica, one.pool, one.cancel = chosen.ID, send.pool, cancel
 	go r.run(ctx, one, send.item(), send.target, chosen.Info, use)
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -76,9 +76,10 @@
 	cancel  context.CancelCauseFunc
 	use     *replica.Use
 	// reservation names the slot set aside for the run, borrowed is set if it is not one of
-	// this node's.
+	// this node's, starved if it is kept though online requests want it.
 	reservation string
 	borrowed    bool
+	starved     bool
 	// stalls counts the attempts in a row that stalled and brought no new event.
 	stalls int
 	// yielding is set once the run was told to give way.
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -36,13 +36,16 @@
 	r.yield(items, why, func(one *task) bool { return one.pool == pool && one.borrowed })
 }
 
+// yield has items leave, but for those that may run only once, and those that have not come on
+// for so long that they were starved when they were sent: under a pressure that does not end
+// an item would else be broken off before its first event each time, for good.
 func (r *Runner) yield(items int, why replica.Pressure, concerns func(*task) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var running []*task
 	for _, owned := range r.owned {
 		for _, one := range owned.tasks {
-			if one.state == taskRunning && concerns(one) && !one.once && !one.yielding {
+			if one.state == taskRunning && concerns(one) && !one.once && !one.yielding && !one.starved {
 				running = append(running, one)
 			}
 		}
--- a/internal/jobs/yield_test.go
+++ b/internal/jobs/yield_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -33,3 +35,24 @@
 		t.Fatal("an item did not give way")
 	}
 }
+
+// Found by the property (seed 228): online requests of its own node broke an item off before
+// its first event each time, for 57 s, while slots elsewhere were free. An item whose sending
+// it delayed for long keeps its slot; one that came on lately gives way.
+func TestYield_AStarvedItemKeepsItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newRoomSite(t, 1, names("n", 1), servers("n", 1, 1))
+		site.itemSize = 50
+		site.run()
+		site.submitAt(0, "j", 1)
+		site.load(func(ctx context.Context) {
+			for retry.Sleep(ctx, 10*time.Millisecond) {
+				site.nodes[0].runner.Yield("n-s0", 1, replica.Pressure{Queued: 1})
+			}
+		})
+		site.awaitDone("j", replica.BorrowStarved+5*time.Second)
+		if len(site.overlap) > 0 {
+			t.Fatal("the item ran twice at a time")
+		}
+	})
+}
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -19,17 +19,21 @@
 	// borrowBeside is the same at a node that runs items of the pool meanwhile. It is for
 	// nodes that hear of no idle room: in another region, or told by words that are lost.
 	borrowBeside = 15 * time.Second
+	// BorrowStarved is how long an item finds no room before it borrows though online requests
+	// are said to need all slots, and keeps the slot then: what they need is told as the
+	// peaks of many nodes, which is more than they hold at any time, and some slots may stand
+	// empty for good. The replica still decides, and a node has one such item at a time.
+	BorrowStarved = 30 * time.Second
 	// borrowFrom is the part of a pool's slots that online requests need from which on
 	// fewer and fewer of the nodes that run no item borrow. Below it the replicas are half
 	// empty and all may.
 	borrowFrom = 0.5
-	// borrowUsage is the most that online requests count as needing while they do not need
-	// all: a replica has the last word on whether a slot is free, so each node asks now and
-	// then.
+	// borrowUsage is the most that online requests count as needing: a replica has the last
+	// word on whether a slot is free, so each node asks now and then.
 	borrowUsage = 0.9
 	// borrowTurn is how long a node's limit stays the same. Then it is another, so that the
 	// same nodes do not go without for good where online requests need most slots.
-	borrowTurn = 2 * time.Second
+	borrowTurn = time.Second
 	// goldenRatio less one: its multiples, less their whole part, are spread evenly however
 	// many there are, so a node's limit is above borrowUsage once in 13 turns at the least.
 	goldenRatio = 0.6180339887498949
@@ -54,6 +58,10 @@
 	switch {
 	case borrowedOf(list) > 0:
 		return false
+	case waited >= BorrowStarved:
+		return true
+	case s.wanted(pool, now):
+		return false
 	case items > 0:
 		return waited >= borrowBeside && usage < borrowFrom
 	default:
@@ -66,9 +74,6 @@
 // The caller holds mu.
 func (s *Set) usage(pool string, share int, now time.Time) float64 {
 	usage := s.fleetUsage(pool, now)
-	if s.wanted(pool, now) {
-		return usage
-	}
 	if share > 0 && !s.heardOf(pool, now) {
 		usage = s.needed(pool, share, now) / float64(share)
 	}
@@ -96,6 +101,26 @@
 	return borrowFrom + (fullPool-borrowFrom)*at
 }
 
+// lend counts an item that begins or leaves (-1) a slot of others.
+func (e *entry) lend(ask Ask, count int) {
+	if ask.Batch && ask.Borrowed {
+		e.borrowed += count
+		if ask.Starved {
+			e.starved += count
+		}
+	}
+}
+
+// starvedOf counts those of these items that keep their slots. The caller holds the set's
+// lock.
+func starvedOf(list []*entry) int {
+	starved := 0
+	for _, known := range list {
+		starved += known.starved
+	}
+	return starved
+}
+
 // borrowedOf counts this node's items in slots of others. The caller holds the set's lock.
 func borrowedOf(list []*entry) int {
 	borrowed := 0
@@ -105,18 +130,14 @@
 	return borrowed
 }
 
-// PickIdle returns the replica to be asked for a slot for an item: the least busy one, of the
-// own region if there is any. What is believed of the requests of others leaves none out: a
+// PickIdle returns the replica to be asked for a slot for an item: the least busy one, of
+// other regions if away is set. What is believed of the requests of others leaves none out: a
 // replica with few slots that refused once would be passed over for seconds.
-func PickIdle(candidates []Candidate, demand *Demand, weights Weights) (*Candidate, error) {
+func PickIdle(candidates []Candidate, demand *Demand, weights Weights, away bool) (*Candidate, error) {
 	if demand.Reserve > 0 {
 		candidates = unreserved(candidates, demand.Reserve)
 	}
-	near, err := PickUnqueued(candidates, demand, weights, false)
-	if err == nil {
-		return near, nil
-	}
-	return PickUnqueued(candidates, demand, weights, true)
+	return PickUnqueued(candidates, demand, weights, away)
 }
 
 // ToldIdle takes in how many slots a node has for items that it does not use, less those that
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -110,7 +110,7 @@
 			Away: s.away(list), Idle: max(0, free-items) - borrowedOf(list),
 		}
 		if s.wanted(pool, now) {
-			need.BorrowedExcess = borrowedOf(list)
+			need.BorrowedExcess = borrowedOf(list) - starvedOf(list)
 		}
 		if known := s.fleet[pool]; known != nil {
 			known.idle += float64(need.Idle)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -41,6 +41,8 @@
 	leaving int
 	// borrowed counts the items among batch, without those leaving, in slots of others.
 	borrowed int
+	// starved counts those among borrowed that keep their slots.
+	starved int
 	// evacuated is set if operators empty the zone; rebuild sets it.
 	evacuated bool
 	// share is the number of slots that are this node's.
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -14,6 +14,8 @@
 	Granted bool
 	// Borrowed is set if an item asks for a slot that is not its node's.
 	Borrowed bool
+	// Starved is set if it keeps the slot though online requests of other nodes want it.
+	Starved bool
 	// Objective is the time left until the first event is late; 0 if nobody minds.
 	Objective time.Duration
 }
@@ -86,9 +88,7 @@
 	s.demandOf(known.info.Pool).begin(ask, now)
 	if ask.Batch {
 		known.batch++
-		if ask.Borrowed {
-			known.borrowed++
-		}
+		known.lend(ask, 1)
 	}
 	known.open++
 	known.pending += ask.Tokens
@@ -136,9 +136,7 @@
 	if u.ask.Batch && !u.gaveWay && !u.ended {
 		u.gaveWay = true
 		u.entry.leaving++
-		if u.ask.Borrowed {
-			u.entry.borrowed--
-		}
+		u.entry.lend(u.ask, -1)
 	}
 }
 
@@ -213,11 +211,10 @@
 		u.entry.batch--
 	}
 	u.set.demandOf(u.entry.info.Pool).end(u.ask, !u.gaveWay, result, now.Sub(u.sent), now)
-	switch {
-	case u.gaveWay:
+	if u.gaveWay {
 		u.entry.leaving--
-	case u.ask.Borrowed:
-		u.entry.borrowed--
+	} else {
+		u.entry.lend(u.ask, -1)
 	}
 	ejected = u.entry.health.observe(result, now)
 	u.entry.own.observe(result, now)
