A replica that starts again under its id has an entry of its own

Cause: Set.Put wrote what the list says over the entry that it had, whatever start of the replica the entry was about. The new one inherited the requests, load, ejections, evidence and warmth of the one before; and an attempt at the one before that ended late was counted against the new one. Nothing told a request that its replica had started again.

Now each start has a fresh entry; starts are the same unless both say a Born or an address and these differ (never compared for order). Requests keep the entry that they were sent to, and their ends say nothing of the next one. Use.Reborn is closed for them. Requests sent within 5 s after the replica refused a connection of this node are the new one's and are counted there: nothing listened in between. An entry that is not listed any more is kept as long as requests are there: its next start concerns them, and a replica that lapsed and is back with the same start has its counts. A replica that does say Born, refused and answers again is fed as if cold for 1.5 s, until the list can have told of a start; one that does not say is as warm as before.

Ruled out: taking a replica that is gone from the list as ended. Some serve on after their entry went, so Reborn waits for the next start. Ruled out too: presuming a new start cold whose entry says that it is not; after a long outage all that started meanwhile would be held at their cold rate once more.

Not changed: what is learned of a pool; homes of prefixes, which go by the id alone. The learned demand now goes by the pool that a request was sent to, also if the entry's changes.

--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -67,7 +67,7 @@
 		if c.reserveAt(ctx, asked) {
 			return asked
 		}
-		demand.Exclude[asked.ID] = true
+		demand.Exclude[asked.Incarnation()] = true
 	}
 	return nil
 }
@@ -112,7 +112,7 @@
 		c.reservation, c.demand.Reserved = id, true
 		return true
 	case errors.Is(err, ErrRefused):
-		c.forwarder.Replicas.Full(asked.ID, began)
+		c.forwarder.Replicas.Full(asked.Info, began)
 	}
 	return false
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -112,6 +112,7 @@
 	c.replicas.Ejected = c.logEjected
 	c.replicas.Zone = outside.zone
 	c.replicas.EjectedByMany = c.logEjectedByMany
+	c.replicas.Restarted = c.logRestarted
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
 		Weights: outside.weights, Zone: outside.zone, Region: outside.region,
@@ -261,6 +262,14 @@
 	c.log.Warn().Str("replica", info.ID).Str("address", info.Address).Stringer("result", result).Msg("replica ejected")
 }
 
+// logRestarted counts and logs that a replica has started again under its id.
+func (c *core) logRestarted(restart replica.Restart) {
+	c.metrics.restarts.Inc()
+	c.log.Warn().Str("replica", restart.Replica.ID).Str("address", restart.Replica.Address).Str("zone", restart.Replica.Zone).
+		Int64("born", restart.Replica.Born).Int64("born_before", restart.Before).
+		Int("open", restart.Open).Int("items", restart.Batch).Int("moved", restart.Moved).Msg("replica started again")
+}
+
 // listReplica takes in that a replica is listed, with the version of its row. New ones
 // of a whole read are summed up by listedReplicas, others are sampled: a line for each
 // would be nodes times replicas when a fleet starts.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -41,6 +41,8 @@
 	reservations *prometheus.CounterVec
 	// ejectedByMany counts replicas left out on the evidence of several nodes.
 	ejectedByMany prometheus.Counter
+	// restarts counts replicas that were noticed to have started again under their id.
+	restarts prometheus.Counter
 	// quarantined counts works that were, cleared those of which a run ended well, released
 	// those that operators released.
 	quarantined, cleared, released prometheus.Counter
@@ -99,6 +101,9 @@
 	m.ejectedByMany = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_replicas_ejected_by_many_total", Help: "Replicas left out for a while on the evidence of several nodes.",
 	})
+	m.restarts = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_replica_restarts_total", Help: "Replicas noticed to have started again under their id.",
+	})
 	m.quarantined = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_works_total", Help: "Works that this node found to end the replicas which run them.",
 	})
@@ -118,7 +123,7 @@
 	m.served = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_served_total", Help: "Requests served, by how far the replica is from this node.",
 	}, []string{"place"})
-	m.registry.MustRegister(m.quarantined, m.cleared, m.released, m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.registry.MustRegister(m.restarts, m.quarantined, m.cleared, m.released, m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -17,6 +17,10 @@
 	// that cannot be reached to be taken as gone: otherwise it is this node that is cut
 	// off. Replicas of a busy pool are heard from many times a second.
 	heardLately = time.Second
+	// startListedWithin is how long after the first answer of a replica that has started the
+	// list says so at the latest, in calm: it writes its entry with its first heartbeat, each
+	// 1.2 s on the users' platform, and the feed takes some ms.
+	startListedWithin = 1500 * time.Millisecond
 	// maxColdChanges bounds the changes that wait to be logged.
 	maxColdChanges = 256
 )
@@ -40,6 +44,9 @@
 	ColdReturned
 	// ColdUnreachable replicas took no connection a moment ago.
 	ColdUnreachable
+	// ColdUnlisted replicas answer again after that: the list tells soon whether they are
+	// the ones from before.
+	ColdUnlisted
 )
 
 // String returns the name used in logs.
@@ -49,6 +56,8 @@
 		return "its zone was evacuated"
 	case ColdUnreachable:
 		return "it was unreachable"
+	case ColdUnlisted:
+		return "it may have started again"
 	default:
 		return "it said so"
 	}
@@ -102,7 +111,7 @@
 		e.cold.since, e.cold.reason = now, reason
 		s.chooseFeeders(e)
 	}
-	if e.cold.reason == ColdUnreachable {
+	if e.cold.reason == ColdUnreachable || e.cold.reason == ColdUnlisted {
 		e.cold.reason = reason
 	}
 	e.cold.until = until
@@ -124,21 +133,24 @@
 }
 
 // unreached takes in that a replica took no connection: as long as it is left out for
-// that, only the nodes that feed it try, also as a last resort. Once it answers it is as
-// warm as before, for one that has started has another id and refuses what is meant for
-// the one before. If nothing comes from any replica it is this node that is cut off. The
-// caller holds mu.
+// that, only the nodes that feed it try, also as a last resort. If nothing comes from any
+// replica it is this node that is cut off. The caller holds mu.
 func (s *Set) unreached(e *entry, now time.Time) {
 	if limit := s.coldLimits[e.info.Pool]; limit.Rate > 0 && now.Sub(s.heard) < heardLately {
 		s.chill(e, e.health.until, ColdUnreachable, now)
 	}
 }
 
-// reached takes in that a replica answered. The caller holds mu.
+// reached takes in that a replica answered after it was unreachable. One that does not say
+// when it was born would have another id if it had started: it is as warm as before. Others
+// may have started again under theirs, which the list tells soon. The caller holds mu.
 func (s *Set) reached(e *entry, now time.Time) {
-	s.heard = now
-	if e.cold.reason == ColdUnreachable && now.Before(e.cold.until) {
-		e.cold.until = now
+	if e.cold.reason != ColdUnreachable || !now.Before(e.cold.until) {
+		return
+	}
+	e.cold.until = now
+	if e.info.Born != 0 {
+		e.cold.reason, e.cold.until = ColdUnlisted, now.Add(startListedWithin)
 	}
 }
 
--- a/internal/replica/coldgrant.go
+++ b/internal/replica/coldgrant.go
@@ -9,7 +9,8 @@
 // Feeder is a node that feeds a cold replica.
 type Feeder struct {
 	Replica, Node string
-	// Zone is the replica's.
+	// Born is that of the replica's start, Zone where it stands.
+	Born int64
 	Zone string
 }
 
@@ -28,7 +29,7 @@
 		s.feeds(known, now)
 		for _, place := range known.cold.feeders {
 			if node := s.nodes[place].ID; node != s.self {
-				feeders = append(feeders, Feeder{Replica: known.info.ID, Node: node, Zone: known.info.Zone})
+				feeders = append(feeders, Feeder{Replica: known.info.ID, Node: node, Born: known.info.Born, Zone: known.info.Zone})
 			}
 		}
 	}
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -53,8 +53,10 @@
 // FailureReport is what a node tells of a replica that failed for it, or of one that failed
 // for others and not for it.
 type FailureReport struct {
-	// Replica is the replica's Key.
+	// Replica is the replica's Key, Born that of its start which the report is about; 0 if
+	// the node does not say.
 	Replica uint64
+	Born    int64
 	// Failures and Successes count the node's answers from it, fading.
 	Failures, Successes float64
 	// Age is the time since the last failure, if there are any.
@@ -121,7 +123,7 @@
 		}
 		used++
 		known.own.advance(now)
-		told := FailureReport{Replica: known.key, Successes: known.own.Successes}
+		told := FailureReport{Replica: known.key, Born: known.info.Born, Successes: known.own.Successes}
 		switch {
 		case known.own.failedSince(time.Time{}, now):
 			told.Failures, told.Age = known.own.Failures, now.Sub(known.own.LastFailure)
@@ -161,7 +163,7 @@
 	var ejections []SharedEjection
 	for _, report := range reports[:min(len(reports), maxFailureReports)] {
 		known := s.byKey[report.Replica]
-		if known == nil || !report.sound() {
+		if known == nil || !report.sound() || !report.about(known, now) {
 			continue
 		}
 		if known.told == nil {
@@ -189,6 +191,16 @@
 	return r.Failures >= 0 && r.Failures < maxCount && r.Successes >= 0 && r.Successes < maxCount && r.Age >= 0
 }
 
+// about reports whether a report is about the start of a replica that an entry is for. One
+// that does not say is taken as such unless its newest failure was seen before the start was
+// noticed.
+func (r *FailureReport) about(known *entry, now time.Time) bool {
+	if r.Born != 0 && known.info.Born != 0 {
+		return r.Born == known.info.Born
+	}
+	return !now.Add(-r.Age).Before(known.restartedAt)
+}
+
 // sum adds up what several nodes have seen of a replica.
 type sum struct {
 	Failures, Successes float64
--- a/internal/replica/exclusion.go
+++ b/internal/replica/exclusion.go
@@ -119,6 +119,12 @@
 	}
 }
 
+// tried reports whether the replica has failed or refused the request. One that has started
+// again since has not.
+func (c *Candidate) tried(demand *Demand) bool {
+	return len(demand.Exclude) > 0 && (demand.Exclude[c.Incarnation()] || demand.Exclude[c.ID])
+}
+
 // excluded reports what keeps a request from a replica for good: trying it as a last
 // resort does not help.
 func (c *Candidate) excluded(demand *Demand) Exclusion {
@@ -128,7 +134,7 @@
 	switch {
 	case !serves(c, demand):
 		return Unsuitable
-	case demand.Exclude[c.ID]:
+	case c.tried(demand):
 		return Tried
 	case c.Cold.Holds(demand.Batch):
 		return Cold
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -35,7 +35,8 @@
 	Version string
 	// Adapter, if set, must be loaded.
 	Adapter string
-	// Exclude are the replicas that have failed or refused this request.
+	// Exclude are the replicas that have failed or refused this request: an Incarnation
+	// for one start, an ID for all starts.
 	Exclude map[string]bool
 	// Single requests cannot be sent again once they may have run.
 	Single bool
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -61,12 +61,27 @@
 	// vanished is when the entry left the list; zero while it is listed.
 	vanished time.Time
 	cold     coldness
+	// uses are the requests there that have not ended.
+	uses map[*Use]struct{}
+	// unreachableAt is when it last took no connection of this node.
+	unreachableAt time.Time
+	// restartedAt is when it was noticed to have started again under its id; zero if this
+	// is the first start that this node knows of.
+	restartedAt time.Time
+	// before is what was said of the start before.
+	before Info
+	// replaced is set once the replica is known to have started again since: what comes
+	// of the requests sent before says nothing of it any more.
+	replaced bool
 }
 
 // Set is a node's view of all replicas. It is safe for concurrent use.
 type Set struct {
 	mu      sync.Mutex
 	entries map[string]*entry
+	// unlisted are the entries of replicas that are not listed and still have requests of
+	// this node: whether they start again concerns these.
+	unlisted map[string]*entry
 	// byPool is rebuilt from entries when stale is set.
 	byPool map[string][]*entry
 	byKey  map[uint64]*entry
@@ -108,6 +123,9 @@
 	// EjectedByMany is told, outside the lock, of each replica that is left out on the evidence
 	// of several nodes.
 	EjectedByMany func(ejection SharedEjection)
+	// Restarted is told, outside the lock, of each replica that has started again under its
+	// id.
+	Restarted func(restart Restart)
 	// Pressed is asked, outside the lock, to make batch items of this node give
 	// way at a replica.
 	Pressed func(id string, items int, why Pressure)
@@ -115,21 +133,27 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{entries: map[string]*entry{}, byPool: map[string][]*entry{}, demand: map[string]*demand{}, fleet: map[string]*fleetView{}, changed: make(chan struct{})}
+	return &Set{entries: map[string]*entry{}, unlisted: map[string]*entry{}, byPool: map[string][]*entry{}, demand: map[string]*demand{}, fleet: map[string]*fleetView{}, changed: make(chan struct{})}
 }
 
-// Put takes in a listed replica. It reports whether the replica is new.
+// Put takes in a listed replica. It reports whether the replica was not listed before; one
+// that has started again under its id was.
 func (s *Set) Put(info Info) bool { return s.put(info, clock.Now()) }
 
 func (s *Set) put(info Info, now time.Time) bool {
+	added, restart := s.take(info, now)
+	if restart != nil && s.Restarted != nil {
+		s.Restarted(*restart)
+	}
+	return added
+}
+
+func (s *Set) take(info Info, now time.Time) (added bool, restart *Restart) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known, ok := s.entries[info.ID]
-	if !ok {
-		known = &entry{key: Key(info.ID)}
-		s.entries[info.ID] = known
-	}
-	moved := !ok || known.info.Pool != info.Pool || known.info.Slots != info.Slots || known.info.place() != info.place()
+	_, listed := s.entries[info.ID]
+	known, fresh, restart := s.entryFor(&info, now)
+	moved := !listed || fresh || known.info.Pool != info.Pool || known.info.Slots != info.Slots || known.info.place() != info.place()
 	known.info = info
 	known.vanished = time.Time{}
 	if info.ColdLeft > 0 {
@@ -140,10 +164,11 @@
 	} else {
 		s.wake()
 	}
-	return !ok
+	return !listed, restart
 }
 
-// Remove takes in that a replica is listed no more.
+// Remove takes in that a replica is listed no more. That is no sign that it ended: it may
+// serve on for a while.
 func (s *Set) Remove(id string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,7 +177,7 @@
 		return
 	}
 	if known.info.Leaving || now.Sub(s.outageEnd) > outageShadow {
-		delete(s.entries, id)
+		s.drop(known)
 	} else {
 		known.vanished = now
 	}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -40,6 +40,7 @@
 type Use struct {
 	set   *Set
 	entry *entry
+	pool  string
 	ask   Ask
 	sent  time.Time
 	// spare is set if one of this node's slots was free when it was sent.
@@ -48,29 +49,39 @@
 	ended bool
 	// gaveWay is set on items that were asked to give way.
 	gaveWay bool
+	// left is set once the replica is known to have started again since the request was
+	// sent; reborn is closed then, if it was asked for.
+	left   bool
+	reborn chan struct{}
 }
 
-// Begin counts a request about to be sent to a replica. An online request that
-// would wait there for longer than it has time has an item of this node give way. It
-// returns nil if the replica is cold and must not get the request now.
+// Begin is BeginAt for a replica of any start.
 func (s *Set) Begin(id string, ask Ask, now time.Time) *Use {
-	use, why := s.begin(id, ask, now)
+	return s.BeginAt(Info{ID: id}, ask, now)
+}
+
+// BeginAt counts a request about to be sent to a replica as it was chosen. An online request
+// that would wait there for longer than it has time has an item of this node give way. It
+// returns nil if the replica must not get the request now: it is cold, or has started again
+// since it was chosen.
+func (s *Set) BeginAt(chosen Info, ask Ask, now time.Time) *Use {
+	use, why := s.begin(&chosen, ask, now)
 	if why != nil && s.Pressed != nil {
-		s.Pressed(id, 1, *why)
+		s.Pressed(chosen.ID, 1, *why)
 	}
 	return use
 }
 
-func (s *Set) begin(id string, ask Ask, now time.Time) (use *Use, why *Pressure) {
+func (s *Set) begin(chosen *Info, ask Ask, now time.Time) (use *Use, why *Pressure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known, ok := s.entries[id]
-	if !ok {
-		known = &entry{}
-	}
 	if s.stale {
 		s.rebuild()
 	}
+	known := s.chosen(chosen)
+	if known == nil {
+		return nil, nil
+	}
 	candidate := s.candidate(known, now)
 	if !s.admitCold(known, ask, now) {
 		return nil, nil
@@ -78,28 +89,29 @@
 	if !ask.Batch && !ask.Reserved && candidate.swaps(ask) {
 		why = &Pressure{Wait: candidate.waitForSlot(), Patience: ask.patience(candidate.First, candidate.PatienceShare), Age: candidate.Age}
 	}
-	use = &Use{set: s, entry: known, ask: ask, sent: now, spare: ask.Reserved || candidate.Spare()}
+	use = &Use{set: s, pool: known.info.Pool, ask: ask, sent: now, spare: ask.Reserved || candidate.Spare()}
 	s.demandOf(known.info.Pool).begin(ask, now)
-	if ask.Batch {
-		known.batch++
-	}
-	known.open++
-	known.pending += ask.Tokens
+	use.attach(known)
 	return use, why
 }
 
 // Load takes in what the replica said of its load with an answer. If requests
 // wait there for longer than they have time, items of this node give way.
 func (u *Use) Load(load Load, now time.Time) {
-	if items, why := u.takeLoad(load, now); items > 0 && u.set.Pressed != nil {
-		u.set.Pressed(u.entry.info.ID, items, why)
+	if id, items, why := u.takeLoad(load, now); items > 0 && u.set.Pressed != nil {
+		u.set.Pressed(id, items, why)
 	}
 }
 
-// takeLoad returns the number of this node's items there that should give way.
-func (u *Use) takeLoad(load Load, now time.Time) (items int, why Pressure) {
+// takeLoad returns the replica, and the number of this node's items there that should give
+// way.
+func (u *Use) takeLoad(load Load, now time.Time) (id string, items int, why Pressure) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
+	id = u.entry.info.ID
+	if u.entry.replaced {
+		return id, 0, why
+	}
 	others := max(0, float64(load.Running+load.Waiting-u.entry.open))
 	previous := u.entry.othersAt(now)
 	u.entry.others = previous + othersWeight*(others-previous)
@@ -109,14 +121,14 @@
 	patience := time.Duration(candidate.PatienceShare / patienceLeast * float64(u.set.demandOf(u.entry.info.Pool).patience))
 	bearable := int(patience / max(time.Millisecond, candidate.SlotTime))
 	why = Pressure{Queued: load.queued(), Wait: time.Duration(load.queued()) * candidate.SlotTime, Patience: patience}
-	return min(candidate.Batch, load.queued()-bearable), why
+	return id, min(candidate.Batch, load.queued()-bearable), why
 }
 
-// Full notes that a replica has no free slot.
-func (s *Set) Full(id string, now time.Time) {
+// Full notes that a replica, as it was asked, has no free slot.
+func (s *Set) Full(asked Info, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.entries[id]; ok {
+	if known, ok := s.entries[asked.ID]; ok && known.info.SameStart(&asked) {
 		known.others = max(known.othersAt(now), float64(known.info.Slots-known.open))
 		known.reported = now
 	}
@@ -166,48 +178,51 @@
 
 // End stops counting and takes in how the request ended.
 func (u *Use) End(result Result, now time.Time) {
-	ejected, ejection := u.finish(result, now)
+	info, ejected, ejection := u.finish(result, now)
 	if ejected && u.set.Ejected != nil {
-		u.set.Ejected(u.entry.info, result)
+		u.set.Ejected(info, result)
 	}
 	u.set.ejectedByMany(ejection)
 }
 
-func (u *Use) finish(result Result, now time.Time) (ejected bool, ejection *SharedEjection) {
+func (u *Use) finish(result Result, now time.Time) (info Info, ejected bool, ejection *SharedEjection) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
 	if u.ended {
-		return false, nil
+		return Info{}, false, nil
 	}
 	u.ended = true
+	u.set.demandOf(u.pool).end(u.ask, !u.gaveWay, result, now.Sub(u.sent), now)
+	u.detach()
 	if result == Succeeded {
-		u.set.reached(u.entry, now)
-	}
-	if !u.first {
-		u.entry.pending -= u.ask.Tokens
+		u.set.heard = now
 	}
-	u.entry.open--
-	if u.ask.Batch {
-		u.entry.batch--
+	if !u.entry.replaced {
+		ejected, ejection = u.set.observe(u.entry, result, now)
 	}
-	u.set.demandOf(u.entry.info.Pool).end(u.ask, !u.gaveWay, result, now.Sub(u.sent), now)
-	if u.gaveWay {
-		u.entry.leaving--
-	}
-	ejected = u.entry.health.observe(result, now)
-	u.entry.own.observe(result, now)
-	if result == Failed || result == Unreachable {
-		ejection = u.set.evaluate(u.entry, now)
-	}
-	if result == Unreachable {
-		u.set.unreached(u.entry, now)
-	}
-	if result == Refused {
+	u.set.wake()
+	return u.entry.info, ejected, ejection
+}
+
+// observe takes in how a request ended at a replica. It reports whether that ejected the
+// replica, on own evidence or that of several nodes. The caller holds mu.
+func (s *Set) observe(e *entry, result Result, now time.Time) (ejected bool, ejection *SharedEjection) {
+	ejected = e.health.observe(result, now)
+	e.own.observe(result, now)
+	switch result {
+	case Succeeded:
+		s.reached(e, now)
+	case Failed:
+		ejection = s.evaluate(e, now)
+	case Unreachable:
+		e.unreachableAt = now
+		ejection = s.evaluate(e, now)
+		s.unreached(e, now)
+	case Refused:
 		// A replica that refuses has its slots and its queue full.
-		u.entry.others = max(u.entry.others, refusedFill*float64(u.entry.info.Slots))
-		u.entry.reported = now.Add(refusedFade - othersFade)
-		u.entry.refusedAt = now
+		e.others = max(e.others, refusedFill*float64(e.info.Slots))
+		e.reported = now.Add(refusedFade - othersFade)
+		e.refusedAt = now
 	}
-	u.set.wake()
 	return ejected, ejection
 }
