Attempts at the earlier start of a replica are left once it has started again

Cause: an attempt whose connection stayed open in silence was waited for until a watch on the replica's silence ended it, or the caller's time. That watch goes by what comes from the replica to any request; once it had started again under its id and answered others, it never ended.

An attempt that can go on elsewhere and of which nothing came in the last 300 ms is left at once when Use.Reborn closes; any other is left unless something of its answer comes in each of the next two times 300 ms, for the list tells late of a start and the answer may be the new one's (two, because what comes first may have been under way, or waited at a node that stood still). It ends as ErrRestarted with an unknown outcome, so what may not repeat ends as undecided, and an error that proves that it did not run stands. A request is sent to the start that is known when it is sent, without a slot set aside at the one before; what failed or refused it is excluded by its start.

Left: an answer of the new one that may not repeat, was sent before the start was noticed by a node that got no refused connection from it meanwhile, and pauses for over 300 ms just then, is given up as undecided though it would have come.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -11,9 +11,9 @@
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
-// errHeldBack reports that a cold replica must not get the request now, though it could
-// when it was chosen. Nothing was sent.
-var errHeldBack = errors.New("replica is cold and has been sent as much as it bears")
+// errHeldBack reports that a replica must not get the request now, though it could when it
+// was chosen. Nothing was sent.
+var errHeldBack = errors.New("replica is cold and has been sent as much as it bears, or has started again")
 
 // feederTimeout bounds the question for a place at a cold replica. A place is of use only
 // so long after it was asked for: later it would fall into another second. A way there
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -41,6 +41,8 @@
 	ErrBroken = errors.New("replica answer broke off")
 	// ErrSilent reports that a replica said nothing for too long.
 	ErrSilent = errors.New("replica is silent")
+	// ErrRestarted reports that a replica has started again since the request was sent.
+	ErrRestarted = errors.New("replica has started again since")
 )
 
 // Request is an opaque request of a route.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -180,7 +180,8 @@
 			return nil
 		}
 		if errors.Is(err, errHeldBack) {
-			// Others have used the rate up meanwhile; the next choice knows.
+			// Others have used the rate up, or the replica has started again meanwhile; the
+			// next choice knows.
 			continue
 		}
 		if outcome.Of(err) != outcome.NotDone {
@@ -192,7 +193,7 @@
 		if errors.Is(err, ErrCallerLeft) || !c.mayGoOn(err) {
 			return c.failure(err)
 		}
-		c.demand.Exclude[chosen.ID] = true
+		c.demand.Exclude[chosen.Incarnation()] = true
 		if c.result.Refusals >= refusalsInARow && c.result.Refusals%refusalsInARow == 0 {
 			if waitErr := c.waitForRoom(ctx, waitForRoom); waitErr != nil {
 				return c.failure(fmt.Errorf("%w: %w", waitErr, err))
@@ -243,7 +244,7 @@
 
 func (c *call) attempt(ctx context.Context, chosen *replica.Candidate) error {
 	now := clock.Now()
-	use := c.forwarder.Replicas.Begin(chosen.ID, c.demand.Ask, now)
+	use := c.forwarder.Replicas.BeginAt(chosen.Info, c.demand.Ask, now)
 	c.demand.Granted = false
 	if use == nil {
 		c.reservation, c.demand.Reserved = "", false
@@ -318,13 +319,16 @@
 	defer cancel(nil)
 	watch := c.watchSilence(use, cancel)
 	defer watch.stop()
+	seen := c.watchRestart(ctx, use, cancel)
 	answer, err := c.forwarder.Backend.Send(ctx, &Attempt{
 		Request: c.request, Replica: chosen, After: c.after, Deadline: c.replicaDeadline(c.result.Distance), Reservation: c.reservation,
 	})
 	if err != nil {
-		return c.silent(ctx, err)
+		return givenUp(ctx, err)
 	}
 	c.status = answer.Status
+	seen.note()
+	answer.Body = &observedBody{ReadCloser: answer.Body, progress: seen}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.ColdLeft > 0 {
 		use.Chill(answer.ColdLeft, clock.Now())
@@ -333,15 +337,21 @@
 		use.Load(*answer.Load, clock.Now())
 	}
 	if answer.Events && answer.Status == http.StatusOK {
-		return c.silent(ctx, c.passEvents(answer, use, watch))
+		return givenUp(ctx, c.passEvents(answer, use, watch))
 	}
-	return c.silent(ctx, c.passWhole(answer, use))
+	return givenUp(ctx, c.passWhole(answer, use))
 }
 
-// silent replaces an error that comes of this side's own giving up.
-func (c *call) silent(ctx context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
-		return outcome.Undecided(ErrSilent)
+// givenUp replaces an error that comes of this side's own giving up of an attempt. One that
+// says that the attempt did not run stands.
+func givenUp(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(cause, ErrSilent), errors.Is(cause, ErrRestarted) && outcome.Of(err) != outcome.NotDone:
+		return outcome.Undecided(cause)
+	default:
+		return err
 	}
-	return err
 }
