Quarantine counts the ends of starts, not of ids

Cause: an end was that of an id at about some time. Two starts of one id that ended within 2 s were one end, a report of an end that came late was a second one, and a publisher joined the reports of both. The guard asked whether the id is listed; one that is back under its id seemed to serve on, so what ended it and left no refused connection was not found out.

Reports, rows and messages now carry Born (absent from older programs: then ends are told apart by their times, as before). The guard watches starts, asks for their standing, and takes one that is listed as another start as ended; if the start before said that it would leave, it is no end of the work's doing. An attempt that was left for a restart is told as broken off.

Existing tests: the fakes of Replicas take the start instead of the id; the model of the fleet can have replicas keep their ids. Nothing is asked less strictly.

Left: items name no Born to the guard yet (internal/jobs/harm.go).

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -32,7 +32,7 @@
 	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
 		return false
 	}
-	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent)
+	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent) || errors.Is(err, ErrRestarted)
 }
 
 // quarantined returns the error of a request whose work must not be sent.
@@ -52,6 +52,6 @@
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.EndedWell(c.request.Work())
 	case MayHaveEnded(err, c.status):
-		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), Began: began})
+		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Born: chosen.Born, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), Began: began})
 	}
 }
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -35,6 +35,9 @@
 	AgeMs   int64             `cbor:"3,keyasint"`
 	// Lasted is how long each of Works had run, in ms.
 	Lasted []int64 `cbor:"4,keyasint,omitempty"`
+	// Born tells which start of the replica ended; absent if that is not known, and in what
+	// earlier versions of the program tell.
+	Born int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // clearedTold is a work of which a run ended well, or that was released.
@@ -63,7 +66,7 @@
 			}
 			count := min(len(rest), harmWorksAtOnce-works)
 			told.Ends = append(told.Ends, endTold{
-				Replica: report.Replica, Works: rest[:count], Lasted: lasted[:count], AgeMs: now.Sub(report.At).Milliseconds(),
+				Replica: report.Replica, Born: report.Born, Works: rest[:count], Lasted: lasted[:count], AgeMs: now.Sub(report.At).Milliseconds(),
 			})
 			rest, lasted = rest[count:], lasted[count:]
 			works += count
@@ -101,7 +104,9 @@
 	now := clock.Now()
 	for _, ended := range told.Ends {
 		at := ago(now, ended.AgeMs)
-		g.harm.guard.Take(quarantine.Report{Replica: ended.Replica, Runs: quarantine.RunsOf(ended.Works, ended.Lasted, at), At: at})
+		g.harm.guard.Take(quarantine.Report{
+			Replica: ended.Replica, Born: ended.Born, Runs: quarantine.RunsOf(ended.Works, ended.Lasted, at), At: at,
+		})
 	}
 	for _, cleared := range told.Cleared {
 		g.harm.Clear(cleared.Work, ago(now, cleared.AgeMs))
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/server"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -56,11 +57,16 @@
 var _ quarantine.Replicas = standings{}
 
 // Standing implements quarantine.Replicas.
-func (s standings) Standing(id string) quarantine.Standing {
-	known, listed := s.replicas.Get(id)
+func (s standings) Standing(asked quarantine.Replica) quarantine.Standing {
+	known, before, listed := s.replicas.Starts(asked.ID)
+	start := replica.Info{ID: asked.ID, Born: asked.Born, Address: asked.Address}
 	switch {
 	case !listed:
 		return quarantine.Gone
+	case !known.SameStart(&start) && before.Leaving && before.SameStart(&start):
+		return quarantine.Leaving
+	case !known.SameStart(&start):
+		return quarantine.Restarted
 	case known.Leaving:
 		return quarantine.Leaving
 	default:
@@ -91,7 +97,7 @@
 	for i, run := range report.Runs {
 		works[i] = run.Work.String()
 	}
-	c.log.Warn().Str("replica", report.Replica).Strs("works", works).Msg("replica ended under work of this node")
+	c.log.Warn().Str("replica", report.Replica).Int64("born", report.Born).Strs("works", works).Msg("replica ended under work of this node")
 	c.harm.publisher.Report(report)
 }
 
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -26,14 +26,16 @@
 
 // Times of the fleet.
 const (
-	fleetLasts  = 60 * time.Second
-	fleetWay    = 2 * time.Millisecond
-	fleetLook   = time.Second
-	fleetRun    = 30 * time.Millisecond
-	fleetDown   = 2 * time.Second
-	fleetLapse  = 700 * time.Millisecond
-	fleetArrive = 60 * time.Millisecond
-	fleetHeals  = 8 * time.Second
+	fleetLasts = 60 * time.Second
+	fleetWay   = 2 * time.Millisecond
+	fleetLook  = time.Second
+	fleetRun   = 30 * time.Millisecond
+	fleetDown  = 2 * time.Second
+	// fleetDownSameID is shorter than an entry takes to lapse.
+	fleetDownSameID = 300 * time.Millisecond
+	fleetLapse      = 700 * time.Millisecond
+	fleetArrive     = 60 * time.Millisecond
+	fleetHeals      = 8 * time.Second
 )
 
 // mutation takes something away from the mechanism.
@@ -42,6 +44,8 @@
 	// unsaid sends no messages, unwritten writes no rows, aloof has nodes hear nothing of
 	// others, forgetful does not read what is written at a start.
 	unsaid, unwritten, aloof, forgetful bool
+	// sameIDs takes nothing away: replicas start again under the ids that they had.
+	sameIDs bool
 }
 
 // fleet is nodes with the real guard, publisher and rows before replicas that a piece of
@@ -67,14 +71,30 @@
 }
 
 type fleetReplica struct {
-	name  string
-	lives int
-	down  bool
+	name   string
+	lives  int
+	sameID bool
+	down   bool
 	// gone is set once its row has lapsed.
 	gone bool
 }
 
-func (r *fleetReplica) id() string { return fmt.Sprintf("%s-%d", r.name, r.lives) }
+// start returns the replica as the guard knows it: each start has an id of its own, or
+// keeps the one of the start before.
+func (r *fleetReplica) start() quarantine.Replica {
+	if r.sameID {
+		return quarantine.Replica{ID: r.name, Born: int64(1 + r.lives), Address: r.name}
+	}
+	return quarantine.Replica{ID: fmt.Sprintf("%s-%d", r.name, r.lives), Address: r.name}
+}
+
+// downTime is how long the replica is gone after an end.
+func (r *fleetReplica) downTime() time.Duration {
+	if r.sameID {
+		return fleetDownSameID
+	}
+	return fleetDown
+}
 
 // fleetEnd is the end of a replica under the work.
 type fleetEnd struct {
@@ -125,16 +145,16 @@
 		if n.guard.RefuseRequest(func() quarantine.Work { return work }) != nil {
 			return
 		}
-		chosen, id := f.pick()
+		chosen, start := f.pick()
 		if chosen == nil {
 			return
 		}
 		sent := time.Now()
 		time.Sleep(fleetRun)
-		if !f.end(ctx, chosen, id, fleetEnd{at: time.Now(), sent: sent, node: n.name, since: n.started}) {
+		if !f.end(ctx, chosen, start, fleetEnd{at: time.Now(), sent: sent, node: n.name, since: n.started}) {
 			return
 		}
-		n.guard.BrokeOff(ctx, quarantine.Replica{ID: id, Address: chosen.name}, quarantine.Run{Work: work, Began: sent})
+		n.guard.BrokeOff(ctx, start, quarantine.Run{Work: work, Began: sent})
 	}
 }
 
@@ -147,38 +167,38 @@
 		f.refused++
 	}
 	f.mu.Unlock()
-	chosen, id := f.pick()
+	chosen, start := f.pick()
 	if refused || chosen == nil {
 		return
 	}
 	sent := time.Now()
 	time.Sleep(3 * fleetRun)
 	f.mu.Lock()
-	broken := chosen.down || chosen.id() != id
+	broken := chosen.down || chosen.start() != start
 	f.mu.Unlock()
 	if broken {
-		n.guard.BrokeOff(ctx, quarantine.Replica{ID: id, Address: chosen.name}, quarantine.Run{Work: work, Began: sent})
+		n.guard.BrokeOff(ctx, start, quarantine.Run{Work: work, Began: sent})
 		return
 	}
 	n.guard.EndedWell(work)
 }
 
-func (f *fleet) pick() (*fleetReplica, string) {
+func (f *fleet) pick() (*fleetReplica, quarantine.Replica) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for range 20 {
 		if one := f.replicas[f.random.IntN(len(f.replicas))]; !one.down {
-			return one, one.id()
+			return one, one.start()
 		}
 	}
-	return nil, ""
+	return nil, quarantine.Replica{}
 }
 
 // end ends a replica, unless it has ended meanwhile.
-func (f *fleet) end(ctx context.Context, one *fleetReplica, id string, ended fleetEnd) bool {
+func (f *fleet) end(ctx context.Context, one *fleetReplica, start quarantine.Replica, ended fleetEnd) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if one.down || one.id() != id {
+	if one.down || one.start() != start {
 		return true
 	}
 	one.down = true
@@ -189,9 +209,9 @@
 	time.AfterFunc(fleetLapse, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		one.gone = true
+		one.gone = one.start() == start
 	})
-	time.AfterFunc(fleetDown, func() {
+	time.AfterFunc(one.downTime(), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if ctx.Err() == nil {
@@ -253,7 +273,7 @@
 		f := &fleet{mutation: without, random: random, table: &flakyTable{Table: tabletest.New()}, lossy: 0.5 * random.Float64()}
 		f.stable = time.Now()
 		for number := range 6 + random.IntN(6) {
-			f.replicas = append(f.replicas, &fleetReplica{name: fmt.Sprintf("r%d", number)})
+			f.replicas = append(f.replicas, &fleetReplica{name: fmt.Sprintf("r%d", number), sameID: without.sameIDs})
 		}
 		for number := range 3 + random.IntN(6) {
 			f.nodes = append(f.nodes, f.start(ctx, fmt.Sprintf("n%d", number)))
@@ -318,6 +338,20 @@
 	t.Logf("at most %d replicas ended in all", most)
 }
 
+// TestFleet_EndsFewReplicasThatKeepTheirIDs is the same where replicas start again under
+// their ids before their entries lapse.
+func TestFleet_EndsFewReplicasThatKeepTheirIDs(t *testing.T) {
+	for seed := range uint64(50) {
+		all, late, refused := playFleet(t, seed, mutation{sameIDs: true})
+		if late > fleetRetries || all > fleetAll {
+			t.Errorf("seed %d: %d replicas ended, %d of them late", seed, all, late)
+		}
+		if refused > 0 {
+			t.Errorf("seed %d: %d requests of innocent work were refused", seed, refused)
+		}
+	}
+}
+
 // TestFleet_MutationsAreCaught takes away what makes it hold.
 func TestFleet_MutationsAreCaught(t *testing.T) {
 	for _, without := range []mutation{
--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -64,12 +64,16 @@
 }
 
 // Standing implements quarantine.Replicas.
-func (n *fleetNode) Standing(id string) quarantine.Standing {
+func (n *fleetNode) Standing(replica quarantine.Replica) quarantine.Standing {
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
 	for _, one := range n.fleet.replicas {
-		if one.id() == id && !one.gone {
+		switch start := one.start(); {
+		case one.gone || start.ID != replica.ID:
+		case start == replica:
 			return quarantine.Serving
+		default:
+			return quarantine.Restarted
 		}
 	}
 	return quarantine.Gone
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -47,15 +47,28 @@
 	// Leaving replicas have said that they will end.
 	Leaving
 	Serving
+	// Restarted replicas have started again under their id, without having said that they
+	// would end.
+	Restarted
 )
 
 // Replica is what the guard needs to know of a replica.
-type Replica struct{ ID, Address string }
+type Replica struct {
+	ID string
+	// Born tells its starts under the same id apart; 0 if it does not say.
+	Born    int64
+	Address string
+}
+
+// ended returns the report that the replica ended under some runs.
+func (r *Replica) ended(runs []Run, at time.Time) Report {
+	return Report{Replica: r.ID, Born: r.Born, Runs: runs, At: at}
+}
 
 // Replicas tells about replicas. It is safe for concurrent use.
 type Replicas interface {
-	// Standing returns what the list says of a replica.
-	Standing(id string) Standing
+	// Standing returns what the list says of a replica, of one start of it.
+	Standing(replica Replica) Standing
 	// Probe tries a connection to an address.
 	Probe(ctx context.Context, address string) Probe
 }
@@ -73,7 +86,8 @@
 // Guard finds out which replicas ended under which work of this node, and refuses work that
 // is quarantined. A broken answer alone is no end: connections are reset and cut, and answers
 // come garbled, while the replica goes on. It is one if nothing listens at the replica's
-// address any more, or if the replica leaves the list soon without having said that it would.
+// address any more, or if the replica leaves the list soon, or starts again, without having
+// said that it would end.
 // It is safe for concurrent use.
 type Guard struct {
 	List     *List
@@ -84,7 +98,7 @@
 	Tries func(work Work) bool
 
 	mu      sync.Mutex
-	watched map[string]*watch
+	watched map[Replica]*watch
 }
 
 // watch looks after a replica whose answers broke off.
@@ -157,22 +171,28 @@
 // nil if the replica's end would be no news.
 func (g *Guard) attach(replica Replica, run Run) *watch {
 	g.mu.Lock()
-	known := g.watched[replica.ID]
+	known := g.watched[replica]
 	if known == nil || known.before(clock.Now()) {
-		if len(g.watched) >= maxWatched || g.Replicas.Standing(replica.ID) != Serving {
+		standing := g.Replicas.Standing(replica)
+		if standing == Restarted {
+			g.mu.Unlock()
+			g.report(replica.ended([]Run{run}, clock.Now()))
+			return nil
+		}
+		if len(g.watched) >= maxWatched || standing != Serving {
 			g.mu.Unlock()
 			return nil
 		}
 		if g.watched == nil {
-			g.watched = map[string]*watch{}
+			g.watched = map[Replica]*watch{}
 		}
 		known = &watch{probed: make(chan struct{})}
-		g.watched[replica.ID] = known
+		g.watched[replica] = known
 		go g.look(replica, known)
 	}
 	if ended := known.ended; !ended.IsZero() {
 		g.mu.Unlock()
-		g.report(Report{Replica: replica.ID, Runs: []Run{run}, At: ended})
+		g.report(replica.ended([]Run{run}, ended))
 		return known
 	}
 	known.runs = append(known.runs, run)
@@ -194,14 +214,14 @@
 	defer ticker.Stop()
 	for standing := Serving; standing == Serving && ctx.Err() == nil; {
 		<-ticker.C
-		if standing = g.Replicas.Standing(replica.ID); standing == Gone {
+		if standing = g.Replicas.Standing(replica); standing == Gone || standing == Restarted {
 			g.settle(replica, known, began)
 		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.watched[replica.ID] == known {
-		delete(g.watched, replica.ID)
+	if g.watched[replica] == known {
+		delete(g.watched, replica)
 	}
 }
 
@@ -215,7 +235,7 @@
 	known.ended = at
 	runs := known.runs
 	g.mu.Unlock()
-	g.report(Report{Replica: replica.ID, Runs: runs, At: at})
+	g.report(replica.ended(runs, at))
 }
 
 // report takes in an end that this node saw.
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -16,10 +16,10 @@
 	asked int
 }
 
-func (f *fakeReplicas) Standing(id string) Standing {
+func (f *fakeReplicas) Standing(replica Replica) Standing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if standing, ok := f.left[id]; ok {
+	if standing, ok := f.left[replica.ID]; ok {
 		return standing
 	}
 	return Serving
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -23,9 +23,9 @@
 	// three within a second, maybe all of a small pool. Work that begins to do harm after it
 	// did none is found after as many ends.
 	provenFactor = 2
-	// sameEnd is how far apart two nodes may see the same end of a replica: one that was held
-	// up hears of it late. A replica is back no sooner than after some seconds, with another
-	// id where ids are those of lives, or with the same one.
+	// sameEnd is how far apart two nodes may see the same end of a replica that does not say
+	// when it was born: one that was held up hears of it late. A replica is back no sooner
+	// than after some seconds.
 	sameEnd = 2 * time.Second
 	// beganSlack is how much earlier than an end a run may seem to have begun that was sent
 	// after it, for their times come from different nodes.
@@ -34,8 +34,9 @@
 
 // Report tells that a replica ended while a node's requests ran there.
 type Report struct {
-	// Replica is its id.
+	// Replica is its id, Born tells its starts apart; 0 if the replica does not say.
 	Replica string
+	Born    int64
 	// Runs are what the node had there.
 	Runs []Run
 	// At is when it ended.
@@ -75,7 +76,9 @@
 // end is that of a replica.
 type end struct {
 	replica string
-	at      time.Time
+	// born is that of the start which ended; 0 as long as no report has told it.
+	born int64
+	at   time.Time
 	// works are what ran there, by when the newest run began.
 	works map[Work]time.Time
 }
@@ -158,16 +161,26 @@
 		l.ends, l.works = map[string][]*end{}, map[Work]*suspect{}
 	}
 	for _, known := range l.ends[report.Replica] {
-		if report.At.Sub(known.at).Abs() <= sameEnd {
+		if known.tells(&report) {
+			known.born = cmp.Or(known.born, report.Born)
 			return known
 		}
 	}
-	known := &end{replica: report.Replica, at: report.At, works: map[Work]time.Time{}}
+	known := &end{replica: report.Replica, born: report.Born, at: report.At, works: map[Work]time.Time{}}
 	l.ends[report.Replica] = append(l.ends[report.Replica], known)
 	l.oldest = append(l.oldest, known)
 	return known
 }
 
+// tells reports whether a report is about this end. A start of a replica ends once; where it
+// is not known which start ended, ends are told apart by their times.
+func (e *end) tells(report *Report) bool {
+	if e.born != 0 && report.Born != 0 {
+		return e.born == report.Born
+	}
+	return report.At.Sub(e.at).Abs() <= sameEnd
+}
+
 // prune forgets what is too long ago to count. The caller holds mu.
 func (l *List) prune(now time.Time) {
 	for len(l.oldest) > 0 && now.Sub(l.oldest[0].at) >= l.memory() {
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -78,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.pending.Reports {
-		if known := &p.pending.Reports[i]; known.Replica == report.Replica {
+		if known := &p.pending.Reports[i]; known.Replica == report.Replica && known.Born == report.Born {
 			known.Runs = append(known.Runs, report.Runs...)
 			return
 		}
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -29,6 +29,8 @@
 	At      int64  `cbor:"3,keyasint"`
 	// Lasted is how long each of Works had run.
 	Lasted []int64 `cbor:"4,keyasint,omitempty"`
+	// Born tells which start of the replica ended; absent if that is not known.
+	Born int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // clearingRow is the body of the row of a clearing.
@@ -132,7 +134,7 @@
 		return fact{}, Error.Wrap(err)
 	}
 	at := r.local(body.At)
-	return fact{at: at, report: &Report{Replica: body.Replica, Runs: RunsOf(body.Works, body.Lasted, at), At: at}}, nil
+	return fact{at: at, report: &Report{Replica: body.Replica, Born: body.Born, Runs: RunsOf(body.Works, body.Lasted, at), At: at}}, nil
 }
 
 // local returns a time of the table's clock by this node's. The caller holds mu.
@@ -181,7 +183,7 @@
 		return table.Write{}, err
 	}
 	works, lasted := report.Told()
-	return r.put(prefixEnd+name, endRow{Replica: report.Replica, Works: works, At: at, Lasted: lasted})
+	return r.put(prefixEnd+name, endRow{Replica: report.Replica, Works: works, At: at, Lasted: lasted, Born: report.Born})
 }
 
 // putClearing returns the write of the row of a clearing.
--- a/internal/quarantine/rows_test.go
+++ b/internal/quarantine/rows_test.go
@@ -84,3 +84,8 @@
 		t.Fatalf("%d of 3 rows were told to be malformed", malformed)
 	}
 }
+
+// rowOf is the row that a write leaves.
+func rowOf(write table.Write) table.Row {
+	return table.Row{Key: write.Key, Version: 1, Body: write.Body}
+}
