Nodes tell each other which start of a replica they mean

Cause: evidence, and questions for a place at a cold replica, named a replica by its id. What others had seen of the start before left the new one out, and a node that did not know of a start yet granted places out of the rate of the one before, on top of that of the next one.

Words of older programs, which do not name a start, count only for failures after the start was noticed here. Born is absent where it is not known, and older programs read the messages as before.

Runs: with each of these taken back in a scratch copy (a trial) TestEvidence_WordsAboutOtherStarts, TestHarm_EndsOfStartsAreToldApart and TestColdDesk_GrantsNoPlaceAtAnotherStart fail; TestEvidence_OfOlderProgramsIsTaken and TestMessages_FitADatagram hold before and after. With them all pass, 5 times with -race.

--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -19,6 +19,9 @@
 type coldAsk struct {
 	Number  uint64 `cbor:"1,keyasint"`
 	Replica string `cbor:"2,keyasint"`
+	// Born tells which start of the replica the sender knows of; absent if it does not know,
+	// and in what earlier versions of the program ask.
+	Born int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // coldAnswer grants the place, or does not.
@@ -57,7 +60,7 @@
 	}
 	number, answered := d.register()
 	defer d.forget(number)
-	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica}); err != nil {
+	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica, Born: feeder.Born}); err != nil {
 		d.failed(err)
 		return false
 	}
@@ -94,7 +97,9 @@
 			d.failed(err)
 			return
 		}
-		answer := coldAnswer{Number: asked.Number, Granted: d.replicas.GrantCold(asked.Replica, now())}
+		// A place at another start of the replica would not count against its rate.
+		granted := d.replicas.Started(asked.Replica, asked.Born) && d.replicas.GrantCold(asked.Replica, now())
+		answer := coldAnswer{Number: asked.Number, Granted: granted}
 		if err := d.send(source, peer.KindColdAnswer, answer); err != nil {
 			d.failed(err)
 		}
--- a/internal/node/gatewayevidence.go
+++ b/internal/node/gatewayevidence.go
@@ -30,6 +30,9 @@
 	Successes float32 `cbor:"3,keyasint"`
 	// AgeMs is the time since the last failure in ms.
 	AgeMs uint16 `cbor:"4,keyasint"`
+	// Born tells which start of the replica it is about; absent if the node does not know,
+	// and in what earlier versions of the program tell.
+	Born int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // runEvidence tells other nodes of replicas that fail here, until the context ends.
@@ -43,7 +46,7 @@
 		for i, report := range reports {
 			told[i] = failureTold{
 				Replica: report.Replica, Failures: float32(report.Failures), Successes: float32(report.Successes),
-				AgeMs: uint16(report.Age.Milliseconds()),
+				AgeMs: uint16(report.Age.Milliseconds()), Born: report.Born,
 			}
 		}
 		g.tellSome(g.near.others(), evidenceFanout, peer.KindEvidence, told)
@@ -61,7 +64,7 @@
 	for i, one := range told {
 		reports[i] = replica.FailureReport{
 			Replica: one.Replica, Failures: float64(one.Failures), Successes: float64(one.Successes),
-			Age: time.Duration(one.AgeMs) * time.Millisecond,
+			Age: time.Duration(one.AgeMs) * time.Millisecond, Born: one.Born,
 		}
 	}
 	node := lease.Node(from)
--- /dev/null
+++ b/internal/node/gatewaystarts_test.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// longBorn takes as many bytes as a time of this millennium may.
+const longBorn int64 = 1 << 45
+
+// olderFailureTold is failureTold of programs that know of no starts.
+type olderFailureTold struct {
+	Replica   uint64  `cbor:"1,keyasint"`
+	Failures  float32 `cbor:"2,keyasint"`
+	Successes float32 `cbor:"3,keyasint"`
+	AgeMs     uint16  `cbor:"4,keyasint"`
+}
+
+// encoded returns what is sent of a message's body.
+func encoded(t *testing.T, body any) []byte {
+	t.Helper()
+	bytes, err := cbor.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes
+}
+
+// startsCore returns a core with replicas r0 to r3, of which r0 was born then.
+func startsCore(born int64) (c *core, info replica.Info) {
+	c = testCore()
+	for _, id := range []string{"r0", "r1", "r2", "r3"} {
+		c.replicas.Put(replica.Info{ID: id, Pool: "llm", Address: id, Slots: 4})
+	}
+	info = replica.Info{ID: "r0", Pool: "llm", Address: "r0", Slots: 4, Born: born}
+	c.replicas.Put(info)
+	return c, info
+}
+
+func leftOut(c *core, id string) bool {
+	listed, _ := c.replicas.Listed(id, time.Now())
+	return listed.Ejected
+}
+
+// TestEvidence_WordsAboutOtherStarts: they are late, or early, and name the replica by its id.
+func TestEvidence_WordsAboutOtherStarts(t *testing.T) {
+	c, info := startsCore(3000)
+	g := &Gateway{core: c, roster: lease.NewRoster(nil, c.session, "m", time.Now, fastTiming())}
+	info.Born = 1000
+	c.replicas.Put(info)
+	time.Sleep(5 * time.Millisecond)
+	tell := func(body any) {
+		for _, node := range []string{"a#1", "b#1", "c#1"} {
+			g.takeEvidence(node, nil, encoded(t, body))
+		}
+	}
+	key := replica.Key("r0")
+	for _, born := range []int64{3000, 4000} {
+		if tell([]failureTold{{Replica: key, Failures: 9, Born: born}}); leftOut(c, "r0") {
+			t.Fatalf("words about start %d leave out start 1000", born)
+		}
+	}
+	if tell([]olderFailureTold{{Replica: key, Failures: 9, AgeMs: 2000}}); leftOut(c, "r0") {
+		t.Fatal("words of older programs about what was before the start leave it out")
+	}
+	if tell([]failureTold{{Replica: key, Failures: 9, Born: 1000}}); !leftOut(c, "r0") {
+		t.Error("words about this start are passed over")
+	}
+}
+
+// TestEvidence_OfOlderProgramsIsTaken: nodes of two versions talk to each other during an
+// upgrade.
+func TestEvidence_OfOlderProgramsIsTaken(t *testing.T) {
+	c, _ := startsCore(1000)
+	g := &Gateway{core: c, roster: lease.NewRoster(nil, c.session, "m", time.Now, fastTiming())}
+	for _, node := range []string{"a#1", "b#1", "c#1"} {
+		g.takeEvidence(node, nil, encoded(t, []olderFailureTold{{Replica: replica.Key("r0"), Failures: 9}}))
+	}
+	if !leftOut(c, "r0") {
+		t.Error("evidence of older programs is passed over")
+	}
+	var older []olderFailureTold
+	body := encoded(t, []failureTold{{Replica: 1, Failures: 2, Successes: 3, AgeMs: 4, Born: longBorn}})
+	if err := cbor.Unmarshal(body, &older); err != nil || older[0] != (olderFailureTold{1, 2, 3, 4}) {
+		t.Errorf("older programs read %+v, %v", older, err)
+	}
+}
+
+// TestMessages_FitADatagram has each message be as long as it may.
+func TestMessages_FitADatagram(t *testing.T) {
+	const most = 32 // Bounds the reports of replica.Set.FailureReports.
+	evidence := make([]failureTold, most)
+	for i := range evidence {
+		evidence[i] = failureTold{Replica: 1<<64 - 1 - uint64(i), Failures: 1.1, Successes: 2.2, AgeMs: 1<<16 - 1, Born: longBorn}
+	}
+	harm := harmTold{}
+	for i := range harmEndsAtOnce {
+		end := endTold{Replica: strings.Repeat("r", 20), AgeMs: 60_000, Born: longBorn}
+		for range harmWorksAtOnce / harmEndsAtOnce {
+			end.Works = append(end.Works, quarantine.Work{byte(i)})
+			end.Lasted = append(end.Lasted, 10_000)
+		}
+		harm.Ends = append(harm.Ends, end)
+	}
+	sender, err := peer.Listen("127.0.0.1:0", strings.Repeat("n", 20)+"#"+strings.Repeat("1", 19))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = sender.Close() }()
+	to, err := net.ResolveUDPAddr("udp4", sender.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for kind, body := range map[peer.Kind]any{peer.KindEvidence: evidence, peer.KindHarm: harm} {
+		if err := sender.Send(to, kind, body); err != nil {
+			t.Errorf("kind %d: %v", kind, err)
+		}
+		t.Logf("kind %d: %d bytes of body", kind, len(encoded(t, body)))
+	}
+}
+
+// TestHarm_EndsOfStartsAreToldApart: two ends of one id within a moment, told by a node.
+func TestHarm_EndsOfStartsAreToldApart(t *testing.T) {
+	c := testCore()
+	g := &Gateway{core: c}
+	bad := quarantine.Work{1}
+	for _, born := range []int64{3000, 1000, 2000} {
+		told := harmTold{Ends: []endTold{{Replica: "r", Born: born, Works: []quarantine.Work{bad}, AgeMs: 3100 - born, Lasted: []int64{10}}}}
+		g.takeHarm("a#1", nil, encoded(t, told))
+	}
+	if verdict := c.harm.Check(bad, time.Now()); len(verdict.Replicas) != 3 {
+		t.Errorf("%d ends count, not 3", len(verdict.Replicas))
+	}
+}
+
+// TestColdDesk_GrantsNoPlaceAtAnotherStart: one node knows of a start that the other does not.
+func TestColdDesk_GrantsNoPlaceAtAnotherStart(t *testing.T) {
+	c, info := startsCore(1000)
+	c.replicas.LimitCold(map[string]replica.ColdLimit{"llm": {Rate: 15, Start: 3 * time.Second}})
+	c.replicas.ColdTolerance = replica.ColdTolerance{Over: 1.5, Slack: 5}
+	c.replicas.Divide("n", []place.Node{{ID: "n"}})
+	info.ColdLeft = 3 * time.Second
+	c.replicas.Put(info)
+	var answered coldAnswer
+	desk := &coldDesk{replicas: c.replicas, failed: func(err error) { t.Error(err) }}
+	desk.send = func(_ *net.UDPAddr, _ peer.Kind, body any) error {
+		answered = body.(coldAnswer)
+		return nil
+	}
+	now := time.Now()
+	ask := func(born int64) bool {
+		now = now.Add(500 * time.Millisecond)
+		desk.take(func() time.Time { return now })("a#1", nil, encoded(t, coldAsk{Number: 7, Replica: "r0", Born: born}))
+		return answered.Granted
+	}
+	if !ask(1000) || !ask(0) {
+		t.Error("no place is granted at the start that both know")
+	}
+	if ask(2000) {
+		t.Error("a place is granted at another start")
+	}
+}
