The list of replicas says when an engine started

Cause: in the product's own interface a machine keeps its id when its engine starts again, so the observers' entry did not change, and nodes went on by what they knew of the engine before.

The emulator's engines report theirs.

Run: TestObserver_TellsOfEnginesThatStartAgain; on the code as it was the field does not exist.

--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -89,6 +89,9 @@
 	StepMillis     float64  `json:"step_ms"`
 	PrefillPerSec  float64  `json:"prefill_tokens_per_s"`
 	ReportedUnixMs int64    `json:"reported_unix_ms"`
+	// StartedUnixMs is when the engine started; 0 if it does not say. One that starts again
+	// holds and knows nothing of before.
+	StartedUnixMs int64 `json:"started_unix_ms,omitempty"`
 }
 
 // Order is a fenced instruction to change what an engine serves. An engine
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// TestObserver_TellsOfEnginesThatStartAgain: nothing else in the report differs.
+func TestObserver_TellsOfEnginesThatStartAgain(t *testing.T) {
+	shared := tabletest.New()
+	list := []machines.Machine{{ID: "a", Role: machines.RoleEngine, Zone: "mine", Address: "a", State: machines.Live}}
+	engines := reports{"a": {State: engine.StateReady, Version: "v1", StartedUnixMs: 2000}}
+	observer, catchUp := observe(t, shared, list, engines)
+	for _, started := range []int64{2000, 1000} {
+		engines["a"] = engine.Load{State: engine.StateReady, Version: "v1", StartedUnixMs: started}
+		observer.look(t.Context())
+		catchUp()
+		if info := observer.View.List()[0].Info("a"); info.Born != started {
+			t.Errorf("an engine that started at %d is listed as %+v", started, info)
+		}
+	}
+}
+
 func TestObserver_MachineOffTheListIsRemoved(t *testing.T) {
 	shared := tabletest.New()
 	list := []machines.Machine{{ID: "a", Role: machines.RoleEngine, Zone: "mine", Address: "a", State: machines.Live}}
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -40,6 +40,7 @@
 	config    EngineConfig
 	scheduler *scheduler
 	mux       *http.ServeMux
+	started   time.Time
 
 	mu       sync.Mutex
 	state    engine.State
@@ -52,6 +53,7 @@
 func NewEngine(config EngineConfig) *Engine {
 	e := &Engine{
 		config:  config,
+		started: time.Now(),
 		state:   engine.StateReady,
 		serving: engine.Order{Version: config.Version, Adapters: config.Adapters, Role: engine.RoleMixed},
 	}
@@ -222,6 +224,7 @@
 		Generation: e.config.Generation.Name, MaxSequences: e.config.Generation.MaxSequences,
 		KVTotalTokens: e.config.Generation.KVTokens,
 		PrefillPerSec: e.config.Generation.PrefillTokensPerSecond, ReportedUnixMs: now.UnixMilli(),
+		StartedUnixMs: e.started.UnixMilli(),
 	}
 	e.mu.Unlock()
 	e.scheduler.mu.Lock()
