Restarts of replicas are counted, and a gateway is tested to leave what they forgot

A test through a gateway: a server takes a request, says nothing more, and starts again under its id with a smaller Born. On the code as it was a request that may not repeat ends with 504 after 5.0 s, the route's time-out; now with 502 within a second (600 ms are given for a sign of life), and one that may goes on and is whole.

wheelhoist_gateway_replica_restarts_total counts the starts that a node noticed; the line "replica started again" (id, births, requests and items that ran there) is sampled when many come at once: after a long outage a node notices all at one look.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -262,10 +262,11 @@
 	c.log.Warn().Str("replica", info.ID).Str("address", info.Address).Stringer("result", result).Msg("replica ejected")
 }
 
-// logRestarted counts and logs that a replica has started again under its id.
+// logRestarted counts and logs that a replica has started again under its id. When many do at
+// once, as at the end of an outage, the lines are sampled.
 func (c *core) logRestarted(restart replica.Restart) {
 	c.metrics.restarts.Inc()
-	c.log.Warn().Str("replica", restart.Replica.ID).Str("address", restart.Replica.Address).Str("zone", restart.Replica.Zone).
+	c.sampled.Warn().Str("replica", restart.Replica.ID).Str("address", restart.Replica.Address).Str("zone", restart.Replica.Zone).
 		Int64("born", restart.Replica.Born).Int64("born_before", restart.Before).
 		Int("open", restart.Open).Int("items", restart.Batch).Int("moved", restart.Moved).Msg("replica started again")
 }
--- /dev/null
+++ b/internal/node/gatewayrestart_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// restartNoticed is how soon callers must have an answer after the start of a replica is
+// known, on a busy machine: a request that may not repeat is given 600 ms to show that it
+// runs at the new one. The routes' time-out is 5 s.
+const restartNoticed = 2 * time.Second
+
+// TestGateway_LeavesWhatIsSilentAtTheStartBefore has a server take requests and say nothing
+// more, as one does whose machine lost power, and start again under its id.
+func TestGateway_LeavesWhatIsSilentAtTheStartBefore(t *testing.T) {
+	for prefix, want := range map[string]int{"resume": http.StatusOK, "once": http.StatusBadGateway} {
+		site := newGatewaySite(t, 1)
+		site.configure(2, "resume", "once")
+		silent := site.servers[0]
+		gateway := site.start("a")
+		site.eventually("configuration in force", func() bool { return gateway.routes.Load().Version == 2 })
+		info, _ := gateway.replicas.Get(silent.ID)
+		info.Born = 2000
+		gateway.listReplica(info, 1, false)
+		silent.Behave(func(number int) standin.Behaviour {
+			if number > 1 {
+				return standin.Whole
+			}
+			// The clock of its machine has stepped back.
+			info.Born = 1000
+			time.AfterFunc(50*time.Millisecond, func() { gateway.listReplica(info, 2, false) })
+			return standin.Silent
+		})
+		began := time.Now()
+		status, body, _ := site.call(gateway, http.MethodPost, "/"+prefix+"/x", "q-"+prefix, nil)
+		if status != want || time.Since(began) > restartNoticed {
+			t.Errorf("%s: status %d after %v, %q", prefix, status, time.Since(began), body)
+		}
+		if want == http.StatusOK && strings.Count(body, "data:") != siteEvents {
+			t.Errorf("%s: got %q", prefix, body)
+		}
+		if runs := len(silent.Runs()); want != http.StatusOK && runs != 1 {
+			t.Errorf("%s: ran %d times", prefix, runs)
+		}
+	}
+}
+
+// TestCore_CountsAndLogsStarts: once for each, and not for entries that change otherwise.
+func TestCore_CountsAndLogsStarts(t *testing.T) {
+	var log bytes.Buffer
+	c := testCore()
+	c.sampled = zerolog.New(&log)
+	info := replica.Info{ID: "r", Pool: "llm", Address: "a", Slots: 4, Born: 3000}
+	c.listReplica(info, 1, false)
+	c.replicas.Begin("r", replica.Ask{Batch: true}, time.Now())
+	c.replicas.Begin("r", replica.Ask{}, time.Now())
+	for version, born := range []int64{3000, 1000, 1000, 0, 1000, 2000} {
+		info.Born = born
+		c.listReplica(info, uint64(2+version), false)
+	}
+	if got := counterOf(t, c.metrics, "wheelhoist_gateway_replica_restarts_total"); got != 2 {
+		t.Errorf("%v starts are counted, not 2", got)
+	}
+	lines := strings.Count(log.String(), "replica started again")
+	if lines != 2 || !strings.Contains(log.String(), `"born":1000,"born_before":3000,"open":2,"items":1,"moved":0`) {
+		t.Errorf("logged: %s", log.String())
+	}
+}
+
+// counterOf returns the value of a counter without labels.
+func counterOf(t *testing.T, metrics *coreMetrics, name string) float64 {
+	t.Helper()
+	families, err := metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	t.Fatalf("there is no metric %s", name)
+	return 0
+}
