Who follows a held answer is told when its engine has started again

Cause: a caller that reconnects (own interface) reads the answer that an engine holds; the node counts no request there, so Use.Reborn tells nobody. An engine that starts again does not hold it, and the caller waited on the connection to the one before.

Set.Follow tells the address and of the next start, without counting a request; the answer is then broken off with an unknown outcome, as by any end before its last event.

Run: TestReconnect_LeavesAnEngineThatHasStartedAgain on the code as it was: the caller waits until its own 5 s are over. Now it ends at once, 5 times with -race; so does TestFollow_TellsOfAStart.

--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -102,6 +102,9 @@
 			use.replaced()
 		}
 	}
+	for follower := range before.followers {
+		close(follower)
+	}
 	return next, &Restart{Replica: *info, Before: before.info.Born, Open: before.open, Batch: before.batch, Moved: next.open}
 }
 
@@ -111,11 +114,11 @@
 	return use.sent.After(e.unreachableAt) && now.Sub(e.unreachableAt) < unreachableLately
 }
 
-// drop forgets an entry that is not listed any more, unless requests are there. The caller
-// holds mu.
+// drop forgets an entry that is not listed any more, unless answers are awaited there. The
+// caller holds mu.
 func (s *Set) drop(known *entry) {
 	delete(s.entries, known.info.ID)
-	if known.open > 0 {
+	if known.awaited() {
 		s.unlisted[known.info.ID] = known
 	}
 }
@@ -153,6 +156,44 @@
 	return u.reborn
 }
 
+// Follow returns the address of a listed replica, and a channel that is closed once the
+// replica is known to have started again, for those who read an answer there that another
+// node asked for: it is no use of this node. stop must be called; listed is false if the
+// replica is not listed, and the rest nil then.
+func (s *Set) Follow(id string) (address string, reborn <-chan struct{}, stop func(), listed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.entries[id]
+	if !ok {
+		return "", nil, nil, false
+	}
+	follower := make(chan struct{})
+	if known.followers == nil {
+		known.followers = map[chan struct{}]struct{}{}
+	}
+	known.followers[follower] = struct{}{}
+	return known.info.Address, follower, func() { s.unfollow(known, follower) }, true
+}
+
+func (s *Set) unfollow(known *entry, follower chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(known.followers, follower)
+	s.forgetUnused(known)
+}
+
+// forgetUnused forgets an entry that is not listed once nobody waits for an answer there. The
+// caller holds mu.
+func (s *Set) forgetUnused(known *entry) {
+	if id := known.info.ID; !known.awaited() && s.unlisted[id] == known {
+		delete(s.unlisted, id)
+	}
+}
+
+// awaited reports whether anybody here waits for an answer of the replica. The caller holds
+// mu.
+func (e *entry) awaited() bool { return e.open > 0 || len(e.followers) > 0 }
+
 // replaced tells the request that its replica has started again. The caller holds mu.
 func (u *Use) replaced() {
 	u.left = true
@@ -175,9 +216,7 @@
 func (u *Use) detach() {
 	u.count(-1)
 	delete(u.entry.uses, u)
-	if id := u.entry.info.ID; u.entry.open == 0 && u.set.unlisted[id] == u.entry {
-		delete(u.set.unlisted, id)
-	}
+	u.set.forgetUnused(u.entry)
 }
 
 // move counts the request at another entry. The caller holds mu.
--- a/internal/replica/restartuse_test.go
+++ b/internal/replica/restartuse_test.go
@@ -126,6 +126,42 @@
 	}
 }
 
+func TestFollow_TellsOfAStart(t *testing.T) {
+	now := time.Now()
+	set := startedSet(2, now)
+	if _, _, _, listed := set.Follow("other"); listed {
+		t.Error("a replica is followed that is not listed")
+	}
+	address, reborn, stop, _ := set.Follow("r00")
+	_, never, stopNever, _ := set.Follow("r00")
+	stopNever()
+	if known := seen(t, set, "r00", now); address != "r00" || known.Open != 0 {
+		t.Errorf("at %q are requests: %+v", address, known)
+	}
+	// It is not listed for a while.
+	set.Remove("r00", now)
+	set.put(listed(firstBorn), now)
+	select {
+	case <-reborn:
+		t.Error("told of a start that is not known")
+	default:
+	}
+	set.put(listed(secondBorn), now)
+	<-reborn
+	select {
+	case <-never:
+		t.Error("who has stopped to follow is told")
+	default:
+	}
+	stop()
+	_, _, stop, _ = set.Follow("r00")
+	set.Remove("r00", now)
+	stop()
+	if len(set.unlisted) != 0 {
+		t.Errorf("%d entries are kept that nobody follows", len(set.unlisted))
+	}
+}
+
 func TestBeginAt_ReplicaThatHasStartedAgainIsChosenAnew(t *testing.T) {
 	now := time.Now()
 	set := startedSet(2, now)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -63,6 +63,8 @@
 	cold     coldness
 	// uses are the requests there that have not ended.
 	uses map[*Use]struct{}
+	// followers are told when the replica has started again.
+	followers map[chan struct{}]struct{}
 	// unreachableAt is when it last took no connection of this node.
 	unreachableAt time.Time
 	// restartedAt is when it was noticed to have started again under its id; zero if this
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -235,13 +235,24 @@
 		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "Last-Event-ID must be a number", 0)
 		return
 	}
-	address := s.addressOf(replicaID)
-	if address == "" {
+	address, reborn, stop, listed := s.options.Replicas.Follow(replicaID)
+	if !listed {
 		ctx.Header(HeaderExecuted, outcome.Unknown.String())
 		fail(ctx, iris.StatusNotFound, openai.TypeNotFound, "the replica is gone")
 		return
 	}
-	stream, err := s.options.Engines.Resume(ctx.Request().Context(), address, attempt, ctx.Path(), after)
+	defer stop()
+	// An engine that has started again does not have the answer.
+	following, leave := context.WithCancel(ctx.Request().Context())
+	defer leave()
+	go func() {
+		select {
+		case <-reborn:
+			leave()
+		case <-following.Done():
+		}
+	}()
+	stream, err := s.options.Engines.Resume(following, address, attempt, ctx.Path(), after)
 	if err != nil {
 		ctx.Header(HeaderExecuted, outcome.Unknown.String())
 		fail(ctx, iris.StatusNotFound, openai.TypeNotFound, "the answer is no longer held: "+err.Error())
@@ -265,8 +276,3 @@
 		}
 	}
 }
-
-func (s *Server) addressOf(id string) string {
-	known, _ := s.options.Replicas.Get(id)
-	return known.Address
-}
--- /dev/null
+++ b/internal/server/reconnect_test.go
@@ -0,0 +1,63 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// TestReconnect_LeavesAnEngineThatHasStartedAgain: it does not have the answer, and the
+// connection to the one before may stay open without a word.
+func TestReconnect_LeavesAnEngineThatHasStartedAgain(t *testing.T) {
+	engineServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, "id: 3\ndata: {}\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer engineServer.Close()
+	set := replica.NewSet()
+	info := replica.Info{ID: "r", Pool: "p", Address: engineServer.URL, Slots: 1, Born: 2000}
+	set.Put(info)
+	s := &Server{options: Options{Replicas: set, Engines: engine.NewClient(nil)}}
+	app := iris.New()
+	app.Post("/", s.reconnect)
+	if err := app.Build(); err != nil {
+		t.Fatal(err)
+	}
+	front := httptest.NewServer(app)
+	defer front.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, front.URL, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(engine.HeaderAttempt, "a@r")
+	request.Header.Set(engine.HeaderLastEventID, "2")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body := bufio.NewReader(answer.Body)
+	if line, err := body.ReadString('\n'); err != nil || line != "id: 3\n" {
+		t.Fatalf("the caller got %q, %v", line, err)
+	}
+	info.Born = 1000
+	set.Put(info)
+	rest, err := io.ReadAll(body)
+	if err != nil || bytes.Contains(rest, []byte("[DONE]")) {
+		t.Errorf("the caller got %q, %v", rest, err)
+	}
+}
