--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,9 @@
 	ErrSilent = errors.New("replica is silent")
 	// ErrRestarted reports that a replica has started again since the request was sent.
 	ErrRestarted = errors.New("replica has started again since")
+	// ErrStalled reports that nothing came of one answer for too long, while the replica
+	// may answer others: its connection may be dead.
+	ErrStalled = errors.New("answer stalled")
 )
 
 // Request is an opaque request of a route.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -343,13 +343,13 @@
 }
 
 // givenUp replaces an error that comes of this side's own giving up of an attempt. One that
-// says that the attempt did not run stands.
+// was left for a restart and surely did not run is reported as it is.
 func givenUp(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(cause, ErrSilent), errors.Is(cause, ErrRestarted) && outcome.Of(err) != outcome.NotDone:
+	case errors.Is(cause, ErrSilent), errors.Is(cause, ErrStalled), errors.Is(cause, ErrRestarted) && outcome.Of(err) != outcome.NotDone:
 		return outcome.Undecided(cause)
 	default:
 		return err
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -32,7 +32,12 @@
 	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
 		return false
 	}
-	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent) || errors.Is(err, ErrRestarted)
+	for _, loss := range []error{ErrBroken, ErrSilent, ErrStalled, ErrRestarted} {
+		if errors.Is(err, loss) {
+			return true
+		}
+	}
+	return false
 }
 
 // quarantined returns the error of a request whose work must not be sent.
