Question for a place at a cold replica: Born has the key 4

TestColdDesk_GrantsNoPlaceAtAnotherStart and TestGateway_ColdReplicaServesAllNodesWithinItsRate pass.

--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -21,7 +21,7 @@
 	Replica string `cbor:"2,keyasint"`
 	// Born tells which start of the replica the sender knows of; absent if it does not know,
 	// and in what earlier versions of the program ask.
-	Born int64 `cbor:"3,keyasint,omitempty"`
+	Born int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // coldAnswer grants the place, or does not.
