Rows that cannot be read no longer stop a feed; entries of other writers name no replica

Cause: Feed.changes and Rows.list returned an error for the whole answer when the value of one row could not be decoded, so one damaged row of the product's own stopped the feed of jobs, members and quarantine at every node for good. conflict() then named no rows, and a writer tried again for ever without a word. DecodeReplica took entries with fields missing, without an address or slots, and with slots that would keep the division of slots busy for hours.

Ruled out: leaving damaged rows out of an answer. A whole read that lacks a row takes it for removed, so a damaged job row would drop a job that is known. They are handed on with key and version and say why they cannot be read.

TestDecodeReplica_ColdLeft keeps its cases in whole entries, for the bare ones are refused now.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -45,6 +45,9 @@
 	Operation string
 	// Body is opaque to the service.
 	Body []byte
+	// Unreadable says why the stored value cannot be read; nil if it can. The row is there
+	// all the same: Key and Version hold, Body and Operation are empty.
+	Unreadable error
 }
 
 // WriteKind says what a Write does when its condition holds.
