Damaged rows of jobs end in a bounded way: no spin, no panic, no lost quota

Cause, by the tests on the code before: - Service.update met a progress row that it could not decode in a conflict, took it for news and tried again at once, also beyond its context: one write never came back (test killed after 100 s), 92,923 log lines in a second. - A progress row that decodes and names an item that is not there (or a job row with such a node) made every node panic: index out of range. - A damaged counter refused all jobs of its shard until somebody put it right. - A content that could not be read was read again each 100 ms without a word, and its items were never listed, also not as expired. - A damaged result hid the results before it; a damaged job row answered a resubmission with a promise that it never runs.

A job whose progress cannot be read rests: what is known of it is still read, nothing of it is sent or listed, an end or a claim answers ErrUnreadable at once, and it goes on when a readable row comes. A counter is written anew, under the condition of the damaged version and with the counters of all shards, once the feed has brought all jobs that it counted. Items without a content expire when their time comes. A resubmission that meets rows it cannot read is undecided.

Ruled out: writing a progress row anew from the earlier version that is known. It may have been ended, or list results that this node has not heard of, and nothing else tells which items these were.

--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -172,6 +172,8 @@
 			continue
 		case errors.Is(err, ErrQuota), errors.Is(err, ErrSuperseded):
 			return err
+		case errors.Is(err, ErrUnreadable):
+			return s.undecided(try, err)
 		case errors.Is(err, table.ErrConflict):
 			pause = try.conflictPause()
 		default:
@@ -195,10 +197,18 @@
 }
 
 func (s *Service) unadmitted(try *admission, err error) error {
-	final := errors.Join(ErrNotAccepted, err)
 	if try.pending {
-		final = errors.Join(ErrUndecided, err)
+		return s.undecided(try, err)
 	}
+	return s.refused(try, errors.Join(ErrNotAccepted, err))
+}
+
+// undecided says that the job may have been accepted.
+func (s *Service) undecided(try *admission, err error) error {
+	return s.refused(try, errors.Join(ErrUndecided, err))
+}
+
+func (s *Service) refused(try *admission, final error) error {
 	s.Events.Refused(try.submission.ID, 0, try.submission.tokens(), try.submission.Quota, final)
 	return Error.Wrap(final)
 }
@@ -322,7 +332,7 @@
 	}
 	s.learn(err)
 	if _, accepted := conflict.Row(jobKey(try.submission.ID)); accepted {
-		return err
+		return s.standing(try.submission.ID, err)
 	}
 	if try.submission.broken(conflict) {
 		return Error.Wrap(outcome.Failed(ErrSuperseded))
@@ -334,6 +344,15 @@
 	return err
 }
 
+// standing returns the error of a try that met the job's rows. If they cannot be read the
+// next try would meet them again: the job may have been accepted before, and nobody can tell.
+func (s *Service) standing(id string, err error) error {
+	if s.View.Get(id) == nil {
+		return Error.Wrap(outcome.Failed(ErrUnreadable))
+	}
+	return err
+}
+
 // broken reports whether a conflict is about one of the guards.
 func (s *Submission) broken(conflict *table.ConflictError) bool {
 	for _, guard := range s.Guards {
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -102,11 +102,24 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if errors.Is(err, ErrUnreadable) {
+		// Nothing can be listed. When the job can be read again, its items are loaded anew.
+		r.drop(owned)
+		return
+	}
 	for _, one := range batch {
 		one.state = taskListed
 	}
 }
 
+// drop ends the work on a job at this node. The caller holds mu.
+func (r *Runner) drop(owned *work) {
+	owned.cancel()
+	if r.owned[owned.job.ID] == owned {
+		delete(r.owned, owned.job.ID)
+	}
+}
+
 // list gives items their positions and texts in one transaction.
 func (s *Service) list(ctx context.Context, job *Job, batch []*task) error {
 	rows := make([][]byte, len(batch))
@@ -189,10 +202,16 @@
 			break
 		}
 		var index int
-		var text storedResult
-		if _, err := fmt.Sscanf(number, "%d", &index); err != nil || decode(row.Body, &text) != nil {
+		if _, err := fmt.Sscanf(number, "%d", &index); err != nil {
+			s.View.Unreadable.Report(row.Refuse(table.Content, err))
 			continue
 		}
+		var text storedResult
+		if err := row.Decode(&text); err != nil {
+			// The item begins anew, and its next text is written over this one.
+			s.View.Unreadable.Report(err)
+			text = storedResult{}
+		}
 		text.version = row.Version
 		kept[index] = text
 	}
--- a/internal/jobs/content.go
+++ b/internal/jobs/content.go
@@ -1,9 +1,10 @@
 package jobs
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -64,19 +65,52 @@
 	if ok {
 		return items, nil
 	}
-	body, err := s.readContent(ctx, job)
+	content, err := s.readContent(ctx, job)
 	if err != nil {
+		return nil, s.unreadable(err)
+	}
+	items, err = decodeContent(job, content)
+	return items, s.unreadable(err)
+}
+
+// unreadable reports what cannot be read, and marks it for callers: the store answers, but
+// asking again will not help.
+func (s *Service) unreadable(err error) error {
+	if found := (*table.UnreadableError)(nil); !errors.As(err, &found) {
+		return err
+	}
+	s.View.Unreadable.Report(err)
+	return Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable, err))
+}
+
+// decodeContent reads the items of a job. They are the ones that its row names.
+func decodeContent(job *Job, content *table.Row) ([]Item, error) {
+	var items []Item
+	if err := content.Decode(&items); err != nil {
 		return nil, err
 	}
-	return items, decode(body, &items)
+	same := func(item Item, head ItemHead) bool { return item.ID == head.ID }
+	if !slices.EqualFunc(items, job.Items, same) {
+		return nil, content.Refuse(table.Content, errOtherItems)
+	}
+	return items, nil
 }
 
+// objectPartition stands for the partition of what is not in a row, in reports.
+const objectPartition = "objects"
+
+var (
+	errOtherItems = errors.New("the content has other items than the job")
+	errChunkGone  = errors.New("rows of the content are missing")
+)
+
 // Items returns the items of a job.
 func (s *Service) Items(ctx context.Context, job *Job) ([]Item, error) { return s.content(ctx, job) }
 
-func (s *Service) readContent(ctx context.Context, job *Job) ([]byte, error) {
+// readContent reads the encoded items of a job, as the body of a row.
+func (s *Service) readContent(ctx context.Context, job *Job) (*table.Row, error) {
 	if job.Chunks == 0 {
-		return s.getObject(ctx, contentKey(job.ID))
+		return s.namedObject(ctx, contentKey(job.ID))
 	}
 	var rows []table.Row
 	err := repeat(ctx, slowCallTimeout, func(callCtx context.Context) (err error) {
@@ -89,17 +123,21 @@
 	return joinChunks(job, rows)
 }
 
-func joinChunks(job *Job, rows []table.Row) ([]byte, error) {
-	var content bytes.Buffer
-	for number, row := range rows {
-		if row.Key == chunkKey(job.ID, number) {
-			content.Write(row.Body)
+// joinChunks joins the rows of a content into one, which has the key and version of the last.
+func joinChunks(job *Job, rows []table.Row) (*table.Row, error) {
+	content := &table.Row{Key: chunkKey(job.ID, 0)}
+	for number := range job.Chunks {
+		if number >= len(rows) || rows[number].Key != chunkKey(job.ID, number) {
+			return nil, content.Refuse(table.Content, errChunkGone)
 		}
+		row := rows[number]
+		if row.Unreadable != nil {
+			return nil, row.Refuse(table.Envelope, row.Unreadable)
+		}
+		content.Key, content.Version = row.Key, row.Version
+		content.Body = append(content.Body, row.Body...)
 	}
-	if len(rows) != job.Chunks {
-		return nil, Error.New("job %s has %d of %d chunks of content", job.ID, len(rows), job.Chunks)
-	}
-	return content.Bytes(), nil
+	return content, nil
 }
 
 // remember keeps the items of a job that this node runs.
@@ -121,6 +159,18 @@
 	delete(s.contents, id)
 }
 
+// namedObject reads an object that a row names, as the body of a row. It is there as long as
+// that row is, so a missing one is lost.
+func (s *Service) namedObject(ctx context.Context, name string) (*table.Row, error) {
+	row := &table.Row{Key: table.Key{Partition: objectPartition, Sort: name}}
+	body, err := s.getObject(ctx, name)
+	if notFound(err) {
+		return nil, row.Refuse(table.Content, err)
+	}
+	row.Body = body
+	return row, err
+}
+
 func (s *Service) getObject(ctx context.Context, key string) (body []byte, err error) {
 	err = repeat(ctx, objectTimeout, func(callCtx context.Context) error {
 		body, err = object.ReadAll(callCtx, s.Objects, key)
--- a/internal/jobs/expire.go
+++ b/internal/jobs/expire.go
@@ -59,7 +59,8 @@
 func (r *Runner) outdated(keep time.Duration) []*Entry {
 	var outdated []*Entry
 	for _, entry := range r.Service.View.All() {
-		if !entry.open() && r.Service.View.until(entry.Job.Created+keep+sweepMargin) < 0 {
+		lost := r.Service.View.Lost(entry.Job.ID)
+		if !lost && !entry.open() && r.Service.View.until(entry.Job.Created+keep+sweepMargin) < 0 {
 			outdated = append(outdated, entry)
 		}
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -45,6 +45,9 @@
 	ErrTaken = errors.New("another tenant has a job with this id")
 	// ErrUnavailable reports that the store did not answer in time.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrUnreadable reports that what the store holds of a job cannot be read. It stays
+	// as it is until a row comes that can be read.
+	ErrUnreadable = errors.New("what is stored of the job cannot be read")
 	// ErrInvalid reports a submission that can never be accepted.
 	ErrInvalid = errors.New("invalid job")
 )
--- a/internal/jobs/quota.go
+++ b/internal/jobs/quota.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"strings"
+
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -65,6 +67,27 @@
 	settled int64
 }
 
+// rebuild takes in that the feed has come to a counter row that cannot be read. All jobs that
+// were accepted under earlier versions have come too, so the tokens in use are known from
+// them, and the next acceptance writes the counter anew over that version. It changes the
+// counters of all shards, for nobody can tell what this one said of the quota. Not by a
+// conflict: one may show the row before the feed brings the jobs. The caller holds mu.
+func (v *View) rebuild(change table.Change) {
+	known := v.counters[change.Key]
+	if change.Removed || !strings.HasPrefix(change.Sort, prefixCounter) || change.Version <= known.version {
+		return
+	}
+	known.Accepted = max(known.Accepted, known.settled)
+	for id, job := range v.jobs {
+		if counterKey(job.account(), shardOf(id)) == change.Key {
+			known.Accepted = max(known.Accepted, job.Accepted)
+		}
+	}
+	known.Quota, known.Joint = 0, true
+	known.settled, known.version = known.Accepted, change.Version
+	v.counters[change.Key] = known
+}
+
 // usage is what a node knows of the quota in use in one shard.
 type usage struct {
 	counter
@@ -80,7 +103,7 @@
 	var all [shards]usage
 	for shard := range all {
 		known := v.counters[counterKey(of, shardName(shard))]
-		all[shard] = usage{counter: known.counter, version: known.version, used: known.Accepted - known.settled}
+		all[shard] = usage{counter: known.counter, version: known.version, used: max(0, known.Accepted-known.settled)}
 	}
 	for id, entry := range v.progress {
 		if entry.Job.account() != of {
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -132,24 +132,29 @@
 		if row.Key != resultKey(id, position+i) {
 			break
 		}
-		if err := s.cacheRow(ctx, cache, id, position+i, row.Body); err != nil {
+		err := s.cacheRow(ctx, cache, id, position+i, row)
+		if err != nil && i > 0 {
+			// The results before it can be read.
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Service) cacheRow(ctx context.Context, cache *textCache, id string, position int, body []byte) error {
+func (s *Service) cacheRow(ctx context.Context, cache *textCache, id string, position int, row table.Row) error {
 	var stored storedResult
-	if err := decode(body, &stored); err != nil {
-		return err
+	if err := row.Decode(&stored); err != nil {
+		return s.unreadable(err)
 	}
 	if stored.Object != "" {
-		text, err := s.getObject(ctx, stored.Object)
+		text, err := s.namedObject(ctx, stored.Object)
 		if err != nil {
-			return err
+			return s.unreadable(err)
 		}
-		stored.Text = string(text)
+		stored.Text = string(text.Body)
 	}
 	cache.put(id, position, keptText{text: stored.Text, reason: stored.Reason})
 	return nil
--- a/internal/jobs/remove.go
+++ b/internal/jobs/remove.go
@@ -50,7 +50,7 @@
 			}
 			writes = append(writes, table.Write{Key: row.Key, Kind: table.Delete, Expect: row.Version})
 			var stored storedResult
-			if decode(row.Body, &stored) == nil && stored.Object != "" {
+			if row.Decode(&stored) == nil && stored.Object != "" {
 				s.dropObject(ctx, stored.Object)
 			}
 		}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -100,6 +100,10 @@
 		if entry == nil {
 			return Error.Wrap(ErrNotFound)
 		}
+		if s.View.Lost(id) {
+			// No version of the row is known that a change could follow on.
+			return Error.Wrap(outcome.Failed(ErrUnreadable))
+		}
 		next := entry.Progress.clone()
 		more, needed := change(next)
 		if !needed {
@@ -114,7 +118,7 @@
 			s.resolved(operation, attempts, nil)
 			return nil
 		}
-		if s.learn(err) {
+		if s.learn(err) && s.moved(entry) {
 			continue
 		}
 		if !retry.Sleep(ctx, delay) {
@@ -141,6 +145,13 @@
 	return nil
 }
 
+// moved reports whether something else is known of a job than an entry says. If not, the
+// same change would meet the same conflict at once.
+func (s *Service) moved(entry *Entry) bool {
+	known := s.View.Get(entry.Job.ID)
+	return known == nil || known.Version != entry.Version || s.View.Lost(entry.Job.ID)
+}
+
 // learn takes in the rows of a conflict. It reports whether there were any.
 func (s *Service) learn(err error) bool {
 	var conflict *table.ConflictError
@@ -204,17 +215,25 @@
 	if entry := s.View.Get(id); entry != nil && s.View.Known() {
 		return entry, nil
 	}
-	for _, key := range []table.Key{jobKey(id), progressKey(id)} {
-		row, err := s.getRow(ctx, key)
-		if err != nil {
-			return nil, err
-		}
-		s.View.Put(row)
+	row, err := s.getRow(ctx, jobKey(id))
+	if err != nil {
+		return nil, err
+	}
+	s.View.Put(row)
+	row, err = s.getRow(ctx, progressKey(id))
+	if errors.Is(err, ErrNotFound) {
+		// One transaction writes both, so half of the job is lost.
+		return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
+	}
+	if err != nil {
+		return nil, err
 	}
+	s.View.Put(row)
 	if entry := s.View.Get(id); entry != nil {
 		return entry, nil
 	}
-	return nil, Error.Wrap(ErrUnavailable)
+	// A row that is there cannot be read: nobody can be sure of the job.
+	return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
 }
 
 func (s *Service) getRow(ctx context.Context, key table.Key) (row table.Row, err error) {
--- /dev/null
+++ b/internal/jobs/unreadable_test.go
@@ -0,0 +1,307 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// toldRows counts the reports of rows that cannot be read.
+type toldRows struct {
+	mu   sync.Mutex
+	told map[table.Key]int
+}
+
+func (r *toldRows) count(key table.Key) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.told[key]
+}
+
+// tellTo has a view report to r.
+func (r *toldRows) tellTo(view *View) {
+	r.told = map[table.Key]int{}
+	view.Unreadable = &table.Unreadable{Tell: func(found *table.UnreadableError) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.told[found.Key]++
+	}}
+}
+
+// startTold starts a node whose reports are counted.
+func startTold(t *testing.T, shared *tabletest.Table, session string) (*testNode, *toldRows) {
+	t.Helper()
+	told := &toldRows{}
+	view := NewView()
+	told.tellTo(view)
+	service := &Service{
+		Table: shared, Objects: &objecttest.Store{}, View: view, Events: quietEvents{},
+		Session: func(context.Context) (string, error) { return session, nil },
+	}
+	tabletest.Follow(t, table.NewWatcher(shared.Feed(Group), view.Apply))
+	return &testNode{Service: service, session: session}, told
+}
+
+// overwrite puts a body into a row as another writer does, and returns the row before.
+func overwrite(t *testing.T, shared *tabletest.Table, key table.Key, body []byte) table.Row {
+	t.Helper()
+	for {
+		before, err := shared.Get(t.Context(), key)
+		if err != nil && !errors.Is(err, table.ErrNotFound) {
+			t.Fatal(err)
+		}
+		_, err = shared.Commit(t.Context(), "other", table.Write{Key: key, Expect: before.Version, Body: body})
+		if err == nil {
+			return before
+		}
+	}
+}
+
+var damage = []byte("\xff not a row of ours")
+
+// TestUpdate_ADamagedProgressRowEndsAWriteAtOnce has a writer meet a row that it cannot read:
+// it must not try again for ever, and what was known before stays.
+func TestUpdate_ADamagedProgressRowEndsAWriteAtOnce(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 2)); err != nil {
+		t.Fatal(err)
+	}
+	before := overwrite(t, shared, progressKey("j"), damage)
+	var commits atomic.Int64
+	shared.CommitFault = func([]table.Write) tabletest.Fault {
+		commits.Add(1)
+		return tabletest.None
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	for range 3 {
+		if err := node.End(ctx, "j"); !errors.Is(err, ErrUnreadable) || ctx.Err() != nil {
+			t.Fatalf("end: %v", err)
+		}
+	}
+	if commits.Load() > 1 || told.count(progressKey("j")) != 1 {
+		t.Errorf("%d commits, told %d times", commits.Load(), told.count(progressKey("j")))
+	}
+	if reading, err := node.Read(t.Context(), "j", 0, 0); err != nil || reading.Total != 2 {
+		t.Errorf("reading is %+v, %v", reading, err)
+	}
+	overwrite(t, shared, progressKey("j"), before.Body)
+	eventually(t, func() bool { return !node.View.Lost("j") })
+	if err := node.End(t.Context(), "j"); err != nil {
+		t.Errorf("end of a readable job: %v", err)
+	}
+}
+
+// TestRunner_AJobRestsWhileItsProgressCannotBeRead damages the row of one job of two: the
+// other is done, and the first once its row can be read again.
+func TestRunner_AJobRestsWhileItsProgressCannotBeRead(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	// damaged is set once the row is damaged; nothing ends before.
+	damaged := make(chan struct{})
+	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
+		<-damaged
+		return answerOf(http.StatusOK, events(1, 3)), nil
+	}}
+	for _, id := range []string{"spoilt", "sound"} {
+		if err := node.Submit(t.Context(), submission(id, 3)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	startRunner(t, node, backend)
+	eventually(t, func() bool { return backend.attempts() == 6 })
+	before := overwrite(t, shared, progressKey("spoilt"), damage)
+	close(damaged)
+	readAll(t, node, "sound")
+	time.Sleep(5 * tick)
+	sent := backend.attempts()
+	time.Sleep(5 * tick)
+	if backend.attempts() != sent {
+		t.Errorf("items of the damaged job are sent: %d, then %d", sent, backend.attempts())
+	}
+	if told.count(progressKey("spoilt")) != 1 {
+		t.Errorf("told %d times", told.count(progressKey("spoilt")))
+	}
+	overwrite(t, shared, progressKey("spoilt"), before.Body)
+	if results := readAll(t, node, "spoilt"); len(results) != 3 {
+		t.Errorf("%d results", len(results))
+	}
+}
+
+// TestSubmit_ADamagedJobRowIsUndecided submits a job again whose row cannot be read. Nobody
+// may say that it never runs, and the caller is told before its patience ends.
+func TestSubmit_ADamagedJobRowIsUndecided(t *testing.T) {
+	shared := tabletest.New()
+	overwrite(t, shared, jobKey("j"), damage)
+	node, told := startTold(t, shared, "a#1")
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	for range 2 {
+		if err := node.Submit(ctx, submission("j", 1)); !errors.Is(err, ErrUndecided) || ctx.Err() != nil {
+			t.Fatalf("submitted: %v", err)
+		}
+		if _, err := node.Read(ctx, "j", 0, 0); err == nil || errors.Is(err, ErrNotFound) {
+			t.Fatalf("read: %v", err)
+		}
+	}
+	if told.count(jobKey("j")) != 1 {
+		t.Errorf("told %d times", told.count(jobKey("j")))
+	}
+	if err := node.Submit(t.Context(), submission("other", 1)); err != nil {
+		t.Errorf("another job: %v", err)
+	}
+}
+
+// TestSubmit_ADamagedCounterIsWrittenAnew damages the counter of each shard of an account:
+// jobs are accepted all the same, and no more of them than fit.
+func TestSubmit_ADamagedCounterIsWrittenAnew(t *testing.T) {
+	shared := tabletest.New()
+	node, _ := startTold(t, shared, "a#1")
+	submit := func(id string) error {
+		asked := submission(id, 1)
+		asked.Quota = 500
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		return node.Submit(ctx, asked)
+	}
+	for _, id := range []string{"a", "b"} {
+		if err := submit(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	of := account{route: "batch"}
+	for shard := range shards {
+		overwrite(t, shared, counterKey(of, shardName(shard)), damage)
+	}
+	for _, id := range []string{"c", "d", "e"} {
+		if err := submit(id); err != nil {
+			t.Fatalf("job %s: %v", id, err)
+		}
+	}
+	if used := node.View.used(of); used != 500 {
+		t.Errorf("%d tokens are in use, want 500", used)
+	}
+	if err := submit("f"); !errors.Is(err, ErrQuota) {
+		t.Errorf("one more: %v", err)
+	}
+}
+
+// TestRunner_ItemsWithoutAContentExpire damages the content of a job: its items can only be
+// given up, when the time for that has come.
+func TestRunner_ItemsWithoutAContentExpire(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	asked := submission("j", 2)
+	asked.Retention = time.Second
+	if err := node.Submit(t.Context(), asked); err != nil {
+		t.Fatal(err)
+	}
+	node.forget("j")
+	overwrite(t, shared, chunkKey("j", 0), damage)
+	backend := &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
+		return answerOf(http.StatusOK, events(1, 3)), nil
+	}}
+	if _, err := node.Body(t.Context(), "j", "j-0"); err == nil || errors.Is(err, ErrNotFound) {
+		t.Errorf("body: %v", err)
+	}
+	startRunner(t, node, backend)
+	for _, result := range readAll(t, node, "j") {
+		if !result.Dead || result.Reason != Expired {
+			t.Errorf("result is %+v", result)
+		}
+	}
+	if backend.attempts() != 0 || told.count(chunkKey("j", 0)) != 1 {
+		t.Errorf("%d attempts, told %d times", backend.attempts(), told.count(chunkKey("j", 0)))
+	}
+}
+
+// TestRead_ADamagedResultLeavesTheOnesBefore damages the second result of three.
+func TestRead_ADamagedResultLeavesTheOnesBefore(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 3)); err != nil {
+		t.Fatal(err)
+	}
+	entry := node.View.Get("j")
+	var done []*task
+	for index := range 3 {
+		done = append(done, &task{work: &work{job: entry.Job}, index: index, text: []byte("text")})
+	}
+	if err := node.list(t.Context(), entry.Job, done); err != nil {
+		t.Fatal(err)
+	}
+	overwrite(t, shared, resultKey("j", 1), damage)
+	for range 3 {
+		if reading, err := node.Read(t.Context(), "j", 0, 0); err != nil || len(reading.Results) != 1 {
+			t.Fatalf("from the start: %+v, %v", reading, err)
+		}
+		if _, err := node.Read(t.Context(), "j", 1, 0); !errors.Is(err, ErrUnavailable) {
+			t.Fatalf("at the damaged one: %v", err)
+		}
+	}
+	if reading, err := node.Read(t.Context(), "j", 2, 0); err != nil || len(reading.Results) != 1 {
+		t.Fatalf("behind it: %+v, %v", reading, err)
+	}
+	if told.count(resultKey("j", 1)) != 1 {
+		t.Errorf("told %d times", told.count(resultKey("j", 1)))
+	}
+}
+
+// FuzzView has any body of any row leave a view that can be used.
+func FuzzView(f *testing.F) {
+	job := &Job{ID: "j", Items: []ItemHead{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2, Node: 1}}, Nodes: []string{"n", "m"}, Regions: []string{"x", "y"}}
+	f.Add(encode(job), encode(Progress{Listed: []Listed{{Item: 1}}, Moved: map[int]string{0: "m"}}), encode(counter{Accepted: 3, Quota: 9}))
+	f.Add(encode(job), encode(Progress{Listed: []Listed{{Item: 7}}}), encode(counter{Accepted: -3}))
+	f.Add(encode(Job{ID: "j", Items: []ItemHead{{ID: "a", Node: 4}}}), []byte{}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, job, progress, count []byte) {
+		view := NewView()
+		of := account{route: "batch"}
+		view.Apply(table.Changes{Changes: []table.Change{
+			{Row: table.Row{Key: counterKey(of, shardOf("j")), Version: 1, Body: count}},
+			{Row: table.Row{Key: jobKey("j"), Version: 2, Body: job}},
+			{Row: table.Row{Key: progressKey("j"), Version: 3, Body: progress}},
+		}}, true)
+		for _, entry := range view.All() {
+			entry.runners()
+			entry.own("n#1")
+			entry.remaining()
+			entry.Progress.clone()
+			for item := range entry.Job.Items {
+				entry.region(item)
+			}
+		}
+		if used := view.used(of); used < 0 {
+			t.Fatalf("%d tokens in use", used)
+		}
+		if entry := view.Get("j"); entry == nil && len(view.Open()) > 0 {
+			t.Fatal("a job is open that is not known")
+		}
+	})
+}
+
+// FuzzDecodeContent takes no content whose items are not those of the job.
+func FuzzDecodeContent(f *testing.F) {
+	job := &Job{ID: "j", Items: []ItemHead{{ID: "a"}, {ID: "b"}}}
+	f.Add(encode([]Item{{ID: "a"}, {ID: "b"}}))
+	f.Add(encode([]Item{{ID: "a"}}))
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		items, err := decodeContent(job, &table.Row{Body: body})
+		if err == nil && (len(items) != 2 || items[0].ID != "a" || items[1].ID != "b") {
+			t.Fatalf("items are %+v", items)
+		}
+		if found := (*table.UnreadableError)(nil); err != nil && !errors.As(err, &found) {
+			t.Fatalf("refused as %v", err)
+		}
+	})
+}
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -41,8 +41,8 @@
 // View is a node's picture of all jobs, fed by the table's feed and by this
 // node's own writes. It never steps back. It is safe for concurrent use.
 type View struct {
-	// Malformed, if set, is told of rows that cannot be decoded; they are passed over.
-	Malformed func(key table.Key, err error)
+	// Unreadable, if set, is told of rows that cannot be read; they are passed over.
+	Unreadable *table.Unreadable
 
 	mu       sync.Mutex
 	jobs     map[string]*Job
@@ -54,13 +54,16 @@
 	changed  chan struct{}
 	// early holds progress rows whose job row has not come yet.
 	early map[string]table.Row
+	// lost holds the versions of progress rows that are newer than what is known of their
+	// jobs and cannot be read.
+	lost map[string]uint64
 }
 
 // NewView returns a view that has seen nothing.
 func NewView() *View {
 	return &View{
 		jobs: map[string]*Job{}, progress: map[string]*Entry{}, counters: map[table.Key]knownCounter{},
-		changed: make(chan struct{}), early: map[string]table.Row{},
+		changed: make(chan struct{}), early: map[string]table.Row{}, lost: map[string]uint64{},
 	}
 }
 
@@ -76,6 +79,9 @@
 		v.put(change.Row)
 		v.settle(change.Row)
 	}
+	for _, change := range changes.Changes {
+		v.rebuild(change)
+	}
 	v.storeNow, v.readAt = changes.Now, clock.Now()
 	v.wake()
 }
@@ -108,7 +114,7 @@
 // putCounter takes in a counter row.
 func (v *View) putCounter(row table.Row) {
 	var next counter
-	if !v.decode(row, &next) {
+	if !v.decode(row, &next, func() error { return next.check() }) {
 		return
 	}
 	known := v.counters[row.Key]
@@ -121,22 +127,32 @@
 // settle notes that the feed has come to a counter row: all jobs that are counted
 // in it have come too.
 func (v *View) settle(row table.Row) {
+	if !strings.HasPrefix(row.Sort, prefixCounter) {
+		return
+	}
 	var reached counter
-	if !strings.HasPrefix(row.Sort, prefixCounter) || !v.decode(row, &reached) {
+	if !v.decode(row, &reached, func() error { return reached.check() }) {
 		return
 	}
 	known := v.counters[row.Key]
-	known.settled = max(known.settled, reached.Accepted)
+	// One that was written anew after it could not be read may be lower than before.
+	known.settled = reached.Accepted
 	v.counters[row.Key] = known
 }
 
-// decode reads the body of a row. It reports whether that is possible.
-func (v *View) decode(row table.Row, record any) bool {
-	err := decode(row.Body, record)
-	if err != nil && v.Malformed != nil {
-		v.Malformed(row.Key, err)
+// decode reads the body of a row and checks what it says. It reports whether that is
+// possible.
+func (v *View) decode(row table.Row, record any, check func() error) bool {
+	err := row.Decode(record)
+	if err != nil {
+		v.Unreadable.Report(err)
+		return false
+	}
+	if err := check(); err != nil {
+		v.Unreadable.Report(row.Refuse(table.Content, err))
+		return false
 	}
-	return err == nil
+	return true
 }
 
 func (v *View) putJob(id string, row table.Row) {
@@ -144,7 +160,7 @@
 		return
 	}
 	job := &Job{}
-	if !v.decode(row, job) {
+	if !v.decode(row, job, func() error { return job.check(id) }) {
 		return
 	}
 	job.version = row.Version
@@ -167,9 +183,13 @@
 		return
 	}
 	progress := &Progress{}
-	if !v.decode(row, progress) {
+	if !v.decode(row, progress, func() error { return progress.check(len(job.Items)) }) {
+		v.lost[id] = max(v.lost[id], row.Version)
 		return
 	}
+	if row.Version > v.lost[id] {
+		delete(v.lost, id)
+	}
 	v.progress[id] = &Entry{Job: job, Progress: progress, Version: row.Version}
 }
 
@@ -177,6 +197,8 @@
 	if id, ok := strings.CutPrefix(key.Sort, prefixJob); ok {
 		delete(v.jobs, id)
 		delete(v.progress, id)
+		delete(v.early, id)
+		delete(v.lost, id)
 	}
 }
 
@@ -200,13 +222,23 @@
 	return v.progress[id]
 }
 
-// Open returns the jobs that have items to run.
+// Lost reports whether what has become of a job cannot be read: it may have been ended, or
+// results listed that are not known here.
+func (v *View) Lost(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, lost := v.lost[id]
+	return lost
+}
+
+// Open returns the jobs that have items to run. A job whose progress cannot be read rests: it
+// may have been ended, and nothing of it can be listed.
 func (v *View) Open() []*Entry {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var open []*Entry
-	for _, entry := range v.progress {
-		if entry.open() {
+	for id, entry := range v.progress {
+		if _, lost := v.lost[id]; !lost && entry.open() {
 			open = append(open, entry)
 		}
 	}
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
@@ -16,8 +18,10 @@
 	tasks    []*task
 	finished []*task
 	commits  bool
-	// loading is set while items are read from the store.
-	loading bool
+	// loading is set while items are read from the store, notUntil is when that may be
+	// tried again.
+	loading  bool
+	notUntil time.Time
 	// version is that of the progress that the tasks are made of; complete is set
 	// once each item of this node has one.
 	version  uint64
@@ -29,6 +33,10 @@
 	ctx    context.Context
 }
 
+// unreadableRetry is the pause between two looks at a content that cannot be read. It is put
+// right by hand, if at all.
+const unreadableRetry = 5 * time.Second
+
 type taskState int
 
 const (
@@ -120,7 +128,7 @@
 	owned.version = entry.Version
 	missing := owned.assign(own)
 	owned.complete = len(missing) == 0
-	if !owned.complete && !owned.loading {
+	if !owned.complete && !owned.loading && !clock.Now().Before(owned.notUntil) {
 		owned.loading = true
 		go r.load(owned, entry, missing)
 	}
@@ -155,10 +163,17 @@
 // load reads items and makes tasks of them.
 func (r *Runner) load(owned *work, entry *Entry, indexes []int) {
 	items, err := r.Service.content(owned.ctx, entry.Job)
-	if err != nil || len(items) != len(entry.Job.Items) {
-		// The next reconcile tries again.
+	if errors.Is(err, ErrUnreadable) && r.Service.View.until(entry.Job.Expires) < 0 {
+		// They can only be given up, for which it takes no more than their ids.
+		items, err = make([]Item, len(entry.Job.Items)), nil
+	}
+	if err != nil {
+		// A reconcile tries again.
 		r.mu.Lock()
 		owned.loading = false
+		if errors.Is(err, ErrUnreadable) {
+			owned.notUntil = clock.Now().Add(unreadableRetry)
+		}
 		r.mu.Unlock()
 		return
 	}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -81,6 +81,8 @@
 	// lets one in sampleEvery through.
 	sampled zerolog.Logger
 	metrics *coreMetrics
+	// unreadable tells of rows that cannot be read.
+	unreadable table.Unreadable
 
 	places      place.Map
 	evacuations evacuations
@@ -109,6 +111,7 @@
 	c.sampled = log.Sample(&zerolog.BurstSampler{
 		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
 	})
+	c.unreadable.Tell = c.logUnreadable
 	c.replicas.Ejected = c.logEjected
 	c.replicas.Zone = outside.zone
 	c.replicas.EjectedByMany = c.logEjectedByMany
@@ -121,7 +124,7 @@
 	c.owners = outside.sessions(c.session)
 	c.buildQuarantine(outside.table, outside.quarantine)
 	view := jobs.NewView()
-	view.Malformed = c.logMalformed
+	view.Unreadable = &c.unreadable
 	c.jobWatch = c.watch("job table", outside.jobFeed, func(changes table.Changes, whole bool) {
 		// No item is sent by what is known of jobs before what is known of harm.
 		c.harm.rows.Apply(changes, whole)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -46,6 +46,8 @@
 	quarantined, cleared, released prometheus.Counter
 	// refused counts the requests that no replica could take, by what excluded most.
 	refused *prometheus.CounterVec
+	// unreadable counts versions of rows that cannot be read, by table and reason.
+	unreadable *prometheus.CounterVec
 	// predictionError is how far the first event was from its prediction.
 	predictionError prometheus.Histogram
 	// completed counts the completed items, for measurements.
@@ -118,7 +120,10 @@
 	m.served = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_served_total", Help: "Requests served, by how far the replica is from this node.",
 	}, []string{"place"})
-	m.registry.MustRegister(m.quarantined, m.cleared, m.released, m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
+	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
+	}, []string{"table", "reason"})
+	m.registry.MustRegister(m.unreadable, m.quarantined, m.cleared, m.released, m.served, m.ejectedByMany, m.refused, m.gaveWay, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.turned, m.attempts, m.first, m.gap, m.connections,
 		m.storeCalls, m.storeTime, m.droppedLogs)
 	return m
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -150,8 +150,3 @@
 	c.harm.publisher.Clear(quarantine.Clearing{Work: work, At: now})
 	return suspectOf(before, now), true
 }
-
-// logMalformed logs a row that cannot be read.
-func (c *core) logMalformed(key table.Key, err error) {
-	c.log.Error().Str("partition", key.Partition).Str("key", key.Sort).Err(err).Msg("row cannot be decoded")
-}
--- /dev/null
+++ b/internal/node/unreadable.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"errors"
+	"strings"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/platform"
+)
+
+// errNoPool reports a replica of a pool that the configuration does not declare.
+var errNoPool = errors.New("the configuration declares no such pool")
+
+// logUnreadable logs and counts a row that cannot be read.
+func (c *core) logUnreadable(found *table.UnreadableError) {
+	c.countUnreadable(found)
+	c.log.Error().Str("partition", found.Key.Partition).Str("key", found.Key.Sort).Uint64("row_version", found.Version).
+		Str("reason", string(found.Reason)).Err(found.Err).Msg("row cannot be read")
+}
+
+// countUnreadable counts a row that cannot be read, by its table.
+func (c *core) countUnreadable(found *table.UnreadableError) {
+	name, _, _ := strings.Cut(found.Key.Partition, "/")
+	c.metrics.unreadable.WithLabelValues(name, string(found.Reason)).Inc()
+}
+
+// logMalformed logs a row that a reader who sees each version once cannot read.
+func (c *core) logMalformed(key table.Key, err error) {
+	c.logUnreadable(&table.UnreadableError{Key: key, Reason: table.Encoding, Err: err})
+}
+
+// retireReplica takes in that the entry of a replica cannot be read. The replica that was
+// known under the id may be alive, its entry overwritten by another writer: what it runs
+// goes on, and nothing more is sent to it. Its slots are not divided, for no node may use
+// them. It takes requests again when an entry comes that can be read.
+func (c *core) retireReplica(row table.Row, err error) {
+	c.unreadable.Report(row.Refuse(table.Content, err))
+	known, ok := c.replicas.Get(row.Sort)
+	if !ok {
+		return
+	}
+	known.Leaving, known.Slots, known.ColdLeft = true, 0, 0
+	c.replicas.Put(known)
+}
+
+// reportPool reports a replica whose pool is not declared. It is kept, for the declaration
+// may be on its way; no request is routed there.
+func (g *Gateway) reportPool(row table.Row, info replica.Info) {
+	routes := g.routes.Load()
+	if routes == nil || routes.Declares(info.Pool) {
+		return
+	}
+	g.unreadable.Report(row.Refuse(table.Unknown, errNoPool))
+}
+
+// reportPools reports the listed replicas whose pools a new configuration does not declare.
+func (g *Gateway) reportPools() {
+	if g.replicaWatch == nil {
+		return
+	}
+	listed, _ := g.replicaWatch.Held()
+	for _, change := range listed.Changes {
+		if info, err := platform.DecodeReplica(change.Sort, change.Body); err == nil {
+			g.reportPool(change.Row, info)
+		}
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -131,6 +131,8 @@
 	Tenants []*tenant.Tenant
 	// Pools tell what is particular of pools of replicas.
 	Pools []Pool
+	// PoolNames are the pools that are declared, beside those that routes name.
+	PoolNames []string
 }
 
 // Validate reports everything that keeps the configuration from coming into force.
@@ -197,6 +199,8 @@
 	byTenant map[string]*tenant.Tenant
 	// Pools tell what is particular of pools of replicas.
 	Pools []Pool
+	// poolNames holds the pools that are declared or that routes name.
+	poolNames map[string]bool
 }
 
 // NewTable builds the table of a valid configuration.
@@ -204,11 +208,17 @@
 	table := &Table{
 		Version: config.Version, Limits: config.Limits, Keyed: config.Keyed,
 		byHost: map[string][]*Route{}, byName: map[string]*Route{},
-		byTenant: map[string]*tenant.Tenant{}, Pools: config.Pools,
+		byTenant: map[string]*tenant.Tenant{}, Pools: config.Pools, poolNames: map[string]bool{},
+	}
+	for _, name := range config.PoolNames {
+		table.poolNames[name] = true
 	}
 	for _, route := range config.Routes {
 		table.byHost[route.Host] = append(table.byHost[route.Host], route)
 		table.byName[route.Name] = route
+		for _, share := range route.Shares {
+			table.poolNames[share.Pool] = true
+		}
 	}
 	for _, declared := range config.Tenants {
 		table.byTenant[declared.Name] = declared
@@ -259,6 +269,9 @@
 // Tenant returns the tenant with a name, or nil.
 func (t *Table) Tenant(name string) *tenant.Tenant { return t.byTenant[name] }
 
+// Declares reports whether a pool is declared, or a route names it.
+func (t *Table) Declares(pool string) bool { return t.poolNames[pool] }
+
 // Named returns the route with a name, or nil.
 func (t *Table) Named(name string) *Route { return t.byName[name] }
 
