A replica whose entry cannot be read takes nothing more; each such row is told once

Nothing counted them, and a replica of a service that no configuration names was never mentioned.

Decided: what was known under the id ends in order. The replica may be alive, its entry overwritten: requests under way go on (its place in the set, with its counts, stays), nothing new is sent, and its slots are none, so they are not divided. It is back with the next entry that can be read. Ruled out: removing it from the set, which loses the counts of what is under way and, just after an outage of the store, keeps it in use for 2 s.

The product's own list (inventory) is read by the same rule.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -5,6 +5,7 @@
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/batch"
+	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/placement"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/resource"
@@ -126,6 +127,11 @@
 func (n *Node) applyReplicas(changes table.Changes, whole bool) {
 	for _, change := range changes.Changes {
 		listed, ok := n.inventory.Apply(change)
+		if !ok && !change.Removed {
+			_, err := inventory.Decode(change.Row)
+			n.retireReplica(change.Row, err)
+			continue
+		}
 		if !ok {
 			n.dropReplica(change.Sort, change.Version, whole)
 			continue
--- a/internal/node/gatewayviews.go
+++ b/internal/node/gatewayviews.go
@@ -39,14 +39,17 @@
 		}
 		config, err := platform.DecodeConfig(change.Body)
 		if err != nil {
+			g.countUnreadable(change.Refuse(table.Content, err))
 			g.log.Error().Err(err).Uint64("row_version", change.Version).Msg("configuration refused, the last good one stays in force")
 			continue
 		}
 		g.replaceRoutes(config, change.Version)
+		g.reportPools()
 	}
 }
 
-// applyReplicas takes in changes of the list of replicas.
+// applyReplicas takes in changes of the list of replicas. An entry that cannot be read names
+// no replica to use; the others hold.
 func (g *Gateway) applyReplicas(changes table.Changes, whole bool) {
 	for _, change := range changes.Changes {
 		if change.Removed {
@@ -55,9 +58,10 @@
 		}
 		info, err := platform.DecodeReplica(change.Sort, change.Body)
 		if err != nil {
-			g.log.Error().Err(err).Str("replica", change.Sort).Msg("replica entry refused")
+			g.retireReplica(change.Row, err)
 			continue
 		}
+		g.reportPool(change.Row, info)
 		g.listReplica(info, change.Version, whole)
 	}
 	if whole {
