Members, sessions, leases, resources, claims and logs: a row that cannot be read spoils nothing else

Cause, by the tests on the code before: - A member row of another writer made a node ("ghost", "no-session", "") that no session of ever expires: items given to it lie for good, and it has a part of all slots. Now an unreadable row makes no node; a node that is known stays. - Rows in the sessions' partitions that are no session's took the places of the eight neighbours that a node watches (it saw four of these and none of its three neighbours) and each look logged a try to end them (18 in 10 looks). - A lease whose row is damaged was never granted again. It is free now, with an epoch above the row's version, which no epoch before can have reached. - Store.Since counted on revisions without a gap: behind a row that it passed over it left changes out. Writer refused an operator's write over a damaged row; it takes its place now. - A damaged claim answered 503, which promises that the request did not run. - A damaged log row of a polled group stopped its feed; it leads to a whole read now. A DynamoDB item that lacks an attribute failed the list it is in.

Ruled out: taking every member row of which no session is seen as lost. A node sees eight sessions, so it would need reads of its own.

--- a/internal/idempotency/claims.go
+++ b/internal/idempotency/claims.go
@@ -65,6 +65,9 @@
 
 // Store keeps claims in the table service.
 type Store struct {
+	// Unreadable, if set before use, is told of claims that cannot be read.
+	Unreadable *table.Unreadable
+
 	service table.Service
 }
 
@@ -99,8 +102,10 @@
 		return nil, Error.Wrap(outcome.Failed(fmt.Errorf("%w: %w", ErrStoreUnavailable, err)))
 	}
 	earlier := &Claim{key: claim.key, version: row.Version}
-	if err := cbor.Unmarshal(row.Body, earlier); err != nil {
-		return nil, Error.Wrap(err)
+	if err := row.Decode(earlier); err != nil {
+		// The request may have run, so it must not run again.
+		s.Unreadable.Report(err)
+		return nil, Error.Wrap(outcome.Undecided(fmt.Errorf("%w: %w", ErrInProgress, err)))
 	}
 	switch {
 	case string(earlier.Fingerprint) != string(claim.Fingerprint):
--- a/internal/lease/named.go
+++ b/internal/lease/named.go
@@ -22,6 +22,18 @@
 // ErrHeld reports that another session holds the lease.
 var ErrHeld = errors.New("lease held by another session")
 
+// decodeGrant reads the row of a lease. One that cannot be read is held by nobody. Whoever
+// held it is fenced by the next epoch, which must be higher than any before: each grant is a
+// write of the row, so no epoch has come further than the row's version.
+func decodeGrant(row table.Row, unreadable *table.Unreadable) Grant {
+	var grant Grant
+	if err := row.Decode(&grant); err != nil {
+		unreadable.Report(err)
+		return Grant{Epoch: row.Version}
+	}
+	return grant
+}
+
 // Acquire takes a named lease for a session, or confirms that it holds it. It
 // returns ErrHeld while the holder's session has not expired.
 func Acquire(ctx context.Context, service table.Service, session *Session, watcher *Watcher, name string) (Grant, error) {
@@ -33,9 +45,7 @@
 	case err != nil:
 		return Grant{}, Error.Wrap(err)
 	default:
-		if err := cbor.Unmarshal(row.Body, &current); err != nil {
-			return Grant{}, Error.Wrap(err)
-		}
+		current = decodeGrant(row, watcher.Unreadable)
 	}
 	if current.Holder == session.ID() {
 		return current, nil
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -69,14 +69,21 @@
 	return body
 }
 
-// decodeMember reads the body of a member row. One that cannot be read tells nothing:
-// its node is there all the same, and is asked nothing.
-func decodeMember(body []byte) Member {
-	var told Member
-	if err := cbor.Unmarshal(body, &told); err != nil {
-		return Member{}
+// errNoSession reports a row whose key is not that of a session.
+var errNoSession = errors.New("the key names no session")
+
+// decodeMember reads the member row of a session. An empty one has nothing to say.
+func decodeMember(id string, row table.Row) (told Member, err error) {
+	if !isSession(id) {
+		return Member{}, row.Refuse(table.Content, errNoSession)
+	}
+	if row.Unreadable == nil && len(row.Body) == 0 {
+		return Member{}, nil
+	}
+	if err := row.Decode(&told); err != nil {
+		return Member{}, err
 	}
-	return told
+	return told, nil
 }
 
 // Roster tells which sessions there are in a fleet where not every node reads all of
@@ -91,11 +98,16 @@
 	watcher   *Watcher
 	// Ended, if set, is told of each session that was ended because it had expired.
 	Ended func(id string, err error)
+	// unreadable is told of member rows that cannot be read.
+	unreadable *table.Unreadable
 
 	mu sync.Mutex
 	// members are the versions of the member rows, nodes the number of each node's.
 	members map[string]uint64
 	nodes   map[string]int
+	// unread are the versions of member rows that could never be read. They make no node,
+	// and go with their sessions.
+	unread map[string]uint64
 	// told is what the newest member rows of nodes tell.
 	told map[string]Member
 	// away are the nodes whose sessions were ended a short time ago.
@@ -118,10 +130,15 @@
 	return &Roster{
 		service: service, partition: partition, session: session, watcher: watcher,
 		members: map[string]uint64{}, nodes: map[string]int{}, missing: map[string]time.Time{},
-		told: map[string]Member{}, away: map[string]away{},
+		told: map[string]Member{}, away: map[string]away{}, unread: map[string]uint64{},
 	}
 }
 
+// ReportTo has rows told that cannot be read. It is called before the roster is used.
+func (r *Roster) ReportTo(unreadable *table.Unreadable) {
+	r.unreadable, r.watcher.Unreadable = unreadable, unreadable
+}
+
 // Apply takes in changes of the group with the member rows.
 func (r *Roster) Apply(changes table.Changes, _ bool) {
 	r.mu.Lock()
@@ -139,8 +156,17 @@
 	}
 }
 
-// add notes a member row. The caller holds mu.
+// add notes a member row. One that cannot be read makes no node: if another writer left it,
+// no session would ever expire, and what is given to that node to do would lie for good. A
+// node that is known stays, with what it told before. The caller holds mu.
 func (r *Roster) add(id string, row table.Row) {
+	told, err := decodeMember(id, row)
+	r.unreadable.Report(err)
+	if _, known := r.members[id]; err != nil && !known {
+		r.unread[id] = row.Version
+		return
+	}
+	delete(r.unread, id)
 	if _, ok := r.members[id]; !ok {
 		r.nodes[Node(id)]++
 		delete(r.away, Node(id))
@@ -148,7 +174,7 @@
 	}
 	r.members[id] = row.Version
 	delete(r.missing, Node(id))
-	if told := decodeMember(row.Body); told != (Member{}) && told != r.told[Node(id)] {
+	if told != (Member{}) && told != r.told[Node(id)] {
 		r.told[Node(id)] = told
 		r.changed()
 	}
@@ -169,6 +195,7 @@
 // remove notes that a session was ended, by itself or by those who watched it. Its
 // work is free at once. The caller holds mu.
 func (r *Roster) remove(id string) {
+	delete(r.unread, id)
 	if _, ok := r.members[id]; !ok {
 		return
 	}
@@ -208,6 +235,9 @@
 func (r *Roster) end(ctx context.Context, seen Sighting) error {
 	r.mu.Lock()
 	member, known := r.members[seen.ID]
+	if !known {
+		member, known = r.unread[seen.ID]
+	}
 	r.mu.Unlock()
 	if !known {
 		return Error.Wrap(errMemberUnknown)
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -129,6 +129,12 @@
 // sessionOf returns the session whose row has a key.
 func sessionOf(sort string) string { return sort[min(len(sort), ringDigits):] }
 
+// isSession reports whether an id is made like those of NewSession.
+func isSession(id string) bool {
+	node, run, found := strings.Cut(id, sessionSeparator)
+	return found && node != "" && run != ""
+}
+
 // SameNode reports whether two sessions belong to runs of the same node. Only
 // one run lives at a time, so the other session is over.
 func SameNode(a, b string) bool { return Node(a) == Node(b) }
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -36,6 +36,8 @@
 	// of any size.
 	Self       string
 	Neighbours int
+	// Unreadable, if set before the watcher is used, is told of rows that are no session's.
+	Unreadable *table.Unreadable
 
 	mu   sync.Mutex
 	seen map[string]sighting
@@ -81,46 +83,6 @@
 	return nil
 }
 
-// read returns the rows of the sessions to look at, and whether these are all.
-func (w *Watcher) read(ctx context.Context) (rows []table.Row, all bool, err error) {
-	if w.Neighbours == 0 {
-		rows, err = listSessions(ctx, w.service)
-		return rows, true, err
-	}
-	own := rowKey(w.Self).Sort
-	first := partitionOf(ringHash(w.Self))
-	for step := range partitions + 1 {
-		after := ""
-		if step == 0 {
-			after = own
-		}
-		page, err := w.service.List(ctx, partition((first+step)%partitions), after, w.Neighbours-len(rows))
-		if err != nil {
-			return nil, false, err
-		}
-		for _, row := range page {
-			if step == partitions && row.Sort >= own {
-				return rows, true, nil
-			}
-			rows = append(rows, row)
-		}
-		if len(rows) == w.Neighbours {
-			return rows, false, nil
-		}
-	}
-	return rows, true, nil
-}
-
-// between reports whether a session's row lies in the ring between this one's and
-// the last that was read.
-func (w *Watcher) between(id, last string) bool {
-	own, key := rowKey(w.Self).Sort, rowKey(id).Sort
-	if last > own {
-		return key > own && key <= last
-	}
-	return key > own || key <= last
-}
-
 // LookInterval is the time to leave between two calls of Refresh. Each reads all
 // sessions, so it grows with their number and a node's share of the store stays the
 // same.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,7 @@
 	})
 	n.zoneOf = n.machines.zone
 	n.heads.Interval = n.pollInterval
+	n.heads.Unreadable, n.sessions.Unreadable = &n.unreadable, &n.unreadable
 	n.buildConfiguration()
 	n.buildBatch(objects)
 }
@@ -176,6 +177,7 @@
 
 func (n *Node) buildConfiguration() {
 	n.resources = resource.NewStore(n.configApplied)
+	n.resources.Unreadable = &n.unreadable
 	n.session.Body = func() []byte { return resource.EncodeApplied(n.resources.Revision()) }
 	n.configWatch = n.watch("configuration", n.feed(resource.Group, []string{resource.Group}), n.resources.Apply)
 	n.replicaWatch = n.watchReplicas(n.feed(inventory.Group, []string{inventory.Group}), n.applyReplicas)
@@ -205,11 +207,13 @@
 	n.metrics.registerViews(n.core)
 	n.metrics.registerPools(n.core)
 	n.metrics.registerTraffic(&n.control)
+	claims := idempotency.NewStore(n.table)
+	claims.Unreadable = &n.unreadable
 	handler, err := server.New(server.Options{
 		NodeID: n.settings.Node.ID, Log: n.log, Store: n.resources, Resources: n.publisher,
 		Current: n.current, Serving: n.knowsConfiguration, Routes: n.routes.Load, Forward: n.forward,
 		Predict: n.forwarder.Predict, Replicas: n.replicas, Engines: n.engines, Admission: n.admission,
-		Claims: idempotency.NewStore(n.table), Batch: n.batches, Status: n.Status, Metrics: n.metrics.registry,
+		Claims: claims, Batch: n.batches, Status: n.Status, Metrics: n.metrics.registry,
 		OperatorKeySHA256: n.settings.Operator.KeySHA256, MaxStreams: n.settings.Node.MaxStreams,
 		Drain: n.AskDrain, Quarantine: n,
 	})
--- a/internal/resource/change.go
+++ b/internal/resource/change.go
@@ -71,10 +71,23 @@
 	return body, Error.Wrap(err)
 }
 
-// decodeChange reads a change from its row.
+// decodeChange reads a change from its row. Its error is a table.UnreadableError.
 func decodeChange(row table.Row) (Change, error) {
 	var change Change
-	err := cbor.Unmarshal(row.Body, &change)
+	if err := row.Decode(&change); err != nil {
+		return Change{}, err
+	}
+	if resourceKey(change.Kind, change.Name) != row.Key {
+		return Change{}, row.Refuse(table.Content, errOtherResource)
+	}
+	if !change.Deleted && len(change.Spec) > 0 && !json.Valid(change.Spec) {
+		return Change{}, row.Refuse(table.Content, errNoJSON)
+	}
 	change.Revision = row.Version
-	return change, Error.Wrap(err)
+	return change, nil
 }
+
+var (
+	errOtherResource = errors.New("the row names another resource than its key")
+	errNoJSON        = errors.New("the specification is not JSON")
+)
--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -1,7 +1,9 @@
 package resource
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -73,6 +75,10 @@
 //
 // Invariant: the revision of the snapshot never falls.
 type Store struct {
+	// Unreadable, if set before use, is told of rows that cannot be read. What was known of
+	// such a resource stays in force.
+	Unreadable *table.Unreadable
+
 	snapshot atomic.Pointer[Snapshot]
 
 	mu      sync.Mutex
@@ -105,9 +111,15 @@
 func (s *Store) Apply(read table.Changes, whole bool) {
 	var changes []Change
 	for _, row := range read.Changes {
-		if change, err := decodeChange(row.Row); err == nil && !row.Removed {
-			changes = append(changes, change)
+		if row.Removed {
+			continue
+		}
+		change, err := decodeChange(row.Row)
+		if err != nil {
+			s.Unreadable.Report(err)
+			continue
 		}
+		changes = append(changes, change)
 	}
 	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
 	s.mu.Lock()
@@ -154,6 +166,9 @@
 	if len(s.changes) == 0 || s.changes[0].Revision > revision+1 {
 		return nil, applied, s.changed, ErrTooOld
 	}
-	first := int(revision + 1 - s.changes[0].Revision)
+	// Revisions without a change in between are those of rows that cannot be read.
+	first, _ := slices.BinarySearchFunc(s.changes, revision+1, func(change Change, from uint64) int {
+		return cmp.Compare(change.Revision, from)
+	})
 	return append([]Change(nil), s.changes[first:]...), applied, s.changed, nil
 }
--- a/internal/resource/writer.go
+++ b/internal/resource/writer.go
@@ -79,7 +79,8 @@
 }
 
 // current reads a resource's row and the version that callers know: one that
-// was deleted is not there for them.
+// was deleted is not there for them. One that cannot be read is there, and a write takes
+// its place.
 func (w *Writer) current(ctx context.Context, key table.Key) (table.Row, uint64, error) {
 	row, err := w.service.Get(ctx, key)
 	if errors.Is(err, table.ErrNotFound) {
@@ -90,7 +91,8 @@
 	}
 	change, err := decodeChange(row)
 	if err != nil {
-		return row, 0, err
+		// Store.Apply reports it.
+		return row, row.Version, nil
 	}
 	if change.Deleted {
 		return row, table.Absent, nil
--- a/internal/table/dynamo.go
+++ b/internal/table/dynamo.go
@@ -73,7 +73,7 @@
 	if len(answer.Item) == 0 {
 		return Row{}, Error.Wrap(ErrNotFound)
 	}
-	return decodeRow(answer.Item)
+	return decodeRow(answer.Item), nil
 }
 
 // List implements Service. The service cuts an answer at 1 MB, so it may take
@@ -95,11 +95,7 @@
 			return nil, classify(err)
 		}
 		for _, item := range answer.Items {
-			row, err := decodeRow(item)
-			if err != nil {
-				return nil, err
-			}
-			rows = append(rows, row)
+			rows = append(rows, decodeRow(item))
 		}
 		if len(answer.LastEvaluatedKey) == 0 || len(answer.Items) == 0 || len(rows) >= limit {
 			return rows, nil
@@ -180,17 +176,23 @@
 	return &types.AttributeValueMemberN{Value: strconv.FormatUint(value, 10)}
 }
 
-func decodeRow(item map[string]types.AttributeValue) (Row, error) {
+// decodeRow returns an item as a row. One that lacks an attribute beside its key, which the
+// service makes sure of, is there all the same and cannot be read.
+func decodeRow(item map[string]types.AttributeValue) Row {
 	var row Row
 	var found rowDecoder
 	row.Partition = found.text(item, attributePartition)
 	row.Sort = found.text(item, attributeSort)
 	row.Operation = found.text(item, attributeOperation)
 	row.Version = found.number(item, attributeVersion)
+	if found.err != nil {
+		row.Unreadable = found.err
+		return row
+	}
 	if body, ok := item[attributeBody].(*types.AttributeValueMemberB); ok {
 		row.Body = body.Value
 	}
-	return row, found.err
+	return row
 }
 
 // rowDecoder collects the first decoding error of a row.
--- a/internal/table/poll.go
+++ b/internal/table/poll.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
@@ -28,6 +27,8 @@
 	// Interval, if set, is the time between two looks; it may grow with the
 	// fleet, so that the service's load does not.
 	Interval func() time.Duration
+	// Unreadable, if set, is told of rows of the logs that cannot be read.
+	Unreadable *Unreadable
 
 	mu      sync.Mutex
 	heads   map[string]uint64
@@ -131,6 +132,10 @@
 	}
 	page := Changes{Revision: head, Now: timeOfDay()}
 	for _, row := range rows {
+		if row.Unreadable != nil {
+			// Without a version it may go no further than this.
+			f.Heads.Unreadable.Report(row.Refuse(Envelope, row.Unreadable))
+		}
 		page.Changes = append(page.Changes, Change{Row: row})
 	}
 	next := Cursor{Part: cursor.Part + 1}
@@ -165,7 +170,9 @@
 		}
 		changes, err := decodeLogged(row)
 		if err != nil {
-			return Changes{}, err
+			// What it said of the group is in the group's rows: a whole read goes by them.
+			f.Heads.Unreadable.Report(err)
+			return Changes{}, Error.Wrap(errors.Join(ErrCompacted, err))
 		}
 		read.Changes = append(read.Changes, changes...)
 		read.Revision = row.Version
@@ -175,8 +182,8 @@
 
 func decodeLogged(row Row) ([]Change, error) {
 	var logged []loggedChange
-	if err := cbor.Unmarshal(row.Body, &logged); err != nil {
-		return nil, Error.Wrap(err)
+	if err := row.Decode(&logged); err != nil {
+		return nil, err
 	}
 	changes := make([]Change, len(logged))
 	for i, one := range logged {
