A gateway starts and works among rows of another writer; job rows of another part are no job's

Cause: the view of jobs went by the key within a part alone. A row "job/ID" or "progress/ID" that another writer leaves in another part could take the place of a job's own, and its removal dropped the job.

--- a/internal/jobs/check.go
+++ b/internal/jobs/check.go
@@ -14,6 +14,7 @@
 
 var (
 	errOtherJob   = errors.New("the row names another job than its key")
+	errOtherPart  = errors.New("the row lies in another part than its job's")
 	errItems      = errors.New("no such number of items")
 	errItemHead   = errors.New("an item without an id, with negative tokens or of no node")
 	errChunks     = errors.New("no such number of chunks")
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -102,15 +102,24 @@
 		v.putCounter(row)
 		return
 	}
-	if id, ok := strings.CutPrefix(row.Sort, prefixJob); ok {
+	if id, ok := strings.CutPrefix(row.Sort, prefixJob); ok && v.inPart(row, jobKey(id)) {
 		v.putJob(id, row)
 		return
 	}
-	if id, ok := strings.CutPrefix(row.Sort, prefixProgress); ok {
+	if id, ok := strings.CutPrefix(row.Sort, prefixProgress); ok && v.inPart(row, progressKey(id)) {
 		v.putProgress(id, row)
 	}
 }
 
+// inPart reports whether a row lies where its job's rows are. Another one is not the job's.
+func (v *View) inPart(row table.Row, own table.Key) bool {
+	if row.Key != own {
+		v.Unreadable.Report(row.Refuse(table.Content, errOtherPart))
+		return false
+	}
+	return true
+}
+
 // putCounter takes in a counter row.
 func (v *View) putCounter(row table.Row) {
 	var next counter
@@ -194,7 +203,7 @@
 }
 
 func (v *View) remove(key table.Key) {
-	if id, ok := strings.CutPrefix(key.Sort, prefixJob); ok {
+	if id, ok := strings.CutPrefix(key.Sort, prefixJob); ok && key == jobKey(id) {
 		delete(v.jobs, id)
 		delete(v.progress, id)
 		delete(v.early, id)
--- /dev/null
+++ b/internal/node/unreadablesite_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// damageSite leaves rows of another writer in each table that gateways read, under the key
+// of the round that it is.
+func damageSite(site *gatewaySite, round string) {
+	for _, key := range []string{
+		"job/" + round, "progress/" + round, "counter/" + round, "member/" + round, "member/ghost-" + round + "#1",
+		"end/" + round, "cleared/" + round, round,
+	} {
+		for _, part := range []string{"", "members", "quarantine", "0", "1", "2", "3"} {
+			site.store.PutValue("work", part, key, []byte("\xff not a row of ours"))
+		}
+	}
+	for _, part := range []string{"session-0", "session-1"} {
+		site.store.PutValue("sessions", part, "0"+round, []byte("odd"))
+		site.store.PutValue("sessions", part, "f"+round, nil)
+	}
+	site.store.PutValue("servers", "", "odd-"+round, []byte("\x00\xff"))
+	site.store.PutValue("servers", "", "half-"+round, []byte(`{"service":"llm","slots":8,"state":"ready"}`))
+	site.store.PutValue("op", "", "odd-"+round, nil)
+}
+
+// TestGateway_RowsOfAnotherWriterSpoilNothingElse leaves rows that cannot be read in all
+// tables, before a gateway starts and after: it starts, serves, runs jobs and learns of what
+// is written later.
+func TestGateway_RowsOfAnotherWriterSpoilNothingElse(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	damageSite(site, "before")
+	gateway := site.start("a")
+	damageSite(site, "after")
+	site.configure(2, "resume", "added")
+	site.eventually("the later configuration is in force", func() bool { return gateway.routes.Load().Version == 2 })
+	if status, text, _ := site.call(gateway, http.MethodPost, "/added/x", "q", nil); status != http.StatusOK {
+		t.Fatalf("request: %d %q", status, text)
+	}
+	if status, text, _ := site.call(gateway, http.MethodPost, "/batch/j", "j", job("j", 5)); status != http.StatusAccepted {
+		t.Fatalf("submission: %d %q", status, text)
+	}
+	if read := site.awaitJob(gateway, "j"); read.Total != 5 {
+		t.Errorf("listed as %+v", read)
+	}
+	if nodes := gateway.roster.Nodes(); len(nodes) != 1 {
+		t.Errorf("the nodes are %v", nodes)
+	}
+	if listed, _ := gateway.replicas.Count(time.Now()); listed != 2 {
+		t.Errorf("%d replicas are listed", listed)
+	}
+	site.eventually("both rounds are counted", func() bool {
+		return gateway.unreadableTotal(t) > 50 && unreadableCount(t, gateway.core, "sessions", "envelope") == 8
+	})
+	counted := gateway.unreadableTotal(t)
+	// A node that joins later reads all of them at once.
+	second := site.start("b")
+	site.eventually("the nodes know each other", func() bool {
+		return len(gateway.roster.Nodes()) == 2 && len(second.roster.Nodes()) == 2
+	})
+	if now := gateway.unreadableTotal(t); now != counted {
+		t.Errorf("%v rows were counted, %v after further looks", counted, now)
+	}
+}
+
+// unreadableTotal is the sum of the metric over tables and reasons.
+func (g *Gateway) unreadableTotal(t *testing.T) float64 {
+	t.Helper()
+	families, err := g.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var total float64
+	for _, family := range families {
+		if family.GetName() != "wheelhoist_rows_unreadable_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			total += metric.GetCounter().GetValue()
+		}
+	}
+	return total
+}
