A batch whose rows cannot be read leaves the others

Cause: Service.Active and Service.Jobs returned an error for the whole list when one row could not be decoded, so the feeders of all nodes fed no batch any more, and operators saw none. Such a batch is passed over and reported; one of whose groups cannot be read rests, for nobody can tell what became of it.

--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -174,7 +174,7 @@
 
 func decodeJob(row table.Row) (*Job, error) {
 	job := &Job{}
-	if err := cbor.Unmarshal(row.Body, job); err != nil {
+	if err := row.Decode(job); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	job.Version = row.Version
@@ -183,7 +183,7 @@
 
 func decodeGroup(row table.Row) (Group, error) {
 	var group Group
-	err := cbor.Unmarshal(row.Body, &group)
+	err := row.Decode(&group)
 	return group, Error.Wrap(err)
 }
 
@@ -222,3 +222,16 @@
 
 // ErrorFileID names the file of a job's failed items.
 func ErrorFileID(job string) string { return errorFilePrefix + job }
+
+// unreadable reports an error about a row that cannot be read, and returns it.
+func (s *Service) unreadable(err error) error {
+	s.Unreadable.Report(err)
+	return Error.Wrap(err)
+}
+
+func notFound(err error) error {
+	if errors.Is(err, table.ErrNotFound) {
+		return Error.Wrap(ErrNotFound)
+	}
+	return Error.Wrap(err)
+}
--- a/internal/batch/service.go
+++ b/internal/batch/service.go
@@ -13,8 +13,6 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/object"
@@ -30,6 +28,8 @@
 	Work    *jobs.Service
 	// Accepted is told of each accepted batch; it does not block. It may be nil.
 	Accepted func(*Job)
+	// Unreadable, if set, is told of rows that cannot be read.
+	Unreadable *table.Unreadable
 }
 
 // Submission asks for a job.
@@ -61,8 +61,8 @@
 		return nil, notFound(err)
 	}
 	record := &FileRecord{}
-	if err := cbor.Unmarshal(row.Body, record); err != nil {
-		return nil, Error.Wrap(err)
+	if err := row.Decode(record); err != nil {
+		return nil, s.unreadable(err)
 	}
 	if record.Tenant != tenant {
 		return nil, Error.Wrap(ErrNotFound)
@@ -70,13 +70,6 @@
 	return record, nil
 }
 
-func notFound(err error) error {
-	if errors.Is(err, table.ErrNotFound) {
-		return Error.Wrap(ErrNotFound)
-	}
-	return Error.Wrap(err)
-}
-
 // Submit accepts a job. It returns only once the job is durable, or with
 // ErrNotAccepted or ErrUndecided.
 func (s *Service) Submit(ctx context.Context, submission Submission) (*Job, error) {
@@ -160,7 +153,8 @@
 	if err != nil {
 		return nil, notFound(err)
 	}
-	return decodeJob(row)
+	job, err := decodeJob(row)
+	return job, s.unreadable(err)
 }
 
 // Job returns a job of a tenant with current counts. An empty tenant stands
@@ -223,7 +217,8 @@
 			return nil, Error.Wrap(err)
 		}
 		if groups[number], err = decodeGroup(row); err != nil {
-			return nil, err
+			// Nobody can tell what became of the group, so its batch rests.
+			return nil, s.unreadable(err)
 		}
 	}
 	return groups, nil
@@ -240,7 +235,9 @@
 	for _, row := range rows {
 		job, err := decodeJob(row)
 		if err != nil {
-			return nil, err
+			// The others hold.
+			_ = s.unreadable(err)
+			continue
 		}
 		if tenant == "" || job.Tenant == tenant {
 			jobs = append(jobs, job)
@@ -260,7 +257,9 @@
 	for _, row := range rows {
 		job, err := decodeJob(row)
 		if err != nil {
-			return nil, err
+			// The others hold.
+			_ = s.unreadable(err)
+			continue
 		}
 		job.active = row.Version
 		jobs = append(jobs, job)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,7 +196,7 @@
 }
 
 func (n *Node) buildBatch(objects object.Store) {
-	n.batches = &batch.Service{Table: n.table, Objects: objects, Work: n.jobs}
+	n.batches = &batch.Service{Table: n.table, Objects: objects, Work: n.jobs, Unreadable: &n.unreadable}
 	n.feeder = &batch.Feeder{
 		Service: n.batches, Sessions: n.sessions, Self: n.session.ID(), Weight: n.tenantWeight, Log: n.log,
 	}
