--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -95,6 +95,7 @@
 	delay := retryFirst
 	attempts := 0
 	operation := table.NewOperation()
+	standing := standingRows{}
 	for {
 		entry := s.View.Get(id)
 		if entry == nil {
@@ -110,6 +111,7 @@
 			s.resolved(operation, attempts, nil)
 			return nil
 		}
+		standing.replace(more)
 		attempts++
 		err := s.pace.call(ctx, attempts-1, func(callCtx context.Context) error {
 			return s.commitProgress(callCtx, id, entry.Version, next, operation, more)
@@ -121,6 +123,7 @@
 		if s.learn(err) && s.moved(entry) {
 			continue
 		}
+		standing.note(err, more, s.View.Unreadable)
 		if !retry.Sleep(ctx, delay) {
 			s.resolved(operation, attempts, err)
 			return Error.Wrap(outcome.Undecided(err))
--- a/internal/jobs/unreadable_test.go
+++ b/internal/jobs/unreadable_test.go
@@ -257,6 +257,58 @@
 	}
 }
 
+// TestList_WritesOverARowOfAnotherWriter leaves rows where results of a job are to go. They are
+// not listed, so they are not the job's.
+func TestList_WritesOverARowOfAnotherWriter(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 2)); err != nil {
+		t.Fatal(err)
+	}
+	for position := range 2 {
+		overwrite(t, shared, resultKey("j", position), damage)
+	}
+	startRunner(t, node, &scriptedBackend{answer: func(*forward.Attempt, int) (*forward.Answer, error) {
+		return answerOf(http.StatusOK, events(1, 2)), nil
+	}})
+	for _, result := range readAll(t, node, "j") {
+		if result.Dead || result.Text == "" {
+			t.Errorf("result is %+v", result)
+		}
+	}
+	if told.count(resultKey("j", 0)) != 1 || told.count(resultKey("j", 1)) != 1 {
+		t.Errorf("told as %v", told.told)
+	}
+}
+
+// TestList_LeavesAResultThatStands has a result stand that the progress does not tell of, as
+// if that had been put back: callers may have read it, so it is not written over.
+func TestList_LeavesAResultThatStands(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	overwrite(t, shared, resultKey("j", 0), encode(storedResult{Text: "read before"}))
+	entry := node.View.Get("j")
+	var commits atomic.Int64
+	shared.CommitFault = func([]table.Write) tabletest.Fault {
+		commits.Add(1)
+		return tabletest.None
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := node.list(ctx, entry.Job, []*task{{work: &work{job: entry.Job}, text: []byte("other")}})
+	if err == nil || commits.Load() > 20 || told.count(resultKey("j", 0)) != 1 {
+		t.Errorf("%v after %d commits, told %d times", err, commits.Load(), told.count(resultKey("j", 0)))
+	}
+	row, err := shared.Get(t.Context(), resultKey("j", 0))
+	var stood storedResult
+	if err != nil || row.Decode(&stood) != nil || stood.Text != "read before" {
+		t.Errorf("it is %+v, %v", stood, err)
+	}
+}
+
 // FuzzView has any body of any row leave a view that can be used.
 func FuzzView(f *testing.F) {
 	job := &Job{ID: "j", Items: []ItemHead{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2, Node: 1}}, Nodes: []string{"n", "m"}, Regions: []string{"x", "y"}}
