--- a/internal/jobs/once.go
+++ b/internal/jobs/once.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// unmarked reports whether an item may run only once and is not marked as started yet.
+func (r *Runner) unmarked(one *task) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return one.once && !one.marked
+}
+
 // markStarted marks the waiting items of a job that may run only once, all of
 // them in one write, in the background.
 func (r *Runner) markStarted(owned *work) {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -215,7 +215,7 @@
 	if r.quarantined(one, item, now) {
 		return notNow
 	}
-	if one.once && !one.marked {
+	if r.unmarked(one) {
 		r.markStarted(one.work)
 		return notNow
 	}
