--- a/internal/jobs/handback.go
+++ b/internal/jobs/handback.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -71,5 +72,6 @@
 		}
 		return nil, true
 	})
-	return err == nil
+	// A job whose progress cannot be read is nobody's to hand back.
+	return err == nil || errors.Is(err, ErrUnreadable)
 }
