--- a/internal/jobs/unreadable_test.go
+++ b/internal/jobs/unreadable_test.go
@@ -309,6 +309,21 @@
 	}
 }
 
+// TestRelease_AJobThatCannotBeReadIsDone lets a node stop that has such a job.
+func TestRelease_AJobThatCannotBeReadIsDone(t *testing.T) {
+	shared := tabletest.New()
+	node, _ := startTold(t, shared, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 1)); err != nil {
+		t.Fatal(err)
+	}
+	overwrite(t, shared, progressKey("j"), damage)
+	eventually(t, func() bool { return node.View.Lost("j") })
+	runner := NewRunner(RunnerOptions{Service: node.Service})
+	if !runner.release(t.Context(), &work{job: node.View.Get("j").Job}) {
+		t.Error("it is to be handed back again")
+	}
+}
+
 // FuzzView has any body of any row leave a view that can be used.
 func FuzzView(f *testing.F) {
 	job := &Job{ID: "j", Items: []ItemHead{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2, Node: 1}}, Nodes: []string{"n", "m"}, Regions: []string{"x", "y"}}
