--- a/internal/jobs/unreadable_test.go
+++ b/internal/jobs/unreadable_test.go
@@ -309,6 +309,35 @@
 	}
 }
 
+// TestKeptTexts_ADamagedOneIsWrittenOver has an item begin anew whose kept text cannot be read,
+// and its next text take the place of that one.
+func TestKeptTexts_ADamagedOneIsWrittenOver(t *testing.T) {
+	shared := tabletest.New()
+	node, told := startTold(t, shared, "a#1")
+	if err := node.Submit(t.Context(), submission("j", 2)); err != nil {
+		t.Fatal(err)
+	}
+	overwrite(t, shared, keptKey("j", 0), damage)
+	overwrite(t, shared, keptKey("j", 1), encode(storedResult{Text: "piece", After: 1}))
+	entry := node.View.Get("j")
+	for range 2 {
+		kept := node.keptTexts(t.Context(), entry)
+		if kept[0].Text != "" || kept[0].After != 0 || kept[0].version == 0 || kept[1].Text != "piece" {
+			t.Fatalf("kept are %+v", kept)
+		}
+	}
+	if told.count(keptKey("j", 0)) != 1 {
+		t.Errorf("told %d times", told.count(keptKey("j", 0)))
+	}
+	runner := NewRunner(RunnerOptions{Service: node.Service})
+	owned := &work{job: entry.Job}
+	version := node.keptTexts(t.Context(), entry)[0].version
+	owned.tasks = []*task{{work: owned, text: []byte("anew"), after: keepEvents, keptVersion: version}}
+	if !runner.keepTexts(t.Context(), owned, keepEvents) || node.keptTexts(t.Context(), entry)[0].Text != "anew" {
+		t.Error("its next text is not kept")
+	}
+}
+
 // TestRelease_AJobThatCannotBeReadIsDone lets a node stop that has such a job.
 func TestRelease_AJobThatCannotBeReadIsDone(t *testing.T) {
 	shared := tabletest.New()
