--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -248,7 +248,7 @@
 	if r.quarantined(one, item, now) {
 		return notNow, nil
 	}
-	if one.once && !one.marked {
+	if r.unmarked(one) {
 		r.noteWait(one, WaitMark, nil)
 		r.markStarted(one.work)
 		return notNow, nil
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -95,17 +95,23 @@
 	delay := retryFirst
 	attempts := 0
 	operation := table.NewOperation()
+	standing := standingRows{}
 	for {
 		entry := s.View.Get(id)
 		if entry == nil {
 			return Error.Wrap(ErrNotFound)
 		}
+		if s.View.Lost(id) {
+			// No version of the row is known that a change could follow on.
+			return Error.Wrap(outcome.Failed(ErrUnreadable))
+		}
 		next := entry.Progress.clone()
 		more, needed := change(next)
 		if !needed {
 			s.resolved(operation, attempts, nil)
 			return nil
 		}
+		standing.replace(more)
 		attempts++
 		err := s.pace.call(ctx, attempts-1, func(callCtx context.Context) error {
 			return s.commitProgress(callCtx, id, entry.Version, next, operation, more)
@@ -114,9 +120,10 @@
 			s.resolved(operation, attempts, nil)
 			return nil
 		}
-		if s.learn(err) {
+		if s.learn(err) && s.moved(entry) {
 			continue
 		}
+		standing.note(err, more, s.View.Unreadable)
 		if !retry.Sleep(ctx, delay) {
 			s.resolved(operation, attempts, err)
 			return Error.Wrap(outcome.Undecided(err))
@@ -141,6 +148,13 @@
 	return nil
 }
 
+// moved reports whether something else is known of a job than an entry says. If not, the
+// same change would meet the same conflict at once.
+func (s *Service) moved(entry *Entry) bool {
+	known := s.View.Get(entry.Job.ID)
+	return known == nil || known.Version != entry.Version || s.View.Lost(entry.Job.ID)
+}
+
 // learn takes in the rows of a conflict. It reports whether there were any.
 func (s *Service) learn(err error) bool {
 	var conflict *table.ConflictError
@@ -204,17 +218,25 @@
 	if entry := s.View.Get(id); entry != nil && s.View.Known() {
 		return entry, nil
 	}
-	for _, key := range []table.Key{jobKey(id), progressKey(id)} {
-		row, err := s.getRow(ctx, key)
-		if err != nil {
-			return nil, err
-		}
-		s.View.Put(row)
+	row, err := s.getRow(ctx, jobKey(id))
+	if err != nil {
+		return nil, err
+	}
+	s.View.Put(row)
+	row, err = s.getRow(ctx, progressKey(id))
+	if errors.Is(err, ErrNotFound) {
+		// One transaction writes both, so half of the job is lost.
+		return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
+	}
+	if err != nil {
+		return nil, err
 	}
+	s.View.Put(row)
 	if entry := s.View.Get(id); entry != nil {
 		return entry, nil
 	}
-	return nil, Error.Wrap(ErrUnavailable)
+	// A row that is there cannot be read: nobody can be sure of the job.
+	return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
 }
 
 func (s *Service) getRow(ctx context.Context, key table.Key) (row table.Row, err error) {
