Items at the start before are left as soon as the list tells of the new one

An item whose replica started again under its id waited for its own silence, 4 s at least, and one that may run only once for 30 s. Both are left now once the replica is known to have started again and 0.5 s passed without a word: the list tells late, so the attempt may be at the new start already, whose events go on. Ends told to the quarantine name the start.

--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -90,9 +90,9 @@
 		pause = yieldPause
 	case outcome.Of(err) == outcome.NotDone:
 		pause = refusedPause
-		one.exclude[chosen.ID] = true
+		one.exclude[chosen.Incarnation()] = true
 	default:
-		one.exclude[chosen.ID] = true
+		one.exclude[chosen.Incarnation()] = true
 	}
 	one.notUntil = clock.Now().Add(pause)
 	reason := one.verdict(target.MaxAttempts)
@@ -125,7 +125,7 @@
 	if err == nil || verdict {
 		return err
 	}
-	for _, givenUp := range []error{errYielded, forward.ErrSilent, forward.ErrStalled} {
+	for _, givenUp := range []error{errYielded, forward.ErrSilent, forward.ErrStalled, forward.ErrRestarted} {
 		if errors.Is(context.Cause(ctx), givenUp) {
 			return outcome.Undecided(givenUp)
 		}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -270,9 +270,10 @@
 	if one.state != taskWaiting || one.work.ctx.Err() != nil {
 		return notNow, nil
 	}
-	use := r.Replicas.Begin(chosen.ID, demand.Ask, now)
+	use := r.Replicas.BeginAt(chosen.Info, demand.Ask, now)
 	if use == nil {
-		// The replica is cold and others have used its rate up meanwhile.
+		// The replica is cold and others have used its rate up meanwhile, or it has
+		// started again since.
 		one.waits(WaitReplica, nil)
 		return notNow, nil
 	}
--- a/internal/jobs/silence.go
+++ b/internal/jobs/silence.go
@@ -28,6 +28,10 @@
 	// stalledMost bounds what is learned, so that items which take very long to begin do
 	// not make a dead connection last for good.
 	stalledMost = 30 * time.Second
+	// restartedStalled is how long an answer may be silent once its replica is known to have
+	// started again: the list tells late, so the attempt may have been sent to the new start,
+	// whose events come several times in this time once it has begun.
+	restartedStalled = 500 * time.Millisecond
 	// onceStalled is how long an item may be silent that may run only once: leaving it ends
 	// it, as one of which nobody knows whether it ran.
 	onceStalled = 30 * time.Second
@@ -62,6 +66,8 @@
 func (r *Runner) silent(one *task, use *replica.Use, now time.Time) error {
 	own, begun := use.OwnSilence(now)
 	switch {
+	case restarted(use) && own > restartedStalled:
+		return forward.ErrRestarted
 	case one.once && own > onceStalled:
 		return forward.ErrStalled
 	case one.once:
@@ -75,6 +81,16 @@
 	}
 }
 
+// restarted reports whether the replica of an attempt is known to have started again since.
+func restarted(use *replica.Use) bool {
+	select {
+	case <-use.Reborn():
+		return true
+	default:
+		return false
+	}
+}
+
 // stalledAfter is how long an attempt may be silent whose replica answers others, before its
 // first event or after it.
 func (r *Runner) stalledAfter(one *task, begun bool) time.Duration {
--- a/internal/jobs/silent_test.go
+++ b/internal/jobs/silent_test.go
@@ -56,6 +56,13 @@
 	return site
 }
 
+// startReplica lists the replica as started at a time.
+func (s *silentSite) startReplica(born int64) {
+	known, _ := s.runner.Replicas.Get("r0")
+	known.Born = born
+	s.runner.Replicas.Put(known)
+}
+
 // silentAtFirst goes silent after a text on the first attempts, and answers whole later.
 func silentAtFirst(silent int, before string) func(context.Context, *forward.Attempt, int) (*forward.Answer, error) {
 	return func(ctx context.Context, attempt *forward.Attempt, number int) (*forward.Answer, error) {
@@ -155,6 +162,30 @@
 	})
 }
 
+// What was sent to the start before is left as soon as the list tells of the new one, long
+// before the silence of the attempt itself would show it.
+func TestRunner_ItemAtTheStartBeforeIsLeftAtOnce(t *testing.T) {
+	for name, once := range map[string]bool{"item that may run again": false, "item that may run once": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				site := newSilentSite(t, silentAtFirst(1, ""))
+				site.startReplica(1000)
+				job := submission("j", 1)
+				job.Items[0].Once = once
+				if err := site.node.Submit(t.Context(), job); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				site.startReplica(2000)
+				result := site.awaitDone(t, "j", 1500*time.Millisecond)[0]
+				if once && result.Reason != Undecided || !once && result.Dead {
+					t.Fatalf("result is %+v", result)
+				}
+			})
+		})
+	}
+}
+
 // A replica that is only slow to begin is not left again and again: what falls silent must not
 // keep an item from its end either.
 func TestRunner_SlowAnswersComeToTheirEnd(t *testing.T) {
