A node with an old list takes all replicas for cold, and may ask one that knows better

Cause: what a node may send to a replica went by the last row that it had read, however old that was.

Now the list counts as known as of when its last answer was asked for. Not as of when it was read: the answer that a woken process finds is from before its stop.

So that a node which alone is cut off is not held to that: it asks for places as for cold replicas, says that it only presumes (`coldAsk.Presumed`), and one whose list is current and says "warm" grants without a bound, for it would send itself. Where the asker is the feeder it asks any other node.

Weighed and left: to hold requests of a woken node until its list has answered. The presumption does that where it must, and goes on serving where the answer does not come. To tell other nodes of coldness in datagrams: those who know would have to tell all, and a word that is lost leaves the fault; the question does the same when it is needed. The age by Watcher.Age: it is 0 after a stop.

--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -27,7 +27,12 @@
 
 // runColdLog logs which replicas are taken as cold or warm, until the context ends.
 func (c *core) runColdLog(ctx context.Context) {
+	presumed := false
 	for retry.Sleep(ctx, coldLogInterval) {
+		if now := c.replicas.PresumesCold(clock.Now()); now != presumed {
+			presumed = now
+			c.log.Info().Bool("old", presumed).Msg("replica list's age changed, replicas on an old one are taken as cold")
+		}
 		for _, change := range c.replicas.ColdChanges(clock.Now()) {
 			c.logCold(change)
 		}
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -195,7 +195,8 @@
 // watchReplicas returns a watcher of the list of replicas, which may lack some just
 // after an outage of its own.
 func (c *core) watchReplicas(feed table.Feed, apply func(table.Changes, bool)) *table.Watcher {
-	watcher := c.watch("replica list", feed, apply)
+	list := &datedList{Feed: feed, replicas: c.replicas}
+	watcher := c.watch("replica list", list, list.applied(apply))
 	regained := watcher.Regained
 	watcher.Regained = func(outage time.Duration) {
 		c.replicas.Outage(outage, clock.Now())
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -189,6 +190,10 @@
 func (g *Gateway) seed(told *heldTold, from netip.AddrPort) {
 	members := g.jobWatch.Seed(told.Members.changes(), told.Members.age(), g.roster.Apply)
 	replicas := g.replicaWatch.Seed(told.Replicas.changes(), told.Replicas.age(), g.applyReplicas)
+	if now := clock.Now(); replicas {
+		// It has been under way, and nothing follows it before the store answers.
+		g.replicas.ListedAsOf(now.Add(-told.Replicas.age()-bootstrapTimeout), now)
+	}
 	g.replicas.Divide(g.settings.Node.ID, g.roster.Places())
 	config := g.configWatch.Seed(told.Config.changes(), told.Config.age(), g.applyConfig)
 	g.log.Info().Stringer("from", from).Bool("members", members).Bool("replicas", replicas).Bool("config", config).
--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -19,6 +19,9 @@
 type coldAsk struct {
 	Number  uint64 `cbor:"1,keyasint"`
 	Replica string `cbor:"2,keyasint"`
+	// Presumed is set if nothing told the asker that the replica is cold but the age of its
+	// list.
+	Presumed bool `cbor:"3,keyasint,omitempty"`
 }
 
 // coldAnswer grants the place, or does not.
@@ -57,7 +60,7 @@
 	}
 	number, answered := d.register()
 	defer d.forget(number)
-	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica}); err != nil {
+	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica, Presumed: feeder.Presumed}); err != nil {
 		d.failed(err)
 		return false
 	}
@@ -94,7 +97,11 @@
 			d.failed(err)
 			return
 		}
-		answer := coldAnswer{Number: asked.Number, Granted: d.replicas.GrantCold(asked.Replica, now())}
+		grant := d.replicas.GrantCold
+		if asked.Presumed {
+			grant = d.replicas.GrantPresumed
+		}
+		answer := coldAnswer{Number: asked.Number, Granted: grant(asked.Replica, now())}
 		if err := d.send(source, peer.KindColdAnswer, answer); err != nil {
 			d.failed(err)
 		}
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -83,15 +83,22 @@
 	s.wake()
 }
 
-// coldLimit returns the limit of an entry that is cold now. The caller holds mu.
+// coldLimit returns the limit of an entry that is taken as cold now. The caller holds mu.
 func (s *Set) coldLimit(e *entry, now time.Time) (limit ColdLimit, cold bool) {
-	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) {
+	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) && !s.listOld(now) {
 		return ColdLimit{}, false
 	}
 	limit, cold = s.coldLimits[e.info.Pool]
 	return limit, cold && limit.Rate > 0
 }
 
+// knownCold reports whether something tells that an entry is cold now, other than the age
+// of the list. The caller holds mu.
+func (s *Set) knownCold(e *entry, now time.Time) bool {
+	_, cold := s.coldLimit(e, now)
+	return cold && now.Before(e.cold.until)
+}
+
 // chill takes an entry as cold until a moment, or for longer if it is known to be. The
 // caller holds mu.
 func (s *Set) chill(e *entry, until time.Time, reason ColdReason, now time.Time) {
@@ -163,6 +170,9 @@
 	Idle bool
 	// Rate is this node's part in requests a second.
 	Rate float64
+	// Presumed is set if nothing tells that it is cold but the age of the list; Left is
+	// then when to look again.
+	Presumed bool
 }
 
 // Holds reports whether a request must not be sent there now.
@@ -177,6 +187,9 @@
 		return ColdView{}
 	}
 	view := ColdView{Left: e.cold.until.Sub(now)}
+	if s.presumesCold(e, now) {
+		view = ColdView{Left: listCurrent, Presumed: true}
+	}
 	_, rate := s.ColdTolerance.parts(limit.Rate)
 	if rate <= 0 || !s.feeds(e, now) {
 		view.Wait = view.Left
@@ -257,7 +270,7 @@
 	}
 	var changes []ColdChange
 	for _, known := range s.entries {
-		_, cold := s.coldLimit(known, now)
+		cold := s.knownCold(known, now)
 		if cold == known.cold.logged || len(changes) == maxColdChanges {
 			continue
 		}
@@ -270,13 +283,13 @@
 	return changes
 }
 
-// CountCold returns the number of replicas that are taken as cold.
+// CountCold returns the number of replicas that are known to be cold.
 func (s *Set) CountCold(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	count := 0
 	for _, known := range s.entries {
-		if _, cold := s.coldLimit(known, now); cold {
+		if s.knownCold(known, now) {
 			count++
 		}
 	}
--- a/internal/replica/coldgrant.go
+++ b/internal/replica/coldgrant.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Where all replicas of a pool are cold, nodes that feed none of them would have nothing
 // to send their requests to. They ask a node that feeds one for a place; what it grants
@@ -11,6 +14,9 @@
 	Replica, Node string
 	// Zone is the replica's.
 	Zone string
+	// Presumed is set if nothing told this node that the replica is cold but the age of its
+	// list.
+	Presumed bool
 }
 
 // Feeders returns the nodes that feed the cold replicas which a request could go to, as
@@ -27,14 +33,33 @@
 		// That brings its feeders up to date.
 		s.feeds(known, now)
 		for _, place := range known.cold.feeders {
-			if node := s.nodes[place].ID; node != s.self {
-				feeders = append(feeders, Feeder{Replica: known.info.ID, Node: node, Zone: known.info.Zone})
+			node := s.nodes[place].ID
+			if node == s.self && candidate.Cold.Presumed {
+				node = s.another()
+			}
+			if node != s.self {
+				feeders = append(feeders, Feeder{
+					Replica: known.info.ID, Node: node, Zone: known.info.Zone, Presumed: candidate.Cold.Presumed,
+				})
 			}
 		}
 	}
 	return feeders
 }
 
+// another returns a random other node, or this one if there is none: where this node feeds
+// a replica that it only presumes to be cold, any other may know better. The caller holds mu.
+func (s *Set) another() string {
+	others := len(s.nodes) - 1
+	if others < 1 {
+		return s.self
+	}
+	if chosen := s.nodes[rand.IntN(others)].ID; chosen != s.self {
+		return chosen
+	}
+	return s.nodes[others].ID
+}
+
 // GrantCold takes a place in this node's part of a cold replica's rate for another node.
 // It reports whether there was one.
 func (s *Set) GrantCold(id string, now time.Time) bool {
--- /dev/null
+++ b/internal/replica/coldlist_test.go
@@ -0,0 +1,198 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
+)
+
+func TestListedAsOf_AnOldListMakesReplicasPresumedCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, true, now)
+	later := now.Add(time.Minute)
+	if got := admitted(set, "warm", 5, later); got != 5 {
+		t.Fatalf("admitted %d of 5 though nobody tells of the list's age", got)
+	}
+	set.ListedAsOf(later, later)
+	if got := admitted(set, "warm", 5, later.Add(listCurrent)); got != 5 {
+		t.Errorf("admitted %d of 5 by a current list", got)
+	}
+	old := later.Add(listCurrent + time.Millisecond)
+	if got := admitted(set, "warm", 5, old); got != 1 {
+		t.Errorf("admitted %d of 5 by an old list, want the one of its part", got)
+	}
+	if set.CountCold(old) != 0 || len(set.ColdChanges(old)) != 0 || !set.PresumesCold(old) {
+		t.Error("what is presumed counts as known")
+	}
+	set.ListedAsOf(now, old)
+	if got := admitted(set, "warm", 5, old); got != 0 {
+		t.Errorf("admitted %d by an answer that is older still", got)
+	}
+	changed := set.Changed()
+	set.ListedAsOf(old, old)
+	select {
+	case <-changed:
+	default:
+		t.Error("those that wait are not told that the list is current")
+	}
+	if got := admitted(set, "warm", 5, old); got != 5 {
+		t.Errorf("admitted %d of 5 by a list that is current again", got)
+	}
+}
+
+func TestListedAsOf_AnOldListBoundsOnlyPoolsWithALimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := coldSet("a", []string{"a"}, false, now)
+	set.put(Info{ID: "other", Pool: "other", Slots: 8}, now)
+	set.ListedAsOf(now, now)
+	if got := admitted(set, "other", 5, now.Add(time.Minute)); got != 5 {
+		t.Errorf("admitted %d of 5", got)
+	}
+}
+
+// granted counts how many of three places a set gives to a node that only presumes a
+// replica to be cold.
+func granted(set *Set, id string, now time.Time) int {
+	count := 0
+	for range 3 {
+		if set.GrantPresumed(id, now) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestGrantPresumed_TellsThatAReplicaIsWarm(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := now.Add(time.Minute)
+	set := coldSet("a", []string{"a"}, true, now)
+	set.ListedAsOf(now, now)
+	for _, one := range []struct {
+		why, id string
+		at      time.Time
+		want    int
+	}{
+		{"warm by a current list", "warm", now, 3},
+		{"cold, the node's own part", "cold", now, 1},
+		{"not there", "other", now, 0},
+		{"warm by an old list, the node's own part", "warm", old, 1},
+	} {
+		if got := granted(set, one.id, one.at); got != one.want {
+			t.Errorf("%s: %d places, want %d", one.why, got, one.want)
+		}
+	}
+	set.evacuate(map[string]bool{"": true}, now)
+	if granted(set, "warm", now) != 0 {
+		t.Error("a place at an evacuated replica was given")
+	}
+}
+
+// outageFleet is a fleet in an outage of the store: all lists are old, and no replica is
+// cold.
+type outageFleet struct {
+	sets  map[string]*Set
+	names []string
+	// waiting are the requests without a place.
+	waiting []outageRequest
+	waits   []time.Duration
+	random  *rand.Rand
+}
+
+type outageRequest struct {
+	node           string
+	arrived, tries time.Time
+}
+
+const (
+	outageStep = 5 * time.Millisecond
+	// outageLook is the pause between two questions of a request, as in package forward.
+	outageLook = 100 * time.Millisecond
+)
+
+func newOutageFleet(nodes, replicas int, now time.Time) *outageFleet {
+	f := &outageFleet{sets: map[string]*Set{}, random: rand.New(rand.NewPCG(1, 1))}
+	zoneOf := func(i int) string { return fmt.Sprint("z", i%3) }
+	var members []place.Node
+	for i := range nodes {
+		members = append(members, place.Node{ID: fmt.Sprint("node", i), Place: place.Place{Zone: zoneOf(i)}})
+	}
+	for _, member := range members {
+		set := NewSet()
+		set.ColdTolerance = ColdTolerance{Over: 1.5, Slack: 5}
+		set.LimitCold(map[string]ColdLimit{testPool: {Rate: 15, Start: 3 * time.Second}})
+		set.Divide(member.ID, members)
+		for i := range replicas {
+			set.put(Info{ID: fmt.Sprint("r", i), Pool: testPool, Zone: zoneOf(i), Slots: 8}, now)
+		}
+		set.ListedAsOf(now, now)
+		f.sets[member.ID], f.names = set, append(f.names, member.ID)
+	}
+	return f
+}
+
+// serve tries all waiting requests whose time has come.
+func (f *outageFleet) serve(now time.Time) {
+	waiting := f.waiting[:0]
+	for _, request := range f.waiting {
+		if now.Before(request.tries) {
+			waiting = append(waiting, request)
+			continue
+		}
+		if wait, placed := f.try(request.node, now); !placed {
+			request.tries = now.Add(wait)
+			waiting = append(waiting, request)
+			continue
+		}
+		f.waits = append(f.waits, now.Sub(request.arrived))
+	}
+	f.waiting = waiting
+}
+
+// try looks for a place in the node's own part, then in that of a node that it asks.
+func (f *outageFleet) try(node string, now time.Time) (wait time.Duration, placed bool) {
+	set := f.sets[node]
+	demand := &Demand{Ask: Ask{Tokens: 100}}
+	chosen, err := Pick(set.SnapshotFor(testPool, demand, now), demand, Weights{})
+	if err == nil {
+		set.Begin(chosen.ID, demand.Ask, now).End(Succeeded, now)
+		return 0, true
+	}
+	none := (*NoReplicaError)(nil)
+	if errors.As(err, &none) && none.ColdWait <= outageLook {
+		return none.ColdWait, false
+	}
+	feeders := set.Feeders(testPool, demand, now)
+	if len(feeders) == 0 {
+		return outageLook, false
+	}
+	asked := feeders[f.random.IntN(len(feeders))]
+	return outageLook, f.sets[asked.Node].GrantPresumed(asked.Replica, now)
+}
+
+// TestListedAsOf_AnOutageOfTheStoreStarvesNobody has all lists of a large deployment be old
+// for long, at its usual traffic: 335 requests a second of 76 nodes to 89 replicas. What
+// replicas that may be cold get is above that.
+func TestListedAsOf_AnOutageOfTheStoreStarvesNobody(t *testing.T) {
+	const nodes, replicas, perSecond, length = 76, 89, 335, 10 * time.Second
+	began := time.Unix(1000, 0)
+	f := newOutageFleet(nodes, replicas, began)
+	now := began.Add(time.Minute)
+	owed := 0.0
+	for end := now.Add(length); now.Before(end); now = now.Add(outageStep) {
+		for owed += perSecond * outageStep.Seconds(); owed >= 1; owed-- {
+			f.waiting = append(f.waiting, outageRequest{node: f.names[f.random.IntN(nodes)], arrived: now, tries: now})
+		}
+		f.serve(now)
+	}
+	slices.Sort(f.waits)
+	at := func(share float64) time.Duration { return f.waits[int(share*float64(len(f.waits)-1))] }
+	t.Logf("%d placed, %d wait; median %v, 95%% %v, 99%% %v, longest %v", len(f.waits), len(f.waiting), at(0.5), at(0.95), at(0.99), at(1))
+	if len(f.waiting) > perSecond/10 || at(0.99) > 250*time.Millisecond {
+		t.Errorf("%d requests wait at the end, of the others 1%% waited for more than %v", len(f.waiting), at(0.99))
+	}
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -96,6 +96,8 @@
 	// back for it.
 	coldLimits map[string]ColdLimit
 	coldHeld   uint64
+	// listedAt is a time as of which the list of replicas is known; zero if nobody tells.
+	listedAt time.Time
 	// feedList are the nodes that may feed cold replicas by the division feedDivision,
 	// feedSelf is this node's place among them.
 	feedList     []feedNode
