--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -25,13 +25,14 @@
 	return limits
 }
 
-// runColdLog logs which replicas are taken as cold or warm, until the context ends.
+// runColdLog logs which replicas are taken as cold or warm, and when all of them are for
+// the age of the list, until the context ends.
 func (c *core) runColdLog(ctx context.Context) {
 	presumed := false
 	for retry.Sleep(ctx, coldLogInterval) {
 		if now := c.replicas.PresumesCold(clock.Now()); now != presumed {
 			presumed = now
-			c.log.Info().Bool("old", presumed).Msg("replica list's age changed, replicas on an old one are taken as cold")
+			c.logPresumed(presumed)
 		}
 		for _, change := range c.replicas.ColdChanges(clock.Now()) {
 			c.logCold(change)
@@ -39,6 +40,14 @@
 	}
 }
 
+func (c *core) logPresumed(presumed bool) {
+	if presumed {
+		c.log.Warn().Msg("replica list is old, its replicas are taken as cold")
+		return
+	}
+	c.log.Info().Msg("replica list is current again")
+}
+
 func (c *core) logCold(change replica.ColdChange) {
 	entry := c.sampled.Info().Str("replica", change.Info.ID).Str("pool", change.Info.Pool).
 		Str("zone", change.Info.Zone).Stringer("reason", change.Reason).Dur("for_ms", change.For)
