Failing test: a place granted before a sleep is used after it

A process that was stopped or slept while it waited for the 50 ms of the question finds, on waking, both the answer and the end of its time, and took the answer if its timer had not gone off. The place was of a second long gone, and the feeder may have given the next ones to others.

--- a/internal/forward/suspend_test.go
+++ b/internal/forward/suspend_test.go
@@ -33,3 +33,25 @@
 		t.Fatalf("ended with %v after %v", err, took)
 	}
 }
+
+// TestForward_APlaceGrantedBeforeASleepIsNotUsed guards a node that slept while it waited
+// for a place at a cold replica: the answer that it finds is of a second long gone.
+func TestForward_APlaceGrantedBeforeASleepIsNotUsed(t *testing.T) {
+	machine := clocktest.New(t)
+	backend := answerAll()
+	forwarder := coldForwarder(backend, []string{"b"}, time.Minute)
+	forwarder.ColdFeeders = &scriptedFeeders{grant: func(number int) bool {
+		if number == 1 {
+			machine.Suspend(time.Second)
+		}
+		return number <= 2
+	}}
+	target := routeOf(route.Stream, true, 2)
+	target.Timeout = 20 * time.Second
+	if _, _, err := do(t, forwarder, target); err != nil {
+		t.Fatal(err)
+	}
+	if feeders := forwarder.ColdFeeders.(*scriptedFeeders); len(feeders.asked) != 2 || len(backend.sent) != 1 {
+		t.Errorf("asked %d times, sent %d times", len(feeders.asked), len(backend.sent))
+	}
+}
