A place at a cold replica is used only within its 50 ms by the clock

The time is read after the answer, by internal/clock, which counts sleeps too; the context's timer alone goes off late. Ruled out: trusting the order in which a woken process runs timers and readers of sockets.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -55,7 +55,10 @@
 	asked := chooseFeeder(feeders, c.forwarder.Zone)
 	askCtx, cancel := context.WithTimeout(ctx, feederTimeout)
 	defer cancel()
-	if !c.forwarder.ColdFeeders.Ask(askCtx, asked) || askCtx.Err() != nil {
+	began := clock.Now()
+	granted := c.forwarder.ColdFeeders.Ask(askCtx, asked)
+	// A process that was stopped, or slept, may find the answer before its timers go off.
+	if !granted || askCtx.Err() != nil || clock.Since(began) >= feederTimeout {
 		return nil
 	}
 	chosen, listed := c.forwarder.Replicas.Listed(asked.Replica, clock.Now())
