--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -19,6 +19,9 @@
 type coldAsk struct {
 	Number  uint64 `cbor:"1,keyasint"`
 	Replica string `cbor:"2,keyasint"`
+	// Presumed is set if nothing told the asker that the replica is cold but the age of its
+	// list.
+	Presumed bool `cbor:"3,keyasint,omitempty"`
 	// Born tells which start of the replica the sender knows of; absent if it does not know,
 	// and in what earlier versions of the program ask.
 	Born int64 `cbor:"4,keyasint,omitempty"`
@@ -60,7 +63,8 @@
 	}
 	number, answered := d.register()
 	defer d.forget(number)
-	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica, Born: feeder.Born}); err != nil {
+	asked := coldAsk{Number: number, Replica: feeder.Replica, Presumed: feeder.Presumed, Born: feeder.Born}
+	if err := d.send(to, peer.KindColdAsk, asked); err != nil {
 		d.failed(err)
 		return false
 	}
@@ -97,8 +101,12 @@
 			d.failed(err)
 			return
 		}
+		grant := d.replicas.GrantCold
+		if asked.Presumed {
+			grant = d.replicas.GrantPresumed
+		}
 		// A place at another start of the replica would not count against its rate.
-		granted := d.replicas.Started(asked.Replica, asked.Born) && d.replicas.GrantCold(asked.Replica, now())
+		granted := d.replicas.Started(asked.Replica, asked.Born) && grant(asked.Replica, now())
 		answer := coldAnswer{Number: asked.Number, Granted: granted}
 		if err := d.send(source, peer.KindColdAnswer, answer); err != nil {
 			d.failed(err)
