--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -138,7 +138,7 @@
 	defer cancel()
 	reservation, err := r.Reserver.Reserve(callCtx, chosen.Info, int(item.Tokens), borrowHold)
 	if errors.Is(err, forward.ErrRefused) {
-		r.Replicas.Full(chosen.ID, began)
+		r.Replicas.Full(chosen.Info, began)
 	}
 	return reservation, err
 }
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -58,7 +58,7 @@
 	if r.quarantined(one, send.item(), now) {
 		return false
 	}
-	if one.once && !one.marked {
+	if r.unmarked(one) {
 		r.noteWait(one, WaitMark, nil)
 		r.markStarted(one.work)
 		return false
@@ -83,9 +83,10 @@
 	if r.paused || one.state != taskWaiting || one.work.ctx.Err() != nil {
 		return false
 	}
-	use := r.Replicas.Begin(chosen.ID, demand.Ask, now)
+	use := r.Replicas.BeginAt(chosen.Info, demand.Ask, now)
 	if use == nil {
-		// The replica is cold and others have used its rate up meanwhile.
+		// The replica is cold and others have used its rate up meanwhile, or it has
+		// started again since.
 		one.waits(WaitReplica, nil)
 		return false
 	}
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -40,6 +41,10 @@
 	ctx    context.Context
 }
 
+// unreadableRetry is the pause between two looks at a content that cannot be read. It is put
+// right by hand, if at all.
+const unreadableRetry = 5 * time.Second
+
 type taskState int
 
 const (
@@ -246,7 +251,11 @@
 func (r *Runner) loadFailed(owned *work, err error) {
 	r.mu.Lock()
 	first := owned.loadErr == nil && owned.ctx.Err() == nil
-	owned.loading, owned.loadErr, owned.loadAt = false, err, clock.Now().Add(loadPause)
+	pause := loadPause
+	if errors.Is(err, ErrUnreadable) {
+		pause = unreadableRetry
+	}
+	owned.loading, owned.loadErr, owned.loadAt = false, err, clock.Now().Add(pause)
 	r.mu.Unlock()
 	if first {
 		r.Service.Events.ItemFailed(owned.job, "", "", err)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -81,6 +81,8 @@
 	// lets one in sampleEvery through.
 	sampled zerolog.Logger
 	metrics *coreMetrics
+	// unreadable tells of rows that cannot be read.
+	unreadable table.Unreadable
 
 	places      place.Map
 	evacuations evacuations
@@ -109,9 +111,11 @@
 	c.sampled = log.Sample(&zerolog.BurstSampler{
 		Burst: sampleBurst, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleEvery},
 	})
+	c.unreadable.Tell = c.logUnreadable
 	c.replicas.Ejected = c.logEjected
 	c.replicas.Zone = outside.zone
 	c.replicas.EjectedByMany = c.logEjectedByMany
+	c.replicas.Restarted = c.logRestarted
 	c.forwarder = &forward.Forwarder{
 		Replicas: c.replicas, Backend: outside.backend, Budget: retry.NewBudget(retryShare),
 		Weights: outside.weights, Zone: outside.zone, Region: outside.region,
@@ -121,7 +125,7 @@
 	c.owners = outside.sessions(c.session)
 	c.buildQuarantine(outside.table, outside.quarantine)
 	view := jobs.NewView()
-	view.Malformed = c.logMalformed
+	view.Unreadable = &c.unreadable
 	c.jobWatch = c.watch("job table", outside.jobFeed, func(changes table.Changes, whole bool) {
 		// No item is sent by what is known of jobs before what is known of harm.
 		c.harm.rows.Apply(changes, whole)
@@ -195,7 +199,8 @@
 // watchReplicas returns a watcher of the list of replicas, which may lack some just
 // after an outage of its own.
 func (c *core) watchReplicas(feed table.Feed, apply func(table.Changes, bool)) *table.Watcher {
-	watcher := c.watch("replica list", feed, apply)
+	list := &datedList{Feed: feed, replicas: c.replicas}
+	watcher := c.watch("replica list", list, list.applied(apply))
 	regained := watcher.Regained
 	watcher.Regained = func(outage time.Duration) {
 		c.replicas.Outage(outage, clock.Now())
@@ -262,6 +267,15 @@
 	c.log.Warn().Str("replica", info.ID).Str("address", info.Address).Stringer("result", result).Msg("replica ejected")
 }
 
+// logRestarted counts and logs that a replica has started again under its id. When many do at
+// once, as at the end of an outage, the lines are sampled.
+func (c *core) logRestarted(restart replica.Restart) {
+	c.metrics.restarts.Inc()
+	c.sampled.Warn().Str("replica", restart.Replica.ID).Str("address", restart.Replica.Address).Str("zone", restart.Replica.Zone).
+		Int64("born", restart.Replica.Born).Int64("born_before", restart.Before).
+		Int("open", restart.Open).Int("items", restart.Batch).Int("moved", restart.Moved).Msg("replica started again")
+}
+
 // listReplica takes in that a replica is listed, with the version of its row. New ones
 // of a whole read are summed up by listedReplicas, others are sampled: a line for each
 // would be nodes times replicas when a fleet starts.
--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -19,6 +19,12 @@
 type coldAsk struct {
 	Number  uint64 `cbor:"1,keyasint"`
 	Replica string `cbor:"2,keyasint"`
+	// Presumed is set if nothing told the asker that the replica is cold but the age of its
+	// list.
+	Presumed bool `cbor:"3,keyasint,omitempty"`
+	// Born tells which start of the replica the sender knows of; absent if it does not know,
+	// and in what earlier versions of the program ask.
+	Born int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // coldAnswer grants the place, or does not.
@@ -57,7 +63,8 @@
 	}
 	number, answered := d.register()
 	defer d.forget(number)
-	if err := d.send(to, peer.KindColdAsk, coldAsk{Number: number, Replica: feeder.Replica}); err != nil {
+	asked := coldAsk{Number: number, Replica: feeder.Replica, Presumed: feeder.Presumed, Born: feeder.Born}
+	if err := d.send(to, peer.KindColdAsk, asked); err != nil {
 		d.failed(err)
 		return false
 	}
@@ -94,7 +101,13 @@
 			d.failed(err)
 			return
 		}
-		answer := coldAnswer{Number: asked.Number, Granted: d.replicas.GrantCold(asked.Replica, now())}
+		grant := d.replicas.GrantCold
+		if asked.Presumed {
+			grant = d.replicas.GrantPresumed
+		}
+		// A place at another start of the replica would not count against its rate.
+		granted := d.replicas.Started(asked.Replica, asked.Born) && grant(asked.Replica, now())
+		answer := coldAnswer{Number: asked.Number, Granted: granted}
 		if err := d.send(source, peer.KindColdAnswer, answer); err != nil {
 			d.failed(err)
 		}
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -17,6 +17,10 @@
 	// that cannot be reached to be taken as gone: otherwise it is this node that is cut
 	// off. Replicas of a busy pool are heard from many times a second.
 	heardLately = time.Second
+	// startListedWithin is how long after the first answer of a replica that has started the
+	// list says so at the latest, in calm: it writes its entry with its first heartbeat, each
+	// 1.2 s on the users' platform, and the feed takes some ms.
+	startListedWithin = 1500 * time.Millisecond
 	// maxColdChanges bounds the changes that wait to be logged.
 	maxColdChanges = 256
 )
@@ -40,6 +44,9 @@
 	ColdReturned
 	// ColdUnreachable replicas took no connection a moment ago.
 	ColdUnreachable
+	// ColdUnlisted replicas answer again after that: the list tells soon whether they are
+	// the ones from before.
+	ColdUnlisted
 )
 
 // String returns the name used in logs.
@@ -49,6 +56,8 @@
 		return "its zone was evacuated"
 	case ColdUnreachable:
 		return "it was unreachable"
+	case ColdUnlisted:
+		return "it may have started again"
 	default:
 		return "it said so"
 	}
@@ -83,15 +92,22 @@
 	s.wake()
 }
 
-// coldLimit returns the limit of an entry that is cold now. The caller holds mu.
+// coldLimit returns the limit of an entry that is taken as cold now. The caller holds mu.
 func (s *Set) coldLimit(e *entry, now time.Time) (limit ColdLimit, cold bool) {
-	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) {
+	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) && !s.listOld(now) {
 		return ColdLimit{}, false
 	}
 	limit, cold = s.coldLimits[e.info.Pool]
 	return limit, cold && limit.Rate > 0
 }
 
+// knownCold reports whether something tells that an entry is cold now, other than the age
+// of the list. The caller holds mu.
+func (s *Set) knownCold(e *entry, now time.Time) bool {
+	_, cold := s.coldLimit(e, now)
+	return cold && now.Before(e.cold.until)
+}
+
 // chill takes an entry as cold until a moment, or for longer if it is known to be. The
 // caller holds mu.
 func (s *Set) chill(e *entry, until time.Time, reason ColdReason, now time.Time) {
@@ -102,7 +118,7 @@
 		e.cold.since, e.cold.reason = now, reason
 		s.chooseFeeders(e)
 	}
-	if e.cold.reason == ColdUnreachable {
+	if e.cold.reason == ColdUnreachable || e.cold.reason == ColdUnlisted {
 		e.cold.reason = reason
 	}
 	e.cold.until = until
@@ -124,21 +140,24 @@
 }
 
 // unreached takes in that a replica took no connection: as long as it is left out for
-// that, only the nodes that feed it try, also as a last resort. Once it answers it is as
-// warm as before, for one that has started has another id and refuses what is meant for
-// the one before. If nothing comes from any replica it is this node that is cut off. The
-// caller holds mu.
+// that, only the nodes that feed it try, also as a last resort. If nothing comes from any
+// replica it is this node that is cut off. The caller holds mu.
 func (s *Set) unreached(e *entry, now time.Time) {
 	if limit := s.coldLimits[e.info.Pool]; limit.Rate > 0 && now.Sub(s.heard) < heardLately {
 		s.chill(e, e.health.until, ColdUnreachable, now)
 	}
 }
 
-// reached takes in that a replica answered. The caller holds mu.
+// reached takes in that a replica answered after it was unreachable. One that does not say
+// when it was born would have another id if it had started: it is as warm as before. Others
+// may have started again under theirs, which the list tells soon. The caller holds mu.
 func (s *Set) reached(e *entry, now time.Time) {
-	s.heard = now
-	if e.cold.reason == ColdUnreachable && now.Before(e.cold.until) {
-		e.cold.until = now
+	if e.cold.reason != ColdUnreachable || !now.Before(e.cold.until) {
+		return
+	}
+	e.cold.until = now
+	if e.info.Born != 0 {
+		e.cold.reason, e.cold.until = ColdUnlisted, now.Add(startListedWithin)
 	}
 }
 
@@ -163,6 +182,9 @@
 	Idle bool
 	// Rate is this node's part in requests a second.
 	Rate float64
+	// Presumed is set if nothing tells that it is cold but the age of the list; Left is
+	// then when to look again.
+	Presumed bool
 }
 
 // Holds reports whether a request must not be sent there now.
@@ -177,6 +199,9 @@
 		return ColdView{}
 	}
 	view := ColdView{Left: e.cold.until.Sub(now)}
+	if s.presumesCold(e, now) {
+		view = ColdView{Left: listCurrent, Presumed: true}
+	}
 	_, rate := s.ColdTolerance.parts(limit.Rate)
 	if rate <= 0 || !s.feeds(e, now) {
 		view.Wait = view.Left
@@ -257,7 +282,7 @@
 	}
 	var changes []ColdChange
 	for _, known := range s.entries {
-		_, cold := s.coldLimit(known, now)
+		cold := s.knownCold(known, now)
 		if cold == known.cold.logged || len(changes) == maxColdChanges {
 			continue
 		}
@@ -270,13 +295,13 @@
 	return changes
 }
 
-// CountCold returns the number of replicas that are taken as cold.
+// CountCold returns the number of replicas that are known to be cold.
 func (s *Set) CountCold(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	count := 0
 	for _, known := range s.entries {
-		if _, cold := s.coldLimit(known, now); cold {
+		if s.knownCold(known, now) {
 			count++
 		}
 	}
