--- a/internal/jobs/leftover_test.go
+++ b/internal/jobs/leftover_test.go
@@ -16,11 +16,10 @@
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
-// failingObjects refuses to write or to find objects for as long as it is told to.
+// failingObjects refuses to write objects for as long as it is told to.
 type failingObjects struct {
 	objecttest.Store
-	put, get atomic.Pointer[error]
-	gets     atomic.Int64
+	put atomic.Pointer[error]
 }
 
 func (s *failingObjects) Put(ctx context.Context, key string, body []byte) error {
