Soak: connections go silent without a reset

silence has what is open at that moment pass nothing on. Neither side hears of the other's end afterwards; a crash of the upstream ends its side alone. TestProxy_Silence shows it, also across a crash. Ruled out: to read on and drop, for a sender would never see its buffers fill.

--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -36,24 +36,57 @@
 	at       string
 	harm     Harm
 	open     map[net.Conn]bool
+	links    map[*link]bool
 	ended    bool
 }
 
+// link is a caller's connection and the one to the upstream that belongs to it.
+type link struct {
+	caller, upstream net.Conn
+	// silent is closed once the link passes nothing on any more, ended when nobody is left to
+	// hear of it.
+	silent, ended chan struct{}
+}
+
+// isSilent reports whether the link passes nothing on.
+func (l *link) isSilent() bool {
+	select {
+	case <-l.silent:
+		return true
+	default:
+		return false
+	}
+}
+
 // startProxy listens before an upstream.
 func startProxy(upstream string) (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	p := &proxy{listener: listener, at: listener.Addr().String(), upstream: upstream, open: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, at: listener.Addr().String(), upstream: upstream, open: map[net.Conn]bool{}, links: map[*link]bool{}}
 	go p.accept(listener)
 	return p, nil
 }
 
 func (p *proxy) address() string { return p.at }
 
+// silence has all open connections pass nothing on for good, without a reset: neither side
+// hears anything of the other, not even its end. New connections are as they were.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for link := range p.links {
+		if !link.isSilent() {
+			close(link.silent)
+		}
+		// A reset does not reach the caller any more.
+		delete(p.open, link.caller)
+	}
+}
+
 // refuse breaks what is open and refuses connections, as the machine of a process that has
-// crashed does.
+// crashed does. Callers of silent connections do not hear of it.
 func (p *proxy) refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,6 +145,10 @@
 	if p.listener != nil {
 		_ = p.listener.Close()
 	}
+	for link := range p.links {
+		close(link.ended)
+		delete(p.links, link)
+	}
 	for conn := range p.open {
 		_ = conn.Close()
 	}
@@ -159,21 +196,37 @@
 		return
 	}
 	defer p.untrack(upstream)
+	pair := p.join(caller, upstream)
+	if pair == nil {
+		return
+	}
+	defer p.part(pair)
 	var both sync.WaitGroup
-	both.Add(2)
-	go func() {
-		defer both.Done()
-		p.copy(upstream, caller, Deaf)
-	}()
-	go func() {
-		defer both.Done()
-		p.copy(caller, upstream, Mute)
-	}()
+	both.Go(func() { p.copy(pair, upstream, caller, Deaf) })
+	both.Go(func() { p.copy(pair, caller, upstream, Mute) })
 	both.Wait()
 }
 
+// join notes that two connections belong together; nil if the proxy has ended.
+func (p *proxy) join(caller, upstream net.Conn) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return nil
+	}
+	pair := &link{caller: caller, upstream: upstream, silent: make(chan struct{}), ended: make(chan struct{})}
+	p.links[pair] = true
+	return pair
+}
+
+func (p *proxy) part(pair *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, pair)
+}
+
 // copy passes pieces on, and holds them while the proxy has the harm.
-func (p *proxy) copy(to, from net.Conn, holds Harm) {
+func (p *proxy) copy(pair *link, to, from net.Conn, holds Harm) {
 	const pieceBytes = 32 << 10
 	piece := make([]byte, pieceBytes)
 	for {
@@ -184,6 +237,11 @@
 		if p.now() == Slow {
 			time.Sleep(slowBy)
 		}
+		if pair.isSilent() {
+			// Both connections stay open, so that neither side hears of the other.
+			<-pair.ended
+			break
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(piece[:n]); writeErr != nil {
 				break
--- /dev/null
+++ b/internal/lab/soak/proxy_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// Connections that are open go silent without an end, with an answer under way too; new
+// ones work, also after the server has crashed and is back.
+func TestProxy_Silence(t *testing.T) {
+	more := make(chan struct{})
+	s := &soak{}
+	t.Cleanup(s.close)
+	address, err := s.listen(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("first\n"))
+		w.(http.Flusher).Flush()
+		select {
+		case <-more:
+		case <-r.Context().Done():
+		}
+		_, _ = w.Write([]byte("second\n"))
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, err := startProxy(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(before.close)
+	ask := func() (net.Conn, *bufio.Scanner) {
+		conn, err := net.Dial("tcp", before.address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := conn.Write([]byte("GET / HTTP/1.0\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(conn)
+		for lines.Scan() && lines.Text() != "first" {
+		}
+		return conn, lines
+	}
+	silent, _ := ask()
+	before.silence()
+	close(more)
+	hearsNothing := func(when string) {
+		if err := silent.SetReadDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(silent)
+		if lines.Scan() || !errors.Is(lines.Err(), os.ErrDeadlineExceeded) {
+			t.Errorf("%s: read %q, error %v", when, lines.Text(), lines.Err())
+		}
+	}
+	hearsNothing("after the answer's end")
+	if _, lines := ask(); !lines.Scan() || lines.Text() != "second" {
+		t.Errorf("a new connection got %q", lines.Text())
+	}
+	before.refuse()
+	hearsNothing("after the server's crash")
+	if err := before.accepts(); err != nil {
+		t.Fatal(err)
+	}
+	if _, lines := ask(); !lines.Scan() || lines.Text() != "second" {
+		t.Errorf("a connection after the crash got %q", lines.Text())
+	}
+}
