Soak: a second plan of faults, and what keeps an item waiting is found

Cause: an item that was left lying beside free slots was found by users, not here.

Callers with kept connections, and readers of lists that are not complete, run beside the others. All jobs are read at the end, in turn and by several readers, each once at least.

New promises, each with its own mutation: item-listed-in-calm, no-item-waits-beside-free-slots, accepted-job-can-be-read (a job that could not be read was reported as lost items before, and is a line of its own now), foreign-row-names-no-server. Servers and slots are options with the former values as defaults.

--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,24 +15,57 @@
 // they take on an idle machine (0.1 s), and an end for runs that nobody looks at.
 const soakReady = 2 * time.Minute
 
-// leastSoakNodes and mostSoakNodes bound the nodes of a soak, each a process of some 25 MB.
+// Bounds of a soak's numbers. A node is a process of some 25 MB.
 const (
-	leastSoakNodes = 3
-	mostSoakNodes  = 100
+	leastSoakNodes   = 3
+	mostSoakNodes    = 40
+	mostSoakServers  = 64
+	mostSoakSlots    = 64
+	mostSoakRegions  = 2
+	leastSoakRegions = 1
 )
 
+// bounded is a whole number of a flag, with the bounds that it must lie in.
+type bounded struct {
+	flag               string
+	value, least, most int
+}
+
+func (b bounded) check() error {
+	if b.value < b.least || b.value > b.most {
+		return fmt.Errorf("%w: --%s is %d, it may be %d to %d", errBounds, b.flag, b.value, b.least, b.most)
+	}
+	return nil
+}
+
+// errBounds reports a number of a flag that is out of its bounds.
+var errBounds = errors.New("out of bounds")
+
 func soakCommand(std streams) *ffcli.Command {
 	flags := newFlags("wheelhoist-lab soak", std)
 	seed := flags.Uint64("seed", 1, "seed of the plan of faults")
 	length := flags.Duration("for", time.Minute, "time with faults")
-	nodes := flags.Int("nodes", 4, "number of gateway processes, 3 to 7")
+	nodes := flags.Int("nodes", 4, fmt.Sprintf("number of gateway processes, %d to %d", leastSoakNodes, mostSoakNodes))
 	regions := flags.Int("regions", 1, "regions of the three zones, 1 or 2")
+	servers := flags.Int("servers", soak.DefaultServers, fmt.Sprintf("number of stand-in servers, %d to %d", soak.LeastServers, mostSoakServers))
+	slots := flags.Int("slots", soak.DefaultSlots, fmt.Sprintf("slots of each server, 1 to %d", mostSoakSlots))
+	firstPlanOnly := flags.Bool("first-plan-only", false,
+		"leave out the second plan of faults: silent connections, servers that start again, rows of other writers, changes in series")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "wheelhoist-lab soak [flags]", FlagSet: flags,
 		ShortHelp: "real gateway processes under faults from outside; exits 1 on a broken promise",
 		Exec: func(ctx context.Context, _ []string) error {
+			for _, one := range []bounded{
+				{"nodes", *nodes, leastSoakNodes, mostSoakNodes}, {"regions", *regions, leastSoakRegions, mostSoakRegions},
+				{"servers", *servers, soak.LeastServers, mostSoakServers}, {"slots", *slots, 1, mostSoakSlots},
+			} {
+				if err := one.check(); err != nil {
+					return err
+				}
+			}
 			report, err := soak.Run(ctx, soak.Options{
-				Seed: *seed, For: *length, Nodes: min(max(*nodes, leastSoakNodes), mostSoakNodes), Regions: *regions, Ready: soakReady,
+				Seed: *seed, For: *length, Nodes: *nodes, Regions: *regions, Ready: soakReady,
+				Servers: *servers, Slots: *slots, FirstPlanOnly: *firstPlanOnly,
 				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
 			})
 			if err != nil {
@@ -40,9 +74,10 @@
 			for _, one := range report.Broken {
 				_, _ = fmt.Fprintln(std.out, "broken:", one)
 			}
-			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d replicas ended by %d harmful requests, %d promises checked, %d broken\n",
+			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d replicas ended by %d harmful requests, %d silences, %d replicas started again, %d foreign rows, %d promises checked, %d broken\n",
 				report.Seed, report.Faults, report.Whole, report.Requests, report.Limited, report.Jobs, report.Items, report.Runs,
 				report.Evacuations, report.Losses, report.ColdSends, report.HarmEnds, report.HarmSends,
+				report.Silences, report.ServerStarts, report.ForeignRows,
 				len(soak.Promises()), len(report.Broken))
 			if len(report.Broken) > 0 {
 				_, _ = fmt.Fprintln(std.out, "logs of the nodes:", report.Logs)
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -26,6 +26,11 @@
 	// endShare is the part of the jobs that are ended while they run.
 	endShare = 0.15
 	callWait = 4 * time.Second
+	// keptCallers keep connections open.
+	keptCallers = 3
+	// watchers read lists that are not complete, watchPause after the last such reading.
+	watchers   = 3
+	watchPause = 50 * time.Millisecond
 )
 
 // random is the chance of one caller, from the run's seed.
@@ -66,17 +71,44 @@
 	}
 }
 
+// callKept asks over connections that are kept open, always at the same node until that
+// fails: also while it is told to stop, until its process is gone.
+func (s *soak) callKept(ctx context.Context, caller int) {
+	random := s.random(caller, 8)
+	for number := 0; ctx.Err() == nil; number++ {
+		node := s.gateways[random.IntN(len(s.gateways))]
+		s.keepAsking(ctx, node, fmt.Sprintf("kept-%d-%d", caller, number), random)
+	}
+}
+
+// keepAsking asks a node over one connection until it gives no answer.
+func (s *soak) keepAsking(ctx context.Context, node *gateway, name string, random *rand.Rand) {
+	connections := &http.Transport{MaxConnsPerHost: 1}
+	defer connections.CloseIdleConnections()
+	for number := 0; retry.Sleep(ctx, onlinePause); number++ {
+		client := &standin.Client{Address: node.at(), Host: host, Key: keyOf(tenantMain), Connections: connections}
+		if s.askOver(ctx, client, node, tenantMain, s.prefix(random), fmt.Sprintf("%s-%d", name, number)).Status == 0 {
+			return
+		}
+	}
+}
+
 // ask sends one request to a random node.
 func (s *soak) ask(ctx context.Context, random *rand.Rand, tenant, prefix, id string) {
 	s.askAt(ctx, s.gateways[random.IntN(len(s.gateways))], tenant, prefix, id)
 }
 
 func (s *soak) askAt(ctx context.Context, chosen *gateway, tenant, prefix, id string) {
+	client := &standin.Client{Address: chosen.at(), Host: host, Key: keyOf(tenant)}
+	s.askOver(ctx, client, chosen, tenant, prefix, id)
+}
+
+// askOver sends one request to a node with a client, and notes what came of it.
+func (s *soak) askOver(ctx context.Context, client *standin.Client, chosen *gateway, tenant, prefix, id string) *standin.Answer {
 	one := Request{
 		ID: id, Prefix: prefix, Once: strings.HasPrefix(prefix, "once"), Tenant: tenant,
 		Node: chosen.id, Life: chosen.lives(), Sent: time.Now(),
 	}
-	client := &standin.Client{Address: chosen.at(), Host: host, Key: keyOf(tenant)}
 	one.Answer = client.Stream(context.WithoutCancel(ctx), prefix, one.ID, onlineWait)
 	one.Ended = time.Now()
 	if chosen.lives() != one.Life {
@@ -84,6 +116,7 @@
 		one.Life = -int(one.Ended.UnixNano())
 	}
 	record(&s.History, &s.Requests, one)
+	return one.Answer
 }
 
 // callJobs hands jobs in, one after the other, until the context ends.
@@ -134,6 +167,36 @@
 	}
 }
 
+// watchJobs reads the lists of jobs that have items not listed yet, so that it is known soon
+// when each was, until the context ends.
+func (s *soak) watchJobs(ctx context.Context, reader int) {
+	random := s.random(reader, 9)
+	for retry.Sleep(ctx, watchPause) {
+		var open []Job
+		for _, job := range s.jobs() {
+			if job.Accepted && s.unlisted(&job) > 0 {
+				open = append(open, job)
+			}
+		}
+		if len(open) > 0 {
+			s.readWhole(ctx, &open[random.IntN(len(open))], random.IntN(len(s.gateways)))
+		}
+	}
+}
+
+// readWhole reads a job's list at a node. It reports whether that answered, and whether the
+// job has no item left to list.
+func (s *soak) readWhole(ctx context.Context, job *Job, node int) (results []standin.Listed, done bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	results, total, err := s.client(node).Results(ctx, job.ID, 0)
+	if err != nil {
+		return nil, false, err
+	}
+	s.reading(job.ID, 0, results)
+	return results, len(results) == total || !job.EndedAt.IsZero(), nil
+}
+
 // readJobs reads lists from any position at any node, until the context ends.
 func (s *soak) readJobs(ctx context.Context) {
 	random := s.random(0, 3)
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -38,6 +38,10 @@
 	LimitWhenCut   Promise = "limit-holds-when-cut"
 	HarmBounded    Promise = "harmful-work-ends-few-servers"
 	HarmlessServed Promise = "harmless-work-is-not-quarantined"
+	JobReadable    Promise = "accepted-job-can-be-read"
+	ListedInCalm   Promise = "item-listed-in-calm"
+	NoIdleWait     Promise = "no-item-waits-beside-free-slots"
+	ForeignUnused  Promise = "foreign-row-names-no-server"
 )
 
 // Bounds of the promises, those of the users' pages.
@@ -56,6 +60,7 @@
 		OnePosition, WholeText, JobFinishes, TrueDead, AtMostOnce, NotRunTrue, WholeAnswer, ConfigForward,
 		Drained, EndStops, WithinQuota, RefusedNotRun, ComeBackIsSaid,
 		TenantNotKey, WithinLimit, NodeLives, ZoneEmpty, ColdSpared, OthersServe, LimitWhenCut, HarmBounded, HarmlessServed,
+		JobReadable, ListedInCalm, NoIdleWait, ForeignUnused,
 	}
 }
 
@@ -94,6 +99,9 @@
 	c.coldSends()
 	c.losses()
 	c.harm()
+	c.listings()
+	c.waits()
+	c.foreign()
 	c.lives()
 	return c.found
 }
@@ -159,7 +167,7 @@
 	return strings.Join(pieces, "\n")
 }
 
-// jobsFinish: all items of an accepted job are listed at the end.
+// jobsFinish: an accepted job can be read at the end, and has all its items listed.
 func (c *check) jobsFinish() {
 	for _, job := range c.Jobs {
 		if !job.Accepted {
@@ -168,11 +176,16 @@
 			}
 			continue
 		}
+		final, read := c.Final[job.ID]
+		if !read {
+			c.broken(JobReadable, "job %s of %d items: no node answered with its list", job.ID, len(job.Items))
+			continue
+		}
 		if !job.EndedAt.IsZero() {
 			continue
 		}
 		listed := map[string]bool{}
-		for _, one := range c.Final[job.ID] {
+		for _, one := range final {
 			listed[one.Item] = true
 		}
 		for _, item := range job.Items {
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -51,8 +51,10 @@
 		s.flood(ctx, node, fault)
 	case EvacuateZone, ChillZone, LoseZone:
 		s.harmZone(ctx, fault)
-	default:
+	case ServerCut, ServerBad, ServerFull, DrainServer:
 		s.harmServer(ctx, fault)
+	default:
+		s.applySecond(ctx, fault)
 	}
 }
 
@@ -105,10 +107,13 @@
 }
 
 // target returns the server of a fault. The first one is left for the drain in calm.
-func (s *soak) target(fault Fault) *server { return s.servers[1+fault.Target%(serverCount-1)] }
+func (s *soak) target(fault Fault) *server { return s.servers[1+fault.Target%(len(s.servers)-1)] }
 
 func (s *soak) harmServer(ctx context.Context, fault Fault) {
 	one := s.target(fault)
+	if fault.Kind != DrainServer {
+		defer s.serverOut(one)()
+	}
 	switch fault.Kind {
 	case ServerCut:
 		one.proxy.set(fault.Harm)
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -93,6 +93,7 @@
 		return false
 	}
 	one.crashed = true
+	one.noteLocked()
 	one.proxy.refuse()
 	return true
 }
@@ -100,8 +101,9 @@
 // recover has the row of a server that crashed lapse, and then the server be there again,
 // unless its zone was lost meanwhile.
 func (one *server) recover() {
+	gone := one.present()
 	time.Sleep(lapse)
-	one.unlist()
+	one.unlist(gone)
 	time.Sleep(backAfter)
 	if err := one.proxy.accepts(); err != nil {
 		// Its address is taken: it stays away, as a machine that is not repaired.
@@ -110,9 +112,7 @@
 	one.mu.Lock()
 	one.crashed = false
 	if !one.lost {
-		one.starts++
-		one.key = fmt.Sprintf("%s-%d", one.name, one.starts)
-		one.Restart(one.key, 0)
+		one.bear(fmt.Sprintf("%s-%d", one.name, one.starts+1), time.Now(), 0)
 	}
 	one.mu.Unlock()
 	one.list()
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -40,10 +40,11 @@
 	EndedAt time.Time
 }
 
-// Reading is a result as one reading of a job's list showed it.
+// Reading is a result as one reading of a job's list showed it, at a moment.
 type Reading struct {
 	Job      string
 	Position int
+	At       time.Time
 	standin.Listed
 }
 
@@ -85,6 +86,12 @@
 	From, To time.Time
 }
 
+// ServerOutage is a time in which a server could not be used, or not to the full.
+type ServerOutage struct {
+	Server   string
+	From, To time.Time
+}
+
 // AllNodes is the name of a disturbance of all nodes.
 const AllNodes = ""
 
@@ -119,14 +126,28 @@
 	HarmEnds  []HarmEnd
 	// Ended are the ends of nodes that nobody had asked for.
 	Ended []EndedError
-	// Calm tells when nothing was disturbed any more.
-	Calm time.Time
+	// ServerOutages are in no order and may overlap.
+	ServerOutages []ServerOutage
+	// Overwritten are the times in which a server's row was another writer's.
+	Overwritten []ServerOutage
+	// ServerSlots are the slots of servers, by their names.
+	ServerSlots map[string]int
+	// Silences, ServerStarts and ForeignRows are the faults of these kinds that were made.
+	Silences, ServerStarts, ForeignRows []Kind
+	// Began is when the load began, LoadOver when it was over. Calm tells when nothing was
+	// disturbed any more, which is before that.
+	Began, Calm, LoadOver time.Time
+	// Backlog is the time that the servers need for what was not listed when the load was over.
+	Backlog time.Duration
 	// Events is the number of events of a whole answer.
 	Events int
 	// Quota bounds the tokens of unfinished items.
 	Quota int
-	// Final are the lists read at the very end, by job.
+	// Final are the lists read at the very end, by job; a job that nobody could read has none.
 	Final map[string][]standin.Listed
+
+	// listed are the items that some reading has shown.
+	listed map[string]bool
 }
 
 // record adds one to a list of a history.
@@ -139,9 +160,31 @@
 func (h *History) reading(job string, from int, results []standin.Listed) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	for i, one := range results {
-		h.Readings = append(h.Readings, Reading{Job: job, Position: from + i, Listed: one})
+		h.Readings = append(h.Readings, Reading{Job: job, Position: from + i, At: now, Listed: one})
+		h.listed[one.Item] = true
+	}
+}
+
+// final notes a job's list as it was read at the end.
+func (h *History) final(job string, results []standin.Listed) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.Final[job] = results
+}
+
+// unlisted returns how many of a job's items no reading has shown.
+func (h *History) unlisted(job *Job) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := 0
+	for _, item := range job.Items {
+		if !h.listed[item] {
+			count++
+		}
 	}
+	return count
 }
 
 // disturbed notes a disturbance that ends now.
--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -21,7 +21,7 @@
 		{Seed: 3032, Nodes: 5, Regions: 1},
 	} {
 		t.Run(fmt.Sprint(one.Seed), func(t *testing.T) {
-			one.For, one.Ready, one.Progress = 35*time.Second, remaining(t), t.Logf
+			one.For, one.FirstPlanOnly, one.Ready, one.Progress = 35*time.Second, true, remaining(t), t.Logf
 			report, err := Run(t.Context(), one)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -42,7 +42,10 @@
 		return err
 	}
 	s.configure()
-	for i := range serverCount {
+	if err := s.addStranger(); err != nil {
+		return err
+	}
+	for i := range s.Servers {
 		if err := s.addServer(fmt.Sprintf("server-%d", i), s.zoneOf(i)); err != nil {
 			return err
 		}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -18,26 +19,34 @@
 var Error = errs.Class("soak")
 
 const (
-	host        = "soak.example"
-	answerSize  = 12
-	eventTime   = 15 * time.Millisecond
-	serverCount = 8
-	// serverSlots is so small that requests often find no slot of their node free and
-	// ask for one elsewhere.
-	serverSlots = 2
-	itemTokens  = 500
+	host       = "soak.example"
+	answerSize = 12
+	eventTime  = 15 * time.Millisecond
+	itemTokens = 500
 	// tokenQuota is small enough that some jobs are refused.
 	tokenQuota = 40000
-	// settleTime is how long the system has after the last fault.
-	settleTime = 25 * time.Second
+)
+
+const (
+	// DefaultServers and LeastServers are numbers of servers; one is left for what is done in calm.
+	DefaultServers = 8
+	LeastServers   = 3
+	// DefaultSlots of a server are so few that requests often find no slot of their node
+	// free and ask for one elsewhere.
+	DefaultSlots = 2
 )
 
 // Options are the choices of a soak.
 type Options struct {
 	Seed uint64
-	// For is the time with faults; the run takes some 20 s more.
+	// For is the time with faults; the run takes some 10 s more, and up to listBound and the
+	// time for the work that is left beside these where items are not listed.
 	For   time.Duration
 	Nodes int
+	// Servers is their number, Slots what each of them has; 0 means the defaults.
+	Servers, Slots int
+	// FirstPlanOnly leaves the faults of SecondPlan out.
+	FirstPlanOnly bool
 	// Regions is in how many regions the zones lie, 1 or 2; default 1.
 	Regions int
 	// Ready is how long the nodes may take to serve; 0 means until the context ends.
@@ -61,7 +70,10 @@
 	Evacuations, Losses, ColdSends int
 	// HarmSends counts requests with harmful work, HarmEnds the servers that it ended.
 	HarmSends, HarmEnds int
-	Broken              []Broken
+	// Silences, ServerStarts and ForeignRows count the faults of the second plan that went
+	// silent, started servers again and left rows of other writers.
+	Silences, ServerStarts, ForeignRows int
+	Broken                              []Broken
 	// Logs is the directory with the nodes' logs, kept if a promise was broken.
 	Logs string
 }
@@ -73,6 +85,7 @@
 	store    *standin.Store
 	zones    []*zone
 	servers  []*server
+	stranger stranger
 	gateways []*gateway
 	closers  []func()
 	// version and prefixes are of the configuration; routes are only added.
@@ -90,11 +103,14 @@
 
 // newSoak returns a soak without nodes and servers.
 func newSoak(options Options) *soak {
+	options.Servers = cmp.Or(options.Servers, DefaultServers)
+	options.Slots = cmp.Or(options.Slots, DefaultSlots)
 	return &soak{
 		Options: options, store: standin.NewStore(), zones: newZones(options.Regions), prefixes: []string{"resume", "once"},
 		History: History{
 			Events: answerSize, Quota: tokenQuota, Final: map[string][]standin.Listed{},
-			NodeZones: map[string]string{}, ServerZones: map[string]string{},
+			NodeZones: map[string]string{}, ServerZones: map[string]string{}, ServerSlots: map[string]int{},
+			listed: map[string]bool{},
 		},
 	}
 }
@@ -115,6 +131,9 @@
 		return nil, err
 	}
 	plan := Plan(options.Seed, options.For)
+	if !options.FirstPlanOnly {
+		plan = merge(plan, SecondPlan(options.Seed, options.For))
+	}
 	s.play(ctx, plan)
 	s.collect()
 	report := s.report()
@@ -138,6 +157,11 @@
 		for _, send := range one.ColdSends() {
 			s.ColdSends = append(s.ColdSends, ColdSend{Server: one.name, ColdSend: send})
 		}
+		s.ServerOutages = append(s.ServerOutages, one.outs(time.Now())...)
+		s.Overwritten = append(s.Overwritten, one.foreign...)
+	}
+	for _, run := range s.stranger.Runs() {
+		s.Runs = append(s.Runs, ServerRun{Server: strangerName, Run: run})
 	}
 	for _, one := range s.gateways {
 		s.Ended = append(s.Ended, one.ended()...)
@@ -150,6 +174,7 @@
 		Seed: s.Seed, Requests: len(s.Requests), Jobs: len(s.Jobs), Runs: len(s.Runs),
 		Evacuations: len(s.Evacuations), Losses: len(s.Losses), ColdSends: len(s.ColdSends),
 		HarmSends: len(s.HarmSends), HarmEnds: len(s.HarmEnds),
+		Silences: len(s.Silences), ServerStarts: len(s.ServerStarts), ForeignRows: len(s.ForeignRows),
 	}
 	for _, one := range s.Requests {
 		switch {
@@ -195,7 +220,14 @@
 	load.Go(func() { s.callBeyond(loadCtx) })
 	load.Go(func() { s.callLittle(loadCtx) })
 	load.Go(func() { s.readJobs(loadCtx) })
+	for caller := range keptCallers {
+		load.Go(func() { s.callKept(loadCtx, caller) })
+	}
+	for reader := range watchers {
+		load.Go(func() { s.watchJobs(loadCtx, reader) })
+	}
 	began := time.Now()
+	s.Began = began
 	s.ends = began.Add(s.For + leastOut)
 	harmCtx, stopHarm := context.WithDeadline(ctx, began.Add(s.For))
 	defer stopHarm()
@@ -215,6 +247,7 @@
 	s.disturbCalm(ctx)
 	stopLoad()
 	load.Wait()
+	s.LoadOver = time.Now()
 	s.settle(ctx)
 }
 
@@ -229,27 +262,6 @@
 	done.Wait()
 }
 
-// settle waits until all accepted jobs are listed, and reads them at every node.
-func (s *soak) settle(ctx context.Context) {
-	deadline := time.Now().Add(settleTime)
-	for _, job := range s.jobs() {
-		if !job.Accepted {
-			continue
-		}
-		for number := 0; time.Now().Before(deadline); number++ {
-			results, total, err := s.client(number).Results(ctx, job.ID, 0)
-			if err == nil {
-				s.reading(job.ID, 0, results)
-				s.Final[job.ID] = results
-				if len(results) == total || !job.EndedAt.IsZero() {
-					break
-				}
-			}
-			retry.Sleep(ctx, 100*time.Millisecond)
-		}
-	}
-}
-
 // client returns a caller of one of the nodes.
 func (s *soak) client(number int) *standin.Client {
 	return &standin.Client{Address: s.gateways[number%len(s.gateways)].at(), Host: host, Key: keyOf(tenantMain)}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 	if testing.Short() {
 		t.Skip("runs processes for some 20 s")
 	}
-	report, err := Run(t.Context(), Options{Seed: 1, For: 8 * time.Second, Nodes: 3, Ready: remaining(t), Progress: t.Logf})
+	report, err := Run(t.Context(), Options{Seed: 1, For: 8 * time.Second, Nodes: 3, FirstPlanOnly: true, Ready: remaining(t), Progress: t.Logf})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,6 +45,38 @@
 	}
 }
 
+// A short soak with the second plan too.
+func TestRun_PromisesHoldUnderBothPlans(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for some 25 s")
+	}
+	report, err := Run(t.Context(), Options{Seed: 124, For: 12 * time.Second, Nodes: 3, Ready: remaining(t), Progress: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, broken := range report.Broken {
+		t.Error(broken)
+	}
+	if report.Silences == 0 || report.ServerStarts == 0 || report.ForeignRows == 0 {
+		t.Errorf("%d silences, %d starts of servers, %d foreign rows: nothing was proved of them",
+			report.Silences, report.ServerStarts, report.ForeignRows)
+	}
+}
+
+// The second plan changes nothing of the first.
+func TestSecondPlan_IsFixedByItsSeed(t *testing.T) {
+	first, again := SecondPlan(7, time.Minute), SecondPlan(7, time.Minute)
+	if len(first) < 20 || !slices.Equal(first, again) {
+		t.Fatalf("plans have %d and %d faults", len(first), len(again))
+	}
+	both := merge(Plan(7, time.Minute), first)
+	kinds := deck(secondWeights)
+	both = slices.DeleteFunc(both, func(one Fault) bool { return slices.Contains(kinds, one.Kind) })
+	if !slices.Equal(both, Plan(7, time.Minute)) {
+		t.Fatal("the first plan is another one beside the second")
+	}
+}
+
 func TestPlan_IsFixedByItsSeed(t *testing.T) {
 	first, again, other := Plan(7, time.Minute), Plan(7, time.Minute), Plan(8, time.Minute)
 	if len(first) < 20 || len(first) != len(again) {
@@ -101,7 +134,7 @@
 			{ID: "refused", Items: []string{"r-0"}, Tokens: 400, Refused: true},
 		},
 		Readings: []Reading{{Job: "j", Position: 0, Listed: listed[0]}, {Job: "j", Position: 1, Listed: listed[1]}, {Job: "j", Position: 0, Listed: listed[0]}},
-		Final:    map[string][]standin.Listed{"j": listed},
+		Final:    map[string][]standin.Listed{"j": listed, "ended": nil},
 		Drains:   []Drain{{Server: "s1", At: at(6)}},
 		Runs: []ServerRun{
 			run("s0", "whole", 1, standin.Whole), run("s0", "added", 3, standin.Whole), run("s0", "j-0", 2, standin.Whole),
@@ -111,6 +144,7 @@
 	}
 	keptZones(history, at)
 	keptHarm(history, at)
+	keptWaits(history, at)
 	return history
 }
 
@@ -150,6 +184,7 @@
 	}
 	maps.Copy(mutations, zoneMutations())
 	maps.Copy(mutations, harmMutations())
+	maps.Copy(mutations, waitMutations())
 	for _, promise := range Promises() {
 		mutate := mutations[promise]
 		if mutate == nil {
