--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,7 +157,7 @@
 func (one *server) outs(until time.Time) []ServerOutage {
 	one.mu.Lock()
 	defer one.mu.Unlock()
-	outages := one.outages
+	outages := slices.Clone(one.outages)
 	if !one.outSince.IsZero() {
 		outages = append(outages, ServerOutage{Server: one.name, From: one.outSince, To: until})
 	}
