Soak: load goes on for 12 s of calm

Load ended 4 to 6 s after the calm began, and an item whose server says nothing at all is given up 2 s after that.

The load now goes on for longer in calm than an item may wait there.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -39,7 +39,7 @@
 // Options are the choices of a soak.
 type Options struct {
 	Seed uint64
-	// For is the time with faults; the run takes some 10 s more, and up to listBound and the
+	// For is the time with faults; the run takes some 20 s more, and up to listBound and the
 	// time for the work that is left beside these where items are not listed.
 	For   time.Duration
 	Nodes int
@@ -245,6 +245,7 @@
 	s.Calm = time.Now().Add(3 * time.Second)
 	// Load goes on in calm for a while, so that what is done there counts strictly.
 	s.disturbCalm(ctx)
+	retry.Sleep(ctx, time.Until(s.Calm.Add(calmLoad)))
 	stopLoad()
 	load.Wait()
 	s.LoadOver = time.Now()
--- a/internal/lab/soak/waits.go
+++ b/internal/lab/soak/waits.go
@@ -20,6 +20,9 @@
 	anyWait  = 20 * time.Second
 	// roomKnown is how long nodes may take to learn that a server can be used again.
 	roomKnown = 2 * time.Second
+	// calmLoad is how long load goes on in calm: longer than calmWait, for an item whose answer
+	// will never come may be given up for other reasons once its server has nothing else to do.
+	calmLoad = 12 * time.Second
 	// span is the time for which it is judged whether a slot was free all along.
 	span = 250 * time.Millisecond
 )
