Soak: in calm an item waits beside slots that are free without a break

Item and load wait for the same slots then, so the bound in calm is for one time without a break: 5 s in which each quarter of a second had a free slot. All of a wait, with breaks and under faults, stays bounded by 20 s of such quarters. Ruled out: a longer bound in calm, for the time in which users saw items lie is 5 s.

--- a/internal/lab/soak/waits.go
+++ b/internal/lab/soak/waits.go
@@ -13,9 +13,9 @@
 	// listBound is how long an item may take to be listed in calm, once there is no load
 	// but items, beyond the time of the work that was left then.
 	listBound = 20 * time.Second
-	// calmWait is how long an item may wait in calm beside a free slot, and anyWait under
-	// faults: longer than a node is cut off, paused or away together with the take-over
-	// of what it had.
+	// calmWait is how long an item may wait in calm while there is a free slot at each moment.
+	// anyWait is for how much of any wait there may be one, faults or not: longer than a node
+	// is cut off, paused or away together with the take-over of what it had.
 	calmWait = 5 * time.Second
 	anyWait  = 20 * time.Second
 	// roomKnown is how long nodes may take to learn that a server can be used again.
@@ -81,7 +81,7 @@
 			}
 		}
 		if count > 0 {
-			c.broken(NoIdleWait, "%d of %d items of job %s (accepted at %s) wait beside a free slot; %s from %s to %s, %v beside one, %v of it in calm; %s",
+			c.broken(NoIdleWait, "%d of %d items of job %s (accepted at %s) wait beside a free slot; %s from %s to %s, %v beside one, %v of it in calm and without a break; %s",
 				count, len(job.Items), job.ID, c.moment(job.At), item, c.moment(worst.from), c.moment(worst.to), worst.beside, worst.calm, c.story(item, shown))
 		}
 	}
@@ -90,7 +90,8 @@
 // wait is a time in which no server had an item.
 type wait struct {
 	from, to time.Time
-	// beside is for how much of it a slot was free, calm how much of that was in calm.
+	// beside is for how much of it a slot was free, calm the longest part of that in calm
+	// without a break.
 	beside, calm time.Duration
 }
 
@@ -130,13 +131,16 @@
 // waited measures a wait by the spans with a free slot.
 func (c *check) waited(from, to time.Time, room []bool) wait {
 	one := wait{from: from, to: to}
+	unbroken := time.Duration(0)
 	for number := c.spanOf(from) + 1; number < min(c.spanOf(to), len(room)); number++ {
 		if !room[number] {
+			unbroken = 0
 			continue
 		}
 		one.beside += span
 		if !c.Began.Add(time.Duration(number) * span).Before(c.Calm) {
-			one.calm += span
+			unbroken += span
+			one.calm = max(one.calm, unbroken)
 		}
 	}
 	return one
--- a/internal/lab/soak/waits_test.go
+++ b/internal/lab/soak/waits_test.go
@@ -114,3 +114,17 @@
 		t.Errorf("in time: found %v", found)
 	}
 }
+
+// In calm the bound is for one time without a break: slots that are free between two
+// requests are nobody's to wait for.
+func TestCheck_WaitsInCalmWithoutABreak(t *testing.T) {
+	h := kept()
+	moveItem(h, "j-0", 10*time.Second)
+	middle := h.Began.Add(9 * time.Second)
+	for _, server := range []string{"s0", "s1"} {
+		h.ServerOutages = append(h.ServerOutages, ServerOutage{Server: server, From: middle.Add(-roomKnown), To: middle.Add(-roomKnown)})
+	}
+	if found := Check(h); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+}
