Lab: open connections of engines go silent (engine-silent)

Cause: the emulated engines could die, leave and become slow; none had its open connections go silent while new ones worked, as the soak's servers can now.

--- /dev/null
+++ b/internal/lab/emulator/silence_test.go
@@ -0,0 +1,67 @@
+package emulator
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// silentServer serves one line, and a second one when told, before a SilentListener.
+func silentServer(t *testing.T, more chan struct{}) *SilentListener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := &SilentListener{Listener: listener}
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("first\n"))
+		w.(http.Flusher).Flush()
+		<-more
+		_, _ = w.Write([]byte("second\n"))
+	})}
+	go func() { _ = server.Serve(silent) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return silent
+}
+
+// askFirst asks over a new connection and reads the first line of the answer.
+func askFirst(t *testing.T, address string) (net.Conn, *bufio.Scanner) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := conn.Write([]byte("GET / HTTP/1.0\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(conn)
+	for lines.Scan() && lines.Text() != "first" {
+	}
+	return conn, lines
+}
+
+// An answer that is under way says nothing more, and not its end either; the next one is whole.
+func TestSilentListener_AnswerUnderWay(t *testing.T) {
+	more := make(chan struct{})
+	listener := silentServer(t, more)
+	conn, lines := askFirst(t, listener.Addr().String())
+	if count := listener.Silence(); count != 1 {
+		t.Fatalf("%d connections went silent", count)
+	}
+	close(more)
+	if err := conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if lines.Scan() || !errors.Is(lines.Err(), os.ErrDeadlineExceeded) {
+		t.Errorf("read %q, error %v", lines.Text(), lines.Err())
+	}
+	if _, lines := askFirst(t, listener.Addr().String()); !lines.Scan() || lines.Text() != "second" {
+		t.Errorf("the next answer has %q, error %v", lines.Text(), lines.Err())
+	}
+}
--- a/internal/lab/experiment/fault.go
+++ b/internal/lab/experiment/fault.go
@@ -46,6 +46,7 @@
 	{"engine-death", "a random engine dies every 4 s and is replaced", false, killEngines},
 	{"engine-leaving", "a random engine is told to leave every 4 s", false, leaveEngines},
 	{"engine-slow", "a random engine becomes 8 times slower for a while", false, slowEngines},
+	{"engine-silent", "the open connections of a random engine go silent for good every 4 s; new ones work", false, silenceEngines},
 	{"zone-cut", "a zone is cut off from the table for a third of the run", false, cutZone},
 	{"rolling-restart", "every node in turn is stopped as planned and started again", true, rollingRestart},
 	{"none", "no fault", false, func(context.Context, *run) {}},
@@ -211,6 +212,13 @@
 	}
 }
 
+func silenceEngines(ctx context.Context, r *run) {
+	for retry.Sleep(ctx, killEvery) {
+		victim := r.randomEngine()
+		r.options.Progress("%d connections of %s go silent", victim.Silence(), victim.ID)
+	}
+}
+
 func cutZone(ctx context.Context, r *run) {
 	third := r.options.Duration / 3
 	retry.Sleep(ctx, third)
--- a/internal/lab/site/platform.go
+++ b/internal/lab/site/platform.go
@@ -39,8 +39,9 @@
 
 // endpoint is an HTTP server of the lab.
 type endpoint struct {
-	url    string
-	server *http.Server
+	url      string
+	server   *http.Server
+	listener *emulator.SilentListener
 }
 
 func serve(handler http.Handler) (*endpoint, error) {
@@ -49,8 +50,9 @@
 		return nil, Error.Wrap(err)
 	}
 	server := &http.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
-	return &endpoint{url: "http://" + listener.Addr().String(), server: server}, nil
+	silent := &emulator.SilentListener{Listener: listener}
+	go func() { _ = server.Serve(silent) }()
+	return &endpoint{url: "http://" + listener.Addr().String(), server: server, listener: silent}, nil
 }
 
 // Platform is the set of stand-ins for the platform's services.
@@ -157,6 +159,9 @@
 	return started, nil
 }
 
+// Silence has the engine's open connections go silent without an end. It returns how many.
+func (e *Engine) Silence() int { return e.endpoint.listener.Silence() }
+
 // Kill stops the engine and breaks all its connections.
 func (e *Engine) Kill() {
 	e.once.Do(func() {
