--- a/internal/lab/soak/waits.go
+++ b/internal/lab/soak/waits.go
@@ -81,8 +81,8 @@
 			}
 		}
 		if count > 0 {
-			c.broken(NoIdleWait, "%d of %d items of job %s (accepted at %s) wait beside a free slot; %s from %s to %s, %v beside one, %v of it in calm and without a break; %s",
-				count, len(job.Items), job.ID, c.moment(job.At), item, c.moment(worst.from), c.moment(worst.to), worst.beside, worst.calm, c.story(item, shown))
+			c.broken(NoIdleWait, "%d of %d items of job %s (accepted at %s) wait beside a free slot; %s from %s to %s, %v beside one, %v of it in calm and without a break, slots free for %v; %s",
+				count, len(job.Items), job.ID, c.moment(job.At), item, c.moment(worst.from), c.moment(worst.to), worst.beside, worst.calm, worst.free, c.story(item, shown))
 		}
 	}
 }
@@ -93,12 +93,14 @@
 	// beside is for how much of it a slot was free, calm the longest part of that in calm
 	// without a break.
 	beside, calm time.Duration
+	// free is for how much of it each server had a free slot.
+	free map[string]time.Duration
 }
 
 func (w *wait) broken() bool { return w.calm > calmWait || w.beside > anyWait }
 
 // longestWait returns the longest wait of an item, up to an end; the first that is too long.
-func (c *check) longestWait(item string, job *Job, shown map[string]time.Time, room []bool, end time.Time) wait {
+func (c *check) longestWait(item string, job *Job, shown map[string]time.Time, room [][]string, end time.Time) wait {
 	until, ok := shown[item]
 	if !ok || until.After(end) {
 		until = end
@@ -129,15 +131,18 @@
 }
 
 // waited measures a wait by the spans with a free slot.
-func (c *check) waited(from, to time.Time, room []bool) wait {
-	one := wait{from: from, to: to}
+func (c *check) waited(from, to time.Time, room [][]string) wait {
+	one := wait{from: from, to: to, free: map[string]time.Duration{}}
 	unbroken := time.Duration(0)
 	for number := c.spanOf(from) + 1; number < min(c.spanOf(to), len(room)); number++ {
-		if !room[number] {
+		if len(room[number]) == 0 {
 			unbroken = 0
 			continue
 		}
 		one.beside += span
+		for _, server := range room[number] {
+			one.free[server] += span
+		}
 		if !c.Began.Add(time.Duration(number) * span).Before(c.Calm) {
 			unbroken += span
 			one.calm = max(one.calm, unbroken)
@@ -149,20 +154,22 @@
 // spanOf returns the number of the span of a moment.
 func (c *check) spanOf(at time.Time) int { return max(0, int(at.Sub(c.Began)/span)) }
 
-// room tells of each span whether some server that could be used had a free slot
-// throughout, and all nodes were able to work.
-func (c *check) room() []bool {
+// room returns for each span the servers that could be used and had a free slot throughout;
+// none while not all nodes were able to work.
+func (c *check) room() [][]string {
 	count := c.spanOf(c.LoadOver.Add(listBound))
-	room := make([]bool, count)
+	room := make([][]string, count)
 	for server, slots := range c.ServerSlots {
 		used := c.used(server, count)
 		for number := range room {
-			room[number] = room[number] || used[number] < slots
+			if used[number] < slots {
+				room[number] = append(room[number], server)
+			}
 		}
 	}
 	for _, one := range c.Disturbances {
 		if one.Name == AllNodes {
-			c.eachSpan(one.From, one.To.Add(contactBound), count, func(number int) { room[number] = false })
+			c.eachSpan(one.From, one.To.Add(contactBound), count, func(number int) { room[number] = nil })
 		}
 	}
 	return room
