Soak: a cold server that cannot say so is not judged as cold

What such a server gets while its row is another writer's, and for a second after, does not count for cold-within-its-rate; before and later it does (TestCheck_ColdServersThatCannotSaySo).

--- a/internal/lab/soak/checkzones_test.go
+++ b/internal/lab/soak/checkzones_test.go
@@ -131,3 +131,21 @@
 		})
 	}
 }
+
+// What a cold server gets does not count while its row is another writer's, nor in the
+// second after; before and later it does.
+func TestCheck_ColdServersThatCannotSaySo(t *testing.T) {
+	for _, test := range []struct {
+		from, to float64
+		broken   bool
+	}{{0, 2, false}, {1.1, 1.9, false}, {-2, -1, true}, {4, 5, true}} {
+		h := kept()
+		zoneMutations()[ColdSpared](h)
+		chilled := h.ColdSends[0].Since
+		after := func(seconds float64) time.Time { return chilled.Add(time.Duration(seconds * float64(time.Second))) }
+		h.Overwritten = []ServerOutage{{Server: "s2", From: after(test.from), To: after(test.to)}}
+		if found := Check(h); (len(found) > 0) != test.broken {
+			t.Errorf("overwritten from %v to %v: found %v", test.from, test.to, found)
+		}
+	}
+}
