--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -41,6 +41,8 @@
 	ErrBroken = errors.New("replica answer broke off")
 	// ErrSilent reports that a replica said nothing for too long.
 	ErrSilent = errors.New("replica is silent")
+	// ErrRestarted reports that a replica has started again since the request was sent.
+	ErrRestarted = errors.New("replica has started again since")
 	// ErrStalled reports that nothing came of one answer for too long, while the replica
 	// may answer others: its connection may be dead.
 	ErrStalled = errors.New("answer stalled")
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -32,7 +32,12 @@
 	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
 		return false
 	}
-	return errors.Is(err, ErrBroken) || errors.Is(err, ErrSilent) || errors.Is(err, ErrStalled)
+	for _, loss := range []error{ErrBroken, ErrSilent, ErrStalled, ErrRestarted} {
+		if errors.Is(err, loss) {
+			return true
+		}
+	}
+	return false
 }
 
 // quarantined returns the error of a request whose work must not be sent.
@@ -52,6 +57,6 @@
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.EndedWell(c.request.Work())
 	case MayHaveEnded(err, c.status):
-		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), Began: began})
+		guard.BrokeOff(ctx, quarantine.Replica{ID: chosen.ID, Born: chosen.Born, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), Began: began})
 	}
 }
