--- a/internal/lab/soak/secondfaults.go
+++ b/internal/lab/soak/secondfaults.go
@@ -165,7 +165,7 @@
 func (s *soak) foreignRow(ctx context.Context, fault Fault) {
 	rows := standin.ForeignRows(s.stranger.address, s.zoneOf(fault.Target).name)
 	key := fmt.Sprintf("foreign-%d", fault.At.Milliseconds())
-	s.store.PutRaw("servers", key, rows[fault.Target%len(rows)])
+	s.store.PutValue("servers", "", key, rows[fault.Target%len(rows)])
 	s.say("        %s: %q under %s", fault.Kind, rows[fault.Target%len(rows)], key)
 	record(&s.History, &s.ForeignRows, fault.Kind)
 	retry.Sleep(ctx, fault.For)
@@ -200,7 +200,7 @@
 	if one.leaves || one.lost || one.crashed || !one.foreignSince.IsZero() {
 		return time.Time{}
 	}
-	one.store.PutRaw("servers", one.key, value)
+	one.store.PutValue("servers", "", one.key, value)
 	one.foreignSince = time.Now()
 	one.noteLocked()
 	return one.foreignSince
