--- a/internal/jobs/account.go
+++ b/internal/jobs/account.go
@@ -1,8 +1,11 @@
 package jobs
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
 // Wait says what an item that is not listed waits for. Each has an end that is bound to
@@ -35,13 +38,20 @@
 	WaitAnswer
 	// WaitListing items have their outcome and wait for it to be listed.
 	WaitListing
+	// WaitContent items wait for their content to be read.
+	WaitContent
+	// WaitOwner items wait to be taken over from a node that is gone, or outside their homes.
+	WaitOwner
+	// WaitHome items wait for a node of their homes.
+	WaitHome
 	waits
 )
 
 // String returns the name used in logs and metrics.
 func (w Wait) String() string {
 	names := [waits]string{
-		"look", "pause", "view", "routes", "route", "room", "replica", "quarantine", "mark", "hand-back", "answer", "listing",
+		"look", "pause", "view", "routes", "route", "room", "replica", "quarantine", "mark", "hand-back", "answer", "listing", "content",
+		"owner", "home",
 	}
 	if w >= waits {
 		return "unknown"
@@ -56,6 +66,8 @@
 	// Since is when the item last came on, by package clock: it was taken up, its answer
 	// brought an event, or it got its outcome.
 	Since time.Time
+	// Begun is since when it waits for this, all the time.
+	Begun time.Time
 	// Replica is where a running item is.
 	Replica string
 	// Cause is what decided it; nil if the wait says all.
@@ -71,9 +83,15 @@
 }
 
 // waits notes what the task waits for from now on. The caller holds the runner's lock.
-func (t *task) waits(what Wait, cause error) { t.wait, t.waitCause = what, cause }
+func (t *task) waits(what Wait, cause error) {
+	if t.wait != what || t.waitBegun.IsZero() {
+		t.waitBegun = clock.Now()
+	}
+	t.wait, t.waitCause = what, cause
+}
 
-// Waiting returns what each unlisted item of this node waits for, that which came on longest ago first.
+// Waiting returns what each unlisted item of this node waits for, and those that this node
+// should take over, that which came on longest ago first.
 func (r *Runner) Waiting() []Waiting {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -84,7 +102,14 @@
 				all = append(all, one.waiting())
 			}
 		}
+		for _, index := range owned.unread {
+			all = append(all, Waiting{
+				Job: owned.job.ID, Item: owned.job.Items[index].ID, For: WaitContent,
+				Since: owned.unreadSince, Begun: owned.unreadSince, Cause: owned.loadErr,
+			})
+		}
 	}
+	all = append(all, r.nobodys...)
 	slices.SortFunc(all, func(a, b Waiting) int { return a.Since.Compare(b.Since) })
 	return all
 }
@@ -93,7 +118,10 @@
 func (t *task) waiting() Waiting {
 	waiting := Waiting{
 		Job: t.work.job.ID, Item: t.work.job.Items[t.index].ID,
-		For: t.wait, Since: t.cameOn, Cause: t.waitCause,
+		For: t.wait, Since: t.cameOn, Begun: t.waitBegun, Cause: t.waitCause,
+	}
+	if waiting.Begun.IsZero() {
+		waiting.Begun = t.cameOn
 	}
 	if t.state == taskRunning {
 		waiting.Replica = t.replica
@@ -116,20 +144,38 @@
 	return counts
 }
 
-// overdueAfter is the time without progress from which on an item is worth a log line. An
-// item that runs brings events many times a second, and one that waits for a slot gets one
-// when another ends, within a few seconds; while nodes, replicas or the store are away it
-// takes longer.
+// overdueAfter is how long an item may go without progress at most before it is worth a log
+// line, whatever it waits for, by turns.
 const overdueAfter = 10 * time.Second
 
-// Overdue returns the items that have not come on for longer than they usually need, that
-// which came on longest ago first.
-func (r *Runner) Overdue(now time.Time) []Waiting {
-	all := r.Waiting()
-	for i, one := range all {
-		if now.Sub(one.Since) < overdueAfter {
-			return all[:i]
-		}
+// unbounded waits end by what operators or callers do, or when the item expires. What begins
+// them is logged once.
+const unbounded = time.Duration(math.MaxInt64)
+
+// Bound is how long an item usually waits for the same at most, while nodes, replicas and the
+// store are there. Design 0018 tells what ends each wait and who sees to it if that does not
+// come.
+func (w Wait) Bound() time.Duration {
+	switch w {
+	case WaitLook, WaitPause:
+		return 2 * time.Second
+	case WaitMark, WaitListing, WaitContent:
+		return 5 * time.Second
+	case WaitRoute, WaitQuarantine, WaitHome:
+		return unbounded
+	default:
+		return overdueAfter
 	}
-	return all
+}
+
+// overdue reports whether an item has waited for longer than it should.
+func (w *Waiting) overdue(now time.Time) bool {
+	bound := w.For.Bound()
+	return bound != unbounded && (now.Sub(w.Begun) >= bound || now.Sub(w.Since) >= overdueAfter)
+}
+
+// Overdue returns the items that have waited for longer than they should, that which came on
+// longest ago first.
+func (r *Runner) Overdue(now time.Time) []Waiting {
+	return slices.DeleteFunc(r.Waiting(), func(one Waiting) bool { return !one.overdue(now) })
 }
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -136,7 +136,7 @@
 func (r *Runner) send(ctx context.Context, one *task, item *Item, chosen replica.Info, use *replica.Use) error {
 	sent := clock.Now()
 	answer, err := r.Backend.Send(ctx, &forward.Attempt{
-		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after,
+		Request: itemRequest(one.work.job, item), Replica: chosen, After: one.after, Reservation: one.reservation,
 	})
 	if err != nil {
 		return err
--- a/internal/jobs/work.go
+++ b/internal/jobs/work.go
@@ -11,6 +11,10 @@
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
+// loadPause is the pause before content is read again that could not be: one that is not there
+// costs a call to the store each time.
+const loadPause = time.Second
+
 // work is an owned job. The runner's lock guards it.
 type work struct {
 	job      *Job
@@ -18,10 +22,14 @@
 	tasks    []*task
 	finished []*task
 	commits  bool
-	// loading is set while items are read from the store, notUntil is when that may be
-	// tried again.
-	loading  bool
-	notUntil time.Time
+	// loading is set while items are read from the store. After they could not be read for
+	// loadErr they are tried again at loadAt.
+	loading bool
+	loadErr error
+	loadAt  time.Time
+	// unread are the items of this node that have no task yet, since when.
+	unread      []int
+	unreadSince time.Time
 	// version is that of the progress that the tasks are made of; complete is set
 	// once each item of this node has one.
 	version  uint64
@@ -72,6 +80,11 @@
 	pool    string
 	cancel  context.CancelCauseFunc
 	use     *replica.Use
+	// reservation names the slot set aside for the run, borrowed is set if it is not one of
+	// this node's, starved if it is kept though online requests want it.
+	reservation string
+	borrowed    bool
+	starved     bool
 	// stalls counts the attempts in a row that stalled and brought no new event.
 	stalls int
 	// yielding is set once the run was told to give way.
@@ -84,9 +97,10 @@
 	identity *quarantine.Work
 	// held is set while the item is known to be quarantined.
 	held bool
-	// wait is what the item waits for, waitCause what decided it.
+	// wait is what the item waits for, waitCause what decided it, waitBegun since when.
 	wait      Wait
 	waitCause error
+	waitBegun time.Time
 	// cameOn is when the item last came on: it was taken up, its answer brought an event, or
 	// it got its outcome.
 	cameOn time.Time
@@ -136,12 +150,37 @@
 	owned.version = entry.Version
 	missing := owned.assign(own)
 	owned.complete = len(missing) == 0
-	if !owned.complete && !owned.loading && !clock.Now().Before(owned.notUntil) {
+	now := clock.Now()
+	owned.await(missing, now)
+	switch {
+	case owned.complete:
+	case r.Service.View.Known() && r.Service.View.until(owned.job.Expires) < 0:
+		r.expireUnread(owned, now)
+	case !owned.loading && !now.Before(owned.loadAt):
 		owned.loading = true
 		go r.load(owned, entry, missing)
 	}
 }
 
+// await notes the items that have no task yet. The caller holds the runner's lock.
+func (w *work) await(missing []int, now time.Time) {
+	if len(w.unread) == 0 {
+		w.unreadSince = now
+	}
+	w.unread = missing
+}
+
+// expireUnread ends items that were not read in time, for which no content is needed. The
+// caller holds the runner's lock.
+func (r *Runner) expireUnread(owned *work, now time.Time) {
+	for _, index := range owned.unread {
+		one := &task{work: owned, index: index, started: now}
+		owned.tasks = append(owned.tasks, one)
+		r.finishLocked(one, Expired)
+	}
+	owned.unread = nil
+}
+
 // assign stops and removes the tasks of items that another node runs now, and
 // returns the items that have no task yet. The caller holds the runner's lock.
 func (w *work) assign(own []int) (missing []int) {
@@ -171,18 +210,11 @@
 // load reads items and makes tasks of them.
 func (r *Runner) load(owned *work, entry *Entry, indexes []int) {
 	items, err := r.Service.content(owned.ctx, entry.Job)
-	if errors.Is(err, ErrUnreadable) && r.Service.View.until(entry.Job.Expires) < 0 {
-		// They can only be given up, for which it takes no more than their ids.
-		items, err = make([]Item, len(entry.Job.Items)), nil
+	if err == nil && len(items) != len(entry.Job.Items) {
+		err = Error.New("content of job %s has %d items of %d", entry.Job.ID, len(items), len(entry.Job.Items))
 	}
 	if err != nil {
-		// A reconcile tries again.
-		r.mu.Lock()
-		owned.loading = false
-		if errors.Is(err, ErrUnreadable) {
-			owned.notUntil = clock.Now().Add(unreadableRetry)
-		}
-		r.mu.Unlock()
+		r.loadFailed(owned, err)
 		return
 	}
 	var kept map[int]storedResult
@@ -191,11 +223,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	owned.loading = false
+	owned.loading, owned.loadErr = false, nil
 	if owned.items == nil {
 		owned.items = items
 	}
 	for _, index := range indexes {
+		if !slices.Contains(owned.unread, index) {
+			// It has expired, or is another node's by now.
+			continue
+		}
 		one := &task{work: owned, index: index, once: items[index].Once, failures: entry.Progress.Failures[index], exclude: map[string]bool{}, cameOn: clock.Now()}
 		if text, ok := kept[index]; ok {
 			one.text, one.after, one.keptVersion = []byte(text.Text), text.After, text.version
@@ -207,5 +243,21 @@
 			r.finishLocked(one, Undecided)
 		}
 	}
+	owned.unread = slices.DeleteFunc(owned.unread, func(index int) bool { return slices.Contains(indexes, index) })
 	r.wake()
 }
+
+// loadFailed has items be read again after a pause.
+func (r *Runner) loadFailed(owned *work, err error) {
+	r.mu.Lock()
+	first := owned.loadErr == nil && owned.ctx.Err() == nil
+	pause := loadPause
+	if errors.Is(err, ErrUnreadable) {
+		pause = unreadableRetry
+	}
+	owned.loading, owned.loadErr, owned.loadAt = false, err, clock.Now().Add(pause)
+	r.mu.Unlock()
+	if first {
+		r.Service.Events.ItemFailed(owned.job, "", "", err)
+	}
+}
--- a/internal/jobs/yield.go
+++ b/internal/jobs/yield.go
@@ -28,16 +28,24 @@
 // node's items there are broken off, those first that are due last. The slots of those
 // that run on where operators empty the zone are of no use to others.
 func (r *Runner) YieldPool(pool string, items int, why replica.Pressure) {
-	r.yield(items, why, func(one *task) bool { return one.pool == pool && !r.Replicas.Emptied(one.replica) })
+	r.yield(items, why, func(one *task) bool { return one.pool == pool && !one.borrowed && !r.Replicas.Emptied(one.replica) })
 }
 
+// YieldBorrowed has items leave slots of a pool that they borrowed from other nodes.
+func (r *Runner) YieldBorrowed(pool string, items int, why replica.Pressure) {
+	r.yield(items, why, func(one *task) bool { return one.pool == pool && one.borrowed })
+}
+
+// yield has items leave, but for those that may run only once, and those that have not come on
+// for so long that they were starved when they were sent: under a pressure that does not end
+// an item would else be broken off before its first event each time, for good.
 func (r *Runner) yield(items int, why replica.Pressure, concerns func(*task) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var running []*task
 	for _, owned := range r.owned {
 		for _, one := range owned.tasks {
-			if one.state == taskRunning && concerns(one) && !one.once && !one.yielding {
+			if one.state == taskRunning && concerns(one) && !one.once && !one.yielding && !one.starved {
 				running = append(running, one)
 			}
 		}
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -168,8 +168,9 @@
 
 // Learned is what decisions about a pool go by at this node.
 type Learned struct {
-	// Share counts this node's slots, Open its online requests, Items its items.
-	Share, Open, Items int
+	// Share counts this node's slots, Open its online requests, Items its items in these,
+	// Borrowed those in slots of others.
+	Share, Open, Items, Borrowed int
 	// Level is the number of slots that online requests are expected to need, Fleet the
 	// part of all slots that online requests of all nodes need as far as they told.
 	Level, Fleet float64
@@ -195,7 +196,7 @@
 		known.turnover(now)
 		share, items := s.sumShares(list, now)
 		all[pool] = Learned{
-			Share: share, Items: items, Open: known.open, Level: known.level(now), Fleet: s.fleetUsage(pool, now), Hold: known.hold(), Stay: known.stay,
+			Share: share, Items: items, Borrowed: borrowedOf(list), Open: known.open, Level: known.level(now), Fleet: s.fleetUsage(pool, now), Hold: known.hold(), Stay: known.stay,
 			First: known.first, PatienceShare: known.patienceShare(list[0].info.Slots), ReadingRate: known.readingRate(),
 		}
 	}
@@ -203,14 +204,14 @@
 }
 
 // sumShares returns the slots of this node that take items, and its items there. Items
-// that run on where operators empty the zone hold none of them.
+// that run on where operators empty the zone, or in borrowed slots, hold none of them.
 func (s *Set) sumShares(list []*entry, now time.Time) (share, items int) {
 	for _, known := range list {
 		if !known.info.Leaving && !known.info.NoBatch {
 			share += s.shareOf(known, now)
 		}
 		if !known.evacuated {
-			items += known.batch - known.leaving
+			items += known.batch - known.leaving - known.borrowed
 		}
 	}
 	return share, items
@@ -218,11 +219,22 @@
 
 // ItemRoom returns how many more items of this node may run now: its slots less
 // what online requests hold or are expected to need.
-func (s *Set) ItemRoom(pool string, now time.Time) int {
+func (s *Set) ItemRoom(pool string, now time.Time) int { return s.RoomForItems(pool, now).Free() }
+
+// RoomForItems returns what decides how many items of this node may run.
+func (s *Set) RoomForItems(pool string, now time.Time) ItemRoom {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share, items := s.sumShares(s.pool(pool), now)
-	return int(float64(share)-s.needed(pool, share, now)+s.rounding(pool)) - items
+	list := s.pool(pool)
+	share, items := s.sumShares(list, now)
+	room := ItemRoom{
+		Share: share, Items: items, Borrowed: borrowedOf(list), Needed: s.needed(pool, share, now),
+		Rounding: s.rounding(pool), Fleet: s.fleetUsage(pool, now), Heard: s.heardOf(pool, now),
+	}
+	if known := s.fleet[pool]; known != nil {
+		room.Idle = known.idleNow(now)
+	}
+	return room
 }
 
 // rounding is what this node adds before it rounds its room down, between 0 and 1.
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -237,5 +237,7 @@
 	}
 	if u.gaveWay {
 		u.entry.leaving += sign
+	} else {
+		u.entry.lend(u.ask, sign)
 	}
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -39,6 +39,10 @@
 	batch int
 	// leaving counts the items among batch that were asked to give way.
 	leaving int
+	// borrowed counts the items among batch, without those leaving, in slots of others.
+	borrowed int
+	// starved counts those among borrowed that keep their slots.
+	starved int
 	// evacuated is set if operators empty the zone; rebuild sets it.
 	evacuated bool
 	// share is the number of slots that are this node's.
@@ -113,6 +117,8 @@
 	// back for it.
 	coldLimits map[string]ColdLimit
 	coldHeld   uint64
+	// listedAt is a time as of which the list of replicas is known; zero if nobody tells.
+	listedAt time.Time
 	// feedList are the nodes that may feed cold replicas by the division feedDivision,
 	// feedSelf is this node's place among them.
 	feedList     []feedNode
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -12,6 +12,10 @@
 	// Granted is set if a node that feeds the replica, which is cold, gave the request a
 	// place in its part of the rate.
 	Granted bool
+	// Borrowed is set if an item asks for a slot that is not its node's.
+	Borrowed bool
+	// Starved is set if it keeps the slot though online requests of other nodes want it.
+	Starved bool
 	// Objective is the time left until the first event is late; 0 if nobody minds.
 	Objective time.Duration
 }
@@ -143,6 +147,7 @@
 	if u.ask.Batch && !u.gaveWay && !u.ended {
 		u.gaveWay = true
 		u.entry.leaving++
+		u.entry.lend(u.ask, -1)
 	}
 }
 
