--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -52,7 +52,8 @@
 		if event.HasID && c.after > 0 && event.ID != c.after+1 {
 			return outcome.Undecided(fmt.Errorf("%w: event %d follows event %d", ErrBroken, event.ID, c.after))
 		}
-		if err := c.passEvent(answer, event, reader.Buffered()); err != nil {
+		passing := func() error { return c.passEvent(answer, event, reader.Buffered()) }
+		if err := watch.pass(passing); err != nil {
 			return err
 		}
 	}
@@ -112,7 +113,9 @@
 	if len(body) > maxWhole {
 		return outcome.Undecided(fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxWhole))
 	}
-	use.First(clock.Now())
+	now := clock.Now()
+	use.Heard(now)
+	use.First(now)
 	if c.result.Started {
 		// The stream began elsewhere; this failure cannot replace its head.
 		return outcome.Undecided(fmt.Errorf("%w: status %d", ErrBroken, answer.Status))
@@ -143,6 +146,29 @@
 	use   *replica.Use
 	limit atomic.Int64
 	timer *time.Timer
+	// passing is set while the caller is given an event; passed is when that last ended, in
+	// Unix nanoseconds. Meanwhile nothing is read of the answer, so its silence tells
+	// nothing.
+	passing atomic.Bool
+	passed  atomic.Int64
+}
+
+// pass gives the caller something by a function that may block for as long as it does not read.
+func (w *silenceWatch) pass(give func() error) error {
+	w.passing.Store(true)
+	defer func() {
+		w.passed.Store(clock.Now().UnixNano())
+		w.passing.Store(false)
+	}()
+	return give()
+}
+
+// unread is the time since the answer was last read from; 0 while the caller is given of it.
+func (w *silenceWatch) unread(now time.Time) time.Duration {
+	if w.passing.Load() {
+		return 0
+	}
+	return now.Sub(time.Unix(0, w.passed.Load()))
 }
 
 // watchSilence starts a watch where the request can go on elsewhere; a
@@ -167,7 +193,7 @@
 		return
 	}
 	if own, begun := w.use.OwnSilence(now); begun {
-		stalled := stalledFactor*limit - own
+		stalled := stalledFactor*limit - min(own, w.unread(now))
 		if stalled <= 0 {
 			cancel(ErrStalled)
 			return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -48,6 +48,13 @@
 	ErrStalled = errors.New("answer stalled")
 )
 
+// GaveUp reports whether the context of an attempt was ended because nothing came: its
+// connection may be dead, and those that rest with it.
+func GaveUp(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, ErrSilent) || errors.Is(cause, ErrStalled)
+}
+
 // Request is an opaque request of a route.
 type Request struct {
 	// ID is the caller's request id, passed on unchanged.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -285,7 +285,7 @@
 		return replica.Unreachable
 	case errors.Is(err, ErrRefused):
 		return replica.Refused
-	case errors.Is(err, ErrCallerLeft), ctx.Err() != nil:
+	case errors.Is(err, ErrCallerLeft), errors.Is(err, ErrStalled), ctx.Err() != nil:
 		return replica.Abandoned
 	default:
 		return replica.Failed
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -32,7 +32,7 @@
 	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
 		return false
 	}
-	for _, loss := range []error{ErrBroken, ErrSilent, ErrStalled, ErrRestarted} {
+	for _, loss := range []error{ErrBroken, ErrSilent, ErrRestarted} {
 		if errors.Is(err, loss) {
 			return true
 		}
--- a/internal/forward/stalled_test.go
+++ b/internal/forward/stalled_test.go
@@ -64,14 +64,9 @@
 		}}
 		forwarder := newForwarder(backend, 2)
 		answerOthers(t, forwarder.Replicas, "r0", "r1")
-		target := &route.Route{
-			Name: "s", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute,
-			Objective: 200 * time.Millisecond, Gap: 100 * time.Millisecond,
-			Shares: []route.Share{{Pool: testPool, Weight: 1}},
-		}
 		sink, began := &recordedSink{}, time.Now()
 		request := &Request{ID: "q", Method: http.MethodPost, Header: http.Header{}, Received: clock.Now()}
-		if _, err := forwarder.Do(t.Context(), target, request, sink); err != nil {
+		if _, err := forwarder.Do(t.Context(), stallingRoute(), request, sink); err != nil {
 			t.Fatalf("after %v: %v", time.Since(began), err)
 		}
 		if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"; sink.body.String() != want {
@@ -82,3 +77,66 @@
 		}
 	})
 }
+
+// slowReader is a caller that does not read for a while after its first event.
+type slowReader struct {
+	recordedSink
+	slow   time.Duration
+	events int
+}
+
+// Write implements Sink.
+func (s *slowReader) Write(piece []byte, more bool) error {
+	if s.events++; s.events == 1 {
+		time.Sleep(s.slow)
+	}
+	return s.recordedSink.Write(piece, more)
+}
+
+// pieces gives some bytes a read, as a connection does, until its context ends.
+type pieces struct {
+	ctx  context.Context
+	text string
+}
+
+// Read implements io.Reader.
+func (p *pieces) Read(into []byte) (int, error) {
+	if err := p.ctx.Err(); err != nil {
+		return 0, err
+	}
+	if p.text == "" {
+		return 0, io.EOF
+	}
+	const piece = 8
+	read := copy(into[:min(len(into), piece)], p.text)
+	p.text = p.text[read:]
+	return read, nil
+}
+
+// While the caller does not read, nothing is read of the answer: that is no stall.
+func TestDo_CallerThatReadsSlowlyIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &scriptedBackend{answer: func(ctx context.Context, attempt *Attempt, _ int) (*Answer, error) {
+			body := io.NopCloser(&pieces{ctx: ctx, text: events(attempt.After+1, 5)})
+			return &Answer{Status: http.StatusOK, Header: http.Header{}, Events: true, Body: body}, nil
+		}}
+		forwarder := newForwarder(backend, 2)
+		answerOthers(t, forwarder.Replicas, "r0", "r1")
+		for range 3 {
+			request := &Request{ID: "q", Method: http.MethodPost, Header: http.Header{}, Received: clock.Now()}
+			result, err := forwarder.Do(t.Context(), stallingRoute(), request, &slowReader{slow: 3 * time.Second})
+			if err != nil || result.Attempts != 1 {
+				t.Errorf("a sound replica was left: %v, %d attempts", err, result.Attempts)
+			}
+		}
+	})
+}
+
+// stallingRoute is a route whose streams are left after 2.8 s without an event.
+func stallingRoute() *route.Route {
+	return &route.Route{
+		Name: "s", Kind: route.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute,
+		Objective: 200 * time.Millisecond, Gap: 100 * time.Millisecond,
+		Shares: []route.Share{{Pool: testPool, Weight: 1}},
+	}
+}
--- a/internal/jobs/claim.go
+++ b/internal/jobs/claim.go
@@ -26,9 +26,7 @@
 	if err != nil || r.stopped() || !r.Service.View.Known() || r.Service.Routes != nil && r.Service.Routes() == nil {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if r.Owners.Refresh(callCtx) != nil {
+	if !r.refreshed(ctx) {
 		return
 	}
 	r.Replicas.Divide(lease.Node(session), r.Owners.Places())
--- a/internal/jobs/expire.go
+++ b/internal/jobs/expire.go
@@ -35,7 +35,7 @@
 		return
 	}
 	outdated := r.outdated(keep)
-	if len(outdated) == 0 || r.Owners.Refresh(ctx) != nil {
+	if len(outdated) == 0 || !r.refreshed(ctx) {
 		return
 	}
 	removed := 0
@@ -54,6 +54,14 @@
 	}
 }
 
+// refreshed brings what is known of other nodes up to date. It reports whether that was
+// possible.
+func (r *Runner) refreshed(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Owners.Refresh(callCtx) == nil
+}
+
 // outdated returns the jobs that are done and have been kept for as long as was
 // promised.
 func (r *Runner) outdated(keep time.Duration) []*Entry {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -54,7 +54,9 @@
 	switch {
 	case err == nil, errors.Is(err, errItemInvalid), errors.Is(err, errItemFailed):
 		return replica.Succeeded
-	case ctx.Err() != nil, errors.Is(err, errYielded):
+	case ctx.Err() != nil, errors.Is(err, errYielded), errors.Is(err, forward.ErrStalled):
+		// A replica that answers others is not at fault for one connection that died, or
+		// for a long queue.
 		return replica.Abandoned
 	case errors.Is(err, forward.ErrUnreachable), errors.Is(err, forward.ErrMoved):
 		return replica.Unreachable
@@ -223,7 +225,7 @@
 		r.usual.run(one.after)
 	case one.after > from:
 		one.stalls = 0
-	case errors.Is(err, forward.ErrStalled):
+	case errors.Is(err, forward.ErrStalled), errors.Is(err, forward.ErrSilent):
 		one.stalls++
 	}
 }
--- a/internal/jobs/silence.go
+++ b/internal/jobs/silence.go
@@ -13,8 +13,8 @@
 // answers others, it may only be busy: the item waits for a slot there, or its run is slow. But
 // its connection may also have died without a reset, and then nothing will ever come. So each
 // attempt has a limit of its own, from how answers have come of late; one that is left too
-// early is only sent again, after its text so far, and has twice the time then. So every attempt
-// ends, and every answer that comes at all comes to its end.
+// early is only sent again, after its text so far, on a new connection, and has twice the time
+// then. So every attempt ends, and an answer that comes within silentMost comes to its end.
 
 const (
 	// itemSilence is how long a replica may say nothing to any request before an item is
@@ -25,15 +25,19 @@
 	// waits for a slot before the first, and has one after it.
 	stalledFirstLeast = 4 * time.Second
 	stalledNextLeast  = 2 * time.Second
-	// stalledMost bounds what is learned, so that items which take very long to begin do
-	// not make a dead connection last for good.
-	stalledMost = 30 * time.Second
+	// learnedMost bounds what is learned, so that a few answers which took very long to begin do
+	// not make each dead connection cost as much.
+	learnedMost = 10 * time.Second
+	// silentMost bounds any silence. An answer that takes longer to its first event never
+	// comes to its end; one that takes up to it is sent six times at the most.
+	silentMost = time.Minute
 	// restartedStalled is how long an answer may be silent once its replica is known to have
 	// started again: the list tells late, so the attempt may have been sent to the new start,
 	// whose events come several times in this time once it has begun.
 	restartedStalled = 500 * time.Millisecond
-	// onceStalled is how long an item may be silent that may run only once: leaving it ends
-	// it, as one of which nobody knows whether it ran.
+	// onceStalled is how long an item may be silent between two events that may run only once:
+	// leaving it ends it, as one of which nobody knows whether it ran. Before the first it may
+	// stand in a long queue, and has silentMost.
 	onceStalled = 30 * time.Second
 	// silenceLooks is how often a silence is looked at in itemSilence.
 	silenceLooks = 8
@@ -44,6 +48,8 @@
 // watchSilence gives an attempt up that has been silent for too long.
 func (r *Runner) watchSilence(one *task, use *replica.Use) (stop func()) {
 	done := make(chan struct{})
+	// The next attempt has a cancel of its own, which a late look must not call.
+	cancel := one.cancel
 	go func() {
 		ticker := time.NewTicker(itemSilence / silenceLooks)
 		defer ticker.Stop()
@@ -53,7 +59,7 @@
 				return
 			case <-ticker.C:
 				if err := r.silent(one, use, clock.Now()); err != nil {
-					one.cancel(err)
+					cancel(err)
 					return
 				}
 			}
@@ -68,11 +74,11 @@
 	switch {
 	case restarted(use) && own > restartedStalled:
 		return forward.ErrRestarted
-	case one.once && own > onceStalled:
+	case one.once && own > onceSilence(begun):
 		return forward.ErrStalled
 	case one.once:
 		return nil
-	case use.Silence(now) > itemSilence:
+	case use.Silence(now) > r.doubled(one, itemSilence):
 		return forward.ErrSilent
 	case own > r.stalledAfter(one, begun):
 		return forward.ErrStalled
@@ -81,6 +87,14 @@
 	}
 }
 
+// onceSilence is how long an item may be silent that may run only once.
+func onceSilence(begun bool) time.Duration {
+	if begun {
+		return onceStalled
+	}
+	return silentMost
+}
+
 // restarted reports whether the replica of an attempt is known to have started again since.
 func restarted(use *replica.Use) bool {
 	select {
@@ -95,12 +109,20 @@
 // first event or after it.
 func (r *Runner) stalledAfter(one *task, begun bool) time.Duration {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	limit := max(stalledFirstLeast, r.pauses.first.longest())
 	if begun {
 		limit = max(stalledNextLeast, r.pauses.next.longest())
 	}
-	return min(limit, stalledMost) << min(one.stalls, maxDoublings)
+	r.mu.Unlock()
+	return r.doubled(one, min(limit, learnedMost))
+}
+
+// doubled is a time for an attempt, doubled for each one in a row that was given up before it
+// brought anything, up to silentMost.
+func (r *Runner) doubled(one *task, limit time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(limit<<min(one.stalls, maxDoublings), silentMost)
 }
 
 // runPauses are the pauses of one answer. The zero value, with last set to when the attempt was
--- a/internal/jobs/silent_test.go
+++ b/internal/jobs/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -191,14 +192,7 @@
 func TestRunner_SlowAnswersComeToTheirEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const slow = 40 * time.Second
-		site := newSilentSite(t, func(ctx context.Context, attempt *forward.Attempt, _ int) (*forward.Answer, error) {
-			select {
-			case <-ctx.Done():
-				return nil, context.Cause(ctx)
-			case <-time.After(slow):
-				return answerOf(http.StatusOK, events(attempt.After+1, 5)), nil
-			}
-		})
+		site := newSilentSite(t, slowBy(slow))
 		job := submission("j", 3)
 		job.Completion, job.Retention = time.Hour, time.Hour
 		if err := site.node.Submit(t.Context(), job); err != nil {
@@ -214,3 +208,105 @@
 		}
 	})
 }
+
+// slowBy answers whole after a time.
+func slowBy(slow time.Duration) func(context.Context, *forward.Attempt, int) (*forward.Answer, error) {
+	return func(ctx context.Context, attempt *forward.Attempt, _ int) (*forward.Answer, error) {
+		select {
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case <-time.After(slow):
+			return answerOf(http.StatusOK, events(attempt.After+1, 5)), nil
+		}
+	}
+}
+
+// submitLasting hands a job in whose items do not expire while a test runs.
+func (s *silentSite) submitLasting(t *testing.T, id string, items int, once bool) {
+	t.Helper()
+	job := submission(id, items)
+	job.Completion, job.Retention = time.Hour, time.Hour
+	for i := range job.Items {
+		job.Items[i].Once = once
+	}
+	if err := s.node.Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Replicas that need longer to begin than a silent one is waited for, and that this node has
+// nothing else at, are not left each time.
+func TestRunner_SlowAnswersOfReplicasWithoutOtherRequestsComeToTheirEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := slowBy(3 * time.Second)
+		site := &silentSite{node: startNode(t, tabletest.New(), &objecttest.Store{}, "a#1"), sends: map[string]int{}}
+		site.runner, _ = startRunner(t, site.node, sendFunc(func(ctx context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+			return answer(ctx, attempt, site.sent(attempt.Request.ID))
+		}))
+		site.submitLasting(t, "j", 3, false)
+		site.awaitDone(t, "j", 10*time.Second)
+	})
+}
+
+// An item that may run only once may wait in the queue of a replica that answers others.
+func TestRunner_OnceItemInALongQueueIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSilentSite(t, slowBy(40*time.Second))
+		site.submitLasting(t, "j", 1, true)
+		if result := site.awaitDone(t, "j", time.Minute)[0]; result.Dead {
+			t.Fatalf("result is %+v", result)
+		}
+	})
+}
+
+// A replica that answers others is not left out for attempts that waited long there.
+func TestRunner_StalledAttemptsDoNotEjectTheirReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSilentSite(t, slowBy(10*time.Second))
+		ejected := 0
+		site.runner.Replicas.Ejected = func(replica.Info, replica.Result) { ejected++ }
+		site.submitLasting(t, "j", 3, false)
+		site.awaitDone(t, "j", 3*time.Minute)
+		if ejected > 0 {
+			t.Fatalf("ejected %d times, sends %v", ejected, site.sends)
+		}
+	})
+}
+
+// Connections that die one after the other hold an item up for a bounded time, also where
+// answers had to be waited for long before.
+func TestRunner_ManyDeadConnectionsInARow(t *testing.T) {
+	for silent, within := range map[int]time.Duration{1: 11 * time.Second, 2: 32 * time.Second, 3: 73 * time.Second, 4: 134 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			slow := true
+			site := newSilentSite(t, func(ctx context.Context, attempt *forward.Attempt, number int) (*forward.Answer, error) {
+				if slow {
+					return slowBy(9*time.Second)(ctx, attempt, number)
+				}
+				return silentAtFirst(silent, "")(ctx, attempt, number)
+			})
+			site.submitLasting(t, "slow", 3, false)
+			site.awaitDone(t, "slow", time.Minute)
+			slow = false
+			site.submitLasting(t, "j", 1, false)
+			site.awaitDone(t, "j", within)
+		})
+	}
+}
+
+// An attempt that ends by itself when its silence is looked at leaves the next one alone; the
+// race detector sees the two.
+func TestRunner_AnAttemptThatEndsAtALookLeavesTheNextAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := &silentSite{node: startNode(t, tabletest.New(), &objecttest.Store{}, "a#1"), sends: map[string]int{}}
+		site.runner, _ = startRunner(t, site.node, sendFunc(func(_ context.Context, attempt *forward.Attempt) (*forward.Answer, error) {
+			if site.sent(attempt.Request.ID) > 20 {
+				return answerOf(http.StatusOK, events(attempt.After+1, 5)), nil
+			}
+			time.Sleep(itemSilence + itemSilence/silenceLooks)
+			return nil, io.ErrUnexpectedEOF
+		}))
+		site.submitLasting(t, "j", 20, false)
+		site.awaitDone(t, "j", 5*time.Minute)
+	})
+}
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -146,6 +146,10 @@
 // answer no longer than the interval of renewals: a lost one never comes, and the next
 // call tries again.
 func (s *Session) Ensure(ctx context.Context) error {
+	if s.confirmed.Load() != nil {
+		// A renewal that hangs holds the lock for up to its time.
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.timing.RenewInterval)
 	defer cancel()
 	s.mu.Lock()
