--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -257,7 +257,9 @@
 	if c.forwarder.Notice != nil {
 		c.forwarder.Notice.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 	}
+	stop := context.AfterFunc(ctx, func() { release(use) })
 	err := c.exchange(ctx, chosen.Info, use)
+	stop()
 	c.refused(err, clock.Since(now))
 	c.reservation, c.demand.Reserved = "", false
 	if c.result.Events > 0 {
@@ -276,6 +278,17 @@
 	return err
 }
 
+// releaseAfter is how long after its end a request may still tell how its attempt ended. What
+// takes longer is a caller that reads no more.
+const releaseAfter = time.Second
+
+// release gives the slot of an attempt back whose request has ended, also while its caller
+// reads no more: the replica's connection is closed by then, and the slot is free.
+func release(use *replica.Use) {
+	time.Sleep(releaseAfter)
+	use.End(replica.Abandoned, clock.Now())
+}
+
 // resultOf tells what an attempt's error means for the replica's health.
 func resultOf(ctx context.Context, err error) replica.Result {
 	switch {
--- a/internal/forward/stalled_test.go
+++ b/internal/forward/stalled_test.go
@@ -140,3 +140,42 @@
 		Shares: []route.Share{{Pool: testPool, Weight: 1}},
 	}
 }
+
+// blockedSink is a caller that reads no more.
+type blockedSink struct {
+	recordedSink
+	until chan struct{}
+}
+
+// Write implements Sink.
+func (s *blockedSink) Write(piece []byte, more bool) error {
+	<-s.until
+	return s.recordedSink.Write(piece, more)
+}
+
+// A request whose caller reads no more ends at its deadline, and with it the slot that it
+// holds of its node's.
+func TestDo_CallerThatReadsNoMoreHoldsNoSlotBeyondTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &scriptedBackend{answer: func(ctx context.Context, attempt *Attempt, _ int) (*Answer, error) {
+			body := io.NopCloser(&pieces{ctx: ctx, text: events(attempt.After+1, 5)})
+			return &Answer{Status: http.StatusOK, Header: http.Header{}, Events: true, Body: body}, nil
+		}}
+		forwarder := newForwarder(backend, 1)
+		target := stallingRoute()
+		target.Timeout = 2 * time.Second
+		sink := &blockedSink{until: make(chan struct{})}
+		done := make(chan error, 1)
+		go func() {
+			request := &Request{ID: "q", Method: http.MethodPost, Header: http.Header{}, Received: clock.Now()}
+			_, err := forwarder.Do(t.Context(), target, request, sink)
+			done <- err
+		}()
+		time.Sleep(10 * time.Second)
+		if open := forwarder.Replicas.Learned(clock.Now())[testPool].Open; open > 0 {
+			t.Errorf("8 s after its deadline %d requests still hold slots", open)
+		}
+		close(sink.until)
+		<-done
+	})
+}
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -30,6 +30,9 @@
 	notNow
 	// noRoom tells that no replica takes an item.
 	noRoom
+	// allTried tells that all replicas where this node has slots refused an item, or failed
+	// it: others may hold these slots for good.
+	allTried
 )
 
 // start sends one task if a replica has room. The error says why there is none.
@@ -44,7 +47,7 @@
 			return noRoom, err
 		}
 		one.exclude = map[string]bool{}
-		return notNow, nil
+		return allTried, nil
 	}
 	if !r.launch(send, demand, chosen, "") {
 		return notNow, nil
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -187,6 +187,8 @@
 		room.full[where] = err
 		r.noteWait(one, WaitReplica, err)
 		r.borrow(send, room, now)
+	case allTried:
+		r.borrow(send, room, now)
 	}
 }
 
--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -21,14 +21,39 @@
 		{Seed: 3032, Nodes: 5, Regions: 1},
 	} {
 		t.Run(fmt.Sprint(one.Seed), func(t *testing.T) {
-			one.For, one.FirstPlanOnly, one.Ready, one.Progress = 35*time.Second, true, remaining(t), t.Logf
-			report, err := Run(t.Context(), one)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, broken := range report.Broken {
-				t.Error(broken)
-			}
+			one.For, one.FirstPlanOnly = 35*time.Second, true
+			play(t, one)
+		})
+	}
+}
+
+// play plays a run and fails with each promise that it breaks.
+func play(t *testing.T, one Options) {
+	t.Helper()
+	one.Ready, one.Progress = remaining(t), t.Logf
+	report, err := Run(t.Context(), one)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, broken := range report.Broken {
+		t.Error(broken)
+	}
+}
+
+// TestRun_SeedsOfFewSlots plays the runs before few slots in which harmless work is refused as
+// harmful after all nodes were killed, and in which items wait beside servers that were emptied
+// and cold.
+func TestRun_SeedsOfFewSlots(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for over a minute")
+	}
+	for _, one := range []Options{
+		{Seed: 6021, Nodes: 8, Regions: 2, Servers: 4, Slots: 1},
+		{Seed: 6005, Nodes: 8, Regions: 1},
+	} {
+		t.Run(fmt.Sprint(one.Seed), func(t *testing.T) {
+			one.For = 20 * time.Second
+			play(t, one)
 		})
 	}
 }
