Rows of ends tell what had ended well: harmless work is tried again after a restart of all

Nodes remember in memory what ended well, which doubles the ends that it takes and lets it be tried again; after all were killed they read six ends of popular work and nothing for it, and at twice the limit there is no trial, so it was refused for an hour. The row of an end has a field more, how long before the end each work was last seen to end well by the writer; readers take it as a clearing of that time. Rows without it, of earlier versions, read as before.

TestRows_TellWhichStartEnded reads the first of the facts now that a row tells several; its checks are the same.

--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -31,6 +31,10 @@
 	Lasted []int64 `cbor:"4,keyasint,omitempty"`
 	// Born tells which start of the replica ended; absent if that is not known.
 	Born int64 `cbor:"5,keyasint,omitempty"`
+	// Well is how long before the end each of Works was last seen to end well, in ms and at
+	// least 1; 0 if the writer has not seen it. Without it a restart of all nodes, which forget
+	// that, would have a popular work refused for the ends that it met by chance.
+	Well []int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // clearingRow is the body of the row of a clearing.
@@ -102,39 +106,52 @@
 			delete(r.rows, change.Sort)
 			continue
 		}
-		one, err := r.decode(change.Row)
+		told, err := r.decode(change.Row)
 		if err != nil {
 			if r.Malformed != nil {
 				r.Malformed(change.Key, err)
 			}
 			continue
 		}
-		r.rows[change.Sort] = rowState{version: change.Version, at: one.at}
-		facts = append(facts, one)
+		r.rows[change.Sort] = rowState{version: change.Version, at: told[0].at}
+		facts = append(facts, told...)
 	}
 	return facts
 }
 
-// decode reads a row. The caller holds mu.
-func (r *Rows) decode(row table.Row) (fact, error) {
+// decode reads a row. Of what it tells the row's own fact comes first. The caller holds mu.
+func (r *Rows) decode(row table.Row) ([]fact, error) {
 	if name, ok := strings.CutPrefix(row.Sort, prefixClearing); ok {
 		work, err := ParseWork(name)
 		if err != nil {
-			return fact{}, err
+			return nil, err
 		}
 		var body clearingRow
 		if err := cbor.Unmarshal(row.Body, &body); err != nil {
-			return fact{}, Error.Wrap(err)
+			return nil, Error.Wrap(err)
 		}
 		at := r.local(body.At)
-		return fact{at: at, clearing: &Clearing{Work: work, At: at}}, nil
+		return []fact{{at: at, clearing: &Clearing{Work: work, At: at}}}, nil
 	}
 	var body endRow
 	if err := cbor.Unmarshal(row.Body, &body); err != nil {
-		return fact{}, Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	at := r.local(body.At)
-	return fact{at: at, report: &Report{Replica: body.Replica, Born: body.Born, Runs: RunsOf(body.Works, body.Lasted, at), At: at}}, nil
+	report := &Report{Replica: body.Replica, Born: body.Born, Runs: RunsOf(body.Works, body.Lasted, at), At: at}
+	return append([]fact{{at: at, report: report}}, body.endedWell(at)...), nil
+}
+
+// endedWell returns when works of an end were seen to end well before it.
+func (b *endRow) endedWell(end time.Time) []fact {
+	var facts []fact
+	for i, before := range b.Well[:min(len(b.Well), len(b.Works))] {
+		if before > 0 {
+			at := end.Add(-time.Duration(before) * time.Millisecond)
+			facts = append(facts, fact{at: at, clearing: &Clearing{Work: b.Works[i], At: at}})
+		}
+	}
+	return facts
 }
 
 // local returns a time of the table's clock by this node's. The caller holds mu.
@@ -183,7 +200,21 @@
 		return table.Write{}, err
 	}
 	works, lasted := report.Told()
-	return r.put(prefixEnd+name, endRow{Replica: report.Replica, Works: works, At: at, Lasted: lasted, Born: report.Born})
+	return r.put(prefixEnd+name, endRow{
+		Replica: report.Replica, Works: works, At: at, Lasted: lasted, Born: report.Born, Well: r.wellBefore(works, report.At),
+	})
+}
+
+// wellBefore returns for each work how long before an end it was last seen here to end well, as
+// rows tell it.
+func (r *Rows) wellBefore(works []Work, end time.Time) []int64 {
+	well := make([]int64, len(works))
+	for i, work := range works {
+		if at, ok := r.Guard.List.EndedWell(work); ok && at.Before(end) {
+			well[i] = max(1, end.Sub(at).Milliseconds())
+		}
+	}
+	return well
 }
 
 // putClearing returns the write of the row of a clearing.
--- a/internal/quarantine/rows_test.go
+++ b/internal/quarantine/rows_test.go
@@ -89,3 +89,36 @@
 func rowOf(write table.Write) table.Row {
 	return table.Row{Key: write.Key, Version: 1, Body: write.Body}
 }
+
+// TestRows_ANodeThatStartsKnowsWhatEndedWell: nodes forget by a restart what has ended well. A
+// popular work met six ends by chance, one after the other, under another's work; without its
+// proof it would be refused until the ends are an hour old, for so many allow no trial.
+func TestRows_ANodeThatStartsKnowsWhatEndedWell(t *testing.T) {
+	for name, proven := range map[string]bool{"ended well before": true, "never ended well": false} {
+		t.Run(name, func(t *testing.T) {
+			var list List
+			writer := &Rows{Partition: "g/q", Guard: &Guard{List: &list}}
+			writer.Apply(table.Changes{Now: time.Hour}, true)
+			now := writer.readAt
+			if proven {
+				list.Clear(work("w"), now.Add(-time.Minute))
+			}
+			read := table.Changes{Now: time.Hour}
+			for i := range 6 {
+				at := now.Add(time.Duration(i-30) * time.Second)
+				report := Report{Replica: fmt.Sprintf("r%d", i), Runs: runsOf(at.Add(-50*time.Millisecond), work("w")), At: at}
+				write, err := writer.putEnd(fmt.Sprint(i), report)
+				if err != nil {
+					t.Fatal(err)
+				}
+				read.Changes = append(read.Changes, table.Change{Row: table.Row{Key: write.Key, Version: uint64(i + 1), Body: write.Body}})
+			}
+			guard, _, _ := newGuard(Refused)
+			(&Rows{Partition: "g/q", Guard: guard}).Apply(read, true)
+			verdict := guard.List.Check(work("w"), now)
+			if len(verdict.Replicas) != 6 || !verdict.Quarantined || verdict.RareTrialDue(now) != proven {
+				t.Fatalf("verdict is %+v, trial due %v, want %v", verdict, verdict.RareTrialDue(now), proven)
+			}
+		})
+	}
+}
--- a/internal/quarantine/start_test.go
+++ b/internal/quarantine/start_test.go
@@ -70,8 +70,8 @@
 		t.Fatal(err)
 	}
 	read, err := writer.decode(rowOf(write))
-	if err != nil || read.report.Born != 1000 || read.report.Replica != "r" {
-		t.Errorf("read %+v, %v", read.report, err)
+	if err != nil || read[0].report.Born != 1000 || read[0].report.Replica != "r" {
+		t.Errorf("read %+v, %v", read[0].report, err)
 	}
 }
 
