--- /dev/null
+++ b/internal/jobs/unreadablefuzz_test.go
@@ -0,0 +1,57 @@
+package jobs
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// FuzzView has any body of any row leave a view that can be used.
+func FuzzView(f *testing.F) {
+	job := &Job{ID: "j", Items: []ItemHead{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2, Node: 1}}, Nodes: []string{"n", "m"}, Regions: []string{"x", "y"}}
+	f.Add(encode(job), encode(Progress{Listed: []Listed{{Item: 1}}, Moved: map[int]string{0: "m"}}), encode(counter{Accepted: 3, Quota: 9}))
+	f.Add(encode(job), encode(Progress{Listed: []Listed{{Item: 7}}}), encode(counter{Accepted: -3}))
+	f.Add(encode(Job{ID: "j", Items: []ItemHead{{ID: "a", Node: 4}}}), []byte{}, []byte{0xff})
+	f.Fuzz(func(t *testing.T, job, progress, count []byte) {
+		view := NewView()
+		of := account{route: "batch"}
+		view.Apply(table.Changes{Changes: []table.Change{
+			{Row: table.Row{Key: counterKey(of, shardOf("j")), Version: 1, Body: count}},
+			{Row: table.Row{Key: jobKey("j"), Version: 2, Body: job}},
+			{Row: table.Row{Key: progressKey("j"), Version: 3, Body: progress}},
+		}}, true)
+		for _, entry := range view.All() {
+			entry.runners()
+			entry.own("n#1")
+			entry.remaining()
+			entry.Progress.clone()
+			for item := range entry.Job.Items {
+				entry.region(item)
+			}
+		}
+		if used := view.used(of); used < 0 {
+			t.Fatalf("%d tokens in use", used)
+		}
+		if entry := view.Get("j"); entry == nil && len(view.Open()) > 0 {
+			t.Fatal("a job is open that is not known")
+		}
+	})
+}
+
+// FuzzDecodeContent takes no content whose items are not those of the job.
+func FuzzDecodeContent(f *testing.F) {
+	job := &Job{ID: "j", Items: []ItemHead{{ID: "a"}, {ID: "b"}}}
+	f.Add(encode([]Item{{ID: "a"}, {ID: "b"}}))
+	f.Add(encode([]Item{{ID: "a"}}))
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		items, err := decodeContent(job, &table.Row{Body: body})
+		if err == nil && (len(items) != 2 || items[0].ID != "a" || items[1].ID != "b") {
+			t.Fatalf("items are %+v", items)
+		}
+		if found := (*table.UnreadableError)(nil); err != nil && !errors.As(err, &found) {
+			t.Fatalf("refused as %v", err)
+		}
+	})
+}
