--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -45,12 +45,13 @@
 	}
 }
 
-// A short soak with the second plan too.
+// A short soak with the second plan too, whose seed has several faults of each kind that is
+// counted below: one alone may find its server ended by harmful work, or lost with its zone.
 func TestRun_PromisesHoldUnderBothPlans(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for some 25 s")
 	}
-	report, err := Run(t.Context(), Options{Seed: 124, For: 12 * time.Second, Nodes: 3, Ready: remaining(t), Progress: t.Logf})
+	report, err := Run(t.Context(), Options{Seed: 1677, For: 12 * time.Second, Nodes: 3, Ready: remaining(t), Progress: t.Logf})
 	if err != nil {
 		t.Fatal(err)
 	}
