Sight: the age of the view of jobs, and how long a whole read again took

A dropped history left no line, and the age of the jobs was no metric: three hypotheses of results that are missing could not be told apart. No logic changed.

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -193,6 +193,10 @@
 	watcher.Regained = func(outage time.Duration) {
 		c.log.Info().Str("dependency", name).Dur("outage_ms", outage).Msg("dependency regained")
 	}
+	watcher.Reread = func(read table.WholeRead) {
+		c.log.Info().Str("dependency", name).Int("pages", read.Pages).Int("failures", read.Failures).
+			Dur("took_ms", read.Took).Msg("read whole again, what was known stood still meanwhile")
+	}
 	return watcher
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -137,6 +137,7 @@
 	metrics.registerCold(g.replicas)
 	metrics.registerAge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", g.configWatch)
 	metrics.registerAge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", g.replicaWatch)
+	metrics.registerAge("wheelhoist_gateway_jobs_age_seconds", "Time since the jobs' source last answered.", g.jobWatch)
 }
 
 // fastTiming makes lost owners be noticed within a few seconds, for items are
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -45,6 +45,10 @@
 	Lost     func(error)
 	Regained func(outage time.Duration)
 
+	// Reread is told of each whole read that is done but the first: the feed stood still all
+	// the while, and what was known is as old as it took. It may be nil.
+	Reread func(WholeRead)
+
 	// Keep has the watcher keep the rows themselves, for Held. It is set before use.
 	Keep bool
 
@@ -71,6 +75,13 @@
 	Announced, Usual time.Duration
 }
 
+// WholeRead is how a read of a whole group went.
+type WholeRead struct {
+	// Pages that were answered, and tries that failed.
+	Pages, Failures int
+	Took            time.Duration
+}
+
 // clockOrigin makes steady times comparable as integers.
 var clockOrigin = clock.Now()
 
@@ -205,12 +216,7 @@
 
 func (w *Watcher) step(ctx context.Context, whole bool) error {
 	if whole {
-		changes, err := w.readWhole(ctx)
-		if err == nil {
-			w.succeeded()
-			w.takeWhole(changes)
-		}
-		return err
+		return w.stepWhole(ctx)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
@@ -222,31 +228,51 @@
 	return err
 }
 
+// stepWhole reads the whole group and takes it in.
+func (w *Watcher) stepWhole(ctx context.Context) error {
+	began := clock.Now()
+	again := w.Ready()
+	changes, read, err := w.readWhole(ctx)
+	if err != nil {
+		return err
+	}
+	w.succeeded()
+	w.takeWhole(changes)
+	if again && w.Reread != nil {
+		read.Took = clock.Since(began)
+		w.Reread(read)
+	}
+	return nil
+}
+
 // readWhole reads all pages. A page that fails is read again by itself, so that
 // many nodes that start at the same time get through a store that refuses some.
 // The read counts as of its first page: what changes meanwhile comes by the feed.
-func (w *Watcher) readWhole(ctx context.Context) (Changes, error) {
+func (w *Watcher) readWhole(ctx context.Context) (Changes, WholeRead, error) {
 	var whole Changes
 	var cursor Cursor
+	var read WholeRead
 	failures := 0
 	for first := true; !cursor.Done; {
 		page, next, err := w.readPage(ctx, cursor, failures)
 		if err != nil {
 			failures++
+			read.Failures++
 			if failures > pageFailures || ctx.Err() != nil {
-				return Changes{}, err
+				return Changes{}, read, err
 			}
 			retry.Sleep(ctx, jittered(min(watchRetryFirst<<min(failures, 8), pageRetryMax)))
 			continue
 		}
 		failures = 0
+		read.Pages++
 		whole.Changes = append(whole.Changes, page.Changes...)
 		if first {
 			whole.Revision = page.Revision
 		}
 		whole.Now, cursor, first = page.Now, next, false
 	}
-	return whole, nil
+	return whole, read, nil
 }
 
 // readPage makes one try of a page that has failed so many times.
