--- /dev/null
+++ b/internal/jobs/stale_test.go
@@ -0,0 +1,109 @@
+package jobs
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// settleTime is how long after a result was read anywhere every node has to show it.
+const settleTime = time.Second
+
+// silentFeed hangs while it is silent, as on a connection on which an answer was lost.
+type silentFeed struct {
+	table.Feed
+	silent atomic.Bool
+}
+
+func (f *silentFeed) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
+	changes, err := f.Feed.After(ctx, revision, wait)
+	if f.silent.Load() {
+		<-ctx.Done()
+		return table.Changes{}, outcome.Undecided(ctx.Err())
+	}
+	return changes, err
+}
+
+func (f *silentFeed) Page(ctx context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
+	if f.silent.Load() {
+		<-ctx.Done()
+		return table.Changes{}, cursor, outcome.Undecided(ctx.Err())
+	}
+	return f.Feed.Page(ctx, cursor)
+}
+
+// readingNode is a node whose view follows a feed that can go silent.
+type readingNode struct {
+	*Service
+	feed *silentFeed
+}
+
+func startReadingNode(ctx context.Context, shared *tabletest.Table) *readingNode {
+	node := &readingNode{feed: &silentFeed{Feed: shared.Feed(Group)}}
+	view := NewView()
+	go table.NewWatcher(node.feed, view.Apply).Run(ctx)
+	node.Service = &Service{
+		Table: shared, Objects: &objecttest.Store{}, View: view, Events: quietEvents{},
+		Session: func(context.Context) (string, error) { return "reader#1", nil },
+	}
+	return node
+}
+
+// listOne lists the next item of a job by a node.
+func listOne(t *testing.T, node *Service, id string, item int) {
+	t.Helper()
+	done := &task{work: &work{job: node.View.Get(id).Job}, index: item, text: []byte("text")}
+	if err := node.list(t.Context(), node.View.Get(id).Job, []*task{done}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// withStaleReader has a job of three items of which one is listed known at two nodes, and
+// then the feed of one of them go silent.
+func withStaleReader(t *testing.T, test func(t *testing.T, shared *tabletest.Table, lister *Service, reader *readingNode)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		shared := tabletest.New()
+		lister, reader := startReadingNode(ctx, shared), startReadingNode(ctx, shared)
+		synctest.Wait()
+		if err := lister.Submit(ctx, submission("job", 3)); err != nil {
+			t.Fatal(err)
+		}
+		listOne(t, lister.Service, "job", 0)
+		synctest.Wait()
+		reader.feed.silent.Store(true)
+		test(t, shared, lister.Service, reader)
+	})
+}
+
+// What was seen: a caller had read 16 results of a job, and more than a second later two
+// other nodes had nothing at positions 6 and 13. How it came about: the store lost answers
+// for seconds and dropped its history meanwhile, so these nodes had to read all jobs again,
+// which took 7 s, for a page that is lost is waited for 1, 2, then 4 s. Cause: until then
+// they answered from the view that they had, for nothing asked how old it was. Proved by
+// this test: a node whose feed stands still shows nothing at a position that was listed
+// seconds ago, though the table answers its reads.
+func TestRead_ResultIsShownThoughTheFeedStandsStill(t *testing.T) {
+	for name, patience := range map[string]time.Duration{"without waiting": 0, "waiting": settleTime} {
+		t.Run(name, func(t *testing.T) {
+			withStaleReader(t, func(t *testing.T, _ *tabletest.Table, lister *Service, reader *readingNode) {
+				listOne(t, lister, "job", 1)
+				time.Sleep(settleTime)
+				reading, err := reader.Read(t.Context(), "job", 1, patience)
+				if err != nil || len(reading.Results) != 1 {
+					t.Fatalf("a result listed %v ago: %+v, %v", settleTime, reading, err)
+				}
+			})
+		})
+	}
+}
