A view that is old is not the truth: readers ask the table, or hear that nobody is sure

Cause: Service.find asked whether the view of jobs had ever been read, not how old it was. A node whose feed stood still, for 7 s after the store had lost answers and its history, told readers that there were no results which others had read.

The view now has an age: of the source's answer, not of its receipt (the shortest way of an answer in a minute tells what a long one adds), and of a whole read as of its first page. Where it lacks a result and is older than three quarters of gateway.settle, the job's row is asked for, one question a job for all readers who may share it; without an answer in 1.2 s the reader gets 503.

A progress row that cannot be read keeps its documented answer while the view is young.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -81,6 +81,7 @@
 func (quiet) GaveWay(*jobs.Job, string, string, int, replica.Pressure)      {}
 func (quiet) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration) {}
 func (quiet) Removed(*jobs.Job, error)                                      {}
+func (quiet) Asked(*jobs.Job, time.Duration, error)                         {}
 func (quiet) Homeless(*jobs.Job, place.Regions)                             {}
 func (quiet) Resolved(string, int, error)                                   {}
 
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -29,7 +29,10 @@
 	if err != nil {
 		return nil, err
 	}
-	entry = s.awaitResult(ctx, entry, position, patience)
+	entry, err = s.sure(ctx, s.awaitResult(ctx, entry, position, patience), position)
+	if err != nil {
+		return nil, err
+	}
 	reading := &Reading{Total: len(entry.Job.Items), Next: position}
 	cache := &s.cache
 	if !s.holdsHere(ctx, entry.Job) {
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -74,6 +74,7 @@
 func (quietEvents) GaveWay(*Job, string, string, int, replica.Pressure) {}
 func (quietEvents) ItemListed(*Job, string, int, Reason, time.Duration) {}
 func (quietEvents) Removed(*Job, error)                                 {}
+func (quietEvents) Asked(*Job, time.Duration, error)                    {}
 func (quietEvents) Homeless(*Job, place.Regions)                        {}
 func (quietEvents) Resolved(operation string, attempts int, err error)  {}
 
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/place"
@@ -52,6 +54,9 @@
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	Resolved(operation string, attempts int, err error)
 	Removed(job *Job, err error)
+	// Asked tells that a reader's answer was asked of the table, for the view was of an age
+	// at which it may lack a result. With an error the reader is told that nobody is sure.
+	Asked(job *Job, age time.Duration, err error)
 	// Homeless tells of a job whose items wait because no node of its homes lives.
 	Homeless(job *Job, homes place.Regions)
 }
@@ -80,8 +85,14 @@
 	// waiting counts the callers that wait for news.
 	waiting atomic.Int64
 
+	// Settle is how long after a result was read at any node this one has to show it; zero is
+	// DefaultSettle.
+	Settle time.Duration
+
 	cache textCache
 	pace  pace
+	// asks are the questions to the table about jobs that are under way, one a job.
+	asks singleflight.Group
 	// contents are the items of jobs that this node accepted lately.
 	contentMu sync.Mutex
 	contents  map[string][]Item
@@ -218,12 +229,12 @@
 	if entry := s.View.Get(id); entry != nil && s.View.Known() {
 		return entry, nil
 	}
-	row, err := s.getRow(ctx, jobKey(id))
+	row, err := s.getRow(ctx, jobKey(id), callTimeout)
 	if err != nil {
 		return nil, err
 	}
 	s.View.Put(row)
-	row, err = s.getRow(ctx, progressKey(id))
+	row, err = s.getRow(ctx, progressKey(id), callTimeout)
 	if errors.Is(err, ErrNotFound) {
 		// One transaction writes both, so half of the job is lost.
 		return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
@@ -239,8 +250,9 @@
 	return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
 }
 
-func (s *Service) getRow(ctx context.Context, key table.Key) (row table.Row, err error) {
-	err = repeat(ctx, callTimeout, func(callCtx context.Context) error {
+// getRow reads a row; limit bounds one try.
+func (s *Service) getRow(ctx context.Context, key table.Key, limit time.Duration) (row table.Row, err error) {
+	err = repeat(ctx, limit, func(callCtx context.Context) error {
 		row, err = s.Table.Get(callCtx, key)
 		return err
 	})
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -51,7 +51,9 @@
 	// storeNow is the store's clock as of readAt.
 	storeNow time.Duration
 	readAt   time.Time
-	changed  chan struct{}
+	// asOf is when the source gave the newest answer of the feed.
+	asOf    time.Time
+	changed chan struct{}
 	// early holds progress rows whose job row has not come yet.
 	early map[string]table.Row
 	// lost holds the versions of progress rows that are newer than what is known of their
@@ -83,6 +85,9 @@
 		v.rebuild(change)
 	}
 	v.storeNow, v.readAt = changes.Now, clock.Now()
+	if changes.AsOf.After(v.asOf) {
+		v.asOf = changes.AsOf
+	}
 	v.wake()
 }
 
@@ -280,6 +285,15 @@
 	return !v.readAt.IsZero()
 }
 
+// AsOf returns the moment up to which the view is complete: of what was written later it may
+// lack anything. It is when the feed's source gave its answer, not when the feed was last
+// tried. Zero is never.
+func (v *View) AsOf() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.asOf
+}
+
 // until is the time left until a moment of the store's clock.
 func (v *View) until(moment time.Duration) time.Duration { return moment - v.Now() }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -120,6 +120,7 @@
 		Cores: g.settings.Gateway.Capacity.Cores, LinkMbps: g.settings.Gateway.Capacity.LinkMbps,
 		MemoryMB: g.settings.Gateway.MemoryMegabytes,
 	}
+	g.jobs.Settle = time.Duration(g.settings.Gateway.Settle)
 	g.buildQuota(roster)
 	view := g.jobWatch.Apply
 	g.jobWatch.Apply = func(changes table.Changes, whole bool) {
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -44,6 +44,17 @@
 	l.log.Info().Str("job", entry.Job.ID).Str("from", from).Uint64("row_version", entry.Version).Err(err).Msg("job taken over")
 }
 
+// Asked implements jobs.Events.
+func (l *jobLog) Asked(job *jobs.Job, age time.Duration, err error) {
+	if err != nil {
+		l.metrics.jobs.WithLabelValues("unsure").Inc()
+		l.sampled.Warn().Str("job", job.ID).Dur("view_age_ms", age).Err(err).Msg("reader told that nobody is sure of a result")
+		return
+	}
+	l.metrics.jobs.WithLabelValues("asked").Inc()
+	l.sampled.Info().Str("job", job.ID).Dur("view_age_ms", age).Msg("job asked for, the view was old")
+}
+
 // ItemSent implements jobs.Events.
 func (l *jobLog) ItemSent(job *jobs.Job, item, replica string, after int) {
 	l.metrics.items.WithLabelValues("sent").Inc()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -22,6 +22,9 @@
 	// KeepJobs is how long after its acceptance a job that is done can be read;
 	// 0 keeps all jobs.
 	KeepJobs v1.Duration `json:"keepJobs,omitempty"`
+	// Settle is how long after a result of a job was read at any node all others show it, or
+	// answer 503; default 1s.
+	Settle v1.Duration `json:"settle,omitempty"`
 	// MemoryMegabytes is the memory that the process may use; 0 means unknown.
 	MemoryMegabytes int `json:"memoryMegabytes,omitempty"`
 	// Capacity is what the machine has beside its memory; zero means unknown.
@@ -125,6 +128,9 @@
 	if g.KeepJobs < 0 {
 		found.Add("gateway.keepJobs", "must not be negative")
 	}
+	if g.Settle < 0 {
+		found.Add("gateway.settle", "must not be negative")
+	}
 	if g.MemoryMegabytes < 0 {
 		found.Add("gateway.memoryMegabytes", "must not be negative")
 	}
--- a/internal/table/feed.go
+++ b/internal/table/feed.go
@@ -24,6 +24,10 @@
 	Revision uint64
 	// Now is the service's steady clock; clocks of machines are never compared.
 	Now time.Duration
+	// AsOf is when the service gave this answer, by this node's clock: of what was written
+	// later nothing is known. Of a whole read it is when its first page was given. A Watcher
+	// sets it; zero is never.
+	AsOf time.Time
 }
 
 // Cursor is a place within the whole read of a group.
--- a/internal/table/poll.go
+++ b/internal/table/poll.go
@@ -30,11 +30,13 @@
 	// Unreadable, if set, is told of rows of the logs that cannot be read.
 	Unreadable *Unreadable
 
-	mu      sync.Mutex
-	heads   map[string]uint64
-	looks   uint64
-	err     error
-	changed chan struct{}
+	mu    sync.Mutex
+	heads map[string]uint64
+	looks uint64
+	// lookedAt is when the last look that was answered began.
+	lookedAt time.Duration
+	err      error
+	changed  chan struct{}
 }
 
 // NewHeads returns heads that have not been looked at; Run looks.
@@ -60,10 +62,14 @@
 func (h *Heads) look(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	began := timeOfDay()
 	rows, err := h.Service.List(callCtx, headsPartition, "", maxGroups)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.err = err
+	if err == nil {
+		h.lookedAt = began
+	}
 	h.looks++
 	for _, row := range rows {
 		h.heads[row.Sort] = max(h.heads[row.Sort], row.Version)
@@ -76,14 +82,16 @@
 type headLook struct {
 	revision uint64
 	number   uint64
-	err      error
-	next     <-chan struct{}
+	// began is when the last look that was answered began, by timeOfDay.
+	began time.Duration
+	err   error
+	next  <-chan struct{}
 }
 
 func (h *Heads) at(group string) headLook {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return headLook{revision: h.heads[group], number: h.looks, err: h.err, next: h.changed}
+	return headLook{revision: h.heads[group], number: h.looks, began: h.lookedAt, err: h.err, next: h.changed}
 }
 
 // await waits until a group is beyond a revision, up to wait. It returns false
@@ -122,6 +130,7 @@
 // Page implements Feed. The revision is that of the head before the page was
 // read, so nothing is missed by going on from there.
 func (f PolledFeed) Page(ctx context.Context, cursor Cursor) (Changes, Cursor, error) {
+	began := timeOfDay()
 	head, err := readHead(ctx, f.Heads.Service, f.Group)
 	if err != nil {
 		return Changes{}, cursor, err
@@ -130,7 +139,7 @@
 	if err != nil {
 		return Changes{}, cursor, err
 	}
-	page := Changes{Revision: head, Now: timeOfDay()}
+	page := Changes{Revision: head, Now: began}
 	for _, row := range rows {
 		if row.Unreadable != nil {
 			// Without a version it may go no further than this.
@@ -153,17 +162,18 @@
 		return Changes{}, err
 	}
 	if !newer {
-		return Changes{Revision: revision, Now: timeOfDay()}, nil
+		return Changes{Revision: revision, Now: f.Heads.at(f.Group).began}, nil
 	}
 	return f.since(ctx, revision)
 }
 
 func (f PolledFeed) since(ctx context.Context, revision uint64) (Changes, error) {
+	began := timeOfDay()
 	rows, err := f.Heads.Service.List(ctx, logPrefix+f.Group, logKey(f.Group, revision).Sort, logPage)
 	if err != nil {
 		return Changes{}, err
 	}
-	read := Changes{Revision: revision, Now: timeOfDay()}
+	read := Changes{Revision: revision, Now: began}
 	for _, row := range rows {
 		if row.Version != read.Revision+1 {
 			return Changes{}, Error.Wrap(ErrCompacted)
@@ -196,5 +206,6 @@
 }
 
 // timeOfDay stands in for a service's steady clock where the protocol has none: the
-// time of day. Only deadlines that are hours away are told by it.
+// time of day before the call, so that an answer is not taken for younger than it is. Only
+// deadlines that are hours away are told by it.
 func timeOfDay() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -64,6 +64,7 @@
 	// answered is when any call was last answered, a page of a whole read also.
 	answered atomic.Int64
 	failedAt time.Time
+	source   sourceClock
 	refresh  chan struct{}
 	// announced holds an announcement of news until the next rest between calls.
 	announced chan struct{}
@@ -220,10 +221,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	asked := clock.Now()
 	changes, err := w.Feed.After(callCtx, w.revision, watchWait)
 	if err == nil {
 		w.succeeded()
-		w.take(changes, false)
+		w.take(w.answeredAt(asked, changes), false)
 	}
 	return err
 }
@@ -268,7 +270,7 @@
 		read.Pages++
 		whole.Changes = append(whole.Changes, page.Changes...)
 		if first {
-			whole.Revision = page.Revision
+			whole.Revision, whole.AsOf = page.Revision, page.AsOf
 		}
 		whole.Now, cursor, first = page.Now, next, false
 	}
@@ -279,11 +281,13 @@
 func (w *Watcher) readPage(ctx context.Context, cursor Cursor, failures int) (Changes, Cursor, error) {
 	callCtx, cancel := context.WithTimeout(ctx, min(watchReadFirst<<min(failures, 8), watchReadTimeout))
 	defer cancel()
+	asked := clock.Now()
 	page, next, err := w.Feed.Page(callCtx, cursor)
-	if err == nil {
-		w.answered.Store(int64(clock.Since(clockOrigin)))
+	if err != nil {
+		return page, next, err
 	}
-	return page, next, err
+	w.answered.Store(int64(clock.Since(clockOrigin)))
+	return w.answeredAt(asked, page), next, nil
 }
 
 // jittered returns between half and all of a delay, so that nodes that were
