Long texts are listed behind the others, not with them

Cause: results that finish together are listed in one transaction, and a text that needs an object of its own is written before it. Where it cannot be written, the others of its batch wait for textPatience (8 s), and again if they meet it at its next try: two instead of three items listed after 9 s.

Found by a panic in a run of internal/jobs whose log was cut (the test's failure, and goroutines left in its made-up time). The test is as it was.

--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,8 +20,8 @@
 	commitBytes = 300 << 10
 	// commitRetry is the pause before results are tried again that could not be listed.
 	commitRetry = 250 * time.Millisecond
-	// textPatience bounds the tries to write the text of one result as an object, in each of
-	// which the others of its job wait to be listed.
+	// textPatience bounds the tries to write the text of one result as an object, in which
+	// those of its job that finish meanwhile wait to be listed.
 	textPatience = 2 * objectTimeout
 )
 
@@ -55,8 +56,7 @@
 	for {
 		r.gather(owned)
 		r.mu.Lock()
-		batch := owned.finished[:owned.commitSize()]
-		owned.finished = owned.finished[len(batch):]
+		batch := owned.takeFinished()
 		if len(batch) == 0 {
 			owned.commits = false
 			r.mu.Unlock()
@@ -100,6 +100,34 @@
 	return false
 }
 
+// takeFinished takes the finished items that go into one transaction. Texts that need an object
+// of their own go behind the others and not with them: one that cannot be written takes
+// textPatience, which the others of its job would wait for at each try. The caller holds the
+// runner's lock.
+func (w *work) takeFinished() []*task {
+	slices.SortStableFunc(w.finished, func(a, b *task) int {
+		return cmp.Compare(a.objects(), b.objects())
+	})
+	size := w.commitSize()
+	for i, one := range w.finished[:size] {
+		if one.objects() != w.finished[0].objects() {
+			size = i
+			break
+		}
+	}
+	batch := w.finished[:size]
+	w.finished = w.finished[size:]
+	return batch
+}
+
+// objects is the number of objects that the result of an item needs beside its row.
+func (t *task) objects() int {
+	if t.reason != "" || len(t.text) <= maxRowText {
+		return 0
+	}
+	return 1
+}
+
 // commitSize is the number of finished items that go into one transaction. The
 // caller holds the runner's lock.
 func (w *work) commitSize() int {
@@ -215,7 +243,7 @@
 	if one.reason != "" {
 		return encode(storedResult{Reason: one.reason}), nil
 	}
-	if len(one.text) <= maxRowText {
+	if one.objects() == 0 {
 		return encode(storedResult{Text: string(one.text)}), nil
 	}
 	name := textObject(job.ID, one.index)
