--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -68,7 +68,7 @@
 		return Error.Wrap(errors.Join(ErrNotAccepted, err))
 	}
 	if err := s.fits(ctx, submission); err != nil {
-		return err
+		return s.againOr(ctx, submission, began, err)
 	}
 	described := &Job{}
 	s.declare(described, submission)
@@ -100,6 +100,25 @@
 	return nil
 }
 
+// againOr answers a submission that is to be refused with an error by what is known here. Where
+// the view is old, the job may have been accepted elsewhere, and may fit: the table is asked for
+// it, and if it is not there the caller is told that it was not accepted, not that there is no
+// room.
+func (s *Service) againOr(ctx context.Context, submission *Submission, began time.Time, refusal error) error {
+	if asOf := s.View.AsOf(); asOf.IsZero() || clock.Since(asOf) <= s.believed() {
+		return refusal
+	}
+	entry, err := s.find(ctx, submission.ID)
+	switch {
+	case err == nil:
+		return s.again(submission, entry, began, true)
+	case errors.Is(err, ErrNotFound):
+		return Error.Wrap(errors.Join(ErrNotAccepted, ErrUnavailable))
+	default:
+		return Error.Wrap(errors.Join(ErrUndecided, err))
+	}
+}
+
 // fits reports ErrQuota if the job does not fit by what is known now. Before it does, it
 // asks for the newest news, for items may have been listed a moment ago.
 func (s *Service) fits(ctx context.Context, submission *Submission) error {
--- /dev/null
+++ b/internal/jobs/ask_test.go
@@ -0,0 +1,201 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
+)
+
+// askedTable counts the rows that are asked for, and answers after delay with fail, if set.
+type askedTable struct {
+	table.Service
+	delay time.Duration
+	fail  error
+	asked atomic.Int64
+}
+
+func (a *askedTable) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	a.asked.Add(1)
+	select {
+	case <-ctx.Done():
+		return table.Row{}, outcome.Undecided(ctx.Err())
+	case <-time.After(a.delay):
+	}
+	if a.fail != nil {
+		return table.Row{}, a.fail
+	}
+	return a.Service.Get(ctx, key)
+}
+
+// TestSure_NewsBetweenTheWaitAndTheAnswer has the feed come back just when a reader's wait is
+// over: its view is young again, and the job must not be answered as it was before. It was for
+// 162 of 300 readers.
+func TestSure_NewsBetweenTheWaitAndTheAnswer(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, _ *tabletest.Table, lister *Service, reader *readingNode) {
+		listOne(t, lister, "job", 1)
+		time.Sleep(5 * settleTime)
+		before := reader.View.Get("job")
+		reader.feed.silent.Store(false)
+		time.Sleep(3 * settleTime)
+		entry, err := reader.sure(t.Context(), before, 1)
+		if err != nil || len(entry.Progress.Listed) != 2 {
+			t.Fatalf("%d listed, %v; the view has %d", len(entry.Progress.Listed), err, len(reader.View.Get("job").Progress.Listed))
+		}
+	})
+}
+
+func TestSure_ReadersShareAQuestion(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, _ *Service, reader *readingNode) {
+		asked := &askedTable{Service: shared, delay: 100 * time.Millisecond}
+		reader.Table = asked
+		time.Sleep(2 * settleTime)
+		answers := make(chan error)
+		for range 20 {
+			go func() {
+				_, err := reader.Read(t.Context(), "job", 1, 0)
+				answers <- err
+			}()
+		}
+		for range 20 {
+			if err := <-answers; err != nil {
+				t.Error(err)
+			}
+		}
+		if count := asked.asked.Load(); count != 1 {
+			t.Errorf("the table was asked %d times for 20 readers of a job", count)
+		}
+	})
+}
+
+// TestSure_QuestionOutlivesWhoAskedFirst has the first reader leave: the others have their answer.
+func TestSure_QuestionOutlivesWhoAskedFirst(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, _ *Service, reader *readingNode) {
+		asked := &askedTable{Service: shared, delay: 300 * time.Millisecond}
+		reader.Table = asked
+		time.Sleep(2 * settleTime)
+		ctx, leave := context.WithCancel(t.Context())
+		go func() { _, _ = reader.Read(ctx, "job", 1, 0) }()
+		synctest.Wait()
+		second := make(chan error)
+		go func() {
+			_, err := reader.Read(t.Context(), "job", 1, 0)
+			second <- err
+		}()
+		synctest.Wait()
+		leave()
+		if err := <-second; err != nil || asked.asked.Load() != 1 {
+			t.Errorf("%v, asked %d times", err, asked.asked.Load())
+		}
+	})
+}
+
+// TestSure_AJobThatEndedIsNotAskedFor guards the calls: it gets no more results.
+func TestSure_AJobThatEndedIsNotAskedFor(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, _ *Service, reader *readingNode) {
+		if err := reader.End(t.Context(), "job"); err != nil {
+			t.Fatal(err)
+		}
+		asked := &askedTable{Service: shared}
+		reader.Table = asked
+		time.Sleep(2 * settleTime)
+		reading, err := reader.Read(t.Context(), "job", 1, 0)
+		if err != nil || len(reading.Results) != 0 || asked.asked.Load() != 0 {
+			t.Errorf("%+v, %v, asked %d times", reading, err, asked.asked.Load())
+		}
+	})
+}
+
+// TestSure_AskedBeforeAWaitIfTheFeedStandsStill guards that a reader does not wait a second
+// for news that cannot come by the feed.
+func TestSure_AskedBeforeAWaitIfTheFeedStandsStill(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, _ *tabletest.Table, lister *Service, reader *readingNode) {
+		listOne(t, lister, "job", 1)
+		time.Sleep(standingStill)
+		began := time.Now()
+		reading, err := reader.Read(t.Context(), "job", 1, settleTime)
+		if err != nil || len(reading.Results) != 1 || time.Since(began) > 0 {
+			t.Errorf("%+v, %v after %v", reading, err, time.Since(began))
+		}
+	})
+}
+
+// TestSure_QuestionsAreBounded has readers of 2,000 jobs come twice a second to a node whose feed
+// stands still. Without a bound a table that refuses was asked 960 times a second for 200.
+func TestSure_QuestionsAreBounded(t *testing.T) {
+	const jobCount, seconds = 2000, 5
+	for name, fail := range map[string]error{"answers": nil, "refuses": outcome.Failed(table.ErrThrottled)} {
+		t.Run(name, func(t *testing.T) {
+			withStaleReader(t, func(t *testing.T, shared *tabletest.Table, _ *Service, reader *readingNode) {
+				asked := &askedTable{Service: shared, delay: 5 * time.Millisecond, fail: fail}
+				reader.Table = asked
+				time.Sleep(2 * settleTime)
+				job := reader.View.Get("job").Job
+				for i := range jobCount {
+					id := fmt.Sprint("job", i)
+					copied := *job
+					copied.ID = id
+					reader.View.Put(table.Row{Key: jobKey(id), Version: 1, Body: encode(copied)}, table.Row{Key: progressKey(id), Version: 1, Body: encode(&Progress{})})
+					go func() {
+						for range 2 * seconds {
+							_, _ = reader.Read(t.Context(), id, 1, 0)
+							time.Sleep(time.Second / 2)
+						}
+					}()
+				}
+				time.Sleep(seconds * time.Second)
+				if count := asked.asked.Load(); count > fleetAsks*(seconds+1) || count < fleetAsks*seconds/2 {
+					t.Errorf("the table was asked %d times in %d s", count, seconds)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// TestSubmit_ResentAtAnOldView has a job come again at a node whose view is old and full: it was
+// accepted elsewhere, and items have been listed since. It must not be refused as one that never
+// runs, nor another as one for which there is no room.
+func TestSubmit_ResentAtAnOldView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		shared := tabletest.New()
+		lister, reader := startReadingNode(ctx, shared), startReadingNode(ctx, shared)
+		synctest.Wait()
+		if err := lister.Submit(ctx, limited("old", 4, 500)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * settleTime)
+		reader.feed.silent.Store(true)
+		time.Sleep(2 * settleTime)
+		for item := range 4 {
+			listOne(t, lister.Service, "old", item)
+		}
+		if err := lister.Submit(ctx, limited("again", 2, 500)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(settleTime)
+		if err := reader.Submit(ctx, limited("again", 2, 500)); err != nil {
+			t.Errorf("a job that was accepted elsewhere: %v", err)
+		}
+		err := reader.Submit(ctx, limited("other", 2, 500))
+		if !errors.Is(err, ErrNotAccepted) || errors.Is(err, ErrQuota) {
+			t.Errorf("a job that fits by what has been listed since: %v", err)
+		}
+		shared.ReadFault = func() error { return outcome.Undecided(table.ErrUnavailable) }
+		callCtx, end := context.WithTimeout(ctx, 2*settleTime)
+		defer end()
+		if err := reader.Submit(callCtx, limited("unheard", 2, 500)); !errors.Is(err, ErrUndecided) {
+			t.Errorf("a job of which nobody can tell: %v", err)
+		}
+	})
+}
--- a/internal/jobs/commit_test.go
+++ b/internal/jobs/commit_test.go
@@ -76,7 +76,7 @@
 func listedAt(rt *rapid.T, node *testNode) []Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	row, err := node.getRow(ctx, progressKey("j"), callTimeout)
+	row, err := node.getRow(ctx, progressKey("j"))
 	if err != nil {
 		rt.Fatal(err)
 	}
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -29,6 +29,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if patience > 0 {
+		entry = s.beforeWait(ctx, entry, position)
+	}
 	entry, err = s.sure(ctx, s.awaitResult(ctx, entry, position, patience), position)
 	if err != nil {
 		return nil, err
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -93,6 +93,8 @@
 	pace  pace
 	// asks are the questions to the table about jobs that are under way, one a job.
 	asks singleflight.Group
+	// askLimit bounds them.
+	askLimit askLimit
 	// contents are the items of jobs that this node accepted lately.
 	contentMu sync.Mutex
 	contents  map[string][]Item
@@ -229,12 +231,12 @@
 	if entry := s.View.Get(id); entry != nil && s.View.Known() {
 		return entry, nil
 	}
-	row, err := s.getRow(ctx, jobKey(id), callTimeout)
+	row, err := s.getRow(ctx, jobKey(id))
 	if err != nil {
 		return nil, err
 	}
 	s.View.Put(row)
-	row, err = s.getRow(ctx, progressKey(id), callTimeout)
+	row, err = s.getRow(ctx, progressKey(id))
 	if errors.Is(err, ErrNotFound) {
 		// One transaction writes both, so half of the job is lost.
 		return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
@@ -250,9 +252,8 @@
 	return nil, Error.Wrap(errors.Join(ErrUnavailable, ErrUnreadable))
 }
 
-// getRow reads a row; limit bounds one try.
-func (s *Service) getRow(ctx context.Context, key table.Key, limit time.Duration) (row table.Row, err error) {
-	err = repeat(ctx, limit, func(callCtx context.Context) error {
+func (s *Service) getRow(ctx context.Context, key table.Key) (row table.Row, err error) {
+	err = repeat(ctx, callTimeout, func(callCtx context.Context) error {
 		row, err = s.Table.Get(callCtx, key)
 		return err
 	})
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -85,7 +85,7 @@
 		v.rebuild(change)
 	}
 	v.storeNow, v.readAt = changes.Now, clock.Now()
-	if changes.AsOf.After(v.asOf) {
+	if !changes.More && changes.AsOf.After(v.asOf) {
 		v.asOf = changes.AsOf
 	}
 	v.wake()
--- a/internal/table/asof.go
+++ b/internal/table/asof.go
@@ -45,8 +45,10 @@
 	}
 }
 
-// answeredAt notes the age of an answer.
+// answeredAt notes the age of an answer, unless its feed has told it.
 func (w *Watcher) answeredAt(asked time.Time, changes Changes) Changes {
-	changes.AsOf = w.source.asOf(asked, clock.Now(), changes.Now)
+	if changes.AsOf.IsZero() {
+		changes.AsOf = w.source.asOf(asked, clock.Now(), changes.Now)
+	}
 	return changes
 }
--- a/internal/table/feed.go
+++ b/internal/table/feed.go
@@ -25,9 +25,11 @@
 	// Now is the service's steady clock; clocks of machines are never compared.
 	Now time.Duration
 	// AsOf is when the service gave this answer, by this node's clock: of what was written
-	// later nothing is known. Of a whole read it is when its first page was given. A Watcher
-	// sets it; zero is never.
+	// later nothing is known. Of a whole read it is when its first page was given. A feed whose
+	// service stamps its answers by Now leaves it to the Watcher. Zero is never.
 	AsOf time.Time
+	// More says that changes up to AsOf are still to come.
+	More bool
 }
 
 // Cursor is a place within the whole read of a group.
--- a/internal/table/poll.go
+++ b/internal/table/poll.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
@@ -20,6 +22,10 @@
 	logPage = 100
 )
 
+// errNoLook reports that no look at the heads was answered in a whole wait for news: nobody
+// knows whether there is any.
+var errNoLook = fmt.Errorf("%w: no look at the heads was answered", ErrUnavailable)
+
 // Heads looks at the heads of all groups of a Logged service now and then, for
 // any number of feeds. It is safe for concurrent use.
 type Heads struct {
@@ -34,7 +40,7 @@
 	heads map[string]uint64
 	looks uint64
 	// lookedAt is when the last look that was answered began.
-	lookedAt time.Duration
+	lookedAt time.Time
 	err      error
 	changed  chan struct{}
 }
@@ -62,7 +68,7 @@
 func (h *Heads) look(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	began := timeOfDay()
+	began := clock.Now()
 	rows, err := h.Service.List(callCtx, headsPartition, "", maxGroups)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -82,8 +88,8 @@
 type headLook struct {
 	revision uint64
 	number   uint64
-	// began is when the last look that was answered began, by timeOfDay.
-	began time.Duration
+	// began is when the last look that was answered began.
+	began time.Time
 	err   error
 	next  <-chan struct{}
 }
@@ -94,24 +100,27 @@
 	return headLook{revision: h.heads[group], number: h.looks, began: h.lookedAt, err: h.err, next: h.changed}
 }
 
-// await waits until a group is beyond a revision, up to wait. It returns false
-// if it is not by then, and the error of a look made meanwhile that failed.
-func (h *Heads) await(ctx context.Context, group string, revision uint64, wait time.Duration) (bool, error) {
+// await waits until a group is beyond a revision, up to wait, and returns the last look. Its
+// error is that of a look made meanwhile that failed, or says that none was answered.
+func (h *Heads) await(ctx context.Context, group string, revision uint64, wait time.Duration) (headLook, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	first := h.at(group)
 	for now := first; ; now = h.at(group) {
 		switch {
 		case now.revision > revision:
-			return true, nil
+			return now, nil
 		case now.number > first.number && now.err != nil:
-			return false, now.err
+			return now, now.err
 		}
 		select {
 		case <-ctx.Done():
-			return false, ctx.Err()
+			return now, ctx.Err()
 		case <-deadline.C:
-			return false, nil
+			if now.number == first.number {
+				return now, Error.Wrap(errNoLook)
+			}
+			return now, nil
 		case <-now.next:
 		}
 	}
@@ -130,7 +139,6 @@
 // Page implements Feed. The revision is that of the head before the page was
 // read, so nothing is missed by going on from there.
 func (f PolledFeed) Page(ctx context.Context, cursor Cursor) (Changes, Cursor, error) {
-	began := timeOfDay()
 	head, err := readHead(ctx, f.Heads.Service, f.Group)
 	if err != nil {
 		return Changes{}, cursor, err
@@ -139,7 +147,7 @@
 	if err != nil {
 		return Changes{}, cursor, err
 	}
-	page := Changes{Revision: head, Now: began}
+	page := Changes{Revision: head, Now: timeOfDay()}
 	for _, row := range rows {
 		if row.Unreadable != nil {
 			// Without a version it may go no further than this.
@@ -157,23 +165,23 @@
 
 // After implements Feed.
 func (f PolledFeed) After(ctx context.Context, revision uint64, wait time.Duration) (Changes, error) {
-	newer, err := f.Heads.await(ctx, f.Group, revision, wait)
+	seen, err := f.Heads.await(ctx, f.Group, revision, wait)
 	if err != nil {
 		return Changes{}, err
 	}
-	if !newer {
-		return Changes{Revision: revision, Now: f.Heads.at(f.Group).began}, nil
+	if seen.revision <= revision {
+		return Changes{Revision: revision, Now: timeOfDay(), AsOf: seen.began}, nil
 	}
 	return f.since(ctx, revision)
 }
 
 func (f PolledFeed) since(ctx context.Context, revision uint64) (Changes, error) {
-	began := timeOfDay()
+	began := clock.Now()
 	rows, err := f.Heads.Service.List(ctx, logPrefix+f.Group, logKey(f.Group, revision).Sort, logPage)
 	if err != nil {
 		return Changes{}, err
 	}
-	read := Changes{Revision: revision, Now: began}
+	read := Changes{Revision: revision, Now: timeOfDay(), AsOf: began, More: len(rows) == logPage}
 	for _, row := range rows {
 		if row.Version != read.Revision+1 {
 			return Changes{}, Error.Wrap(ErrCompacted)
@@ -206,6 +214,5 @@
 }
 
 // timeOfDay stands in for a service's steady clock where the protocol has none: the
-// time of day before the call, so that an answer is not taken for younger than it is. Only
-// deadlines that are hours away are told by it.
+// time of day. Only deadlines that are hours away are told by it.
 func timeOfDay() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/table/tabletest/tabletest.go
+++ b/internal/table/tabletest/tabletest.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -57,7 +58,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[table.Key]table.Row{}, began: time.Now(), changed: make(chan struct{})}
+	return &Table{rows: map[table.Key]table.Row{}, began: clock.Now(), changed: make(chan struct{})}
 }
 
 func (t *Table) readFault() error {
@@ -246,5 +247,5 @@
 
 // stamp returns changes without rows. The caller holds mu.
 func (t *Table) stamp() table.Changes {
-	return table.Changes{Revision: t.version, Now: time.Since(t.began)}
+	return table.Changes{Revision: t.version, Now: clock.Since(t.began)}
 }
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -57,8 +57,8 @@
 	known    map[Key]uint64
 	held     map[Key]Row
 	revision uint64
-	// fresh is when the service last answered, seeded when it last answered the one that
-	// a seed came from, since clockOrigin; 0 is never.
+	// fresh is when the service gave the newest answer, seeded when it gave the one that a
+	// seed came from, since clockOrigin; 0 is never.
 	fresh  atomic.Int64
 	seeded atomic.Int64
 	// answered is when any call was last answered, a page of a whole read also.
@@ -91,8 +91,8 @@
 	return &Watcher{Feed: feed, Apply: apply, known: map[Key]uint64{}, held: map[Key]Row{}, refresh: make(chan struct{}, 1), announced: make(chan struct{}, 1)}
 }
 
-// Age returns the time since the service last answered, here or, before the first answer,
-// where a seed came from.
+// Age returns the time since the service gave the newest answer, here or, before the first one,
+// where a seed came from. A whole read is as old as its first page.
 func (w *Watcher) Age() time.Duration {
 	fresh := w.fresh.Load()
 	if fresh == 0 {
@@ -224,8 +224,9 @@
 	asked := clock.Now()
 	changes, err := w.Feed.After(callCtx, w.revision, watchWait)
 	if err == nil {
-		w.succeeded()
-		w.take(w.answeredAt(asked, changes), false)
+		changes = w.answeredAt(asked, changes)
+		w.succeeded(changes)
+		w.take(changes, false)
 	}
 	return err
 }
@@ -238,7 +239,7 @@
 	if err != nil {
 		return err
 	}
-	w.succeeded()
+	w.succeeded(changes)
 	w.takeWhole(changes)
 	if again && w.Reread != nil {
 		read.Took = clock.Since(began)
@@ -339,9 +340,12 @@
 
 // succeeded notes an answer. It comes before the changes are applied, so that
 // those who take them know of an outage that lies behind.
-func (w *Watcher) succeeded() {
-	w.fresh.Store(int64(clock.Since(clockOrigin)))
-	w.answered.Store(w.fresh.Load())
+func (w *Watcher) succeeded(changes Changes) {
+	given := int64(changes.AsOf.Sub(clockOrigin))
+	if known := w.fresh.Load(); !changes.More && (known == 0 || given > known) {
+		w.fresh.Store(given)
+	}
+	w.answered.Store(int64(clock.Since(clockOrigin)))
 	if !w.failedAt.IsZero() && w.Regained != nil {
 		w.Regained(clock.Since(w.failedAt))
 	}
