Soak: what one caller has read all can read, and a store that loses its history

Cause: a node whose watcher needs long for its whole read, after the store has dropped its history while it loses answers, answers reads from its old view: 200 and an empty list at a position that had been read elsewhere more than a second before. The soak had readers, but judged only what they were shown, not what they were not; and no fault had calls without an answer and a lost history at once (store-loses-answers resets connections, so that callers know at once).

The promise result-read-once-is-read-everywhere takes in all reads of lists and contents with node, moments and status. Strict: disturbances of the store itself are no excuse (Disturbance.Store), as a node may say 503.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -28,9 +28,6 @@
 	callWait = 4 * time.Second
 	// keptCallers keep connections open.
 	keptCallers = 3
-	// watchers read lists that are not complete, watchPause after the last such reading.
-	watchers   = 3
-	watchPause = 50 * time.Millisecond
 )
 
 // random is the chance of one caller, from the run's seed.
@@ -166,55 +163,3 @@
 		retry.Sleep(ctx, 200*time.Millisecond)
 	}
 }
-
-// watchJobs reads the lists of jobs that have items not listed yet, so that it is known soon
-// when each was, until the context ends.
-func (s *soak) watchJobs(ctx context.Context, reader int) {
-	random := s.random(reader, 9)
-	for retry.Sleep(ctx, watchPause) {
-		var open []Job
-		for _, job := range s.jobs() {
-			if job.Accepted && s.unlisted(&job) > 0 {
-				open = append(open, job)
-			}
-		}
-		if len(open) > 0 {
-			s.readWhole(ctx, &open[random.IntN(len(open))], random.IntN(len(s.gateways)))
-		}
-	}
-}
-
-// readWhole reads a job's list at a node. It reports whether that answered, and whether the
-// job has no item left to list.
-func (s *soak) readWhole(ctx context.Context, job *Job, node int) (results []standin.Listed, done bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callWait)
-	defer cancel()
-	results, total, err := s.client(node).Results(ctx, job.ID, 0)
-	if err != nil {
-		return nil, false, err
-	}
-	s.reading(job.ID, 0, results)
-	return results, len(results) == total || !job.EndedAt.IsZero(), nil
-}
-
-// readJobs reads lists from any position at any node, until the context ends.
-func (s *soak) readJobs(ctx context.Context) {
-	random := s.random(0, 3)
-	for retry.Sleep(ctx, 20*time.Millisecond) {
-		jobs := s.jobs()
-		if len(jobs) == 0 {
-			continue
-		}
-		one := jobs[random.IntN(len(jobs))]
-		if !one.Accepted {
-			continue
-		}
-		from := random.IntN(len(one.Items))
-		callCtx, cancel := context.WithTimeout(ctx, callWait)
-		results, _, err := s.client(random.IntN(len(s.gateways))).Results(callCtx, one.ID, from)
-		cancel()
-		if err == nil {
-			s.reading(one.ID, from, results)
-		}
-	}
-}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -42,6 +42,7 @@
 	ListedInCalm   Promise = "item-listed-in-calm"
 	NoIdleWait     Promise = "no-item-waits-beside-free-slots"
 	ForeignUnused  Promise = "foreign-row-names-no-server"
+	ReadEverywhere Promise = "result-read-once-is-read-everywhere"
 )
 
 // Bounds of the promises, those of the users' pages.
@@ -60,7 +61,7 @@
 		OnePosition, WholeText, JobFinishes, TrueDead, AtMostOnce, NotRunTrue, WholeAnswer, ConfigForward,
 		Drained, EndStops, WithinQuota, RefusedNotRun, ComeBackIsSaid,
 		TenantNotKey, WithinLimit, NodeLives, ZoneEmpty, ColdSpared, OthersServe, LimitWhenCut, HarmBounded, HarmlessServed,
-		JobReadable, ListedInCalm, NoIdleWait, ForeignUnused,
+		JobReadable, ListedInCalm, NoIdleWait, ForeignUnused, ReadEverywhere,
 	}
 }
 
@@ -102,6 +103,7 @@
 	c.listings()
 	c.waits()
 	c.foreign()
+	c.reads()
 	c.lives()
 	return c.found
 }
--- /dev/null
+++ b/internal/lab/soak/checkreads_test.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// Indexes of the reads that keptReads adds.
+const (
+	readFirst = iota
+	readInTime
+	readLater
+	readUnsure
+	readJobLater
+	readBodyLater
+)
+
+// keptReads adds to a sound history reads of its first job, which was accepted at 1 s, with all
+// that is just allowed.
+func keptReads(h *History, at func(seconds float64) time.Time) {
+	result := []standin.Listed{h.Readings[0].Listed}
+	read := func(node string, sent float64, status int, results []standin.Listed) Read {
+		return Read{Job: "j", Node: node, Sent: at(sent), Ended: at(sent + 0.1), Status: status, Results: results}
+	}
+	h.Reads = []Read{
+		readFirst:     read("n", 2.4, 200, result),
+		readInTime:    read("m", 3.4, 200, nil),
+		readLater:     read("m", 3.6, 200, result),
+		readUnsure:    read("m", 3.6, 503, nil),
+		readJobLater:  read("m", 1.9, 404, nil),
+		readBodyLater: read("m", 3.6, 404, nil),
+	}
+	h.Reads[readBodyLater].Item = "j-0"
+}
+
+func readMutations() map[Promise]func(h *History) {
+	return map[Promise]func(h *History){
+		ReadEverywhere: func(h *History) { h.Reads[readLater].Results = nil },
+	}
+}
+
+// Each answer that lacks what it had to have is found, whichever that is.
+func TestCheck_FindsWhatReadsLack(t *testing.T) {
+	late := func(h *History, number int) { h.Reads[number].Sent = h.Reads[number].Sent.Add(200 * time.Millisecond) }
+	cases := []struct {
+		name   string
+		change func(h *History)
+		says   string
+	}{
+		{"the result", func(h *History) { late(h, readInTime) }, "position 0 of job j, read as \"j-0\" at n first at 2.50 s"},
+		{"the same result", func(h *History) { h.Reads[readLater].Results = []standin.Listed{{Item: "j-1", Dead: true}} }, "is \"j-1\" at m"},
+		{"the job", func(h *History) { late(h, readJobLater) }, "job j, accepted at 1.00 s"},
+		{"the content", func(h *History) {
+			h.Reads[readBodyLater].Ended = h.Reads[readFirst].Sent
+			h.Reads[readBodyLater].Sent = h.Reads[readBodyLater].Ended.Add(-10 * time.Millisecond)
+		}, "item j-0 of job j, accepted at 1.00 s"},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			h := kept()
+			one.change(h)
+			found := Check(h)
+			if len(found) != 1 || found[0].Promise != ReadEverywhere || !strings.Contains(found[0].Detail, one.says) {
+				t.Errorf("found %v, which should be one that says %q", found, one.says)
+			}
+		})
+	}
+}
+
+// A node is excused by what befell it alone in the time before, and not by the store.
+func TestCheck_ReadsAtDisturbedNodesDoNotCount(t *testing.T) {
+	cases := []struct {
+		name    string
+		disturb Disturbance
+		broken  bool
+	}{
+		{"the node", Disturbance{Name: "m"}, false},
+		{"a restart of the node", Disturbance{Name: "m", Restart: true}, false},
+		{"a restart of all nodes", Disturbance{Name: AllNodes, Restart: true}, false},
+		{"another node", Disturbance{Name: "n"}, true},
+		{"the store", Disturbance{Name: AllNodes, Store: true}, true},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			h := kept()
+			readMutations()[ReadEverywhere](h)
+			sent := h.Reads[readLater].Sent
+			one.disturb.From, one.disturb.To = sent.Add(-contactBound), sent.Add(time.Millisecond-contactBound)
+			h.Disturbances = []Disturbance{one.disturb}
+			if found := Check(h); (len(found) > 0) != one.broken {
+				t.Errorf("found %v, broken should be %v", found, one.broken)
+			}
+			h.Disturbances[0].To = sent.Add(-contactBound - time.Millisecond)
+			h.Disturbances[0].From = h.Disturbances[0].To
+			if found := Check(h); len(found) != 1 {
+				t.Errorf("long after the disturbance: found %v", found)
+			}
+		})
+	}
+}
+
+// The node of a zone that was lost is excused until a while after.
+func TestCheck_ReadsInLostZonesDoNotCount(t *testing.T) {
+	h := kept()
+	readMutations()[ReadEverywhere](h)
+	sent := h.Reads[readLater].Sent
+	h.Losses = append(h.Losses, Outage{Zone: "b", From: sent.Add(-2 * time.Second), To: sent.Add(-time.Second)})
+	if found := Check(h); len(found) > 0 {
+		t.Errorf("found %v", found)
+	}
+}
+
+// A line says whether the store had been stable.
+func TestCheck_ReadsTellOfTheStore(t *testing.T) {
+	for says, before := range map[string]time.Duration{
+		"the store was stable":                    storeStable,
+		"the store was disturbed until 1s before": time.Second,
+		"the store was disturbed then":            -time.Millisecond,
+	} {
+		h := kept()
+		readMutations()[ReadEverywhere](h)
+		until := h.Reads[readLater].Sent.Add(-before)
+		h.Disturbances = []Disturbance{{Name: AllNodes, Store: true, From: until.Add(-time.Second), To: until}}
+		if found := Check(h); len(found) != 1 || !strings.Contains(found[0].Detail, says) {
+			t.Errorf("found %v, which should say %q", found, says)
+		}
+	}
+}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -69,8 +69,8 @@
 		one.Name = node.id
 	case KillAll:
 		one.Name, one.Restart = AllNodes, true
-	case StoreBusy, StoreLoses, StoreLate:
-		one.Name = AllNodes
+	case StoreBusy, StoreLoses, StoreLate, StoreLosesHistory:
+		one.Name, one.Store = AllNodes, true
 	case ServerCut:
 		one.Name = s.target(fault).name
 	default:
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,23 @@
 	standin.Listed
 }
 
+// Read is a call that reads a job's list from a position on, or an item's content, as its
+// caller saw it.
+type Read struct {
+	Job string
+	// Item is the item whose content was read; empty if the list was.
+	Item     string
+	Position int
+	// Wait is how long the node might wait for a result.
+	Wait time.Duration
+	// Node is the gateway that was asked.
+	Node        string
+	Sent, Ended time.Time
+	// Status is 0 if no answer came to its end.
+	Status  int
+	Results []standin.Listed
+}
+
 // Drain is a server that was listed as draining in calm.
 type Drain struct {
 	Server string
@@ -102,6 +120,8 @@
 	From, To time.Time
 	// Restart tells that all it did was to end processes, which are started again.
 	Restart bool
+	// Store tells that it was the store's, alike for all nodes, and not a node's own.
+	Store bool
 }
 
 // History is all that callers and servers have seen. It is safe for concurrent
@@ -111,6 +131,7 @@
 	Requests []Request
 	Jobs     []Job
 	Readings []Reading
+	Reads    []Read
 	Drains   []Drain
 	Runs     []ServerRun
 	// ColdSends are in no order.
@@ -133,7 +154,7 @@
 	// ServerSlots are the slots of servers, by their names.
 	ServerSlots map[string]int
 	// Silences, ServerStarts and ForeignRows are the faults of these kinds that were made.
-	Silences, ServerStarts, ForeignRows []Kind
+	Silences, ServerStarts, ForeignRows, HistoryLosses []Kind
 	// Began is when the load began, LoadOver when it was over. Calm tells when nothing was
 	// disturbed any more, which is before that.
 	Began, Calm, LoadOver time.Time
@@ -148,6 +169,8 @@
 
 	// listed are the items that some reading has shown.
 	listed map[string]bool
+	// order are the results in the order in which readings have shown them.
+	order []resultPlace
 }
 
 // record adds one to a list of a history.
@@ -163,10 +186,20 @@
 	now := time.Now()
 	for i, one := range results {
 		h.Readings = append(h.Readings, Reading{Job: job, Position: from + i, At: now, Listed: one})
+		if !h.listed[one.Item] {
+			h.order = append(h.order, resultPlace{job, from + i})
+		}
 		h.listed[one.Item] = true
 	}
 }
 
+// latest returns the last results that readings have shown, up to some.
+func (h *History) latest(most int) []resultPlace {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.order[max(0, len(h.order)-most):])
+}
+
 // final notes a job's list as it was read at the end.
 func (h *History) final(job string, results []standin.Listed) {
 	h.mu.Lock()
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -58,6 +58,9 @@
 	ReloadNode    Kind = "reload-node"
 	RollNodes     Kind = "roll-nodes"
 	ConfigureMany Kind = "configure-many"
+	// StoreLosesHistory has the store leave calls without an answer for a while, on connections
+	// that say nothing more, and drop its history in the midst of it.
+	StoreLosesHistory Kind = "store-loses-history"
 )
 
 // Fault is one fault of a plan.
--- a/internal/lab/soak/secondfaults.go
+++ b/internal/lab/soak/secondfaults.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,6 +36,8 @@
 		s.foreignRow(ctx, fault)
 	case OverwriteRow:
 		s.overwriteRow(ctx, fault)
+	case StoreLosesHistory:
+		s.loseHistory(ctx, fault)
 	case ReloadNode:
 		node.signal(syscall.SIGHUP)
 	case RollNodes:
@@ -71,6 +75,23 @@
 	record(&s.History, &s.Silences, fault.Kind)
 }
 
+// loseHistory has the store leave a share of all calls without an answer, and drop its
+// history in the midst of that.
+func (s *soak) loseHistory(ctx context.Context, fault Fault) {
+	random := rand.New(rand.NewPCG(s.Seed, uint64(fault.At)))
+	var mu sync.Mutex
+	s.store.SetSilent(func(string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64() < fault.Share
+	})
+	defer s.store.SetSilent(nil)
+	retry.Sleep(ctx, fault.For/2)
+	s.store.Forget()
+	record(&s.History, &s.HistoryLosses, fault.Kind)
+	retry.Sleep(ctx, fault.For-fault.For/2)
+}
+
 // firstOf returns the first server, from the fault's target on, that a function holds for;
 // nil if there is none.
 func (s *soak) firstOf(fault Fault, holds func(*server) bool) *server {
--- a/internal/lab/soak/secondplan.go
+++ b/internal/lab/soak/secondplan.go
@@ -27,8 +27,25 @@
 	blinkSpread = 250 * time.Millisecond
 )
 
+const (
+	// historyFirst is when the store may lose its history and answers first, historyPause the
+	// least time between two such faults, historySpread by how much both vary.
+	historyFirst  = 3 * time.Second
+	historyPause  = 9 * time.Second
+	historySpread = 6 * time.Second
+	// historyLeast and historyMore bound how long one lasts: long enough that several tries of
+	// one call meet it.
+	historyLeast = 3 * time.Second
+	historyMore  = 4 * time.Second
+	// silentLeast and silentMore bound the share of calls without an answer: enough that some
+	// node loses several in a row, few enough that others go on.
+	silentLeast = 0.3
+	silentMore  = 0.3
+)
+
 // SecondPlan returns more faults of a seed, which Plan does not have: series of one to three
-// of a kind, some of them at one target. They overlap with those of Plan.
+// of a kind, some of them at one target, and the losses of the store's history. They overlap
+// with those of Plan.
 func SecondPlan(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed^0xD1B54A32D192ED03, seed))
 	kinds := deck(secondWeights)
@@ -36,9 +53,26 @@
 	for at := secondFirst; at < length; at += secondPause + time.Duration(random.Int64N(int64(secondSpread))) {
 		plan = append(plan, series(random, kinds, at)...)
 	}
+	// They are drawn after all others, so that the series of a seed stay as they are.
+	plan = merge(plan, historyLosses(random, length))
 	return slices.DeleteFunc(plan, func(one Fault) bool { return one.At >= length })
 }
 
+// historyLosses draws the losses of the store's history.
+func historyLosses(random *rand.Rand, length time.Duration) []Fault {
+	later := func(least, spread time.Duration) time.Duration {
+		return least + time.Duration(random.Int64N(int64(spread)))
+	}
+	var plan []Fault
+	for at := later(historyFirst, historySpread); at < length; at += later(historyPause, historySpread) {
+		plan = append(plan, Fault{
+			At: at, Kind: StoreLosesHistory, For: later(historyLeast, historyMore),
+			Share: silentLeast + silentMore*random.Float64(),
+		})
+	}
+	return plan
+}
+
 // series draws a series of faults of one kind.
 func series(random *rand.Rand, kinds []Kind, at time.Duration) []Fault {
 	kind, target, step := kinds[random.IntN(len(kinds))], random.IntN(1<<16), random.IntN(2)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -65,7 +65,9 @@
 	Limited int
 	Jobs    int
 	Items   int
-	Runs    int
+	// Reads counts the calls that read a job.
+	Reads int
+	Runs  int
 	// Evacuations and Losses count zones, ColdSends what cold servers got.
 	Evacuations, Losses, ColdSends int
 	// HarmSends counts requests with harmful work, HarmEnds the servers that it ended.
@@ -73,7 +75,9 @@
 	// Silences, ServerStarts and ForeignRows count the faults of the second plan that went
 	// silent, started servers again and left rows of other writers.
 	Silences, ServerStarts, ForeignRows int
-	Broken                              []Broken
+	// HistoryLosses counts the faults in which the store lost its history and answers.
+	HistoryLosses int
+	Broken        []Broken
 	// Logs is the directory with the nodes' logs, kept if a promise was broken.
 	Logs string
 }
@@ -118,6 +122,15 @@
 // Run soaks the system and checks the promises. A node that ends while it is
 // waited for is an EndedError, one that runs and does not serve an UnreadyError.
 func Run(ctx context.Context, options Options) (*Report, error) {
+	plan := Plan(options.Seed, options.For)
+	if !options.FirstPlanOnly {
+		plan = merge(plan, SecondPlan(options.Seed, options.For))
+	}
+	return runPlan(ctx, options, plan)
+}
+
+// runPlan is Run with a plan of faults.
+func runPlan(ctx context.Context, options Options, plan []Fault) (*Report, error) {
 	directory, err := os.MkdirTemp("", "wheelhoist-soak-")
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -130,10 +143,6 @@
 	if err := s.start(ctx, directory); err != nil {
 		return nil, err
 	}
-	plan := Plan(options.Seed, options.For)
-	if !options.FirstPlanOnly {
-		plan = merge(plan, SecondPlan(options.Seed, options.For))
-	}
 	s.play(ctx, plan)
 	s.collect()
 	report := s.report()
@@ -171,10 +180,11 @@
 // report counts what was seen, and checks the promises.
 func (s *soak) report() *Report {
 	report := &Report{
-		Seed: s.Seed, Requests: len(s.Requests), Jobs: len(s.Jobs), Runs: len(s.Runs),
+		Seed: s.Seed, Requests: len(s.Requests), Jobs: len(s.Jobs), Reads: len(s.Reads), Runs: len(s.Runs),
 		Evacuations: len(s.Evacuations), Losses: len(s.Losses), ColdSends: len(s.ColdSends),
 		HarmSends: len(s.HarmSends), HarmEnds: len(s.HarmEnds),
 		Silences: len(s.Silences), ServerStarts: len(s.ServerStarts), ForeignRows: len(s.ForeignRows),
+		HistoryLosses: len(s.HistoryLosses),
 	}
 	for _, one := range s.Requests {
 		switch {
@@ -226,6 +236,9 @@
 	for reader := range watchers {
 		load.Go(func() { s.watchJobs(loadCtx, reader) })
 	}
+	for reader := range edgeReaders {
+		load.Go(func() { s.readEdges(loadCtx, reader) })
+	}
 	began := time.Now()
 	s.Began = began
 	s.ends = began.Add(s.For + leastOut)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"maps"
 	"net/http"
@@ -71,13 +72,30 @@
 		t.Fatalf("plans have %d and %d faults", len(first), len(again))
 	}
 	both := merge(Plan(7, time.Minute), first)
-	kinds := deck(secondWeights)
+	kinds := append(deck(secondWeights), StoreLosesHistory)
 	both = slices.DeleteFunc(both, func(one Fault) bool { return slices.Contains(kinds, one.Kind) })
 	if !slices.Equal(both, Plan(7, time.Minute)) {
 		t.Fatal("the first plan is another one beside the second")
 	}
 }
 
+// The series of the second plan stay as they are beside what is drawn after them: findings are
+// known by their seeds.
+func TestSecondPlan_SeriesOfASeedStay(t *testing.T) {
+	const (
+		faults = 36
+		sum    = "2fb99d6b5c5376e76f68d5f99c0ee326a577f79eb64ed22692a785e3abf2518b"
+	)
+	plan := SecondPlan(7, time.Minute)
+	series := slices.DeleteFunc(slices.Clone(plan), func(one Fault) bool { return one.Kind == StoreLosesHistory })
+	if got := fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(series)))); len(series) != faults || got != sum {
+		t.Errorf("%d faults with the sum %s, these are others", len(series), got)
+	}
+	if losses := len(plan) - len(series); losses < 3 {
+		t.Errorf("%d losses of the store's history in a minute", losses)
+	}
+}
+
 func TestPlan_IsFixedByItsSeed(t *testing.T) {
 	first, again, other := Plan(7, time.Minute), Plan(7, time.Minute), Plan(8, time.Minute)
 	if len(first) < 20 || len(first) != len(again) {
@@ -146,6 +164,7 @@
 	keptZones(history, at)
 	keptHarm(history, at)
 	keptWaits(history, at)
+	keptReads(history, at)
 	return history
 }
 
@@ -186,6 +205,7 @@
 	maps.Copy(mutations, zoneMutations())
 	maps.Copy(mutations, harmMutations())
 	maps.Copy(mutations, waitMutations())
+	maps.Copy(mutations, readMutations())
 	for _, promise := range Promises() {
 		mutate := mutations[promise]
 		if mutate == nil {
