Soak: a test of reads while the store loses its history, red until the product is mended

TestRun_ReadsHoldWhileTheStoreLosesItsHistory plays two losses of the store's history, with 45 % of its calls unanswered for 5 s each, and nothing else, before 8 nodes.

Ruled out: 8 servers of 2 slots.

--- a/internal/lab/soak/checkreads_test.go
+++ b/internal/lab/soak/checkreads_test.go
@@ -129,3 +129,31 @@
 		}
 	}
 }
+
+// While the store leaves calls without an answer and loses its history, no node answers that
+// what others have read is not there.
+func TestRun_ReadsHoldWhileTheStoreLosesItsHistory(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for some 40 s")
+	}
+	// With as many slots items are listed all along.
+	options := Options{Seed: 1, For: 17 * time.Second, Nodes: 8, Servers: 16, Slots: 8, Ready: remaining(t), Progress: t.Logf}
+	var plan []Fault
+	for _, at := range []time.Duration{2 * time.Second, 9 * time.Second} {
+		plan = append(plan, Fault{At: at, For: 5 * time.Second, Kind: StoreLosesHistory, Share: silentLeast + silentMore/2})
+	}
+	report, err := runPlan(t.Context(), options, plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, broken := range report.Broken {
+		t.Error(broken)
+	}
+	if report.HistoryLosses != len(plan) || report.Reads < leastReads {
+		t.Errorf("%d losses of the history, %d reads: nothing was proved", report.HistoryLosses, report.Reads)
+	}
+}
+
+// leastReads is how many reads a run must have made to tell something of them, a tenth of what
+// an idle machine makes.
+const leastReads = 500
