--- a/internal/jobs/ask_test.go
+++ b/internal/jobs/ask_test.go
@@ -113,6 +113,43 @@
 	})
 }
 
+// TestSure_ARowThatCannotBeRead guards that nobody is sure where the answer of the table cannot be
+// read: versions that could be may have come and gone while the view was old.
+func TestSure_ARowThatCannotBeRead(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, lister *Service, reader *readingNode) {
+		listOne(t, lister, "job", 1)
+		overwrite(t, shared, progressKey("job"), damage)
+		time.Sleep(settleTime)
+		reading, err := reader.Read(t.Context(), "job", 1, 0)
+		if !errors.Is(err, ErrUnavailable) || !errors.Is(err, ErrUnreadable) {
+			t.Errorf("%+v, %v", reading, err)
+		}
+	})
+}
+
+// TestView_IsAsOfTheNewestWholeAnswer guards the age of a view: answers that come out of order, or
+// that are not all of the news, make it no younger and no older.
+func TestView_IsAsOfTheNewestWholeAnswer(t *testing.T) {
+	now := time.Now()
+	view := NewView()
+	for _, answer := range []struct {
+		given time.Time
+		more  bool
+		want  time.Time
+	}{
+		{now, true, time.Time{}},
+		{now, false, now},
+		{now.Add(-time.Second), false, now},
+		{now.Add(time.Second), true, now},
+		{now.Add(time.Second), false, now.Add(time.Second)},
+	} {
+		view.Apply(table.Changes{AsOf: answer.given, More: answer.more}, false)
+		if got := view.AsOf(); !got.Equal(answer.want) {
+			t.Errorf("as of %v after %+v", got, answer)
+		}
+	}
+}
+
 // TestSure_AskedBeforeAWaitIfTheFeedStandsStill guards that a reader does not wait a second
 // for news that cannot come by the feed.
 func TestSure_AskedBeforeAWaitIfTheFeedStandsStill(t *testing.T) {
--- a/internal/table/asof_test.go
+++ b/internal/table/asof_test.go
@@ -28,7 +28,7 @@
 		{"the first", 0, 100 * time.Millisecond, 100*time.Millisecond + way, 100*time.Millisecond + way},
 		{"a late one", time.Second, 1100 * time.Millisecond, 3 * time.Second, 1100*time.Millisecond + way},
 		{"stamped before it was asked for", 4 * time.Second, 3 * time.Second, 5 * time.Second, 4 * time.Second},
-		{"a minute later", 70 * time.Second, 70 * time.Second, 70*time.Second + way, 70*time.Second + way},
+		{"a late one that begins a window", 70 * time.Second, 70 * time.Second, 71 * time.Second, 70*time.Second + way},
 		{"by the window before", 71 * time.Second, 71 * time.Second, 72 * time.Second, 71*time.Second + way},
 	} {
 		got := source.asOf(asked(c.asked), asked(c.received), stamp(c.given))
@@ -64,6 +64,8 @@
 	Service
 	rows map[string][]Row
 	held atomic.Bool
+	// way is how long an answer to a look is on its way.
+	way time.Duration
 }
 
 func (h *heldHeads) Get(_ context.Context, key Key) (Row, error) {
@@ -80,6 +82,12 @@
 		<-ctx.Done()
 		return nil, outcome.Undecided(ctx.Err())
 	}
+	if strings.HasPrefix(partition, headsPartition) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(h.way):
+		}
+	}
 	var found []Row
 	for _, row := range h.rows[partition] {
 		if row.Sort > after && len(found) < limit {
@@ -124,6 +132,7 @@
 		service := &heldHeads{rows: map[string][]Row{headsPartition: {{Key: headKey("g"), Version: 1}}}}
 		heads := NewHeads(service)
 		feed := PolledFeed{Heads: heads, Group: "g", Parts: []string{"g"}}
+		service.way = 300 * time.Millisecond
 		service.held.Store(true)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
@@ -136,7 +145,7 @@
 		service.held.Store(false)
 		time.Sleep(pollTimeout)
 		changes, err = feed.After(ctx, 1, 3*time.Second)
-		if err != nil || changes.Now != timeOfDay() || clock.Since(changes.AsOf) > time.Second {
+		if err != nil || changes.Now != timeOfDay() || clock.Since(changes.AsOf) < service.way || clock.Since(changes.AsOf) > time.Second {
 			t.Errorf("%v behind, as of %v ago, %v", timeOfDay()-changes.Now, clock.Since(changes.AsOf), err)
 		}
 	})
