--- /dev/null
+++ b/internal/replica/unheard_test.go
@@ -0,0 +1,55 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// newReturned returns a set of replicas with so many slots each, all of which answered this node
+// a moment ago and were full then, but for "returned": that has stood empty for a while, as one
+// in a zone that was evacuated, so nothing came from it lately.
+func newReturned(slots, full int, now time.Time) *Set {
+	set := NewSet()
+	set.Put(Info{ID: "returned", Pool: testPool, Slots: slots})
+	for i := range full {
+		id := fmt.Sprintf("full-%d", i)
+		set.Put(Info{ID: id, Pool: testPool, Slots: slots})
+		use := set.Begin(id, Ask{}, now)
+		use.Heard(now)
+		use.End(Succeeded, now)
+		set.Full(Info{ID: id}, now)
+	}
+	return set
+}
+
+// A replica that nothing is known of is asked for a slot before those that are known to have
+// none, however few slots they have: else nobody sends it anything, so nothing comes from it, and
+// it is left aside as long as others answer.
+func TestPickUnqueued_UnheardBeforeFull(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, slots := range []int{1, 2, 8} {
+		set := newReturned(slots, 4, now)
+		for _, ask := range []Ask{{}, {Batch: true, Borrowed: true}} {
+			demand := &Demand{Ask: ask}
+			asked, err := PickUnqueued(set.SnapshotFor(testPool, demand, now), demand, Weights{}, false)
+			if err != nil || asked.ID != "returned" {
+				t.Errorf("replicas of %d slots, batch %v: asked %+v, %v", slots, ask.Batch, asked, err)
+			}
+		}
+	}
+}
+
+// A replica that answered a moment ago and has a free slot is asked first: the connection to it
+// is there.
+func TestPickUnqueued_FreeBeforeUnheard(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := newReturned(2, 0, now)
+	set.Put(Info{ID: "free", Pool: testPool, Slots: 2})
+	set.Begin("free", Ask{}, now).Heard(now)
+	demand := &Demand{}
+	asked, err := PickUnqueued(set.SnapshotFor(testPool, demand, now), demand, Weights{}, false)
+	if err != nil || asked.ID != "free" {
+		t.Fatalf("asked %+v, %v", asked, err)
+	}
+}
