soak: a line of no-item-waits-beside-free-slots tells which servers ran beyond their slots

The check is as it was; its line has one figure more, for how much of the wait each server ran more requests at once than it has slots.

--- a/internal/lab/soak/waits.go
+++ b/internal/lab/soak/waits.go
@@ -81,8 +81,9 @@
 			}
 		}
 		if count > 0 {
-			c.broken(NoIdleWait, "%d of %d items of job %s (accepted at %s) wait beside a free slot; %s from %s to %s, %v beside one, %v of it in calm and without a break, slots free for %v; %s",
-				count, len(job.Items), job.ID, c.moment(job.At), item, c.moment(worst.from), c.moment(worst.to), worst.beside, worst.calm, worst.free, c.story(item, shown))
+			c.broken(NoIdleWait, "%d of %d items of job %s (accepted at %s) wait beside a free slot; %s from %s to %s, %v beside one, %v of it in calm and without a break, slots free for %v, more requests than slots for %v; %s",
+				count, len(job.Items), job.ID, c.moment(job.At), item, c.moment(worst.from), c.moment(worst.to), worst.beside, worst.calm, worst.free,
+				c.beyondSlots(worst.from, worst.to), c.story(item, shown))
 		}
 	}
 }
@@ -210,6 +211,22 @@
 	return peak
 }
 
+// beyondSlots returns for how much of a time each server ran more requests at once than it has
+// slots. Where one does beside a server with a free slot, it is online requests that are spread
+// unevenly: a node goes by what servers say of their slots.
+func (c *check) beyondSlots(from, to time.Time) map[string]time.Duration {
+	beyond := map[string]time.Duration{}
+	for server, slots := range c.ServerSlots {
+		used := c.used(server, c.spanOf(to))
+		for number := c.spanOf(from) + 1; number < len(used); number++ {
+			if used[number] > slots {
+				beyond[server] += span
+			}
+		}
+	}
+	return beyond
+}
+
 // edge is a begin or an end of a run.
 type edge struct {
 	at time.Time
