replica: what lapsed in an outage is dropped once it is in doubt no more

Cause: a replica that is missing when the list comes back after an outage of 2.5 s or more is kept in doubt for 2 s, and left out of choices after that, but its entry stayed for good. The node went on dividing its slots, so that it came to another division than the others: of the slots that are there some were no node's and stood idle, some were two nodes', and its items found room in slots that are gone. Now Needs, each 0.1 s, and RoomForItems drop such entries.

--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -225,6 +225,7 @@
 func (s *Set) RoomForItems(pool string, now time.Time) ItemRoom {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forget(now)
 	list := s.pool(pool)
 	share, items := s.sumShares(list, now)
 	room := ItemRoom{
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -94,6 +94,7 @@
 func (s *Set) Needs(now time.Time) []Need {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forget(now)
 	if s.stale {
 		s.rebuild()
 	}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -11,15 +11,8 @@
 )
 
 const (
-	// doubtTime is how long a replica that vanished from the list around an
-	// outage of the platform's store may still be used, on own evidence.
-	doubtTime = 2 * time.Second
-	// outageShadow is how long after an outage a vanished replica is kept.
-	outageShadow = 200 * time.Millisecond
 	// othersWeight is the weight of the newest load report.
 	othersWeight = 0.6
-	// lapseAfter is the length of an outage from which on entries lapse.
-	lapseAfter = 2500 * time.Millisecond
 	// othersFade is the time after which a report tells little.
 	othersFade = 3 * time.Second
 	// waitingFade is the time after which a report of waiting requests tells
@@ -108,8 +101,10 @@
 	evacuated map[string]bool
 	// fleet is what nodes have told of each pool.
 	fleet map[string]*fleetView
-	// outageEnd is when the list's source came back after a long outage.
+	// outageEnd is when the list's source came back after a long outage. doubts is set while
+	// there may be entries that vanished around it.
 	outageEnd time.Time
+	doubts    bool
 	// heard is when anything last came from any replica.
 	heard   time.Time
 	changed chan struct{}
@@ -175,35 +170,6 @@
 	return !listed, restart
 }
 
-// Remove takes in that a replica is listed no more. That is no sign that it ended: it may
-// serve on for a while.
-func (s *Set) Remove(id string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known, ok := s.entries[id]
-	if !ok {
-		return
-	}
-	if known.info.Leaving || now.Sub(s.outageEnd) > outageShadow {
-		s.drop(known)
-	} else {
-		known.vanished = now
-	}
-	s.index()
-}
-
-// Outage notes that the list's source has come back after an outage. After a
-// long one, entries may be missing though their replicas are well, for these
-// could not renew them; after a short one, who is missing has left.
-func (s *Set) Outage(length time.Duration, now time.Time) {
-	if length < lapseAfter {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outageEnd = now
-}
-
 // index marks the lists by pool as out of date. The caller holds mu.
 func (s *Set) index() {
 	s.stale = true
@@ -377,12 +343,6 @@
 	return float64(e.waiting) * (1 - float64(age)/float64(waitingFade))
 }
 
-// forgotten reports whether an entry that left the list around an outage has
-// been used without a new listing for long enough.
-func (e *entry) forgotten(now time.Time) bool {
-	return !e.vanished.IsZero() && now.Sub(e.vanished) > doubtTime
-}
-
 // othersAt fades the estimate as the report grows old.
 func (e *entry) othersAt(now time.Time) float64 {
 	age := now.Sub(e.reported)
