--- a/internal/table/tabletest/tabletest.go
+++ b/internal/table/tabletest/tabletest.go
@@ -221,7 +221,9 @@
 		case <-ctx.Done():
 			return table.Changes{}, outcome.Undecided(ctx.Err())
 		case <-deadline.C:
-			return changes, nil
+			// Nothing had come by now, not by the beginning of the wait.
+			changes, _, err = f.since(revision)
+			return changes, err
 		case <-changed:
 		}
 	}
