Times of the clock keep a monotonic reading that counts suspensions

Measured on the machine then: its time of day ran ahead of the steady clock by 5 ms a second, steadily over 25 s (123 ms), the clock that counts suspensions by nothing. Times of package clock had no monotonic reading, so any comparison with one of package time went by the time of day: in these tests, and a process that runs for 100 s was half a second off.

Ruled out: a suspension (that clock stood), load alone (all passed at load 41 to 50 before the time of day was being brought into line). Product code compares times of package clock with each other, by which nothing changes.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -74,7 +74,10 @@
 }
 
 // Now returns the time: the time of day of the process's start, and what has passed since,
-// suspensions too. It has no monotonic reading, so that nothing is compared by that.
+// suspensions too. Its monotonic reading counts them as well, so times of Now are compared by what
+// passed between them whatever is done to the time of day meanwhile, and so are they with times
+// of package time while the machine has not been suspended: a time of day that is brought
+// into line by 5 ms a second is half a second off after 100 s.
 func Now() time.Time {
 	now := time.Now()
 	steady := now.Sub(origin)
@@ -86,7 +89,7 @@
 	if known == nil || (drift-known.drift).Abs() > tolerance || steady-known.steady > lookEvery {
 		known = look(steady, drift)
 	}
-	return origin.Round(0).Add(steady + known.slept)
+	return origin.Add(steady + known.slept)
 }
 
 // Since returns the time that has passed since a time of Now.
@@ -127,7 +130,7 @@
 		// A suspension adds; what shrinks is an error of reading.
 		if slept := boot - begun - at; slept > next.slept+tolerance {
 			next.slept = slept
-			next.woke = origin.Round(0).Add(steady + slept)
+			next.woke = origin.Add(steady + slept)
 		}
 	}
 	last.Store(&next)
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,3 +102,16 @@
 		clock.Now()
 	}
 }
+
+// TestNow_GoesByTheSteadyClock guards that times of Now can be told from those of package time by
+// what passed between them: the time of day may be set, or brought into line, meanwhile.
+func TestNow_GoesByTheSteadyClock(t *testing.T) {
+	before := time.Now()
+	now := clock.Now()
+	if strings.Contains(now.String(), "m=") != strings.Contains(before.String(), "m=") {
+		t.Fatalf("%v has no monotonic reading as %v has", now, before)
+	}
+	if passed := now.Sub(before); passed < 0 || passed > time.Minute {
+		t.Errorf("%v passed", passed)
+	}
+}
