--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -65,7 +65,7 @@
 
 // TestRun_SeedsOfFullServers plays the runs before servers that keep to their slots in which items
 // wait beside a free slot (7217, 7218), and in which harmless work is refused as
-// harmful (7215, 7219, 990118). Each showed it beside load, in its one play.
+// harmful (7215, 7219, 7239, 990118). Each showed it beside load, in its one play.
 func TestRun_SeedsOfFullServers(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for over two minutes")
@@ -76,6 +76,9 @@
 		{Seed: 7218, Nodes: 6, Regions: 2},
 		{Seed: 7219, Nodes: 7, Regions: 2},
 		{Seed: 990118, Nodes: 20, Regions: 1},
+		{Seed: 7239, Nodes: 20, Regions: 2, Servers: 24, Slots: 4},
+		// Cold servers get a request more than they bear.
+		{Seed: 7244, Nodes: 20, Regions: 2, Servers: 24, Slots: 4},
 	} {
 		t.Run(fmt.Sprint(one.Seed), func(t *testing.T) {
 			one.For = 20 * time.Second
