The line about an unanswered question says what happened, not what the reader heard

Found on reading the change again: a reader who asks before its wait goes on waiting when the table does not answer, and the line said that it had been told.

--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -54,8 +54,9 @@
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	Resolved(operation string, attempts int, err error)
 	Removed(job *Job, err error)
-	// Asked tells that a reader's answer was asked of the table, for the view was of an age
-	// at which it may lack a result. With an error the reader is told that nobody is sure.
+	// Asked tells that a job was asked of the table for a reader, for the view was of an age
+	// at which it may lack a result. With an error nobody is sure, and the reader is told so
+	// unless it waits on.
 	Asked(job *Job, age time.Duration, err error)
 	// Homeless tells of a job whose items wait because no node of its homes lives.
 	Homeless(job *Job, homes place.Regions)
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -48,7 +48,7 @@
 func (l *jobLog) Asked(job *jobs.Job, age time.Duration, err error) {
 	if err != nil {
 		l.metrics.jobs.WithLabelValues("unsure").Inc()
-		l.sampled.Warn().Str("job", job.ID).Dur("view_age_ms", age).Err(err).Msg("reader told that nobody is sure of a result")
+		l.sampled.Warn().Str("job", job.ID).Dur("view_age_ms", age).Err(err).Msg("nobody is sure of a result, the table did not answer")
 		return
 	}
 	l.metrics.jobs.WithLabelValues("asked").Inc()
