A request refused as harmful is told when to come back

Cause: platform/front.go told no time on purpose, since harmful work would be refused again. Harmless work that was condemned is set free by a trial 5 s, 20 s and 12 min after the newest end, so the time is known: it is that of the trial and a second for its outcome; for work that is tried no more, the time at which its ends have faded.

The product's own interface answers 422, which clients do not repeat, and tells no time: unchanged.

--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -210,6 +210,36 @@
 	}
 }
 
+// TestVerdict_ComeBackIsAfterTheNextTrial: what is told to refused callers is the time of the
+// trial that may end the quarantine, and the end of it once no trial is left.
+func TestVerdict_ComeBackIsAfterTheNextTrial(t *testing.T) {
+	var list List
+	for i := range 3 {
+		ended(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	comesBack := func(second int) time.Duration {
+		now := start.Add(time.Duration(second) * time.Second)
+		verdict := list.Check(work("w"), now)
+		return verdict.ComeBack(now)
+	}
+	if wait := comesBack(4); wait != 3*time.Second+trialSettles {
+		t.Errorf("with a trial due in 3 s: %v", wait)
+	}
+	if wait := comesBack(9); wait != trialSettles {
+		t.Errorf("with a trial due: %v", wait)
+	}
+	ended(&list, "t0", 10, work("w"))
+	if wait := comesBack(12); wait != 18*time.Second+trialSettles {
+		t.Errorf("with the second trial due in 18 s: %v", wait)
+	}
+	for i := range 2 {
+		ended(&list, fmt.Sprintf("t%d", 1+i), 20+i, work("w"))
+	}
+	if wait := comesBack(30); wait != time.Hour-20*time.Second {
+		t.Errorf("tried no more, and condemned until the third newest end is an hour ago: %v", wait)
+	}
+}
+
 func TestList_TrialsOfRequestsAreRareAndOneAtATime(t *testing.T) {
 	var list List
 	for i := range 3 {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -12,6 +12,9 @@
 	// trialLasts is how long a trial of a request keeps others from being tried at the same
 	// node: longer than requests of the users' deployments may take.
 	trialLasts = 10 * time.Second
+	// trialSettles is how long after the begin of a trial its outcome is known at all nodes, if
+	// the work is harmless.
+	trialSettles = time.Second
 )
 
 // rareTrialPauses are the times from the newest end to a trial of a request, by how many ends
@@ -45,15 +48,27 @@
 // RareTrialDue is TrialDue with pauses that grow: for work that comes again by itself for as
 // long as its callers like.
 func (v *Verdict) RareTrialDue(now time.Time) bool {
+	return v.mayTry() && !now.Before(v.rareTrialAt())
+}
+
+// ComeBack returns how long a caller should wait whose request was refused: until the work has
+// been tried once more and may have been found harmless, or until what counts against it has
+// faded if it is tried no more.
+func (v *Verdict) ComeBack(now time.Time) time.Duration {
 	if !v.mayTry() {
-		return false
+		return max(trialSettles, v.Until.Sub(now))
 	}
-	beyond := min(len(v.Replicas)-v.Limit, len(rareTrialPauses)-1)
-	return now.Sub(v.Last) >= rareTrialPauses[beyond]
+	return max(0, v.rareTrialAt().Sub(now)) + trialSettles
 }
 
 func (v *Verdict) mayTry() bool { return v.Quarantined && len(v.Replicas) < 2*v.Limit }
 
+// rareTrialAt is when the next trial of a request is due, for work that may be tried.
+func (v *Verdict) rareTrialAt() time.Time {
+	beyond := min(len(v.Replicas)-v.Limit, len(rareTrialPauses)-1)
+	return v.Last.Add(rareTrialPauses[beyond])
+}
+
 // RefusedError reports work that is kept from all replicas. It did not run this time.
 type RefusedError struct{ Verdict }
 
