Work that was sent after a replica ended does not count for the end

The list takes reports of one start for one end (so it must: nodes hear of it late) and counted the work as if it had been there. Ruled out that the replica had ended twice: the start is told by its birth, the same in both.

An end is as old as its first sighting, and a run that was sent later than that, by more than the second by which times told by others may be off, is not counted for it; also when the late report comes first. A node that hears of an end late, with work sent before it, is believed as before.

TestList_WorkSentAfterAnEndDidNotBringItAbout failed before in both orders.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -30,6 +30,9 @@
 	// beganSlack is how much earlier than an end a run may seem to have begun that was sent
 	// after it, for their times come from different nodes.
 	beganSlack = 15 * time.Millisecond
+	// toldSlack is how much later than it was a time may seem that another node tells: a word
+	// takes ms, a row of a slow table up to a second.
+	toldSlack = time.Second
 )
 
 // Report tells that a replica ended while a node's requests ran there.
@@ -78,7 +81,8 @@
 	replica string
 	// born is that of the start which ended; 0 as long as no report has told it.
 	born int64
-	at   time.Time
+	// at is when a node saw it first.
+	at time.Time
 	// works are what ran there, by when the newest run began.
 	works map[Work]time.Time
 }
@@ -141,6 +145,9 @@
 func (l *List) note(report Report) {
 	known := l.endOf(report)
 	for _, run := range report.Runs {
+		if known.before(run.Began) {
+			continue
+		}
 		if began, ok := known.works[run.Work]; !ok || run.Began.After(began) {
 			known.works[run.Work] = run.Began
 		}
@@ -163,6 +170,7 @@
 	for _, known := range l.ends[report.Replica] {
 		if known.tells(&report) {
 			known.born = cmp.Or(known.born, report.Born)
+			l.sawEarlier(known, &report)
 			return known
 		}
 	}
@@ -181,6 +189,35 @@
 	return report.At.Sub(e.at).Abs() <= sameEnd
 }
 
+// before reports whether the end was over when a run was sent, so that it is not due to it: a
+// node with an old list sends to a replica that is gone, and what is at its address now breaks
+// the answer off.
+func (e *end) before(sent time.Time) bool { return sent.After(e.at.Add(toldSlack)) }
+
+// sawEarlier takes in that a node saw an end earlier than it was known to be, and forgets what
+// was sent after it. The caller holds mu.
+func (l *List) sawEarlier(known *end, report *Report) {
+	if report.Born == 0 || !report.At.Before(known.at) {
+		return
+	}
+	known.at = report.At
+	for work, sent := range known.works {
+		if known.before(sent) {
+			delete(known.works, work)
+			l.acquit(work, known)
+		}
+	}
+}
+
+// acquit has an end count against a work no more. The caller holds mu.
+func (l *List) acquit(work Work, of *end) {
+	known := l.works[work]
+	delete(known.ends, of)
+	if len(known.ends) == 0 {
+		delete(l.works, work)
+	}
+}
+
 // prune forgets what is too long ago to count. The caller holds mu.
 func (l *List) prune(now time.Time) {
 	for len(l.oldest) > 0 && now.Sub(l.oldest[0].at) >= l.memory() {
@@ -194,11 +231,7 @@
 	forgotten := l.oldest[0]
 	l.oldest = l.oldest[1:]
 	for work := range forgotten.works {
-		known := l.works[work]
-		delete(known.ends, forgotten)
-		if len(known.ends) == 0 {
-			delete(l.works, work)
-		}
+		l.acquit(work, forgotten)
 	}
 	left := slices.DeleteFunc(l.ends[forgotten.replica], func(one *end) bool { return one == forgotten })
 	if len(left) == 0 {
--- a/internal/quarantine/start_test.go
+++ b/internal/quarantine/start_test.go
@@ -135,3 +135,49 @@
 		t.Errorf("told %+v", events.ended)
 	}
 }
+
+// TestList_WorkSentAfterAnEndDidNotBringItAbout: a node that is cut off from the store goes on
+// sending to a replica that ended long ago, and something at its address, a machine that is
+// lost or the next replica there, breaks the connections off. The node finds that replica gone
+// from its list afterwards and tells of its end, with the work that it sent. Each such work
+// counted as if it had run when the replica ended, and popular work, which such a node sends to
+// several replicas in turn, was refused everywhere.
+//
+// Seen in a soak (seed 7215): server-7 ended at 35.36 s under a harmful
+// request ("replica ended under work of this node" at node-4 and node-7). Node-0 wrote "attempt
+// sent" to it at 41.247 s and node-6 at 41.426 s, "attempt failed" 1 ms later and the same line
+// of the end; node-6 then wrote "work quarantined" for its work, with server-7 the oldest of
+// three and 3,594 of 3,600 s left, so with the end of six seconds before.
+func TestList_WorkSentAfterAnEndDidNotBringItAbout(t *testing.T) {
+	for _, order := range [][]string{{"seen", "late"}, {"late", "seen"}} {
+		var list List
+		harmful, popular := work("harmful"), work("popular")
+		for _, report := range order {
+			switch report {
+			case "seen":
+				endedAt(&list, "r", 1000, 0, harmful)
+			case "late":
+				endedAt(&list, "r", 1000, 6*time.Second, popular)
+			}
+		}
+		if got := countedEnds(&list, harmful); got != 1 {
+			t.Errorf("%v: %d ends count against work that was there, not 1", order, got)
+		}
+		if got := countedEnds(&list, popular); got != 0 {
+			t.Errorf("%v: %d ends count against work that was sent later", order, got)
+		}
+	}
+}
+
+// TestList_WorkThatWasThereCountsThoughItIsToldLate: a node that was held up hears of an end
+// late, and what it had there had been sent before it.
+func TestList_WorkThatWasThereCountsThoughItIsToldLate(t *testing.T) {
+	var list List
+	held := work("held up")
+	endedAt(&list, "r", 1000, 0, work("other"))
+	at := start.Add(6 * time.Second)
+	list.Add(Report{Replica: "r", Born: 1000, Runs: runsOf(start.Add(-50*time.Millisecond), held), At: at}, at)
+	if got := countedEnds(&list, held); got != 1 {
+		t.Errorf("%d ends count, not 1", got)
+	}
+}
