Nodes tell each other of harm at once, not after the table has answered

Telling and writing are two loops now; what is told is handed on to the writer. TestPublisher_TellsAtOnceWhileTheTableIsSilent failed before.

--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -61,16 +61,21 @@
 	// Sweeps reports whether this node is the one to remove rows that count no more.
 	Sweeps func() bool
 
-	mu      sync.Mutex
-	pending News
-	wake    chan struct{}
+	mu sync.Mutex
+	// pending is what is to be told and then written, told what is only to be written.
+	pending, told News
+	// wake and wakeWriter say that there is any of these.
+	wake, wakeWriter chan struct{}
 	// written counts the rows of reports, for their keys.
 	written int
 }
 
 // NewPublisher returns a publisher that has nothing to tell.
 func NewPublisher(service table.Service, rows *Rows, session func() string) *Publisher {
-	return &Publisher{Table: service, Rows: rows, Session: session, wake: make(chan struct{}, 1), Sweeps: func() bool { return false }}
+	return &Publisher{
+		Table: service, Rows: rows, Session: session, Sweeps: func() bool { return false },
+		wake: make(chan struct{}, 1), wakeWriter: make(chan struct{}, 1),
+	}
 }
 
 // Report has all nodes learn of an end.
@@ -84,7 +89,7 @@
 		}
 	}
 	p.pending.Reports = append(p.pending.Reports, report)
-	p.notify()
+	notify(p.wake)
 }
 
 // Clear has all nodes learn of a clearing.
@@ -92,19 +97,58 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending.Clearings = append(p.pending.Clearings, clearing)
-	p.notify()
+	notify(p.wake)
 }
 
-// notify wakes Run. The caller holds mu.
-func (p *Publisher) notify() {
+// notify wakes whoever waits at a channel, now or later.
+func notify(wake chan<- struct{}) {
 	select {
-	case p.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run tells and writes what there is until the context ends.
+// Run tells and writes what there is until the context ends. Others are told at once, however
+// long the table takes to answer: what they do not know yet has them count ends against work
+// that ended well here.
 func (p *Publisher) Run(ctx context.Context) {
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	writing.Go(func() { p.writeAll(ctx) })
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		}
+		if !retry.Sleep(ctx, gather) {
+			return
+		}
+		p.tell()
+	}
+}
+
+// tell tells others what is new and has it written.
+func (p *Publisher) tell() {
+	p.mu.Lock()
+	fresh := p.pending
+	p.pending = News{}
+	p.mu.Unlock()
+	if fresh.empty() {
+		return
+	}
+	if p.Tell != nil {
+		p.Tell(fresh)
+	}
+	p.mu.Lock()
+	p.told.Reports = append(p.told.Reports, fresh.Reports...)
+	p.told.Clearings = append(p.told.Clearings, fresh.Clearings...)
+	p.mu.Unlock()
+	notify(p.wakeWriter)
+}
+
+// writeAll writes what has been told until the context ends, and sweeps.
+func (p *Publisher) writeAll(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	var unwritten News
@@ -117,13 +161,10 @@
 			case <-ticker.C:
 				p.sweep(ctx)
 				continue
-			case <-p.wake:
+			case <-p.wakeWriter:
 			}
 		}
-		if !retry.Sleep(ctx, gather) {
-			return
-		}
-		p.addTo(&unwritten)
+		p.takeTold(&unwritten)
 		if err := p.write(ctx, &unwritten); err != nil {
 			p.failed(err)
 			retry.Sleep(ctx, delay)
@@ -134,20 +175,14 @@
 	}
 }
 
-// addTo tells others what is new and adds it to what is to be written.
-func (p *Publisher) addTo(unwritten *News) {
+// takeTold adds what has been told to what is to be written.
+func (p *Publisher) takeTold(unwritten *News) {
 	p.mu.Lock()
-	fresh := p.pending
-	p.pending = News{}
+	told := p.told
+	p.told = News{}
 	p.mu.Unlock()
-	if fresh.empty() {
-		return
-	}
-	if p.Tell != nil {
-		p.Tell(fresh)
-	}
-	unwritten.Reports = newest(p, "ends", append(unwritten.Reports, fresh.Reports...))
-	unwritten.Clearings = newest(p, "clearings", append(unwritten.Clearings, fresh.Clearings...))
+	unwritten.Reports = newest(p, "ends", append(unwritten.Reports, told.Reports...))
+	unwritten.Clearings = newest(p, "clearings", append(unwritten.Clearings, told.Clearings...))
 }
 
 // newest returns the newest maxPending of what waits to be written, and tells how many are
