--- a/internal/quarantine/repeats.go
+++ b/internal/quarantine/repeats.go
@@ -55,21 +55,13 @@
 func (r *repeats) due(now time.Time, limit int) []Clearing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var due []Clearing
-	for _, works := range []map[Work]repeat{r.newest, r.older} {
-		for work, known := range works {
-			if len(due) == limit {
-				return due
-			}
-			if !known.due(now) {
-				continue
-			}
-			known.told = now
-			works[work] = known
-			due = append(due, Clearing{Work: work, At: known.last})
+	return r.choose(limit, func(_ Work, known *repeat) bool {
+		if !known.due(now) {
+			return false
 		}
-	}
-	return due
+		known.told = now
+		return true
+	})
 }
 
 // lasting returns up to so many works that end well often, and of which no row is known to tell
@@ -77,23 +69,32 @@
 func (r *repeats) lasting(now time.Time, age time.Duration, limit int, rowAt func(Work) time.Time) []Clearing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var lasting []Clearing
+	return r.choose(limit, func(work Work, known *repeat) bool {
+		if known.runs < lastingRuns || now.Sub(known.kept) < age {
+			return false
+		}
+		known.kept = rowAt(work)
+		return now.Sub(known.kept) >= age
+	})
+}
+
+// choose returns the last good ends of up to so many works that are wanted, and keeps what wants
+// changes of what is remembered of each. The caller holds mu.
+func (r *repeats) choose(limit int, wants func(Work, *repeat) bool) []Clearing {
+	var chosen []Clearing
 	for _, works := range []map[Work]repeat{r.newest, r.older} {
 		for work, known := range works {
-			if len(lasting) == limit {
-				return lasting
-			}
-			if known.runs < lastingRuns || now.Sub(known.kept) < age {
-				continue
+			if len(chosen) == limit {
+				return chosen
 			}
-			known.kept = rowAt(work)
+			wanted := wants(work, &known)
 			works[work] = known
-			if now.Sub(known.kept) >= age {
-				lasting = append(lasting, Clearing{Work: work, At: known.last})
+			if wanted {
+				chosen = append(chosen, Clearing{Work: work, At: known.last})
 			}
 		}
 	}
-	return lasting
+	return chosen
 }
 
 func (r *repeat) due(now time.Time) bool {
