--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -20,6 +20,7 @@
 	if testing.Short() {
 		t.Skip("runs processes for over a minute")
 	}
+	t.Parallel()
 	for _, one := range []Options{
 		// A cold server gets more than it bears.
 		{Seed: 3041, Nodes: 8, Regions: 2},
@@ -60,6 +61,7 @@
 	if testing.Short() {
 		t.Skip("runs processes for over a minute")
 	}
+	t.Parallel()
 	for _, one := range []Options{
 		{Seed: 6021, Nodes: 8, Regions: 2, Servers: 4, Slots: 1},
 		{Seed: 6005, Nodes: 8, Regions: 1},
@@ -92,6 +94,7 @@
 	if testing.Short() {
 		t.Skip("runs processes for over two minutes")
 	}
+	t.Parallel()
 	for _, one := range []Options{
 		{Seed: 7215, Nodes: 8, Regions: 2},
 		{Seed: 7217, Nodes: 5, Regions: 2},
