replica: move the division of slots into a package of its own

Behaviour-free: Shares, ReplicaSlots (now division.Replica), lendSlots, Key and mix (now division.Mix) and their tests move; nothing else changes. ReplicaSlots -> division.Replica mix -> division.Mix Shares -> division.Shares

--- a/internal/replica/coldrate.go
+++ b/internal/replica/coldrate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 const (
@@ -110,7 +112,7 @@
 		if nodes[i].notMember {
 			continue
 		}
-		if weight := mix(nodes[i].key ^ e.key); eligible(i) && (best < 0 || weight > bestWeight) {
+		if weight := division.Mix(nodes[i].key ^ e.key); eligible(i) && (best < 0 || weight > bestWeight) {
 			best, bestWeight = i, weight
 		}
 	}
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 const (
@@ -250,5 +252,5 @@
 		return 0
 	}
 	const fractionBits = 53
-	return float64(mix(Key(s.self)^Key(pool))>>(64-fractionBits)) / (1 << fractionBits)
+	return float64(division.Mix(Key(s.self)^Key(pool))>>(64-fractionBits)) / (1 << fractionBits)
 }
--- a/internal/replica/lend.go
+++ b/internal/replica/division/lend.go
@@ -1,4 +1,4 @@
-package replica
+package division
 
 import (
 	"cmp"
@@ -34,7 +34,7 @@
 }
 
 // groups returns the groups that replicas belong to, without counting their nodes.
-func groups(replicas []ReplicaSlots, by grouping) map[place.Place]*group {
+func groups(replicas []Replica, by grouping) map[place.Place]*group {
 	all := map[place.Place]*group{}
 	for i, r := range replicas {
 		g := groupAt(all, by(r.Place))
@@ -58,7 +58,7 @@
 // lends all of its slots. Groups with more slots per node than the mean lend, in proportion to their
 // surplus, what other groups lack to have minPercent of the mean. Only integers are used, because all
 // nodes must compute the same result.
-func lendSlots(nodes []place.Node, replicas []ReplicaSlots, by grouping, minPercent int) []int {
+func lendSlots(nodes []place.Node, replicas []Replica, by grouping, minPercent int) []int {
 	lent := make([]int, len(replicas))
 	all := groups(replicas, by)
 	for _, node := range nodes {
@@ -116,7 +116,7 @@
 // distribute sets, in lent, how many of count slots each of the group's replicas lends, in proportion
 // to its slots. The remainder of rounding is distributed in the order of hashes, so that a change of
 // count by one changes one replica if all have equally many slots.
-func (g *group) distribute(count int, replicas []ReplicaSlots, lent []int) {
+func (g *group) distribute(count int, replicas []Replica, lent []int) {
 	if count == 0 || g.slots == 0 {
 		return
 	}
@@ -126,7 +126,7 @@
 		left -= lent[i]
 	}
 	order := slices.Clone(g.replicas)
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(mix(replicas[a].Key), mix(replicas[b].Key)) })
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(Mix(replicas[a].Key), Mix(replicas[b].Key)) })
 	for _, i := range order {
 		if left > 0 && lent[i] < replicas[i].Count {
 			lent[i]++
@@ -136,7 +136,7 @@
 }
 
 // subtract returns replicas with counts subtracted from their slots.
-func subtract(replicas []ReplicaSlots, counts []int) []ReplicaSlots {
+func subtract(replicas []Replica, counts []int) []Replica {
 	left := slices.Clone(replicas)
 	for i := range left {
 		left[i].Count -= counts[i]
@@ -145,7 +145,7 @@
 }
 
 // withCounts returns replicas with their numbers of slots replaced.
-func withCounts(replicas []ReplicaSlots, counts []int) []ReplicaSlots {
+func withCounts(replicas []Replica, counts []int) []Replica {
 	others := slices.Clone(replicas)
 	for i := range others {
 		others[i].Count = counts[i]
--- a/internal/replica/lend_test.go
+++ b/internal/replica/division/lend_test.go
@@ -1,4 +1,4 @@
-package replica
+package division
 
 import (
 	"fmt"
@@ -20,10 +20,10 @@
 }
 
 // regionReplicas returns replicas of a region, alternately in its two zones.
-func regionReplicas(region string, count, slots int) []ReplicaSlots {
-	var replicas []ReplicaSlots
+func regionReplicas(region string, count, slots int) []Replica {
+	var replicas []Replica
 	for i := range count {
-		replicas = append(replicas, ReplicaSlots{Key: Key(fmt.Sprintf("r-%s-%d", region, i)), Count: slots, Place: placeInRegion(region, i)})
+		replicas = append(replicas, Replica{Key: Key(fmt.Sprintf("r-%s-%d", region, i)), Count: slots, Place: placeInRegion(region, i)})
 	}
 	return replicas
 }
@@ -34,7 +34,7 @@
 }
 
 // allShares returns the shares of each node by its ID.
-func allShares(nodes []place.Node, replicas []ReplicaSlots) map[string][]int {
+func allShares(nodes []place.Node, replicas []Replica) map[string][]int {
 	all := map[string][]int{}
 	for _, node := range nodes {
 		all[node.ID] = Shares(node.ID, nodes, replicas)
@@ -51,7 +51,7 @@
 }
 
 // slotsOutsideRegion returns the number of a node's slots in other regions.
-func slotsOutsideRegion(node place.Node, replicas []ReplicaSlots, shares []int) int {
+func slotsOutsideRegion(node place.Node, replicas []Replica, shares []int) int {
 	sum := 0
 	for i, r := range replicas {
 		if r.Place.Region != node.Region {
@@ -66,7 +66,7 @@
 func TestShares_EverySlotHasOneNodeAcrossRegions(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var nodes []place.Node
-		var replicas []ReplicaSlots
+		var replicas []Replica
 		for _, region := range []string{"", "north", "south", "west"} {
 			nodes = append(nodes, regionNodes(region, rapid.IntRange(0, 12).Draw(rt, "nodes of "+region))...)
 			replicas = append(replicas, regionReplicas(region, rapid.IntRange(0, 12).Draw(rt, "replicas of "+region), rapid.IntRange(1, 12).Draw(rt, "slots"))...)
@@ -149,10 +149,10 @@
 // costs a connection.
 func TestShares_ChangeMovesFewSlots(t *testing.T) {
 	nodes, replicas := threeRegions(87, 60)
-	withoutSouth := slices.DeleteFunc(slices.Clone(replicas), func(r ReplicaSlots) bool { return r.Place.Region == "south" })
+	withoutSouth := slices.DeleteFunc(slices.Clone(replicas), func(r Replica) bool { return r.Place.Region == "south" })
 	for _, tc := range []struct {
 		name                  string
-		before, after         []ReplicaSlots
+		before, after         []Replica
 		removedNode, maxMoved int
 	}{
 		{name: "node leaves", before: replicas, after: replicas, removedNode: 40, maxMoved: 40},
@@ -180,7 +180,7 @@
 }
 
 // threeRegions returns nodes and replicas of three regions with two zones each.
-func threeRegions(nodes, replicas int) (all []place.Node, slots []ReplicaSlots) {
+func threeRegions(nodes, replicas int) (all []place.Node, slots []Replica) {
 	for _, region := range []string{"east", "north", "south"} {
 		all = append(all, regionNodes(region, nodes/3)...)
 		slots = append(slots, regionReplicas(region, replicas/3, 8)...)
--- a/internal/replica/divide_bench_test.go
+++ b/internal/replica/division/shares_bench_test.go
@@ -1,4 +1,4 @@
-package replica
+package division
 
 import (
 	"fmt"
@@ -16,9 +16,9 @@
 	for i := range 300 {
 		nodes = append(nodes, place.Node{ID: fmt.Sprintf("node-%d", i), Place: at(i)})
 	}
-	var replicas []ReplicaSlots
+	var replicas []Replica
 	for i := range 3000 {
-		replicas = append(replicas, ReplicaSlots{Key: Key(fmt.Sprintf("i-%d", i)), Count: 8, Place: at(i)})
+		replicas = append(replicas, Replica{Key: Key(fmt.Sprintf("i-%d", i)), Count: 8, Place: at(i)})
 	}
 	for b.Loop() {
 		Shares("node-7", nodes, replicas)
--- a/internal/replica/divide_test.go
+++ b/internal/replica/division/shares_test.go
@@ -1,4 +1,4 @@
-package replica
+package division
 
 import (
 	"fmt"
@@ -9,15 +9,6 @@
 	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
-// nodesWithoutPlace returns nodes of unknown zone and region.
-func nodesWithoutPlace(ids ...string) []place.Node {
-	var nodes []place.Node
-	for _, id := range ids {
-		nodes = append(nodes, place.Node{ID: id})
-	}
-	return nodes
-}
-
 func testNodes(count int) []place.Node {
 	var nodes []place.Node
 	for i := range count {
@@ -26,10 +17,10 @@
 	return nodes
 }
 
-func testReplicas(count, slots int) []ReplicaSlots {
-	var replicas []ReplicaSlots
+func testReplicas(count, slots int) []Replica {
+	var replicas []Replica
 	for i := range count {
-		replicas = append(replicas, ReplicaSlots{Key: Key(fmt.Sprintf("replica-%d", i)), Count: slots})
+		replicas = append(replicas, Replica{Key: Key(fmt.Sprintf("replica-%d", i)), Count: slots})
 	}
 	return replicas
 }
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 // Nodes report to each other the replicas that fail for them. In a large fleet a given node rarely
@@ -311,11 +313,11 @@
 	if len(s.nodes) <= proberCount {
 		return true
 	}
-	ejectionHash := mix(e.key + uint64(e.shared.count))
-	ownWeight := mix(Key(s.self) ^ ejectionHash)
+	ejectionHash := division.Mix(e.key + uint64(e.shared.count))
+	ownWeight := division.Mix(Key(s.self) ^ ejectionHash)
 	before := 0
 	for _, node := range s.nodes {
-		if mix(Key(node.ID)^ejectionHash) > ownWeight {
+		if division.Mix(Key(node.ID)^ejectionHash) > ownWeight {
 			before++
 		}
 	}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 var (
@@ -198,7 +199,7 @@
 			continue
 		}
 		score := predict(candidate, criteria, weights).Seconds()
-		score += float64(mix(candidate.Key^criteria.Affinity)>>40) * 1e-12
+		score += float64(division.Mix(candidate.Key^criteria.Affinity)>>40) * 1e-12
 		if score < bestScore {
 			best, bestScore = candidate, score
 		}
@@ -222,7 +223,7 @@
 			continue
 		}
 		sameRegion := criteria.Distance(candidate) != place.OtherRegion
-		weight := mix(candidate.Key ^ criteria.Affinity)
+		weight := division.Mix(candidate.Key ^ criteria.Affinity)
 		if preferred == 0 || sameRegion && !foundSameRegion || sameRegion == foundSameRegion && weight > bestWeight {
 			preferred, bestWeight, foundSameRegion = candidate.Key, weight, sameRegion
 		}
@@ -332,12 +333,3 @@
 func (c *Candidate) preempts(req RequestInfo) bool {
 	return c.Batch > 0 && c.waitForSlot() > req.patience(c.FirstEvent, c.PatienceShare)
 }
-
-// mix is the finalizer of SplitMix64. It spreads the bits of a hash.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,15 +4,14 @@
 //
 // A replica is one start of a model server with a fixed number of slots, each of which runs one
 // request. Requests are online, or batch items that may be preempted. The slots of a pool are
-// divided among the nodes; see Shares.
+// divided among the nodes; see package division.
 package replica
 
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 // Info describes a listed replica.
@@ -111,4 +110,4 @@
 func (c *Candidate) Free() float64 { return float64(c.Slots) - c.Busy() }
 
 // Key returns the hash of a replica's or node's ID.
-func Key(id string) uint64 { return xxhash.Sum64String(id) }
+func Key(id string) uint64 { return division.Key(id) }
--- a/internal/replica/sample.go
+++ b/internal/replica/sample.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 const (
@@ -94,7 +96,7 @@
 		if e.info.Leaving || e.graceExpired(now) || e.ejected(now) {
 			continue
 		}
-		if weight := mix(e.key ^ affinity); preferred == nil || weight > bestWeight {
+		if weight := division.Mix(e.key ^ affinity); preferred == nil || weight > bestWeight {
 			preferred, bestWeight = e, weight
 		}
 	}
