lease: the number of partitions of session rows follows the number of nodes

Cause: each node renews its session once a second, and all sessions lay in two partitions of the store, which takes 300 writes a second of one. That carries 600 nodes; 985 would renew 492 times a second in each. Ways: (a) more partitions, a constant: holds until the next size, and a small fleet would read up to that many partitions to find eight neighbours; (b) renewals whose pace follows the size: 3.3 s at 985, so a lost node would be seen after 10 s instead of 3; (c) the number follows the size, taken: powers of two, doubled above 150 sessions a partition (985: 8 of 123; 1,970: 16 of 123), halved below 50. A node moves its own row in one transaction, and its member row tells among how many partitions it lies, so nodes of two opinions find each other: a look reads the neighbours of each layout in use, in steady state one. Conclusion: writes a partition are bounded by 150 a second at any size; the next limit is the store's sum of writes (4,000 a second).

--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -55,6 +55,18 @@
 	Cores    float64 `cbor:"4,keyasint,omitempty"`
 	LinkMbps float64 `cbor:"5,keyasint,omitempty"`
 	MemoryMB int     `cbor:"6,keyasint,omitempty"`
+	// Partitions is the number of partitions among which the session row is placed; 0 means
+	// basePartitions.
+	Partitions int `cbor:"7,keyasint,omitempty"`
+}
+
+// partitions returns the number of partitions among which the session row is placed. A number that no
+// node writes counts as the least one.
+func (m *Member) partitions() int {
+	if m.Partitions <= basePartitions || m.Partitions > maxPartitions || m.Partitions&(m.Partitions-1) != 0 {
+		return basePartitions
+	}
+	return m.Partitions
 }
 
 // encodeMember returns the body of a member row, or nil for the zero Member.
@@ -99,6 +111,9 @@
 	watcher   *Watcher
 	// OnEnded, if set, is called for each expired session that this node tried to end.
 	OnEnded func(id string, err error)
+	// OnMoveFailed, if set, is called if this node's session row could not be moved to another
+	// partition.
+	OnMoveFailed func(err error)
 	// unreadable receives member rows that cannot be decoded.
 	unreadable *table.Unreadable
 
@@ -118,6 +133,12 @@
 	// is nil after a change.
 	generation  uint64
 	sortedNodes []string
+	// sessionLayouts holds the number of partitions among which the row of each session is placed,
+	// layoutSessions the number of sessions by that number.
+	sessionLayouts map[string]int
+	layoutSessions map[int]int
+	// moveAt is when this node's session row is to be moved; zero if it is not.
+	moveAt time.Time
 	// missingSince holds the nodes without a member row, with the time of the first call that asked
 	// for the node; zero if the row was seen to be deleted.
 	missingSince map[string]time.Time
@@ -129,11 +150,15 @@
 	session.MemberPartition = partition
 	watcher := NewWatcher(service, now, timing)
 	watcher.Self, watcher.Neighbours = session.ID(), watchedNeighbours
-	return &Roster{
+	r := &Roster{
 		service: service, partition: partition, session: session, watcher: watcher,
 		memberVersions: map[string]uint64{}, sessionCounts: map[string]int{}, missingSince: map[string]time.Time{},
 		memberInfo: map[string]Member{}, sessionLost: map[string]lostNode{}, unreadableVersions: map[string]uint64{},
+		sessionLayouts: map[string]int{}, layoutSessions: map[int]int{},
 	}
+	watcher.Layouts = r.layouts
+	session.initialPartitions = func() int { return wantedPartitions(basePartitions, r.Count()) }
+	return r
 }
 
 // ReportUnreadableTo sets the receiver of rows that cannot be decoded. Call it before first use.
@@ -175,6 +200,9 @@
 		r.invalidateNodes()
 	}
 	r.memberVersions[id] = row.Version
+	if _, known := r.sessionLayouts[id]; err == nil || !known {
+		r.setLayout(id, member.partitions())
+	}
 	delete(r.missingSince, Node(id))
 	if member != (Member{}) && member != r.memberInfo[Node(id)] {
 		r.memberInfo[Node(id)] = member
@@ -202,6 +230,7 @@
 		return
 	}
 	delete(r.memberVersions, id)
+	r.setLayout(id, 0)
 	r.invalidateNodes()
 	node := Node(id)
 	if r.sessionCounts[node]--; r.sessionCounts[node] == 0 {
@@ -212,6 +241,7 @@
 
 // Refresh reads the neighbours and ends those sessions that have expired.
 func (r *Roster) Refresh(ctx context.Context) error {
+	r.moveSession(ctx)
 	if err := r.watcher.Refresh(ctx); err != nil {
 		return err
 	}
@@ -245,7 +275,7 @@
 		return Error.Wrap(errMemberRowUnknown)
 	}
 	_, err := r.service.Commit(ctx, table.NewOperation(),
-		table.Write{Key: sessionKey(session.ID), Kind: table.Delete, Expect: session.Version},
+		table.Write{Key: session.key, Kind: table.Delete, Expect: session.Version},
 		table.Write{Key: memberKey(r.partition, session.ID), Kind: table.Delete, Expect: memberVersion})
 	return Error.Wrap(err)
 }
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -12,14 +12,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -36,9 +34,6 @@
 	sessionSeparator = "#"
 	// ringHashDigits is the number of hexadecimal digits of the hash at the start of a sort key.
 	ringHashDigits = 8
-	// partitionCount is the number of partitions that hold the session rows. The platform's store
-	// limits a partition to 300 writes per second, and every node renews once per second.
-	partitionCount = 2
 	// sweepMultiple is the age at which an abandoned row is deleted, as a multiple of TimeToLive.
 	sweepMultiple = 10
 	// renewAttempts is the number of attempts with the initial timeout that fit into a renewal
@@ -63,11 +58,22 @@
 	// confirmedAt is the start time of the last write of the row that is known to have succeeded.
 	confirmedAt atomic.Pointer[time.Time]
 
+	// initialPartitions, if set before first use, returns the number of partitions to create the
+	// session in.
+	initialPartitions func() int
+
 	mu      sync.Mutex
 	version uint64
 	// memberVersion is the version of the member row.
 	memberVersion uint64
-	created       bool
+	// partitions is the number of partitions among which the row was placed. It is written with mu
+	// held.
+	partitions atomic.Int64
+	// placed is set once the row may exist, even if that is not known.
+	placed bool
+	// moving is that number after a move whose outcome is not yet known; 0 if there is none.
+	moving  int
+	created bool
 	// unresolvedSince is the start time of the first write whose outcome is not yet known.
 	unresolvedSince time.Time
 	// ended is set by End; the row is not written afterwards.
@@ -86,7 +92,9 @@
 
 // NewSession returns a session with a new ID for this run of a node.
 func NewSession(service table.Service, node string, timing Timing) *Session {
-	return &Session{service: service, id: node + sessionSeparator + table.NewOperation()[:12], timing: timing}
+	s := &Session{service: service, id: node + sessionSeparator + table.NewOperation()[:12], timing: timing}
+	s.partitions.Store(basePartitions)
+	return s
 }
 
 // Node returns the node ID of a session.
@@ -95,36 +103,6 @@
 	return node
 }
 
-// sessionKey returns the key of a session's row. The sort key starts with a hash of the node, so
-// that consecutive rows belong to unrelated nodes.
-func sessionKey(id string) table.Key {
-	hash := ringHash(id)
-	return table.Key{Partition: partitionName(partitionOf(hash)), Sort: fmt.Sprintf("%0*x", ringHashDigits, hash) + id}
-}
-
-func ringHash(id string) uint32 { return uint32(xxhash.Sum64String(Node(id))) }
-
-// partitionOf maps a hash to a partition. The order of the partitions, and of the keys within
-// each, is the order of the ring.
-func partitionOf(hash uint32) int { return int(uint64(hash) * partitionCount >> 32) }
-
-// partitionName returns the name of a partition. The part after the slash differs from that of all
-// other tables, because the platform counts writes by it alone.
-func partitionName(index int) string { return fmt.Sprintf("sessions/session-%d", index) }
-
-// listSessions reads all session rows.
-func listSessions(ctx context.Context, service table.Service) ([]table.Row, error) {
-	var all []table.Row
-	for index := range partitionCount {
-		rows, err := table.ListAll(ctx, service, partitionName(index))
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, rows...)
-	}
-	return all, nil
-}
-
 // sessionID returns the session ID contained in a sort key.
 func sessionID(sortKey string) string { return sortKey[min(len(sortKey), ringHashDigits):] }
 
@@ -169,32 +147,95 @@
 	return s.renew(ctx)
 }
 
-// renew writes the next version of the row. After an unknown outcome it reads the version back, which
-// is safe because no other writer puts the row. The caller holds mu.
+// renew writes the next version of the row, or creates it. The caller holds mu.
 func (s *Session) renew(ctx context.Context) error {
-	write := table.Write{Key: sessionKey(s.id), Expect: s.version, Body: s.body()}
-	writes := []table.Write{write}
+	if !s.created && !s.placed && s.initialPartitions != nil {
+		s.partitions.Store(int64(s.initialPartitions()))
+	}
+	writes := []table.Write{{Key: s.key(), Expect: s.version, Body: s.body()}}
 	if s.version == table.Absent && s.MemberPartition != "" {
-		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: table.Absent, Body: encodeMember(s.Member)})
+		writes = append(writes, s.memberWrite(table.Absent, s.placedAmong()))
+	}
+	start := s.beginWrite()
+	versions, err := s.service.Commit(ctx, table.NewOperation(), writes...)
+	if err != nil {
+		return s.resolve(ctx, err)
+	}
+	if len(versions) > 1 {
+		s.memberVersion = versions[1]
+	}
+	s.version, s.created, s.moving = versions[0], true, 0
+	s.confirm(start)
+	return nil
+}
+
+// move places the row among another number of partitions, which also renews it. The member row tells
+// the other nodes where it is.
+func (s *Session) move(ctx context.Context, partitions int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.created || s.ended || s.placedAmong() == partitions {
+		return nil
 	}
+	s.moving = partitions
+	writes := []table.Write{
+		{Key: s.key(), Kind: table.Delete, Expect: s.version},
+		{Key: sessionKeyAmong(partitions, s.id), Expect: table.Absent, Body: s.body()},
+		s.memberWrite(s.memberVersion, partitions),
+	}
+	start := s.beginWrite()
+	versions, err := s.service.Commit(ctx, table.NewOperation(), writes...)
+	if err != nil {
+		return s.resolve(ctx, err)
+	}
+	s.partitions.Store(int64(partitions))
+	s.version, s.memberVersion, s.moving = versions[1], versions[2], 0
+	s.confirm(start)
+	return nil
+}
+
+// placedAmong returns the number of partitions among which the row is placed.
+func (s *Session) placedAmong() int { return int(s.partitions.Load()) }
+
+// key returns the key of the row.
+func (s *Session) key() table.Key { return sessionKeyAmong(s.placedAmong(), s.id) }
+
+// memberWrite returns the write of the member row, given its expected version.
+func (s *Session) memberWrite(expect uint64, partitions int) table.Write {
+	member := s.Member
+	if partitions != basePartitions {
+		member.Partitions = partitions
+	}
+	return table.Write{Key: memberKey(s.MemberPartition, s.id), Expect: expect, Body: encodeMember(member)}
+}
+
+// beginWrite returns the start time of a write. The caller holds mu.
+func (s *Session) beginWrite() time.Time {
 	start := clock.Now()
 	if s.unresolvedSince.IsZero() {
 		s.unresolvedSince = start
 	}
-	versions, err := s.service.Commit(ctx, table.NewOperation(), writes...)
-	if err == nil {
-		if len(versions) > 1 {
-			s.memberVersion = versions[1]
-		}
-		s.version = versions[0]
-		s.created = true
-		s.confirm(start)
-		return nil
-	}
+	return start
+}
+
+// resolve handles a failed write. After an unknown outcome or a conflict it reads the version back,
+// which is safe because no other writer puts the row. The caller holds mu.
+func (s *Session) resolve(ctx context.Context, err error) error {
 	if outcome.Of(err) == outcome.NotDone && !errors.Is(err, table.ErrConflict) {
 		return Error.Wrap(err)
 	}
-	row, readErr := s.service.Get(ctx, write.Key)
+	s.placed = true
+	row, readErr := s.service.Get(ctx, s.key())
+	if errors.Is(readErr, table.ErrNotFound) && s.moving != 0 {
+		moved, movedErr := s.service.Get(ctx, sessionKeyAmong(s.moving, s.id))
+		if movedErr == nil {
+			s.partitions.Store(int64(s.moving))
+			s.moving = 0
+		}
+		if movedErr == nil || !errors.Is(movedErr, table.ErrNotFound) {
+			row, readErr = moved, movedErr
+		}
+	}
 	switch {
 	case readErr == nil:
 		if row.Version != s.version {
@@ -274,7 +315,7 @@
 	if !s.created {
 		return nil
 	}
-	writes := []table.Write{{Key: sessionKey(s.id), Kind: table.Delete, Expect: s.version}}
+	writes := []table.Write{{Key: s.key(), Kind: table.Delete, Expect: s.version}}
 	if s.MemberPartition != "" {
 		writes = append(writes, table.Write{Key: memberKey(s.MemberPartition, s.id), Kind: table.Delete, Expect: s.memberVersion})
 	}
--- a/internal/lease/unreadable_test.go
+++ b/internal/lease/unreadable_test.go
@@ -86,10 +86,10 @@
 	roster := fleet.rosters[0]
 	roster.ReportUnreadableTo(reported.reporter())
 	before := len(roster.watcher.Sessions())
-	for number := range partitionCount {
+	for number := range basePartitions {
 		for _, sort := range []string{"", "0", "00000000x", "7fffffffforeign#1", "ffffffff"} {
-			put(t, fleet.shared, table.Key{Partition: partitionName(number), Sort: "0" + sort}, table.Absent, []byte("x"))
-			put(t, fleet.shared, table.Key{Partition: partitionName(number), Sort: "f" + sort}, table.Absent, []byte("x"))
+			put(t, fleet.shared, table.Key{Partition: partitionName(number, basePartitions), Sort: "0" + sort}, table.Absent, []byte("x"))
+			put(t, fleet.shared, table.Key{Partition: partitionName(number, basePartitions), Sort: "f" + sort}, table.Absent, []byte("x"))
 		}
 	}
 	ended := 0
@@ -102,7 +102,7 @@
 	if ended != 0 || roster.Count() != 4 {
 		t.Errorf("%d sessions ended, nodes: %v", ended, roster.Nodes())
 	}
-	if len(reported.keys) != 10*partitionCount {
+	if len(reported.keys) != 10*basePartitions {
 		t.Errorf("%d reports, want one per row", len(reported.keys))
 	}
 }
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -18,6 +17,7 @@
 
 // observation records the last known state of a session's row.
 type observation struct {
+	key            table.Key
 	body           []byte
 	version        uint64
 	unchangedSince time.Time // end of the first read that returned version
@@ -35,6 +35,9 @@
 	// number of others, and the cost of Refresh does not depend on the size of the fleet.
 	Self       string
 	Neighbours int
+	// Layouts, if set before first use, returns the numbers of partitions among which the rows of
+	// sessions are placed.
+	Layouts func() []int
 	// Unreadable, if set before first use, receives rows that do not belong to a session.
 	Unreadable *table.Unreadable
 
@@ -66,13 +69,13 @@
 	for _, row := range rows {
 		id := sessionID(row.Sort)
 		present[id] = true
-		w.observe(id, row.Version, row.Body, readAt)
+		w.observe(id, row, readAt)
 	}
 	for id := range w.observed {
 		switch {
 		case present[id]:
 		case all || w.inWatchedRange(id, rows[len(rows)-1].Sort):
-			w.observe(id, table.Absent, nil, readAt)
+			w.observe(id, table.Row{}, readAt)
 		default:
 			// The session has left the watched range; other nodes watch it.
 			delete(w.observed, id)
@@ -100,7 +103,7 @@
 	defer w.mu.Unlock()
 	w.recover(readAt)
 	// A missing row has version table.Absent.
-	w.observe(id, row.Version, row.Body, readAt)
+	w.observe(id, row, readAt)
 	return nil
 }
 
@@ -125,22 +128,22 @@
 	}
 }
 
-// observe records the result of a read. The caller holds mu.
+// observe records the result of a read; the zero row stands for a missing one. The caller holds mu.
 //
 // The time for which a version is unchanged starts at the end of the first read that returned it,
 // so that a slow store cannot make a session look older than it is. A row that existed and is
 // gone was deleted by its holder, so the session expires immediately.
-func (w *Watcher) observe(id string, version uint64, body []byte, readAt time.Time) {
+func (w *Watcher) observe(id string, row table.Row, readAt time.Time) {
 	known, ok := w.observed[id]
 	switch {
-	case ok && known.version == version:
+	case ok && known.version == row.Version:
 		known.observedAt = readAt
-	case ok && version == table.Absent:
+	case ok && row.Version == table.Absent:
 		known = observation{unchangedSince: readAt.Add(-w.timeToLive), observedAt: readAt}
 	default:
-		known = observation{version: version, unchangedSince: readAt, observedAt: readAt}
+		known = observation{version: row.Version, unchangedSince: readAt, observedAt: readAt}
 	}
-	known.body = body
+	known.key, known.body = row.Key, row.Body
 	w.observed[id] = known
 }
 
@@ -148,6 +151,7 @@
 type SessionState struct {
 	ID   string
 	Body []byte
+	key  table.Key
 	// Version is the version of the row, Unchanged how long it has been observed to stay the same.
 	Version   uint64
 	Unchanged time.Duration
@@ -168,7 +172,7 @@
 			continue
 		}
 		unchanged := known.observedAt.Sub(known.unchangedSince)
-		list = append(list, SessionState{ID: id, Body: known.body, Version: known.version, Unchanged: unchanged, Expired: unchanged >= w.timeToLive})
+		list = append(list, SessionState{ID: id, Body: known.body, key: known.key, Version: known.version, Unchanged: unchanged, Expired: unchanged >= w.timeToLive})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
@@ -179,14 +183,8 @@
 // this node on the ring, because the nodes of those sessions are closer and try first.
 func (w *Watcher) sessionsToEnd(stagger time.Duration) []SessionState {
 	sessions := w.Sessions()
-	own := sessionKey(w.Self).Sort
 	slices.SortFunc(sessions, func(a, b SessionState) int {
-		keyA, keyB := sessionKey(a.ID).Sort, sessionKey(b.ID).Sort
-		if (keyA > own) != (keyB > own) {
-			// Sessions past the wrap-around of the ring sort last.
-			return cmp.Compare(keyB, keyA)
-		}
-		return cmp.Compare(keyA, keyB)
+		return w.compareOnRing(sessionKey(a.ID).Sort, sessionKey(b.ID).Sort)
 	})
 	var toEnd []SessionState
 	nearer := 0
@@ -215,7 +213,7 @@
 	known, ok := w.observed[id]
 	if !ok {
 		// Unknown at the last Refresh: its time to live starts at that point.
-		w.observe(id, table.Absent, nil, w.lastRefresh)
+		w.observe(id, table.Row{}, w.lastRefresh)
 		return false
 	}
 	return known.observedAt.Sub(known.unchangedSince) >= w.timeToLive
@@ -226,9 +224,9 @@
 func (w *Watcher) Sweep(ctx context.Context) {
 	w.mu.Lock()
 	var old []table.Write
-	for id, known := range w.observed {
+	for _, known := range w.observed {
 		if known.version != table.Absent && known.observedAt.Sub(known.unchangedSince) > sweepMultiple*w.timeToLive {
-			old = append(old, table.Write{Key: sessionKey(id), Kind: table.Delete, Expect: known.version})
+			old = append(old, table.Write{Key: known.key, Kind: table.Delete, Expect: known.version})
 		}
 	}
 	w.mu.Unlock()
@@ -345,7 +343,7 @@
 		}
 	}
 	if !observed {
-		w.observe(node+sessionSeparator, table.Absent, nil, w.lastRefresh)
+		w.observe(node+sessionSeparator, table.Row{}, w.lastRefresh)
 	}
 	return observed
 }
