replica: a node divides the slots of its shard only, and off the request's path

Cause: any change of one replica or node made every node sort the list and divide all slots anew: nodes x replicas weights, on the path of the next request. Ways: (a) each slot to its rendezvous winner, no balance: a node's slots vary by 11% and at three slots a node many have none; (b) ranges of a ring by rank: exact, but one change shifts all later ranks and moves up to half of the slots; (c) shards by hash of at most 128 nodes on average beyond 320 nodes, each divided as a whole fleet is today, taken. Ranges in proportion to the nodes of a shard were tried: evener, but a node that leaves moved 9% of all slots instead of 2.4%. The index of entries is kept by changes instead of sorted anew; what a node does for itself (its demand each 100 ms, samples, reports of failures) looks at the replicas that it has slots of or used, not at the list. A precondition of a test of two nodes (share below all slots) held before the first division as well; it now asks for a share above zero too. Conclusion: cost of a change is bounded by a shard at any size; up to 320 nodes the division is the same as before.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -113,6 +113,7 @@
 	g.replicas.ColdTolerance = replica.ColdTolerance{Over: g.settings.Gateway.Cold.Over, Slack: g.settings.Gateway.Cold.Slack}
 	g.roster, g.nodes = roster, &nodeIndex{roster: roster}
 	roster.OnEnded = g.logSessionEnded
+	roster.OnMoveFailed = func(err error) { g.sampled.Warn().Err(err).Msg("session not moved to another partition yet") }
 	roster.ReportUnreadableTo(&g.unreadable)
 	g.zoneOf = func(node string) string { return roster.Member(node).Zone }
 	g.session.Member = lease.Member{
@@ -138,6 +139,7 @@
 	metrics.registerViews(g.core)
 	metrics.registerPools(g.core)
 	metrics.registerCold(g.replicas)
+	metrics.registerDivision(g.replicas)
 	metrics.registerAge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", g.configWatch)
 	metrics.registerAge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", g.replicaWatch)
 	metrics.registerAge("wheelhoist_gateway_jobs_age_seconds", "Time since the jobs' source last answered.", g.jobWatch)
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -40,6 +40,7 @@
 	if g.peers == nil {
 		return
 	}
+	g.replicas.DivideInBackground()
 	g.spawn(func() { g.runDemand(ctx) })
 	g.spawn(func() { g.runFailureReports(ctx) })
 	g.spawn(func() { g.runProvenReports(ctx) })
--- a/internal/node/gatewayreplicalist_test.go
+++ b/internal/node/gatewayreplicalist_test.go
@@ -64,7 +64,7 @@
 	for _, gateway := range s.gateways {
 		s.eventually("the node shares the replica's slots with the other", func() bool {
 			replicas := gateway.replicas.List(time.Now())
-			return gateway.Ready() && len(replicas) == 1 && replicas[0].Share < cutSlots && !gateway.replicas.PresumesCold(time.Now())
+			return gateway.Ready() && len(replicas) == 1 && replicas[0].Share > 0 && replicas[0].Share < cutSlots && !gateway.replicas.PresumesCold(time.Now())
 		})
 	}
 	return cut, other
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -165,6 +165,11 @@
 	})
 }
 
+// registerDivision registers how often the slots were divided.
+func (m *coreMetrics) registerDivision(replicas *replica.Set) {
+	m.gauge("wheelhoist_gateway_slot_divisions", "Divisions of the slots of this node's shard computed since the start.", func() float64 { return float64(replicas.Divisions()) })
+}
+
 // registerPeers registers the counts of datagrams between nodes.
 func (m *coreMetrics) registerPeers(socket *peer.Socket) {
 	count := func(pick func(sent, received, malformed int64) int64) func() float64 {
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -47,7 +47,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.pool(pool)
+	list := s.active(pool)
 	if view := s.fleet[pool]; view != nil && view.idleSlots(now) > 0 {
 		return true
 	}
--- a/internal/replica/delisted.go
+++ b/internal/replica/delisted.go
@@ -32,7 +32,7 @@
 	} else {
 		e.delistedAt, s.pendingDelisted = now, true
 	}
-	s.invalidateIndex()
+	s.notifyChanged()
 }
 
 // RecordOutageEnd records that an outage of the store has ended. After a long outage, running
@@ -70,6 +70,6 @@
 		}
 	}
 	if dropped {
-		s.invalidateIndex()
+		s.notifyChanged()
 	}
 }
--- a/internal/replica/demand.go
+++ b/internal/replica/demand.go
@@ -192,17 +192,16 @@
 func (s *Set) PoolStats(now time.Time) map[string]PoolStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.indexStale {
-		s.rebuild()
-	}
+	s.updateIndex()
 	all := map[string]PoolStats{}
-	for pool, list := range s.byPool {
+	for pool := range s.index.pools {
+		list := s.active(pool)
 		estimates := s.estimatesFor(pool)
 		estimates.advance(now)
 		share, items := s.sumShares(list, now)
 		all[pool] = PoolStats{
 			Share: share, Items: items, Borrowed: countBorrowed(list), Open: estimates.open, Level: estimates.level(now), FleetUsage: s.fleetUsage(pool, now), SlotHold: estimates.slotHold(), OnlineHold: estimates.onlineHold,
-			FirstEvent: estimates.firstEvent, PatienceShare: estimates.patienceShare(list[0].info.Slots), PrefillRate: estimates.prefillRate(),
+			FirstEvent: estimates.firstEvent, PatienceShare: estimates.patienceShare(s.pool(pool)[0].info.Slots), PrefillRate: estimates.prefillRate(),
 		}
 	}
 	return all
@@ -232,7 +231,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropExpired(now)
-	list := s.pool(pool)
+	list := s.active(pool)
 	share, items := s.sumShares(list, now)
 	capacity := ItemCapacity{
 		Share: share, Items: items, Borrowed: countBorrowed(list), Needed: s.neededSlots(pool, share, now),
--- a/internal/replica/division/shares.go
+++ b/internal/replica/division/shares.go
@@ -35,15 +35,21 @@
 // slots than the mean, and to regions whose nodes have far fewer (see lendSlots). Among the eligible
 // nodes, slots go to those with the fewest so far. Ties are broken by rendezvous hashing, so that few
 // slots move when a node joins or leaves. If self is not among nodes, it gets all slots. The cost is
-// proportional to nodes x replicas.
+// proportional to nodes x replicas; see Shard.
 func Shares(self string, nodes []place.Node, replicas []Replica) []int {
-	shares := make([]int, len(replicas))
+	shares, _ := countedShares(self, nodes, replicas)
+	return shares
+}
+
+// countedShares implements Shares. It also returns the number of rendezvous weights that it computed.
+func countedShares(self string, nodes []place.Node, replicas []Replica) (shares []int, weights int) {
+	shares = make([]int, len(replicas))
 	selfIndex := indexOf(nodes, self)
 	if selfIndex < 0 {
 		for i, r := range replicas {
 			shares[i] = r.Count
 		}
-		return shares
+		return shares, 0
 	}
 	alloc := newAllocator(nodes, selfIndex)
 	lentToAny := lendSlots(nodes, replicas, byRegion, minRegionPercent)
@@ -55,7 +61,7 @@
 	alloc.allocateWithin(subtract(regional, lentInRegion), byZone, shares)
 	alloc.allocateWithin(withCounts(replicas, lentInRegion), byRegion, shares)
 	alloc.allocateWithin(withCounts(replicas, lentToAny), anywhere, shares)
-	return shares
+	return shares, alloc.weights
 }
 
 // indexOf returns the index of the node with an ID; -1 if there is none.
@@ -91,6 +97,8 @@
 	keys      []uint64
 	allocated []int
 	ranked    []slotClaim
+	// weights counts the rendezvous weights computed.
+	weights int
 }
 
 // slotClaim holds what ranks a node for the next slot of a replica: the number of slots that it has so
@@ -153,6 +161,7 @@
 // rank sets ranked to the claims of the count eligible nodes that come first for a replica, in order.
 func (a *allocator) rank(replica uint64, count int, eligible []int) {
 	a.ranked = a.ranked[:0]
+	a.weights += len(eligible)
 	for _, node := range eligible {
 		claim := slotClaim{node: node, allocated: a.allocated[node], weight: Mix(a.keys[node] ^ replica)}
 		if len(a.ranked) == count {
--- a/internal/replica/division/shares_bench_test.go
+++ b/internal/replica/division/shares_bench_test.go
@@ -24,3 +24,32 @@
 		Shares("node-7", nodes, replicas)
 	}
 }
+
+// BenchmarkShares_Shard divides the slots of one shard of a large fleet, which a node repeats when a
+// node or replica of its shard comes or goes.
+func BenchmarkShares_Shard(b *testing.B) {
+	for _, size := range []int{985, 1970} {
+		nodes, replicas := testFleet(size, 10*size, 5)
+		shard := ShardOf(nodes[7].ID, nodes)
+		own := shardReplicas(shard, replicas)
+		b.Run(fmt.Sprintf("%d nodes", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Shares(nodes[7].ID, shard.Nodes, own)
+			}
+		})
+	}
+}
+
+// BenchmarkShares_Whole divides the slots of a large fleet as a whole, for comparison.
+func BenchmarkShares_Whole(b *testing.B) {
+	for _, size := range []int{985, 1970} {
+		nodes, replicas := testFleet(size, 10*size, 5)
+		b.Run(fmt.Sprintf("%d nodes", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Shares(nodes[7].ID, nodes, replicas)
+			}
+		})
+	}
+}
--- a/internal/replica/evacuate.go
+++ b/internal/replica/evacuate.go
@@ -19,6 +19,9 @@
 	}
 	s.markReturned(zones, now)
 	s.evacuated = maps.Clone(zones)
+	for _, e := range s.entries {
+		e.evacuated = s.evacuated[e.info.Zone]
+	}
 	s.invalidateIndex()
 }
 
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -117,8 +117,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var reports, successes []FailureReport
+	s.updateIndex()
 	used := 0
-	for _, e := range s.entries {
+	for e := range s.index.allActive() {
 		if !e.ownTally.recent(now) {
 			continue
 		}
@@ -158,12 +159,10 @@
 func (s *Set) addFailureReports(reporter Reporter, reports []FailureReport, now time.Time) []SharedEjection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.indexStale {
-		s.rebuild()
-	}
+	s.updateIndex()
 	var ejections []SharedEjection
 	for _, report := range reports[:min(len(reports), maxFailureReports)] {
-		e := s.byKey[report.Replica]
+		e := s.index.byKey[report.Replica]
 		if e == nil || !report.valid() || !report.matches(e, now) {
 			continue
 		}
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -91,17 +91,20 @@
 	OtherRegions map[string]int
 }
 
-// UpdateDemand records this node's own demand and returns what it reports to others. It visits each
-// replica once.
+// UpdateDemand records this node's own demand and returns what it reports to others. It visits the
+// active replicas.
 func (s *Set) UpdateDemand(now time.Time) []PoolDemand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropExpired(now)
-	if s.indexStale {
-		s.rebuild()
+	s.updateIndex()
+	if s.index.divisionStale {
+		s.divide()
 	}
-	demands := make([]PoolDemand, 0, len(s.byPool))
-	for pool, list := range s.byPool {
+	demands := make([]PoolDemand, 0, len(s.index.pools))
+	s.deactivateUnused(now)
+	for pool := range s.index.pools {
+		list := s.active(pool)
 		share, items := s.sumShares(list, now)
 		level := s.estimatesFor(pool).level(now)
 		if share > 0 {
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -117,6 +117,7 @@
 // drop removes an entry from the list. It is kept in unlisted while it is in use. The caller holds mu.
 func (s *Set) drop(e *entry) {
 	delete(s.entries, e.info.ID)
+	s.index.remove(e)
 	if e.inUse() {
 		s.unlisted[e.info.ID] = e
 	}
@@ -205,6 +206,7 @@
 		to.uses = map[*Use]struct{}{}
 	}
 	to.uses[u] = struct{}{}
+	u.set.index.activate(to)
 	u.count(1)
 }
 
--- a/internal/replica/sample.go
+++ b/internal/replica/sample.go
@@ -58,12 +58,12 @@
 	return near
 }
 
-// sample returns the replicas with slots of this node or recent data, random ones nearby, and
-// random ones of any region if not all are nearby. This node has slots of a cold replica only if
+// sample returns the active replicas with slots of this node or recent data, random ones nearby, and
+// random ones of the whole list if not all are nearby. This node has slots of a cold replica only if
 // it is one of its senders. The caller holds mu.
-func (s *Set) sample(list, near []*entry, now time.Time) []*entry {
-	chosen := make([]*entry, 0, len(list))
-	for _, e := range list {
+func (s *Set) sample(active, list, near []*entry, now time.Time) []*entry {
+	chosen := make([]*entry, 0, len(active)+sampleRandom+sampleOtherRegion)
+	for _, e := range active {
 		if s.shareOf(e, now) > 0 || e.fresh(now) {
 			chosen = append(chosen, e)
 		}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/replica/division"
 )
 
 const (
@@ -35,7 +36,7 @@
 	borrowed int
 	// starved counts the items among borrowed that are exempt from preemption.
 	starved int
-	// evacuated is set if operators evacuate the zone; rebuild sets it.
+	// evacuated is set if operators evacuate the zone.
 	evacuated bool
 	// share is the number of slots that are allotted to this node.
 	share int
@@ -58,7 +59,11 @@
 	lastReceived time.Time
 	// delistedAt is when the replica left the list; zero while it is listed.
 	delistedAt time.Time
-	cold       coldState
+	// removing is set while the entry waits to be removed from the index.
+	removing bool
+	// active is set while the entry is among the active ones of the index.
+	active bool
+	cold   coldState
 	// uses are the requests in flight there.
 	uses map[*Use]struct{}
 	// followers are closed when the replica restarts.
@@ -83,10 +88,16 @@
 	// unlisted are entries of replicas that are not listed and still have requests or followers
 	// of this node, which must be notified of a restart.
 	unlisted map[string]*entry
-	// byPool and byKey are rebuilt from entries when indexStale is set.
-	byPool     map[string][]*entry
-	byKey      map[uint64]*entry
+	// index orders entries. It is built anew when indexStale is set.
+	index      index
 	indexStale bool
+	// shard is the part of the fleet among which this node's slots are divided.
+	shard              division.Shard
+	divideInBackground bool
+	// ownSlots is the number of slots of this node as of the last division.
+	ownSlots int
+	// divisions counts how often the division was computed.
+	divisions uint64
 	// Zone is the zone of this node.
 	Zone string
 	// self and nodes are this node and all those among which slots are divided. If self is not
@@ -139,7 +150,7 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{entries: map[string]*entry{}, unlisted: map[string]*entry{}, byPool: map[string][]*entry{}, estimates: map[string]*poolEstimates{}, fleet: map[string]*fleetView{}, changed: make(chan struct{})}
+	return &Set{entries: map[string]*entry{}, unlisted: map[string]*entry{}, estimates: map[string]*poolEstimates{}, fleet: map[string]*fleetView{}, changed: make(chan struct{})}
 }
 
 // Put adds or updates a listed replica. It reports whether the replica was not listed before. A replica
@@ -157,23 +168,29 @@
 func (s *Set) update(info Info, now time.Time) (added bool, restart *Restart) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, listed := s.entries[info.ID]
-	e, created, restart := s.entryFor(&info, now)
-	reindex := !listed || created || e.info.Pool != info.Pool || e.info.Slots != info.Slots || e.info.place() != info.place()
+	known, listed := s.entries[info.ID]
+	e, _, restart := s.entryFor(&info, now)
+	divided := e.info.Pool == info.Pool && e.info.Slots == info.Slots && e.info.place() == info.place()
+	if listed && known != e {
+		s.index.remove(known)
+	}
 	e.info = info
 	e.delistedAt = time.Time{}
+	e.evacuated = s.evacuated[info.Zone]
 	if info.ColdLeft > 0 {
 		s.markCold(e, now.Add(info.ColdLeft), ColdReported, now)
 	}
-	if reindex {
-		s.invalidateIndex()
-	} else {
-		s.notifyChanged()
+	switch {
+	case known != e:
+		s.index.add(e)
+	case !divided:
+		s.indexStale = true
 	}
+	s.notifyChanged()
 	return !listed, restart
 }
 
-// invalidateIndex marks byPool and byKey as out of date. The caller holds mu.
+// invalidateIndex marks the whole index as out of date. The caller holds mu.
 func (s *Set) invalidateIndex() {
 	s.indexStale = true
 	s.notifyChanged()
@@ -181,27 +198,43 @@
 
 // pool returns the entries of a pool in the order of their IDs. The caller holds mu.
 func (s *Set) pool(name string) []*entry {
-	if s.indexStale {
-		s.rebuild()
+	s.updateIndex()
+	if p := s.index.pools[name]; p != nil {
+		return p.all
 	}
-	return s.byPool[name]
+	return nil
 }
 
-// rebuild rebuilds byPool and byKey and divides the slots anew. The caller holds mu.
-func (s *Set) rebuild() {
-	byPool := make(map[string][]*entry, len(s.byPool))
-	byKey := make(map[uint64]*entry, len(s.entries))
-	for _, e := range s.entries {
-		byKey[e.key] = e
-		e.evacuated = s.evacuated[e.info.Zone]
-		byPool[e.info.Pool] = append(byPool[e.info.Pool], e)
+// active returns, in the order of their IDs, the entries of a pool that may have slots or requests of
+// this node. The cost of what a node does for itself then does not grow with the list. The senders of a
+// cold replica have its slots, so with limits for cold replicas any entry may. The caller holds mu.
+func (s *Set) active(name string) []*entry {
+	all := s.pool(name)
+	if p := s.index.pools[name]; p != nil && len(s.coldLimits) == 0 {
+		return p.active
 	}
-	for _, list := range byPool {
-		sort.Slice(list, func(i, j int) bool { return list[i].info.ID < list[j].info.ID })
+	return all
+}
+
+// deactivateUnused removes the entries that this node no longer uses from the active ones. The caller
+// holds mu.
+func (s *Set) deactivateUnused(now time.Time) {
+	s.index.deactivate(func(e *entry) bool {
+		return e.share == 0 && e.open == 0 && !e.fresh(now) && !e.ownTally.recent(now)
+	})
+}
+
+// updateIndex brings the index up to date, and the division too unless this is left to the background.
+// The caller holds mu.
+func (s *Set) updateIndex() {
+	if s.indexStale {
+		s.index = newIndex(s.entries, s.shard)
+		s.indexStale = false
+	}
+	s.index.merge()
+	if s.index.divisionStale && (!s.divideInBackground || s.ownSlots == 0) {
+		s.divide()
 	}
-	s.byPool, s.byKey = byPool, byKey
-	s.indexStale = false
-	s.divide()
 }
 
 // notifyChanged closes the channel that Changed returned. The caller holds mu.
@@ -246,9 +279,7 @@
 func (s *Set) List(now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.indexStale {
-		s.rebuild()
-	}
+	s.updateIndex()
 	var list []Candidate
 	for _, e := range s.entries {
 		list = append(list, s.candidate(e, now))
@@ -277,7 +308,7 @@
 		return s.candidates(s.pool(pool), now)
 	}
 	inRegion := nearby(list, criteria.Region)
-	chosen := s.sample(list, inRegion, now)
+	chosen := s.sample(s.allowed(s.active(pool), criteria), list, inRegion, now)
 	if s.allBlocked(chosen, criteria.Batch, now) {
 		return s.candidates(list, now)
 	}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -82,9 +82,7 @@
 func (s *Set) begin(chosen *Info, req RequestInfo, now time.Time) (use *Use, pressure *Pressure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.indexStale {
-		s.rebuild()
-	}
+	s.updateIndex()
 	e := s.entryForSend(chosen)
 	if e == nil {
 		return nil, nil
