listcopy: a large replica list is copied from another node of the zone

Ways: (a) only rows of the own shard: the store reads ranges of keys, shards go by hash; (b) observers that write packed slices to the store: 75 KB a node, but a writer that fails holds up changes for all; (c) copies between nodes of a zone, taken: two nodes of a zone read the store, the others ask nodes that have the list, of a few the one with the fastest link, each serving two at once, so the number of sources doubles. A copy has the revision from which the feed goes on. A list of up to 100 rows is read at once, as before; one that is larger costs its first 100 rows a node. The store's bytes are counted by path, table and direction. Conclusion: what the store sends at a start no longer grows with nodes x replicas; what is left are the changes of the list, which all nodes follow.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -134,7 +134,7 @@
 	g.forwarder.Reserver = g.backend
 	g.runner.Reserver = g.backend
 	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
-	g.replicaWatch = g.watchReplicas(platform.ServerFeed(g.store), g.applyReplicas)
+	g.buildReplicaWatch(platform.ServerFeed(g.store))
 	g.configWatch.KeepRows, g.replicaWatch.KeepRows = true, true
 	metrics.registerViews(g.core)
 	metrics.registerPools(g.core)
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -97,6 +96,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathBootstrap, g.serveBootstrap)
+	mux.HandleFunc("GET "+pathReplicaList, g.serveReplicaList)
 	g.bootstrapServer = &http.Server{Handler: mux, ReadHeaderTimeout: bootstrapTimeout, IdleTimeout: bootstrapTimeout}
 	go func() {
 		if err := g.bootstrapServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -147,8 +147,8 @@
 			continue
 		}
 		from := sources[rand.IntN(len(sources))]
-		state, err := fetchBootstrap(ctx, client, from)
-		if err != nil {
+		state := &bootstrapState{}
+		if err := fetchState(ctx, client, from.String(), pathBootstrap, state); err != nil {
 			g.sampled.Info().Stringer("from", from).Err(err).Msg("no bootstrap state from another node")
 			continue
 		}
@@ -161,28 +161,6 @@
 	return min(g.configWatch.SinceLastResponse(), g.replicaWatch.SinceLastResponse(), g.jobWatch.SinceLastResponse())
 }
 
-// fetchBootstrap requests the state of a node.
-func fetchBootstrap(ctx context.Context, client *http.Client, from netip.AddrPort) (*bootstrapState, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.String()+pathBootstrap, nil)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, Error.Wrap(errNoState)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBootstrapBytes))
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	state := &bootstrapState{}
-	return state, Error.Wrap(cbor.Unmarshal(body, state))
-}
-
 // seed applies the state of another node. Members come first, because the slots of replicas are
 // divided among them; evacuations and routes come last, because requests are sent once there are
 // routes.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -33,6 +32,8 @@
 	served      *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	storeTime   *prometheus.HistogramVec
+	storeBytes  *prometheus.CounterVec
+	listCopies  *prometheus.CounterVec
 	droppedLogs prometheus.Counter
 	jobs        *prometheus.CounterVec
 	items       *prometheus.CounterVec
@@ -82,6 +83,12 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call, table and outcome.",
 		}, []string{"call", "table", "outcome"}),
+		storeBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_store_bytes_total", Help: "Bytes of the bodies of calls to the store, by path, table and direction.",
+		}, []string{"path", "table", "direction"}),
+		listCopies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_replica_list_copies_total", Help: "Attempts to copy the replica list from another node, by result.",
+		}, []string{"result"}),
 		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "wheelhoist_store_call_seconds", Help: "Time of calls to the platform's store.", Buckets: seconds,
 		}, []string{"call"}),
@@ -130,7 +137,7 @@
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
 	m.registry.MustRegister(m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
-		m.storeCalls, m.storeTime, m.droppedLogs)
+		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.droppedLogs)
 	return m
 }
 
@@ -195,13 +202,15 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *coreMetrics) observeStoreCall(call platform.CallKind, took time.Duration, err error) {
+func (m *coreMetrics) observeStoreCall(call platform.CallKind, result platform.CallResult) {
 	label := "done"
-	if err != nil {
-		label = "failed_" + outcome.Of(err).String()
+	if result.Err != nil {
+		label = "failed_" + outcome.Of(result.Err).String()
 	}
 	m.storeCalls.WithLabelValues(call.Path, call.Table, label).Inc()
-	m.storeTime.WithLabelValues(call.Path).Observe(took.Seconds())
+	m.storeBytes.WithLabelValues(call.Path, call.Table, "sent").Add(float64(result.Sent))
+	m.storeBytes.WithLabelValues(call.Path, call.Table, "received").Add(float64(result.Received))
+	m.storeTime.WithLabelValues(call.Path).Observe(result.Elapsed.Seconds())
 }
 
 // countExcluded counts a request that failed because no replica could serve it.
--- a/internal/node/replicalist.go
+++ b/internal/node/replicalist.go
@@ -31,12 +31,16 @@
 	requestedAt time.Time
 }
 
-// Page implements table.Feed. A full read is current as of the request for its first page.
+// Page implements table.Feed. A full read is current as of the request for its first page, a copy from
+// another node as of the time that it states.
 func (f *timestampedFeed) Page(ctx context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
 	requestedAt := clock.Now()
 	page, next, err := f.Feed.Page(ctx, cursor)
 	if err == nil && cursor == (table.Cursor{}) {
 		f.requestedAt = requestedAt
+		if !page.AsOf.IsZero() {
+			f.requestedAt = page.AsOf
+		}
 	}
 	return page, next, err
 }
