--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -113,9 +113,12 @@
 	if !until.After(e.cold.until) {
 		return
 	}
+	e.own()
 	if !now.Before(e.cold.until) {
 		e.cold.since, e.cold.reason = now, reason
-		s.chooseSenders(e)
+		if len(s.coldLimits) > 0 {
+			s.chooseSenders(e)
+		}
 	}
 	if e.cold.reason == ColdUnreachable || e.cold.reason == ColdUnconfirmed {
 		e.cold.reason = reason
@@ -238,7 +241,7 @@
 		return false
 	}
 	if view.Left > 0 {
-		e.cold.nextSend = now.Add(interval(view.Rate))
+		e.own().cold.nextSend = now.Add(interval(view.Rate))
 	}
 	return true
 }
@@ -285,7 +288,7 @@
 		if cold == e.cold.logged || len(changes) == maxColdChanges {
 			continue
 		}
-		e.cold.logged = cold
+		e.own().cold.logged = cold
 		changes = append(changes, ColdChange{
 			Info: e.info, Cold: cold, Reason: e.cold.reason,
 			For: now.Sub(e.cold.since), Left: max(0, e.cold.until.Sub(now)),
--- a/internal/replica/coldgrant.go
+++ b/internal/replica/coldgrant.go
@@ -76,7 +76,7 @@
 		// asking node does not, until both have received the latest change.
 		return false
 	}
-	e.cold.nextSend = now.Add(interval(view.Rate))
+	e.own().cold.nextSend = now.Add(interval(view.Rate))
 	return true
 }
 
--- a/internal/replica/coldrate.go
+++ b/internal/replica/coldrate.go
@@ -70,7 +70,7 @@
 	replaces := !e.cold.isSender && len(e.cold.senders) > 0
 	s.chooseSenders(e)
 	if earliest := now.Add(newSenderDelay); replaces && e.cold.isSender && earliest.After(e.cold.nextSend) {
-		e.cold.nextSend = earliest
+		e.own().cold.nextSend = earliest
 	}
 	return e.cold.isSender
 }
@@ -93,6 +93,7 @@
 		}
 		chosen = append(chosen, next)
 	}
+	e.own()
 	e.cold.senders, e.cold.isSender, e.cold.generation = chosen, slices.Contains(chosen, self), s.generation
 }
 
--- a/internal/replica/evidence.go
+++ b/internal/replica/evidence.go
@@ -166,7 +166,7 @@
 		if e == nil || !report.valid() || !report.matches(e, now) {
 			continue
 		}
-		if e.reports == nil {
+		if e.own().reports == nil {
 			e.reports = map[string]reportedTally{}
 		}
 		e.reports[reporter.Node] = reportedTally{zone: reporter.Zone, Tally: report.tally(now)}
@@ -248,7 +248,7 @@
 // The caller holds mu.
 func (s *Set) evidenceAbout(e *entry, now time.Time) evidence {
 	seen := evidence{zones: map[string]bool{}}
-	e.ownTally.advance(now)
+	e.own().ownTally.advance(now)
 	seen.add(e.ownTally, e.ownTally.failedSince(e.shared.since, now), s.Zone, s.Zone)
 	for node, tally := range e.reports {
 		failing := tally.failedSince(e.shared.since, now)
@@ -274,10 +274,10 @@
 		return nil
 	}
 	if now.Sub(e.shared.until) > ejectionMemory {
-		e.shared.count = 0
+		e.own().shared.count = 0
 	}
 	length := min(sharedEjectionFirst<<min(e.shared.count, 8), sharedEjectionMax)
-	e.shared = sharedEjection{since: now, until: now.Add(length), count: e.shared.count + 1}
+	e.own().shared = sharedEjection{since: now, until: now.Add(length), count: e.shared.count + 1}
 	e.shared.prober = s.isProber(e)
 	return &SharedEjection{
 		Replica: e.info, Nodes: seen.all.reporters, Failures: seen.all.Failures, Successes: seen.all.Successes,
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -60,7 +60,10 @@
 	if !ok {
 		return Info{}, Info{}, false
 	}
-	return e.info, e.previous, true
+	if e.previous != nil {
+		previous = *e.previous
+	}
+	return e.info, previous, true
 }
 
 // entryFor returns the entry of a listed replica: the known one, or one that it creates if the replica
@@ -73,7 +76,7 @@
 	delete(s.unlisted, info.ID)
 	switch {
 	case !ok:
-		e, created = &entry{key: Key(info.ID)}, true
+		e, created = newEntry(Info{ID: info.ID}), true
 	case e.info.SameStart(info):
 		if info.StartedUnixMs == 0 {
 			info.StartedUnixMs = e.info.StartedUnixMs
@@ -90,10 +93,15 @@
 // are notified; those known to have been sent to the new start are moved to the new entry. The caller
 // holds mu.
 func (s *Set) restart(previous *entry, info *Info, now time.Time) (*entry, *Restart) {
-	next := &entry{key: previous.key, info: *info, restartedAt: now, previous: previous.info}
+	next := newEntry(*info)
+	// A copy, because a pointer into the previous entry would keep all of them.
+	before := previous.info
+	next.restartedAt, next.previous = now, &before
 	// The senders of a cold replica do not change with a restart, and this node keeps to its part
 	// of the rate across it.
-	next.cold.nextSend = previous.cold.nextSend
+	if !previous.cold.nextSend.IsZero() {
+		next.own().cold.nextSend = previous.cold.nextSend
+	}
 	previous.superseded = true
 	for use := range previous.uses {
 		if previous.sentToSuccessor(use, now) {
@@ -132,7 +140,7 @@
 	}
 	switch {
 	case !ok:
-		e = &entry{info: *info, key: Key(info.ID)}
+		e = newEntry(*info)
 		s.unlisted[info.ID] = e
 		return e
 	case e.info.SameStart(info):
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -42,39 +42,23 @@
 	share int
 	// pending is the number of prompt tokens in requests without a first event yet.
 	pending int
-	// others estimates the number of other nodes' requests there, as of othersUpdatedAt.
-	others          float64
-	othersUpdatedAt time.Time
-	// waiting is the number of waiting requests in the last load report.
-	waiting        int
-	loadReportedAt time.Time
-	// refusedAt is when the replica last refused a request of this node.
-	refusedAt time.Time
-	health    health
-	// ownTally counts this node's recent answers, reports those that each peer reported.
-	ownTally Tally
-	reports  map[string]reportedTally
-	shared   sharedEjection
-	// lastReceived is when this node last received data from the replica.
-	lastReceived time.Time
+	// observations is unobserved until this node observes something of the replica; see own.
+	*observations
 	// delistedAt is when the replica left the list; zero while it is listed.
 	delistedAt time.Time
 	// removing is set while the entry waits to be removed from the index.
 	removing bool
 	// active is set while the entry is among the active ones of the index.
 	active bool
-	cold   coldState
 	// uses are the requests in flight there.
 	uses map[*Use]struct{}
 	// followers are closed when the replica restarts.
 	followers map[chan struct{}]struct{}
-	// unreachableAt is when the replica last accepted no connection of this node.
-	unreachableAt time.Time
 	// restartedAt is when this node noticed the restart that led to this entry; zero for the
 	// first start that it knows of.
 	restartedAt time.Time
-	// previous describes the previous start.
-	previous Info
+	// previous describes the previous start; nil for the first one.
+	previous *Info
 	// superseded is set once the replica is known to have restarted: results of requests sent to
 	// this start no longer apply to the replica.
 	superseded bool
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -119,9 +119,10 @@
 	}
 	others := max(0, float64(load.Running+load.Waiting-u.entry.open))
 	previous := u.entry.decayedOthers(now)
-	u.entry.others = previous + othersWeight*(others-previous)
-	u.entry.othersUpdatedAt = now
-	u.entry.waiting, u.entry.loadReportedAt = load.queued(), now
+	observed := u.entry.own()
+	observed.others = previous + othersWeight*(others-previous)
+	observed.othersUpdatedAt = now
+	observed.waiting, observed.loadReportedAt = load.queued(), now
 	candidate := u.set.candidate(u.entry, now)
 	patience := time.Duration(candidate.PatienceShare / minPatienceShare * float64(u.set.estimatesFor(u.entry.info.Pool).patience))
 	tolerable := int(patience / max(time.Millisecond, candidate.SlotTime))
@@ -134,8 +135,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.entries[asked.ID]; ok && e.info.SameStart(&asked) {
-		e.others = max(e.decayedOthers(now), float64(e.info.Slots-e.open))
-		e.othersUpdatedAt = now
+		observed := e.own()
+		observed.others = max(e.decayedOthers(now), float64(e.info.Slots-e.open))
+		observed.othersUpdatedAt = now
 	}
 }
 
@@ -168,7 +170,7 @@
 func (u *Use) Received(now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	u.lastReceived, u.entry.lastReceived, u.set.lastReceived = now, now, now
+	u.lastReceived, u.entry.own().lastReceived, u.set.lastReceived = now, now, now
 }
 
 // Silence returns the time since any data arrived from the replica, for any request, or since
@@ -226,6 +228,7 @@
 // observe records the result of a request at a replica. It reports whether that ejected the
 // replica, on this node's evidence or on that of several nodes. The caller holds mu.
 func (s *Set) observe(e *entry, result Result, now time.Time) (ejected bool, ejection *SharedEjection) {
+	e.own()
 	ejected = e.health.observe(result, now)
 	e.ownTally.observe(result, now)
 	switch result {
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -53,7 +55,8 @@
 	KeepRows bool
 
 	// mu orders updates from the service and from Seed.
-	mu       sync.Mutex
+	mu sync.Mutex
+	// versions holds the versions of the known rows, or rows the whole rows with KeepRows.
 	versions map[Key]uint64
 	rows     map[Key]Row
 	revision uint64
@@ -140,18 +143,34 @@
 // recordVersions records the versions of rows, and the rows with KeepRows. The caller holds mu.
 func (w *Watcher) recordVersions(changes []Change) {
 	for _, change := range changes {
-		if change.Removed {
+		switch {
+		case change.Removed:
 			delete(w.versions, change.Key)
 			delete(w.rows, change.Key)
-			continue
-		}
-		w.versions[change.Key] = change.Version
-		if w.KeepRows {
+		case w.KeepRows:
 			w.rows[change.Key] = change.Row
+		default:
+			w.versions[change.Key] = change.Version
 		}
 	}
 }
 
+// version returns the version of a known row; 0 if there is none. The caller holds mu.
+func (w *Watcher) version(key Key) uint64 {
+	if w.KeepRows {
+		return w.rows[key].Version
+	}
+	return w.versions[key]
+}
+
+// knownKeys returns the keys of the known rows. The caller holds mu.
+func (w *Watcher) knownKeys() iter.Seq[Key] {
+	if w.KeepRows {
+		return maps.Keys(w.rows)
+	}
+	return maps.Keys(w.versions)
+}
+
 // Ready reports whether the whole group has been read at least once.
 func (w *Watcher) Ready() bool { return w.newestAnswer.Load() != 0 }
 
@@ -308,7 +327,7 @@
 	for _, change := range read.Changes {
 		present[change.Key] = true
 	}
-	for key := range w.versions {
+	for key := range w.knownKeys() {
 		if !present[key] {
 			removed := Change{Row: Row{Key: key, Version: read.Revision}, Removed: true}
 			read.Changes = append(read.Changes, removed)
@@ -327,7 +346,7 @@
 func (w *Watcher) applyLocked(changes Changes, whole bool) {
 	newer := changes.Changes[:0]
 	for _, change := range changes.Changes {
-		if change.Version <= w.versions[change.Key] {
+		if change.Version <= w.version(change.Key) {
 			continue
 		}
 		newer = append(newer, change)
