--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -217,6 +217,7 @@
 	g.spawn(func() { g.configWatch.Run(ctx) })
 	g.spawn(func() { g.replicaWatch.Run(ctx) })
 	g.spawn(func() { g.runColdLog(ctx) })
+	g.spawn(func() { g.runStoreTrafficLog(ctx) })
 	g.runJobs(ctx)
 	g.spawn(func() { g.runner.RunSweeping(ctx, time.Duration(g.settings.Gateway.KeepJobs)) })
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,11 +29,13 @@
 	eventGap    *prometheus.HistogramVec
 	connections prometheus.Counter
 	// served counts requests by the distance of their replica.
-	served      *prometheus.CounterVec
-	storeCalls  *prometheus.CounterVec
-	storeTime   *prometheus.HistogramVec
-	storeBytes  *prometheus.CounterVec
-	listCopies  *prometheus.CounterVec
+	served     *prometheus.CounterVec
+	storeCalls *prometheus.CounterVec
+	storeTime  *prometheus.HistogramVec
+	storeBytes *prometheus.CounterVec
+	listCopies *prometheus.CounterVec
+	// traffic sums up the calls to the store for the log.
+	traffic     storeTraffic
 	droppedLogs prometheus.Counter
 	jobs        *prometheus.CounterVec
 	items       *prometheus.CounterVec
@@ -203,6 +205,7 @@
 }
 
 func (m *coreMetrics) observeStoreCall(call platform.CallKind, result platform.CallResult) {
+	m.traffic.add(call, result)
 	label := "done"
 	if result.Err != nil {
 		label = "failed_" + outcome.Of(result.Err).String()
