relay: in a large fleet nodes follow a few others of their zone in place of the store

Cause: every node follows every change: of replicas, members, jobs and the configuration. The store sends changes x nodes (by arithmetic at 985: the member rows of a start 290 MB, a release of 240 replicas 280 MB, jobs' rows 11 MB a second), and to stay below 700 calls a second a node looked for changes of jobs only each 1.5 s. Words about ended replicas, lost nodes and harmful work went to each node in a datagram of its own; a work that is refused made every node ask every other one, nodes x nodes. Ways: (a) tables a group of nodes, so that a job's rows concern 1/8 of the nodes: the least bytes, but a job then has to be found by an index, and members and configuration concern all; (b) gossip: its bound on time is a probability, and an order of changes has to be kept over many ways; (c) relays, taken: above 320 nodes one node of 32 of a zone, the strongest, follows the store, the others follow two of them, with the same revisions, so that anyone can go back to the store at any change; a relay answers only while it reads the store itself, so a change takes one hop. Broadcasts go to relays; only the node that runs the trials of a refused work asks all others about it.

--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -53,6 +53,7 @@
 		"leave out the second plan of faults: silent connections, servers that start again, rows of other writers, changes in series")
 	overcommit := flags.Bool("overcommit", false,
 		"servers run all that comes, beyond their slots, and tell the same load always; otherwise they keep to their slots")
+	relayFrom := flags.Int("relay-from", 0, "number of nodes above which nodes follow relays in place of the store; 0 means the default of the settings")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "wheelhoist-lab soak [flags]", FlagSet: flags,
 		ShortHelp: "real gateway processes under faults from outside; exits 1 on a broken promise",
@@ -67,7 +68,7 @@
 			}
 			report, err := soak.Run(ctx, soak.Options{
 				Seed: *seed, Duration: *duration, Nodes: *nodes, Regions: *regions, ReadyTimeout: soakReadyTimeout,
-				Servers: *servers, Slots: *slots, FirstPlanOnly: *firstPlanOnly, Overcommit: *overcommit,
+				Servers: *servers, Slots: *slots, FirstPlanOnly: *firstPlanOnly, Overcommit: *overcommit, RelayFrom: *relayFrom,
 				Progress: func(format string, arguments ...any) { _, _ = fmt.Fprintf(std.err, format+"\n", arguments...) },
 			})
 			if err != nil {
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -30,9 +30,11 @@
 type gateway struct {
 	id, zone string
 	places   place.Map
-	store    *proxy
-	settings string
-	log      string
+	// relayFrom is the number of nodes above which nodes follow relays; 0 means the default.
+	relayFrom int
+	store     *proxy
+	settings  string
+	log       string
 
 	// restarting is held while the process is stopped and restarted.
 	restarting sync.Mutex
@@ -59,13 +61,13 @@
 }
 
 // newGateway chooses the ports of a node and writes its settings file.
-func newGateway(id, zone string, places place.Map, store, directory string) (*gateway, error) {
+func newGateway(id, zone string, places place.Map, store, directory string, relayFrom int) (*gateway, error) {
 	storeProxy, err := startProxy(store)
 	if err != nil {
 		return nil, err
 	}
 	g := &gateway{
-		id: id, zone: zone, places: places, store: storeProxy,
+		id: id, zone: zone, places: places, store: storeProxy, relayFrom: relayFrom,
 		settings: filepath.Join(directory, id+".yaml"), log: filepath.Join(directory, id+".log"),
 	}
 	if err := g.choosePorts(); err != nil {
@@ -90,7 +92,7 @@
 			Store: g.store.address(), Readiness: addresses[1], Peers: addresses[2],
 			Quota: settings.Quota{Over: quotaTolerance, Slack: limitSlack},
 			Cold:  settings.Cold{Over: coldFactor, Slack: coldSlack},
-			Grace: v1.Duration(processGrace), KeepJobs: v1.Duration(10 * time.Minute),
+			Grace: v1.Duration(processGrace), KeepJobs: v1.Duration(10 * time.Minute), RelayFrom: g.relayFrom,
 		},
 	}
 	encoded, err := json.Marshal(config)
--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -41,7 +41,7 @@
 			t.Fatal(err)
 		}
 	}
-	node, err := newGateway("node-0", s.zones[0].name, places(s.zones), storeAddress, t.TempDir())
+	node, err := newGateway("node-0", s.zones[0].name, places(s.zones), storeAddress, t.TempDir(), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -52,7 +52,7 @@
 		}
 	}
 	for i := range s.Nodes {
-		node, err := newGateway(fmt.Sprintf("node-%d", i), s.zoneOf(i).name, places(s.zones), storeAddress, directory)
+		node, err := newGateway(fmt.Sprintf("node-%d", i), s.zoneOf(i).name, places(s.zones), storeAddress, directory, s.RelayFrom)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -51,6 +51,9 @@
 	// report a constant load, so that nodes cannot see their free capacity. Otherwise servers run
 	// at most Slots requests at once and queue the others, as the platform specifies.
 	Overcommit bool
+	// RelayFrom is the number of nodes above which nodes follow relays; 0 means the default of the
+	// settings, which exceeds what a run has.
+	RelayFrom int
 	// FirstPlanOnly omits the faults of SecondPlan.
 	FirstPlanOnly bool
 	// Regions is the number of regions that the zones are in, 1 or 2; default 1.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -58,6 +58,8 @@
 	// broadcastLimiter bounds how often all nodes are notified of changed rows.
 	broadcastLimiter *rate.Limiter
 
+	// relays follows the store for this node, and for others.
+	relays *relays
 	// bootstrapServer sends this node's state to nodes that start.
 	bootstrapServer *http.Server
 	// bootstrapRequests counts the bootstrap requests in progress.
@@ -100,18 +102,19 @@
 	g.store = platform.NewStore(g.settings.Gateway.Store, metrics.observeStoreCall)
 	g.backend = platform.NewBackend(metrics.connections.Inc)
 	rows := platform.Rows{Store: g.store}
+	g.relays = newRelays(g.settings.Gateway.RelayFrom, metrics)
 	var roster *lease.Roster
 	g.core = newCore(log, metrics, dependencies{
 		id: g.settings.Node.ID, zone: g.settings.Node.Zone, region: g.settings.Node.Region, places: g.settings.Node.Zones,
 		table: rows, objects: platform.Objects{Store: g.store}, backend: g.backend,
-		jobFeed: platform.JobFeed(g.store, jobs.Group, jobs.Parts()), timing: fastTiming(), weights: g.weights(), quarantine: g.settings.Quarantine,
+		jobFeed: g.relays.feed(jobGroup, platform.JobFeed(g.store, jobs.Group, jobs.Parts())), timing: fastTiming(), weights: g.weights(), quarantine: g.settings.Quarantine,
 		sessions: func(own *lease.Session) sessionView {
 			roster = lease.NewRoster(rows, own, jobs.MemberPartition(), clock.Now, fastTiming())
 			return roster
 		},
 	})
 	g.replicas.ColdTolerance = replica.ColdTolerance{Over: g.settings.Gateway.Cold.Over, Slack: g.settings.Gateway.Cold.Slack}
-	g.roster, g.nodes = roster, &nodeIndex{roster: roster}
+	g.roster, g.nodes, g.relays.roster = roster, &nodeIndex{roster: roster}, roster
 	roster.OnEnded = g.logSessionEnded
 	roster.OnMoveFailed = func(err error) { g.sampled.Warn().Err(err).Msg("session not moved to another partition yet") }
 	roster.ReportUnreadableTo(&g.unreadable)
@@ -124,17 +127,19 @@
 	g.jobs.MaxStaleness = time.Duration(g.settings.Gateway.Settle)
 	g.buildQuota(roster)
 	applyJobs := g.jobWatch.Apply
-	g.jobWatch.Apply = func(changes table.Changes, whole bool) {
+	g.jobWatch.Pace = g.jobPace
+	g.jobWatch.Apply = g.relays.logged(jobGroup, func(changes table.Changes, whole bool) {
 		// Members are updated first, so that a job is never known without the nodes that it names.
 		roster.Apply(changes, whole)
 		g.replicas.SetJoined(roster.Joined())
 		applyJobs(changes, whole)
-	}
+	})
 	g.replicas.SetJoined(false)
 	g.forwarder.Reserver = g.backend
 	g.runner.Reserver = g.backend
-	g.configWatch = g.watch("configuration", platform.ConfigFeed(g.store), g.applyConfig)
-	g.buildReplicaWatch(platform.ServerFeed(g.store))
+	g.configWatch = g.watch("configuration", g.relays.feed(configGroup, platform.ConfigFeed(g.store)), nil)
+	g.configWatch.Apply = g.relays.logged(configGroup, g.applyConfig)
+	g.buildReplicaWatch(g.relays.feed(replicaGroup, platform.ServerFeed(g.store)))
 	g.configWatch.KeepRows, g.replicaWatch.KeepRows = true, true
 	metrics.registerViews(g.core)
 	metrics.registerPools(g.core)
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -97,6 +97,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathBootstrap, g.serveBootstrap)
 	mux.HandleFunc("GET "+pathReplicaList, g.serveReplicaList)
+	mux.HandleFunc("GET "+pathFeed, g.relays.serve)
 	g.bootstrapServer = &http.Server{Handler: mux, ReadHeaderTimeout: bootstrapTimeout, IdleTimeout: bootstrapTimeout}
 	go func() {
 		if err := g.bootstrapServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/node/gatewaylistcopy.go
+++ b/internal/node/gatewaylistcopy.go
@@ -56,6 +56,7 @@
 		}
 	}
 	g.replicaWatch = g.watchReplicas(feed, g.applyReplicas)
+	g.replicaWatch.Apply = g.relays.logged(replicaGroup, g.replicaWatch.Apply)
 }
 
 // zoneView returns what this node knows of its zone.
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
@@ -78,13 +79,22 @@
 	}
 }
 
-// broadcast sends a message to all other nodes.
+// broadcast sends a message about rows that this node writes to all other nodes, or to the relays if
+// there are any. The other nodes then learn of it from the rows, without a message to each.
 func (g *Gateway) broadcast(kind peer.Kind, body any) {
-	for _, node := range g.nodes.others() {
+	for _, node := range g.audience() {
 		g.sendToNode(node, kind, body)
 	}
 }
 
+// audience returns the other nodes that broadcasts are sent to.
+func (g *Gateway) audience() []string {
+	if relays := g.relays.nodes(); len(relays) > 0 {
+		return slices.DeleteFunc(slices.Clone(relays), func(node string) bool { return node == g.settings.Node.ID })
+	}
+	return g.nodes.others()
+}
+
 // sendToRandom sends a message to count nodes chosen at random, some possibly more than once, or to
 // len(nodes) if that is less. It returns the number of messages.
 func (g *Gateway) sendToRandom(nodes []string, count int, kind peer.Kind, body any) int {
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -125,15 +125,21 @@
 	g.sendToRandom(g.nodes.others(), provenFanout, peer.KindCrashReport, message)
 }
 
-// queryPeers asks all other nodes when a work last succeeded, or a few of them if the query is
-// repeated. They may have seen successes that this node missed, for example because it was not
-// running.
+// queryPeers asks other nodes when a work last succeeded. They may have seen successes that this node
+// missed, for example because it was not running. It asks all of them, or a few if the query is
+// repeated. In a fleet with relays only the node that runs the trials of the work asks all: the others
+// refuse the work too, and learn of a success from the rows that it writes.
 func (g *Gateway) queryPeers(work quarantine.Work, repeat bool) bool {
 	others, query := g.nodes.others(), quarantineMessage{Query: &work}
+	if len(g.relays.nodes()) > 0 && !g.quarantine.guard.OwnsTrials(work) {
+		repeat = true
+	}
 	if repeat {
 		g.sendToRandom(others, repeatQueryFanout, peer.KindCrashReport, query)
 	} else {
-		g.broadcast(peer.KindCrashReport, query)
+		for _, node := range others {
+			g.sendToNode(node, peer.KindCrashReport, query)
+		}
 	}
 	return len(others) > 0
 }
--- a/internal/node/gatewayrowschanged.go
+++ b/internal/node/gatewayrowschanged.go
@@ -36,11 +36,14 @@
 	}
 }
 
-// broadcastRowsChanged notifies all nodes that the set of nodes or the quarantine has changed.
+// broadcastRowsChanged notifies all nodes, or the relays if there are any, that the set of nodes or the
+// quarantine has changed.
 func (g *Gateway) broadcastRowsChanged() {
-	if g.jobs.Notify != nil && g.broadcastLimiter.Allow() {
-		g.jobs.Notify(g.roster.Nodes(), "")
+	if g.jobs.Notify == nil || !g.broadcastLimiter.Allow() {
+		return
 	}
+	g.jobWatch.Announce()
+	g.broadcast(peer.KindRowsChanged, rowsChanged{})
 }
 
 // handleRowsChanged handles peer.KindRowsChanged.
--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -35,6 +35,8 @@
 	storeAddress string
 	servers      []*standin.Server
 	gateways     []*Gateway
+	// relayFrom is the number of nodes above which gateways follow relays; 0 means the default.
+	relayFrom int
 	// withoutPeers starts gateways without an address for other nodes.
 	withoutPeers bool
 }
@@ -104,7 +106,7 @@
 	config := &settings.Settings{
 		Node: node,
 		Gateway: settings.Gateway{
-			Store: s.storeAddress, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second),
+			Store: s.storeAddress, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second), RelayFrom: s.relayFrom,
 		},
 	}
 	if s.withoutPeers {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -34,6 +34,8 @@
 	storeTime  *prometheus.HistogramVec
 	storeBytes *prometheus.CounterVec
 	listCopies *prometheus.CounterVec
+	// relayFailures counts the calls that relays did not answer.
+	relayFailures *prometheus.CounterVec
 	// traffic sums up the calls to the store for the log.
 	traffic     storeTraffic
 	droppedLogs prometheus.Counter
@@ -91,6 +93,9 @@
 		listCopies: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wheelhoist_replica_list_copies_total", Help: "Attempts to copy the replica list from another node, by result.",
 		}, []string{"result"}),
+		relayFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_relay_failures_total", Help: "Calls for changes that another node did not answer, by group.",
+		}, []string{"group"}),
 		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "wheelhoist_store_call_seconds", Help: "Time of calls to the platform's store.", Buckets: seconds,
 		}, []string{"call"}),
@@ -139,7 +144,7 @@
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
 	m.registry.MustRegister(m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
-		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.droppedLogs)
+		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
 	return m
 }
 
--- a/internal/node/replicalist.go
+++ b/internal/node/replicalist.go
@@ -56,6 +56,9 @@
 	changes, err := f.Feed.After(callCtx, revision, wait)
 	if err == nil {
 		f.requestedAt = requestedAt
+		if !changes.AsOf.IsZero() && changes.AsOf.Before(requestedAt) {
+			f.requestedAt = changes.AsOf
+		}
 	}
 	return changes, err
 }
--- /dev/null
+++ b/internal/relay/feed.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+const (
+	// maxRelayWait bounds one wait at a relay, and relayTimeoutMargin the time that a call may take
+	// in addition. Both together leave time to ask the store within the time of a table.Watcher's
+	// call.
+	maxRelayWait       = time.Second
+	relayTimeoutMargin = 500 * time.Millisecond
+	// relayWait bounds one wait of a relay at the store, so that what it passes on is young although
+	// nothing changes.
+	relayWait = 500 * time.Millisecond
+	// avoidTime is how long a relay is not asked after it failed.
+	avoidTime = 3 * time.Second
+)
+
+// Answer is a relay's answer to a follower.
+type Answer struct {
+	Changes table.Changes
+	// Stamp is the relay's monotonic clock at the time of the answer, and Age that of its changes
+	// then.
+	Stamp, Age time.Duration
+}
+
+// Role is what a node does in passing changes on. The zero value follows the store for itself.
+type Role struct {
+	// Relay is set if other nodes follow this one.
+	Relay bool
+	// Follows holds the addresses of the relays to follow, in the order of preference. If none
+	// answers, the node follows the store.
+	Follows []string
+}
+
+// Feed is a table.Feed that follows a relay in place of the store. Whole reads go to the store. It is
+// for a single table.Watcher; FromStore is safe for concurrent use.
+type Feed struct {
+	table.Feed
+	// Role returns this node's role.
+	Role func() Role
+	// Ask asks a relay for the changes after a revision.
+	Ask func(ctx context.Context, relay string, revision uint64, wait time.Duration) (Answer, error)
+	// OnFailed, if set, is called for each call that a relay did not answer.
+	OnFailed func(relay string, err error)
+
+	// avoidUntil holds the relays that failed, with the time until which they are not asked.
+	avoidUntil map[string]time.Time
+	// followed is the relay that answered last, and ages estimates when it did.
+	followed  string
+	ages      table.AgeEstimator
+	fromRelay atomic.Bool
+}
+
+// FromStore reports whether this node follows the store itself, so that it may be a relay.
+func (f *Feed) FromStore() bool { return !f.fromRelay.Load() }
+
+// After implements table.Feed.
+func (f *Feed) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
+	role := f.Role()
+	if role.Relay {
+		wait = min(wait, relayWait)
+	}
+	for _, relay := range role.Follows {
+		if clock.Now().Before(f.avoidUntil[relay]) {
+			continue
+		}
+		changes, err := f.ask(ctx, relay, revision, wait)
+		if err == nil {
+			f.fromRelay.Store(true)
+			return changes, nil
+		}
+		if ctx.Err() != nil {
+			return table.Changes{}, err
+		}
+		if errors.Is(err, ErrBehind) {
+			break
+		}
+	}
+	f.fromRelay.Store(false)
+	return f.Feed.After(ctx, revision, wait)
+}
+
+// ask asks a relay, which is avoided for a while if it fails.
+func (f *Feed) ask(ctx context.Context, relay string, revision uint64, wait time.Duration) (table.Changes, error) {
+	wait = min(wait, maxRelayWait)
+	askCtx, cancel := context.WithTimeout(ctx, wait+relayTimeoutMargin)
+	defer cancel()
+	sent := clock.Now()
+	answer, err := f.Ask(askCtx, relay, revision, wait)
+	if err != nil {
+		if !errors.Is(err, ErrBehind) {
+			f.avoid(relay)
+		}
+		if f.OnFailed != nil {
+			f.OnFailed(relay, err)
+		}
+		return table.Changes{}, err
+	}
+	if f.followed != relay {
+		f.followed, f.ages = relay, table.AgeEstimator{}
+	}
+	answeredAt := f.ages.AsOf(sent, clock.Now(), answer.Stamp)
+	changes := answer.Changes
+	changes.AsOf = answeredAt.Add(-answer.Age)
+	// The service's clock has gone on since it answered the relay.
+	changes.Now += answer.Age
+	return changes, nil
+}
+
+// avoid notes that a relay failed.
+func (f *Feed) avoid(relay string) {
+	now := clock.Now()
+	for other, until := range f.avoidUntil {
+		if now.After(until) {
+			delete(f.avoidUntil, other)
+		}
+	}
+	if f.avoidUntil == nil {
+		f.avoidUntil = map[string]time.Time{}
+	}
+	f.avoidUntil[relay] = now.Add(avoidTime)
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -37,6 +37,9 @@
 	// BootstrapAfter is how long a starting node waits for an answer of the store before it reads the
 	// state of another node; default 700ms.
 	BootstrapAfter v1.Duration `json:"bootstrapAfter,omitempty"`
+	// RelayFrom is the number of nodes above which most nodes follow other nodes of their zone, the
+	// relays, in place of the store; default 320.
+	RelayFrom int `json:"relayFrom,omitempty"`
 	// MaxConfigAge bounds how long callers are authenticated by a configuration whose source does not
 	// answer; 0 means no bound. Keys revoked in the meantime are accepted until then.
 	MaxConfigAge v1.Duration `json:"maxConfigAge,omitempty"`
@@ -69,6 +72,9 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// DefaultRelayFrom is the default of RelayFrom.
+const DefaultRelayFrom = 320
+
 // DefaultBootstrapAfter is the default of BootstrapAfter. It exceeds the time to read a page of the
 // initial state, even when a whole fleet starts at once.
 const DefaultBootstrapAfter = v1.Duration(700 * time.Millisecond)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,6 +132,9 @@
 	setDefault(&s.Platform.Table.Region, DefaultRegion)
 	setDefault(&s.Platform.Objects.Region, DefaultRegion)
 	setDefault(&s.Log.Level, DefaultLogLevel)
+	if s.Gateway.RelayFrom == 0 {
+		s.Gateway.RelayFrom = DefaultRelayFrom
+	}
 	if s.Gateway.BootstrapAfter == 0 {
 		s.Gateway.BootstrapAfter = DefaultBootstrapAfter
 	}
--- a/internal/table/asof_test.go
+++ b/internal/table/asof_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestAgeEstimator_EstimatesResponseDelay(t *testing.T) {
-	var estimator ageEstimator
+	var estimator AgeEstimator
 	start := clock.Now()
 	nodeTime := func(at time.Duration) time.Time { return start.Add(at) }
 	// The clock of the service reads one hour at the local time start.
@@ -31,7 +31,7 @@
 		{"delayed answer that starts a window", 70 * time.Second, 70 * time.Second, 71 * time.Second, 70*time.Second + minDelay},
 		{"uses the previous window", 71 * time.Second, 71 * time.Second, 72 * time.Second, 71*time.Second + minDelay},
 	} {
-		got := estimator.asOf(nodeTime(c.sent), nodeTime(c.received), serviceTime(c.answered))
+		got := estimator.AsOf(nodeTime(c.sent), nodeTime(c.received), serviceTime(c.answered))
 		if got.Sub(nodeTime(c.want)).Abs() > time.Microsecond {
 			t.Errorf("%s: generated at %v, estimated %v", c.name, c.want, got.Sub(start))
 		}
@@ -40,17 +40,17 @@
 
 // If the service's clock steps back, answers seem older than they are, but for at most two windows.
 func TestAgeEstimator_RecoversFromClockStep(t *testing.T) {
-	var estimator ageEstimator
+	var estimator AgeEstimator
 	start := clock.Now()
-	estimator.asOf(start, start, time.Hour)
+	estimator.AsOf(start, start, time.Hour)
 	received := start
 	for range 3 {
 		received = received.Add(minDelayWindow + time.Second)
-		estimator.asOf(received, received, 0)
+		estimator.AsOf(received, received, 0)
 	}
 	received = received.Add(time.Second)
 	sent := received.Add(-time.Second)
-	if got := estimator.asOf(sent, received, received.Sub(start)-3*(minDelayWindow+time.Second)); got.Before(sent) {
+	if got := estimator.AsOf(sent, received, received.Sub(start)-3*(minDelayWindow+time.Second)); got.Before(sent) {
 		t.Errorf("the answer is estimated to be %v old, which is before its request", received.Sub(got))
 	}
 	if estimator.previousMinOffset < received.Sub(clockOrigin)-4*(minDelayWindow+time.Second) {
