--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// After waits up to wait for changes after a revision. The changes may include some that are older.
-// Now and AsOf are those of the last answer of the store.
+// After waits up to wait for changes after a revision. Now and AsOf are those of the last answer of the
+// store.
 func (l *Log) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -137,7 +137,11 @@
 		return 1
 	})
 	for _, b := range l.batches[start:] {
-		changes.Changes = append(changes.Changes, b.changes...)
+		for _, change := range b.changes {
+			if change.Version > revision {
+				changes.Changes = append(changes.Changes, change)
+			}
+		}
 	}
 	if l.changed == nil {
 		l.changed = make(chan struct{})
