--- a/internal/lease/partition_test.go
+++ b/internal/lease/partition_test.go
@@ -180,3 +180,30 @@
 		}
 	}
 }
+
+// Guards against a fleet that takes longer to end the sessions of nodes lost at one moment the larger
+// it is: each is watched by eight others, so a tenth of the nodes is ended in the time of a few looks.
+func TestRoster_ManyNodesLostAtOnce(t *testing.T) {
+	const maxSeconds = 8
+	for _, nodes := range []int{200, 400} {
+		f := newFleet(t, nodes)
+		f.advance(2)
+		for i := range nodes / 10 {
+			f.dead[i*10] = true
+		}
+		seconds := 0
+		for gone := 0; gone < nodes/10 && seconds < 60; seconds++ {
+			f.advance(1)
+			gone = 0
+			for i := range nodes / 10 {
+				if f.rosters[1].Gone(fmt.Sprintf("n%03d", i*10)) {
+					gone++
+				}
+			}
+		}
+		t.Logf("%d of %d nodes lost at once are ended after %d s", nodes/10, nodes, seconds)
+		if seconds > maxSeconds {
+			t.Errorf("%d of %d nodes lost at once are ended after %d s, want at most %d", nodes/10, nodes, seconds, maxSeconds)
+		}
+	}
+}
