node: crash reports and successes reach followers over the relays

Tests: a crash and a success reach followers without a row; each node of a zone is a follower of one relay.

--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -40,6 +40,8 @@
 	// Query is a work that the sender refuses from now on. A node that has seen it succeed replies
 	// with the time.
 	Query *quarantine.Work `cbor:"3,keyasint,omitempty"`
+	// Forward is set if the receiver, a relay, is to send the message on to the nodes that follow it.
+	Forward bool `cbor:"4,keyasint,omitempty"`
 }
 
 // crashEntry is a crash of a replica.
@@ -67,8 +69,9 @@
 	return clearingEntry{Work: clearing.Work, AgeMs: now.Sub(clearing.At).Milliseconds()}
 }
 
-// broadcastUpdate sends crashes and clearings of this node to all other nodes. If a message is
-// lost, they reach other nodes through the table.
+// broadcastUpdate sends crashes and clearings of this node to all other nodes, over the relays if there
+// are any, so that no node sends a message to each other one. If a message is lost, they reach other
+// nodes through the table.
 func (g *Gateway) broadcastUpdate(update quarantine.Update) {
 	now := clock.Now()
 	var message quarantineMessage
@@ -77,7 +80,7 @@
 		if workCount == 0 {
 			return
 		}
-		g.broadcast(peer.KindCrashReport, message)
+		g.spread(message)
 		message, workCount = quarantineMessage{}, 0
 	}
 	for _, report := range update.Reports {
@@ -106,6 +109,21 @@
 	flush()
 }
 
+// spread sends a message to all other nodes, over the relays if there are any.
+func (g *Gateway) spread(message quarantineMessage) {
+	g.sendToFollowers(message)
+	message.Forward = len(g.relays.nodes()) > 0
+	g.broadcast(peer.KindCrashReport, message)
+}
+
+// sendToFollowers sends a message to the nodes that follow this one, if it is a relay.
+func (g *Gateway) sendToFollowers(message quarantineMessage) {
+	message.Forward = false
+	for _, node := range g.relays.followers() {
+		g.sendToNode(node, peer.KindCrashReport, message)
+	}
+}
+
 // runProvenReports reports works that succeed here repeatedly to a few other nodes, until the
 // context ends.
 func (g *Gateway) runProvenReports(ctx context.Context) {
@@ -127,8 +145,8 @@
 
 // queryPeers asks other nodes when a work last succeeded. They may have seen successes that this node
 // missed, for example because it was not running. It asks all of them, or a few if the query is
-// repeated. In a fleet with relays only the node that runs the trials of the work asks all: the others
-// refuse the work too, and learn of a success from the rows that it writes.
+// repeated. In a fleet with relays only the node that runs the trials of the work asks all, and tells the
+// others what it learns.
 func (g *Gateway) queryPeers(work quarantine.Work, repeat bool) bool {
 	others, query := g.nodes.others(), quarantineMessage{Query: &work}
 	if len(g.relays.nodes()) > 0 && !g.quarantine.guard.OwnsTrials(work) {
@@ -175,13 +193,27 @@
 		})
 	}
 	for _, clearing := range message.Clearings {
-		g.quarantine.Clear(clearing.Work, ago(now, clearing.AgeMs))
+		g.handleClearing(quarantine.Clearing{Work: clearing.Work, At: ago(now, clearing.AgeMs)}, message.Forward)
+	}
+	if message.Forward {
+		g.sendToFollowers(message)
 	}
 	if message.Query != nil {
 		g.answerQuery(source, *message.Query)
 	}
 }
 
+// handleClearing records that a work succeeded at another node. In a fleet with relays, where only the
+// node that runs the trials of a suspect work asks all others about it, that node tells the others of
+// an answer. forwarded is set if all nodes get the message already.
+func (g *Gateway) handleClearing(clearing quarantine.Clearing, forwarded bool) {
+	previous := g.quarantine.Clear(clearing.Work, clearing.At)
+	if forwarded || len(previous.Replicas) == 0 || len(g.relays.nodes()) == 0 || !g.quarantine.guard.OwnsTrials(clearing.Work) {
+		return
+	}
+	g.quarantine.publisher.PublishClearing(clearing)
+}
+
 // ago returns the time the given number of ms before now. Negative ages, which other nodes may
 // send, count as 0.
 func ago(now time.Time, ms int64) time.Time {
--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -59,6 +59,8 @@
 	role       relay.Role
 	// all are the relays of all zones; none if nodes follow the store.
 	all []string
+	// following are the other nodes of the zone that follow this one before other relays.
+	following []string
 }
 
 func newRelays(from int, metrics *coreMetrics) *relays {
@@ -105,13 +107,22 @@
 	return r.all
 }
 
+// followers returns the nodes that follow this one before other relays. The caller must not modify the
+// slice.
+func (r *relays) followers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh()
+	return r.following
+}
+
 // refresh chooses relays again if the nodes have changed. The caller holds mu.
 func (r *relays) refresh() {
 	generation := r.roster.Generation()
 	if r.known && r.generation == generation {
 		return
 	}
-	r.known, r.generation, r.role, r.all = true, generation, relay.Role{}, nil
+	r.known, r.generation, r.role, r.all, r.following = true, generation, relay.Role{}, nil, nil
 	nodes := r.roster.Places()
 	if len(nodes) <= r.from {
 		return
@@ -126,7 +137,7 @@
 	for at, zone := range zones {
 		chosen := relay.Relays(zone)
 		if at == (place.Place{Zone: own.Zone, Region: own.Region}) {
-			r.role = relay.Choose(self, chosen)
+			r.role, r.following = relay.Choose(self, chosen), relay.Followers(self, zone, chosen)
 		}
 		for _, candidate := range chosen {
 			r.all = append(r.all, candidate.Node)
--- a/internal/node/gatewayrelay_test.go
+++ b/internal/node/gatewayrelay_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
@@ -124,3 +126,30 @@
 		}
 	}
 }
+
+// Guards against crash reports and successes that reach relays only: each node must know them within
+// milliseconds, or it refuses work that has succeeded elsewhere.
+func TestGateway_CrashReportsReachFollowersOfRelays(t *testing.T) {
+	site, _, followers := relaySite(t)
+	work := quarantine.Work{1}
+	now := clock.Now()
+	followers[0].broadcastUpdate(quarantine.Update{Reports: []quarantine.CrashReport{{
+		Replica: "i-x", At: now, Runs: []quarantine.Run{{Work: work, SentAt: now.Add(-time.Second)}},
+	}}})
+	for _, gateway := range site.gateways {
+		if gateway == followers[0] {
+			continue
+		}
+		site.eventually("the crash is known", func() bool { return !gateway.quarantine.Empty() })
+	}
+	followers[1].broadcastUpdate(quarantine.Update{Clearings: []quarantine.Clearing{{Work: work, At: clock.Now()}}})
+	for _, gateway := range site.gateways {
+		if gateway == followers[1] {
+			continue
+		}
+		site.eventually("the success is known", func() bool {
+			_, known := gateway.quarantine.LastSuccess(work)
+			return known
+		})
+	}
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -44,4 +44,20 @@
 	return role
 }
 
+// Followers returns the nodes of a zone that follow a node before other relays; none if it is no relay.
+func Followers(self string, zone, relays []Candidate) []string {
+	index := slices.IndexFunc(relays, func(c Candidate) bool { return c.Node == self })
+	if index < 0 {
+		return nil
+	}
+	var followers []string
+	for _, c := range zone {
+		isRelay := slices.ContainsFunc(relays, func(relay Candidate) bool { return relay.Node == c.Node })
+		if !isRelay && hash(c.Node)%uint64(len(relays)) == uint64(index) {
+			followers = append(followers, c.Node)
+		}
+	}
+	return followers
+}
+
 func hash(node string) uint64 { return xxhash.Sum64String(node) }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -329,6 +329,17 @@
 	if len(relays) != 7 {
 		t.Errorf("relays are %v, want 7", relays)
 	}
+	told := map[string]int{}
+	for relay := range relays {
+		for _, follower := range Followers(relay, nodes, Relays(nodes)) {
+			told[follower]++
+		}
+	}
+	for _, n := range nodes {
+		if want := map[bool]int{true: 0, false: 1}[relays[n.Node]]; told[n.Node] != want {
+			t.Errorf("%s, a relay %t, is a follower of %d relays", n.Node, relays[n.Node], told[n.Node])
+		}
+	}
 	for relay, count := range followers {
 		if !relays[relay] || count > 2*followersPerRelay {
 			t.Errorf("%s, a relay %t, has %d followers", relay, relays[relay], count)
