--- a/internal/node/gatewaylistcopy.go
+++ b/internal/node/gatewaylistcopy.go
@@ -26,6 +26,11 @@
 	// listCopyCandidates is the number of random nodes among which the one with the fastest link is
 	// asked for a copy.
 	listCopyCandidates = 2
+	// listPollPerReplica is the part of the time between two calls for changes of the list that grows
+	// with it, up to maxListPoll. When many replicas come and go, as at the start of a fleet, each
+	// call then brings several changes.
+	listPollPerReplica = 25 * time.Microsecond
+	maxListPoll        = 400 * time.Millisecond
 )
 
 // errNoListSource reports that no node of the zone has a known address.
@@ -56,9 +61,16 @@
 		}
 	}
 	g.replicaWatch = g.watchReplicas(feed, g.applyReplicas)
+	g.replicaWatch.Pace = g.listPace
 	g.replicaWatch.Apply = g.relays.logged(replicaGroup, g.replicaWatch.Apply)
 }
 
+// listPace returns the minimum time between two calls for changes of the replica list.
+func (g *Gateway) listPace() table.Pace {
+	interval := min(time.Duration(g.replicas.Listed())*listPollPerReplica, maxListPoll)
+	return table.Pace{AfterAnnouncement: interval, Default: interval}
+}
+
 // zoneView returns what this node knows of its zone.
 func (g *Gateway) zoneView() listcopy.View {
 	peers := g.nodes.inOwnZone()
--- a/internal/node/gatewaylistcopy_test.go
+++ b/internal/node/gatewaylistcopy_test.go
@@ -55,3 +55,20 @@
 	}
 	return 0
 }
+
+// Guards against a call of each node for each replica that comes or goes: the calls for changes of a
+// large list are spaced, whatever its size, and those for a small one are not.
+func TestGateway_CallsForLargeListAreSpaced(t *testing.T) {
+	for _, tc := range []struct {
+		listed int
+		most   time.Duration
+	}{{72, 2 * time.Millisecond}, {10000, 250 * time.Millisecond}, {20000, maxListPoll}} {
+		g := &Gateway{core: &core{replicas: replica.NewSet()}}
+		for i := range tc.listed {
+			g.replicas.Put(replica.Info{ID: fmt.Sprint(i), Pool: "p", Slots: 1})
+		}
+		if pace := g.listPace(); pace.Default > tc.most || pace.Default < tc.most/2 {
+			t.Errorf("%d replicas: %v between two calls, want about %v", tc.listed, pace.Default, tc.most)
+		}
+	}
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -248,6 +248,13 @@
 	return listed, ejected
 }
 
+// Listed returns the number of listed replicas.
+func (s *Set) Listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.entries)
+}
+
 // Get returns the description of a listed replica.
 func (s *Set) Get(id string) (Info, bool) {
 	s.mu.Lock()
