lease: a starting fleet places its sessions by what the store takes

Change: until the nodes are known a fifth of the writes that the store takes, which the platform tells, are assumed to be renewals: 4,000 writes a second give 8 partitions, 800 to 1,500 give two as before. A fleet that looks small moves its rows into fewer partitions only after 30 s.

--- a/internal/lease/layout.go
+++ b/internal/lease/layout.go
@@ -12,6 +12,10 @@
 // changes. All moves write to the partition of the member rows.
 const moveInterval = time.Second / maxPartitionSessions
 
+// shrinkDelay is how long a fleet must call for fewer partitions before sessions move. A starting fleet
+// looks small at first.
+const shrinkDelay = 30 * time.Second
+
 // layouts returns the numbers of partitions among which session rows are placed, for a Watcher.
 func (r *Roster) layouts() []int {
 	own := r.session.placedAmong()
@@ -55,6 +59,9 @@
 		r.moveAt = time.Time{}
 	case r.moveAt.IsZero(), due:
 		r.moveAt = now.Add(rand.N(time.Duration(nodes) * moveInterval))
+		if wanted < current {
+			r.moveAt = r.moveAt.Add(shrinkDelay)
+		}
 	}
 	r.mu.Unlock()
 	if due {
--- a/internal/lease/partition.go
+++ b/internal/lease/partition.go
@@ -23,6 +23,9 @@
 	// minPartitionSessions is the number below which there are half as many. It is less than half of
 	// the maximum, so that a fleet that changes a little moves no rows.
 	minPartitionSessions = 50
+	// renewalShare is the part of the store's writes, as a divisor, that renewals are assumed to make
+	// while the number of nodes is not known: at the start of a whole fleet.
+	renewalShare = 5
 	// maxPartitions bounds what a member row may tell.
 	maxPartitions = 1 << 12
 )
@@ -39,6 +42,13 @@
 	return current
 }
 
+// initialPartitions returns the number of partitions among which a new session is placed, given the
+// number of nodes that are known and that of writes per second that the store takes. A store that takes
+// many writes serves a large fleet, whose nodes may all start at the same time and know no others yet.
+func initialPartitions(nodes, storeWrites int) int {
+	return wantedPartitions(basePartitions, max(nodes, storeWrites/renewalShare))
+}
+
 // sessionKey returns the key of the row of a session without a member row.
 func sessionKey(id string) table.Key { return sessionKeyAmong(basePartitions, id) }
 
--- a/internal/lease/partition_test.go
+++ b/internal/lease/partition_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// Guards against a fleet whose nodes all start at the same time, know no others, and all renew in two
+// partitions; and against small fleets that spread over more than they need.
+func TestInitialPartitions(t *testing.T) {
+	for _, tc := range []struct{ nodes, storeWrites, want int }{
+		{1, 0, 2}, {1, 800, 2}, {1, 1500, 2}, {1, 4000, 8}, {1, 8000, 16}, {985, 0, 8}, {985, 4000, 8},
+	} {
+		if got := initialPartitions(tc.nodes, tc.storeWrites); got != tc.want {
+			t.Errorf("initialPartitions(%d, %d) = %d, want %d", tc.nodes, tc.storeWrites, got, tc.want)
+		}
+	}
+}
+
+// Guards against a starting fleet that moves its sessions into few partitions because it knows few
+// nodes yet.
+func TestRoster_StartingFleetKeepsPartitions(t *testing.T) {
+	f := newFleet(t, 20)
+	for _, roster := range f.rosters {
+		if err := roster.session.move(t.Context(), 8); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.advance(20)
+	if counts := f.sessionsByPartition(); len(counts) <= 2 {
+		t.Errorf("sessions moved within 20 s: %v", counts)
+	}
+	f.settle()
+	if counts := f.sessionsByPartition(); len(counts) > 2 {
+		t.Errorf("sessions are in %d partitions after minutes", len(counts))
+	}
+}
+
 func TestWantedPartitions(t *testing.T) {
 	for _, tc := range []struct{ current, sessions, want int }{
 		{2, 0, 2}, {2, 300, 2}, {2, 301, 4}, {4, 300, 4}, {4, 199, 2}, {2, 985, 8}, {8, 1970, 16}, {8, 985, 8}, {16, 985, 16}, {16, 700, 8},
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -111,6 +111,9 @@
 	watcher   *Watcher
 	// OnEnded, if set, is called for each expired session that this node tried to end.
 	OnEnded func(id string, err error)
+	// StoreWrites is the number of writes per second that the store takes; 0 if unknown. Set it before
+	// first use.
+	StoreWrites int
 	// OnMoveFailed, if set, is called if this node's session row could not be moved to another
 	// partition.
 	OnMoveFailed func(err error)
@@ -157,7 +160,7 @@
 		sessionLayouts: map[string]int{}, layoutSessions: map[int]int{},
 	}
 	watcher.Layouts = r.layouts
-	session.initialPartitions = func() int { return wantedPartitions(basePartitions, r.Count()) }
+	session.initialPartitions = func() int { return initialPartitions(r.Count(), r.StoreWrites) }
 	return r
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -110,6 +110,7 @@
 		jobFeed: g.relays.feed(jobGroup, platform.JobFeed(g.store, jobs.Group, jobs.Parts())), timing: fastTiming(), weights: g.weights(), quarantine: g.settings.Quarantine,
 		sessions: func(own *lease.Session) sessionView {
 			roster = lease.NewRoster(rows, own, jobs.MemberPartition(), clock.Now, fastTiming())
+			roster.StoreWrites = g.settings.Gateway.StoreWrites
 			return roster
 		},
 	})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -13,6 +13,9 @@
 type Gateway struct {
 	// Store is the host:port of the platform's store. Setting it makes the node a gateway.
 	Store string `json:"store,omitempty"`
+	// StoreWrites is the number of writes per second that the store takes from all nodes together; 0
+	// means unknown.
+	StoreWrites int `json:"storeWrites,omitempty"`
 	// Readiness is the host:port at which the platform probes readiness.
 	Readiness string `json:"readiness,omitempty"`
 	// Metrics is the host:port at which metrics are served.
