lease: a node finds its session after it gave up the response, and pauses when refused

Cause: 985 nodes that start at once wait for the partition of the member rows, which takes 300 writes a second, longer than the second that they wait for a response. The row is created all the same; the read that would find it had the context of the write, which was over, so the node took its session for absent, did not renew it, others ended it after 3 s (eight of them, all at once, again each 1.2 s, refused or not) and it was created again. Change: the read after a write has a time of its own, and a later attempt reads before it writes; a refused renewal is tried again after a quarter to half of the interval, at random, instead of a sixteenth; a watcher that is refused pauses 2 to 4 s.

--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +33,10 @@
 // covers one read and one commit of the closer node.
 const endStagger = 1500 * time.Millisecond
 
+// throttledPause is the minimum time between two attempts to end sessions if the store refused the first
+// because it gets too many calls; it is extended by up to as much again. Eight nodes watch each session.
+const throttledPause = 2 * time.Second
+
 // watchedNeighbours is the number of sessions that each node watches, and the number of nodes
 // that watch each session. If 6 of 10 nodes fail at once, all watchers of a failed node have failed
 // too in 1.7% of the cases; it is then detected after the sessions between it and the next live
@@ -140,6 +145,9 @@
 	// layoutSessions the number of sessions by that number.
 	sessionLayouts map[string]int
 	layoutSessions map[int]int
+	// endAfter is the time until which no session is ended, because the store refused a write. Only
+	// Refresh uses it, which is not called concurrently.
+	endAfter time.Time
 	// moveAt is when this node's session row is to be moved; zero if it is not.
 	moveAt time.Time
 	// missingSince holds the nodes without a member row, with the time of the first call that asked
@@ -249,7 +257,13 @@
 		return err
 	}
 	for _, session := range r.watcher.sessionsToEnd(endStagger) {
+		if r.watcher.now().Before(r.endAfter) {
+			break
+		}
 		err := r.endSession(ctx, session)
+		if errors.Is(err, table.ErrThrottled) {
+			r.endAfter = r.watcher.now().Add(throttledPause + rand.N(throttledPause))
+		}
 		if r.OnEnded != nil {
 			r.OnEnded(session.ID, err)
 		}
--- a/internal/lease/session.go
+++ b/internal/lease/session.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,9 @@
 	// interval. The wait after a failed attempt is the interval divided by renewRetryDivisor.
 	renewAttempts     = 4
 	renewRetryDivisor = 16
+	// throttledDivisor is the same for an attempt that the store refused because it gets too many
+	// calls. Retries at the interval of other failures would keep it overloaded.
+	throttledDivisor = 4
 )
 
 // Session is a node's own session. It is safe for concurrent use.
@@ -152,6 +156,13 @@
 	if !s.created && !s.placed && s.initialPartitions != nil {
 		s.partitions.Store(int64(s.initialPartitions()))
 	}
+	if !s.created && s.placed {
+		// An earlier attempt may have created the row after its response was given up. A read costs an
+		// overloaded store less than another attempt.
+		if s.readBack(ctx); s.created {
+			return nil
+		}
+	}
 	writes := []table.Write{{Key: s.key(), Expect: s.version, Body: s.body()}}
 	if s.version == table.Absent && s.MemberPartition != "" {
 		writes = append(writes, s.memberWrite(table.Absent, s.placedAmong()))
@@ -219,25 +230,34 @@
 }
 
 // resolve handles a failed write. After an unknown outcome or a conflict it reads the version back,
-// which is safe because no other writer puts the row. The caller holds mu.
+// which is safe because no other writer puts the row. The read has a time of its own: the write may
+// have used up that of ctx. The caller holds mu.
 func (s *Session) resolve(ctx context.Context, err error) error {
 	if outcome.Of(err) == outcome.NotDone && !errors.Is(err, table.ErrConflict) {
 		return Error.Wrap(err)
 	}
 	s.placed = true
-	row, readErr := s.service.Get(ctx, s.key())
-	if errors.Is(readErr, table.ErrNotFound) && s.moving != 0 {
+	readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.timing.RenewInterval/renewAttempts)
+	defer cancel()
+	s.readBack(readCtx)
+	return Error.Wrap(err)
+}
+
+// readBack reads the version of the row after a write with an unknown outcome. The caller holds mu.
+func (s *Session) readBack(ctx context.Context) {
+	row, err := s.service.Get(ctx, s.key())
+	if errors.Is(err, table.ErrNotFound) && s.moving != 0 {
 		moved, movedErr := s.service.Get(ctx, sessionKeyAmong(s.moving, s.id))
 		if movedErr == nil {
 			s.partitions.Store(int64(s.moving))
 			s.moving = 0
 		}
 		if movedErr == nil || !errors.Is(movedErr, table.ErrNotFound) {
-			row, readErr = moved, movedErr
+			row, err = moved, movedErr
 		}
 	}
 	switch {
-	case readErr == nil:
+	case err == nil:
 		if row.Version != s.version {
 			// One of the writes with a lost response has succeeded.
 			s.confirm(s.unresolvedSince)
@@ -245,10 +265,9 @@
 		s.version = row.Version
 		s.created = true
 		s.readMemberVersion(ctx)
-	case errors.Is(readErr, table.ErrNotFound):
+	case errors.Is(err, table.ErrNotFound):
 		s.version = table.Absent
 	}
-	return Error.Wrap(err)
 }
 
 // confirm records that a write started at start has succeeded. The caller holds mu.
@@ -339,5 +358,15 @@
 			continue
 		}
 		failures, delay = min(failures+1, renewAttempts), s.timing.RenewInterval/renewRetryDivisor
+		if errors.Is(err, table.ErrThrottled) {
+			delay = s.throttledDelay()
+		}
 	}
 }
+
+// throttledDelay returns the time until the next attempt after the store refused one because it gets
+// too many calls. It is random, so that the nodes do not return together, and leaves several attempts
+// within the time to live.
+func (s *Session) throttledDelay() time.Duration {
+	return s.timing.RenewInterval/throttledDivisor + rand.N(s.timing.RenewInterval/throttledDivisor)
+}
--- a/internal/table/tabletest/tabletest.go
+++ b/internal/table/tabletest/tabletest.go
@@ -24,8 +24,9 @@
 const (
 	// None lets the commit succeed.
 	None Fault = iota
-	// Down rejects the commit without effect.
+	// Down rejects the commit without effect, Throttled for too many calls.
 	Down
+	Throttled
 	// Lost applies the commit and loses the response.
 	Lost
 	// Late loses the response and applies the commit when ApplyLate is called, if its conditions
@@ -110,6 +111,8 @@
 	switch fault {
 	case Down:
 		return nil, outcome.AsNotDone(table.ErrUnavailable)
+	case Throttled:
+		return nil, outcome.AsNotDone(table.ErrThrottled)
 	case Late:
 		t.late = append(t.late, lateCommit{operation, writes})
 		return nil, outcome.AsUnknown(errLost)
