--- a/internal/listcopy/feed.go
+++ b/internal/listcopy/feed.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -26,6 +28,9 @@
 	Copy func(ctx context.Context) (table.Changes, error)
 	// Now returns the time.
 	Now func() time.Time
+	// Sleep, if set, replaces the wait between two attempts to copy. It reports false if there is to be
+	// no other attempt in this call.
+	Sleep func(ctx context.Context) bool
 	// OnCopied, if set, is called for each copy that is used, OnFailed for each attempt that failed.
 	OnCopied func(table.Changes)
 	OnFailed func(error)
@@ -51,17 +56,31 @@
 		}
 		f.large = true
 	}
-	switch f.policy.Next(f.View(), f.known > 0, f.Now()) {
-	case ReadStore:
-		if next == (table.Cursor{}) {
-			return f.readPage(ctx, cursor)
+	for {
+		switch f.policy.Next(f.View(), f.known > 0, f.Now()) {
+		case ReadStore:
+			if next == (table.Cursor{}) {
+				return f.readPage(ctx, cursor)
+			}
+			return f.record(first, next, nil)
+		case AskPeer:
+			if list, done, err := f.copyList(ctx, cursor); err == nil {
+				return list, done, nil
+			}
+		case Wait:
 		}
-		return f.record(first, next, nil)
-	case AskPeer:
-		return f.copyList(ctx, cursor)
-	default:
-		return table.Changes{}, cursor, Error.Wrap(errWaiting)
+		if !f.sleep(ctx) {
+			return table.Changes{}, cursor, Error.Wrap(errWaiting)
+		}
+	}
+}
+
+// sleep waits until the next attempt to copy. It reports false if the context ends first.
+func (f *Feed) sleep(ctx context.Context) bool {
+	if f.Sleep != nil {
+		return f.Sleep(ctx)
 	}
+	return retry.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 }
 
 // copyList returns the list of another node as a single page.
--- a/internal/listcopy/feed_test.go
+++ b/internal/listcopy/feed_test.go
@@ -56,6 +56,9 @@
 	return table.Changes{Revision: s.revision}, nil
 }
 
+// noSleep ends a call after one attempt.
+func noSleep(context.Context) bool { return false }
+
 // node is a node of a simulated zone.
 type node struct {
 	feed   *Feed
@@ -78,7 +81,7 @@
 	z := &zone{store: &store{rows: testRows, revision: 7}, now: time.Unix(0, 0)}
 	for i := range count {
 		n := &node{joinedAt: z.now.Add(joinTime * time.Duration(i) / time.Duration(count))}
-		n.feed = &Feed{Feed: z.store, Now: func() time.Time { return z.now }, View: func() View { return z.view(i) }}
+		n.feed = &Feed{Feed: z.store, Sleep: noSleep, Now: func() time.Time { return z.now }, View: func() View { return z.view(i) }}
 		n.feed.Copy = func(context.Context) (table.Changes, error) { return z.copyTo(i) }
 		z.nodes = append(z.nodes, n)
 	}
@@ -186,6 +189,15 @@
 	}
 }
 
+// In a small fleet each node reads the store, however large the list.
+func TestFeed_SmallFleetReadsStore(t *testing.T) {
+	source := &store{rows: testRows, revision: 3}
+	feed := &Feed{Feed: source, Now: time.Now, View: func() View { return View{Small: true, Peers: 50, Rank: 40} }}
+	if page, _, err := feed.Page(t.Context(), table.Cursor{}); err != nil || len(page.Changes) != pageRows {
+		t.Fatalf("%d rows, error %v", len(page.Changes), err)
+	}
+}
+
 // A list of one page is read from the store at once, as nothing is gained by asking others.
 func TestFeed_SmallListIsRead(t *testing.T) {
 	source := &store{rows: pageRows, revision: 3}
@@ -201,7 +213,7 @@
 	now := time.Unix(0, 0)
 	view := View{}
 	source := &store{rows: testRows, revision: 3}
-	feed := &Feed{Feed: source, Now: func() time.Time { return now }, View: func() View { return view }}
+	feed := &Feed{Feed: source, Sleep: noSleep, Now: func() time.Time { return now }, View: func() View { return view }}
 	if _, _, err := feed.Page(t.Context(), table.Cursor{}); err == nil {
 		t.Fatal("a node that may not know all others reads the store at once")
 	}
@@ -221,7 +233,7 @@
 	now := time.Unix(0, 0)
 	source := &store{rows: testRows, revision: 5}
 	offered := uint64(5)
-	feed := &Feed{Feed: source, Now: func() time.Time { return now }, View: func() View { return View{Joined: true, Peers: 3, Rank: 3} }}
+	feed := &Feed{Feed: source, Sleep: noSleep, Now: func() time.Time { return now }, View: func() View { return View{Joined: true, Peers: 3, Rank: 3} }}
 	feed.Copy = func(context.Context) (table.Changes, error) {
 		return table.Changes{Revision: offered, Changes: make([]table.Change, testRows)}, nil
 	}
--- a/internal/listcopy/policy.go
+++ b/internal/listcopy/policy.go
@@ -13,6 +13,8 @@
 const (
 	// zoneReaders is the number of nodes of a zone that read the store without asking others first.
 	zoneReaders = 2
+	// retryDelay is the mean time between two attempts to copy.
+	retryDelay = 100 * time.Millisecond
 	// startPatience is how long a starting node tries to copy before it reads the store, and
 	// rereadPatience the same for a node whose list no longer changes meanwhile. Both are extended by
 	// up to as much again, at random, so that nodes that give up do not read at the same time.
@@ -35,6 +37,8 @@
 
 // View is what a node knows of its zone.
 type View struct {
+	// Small is set if the fleet is so small that the store can send the list to each node.
+	Small bool
 	// Joined is set once the node has received its own member row, and so all that were written
 	// before it.
 	Joined bool
@@ -60,7 +64,7 @@
 		p.giveUpAt = now.Add(patience + rand.N(patience))
 	}
 	switch {
-	case !now.Before(p.giveUpAt), view.Joined && view.Rank < zoneReaders:
+	case view.Small, !now.Before(p.giveUpAt), view.Joined && view.Rank < zoneReaders:
 		return ReadStore
 	case view.Peers == 0:
 		return Wait
--- a/internal/node/gatewaylistcopy_test.go
+++ b/internal/node/gatewaylistcopy_test.go
@@ -16,6 +16,7 @@
 func TestGateway_CopiesLargeReplicaList(t *testing.T) {
 	const listed = 300
 	site := newGatewaySite(t, 0)
+	site.relayFrom = 1
 	for i := range listed {
 		site.store.Put("servers", fmt.Sprintf("i-%03d", i), standin.ServerRow("127.0.0.1:1", "z", 8, false))
 	}
