--- a/internal/listcopy/feed_test.go
+++ b/internal/listcopy/feed_test.go
@@ -189,6 +189,14 @@
 	}
 }
 
+// A node that starts does not take its fleet for small because it knows no others yet.
+func TestFeed_WaitsUntilOthersAreKnown(t *testing.T) {
+	feed := &Feed{Feed: &store{rows: testRows, revision: 3}, Sleep: noSleep, Now: time.Now, View: func() View { return View{Unknown: true, Small: true, Joined: true} }}
+	if _, _, err := feed.Page(t.Context(), table.Cursor{}); err == nil {
+		t.Fatal("a node that knows no others reads the store")
+	}
+}
+
 // In a small fleet each node reads the store, however large the list.
 func TestFeed_SmallFleetReadsStore(t *testing.T) {
 	source := &store{rows: testRows, revision: 3}
--- a/internal/listcopy/policy.go
+++ b/internal/listcopy/policy.go
@@ -37,6 +37,8 @@
 
 // View is what a node knows of its zone.
 type View struct {
+	// Unknown is set while the node does not know yet which others there are.
+	Unknown bool
 	// Small is set if the fleet is so small that the store can send the list to each node.
 	Small bool
 	// Joined is set once the node has received its own member row, and so all that were written
@@ -64,7 +66,11 @@
 		p.giveUpAt = now.Add(patience + rand.N(patience))
 	}
 	switch {
-	case view.Small, !now.Before(p.giveUpAt), view.Joined && view.Rank < zoneReaders:
+	case !now.Before(p.giveUpAt):
+		return ReadStore
+	case view.Unknown:
+		return Wait
+	case view.Small, view.Joined && view.Rank < zoneReaders:
 		return ReadStore
 	case view.Peers == 0:
 		return Wait
--- a/internal/node/gatewaylistcopy.go
+++ b/internal/node/gatewaylistcopy.go
@@ -74,7 +74,7 @@
 // zoneView returns what this node knows of its zone.
 func (g *Gateway) zoneView() listcopy.View {
 	peers := g.nodes.inOwnZone()
-	view := listcopy.View{Small: g.roster.Count() <= g.settings.Gateway.RelayFrom, Joined: g.roster.Joined(), Peers: len(peers)}
+	view := listcopy.View{Unknown: !g.jobWatch.Populated(), Small: g.roster.Count() <= g.settings.Gateway.RelayFrom, Joined: g.roster.Joined(), Peers: len(peers)}
 	own := replica.Key(g.settings.Node.ID)
 	for _, peer := range peers {
 		if replica.Key(peer) > own {
