--- a/internal/node/gatewaymemory_test.go
+++ b/internal/node/gatewaymemory_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
-	"runtime/pprof"
 	"testing"
 	"time"
 
@@ -40,11 +38,6 @@
 		})
 		time.Sleep(300 * time.Millisecond)
 		used[i] = heapInUse() - before
-		if path := os.Getenv("HEAP_PROFILE"); path != "" {
-			file, _ := os.Create(path)
-			_ = pprof.WriteHeapProfile(file)
-			_ = file.Close()
-		}
 		gateway.Kill()
 	}
 	each := float64(used[1]-used[0]) / float64(sizes[1]-sizes[0])
--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -29,8 +29,13 @@
 	// to answer callers from it.
 	relayJobPoll    = 300 * time.Millisecond
 	followerJobPoll = 400 * time.Millisecond
+	// feedGroups is the number of groups, and so of calls that a follower has under way.
+	feedGroups = 3
 )
 
+// processStart is the origin of the stamps of answers.
+var processStart = clock.Now()
+
 // feedGroup names a group of rows that relays pass on.
 type feedGroup string
 
@@ -66,7 +71,7 @@
 func newRelays(from int, metrics *coreMetrics) *relays {
 	return &relays{
 		from: from, metrics: metrics, logs: map[feedGroup]*relay.Log{}, feeds: map[feedGroup]*relay.Feed{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: len([]feedGroup{configGroup, replicaGroup, jobGroup})}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: feedGroups}},
 	}
 }
 
@@ -178,9 +183,6 @@
 	_, _ = w.Write(body)
 }
 
-// processStart is the origin of the stamps of answers.
-var processStart = clock.Now()
-
 // relayStatus returns the status that tells a follower why a relay has no answer.
 func relayStatus(err error) int {
 	if errors.Is(err, relay.ErrBehind) {
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -64,17 +64,17 @@
 func (l *Log) Append(changes table.Changes) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.asOf.IsZero() {
+	l.revision = max(l.revision, changes.Revision)
+	switch {
+	case l.asOf.IsZero():
 		// The first changes are the whole group.
-		l.first, l.revision = changes.Revision, changes.Revision
-	} else if len(changes.Changes) > 0 {
-		l.revision = max(l.revision, changes.Revision)
+		l.first = l.revision
+	case len(changes.Changes) > 0:
 		l.batches = append(l.batches, batch{changes: slices.Clone(changes.Changes), revision: l.revision})
 		l.count += len(changes.Changes)
 		l.trim()
 		l.notify()
 	}
-	l.revision = max(l.revision, changes.Revision)
 	if !changes.More && changes.AsOf.After(l.asOf) {
 		l.asOf, l.now = changes.AsOf, changes.Now
 	}
