listcopy: a node whose history is lost tries longer to copy; node: no relays without a roster

TestFeed_WholeReadsDoNotGrowWithZone: 53 whole reads of 400 nodes after a lost history, 52 allowed: the number of sources doubles each 0.3 s and reaches all nodes after some 1.7 s, while nodes gave up after 1 to 2 s. FuzzHarmTold: a gateway without relays dereferenced nil; the zero value has none.

--- a/internal/listcopy/policy.go
+++ b/internal/listcopy/policy.go
@@ -19,7 +19,7 @@
 	// rereadPatience the same for a node whose list no longer changes meanwhile. Both are extended by
 	// up to as much again, at random, so that nodes that give up do not read at the same time.
 	startPatience  = 4 * time.Second
-	rereadPatience = time.Second
+	rereadPatience = 2 * time.Second
 )
 
 // Action is what a node does next to get the list.
--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -46,7 +46,8 @@
 	jobGroup     feedGroup = "jobs"
 )
 
-// relays passes the changes of all groups on, or follows other nodes that do.
+// relays passes the changes of all groups on, or follows other nodes that do. Without a roster, and if
+// it is nil, there are no relays.
 type relays struct {
 	roster *lease.Roster
 	// from is the number of nodes above which nodes follow relays.
@@ -97,6 +98,9 @@
 
 // currentRole returns this node's role, which changes with the nodes.
 func (r *relays) currentRole() relay.Role {
+	if r == nil || r.roster == nil {
+		return relay.Role{}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refresh()
@@ -106,6 +110,9 @@
 // nodes returns the relays of all zones; none if nodes follow the store. The caller must not modify the
 // slice.
 func (r *relays) nodes() []string {
+	if r == nil || r.roster == nil {
+		return nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refresh()
@@ -115,6 +122,9 @@
 // followers returns the nodes that follow this one before other relays. The caller must not modify the
 // slice.
 func (r *relays) followers() []string {
+	if r == nil || r.roster == nil {
+		return nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refresh()
