--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -58,6 +58,6 @@
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.RecordSuccess(c.request.Work())
 	case LooksLikeCrash(err, c.status):
-		guard.RecordInterruption(ctx, quarantine.Replica{ID: chosen.ID, StartedUnixMs: chosen.StartedUnixMs, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), SentAt: began})
+		guard.RecordInterruption(ctx, quarantine.Replica{ID: chosen.ID, StartedUnixMs: chosen.StartedUnixMs, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), SentAt: began, Answered: c.status != 0})
 	}
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -17,6 +17,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -265,6 +266,9 @@
 		if noReplicaErr := (*replica.NoReplicaError)(nil); errors.As(err, &noReplicaErr) {
 			entry = entry.Str("excluded", noReplicaErr.Reasons()).Strs("homes", target.Regions.Intersect(request.Regions))
 		}
+		if refusal := (*quarantine.RefusalError)(nil); errors.As(err, &refusal) {
+			entry = entry.Stringer("work", refusal.Work)
+		}
 	}
 	entry.Str("request", request.ID).Str("route", target.Name).Str("pool", result.Pool).
 		Str("replica", result.Replica).Str("region", result.Region).Stringer("distance", result.Distance).Int("status", result.Status).Int("attempts", result.Attempts).
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -91,11 +91,13 @@
 
 // ReplicaCrashed implements quarantine.Events.
 func (c *core) ReplicaCrashed(report quarantine.CrashReport) {
-	works := make([]string, len(report.Runs))
+	works, answered := make([]string, len(report.Runs)), make([]bool, len(report.Runs))
+	ages := make([]int64, len(report.Runs))
 	for i, run := range report.Runs {
-		works[i] = run.Work.String()
+		works[i], answered[i], ages[i] = run.Work.String(), run.Answered, report.At.Sub(run.SentAt).Milliseconds()
 	}
-	c.log.Warn().Str("replica", report.Replica).Int64("born", report.StartedUnixMs).Strs("works", works).Msg("replica crashed while it ran work of this node")
+	c.log.Warn().Str("replica", report.Replica).Int64("born", report.StartedUnixMs).Int64("noticed_ms_ago", clock.Since(report.At).Milliseconds()).
+		Strs("works", works).Ints64("run_ms", ages).Bools("answered", answered).Msg("replica crashed while it ran work of this node")
 	c.quarantine.publisher.PublishCrash(report)
 }
 
@@ -110,8 +112,16 @@
 // Quarantined implements quarantine.Events.
 func (c *core) Quarantined(verdict quarantine.Verdict) {
 	c.metrics.quarantined.Inc()
-	c.log.Warn().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).
-		Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
+	ages := make([]int64, len(verdict.CrashTimes))
+	for i, at := range verdict.CrashTimes {
+		ages[i] = clock.Since(at).Milliseconds()
+	}
+	suspects := make([]string, len(verdict.OtherSuspects))
+	for i, other := range verdict.OtherSuspects {
+		suspects[i] = other.String()
+	}
+	c.log.Warn().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).Ints64("crashed_ms_ago", ages).
+		Strs("other_suspects", suspects).Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
 }
 
 // Suspects implements server.Quarantine.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -23,6 +23,7 @@
 	}
 	for _, c := range crashes {
 		verdict.Replicas = append(verdict.Replicas, c.replica)
+		verdict.CrashTimes = append(verdict.CrashTimes, c.at)
 		verdict.LastCrash = c.at
 	}
 	if excess := len(crashes) - verdict.Limit; excess >= 0 {
@@ -82,3 +83,17 @@
 	}
 	return sequence
 }
+
+// otherSuspects returns the other work that ran on the replicas of the crashes which count against
+// work, and that has reached the crash limit as well. The caller holds mu.
+func (l *List) otherSuspects(work Work, now time.Time) []Work {
+	var others []Work
+	for _, c := range l.countedCrashes(work, now, l.successes.at(work)) {
+		for other := range c.works {
+			if other != work && !slices.Contains(others, other) && len(l.suspects[other].crashes) >= l.Limit() {
+				others = append(others, other)
+			}
+		}
+	}
+	return others
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -50,6 +50,9 @@
 	Work Work
 	// SentAt is when the request was sent to the replica.
 	SentAt time.Time
+	// Answered is set if the header of the answer had arrived; only the node that sent the run
+	// knows it.
+	Answered bool
 }
 
 // List identifies harmful work from replica crashes. Work with CrashLimit crashes within Window is
@@ -265,6 +268,9 @@
 	if s := l.suspects[work]; s != nil {
 		verdict.NewlyQuarantined = verdict.Quarantined && !s.quarantined
 		s.quarantined, verdict.QueriedAt = verdict.Quarantined, s.queriedAt
+		if verdict.NewlyQuarantined {
+			verdict.OtherSuspects = l.otherSuspects(work, now)
+		}
 	}
 	return verdict
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -26,6 +26,11 @@
 	// Replicas are the ids of the replicas whose crashes count, oldest first; a replica that
 	// crashed twice occurs twice.
 	Replicas []string
+	// CrashTimes are the times of these crashes.
+	CrashTimes []time.Time
+	// OtherSuspects is set if NewlyQuarantined is: other work that ran on the same replicas and
+	// has reached the crash limit as well, so either may have caused the crashes.
+	OtherSuspects []Work
 	// Quarantined work is sent to no replica before Until.
 	Quarantined bool
 	Until       time.Time
