peer: Pending matches replies with requests

Cold grants kept their own map of waiting requests; trials of quarantined work are about to need the same. No change in behaviour: the tests of cold grants are untouched.

--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -40,8 +39,7 @@
 	send     func(to *net.UDPAddr, kind peer.Kind, body any) error
 	onError  func(err error)
 
-	mu      sync.Mutex
-	pending map[uint64]chan bool
+	pending peer.Pending[bool]
 }
 
 // handleColdGrants makes this node request grants for cold replicas from other nodes, and reply to
@@ -62,8 +60,9 @@
 		// The address of the node is not known.
 		return false
 	}
-	number, reply := c.register()
-	defer c.forget(number)
+	number := rand.Uint64()
+	reply := c.pending.Register(number)
+	defer c.pending.Forget(number)
 	request := coldGrantRequest{Number: number, Replica: sender.Replica, Presumed: sender.Presumed, StartedUnixMs: sender.StartedUnixMs}
 	if err := c.send(to, peer.KindColdGrantRequest, request); err != nil {
 		c.onError(err)
@@ -77,24 +76,6 @@
 	}
 }
 
-// register returns the number for a new request and the channel that receives its reply.
-func (c *coldGranter) register() (number uint64, reply chan bool) {
-	number, reply = rand.Uint64(), make(chan bool, 1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending == nil {
-		c.pending = map[uint64]chan bool{}
-	}
-	c.pending[number] = reply
-	return number, reply
-}
-
-func (c *coldGranter) forget(number uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, number)
-}
-
 // handleRequest returns the handler of peer.KindColdGrantRequest.
 func (c *coldGranter) handleRequest(now func() time.Time) peer.Handler {
 	return func(_ string, source *net.UDPAddr, body []byte) {
@@ -123,10 +104,5 @@
 		c.onError(err)
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if result, ok := c.pending[reply.Number]; ok {
-		delete(c.pending, reply.Number)
-		result <- reply.Granted
-	}
+	c.pending.Deliver(reply.Number, reply.Granted)
 }
