--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -9,6 +9,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -78,6 +79,8 @@
 	sentAt    time.Time
 	// status is the HTTP status of the last attempt's answer; 0 if there was none.
 	status int
+	// trial is set while the request runs as a trial of quarantined work.
+	trial *quarantine.Trial
 	// slowestRefusal is the longest duration of an attempt that did not run.
 	slowestRefusal time.Duration
 }
@@ -155,6 +158,7 @@
 
 // run sends attempts until one succeeds or no further one is allowed.
 func (c *call) run(ctx context.Context) error {
+	defer c.endTrial()
 	for {
 		if err := c.checkQuarantine(ctx); err != nil {
 			return c.withOutcome(err)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -15,10 +15,15 @@
 // are called only while some work is suspected. A Quarantine is safe for concurrent use.
 type Quarantine interface {
 	// RefuseRequest returns a quarantine.RefusalError for a request that must not be sent, either
-	// at once or after a short wait for reports of other nodes. Refuse does the same without
-	// waiting, for other work.
-	RefuseRequest(ctx context.Context, work func() quarantine.Work) error
+	// at once or after a wait for reports of other nodes and for the trial of another request. If
+	// the request may be sent as a trial, it returns that. Refuse does the same without waiting or
+	// trials, for other work.
+	RefuseRequest(ctx context.Context, work func() quarantine.Work) (*quarantine.Trial, error)
 	Refuse(work func() quarantine.Work) error
+	// InterruptTrial records that the answer to a trial was interrupted, EndTrial that a trial
+	// ended in another way than by a success.
+	InterruptTrial(trial quarantine.Trial)
+	EndTrial(trial quarantine.Trial)
 	// RecordSuccess records a complete answer for the work.
 	RecordSuccess(work quarantine.Work)
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
@@ -41,12 +46,26 @@
 	return false
 }
 
-// checkQuarantine returns an error if the request's work must not be sent.
+// checkQuarantine returns an error if the request's work must not be sent. A request that was
+// admitted as a trial remains one until an attempt has been interrupted.
 func (c *call) checkQuarantine(ctx context.Context) error {
-	if c.forwarder.Quarantine == nil {
+	if c.forwarder.Quarantine == nil || c.trial != nil {
 		return nil
 	}
-	return c.forwarder.Quarantine.RefuseRequest(ctx, c.request.Work)
+	trial, err := c.forwarder.Quarantine.RefuseRequest(ctx, c.request.Work)
+	if err != nil && ctx.Err() != nil {
+		return contextError(ctx)
+	}
+	c.trial = trial
+	return err
+}
+
+// endTrial ends the request's trial, if it has one that is still under way.
+func (c *call) endTrial() {
+	if c.trial != nil {
+		c.forwarder.Quarantine.EndTrial(*c.trial)
+		c.trial = nil
+	}
 }
 
 // reportToQuarantine reports how an attempt ended. If the replica may have crashed it waits until
@@ -57,7 +76,13 @@
 	case guard == nil:
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.RecordSuccess(c.request.Work())
+		c.trial = nil
 	case LooksLikeCrash(err, c.status):
-		guard.RecordInterruption(ctx, quarantine.Replica{ID: chosen.ID, StartedUnixMs: chosen.StartedUnixMs, Address: chosen.Address}, quarantine.Run{Work: c.request.Work(), SentAt: began, Answered: c.status != 0})
+		run := quarantine.Run{Work: c.request.Work(), SentAt: began, Trial: c.trial != nil, Answered: c.status != 0}
+		if c.trial != nil {
+			guard.InterruptTrial(*c.trial)
+			c.trial = nil
+		}
+		guard.RecordInterruption(ctx, quarantine.Replica{ID: chosen.ID, StartedUnixMs: chosen.StartedUnixMs, Address: chosen.Address}, run)
 	}
 }
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -98,6 +98,8 @@
 	workID *quarantine.Work
 	// quarantined is set while the item is known to be quarantined.
 	quarantined bool
+	// trial is set while the item may run although it is quarantined.
+	trial bool
 	// wait is what the item waits for, waitCause the error behind it, waitStart when it began.
 	wait      WaitReason
 	waitCause error
--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -32,11 +32,14 @@
 		return false
 	}
 	err := r.Quarantine.Refuse(func() quarantine.Work { return r.workIdentity(t, item) })
-	if refusal := (*quarantine.RefusalError)(nil); errors.As(err, &refusal) && refusal.TrialDue(now) {
+	refusal := (*quarantine.RefusalError)(nil)
+	trial := errors.As(err, &refusal) && refusal.ItemTrialDue(now)
+	if trial {
 		// Only one node runs the item, so its trial takes place at one replica at a time.
 		err = nil
 	}
 	r.mu.Lock()
+	t.trial = trial
 	first := err != nil && !t.quarantined
 	t.quarantined = err != nil
 	if t.quarantined {
@@ -56,6 +59,14 @@
 	return true
 }
 
+// isTrial reports whether the latest run of a task was a trial. The caller must not hold the
+// runner's lock.
+func (r *Runner) isTrial(t *task) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.trial
+}
+
 // reportToQuarantine reports the result of an attempt at an item, which was sent at start and
 // resumed after event resumedAfter. An interrupted run that brought new events does not count
 // against the item: items run for long, so many of them are running when a replica crashes, and
@@ -71,5 +82,6 @@
 	if t.lastEvent > resumedAfter || !forward.LooksLikeCrash(err, 0) {
 		return
 	}
-	r.Quarantine.RecordInterruption(ctx, quarantine.Replica{ID: chosen.ID, StartedUnixMs: chosen.StartedUnixMs, Address: chosen.Address}, quarantine.Run{Work: r.workIdentity(t, item), SentAt: start})
+	run := quarantine.Run{Work: r.workIdentity(t, item), SentAt: start, Trial: r.isTrial(t)}
+	r.Quarantine.RecordInterruption(ctx, quarantine.Replica{ID: chosen.ID, StartedUnixMs: chosen.StartedUnixMs, Address: chosen.Address}, run)
 }
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -32,6 +32,7 @@
 	g.jobs.Notify = g.notifyRowsChanged
 	g.quota.Sender = socket
 	g.handleColdGrants(socket)
+	g.handleTrials(socket)
 	g.metrics.registerPeers(socket)
 	return g.listenBootstrap()
 }
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -57,6 +57,8 @@
 	// SuccessAges is how long before the crash each of Works last succeeded, in ms; 0 if the sender
 	// has not seen it succeed. It informs nodes that have just started.
 	SuccessAges []int64 `cbor:"6,keyasint,omitempty"`
+	// Trials are those of Works whose run was a trial.
+	Trials []quarantine.Work `cbor:"7,keyasint,omitempty"`
 }
 
 // clearingEntry is a work that succeeded or was released.
@@ -85,7 +87,7 @@
 	}
 	for _, report := range update.Reports {
 		works, durations := report.EncodeRuns()
-		successAges := g.quarantine.EncodeSuccesses(works, report.At)
+		successAges, trials := g.quarantine.EncodeSuccesses(works, report.At), report.Trials()
 		for len(works) > 0 {
 			if workCount >= maxMessageWorks || len(message.Crashes) >= maxMessageCrashes {
 				flush()
@@ -93,7 +95,7 @@
 			count := min(len(works), maxMessageWorks-workCount)
 			message.Crashes = append(message.Crashes, crashEntry{
 				Replica: report.Replica, StartedUnixMs: report.StartedUnixMs, Works: works[:count], Durations: durations[:count], SuccessAges: successAges[:count],
-				AgeMs: now.Sub(report.At).Milliseconds(),
+				AgeMs: now.Sub(report.At).Milliseconds(), Trials: trials,
 			})
 			works, durations, successAges = works[count:], durations[count:], successAges[count:]
 			workCount += count
@@ -149,7 +151,7 @@
 // others what it learns.
 func (g *Gateway) queryPeers(work quarantine.Work, repeat bool) bool {
 	others, query := g.nodes.others(), quarantineMessage{Query: &work}
-	if len(g.relays.nodes()) > 0 && !g.quarantine.guard.OwnsTrials(work) {
+	if len(g.relays.nodes()) > 0 && !g.quarantine.guard.Trials.Owns(work) {
 		repeat = true
 	}
 	if repeat {
@@ -189,7 +191,7 @@
 			g.quarantine.Clear(success.Work, success.At)
 		}
 		g.quarantine.guard.RecordCrash(quarantine.CrashReport{
-			Replica: crash.Replica, StartedUnixMs: crash.StartedUnixMs, Runs: quarantine.DecodeRuns(crash.Works, crash.Durations, at), At: at,
+			Replica: crash.Replica, StartedUnixMs: crash.StartedUnixMs, Runs: quarantine.DecodeRuns(crash.Works, crash.Durations, crash.Trials, at), At: at,
 		})
 	}
 	for _, clearing := range message.Clearings {
@@ -208,7 +210,7 @@
 // an answer. forwarded is set if all nodes get the message already.
 func (g *Gateway) handleClearing(clearing quarantine.Clearing, forwarded bool) {
 	previous := g.quarantine.Clear(clearing.Work, clearing.At)
-	if forwarded || len(previous.Replicas) == 0 || len(g.relays.nodes()) == 0 || !g.quarantine.guard.OwnsTrials(clearing.Work) {
+	if forwarded || len(previous.Replicas) == 0 || len(g.relays.nodes()) == 0 || !g.quarantine.guard.Trials.Owns(clearing.Work) {
 		return
 	}
 	g.quarantine.publisher.PublishClearing(clearing)
--- /dev/null
+++ b/internal/node/gatewaytrial.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/lease"
+	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+)
+
+const (
+	// trialReplyTimeout bounds the wait for a reply to a trial request; a node with a small share of
+	// a core may be delayed by some tens of milliseconds.
+	trialReplyTimeout = 100 * time.Millisecond
+	// trialOwnersTried is the number of nodes that are asked for a trial, in turn: a node that was
+	// lost is listed for some seconds.
+	trialOwnersTried = 2
+)
+
+// trialRequest asks for a trial of quarantined work, or reports that one ended without a result.
+type trialRequest struct {
+	Work  quarantine.Work `cbor:"1,keyasint"`
+	ID    uint64          `cbor:"2,keyasint"`
+	Ended bool            `cbor:"3,keyasint,omitempty"`
+}
+
+// trialReply grants or denies a trial.
+type trialReply struct {
+	ID      uint64 `cbor:"1,keyasint"`
+	Granted bool   `cbor:"2,keyasint"`
+}
+
+// localTrials implements quarantine.TrialOwners for nodes that cannot ask each other: only the node
+// that owns the trials of a work runs them.
+type localTrials struct{ *core }
+
+var _ quarantine.TrialOwners = localTrials{}
+
+// Owns implements quarantine.TrialOwners.
+func (t localTrials) Owns(work quarantine.Work) bool {
+	return t.owners.Preferred(work.String()) == t.session.ID()
+}
+
+// CanRequest implements quarantine.TrialOwners.
+func (localTrials) CanRequest() bool { return false }
+
+// Request implements quarantine.TrialOwners.
+func (localTrials) Request(context.Context, quarantine.Trial) bool { return false }
+
+// End implements quarantine.TrialOwners.
+func (localTrials) End(quarantine.Trial) {}
+
+// peerTrials implements quarantine.TrialOwners with messages between nodes.
+type peerTrials struct {
+	localTrials
+	gateway *Gateway
+	pending peer.Pending[bool]
+}
+
+// handleTrials makes this node request trials from other nodes, and reply to their requests.
+func (g *Gateway) handleTrials(socket *peer.Socket) {
+	trials := &peerTrials{localTrials: localTrials{g.core}, gateway: g}
+	socket.Handle(peer.KindTrialRequest, trials.handleRequest)
+	socket.Handle(peer.KindTrialReply, trials.handleReply)
+	g.quarantine.guard.Trials = trials
+}
+
+// CanRequest implements quarantine.TrialOwners.
+func (*peerTrials) CanRequest() bool { return true }
+
+// Request implements quarantine.TrialOwners. If the owner does not reply, the node that would own
+// the trials without it is asked.
+func (t *peerTrials) Request(ctx context.Context, trial quarantine.Trial) bool {
+	for _, owner := range t.candidates(trial.Work) {
+		if owner == t.session.ID() {
+			return t.quarantine.BeginTrial(trial, clock.Now())
+		}
+		if granted, replied := t.ask(ctx, owner, trial); replied {
+			return granted
+		}
+	}
+	return false
+}
+
+// candidates returns the sessions that own the trials of a work, or would if the ones before them
+// were gone.
+func (t *peerTrials) candidates(work quarantine.Work) []string {
+	live := slices.Clone(t.owners.Live())
+	var candidates []string
+	for len(candidates) < trialOwnersTried && len(live) > 0 {
+		owner := lease.Preferred(live, work.String())
+		candidates = append(candidates, owner)
+		live = slices.DeleteFunc(live, func(session string) bool { return session == owner })
+	}
+	return candidates
+}
+
+// ask asks a session for a trial.
+func (t *peerTrials) ask(ctx context.Context, owner string, trial quarantine.Trial) (granted, replied bool) {
+	reply := t.pending.Register(trial.ID)
+	defer t.pending.Forget(trial.ID)
+	t.gateway.sendToNode(lease.Node(owner), peer.KindTrialRequest, trialRequest{Work: trial.Work, ID: trial.ID})
+	ctx, cancel := context.WithTimeout(ctx, trialReplyTimeout)
+	defer cancel()
+	select {
+	case granted = <-reply:
+		return granted, true
+	case <-ctx.Done():
+		return false, false
+	}
+}
+
+// End implements quarantine.TrialOwners.
+func (t *peerTrials) End(trial quarantine.Trial) {
+	for _, owner := range t.candidates(trial.Work) {
+		if owner == t.session.ID() {
+			t.quarantine.EndTrial(trial)
+			continue
+		}
+		t.sendEnd(owner, trial)
+	}
+}
+
+// sendEnd tells a session that a trial ended without a result.
+func (t *peerTrials) sendEnd(owner string, trial quarantine.Trial) {
+	t.gateway.sendToNode(lease.Node(owner), peer.KindTrialRequest, trialRequest{Work: trial.Work, ID: trial.ID, Ended: true})
+}
+
+// handleRequest handles peer.KindTrialRequest.
+func (t *peerTrials) handleRequest(from string, source *net.UDPAddr, body []byte) {
+	var request trialRequest
+	if err := cbor.Unmarshal(body, &request); err != nil {
+		t.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("request for a trial cannot be decoded")
+		return
+	}
+	trial := quarantine.Trial{Work: request.Work, ID: request.ID}
+	if request.Ended {
+		t.quarantine.EndTrial(trial)
+		return
+	}
+	reply := trialReply{ID: request.ID, Granted: t.quarantine.GrantTrial(trial, clock.Now())}
+	if reply.Granted {
+		t.log.Info().Stringer("work", request.Work).Str("node", lease.Node(from)).Msg("trial of quarantined work granted")
+	}
+	if err := t.gateway.peers.Send(source, peer.KindTrialReply, reply); err != nil {
+		t.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("reply to a request for a trial not sent")
+	}
+}
+
+// handleReply handles peer.KindTrialReply.
+func (t *peerTrials) handleReply(from string, _ *net.UDPAddr, body []byte) {
+	var reply trialReply
+	if err := cbor.Unmarshal(body, &reply); err != nil {
+		t.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("reply to a request for a trial cannot be decoded")
+		return
+	}
+	t.pending.Deliver(reply.ID, reply.Granted)
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -51,6 +51,8 @@
 	// quarantined counts works put in quarantine, cleared suspected works that succeeded, and
 	// released works released by operators.
 	quarantined, cleared, released prometheus.Counter
+	// trials counts trials of quarantined work of this node, by event.
+	trials *prometheus.CounterVec
 	// noReplica counts the requests that no replica could serve, by the main reason for which
 	// replicas were excluded.
 	noReplica *prometheus.CounterVec
@@ -127,6 +129,9 @@
 	m.cleared = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_cleared_total", Help: "Suspected works of which a run at this node ended well.",
 	})
+	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_quarantine_trials_total", Help: "Requests of this node that ran as a trial of quarantined work (begun), and those that ended with neither a success nor a crash (inconclusive).",
+	}, []string{"event"})
 	m.released = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_released_total", Help: "Works that operators released at this node.",
 	})
@@ -143,7 +148,7 @@
 	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
-	m.registry.MustRegister(m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
+	m.registry.MustRegister(m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
 		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
 	return m
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -41,7 +41,7 @@
 	state.publisher.OnError = func(err error) {
 		c.log.Warn().Err(err).Msg("crash reports not written yet")
 	}
-	state.guard.OwnsTrials = func(work quarantine.Work) bool { return c.owners.Preferred(work.String()) == c.session.ID() }
+	state.guard.Trials = localTrials{c}
 	state.publisher.OwnsSweep = func() bool { return c.owners.Preferred(jobs.QuarantinePartition()) == c.session.ID() }
 	c.quarantine = state
 	c.forwarder.Quarantine = &state.guard
@@ -124,6 +124,19 @@
 		Strs("other_suspects", suspects).Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
 }
 
+// TrialBegun implements quarantine.Events.
+func (c *core) TrialBegun(verdict quarantine.Verdict) {
+	c.metrics.trials.WithLabelValues("begun").Inc()
+	c.log.Info().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).Int("failed_trials", verdict.FailedTrials).
+		Msg("trial of quarantined work begun")
+}
+
+// TrialInconclusive implements quarantine.Events.
+func (c *core) TrialInconclusive(work quarantine.Work) {
+	c.metrics.trials.WithLabelValues("inconclusive").Inc()
+	c.log.Info().Stringer("work", work).Msg("trial of quarantined work ended without a result")
+}
+
 // Suspects implements server.Quarantine.
 func (c *core) Suspects() v1.SuspectList {
 	now := clock.Now()
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -17,6 +17,7 @@
 	if !lastSuccess.IsZero() {
 		crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return l.explainedByOther(c, work, now) })
 	}
+	l.countTrials(&verdict, crashes, now)
 	crashes = longestSequence(crashes, work)
 	if !lastSuccess.IsZero() || l.RowsPending {
 		verdict.Limit *= provenFactor
@@ -33,6 +34,25 @@
 	return verdict
 }
 
+// countTrials counts the trials among the crashes of a verdict. A trial on a replica that other work
+// may have crashed says little, so it does not delay the next one much. Harmful work that crashes
+// replicas beside other suspects gets at most maxExplainedTrials trials for that. The caller holds
+// mu.
+func (l *List) countTrials(verdict *Verdict, crashes []*crash, now time.Time) {
+	explained := 0
+	for _, c := range crashes {
+		if !c.works[verdict.Work].trial {
+			continue
+		}
+		verdict.LastTrial = c.at
+		if explained < maxExplainedTrials && l.explainedByOther(c, verdict.Work, now) {
+			explained++
+			continue
+		}
+		verdict.FailedTrials++
+	}
+}
+
 // countedCrashes returns the crashes during runs of work that are later than after and within the
 // window, in time order. The caller holds mu.
 func (l *List) countedCrashes(work Work, now, after time.Time) []*crash {
@@ -50,8 +70,9 @@
 
 // explainedByOther reports whether other work that ran on the replica explains the crash: work that
 // reached the crash limit, at least once on a replica that did not run this work, and that never
-// succeeded. It applies to proven work only. Otherwise popular work that has not succeeded yet
-// would explain the crashes of harmful work that runs beside it. The caller holds mu.
+// succeeded. Such crashes do not count against proven work, and as trials of other work. They count
+// in full as crashes of unproven work. Otherwise popular work that has not succeeded yet would
+// explain the crashes of harmful work that runs beside it. The caller holds mu.
 func (l *List) explainedByOther(c *crash, work Work, now time.Time) bool {
 	for other := range c.works {
 		if other == work || !l.successes.at(other).IsZero() || len(l.suspects[other].crashes) < l.Limit() {
@@ -77,7 +98,7 @@
 func longestSequence(crashes []*crash, work Work) []*crash {
 	var sequence []*crash
 	for _, c := range crashes {
-		if len(sequence) == 0 || !c.works[work].Before(sequence[len(sequence)-1].at.Add(-clockSkew)) {
+		if len(sequence) == 0 || !c.works[work].sentAt.Before(sequence[len(sequence)-1].at.Add(-clockSkew)) {
 			sequence = append(sequence, c)
 		}
 	}
--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -150,3 +150,70 @@
 		n.list.Clear(clearing.Work, clearing.At)
 	}
 }
+
+// TrialBegun implements quarantine.Events.
+func (n *fleetNode) TrialBegun(quarantine.Verdict) {}
+
+// TrialInconclusive implements quarantine.Events.
+func (n *fleetNode) TrialInconclusive(quarantine.Work) {}
+
+// endTrial ends a trial without a result, if trial is not nil.
+func (n *fleetNode) endTrial(trial *quarantine.Trial) {
+	if trial != nil {
+		n.guard.EndTrial(*trial)
+	}
+}
+
+// interrupt records an interrupted run, which was a trial if trial is not nil.
+func (n *fleetNode) interrupt(ctx context.Context, target quarantine.Replica, run quarantine.Run, trial *quarantine.Trial) {
+	if trial != nil {
+		run.Trial = true
+		n.guard.InterruptTrial(*trial)
+	}
+	n.guard.RecordInterruption(ctx, target, run)
+}
+
+// fleetTrials implements quarantine.TrialOwners: node n0 grants all trials. Requests and replies may
+// be lost.
+type fleetTrials struct{ *fleetNode }
+
+// fleetReplyTimeout is how long a node waits for the reply to a request for a trial.
+const fleetReplyTimeout = 100 * time.Millisecond
+
+// Owns implements quarantine.TrialOwners.
+func (t fleetTrials) Owns(quarantine.Work) bool { return t.name == "n0" }
+
+// CanRequest implements quarantine.TrialOwners.
+func (fleetTrials) CanRequest() bool { return true }
+
+// Request implements quarantine.TrialOwners.
+func (t fleetTrials) Request(_ context.Context, trial quarantine.Trial) bool {
+	owner, reached := t.reachOwner()
+	if !reached {
+		time.Sleep(fleetReplyTimeout)
+		return false
+	}
+	time.Sleep(fleetLatency)
+	granted := owner.list.GrantTrial(trial, time.Now())
+	if _, reached := t.reachOwner(); !reached {
+		time.Sleep(fleetReplyTimeout)
+		return false
+	}
+	time.Sleep(fleetLatency)
+	return granted
+}
+
+// End implements quarantine.TrialOwners.
+func (t fleetTrials) End(trial quarantine.Trial) {
+	if owner, reached := t.reachOwner(); reached {
+		time.AfterFunc(fleetLatency, func() { owner.list.EndTrial(trial) })
+	}
+}
+
+// reachOwner returns the node that grants trials, and false if a message to or from it is lost.
+func (t fleetTrials) reachOwner() (*fleetNode, bool) {
+	f := t.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[0], !f.noMessages && f.random.Float64() >= f.lossRate
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -92,8 +93,13 @@
 	// Cleared reports a successful run of work that was suspect here or that a peer had queried.
 	// previous is the verdict before that run.
 	Cleared(previous Verdict, at time.Time)
-	// Quarantined reports work that is refused from now on.
+	// Quarantined reports work that is refused from now on, unless a trial clears it.
 	Quarantined(verdict Verdict)
+	// TrialBegun reports a request of quarantined work that this node may send, given the verdict at
+	// that time.
+	TrialBegun(verdict Verdict)
+	// TrialInconclusive reports that such a request ended with neither a success nor a crash.
+	TrialInconclusive(work Work)
 }
 
 // Guard detects replica crashes during runs of this node's work and refuses quarantined work. An
@@ -108,16 +114,20 @@
 	// QueryPeers, if set, asks all peers for the last success of work, or only a few of them if
 	// again is set. It reports whether any peers are known. Answers are recorded in List.
 	QueryPeers func(work Work, again bool) bool
-	// OwnsTrials, if set, reports whether this is the one node that runs trials of the quarantined
-	// work.
-	OwnsTrials func(work Work) bool
+	// Trials, if set, finds the nodes that grant trials of quarantined work. Without it no trial of a
+	// request takes place.
+	Trials TrialOwners
 
 	frequent frequentWork
+	// held counts the requests that wait for the result of a trial.
+	held atomic.Int64
 
 	mu      sync.Mutex
 	watched map[Replica]*watch
 	// unanswered holds work that peers queried and that had not succeeded here.
 	unanswered map[Work]struct{}
+	// asked limits the requests for trials to other nodes.
+	asked map[Work]askState
 }
 
 // watch tracks a replica whose responses were interrupted.
@@ -152,22 +162,20 @@
 	return &RefusalError{Verdict: verdict}
 }
 
-// RefuseRequest is like Refuse, for a request, which may arrive at any node. Newly quarantined work
-// is held for up to queryTimeout, so that peers can report successes before it is refused, and the
-// node that owns the trials of the work lets a request through when one is due.
-func (g *Guard) RefuseRequest(ctx context.Context, work func() Work) error {
+// RefuseRequest is like Refuse, for a request, which may arrive at any node. The request is held
+// for up to queryTimeout, so that peers can report successes of its work, and then while a trial of
+// the work is due or under way. If it is the request that may run as the trial, the trial is
+// returned; the caller must pass it to InterruptTrial or EndTrial unless the run succeeds.
+func (g *Guard) RefuseRequest(ctx context.Context, work func() Work) (*Trial, error) {
 	err := g.Refuse(work)
 	var refusal *RefusalError
 	if errors.As(err, &refusal) && g.awaitAnswers(ctx, refusal.Verdict) {
 		err = g.Refuse(work)
 	}
-	if !errors.As(err, &refusal) || g.OwnsTrials == nil || !g.OwnsTrials(refusal.Work) {
-		return err
-	}
-	if g.List.BeginTrial(refusal.Work, clock.Now()) {
-		return nil
+	if !errors.As(err, &refusal) {
+		return nil, err
 	}
-	return err
+	return g.awaitTrial(ctx, refusal)
 }
 
 // onQuarantined reports newly quarantined work and queries peers about it.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -50,6 +50,8 @@
 	Work Work
 	// SentAt is when the request was sent to the replica.
 	SentAt time.Time
+	// Trial is set if the run was a trial of quarantined work.
+	Trial bool
 	// Answered is set if the header of the answer had arrived; only the node that sent the run
 	// knows it.
 	Answered bool
@@ -79,6 +81,8 @@
 	byArrival []*crash
 	// successes holds when work last succeeded or was released by an operator.
 	successes recentTimes
+	// trials holds the latest trials that this node granted.
+	trials map[Work]grantedTrial
 	// suspectCount is len(suspects), so that Empty needs no lock.
 	suspectCount atomic.Int64
 }
@@ -90,8 +94,15 @@
 	startedUnixMs int64
 	// at is when a node first noticed the crash.
 	at time.Time
-	// works holds the work that ran on the replica, with the time its newest run was sent.
-	works map[Work]time.Time
+	// works holds the work that ran on the replica, with its newest run there.
+	works map[Work]crashedRun
+}
+
+// crashedRun is the newest run of a work on a replica that crashed.
+type crashedRun struct {
+	sentAt time.Time
+	// trial is set if any run of the work there was a trial.
+	trial bool
 }
 
 // suspect is work that ran on replicas that crashed.
@@ -100,8 +111,16 @@
 	quarantined bool
 	// queriedAt is when peers were last queried about it.
 	queriedAt time.Time
-	// trialAt is when the last trial on this node started.
-	trialAt time.Time
+	// changed, if not nil, is closed when crashes are added or cleared.
+	changed chan struct{}
+}
+
+// notify wakes the requests that wait for a change.
+func (s *suspect) notify() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
 }
 
 // Limit returns the number of crashes after which work is quarantined, before provenFactor.
@@ -158,13 +177,14 @@
 		if c.precedes(run.SentAt) {
 			continue
 		}
-		if sentAt, ok := c.works[run.Work]; !ok || run.SentAt.After(sentAt) {
-			c.works[run.Work] = run.SentAt
+		c.addRun(run)
+		s := l.suspects[run.Work]
+		if s == nil {
+			s = &suspect{crashes: map[*crash]struct{}{}}
+			l.suspects[run.Work] = s
 		}
-		if l.suspects[run.Work] == nil {
-			l.suspects[run.Work] = &suspect{crashes: map[*crash]struct{}{}}
-		}
-		l.suspects[run.Work].crashes[c] = struct{}{}
+		s.crashes[c] = struct{}{}
+		s.notify()
 	}
 	for len(l.suspects) > maxWorks && len(l.byArrival) > 1 {
 		l.evictOldest()
@@ -172,6 +192,16 @@
 	l.suspectCount.Store(int64(len(l.suspects)))
 }
 
+// addRun records a run on the replica that crashed.
+func (c *crash) addRun(run Run) {
+	known, ok := c.works[run.Work]
+	if !ok || run.SentAt.After(known.sentAt) {
+		known.sentAt = run.SentAt
+	}
+	known.trial = known.trial || run.Trial
+	c.works[run.Work] = known
+}
+
 // crashFor returns the crash that a report is about, and adds it if it is new. The caller holds mu.
 func (l *List) crashFor(report CrashReport) *crash {
 	if l.crashes == nil {
@@ -184,7 +214,7 @@
 			return c
 		}
 	}
-	c := &crash{replica: report.Replica, startedUnixMs: report.StartedUnixMs, at: report.At, works: map[Work]time.Time{}}
+	c := &crash{replica: report.Replica, startedUnixMs: report.StartedUnixMs, at: report.At, works: map[Work]crashedRun{}}
 	l.crashes[report.Replica] = append(l.crashes[report.Replica], c)
 	l.byArrival = append(l.byArrival, c)
 	return c
@@ -211,8 +241,8 @@
 		return
 	}
 	c.at = report.At
-	for work, sentAt := range c.works {
-		if c.precedes(sentAt) {
+	for work, run := range c.works {
+		if c.precedes(run.sentAt) {
 			delete(c.works, work)
 			l.unlink(work, c)
 		}
@@ -223,6 +253,7 @@
 func (l *List) unlink(work Work, c *crash) {
 	s := l.suspects[work]
 	delete(s.crashes, c)
+	s.notify()
 	if len(s.crashes) == 0 {
 		delete(l.suspects, work)
 	}
@@ -301,20 +332,6 @@
 	}
 }
 
-// BeginTrial reports whether a trial of quarantined work is due on this node, and records its start
-// if so.
-func (l *List) BeginTrial(work Work, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	verdict := l.evaluate(work, now)
-	s := l.suspects[work]
-	if !verdict.RequestTrialDue(now) || now.Sub(s.trialAt) < trialTimeout {
-		return false
-	}
-	s.trialAt = now
-	return true
-}
-
 // Clear discards the crashes before at that count against work: a run succeeded at that time, or an
 // operator released the work. It returns the previous verdict, which has no replicas if there was
 // nothing to clear.
@@ -324,6 +341,9 @@
 	previous := l.evaluate(work, at)
 	l.successes.record(work, at)
 	l.check(work, at)
+	if s := l.suspects[work]; s != nil {
+		s.notify()
+	}
 	return previous
 }
 
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -35,6 +35,8 @@
 	// 0 if the writer has not seen a success. Without it, popular work would be refused after a
 	// restart of all nodes because of crashes it was merely present at.
 	SuccessAges []int64 `cbor:"6,keyasint,omitempty"`
+	// Trials are those of Works whose run was a trial.
+	Trials []Work `cbor:"7,keyasint,omitempty"`
 }
 
 // clearingRow is the body of a clearing row.
@@ -143,7 +145,7 @@
 		return nil, Error.Wrap(err)
 	}
 	at := r.localTime(body.At)
-	report := &CrashReport{Replica: body.Replica, StartedUnixMs: body.StartedUnixMs, Runs: DecodeRuns(body.Works, body.Durations, at), At: at}
+	report := &CrashReport{Replica: body.Replica, StartedUnixMs: body.StartedUnixMs, Runs: DecodeRuns(body.Works, body.Durations, body.Trials, at), At: at}
 	events := []rowEvent{{at: at, report: report}}
 	for _, clearing := range DecodeSuccesses(body.Works, body.SuccessAges, at) {
 		events = append(events, rowEvent{at: clearing.At, clearing: &clearing})
@@ -177,12 +179,24 @@
 	return works, durations
 }
 
-// DecodeRuns returns the runs that EncodeRuns encoded, for a crash at the given time. A run without
-// a duration counts as sent at the time of the crash.
-func DecodeRuns(works []Work, durations []int64, at time.Time) []Run {
+// Trials returns the works of the report whose run was a trial.
+func (r *CrashReport) Trials() []Work {
+	var trials []Work
+	for _, run := range r.Runs {
+		if run.Trial {
+			trials = append(trials, run.Work)
+		}
+	}
+	return trials
+}
+
+// DecodeRuns returns the runs that EncodeRuns encoded, for a crash at the given time, with those of
+// the works in trials marked as trials. A run without a duration counts as sent at the time of the
+// crash.
+func DecodeRuns(works []Work, durations []int64, trials []Work, at time.Time) []Run {
 	runs := make([]Run, len(works))
 	for i, work := range works {
-		runs[i] = Run{Work: work, SentAt: at}
+		runs[i] = Run{Work: work, SentAt: at, Trial: slices.Contains(trials, work)}
 		if i < len(durations) {
 			runs[i].SentAt = at.Add(-time.Duration(max(0, durations[i])) * time.Millisecond)
 		}
@@ -200,7 +214,7 @@
 	}
 	works, durations := report.EncodeRuns()
 	return r.put(prefixCrash+name, crashRow{
-		Replica: report.Replica, Works: works, At: at, Durations: durations, StartedUnixMs: report.StartedUnixMs, SuccessAges: r.Guard.List.EncodeSuccesses(works, report.At),
+		Replica: report.Replica, Works: works, At: at, Durations: durations, StartedUnixMs: report.StartedUnixMs, SuccessAges: r.Guard.List.EncodeSuccesses(works, report.At), Trials: report.Trials(),
 	})
 }
 
--- /dev/null
+++ b/internal/quarantine/trial.go
@@ -0,0 +1,247 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+)
+
+const (
+	// trialTimeout is how long after the start of a trial no other trial of the same work is
+	// granted if nothing is heard of the first. It exceeds the usual duration of a request.
+	trialTimeout = 10 * time.Second
+	// interruptedTrialDelay is how long after an interrupted trial its replica may be found to have
+	// crashed: most leave the list earlier.
+	interruptedTrialDelay = 2 * time.Second
+	// maxHold bounds how long a request waits for the result of a trial. Its own deadline, which is
+	// usually earlier, bounds it too.
+	maxHold = trialTimeout
+	// maxTrialWait is the longest time until the next trial for which a request waits instead of
+	// being refused.
+	maxTrialWait = time.Second
+	// firstAskDelay and maxAskDelay are the first and the longest time between two requests of this
+	// node for the trial of one work. The results of trials are reported to all nodes, so repeated
+	// requests only matter if a trial ended without a result or a message was lost.
+	firstAskDelay = 100 * time.Millisecond
+	maxAskDelay   = time.Second
+	// maxHeld bounds the requests that a node holds.
+	maxHeld = 1000
+	// maxTrials bounds the granted trials that a node remembers.
+	maxTrials = 1000
+)
+
+// Trial is the permission to run quarantined work once, to show that it is harmless. At most one
+// trial of a work is under way in the fleet.
+type Trial struct {
+	Work Work
+	// ID distinguishes trials of one work.
+	ID uint64
+}
+
+// grantedTrial is a trial that this node granted.
+type grantedTrial struct {
+	id uint64
+	at time.Time
+}
+
+// BeginTrial grants a trial if the work is quarantined, a trial is due and none is under way. It
+// reports whether it did. It is called on the node that owns the trials of the work.
+func (l *List) BeginTrial(trial Trial, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	verdict := l.evaluate(trial.Work, now)
+	return verdict.RequestTrialDue(now) && l.grantTrial(trial, &verdict, now)
+}
+
+// GrantTrial is like BeginTrial, for a request of another node. The crash reports that quarantine
+// the work there may not have arrived here yet, so the work need not be quarantined.
+func (l *List) GrantTrial(trial Trial, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	verdict := l.evaluate(trial.Work, now)
+	if verdict.Quarantined && !verdict.RequestTrialDue(now) {
+		return false
+	}
+	return l.grantTrial(trial, &verdict, now)
+}
+
+// grantTrial grants a trial unless another one is under way. The caller holds mu.
+func (l *List) grantTrial(trial Trial, verdict *Verdict, now time.Time) bool {
+	current, ok := l.trials[trial.Work]
+	underWay := ok && now.Sub(current.at) < trialTimeout && !verdict.LastTrial.After(current.at)
+	if underWay {
+		// A node repeats its request if the reply was lost.
+		return current.id == trial.ID
+	}
+	if l.trials == nil || len(l.trials) >= maxTrials {
+		l.trials = map[Work]grantedTrial{}
+	}
+	l.trials[trial.Work] = grantedTrial{id: trial.ID, at: now}
+	return true
+}
+
+// EndTrial records that a granted trial ended without a result, so that another one may begin.
+func (l *List) EndTrial(trial Trial) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.trials[trial.Work].id != trial.ID {
+		return
+	}
+	delete(l.trials, trial.Work)
+	if s := l.suspects[trial.Work]; s != nil {
+		s.notify()
+	}
+}
+
+// changed returns a channel that is closed when crashes of work are added or cleared; nil if the
+// work is not suspect.
+func (l *List) changed(work Work) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[work]
+	if s == nil {
+		return nil
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// TrialOwners finds the nodes that grant trials. Each work has one that all nodes agree on, as far
+// as they agree on the live nodes. Implementations must be safe for concurrent use.
+type TrialOwners interface {
+	// Owns reports whether this node grants the trials of a work.
+	Owns(work Work) bool
+	// CanRequest reports whether this node can ask others for trials.
+	CanRequest() bool
+	// Request asks the node that grants the trials of the work for one, and reports whether it did.
+	// A request whose reply is lost can be repeated.
+	Request(ctx context.Context, trial Trial) bool
+	// End tells that node that a trial ended without a result.
+	End(trial Trial)
+}
+
+// askState holds the requests of this node for the trial of one work.
+type askState struct {
+	// id is that of the trial that is asked for.
+	id    uint64
+	next  time.Time
+	delay time.Duration
+}
+
+// awaitTrial holds a request of quarantined work until a trial shows that the work is harmless, or
+// until the request itself may be the trial. It returns a RefusalError if the next trial is not due
+// soon, or if the wait takes too long.
+func (g *Guard) awaitTrial(ctx context.Context, refusal *RefusalError) (*Trial, error) {
+	if g.Trials == nil || !g.Trials.Owns(refusal.Work) && !g.Trials.CanRequest() {
+		return nil, refusal
+	}
+	defer g.held.Add(-1)
+	if g.held.Add(1) > maxHeld {
+		return nil, refusal
+	}
+	work, deadline := refusal.Work, clock.Now().Add(maxHold)
+	for {
+		changed := g.List.changed(work)
+		now := clock.Now()
+		verdict := g.List.Check(work, now)
+		if !verdict.Quarantined {
+			return nil, nil
+		}
+		refusal = &RefusalError{Verdict: verdict}
+		wait := verdict.nextRequestTrial().Sub(now)
+		if wait > maxTrialWait || now.After(deadline) {
+			return nil, refusal
+		}
+		if wait <= 0 {
+			if trial := g.beginTrial(ctx, work); trial != nil {
+				g.Events.TrialBegun(verdict)
+				return trial, nil
+			}
+			wait = firstAskDelay
+		}
+		if !waitForChange(ctx, changed, wait) {
+			return nil, refusal
+		}
+	}
+}
+
+// waitForChange waits for a change or until the time has passed. It returns false if the context
+// has ended.
+func waitForChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// beginTrial returns a trial for a request of this node, or nil if none is granted.
+func (g *Guard) beginTrial(ctx context.Context, work Work) *Trial {
+	if g.Trials.Owns(work) {
+		trial := &Trial{Work: work, ID: rand.Uint64()}
+		if !g.List.BeginTrial(*trial, clock.Now()) {
+			return nil
+		}
+		return trial
+	}
+	trial := g.nextAsk(work)
+	if trial == nil || !g.Trials.Request(ctx, *trial) {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.asked, work)
+	return trial
+}
+
+// nextAsk returns the trial of work that another node may be asked for now, or nil. Of the requests
+// that are held for one work only one asks at a time, at increasing intervals.
+func (g *Guard) nextAsk(work Work) *Trial {
+	now := clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state, ok := g.asked[work]
+	if now.Before(state.next) {
+		return nil
+	}
+	if !ok || now.Sub(state.next) > maxAskDelay {
+		state = askState{id: rand.Uint64()}
+	}
+	if g.asked == nil || len(g.asked) >= maxTrials {
+		g.asked = map[Work]askState{}
+	}
+	state.delay = min(max(firstAskDelay, 2*state.delay), maxAskDelay)
+	state.next = now.Add(state.delay)
+	g.asked[work] = state
+	return &Trial{Work: work, ID: state.id}
+}
+
+// EndTrial records that a trial of this node ended without a result.
+func (g *Guard) EndTrial(trial Trial) {
+	g.Events.TrialInconclusive(trial.Work)
+	g.releaseTrial(trial)
+}
+
+// releaseTrial lets another trial begin.
+func (g *Guard) releaseTrial(trial Trial) {
+	if g.Trials == nil || g.Trials.Owns(trial.Work) {
+		g.List.EndTrial(trial)
+		return
+	}
+	g.Trials.End(trial)
+}
+
+// InterruptTrial records that the answer to a trial was interrupted. If its replica is not found to
+// have crashed, another trial may begin after interruptedTrialDelay.
+func (g *Guard) InterruptTrial(trial Trial) {
+	time.AfterFunc(interruptedTrialDelay, func() { g.releaseTrial(trial) })
+}
--- /dev/null
+++ b/internal/quarantine/trial_test.go
@@ -0,0 +1,184 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// fakeOwners implements TrialOwners on one list for several guards. The first lostReplies replies
+// are lost.
+type fakeOwners struct {
+	list *List
+	// alone makes requests impossible.
+	alone bool
+
+	mu          sync.Mutex
+	lostReplies int
+	requests    int
+}
+
+func (o *fakeOwners) Owns(Work) bool { return false }
+
+func (o *fakeOwners) CanRequest() bool { return !o.alone }
+
+func (o *fakeOwners) Request(_ context.Context, trial Trial) bool {
+	time.Sleep(2 * time.Millisecond)
+	granted := o.list.GrantTrial(trial, time.Now())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests++
+	if o.lostReplies > 0 {
+		o.lostReplies--
+		return false
+	}
+	return granted
+}
+
+func (o *fakeOwners) End(trial Trial) { o.list.EndTrial(trial) }
+
+// quarantinedGuard returns a guard and the owners it asks, with work that three crashes have just
+// quarantined.
+func quarantinedGuard(work Work) (*Guard, *fakeOwners) {
+	guard, _, _ := newGuard(ConnectionRefused)
+	owners := &fakeOwners{list: &List{}}
+	guard.Trials = owners
+	for _, replica := range []string{"a", "b", "c"} {
+		sentAt := time.Now()
+		time.Sleep(10 * time.Millisecond)
+		report := CrashReport{Replica: replica, Runs: runsOf(sentAt, work), At: time.Now()}
+		guard.RecordCrash(report)
+		owners.list.Add(report, time.Now())
+	}
+	return guard, owners
+}
+
+// TestGuard_HoldsRequestsDuringTrial covers new work that meets three crashes it did not cause. Of
+// its requests one must run as a trial and the others must wait for its result, instead of being
+// refused until a trial takes place seconds later (soak seeds 990631 and 8050).
+func TestGuard_HoldsRequestsDuringTrial(t *testing.T) {
+	for name, lostReplies := range map[string]int{"all replies arrive": 0, "two replies are lost": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := work("new")
+				guard, owners := quarantinedGuard(w)
+				owners.lostReplies = lostReplies
+				const requests, runTime = 50, 300 * time.Millisecond
+				var group sync.WaitGroup
+				for range requests {
+					group.Go(func() {
+						trial, err := guard.RefuseRequest(t.Context(), func() Work { return w })
+						if err != nil {
+							t.Errorf("refused: %v", err)
+						}
+						if trial != nil {
+							time.Sleep(runTime)
+							guard.RecordSuccess(w)
+						}
+					})
+				}
+				started := time.Now()
+				group.Wait()
+				events := guard.Events.(*recordedEvents)
+				if events.trials != 1 {
+					t.Errorf("%d trials", events.trials)
+				}
+				// Each lost reply costs one interval, which doubles.
+				if elapsed, limit := time.Since(started), runTime+time.Duration(1<<lostReplies)*firstAskDelay; elapsed > limit {
+					t.Errorf("requests were held for %v, want at most %v", elapsed, limit)
+				}
+				if owners.requests > 4+lostReplies {
+					t.Errorf("the owner was asked %d times for %d requests", owners.requests, requests)
+				}
+				if trial, err := guard.RefuseRequest(t.Context(), func() Work { return w }); trial != nil || err != nil {
+					t.Errorf("after the trial succeeded: trial %v, error %v", trial, err)
+				}
+			})
+		})
+	}
+}
+
+// TestGuard_RefusesAfterFailedTrials covers harmful work. Its requests crash two more replicas by
+// trials within a second, and are then refused at once.
+func TestGuard_RefusesAfterFailedTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := work("harmful")
+		guard, owners := quarantinedGuard(w)
+		trials, refused := 0, 0
+		started := time.Now()
+		for time.Since(started) < 5*time.Second {
+			trial, err := guard.RefuseRequest(t.Context(), func() Work { return w })
+			switch {
+			case err != nil:
+				var refusal *RefusalError
+				if !errors.As(err, &refusal) || refusal.RetryAfter(time.Now()) <= trialPropagation {
+					t.Fatalf("refused with %v", err)
+				}
+				refused++
+			case trial != nil:
+				trials++
+				sentAt := time.Now()
+				time.Sleep(20 * time.Millisecond)
+				report := CrashReport{Replica: "t" + string(rune('0'+trials)), Runs: []Run{{Work: w, SentAt: sentAt, Trial: true}}, At: time.Now()}
+				guard.InterruptTrial(*trial)
+				guard.RecordCrash(report)
+				owners.list.Add(report, time.Now())
+			default:
+				t.Fatal("harmful work runs without a trial")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if trials != 2 || refused < 200 {
+			t.Errorf("%d trials, %d requests refused", trials, refused)
+		}
+	})
+}
+
+// TestGuard_RefusesWithoutTrials checks that requests are not held on a node that can neither grant a
+// trial nor ask for one.
+func TestGuard_RefusesWithoutTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := work("w")
+		guard, owners := quarantinedGuard(w)
+		owners.alone = true
+		started := time.Now()
+		if _, err := guard.RefuseRequest(t.Context(), func() Work { return w }); err == nil || time.Since(started) > queryTimeout {
+			t.Errorf("error %v after %v", err, time.Since(started))
+		}
+	})
+}
+
+// TestGuard_HeldRequestsAreBounded checks that requests beyond maxHeld are refused at once, and that
+// a held request ends with its context.
+func TestGuard_HeldRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := work("w")
+		guard, owners := quarantinedGuard(w)
+		if !owners.list.GrantTrial(Trial{Work: w, ID: 1}, time.Now()) {
+			t.Fatal("no trial granted")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for range maxHeld {
+			group.Go(func() {
+				if _, err := guard.RefuseRequest(ctx, func() Work { return w }); err == nil {
+					t.Error("a request ran during the trial of another one")
+				}
+			})
+		}
+		time.Sleep(queryTimeout)
+		synctest.Wait()
+		started := time.Now()
+		if _, err := guard.RefuseRequest(ctx, func() Work { return w }); err == nil || time.Since(started) > queryTimeout {
+			t.Errorf("request beyond the bound: error %v after %v", err, time.Since(started))
+		}
+		cancel()
+		group.Wait()
+		if held := guard.held.Load(); held != 0 {
+			t.Errorf("%d requests are still held", held)
+		}
+	})
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -6,19 +6,32 @@
 )
 
 const (
-	// trialDelay is the time from the newest crash to a trial of quarantined work; a short series
-	// of unrelated crashes is over by then.
-	trialDelay = 5 * time.Second
-	// trialTimeout is how long after the start of a trial of a request no other trial of the same
-	// work starts on the node; it exceeds the usual duration of a request.
-	trialTimeout = 10 * time.Second
+	// itemTrialDelay is the time from the newest crash to a trial of an item; a short series of
+	// unrelated crashes is over by then, and an item can wait.
+	itemTrialDelay = 5 * time.Second
+	// repeatedTrialDelay is the least time between two trials of a request.
+	repeatedTrialDelay = time.Second
+	// maxExplainedTrials is the number of trials that do not count as failed because other work may
+	// have crashed the replica.
+	maxExplainedTrials = 3
 	// trialPropagation is how long after its start the success of a trial is known on all nodes.
 	trialPropagation = time.Second
 )
 
-// requestTrialDelays are the times from the newest crash to a trial of a request, indexed by the
-// number of crashes beyond the limit. They allow at most two trials within two minutes.
-var requestTrialDelays = []time.Duration{trialDelay, 4 * trialDelay, 12 * time.Minute}
+// requestTrialDelays are the times from the quarantine, and then from the latest trial, to the next
+// trial of a request, indexed by the number of failed trials; the last one repeats. The first trials
+// follow at once, because callers wait for them and the crashes say little about work that ran beside
+// other work. Harmful work that crashes replicas alone crashes three by trials in its first ten
+// minutes, four in the first hour and one an hour after that.
+var requestTrialDelays = []time.Duration{0, repeatedTrialDelay, 10 * time.Second, 12 * time.Minute, time.Hour}
+
+// itemTrialDelays are the corresponding times for items.
+var itemTrialDelays = []time.Duration{itemTrialDelay, itemTrialDelay, itemTrialDelay, 12 * time.Minute, time.Hour}
+
+// trialDelay returns the element of delays that follows a number of failed trials.
+func trialDelay(delays []time.Duration, failed int) time.Duration {
+	return delays[min(failed, len(delays)-1)]
+}
 
 // Verdict is the current assessment of work.
 type Verdict struct {
@@ -38,41 +51,41 @@
 	QueriedAt time.Time
 	// LastCrash is the time of the newest crash that counts.
 	LastCrash time.Time
+	// LastTrial is the time of the newest crash during a trial since the work last succeeded.
+	// FailedTrials is the number of such crashes that other work does not explain.
+	LastTrial    time.Time
+	FailedTrials int
 	// Limit is the number of crashes at which the work is quarantined.
 	Limit int
 	// NewlyQuarantined is set on the first verdict that quarantines the work.
 	NewlyQuarantined bool
 }
 
-// TrialDue reports whether quarantined work may run once more to show that it is harmless:
-// trialDelay after the newest crash, and as long as fewer than twice Limit crashes count. It is
-// meant for work with a single sender.
-func (v *Verdict) TrialDue(now time.Time) bool {
-	return v.trialsRemain() && now.Sub(v.LastCrash) >= trialDelay
+// ItemTrialDue reports whether quarantined work may run once more to show that it is harmless, for
+// an item, which has a single sender and can wait.
+func (v *Verdict) ItemTrialDue(now time.Time) bool {
+	next := v.LastTrial.Add(trialDelay(itemTrialDelays, v.FailedTrials))
+	return v.Quarantined && !now.Before(next) && now.Sub(v.LastCrash) >= itemTrialDelay
 }
 
-// RequestTrialDue is like TrialDue, with increasing delays, for requests, which callers may repeat
-// at any rate.
+// RequestTrialDue is like ItemTrialDue, for requests, which callers may repeat at any rate and which
+// wait for the result of a trial. At most one trial of a work runs in the fleet at a time.
 func (v *Verdict) RequestTrialDue(now time.Time) bool {
-	return v.trialsRemain() && !now.Before(v.nextRequestTrial())
+	return v.Quarantined && !now.Before(v.nextRequestTrial())
 }
 
 // RetryAfter returns how long the caller of a refused request should wait: until the result of the
-// next trial is known, or until the quarantine ends if no trials remain.
+// next trial is known.
 func (v *Verdict) RetryAfter(now time.Time) time.Duration {
-	if !v.trialsRemain() {
-		return max(trialPropagation, v.Until.Sub(now))
-	}
 	return max(0, v.nextRequestTrial().Sub(now)) + trialPropagation
 }
 
-// trialsRemain reports whether the work is quarantined and may still be tried.
-func (v *Verdict) trialsRemain() bool { return v.Quarantined && len(v.Replicas) < 2*v.Limit }
-
-// nextRequestTrial returns when the next trial of a request is due, if trials remain.
+// nextRequestTrial returns when the next trial of a request is due.
 func (v *Verdict) nextRequestTrial() time.Time {
-	excess := min(len(v.Replicas)-v.Limit, len(requestTrialDelays)-1)
-	return v.LastCrash.Add(requestTrialDelays[excess])
+	if v.LastTrial.IsZero() {
+		return time.Time{}
+	}
+	return v.LastTrial.Add(max(repeatedTrialDelay, trialDelay(requestTrialDelays, v.FailedTrials)))
 }
 
 // RefusalError reports that work was not sent because it is quarantined.
