jobs: end a quarantined item only after a trial of it has failed

Callers saw, on the product's own interface: a batch item that ran beside three crashes ended for good with the error "quarantined", though other work had caused the crashes.

Cause: with EndQuarantined an item ends at its first verdict; the trial that would clear it 5 s later is only made where items wait.

Change: the item waits, and ends once a trial of it has failed. Harmful items end one replica more, and 5 s later.

--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -26,7 +26,8 @@
 }
 
 // holdQuarantined reports whether an item must not be sent to any replica. Such an item is delayed,
-// or ended if EndQuarantined is set.
+// or ended if EndQuarantined is set and a trial of it has failed: before that, the crashes may have
+// had other causes, and an item that has ended is not run again.
 func (r *Runner) holdQuarantined(t *task, item *Item, now time.Time) bool {
 	if r.Quarantine == nil {
 		return false
@@ -53,7 +54,7 @@
 	if first {
 		r.Service.Events.ItemQuarantined(t.owned.job, item.ID, err)
 	}
-	if r.EndQuarantined {
+	if r.EndQuarantined && refusal.FailedTrials > 0 {
 		r.finish(t, Quarantined)
 	}
 	return true
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -57,8 +57,8 @@
 	ViewAge func() time.Duration
 	// Quarantine, if set, prevents items that crashed replicas from being sent to others.
 	Quarantine forward.Quarantine
-	// EndQuarantined ends such items. Otherwise they wait until they expire, for callers who rely
-	// on items not ending for another reason.
+	// EndQuarantined ends such items once a trial has failed. Otherwise they wait until they expire,
+	// for callers who rely on items not ending for another reason.
 	EndQuarantined bool
 }
 
