Restore numbers and reasons that comments had lost

Compared: the comments of, by the list of candidates, the deciding packages first; each against today's text and code. 15 are put back, in today's names. Ruled out: most candidates, whose fact is still there in other words (clock, admission, quarantine, quota, table), and those no longer true (two partitions of sessions, 320 nodes).

Comments only: no code changes.

--- a/internal/forward/restart.go
+++ b/internal/forward/restart.go
@@ -19,7 +19,7 @@
 const (
 	// restartGrace is how long an attempt that may have been sent to the new instance has to prove
 	// it by receiving any part of its answer. It covers the usual limits on the pause between two
-	// events, and the time to read a long prompt.
+	// events, 250 or 300 ms, and the time to read a long prompt: 180 ms for 9,000 tokens.
 	restartGrace = 300 * time.Millisecond
 	// restartGraceCount is how many grace periods in a row must show progress: the first data may
 	// have been in flight when the previous instance ended, or buffered here while this machine was
--- a/internal/jobs/freshness.go
+++ b/internal/jobs/freshness.go
@@ -21,7 +21,8 @@
 	// readers of idle jobs would read the table more often.
 	trustedShare = 0.75
 	// refreshTimeout bounds one attempt to read a job from the table, refreshTotalTimeout all of
-	// them. They are short because the caller may have waited for a result before.
+	// them. They are short because a caller that has waited a second for a result is to have an
+	// answer within another 1.5 s.
 	refreshTimeout      = 600 * time.Millisecond
 	refreshTotalTimeout = 1200 * time.Millisecond
 	// stalledFeedAge is the age of a view from which its feed has certainly stalled, since a
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -27,15 +27,15 @@
 	retryDelay      = 20 * time.Millisecond
 	retryDelayMax   = 250 * time.Millisecond
 	// conflictDelay bounds the pause after the second conflict of one acceptance; the bound grows
-	// with each further conflict up to conflictDelayMax. It leaves time for two short transactions
+	// with each further conflict up to conflictDelayMax. It leaves time for two transactions of 3 ms
 	// with their round trips.
 	conflictDelay    = 10 * time.Millisecond
 	conflictDelayMax = 60 * time.Millisecond
 	// objectTimeout bounds one call that reads or writes an object.
 	objectTimeout = 4 * time.Second
 	// updateTimeout bounds the wait for an update of the view before a job is refused for the
-	// quota. It is longer than the interval between requested updates, except in very large fleets,
-	// and short because the caller waits.
+	// quota. It is longer than the interval between requested updates, which is 120 ms in fleets of
+	// up to 80 nodes, and short because the caller is to have an answer within about 600 ms.
 	updateTimeout = 150 * time.Millisecond
 )
 
--- a/internal/lease/sessionlost.go
+++ b/internal/lease/sessionlost.go
@@ -6,7 +6,7 @@
 )
 
 // sessionLostRetention is how long a node is remembered after its last session ended. It covers a
-// node that is cut off from the store but continues to serve.
+// node that is cut off from the store but continues to serve; such cuts have lasted 12 s.
 const sessionLostRetention = 30 * time.Second
 
 // lostNode is a node whose last session has ended.
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -34,7 +34,7 @@
 	jobPollPerSession = 1500 * time.Microsecond
 	// idleJobPollInterval is the time between two polls while no caller waits here and other nodes
 	// announce the changes that concern this one. If an announcement is lost, a requested stop of
-	// an item or a new node is noticed this late; items must stop within a few seconds.
+	// an item or a new node is noticed this late; items must stop within 3 s.
 	idleJobPollInterval = time.Second
 	// sampleBurst and sampleEvery bound the number of log lines about routine events.
 	sampleBurst = 20
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -24,7 +24,8 @@
 
 const (
 	// bootstrapInterval is the time between two requests, and bootstrapTimeout bounds one. It
-	// leaves time to transfer the state of a large fleet, a few hundred KB, over a slow link.
+	// leaves time to transfer the state of a large fleet over a slow link: 300 KB for 600 replicas
+	// take 80 ms at 30 Mbit/s.
 	bootstrapInterval = 200 * time.Millisecond
 	bootstrapTimeout  = time.Second
 	// maxBootstrapResponses is the number of requests that are served concurrently. When many nodes
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -15,7 +15,7 @@
 
 const (
 	// demandInterval is the time between two demand reports. It is short compared with a request,
-	// because a burst fills the slots within the duration of one.
+	// because a burst fills the slots within the duration of one, about 0.7 s.
 	demandInterval = 100 * time.Millisecond
 	// demandFanout is the number of nodes of a region that get each report, whatever the size of
 	// the fleet. On average, a node receives as many from its own region.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -20,7 +20,7 @@
 )
 
 // probeTimeout bounds a probe connection to a replica whose response was interrupted. It leaves
-// time for several round trips to another region.
+// time for several round trips to another region, of 40 ms each.
 const probeTimeout = 400 * time.Millisecond
 
 // quarantineState is what a node knows of work that crashes replicas.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -13,8 +13,7 @@
 
 const (
 	// probeWait bounds how long an interrupted attempt waits for the probe of its replica before
-	// the retry is decided. A refused connection takes one round trip, a few milliseconds within a
-	// region.
+	// the retry is decided. A refused connection takes one round trip, 2 to 6 ms within a region.
 	probeWait = 100 * time.Millisecond
 	// delistTimeout is how long after an interrupted response the removal of the replica from the
 	// list still counts as a crash. Entries expire after three missed heartbeats, usually within a
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -12,7 +12,7 @@
 
 const (
 	// BorrowAfter is how long an item must have waited before it borrows. A node that lacks
-	// capacity only during a burst of requests regains it within a few seconds without borrowing.
+	// capacity only during a burst of requests, about 2.4 s, regains it without borrowing.
 	// The value must leave time for an item to reach a replica within 5 s of its arrival.
 	BorrowAfter = 3 * time.Second
 	// borrowWithOwnItems is the same for a node that runs items of the pool. It applies without
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -18,8 +18,8 @@
 	// data arrives from the replicas of a busy pool many times a second.
 	recentContact = time.Second
 	// startListedDelay is the maximum time from the first answer of a restarted replica until the
-	// list shows the restart: the replica writes its row with its first heartbeat, and the feed
-	// of changes adds some milliseconds.
+	// list shows the restart: the replica writes its row with its first heartbeat, after up to
+	// 1.2 s, and the feed of changes adds some milliseconds.
 	startListedDelay = 1500 * time.Millisecond
 	// maxColdChanges bounds the changes that one call of ColdChanges returns.
 	maxColdChanges = 256
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -13,7 +13,7 @@
 // recentlyUnreachable is how recently a restarted replica must have refused a connection for requests
 // sent since then to count as sent to the new start: the previous start was no longer listening, so
 // the new one accepted their connections. It exceeds the usual delay until the list shows a restart,
-// and most of the ejections after which a replica that is down is tried again.
+// 3 s, and most of the ejections after which a replica that is down is tried again, 0.7 to 6 s.
 const recentlyUnreachable = 5 * time.Second
 
 // Restart describes a replica that has restarted under its ID.
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -6,8 +6,8 @@
 )
 
 // evidenceMemory is the time constant by which answers decay as evidence, and the age up to which
-// they count as recent. It is long enough for all nodes of a large fleet together to get several
-// answers from each replica, though a given node may get none from it in that time.
+// they count as recent. It is long enough for all nodes of a large fleet together to get about ten
+// answers from each replica, though a given node may get one in 20 s only (87 nodes, 60 replicas).
 const evidenceMemory = 3 * time.Second
 
 // Tally counts the complete answers and the failures of a replica, with exponential decay. The
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -79,7 +79,7 @@
 const DefaultRelayFrom = 320
 
 // DefaultBootstrapAfter is the default of BootstrapAfter. It exceeds the time to read a page of the
-// initial state, even when a whole fleet starts at once.
+// initial state: about 50 ms, and some hundreds when a whole fleet starts at once.
 const DefaultBootstrapAfter = v1.Duration(700 * time.Millisecond)
 
 // DefaultQuotaWindow is the default of Quota.Window.
