--- a/internal/lab/site/drain_test.go
+++ b/internal/lab/site/drain_test.go
@@ -24,13 +24,14 @@
 		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hours of crew 7")},
 	})
 	if !stream.Next() {
-		t.Fatal(stream.Err())
+		t.Fatalf("the stream does not begin: %v", stream.Err())
 	}
 	defer func() { _ = stream.Close() }()
-	streamEnded := make(chan struct{})
+	streamEnded, events := make(chan struct{}), 1
 	go func() {
 		defer close(streamEnded)
 		for stream.Next() {
+			events++
 		}
 	}()
 	batch := submitBatch(ctx, t, sdk(testSite, 1), load.Items(profile.Urnik.Batch, 5, "drain", 400, false))
@@ -42,11 +43,11 @@
 		time.Sleep(50 * time.Millisecond)
 		var err error
 		if batch, err = client.Batches.Get(ctx, batch.ID); err != nil {
-			t.Fatal(err)
+			t.Fatalf("the batch cannot be read at another node: %v", err)
 		}
 		select {
 		case <-streamEnded:
-			t.Fatalf("batch is %s, %+v, although the stream at the draining node has ended", batch.Status, batch.RequestCounts)
+			t.Fatalf("batch is %s, %+v, although the stream at the draining node has ended after %d events: %v", batch.Status, batch.RequestCounts, events, stream.Err())
 		default:
 		}
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -22,7 +22,7 @@
 // trial of a request, indexed by the number of failed trials; the last one repeats. The first trials
 // follow at once, because callers wait for them and the crashes say little about work that ran beside
 // other work. Harmful work that crashes replicas alone crashes three by trials in its first ten
-// minutes, four in the first hour and one an hour after that.
+// minutes and four in DefaultWindow, after which its first crashes no longer count.
 var requestTrialDelays = []time.Duration{0, repeatedTrialDelay, 10 * time.Second, 12 * time.Minute, time.Hour}
 
 // itemTrialDelays are the corresponding times for items.
