resource: keep changes committed during a whole read

Callers saw, on the product's own interface: 401 for a declared tenant, at one node and until its restart, though the change had been answered as in force on all nodes. It is the fault behind the one failure of TestSite_NodeThatDrainsHoldsUpNoItems ("red after 0.50 s").

Cause: a whole read asks for the revision, then for the rows; a row that is committed between the two is newer than the read. Store.Apply dropped reads that were not above its revision, with these rows; the watcher had noted them as passed on and left them out of the next changes. So the node went to the next revision without them.

Evidence: the test submits its batch 0.49 s after its start and looks at it first at 0.84 s, so the failure lay before the drain.

Why it holds: changes are applied at the current revision too, and the revision stays that of the read, so a node confirms a change only after the feed passed it. Ruled out: leaving newer rows out of whole reads (their older value is gone by then); load, which only widens the gap.

--- a/internal/resource/store.go
+++ b/internal/resource/store.go
@@ -124,7 +124,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.snapshot.Load()
-	if read.Revision <= current.Revision {
+	// A whole read may contain changes later than its revision, and the watcher does not pass these
+	// on again. So changes are also applied at the current revision.
+	if read.Revision < current.Revision || read.Revision == current.Revision && len(changes) == 0 {
 		return
 	}
 	s.snapshot.Store(current.with(changes, read.Revision))
--- a/internal/resource/unreadable_test.go
+++ b/internal/resource/unreadable_test.go
@@ -1,8 +1,10 @@
 package resource
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -31,6 +33,52 @@
 	return entry.Spec.(*v1.SitePolicySpec).Note
 }
 
+// concurrentFeed is a feed whose only page was read after the change in it was committed, but has the
+// revision before that.
+type concurrentFeed struct {
+	revision uint64
+	page     table.Change
+	changes  table.Changes
+}
+
+func (f *concurrentFeed) Page(context.Context, table.Cursor) (table.Changes, table.Cursor, error) {
+	return table.Changes{Revision: f.revision, Changes: []table.Change{f.page}}, table.Cursor{Done: true}, nil
+}
+
+func (f *concurrentFeed) After(ctx context.Context, revision uint64, _ time.Duration) (table.Changes, error) {
+	if revision < f.changes.Revision {
+		return f.changes, nil
+	}
+	<-ctx.Done()
+	return table.Changes{}, ctx.Err()
+}
+
+// A node that starts while a resource is changed must know the change. Guards against a change that is
+// lost for good if it is committed between the two calls of a whole read, which returns it with the
+// revision before it: such a node rejected a tenant's key until it was restarted
+// (TestSite_NodeThatDrainsHoldsUpNoItems).
+func TestStore_KeepsChangeCommittedDuringWholeRead(t *testing.T) {
+	for _, before := range []uint64{0, 5} {
+		site := siteRow(before+1, mustEncode(t, policyChange("site", "committed during the read")))
+		other := table.Change{Row: table.Row{
+			Key: resourceKey(v1.KindSitePolicy, "other"), Version: before + 2, Body: mustEncode(t, policyChange("other", "later")),
+		}}
+		store := NewStore(nil)
+		if before > 0 {
+			store.Apply(table.Changes{Revision: before, Changes: []table.Change{siteRow(before, mustEncode(t, policyChange("site", "old")))}}, true)
+		}
+		feed := &concurrentFeed{revision: before, page: site, changes: table.Changes{Revision: before + 2, Changes: []table.Change{site, other}}}
+		tabletest.Follow(t, table.NewWatcher(feed, store.Apply))
+		eventually(t, "the node has the last revision", func() bool { return store.Revision() == before+2 })
+		if note := noteOf(t, store); note != "committed during the read" {
+			t.Errorf("after revision %d: note %q", before, note)
+		}
+		if _, _, _, err := store.Since(before); before > 0 && !errors.Is(err, ErrTooOld) {
+			t.Errorf("a watch continues across the whole read: %v", err)
+		}
+	}
+}
+
 // A resource whose row becomes unreadable stays in force, other changes are applied, and a watch
 // neither misses nor repeats changes.
 func TestStore_UnreadableRowKeepsLastValidResource(t *testing.T) {
