--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -100,3 +100,13 @@
 	t.Parallel()
 	runSeed(t, Options{Seed: 8050, Nodes: 6, Regions: 2, Servers: 12, Slots: 2, Duration: 15 * time.Second})
 }
+
+// Guards against harmless work that is refused for longer than a trial takes: several harmful works
+// crash replicas beside new routes, so that their trials fail as well (docs/incidents/0007).
+func TestRun_SeedsOfSharedCrashes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	t.Parallel()
+	runSeed(t, Options{Seed: 990631, Nodes: 8, Regions: 2, Duration: 20 * time.Second})
+}
