quarantine: trials are renewed leases

Cause, from the printed verdict: 10.4 s after its crashes the work had neither a failed trial nor a success. A granted trial was considered under way for 10 s, and the message that it had ended without a result (no replica was up) was lost, or its node.

Change: a trial is a lease of 2 s that its node renews each 0.5 s until it ends; an owner that has restarted takes the renewal for the grant. An interrupted trial is not renewed any more, which gives its replica 2 s to be found crashed, as before.

Ruled out: repeating the message of the end (the node may be lost as well); a shorter time alone (two trials of slow answers at once).

TestGuard_RenewsTrialUntilItEnds: a trial of 6 s is the only one, and one whose node is lost is followed by another within 3 s; before, within 10 s.

--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -203,6 +203,13 @@
 	return granted
 }
 
+// Renew implements quarantine.TrialOwners.
+func (t fleetTrials) Renew(trial quarantine.Trial) {
+	if owner, reached := t.reachOwner(); reached {
+		time.AfterFunc(fleetLatency, func() { owner.list.RenewTrial(trial, time.Now()) })
+	}
+}
+
 // End implements quarantine.TrialOwners.
 func (t fleetTrials) End(trial quarantine.Trial) {
 	if owner, reached := t.reachOwner(); reached {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -127,6 +127,8 @@
 	unanswered map[Work]struct{}
 	// asked limits the requests for trials to other nodes.
 	asked map[Work]askState
+	// renewing holds the channels that stop the renewals of this node's trials.
+	renewing map[Work]chan struct{}
 }
 
 // watch tracks a replica whose responses were interrupted.
@@ -211,7 +213,7 @@
 func (g *Guard) RecordSuccess(work Work) {
 	now := clock.Now()
 	g.frequent.record(work, now)
-	if previous := g.List.Clear(work, now); g.takeUnanswered(work) || len(previous.Replicas) > 0 {
+	if previous := g.List.Clear(work, now); g.recordResult(work) || len(previous.Replicas) > 0 {
 		g.Events.Cleared(previous, now)
 	}
 }
@@ -233,10 +235,12 @@
 	return time.Time{}, false
 }
 
-// takeUnanswered reports whether a peer's query about work is unanswered, and removes the query.
-func (g *Guard) takeUnanswered(work Work) bool {
+// recordResult ends the trial of work, if this node runs one. It reports whether a peer's query about
+// the work is unanswered, and removes the query.
+func (g *Guard) recordResult(work Work) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.stopRenewing(work)
 	_, found := g.unanswered[work]
 	delete(g.unanswered, work)
 	return found
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -38,6 +38,8 @@
 	return granted
 }
 
+func (o *fakeOwners) Renew(trial Trial) { o.list.RenewTrial(trial, time.Now()) }
+
 func (o *fakeOwners) End(trial Trial) { o.list.EndTrial(trial) }
 
 // quarantinedGuard returns a guard and the owners it asks, with work that three crashes have just
@@ -182,3 +184,45 @@
 		}
 	})
 }
+
+// TestGuard_RenewsTrialUntilItEnds checks that no second trial begins while one takes long, and that
+// one begins soon after the node of the first was lost, or its message about the end.
+func TestGuard_RenewsTrialUntilItEnds(t *testing.T) {
+	const longRun = 6 * time.Second
+	for name, lost := range map[string]bool{"long trial": false, "node lost": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := work("w")
+				guard, owners := quarantinedGuard(w)
+				if trial, err := guard.RefuseRequest(t.Context(), func() Work { return w }); trial == nil || err != nil {
+					t.Fatalf("trial %v, error %v", trial, err)
+				}
+				if lost {
+					guard.mu.Lock()
+					guard.stopRenewing(w)
+					guard.mu.Unlock()
+				}
+				time.AfterFunc(longRun, func() {
+					guard.RecordSuccess(w)
+					owners.list.Clear(w, time.Now())
+				})
+				other, _ := quarantinedGuard(w)
+				other.Trials = owners
+				started := time.Now()
+				trial, err := other.RefuseRequest(t.Context(), func() Work { return w })
+				switch elapsed := time.Since(started); {
+				case err != nil:
+					t.Errorf("refused after %v: %v", elapsed, err)
+				case !lost && elapsed < longRun-time.Second:
+					t.Errorf("a second trial began after %v", elapsed)
+				case lost && (trial == nil || elapsed > trialLease+maxAskDelay):
+					t.Errorf("trial %v after %v", trial, elapsed)
+				}
+				if trial != nil {
+					other.EndTrial(*trial)
+				}
+				time.Sleep(longRun)
+			})
+		})
+	}
+}
