soak: a draining server is judged by what arrives, not by what begins

Cause, from the logs: all 40 nodes list server-0-5 as leaving at 25.78 s; its last logged send is at 25.44, of online-52-13, which the check says came at 28.46. Sixteen slots for some eighty callers: the requests had been sent before and waited at the server for a slot. The check took the start of a run for its arrival. What the users' page forbids is that a draining server gets requests, so these are allowed.

Change: the stand-in records when a request arrived, before it waits, and the check uses that. It is as strict for what is sent late: the mutation that breaks the promise arrives 3 s after the drain and is found as before; a valid history now holds a request that arrived before and runs 3 s after.

Ruled out: counting from the answer's header (it comes with the slot). No product code.

--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -297,12 +297,13 @@
 	}
 }
 
-// checkDrains checks that draining servers get no new requests.
+// checkDrains checks that draining servers get no new requests. Requests that arrived before may wait
+// there for a slot and begin to run later.
 func (c *checker) checkDrains() {
 	for _, drain := range c.Drains {
 		for _, run := range c.Runs {
-			if run.Server == drain.Server && run.At.After(drain.At.Add(drainBound)) {
-				c.addViolation(DrainingUnused, "server %s got %s %v after it was draining", drain.Server, run.ID, run.At.Sub(drain.At))
+			if run.Server == drain.Server && run.Received.After(drain.At.Add(drainBound)) {
+				c.addViolation(DrainingUnused, "server %s got %s %v after it was draining", drain.Server, run.ID, run.Received.Sub(drain.At))
 			}
 		}
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -141,8 +141,10 @@
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	listed := []standin.JobResult{{Item: "j-0", Text: wholeText()}, {Item: "j-1", DeadLetter: true}}
 	run := func(server, id string, when float64, behaviour standin.Behaviour) ServerRun {
-		return ServerRun{Server: server, Run: standin.Run{ID: id, At: at(when), Behaviour: behaviour, Header: http.Header{"Tenant": {tenantMain}}}}
+		return ServerRun{Server: server, Run: standin.Run{ID: id, Received: at(when), At: at(when), Behaviour: behaviour, Header: http.Header{"Tenant": {tenantMain}}}}
 	}
+	queued := run("s1", "queued", 9, standin.Succeed)
+	queued.Received = at(5.9)
 	history := &History{
 		Events: testEvents, Quota: 1000, CalmFrom: at(5),
 		Requests: []Request{
@@ -162,6 +164,7 @@
 		Runs: []ServerRun{
 			run("s0", "whole", 1, standin.Succeed), run("s0", "added", 3, standin.Succeed), run("s0", "j-0", 2, standin.Succeed),
 			run("s0", "j-1", 2, standin.RejectInvalid), run("s0", "e-0", 5.8, standin.Succeed), run("s1", "other", 7, standin.Succeed),
+			queued,
 		},
 		NodeZones: map[string]string{"n": "a", "m": "b"}, ServerZones: map[string]string{"s0": "a", "s1": "a", "s2": "b"},
 	}
@@ -189,7 +192,7 @@
 		NotRunIsTrue:    func(h *History) { h.Runs[0].ID = "shed" },
 		WholeAnswer:     func(h *History) { h.Requests[0].Answer.Body = h.Requests[0].Answer.Body[:10] },
 		ConfigNeverBack: func(h *History) { h.Requests[2].Sent, h.Requests[2].Ended = h.CalmFrom, h.CalmFrom },
-		DrainingUnused:  func(h *History) { h.Runs[5].At = h.Drains[0].At.Add(3 * time.Second) },
+		DrainingUnused:  func(h *History) { h.Runs[5].Received = h.Drains[0].At.Add(3 * time.Second) },
 		EndedJobStops:   func(h *History) { h.Runs[4].At = h.Jobs[1].EndedAt.Add(4 * time.Second) },
 		WithinQuota:     func(h *History) { h.Jobs[0].Tokens = 600 },
 		RefusedNotRun:   func(h *History) { h.Runs[5].ID, h.Runs[5].Server = "r-0", "s0" },
