quarantine: trials that harmful work ends do not delay those of harmless work

Harmless work explained the trials of the harmful one as well, which got six in 3.3 s. And a second failed trial refused the held requests while the reports that explain it were on their way.

Now the work with more crashes on which no other suspect ran explains such trials without limit, the one with fewer explains none; the next trial after an explained one is spread over a second by a hash of the work; held requests wait a second for reports of the last trial. The same for items.

Four new tests fail on the code before.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -35,22 +35,79 @@
 }
 
 // countTrials counts the trials among the crashes of a verdict. A trial on a replica that other work
-// may have crashed says little, so it does not delay the next one much. Harmful work that crashes
-// replicas beside other suspects gets at most maxExplainedTrials trials for that. The caller holds
-// mu.
+// crashed says nothing, so it does not delay the next one much. The caller holds mu.
 func (l *List) countTrials(verdict *Verdict, crashes []*crash, now time.Time) {
-	explained := 0
+	equallySuspect := 0
 	for _, c := range crashes {
 		if !c.works[verdict.Work].trial {
 			continue
 		}
+		explanation := l.explainTrial(c, verdict.Work, now)
+		if explanation == explainedByEquallySuspect {
+			equallySuspect++
+		}
+		verdict.Trials++
 		verdict.LastTrial = c.at
-		if explained < maxExplainedTrials && l.explainedByOther(c, verdict.Work, now) {
-			explained++
+		verdict.LastTrialFailed = explanation == notExplained || equallySuspect > maxExplainedTrials
+		if verdict.LastTrialFailed {
+			verdict.FailedTrials++
+		}
+	}
+}
+
+// explanation is how other work that ran on the replica explains the crash of a trial.
+type explanation int
+
+const (
+	notExplained explanation = iota
+	// explainedByEquallySuspect means that either work may have crashed the replica.
+	explainedByEquallySuspect
+	// explainedByMoreSuspect means that the other work crashed more replicas on which no other
+	// suspect ran. Of two harmful works only one can be explained like this, by the trials of the
+	// other, which are few.
+	explainedByMoreSuspect
+)
+
+// explainTrial returns how other work explains the crash of a trial of work. The caller holds mu.
+func (l *List) explainTrial(c *crash, work Work, now time.Time) explanation {
+	result := notExplained
+	own := -1
+	for other := range c.works {
+		if other == work || !l.explains(other, work, now) {
 			continue
 		}
-		verdict.FailedTrials++
+		if own < 0 {
+			own = l.soleCrashes(work, now)
+		}
+		switch others := l.soleCrashes(other, now); {
+		case others > own:
+			return explainedByMoreSuspect
+		case others == own:
+			result = explainedByEquallySuspect
+		}
 	}
+	return result
+}
+
+// soleCrashes returns the number of crashes of replicas on which no other suspect ran, of those that
+// count against work. The caller holds mu.
+func (l *List) soleCrashes(work Work, now time.Time) int {
+	crashes := l.countedCrashes(work, now, l.successes.at(work))
+	sole := slices.DeleteFunc(crashes, func(c *crash) bool {
+		for other := range c.works {
+			if other != work && l.unprovenSuspect(other) {
+				return true
+			}
+		}
+		return false
+	})
+	return len(longestSequence(sole, work))
+}
+
+// unprovenSuspect reports whether work reached the crash limit and never succeeded. The caller holds
+// mu.
+func (l *List) unprovenSuspect(work Work) bool {
+	return l.successes.at(work).IsZero() && len(l.suspects[work].crashes) >= l.Limit()
 }
 
 // countedCrashes returns the crashes during runs of work that are later than after and within the
@@ -68,25 +125,31 @@
 	return crashes
 }
 
-// explainedByOther reports whether other work that ran on the replica explains the crash: work that
-// reached the crash limit, at least once on a replica that did not run this work, and that never
-// succeeded. Such crashes do not count against proven work, and as trials of other work. They count
-// in full as crashes of unproven work. Otherwise popular work that has not succeeded yet would
-// explain the crashes of harmful work that runs beside it. The caller holds mu.
+// explainedByOther reports whether other work that ran on the replica explains the crash. Such crashes
+// do not count against proven work. They count in full as crashes of unproven work. Otherwise popular
+// work that has not succeeded yet would explain the crashes of harmful work that runs beside it. The
+// caller holds mu.
 func (l *List) explainedByOther(c *crash, work Work, now time.Time) bool {
 	for other := range c.works {
-		if other == work || !l.successes.at(other).IsZero() || len(l.suspects[other].crashes) < l.Limit() {
-			continue
-		}
-		crashes := l.countedCrashes(other, now, time.Time{})
-		elsewhere := slices.ContainsFunc(crashes, func(candidate *crash) bool { return !candidate.hasWork(work) })
-		if elsewhere && len(longestSequence(crashes, other)) >= l.Limit() {
+		if other != work && l.explains(other, work, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// explains reports whether other work may have caused crashes that count against work: it reached the
+// crash limit, at least once on a replica that did not run work, and never succeeded. The caller
+// holds mu.
+func (l *List) explains(other, work Work, now time.Time) bool {
+	if !l.unprovenSuspect(other) {
+		return false
+	}
+	crashes := l.countedCrashes(other, now, time.Time{})
+	elsewhere := slices.ContainsFunc(crashes, func(candidate *crash) bool { return !candidate.hasWork(work) })
+	return elsewhere && len(longestSequence(crashes, other)) >= l.Limit()
+}
+
 // hasWork reports whether work ran on the replica when it crashed.
 func (c *crash) hasWork(work Work) bool {
 	_, ran := c.works[work]
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -44,6 +45,8 @@
 	fleetNewWorkInterval = 2 * time.Second
 	fleetNewWorks        = 4
 	fleetNewRequests     = 4
+	// fleetHarmfulWorkInterval is the time between the arrivals of two harmful works.
+	fleetHarmfulWorkInterval = 2 * time.Second
 )
 
 // mutation disables parts of the mechanism.
@@ -55,6 +58,10 @@
 	// sameIDs disables nothing: replicas restart under their previous ids. newWork disables nothing
 	// either: other works are new, and some replicas are lost at the same time.
 	sameIDs, newWork bool
+	// harmfulWorks is the number of harmful works, which arrive one after the other; 0 means one.
+	harmfulWorks int
+	// maxLossRate bounds the share of messages that are lost; 0 means 0.5.
+	maxLossRate float64
 }
 
 // fleet simulates nodes, with the real guard, publisher and rows, and replicas that one work
@@ -110,6 +117,7 @@
 type fleetCrash struct {
 	at, sent time.Time
 	node     string
+	work     quarantine.Work
 	// stableSince is when the node started or the table last became available, whichever is later.
 	stableSince time.Time
 }
@@ -166,7 +174,7 @@
 		}
 		sent := time.Now()
 		time.Sleep(fleetRunTime)
-		if !f.crash(ctx, chosen, target, fleetCrash{at: time.Now(), sent: sent, node: n.name, stableSince: n.started}) {
+		if !f.crash(ctx, chosen, target, fleetCrash{at: time.Now(), sent: sent, node: n.name, work: work, stableSince: n.started}) {
 			n.endTrial(trial)
 			return
 		}
@@ -325,13 +333,14 @@
 	f.mu.Unlock()
 }
 
-// simulateFleet runs the simulation for a seed. It returns the number of crashes, the number of
-// late ones (see countCrashes), and the number of refused requests of harmless work.
+// simulateFleet runs the simulation for a seed. It returns the highest numbers of crashes and of late
+// crashes that one work caused (see countCrashes), and the number of refused requests of harmless
+// work.
 func simulateFleet(t *testing.T, seed uint64, m mutation) (all, late, refused int) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		random := rand.New(rand.NewPCG(seed, 17))
-		f := &fleet{mutation: m, random: random, table: &flakyTable{Table: tabletest.New()}, lossRate: 0.5 * random.Float64()}
+		f := &fleet{mutation: m, random: random, table: &flakyTable{Table: tabletest.New()}, lossRate: cmp.Or(m.maxLossRate, 0.5) * random.Float64()}
 		f.tableRestored = time.Now()
 		for i := range 6 + random.IntN(6) {
 			f.replicas = append(f.replicas, &fleetReplica{name: fmt.Sprintf("r%d", i), keepsID: m.sameIDs})
@@ -339,7 +348,11 @@
 		for i := range 3 + random.IntN(6) {
 			f.nodes = append(f.nodes, f.startNode(ctx, fmt.Sprintf("n%d", i)))
 		}
-		harmful := quarantine.Content{Body: []byte("ends what runs it")}
+		var harmful []quarantine.Work
+		for i := range max(m.harmfulWorks, 1) {
+			content := quarantine.Content{Body: fmt.Appendf(nil, "ends what runs it %d", i)}
+			harmful = append(harmful, content.Work())
+		}
 		popular := quarantine.Content{Body: []byte("everybody asks this")}
 		faultsStarted := false
 		for started := time.Now(); time.Since(started) < fleetConvergence+fleetDuration; time.Sleep(fleetArrivalInterval) {
@@ -353,13 +366,19 @@
 			if m.newWork {
 				f.sendNewWork(ctx, time.Since(started))
 			}
-			go f.call(ctx, chosen, harmful.Work())
+			arrived := 1 + int((time.Since(started)-fleetConvergence)/fleetHarmfulWorkInterval)
+			for _, work := range harmful[:min(arrived, len(harmful))] {
+				go f.call(ctx, chosen, work)
+			}
 			if !faultsStarted {
 				go f.injectFaults(ctx)
 				faultsStarted = true
 			}
 		}
-		all, late = f.countCrashes()
+		for _, work := range harmful {
+			crashes, afterwards := f.countCrashes(work)
+			all, late = max(all, crashes), max(late, afterwards)
+		}
 		f.mu.Lock()
 		refused = f.refused
 		f.mu.Unlock()
@@ -369,22 +388,27 @@
 	return all, late, refused
 }
 
-// countCrashes returns the number of crashes, and how many of them come from runs that a connected
-// node sent after it had to know that the work is harmful.
-
-func (f *fleet) countCrashes() (all, late int) {
+// countCrashes returns the number of crashes that work caused, and how many of them come from runs
+// that a connected node sent after it had to know that the work is harmful.
+func (f *fleet) countCrashes(work quarantine.Work) (all, late int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) <= fleetAllowed {
-		return len(f.crashes), 0
+	var crashes []fleetCrash
+	for _, crash := range f.crashes {
+		if crash.work == work {
+			crashes = append(crashes, crash)
+		}
+	}
+	if len(crashes) <= fleetAllowed {
+		return len(crashes), 0
 	}
-	deadline := f.crashes[fleetAllowed-1].at.Add(fleetConvergence)
-	for _, crash := range f.crashes[fleetAllowed:] {
+	deadline := crashes[fleetAllowed-1].at.Add(fleetConvergence)
+	for _, crash := range crashes[fleetAllowed:] {
 		if crash.sent.After(deadline) && crash.sent.Sub(crash.stableSince) > fleetConvergence && !f.table.isUnavailable() {
 			late++
 		}
 	}
-	return len(f.crashes), late
+	return len(crashes), late
 }
 
 // TestFleet_LimitsCrashes runs seeded simulations with lost, duplicated and delayed messages,
@@ -434,6 +458,21 @@
 	}
 }
 
+// TestFleet_ServesNewWorkBesideHarmfulWorks covers several harmful works that arrive one after the
+// other, so that the trials of new work run on replicas that the trials of harmful work crash
+// (docs/incidents/0009).
+func TestFleet_ServesNewWorkBesideHarmfulWorks(t *testing.T) {
+	for seed := range uint64(50) {
+		all, late, refused := simulateFleet(t, seed, mutation{newWork: true, harmfulWorks: 4, maxLossRate: 0.1})
+		if late > fleetMaxLate || all > fleetMaxCrashes {
+			t.Errorf("seed %d: %d replicas crashed, %d of them late", seed, all, late)
+		}
+		if refused > 0 {
+			t.Errorf("seed %d: %d requests of harmless work were refused", seed, refused)
+		}
+	}
+}
+
 // TestFleet_CatchesMutations checks that the simulation fails if parts of the mechanism are
 // disabled.
 func TestFleet_CatchesMutations(t *testing.T) {
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -18,7 +18,7 @@
 	maxHold = 10 * time.Second
 	// maxTrialWait is the longest time until the next trial for which a request waits instead of
 	// being refused.
-	maxTrialWait = time.Second
+	maxTrialWait = repeatedTrialDelay + maxTrialSpread
 	// firstAskDelay and maxAskDelay are the first and the longest time between two requests of this
 	// node for the trial of one work. The results of trials are reported to all nodes, so repeated
 	// requests only matter if a trial ended without a result or a message was lost.
@@ -73,6 +73,10 @@
 		}
 		refusal = &RefusalError{Verdict: verdict}
 		wait := verdict.nextRequestTrial().Sub(now)
+		if wait > maxTrialWait && !verdict.lastTrialReported(now) {
+			// Reports of other nodes may show that other work ended the last trial.
+			wait = verdict.LastTrial.Add(reportDelay).Sub(now)
+		}
 		if wait > maxTrialWait || now.After(deadline) {
 			return nil, refusal
 		}
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -139,6 +140,44 @@
 	})
 }
 
+// TestGuard_HoldsRequestsUntilTrialIsReported covers the second failed trial of harmless work, when
+// another node has yet to report that harmful work ran on the replica as well. The requests that are
+// held must not be refused before that (docs/incidents/0009).
+func TestGuard_HoldsRequestsUntilTrialIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		harmless, harmful := work("harmless"), work("harmful")
+		guard, owners := quarantinedGuard(harmless)
+		crash := func(replica string, run Run) {
+			report := CrashReport{Replica: replica, Runs: []Run{run}, At: time.Now()}
+			guard.RecordCrash(report)
+			owners.list.Add(report, time.Now())
+		}
+		for i := range 6 {
+			sentAt := time.Now()
+			time.Sleep(10 * time.Millisecond)
+			crash(fmt.Sprintf("alone%d", i), Run{Work: harmful, SentAt: sentAt})
+		}
+		for i := range 2 {
+			trial, err := guard.RefuseRequest(t.Context(), func() Work { return harmless })
+			if err != nil || trial == nil {
+				t.Fatalf("request %d is not tried: %v", i, err)
+			}
+			sentAt := time.Now()
+			time.Sleep(10 * time.Millisecond)
+			crash(fmt.Sprintf("t%d", i), Run{Work: harmless, SentAt: sentAt, Trial: true})
+			guard.InterruptTrial(*trial)
+			if i == 1 {
+				time.AfterFunc(reportDelay/2, func() { crash("t1", Run{Work: harmful, SentAt: sentAt}) })
+			}
+		}
+		trial, err := guard.RefuseRequest(t.Context(), func() Work { return harmless })
+		if err != nil || trial == nil {
+			t.Fatalf("refused although another node reports that harmful work ended the trial: %v", err)
+		}
+		guard.InterruptTrial(*trial)
+	})
+}
+
 // TestGuard_RefusesWithoutTrials checks that requests are not held on a node that can neither grant a
 // trial nor ask for one.
 func TestGuard_RefusesWithoutTrials(t *testing.T) {
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 )
@@ -359,6 +360,67 @@
 	}
 }
 
+// addSharedTrial reports a crash of a replica during trials of all the works.
+func addSharedTrial(list *List, replica string, at time.Time, works ...Work) {
+	runs := runsOf(at.Add(-50*time.Millisecond), works...)
+	for i := range runs {
+		runs[i].Trial = true
+	}
+	list.Add(CrashReport{Replica: replica, Runs: runs, At: at}, at)
+}
+
+// TestList_TrialExplainedByMoreSuspectWork covers harmless work whose trials run on replicas that the
+// trials of harmful work crash, more often than maxExplainedTrials. The harmful work crashes other
+// replicas alone as well, so the harmless work must stay due for a trial, and the harmful one must not
+// (soak seed 990631, docs/incidents/0009).
+func TestList_TrialExplainedByMoreSuspectWork(t *testing.T) {
+	var list List
+	harmless, harmful := work("harmless"), work("harmful")
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("shared%d", i), i, harmless, harmful)
+	}
+	addCrash(&list, "alone", 4, harmful)
+	for i := range maxExplainedTrials + 2 {
+		at := start.Add(time.Duration(10+2*i) * time.Second)
+		if verdict := list.Check(harmless, at); !verdict.RequestTrialDue(at) || verdict.FailedTrials != 0 {
+			t.Fatalf("no trial is due after %d trials that harmful work crashed: %+v", i, verdict)
+		}
+		if verdict := list.Check(harmful, at); verdict.FailedTrials != i {
+			t.Fatalf("%d failed trials of harmful work after %d", verdict.FailedTrials, i)
+		}
+		addSharedTrial(&list, fmt.Sprintf("t%d", i), at, harmless, harmful)
+	}
+}
+
+// TestVerdict_TrialsAfterSharedCrashAreSpread checks that works whose trials ended in one crash are
+// not tried again at the same time, which would end their trials in one crash again.
+func TestVerdict_TrialsAfterSharedCrashAreSpread(t *testing.T) {
+	const works = 20
+	var list List
+	all := make([]Work, works)
+	for i := range all {
+		all[i] = work(fmt.Sprint(i))
+		for j := range 3 {
+			addCrash(&list, fmt.Sprintf("r%d-%d", i, j), j, all[i])
+		}
+	}
+	at := start.Add(10 * time.Second)
+	addSharedTrial(&list, "shared", at, all...)
+	var delays []time.Duration
+	for _, work := range all {
+		verdict := list.Check(work, at)
+		delay := verdict.nextRequestTrial().Sub(at)
+		if delay < repeatedTrialDelay || delay >= repeatedTrialDelay+maxTrialSpread {
+			t.Errorf("the next trial is due after %v", delay)
+		}
+		delays = append(delays, delay)
+	}
+	slices.Sort(delays)
+	if spread := delays[works-1] - delays[0]; spread < maxTrialSpread/2 {
+		t.Errorf("%d trials are due within %v", works, spread)
+	}
+}
+
 // TestList_TrialWithoutResultIsFollowedByAnother covers trials that end with neither a success nor a
 // crash, or whose node is lost.
 func TestList_TrialWithoutResultIsFollowedByAnother(t *testing.T) {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,8 +1,11 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"fmt"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -11,8 +14,12 @@
 	itemTrialDelay = 5 * time.Second
 	// repeatedTrialDelay is the least time between two trials of a request.
 	repeatedTrialDelay = time.Second
-	// maxExplainedTrials is the number of trials that do not count as failed because other work may
-	// have crashed the replica.
+	// maxTrialSpread bounds the time that is added to the delay after a trial that other work
+	// explains. Two works whose trials ended in one crash would otherwise be tried again at the same
+	// time, and often on the same replica.
+	maxTrialSpread = time.Second
+	// maxExplainedTrials is the number of trials that do not count as failed because equally suspect
+	// work may have crashed the replica.
 	maxExplainedTrials = 3
 	// trialPropagation is how long after its start the success of a trial is known on all nodes.
 	trialPropagation = time.Second
@@ -51,10 +58,12 @@
 	QueriedAt time.Time
 	// LastCrash is the time of the newest crash that counts.
 	LastCrash time.Time
-	// LastTrial is the time of the newest crash during a trial since the work last succeeded.
-	// FailedTrials is the number of such crashes that other work does not explain.
-	LastTrial    time.Time
-	FailedTrials int
+	// LastTrial is the time of the newest crash during a trial since the work last succeeded, and
+	// Trials the number of such crashes. FailedTrials counts those that other work does not explain;
+	// LastTrialFailed is set if the newest is one of them.
+	LastTrial            time.Time
+	Trials, FailedTrials int
+	LastTrialFailed      bool
 	// Limit is the number of crashes at which the work is quarantined.
 	Limit int
 	// NewlyQuarantined is set on the first verdict that quarantines the work.
@@ -64,7 +73,7 @@
 // ItemTrialDue reports whether quarantined work may run once more to show that it is harmless, for
 // an item, which has a single sender and can wait.
 func (v *Verdict) ItemTrialDue(now time.Time) bool {
-	next := v.LastTrial.Add(trialDelay(itemTrialDelays, v.FailedTrials))
+	next := v.LastTrial.Add(trialDelay(itemTrialDelays, v.FailedTrials) + v.trialSpread())
 	return v.Quarantined && !now.Before(next) && now.Sub(v.LastCrash) >= itemTrialDelay
 }
 
@@ -85,7 +94,23 @@
 	if v.LastTrial.IsZero() {
 		return time.Time{}
 	}
-	return v.LastTrial.Add(max(repeatedTrialDelay, trialDelay(requestTrialDelays, v.FailedTrials)))
+	delay := max(repeatedTrialDelay, trialDelay(requestTrialDelays, v.FailedTrials))
+	return v.LastTrial.Add(delay + v.trialSpread())
+}
+
+// lastTrialReported reports whether all nodes that sent runs to the replica of the last trial have
+// had time to report its crash.
+func (v *Verdict) lastTrialReported(now time.Time) bool { return now.Sub(v.LastTrial) >= reportDelay }
+
+// trialSpread returns the time that is added to the delay of the next trial, below maxTrialSpread. It
+// differs between works and between the trials of one work, and all nodes agree on it. It is zero
+// unless other work explains the last trial.
+func (v *Verdict) trialSpread() time.Duration {
+	if v.Trials == 0 || v.LastTrialFailed {
+		return 0
+	}
+	seed := binary.LittleEndian.AppendUint64(v.Work[:], uint64(v.Trials))
+	return time.Duration(xxhash.Sum64(seed) % uint64(maxTrialSpread))
 }
 
 // RefusalError reports that work was not sent because it is quarantined.
