--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -42,13 +42,17 @@
 		if !c.works[verdict.Work].trial {
 			continue
 		}
-		explanation := l.explainTrial(c, verdict.Work, now)
-		if explanation == explainedByEquallySuspect {
-			equallySuspect++
-		}
 		verdict.Trials++
 		verdict.LastTrial = c.at
-		verdict.LastTrialFailed = explanation == notExplained || equallySuspect > maxExplainedTrials
+		switch l.explainTrial(c, verdict.Work, now) {
+		case notExplained:
+			verdict.LastTrialFailed = true
+		case explainedByEquallySuspect:
+			equallySuspect++
+			verdict.LastTrialFailed = equallySuspect > maxExplainedTrials
+		case explainedByMoreSuspect:
+			verdict.LastTrialFailed = false
+		}
 		if verdict.LastTrialFailed {
 			verdict.FailedTrials++
 		}
@@ -71,14 +75,11 @@
 // explainTrial returns how other work explains the crash of a trial of work. The caller holds mu.
 func (l *List) explainTrial(c *crash, work Work, now time.Time) explanation {
 	result := notExplained
-	own := -1
+	own := l.soleCrashes(work, now)
 	for other := range c.works {
 		if other == work || !l.explains(other, work, now) {
 			continue
 		}
-		if own < 0 {
-			own = l.soleCrashes(work, now)
-		}
 		switch others := l.soleCrashes(other, now); {
 		case others > own:
 			return explainedByMoreSuspect
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -392,6 +392,27 @@
 	}
 }
 
+// TestList_ExplainedTrialAfterFailedOnes checks that trials which more suspect work explains do not
+// count as failed after those of maxExplainedTrials and more that equally suspect work explains.
+func TestList_ExplainedTrialAfterFailedOnes(t *testing.T) {
+	var list List
+	harmless, equal, harmful := work("harmless"), work("equal"), work("harmful")
+	for i := range 4 {
+		addCrash(&list, fmt.Sprintf("equal%d", i), i, equal)
+		addCrash(&list, fmt.Sprintf("harmless%d", i), i, harmless)
+		addCrash(&list, fmt.Sprintf("harmful%d", 2*i), i, harmful)
+		addCrash(&list, fmt.Sprintf("harmful%d", 2*i+1), 10+i, harmful)
+	}
+	others := []Work{equal, equal, equal, equal, harmful, harmful}
+	for i, other := range others {
+		addSharedTrial(&list, fmt.Sprintf("t%d", i), start.Add(time.Duration(20+2*i)*time.Second), harmless, other)
+	}
+	verdict := list.Check(harmless, start.Add(time.Minute))
+	if verdict.Trials != len(others) || verdict.FailedTrials != 1 || verdict.LastTrialFailed {
+		t.Errorf("%d trials, %d failed, the last one failed: %v", verdict.Trials, verdict.FailedTrials, verdict.LastTrialFailed)
+	}
+}
+
 // TestVerdict_TrialsAfterSharedCrashAreSpread checks that works whose trials ended in one crash are
 // not tried again at the same time, which would end their trials in one crash again.
 func TestVerdict_TrialsAfterSharedCrashAreSpread(t *testing.T) {
