--- /dev/null
+++ b/internal/quarantine/trial_test.go
@@ -0,0 +1,245 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// addFailedTrial reports a crash of a replica during a trial of work.
+func addFailedTrial(list *List, replica string, at time.Time, work Work) {
+	list.Add(CrashReport{Replica: replica, Runs: []Run{{Work: work, SentAt: at.Add(-100 * time.Millisecond), Trial: true}}, At: at}, at)
+}
+
+// TestVerdict_ItemTrialsAreSpaced checks that items of quarantined work are tried again at growing
+// intervals, which do not end.
+func TestVerdict_ItemTrialsAreSpaced(t *testing.T) {
+	list := List{Window: 10 * time.Hour}
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	for i, delay := range []time.Duration{5 * time.Second, 5 * time.Second, 5 * time.Second, 12 * time.Minute, time.Hour, time.Hour} {
+		verdict := list.Check(work("w"), start.Add(2*time.Second))
+		next := verdict.LastCrash.Add(delay)
+		if verdict.ItemTrialDue(next.Add(-1)) || !verdict.ItemTrialDue(next) {
+			t.Fatalf("trial %d is not due %v after the newest crash", i, delay)
+		}
+		addFailedTrial(&list, fmt.Sprintf("t%d", i), next, work("w"))
+	}
+}
+
+// TestVerdict_CrashesWithoutTrialDoNotDelayTrials covers crashes that are reported after work was
+// quarantined, by nodes that did not know it yet. They must not count as failed trials, or harmless
+// work is refused until the next trial minutes later although none has taken place (soak seed
+// 990631).
+func TestVerdict_CrashesWithoutTrialDoNotDelayTrials(t *testing.T) {
+	var list List
+	for i := range 7 {
+		addCrash(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	now := start.Add(7 * time.Second)
+	verdict := list.Check(work("w"), now)
+	if !verdict.Quarantined || !verdict.RequestTrialDue(now) || !verdict.ItemTrialDue(now.Add(itemTrialDelay)) {
+		t.Errorf("no trial is due: %+v", verdict)
+	}
+	if wait := verdict.RetryAfter(now); wait != trialPropagation {
+		t.Errorf("callers are to retry after %v", wait)
+	}
+}
+
+// TestVerdict_RetryAfterFollowsNextTrial checks that refused callers are asked to wait until the
+// result of the next trial is known.
+func TestVerdict_RetryAfterFollowsNextTrial(t *testing.T) {
+	var list List
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	retryAfter := func(second int) time.Duration {
+		now := start.Add(time.Duration(second) * time.Second)
+		verdict := list.Check(work("w"), now)
+		return verdict.RetryAfter(now)
+	}
+	if wait := retryAfter(4); wait != trialPropagation {
+		t.Errorf("with a trial due: %v", wait)
+	}
+	for i, test := range []struct {
+		trial, now int
+		want       time.Duration
+	}{
+		{trial: 10, now: 10, want: time.Second},
+		{trial: 20, now: 23, want: 7 * time.Second},
+		{trial: 30, now: 60, want: 12*time.Minute - 30*time.Second},
+		{trial: 800, now: 801, want: time.Hour - time.Second},
+	} {
+		addFailedTrial(&list, fmt.Sprintf("t%d", i), start.Add(time.Duration(test.trial)*time.Second), work("w"))
+		if wait := retryAfter(test.now); wait != test.want+trialPropagation {
+			t.Errorf("%d s after failed trial %d: %v, want %v", test.now-test.trial, i+1, wait, test.want+trialPropagation)
+		}
+	}
+}
+
+// TestList_RequestTrialsAreSpacedAndExclusive checks that the trials of a work, also those of
+// requests at other nodes, take place one at a time and at growing intervals.
+func TestList_RequestTrialsAreSpacedAndExclusive(t *testing.T) {
+	list := List{Window: 10 * time.Hour}
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	var id uint64
+	begin := func(at time.Time) bool { id++; return list.BeginTrial(Trial{Work: work("w"), ID: id}, at) }
+	grant := func(at time.Time) bool { id++; return list.GrantTrial(Trial{Work: work("w"), ID: id}, at) }
+	at := start.Add(2 * time.Second)
+	for i, delay := range []time.Duration{0, time.Second, 10 * time.Second, 12 * time.Minute, time.Hour} {
+		next := at.Add(delay)
+		if delay > 0 && (begin(next.Add(-1)) || grant(next.Add(-1))) || !begin(next) {
+			t.Fatalf("trial %d is not due after %v", i, delay)
+		}
+		if begin(next.Add(1)) || grant(next.Add(trialLease-1)) {
+			t.Fatalf("two concurrent trials %d", i)
+		}
+		at = next.Add(200 * time.Millisecond)
+		addFailedTrial(&list, fmt.Sprintf("t%d", i), at, work("w"))
+	}
+	if list.BeginTrial(Trial{Work: work("other")}, at) {
+		t.Fatal("a trial of work that is not quarantined started")
+	}
+}
+
+// TestList_TrialExplainedByOtherWork covers harmless work whose trials run on replicas that harmful
+// work crashes at that moment. The next trial must follow soon (soak seed 990631), but harmful work
+// beside other suspects gets few more trials for that.
+func TestList_TrialExplainedByOtherWork(t *testing.T) {
+	var list List
+	harmless, harmful := work("harmless"), work("harmful")
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("r%d", i), i, harmless)
+		addCrash(&list, fmt.Sprintf("apart%d", i), i, harmful)
+	}
+	for i := range maxExplainedTrials + 1 {
+		at := start.Add(time.Duration(10+2*i) * time.Second)
+		if verdict := list.Check(harmless, at); !verdict.RequestTrialDue(at) {
+			t.Fatalf("no trial is due after %d trials that other work explains: %+v", i, verdict)
+		}
+		runs := runsOf(at.Add(-50*time.Millisecond), harmless, harmful)
+		runs[0].Trial = true
+		list.Add(CrashReport{Replica: fmt.Sprintf("t%d", i), Runs: runs, At: at}, at)
+		if verdict := list.Check(harmless, at); verdict.RequestTrialDue(at.Add(repeatedTrialDelay - 1)) {
+			t.Fatalf("two trials within %v", repeatedTrialDelay)
+		}
+	}
+	if verdict := list.Check(harmless, start); verdict.FailedTrials != 1 {
+		t.Errorf("%d failed trials after one that is not explained", verdict.FailedTrials)
+	}
+}
+
+// addSharedTrial reports a crash of a replica during trials of all the works.
+func addSharedTrial(list *List, replica string, at time.Time, works ...Work) {
+	runs := runsOf(at.Add(-50*time.Millisecond), works...)
+	for i := range runs {
+		runs[i].Trial = true
+	}
+	list.Add(CrashReport{Replica: replica, Runs: runs, At: at}, at)
+}
+
+// TestList_TrialExplainedByMoreSuspectWork covers harmless work whose trials run on replicas that the
+// trials of harmful work crash, more often than maxExplainedTrials. The harmful work crashes other
+// replicas alone as well, so the harmless work must stay due for a trial, and the harmful one must not
+// (soak seed 990631, docs/incidents/0009).
+func TestList_TrialExplainedByMoreSuspectWork(t *testing.T) {
+	var list List
+	harmless, harmful := work("harmless"), work("harmful")
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("shared%d", i), i, harmless, harmful)
+	}
+	addCrash(&list, "alone", 4, harmful)
+	for i := range maxExplainedTrials + 2 {
+		at := start.Add(time.Duration(10+2*i) * time.Second)
+		if verdict := list.Check(harmless, at); !verdict.RequestTrialDue(at) || verdict.FailedTrials != 0 {
+			t.Fatalf("no trial is due after %d trials that harmful work crashed: %+v", i, verdict)
+		}
+		if verdict := list.Check(harmful, at); verdict.FailedTrials != i {
+			t.Fatalf("%d failed trials of harmful work after %d", verdict.FailedTrials, i)
+		}
+		addSharedTrial(&list, fmt.Sprintf("t%d", i), at, harmless, harmful)
+	}
+}
+
+// TestList_ExplainedTrialAfterFailedOnes checks that trials which more suspect work explains do not
+// count as failed after those of maxExplainedTrials and more that equally suspect work explains.
+func TestList_ExplainedTrialAfterFailedOnes(t *testing.T) {
+	var list List
+	harmless, equal, harmful := work("harmless"), work("equal"), work("harmful")
+	for i := range 4 {
+		addCrash(&list, fmt.Sprintf("equal%d", i), i, equal)
+		addCrash(&list, fmt.Sprintf("harmless%d", i), i, harmless)
+		addCrash(&list, fmt.Sprintf("harmful%d", 2*i), i, harmful)
+		addCrash(&list, fmt.Sprintf("harmful%d", 2*i+1), 10+i, harmful)
+	}
+	others := []Work{equal, equal, equal, equal, harmful, harmful}
+	for i, other := range others {
+		addSharedTrial(&list, fmt.Sprintf("t%d", i), start.Add(time.Duration(20+2*i)*time.Second), harmless, other)
+	}
+	verdict := list.Check(harmless, start.Add(time.Minute))
+	if verdict.Trials != len(others) || verdict.FailedTrials != 1 || verdict.LastTrialFailed {
+		t.Errorf("%d trials, %d failed, the last one failed: %v", verdict.Trials, verdict.FailedTrials, verdict.LastTrialFailed)
+	}
+}
+
+// TestVerdict_TrialsAfterSharedCrashAreSpread checks that works whose trials ended in one crash are
+// not tried again at the same time, which would end their trials in one crash again.
+func TestVerdict_TrialsAfterSharedCrashAreSpread(t *testing.T) {
+	const works = 20
+	var list List
+	all := make([]Work, works)
+	for i := range all {
+		all[i] = work(fmt.Sprint(i))
+		for j := range 3 {
+			addCrash(&list, fmt.Sprintf("r%d-%d", i, j), j, all[i])
+		}
+	}
+	at := start.Add(10 * time.Second)
+	addSharedTrial(&list, "shared", at, all...)
+	var delays []time.Duration
+	for _, work := range all {
+		verdict := list.Check(work, at)
+		delay := verdict.nextRequestTrial().Sub(at)
+		if delay < repeatedTrialDelay || delay >= repeatedTrialDelay+maxTrialSpread {
+			t.Errorf("the next trial is due after %v", delay)
+		}
+		delays = append(delays, delay)
+	}
+	slices.Sort(delays)
+	if spread := delays[works-1] - delays[0]; spread < maxTrialSpread/2 {
+		t.Errorf("%d trials are due within %v", works, spread)
+	}
+}
+
+// TestList_TrialWithoutResultIsFollowedByAnother covers trials that end with neither a success nor a
+// crash, or whose node is lost.
+func TestList_TrialWithoutResultIsFollowedByAnother(t *testing.T) {
+	var list List
+	for i := range 3 {
+		addCrash(&list, fmt.Sprintf("r%d", i), i, work("w"))
+	}
+	at := start.Add(3 * time.Second)
+	first, second, third := Trial{work("w"), 1}, Trial{work("w"), 2}, Trial{work("w"), 3}
+	if !list.GrantTrial(first, at) || list.GrantTrial(second, at) {
+		t.Fatal("not one trial of two that were requested is granted")
+	}
+	list.EndTrial(second)
+	if list.GrantTrial(third, at) {
+		t.Fatal("the end of a trial that was not granted ends another one")
+	}
+	list.EndTrial(first)
+	if !list.GrantTrial(second, at) {
+		t.Fatal("no trial is granted after one without a result")
+	}
+	if list.BeginTrial(third, at.Add(trialLease-1)) || !list.BeginTrial(third, at.Add(trialLease)) {
+		t.Fatal("no trial is granted after one whose node was lost, or too early")
+	}
+	// The reports that quarantine the work elsewhere have not arrived yet.
+	if !list.GrantTrial(Trial{work("unknown"), 4}, at) || list.GrantTrial(Trial{work("unknown"), 5}, at) {
+		t.Fatal("not one trial of work that only the other node suspects is granted")
+	}
+}
