quarantine: one loop for the tests of the simulated fleet

The four tests had the same loop. Bounds, seeds and checks are the same; all of them now log the highest number of crashes.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -140,13 +140,13 @@
 	return len(crashes), late
 }
 
-// TestFleet_LimitsCrashes runs seeded simulations with lost, duplicated and delayed messages,
-// restarts of single and of all nodes, and an unavailable table. Harmful work must crash few
-// replicas, and harmless work must not be refused.
-func TestFleet_LimitsCrashes(t *testing.T) {
+// checkFleet runs the simulation for seeds 0 to seeds-1. Harmful work must crash few replicas, and
+// harmless work must not be refused.
+func checkFleet(t *testing.T, seeds uint64, m mutation) {
+	t.Helper()
 	highest := 0
-	for seed := range uint64(100) {
-		all, late, refused := simulateFleet(t, seed, mutation{})
+	for seed := range seeds {
+		all, late, refused := simulateFleet(t, seed, m)
 		highest = max(highest, all)
 		if late > fleetMaxLate || all > fleetMaxCrashes {
 			t.Errorf("seed %d: %d replicas crashed, %d of them late", seed, all, late)
@@ -158,48 +158,29 @@
 	t.Logf("at most %d replicas crashed per seed", highest)
 }
 
+// TestFleet_LimitsCrashes runs seeded simulations with lost, duplicated and delayed messages,
+// restarts of single and of all nodes, and an unavailable table.
+func TestFleet_LimitsCrashes(t *testing.T) {
+	checkFleet(t, 100, mutation{})
+}
+
 // TestFleet_LimitsCrashesWithStableIDs covers replicas that restart under the same id before their
 // entries expire.
 func TestFleet_LimitsCrashesWithStableIDs(t *testing.T) {
-	for seed := range uint64(50) {
-		all, late, refused := simulateFleet(t, seed, mutation{sameIDs: true})
-		if late > fleetMaxLate || all > fleetMaxCrashes {
-			t.Errorf("seed %d: %d replicas crashed, %d of them late", seed, all, late)
-		}
-		if refused > 0 {
-			t.Errorf("seed %d: %d requests of harmless work were refused", seed, refused)
-		}
-	}
+	checkFleet(t, 50, mutation{sameIDs: true})
 }
 
 // TestFleet_ServesNewWork covers work that no node has seen succeed yet, on replicas that harmful work
-// crashes and that are lost several at a time. It must not be refused as harmful, and harmful work
-// must still crash few replicas.
+// crashes and that are lost several at a time.
 func TestFleet_ServesNewWork(t *testing.T) {
-	for seed := range uint64(50) {
-		all, late, refused := simulateFleet(t, seed, mutation{newWork: true})
-		if late > fleetMaxLate || all > fleetMaxCrashes {
-			t.Errorf("seed %d: %d replicas crashed, %d of them late", seed, all, late)
-		}
-		if refused > 0 {
-			t.Errorf("seed %d: %d requests of harmless work were refused", seed, refused)
-		}
-	}
+	checkFleet(t, 50, mutation{newWork: true})
 }
 
 // TestFleet_ServesNewWorkBesideHarmfulWorks covers several harmful works that arrive one after the
 // other, so that the trials of new work run on replicas that the trials of harmful work crash
 // (docs/incidents/0009).
 func TestFleet_ServesNewWorkBesideHarmfulWorks(t *testing.T) {
-	for seed := range uint64(50) {
-		all, late, refused := simulateFleet(t, seed, mutation{newWork: true, harmfulWorks: 4, maxLossRate: 0.1})
-		if late > fleetMaxLate || all > fleetMaxCrashes {
-			t.Errorf("seed %d: %d replicas crashed, %d of them late", seed, all, late)
-		}
-		if refused > 0 {
-			t.Errorf("seed %d: %d requests of harmless work were refused", seed, refused)
-		}
-	}
+	checkFleet(t, 50, mutation{newWork: true, harmfulWorks: 4, maxLossRate: 0.1})
 }
 
 // TestFleet_CatchesMutations checks that the simulation fails if parts of the mechanism are
