--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -60,18 +60,19 @@
 type Quota struct {
 	// Window is the length of the window in which requests are counted; default 5s.
 	Window v1.Duration `json:"window,omitempty"`
-	// Over, a fraction of the limit, and Slack, a number of requests, may be admitted beyond the limit
-	// in a window, because many nodes enforce it together.
-	Over  float64 `json:"over,omitempty"`
+	// Over is the fraction of the limit that may be admitted beyond it in a window, because many nodes
+	// enforce it together.
+	Over float64 `json:"over,omitempty"`
+	// Slack is the number of requests that may be admitted in addition to Over.
 	Slack float64 `json:"slack,omitempty"`
 }
 
 // Cold configures the limit of requests to cold replicas. In any one second a cold replica may get
 // Over times the rate that it sustains, plus Slack requests.
 type Cold struct {
-	// Over is at least 1; default 1.
+	// Over is the multiple of the sustained rate; default 1.
 	Over float64 `json:"over,omitempty"`
-	// Slack is a number of requests.
+	// Slack is the number of requests that are allowed in addition to Over.
 	Slack float64 `json:"slack,omitempty"`
 }
 
@@ -108,6 +109,12 @@
 	if g.Peers != "" {
 		checkAddress(found, "gateway.peers", g.Peers)
 	}
+	if g.StoreWrites < 0 {
+		found.Add("gateway.storeWrites", "must not be negative")
+	}
+	if g.RelayFrom < 0 {
+		found.Add("gateway.relayFrom", "must not be negative")
+	}
 	if g.BootstrapAfter < 0 {
 		found.Add("gateway.bootstrapAfter", "must not be negative")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,8 +27,11 @@
 
 // Node identifies a node and configures its listener.
 type Node struct {
-	ID     string `json:"id"`
-	Zone   string `json:"zone"`
+	// ID names the node; it stays the same over restarts.
+	ID string `json:"id"`
+	// Zone is the zone of the node's machine.
+	Zone string `json:"zone"`
+	// Region is the region of the zone; default local.
 	Region string `json:"region,omitempty"`
 	// Zones maps each zone that may have nodes or replicas to its region.
 	Zones place.Map `json:"zones,omitempty"`
@@ -47,24 +50,35 @@
 
 // TableService is a DynamoDB-compatible service.
 type TableService struct {
-	Endpoint  string `json:"endpoint"`
-	Region    string `json:"region,omitempty"`
-	Table     string `json:"table"`
+	// Endpoint is the URL of the service.
+	Endpoint string `json:"endpoint"`
+	// Region is the region that requests are signed for; default local.
+	Region string `json:"region,omitempty"`
+	// Table is the name of the table.
+	Table string `json:"table"`
+	// AccessKey is the id of the key that signs requests.
 	AccessKey string `json:"accessKey,omitempty"`
+	// SecretKey is the secret of AccessKey.
 	SecretKey string `json:"secretKey,omitempty"`
 }
 
 // ObjectStore is an S3-compatible store.
 type ObjectStore struct {
-	Endpoint  string `json:"endpoint"`
-	Region    string `json:"region,omitempty"`
-	Bucket    string `json:"bucket"`
+	// Endpoint is the URL of the store.
+	Endpoint string `json:"endpoint"`
+	// Region is the region that requests are signed for; default local.
+	Region string `json:"region,omitempty"`
+	// Bucket holds the files of jobs.
+	Bucket string `json:"bucket"`
+	// AccessKey is the id of the key that signs requests.
 	AccessKey string `json:"accessKey,omitempty"`
+	// SecretKey is the secret of AccessKey.
 	SecretKey string `json:"secretKey,omitempty"`
 }
 
 // MachineList is the service that lists the platform's machines.
 type MachineList struct {
+	// URL answers GET with the list.
 	URL string `json:"url"`
 }
 
@@ -82,8 +96,10 @@
 
 // TLSFiles holds the paths of the PEM files of a certificate and its key.
 type TLSFiles struct {
+	// Certificate is the file with the certificate and the intermediate ones; empty without TLS.
 	Certificate string `json:"certificate,omitempty"`
-	Key         string `json:"key,omitempty"`
+	// Key is the file with the key of Certificate.
+	Key string `json:"key,omitempty"`
 }
 
 // Set reports whether any path is set.
@@ -163,6 +179,9 @@
 	if region, ok := s.Node.Zones[s.Node.Zone]; ok && region != s.Node.Region {
 		found.Add("node.region", "zone %q lies in region %q by node.zones, not in %q", s.Node.Zone, region, s.Node.Region)
 	}
+	if s.Node.MaxStreams < 0 {
+		found.Add("node.maxStreams", "must not be negative")
+	}
 	s.Quarantine.validate(&found)
 	if s.Gateway.Enabled() {
 		s.Gateway.validate(&found)
@@ -186,9 +205,6 @@
 	if len(s.Operator.KeySHA256) != len(v1.HashKey("")) {
 		found.Add("operator.keySHA256", "must be 64 hex digits")
 	}
-	if s.Node.MaxStreams < 0 {
-		found.Add("node.maxStreams", "must not be negative")
-	}
 	checkTLSFiles(found, "tls.serve", s.TLS.Serve)
 }
 
