soak: count the occasions of each promise

A run now counts, for each of the 27 promises, the observations that its check judges, and names those without an occasion before its last line. The checks are unchanged.

TestOccasions_PrecedeViolations: a history that breaks a promise has an occasion for it, for all 27; an empty one has none. Writing it showed that the caller left Refused set on jobs that a later node accepted, against its comment; nothing read it there.

Ruled out: counting within the checks, which would change each of them.

--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -77,6 +77,9 @@
 			for _, violation := range report.Violations {
 				_, _ = fmt.Fprintln(std.out, "broken:", violation)
 			}
+			if without := soak.WithoutOccasion(report.Occasions); len(without) > 0 {
+				_, _ = fmt.Fprintln(std.out, "promises without an occasion:", without)
+			}
 			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d replicas ended by %d harmful requests, %d silences, %d replicas started again, %d foreign rows, %d promises checked, %d broken\n",
 				report.Seed, report.Faults, report.Whole, report.Requests, report.Limited, report.Jobs, report.Items, report.Runs,
 				report.Evacuations, report.Losses, report.ColdSends, report.HarmfulCrashes, report.HarmfulRequests,
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -144,7 +144,7 @@
 		answer := s.client(random.IntN(len(s.gateways))).Submit(attemptCtx, job.ID, job.Items, job.Tokens)
 		cancel()
 		if answer.Status == http.StatusAccepted {
-			job.Accepted, job.At = true, time.Now()
+			job.Accepted, job.Refused, job.At = true, false, time.Now()
 			return
 		}
 		// A node that refused the connection has not read the job either.
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -101,19 +101,25 @@
 
 func (v Violation) String() string { return string(v.Promise) + ": " + v.Detail }
 
-// checker holds the state of one call of Check.
+// checker holds the state of one call of Check or Occasions.
 type checker struct {
 	*History
 	runs       map[string][]ServerRun
 	violations []Violation
 }
 
-// Check returns the violations that a history contains.
-func Check(h *History) []Violation {
+// newChecker returns a checker of a history.
+func newChecker(h *History) *checker {
 	c := &checker{History: h, runs: map[string][]ServerRun{}}
 	for _, run := range h.Runs {
 		c.runs[run.ID] = append(c.runs[run.ID], run)
 	}
+	return c
+}
+
+// Check returns the violations that a history contains.
+func Check(h *History) []Violation {
+	c := newChecker(h)
 	c.checkPositions()
 	c.checkJobs()
 	c.checkRequests()
--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -33,8 +33,9 @@
 	}
 }
 
-// runSeed runs a soak and fails the test for each violation.
-func runSeed(t *testing.T, options Options) {
+// runSeed runs a soak and fails the test for each violation, and if one of the given promises could
+// not have been broken.
+func runSeed(t *testing.T, options Options, exercised ...Promise) {
 	t.Helper()
 	options.ReadyTimeout, options.Progress = remainingTime(t), t.Logf
 	report, err := Run(t.Context(), options)
@@ -44,6 +45,12 @@
 	for _, violation := range report.Violations {
 		t.Error(violation)
 	}
+	for _, promise := range exercised {
+		if report.Occasions[promise] == 0 {
+			t.Errorf("the run had no occasion to break %s", promise)
+		}
+	}
+	t.Logf("promises without an occasion: %v", WithoutOccasion(report.Occasions))
 }
 
 // Guards against harmless work that is quarantined after all nodes were killed and have lost the
@@ -98,7 +105,7 @@
 		t.Skip("runs processes for half a minute")
 	}
 	t.Parallel()
-	runSeed(t, Options{Seed: 8050, Nodes: 6, Regions: 2, Servers: 12, Slots: 2, Duration: 15 * time.Second})
+	runSeed(t, Options{Seed: 8050, Nodes: 6, Regions: 2, Servers: 12, Slots: 2, Duration: 15 * time.Second}, HarmlessServed, HarmBounded)
 }
 
 // Guards against harmless work that is refused for longer than a trial takes: several harmful works
@@ -108,5 +115,5 @@
 		t.Skip("runs processes for half a minute")
 	}
 	t.Parallel()
-	runSeed(t, Options{Seed: 990631, Nodes: 8, Regions: 2, Duration: 20 * time.Second})
+	runSeed(t, Options{Seed: 990631, Nodes: 8, Regions: 2, Duration: 20 * time.Second}, HarmlessServed, HarmBounded)
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -89,6 +89,8 @@
 	// HistoryLosses counts the faults in which the store lost its history and answers.
 	HistoryLosses int
 	Violations    []Violation
+	// Occasions counts how often each promise could have been broken.
+	Occasions map[Promise]int
 	// Logs is the directory with the logs of the nodes. It is kept if a promise was broken.
 	Logs string
 }
@@ -210,6 +212,7 @@
 		report.Items += len(results)
 	}
 	report.Violations = Check(&s.History)
+	report.Occasions = Occasions(&s.History)
 	return report
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -175,12 +175,8 @@
 	return history
 }
 
-// A valid history has no violations, and a change that breaks a promise is reported as a violation
-// of that promise.
-func TestCheck_FindsWhatIsBroken(t *testing.T) {
-	if violations := Check(validHistory()); len(violations) > 0 {
-		t.Fatalf("a valid history has violations %v", violations)
-	}
+// mutations returns a change of a valid history for each promise, which breaks it.
+func mutations() map[Promise]func(h *History) {
 	mutations := map[Promise]func(h *History){
 		OnePosition: func(h *History) {
 			h.Observations = append(h.Observations, Observation{Job: "j", Position: 2, JobResult: standin.JobResult{Item: "j-0", Text: wholeText()}})
@@ -213,6 +209,16 @@
 	maps.Copy(mutations, harmMutations())
 	maps.Copy(mutations, waitMutations())
 	maps.Copy(mutations, readMutations())
+	return mutations
+}
+
+// A valid history has no violations, and a change that breaks a promise is reported as a violation
+// of that promise.
+func TestCheck_FindsWhatIsBroken(t *testing.T) {
+	if violations := Check(validHistory()); len(violations) > 0 {
+		t.Fatalf("a valid history has violations %v", violations)
+	}
+	mutations := mutations()
 	for _, promise := range Promises() {
 		mutate := mutations[promise]
 		if mutate == nil {
--- a/internal/lab/soak/waits_test.go
+++ b/internal/lab/soak/waits_test.go
@@ -10,6 +10,7 @@
 func addValidWaits(h *History, at func(float64) time.Time) {
 	h.LoadStart, h.LoadEnd = at(0), at(70)
 	h.ServerSlots = map[string]int{"s0": 1, "s1": 1}
+	h.ForeignRows = []FaultKind{ForeignRow}
 	for i := range h.Runs {
 		h.Runs[i].Ended = h.Runs[i].At.Add(200 * time.Millisecond)
 	}
