soak: some items are invalid, so that dead-only-with-cause can fail

In none of the first plays with counted occasions did a job list a dead item, so the promise that an item is dead only with a cause was never tested by a soak: servers reject a request as invalid only while they misbehave, for a second. One item of each fourth job is now rejected wherever it runs.

Ruled out: more faults that misbehave, which would change the plans.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -21,6 +21,10 @@
 	underLimitPause = 300 * time.Millisecond
 	jobPause        = 700 * time.Millisecond
 	jobItems        = 12
+	// invalidSuffix is the suffix of the IDs of items that servers reject as invalid. Every
+	// invalidInterval-th job of a caller has one.
+	invalidSuffix   = "-invalid"
+	invalidInterval = 4
 	// submitAttempts limits the attempts to submit or end a job, each at a random node.
 	submitAttempts = 12
 	// endShare is the fraction of accepted jobs that are ended while they run.
@@ -126,6 +130,9 @@
 		for item := range 1 + random.IntN(jobItems) {
 			job.Items = append(job.Items, fmt.Sprintf("%s-item-%d", job.ID, item))
 		}
+		if number%invalidInterval == 0 {
+			job.Items[0] += invalidSuffix
+		}
 		s.submit(context.WithoutCancel(ctx), &job, random)
 		if job.Accepted && random.Float64() < endShare {
 			retry.Sleep(ctx, time.Second)
@@ -135,6 +142,9 @@
 	}
 }
 
+// isInvalidItem reports whether servers reject an item as invalid.
+func isInvalidItem(id string) bool { return strings.HasSuffix(id, invalidSuffix) }
+
 // submit tries to submit a job at random nodes until one accepts it. The job counts as refused only
 // if every answer guarantees that nothing runs.
 func (s *soak) submit(ctx context.Context, job *Job, random *rand.Rand) {
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -56,7 +56,7 @@
 		slots = 0
 	}
 	srv := &server{
-		Server: &standin.Server{ID: name, Events: answerSize, EventTime: eventTime, Slots: slots},
+		Server: &standin.Server{ID: name, Events: answerSize, EventTime: eventTime, Slots: slots, IsInvalid: isInvalidItem},
 		name:   name, key: name, zone: zone.name, slots: s.Slots, store: s.store, startedAt: time.Now(),
 	}
 	address, err := s.listen(s.harmfulHandler(srv))
