quarantine: trials that met once do not meet again, with or without a verdict

Now the next trial is spread whenever other suspects ran beside the last one, and the sole crashes of the tried work count up to the trial.

Ruled out, by tests: work without a crash apart as an explanation (TestRows_StartingNodeKnowsFailedTrials: harmful work beside popular work would be tried more); one sole crash fewer counting as equal, and three explained trials cut to two.

TestVerdict_TrialsAfterSharedCrashAreSpread/together: 20 trials due within 0 s before, and TestList_TrialExplainedDespiteLaterCrash: 2 failed trials before, 1 after.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -44,16 +44,16 @@
 		}
 		verdict.Trials++
 		verdict.LastTrial = c.at
+		verdict.LastTrialShared = l.hasOtherSuspect(c, verdict.Work)
+		failed := false
 		switch l.explainTrial(c, verdict.Work, now) {
 		case notExplained:
-			verdict.LastTrialFailed = true
+			failed = true
 		case explainedByEquallySuspect:
 			equallySuspect++
-			verdict.LastTrialFailed = equallySuspect > maxExplainedTrials
-		case explainedByMoreSuspect:
-			verdict.LastTrialFailed = false
+			failed = equallySuspect > maxExplainedTrials
 		}
-		if verdict.LastTrialFailed {
+		if failed {
 			verdict.FailedTrials++
 		}
 	}
@@ -66,21 +66,22 @@
 	notExplained explanation = iota
 	// explainedByEquallySuspect means that either work may have crashed the replica.
 	explainedByEquallySuspect
-	// explainedByMoreSuspect means that the other work crashed more replicas on which no other
-	// suspect ran. Of two harmful works only one can be explained like this, by the trials of the
-	// other, which are few.
+	// explainedByMoreSuspect means that the other work has more sole crashes. Of two harmful works
+	// only one can be explained like this, by the trials of the other, which are few.
 	explainedByMoreSuspect
 )
 
-// explainTrial returns how other work explains the crash of a trial of work. The caller holds mu.
+// explainTrial returns how other work explains the crash of a trial of work. It compares the sole
+// crashes of the other work with those of work before the trial: a later one may have another cause,
+// and a later success clears it. The caller holds mu.
 func (l *List) explainTrial(c *crash, work Work, now time.Time) explanation {
 	result := notExplained
-	own := l.soleCrashes(work, now)
+	own := l.soleCrashes(work, now, c.at)
 	for other := range c.works {
 		if other == work || !l.explains(other, work, now) {
 			continue
 		}
-		switch others := l.soleCrashes(other, now); {
+		switch others := l.soleCrashes(other, now, time.Time{}); {
 		case others > own:
 			return explainedByMoreSuspect
 		case others == own:
@@ -91,20 +92,26 @@
 }
 
 // soleCrashes returns the number of crashes of replicas on which no other suspect ran, of those that
-// count against work. The caller holds mu.
-func (l *List) soleCrashes(work Work, now time.Time) int {
+// count against work and, if before is not zero, happened before it. The caller holds mu.
+func (l *List) soleCrashes(work Work, now, before time.Time) int {
 	crashes := l.countedCrashes(work, now, l.successes.at(work))
 	sole := slices.DeleteFunc(crashes, func(c *crash) bool {
-		for other := range c.works {
-			if other != work && l.unprovenSuspect(other) {
-				return true
-			}
-		}
-		return false
+		return !before.IsZero() && !c.at.Before(before) || l.hasOtherSuspect(c, work)
 	})
 	return len(longestSequence(sole, work))
 }
 
+// hasOtherSuspect reports whether an unproven suspect other than work ran on the replica that crashed.
+// The caller holds mu.
+func (l *List) hasOtherSuspect(c *crash, work Work) bool {
+	for other := range c.works {
+		if other != work && l.unprovenSuspect(other) {
+			return true
+		}
+	}
+	return false
+}
+
 // unprovenSuspect reports whether work reached the crash limit and never succeeded. The caller holds
 // mu.
 func (l *List) unprovenSuspect(work Work) bool {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -14,9 +14,9 @@
 	itemTrialDelay = 5 * time.Second
 	// repeatedTrialDelay is the least time between two trials of a request.
 	repeatedTrialDelay = time.Second
-	// maxTrialSpread bounds the time that is added to the delay after a trial that other work
-	// explains. Two works whose trials ended in one crash would otherwise be tried again at the same
-	// time, and often on the same replica.
+	// maxTrialSpread bounds the time that is added to the delay after a trial beside other suspects.
+	// Two works whose trials ended in one crash would otherwise be tried again at the same time, and
+	// often on the same replica.
 	maxTrialSpread = time.Second
 	// maxExplainedTrials is the number of trials that do not count as failed because equally suspect
 	// work may have crashed the replica.
@@ -59,11 +59,11 @@
 	// LastCrash is the time of the newest crash that counts.
 	LastCrash time.Time
 	// LastTrial is the time of the newest crash during a trial since the work last succeeded, and
-	// Trials the number of such crashes. FailedTrials counts those that other work does not explain;
-	// LastTrialFailed is set if the newest is one of them.
+	// Trials the number of such crashes. FailedTrials counts those that other work does not explain.
 	LastTrial            time.Time
 	Trials, FailedTrials int
-	LastTrialFailed      bool
+	// LastTrialShared is set if other suspects ran on the replica of the last trial.
+	LastTrialShared bool
 	// Limit is the number of crashes at which the work is quarantined.
 	Limit int
 	// NewlyQuarantined is set on the first verdict that quarantines the work.
@@ -104,9 +104,9 @@
 
 // trialSpread returns the time that is added to the delay of the next trial, below maxTrialSpread. It
 // differs between works and between the trials of one work, and all nodes agree on it. It is zero
-// unless other work explains the last trial.
+// unless other suspects ran beside the last trial.
 func (v *Verdict) trialSpread() time.Duration {
-	if v.Trials == 0 || v.LastTrialFailed {
+	if !v.LastTrialShared {
 		return 0
 	}
 	seed := binary.LittleEndian.AppendUint64(v.Work[:], uint64(v.Trials))
