--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -66,14 +66,15 @@
 	notExplained explanation = iota
 	// explainedByEquallySuspect means that either work may have crashed the replica.
 	explainedByEquallySuspect
-	// explainedByMoreSuspect means that the other work has more sole crashes. Of two harmful works
-	// only one can be explained like this, by the trials of the other, which are few.
+	// explainedByMoreSuspect means that the other work has more sole crashes. Harmful work is not
+	// explained like this for long, since each of its trials that meets no other suspect adds a sole
+	// crash.
 	explainedByMoreSuspect
 )
 
 // explainTrial returns how other work explains the crash of a trial of work. It compares the sole
-// crashes of the other work with those of work before the trial: a later one may have another cause,
-// and a later success clears it. The caller holds mu.
+// crashes of the other work with those of work before the trial, because a later one of work may have
+// another cause. The caller holds mu.
 func (l *List) explainTrial(c *crash, work Work, now time.Time) explanation {
 	result := notExplained
 	own := l.soleCrashes(work, now, c.at)
