quarantine: a trial has its replica to itself

Cause: nothing chose the replica of a trial, so trials of two works, or a trial and a run of a suspect, met on one replica. Its crash then counts against both, or is explained by the wrong one.

Now a trial claims its replica: for 2 s no other trial may run there, as the node that owns the claims of the replica (rendezvous hash, as for trials) grants one at a time, and all nodes, which are told, send other work there only if there is no other replica. The trial starts 100 ms after the claim, so that the others know of it. If no owner replies, the trial runs; in a pool with fewer replicas than trials it does so after 5 s. Items claim without asking.

--- /dev/null
+++ b/internal/forward/claim_test.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+)
+
+// claimingGuard makes all requests trials if trial is set. Other trials have claimed the replicas in
+// claimed until releasedAt; the request learns of them in advance if announced is set, and otherwise
+// when it claims one.
+type claimingGuard struct {
+	recordingGuard
+	trial      bool
+	claimed    []string
+	announced  bool
+	releasedAt time.Time
+	requests   int
+}
+
+func (g *claimingGuard) RefuseRequest(context.Context, func() quarantine.Work) (*quarantine.Trial, error) {
+	if !g.trial {
+		return nil, nil
+	}
+	return &quarantine.Trial{ID: 1}, nil
+}
+
+func (g *claimingGuard) ClaimReplica(_ context.Context, _ quarantine.Trial, replica string) bool {
+	g.requests++
+	return !slices.Contains(g.claimed, replica) || !time.Now().Before(g.releasedAt)
+}
+
+func (g *claimingGuard) ClaimedReplicas() map[string]bool {
+	if !g.announced {
+		return nil
+	}
+	claimed := map[string]bool{}
+	for _, replica := range g.claimed {
+		claimed[replica] = true
+	}
+	return claimed
+}
+
+// TestDo_TrialsHaveReplicasToThemselves guards against trials that run where another trial runs, and
+// against other work there: if the replica crashes, nothing shows which work is harmful.
+func TestDo_TrialsHaveReplicasToThemselves(t *testing.T) {
+	const held, forever = 2 * time.Second, time.Hour
+	for _, test := range []struct {
+		name             string
+		trial, announced bool
+		replicas         int
+		claimed          []string
+		// held is how long they are claimed.
+		held time.Duration
+		// sentTo is the replica that must get the request, after sentAfter.
+		sentTo    string
+		sentAfter time.Duration
+	}{
+		{"trial", true, false, 1, nil, 0, "r0", quarantine.ClaimSettleTime},
+		{"trial beside announced claims", true, true, 4, []string{"r0", "r1", "r3"}, forever, "r2", quarantine.ClaimSettleTime},
+		{"trial beside unknown claims", true, false, 4, []string{"r0", "r1", "r3"}, forever, "r2", quarantine.ClaimSettleTime},
+		{"trial in a pool of one claimed replica", true, true, 1, []string{"r0"}, held, "r0", held + quarantine.ClaimSettleTime},
+		{"trial in a pool of one replica that stays claimed", true, true, 1, []string{"r0"}, forever, "r0", claimTimeout},
+		{"request beside claims", false, true, 4, []string{"r0", "r1", "r3"}, forever, "r2", 0},
+		{"request in a pool of one claimed replica", false, true, 1, []string{"r0"}, forever, "r0", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				guard := &claimingGuard{trial: test.trial, announced: test.announced, claimed: test.claimed, releasedAt: time.Now().Add(test.held)}
+				started := time.Now()
+				var sentAfter time.Duration
+				backend := &scriptedBackend{answer: func(context.Context, *Attempt, int) (*Answer, error) {
+					sentAfter = time.Since(started)
+					return streamAnswer(events(1, 2)), nil
+				}}
+				forwarder := newForwarder(backend, test.replicas)
+				forwarder.Quarantine = guard
+				target := patientRoute(route.Stream, true, 2)
+				target.Timeout = time.Minute
+				if _, _, err := do(t, forwarder, target); err != nil {
+					t.Fatal(err)
+				}
+				if sentTo := backend.sent[0].Replica.ID; len(backend.sent) != 1 || sentTo != test.sentTo {
+					t.Errorf("sent %d times, first to %s, want %s", len(backend.sent), sentTo, test.sentTo)
+				}
+				// Denied claims are repeated after pauses.
+				if pauses := time.Duration(test.replicas) * capacityRetryInterval; sentAfter < test.sentAfter || sentAfter > test.sentAfter+pauses {
+					t.Errorf("sent after %v, want %v", sentAfter, test.sentAfter)
+				}
+			})
+		})
+	}
+}
+
+// TestDo_TrialEndsWithItsCaller checks that a trial without a free replica ends when its caller has
+// left, and that it asks for claims at intervals.
+func TestDo_TrialEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		guard := &claimingGuard{trial: true, claimed: []string{"r0"}, releasedAt: time.Now().Add(time.Hour)}
+		forwarder := newForwarder(&scriptedBackend{}, 1)
+		forwarder.Quarantine = guard
+		const patience = time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		started := time.Now()
+		_, err := forwarder.Do(ctx, patientRoute(route.Stream, true, 2), &Request{ID: "q", Received: started}, &recordingSink{})
+		if err == nil || time.Since(started) != patience {
+			t.Errorf("ended with %v after %v", err, time.Since(started))
+		}
+		if most := int(patience/capacityRetryInterval) + 1; guard.requests > most {
+			t.Errorf("%d claims asked for, want at most %d", guard.requests, most)
+		}
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -79,8 +79,11 @@
 	sentAt    time.Time
 	// status is the HTTP status of the last attempt's answer; 0 if there was none.
 	status int
-	// trial is set while the request runs as a trial of quarantined work.
-	trial *quarantine.Trial
+	// trial is set while the request runs as a trial of quarantined work, trialSince is when it was
+	// granted. claimDenied holds the ids of the replicas that other trials had claimed.
+	trial       *quarantine.Trial
+	trialSince  time.Time
+	claimDenied map[string]bool
 	// slowestRefusal is the longest duration of an attempt that did not run.
 	slowestRefusal time.Duration
 }
@@ -176,6 +179,12 @@
 		if !c.criteria.Granted {
 			chosen = c.reserve(ctx, chosen)
 		}
+		if !c.claimReplica(ctx, chosen) {
+			if ctx.Err() != nil {
+				return c.withOutcome(contextError(ctx))
+			}
+			continue
+		}
 		if now := clock.Now(); !c.hasTimeFor(chosen, now) {
 			return c.withOutcome(c.outOfTimeError(now))
 		}
@@ -228,6 +237,7 @@
 func (c *call) pick() (*replica.Candidate, error) {
 	now := clock.Now()
 	c.criteria.Objective = max(0, c.route.Objective-now.Sub(c.request.Received))
+	c.criteria.Claimed = c.claimedReplicas()
 	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, &c.criteria, now)
 	return replica.Pick(candidates, &c.criteria, c.forwarder.Weights)
 }
@@ -258,7 +268,7 @@
 	use := c.forwarder.Replicas.BeginAt(chosen.Info, c.criteria.RequestInfo, now)
 	c.criteria.Granted = false
 	if use == nil {
-		c.reservation, c.criteria.Reserved = "", false
+		c.dropReservation()
 		return errNotAdmitted
 	}
 	c.result.Attempts++
@@ -272,7 +282,7 @@
 	err := c.exchange(ctx, chosen.Info, use)
 	stop()
 	c.recordRefusal(err, clock.Since(now))
-	c.reservation, c.criteria.Reserved = "", false
+	c.dropReservation()
 	if c.result.Events > 0 {
 		c.criteria.Version = chosen.Version
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -16,14 +17,17 @@
 type Quarantine interface {
 	// RefuseRequest returns a quarantine.RefusalError for a request that must not be sent, either
 	// at once or after a wait for reports of other nodes and for the trial of another request. If
-	// the request may be sent as a trial, it returns that. Refuse does the same without waiting or
-	// trials, for other work.
+	// the request may be sent as a trial, it returns that.
 	RefuseRequest(ctx context.Context, work func() quarantine.Work) (*quarantine.Trial, error)
-	Refuse(work func() quarantine.Work) error
 	// InterruptTrial records that the answer to a trial was interrupted, EndTrial that a trial
 	// ended in another way than by a success.
 	InterruptTrial(trial quarantine.Trial)
 	EndTrial(trial quarantine.Trial)
+	// ClaimReplica claims a replica for a trial, which should start quarantine.ClaimSettleTime later.
+	// It returns false if another trial has claimed the replica.
+	ClaimReplica(ctx context.Context, trial quarantine.Trial, replica string) bool
+	// ClaimedReplicas returns the ids of the replicas that trials have claimed; nil if there are none.
+	ClaimedReplicas() map[string]bool
 	// RecordSuccess records a complete answer for the work.
 	RecordSuccess(work quarantine.Work)
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
@@ -56,7 +60,7 @@
 	if err != nil && ctx.Err() != nil {
 		return contextError(ctx)
 	}
-	c.trial = trial
+	c.trial, c.trialSince = trial, clock.Now()
 	return err
 }
 
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -14,10 +14,13 @@
 func (g *recordingGuard) RefuseRequest(context.Context, func() quarantine.Work) (*quarantine.Trial, error) {
 	return nil, nil
 }
-func (g *recordingGuard) Refuse(func() quarantine.Work) error { return nil }
-func (g *recordingGuard) RecordSuccess(quarantine.Work)       {}
-func (g *recordingGuard) InterruptTrial(quarantine.Trial)     {}
-func (g *recordingGuard) EndTrial(quarantine.Trial)           {}
+func (g *recordingGuard) RecordSuccess(quarantine.Work)   {}
+func (g *recordingGuard) InterruptTrial(quarantine.Trial) {}
+func (g *recordingGuard) EndTrial(quarantine.Trial)       {}
+func (g *recordingGuard) ClaimReplica(context.Context, quarantine.Trial, string) bool {
+	return true
+}
+func (g *recordingGuard) ClaimedReplicas() map[string]bool { return nil }
 func (g *recordingGuard) RecordInterruption(_ context.Context, interrupted quarantine.Replica, _ quarantine.Run) {
 	g.interrupted = append(g.interrupted, interrupted)
 }
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -74,6 +74,7 @@
 	return &replica.Criteria{
 		Zone: r.Zone, Region: r.Region, RequestInfo: replica.RequestInfo{Tokens: int(send.item().Tokens), Batch: true},
 		Adapter: send.target.Adapter, Reserve: send.target.Reserve, Exclude: send.task.excluded, Regions: send.regions,
+		Claimed: r.claimedReplicas(),
 	}
 }
 
@@ -81,6 +82,7 @@
 // reports whether the item was sent.
 func (r *Runner) startRun(send pendingSend, criteria *replica.Criteria, chosen *replica.Candidate, reservation string) bool {
 	t, now := send.task, clock.Now()
+	r.claimForTrial(t, send.item(), chosen)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopped || t.state != taskWaiting || t.owned.ctx.Err() != nil {
--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -10,6 +10,23 @@
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
 
+// Quarantine keeps items away from replicas if they are suspected of crashing them. It is safe for
+// concurrent use.
+type Quarantine interface {
+	// Refuse returns a quarantine.RefusalError for an item that must not be sent. It calls work only
+	// while some work is suspected.
+	Refuse(work func() quarantine.Work) error
+	// ClaimForItem claims a replica for the trial of an item, which starts at once.
+	ClaimForItem(work quarantine.Work, replica string)
+	// ClaimedReplicas returns the ids of the replicas that trials have claimed; nil if there are none.
+	ClaimedReplicas() map[string]bool
+	// RecordSuccess records a complete answer for the work.
+	RecordSuccess(work quarantine.Work)
+	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
+	// it is known whether the replica crashed, or after a short time.
+	RecordInterruption(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
+}
+
 // quarantineRecheckDelay is the time until a quarantined item is checked again.
 const quarantineRecheckDelay = time.Second
 
@@ -68,6 +85,22 @@
 	return t.trial
 }
 
+// claimForTrial claims the replica that is chosen for an item if the run is a trial. The caller must not
+// hold the runner's lock.
+func (r *Runner) claimForTrial(t *task, item *Item, chosen *replica.Candidate) {
+	if r.Quarantine != nil && r.isTrial(t) {
+		r.Quarantine.ClaimForItem(r.workIdentity(t, item), chosen.ID)
+	}
+}
+
+// claimedReplicas returns the ids of the replicas on which trials run; nil if there are none.
+func (r *Runner) claimedReplicas() map[string]bool {
+	if r.Quarantine == nil {
+		return nil
+	}
+	return r.Quarantine.ClaimedReplicas()
+}
+
 // reportToQuarantine reports the result of an attempt at an item, which was sent at start and
 // resumed after event resumedAfter. An interrupted run that brought new events does not count
 // against the item: items run for long, so many of them are running when a replica crashes, and
--- a/internal/jobs/quarantine_test.go
+++ b/internal/jobs/quarantine_test.go
@@ -11,6 +11,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -21,6 +22,10 @@
 	successes   int
 	// trial makes refused work due for a trial.
 	trial bool
+	// claimed holds the replicas that were claimed for trials.
+	claimed []string
+	// unavailable holds the replicas that other trials have claimed.
+	unavailable map[string]bool
 }
 
 func (q *countingQuarantine) Refuse(work func() quarantine.Work) error {
@@ -41,13 +46,27 @@
 	return refusal
 }
 
-func (q *countingQuarantine) RefuseRequest(_ context.Context, work func() quarantine.Work) (*quarantine.Trial, error) {
-	return nil, q.Refuse(work)
+func (q *countingQuarantine) ClaimForItem(_ quarantine.Work, replica string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.claimed = append(q.claimed, replica)
 }
 
-func (q *countingQuarantine) InterruptTrial(quarantine.Trial) {}
+func (q *countingQuarantine) ClaimedReplicas() map[string]bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.unavailable
+}
 
-func (q *countingQuarantine) EndTrial(quarantine.Trial) {}
+// setClaimed makes the replicas claimed by other trials, and no others.
+func (q *countingQuarantine) setClaimed(candidates []replica.Candidate) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.unavailable = map[string]bool{}
+	for i := range candidates {
+		q.unavailable[candidates[i].ID] = true
+	}
+}
 
 func (q *countingQuarantine) RecordSuccess(quarantine.Work) {
 	q.mu.Lock()
@@ -166,6 +185,33 @@
 	guard.trial = true
 	guard.mu.Unlock()
 	eventually(t, func() bool { return backend.sends() == 4 })
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	if len(guard.claimed) == 0 {
+		t.Error("the trial did not claim its replica")
+	}
+}
+
+// TestRunner_ItemsAvoidClaimedReplicas guards against items on replicas that run a trial, whose crash
+// would count against both.
+func TestRunner_ItemsAvoidClaimedReplicas(t *testing.T) {
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
+	runner, _ := startRunner(t, node, &crashingBackend{})
+	guard := &countingQuarantine{}
+	runner.mu.Lock()
+	runner.Quarantine = guard
+	runner.mu.Unlock()
+	guard.setClaimed(runner.Replicas.Snapshot(testPool, 0, time.Now()))
+	items := []Item{{ID: "good", Path: "/batch/good", Body: []byte("good")}}
+	if err := node.Submit(t.Context(), &Submission{ID: "j", Route: "batch", Host: testHost, Items: items, Completion: time.Minute, Retention: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if listed := listedItems(node, "j"); listed != 0 {
+		t.Errorf("%d items ran while all replicas were claimed", listed)
+	}
+	guard.setClaimed(nil)
+	eventually(t, func() bool { return listedItems(node, "j") == 1 })
 }
 
 func TestRunner_RunsWithNewEventsDoNotCountAgainstAnItem(t *testing.T) {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -56,7 +56,7 @@
 	// ViewAge returns the time since the view's source last answered.
 	ViewAge func() time.Duration
 	// Quarantine, if set, prevents items that crashed replicas from being sent to others.
-	Quarantine forward.Quarantine
+	Quarantine Quarantine
 	// EndQuarantined ends such items once a trial has failed. Otherwise they wait until they expire,
 	// for callers who rely on items not ending for another reason.
 	EndQuarantined bool
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -28,6 +28,7 @@
 	socket.Handle(peer.KindReplicaFailures, g.handleFailureReports)
 	socket.Handle(peer.KindCrashReport, g.handleQuarantineMessage)
 	g.quarantine.publisher.Broadcast, g.quarantine.guard.QueryPeers = g.broadcastUpdate, g.queryPeers
+	g.quarantine.broadcastClaim = g.broadcastClaim
 	g.quarantine.publisher.OnWritten = g.broadcastRowsChanged
 	g.jobs.Notify = g.notifyRowsChanged
 	g.quota.Sender = socket
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -33,7 +33,8 @@
 	maxProven      = 20
 )
 
-// quarantineMessage reports works that crashed replicas and works that succeeded.
+// quarantineMessage reports works that crashed replicas, works that succeeded, and trials that claim
+// replicas.
 type quarantineMessage struct {
 	Crashes   []crashEntry    `cbor:"1,keyasint,omitempty"`
 	Clearings []clearingEntry `cbor:"2,keyasint,omitempty"`
@@ -42,6 +43,21 @@
 	Query *quarantine.Work `cbor:"3,keyasint,omitempty"`
 	// Forward is set if the receiver, a relay, is to send the message on to the nodes that follow it.
 	Forward bool `cbor:"4,keyasint,omitempty"`
+	// Claim is a claim of a replica by a trial of the sender.
+	Claim *claimEntry `cbor:"5,keyasint,omitempty"`
+}
+
+// claimEntry is a replica that a trial has claimed.
+type claimEntry struct {
+	Work    quarantine.Work `cbor:"1,keyasint"`
+	ID      uint64          `cbor:"2,keyasint"`
+	Replica string          `cbor:"3,keyasint"`
+	AgeMs   int64           `cbor:"4,keyasint"`
+}
+
+// claim returns the claim that the entry reports.
+func (e *claimEntry) claim(now time.Time) quarantine.Claim {
+	return quarantine.Claim{Trial: quarantine.Trial{Work: e.Work, ID: e.ID}, Replica: e.Replica, At: ago(now, e.AgeMs)}
 }
 
 // crashEntry is a crash of a replica.
@@ -111,6 +127,14 @@
 	flush()
 }
 
+// broadcastClaim tells all other nodes that a trial of this node has claimed a replica. A node that does
+// not get the message may send other work there.
+func (g *Gateway) broadcastClaim(claim quarantine.Claim) {
+	g.spread(quarantineMessage{Claim: &claimEntry{
+		Work: claim.Work, ID: claim.ID, Replica: claim.Replica, AgeMs: clock.Since(claim.At).Milliseconds(),
+	}})
+}
+
 // spread sends a message to all other nodes, over the relays if there are any.
 func (g *Gateway) spread(message quarantineMessage) {
 	g.sendToFollowers(message)
@@ -197,6 +221,9 @@
 	for _, clearing := range message.Clearings {
 		g.handleClearing(quarantine.Clearing{Work: clearing.Work, At: ago(now, clearing.AgeMs)}, message.Forward)
 	}
+	if message.Claim != nil {
+		g.quarantine.ClaimReplica(message.Claim.claim(now), now)
+	}
 	if message.Forward {
 		g.sendToFollowers(message)
 	}
--- a/internal/node/gatewaytrial.go
+++ b/internal/node/gatewaytrial.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -23,16 +24,27 @@
 	trialOwnersTried = 2
 )
 
-// trialRequest asks for a trial of quarantined work, or reports one that is under way or ended
-// without a result.
+// trialRequest asks for a trial of quarantined work, or for a replica on which to run it, or reports a
+// trial that is under way or ended without a result.
 type trialRequest struct {
 	Work     quarantine.Work `cbor:"1,keyasint"`
 	ID       uint64          `cbor:"2,keyasint"`
 	Ended    bool            `cbor:"3,keyasint,omitempty"`
 	UnderWay bool            `cbor:"4,keyasint,omitempty"`
+	// Replica is the id of the replica that the trial claims; empty in requests for a trial.
+	Replica string `cbor:"5,keyasint,omitempty"`
 }
 
-// trialReply grants or denies a trial.
+// replyID returns the id of the reply. It differs between the requests of one trial, because a late
+// reply to one must not be taken for that to the next.
+func (r *trialRequest) replyID() uint64 {
+	if r.Replica == "" {
+		return r.ID
+	}
+	return r.ID ^ xxhash.Sum64String(r.Replica)
+}
+
+// trialReply grants or denies a trial or a claim.
 type trialReply struct {
 	ID      uint64 `cbor:"1,keyasint"`
 	Granted bool   `cbor:"2,keyasint"`
@@ -55,6 +67,11 @@
 // Request implements quarantine.TrialOwners.
 func (localTrials) Request(context.Context, quarantine.Trial) bool { return false }
 
+// Claim implements quarantine.TrialOwners. It excludes only other trials of this node.
+func (t localTrials) Claim(_ context.Context, claim quarantine.Claim) bool {
+	return t.quarantine.ClaimReplica(claim, clock.Now())
+}
+
 // Renew implements quarantine.TrialOwners.
 func (localTrials) Renew(quarantine.Trial) {}
 
@@ -82,35 +99,50 @@
 // Request implements quarantine.TrialOwners. If the owner does not reply, the node that would own
 // the trials without it is asked.
 func (t *peerTrials) Request(ctx context.Context, trial quarantine.Trial) bool {
-	for _, owner := range t.candidates(trial.Work) {
+	for _, owner := range t.candidates(trial.Work.String()) {
 		if owner == t.session.ID() {
 			return t.quarantine.BeginTrial(trial, clock.Now())
 		}
-		if granted, replied := t.ask(ctx, owner, trial); replied {
+		if granted, replied := t.ask(ctx, owner, trialRequest{Work: trial.Work, ID: trial.ID}); replied {
 			return granted
 		}
 	}
 	return false
 }
 
-// candidates returns the sessions that own the trials of a work, or would if the ones before them
-// were gone.
-func (t *peerTrials) candidates(work quarantine.Work) []string {
+// Claim implements quarantine.TrialOwners. If no owner replies the claim is granted: a trial that may
+// share its replica is better than none.
+func (t *peerTrials) Claim(ctx context.Context, claim quarantine.Claim) bool {
+	for _, owner := range t.candidates(claim.Replica) {
+		if owner == t.session.ID() {
+			return t.quarantine.ClaimReplica(claim, clock.Now())
+		}
+		request := trialRequest{Work: claim.Work, ID: claim.ID, Replica: claim.Replica}
+		if granted, replied := t.ask(ctx, owner, request); replied {
+			return granted
+		}
+	}
+	return true
+}
+
+// candidates returns the sessions that own the trials of a work or the claims of a replica, or would
+// if the ones before them were gone. The key is the name of the work or the replica.
+func (t *peerTrials) candidates(key string) []string {
 	live := slices.Clone(t.owners.Live())
 	var candidates []string
 	for len(candidates) < trialOwnersTried && len(live) > 0 {
-		owner := lease.Preferred(live, work.String())
+		owner := lease.Preferred(live, key)
 		candidates = append(candidates, owner)
 		live = slices.DeleteFunc(live, func(session string) bool { return session == owner })
 	}
 	return candidates
 }
 
-// ask asks a session for a trial.
-func (t *peerTrials) ask(ctx context.Context, owner string, trial quarantine.Trial) (granted, replied bool) {
-	reply := t.pending.Register(trial.ID)
-	defer t.pending.Forget(trial.ID)
-	t.gateway.sendToNode(lease.Node(owner), peer.KindTrialRequest, trialRequest{Work: trial.Work, ID: trial.ID})
+// ask sends a request for a trial or a claim to a session.
+func (t *peerTrials) ask(ctx context.Context, owner string, request trialRequest) (granted, replied bool) {
+	reply := t.pending.Register(request.replyID())
+	defer t.pending.Forget(request.replyID())
+	t.gateway.sendToNode(lease.Node(owner), peer.KindTrialRequest, request)
 	ctx, cancel := context.WithTimeout(ctx, trialReplyTimeout)
 	defer cancel()
 	select {
@@ -133,7 +165,7 @@
 
 // report records the state of a trial at the sessions that may have granted it.
 func (t *peerTrials) report(message trialRequest) {
-	for _, owner := range t.candidates(message.Work) {
+	for _, owner := range t.candidates(message.Work.String()) {
 		if owner == t.session.ID() {
 			t.record(message)
 			continue
@@ -163,16 +195,24 @@
 		t.record(request)
 		return
 	}
-	trial := quarantine.Trial{Work: request.Work, ID: request.ID}
-	reply := trialReply{ID: request.ID, Granted: t.quarantine.GrantTrial(trial, clock.Now())}
+	reply := trialReply{ID: request.replyID(), Granted: t.grant(request)}
 	if reply.Granted {
-		t.log.Info().Stringer("work", request.Work).Str("node", lease.Node(from)).Msg("trial of quarantined work granted")
+		t.log.Info().Stringer("work", request.Work).Str("replica", request.Replica).Str("node", lease.Node(from)).Msg("trial of quarantined work granted")
 	}
 	if err := t.gateway.peers.Send(source, peer.KindTrialReply, reply); err != nil {
 		t.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("reply to a request for a trial not sent")
 	}
 }
 
+// grant grants another node's request for a trial or a claim if it can.
+func (t *peerTrials) grant(request trialRequest) bool {
+	trial, now := quarantine.Trial{Work: request.Work, ID: request.ID}, clock.Now()
+	if request.Replica == "" {
+		return t.quarantine.GrantTrial(trial, now)
+	}
+	return t.quarantine.ClaimReplica(quarantine.Claim{Trial: trial, Replica: request.Replica, At: now}, now)
+}
+
 // handleReply handles peer.KindTrialReply.
 func (t *peerTrials) handleReply(from string, _ *net.UDPAddr, body []byte) {
 	var reply trialReply
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -29,6 +29,8 @@
 	guard     quarantine.Guard
 	rows      quarantine.Rows
 	publisher *quarantine.Publisher
+	// broadcastClaim, if set, tells the other nodes that a trial of this node has claimed a replica.
+	broadcastClaim func(quarantine.Claim)
 }
 
 // buildQuarantine creates the components that detect and store work that crashes replicas, and
@@ -131,6 +133,20 @@
 		Msg("trial of quarantined work begun")
 }
 
+// ReplicaClaimed implements quarantine.Events.
+func (c *core) ReplicaClaimed(claim quarantine.Claim) {
+	c.log.Info().Stringer("work", claim.Work).Str("replica", claim.Replica).Msg("replica claimed for a trial of quarantined work")
+	if c.quarantine.broadcastClaim != nil {
+		c.quarantine.broadcastClaim(claim)
+	}
+}
+
+// ClaimDenied implements quarantine.Events.
+func (c *core) ClaimDenied(claim quarantine.Claim) {
+	c.metrics.trials.WithLabelValues("denied").Inc()
+	c.sampled.Info().Stringer("work", claim.Work).Str("replica", claim.Replica).Msg("replica not claimed for a trial, another trial runs there")
+}
+
 // TrialInconclusive implements quarantine.Events.
 func (c *core) TrialInconclusive(work quarantine.Work) {
 	c.metrics.trials.WithLabelValues("inconclusive").Inc()
--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -120,8 +120,13 @@
 	}
 }
 
-// broadcast sends an update to the other nodes; messages may be lost, duplicated or delayed.
+// broadcast sends an update to the other nodes.
 func (n *fleetNode) broadcast(update quarantine.Update) {
+	n.sendToOthers(func(other *fleetNode) { other.receive(update) })
+}
+
+// sendToOthers sends a message to the other nodes; it may be lost, duplicated or delayed.
+func (n *fleetNode) sendToOthers(deliver func(other *fleetNode)) {
 	if n.fleet.noMessages {
 		return
 	}
@@ -133,7 +138,7 @@
 		}
 		for range 1 + n.fleet.random.IntN(2) {
 			delay := fleetLatency + time.Duration(n.fleet.random.Int64N(int64(100*time.Millisecond)))
-			time.AfterFunc(delay, func() { other.receive(update) })
+			time.AfterFunc(delay, func() { deliver(other) })
 		}
 	}
 }
@@ -154,9 +159,41 @@
 // TrialBegun implements quarantine.Events.
 func (n *fleetNode) TrialBegun(quarantine.Verdict) {}
 
+// ReplicaClaimed implements quarantine.Events. It tells the other nodes of the claim.
+func (n *fleetNode) ReplicaClaimed(claim quarantine.Claim) {
+	n.sendToOthers(func(other *fleetNode) { other.list.ClaimReplica(claim, time.Now()) })
+}
+
+// ClaimDenied implements quarantine.Events.
+func (n *fleetNode) ClaimDenied(quarantine.Claim) {}
+
 // TrialInconclusive implements quarantine.Events.
 func (n *fleetNode) TrialInconclusive(quarantine.Work) {}
 
+// fleetClaimRetryInterval is the pause after a replica could not be claimed.
+const fleetClaimRetryInterval = 25 * time.Millisecond
+
+// pick returns a replica for a run, which a trial has claimed; nil if it finds none in time.
+func (n *fleetNode) pick(trial *quarantine.Trial) (*fleetReplica, quarantine.Replica) {
+	if trial == nil {
+		return n.fleet.pick(n.list.ClaimedReplicas(time.Now()))
+	}
+	for started := time.Now(); n.ctx.Err() == nil && time.Since(started) < fleetHold; time.Sleep(fleetClaimRetryInterval) {
+		chosen, target := n.fleet.pick(n.list.ClaimedReplicas(time.Now()))
+		if chosen == nil {
+			return nil, quarantine.Replica{}
+		}
+		if !n.guard.ClaimReplica(n.ctx, *trial, target.ID) {
+			continue
+		}
+		time.Sleep(quarantine.ClaimSettleTime)
+		if n.fleet.isUp(chosen, target) {
+			return chosen, target
+		}
+	}
+	return nil, quarantine.Replica{}
+}
+
 // endTrial ends a trial without a result, if trial is not nil.
 func (n *fleetNode) endTrial(trial *quarantine.Trial) {
 	if trial != nil {
@@ -177,6 +214,9 @@
 // be lost.
 type fleetTrials struct{ *fleetNode }
 
+// fleetHold is how long a trial tries to claim a replica.
+const fleetHold = 10 * time.Second
+
 // fleetReplyTimeout is how long a node waits for the reply to a request for a trial.
 const fleetReplyTimeout = 100 * time.Millisecond
 
@@ -188,19 +228,31 @@
 
 // Request implements quarantine.TrialOwners.
 func (t fleetTrials) Request(_ context.Context, trial quarantine.Trial) bool {
+	granted, _ := t.ask(func(owner *fleetNode) bool { return owner.list.GrantTrial(trial, time.Now()) })
+	return granted
+}
+
+// Claim implements quarantine.TrialOwners. Without a reply the replica is claimed.
+func (t fleetTrials) Claim(_ context.Context, claim quarantine.Claim) bool {
+	granted, replied := t.ask(func(owner *fleetNode) bool { return owner.list.ClaimReplica(claim, time.Now()) })
+	return granted || !replied
+}
+
+// ask asks the node that grants trials and claims.
+func (t fleetTrials) ask(grant func(owner *fleetNode) bool) (granted, replied bool) {
 	owner, reached := t.reachOwner()
 	if !reached {
 		time.Sleep(fleetReplyTimeout)
-		return false
+		return false, false
 	}
 	time.Sleep(fleetLatency)
-	granted := owner.list.GrantTrial(trial, time.Now())
+	granted = grant(owner)
 	if _, reached := t.reachOwner(); !reached {
 		time.Sleep(fleetReplyTimeout)
-		return false
+		return false, false
 	}
 	time.Sleep(fleetLatency)
-	return granted
+	return granted, true
 }
 
 // Renew implements quarantine.TrialOwners.
--- a/internal/quarantine/fleetsim_test.go
+++ b/internal/quarantine/fleetsim_test.go
@@ -114,7 +114,7 @@
 		if err != nil {
 			return
 		}
-		chosen, target := f.pick()
+		chosen, target := n.pick(trial)
 		if chosen == nil {
 			n.endTrial(trial)
 			return
@@ -139,8 +139,11 @@
 		f.refused++
 	}
 	f.mu.Unlock()
-	chosen, target := f.pick()
-	if err != nil || chosen == nil {
+	if err != nil {
+		return
+	}
+	chosen, target := n.pick(trial)
+	if chosen == nil {
 		n.endTrial(trial)
 		return
 	}
@@ -183,16 +186,33 @@
 	}
 }
 
-// pick returns a random replica that is up, or nil if it finds none.
-func (f *fleet) pick() (*fleetReplica, quarantine.Replica) {
+// pick returns a random replica that is up, one that is not claimed if it finds any; nil if it finds
+// none that is up.
+func (f *fleet) pick(claimed map[string]bool) (*fleetReplica, quarantine.Replica) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var lastResort *fleetReplica
 	for range 20 {
-		if r := f.replicas[f.random.IntN(len(f.replicas))]; !r.down {
+		r := f.replicas[f.random.IntN(len(f.replicas))]
+		if r.down {
+			continue
+		}
+		if !claimed[r.current().ID] {
 			return r, r.current()
 		}
+		lastResort = r
+	}
+	if lastResort == nil {
+		return nil, quarantine.Replica{}
 	}
-	return nil, quarantine.Replica{}
+	return lastResort, lastResort.current()
+}
+
+// isUp reports whether a replica is up since it was picked.
+func (f *fleet) isUp(r *fleetReplica, target quarantine.Replica) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !r.down && r.current() == target
 }
 
 // crash takes a replica down, unless it has crashed or restarted since target was picked.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -97,6 +97,10 @@
 	// TrialBegun reports a request of quarantined work that this node may send, given the verdict at
 	// that time.
 	TrialBegun(verdict Verdict)
+	// ReplicaClaimed reports a replica that a trial of this node has claimed. The other nodes must
+	// learn of it at once. ClaimDenied reports that another trial has claimed it.
+	ReplicaClaimed(claim Claim)
+	ClaimDenied(claim Claim)
 	// TrialInconclusive reports that such a request ended with neither a success nor a crash.
 	TrialInconclusive(work Work)
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -47,6 +47,7 @@
 	cleared     []Verdict
 	quarantined []Verdict
 	trials      int
+	claims      int
 }
 
 func (e *recordedEvents) ReplicaCrashed(report CrashReport) {
@@ -73,6 +74,14 @@
 	e.trials++
 }
 
+func (e *recordedEvents) ReplicaClaimed(Claim) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.claims++
+}
+
+func (e *recordedEvents) ClaimDenied(Claim) {}
+
 func (e *recordedEvents) TrialInconclusive(Work) {}
 
 func (e *recordedEvents) crashCount() int {
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -38,6 +38,9 @@
 	// Request asks the node that grants the trials of the work for one, and reports whether it did.
 	// A request whose reply is lost can be repeated.
 	Request(ctx context.Context, trial Trial) bool
+	// Claim asks the node that grants the claims of the replica for this one, and returns false if
+	// another trial has claimed the replica.
+	Claim(ctx context.Context, claim Claim) bool
 	// Renew tells that node that a trial is still under way, End that it ended without a result.
 	// Both may be lost.
 	Renew(trial Trial)
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -39,6 +39,10 @@
 	return granted
 }
 
+func (o *fakeOwners) Claim(_ context.Context, claim Claim) bool {
+	return o.list.ClaimReplica(claim, time.Now())
+}
+
 func (o *fakeOwners) Renew(trial Trial) { o.list.RenewTrial(trial, time.Now()) }
 
 func (o *fakeOwners) End(trial Trial) { o.list.EndTrial(trial) }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -83,6 +83,11 @@
 	successes recentTimes
 	// trials holds the latest trials that this node granted.
 	trials map[Work]grantedTrial
+	// claims holds the replicas that trials have claimed, by their ids, as far as this node granted
+	// the claims or was told of them. claimCount is len(claims), so that ClaimedReplicas needs no lock
+	// if there are none.
+	claims     map[string]Claim
+	claimCount atomic.Int64
 	// suspectCount is len(suspects), so that Empty needs no lock.
 	suspectCount atomic.Int64
 }
@@ -340,6 +345,7 @@
 	defer l.mu.Unlock()
 	previous := l.evaluate(work, at)
 	l.successes.record(work, at)
+	l.releaseReplicas(work)
 	l.check(work, at)
 	if s := l.suspects[work]; s != nil {
 		s.notify()
--- /dev/null
+++ b/internal/quarantine/trialorder_test.go
@@ -0,0 +1,67 @@
+package quarantine
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestTrials_OverdueOnesRunApart guards against the refusal of harmless work that meets harmful
+// work in both of its first trials, because both became overdue while nothing could be tried.
+func TestTrials_OverdueOnesRunApart(t *testing.T) {
+	const outage = 2500 * time.Millisecond
+	for name, noReplica := range map[string]bool{"no replica is up": true, "no owner of trials is reachable": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				harmful, harmless := &poolWork{name: "harmful", harmful: true}, &poolWork{name: "harmless"}
+				p := newTrialPool(t, harmful, harmless)
+				p.addCrashes(DefaultCrashLimit, harmful, harmless)
+				if noReplica {
+					p.restartDelay = outage
+					// Of the two requests that look for a replica, the harmful one finds it first.
+					time.AfterFunc(outage-poolRecheckInterval/2, func() { p.startReplicas(1) })
+				} else {
+					p.startReplicas(1)
+					// The outages end between two requests for a trial. The second one begins when the
+					// first trials are over.
+					p.loseOwners(outage + poolReplyTimeout/2)
+					time.AfterFunc(outage+time.Second, func() { p.loseOwners(outage + poolReplyTimeout/2) })
+				}
+				var group sync.WaitGroup
+				group.Go(func() { _ = p.call(t.Context(), harmful) })
+				time.Sleep(poolStagger)
+				p.checkServed(harmless)
+				group.Wait()
+				p.drain()
+			})
+		})
+	}
+}
+
+// TestTrials_OfTwoHarmfulWorksAreLimited guards against more late crashes than the schedule of trials
+// allows, because the trials of two harmful works meet and one explains those of the other.
+func TestTrials_OfTwoHarmfulWorksAreLimited(t *testing.T) {
+	for name, soleCrashes := range map[string][2]int{"one is more suspect": {0, 1}, "equally suspect": {1, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, second := &poolWork{name: "first", harmful: true}, &poolWork{name: "second", harmful: true}
+				p := newTrialPool(t, first, second)
+				p.addCrashes(soleCrashes[0], first)
+				p.addCrashes(soleCrashes[1], second)
+				p.addCrashes(DefaultCrashLimit, first, second)
+				// Trials that are due wait for the one replica, so that they begin together.
+				p.restartDelay = repeatedTrialDelay + maxTrialSpread + poolRecheckInterval/2
+				p.startReplicas(1)
+				var group sync.WaitGroup
+				group.Go(func() { p.callRepeatedly(first) })
+				time.Sleep(poolStagger)
+				group.Go(func() { p.callRepeatedly(second) })
+				group.Wait()
+				p.checkTrials(first)
+				p.checkTrials(second)
+				p.drain()
+			})
+		})
+	}
+}
--- a/internal/replica/exclusion.go
+++ b/internal/replica/exclusion.go
@@ -27,12 +27,14 @@
 	Ejected
 	// Occupied replicas have no slot for the item.
 	Occupied
+	// Claimed replicas run a trial of quarantined work.
+	Claimed
 	exclusions
 )
 
 // String returns the name used in logs and metrics.
 func (e Exclusion) String() string {
-	names := [exclusions]string{"usable", "evacuated", "elsewhere", "unsuitable", "tried", "cold", "ejected", "occupied"}
+	names := [exclusions]string{"usable", "evacuated", "elsewhere", "unsuitable", "tried", "cold", "ejected", "occupied", "claimed"}
 	if e >= exclusions {
 		return "unknown"
 	}
@@ -93,7 +95,7 @@
 // WaitsForCold reports whether the request waits for cold replicas only, one of which would take it if
 // it were warm.
 func (e *NoReplicaError) WaitsForCold() bool {
-	others := e.Counts[Tried] + e.Counts[Ejected] + e.Counts[Occupied]
+	others := e.Counts[Tried] + e.Counts[Ejected] + e.Counts[Occupied] + e.Counts[Claimed]
 	return e.Counts[Cold] > 0 && others == 0
 }
 
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -39,6 +39,9 @@
 	// Exclude holds the replicas that failed or refused this request, by Incarnation for a
 	// single start and by ID for all starts.
 	Exclude map[string]bool
+	// Claimed holds the IDs of replicas that run trials of quarantined work. They are used only as a
+	// last resort.
+	Claimed map[string]bool
 	// NoRetry is set if the request cannot be sent again once it may have run.
 	NoRetry bool
 	// PreferStale prefers replicas that are not Fresh when asking for a reservation.
@@ -170,6 +173,8 @@
 	switch {
 	case c.Ejected:
 		return Ejected
+	case len(criteria.Claimed) > 0 && criteria.Claimed[c.ID]:
+		return Claimed
 	case criteria.Borrowed && c.Open >= c.Slots:
 		return Occupied
 	case criteria.Batch && !criteria.Borrowed && (c.Open >= c.Share || c.Free() < 1):
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -220,6 +220,45 @@
 	}
 }
 
+// TestPick_ClaimedOnlyAsLastResort checks that requests and reservations go to a replica that runs a
+// trial of quarantined work only if there is no other, and that items wait.
+func TestPick_ClaimedOnlyAsLastResort(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		claimed map[string]bool
+		want    string
+	}{
+		{map[string]bool{"r00": true}, "r01"},
+		{map[string]bool{"r01": true}, "r00"},
+		{map[string]bool{"r00": true, "r01": true}, ""},
+	} {
+		candidates := newSet(2).Snapshot(testPool, 0, now)
+		if chosen, err := Pick(candidates, &Criteria{Claimed: test.claimed}, Weights{}); err != nil || test.want != "" && chosen.ID != test.want {
+			t.Errorf("claimed %v: request goes to %+v, %v", test.claimed, chosen, err)
+		}
+		chosen, err := Pick(candidates, &Criteria{Claimed: test.claimed, RequestInfo: RequestInfo{Batch: true}}, Weights{})
+		checkChosen(t, test.want, chosen, err)
+		chosen, err = PickUnqueued(candidates, &Criteria{Claimed: test.claimed}, Weights{}, false)
+		checkChosen(t, test.want, chosen, err)
+	}
+}
+
+// checkChosen checks that the replica with the given ID was picked, or if it is empty that none was
+// because all are claimed.
+func checkChosen(t *testing.T, want string, chosen *Candidate, err error) {
+	t.Helper()
+	if want != "" {
+		if err != nil || chosen.ID != want {
+			t.Errorf("chose %+v, %v, want %s", chosen, err, want)
+		}
+		return
+	}
+	noReplica := (*NoReplicaError)(nil)
+	if !errors.As(err, &noReplica) || noReplica.Counts[Claimed] != 2 {
+		t.Errorf("chose %+v, %v, want none", chosen, err)
+	}
+}
+
 func TestPick_ItemsLeaveFastestToOnlineRequests(t *testing.T) {
 	candidates := []Candidate{
 		{Info: Info{ID: "fast", Slots: 10, PrefillRate: 18000}, Key: 1, Share: 10},
