quarantine: the third trial follows soon if something else may have ended one

Callers of harmless new work were refused for 10 s after two failed trials, also if nothing pointed at the work: its replica was lost with its zone, or harmful work ran there that nobody suspected yet.

A failed trial is unclear if work that never succeeded and is below the limit ran on the replica, or two other replicas crashed within 100 ms without the work. After two failed trials of which one is unclear the next one is due in 1 s instead of 10 s, so that held requests wait for it.

Tried and left out: not counting one unclear trial as failed. With the rule as it is harmful work has as many trials as before, the third up to 9 s earlier.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -49,6 +49,9 @@
 		switch l.explainTrial(c, verdict.Work, now) {
 		case notExplained:
 			failed = true
+		case causeUnclear:
+			failed = true
+			verdict.UnclearTrials++
 		case explainedByEquallySuspect:
 			equallySuspect++
 			failed = equallySuspect > maxExplainedTrials
@@ -64,6 +67,9 @@
 
 const (
 	notExplained explanation = iota
+	// causeUnclear means that no other suspect explains it, but something else may have ended the
+	// replica.
+	causeUnclear
 	// explainedByEquallySuspect means that either work may have crashed the replica.
 	explainedByEquallySuspect
 	// explainedByMoreSuspect means that the other work has more sole crashes. Harmful work is not
@@ -77,6 +83,9 @@
 // another cause. The caller holds mu.
 func (l *List) explainTrial(c *crash, work Work, now time.Time) explanation {
 	result := notExplained
+	if l.isCauseUnclear(c, work) {
+		result = causeUnclear
+	}
 	own := l.soleCrashes(work, now, c.at)
 	for other := range c.works {
 		if other == work || !l.explains(other, work, now) {
@@ -92,6 +101,23 @@
 	return result
 }
 
+// isCauseUnclear reports whether work that never succeeded and is not suspect yet ran on the replica as
+// well, or other replicas crashed at the same time without running work. The caller holds mu.
+func (l *List) isCauseUnclear(c *crash, work Work) bool {
+	for other := range c.works {
+		if other != work && l.successes.at(other).IsZero() && !l.unprovenSuspect(other) {
+			return true
+		}
+	}
+	simultaneous := 0
+	for _, other := range l.byArrival {
+		if other.replica != c.replica && !other.hasWork(work) && other.at.Sub(c.at).Abs() <= sameCauseWindow {
+			simultaneous++
+		}
+	}
+	return simultaneous >= sameCauseCrashes
+}
+
 // soleCrashes returns the number of crashes of replicas on which no other suspect ran, of those that
 // count against work and, if before is not zero, happened before it. The caller holds mu.
 func (l *List) soleCrashes(work Work, now, before time.Time) int {
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -249,6 +249,69 @@
 	}
 }
 
+// TestVerdict_ThirdTrialFollowsUnclearOne guards against refusals of harmless work whose first two trials
+// ran on replicas that something else ended: the third one must follow soon. Harmful work must get no
+// more trials by this.
+func TestVerdict_ThirdTrialFollowsUnclearOne(t *testing.T) {
+	w := work("w")
+	loseOthers := func(list *List, at time.Time, others ...Work) {
+		for i, other := range others {
+			report := CrashReport{Replica: fmt.Sprintf("lost%d-%v", i, at), Runs: runsOf(at.Add(-time.Second), other), At: at.Add(sameCauseWindow)}
+			list.Add(report, report.At)
+		}
+	}
+	for _, test := range []struct {
+		name string
+		// addTrial reports the crash of the first trial at the given time.
+		addTrial func(list *List, at time.Time)
+		unclear  int
+		third    time.Duration
+	}{
+		{"alone", func(list *List, at time.Time) { addFailedTrial(list, "t", at, w) }, 0, 10 * time.Second},
+		{"beside new work", func(list *List, at time.Time) { addSharedTrial(list, "t", at, w, work("new")) }, 1, time.Second},
+		{"beside proven work", func(list *List, at time.Time) {
+			list.Clear(work("proven"), at.Add(-time.Second))
+			addSharedTrial(list, "t", at, w, work("proven"))
+		}, 0, 10 * time.Second},
+		{"lost with two replicas", func(list *List, at time.Time) {
+			addFailedTrial(list, "t", at, w)
+			loseOthers(list, at, work("a"), work("b"))
+		}, 1, time.Second},
+		{"lost with one replica", func(list *List, at time.Time) {
+			addFailedTrial(list, "t", at, w)
+			loseOthers(list, at, work("a"))
+		}, 0, 10 * time.Second},
+		{"beside crashes by the work", func(list *List, at time.Time) {
+			addFailedTrial(list, "t", at, w)
+			loseOthers(list, at, w, w)
+		}, 0, 10 * time.Second},
+		{"long before other crashes", func(list *List, at time.Time) {
+			addFailedTrial(list, "t", at, w)
+			loseOthers(list, at.Add(1), work("a"), work("b"))
+		}, 0, 10 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list := List{Window: 10 * time.Hour}
+			for i := range 3 {
+				addCrash(&list, fmt.Sprintf("r%d", i), i, w)
+			}
+			at := start.Add(10 * time.Second)
+			test.addTrial(&list, at)
+			for i, delay := range []time.Duration{time.Second, test.third, 12 * time.Minute, time.Hour} {
+				verdict := list.Check(w, at)
+				if verdict.FailedTrials != i+1 || verdict.UnclearTrials != test.unclear {
+					t.Fatalf("after trial %d: %d failed, %d of them unclear", i, verdict.FailedTrials, verdict.UnclearTrials)
+				}
+				if next := verdict.nextRequestTrial().Sub(verdict.LastTrial); next != delay {
+					t.Errorf("the next trial is due %v after trial %d, want %v", next, i, delay)
+				}
+				at = at.Add(2 * delay)
+				addFailedTrial(&list, fmt.Sprintf("t%d", i), at, w)
+			}
+		})
+	}
+}
+
 // TestList_TrialWithoutResultIsFollowedByAnother covers trials that end with neither a success nor a
 // crash, or whose node is lost.
 func TestList_TrialWithoutResultIsFollowedByAnother(t *testing.T) {
--- a/internal/quarantine/trialorder_test.go
+++ b/internal/quarantine/trialorder_test.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -39,6 +41,69 @@
 	}
 }
 
+// TestTrials_BesideUnknownHarmfulWork guards against the refusal of harmless work whose trials run on
+// replicas on which harmful work runs that is not suspect yet.
+func TestTrials_BesideUnknownHarmfulWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		harmful, harmless := &poolWork{name: "harmful", harmful: true}, &poolWork{name: "harmless"}
+		unknown := &poolWork{name: "unknown", harmful: true}
+		p := newTrialPool(t, harmful, harmless, unknown)
+		p.addCrashes(DefaultCrashLimit, harmful, harmless)
+		p.startReplicas(2)
+		// Its node has not heard of the claims of the first two trials.
+		p.onTrial = func(_ *poolWork, number int, r *poolReplica) {
+			if number < 2 && p.start(unknown, nil, r) {
+				p.runOn(t.Context(), unknown, nil, r)
+			}
+		}
+		p.checkServed(harmless)
+		p.drain()
+	})
+}
+
+// TestTrials_InLostZone guards against the refusal of harmless work whose trials run on replicas
+// that are lost together with others, and not by any work.
+func TestTrials_InLostZone(t *testing.T) {
+	const zoneSize = 4
+	for name, script := range map[string]struct {
+		losses int
+		// unknownWork lets the second trial run beside harmful work that is not suspect yet.
+		unknownWork bool
+	}{
+		"one zone":                          {losses: 1},
+		"two zones in turn":                 {losses: 2},
+		"one zone, then a new harmful work": {losses: 1, unknownWork: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				harmful, harmless := &poolWork{name: "harmful", harmful: true}, &poolWork{name: "harmless"}
+				unknown := &poolWork{name: "unknown", harmful: true}
+				var others []*poolWork
+				for i := range zoneSize - 1 {
+					others = append(others, &poolWork{name: fmt.Sprintf("other%d", i)})
+				}
+				p := newTrialPool(t, append(others, harmful, harmless, unknown)...)
+				p.addCrashes(DefaultCrashLimit, harmful, harmless)
+				p.startReplicas(zoneSize)
+				const untilLoss = poolRunTime / 4
+				p.onTrial = func(_ *poolWork, number int, r *poolReplica) {
+					switch {
+					case number < script.losses:
+						time.Sleep(untilLoss / 2)
+						p.runOnIdle(others)
+						time.Sleep(untilLoss / 2)
+						p.lose("zone lost", p.upReplicas()...)
+					case number == script.losses && script.unknownWork && p.start(unknown, nil, r):
+						p.runOn(context.Background(), unknown, nil, r)
+					}
+				}
+				p.checkServed(harmless)
+				p.drain()
+			})
+		})
+	}
+}
+
 // TestTrials_OfTwoHarmfulWorksAreLimited guards against more late crashes than the schedule of trials
 // allows, because the trials of two harmful works meet and one explains those of the other.
 func TestTrials_OfTwoHarmfulWorksAreLimited(t *testing.T) {
--- a/internal/quarantine/trialpool_test.go
+++ b/internal/quarantine/trialpool_test.go
@@ -211,6 +211,13 @@
 	}
 }
 
+// upReplicas returns the replicas that are up.
+func (p *trialPool) upReplicas() []*poolReplica {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.up)
+}
+
 func names(works []*poolWork) string {
 	var list []string
 	for _, w := range works {
@@ -361,3 +368,22 @@
 
 // drain waits until all timers of the pool have fired.
 func (p *trialPool) drain() { time.Sleep(time.Minute) }
+
+// runOnIdle begins a run of each work on a replica of its own, which lasts until the replica is lost.
+func (p *trialPool) runOnIdle(works []*poolWork) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range works {
+		i := slices.IndexFunc(p.up, func(r *poolReplica) bool { return len(r.running) == 0 })
+		if i < 0 {
+			p.t.Errorf("no idle replica for %s", w.name)
+			return
+		}
+		r, run := p.up[i], Run{Work: w.id, SentAt: time.Now()}
+		r.running = append(r.running, w)
+		go func() {
+			<-r.lost
+			w.guard.RecordInterruption(context.Background(), r.Replica, run)
+		}()
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -21,6 +21,13 @@
 	// maxExplainedTrials is the number of trials that do not count as failed because equally suspect
 	// work may have crashed the replica.
 	maxExplainedTrials = 3
+	// maxUnclearFailures is the number of failed trials after which the next one follows as soon as the
+	// previous one did if something else may have ended one of them.
+	maxUnclearFailures = 2
+	// sameCauseCrashes is the number of other replicas that must crash within sameCauseWindow of one
+	// for a common cause to be likely, such as the loss of a zone.
+	sameCauseCrashes = 2
+	sameCauseWindow  = 100 * time.Millisecond
 	// trialPropagation is how long after its start the success of a trial is known on all nodes.
 	trialPropagation = time.Second
 )
@@ -62,6 +69,8 @@
 	// Trials the number of such crashes. FailedTrials counts those that other work does not explain.
 	LastTrial            time.Time
 	Trials, FailedTrials int
+	// UnclearTrials is the number of FailedTrials in which something else may have ended the replica.
+	UnclearTrials int
 	// LastTrialShared is set if other suspects ran on the replica of the last trial.
 	LastTrialShared bool
 	// Limit is the number of crashes at which the work is quarantined.
@@ -94,7 +103,12 @@
 	if v.LastTrial.IsZero() {
 		return time.Time{}
 	}
-	delay := max(repeatedTrialDelay, trialDelay(requestTrialDelays, v.FailedTrials))
+	failed := v.FailedTrials
+	if failed == maxUnclearFailures && v.UnclearTrials > 0 {
+		// Harmful work gets its third trial earlier by this, but no more trials.
+		failed--
+	}
+	delay := max(repeatedTrialDelay, trialDelay(requestTrialDelays, failed))
 	return v.LastTrial.Add(delay + v.trialSpread())
 }
 
