--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -210,8 +210,8 @@
 	n.guard.RecordInterruption(ctx, target, run)
 }
 
-// fleetTrials implements quarantine.TrialOwners: node n0 grants all trials. Requests and replies may
-// be lost.
+// fleetTrials implements quarantine.TrialOwners: node n0 grants all trials and claims. If it does not
+// reply, n1 is asked for a claim. Requests and replies may be lost.
 type fleetTrials struct{ *fleetNode }
 
 // fleetHold is how long a trial tries to claim a replica.
@@ -228,26 +228,31 @@
 
 // Request implements quarantine.TrialOwners.
 func (t fleetTrials) Request(_ context.Context, trial quarantine.Trial) bool {
-	granted, _ := t.ask(func(owner *fleetNode) bool { return owner.list.GrantTrial(trial, time.Now()) })
+	granted, _ := t.ask(0, func(owner *fleetNode) bool { return owner.list.GrantTrial(trial, time.Now()) })
 	return granted
 }
 
 // Claim implements quarantine.TrialOwners. Without a reply the replica is claimed.
 func (t fleetTrials) Claim(_ context.Context, claim quarantine.Claim) bool {
-	granted, replied := t.ask(func(owner *fleetNode) bool { return owner.list.ClaimReplica(claim, time.Now()) })
-	return granted || !replied
+	for number := range 2 {
+		granted, replied := t.ask(number, func(owner *fleetNode) bool { return owner.list.ClaimReplica(claim, time.Now()) })
+		if replied {
+			return granted
+		}
+	}
+	return true
 }
 
-// ask asks the node that grants trials and claims.
-func (t fleetTrials) ask(grant func(owner *fleetNode) bool) (granted, replied bool) {
-	owner, reached := t.reachOwner()
+// ask asks the node with the given number for a trial or a claim.
+func (t fleetTrials) ask(number int, grant func(owner *fleetNode) bool) (granted, replied bool) {
+	owner, reached := t.reach(number)
 	if !reached {
 		time.Sleep(fleetReplyTimeout)
 		return false, false
 	}
 	time.Sleep(fleetLatency)
 	granted = grant(owner)
-	if _, reached := t.reachOwner(); !reached {
+	if _, reached := t.reach(number); !reached {
 		time.Sleep(fleetReplyTimeout)
 		return false, false
 	}
@@ -257,22 +262,22 @@
 
 // Renew implements quarantine.TrialOwners.
 func (t fleetTrials) Renew(trial quarantine.Trial) {
-	if owner, reached := t.reachOwner(); reached {
+	if owner, reached := t.reach(0); reached {
 		time.AfterFunc(fleetLatency, func() { owner.list.RenewTrial(trial, time.Now()) })
 	}
 }
 
 // End implements quarantine.TrialOwners.
 func (t fleetTrials) End(trial quarantine.Trial) {
-	if owner, reached := t.reachOwner(); reached {
+	if owner, reached := t.reach(0); reached {
 		time.AfterFunc(fleetLatency, func() { owner.list.EndTrial(trial) })
 	}
 }
 
-// reachOwner returns the node that grants trials, and false if a message to or from it is lost.
-func (t fleetTrials) reachOwner() (*fleetNode, bool) {
+// reach returns the node with the given number, and false if a message to or from it is lost.
+func (t fleetTrials) reach(number int) (*fleetNode, bool) {
 	f := t.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.nodes[0], !f.noMessages && f.random.Float64() >= f.lossRate
+	return f.nodes[number], !f.noMessages && f.random.Float64() >= f.lossRate
 }
