quarantine: each failed trial counts

Cause: a trial did not count as failed if another suspect on its replica was as suspect or more, by crashes on which no other suspect was. With claims two suspects still meet now and then (a lost message; a pool in which nothing else is up), and one excuse makes four trials.

Now every trial that ended its replica counts, so that no work has more than three in its first ten minutes. If another suspect that crashed replicas elsewhere ran there, the trial is unclear: the third one follows in 1 to 2 s, within the time for which callers are held, instead of 10 s. Thus maxExplainedTrials, soleCrashes and the comparison of crashes go.

Four tests asked for the excuses: TestList_TrialExplainedByOtherWork, ..ByMoreSuspectWork, ..DespiteLaterCrash, TestList_ExplainedTrialAfterFailedOnes. In their place TestVerdict_SharedTrialsAreLimited covers their five set-ups: the second and third trial of harmless work within the time that callers are held, and exactly three trials in ten minutes for either work. Strictly less is promised to harmless work in one case: after three trials shared with harmful work it waits 12 min, where it was tried again each second. Claims are what keeps that from happening.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -34,78 +34,26 @@
 	return verdict
 }
 
-// countTrials counts the trials among the crashes of a verdict. A trial on a replica that other work
-// crashed says nothing, so it does not delay the next one much. The caller holds mu.
+// countTrials counts the trials among the crashes of a verdict. The caller holds mu.
 func (l *List) countTrials(verdict *Verdict, crashes []*crash, now time.Time) {
-	equallySuspect := 0
 	for _, c := range crashes {
 		if !c.works[verdict.Work].trial {
 			continue
 		}
-		verdict.Trials++
+		verdict.FailedTrials++
 		verdict.LastTrial = c.at
 		verdict.LastTrialShared = l.hasOtherSuspect(c, verdict.Work)
-		failed := false
-		switch l.explainTrial(c, verdict.Work, now) {
-		case notExplained:
-			failed = true
-		case causeUnclear:
-			failed = true
+		if l.isCauseUnclear(c, verdict.Work, now) {
 			verdict.UnclearTrials++
-		case explainedByEquallySuspect:
-			equallySuspect++
-			failed = equallySuspect > maxExplainedTrials
-		}
-		if failed {
-			verdict.FailedTrials++
 		}
 	}
 }
 
-// explanation is how other work that ran on the replica explains the crash of a trial.
-type explanation int
-
-const (
-	notExplained explanation = iota
-	// causeUnclear means that no other suspect explains it, but something else may have ended the
-	// replica.
-	causeUnclear
-	// explainedByEquallySuspect means that either work may have crashed the replica.
-	explainedByEquallySuspect
-	// explainedByMoreSuspect means that the other work has more sole crashes. Harmful work is not
-	// explained like this for long, since each of its trials that meets no other suspect adds a sole
-	// crash.
-	explainedByMoreSuspect
-)
-
-// explainTrial returns how other work explains the crash of a trial of work. It compares the sole
-// crashes of the other work with those of work before the trial, because a later one of work may have
-// another cause. The caller holds mu.
-func (l *List) explainTrial(c *crash, work Work, now time.Time) explanation {
-	result := notExplained
-	if l.isCauseUnclear(c, work) {
-		result = causeUnclear
-	}
-	own := l.soleCrashes(work, now, c.at)
+// isCauseUnclear reports whether something other than work may have crashed the replica: other work that
+// ran there, or what crashed other replicas at the same time without running work. The caller holds mu.
+func (l *List) isCauseUnclear(c *crash, work Work, now time.Time) bool {
 	for other := range c.works {
-		if other == work || !l.explains(other, work, now) {
-			continue
-		}
-		switch others := l.soleCrashes(other, now, time.Time{}); {
-		case others > own:
-			return explainedByMoreSuspect
-		case others == own:
-			result = explainedByEquallySuspect
-		}
-	}
-	return result
-}
-
-// isCauseUnclear reports whether work that never succeeded and is not suspect yet ran on the replica as
-// well, or other replicas crashed at the same time without running work. The caller holds mu.
-func (l *List) isCauseUnclear(c *crash, work Work) bool {
-	for other := range c.works {
-		if other != work && l.successes.at(other).IsZero() && !l.unprovenSuspect(other) {
+		if other != work && l.mayBeHarmful(other, work, now) {
 			return true
 		}
 	}
@@ -118,14 +66,14 @@
 	return simultaneous >= sameCauseCrashes
 }
 
-// soleCrashes returns the number of crashes of replicas on which no other suspect ran, of those that
-// count against work and, if before is not zero, happened before it. The caller holds mu.
-func (l *List) soleCrashes(work Work, now, before time.Time) int {
-	crashes := l.countedCrashes(work, now, l.successes.at(work))
-	sole := slices.DeleteFunc(crashes, func(c *crash) bool {
-		return !before.IsZero() && !c.at.Before(before) || l.hasOtherSuspect(c, work)
-	})
-	return len(longestSequence(sole, work))
+// mayBeHarmful reports whether other work may have caused a crash that counts against work: it never
+// succeeded, and either it is below the crash limit or it crashed replicas that did not run work. The
+// caller holds mu.
+func (l *List) mayBeHarmful(other, work Work, now time.Time) bool {
+	if l.unprovenSuspect(other) {
+		return l.explains(other, work, now)
+	}
+	return l.successes.at(other).IsZero()
 }
 
 // hasOtherSuspect reports whether an unproven suspect other than work ran on the replica that crashed.
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -106,33 +106,6 @@
 	}
 }
 
-// TestList_TrialExplainedByOtherWork covers harmless work whose trials run on replicas that harmful
-// work crashes at that moment. The next trial must follow soon (soak seed 990631), but harmful work
-// beside other suspects gets few more trials for that.
-func TestList_TrialExplainedByOtherWork(t *testing.T) {
-	var list List
-	harmless, harmful := work("harmless"), work("harmful")
-	for i := range 3 {
-		addCrash(&list, fmt.Sprintf("r%d", i), i, harmless)
-		addCrash(&list, fmt.Sprintf("apart%d", i), i, harmful)
-	}
-	for i := range maxExplainedTrials + 1 {
-		at := start.Add(time.Duration(10+2*i) * time.Second)
-		if verdict := list.Check(harmless, at); !verdict.RequestTrialDue(at) {
-			t.Fatalf("no trial is due after %d trials that other work explains: %+v", i, verdict)
-		}
-		runs := runsOf(at.Add(-50*time.Millisecond), harmless, harmful)
-		runs[0].Trial = true
-		list.Add(CrashReport{Replica: fmt.Sprintf("t%d", i), Runs: runs, At: at}, at)
-		if verdict := list.Check(harmless, at); verdict.RequestTrialDue(at.Add(repeatedTrialDelay - 1)) {
-			t.Fatalf("two trials within %v", repeatedTrialDelay)
-		}
-	}
-	if verdict := list.Check(harmless, start); verdict.FailedTrials != 1 {
-		t.Errorf("%d failed trials after one that is not explained", verdict.FailedTrials)
-	}
-}
-
 // addSharedTrial reports a crash of a replica during trials of all the works.
 func addSharedTrial(list *List, replica string, at time.Time, works ...Work) {
 	runs := runsOf(at.Add(-50*time.Millisecond), works...)
@@ -142,47 +115,63 @@
 	list.Add(CrashReport{Replica: replica, Runs: runs, At: at}, at)
 }
 
-// TestList_TrialExplainedByMoreSuspectWork covers harmless work whose trials run on replicas that the
-// trials of harmful work crash, more often than maxExplainedTrials. The harmful work crashes other
-// replicas alone as well, so the harmless work must stay due for a trial, and the harmful one must not
-// (soak seed 990631, docs/incidents/0009).
-func TestList_TrialExplainedByMoreSuspectWork(t *testing.T) {
-	var list List
-	harmless, harmful := work("harmless"), work("harmful")
-	for i := range 3 {
-		addCrash(&list, fmt.Sprintf("shared%d", i), i, harmless, harmful)
-	}
-	addCrash(&list, "alone", 4, harmful)
-	for i := range maxExplainedTrials + 2 {
-		at := start.Add(time.Duration(10+2*i) * time.Second)
-		if verdict := list.Check(harmless, at); !verdict.RequestTrialDue(at) || verdict.FailedTrials != 0 {
-			t.Fatalf("no trial is due after %d trials that harmful work crashed: %+v", i, verdict)
-		}
-		if verdict := list.Check(harmful, at); verdict.FailedTrials != i {
-			t.Fatalf("%d failed trials of harmful work after %d", verdict.FailedTrials, i)
-		}
-		addSharedTrial(&list, fmt.Sprintf("t%d", i), at, harmless, harmful)
-	}
-}
-
-// TestList_ExplainedTrialAfterFailedOnes checks that trials which more suspect work explains do not
-// count as failed after those of maxExplainedTrials and more that equally suspect work explains.
-func TestList_ExplainedTrialAfterFailedOnes(t *testing.T) {
-	var list List
-	harmless, equal, harmful := work("harmless"), work("equal"), work("harmful")
-	for i := range 4 {
-		addCrash(&list, fmt.Sprintf("equal%d", i), i, equal)
-		addCrash(&list, fmt.Sprintf("harmless%d", i), i, harmless)
-		addCrash(&list, fmt.Sprintf("harmful%d", 2*i), i, harmful)
-		addCrash(&list, fmt.Sprintf("harmful%d", 2*i+1), 10+i, harmful)
-	}
-	others := append(slices.Repeat([]Work{equal}, maxExplainedTrials+1), harmful, harmful)
-	for i, other := range others {
-		addSharedTrial(&list, fmt.Sprintf("t%d", i), start.Add(time.Duration(20+2*i)*time.Second), harmless, other)
-	}
-	verdict := list.Check(harmless, start.Add(time.Minute))
-	if verdict.Trials != len(others) || verdict.FailedTrials != 1 {
-		t.Errorf("%d trials, %d failed", verdict.Trials, verdict.FailedTrials)
+// TestVerdict_SharedTrialsAreLimited covers trials on replicas on which other suspects run. Those of
+// harmless work must follow each other soon, so that its held requests are not refused after two of them.
+// No work may get more than three trials in its first ten minutes by them: which of two suspects on a
+// replica crashed it can't be told.
+func TestVerdict_SharedTrialsAreLimited(t *testing.T) {
+	const firstMinutes, maxTrials = 10 * time.Minute, 3
+	for _, test := range []struct {
+		name string
+		// shared is the number of crashes with both works before the first trial, and harmless and
+		// harmful those with one of them.
+		shared, harmless, harmful int
+		// trialOfBoth is set if the runs of both works on the shared replicas are trials.
+		trialOfBoth bool
+	}{
+		{"equally suspect", 0, 3, 3, false},
+		{"equally suspect, both tried", 0, 3, 3, true},
+		{"harmful one more suspect", 3, 0, 1, true},
+		{"harmful one much more suspect", 3, 0, 8, true},
+		{"harmless one alone at a lost replica", 2, 1, 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var list List
+			harmless, harmful := work("harmless"), work("harmful")
+			second := 0
+			add := func(count int, works ...Work) {
+				for range count {
+					addCrash(&list, fmt.Sprint("r", second), second, works...)
+					second++
+				}
+			}
+			add(test.shared, harmless, harmful)
+			add(test.harmless, harmless)
+			add(test.harmful, harmful)
+			began := start.Add(time.Minute)
+			trials := 0
+			for at := began; at.Sub(began) < firstMinutes; trials++ {
+				verdict := list.Check(harmless, at)
+				tooSoon := trials > 0 && verdict.RequestTrialDue(verdict.LastTrial.Add(repeatedTrialDelay-1))
+				if verdict.FailedTrials != trials || !verdict.RequestTrialDue(at) || tooSoon {
+					t.Fatalf("after trial %d: %+v", trials, verdict)
+				}
+				runs := runsOf(at.Add(-50*time.Millisecond), harmless, harmful)
+				runs[0].Trial, runs[1].Trial = true, test.trialOfBoth
+				list.Add(CrashReport{Replica: fmt.Sprint("t", trials), Runs: runs, At: at}, at)
+				verdict = list.Check(harmless, at)
+				if wait := verdict.nextRequestTrial().Sub(at); trials+1 < maxTrials && wait >= maxTrialWait {
+					t.Errorf("the next trial is due %v after trial %d, so that held requests are refused", wait, trials)
+				}
+				at = verdict.nextRequestTrial()
+			}
+			if trials != maxTrials {
+				t.Errorf("%d trials of harmless work in %v, want %d", trials, firstMinutes, maxTrials)
+			}
+			if verdict := list.Check(harmful, began.Add(time.Minute)); test.trialOfBoth && verdict.FailedTrials != trials {
+				t.Errorf("%d failed trials of harmful work after %d", verdict.FailedTrials, trials)
+			}
+		})
 	}
 }
 
@@ -230,25 +219,6 @@
 	}
 }
 
-// TestList_TrialExplainedDespiteLaterCrash covers harmless work whose second trial ends with a replica
-// that is lost for another reason. The first one must stay explained by equally suspect work that ran
-// beside it.
-func TestList_TrialExplainedDespiteLaterCrash(t *testing.T) {
-	var list List
-	harmless, harmful := work("harmless"), work("harmful")
-	for i := range 2 {
-		addCrash(&list, fmt.Sprintf("shared%d", i), i, harmless, harmful)
-	}
-	addCrash(&list, "apart", 3, harmless)
-	addCrash(&list, "alone", 4, harmful)
-	at := start.Add(10 * time.Second)
-	addSharedTrial(&list, "t", at, harmless, harmful)
-	addFailedTrial(&list, "lost", at.Add(2*time.Second), harmless)
-	if verdict := list.Check(harmless, at.Add(3*time.Second)); verdict.Trials != 2 || verdict.FailedTrials != 1 {
-		t.Errorf("%d trials, %d failed", verdict.Trials, verdict.FailedTrials)
-	}
-}
-
 // TestVerdict_ThirdTrialFollowsUnclearOne guards against refusals of harmless work whose first two trials
 // ran on replicas that something else ended: the third one must follow soon. Harmful work must get no
 // more trials by this.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -18,9 +18,6 @@
 	// Two works whose trials ended in one crash would otherwise be tried again at the same time, and
 	// often on the same replica.
 	maxTrialSpread = time.Second
-	// maxExplainedTrials is the number of trials that do not count as failed because equally suspect
-	// work may have crashed the replica.
-	maxExplainedTrials = 3
 	// maxUnclearFailures is the number of failed trials after which the next one follows as soon as the
 	// previous one did if something else may have ended one of them.
 	maxUnclearFailures = 2
@@ -66,9 +63,9 @@
 	// LastCrash is the time of the newest crash that counts.
 	LastCrash time.Time
 	// LastTrial is the time of the newest crash during a trial since the work last succeeded, and
-	// Trials the number of such crashes. FailedTrials counts those that other work does not explain.
-	LastTrial            time.Time
-	Trials, FailedTrials int
+	// FailedTrials the number of such crashes.
+	LastTrial    time.Time
+	FailedTrials int
 	// UnclearTrials is the number of FailedTrials in which something else may have ended the replica.
 	UnclearTrials int
 	// LastTrialShared is set if other suspects ran on the replica of the last trial.
@@ -123,7 +120,7 @@
 	if !v.LastTrialShared {
 		return 0
 	}
-	seed := binary.LittleEndian.AppendUint64(v.Work[:], uint64(v.Trials))
+	seed := binary.LittleEndian.AppendUint64(v.Work[:], uint64(v.FailedTrials))
 	return time.Duration(xxhash.Sum64(seed) % uint64(maxTrialSpread))
 }
 
