quarantine: claims of replicas after review

- One caller whose trials end without a result claimed all ten replicas of a pool.
A work has one claim now, and a trial that ends gives its claim back.
- Requests queued at full replicas, or went to ejected ones, while claimed ones were idle.
For requests a claim is a cost of 200 ms now; items and trials still avoid claimed replicas.
- After an outage of 5 s trials met again: the time after which a trial runs without a claim counts from the first denied claim, not from the grant.
- In a cold pool a denied trial used up 81 grants, one with slow claims 51.
- A node whose claim was denied forgot the claim of the trial that had it.
- A check cost 6 ms with 9,990 crashes and eight failed trials: whether a cause is unclear is asked only after two failed trials.
- A claim ended before a long trial: other trials are kept away while it is renewed; other work comes back after 2 s.
- Late messages moved or released claims; a crash did not release one.
- Items claimed before it was known whether they are sent.

Requests and replies about claims are messages of their own, with an id for each request, so that no reply is taken for another one's and nodes of an older program pass them over.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -79,11 +79,10 @@
 	sentAt    time.Time
 	// status is the HTTP status of the last attempt's answer; 0 if there was none.
 	status int
-	// trial is set while the request runs as a trial of quarantined work, trialSince is when it was
-	// granted. claimDenied holds the ids of the replicas that other trials had claimed.
-	trial       *quarantine.Trial
-	trialSince  time.Time
-	claimDenied map[string]bool
+	// trial is set while the request runs as a trial of quarantined work.
+	trial *quarantine.Trial
+	// claim is the state of the trial's claim of a replica.
+	claim claimState
 	// slowestRefusal is the longest duration of an attempt that did not run.
 	slowestRefusal time.Duration
 }
@@ -179,7 +178,7 @@
 		if !c.criteria.Granted {
 			chosen = c.reserve(ctx, chosen)
 		}
-		if !c.claimReplica(ctx, chosen) {
+		if !c.prepareTrial(ctx, chosen) {
 			if ctx.Err() != nil {
 				return c.withOutcome(contextError(ctx))
 			}
@@ -237,7 +236,7 @@
 func (c *call) pick() (*replica.Candidate, error) {
 	now := clock.Now()
 	c.criteria.Objective = max(0, c.route.Objective-now.Sub(c.request.Received))
-	c.criteria.Claimed = c.claimedReplicas()
+	c.criteria.Claimed, c.criteria.Trial = c.claimedReplicas(), c.trial != nil
 	candidates := c.forwarder.Replicas.SnapshotFor(c.result.Pool, &c.criteria, now)
 	return replica.Pick(candidates, &c.criteria, c.forwarder.Weights)
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -60,7 +59,7 @@
 	if err != nil && ctx.Err() != nil {
 		return contextError(ctx)
 	}
-	c.trial, c.trialSince = trial, clock.Now()
+	c.trial, c.claim = trial, claimState{}
 	return err
 }
 
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -36,6 +36,7 @@
 // runAttempt sends an item to a replica, collects its answer and handles the result.
 func (r *Runner) runAttempt(ctx context.Context, t *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
 	defer t.cancel(nil)
+	r.claimForTrial(t, item, chosen.ID)
 	r.Service.Events.ItemSent(t.owned.job, item.ID, chosen.ID, t.lastEvent)
 	start, resumedAfter := clock.Now(), t.lastEvent
 	err := r.exchangeItem(ctx, t, item, chosen, use)
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -82,7 +82,6 @@
 // reports whether the item was sent.
 func (r *Runner) startRun(send pendingSend, criteria *replica.Criteria, chosen *replica.Candidate, reservation string) bool {
 	t, now := send.task, clock.Now()
-	r.claimForTrial(t, send.item(), chosen)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopped || t.state != taskWaiting || t.owned.ctx.Err() != nil {
--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -85,11 +85,11 @@
 	return t.trial
 }
 
-// claimForTrial claims the replica that is chosen for an item if the run is a trial. The caller must not
-// hold the runner's lock.
-func (r *Runner) claimForTrial(t *task, item *Item, chosen *replica.Candidate) {
+// claimForTrial claims the replica to which an item is about to be sent, if the run is a trial. The caller
+// must not hold the runner's lock.
+func (r *Runner) claimForTrial(t *task, item *Item, replicaID string) {
 	if r.Quarantine != nil && r.isTrial(t) {
-		r.Quarantine.ClaimForItem(r.workIdentity(t, item), chosen.ID)
+		r.Quarantine.ClaimForItem(r.workIdentity(t, item), replicaID)
 	}
 }
 
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -47,19 +47,6 @@
 	Claim *claimEntry `cbor:"5,keyasint,omitempty"`
 }
 
-// claimEntry is a replica that a trial has claimed.
-type claimEntry struct {
-	Work    quarantine.Work `cbor:"1,keyasint"`
-	ID      uint64          `cbor:"2,keyasint"`
-	Replica string          `cbor:"3,keyasint"`
-	AgeMs   int64           `cbor:"4,keyasint"`
-}
-
-// claim returns the claim that the entry reports.
-func (e *claimEntry) claim(now time.Time) quarantine.Claim {
-	return quarantine.Claim{Trial: quarantine.Trial{Work: e.Work, ID: e.ID}, Replica: e.Replica, At: ago(now, e.AgeMs)}
-}
-
 // crashEntry is a crash of a replica.
 type crashEntry struct {
 	Replica string            `cbor:"1,keyasint"`
@@ -127,14 +114,6 @@
 	flush()
 }
 
-// broadcastClaim tells all other nodes that a trial of this node has claimed a replica. A node that does
-// not get the message may send other work there.
-func (g *Gateway) broadcastClaim(claim quarantine.Claim) {
-	g.spread(quarantineMessage{Claim: &claimEntry{
-		Work: claim.Work, ID: claim.ID, Replica: claim.Replica, AgeMs: clock.Since(claim.At).Milliseconds(),
-	}})
-}
-
 // spread sends a message to all other nodes, over the relays if there are any.
 func (g *Gateway) spread(message quarantineMessage) {
 	g.sendToFollowers(message)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -130,7 +130,7 @@
 		Name: "wheelhoist_quarantine_cleared_total", Help: "Suspected works of which a run at this node ended well.",
 	})
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "wheelhoist_quarantine_trials_total", Help: "Requests of this node that ran as a trial of quarantined work (begun), those that ended with neither a success nor a crash (inconclusive), and claims of a replica that were denied because another trial ran there (denied).",
+		Name: "wheelhoist_quarantine_trials_total", Help: "Requests of this node that ran as a trial of quarantined work (begun), those that ended with neither a success nor a crash (inconclusive), and claims of a replica that were denied because another trial ran there (claim_denied).",
 	}, []string{"event"})
 	m.released = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_released_total", Help: "Works that operators released at this node.",
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -30,7 +30,7 @@
 	rows      quarantine.Rows
 	publisher *quarantine.Publisher
 	// broadcastClaim, if set, tells the other nodes that a trial of this node has claimed a replica.
-	broadcastClaim func(quarantine.Claim)
+	broadcastClaim func(quarantine.ReplicaClaim)
 }
 
 // buildQuarantine creates the components that detect and store work that crashes replicas, and
@@ -134,7 +134,7 @@
 }
 
 // ReplicaClaimed implements quarantine.Events.
-func (c *core) ReplicaClaimed(claim quarantine.Claim) {
+func (c *core) ReplicaClaimed(claim quarantine.ReplicaClaim) {
 	c.log.Info().Stringer("work", claim.Work).Str("replica", claim.Replica).Msg("replica claimed for a trial of quarantined work")
 	if c.quarantine.broadcastClaim != nil {
 		c.quarantine.broadcastClaim(claim)
@@ -142,8 +142,8 @@
 }
 
 // ClaimDenied implements quarantine.Events.
-func (c *core) ClaimDenied(claim quarantine.Claim) {
-	c.metrics.trials.WithLabelValues("denied").Inc()
+func (c *core) ClaimDenied(claim quarantine.ReplicaClaim) {
+	c.metrics.trials.WithLabelValues("claim_denied").Inc()
 	c.sampled.Info().Stringer("work", claim.Work).Str("replica", claim.Replica).Msg("replica not claimed for a trial, another trial runs there")
 }
 
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -24,9 +24,12 @@
 	// KindCrashReport carries replicas that crashed with the work that ran there, and work that has
 	// completed without a crash.
 	KindCrashReport Kind = 10
-	// KindTrialRequest asks a node for the trial of quarantined work or for a replica on which to run
-	// it, or reports that a trial is under way or ended without a result. KindTrialReply is the reply
-	// to a request.
+	// KindTrialRequest asks a node for the trial of quarantined work, or reports that a trial is
+	// under way or ended without a result. KindTrialReply is the reply to a request.
 	KindTrialRequest Kind = 11
 	KindTrialReply   Kind = 12
+	// KindClaimRequest asks a node for the replica on which a trial is to run, and KindClaimReply is
+	// its reply.
+	KindClaimRequest Kind = 13
+	KindClaimReply   Kind = 14
 )
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -99,8 +99,8 @@
 	TrialBegun(verdict Verdict)
 	// ReplicaClaimed reports a replica that a trial of this node has claimed. The other nodes must
 	// learn of it at once. ClaimDenied reports that another trial has claimed it.
-	ReplicaClaimed(claim Claim)
-	ClaimDenied(claim Claim)
+	ReplicaClaimed(claim ReplicaClaim)
+	ClaimDenied(claim ReplicaClaim)
 	// TrialInconclusive reports that such a request ended with neither a success nor a crash.
 	TrialInconclusive(work Work)
 }
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -40,11 +40,11 @@
 	Request(ctx context.Context, trial Trial) bool
 	// Claim asks the node that grants the claims of the replica for this one, and returns false if
 	// another trial has claimed the replica.
-	Claim(ctx context.Context, claim Claim) bool
-	// Renew tells that node that a trial is still under way, End that it ended without a result.
-	// Both may be lost.
-	Renew(trial Trial)
-	End(trial Trial)
+	Claim(ctx context.Context, claim ReplicaClaim) bool
+	// Renew tells these nodes that a trial is still under way, End that it ended without a result.
+	// replica is the one that the trial has claimed; empty if none. Both may be lost.
+	Renew(trial Trial, replica string)
+	End(trial Trial, replica string)
 }
 
 // askState holds the requests of this node for the trial of one work.
@@ -196,9 +196,8 @@
 		}
 		if g.Trials.Owns(trial.Work) {
 			g.List.RenewTrial(trial, clock.Now())
-		} else {
-			g.Trials.Renew(trial)
 		}
+		g.Trials.Renew(trial, g.List.renewClaimBy(trial, clock.Now()))
 	}
 }
 
@@ -214,9 +213,7 @@
 func (g *Guard) EndTrial(trial Trial) {
 	g.InterruptTrial(trial)
 	g.Events.TrialInconclusive(trial.Work)
-	if g.Trials.Owns(trial.Work) {
-		g.List.EndTrial(trial)
-		return
-	}
-	g.Trials.End(trial)
+	replica := g.List.claimedBy(trial)
+	g.List.EndTrial(trial)
+	g.Trials.End(trial, replica)
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -86,7 +86,7 @@
 	// claims holds the replicas that trials have claimed, by their ids, as far as this node granted
 	// the claims or was told of them. claimCount is len(claims), so that ClaimedReplicas needs no lock
 	// if there are none.
-	claims     map[string]Claim
+	claims     map[string]ReplicaClaim
 	claimCount atomic.Int64
 	// suspectCount is len(suspects), so that Empty needs no lock.
 	suspectCount atomic.Int64
@@ -177,6 +177,7 @@
 
 // record adds the runs of a report to its crash and to the suspects. The caller holds mu.
 func (l *List) record(report CrashReport) {
+	l.releaseCrashed(report.Replica, report.At)
 	c := l.crashFor(report)
 	for _, run := range report.Runs {
 		if c.precedes(run.SentAt) {
@@ -345,7 +346,7 @@
 	defer l.mu.Unlock()
 	previous := l.evaluate(work, at)
 	l.successes.record(work, at)
-	l.releaseReplicas(work)
+	l.releaseClaims(work, at)
 	l.check(work, at)
 	if s := l.suspects[work]; s != nil {
 		s.notify()
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -78,6 +78,7 @@
 func (l *List) RenewTrial(trial Trial, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.renewClaim(trial, now)
 	current, ok := l.trials[trial.Work]
 	if !ok {
 		// The node that granted it was lost, or this one has restarted.
@@ -94,6 +95,7 @@
 func (l *List) EndTrial(trial Trial) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.deleteClaimsWhere(func(claim *ReplicaClaim) bool { return claim.Trial == trial })
 	if l.trials[trial.Work].id != trial.ID {
 		return
 	}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -18,9 +18,9 @@
 	// Two works whose trials ended in one crash would otherwise be tried again at the same time, and
 	// often on the same replica.
 	maxTrialSpread = time.Second
-	// maxUnclearFailures is the number of failed trials after which the next one follows as soon as the
-	// previous one did if something else may have ended one of them.
-	maxUnclearFailures = 2
+	// earlyTrialAfter is the number of failed trials after which the next one follows as soon as the
+	// previous one did, if something else may have ended one of them.
+	earlyTrialAfter = 2
 	// sameCauseCrashes is the number of other replicas that must crash within sameCauseWindow of one
 	// for a common cause to be likely, such as the loss of a zone.
 	sameCauseCrashes = 2
@@ -66,8 +66,9 @@
 	// FailedTrials the number of such crashes.
 	LastTrial    time.Time
 	FailedTrials int
-	// UnclearTrials is the number of FailedTrials in which something else may have ended the replica.
-	UnclearTrials int
+	// EarlyTrial is set if the next trial of a request follows sooner than after other failed trials,
+	// because something else may have ended one of them.
+	EarlyTrial bool
 	// LastTrialShared is set if other suspects ran on the replica of the last trial.
 	LastTrialShared bool
 	// Limit is the number of crashes at which the work is quarantined.
@@ -101,7 +102,7 @@
 		return time.Time{}
 	}
 	failed := v.FailedTrials
-	if failed == maxUnclearFailures && v.UnclearTrials > 0 {
+	if v.EarlyTrial {
 		// Harmful work gets its third trial earlier by this, but no more trials.
 		failed--
 	}
--- a/internal/replica/coldgrant.go
+++ b/internal/replica/coldgrant.go
@@ -27,7 +27,7 @@
 	var senders []ColdSender
 	for _, e := range s.allowed(s.pool(pool), criteria) {
 		candidate := s.candidate(e, now)
-		if e.info.Leaving || candidate.Ejected || candidate.hardExclusion(criteria) != Cold {
+		if e.info.Leaving || candidate.Ejected || candidate.hardExclusion(criteria) != Cold || criteria.Trial && criteria.claims(&candidate) {
 			continue
 		}
 		// Called for its effect: it updates e.cold.senders.
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -39,9 +39,11 @@
 	// Exclude holds the replicas that failed or refused this request, by Incarnation for a
 	// single start and by ID for all starts.
 	Exclude map[string]bool
-	// Claimed holds the IDs of replicas that run trials of quarantined work. They are used only as a
-	// last resort.
+	// Claimed holds the IDs of replicas that run trials of quarantined work. Requests prefer others,
+	// and items and trials use them only as a last resort.
 	Claimed map[string]bool
+	// Trial is set if the request is itself such a trial.
+	Trial bool
 	// NoRetry is set if the request cannot be sent again once it may have run.
 	NoRetry bool
 	// PreferStale prefers replicas that are not Fresh when asking for a reservation.
@@ -89,6 +91,9 @@
 	// than connectCost, so that a full replica ranks behind one that is not Fresh even if it has
 	// few slots; otherwise this node would never learn the state of the latter.
 	refusalCost = connectCost
+	// claimCost is how much longer a request may wait elsewhere to leave a replica to the trial that has
+	// claimed it.
+	claimCost = 200 * time.Millisecond
 	// preemptionCost is the cost of preempting an item.
 	preemptionCost = 10 * time.Millisecond
 )
@@ -153,6 +158,11 @@
 	return ordered
 }
 
+// claims reports whether a trial has claimed a candidate.
+func (c *Criteria) claims(candidate *Candidate) bool {
+	return len(c.Claimed) > 0 && c.Claimed[candidate.ID]
+}
+
 type filter func(*Candidate, *Criteria) bool
 
 // serves reports whether a replica serves the kind of work, version and adapter that is asked for.
@@ -173,7 +183,7 @@
 	switch {
 	case c.Ejected:
 		return Ejected
-	case len(criteria.Claimed) > 0 && criteria.Claimed[c.ID]:
+	case criteria.claims(c) && (criteria.Batch || criteria.Trial):
 		return Claimed
 	case criteria.Borrowed && c.Open >= c.Slots:
 		return Occupied
@@ -285,6 +295,9 @@
 func predictUnqueued(candidate *Candidate, criteria *Criteria, weights Weights) time.Duration {
 	total := candidate.readingTime(candidate.PendingTokens+uncachedTokens(candidate, criteria)) +
 		time.Duration(candidate.Busy()*float64(concurrencyCost)) + weights.Cost(criteria.Distance(candidate))
+	if criteria.claims(candidate) {
+		total += claimCost
+	}
 	if criteria.NoRetry {
 		total += time.Duration(candidate.FailureShare * float64(failingCost))
 	}
