--- a/internal/quarantine/trialorder_test.go
+++ b/internal/quarantine/trialorder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +42,37 @@
 	}
 }
 
+// TestTrials_StartWhenClaimIsKnown guards against other work that is sent to the replica of a trial because
+// its node has not heard of the claim yet.
+func TestTrials_StartWhenClaimIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tried, other := &poolWork{name: "tried"}, &poolWork{name: "other"}
+		p := newTrialPool(t, tried, other)
+		p.claimLatency = ClaimSettleTime / 2
+		p.addCrashes(DefaultCrashLimit, tried)
+		p.startReplicas(2)
+		var trialOn atomic.Pointer[poolReplica]
+		p.onTrial = func(_ *poolWork, _ int, r *poolReplica) { trialOn.Store(r) }
+		var group sync.WaitGroup
+		group.Go(func() { p.checkServed(tried) })
+		choices := map[*poolReplica]int{}
+		for range int(poolRunTime / poolStagger) {
+			r := p.chooseReplica(other.guard.ClaimedReplicas())
+			choices[r]++
+			if r == trialOn.Load() {
+				t.Errorf("other work is sent to %s, where a trial runs", r.ID)
+				break
+			}
+			time.Sleep(poolStagger)
+		}
+		if trialOn.Load() == nil || choices[trialOn.Load()] == 0 {
+			t.Error("the replica of the trial was not chosen for other work before")
+		}
+		group.Wait()
+		p.drain()
+	})
+}
+
 // TestTrials_BesideUnknownHarmfulWork guards against the refusal of harmless work whose trials run on
 // replicas on which harmful work runs that is not suspect yet.
 func TestTrials_BesideUnknownHarmfulWork(t *testing.T) {
--- a/internal/quarantine/trialpool_test.go
+++ b/internal/quarantine/trialpool_test.go
@@ -39,6 +39,8 @@
 	// onTrial, if set, is called when a trial of work has been sent to a replica, with the number of
 	// trials of that work before it.
 	onTrial func(w *poolWork, number int, r *poolReplica)
+	// claimLatency is the time that the message about a claim takes; 0 means poolLatency.
+	claimLatency time.Duration
 	// restartDelay is the time after which a new replica replaces a lost one.
 	restartDelay time.Duration
 
@@ -112,7 +114,7 @@
 	e.recordedEvents.ReplicaClaimed(claim)
 	for _, other := range e.pool.works {
 		if other != e.work {
-			time.AfterFunc(poolLatency, func() { other.guard.List.ClaimReplica(claim, time.Now()) })
+			time.AfterFunc(max(poolLatency, e.pool.claimLatency), func() { other.guard.List.ClaimReplica(claim, time.Now()) })
 		}
 	}
 }
