quarantine: the simulation sends no trial from a process that was stopped

The simulation's choice of a replica, new with claims, slept without looking whether its node still runs; requests that wait for a trial do look. A stopped process sends nothing now.

--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
@@ -186,8 +187,8 @@
 		if !n.guard.ClaimReplica(n.ctx, *trial, target.ID) {
 			continue
 		}
-		time.Sleep(quarantine.ClaimSettleTime)
-		if n.fleet.isUp(chosen, target) {
+		// A process that is stopped meanwhile sends nothing.
+		if retry.Sleep(n.ctx, quarantine.ClaimSettleTime) && n.fleet.isUp(chosen, target) {
 			return chosen, target
 		}
 	}
