node: one exchange for requests for trials and claims

Ids of requests are random, so one table of pending replies and one kind of reply serve both. Behaviour unchanged; tests of trials, claims, quarantine and crashes of internal/node pass.

--- a/internal/node/gatewayclaim.go
+++ b/internal/node/gatewayclaim.go
@@ -14,7 +14,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 )
 
-// claimRequest asks for a replica on which to run a trial.
+// claimRequest asks for a replica on which to run a trial. The reply is a trialReply.
 type claimRequest struct {
 	// ID is that of the request, TrialID that of the trial.
 	ID      uint64          `cbor:"1,keyasint"`
@@ -23,12 +23,6 @@
 	Replica string          `cbor:"4,keyasint"`
 }
 
-// claimReply grants or denies a claim.
-type claimReply struct {
-	ID      uint64 `cbor:"1,keyasint"`
-	Granted bool   `cbor:"2,keyasint"`
-}
-
 // claimEntry reports a claim to nodes that did not grant it.
 type claimEntry struct {
 	Work    quarantine.Work `cbor:"1,keyasint"`
@@ -57,29 +51,14 @@
 		if owner == t.session.ID() {
 			return t.quarantine.ClaimReplica(claim, clock.Now())
 		}
-		if granted, replied := t.askForClaim(ctx, owner, claim); replied {
+		request := claimRequest{ID: rand.Uint64(), Work: claim.Work, TrialID: claim.ID, Replica: claim.Replica}
+		if granted, replied := t.ask(ctx, owner, peer.KindClaimRequest, request, request.ID); replied {
 			return granted
 		}
 	}
 	return true
 }
 
-// askForClaim asks a session for a claim.
-func (t *peerTrials) askForClaim(ctx context.Context, owner string, claim quarantine.ReplicaClaim) (granted, replied bool) {
-	request := claimRequest{ID: rand.Uint64(), Work: claim.Work, TrialID: claim.ID, Replica: claim.Replica}
-	reply := t.pendingClaims.Register(request.ID)
-	defer t.pendingClaims.Forget(request.ID)
-	t.gateway.sendToNode(lease.Node(owner), peer.KindClaimRequest, request)
-	ctx, cancel := context.WithTimeout(ctx, trialReplyTimeout)
-	defer cancel()
-	select {
-	case granted = <-reply:
-		return granted, true
-	case <-ctx.Done():
-		return false, false
-	}
-}
-
 // handleClaim handles peer.KindClaimRequest.
 func (t *peerTrials) handleClaim(from string, source *net.UDPAddr, body []byte) {
 	var request claimRequest
@@ -90,17 +69,7 @@
 	now := clock.Now()
 	trial := quarantine.Trial{Work: request.Work, ID: request.TrialID}
 	granted := t.quarantine.ClaimReplica(quarantine.ReplicaClaim{Trial: trial, Replica: request.Replica, At: now}, now)
-	if err := t.gateway.peers.Send(source, peer.KindClaimReply, claimReply{ID: request.ID, Granted: granted}); err != nil {
+	if err := t.gateway.peers.Send(source, peer.KindTrialReply, trialReply{ID: request.ID, Granted: granted}); err != nil {
 		t.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("reply to a request for a replica not sent")
 	}
 }
-
-// handleClaimReply handles peer.KindClaimReply.
-func (t *peerTrials) handleClaimReply(from string, _ *net.UDPAddr, body []byte) {
-	var reply claimReply
-	if err := cbor.Unmarshal(body, &reply); err != nil {
-		t.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("reply to a request for a replica cannot be decoded")
-		return
-	}
-	t.pendingClaims.Deliver(reply.ID, reply.Granted)
-}
--- a/internal/node/gatewayclaim_test.go
+++ b/internal/node/gatewayclaim_test.go
@@ -12,14 +12,7 @@
 func TestGateway_TrialsClaimReplicas(t *testing.T) {
 	site := newCrashSite(t, 1)
 	gateways := []*Gateway{site.startGateway("a"), site.startGateway("b"), site.startGateway("c")}
-	site.eventually("nodes know each other", func() bool {
-		for _, gateway := range gateways {
-			if gateway.roster.Count() != len(gateways) || len(gateway.owners.Live()) != len(gateways) {
-				return false
-			}
-		}
-		return true
-	})
+	site.waitForOwners(gateways)
 	trials := make([]quarantine.Trial, len(gateways))
 	for i := range trials {
 		content := quarantine.Content{Body: []byte{byte(i)}}
--- a/internal/node/gatewaytrial.go
+++ b/internal/node/gatewaytrial.go
@@ -32,7 +32,7 @@
 	UnderWay bool            `cbor:"4,keyasint,omitempty"`
 }
 
-// trialReply grants or denies a trial.
+// trialReply grants or denies a trial or a claim.
 type trialReply struct {
 	ID      uint64 `cbor:"1,keyasint"`
 	Granted bool   `cbor:"2,keyasint"`
@@ -70,8 +70,8 @@
 type peerTrials struct {
 	localTrials
 	gateway *Gateway
-	// pending holds the requests for trials, pendingClaims those for claims.
-	pending, pendingClaims peer.Pending[bool]
+	// pending holds the requests for trials and for claims.
+	pending peer.Pending[bool]
 }
 
 // handleTrials makes this node request trials from other nodes, and reply to their requests.
@@ -80,7 +80,6 @@
 	socket.Handle(peer.KindTrialRequest, trials.handleRequest)
 	socket.Handle(peer.KindTrialReply, trials.handleReply)
 	socket.Handle(peer.KindClaimRequest, trials.handleClaim)
-	socket.Handle(peer.KindClaimReply, trials.handleClaimReply)
 	g.quarantine.guard.Trials = trials
 }
 
@@ -94,7 +93,8 @@
 		if owner == t.session.ID() {
 			return t.quarantine.BeginTrial(trial, clock.Now())
 		}
-		if granted, replied := t.ask(ctx, owner, trial); replied {
+		request := trialRequest{Work: trial.Work, ID: trial.ID}
+		if granted, replied := t.ask(ctx, owner, peer.KindTrialRequest, request, request.ID); replied {
 			return granted
 		}
 	}
@@ -114,11 +114,11 @@
 	return candidates
 }
 
-// ask asks a session for a trial.
-func (t *peerTrials) ask(ctx context.Context, owner string, trial quarantine.Trial) (granted, replied bool) {
-	reply := t.pending.Register(trial.ID)
-	defer t.pending.Forget(trial.ID)
-	t.gateway.sendToNode(lease.Node(owner), peer.KindTrialRequest, trialRequest{Work: trial.Work, ID: trial.ID})
+// ask sends a session the request for a trial or a claim with the given id, and waits for the reply.
+func (t *peerTrials) ask(ctx context.Context, owner string, kind peer.Kind, request any, id uint64) (granted, replied bool) {
+	reply := t.pending.Register(id)
+	defer t.pending.Forget(id)
+	t.gateway.sendToNode(lease.Node(owner), kind, request)
 	ctx, cancel := context.WithTimeout(ctx, trialReplyTimeout)
 	defer cancel()
 	select {
--- a/internal/node/gatewaytrial_test.go
+++ b/internal/node/gatewaytrial_test.go
@@ -20,14 +20,7 @@
 			t.Parallel()
 			site := newCrashSite(t, 4)
 			gateways := []*Gateway{site.startGateway("a"), site.startGateway("b"), site.startGateway("c")}
-			site.eventually("nodes know each other", func() bool {
-				for _, gateway := range gateways {
-					if gateway.roster.Count() != len(gateways) || len(gateway.owners.Live()) != len(gateways) {
-						return false
-					}
-				}
-				return true
-			})
+			site.waitForOwners(gateways)
 			body := []byte("a new route")
 			work := (&quarantine.Content{Method: http.MethodPost, Host: siteHost, Target: "/resume/work", Body: body}).Work()
 			reportCrashes(gateways, work)
@@ -50,6 +43,19 @@
 	}
 }
 
+// waitForOwners waits until all gateways know each other and agree on who grants trials and claims.
+func (s *crashSite) waitForOwners(gateways []*Gateway) {
+	s.t.Helper()
+	s.eventually("nodes know each other", func() bool {
+		for _, gateway := range gateways {
+			if gateway.roster.Count() != len(gateways) || len(gateway.owners.Live()) != len(gateways) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // reportCrashes reports three crashes in short succession to all gateways, each during a run of
 // work.
 func reportCrashes(gateways []*Gateway, work quarantine.Work) {
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -28,8 +28,7 @@
 	// under way or ended without a result. KindTrialReply is the reply to a request.
 	KindTrialRequest Kind = 11
 	KindTrialReply   Kind = 12
-	// KindClaimRequest asks a node for the replica on which a trial is to run, and KindClaimReply is
-	// its reply.
+	// KindClaimRequest asks a node for the replica on which a trial is to run. The reply is a
+	// KindTrialReply as well.
 	KindClaimRequest Kind = 13
-	KindClaimReply   Kind = 14
 )
