quarantine: one request at a time asks for a trial

Cause: a held request asks the owner of the trials, and if that does not reply within 100 ms the next node. After 100 ms another held request of the work asked with the same id, which is granted again, since a repeated request gets the same trial. Now none asks while one waits for its reply.

TestGuard_RunsOneTrialBesideSlowOwner failed before (2 trials).

--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -53,6 +53,9 @@
 	id    uint64
 	next  time.Time
 	delay time.Duration
+	// asking is set while a request waits for the reply. Another one with the same id would be granted
+	// the same trial.
+	asking bool
 }
 
 // awaitTrial holds a request of quarantined work until a trial shows that the work is harmless, or
@@ -131,13 +134,29 @@
 		return trial
 	}
 	trial := g.nextAsk(work)
-	if trial == nil || !g.Trials.Request(ctx, *trial) {
+	if trial == nil {
 		return nil
 	}
+	granted := g.Trials.Request(ctx, *trial)
+	g.endAsk(work, granted)
+	if !granted {
+		return nil
+	}
+	return trial
+}
+
+// endAsk records that the owner replied to the request for a trial of work, or that it did not in time.
+func (g *Guard) endAsk(work Work, granted bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.asked, work)
-	return trial
+	if granted {
+		delete(g.asked, work)
+		return
+	}
+	if state, ok := g.asked[work]; ok {
+		state.asking = false
+		g.asked[work] = state
+	}
 }
 
 // nextAsk returns the trial of work that another node may be asked for now, or nil. Of the requests
@@ -147,7 +166,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state, ok := g.asked[work]
-	if now.Before(state.next) {
+	if state.asking || now.Before(state.next) {
 		return nil
 	}
 	if !ok || now.Sub(state.next) > maxAskDelay {
@@ -157,7 +176,7 @@
 		g.asked = map[Work]askState{}
 	}
 	state.delay = min(max(firstAskDelay, 2*state.delay), maxAskDelay)
-	state.next = now.Add(state.delay)
+	state.next, state.asking = now.Add(state.delay), true
 	g.asked[work] = state
 	return &Trial{Work: work, ID: state.id}
 }
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -16,6 +16,8 @@
 	list *List
 	// alone makes requests impossible.
 	alone bool
+	// replyDelay is the time from a grant to its reply.
+	replyDelay time.Duration
 
 	mu          sync.Mutex
 	lostReplies int
@@ -29,6 +31,7 @@
 func (o *fakeOwners) Request(_ context.Context, trial Trial) bool {
 	time.Sleep(2 * time.Millisecond)
 	granted := o.list.GrantTrial(trial, time.Now())
+	time.Sleep(o.replyDelay)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.requests++
@@ -108,6 +111,33 @@
 	}
 }
 
+// TestGuard_RunsOneTrialBesideSlowOwner guards against two trials of one work at the same time: while one
+// request waits for a slow reply, another one must not ask with the same id and be granted the same trial.
+func TestGuard_RunsOneTrialBesideSlowOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := work("w")
+		guard, owners := quarantinedGuard(w)
+		owners.replyDelay = 2*firstAskDelay - 2*time.Millisecond
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() {
+				trial, err := guard.RefuseRequest(t.Context(), func() Work { return w })
+				if err != nil {
+					t.Errorf("refused: %v", err)
+				}
+				if trial != nil {
+					time.Sleep(300 * time.Millisecond)
+					guard.RecordSuccess(w)
+				}
+			})
+		}
+		group.Wait()
+		if trials := guard.Events.(*recordedEvents).trials; trials != 1 {
+			t.Errorf("%d trials", trials)
+		}
+	})
+}
+
 // TestGuard_RefusesAfterFailedTrials covers harmful work. Its requests crash two more replicas by
 // trials within a second, and are then refused at once.
 func TestGuard_RefusesAfterFailedTrials(t *testing.T) {
