--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -117,3 +117,23 @@
 	t.Parallel()
 	runSeed(t, Options{Seed: 990631, Nodes: 8, Regions: 2, Duration: 20 * time.Second}, HarmlessServed, HarmBounded)
 }
+
+// Guards against new harmful work that crashes all replicas which a lost zone has left, the last one by its
+// first trial. The check also counts requests that ended with their own node, as its zone was lost.
+func TestRun_SeedsOfLostZones(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	t.Parallel()
+	runSeed(t, Options{Seed: 9525, Nodes: 7, Regions: 2, Duration: 20 * time.Second})
+}
+
+// Guards against requests that all reach a cold replica at once when it starts again: nodes that have
+// received no data from any replica for a second ask it without a limit while it refuses connections.
+func TestRun_SeedsOfEndedPools(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	t.Parallel()
+	runSeed(t, Options{Seed: 9550, Nodes: 20, Regions: 1, Duration: 20 * time.Second})
+}
