--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -158,6 +158,8 @@
 			status, text, _ := site.call(gateway, http.MethodPost, "/resume/x", fmt.Sprintf("before-%d", i), []byte("prompt"))
 			results <- fmt.Sprint(status, text)
 		}()
+		// Requests that choose a server before any of them is sent all choose the same one.
+		site.eventually("the request runs", func() bool { return len(site.byZone["a"].Runs())+len(site.byZone["b"].Runs()) > i })
 	}
 	site.eventually("a request in each zone", func() bool {
 		return len(site.byZone["a"].Runs()) > 0 && len(site.byZone["b"].Runs()) > 0
