forward: logs and metrics tell at which software version a stream goes on

Now 'replica listed', 'attempt sent' and 'attempt failed' have the version; 'stream continued' says who goes on (the node within an answer, or the caller), after which event, and at which version before and now; wheelhoist_gateway_stream_continuations_total counts it. No decision uses any of it: internal/forward, platform and internal/replica pass.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -69,6 +69,9 @@
 	Prompt route.Prompt
 	// LastEventID is the last event that the caller has received; 0 if none.
 	LastEventID int
+	// Resumes is the ID of the caller's request that received the first event of the stream that
+	// this request continues; empty if the caller names none.
+	Resumes string
 	// AtMostOnce forbids another attempt once the request may have run, whatever the route allows.
 	AtMostOnce bool
 	// Batch marks requests of lower priority, which yield to online requests.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -29,6 +29,8 @@
 type Observer interface {
 	// Sent is called before each attempt with the candidate and its predicted time to first event.
 	Sent(request *Request, attempt int, chosen *replica.Candidate, predicted time.Duration)
+	// Continued is called when an attempt continues a stream of which the caller has received events.
+	Continued(request *Request, continuation Continuation)
 	// Reserved is called after a replica was asked for a free slot, with the result.
 	Reserved(request *Request, candidate *replica.Candidate, took time.Duration, err error)
 	// FirstEvent is called at the first event of an attempt, with its predicted and actual time.
@@ -37,6 +39,17 @@
 	Failed(request *Request, attempt int, chosen replica.Info, err error)
 }
 
+// Continuation describes an attempt that continues a stream.
+type Continuation struct {
+	// After is the last event that the caller has received.
+	After   int
+	Replica replica.Info
+	// Previous is the software version of the replica that sent the events before, if this request
+	// relayed them. PreviousKnown reports whether it did.
+	Previous      string
+	PreviousKnown bool
+}
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	Replicas *replica.Set
@@ -79,6 +92,8 @@
 	sentAt    time.Time
 	// status is the HTTP status of the last attempt's answer; 0 if there was none.
 	status int
+	// softwareVersion is that of the replica that sent the last event relayed, if any was.
+	softwareVersion string
 	// trial is set while the request runs as a trial of quarantined work.
 	trial *quarantine.Trial
 	// claim is the state of the trial's claim of a replica.
@@ -276,6 +291,11 @@
 	c.predicted, c.sentAt, c.status = chosen.ExpectedFirstEvent(c.criteria.RequestInfo), now, 0
 	if c.forwarder.Observer != nil {
 		c.forwarder.Observer.Sent(c.request, c.result.Attempts, chosen, c.predicted)
+		if c.lastEventID > 0 {
+			c.forwarder.Observer.Continued(c.request, Continuation{
+				After: c.lastEventID, Replica: chosen.Info, Previous: c.softwareVersion, PreviousKnown: c.result.Events > 0,
+			})
+		}
 	}
 	stop := context.AfterFunc(ctx, func() { releaseSlot(use) })
 	err := c.exchange(ctx, chosen.Info, use)
@@ -283,7 +303,7 @@
 	c.recordRefusal(err, clock.Since(now))
 	c.dropReservation()
 	if c.result.Events > 0 {
-		c.criteria.Version = chosen.Version
+		c.criteria.Version, c.softwareVersion = chosen.Version, chosen.SoftwareVersion
 	}
 	use.End(c.healthResult(ctx, use, err), clock.Now())
 	if err == nil {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -302,7 +302,7 @@
 	}
 	if info.Leaving || (added && !whole) {
 		log.Info().Str("replica", info.ID).Str("pool", info.Pool).Str("address", info.Address).
-			Str("zone", info.Zone).Bool("leaving", info.Leaving).Uint64("row_version", version).Msg("replica listed")
+			Str("zone", info.Zone).Str("software", info.SoftwareVersion).Bool("leaving", info.Leaving).Uint64("row_version", version).Msg("replica listed")
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,6 +49,9 @@
 	// restarts counts detected restarts of replicas under the same ID.
 	restarts prometheus.Counter
 	// quarantined counts works put in quarantine, cleared suspected works that succeeded, and
+	// continuations counts attempts that continued a stream, by who continued it and by whether the
+	// software version was that of the events before.
+	continuations *prometheus.CounterVec
 	// released works released by operators.
 	quarantined, cleared, released prometheus.Counter
 	// trials counts trials of quarantined work of this node, by event.
@@ -132,6 +135,9 @@
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_trials_total", Help: "Requests of this node that ran as a trial of quarantined work (begun), those that ended with neither a success nor a crash (inconclusive), and claims of a replica that were denied because another trial ran there (claim_denied).",
 	}, []string{"event"})
+	m.continuations = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_gateway_stream_continuations_total", Help: "Attempts that continued a stream, by who continued it (node, caller) and whether the replica's software version is that of the events before (same, other, unknown).",
+	}, []string{"by", "software"})
 	m.released = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_released_total", Help: "Works that operators released at this node.",
 	})
@@ -148,7 +154,7 @@
 	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
-	m.registry.MustRegister(m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
+	m.registry.MustRegister(m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
 		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
 	return m
 }
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -28,13 +28,35 @@
 	if zones := l.evacuated(); len(zones) > 0 {
 		entry.Strs("evacuated", zones)
 	}
-	entry.Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).Str("zone", chosen.Zone).
+	entry.Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).Str("software", chosen.SoftwareVersion).Str("zone", chosen.Zone).
 		Str("region", chosen.Region).Int("open", chosen.Open).Int("share", chosen.Share).Int("items", chosen.Batch).Float64("others", chosen.Others).
 		Float64("waiting", chosen.Waiting).Dur("load_age_ms", chosen.LoadAge).Dur("slot_ms", chosen.SlotTime).
 		Int("pending_tokens", chosen.PendingTokens).Dur("predicted_ms", predicted).
 		Msg("attempt sent")
 }
 
+// Continued implements forward.Observer.
+func (l *requestLog) Continued(request *forward.Request, continuation forward.Continuation) {
+	initiator, match := continuationLabels(continuation)
+	l.metrics.continuations.WithLabelValues(initiator, match).Inc()
+	l.log.Info().Str("request", request.ID).Str("resumes", request.Resumes).Str("by", initiator).Int("after", continuation.After).
+		Str("replica", continuation.Replica.ID).Str("software", continuation.Replica.SoftwareVersion).
+		Str("software_before", continuation.Previous).Str("software_match", match).Msg("stream continued")
+}
+
+// continuationLabels returns who continued a stream, the node within one answer or the caller with
+// another request, and whether the software version is that of the events before.
+func continuationLabels(continuation forward.Continuation) (initiator, match string) {
+	switch {
+	case !continuation.PreviousKnown:
+		return "caller", "unknown"
+	case continuation.Previous == continuation.Replica.SoftwareVersion:
+		return "node", "same"
+	default:
+		return "node", "other"
+	}
+}
+
 // Reserved implements forward.Observer.
 func (l *requestLog) Reserved(request *forward.Request, candidate *replica.Candidate, took time.Duration, err error) {
 	l.metrics.reservations.WithLabelValues(reservationOutcome(err)).Inc()
@@ -61,7 +83,7 @@
 // Failed implements forward.Observer.
 func (l *requestLog) Failed(request *forward.Request, attempt int, chosen replica.Info, err error) {
 	entry := l.log.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
-		Str("address", chosen.Address).Err(err).Stringer("ran", outcome.Of(err))
+		Str("software", chosen.SoftwareVersion).Str("address", chosen.Address).Err(err).Stringer("ran", outcome.Of(err))
 	if outcome.Of(err) != outcome.NotDone {
 		// Work that was running on a replica when its response broke off may be the cause.
 		entry = entry.Stringer("work", request.Work())
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,6 +37,9 @@
 	Leaving bool
 	// Version is the version of the model that it serves; empty if unknown.
 	Version string
+	// SoftwareVersion is the version of the model server's software; empty if not reported. Versions
+	// have no order.
+	SoftwareVersion string
 	// Adapters lists the loaded adapters.
 	Adapters []string
 	// NoOnline and NoBatch exclude online requests and batch items.
