forward: a broken answer goes on only at the software version that began it

Cause: the list's version was checked and dropped, so the filter for the version of the weights never acted, and a broken run went on at any replica. The class: what holds for a run is kept with the replica of the moment. The version is that of the start which answers, not of the address or id: a row that changes its version is another start, and an answer that may be of a start which is not listed yet is not continued. Ruled out: waiting for the version to return; versions have no order and may not.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -35,6 +35,7 @@
 // forwardEvents relays events as they arrive, skipping those that the caller already has.
 func (c *call) forwardEvents(answer *Answer, use *replica.Use, watchdog *silenceWatchdog) error {
 	reader := sse.NewReader(answer.Body)
+	checked := false
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -54,6 +55,12 @@
 		if event.HasID && c.lastEventID > 0 && event.ID != c.lastEventID+1 {
 			return outcome.AsUnknown(fmt.Errorf("%w: event %d follows event %d", ErrBroken, event.ID, c.lastEventID))
 		}
+		if !checked {
+			if err := c.requireSoftware(use, now); err != nil {
+				return err
+			}
+			checked = true
+		}
 		write := func() error { return c.forwardEvent(answer, event, reader.Buffered()) }
 		if err := watchdog.duringWrite(write); err != nil {
 			return err
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -92,8 +92,8 @@
 	sentAt    time.Time
 	// status is the HTTP status of the last attempt's answer; 0 if there was none.
 	status int
-	// softwareVersion is that of the replica that sent the last event relayed, if any was.
-	softwareVersion string
+	// softwareUncertain is set if it is not certain which software version sent the events relayed.
+	softwareUncertain bool
 	// trial is set while the request runs as a trial of quarantined work.
 	trial *quarantine.Trial
 	// claim is the state of the trial's claim of a replica.
@@ -266,7 +266,7 @@
 	if c.result.Attempts >= c.route.MaxAttempts || !c.mayRepeat() {
 		return false
 	}
-	if c.result.HeadSent && c.route.Kind != route.Stream {
+	if c.result.HeadSent && (c.route.Kind != route.Stream || c.softwareUncertain) {
 		return false
 	}
 	return c.forwarder.Budget.TryRetry()
@@ -293,17 +293,19 @@
 		c.forwarder.Observer.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 		if c.lastEventID > 0 {
 			c.forwarder.Observer.Continued(c.request, Continuation{
-				After: c.lastEventID, Replica: chosen.Info, Previous: c.softwareVersion, PreviousKnown: c.result.Events > 0,
+				After: c.lastEventID, Replica: chosen.Info, Previous: c.requiredSoftware(), PreviousKnown: c.criteria.SoftwareVersion != nil,
 			})
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { releaseSlot(use) })
+	eventsBefore := c.result.Events
 	err := c.exchange(ctx, chosen.Info, use)
 	stop()
 	c.recordRefusal(err, clock.Since(now))
 	c.dropReservation()
-	if c.result.Events > 0 {
-		c.criteria.Version, c.softwareVersion = chosen.Version, chosen.SoftwareVersion
+	if c.result.Events > eventsBefore {
+		c.criteria.Version = chosen.Version
+		c.checkSoftware(use, clock.Now())
 	}
 	use.End(c.healthResult(ctx, use, err), clock.Now())
 	if err == nil {
--- a/internal/replica/exclusion.go
+++ b/internal/replica/exclusion.go
@@ -29,12 +29,14 @@
 	Occupied
 	// Claimed replicas run a trial of quarantined work.
 	Claimed
+	// OtherSoftware replicas run another software version than the one required.
+	OtherSoftware
 	exclusions
 )
 
 // String returns the name used in logs and metrics.
 func (e Exclusion) String() string {
-	names := [exclusions]string{"usable", "evacuated", "elsewhere", "unsuitable", "tried", "cold", "ejected", "occupied", "claimed"}
+	names := [exclusions]string{"usable", "evacuated", "elsewhere", "unsuitable", "tried", "cold", "ejected", "occupied", "claimed", "other_software"}
 	if e >= exclusions {
 		return "unknown"
 	}
@@ -43,7 +45,9 @@
 
 // persistent reports whether only a change by operators ends the exclusion, so that it is of no use for
 // a request to wait.
-func (e Exclusion) persistent() bool { return e == Evacuated || e == Elsewhere }
+func (e Exclusion) persistent() bool {
+	return e == Evacuated || e == Elsewhere || e == OtherSoftware
+}
 
 // NoReplicaError reports that no replica can take the request now, and why. It wraps ErrNoReplica.
 type NoReplicaError struct {
@@ -53,6 +57,8 @@
 	ColdWait time.Duration
 	// RegionRestricted is set if the request may be served in some regions only.
 	RegionRestricted bool
+	// SoftwareRestricted is set if only one software version may serve the request.
+	SoftwareRestricted bool
 }
 
 // Error implements error.
@@ -71,6 +77,8 @@
 		return strings.Join(reasons, ", ")
 	case e.RegionRestricted:
 		return "none is listed where the request may be served"
+	case e.SoftwareRestricted:
+		return "none is listed with the required software version"
 	default:
 		return "none is listed"
 	}
@@ -79,8 +87,8 @@
 // Unwrap returns ErrNoReplica.
 func (e *NoReplicaError) Unwrap() error { return ErrNoReplica }
 
-// Persistent reports whether waiting is of no use: an evacuation or the regions of the request exclude
-// all replicas, or none is listed where the request may be served.
+// Persistent reports whether waiting is of no use: an evacuation, the regions of the request or the
+// software version that it requires exclude all replicas, or none is listed that meets these.
 func (e *NoReplicaError) Persistent() bool {
 	excluded := 0
 	for reason, count := range e.Counts {
@@ -89,7 +97,7 @@
 		}
 		excluded += count
 	}
-	return excluded > 0 || e.RegionRestricted
+	return excluded > 0 || e.RegionRestricted || e.SoftwareRestricted
 }
 
 // WaitsForCold reports whether the request waits for cold replicas only, one of which would take it if
@@ -134,6 +142,8 @@
 	switch {
 	case !serves(c, criteria):
 		return Unsuitable
+	case !criteria.allowsSoftware(&c.Info):
+		return OtherSoftware
 	case c.tried(criteria):
 		return Tried
 	case c.Cold.Blocks(criteria.Batch):
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -34,6 +34,9 @@
 	// Version, if set, is the only version allowed. An answer that is resumed on another replica
 	// requires the version that began it.
 	Version string
+	// SoftwareVersion, if set, points to the only software version allowed. A stream or text may be
+	// continued only by the version that began it.
+	SoftwareVersion *string
 	// Adapter, if set, must be loaded.
 	Adapter string
 	// Exclude holds the replicas that failed or refused this request, by Incarnation for a
@@ -119,7 +122,7 @@
 
 // noReplicaError returns an error that says what excludes each of the candidates.
 func noReplicaError(candidates []Candidate, criteria *Criteria) error {
-	failure := &NoReplicaError{RegionRestricted: criteria.Regions != nil}
+	failure := &NoReplicaError{RegionRestricted: criteria.Regions != nil, SoftwareRestricted: criteria.SoftwareVersion != nil}
 	for i := range candidates {
 		reason := candidates[i].hardExclusion(criteria)
 		if reason == Usable {
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -34,12 +34,13 @@
 	return i.ID + "/" + strconv.FormatInt(i.StartedUnixMs, 10)
 }
 
-// SameStart reports whether two descriptions of a replica may be of the same start. Start times or
-// addresses distinguish starts only if both are known.
+// SameStart reports whether two descriptions of a replica may be of the same start. Start times,
+// addresses or software versions distinguish starts only if both are known.
 func (i *Info) SameStart(other *Info) bool {
 	addressDiffers := i.Address != "" && other.Address != "" && i.Address != other.Address
 	startDiffers := i.StartedUnixMs != 0 && other.StartedUnixMs != 0 && i.StartedUnixMs != other.StartedUnixMs
-	return i.ID == other.ID && !addressDiffers && !startDiffers
+	softwareDiffers := i.SoftwareVersion != "" && other.SoftwareVersion != "" && i.SoftwareVersion != other.SoftwareVersion
+	return i.ID == other.ID && !addressDiffers && !startDiffers && !softwareDiffers
 }
 
 // IsCurrentStart reports whether the start time that another process knows of a listed replica may be
@@ -107,7 +108,7 @@
 		if previous.sentToSuccessor(use, now) {
 			use.move(next)
 		} else {
-			use.markSuperseded()
+			use.markSuperseded(info)
 		}
 	}
 	for follower := range previous.followers {
@@ -200,8 +201,9 @@
 func (e *entry) inUse() bool { return e.open > 0 || len(e.followers) > 0 }
 
 // markSuperseded notifies the request that its replica has restarted. The caller holds mu.
-func (u *Use) markSuperseded() {
+func (u *Use) markSuperseded(next *Info) {
 	u.superseded = true
+	u.softwareUncertain = u.softwareUncertain || next.SoftwareVersion != u.entry.info.SoftwareVersion
 	if u.restarted != nil {
 		close(u.restarted)
 	}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -289,8 +289,9 @@
 	return s.SnapshotFor(pool, &Criteria{Affinity: affinity}, now)
 }
 
-// SnapshotFor returns the candidates of a pool for a request. If evacuations or the regions of the
-// request exclude all replicas, it returns all of them, so that Pick can report the reasons.
+// SnapshotFor returns the candidates of a pool for a request. If evacuations, the regions of the
+// request or its software version exclude all replicas, it returns all of them, so that Pick can
+// report the reasons.
 func (s *Set) SnapshotFor(pool string, criteria *Criteria, now time.Time) []Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -309,15 +310,16 @@
 	return s.candidates(chosen, now)
 }
 
-// allowed returns the entries that evacuations and the regions of the request permit. The caller
+// allowed returns the entries that evacuations, the regions and the software version of the request
+// permit. The caller
 // holds mu.
 func (s *Set) allowed(list []*entry, criteria *Criteria) []*entry {
-	if criteria.Regions == nil && len(s.evacuated) == 0 {
+	if criteria.Regions == nil && criteria.SoftwareVersion == nil && len(s.evacuated) == 0 {
 		return list
 	}
 	allowed := make([]*entry, 0, len(list))
 	for _, e := range list {
-		if !s.evacuated[e.info.Zone] && criteria.Regions.Allows(e.info.Region) {
+		if !s.evacuated[e.info.Zone] && criteria.Regions.Allows(e.info.Region) && !criteria.excludesSoftware(e) {
 			allowed = append(allowed, e)
 		}
 	}
--- /dev/null
+++ b/internal/replica/software_test.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// Guards against a stream that cannot go on in a large fleet because the sample of replicas lacks its
+// software version, and against a wait for a version that no replica runs.
+func TestPick_RequiredSoftwareVersion(t *testing.T) {
+	set, now := NewSet(), time.Now()
+	const replicas = 300
+	for i := range replicas {
+		version := "v1"
+		if i == replicas/2 {
+			version = "v2"
+		}
+		set.Put(Info{ID: string(rune('a'+i%26)) + time.Duration(i).String(), Pool: "p", Slots: 2, SoftwareVersion: version})
+	}
+	pick := func(version string) (*Candidate, error) {
+		criteria := &Criteria{SoftwareVersion: &version}
+		return Pick(set.SnapshotFor("p", criteria, now), criteria, Weights{})
+	}
+	if chosen, err := pick("v2"); err != nil || chosen.SoftwareVersion != "v2" {
+		t.Fatalf("the only replica of v2 was not picked: %v", err)
+	}
+	_, err := pick("v3")
+	var noReplica *NoReplicaError
+	if !errors.As(err, &noReplica) || !noReplica.Persistent() || noReplica.MainReason() != OtherSoftware {
+		t.Fatalf("a version that no replica runs: %v", err)
+	}
+}
+
+// Guards against answers of a restarted replica that count as of the software version that the list
+// still shows.
+func TestUse_SoftwareVersionOfARestartedReplica(t *testing.T) {
+	set, now := NewSet(), time.Now()
+	before := Info{ID: "r", Pool: "p", Address: "x", Slots: 2, StartedUnixMs: 1, SoftwareVersion: "v1"}
+	after := before
+	after.StartedUnixMs, after.SoftwareVersion = 2, "v2"
+	set.put(before, now)
+	undisturbed := set.BeginAt(before, RequestInfo{}, now)
+	if version, certain := undisturbed.SoftwareVersion(now); version != "v1" || !certain {
+		t.Fatalf("before the restart: %q, certain %v", version, certain)
+	}
+	set.BeginAt(before, RequestInfo{}, now).End(Unreachable, now)
+	sentLater := set.BeginAt(before, RequestInfo{}, now.Add(time.Millisecond))
+	if _, certain := sentLater.SoftwareVersion(now.Add(2 * time.Millisecond)); certain {
+		t.Fatal("a request sent after a refused connection may be at a start that is not listed yet")
+	}
+	set.put(after, now.Add(time.Second))
+	if _, certain := undisturbed.SoftwareVersion(now.Add(time.Second)); certain {
+		t.Fatal("a request sent before the restart may be at either start")
+	}
+	if version, certain := sentLater.SoftwareVersion(now.Add(time.Second)); version != "v2" || !certain {
+		t.Fatalf("a request known to be at the new start: %q, certain %v", version, certain)
+	}
+}
+
+// Guards against a change of the software version that is taken for the same start, if rows have no
+// start time.
+func TestSameStart_SoftwareVersionDistinguishesStarts(t *testing.T) {
+	before, after := Info{ID: "r", SoftwareVersion: "v1"}, Info{ID: "r", SoftwareVersion: "v2"}
+	if before.SameStart(&after) || !before.SameStart(&Info{ID: "r"}) {
+		t.Fatal("software versions distinguish starts if both are known, and only then")
+	}
+}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -60,6 +60,9 @@
 	// restarted, if it was created, is closed at the same time.
 	superseded bool
 	restarted  chan struct{}
+	// softwareUncertain is set once a restart with another software version is known, and the request
+	// may have been sent to either start.
+	softwareUncertain bool
 }
 
 // Begin is like BeginAt, for whichever start of the replica is current.
