streams: a stream goes on at another node only at the software version that began it

Cause: a node knew nothing of streams that others began, and Resumes was not read. Now the node that begins a stream tells three others, in different zones and chosen by a hash of tenant and request, which pool and version it began at, before the first event leaves; who takes it up asks eight, 200 ms at most. What is not known is not continued: 503 at once with the reason, unless the pool has run one version for longer than a stream lasts, by a list that is 3 s old at most. Two different origins make a stream ambiguous. A version that no replica runs is refused at once too. Ruled out: the store (6,900 writes a second against 300 a partition); a preference by hash alone (lists differ during a rolling update, just when it matters).

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -44,8 +44,9 @@
 	// After is the last event that the caller has received.
 	After   int
 	Replica replica.Info
-	// Previous is the software version of the replica that sent the events before, if this request
-	// relayed them. PreviousKnown reports whether it did.
+	// ByCaller is set if the caller received the events before with another request.
+	ByCaller bool
+	// Previous is the software version that sent the events before, if PreviousKnown is set.
 	Previous      string
 	PreviousKnown bool
 }
@@ -66,6 +67,8 @@
 	// ColdGranter, if set, is asked for a grant by requests that find only cold replicas to which
 	// this node may not send by itself.
 	ColdGranter ColdGranter
+	// Origins, if set, tells where streams began that callers continue here.
+	Origins StreamOrigins
 	// Quarantine, if set, keeps work away from replicas if it is suspected of crashing them.
 	Quarantine Quarantine
 }
@@ -119,6 +122,9 @@
 		ctx, cancel = clock.WithDeadline(ctx, c.deadline, ErrTimeout)
 		defer cancel()
 	}
+	if err := c.requireOrigin(ctx); err != nil {
+		return c.result, c.withOutcome(err)
+	}
 	err := c.run(ctx)
 	return c.result, err
 }
@@ -293,7 +299,7 @@
 		c.forwarder.Observer.Sent(c.request, c.result.Attempts, chosen, c.predicted)
 		if c.lastEventID > 0 {
 			c.forwarder.Observer.Continued(c.request, Continuation{
-				After: c.lastEventID, Replica: chosen.Info, Previous: c.requiredSoftware(), PreviousKnown: c.criteria.SoftwareVersion != nil,
+				After: c.lastEventID, Replica: chosen.Info, ByCaller: c.result.Events == 0, Previous: c.requiredSoftware(), PreviousKnown: c.criteria.SoftwareVersion != nil,
 			})
 		}
 	}
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -1,15 +1,44 @@
 package forward
 
 import (
+	"context"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/streams"
 )
 
 // What two software versions of a model server write does not fit together, and model servers do not
-// check this. From its first event on, a stream is continued only by the version that began it.
+// check this. From its first event on, a stream is continued only by the version that began it, also
+// when its caller continues it with another request at another node.
+
+// StreamOrigins stores where streams began. It is safe for concurrent use.
+type StreamOrigins interface {
+	// Record stores the origin of a stream until a time; zero if unknown. It is called before the
+	// first event of the stream, or of its continuation, is relayed, and must not block.
+	Record(id streams.ID, origin streams.Origin, until time.Time)
+	// Find returns the origin of a stream. known is false if it cannot be found.
+	Find(ctx context.Context, id streams.ID) (origin streams.Origin, known bool)
+}
+
+const (
+	// originRetention is how long the origin of a stream is stored after the deadline of its request.
+	originRetention = 30 * time.Second
+	// minStreamLifetime and streamLifetimeFactor, times the timeout of the route, bound how long ago a
+	// stream that is continued may have begun. unboundedStreamLifetime is assumed without a timeout.
+	minStreamLifetime       = 30 * time.Second
+	streamLifetimeFactor    = 4
+	unboundedStreamLifetime = 15 * time.Minute
+)
+
+// ErrOriginUnknown reports that nothing tells at which software version a stream began, or that it may
+// have begun at several.
+var ErrOriginUnknown = errors.New("the software version that began the stream is not known")
 
 // ErrOtherSoftware reports that an answer may come from another software version than the one that
 // began its stream.
@@ -23,9 +52,13 @@
 	switch {
 	case c.criteria.SoftwareVersion == nil:
 		c.criteria.SoftwareVersion, c.softwareUncertain = &version, !certain
+		c.recordOrigin()
 		return nil
 	case !certain || version != *c.criteria.SoftwareVersion:
 		return outcome.AsUnknown(ErrOtherSoftware)
+	case c.result.Events == 0:
+		c.recordOrigin()
+		return nil
 	default:
 		return nil
 	}
@@ -35,9 +68,11 @@
 // found to have restarted with another software version meanwhile.
 func (c *call) checkSoftware(use *replica.Use, now time.Time) {
 	version, certain := use.SoftwareVersion(now)
-	if !certain || version != c.requiredSoftware() {
-		c.softwareUncertain = true
+	if c.softwareUncertain || certain && version == c.requiredSoftware() {
+		return
 	}
+	c.softwareUncertain = true
+	c.recordOrigin()
 }
 
 // requiredSoftware returns the software version that began the stream; empty if none has.
@@ -47,3 +82,59 @@
 	}
 	return *c.criteria.SoftwareVersion
 }
+
+// streamID returns the ID of the stream that the request begins or continues.
+func (c *call) streamID() streams.ID {
+	if c.request.LastEventID > 0 {
+		return streams.NewID(c.request.Tenant, c.request.Resumes)
+	}
+	return streams.NewID(c.request.Tenant, c.request.ID)
+}
+
+// recordOrigin stores the origin of the stream for the nodes that may have to continue it.
+func (c *call) recordOrigin() {
+	if c.forwarder.Origins == nil || !c.route.Resumable || c.request.LastEventID > 0 && c.request.Resumes == "" {
+		return
+	}
+	until := c.deadline
+	if !until.IsZero() {
+		until = until.Add(originRetention)
+	}
+	origin := streams.Origin{Pool: c.result.Pool, SoftwareVersion: c.requiredSoftware(), Ambiguous: c.softwareUncertain}
+	c.forwarder.Origins.Record(c.streamID(), origin, until)
+}
+
+// requireOrigin makes a request that continues a stream use the pool and the software version that
+// began it. It returns ErrOriginUnknown if these are not known.
+func (c *call) requireOrigin(ctx context.Context) error {
+	if c.forwarder.Origins == nil || c.route.Kind != route.Stream || c.request.LastEventID == 0 {
+		return nil
+	}
+	origin, known := streams.Origin{}, false
+	if c.request.Resumes != "" {
+		origin, known = c.forwarder.Origins.Find(ctx, c.streamID())
+	}
+	if !known {
+		origin, known = c.onlyOrigin()
+	}
+	isShare := func(share route.Share) bool { return share.Pool == origin.Pool }
+	if !known || origin.Ambiguous || !slices.ContainsFunc(c.route.Shares, isShare) {
+		return ErrOriginUnknown
+	}
+	c.result.Pool, c.criteria.SoftwareVersion = origin.Pool, &origin.SoftwareVersion
+	return nil
+}
+
+// onlyOrigin returns the only origin that a stream of the route can have, if its pool has run only one
+// software version for longer than a stream lasts.
+func (c *call) onlyOrigin() (origin streams.Origin, ok bool) {
+	if len(c.route.Shares) != 1 {
+		return streams.Origin{}, false
+	}
+	lifetime := unboundedStreamLifetime
+	if c.route.Timeout > 0 {
+		lifetime = max(minStreamLifetime, streamLifetimeFactor*c.route.Timeout)
+	}
+	version, ok := c.forwarder.Replicas.OnlySoftware(c.result.Pool, lifetime, clock.Now())
+	return streams.Origin{Pool: c.result.Pool, SoftwareVersion: version}, ok
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -55,6 +55,8 @@
 	roster *lease.Roster
 	nodes  *nodeIndex
 	quota  *quota.Coordinator
+	// streamOrigins finds where streams began that callers continue at this node.
+	streamOrigins *streamOrigins
 	// broadcastLimiter bounds how often all nodes are notified of changed rows.
 	broadcastLimiter *rate.Limiter
 
@@ -137,6 +139,8 @@
 	})
 	g.replicas.SetJoined(false)
 	g.forwarder.Reserver = g.backend
+	g.streamOrigins = &streamOrigins{gateway: g}
+	g.forwarder.Origins = g.streamOrigins
 	g.runner.Reserver = g.backend
 	g.configWatch = g.watch("configuration", g.relays.feed(configGroup, platform.ConfigFeed(g.store)), nil)
 	g.configWatch.Apply = g.relays.logged(configGroup, g.applyConfig)
@@ -146,6 +150,7 @@
 	metrics.registerPools(g.core)
 	metrics.registerCold(g.replicas)
 	metrics.registerDivision(g.replicas)
+	metrics.registerStreams(&g.streamOrigins.registry)
 	metrics.registerAge("wheelhoist_gateway_config_age_seconds", "Time since the configuration's source last answered.", g.configWatch)
 	metrics.registerAge("wheelhoist_gateway_replica_list_age_seconds", "Time since the replica list's source last answered.", g.replicaWatch)
 	metrics.registerAge("wheelhoist_gateway_jobs_age_seconds", "Time since the jobs' source last answered.", g.jobWatch)
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -34,6 +34,7 @@
 	g.quota.Sender = socket
 	g.handleColdGrants(socket)
 	g.handleTrials(socket)
+	g.handleStreamOrigins(socket)
 	g.metrics.registerPeers(socket)
 	return g.listenBootstrap()
 }
--- a/internal/node/gatewaystreams_test.go
+++ b/internal/node/gatewaystreams_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -241,6 +242,75 @@
 	}
 }
 
+// Guards against a stream that goes on without proof of its software version, and against a refusal that
+// comes late, has run, or does not say that the caller can only begin anew.
+func TestGateway_StreamOfUnknownOriginIsRefusedAtOnce(t *testing.T) {
+	site := newVersionedSite(t, "v1", "v2")
+	gateway := site.start("a")
+	site.start("b")
+	site.awaitPeers()
+	cases := map[string]http.Header{
+		"a request never seen":       {"Last-Event-Id": {"3"}, "Resumes": {"never-seen"}},
+		"no request named":           {"Last-Event-Id": {"3"}},
+		"a request that got nothing": {"Last-Event-Id": {"3"}, "Resumes": {"q-itself"}},
+	}
+	for name, header := range cases {
+		began := time.Now()
+		status, _, answer := site.callWith(gateway, http.MethodPost, "/resume/x", "q-itself", nil, header)
+		if status != http.StatusServiceUnavailable || answer.Get("X-Wheelhoist-Reason") != "stream-origin-unknown" || answer.Get("Retry-After") == "" {
+			t.Errorf("%s: %d %v", name, status, answer)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%s: the refusal took %v", name, took)
+		}
+	}
+	for _, server := range site.servers {
+		if runs := server.Runs(); len(runs) > 0 {
+			t.Errorf("server %s ran %v", server.ID, runs)
+		}
+	}
+}
+
+// Guards against a wait for a software version that no server runs any more.
+func TestGateway_StreamWhoseSoftwareVersionIsGoneIsRefusedAtOnce(t *testing.T) {
+	site := newVersionedSite(t, "v1", "v2")
+	first, second := site.start("a"), site.start("b")
+	site.awaitPeers()
+	stream := &clientStream{}
+	if _, err := stream.read(first, "q", 2); !errors.Is(err, errStreamLeft) {
+		t.Fatal(err)
+	}
+	version := standin.EventVersion(string(stream.events[0].Data))
+	for _, server := range site.servers {
+		if server.Version == version {
+			site.store.Remove("servers", server.ID)
+		}
+	}
+	site.eventually("version is gone", func() bool {
+		return len(second.replicas.Snapshot("llm", 0, time.Now())) == serversPerVersion
+	})
+	began := time.Now()
+	header := http.Header{"Last-Event-Id": {"2"}, "Resumes": {"q"}}
+	status, _, answer := site.callWith(second, http.MethodPost, "/resume/x", "q-again", nil, header)
+	if status != http.StatusServiceUnavailable || answer.Get("X-Wheelhoist-Reason") != "software-version-gone" {
+		t.Fatalf("%d %v", status, answer)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Fatalf("the refusal took %v", took)
+	}
+}
+
+// Guards against servers without a software version whose streams cannot be continued by clients that
+// name no earlier request.
+func TestGateway_StreamOfServersWithoutVersionGoesOn(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	gateway := site.start("a")
+	status, text, _ := site.callWith(gateway, http.MethodPost, "/resume/x", "q", nil, http.Header{"Last-Event-Id": {"4"}})
+	if status != http.StatusOK || !strings.HasSuffix(wholeStream(), text) || text == "" {
+		t.Fatalf("%d %q", status, text)
+	}
+}
+
 // expectContinuedUnmixed checks that no stream is mixed and that at least the given number went on
 // after a break and is complete.
 func expectContinuedUnmixed(t *testing.T, streams []*clientStream, atLeast int) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/streams"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 	"github.com/wheelhoist/wheelhoist/platform"
 )
@@ -52,6 +53,9 @@
 	// continuations counts attempts that continued a stream, by who continued it and by whether the
 	// software version was that of the events before.
 	continuations *prometheus.CounterVec
+	// originLookups counts lookups of the origins of streams that callers continue here, by where the
+	// origin was found.
+	originLookups *prometheus.CounterVec
 	// released works released by operators.
 	quarantined, cleared, released prometheus.Counter
 	// trials counts trials of quarantined work of this node, by event.
@@ -138,6 +142,9 @@
 	m.continuations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_gateway_stream_continuations_total", Help: "Attempts that continued a stream, by who continued it (node, caller) and whether the replica's software version is that of the events before (same, other, unknown).",
 	}, []string{"by", "software"})
+	m.originLookups = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_stream_origin_lookups_total", Help: "Lookups of the software version that began a stream which a caller continues here, by where it was found (here, other_node, unknown).",
+	}, []string{"found"})
 	m.released = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_released_total", Help: "Works that operators released at this node.",
 	})
@@ -154,7 +161,7 @@
 	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
-	m.registry.MustRegister(m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
+	m.registry.MustRegister(m.originLookups, m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
 		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
 	return m
 }
@@ -195,6 +202,11 @@
 	m.gauge("wheelhoist_gateway_slot_divisions", "Divisions of the slots of this node's shard computed since the start.", func() float64 { return float64(replicas.Divisions()) })
 }
 
+// registerStreams registers the number of stream origins that this node holds.
+func (m *coreMetrics) registerStreams(registry *streams.Registry) {
+	m.gauge("wheelhoist_stream_origins", "Origins of streams that this node holds, its own and those of other nodes.", func() float64 { return float64(registry.Len()) })
+}
+
 // registerPeers registers the counts of datagrams between nodes.
 func (m *coreMetrics) registerPeers(socket *peer.Socket) {
 	count := func(pick func(sent, received, malformed int64) int64) func() float64 {
--- a/internal/node/nodeindex.go
+++ b/internal/node/nodeindex.go
@@ -6,6 +6,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/place"
+	"github.com/wheelhoist/wheelhoist/internal/streams"
 )
 
 // nodeIndex groups the other nodes by zone and region and caches the result until the nodes change.
@@ -20,6 +21,18 @@
 	all      []string
 	sameZone []string
 	byRegion map[string][]string
+	// streamRanking ranks all nodes, including this one, as holders of stream origins.
+	streamRanking *streams.Ranking
+}
+
+// streamHolders returns the first count nodes, which may include this one, to hold the origin of a
+// stream.
+func (n *nodeIndex) streamHolders(id streams.ID, count int) []string {
+	n.mu.Lock()
+	n.refresh()
+	ranking := n.streamRanking
+	n.mu.Unlock()
+	return ranking.Holders(id, count)
 }
 
 // inRegion returns the other nodes of a region. The caller must not modify the slice.
@@ -70,6 +83,7 @@
 	if i := slices.IndexFunc(nodes, func(node place.Node) bool { return node.ID == self }); i >= 0 {
 		n.ownPlace = nodes[i].Place
 	}
+	n.streamRanking = streams.NewRanking(nodes)
 	for _, node := range nodes {
 		if node.ID == self {
 			continue
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -47,13 +47,17 @@
 // continuationLabels returns who continued a stream, the node within one answer or the caller with
 // another request, and whether the software version is that of the events before.
 func continuationLabels(continuation forward.Continuation) (initiator, match string) {
+	initiator = "node"
+	if continuation.ByCaller {
+		initiator = "caller"
+	}
 	switch {
 	case !continuation.PreviousKnown:
-		return "caller", "unknown"
+		return initiator, "unknown"
 	case continuation.Previous == continuation.Replica.SoftwareVersion:
-		return "node", "same"
+		return initiator, "same"
 	default:
-		return "node", "other"
+		return initiator, "other"
 	}
 }
 
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -31,4 +31,9 @@
 	// KindClaimRequest asks a node for the replica on which a trial is to run. The reply is a
 	// KindTrialReply as well.
 	KindClaimRequest Kind = 13
+	// KindStreamOrigin tells a node which software version began a stream.
+	KindStreamOrigin Kind = 14
+	// KindStreamQuery asks a node where a stream began. KindStreamReply is the reply.
+	KindStreamQuery Kind = 15
+	KindStreamReply Kind = 16
 )
--- a/internal/replica/coldlist.go
+++ b/internal/replica/coldlist.go
@@ -17,6 +17,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wasOld := s.listStale(now)
+	if s.listTime.IsZero() || at.Sub(s.listTime) > maxSoftwareListAge {
+		s.listKnownSince = at
+	}
 	if at.After(s.listTime) {
 		s.listTime = at
 	}
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -104,6 +104,7 @@
 		next.own().cold.nextSend = previous.cold.nextSend
 	}
 	previous.superseded = true
+	s.recordPastSoftware(&previous.info)
 	for use := range previous.uses {
 		if previous.sentToSuccessor(use, now) {
 			use.move(next)
@@ -125,6 +126,7 @@
 
 // drop removes an entry from the list. It is kept in unlisted while it is in use. The caller holds mu.
 func (s *Set) drop(e *entry) {
+	s.recordPastSoftware(&e.info)
 	delete(s.entries, e.info.ID)
 	s.index.remove(e)
 	if e.inUse() {
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -113,6 +113,12 @@
 	coldHeldBack uint64
 	// listTime is the time as of which the list is known; zero if SetListTime was never called.
 	listTime time.Time
+	// listKnownSince is the time since when the list has been known without a gap longer than
+	// maxSoftwareListAge.
+	listKnownSince time.Time
+	// pastSoftware holds, by pool and software version, when a replica of it was last dropped from the
+	// list.
+	pastSoftware map[string]map[string]time.Time
 	// senderList are the nodes that may be senders of cold replicas, as of senderDivision, and
 	// senderSelf is this node's index among them.
 	senderList []senderNode
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -1,6 +1,15 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+)
+
+// maxSoftwareListAge is the age of the list beyond which replicas of another software version may have
+// been listed since. The source of a current list answers at least every 1.5 s, and an answer is as old
+// as its request.
+const maxSoftwareListAge = 3 * time.Second
 
 // allowsSoftware reports whether the criteria allow the software version of a replica.
 func (c *Criteria) allowsSoftware(info *Info) bool {
@@ -21,3 +30,74 @@
 	defer u.set.mu.Unlock()
 	return u.entry.info.SoftwareVersion, !u.softwareUncertain && !u.entry.sentToSuccessor(u, now)
 }
+
+// OnlySoftware returns the only software version that replicas of a pool have run for a period. ok is
+// false if there were several, if no replica is listed, or if the list was not known all the time. A
+// version that was first listed within the last maxSoftwareListAge may be unknown here. A pool whose
+// replicas report no version has the empty one, for any period.
+func (s *Set) OnlySoftware(pool string, period time.Duration, now time.Time) (version string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, ok = s.listedSoftware(pool)
+	if !ok || s.ranOtherSoftware(pool, version, now.Add(-period)) {
+		return "", false
+	}
+	current := !s.listTime.IsZero() && now.Sub(s.listTime) <= maxSoftwareListAge
+	return version, version == "" || current && now.Sub(s.listKnownSince) >= period
+}
+
+// listedSoftware returns the software version of all listed replicas of a pool. ok is false if there are
+// several or no replicas. The caller holds mu.
+func (s *Set) listedSoftware(pool string) (version string, ok bool) {
+	listed := s.pool(pool)
+	for i, e := range listed {
+		if i > 0 && e.info.SoftwareVersion != version {
+			return "", false
+		}
+		version = e.info.SoftwareVersion
+	}
+	return version, len(listed) > 0
+}
+
+// ranOtherSoftware reports whether a replica of a pool with another software version was listed since a
+// time and is no longer. The caller holds mu.
+func (s *Set) ranOtherSoftware(pool, version string, since time.Time) bool {
+	for past, droppedAt := range s.pastSoftware[pool] {
+		if past != version && droppedAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// maxPastSoftware bounds the versions that are remembered of one pool. Rows of other writers may name
+// any number of them.
+const maxPastSoftware = 64
+
+// recordPastSoftware records that a replica is dropped from the list. The caller holds mu.
+func (s *Set) recordPastSoftware(dropped *Info) {
+	versions := s.pastSoftware[dropped.Pool]
+	if versions == nil {
+		versions = map[string]time.Time{}
+		if s.pastSoftware == nil {
+			s.pastSoftware = map[string]map[string]time.Time{}
+		}
+		s.pastSoftware[dropped.Pool] = versions
+	}
+	versions[dropped.SoftwareVersion] = clock.Now()
+	if len(versions) > maxPastSoftware {
+		delete(versions, oldestKey(versions))
+	}
+}
+
+// oldestKey returns the key with the earliest time of a map that is not empty.
+func oldestKey(times map[string]time.Time) string {
+	var oldest string
+	var earliest time.Time
+	for key, at := range times {
+		if earliest.IsZero() || at.Before(earliest) {
+			oldest, earliest = key, at
+		}
+	}
+	return oldest
+}
