jobs: the text of an item is of one software version

The same cause elsewhere: an item that was interrupted, given way, stalled or taken over from a checkpoint went on at any replica after its last event. Its text, and its checkpoint, now name the software version that wrote it; the item goes on at that version, and starts over at any other if none of it is listed, if 2 s have passed without room there, or if it is not certain which version wrote it. Unlike a stream, nobody has its events yet, so starting over breaks nothing. Ruled out: waiting without bound (a version may lose its last replica). A checkpoint of an older program names no version, so its item starts over where replicas report one.

--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -122,7 +122,11 @@
 func (r *Runner) exchangeItem(ctx context.Context, t *task, item *Item, chosen replica.Info, use *replica.Use) error {
 	stop := r.watchSilence(t, use)
 	defer stop()
+	resumedAfter := t.lastEvent
 	err := r.send(ctx, t, item, chosen, use)
+	if softwareErr := r.confirmSoftware(t, use, resumedAfter); err == nil {
+		err = softwareErr
+	}
 	reported := errors.Is(err, errItemInvalid) || errors.Is(err, errItemFailed)
 	if err == nil || reported {
 		return err
@@ -169,6 +173,7 @@
 	reader := sse.NewReader(answer.Body)
 	gaps := eventGaps{last: sent}
 	defer func() { r.recordGaps(gaps) }()
+	checked := false
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -181,6 +186,12 @@
 		gaps.record(now)
 		use.Received(now)
 		use.FirstEvent(now)
+		if !checked {
+			if err := r.requireSoftware(t, use); err != nil {
+				return err
+			}
+			checked = true
+		}
 		if err := r.appendEvent(t, event); err != nil {
 			return err
 		}
--- a/internal/jobs/checkpoint.go
+++ b/internal/jobs/checkpoint.go
@@ -88,10 +88,10 @@
 	var lastEvents []int
 	for _, t := range owned.tasks {
 		unlisted := t.state == taskWaiting || t.state == taskRunning
-		if !unlisted || t.lastEvent < t.checkpointEvent+minEvents || len(t.text) > maxRowText || len(writes) >= maxCheckpointRows {
+		if !unlisted || t.softwareUncertain || t.lastEvent < t.checkpointEvent+minEvents || len(t.text) > maxRowText || len(writes) >= maxCheckpointRows {
 			continue
 		}
-		body := encode(storedResult{Text: string(t.text), LastEvent: t.lastEvent})
+		body := encode(storedResult{Text: string(t.text), LastEvent: t.lastEvent, Software: t.software})
 		writes = append(writes, table.Write{Key: checkpointKey(owned.job.ID, t.index), Expect: t.checkpointVersion, Body: body})
 		saved = append(saved, t)
 		lastEvents = append(lastEvents, t.lastEvent)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -237,6 +237,8 @@
 	LastEvent int `cbor:"3,keyasint,omitempty"`
 	// Reason is why a dead item has no answer.
 	Reason Reason `cbor:"4,keyasint,omitempty"`
+	// Software is the software version that wrote the text of a checkpoint.
+	Software string `cbor:"5,keyasint,omitempty"`
 
 	// version is the version of the row this was read from.
 	version uint64
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -16,6 +16,8 @@
 	task    *task
 	target  *route.Route
 	regions place.Regions
+	// after is the last event of the item's text.
+	after int
 }
 
 // item returns the content of the item.
@@ -74,7 +76,7 @@
 	return &replica.Criteria{
 		Zone: r.Zone, Region: r.Region, RequestInfo: replica.RequestInfo{Tokens: int(send.item().Tokens), Batch: true},
 		Adapter: send.target.Adapter, Reserve: send.target.Reserve, Exclude: send.task.excluded, Regions: send.regions,
-		Claimed: r.claimedReplicas(),
+		Claimed: r.claimedReplicas(), SoftwareVersion: send.requiredSoftware(),
 	}
 }
 
@@ -84,7 +86,7 @@
 	t, now := send.task, clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopped || t.state != taskWaiting || t.owned.ctx.Err() != nil {
+	if r.stopped || t.state != taskWaiting || t.owned.ctx.Err() != nil || !send.maySendTo(&chosen.Info) {
 		return false
 	}
 	use := r.Replicas.BeginAt(chosen.Info, criteria.RequestInfo, now)
@@ -93,6 +95,9 @@
 		t.setWait(WaitReplica, nil)
 		return false
 	}
+	if !t.continues(&chosen.Info) {
+		t.discardText()
+	}
 	t.state = taskRunning
 	t.setWait(WaitAnswer, nil)
 	if t.firstSent.IsZero() {
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -64,6 +64,10 @@
 	// text is the answer received in earlier runs, lastEvent the id of its last event.
 	text      []byte
 	lastEvent int
+	// software is the software version that wrote text. softwareUncertain is set if it may have been
+	// another one.
+	software          string
+	softwareUncertain bool
 	// reason is why a finished item has no answer; empty if it has one.
 	reason Reason
 	// atMostOnce items may run only once; startMarked is set once they are marked as started.
@@ -238,7 +242,7 @@
 		t := &task{owned: owned, index: index, atMostOnce: items[index].AtMostOnce, failures: entry.Progress.Failures[index], excluded: map[string]bool{}, lastProgress: clock.Now()}
 		if checkpoint, ok := checkpoints[index]; ok {
 			t.text, t.lastEvent, t.checkpointVersion = []byte(checkpoint.Text), checkpoint.LastEvent, checkpoint.version
-			t.checkpointEvent = checkpoint.LastEvent
+			t.checkpointEvent, t.software = checkpoint.LastEvent, checkpoint.Software
 		}
 		owned.tasks = append(owned.tasks, t)
 		if slices.Contains(entry.Progress.Started, index) {
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -147,6 +147,9 @@
 type lane struct {
 	pool, regions, adapter string
 	reserve                float64
+	// resumed is set for items that continue a text, which only replicas of a software version may do.
+	resumed  bool
+	software string
 }
 
 // dispatchPass is the state of one pass over the waiting items.
@@ -164,11 +167,13 @@
 // tryDispatch sends an item if a slot that it may use is free, and tries to borrow one if not.
 func (r *Runner) tryDispatch(t *task, target *route.Route, regions place.Regions, pass *dispatchPass, now time.Time) {
 	key := lane{pool: target.Pool(), regions: strings.Join(regions, ","), adapter: target.Adapter, reserve: target.Reserve}
+	var after int
+	key.resumed, key.software, after = r.requiredSoftware(t, key.pool, now)
 	if _, ok := pass.freeSlots[key.pool]; !ok {
 		capacity := r.Replicas.ItemCapacity(key.pool, now)
 		pass.freeSlots[key.pool], pass.slotCause[key.pool] = capacity.Free(), capacity
 	}
-	send := pendingSend{task: t, target: target, lane: key, regions: regions}
+	send := pendingSend{task: t, target: target, lane: key, regions: regions, after: after}
 	if pass.freeSlots[key.pool] <= 0 {
 		r.recordWait(t, WaitSlot, pass.slotCause[key.pool])
 		r.tryBorrow(send, pass, now)
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -46,6 +46,18 @@
 	return version, version == "" || current && now.Sub(s.listKnownSince) >= period
 }
 
+// RunsSoftware reports whether a listed replica of a pool runs a software version and is not draining.
+func (s *Set) RunsSoftware(pool, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.pool(pool) {
+		if e.info.SoftwareVersion == version && !e.info.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // listedSoftware returns the software version of all listed replicas of a pool. ok is false if there are
 // several or no replicas. The caller holds mu.
 func (s *Set) listedSoftware(pool string) (version string, ok bool) {
