streams: a node that just started learns from others that a pool runs one version

Now a split with one pool counts as one, a stream lasts two timeouts of its route at most (5 s at least, 5 min without a timeout), and a node whose own list is not known for that long asks others: two that know it for that long and one version have to agree, and none may have seen a second. Nobody knows after a restart of all nodes: refused until the list is known long enough. TestGateway_NewNodeContinuesStreamsOfTheOnlySoftwareVersion.

--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -22,8 +21,9 @@
 	// Record stores the origin of a stream until a time; zero if unknown. It is called before the
 	// first event of the stream, or of its continuation, is relayed, and must not block.
 	Record(id streams.ID, origin streams.Origin, until time.Time)
-	// Find returns the origin of a stream. known is false if it cannot be found.
-	Find(ctx context.Context, id streams.ID) (origin streams.Origin, known bool)
+	// Find returns the origin of a stream: the one recorded, or the only one that it can have. known is
+	// false if it cannot be found.
+	Find(ctx context.Context, query streams.Query) (origin streams.Origin, known bool)
 }
 
 const (
@@ -31,9 +31,9 @@
 	originRetention = 30 * time.Second
 	// minStreamLifetime and streamLifetimeFactor, times the timeout of the route, bound how long ago a
 	// stream that is continued may have begun. unboundedStreamLifetime is assumed without a timeout.
-	minStreamLifetime       = 30 * time.Second
-	streamLifetimeFactor    = 4
-	unboundedStreamLifetime = 15 * time.Minute
+	minStreamLifetime       = 5 * time.Second
+	streamLifetimeFactor    = 2
+	unboundedStreamLifetime = 5 * time.Minute
 )
 
 // ErrOriginUnknown reports that nothing tells at which software version a stream began, or that it may
@@ -110,13 +110,7 @@
 	if c.forwarder.Origins == nil || c.route.Kind != route.Stream || c.request.LastEventID == 0 {
 		return nil
 	}
-	origin, known := streams.Origin{}, false
-	if c.request.Resumes != "" {
-		origin, known = c.forwarder.Origins.Find(ctx, c.streamID())
-	}
-	if !known {
-		origin, known = c.onlyOrigin()
-	}
+	origin, known := c.forwarder.Origins.Find(ctx, c.originQuery())
 	isShare := func(share route.Share) bool { return share.Pool == origin.Pool }
 	if !known || origin.Ambiguous || !slices.ContainsFunc(c.route.Shares, isShare) {
 		return ErrOriginUnknown
@@ -125,16 +119,18 @@
 	return nil
 }
 
-// onlyOrigin returns the only origin that a stream of the route can have, if its pool has run only one
-// software version for longer than a stream lasts.
-func (c *call) onlyOrigin() (origin streams.Origin, ok bool) {
-	if len(c.route.Shares) != 1 {
-		return streams.Origin{}, false
+// originQuery returns the query for the origin of the stream that the request continues.
+func (c *call) originQuery() streams.Query {
+	query := streams.Query{Lifetime: unboundedStreamLifetime}
+	if c.request.Resumes != "" {
+		query.Recorded, query.ID = true, c.streamID()
 	}
-	lifetime := unboundedStreamLifetime
 	if c.route.Timeout > 0 {
-		lifetime = max(minStreamLifetime, streamLifetimeFactor*c.route.Timeout)
+		query.Lifetime = max(minStreamLifetime, streamLifetimeFactor*c.route.Timeout)
+	}
+	isOther := func(share route.Share) bool { return share.Pool != c.result.Pool }
+	if !slices.ContainsFunc(c.route.Shares, isOther) {
+		query.Pool = c.result.Pool
 	}
-	version, ok := c.forwarder.Replicas.OnlySoftware(c.result.Pool, lifetime, clock.Now())
-	return streams.Origin{Pool: c.result.Pool, SoftwareVersion: version}, ok
+	return query
 }
--- /dev/null
+++ b/internal/node/gatewayoriginlookup.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/streams"
+)
+
+// originSource is where the origin of a stream was found, as a metric label.
+type originSource string
+
+const (
+	originUnknown originSource = "unknown"
+	// originHere and originOtherNode are origins that were recorded.
+	originHere      originSource = "here"
+	originOtherNode originSource = "other_node"
+	// originOnlyVersion is concluded from a pool that has run a single software version.
+	originOnlyVersion originSource = "only_version"
+)
+
+// originLookup looks for the origin of one stream.
+type originLookup struct {
+	origins *streamOrigins
+	query   streams.Query
+	// history is what this node knows of the software versions of the pool.
+	history replica.SoftwareHistory
+	// witnesses is the number of nodes that report version as the only one of the pool, needed how many
+	// have to.
+	witnesses, needed int
+	version           string
+}
+
+// run returns the origin of the stream and where it was found.
+func (l *originLookup) run(ctx context.Context) (streams.Origin, originSource) {
+	if l.query.Recorded {
+		if origin, known := l.origins.registry.Get(l.query.ID); known {
+			return origin, originHere
+		}
+	}
+	l.history = l.origins.softwareHistory(l.query.Pool, l.query.Lifetime)
+	if l.needsOthers() && l.origins.gateway.peers != nil {
+		if origin, known := l.ask(ctx); known {
+			return origin, originOtherNode
+		}
+	}
+	switch {
+	case l.history.Several:
+		return streams.Origin{}, originUnknown
+	case l.history.Single:
+		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.history.Version}, originOnlyVersion
+	case l.needed > 0 && l.witnesses >= l.needed:
+		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.version}, originOnlyVersion
+	default:
+		return streams.Origin{}, originUnknown
+	}
+}
+
+// needsOthers reports whether other nodes may know more than this one.
+func (l *originLookup) needsOthers() bool {
+	return l.query.Recorded || l.query.Pool != "" && !l.history.Single && !l.history.Several
+}
+
+// ask asks other nodes, until one has recorded the origin, all have replied, or enough of them report a
+// single version for a stream that cannot have been recorded.
+func (l *originLookup) ask(ctx context.Context) (origin streams.Origin, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	defer cancel()
+	message := originQuery{ID: rand.Uint64(), Stream: l.query.ID, Pool: l.query.Pool, PeriodMs: l.query.Lifetime.Milliseconds()}
+	if !l.query.Recorded {
+		// Any nodes will do.
+		message.Stream = streams.NewID("", time.Now().String())
+	}
+	silent := l.origins.holders(message.Stream, originQueries)
+	l.needed = min(originWitnesses, len(silent))
+	const sendsPerNode = 1 + int(originQueryTimeout/originRequeryInterval)
+	replies := l.origins.pending.RegisterMany(message.ID, max(1, len(silent)*sendsPerNode))
+	defer l.origins.pending.Forget(message.ID)
+	resend := time.NewTicker(originRequeryInterval)
+	defer resend.Stop()
+	l.send(silent, message)
+	for len(silent) > 0 {
+		select {
+		case reply := <-replies:
+			if l.query.Recorded && reply.Known {
+				return reply.origin(), true
+			}
+			if i := slices.Index(silent, reply.from); i >= 0 {
+				silent = slices.Delete(silent, i, i+1)
+				l.count(reply.history())
+			}
+			if !l.query.Recorded && (l.history.Several || l.witnesses >= l.needed) {
+				return streams.Origin{}, false
+			}
+		case <-resend.C:
+			l.send(silent, message)
+		case <-ctx.Done():
+			return streams.Origin{}, false
+		}
+	}
+	return streams.Origin{}, false
+}
+
+// count takes another node's knowledge of the pool into account.
+func (l *originLookup) count(history replica.SoftwareHistory) {
+	switch {
+	case history.Several, history.Single && l.witnesses > 0 && history.Version != l.version:
+		l.history = replica.SoftwareHistory{Several: true}
+	case history.Single:
+		l.witnesses, l.version = l.witnesses+1, history.Version
+	}
+}
+
+// send sends a query to nodes.
+func (l *originLookup) send(nodes []string, message originQuery) {
+	for _, node := range nodes {
+		l.origins.gateway.sendToNode(node, peer.KindStreamQuery, message)
+	}
+}
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/streams"
 )
 
@@ -25,6 +25,9 @@
 	originQueries = 8
 	// originQueryTimeout bounds a query, which delays the first event of a continued stream.
 	originQueryTimeout = 200 * time.Millisecond
+	// originWitnesses is the number of nodes that have to report a single software version if this node
+	// does not know the list of replicas for long enough itself.
+	originWitnesses = 2
 	// originRequeryInterval is the time after which nodes that have not replied are asked again, since
 	// datagrams may be lost.
 	originRequeryInterval = 50 * time.Millisecond
@@ -46,6 +49,9 @@
 type originQuery struct {
 	ID     uint64     `cbor:"1,keyasint"`
 	Stream streams.ID `cbor:"2,keyasint"`
+	// Pool and PeriodMs, in milliseconds, ask for the software versions that a pool has run.
+	Pool     string `cbor:"3,keyasint,omitempty"`
+	PeriodMs int64  `cbor:"4,keyasint,omitempty"`
 }
 
 // originReply is the body of peer.KindStreamReply. ID is that of the query.
@@ -55,6 +61,10 @@
 	Pool            string `cbor:"3,keyasint,omitempty"`
 	SoftwareVersion string `cbor:"4,keyasint,omitempty"`
 	Ambiguous       bool   `cbor:"5,keyasint,omitempty"`
+	// Several and Single tell of the pool's replica.SoftwareHistory; SingleVersion is its version.
+	Several       bool   `cbor:"6,keyasint,omitempty"`
+	Single        bool   `cbor:"7,keyasint,omitempty"`
+	SingleVersion string `cbor:"8,keyasint,omitempty"`
 
 	// from is the node that replied.
 	from string
@@ -65,6 +75,11 @@
 	return streams.Origin{Pool: r.Pool, SoftwareVersion: r.SoftwareVersion, Ambiguous: r.Ambiguous}
 }
 
+// history returns the software history that the reply reports.
+func (r *originReply) history() replica.SoftwareHistory {
+	return replica.SoftwareHistory{Several: r.Several, Single: r.Single, Version: r.SingleVersion}
+}
+
 // streamOrigins implements forward.StreamOrigins with messages between nodes.
 type streamOrigins struct {
 	gateway  *Gateway
@@ -107,55 +122,20 @@
 }
 
 // Find implements forward.StreamOrigins.
-func (o *streamOrigins) Find(ctx context.Context, id streams.ID) (origin streams.Origin, known bool) {
-	if origin, known = o.registry.Get(id); known {
-		o.gateway.metrics.originLookups.WithLabelValues("here").Inc()
-		return origin, true
-	}
-	if o.gateway.peers != nil {
-		origin, known = o.query(ctx, id)
-	}
-	if !known {
-		o.gateway.metrics.originLookups.WithLabelValues("unknown").Inc()
-		return streams.Origin{}, false
-	}
-	o.gateway.metrics.originLookups.WithLabelValues("other_node").Inc()
-	return origin, true
-}
-
-// query asks other nodes for the origin of a stream, until one knows it or all have replied.
-func (o *streamOrigins) query(ctx context.Context, id streams.ID) (origin streams.Origin, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
-	defer cancel()
-	query := originQuery{ID: rand.Uint64(), Stream: id}
-	silent := o.holders(id, originQueries)
-	const sendsPerNode = 1 + int(originQueryTimeout/originRequeryInterval)
-	replies := o.pending.RegisterMany(query.ID, len(silent)*sendsPerNode)
-	defer o.pending.Forget(query.ID)
-	resend := time.NewTicker(originRequeryInterval)
-	defer resend.Stop()
-	o.send(silent, query)
-	for len(silent) > 0 {
-		select {
-		case reply := <-replies:
-			if reply.Known {
-				return reply.origin(), true
-			}
-			silent = slices.DeleteFunc(silent, func(node string) bool { return node == reply.from })
-		case <-resend.C:
-			o.send(silent, query)
-		case <-ctx.Done():
-			return streams.Origin{}, false
-		}
-	}
-	return streams.Origin{}, false
+func (o *streamOrigins) Find(ctx context.Context, query streams.Query) (origin streams.Origin, known bool) {
+	lookup := &originLookup{origins: o, query: query}
+	origin, source := lookup.run(ctx)
+	o.gateway.metrics.originLookups.WithLabelValues(string(source)).Inc()
+	return origin, source != originUnknown
 }
 
-// send sends a query to nodes.
-func (o *streamOrigins) send(nodes []string, query originQuery) {
-	for _, node := range nodes {
-		o.gateway.sendToNode(node, peer.KindStreamQuery, query)
+// softwareHistory returns what this node knows of the software versions of a pool; nothing if the pool is
+// empty.
+func (o *streamOrigins) softwareHistory(pool string, period time.Duration) replica.SoftwareHistory {
+	if pool == "" {
+		return replica.SoftwareHistory{}
 	}
+	return o.gateway.replicas.SoftwareHistory(pool, period, clock.Now())
 }
 
 // handleOrigin handles peer.KindStreamOrigin.
@@ -180,8 +160,10 @@
 		return
 	}
 	origin, known := o.registry.Get(query.Stream)
+	history := o.softwareHistory(query.Pool, time.Duration(query.PeriodMs)*time.Millisecond)
 	reply := originReply{
 		ID: query.ID, Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Ambiguous: origin.Ambiguous,
+		Several: history.Several, Single: history.Single, SingleVersion: history.Version,
 	}
 	if err := o.gateway.peers.Send(source, peer.KindStreamReply, reply); err != nil {
 		o.gateway.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("origin of a stream not sent")
--- a/internal/node/gatewaystreams_test.go
+++ b/internal/node/gatewaystreams_test.go
@@ -311,6 +311,35 @@
 	}
 }
 
+// Guards against a node that has just started and refuses to continue streams of clients that do not name
+// the request which received the first event, although only one software version can have begun them.
+func TestGateway_NewNodeContinuesStreamsOfTheOnlySoftwareVersion(t *testing.T) {
+	t.Parallel()
+	site := newVersionedSite(t, "v1")
+	first, second := site.start("a"), site.start("b")
+	site.start("c")
+	site.awaitPeers()
+	lifetime := 2 * first.routes.Load().Match(siteHost, "/resume/x").Timeout
+	site.eventually("nodes know the list for as long as a stream lasts", func() bool {
+		return first.replicas.SoftwareHistory("llm", lifetime, time.Now()).Single && second.replicas.SoftwareHistory("llm", lifetime, time.Now()).Single
+	})
+	started := site.start("d")
+	site.awaitPeers()
+	unnamed := http.Header{"Last-Event-Id": {"3"}}
+	if status, text, header := site.callWith(started, http.MethodPost, "/resume/x", "q", nil, unnamed); status != http.StatusOK {
+		t.Fatalf("one version: %d %q %v", status, text, header)
+	}
+	site.addServer("i-new", "v2")
+	site.eventually("the second version is listed", func() bool {
+		_, listed := started.replicas.Get("i-new")
+		return listed
+	})
+	status, _, header := site.callWith(started, http.MethodPost, "/resume/x", "q2", nil, unnamed)
+	if status != http.StatusServiceUnavailable || header.Get("X-Wheelhoist-Reason") != "stream-origin-unknown" {
+		t.Fatalf("two versions: %d %v", status, header)
+	}
+}
+
 // expectContinuedUnmixed checks that no stream is mixed and that at least the given number went on
 // after a break and is complete.
 func expectContinuedUnmixed(t *testing.T, streams []*clientStream, atLeast int) {
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -31,51 +31,59 @@
 	return u.entry.info.SoftwareVersion, !u.softwareUncertain && !u.entry.sentToSuccessor(u, now)
 }
 
-// OnlySoftware returns the only software version that replicas of a pool have run for a period. ok is
-// false if there were several, if no replica is listed, or if the list was not known all the time. A
-// version that was first listed within the last maxSoftwareListAge may be unknown here. A pool whose
-// replicas report no version has the empty one, for any period.
-func (s *Set) OnlySoftware(pool string, period time.Duration, now time.Time) (version string, ok bool) {
+// SoftwareHistory tells which software versions the replicas of a pool have run for a period. The zero
+// value means that this is not known.
+type SoftwareHistory struct {
+	// Several is set if there was more than one version.
+	Several bool
+	// Single is set if there was only one, which is Version. A version that was first listed within the
+	// last maxSoftwareListAge may be missing.
+	Single  bool
+	Version string
+}
+
+// SoftwareHistory returns the software versions of a pool for a period until now. Replicas that report no
+// version count as of one, for any period.
+func (s *Set) SoftwareHistory(pool string, period time.Duration, now time.Time) SoftwareHistory {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	version, ok = s.listedSoftware(pool)
-	if !ok || s.ranOtherSoftware(pool, version, now.Add(-period)) {
-		return "", false
+	listed := s.pool(pool)
+	if len(listed) == 0 {
+		return SoftwareHistory{}
+	}
+	version := listed[0].info.SoftwareVersion
+	if s.ranOtherSoftware(pool, version, now.Add(-period)) {
+		return SoftwareHistory{Several: true}
 	}
 	current := !s.listTime.IsZero() && now.Sub(s.listTime) <= maxSoftwareListAge
-	return version, version == "" || current && now.Sub(s.listKnownSince) >= period
+	if version != "" && (!current || now.Sub(s.listKnownSince) < period) {
+		return SoftwareHistory{}
+	}
+	return SoftwareHistory{Single: true, Version: version}
 }
 
-// RunsSoftware reports whether a listed replica of a pool runs a software version and is not draining.
-func (s *Set) RunsSoftware(pool, version string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// ranOtherSoftware reports whether a replica of a pool with another software version is listed, or was
+// listed since a time. The caller holds mu.
+func (s *Set) ranOtherSoftware(pool, version string, since time.Time) bool {
 	for _, e := range s.pool(pool) {
-		if e.info.SoftwareVersion == version && !e.info.Leaving {
+		if e.info.SoftwareVersion != version {
 			return true
 		}
 	}
-	return false
-}
-
-// listedSoftware returns the software version of all listed replicas of a pool. ok is false if there are
-// several or no replicas. The caller holds mu.
-func (s *Set) listedSoftware(pool string) (version string, ok bool) {
-	listed := s.pool(pool)
-	for i, e := range listed {
-		if i > 0 && e.info.SoftwareVersion != version {
-			return "", false
+	for past, droppedAt := range s.pastSoftware[pool] {
+		if past != version && droppedAt.After(since) {
+			return true
 		}
-		version = e.info.SoftwareVersion
 	}
-	return version, len(listed) > 0
+	return false
 }
 
-// ranOtherSoftware reports whether a replica of a pool with another software version was listed since a
-// time and is no longer. The caller holds mu.
-func (s *Set) ranOtherSoftware(pool, version string, since time.Time) bool {
-	for past, droppedAt := range s.pastSoftware[pool] {
-		if past != version && droppedAt.After(since) {
+// RunsSoftware reports whether a listed replica of a pool runs a software version and is not draining.
+func (s *Set) RunsSoftware(pool, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.pool(pool) {
+		if e.info.SoftwareVersion == version && !e.info.Leaving {
 			return true
 		}
 	}
--- a/internal/replica/software_test.go
+++ b/internal/replica/software_test.go
@@ -58,6 +58,51 @@
 	}
 }
 
+// Guards against concluding from the list which version began a stream while the list is too old or has
+// not been known for long enough, and against forgetting a version whose last replica has left.
+func TestSet_SoftwareHistory(t *testing.T) {
+	const period = 10 * time.Second
+	set, start := NewSet(), time.Now().Add(-time.Minute)
+	set.Put(Info{ID: "a", Pool: "p", SoftwareVersion: "v1"})
+	set.Put(Info{ID: "b", Pool: "without"})
+	if history := set.SoftwareHistory("without", period, start); !history.Single || history.Version != "" {
+		t.Fatalf("replicas without a version: %+v", history)
+	}
+	know := func(from, to time.Duration) {
+		for at := from; at <= to; at += time.Second {
+			set.SetListTime(start.Add(at), start.Add(at))
+		}
+	}
+	know(0, 9*time.Second)
+	if history := set.SoftwareHistory("p", period, start.Add(9*time.Second)); history != (SoftwareHistory{}) {
+		t.Fatalf("known for less than the period: %+v", history)
+	}
+	know(10*time.Second, 12*time.Second)
+	if history := set.SoftwareHistory("p", period, start.Add(12*time.Second)); !history.Single || history.Version != "v1" {
+		t.Fatalf("one version for the period: %+v", history)
+	}
+	if history := set.SoftwareHistory("p", period, start.Add(16*time.Second)); history != (SoftwareHistory{}) {
+		t.Fatalf("with an old list: %+v", history)
+	}
+	know(20*time.Second, 20*time.Second)
+	if history := set.SoftwareHistory("p", period, start.Add(20*time.Second)); history != (SoftwareHistory{}) {
+		t.Fatalf("soon after an outage of the list: %+v", history)
+	}
+	know(21*time.Second, 60*time.Second)
+	set.Put(Info{ID: "c", Pool: "p", SoftwareVersion: "v2"})
+	if history := set.SoftwareHistory("p", period, time.Now()); !history.Several {
+		t.Fatalf("with two versions: %+v", history)
+	}
+	set.Remove("a", time.Now())
+	if history := set.SoftwareHistory("p", period, time.Now()); !history.Several {
+		t.Fatalf("after the last replica of a version has left: %+v", history)
+	}
+	know(61*time.Second, 75*time.Second)
+	if history := set.SoftwareHistory("p", period, start.Add(75*time.Second)); !history.Single || history.Version != "v2" {
+		t.Fatalf("a period later: %+v", history)
+	}
+}
+
 // Guards against a change of the software version that is taken for the same start, if rows have no
 // start time.
 func TestSameStart_SoftwareVersionDistinguishesStarts(t *testing.T) {
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -37,6 +37,18 @@
 	Ambiguous bool
 }
 
+// Query asks for the origin of a stream.
+type Query struct {
+	// ID identifies the stream if Recorded is set. Otherwise the caller has not named the request that
+	// received the first event.
+	ID       ID
+	Recorded bool
+	// Pool is the only pool that the stream may have begun in; empty if there are several.
+	Pool string
+	// Lifetime bounds how long ago the stream began.
+	Lifetime time.Duration
+}
+
 // maxOrigins bounds the origins that a registry keeps, which take about 300 bytes each. Beyond it the
 // oldest are dropped.
 const maxOrigins = 1 << 16
