soak: servers of several versions, and callers that take streams up elsewhere

Why the own tools missed the fault: servers had no version and wrote the same text, and no caller continued a stream at another node. Now servers write their version into each event; update-servers, drawn last so that recorded seeds keep their plans, restarts half of the servers one after the other with the next version, one in three under its former id; three callers leave streams early and continue them elsewhere with Resumes. Two promises, with their occasions: stream-has-one-version (answers, streams over several requests, texts of items) and streams-taken-up-go-on.

--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -161,6 +161,12 @@
 	// connections, restarted servers, wrote rows as another writer, and made the store lose its
 	// history.
 	Silences, ServerStarts, ForeignRows, HistoryLosses []FaultKind
+	// Streams are the streams that callers continued at other nodes.
+	Streams []Stream
+	// Versions are the starts of servers with a software version.
+	Versions []ServerVersion
+	// ServerUpdates counts the injected updates of the servers' software.
+	ServerUpdates []FaultKind
 	// LoadStart and LoadEnd delimit the load. The calm phase starts at CalmFrom, some seconds after
 	// the last random fault has ended, and lasts until LoadEnd.
 	LoadStart, CalmFrom, LoadEnd time.Time
--- a/internal/lab/soak/occasions.go
+++ b/internal/lab/soak/occasions.go
@@ -24,6 +24,8 @@
 		HarmlessServed:   c.harmlessSuspects(),
 		ForeignUnused:    len(h.ForeignRows),
 		ReadEverywhere:   c.judgedReads(),
+		OneVersion:       c.versionedStreams(),
+		StreamsGoOn:      c.judgedContinuations(),
 	}
 	c.countJobs(occasions)
 	c.countResults(occasions)
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -61,6 +61,9 @@
 	// StoreLosesHistory makes the store leave a share of calls without an answer, on connections
 	// that stay silent, and drop its change history meanwhile.
 	StoreLosesHistory FaultKind = "store-loses-history"
+	// UpdateServers restarts about half of the servers one after the other with the next software
+	// version, some under their former IDs.
+	UpdateServers FaultKind = "update-servers"
 )
 
 // Fault is one fault of a plan.
--- a/internal/lab/soak/secondfaults.go
+++ b/internal/lab/soak/secondfaults.go
@@ -39,6 +39,8 @@
 		s.overwriteServerRow(ctx, fault)
 	case StoreLosesHistory:
 		s.loseStoreHistory(ctx, fault)
+	case UpdateServers:
+		s.updateServers(ctx, fault)
 	case ReloadNode:
 		node.signal(syscall.SIGHUP)
 	case RollNodes:
--- a/internal/lab/soak/secondplan.go
+++ b/internal/lab/soak/secondplan.go
@@ -56,6 +56,7 @@
 	}
 	// Drawn last, so that recorded seeds keep their series.
 	plan = mergePlans(plan, historyLosses(random, length))
+	plan = mergePlans(plan, serverUpdates(random, length))
 	return slices.DeleteFunc(plan, func(fault Fault) bool { return fault.After >= length })
 }
 
@@ -74,6 +75,24 @@
 	return plan
 }
 
+const (
+	// updateStart is the earliest time of the first UpdateServers, updatePause the minimum time between
+	// two of them, and updateJitter the maximum that is added to both.
+	updateStart  = 1500 * time.Millisecond
+	updatePause  = 6 * time.Second
+	updateJitter = 5 * time.Second
+)
+
+// serverUpdates draws the UpdateServers faults.
+func serverUpdates(random *rand.Rand, length time.Duration) []Fault {
+	var plan []Fault
+	jitter := func() time.Duration { return time.Duration(random.Int64N(int64(updateJitter))) }
+	for at := updateStart + jitter(); at < length; at += updatePause + jitter() {
+		plan = append(plan, Fault{After: at, Kind: UpdateServers, Target: random.IntN(1 << 16), Share: random.Float64()})
+	}
+	return plan
+}
+
 // series draws a series of faults of one kind.
 func series(random *rand.Rand, kinds []FaultKind, at time.Duration) []Fault {
 	kind, target, step := kinds[random.IntN(len(kinds))], random.IntN(1<<16), random.IntN(2)
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -37,6 +37,10 @@
 	key       string
 	startedAt time.Time
 	starts    int
+	// version is the software version of the current start, nextVersion that of the next one; versions
+	// are all starts so far.
+	version, nextVersion string
+	versions             []ServerVersion
 	// draining is set once the server has started to drain, lost while its zone is lost, and
 	// crashed while its process is down.
 	draining, lost, crashed bool
@@ -56,8 +60,9 @@
 		slots = 0
 	}
 	srv := &server{
-		Server: &standin.Server{ID: name, Events: answerSize, EventTime: eventTime, Slots: slots, IsInvalid: isInvalidItem},
-		name:   name, key: name, zone: zone.name, slots: s.Slots, store: s.store, startedAt: time.Now(),
+		Server: &standin.Server{ID: name, Version: firstVersion, Events: answerSize, EventTime: eventTime, Slots: slots, IsInvalid: isInvalidItem},
+		name:   name, key: name, zone: zone.name, slots: s.Slots, store: s.store, startedAt: time.Now(), version: firstVersion, nextVersion: firstVersion,
+		versions: []ServerVersion{{Server: name, Version: firstVersion}},
 	}
 	address, err := s.listen(s.harmfulHandler(srv))
 	if err != nil {
@@ -95,7 +100,7 @@
 func (srv *server) entry() standin.Entry {
 	return standin.Entry{
 		Address: srv.proxy.address(), Zone: srv.zone, Slots: srv.slots, Started: srv.startedAt,
-		Draining: srv.draining, Cold: !srv.draining, ColdLeft: srv.ColdLeft(),
+		Version: srv.version, Draining: srv.draining, Cold: !srv.draining, ColdLeft: srv.ColdLeft(),
 	}
 }
 
@@ -199,6 +204,9 @@
 func (srv *server) startIncarnationLocked(key string, startedAt time.Time, cold time.Duration) {
 	srv.starts++
 	srv.key, srv.startedAt = key, startedAt
+	srv.version = srv.nextVersion
+	srv.versions = append(srv.versions, ServerVersion{Server: srv.name, Version: srv.version, From: time.Now()})
+	srv.SetVersion(srv.version)
 	srv.Restart(key, cold)
 	srv.endOverwriteLocked()
 	srv.updateOutageLocked()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -88,7 +88,10 @@
 	Silences, ServerStarts, ForeignRows int
 	// HistoryLosses counts the faults in which the store lost its history and answers.
 	HistoryLosses int
-	Violations    []Violation
+	// ServerUpdates counts the updates of the servers' software, Continued the requests that continued
+	// a stream at another node.
+	ServerUpdates, Continued int
+	Violations               []Violation
 	// Occasions counts how often each promise could have been broken.
 	Occasions map[Promise]int
 	// Logs is the directory with the logs of the nodes. It is kept if a promise was broken.
@@ -182,6 +185,7 @@
 		}
 		s.ServerOutages = append(s.ServerOutages, srv.outagesUntil(time.Now())...)
 		s.Overwritten = append(s.Overwritten, srv.overwritten...)
+		s.Versions = append(s.Versions, srv.versions...)
 	}
 	for _, run := range s.foreignServer.Runs() {
 		s.Runs = append(s.Runs, ServerRun{Server: foreignServerName, Run: run})
@@ -198,7 +202,7 @@
 		Evacuations: len(s.Evacuations), Losses: len(s.Losses), ColdSends: len(s.ColdSends),
 		HarmfulRequests: len(s.HarmfulRequests), HarmfulCrashes: len(s.HarmfulCrashes),
 		Silences: len(s.Silences), ServerStarts: len(s.ServerStarts), ForeignRows: len(s.ForeignRows),
-		HistoryLosses: len(s.HistoryLosses),
+		HistoryLosses: len(s.HistoryLosses), ServerUpdates: len(s.ServerUpdates), Continued: s.continuations(),
 	}
 	for _, req := range s.Requests {
 		switch {
@@ -250,6 +254,9 @@
 	for caller := range keepAliveCallers {
 		load.Go(func() { s.callKeepAlive(loadCtx, caller) })
 	}
+	for caller := range streamCallers {
+		load.Go(func() { s.callStreams(loadCtx, caller) })
+	}
 	for reader := range watchers {
 		load.Go(func() { s.watchJobs(loadCtx, reader) })
 	}
