soak: a request whose node is lost with its own zone is not expected to be served

lost-zone-others-serve counted requests of nodes whose own zone was lost shortly before or meanwhile. Bound and least number stay; a node whose zone is back for longer than the bound counts (TestCheck_LossesCountNodesWhoseZoneReturnedBefore). The line names the unserved by node, status and reason.

--- a/internal/lab/soak/checkreads.go
+++ b/internal/lab/soak/checkreads.go
@@ -178,12 +178,14 @@
 			return true
 		}
 	}
-	for _, loss := range c.Losses {
-		if loss.Zone == c.NodeZones[read.Node] && loss.From.Before(read.Ended) && loss.To.After(from) {
-			return true
-		}
-	}
-	return false
+	return c.lostWithZone(read.Node, from, read.Ended)
+}
+
+// lostWithZone reports whether the zone of a node was lost at any time between two times.
+func (c *checker) lostWithZone(node string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.Losses, func(loss Outage) bool {
+		return loss.Zone == c.NodeZones[node] && loss.From.Before(to) && loss.To.After(from)
+	})
 }
 
 // add counts a stale answer.
--- a/internal/lab/soak/checkzones.go
+++ b/internal/lab/soak/checkzones.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -121,6 +122,7 @@
 	for _, loss := range c.Losses {
 		from := loss.From.Add(lossGrace)
 		sent, whole := 0, 0
+		unserved := map[string]int{}
 		for _, req := range c.Requests {
 			if !req.Sent.After(from) || !req.Sent.Before(loss.To) || !c.expectsAnswer(&req, loss.Zone) {
 				continue
@@ -128,17 +130,22 @@
 			sent++
 			if req.Answer.Status == http.StatusOK && req.Answer.Complete {
 				whole++
+				continue
 			}
+			unserved[fmt.Sprintf("%s %d %s", req.Node, req.Answer.Status, req.Answer.Reason)]++
 		}
 		if sent >= minRequests && float64(whole) < minServedShare*float64(sent) {
-			c.addViolation(OthersServe, "while %s was lost others served %d of %d requests", loss.Zone, whole, sent)
+			c.addViolation(OthersServe, "while %s was lost from %s to %s others served %d of %d requests; unserved by node, status and reason: %v",
+				loss.Zone, c.timestamp(loss.From), c.timestamp(loss.To), whole, sent, unserved)
 		}
 	}
 }
 
 // expectsAnswer reports whether a request has to be served while a zone is lost. Requests to
-// unknown routes are ignored, because a route that was just added may not be known yet.
+// unknown routes are ignored, because a route that was just added may not be known yet, and so are those
+// of nodes that were disturbed, or lost with their own zone, shortly before or meanwhile.
 func (c *checker) expectsAnswer(req *Request, lost string) bool {
+	from := req.Sent.Add(-contactBound)
 	return req.Tenant == tenantMain && c.NodeZones[req.Node] != lost && req.Answer.Status != http.StatusNotFound &&
-		!c.disturbed(req.Node, req.Sent.Add(-contactBound), req.Ended, true)
+		!c.disturbed(req.Node, from, req.Ended, true) && !c.lostWithZone(req.Node, from, req.Ended)
 }
--- a/internal/lab/soak/checkzones_test.go
+++ b/internal/lab/soak/checkzones_test.go
@@ -118,6 +118,12 @@
 		"before other nodes can know": func(h *History, req *Request) { req.Sent = h.Losses[0].From.Add(time.Second) },
 		"after the zone is back":      func(h *History, req *Request) { req.Sent = h.Losses[0].To.Add(time.Second) },
 		"limited tenant":              func(_ *History, req *Request) { req.Tenant = tenantLimited },
+		"node lost with its own zone meanwhile": func(h *History, req *Request) {
+			h.Losses = append(h.Losses, Outage{Zone: "a", From: req.Sent, To: req.Ended.Add(time.Second)})
+		},
+		"node whose own zone has just returned": func(h *History, req *Request) {
+			h.Losses = append(h.Losses, Outage{Zone: "a", From: req.Sent.Add(-2 * time.Second), To: req.Sent.Add(-time.Second)})
+		},
 	}
 	for name, change := range changes {
 		t.Run(name, func(t *testing.T) {
@@ -133,6 +139,19 @@
 	}
 }
 
+// Guards against a check that excuses nodes whose own zone was lost long before.
+func TestCheck_LossesCountNodesWhoseZoneReturnedBefore(t *testing.T) {
+	h := validHistory()
+	for i := len(h.Requests) - 2*minRequests; i < len(h.Requests); i++ {
+		h.Requests[i].Answer = &standin.Response{}
+	}
+	sent := h.Requests[len(h.Requests)-1].Sent
+	h.Losses = append(h.Losses, Outage{Zone: "a", From: sent.Add(-2 * contactBound), To: sent.Add(-contactBound)})
+	if found := Check(h); len(found) != 1 || found[0].Promise != OthersServe {
+		t.Errorf("unserved requests of nodes in touch: %v", found)
+	}
+}
+
 // Requests to a cold server do not count while its row is overwritten and in the second after that.
 // Earlier and later ones do.
 func TestCheck_ColdServersWithOverwrittenRows(t *testing.T) {
--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -119,7 +119,7 @@
 }
 
 // Guards against new harmful work that crashes all replicas which a lost zone has left, the last one by its
-// first trial. The check also counts requests that ended with their own node, as its zone was lost.
+// first trial.
 func TestRun_SeedsOfLostZones(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for half a minute")
