node: lines of continued streams are sampled unless versions mix

A crash interrupts many streams at once, and each continuation wrote a line. Those that go on at their version, or whose version before is not known, are sampled like other routine events; one at another version is always written, and all are counted. TestRequestLog_ContinuedStreams.

--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -39,11 +39,23 @@
 func (l *requestLog) Continued(request *forward.Request, continuation forward.Continuation) {
 	initiator, match := continuationLabels(continuation)
 	l.metrics.continuations.WithLabelValues(initiator, match).Inc()
-	l.log.Info().Str("request", request.ID).Str("resumes", request.Resumes).Str("by", initiator).Int("after", continuation.After).
+	// A crash may interrupt many streams at once; only a mixed one is never left out.
+	log := &l.sampled
+	if match == softwareOther {
+		log = &l.log
+	}
+	log.Info().Str("request", request.ID).Str("resumes", request.Resumes).Str("by", initiator).Int("after", continuation.After).
 		Str("replica", continuation.Replica.ID).Str("software", continuation.Replica.SoftwareVersion).
 		Str("software_before", continuation.Previous).Str("software_match", match).Msg("stream continued")
 }
 
+// Values of the label for whether a stream is continued at the software version of the events before.
+const (
+	softwareSame    = "same"
+	softwareOther   = "other"
+	softwareUnknown = "unknown"
+)
+
 // continuationLabels returns who continued a stream, the node within one answer or the caller with
 // another request, and whether the software version is that of the events before.
 func continuationLabels(continuation forward.Continuation) (initiator, match string) {
@@ -53,11 +65,11 @@
 	}
 	switch {
 	case !continuation.PreviousKnown:
-		return initiator, "unknown"
+		return initiator, softwareUnknown
 	case continuation.Previous == continuation.Replica.SoftwareVersion:
-		return initiator, "same"
+		return initiator, softwareSame
 	default:
-		return initiator, "other"
+		return initiator, softwareOther
 	}
 }
 
--- a/internal/node/requestlog_test.go
+++ b/internal/node/requestlog_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
@@ -31,3 +32,28 @@
 		t.Errorf("an attempt that did not run names its work: %s", lines.String())
 	}
 }
+
+// Guards against a log and a metric that do not tell a stream of two software versions, and who continued
+// it, from one that went on as it should.
+func TestRequestLog_ContinuedStreams(t *testing.T) {
+	var lines bytes.Buffer
+	metrics := newCoreMetrics()
+	log := &requestLog{log: zerolog.New(&lines), sampled: zerolog.Nop(), metrics: metrics}
+	request := &forward.Request{ID: "q2", Resumes: "q1"}
+	at := replica.Info{ID: "r", SoftwareVersion: "v2"}
+	log.Continued(request, forward.Continuation{After: 3, Replica: at, Previous: "v2", PreviousKnown: true})
+	if lines.Len() > 0 {
+		t.Errorf("a stream that goes on at its version is not sampled: %s", lines.String())
+	}
+	log.Continued(request, forward.Continuation{After: 3, Replica: at, Previous: "v1", PreviousKnown: true, ByCaller: true})
+	for _, field := range []string{`"resumes":"q1"`, `"by":"caller"`, `"after":3`, `"software":"v2"`, `"software_before":"v1"`, `"software_match":"other"`} {
+		if !strings.Contains(lines.String(), field) {
+			t.Errorf("%s is missing in %s", field, lines.String())
+		}
+	}
+	for _, labels := range [][]string{{"node", softwareSame}, {"caller", softwareOther}} {
+		if count := testutil.ToFloat64(metrics.continuations.WithLabelValues(labels...)); count != 1 {
+			t.Errorf("%v was counted %v times", labels, count)
+		}
+	}
+}
