--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -123,7 +123,7 @@
 func (c *call) originQuery() streams.Query {
 	query := streams.Query{Lifetime: unboundedStreamLifetime}
 	if c.request.Resumes != "" {
-		query.Recorded, query.ID = true, c.streamID()
+		query.Named, query.ID = true, c.streamID()
 	}
 	if c.route.Timeout > 0 {
 		query.Lifetime = max(minStreamLifetime, streamLifetimeFactor*c.route.Timeout)
--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,7 +38,7 @@
 
 // run returns the origin of the stream and where it was found.
 func (l *originLookup) run(ctx context.Context) (streams.Origin, originSource) {
-	if l.query.Recorded {
+	if l.query.Named {
 		if origin, known := l.origins.registry.Get(l.query.ID); known {
 			return origin, originHere
 		}
@@ -62,18 +63,18 @@
 
 // needsOthers reports whether other nodes may know more than this one.
 func (l *originLookup) needsOthers() bool {
-	return l.query.Recorded || l.query.Pool != "" && !l.history.Single && !l.history.Several
+	return l.query.Named || l.query.Pool != "" && !l.history.Single && !l.history.Several
 }
 
 // ask asks other nodes, until one has recorded the origin, all have replied, or enough of them report a
-// single version for a stream that cannot have been recorded.
+// single version for a stream that its caller did not name.
 func (l *originLookup) ask(ctx context.Context) (origin streams.Origin, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 	defer cancel()
 	message := originQuery{ID: rand.Uint64(), Stream: l.query.ID, Pool: l.query.Pool, PeriodMs: l.query.Lifetime.Milliseconds()}
-	if !l.query.Recorded {
-		// Any nodes will do.
-		message.Stream = streams.NewID("", time.Now().String())
+	if !l.query.Named {
+		// No node can hold the origin of an unnamed stream, so any are asked.
+		binary.LittleEndian.PutUint64(message.Stream[:], message.ID)
 	}
 	silent := l.origins.holders(message.Stream, originQueries)
 	l.needed = min(originWitnesses, len(silent))
@@ -86,14 +87,14 @@
 	for len(silent) > 0 {
 		select {
 		case reply := <-replies:
-			if l.query.Recorded && reply.Known {
+			if l.query.Named && reply.Known {
 				return reply.origin(), true
 			}
 			if i := slices.Index(silent, reply.from); i >= 0 {
 				silent = slices.Delete(silent, i, i+1)
 				l.count(reply.history())
 			}
-			if !l.query.Recorded && (l.history.Several || l.witnesses >= l.needed) {
+			if !l.query.Named && (l.history.Several || l.witnesses >= l.needed) {
 				return streams.Origin{}, false
 			}
 		case <-resend.C:
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -39,10 +39,10 @@
 
 // Query asks for the origin of a stream.
 type Query struct {
-	// ID identifies the stream if Recorded is set. Otherwise the caller has not named the request that
+	// ID identifies the stream if Named is set, which means that the caller named the request that
 	// received the first event.
-	ID       ID
-	Recorded bool
+	ID    ID
+	Named bool
 	// Pool is the only pool that the stream may have begun in; empty if there are several.
 	Pool string
 	// Lifetime bounds how long ago the stream began.
