replica: with an old list it is not certain which version a start answers with

Cause: the version was taken from a list of any age. What an attempt has begun stays certain when the list becomes old later.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -311,7 +311,7 @@
 	c.dropReservation()
 	if c.result.Events > eventsBefore {
 		c.criteria.Version = chosen.Version
-		c.checkSoftware(use, clock.Now())
+		c.checkSoftware(use)
 	}
 	use.End(c.healthResult(ctx, use, err), clock.Now())
 	if err == nil {
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -66,9 +66,8 @@
 
 // checkSoftware is called once an attempt that relayed events has ended. The replica may have been
 // found to have restarted with another software version meanwhile.
-func (c *call) checkSoftware(use *replica.Use, now time.Time) {
-	version, certain := use.SoftwareVersion(now)
-	if c.softwareUncertain || certain && version == c.requiredSoftware() {
+func (c *call) checkSoftware(use *replica.Use) {
+	if c.softwareUncertain || use.AnsweredBy(c.requiredSoftware()) {
 		return
 	}
 	c.softwareUncertain = true
--- a/internal/jobs/software.go
+++ b/internal/jobs/software.go
@@ -74,10 +74,9 @@
 // The replica may have been found to have restarted with another software version meanwhile. An error
 // means that the attempt continued a text and may have been answered by another version.
 func (r *Runner) confirmSoftware(t *task, use *replica.Use, resumedAfter int) error {
-	version, certain := use.SoftwareVersion(clock.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.lastEvent == resumedAfter || certain && version == t.software {
+	if t.lastEvent == resumedAfter || use.AnsweredBy(t.software) {
 		return nil
 	}
 	t.softwareUncertain = true
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -28,7 +28,29 @@
 func (u *Use) SoftwareVersion(now time.Time) (version string, certain bool) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	return u.entry.info.SoftwareVersion, !u.softwareUncertain && !u.entry.sentToSuccessor(u, now)
+	info := &u.entry.info
+	// Only replicas that report their start time restart under the same ID.
+	mayHaveRestarted := info.StartedUnixMs != 0 && u.set.softwareListStale(now)
+	return info.SoftwareVersion, !mayHaveRestarted && !u.softwareUncertain && !u.entry.sentToSuccessor(u, now)
+}
+
+// AnsweredBy reports whether the answer, whose first event was of a software version, is still known to
+// be of that version. It is not if the replica was found to have restarted with another one since.
+func (u *Use) AnsweredBy(version string) bool {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	return !u.softwareUncertain && u.entry.info.SoftwareVersion == version
+}
+
+// softwareListStale reports whether the list is so old that replicas may have restarted with other
+// software since. The caller holds mu.
+func (s *Set) softwareListStale(now time.Time) bool {
+	limit := maxSoftwareListAge
+	if len(s.coldLimits) > 0 {
+		// The list is then read more often.
+		limit = maxListAge
+	}
+	return !s.listTime.IsZero() && now.Sub(s.listTime) > limit
 }
 
 // SoftwareHistory tells which software versions the replicas of a pool have run for a period. The zero
