streams: unnamed streams go on after a restart of all nodes if one version is listed

Now such a stream goes on if a current list has one version and nobody who was asked has seen another; a named one stays refused, as its origin was recorded and is lost.

--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/streams"
@@ -56,9 +57,25 @@
 		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.history.Version}, originOnlyVersion
 	case l.needed > 0 && l.witnesses >= l.needed:
 		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.version}, originOnlyVersion
+	case l.query.Named:
+		return streams.Origin{}, originUnknown
 	default:
+		return l.onlyListed()
+	}
+}
+
+// onlyListed returns the origin of an unnamed stream if the pool lists a single software version and
+// nobody who was asked has seen another. This is all that can be known soon after all nodes have
+// restarted, and clients that know of several versions name their streams.
+func (l *originLookup) onlyListed() (streams.Origin, originSource) {
+	if l.query.Pool == "" {
+		return streams.Origin{}, originUnknown
+	}
+	version, ok := l.origins.gateway.replicas.OnlyListedSoftware(l.query.Pool, clock.Now())
+	if !ok {
 		return streams.Origin{}, originUnknown
 	}
+	return streams.Origin{Pool: l.query.Pool, SoftwareVersion: version}, originOnlyVersion
 }
 
 // needsOthers reports whether other nodes may know more than this one.
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -84,6 +85,20 @@
 	return SoftwareHistory{Single: true, Version: version}
 }
 
+// OnlyListedSoftware returns the software version that all listed replicas of a pool run, by a current
+// list. ok is false if there are several, or if the list is old or empty.
+func (s *Set) OnlyListedSoftware(pool string, now time.Time) (version string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := s.pool(pool)
+	if len(listed) == 0 || s.softwareListStale(now) {
+		return "", false
+	}
+	version = listed[0].info.SoftwareVersion
+	isOther := func(e *entry) bool { return e.info.SoftwareVersion != version }
+	return version, !slices.ContainsFunc(listed, isOther)
+}
+
 // ranOtherSoftware reports whether a replica of a pool with another software version is listed, or was
 // listed since a time. The caller holds mu.
 func (s *Set) ranOtherSoftware(pool, version string, since time.Time) bool {
