--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -101,6 +101,16 @@
 	return *r.work
 }
 
+// SharedParts identifies the parts of the prompt that other requests to the pool may hold too.
+func (r *Request) SharedParts(pool string) []quarantine.Work {
+	shared := r.Prompt.SharedParts()
+	parts := make([]quarantine.Work, len(shared))
+	for i, part := range shared {
+		parts[i] = quarantine.PartOf(pool, part.Key)
+	}
+	return parts
+}
+
 // Attempt is one transmission of a request to one replica.
 type Attempt struct {
 	Request *Request
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -171,10 +171,8 @@
 // sharedTokens returns the number of tokens in all parts of a prompt but the last.
 func sharedTokens(prompt route.Prompt) int {
 	total := 0
-	for i := range prompt.Parts {
-		if i+1 < len(prompt.Parts) {
-			total += prompt.Parts[i].Tokens
-		}
+	for _, part := range prompt.SharedParts() {
+		total += part.Tokens
 	}
 	return total
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -63,6 +63,11 @@
 	return err
 }
 
+// sharedParts identifies the parts of the request's prompt that other requests may hold too.
+func (c *call) sharedParts() []quarantine.Work {
+	return c.request.SharedParts(c.result.Pool)
+}
+
 // endTrial ends the request's trial, if it has one that is still under way.
 func (c *call) endTrial() {
 	if c.trial != nil {
@@ -81,7 +86,7 @@
 		guard.RecordSuccess(c.request.Work())
 		c.trial = nil
 	case LooksLikeCrash(err, c.status):
-		run := quarantine.Run{Work: c.request.Work(), SentAt: began, Trial: c.trial != nil, Answered: c.status != 0}
+		run := quarantine.Run{Work: c.request.Work(), SentAt: began, Trial: c.trial != nil, Parts: c.sharedParts(), Answered: c.status != 0}
 		if c.trial != nil {
 			guard.InterruptTrial(*c.trial)
 			c.trial = nil
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -95,14 +95,25 @@
 func (c *core) ReplicaCrashed(report quarantine.CrashReport) {
 	works, answered := make([]string, len(report.Runs)), make([]bool, len(report.Runs))
 	ages := make([]int64, len(report.Runs))
+	parts := make([]string, len(report.Runs))
 	for i, run := range report.Runs {
 		works[i], answered[i], ages[i] = run.Work.String(), run.Answered, report.At.Sub(run.SentAt).Milliseconds()
+		parts[i] = joinWorks(run.Parts)
 	}
 	c.log.Warn().Str("replica", report.Replica).Int64("born", report.StartedUnixMs).Int64("noticed_ms_ago", clock.Since(report.At).Milliseconds()).
-		Strs("works", works).Ints64("run_ms", ages).Bools("answered", answered).Msg("replica crashed while it ran work of this node")
+		Strs("works", works).Ints64("run_ms", ages).Bools("answered", answered).Strs("parts", parts).Msg("replica crashed while it ran work of this node")
 	c.quarantine.publisher.PublishCrash(report)
 }
 
+// joinWorks returns identities separated by commas.
+func joinWorks(works []quarantine.Work) string {
+	texts := make([]string, len(works))
+	for i, work := range works {
+		texts[i] = work.String()
+	}
+	return strings.Join(texts, ",")
+}
+
 // Cleared implements quarantine.Events.
 func (c *core) Cleared(verdict quarantine.Verdict, at time.Time) {
 	c.metrics.cleared.Inc()
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -96,13 +97,24 @@
 	l.metrics.predictionError.Observe((actual - predicted).Seconds())
 }
 
+// partKeys returns the keys of the parts of the prompt that other requests may hold too, as callers
+// write them.
+func partKeys(request *forward.Request) []string {
+	shared := request.Prompt.SharedParts()
+	keys := make([]string, len(shared))
+	for i, part := range shared {
+		keys[i] = strconv.FormatUint(part.Key, 16)
+	}
+	return keys
+}
+
 // Failed implements forward.Observer.
 func (l *requestLog) Failed(request *forward.Request, attempt int, chosen replica.Info, err error) {
 	entry := l.log.Info().Str("request", request.ID).Int("attempt", attempt).Str("replica", chosen.ID).
 		Str("software", chosen.SoftwareVersion).Str("address", chosen.Address).Err(err).Stringer("ran", outcome.Of(err))
 	if outcome.Of(err) != outcome.NotDone {
 		// Work that was running on a replica when its response broke off may be the cause.
-		entry = entry.Stringer("work", request.Work())
+		entry = entry.Stringer("work", request.Work()).Str("parts", joinWorks(request.SharedParts(chosen.Pool))).Strs("part_keys", partKeys(request))
 	}
 	entry.Msg("attempt failed")
 }
--- a/internal/node/requestlog_test.go
+++ b/internal/node/requestlog_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/route"
 )
 
 // TestRequestLog_BrokenAttemptsNameTheirWork checks that the logs of several nodes show whether
@@ -57,3 +59,21 @@
 		}
 	}
 }
+
+// Guards against logs that do not show whether requests with different bodies that broke off have a part of
+// their prompts in common.
+func TestRequestLog_BrokenAttemptsNameTheirParts(t *testing.T) {
+	var lines bytes.Buffer
+	log := &requestLog{log: zerolog.New(&lines)}
+	prompt := route.Prompt{Parts: []route.Part{{Key: 0xaa}, {Key: 0xbad}, {Key: 7}}}
+	first := &forward.Request{ID: "q1", Body: []byte("one"), Prompt: prompt}
+	second := &forward.Request{ID: "q2", Body: []byte("two"), Prompt: prompt}
+	for _, request := range []*forward.Request{first, second} {
+		log.Failed(request, 1, replica.Info{ID: "r", Pool: "p"}, outcome.AsUnknown(forward.ErrBroken))
+	}
+	for _, field := range []string{`"part_keys":["aa","bad"]`, quarantine.PartOf("p", 0xbad).String()} {
+		if got := strings.Count(lines.String(), field); got != 2 {
+			t.Errorf("%d of 2 lines have %s: %s", got, field, lines.String())
+		}
+	}
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -52,6 +52,8 @@
 	SentAt time.Time
 	// Trial is set if the run was a trial of quarantined work.
 	Trial bool
+	// Parts identifies the parts of the prompt that other requests may hold too.
+	Parts []Work
 	// Answered is set if the header of the answer had arrived; only the node that sent the run
 	// knows it.
 	Answered bool
--- a/internal/quarantine/work.go
+++ b/internal/quarantine/work.go
@@ -51,6 +51,17 @@
 	return Work(digest.Sum(nil)[:workBytes])
 }
 
+// PartOf returns the identity of a part of prompts, given by its key, at the replicas of a pool. It
+// differs from the identity of any request.
+func PartOf(pool string, key uint64) Work {
+	digest := sha256.New()
+	writeField(digest, pool)
+	var encoded [8]byte
+	binary.BigEndian.PutUint64(encoded[:], key)
+	_, _ = digest.Write(encoded[:])
+	return Work(digest.Sum(nil)[:workBytes])
+}
+
 // writeField writes text prefixed by its length, so that different fields never hash the same
 // bytes.
 func writeField(digest io.Writer, text string) {
--- a/internal/route/prompt.go
+++ b/internal/route/prompt.go
@@ -19,5 +19,10 @@
 	Parts []Part
 }
 
+// SharedParts returns the parts that other prompts may hold too: all but the last.
+func (p *Prompt) SharedParts() []Part {
+	return p.Parts[:max(0, len(p.Parts)-1)]
+}
+
 // TotalTokens is the memory that the prompt and the longest answer require, in tokens.
 func (p *Prompt) TotalTokens() int { return p.Tokens + p.MaxOutput }
