quarantine: parts of prompts that crash replicas

What callers saw: requests with one part in their prompts, no two alike, crashed one replica after the other, two each; others with the same caller and first part failed beside them.

Cause: the quarantine counts crashes against whole contents. Each of these requests was a work of its own, with one or two crashes; parts of prompts were used for the KV cache only. Class: what is harmful is identified by the request and not by what the request has in common with others.

Fix: a second list of the same kind holds the parts of prompts (all but the last, at one pool). Most parts at a crash are bystanders, so crashes are attributed: of the parts that did not succeed since, the one at the most crashes is blamed for all of them, the others are judged by what remains. Four crashes in succession, one more than for a work, quarantine a part. Parts that were at the same crashes are refused together only: requests with some of them tell them apart. A part all of whose crashes one quarantined work explains is not blamed. Trials use the messages of those of works: at once, after 10 s, 10 min, then daily. Reports, rows, queries and releases carry parts beside works.

Ruled out: late news (above); crashes not noticed (35 noticed, 30 alerts).

--- a/api/v1/quarantine.go
+++ b/api/v1/quarantine.go
@@ -5,6 +5,9 @@
 	// Work identifies the work by 32 hexadecimal digits, a hash of its caller, method, host, path and
 	// body. Log lines have it under the key "work".
 	Work string `json:"work"`
+	// Part is set if Work identifies a part of prompts at the replicas of a pool instead: all requests
+	// that hold it are refused.
+	Part bool `json:"part,omitempty"`
 	// Replicas lists the replicas whose crashes count against the work, the oldest first.
 	Replicas []string `json:"replicas"`
 	// Quarantined is set if the work is sent to no replica.
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -19,6 +19,9 @@
 	// at once or after a wait for reports of other nodes and for the trial of another request. If
 	// the request may be sent as a trial, it returns that.
 	RefuseRequest(ctx context.Context, work func() quarantine.Work) (*quarantine.Trial, error)
+	// RefuseParts is like RefuseRequest, for the parts of the request's prompt that other requests may
+	// hold too.
+	RefuseParts(ctx context.Context, parts func() []quarantine.Work, work func() quarantine.Work) (*quarantine.Trial, error)
 	// InterruptTrial records that the answer to a trial was interrupted, EndTrial that a trial
 	// ended in another way than by a success.
 	InterruptTrial(trial quarantine.Trial)
@@ -30,6 +33,8 @@
 	ClaimedReplicas() map[string]bool
 	// RecordSuccess records a complete answer for the work.
 	RecordSuccess(work quarantine.Work)
+	// RecordPartSuccess records a complete answer for the parts of a prompt.
+	RecordPartSuccess(parts func() []quarantine.Work)
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
 	// it is known whether the replica crashed, or after a short time.
 	RecordInterruption(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
@@ -71,13 +76,17 @@
 	return false
 }
 
-// checkQuarantine returns an error if the request's work must not be sent. A request that was
-// admitted as a trial remains one until an attempt has been interrupted.
+// checkQuarantine returns an error if the request must not be sent. A request that was admitted as a trial
+// remains one until an attempt has been interrupted.
 func (c *call) checkQuarantine(ctx context.Context) error {
 	if c.forwarder.Quarantine == nil || c.trial != nil {
 		return nil
 	}
-	trial, err := c.forwarder.Quarantine.RefuseRequest(ctx, c.request.Work)
+	trial, err := c.forwarder.Quarantine.RefuseParts(ctx, c.sharedParts, c.request.Work)
+	c.partTrial = trial != nil
+	if trial == nil && err == nil {
+		trial, err = c.forwarder.Quarantine.RefuseRequest(ctx, c.request.Work)
+	}
 	if err != nil && ctx.Err() != nil {
 		return contextError(ctx)
 	}
@@ -114,9 +123,14 @@
 	case guard == nil:
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.RecordSuccess(c.request.Work())
+		if c.status < http.StatusMultipleChoices {
+			guard.RecordPartSuccess(c.sharedParts)
+		}
 		c.trial = nil
 	case LooksLikeCrash(err, c.status):
-		run := quarantine.Run{Work: c.request.Work(), SentAt: began, Trial: c.trial != nil, Parts: c.sharedParts(), Answered: c.status != 0}
+		run := quarantine.Run{
+			Work: c.request.Work(), SentAt: began, Trial: c.trial != nil && !c.partTrial, Parts: c.sharedParts(), PartTrial: c.trial != nil && c.partTrial, Answered: c.status != 0,
+		}
 		if c.trial != nil {
 			guard.InterruptTrial(*c.trial)
 			c.trial = nil
--- a/internal/node/gatewayparts_test.go
+++ b/internal/node/gatewayparts_test.go
@@ -143,6 +143,7 @@
 func (s *partSite) checkContained() {
 	s.t.Helper()
 	crashes, allowed := s.crashes(), crashesUntilKnown*len(s.harmful)
+	s.t.Logf("%d servers crashed", len(crashes))
 	if len(crashes) < crashesUntilKnown {
 		s.t.Fatalf("only %d servers crashed", len(crashes))
 	}
@@ -178,6 +179,7 @@
 			served++
 		}
 	}
+	s.t.Logf("%d of %d sound requests with the same first part were served", served, sent)
 	if sent < 20 || float64(served) < normal/2*float64(sent) {
 		s.t.Errorf("%d of %d sound requests with the same first part were served", served, sent)
 	}
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -62,16 +62,28 @@
 	SuccessAges []int64 `cbor:"6,keyasint,omitempty"`
 	// Trials are those of Works whose run was a trial.
 	Trials []quarantine.Work `cbor:"7,keyasint,omitempty"`
+	// Parts are the parts of the prompts of the runs. The other fields correspond to those of Works.
+	Parts           []quarantine.Work `cbor:"8,keyasint,omitempty"`
+	PartDurations   []int64           `cbor:"9,keyasint,omitempty"`
+	PartSuccessAges []int64           `cbor:"10,keyasint,omitempty"`
+	PartTrials      []quarantine.Work `cbor:"11,keyasint,omitempty"`
 }
 
 // clearingEntry is a work that succeeded or was released.
 type clearingEntry struct {
 	Work  quarantine.Work `cbor:"1,keyasint"`
 	AgeMs int64           `cbor:"2,keyasint"`
+	// Part is set if Work identifies a part of prompts.
+	Part bool `cbor:"3,keyasint,omitempty"`
+}
+
+// clearing returns the clearing that the entry reports.
+func (e *clearingEntry) clearing(now time.Time) quarantine.Clearing {
+	return quarantine.Clearing{Work: e.Work, At: ago(now, e.AgeMs), Part: e.Part}
 }
 
 func newClearingEntry(clearing quarantine.Clearing, now time.Time) clearingEntry {
-	return clearingEntry{Work: clearing.Work, AgeMs: now.Sub(clearing.At).Milliseconds()}
+	return clearingEntry{Work: clearing.Work, AgeMs: now.Sub(clearing.At).Milliseconds(), Part: clearing.Part}
 }
 
 // broadcastUpdate sends crashes and clearings of this node to all other nodes, over the relays if there
@@ -89,19 +101,17 @@
 		message, workCount = quarantineMessage{}, 0
 	}
 	for _, report := range update.Reports {
-		works, durations := report.EncodeRuns()
-		successAges, trials := g.quarantine.EncodeSuccesses(works, report.At), report.Trials()
-		for len(works) > 0 {
+		runs, parts := report.Runs, report.Parts
+		for len(runs)+len(parts) > 0 {
 			if workCount >= maxMessageWorks || len(message.Crashes) >= maxMessageCrashes {
 				flush()
 			}
-			count := min(len(works), maxMessageWorks-workCount)
-			message.Crashes = append(message.Crashes, crashEntry{
-				Replica: report.Replica, StartedUnixMs: report.StartedUnixMs, Works: works[:count], Durations: durations[:count], SuccessAges: successAges[:count],
-				AgeMs: now.Sub(report.At).Milliseconds(), Trials: trials,
-			})
-			works, durations, successAges = works[count:], durations[count:], successAges[count:]
-			workCount += count
+			runCount := min(len(runs), maxMessageWorks-workCount)
+			partCount := min(len(parts), maxMessageWorks-workCount-runCount)
+			report.Runs, report.Parts = runs[:runCount], parts[:partCount]
+			message.Crashes = append(message.Crashes, g.newCrashEntry(report, now))
+			runs, parts = runs[runCount:], parts[partCount:]
+			workCount += runCount + partCount
 		}
 	}
 	for _, clearing := range update.Clearings {
@@ -114,6 +124,36 @@
 	flush()
 }
 
+// newCrashEntry returns the message entry of a crash.
+func (g *Gateway) newCrashEntry(report quarantine.CrashReport, now time.Time) crashEntry {
+	entry := crashEntry{
+		Replica: report.Replica, StartedUnixMs: report.StartedUnixMs, AgeMs: now.Sub(report.At).Milliseconds(),
+		Trials: quarantine.Trials(report.Runs), PartTrials: quarantine.Trials(report.Parts),
+	}
+	entry.Works, entry.Durations = quarantine.EncodeRuns(report.Runs, report.At)
+	entry.SuccessAges = g.quarantine.EncodeSuccesses(entry.Works, report.At)
+	entry.Parts, entry.PartDurations = quarantine.EncodeRuns(report.Parts, report.At)
+	entry.PartSuccessAges = g.quarantine.guard.Parts.EncodeSuccesses(entry.Parts, report.At)
+	return entry
+}
+
+// handleCrash records a crash that another node reports, after the successes that it had seen before.
+func (g *Gateway) handleCrash(entry *crashEntry, now time.Time) {
+	at := ago(now, entry.AgeMs)
+	for _, success := range quarantine.DecodeSuccesses(entry.Works, entry.SuccessAges, at) {
+		g.quarantine.guard.Clear(success)
+	}
+	for _, success := range quarantine.DecodeSuccesses(entry.Parts, entry.PartSuccessAges, at) {
+		success.Part = true
+		g.quarantine.guard.Clear(success)
+	}
+	g.quarantine.guard.RecordCrash(quarantine.CrashReport{
+		Replica: entry.Replica, StartedUnixMs: entry.StartedUnixMs, At: at,
+		Runs:  quarantine.DecodeRuns(entry.Works, entry.Durations, entry.Trials, at),
+		Parts: quarantine.DecodeRuns(entry.Parts, entry.PartDurations, entry.PartTrials, at),
+	})
+}
+
 // spread sends a message to all other nodes, over the relays if there are any.
 func (g *Gateway) spread(message quarantineMessage) {
 	g.sendToFollowers(message)
@@ -170,11 +210,11 @@
 // answerQuery replies with the time at which a work last succeeded here, if any. The reply goes to
 // the source address of the query, because this node may not know a node that has just started.
 func (g *Gateway) answerQuery(to *net.UDPAddr, work quarantine.Work) {
-	at, ok := g.quarantine.guard.AnswerQuery(work)
+	clearing, ok := g.quarantine.guard.AnswerQuery(work)
 	if !ok {
 		return
 	}
-	entry := newClearingEntry(quarantine.Clearing{Work: work, At: at}, clock.Now())
+	entry := newClearingEntry(clearing, clock.Now())
 	if err := g.peers.Send(to, peer.KindCrashReport, quarantineMessage{Clearings: []clearingEntry{entry}}); err != nil {
 		g.sampled.Warn().Err(err).Msg("reply to a query about work not sent")
 	}
@@ -188,17 +228,11 @@
 		return
 	}
 	now := clock.Now()
-	for _, crash := range message.Crashes {
-		at := ago(now, crash.AgeMs)
-		for _, success := range quarantine.DecodeSuccesses(crash.Works, crash.SuccessAges, at) {
-			g.quarantine.Clear(success.Work, success.At)
-		}
-		g.quarantine.guard.RecordCrash(quarantine.CrashReport{
-			Replica: crash.Replica, StartedUnixMs: crash.StartedUnixMs, Runs: quarantine.DecodeRuns(crash.Works, crash.Durations, crash.Trials, at), At: at,
-		})
+	for i := range message.Crashes {
+		g.handleCrash(&message.Crashes[i], now)
 	}
-	for _, clearing := range message.Clearings {
-		g.handleClearing(quarantine.Clearing{Work: clearing.Work, At: ago(now, clearing.AgeMs)}, message.Forward)
+	for _, entry := range message.Clearings {
+		g.handleClearing(entry.clearing(now), message.Forward)
 	}
 	if message.Claim != nil {
 		g.quarantine.ClaimReplica(message.Claim.claim(now), now)
@@ -215,7 +249,7 @@
 // node that runs the trials of a suspect work asks all others about it, that node tells the others of
 // an answer. forwarded is set if all nodes get the message already.
 func (g *Gateway) handleClearing(clearing quarantine.Clearing, forwarded bool) {
-	previous := g.quarantine.Clear(clearing.Work, clearing.At)
+	previous := g.quarantine.guard.Clear(clearing)
 	if forwarded || len(previous.Replicas) == 0 || len(g.relays.nodes()) == 0 || !g.quarantine.guard.Trials.Owns(clearing.Work) {
 		return
 	}
--- a/internal/node/gatewaytrial.go
+++ b/internal/node/gatewaytrial.go
@@ -91,7 +91,7 @@
 func (t *peerTrials) Request(ctx context.Context, trial quarantine.Trial) bool {
 	for _, owner := range t.candidates(trial.Work.String()) {
 		if owner == t.session.ID() {
-			return t.quarantine.BeginTrial(trial, clock.Now())
+			return t.quarantine.guard.BeginTrial(trial, clock.Now())
 		}
 		request := trialRequest{Work: trial.Work, ID: trial.ID}
 		if granted, replied := t.ask(ctx, owner, peer.KindTrialRequest, request, request.ID); replied {
@@ -177,7 +177,7 @@
 		return
 	}
 	trial := quarantine.Trial{Work: request.Work, ID: request.ID}
-	reply := trialReply{ID: request.ID, Granted: t.quarantine.GrantTrial(trial, clock.Now())}
+	reply := trialReply{ID: request.ID, Granted: t.quarantine.guard.GrantTrial(trial, clock.Now())}
 	if reply.Granted {
 		t.log.Info().Stringer("work", request.Work).Str("node", lease.Node(from)).Msg("trial of quarantined work granted")
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -37,7 +37,7 @@
 // connects them.
 func (c *core) buildQuarantine(service table.Service, declared settings.Quarantine) {
 	state := &quarantineState{List: quarantine.List{CrashLimit: declared.Replicas, Window: time.Duration(declared.For), RowsPending: true}}
-	state.guard = quarantine.Guard{List: &state.List, Replicas: replicaStates{c}, Events: c}
+	state.guard = quarantine.Guard{List: &state.List, Parts: quarantine.NewPartList(&state.List), Replicas: replicaStates{c}, Events: c}
 	state.rows = quarantine.Rows{Partition: jobs.QuarantinePartition(), Guard: &state.guard, OnMalformed: c.logMalformed}
 	state.publisher = quarantine.NewPublisher(service, &state.rows, c.session.ID)
 	state.publisher.OnError = func(err error) {
@@ -118,8 +118,8 @@
 func (c *core) Cleared(verdict quarantine.Verdict, at time.Time) {
 	c.metrics.cleared.Inc()
 	c.log.Info().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).
-		Bool("quarantined", verdict.Quarantined).Msg("suspected work succeeded")
-	c.quarantine.publisher.PublishClearing(quarantine.Clearing{Work: verdict.Work, At: at})
+		Bool("part", verdict.Part).Bool("quarantined", verdict.Quarantined).Msg("suspected work succeeded")
+	c.quarantine.publisher.PublishClearing(quarantine.Clearing{Work: verdict.Work, At: at, Part: verdict.Part})
 }
 
 // Quarantined implements quarantine.Events.
@@ -134,13 +134,13 @@
 		suspects[i] = other.String()
 	}
 	c.log.Warn().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).Ints64("crashed_ms_ago", ages).
-		Strs("other_suspects", suspects).Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
+		Bool("part", verdict.Part).Str("group", joinWorks(verdict.Group)).Strs("other_suspects", suspects).Dur("for_ms", clock.Until(verdict.Until)).Msg("work quarantined")
 }
 
 // TrialBegun implements quarantine.Events.
 func (c *core) TrialBegun(verdict quarantine.Verdict) {
 	c.metrics.trials.WithLabelValues("begun").Inc()
-	c.log.Info().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).Int("failed_trials", verdict.FailedTrials).
+	c.log.Info().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).Bool("part", verdict.Part).Int("failed_trials", verdict.FailedTrials).
 		Msg("trial of quarantined work begun")
 }
 
@@ -171,12 +171,18 @@
 	for _, verdict := range c.quarantine.All(now) {
 		list.Items = append(list.Items, suspectOf(verdict, now))
 	}
+	for _, verdict := range c.quarantine.guard.Parts.All(now) {
+		// Other parts are bystanders of crashes until they succeed again.
+		if verdict.Quarantined {
+			list.Items = append(list.Items, suspectOf(verdict, now))
+		}
+	}
 	return list
 }
 
 func suspectOf(verdict quarantine.Verdict, now time.Time) v1.Suspect {
 	suspect := v1.Suspect{
-		Work: verdict.Work.String(), Replicas: verdict.Replicas, Quarantined: verdict.Quarantined,
+		Work: verdict.Work.String(), Part: verdict.Part, Replicas: verdict.Replicas, Quarantined: verdict.Quarantined,
 		SecondsSinceEnd: now.Sub(verdict.LastCrash).Seconds(),
 	}
 	if verdict.Quarantined {
@@ -193,11 +199,14 @@
 	}
 	now := clock.Now()
 	verdict := c.quarantine.Clear(work, now)
+	if len(verdict.Replicas) == 0 {
+		verdict = c.quarantine.guard.Clear(quarantine.Clearing{Work: work, At: now, Part: true})
+	}
 	if len(verdict.Replicas) == 0 {
 		return v1.Suspect{}, false
 	}
 	c.metrics.released.Inc()
-	c.log.Warn().Stringer("work", work).Strs("replicas", verdict.Replicas).Msg("work released by an operator")
-	c.quarantine.publisher.PublishClearing(quarantine.Clearing{Work: work, At: now})
+	c.log.Warn().Stringer("work", work).Bool("part", verdict.Part).Strs("replicas", verdict.Replicas).Msg("work released by an operator")
+	c.quarantine.publisher.PublishClearing(quarantine.Clearing{Work: work, At: now, Part: verdict.Part})
 	return suspectOf(verdict, now), true
 }
--- /dev/null
+++ b/internal/quarantine/attribution.go
@@ -0,0 +1,234 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Most parts of prompts at a crash are bystanders: a replica runs many requests, each with several parts.
+// A list of parts therefore counts a crash against one cause only. Of the parts that have not
+// succeeded since, the one that was present at the most crashes is blamed for all of them, and the
+// others are judged by the crashes that remain.
+
+// partWindow is how long a crash counts against a part of prompts. The only thing that ends it earlier is a
+// success, because harmful requests may keep coming for as long.
+const partWindow = 24 * time.Hour
+
+// culprit is a set of parts of prompts to which crashes are attributed. Several parts that were present at
+// the same crashes cannot be told apart: only requests that hold all of them are refused, and
+// requests that hold some of them show which one is harmful.
+type culprit struct {
+	// parts are in the order of their bytes, so that all nodes name the set by the same one.
+	parts   []Work
+	crashes []*crash
+}
+
+// isHeldBy reports whether a request with the given parts holds all parts of the culprit.
+func (c *culprit) isHeldBy(parts []Work) bool {
+	return !slices.ContainsFunc(c.parts, func(part Work) bool { return !slices.Contains(parts, part) })
+}
+
+// candidate is a part of prompts with the crashes that no culprit explains, in time order.
+type candidate struct {
+	part    Work
+	crashes []*crash
+}
+
+// NewPartList returns a list of parts of prompts, which many requests hold. whole is the list of the whole
+// requests.
+func NewPartList(whole *List) *List {
+	// A crash says less about each of the many parts that were present than about a request.
+	return &List{Whole: whole, CrashLimit: whole.Limit() + 1, Window: partWindow}
+}
+
+// CheckParts returns the verdict on the parts that a request holds. It is not Quarantined if the request
+// may be sent.
+func (l *List) CheckParts(parts []Work, now time.Time) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	for _, culprit := range l.attribute(now) {
+		if culprit.isHeldBy(parts) {
+			return l.check(culprit.parts[0], now)
+		}
+	}
+	return Verdict{Part: true}
+}
+
+// AnyQuarantined reports whether the list attributes crashes to any part. It needs no lock.
+func (l *List) AnyQuarantined() bool { return l.culpritCount.Load() > 0 }
+
+// evaluatePart returns the verdict on a part. The caller holds mu.
+func (l *List) evaluatePart(part Work, now time.Time) Verdict {
+	verdict := Verdict{Work: part, Part: true, Limit: l.Limit()}
+	if l.suspects[part] == nil {
+		return verdict
+	}
+	crashes := l.countedCrashes(part, now, l.successes.at(part))
+	for _, c := range crashes {
+		verdict.addCrash(c)
+		if c.works[part].trial {
+			verdict.FailedTrials++
+			verdict.LastTrial = c.at
+		}
+	}
+	for _, culprit := range l.attribute(now) {
+		if slices.Contains(culprit.parts, part) {
+			verdict.Quarantined, verdict.Group = true, culprit.parts
+			verdict.Until = verdict.LastCrash.Add(l.window())
+		}
+	}
+	return verdict
+}
+
+// attribute returns the culprits of the crashes in the list. The caller holds mu.
+func (l *List) attribute(now time.Time) []*culprit {
+	if !l.attributionStale {
+		return l.culprits
+	}
+	l.attributionStale, l.culprits = false, nil
+	candidates := l.candidates(now)
+	for len(candidates) > 0 {
+		strongest := slices.MinFunc(candidates, compareCandidates)
+		if len(strongest.crashes) < l.Limit() {
+			break
+		}
+		if !l.isConclusive(strongest) {
+			candidates = slices.DeleteFunc(candidates, func(c *candidate) bool { return c == strongest })
+			continue
+		}
+		found := newCulprit(strongest, candidates)
+		l.culprits = append(l.culprits, found)
+		candidates = found.removeExplained(candidates)
+	}
+	l.culpritCount.Store(int64(len(l.culprits)))
+	return l.culprits
+}
+
+// recordChange records that the crashes of a suspect change. Those of suspects with fewer crashes than the
+// limit do not matter. The caller holds mu.
+func (l *List) recordChange(s *suspect) {
+	l.attributionStale = l.attributionStale || len(s.crashes) >= l.Limit()
+}
+
+// candidates returns the parts with enough crashes to be quarantined. The caller holds mu.
+func (l *List) candidates(now time.Time) []*candidate {
+	var candidates []*candidate
+	for part, s := range l.suspects {
+		if len(s.crashes) < l.Limit() {
+			continue
+		}
+		candidates = append(candidates, &candidate{part: part, crashes: l.countedCrashes(part, now, l.successes.at(part))})
+	}
+	return candidates
+}
+
+// compareCandidates orders candidates by the number of their crashes, the most first, so that all nodes with
+// the same reports agree.
+func compareCandidates(a, b *candidate) int {
+	return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), bytes.Compare(a.part[:], b.part[:]))
+}
+
+// isConclusive reports whether the crashes of a candidate suffice to quarantine it: enough of them
+// followed each other, and no single quarantined request was present at all of them. The
+// caller holds mu.
+func (l *List) isConclusive(c *candidate) bool {
+	return len(longestSequence(c.crashes, c.part)) >= l.Limit() && !l.Whole.explainsAll(c.crashes)
+}
+
+// newCulprit returns the culprit that consists of a candidate and all others with the same crashes.
+func newCulprit(strongest *candidate, candidates []*candidate) *culprit {
+	found := &culprit{crashes: strongest.crashes}
+	for _, other := range candidates {
+		if slices.Equal(other.crashes, strongest.crashes) {
+			found.parts = append(found.parts, other.part)
+		}
+	}
+	slices.SortFunc(found.parts, func(a, b Work) int { return bytes.Compare(a[:], b[:]) })
+	return found
+}
+
+// removeExplained removes the crashes of the culprit from the candidates, and returns those that have any
+// left.
+func (c *culprit) removeExplained(candidates []*candidate) []*candidate {
+	explained := make(map[*crash]struct{}, len(c.crashes))
+	for _, crash := range c.crashes {
+		explained[crash] = struct{}{}
+	}
+	return slices.DeleteFunc(candidates, func(other *candidate) bool {
+		other.crashes = slices.DeleteFunc(other.crashes, func(crash *crash) bool {
+			_, found := explained[crash]
+			return found
+		})
+		return len(other.crashes) == 0
+	})
+}
+
+// explainsAll reports whether one quarantined request ran on all of the replicas that crashed.
+func (l *List) explainsAll(crashes []*crash) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var common []Work
+	for i, c := range crashes {
+		own := l.sameCrash(c)
+		if own == nil {
+			return false
+		}
+		if i == 0 {
+			common = l.quarantinedWorks(own, crashes[len(crashes)-1].at)
+		}
+		common = slices.DeleteFunc(common, func(work Work) bool { return !own.hasWork(work) })
+	}
+	return len(common) > 0
+}
+
+// sameCrash returns this list's record of a crash that another list holds; nil if there is none. The
+// caller holds mu.
+func (l *List) sameCrash(other *crash) *crash {
+	report := CrashReport{Replica: other.replica, StartedUnixMs: other.startedUnixMs, At: other.at}
+	for _, c := range l.crashes[other.replica] {
+		if c.matches(&report) {
+			return c
+		}
+	}
+	return nil
+}
+
+// quarantinedWorks returns the quarantined works that ran on a replica that crashed. The caller holds mu.
+func (l *List) quarantinedWorks(c *crash, now time.Time) []Work {
+	var quarantined []Work
+	for work := range c.works {
+		if verdict := l.evaluate(work, now); verdict.Quarantined {
+			quarantined = append(quarantined, work)
+		}
+	}
+	return quarantined
+}
+
+// unlinkBefore removes the crashes up to at from a part that has succeeded since. The caller holds mu.
+func (l *List) unlinkBefore(part Work, at time.Time) {
+	s := l.suspects[part]
+	if s == nil {
+		return
+	}
+	for c := range s.crashes {
+		if c.at.After(at) {
+			continue
+		}
+		delete(c.works, part)
+		l.unlink(part, c)
+		if len(c.works) == 0 {
+			l.forget(c)
+		}
+	}
+	l.suspectCount.Store(int64(len(l.suspects)))
+}
+
+// forget removes a crash that counts against nothing. The caller holds mu.
+func (l *List) forget(forgotten *crash) {
+	isForgotten := func(c *crash) bool { return c == forgotten }
+	l.byArrival = slices.DeleteFunc(l.byArrival, isForgotten)
+	l.forgetReplica(forgotten)
+}
--- /dev/null
+++ b/internal/quarantine/attribution_test.go
@@ -0,0 +1,233 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// partSite is a pair of lists to which crashes with parts of prompts are reported, 100 ms apart.
+type partSite struct {
+	t     *testing.T
+	whole *List
+	parts *List
+	now   time.Time
+	count int
+}
+
+func newPartSite(t *testing.T) *partSite {
+	whole := &List{}
+	return &partSite{t: t, whole: whole, parts: NewPartList(whole), now: time.Now()}
+}
+
+// crash reports a crash under one request for each set of parts. Requests with the same number are the same.
+func (s *partSite) crash(request int, sets ...[]Work) {
+	s.t.Helper()
+	sentAt := s.now.Add(10 * time.Millisecond)
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.count++
+	var runs []Run
+	for i, parts := range sets {
+		runs = append(runs, Run{Work: work(fmt.Sprintf("request %d-%d", request, i)), SentAt: sentAt, Parts: parts})
+	}
+	replica := Replica{ID: fmt.Sprintf("replica-%d", s.count)}
+	report := replica.crashReport(runs, s.now)
+	s.whole.Add(report, s.now)
+	report.Runs = report.Parts
+	s.parts.Add(report, s.now)
+}
+
+// isRefused reports whether a request with the given parts is refused.
+func (s *partSite) isRefused(parts ...Work) bool { return s.parts.CheckParts(parts, s.now).Quarantined }
+
+// Parts of prompts in the tests of attribution.
+var first, bad, worse, rare = work("first"), work("bad"), work("worse"), work("rare")
+
+func TestAttribution_BlamesPartOfAllCrashes(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 4 {
+		if site.isRefused(first, bad) {
+			t.Fatalf("refused after %d crashes", request)
+		}
+		beside := []Work{first}
+		if request != 2 {
+			beside = append(beside, rare)
+		}
+		site.crash(request, []Work{first, bad}, beside)
+		site.parts.Clear(first, site.now)
+	}
+	if !site.isRefused(first, bad) || !site.isRefused(bad, rare) {
+		t.Error("the part that all crashes have in common is sent")
+	}
+	site.crash(5, []Work{first, bad}, []Work{first, rare})
+	if site.isRefused(first, rare) || site.isRefused(first) {
+		t.Error("a part that other crashes explain is refused")
+	}
+}
+
+// Guards against a part that cannot be told from the harmful one and is refused by itself.
+func TestAttribution_PartsThatCannotBeToldApart(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 4 {
+		site.crash(request, []Work{first, bad, rare})
+	}
+	if !site.isRefused(first, bad, rare) {
+		t.Error("a request with all suspects is sent")
+	}
+	if site.isRefused(first, rare) || site.isRefused(first, bad) {
+		t.Error("a request that would tell the suspects apart is refused")
+	}
+	site.parts.Clear(first, site.now)
+	site.crash(5, []Work{first, bad})
+	if !site.isRefused(first, bad) || site.isRefused(first, rare) {
+		t.Error("the crash without the other suspect does not count")
+	}
+}
+
+func TestAttribution_TwoHarmfulParts(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 9 {
+		harmful := bad
+		if request%2 == 1 {
+			harmful = worse
+		}
+		site.crash(request, []Work{first, harmful}, []Work{first, rare})
+		site.parts.Clear(first, site.now)
+		site.parts.Clear(rare, site.now)
+	}
+	if !site.isRefused(first, bad) || !site.isRefused(first, worse) || site.isRefused(first, rare) {
+		t.Errorf("refused: bad %v, worse %v, rare %v", site.isRefused(bad), site.isRefused(worse), site.isRefused(rare))
+	}
+}
+
+// Guards against a sound part that is refused because one harmful request that is sent again and again holds it.
+func TestAttribution_HarmfulRequestExplainsItsParts(t *testing.T) {
+	site := newPartSite(t)
+	for range 6 {
+		site.crash(1, []Work{first, rare})
+		site.parts.Clear(first, site.now)
+	}
+	if site.isRefused(first, rare) {
+		t.Error("a part is refused though one quarantined request was at all crashes")
+	}
+	site.crash(2, []Work{first, rare})
+	if !site.isRefused(rare) {
+		t.Error("a part that crashes replicas under another request too is sent")
+	}
+}
+
+// Guards against parts that are refused because many replicas end at once, as when a zone is lost.
+func TestAttribution_SimultaneousCrashesAreOne(t *testing.T) {
+	site := newPartSite(t)
+	sentAt := site.now
+	for i := range 30 {
+		replica := Replica{ID: fmt.Sprintf("replica-%d", i)}
+		report := replica.crashReport([]Run{{Work: work(fmt.Sprint(i)), SentAt: sentAt, Parts: []Work{first}}}, sentAt.Add(time.Second))
+		report.Runs = report.Parts
+		site.parts.Add(report, sentAt.Add(time.Second))
+	}
+	if site.isRefused(first) {
+		t.Error("a part is refused after crashes under requests that were sent before the first of them")
+	}
+}
+
+// Guards against replicas that crash again and again under a part that a success has cleared on one node
+// only, and against trials that never end: a part has three in its first day.
+func TestAttribution_TrialsOfParts(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 4 {
+		site.crash(request, []Work{bad})
+	}
+	trials := 0
+	for end := site.now.Add(23 * time.Hour); site.now.Before(end); site.now = site.now.Add(time.Second) {
+		verdict := site.parts.CheckParts([]Work{bad}, site.now)
+		if !verdict.Quarantined {
+			t.Fatalf("sent again after %d trials", trials)
+		}
+		if !verdict.RequestTrialDue(site.now) {
+			continue
+		}
+		trials++
+		replica := Replica{ID: fmt.Sprintf("trial-%d", trials)}
+		report := replica.crashReport([]Run{{Work: work(fmt.Sprintf("trial %d", trials)), SentAt: site.now, Parts: []Work{bad}, PartTrial: true}}, site.now)
+		report.Runs = report.Parts
+		site.parts.Add(report, site.now)
+	}
+	if trials != 3 {
+		t.Errorf("%d trials", trials)
+	}
+}
+
+// Guards against memory that grows with the parts of a fleet: a part that has succeeded is forgotten.
+func TestAttribution_SuccessForgetsCrashes(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 100 {
+		site.crash(request, []Work{first, work(fmt.Sprint(request))})
+		site.parts.Clear(first, site.now)
+		site.parts.Clear(work(fmt.Sprint(request)), site.now)
+	}
+	if !site.parts.Empty() || len(site.parts.byArrival) > 0 || len(site.parts.crashes) > 0 {
+		t.Errorf("%d suspects, %d crashes remain", len(site.parts.suspects), len(site.parts.byArrival))
+	}
+}
+
+// BenchmarkList_CheckPartsOfSoundRequest measures what a request costs while nothing is quarantined, and while
+// one part is.
+func BenchmarkList_CheckPartsOfSoundRequest(b *testing.B) {
+	for name, crashes := range map[string]int{"nothing quarantined": 0, "one part quarantined": 10} {
+		b.Run(name, func(b *testing.B) {
+			whole := &List{}
+			guard := &Guard{List: whole, Parts: NewPartList(whole)}
+			now := time.Now()
+			for i := range crashes {
+				now = now.Add(100 * time.Millisecond)
+				replica := Replica{ID: fmt.Sprint(i)}
+				report := replica.crashReport([]Run{{Work: work(fmt.Sprint(i)), SentAt: now, Parts: []Work{bad}}}, now)
+				report.Runs = report.Parts
+				guard.Parts.Add(report, now)
+			}
+			parts := func() []Work { return []Work{PartOf("pool", 1), PartOf("pool", 2), PartOf("pool", 3)} }
+			for b.Loop() {
+				if _, err := guard.RefuseParts(b.Context(), parts, nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkList_AddCrashOfParts measures a crash report with 12 runs of three parts among many others, which
+// every node of a fleet records.
+func BenchmarkList_AddCrashOfParts(b *testing.B) {
+	for _, known := range []int{1000, 2000} {
+		b.Run(fmt.Sprintf("%d crashes known", known), func(b *testing.B) {
+			whole := &List{}
+			parts := NewPartList(whole)
+			now := time.Now()
+			add := func(number int) {
+				now = now.Add(50 * time.Millisecond)
+				var runs []Run
+				for i := range 12 {
+					held := []Work{first, work(fmt.Sprint("tool ", (number+i)%200)), work(fmt.Sprint("document ", number*12+i))}
+					runs = append(runs, Run{Work: work(fmt.Sprint(number, i)), SentAt: now.Add(-20 * time.Millisecond), Parts: held})
+				}
+				replica := Replica{ID: fmt.Sprint(number)}
+				report := replica.crashReport(runs, now)
+				report.Runs = report.Parts
+				parts.Add(report, now)
+				parts.Clear(first, now)
+				for i := range 12 {
+					parts.Clear(work(fmt.Sprint("tool ", (number+i)%200)), now)
+				}
+			}
+			for i := range known {
+				add(i)
+			}
+			number := known
+			for b.Loop() {
+				add(number)
+				number++
+			}
+		})
+	}
+}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -8,6 +8,9 @@
 
 // evaluate returns the verdict on work. The caller holds mu.
 func (l *List) evaluate(work Work, now time.Time) Verdict {
+	if l.Whole != nil {
+		return l.evaluatePart(work, now)
+	}
 	lastSuccess := l.successes.at(work)
 	verdict := Verdict{Work: work, Limit: l.Limit()}
 	var crashes []*crash
@@ -23,9 +26,7 @@
 		verdict.Limit *= provenFactor
 	}
 	for _, c := range crashes {
-		verdict.Replicas = append(verdict.Replicas, c.replica)
-		verdict.CrashTimes = append(verdict.CrashTimes, c.at)
-		verdict.LastCrash = c.at
+		verdict.addCrash(c)
 	}
 	if excess := len(crashes) - verdict.Limit; excess >= 0 {
 		verdict.Quarantined = true
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -73,7 +73,7 @@
 
 // crashReport returns the report of a crash during the given runs.
 func (r *Replica) crashReport(runs []Run, at time.Time) CrashReport {
-	return CrashReport{Replica: r.ID, StartedUnixMs: r.StartedUnixMs, Runs: runs, At: at}
+	return CrashReport{Replica: r.ID, StartedUnixMs: r.StartedUnixMs, Runs: runs, Parts: partRuns(runs), At: at}
 }
 
 // Replicas provides the state of replicas. Implementations must be safe for concurrent use.
@@ -111,7 +111,9 @@
 // replica leaves the list or restarts within delistTimeout without having announced a shutdown. A
 // Guard is safe for concurrent use.
 type Guard struct {
-	List     *List
+	List *List
+	// Parts, if set, is the list of the parts of prompts, made by NewPartList from List.
+	Parts    *List
 	Replicas Replicas
 	Events   Events
 	// QueryPeers, if set, asks all peers for the last success of work, or only a few of them if
@@ -180,21 +182,22 @@
 	if !errors.As(err, &refusal) {
 		return nil, err
 	}
-	return g.awaitTrial(ctx, refusal)
+	return g.awaitTrial(ctx, refusal, func(now time.Time) Verdict { return g.List.Check(refusal.Work, now) })
 }
 
 // onQuarantined reports newly quarantined work and queries peers about it.
 func (g *Guard) onQuarantined(verdict Verdict) {
 	g.Events.Quarantined(verdict)
-	g.queryPeers(verdict.Work, false)
+	g.queryPeers(&verdict, false)
 }
 
-// queryPeers asks peers for the last success of work. It reports whether any peers are known.
-func (g *Guard) queryPeers(work Work, again bool) bool {
-	if g.QueryPeers == nil || !g.QueryPeers(work, again) {
+// queryPeers asks peers for the last success of the verdict's work. It reports whether any peers are
+// known.
+func (g *Guard) queryPeers(verdict *Verdict, again bool) bool {
+	if g.QueryPeers == nil || !g.QueryPeers(verdict.Work, again) {
 		return false
 	}
-	g.List.recordQuery(work, clock.Now())
+	g.listOf(verdict).recordQuery(verdict.Work, clock.Now())
 	return true
 }
 
@@ -203,7 +206,7 @@
 func (g *Guard) awaitAnswers(ctx context.Context, verdict Verdict) bool {
 	queriedAt := verdict.QueriedAt
 	if now := clock.Now(); now.Sub(queriedAt) >= requeryInterval {
-		if !g.queryPeers(verdict.Work, !queriedAt.IsZero()) {
+		if !g.queryPeers(&verdict, !queriedAt.IsZero()) {
 			return false
 		}
 		queriedAt = now
@@ -222,13 +225,17 @@
 	}
 }
 
-// AnswerQuery returns the last success of work, for a peer that queries it. If none is known, the
-// next success here is reported as an event, so that all nodes learn of it: this node may not have
-// received the crash reports that make the work suspect.
-func (g *Guard) AnswerQuery(work Work) (time.Time, bool) {
-	at, ok := g.List.LastSuccess(work)
-	if ok {
-		return at, true
+// AnswerQuery returns the last success of work or of a part, for a peer that queries it. If none is
+// known, the next success here is reported as an event, so that all nodes learn of it: this node may
+// not have received the crash reports that make it suspect.
+func (g *Guard) AnswerQuery(work Work) (Clearing, bool) {
+	if at, ok := g.List.LastSuccess(work); ok {
+		return Clearing{Work: work, At: at}, true
+	}
+	if g.Parts != nil {
+		if at, ok := g.Parts.LastSuccess(work); ok {
+			return Clearing{Work: work, At: at, Part: true}, true
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -236,7 +243,7 @@
 		g.unanswered = map[Work]struct{}{}
 	}
 	g.unanswered[work] = struct{}{}
-	return time.Time{}, false
+	return Clearing{}, false
 }
 
 // recordResult ends the trial of work, if this node runs one. It reports whether a peer's query about
@@ -369,6 +376,13 @@
 	for _, verdict := range g.List.Add(report, clock.Now()) {
 		g.onQuarantined(verdict)
 	}
+	if g.Parts == nil {
+		return
+	}
+	report.Runs = report.Parts
+	for _, verdict := range g.Parts.Add(report, clock.Now()) {
+		g.onQuarantined(verdict)
+	}
 }
 
 // rowsLoaded records that all rows of the table have been read once.
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -60,8 +60,8 @@
 
 // awaitTrial holds a request of quarantined work until a trial shows that the work is harmless, or
 // until the request itself may be the trial. It returns a RefusalError if the next trial is not due
-// soon, or if the wait takes too long.
-func (g *Guard) awaitTrial(ctx context.Context, refusal *RefusalError) (*Trial, error) {
+// soon, or if the wait takes too long. check returns the current verdict on the request.
+func (g *Guard) awaitTrial(ctx context.Context, refusal *RefusalError, check func(now time.Time) Verdict) (*Trial, error) {
 	if g.Trials == nil || !g.Trials.Owns(refusal.Work) && !g.Trials.CanRequest() {
 		return nil, refusal
 	}
@@ -69,11 +69,11 @@
 	if g.held.Add(1) > maxHeld {
 		return nil, refusal
 	}
-	work, deadline := refusal.Work, clock.Now().Add(maxHold)
+	deadline := clock.Now().Add(maxHold)
 	for {
-		changed := g.List.changed(work)
+		changed := g.listOf(&refusal.Verdict).changed(refusal.Work)
 		now := clock.Now()
-		verdict := g.List.Check(work, now)
+		verdict := check(now)
 		if !verdict.Quarantined {
 			return nil, nil
 		}
@@ -87,7 +87,7 @@
 			return nil, refusal
 		}
 		if wait <= 0 {
-			if trial := g.beginTrial(ctx, work); trial != nil {
+			if trial := g.beginTrial(ctx, verdict.Work); trial != nil {
 				g.Events.TrialBegun(verdict)
 				return trial, nil
 			}
@@ -128,7 +128,7 @@
 func (g *Guard) requestTrial(ctx context.Context, work Work) *Trial {
 	if g.Trials.Owns(work) {
 		trial := &Trial{Work: work, ID: rand.Uint64()}
-		if !g.List.BeginTrial(*trial, clock.Now()) {
+		if !g.BeginTrial(*trial, clock.Now()) {
 			return nil
 		}
 		return trial
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -41,6 +41,8 @@
 	StartedUnixMs int64
 	// Runs are the runs of the reporting node on that replica.
 	Runs []Run
+	// Parts are the same runs, by the parts of their prompts.
+	Parts []Run
 	// At is the time of the crash.
 	At time.Time
 }
@@ -50,8 +52,10 @@
 	Work Work
 	// SentAt is when the request was sent to the replica.
 	SentAt time.Time
-	// Trial is set if the run was a trial of quarantined work.
-	Trial bool
+	// Trial is set if the run was a trial of quarantined work, PartTrial if it was one of a quarantined
+	// part.
+	Trial     bool
+	PartTrial bool
 	// Parts identifies the parts of the prompt that other requests may hold too.
 	Parts []Work
 	// Answered is set if the header of the answer had arrived; only the node that sent the run
@@ -74,6 +78,9 @@
 	// work counts as proven: the node has seen little itself, and if all nodes start at the same
 	// time there are no peers to ask.
 	RowsPending bool
+	// Whole is set before use if the list holds parts of prompts instead of whole requests, to the list of
+	// the whole requests.
+	Whole *List
 
 	mu sync.Mutex
 	// crashes holds the crashes of each replica, by its id.
@@ -92,6 +99,11 @@
 	claimCount atomic.Int64
 	// suspectCount is len(suspects), so that Empty needs no lock.
 	suspectCount atomic.Int64
+	// culprits are the parts to which crashes are attributed, unless attributionStale is set; culpritCount
+	// is len(culprits), so that AnyQuarantined needs no lock.
+	culprits         []*culprit
+	attributionStale bool
+	culpritCount     atomic.Int64
 }
 
 // crash is one crash of a replica.
@@ -182,7 +194,7 @@
 	l.releaseCrashed(report.Replica, report.At)
 	c := l.crashFor(report)
 	for _, run := range report.Runs {
-		if c.precedes(run.SentAt) {
+		if c.precedes(run.SentAt) || l.Whole != nil && !c.at.After(l.successes.at(run.Work)) {
 			continue
 		}
 		c.addRun(run)
@@ -192,6 +204,7 @@
 			l.suspects[run.Work] = s
 		}
 		s.crashes[c] = struct{}{}
+		l.recordChange(s)
 		s.notify()
 	}
 	for len(l.suspects) > maxWorks && len(l.byArrival) > 1 {
@@ -260,6 +273,7 @@
 // unlink removes a crash from the ones that count against work. The caller holds mu.
 func (l *List) unlink(work Work, c *crash) {
 	s := l.suspects[work]
+	l.recordChange(s)
 	delete(s.crashes, c)
 	s.notify()
 	if len(s.crashes) == 0 {
@@ -282,11 +296,16 @@
 	for work := range evicted.works {
 		l.unlink(work, evicted)
 	}
-	remaining := slices.DeleteFunc(l.crashes[evicted.replica], func(c *crash) bool { return c == evicted })
+	l.forgetReplica(evicted)
+}
+
+// forgetReplica removes a crash from the crashes of its replica. The caller holds mu.
+func (l *List) forgetReplica(forgotten *crash) {
+	remaining := slices.DeleteFunc(l.crashes[forgotten.replica], func(c *crash) bool { return c == forgotten })
 	if len(remaining) == 0 {
-		delete(l.crashes, evicted.replica)
+		delete(l.crashes, forgotten.replica)
 	} else {
-		l.crashes[evicted.replica] = remaining
+		l.crashes[forgotten.replica] = remaining
 	}
 }
 
@@ -349,6 +368,9 @@
 	previous := l.evaluate(work, at)
 	l.successes.record(work, at)
 	l.releaseClaims(work, at)
+	if l.Whole != nil {
+		l.unlinkBefore(work, at)
+	}
 	l.check(work, at)
 	if s := l.suspects[work]; s != nil {
 		s.notify()
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -35,10 +35,12 @@
 	maxClearingRows = 500
 )
 
-// Clearing states that no crash before At counts against Work.
+// Clearing states that no crash before At counts against Work, which identifies a part of prompts if Part
+// is set.
 type Clearing struct {
 	Work Work
 	At   time.Time
+	Part bool
 }
 
 // Update holds what a node publishes to the others.
@@ -90,6 +92,7 @@
 	for i := range p.unsent.Reports {
 		if queued := &p.unsent.Reports[i]; queued.Replica == report.Replica && queued.StartedUnixMs == report.StartedUnixMs {
 			queued.Runs = append(queued.Runs, report.Runs...)
+			queued.Parts = partRuns(queued.Runs)
 			return
 		}
 	}
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -37,11 +37,17 @@
 	SuccessAges []int64 `cbor:"6,keyasint,omitempty"`
 	// Trials are those of Works whose run was a trial.
 	Trials []Work `cbor:"7,keyasint,omitempty"`
+	// Parts are the parts of the prompts of the runs. The other fields correspond to those of Works.
+	Parts           []Work  `cbor:"8,keyasint,omitempty"`
+	PartDurations   []int64 `cbor:"9,keyasint,omitempty"`
+	PartSuccessAges []int64 `cbor:"10,keyasint,omitempty"`
+	PartTrials      []Work  `cbor:"11,keyasint,omitempty"`
 }
 
 // clearingRow is the body of a clearing row.
 type clearingRow struct {
-	At int64 `cbor:"1,keyasint"`
+	At   int64 `cbor:"1,keyasint"`
+	Part bool  `cbor:"2,keyasint,omitempty"`
 }
 
 // Rows follows the crash and clearing rows of the table. It is safe for concurrent use.
@@ -82,7 +88,7 @@
 	// Clearings come first, so that crashes they clear never quarantine work.
 	for _, event := range events {
 		if event.clearing != nil {
-			r.Guard.List.Clear(event.clearing.Work, event.clearing.At)
+			r.Guard.Clear(*event.clearing)
 		}
 	}
 	for _, event := range events {
@@ -138,16 +144,24 @@
 			return nil, Error.Wrap(err)
 		}
 		at := r.localTime(body.At)
-		return []rowEvent{{at: at, clearing: &Clearing{Work: work, At: at}}}, nil
+		return []rowEvent{{at: at, clearing: &Clearing{Work: work, At: at, Part: body.Part}}}, nil
 	}
 	var body crashRow
 	if err := cbor.Unmarshal(row.Body, &body); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	at := r.localTime(body.At)
-	report := &CrashReport{Replica: body.Replica, StartedUnixMs: body.StartedUnixMs, Runs: DecodeRuns(body.Works, body.Durations, body.Trials, at), At: at}
+	report := &CrashReport{
+		Replica: body.Replica, StartedUnixMs: body.StartedUnixMs, At: at,
+		Runs: DecodeRuns(body.Works, body.Durations, body.Trials, at), Parts: DecodeRuns(body.Parts, body.PartDurations, body.PartTrials, at),
+	}
 	events := []rowEvent{{at: at, report: report}}
-	for _, clearing := range DecodeSuccesses(body.Works, body.SuccessAges, at) {
+	successes := DecodeSuccesses(body.Works, body.SuccessAges, at)
+	for _, success := range DecodeSuccesses(body.Parts, body.PartSuccessAges, at) {
+		success.Part = true
+		successes = append(successes, success)
+	}
+	for _, clearing := range successes {
 		events = append(events, rowEvent{at: clearing.At, clearing: &clearing})
 	}
 	return events, nil
@@ -169,20 +183,20 @@
 	return (r.tableNow + at.Sub(r.readAt)).Milliseconds(), nil
 }
 
-// EncodeRuns returns the runs of the report in the form used in rows and messages: the works, and
+// EncodeRuns returns runs on a replica that crashed in the form used in rows and messages: the works, and
 // how long each had run before the crash, in ms.
-func (r *CrashReport) EncodeRuns() (works []Work, durations []int64) {
-	for _, run := range r.Runs {
+func EncodeRuns(runs []Run, crashedAt time.Time) (works []Work, durations []int64) {
+	for _, run := range runs {
 		works = append(works, run.Work)
-		durations = append(durations, r.At.Sub(run.SentAt).Milliseconds())
+		durations = append(durations, crashedAt.Sub(run.SentAt).Milliseconds())
 	}
 	return works, durations
 }
 
-// Trials returns the works of the report whose run was a trial.
-func (r *CrashReport) Trials() []Work {
+// Trials returns the works whose run was a trial.
+func Trials(runs []Run) []Work {
 	var trials []Work
-	for _, run := range r.Runs {
+	for _, run := range runs {
 		if run.Trial {
 			trials = append(trials, run.Work)
 		}
@@ -212,10 +226,15 @@
 	if err != nil {
 		return table.Write{}, err
 	}
-	works, durations := report.EncodeRuns()
-	return r.put(prefixCrash+name, crashRow{
-		Replica: report.Replica, Works: works, At: at, Durations: durations, StartedUnixMs: report.StartedUnixMs, SuccessAges: r.Guard.List.EncodeSuccesses(works, report.At), Trials: report.Trials(),
-	})
+	works, durations := EncodeRuns(report.Runs, report.At)
+	row := crashRow{
+		Replica: report.Replica, Works: works, At: at, Durations: durations, StartedUnixMs: report.StartedUnixMs, SuccessAges: r.Guard.List.EncodeSuccesses(works, report.At), Trials: Trials(report.Runs),
+	}
+	if r.Guard.Parts != nil {
+		row.Parts, row.PartDurations = EncodeRuns(report.Parts, report.At)
+		row.PartSuccessAges, row.PartTrials = r.Guard.Parts.EncodeSuccesses(row.Parts, report.At), Trials(report.Parts)
+	}
+	return r.put(prefixCrash+name, row)
 }
 
 // EncodeSuccesses returns how long before a crash each of works last succeeded, in the form used in
@@ -249,7 +268,7 @@
 	if err != nil {
 		return table.Write{}, err
 	}
-	return r.put(prefixClearing+clearing.Work.String(), clearingRow{At: at})
+	return r.put(prefixClearing+clearing.Work.String(), clearingRow{At: at, Part: clearing.Part})
 }
 
 // clearedAt returns the time in the clearing row of work, or zero if there is none.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -39,6 +39,11 @@
 // itemTrialDelays are the corresponding times for items.
 var itemTrialDelays = []time.Duration{itemTrialDelay, itemTrialDelay, itemTrialDelay, 12 * time.Minute, time.Hour}
 
+// partTrialDelays are the corresponding times for parts of prompts. The first trial follows at once, and two
+// more within the first hour. Trials are rare after that, because requests with the part keep coming
+// from many callers.
+var partTrialDelays = []time.Duration{0, 10 * time.Second, 10 * time.Minute, 24 * time.Hour}
+
 // trialDelay returns the element of delays that follows a number of failed trials.
 func trialDelay(delays []time.Duration, failed int) time.Duration {
 	return delays[min(failed, len(delays)-1)]
@@ -47,6 +52,10 @@
 // Verdict is the current assessment of work.
 type Verdict struct {
 	Work Work
+	// Part is set if Work identifies a part of prompts. Group are then the parts, if it is quarantined,
+	// that cannot be told apart; only requests that hold all of them are refused.
+	Part  bool
+	Group []Work
 	// Replicas are the ids of the replicas whose crashes count, oldest first; a replica that
 	// crashed twice occurs twice.
 	Replicas []string
@@ -77,6 +86,13 @@
 	NewlyQuarantined bool
 }
 
+// addCrash adds a crash that is later than those before.
+func (v *Verdict) addCrash(c *crash) {
+	v.Replicas = append(v.Replicas, c.replica)
+	v.CrashTimes = append(v.CrashTimes, c.at)
+	v.LastCrash = c.at
+}
+
 // ItemTrialDue reports whether quarantined work may run once more to show that it is harmless, for
 // an item, which has a single sender and can wait.
 func (v *Verdict) ItemTrialDue(now time.Time) bool {
@@ -106,7 +122,11 @@
 		// Harmful work gets its third trial earlier by this, but no more trials.
 		failed--
 	}
-	delay := max(repeatedTrialDelay, trialDelay(requestTrialDelays, failed))
+	delays := requestTrialDelays
+	if v.Part {
+		delays = partTrialDelays
+	}
+	delay := max(repeatedTrialDelay, trialDelay(delays, failed))
 	return v.LastTrial.Add(delay + v.trialSpread())
 }
 
