jobs: items with a quarantined part of their prompts wait

The same cause elsewhere: the quarantine of parts knew requests only, so items would have carried a harmful part to one replica after the other, and their crashes would not have counted against it. The prompt of an item is read from its headers as that of a request is; items report the parts of their runs and successes, and wait while a part is refused.

TestRunner_ItemsWithQuarantinedPartWait.

--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -142,7 +142,7 @@
 func (r *Runner) send(ctx context.Context, t *task, item *Item, chosen replica.Info, use *replica.Use) error {
 	sent := clock.Now()
 	answer, err := r.Backend.Send(ctx, &forward.Attempt{
-		Request: itemRequest(t.owned.job, item), Replica: chosen, LastEventID: t.lastEvent, Reservation: t.reservation,
+		Request: r.itemRequest(t.owned.job, item), Replica: chosen, LastEventID: t.lastEvent, Reservation: t.reservation,
 	})
 	if err != nil {
 		return err
@@ -220,15 +220,19 @@
 	return nil
 }
 
-func itemRequest(job *Job, item *Item) *forward.Request {
+func (r *Runner) itemRequest(job *Job, item *Item) *forward.Request {
 	header := make(http.Header, len(item.Header))
 	for name, value := range item.Header {
 		header.Set(name, value)
 	}
-	return &forward.Request{
+	request := &forward.Request{
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: job.Host,
 		Header: header, Body: item.Body, AtMostOnce: item.AtMostOnce, Batch: true, Tenant: job.Tenant,
 	}
+	if r.DescribePrompt != nil {
+		request.Prompt = r.DescribePrompt(header)
+	}
+	return request
 }
 
 // recordRun updates the estimates and the count of stalls with a run that resumed after event
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -60,7 +60,7 @@
 // readyToSend reports whether nothing about the item itself prevents it from being sent.
 func (r *Runner) readyToSend(send pendingSend, now time.Time) bool {
 	t := send.task
-	if r.holdQuarantined(t, send.item(), now) {
+	if r.holdQuarantined(t, send.item(), send.pool, now) {
 		return false
 	}
 	if r.needsStartMark(t) {
--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -16,12 +16,17 @@
 	// Refuse returns a quarantine.RefusalError for an item that must not be sent. It calls work only
 	// while some work is suspected.
 	Refuse(work func() quarantine.Work) error
+	// RefuseItemParts is like Refuse, for the parts of the item's prompt that others may hold too. It
+	// reports whether the item runs as the trial of a part.
+	RefuseItemParts(parts func() []quarantine.Work) (trial bool, err error)
 	// ClaimForItem claims a replica for the trial of an item, which starts at once.
 	ClaimForItem(work quarantine.Work, replica string)
 	// ClaimedReplicas returns the ids of the replicas that trials have claimed; nil if there are none.
 	ClaimedReplicas() map[string]bool
 	// RecordSuccess records a complete answer for the work.
 	RecordSuccess(work quarantine.Work)
+	// RecordPartSuccess records a complete answer for the parts of a prompt.
+	RecordPartSuccess(parts func() []quarantine.Work)
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
 	// it is known whether the replica crashed, or after a short time.
 	RecordInterruption(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
@@ -37,7 +42,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t.workID == nil {
-		identity := itemRequest(t.owned.job, item).Work()
+		identity := r.itemRequest(t.owned.job, item).Work()
 		t.workID = &identity
 	}
 	return *t.workID
@@ -46,19 +51,23 @@
 // holdQuarantined reports whether an item must not be sent to any replica. Such an item is delayed,
 // or ended if EndQuarantined is set and a trial of it has failed: before that, the crashes may have
 // had other causes, and an item that has ended is not run again.
-func (r *Runner) holdQuarantined(t *task, item *Item, now time.Time) bool {
+func (r *Runner) holdQuarantined(t *task, item *Item, pool string, now time.Time) bool {
 	if r.Quarantine == nil {
 		return false
 	}
 	err := r.Quarantine.Refuse(func() quarantine.Work { return r.workIdentity(t, item) })
 	refusal := (*quarantine.RefusalError)(nil)
-	trial := errors.As(err, &refusal) && refusal.ItemTrialDue(now)
+	trial, partTrial := errors.As(err, &refusal) && refusal.ItemTrialDue(now), false
 	if trial {
 		// Only one node runs the item, so its trial takes place at one replica at a time.
 		err = nil
 	}
+	if err == nil && !trial {
+		partTrial, err = r.Quarantine.RefuseItemParts(func() []quarantine.Work { return r.sharedParts(t, item, pool) })
+		errors.As(err, &refusal)
+	}
 	r.mu.Lock()
-	t.trial = trial
+	t.trial, t.partTrial = trial, partTrial
 	first := err != nil && !t.quarantined
 	t.quarantined = err != nil
 	if t.quarantined {
@@ -78,6 +87,11 @@
 	return true
 }
 
+// sharedParts identifies the parts of an item's prompt that other requests to the pool may hold too.
+func (r *Runner) sharedParts(t *task, item *Item, pool string) []quarantine.Work {
+	return r.itemRequest(t.owned.job, item).SharedParts(pool)
+}
+
 // isTrial reports whether the latest run of a task was a trial. The caller must not hold the
 // runner's lock.
 func (r *Runner) isTrial(t *task) bool {
@@ -120,11 +134,17 @@
 	}
 	if err == nil {
 		r.Quarantine.RecordSuccess(r.workIdentity(t, item))
+		r.Quarantine.RecordPartSuccess(func() []quarantine.Work { return r.sharedParts(t, item, chosen.Pool) })
 		return
 	}
 	if t.lastEvent > resumedAfter || !forward.LooksLikeCrash(err, 0) {
 		return
 	}
-	run := quarantine.Run{Work: r.workIdentity(t, item), SentAt: start, Trial: r.isTrial(t)}
+	r.mu.Lock()
+	trial, partTrial := t.trial, t.partTrial
+	r.mu.Unlock()
+	run := quarantine.Run{
+		Work: r.workIdentity(t, item), SentAt: start, Trial: trial, Parts: r.sharedParts(t, item, chosen.Pool), PartTrial: partTrial,
+	}
 	r.Quarantine.RecordInterruption(ctx, forward.QuarantinedReplica(chosen), run)
 }
--- a/internal/jobs/quarantine_test.go
+++ b/internal/jobs/quarantine_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/route"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -27,6 +30,9 @@
 	claimed []string
 	// unavailable holds the replicas that other trials have claimed.
 	unavailable map[string]bool
+	// refusedPart is a quarantined part of prompts, partSuccesses are the parts that succeeded.
+	refusedPart   quarantine.Work
+	partSuccesses []quarantine.Work
 	// crashed makes all replicas known to have crashed.
 	crashed bool
 }
@@ -71,6 +77,23 @@
 	}
 }
 
+func (q *countingQuarantine) RefuseItemParts(parts func() []quarantine.Work) (bool, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range parts() {
+		if part == q.refusedPart {
+			return false, &quarantine.RefusalError{Verdict: quarantine.Verdict{Work: part, Part: true, Quarantined: true}}
+		}
+	}
+	return false, nil
+}
+
+func (q *countingQuarantine) RecordPartSuccess(parts func() []quarantine.Work) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.partSuccesses = append(q.partSuccesses, parts()...)
+}
+
 func (q *countingQuarantine) RecordSuccess(quarantine.Work) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -270,3 +293,35 @@
 	b.resumedAfter = attempt.LastEventID
 	return answerOf(http.StatusOK, events(attempt.LastEventID+1, 4)), nil
 }
+
+// Guards against items that are sent though a part of their prompts crashes replicas: the quarantine of parts
+// knew requests only.
+func TestRunner_ItemsWithQuarantinedPartWait(t *testing.T) {
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
+	backend := &crashingBackend{}
+	runner, _ := startRunner(t, node, backend)
+	guard := &countingQuarantine{refusedPart: quarantine.PartOf(testPool, 0xbad)}
+	runner.mu.Lock()
+	runner.Quarantine, runner.DescribePrompt = guard, func(header http.Header) route.Prompt {
+		key, _ := strconv.ParseUint(header.Get("Part"), 16, 64)
+		return route.Prompt{Parts: []route.Part{{Key: key}, {Key: 1}}}
+	}
+	runner.mu.Unlock()
+	items := []Item{
+		{ID: "bad", Path: "/batch/bad", Header: map[string]string{"Part": "bad"}},
+		{ID: "good", Path: "/batch/good", Header: map[string]string{"Part": "aa"}},
+	}
+	if err := node.Submit(t.Context(), &Submission{ID: "j", Route: "batch", Host: testHost, Items: items, Completion: time.Minute, Retention: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool { return listedItems(node, "j") == 1 })
+	time.Sleep(2 * quarantineRecheckDelay)
+	if backend.sends() > 0 {
+		t.Errorf("an item with a quarantined part was sent %d times", backend.sends())
+	}
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	if len(guard.partSuccesses) == 0 || slices.Contains(guard.partSuccesses, guard.refusedPart) {
+		t.Errorf("the successes %v were recorded", guard.partSuccesses)
+	}
+}
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -57,6 +58,8 @@
 	ViewAge func() time.Duration
 	// Quarantine, if set, prevents items that crashed replicas from being sent to others.
 	Quarantine Quarantine
+	// DescribePrompt, if set, returns the prompt that an item's headers describe.
+	DescribePrompt func(http.Header) route.Prompt
 	// EndQuarantined ends such items once a trial has failed. Otherwise they wait until they expire,
 	// for callers who rely on items not ending for another reason.
 	EndQuarantined bool
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,8 @@
 	// commitInterval is how long finished items wait to be committed together.
 	commitInterval time.Duration
 	quarantine     settings.Quarantine
+	// describePrompt, if set, returns the prompt that an item's headers describe.
+	describePrompt func(http.Header) route.Prompt
 	// endQuarantined makes quarantined items end. Otherwise they wait until they expire.
 	endQuarantined bool
 }
@@ -143,7 +146,7 @@
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: deps.backend, Routes: c.routes.Load, Owners: c.owners,
 		Weights: deps.weights, Zone: deps.zone, Region: deps.region, ViewAge: c.viewAge, CommitInterval: deps.commitInterval,
-		Quarantine: &c.quarantine.guard, EndQuarantined: deps.endQuarantined,
+		Quarantine: &c.quarantine.guard, DescribePrompt: deps.describePrompt, EndQuarantined: deps.endQuarantined,
 	})
 	c.replicas.OnPressure = c.runner.Preempt
 	return c
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -109,7 +109,7 @@
 	g.core = newCore(log, metrics, dependencies{
 		id: g.settings.Node.ID, zone: g.settings.Node.Zone, region: g.settings.Node.Region, places: g.settings.Node.Zones,
 		table: rows, objects: platform.Objects{Store: g.store}, backend: g.backend,
-		jobFeed: g.relays.feed(jobGroup, platform.JobFeed(g.store, jobs.Group, jobs.Parts())), timing: fastTiming(), weights: g.weights(), quarantine: g.settings.Quarantine,
+		jobFeed: g.relays.feed(jobGroup, platform.JobFeed(g.store, jobs.Group, jobs.Parts())), timing: fastTiming(), weights: g.weights(), quarantine: g.settings.Quarantine, describePrompt: platform.DecodePrompt,
 		sessions: func(own *lease.Session) sessionView {
 			roster = lease.NewRoster(rows, own, jobs.MemberPartition(), clock.Now, fastTiming())
 			roster.StoreWrites = g.settings.Gateway.StoreWrites
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -30,6 +31,26 @@
 	return g.awaitTrial(ctx, &RefusalError{Verdict: verdict}, func(now time.Time) Verdict { return g.checkParts(held, now) })
 }
 
+// RefuseItemParts is like RefuseParts, for an item, which can wait. Of the nodes that hold such items only
+// the one that owns the trials of the part tries one of them; it reports whether the item is that
+// one.
+func (g *Guard) RefuseItemParts(parts func() []Work) (trial bool, err error) {
+	if g.Parts == nil || !g.Parts.AnyQuarantined() {
+		return false, nil
+	}
+	now := clock.Now()
+	verdict := g.checkParts(parts(), now)
+	if !verdict.Quarantined {
+		return false, nil
+	}
+	mayTry := verdict.RequestTrialDue(now) && now.Sub(verdict.LastCrash) >= itemTrialDelay
+	if mayTry && g.Trials != nil && g.Trials.Owns(verdict.Work) && g.BeginTrial(Trial{Work: verdict.Work, ID: rand.Uint64()}, now) {
+		g.Events.TrialBegun(verdict)
+		return true, nil
+	}
+	return false, &RefusalError{Verdict: verdict}
+}
+
 // checkParts returns the verdict on a request with the given parts.
 func (g *Guard) checkParts(parts []Work, now time.Time) Verdict {
 	verdict := g.Parts.CheckParts(parts, now)
