quarantine: several harmful parts at once, and a first part that all requests hold

Two causes, one class, a judgment that later evidence of something else turns: a part that was quarantined was judged again as crashes of another part's trial explained some of its own, and all nodes sent what they held for it. And while a whole pool was down nothing succeeded, so that the first part, at all crashes, was blamed; a harmful request then took its trial.

Now a part whose trial crashed a replica is not judged again before a success; a part that ever succeeded counts only crashes that no part may explain which never did, and twice as many; and a request with another such part is no trial. Successes of parts are therefore recorded always, not only of suspects.

Each rule has a test of its own.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -97,10 +97,10 @@
 	status int
 	// softwareUncertain is set if it is not certain which software version sent the events relayed.
 	softwareUncertain bool
-	// trial is set while the request runs as a trial of quarantined work, or of a quarantined part of
-	// prompts if partTrial is set.
+	// trial is set while the request runs as a trial of quarantined work or, if triedPart is set, of that
+	// part of prompts.
 	trial     *quarantine.Trial
-	partTrial bool
+	triedPart quarantine.Work
 	// claim is the state of the trial's claim of a replica.
 	claim claimState
 	// slowestRefusal is the longest duration of an attempt that did not run.
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -34,7 +34,7 @@
 	// RecordSuccess records a complete answer for the work.
 	RecordSuccess(work quarantine.Work)
 	// RecordPartSuccess records a complete answer for the parts of a prompt.
-	RecordPartSuccess(parts func() []quarantine.Work)
+	RecordPartSuccess(parts []quarantine.Work)
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
 	// it is known whether the replica crashed, or after a short time.
 	RecordInterruption(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
@@ -83,7 +83,10 @@
 		return nil
 	}
 	trial, err := c.forwarder.Quarantine.RefuseParts(ctx, c.sharedParts, c.request.Work)
-	c.partTrial = trial != nil
+	c.triedPart = quarantine.Work{}
+	if trial != nil {
+		c.triedPart = trial.Work
+	}
 	if trial == nil && err == nil {
 		trial, err = c.forwarder.Quarantine.RefuseRequest(ctx, c.request.Work)
 	}
@@ -124,16 +127,16 @@
 	case err == nil && c.status < http.StatusInternalServerError:
 		guard.RecordSuccess(c.request.Work())
 		if c.status < http.StatusMultipleChoices {
-			guard.RecordPartSuccess(c.sharedParts)
+			guard.RecordPartSuccess(c.sharedParts())
 		}
 		c.trial = nil
 	case LooksLikeCrash(err, c.status):
 		run := quarantine.Run{
-			Work: c.request.Work(), SentAt: began, Trial: c.trial != nil && !c.partTrial, Parts: c.sharedParts(), PartTrial: c.trial != nil && c.partTrial, Answered: c.status != 0,
+			Work: c.request.Work(), SentAt: began, Trial: c.trial != nil && c.triedPart == quarantine.Work{}, Parts: c.sharedParts(), TriedPart: c.triedPart, Answered: c.status != 0,
 		}
 		if c.trial != nil {
 			guard.InterruptTrial(*c.trial)
-			c.trial = nil
+			c.trial, c.triedPart = nil, quarantine.Work{}
 		}
 		guard.RecordInterruption(ctx, QuarantinedReplica(chosen.Info), run)
 	}
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -22,10 +22,10 @@
 func (g *recordingGuard) RefuseParts(context.Context, func() []quarantine.Work, func() quarantine.Work) (*quarantine.Trial, error) {
 	return nil, nil
 }
-func (g *recordingGuard) RecordPartSuccess(func() []quarantine.Work) {}
-func (g *recordingGuard) RecordSuccess(quarantine.Work)              {}
-func (g *recordingGuard) InterruptTrial(quarantine.Trial)            {}
-func (g *recordingGuard) EndTrial(quarantine.Trial)                  {}
+func (g *recordingGuard) RecordPartSuccess([]quarantine.Work) {}
+func (g *recordingGuard) RecordSuccess(quarantine.Work)       {}
+func (g *recordingGuard) InterruptTrial(quarantine.Trial)     {}
+func (g *recordingGuard) EndTrial(quarantine.Trial)           {}
 func (g *recordingGuard) ClaimReplica(context.Context, quarantine.Trial, string) bool {
 	return true
 }
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -104,8 +104,8 @@
 	quarantined bool
 	// trial is set while the item may run although it is quarantined.
 	trial bool
-	// partTrial is set while the item may run although a part of its prompt is quarantined.
-	partTrial bool
+	// triedPart is the quarantined part of its prompt of which the item runs as a trial; zero if none.
+	triedPart quarantine.Work
 	// wait is what the item waits for, waitCause the error behind it, waitStart when it began.
 	wait      WaitReason
 	waitCause error
--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -17,8 +17,8 @@
 	// while some work is suspected.
 	Refuse(work func() quarantine.Work) error
 	// RefuseItemParts is like Refuse, for the parts of the item's prompt that others may hold too. It
-	// reports whether the item runs as the trial of a part.
-	RefuseItemParts(parts func() []quarantine.Work) (trial bool, err error)
+	// returns the part of which the item runs as a trial; zero if none.
+	RefuseItemParts(parts func() []quarantine.Work) (tried quarantine.Work, err error)
 	// ClaimForItem claims a replica for the trial of an item, which starts at once.
 	ClaimForItem(work quarantine.Work, replica string)
 	// ClaimedReplicas returns the ids of the replicas that trials have claimed; nil if there are none.
@@ -26,7 +26,7 @@
 	// RecordSuccess records a complete answer for the work.
 	RecordSuccess(work quarantine.Work)
 	// RecordPartSuccess records a complete answer for the parts of a prompt.
-	RecordPartSuccess(parts func() []quarantine.Work)
+	RecordPartSuccess(parts []quarantine.Work)
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
 	// it is known whether the replica crashed, or after a short time.
 	RecordInterruption(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
@@ -57,17 +57,17 @@
 	}
 	err := r.Quarantine.Refuse(func() quarantine.Work { return r.workIdentity(t, item) })
 	refusal := (*quarantine.RefusalError)(nil)
-	trial, partTrial := errors.As(err, &refusal) && refusal.ItemTrialDue(now), false
+	trial, tried := errors.As(err, &refusal) && refusal.ItemTrialDue(now), quarantine.Work{}
 	if trial {
 		// Only one node runs the item, so its trial takes place at one replica at a time.
 		err = nil
 	}
 	if err == nil && !trial {
-		partTrial, err = r.Quarantine.RefuseItemParts(func() []quarantine.Work { return r.sharedParts(t, item, pool) })
+		tried, err = r.Quarantine.RefuseItemParts(func() []quarantine.Work { return r.sharedParts(t, item, pool) })
 		errors.As(err, &refusal)
 	}
 	r.mu.Lock()
-	t.trial, t.partTrial = trial, partTrial
+	t.trial, t.triedPart = trial, tried
 	first := err != nil && !t.quarantined
 	t.quarantined = err != nil
 	if t.quarantined {
@@ -134,17 +134,17 @@
 	}
 	if err == nil {
 		r.Quarantine.RecordSuccess(r.workIdentity(t, item))
-		r.Quarantine.RecordPartSuccess(func() []quarantine.Work { return r.sharedParts(t, item, chosen.Pool) })
+		r.Quarantine.RecordPartSuccess(r.sharedParts(t, item, chosen.Pool))
 		return
 	}
 	if t.lastEvent > resumedAfter || !forward.LooksLikeCrash(err, 0) {
 		return
 	}
 	r.mu.Lock()
-	trial, partTrial := t.trial, t.partTrial
+	trial, tried := t.trial, t.triedPart
 	r.mu.Unlock()
 	run := quarantine.Run{
-		Work: r.workIdentity(t, item), SentAt: start, Trial: trial, Parts: r.sharedParts(t, item, chosen.Pool), PartTrial: partTrial,
+		Work: r.workIdentity(t, item), SentAt: start, Trial: trial, Parts: r.sharedParts(t, item, chosen.Pool), TriedPart: tried,
 	}
 	r.Quarantine.RecordInterruption(ctx, forward.QuarantinedReplica(chosen), run)
 }
--- a/internal/jobs/quarantine_test.go
+++ b/internal/jobs/quarantine_test.go
@@ -77,21 +77,21 @@
 	}
 }
 
-func (q *countingQuarantine) RefuseItemParts(parts func() []quarantine.Work) (bool, error) {
+func (q *countingQuarantine) RefuseItemParts(parts func() []quarantine.Work) (quarantine.Work, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, part := range parts() {
 		if part == q.refusedPart {
-			return false, &quarantine.RefusalError{Verdict: quarantine.Verdict{Work: part, Part: true, Quarantined: true}}
+			return quarantine.Work{}, &quarantine.RefusalError{Verdict: quarantine.Verdict{Work: part, Part: true, Quarantined: true}}
 		}
 	}
-	return false, nil
+	return quarantine.Work{}, nil
 }
 
-func (q *countingQuarantine) RecordPartSuccess(parts func() []quarantine.Work) {
+func (q *countingQuarantine) RecordPartSuccess(parts []quarantine.Work) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.partSuccesses = append(q.partSuccesses, parts()...)
+	q.partSuccesses = append(q.partSuccesses, parts...)
 }
 
 func (q *countingQuarantine) RecordSuccess(quarantine.Work) {
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -10,12 +10,25 @@
 // Most parts of prompts at a crash are bystanders: a replica runs many requests, each with several parts.
 // A list of parts therefore counts a crash against one cause only. Of the parts that have not
 // succeeded since, the one that was present at the most crashes is blamed for all of them, and the
-// others are judged by the crashes that remain.
+// others are judged by the crashes that remain. A part that crashed the replica of a trial comes first,
+// so that it stays quarantined while crashes of other causes are added, and a part that has ever
+// succeeded comes last: parts that all requests hold are at every crash.
 
 // partWindow is how long a crash counts against a part of prompts. The only thing that ends it earlier is a
 // success, because harmful requests may keep coming for as long.
 const partWindow = 24 * time.Hour
 
+const (
+	// provenPartFactor multiplies the crash limit of parts that have ever succeeded.
+	provenPartFactor = 2
+	// suspiciousCrashes is the number of crashes at which a part that never succeeded may be the cause
+	// of crashes that count against another one.
+	suspiciousCrashes = 2
+	// maxTrialWaitForCleanRequest is how long a trial of a part waits for a request without other suspicious
+	// parts, whose crash would say nothing.
+	maxTrialWaitForCleanRequest = 30 * time.Second
+)
+
 // culprit is a set of parts of prompts to which crashes are attributed. Several parts that were present at
 // the same crashes cannot be told apart: only requests that hold all of them are refused, and
 // requests that hold some of them show which one is harmful.
@@ -34,6 +47,9 @@
 type candidate struct {
 	part    Work
 	crashes []*crash
+	// tried is set if a trial of the part crashed its replica. It had been quarantined before, and is not
+	// judged again. proven is set if the part has ever succeeded.
+	tried, proven bool
 }
 
 // NewPartList returns a list of parts of prompts, which many requests hold. whole is the list of the whole
@@ -92,9 +108,6 @@
 	candidates := l.candidates(now)
 	for len(candidates) > 0 {
 		strongest := slices.MinFunc(candidates, compareCandidates)
-		if len(strongest.crashes) < l.Limit() {
-			break
-		}
 		if !l.isConclusive(strongest) {
 			candidates = slices.DeleteFunc(candidates, func(c *candidate) bool { return c == strongest })
 			continue
@@ -120,22 +133,74 @@
 		if len(s.crashes) < l.Limit() {
 			continue
 		}
-		candidates = append(candidates, &candidate{part: part, crashes: l.countedCrashes(part, now, l.successes.at(part))})
+		found := &candidate{part: part, crashes: l.countedCrashes(part, now, l.successes.at(part)), proven: !l.successes.at(part).IsZero()}
+		found.tried = slices.ContainsFunc(found.crashes, func(c *crash) bool { return c.works[part].trial })
+		if found.proven && !found.tried {
+			found.crashes = slices.DeleteFunc(found.crashes, func(c *crash) bool { return l.hasSuspiciousPart(c) })
+		}
+		candidates = append(candidates, found)
 	}
 	return candidates
 }
 
-// compareCandidates orders candidates by the number of their crashes, the most first, so that all nodes with
+// hasSuspiciousPart reports whether a part that never succeeded may have crashed the replica. The caller
+// holds mu.
+func (l *List) hasSuspiciousPart(c *crash) bool {
+	for part := range c.works {
+		if l.isSuspicious(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSuspicious reports whether a part may be the cause of crashes that count against others. The caller
+// holds mu.
+func (l *List) isSuspicious(part Work) bool {
+	s := l.suspects[part]
+	return s != nil && len(s.crashes) >= suspiciousCrashes && l.successes.at(part).IsZero()
+}
+
+// mayTry reports whether a request with the given parts may run as the trial that a verdict allows.
+func (l *List) mayTry(verdict *Verdict, parts []Work, now time.Time) bool {
+	if now.Sub(verdict.nextRequestTrial()) >= maxTrialWaitForCleanRequest && !verdict.LastTrial.IsZero() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !slices.ContainsFunc(parts, func(part Work) bool { return !slices.Contains(verdict.Group, part) && l.isSuspicious(part) })
+}
+
+// compareCandidates orders candidates by how likely they are the cause, the likeliest first. All nodes with
 // the same reports agree.
 func compareCandidates(a, b *candidate) int {
-	return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), bytes.Compare(a.part[:], b.part[:]))
+	return cmp.Or(compareBool(b.tried, a.tried), compareBool(a.proven, b.proven), cmp.Compare(len(b.crashes), len(a.crashes)), bytes.Compare(a.part[:], b.part[:]))
 }
 
-// isConclusive reports whether the crashes of a candidate suffice to quarantine it: enough of them
-// followed each other, and no single quarantined request was present at all of them. The
-// caller holds mu.
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// isConclusive reports whether the crashes of a candidate suffice to quarantine it: one of them was under a
+// trial, or enough of them followed each other and no single quarantined request was present at
+// all of them. The caller holds mu.
 func (l *List) isConclusive(c *candidate) bool {
-	return len(longestSequence(c.crashes, c.part)) >= l.Limit() && !l.Whole.explainsAll(c.crashes)
+	if c.tried {
+		return true
+	}
+	limit := l.Limit()
+	if c.proven {
+		limit *= provenPartFactor
+	}
+	return len(longestSequence(c.crashes, c.part)) >= limit && !l.Whole.explainsAll(c.crashes)
 }
 
 // newCulprit returns the culprit that consists of a candidate and all others with the same crashes.
@@ -158,6 +223,9 @@
 		explained[crash] = struct{}{}
 	}
 	return slices.DeleteFunc(candidates, func(other *candidate) bool {
+		if other.tried {
+			return slices.Contains(c.parts, other.part)
+		}
 		other.crashes = slices.DeleteFunc(other.crashes, func(crash *crash) bool {
 			_, found := explained[crash]
 			return found
--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -149,7 +149,7 @@
 		}
 		trials++
 		replica := Replica{ID: fmt.Sprintf("trial-%d", trials)}
-		report := replica.crashReport([]Run{{Work: work(fmt.Sprintf("trial %d", trials)), SentAt: site.now, Parts: []Work{bad}, PartTrial: true}}, site.now)
+		report := replica.crashReport([]Run{{Work: work(fmt.Sprintf("trial %d", trials)), SentAt: site.now, Parts: []Work{bad}, TriedPart: bad}}, site.now)
 		report.Runs = report.Parts
 		site.parts.Add(report, site.now)
 	}
@@ -231,3 +231,55 @@
 		})
 	}
 }
+
+// Guards against a quarantined part that is sent again by all nodes that hold requests for it, because the crash
+// of another part's trial is added and explains some of its crashes (simulation with five parts).
+func TestAttribution_TriedPartStaysQuarantined(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 4 {
+		site.crash(request, []Work{bad})
+	}
+	replica := Replica{ID: "trial"}
+	report := replica.crashReport([]Run{{Work: work("trial"), SentAt: site.now, Parts: []Work{bad}, TriedPart: bad}}, site.now)
+	report.Runs = report.Parts
+	site.parts.Add(report, site.now)
+	for request := range 8 {
+		site.crash(10+request, []Work{worse}, []Work{bad})
+	}
+	if !site.isRefused(bad) {
+		t.Error("a part whose trial crashed a replica is sent again without a success")
+	}
+}
+
+// Guards against a first part that all requests hold and that is refused because a pool was lost under several
+// harmful parts, none of which has reached the limit (simulation with five parts).
+func TestAttribution_ProvenPartIsNoCauseBesideSuspiciousOnes(t *testing.T) {
+	site := newPartSite(t)
+	site.parts.Clear(first, site.now)
+	for request := range 9 {
+		site.crash(request, []Work{first, work(fmt.Sprint("harmful ", request%3))})
+	}
+	if site.isRefused(first) {
+		t.Error("a part that succeeded before is refused though other parts may explain all crashes")
+	}
+}
+
+// Guards against trials that say nothing: a request that holds another suspicious part crashes its replica
+// though the tried part is sound.
+func TestAttribution_TrialNeedsRequestWithoutOtherSuspects(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 4 {
+		harmful := bad
+		if request%2 == 1 {
+			harmful = worse
+		}
+		site.crash(request, []Work{first, harmful})
+	}
+	verdict := site.parts.CheckParts([]Work{first}, site.now)
+	if !verdict.Quarantined {
+		t.Fatal("the part at all crashes is sent")
+	}
+	if site.parts.mayTry(&verdict, []Work{first, bad}, site.now) || !site.parts.mayTry(&verdict, []Work{first, rare}, site.now) {
+		t.Error("a request with another suspicious part runs as the trial, or one without does not")
+	}
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -105,7 +105,7 @@
 			}
 		}
 		for _, work := range harmful {
-			crashes, afterwards := f.countCrashes(work)
+			crashes, afterwards := f.countCrashes(work, fleetAllowed)
 			all, late = max(all, crashes), max(late, afterwards)
 		}
 		f.mu.Lock()
@@ -118,8 +118,9 @@
 }
 
 // countCrashes returns the number of crashes that work caused, and how many of them come from runs
-// that a connected node sent after it had to know that the work is harmful.
-func (f *fleet) countCrashes(work quarantine.Work) (all, late int) {
+// that a connected node sent after it had to know that the work is harmful, which is so after the
+// allowed number of crashes.
+func (f *fleet) countCrashes(work quarantine.Work, allowed int) (all, late int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var crashes []fleetCrash
@@ -128,11 +129,11 @@
 			crashes = append(crashes, crash)
 		}
 	}
-	if len(crashes) <= fleetAllowed {
+	if len(crashes) <= allowed {
 		return len(crashes), 0
 	}
-	deadline := crashes[fleetAllowed-1].at.Add(fleetConvergence)
-	for _, crash := range crashes[fleetAllowed:] {
+	deadline := crashes[allowed-1].at.Add(fleetConvergence)
+	for _, crash := range crashes[allowed:] {
 		if crash.sent.After(deadline) && crash.sent.Sub(crash.stableSince) > fleetConvergence && !f.table.isUnavailable() {
 			late++
 		}
--- a/internal/quarantine/fleetnode_test.go
+++ b/internal/quarantine/fleetnode_test.go
@@ -98,7 +98,7 @@
 
 // Cleared implements quarantine.Events.
 func (n *fleetNode) Cleared(previous quarantine.Verdict, at time.Time) {
-	n.publisher.PublishClearing(quarantine.Clearing{Work: previous.Work, At: at})
+	n.publisher.PublishClearing(quarantine.Clearing{Work: previous.Work, At: at, Part: previous.Part})
 }
 
 // Quarantined implements quarantine.Events. It queries the other nodes for the last success of the
@@ -114,8 +114,8 @@
 			continue
 		}
 		time.AfterFunc(fleetLatency, func() {
-			if at, ok := other.list.LastSuccess(verdict.Work); ok {
-				time.AfterFunc(fleetLatency, func() { n.list.Clear(verdict.Work, at) })
+			if clearing, ok := other.guard.AnswerQuery(verdict.Work); ok {
+				time.AfterFunc(fleetLatency, func() { n.guard.Clear(clearing) })
 			}
 		})
 	}
@@ -153,7 +153,7 @@
 		n.guard.RecordCrash(report)
 	}
 	for _, clearing := range update.Clearings {
-		n.list.Clear(clearing.Work, clearing.At)
+		n.guard.Clear(clearing)
 	}
 }
 
@@ -229,7 +229,7 @@
 
 // Request implements quarantine.TrialOwners.
 func (t fleetTrials) Request(_ context.Context, trial quarantine.Trial) bool {
-	granted, _ := t.ask(0, func(owner *fleetNode) bool { return owner.list.GrantTrial(trial, time.Now()) })
+	granted, _ := t.ask(0, func(owner *fleetNode) bool { return owner.guard.GrantTrial(trial, time.Now()) })
 	return granted
 }
 
--- a/internal/quarantine/fleetsim_test.go
+++ b/internal/quarantine/fleetsim_test.go
@@ -89,7 +89,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n := &fleetNode{fleet: f, name: name, started: time.Now(), cancel: cancel, ctx: ctx}
 	n.list.RowsPending = true
-	n.guard = quarantine.Guard{List: &n.list, Replicas: n, Events: n}
+	n.guard = quarantine.Guard{List: &n.list, Parts: quarantine.NewPartList(&n.list), Replicas: n, Events: n}
 	n.guard.Trials = fleetTrials{n}
 	n.rows = quarantine.Rows{Partition: "group/quarantine", Guard: &n.guard}
 	session := fmt.Sprintf("%s#%d", name, n.started.UnixNano())
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -52,10 +52,10 @@
 	Work Work
 	// SentAt is when the request was sent to the replica.
 	SentAt time.Time
-	// Trial is set if the run was a trial of quarantined work, PartTrial if it was one of a quarantined
-	// part.
+	// Trial is set if the run was a trial of quarantined work. TriedPart is the quarantined part of which it
+	// was a trial; zero if none.
 	Trial     bool
-	PartTrial bool
+	TriedPart Work
 	// Parts identifies the parts of the prompt that other requests may hold too.
 	Parts []Work
 	// Answered is set if the header of the answer had arrived; only the node that sent the run
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -28,27 +28,32 @@
 		// Its crash would not show that the part is harmful.
 		return nil, err
 	}
-	return g.awaitTrial(ctx, &RefusalError{Verdict: verdict}, func(now time.Time) Verdict { return g.checkParts(held, now) })
+	refusal := &RefusalError{Verdict: verdict}
+	if !g.Parts.mayTry(&verdict, held, clock.Now()) {
+		return nil, refusal
+	}
+	return g.awaitTrial(ctx, refusal, func(now time.Time) Verdict { return g.checkParts(held, now) })
 }
 
 // RefuseItemParts is like RefuseParts, for an item, which can wait. Of the nodes that hold such items only
-// the one that owns the trials of the part tries one of them; it reports whether the item is that
-// one.
-func (g *Guard) RefuseItemParts(parts func() []Work) (trial bool, err error) {
+// the one that owns the trials of the part tries one of them: tried is then the part, and zero
+// otherwise.
+func (g *Guard) RefuseItemParts(parts func() []Work) (tried Work, err error) {
 	if g.Parts == nil || !g.Parts.AnyQuarantined() {
-		return false, nil
+		return Work{}, nil
 	}
 	now := clock.Now()
-	verdict := g.checkParts(parts(), now)
+	held := parts()
+	verdict := g.checkParts(held, now)
 	if !verdict.Quarantined {
-		return false, nil
+		return Work{}, nil
 	}
-	mayTry := verdict.RequestTrialDue(now) && now.Sub(verdict.LastCrash) >= itemTrialDelay
+	mayTry := g.Parts.mayTry(&verdict, held, now) && verdict.RequestTrialDue(now) && now.Sub(verdict.LastCrash) >= itemTrialDelay
 	if mayTry && g.Trials != nil && g.Trials.Owns(verdict.Work) && g.BeginTrial(Trial{Work: verdict.Work, ID: rand.Uint64()}, now) {
 		g.Events.TrialBegun(verdict)
-		return true, nil
+		return verdict.Work, nil
 	}
-	return false, &RefusalError{Verdict: verdict}
+	return Work{}, &RefusalError{Verdict: verdict}
 }
 
 // checkParts returns the verdict on a request with the given parts.
@@ -60,14 +65,13 @@
 	return verdict
 }
 
-// RecordPartSuccess records a complete answer to a request with the given parts. It calls parts only if
-// any part is suspect or a peer has queried something that did not succeed here.
-func (g *Guard) RecordPartSuccess(parts func() []Work) {
-	if g.Parts == nil || g.Parts.Empty() && !g.hasUnanswered() {
+// RecordPartSuccess records a complete answer to a request with the given parts.
+func (g *Guard) RecordPartSuccess(parts []Work) {
+	if g.Parts == nil {
 		return
 	}
 	now := clock.Now()
-	for _, part := range parts() {
+	for _, part := range parts {
 		// Popular parts are at most crashes and succeed at all nodes: only what others need is reported.
 		previous := g.Clear(Clearing{Work: part, At: now, Part: true})
 		if g.recordResult(part) || previous.Quarantined {
@@ -76,13 +80,6 @@
 	}
 }
 
-// hasUnanswered reports whether peers queried anything that had not succeeded here.
-func (g *Guard) hasUnanswered() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.unanswered) > 0
-}
-
 // Clear records that a run of work or of a request with a part succeeded, or that an operator released
 // it. It returns the previous verdict.
 func (g *Guard) Clear(clearing Clearing) Verdict {
@@ -153,7 +150,7 @@
 			if run.SentAt.After(parts[i].SentAt) {
 				parts[i].SentAt = run.SentAt
 			}
-			parts[i].Trial = parts[i].Trial || run.PartTrial
+			parts[i].Trial = parts[i].Trial || run.TriedPart == part
 		}
 	}
 	return parts
