--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -111,6 +111,9 @@
 		if suspect.Quarantined {
 			state = fmt.Sprintf("quarantined for %.0f s", suspect.SecondsLeft)
 		}
+		if suspect.Part {
+			state += ", part of prompts"
+		}
 		content.rows = append(content.rows, []string{
 			suspect.Work, state, fmt.Sprintf("%.0f s ago", suspect.SecondsSinceEnd), strings.Join(suspect.Replicas, ","),
 		})
--- a/internal/node/gatewayparts_test.go
+++ b/internal/node/gatewayparts_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/api/client"
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
@@ -317,3 +320,74 @@
 		}
 	}
 }
+
+// Guards against a node that serves fewer of its requests while most new connections of the fleet go to it and
+// callers open more of them (RECOVER): its own share of the slots is a fifth of all.
+func TestGateway_ServesMostNewConnections(t *testing.T) {
+	site := newPartSite(t, 0)
+	gateways := site.startGateways("a", "b", "c", "d", "e")
+	const rate = 4 * time.Millisecond
+	// serve sends requests over new connections at an interval, nine of ten to the first gateway if it is
+	// crowded, and returns the share that is answered.
+	serve := func(interval time.Duration, crowded bool) float64 {
+		site.sound = nil
+		var requests sync.WaitGroup
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for number := range 500 {
+			<-ticker.C
+			gateway := gateways[number%len(gateways)]
+			if crowded && number%10 != 0 {
+				gateway = gateways[0]
+			}
+			requests.Go(func() { site.sendSound(gateway, number) })
+		}
+		requests.Wait()
+		served := 0
+		for _, request := range site.sound {
+			if request.served {
+				served++
+			}
+		}
+		return float64(served) / float64(len(site.sound))
+	}
+	before := serve(rate, false)
+	if during := serve(rate*10/14, true); before < 0.9 || during < 0.75*before {
+		t.Errorf("a share of %.2f was served while most connections went to one node, %.2f before", during, before)
+	}
+}
+
+// TestGateway_QuarantinedPartIsShownAndReleased follows the steps of an operator who sees refusals of requests of
+// which no two are alike, finds the part of their prompts and releases it at all nodes.
+func TestGateway_QuarantinedPartIsShownAndReleased(t *testing.T) {
+	site := newPartSite(t, 0, "bad")
+	gateways := site.startGateways("a", "b")
+	for _, gateway := range gateways {
+		gateway.settings.Operator.KeySHA256 = v1.HashKey("operator")
+	}
+	for number := range 20 {
+		site.send(gateways[number%len(gateways)], "bad")
+	}
+	part := quarantine.PartOf("llm", 0xbad).String()
+	operator := client.New("http://"+gateways[0].settings.Gateway.Metrics, "operator")
+	list, err := operator.Suspects(t.Context())
+	if err != nil || !slices.ContainsFunc(list.Items, func(s v1.Suspect) bool { return s.Work == part && s.Part && s.Quarantined }) {
+		t.Fatalf("suspects %+v, %v", list, err)
+	}
+	header := http.Header{"Prompt-Prefix": {"aa:40,bad:30,1:20"}}
+	status, _, answer := site.callWith(gateways[1], http.MethodPost, "/resume/part", "refused", []byte("refused"), header)
+	if status != http.StatusServiceUnavailable || answer.Get("X-Wheelhoist-Reason") != "quarantined" || answer.Get("Retry-After") == "" {
+		t.Fatalf("refused with %d, %v", status, answer)
+	}
+	if _, err := operator.Release(t.Context(), part); err != nil {
+		t.Fatal(err)
+	}
+	site.eventually("both run it again", func() bool {
+		return !gateways[0].quarantine.guard.Parts.AnyQuarantined() && !gateways[1].quarantine.guard.Parts.AnyQuarantined()
+	})
+	before := len(site.crashes())
+	site.send(gateways[1], "bad")
+	if len(site.crashes()) == before {
+		t.Error("a released part does not run")
+	}
+}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -200,7 +200,7 @@
 	now := clock.Now()
 	verdict := c.quarantine.Clear(work, now)
 	if len(verdict.Replicas) == 0 {
-		verdict = c.quarantine.guard.Clear(quarantine.Clearing{Work: work, At: now, Part: true})
+		verdict = c.releasePart(work, now)
 	}
 	if len(verdict.Replicas) == 0 {
 		return v1.Suspect{}, false
@@ -210,3 +210,19 @@
 	c.quarantine.publisher.PublishClearing(quarantine.Clearing{Work: work, At: now, Part: verdict.Part})
 	return suspectOf(verdict, now), true
 }
+
+// releasePart releases a part of prompts, and those that cannot be told apart from it: its crashes would
+// count against them instead. It returns the verdict before.
+func (c *core) releasePart(part quarantine.Work, now time.Time) quarantine.Verdict {
+	guard := &c.quarantine.guard
+	verdict := guard.Clear(quarantine.Clearing{Work: part, At: now, Part: true})
+	for _, other := range verdict.Group {
+		if other == part {
+			continue
+		}
+		clearing := quarantine.Clearing{Work: other, At: now, Part: true}
+		guard.Clear(clearing)
+		c.quarantine.publisher.PublishClearing(clearing)
+	}
+	return verdict
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -370,6 +370,7 @@
 	l.releaseClaims(work, at)
 	if l.Whole != nil {
 		l.unlinkBefore(work, at)
+		l.attribute(at)
 	}
 	l.check(work, at)
 	if s := l.suspects[work]; s != nil {
