soak: harmful parts of prompts, sound requests beside them, nodes that get most connections

Servers crash by part; callers send one harmful part, no two requests alike, to all nodes and sound ones with the same first part; for some seconds nine in ten new connections, 1.4 times as many, go to one node, during the faults and once at the end of the calm phase, where it is judged. Late requests are excused only if their node was out of touch with the others: an outage of the store excuses nothing.

The second plan draws the new faults last: series of recorded seeds are the same (TestSecondPlan_SeriesOfASeedDoNotChange, its checksum unchanged).

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -97,7 +97,7 @@
 
 // sendToAny sends one request to a random node.
 func (s *soak) sendToAny(ctx context.Context, random *rand.Rand, tenant, prefix, id string) {
-	s.sendTo(ctx, s.gateways[random.IntN(len(s.gateways))], tenant, prefix, id)
+	s.sendTo(ctx, s.nodeForConnection(random.IntN(len(s.gateways))), tenant, prefix, id)
 }
 
 func (s *soak) sendTo(ctx context.Context, node *gateway, tenant, prefix, id string) {
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -58,6 +58,12 @@
 	LimitWhenCutOff Promise = "limit-holds-when-cut"
 	// Harmful work crashes a limited number of servers.
 	HarmBounded Promise = "harmful-work-ends-few-servers"
+	// A harmful part of prompts crashes a limited number of servers.
+	PartBounded Promise = "harmful-part-ends-few-servers"
+	// Sound requests are served while others with the same first part and a harmful one come.
+	BesideHarmServed Promise = "requests-beside-harmful-part-served"
+	// A node that gets most new connections serves them.
+	CrowdServed Promise = "crowded-node-serves"
 	// Harmless work is not quarantined.
 	HarmlessServed Promise = "harmless-work-is-not-quarantined"
 	// An accepted job can be read at the end of the run.
@@ -94,7 +100,7 @@
 		DrainingUnused, EndedJobStops, WithinQuota, RefusedNotRun, RetryAfterGiven,
 		KeyNotForwarded, WithinLimit, NodeKeepsRunning, EvacuatedUnused, ColdWithinRate, OthersServe, LimitWhenCutOff, HarmBounded, HarmlessServed,
 		JobReadable, ItemListedInCalm, NoWaitBesideFreeSlots, ForeignUnused, ReadEverywhere,
-		OneVersion, StreamsGoOn,
+		OneVersion, StreamsGoOn, PartBounded, BesideHarmServed, CrowdServed,
 	}
 }
 
@@ -139,6 +145,8 @@
 	c.checkColdSends()
 	c.checkLosses()
 	c.checkHarm()
+	c.checkBesideHarmfulParts()
+	c.checkCrowds()
 	c.checkListings()
 	c.checkWaits()
 	c.checkForeignRows()
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -74,13 +75,17 @@
 func (s *soak) harmfulHandler(srv *server) http.Handler {
 	return srv.WithHarmfulWork(standin.HarmfulWork{
 		IsHarmful:  func(_ string, body []byte) bool { return strings.HasPrefix(string(body), harmPrefix) },
-		CrashDelay: crashDelay,
+		CrashDelay: crashDelay, IsHarmfulPart: isHarmfulPart,
 		Crash: func(id string, run standin.HarmfulRun) {
 			if !srv.crash(id) {
 				return
 			}
+			work := string(run.Body)
+			if part, ok := harmfulPartOf(work); ok {
+				work = part
+			}
 			record(&s.History, &s.HarmfulCrashes, HarmfulCrash{
-				ID: run.ID, Work: string(run.Body), Server: srv.name, Reached: run.Received, At: time.Now(),
+				ID: run.ID, Work: work, Server: srv.name, Reached: run.Received, At: time.Now(),
 			})
 			go srv.recover()
 		},
@@ -121,34 +126,34 @@
 	srv.writeRow()
 }
 
-// checkHarm checks that harmful work reaches few servers once all nodes have to know of it, and
-// that no other work is quarantined.
-func (c *checker) checkHarm() {
-	nodeOf := map[string]string{}
-	for _, req := range c.HarmfulRequests {
-		nodeOf[req.ID] = req.Node
-	}
+// crashesByWork returns the crashes of each harmful work or part, oldest first.
+func (c *checker) crashesByWork() map[string][]HarmfulCrash {
 	crashes := map[string][]HarmfulCrash{}
 	for _, crash := range c.HarmfulCrashes {
 		crashes[crash.Work] = append(crashes[crash.Work], crash)
 	}
-	for work, workCrashes := range crashes {
+	for _, workCrashes := range crashes {
 		sort.Slice(workCrashes, func(i, j int) bool { return workCrashes[i].At.Before(workCrashes[j].At) })
-		if len(workCrashes) <= harmThreshold {
-			continue
-		}
-		knownAt := workCrashes[harmThreshold-1].At.Add(contactBound)
-		var late []HarmfulCrash
-		for _, crash := range workCrashes[harmThreshold:] {
-			run := ServerRun{Server: crash.Server, Run: standin.Run{ID: crash.ID, At: crash.Reached}}
-			if crash.Reached.After(knownAt) && c.fromConnectedNode(nodeOf, run) {
-				late = append(late, crash)
-			}
+	}
+	return crashes
+}
+
+// checkHarm checks that harmful work, and harmful parts of prompts, reach few servers once all nodes have
+// to know of them, and that no other work is quarantined.
+func (c *checker) checkHarm() {
+	nodeOf := map[string]string{}
+	for _, req := range c.HarmfulRequests {
+		nodeOf[req.ID] = req.Node
+	}
+	for work, crashes := range c.crashesByWork() {
+		promise, threshold, excused := HarmBounded, harmThreshold, c.fromDisturbedNode
+		if isHarmfulPart(work) {
+			promise, threshold, excused = PartBounded, partThreshold, c.fromNodeOutOfTouch
 		}
-		if len(late) > maxHarmRetries {
+		if late := lateCrashes(crashes, threshold, func(crash HarmfulCrash) bool { return excused(nodeOf, crash) }); len(late) > maxHarmRetries {
 			last := late[len(late)-1]
-			c.addViolation(HarmBounded, "%s ended %d servers, %d of them later than %v after the third, the last by %s from %s",
-				work, len(workCrashes), len(late), contactBound, last.ID, nodeOf[last.ID])
+			c.addViolation(promise, "%s ended %d servers, %d of them later than %v after number %d, the last by %s from %s",
+				work, len(crashes), len(late), contactBound, threshold, last.ID, nodeOf[last.ID])
 		}
 	}
 	for _, req := range c.Requests {
@@ -157,3 +162,35 @@
 		}
 	}
 }
+
+// lateCrashes returns the crashes under requests that reached servers later than contactBound after a number
+// of crashes, without those that are excused.
+func lateCrashes(crashes []HarmfulCrash, threshold int, excused func(HarmfulCrash) bool) []HarmfulCrash {
+	if len(crashes) <= threshold {
+		return nil
+	}
+	knownAt := crashes[threshold-1].At.Add(contactBound)
+	return slices.DeleteFunc(slices.Clone(crashes[threshold:]), func(crash HarmfulCrash) bool {
+		return !crash.Reached.After(knownAt) || excused(crash)
+	})
+}
+
+// fromDisturbedNode reports whether the node that sent a harmful request, or the server, was disturbed.
+func (c *checker) fromDisturbedNode(nodeOf map[string]string, crash HarmfulCrash) bool {
+	return !c.fromConnectedNode(nodeOf, ServerRun{Server: crash.Server, Run: standin.Run{ID: crash.ID, At: crash.Reached}})
+}
+
+// fromNodeOutOfTouch reports whether the node that sent a harmful request was out of touch with the others.
+// Nodes tell each other of crashes while the store is disturbed.
+func (c *checker) fromNodeOutOfTouch(nodeOf map[string]string, crash HarmfulCrash) bool {
+	return c.outOfTouch(nodeOf[crash.ID], crash.Reached.Add(-contactBound), crash.Reached)
+}
+
+// outOfTouch reports whether a node was disturbed between two times, other than by a fault of the store that
+// affects all nodes.
+func (c *checker) outOfTouch(node string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.Disturbances, func(d Disturbance) bool {
+		applies := d.Name == node || d.Name == AllNodes && !d.Store
+		return applies && d.From.Before(to) && d.To.After(from)
+	})
+}
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -149,6 +149,10 @@
 	// caused.
 	HarmfulRequests []HarmfulRequest
 	HarmfulCrashes  []HarmfulCrash
+	// PartRequests are the sound requests whose first part harmful ones share.
+	PartRequests []PartRequest
+	// Crowds are the periods in the calm phase in which most new connections went to one node.
+	Crowds []Crowd
 	// Exits are the unexpected exits of nodes.
 	Exits []ExitError
 	// ServerOutages is unordered and its elements may overlap.
--- a/internal/lab/soak/occasions.go
+++ b/internal/lab/soak/occasions.go
@@ -26,6 +26,9 @@
 		ReadEverywhere:   c.judgedReads(),
 		OneVersion:       c.versionedStreams(),
 		StreamsGoOn:      c.judgedContinuations(),
+		PartBounded:      c.judgedParts(),
+		BesideHarmServed: c.judgedBesideHarm(),
+		CrowdServed:      c.judgedCrowds(),
 	}
 	c.countJobs(occasions)
 	c.countResults(occasions)
@@ -156,14 +159,17 @@
 }
 
 // harmfulWorks returns the number of harmful works that crashed harmThreshold servers.
-func (c *checker) harmfulWorks() int {
-	crashes := map[string]int{}
-	for _, crash := range c.HarmfulCrashes {
-		crashes[crash.Work]++
-	}
+func (c *checker) harmfulWorks() int { return c.countHarmful(false, harmThreshold) }
+
+// judgedParts returns the number of harmful parts that crashed partThreshold servers.
+func (c *checker) judgedParts() int { return c.countHarmful(true, partThreshold) }
+
+// countHarmful returns the number of harmful works, or of harmful parts, that crashed at least threshold
+// servers.
+func (c *checker) countHarmful(parts bool, threshold int) int {
 	count := 0
-	for _, number := range crashes {
-		if number >= harmThreshold {
+	for work, crashes := range c.crashesByWork() {
+		if isHarmfulPart(work) == parts && len(crashes) >= threshold {
 			count++
 		}
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -64,6 +64,8 @@
 	// UpdateServers restarts about half of the servers one after the other with the next software
 	// version, some under their former IDs.
 	UpdateServers FaultKind = "update-servers"
+	// CrowdNode makes most new connections go to one node.
+	CrowdNode FaultKind = "crowd-node"
 )
 
 // Fault is one fault of a plan.
--- a/internal/lab/soak/secondfaults.go
+++ b/internal/lab/soak/secondfaults.go
@@ -41,6 +41,8 @@
 		s.loseStoreHistory(ctx, fault)
 	case UpdateServers:
 		s.updateServers(ctx, fault)
+	case CrowdNode:
+		s.crowd(ctx, node, fault.Duration)
 	case ReloadNode:
 		node.signal(syscall.SIGHUP)
 	case RollNodes:
--- a/internal/lab/soak/secondplan.go
+++ b/internal/lab/soak/secondplan.go
@@ -57,6 +57,7 @@
 	// Drawn last, so that recorded seeds keep their series.
 	plan = mergePlans(plan, historyLosses(random, length))
 	plan = mergePlans(plan, serverUpdates(random, length))
+	plan = mergePlans(plan, crowds(random, length))
 	return slices.DeleteFunc(plan, func(fault Fault) bool { return fault.After >= length })
 }
 
@@ -93,6 +94,25 @@
 	return plan
 }
 
+const (
+	// crowdStart is the earliest time of the first CrowdNode, crowdPause the minimum time between two of
+	// them, and crowdJitter the maximum that is added to both and to minCrowd, the shortest one.
+	crowdStart  = 2 * time.Second
+	crowdPause  = 8 * time.Second
+	crowdJitter = 4 * time.Second
+	minCrowd    = 2 * time.Second
+)
+
+// crowds draws the CrowdNode faults.
+func crowds(random *rand.Rand, length time.Duration) []Fault {
+	var plan []Fault
+	jitter := func() time.Duration { return time.Duration(random.Int64N(int64(crowdJitter))) }
+	for at := crowdStart + jitter(); at < length; at += crowdPause + jitter() {
+		plan = append(plan, Fault{After: at, Kind: CrowdNode, Duration: minCrowd + jitter(), Target: random.IntN(1 << 16)})
+	}
+	return plan
+}
+
 // series draws a series of faults of one kind.
 func series(random *rand.Rand, kinds []FaultKind, at time.Duration) []Fault {
 	kind, target, step := kinds[random.IntN(len(kinds))], random.IntN(1<<16), random.IntN(2)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -120,6 +121,8 @@
 	// zoneOutage is held while a zone is evacuated or lost, until outageDeadline at the latest.
 	zoneOutage     sync.Mutex
 	outageDeadline time.Time
+	// crowded is the node that gets most new connections; nil if there is none.
+	crowded atomic.Pointer[gateway]
 }
 
 // newSoak returns a soak without nodes and servers.
@@ -242,7 +245,7 @@
 func (s *soak) execute(ctx context.Context, plan []Fault) {
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
-	for caller := range 2 * s.Nodes {
+	for caller := range s.onlineCallers() {
 		load.Go(func() { s.callOnline(loadCtx, caller) })
 	}
 	for caller := range 3 {
@@ -254,6 +257,9 @@
 	for caller := range keepAliveCallers {
 		load.Go(func() { s.callKeepAlive(loadCtx, caller) })
 	}
+	for caller := range soundPartCallers {
+		load.Go(func() { s.callSoundParts(loadCtx, caller) })
+	}
 	for caller := range streamCallers {
 		load.Go(func() { s.callStreams(loadCtx, caller) })
 	}
@@ -269,6 +275,7 @@
 	harmCtx, stopHarm := context.WithDeadline(ctx, start.Add(s.Duration))
 	defer stopHarm()
 	load.Go(func() { s.callHarmful(harmCtx) })
+	load.Go(func() { s.callHarmfulParts(harmCtx) })
 	for _, fault := range plan {
 		if !retry.Sleep(ctx, time.Until(start.Add(fault.After))) {
 			break
@@ -283,12 +290,16 @@
 	// The load continues in the calm phase, in which the bounds are stricter.
 	s.injectCalmFaults(ctx)
 	retry.Sleep(ctx, time.Until(s.CalmFrom.Add(calmLoadTime)))
+	s.Crowds = append(s.Crowds, s.crowd(ctx, s.gateways[int(s.Seed%uint64(len(s.gateways)))], calmCrowd))
 	stopLoad()
 	load.Wait()
 	s.LoadEnd = time.Now()
 	s.settle(ctx)
 }
 
+// onlineCallers returns the number of callers that send online requests.
+func (s *soak) onlineCallers() int { return 2 * s.Nodes }
+
 // injectCalmFaults evacuates a zone, makes a server of another zone cold and drains a server of the
 // third zone.
 func (s *soak) injectCalmFaults(ctx context.Context) {
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -77,7 +77,7 @@
 		t.Fatalf("plans have %d and %d faults", len(first), len(again))
 	}
 	both := mergePlans(Plan(7, time.Minute), first)
-	kinds := append(weightedKinds(secondWeights), StoreLosesHistory, UpdateServers)
+	kinds := append(weightedKinds(secondWeights), StoreLosesHistory, UpdateServers, CrowdNode)
 	both = slices.DeleteFunc(both, func(fault Fault) bool { return slices.Contains(kinds, fault.Kind) })
 	if !slices.Equal(both, Plan(7, time.Minute)) {
 		t.Fatal("the second plan changes the first")
@@ -92,8 +92,8 @@
 		sum    = "2fb99d6b5c5376e76f68d5f99c0ee326a577f79eb64ed22692a785e3abf2518b"
 	)
 	plan := SecondPlan(7, time.Minute)
-	drawnLast := func(fault Fault) bool { return fault.Kind == StoreLosesHistory || fault.Kind == UpdateServers }
-	series := slices.DeleteFunc(slices.Clone(plan), drawnLast)
+	drawnLast := []FaultKind{StoreLosesHistory, UpdateServers, CrowdNode}
+	series := slices.DeleteFunc(slices.Clone(plan), func(fault Fault) bool { return slices.Contains(drawnLast, fault.Kind) })
 	if got := fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(series)))); len(series) != faults || got != sum {
 		t.Errorf("got %d faults with checksum %s; the series of recorded seeds have changed", len(series), got)
 	}
@@ -101,8 +101,10 @@
 	for _, fault := range plan {
 		count[fault.Kind]++
 	}
-	if count[StoreLosesHistory] < 3 || count[UpdateServers] < 3 {
-		t.Errorf("%d losses of the store's history and %d updates of servers in a minute", count[StoreLosesHistory], count[UpdateServers])
+	for _, kind := range drawnLast {
+		if count[kind] < 3 {
+			t.Errorf("%d of %s in a minute", count[kind], kind)
+		}
 	}
 }
 
@@ -177,11 +179,13 @@
 		},
 		NodeZones: map[string]string{"n": "a", "m": "b"}, ServerZones: map[string]string{"s0": "a", "s1": "a", "s2": "b"},
 	}
+	addValidCrowd(history, at)
 	addValidZones(history, at)
 	addValidHarm(history, at)
 	addValidWaits(history, at)
 	addValidReads(history, at)
 	addValidStreams(history, at)
+	addValidParts(history, at)
 	return history
 }
 
@@ -220,6 +224,7 @@
 	maps.Copy(mutations, waitMutations())
 	maps.Copy(mutations, readMutations())
 	maps.Copy(mutations, streamMutations())
+	maps.Copy(mutations, partMutations())
 	return mutations
 }
 
