--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -120,21 +120,22 @@
 	return l.culprits
 }
 
-// recordChange records that the crashes of a suspect change. Those of suspects with fewer crashes than the
-// limit do not matter. The caller holds mu.
+// recordChange records that the crashes of a suspect change. Those of a suspect with a single one do not
+// matter, unless it is quarantined. The caller holds mu.
 func (l *List) recordChange(s *suspect) {
-	l.attributionStale = l.attributionStale || len(s.crashes) >= l.Limit()
+	l.attributionStale = l.attributionStale || s.quarantined || len(s.crashes) >= suspiciousCrashes
 }
 
-// candidates returns the parts with enough crashes to be quarantined. The caller holds mu.
+// candidates returns the parts with enough crashes to be quarantined, and those that were tried. The caller
+// holds mu.
 func (l *List) candidates(now time.Time) []*candidate {
 	var candidates []*candidate
 	for part, s := range l.suspects {
-		if len(s.crashes) < l.Limit() {
+		tried := s.hasTrial(part)
+		if !tried && len(s.crashes) < l.Limit() {
 			continue
 		}
-		found := &candidate{part: part, crashes: l.countedCrashes(part, now, l.successes.at(part)), proven: !l.successes.at(part).IsZero()}
-		found.tried = slices.ContainsFunc(found.crashes, func(c *crash) bool { return c.works[part].trial })
+		found := &candidate{part: part, crashes: l.countedCrashes(part, now, l.successes.at(part)), tried: tried, proven: !l.successes.at(part).IsZero()}
 		if found.proven && !found.tried {
 			found.crashes = slices.DeleteFunc(found.crashes, func(c *crash) bool { return l.hasSuspiciousPart(c) })
 		}
@@ -143,6 +144,16 @@
 	return candidates
 }
 
+// hasTrial reports whether a trial of the part crashed its replica.
+func (s *suspect) hasTrial(part Work) bool {
+	for c := range s.crashes {
+		if c.works[part].trial {
+			return true
+		}
+	}
+	return false
+}
+
 // hasSuspiciousPart reports whether a part that never succeeded may have crashed the replica. The caller
 // holds mu.
 func (l *List) hasSuspiciousPart(c *crash) bool {
@@ -163,7 +174,11 @@
 
 // mayTry reports whether a request with the given parts may run as the trial that a verdict allows.
 func (l *List) mayTry(verdict *Verdict, parts []Work, now time.Time) bool {
-	if now.Sub(verdict.nextRequestTrial()) >= maxTrialWaitForCleanRequest && !verdict.LastTrial.IsZero() {
+	dueSince := verdict.LastCrash
+	if next := verdict.nextRequestTrial(); next.After(dueSince) {
+		dueSince = next
+	}
+	if now.Sub(dueSince) >= maxTrialWaitForCleanRequest {
 		return true
 	}
 	l.mu.Lock()
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -41,8 +41,9 @@
 
 // partTrialDelays are the corresponding times for parts of prompts. The first trial follows at once, and two
 // more within the first hour. Trials are rare after that, because requests with the part keep coming
-// from many callers.
-var partTrialDelays = []time.Duration{0, 10 * time.Second, 10 * time.Minute, 24 * time.Hour}
+// from many callers. The longest delay is shorter than partWindow, so that a failed trial keeps the part
+// quarantined.
+var partTrialDelays = []time.Duration{0, 10 * time.Second, 10 * time.Minute, 12 * time.Hour}
 
 // trialDelay returns the element of delays that follows a number of failed trials.
 func trialDelay(delays []time.Duration, failed int) time.Duration {
