jobs: crashes after events count against the parts of an item's prompt

An interrupted run of an item that brought events does not count against the item, which makes progress. A harmful part of its prompt would so have crashed a replica for each event or two, unseen: the same cause elsewhere. Such runs are reported with their parts only, if the item names any.

TestRunner_CrashAfterEventsCountsAgainstParts, red before; the tests of jobs and quarantine pass.

--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -126,8 +126,8 @@
 
 // reportToQuarantine reports the result of an attempt at an item, which was sent at start and
 // resumed after event resumedAfter. An interrupted run that brought new events does not count
-// against the item: items run for long, so many of them are running when a replica crashes, and
-// those that make progress will complete.
+// against the item, only against the parts of its prompt: items run for long, so many of them are
+// running when a replica crashes, and those that make progress will complete.
 func (r *Runner) reportToQuarantine(ctx context.Context, t *task, item *Item, chosen replica.Info, start time.Time, resumedAfter int, err error) {
 	if r.Quarantine == nil {
 		return
@@ -137,14 +137,18 @@
 		r.Quarantine.RecordPartSuccess(r.sharedParts(t, item, chosen.Pool))
 		return
 	}
-	if t.lastEvent > resumedAfter || !forward.LooksLikeCrash(err, 0) {
+	if !forward.LooksLikeCrash(err, 0) {
+		return
+	}
+	madeProgress, parts := t.lastEvent > resumedAfter, r.sharedParts(t, item, chosen.Pool)
+	if madeProgress && len(parts) == 0 {
 		return
 	}
 	r.mu.Lock()
 	trial, tried := t.trial, t.triedPart
 	r.mu.Unlock()
 	run := quarantine.Run{
-		Work: r.workIdentity(t, item), SentAt: start, Trial: trial, Parts: r.sharedParts(t, item, chosen.Pool), TriedPart: tried,
+		Work: r.workIdentity(t, item), SentAt: start, Trial: trial, Parts: parts, TriedPart: tried, PartsOnly: madeProgress,
 	}
 	r.Quarantine.RecordInterruption(ctx, forward.QuarantinedReplica(chosen), run)
 }
--- a/internal/jobs/quarantine_test.go
+++ b/internal/jobs/quarantine_test.go
@@ -33,6 +33,8 @@
 	// refusedPart is a quarantined part of prompts, partSuccesses are the parts that succeeded.
 	refusedPart   quarantine.Work
 	partSuccesses []quarantine.Work
+	// partsInterrupted are the parts of runs that say nothing about the item as a whole.
+	partsInterrupted []quarantine.Work
 	// crashed makes all replicas known to have crashed.
 	crashed bool
 }
@@ -108,6 +110,10 @@
 	if q.interrupted == nil {
 		q.interrupted = map[quarantine.Work]int{}
 	}
+	if run.PartsOnly {
+		q.partsInterrupted = append(q.partsInterrupted, run.Parts...)
+		return
+	}
 	q.interrupted[run.Work]++
 }
 
@@ -325,3 +331,30 @@
 		t.Errorf("the successes %v were recorded", guard.partSuccesses)
 	}
 }
+
+// Guards against a harmful part of items that is never found because each run brings an event before its replica
+// crashes: such runs do not count against the item, which would be done in the end, but against its parts.
+func TestRunner_CrashAfterEventsCountsAgainstParts(t *testing.T) {
+	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
+	runner, _ := startRunner(t, node, &crashingBackend{eventsEach: 1})
+	guard, part := &countingQuarantine{}, quarantine.PartOf(testPool, 0xbad)
+	runner.mu.Lock()
+	runner.Quarantine, runner.DescribePrompt = guard, func(http.Header) route.Prompt {
+		return route.Prompt{Parts: []route.Part{{Key: 0xbad}, {Key: 1}}}
+	}
+	runner.mu.Unlock()
+	items := []Item{{ID: "bad", Path: "/batch/bad"}}
+	if err := node.Submit(t.Context(), &Submission{ID: "j", Route: "batch", Host: testHost, Items: items, Completion: time.Minute, Retention: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, func() bool {
+		guard.mu.Lock()
+		defer guard.mu.Unlock()
+		return len(guard.partsInterrupted) >= 4 && guard.partsInterrupted[0] == part
+	})
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	if len(guard.interrupted) > 0 {
+		t.Errorf("runs that brought events count against the item: %v", guard.interrupted)
+	}
+}
--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -300,3 +300,14 @@
 		t.Error("a request with another suspicious part runs as the trial, or one without does not")
 	}
 }
+
+// Guards against runs that say nothing about their work and that count against it.
+func TestReplica_CrashReportWithoutWork(t *testing.T) {
+	replica := Replica{ID: "r"}
+	report := replica.crashReport([]Run{
+		{Work: work("whole"), Parts: []Work{first, bad}}, {Work: work("item"), Parts: []Work{bad, rare}, PartsOnly: true},
+	}, time.Now())
+	if len(report.Runs) != 1 || report.Runs[0].Work != work("whole") || len(report.Parts) != 3 {
+		t.Errorf("runs %v, parts %v", report.Runs, report.Parts)
+	}
+}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -138,20 +139,26 @@
 // trial if any of them was.
 func partRuns(runs []Run) []Run {
 	var parts []Run
-	index := map[Work]int{}
 	for _, run := range runs {
 		for _, part := range run.Parts {
-			i, ok := index[part]
-			if !ok {
-				i = len(parts)
-				index[part] = i
-				parts = append(parts, Run{Work: part, SentAt: run.SentAt})
-			}
-			if run.SentAt.After(parts[i].SentAt) {
-				parts[i].SentAt = run.SentAt
-			}
-			parts[i].Trial = parts[i].Trial || run.TriedPart == part
+			parts = append(parts, Run{Work: part, SentAt: run.SentAt, Trial: run.TriedPart == part})
 		}
 	}
-	return parts
+	return mergeParts(nil, parts)
+}
+
+// mergeParts adds runs of parts to others, so that there is one for each part.
+func mergeParts(merged, added []Run) []Run {
+	for _, run := range added {
+		i := slices.IndexFunc(merged, func(known Run) bool { return known.Work == run.Work })
+		if i < 0 {
+			merged = append(merged, run)
+			continue
+		}
+		if run.SentAt.After(merged[i].SentAt) {
+			merged[i].SentAt = run.SentAt
+		}
+		merged[i].Trial = merged[i].Trial || run.Trial
+	}
+	return merged
 }
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -92,7 +92,7 @@
 	for i := range p.unsent.Reports {
 		if queued := &p.unsent.Reports[i]; queued.Replica == report.Replica && queued.StartedUnixMs == report.StartedUnixMs {
 			queued.Runs = append(queued.Runs, report.Runs...)
-			queued.Parts = partRuns(queued.Runs)
+			queued.Parts = mergeParts(queued.Parts, report.Parts)
 			return
 		}
 	}
