--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -163,7 +163,7 @@
 // Empty reports whether no work is suspect.
 func (l *List) Empty() bool { return l.suspectCount.Load() == 0 }
 
-// Add records a report and returns the verdicts on newly quarantined work. Duplicate reports have
+// Add records the Runs of a report and returns the verdicts on newly quarantined work. Duplicate reports have
 // no effect.
 func (l *List) Add(report CrashReport, now time.Time) []Verdict {
 	l.mu.Lock()
--- a/internal/quarantine/work.go
+++ b/internal/quarantine/work.go
@@ -8,6 +8,9 @@
 // work that ran there, and successful runs to each other, in messages and in rows of the table.
 // Work is quarantined once enough crashes count against it. A success clears the crashes before it,
 // and work with a remembered success is called proven.
+//
+// What crashes a replica may also be a part that the prompts of different requests share. A second
+// List, made by NewPartList, holds these parts. It differs in how crashes are attributed to them.
 package quarantine
 
 import (
@@ -26,8 +29,8 @@
 // a request that collides with the work of another one and have it quarantined.
 const workBytes = 16
 
-// Work identifies a request or item by a hash of its content, independent of its id. The content
-// cannot be recovered from it, so it may be logged.
+// Work identifies a request or item by a hash of its content, independent of its id, or a part that
+// prompts share (see PartOf). The content cannot be recovered from it, so it may be logged.
 type Work [workBytes]byte
 
 // Content holds the parts of a request that are hashed into its Work.
