quarantine: a node that starts in an outage learns of quarantined parts

From the logs: nodes 0, 3, 6 and 8 start at 51.3 s while the store turns part of the calls away, so without the rows; they send the part that the others have quarantined for 9 s, and, knowing no successes either, blame the first part of all prompts. The others got their reports and told them nothing.

Now a node that hears of a crash under a part that it had quarantined for over a second, other than of a trial, sends the reporter the newest eight crashes.

--- a/internal/node/gatewayparts_test.go
+++ b/internal/node/gatewayparts_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/wheelhoist/wheelhoist/api/client"
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
@@ -391,3 +393,28 @@
 		t.Error("a released part does not run")
 	}
 }
+
+// Guards against a node that starts while the store does not answer and sends requests with a part that the others
+// have quarantined (soak seeds 30003 and 30006): it has not read the crashes, and the others did not tell it.
+func TestGateway_NodeStartedInOutageLearnsOfQuarantinedPart(t *testing.T) {
+	site := newPartSite(t, 0, "bad")
+	gateways := site.startGateways("a", "b", "c")
+	site.run(gateways, 2*time.Second)
+	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
+	gateways[2].Kill()
+	started, err := StartGateway(t.Context(), gateways[2].settings, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(started.Kill)
+	site.eventually("the started node is ready", started.Ready)
+	before := len(site.crashes())
+	for range 20 {
+		site.send(started, "bad")
+		time.Sleep(50 * time.Millisecond)
+	}
+	// The node learns from the answers to its first report; a request makes two attempts at most.
+	if crashed := len(site.crashes()) - before; crashed > maxLateRequests {
+		t.Errorf("%d servers crashed under 20 requests at a node that had just started", crashed)
+	}
+}
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -154,6 +155,26 @@
 	})
 }
 
+// informReporter tells a node that reports a crash under a quarantined part, other than of a trial, what is
+// known of the part. A node that started while the table did not answer has not read it there.
+func (g *Gateway) informReporter(source *net.UDPAddr, entry *crashEntry, now time.Time) {
+	for _, part := range entry.Parts {
+		if slices.Contains(entry.PartTrials, part) {
+			continue
+		}
+		var message quarantineMessage
+		for _, report := range g.quarantine.guard.Parts.ReportsOf(part, ago(now, entry.AgeMs), maxMessageCrashes) {
+			message.Crashes = append(message.Crashes, g.newCrashEntry(report, now))
+		}
+		if len(message.Crashes) == 0 {
+			continue
+		}
+		if err := g.peers.Send(source, peer.KindCrashReport, message); err != nil {
+			g.sampled.Warn().Err(err).Msg("crashes under a part of prompts not sent to a node that seems not to know them")
+		}
+	}
+}
+
 // spread sends a message to all other nodes, over the relays if there are any.
 func (g *Gateway) spread(message quarantineMessage) {
 	g.sendToFollowers(message)
@@ -228,8 +249,12 @@
 		return
 	}
 	now := clock.Now()
+	direct := message.Forward || len(g.relays.nodes()) == 0
 	for i := range message.Crashes {
 		g.handleCrash(&message.Crashes[i], now)
+		if direct {
+			g.informReporter(source, &message.Crashes[i], now)
+		}
 	}
 	for _, entry := range message.Clearings {
 		g.handleClearing(entry.clearing(now), message.Forward)
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -99,6 +99,27 @@
 	return verdict
 }
 
+// ReportsOf returns the newest crashes that count against a quarantined part, up to limit of them, for a node
+// that reports a crash under it at the given time and seems not to know them. It returns none if the part
+// was quarantined so shortly before that the node could not know.
+func (l *List) ReportsOf(part Work, at time.Time, limit int) []CrashReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	verdict := l.evaluatePart(part, at)
+	if !verdict.Quarantined || len(verdict.CrashTimes) < l.Limit() || at.Sub(verdict.CrashTimes[l.Limit()-1]) < reportDelay {
+		return nil
+	}
+	crashes := l.countedCrashes(part, at, l.successes.at(part))
+	var reports []CrashReport
+	for _, c := range crashes[max(0, len(crashes)-limit):] {
+		run := c.works[part]
+		reports = append(reports, CrashReport{
+			Replica: c.replica, StartedUnixMs: c.startedUnixMs, At: c.at, Parts: []Run{{Work: part, SentAt: run.sentAt, Trial: run.trial}},
+		})
+	}
+	return reports
+}
+
 // attribute returns the culprits of the crashes in the list. The caller holds mu.
 func (l *List) attribute(now time.Time) []*culprit {
 	if !l.attributionStale {
