--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -137,3 +137,13 @@
 	t.Parallel()
 	runSeed(t, Options{Seed: 9550, Nodes: 20, Regions: 1, Duration: 20 * time.Second})
 }
+
+// Guards against nodes that start while the store turns part of the calls away, know neither the crashes under a
+// harmful part nor other nodes, and send requests with the part until they have counted enough crashes.
+func TestRun_SeedsOfHarmfulParts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	t.Parallel()
+	runSeed(t, Options{Seed: 30003, Nodes: 9, Regions: 2, Servers: 16, Slots: 4, Duration: 20 * time.Second}, PartBounded, BesideHarmServed)
+}
