--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -34,8 +34,13 @@
 	replica := Replica{ID: fmt.Sprintf("replica-%d", s.count)}
 	report := replica.crashReport(runs, s.now)
 	s.whole.Add(report, s.now)
+	addParts(s.parts, report, s.now)
+}
+
+// addParts records a report in a list of parts, as a Guard does: there the parts take the place of the runs.
+func addParts(list *List, report CrashReport, now time.Time) {
 	report.Runs = report.Parts
-	s.parts.Add(report, s.now)
+	list.Add(report, now)
 }
 
 // isRefused reports whether a request with the given parts is refused.
@@ -124,8 +129,7 @@
 	for i := range 30 {
 		replica := Replica{ID: fmt.Sprintf("replica-%d", i)}
 		report := replica.crashReport([]Run{{Work: work(fmt.Sprint(i)), SentAt: sentAt, Parts: []Work{first}}}, sentAt.Add(time.Second))
-		report.Runs = report.Parts
-		site.parts.Add(report, sentAt.Add(time.Second))
+		addParts(site.parts, report, sentAt.Add(time.Second))
 	}
 	if site.isRefused(first) {
 		t.Error("a part is refused after crashes under requests that were sent before the first of them")
@@ -155,8 +159,7 @@
 		trials[elapsed/(24*time.Hour)]++
 		replica := Replica{ID: fmt.Sprintf("trial-%d", number)}
 		report := replica.crashReport([]Run{{Work: work(fmt.Sprintf("trial %d", number)), SentAt: site.now, Parts: []Work{bad}, TriedPart: bad}}, site.now)
-		report.Runs = report.Parts
-		site.parts.Add(report, site.now)
+		addParts(site.parts, report, site.now)
 	}
 	// The first trial of the first day is the fifth crash.
 	if trials[0] > 4 || slices.Max(trials[1:]) > 4 || slices.Min(trials[:]) < 1 {
@@ -189,8 +192,7 @@
 				now = now.Add(100 * time.Millisecond)
 				replica := Replica{ID: fmt.Sprint(i)}
 				report := replica.crashReport([]Run{{Work: work(fmt.Sprint(i)), SentAt: now, Parts: []Work{bad}}}, now)
-				report.Runs = report.Parts
-				guard.Parts.Add(report, now)
+				addParts(guard.Parts, report, now)
 			}
 			parts := func() []Work { return []Work{PartOf("pool", 1), PartOf("pool", 2), PartOf("pool", 3)} }
 			for b.Loop() {
@@ -230,8 +232,7 @@
 				}
 				replica := Replica{ID: fmt.Sprint(number)}
 				report := replica.crashReport(runs, now)
-				report.Runs = report.Parts
-				parts.Add(report, now)
+				addParts(parts, report, now)
 				parts.Clear(first, now)
 				for i := range 12 {
 					parts.Clear(work(fmt.Sprint("tool ", (number+i)%200)), now)
@@ -258,8 +259,7 @@
 	}
 	replica := Replica{ID: "trial"}
 	report := replica.crashReport([]Run{{Work: work("trial"), SentAt: site.now, Parts: []Work{bad}, TriedPart: bad}}, site.now)
-	report.Runs = report.Parts
-	site.parts.Add(report, site.now)
+	addParts(site.parts, report, site.now)
 	for request := range 8 {
 		site.crash(10+request, []Work{worse}, []Work{bad})
 	}
