forward, jobs: an answer counts as of the listed start only over a connection older than the list

Cause: a replica that restarts under its id with other software answers before the list shows it.

A connection ends with the process of its replica. So the backend reports when the connection of an answer was opened, and in a pool of several versions an answer over one newer than the list is confirmed by a newer list: before it continues a text, and after it broke off, before anyone continues that. New streams do not wait. While an attempt waits nothing is read, so the watchdog does not count that as silence; nor the time of a blocked write any more.

Ruled out: a row read for each such answer (a call at the store for what the list shows 0.6 s later); recording such streams as ambiguous at once (they could not be taken up although nearly all are fine).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -60,7 +60,8 @@
 			return outcome.AsUnknown(fmt.Errorf("%w: event %d follows event %d", ErrBroken, event.ID, c.lastEventID))
 		}
 		if !checked {
-			if err := c.requireSoftware(use, now); err != nil {
+			// This may wait, and nothing is read meanwhile, as during a write.
+			if err := watchdog.duringWrite(func() error { return c.requireSoftware(use) }); err != nil {
 				return err
 			}
 			checked = true
@@ -204,7 +205,7 @@
 // check cancels the attempt, or rearms the timer for the time at which a limit may be reached.
 func (w *silenceWatchdog) check(cancel context.CancelCauseFunc) {
 	now, limit := clock.Now(), time.Duration(w.limit.Load())
-	left := limit - w.use.Silence(now)
+	left := limit - min(w.use.Silence(now), w.sinceLastWrite(now))
 	if left <= 0 {
 		cancel(ErrSilent)
 		return
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -136,6 +136,8 @@
 	Load *replica.Load
 	// ColdLeft is how long the replica expects to remain cold; 0 if not reported.
 	ColdLeft time.Duration
+	// ConnectedAt is when the connection that carries the answer was opened; zero if unknown.
+	ConnectedAt time.Time
 	// Body must be closed. Closing it before its end aborts the answer.
 	Body io.ReadCloser
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -311,7 +311,7 @@
 	c.dropReservation()
 	if c.result.Events > eventsBefore {
 		c.criteria.Version = chosen.Version
-		c.checkSoftware(use)
+		c.checkSoftware(use, err)
 	}
 	use.End(c.healthResult(ctx, use, err), clock.Now())
 	if err == nil {
@@ -389,6 +389,7 @@
 	}
 	c.status = answer.Status
 	received.record()
+	use.Connected(answer.ConnectedAt)
 	answer.Body = &observedBody{ReadCloser: answer.Body, progress: received}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.ColdLeft > 0 {
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
@@ -47,14 +48,15 @@
 // requireSoftware is called before the first event of an attempt is relayed. If the event begins the
 // stream, the software version of its replica becomes the only one allowed. Otherwise an error means
 // that the event must not be relayed.
-func (c *call) requireSoftware(use *replica.Use, now time.Time) error {
-	version, certain := use.SoftwareVersion(now)
+func (c *call) requireSoftware(use *replica.Use) error {
+	confirmed := c.criteria.SoftwareVersion == nil || use.ConfirmSoftware()
+	version, certain := use.SoftwareVersion(clock.Now())
 	switch {
 	case c.criteria.SoftwareVersion == nil:
 		c.criteria.SoftwareVersion, c.softwareUncertain = &version, !certain
 		c.recordOrigin()
 		return nil
-	case !certain || version != *c.criteria.SoftwareVersion:
+	case !confirmed || !certain || version != *c.criteria.SoftwareVersion:
 		return outcome.AsUnknown(ErrOtherSoftware)
 	case c.result.Events == 0:
 		c.recordOrigin()
@@ -64,10 +66,15 @@
 	}
 }
 
-// checkSoftware is called once an attempt that relayed events has ended. The replica may have been
-// found to have restarted with another software version meanwhile.
-func (c *call) checkSoftware(use *replica.Use) {
-	if c.softwareUncertain || use.AnsweredBy(c.requiredSoftware()) {
+// checkSoftware is called once an attempt that relayed events has ended, with its error. The replica may
+// have been found to have restarted with another software version meanwhile. A stream that broke off may
+// be continued, so it has to be known which start of its replica sent the events.
+func (c *call) checkSoftware(use *replica.Use, err error) {
+	if c.softwareUncertain {
+		return
+	}
+	confirmed := err == nil || c.route.Kind != route.Stream || use.ConfirmSoftware()
+	if confirmed && use.AnsweredBy(c.requiredSoftware()) {
 		return
 	}
 	c.softwareUncertain = true
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -100,3 +100,34 @@
 
 // Close implements io.Closer.
 func (*callbackBody) Close() error { return nil }
+
+// Guards against a stream that goes on at a replica which has restarted under its ID with other software,
+// or began at one, before the list shows it.
+func TestDo_StreamIsNotMixedByARestartThatIsListedLater(t *testing.T) {
+	for _, restarted := range []int{1, 2} {
+		var forwarder *Forwarder
+		started := time.Now()
+		backend := &scriptedBackend{answer: func(_ context.Context, attempt *Attempt, number int) (*Answer, error) {
+			answer := streamAnswer(events(attempt.LastEventID+1, 6))
+			if number == 1 {
+				answer = streamAnswer(events(1, 3) + "id")
+				answer.Body = &callbackBody{text: events(1, 3) + "id", atEnd: func() {}}
+			}
+			answer.ConnectedAt = time.Now()
+			if number == restarted {
+				time.AfterFunc(100*time.Millisecond, func() {
+					forwarder.Replicas.Put(replica.Info{ID: attempt.Replica.ID, Pool: testPool, Address: attempt.Replica.Address, Slots: 4, StartedUnixMs: 2, SoftwareVersion: "v2"})
+				})
+			}
+			time.AfterFunc(500*time.Millisecond, func() { forwarder.Replicas.SetListTime(time.Now(), time.Now()) })
+			return answer, nil
+		}}
+		forwarder = newVersionedForwarder(backend, map[string]string{"a": "v1", "b": "v1", "c": "v1", "d": "v2"})
+		forwarder.Replicas.Remove("d", time.Now())
+		forwarder.Replicas.SetListTime(started, started)
+		sink, _, err := do(t, forwarder, routeOf(route.Stream, true, 2))
+		if sink.body.String() != events(1, 3) || err == nil {
+			t.Errorf("attempt %d at a restarted replica: caller got %q after %d attempts, %v", restarted, sink.body.String(), len(backend.sent), err)
+		}
+	}
+}
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -124,7 +124,7 @@
 	defer stop()
 	resumedAfter := t.lastEvent
 	err := r.send(ctx, t, item, chosen, use)
-	if softwareErr := r.confirmSoftware(t, use, resumedAfter); err == nil {
+	if softwareErr := r.confirmSoftware(t, use, resumedAfter, err); err == nil {
 		err = softwareErr
 	}
 	reported := errors.Is(err, errItemInvalid) || errors.Is(err, errItemFailed)
@@ -161,6 +161,7 @@
 	if answer.ColdLeft > 0 {
 		use.ReportCold(answer.ColdLeft, clock.Now())
 	}
+	use.Connected(answer.ConnectedAt)
 	if answer.Load != nil {
 		use.RecordLoad(*answer.Load, clock.Now())
 	}
--- a/internal/jobs/software.go
+++ b/internal/jobs/software.go
@@ -56,6 +56,7 @@
 // requireSoftware is called before the first event of an attempt is appended to the text. An error means
 // that the event may be of another software version than the text.
 func (r *Runner) requireSoftware(t *task, use *replica.Use) error {
+	confirmed := t.lastEvent == 0 || use.ConfirmSoftware()
 	version, certain := use.SoftwareVersion(clock.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -63,20 +64,26 @@
 	case t.lastEvent == 0:
 		t.software, t.softwareUncertain = version, !certain
 		return nil
-	case !certain || version != t.software:
+	case !confirmed || !certain || version != t.software:
 		return outcome.AsUnknown(forward.ErrOtherSoftware)
 	default:
 		return nil
 	}
 }
 
-// confirmSoftware is called at the end of an attempt that asked for the events after event resumedAfter.
-// The replica may have been found to have restarted with another software version meanwhile. An error
-// means that the attempt continued a text and may have been answered by another version.
-func (r *Runner) confirmSoftware(t *task, use *replica.Use, resumedAfter int) error {
+// confirmSoftware is called at the end of an attempt that asked for the events after event resumedAfter,
+// with its error. The replica may have been found to have restarted with another software version
+// meanwhile. An error means that the attempt continued a text and may have been answered by another
+// version.
+func (r *Runner) confirmSoftware(t *task, use *replica.Use, resumedAfter int, err error) error {
+	if t.lastEvent == resumedAfter {
+		return nil
+	}
+	// A text that is not complete is continued.
+	confirmed := err == nil || use.ConfirmSoftware()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.lastEvent == resumedAfter || use.AnsweredBy(t.software) {
+	if confirmed && use.AnsweredBy(t.software) {
 		return nil
 	}
 	t.softwareUncertain = true
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -12,6 +12,18 @@
 // as its request.
 const maxSoftwareListAge = 3 * time.Second
 
+const (
+	// maxRowDelay is how long after a restarted replica accepts connections its row may show the restart.
+	maxRowDelay = 250 * time.Millisecond
+	// maxConfirmation bounds the wait for a list that shows which start answered, and
+	// confirmationInterval is the time between two looks at it.
+	maxConfirmation      = 2 * time.Second
+	confirmationInterval = 20 * time.Millisecond
+	// mixedSoftwarePeriod is how long after its last replica has left a software version counts as one
+	// that a pool runs.
+	mixedSoftwarePeriod = time.Minute
+)
+
 // allowsSoftware reports whether the criteria allow the software version of a replica.
 func (c *Criteria) allowsSoftware(info *Info) bool {
 	return c.SoftwareVersion == nil || *c.SoftwareVersion == info.SoftwareVersion
@@ -35,6 +47,48 @@
 	return info.SoftwareVersion, !mayHaveRestarted && !u.softwareUncertain && !u.entry.sentToSuccessor(u, now)
 }
 
+// Connected records when the connection that carries the answer was opened. A connection ends with the
+// process of its replica, so it tells which start answers.
+func (u *Use) Connected(at time.Time) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	u.connectedAt = at
+}
+
+// ConfirmSoftware waits until the list is new enough to show the start of the replica that answers the
+// request, maxConfirmation at most. It returns false if the list is still too old then, or known to be
+// old. It must be called before End; the answer may have ended.
+func (u *Use) ConfirmSoftware() bool {
+	deadline := clock.Now().Add(maxConfirmation)
+	for {
+		now := clock.Now()
+		listed, outdated := u.startListed(now)
+		if listed || outdated || now.After(deadline) {
+			return listed
+		}
+		time.Sleep(confirmationInterval)
+	}
+}
+
+// startListed reports whether the list shows the start of the replica that answers the request. It need
+// not if the replica does not restart under its ID, or if its pool runs a single software version.
+// outdated is set if the list has not been received for so long that it may not be soon.
+func (u *Use) startListed(now time.Time) (listed, outdated bool) {
+	u.set.mu.Lock()
+	defer u.set.mu.Unlock()
+	info := &u.entry.info
+	if info.StartedUnixMs == 0 || u.connectedAt.IsZero() || u.set.listTime.IsZero() {
+		return true, false
+	}
+	if !u.connectedAt.Add(maxRowDelay).After(u.set.listTime) {
+		return true, false
+	}
+	if !u.set.ranOtherSoftware(info.Pool, info.SoftwareVersion, now.Add(-mixedSoftwarePeriod)) {
+		return true, false
+	}
+	return false, u.set.softwareListStale(now)
+}
+
 // AnsweredBy reports whether the answer, whose first event was of a software version, is still known to
 // be of that version. It is not if the replica was found to have restarted with another one since.
 func (u *Use) AnsweredBy(version string) bool {
--- a/internal/replica/software_test.go
+++ b/internal/replica/software_test.go
@@ -141,3 +141,59 @@
 		t.Fatal("software versions distinguish starts if both are known, and only then")
 	}
 }
+
+// Guards against an answer that counts as of the listed start of its replica although it came over a
+// connection newer than the list, so that a start with other software may have sent it.
+func TestUse_ConfirmSoftware(t *testing.T) {
+	const opened = 10 * time.Second
+	for _, test := range []struct {
+		name          string
+		startedUnixMs int64
+		other         string
+		listed        time.Duration
+		confirmed     bool
+	}{
+		{"connection older than the list", 1, "v2", opened + maxRowDelay, true},
+		{"list not newer than the connection", 1, "v2", opened + maxRowDelay - time.Millisecond, false},
+		{"the pool runs one version", 1, "v1", opened, true},
+		{"IDs are not used again", 0, "v2", opened, true},
+	} {
+		set, start := NewSet(), time.Now().Add(-time.Minute)
+		info := Info{ID: "r", Pool: "p", Address: "x", Slots: 2, StartedUnixMs: test.startedUnixMs, SoftwareVersion: "v1"}
+		set.put(info, start)
+		set.put(Info{ID: "s", Pool: "p", Address: "y", Slots: 2, StartedUnixMs: 1, SoftwareVersion: test.other}, start)
+		set.SetListTime(start.Add(test.listed), start.Add(test.listed))
+		use := set.BeginAt(info, RequestInfo{}, start.Add(opened))
+		use.Connected(start.Add(opened))
+		if confirmed := use.ConfirmSoftware(); confirmed != test.confirmed {
+			t.Errorf("%s: confirmed %v", test.name, confirmed)
+		}
+	}
+}
+
+// Guards against a wait for a newer list that goes on after the list was received, and against one for a
+// list that does not come.
+func TestUse_ConfirmSoftwareWaitsForTheList(t *testing.T) {
+	set, now := NewSet(), time.Now()
+	info := Info{ID: "r", Pool: "p", Address: "x", Slots: 2, StartedUnixMs: 1, SoftwareVersion: "v1"}
+	set.put(info, now)
+	set.put(Info{ID: "s", Pool: "p", Address: "y", Slots: 2, StartedUnixMs: 1, SoftwareVersion: "v2"}, now)
+	set.SetListTime(now, now)
+	use := set.BeginAt(info, RequestInfo{}, now)
+	use.Connected(now)
+	time.AfterFunc(200*time.Millisecond, func() { set.SetListTime(now.Add(maxRowDelay), time.Now()) })
+	if !use.ConfirmSoftware() || time.Since(now) < 200*time.Millisecond {
+		t.Errorf("not confirmed by a newer list after %v", time.Since(now))
+	}
+	use.Connected(now.Add(time.Minute))
+	began := time.Now()
+	if use.ConfirmSoftware() || time.Since(began) > maxConfirmation+time.Second {
+		t.Errorf("confirmed without a newer list, or waited for %v", time.Since(began))
+	}
+	began = time.Now()
+	set.SetListTime(now, began)
+	set.listTime = began.Add(-time.Minute)
+	if use.ConfirmSoftware() || time.Since(began) > maxConfirmation/2 {
+		t.Errorf("waited %v for a list that is old", time.Since(began))
+	}
+}
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -63,6 +63,8 @@
 	// softwareUncertain is set once a restart with another software version is known, and the request
 	// may have been sent to either start.
 	softwareUncertain bool
+	// connectedAt is when the connection that carries the answer was opened; zero if unknown.
+	connectedAt time.Time
 }
 
 // Begin is like BeginAt, for whichever start of the replica is current.
