node: a node that starts learns the crashes that other nodes know

Cause: crashes under harmful work and parts are known from messages, which a node that was not running missed, and from rows, which those that saw the crashes may not have been able to write, or the starting node not to read.

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -17,7 +17,7 @@
 )
 
 // A node that starts while the store does not respond fetches the state of another node:
-// configuration, evacuations, replicas and members. It uses that state until its own first read of
+// configuration, evacuations, replicas, members and crashes. It uses that state until its own first read of
 // the store replaces it. It picks a node among those that send it datagrams, which know its address
 // from the member row of its previous run; a machine that no node knows waits for the store. Jobs
 // are not part of the state: they must not change while the store is unavailable.
@@ -45,6 +45,8 @@
 	Config   feedState `cbor:"1,keyasint"`
 	Replicas feedState `cbor:"2,keyasint"`
 	Members  feedState `cbor:"3,keyasint"`
+	// Crashes is empty from nodes of earlier versions.
+	Crashes knownCrashes `cbor:"4,keyasint"`
 }
 
 // feedState holds the rows of one feed.
@@ -97,6 +99,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathBootstrap, g.serveBootstrap)
+	mux.HandleFunc("GET "+pathCrashes, g.serveCrashes)
 	mux.HandleFunc("GET "+pathReplicaList, g.serveReplicaList)
 	mux.HandleFunc("GET "+pathFeed, g.relays.serve)
 	g.bootstrapServer = &http.Server{Handler: mux, ReadHeaderTimeout: bootstrapTimeout, IdleTimeout: bootstrapTimeout}
@@ -127,6 +130,7 @@
 	state := bootstrapState{
 		Config: newFeedState(g.configWatch.Snapshot()), Replicas: newFeedState(g.replicaWatch.Snapshot()),
 		Members: newFeedState(table.Changes{Changes: g.roster.MemberRows()}, g.jobWatch.Age()),
+		Crashes: g.knownCrashes(),
 	}
 	body, err := cbor.Marshal(state)
 	if err != nil {
@@ -139,7 +143,8 @@
 	_, _ = w.Write(body)
 }
 
-// runBootstrap requests the state of other nodes until this one is populated.
+// runBootstrap requests the state of other nodes until this one is populated, and then the crashes that
+// other nodes know.
 func (g *Gateway) runBootstrap(ctx context.Context) {
 	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	after := time.Duration(g.settings.Gateway.BootstrapAfter)
@@ -156,6 +161,7 @@
 		}
 		g.seed(state, from)
 	}
+	g.fetchCrashes(ctx, client)
 }
 
 // sinceStoreResponse returns the time since the store last responded to this node.
@@ -167,6 +173,7 @@
 // divided among them; evacuations and routes come last, because requests are sent once there are
 // routes.
 func (g *Gateway) seed(state *bootstrapState, from netip.AddrPort) {
+	g.learnCrashes(&state.Crashes)
 	members := g.jobWatch.Seed(state.Members.changes(), state.Members.age(), g.roster.Apply)
 	replicas := g.replicaWatch.Seed(state.Replicas.changes(), state.Replicas.age(), g.applyReplicas)
 	if now := clock.Now(); replicas {
--- /dev/null
+++ b/internal/node/gatewaycrashes_test.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/platform/standin"
+)
+
+// checkRefused checks that a part which other nodes have quarantined crashes no server at a node that has
+// just started.
+func (s *partSite) checkRefused(started *Gateway, part string) {
+	s.t.Helper()
+	before := len(s.crashes())
+	for range 20 {
+		s.send(started, part)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if crashed := len(s.crashes()) - before; crashed > 0 {
+		s.t.Errorf("%d servers crashed under 20 requests at a node that had just started", crashed)
+	}
+}
+
+// Guards against a node that starts with the state of another one, as the store does not answer, and sends
+// what that one refuses.
+func TestGateway_StateOfAnotherNodeIncludesCrashes(t *testing.T) {
+	site := newPartSite(t, 0, "bad")
+	gateways := site.startGateways("a", "b", "c")
+	site.run(gateways, 2*time.Second)
+	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
+	gateways[2].Kill()
+	started, err := StartGateway(t.Context(), gateways[2].settings, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(started.Kill)
+	site.eventually("the started node is ready", started.Ready)
+	site.checkRefused(started, "bad")
+}
+
+// Guards against a node that starts with rows that lack the crashes, because the nodes that saw them could
+// not write them.
+func TestGateway_StartedNodeAsksForCrashesThatTheTableLacks(t *testing.T) {
+	site := newPartSite(t, 0, "bad")
+	gateways := site.startGateways("a", "b", "c")
+	site.store.SetFault(func(path string) standin.Fault {
+		if path == "/v1/rows-tx" {
+			return standin.Unavailable
+		}
+		return standin.NoFault
+	})
+	site.run(gateways, 2*time.Second)
+	started := site.launch("d", nil)
+	site.eventually("the started node knows a quarantined part", started.quarantine.guard.Parts.AnyQuarantined)
+	site.checkRefused(started, "bad")
+}
