node: a starting node asks for crashes as soon as it hears of another node

Now it asks the first three nodes whose datagrams come, which is 0.1 s after its start, or whose rows it reads; nodes that are not populated themselves decline.

Ruled out: holding requests until the rows are known (a node whose table does not answer would serve nobody).

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -143,8 +143,7 @@
 	_, _ = w.Write(body)
 }
 
-// runBootstrap requests the state of other nodes until this one is populated, and then the crashes that
-// other nodes know.
+// runBootstrap requests the state of other nodes until this one is populated.
 func (g *Gateway) runBootstrap(ctx context.Context) {
 	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	after := time.Duration(g.settings.Gateway.BootstrapAfter)
@@ -161,7 +160,6 @@
 		}
 		g.seed(state, from)
 	}
-	g.fetchCrashes(ctx, client)
 }
 
 // sinceStoreResponse returns the time since the store last responded to this node.
--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -4,11 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 // A node that starts has not seen the crashes of the past. It reads them in the table, unless the table
@@ -22,6 +23,10 @@
 	// crashSources is the number of nodes that a node which starts asks for crashes. Some may have started
 	// at the same time.
 	crashSources = 3
+	// crashRequestInterval is the time between two requests, crashRequestPeriod the time after its start for
+	// which a node requests crashes.
+	crashRequestInterval = 20 * time.Millisecond
+	crashRequestPeriod   = 10 * time.Second
 	// pathCrashes is the HTTP path under which nodes serve the crashes that they know.
 	pathCrashes = "/v1/crashes"
 )
@@ -60,6 +65,10 @@
 
 // serveCrashes sends the crashes that this node knows to a node that starts.
 func (g *Gateway) serveCrashes(w http.ResponseWriter, _ *http.Request) {
+	if !g.populated() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	body, err := cbor.Marshal(g.knownCrashes())
 	if err != nil {
 		g.log.Error().Err(err).Msg("known crashes cannot be encoded")
@@ -70,19 +79,54 @@
 	_, _ = w.Write(body)
 }
 
-// fetchCrashes gets the crashes that a few other nodes know.
-func (g *Gateway) fetchCrashes(ctx context.Context, client *http.Client) {
-	others := slices.Clone(g.nodes.others())
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, node := range others[:min(len(others), crashSources)] {
-		known := &knownCrashes{}
-		address := g.roster.Member(node).Address
-		if err := fetchState(ctx, client, address, pathCrashes, known); err != nil {
-			g.sampled.Info().Str("from", address).Err(err).Msg("no crashes from another node")
+// runCrashRequests requests the crashes that a few other nodes know, as soon as this node hears or reads of
+// them. It may have routes and replicas, and so send requests, well before it has the rows with crashes.
+func (g *Gateway) runCrashRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, crashRequestPeriod)
+	defer cancel()
+	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	answers := 0
+	asked := map[string]bool{}
+	for answers < crashSources && retry.Sleep(ctx, crashRequestInterval) {
+		address := g.otherAddress(asked)
+		if address == "" {
 			continue
 		}
-		g.learnCrashes(known)
-		g.log.Info().Str("from", address).Int("crashes", len(known.Crashes)).Int("clearings", len(known.Clearings)).
-			Msg("crashes that another node knows learned")
+		asked[address] = true
+		if g.fetchCrashes(ctx, client, address) {
+			answers++
+		}
+	}
+}
+
+// otherAddress returns the address of a node that is not among those asked: one that sent this node a
+// datagram, or one that the table names; empty if there is none.
+func (g *Gateway) otherAddress(asked map[string]bool) string {
+	for _, source := range g.peers.Sources() {
+		if address := source.String(); !asked[address] {
+			return address
+		}
+	}
+	others := g.nodes.others()
+	if len(others) == 0 {
+		return ""
+	}
+	address := g.roster.Member(others[rand.IntN(len(others))]).Address
+	if asked[address] {
+		return ""
+	}
+	return address
+}
+
+// fetchCrashes gets the crashes that another node knows. It returns false if that one does not answer.
+func (g *Gateway) fetchCrashes(ctx context.Context, client *http.Client, address string) bool {
+	known := &knownCrashes{}
+	if err := fetchState(ctx, client, address, pathCrashes, known); err != nil {
+		g.sampled.Info().Str("from", address).Err(err).Msg("no crashes from another node")
+		return false
 	}
+	g.learnCrashes(known)
+	g.log.Info().Str("from", address).Int("crashes", len(known.Crashes)).Int("clearings", len(known.Clearings)).
+		Msg("learned the crashes that another node knows")
+	return true
 }
--- a/internal/node/gatewaycrashes_test.go
+++ b/internal/node/gatewaycrashes_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/rs/zerolog"
 
+	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
@@ -56,3 +58,24 @@
 	site.eventually("the started node knows a quarantined part", started.quarantine.guard.Parts.AnyQuarantined)
 	site.checkRefused(started, "bad")
 }
+
+// Guards against a node that has routes and replicas but neither the rows with crashes nor the state of
+// another node, and sends meanwhile what others refuse.
+func TestGateway_StartedNodeAsksForCrashesAtOnce(t *testing.T) {
+	site := newPartSite(t, 0, "bad")
+	gateways := site.startGateways("a", "b", "c")
+	site.run(gateways, 2*time.Second)
+	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
+	gateways[2].Kill()
+	patient := *gateways[2].settings
+	patient.Gateway.BootstrapAfter = v1.Duration(time.Hour)
+	started, err := StartGateway(t.Context(), &patient, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(started.Kill)
+	site.eventually("the started node knows a quarantined part", started.quarantine.guard.Parts.AnyQuarantined)
+	if started.populated() {
+		t.Error("the node has the state of another node already")
+	}
+}
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -49,6 +49,7 @@
 	g.spawn(func() { g.runFailureReports(ctx) })
 	g.spawn(func() { g.runProvenReports(ctx) })
 	g.spawn(func() { g.runBootstrap(ctx) })
+	g.spawn(func() { g.runCrashRequests(ctx) })
 	g.spawn(func() {
 		if err := g.peers.Run(); err != nil && !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Msg("socket for other nodes failed")
