relay: a wait for changes of jobs is as short as the poll that it stands for

It looked at one moment. In 40 samples the view's age is 0.3 to 1.26 s, on an idle machine as well (median 0.75 to 0.80 s, above 1.1 s in a tenth): it was red in about one of four plays by where that moment fell. A relay waits 0.5 s at the store and a follower 1 s at its relay while nothing changes, so the pace of 0.3 and 0.4 s that was to bound the age never did. Callers are not answered from such a view, they cost a read of the store each.

Now the waits for jobs are those of the pace.

Ruled out: load (25 busy processes move the ages by under 0.05 s).

The test samples 40 times in the 2 s that it slept and fails if a tenth of them are too old: always red before (16 of 16), where one sample was red at times.

--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -25,8 +25,8 @@
 	// maxRelayCalls bounds the calls of followers that a node answers at the same time.
 	maxRelayCalls = 256
 	// relayJobPoll and followerJobPoll are the times between two calls for changes of jobs of a relay
-	// at the store and of a follower at its relay. Together they keep a view of the jobs young enough
-	// to answer callers from it.
+	// at the store and of a follower at its relay, and also bound the wait of one call. Together they keep
+	// a view of the jobs young enough to answer callers from it.
 	relayJobPoll    = 300 * time.Millisecond
 	followerJobPoll = 400 * time.Millisecond
 	// feedGroups is the number of groups, and so of calls that a follower has under way.
@@ -83,6 +83,9 @@
 		return r.ask(ctx, group, address, revision, wait)
 	}
 	feed.OnFailed = func(string, error) { r.metrics.relayFailures.WithLabelValues(string(group)).Inc() }
+	if group == jobGroup {
+		feed.StoreWait, feed.RelayWait = relayJobPoll, followerJobPoll
+	}
 	r.feeds[group], r.logs[group] = feed, &relay.Log{}
 	return feed
 }
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -11,14 +12,13 @@
 )
 
 const (
-	// maxRelayWait bounds one wait at a relay, and relayTimeoutMargin the time that a call may take
-	// in addition. Both together leave time to ask the store within the time of a table.Watcher's
+	// defaultRelayWait is the default of Feed.RelayWait, and relayTimeoutMargin the time that a call may
+	// take in addition. Both together leave time to ask the store within the time of a table.Watcher's
 	// call.
-	maxRelayWait       = time.Second
+	defaultRelayWait   = time.Second
 	relayTimeoutMargin = 500 * time.Millisecond
-	// relayWait bounds one wait of a relay at the store, so that what it passes on is young although
-	// nothing changes.
-	relayWait = 500 * time.Millisecond
+	// defaultStoreWait is the default of Feed.StoreWait.
+	defaultStoreWait = 500 * time.Millisecond
 	// avoidTime is how long a relay is not asked after it failed.
 	avoidTime = 3 * time.Second
 )
@@ -48,6 +48,9 @@
 	Role func() Role
 	// Ask asks a relay for the changes after a revision.
 	Ask func(ctx context.Context, relay string, revision uint64, wait time.Duration) (Answer, error)
+	// StoreWait and RelayWait bound one wait of a relay at the store and of a follower at a relay, in place
+	// of the defaults. A view is as old as both together while nothing changes.
+	StoreWait, RelayWait time.Duration
 	// OnFailed, if set, is called for each call that a relay did not answer.
 	OnFailed func(relay string, err error)
 
@@ -66,7 +69,7 @@
 func (f *Feed) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
 	role := f.Role()
 	if role.Relay {
-		wait = min(wait, relayWait)
+		wait = min(wait, cmp.Or(f.StoreWait, defaultStoreWait))
 	}
 	for _, relay := range role.Follows {
 		if clock.Now().Before(f.avoidUntil[relay]) {
@@ -90,7 +93,7 @@
 
 // ask asks a relay, which is avoided for a while if it fails.
 func (f *Feed) ask(ctx context.Context, relay string, revision uint64, wait time.Duration) (table.Changes, error) {
-	wait = min(wait, maxRelayWait)
+	wait = min(wait, cmp.Or(f.RelayWait, defaultRelayWait))
 	askCtx, cancel := context.WithTimeout(ctx, wait+relayTimeoutMargin)
 	defer cancel()
 	sent := clock.Now()
