quarantine: crashes that a part of prompts explains count against no whole request

Cause: a crash counts against all work on its replica.

Now the crashes that are attributed to a part count against no whole request while the part is blamed. Whether one whole request explains them all, so that no part is blamed, is still judged with them.

A culprit shared the slice of its crashes with its candidate, which was cleared under it; nothing read it until now.

Ruled out: leaving the harmless work to its trials (they fail beside the part).

Before: the new test is red (the work stays quarantined).

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -138,6 +138,7 @@
 		candidates = found.removeExplained(candidates)
 	}
 	l.culpritCount.Store(int64(len(l.culprits)))
+	l.Whole.markExplained(l.culprits)
 	return l.culprits
 }
 
@@ -241,7 +242,7 @@
 
 // newCulprit returns the culprit that consists of a candidate and all others with the same crashes.
 func newCulprit(strongest *candidate, candidates []*candidate) *culprit {
-	found := &culprit{crashes: strongest.crashes}
+	found := &culprit{crashes: slices.Clone(strongest.crashes)}
 	for _, other := range candidates {
 		if slices.Equal(other.crashes, strongest.crashes) {
 			found.parts = append(found.parts, other.part)
@@ -288,6 +289,30 @@
 	return len(common) > 0
 }
 
+// markExplained records which crashes are attributed to parts of prompts, and wakes the requests that wait
+// for a change of work which they counted against.
+func (l *List) markExplained(culprits []*culprit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	explained := map[*crash]bool{}
+	for _, culprit := range culprits {
+		for _, c := range culprit.crashes {
+			if own := l.sameCrash(c); own != nil {
+				explained[own] = true
+			}
+		}
+	}
+	for _, c := range l.byArrival {
+		if c.explainedByPart == explained[c] {
+			continue
+		}
+		c.explainedByPart = explained[c]
+		for work := range c.works {
+			l.suspects[work].notify()
+		}
+	}
+}
+
 // sameCrash returns this list's record of a crash that another list holds; nil if there is none. The
 // caller holds mu.
 func (l *List) sameCrash(other *crash) *crash {
@@ -304,7 +329,9 @@
 func (l *List) quarantinedWorks(c *crash, now time.Time) []Work {
 	var quarantined []Work
 	for work := range c.works {
-		if verdict := l.evaluate(work, now); verdict.Quarantined {
+		// Crashes count here although a part explains them: whether it does is the question.
+		crashes := l.countedCrashes(work, now, l.successes.at(work))
+		if verdict := l.judge(work, crashes, now); verdict.Quarantined {
 			quarantined = append(quarantined, work)
 		}
 	}
--- a/internal/quarantine/attribution_test.go
+++ b/internal/quarantine/attribution_test.go
@@ -311,3 +311,35 @@
 		t.Errorf("runs %v, parts %v", report.Runs, report.Parts)
 	}
 }
+
+// Guards against harmless work that is refused for crashes of a part of other prompts: it is repeated, so it
+// is at several of them, and has no success between.
+func TestAttribution_PartExplainsCrashesOfWholeRequests(t *testing.T) {
+	site := newPartSite(t)
+	repeated := work("repeated")
+	crash := func(request int, beside ...Run) {
+		sentAt := site.now.Add(10 * time.Millisecond)
+		site.now = site.now.Add(100 * time.Millisecond)
+		report := CrashReport{
+			Replica: fmt.Sprintf("replica-%d", request), StartedUnixMs: 1, At: site.now,
+			Runs:  append(beside, Run{Work: work(fmt.Sprintf("request-%d", request)), SentAt: sentAt}),
+			Parts: []Run{{Work: bad, SentAt: sentAt}},
+		}
+		site.whole.Add(report, site.now)
+		addParts(site.parts, report, site.now)
+	}
+	for request := range 3 {
+		crash(request, Run{Work: repeated, SentAt: site.now.Add(10 * time.Millisecond)})
+	}
+	if !site.whole.Check(repeated, site.now).Quarantined {
+		t.Fatal("work at three crashes that nothing explains is not quarantined")
+	}
+	crash(3)
+	if !site.isRefused(bad) || site.whole.Check(repeated, site.now).Quarantined {
+		t.Errorf("part refused: %v, work that ran beside it: %+v", site.isRefused(bad), site.whole.Check(repeated, site.now))
+	}
+	site.parts.Clear(bad, site.now)
+	if site.isRefused(bad) || !site.whole.Check(repeated, site.now).Quarantined {
+		t.Error("the part succeeded, and explains the crashes no longer")
+	}
+}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -11,12 +11,18 @@
 	if l.Whole != nil {
 		return l.evaluatePart(work, now)
 	}
-	lastSuccess := l.successes.at(work)
-	verdict := Verdict{Work: work, Limit: l.Limit()}
 	var crashes []*crash
 	if l.suspects[work] != nil {
-		crashes = l.countedCrashes(work, now, lastSuccess)
+		crashes = l.countedCrashes(work, now, l.successes.at(work))
 	}
+	isExplained := func(c *crash) bool { return c.explainedByPart }
+	return l.judge(work, slices.DeleteFunc(crashes, isExplained), now)
+}
+
+// judge returns the verdict on work given the crashes that count against it. The caller holds mu.
+func (l *List) judge(work Work, crashes []*crash, now time.Time) Verdict {
+	lastSuccess := l.successes.at(work)
+	verdict := Verdict{Work: work, Limit: l.Limit()}
 	if !lastSuccess.IsZero() {
 		crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return l.explainedByOther(c, work, now) })
 	}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -117,6 +117,9 @@
 	at time.Time
 	// works holds the work that ran on the replica, with its newest run there.
 	works map[Work]crashedRun
+	// explainedByPart is set in a list of whole requests if the crash is attributed to a part of prompts.
+	// It then counts against no whole request.
+	explainedByPart bool
 }
 
 // crashedRun is the newest run of a work on a replica that crashed.
