--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -56,7 +56,7 @@
 // requests.
 func NewPartList(whole *List) *List {
 	// A crash says less about each of the many parts that were present than about a request.
-	return &List{Whole: whole, CrashLimit: whole.Limit() + 1, Window: partWindow}
+	return &List{WholeRequests: whole, CrashLimit: whole.Limit() + 1, Window: partWindow}
 }
 
 // CheckParts returns the verdict on the parts that a request holds. It is not Quarantined if the request
@@ -138,7 +138,7 @@
 		candidates = found.removeExplained(candidates)
 	}
 	l.culpritCount.Store(int64(len(l.culprits)))
-	l.Whole.markExplained(l.culprits)
+	l.WholeRequests.markExplained(l.culprits)
 	return l.culprits
 }
 
@@ -237,7 +237,7 @@
 	if c.proven {
 		limit *= provenPartFactor
 	}
-	return len(longestSequence(c.crashes, c.part)) >= limit && !l.Whole.explainsAll(c.crashes)
+	return len(longestSequence(c.crashes, c.part)) >= limit && !l.WholeRequests.explainsAll(c.crashes)
 }
 
 // newCulprit returns the culprit that consists of a candidate and all others with the same crashes.
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -8,7 +8,7 @@
 
 // evaluate returns the verdict on work. The caller holds mu.
 func (l *List) evaluate(work Work, now time.Time) Verdict {
-	if l.Whole != nil {
+	if l.holdsParts() {
 		return l.evaluatePart(work, now)
 	}
 	var crashes []*crash
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -80,9 +80,9 @@
 	// work counts as proven: the node has seen little itself, and if all nodes start at the same
 	// time there are no peers to ask.
 	RowsPending bool
-	// Whole is set before use if the list holds parts of prompts instead of whole requests, to the list of
-	// the whole requests.
-	Whole *List
+	// WholeRequests is set before use if the list holds parts of prompts, to the list of the whole requests.
+	// A Work of such a list identifies a part.
+	WholeRequests *List
 
 	mu sync.Mutex
 	// crashes holds the crashes of each replica, by its id.
@@ -147,6 +147,9 @@
 	}
 }
 
+// holdsParts reports whether the works of the list are parts of prompts.
+func (l *List) holdsParts() bool { return l.WholeRequests != nil }
+
 // Limit returns the number of crashes after which work is quarantined, before provenFactor.
 func (l *List) Limit() int {
 	if l.CrashLimit > 0 {
@@ -199,7 +202,7 @@
 	l.releaseCrashed(report.Replica, report.At)
 	c := l.crashFor(report)
 	for _, run := range report.Runs {
-		if c.precedes(run.SentAt) || l.Whole != nil && !c.at.After(l.successes.at(run.Work)) {
+		if c.precedes(run.SentAt) || l.holdsParts() && !c.at.After(l.successes.at(run.Work)) {
 			continue
 		}
 		c.addRun(run)
@@ -373,7 +376,7 @@
 	previous := l.evaluate(work, at)
 	l.successes.record(work, at)
 	l.releaseClaims(work, at)
-	if l.Whole != nil {
+	if l.holdsParts() {
 		l.unlinkBefore(work, at)
 		l.attribute(at)
 	}
