soak: a request counts beside a lost zone only if some server was usable throughout

Nobody can serve then, and streams that end then have nowhere to go on.

Such requests no longer count: those between whose arrival and end there was a moment at which every server was out, evacuated, or usable for less than the 2 s that nodes may take to learn it (freeSlotGrace, as for items). With one server usable throughout, the check is as before: half of the requests.

Test: TestCheck_RequestsWithoutAnyServerDoNotCount, five cases, two of which have to stay broken.

--- a/internal/lab/soak/checkzones_test.go
+++ b/internal/lab/soak/checkzones_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -169,3 +171,46 @@
 		}
 	}
 }
+
+// Requests beside a lost zone count unless there was a moment at which no server was usable.
+func TestCheck_RequestsWithoutAnyServerDoNotCount(t *testing.T) {
+	const sent = lostAt + 3
+	for _, test := range []struct {
+		name string
+		// up is the server that stays usable; the others are out from before the requests until outUntil.
+		up       string
+		outUntil float64
+		evacuate string
+		broken   bool
+	}{
+		{"no server", "", sent + 1, "", false},
+		{"one server", "s0", sent + 1, "", true},
+		{"servers back and known to be", "", sent - freeSlotGrace.Seconds(), "", true},
+		{"servers just back", "", sent - freeSlotGrace.Seconds() + 0.1, "", false},
+		{"the only server is evacuated", "s2", sent + 1, "b", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := validHistory()
+			at := func(seconds float64) time.Time {
+				return h.Losses[0].From.Add(time.Duration((seconds - lostAt) * float64(time.Second)))
+			}
+			for i := range h.Requests {
+				if strings.HasPrefix(h.Requests[i].ID, "lost-") {
+					h.Requests[i].Answer = &standin.Response{}
+				}
+			}
+			for server := range h.ServerSlots {
+				if server != test.up {
+					h.ServerOutages = append(h.ServerOutages, ServerOutage{Server: server, From: at(lostAt), To: at(test.outUntil)})
+				}
+			}
+			if test.evacuate != "" {
+				h.Evacuations = append(h.Evacuations, Outage{Zone: test.evacuate, From: at(lostAt), To: at(sent + 1)})
+			}
+			broken := slices.ContainsFunc(Check(h), func(v Violation) bool { return v.Promise == OthersServe })
+			if broken != test.broken {
+				t.Errorf("broken: %v", broken)
+			}
+		})
+	}
+}
