--- a/internal/lab/soak/checkzones_test.go
+++ b/internal/lab/soak/checkzones_test.go
@@ -180,14 +180,14 @@
 		// up is the server that stays usable; the others are out from before the requests until outUntil.
 		up       string
 		outUntil float64
-		evacuate string
+		evacuate bool
 		broken   bool
 	}{
-		{"no server", "", sent + 1, "", false},
-		{"one server", "s0", sent + 1, "", true},
-		{"servers back and known to be", "", sent - freeSlotGrace.Seconds(), "", true},
-		{"servers just back", "", sent - freeSlotGrace.Seconds() + 0.1, "", false},
-		{"the only server is evacuated", "s2", sent + 1, "b", false},
+		{"no server", "", sent + 1, false, false},
+		{"one server", "s0", sent + 1, false, true},
+		{"servers back and known to be", "", sent - freeSlotGrace.Seconds(), false, true},
+		{"servers just back", "", sent - freeSlotGrace.Seconds() + 0.1, false, false},
+		{"the only server is evacuated", "s0", sent + 1, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := validHistory()
@@ -204,8 +204,8 @@
 					h.ServerOutages = append(h.ServerOutages, ServerOutage{Server: server, From: at(lostAt), To: at(test.outUntil)})
 				}
 			}
-			if test.evacuate != "" {
-				h.Evacuations = append(h.Evacuations, Outage{Zone: test.evacuate, From: at(lostAt), To: at(sent + 1)})
+			if test.evacuate {
+				h.Evacuations = append(h.Evacuations, Outage{Zone: h.ServerZones[test.up], From: at(lostAt), To: at(sent + 1)})
 			}
 			broken := slices.ContainsFunc(Check(h), func(v Violation) bool { return v.Promise == OthersServe })
 			if broken != test.broken {
