forward, jobs: an interruption is reported before its software is confirmed

Cause: waits up to 2 s (0.9 s as a rule) for a newer list where an attempt over a new connection broke off in a pool of several versions, and did so inside the attempt: the replica's health, its slot and the report to the quarantine waited with it. A crash was reported that much later.

Now the attempt ends and is reported first; what waits is only the decision whether and where the stream, or the text of an item, goes on. Since the request has ended by then, a restart that was listed later is found by the listed entry.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -97,6 +97,8 @@
 	status int
 	// softwareUncertain is set if it is not certain which software version sent the events relayed.
 	softwareUncertain bool
+	// interrupted is the last attempt if it relayed events of a stream and broke off; nil otherwise.
+	interrupted *replica.Use
 	// trial is set while the request runs as a trial of quarantined work or, if triedPart is set, of that
 	// part of prompts.
 	trial     *quarantine.Trial
@@ -214,6 +216,7 @@
 		if err == nil {
 			return nil
 		}
+		c.confirmSoftware()
 		if errors.Is(err, errNotAdmitted) {
 			// Other requests have used up the rate, or the replica has restarted; the next pick
 			// takes that into account.
@@ -311,7 +314,10 @@
 	c.dropReservation()
 	if c.result.Events > eventsBefore {
 		c.criteria.Version = chosen.Version
-		c.checkSoftware(use, err)
+		c.checkSoftware(use)
+		if err != nil && c.route.Kind == route.Stream {
+			c.interrupted = use
+		}
 	}
 	use.End(c.healthResult(ctx, use, err), clock.Now())
 	if err == nil {
--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -66,15 +66,23 @@
 	}
 }
 
-// checkSoftware is called once an attempt that relayed events has ended, with its error. The replica may
-// have been found to have restarted with another software version meanwhile. A stream that broke off may
-// be continued, so it has to be known which start of its replica sent the events.
-func (c *call) checkSoftware(use *replica.Use, err error) {
-	if c.softwareUncertain {
+// checkSoftware is called once an attempt that relayed events has ended. The replica may have been
+// found to have restarted with another software version meanwhile.
+func (c *call) checkSoftware(use *replica.Use) {
+	if c.softwareUncertain || use.AnsweredBy(c.requiredSoftware()) {
 		return
 	}
-	confirmed := err == nil || c.route.Kind != route.Stream || use.ConfirmSoftware()
-	if confirmed && use.AnsweredBy(c.requiredSoftware()) {
+	c.softwareUncertain = true
+	c.recordOrigin()
+}
+
+// confirmSoftware is called before a stream that broke off is continued, by this node or by its caller. It
+// waits until it is known which start of the replica sent the events, which takes long enough that the
+// attempt has been reported before.
+func (c *call) confirmSoftware() {
+	use := c.interrupted
+	c.interrupted = nil
+	if use == nil || c.softwareUncertain || use.ConfirmSoftware() && use.AnsweredBy(c.requiredSoftware()) {
 		return
 	}
 	c.softwareUncertain = true
--- a/internal/forward/software_test.go
+++ b/internal/forward/software_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -131,3 +132,41 @@
 		}
 	}
 }
+
+// timingGuard records when interruptions are reported.
+type timingGuard struct {
+	recordingGuard
+	reportedAt []time.Time
+}
+
+// RecordInterruption implements Quarantine.
+func (g *timingGuard) RecordInterruption(ctx context.Context, interrupted quarantine.Replica, run quarantine.Run) {
+	g.reportedAt = append(g.reportedAt, time.Now())
+	g.recordingGuard.RecordInterruption(ctx, interrupted, run)
+}
+
+// Guards against a crash that is reported only once it is known which start of the replica answered.
+func TestDo_InterruptionIsReportedBeforeItsSoftwareIsConfirmed(t *testing.T) {
+	const confirmedAfter = 600 * time.Millisecond
+	backend := &scriptedBackend{answer: func(_ context.Context, attempt *Attempt, number int) (*Answer, error) {
+		if number > 1 {
+			return streamAnswer(events(attempt.LastEventID+1, 6)), nil
+		}
+		body := &callbackBody{text: events(1, 3) + "id", atEnd: func() {}}
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, EventStream: true, Body: body, ConnectedAt: time.Now()}, nil
+	}}
+	forwarder := newVersionedForwarder(backend, map[string]string{"a": "v1", "b": "v1", "c": "v1", "d": "v2"})
+	forwarder.Replicas.Remove("d", time.Now())
+	guard := &timingGuard{}
+	forwarder.Quarantine = guard
+	began := time.Now()
+	forwarder.Replicas.SetListTime(began, began)
+	time.AfterFunc(confirmedAfter, func() { forwarder.Replicas.SetListTime(time.Now(), time.Now()) })
+	sink, _, err := do(t, forwarder, routeOf(route.Stream, true, 2))
+	if err != nil || sink.body.String() != events(1, 6) || time.Since(began) < confirmedAfter {
+		t.Fatalf("caller got %q after %v, %v", sink.body.String(), time.Since(began), err)
+	}
+	if len(guard.reportedAt) != 1 || guard.reportedAt[0].Sub(began) > confirmedAfter/2 {
+		t.Errorf("interruptions reported at %v, the request began at %v", guard.reportedAt, began)
+	}
+}
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -46,6 +46,9 @@
 	if err != nil && t.owned.ctx.Err() == nil && !errors.Is(err, errPreempted) {
 		r.Service.Events.ItemFailed(t.owned.job, item.ID, chosen.ID, err)
 	}
+	if err != nil && t.lastEvent > resumedAfter && t.owned.ctx.Err() == nil {
+		r.confirmSoftware(t, use)
+	}
 	r.handleResult(t, target, chosen, err)
 	r.wake()
 }
@@ -124,7 +127,7 @@
 	defer stop()
 	resumedAfter := t.lastEvent
 	err := r.send(ctx, t, item, chosen, use)
-	if softwareErr := r.confirmSoftware(t, use, resumedAfter, err); err == nil {
+	if softwareErr := r.checkSoftware(t, use, resumedAfter); err == nil {
 		err = softwareErr
 	}
 	reported := errors.Is(err, errItemInvalid) || errors.Is(err, errItemFailed)
--- a/internal/jobs/software.go
+++ b/internal/jobs/software.go
@@ -71,19 +71,13 @@
 	}
 }
 
-// confirmSoftware is called at the end of an attempt that asked for the events after event resumedAfter,
-// with its error. The replica may have been found to have restarted with another software version
-// meanwhile. An error means that the attempt continued a text and may have been answered by another
-// version.
-func (r *Runner) confirmSoftware(t *task, use *replica.Use, resumedAfter int, err error) error {
-	if t.lastEvent == resumedAfter {
-		return nil
-	}
-	// A text that is not complete is continued.
-	confirmed := err == nil || use.ConfirmSoftware()
+// checkSoftware is called at the end of an attempt that asked for the events after event resumedAfter.
+// The replica may have been found to have restarted with another software version meanwhile. An error
+// means that the attempt continued a text and may have been answered by another version.
+func (r *Runner) checkSoftware(t *task, use *replica.Use, resumedAfter int) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if confirmed && use.AnsweredBy(t.software) {
+	if t.lastEvent == resumedAfter || use.AnsweredBy(t.software) {
 		return nil
 	}
 	t.softwareUncertain = true
@@ -92,3 +86,14 @@
 	}
 	return outcome.AsUnknown(forward.ErrOtherSoftware)
 }
+
+// confirmSoftware is called before the text of an attempt that broke off is continued, once the attempt has
+// been reported. It waits until it is known which start of the replica sent the events.
+func (r *Runner) confirmSoftware(t *task, use *replica.Use) {
+	if t.softwareUncertain || use.ConfirmSoftware() && use.AnsweredBy(t.software) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.softwareUncertain = true
+}
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -57,7 +57,7 @@
 
 // ConfirmSoftware waits until the list is new enough to show the start of the replica that answers the
 // request, maxConfirmation at most. It returns false if the list is still too old then, or known to be
-// old. It must be called before End; the answer may have ended.
+// old. The request may have ended.
 func (u *Use) ConfirmSoftware() bool {
 	deadline := clock.Now().Add(maxConfirmation)
 	for {
@@ -94,7 +94,10 @@
 func (u *Use) AnsweredBy(version string) bool {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	return !u.softwareUncertain && u.entry.info.SoftwareVersion == version
+	// The replica may also have restarted after the request ended.
+	listed, ok := u.set.entries[u.entry.info.ID]
+	restarted := ok && listed.info.SoftwareVersion != version
+	return !u.softwareUncertain && !restarted && u.entry.info.SoftwareVersion == version
 }
 
 // softwareListStale reports whether the list is so old that replicas may have restarted with other
