node: a starting node holds requests until it knows the crashes of the past

Cause: a node reads routes and replicas some ms before the rows with crashes, and sends in between what all others refuse: one replica a start.

Now requests wait until the rows were read once, or another node has answered, or 0.3 s after the start of the process.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -73,6 +74,10 @@
 	servers   []*http.Server
 	listeners []net.Listener
 
+	// crashesKnown is closed once requests may be sent; see awaitCrashes.
+	crashesKnown     chan struct{}
+	markCrashesKnown func()
+
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 }
@@ -136,9 +141,14 @@
 		roster.Apply(changes, whole)
 		g.replicas.SetJoined(roster.Joined())
 		applyJobs(changes, whole)
+		if whole {
+			g.markCrashesKnown()
+		}
 	})
 	g.replicas.SetJoined(false)
 	g.forwarder.Reserver = g.backend
+	g.crashesKnown = make(chan struct{})
+	g.markCrashesKnown = sync.OnceFunc(func() { close(g.crashesKnown) })
 	g.streamOrigins = &streamOrigins{gateway: g}
 	g.forwarder.Origins = g.streamOrigins
 	g.runner.Reserver = g.backend
@@ -216,6 +226,7 @@
 }
 
 func (g *Gateway) start(ctx context.Context) {
+	time.AfterFunc(maxCrashWait, g.markCrashesKnown)
 	for i, server := range g.servers {
 		g.spawn(func() {
 			err := server.Serve(g.listeners[i])
--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -27,6 +27,9 @@
 	// which a node requests crashes.
 	crashRequestInterval = 20 * time.Millisecond
 	crashRequestPeriod   = 10 * time.Second
+	// maxCrashWait is how long after its start a node holds requests until it knows the crashes of the past,
+	// from its first read of the rows or from another node.
+	maxCrashWait = 300 * time.Millisecond
 	// pathCrashes is the HTTP path under which nodes serve the crashes that they know.
 	pathCrashes = "/v1/crashes"
 )
@@ -61,6 +64,16 @@
 	for i := range known.Crashes {
 		g.handleCrash(&known.Crashes[i], now)
 	}
+	g.markCrashesKnown()
+}
+
+// awaitCrashes waits until this node knows the crashes of the past, or has run for maxCrashWait. Routes and
+// replicas are often known some ms before, and a request may repeat what crashed replicas.
+func (g *Gateway) awaitCrashes(ctx context.Context) {
+	select {
+	case <-g.crashesKnown:
+	case <-ctx.Done():
+	}
 }
 
 // serveCrashes sends the crashes that this node knows to a node that starts.
--- a/internal/node/gatewaycrashes_test.go
+++ b/internal/node/gatewaycrashes_test.go
@@ -79,3 +79,41 @@
 		t.Error("the node has the state of another node already")
 	}
 }
+
+// Guards against a node that has just started and sends requests in the moment between its read of the
+// routes and that of the crashes.
+func TestGateway_RequestsOfAStartingNodeWaitForCrashes(t *testing.T) {
+	site := newPartSite(t, 0, "bad")
+	gateways := site.startGateways("a", "b", "c")
+	site.run(gateways, 2*time.Second)
+	node := gateways[2]
+	for range 5 {
+		node.Kill()
+		started, err := StartGateway(t.Context(), node.settings, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(started.Kill)
+		node = started
+		before := len(site.crashes())
+		for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); {
+			site.send(started, "bad")
+		}
+		if crashed := len(site.crashes()) - before; crashed > 0 {
+			t.Fatalf("%d servers crashed under requests at a node that was starting", crashed)
+		}
+	}
+}
+
+// Guards against a node that waits for the crashes of the past although nobody can tell it.
+func TestGateway_StartingNodeServesWithoutCrashes(t *testing.T) {
+	site := newPartSite(t, 0)
+	site.withoutPeers = true
+	gateway := site.startGateways("a")[0]
+	gateway.crashesKnown = make(chan struct{})
+	time.AfterFunc(maxCrashWait, func() { close(gateway.crashesKnown) })
+	began := time.Now()
+	if !site.send(gateway, "sound") || time.Since(began) < maxCrashWait {
+		t.Errorf("served after %v, or not at all", time.Since(began))
+	}
+}
--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -54,6 +54,7 @@
 
 // Forward implements platform.Gateway.
 func (g *Gateway) Forward(r *http.Request, target *route.Route, request *forward.Request, sink forward.Sink) (forward.Result, error) {
+	g.awaitCrashes(r.Context())
 	if err := g.admit(r.Context(), request); err != nil {
 		return forward.Result{}, err
 	}
