--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -308,7 +308,9 @@
 		}
 		c.explainedByPart = explained[c]
 		for work := range c.works {
-			l.suspects[work].notify()
+			if s := l.suspects[work]; s != nil {
+				s.notify()
+			}
 		}
 	}
 }
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -11,10 +11,7 @@
 	if l.holdsParts() {
 		return l.evaluatePart(work, now)
 	}
-	var crashes []*crash
-	if l.suspects[work] != nil {
-		crashes = l.countedCrashes(work, now, l.successes.at(work))
-	}
+	crashes := l.countedCrashes(work, now, l.successes.at(work))
 	isExplained := func(c *crash) bool { return c.explainedByPart }
 	return l.judge(work, slices.DeleteFunc(crashes, isExplained), now)
 }
@@ -105,8 +102,12 @@
 // countedCrashes returns the crashes during runs of work that are later than after and within the
 // window, in time order. The caller holds mu.
 func (l *List) countedCrashes(work Work, now, after time.Time) []*crash {
+	s := l.suspects[work]
+	if s == nil {
+		return nil
+	}
 	var crashes []*crash
-	for c := range l.suspects[work].crashes {
+	for c := range s.crashes {
 		if c.at.After(after) && now.Sub(c.at) < l.window() {
 			crashes = append(crashes, c)
 		}
