--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -147,3 +147,22 @@
 	t.Parallel()
 	runSeed(t, Options{Seed: 30003, Nodes: 9, Regions: 2, Servers: 16, Slots: 4, Duration: 20 * time.Second}, PartBounded, BesideHarmServed)
 }
+
+// Guards against nodes that all start at once while the store does not answer, and send harmful parts until
+// each has counted the crashes for itself (40035), or blame the first part of all prompts for the crash of a
+// trial under two parts that could not be told apart (40029).
+func TestRun_SeedsOfKilledFleets(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for over a minute")
+	}
+	t.Parallel()
+	for _, options := range []Options{
+		{Seed: 40029, Nodes: 4, Regions: 1, Servers: 12},
+		{Seed: 40035, Nodes: 9, Regions: 1, Servers: 24, Slots: 4},
+	} {
+		t.Run(fmt.Sprint(options.Seed), func(t *testing.T) {
+			options.Duration = 20 * time.Second
+			runSeed(t, options)
+		})
+	}
+}
