--- a/internal/node/gatewaycrashes_test.go
+++ b/internal/node/gatewaycrashes_test.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/settings"
 
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
@@ -25,19 +26,26 @@
 	}
 }
 
+// restartInOutage kills a node and starts it with the given settings while the store does not answer.
+func (s *partSite) restartInOutage(node *Gateway, config *settings.Settings) *Gateway {
+	s.t.Helper()
+	s.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
+	node.Kill()
+	started, err := StartGateway(s.t.Context(), config, zerolog.Nop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(started.Kill)
+	return started
+}
+
 // Guards against a node that starts with the state of another one, as the store does not answer, and sends
 // what that one refuses.
 func TestGateway_StateOfAnotherNodeIncludesCrashes(t *testing.T) {
 	site := newPartSite(t, 0, "bad")
 	gateways := site.startGateways("a", "b", "c")
 	site.run(gateways, 2*time.Second)
-	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
-	gateways[2].Kill()
-	started, err := StartGateway(t.Context(), gateways[2].settings, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(started.Kill)
+	started := site.restartInOutage(gateways[2], gateways[2].settings)
 	site.eventually("the started node is ready", started.Ready)
 	site.checkRefused(started, "bad")
 }
@@ -65,15 +73,9 @@
 	site := newPartSite(t, 0, "bad")
 	gateways := site.startGateways("a", "b", "c")
 	site.run(gateways, 2*time.Second)
-	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
-	gateways[2].Kill()
 	patient := *gateways[2].settings
 	patient.Gateway.BootstrapAfter = v1.Duration(time.Hour)
-	started, err := StartGateway(t.Context(), &patient, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(started.Kill)
+	started := site.restartInOutage(gateways[2], &patient)
 	site.eventually("the started node knows a quarantined part", started.quarantine.guard.Parts.AnyQuarantined)
 	if started.populated() {
 		t.Error("the node has the state of another node already")
--- a/internal/node/gatewayparts_test.go
+++ b/internal/node/gatewayparts_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/wheelhoist/wheelhoist/api/client"
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
@@ -400,13 +398,7 @@
 	site := newPartSite(t, 0, "bad")
 	gateways := site.startGateways("a", "b", "c")
 	site.run(gateways, 2*time.Second)
-	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
-	gateways[2].Kill()
-	started, err := StartGateway(t.Context(), gateways[2].settings, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(started.Kill)
+	started := site.restartInOutage(gateways[2], gateways[2].settings)
 	site.eventually("the started node is ready", started.Ready)
 	before := len(site.crashes())
 	for range 20 {
