node, quarantine: names and comments that a newcomer missed

A type and a method were both called knownCrashes; Trial.Work and List did not say that they may hold parts of prompts; two test sites started their processes with the same lines. No change of behaviour.

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -130,7 +130,7 @@
 	state := bootstrapState{
 		Config: newFeedState(g.configWatch.Snapshot()), Replicas: newFeedState(g.replicaWatch.Snapshot()),
 		Members: newFeedState(table.Changes{Changes: g.roster.MemberRows()}, g.jobWatch.Age()),
-		Crashes: g.knownCrashes(),
+		Crashes: g.collectCrashes(),
 	}
 	body, err := cbor.Marshal(state)
 	if err != nil {
--- a/internal/node/gatewaycrash_test.go
+++ b/internal/node/gatewaycrash_test.go
@@ -41,19 +41,25 @@
 			IsHarmful:    func(_ string, body []byte) bool { return bytes.Equal(body, crashingBody) },
 			RemovalDelay: 150 * time.Millisecond, Downtime: 200 * time.Millisecond,
 		}
-		if err := process.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() {
-			if err := process.Close(); err != nil {
-				t.Error(err)
-			}
-		})
+		startProcess(t, process)
 		site.processes = append(site.processes, process)
 	}
 	return site
 }
 
+// startProcess starts a server process for the duration of the test.
+func startProcess(t *testing.T, process *standin.Process) {
+	t.Helper()
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := process.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // startGateway starts a gateway and waits until it knows all servers.
 func (s *crashSite) startGateway(id string) *Gateway {
 	s.t.Helper()
--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -40,8 +40,8 @@
 	Clearings []clearingEntry `cbor:"2,keyasint,omitempty"`
 }
 
-// knownCrashes returns the newest crashes that this node knows.
-func (g *Gateway) knownCrashes() knownCrashes {
+// collectCrashes returns the newest crashes that this node knows.
+func (g *Gateway) collectCrashes() knownCrashes {
 	now := clock.Now()
 	reports, clearings := g.quarantine.guard.Known(maxKnownCrashes)
 	var known knownCrashes
@@ -82,7 +82,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := cbor.Marshal(g.knownCrashes())
+	body, err := cbor.Marshal(g.collectCrashes())
 	if err != nil {
 		g.log.Error().Err(err).Msg("known crashes cannot be encoded")
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/node/gatewayparts_test.go
+++ b/internal/node/gatewayparts_test.go
@@ -57,14 +57,7 @@
 			IsHarmfulPart: func(part string) bool { return slices.Contains(harmful, part) },
 			RemovalDelay:  200 * time.Millisecond, Downtime: 600 * time.Millisecond,
 		}
-		if err := process.Start(); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() {
-			if err := process.Close(); err != nil {
-				t.Error(err)
-			}
-		})
+		startProcess(t, process)
 		site.processes = append(site.processes, process)
 	}
 	return site
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -71,7 +71,8 @@
 // against proven work if other work on the replica explains it. Of crashes during concurrent runs
 // of work only one counts, since they may have a common cause such as the failure of a rack, a zone
 // or a link; a further crash counts if its run was sent after the previous crash. The zero value
-// uses the defaults. A List is safe for concurrent use.
+// uses the defaults. A list of parts of prompts (NewPartList) holds them as works and judges them
+// otherwise, by attributing each crash to one of them. A List is safe for concurrent use.
 type List struct {
 	// CrashLimit and Window are set before use; zero means the default.
 	CrashLimit int
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -16,6 +16,7 @@
 // Trial is the permission to run quarantined work once, to show that it is harmless. At most one
 // trial of a work is under way in the fleet.
 type Trial struct {
+	// Work is the work, or in a list of parts of prompts the part, that is tried.
 	Work Work
 	// ID distinguishes trials of one work.
 	ID uint64
