--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -82,6 +82,7 @@
 func (discardEvents) ItemPreempted(*jobs.Job, string, string, int, replica.Pressure) {}
 func (discardEvents) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration)  {}
 func (discardEvents) Removed(*jobs.Job, error)                                       {}
+func (discardEvents) NoResult(*jobs.Entry, int, time.Duration)                       {}
 func (discardEvents) Refreshed(*jobs.Job, time.Duration, error)                      {}
 func (discardEvents) AwaitingRegion(*jobs.Job, place.Regions)                        {}
 func (discardEvents) Resolved(string, int, error)                                    {}
--- a/internal/jobs/freshness.go
+++ b/internal/jobs/freshness.go
@@ -44,21 +44,21 @@
 // that lacks the result is trusted while it is recent; after that the job is read from the table,
 // and if the table does not answer, the error is ErrUnavailable. This prevents a node whose feed
 // has stalled from denying results that were read elsewhere. It costs at most one call to the table
-// for each read, and none while the feed works.
-func (s *Service) ensureFresh(ctx context.Context, entry *Entry, position int) (*Entry, error) {
+// for each read, and none while the feed works. asOf is the time up to which the state is complete.
+func (s *Service) ensureFresh(ctx context.Context, entry *Entry, position int) (fresh *Entry, asOf time.Time, err error) {
 	// The age is taken before the entry: changes in between make the entry newer than its age says,
 	// never older.
-	asOf := s.View.AsOf()
+	asOf = s.View.AsOf()
 	entry = s.latest(entry)
 	if !s.mayBeStale(entry, position, asOf) {
-		return entry, nil
+		return entry, asOf, nil
 	}
-	err := s.refreshSince(ctx, entry.Job.ID, clock.Now().Add(-s.maxTrustedAge()))
+	readAt, err := s.refreshSince(ctx, entry.Job.ID, clock.Now().Add(-s.maxTrustedAge()))
 	s.Events.Refreshed(entry.Job, clock.Since(asOf), err)
 	if err != nil {
-		return nil, err
+		return nil, time.Time{}, err
 	}
-	return s.latest(entry), nil
+	return s.latest(entry), readAt, nil
 }
 
 // freshenBeforeWait returns the state of a job for a reader that is about to wait for its results.
@@ -67,7 +67,7 @@
 	if clock.Since(s.View.AsOf()) < stalledFeedAge {
 		return entry
 	}
-	known, err := s.ensureFresh(ctx, entry, position)
+	known, _, err := s.ensureFresh(ctx, entry, position)
 	if err != nil {
 		// The error was reported to Events, and the table may answer while the reader waits.
 		return entry
@@ -103,8 +103,8 @@
 
 // refreshSince updates the view of a job to the state that the table had at since or later. Callers
 // share a read in progress; one that began before since may lack changes, and is followed by
-// another.
-func (s *Service) refreshSince(ctx context.Context, id string, since time.Time) error {
+// another. It returns when the read began.
+func (s *Service) refreshSince(ctx context.Context, id string, since time.Time) (time.Time, error) {
 	for {
 		call := s.refreshes.DoChan(id, func() (any, error) {
 			start := clock.Now()
@@ -112,10 +112,10 @@
 		})
 		select {
 		case <-ctx.Done():
-			return Error.Wrap(errors.Join(ErrUnavailable, ctx.Err()))
+			return time.Time{}, Error.Wrap(errors.Join(ErrUnavailable, ctx.Err()))
 		case answer := <-call:
 			if start := answer.Val.(time.Time); !start.Before(since) {
-				return answer.Err
+				return start, answer.Err
 			}
 		}
 	}
--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -33,10 +34,13 @@
 	if wait > 0 {
 		entry = s.freshenBeforeWait(ctx, entry, position)
 	}
-	entry, err = s.ensureFresh(ctx, s.awaitResult(ctx, entry, position, wait), position)
+	entry, asOf, err := s.ensureFresh(ctx, s.awaitResult(ctx, entry, position, wait), position)
 	if err != nil {
 		return nil, err
 	}
+	if position >= len(entry.Progress.Listed) && entry.isOpen() {
+		s.Events.NoResult(entry, position, clock.Since(asOf))
+	}
 	result := &ReadResult{Total: len(entry.Job.Items), Next: position}
 	cache := &s.cache
 	if !s.mayStoreHere(ctx, entry.Job) {
--- a/internal/jobs/refresh_test.go
+++ b/internal/jobs/refresh_test.go
@@ -44,7 +44,7 @@
 		before := reader.View.Get("job")
 		reader.feed.stalled.Store(false)
 		time.Sleep(3 * maxStaleness)
-		entry, err := reader.ensureFresh(t.Context(), before, 1)
+		entry, _, err := reader.ensureFresh(t.Context(), before, 1)
 		if err != nil || len(entry.Progress.Listed) != 2 {
 			t.Fatalf("%d listed, %v; the view has %d", len(entry.Progress.Listed), err, len(reader.View.Get("job").Progress.Listed))
 		}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -61,6 +61,9 @@
 	// that it may lack a result. With an error, the current state is unknown, and the reader gets
 	// the error unless it goes on waiting.
 	Refreshed(job *Job, age time.Duration, err error)
+	// NoResult reports a reader who is told that an open job has no result at a position, and the age
+	// of the state that says so.
+	NoResult(entry *Entry, position int, age time.Duration)
 	// AwaitingRegion reports a job whose items wait because no node in its allowed regions is live.
 	AwaitingRegion(job *Job, regions place.Regions)
 }
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -55,6 +55,13 @@
 	l.sampled.Info().Str("job", job.ID).Dur("view_age_ms", age).Msg("job read from the table, the view was old")
 }
 
+// NoResult implements jobs.Events.
+func (l *jobLog) NoResult(entry *jobs.Entry, position int, age time.Duration) {
+	l.metrics.jobs.WithLabelValues("no_result").Inc()
+	l.sampled.Info().Str("job", entry.Job.ID).Int("position", position).Int("listed", len(entry.Progress.Listed)).
+		Uint64("row_version", entry.Version).Dur("age_ms", age).Msg("read without a result")
+}
+
 // ItemSent implements jobs.Events.
 func (l *jobLog) ItemSent(job *jobs.Job, item, replica string, after int) {
 	l.metrics.items.WithLabelValues("sent").Inc()
