table: an answer is never taken for younger than it is

Callers were told that there is no result at a position that another node had shown a second before. AgeEstimator took the shortest delay of any answer as none, so the first answer of a process had no delay, however late it came: a page generated at 0 s that arrives at 0.9 s made the view as of 0.9 s, and what was listed between was denied without a question to the table. The same after each change of relay, and after two minutes in which all answers were slow. Jobs, keys, configuration and the runner go by the same age.

The fix takes the other bound. An answer is not generated before its request, so each call bounds the offset of the service's clock from below, and the largest bound, less 100 ppm of drift since it was measured, is never too large. It is as exact as the fastest call. Calls that wait for changes say little, so a store's ServiceClock is shared by all calls about rows (renewals, reads, commits), and the first call to a relay does not wait. Pages of a polled feed count as of their request.

TestAgeEstimator_EstimatesResponseDelay and _RecoversFromClockStep checked the old estimate, which allowed an answer to count as younger by the shortest delay. Their replacements are stricter: for random delays and drifts no answer is ever younger than it is, and none older by more than the fastest call; and steps of the service's clock both ways, with late answers.

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -56,10 +56,10 @@
 
 	// avoidUntil holds the relays that failed, with the time until which they are not asked.
 	avoidUntil map[string]time.Time
-	// followed is the relay that answered last, and ages estimates when it did.
-	followed  string
-	ages      table.AgeEstimator
-	fromRelay atomic.Bool
+	// followed is the relay that answered last, and relayClock its clock.
+	followed   string
+	relayClock *table.ServiceClock
+	fromRelay  atomic.Bool
 }
 
 // FromStore reports whether this node follows the store itself, so that it may be a relay.
@@ -94,6 +94,10 @@
 // ask asks a relay, which is avoided for a while if it fails.
 func (f *Feed) ask(ctx context.Context, relay string, revision uint64, wait time.Duration) (table.Changes, error) {
 	wait = min(wait, cmp.Or(f.RelayWait, defaultRelayWait))
+	if f.followed != relay {
+		// A call that does not wait measures the offset of the relay's clock.
+		wait = 0
+	}
 	askCtx, cancel := context.WithTimeout(ctx, wait+relayTimeoutMargin)
 	defer cancel()
 	sent := clock.Now()
@@ -108,9 +112,9 @@
 		return table.Changes{}, err
 	}
 	if f.followed != relay {
-		f.followed, f.ages = relay, table.AgeEstimator{}
+		f.followed, f.relayClock = relay, &table.ServiceClock{}
 	}
-	answeredAt := f.ages.AsOf(sent, clock.Now(), answer.Stamp)
+	answeredAt := f.relayClock.AsOf(sent, clock.Now(), answer.Stamp)
 	changes := answer.Changes
 	changes.AsOf = answeredAt.Add(-answer.Age)
 	// The service's clock has gone on since it answered the relay.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// TestFeed_FirstCallToARelayDoesNotWait guards against a follower that cannot tell how old the answers of a
+// new relay are: until a change comes, each would count as no more recent than its request.
+func TestFeed_FirstCallToARelayDoesNotWait(t *testing.T) {
+	var waits []string
+	relays := []string{"a"}
+	feed := &Feed{
+		Role: func() Role { return Role{Follows: relays} },
+		Ask: func(_ context.Context, relay string, _ uint64, wait time.Duration) (Answer, error) {
+			waits = append(waits, relay+" "+wait.String())
+			return Answer{Stamp: clock.Since(time.Time{})}, nil
+		},
+	}
+	for _, relay := range []string{"a", "a", "b", "b"} {
+		relays[0] = relay
+		if _, err := feed.After(t.Context(), 1, 200*time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []string{"a 0s", "a 200ms", "b 0s", "b 200ms"}; !slices.Equal(waits, want) {
+		t.Errorf("calls %q, want %q", waits, want)
+	}
+}
+
 // Whatever the order of changes, of calls and of switches between relays and the store, a follower ends
 // with the rows that the store has, and never takes what it has for younger than it is.
 func TestFeed_FollowerHasRowsOfStore(t *testing.T) {
--- a/internal/table/feed.go
+++ b/internal/table/feed.go
@@ -24,8 +24,8 @@
 	// Now is the monotonic clock of the service. It is never compared with another clock.
 	Now time.Duration
 	// AsOf is the local time at which the service generated the answer; later writes are not
-	// included. For a whole read it is that of the first page. Zero means unknown: Watcher then
-	// estimates it from Now.
+	// included. A feed that does not know it exactly sets an earlier time, never a later one. For a
+	// whole read it is that of the first page. Zero means that Watcher derives it from Now.
 	AsOf time.Time
 	// More reports that further changes up to AsOf remain to be read.
 	More bool
--- a/internal/table/poll.go
+++ b/internal/table/poll.go
@@ -140,6 +140,7 @@
 // Page implements Feed. It reads the head before the page, so that the changes after the returned
 // revision include all that the page lacks.
 func (f PolledFeed) Page(ctx context.Context, cursor Cursor) (Changes, Cursor, error) {
+	start := clock.Now()
 	head, err := readHead(ctx, f.Heads.Service, f.Group)
 	if err != nil {
 		return Changes{}, cursor, err
@@ -148,7 +149,7 @@
 	if err != nil {
 		return Changes{}, cursor, err
 	}
-	page := Changes{Revision: head, Now: wallClock()}
+	page := Changes{Revision: head, Now: wallClock(), AsOf: start}
 	for _, row := range rows {
 		if row.Unreadable != nil {
 			// If the version is missing too, the watcher ignores the row, so it is reported here.
--- a/internal/table/asof_test.go
+++ b/internal/table/serviceclock_test.go
@@ -9,52 +9,75 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 )
 
-func TestAgeEstimator_EstimatesResponseDelay(t *testing.T) {
-	var estimator AgeEstimator
-	start := clock.Now()
-	nodeTime := func(at time.Duration) time.Time { return start.Add(at) }
-	// The clock of the service reads one hour at the local time start.
-	serviceTime := func(at time.Duration) time.Duration { return time.Hour + at }
-	const minDelay = 2 * time.Millisecond
-	for _, c := range []struct {
-		name                     string
-		sent, answered, received time.Duration
-		want                     time.Duration
-	}{
-		{"first answer", 0, 100 * time.Millisecond, 100*time.Millisecond + minDelay, 100*time.Millisecond + minDelay},
-		{"delayed answer", time.Second, 1100 * time.Millisecond, 3 * time.Second, 1100*time.Millisecond + minDelay},
-		{"stamped before it was requested", 4 * time.Second, 3 * time.Second, 5 * time.Second, 4 * time.Second},
-		{"delayed answer that starts a window", 70 * time.Second, 70 * time.Second, 71 * time.Second, 70*time.Second + minDelay},
-		{"uses the previous window", 71 * time.Second, 71 * time.Second, 72 * time.Second, 71*time.Second + minDelay},
-	} {
-		got := estimator.AsOf(nodeTime(c.sent), nodeTime(c.received), serviceTime(c.answered))
-		if got.Sub(nodeTime(c.want)).Abs() > time.Microsecond {
-			t.Errorf("%s: generated at %v, estimated %v", c.name, c.want, got.Sub(start))
+// TestServiceClock_AnswerIsNeverYoungerThanItIs guards against answers that count as complete up to a
+// time after they were generated, in particular late answers to the first calls, and against bounds
+// that are less exact than the fastest call.
+func TestServiceClock_AnswerIsNeverYoungerThanItIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var service ServiceClock
+		now := clock.Now()
+		start := now
+		offset := rapid.Int64Range(0, int64(time.Hour)).Draw(t, "offset")
+		drift := rapid.Float64Range(-maxClockDrift, maxClockDrift).Draw(t, "drift")
+		stampAt := func(at time.Time) time.Duration {
+			elapsed := at.Sub(start)
+			exact := time.Duration(offset) + elapsed + time.Duration(drift*float64(elapsed))
+			return exact.Truncate(stampResolution)
 		}
-	}
+		delay := rapid.Int64Range(0, int64(4*time.Second))
+		fastest, fastestAt := time.Hour, now
+		for range rapid.IntRange(1, 20).Draw(t, "calls") {
+			sent := now.Add(time.Duration(delay.Draw(t, "pause")))
+			generated := sent.Add(time.Duration(delay.Draw(t, "request")))
+			received := generated.Add(time.Duration(delay.Draw(t, "response")))
+			now = received
+			asOf := service.AsOf(sent, received, stampAt(generated))
+			if asOf.After(generated) || asOf.Before(sent) {
+				t.Fatalf("as of %v after the request, generated %v after it", asOf.Sub(sent), generated.Sub(sent))
+			}
+			if generated.Sub(sent) < fastest {
+				fastest, fastestAt = generated.Sub(sent), received
+			}
+			drifted := time.Duration(2 * maxClockDrift * float64(received.Sub(fastestAt)+8*time.Second))
+			if bound := fastest + 2*stampResolution + drifted; generated.Sub(asOf) > bound {
+				t.Fatalf("as of %v before it was generated, the fastest call took %v", generated.Sub(asOf), fastest)
+			}
+		}
+	})
 }
 
-// If the service's clock steps back, answers seem older than they are, but for at most two windows.
-func TestAgeEstimator_RecoversFromClockStep(t *testing.T) {
-	var estimator AgeEstimator
-	start := clock.Now()
-	estimator.AsOf(start, start, time.Hour)
-	received := start
-	for range 3 {
-		received = received.Add(minDelayWindow + time.Second)
-		estimator.AsOf(received, received, 0)
-	}
-	received = received.Add(time.Second)
-	sent := received.Add(-time.Second)
-	if got := estimator.AsOf(sent, received, received.Sub(start)-3*(minDelayWindow+time.Second)); got.Before(sent) {
-		t.Errorf("the answer is estimated to be %v old, which is before its request", received.Sub(got))
-	}
-	if estimator.previousMinOffset < received.Sub(clockOrigin)-4*(minDelayWindow+time.Second) {
-		t.Errorf("the offset before the step is still used: %v", estimator.previousMinOffset)
+// TestServiceClock_RecoversFromSteps guards against an offset from before a step of the service's clock:
+// answers would count as complete up to their receipt, or only up to their request.
+func TestServiceClock_RecoversFromSteps(t *testing.T) {
+	for name, step := range map[string]time.Duration{"forward": time.Hour, "back": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			var service ServiceClock
+			at := clock.Now()
+			stamp := 2 * time.Hour
+			service.AsOf(at, at, stamp)
+			for range 3 {
+				sent := at.Add(time.Second)
+				generated := sent.Add(time.Second)
+				at = generated.Add(time.Second)
+				stamp += 3 * time.Second
+				asOf := service.AsOf(sent, at, stamp+step-time.Second)
+				if asOf.After(generated) || asOf.Before(sent) {
+					t.Fatalf("as of %v after the request, generated 1s after it", asOf.Sub(sent))
+				}
+			}
+			quick := at.Add(time.Second)
+			service.AsOf(quick, quick, stamp+step+time.Second)
+			late := service.AsOf(quick, quick.Add(2*time.Second), stamp+step+2*time.Second)
+			if want := quick.Add(time.Second); want.Sub(late) > 2*stampResolution || late.After(want) {
+				t.Fatalf("as of %v, generated at %v", late.Sub(quick), want.Sub(quick))
+			}
+		})
 	}
 }
 
@@ -150,6 +173,19 @@
 	})
 }
 
+// Guards against a page that counts as of its receipt.
+func TestPolledFeed_PageIsAsOldAsItsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &blockingHeads{rows: map[string][]Row{headsPartition: {{Key: headKey("g"), Version: 1}}}, delay: time.Second}
+		feed := PolledFeed{Heads: NewHeads(service), Group: "g", Parts: []string{"g"}}
+		sent := clock.Now()
+		page, _, err := feed.Page(t.Context(), Cursor{})
+		if err != nil || page.AsOf.After(sent) || page.AsOf.IsZero() {
+			t.Errorf("as of %v after the request, error %v", page.AsOf.Sub(sent), err)
+		}
+	})
+}
+
 // Guards against a view that is more than one page behind but considered complete.
 func TestPolledFeed_FullPageSetsMore(t *testing.T) {
 	service := &blockingHeads{rows: map[string][]Row{headsPartition: {{Key: headKey("g"), Version: 250}}}}
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -67,7 +67,7 @@
 	// lastResponse is the time of the last response to any call, including pages of whole reads.
 	lastResponse atomic.Int64
 	outageStart  time.Time
-	ages         AgeEstimator
+	serviceClock ServiceClock
 	refresh      chan struct{}
 	// announced holds a pending announcement until the next wait between calls.
 	announced chan struct{}
