table: a view's age changes only after its rows do

Watcher recorded the age of an answer before it applied the answer's changes. Whoever looked in between (the runner, the state that is sent to a starting node, Ready) took the rows of before for as recent as the new answer.

TestWatcher_AgeIsThatOfAppliedChanges failed before: ready before the first rows were applied, and an age of 250 ms while the rows were 750 ms old. The end of an outage is still reported before the changes are applied, as TestWatcher_ReportsOutageBeforeChanges checks.

--- a/internal/table/serviceclock_test.go
+++ b/internal/table/serviceclock_test.go
@@ -244,3 +244,25 @@
 		}
 	})
 }
+
+// TestWatcher_AgeIsThatOfAppliedChanges guards against an age that is already that of a new answer while
+// its changes are still being applied: whoever goes by the age then uses rows that are older.
+func TestWatcher_AgeIsThatOfAppliedChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const apply = 500 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(2 * apply)
+		defer cancel()
+		watcher := NewWatcher(&slowFeed{}, func(Changes, bool) { time.Sleep(apply) })
+		go watcher.Run(ctx)
+		time.Sleep(apply / 2)
+		if watcher.Ready() {
+			t.Errorf("ready before the first rows are applied")
+		}
+		time.Sleep(apply)
+		// The second answer was received when the first had been applied.
+		if age := watcher.Age(); age < 3*apply/2 {
+			t.Errorf("age %v while the rows are %v old", age, 3*apply/2)
+		}
+	})
+}
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -244,7 +244,7 @@
 	changes, err := w.Feed.After(callCtx, w.revision, watchMaxWait)
 	if err == nil {
 		changes = w.withAsOf(sent, changes)
-		w.callSucceeded(changes)
+		w.callSucceeded()
 		w.apply(changes, false)
 	}
 	return err
@@ -258,7 +258,7 @@
 	if err != nil {
 		return err
 	}
-	w.callSucceeded(changes)
+	w.callSucceeded()
 	w.applyWhole(changes)
 	if reread && w.OnReread != nil {
 		read.Elapsed = clock.Since(start)
@@ -355,15 +355,21 @@
 	changes.Changes = newer
 	w.revision = max(w.revision, changes.Revision)
 	w.Apply(changes, whole)
+	w.recordAge(changes)
 }
 
-// callSucceeded records a response. It must be called before the changes are applied, so that
-// OnRegained reports the end of an outage before handlers of the changes run.
-func (w *Watcher) callSucceeded(changes Changes) {
+// recordAge records the age of an answer, after its changes have been applied: until then, what this
+// watcher knows is as old as before. The caller holds mu.
+func (w *Watcher) recordAge(changes Changes) {
 	asOf := int64(changes.AsOf.Sub(clockOrigin))
 	if newest := w.newestAnswer.Load(); !changes.More && (newest == 0 || asOf > newest) {
 		w.newestAnswer.Store(asOf)
 	}
+}
+
+// callSucceeded records a response. It must be called before the changes are applied, so that
+// OnRegained reports the end of an outage before handlers of the changes run.
+func (w *Watcher) callSucceeded() {
 	w.lastResponse.Store(int64(clock.Since(clockOrigin)))
 	if !w.outageStart.IsZero() && w.OnRegained != nil {
 		w.OnRegained(clock.Since(w.outageStart))
