lease: a read that arrives late makes no session look older

The time for which a session is unchanged started at the end of the first read, but ended at the end of the last one. A read that the store answered at once and that arrived late counted as of its arrival: a live node whose session had been unchanged for half of its time to live expired, and its work could be taken over (rows are conditional, so no write of it would be lost).

TestWatcher_LateReadExpiresNoSession failed before, with a read that is late by the time to live. A read now shows its rows as of its start where that makes the session younger, and as of its end otherwise. go test ./internal/lease: ok.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -65,6 +65,44 @@
 	}
 }
 
+// slowReads delivers rows some time after the service read them.
+type slowReads struct {
+	table.Service
+	clock *manualClock
+	delay time.Duration
+}
+
+func (s *slowReads) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	row, err := s.Service.Get(ctx, key)
+	s.clock.now = s.clock.now.Add(s.delay)
+	return row, err
+}
+
+// Guards against a read that arrives late and counts as of its arrival: the session would look unchanged
+// for longer than it is known to be, and its work be taken over from a live node.
+func TestWatcher_LateReadExpiresNoSession(t *testing.T) {
+	service, _ := newService(t)
+	session := NewSession(service, "a", testTiming)
+	if err := session.Ensure(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	clock := &manualClock{now: time.Unix(100, 0)}
+	slow := &slowReads{Service: service, clock: clock}
+	watcher := NewWatcher(slow, clock.read, testTiming)
+	refreshSession(t, watcher, session.ID())
+	clock.now = clock.now.Add(testTiming.TimeToLive / 2)
+	slow.delay = testTiming.TimeToLive
+	refreshSession(t, watcher, session.ID())
+	if watcher.Expired(session.ID()) {
+		t.Error("a session that was unchanged for half of its time to live expired")
+	}
+	slow.delay = 0
+	refreshSession(t, watcher, session.ID())
+	if !watcher.Expired(session.ID()) {
+		t.Error("an unchanged session did not expire")
+	}
+}
+
 // While the store is down no observation succeeds, so nothing may expire. After an outage every
 // holder has its full time to live again.
 func TestWatcher_NothingExpiresDuringStoreOutage(t *testing.T) {
--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -21,9 +21,13 @@
 	body           []byte
 	version        uint64
 	unchangedSince time.Time // end of the first read that returned version
-	observedAt     time.Time
+	observedAt     time.Time // start of the last read that returned version, but not before unchangedSince
 }
 
+// readTimes are the times at which a read of rows was started and ended. The rows are as of some time
+// between.
+type readTimes struct{ start, end time.Time }
+
 // Watcher determines which sessions have expired by watching their rows for renewals. It is
 // safe for concurrent use.
 type Watcher struct {
@@ -43,7 +47,7 @@
 
 	mu          sync.Mutex
 	observed    map[string]observation
-	lastRefresh time.Time
+	lastRefresh readTimes
 	// readFailed is set after a failed read. The store may be down, in which case holders
 	// cannot renew their sessions either.
 	readFailed bool
@@ -56,32 +60,33 @@
 
 // Refresh reads all sessions, or only the neighbours if Neighbours is set.
 func (w *Watcher) Refresh(ctx context.Context) error {
+	start := w.now()
 	rows, all, err := w.readWatched(ctx)
 	if err != nil {
 		w.markReadFailed()
 		return Error.Wrap(err)
 	}
-	readAt := w.now()
+	read := readTimes{start: start, end: w.now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.recover(readAt)
+	w.recover(read.end)
 	present := map[string]bool{}
 	for _, row := range rows {
 		id := sessionID(row.Sort)
 		present[id] = true
-		w.observe(id, row, readAt)
+		w.observe(id, row, read)
 	}
 	for id := range w.observed {
 		switch {
 		case present[id]:
 		case all || w.inWatchedRange(id, rows[len(rows)-1].Sort):
-			w.observe(id, table.Row{}, readAt)
+			w.observe(id, table.Row{}, read)
 		default:
 			// The session has left the watched range; other nodes watch it.
 			delete(w.observed, id)
 		}
 	}
-	w.lastRefresh = readAt
+	w.lastRefresh = read
 	return nil
 }
 
@@ -93,17 +98,18 @@
 
 // RefreshSession reads a single session.
 func (w *Watcher) RefreshSession(ctx context.Context, id string) error {
+	start := w.now()
 	row, err := w.service.Get(ctx, sessionKey(id))
 	if err != nil && !errors.Is(err, table.ErrNotFound) {
 		w.markReadFailed()
 		return Error.Wrap(err)
 	}
-	readAt := w.now()
+	read := readTimes{start: start, end: w.now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.recover(readAt)
+	w.recover(read.end)
 	// A missing row has version table.Absent.
-	w.observe(id, row, readAt)
+	w.observe(id, row, read)
 	return nil
 }
 
@@ -130,18 +136,20 @@
 
 // observe records the result of a read; the zero row stands for a missing one. The caller holds mu.
 //
-// The time for which a version is unchanged starts at the end of the first read that returned it,
-// so that a slow store cannot make a session look older than it is. A row that existed and is
-// gone was deleted by its holder, so the session expires immediately.
-func (w *Watcher) observe(id string, row table.Row, readAt time.Time) {
+// The time for which a version is unchanged starts at the end of the first read that returned it and
+// ends at the start of the last one, so that a slow store cannot make a session look older than it
+// is. A row that existed and is gone was deleted by its holder, so the session expires immediately.
+func (w *Watcher) observe(id string, row table.Row, read readTimes) {
 	known, ok := w.observed[id]
 	switch {
 	case ok && known.version == row.Version:
-		known.observedAt = readAt
+		if read.start.After(known.observedAt) {
+			known.observedAt = read.start
+		}
 	case ok && row.Version == table.Absent:
-		known = observation{unchangedSince: readAt.Add(-w.timeToLive), observedAt: readAt}
+		known = observation{unchangedSince: read.end.Add(-w.timeToLive), observedAt: read.end}
 	default:
-		known = observation{version: row.Version, unchangedSince: readAt, observedAt: readAt}
+		known = observation{version: row.Version, unchangedSince: read.end, observedAt: read.end}
 	}
 	known.key, known.body = row.Key, row.Body
 	w.observed[id] = known
@@ -199,11 +207,11 @@
 	return toEnd
 }
 
-// Age returns the time since the last successful Refresh.
+// Age returns the time since the last successful Refresh began.
 func (w *Watcher) Age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.now().Sub(w.lastRefresh)
+	return w.now().Sub(w.lastRefresh.start)
 }
 
 // Expired reports whether the work of a session may be taken over, as of the last read.
