node: the state of another node is as old as it is on arrival

A node that starts while the store is away takes the state of another node, whose stated age did not include the time in transit, up to 1 s: members, replicas and configuration counted as younger than they are. The age of the members was also taken after their rows, and an age that cannot be true overflowed to none. Only the time of the replica list allowed for transit.

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -33,6 +33,8 @@
 	maxBootstrapResponses = 2
 	// maxBootstrapBytes bounds a response. A large configuration has about 1 MB.
 	maxBootstrapBytes = 16 << 20
+	// maxStatedAge bounds the age of a state, so that one that cannot be true does not overflow.
+	maxStatedAge = 24 * time.Hour
 	// pathBootstrap is the HTTP path under which nodes serve their state.
 	pathBootstrap = "/v1/held"
 )
@@ -127,9 +129,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	// The age is taken before the rows: changes in between make them newer than it says, never older.
+	membersAge := g.jobWatch.Age()
 	state := bootstrapState{
 		Config: newFeedState(g.configWatch.Snapshot()), Replicas: newFeedState(g.replicaWatch.Snapshot()),
-		Members: newFeedState(table.Changes{Changes: g.roster.MemberRows()}, g.jobWatch.Age()),
+		Members: newFeedState(table.Changes{Changes: g.roster.MemberRows()}, membersAge),
 		Crashes: g.collectCrashes(),
 	}
 	body, err := cbor.Marshal(state)
@@ -153,8 +157,8 @@
 			continue
 		}
 		from := sources[rand.IntN(len(sources))]
-		state := &bootstrapState{}
-		if err := fetchState(ctx, client, from.String(), pathBootstrap, state); err != nil {
+		state, err := fetchBootstrapState(ctx, client, from.String())
+		if err != nil {
 			g.sampled.Info().Stringer("from", from).Err(err).Msg("no bootstrap state from another node")
 			continue
 		}
@@ -162,6 +166,21 @@
 	}
 }
 
+// fetchBootstrapState returns the state of another node, with the ages that it has on arrival.
+func fetchBootstrapState(ctx context.Context, client *http.Client, address string) (*bootstrapState, error) {
+	requestedAt := clock.Now()
+	state := &bootstrapState{}
+	if err := fetchState(ctx, client, address, pathBootstrap, state); err != nil {
+		return nil, err
+	}
+	// Rounded up, so that no state counts as more recent than it is.
+	inTransit := clock.Since(requestedAt).Milliseconds() + 1
+	for _, feed := range []*feedState{&state.Config, &state.Replicas, &state.Members} {
+		feed.AgeMs = min(max(0, feed.AgeMs), maxStatedAge.Milliseconds()) + inTransit
+	}
+	return state, nil
+}
+
 // sinceStoreResponse returns the time since the store last responded to this node.
 func (g *Gateway) sinceStoreResponse() time.Duration {
 	return min(g.configWatch.SinceLastResponse(), g.replicaWatch.SinceLastResponse(), g.jobWatch.SinceLastResponse())
@@ -175,9 +194,8 @@
 	members := g.jobWatch.Seed(state.Members.changes(), state.Members.age(), g.roster.Apply)
 	replicas := g.replicaWatch.Seed(state.Replicas.changes(), state.Replicas.age(), g.applyReplicas)
 	if now := clock.Now(); replicas {
-		// The age does not include the time in transit, which is at most bootstrapTimeout. The list
-		// time is set here because no update sets it until the store responds.
-		g.replicas.SetListTime(now.Add(-state.Replicas.age()-bootstrapTimeout), now)
+		// No update sets the list time until the store responds.
+		g.replicas.SetListTime(now.Add(-state.Replicas.age()), now)
 	}
 	g.replicas.SetJoined(g.roster.Joined())
 	g.replicas.Divide(g.settings.Node.ID, g.roster.Places())
