relay: failing test, a change during a relay's whole read is lost to followers

A whole read is as of its first page, but later pages may hold newer rows. The relay's log files them under the revision of the first page, and the feed's repetition of the change is filtered out as known, so a follower whose revision is between the two never gets the row, while its view counts as recent.

--- /dev/null
+++ b/internal/relay/log_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/table"
+)
+
+// changedDuringRead is the feed of a store in which row x changes at version 105, between the first page
+// of a whole read, at version 100, and the page that holds the row. Row y changes afterwards.
+type changedDuringRead struct{}
+
+var (
+	rowX = table.Change{Row: table.Row{Key: table.Key{Partition: testGroup, Sort: "x"}, Version: 105}}
+	rowY = table.Change{Row: table.Row{Key: table.Key{Partition: testGroup, Sort: "y"}, Version: 108}}
+)
+
+func (changedDuringRead) Page(_ context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
+	if cursor.Part == 0 {
+		return table.Changes{Revision: 100, AsOf: clock.Now()}, table.Cursor{Part: 1}, nil
+	}
+	return table.Changes{Revision: 106, AsOf: clock.Now(), Changes: []table.Change{rowX}}, table.Cursor{Part: 2, Done: true}, nil
+}
+
+func (changedDuringRead) After(ctx context.Context, revision uint64, _ time.Duration) (table.Changes, error) {
+	if revision >= 110 {
+		<-ctx.Done()
+		return table.Changes{}, ctx.Err()
+	}
+	return table.Changes{Revision: 110, AsOf: clock.Now(), Changes: []table.Change{rowX, rowY}}, nil
+}
+
+// TestLog_RowsThatChangeDuringAWholeRead guards against followers that never get a change: one that the
+// relay saw in a late page of a whole read, newer than the first page, and that the feed then repeats.
+func TestLog_RowsThatChangeDuringAWholeRead(t *testing.T) {
+	for name, reread := range map[string]bool{"first read": false, "later read": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var log Log
+				if reread {
+					log.Append(table.Changes{Revision: 90, AsOf: clock.Now()})
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				watcher := table.NewWatcher(changedDuringRead{}, func(changes table.Changes, _ bool) { log.Append(changes) })
+				go watcher.Run(ctx)
+				synctest.Wait()
+				for _, revision := range []uint64{95, 100, 102, 104} {
+					changes, err := log.After(ctx, revision, 0)
+					if errors.Is(err, ErrBehind) {
+						continue
+					}
+					got := slices.ContainsFunc(changes.Changes, func(c table.Change) bool { return c.Version == rowX.Version })
+					if err != nil || !got {
+						t.Errorf("a follower at version %d gets %d changes up to %d without that of version %d, error %v", revision, len(changes.Changes), changes.Revision, rowX.Version, err)
+					}
+				}
+				for _, revision := range []uint64{105, 106} {
+					changes, err := log.After(ctx, revision, 0)
+					if err != nil || len(changes.Changes) != 1 || changes.Changes[0].Version != rowY.Version {
+						t.Errorf("a follower at version %d gets %+v, error %v", revision, changes.Changes, err)
+					}
+				}
+			})
+		})
+	}
+}
