relay: a log files changes under their own versions

A follower of a relay could miss a row for good, with a view that counts as recent: results at a position are denied without a question, revoked keys pass and replicas that have left stay. No caller was seen to be hurt by it; found by looking for ways to an answer that is older than its age.

A whole read has the revision of its first page, and later pages may hold rows that changed since. The watcher passes them on with the read, and not again when the feed repeats them. The log filed them under the read's revision, or not at all for the first read. A follower between that revision and the row's version was answered without the row, and went on from a later revision.

Batches, and the start of the log, now have the newest version of any change in them as their revision: a follower below it gets the row, or is told that it is behind and asks the store. Order of batches is kept, since that bound only grows.

--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -41,7 +41,7 @@
 // batch is a list of changes that were received together.
 type batch struct {
 	changes []table.Change
-	// revision is the newest version that this and all earlier batches include.
+	// revision is a version that no change of this or an earlier batch exceeds.
 	revision uint64
 }
 
@@ -51,8 +51,10 @@
 	mu      sync.Mutex
 	batches []batch
 	count   int
-	// first is the revision from which the log has all changes, revision that up to which.
-	first, revision uint64
+	// first is the revision from which the log has all changes, revision that up to which. newest is
+	// the newest version of any change: the later pages of a whole read may hold changes after its
+	// revision, which the feed then repeats, but the watcher passes on only once.
+	first, revision, newest uint64
 	// asOf is the local time as of which revision is the newest, now that of the service's clock.
 	asOf time.Time
 	now  time.Duration
@@ -65,12 +67,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.revision = max(l.revision, changes.Revision)
+	l.newest = max(l.newest, l.revision)
+	for _, change := range changes.Changes {
+		l.newest = max(l.newest, change.Version)
+	}
 	switch {
 	case l.asOf.IsZero():
 		// The first changes are the whole group.
-		l.first = l.revision
+		l.first = l.newest
 	case len(changes.Changes) > 0:
-		l.batches = append(l.batches, batch{changes: slices.Clone(changes.Changes), revision: l.revision})
+		l.batches = append(l.batches, batch{changes: slices.Clone(changes.Changes), revision: l.newest})
 		l.count += len(changes.Changes)
 		l.trim()
 		l.notify()
