relay: failing test, a follower's estimate of the store's clock is ahead

A follower adds the age of an answer to the time with which the store stamped it. The age is an upper bound, and that of a whole read is of its first page while the time is of its last, so the sum is too large. Items expire by it.

go test -run TestFeed_NowIsNotAheadOfTheStore ./internal/relay: 900 ms ahead.

--- a/internal/relay/log_test.go
+++ b/internal/relay/log_test.go
@@ -72,3 +72,58 @@
 		})
 	}
 }
+
+// slowPages is the feed of a store with a clock of its own and a whole read of two pages, the second of which
+// is slow to be asked for and to arrive.
+type slowPages struct {
+	start time.Time
+	delay time.Duration
+}
+
+func (f slowPages) changes() table.Changes {
+	return table.Changes{Revision: 1, Now: time.Hour + clock.Since(f.start)}
+}
+
+func (f slowPages) Page(_ context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
+	if cursor.Part == 0 {
+		return f.changes(), table.Cursor{Part: 1}, nil
+	}
+	time.Sleep(f.delay)
+	page := f.changes()
+	time.Sleep(f.delay)
+	return page, table.Cursor{Part: 2, Done: true}, nil
+}
+
+func (f slowPages) After(ctx context.Context, _ uint64, _ time.Duration) (table.Changes, error) {
+	<-ctx.Done()
+	return table.Changes{}, ctx.Err()
+}
+
+// TestFeed_NowIsNotAheadOfTheStore guards against followers whose estimate of the store's clock is ahead of it:
+// items would expire before their retention has passed.
+func TestFeed_NowIsNotAheadOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log Log
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store := slowPages{start: clock.Now(), delay: 900 * time.Millisecond}
+		watcher := table.NewWatcher(store, func(changes table.Changes, _ bool) { log.Append(changes) })
+		go watcher.Run(ctx)
+		time.Sleep(2*store.delay + time.Millisecond)
+		feed := &Feed{
+			Role: func() Role { return Role{Follows: []string{"a"}} },
+			Ask: func(ctx context.Context, _ string, revision uint64, wait time.Duration) (Answer, error) {
+				changes, err := log.After(ctx, revision, wait)
+				return Answer{Changes: changes, Stamp: clock.Since(store.start), Age: clock.Since(changes.AsOf)}, err
+			},
+		}
+		changes, err := feed.After(ctx, 1, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ahead := changes.Now - store.changes().Now; ahead > 0 || ahead < -2*store.delay {
+			t.Errorf("the estimate of the store's clock is %v ahead", ahead)
+		}
+	})
+}
