relay: a follower's estimate of the store's clock is never ahead of it

A follower could let items of jobs expire before their retention had passed, and date new jobs later than they came, by as much as its relay's last whole read took, and by a call's time while all calls to the store are slow. Not seen at a caller; found by looking for ages that are taken for exact.

The age of an answer is an upper bound, and that of a whole read is of its first page, but the time of the store's clock beside it is of the last page. The follower adds the two. The log now keeps the store's clock of the time that the age is counted from: the stamped time less what has passed since AsOf, which is that clock at AsOf or earlier. The sum is then a lower bound, as it is at nodes that ask the store. The message is the same, so nodes of before and after the change follow each other.

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -117,7 +117,7 @@
 	answeredAt := f.relayClock.AsOf(sent, clock.Now(), answer.Stamp)
 	changes := answer.Changes
 	changes.AsOf = answeredAt.Add(-answer.Age)
-	// The service's clock has gone on since it answered the relay.
+	// The service's clock has gone on since the time that Now is of.
 	changes.Now += answer.Age
 	return changes, nil
 }
--- a/internal/relay/log.go
+++ b/internal/relay/log.go
@@ -55,7 +55,8 @@
 	// the newest version of any change: the later pages of a whole read may hold changes after its
 	// revision, which the feed then repeats, but the watcher passes on only once.
 	first, revision, newest uint64
-	// asOf is the local time as of which revision is the newest, now that of the service's clock.
+	// asOf is the local time as of which revision is the newest, now that of the service's clock at asOf
+	// or, since asOf is a bound, before.
 	asOf time.Time
 	now  time.Duration
 	// changed is closed at the next change; nil while nobody waits.
@@ -82,7 +83,7 @@
 		l.notify()
 	}
 	if !changes.More && changes.AsOf.After(l.asOf) {
-		l.asOf, l.now = changes.AsOf, changes.Now
+		l.asOf, l.now = changes.AsOf, changes.Now-max(0, clock.Since(changes.AsOf))
 	}
 }
 
@@ -104,8 +105,8 @@
 	}
 }
 
-// After waits up to wait for changes after a revision. Now and AsOf are those of the last answer of the
-// store.
+// After waits up to wait for changes after a revision. AsOf is that of the last answer of the store, and Now
+// the service's clock at that time or before.
 func (l *Log) After(ctx context.Context, revision uint64, wait time.Duration) (table.Changes, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
