quota: a grant is as old as the report that it answers

A node that was stopped, or whose messages were late, went on with a grant as if it were new: for maxGrantAge it admitted requests without a query from capacity that its owner may have granted to others since, and told a new owner that the capacity was available. After shareExpiry the owner no longer reserves all of it, so a tenant could exceed its limit.

The number of a report is now the nanoseconds since the node's first one, still increasing, so a grant tells when its report was made, and counts as of then. Owners only compare numbers, so nodes of before and after the change work together.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -37,8 +37,9 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// number is the number of the last report.
+	// number is the number of the last report, origin the time of the first.
 	number uint64
+	origin time.Time
 }
 
 // account is the state of one tenant at this node.
@@ -60,7 +61,7 @@
 	localMode bool
 	// available is the fleet-wide available capacity in the last grant.
 	available float64
-	// grantedAt is the time of the last grant, lastRequest that of the last request.
+	// grantedAt is the time of the report that the last grant answers, lastRequest that of the last request.
 	grantedAt, lastRequest time.Time
 	// grantNumber is the report number of the last grant.
 	grantNumber uint64
@@ -274,7 +275,7 @@
 
 // newReport returns the next report for a tenant. The caller holds mu.
 func (l *Limiter) newReport(tenant string, acct *account, now time.Time) Report {
-	l.number++
+	l.number = l.nextNumber(now)
 	acct.recent.advance(l.Tolerance.window(), now)
 	acct.reportedAt, acct.reportedDemand = now, acct.reportableDemand(now)
 	return Report{
@@ -284,6 +285,24 @@
 	}
 }
 
+// nextNumber returns the number of the next report: the nanoseconds since the first one, so that a grant
+// tells the time of the report that it answers. The caller holds mu.
+func (l *Limiter) nextNumber(now time.Time) uint64 {
+	if l.origin.IsZero() {
+		l.origin = now
+	}
+	return max(l.number+1, uint64(max(0, now.Sub(l.origin))))
+}
+
+// reportedAt returns the time of a report. The caller holds mu.
+func (l *Limiter) reportedAt(number uint64, now time.Time) time.Time {
+	since := now.Sub(l.origin)
+	if since < 0 || number > uint64(since) {
+		return now
+	}
+	return l.origin.Add(time.Duration(number))
+}
+
 // availableAt returns the available capacity in the last grant, or 0 if that is too old.
 func (a *account) availableAt(now time.Time) float64 {
 	if a.grantedAt.IsZero() || now.Sub(a.grantedAt) >= maxGrantAge {
@@ -320,12 +339,13 @@
 }
 
 // applyGrant updates acct from a grant. It ignores invalid grants and those older than the last
-// one. The caller holds mu.
+// one. A grant counts as of its report: the owner may have granted the same capacity to others before a
+// late grant arrives. The caller holds mu.
 func (l *Limiter) applyGrant(acct *account, grant Grant, now time.Time) {
 	if grant.Number <= acct.grantNumber || !validGrant(grant) {
 		return
 	}
-	acct.grantNumber, acct.grantedAt, acct.counted = grant.Number, now, grant.Counted
+	acct.grantNumber, acct.grantedAt, acct.counted = grant.Number, l.reportedAt(grant.Number, now), grant.Counted
 	acct.share = min(1, grant.Share)
 	acct.available = grant.Available
 	localBudget := max(0, grant.Available-reservedShare*l.Tolerance.capacity(acct.limit)) * acct.share
