lease: failing test, a read from before a session ends it

A read that began before a session existed and is delivered after one that shows it counts as the deletion of the session.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -103,6 +103,54 @@
 	}
 }
 
+// overtakenRead delivers its first row only after overtake has returned.
+type overtakenRead struct {
+	table.Service
+	overtake func()
+}
+
+func (s *overtakenRead) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	row, err := s.Service.Get(ctx, key)
+	if overtake := s.overtake; overtake != nil {
+		s.overtake = nil
+		overtake()
+	}
+	return row, err
+}
+
+// Guards against a read from before a session that is delivered after one that shows it: the session would
+// count as deleted by its holder, and its work be taken over from a live node.
+func TestWatcher_OvertakenReadEndsNoSession(t *testing.T) {
+	service, _ := newService(t)
+	session := NewSession(service, "a", testTiming)
+	clock := &manualClock{now: time.Unix(100, 0)}
+	overtaken := &overtakenRead{Service: service}
+	watcher := NewWatcher(overtaken, clock.read, testTiming)
+	overtaken.overtake = func() {
+		if err := session.Ensure(t.Context()); err != nil {
+			t.Error(err)
+		}
+		clock.now = clock.now.Add(time.Second)
+		refreshSession(t, watcher, session.ID())
+		clock.now = clock.now.Add(time.Second)
+	}
+	refreshSession(t, watcher, session.ID())
+	if watcher.Expired(session.ID()) {
+		t.Error("a session expired because a read from before it was delivered late")
+	}
+	row, err := service.Get(t.Context(), sessionKey(session.ID()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := service.Commit(t.Context(), table.NewOperation(), table.Write{Key: row.Key, Kind: table.Delete, Expect: row.Version}); err != nil {
+		t.Fatal(err)
+	}
+	refreshSession(t, watcher, session.ID())
+	if !watcher.Expired(session.ID()) {
+		t.Error("a deleted session did not expire")
+	}
+}
+
 // While the store is down no observation succeeds, so nothing may expire. After an outage every
 // holder has its full time to live again.
 func TestWatcher_NothingExpiresDuringStoreOutage(t *testing.T) {
