lease: a read that overlaps with another one shows no deletion

A missing row counts as deleted only if its read began after the last read that returned the row had ended. Other reads are ignored for that session; one that begins later tells.

--- a/internal/lease/watcher.go
+++ b/internal/lease/watcher.go
@@ -22,6 +22,7 @@
 	version        uint64
 	unchangedSince time.Time // end of the first read that returned version
 	observedAt     time.Time // start of the last read that returned version, but not before unchangedSince
+	readUntil      time.Time // end of the last read that returned version
 }
 
 // readTimes are the times at which a read of rows was started and ended. The rows are as of some time
@@ -138,7 +139,8 @@
 //
 // The time for which a version is unchanged starts at the end of the first read that returned it and
 // ends at the start of the last one, so that a slow store cannot make a session look older than it
-// is. A row that existed and is gone was deleted by its holder, so the session expires immediately.
+// is. A row that existed and is gone was deleted by its holder, so the session expires immediately. A
+// read that overlaps with the one that returned the row may precede it, and shows no deletion.
 func (w *Watcher) observe(id string, row table.Row, read readTimes) {
 	known, ok := w.observed[id]
 	switch {
@@ -146,12 +148,17 @@
 		if read.start.After(known.observedAt) {
 			known.observedAt = read.start
 		}
+	case ok && row.Version == table.Absent && read.start.Before(known.readUntil):
+		return
 	case ok && row.Version == table.Absent:
 		known = observation{unchangedSince: read.end.Add(-w.timeToLive), observedAt: read.end}
 	default:
 		known = observation{version: row.Version, unchangedSince: read.end, observedAt: read.end}
 	}
 	known.key, known.body = row.Key, row.Body
+	if read.end.After(known.readUntil) {
+		known.readUntil = read.end
+	}
 	w.observed[id] = known
 }
 
