table: failing test, drift since a late answer

ServiceClock counts drift from the receipt of the answer that measured the offset, not from its generation, and with the wrong sign for an answer that was received before.

go test -run DriftSince ./internal/table: red in both cases.

--- a/internal/table/serviceclock_test.go
+++ b/internal/table/serviceclock_test.go
@@ -81,6 +81,44 @@
 	}
 }
 
+// TestServiceClock_DriftSinceALateAnswer guards against drift that is counted only from the receipt of the answer
+// that measured the offset, or not at all for an answer that was requested before: the clocks drift from the
+// generation of one answer to that of the other.
+func TestServiceClock_DriftSinceALateAnswer(t *testing.T) {
+	const late = 4 * time.Second
+	for name, c := range map[string]struct {
+		drift float64
+		// wait is the time from the generation of the measuring answer, which arrives late, to that of the
+		// other one, which takes response to arrive.
+		wait, response time.Duration
+	}{
+		"fast service, later answer":   {maxClockDrift, late, stampResolution},
+		"slow service, earlier answer": {-maxClockDrift, -late, late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := clock.Now()
+			stampAt := func(at time.Time) time.Duration {
+				elapsed := at.Sub(start)
+				return (time.Hour + elapsed + time.Duration(c.drift*float64(elapsed))).Truncate(stampResolution)
+			}
+			worst := -time.Hour
+			for i := range 1000 {
+				measured := start.Add(2*late + time.Duration(i)*stampResolution/1000)
+				for k := range 50 {
+					var service ServiceClock
+					service.AsOf(measured, measured.Add(late), stampAt(measured))
+					generated := measured.Add(c.wait + time.Duration(k)*stampResolution/50)
+					asOf := service.AsOf(generated.Add(-late), generated.Add(c.response), stampAt(generated))
+					worst = max(worst, asOf.Sub(generated))
+				}
+			}
+			if worst > 0 {
+				t.Errorf("as of %v after it was generated", worst)
+			}
+		})
+	}
+}
+
 // blockingHeads blocks reads of the log heads while blocked is set.
 type blockingHeads struct {
 	Service
