table: drift of a service's clock counts from answer to answer

An answer could count as younger than it is, by up to 0.8 ms beside one that took 4 s: the drift of the clocks was counted from the receipt of the answer that measured the offset to the receipt of the other one, and added in place of subtracted if that receipt was the earlier one, as with concurrent calls. No caller is known to be hurt by so little, but the bound is documented as exact.

ServiceClock now keeps when the measuring answer was requested and received. The time between the generations of two answers is at most the larger of the two spans from the request of one to the receipt of the other.

--- a/internal/table/serviceclock.go
+++ b/internal/table/serviceclock.go
@@ -22,10 +22,10 @@
 // arrives. The zero value is ready for use. It is safe for concurrent use.
 type ServiceClock struct {
 	mu sync.Mutex
-	// offset is the largest bound of local time less service time, as of the local time measuredAt;
-	// measuredAt is zero before the first answer.
-	offset     time.Duration
-	measuredAt time.Time
+	// offset is the largest bound of local time less service time. It holds for the generation of the
+	// answer that was requested at sent and received at received; both are zero before the first answer.
+	offset         time.Duration
+	sent, received time.Time
 }
 
 // AsOf returns a local time up to which an answer is complete, given the local times at which it was
@@ -35,21 +35,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	measured := sent.Sub(clockOrigin) - stamp - stampResolution
-	if known := c.offsetAt(received); c.measuredAt.IsZero() || measured >= known || stamp+known > received.Sub(clockOrigin) {
+	known := c.offsetBetween(sent, received)
+	if c.sent.IsZero() || measured >= known || stamp+known > received.Sub(clockOrigin) {
 		// In the last case the service's clock has been set forward, and the known bound is void.
-		c.offset, c.measuredAt = measured, received
+		c.offset, c.sent, c.received = measured, sent, received
+		known = measured
 	}
-	asOf := clockOrigin.Add(stamp + c.offsetAt(received))
+	asOf := clockOrigin.Add(stamp + known)
 	if asOf.Before(sent) {
 		return sent
 	}
 	return asOf
 }
 
-// offsetAt returns the bound of the offset at a local time. Since it was measured, the service's clock
-// may have gained on the local one. The caller holds mu.
-func (c *ServiceClock) offsetAt(now time.Time) time.Duration {
-	return c.offset - time.Duration(maxClockDrift*float64(now.Sub(c.measuredAt)))
+// offsetBetween returns the bound of the offset at any time between sent and received. Between that time
+// and the one for which the bound was measured, in either order, the clocks may have drifted. The caller
+// holds mu.
+func (c *ServiceClock) offsetBetween(sent, received time.Time) time.Duration {
+	apart := max(received.Sub(c.sent), c.received.Sub(sent))
+	return c.offset - time.Duration(maxClockDrift*float64(apart))
 }
 
 // withAsOf sets AsOf of an answer unless its feed has set it.
