--- a/internal/jobs/read.go
+++ b/internal/jobs/read.go
@@ -22,6 +22,10 @@
 	Results []Result
 	// Next is the position after the last result.
 	Next int
+	// Version is the version of the job's progress row that the answer was made from.
+	Version uint64
+	// AsOf is the time up to which that row is the newest; zero if that is not known.
+	AsOf time.Time
 }
 
 // Read returns the results from a position on. If there is none, it waits for one, for at most
@@ -41,7 +45,7 @@
 	if position >= len(entry.Progress.Listed) && entry.isOpen() {
 		s.Events.NoResult(entry, position, clock.Since(asOf))
 	}
-	result := &ReadResult{Total: len(entry.Job.Items), Next: position}
+	result := &ReadResult{Total: len(entry.Job.Items), Next: position, Version: entry.Version, AsOf: asOf}
 	cache := &s.cache
 	if !s.mayStoreHere(ctx, entry.Job) {
 		// The texts are passed on to the caller and not cached at this node.
--- a/internal/jobs/staleread_test.go
+++ b/internal/jobs/staleread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -103,3 +104,36 @@
 		})
 	}
 }
+
+// TestRead_SaysWhatTheAnswerWasMadeFrom guards against an answer that names a newer state than it was made
+// from: an old view that has the position says its own version and age, and one that was refreshed says
+// those of the row that was read.
+func TestRead_SaysWhatTheAnswerWasMadeFrom(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, _ *tabletest.Table, lister *Service, reader *readerNode) {
+		before, stalledAt := reader.View.Get("job").Version, reader.View.AsOf()
+		listOne(t, lister, "job", 1)
+		after := lister.View.Get("job").Version
+		time.Sleep(2 * maxStaleness)
+		old, err := reader.Read(t.Context(), "job", 0, 0)
+		if err != nil || old.Version != before || !old.AsOf.Equal(stalledAt) {
+			t.Errorf("position that the view has: %+v, %v, want version %d as of %v", old, err, before, stalledAt)
+		}
+		readAt := time.Now()
+		refreshed, err := reader.Read(t.Context(), "job", 1, 0)
+		if err != nil || refreshed.Version != after || !refreshed.AsOf.Equal(readAt) || after <= before {
+			t.Errorf("position that the view lacks: %+v, %v, want version %d as of %v", refreshed, err, after, readAt)
+		}
+	})
+}
+
+// TestRead_NothingIsSaidOfAnUncertainState guards against an answer about a job whose newest progress nobody
+// could confirm.
+func TestRead_NothingIsSaidOfAnUncertainState(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, _ *Service, reader *readerNode) {
+		reader.Table = &countingTable{Service: shared, fail: outcome.AsUnknown(context.DeadlineExceeded)}
+		time.Sleep(2 * maxStaleness)
+		if reading, err := reader.Read(t.Context(), "job", 1, 0); reading != nil || !errors.Is(err, ErrUnavailable) {
+			t.Errorf("%+v, %v", reading, err)
+		}
+	})
+}
