soak: an answer about a job is at least as recent as it says

A read now keeps the version and the age that the answer names, and the promise answer-is-as-recent-as-it-says compares: the version is at least the highest that any answer had shown before (sent - age). It is stricter than a bound of 1 s, since it holds for each moment and has no excuse, and it doesn't ask for the newest version of a view that is old and says so: a position that a node has is answered from any age (design 0021). 24 more readers read a job at one node and 1.0 to 1.2 s later at another, from the last position of the first answer.

Tests: TestCheck_AnswersAreAsRecentAsTheySay, and the promise's line in TestCheck_FindsWhatIsBroken and TestOccasions_PrecedeViolations (go test -short -run 'TestCheck|TestOccasions' ./internal/lab/soak: pass). No promise was relaxed; the valid history gained what three of its answers say of their age.

--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -76,6 +76,8 @@
 	ForeignUnused Promise = "foreign-row-names-no-server"
 	// A result that was read at one node can be read at all nodes.
 	ReadEverywhere Promise = "result-read-once-is-read-everywhere"
+	// An answer about a job is at least as recent as it says.
+	AsRecentAsSaid Promise = "answer-is-as-recent-as-it-says"
 	// A stream or text is of one software version, over all requests of its caller.
 	OneVersion Promise = "stream-has-one-version"
 	// Streams that callers continue at undisturbed nodes go on.
@@ -100,7 +102,7 @@
 		DrainingUnused, EndedJobStops, WithinQuota, RefusedNotRun, RetryAfterGiven,
 		KeyNotForwarded, WithinLimit, NodeKeepsRunning, EvacuatedUnused, ColdWithinRate, OthersServe, LimitWhenCutOff, HarmBounded, HarmlessServed,
 		JobReadable, ItemListedInCalm, NoWaitBesideFreeSlots, ForeignUnused, ReadEverywhere,
-		OneVersion, StreamsGoOn, PartBounded, BesideHarmServed, CrowdServed,
+		OneVersion, StreamsGoOn, PartBounded, BesideHarmServed, CrowdServed, AsRecentAsSaid,
 	}
 }
 
@@ -151,6 +153,7 @@
 	c.checkWaits()
 	c.checkForeignRows()
 	c.checkReads()
+	c.checkClaims()
 	c.checkVersions()
 	c.checkContinuations()
 	c.checkNodeExits()
--- a/internal/lab/soak/checkreads_test.go
+++ b/internal/lab/soak/checkreads_test.go
@@ -34,6 +34,9 @@
 		readBodyLater:   read("m", 3.6, 404, nil),
 	}
 	h.Reads[readBodyLater].Item = "j-0"
+	h.Reads[readFirst].State = standin.JobState{Version: 20, HasAge: true}
+	h.Reads[readInTime].State = standin.JobState{Version: 19, Age: 1200 * time.Millisecond, HasAge: true}
+	h.Reads[readLater].State = standin.JobState{Version: 20, Age: 100 * time.Millisecond, HasAge: true}
 }
 
 // readMutations returns changes of a valid history that each break one promise.
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -67,6 +67,8 @@
 	// Status is 0 if no complete answer arrived.
 	Status  int
 	Results []standin.JobResult
+	// State is what the answer says that it was made from.
+	State standin.JobState
 }
 
 // Drain is a server that was listed as draining in the calm phase.
--- a/internal/lab/soak/occasions.go
+++ b/internal/lab/soak/occasions.go
@@ -29,6 +29,7 @@
 		PartBounded:      c.judgedParts(),
 		BesideHarmServed: c.judgedBesideHarm(),
 		CrowdServed:      c.judgedCrowds(),
+		AsRecentAsSaid:   c.judgedClaims(),
 	}
 	c.countJobs(occasions)
 	c.countResults(occasions)
--- a/internal/lab/soak/reads.go
+++ b/internal/lab/soak/reads.go
@@ -27,6 +27,11 @@
 	// of the bodyJobs latest jobs.
 	bodyShare = 0.1
 	bodyJobs  = 30
+	// pairReaders is the number of callers that read a job at one node and then at another one. The
+	// second read follows the answer to the first by readBound, when the first result must be known
+	// everywhere, and up to pairJitter more.
+	pairReaders = 24
+	pairJitter  = 200 * time.Millisecond
 )
 
 // resultWaits are the times for which callers let a read wait for a result. The last one is the
@@ -105,6 +110,25 @@
 	}
 }
 
+// readPairs reads a job at one node and then, once its results must be known everywhere, at another
+// node from the last position of the first answer, until the context ends.
+func (s *soak) readPairs(ctx context.Context, reader int) {
+	random := s.newRand(reader, 14)
+	for retry.Sleep(ctx, latestPause) && len(s.gateways) > 1 {
+		latest := s.latestListed(latestResults)
+		if len(latest) == 0 {
+			continue
+		}
+		job := latest[random.IntN(len(latest))].job
+		first := random.IntN(len(s.gateways))
+		other := first + 1 + random.IntN(len(s.gateways)-1)
+		results, _, err := s.readList(ctx, Read{Job: job}, first)
+		if err == nil && retry.Sleep(ctx, readBound+time.Duration(random.Int64N(int64(pairJitter)))) {
+			s.tryReadList(ctx, Read{Job: job, Position: max(0, len(results)-1)}, other)
+		}
+	}
+}
+
 // tryReadList is readList for callers that ignore the answer.
 func (s *soak) tryReadList(ctx context.Context, read Read, node int) {
 	// readList records the answer, and failed reads are checked as well.
@@ -116,17 +140,17 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	read.Node, read.Sent = s.gateways[node%len(s.gateways)].id, time.Now()
-	results, total, err = s.client(node).Results(ctx, read.Job, read.Position, read.Wait)
-	read.Ended, read.Status = time.Now(), http.StatusOK
+	reading, err := s.client(node).Results(ctx, read.Job, read.Position, read.Wait)
+	read.Ended = time.Now()
 	if err != nil {
 		read.Status = statusOf(err)
+		record(&s.History, &s.Reads, read)
+		return nil, 0, err
 	}
-	read.Results = results
-	if err == nil {
-		s.observe(read.Job, read.Position, results)
-	}
+	read.Status, read.Results, read.State = http.StatusOK, reading.Results, reading.State
+	s.observe(read.Job, read.Position, reading.Results)
 	record(&s.History, &s.Reads, read)
-	return results, total, err
+	return reading.Results, reading.Total, nil
 }
 
 // statusOf returns the HTTP status of an answer without a result; 0 if there was no answer.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -269,6 +269,9 @@
 	for reader := range latestReaders {
 		load.Go(func() { s.readLatest(loadCtx, reader) })
 	}
+	for reader := range pairReaders {
+		load.Go(func() { s.readPairs(loadCtx, reader) })
+	}
 	start := time.Now()
 	s.LoadStart = start
 	s.outageDeadline = start.Add(s.Duration + minOutage)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -223,6 +223,7 @@
 	maps.Copy(mutations, harmMutations())
 	maps.Copy(mutations, waitMutations())
 	maps.Copy(mutations, readMutations())
+	maps.Copy(mutations, claimMutations())
 	maps.Copy(mutations, streamMutations())
 	maps.Copy(mutations, partMutations())
 	return mutations
