soak: a store that answers late or slowly at starts, and servers that pause

Its store answered at once or not at all, and its late writes came with a broken connection.

The lists of kinds in the two older tests of the second plan gained the new kinds; what they ask of each is the same.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -69,7 +69,7 @@
 		d.Name = node.id
 	case KillAll:
 		d.Name, d.Restart = AllNodes, true
-	case StoreBusy, StoreLoses, StoreLate, StoreLosesHistory:
+	case StoreBusy, StoreLoses, StoreLate, StoreLosesHistory, StoreAnswersLate, StoreSlowAtStarts:
 		d.Name, d.Store = AllNodes, true
 	case ServerCut:
 		d.Name = s.targetServer(fault).name
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -167,6 +167,9 @@
 	// connections, restarted servers, wrote rows as another writer, and made the store lose its
 	// history.
 	Silences, ServerStarts, ForeignRows, HistoryLosses []FaultKind
+	// StoreDelays lists the injected faults of the store's latency, Pauses those that made a server fall
+	// silent for a while.
+	StoreDelays, Pauses []FaultKind
 	// Streams are the streams that callers continued at other nodes.
 	Streams []Stream
 	// Versions are the starts of servers with a software version.
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -66,6 +66,12 @@
 	UpdateServers FaultKind = "update-servers"
 	// CrowdNode makes most new connections go to one node.
 	CrowdNode FaultKind = "crowd-node"
+	// StoreAnswersLate makes the store deliver each answer some time after it was generated, and
+	// StoreSlowAtStarts makes it execute each call late. Some nodes are killed and start again meanwhile.
+	StoreAnswersLate  FaultKind = "store-answers-late"
+	StoreSlowAtStarts FaultKind = "store-slow-at-starts"
+	// PauseServer makes a sound server fall silent for more than a second and then go on.
+	PauseServer FaultKind = "pause-server"
 )
 
 // Fault is one fault of a plan.
--- a/internal/lab/soak/secondfaults.go
+++ b/internal/lab/soak/secondfaults.go
@@ -43,6 +43,10 @@
 		s.updateServers(ctx, fault)
 	case CrowdNode:
 		s.crowd(ctx, node, fault.Duration)
+	case StoreAnswersLate, StoreSlowAtStarts:
+		s.delayStore(ctx, fault)
+	case PauseServer:
+		s.pauseServer(fault)
 	case ReloadNode:
 		node.signal(syscall.SIGHUP)
 	case RollNodes:
--- a/internal/lab/soak/secondplan.go
+++ b/internal/lab/soak/secondplan.go
@@ -45,8 +45,8 @@
 )
 
 // SecondPlan returns the faults for a seed of the kinds that Plan does not contain: series of one
-// to three faults of a kind, some with a single target, and StoreLosesHistory. They overlap with
-// those of Plan.
+// to three faults of a kind, some with a single target, and the kinds that are drawn after them. They
+// overlap with those of Plan.
 func SecondPlan(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed^0xD1B54A32D192ED03, seed))
 	kinds := weightedKinds(secondWeights)
@@ -58,6 +58,8 @@
 	plan = mergePlans(plan, historyLosses(random, length))
 	plan = mergePlans(plan, serverUpdates(random, length))
 	plan = mergePlans(plan, crowds(random, length))
+	plan = mergePlans(plan, storeLatencies(random, length))
+	plan = mergePlans(plan, serverPauses(random, length))
 	return slices.DeleteFunc(plan, func(fault Fault) bool { return fault.After >= length })
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -89,6 +89,9 @@
 	Silences, ServerStarts, ForeignRows int
 	// HistoryLosses counts the faults in which the store lost its history and answers.
 	HistoryLosses int
+	// StoreDelays counts the faults of the store's latency, Pauses those that made a server fall silent
+	// for a while.
+	StoreDelays, Pauses int
 	// ServerUpdates counts the updates of the servers' software, Continued the requests that continued
 	// a stream at another node.
 	ServerUpdates, Continued int
@@ -206,6 +209,7 @@
 		HarmfulRequests: len(s.HarmfulRequests), HarmfulCrashes: len(s.HarmfulCrashes),
 		Silences: len(s.Silences), ServerStarts: len(s.ServerStarts), ForeignRows: len(s.ForeignRows),
 		HistoryLosses: len(s.HistoryLosses), ServerUpdates: len(s.ServerUpdates), Continued: s.continuations(),
+		StoreDelays: len(s.StoreDelays), Pauses: len(s.Pauses),
 	}
 	for _, req := range s.Requests {
 		switch {
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -68,8 +68,16 @@
 		t.Errorf("the run exercised too little: %d updates of servers, %d streams of several runs, %d continued streams",
 			report.ServerUpdates, report.Occasions[OneVersion], report.Occasions[StreamsGoOn])
 	}
+	if report.StoreDelays == 0 || report.Pauses == 0 || report.Occasions[AsRecentAsSaid] < minReads {
+		t.Errorf("the run exercised too little: %d times a late or slow store, %d pauses of servers, %d answers that tell their age",
+			report.StoreDelays, report.Pauses, report.Occasions[AsRecentAsSaid])
+	}
 }
 
+// drawnLast are the kinds of the second plan that are drawn after its series, in the order in which they
+// were added.
+var drawnLast = []FaultKind{StoreLosesHistory, UpdateServers, CrowdNode, StoreAnswersLate, StoreSlowAtStarts, PauseServer}
+
 // The second plan is deterministic and does not change the first.
 func TestSecondPlan_IsFixedByItsSeed(t *testing.T) {
 	first, again := SecondPlan(7, time.Minute), SecondPlan(7, time.Minute)
@@ -77,7 +85,7 @@
 		t.Fatalf("plans have %d and %d faults", len(first), len(again))
 	}
 	both := mergePlans(Plan(7, time.Minute), first)
-	kinds := append(weightedKinds(secondWeights), StoreLosesHistory, UpdateServers, CrowdNode)
+	kinds := append(weightedKinds(secondWeights), drawnLast...)
 	both = slices.DeleteFunc(both, func(fault Fault) bool { return slices.Contains(kinds, fault.Kind) })
 	if !slices.Equal(both, Plan(7, time.Minute)) {
 		t.Fatal("the second plan changes the first")
@@ -92,7 +100,6 @@
 		sum    = "2fb99d6b5c5376e76f68d5f99c0ee326a577f79eb64ed22692a785e3abf2518b"
 	)
 	plan := SecondPlan(7, time.Minute)
-	drawnLast := []FaultKind{StoreLosesHistory, UpdateServers, CrowdNode}
 	series := slices.DeleteFunc(slices.Clone(plan), func(fault Fault) bool { return slices.Contains(drawnLast, fault.Kind) })
 	if got := fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(series)))); len(series) != faults || got != sum {
 		t.Errorf("got %d faults with checksum %s; the series of recorded seeds have changed", len(series), got)
@@ -108,6 +115,19 @@
 	}
 }
 
+// Guards against new kinds that change what was drawn before them for a seed.
+func TestSecondPlan_LaterKindsChangeNoEarlierOnes(t *testing.T) {
+	const (
+		faults = 54
+		sum    = "77d2b7b83bbf015e8ea26376dd450fddc80306483b144c89e9664a0cf2470e4e"
+	)
+	later := drawnLast[slices.Index(drawnLast, StoreAnswersLate):]
+	earlier := slices.DeleteFunc(SecondPlan(7, time.Minute), func(fault Fault) bool { return slices.Contains(later, fault.Kind) })
+	if got := fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(earlier)))); len(earlier) != faults || got != sum {
+		t.Errorf("got %d faults with checksum %s; the plans of recorded seeds have changed", len(earlier), got)
+	}
+}
+
 // The first plan is deterministic and depends on the seed.
 func TestPlan_IsFixedByItsSeed(t *testing.T) {
 	first, again, other := Plan(7, time.Minute), Plan(7, time.Minute), Plan(8, time.Minute)
