relay, table, lease: tests for ages that mutations survived

TestPolledFeed_PageIsAsOldAsItsRequest could not fail: its table was slow only for List, which Page does not call before it reads the head. Its Get is slow as well now; the check is the same.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -78,6 +78,12 @@
 	return row, err
 }
 
+func (s *slowReads) List(ctx context.Context, partition, after string, limit int) ([]table.Row, error) {
+	rows, err := s.Service.List(ctx, partition, after, limit)
+	s.clock.now = s.clock.now.Add(s.delay)
+	return rows, err
+}
+
 // Guards against a read that arrives late and counts as of its arrival: the session would look unchanged
 // for longer than it is known to be, and its work be taken over from a live node.
 func TestWatcher_LateReadExpiresNoSession(t *testing.T) {
@@ -103,6 +109,20 @@
 	}
 }
 
+// Guards against sessions that count as of the arrival of a slow read: they are as old as its start.
+func TestWatcher_AgeIncludesTheRead(t *testing.T) {
+	service, _ := newService(t)
+	clock := &manualClock{now: time.Unix(100, 0)}
+	slow := &slowReads{Service: service, clock: clock, delay: time.Second}
+	watcher := NewWatcher(slow, clock.read, testTiming)
+	if err := watcher.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if age := watcher.Age(); age < slow.delay {
+		t.Errorf("age %v after a read of %v", age, slow.delay)
+	}
+}
+
 // overtakenRead delivers its first row only after overtake has returned.
 type overtakenRead struct {
 	table.Service
--- a/internal/relay/log_test.go
+++ b/internal/relay/log_test.go
@@ -127,3 +127,47 @@
 		}
 	})
 }
+
+// TestFeed_AnswersAreAsOldAsTheRelaySays guards against a follower that takes an answer for younger than it is: one
+// whose age is left out, one that arrives late, and one of another relay, or of the same one after a restart,
+// whose clock is ahead of or behind the one that was measured.
+func TestFeed_AnswersAreAsOldAsTheRelaySays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const age = 200 * time.Millisecond
+		start := clock.Now()
+		clocks := map[string]time.Duration{"a": time.Hour, "b": time.Hour + 300*time.Millisecond}
+		relays := []string{"a"}
+		var delay time.Duration
+		var complete time.Time
+		feed := &Feed{
+			Role: func() Role { return Role{Follows: relays} },
+			Ask: func(_ context.Context, relay string, _ uint64, wait time.Duration) (Answer, error) {
+				time.Sleep(wait)
+				complete = clock.Now().Add(-age)
+				stamp := clocks[relay] + clock.Since(start)
+				time.Sleep(delay)
+				return Answer{Changes: table.Changes{Revision: 1}, Stamp: stamp, Age: age}, nil
+			},
+		}
+		ask := func(step string, relay string, late, exact time.Duration) {
+			t.Helper()
+			relays[0], delay = relay, late
+			changes, err := feed.After(t.Context(), 1, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ahead := changes.AsOf.Sub(complete); ahead > 0 || ahead < -exact {
+				t.Errorf("%s: as of %v after the time that the relay states", step, ahead)
+			}
+		}
+		const exact, wait = 2 * time.Millisecond, time.Second
+		ask("first answer, late", "a", 400*time.Millisecond, exact)
+		ask("late answer after a wait", "a", 400*time.Millisecond, exact)
+		ask("other relay, clock ahead", "b", 400*time.Millisecond, exact)
+		ask("other relay, late answer", "b", 400*time.Millisecond, exact)
+		ask("back at the first one", "a", 400*time.Millisecond, exact)
+		clocks["a"] = 0
+		ask("after a restart", "a", 400*time.Millisecond, wait)
+		ask("late answer after a restart", "a", 400*time.Millisecond, wait)
+	})
+}
--- a/internal/table/serviceclock_test.go
+++ b/internal/table/serviceclock_test.go
@@ -128,7 +128,11 @@
 	delay time.Duration
 }
 
-func (h *blockingHeads) Get(_ context.Context, key Key) (Row, error) {
+func (h *blockingHeads) Get(ctx context.Context, key Key) (Row, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(h.delay):
+	}
 	for _, row := range h.rows[key.Partition] {
 		if row.Sort == key.Sort {
 			return row, nil
@@ -304,3 +308,35 @@
 		}
 	})
 }
+
+// partialFeed returns a whole read and then answers that say that there are more changes.
+type partialFeed struct{}
+
+func (partialFeed) Page(context.Context, Cursor) (Changes, Cursor, error) {
+	return Changes{Revision: 1, AsOf: clock.Now()}, Cursor{Part: 1, Done: true}, nil
+}
+
+func (partialFeed) After(ctx context.Context, revision uint64, _ time.Duration) (Changes, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(100 * time.Millisecond):
+	}
+	return Changes{Revision: revision + 1, AsOf: clock.Now(), More: true}, nil
+}
+
+// TestWatcher_PartialAnswersMakeNothingYounger guards against a view that counts as recent while it lacks changes
+// that the service has announced.
+func TestWatcher_PartialAnswersMakeNothingYounger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		watcher := NewWatcher(partialFeed{}, func(Changes, bool) {})
+		go watcher.Run(ctx)
+		const elapsed = time.Second
+		time.Sleep(elapsed)
+		if age := watcher.Age(); age < elapsed {
+			t.Errorf("age %v, %v after the last complete answer", age, elapsed)
+		}
+	})
+}
