--- a/internal/node/bootstrapage_test.go
+++ b/internal/node/bootstrapage_test.go
@@ -50,3 +50,15 @@
 		}
 	})
 }
+
+// TestFeedState_ImpossibleAges guards against a stated age that overflows and counts as none: the list of replicas
+// of another node would count as current.
+func TestFeedState_ImpossibleAges(t *testing.T) {
+	for ageMs, want := range map[int64]time.Duration{
+		math.MaxInt64: maxStatedAge, math.MaxInt64/int64(time.Millisecond) + 1: maxStatedAge, math.MinInt64: 0, -1: 0, 250: 250 * time.Millisecond,
+	} {
+		if age := (&feedState{AgeMs: ageMs}).age(); age != want {
+			t.Errorf("a stated age of %d ms counts as %v, want %v", ageMs, age, want)
+		}
+	}
+}
