node: no age of another node's state overflows

A stated age that cannot be true counted as none: a copied list of replicas would be current, so cold replicas and those that have left would be used as known. The state at a start was bounded on arrival, the copy of the list was not. No node is known to have sent one; found by reading.

The bound is now where the age is read, so it holds for both.

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -84,7 +84,9 @@
 	return changes
 }
 
-func (f *feedState) age() time.Duration { return max(0, time.Duration(f.AgeMs)*time.Millisecond) }
+func (f *feedState) age() time.Duration {
+	return time.Duration(min(max(0, f.AgeMs), maxStatedAge.Milliseconds())) * time.Millisecond
+}
 
 // populated reports whether this node knows enough to serve, from the store or from another node.
 func (g *Gateway) populated() bool {
