node: the replica list of a start without the store counts as old

Since a node that started with the state of another one, because the store was away, took the list of replicas for current for up to a second and sent to replicas without their cold limit. The allowance also made the list older than the bound of replica.Set in every case, which is wanted: nothing follows such a list until the store responds.

The allowance is back, beside the measured age.

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -196,8 +196,9 @@
 	members := g.jobWatch.Seed(state.Members.changes(), state.Members.age(), g.roster.Apply)
 	replicas := g.replicaWatch.Seed(state.Replicas.changes(), state.Replicas.age(), g.applyReplicas)
 	if now := clock.Now(); replicas {
-		// No update sets the list time until the store responds.
-		g.replicas.SetListTime(now.Add(-state.Replicas.age()), now)
+		// No update follows this list until the store responds, so it counts as old however recent it is.
+		// The list time is set here because no update sets it.
+		g.replicas.SetListTime(now.Add(-state.Replicas.age()-bootstrapTimeout), now)
 	}
 	g.replicas.SetJoined(g.roster.Joined())
 	g.replicas.Divide(g.settings.Node.ID, g.roster.Places())
