node: successes that other nodes tell a starting one include their transit

A node that starts and asks others for crashes and successes could send work on that had just crashed replicas: a success counted as of its arrival, up to a second after it, and cleared crashes which the node had seen in between.

Successes are now older by the time from the request to the answer. Crashes stay as of their arrival: older ones could be cleared by an earlier success. A crash that was followed by a success within that time may therefore still count, as one of the crashes that a quarantine needs. Datagrams have no request, so successes told by them still count as of their arrival.

--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -175,14 +175,18 @@
 	if err := fetchState(ctx, client, address, pathBootstrap, state); err != nil {
 		return nil, err
 	}
-	// Rounded up, so that no state counts as more recent than it is.
-	inTransit := clock.Since(requestedAt).Milliseconds() + 1
+	inTransit := transitSince(requestedAt)
+	state.Crashes.addTransit(inTransit)
 	for _, feed := range []*feedState{&state.Config, &state.Replicas, &state.Members} {
 		feed.AgeMs = min(max(0, feed.AgeMs), maxStatedAge.Milliseconds()) + inTransit
 	}
 	return state, nil
 }
 
+// transitSince returns how long an answer to a request may have been under way, in ms, rounded up so that no
+// state counts as more recent than it is.
+func transitSince(requestedAt time.Time) int64 { return clock.Since(requestedAt).Milliseconds() + 1 }
+
 // sinceStoreResponse returns the time since the store last responded to this node.
 func (g *Gateway) sinceStoreResponse() time.Duration {
 	return min(g.configWatch.SinceLastResponse(), g.replicaWatch.SinceLastResponse(), g.jobWatch.SinceLastResponse())
--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -40,6 +40,28 @@
 	Clearings []clearingEntry `cbor:"2,keyasint,omitempty"`
 }
 
+// addTransit makes successes older by the time in transit, which their ages do not include: a success that
+// seemed newer than it is would clear crashes that came after it. Crashes stay as of their arrival, since
+// one that seemed older than it is would be cleared by an earlier success.
+func (k *knownCrashes) addTransit(inTransitMs int64) {
+	older := func(ageMs int64) int64 {
+		return min(max(0, ageMs), maxStatedAge.Milliseconds()) + inTransitMs
+	}
+	for i := range k.Clearings {
+		k.Clearings[i].AgeMs = older(k.Clearings[i].AgeMs)
+	}
+	for _, crash := range k.Crashes {
+		for _, ages := range [][]int64{crash.SuccessAges, crash.PartSuccessAges} {
+			for i, ageMs := range ages {
+				// 0 means that no success is known.
+				if ageMs > 0 {
+					ages[i] = older(ageMs)
+				}
+			}
+		}
+	}
+}
+
 // collectCrashes returns the newest crashes that this node knows.
 func (g *Gateway) collectCrashes() knownCrashes {
 	now := clock.Now()
@@ -133,11 +155,13 @@
 
 // fetchCrashes gets the crashes that another node knows. It returns false if that one does not answer.
 func (g *Gateway) fetchCrashes(ctx context.Context, client *http.Client, address string) bool {
+	requestedAt := clock.Now()
 	known := &knownCrashes{}
 	if err := fetchState(ctx, client, address, pathCrashes, known); err != nil {
 		g.sampled.Info().Str("from", address).Err(err).Msg("no crashes from another node")
 		return false
 	}
+	known.addTransit(transitSince(requestedAt))
 	g.learnCrashes(known)
 	g.log.Info().Str("from", address).Int("crashes", len(known.Crashes)).Int("clearings", len(known.Clearings)).
 		Msg("learned the crashes that another node knows")
