listcopy: an attempt to copy has a time limit of its own

A node that copies the replica list from a node that has stopped waits as long as the table.Watcher's call for a page may take: 1 s at first only because that is the watcher's limit for its first call. The limits of 1, 2 and 4 s for copies are kept here, where they are due.

Run with go test -race -count=3 ./internal/listcopy.

--- a/internal/listcopy/feed.go
+++ b/internal/listcopy/feed.go
@@ -18,6 +18,13 @@
 // errWaiting reports that the node neither has a copy nor reads the store yet.
 var errWaiting = errors.New("no copy of the list yet")
 
+const (
+	// minCopyTimeout limits an attempt to copy, since the other node may have stopped. The limit doubles
+	// up to maxCopyTimeout with each attempt that reaches it, since the list may be large and the link slow.
+	minCopyTimeout = time.Second
+	maxCopyTimeout = 4 * time.Second
+)
+
 // Feed is a table.Feed whose whole reads are copied from another node if the list is larger than one
 // page. It is for a single table.Watcher.
 type Feed struct {
@@ -40,6 +47,8 @@
 	large bool
 	// known is the newest revision of which this node has the list; 0 if it never had it.
 	known uint64
+	// timedOut is the number of attempts to copy in a row that reached their time limit.
+	timedOut int
 }
 
 // Page implements table.Feed.
@@ -85,7 +94,7 @@
 
 // copyList returns the list of another node as a single page.
 func (f *Feed) copyList(ctx context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
-	list, err := f.Copy(ctx)
+	list, err := f.copyInTime(ctx)
 	if err == nil && list.Revision <= f.known {
 		err = errWaiting
 	}
@@ -101,6 +110,19 @@
 	return f.record(list, table.Cursor{Done: true}, nil)
 }
 
+// copyInTime calls Copy with a time limit.
+func (f *Feed) copyInTime(ctx context.Context) (table.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(minCopyTimeout<<min(f.timedOut, 8), maxCopyTimeout))
+	defer cancel()
+	list, err := f.Copy(ctx)
+	if err != nil && ctx.Err() != nil {
+		f.timedOut++
+	} else {
+		f.timedOut = 0
+	}
+	return list, err
+}
+
 // readPage reads a page from the store.
 func (f *Feed) readPage(ctx context.Context, cursor table.Cursor) (table.Changes, table.Cursor, error) {
 	return f.record(f.Feed.Page(ctx, cursor))
