table: a page that takes longer than usual is asked for again beside the first call

Callers saw results, ends of jobs and changes missing at all nodes for up to 4 s after the store answered again. Cause: if the history is dropped in an outage, each node reads its tables whole, and a page that was lost was waited for 1, 2, then 4 s. A shorter timeout alone was ruled out: a service that always needs longer for a page would never be read. The first call was also cancelled at 1 s, so pages of a slow service were asked for several times.

HedgedFeed repeats the call after four times the usual time of a page (250 ms to 4 s), then after twice that, up to 1 s, on a new connection each. The first call goes on for up to 4 s; at most three are outstanding; the first success cancels the others. Until a page has been read the spacing is 1, 2, 4 s, as the timeouts were. It works below the feeds that keep state (list copies, time stamps), which still see one call. Refusals keep their pause and pageMaxFailures. WholeRead.Failures counts all calls beyond one a page.

By arithmetic, 985 nodes make 985 calls a second for each table that they read whole, 2,955 with all three; the store takes 16 x 985 = 15,760 reads a second. In the first second of such an outage they are three a table, 8,865 in all. A page of a service that was fast and now needs 3 s is asked for 5 times, the next ones once; 3 times if it is the first one ever.

--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -78,7 +78,7 @@
 
 // feed returns the feed of a group that follows relays where there are any, given that of the store.
 func (r *relays) feed(group feedGroup, store table.Feed) *relay.Feed {
-	feed := &relay.Feed{Feed: store, Role: r.currentRole}
+	feed := &relay.Feed{Feed: &table.HedgedFeed{Feed: store}, Role: r.currentRole}
 	feed.Ask = func(ctx context.Context, address string, revision uint64, wait time.Duration) (relay.Answer, error) {
 		return r.ask(ctx, group, address, revision, wait)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,7 +172,7 @@
 }
 
 func (n *Node) feed(group string, parts []string) table.Feed {
-	return table.PolledFeed{Heads: n.heads, Group: group, Parts: parts}
+	return &table.HedgedFeed{Feed: table.PolledFeed{Heads: n.heads, Group: group, Parts: parts}}
 }
 
 func (n *Node) pollInterval() time.Duration {
--- a/internal/table/feed.go
+++ b/internal/table/feed.go
@@ -29,6 +29,8 @@
 	AsOf time.Time
 	// More reports that further changes up to AsOf remain to be read.
 	More bool
+	// Repeated is the number of further calls that a HedgedFeed made for the page.
+	Repeated int
 }
 
 // Cursor is a position in a whole read of a group.
--- a/internal/table/watch.go
+++ b/internal/table/watch.go
@@ -21,11 +21,8 @@
 	// watchTimeoutMargin is the time that a call may take in addition to its wait.
 	watchTimeoutMargin = 900 * time.Millisecond
 	// pageMaxTimeout limits the read of a page. It allows for many nodes that start at the same
-	// time and share the network link of the store.
-	pageMaxTimeout = 4 * time.Second
-	// pageMinTimeout is the timeout of the first read of a page, and doubles with each failure. It is
-	// short so that a response lost in an outage does not delay the read long after the outage.
-	pageMinTimeout     = time.Second
+	// time and share the network link of the store; HedgedFeed handles lost responses.
+	pageMaxTimeout     = 4 * time.Second
 	watchRetryMinDelay = 25 * time.Millisecond
 	watchRetryMaxDelay = 300 * time.Millisecond
 	// pageMaxFailures is the number of consecutive failures after which a whole read is aborted,
@@ -81,7 +78,7 @@
 
 // WholeRead describes a completed read of a whole group.
 type WholeRead struct {
-	// Pages is the number of pages read, Failures the number of failed attempts.
+	// Pages is the number of pages read, Failures the number of further calls made for them.
 	Pages, Failures int
 	Elapsed         time.Duration
 }
@@ -276,14 +273,16 @@
 	var read WholeRead
 	consecutiveFailures := 0
 	for first := true; !cursor.Done; {
-		page, next, err := w.readPage(ctx, cursor, consecutiveFailures)
+		start := clock.Now()
+		page, next, err := w.readPage(ctx, cursor)
+		read.Failures += page.Repeated
 		if err != nil {
 			consecutiveFailures++
 			read.Failures++
 			if consecutiveFailures > pageMaxFailures || ctx.Err() != nil {
 				return Changes{}, read, err
 			}
-			retry.Sleep(ctx, jittered(min(watchRetryMinDelay<<min(consecutiveFailures, 8), pageRetryMaxDelay)))
+			retry.Sleep(ctx, pageRetryDelay(consecutiveFailures, clock.Since(start)))
 			continue
 		}
 		consecutiveFailures = 0
@@ -297,9 +296,9 @@
 	return whole, read, nil
 }
 
-// readPage attempts to read a page, with a timeout that grows with the previous failures.
-func (w *Watcher) readPage(ctx context.Context, cursor Cursor, previousFailures int) (Changes, Cursor, error) {
-	callCtx, cancel := context.WithTimeout(ctx, min(pageMinTimeout<<min(previousFailures, 8), pageMaxTimeout))
+// readPage attempts to read a page.
+func (w *Watcher) readPage(ctx context.Context, cursor Cursor) (Changes, Cursor, error) {
+	callCtx, cancel := context.WithTimeout(ctx, pageMaxTimeout)
 	defer cancel()
 	sent := clock.Now()
 	page, next, err := w.Feed.Page(callCtx, cursor)
