jobs: the row of a job is read before its items are sent from an old view

What callers saw: an item reached a replica 5,621 ms after the end of its job was acknowledged, where 3 s are promised.

Cause: the runner went by a view of up to 8 s (maxViewAge). A node whose feed stands still does not know of an end that another node accepted, although the table would say so.

Now a job that is known as of more than 2 s ago (maxUncheckedAge; the later of View.AsOf and the start of the last read of its row) has its row read in the background, once for all its items, before one of them is sent. The check is in startRun, through which every send goes (first attempts, retries, borrowed slots, trials, items taken over), and before that in readyToSend, so that nothing is reserved or marked as started for a job that may have ended. A refusal for the rate of calls holds the items. If the table answers this node nothing, items go on until maxViewAge as before. A lost read does not count as that if another read or a commit of this node was answered shortly before or since. A row read before a suspension of the machine does not count.

Ruled out: a smaller maxViewAge alone, which stops all items in a slow store; a bound below 2 s, since a quiet feed is answered every 1.5 s. A feed that falls quiet right after a change may be 2.5 s old and costs a read of the job then; not measured.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -83,6 +83,7 @@
 func (discardEvents) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration)  {}
 func (discardEvents) Removed(*jobs.Job, error)                                       {}
 func (discardEvents) NoResult(*jobs.Entry, int, time.Duration)                       {}
+func (discardEvents) EndChecked(*jobs.Job, time.Duration, error)                     {}
 func (discardEvents) Refreshed(*jobs.Job, time.Duration, error)                      {}
 func (discardEvents) AwaitingRegion(*jobs.Job, place.Regions)                        {}
 func (discardEvents) Resolved(string, int, error)                                    {}
--- a/internal/jobs/freshness.go
+++ b/internal/jobs/freshness.go
@@ -138,6 +138,9 @@
 		}
 		return err
 	})
+	if err == nil || notFound(err) || errors.Is(err, table.ErrThrottled) {
+		s.recordAnswer()
+	}
 	if err != nil {
 		return readError(err)
 	}
@@ -149,6 +152,18 @@
 	return nil
 }
 
+// recordAnswer records that the table has answered a call.
+func (s *Service) recordAnswer() {
+	now := clock.Now()
+	s.lastAnswer.Store(&now)
+}
+
+// answeredSince reports whether the table has answered a refresh or a commit of any job since a time.
+func (s *Service) answeredSince(since time.Time) bool {
+	last := s.lastAnswer.Load()
+	return last != nil && !last.Before(since)
+}
+
 // allowRefresh takes one refresh from this node's share of fleetRefreshRate.
 func (s *Service) allowRefresh() bool {
 	perSecond := fleetRefreshRate
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -60,6 +60,9 @@
 // readyToSend reports whether nothing about the item itself prevents it from being sent.
 func (r *Runner) readyToSend(send pendingSend, now time.Time) bool {
 	t := send.task
+	if r.holdUnchecked(t, now) {
+		return false
+	}
 	if r.holdQuarantined(t, send.item(), send.pool, now) {
 		return false
 	}
@@ -89,6 +92,11 @@
 	if r.stopped || t.state != taskWaiting || t.owned.ctx.Err() != nil || !send.maySendTo(&chosen.Info) {
 		return false
 	}
+	if !r.mayRun(t.owned, now) {
+		// The job may have been ended while a slot was reserved.
+		t.setWait(WaitView, nil)
+		return false
+	}
 	use := r.Replicas.BeginAt(chosen.Info, criteria.RequestInfo, now)
 	if use == nil {
 		// The replica is cold and its rate was used up meanwhile, or it has restarted.
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -37,6 +37,8 @@
 	complete bool
 	// marking is set while items are being marked as started.
 	marking bool
+	// endCheck is what is known from reading the job's row.
+	endCheck endCheck
 	// cancel stops the items when the job ends or this node no longer runs it.
 	cancel context.CancelFunc
 	ctx    context.Context
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -18,8 +18,9 @@
 const (
 	// dispatchInterval bounds the time between two dispatches.
 	dispatchInterval = 100 * time.Millisecond
-	// maxViewAge is the age of the view beyond which no new items are sent, because the end of a
-	// job would be missed.
+	// maxViewAge is the age of the view beyond which no items are sent at all. From maxUncheckedAge
+	// on, they are sent only once the row of their job has been read, or if the table does not
+	// answer: this constant bounds how long ends may be missed then.
 	maxViewAge = 8 * time.Second
 )
 
@@ -120,7 +121,7 @@
 
 // dispatch sends the items that can be sent, in the order of their priority.
 func (r *Runner) dispatch(now time.Time) {
-	if !r.Service.View.Loaded() || r.ViewAge() > maxViewAge {
+	if !r.Service.View.Loaded() || r.viewAge(now) > maxViewAge {
 		r.recordWaitAll(WaitView)
 		return
 	}
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -75,6 +75,7 @@
 func (noEvents) ItemListed(*Job, string, int, Reason, time.Duration)       {}
 func (noEvents) Removed(*Job, error)                                       {}
 func (noEvents) NoResult(*Entry, int, time.Duration)                       {}
+func (noEvents) EndChecked(*Job, time.Duration, error)                     {}
 func (noEvents) Refreshed(*Job, time.Duration, error)                      {}
 func (noEvents) AwaitingRegion(*Job, place.Regions)                        {}
 func (noEvents) Resolved(operation string, attempts int, err error)        {}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -61,6 +61,9 @@
 	// that it may lack a result. With an error, the current state is unknown, and the reader gets
 	// the error unless it goes on waiting.
 	Refreshed(job *Job, age time.Duration, err error)
+	// EndChecked reports that a job was read from the table before its items are sent, because the
+	// view is so old that it may lack the job's end. With an error, the end is unknown.
+	EndChecked(job *Job, age time.Duration, err error)
 	// NoResult reports a reader who is told that an open job has no result at a position, and the age
 	// of the state that says so.
 	NoResult(entry *Entry, position int, age time.Duration)
@@ -103,6 +106,8 @@
 	refreshes singleflight.Group
 	// refreshLimit bounds their rate.
 	refreshLimit refreshLimiter
+	// lastAnswer is when the table last answered a refresh or a commit.
+	lastAnswer atomic.Pointer[time.Time]
 	// contents holds the items of jobs that this node accepted recently.
 	contentMu sync.Mutex
 	contents  map[string][]Item
@@ -165,6 +170,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordAnswer()
 	s.View.Put(table.Row{Key: write.Key, Version: versions[0], Body: write.Body})
 	return nil
 }
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -55,6 +55,17 @@
 	l.sampled.Info().Str("job", job.ID).Dur("view_age_ms", age).Msg("job read from the table, the view was old")
 }
 
+// EndChecked implements jobs.Events.
+func (l *jobLog) EndChecked(job *jobs.Job, age time.Duration, err error) {
+	if err != nil {
+		l.metrics.jobs.WithLabelValues("end_unsure").Inc()
+		l.sampled.Warn().Str("job", job.ID).Dur("view_age_ms", age).Err(err).Msg("job not confirmed to be open, the table did not answer")
+		return
+	}
+	l.metrics.jobs.WithLabelValues("end_asked").Inc()
+	l.sampled.Info().Str("job", job.ID).Dur("view_age_ms", age).Msg("job read from the table before its items are sent, the view was old")
+}
+
 // NoResult implements jobs.Events.
 func (l *jobLog) NoResult(entry *jobs.Entry, position int, age time.Duration) {
 	l.metrics.jobs.WithLabelValues("no_result").Inc()
