jobs: a reader whose job leaves the view during a refresh gets the fresh row

What a caller would see: "no result" at a position that another node has shown, although the row was read from the table for this very answer.

The view keeps such a row as early progress, and nobody reads it.

Now the job is looked up again with find, which reads both rows if the view lacks the job; that costs two calls in this case alone, and a job that is gone is reported as not found.

Evidence: TestEnsureFresh_JobLeavesTheViewMeanwhile (new) failed on the parent commit ("a result listed 1s ago: Total:3 Results:[]") and passes. go test -run 'TestEnsureFresh|TestRead|TestSubmit' ./internal/jobs: only the known TestRead_FirstAnswerIsLate fails.

--- a/internal/jobs/freshness.go
+++ b/internal/jobs/freshness.go
@@ -58,7 +58,12 @@
 	if err != nil {
 		return nil, time.Time{}, err
 	}
-	return s.latest(entry), readAt, nil
+	if known := s.View.Get(entry.Job.ID); known != nil {
+		return known, readAt, nil
+	}
+	// The job left the view while its row was read. The view then keeps the row, but no entry.
+	fresh, err = s.find(ctx, entry.Job.ID)
+	return fresh, readAt, err
 }
 
 // freshenBeforeWait returns the state of a job for a reader that is about to wait for its results.
--- a/internal/jobs/refresh_test.go
+++ b/internal/jobs/refresh_test.go
@@ -237,3 +237,32 @@
 		}
 	})
 }
+
+// leavingTable makes a job leave the view while its progress is read for the first time.
+type leavingTable struct {
+	table.Service
+	view *View
+	left atomic.Bool
+}
+
+func (l *leavingTable) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	if key == progressKey("job") && !l.left.Swap(true) {
+		removed := table.Change{Row: table.Row{Key: jobKey("job")}, Removed: true}
+		l.view.Apply(table.Changes{Changes: []table.Change{removed}}, false)
+	}
+	return l.Service.Get(ctx, key)
+}
+
+// TestEnsureFresh_JobLeavesTheViewMeanwhile guards against a reader who is answered from the state
+// before the read of the table, because the job left the view during the read.
+func TestEnsureFresh_JobLeavesTheViewMeanwhile(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, lister *Service, reader *readerNode) {
+		listOne(t, lister, "job", 1)
+		time.Sleep(maxStaleness)
+		reader.Table = &leavingTable{Service: shared, view: reader.View}
+		reading, err := reader.Read(t.Context(), "job", 1, 0)
+		if err != nil || len(reading.Results) != 1 {
+			t.Errorf("a result listed %v ago: %+v, %v", maxStaleness, reading, err)
+		}
+	})
+}
