jobs: a test of late items waits for an answer of the same moment

Under -race one of six runs of TestRunner_ItemsGoOnWhileTheTableIsSilent and of TestRunner_ItemsWaitWhileChecksAreRefused failed: the feed's answer of the very moment at which it stalls reached the view after the test had noted the view's age, so all bounds were 1.5 s off. The bounds stay as they are.

--- a/internal/jobs/lateitem_test.go
+++ b/internal/jobs/lateitem_test.go
@@ -94,6 +94,8 @@
 // stall makes the feed stand still from now on. It returns the time that the view is as of.
 func (n *runnerNode) stall() time.Time {
 	n.feed.stalled.Store(true)
+	// An answer of the same moment may still be on its way into the view.
+	synctest.Wait()
 	return n.View.AsOf()
 }
 
