soak: late answers go to the nodes that start, the others go on

Now one to three nodes are killed and only their reads' answers are late, for 6 to 9 s, as are all calls with store-slow-at-starts. The stand-in tells callers apart (Store.ForCaller).

--- a/internal/lab/soak/checkclaims_test.go
+++ b/internal/lab/soak/checkclaims_test.go
@@ -55,3 +55,28 @@
 		})
 	}
 }
+
+// Guards against nodes that take the first answers of their process for recent though these came late: they
+// denied what had been shown elsewhere while the answers were under way.
+func TestRun_AnswersTellTheirAgeThoughFirstAnswersAreLate(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for some 50 s")
+	}
+	// With this many slots, items are listed throughout the run.
+	options := Options{Seed: 1, Duration: 20 * time.Second, Nodes: 6, Servers: 16, Slots: 8, ReadyTimeout: remainingTime(t), Progress: t.Logf}
+	var plan []Fault
+	for number := range 2 {
+		at := time.Second + time.Duration(number)*(latencyPause+time.Second)
+		plan = append(plan, Fault{After: at, Duration: latencyPause, Kind: StoreAnswersLate, Target: latencyRestarts*number + latencyRestarts - 1})
+	}
+	report, err := runPlan(t.Context(), options, plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	if report.StoreDelays != len(plan) || report.Occasions[AsRecentAsSaid] < minReads {
+		t.Errorf("the run exercised too little: %d times a late store, %d answers that tell their age", report.StoreDelays, report.Occasions[AsRecentAsSaid])
+	}
+}
--- a/internal/lab/soak/latefaults.go
+++ b/internal/lab/soak/latefaults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -16,12 +17,14 @@
 	// time between two of them, and latencyJitter the maximum that is added to both. A fault takes
 	// minLatencyFault to minLatencyFault+latencyFaultJitter, less than the pause, so that they do not overlap.
 	latencyStart       = 2 * time.Second
-	latencyPause       = 7 * time.Second
-	latencyJitter      = 4 * time.Second
-	minLatencyFault    = 3 * time.Second
-	latencyFaultJitter = 2 * time.Second
-	// latencyRestarts is the maximum number of nodes that are killed in the midst of such a fault.
+	latencyPause       = 9 * time.Second
+	latencyJitter      = 3 * time.Second
+	minLatencyFault    = 6 * time.Second
+	latencyFaultJitter = 3 * time.Second
+	// latencyRestarts is the maximum number of nodes that are killed killAfter into such a fault. The fault
+	// goes on for longer than these nodes take for their whole reads, about 3 s.
 	latencyRestarts = 3
+	killAfter       = time.Second
 )
 
 // Latencies of calls, of which each call gets a random one.
@@ -71,37 +74,52 @@
 	return plan
 }
 
-// delayStore makes the store late or slow, and kills some nodes in the midst of it. Their new processes thus
-// get only late answers at first, and have seen no other.
+// delayStore makes the store late or slow, and kills some nodes meanwhile. With StoreAnswersLate, only these
+// get late answers, so that others go on and show what the first answers of the new processes lack.
 func (s *soak) delayStore(ctx context.Context, fault Fault) {
-	s.store.SetLatency(s.storeLatency(fault))
+	var victims []*gateway
+	for number := range min(1+fault.Target%latencyRestarts, len(s.gateways)-1) {
+		victims = append(victims, s.gateways[(fault.Target+number)%len(s.gateways)])
+	}
+	s.store.SetLatency(s.storeLatency(fault, victims))
 	defer s.store.SetLatency(nil)
 	record(&s.History, &s.StoreDelays, fault.Kind)
-	retry.Sleep(ctx, fault.Duration/4)
+	retry.Sleep(ctx, killAfter)
 	var killed sync.WaitGroup
-	for number := range min(1+fault.Target%latencyRestarts, len(s.gateways)-1) {
-		node := s.gateways[(fault.Target+number)%len(s.gateways)]
+	for _, node := range victims {
 		killed.Go(func() {
 			from := time.Now()
 			s.restart(ctx, node, syscall.SIGKILL, restartDelay)
 			s.recordDisturbance(Disturbance{Name: node.id, From: from, Restart: true})
 		})
 	}
-	retry.Sleep(ctx, fault.Duration-fault.Duration/4)
+	retry.Sleep(ctx, fault.Duration-killAfter)
 	killed.Wait()
 }
 
-// storeLatency returns a function that chooses the latency of each call to the store.
-func (s *soak) storeLatency(fault Fault) func(string) standin.Latency {
+// readCalls are the paths of the calls that read rows and of the feed.
+var readCalls = []string{"/v1/rows-get", "/v1/rows-feed"}
+
+// storeLatency returns a function that chooses the latency of each call to the store. With StoreAnswersLate,
+// only the answers to reads of the victims are late.
+func (s *soak) storeLatency(fault Fault, victims []*gateway) func(caller, path string) standin.Latency {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(s.Seed, uint64(fault.After)))
-	return func(string) standin.Latency {
+	between := func(minimum, jitter time.Duration) time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		if fault.Kind == StoreSlowAtStarts {
-			return standin.Latency{Before: minSlowCall + time.Duration(random.Int64N(int64(slowCallJitter)))}
+		return minimum + time.Duration(random.Int64N(int64(jitter)))
+	}
+	return func(caller, path string) standin.Latency {
+		isVictim := slices.ContainsFunc(victims, func(node *gateway) bool { return node.id == caller })
+		switch {
+		case fault.Kind == StoreSlowAtStarts:
+			return standin.Latency{Before: between(minSlowCall, slowCallJitter)}
+		case isVictim && slices.Contains(readCalls, path):
+			return standin.Latency{After: between(minLateAnswer, lateAnswerJitter)}
+		default:
+			return standin.Latency{}
 		}
-		return standin.Latency{After: minLateAnswer + time.Duration(random.Int64N(int64(lateAnswerJitter)))}
 	}
 }
 
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -66,8 +66,8 @@
 	UpdateServers FaultKind = "update-servers"
 	// CrowdNode makes most new connections go to one node.
 	CrowdNode FaultKind = "crowd-node"
-	// StoreAnswersLate makes the store deliver each answer some time after it was generated, and
-	// StoreSlowAtStarts makes it execute each call late. Some nodes are killed and start again meanwhile.
+	// StoreAnswersLate kills some nodes and makes the store deliver each answer to a read of these some time
+	// after it was generated. StoreSlowAtStarts kills some and makes the store execute each call of all late.
 	StoreAnswersLate  FaultKind = "store-answers-late"
 	StoreSlowAtStarts FaultKind = "store-slow-at-starts"
 	// PauseServer makes a sound server fall silent for more than a second and then go on.
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -38,10 +38,6 @@
 
 // start starts the stand-ins and the nodes, and waits until all nodes serve.
 func (s *soak) start(ctx context.Context, directory string) error {
-	storeAddress, err := s.listen(s.store)
-	if err != nil {
-		return err
-	}
 	s.configure()
 	if err := s.addForeignServer(); err != nil {
 		return err
@@ -52,7 +48,12 @@
 		}
 	}
 	for i := range s.Nodes {
-		node, err := newGateway(fmt.Sprintf("node-%d", i), s.zoneOf(i).name, places(s.zones), storeAddress, directory, s.RelayFrom)
+		id := fmt.Sprintf("node-%d", i)
+		storeAddress, err := s.listen(s.store.ForCaller(id))
+		if err != nil {
+			return err
+		}
+		node, err := newGateway(id, s.zoneOf(i).name, places(s.zones), storeAddress, directory, s.RelayFrom)
 		if err != nil {
 			return err
 		}
