soak: requests beside a change of the configuration are compared with calm

What the soak lacked: nothing compared what planned work costs. A request that ends with neither a complete answer nor a refusal beside a new configuration, and nothing else, looked like one among faults.

The calm phase now changes the configuration three times (1, 3.5 and 6 s into it, before the requests with which those to a crowded node are compared), and requests-answered-beside-configuration is broken if, of the requests at undisturbed nodes within 1.5 s of a change, more than five, and over three times the share of the rest of the calm phase, have no answer or one that was cut off.

Tests: TestCheck_ConfigChangesAreComparedWithCalm, TestCheck_ConfigChangesBesideDisturbancesDoNotCount, and the promise's line in TestCheck_FindsWhatIsBroken and TestOccasions_PrecedeViolations (go test -short -run 'TestCheck|TestOcc|TestSecondPlan' ./internal/lab/soak: pass). The caller can't tell a request that was read whole from one whose connection was not accepted; both count as unanswered, beside changes and at other times alike.

--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -78,6 +78,8 @@
 	ReadEverywhere Promise = "result-read-once-is-read-everywhere"
 	// An answer about a job is at least as recent as it says.
 	AsRecentAsSaid Promise = "answer-is-as-recent-as-it-says"
+	// A change of the configuration leaves hardly more requests without an answer than calm does.
+	AnsweredBesideConfig Promise = "requests-answered-beside-configuration"
 	// A stream or text is of one software version, over all requests of its caller.
 	OneVersion Promise = "stream-has-one-version"
 	// Streams that callers continue at undisturbed nodes go on.
@@ -102,7 +104,7 @@
 		DrainingUnused, EndedJobStops, WithinQuota, RefusedNotRun, RetryAfterGiven,
 		KeyNotForwarded, WithinLimit, NodeKeepsRunning, EvacuatedUnused, ColdWithinRate, OthersServe, LimitWhenCutOff, HarmBounded, HarmlessServed,
 		JobReadable, ItemListedInCalm, NoWaitBesideFreeSlots, ForeignUnused, ReadEverywhere,
-		OneVersion, StreamsGoOn, PartBounded, BesideHarmServed, CrowdServed, AsRecentAsSaid,
+		OneVersion, StreamsGoOn, PartBounded, BesideHarmServed, CrowdServed, AsRecentAsSaid, AnsweredBesideConfig,
 	}
 }
 
@@ -154,6 +156,7 @@
 	c.checkForeignRows()
 	c.checkReads()
 	c.checkClaims()
+	c.checkConfigChanges()
 	c.checkVersions()
 	c.checkContinuations()
 	c.checkNodeExits()
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -167,6 +167,8 @@
 	// connections, restarted servers, wrote rows as another writer, and made the store lose its
 	// history.
 	Silences, ServerStarts, ForeignRows, HistoryLosses []FaultKind
+	// CalmConfigs are the times of the calm phase at which the configuration changed.
+	CalmConfigs []time.Time
 	// StoreDelays lists the injected faults of the store's latency, Pauses those that made a server fall
 	// silent for a while.
 	StoreDelays, Pauses []FaultKind
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -307,12 +307,13 @@
 // onlineCallers returns the number of callers that send online requests.
 func (s *soak) onlineCallers() int { return 2 * s.Nodes }
 
-// injectCalmFaults evacuates a zone, makes a server of another zone cold and drains a server of the
-// third zone.
+// injectCalmFaults evacuates a zone, makes a server of another zone cold, drains a server of the third zone
+// and changes the configuration.
 func (s *soak) injectCalmFaults(ctx context.Context) {
 	var done sync.WaitGroup
 	done.Go(func() { s.evacuateZone(ctx, s.zones[1], calmEvacuation) })
 	retry.Sleep(ctx, time.Until(s.CalmFrom))
+	done.Go(func() { s.configureInCalm(ctx) })
 	done.Go(func() { s.makeCold(ctx, s.servers[2], coldStart) })
 	s.drain(ctx, s.servers[0], true)
 	done.Wait()
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -200,6 +200,7 @@
 		NodeZones: map[string]string{"n": "a", "m": "b"}, ServerZones: map[string]string{"s0": "a", "s1": "a", "s2": "b"},
 	}
 	addValidCrowd(history, at)
+	addValidConfigChange(history, at)
 	addValidZones(history, at)
 	addValidHarm(history, at)
 	addValidWaits(history, at)
@@ -244,6 +245,7 @@
 	maps.Copy(mutations, waitMutations())
 	maps.Copy(mutations, readMutations())
 	maps.Copy(mutations, claimMutations())
+	maps.Copy(mutations, configMutations())
 	maps.Copy(mutations, streamMutations())
 	maps.Copy(mutations, partMutations())
 	return mutations
