node: the key of a request is looked up in the table of its route

Callers could get 401 for a request that every configuration allows: the route was found in one configuration and the key looked up in the next, so a configuration that drops a key and makes the route public refused the key of the one before at a route of the one before.

Cause: Front.ServeHTTP and Gateway.Identify each loaded the table in force. Identify now gets the table that the route was found in, so a request is judged by one configuration as a whole. Ruled out by TestGateway_RequestsInFlight...: time limit, pool, kind, regions and limits of a request in flight, which all come from that one table already.

Evidence: TestGateway_RequestIsIdentifiedByTheConfigurationOfItsRoute, red on the commit before (status 401), green now, with the tests of keys and tenants of ./internal/node.

--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -27,8 +27,8 @@
 // Identify implements platform.Gateway. A node that gets no updates of the configuration still
 // accepts the keys that it knows, unless the settings bound the age. Other keys may have been added
 // meanwhile, so it reports tenant.ErrStale for them instead of tenant.ErrUnknownKey.
-func (g *Gateway) Identify(header http.Header, public bool) (*tenant.Tenant, error) {
-	routes, age := g.routes.Load(), g.configWatch.Age()
+func (g *Gateway) Identify(routes *route.Table, header http.Header, public bool) (*tenant.Tenant, error) {
+	age := g.configWatch.Age()
 	caller, err := routes.Identify(header, public)
 	bound := time.Duration(g.settings.Gateway.MaxConfigAge)
 	switch {
