forward: a replica may be silent for 1.7 s before its requests move

A replica that sent nothing for 0.7 s (or four gaps) lost all requests and streams that may be repeated: they were cut and sent elsewhere, the replica was reported as failing, and the runs counted as interrupted, which is half of a crash for the quarantine. But a sound replica may be silent for a second or so.

The lower bound is 1.7 s now: more than the 1.5 s of a sound replica, less than the 2 s after which callers give up. What is lost is time at replicas that are gone without a reset: their requests move after 1.7 s where it was 0.8 to 1.2 s (four objectives of 200 ms to four gaps of 300 ms). The limit of one answer's pause while its replica answers others is as before, 2.8 s at least; it no longer follows from the first one. Batch items have 2 s already.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -21,15 +21,15 @@
 	// silenceFactor is how many objectives, or gaps, a replica may be silent before a stream that
 	// can resume elsewhere is moved.
 	silenceFactor = 4
-	// minSilenceLimit is the lower bound of the silence limit, so that streams are not moved away
-	// from replicas that are merely busy.
-	minSilenceLimit = 700 * time.Millisecond
-	// stalledFactor multiplies the silence limit of a replica to give the longest pause of an
-	// answer that has begun while the replica answers other requests. A running request has a slot
-	// and produces events steadily, so a long pause indicates a connection that died without a
-	// reset. The stream then moves after at least 2.8 s instead of failing at the request's
-	// deadline.
-	stalledFactor = 4
+	// minSilenceLimit is the lower bound of the silence limit. A sound replica may send nothing for
+	// up to 1.5 s; callers give up after 2 s or more.
+	minSilenceLimit = 1700 * time.Millisecond
+	// stalledFactor is how many gaps, times silenceFactor, an answer that has begun may pause while
+	// its replica answers other requests. A running request has a slot and produces events
+	// steadily, so a long pause indicates a connection that died without a reset. The stream then
+	// moves after at least minStalledLimit instead of failing at the request's deadline.
+	stalledFactor   = 4
+	minStalledLimit = 2800 * time.Millisecond
 )
 
 // forwardEvents relays events as they arrive, skipping those that the caller already has. confirmEnd
@@ -162,7 +162,9 @@
 type silenceWatchdog struct {
 	use   *replica.Use
 	limit atomic.Int64
-	timer *time.Timer
+	// stalledLimit is the limit of a pause of this answer, once it has begun.
+	stalledLimit atomic.Int64
+	timer        *time.Timer
 	// writing is set while an event is written to the caller; lastWriteEnd is when the last write
 	// ended, in Unix nanoseconds. Nothing is read from the answer during a write, so its silence
 	// then means nothing.
@@ -198,6 +200,7 @@
 	}
 	limit := max(silenceFactor*c.route.Objective, minSilenceLimit)
 	watchdog.limit.Store(int64(limit))
+	watchdog.stalledLimit.Store(int64(max(stalledFactor*silenceFactor*c.route.Gap, minStalledLimit)))
 	watchdog.timer = time.AfterFunc(limit, func() { watchdog.check(cancel) })
 	return watchdog
 }
@@ -211,7 +214,7 @@
 		return
 	}
 	if ownSilence, begun := w.use.OwnSilence(now); begun {
-		untilStalled := stalledFactor*limit - min(ownSilence, w.sinceLastWrite(now))
+		untilStalled := time.Duration(w.stalledLimit.Load()) - min(ownSilence, w.sinceLastWrite(now))
 		if untilStalled <= 0 {
 			cancel(ErrStalled)
 			return
