forward: an attempt is left for silence only if another replica can take it

A caller's stream was cut midway, though it was read whole and its replica was only silent: the watchdog canceled the attempt, and only then was it known that no retry was left in the node's budget, that no other replica was listed, or that none ran the software version that had begun the stream.

The watchdog now looks for another replica by the criteria of the next attempt (excluded replicas, regions, software version, time left, not ejected) and takes the retry from the budget before it cancels; shouldRetry does not take it again. While there is none it looks again each 100 ms, and the silent replica may go on. The watchdog moves to silence.go; it shares nothing with the attempt that runs beside it but what mu guards.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,12 +1,10 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -15,22 +13,8 @@
 	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
-const (
-	// maxBufferedBody bounds an answer that is buffered until it is complete, in bytes.
-	maxBufferedBody = 8 << 20
-	// silenceFactor is how many objectives, or gaps, a replica may be silent before a stream that
-	// can resume elsewhere is moved.
-	silenceFactor = 4
-	// minSilenceLimit is the lower bound of the silence limit. A sound replica may send nothing for
-	// up to 1.5 s; callers give up after 2 s or more.
-	minSilenceLimit = 1700 * time.Millisecond
-	// stalledFactor is how many gaps, times silenceFactor, an answer that has begun may pause while
-	// its replica answers other requests. A running request has a slot and produces events
-	// steadily, so a long pause indicates a connection that died without a reset. The stream then
-	// moves after at least minStalledLimit instead of failing at the request's deadline.
-	stalledFactor   = 4
-	minStalledLimit = 2800 * time.Millisecond
-)
+// maxBufferedBody bounds an answer that is buffered until it is complete, in bytes.
+const maxBufferedBody = 8 << 20
 
 // forwardEvents relays events as they arrive, skipping those that the caller already has. confirmEnd
 // returns an error if the answer ended too early.
@@ -64,6 +48,7 @@
 			if err := watchdog.duringWrite(func() error { return c.requireSoftware(use) }); err != nil {
 				return err
 			}
+			watchdog.requireSoftware(c.criteria.SoftwareVersion, c.softwareUncertain)
 			checked = true
 		}
 		write := func() error { return c.forwardEvent(answer, event, reader.Buffered()) }
@@ -154,83 +139,3 @@
 func (c *call) hasAttemptsLeft() bool {
 	return c.mayRepeat() && c.result.Attempts < c.route.MaxAttempts
 }
-
-// silenceWatchdog cancels an attempt when its replica sends nothing for too long to any request of
-// this node. A replica that answers other requests is only busy, and sending its requests to others
-// as well would add load. An answer that has begun and then pauses for much longer is canceled even
-// if the replica answers other requests.
-type silenceWatchdog struct {
-	use   *replica.Use
-	limit atomic.Int64
-	// stalledLimit is the limit of a pause of this answer, once it has begun.
-	stalledLimit atomic.Int64
-	timer        *time.Timer
-	// writing is set while an event is written to the caller; lastWriteEnd is when the last write
-	// ended, in Unix nanoseconds. Nothing is read from the answer during a write, so its silence
-	// then means nothing.
-	writing      atomic.Bool
-	lastWriteEnd atomic.Int64
-}
-
-// duringWrite calls write, which may block for as long as the caller does not read.
-func (w *silenceWatchdog) duringWrite(write func() error) error {
-	w.writing.Store(true)
-	defer func() {
-		w.lastWriteEnd.Store(clock.Now().UnixNano())
-		w.writing.Store(false)
-	}()
-	return write()
-}
-
-// sinceLastWrite returns the time since the last write to the caller ended; 0 during a write. The
-// answer is not read during a write, so this bounds how long it may have been silent.
-func (w *silenceWatchdog) sinceLastWrite(now time.Time) time.Duration {
-	if w.writing.Load() {
-		return 0
-	}
-	return now.Sub(time.Unix(0, w.lastWriteEnd.Load()))
-}
-
-// startSilenceWatchdog starts a watchdog if the request can be retried elsewhere. Otherwise, or on
-// a route without an objective, the attempt is never canceled for silence.
-func (c *call) startSilenceWatchdog(use *replica.Use, cancel context.CancelCauseFunc) *silenceWatchdog {
-	watchdog := &silenceWatchdog{use: use}
-	if !c.hasAttemptsLeft() || c.route.Objective == 0 {
-		return watchdog
-	}
-	limit := max(silenceFactor*c.route.Objective, minSilenceLimit)
-	watchdog.limit.Store(int64(limit))
-	watchdog.stalledLimit.Store(int64(max(stalledFactor*silenceFactor*c.route.Gap, minStalledLimit)))
-	watchdog.timer = time.AfterFunc(limit, func() { watchdog.check(cancel) })
-	return watchdog
-}
-
-// check cancels the attempt, or rearms the timer for the time at which a limit may be reached.
-func (w *silenceWatchdog) check(cancel context.CancelCauseFunc) {
-	now, limit := clock.Now(), time.Duration(w.limit.Load())
-	left := limit - min(w.use.Silence(now), w.sinceLastWrite(now))
-	if left <= 0 {
-		cancel(ErrSilent)
-		return
-	}
-	if ownSilence, begun := w.use.OwnSilence(now); begun {
-		untilStalled := time.Duration(w.stalledLimit.Load()) - min(ownSilence, w.sinceLastWrite(now))
-		if untilStalled <= 0 {
-			cancel(ErrStalled)
-			return
-		}
-		left = min(left, untilStalled)
-	}
-	w.timer.Reset(left)
-}
-
-// setEventLimit sets the silence limit between two events.
-func (w *silenceWatchdog) setEventLimit(gap time.Duration) {
-	w.limit.Store(int64(max(silenceFactor*gap, minSilenceLimit)))
-}
-
-func (w *silenceWatchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -105,6 +105,8 @@
 	triedPart quarantine.Work
 	// claim is the state of the trial's claim of a replica.
 	claim claimState
+	// retryTaken is set if the retry after the last attempt has been taken from the budget already.
+	retryTaken bool
 	// slowestRefusal is the longest duration of an attempt that did not run.
 	slowestRefusal time.Duration
 }
@@ -278,7 +280,7 @@
 	if c.result.HeadSent && (c.route.Kind != route.Stream || c.softwareUncertain) {
 		return false
 	}
-	return c.forwarder.Budget.TryRetry()
+	return c.retryTaken || c.forwarder.Budget.TryRetry()
 }
 
 // mayRepeat reports whether the request may run more than once.
@@ -384,8 +386,8 @@
 func (c *call) exchange(ctx context.Context, chosen replica.Info, use *replica.Use) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := c.startSilenceWatchdog(use, cancel)
-	defer watchdog.stop()
+	watchdog := c.startSilenceWatchdog(chosen, use, cancel)
+	defer func() { c.retryTaken = watchdog.stop() }()
 	received := c.watchRestart(ctx, use, cancel)
 	answer, err := c.forwarder.Backend.Send(ctx, &Attempt{
 		Request: c.request, Replica: chosen, LastEventID: c.lastEventID, Deadline: c.replicaDeadline(c.result.Distance), Reservation: c.reservation,
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -70,10 +70,15 @@
 
 // hasTimeFor reports whether an attempt at a replica can succeed in the remaining time.
 func (c *call) hasTimeFor(chosen *replica.Candidate, now time.Time) bool {
+	return c.hasTimeAt(c.criteria.Distance(chosen), chosen, now)
+}
+
+// hasTimeAt is like hasTimeFor, given the distance of the replica.
+func (c *call) hasTimeAt(distance place.Distance, chosen *replica.Candidate, now time.Time) bool {
 	if c.deadline.IsZero() {
 		return true
 	}
-	replicaTime := c.replicaDeadline(c.criteria.Distance(chosen)).Sub(now)
+	replicaTime := c.replicaDeadline(distance).Sub(now)
 	return replicaTime >= minUsefulTime && c.timeLeft(now) >= c.minAttemptTime(chosen)
 }
 
