node: test of requests in flight while the gateway stops

The test sends requests of each kind before and while the gateway stops, and lets their answers end shortly before the grace period does. Nothing failed.

Evidence: go test -count=2 -run OutlastAStop ./internal/node, green.

--- a/internal/node/gatewayconfigchange_test.go
+++ b/internal/node/gatewayconfigchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -267,3 +268,46 @@
 		t.Errorf("version %d in force after %d configurations, so few were crossed", version, requests)
 	}
 }
+
+// TestGateway_RequestsInFlightOutlastAStop guards against requests that end without an answer because the
+// gateway stops while they are read, wait for the beginning of their answer or receive it.
+func TestGateway_RequestsInFlightOutlastAStop(t *testing.T) {
+	site := newGatewaySite(t, 0)
+	server, address := newGatedServer(t)
+	site.listServer("i-gated", address, "ready")
+	site.store.Put("op", "config", changeableConfig(2))
+	gateway := site.launch("a", nil)
+	site.eventually("gateway ready", func() bool {
+		return gateway.Ready() && gateway.routes.Load().Version == 2 && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == 1
+	})
+	// A stopping gateway closes a connection after the answer to the first of two requests on it.
+	requests := slices.DeleteFunc(rawRequests(), func(r *rawRequest) bool { return r.pipelined > 1 })
+	routed := int64(0)
+	for _, request := range requests {
+		request.send(t, gateway.settings.Node.Listen)
+		if request.after == "" {
+			routed++
+		}
+	}
+	site.eventually("requests in flight", func() bool { return server.received.Load() == routed })
+	stopped := make(chan struct{})
+	go func() {
+		gateway.Stop()
+		close(stopped)
+	}()
+	site.eventually("gateway stopping", gateway.Stopping)
+	time.Sleep(300 * time.Millisecond)
+	for _, request := range requests {
+		request.write(t, request.after)
+	}
+	close(server.begin)
+	// Longer than new connections are accepted, shorter than the grace period of 4 s.
+	time.Sleep(2400 * time.Millisecond)
+	close(server.finish)
+	for _, request := range requests {
+		if err := request.answers(); err != nil {
+			t.Errorf("%s: %v", request.name, err)
+		}
+	}
+	<-stopped
+}
