forward: failing test, a stream after a connection that was not accepted

A replica that pauses may not accept a connection in time (400 ms). For 5 s after that, streams that begin there are of no certain software version, so they are cut when they break off, and no node continues them for their callers. The test has a replica without a start time refuse a connection, and break off a stream that began a second later: the caller gets two events of four.

Evidence: go test -run TestDo_StreamGoesOnThoughItsReplicaWasUnreachableBefore ./internal/forward, red.

--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -264,3 +264,26 @@
 		})
 	}
 }
+
+// TestDo_StreamGoesOnThoughItsReplicaWasUnreachableBefore guards against streams that are cut when they
+// break off, because their replica did not accept a connection a moment before they began. A replica that
+// has no start time does not restart under its ID, so it is known which one sent the events.
+func TestDo_StreamGoesOnThoughItsReplicaWasUnreachableBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		forwarder := newForwarder(nil, 1)
+		forwarder.Backend = &scriptedBackend{answer: func(_ context.Context, attempt *Attempt, number int) (*Answer, error) {
+			if number == 1 {
+				forwarder.Replicas.Put(replica.Info{ID: "r1", Pool: testPool, Address: "r1", Slots: 4})
+				return streamAnswer(events(1, 2) + "id: 3"), nil
+			}
+			return streamAnswer(events(attempt.LastEventID+1, 4)), nil
+		}}
+		now := clock.Now()
+		forwarder.Replicas.Begin("r0", replica.RequestInfo{}, now).End(replica.Unreachable, now)
+		time.Sleep(time.Second)
+		sink, result, err := do(t, forwarder, silentRoute(route.Stream))
+		if err != nil || result.Attempts != 2 || sink.body.String() != events(1, 4) {
+			t.Fatalf("caller got %q after %d attempts, %v", sink.body.String(), result.Attempts, err)
+		}
+	})
+}
