replica: the software version is certain where replicas do not restart under their ID

Streams were cut midway, and refused to callers who continued them, for 5 s after their replica had not accepted one connection. A connection that is refused may mean that the replica restarts under its ID, so a later stream may be of the next start, which the list does not show yet, and of another software version: it counted as uncertain. But a replica whose row has no start time gets a new ID with each start, as SoftwareVersion says itself for a list that is old; only this case was left out there.

Ruled out: a restart with a start time stays uncertain, as before (tests of software versions and restarts).

Evidence: TestDo_StreamGoesOnThoughItsReplicaWasUnreachableBefore, red on the commit before (two events of four), green now; go test ./internal/forward ./internal/replica; the tests of streams, software versions and restarts in ./internal/node and ./internal/jobs.

--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -43,8 +43,8 @@
 	defer u.set.mu.Unlock()
 	info := &u.entry.info
 	// Only replicas that report their start time restart under the same ID.
-	mayHaveRestarted := info.StartedUnixMs != 0 && u.set.softwareListStale(now)
-	return info.SoftwareVersion, !mayHaveRestarted && !u.softwareUncertain && !u.entry.sentToSuccessor(u, now)
+	mayHaveRestarted := info.StartedUnixMs != 0 && (u.set.softwareListStale(now) || u.entry.sentToSuccessor(u, now))
+	return info.SoftwareVersion, !mayHaveRestarted && !u.softwareUncertain
 }
 
 // Connected records when the connection that carries the answer was opened. A connection ends with the
