replica: failing test, an ended pool that returns gets all that waits

What callers see: when all replicas of a pool have ended, the first that starts again is overloaded in its cold start by all requests that wait.

The test has nodes with requests that wait while all replicas of their pool refuse connections, for 1.5 to 10 s; then one accepts them again, and the list shows it 1.2 s later. Decisions of the real sets, made-up time. A node that has had no data for 1 s takes itself for cut off, and recordUnreachable records nothing then, so its last resort sends without a limit.

--- /dev/null
+++ b/internal/replica/ended_test.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	endedStep = 25 * time.Millisecond
+	// endedListDelay is the time from the start of a replica until the list shows it.
+	endedListDelay = 1200 * time.Millisecond
+)
+
+// endedFleet simulates nodes whose pool of replicas has ended: connections are refused until a replica
+// is back. Each node always has the same number of requests waiting.
+type endedFleet struct {
+	t       *testing.T
+	now     time.Time
+	nodes   []string
+	sets    []*Set
+	waiting int
+	// up are the replicas that accept connections, sent the times of the requests that these got.
+	up   map[string]bool
+	sent map[string][]time.Time
+	// ending holds the answers under way.
+	ending []*Use
+}
+
+// newEndedFleet returns nodes that had an answer of each of their replicas a moment ago.
+func newEndedFleet(t *testing.T, nodes, replicas, waiting int, limit ColdLimit) *endedFleet {
+	f := &endedFleet{t: t, now: time.Unix(1000, 0), waiting: waiting, up: map[string]bool{}, sent: map[string][]time.Time{}}
+	for i := range nodes {
+		f.nodes = append(f.nodes, fmt.Sprint("node", i))
+	}
+	for _, node := range f.nodes {
+		set := NewSet()
+		set.ColdTolerance = ColdTolerance{Over: 1.5, Slack: 5}
+		set.SetColdLimits(map[string]ColdLimit{testPool: limit})
+		set.Divide(node, nodesWithoutPlace(f.nodes...))
+		for i := range replicas {
+			info := endedReplica(i, firstStart, 0)
+			set.put(info, f.now)
+			use := set.Begin(info.ID, RequestInfo{}, f.now)
+			use.Received(f.now)
+			use.End(Succeeded, f.now)
+		}
+		f.sets = append(f.sets, set)
+	}
+	return f
+}
+
+// endedReplica describes one start of a replica.
+func endedReplica(i int, startedUnixMs int64, coldLeft time.Duration) Info {
+	return Info{ID: fmt.Sprint("r", i), Pool: testPool, Slots: 8, StartedUnixMs: startedUnixMs, ColdLeft: coldLeft}
+}
+
+// run advances the time while all nodes send what their sets permit.
+func (f *endedFleet) run(length time.Duration) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(endedStep) {
+		for _, use := range f.ending {
+			use.Received(f.now)
+			use.End(Succeeded, f.now)
+		}
+		f.ending = nil
+		for i := range f.sets {
+			f.sendWaiting(i)
+		}
+	}
+}
+
+// sendWaiting lets all waiting requests of a node choose a replica before any of them has a result.
+func (f *endedFleet) sendWaiting(node int) {
+	set, refused := f.sets[node], []*Use{}
+	for range f.waiting {
+		criteria := &Criteria{RequestInfo: RequestInfo{Tokens: 100}}
+		chosen, err := Pick(set.SnapshotFor(testPool, criteria, f.now), criteria, Weights{})
+		if err != nil {
+			continue
+		}
+		use := set.BeginAt(chosen.Info, criteria.RequestInfo, f.now)
+		switch {
+		case use == nil:
+			f.t.Fatalf("a replica was chosen that must not get a request: %+v", chosen.Cold)
+		case f.up[chosen.ID]:
+			f.sent[chosen.ID] = append(f.sent[chosen.ID], f.now)
+			f.ending = append(f.ending, use)
+		default:
+			refused = append(refused, use)
+		}
+	}
+	for _, use := range refused {
+		use.End(Unreachable, f.now)
+	}
+}
+
+// list makes all nodes learn of a start of a replica.
+func (f *endedFleet) list(info Info) {
+	for _, set := range f.sets {
+		set.put(info, f.now)
+	}
+}
+
+// maxPerSecond returns the maximum number of requests to a replica in any one second.
+func (f *endedFleet) maxPerSecond(id string) int {
+	most, first := 0, 0
+	for last, at := range f.sent[id] {
+		for at.Sub(f.sent[id][first]) >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// Guards against waiting requests that all reach a replica in its cold start: with the whole pool gone
+// a node hears nothing for over a second, and must not take that for its own isolation and send without
+// a limit to replicas that refuse connections.
+func TestColdRate_HoldsWhenEndedPoolReturns(t *testing.T) {
+	for _, test := range []struct {
+		nodes, waiting int
+		rate           float64
+		down           time.Duration
+	}{
+		{nodes: 1, waiting: 20, rate: 2, down: 3 * time.Second},
+		{nodes: 13, waiting: 5, rate: 2, down: 1500 * time.Millisecond},
+		{nodes: 13, waiting: 5, rate: 2, down: 10 * time.Second},
+		{nodes: 20, waiting: 5, rate: 15, down: 3 * time.Second},
+		{nodes: 320, waiting: 1, rate: 15, down: 3 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, %v a second, %v", test.nodes, test.rate, test.down), func(t *testing.T) {
+			limit := ColdLimit{Rate: test.rate, Start: 3 * time.Second}
+			f := newEndedFleet(t, test.nodes, 8, test.waiting, limit)
+			f.run(test.down)
+			f.up["r0"] = true
+			f.run(endedListDelay)
+			f.list(endedReplica(0, secondStart, limit.Start-endedListDelay))
+			f.run(limit.Start - endedListDelay - endedStep)
+			bound := ColdTolerance{Over: 1.5, Slack: 5}.bound(limit.Rate)
+			if most := f.maxPerSecond("r0"); float64(most) > bound || most == 0 {
+				t.Errorf("a replica got %d requests in a second of its cold start, want 1 to %v", most, bound)
+			}
+		})
+	}
+}
