replica: replicas of an ended pool count as cold until one answers

What callers saw: after all replicas of a pool had ended, the first that started again got all requests that waited at all nodes, in its cold start.

Cause: silence of all replicas was taken for this node's own isolation. recordUnreachable limited a replica that accepts no connection only if some replica had sent data in the last second, and only while it was ejected. If the whole pool has ended nobody hears anything, so every request of every node went to every replica as a last resort, each 25 ms, and the one that was back got them all. Even with contact, all that waited was sent at the end of an ejection.

Now the replicas of a pool of which none accepts connections count as cold until one answers, and for startListedDelay after that, in which the list shows a restart. Senders try them at their part of the rate, other nodes by grants. Whether a node is cut off or the pool has ended is no longer guessed from silence: a node that is in contact with a replica, for so long that the list would show a restart, grants sends without a limit (GrantEnded), so a node that alone is cut off waits for a message. A node without contact, or with its first answer a moment ago, grants its part of the rate only.

Ruled out: marking a refused connection alone as cold, regardless of the silence. A node that is cut off by refusals would then be held to the rate of cold replicas, and the flood at the end of each ejection would remain.

TestEnded_NodeThatWasCutOffGetsGrantsWithoutLimit has all requests that waited at a node sent in the first step after it was cut off.

What it costs: if a whole fleet is refused by a whole pool that did not restart, nobody can tell, and its nodes keep to the rate of cold replicas for startListedDelay after the first answers, a node that sends to none for twice that (TestEnded_PoolThatDidNotRestartIsWarmSoon).

--- a/internal/node/gatewaycold.go
+++ b/internal/node/gatewaycold.go
@@ -24,6 +24,9 @@
 	// StartedUnixMs identifies the start of the replica that the sender knows. It is absent if
 	// unknown, and in requests of earlier versions.
 	StartedUnixMs int64 `cbor:"4,keyasint,omitempty"`
+	// Ended is set if the only reason is that no replica of the pool accepted connections of the
+	// sender. Earlier versions ignore it, and grant sends only if they consider the replica cold.
+	Ended bool `cbor:"5,keyasint,omitempty"`
 }
 
 // coldGrantReply grants or denies a request.
@@ -63,7 +66,7 @@
 	number := rand.Uint64()
 	reply := c.pending.Register(number)
 	defer c.pending.Forget(number)
-	request := coldGrantRequest{Number: number, Replica: sender.Replica, Presumed: sender.Presumed, StartedUnixMs: sender.StartedUnixMs}
+	request := coldGrantRequest{Number: number, Replica: sender.Replica, Presumed: sender.Presumed, StartedUnixMs: sender.StartedUnixMs, Ended: sender.Ended}
 	if err := c.send(to, peer.KindColdGrantRequest, request); err != nil {
 		c.onError(err)
 		return false
@@ -85,7 +88,10 @@
 			return
 		}
 		grant := c.replicas.GrantCold
-		if request.Presumed {
+		switch {
+		case request.Ended:
+			grant = c.replicas.GrantEnded
+		case request.Presumed:
 			grant = c.replicas.GrantPresumed
 		}
 		// A grant for another start of the replica would not count against its rate limit.
--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -14,8 +14,8 @@
 
 const (
 	// recentContact is how recently this node must have received data from any replica to treat
-	// an unreachable one as down. Otherwise this node itself is assumed to be cut off, since
-	// data arrives from the replicas of a busy pool many times a second.
+	// an unreachable one as down while others of its pool accept connections. Otherwise this node
+	// itself may be cut off, since data arrives from the replicas of a busy pool many times a second.
 	recentContact = time.Second
 	// startListedDelay is the maximum time from the first answer of a restarted replica until the
 	// list shows the restart: the replica writes its row with its first heartbeat, after up to
@@ -74,6 +74,15 @@
 	senders    []int
 	isSender   bool
 	generation uint64
+	// unreachable is set if the replica accepted no connection of this node since it last answered.
+	unreachable bool
+	// contactSince is since when data has arrived from the replica without a pause of recentContact;
+	// zero if there is no contact.
+	contactSince time.Time
+	// ended is set if no replica of the pool accepted connections, and endedUntil is until when the
+	// replica counts as cold for that; zero while it has not answered since.
+	ended      bool
+	endedUntil time.Time
 	// logged is the state that ColdChanges last returned.
 	logged bool
 }
@@ -93,7 +102,7 @@
 
 // coldLimit returns the limit of an entry and whether it is considered cold now. The caller holds mu.
 func (s *Set) coldLimit(e *entry, now time.Time) (limit ColdLimit, cold bool) {
-	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) && !s.listStale(now) {
+	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) && !s.listStale(now) && !e.maybeEnded(now) {
 		return ColdLimit{}, false
 	}
 	limit, cold = s.coldLimits[e.info.Pool]
@@ -101,7 +110,7 @@
 }
 
 // confirmedCold reports whether an entry is considered cold for another reason than the age of the
-// list. The caller holds mu.
+// list or the end of its pool. The caller holds mu.
 func (s *Set) confirmedCold(e *entry, now time.Time) bool {
 	_, cold := s.coldLimit(e, now)
 	return cold && now.Before(e.cold.until)
@@ -143,9 +152,14 @@
 
 // recordUnreachable records that a replica accepted no connection. While it is ejected for that, it
 // counts as cold, so that even as a last resort only its senders try it. If no data arrives from any
-// replica, this node is likely cut off, and nothing is recorded. The caller holds mu.
+// replica, this node is likely cut off, and that is not recorded unless the pool may have ended, see
+// recordRefusal. The caller holds mu.
 func (s *Set) recordUnreachable(e *entry, now time.Time) {
-	if limit := s.coldLimits[e.info.Pool]; limit.Rate > 0 && now.Sub(s.lastReceived) < recentContact {
+	if s.coldLimits[e.info.Pool].Rate <= 0 {
+		return
+	}
+	s.recordRefusal(e, now)
+	if !e.cold.ended && now.Sub(s.lastReceived) < recentContact {
 		s.markCold(e, e.health.ejectedUntil, ColdUnreachable, now)
 	}
 }
@@ -187,6 +201,9 @@
 	// Presumed is set if the age of the list is the only reason to consider the replica cold.
 	// Left is then the time until the next check.
 	Presumed bool
+	// Ended is set if the only reason is that no replica of the pool accepted connections. Left is
+	// then the time until the next check.
+	Ended bool
 }
 
 // Blocks reports whether a request must not be sent to the replica now.
@@ -201,9 +218,19 @@
 		return ColdView{}
 	}
 	view := ColdView{Left: e.cold.until.Sub(now)}
-	if s.presumedCold(e, now) {
+	switch {
+	case now.Before(e.cold.until):
+	case e.maybeEnded(now):
+		view = ColdView{Left: maxListAge, Ended: true}
+	default:
 		view = ColdView{Left: maxListAge, Presumed: true}
 	}
+	return s.pacedView(e, limit, view, now)
+}
+
+// pacedView adds to a view of an entry, which is considered cold, what this node may send by its part of
+// the rate. The caller holds mu.
+func (s *Set) pacedView(e *entry, limit ColdLimit, view ColdView, now time.Time) ColdView {
 	_, rate := s.ColdTolerance.split(limit.Rate)
 	if rate <= 0 || !s.isColdSender(e, now) {
 		view.Wait = view.Left
--- a/internal/replica/coldlist.go
+++ b/internal/replica/coldlist.go
@@ -34,12 +34,6 @@
 	return !s.listTime.IsZero() && now.Sub(s.listTime) > maxListAge
 }
 
-// presumedCold reports whether the age of the list is the only reason to consider an entry cold. The
-// caller holds mu.
-func (s *Set) presumedCold(e *entry, now time.Time) bool {
-	return !now.Before(e.cold.until) && s.listStale(now)
-}
-
 // PresumesCold reports whether replicas of pools with a cold limit are presumed cold because the list
 // is old.
 func (s *Set) PresumesCold(now time.Time) bool {
--- a/internal/replica/ended_test.go
+++ b/internal/replica/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -23,13 +24,18 @@
 	// up are the replicas that accept connections, sent the times of the requests that these got.
 	up   map[string]bool
 	sent map[string][]time.Time
+	// cut is set for the nodes that reach no replica, sentBy counts the requests that replicas got.
+	cut    map[string]bool
+	sentBy map[string]int
+	// asked counts the requests for grants.
+	asked int
 	// ending holds the answers under way.
 	ending []*Use
 }
 
 // newEndedFleet returns nodes that had an answer of each of their replicas a moment ago.
 func newEndedFleet(t *testing.T, nodes, replicas, waiting int, limit ColdLimit) *endedFleet {
-	f := &endedFleet{t: t, now: time.Unix(1000, 0), waiting: waiting, up: map[string]bool{}, sent: map[string][]time.Time{}}
+	f := &endedFleet{t: t, now: time.Unix(1000, 0), waiting: waiting, up: map[string]bool{}, sent: map[string][]time.Time{}, cut: map[string]bool{}, sentBy: map[string]int{}}
 	for i := range nodes {
 		f.nodes = append(f.nodes, fmt.Sprint("node", i))
 	}
@@ -76,13 +82,16 @@
 		criteria := &Criteria{RequestInfo: RequestInfo{Tokens: 100}}
 		chosen, err := Pick(set.SnapshotFor(testPool, criteria, f.now), criteria, Weights{})
 		if err != nil {
-			continue
+			if chosen = f.requestGrant(node, criteria); chosen == nil {
+				continue
+			}
 		}
 		use := set.BeginAt(chosen.Info, criteria.RequestInfo, f.now)
 		switch {
 		case use == nil:
 			f.t.Fatalf("a replica was chosen that must not get a request: %+v", chosen.Cold)
-		case f.up[chosen.ID]:
+		case f.up[chosen.ID] && !f.cut[f.nodes[node]]:
+			f.sentBy[f.nodes[node]]++
 			f.sent[chosen.ID] = append(f.sent[chosen.ID], f.now)
 			f.ending = append(f.ending, use)
 		default:
@@ -94,6 +103,27 @@
 	}
 }
 
+// requestGrant asks a node that may send to a cold replica. It returns the replica, or nil.
+func (f *endedFleet) requestGrant(node int, criteria *Criteria) *Candidate {
+	senders := f.sets[node].ColdSenders(testPool, &Criteria{}, f.now)
+	if len(senders) == 0 {
+		return nil
+	}
+	f.asked++
+	sender := senders[f.asked%len(senders)]
+	granter := f.sets[slices.Index(f.nodes, sender.Node)]
+	grant := granter.GrantCold
+	if sender.Ended {
+		grant = granter.GrantEnded
+	}
+	if !granter.IsCurrentStart(sender.Replica, sender.StartedUnixMs) || !grant(sender.Replica, f.now) {
+		return nil
+	}
+	criteria.Granted = true
+	candidate, _ := f.sets[node].CandidateByID(sender.Replica, f.now)
+	return candidate
+}
+
 // list makes all nodes learn of a start of a replica.
 func (f *endedFleet) list(info Info) {
 	for _, set := range f.sets {
@@ -143,3 +173,84 @@
 		})
 	}
 }
+
+// Guards against a node that was cut off from all replicas and is then held to the rate of cold ones,
+// although other nodes are in contact with these and know them as warm.
+func TestEnded_NodeThatWasCutOffGetsGrantsWithoutLimit(t *testing.T) {
+	limit := ColdLimit{Rate: 2, Start: 3 * time.Second}
+	f := newEndedFleet(t, 5, 8, 10, limit)
+	for i := range 8 {
+		f.up[fmt.Sprint("r", i)] = true
+	}
+	f.run(2 * time.Second)
+	f.cut["node0"] = true
+	f.run(5 * time.Second)
+	f.cut["node0"], f.sentBy["node0"] = false, 0
+	f.run(endedStep)
+	if got := f.sentBy["node0"]; got != f.waiting {
+		t.Errorf("%d of %d waiting requests were sent at once after the node was cut off", got, f.waiting)
+	}
+	f.run(time.Second)
+	if got, want := f.sentBy["node0"], f.waiting*41; got < want {
+		t.Errorf("%d requests were sent in the next second, want %d", got, want)
+	}
+}
+
+// Guards against replicas that stay limited for long after connections to all of them were refused for
+// a while, though none has restarted.
+func TestEnded_PoolThatDidNotRestartIsWarmSoon(t *testing.T) {
+	f := newEndedFleet(t, 5, 8, 10, ColdLimit{Rate: 2, Start: 3 * time.Second})
+	f.run(5 * time.Second)
+	for i := range 8 {
+		f.up[fmt.Sprint("r", i)] = true
+	}
+	// Senders get their first answers within a second. A node that is none gets one without a limit once
+	// these know the replicas as warm, and then waits for the list itself.
+	f.run(time.Second + 2*startListedDelay)
+	f.sentBy = map[string]int{}
+	f.run(endedStep)
+	for _, node := range f.nodes {
+		if got := f.sentBy[node]; got != f.waiting {
+			t.Errorf("%s sent %d of %d waiting requests at once, want all", node, got, f.waiting)
+		}
+	}
+}
+
+// Guards against a node that knows nothing of a replica, or has just heard its first answer since a
+// restart that is not listed yet, and tells others that the replica is warm.
+func TestGrantEnded_LimitedWithoutLongContact(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := newColdSet("a", []string{"a"}, true, now)
+	grants := func(now time.Time) int {
+		count := 0
+		for range 5 {
+			if set.GrantEnded("warm", now) {
+				count++
+			}
+		}
+		return count
+	}
+	if got := grants(now); got != 1 {
+		t.Errorf("%d sends to a replica were granted at once without contact, want 1", got)
+	}
+	now = now.Add(time.Second)
+	use := set.Begin("warm", RequestInfo{}, now)
+	use.Received(now)
+	if got := grants(now); got != 1 {
+		t.Errorf("%d sends to a replica were granted at its first answer, want 1", got)
+	}
+	for range 4 {
+		now = now.Add(startListedDelay / 3)
+		use.Received(now)
+	}
+	if got := grants(now); got != 5 {
+		t.Errorf("%d of 5 sends to a replica were granted after long contact", got)
+	}
+	if got := grants(now.Add(2 * recentContact)); got != 1 {
+		t.Errorf("%d sends to a replica were granted long after its last answer, want 1", got)
+	}
+	other := newColdSet("a", []string{"b"}, true, now)
+	if other.GrantEnded("warm", now) || other.GrantEnded("unknown", now) {
+		t.Error("a node that is not a sender of a replica granted a send without contact")
+	}
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -111,6 +111,8 @@
 	// back for them.
 	coldLimits   map[string]ColdLimit
 	coldHeldBack uint64
+	// endedPools are the pools with entries marked as ended.
+	endedPools map[string]bool
 	// listTime is the time as of which the list is known; zero if SetListTime was never called.
 	listTime time.Time
 	// listKnownSince is the time since when the list has been known without a gap longer than
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -175,6 +175,7 @@
 func (u *Use) Received(now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
+	u.set.recordContact(u.entry, now)
 	u.lastReceived, u.entry.own().lastReceived, u.set.lastReceived = now, now, now
 }
 
@@ -238,6 +239,7 @@
 	e.ownTally.observe(result, now)
 	switch result {
 	case Succeeded:
+		s.recordContact(e, now)
 		s.recordReachable(e, now)
 	case Failed:
 		ejection = s.evaluate(e, now)
