forward: one request at a time asks for a grant after a refusal

While the replicas of an ended pool count as cold, each waiting request of each node asked their senders each 100 ms, and a node that was cut off used its replicas up to 75 ms later than before, when it tried them each 25 ms.

After a refused grant the requests for a pool of a node now ask one at a time, each 25 ms, for all of them; a grant lets all ask again. A node then asks 40 times a second at most while nothing is granted, however many requests wait, and a replica that was only out of reach is used as soon as before. Grants for other cold replicas are requested as they were.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -55,6 +55,12 @@
 		return nil
 	}
 	granter := chooseGranter(senders, c.forwarder.Zone)
+	if granter.Ended {
+		if !c.forwarder.grantGate.tryAsk(c.result.Pool, clock.Now()) {
+			return nil
+		}
+		defer func() { c.forwarder.grantGate.record(c.result.Pool, c.criteria.Granted, clock.Now()) }()
+	}
 	grantCtx, cancel := context.WithTimeout(ctx, coldGrantTimeout)
 	defer cancel()
 	began := clock.Now()
@@ -96,7 +102,11 @@
 	if noReplicaErr := coldOnly(err); noReplicaErr != nil {
 		c.forwarder.Replicas.RecordHeldBack()
 		wait = max(time.Millisecond, noReplicaErr.ColdWait)
-		if c.forwarder.needsColdGrant(err) {
+		switch {
+		case c.forwarder.needsColdGrant(err) && noReplicaErr.ColdEnded:
+			// A replica that was only out of reach may serve the request as soon as it can be reached.
+			wait = capacityRetryInterval
+		case c.forwarder.needsColdGrant(err):
 			wait = coldRecheckInterval
 		}
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -67,6 +67,7 @@
 	// ColdGranter, if set, is asked for a grant by requests that find only cold replicas to which
 	// this node may not send by itself.
 	ColdGranter ColdGranter
+	grantGate   grantGate
 	// Origins, if set, tells where streams began that callers continue here.
 	Origins StreamOrigins
 	// Quarantine, if set, keeps work away from replicas if it is suspected of crashing them.
--- a/internal/replica/exclusion.go
+++ b/internal/replica/exclusion.go
@@ -55,6 +55,8 @@
 	Counts [exclusions]int
 	// ColdWait is the least time until a cold replica may get the request.
 	ColdWait time.Duration
+	// ColdEnded is set if a replica is excluded as cold for the end of its pool; see ColdView.Ended.
+	ColdEnded bool
 	// RegionRestricted is set if the request may be served in some regions only.
 	RegionRestricted bool
 	// SoftwareRestricted is set if only one software version may serve the request.
@@ -112,6 +114,9 @@
 	if reason == Cold && (e.Counts[Cold] == 0 || c.Cold.Wait < e.ColdWait) {
 		e.ColdWait = c.Cold.Wait
 	}
+	if reason == Cold && c.Cold.Ended {
+		e.ColdEnded = true
+	}
 	e.Counts[reason]++
 }
 
