replica: the mark of an ended pool ends if its replicas stay listed

TestEnded_ListedReplicaIsUsedAgainWithoutGrants; the bounds of TestColdRate_HoldsWhenEndedPoolReturns, with 10 s of refusals, hold as before. Tests of internal/replica and internal/forward pass, and those of cold replicas, grants, starts and lists in internal/node.

--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -79,10 +79,11 @@
 	// contactSince is since when data has arrived from the replica without a pause of recentContact;
 	// zero if there is no contact.
 	contactSince time.Time
-	// ended is set if no replica of the pool accepted connections, and endedUntil is until when the
-	// replica counts as cold for that; zero while it has not answered since.
-	ended      bool
-	endedUntil time.Time
+	// ended is set if no replica of the pool accepted connections, endedSince is when this one last
+	// did not, or first answered again, and endedUntil until when it counts as cold for that; zero
+	// while it has not answered.
+	ended                  bool
+	endedSince, endedUntil time.Time
 	// logged is the state that ColdChanges last returned.
 	logged bool
 }
@@ -159,7 +160,7 @@
 		return
 	}
 	s.recordRefusal(e, now)
-	if !e.cold.ended && now.Sub(s.lastReceived) < recentContact {
+	if !e.maybeEnded(now) && now.Sub(s.lastReceived) < recentContact {
 		s.markCold(e, e.health.ejectedUntil, ColdUnreachable, now)
 	}
 }
--- a/internal/replica/ended.go
+++ b/internal/replica/ended.go
@@ -9,12 +9,19 @@
 // answers. Nodes that are still in contact with a replica grant sends without a limit, so a node that
 // alone is cut off waits no longer than a message takes.
 
+// endedMax is how long after its last refusal a replica that stays on the list counts as cold for the
+// end of its pool. It exceeds the three heartbeats after which the row of a replica that has ended is
+// gone, so one that is still listed runs, and only connections to it failed. Without a bound, a node that
+// gets no grant, such as one that sends only items, would not use the replica again. It equals the
+// longest ejection, after which the node would try again in any case.
+const endedMax = ejectionMax
+
 // recordRefusal records that a replica of a pool with a limit for cold replicas accepted no connection.
 // It marks the replicas that accept none if none of the pool does. The caller holds mu.
 func (s *Set) recordRefusal(e *entry, now time.Time) {
 	e.cold.unreachable, e.cold.contactSince = true, time.Time{}
-	if e.cold.ended {
-		e.cold.endedUntil = time.Time{}
+	if e.maybeEnded(now) {
+		e.cold.endedSince, e.cold.endedUntil = now, time.Time{}
 		return
 	}
 	list := s.pool(e.info.Pool)
@@ -44,7 +51,7 @@
 // markEnded marks an entry whose pool has ended. The mark replaces one for its own refusals, which ends
 // with its ejection. The caller holds mu.
 func (e *entry) markEnded(now time.Time) {
-	e.cold.ended, e.cold.endedUntil = true, time.Time{}
+	e.cold.ended, e.cold.endedSince, e.cold.endedUntil = true, now, time.Time{}
 	if e.cold.reason == ColdUnreachable || e.cold.reason == ColdUnconfirmed {
 		e.cold.until = now
 	}
@@ -62,7 +69,7 @@
 	}
 	e.cold.unreachable, e.lastReceived = false, now
 	if e.cold.ended && e.cold.endedUntil.IsZero() {
-		e.cold.endedUntil = now
+		e.cold.endedSince, e.cold.endedUntil = now, now
 		if e.info.StartedUnixMs != 0 {
 			e.cold.endedUntil = now.Add(startListedDelay)
 		}
@@ -88,7 +95,8 @@
 
 // maybeEnded reports whether the replica's pool has ended and it is not known to be warm since.
 func (e *entry) maybeEnded(now time.Time) bool {
-	return e.cold.ended && (e.cold.endedUntil.IsZero() || now.Before(e.cold.endedUntil))
+	answered := !e.cold.endedUntil.IsZero() && !now.Before(e.cold.endedUntil)
+	return e.cold.ended && !answered && now.Sub(e.cold.endedSince) < endedMax
 }
 
 // inContact reports whether data of the replica has arrived without a long pause for so long that the
--- a/internal/replica/ended_test.go
+++ b/internal/replica/ended_test.go
@@ -254,3 +254,23 @@
 		t.Error("a node that is not a sender of a replica granted a send without contact")
 	}
 }
+
+// Guards against a node that gets no grants, such as one that sends only items, and never again uses a
+// pool whose replicas could not be reached for a moment.
+func TestEnded_ListedReplicaIsUsedAgainWithoutGrants(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := newColdSet("a", []string{"b", "c"}, false, now)
+	now = now.Add(10 * time.Second)
+	set.Begin("cold", RequestInfo{}, now).End(Unreachable, now)
+	if got := admitted(set, "cold", 5, now.Add(endedMax-time.Millisecond)); got != 0 {
+		t.Errorf("a node that is no sender sent %d requests to a replica whose pool has ended", got)
+	}
+	now = now.Add(endedMax)
+	if got := admitted(set, "cold", 5, now); got != 5 {
+		t.Errorf("%d of 5 requests were sent to a replica that is still listed, want all", got)
+	}
+	set.Begin("cold", RequestInfo{}, now).End(Unreachable, now)
+	if got := admitted(set, "cold", 5, now.Add(time.Second)); got != 0 {
+		t.Errorf("%d requests were sent to a replica that still accepts no connections, want none", got)
+	}
+}
