replica: new requests prefer replicas that answer

The predicted time to the first event now includes a silence of more than 0.3 s, while the replica has requests of this node: it is expected to last as long again. Nothing is cut or ejected for it.

TestPick_SilentReplicaIsPreferredLess is red without the change. In the set-up of TestPickUnqueued_ProbesStaleReplica four replicas had requests open for 2 s and sent nothing, which now counts against them; they answer in it now, as its name for them says. What it checks is the same. go test ./internal/replica/... ./internal/forward: ok.

--- a/internal/replica/observations.go
+++ b/internal/replica/observations.go
@@ -20,6 +20,8 @@
 	shared   sharedEjection
 	// lastReceived is when this node last received data from the replica.
 	lastReceived time.Time
+	// awaitedSince is since when this node has had requests at the replica without a break.
+	awaitedSince time.Time
 	// unreachableAt is when the replica last accepted no connection of this node.
 	unreachableAt time.Time
 	cold          coldState
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -97,6 +97,9 @@
 	// claimCost is how much longer a request may wait elsewhere to leave a replica to the trial that has
 	// claimed it.
 	claimCost = 200 * time.Millisecond
+	// usualSilence is a pause of a replica that is not unusual, as between the events of slow answers or
+	// while it reads a prompt.
+	usualSilence = 300 * time.Millisecond
 	// preemptionCost is the cost of preempting an item.
 	preemptionCost = 10 * time.Millisecond
 )
@@ -301,6 +304,10 @@
 	if criteria.claims(candidate) {
 		total += claimCost
 	}
+	if candidate.Silence > usualSilence {
+		// A replica that has been silent for some time is expected to be so for as long again.
+		total += candidate.Silence
+	}
 	if criteria.NoRetry {
 		total += time.Duration(candidate.FailureShare * float64(failingCost))
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -74,6 +74,8 @@
 	// PendingTokens is the number of prompt tokens that this node sent there in requests without
 	// a first event yet.
 	PendingTokens int
+	// Silence is the time for which the replica has sent nothing although it has requests of this node.
+	Silence time.Duration
 	// Ejected is set while the replica is ejected for failures.
 	Ejected bool
 	// FailureShare is the share of failures, from 0 to 1, among the recent answers that this
--- a/internal/replica/restart.go
+++ b/internal/replica/restart.go
@@ -217,6 +217,9 @@
 	if to.uses == nil {
 		to.uses = map[*Use]struct{}{}
 	}
+	if len(to.uses) == 0 {
+		to.own().awaitedSince = u.sent
+	}
 	to.uses[u] = struct{}{}
 	u.set.index.activate(to)
 	u.count(1)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -354,10 +354,22 @@
 		Info: e.info, Key: e.key, Open: e.open - e.preempted, Batch: e.batch - e.preempted, Share: s.shareOf(e, now), Cold: s.coldView(e, now),
 		Others: e.decayedOthers(now), PendingTokens: e.pending, Ejected: e.ejected(now), FailureShare: s.failureShare(e, now), Waiting: e.decayedWaiting(now),
 		LoadAge: e.loadAge(now), Fresh: e.fresh(now), FleetUsage: s.fleetUsage(e.info.Pool, now),
-		Evacuated: s.evacuated[e.info.Zone],
+		Evacuated: s.evacuated[e.info.Zone], Silence: e.silence(now),
 	}
 }
 
+// silence returns the time for which the replica has sent nothing although it has requests of this node; 0
+// if it has none.
+func (e *entry) silence(now time.Time) time.Duration {
+	if len(e.uses) == 0 {
+		return 0
+	}
+	if e.lastReceived.After(e.awaitedSince) {
+		return now.Sub(e.lastReceived)
+	}
+	return now.Sub(e.awaitedSince)
+}
+
 // fresh reports whether this node received data from the replica within freshFor.
 func (e *entry) fresh(now time.Time) bool { return now.Sub(e.lastReceived) < freshFor }
 
