jobs: the replicas that an item excludes are read and replaced under the lock

What the race detector saw: a dispatch reads task.excluded while a run of the same item, begun meanwhile in a borrowed slot, ends and writes to that map. Go ends a process that reads and writes a map at the same time; that was not seen outside the race detector.

Cause: criteria passed the task's own map on to replica.Pick, and trySend replaced it, both without the runner's lock; a dispatch goes on with tasks that it collected before, and a borrowed slot starts them from another goroutine.

Now criteria passes a copy taken under the lock, and trySend replaces the map under it.

--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -45,9 +46,11 @@
 	t, criteria := send.task, r.criteria(send)
 	chosen, err := replica.Pick(r.Replicas.SnapshotFor(send.pool, criteria, now), criteria, r.Weights)
 	if err != nil {
-		if len(t.excluded) == 0 {
+		if len(criteria.Exclude) == 0 {
 			return noReplica, err
 		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		t.excluded = map[string]bool{}
 		return allExcluded, nil
 	}
@@ -74,11 +77,15 @@
 	return true
 }
 
-// criteria returns the criteria for choosing a replica for an item.
+// criteria returns the criteria for choosing a replica for an item. The excluded replicas are copied,
+// because a run that began meanwhile in a borrowed slot may exclude more.
 func (r *Runner) criteria(send pendingSend) *replica.Criteria {
+	r.mu.Lock()
+	excluded := maps.Clone(send.task.excluded)
+	r.mu.Unlock()
 	return &replica.Criteria{
 		Zone: r.Zone, Region: r.Region, RequestInfo: replica.RequestInfo{Tokens: int(send.item().Tokens), Batch: true},
-		Adapter: send.target.Adapter, Reserve: send.target.Reserve, Exclude: send.task.excluded, Regions: send.regions,
+		Adapter: send.target.Adapter, Reserve: send.target.Reserve, Exclude: excluded, Regions: send.regions,
 		Claimed: r.claimedReplicas(), SoftwareVersion: send.requiredSoftware(),
 	}
 }
