--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -138,6 +138,16 @@
 	runSeed(t, Options{Seed: 9550, Nodes: 20, Regions: 1, Duration: 20 * time.Second})
 }
 
+// Guards against a replica that turns cold again while it is still cold: nodes that miss its row, because the store
+// loses answers, take it for warm when its first cold time is over, and send it all that waits.
+func TestRun_SeedsOfZonesChilledAgain(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	t.Parallel()
+	runSeed(t, Options{Seed: 9608, Nodes: 5, Regions: 1, Duration: 20 * time.Second})
+}
+
 // Guards against nodes that start while the store turns part of the calls away, know neither the crashes under a
 // harmful part nor other nodes, and send requests with the part until they have counted enough crashes.
 func TestRun_SeedsOfHarmfulParts(t *testing.T) {
