node: the test of requests in flight waits until they are routed

The test changed the configuration once the complete requests had reached the replica, but nothing made sure that the gateway had read the heads of those whose bodies were still to come, which it asks to be answered as before the change. A request that is routed after its route is gone is rightly answered 404.

The two requests ask for an interim response now, which the gateway sends when it begins to read their bodies, after it has routed them, and the tests wait for it. What is checked is the same.

--- a/internal/node/gatewayconfigchange_test.go
+++ b/internal/node/gatewayconfigchange_test.go
@@ -118,6 +118,23 @@
 	conn   net.Conn
 }
 
+// expectContinue makes the gateway say when it begins to read the body of a request, which it has routed
+// then.
+const expectContinue = "Expect: 100-continue"
+
+// awaitRouted waits until the gateway reads the body of a request that is not complete.
+func (r *rawRequest) awaitRouted(t *testing.T) {
+	t.Helper()
+	const interim = "HTTP/1.1 100 Continue\r\n\r\n"
+	if !strings.Contains(r.before, expectContinue) {
+		return
+	}
+	received := make([]byte, len(interim))
+	if _, err := io.ReadFull(r.conn, received); err != nil || string(received) != interim {
+		t.Errorf("%s: received %q, %v, want an interim response", r.name, received, err)
+	}
+}
+
 // rawHead returns the head of a request without the blank line that ends it.
 func rawHead(path, id string, headers ...string) string {
 	lines := append([]string{"POST " + path + " HTTP/1.1", "Host: " + siteHost, "Request-Id: " + id, "Deadline-Ms: 9000"}, headers...)
@@ -132,10 +149,10 @@
 		{name: "unsafe", before: rawHead("/unsafe/x", "c", length) + "\r\nprompt", pipelined: 1, routed: true},
 		{name: "safe begun", before: rawHead("/safe/x", "d", length, "X-Begin: 1") + "\r\nprompt", pipelined: 1, routed: true},
 		{
-			name: "chunks", before: rawHead("/safe/x", "e", "Transfer-Encoding: chunked") + "\r\n3\r\npro\r\n",
+			name: "chunks", before: rawHead("/safe/x", "e", "Transfer-Encoding: chunked", expectContinue) + "\r\n3\r\npro\r\n",
 			after: "3\r\nmpt\r\n0\r\n\r\n", pipelined: 1, routed: true,
 		},
-		{name: "half a body", before: rawHead("/unsafe/x", "f", length) + "\r\npro", after: "mpt", pipelined: 1, routed: true},
+		{name: "half a body", before: rawHead("/unsafe/x", "f", length, expectContinue) + "\r\npro", after: "mpt", pipelined: 1, routed: true},
 		// It begins with the new configuration, so its time limit may be shorter than the test.
 		{name: "half a head", before: rawHead("/stream/x", "g", "X-Quick: 1"), after: length + "\r\n\r\nprompt", pipelined: 1},
 		{
@@ -215,6 +232,9 @@
 				begun += int64(strings.Count(request.before, "X-Begin"))
 			}
 			site.eventually("requests in flight", func() bool { return server.received.Load() == routed && server.begun.Load() == begun })
+			for _, request := range requests {
+				request.awaitRouted(t)
+			}
 			config := changeableConfig(3)
 			change(config)
 			site.store.Put("op", "config", config)
@@ -290,6 +310,9 @@
 		}
 	}
 	site.eventually("requests in flight", func() bool { return server.received.Load() == routed })
+	for _, request := range requests {
+		request.awaitRouted(t)
+	}
 	stopped := make(chan struct{})
 	go func() {
 		gateway.Stop()
