--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -155,7 +155,7 @@
 	c.checkWaits()
 	c.checkForeignRows()
 	c.checkReads()
-	c.checkClaims()
+	c.checkStatedAges()
 	c.checkConfigChanges()
 	c.checkVersions()
 	c.checkContinuations()
--- a/internal/lab/soak/checkclaims.go
+++ b/internal/lab/soak/checkages.go
@@ -17,18 +17,18 @@
 // version.
 type shownVersions map[string][]shownVersion
 
-// checkClaims checks that an answer about a job is at least as recent as it says: it has the version
+// checkStatedAges checks that an answer about a job is at least as recent as it says: it has the version
 // that any answer had shown before the time that it says to be as of. A view that is
 // taken for younger than it is breaks this even if it has the position that was asked for. No
 // disturbance is an excuse, since a node that is not sure can name a greater age or answer with
 // status 503.
-func (c *checker) checkClaims() {
+func (c *checker) checkStatedAges() {
 	shown := c.shownVersions()
 	wrong := map[[2]string]*staleReads{}
 	for i := range c.Reads {
 		read := &c.Reads[i]
-		missed := shown.before(read.Job, claimedTime(read))
-		if !claims(read) || missed.version <= read.State.Version {
+		missed := shown.before(read.Job, statedTime(read))
+		if !statesAge(read) || missed.version <= read.State.Version {
 			continue
 		}
 		key := [2]string{read.Job, read.Node}
@@ -38,7 +38,7 @@
 		if c.storeStableFor(read) >= minStoreStable {
 			wrong[key].whileStable++
 		}
-		wrong[key].add(claimedTime(read).Sub(missed.at), c.claimDetail(read, missed))
+		wrong[key].add(statedTime(read).Sub(missed.at), c.ageDetail(read, missed))
 	}
 	for _, key := range sortedByAge(wrong) {
 		reads := wrong[key]
@@ -47,18 +47,18 @@
 	}
 }
 
-// claims reports whether an answer says what it was made from and how old that was.
-func claims(read *Read) bool { return read.State.HasAge }
+// statesAge reports whether an answer says what it was made from and how old that was.
+func statesAge(read *Read) bool { return read.State.HasAge }
 
-// claimedTime returns the earliest time that an answer can mean by its age. The node took the age at
+// statedTime returns the earliest time that an answer can mean by its age. The node took the age at
 // some time after the read was sent.
-func claimedTime(read *Read) time.Time { return read.Sent.Add(-read.State.Age) }
+func statedTime(read *Read) time.Time { return read.Sent.Add(-read.State.Age) }
 
-// claimDetail describes an answer that is older than it says.
-func (c *checker) claimDetail(read *Read, missed shownVersion) string {
+// ageDetail describes an answer that is older than it says.
+func (c *checker) ageDetail(read *Read, missed shownVersion) string {
 	return fmt.Sprintf("position %d of job %s read at %s at %s: version %d, said to be %v old, though %s had shown version %d %v before the time that it tells; %d results, answered after %v; %s",
 		read.Position, read.Job, read.Node, c.timestamp(read.Sent), read.State.Version, read.State.Age, missed.node, missed.version,
-		claimedTime(read).Sub(missed.at).Round(time.Millisecond), len(read.Results), read.Ended.Sub(read.Sent).Round(time.Millisecond), c.describeStore(read))
+		statedTime(read).Sub(missed.at).Round(time.Millisecond), len(read.Results), read.Ended.Sub(read.Sent).Round(time.Millisecond), c.describeStore(read))
 }
 
 // shownVersions returns the versions that answers have shown. Answers that show no version higher than
@@ -86,13 +86,14 @@
 	return versions[count-1]
 }
 
-// judgedClaims returns the number of answers that checkClaims could have found wrong: some answer had shown a version of the job before the time that the answer says to be as of.
-func (c *checker) judgedClaims() int {
+// judgedAges returns the number of answers that checkStatedAges could have found wrong: some answer had shown a
+// version of the job before the time that the answer says to be as of.
+func (c *checker) judgedAges() int {
 	shown := c.shownVersions()
 	count := 0
 	for i := range c.Reads {
 		read := &c.Reads[i]
-		if claims(read) && shown.before(read.Job, claimedTime(read)).version > 0 {
+		if statesAge(read) && shown.before(read.Job, statedTime(read)).version > 0 {
 			count++
 		}
 	}
--- a/internal/lab/soak/checkclaims_test.go
+++ b/internal/lab/soak/checkages_test.go
@@ -8,8 +8,8 @@
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
-// claimMutations returns changes of a valid history that each break one promise.
-func claimMutations() map[Promise]func(h *History) {
+// statedAgeMutations returns changes of a valid history that each break one promise.
+func statedAgeMutations() map[Promise]func(h *History) {
 	return map[Promise]func(h *History){
 		AsRecentAsSaid: func(h *History) { h.Reads[readLater].State.Version-- },
 	}
--- a/internal/lab/soak/occasions.go
+++ b/internal/lab/soak/occasions.go
@@ -29,7 +29,7 @@
 		PartBounded:          c.judgedParts(),
 		BesideHarmServed:     c.judgedBesideHarm(),
 		CrowdServed:          c.judgedCrowds(),
-		AsRecentAsSaid:       c.judgedClaims(),
+		AsRecentAsSaid:       c.judgedAges(),
 		AnsweredBesideConfig: c.judgedBesideConfig(),
 	}
 	c.countJobs(occasions)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -244,7 +244,7 @@
 	maps.Copy(mutations, harmMutations())
 	maps.Copy(mutations, waitMutations())
 	maps.Copy(mutations, readMutations())
-	maps.Copy(mutations, claimMutations())
+	maps.Copy(mutations, statedAgeMutations())
 	maps.Copy(mutations, configMutations())
 	maps.Copy(mutations, streamMutations())
 	maps.Copy(mutations, partMutations())
--- a/internal/node/gatewayconfigchange_test.go
+++ b/internal/node/gatewayconfigchange_test.go
@@ -208,6 +208,20 @@
 	return nil
 }
 
+// startChangeable starts a gateway before one server whose answers wait.
+func startChangeable(t *testing.T) (*gatewaySite, *gatedServer, *Gateway) {
+	t.Helper()
+	site := newGatewaySite(t, 0)
+	server, address := newGatedServer(t)
+	site.listServer("i-gated", address, "ready")
+	site.store.Put("op", "config", changeableConfig(2))
+	gateway := site.launch("a", nil)
+	site.eventually("gateway ready", func() bool {
+		return gateway.Ready() && gateway.routes.Load().Version == 2 && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == 1
+	})
+	return site, server, gateway
+}
+
 // TestGateway_RequestsInFlightOutlastAConfiguration guards against requests that end without an answer, or
 // with that of another configuration, because one was put in force while they were read, waited for the
 // beginning of their answer or received it.
@@ -215,14 +229,7 @@
 	for name, change := range configChanges {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			site := newGatewaySite(t, 0)
-			server, address := newGatedServer(t)
-			site.listServer("i-gated", address, "ready")
-			site.store.Put("op", "config", changeableConfig(2))
-			gateway := site.launch("a", nil)
-			site.eventually("gateway ready", func() bool {
-				return gateway.Ready() && gateway.routes.Load().Version == 2 && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == 1
-			})
+			site, server, gateway := startChangeable(t)
 			requests, routed, begun := rawRequests(), int64(0), int64(0)
 			for _, request := range requests {
 				request.send(t, gateway.settings.Node.Listen)
@@ -292,14 +299,7 @@
 // TestGateway_RequestsInFlightOutlastAStop guards against requests that end without an answer because the
 // gateway stops while they are read, wait for the beginning of their answer or receive it.
 func TestGateway_RequestsInFlightOutlastAStop(t *testing.T) {
-	site := newGatewaySite(t, 0)
-	server, address := newGatedServer(t)
-	site.listServer("i-gated", address, "ready")
-	site.store.Put("op", "config", changeableConfig(2))
-	gateway := site.launch("a", nil)
-	site.eventually("gateway ready", func() bool {
-		return gateway.Ready() && gateway.routes.Load().Version == 2 && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == 1
-	})
+	site, server, gateway := startChangeable(t)
 	// A stopping gateway closes a connection after the answer to the first of two requests on it.
 	requests := slices.DeleteFunc(rawRequests(), func(r *rawRequest) bool { return r.pipelined > 1 })
 	routed := int64(0)
