standin: the stand-in says which calls read rows

The soak's fault of late answers named paths of the platform; they stand in platform/standin only now. No behaviour is changed: go test ./platform/standin and -run TestRun_AnswersTellTheirAge ./internal/lab/soak are green.

--- a/internal/lab/soak/latefaults.go
+++ b/internal/lab/soak/latefaults.go
@@ -97,9 +97,6 @@
 	killed.Wait()
 }
 
-// readCalls are the paths of the calls that read rows and of the feed.
-var readCalls = []string{"/v1/rows-get", "/v1/rows-feed"}
-
 // storeLatency returns a function that chooses the latency of each call to the store. With StoreAnswersLate,
 // only the answers to reads of the victims are late.
 func (s *soak) storeLatency(fault Fault, victims []*gateway) func(caller, path string) standin.Latency {
@@ -115,7 +112,7 @@
 		switch {
 		case fault.Kind == StoreSlowAtStarts:
 			return standin.Latency{Before: between(minSlowCall, slowCallJitter)}
-		case isVictim && slices.Contains(readCalls, path):
+		case isVictim && standin.ReadsRows(path):
 			return standin.Latency{After: between(minLateAnswer, lateAnswerJitter)}
 		default:
 			return standin.Latency{}
