--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -46,14 +46,14 @@
 	writing      atomic.Bool
 	lastWriteEnd atomic.Int64
 
-	// call must be used only with mu locked and stopped unset, and only what does not change during
-	// an attempt: the attempt uses it at the same time.
-	call *call
+	// mu guards the fields below. The attempt runs at the same time and changes call, so check reads only
+	// the fields of call that stay the same during an attempt, and none once stopped is set.
 	mu   sync.Mutex
+	call *call
 	// stopped is set once the attempt has ended.
 	stopped bool
-	// criteria are those of the next attempt, version that of the replica. softwareUncertain is as in
-	// call.
+	// criteria are those by which another replica could take the request, version is that of the weights
+	// of the silent one. softwareUncertain is set if it is not certain which software began the stream.
 	criteria          replica.Criteria
 	version           string
 	softwareUncertain bool
