settings: gateway.seeds and gateway.seedPort name nodes that a starting node may ask

A node that starts knows other nodes from the table and from datagrams that they happen to send. While the store answers late or not at all it knows none, although the deployment often knows where the fleet runs. The two settings say so; nothing reads them yet. seedPort is for deployments that know another port of the same machines. Findings as for other addresses; docs/SETTINGS.md is generated.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"slices"
+	"strconv"
 	"time"
 
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
@@ -35,8 +37,14 @@
 	// Peers is the host:port at which this node receives datagrams of other nodes. Without it, the
 	// node enforces an equal share of each tenant's limit.
 	Peers string `json:"peers,omitempty"`
-	Quota Quota  `json:"quota,omitempty"`
-	Cold  Cold   `json:"cold,omitempty"`
+	// Seeds is a list of up to eight addresses of other nodes, as in their peers. A starting node asks
+	// them for what it cannot read in the store yet. Addresses may be out of date or this node's own.
+	Seeds []string `json:"seeds,omitempty"`
+	// SeedPort is the port of peers on the machines of seeds, if the addresses in seeds have the port of
+	// something else; 0 means that they have the right one.
+	SeedPort int   `json:"seedPort,omitempty"`
+	Quota    Quota `json:"quota,omitempty"`
+	Cold     Cold  `json:"cold,omitempty"`
 	// BootstrapAfter is how long a starting node waits for an answer of the store before it reads the
 	// state of another node; default 700ms.
 	BootstrapAfter v1.Duration `json:"bootstrapAfter,omitempty"`
@@ -76,6 +84,12 @@
 	Slack float64 `json:"slack,omitempty"`
 }
 
+// maxSeeds bounds the seeds, each of which a starting node asks several times.
+const maxSeeds = 8
+
+// maxPort is the largest port number.
+const maxPort = 1<<16 - 1
+
 // DefaultRelayFrom is the default of RelayFrom.
 const DefaultRelayFrom = 320
 
@@ -109,6 +123,7 @@
 	if g.Peers != "" {
 		checkAddress(found, "gateway.peers", g.Peers)
 	}
+	g.validateSeeds(found)
 	if g.StoreWrites < 0 {
 		found.Add("gateway.storeWrites", "must not be negative")
 	}
@@ -159,6 +174,40 @@
 	}
 }
 
+// validateSeeds checks the addresses of other nodes.
+func (g *Gateway) validateSeeds(found *findings.List) {
+	if len(g.Seeds) > maxSeeds {
+		found.Add("gateway.seeds", "must not be more than %d", maxSeeds)
+	}
+	if len(g.Seeds) > 0 && g.Peers == "" {
+		found.Add("gateway.seeds", "need gateway.peers")
+	}
+	for _, seed := range g.Seeds {
+		checkAddress(found, "gateway.seeds", seed)
+	}
+	if g.SeedPort < 0 || g.SeedPort > maxPort {
+		found.Add("gateway.seedPort", "must be from 0 to %d", maxPort)
+	}
+}
+
+// SeedAddresses returns the peers addresses of the nodes that the seeds name, without this node's own.
+func (g *Gateway) SeedAddresses() []string {
+	var addresses []string
+	for _, seed := range g.Seeds {
+		host, port, err := net.SplitHostPort(seed)
+		if err != nil {
+			continue
+		}
+		if g.SeedPort > 0 {
+			port = strconv.Itoa(g.SeedPort)
+		}
+		if address := net.JoinHostPort(host, port); address != g.Peers && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // checkHostPort reports an address that is not host:port. The host may be a name.
 func checkHostPort(found *findings.List, path, address string) {
 	if _, _, err := net.SplitHostPort(address); err != nil {
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -151,6 +151,8 @@
 		probes = append(probes, reflect.ValueOf(-1.0), reflect.ValueOf(0.5), reflect.ValueOf(2.0))
 	case reflect.Int, reflect.Int64:
 		probes = append(probes, reflect.ValueOf(-1))
+	case reflect.Slice:
+		probes = append(probes, reflect.ValueOf([]string{"x"}), reflect.ValueOf([]string{"x:1"}), reflect.ValueOf(make([]string, 100)))
 	}
 	return probes
 }
@@ -172,6 +174,8 @@
 		return "number"
 	case reflect.Map:
 		return "map"
+	case reflect.Slice:
+		return "list of texts"
 	default:
 		return "text"
 	}
