node: tests of a node that starts beside a silent store and knows others by its settings only

Callers saw requests sent with parts of prompts that all other nodes refuse, and 503 from a new machine for as long as the store was silent. Cause: a node asks those that sent it a datagram or that the table names, and knows neither then.

--- a/internal/node/gatewaysite_test.go
+++ b/internal/node/gatewaysite_test.go
@@ -39,6 +39,11 @@
 	relayFrom int
 	// withoutPeers starts gateways without an address for other nodes.
 	withoutPeers bool
+	// seeds are the addresses of other nodes in the settings of gateways.
+	seeds []string
+	// bootstrapAfter is how long gateways wait for the store before they read the state of another node;
+	// 0 means the default.
+	bootstrapAfter time.Duration
 }
 
 func newGatewaySite(t *testing.T, servers int) *gatewaySite {
@@ -107,10 +112,11 @@
 		Node: node,
 		Gateway: settings.Gateway{
 			Store: s.storeAddress, Readiness: freeAddress(s.t), Metrics: freeAddress(s.t), Peers: freeAddress(s.t), Quota: settings.Quota{Over: siteQuotaOver, Slack: siteQuotaSlack}, Grace: v1.Duration(4 * time.Second), RelayFrom: s.relayFrom,
+			Seeds: s.seeds, BootstrapAfter: v1.Duration(s.bootstrapAfter),
 		},
 	}
 	if s.withoutPeers {
-		config.Gateway.Peers = ""
+		config.Gateway.Peers, config.Gateway.Seeds = "", nil
 	}
 	config.ApplyDefaults()
 	gateway, err := StartGateway(context.Background(), config, zerolog.Nop())
