node: a node that starts asks the nodes that its settings name, from the first moment on

Callers saw a node that had just started send parts of prompts that the whole fleet refuses, and a new machine answer 503 while the store was silent. Cause: the node asked only senders of datagrams and members of the table, each once, one after the other, the first after 20 ms; a silent one held it up for 1 s, longer than requests are held (0.3 s), and one that had itself just started was never asked again.

A node serves eight such requests at a time.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -65,8 +65,8 @@
 	relays *relays
 	// bootstrapServer sends this node's state to nodes that start.
 	bootstrapServer *http.Server
-	// bootstrapRequests counts the bootstrap requests in progress.
-	bootstrapRequests atomic.Int64
+	// bootstrapRequests counts the bootstrap requests in progress, crashRequests those for crashes.
+	bootstrapRequests, crashRequests atomic.Int64
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,8 +18,8 @@
 // A node that starts while the store does not respond fetches the state of another node:
 // configuration, evacuations, replicas, members and crashes. It uses that state until its own first read of
 // the store replaces it. It picks a node among those that send it datagrams, which know its address
-// from the member row of its previous run; a machine that no node knows waits for the store. Jobs
-// are not part of the state: they must not change while the store is unavailable.
+// from the member row of its previous run, and those that its settings name; without either it waits
+// for the store. Jobs are not part of the state: they must not change while the store is unavailable.
 
 const (
 	// bootstrapInterval is the time between two requests, and bootstrapTimeout bounds one. It
@@ -154,14 +153,14 @@
 	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	after := time.Duration(g.settings.Gateway.BootstrapAfter)
 	for retry.Sleep(ctx, after); ctx.Err() == nil && !g.populated(); retry.Sleep(ctx, bootstrapInterval) {
-		sources := g.peers.Sources()
-		if len(sources) == 0 || g.sinceStoreResponse() < after {
+		addresses := g.sourcesAndSeeds()
+		if len(addresses) == 0 || g.sinceStoreResponse() < after {
 			continue
 		}
-		from := sources[rand.IntN(len(sources))]
-		state, err := fetchBootstrapState(ctx, client, from.String())
+		from := addresses[rand.IntN(len(addresses))]
+		state, err := fetchBootstrapState(ctx, client, from)
 		if err != nil {
-			g.sampled.Info().Stringer("from", from).Err(err).Msg("no bootstrap state from another node")
+			g.sampled.Info().Str("from", from).Err(err).Msg("no bootstrap state from another node")
 			continue
 		}
 		g.seed(state, from)
@@ -195,7 +194,7 @@
 // seed applies the state of another node. Members come first, because the slots of replicas are
 // divided among them; evacuations and routes come last, because requests are sent once there are
 // routes.
-func (g *Gateway) seed(state *bootstrapState, from netip.AddrPort) {
+func (g *Gateway) seed(state *bootstrapState, from string) {
 	g.learnCrashes(&state.Crashes)
 	members := g.jobWatch.Seed(state.Members.changes(), state.Members.age(), g.roster.Apply)
 	replicas := g.replicaWatch.Seed(state.Replicas.changes(), state.Replicas.age(), g.applyReplicas)
@@ -207,7 +206,7 @@
 	g.replicas.SetJoined(g.roster.Joined())
 	g.replicas.Divide(g.settings.Node.ID, g.roster.Places())
 	config := g.configWatch.Seed(state.Config.changes(), state.Config.age(), g.applyConfig)
-	g.log.Info().Stringer("from", from).Bool("members", members).Bool("replicas", replicas).Bool("config", config).
+	g.log.Info().Str("from", from).Bool("members", members).Bool("replicas", replicas).Bool("config", config).
 		Dur("config_age_ms", state.Config.age()).Dur("replicas_age_ms", state.Replicas.age()).
 		Msg("store does not answer, started with the state of another node")
 }
--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
-	"github.com/wheelhoist/wheelhoist/internal/retry"
 )
 
 // A node that starts has not seen the crashes of the past. It reads them in the table, unless the table
@@ -20,11 +20,11 @@
 	// maxKnownCrashes bounds the crashes of whole requests, and those of parts of prompts, that a node
 	// sends to one that starts.
 	maxKnownCrashes = 256
-	// crashSources is the number of nodes that a node which starts asks for crashes. Some may have started
-	// at the same time.
-	crashSources = 3
-	// crashRequestInterval is the time between two requests, crashRequestPeriod the time after its start for
-	// which a node requests crashes.
+	// maxCrashResponses is the number of requests for crashes that a node serves at the same time. When many
+	// nodes start, the others ask elsewhere or again.
+	maxCrashResponses = 8
+	// crashRequestInterval is the time between two looks for nodes to ask, crashRequestPeriod the time after
+	// its start for which a node requests crashes.
 	crashRequestInterval = 20 * time.Millisecond
 	crashRequestPeriod   = 10 * time.Second
 	// maxCrashWait is how long after its start a node holds requests until it knows the crashes of the past,
@@ -100,7 +100,8 @@
 
 // serveCrashes sends the crashes that this node knows to a node that starts.
 func (g *Gateway) serveCrashes(w http.ResponseWriter, _ *http.Request) {
-	if !g.populated() {
+	defer g.crashRequests.Add(-1)
+	if g.crashRequests.Add(1) > maxCrashResponses || !g.populated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -114,43 +115,61 @@
 	_, _ = w.Write(body)
 }
 
-// runCrashRequests requests the crashes that a few other nodes know, as soon as this node hears or reads of
-// them. It may have routes and replicas, and so send requests, well before it has the rows with crashes.
+// inquiryResult is the end of a request for the crashes that the node at an address knows.
+type inquiryResult struct {
+	address  string
+	answered bool
+}
+
+// runCrashRequests requests the crashes that a few other nodes know, from the start on. This node may have
+// routes and replicas, and so send requests, well before it has the rows with crashes.
 func (g *Gateway) runCrashRequests(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, crashRequestPeriod)
 	defer cancel()
 	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	answers := 0
-	asked := map[string]bool{}
-	for answers < crashSources && retry.Sleep(ctx, crashRequestInterval) {
-		address := g.otherAddress(asked)
-		if address == "" {
-			continue
+	ticker := time.NewTicker(crashRequestInterval)
+	defer ticker.Stop()
+	inquiry, results := &crashInquiry{}, make(chan inquiryResult, maxInquiries)
+	for !inquiry.complete() {
+		if address, ok := inquiry.next(g.knownAddresses(), clock.Now()); ok {
+			g.spawn(func() {
+				results <- inquiryResult{address, g.fetchCrashes(ctx, client, address)}
+			})
 		}
-		asked[address] = true
-		if g.fetchCrashes(ctx, client, address) {
-			answers++
+		select {
+		case result := <-results:
+			inquiry.end(result.address, result.answered)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-// otherAddress returns the address of a node that is not among those asked: one that sent this node a
-// datagram, or one that the table names; empty if there is none.
-func (g *Gateway) otherAddress(asked map[string]bool) string {
-	for _, source := range g.peers.Sources() {
-		if address := source.String(); !asked[address] {
-			return address
+// knownAddresses returns the addresses of a few nodes that a starting node can ask: those that sent it a
+// datagram, those of the settings, and one that the table names.
+func (g *Gateway) knownAddresses() []string {
+	addresses := g.sourcesAndSeeds()
+	if others := g.nodes.others(); len(others) > 0 {
+		if address := g.roster.Member(others[rand.IntN(len(others))]).Address; address != "" {
+			addresses = append(addresses, address)
 		}
 	}
-	others := g.nodes.others()
-	if len(others) == 0 {
-		return ""
+	return addresses
+}
+
+// sourcesAndSeeds returns the addresses of nodes that sent this one a datagram, newest first, and then those
+// of the settings, in random order so that nodes which start together do not all ask the same one first.
+func (g *Gateway) sourcesAndSeeds() []string {
+	var addresses []string
+	for _, source := range slices.Backward(g.peers.Sources()) {
+		addresses = append(addresses, source.String())
 	}
-	address := g.roster.Member(others[rand.IntN(len(others))]).Address
-	if asked[address] {
-		return ""
+	seeds := g.settings.Gateway.SeedAddresses()
+	for _, i := range rand.Perm(len(seeds)) {
+		addresses = append(addresses, seeds[i])
 	}
-	return address
+	return addresses
 }
 
 // fetchCrashes gets the crashes that another node knows. It returns false if that one does not answer.
