soak: the settings of a node name three others, as the platform's do

The users' platform can give each process addresses of up to three machines, which may be out of date or down. Nodes of the soak got none, so a node that starts beside a late store knew nobody. Each now gets three others; for every second node one of them is an address at which nobody listens, and a node that moves to other ports leaves its old one with the others.

--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -32,16 +32,19 @@
 	places   place.Map
 	// relayFrom is the number of nodes above which nodes follow relays; 0 means the default.
 	relayFrom int
-	store     *proxy
-	settings  string
-	log       string
+	// seeds are the addresses of other nodes in the node's settings.
+	seeds    []string
+	store    *proxy
+	settings string
+	log      string
 
 	// restarting is held while the process is stopped and restarted.
 	restarting sync.Mutex
 
-	mu      sync.Mutex
-	address string
-	current *process
+	mu sync.Mutex
+	// address is that of the listener for callers, readiness that for probes, peers that for other nodes.
+	address, readiness, peers string
+	current                   *process
 	// started is the number of processes that were started; the current one has this number.
 	started int
 	exits   []ExitError
@@ -77,19 +80,24 @@
 	return g, nil
 }
 
-// choosePorts chooses new free ports for the node and writes its settings file.
+// choosePorts chooses new free ports for the node and writes its settings file. Other nodes keep its previous
+// address among their seeds.
 func (g *gateway) choosePorts() error {
-	addresses := make([]string, 3)
-	for i := range addresses {
+	for _, address := range []*string{&g.address, &g.readiness, &g.peers} {
 		var err error
-		if addresses[i], err = port.Free(); err != nil {
+		if *address, err = port.Free(); err != nil {
 			return Error.Wrap(err)
 		}
 	}
+	return g.writeSettings()
+}
+
+// writeSettings writes the settings file of the node.
+func (g *gateway) writeSettings() error {
 	config := settings.Settings{
-		Node: settings.Node{ID: g.id, Zone: g.zone, Region: g.places.Region(g.zone), Zones: g.places, Listen: addresses[0]},
+		Node: settings.Node{ID: g.id, Zone: g.zone, Region: g.places.Region(g.zone), Zones: g.places, Listen: g.address},
 		Gateway: settings.Gateway{
-			Store: g.store.address(), Readiness: addresses[1], Peers: addresses[2],
+			Store: g.store.address(), Readiness: g.readiness, Peers: g.peers, Seeds: g.seeds,
 			Quota: settings.Quota{Over: quotaTolerance, Slack: limitSlack},
 			Cold:  settings.Cold{Over: coldFactor, Slack: coldSlack},
 			Grace: v1.Duration(processGrace), KeepJobs: v1.Duration(10 * time.Minute), RelayFrom: g.relayFrom,
@@ -103,7 +111,6 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	g.address = addresses[0]
 	return Error.Wrap(os.WriteFile(g.settings, source, 0o600))
 }
 
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -59,6 +59,11 @@
 		}
 		s.NodeZones[node.id] = node.zone
 		s.gateways = append(s.gateways, node)
+	}
+	if err := s.assignSeeds(); err != nil {
+		return err
+	}
+	for _, node := range s.gateways {
 		if err := node.start(); err != nil {
 			return err
 		}
