node: a node that starts makes itself known, and crashes are exchanged with it

Callers saw servers end under work that other nodes had already seen to end servers, when nodes started beside a store that answers late or not at all: reports went to the nodes that the table names, so the new node got none after its first question and its own reached nobody.

Until a node has read the members it greets senders of datagrams, seeds and the nodes that these name, after 0, 0.2, 0.6, 1.4, 3 s and then each 4 s. The greeter and those that reply keep each other as acquaintances for 10 s, 16 at most, and send each other their reports of crashes and claims. A member passes the reports of members on to the acquaintances that its table does not name; a node that knows no members asks two to send its reports to all. Nodes of older programs count a greeting as a message of an unknown kind.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -61,6 +61,11 @@
 	// broadcastLimiter bounds how often all nodes are notified of changed rows.
 	broadcastLimiter *rate.Limiter
 
+	// greeter is nil if peers is.
+	greeter *greeter
+	// acquaintances are nodes that the table need not name yet.
+	acquaintances acquaintances
+
 	// relays follows the store for this node, and for others.
 	relays *relays
 	// bootstrapServer sends this node's state to nodes that start.
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
 )
 
@@ -35,6 +36,7 @@
 	g.handleColdGrants(socket)
 	g.handleTrials(socket)
 	g.handleStreamOrigins(socket)
+	g.greeter = g.handleGreetings(socket)
 	g.metrics.registerPeers(socket)
 	return g.listenBootstrap()
 }
@@ -50,6 +52,7 @@
 	g.spawn(func() { g.runProvenReports(ctx) })
 	g.spawn(func() { g.runBootstrap(ctx) })
 	g.spawn(func() { g.runCrashRequests(ctx) })
+	g.spawn(func() { g.greeter.run(ctx) })
 	g.spawn(func() {
 		if err := g.peers.Run(); err != nil && !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Msg("socket for other nodes failed")
@@ -71,9 +74,17 @@
 // may depend on it for correctness.
 func (g *Gateway) sendToNode(node string, kind peer.Kind, body any) {
 	address := g.roster.Address(node)
+	if address == "" {
+		address = g.acquaintances.address(node, clock.Now())
+	}
 	if address == "" {
 		return
 	}
+	g.sendToAddress(node, address, kind, body)
+}
+
+// sendToAddress sends a message to a node at an address.
+func (g *Gateway) sendToAddress(node, address string, kind peer.Kind, body any) {
 	to, err := net.ResolveUDPAddr("udp4", address)
 	if err == nil {
 		err = g.peers.Send(to, kind, body)
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -46,6 +46,14 @@
 	Forward bool `cbor:"4,keyasint,omitempty"`
 	// Claim is a claim of a replica by a trial of the sender.
 	Claim *claimEntry `cbor:"5,keyasint,omitempty"`
+	// OnBehalf is set if the sender knows no members of the fleet and the receiver is to send the message on
+	// to them.
+	OnBehalf bool `cbor:"6,keyasint,omitempty"`
+}
+
+// empty reports whether the message has no content.
+func (m *quarantineMessage) empty() bool {
+	return len(m.Crashes)+len(m.Clearings) == 0 && m.Claim == nil && m.Query == nil
 }
 
 // crashEntry is a crash of a replica.
@@ -178,6 +186,7 @@
 // spread sends a message to all other nodes, over the relays if there are any.
 func (g *Gateway) spread(message quarantineMessage) {
 	g.sendToFollowers(message)
+	g.sendToUnlisted(message)
 	message.Forward = len(g.relays.nodes()) > 0
 	g.broadcast(peer.KindCrashReport, message)
 }
@@ -225,7 +234,11 @@
 			g.sendToNode(node, peer.KindCrashReport, query)
 		}
 	}
-	return len(others) > 0
+	unlisted := g.acquaintances.unlisted(others, clock.Now())
+	for _, known := range unlisted {
+		g.sendToAddress(lease.Node(known.session), known.address, peer.KindCrashReport, query)
+	}
+	return len(others)+len(unlisted) > 0
 }
 
 // answerQuery replies with the time at which a work last succeeded here, if any. The reply goes to
@@ -265,6 +278,7 @@
 	if message.Forward {
 		g.sendToFollowers(message)
 	}
+	g.passOn(from, message)
 	if message.Query != nil {
 		g.answerQuery(source, *message.Query)
 	}
