node: a node that has read no members grants no trial by itself at first

The owner is now chosen among the acquaintances as well until the node has read the members. A node that knows no other one and has not read the members grants no trial for 10 s after its start, most outages being shorter; once it has read that it is alone, or 10 s later, it grants.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -65,6 +65,8 @@
 	greeter *greeter
 	// acquaintances are nodes that the table need not name yet.
 	acquaintances acquaintances
+	// startedAt is when this node started.
+	startedAt time.Time
 
 	// relays follows the store for this node, and for others.
 	relays *relays
@@ -89,7 +91,7 @@
 
 // StartGateway builds a gateway and starts it. It serves requests once it knows its routes.
 func StartGateway(ctx context.Context, config *settings.Settings, log zerolog.Logger) (*Gateway, error) {
-	g := &Gateway{settings: config, broadcastLimiter: rate.NewLimiter(rate.Every(broadcastInterval), 1)}
+	g := &Gateway{settings: config, broadcastLimiter: rate.NewLimiter(rate.Every(broadcastInterval), 1), startedAt: clock.Now()}
 	if config.Gateway.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
 	}
--- a/internal/node/gatewaytrial.go
+++ b/internal/node/gatewaytrial.go
@@ -21,6 +21,9 @@
 	// trialOwnersTried is the number of nodes that are asked for a trial, in turn: a node that was
 	// lost is listed for some seconds.
 	trialOwnersTried = 2
+	// maxLonelyTime is how long after its start a node that knows no other one, and has not read the members
+	// of the fleet, leaves trials of quarantined work to others. Most outages of a store are shorter.
+	maxLonelyTime = 10 * time.Second
 )
 
 // trialRequest asks for a trial of quarantined work, or reports one that is under way or ended
@@ -74,6 +77,27 @@
 	pending peer.Pending[bool]
 }
 
+// fleetSessions returns the live sessions including this node's own, and until this node has read the members of
+// the fleet also those of its acquaintances.
+func (g *Gateway) fleetSessions() []string {
+	sessions := slices.Clone(g.owners.Live())
+	if g.roster.Joined() {
+		return sessions
+	}
+	for _, known := range g.acquaintances.unlisted(g.nodes.others(), clock.Now()) {
+		if known.session != g.session.ID() {
+			sessions = append(sessions, known.session)
+		}
+	}
+	return sessions
+}
+
+// mayGrant reports whether this node may grant trials. One that knows no other node, and cannot know that there is
+// none, would run trials beside those of others.
+func (g *Gateway) mayGrant() bool {
+	return g.roster.Joined() || len(g.fleetSessions()) > 1 || clock.Since(g.startedAt) >= maxLonelyTime
+}
+
 // handleTrials makes this node request trials from other nodes, and reply to their requests.
 func (g *Gateway) handleTrials(socket *peer.Socket) {
 	trials := &peerTrials{localTrials: localTrials{g.core}, gateway: g}
@@ -86,12 +110,17 @@
 // CanRequest implements quarantine.TrialOwners.
 func (*peerTrials) CanRequest() bool { return true }
 
+// Owns implements quarantine.TrialOwners.
+func (t *peerTrials) Owns(work quarantine.Work) bool {
+	return t.gateway.mayGrant() && lease.Preferred(t.gateway.fleetSessions(), work.String()) == t.session.ID()
+}
+
 // Request implements quarantine.TrialOwners. If the owner does not reply, the node that would own
 // the trials without it is asked.
 func (t *peerTrials) Request(ctx context.Context, trial quarantine.Trial) bool {
 	for _, owner := range t.candidates(trial.Work.String()) {
 		if owner == t.session.ID() {
-			return t.quarantine.guard.BeginTrial(trial, clock.Now())
+			return t.gateway.mayGrant() && t.quarantine.guard.BeginTrial(trial, clock.Now())
 		}
 		request := trialRequest{Work: trial.Work, ID: trial.ID}
 		if granted, replied := t.ask(ctx, owner, peer.KindTrialRequest, request, request.ID); replied {
@@ -104,7 +133,7 @@
 // candidates returns the sessions that own the trials of a work or the claims of a replica, or would
 // if the ones before them were gone. The key is the name of the work or the replica.
 func (t *peerTrials) candidates(key string) []string {
-	live := slices.Clone(t.owners.Live())
+	live := t.gateway.fleetSessions()
 	var candidates []string
 	for len(candidates) < trialOwnersTried && len(live) > 0 {
 		owner := lease.Preferred(live, key)
