node: tests of a lonely node, and of a node that asks one which has started shortly before

Callers saw servers end under parts of prompts that a node which had started some moments before had seen to end servers, after all nodes had been killed beside a silent store. Cause: a node that has not read the store answers 503 to questions about crashes.

--- a/internal/node/gatewayseeds_test.go
+++ b/internal/node/gatewayseeds_test.go
@@ -174,3 +174,30 @@
 		return getsTrial(t, gateway, part)
 	})
 }
+
+// Guards against a node that is alone beside a store that never answers, and grants no trial ever.
+func TestGateway_LonelyNodeGrantsTrialsAfterATime(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
+	gateway := site.launch("a", nil)
+	gateway.startedAt = time.Now().Add(-maxLonelyTime)
+	part := quarantine.PartOf("llm", 0xbad)
+	reportPartCrashes([]*Gateway{gateway}, part)
+	if !getsTrial(t, gateway, part) {
+		t.Errorf("no trial %v after the start", maxLonelyTime)
+	}
+}
+
+// Guards against a node that starts beside a silent store and is not told of crashes that another one, which has not
+// read the store either, saw before.
+func TestGateway_StartingNodesTellWhatTheySaw(t *testing.T) {
+	site := newGatewaySite(t, 2)
+	site.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
+	first := site.launch("a", nil)
+	work := quarantine.Work{1}
+	crashAt(first, "r", work)
+	time.Sleep(500 * time.Millisecond)
+	site.seeds = []string{first.peers.Address()}
+	second := site.launch("b", nil)
+	site.eventually("the second node knows the crash", func() bool { return knowsCrash(second, "r", work) })
+}
