node: a node that has not read the store tells a starting one what it saw

Callers saw servers end under parts of prompts that a node which had started shortly before already knew, after all nodes had been killed beside a silent store: that node answered 503 to the question. Nodes of older programs take the answer for a complete one.

--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -38,6 +38,8 @@
 type knownCrashes struct {
 	Crashes   []crashEntry    `cbor:"1,keyasint,omitempty"`
 	Clearings []clearingEntry `cbor:"2,keyasint,omitempty"`
+	// Incomplete is set if the node knows only what it saw and heard since its start.
+	Incomplete bool `cbor:"3,keyasint,omitempty"`
 }
 
 // addTransit makes successes older by the time in transit, which their ages do not include: a success that
@@ -66,7 +68,7 @@
 func (g *Gateway) collectCrashes() knownCrashes {
 	now := clock.Now()
 	reports, clearings := g.quarantine.guard.Known(maxKnownCrashes)
-	var known knownCrashes
+	known := knownCrashes{Incomplete: !g.populated()}
 	for _, report := range reports {
 		known.Crashes = append(known.Crashes, g.newCrashEntry(report, now))
 	}
@@ -77,7 +79,7 @@
 }
 
 // learnCrashes records what another node knows. Successes come first, so that no crash counts against work
-// that has succeeded since.
+// that has succeeded since. Requests wait on if that node itself has yet to learn the crashes of the past.
 func (g *Gateway) learnCrashes(known *knownCrashes) {
 	now := clock.Now()
 	for _, entry := range known.Clearings {
@@ -86,7 +88,9 @@
 	for i := range known.Crashes {
 		g.handleCrash(&known.Crashes[i], now)
 	}
-	g.markCrashesKnown()
+	if !known.Incomplete {
+		g.markCrashesKnown()
+	}
 }
 
 // awaitCrashes waits until this node knows the crashes of the past, or has run for maxCrashWait. Routes and
@@ -101,7 +105,7 @@
 // serveCrashes sends the crashes that this node knows to a node that starts.
 func (g *Gateway) serveCrashes(w http.ResponseWriter, _ *http.Request) {
 	defer g.crashRequests.Add(-1)
-	if g.crashRequests.Add(1) > maxCrashResponses || !g.populated() {
+	if g.crashRequests.Add(1) > maxCrashResponses {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -172,7 +176,8 @@
 	return addresses
 }
 
-// fetchCrashes gets the crashes that another node knows. It returns false if that one does not answer.
+// fetchCrashes gets the crashes that another node knows. It returns false if that one does not answer, or has
+// itself yet to learn the crashes of the past.
 func (g *Gateway) fetchCrashes(ctx context.Context, client *http.Client, address string) bool {
 	requestedAt := clock.Now()
 	known := &knownCrashes{}
@@ -182,7 +187,7 @@
 	}
 	known.addTransit(transitSince(requestedAt))
 	g.learnCrashes(known)
-	g.log.Info().Str("from", address).Int("crashes", len(known.Crashes)).Int("clearings", len(known.Clearings)).
-		Msg("learned the crashes that another node knows")
-	return true
+	g.sampled.Info().Str("from", address).Int("crashes", len(known.Crashes)).Int("clearings", len(known.Clearings)).
+		Bool("incomplete", known.Incomplete).Msg("learned the crashes that another node knows")
+	return !known.Incomplete
 }
