node: reports are passed on only where greetings are answered

FuzzHarmTold, which handles messages at a gateway without members, ended with a nil pointer since passOn looks at the members: the whole tests of the package showed it, the runs of single tests before did not. A gateway that answers no greetings has no acquaintances, so it has nobody to pass anything on to. The test is unchanged and passes.

--- a/internal/node/gatewaystarts.go
+++ b/internal/node/gatewaystarts.go
@@ -34,7 +34,7 @@
 // asks for it, else to the acquaintances of this node that the table does not name.
 func (g *Gateway) passOn(from string, message quarantineMessage) {
 	message.Query = nil
-	if message.empty() || g.peers == nil || !g.roster.Joined() {
+	if message.empty() || g.greeter == nil || !g.roster.Joined() {
 		return
 	}
 	if message.OnBehalf {
