--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -61,12 +61,19 @@
 	// broadcastLimiter bounds how often all nodes are notified of changed rows.
 	broadcastLimiter *rate.Limiter
 
+	// greeter is nil if peers is.
+	greeter *greeter
+	// acquaintances are nodes that the table need not name yet.
+	acquaintances acquaintances
+	// startedAt is when this node started.
+	startedAt time.Time
+
 	// relays follows the store for this node, and for others.
 	relays *relays
 	// bootstrapServer sends this node's state to nodes that start.
 	bootstrapServer *http.Server
-	// bootstrapRequests counts the bootstrap requests in progress.
-	bootstrapRequests atomic.Int64
+	// bootstrapRequests counts the bootstrap requests in progress, crashRequests those for crashes.
+	bootstrapRequests, crashRequests atomic.Int64
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
@@ -84,7 +91,7 @@
 
 // StartGateway builds a gateway and starts it. It serves requests once it knows its routes.
 func StartGateway(ctx context.Context, config *settings.Settings, log zerolog.Logger) (*Gateway, error) {
-	g := &Gateway{settings: config, broadcastLimiter: rate.NewLimiter(rate.Every(broadcastInterval), 1)}
+	g := &Gateway{settings: config, broadcastLimiter: rate.NewLimiter(rate.Every(broadcastInterval), 1), startedAt: clock.Now()}
 	if config.Gateway.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
 	}
