tabletest: a feed reports changes that were dropped, though there are newer ones

The fault was the double's: after Compact its feed answered ErrCompacted only until the next commit, then passed over what had been dropped, for good.

Ruled out: the product's stand-in of the store keeps the version up to which its history was dropped, and answers 410 below it (standin/store.go). So does the double now.

--- a/internal/table/tabletest/tabletest.go
+++ b/internal/table/tabletest/tabletest.go
@@ -37,13 +37,15 @@
 // Table is an in-memory table.Service. All rows share one version counter, as in the platform's
 // store. It is safe for concurrent use.
 type Table struct {
-	mu      sync.Mutex
-	rows    map[table.Key]table.Row
-	log     []table.Change
-	version uint64
-	start   time.Time
-	late    []lateCommit
-	changed chan struct{}
+	mu   sync.Mutex
+	rows map[table.Key]table.Row
+	log  []table.Change
+	// compacted is the version up to which changes have been discarded.
+	compacted uint64
+	version   uint64
+	start     time.Time
+	late      []lateCommit
+	changed   chan struct{}
 	// CommitFault, if set, returns the fault of each commit. ReadFault, if set, returns the error
 	// of each read.
 	CommitFault func(writes []table.Write) Fault
@@ -179,7 +181,7 @@
 func (t *Table) Compact() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.log = nil
+	t.log, t.compacted = nil, t.version
 }
 
 // Feed returns a feed of a group of the table.
@@ -238,7 +240,7 @@
 		return table.Changes{}, nil, err
 	}
 	changes := f.table.emptyChanges()
-	if revision < f.table.version && len(f.table.log) == 0 {
+	if revision < f.table.compacted {
 		return changes, nil, table.ErrCompacted
 	}
 	for _, change := range f.table.log {
