server: an unknown key is not refused from an old configuration

Callers with a key that was added while a node heard nothing of the configuration got 401 there, for as long as that lasted, and did not repeat it.

Cause: the lookup never asked how old the configuration is, which the gateway does (node.Gateway.Identify). Known keys pass as before, and a request without a key gets 401 from any view.

--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -85,10 +85,20 @@
 
 const tenantContextKey = "tenant"
 
-// authenticate is the middleware that finds the calling tenant by its key and refuses unknown keys.
+// authenticate is the middleware that finds the calling tenant by its key and refuses unknown keys. While
+// this node's view of the configuration is not current, an unknown key may have been added meanwhile, and
+// another node may know it.
 func (s *Server) authenticate(ctx iris.Context) {
 	ctx.Header(HeaderNode, s.options.NodeID)
-	found, ok := s.tenants.find(bearerToken(ctx.Request().Header))
+	token := bearerToken(ctx.Request().Header)
+	// Read before the lookup: a configuration that arrives in between must not make an older one count
+	// as current.
+	current := s.options.Current()
+	found, ok := s.tenants.find(token)
+	if !ok && token != "" && !current {
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeServer, "the configuration is too old to verify the key", storeRetryAfter)
+		return
+	}
 	if !ok {
 		refuse(ctx, iris.StatusUnauthorized, openai.TypeAuthentication, "the key is not known", 0)
 		return
