--- a/internal/server/auth.go
+++ b/internal/server/auth.go
@@ -27,9 +27,10 @@
 	current atomic.Pointer[tenantTable]
 }
 
-// tenantTable is the index at one revision of the configuration.
+// tenantTable is the index of one snapshot of the configuration. A revision does not identify a snapshot:
+// the later pages of a whole read bring changes beyond its revision.
 type tenantTable struct {
-	revision uint64
+	snapshot *resource.Snapshot
 	byKey    map[string]tenant
 }
 
@@ -42,7 +43,7 @@
 func (i *tenantIndex) find(key string) (tenant, bool) {
 	snapshot := i.store.Snapshot()
 	table := i.current.Load()
-	if table.revision != snapshot.Revision {
+	if table.snapshot != snapshot {
 		table = buildTenants(snapshot)
 		i.current.Store(table)
 	}
@@ -51,7 +52,7 @@
 }
 
 func buildTenants(snapshot *resource.Snapshot) *tenantTable {
-	table := &tenantTable{revision: snapshot.Revision, byKey: map[string]tenant{}}
+	table := &tenantTable{snapshot: snapshot, byKey: map[string]tenant{}}
 	for _, entry := range snapshot.List(v1.KindTenant) {
 		spec, ok := entry.Spec.(*v1.TenantSpec)
 		if !ok {
