replica: a server that accepts no connection for a second is not ejected

A server that pauses for a second or so, which a sound one may, was ejected as soon as one connection was not accepted within 400 ms. It then counted as cold, as failing when nodes compare their failures, so that two nodes eject it for all others for 2 s and more, and as possibly restarted for 5 s.

Cause: a connection that is refused and one that is not accepted in time were the same to the health of a replica, though only the first says that the process is gone. The second is NotAccepted now. The request goes on elsewhere after the same 400 ms, and others prefer other replicas for 700 ms, but the replica counts as unreachable only if it has accepted nothing and sent nothing for over 1.5 s. Both backends tell the two apart.

Ruled out: the time limit of the connection itself. If it were longer, requests would wait longer for replicas that are gone. What it costs: a replica whose machine vanishes without a refusal is ejected after 1.6 to 1.9 s instead of 0.4, and tried about three times until then, by requests that each lose 400 ms.

--- a/internal/engine/backend.go
+++ b/internal/engine/backend.go
@@ -98,6 +98,8 @@
 		return nil, Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w", forward.ErrRefused, err)))
 	case errors.As(err, &refusal):
 		return refusalAnswer(refusal, attempt.Request.Batch), nil
+	case errors.Is(err, ErrNotAccepted):
+		return nil, Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w: %w", forward.ErrUnreachable, forward.ErrNotAccepted, err)))
 	case errors.Is(err, ErrUnreachable):
 		return nil, Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w", forward.ErrUnreachable, err)))
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -138,10 +138,14 @@
 
 func classifySendError(err error) error {
 	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	switch {
+	case !errors.As(err, &operation) || operation.Op != "dial":
+		return outcome.AsUnknown(fmt.Errorf("%w: %w", ErrBroken, err))
+	case operation.Timeout():
+		return outcome.AsNotDone(fmt.Errorf("%w: %w: %w", ErrUnreachable, ErrNotAccepted, err))
+	default:
 		return outcome.AsNotDone(fmt.Errorf("%w: %w", ErrUnreachable, err))
 	}
-	return outcome.AsUnknown(fmt.Errorf("%w: %w", ErrBroken, err))
 }
 
 // Stream sends a streaming attempt and returns its events.
--- a/internal/engine/protocol.go
+++ b/internal/engine/protocol.go
@@ -16,6 +16,9 @@
 	ErrRefused = errors.New("engine refused the request")
 	// ErrUnreachable reports that no connection to the engine was established.
 	ErrUnreachable = errors.New("engine unreachable")
+	// ErrNotAccepted reports that no connection was established in time. Such an error is ErrUnreachable
+	// too.
+	ErrNotAccepted = errors.New("no connection in time")
 	// ErrBroken reports that the connection failed before the answer was complete. The request may
 	// have run.
 	ErrBroken = errors.New("engine answer broke off")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -37,6 +37,9 @@
 	ErrMoved = errors.New("another replica has this address")
 	// ErrUnreachable reports that no connection was established; the request did not run.
 	ErrUnreachable = errors.New("replica unreachable")
+	// ErrNotAccepted reports that no connection was established in time, because the replica or the path
+	// to it is gone or pauses; the request did not run. Such an error is ErrUnreachable too.
+	ErrNotAccepted = errors.New("no connection in time")
 	// ErrBroken reports that an answer was truncated, invalid or missing.
 	ErrBroken = errors.New("replica answer broke off")
 	// ErrSilent reports that a replica sent nothing to any request for too long.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -351,6 +351,8 @@
 	switch {
 	case err == nil:
 		return replica.Succeeded
+	case errors.Is(err, ErrNotAccepted):
+		return replica.NotAccepted
 	case errors.Is(err, ErrUnreachable), errors.Is(err, ErrMoved):
 		return replica.Unreachable
 	case errors.Is(err, ErrRefused):
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -61,6 +61,8 @@
 		// A replica that answers other requests is not at fault for one dead connection or a long
 		// queue.
 		return replica.Abandoned
+	case errors.Is(err, forward.ErrNotAccepted):
+		return replica.NotAccepted
 	case errors.Is(err, forward.ErrUnreachable), errors.Is(err, forward.ErrMoved):
 		return replica.Unreachable
 	case outcome.Of(err) == outcome.NotDone:
--- a/internal/replica/health.go
+++ b/internal/replica/health.go
@@ -27,8 +27,12 @@
 	Failed
 	// Refused means that the replica rejected the request without running it.
 	Refused
-	// Unreachable means that the replica accepted no connection.
+	// Unreachable means that the replica refused a connection, or has accepted none for longer than a
+	// sound one may pause.
 	Unreachable
+	// NotAccepted means that no connection was established in time. It counts as Unreachable if the
+	// replica has accepted none for longer than a sound one may pause.
+	NotAccepted
 	// Abandoned means that the caller gave up, which is no evidence about the replica.
 	Abandoned
 )
@@ -92,6 +96,8 @@
 		return "refused"
 	case Unreachable:
 		return "unreachable"
+	case NotAccepted:
+		return "not accepted"
 	default:
 		return "abandoned"
 	}
--- a/internal/replica/observations.go
+++ b/internal/replica/observations.go
@@ -14,6 +14,8 @@
 	// refusedAt is when the replica last refused a request of this node.
 	refusedAt time.Time
 	health    health
+	// pause is the last time for which the replica accepted no connection.
+	pause connectionPause
 	// ownTally counts this node's recent answers, reports those that each peer reported.
 	ownTally Tally
 	reports  map[string]reportedTally
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -354,7 +354,7 @@
 		Info: e.info, Key: e.key, Open: e.open - e.preempted, Batch: e.batch - e.preempted, Share: s.shareOf(e, now), Cold: s.coldView(e, now),
 		Others: e.decayedOthers(now), PendingTokens: e.pending, Ejected: e.ejected(now), FailureShare: s.failureShare(e, now), Waiting: e.decayedWaiting(now),
 		LoadAge: e.loadAge(now), Fresh: e.fresh(now), FleetUsage: s.fleetUsage(e.info.Pool, now),
-		Evacuated: s.evacuated[e.info.Zone], Silence: e.silence(now),
+		Evacuated: s.evacuated[e.info.Zone], Silence: max(e.silence(now), e.pauseBeforeConnection(now)),
 	}
 }
 
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -225,6 +225,9 @@
 		u.set.lastReceived = now
 	}
 	if !u.entry.superseded {
+		if result == NotAccepted {
+			result = u.entry.observeNotAccepted(u.sent, now)
+		}
 		ejected, ejection = u.set.observe(u.entry, result, now)
 	}
 	u.set.notifyChanged()
