--- a/internal/jobs/readprop_test.go
+++ b/internal/jobs/readprop_test.go
@@ -243,6 +243,24 @@
 	}
 }
 
+// end ends a job at a random time, at half of the chances. A later read may show more results only until the
+// end is acknowledged.
+func (s *faultySite) end(id string) {
+	if !s.sleep(faultyDayEnd) || !s.chance(0.5) {
+		return
+	}
+	for s.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(s.ctx, 2500*time.Millisecond)
+		err := s.node().End(ctx, id)
+		cancel()
+		if err == nil {
+			s.history.ended(id)
+			return
+		}
+		s.sleep(200 * time.Millisecond)
+	}
+}
+
 // restart replaces a random node by one that knows nothing. What the old one had under way goes on.
 func (s *faultySite) restart() {
 	for i := 0; s.sleep(4 * time.Second); i++ {
@@ -271,6 +289,7 @@
 				return
 			}
 			go s.list(id, items)
+			go s.end(id)
 			for range 4 {
 				go s.read(id, items)
 			}
--- a/internal/jobs/readprophistory_test.go
+++ b/internal/jobs/readprophistory_test.go
@@ -39,20 +39,31 @@
 type shownHistory struct {
 	mu         sync.Mutex
 	acceptedAt map[string]time.Time
-	results    map[string]map[int]shownResult
-	versions   map[string][]shownVersion
-	answers    int
+	endedAt    map[string]time.Time
+	// lastVersion holds the versions of answers as of a time after a job's end.
+	lastVersion map[string]uint64
+	results     map[string]map[int]shownResult
+	versions    map[string][]shownVersion
+	answers     int
 }
 
 func (h *shownHistory) accepted(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.acceptedAt == nil {
-		h.acceptedAt, h.results, h.versions = map[string]time.Time{}, map[string]map[int]shownResult{}, map[string][]shownVersion{}
+		h.acceptedAt, h.endedAt, h.lastVersion = map[string]time.Time{}, map[string]time.Time{}, map[string]uint64{}
+		h.results, h.versions = map[string]map[int]shownResult{}, map[string][]shownVersion{}
 	}
 	h.acceptedAt[id], h.results[id] = time.Now(), map[int]shownResult{}
 }
 
+// ended records the acknowledgement of a job's end.
+func (h *shownHistory) ended(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endedAt[id] = time.Now()
+}
+
 // check compares an answer with all earlier ones, and then adds it to them.
 func (h *shownHistory) check(t *testing.T, start time.Time, id string, position int, began time.Time, reading *ReadResult, err error) {
 	t.Helper()
@@ -72,12 +83,26 @@
 			now.Sub(start), id, position, now.Sub(shown.at), now.Sub(began), reading.Version, now.Sub(reading.AsOf))
 	}
 	h.checkVersion(t, start, id, reading)
+	h.checkEnd(t, id, reading)
 	for i, result := range reading.Results {
 		h.checkResult(t, id, position+i, result, now)
 	}
 	h.versions[id] = append(h.versions[id], shownVersion{version: reading.Version, at: now})
 }
 
+// checkEnd checks that all answers that are as of a time after a job's end name the same version.
+func (h *shownHistory) checkEnd(t *testing.T, id string, reading *ReadResult) {
+	t.Helper()
+	endedAt, ended := h.endedAt[id]
+	if !ended || !reading.AsOf.After(endedAt) {
+		return
+	}
+	if last, known := h.lastVersion[id]; known && last != reading.Version {
+		t.Errorf("%s at versions %d and %d after its end", id, last, reading.Version)
+	}
+	h.lastVersion[id] = reading.Version
+}
+
 // checkVersion checks that an answer names no older version than one shown before the time that it is
 // as of.
 func (h *shownHistory) checkVersion(t *testing.T, start time.Time, id string, reading *ReadResult) {
