--- a/internal/jobs/readprop_test.go
+++ b/internal/jobs/readprop_test.go
@@ -23,8 +23,9 @@
 	faultyDayEnd    = 16 * time.Second
 	// lateWrite is the longest time after which a write that got no answer may still be applied.
 	lateWrite = 3 * time.Second
-	// maxTransit is the longest way of a request or an answer.
-	maxTransit = 20 * time.Millisecond
+	// maxTransit is the longest way of a request or an answer, maxOutageTransit during the outage.
+	maxTransit       = 20 * time.Millisecond
+	maxOutageTransit = 400 * time.Millisecond
 )
 
 // faultySite is several nodes before one table that loses answers during an outage. A write without an
@@ -82,9 +83,12 @@
 
 // transit waits for the way of a request or of an answer, or until ctx ends if it is lost.
 func (f lossyTable) transit(ctx context.Context) error {
-	if f.site.lost() {
+	switch {
+	case f.site.lost():
 		<-ctx.Done()
-	} else {
+	case f.site.outage():
+		retry.Sleep(ctx, f.site.partOf(maxOutageTransit))
+	default:
 		retry.Sleep(ctx, f.site.partOf(maxTransit))
 	}
 	if ctx.Err() != nil {
