--- a/internal/jobs/staleread_test.go
+++ b/internal/jobs/staleread_test.go
@@ -137,3 +137,35 @@
 		}
 	})
 }
+
+// TestView_OlderRowIsIgnored guards against a view that goes back because a row which was read for a reader arrives
+// after a newer one came by the feed: the view counts as recent, and denies what it had shown.
+func TestView_OlderRowIsIgnored(t *testing.T) {
+	withStaleReader(t, func(t *testing.T, shared *tabletest.Table, lister *Service, reader *readerNode) {
+		older, err := shared.Get(t.Context(), progressKey("job"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		listOne(t, lister, "job", 1)
+		newer, err := shared.Get(t.Context(), progressKey("job"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, row := range []table.Row{newer, older} {
+			reader.View.Put(row)
+		}
+		if entry := reader.View.Get("job"); entry.Version != newer.Version || len(entry.Progress.Listed) != 2 {
+			t.Errorf("version %d with %d listed, want %d with 2", entry.Version, len(entry.Progress.Listed), newer.Version)
+		}
+		// A job row that arrives last brings the newest of the progress rows before it.
+		job, err := shared.Get(t.Context(), jobKey("job"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		view := NewView()
+		view.Put(newer, older, job)
+		if entry := view.Get("job"); entry == nil || entry.Version != newer.Version {
+			t.Errorf("after the job row: %+v, want version %d", entry, newer.Version)
+		}
+	})
+}
--- a/internal/relay/log_test.go
+++ b/internal/relay/log_test.go
@@ -171,3 +171,19 @@
 		ask("late answer after a restart", "a", 400*time.Millisecond, wait)
 	})
 }
+
+// TestLog_IncompleteAnswerMakesNothingYounger guards against followers that take a relay's state for recent though
+// the store has told the relay that there is more to read.
+func TestLog_IncompleteAnswerMakesNothingYounger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log Log
+		read := clock.Now()
+		log.Append(table.Changes{Revision: 100, AsOf: read})
+		time.Sleep(time.Second)
+		log.Append(table.Changes{Revision: 105, AsOf: clock.Now(), Changes: []table.Change{rowX}, More: true})
+		changes, err := log.After(t.Context(), 100, 0)
+		if err != nil || len(changes.Changes) != 1 || !changes.AsOf.Equal(read) {
+			t.Errorf("%d changes as of %v after the whole read, %v", len(changes.Changes), changes.AsOf.Sub(read), err)
+		}
+	})
+}
--- a/internal/table/poll_test.go
+++ b/internal/table/poll_test.go
@@ -40,11 +40,9 @@
 		<-ctx.Done()
 		return nil, outcome.AsUnknown(ctx.Err())
 	}
-	if strings.HasPrefix(partition, headsPartition) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(h.delay):
-		}
+	select {
+	case <-ctx.Done():
+	case <-time.After(h.delay):
 	}
 	var found []Row
 	for _, row := range h.rows[partition] {
@@ -135,3 +133,22 @@
 		}
 	}
 }
+
+// Guards against changes that count as of their receipt.
+func TestPolledFeed_ChangesAreAsOldAsTheirRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &blockingHeads{
+			rows: map[string][]Row{
+				headsPartition:  {{Key: headKey("g"), Version: 1}},
+				logPrefix + "g": {{Key: logKey("g", 1), Version: 1, Body: []byte{0x80}}},
+			},
+			delay: time.Second,
+		}
+		feed := PolledFeed{Heads: NewHeads(service), Group: "g", Parts: []string{"g"}}
+		sent := clock.Now()
+		changes, err := feed.since(t.Context(), 0)
+		if err != nil || changes.Revision != 1 || changes.AsOf.After(sent) || changes.AsOf.IsZero() {
+			t.Errorf("up to %d as of %v after the request, error %v", changes.Revision, changes.AsOf.Sub(sent), err)
+		}
+	})
+}
--- a/internal/table/watchage_test.go
+++ b/internal/table/watchage_test.go
@@ -107,3 +107,48 @@
 		}
 	})
 }
+
+// shrinkingFeed returns a row at version 10 in its first whole read, and none at an earlier revision in the
+// next. It drops its history at once.
+type shrinkingFeed struct{ reads int }
+
+func (f *shrinkingFeed) Page(context.Context, Cursor) (Changes, Cursor, error) {
+	f.reads++
+	if f.reads > 1 {
+		return Changes{Revision: 5, AsOf: clock.Now()}, Cursor{Done: true}, nil
+	}
+	row := Row{Key: Key{Partition: "g", Sort: "a"}, Version: 10}
+	return Changes{Revision: 10, AsOf: clock.Now(), Changes: []Change{{Row: row}}}, Cursor{Done: true}, nil
+}
+
+func (f *shrinkingFeed) After(ctx context.Context, _ uint64, _ time.Duration) (Changes, error) {
+	if f.reads == 1 {
+		return Changes{}, ErrCompacted
+	}
+	<-ctx.Done()
+	return Changes{}, outcome.AsUnknown(ctx.Err())
+}
+
+// TestWatcher_EarlierWholeReadRemovesNothing guards against a row that counts as removed because a whole read that
+// is older than the known state lacks it, and against a state that counts as more recent for such a read.
+func TestWatcher_EarlierWholeReadRemovesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		feed, applied := &shrinkingFeed{}, 0
+		watcher := NewWatcher(feed, func(changes Changes, _ bool) {
+			applied++
+			for _, change := range changes.Changes {
+				if change.Removed {
+					t.Errorf("%v is removed", change.Key)
+				}
+			}
+		})
+		go watcher.Run(ctx)
+		synctest.Wait()
+		if feed.reads != 2 || applied != 1 {
+			t.Errorf("%d whole reads, %d applied; want 2 and 1", feed.reads, applied)
+		}
+	})
+}
