engine, jobs: tests of connections that are not accepted in time

Mutations that take such a connection for a refused one survived in the client of engines and in the results of items. Each fails a test now.

--- a/internal/engine/backend_test.go
+++ b/internal/engine/backend_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -183,6 +186,21 @@
 	}
 }
 
+// TestBackend_OnlyATimeoutMayBeAPause guards against an engine that pauses and is taken for one that is gone, and
+// against the reverse.
+func TestBackend_OnlyATimeoutMayBeAPause(t *testing.T) {
+	for cause, pause := range map[error]bool{os.ErrDeadlineExceeded: true, syscall.ECONNREFUSED: false} {
+		client := NewClient(nil)
+		client.http.Transport = newTransport(func(_ context.Context, network, _ string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: cause}
+		}, 1)
+		_, err := NewBackend(client).Send(t.Context(), attemptOf(replica.Info{Address: "http://127.0.0.1:1"}, false, false))
+		if !errors.Is(err, forward.ErrUnreachable) || errors.Is(err, forward.ErrNotAccepted) != pause || outcome.Of(err) != outcome.NotDone {
+			t.Errorf("after %v: %v, outcome %v", cause, err, outcome.Of(err))
+		}
+	}
+}
+
 // A batch item's text becomes one complete answer even if the stream broke in between.
 func TestAssembleAnswer_JoinsRenderedEvents(t *testing.T) {
 	engine := &fakeEngine{tokens: 4, breakAfter: 2}
