--- /dev/null
+++ b/internal/forward/health.go
@@ -0,0 +1,50 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
+)
+
+// resultOfError maps the error of an attempt to its meaning for the replica's health.
+func resultOfError(ctx context.Context, err error) replica.Result {
+	switch {
+	case err == nil:
+		return replica.Succeeded
+	case errors.Is(err, ErrNotAccepted):
+		return replica.NotAccepted
+	case errors.Is(err, ErrUnreachable), errors.Is(err, ErrMoved):
+		return replica.Unreachable
+	case errors.Is(err, ErrRefused):
+		return replica.Refused
+	case errors.Is(err, ErrCallerDisconnected), errors.Is(err, ErrStalled), ctx.Err() != nil:
+		return replica.Abandoned
+	default:
+		return replica.Failed
+	}
+}
+
+// silenceFailureThreshold is the silence of a replica, toward all requests of this node, that
+// counts as a failure when a request ends during it. Batch items use the same limit.
+const silenceFailureThreshold = 2 * time.Second
+
+// healthResult returns what the end of an attempt means for the replica's health. An answer that
+// was relayed because no retry was left may still be a failure.
+func (c *call) healthResult(ctx context.Context, use *replica.Use, err error) replica.Result {
+	result := resultOfError(ctx, err)
+	switch {
+	case result == replica.Abandoned && !c.sentAt.IsZero() && use.Silence(clock.Now()) >= silenceFailureThreshold:
+		return replica.Failed
+	case err == nil && c.status == http.StatusGatewayTimeout:
+		// The replica stopped at the deadline that it was given.
+		return replica.Abandoned
+	case err == nil && c.status >= http.StatusInternalServerError:
+		return replica.Failed
+	default:
+		return result
+	}
+}
