--- a/internal/replica/coldlist_model_test.go
+++ b/internal/replica/coldlist_model_test.go
@@ -45,9 +45,9 @@
 }
 
 // makeCold makes the running replicas cold. Requests of the first maxListAge, in which even a
-// current list may not show it, are not counted.
-func (f *listFleet) makeCold() {
-	warmAt := f.now.Add(f.limit.Start)
+// current list may not show it, are not counted. It returns when the replicas are warm.
+func (f *listFleet) makeCold() (warmAt time.Time) {
+	warmAt = f.now.Add(f.limit.Start)
 	for node := range f.sets {
 		if f.noUpdates[node] {
 			continue
@@ -66,7 +66,7 @@
 			f.noUpdates[node] = false
 		}
 	}
-	f.advance(warmAt.Sub(f.now))
+	return warmAt
 }
 
 // putCold updates a node's list of replicas, which are cold until warmAt.
@@ -87,7 +87,8 @@
 			f.changeMembership()
 		}
 		f.stopUpdates()
-		f.makeCold()
+		warmAt := f.makeCold()
+		f.advance(warmAt.Sub(f.now))
 		f.check()
 	})
 }
