replica: a replica that was cold counts as warm only once it reports that it is

Cause: a node took a replica as warm at the moment that the last report named, by a list of before that moment. A replica reports a second cold period with its next heartbeat, up to 1.2 s later, so even the list of that moment does not show it.

Now a replica that has reported to be cold counts as cold until its row says that it is warm, or the list is known as of 1.5 s after the reported end, for those that do not repeat their report. Between the end and that word it counts as presumed cold: the rate holds, a sender grants its part, and a node that has the word grants without a limit, as for old lists. The log and the metric of cold replicas show it as cold until then, and waiting requests are notified when the list time passes.

--- a/internal/replica/cold.go
+++ b/internal/replica/cold.go
@@ -67,6 +67,9 @@
 type coldState struct {
 	since, until time.Time
 	reason       ColdReason
+	// reportedUntil is until when the replica has reported to be cold; zero if a later report says that
+	// it is warm.
+	reportedUntil time.Time
 	// nextSend is when this node may send it the next request.
 	nextSend time.Time
 	// senders are the indexes in Set.nodes of the nodes that may send to it, isSender is whether
@@ -103,7 +106,7 @@
 
 // coldLimit returns the limit of an entry and whether it is considered cold now. The caller holds mu.
 func (s *Set) coldLimit(e *entry, now time.Time) (limit ColdLimit, cold bool) {
-	if len(s.coldLimits) == 0 || !now.Before(e.cold.until) && !s.listStale(now) && !e.maybeEnded(now) {
+	if len(s.coldLimits) == 0 || !s.knownCold(e, now) && !s.listStale(now) && !e.maybeEnded(now) {
 		return ColdLimit{}, false
 	}
 	limit, cold = s.coldLimits[e.info.Pool]
@@ -114,7 +117,12 @@
 // list or the end of its pool. The caller holds mu.
 func (s *Set) confirmedCold(e *entry, now time.Time) bool {
 	_, cold := s.coldLimit(e, now)
-	return cold && now.Before(e.cold.until)
+	return cold && s.knownCold(e, now)
+}
+
+// knownCold reports whether an entry was cold and is not known to be warm since. The caller holds mu.
+func (s *Set) knownCold(e *entry, now time.Time) bool {
+	return now.Before(e.cold.until) || s.awaitsWarmReport(e)
 }
 
 // markCold marks an entry as cold until the given time, unless it is already marked for longer. The
@@ -125,7 +133,10 @@
 	}
 	e.own()
 	if !now.Before(e.cold.until) {
-		e.cold.since, e.cold.reason = now, reason
+		if !s.awaitsWarmReport(e) {
+			e.cold.since = now
+		}
+		e.cold.reason = reason
 		if len(s.coldLimits) > 0 {
 			s.chooseSenders(e)
 		}
@@ -148,7 +159,7 @@
 func (u *Use) ReportCold(left time.Duration, now time.Time) {
 	u.set.mu.Lock()
 	defer u.set.mu.Unlock()
-	u.set.markCold(u.entry, now.Add(left), ColdReported, now)
+	u.set.markReportedCold(u.entry, left, now)
 }
 
 // recordUnreachable records that a replica accepted no connection. While it is ejected for that, it
@@ -199,8 +210,8 @@
 	Idle bool
 	// Rate is this node's part of the rate, in requests per second.
 	Rate float64
-	// Presumed is set if the age of the list is the only reason to consider the replica cold.
-	// Left is then the time until the next check.
+	// Presumed is set if the only reason to consider the replica cold is that no current list shows
+	// that it is warm. Left is then the time until the next check.
 	Presumed bool
 	// Ended is set if the only reason is that no replica of the pool accepted connections. Left is
 	// then the time until the next check.
@@ -325,7 +336,8 @@
 	return changes
 }
 
-// CountCold returns the number of replicas that are considered cold, without presumed ones.
+// CountCold returns the number of replicas that are considered cold, without those that were not cold
+// when the list was last current.
 func (s *Set) CountCold(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/replica/coldgrant.go
+++ b/internal/replica/coldgrant.go
@@ -15,8 +15,8 @@
 	// StartedUnixMs identifies the start of the replica, Zone is its zone.
 	StartedUnixMs int64
 	Zone          string
-	// Presumed is set if the age of the list is this node's only reason to consider it cold, Ended
-	// if the only reason is that no replica of its pool accepted connections.
+	// Presumed is set if this node's only reason to consider it cold is that no current list shows that
+	// it is warm, Ended if the only reason is that no replica of its pool accepted connections.
 	Presumed, Ended bool
 }
 
--- a/internal/replica/coldlist.go
+++ b/internal/replica/coldlist.go
@@ -16,14 +16,14 @@
 func (s *Set) SetListTime(at, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wasOld := s.listStale(now)
+	wasOld, awaited := s.listStale(now), s.listTime.Before(s.warmReportsDue)
 	if s.listTime.IsZero() || at.Sub(s.listTime) > maxSoftwareListAge {
 		s.listKnownSince = at
 	}
 	if at.After(s.listTime) {
 		s.listTime = at
 	}
-	if wasOld && !s.listStale(now) {
+	if awaited || wasOld && !s.listStale(now) {
 		s.notifyChanged()
 	}
 }
--- a/internal/replica/coldwarm_test.go
+++ b/internal/replica/coldwarm_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,3 +73,117 @@
 		f.check()
 	})
 }
+
+// Requests that wait for a replica went on waiting for up to a second after the list was recent enough.
+func TestCold_WaitingRequestsAreNotifiedOfRecentList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := newColdSet("a", []string{"a"}, false, now)
+	set.SetListTime(now, now)
+	due := now.Add(3*time.Second + maxWarmReportDelay)
+	set.SetListTime(due.Add(-time.Millisecond), due)
+	if admitted(set, "cold", 5, due) != 1 {
+		t.Fatal("the replica is not limited before it is known to be warm")
+	}
+	changed := set.Changed()
+	set.SetListTime(due, due)
+	select {
+	case <-changed:
+	default:
+		t.Error("waiting requests are not notified")
+	}
+	if admitted(set, "cold", 5, due) != 5 {
+		t.Error("the replica is limited although it did not report being cold again")
+	}
+}
+
+// The log and the metric of cold replicas disagreed with what is sent to them.
+func TestCold_LoggedAndCountedUntilReportedWarm(t *testing.T) {
+	start := time.Unix(1000, 0)
+	set := newColdSet("a", []string{"a"}, false, start)
+	set.SetListTime(start, start)
+	if changes := set.ColdChanges(start); len(changes) != 1 || !changes[0].Cold {
+		t.Fatalf("changes at the start: %+v, want cold", changes)
+	}
+	end := start.Add(3100 * time.Millisecond)
+	set.SetListTime(end, end)
+	if changes := set.ColdChanges(end); len(changes) != 0 || set.CountCold(end) != 1 {
+		t.Errorf("before the report: %d cold, changes %+v, want 1 and none", set.CountCold(end), changes)
+	}
+	// It becomes cold again before it has reported that it is warm, which is the same period.
+	set.put(Info{ID: "cold", Pool: testPool, Slots: 8, ColdLeft: time.Second}, end)
+	warm := end.Add(1200 * time.Millisecond)
+	set.put(Info{ID: "cold", Pool: testPool, Slots: 8}, warm)
+	changes := set.ColdChanges(warm)
+	if len(changes) != 1 || changes[0].Cold || changes[0].For != warm.Sub(start) || set.CountCold(warm) != 0 {
+		t.Errorf("after the report: %d cold, changes %+v, want none and warm after %v", set.CountCold(warm), changes, warm.Sub(start))
+	}
+}
+
+// A node that has no report yet got no grant from one that has it, which considers the replica as warm.
+func TestGrantPresumed_UnlimitedOnceReportedWarm(t *testing.T) {
+	start := time.Unix(1000, 0)
+	end := start.Add(3100 * time.Millisecond)
+	nodes := []string{"a", "b"}
+	asking, asked := newColdSet("a", nodes, false, start), newColdSet("b", nodes, false, start)
+	for _, set := range []*Set{asking, asked} {
+		set.SetListTime(end, end)
+	}
+	asked.put(Info{ID: "cold", Pool: testPool, Slots: 8}, end)
+	if got := granted(asking, "cold", end); got != 1 {
+		t.Errorf("%d of 3 sends granted without a report, want 1", got)
+	}
+	senders := asking.ColdSenders(testPool, &Criteria{}, end)
+	if len(senders) == 0 || !senders[0].Presumed {
+		t.Fatalf("senders %+v, want one that is asked about a presumed replica", senders)
+	}
+	if got := granted(asked, "cold", end); got != 3 {
+		t.Errorf("%d of 3 sends granted, want all", got)
+	}
+}
+
+// warmDelay returns how long after its end a node limits a replica that reports each heartbeat, if calls
+// for the list last for at least shortest and at most longest.
+func warmDelay(random *rand.Rand, heartbeat, shortest, longest time.Duration) time.Duration {
+	const cold = 3 * time.Second
+	start := time.Unix(1000, 0)
+	nextReport := start.Add(time.Duration(random.Int64N(int64(heartbeat))))
+	set := newColdSet("a", []string{"a"}, false, start)
+	requested, reported, listed := start, start, start
+	answer := start.Add(shortest)
+	for now := start; ; now = now.Add(time.Millisecond) {
+		if !now.Before(nextReport) {
+			reported, nextReport = now, nextReport.Add(heartbeat)
+		}
+		if news := reported.After(requested) && now.Sub(requested) >= shortest; news || !now.Before(answer) {
+			if reported.After(listed) {
+				set.put(Info{ID: "cold", Pool: testPool, Slots: 8, ColdLeft: max(0, cold-reported.Sub(start))}, now)
+				listed = reported
+			}
+			set.SetListTime(requested, now)
+			requested, answer = now, now.Add(shortest+time.Duration(random.Int64N(int64(longest-shortest))))
+		}
+		if set.confirmedWarm("cold", now) {
+			return now.Sub(start.Add(cold))
+		}
+	}
+}
+
+// A replica was limited long after it was warm, although nothing was wrong.
+func TestCold_LimitEndsWithNextHeartbeat(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for _, tc := range []struct{ shortest, longest time.Duration }{
+		{5 * time.Millisecond, 300 * time.Millisecond},
+		{400 * time.Millisecond, time.Second},
+	} {
+		random := rand.New(rand.NewPCG(1, 1))
+		var delays []time.Duration
+		for range 200 {
+			delays = append(delays, warmDelay(random, heartbeat, tc.shortest, tc.longest))
+		}
+		slices.Sort(delays)
+		t.Logf("calls of %v to %v: limited for %v (median), %v (longest) after the end", tc.shortest, tc.longest, delays[len(delays)/2], delays[len(delays)-1])
+		if longest := delays[len(delays)-1]; longest > heartbeat+2*tc.longest {
+			t.Errorf("calls of %v to %v: limited for %v after the end", tc.shortest, tc.longest, longest)
+		}
+	}
+}
--- a/internal/replica/ended.go
+++ b/internal/replica/ended.go
@@ -45,7 +45,7 @@
 // without the limit of cold replicas. The caller holds mu.
 func (s *Set) acceptsRequests(e *entry, now time.Time) bool {
 	usable := !e.info.Leaving && !e.graceExpired(now) && !s.evacuated[e.info.Zone]
-	return usable && !e.cold.unreachable && !now.Before(e.cold.until)
+	return usable && !e.cold.unreachable && !s.knownCold(e, now)
 }
 
 // markEnded marks an entry whose pool has ended. The mark replaces one for its own refusals, which ends
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -114,7 +114,8 @@
 	// endedPools are the pools with entries marked as ended.
 	endedPools map[string]bool
 	// listTime is the time as of which the list is known; zero if SetListTime was never called.
-	listTime time.Time
+	// warmReportsDue is the list time from which on no replica is awaited to report that it is warm.
+	listTime, warmReportsDue time.Time
 	// listKnownSince is the time since when the list has been known without a gap longer than
 	// maxSoftwareListAge.
 	listKnownSince time.Time
@@ -169,9 +170,7 @@
 	e.info = info
 	e.delistedAt = time.Time{}
 	e.evacuated = s.evacuated[info.Zone]
-	if info.ColdLeft > 0 {
-		s.markCold(e, now.Add(info.ColdLeft), ColdReported, now)
-	}
+	s.recordListedCold(e, now)
 	switch {
 	case known != e:
 		s.index.add(e)
