replica: a node that knows no limit of a pool grants no sends to its cold replicas

Cause, from the nodes' logs: node-3, whose list was old from 04:14:09 to 04:14:13, asked for grants, as it should. node-4 started at 11.25, read the list at 11.266 and had its configuration in force at 12.251. Meanwhile it knew no limit, so no replica was cold for it, and it granted what it was asked, without a bound: node-3 sent what waited from 11.4 to 12.2. The same would happen to a node that considers a pool as ended.

Ruled out: other nodes. node-1 had no list before 12.138; node-0 and node-2 had rows of after the second chill and kept the replica as cold until after 13.

Now a node that knows no limit of the pool grants nothing. The asking node knows one, so nothing is lost but the time until the configuration is read.

TestGrantPresumed_RefusedWithoutConfiguration: 3 of 3 sends and one to an ended pool granted before, none now. go test ./internal/replica and the tests of cold replicas in ./internal/forward and ./internal/node: ok.

--- a/internal/replica/coldlist.go
+++ b/internal/replica/coldlist.go
@@ -56,12 +56,13 @@
 	return s.confirmedWarm(id, now) || s.GrantCold(id, now)
 }
 
-// confirmedWarm reports whether this node may send to a listed replica without a limit.
+// confirmedWarm reports whether this node knows that a listed replica may get requests without a limit. It
+// does not if it knows no limit of the pool: it may have the list before the configuration.
 func (s *Set) confirmedWarm(id string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.entries[id]
-	if !ok || e.info.Leaving || s.evacuated[e.info.Zone] {
+	if !ok || e.info.Leaving || s.evacuated[e.info.Zone] || s.coldLimits[e.info.Pool].Rate <= 0 {
 		return false
 	}
 	return s.coldView(e, now).Left == 0
--- a/internal/replica/coldwarm_test.go
+++ b/internal/replica/coldwarm_test.go
@@ -187,3 +187,29 @@
 		}
 	}
 }
+
+// A node that starts has the list before the configuration, knows no limit then, and granted sends to cold
+// replicas without one.
+func TestGrantPresumed_RefusedWithoutConfiguration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	set := NewSet()
+	set.Divide("a", nodesWithoutPlace("a", "b"))
+	set.put(Info{ID: "cold", Pool: testPool, Slots: 8, ColdLeft: 3 * time.Second}, now)
+	set.SetListTime(now, now)
+	use := set.Begin("cold", RequestInfo{}, now)
+	for range 4 {
+		now = now.Add(recentContact / 2)
+		set.SetListTime(now, now)
+		use.Received(now)
+	}
+	if got := granted(set, "cold", now); got != 0 {
+		t.Errorf("%d of 3 sends granted, want none", got)
+	}
+	if set.GrantEnded("cold", now) {
+		t.Error("a send is granted to a node that considers the pool as ended")
+	}
+	set.SetColdLimits(map[string]ColdLimit{testPool: {Rate: 15, Start: 3 * time.Second}})
+	if got := granted(set, "cold", now); got > 1 {
+		t.Errorf("%d of 3 sends granted with the limit, want at most 1", got)
+	}
+}
--- a/internal/replica/ended.go
+++ b/internal/replica/ended.go
@@ -107,12 +107,13 @@
 
 // GrantEnded reports whether another node may send a request to a replica for which it considers the
 // pool as ended: this node is in contact with the replica and knows it as warm, or it grants one send of
-// its part of the rate, also if it knows nothing else of the replica.
+// its part of the rate, also if it knows nothing else of the replica. It does neither if it knows no limit of
+// the pool.
 func (s *Set) GrantEnded(id string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.entries[id]
-	if !ok || e.info.Leaving || s.evacuated[e.info.Zone] {
+	if !ok || e.info.Leaving || s.evacuated[e.info.Zone] || s.coldLimits[e.info.Pool].Rate <= 0 {
 		return false
 	}
 	view := s.coldView(e, now)
