soak: the harmful part is sent for as long as there are faults

TestRun_SeedsOfHarmfulParts at times had no occasion to break requests-beside-harmful-part-served. A zone is lost until 11 to 13 s, which leaves out requests until 4 s later, and the part was sent until 20 s, while faults go on until 26 s. In the 5 s between, beside that load, 9, 11, 13, 15, 20 and 20 requests were judged, 20 is the least that counts.

Now the part is sent until the faults have ended, 3 s before the calm phase, as the faults themselves. No part begins later than before. No check is changed; more requests are judged by the same one.

--- a/internal/lab/soak/harmparts.go
+++ b/internal/lab/soak/harmparts.go
@@ -43,7 +43,7 @@
 }
 
 // callHarmfulParts sends requests with one harmful part after the other, no two alike, until the context
-// ends.
+// ends. No part begins after s.Duration, so that the last one has ended its servers before the calm phase.
 func (s *soak) callHarmfulParts(ctx context.Context) {
 	random := s.newRand(0, 20)
 	if !retry.Sleep(ctx, harmfulPartStart) {
@@ -53,7 +53,8 @@
 	defer answers.Wait()
 	started := time.Now()
 	for number := 0; retry.Sleep(ctx, partPause); number++ {
-		part := fmt.Sprintf("%s%04x", harmfulPartPrefix, int(time.Since(started)/harmfulPartInterval))
+		begun := min(time.Since(started), s.Duration-harmfulPartStart) / harmfulPartInterval
+		part := fmt.Sprintf("%s%04x", harmfulPartPrefix, int(begun))
 		node := s.gateways[random.IntN(len(s.gateways))]
 		req := HarmfulRequest{ID: fmt.Sprintf("%s-%d", part, number), Work: part, Node: node.id, Sent: time.Now()}
 		answers.Go(func() {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -282,7 +282,11 @@
 	harmCtx, stopHarm := context.WithDeadline(ctx, start.Add(s.Duration))
 	defer stopHarm()
 	load.Go(func() { s.callHarmful(harmCtx) })
-	load.Go(func() { s.callHarmfulParts(harmCtx) })
+	// The requests beside a harmful part are judged only seconds after its first crashes and after the loss of
+	// a zone, so the part is sent for as long as there are faults.
+	partsCtx, stopParts := context.WithCancel(ctx)
+	defer stopParts()
+	load.Go(func() { s.callHarmfulParts(partsCtx) })
 	for _, fault := range plan {
 		if !retry.Sleep(ctx, time.Until(start.Add(fault.After))) {
 			break
@@ -292,6 +296,7 @@
 	}
 	retry.Sleep(ctx, time.Until(start.Add(s.Duration)))
 	s.faults.Wait()
+	stopParts()
 	s.store.SetFault(nil)
 	s.CalmFrom = time.Now().Add(3 * time.Second)
 	// The load continues in the calm phase, in which the bounds are stricter.
