jobs, node, soak: a wait beside a free slot says why no slot is borrowed

Callers saw items wait 5.25 to 7.75 s beside free slots; the nodes said nothing of it.

Set.BorrowRefusal names the rule, borrowing keeps the last outcome of a lane, and each second a node writes up to five items that have waited over 4 s to be sent ('item waits to be sent'), with the outcome and how late the check came, which shows a node that gets no CPU. The soak prints the longest wait in calm also when no promise is broken, and its tests the directory of the logs.

Shown by TestItemWaits_WhyNoSlotIsBorrowed and TestLongestCalmWait_OfRunsWithinTheBound.

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -1,11 +1,14 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -47,7 +50,11 @@
 		return
 	}
 	pass.borrowTried[send.lane] = true
-	if !r.Replicas.MayBorrow(send.pool, waited, now) || !r.readyToSend(send, now) {
+	if err := r.Replicas.BorrowRefusal(send.pool, waited, now); err != nil {
+		r.updateBorrowState(send.lane, func(state *borrowState) { state.refuse(err, now) })
+		return
+	}
+	if !r.readyToSend(send, now) {
 		return
 	}
 	criteria := r.criteria(send)
@@ -58,8 +65,8 @@
 	criteria.Affinity = rand.Uint64()
 	r.updateBorrowState(send.lane, func(state *borrowState) { state.inProgress = true })
 	go func() {
-		sent := r.borrowSlot(send, criteria)
-		r.updateBorrowState(send.lane, func(state *borrowState) { state.record(sent, clock.Now()) })
+		err := r.borrowSlot(send, criteria)
+		r.updateBorrowState(send.lane, func(state *borrowState) { state.record(err, clock.Now()) })
 	}()
 }
 
@@ -70,12 +77,19 @@
 	// notBefore is when replicas may be asked again, refusals how many times in a row all refused.
 	notBefore time.Time
 	refusals  int
+	// lastErr is why the last item of the lane got no slot, as of lastAt; nil if it got one.
+	lastErr error
+	lastAt  time.Time
 }
 
+// refuse records why an item may not borrow a slot.
+func (b *borrowState) refuse(err error, now time.Time) { b.lastErr, b.lastAt = err, now }
+
 // record updates the state with the result of a try.
-func (b *borrowState) record(sent bool, now time.Time) {
+func (b *borrowState) record(err error, now time.Time) {
 	b.inProgress = false
-	if sent {
+	b.lastErr, b.lastAt = err, now
+	if err == nil {
 		b.refusals, b.notBefore = 0, now.Add(borrowInterval)
 		return
 	}
@@ -102,30 +116,46 @@
 	r.borrowStates[key] = state
 }
 
-// borrowSlot asks a few replicas, one after the other, for a slot. It reports whether the item was
-// sent.
-func (r *Runner) borrowSlot(send pendingSend, criteria *replica.Criteria) bool {
-	return r.borrowFrom(send, criteria, borrowTries, false) || r.borrowFrom(send, criteria, borrowRemoteTries, true)
+// errNotSent means that an item was not sent into the slot that was reserved for it.
+var errNotSent = errors.New("the item could not be sent into the reserved slot")
+
+// borrowSlot asks a few replicas, one after the other, for a slot, and sends the item there. The error
+// is that of the last replica of each region that was asked.
+func (r *Runner) borrowSlot(send pendingSend, criteria *replica.Criteria) error {
+	ownErr := r.borrowFrom(send, criteria, borrowTries, false)
+	if ownErr == nil {
+		return nil
+	}
+	remoteErr := r.borrowFrom(send, criteria, borrowRemoteTries, true)
+	if remoteErr == nil {
+		return nil
+	}
+	return errs.Combine(ownErr, remoteErr)
 }
 
 // borrowFrom asks up to tries replicas, those in other regions if remote is set.
-func (r *Runner) borrowFrom(send pendingSend, criteria *replica.Criteria, tries int, remote bool) bool {
+func (r *Runner) borrowFrom(send pendingSend, criteria *replica.Criteria, tries int, remote bool) error {
+	var lastErr error
 	for range tries {
 		now := clock.Now()
 		chosen, err := replica.PickIdle(r.Replicas.SnapshotFor(send.pool, criteria, now), criteria, r.Weights, remote)
 		if err != nil || r.Reserver == nil && chosen.Free() < 1 {
 			// The next dispatch tries again.
-			return false
+			return cmp.Or(lastErr, err, replica.ErrNoReplica)
 		}
 		reservation, err := r.reserveAt(send.task.owned.ctx, chosen, send.item())
 		if err == nil {
 			criteria.Reserved = reservation != ""
-			return r.startRun(send, criteria, chosen, reservation)
+			if !r.startRun(send, criteria, chosen, reservation) {
+				return errNotSent
+			}
+			return nil
 		}
+		lastErr = err
 		criteria.Exclude[chosen.ID] = true
 		criteria.PreferStale = false
 	}
-	return false
+	return lastErr
 }
 
 // reserveAt reserves a slot at a replica. Without a Reserver the item is sent without a
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -112,6 +112,8 @@
 	wait      WaitReason
 	waitCause error
 	waitStart time.Time
+	// lane is the lane in which it last waited for a slot; zero if it never did.
+	lane lane
 	// lastProgress is when the item was assigned to this node, its answer last brought an event, or
 	// it got its outcome.
 	lastProgress time.Time
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -177,6 +177,7 @@
 		capacity := r.Replicas.ItemCapacity(key.pool, now)
 		pass.freeSlots[key.pool], pass.slotCause[key.pool] = capacity.Free(), capacity
 	}
+	r.setLane(t, key)
 	send := pendingSend{task: t, target: target, lane: key, regions: regions, after: after}
 	if pass.freeSlots[key.pool] <= 0 {
 		r.recordWait(t, WaitSlot, pass.slotCause[key.pool])
@@ -201,6 +202,13 @@
 	}
 }
 
+// setLane records the lane in which an item last waited for a slot.
+func (r *Runner) setLane(t *task, key lane) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.lane = key
+}
+
 // recordWait records what an item that is not sent waits for.
 func (r *Runner) recordWait(t *task, kind WaitReason, cause error) {
 	r.mu.Lock()
--- a/internal/jobs/waits.go
+++ b/internal/jobs/waits.go
@@ -73,6 +73,10 @@
 	Replica string
 	// Cause is the error that causes the wait, if there is one.
 	Cause error
+	// BorrowErr is why the last item of the same lane that was to borrow a slot got none, as of
+	// BorrowedAt; nil if it got one. BorrowedAt is zero if none was to.
+	BorrowErr  error
+	BorrowedAt time.Time
 }
 
 // WaitCount counts the items of this node that wait for the same reason.
@@ -100,7 +104,7 @@
 	for _, owned := range r.owned {
 		for _, t := range owned.tasks {
 			if t.state != taskListed {
-				all = append(all, t.itemWait())
+				all = append(all, r.itemWait(t))
 			}
 		}
 		for _, index := range owned.unloaded {
@@ -116,7 +120,7 @@
 }
 
 // itemWait returns what the task waits for. The caller holds the runner's lock.
-func (t *task) itemWait() ItemWait {
+func (r *Runner) itemWait(t *task) ItemWait {
 	wait := ItemWait{
 		Job: t.owned.job.ID, Item: t.owned.job.Items[t.index].ID,
 		Reason: t.wait, LastProgress: t.lastProgress, Since: t.waitStart, Cause: t.waitCause,
@@ -126,7 +130,10 @@
 	}
 	if t.state == taskRunning {
 		wait.Replica = t.replica
+		return wait
 	}
+	borrowing := r.borrowStates[t.lane]
+	wait.BorrowErr, wait.BorrowedAt = borrowing.lastErr, borrowing.lastAt
 	return wait
 }
 
@@ -174,6 +181,25 @@
 	return bound != neverOverdue && (now.Sub(w.Since) >= bound || now.Sub(w.LastProgress) >= maxStall)
 }
 
+// waitsForDispatch reports whether an item waits for this node to send it, and how it does so depends on
+// nodes and replicas alone.
+func (w *ItemWait) waitsForDispatch() bool {
+	switch w.Reason {
+	case WaitAnswer, WaitListing, WaitRoute, WaitQuarantine, WaitRegion, WaitOwner:
+		return false
+	default:
+		return true
+	}
+}
+
+// NotSent returns the items that have waited to be sent for at least bound, the least recent progress
+// first.
+func (r *Runner) NotSent(bound time.Duration, now time.Time) []ItemWait {
+	return slices.DeleteFunc(r.ItemWaits(), func(wait ItemWait) bool {
+		return !wait.waitsForDispatch() || now.Sub(wait.LastProgress) < bound
+	})
+}
+
 // Overdue returns the items that have waited for longer than they should, the least recent progress
 // first.
 func (r *Runner) Overdue(now time.Time) []ItemWait {
--- a/internal/jobs/waits_test.go
+++ b/internal/jobs/waits_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -12,6 +13,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/object/objecttest"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table/tabletest"
 )
 
@@ -112,6 +114,37 @@
 	}
 }
 
+// The cause of a wait beside a slot of another node shows why none is borrowed; without it nobody can tell
+// an item that may not ask from one that is refused.
+func TestItemWaits_WhyNoSlotIsBorrowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSlotSite(t, 1, nodeNames("n", 6), serverSlots("n", 1, 1))
+		site.run()
+		for _, node := range site.nodes {
+			site.runLoad(func(ctx context.Context) {
+				for retry.Sleep(ctx, 50*time.Millisecond) {
+					node.set.RecordDemand(testPool, 8, 4, clock.Now())
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		site.submitAt(0, "j", 6)
+		time.Sleep(replica.BorrowAfter + time.Second)
+		waiting := 0
+		for _, node := range site.nodes {
+			for _, wait := range node.runner.NotSent(replica.BorrowAfter, clock.Now()) {
+				waiting++
+				if !errors.Is(wait.BorrowErr, replica.ErrFullyUsed) || clock.Since(wait.BorrowedAt) > 2*dispatchInterval {
+					t.Fatalf("item of %s borrows no slot because of %v as of %v, want %v", node.name, wait.BorrowErr, wait.BorrowedAt, replica.ErrFullyUsed)
+				}
+			}
+		}
+		if waiting == 0 {
+			t.Fatal("no item waits")
+		}
+	})
+}
+
 // One node reports the items whose node is gone and those that no live node may run, with the time
 // since they were first found.
 func TestItemWaits_OrphansAreReportedByOneNode(t *testing.T) {
--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -77,6 +77,7 @@
 			for _, violation := range report.Violations {
 				_, _ = fmt.Fprintln(std.out, "broken:", violation)
 			}
+			_, _ = fmt.Fprintf(std.out, "longest wait of an item beside a free slot in calm without a break: %v\n", report.LongestCalmWait)
 			if without := soak.WithoutOccasion(report.Occasions); len(without) > 0 {
 				_, _ = fmt.Fprintln(std.out, "promises without an occasion:", without)
 			}
--- a/internal/lab/soak/open_test.go
+++ b/internal/lab/soak/open_test.go
@@ -45,6 +45,10 @@
 	for _, violation := range report.Violations {
 		t.Error(violation)
 	}
+	if report.Logs != "" {
+		t.Logf("logs of the nodes: %s", report.Logs)
+	}
+	t.Logf("longest wait beside a free slot in calm: %v", report.LongestCalmWait)
 	for _, promise := range exercised {
 		if report.Occasions[promise] == 0 {
 			t.Errorf("the run had no occasion to break %s", promise)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -95,7 +95,10 @@
 	// ServerUpdates counts the updates of the servers' software, Continued the requests that continued
 	// a stream at another node.
 	ServerUpdates, Continued int
-	Violations               []Violation
+	// LongestCalmWait is the longest time that an item waited in the calm phase beside a free slot
+	// without interruption, which is limited to maxCalmWait.
+	LongestCalmWait time.Duration
+	Violations      []Violation
 	// Occasions counts how often each promise could have been broken.
 	Occasions map[Promise]int
 	// Logs is the directory with the logs of the nodes. It is kept if a promise was broken.
@@ -223,6 +226,7 @@
 		report.Items += len(results)
 	}
 	report.Violations = Check(&s.History)
+	report.LongestCalmWait = LongestCalmWait(&s.History)
 	report.Occasions = Occasions(&s.History)
 	return report
 }
--- a/internal/lab/soak/waits.go
+++ b/internal/lab/soak/waits.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// LongestCalmWait returns the longest time that an item waited in the calm phase beside a free slot
+// without interruption.
+func LongestCalmWait(h *History) time.Duration {
+	c := newChecker(h)
+	firstListed, freeSlots := c.firstListed(), c.freeSlots()
+	var longest time.Duration
+	for _, job := range c.Jobs {
+		if !job.Accepted || !job.EndedAt.IsZero() {
+			continue
+		}
+		for _, item := range job.Items {
+			for _, w := range c.waits(item, &job, firstListed, freeSlots, c.LoadEnd.Add(listBound)) {
+				longest = max(longest, w.calmBesideFree)
+			}
+		}
+	}
+	return longest
+}
+
 // wait is a period in which no server was running an item.
 type wait struct {
 	from, to time.Time
@@ -107,6 +126,20 @@
 // longestWait returns the first wait of an item before end that is too long, or the longest one if
 // there is none.
 func (c *checker) longestWait(item string, job *Job, firstListed map[string]time.Time, freeSlots [][]string, end time.Time) wait {
+	var longest wait
+	for _, w := range c.waits(item, job, firstListed, freeSlots, end) {
+		if w.besideFree >= longest.besideFree {
+			longest = w
+		}
+		if w.tooLong() {
+			return w
+		}
+	}
+	return longest
+}
+
+// waits returns the waits of an item before end: those before each of its runs and before it is listed.
+func (c *checker) waits(item string, job *Job, firstListed map[string]time.Time, freeSlots [][]string, end time.Time) []wait {
 	until, ok := firstListed[item]
 	if !ok || until.After(end) {
 		until = end
@@ -114,18 +147,12 @@
 	from := job.At
 	runs := slices.Clone(c.runs[item])
 	sort.Slice(runs, func(i, j int) bool { return runs[i].At.Before(runs[j].At) })
-	var longest wait
+	var all []wait
 	for _, run := range append(runs, ServerRun{Run: standin.Run{At: until, Ended: until}}) {
-		w := c.measureWait(from, run.At, freeSlots)
-		if w.besideFree >= longest.besideFree {
-			longest = w
-		}
-		if w.tooLong() {
-			return w
-		}
+		all = append(all, c.measureWait(from, run.At, freeSlots))
 		from = later(from, runEnd(run, end))
 	}
-	return longest
+	return all
 }
 
 // runEnd returns the end of a run, or end if it has not ended.
--- a/internal/lab/soak/waits_test.go
+++ b/internal/lab/soak/waits_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// A run must report how near to the bound its items came, also if none exceeded it.
+func TestLongestCalmWait_OfRunsWithinTheBound(t *testing.T) {
+	h := validHistory()
+	before := LongestCalmWait(h)
+	moveItem(h, "j-0", 7*time.Second)
+	if longest := LongestCalmWait(h); longest-before < 2*time.Second || longest > maxCalmWait {
+		t.Errorf("longest wait is %v after an item was moved by 7 s, %v before", longest, before)
+	}
+}
+
 // Outside the calm phase the longer bound applies.
 func TestCheck_WaitsUnderFaults(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -240,6 +240,7 @@
 	c.spawn(func() { c.quarantine.publisher.Run(ctx) })
 	c.spawn(func() { c.runSuspensionLog(ctx) })
 	c.spawn(func() { c.runOverdueItemLog(ctx) })
+	c.spawn(func() { c.runSlowSendLog(ctx) })
 }
 
 // handBackJobs hands this node's jobs back and ends its session, so that other nodes take over
--- a/internal/node/itemwaits.go
+++ b/internal/node/itemwaits.go
@@ -8,6 +8,7 @@
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/server"
 )
@@ -18,6 +19,10 @@
 	// maxWaitLogLines bounds the log lines of one check. Items that wait together mostly have the
 	// same cause.
 	maxWaitLogLines = 5
+	// sendCheckInterval is the time between two checks for items that wait to be sent, and slowSend how
+	// long one must have waited to be logged: longer than until it borrows a slot.
+	sendCheckInterval = time.Second
+	slowSend          = replica.BorrowAfter + time.Second
 )
 
 // itemWaitCollector exports how many items of this node wait, and for what.
@@ -71,3 +76,22 @@
 		}
 	}
 }
+
+// runSlowSendLog logs items that have waited to be sent for slowSend, until the context ends. How late
+// a check comes shows how short of CPU time the node is.
+func (c *core) runSlowSendLog(ctx context.Context) {
+	for last := clock.Now(); retry.Sleep(ctx, sendCheckInterval); {
+		now := clock.Now()
+		late := now.Sub(last) - sendCheckInterval
+		last = now
+		waiting := c.runner.NotSent(slowSend, now)
+		for _, item := range waiting[:min(len(waiting), maxWaitLogLines)] {
+			line := c.log.Info().Str("job", item.Job).Str("item", item.Item).Str("waits_for", item.Reason.String()).
+				Dur("for_ms", now.Sub(item.Since)).Dur("still_ms", now.Sub(item.LastProgress)).AnErr("cause", item.Cause)
+			if !item.BorrowedAt.IsZero() {
+				line = line.Dur("borrow_age_ms", now.Sub(item.BorrowedAt)).AnErr("borrow_error", item.BorrowErr)
+			}
+			line.Int("waiting", len(waiting)).Dur("check_late_ms", late).Msg("item waits to be sent")
+		}
+	}
+}
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"math"
 	"time"
 )
@@ -38,32 +39,49 @@
 	goldenRatioFraction = 0.6180339887498949
 )
 
+// Reasons why an item may not borrow a slot.
+var (
+	ErrTooEarly       = errors.New("the item has not waited long enough")
+	ErrBorrowsAlready = errors.New("an item is in a borrowed slot, and no idle ones are reported")
+	ErrFullyUsed      = errors.New("online requests are reported to need all slots")
+	ErrRunsOthers     = errors.New("other items of this node run, and no idle slots are reported")
+	ErrNotInTurn      = errors.New("online requests need most slots, and other nodes have their turn to borrow")
+)
+
 // MayBorrow reports whether an item that has waited for a slot of this node may ask the replicas of a
-// pool for a slot of other nodes. It may if nodes report more idle slots than are borrowed; without
-// such a report, one item at a time may if online requests do not need the slots.
+// pool for a slot of other nodes.
 func (s *Set) MayBorrow(pool string, waited time.Duration, now time.Time) bool {
+	return s.BorrowRefusal(pool, waited, now) == nil
+}
+
+// BorrowRefusal returns why an item that has waited for a slot of this node may not ask the replicas of
+// a pool for a slot of other nodes; nil if it may. It may if nodes report more idle slots than are
+// borrowed; without such a report, one item at a time may if online requests do not need the slots.
+func (s *Set) BorrowRefusal(pool string, waited time.Duration, now time.Time) error {
 	if waited < BorrowAfter {
-		return false
+		return ErrTooEarly
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.active(pool)
 	if view := s.fleet[pool]; view != nil && view.idleSlots(now) > 0 {
-		return true
+		return nil
 	}
 	share, items := s.sumShares(list, now)
 	usage := s.borrowingUsage(pool, share, now)
 	switch {
 	case countBorrowed(list) > 0:
-		return false
+		return ErrBorrowsAlready
 	case waited >= StarvedAfter:
-		return true
+		return nil
 	case s.fullyUsed(pool, now):
-		return false
-	case items > 0:
-		return waited >= borrowWithOwnItems && usage < borrowReducedFrom
+		return ErrFullyUsed
+	case items > 0 && (waited < borrowWithOwnItems || usage >= borrowReducedFrom):
+		return ErrRunsOthers
+	case items == 0 && usage >= s.borrowLimit(pool, now):
+		return ErrNotInTurn
 	default:
-		return usage < s.borrowLimit(pool, now)
+		return nil
 	}
 }
 
