jobs: a test for a late item that never borrows a slot

Fails on this code: the first item of a lane that has waited 3 s and may not borrow closes the lane for all behind it.

--- a/internal/jobs/slots_test.go
+++ b/internal/jobs/slots_test.go
@@ -179,3 +179,30 @@
 		}
 	})
 }
+
+// TestRunner_LongestWaitDecidesOnBorrowing guards against an item that never gets a slot although it has
+// waited long enough to borrow one: it is late, so items that may not borrow yet are asked first, and
+// close the lane for all behind them.
+func TestRunner_LongestWaitDecidesOnBorrowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSlotSite(t, 1, nodeNames("n", 1), serverSlots("n", 2, 1))
+		site.eventTime = 100 * time.Millisecond
+		node := site.nodes[0]
+		site.owners.idle = []string{"n-01"}
+		site.run()
+		time.Sleep(time.Second)
+		site.submitAt(0, "backlog", 9)
+		time.Sleep(time.Second / 2)
+		late := submission("late", 1)
+		late.Completion = time.Millisecond
+		if err := node.Submit(t.Context(), late); err != nil {
+			t.Fatal(err)
+		}
+		site.runLoad(func(ctx context.Context) {
+			for number := 0; retry.Sleep(ctx, time.Second); number++ {
+				site.submitAt(0, fmt.Sprintf("young-%03d", number), 1)
+			}
+		})
+		site.awaitDone("late", backlogBound)
+	})
+}
--- a/internal/jobs/slotsite_test.go
+++ b/internal/jobs/slotsite_test.go
@@ -24,13 +24,15 @@
 type slotOwners struct {
 	regionFleet
 	refreshInterval time.Duration
+	// idle are nodes that have slots, run no items and report nothing.
+	idle []string
 }
 
 func (o *slotOwners) RefreshInterval() time.Duration { return o.refreshInterval }
 
 func (o *slotOwners) Places() []place.Node {
 	var nodes []place.Node
-	for _, node := range o.Nodes() {
+	for _, node := range append(o.Nodes(), o.idle...) {
 		nodes = append(nodes, place.Node{ID: node, Place: place.Place{Region: regionOf(node)}})
 	}
 	return nodes
