jobs: the item that has waited longest decides whether a lane may borrow

Cause: each pass asks about one item of a lane, the first by priority that has waited 3 s. One that is late comes last. Where a node runs other items an item may borrow after 15 s, where online requests need all slots after 30 s; younger items in front had waited for less, were refused, and closed the lane. Node-5's lines of job-1-9-item-7 show it for its whole wait: still_ms 45038 to 51197, borrow_error 'other items of this node run' or 'online requests need all slots', neither of which holds for an item of that age.

A refusal now closes the lane only for items that have waited no longer. Ruled out: no CPU (check_late_ms 0.3 to 78 in these seconds), an old view, cold or ejected replicas (waits_for room throughout).

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -42,14 +42,11 @@
 // tryBorrow looks for a slot outside this node's share, in the background, for an item that has
 // made no progress for long enough.
 func (r *Runner) tryBorrow(send pendingSend, pass *dispatchPass, now time.Time) {
-	if pass.borrowTried[send.lane] {
-		return
-	}
 	waited, due := r.borrowDue(send, now)
-	if !due || waited < replica.BorrowAfter {
+	if !due || waited < replica.BorrowAfter || waited <= pass.borrowWaits[send.lane] {
 		return
 	}
-	pass.borrowTried[send.lane] = true
+	pass.borrowWaits[send.lane] = waited
 	if err := r.Replicas.BorrowRefusal(send.pool, waited, now); err != nil {
 		r.updateBorrowState(send.lane, func(state *borrowState) { state.refuse(err, now) })
 		return
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -130,7 +130,7 @@
 		r.recordWaitAll(WaitRoutes)
 		return
 	}
-	pass := dispatchPass{freeSlots: map[string]int{}, slotCause: map[string]error{}, fullLanes: map[lane]error{}, borrowTried: map[lane]bool{}}
+	pass := dispatchPass{freeSlots: map[string]int{}, slotCause: map[string]error{}, fullLanes: map[lane]error{}, borrowWaits: map[lane]time.Duration{}}
 	for _, ready := range r.readyTasks(now) {
 		t := ready.task
 		if r.Service.View.timeUntil(t.owned.job.Expires) < 0 {
@@ -164,8 +164,9 @@
 	slotCause map[string]error
 	// fullLanes are the lanes where no replica accepts an item, with the reason.
 	fullLanes map[lane]error
-	// borrowTried are the lanes where an item has tried to borrow a slot.
-	borrowTried map[lane]bool
+	// borrowWaits is, by lane, the longest wait of an item that may not borrow a slot. An item that has
+	// waited for longer may still do so.
+	borrowWaits map[lane]time.Duration
 }
 
 // tryDispatch sends an item if a slot that it may use is free, and tries to borrow one if not.
