jobs: a test for items of a full region beside idle slots of another one

Nodes report idle slots in their own region alone, and where online requests need all of those, nothing is borrowed anywhere.

--- a/internal/jobs/slots_test.go
+++ b/internal/jobs/slots_test.go
@@ -206,3 +206,27 @@
 		site.awaitDone("late", backlogBound)
 	})
 }
+
+// TestRunner_ItemsUseIdleSlotsOfAnotherRegion guards against items that wait for longer than 5 s where online
+// requests need all slots of their own region, while slots of another region are idle.
+func TestRunner_ItemsUseIdleSlotsOfAnotherRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSlotSite(t, 1, append(nodeNames("n", 2), nodeNames("s", 2)...), map[string]int{"n-s0": 16, "s-s0": 16})
+		site.eventTime = 100 * time.Millisecond
+		site.run()
+		for i := range 20 {
+			site.runLoad(func(ctx context.Context) {
+				for retry.Sleep(ctx, time.Millisecond) {
+					site.nodes[2+i%2].runOnline(site.servers["s-s0"], 300*time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		watch := site.watchWaits(5 * time.Second)
+		site.submitAt(0, "j", 56)
+		site.awaitDone("j", backlogBound)
+		if violation := watch(); violation != "" {
+			t.Fatalf("an item waited for more than 5 s while a slot was free: %s", violation)
+		}
+	})
+}
