replica, jobs, node: items of a full region borrow idle slots of another one

Cause: nodes reported idle slots in their own region alone.

A node now reports its idle slots to one node of each other region each 100 ms, if it has some. Where its own region refuses, an item may after 3 s borrow there, as many at a time as such a node reports on average. Slots borrowed elsewhere count neither against the idle slots of the own region nor as ones to give back for its online requests.

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -47,7 +47,8 @@
 		return
 	}
 	pass.borrowWaits[send.lane] = waited
-	if err := r.Replicas.BorrowRefusal(send.pool, waited, now); err != nil {
+	scope, err := r.Replicas.MayBorrow(send.pool, waited, now)
+	if err != nil {
 		r.updateBorrowState(send.lane, func(state *borrowState) { state.refuse(err, now) })
 		return
 	}
@@ -62,7 +63,7 @@
 	criteria.Affinity = rand.Uint64()
 	r.updateBorrowState(send.lane, func(state *borrowState) { state.inProgress = true })
 	go func() {
-		err := r.borrowSlot(send, criteria)
+		err := r.borrowSlot(send, criteria, scope)
 		r.updateBorrowState(send.lane, func(state *borrowState) { state.record(err, clock.Now()) })
 	}()
 }
@@ -118,10 +119,12 @@
 
 // borrowSlot asks a few replicas, one after the other, for a slot, and sends the item there. The error
 // is that of the last replica of each region that was asked.
-func (r *Runner) borrowSlot(send pendingSend, criteria *replica.Criteria) error {
-	ownErr := r.borrowFrom(send, criteria, borrowTries, false)
-	if ownErr == nil {
-		return nil
+func (r *Runner) borrowSlot(send pendingSend, criteria *replica.Criteria, scope replica.BorrowScope) error {
+	var ownErr error
+	if scope == replica.AnyRegion {
+		if ownErr = r.borrowFrom(send, criteria, borrowTries, false); ownErr == nil {
+			return nil
+		}
 	}
 	remoteErr := r.borrowFrom(send, criteria, borrowRemoteTries, true)
 	if remoteErr == nil {
--- a/internal/jobs/lateitem_test.go
+++ b/internal/jobs/lateitem_test.go
@@ -308,7 +308,7 @@
 		send := pendingSend{lane: lane{pool: testPool}, task: waiting, target: batchTable().Match(testHost, "/batch/x")}
 		criteria := borrower.criteria(send)
 		criteria.Borrowed, criteria.Exclude = true, map[string]bool{}
-		if borrower.borrowSlot(send, criteria) == nil {
+		if borrower.borrowSlot(send, criteria, replica.AnyRegion) == nil {
 			t.Errorf("sent into a borrowed slot %v after the end", clock.Since(ended))
 		}
 	})
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -120,6 +120,7 @@
 	}
 	t.preempted = false
 	t.use, t.reservation, t.borrowed = use, reservation, criteria.Borrowed
+	t.elsewhere = criteria.Distance(chosen) == place.OtherRegion
 	t.starved = now.Sub(t.lastProgress) >= replica.StarvedAfter
 	ctx, cancel := context.WithCancelCause(t.owned.ctx)
 	t.replica, t.pool, t.cancel = chosen.ID, send.pool, cancel
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -92,6 +92,8 @@
 	reservation string
 	borrowed    bool
 	starved     bool
+	// elsewhere is set if the replica of the run is in another region.
+	elsewhere bool
 	// stalls counts the attempts in a row that stalled without a new event.
 	stalls int
 	// preempted is set once the run has been preempted.
--- a/internal/jobs/preempt.go
+++ b/internal/jobs/preempt.go
@@ -31,9 +31,10 @@
 	r.preempt(items, pressure, func(t *task) bool { return t.pool == pool && !t.borrowed && !r.Replicas.IsEvacuated(t.replica) })
 }
 
-// PreemptBorrowed cancels items in slots of a pool that are borrowed from other nodes.
+// PreemptBorrowed cancels items in slots of a pool that are borrowed from other nodes of this node's
+// region. Those of other regions leave for requests that wait at their replicas; see Preempt.
 func (r *Runner) PreemptBorrowed(pool string, items int, pressure replica.Pressure) {
-	r.preempt(items, pressure, func(t *task) bool { return t.pool == pool && t.borrowed })
+	r.preempt(items, pressure, func(t *task) bool { return t.pool == pool && t.borrowed && !t.elsewhere })
 }
 
 // preempt cancels items, except at-most-once items and those that were starved when they were sent:
--- a/internal/jobs/slotsite_test.go
+++ b/internal/jobs/slotsite_test.go
@@ -147,15 +147,23 @@
 			if demand.BorrowedExcess > 0 {
 				n.runner.PreemptBorrowed(demand.Pool, demand.BorrowedExcess, pressure)
 			}
-			for _, other := range n.site.randomPeers(n, 3) {
-				if delay := n.site.messageDelay(); delay >= 0 {
-					n.site.afterDelay(ctx, delay, func() { other.receiveDemand(demand) })
-				}
+			for _, other := range n.site.randomPeers(n, 3, true) {
+				n.site.deliver(ctx, func() { other.receiveDemand(demand) })
+			}
+			for _, other := range n.site.randomPeers(n, 1, false) {
+				n.site.deliver(ctx, func() { other.set.RecordIdleElsewhere(demand.Pool, demand.Idle, clock.Now()) })
 			}
 		}
 	}
 }
 
+// deliver delivers a message between nodes, unless it is lost.
+func (s *slotSite) deliver(ctx context.Context, receive func()) {
+	if delay := s.messageDelay(); delay >= 0 {
+		s.afterDelay(ctx, delay, receive)
+	}
+}
+
 // receiveDemand records the demand sent by another node.
 func (n *slotNode) receiveDemand(demand replica.PoolDemand) {
 	n.set.RecordDemand(demand.Pool, demand.Level, demand.Share, clock.Now())
@@ -186,14 +194,14 @@
 	return time.Duration(s.rng.Float64() * float64(s.maxMessageDelay))
 }
 
-// randomPeers returns up to count random other nodes of the same region.
-func (s *slotSite) randomPeers(self *slotNode, count int) []*slotNode {
+// randomPeers returns up to count random other nodes of the same region, or of other regions.
+func (s *slotSite) randomPeers(self *slotNode, count int, sameRegion bool) []*slotNode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var others []*slotNode
 	for _, at := range s.rng.Perm(len(s.nodes)) {
 		peer := s.nodes[at]
-		if peer != self && regionOf(peer.name) == regionOf(self.name) && len(others) < count {
+		if peer != self && (regionOf(peer.name) == regionOf(self.name)) == sameRegion && len(others) < count {
 			others = append(others, peer)
 		}
 	}
--- a/internal/node/gatewaydemand.go
+++ b/internal/node/gatewaydemand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,8 @@
 	// demandZoneFanout is how many of these are in the sender's zone: traffic to other zones may be
 	// billed, and slots are divided by zone first.
 	demandZoneFanout = 2
+	// idleFanout is the number of nodes of another region that get each report of idle slots.
+	idleFanout = 1
 	// maxDemandPools bounds the pools of one message, each of some 40 bytes.
 	maxDemandPools = 16
 )
@@ -37,6 +40,8 @@
 	// Idle is the number of slots that the node has for items and does not use, less those that its
 	// items have borrowed. It is 0 in reports of versions that do not send it.
 	Idle int `cbor:"4,keyasint,omitempty"`
+	// IdleElsewhere is Idle in reports to other regions. Versions that do not know it ignore it.
+	IdleElsewhere int `cbor:"5,keyasint,omitempty"`
 }
 
 // runDemand reports the demand of this node's online requests to other nodes, and preempts items in
@@ -46,6 +51,7 @@
 		reports := map[string][]demandReport{}
 		for _, demand := range g.replicas.UpdateDemand(clock.Now()) {
 			addDemand(reports, g.nodes.ownRegion(), demand)
+			addIdle(reports, g.nodes.otherRegions(), demand)
 			if demand.Excess > 0 {
 				g.runner.PreemptPool(demand.Pool, demand.Excess, replica.Pressure{Fleet: demand.FleetUsage})
 			}
@@ -60,10 +66,13 @@
 }
 
 // sendDemand sends reports to a few random nodes of a region. In the node's own region, most of
-// them are in its own zone.
+// them are in its own zone. One node of another region gets those of idle slots alone.
 func (g *Gateway) sendDemand(region string, reports []demandReport) {
 	fanout := demandFanout
-	if region == g.nodes.ownRegion() {
+	switch own := region == g.nodes.ownRegion(); {
+	case !own && !slices.ContainsFunc(reports, demandReport.hasDemand):
+		fanout = idleFanout
+	case own:
 		fanout -= g.sendToRandom(g.nodes.inOwnZone(), demandZoneFanout, peer.KindDemandReport, reports)
 	}
 	g.sendToRandom(g.nodes.inRegion(region), fanout, peer.KindDemandReport, reports)
@@ -83,6 +92,27 @@
 	}
 }
 
+// hasDemand reports whether a report is about the demand of online requests.
+func (r demandReport) hasDemand() bool { return r.Level > 0 || r.Share > 0 }
+
+// addIdle adds this node's idle slots of a pool to the reports for other regions, whose items may borrow
+// them.
+func addIdle(reports map[string][]demandReport, otherRegions []string, demand replica.PoolDemand) {
+	if demand.Idle <= 0 {
+		return
+	}
+	for _, region := range otherRegions {
+		regional := reports[region]
+		i := slices.IndexFunc(regional, func(report demandReport) bool { return report.Pool == demand.Pool })
+		switch {
+		case i >= 0:
+			regional[i].IdleElsewhere = demand.Idle
+		case len(regional) < maxDemandPools:
+			reports[region] = append(regional, demandReport{Pool: demand.Pool, IdleElsewhere: demand.Idle})
+		}
+	}
+}
+
 // handleDemandReports handles peer.KindDemandReport.
 func (g *Gateway) handleDemandReports(_ string, _ *net.UDPAddr, body []byte) {
 	var reports []demandReport
@@ -92,7 +122,10 @@
 	}
 	now := clock.Now()
 	for _, report := range reports[:min(len(reports), maxDemandPools)] {
-		g.replicas.RecordDemand(report.Pool, float64(report.Level), report.Share, now)
-		g.replicas.RecordIdle(report.Pool, float64(report.Idle), now)
+		g.replicas.RecordIdleElsewhere(report.Pool, report.IdleElsewhere, now)
+		if report.IdleElsewhere == 0 || report.hasDemand() {
+			g.replicas.RecordDemand(report.Pool, float64(report.Level), report.Share, now)
+			g.replicas.RecordIdle(report.Pool, float64(report.Idle), now)
+		}
 	}
 }
--- a/internal/node/nodeindex.go
+++ b/internal/node/nodeindex.go
@@ -43,6 +43,20 @@
 	return n.byRegion[region]
 }
 
+// otherRegions returns the regions of other nodes without this node's own; none if that is unknown.
+func (n *nodeIndex) otherRegions() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refresh()
+	var regions []string
+	for region := range n.byRegion {
+		if region != "" && n.ownPlace.Region != "" && region != n.ownPlace.Region {
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
+
 // inOwnZone returns the other nodes in this node's zone. The caller must not modify the slice.
 func (n *nodeIndex) inOwnZone() []string {
 	n.mu.Lock()
--- a/internal/node/nodeindex_test.go
+++ b/internal/node/nodeindex_test.go
@@ -37,6 +37,17 @@
 	if own := reports["north"]; len(own) != 1 || own[0].Level != 5 || own[0].Share != 8 {
 		t.Errorf("reports for the own region are %v", own)
 	}
+	addIdle(reports, []string{"south", "west"}, replica.PoolDemand{Pool: "p", Idle: 3})
+	if idle := reports["west"]; len(idle) != 1 || idle[0].IdleElsewhere != 3 || idle[0].hasDemand() {
+		t.Errorf("reports for a region without requests are %v, want 3 idle slots alone", idle)
+	}
+	if other := reports["south"]; len(other) != 1 || other[0].IdleElsewhere != 3 {
+		t.Errorf("reports for the region with guests are %v, want one with 3 idle slots", other)
+	}
+	addIdle(reports, []string{"east"}, replica.PoolDemand{Pool: "p", Idle: -1})
+	if len(reports["east"]) > 0 {
+		t.Errorf("reports without an idle slot are %v", reports["east"])
+	}
 	if other := reports["south"]; len(other) != 1 || other[0].Level != 2 || other[0].Share != 0 {
 		t.Errorf("reports for the other region are %v", other)
 	}
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -48,22 +48,27 @@
 	ErrNotInTurn      = errors.New("online requests need most slots, and other nodes have their turn to borrow")
 )
 
-// MayBorrow reports whether an item that has waited for a slot of this node may ask the replicas of a
-// pool for a slot of other nodes.
-func (s *Set) MayBorrow(pool string, waited time.Duration, now time.Time) bool {
-	return s.BorrowRefusal(pool, waited, now) == nil
-}
-
-// BorrowRefusal returns why an item that has waited for a slot of this node may not ask the replicas of
-// a pool for a slot of other nodes; nil if it may. It may if nodes report more idle slots than are
-// borrowed; without such a report, one item at a time may if online requests do not need the slots.
-func (s *Set) BorrowRefusal(pool string, waited time.Duration, now time.Time) error {
+// MayBorrow returns whether and where an item that has waited for a slot of this node may ask the
+// replicas of a pool for a slot of other nodes. It may if nodes report more idle slots than are borrowed;
+// without such a report, one item at a time may if online requests do not need the slots. The error says
+// why it may not.
+func (s *Set) MayBorrow(pool string, waited time.Duration, now time.Time) (BorrowScope, error) {
 	if waited < BorrowAfter {
-		return ErrTooEarly
+		return AnyRegion, ErrTooEarly
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.active(pool)
+	err := s.borrowRefusal(pool, list, waited, now)
+	if err != nil && s.mayBorrowElsewhere(pool, list, now) {
+		return OtherRegions, nil
+	}
+	return AnyRegion, err
+}
+
+// borrowRefusal returns why an item may not borrow a slot in any region; nil if it may. The caller holds
+// mu.
+func (s *Set) borrowRefusal(pool string, list []*entry, waited time.Duration, now time.Time) error {
 	if view := s.fleet[pool]; view != nil && view.idleSlots(now) > 0 {
 		return nil
 	}
@@ -126,16 +131,6 @@
 	}
 }
 
-// countStarved returns the number of items in borrowed slots that are exempt from preemption. The
-// caller holds the set's lock.
-func countStarved(list []*entry) int {
-	starved := 0
-	for _, e := range list {
-		starved += e.starved
-	}
-	return starved
-}
-
 // countBorrowed returns the number of items in borrowed slots. The caller holds the set's lock.
 func countBorrowed(list []*entry) int {
 	borrowed := 0
--- a/internal/replica/borrow_test.go
+++ b/internal/replica/borrow_test.go
@@ -21,11 +21,17 @@
 	return nil
 }
 
+// mayBorrow reports whether an item may borrow a slot in its own region.
+func mayBorrow(set *Set, waited time.Duration, now time.Time) bool {
+	scope, err := set.MayBorrow(testPool, waited, now)
+	return scope == AnyRegion && err == nil
+}
+
 var borrowedItem = RequestInfo{Batch: true, Borrowed: true, Reserved: true}
 
 func TestMayBorrow_OnlyAfterBorrowAfter(t *testing.T) {
 	set, now := newSetWithoutShare(t), time.Unix(1000, 0)
-	if set.MayBorrow(testPool, BorrowAfter-1, now) || !set.MayBorrow(testPool, BorrowAfter, now) {
+	if mayBorrow(set, BorrowAfter-1, now) || !mayBorrow(set, BorrowAfter, now) {
 		t.Fatalf("an item should be able to borrow after %v and not before", BorrowAfter)
 	}
 }
@@ -34,17 +40,17 @@
 func TestMayBorrow_OneAtATimeWithoutReports(t *testing.T) {
 	set, now := newSetWithoutShare(t), time.Unix(1000, 0)
 	use := set.Begin("r", borrowedItem, now)
-	if set.MayBorrow(testPool, time.Hour, now) {
+	if mayBorrow(set, time.Hour, now) {
 		t.Fatal("a second slot may be borrowed")
 	}
 	use.End(Succeeded, now)
-	if !set.MayBorrow(testPool, time.Hour, now) {
+	if !mayBorrow(set, time.Hour, now) {
 		t.Fatal("a slot counts as borrowed after its item completed")
 	}
 	use = set.Begin("r", borrowedItem, now)
 	use.MarkPreempted()
 	use.End(Abandoned, now)
-	if !set.MayBorrow(testPool, time.Hour, now) {
+	if !mayBorrow(set, time.Hour, now) {
 		t.Fatal("a slot counts as borrowed after its item was preempted")
 	}
 }
@@ -54,18 +60,18 @@
 	set.Begin("r", borrowedItem, now)
 	set.RecordDemand(testPool, 0, 2, now)
 	set.RecordIdle(testPool, 2, now)
-	if !set.MayBorrow(testPool, BorrowAfter, now) {
+	if !mayBorrow(set, BorrowAfter, now) {
 		t.Fatal("an item may not borrow although other nodes report idle slots")
 	}
 	if demands := set.UpdateDemand(now); demands[0].Idle != -1 {
 		t.Fatalf("Idle = %d with one borrowed slot, want -1", demands[0].Idle)
 	}
 	set.RecordIdle(testPool, -1, now)
-	if set.MayBorrow(testPool, BorrowAfter, now) {
+	if mayBorrow(set, BorrowAfter, now) {
 		t.Fatal("more slots may be borrowed than are idle")
 	}
 	set.RecordIdle(testPool, 5, now)
-	if set.MayBorrow(testPool, BorrowAfter, now.Add(2*fleetMaxAge)) {
+	if mayBorrow(set, BorrowAfter, now.Add(2*fleetMaxAge)) {
 		t.Fatal("an item may borrow because of expired reports")
 	}
 }
@@ -106,11 +112,11 @@
 	for range 4 {
 		set.Begin("r", RequestInfo{Batch: true}, now)
 	}
-	if set.MayBorrow(testPool, borrowWithOwnItems-1, now) || !set.MayBorrow(testPool, borrowWithOwnItems, now) {
+	if mayBorrow(set, borrowWithOwnItems-1, now) || !mayBorrow(set, borrowWithOwnItems, now) {
 		t.Fatalf("an item of a node with running items should be able to borrow after %v and not before", borrowWithOwnItems)
 	}
 	set.RecordDemand(testPool, 2, 4, now)
-	if set.MayBorrow(testPool, borrowWithOwnItems, now) {
+	if mayBorrow(set, borrowWithOwnItems, now) {
 		t.Fatal("a node with running items may borrow although half of the slots are needed")
 	}
 }
@@ -123,7 +129,7 @@
 		allowed, last, longestGap := 0, -1, 0
 		for period := range 200 {
 			set.RecordDemand(testPool, 100*needed, 100, now)
-			if set.MayBorrow(testPool, BorrowAfter, now) {
+			if mayBorrow(set, BorrowAfter, now) {
 				allowed, longestGap, last = allowed+1, max(longestGap, period-last), period
 			}
 			now = now.Add(borrowLimitPeriod)
@@ -142,7 +148,7 @@
 	set.Begin("r", borrowedItem, now)
 	for range 100 {
 		set.RecordDemand(testPool, 8, 4, now)
-		if set.MayBorrow(testPool, StarvedAfter-1, now) {
+		if mayBorrow(set, StarvedAfter-1, now) {
 			t.Fatal("an item may borrow although all slots are needed")
 		}
 		if excess := set.UpdateDemand(now)[0].BorrowedExcess; excess != 1 {
@@ -162,7 +168,7 @@
 	allowed := 0
 	for range 50 {
 		set.UpdateDemand(now)
-		if set.MayBorrow(testPool, BorrowAfter, now) {
+		if mayBorrow(set, BorrowAfter, now) {
 			allowed++
 		}
 		now = now.Add(borrowLimitPeriod)
@@ -180,13 +186,13 @@
 func TestMayBorrow_StarvedItemsKeepTheirSlots(t *testing.T) {
 	set, now := newSetWithoutShare(t), time.Unix(1000, 0)
 	set.RecordDemand(testPool, 8, 4, now)
-	if set.MayBorrow(testPool, StarvedAfter-1, now) || !set.MayBorrow(testPool, StarvedAfter, now) {
+	if mayBorrow(set, StarvedAfter-1, now) || !mayBorrow(set, StarvedAfter, now) {
 		t.Fatalf("a starved item should be able to borrow after %v and not before", StarvedAfter)
 	}
 	starved := borrowedItem
 	starved.Starved = true
 	use := set.Begin("r", starved, now)
-	if set.MayBorrow(testPool, StarvedAfter, now) {
+	if mayBorrow(set, StarvedAfter, now) {
 		t.Fatal("a second slot may be borrowed")
 	}
 	set.RecordDemand(testPool, 8, 4, now)
--- a/internal/replica/fleet.go
+++ b/internal/replica/fleet.go
@@ -84,7 +84,7 @@
 	FleetUsage float64
 	Excess     int
 	// Idle is the number of slots that this node has for items and does not use, less those that
-	// its items have borrowed. BorrowedExcess is the number of borrowed slots to release.
+	// its items have borrowed in its region. BorrowedExcess is the number of the latter to release.
 	Idle           int
 	BorrowedExcess int
 	// OtherRegions is the number of online requests in flight in each other region.
@@ -113,10 +113,10 @@
 		free := int(float64(share) - s.neededSlots(pool, share, now) + s.rounding(pool))
 		demand := PoolDemand{
 			Pool: pool, Level: level, Share: share, FleetUsage: s.fleetUsage(pool, now), Excess: min(items, items-free),
-			OtherRegions: s.openByRegion(list), Idle: max(0, free-items) - countBorrowed(list),
+			OtherRegions: s.openByRegion(list), Idle: max(0, free-items) - s.countBorrowedInRegion(list),
 		}
 		if s.fullyUsed(pool, now) {
-			demand.BorrowedExcess = countBorrowed(list) - countStarved(list)
+			demand.BorrowedExcess = s.countBorrowedInRegion(list) - s.countStarvedInRegion(list)
 		}
 		if view := s.fleet[pool]; view != nil {
 			view.idle += float64(demand.Idle)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -97,8 +97,9 @@
 	estimates map[string]*poolEstimates
 	// evacuated are the zones that operators evacuate.
 	evacuated map[string]bool
-	// fleet holds, by pool, the sums of what nodes reported.
-	fleet map[string]*fleetView
+	// fleet holds, by pool, the sums of what nodes reported, elsewhere the idle slots of other regions.
+	fleet     map[string]*fleetView
+	elsewhere map[string]*idleElsewhere
 	// outageEnd is when the last long outage of the store that lists replicas ended.
 	// pendingDelisted is set while there may be entries that were delisted around it.
 	outageEnd       time.Time
@@ -142,7 +143,7 @@
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{entries: map[string]*entry{}, unlisted: map[string]*entry{}, estimates: map[string]*poolEstimates{}, fleet: map[string]*fleetView{}, changed: make(chan struct{})}
+	return &Set{entries: map[string]*entry{}, unlisted: map[string]*entry{}, estimates: map[string]*poolEstimates{}, fleet: map[string]*fleetView{}, elsewhere: map[string]*idleElsewhere{}, changed: make(chan struct{})}
 }
 
 // Put adds or updates a listed replica. It reports whether the replica was not listed before. A replica
@@ -319,8 +320,7 @@
 }
 
 // allowed returns the entries that evacuations, the regions and the software version of the request
-// permit. The caller
-// holds mu.
+// permit. The caller holds mu.
 func (s *Set) allowed(list []*entry, criteria *Criteria) []*entry {
 	if criteria.Regions == nil && criteria.SoftwareVersion == nil && len(s.evacuated) == 0 {
 		return list
