--- a/internal/jobs/slots_test.go
+++ b/internal/jobs/slots_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -230,3 +231,30 @@
 		}
 	})
 }
+
+// TestRunner_HeldItemsLeaveBorrowingToOthers guards against items that borrow no slot because others of their
+// lane come first and must not be sent for a reason of their own, such as quarantine.
+func TestRunner_HeldItemsLeaveBorrowingToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := nodeNames("n", 10)
+		site := newSlotSite(t, 1, nodes, serverSlots("n", 1, 2))
+		held := submission("a-held", 20*len(nodes))
+		for i := range held.Items {
+			held.Items[i].Body = []byte("harmful")
+		}
+		sound := submission("b-sound", len(nodes))
+		sound.Completion, sound.Retention, held.Retention = time.Hour, time.Hour, time.Hour
+		for _, node := range site.nodes {
+			work := node.runner.itemRequest(&Job{Route: held.Route, Host: held.Host}, &held.Items[0]).Work()
+			node.runner.Quarantine = &countingQuarantine{interrupted: map[quarantine.Work]int{work: 3}}
+		}
+		site.run()
+		time.Sleep(time.Second)
+		for _, job := range []*Submission{held, sound} {
+			if err := site.nodes[0].Submit(t.Context(), job); err != nil {
+				t.Fatal(err)
+			}
+		}
+		site.awaitDone("b-sound", slotBound)
+	})
+}
