jobs: items that must not be sent leave borrowing to the others of their lane

A quarantined item rests for 1 s after it was looked at, passes come each 0.1 s, so some ten such items close a lane for good, and they come first since they wait the longest.

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -46,9 +46,9 @@
 	if !due || waited < replica.BorrowAfter || waited <= pass.borrowWaits[send.lane] {
 		return
 	}
-	pass.borrowWaits[send.lane] = waited
 	scope, err := r.Replicas.MayBorrow(send.pool, waited, now)
 	if err != nil {
+		pass.borrowWaits[send.lane] = waited
 		r.updateBorrowState(send.lane, func(state *borrowState) { state.refuse(err, now) })
 		return
 	}
