--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -92,6 +92,8 @@
 	reservation string
 	borrowed    bool
 	starved     bool
+	// elsewhere is set if the replica of the run is in another region.
+	elsewhere bool
 	// stalls counts the attempts in a row that stalled without a new event.
 	stalls int
 	// preempted is set once the run has been preempted.
@@ -112,6 +114,8 @@
 	wait      WaitReason
 	waitCause error
 	waitStart time.Time
+	// lane is the lane in which it last waited for a slot; zero if it never did.
+	lane lane
 	// lastProgress is when the item was assigned to this node, its answer last brought an event, or
 	// it got its outcome.
 	lastProgress time.Time
--- a/internal/jobs/slots_test.go
+++ b/internal/jobs/slots_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -179,3 +180,81 @@
 		}
 	})
 }
+
+// TestRunner_LongestWaitDecidesOnBorrowing guards against an item that never gets a slot although it has
+// waited long enough to borrow one: it is late, so items that may not borrow yet are asked first, and
+// close the lane for all behind them.
+func TestRunner_LongestWaitDecidesOnBorrowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSlotSite(t, 1, nodeNames("n", 1), serverSlots("n", 2, 1))
+		site.eventTime = 100 * time.Millisecond
+		node := site.nodes[0]
+		site.owners.idle = []string{"n-01"}
+		site.run()
+		time.Sleep(time.Second)
+		site.submitAt(0, "backlog", 9)
+		time.Sleep(time.Second / 2)
+		late := submission("late", 1)
+		late.Completion = time.Millisecond
+		if err := node.Submit(t.Context(), late); err != nil {
+			t.Fatal(err)
+		}
+		site.runLoad(func(ctx context.Context) {
+			for number := 0; retry.Sleep(ctx, time.Second); number++ {
+				site.submitAt(0, fmt.Sprintf("young-%03d", number), 1)
+			}
+		})
+		site.awaitDone("late", backlogBound)
+	})
+}
+
+// TestRunner_ItemsUseIdleSlotsOfAnotherRegion guards against items that wait for longer than 5 s where online
+// requests need all slots of their own region, while slots of another region are idle.
+func TestRunner_ItemsUseIdleSlotsOfAnotherRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		site := newSlotSite(t, 1, append(nodeNames("n", 2), nodeNames("s", 2)...), map[string]int{"n-s0": 16, "s-s0": 16})
+		site.eventTime = 100 * time.Millisecond
+		site.run()
+		for i := range 20 {
+			site.runLoad(func(ctx context.Context) {
+				for retry.Sleep(ctx, time.Millisecond) {
+					site.nodes[2+i%2].runOnline(site.servers["s-s0"], 300*time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		watch := site.watchWaits(5 * time.Second)
+		site.submitAt(0, "j", 56)
+		site.awaitDone("j", backlogBound)
+		if violation := watch(); violation != "" {
+			t.Fatalf("an item waited for more than 5 s while a slot was free: %s", violation)
+		}
+	})
+}
+
+// TestRunner_HeldItemsLeaveBorrowingToOthers guards against items that borrow no slot because others of their
+// lane come first and must not be sent for a reason of their own, such as quarantine.
+func TestRunner_HeldItemsLeaveBorrowingToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := nodeNames("n", 10)
+		site := newSlotSite(t, 1, nodes, serverSlots("n", 1, 2))
+		held := submission("a-held", 20*len(nodes))
+		for i := range held.Items {
+			held.Items[i].Body = []byte("harmful")
+		}
+		sound := submission("b-sound", len(nodes))
+		sound.Completion, sound.Retention, held.Retention = time.Hour, time.Hour, time.Hour
+		for _, node := range site.nodes {
+			work := node.runner.itemRequest(&Job{Route: held.Route, Host: held.Host}, &held.Items[0]).Work()
+			node.runner.Quarantine = &countingQuarantine{interrupted: map[quarantine.Work]int{work: 3}}
+		}
+		site.run()
+		time.Sleep(time.Second)
+		for _, job := range []*Submission{held, sound} {
+			if err := site.nodes[0].Submit(t.Context(), job); err != nil {
+				t.Fatal(err)
+			}
+		}
+		site.awaitDone("b-sound", slotBound)
+	})
+}
--- a/internal/replica/borrow.go
+++ b/internal/replica/borrow.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"math"
 	"time"
 )
@@ -38,32 +39,54 @@
 	goldenRatioFraction = 0.6180339887498949
 )
 
-// MayBorrow reports whether an item that has waited for a slot of this node may ask the replicas of a
-// pool for a slot of other nodes. It may if nodes report more idle slots than are borrowed; without
-// such a report, one item at a time may if online requests do not need the slots.
-func (s *Set) MayBorrow(pool string, waited time.Duration, now time.Time) bool {
+// Reasons why an item may not borrow a slot.
+var (
+	ErrTooEarly       = errors.New("the item has not waited long enough")
+	ErrBorrowsAlready = errors.New("an item is in a borrowed slot, and no idle ones are reported")
+	ErrFullyUsed      = errors.New("online requests are reported to need all slots")
+	ErrRunsOthers     = errors.New("other items of this node run, and no idle slots are reported")
+	ErrNotInTurn      = errors.New("online requests need most slots, and other nodes have their turn to borrow")
+)
+
+// MayBorrow returns whether and where an item that has waited for a slot of this node may ask the
+// replicas of a pool for a slot of other nodes. It may if nodes report more idle slots than are borrowed;
+// without such a report, one item at a time may if online requests do not need the slots. The error says
+// why it may not.
+func (s *Set) MayBorrow(pool string, waited time.Duration, now time.Time) (BorrowScope, error) {
 	if waited < BorrowAfter {
-		return false
+		return AnyRegion, ErrTooEarly
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.active(pool)
+	err := s.borrowRefusal(pool, list, waited, now)
+	if err != nil && s.mayBorrowElsewhere(pool, list, now) {
+		return OtherRegions, nil
+	}
+	return AnyRegion, err
+}
+
+// borrowRefusal returns why an item may not borrow a slot in any region; nil if it may. The caller holds
+// mu.
+func (s *Set) borrowRefusal(pool string, list []*entry, waited time.Duration, now time.Time) error {
 	if view := s.fleet[pool]; view != nil && view.idleSlots(now) > 0 {
-		return true
+		return nil
 	}
 	share, items := s.sumShares(list, now)
 	usage := s.borrowingUsage(pool, share, now)
 	switch {
 	case countBorrowed(list) > 0:
-		return false
+		return ErrBorrowsAlready
 	case waited >= StarvedAfter:
-		return true
+		return nil
 	case s.fullyUsed(pool, now):
-		return false
-	case items > 0:
-		return waited >= borrowWithOwnItems && usage < borrowReducedFrom
+		return ErrFullyUsed
+	case items > 0 && (waited < borrowWithOwnItems || usage >= borrowReducedFrom):
+		return ErrRunsOthers
+	case items == 0 && usage >= s.borrowLimit(pool, now):
+		return ErrNotInTurn
 	default:
-		return usage < s.borrowLimit(pool, now)
+		return nil
 	}
 }
 
@@ -108,16 +131,6 @@
 	}
 }
 
-// countStarved returns the number of items in borrowed slots that are exempt from preemption. The
-// caller holds the set's lock.
-func countStarved(list []*entry) int {
-	starved := 0
-	for _, e := range list {
-		starved += e.starved
-	}
-	return starved
-}
-
 // countBorrowed returns the number of items in borrowed slots. The caller holds the set's lock.
 func countBorrowed(list []*entry) int {
 	borrowed := 0
