logs tell which parts of prompts a trial tried when its replica crashed

A crash beside a trial could not be attributed from the logs: "replica crashed" named neither the run that was a trial nor the part it tried, and "trial begun" named one part of a group that cannot be told apart. Both lines now have them (tried_parts, group).

--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -96,12 +96,17 @@
 	works, answered := make([]string, len(report.Runs)), make([]bool, len(report.Runs))
 	ages := make([]int64, len(report.Runs))
 	parts := make([]string, len(report.Runs))
+	var tried []quarantine.Work
 	for i, run := range report.Runs {
 		works[i], answered[i], ages[i] = run.Work.String(), run.Answered, report.At.Sub(run.SentAt).Milliseconds()
 		parts[i] = joinWorks(run.Parts)
+		if run.TriedPart != (quarantine.Work{}) {
+			tried = append(tried, run.TriedPart)
+		}
 	}
 	c.log.Warn().Str("replica", report.Replica).Int64("born", report.StartedUnixMs).Int64("noticed_ms_ago", clock.Since(report.At).Milliseconds()).
-		Strs("works", works).Ints64("run_ms", ages).Bools("answered", answered).Strs("parts", parts).Msg("replica crashed while it ran work of this node")
+		Strs("works", works).Ints64("run_ms", ages).Bools("answered", answered).Strs("parts", parts).Str("tried_parts", joinWorks(tried)).
+		Msg("replica crashed while it ran work of this node")
 	c.quarantine.publisher.PublishCrash(report)
 }
 
@@ -141,7 +146,7 @@
 func (c *core) TrialBegun(verdict quarantine.Verdict) {
 	c.metrics.trials.WithLabelValues("begun").Inc()
 	c.log.Info().Stringer("work", verdict.Work).Strs("replicas", verdict.Replicas).Bool("part", verdict.Part).Int("failed_trials", verdict.FailedTrials).
-		Msg("trial of quarantined work begun")
+		Str("group", joinWorks(verdict.Group)).Msg("trial of quarantined work begun")
 }
 
 // ReplicaClaimed implements quarantine.Events.
