quarantine: a trial of a part that something else may have ended does not put off the next one

What callers saw: sound requests that share their first part with harmful ones were refused for 10 s and longer after a restart of all nodes, and so they were until a request of the first part got through.

Cause: every crash under a trial counted as a failed trial, although the request held, or its replica ran, something else that had crashed replicas.

Now a trial is unclear if a suspicious part outside the tried set or a whole request that never succeeded and was at two crashes ran on its replica, and if that holds for most of the crashes that count. One such trial does not put off the next one, which follows after a second.

The harmful part is sent more often than before because the first part no longer shields it.

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -85,17 +85,16 @@
 	crashes := l.countedCrashes(part, now, l.successes.at(part))
 	for _, c := range crashes {
 		verdict.addCrash(c)
-		if c.works[part].trial {
-			verdict.FailedTrials++
-			verdict.LastTrial = c.at
-		}
 	}
+	tried := []Work{part}
 	for _, culprit := range l.attribute(now) {
 		if slices.Contains(culprit.parts, part) {
 			verdict.Quarantined, verdict.Group = true, culprit.parts
 			verdict.Until = verdict.LastCrash.Add(l.window())
+			tried = culprit.parts
 		}
 	}
+	l.countPartTrials(&verdict, crashes, tried)
 	return verdict
 }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -79,6 +79,9 @@
 	// EarlyTrial is set if the next trial of a request follows sooner than after other failed trials,
 	// because something else may have ended one of them.
 	EarlyTrial bool
+	// UnclearTrials is the number of failed trials of a part that do not put off the next one, because
+	// something else may have crashed their replicas.
+	UnclearTrials int
 	// LastTrialShared is set if other suspects ran on the replica of the last trial.
 	LastTrialShared bool
 	// Limit is the number of crashes at which the work is quarantined.
@@ -118,7 +121,7 @@
 	if v.LastTrial.IsZero() {
 		return time.Time{}
 	}
-	failed := v.FailedTrials
+	failed := v.FailedTrials - v.UnclearTrials
 	if v.EarlyTrial {
 		// Harmful work gets its third trial earlier by this, but no more trials.
 		failed--
