quarantine: failing test, a trial waits 30 s for a request that does not come

What callers see: requests that share a refused first part are refused for up to 30 s though its trial is due.

A trial of a part waits for a request without another part that was at two crashes. While a part that all requests hold is refused no other part can succeed, so after some crashes each request holds one.

--- a/internal/quarantine/parttrial_test.go
+++ b/internal/quarantine/parttrial_test.go
@@ -107,3 +107,20 @@
 		t.Errorf("%d trials in the first ten minutes", trials)
 	}
 }
+
+// Guards against a part whose trials never begin: no request holds it without another part that was at some of
+// the crashes, and those parts cannot succeed as long as it is refused.
+func TestPartTrial_BeginsBesidePartsOfFewCrashes(t *testing.T) {
+	site := newPartSite(t)
+	for request := range 6 {
+		site.crash(request, []Work{first, bad}, []Work{first, work(fmt.Sprint("tool ", request%3))}, []Work{first})
+	}
+	site.crash(6, []Work{first})
+	tool := work("tool 0")
+	if !site.mayTryAfter(partTrialSoon, first, tool) {
+		t.Error("no request with a part that was at a third of the crashes is tried")
+	}
+	if site.mayTryAfter(partTrialSoon, first, bad) {
+		t.Error("a request with a part that explains almost all crashes is tried at once")
+	}
+}
