forward: the test of evenly asked replicas runs in made-up time

Seen: TestReserve_EquivalentReplicasAreAskedEvenly failed once in a package run beside load 40 to 87. Cause: its replicas have open requests that bring no data. If 0.3 s of real time pass between its set-up and its calls, those that have answered meanwhile are preferred, so the replicas are not equivalent any more: with a pause of 350 ms put in, one replica is asked in 120 of 120 calls, 5 of 5 runs. Checks and bounds are unchanged; no time passes in between now.

Ruled out: the order of equivalent replicas itself, 240 of 240 runs in real time beside load 11 are even.

--- a/internal/forward/reserve_test.go
+++ b/internal/forward/reserve_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -76,26 +77,29 @@
 // requests without a shared prefix: all nodes then asked the same few replicas, and the others
 // stayed idle if the full ones did not report it (soak --overcommit --seed 6005).
 func TestReserve_EquivalentReplicasAreAskedEvenly(t *testing.T) {
-	reserver := &scriptedReserver{answer: func(id string) (string, error) { return "slot-at-" + id, nil }}
-	forwarder := saturatedForwarder(t, answerAll(), reserver)
-	for _, candidate := range forwarder.Replicas.List(time.Now()) {
-		forwarder.Replicas.Begin(candidate.ID, replica.RequestInfo{}, time.Now()).Received(time.Now())
-	}
-	const calls = 120
-	for range calls {
-		if _, _, err := do(t, forwarder, routeOf(route.Stream, true, 2)); err != nil {
-			t.Fatal(err)
+	// In real time, replicas whose requests bring no data would become less preferred during the calls.
+	synctest.Test(t, func(t *testing.T) {
+		reserver := &scriptedReserver{answer: func(id string) (string, error) { return "slot-at-" + id, nil }}
+		forwarder := saturatedForwarder(t, answerAll(), reserver)
+		for _, candidate := range forwarder.Replicas.List(time.Now()) {
+			forwarder.Replicas.Begin(candidate.ID, replica.RequestInfo{}, time.Now()).Received(time.Now())
 		}
-	}
-	asked := map[string]int{}
-	for _, id := range reserver.asked {
-		asked[id]++
-	}
-	for id, count := range asked {
-		if count > calls/2 {
-			t.Errorf("%s was asked in %d of %d calls: %v", id, count, calls, asked)
+		const calls = 120
+		for range calls {
+			if _, _, err := do(t, forwarder, routeOf(route.Stream, true, 2)); err != nil {
+				t.Fatal(err)
+			}
 		}
-	}
+		asked := map[string]int{}
+		for _, id := range reserver.asked {
+			asked[id]++
+		}
+		for id, count := range asked {
+			if count > calls/2 {
+				t.Errorf("%s was asked in %d of %d calls: %v", id, count, calls, asked)
+			}
+		}
+	})
 }
 
 func TestReserve_FallsBackWithoutReservation(t *testing.T) {
