forward: a rejection for lack of time names the last refusal

Operators get that line in the log and cannot tell what the replicas answered. Cause: a request that has no time for another attempt after refusals returned the predicted wait alone; the paths that wait name the refusal. The test is right, and stays; TestDo_RejectionForLackOfTimeStatesReason brings the case about in made-up time and is red on the code before.

Status, Retry-After and outcome do not change: nothing looks for a refusal in the final error.

--- a/internal/forward/evacuate_test.go
+++ b/internal/forward/evacuate_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -53,3 +54,23 @@
 		t.Fatalf("the reason is missing: %v", err)
 	}
 }
+
+// Guards against a rejection whose log does not tell why, where the time that is left is too short for another
+// attempt: refusals were slow, and another replica could have been tried.
+func TestDo_RejectionForLackOfTimeStatesReason(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &scriptedBackend{answer: func(context.Context, *Attempt, int) (*Answer, error) {
+			time.Sleep(60 * time.Millisecond)
+			return nil, outcome.AsNotDone(ErrRefused)
+		}}
+		target := routeOf(route.Stream, true, 2)
+		target.Timeout = 100 * time.Millisecond
+		_, _, err := do(t, newForwarder(backend, 2), target)
+		if len(backend.sent) != 1 || !errors.Is(err, ErrBusy) || outcome.Of(err) != outcome.NotDone {
+			t.Fatalf("failed after %d attempts with %v", len(backend.sent), err)
+		}
+		if !errors.Is(err, ErrRefused) {
+			t.Errorf("the reason is missing: %v", err)
+		}
+	})
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -108,7 +108,9 @@
 	claim claimState
 	// retryTaken is set if the retry after the last attempt has been taken from the budget already.
 	retryTaken bool
-	// slowestRefusal is the longest duration of an attempt that did not run.
+	// lastRefusal is the error of the last attempt that did not run; nil if there was none.
+	lastRefusal error
+	// slowestRefusal is the longest duration of such an attempt.
 	slowestRefusal time.Duration
 }
 
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -82,12 +82,17 @@
 	return replicaTime >= minUsefulTime && c.timeLeft(now) >= c.minAttemptTime(chosen)
 }
 
-// outOfTimeError returns the error of a request that has no time for another attempt.
+// outOfTimeError returns the error of a request that has no time for another attempt, with the last refusal
+// if there was one.
 func (c *call) outOfTimeError(now time.Time) error {
-	if c.mayHaveRun {
+	switch {
+	case c.mayHaveRun:
 		return ErrTimeout
+	case c.lastRefusal != nil:
+		return fmt.Errorf("%w: %w", c.busyError(now), c.lastRefusal)
+	default:
+		return c.busyError(now)
 	}
-	return c.busyError(now)
 }
 
 // busyError returns the error of a request that found no capacity, with the predicted wait.
@@ -95,9 +100,10 @@
 	return &BusyError{PredictedWait: c.forwarder.Replicas.PredictAvailability(c.result.Pool, &c.criteria, now).Wait}
 }
 
-// recordRefusal records the duration of an attempt that did not run.
+// recordRefusal records an attempt that did not run, and its duration.
 func (c *call) recordRefusal(err error, took time.Duration) {
 	if outcome.Of(err) == outcome.NotDone {
+		c.lastRefusal = err
 		c.slowestRefusal = max(c.slowestRefusal, min(took, maxRefusalTime))
 	}
 }
