node: nodes send hellos and have contacts

Rename only, for a newcomer: the field's words in place of our own.

greeting -> hello greeter -> helloExchange greet -> send acquaintance, acquaintances -> contact, contacts KindGreeting -> KindHello

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -61,10 +61,10 @@
 	// broadcastLimiter bounds how often all nodes are notified of changed rows.
 	broadcastLimiter *rate.Limiter
 
-	// greeter is nil if peers is.
-	greeter *greeter
-	// acquaintances are nodes that the table need not name yet.
-	acquaintances acquaintances
+	// hellos is nil if peers is.
+	hellos *helloExchange
+	// contacts are nodes that the table need not name yet.
+	contacts contacts
 	// startedAt is when this node started.
 	startedAt time.Time
 
--- a/internal/node/gatewaypeers.go
+++ b/internal/node/gatewaypeers.go
@@ -36,7 +36,7 @@
 	g.handleColdGrants(socket)
 	g.handleTrials(socket)
 	g.handleStreamOrigins(socket)
-	g.greeter = g.handleGreetings(socket)
+	g.hellos = g.handleHellos(socket)
 	g.metrics.registerPeers(socket)
 	return g.listenBootstrap()
 }
@@ -52,7 +52,7 @@
 	g.spawn(func() { g.runProvenReports(ctx) })
 	g.spawn(func() { g.runBootstrap(ctx) })
 	g.spawn(func() { g.runCrashRequests(ctx) })
-	g.spawn(func() { g.greeter.run(ctx) })
+	g.spawn(func() { g.hellos.run(ctx) })
 	g.spawn(func() {
 		if err := g.peers.Run(); err != nil && !errors.Is(err, net.ErrClosed) {
 			g.log.Error().Err(err).Msg("socket for other nodes failed")
@@ -75,7 +75,7 @@
 func (g *Gateway) sendToNode(node string, kind peer.Kind, body any) {
 	address := g.roster.Address(node)
 	if address == "" {
-		address = g.acquaintances.address(node, clock.Now())
+		address = g.contacts.address(node, clock.Now())
 	}
 	if address == "" {
 		return
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -234,7 +234,7 @@
 			g.sendToNode(node, peer.KindCrashReport, query)
 		}
 	}
-	unlisted := g.acquaintances.unlisted(others, clock.Now())
+	unlisted := g.contacts.unlisted(others, clock.Now())
 	for _, known := range unlisted {
 		g.sendToAddress(lease.Node(known.session), known.address, peer.KindCrashReport, query)
 	}
--- a/internal/node/gatewaystarts.go
+++ b/internal/node/gatewaystarts.go
@@ -12,7 +12,7 @@
 // on. It is more than one because messages may be lost.
 const membersOnBehalf = 2
 
-// sendToUnlisted sends a message to the acquaintances that the table does not name. If this node knows no member
+// sendToUnlisted sends a message to the contacts that the table does not name. If this node knows no member
 // of the fleet by the table, some members among them send it on.
 func (g *Gateway) sendToUnlisted(message quarantineMessage) {
 	others := g.nodes.others()
@@ -21,7 +21,7 @@
 		onBehalf = membersOnBehalf
 	}
 	message.Forward = false
-	for _, known := range slices.Backward(g.acquaintances.unlisted(others, clock.Now())) {
+	for _, known := range slices.Backward(g.contacts.unlisted(others, clock.Now())) {
 		message.OnBehalf = known.joined && onBehalf > 0
 		if message.OnBehalf {
 			onBehalf--
@@ -31,10 +31,10 @@
 }
 
 // passOn sends what a message of a node reports on to those that its sender does not reach: to all if that one
-// asks for it, else to the acquaintances of this node that the table does not name.
+// asks for it, else to the contacts of this node that the table does not name.
 func (g *Gateway) passOn(from string, message quarantineMessage) {
 	message.Query = nil
-	if message.empty() || g.greeter == nil || !g.roster.Joined() {
+	if message.empty() || g.hellos == nil || !g.roster.Joined() {
 		return
 	}
 	if message.OnBehalf {
--- a/internal/node/gatewaytrial.go
+++ b/internal/node/gatewaytrial.go
@@ -78,13 +78,13 @@
 }
 
 // fleetSessions returns the live sessions including this node's own, and until this node has read the members of
-// the fleet also those of its acquaintances.
+// the fleet also those of its contacts.
 func (g *Gateway) fleetSessions() []string {
 	sessions := slices.Clone(g.owners.Live())
 	if g.roster.Joined() {
 		return sessions
 	}
-	for _, known := range g.acquaintances.unlisted(g.nodes.others(), clock.Now()) {
+	for _, known := range g.contacts.unlisted(g.nodes.others(), clock.Now()) {
 		if known.session != g.session.ID() {
 			sessions = append(sessions, known.session)
 		}
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -36,6 +36,6 @@
 	// KindStreamQuery asks a node where a stream began. KindStreamReply is the reply.
 	KindStreamQuery Kind = 15
 	KindStreamReply Kind = 16
-	// KindGreeting makes a node that starts known to one that it has not read of in the table.
-	KindGreeting Kind = 17
+	// KindHello makes a node that starts known to one that it has not read of in the table.
+	KindHello Kind = 17
 )
