--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -158,7 +158,7 @@
 		}
 		found := &candidate{part: part, crashes: l.countedCrashes(part, now, l.successes.at(part)), tried: tried, proven: !l.successes.at(part).IsZero()}
 		if found.proven && !found.tried {
-			found.crashes = slices.DeleteFunc(found.crashes, func(c *crash) bool { return l.hasSuspiciousPart(c) })
+			found.crashes = slices.DeleteFunc(found.crashes, func(c *crash) bool { return l.ranSuspiciousWork(c) })
 		}
 		candidates = append(candidates, found)
 	}
@@ -175,22 +175,22 @@
 	return false
 }
 
-// hasSuspiciousPart reports whether a part that never succeeded may have crashed the replica. The caller
-// holds mu.
-func (l *List) hasSuspiciousPart(c *crash) bool {
-	for part := range c.works {
-		if l.isSuspicious(part) {
+// ranSuspiciousWork reports whether work of this list that never succeeded may have crashed the replica. The
+// caller holds mu.
+func (l *List) ranSuspiciousWork(c *crash) bool {
+	for work := range c.works {
+		if l.isSuspicious(work) {
 			return true
 		}
 	}
 	return false
 }
 
-// isSuspicious reports whether a part may be the cause of crashes that count against others. The caller
+// isSuspicious reports whether work may be the cause of crashes that count against other work. The caller
 // holds mu.
-func (l *List) isSuspicious(part Work) bool {
-	s := l.suspects[part]
-	return s != nil && len(s.crashes) >= suspiciousCrashes && l.successes.at(part).IsZero()
+func (l *List) isSuspicious(work Work) bool {
+	s := l.suspects[work]
+	return s != nil && len(s.crashes) >= suspiciousCrashes && l.successes.at(work).IsZero()
 }
 
 // mayTry reports whether a request with the given parts may run as the trial that a verdict allows.
--- a/internal/quarantine/parttrial.go
+++ b/internal/quarantine/parttrial.go
@@ -49,14 +49,14 @@
 			return true
 		}
 	}
-	return l.WholeRequests.ranSuspicious(c)
+	return l.WholeRequests.ranSuspiciousAt(c)
 }
 
-// ranSuspicious reports whether a whole request that never succeeded and that was at several crashes ran on the
+// ranSuspiciousAt reports whether a whole request that never succeeded and that was at several crashes ran on the
 // replica of a crash that another list holds.
-func (l *List) ranSuspicious(other *crash) bool {
+func (l *List) ranSuspiciousAt(other *crash) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	own := l.sameCrash(other)
-	return own != nil && l.hasSuspiciousPart(own)
+	return own != nil && l.ranSuspiciousWork(own)
 }
