--- a/review/lab/extraanswer.go
+++ b/review/lab/extraanswer.go
@@ -17,7 +17,7 @@
 	extraShare = 0.03
 	extraTime  = 5 * time.Second
 	// replicas and disrupted are the numbers of replicas, and of those whose answers may come twice.
-	replicas, disrupted = 5, 3
+	replicas, disrupted = 10, 6
 	onceTimeout         = 4 * time.Second
 )
 
@@ -44,7 +44,7 @@
 	statuses := map[string]int{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	const waves, firstDisrupted, waveSize = 60, 10, 30
+	const waves, firstDisrupted, waveSize = 60, 10, 60
 	for wave := range waves {
 		if trouble && wave == firstDisrupted {
 			for _, r := range s.replicas[:disrupted] {
--- a/review/lab/site.go
+++ b/review/lab/site.go
@@ -81,8 +81,28 @@
 }
 
 func newSite(out io.Writer, directory string) *site {
+	s := &site{directory: directory, ip: "127.0.0.1", nodeIP: "127.0.0.1", nextPort: firstPort, began: time.Now(), out: out, store: standin.NewStore()}
+	// Cases that run at the same time have addresses of their own where the machine has more than one.
 	network := fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%200, 1+os.Getpid()/200%200)
-	return &site{directory: directory, ip: network + "2", nodeIP: network + "3", nextPort: firstPort, began: time.Now(), out: out, store: standin.NewStore()}
+	if isUsable(network+"2") && isUsable(network+"3") {
+		s.ip, s.nodeIP = network+"2", network+"3"
+	}
+	return s
+}
+
+// isUsable reports whether a loopback address can be listened on and reached.
+func isUsable(ip string) bool {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	conn, err := net.DialTimeout("tcp", listener.Addr().String(), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
 
 // record writes a line with the time since the start.
