--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # Needs target/wheelhoist, as the deploy file builds it, and review/build.sh.
 case_folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$case_folder/../.." || exit 2
-exec target/review-lab late-extra-answer "$case_folder"
+exec target/review-lab late-extra-answer "$case_folder/record.txt"
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -2,7 +2,7 @@
 // addresses, before the project's stand-in of the store and replicas of its own.
 //
 //	lab replica --id ID ...      one replica, a process of its own
-//	lab NAME DIRECTORY           one case; DIRECTORY gets record.txt
+//	lab NAME FILE                one case, with its record in FILE
 //
 // A case exits with 1 if its rule was broken, with 0 if it held, and with 2 if it could not run.
 package main
@@ -11,7 +11,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -38,7 +37,7 @@
 		os.Exit(runReplica(os.Args[2:]))
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab CASE DIRECTORY")
+		fmt.Fprintln(os.Stderr, "usage: lab CASE FILE")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(runCase(os.Args[1], os.Args[2]))
@@ -57,8 +56,8 @@
 	os.Exit(exitNotRun)
 }
 
-func runCase(name, directory string) int {
-	file, err := os.Create(filepath.Join(directory, "record.txt"))
+func runCase(name, record string) int {
+	file, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
