jobs: log writes of progress rows that keep failing

A write of a progress row is repeated until it is stored or the job changes, and nothing was logged until then.

Each write that has failed 8, 16, 32, ... times is now logged with its rows and the last error.

--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	// quota. It is longer than the interval between requested updates, which is 120 ms in fleets of
 	// up to 80 nodes, and short because the caller is to have an answer within about 600 ms.
 	updateTimeout = 150 * time.Millisecond
+	// minUnresolvedAttempts is the number of failed attempts at a write from which on it is reported.
+	minUnresolvedAttempts = 8
 )
 
 // Events receives what happens to jobs, for logs and metrics.
@@ -56,6 +59,9 @@
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
 	// Resolved reports the end of a write of a progress row that took more than one attempt.
 	Resolved(operation string, attempts int, err error)
+	// Unresolved reports a write of a progress row that keeps failing, with err as the last error and
+	// the number of other rows in the transaction. It is reported each time that the attempts double.
+	Unresolved(operation string, job string, attempts, rows int, err error)
 	Removed(job *Job, err error)
 	// Refreshed reports that a job was read from the table for a reader, because the view is so old
 	// that it may lack a result. With an error, the current state is unknown, and the reader gets
@@ -150,6 +156,9 @@
 			continue
 		}
 		foreign.record(err, extra, s.View.Unreadable)
+		if attempts >= minUnresolvedAttempts && isPowerOfTwo(attempts) {
+			s.Events.Unresolved(operation, id, attempts, len(extra), err)
+		}
 		if !retry.Sleep(ctx, delay) {
 			s.reportResolved(operation, attempts, err)
 			return Error.Wrap(outcome.AsUnknown(err))
@@ -158,6 +167,8 @@
 	}
 }
 
+func isPowerOfTwo(n int) bool { return bits.OnesCount(uint(n)) == 1 }
+
 func (s *Service) reportResolved(operation string, attempts int, err error) {
 	if attempts > 1 {
 		s.Events.Resolved(operation, attempts, err)
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -136,3 +136,8 @@
 func (l *jobLog) Resolved(operation string, attempts int, err error) {
 	l.log.Info().Str("operation", operation).Int("attempts", attempts).Err(err).Msg("write resolved")
 }
+
+// Unresolved implements jobs.Events.
+func (l *jobLog) Unresolved(operation, job string, attempts, rows int, err error) {
+	l.log.Warn().Str("operation", operation).Str("job", job).Int("attempts", attempts).Int("rows", rows).Err(err).Msg("write keeps failing")
+}
