table, jobs: transactions keep to the limits of the store, and a rejected one is not repeated

Cause: results that ended during the outage went into one transaction of up to 60, which with their conditions and the progress row has 122 entries; the store takes 100 and answers 400. That counted as an unknown outcome, so the same transaction was sent again without end, and all later results of the job stood behind it.

Ruled out: no answer, conflicts, takeover.

Fix: package table states what every service takes (50 writes, 680 KiB of bodies) and has an error for a call that is never accepted, which ends its repetition: results and checkpoints are sent in smaller transactions, a single refused result waits apart, a refused crash report is dropped with a log line, an acceptance is rejected, reads and objects are not repeated. It works since no call of a size that the store refuses is made, and one that is refused all the same is never sent again as it is. The stand-ins of the store, in tests and in the laboratory, have the published limits now.

A single result that is refused for good, and texts over 8 MiB, stay unlisted.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -87,6 +87,7 @@
 func (discardEvents) Refreshed(*jobs.Job, time.Duration, error)                      {}
 func (discardEvents) AwaitingRegion(*jobs.Job, place.Regions)                        {}
 func (discardEvents) Resolved(string, int, error)                                    {}
+func (discardEvents) CheckpointFailed(*jobs.Job, int, error)                         {}
 func (discardEvents) Unresolved(string, string, int, int, error)                     {}
 
 // testNode is a node that serves, feeds and runs batches until stop is called.
--- a/internal/inventory/observer.go
+++ b/internal/inventory/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 	// observeConcurrency bounds the number of concurrent queries to engines.
 	observeConcurrency = 64
 	// maxRowsPerWrite bounds the rows of one write.
-	maxRowsPerWrite = 40
+	maxRowsPerWrite = table.MaxWrites
 	callTimeout     = 3 * time.Second
 )
 
@@ -77,7 +78,10 @@
 		cancel()
 		if err != nil {
 			// The view has the current rows by the next pass.
-			o.Log.Debug().Err(err).Int("rows", len(batch)).Msg("replica entries not written")
+			o.Log.Warn().Err(err).Int("rows", len(batch)).Msg("replica entries not written")
+			if errors.Is(err, table.ErrRejected) {
+				continue
+			}
 			return
 		}
 	}
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -193,6 +193,8 @@
 			return err
 		case errors.Is(err, ErrUnreadable):
 			return s.unknownOutcome(adm, err)
+		case errors.Is(err, table.ErrRejected):
+			return s.admissionStopped(adm, err)
 		case errors.Is(err, table.ErrConflict):
 			backoff = adm.conflictBackoff()
 		default:
--- a/internal/jobs/checkpoint.go
+++ b/internal/jobs/checkpoint.go
@@ -15,8 +15,9 @@
 	checkpointInterval = 2 * time.Second
 	// minCheckpointEvents is the least progress of an item that is worth a write.
 	minCheckpointEvents = 20
-	// maxCheckpointRows bounds the texts of one write.
-	maxCheckpointRows = 20
+	// maxCheckpointRows and maxCheckpointBytes bound the texts of one write.
+	maxCheckpointRows  = 20
+	maxCheckpointBytes = 600 << 10
 )
 
 // RunCheckpoints saves the texts of unfinished items periodically, until the context ends, so that
@@ -56,7 +57,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
+		r.Service.Events.CheckpointFailed(owned.job, len(writes), err)
 		updateVersions(err, writes, saved)
+		if errors.Is(err, table.ErrRejected) && !owned.checkpointLimit.Reduce(len(writes)) {
+			// The text is tried again once it has grown, so that others get their turn.
+			saved[0].checkpointEvent = lastEvents[0]
+		}
 		return false
 	}
 	for i, t := range saved {
@@ -86,11 +92,16 @@
 	var writes []table.Write
 	var saved []*task
 	var lastEvents []int
+	size := 0
 	for _, t := range owned.tasks {
 		unlisted := t.state == taskWaiting || t.state == taskRunning
-		if !unlisted || t.softwareUncertain || t.lastEvent < t.checkpointEvent+minEvents || len(t.text) > maxRowText || len(writes) >= maxCheckpointRows {
+		if !unlisted || t.softwareUncertain || t.lastEvent < t.checkpointEvent+minEvents || len(t.text) > maxRowText {
 			continue
 		}
+		size += len(t.text)
+		if len(writes) >= owned.checkpointLimit.Apply(maxCheckpointRows) || size > maxCheckpointBytes {
+			break
+		}
 		body := encode(storedResult{Text: string(t.text), LastEvent: t.lastEvent, Software: t.software})
 		writes = append(writes, table.Write{Key: checkpointKey(owned.job.ID, t.index), Expect: t.checkpointVersion, Body: body})
 		saved = append(saved, t)
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -15,11 +15,14 @@
 )
 
 const (
-	// maxCommitRows and maxCommitBytes bound the results of one transaction.
-	maxCommitRows  = 60
+	// maxCommitRows and maxCommitBytes bound the results of one transaction, which also has the
+	// progress row.
+	maxCommitRows  = table.MaxWrites - 1
 	maxCommitBytes = 300 << 10
 	// commitRetryDelay is the pause before results that could not be listed are tried again.
 	commitRetryDelay = 250 * time.Millisecond
+	// rejectedRetryDelay is the pause before a single result that the store rejects is tried again.
+	rejectedRetryDelay = 10 * time.Second
 	// textPutTimeout bounds the tries to write the text of one result as an object. Results of the
 	// same job that finish meanwhile wait for it.
 	textPutTimeout = 2 * objectTimeout
@@ -42,6 +45,11 @@
 	t.setWait(WaitListing, nil)
 	t.lastProgress = clock.Now()
 	t.reason = reason
+	r.queueFinished(t)
+}
+
+// queueFinished queues a finished item to be listed. The caller holds mu.
+func (r *Runner) queueFinished(t *task) {
 	owned := t.owned
 	owned.finished = append(owned.finished, t)
 	if !owned.committing {
@@ -133,7 +141,7 @@
 	size := 0
 	for i, t := range o.finished {
 		size += len(t.text)
-		if i >= maxCommitRows || (i > 0 && size > maxCommitBytes) {
+		if i >= o.commitLimit.Apply(maxCommitRows) || (i > 0 && size > maxCommitBytes) {
 			return i
 		}
 	}
@@ -147,6 +155,7 @@
 	if err != nil {
 		r.Service.Events.ItemFailed(owned.job, "", "", err)
 	}
+	rejected := errors.Is(err, table.ErrRejected)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if errors.Is(err, ErrUnreadable) {
@@ -161,10 +170,26 @@
 		}
 		t.state = taskListed
 	}
+	if rejected && !owned.commitLimit.Reduce(len(failed)) {
+		r.deferRejected(failed[0])
+		return 0
+	}
 	owned.finished = append(owned.finished, failed...)
 	return len(failed)
 }
 
+// deferRejected queues an item whose result the store rejects once more after rejectedRetryDelay, so
+// that others are not delayed.
+func (r *Runner) deferRejected(t *task) {
+	time.AfterFunc(rejectedRetryDelay, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if t.owned.ctx.Err() == nil {
+			r.queueFinished(t)
+		}
+	})
+}
+
 // drop ends the work on a job at this node. The caller holds mu.
 func (r *Runner) drop(owned *ownedJob) {
 	owned.cancel()
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -9,6 +9,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
 // loadRetryDelay is the pause before a failed read of content is tried again; each try for missing
@@ -22,6 +23,8 @@
 	tasks      []*task
 	finished   []*task
 	committing bool
+	// commitLimit and checkpointLimit bound the transactions with results and with checkpoints.
+	commitLimit, checkpointLimit table.BatchLimit
 	// loading is set while items are read from the store. If that fails with loadErr, they are read
 	// again at loadAt.
 	loading bool
--- a/internal/jobs/remove.go
+++ b/internal/jobs/remove.go
@@ -8,7 +8,7 @@
 )
 
 // maxRemoveRows bounds the rows that one write removes.
-const maxRemoveRows = 50
+const maxRemoveRows = table.MaxWrites
 
 // Remove deletes a job from the table in one transaction with extra writes, whose conditions guard
 // it. The other rows and objects of the job are deleted afterwards; those that remain after an
--- a/internal/jobs/retrycall.go
+++ b/internal/jobs/retrycall.go
@@ -10,15 +10,15 @@
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
-// retryCall makes an idempotent call until it succeeds, finds nothing, or the context ends, and
-// returns the last error. timeout bounds one attempt, so that a hung connection is abandoned.
+// retryCall makes an idempotent call until it succeeds, finds nothing, is rejected for good, or the
+// context ends, and returns the last error. timeout bounds one attempt, so that a hung connection is abandoned.
 func retryCall(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
 	delay := retryDelay
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err := call(callCtx)
 		cancel()
-		if err == nil || notFound(err) || !retry.Sleep(ctx, delay) {
+		if err == nil || notFound(err) || errors.Is(err, table.ErrRejected) || !retry.Sleep(ctx, delay) {
 			return err
 		}
 		delay = min(2*delay, retryDelayMax)
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -79,6 +79,7 @@
 func (noEvents) Refreshed(*Job, time.Duration, error)                      {}
 func (noEvents) AwaitingRegion(*Job, place.Regions)                        {}
 func (noEvents) Resolved(operation string, attempts int, err error)        {}
+func (noEvents) CheckpointFailed(*Job, int, error)                         {}
 func (noEvents) Unresolved(string, string, int, int, error)                {}
 
 // testNode is a service with a view that follows a shared table.
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -57,6 +57,8 @@
 	// caused it. after is the id of the last event that the item received.
 	ItemPreempted(job *Job, item string, replica string, after int, pressure replica.Pressure)
 	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
+	// CheckpointFailed reports that the texts so far of a number of unfinished items were not saved.
+	CheckpointFailed(job *Job, items int, err error)
 	// Resolved reports the end of a write of a progress row that took more than one attempt.
 	Resolved(operation string, attempts int, err error)
 	// Unresolved reports a write of a progress row that keeps failing, with err as the last error and
@@ -122,7 +124,7 @@
 // update changes a job's progress row until the change is stored or no longer needed. change
 // returns further writes for the same transaction, or false if there is nothing to do. It is called
 // again whenever the row has a new version, so it also detects that an unanswered write of its own
-// was applied.
+// was applied. A transaction that the store rejects is not repeated; the error is ErrRejected.
 func (s *Service) update(ctx context.Context, id string, change func(*Progress) ([]table.Write, bool)) error {
 	delay := retryDelay
 	attempts := 0
@@ -152,6 +154,10 @@
 			s.reportResolved(operation, attempts, nil)
 			return nil
 		}
+		if errors.Is(err, table.ErrRejected) {
+			s.reportResolved(operation, attempts, err)
+			return Error.Wrap(err)
+		}
 		if s.applyConflict(err) && s.hasChanged(entry) {
 			continue
 		}
--- a/internal/lab/emulator/tablestore.go
+++ b/internal/lab/emulator/tablestore.go
@@ -208,7 +208,13 @@
 }
 type transactOutput struct{}
 
+// maxTransactItems is the documented limit of a transaction.
+const maxTransactItems = 100
+
 func (t *TableStore) transact(input transactInput) (transactOutput, error) {
+	if len(input.TransactItems) > maxTransactItems {
+		return transactOutput{}, tableError{kind: "ValidationException", message: "too many transaction items"}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fingerprint, err := json.Marshal(input)
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -119,6 +119,11 @@
 		Dur("took_ms", took).Msg("item listed")
 }
 
+// CheckpointFailed implements jobs.Events.
+func (l *jobLog) CheckpointFailed(job *jobs.Job, items int, err error) {
+	l.log.Warn().Str("job", job.ID).Int("items", items).Err(err).Msg("checkpoint not saved")
+}
+
 // Removed implements jobs.Events.
 func (l *jobLog) Removed(job *jobs.Job, err error) {
 	l.metrics.jobs.WithLabelValues("removed").Inc()
--- a/internal/quarantine/publisher.go
+++ b/internal/quarantine/publisher.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -24,7 +23,7 @@
 	// unavailable.
 	maxUnwritten = 1000
 	// rowsPerCommit bounds the rows of one transaction.
-	rowsPerCommit = 50
+	rowsPerCommit = table.MaxWrites
 	// sweepInterval is the time between two removals of expired rows.
 	sweepInterval = time.Minute
 	// successInterval is the time between two writes of successes of frequent work, successBatch
@@ -75,6 +74,8 @@
 	wake, wakeWriter chan struct{}
 	// reportsWritten counts the written crash rows, for their keys.
 	reportsWritten int
+	// writeLimit bounds the rows of a transaction.
+	writeLimit table.BatchLimit
 }
 
 // NewPublisher returns a Publisher without optional functions that sweeps no rows.
@@ -214,16 +215,23 @@
 }
 
 // write writes batch in transactions of up to rowsPerCommit rows, and removes what has been
-// written.
+// written, and a single row that the table rejects.
 func (p *Publisher) write(ctx context.Context, batch *Update) error {
 	for !batch.empty() {
-		reports := batch.Reports[:min(len(batch.Reports), rowsPerCommit)]
-		clearings := batch.Clearings[:min(len(batch.Clearings), rowsPerCommit-len(reports))]
+		most := p.writeLimit.Apply(rowsPerCommit)
+		reports := batch.Reports[:min(len(batch.Reports), most)]
+		clearings := batch.Clearings[:min(len(batch.Clearings), most-len(reports))]
 		writes, err := p.encode(reports, clearings)
 		if err != nil {
 			return err
 		}
-		if err := p.commit(ctx, writes); err != nil {
+		err = p.commit(ctx, writes)
+		if errors.Is(err, table.ErrRejected) {
+			p.reportError(err)
+			if p.writeLimit.Reduce(len(reports) + len(clearings)) {
+				continue
+			}
+		} else if err != nil {
 			return err
 		}
 		p.reportsWritten += len(reports)
@@ -310,7 +318,7 @@
 	if len(writes) == 0 {
 		return
 	}
-	if err := p.commit(ctx, writes); err != nil && outcome.Of(err) != outcome.NotDone {
+	if err := p.commit(ctx, writes); err != nil && !errors.Is(err, table.ErrConflict) {
 		// The next sweep retries.
 		p.reportError(err)
 	}
--- a/internal/quarantine/publisher_test.go
+++ b/internal/quarantine/publisher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,3 +129,39 @@
 		t.Error("a later success is not written")
 	}
 }
+
+// Guards against a crash report that the table never accepts and that keeps all later ones from being
+// written: a restart of all nodes would forget them.
+func TestPublisher_RejectedRowDelaysNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		service := tabletest.New()
+		guard, _, _ := newGuard(ConnectionRefused)
+		rows := &Rows{Partition: "g/q", Guard: guard}
+		rows.Apply(table.Changes{Now: time.Hour}, true)
+		publisher := NewPublisher(service, rows, func() string { return "session" })
+		service.CommitFault = func(writes []table.Write) tabletest.Fault {
+			for _, write := range writes {
+				if strings.Contains(write.Sort, "poison") {
+					return tabletest.Rejected
+				}
+			}
+			return tabletest.None
+		}
+		for _, replica := range []string{"a", "poison", "b", "c"} {
+			publisher.PublishCrash(CrashReport{Replica: replica, Runs: runsOf(time.Now(), work("w")), At: time.Now()})
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			publisher.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		written, err := service.List(t.Context(), "g/q", "", 10)
+		if err != nil || len(written) != 3 {
+			t.Errorf("%d of 3 rows written, %v", len(written), err)
+		}
+	})
+}
--- a/internal/table/dynamo.go
+++ b/internal/table/dynamo.go
@@ -13,6 +13,7 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go"
 
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 )
@@ -219,6 +220,9 @@
 	return parsed
 }
 
+// validationErrorCode is the error code of a call that is too large or invalid.
+const validationErrorCode = "ValidationException"
+
 // classify converts an error of the SDK to an error of this package with an outcome.
 func classify(err error) error {
 	if err == nil {
@@ -230,11 +234,14 @@
 	var throughput *types.ProvisionedThroughputExceededException
 	var limit *types.RequestLimitExceeded
 	var throttling *types.ThrottlingException
+	var api smithy.APIError
 	switch {
 	case errors.As(err, &canceled), errors.As(err, &conditional), errors.As(err, &conflict):
 		return Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w", ErrConflict, err)))
 	case errors.As(err, &throughput), errors.As(err, &limit), errors.As(err, &throttling):
 		return Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w", ErrThrottled, err)))
+	case errors.As(err, &api) && api.ErrorCode() == validationErrorCode:
+		return Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w", ErrRejected, err)))
 	case isDialError(err):
 		return Error.Wrap(outcome.AsNotDone(fmt.Errorf("%w: %w", ErrUnavailable, err)))
 	default:
--- a/internal/table/settle.go
+++ b/internal/table/settle.go
@@ -45,7 +45,7 @@
 		switch {
 		case err == nil:
 			return versions, nil
-		case outcome.Of(err) == outcome.NotDone && !resent:
+		case outcome.Of(err) == outcome.NotDone && !resent, errors.Is(err, ErrRejected):
 			return nil, err
 		case errors.Is(err, ErrConflict):
 			return resolveConflict(ctx, service, operation, writes, err)
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -83,14 +83,14 @@
 
 // Service is the table service. Implementations are safe for concurrent use.
 //
-// Errors of Commit carry an outcome (see package outcome): NotDone for ErrConflict and
-// ErrThrottled, unknown for a lost connection or a timeout.
+// Errors of Commit carry an outcome (see package outcome): NotDone for ErrConflict, ErrThrottled and
+// ErrRejected, unknown for a lost connection or a timeout.
 type Service interface {
 	// Get reads a row with strong consistency. It returns ErrNotFound if there is none.
 	Get(ctx context.Context, key Key) (Row, error)
 	// List reads up to limit rows of a partition with Sort > after, in order.
 	List(ctx context.Context, partition, after string, limit int) ([]Row, error)
-	// Commit applies all writes or none, and returns the versions of the rows in the order of
+	// Commit applies all writes or none (at most MaxWrites with MaxBodyBytes), and returns the versions of the rows in the order of
 	// writes. The operation ID makes a commit that is sent again idempotent, and is stored with
 	// every row that is put.
 	Commit(ctx context.Context, operation string, writes ...Write) ([]uint64, error)
--- a/internal/table/tabletest/tabletest.go
+++ b/internal/table/tabletest/tabletest.go
@@ -17,6 +17,9 @@
 // errLost is the error of a commit whose response is lost.
 var errLost = errors.New("answer lost")
 
+// errInjected is the cause of an injected rejection.
+var errInjected = errors.New("injected rejection")
+
 // Fault is an injected fault of a commit.
 type Fault int
 
@@ -32,6 +35,8 @@
 	// Late loses the response and applies the commit when ApplyLate is called, if its conditions
 	// still hold then.
 	Late
+	// Rejected rejects the commit for good, as a service with smaller limits does.
+	Rejected
 )
 
 // Table is an in-memory table.Service. All rows share one version counter, as in the platform's
@@ -111,6 +116,8 @@
 		fault = t.CommitFault(writes)
 	}
 	switch fault {
+	case Rejected:
+		return nil, table.Rejected(writes, errInjected)
 	case Down:
 		return nil, outcome.AsNotDone(table.ErrUnavailable)
 	case Throttled:
@@ -119,6 +126,9 @@
 		t.late = append(t.late, lateCommit{operation, writes})
 		return nil, outcome.AsUnknown(errLost)
 	}
+	if err := table.CheckSize(writes); err != nil {
+		return nil, err
+	}
 	versions, err := t.apply(operation, writes)
 	if fault == Lost {
 		return nil, outcome.AsUnknown(errLost)
