platform: a response proves nothing about other requests than its own

Cause: a response was judged by status 421 or the header that says 'not run' before its request id was compared, so the refusal of an earlier request, sent once more in place of the next answer, proved that the next request had not run. Besides, the connection was kept where the response had no body, so each request on it got the response of the one before.

Ruled out: a retry by the HTTP transport, which cannot repeat the body; a retry after an unknown outcome (the log says ran: no).

The due answer behind the extra one is not waited for, so such a request ends with 502.

--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -47,6 +47,7 @@
 		"whole": standin.Succeed, "cut in an event": standin.TruncateEvent, "response lost": standin.DropResponse,
 		"shed": standin.Refuse, "address taken over": standin.Misdirect, "response of another request": standin.SwapRequestID,
 		"unsigned bytes": standin.OmitSignature, "failed run": standin.Fail, "silent": standin.Hang,
+		"refusal of another request": standin.RepeatRefusal,
 	}
 	for name, behaviour := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -65,13 +66,17 @@
 }
 
 func TestGateway_StreamThatMayNotResumeRunsOnce(t *testing.T) {
-	site := newGatewaySite(t, 2)
-	site.configure(2, "once")
-	gateway := site.start("a")
-	site.setBehaviour(standin.DropResponse, 100)
-	status, _, _ := site.call(gateway, http.MethodPost, "/once/x", "q", nil)
-	if runs := len(site.servers[0].Runs()) + len(site.servers[1].Runs()); status != http.StatusBadGateway || runs != 1 {
-		t.Fatalf("status %d after %d runs, want 502 after one", status, runs)
+	for name, behaviour := range map[string]standin.Behaviour{"response lost": standin.DropResponse, "refusal of another request": standin.RepeatRefusal} {
+		t.Run(name, func(t *testing.T) {
+			site := newGatewaySite(t, 2)
+			site.configure(2, "once")
+			gateway := site.start("a")
+			site.setBehaviour(behaviour, 100)
+			status, _, _ := site.call(gateway, http.MethodPost, "/once/x", "q", nil)
+			if runs := len(site.servers[0].Runs()) + len(site.servers[1].Runs()); status != http.StatusBadGateway || runs != 1 {
+				t.Fatalf("status %d after %d runs, want 502 after one", status, runs)
+			}
+		})
 	}
 }
 
