jobs, quarantine: items under which replicas crashed are owed, and are never held for it

Cause: an item was suspected of crashing replicas as a request is. From the third crash on it was held, and tried every 5 s; the third trial that met a crash put the next one off by 12 minutes, then an hour, and the product's own interface ended it. Items were held as well while a part of their prompt was refused, up to 12 hours, and shared the blame for crashes with requests that ran beside them.

Evidence: TestRunner_ItemIsSentAgainHoweverManyReplicasCrashed (made-up time, real guard) on the code before: sent again at once after one crash, 5.05 s after each crash from the third on, not at all within its time after the fifth (6 and 7 crashes) or sixth (30); TestRunner_ItemNeitherExcusesARequestNorIsHeldForIt red too. Both green now; so are packages jobs, forward, batch, node and, but for the listed test, quarantine.

Fix: an item is never held, tried, claimed for, suspected or counted beside a request. After an interrupted run without an event it is sent elsewhere after 20 ms, doubled up to 1 s. Requests and parts are held as before: their tests are unchanged. Successes of items still clear parts.

TestRunner_HeldItemsLeaveBorrowingToOthers holds items by a start mark, at each of its ten nodes; with the slot looked for before the item it is red.

An item that does crash replicas would end one a second until it expires.

--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -19,12 +19,16 @@
 const (
 	// refusedBackoff is the pause after a replica refused for lack of a free slot.
 	refusedBackoff = 60 * time.Millisecond
-	// interruptedBackoff is the pause after an answer was interrupted.
-	interruptedBackoff = 20 * time.Millisecond
+	// interruptedBackoff is the pause after an answer was interrupted. It doubles with each further
+	// interruption without a new event, up to maxInterruptedBackoff.
+	interruptedBackoff    = 20 * time.Millisecond
+	maxInterruptedBackoff = time.Second
 	// failedBackoff is the pause after a replica reported a failed run.
 	failedBackoff = 150 * time.Millisecond
 	// maxInvalidAnswers is the number of permanent rejections after which an item is dead.
 	maxInvalidAnswers = 1
+	// maxBackoffDoublings suffices to reach maxInterruptedBackoff.
+	maxBackoffDoublings = 10
 )
 
 // errItemFailed reports a run that the replica itself reported as failed.
@@ -36,20 +40,21 @@
 // runAttempt sends an item to a replica, collects its answer and handles the result.
 func (r *Runner) runAttempt(ctx context.Context, t *task, item *Item, target *route.Route, chosen replica.Info, use *replica.Use) {
 	defer t.cancel(nil)
-	r.claimForTrial(t, item, chosen.ID)
 	r.Service.Events.ItemSent(t.owned.job, item.ID, chosen.ID, t.lastEvent)
 	start, resumedAfter := clock.Now(), t.lastEvent
 	err := r.exchangeItem(ctx, t, item, chosen, use)
 	r.recordRun(t, resumedAfter, clock.Since(start), err)
 	use.End(replicaResult(t.owned.ctx, err), clock.Now())
-	r.reportToQuarantine(t.owned.ctx, t, item, chosen, start, resumedAfter, err)
+	if err == nil {
+		r.recordPartSuccess(t, item, chosen.Pool)
+	}
 	if err != nil && t.owned.ctx.Err() == nil && !errors.Is(err, errPreempted) {
 		r.Service.Events.ItemFailed(t.owned.job, item.ID, chosen.ID, err)
 	}
 	if err != nil && t.lastEvent > resumedAfter && t.owned.ctx.Err() == nil {
 		r.confirmSoftware(t, use)
 	}
-	r.handleResult(t, target, chosen, err)
+	r.handleResult(t, target, chosen, resumedAfter, err)
 	r.wake()
 }
 
@@ -73,7 +78,8 @@
 }
 
 // handleResult decides how an item continues after an attempt.
-func (r *Runner) handleResult(t *task, target *route.Route, chosen replica.Info, err error) {
+// The attempt resumed after event resumedAfter.
+func (r *Runner) handleResult(t *task, target *route.Route, chosen replica.Info, resumedAfter int, err error) {
 	if err == nil {
 		r.finish(t, "")
 		return
@@ -85,6 +91,9 @@
 	r.mu.Lock()
 	t.state = taskWaiting
 	t.setWait(WaitBackoff, err)
+	if t.lastEvent > resumedAfter {
+		t.interruptions = 0
+	}
 	backoff := interruptedBackoff
 	switch {
 	case errors.Is(err, errItemInvalid):
@@ -99,6 +108,7 @@
 		backoff = refusedBackoff
 		t.excluded[chosen.Incarnation()] = true
 	default:
+		backoff = t.nextInterruptedBackoff()
 		t.excluded[chosen.Incarnation()] = true
 	}
 	t.notBefore = clock.Now().Add(backoff)
@@ -109,6 +119,14 @@
 	}
 }
 
+// nextInterruptedBackoff returns the pause after an interrupted answer. The caller holds the runner's
+// lock.
+func (t *task) nextInterruptedBackoff() time.Duration {
+	backoff := min(interruptedBackoff<<min(t.interruptions, maxBackoffDoublings), maxInterruptedBackoff)
+	t.interruptions++
+	return backoff
+}
+
 // deadReason returns why an item is dead; empty if it may be sent again. The caller holds the
 // runner's lock.
 func (t *task) deadReason(maxAttempts int) Reason {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -215,7 +215,7 @@
 	Failed Reason = "failed"
 	// Undecided items may run only once and may have run.
 	Undecided Reason = "undecided"
-	// Quarantined items crashed the replicas that ran them.
+	// Quarantined items crashed the replicas that ran them. Only earlier versions ended items so.
 	Quarantined Reason = "quarantined"
 )
 
--- a/internal/jobs/launch.go
+++ b/internal/jobs/launch.go
@@ -66,9 +66,6 @@
 	if r.holdUnchecked(t, now) {
 		return false
 	}
-	if r.holdQuarantined(t, send.item(), send.pool, now) {
-		return false
-	}
 	if r.needsStartMark(t) {
 		r.recordWait(t, WaitStartMark, nil)
 		r.markStarted(t.owned)
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
-	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
@@ -105,14 +104,8 @@
 	checkpointVersion uint64
 	// checkpointEvent is the id of the last event in that checkpoint.
 	checkpointEvent int
-	// workID is the quarantine identity of the item; nil until it is needed.
-	workID *quarantine.Work
-	// quarantined is set while the item is known to be quarantined.
-	quarantined bool
-	// trial is set while the item may run although it is quarantined.
-	trial bool
-	// triedPart is the quarantined part of its prompt of which the item runs as a trial; zero if none.
-	triedPart quarantine.Work
+	// interruptions counts the interrupted answers in a row without a new event.
+	interruptions int
 	// wait is what the item waits for, waitCause the error behind it, waitStart when it began.
 	wait      WaitReason
 	waitCause error
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -57,13 +57,10 @@
 	CommitInterval time.Duration
 	// ViewAge returns the time since the view's source last answered.
 	ViewAge func() time.Duration
-	// Quarantine, if set, prevents items that crashed replicas from being sent to others.
+	// Quarantine, if set, names the replicas on which trials of requests run.
 	Quarantine Quarantine
 	// DescribePrompt, if set, returns the prompt that an item's headers describe.
 	DescribePrompt func(http.Header) route.Prompt
-	// EndQuarantined ends such items once a trial has failed. Otherwise they wait until they expire,
-	// for callers who rely on items not ending for another reason.
-	EndQuarantined bool
 }
 
 // Runner runs the items of the jobs that this node owns. It is safe for concurrent use.
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -51,8 +51,6 @@
 	// ItemSent reports an attempt at an item that resumes after the event with id after.
 	ItemSent(job *Job, item string, replica string, after int)
 	ItemFailed(job *Job, item string, replica string, err error)
-	// ItemQuarantined reports an item that is not sent because it crashed replicas.
-	ItemQuarantined(job *Job, item string, err error)
 	// ItemPreempted reports an item that is preempted by online requests, with the pressure that
 	// caused it. after is the id of the last event that the item received.
 	ItemPreempted(job *Job, item string, replica string, after int, pressure replica.Pressure)
--- a/internal/jobs/waits.go
+++ b/internal/jobs/waits.go
@@ -28,8 +28,6 @@
 	WaitSlot
 	// WaitReplica items wait for a replica that accepts them.
 	WaitReplica
-	// WaitQuarantine items crashed replicas, and wait for a trial or until they expire.
-	WaitQuarantine
 	// WaitStartMark items may run only once, and wait to be marked as started.
 	WaitStartMark
 	// WaitRelease items wait for this node to release their job.
@@ -51,7 +49,7 @@
 // String returns the name used in logs and metrics.
 func (w WaitReason) String() string {
 	names := [waitKinds]string{
-		"look", "pause", "view", "routes", "route", "room", "replica", "quarantine", "mark", "hand-back", "answer", "listing", "content",
+		"look", "pause", "view", "routes", "route", "room", "replica", "mark", "hand-back", "answer", "listing", "content",
 		"owner", "home",
 	}
 	if w >= waitKinds {
@@ -168,7 +166,7 @@
 		return 2 * time.Second
 	case WaitStartMark, WaitListing, WaitContent:
 		return 5 * time.Second
-	case WaitRoute, WaitQuarantine, WaitRegion:
+	case WaitRoute, WaitRegion:
 		return neverOverdue
 	default:
 		return maxStall
@@ -185,7 +183,7 @@
 // nodes and replicas alone.
 func (w *ItemWait) waitsForDispatch() bool {
 	switch w.Reason {
-	case WaitAnswer, WaitListing, WaitRoute, WaitQuarantine, WaitRegion, WaitOwner:
+	case WaitAnswer, WaitListing, WaitRoute, WaitRegion, WaitOwner:
 		return false
 	default:
 		return true
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -68,8 +68,6 @@
 	quarantine     settings.Quarantine
 	// describePrompt, if set, returns the prompt that an item's headers describe.
 	describePrompt func(http.Header) route.Prompt
-	// endQuarantined makes quarantined items end. Otherwise they wait until they expire.
-	endQuarantined bool
 }
 
 // sessionView is a view of all nodes' sessions.
@@ -146,7 +144,7 @@
 	c.runner = jobs.NewRunner(jobs.RunnerOptions{
 		Service: c.jobs, Replicas: c.replicas, Backend: deps.backend, Routes: c.routes.Load, Owners: c.owners,
 		Weights: deps.weights, Zone: deps.zone, Region: deps.region, ViewAge: c.viewAge, CommitInterval: deps.commitInterval,
-		Quarantine: &c.quarantine.guard, DescribePrompt: deps.describePrompt, EndQuarantined: deps.endQuarantined,
+		Quarantine: &c.quarantine.guard, DescribePrompt: deps.describePrompt,
 	})
 	c.replicas.OnPressure = c.runner.Preempt
 	return c
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -85,12 +85,6 @@
 	l.log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Msg("item attempt failed")
 }
 
-// ItemQuarantined implements jobs.Events.
-func (l *jobLog) ItemQuarantined(job *jobs.Job, item string, err error) {
-	l.metrics.items.WithLabelValues("quarantined").Inc()
-	l.log.Warn().Str("job", job.ID).Str("item", item).Err(err).Msg("item quarantined")
-}
-
 // ItemPreempted implements jobs.Events.
 func (l *jobLog) ItemPreempted(job *jobs.Job, item, id string, after int, pressure replica.Pressure) {
 	label := "arrival"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 	n.core = newCore(log, newCoreMetrics(), dependencies{
 		id: n.settings.Node.ID, zone: n.settings.Node.Zone, table: n.table, objects: objects,
 		backend: engine.NewBackend(n.engines), jobFeed: n.feed(jobs.Group, jobPartitions()),
-		timing: fastTiming(), sessions: func(*lease.Session) sessionView { return n.sessions }, weights: servingWeights(), commitInterval: commitInterval, quarantine: n.settings.Quarantine, endQuarantined: true,
+		timing: fastTiming(), sessions: func(*lease.Session) sessionView { return n.sessions }, weights: servingWeights(), commitInterval: commitInterval, quarantine: n.settings.Quarantine,
 	})
 	n.zoneOf = n.machines.zone
 	n.heads.Interval = n.pollInterval
--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
@@ -175,14 +174,6 @@
 	return g.List.mayClaim(claim, claim.At)
 }
 
-// ClaimForItem claims a replica for the trial of an item, which starts at once and asks no other node.
-func (g *Guard) ClaimForItem(work Work, replica string) {
-	claim := ReplicaClaim{Trial: Trial{Work: work, ID: rand.Uint64()}, Replica: replica, At: clock.Now()}
-	if g.List.ClaimReplica(claim, claim.At) {
-		g.Events.ReplicaClaimed(claim)
-	}
-}
-
 // ClaimedReplicas returns the ids of the replicas to which others should be preferred, because trials have
 // claimed them; nil if there are none.
 func (g *Guard) ClaimedReplicas() map[string]bool { return g.List.ClaimedReplicas(clock.Now()) }
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,9 +73,7 @@
 
 // crashReport returns the report of a crash during the given runs.
 func (r *Replica) crashReport(runs []Run, at time.Time) CrashReport {
-	parts := partRuns(runs)
-	whole := slices.DeleteFunc(slices.Clone(runs), func(run Run) bool { return run.PartsOnly })
-	return CrashReport{Replica: r.ID, StartedUnixMs: r.StartedUnixMs, Runs: whole, Parts: parts, At: at}
+	return CrashReport{Replica: r.ID, StartedUnixMs: r.StartedUnixMs, Runs: runs, Parts: partRuns(runs), At: at}
 }
 
 // Replicas provides the state of replicas. Implementations must be safe for concurrent use.
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -36,27 +35,6 @@
 	return g.awaitTrial(ctx, refusal, func(now time.Time) Verdict { return g.checkParts(held, now) })
 }
 
-// RefuseItemParts is like RefuseParts, for an item, which can wait. Of the nodes that hold such items only
-// the one that owns the trials of the part tries one of them: tried is then the part, and zero
-// otherwise.
-func (g *Guard) RefuseItemParts(parts func() []Work) (tried Work, err error) {
-	if g.Parts == nil || !g.Parts.AnyQuarantined() {
-		return Work{}, nil
-	}
-	now := clock.Now()
-	held := parts()
-	verdict := g.checkParts(held, now)
-	if !verdict.Quarantined {
-		return Work{}, nil
-	}
-	mayTry := g.Parts.mayTry(&verdict, held, now) && verdict.RequestTrialDue(now) && now.Sub(verdict.LastCrash) >= itemTrialDelay
-	if mayTry && g.Trials != nil && g.Trials.Owns(verdict.Work) && g.BeginTrial(Trial{Work: verdict.Work, ID: rand.Uint64()}, now) {
-		g.Events.TrialBegun(verdict)
-		return verdict.Work, nil
-	}
-	return Work{}, &RefusalError{Verdict: verdict}
-}
-
 // checkParts returns the verdict on a request with the given parts.
 func (g *Guard) checkParts(parts []Work, now time.Time) Verdict {
 	verdict := g.Parts.CheckParts(parts, now)
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -24,8 +24,6 @@
 	// was a trial; zero if none.
 	Trial     bool
 	TriedPart Work
-	// PartsOnly is set if the run says nothing about Work, but about Parts.
-	PartsOnly bool
 	// Parts identifies the parts of the prompt that other requests may hold too.
 	Parts []Work
 	// Answered is set if the header of the answer had arrived; only the node that sent the run
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// itemTrialDelay is the time from the newest crash to a trial of an item; a short series of
-	// unrelated crashes is over by then, and an item can wait.
-	itemTrialDelay = 5 * time.Second
 	// repeatedTrialDelay is the least time between two trials of a request.
 	repeatedTrialDelay = time.Second
 	// maxTrialSpread bounds the time that is added to the delay after a trial beside other suspects.
@@ -36,9 +33,6 @@
 // minutes and four in DefaultWindow, after which its first crashes no longer count.
 var requestTrialDelays = []time.Duration{0, repeatedTrialDelay, 10 * time.Second, 12 * time.Minute, time.Hour}
 
-// itemTrialDelays are the corresponding times for items.
-var itemTrialDelays = []time.Duration{itemTrialDelay, itemTrialDelay, itemTrialDelay, 12 * time.Minute, time.Hour}
-
 // partTrialDelays are the corresponding times for parts of prompts. The first trial follows at once, and two
 // more within the first hour. Trials are rare after that, because requests with the part keep coming
 // from many callers. The longest delay is shorter than partWindow, so that a failed trial keeps the part
@@ -97,15 +91,9 @@
 	v.LastCrash = c.at
 }
 
-// ItemTrialDue reports whether quarantined work may run once more to show that it is harmless, for
-// an item, which has a single sender and can wait.
-func (v *Verdict) ItemTrialDue(now time.Time) bool {
-	next := v.LastTrial.Add(trialDelay(itemTrialDelays, v.FailedTrials) + v.trialSpread())
-	return v.Quarantined && !now.Before(next) && now.Sub(v.LastCrash) >= itemTrialDelay
-}
-
-// RequestTrialDue is like ItemTrialDue, for requests, which callers may repeat at any rate and which
-// wait for the result of a trial. At most one trial of a work runs in the fleet at a time.
+// RequestTrialDue reports whether quarantined work may run once more to show that it is harmless.
+// Callers may repeat requests at any rate, and requests wait for the result of a trial. At most one
+// trial of a work runs in the fleet at a time.
 func (v *Verdict) RequestTrialDue(now time.Time) bool {
 	return v.Quarantined && !now.Before(v.nextRequestTrial())
 }
