node, quarantine: answers to crash reports are not answered, and known reports cost nothing

Cause: what a reporter of a crash under a quarantined part is told was a message like any report, so its receiver answered each crash in it with up to eight, also to where it came from. Nothing told an answer from a report, asked whether a crash was new, or bounded what is sent and evaluated.

Fix: answers are marked and not answered; a report of known crashes changes nothing, is not evaluated and causes no message; what is passed on is passed on once; 8 answers and 4,000 known crashes looked at a second, with a counter and a log line where that cuts.

Conclusion: the exchange ends by construction. Queries about newly quarantined work still go from all nodes to all.

--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -70,7 +70,7 @@
 	reports, clearings := g.quarantine.guard.Known(maxKnownCrashes)
 	known := knownCrashes{Incomplete: !g.populated()}
 	for _, report := range reports {
-		known.Crashes = append(known.Crashes, g.newCrashEntry(report, now))
+		known.Crashes = append(known.Crashes, g.quarantine.exchange.newEntry(report, now))
 	}
 	for _, clearing := range clearings {
 		known.Clearings = append(known.Clearings, newClearingEntry(clearing, now))
@@ -86,7 +86,7 @@
 		g.quarantine.guard.Clear(entry.clearing(now))
 	}
 	for i := range known.Crashes {
-		g.handleCrash(&known.Crashes[i], now)
+		g.quarantine.exchange.record(&known.Crashes[i], now)
 	}
 	if !known.Incomplete {
 		g.markCrashesKnown()
--- a/internal/node/gatewayquarantine.go
+++ b/internal/node/gatewayquarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -49,6 +48,10 @@
 	// OnBehalf is set if the sender knows no members of the fleet and the receiver is to send the message on
 	// to them.
 	OnBehalf bool `cbor:"6,keyasint,omitempty"`
+	// Reply is set in answers to crash reports, which are not answered.
+	Reply bool `cbor:"7,keyasint,omitempty"`
+	// PassedOn is set if a node sends on what another one sent it. It is not passed on again.
+	PassedOn bool `cbor:"8,keyasint,omitempty"`
 }
 
 // empty reports whether the message has no content.
@@ -118,7 +121,7 @@
 			runCount := min(len(runs), maxMessageWorks-workCount)
 			partCount := min(len(parts), maxMessageWorks-workCount-runCount)
 			report.Runs, report.Parts = runs[:runCount], parts[:partCount]
-			message.Crashes = append(message.Crashes, g.newCrashEntry(report, now))
+			message.Crashes = append(message.Crashes, g.quarantine.exchange.newEntry(report, now))
 			runs, parts = runs[runCount:], parts[partCount:]
 			workCount += runCount + partCount
 		}
@@ -133,56 +136,6 @@
 	flush()
 }
 
-// newCrashEntry returns the message entry of a crash.
-func (g *Gateway) newCrashEntry(report quarantine.CrashReport, now time.Time) crashEntry {
-	entry := crashEntry{
-		Replica: report.Replica, StartedUnixMs: report.StartedUnixMs, AgeMs: now.Sub(report.At).Milliseconds(),
-		Trials: quarantine.Trials(report.Runs), PartTrials: quarantine.Trials(report.Parts),
-	}
-	entry.Works, entry.Durations = quarantine.EncodeRuns(report.Runs, report.At)
-	entry.SuccessAges = g.quarantine.EncodeSuccesses(entry.Works, report.At)
-	entry.Parts, entry.PartDurations = quarantine.EncodeRuns(report.Parts, report.At)
-	entry.PartSuccessAges = g.quarantine.guard.Parts.EncodeSuccesses(entry.Parts, report.At)
-	return entry
-}
-
-// handleCrash records a crash that another node reports, after the successes that it had seen before.
-func (g *Gateway) handleCrash(entry *crashEntry, now time.Time) {
-	at := ago(now, entry.AgeMs)
-	for _, success := range quarantine.DecodeSuccesses(entry.Works, entry.SuccessAges, at) {
-		g.quarantine.guard.Clear(success)
-	}
-	for _, success := range quarantine.DecodeSuccesses(entry.Parts, entry.PartSuccessAges, at) {
-		success.Part = true
-		g.quarantine.guard.Clear(success)
-	}
-	g.quarantine.guard.RecordCrash(quarantine.CrashReport{
-		Replica: entry.Replica, StartedUnixMs: entry.StartedUnixMs, At: at,
-		Runs:  quarantine.DecodeRuns(entry.Works, entry.Durations, entry.Trials, at),
-		Parts: quarantine.DecodeRuns(entry.Parts, entry.PartDurations, entry.PartTrials, at),
-	})
-}
-
-// informReporter tells a node that reports a crash under a quarantined part, other than of a trial, what is
-// known of the part. A node that started while the table did not answer has not read it there.
-func (g *Gateway) informReporter(source *net.UDPAddr, entry *crashEntry, now time.Time) {
-	for _, part := range entry.Parts {
-		if slices.Contains(entry.PartTrials, part) {
-			continue
-		}
-		var message quarantineMessage
-		for _, report := range g.quarantine.guard.Parts.ReportsOf(part, ago(now, entry.AgeMs), maxMessageCrashes) {
-			message.Crashes = append(message.Crashes, g.newCrashEntry(report, now))
-		}
-		if len(message.Crashes) == 0 {
-			continue
-		}
-		if err := g.peers.Send(source, peer.KindCrashReport, message); err != nil {
-			g.sampled.Warn().Err(err).Msg("crashes under a part of prompts not sent to a node that seems not to know them")
-		}
-	}
-}
-
 // spread sends a message to all other nodes, over the relays if there are any.
 func (g *Gateway) spread(message quarantineMessage) {
 	g.sendToFollowers(message)
@@ -263,10 +216,9 @@
 	}
 	now := clock.Now()
 	direct := message.Forward || len(g.relays.nodes()) == 0
-	for i := range message.Crashes {
-		g.handleCrash(&message.Crashes[i], now)
-		if direct {
-			g.informReporter(source, &message.Crashes[i], now)
+	for _, reply := range g.quarantine.exchange.receive(&message, direct, now) {
+		if err := g.peers.Send(source, peer.KindCrashReport, reply); err != nil {
+			g.sampled.Warn().Err(err).Msg("crashes under a part of prompts not sent to a node that seems not to know them")
 		}
 	}
 	for _, entry := range message.Clearings {
--- a/internal/node/gatewaystarts.go
+++ b/internal/node/gatewaystarts.go
@@ -34,7 +34,7 @@
 // asks for it, else to the contacts of this node that the table does not name.
 func (g *Gateway) passOn(from string, message quarantineMessage) {
 	message.Query = nil
-	if message.empty() || g.hellos == nil || !g.roster.Joined() {
+	if message.PassedOn || message.empty() || g.hellos == nil || !g.roster.Joined() {
 		return
 	}
 	if message.OnBehalf {
@@ -43,6 +43,7 @@
 		return
 	}
 	if slices.Contains(g.nodes.others(), lease.Node(from)) {
+		message.PassedOn = true
 		g.sendToUnlisted(message)
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -58,6 +58,9 @@
 	originLookups *prometheus.CounterVec
 	// released works released by operators.
 	quarantined, cleared, released prometheus.Counter
+	// crashReportsCut counts the crash reports of other nodes that were not recorded, and the answers to them
+	// that were not sent, by the limit that was reached.
+	crashReportsCut *prometheus.CounterVec
 	// trials counts trials of quarantined work of this node, by event.
 	trials *prometheus.CounterVec
 	// noReplica counts the requests that no replica could serve, by the main reason for which
@@ -136,6 +139,9 @@
 	m.cleared = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_cleared_total", Help: "Suspected works of which a run at this node ended well.",
 	})
+	m.crashReportsCut = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wheelhoist_quarantine_reports_cut_total", Help: "Crashes in messages of other nodes that were not recorded (entries), and answers to such messages that were not sent (replies), because there were too many in a second.",
+	}, []string{"limit"})
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_trials_total", Help: "Requests of this node that ran as a trial of quarantined work (begun), those that ended with neither a success nor a crash (inconclusive), and claims of a replica that were denied because another trial ran there (claim_denied).",
 	}, []string{"event"})
@@ -161,7 +167,7 @@
 	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
-	m.registry.MustRegister(m.originLookups, m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
+	m.registry.MustRegister(m.originLookups, m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.crashReportsCut, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
 		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
 	return m
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -29,6 +29,7 @@
 	guard     quarantine.Guard
 	rows      quarantine.Rows
 	publisher *quarantine.Publisher
+	exchange  *crashExchange
 	// broadcastClaim, if set, tells the other nodes that a trial of this node has claimed a replica.
 	broadcastClaim func(quarantine.ReplicaClaim)
 }
@@ -40,6 +41,7 @@
 	state.guard = quarantine.Guard{List: &state.List, Parts: quarantine.NewPartList(&state.List), Replicas: replicaStates{c}, Events: c}
 	state.rows = quarantine.Rows{Partition: jobs.QuarantinePartition(), Guard: &state.guard, OnMalformed: c.logMalformed}
 	state.publisher = quarantine.NewPublisher(service, &state.rows, c.session.ID)
+	state.exchange = newCrashExchange(&state.guard, c.onCrashReportsCut)
 	state.publisher.OnError = func(err error) {
 		c.log.Warn().Err(err).Msg("crash reports not written yet")
 	}
@@ -49,6 +51,12 @@
 	c.forwarder.Quarantine = &state.guard
 }
 
+// onCrashReportsCut counts and logs what a limit of the exchange of crash reports leaves out.
+func (c *core) onCrashReportsCut(limit string, count int) {
+	c.metrics.crashReportsCut.WithLabelValues(limit).Add(float64(count))
+	c.sampled.Warn().Str("limit", limit).Int("count", count).Msg("too many crash reports of other nodes, the table brings the rest")
+}
+
 var _ server.Quarantine = (*core)(nil)
 
 // replicaStates implements quarantine.Replicas on the replica set of a core.
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -371,18 +371,19 @@
 	g.Events.ReplicaCrashed(report)
 }
 
-// RecordCrash records a crash that this node or a peer detected.
-func (g *Guard) RecordCrash(report CrashReport) {
-	for _, verdict := range g.List.Add(report, clock.Now()) {
-		g.onQuarantined(verdict)
-	}
-	if g.Parts == nil {
-		return
+// RecordCrash records a crash that this node or a peer detected. It reports whether the report had
+// anything new.
+func (g *Guard) RecordCrash(report CrashReport) bool {
+	verdicts, changed := g.List.add(report, clock.Now())
+	if g.Parts != nil {
+		report.Runs = report.Parts
+		ofParts, partsChanged := g.Parts.add(report, clock.Now())
+		verdicts, changed = append(verdicts, ofParts...), changed || partsChanged
 	}
-	report.Runs = report.Parts
-	for _, verdict := range g.Parts.Add(report, clock.Now()) {
+	for _, verdict := range verdicts {
 		g.onQuarantined(verdict)
 	}
+	return changed
 }
 
 // rowsLoaded records that all rows of the table have been read once.
--- a/internal/quarantine/known.go
+++ b/internal/quarantine/known.go
@@ -50,3 +50,18 @@
 	slices.SortFunc(report.Runs, func(a, b Run) int { return a.SentAt.Compare(b.SentAt) })
 	return report
 }
+
+// KnownCrashes returns the number of crashes that this node knows, of requests or of parts of prompts,
+// whichever is greater.
+func (g *Guard) KnownCrashes() int {
+	if g.Parts == nil {
+		return g.List.crashCount()
+	}
+	return max(g.List.crashCount(), g.Parts.crashCount())
+}
+
+func (l *List) crashCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.byArrival)
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -32,6 +32,9 @@
 	// reportDelay is how much later than its actual time an event may appear to have happened when
 	// another node reports it: a message takes milliseconds, a row of a slow table up to a second.
 	reportDelay = time.Second
+	// reportTolerance is the difference between two reports of one time that says nothing: reports carry
+	// ages, which do not include their time in transit.
+	reportTolerance = 200 * time.Millisecond
 )
 
 // List identifies harmful work from replica crashes. Work with CrashLimit crashes within Window is
@@ -142,31 +145,39 @@
 // Add records the Runs of a report and returns the verdicts on newly quarantined work. Duplicate reports have
 // no effect.
 func (l *List) Add(report CrashReport, now time.Time) []Verdict {
+	verdicts, _ := l.add(report, now)
+	return verdicts
+}
+
+// add is like Add, and reports whether the report had anything new. Otherwise nothing is evaluated.
+func (l *List) add(report CrashReport, now time.Time) (verdicts []Verdict, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prune(now)
-	if now.Sub(report.At) >= l.window() || len(report.Runs) == 0 {
-		return nil
+	if now.Sub(report.At) >= l.window() || len(report.Runs) == 0 || !l.record(report) {
+		return nil, false
 	}
-	l.record(report)
-	var verdicts []Verdict
 	for work := range report.works() {
 		if verdict := l.check(work, now); verdict.NewlyQuarantined {
 			verdicts = append(verdicts, verdict)
 		}
 	}
-	return verdicts
+	return verdicts, true
 }
 
-// record adds the runs of a report to its crash and to the suspects. The caller holds mu.
-func (l *List) record(report CrashReport) {
+// record adds the runs of a report to its crash and to the suspects. It reports whether that changed
+// anything. The caller holds mu.
+func (l *List) record(report CrashReport) bool {
 	l.releaseCrashed(report.Replica, report.At)
-	c := l.crashFor(report)
+	c, changed := l.crashFor(report)
 	for _, run := range report.Runs {
 		if c.precedes(run.SentAt) || l.holdsParts() && !c.at.After(l.successes.at(run.Work)) {
 			continue
 		}
-		c.addRun(run)
+		if !c.addRun(run) {
+			continue
+		}
+		changed = true
 		s := l.suspects[run.Work]
 		if s == nil {
 			s = &suspect{crashes: map[*crash]struct{}{}}
@@ -180,34 +191,38 @@
 		l.evictOldest()
 	}
 	l.suspectCount.Store(int64(len(l.suspects)))
+	return changed
 }
 
-// addRun records a run on the replica that crashed.
-func (c *crash) addRun(run Run) {
+// addRun records a run on the replica that crashed. It reports whether that changed more than its time by
+// less than reportTolerance.
+func (c *crash) addRun(run Run) bool {
 	known, ok := c.works[run.Work]
+	updated := known
 	if !ok || run.SentAt.After(known.sentAt) {
-		known.sentAt = run.SentAt
+		updated.sentAt = run.SentAt
 	}
-	known.trial = known.trial || run.Trial
-	c.works[run.Work] = known
+	updated.trial = known.trial || run.Trial
+	c.works[run.Work] = updated
+	return !ok || updated.trial != known.trial || updated.sentAt.Sub(known.sentAt) >= reportTolerance
 }
 
-// crashFor returns the crash that a report is about, and adds it if it is new. The caller holds mu.
-func (l *List) crashFor(report CrashReport) *crash {
+// crashFor returns the crash that a report is about, and adds it if it is new. It reports whether that
+// changed what is known of crashes. The caller holds mu.
+func (l *List) crashFor(report CrashReport) (found *crash, changed bool) {
 	if l.crashes == nil {
 		l.crashes, l.suspects = map[string][]*crash{}, map[Work]*suspect{}
 	}
 	for _, c := range l.crashes[report.Replica] {
 		if c.matches(&report) {
 			c.startedUnixMs = cmp.Or(c.startedUnixMs, report.StartedUnixMs)
-			l.moveEarlier(c, &report)
-			return c
+			return c, l.moveEarlier(c, &report)
 		}
 	}
 	c := &crash{replica: report.Replica, startedUnixMs: report.StartedUnixMs, at: report.At, works: map[Work]crashedRun{}}
 	l.crashes[report.Replica] = append(l.crashes[report.Replica], c)
 	l.byArrival = append(l.byArrival, c)
-	return c
+	return c, true
 }
 
 // matches reports whether a report is about this crash. One start of a replica crashes once. If the
@@ -225,18 +240,22 @@
 func (c *crash) precedes(sentAt time.Time) bool { return sentAt.After(c.at.Add(reportDelay)) }
 
 // moveEarlier corrects the time of a crash if a report has an earlier one, and removes work that
-// was sent after that time. The caller holds mu.
-func (l *List) moveEarlier(c *crash, report *CrashReport) {
+// was sent after that time. It reports whether that changed more than the time by less than
+// reportTolerance. The caller holds mu.
+func (l *List) moveEarlier(c *crash, report *CrashReport) (changed bool) {
 	if report.StartedUnixMs == 0 || !report.At.Before(c.at) {
-		return
+		return false
 	}
+	changed = c.at.Sub(report.At) >= reportTolerance
 	c.at = report.At
 	for work, run := range c.works {
 		if c.precedes(run.sentAt) {
 			delete(c.works, work)
 			l.unlink(work, c)
+			changed = true
 		}
 	}
+	return changed
 }
 
 // unlink removes a crash from the ones that count against work. The caller holds mu.
@@ -334,6 +353,10 @@
 func (l *List) Clear(work Work, at time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !at.After(l.successes.at(work)) {
+		// A success that is as recent has cleared the work.
+		return Verdict{Work: work, Part: l.holdsParts()}
+	}
 	previous := l.evaluate(work, at)
 	l.successes.record(work, at)
 	l.releaseClaims(work, at)
