--- a/internal/quarantine/publisher_test.go
+++ b/internal/quarantine/publisher_test.go
@@ -56,6 +56,14 @@
 	})
 }
 
+// newTestPublisher returns a publisher that has read all rows of an empty table, and its guard.
+func newTestPublisher(service table.Service) (*Guard, *Publisher) {
+	guard, _, _ := newGuard(ConnectionRefused)
+	rows := &Rows{Partition: "g/q", Guard: guard}
+	rows.Apply(table.Changes{Now: time.Hour}, true)
+	return guard, NewPublisher(service, rows, func() string { return "session" })
+}
+
 // TestPublisher_PersistsFrequentSuccesses covers a restart of all nodes. No peer remembers any
 // successes then, so popular work must be known as proven from the table (soak --seed 7219 --nodes
 // 7 --regions 2).
@@ -63,10 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		service := tabletest.New()
-		guard, _, _ := newGuard(ConnectionRefused)
-		rows := &Rows{Partition: "g/q", Guard: guard}
-		rows.Apply(table.Changes{Now: time.Hour}, true)
-		publisher := NewPublisher(service, rows, func() string { return "session" })
+		guard, publisher := newTestPublisher(service)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -136,10 +141,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		service := tabletest.New()
-		guard, _, _ := newGuard(ConnectionRefused)
-		rows := &Rows{Partition: "g/q", Guard: guard}
-		rows.Apply(table.Changes{Now: time.Hour}, true)
-		publisher := NewPublisher(service, rows, func() string { return "session" })
+		_, publisher := newTestPublisher(service)
 		service.CommitFault = func(writes []table.Write) tabletest.Fault {
 			for _, write := range writes {
 				if strings.Contains(write.Sort, "poison") {
