forward, jobs, quarantine: an unframed answer of a replica that leaves is not taken for whole unseen

Cause: HasCrashed answers whether an end is to be blamed on work, so it was false for a replica that leaves, and ConfirmEnd took it for the answer to whether the end of the connection is that of the answer. A replica that had left and was listed with a new start counted as leaving too.

Ruled out: answers cut by a reset or inside an event; both are errors.

Fix: HasEnded asks only whether the replica has ended, planned or not: nothing listens, it has started again, or it was to end and nobody answers. A stream or item that may be continued is asked for elsewhere after its last event, and is whole if that brings nothing; others break off. Items are asked for elsewhere whenever such a replica leaves, since it may close its connections before its listener; not at-most-once items, which a doubt would make dead. Planned ends are no crashes of work, as before.

Tests changed: TestReplicaStates_DistinguishStarts expects Left for a start that had left and was followed by another, where it expected Leaving: the state is told apart now. The two tests of crashed replicas are as they were but for the names of their stubs; that of items shares its set-up with two new ones.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -38,22 +38,31 @@
 	// RecordInterruption records that a replica's answer to a run was interrupted. It returns once
 	// it is known whether the replica crashed, or after a short time.
 	RecordInterruption(ctx context.Context, replica quarantine.Replica, run quarantine.Run)
-	CrashDetector
+	EndDetector
 }
 
-// CrashDetector finds out whether replicas have crashed. It is safe for concurrent use.
-type CrashDetector interface {
-	// HasCrashed reports whether a replica is known to have crashed. It probes the replica.
-	HasCrashed(ctx context.Context, replica quarantine.Replica) bool
+// EndDetector finds out whether replicas have ended. It is safe for concurrent use.
+type EndDetector interface {
+	// HasEnded reports whether a replica that has just closed a connection seems to have ended, planned
+	// or not. It probes the replica.
+	HasEnded(ctx context.Context, replica quarantine.Replica) bool
+	// IsLeaving reports whether a replica has announced its shutdown or is no longer listed.
+	IsLeaving(replica quarantine.Replica) bool
 }
 
-// ConfirmEnd returns an error if an answer ended because its replica crashed. The end of an answer with a
-// length or chunks is certain without it.
-func ConfirmEnd(ctx context.Context, detector CrashDetector, answer *Answer, chosen replica.Info) error {
-	if !answer.Unframed || !detector.HasCrashed(ctx, QuarantinedReplica(chosen)) {
+// ConfirmEnd returns an error if an answer may have ended because its replica did. The end of an answer with
+// a length or chunks is certain without it. A whole answer may be refused, since a replica may end right
+// after it: a continuation elsewhere then brings no more events.
+func ConfirmEnd(ctx context.Context, detector EndDetector, answer *Answer, chosen replica.Info) error {
+	if !answer.Unframed || !detector.HasEnded(ctx, QuarantinedReplica(chosen)) {
 		return nil
 	}
-	return outcome.AsUnknown(fmt.Errorf("%w: replica crashed", ErrBroken))
+	return ErrDoubtfulEnd()
+}
+
+// ErrDoubtfulEnd returns the error of an answer of which nothing tells whether it is whole.
+func ErrDoubtfulEnd() error {
+	return outcome.AsUnknown(fmt.Errorf("%w: the answer may have ended with its replica", ErrBroken))
 }
 
 // QuarantinedReplica identifies a replica to the quarantine.
@@ -102,7 +111,7 @@
 	return c.request.SharedParts(c.result.Pool)
 }
 
-// confirmEnd returns an error if an answer ended because its replica crashed.
+// confirmEnd returns an error if an answer may have ended because its replica did.
 func (c *call) confirmEnd(ctx context.Context, answer *Answer, chosen replica.Info) error {
 	if c.forwarder.Quarantine == nil {
 		return nil
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -9,11 +9,11 @@
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
 
-// recordingGuard records the replicas whose answers were reported as interrupted. All replicas are known to
-// have crashed if crashed is set.
+// recordingGuard records the replicas whose answers were reported as interrupted. All replicas have ended if
+// ended is set.
 type recordingGuard struct {
 	interrupted []quarantine.Replica
-	crashed     bool
+	ended       bool
 }
 
 func (g *recordingGuard) RefuseRequest(context.Context, func() quarantine.Work) (*quarantine.Trial, error) {
@@ -29,8 +29,9 @@
 func (g *recordingGuard) ClaimReplica(context.Context, quarantine.Trial, string) bool {
 	return true
 }
-func (g *recordingGuard) ClaimedReplicas() map[string]bool                    { return nil }
-func (g *recordingGuard) HasCrashed(context.Context, quarantine.Replica) bool { return g.crashed }
+func (g *recordingGuard) ClaimedReplicas() map[string]bool                  { return nil }
+func (g *recordingGuard) HasEnded(context.Context, quarantine.Replica) bool { return g.ended }
+func (g *recordingGuard) IsLeaving(quarantine.Replica) bool                 { return false }
 func (g *recordingGuard) RecordInterruption(_ context.Context, interrupted quarantine.Replica, _ quarantine.Run) {
 	g.interrupted = append(g.interrupted, interrupted)
 }
@@ -61,7 +62,7 @@
 func TestDo_UnframedAnswerEndsWithItsReplica(t *testing.T) {
 	for name, kind := range map[string]route.Kind{"stream": route.Stream, "buffered": route.Repeatable} {
 		t.Run(name, func(t *testing.T) {
-			guard := &recordingGuard{crashed: true}
+			guard := &recordingGuard{ended: true}
 			forwarder, backend := forwarderWithStartTimes(nil, 2), &scriptedBackend{}
 			backend.answer = func(_ context.Context, attempt *Attempt, number int) (*Answer, error) {
 				answer := bufferedAnswer(http.StatusOK, "half")
@@ -79,3 +80,19 @@
 		})
 	}
 }
+
+// Guards against a whole stream that fails since its replica ended right after it: what another replica has to
+// add is nothing.
+func TestDo_WholeUnframedStreamBeforeTheEndOfItsReplica(t *testing.T) {
+	forwarder, backend := forwarderWithStartTimes(nil, 2), &scriptedBackend{}
+	backend.answer = func(_ context.Context, attempt *Attempt, number int) (*Answer, error) {
+		answer := streamAnswer(events(attempt.LastEventID+1, 4))
+		answer.Unframed = number == 1
+		return answer, nil
+	}
+	forwarder.Backend, forwarder.Quarantine = backend, &recordingGuard{ended: true}
+	sink, result, err := do(t, forwarder, patientRoute(route.Stream, true, 2))
+	if err != nil || result.Attempts != 2 || sink.body.String() != events(1, 4) {
+		t.Fatalf("%d attempts, %q, %v", result.Attempts, sink.body.String(), err)
+	}
+}
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -191,7 +191,7 @@
 	if err := r.collect(t, answer, use, sent); err != nil {
 		return err
 	}
-	return r.confirmEnd(ctx, answer, chosen)
+	return r.confirmEnd(ctx, t, answer, chosen)
 }
 
 // collect reads the events of an answer and appends them to the item's text. sent is when the
--- a/internal/jobs/quarantine.go
+++ b/internal/jobs/quarantine.go
@@ -17,7 +17,7 @@
 	ClaimedReplicas() map[string]bool
 	// RecordPartSuccess records a complete answer for the parts of a prompt.
 	RecordPartSuccess(parts []quarantine.Work)
-	forward.CrashDetector
+	forward.EndDetector
 }
 
 // claimedReplicas returns the ids of the replicas on which trials run; nil if there are none.
@@ -28,11 +28,16 @@
 	return r.Quarantine.ClaimedReplicas()
 }
 
-// confirmEnd returns an error if an answer ended because its replica crashed.
-func (r *Runner) confirmEnd(ctx context.Context, answer *forward.Answer, chosen replica.Info) error {
+// confirmEnd returns an error if an answer may have ended because its replica did. While a replica is
+// leaving that is true of each of its answers: a run elsewhere that has nothing to add costs little. It would
+// make an at-most-once item dead.
+func (r *Runner) confirmEnd(ctx context.Context, t *task, answer *forward.Answer, chosen replica.Info) error {
 	if r.Quarantine == nil {
 		return nil
 	}
+	if answer.Unframed && !t.atMostOnce && r.Quarantine.IsLeaving(forward.QuarantinedReplica(chosen)) {
+		return forward.ErrDoubtfulEnd()
+	}
 	return forward.ConfirmEnd(ctx, r.Quarantine, answer, chosen)
 }
 
--- a/internal/jobs/quarantine_test.go
+++ b/internal/jobs/quarantine_test.go
@@ -23,8 +23,8 @@
 	mu sync.Mutex
 	// claimed holds the replicas that trials have claimed.
 	claimed map[string]bool
-	// crashed makes all replicas known to have crashed.
-	crashed bool
+	// ended makes all replicas ended ones, leaving those that are leaving.
+	ended, leaving bool
 }
 
 func (q *quarantineStub) ClaimedReplicas() map[string]bool {
@@ -45,7 +45,8 @@
 
 func (q *quarantineStub) RecordPartSuccess([]quarantine.Work) {}
 
-func (q *quarantineStub) HasCrashed(context.Context, quarantine.Replica) bool { return q.crashed }
+func (q *quarantineStub) HasEnded(context.Context, quarantine.Replica) bool { return q.ended }
+func (q *quarantineStub) IsLeaving(quarantine.Replica) bool                 { return q.leaving }
 
 var errReplicaCrashed = outcome.AsUnknown(errors.Join(forward.ErrBroken, errors.New("EOF")))
 
@@ -129,22 +130,44 @@
 // Guards against the beginning of an item's text that counts as complete because its answer, which has neither
 // a length nor chunks, ended as its replica crashed.
 func TestRunner_UnframedAnswerEndsWithItsReplica(t *testing.T) {
+	if backend, _ := runUnframed(t, &quarantineStub{ended: true}, false); backend.resumedAfter != 2 {
+		t.Errorf("the item's second run resumed after event %d", backend.resumedAfter)
+	}
+}
+
+// Guards against the beginning of an item's text that counts as complete because its replica, which is leaving,
+// closed its connections before its listener.
+func TestRunner_UnframedAnswerOfALeavingReplicaIsContinued(t *testing.T) {
+	backend, result := runUnframed(t, &quarantineStub{leaving: true}, false)
+	if backend.resumedAfter != 2 || result.Text != "piece 1\npiece 2\npiece 3\npiece 4" {
+		t.Errorf("the item's second run resumed after event %d, its text is %q", backend.resumedAfter, result.Text)
+	}
+}
+
+// Guards against an at-most-once item that is dead, though its answer was whole, because its replica is leaving.
+func TestRunner_AtMostOnceItemIsCompletedByALeavingReplica(t *testing.T) {
+	if backend, result := runUnframed(t, &quarantineStub{leaving: true}, true); backend.sent != 1 || result.Dead {
+		t.Errorf("%d runs, result %+v", backend.sent, result)
+	}
+}
+
+// runUnframed runs an item whose first answer has neither a length nor chunks, and returns its result.
+func runUnframed(t *testing.T, guard *quarantineStub, atMostOnce bool) (*unframedBackend, Result) {
+	t.Helper()
 	node := startNode(t, tabletest.New(), &objecttest.Store{}, "a#1")
 	backend := &unframedBackend{}
 	runner, _ := startRunner(t, node, backend)
 	runner.mu.Lock()
-	runner.Quarantine = &quarantineStub{crashed: true}
+	runner.Quarantine = guard
 	runner.mu.Unlock()
-	items := []Item{{ID: "i", Path: "/batch/i", Body: []byte("i")}}
+	items := []Item{{ID: "i", Path: "/batch/i", Body: []byte("i"), AtMostOnce: atMostOnce}}
 	if err := node.Submit(t.Context(), &Submission{ID: "j", Route: "batch", Host: testHost, Items: items, Completion: time.Minute, Retention: time.Minute}); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, func() bool { return listedItems(node, "j") == 1 })
+	result := readAll(t, node, "j")[0]
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
-	if backend.resumedAfter != 2 {
-		t.Errorf("the item's second run resumed after event %d", backend.resumedAfter)
-	}
+	return backend, result
 }
 
 // unframedBackend answers the first attempt with two events without length or chunks, and later ones with
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -72,7 +72,7 @@
 	case !listed:
 		return quarantine.Gone
 	case !current.SameStart(&start) && previous.Leaving && previous.SameStart(&start):
-		return quarantine.Leaving
+		return quarantine.Left
 	case !current.SameStart(&start):
 		return quarantine.Restarted
 	case current.Leaving:
--- a/internal/node/quarantinestart_test.go
+++ b/internal/node/quarantinestart_test.go
@@ -39,7 +39,7 @@
 	expect(1000, quarantine.Leaving)
 	info.Leaving, info.StartedUnixMs = false, 2000
 	set.Put(info)
-	expect(1000, quarantine.Leaving)
+	expect(1000, quarantine.Left)
 	expect(3000, quarantine.Restarted)
 	expect(2000, quarantine.Serving)
 	moved := replicaStarted(2000)
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -56,6 +56,8 @@
 	Gone ReplicaState = iota
 	// Leaving replicas have announced their shutdown.
 	Leaving
+	// Left replicas had announced their shutdown, and are listed with a new start under the same id.
+	Left
 	Serving
 	// Restarted replicas are listed with a new start under the same id and had not announced a
 	// shutdown.
@@ -278,21 +280,6 @@
 	}
 }
 
-// HasCrashed reports whether a replica that has just closed a connection is known to have crashed:
-// nothing listens at its address, or it has started again, and it had not announced a shutdown. It
-// returns after probeWait at the latest.
-func (g *Guard) HasCrashed(ctx context.Context, replica Replica) bool {
-	switch g.Replicas.State(replica) {
-	case Leaving:
-		return false
-	case Restarted:
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeWait)
-	defer cancel()
-	return g.Replicas.Probe(ctx, replica.Address) == ConnectionRefused
-}
-
 // watchRun adds a run to the watch of its replica, and starts the watch if there is none. It
 // returns nil if there is nothing to wait for: the replica has already restarted, its shutdown is
 // not a crash, or too many replicas are watched.
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -251,3 +251,50 @@
 		t.Errorf("%d unanswered queries are kept", len(guard.unanswered))
 	}
 }
+
+// Guards against answers that count as complete, since their replica had announced its shutdown, though it ended
+// before their end, and against whole ones of a replica that still runs that don't count.
+func TestGuard_HasEnded(t *testing.T) {
+	cases := map[string]struct {
+		state ReplicaState
+		probe ProbeResult
+		want  bool
+	}{
+		"serving, runs":                  {Serving, Accepted, false},
+		"serving, nobody listens":        {Serving, ConnectionRefused, true},
+		"serving, no answer":             {Serving, Inconclusive, false},
+		"leaving, runs":                  {Leaving, Accepted, false},
+		"leaving, nobody listens":        {Leaving, ConnectionRefused, true},
+		"leaving, no answer":             {Leaving, Inconclusive, true},
+		"not listed, runs":               {Gone, Accepted, false},
+		"not listed, nobody listens":     {Gone, ConnectionRefused, true},
+		"not listed, no answer":          {Gone, Inconclusive, true},
+		"started again after a notice":   {Left, Accepted, true},
+		"started again without a notice": {Restarted, Accepted, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			guard, replicas, _ := newGuard(tc.probe)
+			replicas.setState("a", tc.state)
+			if got := guard.HasEnded(t.Context(), Replica{ID: "a"}); got != tc.want {
+				t.Errorf("has ended: %v", got)
+			}
+			listed := tc.state == Serving || tc.state == Restarted
+			if got := guard.IsLeaving(Replica{ID: "a"}); got == listed {
+				t.Errorf("is leaving: %v", got)
+			}
+		})
+	}
+}
+
+// Guards against planned ends that count as crashes of the work that ran there.
+func TestGuard_EndAfterNoticeIsNoCrash(t *testing.T) {
+	for _, state := range []ReplicaState{Leaving, Left, Gone} {
+		guard, replicas, events := newGuard(ConnectionRefused)
+		replicas.setState("a", state)
+		guard.interrupt(t.Context(), "a", work("w"))
+		if events.crashCount() != 0 {
+			t.Errorf("state %d: %d crashes reported", state, events.crashCount())
+		}
+	}
+}
