clock: a suspension is never measured shorter than it was

No caller saw it.

Cause: the boot time was compared with the middle of two readings of the monotonic clock, at the start and after the suspension, so the error of each went to either side.

Fix: a reading gives the least and the most lead that the boot time can have: it was read after the first reading of the monotonic clock and before the second one. A suspension counts from the least lead before to the most lead after. Without a suspension the two differ by less than the tolerance, as the readings of each are less than half of it apart.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -40,8 +40,11 @@
 	// wallOffset is how far the wall clock is ahead of the monotonic clock since processStart. It
 	// changes with a suspension or when the wall clock is set.
 	wallOffset time.Duration
-	// suspended is the total duration of suspensions since processStart.
+	// suspended is the total duration of suspensions since processStart. It is never less than the real
+	// one, apart from those within clockTolerance: leases must not appear younger than they are.
 	suspended time.Duration
+	// lead is the least possible lead of the boot time when suspended last increased.
+	lead time.Duration
 	// resumedAt is the time, as returned by Now, at which suspended last increased.
 	resumedAt time.Time
 }
@@ -49,17 +52,18 @@
 var (
 	lastReading atomic.Pointer[reading]
 	readMu      sync.Mutex
-	// bootTimeSource reads the boot time; bootTimeAtStart is its value at processStart.
-	bootTimeSource  = bootTime
-	bootTimeAtStart = readBootTimeAtStart()
+	// bootTimeSource reads the boot time; leadAtStart is its least possible lead at processStart.
+	bootTimeSource = bootTime
+	leadAtStart    = readLeadAtStart()
 )
 
-// readBootTimeAtStart returns the boot time at processStart, or 0 if there is no boot time.
-func readBootTimeAtStart() time.Duration {
+// readLeadAtStart returns the least possible lead of the boot time at processStart, or 0 if there is no
+// boot time.
+func readLeadAtStart() time.Duration {
 	for {
-		bootNow, monotonic, ok := readBoth(bootTimeSource)
+		lead, ok := readLead(bootTimeSource)
 		if ok {
-			return bootNow - monotonic
+			return lead.least
 		}
 		if _, supported := bootTimeSource(); !supported {
 			return 0
@@ -123,37 +127,40 @@
 func readClocks(monotonic, wallOffset time.Duration) *reading {
 	readMu.Lock()
 	defer readMu.Unlock()
-	next := reading{monotonic: monotonic, wallOffset: wallOffset}
+	next := reading{monotonic: monotonic, wallOffset: wallOffset, lead: leadAtStart}
 	if previous := lastReading.Load(); previous != nil {
-		next.suspended, next.resumedAt = previous.suspended, previous.resumedAt
+		next.suspended, next.resumedAt, next.lead = previous.suspended, previous.resumedAt, previous.lead
 	}
-	if boot, monotonicNow, ok := readBoth(bootTimeSource); ok {
-		// Suspensions only add up; a smaller value is a measurement error.
-		if suspended := boot - bootTimeAtStart - monotonicNow; suspended > next.suspended+clockTolerance {
-			next.suspended = suspended
-			next.resumedAt = processStart.Add(monotonic + suspended)
-		}
+	// Suspensions only add up; a smaller value is a measurement error.
+	if lead, ok := readLead(bootTimeSource); ok && lead.most-next.lead > clockTolerance {
+		next.suspended += lead.most - next.lead
+		next.lead = lead.least
+		next.resumedAt = processStart.Add(monotonic + next.suspended)
 	}
 	lastReading.Store(&next)
 	return &next
 }
 
-// readBoth reads source and the monotonic clock since processStart close together. It reports false if
-// source has no value, or if the process was delayed between the readings in every attempt, which
-// would look like a suspension.
-func readBoth(source func() (time.Duration, bool)) (boot, monotonic time.Duration, ok bool) {
+// leadBounds are the bounds of how far the boot time is ahead of the monotonic clock since processStart. The
+// clocks are read one after the other, so the lead is known only within the time that this takes.
+type leadBounds struct{ least, most time.Duration }
+
+// readLead reads source between two readings of the monotonic clock. It reports false if source has no
+// value, or if the process was delayed between the readings in every attempt, which would look like a
+// suspension.
+func readLead(source func() (time.Duration, bool)) (leadBounds, bool) {
 	for range readAttempts {
 		before := time.Since(processStart)
-		boot, ok = source()
+		boot, ok := source()
 		if !ok {
-			return 0, 0, false
+			return leadBounds{}, false
 		}
 		after := time.Since(processStart)
 		if after-before < clockTolerance/2 {
-			return boot, before + (after-before)/2, true
+			return leadBounds{least: boot - after, most: boot - before}, true
 		}
 	}
-	return 0, 0, false
+	return leadBounds{}, false
 }
 
 // WithDeadline is like context.WithDeadlineCause for a deadline comparable with Now. A deadline that
@@ -232,15 +239,15 @@
 // tests and for programs that simulate suspensions. It must not be called concurrently with itself.
 func SetBootTimeSource(source func() (time.Duration, bool)) (restore func()) {
 	readMu.Lock()
-	previousSource, previousBootTimeAtStart := bootTimeSource, bootTimeAtStart
+	previousSource, previousLeadAtStart := bootTimeSource, leadAtStart
 	bootTimeSource = source
-	bootTimeAtStart = readBootTimeAtStart()
+	leadAtStart = readLeadAtStart()
 	lastReading.Store(nil)
 	readMu.Unlock()
 	return func() {
 		readMu.Lock()
 		defer readMu.Unlock()
-		bootTimeSource, bootTimeAtStart = previousSource, previousBootTimeAtStart
+		bootTimeSource, leadAtStart = previousSource, previousLeadAtStart
 		lastReading.Store(nil)
 	}
 }
