jobs: a test of the only idle replica of another region, red

Trace: what such tests print now names what limits the item's node and why the last borrowing failed. 200 runs, load 10 to 15: seven red, each with one item left at a node of the south, "no replica can take the request now: 1 occupied" (six) or "1 tried" (one) 0.1 to 0.8 s ago. There are two replicas; the idle one of the north is not among the candidates.

--- a/internal/jobs/slots_test.go
+++ b/internal/jobs/slots_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -74,7 +75,8 @@
 	for _, node := range s.nodes {
 		if waiting := node.runner.ItemWaits(); !node.dead.Load() && len(waiting) > 0 {
 			share := node.set.PoolStats(clock.Now())[testPool].Share
-			text += fmt.Sprintf("\n%s, share %d, %d items, the oldest waits for %s since %v", node.name, share, len(waiting), waiting[0].Reason, clock.Since(waiting[0].LastProgress))
+			text += fmt.Sprintf("\n%s, share %d, %d items, the oldest waits for %s since %v: %v", node.name, share, len(waiting), waiting[0].Reason, clock.Since(waiting[0].LastProgress), waiting[0].Cause)
+			text += fmt.Sprintf("; no borrowed slot %v ago: %v", clock.Since(waiting[0].BorrowedAt), waiting[0].BorrowErr)
 		}
 	}
 	return text
@@ -213,14 +215,29 @@
 // TestRunner_ItemsUseIdleSlotsOfAnotherRegion guards against items that wait for longer than 5 s where online
 // requests need all slots of their own region, while slots of another region are idle.
 func TestRunner_ItemsUseIdleSlotsOfAnotherRegion(t *testing.T) {
+	checkIdleSlotsOfAnotherRegion(t, map[string]int{"s-s0": 16})
+}
+
+// TestRunner_ItemsFindTheOnlyReplicaOfAnotherRegion is the same for a region of many replicas, beside which a
+// replica elsewhere is rarely found by chance.
+func TestRunner_ItemsFindTheOnlyReplicaOfAnotherRegion(t *testing.T) {
+	checkIdleSlotsOfAnotherRegion(t, serverSlots("s", 8, 2))
+}
+
+// checkIdleSlotsOfAnotherRegion fails if an item waits for longer than 5 s while online requests need all slots
+// of the given servers, and those of one in another region are idle.
+func checkIdleSlotsOfAnotherRegion(t *testing.T, busy map[string]int) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		site := newSlotSite(t, 1, append(nodeNames("n", 2), nodeNames("s", 2)...), map[string]int{"n-s0": 16, "s-s0": 16})
+		servers := maps.Clone(busy)
+		servers["n-s0"] = 16
+		site := newSlotSite(t, 1, append(nodeNames("n", 2), nodeNames("s", 2)...), servers)
 		site.eventTime = 100 * time.Millisecond
 		site.run()
 		for i := range 20 {
 			site.runLoad(func(ctx context.Context) {
 				for retry.Sleep(ctx, time.Millisecond) {
-					site.nodes[2+i%2].runOnline(site.servers["s-s0"], 300*time.Millisecond)
+					site.nodes[2+i%2].runOnline(site.servers[fmt.Sprintf("s-s%d", i%len(busy))], 300*time.Millisecond)
 				}
 			})
 		}
