replica, jobs: an item that looks for a slot of another region is shown replicas there

Cause: candidates are a sample, that of the own region and one replica at random of all. An item that asks in other regions got the same sample, so often none there, and each miss doubles the pause until the next try.

Fix: the criteria say that a replica elsewhere is looked for, and the sample gets two at random of the other regions.

--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -136,6 +136,7 @@
 // borrowFrom asks up to tries replicas, those in other regions if remote is set.
 func (r *Runner) borrowFrom(send pendingSend, criteria *replica.Criteria, tries int, remote bool) error {
 	var lastErr error
+	criteria.OtherRegions = remote
 	for range tries {
 		now := clock.Now()
 		chosen, err := replica.PickIdle(r.Replicas.SnapshotFor(send.pool, criteria, now), criteria, r.Weights, remote)
--- a/internal/replica/distance_test.go
+++ b/internal/replica/distance_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/place"
 )
 
 // newTwoRegionSet returns a set with the given numbers of replicas in two regions.
@@ -91,3 +94,20 @@
 		t.Fatalf("%d replicas of the other region in 50 samples, want 1 to %d", south, 50*sampleOtherRegion)
 	}
 }
+
+// Guards against a request that looks for a replica of another region and is shown none, as chance picked one of
+// its own.
+func TestSnapshotFor_LooksElsewhere(t *testing.T) {
+	set, now := newTwoRegionSet(30, 1), time.Now()
+	for range 50 {
+		candidates := set.SnapshotFor(testPool, &Criteria{Zone: "n", Region: "north", OtherRegions: true}, now)
+		if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Region == "south" }) {
+			t.Fatalf("no replica of the other region among %d", len(candidates))
+		}
+	}
+	for _, criteria := range []Criteria{{Region: "", OtherRegions: true}, {Region: "south", Regions: place.Regions{"south"}, OtherRegions: true}} {
+		if len(set.SnapshotFor(testPool, &criteria, now)) == 0 {
+			t.Errorf("no replica for %+v", criteria)
+		}
+	}
+}
--- a/internal/replica/pick.go
+++ b/internal/replica/pick.go
@@ -53,6 +53,8 @@
 	PreferStale bool
 	// Regions are where the request may be served.
 	Regions place.Regions
+	// OtherRegions is set if a replica outside this node's region is looked for.
+	OtherRegions bool
 }
 
 // Weights are the settings for the cost of distance.
--- a/internal/replica/sample.go
+++ b/internal/replica/sample.go
@@ -17,6 +17,9 @@
 	// sampleOtherRegion is the number of random replicas of any region in a sample, for requests
 	// whose region is full.
 	sampleOtherRegion = 1
+	// sampleElsewhere is the number of random replicas of other regions in a sample, for requests that
+	// look for one there.
+	sampleElsewhere = 2
 	// staleProbeInterval is the time between two reservations that go to a replica which is not
 	// Fresh although others are believed to have a free slot. A replica stays Fresh for freshFor,
 	// so a node learns the state of three such replicas in that time and pays at most one
@@ -42,7 +45,7 @@
 // nearby returns the entries of a region and of unknown regions; all if there are none or if the region
 // is unknown.
 func nearby(list []*entry, region string) []*entry {
-	otherRegion := func(e *entry) bool { return e.info.Region != "" && e.info.Region != region }
+	otherRegion := func(e *entry) bool { return e.isInOtherRegion(region) }
 	if region == "" || !slices.ContainsFunc(list, otherRegion) {
 		return list
 	}
@@ -58,10 +61,27 @@
 	return near
 }
 
+// isInOtherRegion reports whether the replica is known to be in another region than the given one.
+func (e *entry) isInOtherRegion(region string) bool {
+	return e.info.Region != "" && e.info.Region != region
+}
+
+// elsewhere returns the entries of other regions than the given one; none if that is unknown.
+func elsewhere(list []*entry, region string) []*entry {
+	var far []*entry
+	for _, e := range list {
+		if region != "" && e.isInOtherRegion(region) {
+			far = append(far, e)
+		}
+	}
+	return far
+}
+
 // sample returns the active replicas with slots of this node or recent data, random ones nearby, and
-// random ones of the whole list if not all are nearby. This node has slots of a cold replica only if
-// it is one of its senders. The caller holds mu.
-func (s *Set) sample(active, list, near []*entry, now time.Time) []*entry {
+// random ones of the whole list if not all are nearby. If the request looks for a replica elsewhere, it
+// adds random ones there. This node has slots of a cold replica only if it is one of its senders. The
+// caller holds mu.
+func (s *Set) sample(active, list, near []*entry, criteria *Criteria, now time.Time) []*entry {
 	chosen := make([]*entry, 0, len(active)+sampleRandom+sampleOtherRegion)
 	for _, e := range active {
 		if s.shareOf(e, now) > 0 || e.fresh(now) {
@@ -72,11 +92,17 @@
 	if len(near) < len(list) {
 		chosen = addRandom(chosen, list, sampleOtherRegion)
 	}
+	if criteria.OtherRegions {
+		chosen = addRandom(chosen, elsewhere(list, criteria.Region), sampleElsewhere)
+	}
 	return chosen
 }
 
 // addRandom adds up to count random entries of a list that are not chosen yet.
 func addRandom(chosen, list []*entry, count int) []*entry {
+	if len(list) == 0 {
+		return chosen
+	}
 	for range count {
 		if random := list[rand.IntN(len(list))]; !slices.Contains(chosen, random) {
 			chosen = append(chosen, random)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -308,7 +308,7 @@
 		return s.candidates(s.pool(pool), now)
 	}
 	inRegion := nearby(list, criteria.Region)
-	chosen := s.sample(s.allowed(s.active(pool), criteria), list, inRegion, now)
+	chosen := s.sample(s.allowed(s.active(pool), criteria), list, inRegion, criteria, now)
 	if s.allBlocked(chosen, criteria.Batch, now) {
 		return s.candidates(list, now)
 	}
