jobs: the log of a listed item names the object of its text

What callers saw: a result that had been read changed. Which object a result referred to, and which node had written it, could not be told from the logs: `item listed` said neither, and a node that had written the text of an item as an object and then found the item listed said nothing.

`item listed` now has the object's name and the size of the text; a warning says when an item was listed by another write than the one whose text this node has written. That may be an earlier write of its own whose answer was lost; the names of objects do not tell these apart yet.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -79,15 +79,17 @@
 func (discardEvents) ItemSent(*jobs.Job, string, string, int)                        {}
 func (discardEvents) ItemFailed(*jobs.Job, string, string, error)                    {}
 func (discardEvents) ItemPreempted(*jobs.Job, string, string, int, replica.Pressure) {}
-func (discardEvents) ItemListed(*jobs.Job, string, int, jobs.Reason, time.Duration)  {}
-func (discardEvents) Removed(*jobs.Job, error)                                       {}
-func (discardEvents) NoResult(*jobs.Entry, int, time.Duration)                       {}
-func (discardEvents) EndChecked(*jobs.Job, time.Duration, error)                     {}
-func (discardEvents) Refreshed(*jobs.Job, time.Duration, error)                      {}
-func (discardEvents) AwaitingRegion(*jobs.Job, place.Regions)                        {}
-func (discardEvents) Resolved(string, int, error)                                    {}
-func (discardEvents) CheckpointFailed(*jobs.Job, int, error)                         {}
-func (discardEvents) Unresolved(string, string, int, int, error)                     {}
+func (discardEvents) TextNotListed(*jobs.Job, string, int, string, int)              {}
+func (discardEvents) ItemListed(*jobs.Job, string, int, jobs.Reason, string, int, time.Duration) {
+}
+func (discardEvents) Removed(*jobs.Job, error)                   {}
+func (discardEvents) NoResult(*jobs.Entry, int, time.Duration)   {}
+func (discardEvents) EndChecked(*jobs.Job, time.Duration, error) {}
+func (discardEvents) Refreshed(*jobs.Job, time.Duration, error)  {}
+func (discardEvents) AwaitingRegion(*jobs.Job, place.Regions)    {}
+func (discardEvents) Resolved(string, int, error)                {}
+func (discardEvents) CheckpointFailed(*jobs.Job, int, error)     {}
+func (discardEvents) Unresolved(string, string, int, int, error) {}
 
 // testNode is a node that serves, feeds and runs batches until stop is called.
 type testNode struct {
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -219,7 +219,10 @@
 	if len(rows) == 0 {
 		return failed, err
 	}
+	// written holds the items that the latest transaction lists.
+	var written map[*task]bool
 	updateErr := s.update(ctx, job.ID, func(progress *Progress) ([]table.Write, bool) {
+		written = map[*task]bool{}
 		if progress.Ended {
 			return nil, false
 		}
@@ -231,12 +234,13 @@
 			position := len(progress.Listed)
 			progress.Listed = append(progress.Listed, Listed{Item: t.index, Dead: t.reason != ""})
 			writes = append(writes, table.Write{Key: resultKey(job.ID, position), Expect: table.Absent, Body: rows[t]})
+			written[t] = true
 		}
 		return writes, len(writes) > 0
 	})
 	switch {
 	case updateErr == nil:
-		s.reportListed(job, batch)
+		s.reportListed(job, batch, written)
 	case errors.Is(updateErr, ErrNotFound):
 		// The job was removed, so there is nothing left to list.
 		return nil, nil
@@ -246,7 +250,9 @@
 	return failed, err
 }
 
-func (s *Service) reportListed(job *Job, batch []*task) {
+// reportListed reports the items of a batch that are listed. Those that are not in written were
+// listed by an earlier write.
+func (s *Service) reportListed(job *Job, batch []*task, written map[*task]bool) {
 	entry := s.View.Get(job.ID)
 	if entry == nil {
 		return
@@ -256,8 +262,13 @@
 		position[listed.Item] = i
 	}
 	for _, t := range batch {
-		if i, ok := position[t.index]; ok {
-			s.Events.ItemListed(job, job.Items[t.index].ID, i, t.reason, clock.Since(t.firstSent))
+		i, listed := position[t.index]
+		switch {
+		case !listed:
+		case t.object != "" && !written[t]:
+			s.Events.TextNotListed(job, job.Items[t.index].ID, i, t.object, len(t.text))
+		default:
+			s.Events.ItemListed(job, job.Items[t.index].ID, i, t.reason, t.object, len(t.text), clock.Since(t.firstSent))
 		}
 	}
 }
@@ -270,13 +281,13 @@
 	if t.objectCount() == 0 {
 		return encode(storedResult{Text: string(t.text)}), nil
 	}
-	name := textObject(job.ID, t.index)
+	t.object = textObject(job.ID, t.index)
 	putCtx, cancel := context.WithTimeout(ctx, textPutTimeout)
 	defer cancel()
-	if err := s.putObject(putCtx, name, t.text); err != nil {
+	if err := s.putObject(putCtx, t.object, t.text); err != nil {
 		return nil, err
 	}
-	return encode(storedResult{Object: name}), nil
+	return encode(storedResult{Object: t.object}), nil
 }
 
 // loadCheckpoints returns the partial texts that an earlier owner saved for unfinished items, by
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -71,15 +71,17 @@
 func (noEvents) ItemSent(*Job, string, string, int)                        {}
 func (noEvents) ItemFailed(*Job, string, string, error)                    {}
 func (noEvents) ItemPreempted(*Job, string, string, int, replica.Pressure) {}
-func (noEvents) ItemListed(*Job, string, int, Reason, time.Duration)       {}
+func (noEvents) TextNotListed(*Job, string, int, string, int)              {}
 func (noEvents) Removed(*Job, error)                                       {}
 func (noEvents) NoResult(*Entry, int, time.Duration)                       {}
 func (noEvents) EndChecked(*Job, time.Duration, error)                     {}
 func (noEvents) Refreshed(*Job, time.Duration, error)                      {}
 func (noEvents) AwaitingRegion(*Job, place.Regions)                        {}
 func (noEvents) Resolved(operation string, attempts int, err error)        {}
-func (noEvents) CheckpointFailed(*Job, int, error)                         {}
-func (noEvents) Unresolved(string, string, int, int, error)                {}
+func (noEvents) ItemListed(*Job, string, int, Reason, string, int, time.Duration) {
+}
+func (noEvents) CheckpointFailed(*Job, int, error)          {}
+func (noEvents) Unresolved(string, string, int, int, error) {}
 
 // testNode is a service with a view that follows a shared table.
 type testNode struct {
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -54,7 +54,12 @@
 	// ItemPreempted reports an item that is preempted by online requests, with the pressure that
 	// caused it. after is the id of the last event that the item received.
 	ItemPreempted(job *Job, item string, replica string, after int, pressure replica.Pressure)
-	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
+	// ItemListed reports an item that is listed. object names the object with its text, if it has one;
+	// size is that of the text, in bytes.
+	ItemListed(job *Job, item string, position int, dead Reason, object string, size int, took time.Duration)
+	// TextNotListed reports an item whose text this node has written as an object, while the item was
+	// listed by another write.
+	TextNotListed(job *Job, item string, position int, object string, size int)
 	// CheckpointFailed reports that the texts so far of a number of unfinished items were not saved.
 	CheckpointFailed(job *Job, items int, err error)
 	// Resolved reports the end of a write of a progress row that took more than one attempt.
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -101,7 +101,7 @@
 }
 
 // ItemListed implements jobs.Events.
-func (l *jobLog) ItemListed(job *jobs.Job, item string, position int, dead jobs.Reason, took time.Duration) {
+func (l *jobLog) ItemListed(job *jobs.Job, item string, position int, dead jobs.Reason, object string, size int, took time.Duration) {
 	label, entry := "completed", l.sampled.Info()
 	if dead != "" {
 		label, entry = "dead", l.log.Info()
@@ -110,7 +110,14 @@
 	}
 	l.metrics.items.WithLabelValues(label).Inc()
 	entry.Str("job", job.ID).Str("item", item).Int("position", position).Str("dead", string(dead)).
-		Dur("took_ms", took).Msg("item listed")
+		Str("object", object).Int("bytes", size).Dur("took_ms", took).Msg("item listed")
+}
+
+// TextNotListed implements jobs.Events.
+func (l *jobLog) TextNotListed(job *jobs.Job, item string, position int, object string, size int) {
+	l.metrics.items.WithLabelValues("text_not_listed").Inc()
+	l.log.Warn().Str("job", job.ID).Str("item", item).Int("position", position).
+		Str("object", object).Int("bytes", size).Msg("text written, another result is listed")
 }
 
 // CheckpointFailed implements jobs.Events.
