jobs: each text that a node writes has an object of its own

What callers saw: a result they had read changed. Texts of over 40 KiB lie in an object named by job and item. A node that was cut off from the store, or a write without an answer that the store applies seconds later, put another text there after the item was listed and read.

Cause: the package object promises that a key is only ever written with one content, and the name did not keep it: two owners may have different texts of an item, of two software versions. The transaction that lists an item is conditional, the write before it was not.

Now each finished text has a name with an operation id, kept with the task, so that repeated tries write the same object again and no other text can. The row that wins the transaction names the object. An item that the node's view has as listed, or whose job it has as ended, is not written at all. A text that was not listed is deleted by its writer once the rows prove that nothing refers to it or ever will: all its transactions are conditional on versions of the progress row without the item, so they are void once that row lists the item, is ended or is gone. If the row names this object, the answer of the transaction was lost and the text stays.

Rows of before name their old objects and are read and removed as they are; a node of an earlier version reads the new ones, as rows name them.

What remains in the store: a text whose node ends between its write and its listing, a write applied after the deletion, one still undecided after a minute (the item is unlisted and the job open), and what an interrupted removal leaves.

Ruled out: the checkpoint row, whose text, last event and software version are one row under one condition.

--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -83,6 +83,7 @@
 func (r *Runner) discardFinished(owned *ownedJob) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.Service.resolveTexts(owned.ctx, owned.job, owned.finished)
 	owned.finished, owned.committing = nil, false
 }
 
@@ -161,6 +162,7 @@
 	if errors.Is(err, ErrUnreadable) {
 		// Nothing can be listed. Once the job can be read again, its items are loaded anew.
 		r.drop(owned)
+		r.Service.resolveTexts(owned.ctx, owned.job, batch)
 		return
 	}
 	for _, t := range batch {
@@ -184,9 +186,11 @@
 	time.AfterFunc(rejectedRetryDelay, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if t.owned.ctx.Err() == nil {
-			r.queueFinished(t)
+		if t.owned.ctx.Err() != nil {
+			r.Service.resolveTexts(t.owned.ctx, t.owned.job, []*task{t})
+			return
 		}
+		r.queueFinished(t)
 	})
 }
 
@@ -208,7 +212,11 @@
 // written. It returns the items that are not listed, and why.
 func (s *Service) listWritable(ctx context.Context, job *Job, batch []*task) (failed []*task, err error) {
 	rows := make(map[*task][]byte, len(batch))
+	known := s.View.Get(job.ID)
 	for _, t := range batch {
+		if t.objectCount() > 0 && !known.canList(t.index) {
+			continue
+		}
 		row, rowErr := s.resultRow(ctx, job, t)
 		if rowErr != nil {
 			failed, err = append(failed, t), rowErr
@@ -217,6 +225,7 @@
 		rows[t] = row
 	}
 	if len(rows) == 0 {
+		s.reportListed(ctx, job, without(batch, failed), nil)
 		return failed, err
 	}
 	// written holds the items that the latest transaction lists.
@@ -240,9 +249,10 @@
 	})
 	switch {
 	case updateErr == nil:
-		s.reportListed(job, batch, written)
+		s.reportListed(ctx, job, without(batch, failed), written)
 	case errors.Is(updateErr, ErrNotFound):
 		// The job was removed, so there is nothing left to list.
+		s.resolveTexts(ctx, job, batch)
 		return nil, nil
 	default:
 		return batch, updateErr
@@ -250,27 +260,14 @@
 	return failed, err
 }
 
-// reportListed reports the items of a batch that are listed. Those that are not in written were
-// listed by an earlier write.
-func (s *Service) reportListed(job *Job, batch []*task, written map[*task]bool) {
-	entry := s.View.Get(job.ID)
-	if entry == nil {
-		return
-	}
-	position := map[int]int{}
-	for i, listed := range entry.Progress.Listed {
-		position[listed.Item] = i
-	}
-	for _, t := range batch {
-		i, listed := position[t.index]
-		switch {
-		case !listed:
-		case t.object != "" && !written[t]:
-			s.Events.TextNotListed(job, job.Items[t.index].ID, i, t.object, len(t.text))
-		default:
-			s.Events.ItemListed(job, job.Items[t.index].ID, i, t.reason, t.object, len(t.text), clock.Since(t.firstSent))
-		}
-	}
+// canList reports whether an item may still be listed; it may not if the job is gone.
+func (e *Entry) canList(item int) bool {
+	return e != nil && !e.Progress.Ended && !e.Progress.isListed(item)
+}
+
+// without returns the items of a batch that are not among the failed ones.
+func without(batch, failed []*task) []*task {
+	return slices.DeleteFunc(slices.Clone(batch), func(t *task) bool { return slices.Contains(failed, t) })
 }
 
 // resultRow encodes a result. A long text is written to an object of its own.
@@ -281,10 +278,7 @@
 	if t.objectCount() == 0 {
 		return encode(storedResult{Text: string(t.text)}), nil
 	}
-	t.object = textObject(job.ID, t.index)
-	putCtx, cancel := context.WithTimeout(ctx, textPutTimeout)
-	defer cancel()
-	if err := s.putObject(putCtx, t.object, t.text); err != nil {
+	if err := s.putText(ctx, job, t); err != nil {
 		return nil, err
 	}
 	return encode(storedResult{Object: t.object}), nil
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -181,16 +182,14 @@
 	Reassigned map[int]string `cbor:"6,keyasint,omitempty"`
 }
 
-// isListed reports whether an item is listed.
-func (p *Progress) isListed(item int) bool {
-	for _, listed := range p.Listed {
-		if listed.Item == item {
-			return true
-		}
-	}
-	return false
+// position returns the position of an item in the list, or -1.
+func (p *Progress) position(item int) int {
+	return slices.IndexFunc(p.Listed, func(listed Listed) bool { return listed.Item == item })
 }
 
+// isListed reports whether an item is listed.
+func (p *Progress) isListed(item int) bool { return p.position(item) >= 0 }
+
 func (p *Progress) clone() *Progress {
 	copied := *p
 	copied.Listed = append([]Listed(nil), p.Listed...)
@@ -305,8 +304,6 @@
 
 func contentObject(job string) string { return "job-" + job }
 
-func textObject(job string, item int) string { return fmt.Sprintf("text-%s-%d", job, item) }
-
 func encode(record any) []byte {
 	body, err := cbor.Marshal(record)
 	if err != nil {
--- a/internal/jobs/ownedjob.go
+++ b/internal/jobs/ownedjob.go
@@ -68,7 +68,7 @@
 	// text is the answer received in earlier runs, lastEvent the id of its last event.
 	text      []byte
 	lastEvent int
-	// object names the object that the text was written to; empty if it was not.
+	// object names the object that the text was written to, if it was, or may have been.
 	object string
 	// software is the software version that wrote text. softwareUncertain is set if it may have been
 	// another one.
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -71,7 +71,7 @@
 func (noEvents) ItemSent(*Job, string, string, int)                        {}
 func (noEvents) ItemFailed(*Job, string, string, error)                    {}
 func (noEvents) ItemPreempted(*Job, string, string, int, replica.Pressure) {}
-func (noEvents) TextNotListed(*Job, string, int, string, int)              {}
+func (noEvents) TextNotListed(*Job, string, int, string, int, error)       {}
 func (noEvents) Removed(*Job, error)                                       {}
 func (noEvents) NoResult(*Entry, int, time.Duration)                       {}
 func (noEvents) EndChecked(*Job, time.Duration, error)                     {}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -57,9 +57,10 @@
 	// ItemListed reports an item that is listed. object names the object with its text, if it has one;
 	// size is that of the text, in bytes.
 	ItemListed(job *Job, item string, position int, dead Reason, object string, size int, took time.Duration)
-	// TextNotListed reports an item whose text this node has written as an object, while the item was
-	// listed by another write.
-	TextNotListed(job *Job, item string, position int, object string, size int)
+	// TextNotListed reports an item whose text this node has written as an object that is not the
+	// listed one; position is -1 if the item is not listed. The object is deleted, or remains because
+	// of err.
+	TextNotListed(job *Job, item string, position int, object string, size int, err error)
 	// CheckpointFailed reports that the texts so far of a number of unfinished items were not saved.
 	CheckpointFailed(job *Job, items int, err error)
 	// Resolved reports the end of a write of a progress row that took more than one attempt.
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -114,10 +114,10 @@
 }
 
 // TextNotListed implements jobs.Events.
-func (l *jobLog) TextNotListed(job *jobs.Job, item string, position int, object string, size int) {
+func (l *jobLog) TextNotListed(job *jobs.Job, item string, position int, object string, size int, err error) {
 	l.metrics.items.WithLabelValues("text_not_listed").Inc()
 	l.log.Warn().Str("job", job.ID).Str("item", item).Int("position", position).
-		Str("object", object).Int("bytes", size).Msg("text written, another result is listed")
+		Str("object", object).Int("bytes", size).Err(err).Msg("text written that is not the listed result")
 }
 
 // CheckpointFailed implements jobs.Events.
