jobs: the content of a submission has a name of its own

What callers would see: an accepted job runs other items than it was accepted with, after another submission under its id at a node that doesn't know the job yet.

Now each submission names its content by an operation id, which the job row that is accepted carries. The object and the copy in memory are used only under that name. The object of a submission that was refused, or whose job has another content, is deleted once the job's row proves it; all transactions of a submission are conditional on there being no such row.

Rows without the name mean the object of earlier versions.

Only the object's name in TestRunner_ItemsWhoseContentCannotBeReadExpire is changed: it is taken from the job.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -79,6 +79,7 @@
 func (discardEvents) ItemSent(*jobs.Job, string, string, int)                        {}
 func (discardEvents) ItemFailed(*jobs.Job, string, string, error)                    {}
 func (discardEvents) ItemPreempted(*jobs.Job, string, string, int, replica.Pressure) {}
+func (discardEvents) ContentUnused(string, string, int, error)                       {}
 func (discardEvents) TextNotListed(*jobs.Job, string, int, string, int, error)       {}
 func (discardEvents) ItemListed(*jobs.Job, string, int, jobs.Reason, string, int, time.Duration) {
 }
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -78,14 +78,17 @@
 		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
 		return err
 	}
-	content := encode(submission.Items)
-	if err := s.putContent(ctx, submission.ID, content); err != nil {
+	content := newContent(submission)
+	if err := s.putContent(ctx, content); err != nil {
 		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
-		return Error.Wrap(errors.Join(ErrNotAccepted, err))
+		err = Error.Wrap(errors.Join(ErrNotAccepted, err))
+		s.resolveContent(ctx, submission.ID, content, err)
+		return err
 	}
 	// The runner may start the job before admit returns.
-	s.cacheContent(submission.ID, submission.Items)
+	s.cacheContent(submission.ID, content.name, submission.Items)
 	err := s.admit(ctx, submission, content, start)
+	s.resolveContent(ctx, submission.ID, content, err)
 	if err != nil || !s.runsHere(ctx, submission.ID) {
 		s.dropContent(submission.ID)
 	}
@@ -158,9 +161,8 @@
 // admission is the state of the tries to admit one submission.
 type admission struct {
 	submission *Submission
-	// content holds the encoded items.
-	content   []byte
-	operation string
+	content    *submittedContent
+	operation  string
 	// pending is set while an unanswered write may still be applied. pendingVersion is the counter
 	// version that the latest such write is conditional on.
 	pending        bool
@@ -176,7 +178,7 @@
 // With a quota, the transaction also advances the counter of the job's shard. A later version of
 // that counter then proves that no earlier write of this job can be applied any more, since the
 // version that it was conditional on is gone.
-func (s *Service) admit(ctx context.Context, submission *Submission, content []byte, start time.Time) error {
+func (s *Service) admit(ctx context.Context, submission *Submission, content *submittedContent, start time.Time) error {
 	adm := &admission{submission: submission, content: content, operation: table.NewOperation()}
 	delay := retryDelay
 	for {
@@ -307,21 +309,21 @@
 	return s.afterConflict(adm, err)
 }
 
-func (s *Service) admissionWrites(ctx context.Context, submission *Submission, content []byte, accepted int64) ([]table.Write, error) {
+func (s *Service) admissionWrites(ctx context.Context, submission *Submission, content *submittedContent, accepted int64) ([]table.Write, error) {
 	session, err := s.Session(ctx)
 	if err != nil {
 		return nil, err
 	}
 	now := s.View.Now()
 	job := &Job{
-		ID: submission.ID, Created: now, Accepted: accepted,
+		ID: submission.ID, Created: now, Accepted: accepted, Content: content.name,
 		Due: now + submission.Completion, Expires: now + submission.Retention,
 	}
 	s.setRouting(job, submission)
 	if submission.FIFO {
 		job.Rank = now - submission.HeadStart
 	}
-	chunks := contentChunks(content)
+	chunks := contentChunks(content.body)
 	job.Chunks = len(chunks)
 	for _, item := range submission.Items {
 		job.Items = append(job.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
--- a/internal/jobs/content.go
+++ b/internal/jobs/content.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
+	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -42,13 +43,86 @@
 	return table.Key{Partition: resultPartition(job), Sort: fmt.Sprintf("%s%03d", chunkPrefix(job), number)}
 }
 
+// submittedContent is the encoded content of a submission. Several nodes may write contents of one job
+// id, at any time and with different items, so each has a name of its own, and that of the job that is
+// accepted is never written again.
+type submittedContent struct {
+	name string
+	body []byte
+	// object names the object that holds a content too large for rows.
+	object string
+}
+
+func newContent(submission *Submission) *submittedContent {
+	content := &submittedContent{name: table.NewOperation(), body: encode(submission.Items)}
+	if len(content.body) > maxInlineContent {
+		content.object = contentObject(submission.ID, content.name)
+	}
+	return content
+}
+
 // putContent stores a content that is too large for rows as an object, before the rows that refer
-// to it. The object is only ever written with this content, so writing it twice is harmless.
-func (s *Service) putContent(ctx context.Context, id string, content []byte) error {
-	if len(content) <= maxInlineContent {
+// to it.
+func (s *Service) putContent(ctx context.Context, content *submittedContent) error {
+	if content.object == "" {
 		return nil
 	}
-	return s.putObject(ctx, contentObject(id), content)
+	return s.putObject(ctx, content.object, content.body)
+}
+
+// resolveContent deletes the object with the content of a submission in the background, once its job
+// is known to have another content or, if the submission was refused, to not exist. refused is the
+// error of the submission. An object that may still be referred to after resolveTime remains.
+func (s *Service) resolveContent(ctx context.Context, id string, content *submittedContent, refused error) {
+	if entry := s.View.Get(id); content.object == "" || entry != nil && entry.Job.Content == content.name {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTime)
+		defer cancel()
+		for {
+			err := s.checkContentUnused(ctx, id, content, refused)
+			if errors.Is(err, errContentUsed) {
+				return
+			}
+			if err == nil {
+				err = s.deleteUnused(ctx, content.object)
+			}
+			if err == nil || !retry.Sleep(ctx, resolveDelay) {
+				s.Events.ContentUnused(id, content.object, len(content.body), err)
+				return
+			}
+		}
+	}()
+}
+
+// checkContentUnused returns nil if no job refers to a content or ever will. All transactions that
+// accept the submission are conditional on there being no job with its id.
+func (s *Service) checkContentUnused(ctx context.Context, id string, content *submittedContent, refused error) error {
+	row, err := s.getOnce(ctx, jobKey(id))
+	if errors.Is(err, ErrNotFound) {
+		if isRefusal(refused) {
+			return nil
+		}
+		return Error.Wrap(errContentUndecided)
+	}
+	if err != nil {
+		return err
+	}
+	var job Job
+	if err := row.Decode(&job); err != nil {
+		return Error.Wrap(err)
+	}
+	if job.Content == content.name {
+		return Error.Wrap(errContentUsed)
+	}
+	return nil
+}
+
+// isRefusal reports whether the error of a submission means that it is never accepted.
+func isRefusal(err error) bool {
+	refused := errors.Is(err, ErrQuota) || errors.Is(err, ErrNotAccepted) || errors.Is(err, ErrSuperseded)
+	return refused && !errors.Is(err, ErrUnknownOutcome)
 }
 
 func (s *Service) putObject(ctx context.Context, key string, body []byte) error {
@@ -60,16 +134,16 @@
 // content returns the items of a job from memory or from the store.
 func (s *Service) content(ctx context.Context, job *Job) ([]Item, error) {
 	s.contentMu.Lock()
-	items, ok := s.contents[job.ID]
+	cached, ok := s.contents[job.ID]
 	s.contentMu.Unlock()
-	if ok {
-		return items, nil
+	if ok && cached.name == job.Content {
+		return cached.items, nil
 	}
 	content, err := s.readContent(ctx, job)
 	if err != nil {
 		return nil, s.reportUnreadable(err)
 	}
-	items, err = decodeContent(job, content)
+	items, err := decodeContent(job, content)
 	return items, s.reportUnreadable(err)
 }
 
@@ -102,6 +176,9 @@
 var (
 	errItemMismatch = errors.New("the content has other items than the job")
 	errChunkMissing = errors.New("rows of the content are missing")
+	// errContentUndecided reports that a content may still be referred to, errContentUsed that it is.
+	errContentUndecided = errors.New("the job is not accepted yet")
+	errContentUsed      = errors.New("the job has this content")
 )
 
 // Items returns the items of a job.
@@ -110,7 +187,7 @@
 // readContent reads the encoded items of a job, as the body of a row.
 func (s *Service) readContent(ctx context.Context, job *Job) (*table.Row, error) {
 	if job.Chunks == 0 {
-		return s.readNamedObject(ctx, contentObject(job.ID))
+		return s.readNamedObject(ctx, contentObject(job.ID, job.Content))
 	}
 	var rows []table.Row
 	err := retryCall(ctx, slowCallTimeout, func(callCtx context.Context) (err error) {
@@ -140,15 +217,21 @@
 	return content, nil
 }
 
+// cachedContent is a content in memory, under its name.
+type cachedContent struct {
+	name  string
+	items []Item
+}
+
 // cacheContent keeps the items of a job that this node runs in memory.
-func (s *Service) cacheContent(id string, items []Item) {
+func (s *Service) cacheContent(id, name string, items []Item) {
 	s.contentMu.Lock()
 	defer s.contentMu.Unlock()
 	if s.contents == nil {
-		s.contents = map[string][]Item{}
+		s.contents = map[string]cachedContent{}
 	}
 	if len(s.contents) < maxCachedContents {
-		s.contents[id] = items
+		s.contents[id] = cachedContent{name: name, items: items}
 	}
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -139,6 +139,10 @@
 	// anywhere. Regions declared since take precedence.
 	AllowedRegions place.Regions `cbor:"15,keyasint,omitempty"`
 
+	// Content names the content of the submission that was accepted, unlike that of any other with the
+	// same id; empty in rows of earlier versions.
+	Content string `cbor:"16,keyasint,omitempty"`
+
 	// version is the version of the row this was read from.
 	version uint64
 }
@@ -302,7 +306,14 @@
 	return table.Key{Partition: resultPartition(job), Sort: fmt.Sprintf("%s/kept/%06d", job, item)}
 }
 
-func contentObject(job string) string { return "job-" + job }
+// contentObject returns the name of the object with the content of a job. Versions that did not name
+// contents had one name for all submissions of a job.
+func contentObject(job, content string) string {
+	if content == "" {
+		return "job-" + job
+	}
+	return "job-" + job + "-" + content
+}
 
 func encode(record any) []byte {
 	body, err := cbor.Marshal(record)
--- a/internal/jobs/remove.go
+++ b/internal/jobs/remove.go
@@ -24,7 +24,7 @@
 	s.View.Drop(entry.Job.ID)
 	s.dropContent(entry.Job.ID)
 	if entry.Job.Chunks == 0 {
-		s.deleteObject(ctx, contentObject(entry.Job.ID))
+		s.deleteObject(ctx, contentObject(entry.Job.ID, entry.Job.Content))
 	}
 	s.deleteRows(ctx, entry.Job)
 	return nil
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -80,6 +80,7 @@
 func (noEvents) Resolved(operation string, attempts int, err error)        {}
 func (noEvents) ItemListed(*Job, string, int, Reason, string, int, time.Duration) {
 }
+func (noEvents) ContentUnused(string, string, int, error)   {}
 func (noEvents) CheckpointFailed(*Job, int, error)          {}
 func (noEvents) Unresolved(string, string, int, int, error) {}
 
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -61,6 +61,9 @@
 	// listed one; position is -1 if the item is not listed. The object is deleted, or remains because
 	// of err.
 	TextNotListed(job *Job, item string, position int, object string, size int, err error)
+	// ContentUnused reports an object with the content of a submission that no job refers to. It is
+	// deleted, or remains because of err.
+	ContentUnused(id, object string, size int, err error)
 	// CheckpointFailed reports that the texts so far of a number of unfinished items were not saved.
 	CheckpointFailed(job *Job, items int, err error)
 	// Resolved reports the end of a write of a progress row that took more than one attempt.
@@ -122,7 +125,7 @@
 	lastAnswer atomic.Pointer[time.Time]
 	// contents holds the items of jobs that this node accepted recently.
 	contentMu sync.Mutex
-	contents  map[string][]Item
+	contents  map[string]cachedContent
 }
 
 // update changes a job's progress row until the change is stored or no longer needed. change
--- a/internal/jobs/unlisted_test.go
+++ b/internal/jobs/unlisted_test.go
@@ -82,7 +82,7 @@
 		if err := accepting.Submit(t.Context(), job); err != nil {
 			t.Fatal(err)
 		}
-		if err := objects.Delete(t.Context(), contentObject("j")); err != nil {
+		if err := objects.Delete(t.Context(), contentObject("j", accepting.View.Get("j").Job.Content)); err != nil {
 			t.Fatal(err)
 		}
 		node := startNode(t, shared, objects, "b#2")
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -120,6 +120,11 @@
 		Str("object", object).Int("bytes", size).Err(err).Msg("text written that is not the listed result")
 }
 
+// ContentUnused implements jobs.Events.
+func (l *jobLog) ContentUnused(id, object string, size int, err error) {
+	l.log.Warn().Str("job", id).Str("object", object).Int("bytes", size).Err(err).Msg("content written that no job has")
+}
+
 // CheckpointFailed implements jobs.Events.
 func (l *jobLog) CheckpointFailed(job *jobs.Job, items int, err error) {
 	l.log.Warn().Str("job", job.ID).Int("items", items).Err(err).Msg("checkpoint not saved")
