--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -83,6 +83,7 @@
 func (r *Runner) discardFinished(owned *ownedJob) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.Service.resolveTexts(owned.ctx, owned.job, owned.finished)
 	owned.finished, owned.committing = nil, false
 }
 
@@ -161,6 +162,7 @@
 	if errors.Is(err, ErrUnreadable) {
 		// Nothing can be listed. Once the job can be read again, its items are loaded anew.
 		r.drop(owned)
+		r.Service.resolveTexts(owned.ctx, owned.job, batch)
 		return
 	}
 	for _, t := range batch {
@@ -184,9 +186,11 @@
 	time.AfterFunc(rejectedRetryDelay, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if t.owned.ctx.Err() == nil {
-			r.queueFinished(t)
+		if t.owned.ctx.Err() != nil {
+			r.Service.resolveTexts(t.owned.ctx, t.owned.job, []*task{t})
+			return
 		}
+		r.queueFinished(t)
 	})
 }
 
@@ -208,7 +212,11 @@
 // written. It returns the items that are not listed, and why.
 func (s *Service) listWritable(ctx context.Context, job *Job, batch []*task) (failed []*task, err error) {
 	rows := make(map[*task][]byte, len(batch))
+	known := s.View.Get(job.ID)
 	for _, t := range batch {
+		if t.objectCount() > 0 && !known.canList(t.index) {
+			continue
+		}
 		row, rowErr := s.resultRow(ctx, job, t)
 		if rowErr != nil {
 			failed, err = append(failed, t), rowErr
@@ -217,9 +225,13 @@
 		rows[t] = row
 	}
 	if len(rows) == 0 {
+		s.reportListed(ctx, job, without(batch, failed), nil)
 		return failed, err
 	}
+	// written holds the items that the latest transaction lists.
+	var written map[*task]bool
 	updateErr := s.update(ctx, job.ID, func(progress *Progress) ([]table.Write, bool) {
+		written = map[*task]bool{}
 		if progress.Ended {
 			return nil, false
 		}
@@ -231,14 +243,16 @@
 			position := len(progress.Listed)
 			progress.Listed = append(progress.Listed, Listed{Item: t.index, Dead: t.reason != ""})
 			writes = append(writes, table.Write{Key: resultKey(job.ID, position), Expect: table.Absent, Body: rows[t]})
+			written[t] = true
 		}
 		return writes, len(writes) > 0
 	})
 	switch {
 	case updateErr == nil:
-		s.reportListed(job, batch)
+		s.reportListed(ctx, job, without(batch, failed), written)
 	case errors.Is(updateErr, ErrNotFound):
 		// The job was removed, so there is nothing left to list.
+		s.resolveTexts(ctx, job, batch)
 		return nil, nil
 	default:
 		return batch, updateErr
@@ -246,20 +260,14 @@
 	return failed, err
 }
 
-func (s *Service) reportListed(job *Job, batch []*task) {
-	entry := s.View.Get(job.ID)
-	if entry == nil {
-		return
-	}
-	position := map[int]int{}
-	for i, listed := range entry.Progress.Listed {
-		position[listed.Item] = i
-	}
-	for _, t := range batch {
-		if i, ok := position[t.index]; ok {
-			s.Events.ItemListed(job, job.Items[t.index].ID, i, t.reason, clock.Since(t.firstSent))
-		}
-	}
+// canList reports whether an item may still be listed; it may not if the job is gone.
+func (e *Entry) canList(item int) bool {
+	return e != nil && !e.Progress.Ended && !e.Progress.isListed(item)
+}
+
+// without returns the items of a batch that are not among the failed ones.
+func without(batch, failed []*task) []*task {
+	return slices.DeleteFunc(slices.Clone(batch), func(t *task) bool { return slices.Contains(failed, t) })
 }
 
 // resultRow encodes a result. A long text is written to an object of its own.
@@ -270,13 +278,10 @@
 	if t.objectCount() == 0 {
 		return encode(storedResult{Text: string(t.text)}), nil
 	}
-	name := textObject(job.ID, t.index)
-	putCtx, cancel := context.WithTimeout(ctx, textPutTimeout)
-	defer cancel()
-	if err := s.putObject(putCtx, name, t.text); err != nil {
+	if err := s.putText(ctx, job, t); err != nil {
 		return nil, err
 	}
-	return encode(storedResult{Object: name}), nil
+	return encode(storedResult{Object: t.object}), nil
 }
 
 // loadCheckpoints returns the partial texts that an earlier owner saved for unfinished items, by
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -138,6 +139,10 @@
 	// anywhere. Regions declared since take precedence.
 	AllowedRegions place.Regions `cbor:"15,keyasint,omitempty"`
 
+	// Content names the content of the submission that was accepted, unlike that of any other with the
+	// same id; empty in rows of earlier versions.
+	Content string `cbor:"16,keyasint,omitempty"`
+
 	// version is the version of the row this was read from.
 	version uint64
 }
@@ -181,16 +186,14 @@
 	Reassigned map[int]string `cbor:"6,keyasint,omitempty"`
 }
 
-// isListed reports whether an item is listed.
-func (p *Progress) isListed(item int) bool {
-	for _, listed := range p.Listed {
-		if listed.Item == item {
-			return true
-		}
-	}
-	return false
+// position returns the position of an item in the list, or -1.
+func (p *Progress) position(item int) int {
+	return slices.IndexFunc(p.Listed, func(listed Listed) bool { return listed.Item == item })
 }
 
+// isListed reports whether an item is listed.
+func (p *Progress) isListed(item int) bool { return p.position(item) >= 0 }
+
 func (p *Progress) clone() *Progress {
 	copied := *p
 	copied.Listed = append([]Listed(nil), p.Listed...)
@@ -303,9 +306,14 @@
 	return table.Key{Partition: resultPartition(job), Sort: fmt.Sprintf("%s/kept/%06d", job, item)}
 }
 
-func contentObject(job string) string { return "job-" + job }
-
-func textObject(job string, item int) string { return fmt.Sprintf("text-%s-%d", job, item) }
+// contentObject returns the name of the object with the content of a job. Versions that did not name
+// contents had one name for all submissions of a job.
+func contentObject(job, content string) string {
+	if content == "" {
+		return "job-" + job
+	}
+	return "job-" + job + "-" + content
+}
 
 func encode(record any) []byte {
 	body, err := cbor.Marshal(record)
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -54,7 +54,16 @@
 	// ItemPreempted reports an item that is preempted by online requests, with the pressure that
 	// caused it. after is the id of the last event that the item received.
 	ItemPreempted(job *Job, item string, replica string, after int, pressure replica.Pressure)
-	ItemListed(job *Job, item string, position int, dead Reason, took time.Duration)
+	// ItemListed reports an item that is listed. object names the object with its text, if it has one;
+	// size is that of the text, in bytes.
+	ItemListed(job *Job, item string, position int, dead Reason, object string, size int, took time.Duration)
+	// TextNotListed reports an item whose text this node has written as an object that is not the
+	// listed one; position is -1 if the item is not listed. The object is deleted, or remains because
+	// of err.
+	TextNotListed(job *Job, item string, position int, object string, size int, err error)
+	// ContentUnused reports an object with the content of a submission that no job refers to. It is
+	// deleted, or remains because of err.
+	ContentUnused(id, object string, size int, err error)
 	// CheckpointFailed reports that the texts so far of a number of unfinished items were not saved.
 	CheckpointFailed(job *Job, items int, err error)
 	// Resolved reports the end of a write of a progress row that took more than one attempt.
@@ -116,7 +125,7 @@
 	lastAnswer atomic.Pointer[time.Time]
 	// contents holds the items of jobs that this node accepted recently.
 	contentMu sync.Mutex
-	contents  map[string][]Item
+	contents  map[string]cachedContent
 }
 
 // update changes a job's progress row until the change is stored or no longer needed. change
