sse: lines that bring no event, and events that come again, are no progress

What callers saw: a server that sends blank lines or comments without end gets a stream's caller nothing but those, and the stream ends with the request's deadline; played from outside, 3.9 to 4.0 s, up to 10 MB passed on to a caller.

Cause: a blank line or a comment counted as an event. It was passed on, and it set back the watchdog of silence, the time of the first event and, for items, the timeouts of a run. So did an event that the caller had already, repeated without end. A stream of the engine's own interface was even asked for again each time.

Now whatever comes between two events is kept with the one after it, or with the end, and passed on byte for byte with it; it may have MaxEventBytes, 256 KiB, with that event. What has no data, id or event field is no event. An event whose id is not higher than those before it in the answer counts as nothing, and the answer breaks off after 256 KiB of such. A line before an event's fields (weight-versions) belongs to the event as before.

Not changed: bytes of any kind still show a server that has restarted to be the one that answers (restart.go), since only that can send them.

FuzzReader_RawIsInput is stricter: at a whole end all of the input must have been passed on.

--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
 const (
@@ -34,8 +35,10 @@
 	buffer []byte
 	// lastEventID is the ID of the last event read.
 	lastEventID int
-	done        bool
-	err         error
+	// progress bounds the events that come again.
+	progress sse.Progress
+	done     bool
+	err      error
 }
 
 // Read implements io.Reader.
@@ -58,13 +61,16 @@
 func (b *resumableBody) next() {
 	event, err := b.stream.Next()
 	for tries := 0; err != nil; tries++ {
-		if b.ctx.Err() != nil || tries == resumeTries || !b.resume(tries) {
+		if b.ctx.Err() != nil || tries == resumeTries || errors.Is(err, sse.ErrTooLong) || !b.resume(tries) {
 			b.err = err
 			return
 		}
 		event, err = b.stream.Next()
 	}
 	if event.ID > 0 && event.ID <= b.lastEventID && !event.Finishes() && !event.Done {
+		if _, err := b.progress.Observe(sse.Event{ID: event.ID, HasID: true, Raw: event.Raw}); err != nil {
+			b.err = b.stream.brokenError(err)
+		}
 		return
 	}
 	b.buffer = b.render(b.buffer[:0], event, b.lastEventID)
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -19,7 +19,7 @@
 // forwardEvents relays events as they arrive, skipping those that the caller already has. confirmEnd
 // returns an error if the answer ended too early.
 func (c *call) forwardEvents(answer *Answer, use *replica.Use, watchdog *silenceWatchdog, confirmEnd func() error) error {
-	reader := sse.NewReader(answer.Body)
+	reader, progress := sse.NewReader(answer.Body), sse.Progress{}
 	checked := false
 	for {
 		event, err := reader.Next()
@@ -27,11 +27,20 @@
 			if err := confirmEnd(); err != nil {
 				return err
 			}
-			return c.finishEvents(answer)
+			return c.finishEvents(answer, reader.Rest())
 		}
 		if err != nil {
 			return outcome.AsUnknown(fmt.Errorf("%w: %w", ErrBroken, err))
 		}
+		if event.HasID {
+			goesOn, err := progress.Observe(event)
+			if err != nil {
+				return outcome.AsUnknown(fmt.Errorf("%w: event %d comes again and again: %w", ErrBroken, event.ID, err))
+			}
+			if !goesOn {
+				continue
+			}
+		}
 		now := clock.Now()
 		use.Received(now)
 		use.FirstEvent(now)
@@ -85,8 +94,17 @@
 	return nil
 }
 
-// finishEvents completes a stream. The header of one without events has not been relayed yet.
-func (c *call) finishEvents(answer *Answer) error { return c.forwardHead(answer) }
+// finishEvents completes a stream with what came after its last event. The header of one without events has
+// not been relayed yet.
+func (c *call) finishEvents(answer *Answer, rest []byte) error {
+	if err := c.forwardHead(answer); err != nil || len(rest) == 0 {
+		return err
+	}
+	if err := c.sink.Write(rest, false); err != nil {
+		return outcome.AsUnknown(ErrCallerDisconnected)
+	}
+	return nil
+}
 
 // forwardHead relays the header of the first replica that answered. A stream that resumes elsewhere
 // keeps it.
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -197,7 +197,7 @@
 // collect reads the events of an answer and appends them to the item's text. sent is when the
 // attempt was sent.
 func (r *Runner) collect(t *task, answer *forward.Answer, use *replica.Use, sent time.Time) error {
-	reader := sse.NewReader(answer.Body)
+	reader, progress := sse.NewReader(answer.Body), sse.Progress{}
 	gaps := eventGaps{last: sent}
 	defer func() { r.recordGaps(gaps) }()
 	checked := false
@@ -209,6 +209,13 @@
 		if err != nil {
 			return outcome.AsUnknown(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
+		goesOn, err := progress.Observe(event)
+		if err != nil {
+			return outcome.AsUnknown(fmt.Errorf("%w: nothing new after event %d: %w", forward.ErrBroken, event.ID, err))
+		}
+		if !goesOn {
+			continue
+		}
 		now := clock.Now()
 		gaps.record(now)
 		use.Received(now)
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -44,11 +44,17 @@
 func FuzzReader_RawIsInput(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add("data: a\r\n\r\n:comment\n\n")
+	f.Add("\n: c\n\n\nid: 1\n\n\n: c\n\n")
 	f.Fuzz(func(t *testing.T, input string) {
 		reader := NewReader(strings.NewReader(input))
 		var passed strings.Builder
 		for {
 			event, err := reader.Next()
+			if errors.Is(err, io.EOF) {
+				if whole := passed.String() + string(reader.Rest()); whole != input {
+					t.Fatalf("passed on %q of %q", whole, input)
+				}
+			}
 			if err != nil {
 				break
 			}
