forward: what all answers keep in memory together is bounded

What callers would see: with servers whose answers have no end, a node needs as much memory as there are requests, is killed for it, and all its requests end. From outside: 104 to 129 MB of a node that has 51 MB else, with every fourth answer of six of ten servers; the smallest machines have 144 MB for everything.

Cause: each answer that is buffered could take 8 MiB, in one slice that grows by copying, and so a second time that size; nothing bounded all of them. The same held for what a reader of events keeps, up to 512 KiB a stream.

Now all answers of a forwarder, and all that the runner of items reads, take what they keep beyond 16 KiB from a budget of 16 MiB (package bytebudget). A holder may keep no more than it leaves to the others, so one gets 8 MiB as before, and many share evenly and leave room for a new one. A holder that finds no room waits for others, 1 s in all, or 0.2 s if it has more than the average: the large ones end and the others go on, and no wait is without end. Then its attempt ends as broken, with an unknown outcome, and `attempt failed` says `too many bytes are held in memory`, or from 1 MiB on `answer is too long`. The former is held against no replica; neither counts as a crash, since the replica was sending until the node closed. Bodies lie in chunks of up to 64 KiB, are relayed chunk by chunk, and each is given back once it is sent. A gauge, wheelhoist_gateway_answer_bytes_held, shows what is taken. 16 MiB: half goes to the largest answer that was allowed so far, and with the garbage of one collection all are some 32 of the 144 MB.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,25 +1,27 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
-// maxBufferedBody bounds an answer that is buffered until it is complete, in bytes.
-const maxBufferedBody = 8 << 20
-
 // forwardEvents relays events as they arrive, skipping those that the caller already has. confirmEnd
 // returns an error if the answer ended too early.
-func (c *call) forwardEvents(answer *Answer, use *replica.Use, watchdog *silenceWatchdog, confirmEnd func() error) error {
+func (c *call) forwardEvents(ctx context.Context, answer *Answer, use *replica.Use, watchdog *silenceWatchdog, confirmEnd func() error) error {
+	share := bytebudget.Share{Budget: &c.forwarder.answers}
+	defer share.Release()
 	reader, progress := sse.NewReader(answer.Body), sse.Progress{}
+	reader.Hold = func(bytes int) error { return share.Await(ctx, bytes) }
 	checked := false
 	for {
 		event, err := reader.Next()
@@ -123,14 +125,12 @@
 
 // forwardBuffered relays an answer once all of it has arrived, so that a broken one can still be
 // replaced by a retry or an accurate error. confirmEnd returns an error if it ended too early.
-func (c *call) forwardBuffered(answer *Answer, use *replica.Use, confirmEnd func() error) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody+1))
-	if err != nil {
+func (c *call) forwardBuffered(ctx context.Context, answer *Answer, use *replica.Use, confirmEnd func() error) error {
+	body := heldBody{share: bytebudget.Share{Budget: &c.forwarder.answers}}
+	defer body.share.Release()
+	if err := body.read(ctx, answer.Body); err != nil {
 		return outcome.AsUnknown(fmt.Errorf("%w: %w", ErrBroken, err))
 	}
-	if len(body) > maxBufferedBody {
-		return outcome.AsUnknown(fmt.Errorf("%w: longer than %d bytes", ErrBroken, maxBufferedBody))
-	}
 	if err := confirmEnd(); err != nil {
 		return err
 	}
@@ -147,7 +147,7 @@
 	if err := c.forwardHead(answer); err != nil {
 		return err
 	}
-	if err := c.sink.Write(body, false); err != nil {
+	if err := body.writeTo(c.sink); err != nil {
 		return outcome.AsUnknown(ErrCallerDisconnected)
 	}
 	return nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
@@ -72,6 +73,9 @@
 	Origins StreamOrigins
 	// Quarantine, if set, keeps work away from replicas if it is suspected of crashing them.
 	Quarantine Quarantine
+
+	// answers bounds what all answers keep in memory together.
+	answers bytebudget.Budget
 }
 
 // call is the state of one request.
@@ -374,9 +378,9 @@
 	}
 	confirmEnd := func() error { return c.confirmEnd(ctx, answer, chosen) }
 	if answer.EventStream && answer.Status == http.StatusOK {
-		return cancellationError(ctx, c.forwardEvents(answer, use, watchdog, confirmEnd))
+		return cancellationError(ctx, c.forwardEvents(ctx, answer, use, watchdog, confirmEnd))
 	}
-	return cancellationError(ctx, c.forwardBuffered(answer, use, confirmEnd))
+	return cancellationError(ctx, c.forwardBuffered(ctx, answer, use, confirmEnd))
 }
 
 // cancellationError replaces an error that results from this node canceling the attempt by the
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
@@ -21,13 +22,19 @@
 		return replica.Unreachable
 	case errors.Is(err, ErrRefused):
 		return replica.Refused
-	case errors.Is(err, ErrCallerDisconnected), errors.Is(err, ErrStalled), ctx.Err() != nil:
+	case errors.Is(err, ErrCallerDisconnected), errors.Is(err, ErrStalled), LacksMemory(err), ctx.Err() != nil:
 		return replica.Abandoned
 	default:
 		return replica.Failed
 	}
 }
 
+// LacksMemory reports whether an attempt was ended because this node has no memory left for its answer, which
+// is not the replica's fault.
+func LacksMemory(err error) bool {
+	return errors.Is(err, bytebudget.ErrFull) && !errors.Is(err, errTooLong)
+}
+
 // silenceFailureThreshold is the silence of a replica, toward all requests of this node, that
 // counts as a failure when a request ends during it. Batch items use the same limit.
 const silenceFailureThreshold = 2 * time.Second
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
+	"github.com/wheelhoist/wheelhoist/internal/sse"
 )
 
 // Quarantine keeps work away from replicas if it is suspected of crashing them. The work functions
@@ -65,7 +67,7 @@
 // request may have begun to run, and neither with an answer nor because this node canceled it for
 // another reason. status is that of the answer, 0 if none came.
 func LooksLikeCrash(err error, status int) bool {
-	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError {
+	if err == nil || outcome.Of(err) == outcome.NotDone || status >= http.StatusInternalServerError || exceedsLimit(err) {
 		return false
 	}
 	for _, loss := range []error{ErrBroken, ErrSilent, ErrRestarted} {
@@ -76,6 +78,11 @@
 	return false
 }
 
+// exceedsLimit reports whether this node ended an attempt because its replica sent too much.
+func exceedsLimit(err error) bool {
+	return errors.Is(err, bytebudget.ErrFull) || errors.Is(err, errTooLong) || errors.Is(err, sse.ErrTooLong)
+}
+
 // checkQuarantine returns an error if the request must not be sent. A request that was admitted as a trial
 // remains one until an attempt has been interrupted.
 func (c *call) checkQuarantine(ctx context.Context) error {
--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -62,7 +63,7 @@
 	switch {
 	case err == nil, errors.Is(err, errItemInvalid), errors.Is(err, errItemFailed):
 		return replica.Succeeded
-	case ctx.Err() != nil, errors.Is(err, errPreempted), errors.Is(err, forward.ErrStalled):
+	case ctx.Err() != nil, errors.Is(err, errPreempted), errors.Is(err, forward.ErrStalled), forward.LacksMemory(err):
 		// A replica that answers other requests is not at fault for one dead connection or a long
 		// queue.
 		return replica.Abandoned
@@ -197,7 +198,10 @@
 // collect reads the events of an answer and appends them to the item's text. sent is when the
 // attempt was sent.
 func (r *Runner) collect(t *task, answer *forward.Answer, use *replica.Use, sent time.Time) error {
+	share := bytebudget.Share{Budget: &r.answers}
+	defer share.Release()
 	reader, progress := sse.NewReader(answer.Body), sse.Progress{}
+	reader.Hold = share.Hold
 	gaps := eventGaps{last: sent}
 	defer func() { r.recordGaps(gaps) }()
 	checked := false
--- a/internal/jobs/runner.go
+++ b/internal/jobs/runner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/place"
@@ -81,6 +82,8 @@
 	orphans orphans
 	// borrowStates holds the state of borrowing slots by lane.
 	borrowStates map[lane]borrowState
+	// answers bounds what the answers being read keep in memory together, beside the texts.
+	answers bytebudget.Budget
 }
 
 // NewRunner returns a runner that owns no jobs.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -185,6 +185,7 @@
 // registerViews registers the gauges that show the state of a core.
 func (m *coreMetrics) registerViews(c *core) {
 	m.gauge("wheelhoist_gateway_requests_open", "Requests being forwarded.", func() float64 { return float64(c.open.Load()) })
+	m.gauge("wheelhoist_gateway_answer_bytes_held", "Bytes of answers that are in memory, beyond 16 KB of each.", func() float64 { return float64(c.forwarder.HeldBytes()) })
 	m.gauge("wheelhoist_gateway_config_version", "Version of the configuration in force.", func() float64 {
 		if routes := c.routes.Load(); routes != nil {
 			return float64(routes.Version)
