jobs: texts of a node are bounded, each and together

What callers would see: a server that goes on sending an item's events, with ids in order, lets its text grow until the node is killed for its memory, and with it all that the node has under way.

Cause: nothing bounded a text, or what all have that are not listed yet; and a task kept its text after it was listed, until its whole job was done.

A text that may not grow is dropped with all its memory, and its item starts over elsewhere after the pause of an interrupted run. It can't be kept: several texts that wait for each other's memory would never finish, and nothing says from which event on it is no answer. The run counts as neither failed nor invalid, so an item is never dead for it; an item that really is longer ends with its retention. A listed task keeps no text.

--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -246,6 +246,10 @@
 	if event.ID != t.lastEvent+1 {
 		return outcome.AsUnknown(fmt.Errorf("%w: event %d follows event %d", forward.ErrBroken, event.ID, t.lastEvent))
 	}
+	if err := r.makeRoom(t, len(event.Data)); err != nil {
+		t.discardText()
+		return outcome.AsUnknown(fmt.Errorf("%w: event %d: %w", forward.ErrBroken, event.ID, err))
+	}
 	if t.lastEvent > 0 {
 		t.text = append(t.text, '\n')
 	}
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -168,7 +168,7 @@
 			t.setWait(WaitListing, err)
 			continue
 		}
-		t.state = taskListed
+		t.state, t.text = taskListed, nil
 	}
 	if rejected && !owned.commitLimit.Reduce(len(failed)) {
 		r.deferRejected(failed[0])
