node, engine, object: other responses are bounded too

A search for responses that are read without a bound, beside those of replicas and the store:

- between nodes (changes, replica list, configuration at a start, crashes): a body had 16 MiB and each call has its time, 1 to 4 s; a header could have 10 MB.
- engines of the product's own interface: a header could have 10 MB, the answer to a control call (load, orders) had no bound.
Now 64 KiB and 1 MiB.
- objects read by object.ReadAll had no bound; now 257 MiB, which the largest segment of a batch file may have: 256 lines of 1 MiB.
That is more than a small node has; only the product's own interface reads such, from its own store.
- datagrams (package peer) are read into 1,472 bytes, and a reply that nobody waits for is dropped: nothing changed.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -82,6 +82,10 @@
 	// maxIdlePerEngine keeps enough idle connections to serve bursts without dialing.
 	maxIdlePerEngine = 64
 	controlTimeout   = 2 * time.Second
+	// maxHeaderBytes and maxControlBytes bound the header of any answer and the body of one to a control
+	// call, in bytes.
+	maxHeaderBytes  = 64 << 10
+	maxControlBytes = 1 << 20
 )
 
 // NewClient returns a client with its own connection pools. counter, which may be nil, counts the
@@ -106,6 +110,8 @@
 		DisableCompression:  true,
 		WriteBufferSize:     8 << 10,
 		ReadBufferSize:      8 << 10,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -230,7 +236,7 @@
 	if answer == nil {
 		return nil
 	}
-	return Error.Wrap(json.NewDecoder(response.Body).Decode(answer))
+	return Error.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(answer))
 }
 
 func refusalError(response *http.Response) error {
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -32,6 +32,8 @@
 	maxBootstrapResponses = 2
 	// maxBootstrapBytes bounds a response. A large configuration has about 1 MB.
 	maxBootstrapBytes = 16 << 20
+	// maxPeerHeader bounds the header of any other node's response, in bytes.
+	maxPeerHeader = 64 << 10
 	// maxStatedAge bounds the age of a state, so that one that cannot be true does not overflow.
 	maxStatedAge = 24 * time.Hour
 	// pathBootstrap is the HTTP path under which nodes serve their state.
@@ -150,7 +152,7 @@
 
 // runBootstrap requests the state of other nodes until this one is populated.
 func (g *Gateway) runBootstrap(ctx context.Context) {
-	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: bootstrapTimeout, Transport: peerTransport()}
 	after := time.Duration(g.settings.Gateway.BootstrapAfter)
 	for retry.Sleep(ctx, after); ctx.Err() == nil && !g.populated(); retry.Sleep(ctx, bootstrapInterval) {
 		addresses := g.sourcesAndSeeds()
--- a/internal/node/gatewaycrashes.go
+++ b/internal/node/gatewaycrashes.go
@@ -130,7 +130,7 @@
 func (g *Gateway) runCrashRequests(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, crashRequestPeriod)
 	defer cancel()
-	client := &http.Client{Timeout: bootstrapTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: bootstrapTimeout, Transport: peerTransport()}
 	ticker := time.NewTicker(crashRequestInterval)
 	defer ticker.Stop()
 	inquiry, results := &crashInquiry{}, make(chan inquiryResult, maxInquiries)
--- a/internal/node/gatewaylistcopy.go
+++ b/internal/node/gatewaylistcopy.go
@@ -46,7 +46,7 @@
 // of the zone where possible.
 func (g *Gateway) buildReplicaWatch(feed table.Feed) {
 	if g.settings.Gateway.Peers != "" {
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		client := &http.Client{Transport: peerTransport()}
 		feed = &listcopy.Feed{
 			Feed: feed, View: g.zoneView, Now: clock.Now,
 			Copy: func(ctx context.Context) (table.Changes, error) { return g.fetchReplicaList(ctx, client) },
@@ -132,6 +132,11 @@
 	}
 }
 
+// peerTransport returns a transport for single requests to other nodes.
+func peerTransport() *http.Transport {
+	return &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeader}
+}
+
 // fetchState requests the state that a node serves under a path, and decodes it into dst.
 func fetchState(ctx context.Context, client *http.Client, address, path string, dst any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -72,7 +72,7 @@
 func newRelays(from int, metrics *coreMetrics) *relays {
 	return &relays{
 		from: from, metrics: metrics, logs: map[feedGroup]*relay.Log{}, feeds: map[feedGroup]*relay.Feed{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: feedGroups}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: feedGroups, MaxResponseHeaderBytes: maxPeerHeader}},
 	}
 }
 
--- a/internal/object/object.go
+++ b/internal/object/object.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/zeebo/errs"
@@ -23,6 +24,8 @@
 	ErrThrottled = errors.New("object store throttled")
 	// ErrUnavailable reports that the store could not be reached or returned an error.
 	ErrUnavailable = errors.New("object store unavailable")
+	// ErrTooLarge reports an object that is larger than any that the product writes.
+	ErrTooLarge = errors.New("object is too large")
 )
 
 // Store is an object store. Implementations are safe for concurrent use.
@@ -35,16 +38,27 @@
 	Delete(ctx context.Context, key string) error
 }
 
-// ReadAll reads an object completely.
+// maxReadBytes bounds what ReadAll reads into memory, in bytes. The largest objects are segments of batch
+// files: 256 lines of up to 1 MiB.
+const maxReadBytes = 257 << 20
+
+// ReadAll reads an object completely. It returns ErrTooLarge if that would take too much memory.
 func ReadAll(ctx context.Context, store Store, key string) ([]byte, error) {
+	return readAll(ctx, store, key, maxReadBytes)
+}
+
+func readAll(ctx context.Context, store Store, key string, limit int64) ([]byte, error) {
 	reader, err := store.Get(ctx, key)
 	if err != nil {
 		return nil, err
 	}
-	body, readErr := io.ReadAll(reader)
+	body, readErr := io.ReadAll(io.LimitReader(reader, limit+1))
 	closeErr := reader.Close()
 	if readErr != nil {
 		return nil, Error.Wrap(readErr)
 	}
+	if int64(len(body)) > limit {
+		return nil, Error.Wrap(fmt.Errorf("%w: over %d bytes", ErrTooLarge, limit))
+	}
 	return body, Error.Wrap(closeErr)
 }
