command: what libraries log is JSON, short and rare

Found while testing bytes after a whole answer on a connection that rests: net/http closes such a connection, and writes with package log a line to standard error that quotes up to 4 KB of what came, one for each connection, neither JSON nor bounded in number, and blocking. Now such lines are lines of the node's log, `message of a library`, of 200 bytes, at most five each 5 s, in the gateway over its buffer that never blocks.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -27,6 +27,7 @@
 	})
 	defer func() { _ = output.Close() }()
 	log := zerolog.New(output).Level(level).With().Timestamp().Logger()
+	captureLibraryLog(log)
 	running, err := node.StartGateway(ctx, config, log)
 	if err != nil {
 		return err
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -74,6 +74,7 @@
 		return runGateway(ctx, config, std, level)
 	}
 	log := zerolog.New(std.out).Level(level).With().Timestamp().Logger()
+	captureLibraryLog(log)
 	applied := log.With().Str("node", config.Node.ID).Logger()
 	running, err := node.Start(ctx, config, node.Options{
 		Log: log,
