--- a/internal/forward/heldbody_test.go
+++ b/internal/forward/heldbody_test.go
@@ -34,10 +34,12 @@
 		return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}, nil
 	}}
 	forwarder = newForwarder(backend, requests)
+	target := routeOf(route.Once, false, 1)
+	target.Timeout = time.Minute
 	results := make(chan error, 2*requests)
 	send := func(id string) {
 		sink, request := &recordingSink{}, &Request{ID: id, Method: http.MethodPost, Received: clock.Now()}
-		_, err := forwarder.Do(t.Context(), routeOf(route.Once, false, 1), request, sink)
+		_, err := forwarder.Do(t.Context(), target, request, sink)
 		switch {
 		case strings.HasPrefix(id, "sound") && (err != nil || sink.body.String() != sound):
 			err = fmt.Errorf("sound answer of %d bytes: %w", sink.body.Len(), err)
