jobs: the bound of texts counts unfinished items only

Finished texts that wait for the store counted too: in a long outage of the store they could fill the bound, and whole runs would be broken off and dropped for it.

--- a/internal/jobs/textlimit.go
+++ b/internal/jobs/textlimit.go
@@ -37,12 +37,13 @@
 	return nil
 }
 
-// textBytes returns the size of all texts that are not listed yet. The caller holds mu.
+// textBytes returns the size of all texts of unfinished items. Finished ones wait for the store only, and to
+// break off others for them would lose work in each of its outages. The caller holds mu.
 func (r *Runner) textBytes() int64 {
 	total := int64(0)
 	for _, owned := range r.owned {
 		for _, t := range owned.tasks {
-			if t.state != taskListed {
+			if t.state == taskWaiting || t.state == taskRunning {
 				total += int64(len(t.text))
 			}
 		}
