--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
@@ -62,7 +63,7 @@
 	switch {
 	case err == nil, errors.Is(err, errItemInvalid), errors.Is(err, errItemFailed):
 		return replica.Succeeded
-	case ctx.Err() != nil, errors.Is(err, errPreempted), errors.Is(err, forward.ErrStalled):
+	case ctx.Err() != nil, errors.Is(err, errPreempted), errors.Is(err, forward.ErrStalled), forward.LacksMemory(err):
 		// A replica that answers other requests is not at fault for one dead connection or a long
 		// queue.
 		return replica.Abandoned
@@ -197,7 +198,10 @@
 // collect reads the events of an answer and appends them to the item's text. sent is when the
 // attempt was sent.
 func (r *Runner) collect(t *task, answer *forward.Answer, use *replica.Use, sent time.Time) error {
-	reader := sse.NewReader(answer.Body)
+	share := bytebudget.Share{Budget: &r.answers}
+	defer share.Release()
+	reader, progress := sse.NewReader(answer.Body), sse.Progress{}
+	reader.Hold = share.Hold
 	gaps := eventGaps{last: sent}
 	defer func() { r.recordGaps(gaps) }()
 	checked := false
@@ -209,6 +213,13 @@
 		if err != nil {
 			return outcome.AsUnknown(fmt.Errorf("%w: %w", forward.ErrBroken, err))
 		}
+		goesOn, err := progress.Observe(event)
+		if err != nil {
+			return outcome.AsUnknown(fmt.Errorf("%w: nothing new after event %d: %w", forward.ErrBroken, event.ID, err))
+		}
+		if !goesOn {
+			continue
+		}
 		now := clock.Now()
 		gaps.record(now)
 		use.Received(now)
@@ -235,6 +246,10 @@
 	if event.ID != t.lastEvent+1 {
 		return outcome.AsUnknown(fmt.Errorf("%w: event %d follows event %d", forward.ErrBroken, event.ID, t.lastEvent))
 	}
+	if err := r.makeRoom(t, len(event.Data)); err != nil {
+		t.discardText()
+		return outcome.AsUnknown(fmt.Errorf("%w: event %d: %w", forward.ErrBroken, event.ID, err))
+	}
 	if t.lastEvent > 0 {
 		t.text = append(t.text, '\n')
 	}
