--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
+	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 )
@@ -82,7 +83,9 @@
 // ItemFailed implements jobs.Events.
 func (l *jobLog) ItemFailed(job *jobs.Job, item, replica string, err error) {
 	l.metrics.items.WithLabelValues("failed").Inc()
-	l.log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Msg("item attempt failed")
+	l.metrics.observeAnswer(err)
+	entry := l.log.Info().Str("job", job.ID).Str("item", item).Str("replica", replica).Err(err).Stringer("ran", outcome.Of(err))
+	withConnection(entry, err).Msg("item attempt failed")
 }
 
 // ItemPreempted implements jobs.Events.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,8 @@
 	firstEvent  *prometheus.HistogramVec
 	eventGap    *prometheus.HistogramVec
 	connections prometheus.Counter
+	// otherAnswers counts the answers of replicas that were for another request.
+	otherAnswers prometheus.Counter
 	// served counts requests by the distance of their replica.
 	served     *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
@@ -96,6 +98,9 @@
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "wheelhoist_gateway_replica_connections_total", Help: "New connections to replicas.",
 		}),
+		otherAnswers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wheelhoist_gateway_answers_to_other_requests_total", Help: "Answers of replicas that came in place of the answer to another request.",
+		}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wheelhoist_store_calls_total", Help: "Calls to the platform's store by call, table and outcome.",
 		}, []string{"call", "table", "outcome"}),
@@ -167,7 +172,7 @@
 	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
-	m.registry.MustRegister(m.originLookups, m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.crashReportsCut, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections,
+	m.registry.MustRegister(m.originLookups, m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.crashReportsCut, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections, m.otherAnswers,
 		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
 	return m
 }
@@ -257,6 +262,13 @@
 	}
 }
 
+// observeAnswer counts an answer that was for another request.
+func (m *coreMetrics) observeAnswer(err error) {
+	if failed := (*forward.ConnectionError)(nil); errors.As(err, &failed) && failed.OtherAnswer {
+		m.otherAnswers.Inc()
+	}
+}
+
 func (m *coreMetrics) observeForwarded(target *route.Route, result forward.Result, err error) {
 	kind := string(target.Kind)
 	label := "done"
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -77,8 +77,10 @@
 // Reserved implements forward.Observer.
 func (l *requestLog) Reserved(request *forward.Request, candidate *replica.Candidate, took time.Duration, err error) {
 	l.metrics.reservations.WithLabelValues(reservationOutcome(err)).Inc()
-	l.sampled.Info().Str("request", request.ID).Str("replica", candidate.ID).Str("region", candidate.Region).Int("open", candidate.Open).
-		Float64("others", candidate.Others).Dur("took_ms", took).Err(err).Msg("slot asked for")
+	l.metrics.observeAnswer(err)
+	entry := l.sampled.Info().Str("request", request.ID).Str("replica", candidate.ID).Str("region", candidate.Region).Int("open", candidate.Open).
+		Float64("others", candidate.Others).Dur("took_ms", took).Err(err)
+	withConnection(entry, err).Msg("slot asked for")
 }
 
 func reservationOutcome(err error) string {
@@ -116,5 +118,20 @@
 		// Work that was running on a replica when its response broke off may be the cause.
 		entry = entry.Stringer("work", request.Work()).Str("parts", joinWorks(request.SharedParts(chosen.Pool))).Strs("part_keys", partKeys(request))
 	}
-	entry.Msg("attempt failed")
+	l.metrics.observeAnswer(err)
+	withConnection(entry, err).Msg("attempt failed")
+}
+
+// withConnection adds to the log of a failed attempt what its connection had carried before, and for which
+// request the answer was if it was for another.
+func withConnection(entry *zerolog.Event, err error) *zerolog.Event {
+	var failed *forward.ConnectionError
+	if !errors.As(err, &failed) {
+		return entry
+	}
+	entry = entry.Int("conn_requests_before", failed.RequestsBefore).Bool("conn_same_request_before", failed.Repeated)
+	if failed.OtherAnswer {
+		entry = entry.Str("answered_request", failed.AnswerID)
+	}
+	return entry
 }
--- a/internal/node/requestlog_test.go
+++ b/internal/node/requestlog_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/wheelhoist/wheelhoist/internal/forward"
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/quarantine"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -77,3 +78,36 @@
 		}
 	}
 }
+
+// Guards against logs and a metric that do not tell the refusal of an earlier attempt, or an answer to
+// another request, from the answer to the attempt that failed.
+func TestRequestLog_FailedAttemptsTellTheirConnection(t *testing.T) {
+	var lines bytes.Buffer
+	metrics := newCoreMetrics()
+	requests := &requestLog{log: zerolog.New(&lines), sampled: zerolog.New(&lines), metrics: metrics}
+	items := &jobLog{log: zerolog.New(&lines), metrics: metrics}
+	repeated := outcome.AsNotDone(&forward.ConnectionError{Err: forward.ErrRefused, RequestsBefore: 7, Repeated: true})
+	other := outcome.AsUnknown(&forward.ConnectionError{Err: forward.ErrBroken, RequestsBefore: 3, OtherAnswer: true, AnswerID: "q0"})
+	for name, report := range map[string]func(error){
+		"attempt":     func(err error) { requests.Failed(&forward.Request{ID: "q1"}, 1, replica.Info{ID: "r"}, err) },
+		"reservation": func(err error) { requests.Reserved(&forward.Request{ID: "q1"}, &replica.Candidate{}, 0, err) },
+		"item":        func(err error) { items.ItemFailed(&jobs.Job{ID: "j"}, "i", "r", err) },
+	} {
+		before := testutil.ToFloat64(metrics.otherAnswers)
+		for err, fields := range map[error][]string{
+			repeated: {`"conn_requests_before":7`, `"conn_same_request_before":true`},
+			other:    {`"conn_requests_before":3`, `"conn_same_request_before":false`, `"answered_request":"q0"`},
+		} {
+			lines.Reset()
+			report(err)
+			for _, field := range fields {
+				if !strings.Contains(lines.String(), field) {
+					t.Errorf("%s: %s is missing in %s", name, field, lines.String())
+				}
+			}
+		}
+		if counted := testutil.ToFloat64(metrics.otherAnswers) - before; counted != 1 {
+			t.Errorf("%s: %v answers to other requests were counted, want 1", name, counted)
+		}
+	}
+}
