node: a test of a leaving replica whose connections close before its listener, red

What callers would see: a stream ends as complete without its end (ORDER), as the probe at its end is accepted by a process that is ending.

--- a/internal/node/gatewayleaving_test.go
+++ b/internal/node/gatewayleaving_test.go
@@ -23,8 +23,10 @@
 type leavingSite struct {
 	*gatewaySite
 	gateway *Gateway
-	// ends end the processes of the servers, whose connections close between two events.
-	ends []func()
+	// ends end the processes of the servers, whose connections close between two events. Their listeners
+	// close before, or listenerDelay later if that is not 0.
+	ends          []func()
+	listenerDelay time.Duration
 }
 
 func newLeavingSite(t *testing.T) *leavingSite {
@@ -38,6 +40,10 @@
 		site.servers = append(site.servers, server)
 		site.listServer(server.ID, httpServer.Listener.Addr().String(), "ready")
 		site.ends = append(site.ends, func() {
+			if site.listenerDelay > 0 {
+				httpServer.CloseClientConnections()
+				time.Sleep(site.listenerDelay)
+			}
 			_ = httpServer.Listener.Close()
 			httpServer.CloseClientConnections()
 		})
@@ -105,6 +111,19 @@
 	}
 }
 
+// Guards against the same where the replica closes its connections shortly before its listener, so that it seems
+// to run.
+func TestGateway_UnframedStreamEndsBeforeTheListenerOfItsReplica(t *testing.T) {
+	site := newLeavingSite(t)
+	site.listenerDelay = 20 * time.Millisecond
+	complete := site.streams("once", func() { site.leaveAndEnd(0) })
+	for _, text := range complete {
+		if text != wholeStream() {
+			t.Errorf("complete with %d of %d events", strings.Count(text, "id: "), siteEvents)
+		}
+	}
+}
+
 // Guards against the beginning of an item's text that is listed as all of it since its replica, which had said
 // that it was leaving, ended (MIXED).
 func TestGateway_UnframedItemEndsWithItsLeavingReplica(t *testing.T) {
