jobs: the log of a refusal says whether a transaction was unanswered before

Open: whether a submission can be answered 429 or 503 at each attempt and its job be accepted later, since the store may do a call without an answer seconds later, and the next attempt may reach a node whose view is older. The logs could not tell: a refusal did not say whether this node had an unanswered transaction of it, and a refusal after a fence was not logged at all.

`job refused` now has `unanswered`, also after a fence.

--- a/internal/batch/feeder_test.go
+++ b/internal/batch/feeder_test.go
@@ -73,7 +73,7 @@
 type discardEvents struct{}
 
 func (discardEvents) Accepted(*jobs.Job, time.Duration, bool)                        {}
-func (discardEvents) Refused(string, int64, int64, int64, error)                     {}
+func (discardEvents) Refused(string, int64, int64, int64, int, error)                {}
 func (discardEvents) Ended(string, error)                                            {}
 func (discardEvents) Claimed(*jobs.Entry, string, error)                             {}
 func (discardEvents) ItemSent(*jobs.Job, string, string, int)                        {}
--- a/internal/jobs/accept.go
+++ b/internal/jobs/accept.go
@@ -75,12 +75,12 @@
 	s.setRouting(routing, submission)
 	if routing.AllowedRegions != nil && len(routing.AllowedRegions) == 0 {
 		err := Error.Wrap(errors.Join(ErrNotAccepted, ErrNoRegion))
-		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
+		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, 0, err)
 		return err
 	}
 	content := newContent(submission)
 	if err := s.putContent(ctx, content); err != nil {
-		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, err)
+		s.Events.Refused(submission.ID, 0, submission.tokens(), submission.Quota, 0, err)
 		err = Error.Wrap(errors.Join(ErrNotAccepted, err))
 		s.resolveContent(ctx, submission.ID, content, err)
 		return err
@@ -136,7 +136,7 @@
 	if used+submission.tokens() <= submission.Quota {
 		return nil
 	}
-	return s.refuseQuota(submission, used)
+	return s.refuseQuota(submission, used, 0)
 }
 
 // awaitUpdate requests an update of the view and waits for it, for at most updateTimeout.
@@ -152,9 +152,9 @@
 }
 
 // refuseQuota reports that a job does not fit beside the used tokens, and returns ErrQuota.
-func (s *Service) refuseQuota(submission *Submission, used int64) error {
+func (s *Service) refuseQuota(submission *Submission, used int64, unanswered int) error {
 	err := Error.Wrap(ErrQuota)
-	s.Events.Refused(submission.ID, used, submission.tokens(), submission.Quota, err)
+	s.Events.Refused(submission.ID, used, submission.tokens(), submission.Quota, unanswered, err)
 	return err
 }
 
@@ -171,6 +171,8 @@
 	// did not hold.
 	failures  int
 	conflicts int
+	// unanswered counts the transactions that got no answer.
+	unanswered int
 }
 
 // admit writes the job's rows in one transaction.
@@ -232,7 +234,7 @@
 }
 
 func (s *Service) refuseAdmission(adm *admission, final error) error {
-	s.Events.Refused(adm.submission.ID, 0, adm.submission.tokens(), adm.submission.Quota, final)
+	s.Events.Refused(adm.submission.ID, 0, adm.submission.tokens(), adm.submission.Quota, adm.unanswered, final)
 	return Error.Wrap(final)
 }
 
@@ -267,6 +269,7 @@
 		return s.afterConflict(adm, err)
 	case outcome.Of(err) != outcome.NotDone:
 		adm.pending, adm.pendingVersion = true, own.version
+		adm.unanswered++
 	}
 	return err
 }
@@ -288,7 +291,7 @@
 	if adm.pending {
 		return s.fenceWrites(ctx, adm, usages)
 	}
-	return s.refuseQuota(adm.submission, totalUsed(usages))
+	return s.refuseQuota(adm.submission, totalUsed(usages), adm.unanswered)
 }
 
 // fenceWrites makes sure that no unanswered write of the job can be applied any more: it advances
@@ -304,7 +307,7 @@
 	if err == nil {
 		s.View.Put(table.Row{Key: advanced.Key, Version: versions[0], Body: advanced.Body})
 		adm.pending = false
-		return outcome.AsNotDone(ErrQuota)
+		return outcome.AsNotDone(s.refuseQuota(adm.submission, totalUsed(usages), adm.unanswered))
 	}
 	return s.afterConflict(adm, err)
 }
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -65,7 +65,7 @@
 type noEvents struct{}
 
 func (noEvents) Accepted(*Job, time.Duration, bool)                        {}
-func (noEvents) Refused(string, int64, int64, int64, error)                {}
+func (noEvents) Refused(string, int64, int64, int64, int, error)           {}
 func (noEvents) Ended(string, error)                                       {}
 func (noEvents) Claimed(*Entry, string, error)                             {}
 func (noEvents) ItemSent(*Job, string, string, int)                        {}
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -45,7 +45,9 @@
 // Events receives what happens to jobs, for logs and metrics.
 type Events interface {
 	Accepted(job *Job, took time.Duration, resent bool)
-	Refused(id string, used, requested, quota int64, err error)
+	// Refused reports a submission that was not accepted, or of which that is unknown. unanswered is the
+	// number of its transactions that got no answer before, at this node.
+	Refused(id string, used, requested, quota int64, unanswered int, err error)
 	Ended(id string, err error)
 	Claimed(entry *Entry, from string, err error)
 	// ItemSent reports an attempt at an item that resumes after the event with id after.
--- a/internal/node/joblog.go
+++ b/internal/node/joblog.go
@@ -27,10 +27,10 @@
 }
 
 // Refused implements jobs.Events.
-func (l *jobLog) Refused(id string, used, requested, quota int64, err error) {
+func (l *jobLog) Refused(id string, used, requested, quota int64, unanswered int, err error) {
 	l.metrics.jobs.WithLabelValues("refused").Inc()
 	l.log.Warn().Str("job", id).Int64("tokens_used", used).Int64("tokens_asked", requested).
-		Int64("quota", quota).Err(err).Msg("job refused")
+		Int64("quota", quota).Int("unanswered", unanswered).Err(err).Msg("job refused")
 }
 
 // Ended implements jobs.Events.
