jobs: a test of the log of a text that is not written

A node that knows that another one has listed an item does not write its long text, but logs the item as listed, with the size of its own text and without an object.

--- a/internal/jobs/texts_test.go
+++ b/internal/jobs/texts_test.go
@@ -107,6 +107,26 @@
 	})
 }
 
+// TestListResults_TextOfAListedItemIsNotWritten guards against objects that are written though the node knows
+// that its item is listed, and against a log that calls such a text listed.
+func TestListResults_TextOfAListedItemIsNotWritten(t *testing.T) {
+	withTextSite(t, func(t *testing.T, site *textSite) {
+		site.list(t, site.owner, "owner")
+		row, err := site.shared.Get(t.Context(), progressKey("j"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		site.late.View.Put(row)
+		if lost := site.list(t, site.late, "late"); lost.object != "" {
+			t.Errorf("the text is written to %q", lost.object)
+		}
+		site.checkObjects(t, 1)
+		if listed, notListed := site.lateEvents.reported(); len(listed)+len(notListed) != 0 {
+			t.Errorf("the node reports %q as listed, %q as not", listed, notListed)
+		}
+	})
+}
+
 // TestResolveText_TextOfAnEndedJobIsDeleted guards against texts that stay in the store for ever since
 // their job was ended or removed before they were listed.
 func TestResolveText_TextOfAnEndedJobIsDeleted(t *testing.T) {
