jobs: a long text that was not written is not logged as listed

Items that were listed by an earlier write are still reported if their text lies in the row, since the answer of that write may have been lost. A text that needs an object and has none can't be the listed one.

go test ./internal/jobs -run 'TextOfAListedItem|ResolveText|TriesShare|ReadLongText|LongTextsStay' green.

--- a/internal/jobs/texts.go
+++ b/internal/jobs/texts.go
@@ -144,7 +144,8 @@
 }
 
 // reportListed reports the items of a batch that are listed, and resolves the texts of the others.
-// Items that are not in written were listed by an earlier write, if at all.
+// Items that are not in written were listed by an earlier write, if at all. A text that needs an object
+// and was never written to one is not the listed one.
 func (s *Service) reportListed(ctx context.Context, job *Job, batch []*task, written map[*task]bool) {
 	entry := s.View.Get(job.ID)
 	for _, t := range batch {
@@ -155,7 +156,7 @@
 		switch {
 		case t.object != "" && !written[t]:
 			s.resolveTexts(ctx, job, []*task{t})
-		case position >= 0:
+		case position >= 0 && (written[t] || t.objectCount() == 0):
 			s.reportItem(job, t, position)
 		}
 	}
