--- a/internal/jobs/readprop_test.go
+++ b/internal/jobs/readprop_test.go
@@ -322,7 +322,7 @@
 					site.nodes = append(site.nodes, site.newNode(fmt.Sprintf("node-%d#1", i)))
 				}
 				site.run()
-				if site.history.answers == 0 {
+				if site.history.answered() == 0 {
 					t.Error("no read was answered")
 				}
 			})
--- a/internal/jobs/readprophistory_test.go
+++ b/internal/jobs/readprophistory_test.go
@@ -57,6 +57,13 @@
 	h.acceptedAt[id], h.results[id] = time.Now(), map[int]shownResult{}
 }
 
+// answered returns the number of reads that were answered.
+func (h *shownHistory) answered() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answers
+}
+
 // ended records the acknowledgement of a job's end.
 func (h *shownHistory) ended(id string) {
 	h.mu.Lock()
