jobs: the content of a submission is not kept while its object is resolved

What callers saw: nothing yet; in a test, a content over 600 KiB is in memory half a minute after its submission got no answer. In an outage of the store each such submission would keep its content for a minute, and callers send it again meanwhile.

Cause: the goroutine that finds out whether the content is used holds its body, only for the size in a log line.

Evidence: TestResolveContent_KeepsNoContentInMemory red before; green after with TestSubmit_ and TestContent_ (go test ./internal/jobs -run 'KeepsNo|TestSubmit_|TestContent_').

Why it works: the goroutine gets the names and the size only.

--- a/internal/jobs/content.go
+++ b/internal/jobs/content.go
@@ -77,6 +77,8 @@
 	if entry := s.View.Get(id); content.object == "" || entry != nil && entry.Job.Content == content.name {
 		return
 	}
+	// The body is not kept: in an outage of the store, many would be for long.
+	content, size := &submittedContent{name: content.name, object: content.object}, len(content.body)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTime)
 		defer cancel()
@@ -89,7 +91,7 @@
 				err = s.deleteUnused(ctx, content.object)
 			}
 			if err == nil || !retry.Sleep(ctx, resolveDelay) {
-				s.Events.ContentUnused(id, content.object, len(content.body), err)
+				s.Events.ContentUnused(id, content.object, size, err)
 				return
 			}
 		}
