--- a/internal/jobs/textroom_test.go
+++ b/internal/jobs/textroom_test.go
@@ -6,10 +6,10 @@
 // pool, and can't end meanwhile, take all room.
 func TestMakeRoom_TextsOfItemsThatWaitLeaveRoom(t *testing.T) {
 	const waiting, each = 420, 40 << 10
-	owned := &ownedJob{}
-	runner := &Runner{owned: map[string]*ownedJob{"j": owned}}
-	for range waiting {
-		owned.tasks = append(owned.tasks, &task{state: taskWaiting, text: make([]byte, each)})
+	owned := &ownedJob{job: &Job{ID: "j", Items: make([]ItemHead, waiting)}}
+	runner := &Runner{RunnerOptions: RunnerOptions{Service: &Service{Events: noEvents{}}}, owned: map[string]*ownedJob{"j": owned}}
+	for i := range waiting {
+		owned.tasks = append(owned.tasks, &task{owned: owned, index: i, state: taskWaiting, text: make([]byte, each)})
 	}
 	running := &task{state: taskRunning}
 	owned.tasks = append(owned.tasks, running)
