forward: a sound answer that finds no room is not held against its replica

What operators would see: replicas that count as failed for sound answers of over 1 MB while others have taken the room.

Cause: each answer of over 1 MB without room was taken for one without end.

Fix: only one that has more than twice the average of all answers is; others are given up without a verdict about the replica.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -115,6 +115,13 @@
 	return maxWait
 }
 
+// Excessive reports whether the holder keeps more than twice the average of all.
+func (s *Share) Excessive() bool {
+	s.Budget.mu.Lock()
+	defer s.Budget.mu.Unlock()
+	return s.taken*s.Budget.holders > 2*s.Budget.used
+}
+
 // Release gives everything back.
 func (s *Share) Release() {
 	// Giving back is always allowed.
--- a/internal/forward/heldbody.go
+++ b/internal/forward/heldbody.go
@@ -13,7 +13,8 @@
 	// maxBufferedBody bounds an answer that is buffered until it is complete, in bytes. It is what one
 	// holder gets of a whole budget.
 	maxBufferedBody = bytebudget.DefaultLimit / 2
-	// maxUsualBody is the size in bytes above which an answer itself is to blame if there is no room for it.
+	// maxUsualBody is the size in bytes above which an answer does not wait for room, and is to blame itself if
+	// there is none and it is much larger than others.
 	maxUsualBody = 1 << 20
 	// minChunk and maxChunk are the sizes in bytes of the first chunk and of the largest ones.
 	minChunk = 4 << 10
@@ -63,7 +64,7 @@
 	bytes := min(b.allocated+size, maxBufferedBody)
 	if b.size > maxUsualBody {
 		if err := b.share.Hold(bytes); err != nil {
-			return nil, fmt.Errorf("%w: over %d bytes beside other answers: %w", errTooLong, b.size, err)
+			return nil, b.noRoomError(err)
 		}
 	} else if err := b.share.Await(ctx, bytes); err != nil {
 		return nil, err
@@ -72,6 +73,15 @@
 	return make([]byte, size), nil
 }
 
+// noRoomError returns the error of a large body that finds no room: the body is to blame if it is much larger
+// than others.
+func (b *heldBody) noRoomError(err error) error {
+	if b.share.Excessive() {
+		return fmt.Errorf("%w: over %d bytes beside other answers: %w", errTooLong, b.size, err)
+	}
+	return err
+}
+
 // fill reads until a chunk is full or the body ends. Unlike io.ReadFull, it returns io.EOF only at the end of
 // the body, and the body's own errors unchanged.
 func fill(chunk []byte, body io.Reader) (read int, err error) {
