soak: servers in disruption, full servers, long texts, refused jobs, and promises about runs and results

Promises: one-run-at-a-time and result-never-changes. The second was part of one-position-for-good, which said nothing of texts; now each change of a content is one violation and each of an item at a position, over the whole run. The checks of at-most-once and not-run-is-true name the disrupted answers of a request, and count as their occasions only requests that met a late answer, so that a run without these says so. A proxy passes a server's reset on.

Requests beside a harmful part, or beside a lost zone, do not count while callers fill the servers, in the new fault only.

go test -short ./internal/lab/soak: green. TestCheck_FindsWhatIsBroken breaks each new promise alone.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -108,7 +108,7 @@
 // sendOver sends one request to a node with the given client and records the result.
 func (s *soak) sendOver(ctx context.Context, client *standin.Client, node *gateway, tenant, prefix, id string) *standin.Response {
 	req := Request{
-		ID: id, Prefix: prefix, AtMostOnce: strings.HasPrefix(prefix, "once"), Tenant: tenant,
+		ID: id, Prefix: prefix, AtMostOnce: runsOnce(prefix), Tenant: tenant,
 		Node: node.id, Process: node.processNumber(), Sent: time.Now(),
 	}
 	req.Answer = client.Stream(context.WithoutCancel(ctx), prefix, req.ID, onlineTimeout)
@@ -122,6 +122,12 @@
 	return req.Answer
 }
 
+// plainPrefix is the prefix of the route whose requests are no streams and may run once.
+const plainPrefix = "plain"
+
+// runsOnce reports whether the requests of a route may run once.
+func runsOnce(prefix string) bool { return strings.HasPrefix(prefix, "once") || prefix == plainPrefix }
+
 // callJobs submits jobs sequentially until the context ends, and ends some of them.
 func (s *soak) callJobs(ctx context.Context, caller int) {
 	random := s.newRand(caller, 2)
@@ -133,7 +139,7 @@
 		if number%invalidInterval == 0 {
 			job.Items[0] += invalidSuffix
 		}
-		s.submit(context.WithoutCancel(ctx), &job, random)
+		s.submit(context.WithoutCancel(ctx), &job, random, submitAttempts)
 		if job.Accepted && random.Float64() < endShare {
 			retry.Sleep(ctx, time.Second)
 			s.endJob(context.WithoutCancel(ctx), &job, random)
@@ -145,13 +151,18 @@
 // isInvalidItem reports whether servers reject an item as invalid.
 func isInvalidItem(id string) bool { return strings.HasSuffix(id, invalidSuffix) }
 
-// submit tries to submit a job at random nodes until one accepts it. The job counts as refused only
-// if every answer guarantees that nothing runs.
-func (s *soak) submit(ctx context.Context, job *Job, random *rand.Rand) {
+// submit is submitFrom at random nodes.
+func (s *soak) submit(ctx context.Context, job *Job, random *rand.Rand, attempts int) {
+	s.submitFrom(ctx, job, random.IntN(len(s.gateways)), random, attempts)
+}
+
+// submitFrom tries to submit a job at a node and then at random ones until one accepts it, at most a number of
+// times. The job counts as refused only if every answer guarantees that nothing runs.
+func (s *soak) submitFrom(ctx context.Context, job *Job, node int, random *rand.Rand, attempts int) {
 	job.Refused = true
-	for range submitAttempts {
+	for range attempts {
 		attemptCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		answer := s.client(random.IntN(len(s.gateways))).Submit(attemptCtx, job.ID, job.Items, job.Tokens)
+		answer := s.client(node).Submit(attemptCtx, job.ID, job.Items, job.Tokens)
 		cancel()
 		if answer.Status == http.StatusAccepted {
 			job.Accepted, job.Refused, job.At = true, false, time.Now()
@@ -159,6 +170,7 @@
 		}
 		// A node that refused the connection has not read the job either.
 		job.Refused = job.Refused && answer.NotExecuted()
+		node = random.IntN(len(s.gateways))
 		retry.Sleep(ctx, 200*time.Millisecond)
 	}
 }
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -5,10 +5,7 @@
 	"net/http"
 	"slices"
 	"sort"
-	"strings"
 	"time"
-
-	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
 // Promise is the name of a guarantee that the system under test has to keep.
@@ -16,8 +13,10 @@
 
 // The promises that Check verifies.
 const (
-	// An item keeps one position of its job, and a position keeps one result.
+	// An item keeps one position of its job, and a position keeps one item.
 	OnePosition Promise = "one-position-for-good"
+	// The content of a result does not change once it was read.
+	ResultNeverChanges Promise = "result-never-changes"
 	// The result of an item is its complete text.
 	WholeText Promise = "whole-text"
 	// All items of an accepted job are listed eventually, unless the job is ended.
@@ -26,6 +25,8 @@
 	DeadWithCause Promise = "dead-only-with-cause"
 	// A request to an at-most-once route runs at most once.
 	AtMostOnce Promise = "at-most-once"
+	// A request or item does not begin at a server while another one still runs it.
+	OneRunAtATime Promise = "one-run-at-a-time"
 	// A request to an at-most-once route that was answered as not run has not run.
 	NotRunIsTrue Promise = "not-run-is-true"
 	// A stream that ended normally contains every event in order.
@@ -105,6 +106,7 @@
 		KeyNotForwarded, WithinLimit, NodeKeepsRunning, EvacuatedUnused, ColdWithinRate, OthersServe, LimitWhenCutOff, HarmBounded, HarmlessServed,
 		JobReadable, ItemListedInCalm, NoWaitBesideFreeSlots, ForeignUnused, ReadEverywhere,
 		OneVersion, StreamsGoOn, PartBounded, BesideHarmServed, CrowdServed, AsRecentAsSaid, AnsweredBesideConfig,
+		OneRunAtATime, ResultNeverChanges,
 	}
 }
 
@@ -159,6 +161,7 @@
 	c.checkConfigChanges()
 	c.checkVersions()
 	c.checkContinuations()
+	c.checkOverlaps()
 	c.checkNodeExits()
 	return c.violations
 }
@@ -167,64 +170,6 @@
 	c.violations = append(c.violations, Violation{promise, fmt.Sprintf(format, arguments...)})
 }
 
-// checkPositions checks OnePosition, and the results that were read.
-func (c *checker) checkPositions() {
-	type jobPosition struct {
-		job      string
-		position int
-	}
-	resultAt := map[jobPosition]standin.JobResult{}
-	positionOf := map[string]int{}
-	for _, obs := range c.Observations {
-		key := jobPosition{obs.Job, obs.Position}
-		if previous, ok := resultAt[key]; ok && previous != obs.JobResult {
-			c.addViolation(OnePosition, "position %d of job %s was %q and is %q", obs.Position, obs.Job, previous.Item, obs.Item)
-		}
-		resultAt[key] = obs.JobResult
-		if previous, ok := positionOf[obs.Item]; ok && previous != obs.Position {
-			c.addViolation(OnePosition, "item %s stands at %d and at %d", obs.Item, previous, obs.Position)
-		}
-		positionOf[obs.Item] = obs.Position
-	}
-	for key, result := range resultAt {
-		c.checkResult(key.job, result)
-	}
-}
-
-// checkResult checks that the text of a result is complete, or that a dead item has a cause.
-func (c *checker) checkResult(job string, result standin.JobResult) {
-	if !result.DeadLetter {
-		if standin.Unversioned(result.Text) != c.wholeText() {
-			c.addViolation(WholeText, "item %s of job %s has the text %q", result.Item, job, result.Text)
-		}
-		return
-	}
-	failed := 0
-	for _, run := range c.runs[result.Item] {
-		switch run.Behaviour {
-		case standin.RejectInvalid:
-			return
-		case standin.Fail:
-			failed++
-		}
-	}
-	if failed < maxFailures && c.CalmFrom.IsZero() {
-		return
-	}
-	if failed < maxFailures {
-		c.addViolation(DeadWithCause, "item %s of job %s is dead after %d failures", result.Item, job, failed)
-	}
-}
-
-// wholeText returns the complete text of an item.
-func (c *checker) wholeText() string {
-	var pieces []string
-	for id := 1; id <= c.Events; id++ {
-		pieces = append(pieces, standin.EventData(id))
-	}
-	return strings.Join(pieces, "\n")
-}
-
 // checkJobs checks that accepted jobs can be read at the end with all their items listed, and that
 // no item of a refused job ran.
 func (c *checker) checkJobs() {
@@ -263,41 +208,6 @@
 	}
 }
 
-// checkRequests checks that online requests get complete answers and truthful refusals, and run at
-// most once where their route requires it.
-func (c *checker) checkRequests() {
-	for _, req := range c.Requests {
-		ran := len(c.runs[req.ID])
-		if req.AtMostOnce && ran > 1 {
-			c.addViolation(AtMostOnce, "request %s ran %d times", req.ID, ran)
-		}
-		if req.Answer.NotExecuted() {
-			if ran > 0 && req.AtMostOnce {
-				c.addViolation(NotRunIsTrue, "request %s got %d and ran", req.ID, req.Answer.Status)
-			}
-			if req.Answer.Status == http.StatusServiceUnavailable && !req.Answer.HasRetryAfter {
-				c.addViolation(RetryAfterGiven, "request %s got 503 without a time", req.ID)
-			}
-		}
-		if req.Answer.Status == http.StatusOK && req.Answer.Complete && !c.isWhole(req.Answer.Events()) {
-			c.addViolation(WholeAnswer, "request %s got %v", req.ID, req.Answer.Events())
-		}
-	}
-}
-
-// isWhole reports whether events are all events of an answer in order.
-func (c *checker) isWhole(events []string) bool {
-	if len(events) != c.Events {
-		return false
-	}
-	for i, event := range events {
-		if standin.Unversioned(event) != standin.EventData(i+1) {
-			return false
-		}
-	}
-	return true
-}
-
 // checkConfiguration checks that a process which has served a route does not answer later that the
 // route is unknown. The configuration only ever gains routes.
 func (c *checker) checkConfiguration() {
--- a/internal/lab/soak/checkreads.go
+++ b/internal/lab/soak/checkreads.go
@@ -183,8 +183,13 @@
 
 // lostWithZone reports whether the zone of a node was lost at any time between two times.
 func (c *checker) lostWithZone(node string, from, to time.Time) bool {
+	return c.zoneLost(c.NodeZones[node], from, to)
+}
+
+// zoneLost reports whether a zone was lost at any time between two times.
+func (c *checker) zoneLost(zone string, from, to time.Time) bool {
 	return slices.ContainsFunc(c.Losses, func(loss Outage) bool {
-		return loss.Zone == c.NodeZones[node] && loss.From.Before(to) && loss.To.After(from)
+		return loss.Zone == zone && loss.From.Before(to) && loss.To.After(from)
 	})
 }
 
--- a/internal/lab/soak/checkstreams.go
+++ b/internal/lab/soak/checkstreams.go
@@ -66,7 +66,7 @@
 func (c *checker) describeRuns(id string) string {
 	var parts []string
 	for _, run := range c.runs[id] {
-		parts = append(parts, fmt.Sprintf("run after %d at %s at %s", run.After, run.Server, c.timestamp(run.At)))
+		parts = append(parts, fmt.Sprintf("run after %d at %s at %s to %s", run.After, run.Server, c.timestamp(run.At), c.timestamp(run.Ended)))
 	}
 	return strings.Join(parts, ", ")
 }
@@ -75,11 +75,7 @@
 func (c *checker) describeStream(stream *Stream) string {
 	var parts []string
 	for number, req := range stream.Requests {
-		id := stream.ID
-		if number > 0 {
-			id = fmt.Sprintf("%s-%d", stream.ID, number)
-		}
-		parts = append(parts, fmt.Sprintf("after %d at %s at %s: %d, %d events, %s", req.After, req.Node, c.timestamp(req.Sent), req.Status, len(req.Events), c.describeRuns(id)))
+		parts = append(parts, fmt.Sprintf("after %d at %s at %s: %d, %d events, %s", req.After, req.Node, c.timestamp(req.Sent), req.Status, len(req.Events), c.describeRuns(stream.requestID(number))))
 	}
 	return strings.Join(parts, "; ")
 }
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -69,7 +69,7 @@
 		d.Name = node.id
 	case KillAll:
 		d.Name, d.Restart = AllNodes, true
-	case StoreBusy, StoreLoses, StoreLate, StoreLosesHistory, StoreAnswersLate, StoreSlowAtStarts:
+	case StoreBusy, StoreLoses, StoreLate, StoreLosesHistory, StoreAnswersLate, StoreSlowAtStarts, RefuseJobs:
 		d.Name, d.Store = AllNodes, true
 	case ServerCut:
 		d.Name = s.targetServer(fault).name
@@ -94,7 +94,7 @@
 // storeFaults returns a function that chooses the fault of each call to the store: for a random share
 // of the calls the one that fault.Kind specifies, for the others none.
 func (s *soak) storeFaults(fault Fault) func(string) standin.Fault {
-	storeFault := map[FaultKind]standin.Fault{StoreBusy: standin.Unavailable, StoreLoses: standin.ResponseLost, StoreLate: standin.WriteDelayed}[fault.Kind]
+	storeFault := map[FaultKind]standin.Fault{StoreBusy: standin.Unavailable, StoreLoses: standin.ResponseLost, StoreLate: standin.WriteDelayed, RefuseJobs: standin.WriteDelayed}[fault.Kind]
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(s.Seed, uint64(fault.After)))
 	return func(string) standin.Fault {
--- a/internal/lab/soak/harmparts.go
+++ b/internal/lab/soak/harmparts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,7 @@
 
 // PartRequest is a sound request whose prompt shares its first part with harmful ones.
 type PartRequest struct {
+	ID          string
 	Node        string
 	Sent, Ended time.Time
 	Answer      *standin.Response
@@ -73,7 +75,7 @@
 		node := s.gateways[random.IntN(len(s.gateways))]
 		id := fmt.Sprintf("beside-%d-%d", caller, number)
 		client := &standin.Client{Address: node.listenAddress(), Host: host, Key: apiKey(tenantMain)}
-		req := PartRequest{Node: node.id, Sent: time.Now()}
+		req := PartRequest{ID: id, Node: node.id, Sent: time.Now()}
 		req.Answer = client.StreamPrompt(context.WithoutCancel(ctx), "resume", id, []byte(id), partsOf(fmt.Sprintf("b%d", random.IntN(soundParts)), number), onlineTimeout)
 		req.Ended = time.Now()
 		record(&s.History, &s.PartRequests, req)
@@ -135,11 +137,11 @@
 }
 
 // servedBeside counts the sound requests of connected nodes in a period, without those sent while a zone was
-// lost.
+// lost or the servers were filled.
 func (c *checker) servedBeside(from, to time.Time) served {
 	var count served
 	for _, req := range c.PartRequests {
-		if req.Sent.Before(from) || !req.Sent.Before(to) || c.outOfTouch(req.Node, req.Sent.Add(-contactBound), req.Ended) || c.zoneLostAt(req.Sent) {
+		if req.Sent.Before(from) || !req.Sent.Before(to) || c.outOfTouch(req.Node, req.Sent.Add(-contactBound), req.Ended) || c.zoneLostAt(req.Sent) || c.overloadedAt(req.Sent) {
 			continue
 		}
 		count.record(req.Answer)
@@ -157,6 +159,13 @@
 	return false
 }
 
+// overloadedAt reports whether the servers were filled at a time, or shortly before.
+func (c *checker) overloadedAt(at time.Time) bool {
+	return slices.ContainsFunc(c.Overloads, func(overload Overload) bool {
+		return at.After(overload.From) && at.Before(overload.To.Add(freeSlotGrace))
+	})
+}
+
 // checkBesideHarmfulParts checks that sound requests are served while requests with the same first part and a
 // harmful one still come, compared with the calm phase.
 func (c *checker) checkBesideHarmfulParts() {
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -118,6 +118,17 @@
 // AllNodes is the name of disturbances that affect all nodes.
 const AllNodes = ""
 
+// Overload is a period in which callers sent more requests than the servers could run.
+type Overload struct {
+	From, To time.Time
+}
+
+// DisruptedAnswer is an answer that a server in disruption did not send as it was, or sent in addition.
+type DisruptedAnswer struct {
+	Server string
+	standin.Disrupted
+}
+
 // Disturbance is a period in which a node or server was disturbed by a fault.
 type Disturbance struct {
 	// Name is the name of the node or server, or AllNodes.
@@ -172,6 +183,14 @@
 	// StoreDelays lists the injected faults of the store's latency, Pauses those that made a server fall
 	// silent for a while.
 	StoreDelays, Pauses []FaultKind
+	// LongCuts lists the injected faults that cut a node off beside long texts.
+	LongCuts []FaultKind
+	// Refusals counts the requests that servers refused.
+	Refusals int
+	// Overloads are the periods in which callers filled all servers.
+	Overloads []Overload
+	// Disrupted is unordered.
+	Disrupted []DisruptedAnswer
 	// Streams are the streams that callers continued at other nodes.
 	Streams []Stream
 	// Versions are the starts of servers with a software version.
@@ -195,6 +214,8 @@
 	listed map[string]bool
 	// listOrder contains the positions of results in the order in which reads first returned them.
 	listOrder []resultPosition
+	// texts contains one copy of each text that was read.
+	texts map[string]string
 }
 
 // record appends an entry to a list of a history.
@@ -209,6 +230,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.shareTexts(results)
 	for i, result := range results {
 		h.Observations = append(h.Observations, Observation{Job: job, Position: position + i, At: now, JobResult: result})
 		if !h.listed[result.Item] {
@@ -218,6 +240,18 @@
 	}
 }
 
+// shareTexts replaces equal texts by one copy, since long ones are read many times. The caller holds mu.
+func (h *History) shareTexts(results []standin.JobResult) {
+	for i := range results {
+		text, ok := h.texts[results[i].Text]
+		if !ok {
+			text = results[i].Text
+			h.texts[text] = text
+		}
+		results[i].Text = text
+	}
+}
+
 // latestListed returns the positions of the most recently listed results, at most limit of them.
 func (h *History) latestListed(limit int) []resultPosition {
 	h.mu.Lock()
--- a/internal/lab/soak/occasions.go
+++ b/internal/lab/soak/occasions.go
@@ -31,11 +31,15 @@
 		CrowdServed:          c.judgedCrowds(),
 		AsRecentAsSaid:       c.judgedAges(),
 		AnsweredBesideConfig: c.judgedBesideConfig(),
+		OneRunAtATime:        c.judgedOverlaps(),
+		ResultNeverChanges:   c.repeatedReads(),
 	}
 	c.countJobs(occasions)
 	c.countResults(occasions)
+	lateAnswersTo := c.lateAnswersTo()
 	for i := range h.Requests {
-		c.countRequest(&h.Requests[i], occasions)
+		req := &h.Requests[i]
+		c.countRequest(req, lateAnswersTo[req.ID], occasions)
 	}
 	return occasions
 }
@@ -120,13 +124,25 @@
 	}
 }
 
-// countRequest counts the promises that the answer to a request could have broken.
-func (c *checker) countRequest(req *Request, occasions map[Promise]int) {
-	ran := len(c.runs[req.ID]) > 0
-	if req.AtMostOnce && ran {
+// repeatedReads returns the number of times that a result was read again.
+func (c *checker) repeatedReads() int {
+	positions := map[resultPosition]bool{}
+	for _, obs := range c.Observations {
+		positions[resultPosition{obs.Job, obs.Position}] = true
+	}
+	return len(c.Observations) - len(positions)
+}
+
+// countRequest counts the promises that the answer to a request could have broken. Requests that run at most once
+// count if a late answer came in place of one to them, since a node has no cause to repeat others, or if
+// they break a promise.
+func (c *checker) countRequest(req *Request, gotLateAnswer bool, occasions map[Promise]int) {
+	runs := len(c.runs[req.ID])
+	ran := runs > 0
+	if req.AtMostOnce && (gotLateAnswer && ran || runs > 1) {
 		occasions[AtMostOnce]++
 	}
-	if req.AtMostOnce && req.Answer.NotExecuted() {
+	if req.AtMostOnce && req.Answer.NotExecuted() && (gotLateAnswer || ran) {
 		occasions[NotRunIsTrue]++
 	}
 	switch req.Answer.Status {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -72,6 +72,17 @@
 	StoreSlowAtStarts FaultKind = "store-slow-at-starts"
 	// PauseServer makes a sound server fall silent for more than a second and then go on.
 	PauseServer FaultKind = "pause-server"
+	// DisruptServers makes half of the servers disrupt a share of their answers, in all the ways of
+	// standin.Disruption.
+	DisruptServers FaultKind = "disrupt-servers"
+	// FillServers sends more requests than the servers can run, so that they refuse many.
+	FillServers FaultKind = "fill-servers"
+	// CutBesideLongTexts cuts a node off from the store while items with long texts run at servers of two software
+	// versions.
+	CutBesideLongTexts FaultKind = "cut-beside-long-texts"
+	// RefuseJobs makes the store execute a share of the calls late and without an answer, while callers submit
+	// jobs with few attempts.
+	RefuseJobs FaultKind = "refuse-jobs"
 )
 
 // Fault is one fault of a plan.
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -126,13 +128,18 @@
 		return
 	}
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(conn)
 		_ = conn.Close()
 	}
 }
 
+// resetOnClose makes the next Close of a connection reset it.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (p *proxy) currentFault() ConnectionFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -257,6 +264,9 @@
 					return
 				}
 			}
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to)
+			}
 			break
 		}
 	}
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -72,3 +73,37 @@
 		t.Errorf("a connection after the crash got %q", lines.Text())
 	}
 }
+
+// Guards against a server's reset that reaches the caller as the normal end of the connection.
+func TestProxy_PassesAResetOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		resetOnClose(conn)
+		_ = conn.Close()
+	}()
+	proxy, err := startProxy(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.close)
+	conn, err := net.Dial("tcp", proxy.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/lab/soak/secondfaults.go
+++ b/internal/lab/soak/secondfaults.go
@@ -47,6 +47,14 @@
 		s.delayStore(ctx, fault)
 	case PauseServer:
 		s.pauseServer(fault)
+	case DisruptServers:
+		s.disruptServers(ctx, fault)
+	case FillServers:
+		s.fillServers(ctx, fault)
+	case CutBesideLongTexts:
+		s.cutBesideLongTexts(ctx, node, fault)
+	case RefuseJobs:
+		s.submitToBeRefused(ctx, fault)
 	case ReloadNode:
 		node.signal(syscall.SIGHUP)
 	case RollNodes:
--- a/internal/lab/soak/secondplan.go
+++ b/internal/lab/soak/secondplan.go
@@ -60,6 +60,9 @@
 	plan = mergePlans(plan, crowds(random, length))
 	plan = mergePlans(plan, storeLatencies(random, length))
 	plan = mergePlans(plan, serverPauses(random, length))
+	plan = mergePlans(plan, serverDisruptions(random, length))
+	plan = mergePlans(plan, longTextCuts(random, length))
+	plan = mergePlans(plan, jobRefusals(random, length))
 	return slices.DeleteFunc(plan, func(fault Fault) bool { return fault.After >= length })
 }
 
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -29,6 +29,8 @@
 	slots      int
 	store      *standin.Store
 	proxy      *proxy
+	// connections are those of the proxy to the server.
+	connections *standin.Connections
 
 	// mu guards the fields below. It is also held while the row is written.
 	mu sync.Mutex
@@ -60,11 +62,12 @@
 		slots = 0
 	}
 	srv := &server{
-		Server: &standin.Server{ID: name, Version: firstVersion, Events: answerSize, EventTime: eventTime, Slots: slots, IsInvalid: isInvalidItem},
+		Server: &standin.Server{ID: name, Version: firstVersion, Events: answerSize, EventTime: eventTime, Slots: slots, IsInvalid: isInvalidItem, IsLong: isLong, LongEventTime: longEventTime},
 		name:   name, key: name, zone: zone.name, slots: s.Slots, store: s.store, startedAt: time.Now(), version: firstVersion, nextVersion: firstVersion,
 		versions: []ServerVersion{{Server: name, Version: firstVersion}},
 	}
-	address, err := s.listen(s.harmfulHandler(srv))
+	srv.connections = &standin.Connections{Handler: s.harmfulHandler(srv), Seed: s.Seed + uint64(len(s.servers))}
+	address, err := s.listenRaw(srv.connections)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/retry"
@@ -36,6 +37,17 @@
 	return listener.Addr().String(), nil
 }
 
+// listenRaw serves the connections of a server on a free loopback port.
+func (s *soak) listenRaw(connections *standin.Connections) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	go connections.Serve(listener)
+	s.closers = append(s.closers, func() { _ = connections.Close() })
+	return listener.Addr().String(), nil
+}
+
 // start starts the stand-ins and the nodes, and waits until all nodes serve.
 func (s *soak) start(ctx context.Context, directory string) error {
 	s.configure()
@@ -80,7 +92,9 @@
 	if s.version > 1 {
 		s.prefixes = append(s.prefixes, fmt.Sprintf("added-%d", s.version))
 	}
-	config := standin.NewConfigWithTenants(s.version, host, tokenQuota, tenants(), s.prefixes...)
+	// Not among s.prefixes, from which callers choose at random, so that recorded seeds keep their requests.
+	prefixes := append(slices.Clone(s.prefixes), plainPrefix)
+	config := standin.NewConfigWithTenants(s.version, host, tokenQuota, tenants(), prefixes...)
 	s.store.Put("op", "config", standin.AddColdLimits(config, coldStart, coldRate))
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -55,6 +55,8 @@
 	// RelayFrom is the number of nodes above which nodes follow relays; 0 means the default of the
 	// settings, which exceeds what a run has.
 	RelayFrom int
+	// WithoutHarm omits the harmful work, which ends servers that a run with few of them needs.
+	WithoutHarm bool
 	// FirstPlanOnly omits the faults of SecondPlan.
 	FirstPlanOnly bool
 	// Regions is the number of regions that the zones are in, 1 or 2; default 1.
@@ -95,6 +97,10 @@
 	// ServerUpdates counts the updates of the servers' software, Continued the requests that continued
 	// a stream at another node.
 	ServerUpdates, Continued int
+	// Disrupted counts the answers that servers disrupted, LateToOnce the late ones that came in place of the
+	// answer to a request which may run once, Refusals the requests that servers refused, and LongCuts the faults
+	// that cut a node off beside long texts.
+	Disrupted, LateToOnce, Refusals, LongCuts int
 	// LongestCalmWait is the longest time that an item waited in the calm phase beside a free slot
 	// without interruption, which is limited to maxCalmWait.
 	LongestCalmWait time.Duration
@@ -140,7 +146,7 @@
 		History: History{
 			Events: answerSize, Quota: tokenQuota, Final: map[string][]standin.JobResult{},
 			NodeZones: map[string]string{}, ServerZones: map[string]string{}, ServerSlots: map[string]int{},
-			listed: map[string]bool{},
+			listed: map[string]bool{}, texts: map[string]string{},
 		},
 	}
 }
@@ -192,6 +198,10 @@
 		for _, send := range srv.ColdRequests() {
 			s.ColdSends = append(s.ColdSends, ColdSend{Server: srv.name, ColdRequest: send})
 		}
+		for _, disrupted := range srv.connections.Disrupted() {
+			s.Disrupted = append(s.Disrupted, DisruptedAnswer{Server: srv.name, Disrupted: disrupted})
+		}
+		s.Refusals += srv.Refusals()
 		s.ServerOutages = append(s.ServerOutages, srv.outagesUntil(time.Now())...)
 		s.Overwritten = append(s.Overwritten, srv.overwritten...)
 		s.Versions = append(s.Versions, srv.versions...)
@@ -213,6 +223,7 @@
 		Silences: len(s.Silences), ServerStarts: len(s.ServerStarts), ForeignRows: len(s.ForeignRows),
 		HistoryLosses: len(s.HistoryLosses), ServerUpdates: len(s.ServerUpdates), Continued: s.continuations(),
 		StoreDelays: len(s.StoreDelays), Pauses: len(s.Pauses),
+		Disrupted: len(s.Disrupted), LateToOnce: s.lateToOnce(), Refusals: s.Refusals, LongCuts: len(s.LongCuts),
 	}
 	for _, req := range s.Requests {
 		switch {
@@ -285,12 +296,16 @@
 	s.outageDeadline = start.Add(s.Duration + minOutage)
 	harmCtx, stopHarm := context.WithDeadline(ctx, start.Add(s.Duration))
 	defer stopHarm()
-	load.Go(func() { s.callHarmful(harmCtx) })
+	if !s.WithoutHarm {
+		load.Go(func() { s.callHarmful(harmCtx) })
+	}
 	// The requests beside a harmful part are judged only seconds after its first crashes and after the loss of
 	// a zone, so the part is sent for as long as there are faults.
 	partsCtx, stopParts := context.WithCancel(ctx)
 	defer stopParts()
-	load.Go(func() { s.callHarmfulParts(partsCtx) })
+	if !s.WithoutHarm {
+		load.Go(func() { s.callHarmfulParts(partsCtx) })
+	}
 	for _, fault := range plan {
 		if !retry.Sleep(ctx, time.Until(start.Add(fault.After))) {
 			break
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -76,7 +76,7 @@
 
 // drawnLast are the kinds of the second plan that are drawn after its series, in the order in which they
 // were added.
-var drawnLast = []FaultKind{StoreLosesHistory, UpdateServers, CrowdNode, StoreAnswersLate, StoreSlowAtStarts, PauseServer}
+var drawnLast = []FaultKind{StoreLosesHistory, UpdateServers, CrowdNode, StoreAnswersLate, StoreSlowAtStarts, PauseServer, DisruptServers, FillServers, CutBesideLongTexts, RefuseJobs}
 
 // The second plan is deterministic and does not change the first.
 func TestSecondPlan_IsFixedByItsSeed(t *testing.T) {
@@ -199,6 +199,7 @@
 		},
 		NodeZones: map[string]string{"n": "a", "m": "b"}, ServerZones: map[string]string{"s0": "a", "s1": "a", "s2": "b"},
 	}
+	addValidRepeats(history, at)
 	addValidCrowd(history, at)
 	addValidConfigChange(history, at)
 	addValidZones(history, at)
@@ -248,6 +249,7 @@
 	maps.Copy(mutations, configMutations())
 	maps.Copy(mutations, streamMutations())
 	maps.Copy(mutations, partMutations())
+	maps.Copy(mutations, repeatMutations())
 	return mutations
 }
 
--- a/internal/lab/soak/streams.go
+++ b/internal/lab/soak/streams.go
@@ -51,6 +51,14 @@
 	Requests []StreamRequest
 }
 
+// requestID returns the ID of the request with the given number.
+func (s *Stream) requestID(number int) string {
+	if number == 0 {
+		return s.ID
+	}
+	return fmt.Sprintf("%s-%d", s.ID, number)
+}
+
 // ServerVersion is a start of a server with a software version.
 type ServerVersion struct {
 	Server, Version string
@@ -104,8 +112,7 @@
 	if after == 0 {
 		answer = client.Stream(ctx, "resume", stream.ID, timeout)
 	} else {
-		id := fmt.Sprintf("%s-%d", stream.ID, len(stream.Requests))
-		answer = client.ContinueStream(ctx, "resume", id, stream.ID, after, timeout)
+		answer = client.ContinueStream(ctx, "resume", stream.requestID(len(stream.Requests)), stream.ID, after, timeout)
 	}
 	req.Ended, req.Status, req.Reason = time.Now(), answer.Status, answer.Reason
 	if answer.Status == http.StatusOK {
