soak: of two runs the one that its server received first is the earlier one

one-run-at-a-time took the run that began first for the earlier one. Both cases are in TestCheck_OverlapsOfConnectedNodesCount.

--- a/internal/lab/soak/checkoverlaps.go
+++ b/internal/lab/soak/checkoverlaps.go
@@ -19,10 +19,12 @@
 	}
 }
 
-// overlap reports whether run begins while an earlier one at another server goes on for longer than maxOverlap.
+// overlap reports whether run begins at another server than an earlier one that goes on for longer than maxOverlap.
+// The earlier one is that which its server received first, although it may have waited there and begun later.
 func (c *checker) overlap(earlier, run ServerRun) bool {
-	return earlier.Server != run.Server && earlier.At.Before(run.At) &&
-		(earlier.Ended.IsZero() || earlier.Ended.After(run.At.Add(maxOverlap)))
+	later := run.At.Add(maxOverlap)
+	return earlier.Server != run.Server && earlier.Received.Before(run.Received) && earlier.At.Before(later) &&
+		(earlier.Ended.IsZero() || earlier.Ended.After(later))
 }
 
 // overlapExcused reports whether a node that may have sent a request was not connected, or one of the servers
@@ -30,8 +32,8 @@
 // connected if neither it nor the store was disturbed.
 func (c *checker) overlapExcused(nodeOf map[string]string, earlier, run ServerRun) bool {
 	from, to := run.At.Add(-contactBound), run.At.Add(maxOverlap)
-	if earlier.At.Before(from) {
-		from = earlier.At
+	if earlier.Received.Before(from) {
+		from = earlier.Received
 	}
 	for _, name := range append(c.possibleSenders(nodeOf, run), earlier.Server, run.Server) {
 		if c.disturbed(name, from, to, true) || c.lostWithZone(name, from, to) {
@@ -70,7 +72,7 @@
 	count := 0
 	for _, run := range c.Runs {
 		for _, other := range c.runs[run.ID] {
-			if other.Server != run.Server && other.At.Before(run.At) && !c.overlapExcused(nodeOf, other, run) {
+			if other.Server != run.Server && other.Received.Before(run.Received) && !c.overlapExcused(nodeOf, other, run) {
 				count++
 				break
 			}
--- a/internal/lab/soak/checkoverlaps_test.go
+++ b/internal/lab/soak/checkoverlaps_test.go
@@ -55,18 +55,23 @@
 		change func(h *History)
 		want   int
 	}{
-		"no disturbance":                         {func(*History) {}, 1},
-		"run that has not ended":                 {func(h *History) { repeated(h, "s0").Ended = time.Time{} }, 1},
-		"node disturbed before":                  {disturb("n", -0.5, -0.4, false), 0},
-		"store disturbed before":                 {disturb(AllNodes, 1.5, 1.6, true), 0},
-		"other node disturbed":                   {disturb("m", 2, 3, false), 1},
-		"node disturbed contactBound before":     {disturb("n", -2, -1.6, false), 1},
-		"first server out of reach":              {disturb("s0", 2.6, 2.7, false), 0},
-		"second server out of reach":             {disturb("s2", 2.4, 2.7, false), 0},
-		"other server out of reach":              {disturb("s1", 2, 3, false), 1},
-		"zone of the first server lost":          {func(h *History) { h.Losses = append(h.Losses, Outage{Zone: "a", From: at(h, 2.4), To: at(h, 2.6)}) }, 0},
-		"both runs at one server":                {func(h *History) { repeated(h, "s2").Server = "s0" }, 0},
-		"disturbed before a long run, not after": {func(h *History) { repeated(h, "s0").At = at(h, -3); disturb("n", -2.5, -2, false)(h) }, 0},
+		"no disturbance":                               {func(*History) {}, 1},
+		"run that has not ended":                       {func(h *History) { repeated(h, "s0").Ended = time.Time{} }, 1},
+		"node disturbed before":                        {disturb("n", -0.5, -0.4, false), 0},
+		"store disturbed before":                       {disturb(AllNodes, 1.5, 1.6, true), 0},
+		"other node disturbed":                         {disturb("m", 2, 3, false), 1},
+		"node disturbed contactBound before":           {disturb("n", -2, -1.6, false), 1},
+		"first server out of reach":                    {disturb("s0", 2.6, 2.7, false), 0},
+		"second server out of reach":                   {disturb("s2", 2.4, 2.7, false), 0},
+		"other server out of reach":                    {disturb("s1", 2, 3, false), 1},
+		"zone of the first server lost":                {func(h *History) { h.Losses = append(h.Losses, Outage{Zone: "a", From: at(h, 2.4), To: at(h, 2.6)}) }, 0},
+		"both runs at one server":                      {func(h *History) { repeated(h, "s2").Server = "s0" }, 0},
+		"disturbed before a long run, not after":       {func(h *History) { repeated(h, "s0").Received = at(h, -3); disturb("n", -2.5, -2, false)(h) }, 0},
+		"waited at the first server, went on too long": {func(h *History) { repeated(h, "s0").At = at(h, 2.6) }, 1},
+		"waited at the first server, ended in time": {func(h *History) {
+			repeated(h, "s0").At, repeated(h, "s0").Ended = at(h, 2.6), at(h, 2.7)
+			repeated(h, "s2").Ended = at(h, 4)
+		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := validHistory()
