--- a/internal/lab/labcmd/soak.go
+++ b/internal/lab/labcmd/soak.go
@@ -81,11 +81,11 @@
 			if without := soak.WithoutOccasion(report.Occasions); len(without) > 0 {
 				_, _ = fmt.Fprintln(std.out, "promises without an occasion:", without)
 			}
-			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d replicas ended by %d harmful requests, %d silences, %d replicas started again, %d foreign rows, %d updates of servers, %d streams continued elsewhere, %d times a late or slow store, %d pauses of replicas, %d disrupted answers, %d late ones to requests that run once, %d refusals of replicas, %d cuts beside long texts, %d promises checked, %d broken\n",
+			_, _ = fmt.Fprintf(std.out, "seed %d: %d faults, %d of %d requests whole, %d beyond limits, %d jobs, %d results, %d runs, %d evacuations, %d zones lost, %d sends to cold replicas, %d replicas ended by %d harmful requests, %d silences, %d replicas started again, %d foreign rows, %d updates of servers, %d streams continued elsewhere, %d times a late or slow store, %d pauses of replicas, %d disrupted answers, %d late ones to requests that run once, %d refusals of replicas, %d cuts beside long texts, %d jobs refused each time, %d promises checked, %d broken\n",
 				report.Seed, report.Faults, report.Whole, report.Requests, report.Limited, report.Jobs, report.Items, report.Runs,
 				report.Evacuations, report.Losses, report.ColdSends, report.HarmfulCrashes, report.HarmfulRequests,
 				report.Silences, report.ServerStarts, report.ForeignRows, report.ServerUpdates, report.Continued, report.StoreDelays, report.Pauses,
-				report.Disrupted, report.LateToOnce, report.Refusals, report.LongCuts,
+				report.Disrupted, report.LateToOnce, report.Refusals, report.LongCuts, report.RefusedJobs,
 				len(soak.Promises()), len(report.Violations))
 			if len(report.Violations) > 0 {
 				_, _ = fmt.Fprintln(std.out, "logs of the nodes:", report.Logs)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -99,8 +99,8 @@
 	ServerUpdates, Continued int
 	// Disrupted counts the answers that servers disrupted, LateToOnce the late ones that came in place of the
 	// answer to a request which may run once, Refusals the requests that servers refused, and LongCuts the faults
-	// that cut a node off beside long texts.
-	Disrupted, LateToOnce, Refusals, LongCuts int
+	// that cut a node off beside long texts. RefusedJobs counts the jobs that were refused at every attempt.
+	Disrupted, LateToOnce, Refusals, LongCuts, RefusedJobs int
 	// LongestCalmWait is the longest time that an item waited in the calm phase beside a free slot
 	// without interruption, which is limited to maxCalmWait.
 	LongestCalmWait time.Duration
@@ -233,6 +233,11 @@
 			report.Limited++
 		}
 	}
+	for _, job := range s.Jobs {
+		if job.Refused {
+			report.RefusedJobs++
+		}
+	}
 	for _, results := range s.Final {
 		report.Items += len(results)
 	}
