--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -279,6 +279,23 @@
 	return count
 }
 
+// unlistedWork returns how long a server runs for the items of a job that no read has returned.
+func (h *History) unlistedWork(job *Job) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var work time.Duration
+	for _, item := range job.Items {
+		switch {
+		case h.listed[item]:
+		case isLong(item):
+			work += time.Duration(h.Events) * longEventTime
+		default:
+			work += time.Duration(h.Events) * eventTime
+		}
+	}
+	return work
+}
+
 // recordDisturbance records a disturbance that ends now.
 func (h *History) recordDisturbance(d Disturbance) {
 	d.To = time.Now()
--- a/internal/lab/soak/settle.go
+++ b/internal/lab/soak/settle.go
@@ -23,24 +23,23 @@
 // time than ItemListedInCalm allows.
 func (s *soak) settle(ctx context.Context) {
 	var accepted []Job
-	unlisted := 0
+	var work time.Duration
 	for _, job := range s.jobs() {
 		if !job.Accepted {
 			continue
 		}
 		accepted = append(accepted, job)
 		if job.EndedAt.IsZero() {
-			unlisted += s.unlistedCount(&job)
+			work += s.unlistedWork(&job)
 		}
 	}
-	s.Backlog = s.backlog(unlisted)
+	s.Backlog = s.backlog(work)
 	deadline := s.LoadEnd.Add(listBound + s.Backlog + settleMargin + time.Duration(len(accepted))*settlePerJob)
 	s.readAll(ctx, accepted, deadline)
 }
 
-// backlog returns the time that the usable servers need for a number of items if they have no other
-// work.
-func (s *soak) backlog(items int) time.Duration {
+// backlog returns the time that the usable servers need for some work if they have no other.
+func (s *soak) backlog(work time.Duration) time.Duration {
 	slots := 0
 	now := time.Now()
 	for _, srv := range s.servers {
@@ -48,7 +47,7 @@
 			slots += srv.slots
 		}
 	}
-	return time.Duration(items) * answerSize * eventTime / time.Duration(max(slots, 1))
+	return work / time.Duration(max(slots, 1))
 }
 
 // readAll reads each job at least once, and repeatedly until it is complete or the deadline has
