engine: an engine's failure is no refusal

What callers would see, on the product's own interface: a request or item that may run once counts as not run after an engine answered 500, 502 or 504, though it may have begun; an item of a batch is dead after one such answer, as if it were invalid.

Cause: each answer without success was a RefusalError.

Fix: from 500 on, but for 503, the outcome is unknown: the request goes on elsewhere if it may be repeated.

Evidence: TestBackend_FailedEngineMayHaveRun, red for all three statuses without the change, green with it; internal/engine green.

--- a/internal/engine/backend_test.go
+++ b/internal/engine/backend_test.go
@@ -176,6 +176,20 @@
 	}
 }
 
+// TestBackend_FailedEngineMayHaveRun guards against a request that runs twice, and an item that is dead after one
+// failure, because an engine's failure counts as its refusal.
+func TestBackend_FailedEngineMayHaveRun(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
+		for _, batch := range []bool{false, true} {
+			backend, info := (&fakeEngine{status: status}).start(t)
+			answer, err := backend.Send(t.Context(), attemptOf(info, batch, true))
+			if answer != nil || !errors.Is(err, forward.ErrBroken) || outcome.Of(err) != outcome.Unknown {
+				t.Errorf("status %d, batch %v: %+v, %v, outcome %v", status, batch, answer, err, outcome.Of(err))
+			}
+		}
+	}
+}
+
 func TestBackend_UnreachableDidNotRun(t *testing.T) {
 	backend := NewBackend(NewClient(nil))
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -239,6 +239,8 @@
 	return Error.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(answer))
 }
 
+// refusalError returns the error for an answer without success: a RefusalError, or an error with an unknown
+// outcome if the engine failed at what it may have begun.
 func refusalError(response *http.Response) error {
 	const maxRefusalBytes = 4096
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
@@ -248,6 +250,9 @@
 	if json.Unmarshal(body, &answer) == nil && answer.Error.Message != "" {
 		message = answer.Error.Message
 	}
+	if response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusServiceUnavailable {
+		return Error.Wrap(outcome.AsUnknown(fmt.Errorf("engine failed with %d: %s", response.StatusCode, message)))
+	}
 	return Error.Wrap(outcome.AsNotDone(&RefusalError{Status: response.StatusCode, Message: message}))
 }
 
