jobs: one loop deletes objects that nothing refers to

Texts and contents each had the same loop of check, deletion and pause; it is deleteWhenUnused now, in a file of its own. The two errors for a used object are one. Nothing else changes; the tests of texts, contents and submissions in internal/jobs pass.

--- a/internal/jobs/content.go
+++ b/internal/jobs/content.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"github.com/wheelhoist/wheelhoist/internal/object"
-	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -72,35 +71,26 @@
 
 // resolveContent deletes the object with the content of a submission in the background, once its job
 // is known to have another content or, if the submission was refused, to not exist. refused is the
-// error of the submission. An object that may still be referred to after resolveTime remains.
+// error of the submission.
 func (s *Service) resolveContent(ctx context.Context, id string, content *submittedContent, refused error) {
 	if entry := s.View.Get(id); content.object == "" || entry != nil && entry.Job.Content == content.name {
 		return
 	}
 	// The body is not kept: in an outage of the store, many would be for long.
-	content, size := &submittedContent{name: content.name, object: content.object}, len(content.body)
+	name, object, size := content.name, content.object, len(content.body)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resolveTime)
-		defer cancel()
-		for {
-			err := s.checkContentUnused(ctx, id, content, refused)
-			if errors.Is(err, errContentUsed) {
-				return
-			}
-			if err == nil {
-				err = s.deleteUnused(ctx, content.object)
-			}
-			if err == nil || !retry.Sleep(ctx, resolveDelay) {
-				s.Events.ContentUnused(id, content.object, size, err)
-				return
-			}
+		err := s.deleteWhenUnused(ctx, object, func(ctx context.Context) error {
+			return s.checkContentUnused(ctx, id, name, refused)
+		})
+		if !errors.Is(err, errObjectUsed) {
+			s.Events.ContentUnused(id, object, size, err)
 		}
 	}()
 }
 
-// checkContentUnused returns nil if no job refers to a content or ever will. All transactions that
+// checkContentUnused returns nil if no job refers to the named content or ever will. All transactions that
 // accept the submission are conditional on there being no job with its id.
-func (s *Service) checkContentUnused(ctx context.Context, id string, content *submittedContent, refused error) error {
+func (s *Service) checkContentUnused(ctx context.Context, id, name string, refused error) error {
 	row, err := s.getOnce(ctx, jobKey(id))
 	if errors.Is(err, ErrNotFound) {
 		if isRefusal(refused) {
@@ -115,8 +105,8 @@
 	if err := row.Decode(&job); err != nil {
 		return Error.Wrap(err)
 	}
-	if job.Content == content.name {
-		return Error.Wrap(errContentUsed)
+	if job.Content == name {
+		return Error.Wrap(errObjectUsed)
 	}
 	return nil
 }
@@ -178,9 +168,8 @@
 var (
 	errItemMismatch = errors.New("the content has other items than the job")
 	errChunkMissing = errors.New("rows of the content are missing")
-	// errContentUndecided reports that a content may still be referred to, errContentUsed that it is.
+	// errContentUndecided reports that a content may still be referred to.
 	errContentUndecided = errors.New("the job is not accepted yet")
-	errContentUsed      = errors.New("the job has this content")
 )
 
 // Items returns the items of a job.
--- a/internal/jobs/texts.go
+++ b/internal/jobs/texts.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
-	"github.com/wheelhoist/wheelhoist/internal/retry"
 	"github.com/wheelhoist/wheelhoist/internal/table"
 )
 
@@ -17,19 +16,8 @@
 // node writes has an object of its own, and the one that is named by the listed row is never written
 // again. The others are deleted by their writers.
 
-const (
-	// resolveDelay is the pause between two checks whether an object is referred to, resolveTime the
-	// time after which an undecided one is left in the store.
-	resolveDelay = 2 * time.Second
-	resolveTime  = time.Minute
-)
-
-var (
-	// errTextUndecided reports that a text may still be listed.
-	errTextUndecided = errors.New("the item is not listed yet")
-	// errTextListed reports that a text is the listed one.
-	errTextListed = errors.New("the text is listed")
-)
+// errTextUndecided reports that a text may still be listed.
+var errTextUndecided = errors.New("the item is not listed yet")
 
 // textObject returns a new name for an object with the text of an item.
 func textObject(job string, item int) string {
@@ -67,30 +55,24 @@
 func (s *Service) resolveTexts(ctx context.Context, job *Job, tasks []*task) {
 	for _, t := range tasks {
 		if t.object != "" {
-			go s.resolveText(context.WithoutCancel(ctx), job, t.written())
+			go s.resolveText(ctx, job, t.written())
 		}
 	}
 }
 
-// resolveText deletes the object of an item's text once nothing refers to it and nothing ever will. An
-// object that may still be listed after resolveTime remains.
+// resolveText deletes the object of an item's text once nothing refers to it and nothing ever will, or reports
+// that the text is listed.
 func (s *Service) resolveText(ctx context.Context, job *Job, t writtenText) {
-	ctx, cancel := context.WithTimeout(ctx, resolveTime)
-	defer cancel()
-	for {
-		position, err := s.checkTextUnused(ctx, job.ID, t)
-		if err == nil {
-			err = s.deleteUnused(ctx, t.object)
-		}
-		if errors.Is(err, errTextListed) {
-			s.reportItem(job, t, position)
-			return
-		}
-		if err == nil || !retry.Sleep(ctx, resolveDelay) {
-			s.Events.TextNotListed(job, job.Items[t.item].ID, position, t.object, t.bytes, err)
-			return
-		}
+	position := -1
+	err := s.deleteWhenUnused(ctx, t.object, func(ctx context.Context) (err error) {
+		position, err = s.checkTextUnused(ctx, job.ID, t)
+		return err
+	})
+	if errors.Is(err, errObjectUsed) {
+		s.reportItem(job, t, position)
+		return
 	}
+	s.Events.TextNotListed(job, job.Items[t.item].ID, position, t.object, t.bytes, err)
 }
 
 // checkTextUnused returns nil if no row refers to the object of an item's text or ever will, and the
@@ -133,26 +115,11 @@
 		return Error.Wrap(err)
 	}
 	if listed.Object == object {
-		return Error.Wrap(errTextListed)
+		return Error.Wrap(errObjectUsed)
 	}
 	return nil
 }
 
-// getOnce makes one call to read a row. Unlike getRow, it leaves the pace of further calls to its caller.
-func (s *Service) getOnce(ctx context.Context, key table.Key) (table.Row, error) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row, err := s.Table.Get(callCtx, key)
-	return row, readError(err)
-}
-
-// deleteUnused makes one call to delete an object that nothing refers to or ever will.
-func (s *Service) deleteUnused(ctx context.Context, name string) error {
-	callCtx, cancel := context.WithTimeout(ctx, objectTimeout)
-	defer cancel()
-	return Error.Wrap(s.Objects.Delete(callCtx, name))
-}
-
 // reportItem reports that an item is listed at a position.
 func (s *Service) reportItem(job *Job, t writtenText, position int) {
 	s.Events.ItemListed(job, job.Items[t.item].ID, position, t.reason, t.object, t.bytes, clock.Since(t.firstSent))
