--- a/internal/lab/soak/disruptions_test.go
+++ b/internal/lab/soak/disruptions_test.go
@@ -106,3 +106,13 @@
 		t.Errorf("%v of work, want %v", got, want)
 	}
 }
+
+// Guards against a part of prompts that ends more servers than it may, beside servers in disruption, full ones and a
+// store that loses its history.
+func TestRun_SeedsOfDisruptedServers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a minute")
+	}
+	t.Parallel()
+	runSeed(t, Options{Seed: 86004, Nodes: 7, Servers: 8, Slots: 6, Regions: 2, Duration: 20 * time.Second})
+}
