streams: a lookup of a stream's origin tells whom it asked, and ambiguous is not unknown

Unknown and ambiguous origins were one error, and no line named the stream, the nodes asked or those that replied, so the hypotheses of docs/incidents/0024 could not be told apart.

Now: a log line for each lookup (those that end a request are never left out), an error and a reason of its own for ambiguous origins, a label on the metric. Timeline and hypotheses: docs/incidents/0024.

--- a/internal/forward/software.go
+++ b/internal/forward/software.go
@@ -37,10 +37,12 @@
 	unboundedStreamLifetime = 5 * time.Minute
 )
 
-// ErrOriginUnknown reports that nothing tells at which software version a stream began, or that it may
-// have begun at several.
+// ErrOriginUnknown reports that nothing tells at which software version a stream began.
 var ErrOriginUnknown = errors.New("the software version that began the stream is not known")
 
+// ErrOriginAmbiguous reports that a stream may have begun at any of several software versions.
+var ErrOriginAmbiguous = errors.New("the stream may have begun at any of several software versions")
+
 // ErrOtherSoftware reports that an answer may come from another software version than the one that
 // began its stream.
 var ErrOtherSoftware = errors.New("answer may be of another software version than its stream")
@@ -119,16 +121,19 @@
 }
 
 // requireOrigin makes a request that continues a stream use the pool and the software version that
-// began it. It returns ErrOriginUnknown if these are not known.
+// began it. It returns ErrOriginUnknown or ErrOriginAmbiguous if it cannot.
 func (c *call) requireOrigin(ctx context.Context) error {
 	if c.forwarder.Origins == nil || c.route.Kind != route.Stream || c.request.LastEventID == 0 {
 		return nil
 	}
 	origin, known := c.forwarder.Origins.Find(ctx, c.originQuery())
 	isShare := func(share route.Share) bool { return share.Pool == origin.Pool }
-	if !known || origin.Ambiguous || !slices.ContainsFunc(c.route.Shares, isShare) {
+	if !known || !slices.ContainsFunc(c.route.Shares, isShare) {
 		return ErrOriginUnknown
 	}
+	if origin.Ambiguous {
+		return ErrOriginAmbiguous
+	}
 	c.result.Pool, c.criteria.SoftwareVersion = origin.Pool, &origin.SoftwareVersion
 	return nil
 }
@@ -137,7 +142,7 @@
 func (c *call) originQuery() streams.Query {
 	query := streams.Query{Lifetime: unboundedStreamLifetime}
 	if c.request.Resumes != "" {
-		query.Named, query.ID = true, c.streamID()
+		query.Named, query.ID, query.Name = true, c.streamID(), c.request.Resumes
 	}
 	if c.route.Timeout > 0 {
 		query.Lifetime = max(minStreamLifetime, streamLifetimeFactor*c.route.Timeout)
--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -35,6 +35,8 @@
 	// have to.
 	witnesses, needed int
 	version           string
+	// asked is the number of nodes that were asked, silent that of those which have not replied.
+	asked, silent int
 }
 
 // run returns the origin of the stream and where it was found.
@@ -94,7 +96,8 @@
 		binary.LittleEndian.PutUint64(message.Stream[:], message.ID)
 	}
 	silent := l.origins.holders(message.Stream, originQueries)
-	l.needed = min(originWitnesses, len(silent))
+	l.needed, l.asked = min(originWitnesses, len(silent)), len(silent)
+	defer func() { l.silent = len(silent) }()
 	const sendsPerNode = 1 + int(originQueryTimeout/originRequeryInterval)
 	replies := l.origins.pending.RegisterMany(message.ID, max(1, len(silent)*sendsPerNode))
 	defer l.origins.pending.Forget(message.ID)
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -123,12 +124,28 @@
 
 // Find implements forward.StreamOrigins.
 func (o *streamOrigins) Find(ctx context.Context, query streams.Query) (origin streams.Origin, known bool) {
+	began := clock.Now()
 	lookup := &originLookup{origins: o, query: query}
 	origin, source := lookup.run(ctx)
-	o.gateway.metrics.originLookups.WithLabelValues(string(source)).Inc()
+	o.gateway.metrics.originLookups.WithLabelValues(string(source), strconv.FormatBool(origin.Ambiguous)).Inc()
+	o.logLookup(lookup, origin, source, clock.Since(began))
 	return origin, source != originUnknown
 }
 
+// logLookup logs how a lookup ended and what this node knew. A lookup that ends a request is never left
+// out, as the end of its request is not.
+func (o *streamOrigins) logLookup(lookup *originLookup, origin streams.Origin, source originSource, took time.Duration) {
+	log := &o.gateway.sampled
+	if source == originUnknown || origin.Ambiguous {
+		log = &o.gateway.log
+	}
+	log.Info().Str("resumes", lookup.query.Name).Hex("stream", lookup.query.ID[:]).Str("pool", lookup.query.Pool).
+		Str("found", string(source)).Str("software", origin.SoftwareVersion).Bool("ambiguous", origin.Ambiguous).
+		Int("asked", lookup.asked).Int("silent", lookup.silent).Int("nodes", len(o.gateway.nodes.others())).
+		Bool("several_versions", lookup.history.Several).Dur("uptime_ms", clock.Since(o.gateway.startedAt)).Dur("took_ms", took).
+		Msg("stream origin looked up")
+}
+
 // softwareHistory returns what this node knows of the software versions of a pool; nothing if the pool is
 // empty.
 func (o *streamOrigins) softwareHistory(pool string, period time.Duration) replica.SoftwareHistory {
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -40,9 +40,10 @@
 // Query asks for the origin of a stream.
 type Query struct {
 	// ID identifies the stream if Named is set, which means that the caller named the request that
-	// received the first event.
+	// received the first event. Name is that request, for logs.
 	ID    ID
 	Named bool
+	Name  string
 	// Pool is the only pool that the stream may have begun in; empty if there are several.
 	Pool string
 	// Lifetime bounds how long ago the stream began.
