node: a starting node asks for a stream's origin once it knows the other nodes

Callers saw 503 (stream-origin-unknown) from nodes that had just started, for streams that other nodes knew. Cause: a node serves as soon as it has routes, replicas and the crashes of the past; which other nodes there are it reads with the jobs.

Now a lookup goes on until the members have been read, 750 ms at most, asks nodes as they become known, and gives each the usual 200 ms.

--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -35,8 +35,10 @@
 	// have to.
 	witnesses, needed int
 	version           string
-	// asked is the number of nodes that were asked, silent that of those which have not replied.
-	asked, silent int
+	// asked are the nodes that were asked, silent those of them that have not replied.
+	asked, silent []string
+	// lastAskedAt is when the last of them was asked for the first time.
+	lastAskedAt time.Time
 }
 
 // run returns the origin of the stream and where it was found.
@@ -86,39 +88,30 @@
 }
 
 // ask asks other nodes, until one has recorded the origin, all have replied, or enough of them report a
-// single version for a stream that its caller did not name.
+// single version for a stream that its caller did not name. A node that has just started waits until it has
+// read which other nodes there are.
 func (l *originLookup) ask(ctx context.Context) (origin streams.Origin, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
-	message := originQuery{ID: rand.Uint64(), Stream: l.query.ID, Pool: l.query.Pool, PeriodMs: l.query.Lifetime.Milliseconds()}
-	if !l.query.Named {
-		// No node can hold the origin of an unnamed stream, so any are asked.
-		binary.LittleEndian.PutUint64(message.Stream[:], message.ID)
-	}
-	silent := l.origins.holders(message.Stream, originQueries)
-	l.needed, l.asked = min(originWitnesses, len(silent)), len(silent)
-	defer func() { l.silent = len(silent) }()
-	const sendsPerNode = 1 + int(originQueryTimeout/originRequeryInterval)
-	replies := l.origins.pending.RegisterMany(message.ID, max(1, len(silent)*sendsPerNode))
+	message := l.newQuery()
+	const sendsPerNode = 1 + int(originLookupTimeout/originRequeryInterval)
+	replies := l.origins.pending.RegisterMany(message.ID, originQueries*sendsPerNode)
 	defer l.origins.pending.Forget(message.ID)
 	resend := time.NewTicker(originRequeryInterval)
 	defer resend.Stop()
-	l.send(silent, message)
-	for len(silent) > 0 {
+	l.send(message)
+	for l.awaitsReplies() || !l.origins.gateway.jobWatch.Populated() {
 		select {
 		case reply := <-replies:
 			if l.query.Named && reply.Known {
 				return reply.origin(), true
 			}
-			if i := slices.Index(silent, reply.from); i >= 0 {
-				silent = slices.Delete(silent, i, i+1)
-				l.count(reply.history())
-			}
-			if !l.query.Named && (l.history.Several || l.witnesses >= l.needed) {
+			l.record(&reply)
+			if !l.query.Named && (l.history.Several || l.needed > 0 && l.witnesses >= l.needed) {
 				return streams.Origin{}, false
 			}
 		case <-resend.C:
-			l.send(silent, message)
+			l.send(message)
 		case <-ctx.Done():
 			return streams.Origin{}, false
 		}
@@ -126,6 +119,44 @@
 	return streams.Origin{}, false
 }
 
+// awaitsReplies reports whether nodes may reply yet. Nodes that are down never do.
+func (l *originLookup) awaitsReplies() bool {
+	return len(l.silent) > 0 && clock.Since(l.lastAskedAt) < originQueryTimeout
+}
+
+// newQuery returns the query to send.
+func (l *originLookup) newQuery() originQuery {
+	message := originQuery{ID: rand.Uint64(), Stream: l.query.ID, Pool: l.query.Pool, PeriodMs: l.query.Lifetime.Milliseconds()}
+	if !l.query.Named {
+		// No node can hold the origin of an unnamed stream, so any are asked.
+		binary.LittleEndian.PutUint64(message.Stream[:], message.ID)
+	}
+	return message
+}
+
+// send sends the query to the nodes that have not replied, and to those that have become known since.
+func (l *originLookup) send(message originQuery) {
+	for _, node := range l.origins.holders(message.Stream, originQueries) {
+		if len(l.asked) < originQueries && !slices.Contains(l.asked, node) {
+			l.asked, l.silent, l.lastAskedAt = append(l.asked, node), append(l.silent, node), clock.Now()
+		}
+	}
+	l.needed = min(originWitnesses, len(l.asked))
+	for _, node := range l.silent {
+		l.origins.gateway.sendToNode(node, peer.KindStreamQuery, message)
+	}
+}
+
+// record takes the reply of a node that does not know the origin into account.
+func (l *originLookup) record(reply *originReply) {
+	i := slices.Index(l.silent, reply.from)
+	if i < 0 {
+		return
+	}
+	l.silent = slices.Delete(l.silent, i, i+1)
+	l.count(reply.history())
+}
+
 // count takes another node's knowledge of the pool into account.
 func (l *originLookup) count(history replica.SoftwareHistory) {
 	switch {
@@ -135,10 +166,3 @@
 		l.witnesses, l.version = l.witnesses+1, history.Version
 	}
 }
-
-// send sends a query to nodes.
-func (l *originLookup) send(nodes []string, message originQuery) {
-	for _, node := range nodes {
-		l.origins.gateway.sendToNode(node, peer.KindStreamQuery, message)
-	}
-}
--- a/internal/node/gatewaystreamrestart_test.go
+++ b/internal/node/gatewaystreamrestart_test.go
@@ -106,21 +106,24 @@
 	if _, err := stream.read(first, "q", 2); len(stream.events) != 2 {
 		t.Fatal(err)
 	}
-	slowJobs := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	membersReadable := make(chan struct{})
+	slowMembers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("table") == jobs.Group {
-			time.Sleep(100 * time.Millisecond)
+			<-membersReadable
 		}
 		site.store.ServeHTTP(w, r)
 	}))
-	t.Cleanup(slowJobs.Close)
-	site.storeAddress = slowJobs.Listener.Addr().String()
+	t.Cleanup(slowMembers.Close)
+	site.storeAddress, site.seeds = slowMembers.Listener.Addr().String(), []string{first.peers.Address()}
 	started := site.launch("c", nil)
-	site.eventually("the started node could serve", func() bool {
+	site.eventually("the started node serves", func() bool {
 		return started.configWatch.Populated() && started.replicaWatch.Populated()
 	})
+	<-started.crashesKnown
 	if len(started.nodes.others()) > 0 {
 		t.Fatal("the started node knows the others already")
 	}
+	time.AfterFunc(originRequeryInterval, func() { close(membersReadable) })
 	status, err := stream.read(started, "q-again", 0)
 	if status != http.StatusOK || len(stream.events) != streamEvents || stream.mixed() {
 		t.Fatalf("%d %v, %d events of versions %v", status, err, len(stream.events), stream.versions)
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -24,8 +24,12 @@
 	// originQueries is the number of nodes that are asked for the origin of a stream. It exceeds
 	// originCopies because the lists of nodes differ for a while after nodes join or leave.
 	originQueries = 8
-	// originQueryTimeout bounds a query, which delays the first event of a continued stream.
+	// originQueryTimeout bounds the wait for replies of other nodes, which delays the first event of a
+	// continued stream.
 	originQueryTimeout = 200 * time.Millisecond
+	// originLookupTimeout bounds a whole lookup. It is longer because a node that has just started has to
+	// read which other nodes there are.
+	originLookupTimeout = 750 * time.Millisecond
 	// originWitnesses is the number of nodes that have to report a single software version if this node
 	// does not know the list of replicas for long enough itself.
 	originWitnesses = 2
@@ -141,7 +145,7 @@
 	}
 	log.Info().Str("resumes", lookup.query.Name).Hex("stream", lookup.query.ID[:]).Str("pool", lookup.query.Pool).
 		Str("found", string(source)).Str("software", origin.SoftwareVersion).Bool("ambiguous", origin.Ambiguous).
-		Int("asked", lookup.asked).Int("silent", lookup.silent).Int("nodes", len(o.gateway.nodes.others())).
+		Int("asked", len(lookup.asked)).Int("silent", len(lookup.silent)).Int("nodes", len(o.gateway.nodes.others())).
 		Bool("several_versions", lookup.history.Several).Dur("uptime_ms", clock.Since(o.gateway.startedAt)).Dur("took_ms", took).
 		Msg("stream origin looked up")
 }
