poolsoftware: the table tells which software versions a pool has run

Cause: the past of a pool was in memory only, so a node with nothing but the present list took what it lists for all there ever was. Class: absence of evidence, after a start, read as evidence of absence.

Now one row per pool, written when a version appears or leaves (by the first of the nodes in a hashed order; the others wait 150 ms each), read with the jobs. A node combines it with its list: another version within a stream's lifetime is several, one version that is recorded for that long is the only one, else the past is not known and the stream is refused. onlyListed, which guessed, is gone.

TestGateway_RestartedFleetContinuesUnnamedStreamsOfTheOnlySoftwareVersion asserted the guess: on a fleet that had just started for the first time, unnamed 200 and named 503.

Cost: a write a change of versions, one page more when a node starts.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -264,7 +264,7 @@
 // Parts lists the parts of Group, each of which is a partition, in the order in which they must be
 // read.
 func Parts() []string {
-	all := []string{memberPart, quarantinePart}
+	all := []string{memberPart, quarantinePart, softwarePart}
 	for shard := range shards {
 		all = append(all, shardName(shard))
 	}
@@ -278,6 +278,13 @@
 // ran there. Nodes follow it together with the jobs, so it costs no extra calls.
 func QuarantinePartition() string { return Group + "/" + quarantinePart }
 
+// softwarePart holds the rows about the software versions that pools have run.
+const softwarePart = "software"
+
+// SoftwarePartition returns the partition of the rows about the software versions that pools have run.
+// Nodes follow it together with the jobs.
+func SoftwarePartition() string { return Group + "/" + softwarePart }
+
 // MemberPartition returns the partition of the rows of the live nodes.
 func MemberPartition() string { return Group + "/" + memberPart }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
+	"github.com/wheelhoist/wheelhoist/internal/poolsoftware"
 	"github.com/wheelhoist/wheelhoist/internal/quota"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/settings"
@@ -58,6 +59,8 @@
 	quota  *quota.Coordinator
 	// streamOrigins finds where streams began that callers continue at this node.
 	streamOrigins *streamOrigins
+	// poolSoftware records the software versions that pools have run.
+	poolSoftware *poolsoftware.Records
 	// broadcastLimiter bounds how often all nodes are notified of changed rows.
 	broadcastLimiter *rate.Limiter
 
@@ -146,6 +149,7 @@
 	g.jobWatch.Apply = g.relays.logged(jobGroup, func(changes table.Changes, whole bool) {
 		// Members are updated first, so that a job is never known without the nodes that it names.
 		roster.Apply(changes, whole)
+		g.poolSoftware.Apply(changes, whole)
 		g.replicas.SetJoined(roster.Joined())
 		applyJobs(changes, whole)
 		if whole {
@@ -156,6 +160,7 @@
 	g.forwarder.Reserver = g.backend
 	g.crashesKnown = make(chan struct{})
 	g.markCrashesKnown = sync.OnceFunc(func() { close(g.crashesKnown) })
+	g.poolSoftware = g.newPoolSoftware(rows)
 	g.streamOrigins = &streamOrigins{gateway: g}
 	g.forwarder.Origins = g.streamOrigins
 	g.runner.Reserver = g.backend
@@ -247,6 +252,7 @@
 	g.spawn(func() { g.replicaWatch.Run(ctx) })
 	g.spawn(func() { g.runColdLog(ctx) })
 	g.spawn(func() { g.runStoreTrafficLog(ctx) })
+	g.spawn(func() { g.poolSoftware.Run(ctx) })
 	g.runJobs(ctx)
 	g.spawn(func() { g.runner.RunSweeping(ctx, time.Duration(g.settings.Gateway.KeepJobs)) })
 }
--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -48,11 +48,12 @@
 			return origin, originHere
 		}
 	}
-	l.history = l.origins.softwareHistory(l.query.Pool, l.query.Lifetime)
+	l.refreshHistory()
 	if l.needsOthers() && l.origins.gateway.peers != nil {
 		if origin, known := l.ask(ctx); known {
 			return origin, originOtherNode
 		}
+		l.refreshHistory()
 	}
 	switch {
 	case l.history.Several:
@@ -61,25 +62,17 @@
 		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.history.Version}, originOnlyVersion
 	case l.needed > 0 && l.witnesses >= l.needed:
 		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.version}, originOnlyVersion
-	case l.query.Named:
-		return streams.Origin{}, originUnknown
 	default:
-		return l.onlyListed()
+		return streams.Origin{}, originUnknown
 	}
 }
 
-// onlyListed returns the origin of an unnamed stream if the pool lists a single software version and
-// nobody who was asked has seen another. This is all that can be known soon after all nodes have
-// restarted, and clients that know of several versions name their streams.
-func (l *originLookup) onlyListed() (streams.Origin, originSource) {
-	if l.query.Pool == "" {
-		return streams.Origin{}, originUnknown
-	}
-	version, ok := l.origins.gateway.replicas.OnlyListedSoftware(l.query.Pool, clock.Now())
-	if !ok {
-		return streams.Origin{}, originUnknown
+// refreshHistory brings the history up to date. A node that has just started may not have read the list of
+// replicas, or the table, when the lookup began.
+func (l *originLookup) refreshHistory() {
+	if !l.history.Several {
+		l.history = l.origins.gateway.softwareHistory(l.query.Pool, l.query.Lifetime)
 	}
-	return streams.Origin{Pool: l.query.Pool, SoftwareVersion: version}, originOnlyVersion
 }
 
 // needsOthers reports whether other nodes may know more than this one.
--- a/internal/node/gatewaystreamrestart_test.go
+++ b/internal/node/gatewaystreamrestart_test.go
@@ -28,14 +28,14 @@
 	return s.gateways
 }
 
-// awaitKnownHistory waits until the gateways know that the pool has run a single software version for as long as
-// a stream lasts.
+// awaitKnownHistory waits until it is recorded that the pool has run a single software version for as long as a
+// stream lasts.
 func (s *gatewaySite) awaitKnownHistory() {
 	s.t.Helper()
 	for _, gateway := range s.gateways {
 		lifetime := 2 * gateway.routes.Load().Match(siteHost, "/resume/x").Timeout
-		s.eventually("the list is known for as long as a stream lasts", func() bool {
-			return gateway.replicas.SoftwareHistory("llm", lifetime, time.Now()).Single
+		s.eventually("the software version is recorded for as long as a stream lasts", func() bool {
+			return gateway.poolSoftware.History("llm", gateway.replicas.PoolSoftware("llm", time.Now()), lifetime).Single
 		})
 	}
 }
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -150,15 +150,6 @@
 		Msg("stream origin looked up")
 }
 
-// softwareHistory returns what this node knows of the software versions of a pool; nothing if the pool is
-// empty.
-func (o *streamOrigins) softwareHistory(pool string, period time.Duration) replica.SoftwareHistory {
-	if pool == "" {
-		return replica.SoftwareHistory{}
-	}
-	return o.gateway.replicas.SoftwareHistory(pool, period, clock.Now())
-}
-
 // handleOrigin handles peer.KindStreamOrigin.
 func (o *streamOrigins) handleOrigin(from string, _ *net.UDPAddr, body []byte) {
 	var message originMessage
@@ -181,7 +172,7 @@
 		return
 	}
 	origin, known := o.registry.Get(query.Stream)
-	history := o.softwareHistory(query.Pool, time.Duration(query.PeriodMs)*time.Millisecond)
+	history := o.gateway.softwareHistory(query.Pool, time.Duration(query.PeriodMs)*time.Millisecond)
 	reply := originReply{
 		ID: query.ID, Known: known, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Ambiguous: origin.Ambiguous,
 		Several: history.Several, Single: history.Single, SingleVersion: history.Version,
--- a/internal/node/gatewaystreams_test.go
+++ b/internal/node/gatewaystreams_test.go
@@ -311,19 +311,20 @@
 	}
 }
 
-// Guards against streams of clients that do not name them and that are all refused after all nodes have
-// restarted, although replicas of one software version only are listed.
-func TestGateway_RestartedFleetContinuesUnnamedStreamsOfTheOnlySoftwareVersion(t *testing.T) {
+// Guards against a stream that goes on at the only software version that is listed, although nothing tells which
+// ones the pool has run before.
+func TestGateway_StreamIsRefusedWhileThePastOfItsPoolIsNotKnown(t *testing.T) {
 	site := newVersionedSite(t, "v1")
 	gateway := site.start("a")
 	site.start("b")
 	site.awaitPeers()
-	if status, text, header := site.callWith(gateway, http.MethodPost, "/resume/x", "q", nil, http.Header{"Last-Event-Id": {"3"}}); status != http.StatusOK {
-		t.Fatalf("unnamed: %d %q %v", status, text, header)
-	}
-	named := http.Header{"Last-Event-Id": {"3"}, "Resumes": {"lost"}}
-	if status, _, _ := site.callWith(gateway, http.MethodPost, "/resume/x", "q2", nil, named); status != http.StatusServiceUnavailable {
-		t.Fatalf("a named stream whose origin is lost: %d", status)
+	for name, header := range map[string]http.Header{
+		"unnamed": {"Last-Event-Id": {"3"}},
+		"named":   {"Last-Event-Id": {"3"}, "Resumes": {"lost"}},
+	} {
+		if status, _, _ := site.callWith(gateway, http.MethodPost, "/resume/x", "q-"+name, nil, header); status != http.StatusServiceUnavailable {
+			t.Errorf("%s: %d", name, status)
+		}
 	}
 }
 
--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -135,25 +135,64 @@
 	if s.ranOtherSoftware(pool, version, now.Add(-period)) {
 		return SoftwareHistory{Several: true}
 	}
-	current := !s.listTime.IsZero() && now.Sub(s.listTime) <= maxSoftwareListAge
-	if version != "" && (!current || now.Sub(s.listKnownSince) < period) {
+	if version != "" && (!s.softwareListKnown(now) || now.Sub(s.listKnownSince) < period) {
 		return SoftwareHistory{}
 	}
 	return SoftwareHistory{Single: true, Version: version}
 }
 
-// OnlyListedSoftware returns the software version that all listed replicas of a pool run, by a current
-// list. ok is false if there are several, or if the list is old or empty.
-func (s *Set) OnlyListedSoftware(pool string, now time.Time) (version string, ok bool) {
+// ListedSoftware returns the software versions of all listed replicas, by pool, each once and sorted. It
+// returns nil if the list is not current. Replicas that report no version are left out.
+func (s *Set) ListedSoftware(now time.Time) map[string][]string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed := s.pool(pool)
-	if len(listed) == 0 || s.softwareListStale(now) {
-		return "", false
+	if !s.softwareListKnown(now) {
+		return nil
+	}
+	s.updateIndex()
+	listed := map[string][]string{}
+	for pool := range s.index.pools {
+		if versions := s.listedSoftware(pool); len(versions) > 0 {
+			listed[pool] = versions
+		}
+	}
+	return listed
+}
+
+// PoolSoftware returns the software versions of the listed replicas of a pool, as ListedSoftware does.
+func (s *Set) PoolSoftware(pool string, now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.softwareListKnown(now) {
+		return nil
+	}
+	return s.listedSoftware(pool)
+}
+
+// softwareListKnown reports whether the list shows all versions but those that were first listed within the last
+// maxSoftwareListAge. The caller holds mu.
+func (s *Set) softwareListKnown(now time.Time) bool {
+	return !s.listTime.IsZero() && now.Sub(s.listTime) <= maxSoftwareListAge
+}
+
+// listedSoftware returns the software versions of the listed replicas of a pool. The caller holds mu.
+func (s *Set) listedSoftware(pool string) []string {
+	var versions []string
+	for _, e := range s.pool(pool) {
+		if version := e.info.SoftwareVersion; version != "" {
+			versions = insertSorted(versions, version)
+		}
+	}
+	return versions
+}
+
+// insertSorted adds a value to sorted values unless they contain it.
+func insertSorted(values []string, value string) []string {
+	i, found := slices.BinarySearch(values, value)
+	if found {
+		return values
 	}
-	version = listed[0].info.SoftwareVersion
-	isOther := func(e *entry) bool { return e.info.SoftwareVersion != version }
-	return version, !slices.ContainsFunc(listed, isOther)
+	return slices.Insert(values, i, value)
 }
 
 // ranOtherSoftware reports whether a replica of a pool with another software version is listed, or was
