streams: origins survive the death of all nodes that hold them

Cause: the origin of a stream was in the memory of four nodes only. Class: what must outlive a node was kept by nodes.

In a fleet of more than 32 nodes 32 of them write for all.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -162,6 +162,7 @@
 	g.markCrashesKnown = sync.OnceFunc(func() { close(g.crashesKnown) })
 	g.poolSoftware = g.newPoolSoftware(rows)
 	g.streamOrigins = &streamOrigins{gateway: g}
+	g.streamOrigins.archive = g.newArchive(rows, &g.streamOrigins.registry)
 	g.forwarder.Origins = g.streamOrigins
 	g.runner.Reserver = g.backend
 	g.configWatch = g.watch("configuration", g.relays.feed(configGroup, platform.ConfigFeed(g.store)), nil)
@@ -253,6 +254,7 @@
 	g.spawn(func() { g.runColdLog(ctx) })
 	g.spawn(func() { g.runStoreTrafficLog(ctx) })
 	g.spawn(func() { g.poolSoftware.Run(ctx) })
+	g.spawn(func() { g.streamOrigins.archive.Run(ctx) })
 	g.runJobs(ctx)
 	g.spawn(func() { g.runner.RunSweeping(ctx, time.Duration(g.settings.Gateway.KeepJobs)) })
 }
--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -21,10 +21,18 @@
 	// originHere and originOtherNode are origins that were recorded.
 	originHere      originSource = "here"
 	originOtherNode originSource = "other_node"
+	// originTable is an origin that was read from the table.
+	originTable originSource = "table"
 	// originOnlyVersion is concluded from a pool that has run a single software version.
 	originOnlyVersion originSource = "only_version"
 )
 
+// readOrigin is the result of a read of the table.
+type readOrigin struct {
+	origin streams.Origin
+	known  bool
+}
+
 // originLookup looks for the origin of one stream.
 type originLookup struct {
 	origins *streamOrigins
@@ -37,6 +45,11 @@
 	version           string
 	// asked are the nodes that were asked, silent those of them that have not replied.
 	asked, silent []string
+	// read receives what this node reads from the table; nil unless it does. isRead is set once it has.
+	read   chan readOrigin
+	isRead bool
+	// membersAsked is set once the nodes to ask are known, and asked.
+	membersAsked bool
 	// lastAskedAt is when the last of them was asked for the first time.
 	lastAskedAt time.Time
 }
@@ -49,9 +62,9 @@
 		}
 	}
 	l.refreshHistory()
-	if l.needsOthers() && l.origins.gateway.peers != nil {
-		if origin, known := l.ask(ctx); known {
-			return origin, originOtherNode
+	if l.needsOthers() {
+		if origin, source := l.ask(ctx); source != originUnknown {
+			return origin, source
 		}
 		l.refreshHistory()
 	}
@@ -80,36 +93,76 @@
 	return l.query.Named || l.query.Pool != "" && !l.history.Single && !l.history.Several
 }
 
-// ask asks other nodes, until one has recorded the origin, all have replied, or enough of them report a
-// single version for a stream that its caller did not name. A node that has just started waits until it has
-// read which other nodes there are.
-func (l *originLookup) ask(ctx context.Context) (origin streams.Origin, known bool) {
+// ask asks other nodes, and reads the table, until the origin is found, nobody else can know it, or enough nodes
+// report a single version for a stream that its caller did not name. A node that has just started waits until it
+// has read which other nodes there are.
+func (l *originLookup) ask(ctx context.Context) (streams.Origin, originSource) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	message := l.newQuery()
 	const sendsPerNode = 1 + int(originLookupTimeout/originRequeryInterval)
-	replies := l.origins.pending.RegisterMany(message.ID, originQueries*sendsPerNode)
+	replies := l.origins.pending.RegisterMany(message.ID, (originQueries+1)*sendsPerNode)
 	defer l.origins.pending.Forget(message.ID)
 	resend := time.NewTicker(originRequeryInterval)
 	defer resend.Stop()
 	l.send(message)
-	for l.awaitsReplies() || !l.origins.gateway.jobWatch.Populated() {
+	for l.isOpen() {
+		l.readTable(ctx)
 		select {
 		case reply := <-replies:
 			if l.query.Named && reply.Known {
-				return reply.origin(), true
+				return reply.origin(), originOtherNode
 			}
 			l.record(&reply)
 			if !l.query.Named && (l.history.Several || l.needed > 0 && l.witnesses >= l.needed) {
-				return streams.Origin{}, false
+				return streams.Origin{}, originUnknown
+			}
+		case found := <-l.read:
+			l.read, l.isRead = nil, true
+			if found.known {
+				return found.origin, originTable
 			}
 		case <-resend.C:
 			l.send(message)
 		case <-ctx.Done():
-			return streams.Origin{}, false
+			return streams.Origin{}, originUnknown
 		}
 	}
-	return streams.Origin{}, false
+	return streams.Origin{}, originUnknown
+}
+
+// isOpen reports whether there is anything left that the origin may be learned from.
+func (l *originLookup) isOpen() bool {
+	return l.awaitsReplies() || l.read != nil || l.readsTable() || l.awaitsMembers()
+}
+
+// awaitsMembers reports whether this node has yet to read which other nodes there are, and to ask them.
+func (l *originLookup) awaitsMembers() bool {
+	return l.origins.gateway.peers != nil && !l.membersAsked
+}
+
+// readsTable reports whether this node is to read the table now. Origins are written there while a pool runs
+// several versions. In a large fleet the node that wrote the origin reads it, unless it does not reply.
+func (l *originLookup) readsTable() bool {
+	if !l.query.Named || l.history.Single || l.read != nil || l.isRead {
+		return false
+	}
+	writer := l.origins.gateway.nodes.originWriter(l.query.ID)
+	return writer == l.origins.gateway.settings.Node.ID || slices.Contains(l.silent, writer) && !l.awaitsReplies()
+}
+
+// readTable starts to read the table if this node is to.
+func (l *originLookup) readTable(ctx context.Context) {
+	if !l.readsTable() {
+		return
+	}
+	read := make(chan readOrigin, 1)
+	l.read = read
+	archive, id, lifetime := l.origins.archive, l.query.ID, l.query.Lifetime
+	go func() {
+		origin, known := archive.Find(ctx, id, lifetime)
+		read <- readOrigin{origin, known}
+	}()
 }
 
 // awaitsReplies reports whether nodes may reply yet. Nodes that are down never do.
@@ -129,17 +182,36 @@
 
 // send sends the query to the nodes that have not replied, and to those that have become known since.
 func (l *originLookup) send(message originQuery) {
-	for _, node := range l.origins.holders(message.Stream, originQueries) {
-		if len(l.asked) < originQueries && !slices.Contains(l.asked, node) {
-			l.asked, l.silent, l.lastAskedAt = append(l.asked, node), append(l.silent, node), clock.Now()
+	if l.origins.gateway.peers == nil {
+		return
+	}
+	l.membersAsked = l.origins.gateway.jobWatch.Populated()
+	self, writer := l.origins.gateway.settings.Node.ID, ""
+	if l.query.Named {
+		writer = l.origins.gateway.nodes.originWriter(l.query.ID)
+	}
+	if len(l.asked) < originQueries {
+		for _, node := range l.origins.holders(message.Stream, originQueries) {
+			l.add(node)
 		}
 	}
+	if writer != "" && writer != self {
+		l.add(writer)
+	}
 	l.needed = min(originWitnesses, len(l.asked))
 	for _, node := range l.silent {
+		message.Read = node == writer
 		l.origins.gateway.sendToNode(node, peer.KindStreamQuery, message)
 	}
 }
 
+// add adds a node to those that are asked.
+func (l *originLookup) add(node string) {
+	if !slices.Contains(l.asked, node) {
+		l.asked, l.silent, l.lastAskedAt = append(l.asked, node), append(l.silent, node), clock.Now()
+	}
+}
+
 // record takes the reply of a node that does not know the origin into account.
 func (l *originLookup) record(reply *originReply) {
 	i := slices.Index(l.silent, reply.from)
--- a/internal/node/gatewaystreamrestart_test.go
+++ b/internal/node/gatewaystreamrestart_test.go
@@ -71,6 +71,44 @@
 	}
 }
 
+// Guards against a fleet of so many nodes that only some write origins to the table, in which streams are refused
+// after all nodes have died at the same time.
+func TestGateway_StreamsOfAKilledLargeFleetGoOn(t *testing.T) {
+	t.Parallel()
+	site := newVersionedSite(t, "v1", "v2")
+	ids := make([]string, originWriters+2)
+	for i := range ids {
+		ids[i] = fmt.Sprint("n", i)
+	}
+	killed := site.launchAll(ids)
+	streams := runStreams(48, func(number int, stream *clientStream) {
+		_, _ = stream.read(killed[number%len(killed)], fmt.Sprintf("q%d", number), 2)
+	})
+	// Each writer waits for its turn.
+	time.Sleep(2 * killed[0].originInterval())
+	site.kill(killed)
+	restarted := site.launchAll(ids)
+	for number, stream := range streams {
+		_, _ = stream.read(restarted[(number+1)%len(restarted)], fmt.Sprintf("q%d-again", number), 0)
+	}
+	expectContinuedUnmixed(t, streams, len(streams)*9/10)
+}
+
+// launchAll starts gateways, all at the same time, and waits until they know each other and all servers.
+func (s *gatewaySite) launchAll(ids []string) []*Gateway {
+	s.t.Helper()
+	for _, id := range ids {
+		s.launch(id, nil)
+	}
+	for _, gateway := range s.gateways {
+		s.eventually("gateway ready", func() bool {
+			return gateway.Ready() && len(gateway.replicas.Snapshot("llm", 0, time.Now())) == len(s.servers)
+		})
+	}
+	s.awaitPeers()
+	return s.gateways
+}
+
 // Guards against a stream that its caller does not name and that goes on at another software version after all
 // nodes have restarted, because only the version that is listed then is known.
 func TestGateway_UnnamedStreamOfAFormerSoftwareVersionIsRefusedAfterARestart(t *testing.T) {
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,6 +37,8 @@
 	// originRequeryInterval is the time after which nodes that have not replied are asked again, since
 	// datagrams may be lost.
 	originRequeryInterval = 50 * time.Millisecond
+	// maxOriginReads bounds the queries of other nodes for which a node reads the table at the same time.
+	maxOriginReads = 1024
 	// maxOriginRetention bounds how long nodes hold the origin of a stream.
 	maxOriginRetention = 15 * time.Minute
 )
@@ -48,6 +51,8 @@
 	Ambiguous       bool       `cbor:"4,keyasint,omitempty"`
 	// KeepMs is how long to keep the origin, in milliseconds.
 	KeepMs int64 `cbor:"5,keyasint"`
+	// Write is set if the receiver is to write the origin to the table.
+	Write bool `cbor:"6,keyasint,omitempty"`
 }
 
 // originQuery is the body of peer.KindStreamQuery.
@@ -57,6 +62,8 @@
 	// Pool and PeriodMs, in milliseconds, ask for the software versions that a pool has run.
 	Pool     string `cbor:"3,keyasint,omitempty"`
 	PeriodMs int64  `cbor:"4,keyasint,omitempty"`
+	// Read is set if the receiver is to look into the table before it replies that it does not know the stream.
+	Read bool `cbor:"5,keyasint,omitempty"`
 }
 
 // originReply is the body of peer.KindStreamReply. ID is that of the query.
@@ -89,7 +96,10 @@
 type streamOrigins struct {
 	gateway  *Gateway
 	registry streams.Registry
+	archive  *streams.Archive
 	pending  peer.Pending[originReply]
+	// reads counts the queries of other nodes for which this node reads the table.
+	reads atomic.Int64
 }
 
 var _ forward.StreamOrigins = (*streamOrigins)(nil)
@@ -108,13 +118,22 @@
 		keep = min(keep, clock.Until(until))
 	}
 	o.registry.Put(id, origin, keep)
+	writer := o.gateway.nodes.originWriter(id)
+	if o.gateway.peers == nil || writer == o.gateway.settings.Node.ID {
+		o.archive.Add(id, origin, keep)
+	}
 	if o.gateway.peers == nil {
 		return
 	}
 	message := originMessage{
 		Stream: id, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Ambiguous: origin.Ambiguous, KeepMs: keep.Milliseconds(),
 	}
-	for _, node := range o.holders(id, originCopies) {
+	receivers := o.holders(id, originCopies)
+	if writer != o.gateway.settings.Node.ID && !slices.Contains(receivers, writer) {
+		receivers = append(receivers, writer)
+	}
+	for _, node := range receivers {
+		message.Write = node == writer
 		o.gateway.sendToNode(node, peer.KindStreamOrigin, message)
 	}
 }
@@ -162,6 +181,9 @@
 	if keep > 0 {
 		o.registry.Put(message.Stream, origin, keep)
 	}
+	if message.Write {
+		o.archive.Add(message.Stream, origin, keep)
+	}
 }
 
 // handleQuery handles peer.KindStreamQuery.
@@ -171,6 +193,25 @@
 		o.gateway.sampled.Warn().Str("node", lease.Node(from)).Err(err).Msg("query for the origin of a stream cannot be decoded")
 		return
 	}
+	if _, known := o.registry.Get(query.Stream); known || !query.Read {
+		o.reply(from, source, &query)
+		return
+	}
+	go func() {
+		defer o.reads.Add(-1)
+		if o.reads.Add(1) > maxOriginReads {
+			o.reply(from, source, &query)
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), originLookupTimeout)
+		defer cancel()
+		o.archive.Find(ctx, query.Stream, time.Duration(query.PeriodMs)*time.Millisecond)
+		o.reply(from, source, &query)
+	}()
+}
+
+// reply tells the sender of a query what this node knows.
+func (o *streamOrigins) reply(from string, source *net.UDPAddr, query *originQuery) {
 	origin, known := o.registry.Get(query.Stream)
 	history := o.gateway.softwareHistory(query.Pool, time.Duration(query.PeriodMs)*time.Millisecond)
 	reply := originReply{
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -154,7 +154,7 @@
 		Name: "wheelhoist_gateway_stream_continuations_total", Help: "Attempts that continued a stream, by who continued it (node, caller) and whether the replica's software version is that of the events before (same, other, unknown).",
 	}, []string{"by", "software"})
 	m.originLookups = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "wheelhoist_stream_origin_lookups_total", Help: "Lookups of the software version that began a stream which a caller continues here, by where it was found (here, other_node, only_version, unknown) and whether it may have been any of several versions.",
+		Name: "wheelhoist_stream_origin_lookups_total", Help: "Lookups of the software version that began a stream which a caller continues here, by where it was found (here, other_node, table, only_version, unknown) and whether it may have been any of several versions.",
 	}, []string{"found", "ambiguous"})
 	m.released = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "wheelhoist_quarantine_released_total", Help: "Works that operators released at this node.",
--- a/internal/node/nodeindex.go
+++ b/internal/node/nodeindex.go
@@ -23,6 +23,30 @@
 	byRegion map[string][]string
 	// streamRanking ranks all nodes, including this one, as holders of stream origins.
 	streamRanking *streams.Ranking
+	// writers are the nodes that write the origins of streams to the table, by a hash of the stream; nil until
+	// they are needed.
+	writers []string
+}
+
+// originWriters is the number of nodes that write the origins of streams to the table, at most. In a smaller
+// fleet each node writes its own.
+const originWriters = 32
+
+// originWriter returns the node that writes the origin of a stream which began at this node.
+func (n *nodeIndex) originWriter(id streams.ID) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refresh()
+	if len(n.all) < originWriters {
+		return n.roster.Self()
+	}
+	if n.writers == nil {
+		n.writers = make([]string, originWriters)
+		for i := range n.writers {
+			n.writers[i] = n.streamRanking.Holders(streams.ID{byte(i)}, 1)[0]
+		}
+	}
+	return n.writers[int(id[0])%originWriters]
 }
 
 // streamHolders returns the first count nodes, which may include this one, to hold the origin of a
@@ -97,7 +121,7 @@
 	if i := slices.IndexFunc(nodes, func(node place.Node) bool { return node.ID == self }); i >= 0 {
 		n.ownPlace = nodes[i].Place
 	}
-	n.streamRanking = streams.NewRanking(nodes)
+	n.streamRanking, n.writers = streams.NewRanking(nodes), nil
 	for _, node := range nodes {
 		if node.ID == self {
 			continue
