streams: few nodes write origins for all, so that they are written sooner

Many streams last 0.1 to 0.2 s. Writing more often is not possible for each node: all share what the store takes.

Nodes send origins to the writer only while the pool runs several versions.

TestArchive_WritesWhatAnotherNodeDoesNot is new.

--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -147,8 +147,11 @@
 	if !l.query.Named || l.history.Single || l.read != nil || l.isRead {
 		return false
 	}
+	if l.origins.gateway.readsOrigin(l.query.ID) {
+		return true
+	}
 	writer := l.origins.gateway.nodes.originWriter(l.query.ID)
-	return writer == l.origins.gateway.settings.Node.ID || slices.Contains(l.silent, writer) && !l.awaitsReplies()
+	return slices.Contains(l.silent, writer) && !l.awaitsReplies()
 }
 
 // readTable starts to read the table if this node is to.
@@ -186,21 +189,21 @@
 		return
 	}
 	l.membersAsked = l.origins.gateway.jobWatch.Populated()
-	self, writer := l.origins.gateway.settings.Node.ID, ""
-	if l.query.Named {
-		writer = l.origins.gateway.nodes.originWriter(l.query.ID)
+	reader := ""
+	if l.query.Named && !l.origins.gateway.readsOrigin(l.query.ID) {
+		reader = l.origins.gateway.nodes.originWriter(l.query.ID)
 	}
 	if len(l.asked) < originQueries {
 		for _, node := range l.origins.holders(message.Stream, originQueries) {
 			l.add(node)
 		}
 	}
-	if writer != "" && writer != self {
-		l.add(writer)
+	if reader != "" {
+		l.add(reader)
 	}
 	l.needed = min(originWitnesses, len(l.asked))
 	for _, node := range l.silent {
-		message.Read = node == writer
+		message.Read = node == reader
 		l.origins.gateway.sendToNode(node, peer.KindStreamQuery, message)
 	}
 }
--- a/internal/node/gatewaystreamrestart_test.go
+++ b/internal/node/gatewaystreamrestart_test.go
@@ -76,7 +76,7 @@
 func TestGateway_StreamsOfAKilledLargeFleetGoOn(t *testing.T) {
 	t.Parallel()
 	site := newVersionedSite(t, "v1", "v2")
-	ids := make([]string, originWriters+2)
+	ids := make([]string, maxOriginReaders+2)
 	for i := range ids {
 		ids[i] = fmt.Sprint("n", i)
 	}
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -109,6 +109,7 @@
 	socket.Handle(peer.KindStreamOrigin, g.streamOrigins.handleOrigin)
 	socket.Handle(peer.KindStreamQuery, g.streamOrigins.handleQuery)
 	socket.Handle(peer.KindStreamReply, g.streamOrigins.handleReply)
+	socket.Handle(peer.KindStreamOriginWritten, g.streamOrigins.handleOriginWritten)
 }
 
 // Record implements forward.StreamOrigins. The messages leave before it returns, but may be lost.
@@ -118,10 +119,7 @@
 		keep = min(keep, clock.Until(until))
 	}
 	o.registry.Put(id, origin, keep)
-	writer := o.gateway.nodes.originWriter(id)
-	if o.gateway.peers == nil || writer == o.gateway.settings.Node.ID {
-		o.archive.Add(id, origin, keep)
-	}
+	writer := o.queue(id, origin, keep)
 	if o.gateway.peers == nil {
 		return
 	}
@@ -129,7 +127,7 @@
 		Stream: id, Pool: origin.Pool, SoftwareVersion: origin.SoftwareVersion, Ambiguous: origin.Ambiguous, KeepMs: keep.Milliseconds(),
 	}
 	receivers := o.holders(id, originCopies)
-	if writer != o.gateway.settings.Node.ID && !slices.Contains(receivers, writer) {
+	if writer != "" && !slices.Contains(receivers, writer) {
 		receivers = append(receivers, writer)
 	}
 	for _, node := range receivers {
@@ -138,6 +136,18 @@
 	}
 }
 
+// queue queues an origin to be written to the table, if that becomes necessary. It returns the other node that is to
+// write it; empty if there is none.
+func (o *streamOrigins) queue(id streams.ID, origin streams.Origin, keep time.Duration) (writer string) {
+	writer = o.gateway.nodes.originWriter(id)
+	if o.gateway.peers == nil || writer == o.gateway.settings.Node.ID || !o.archive.Writes(origin.Pool) {
+		o.archive.Add(id, origin, keep)
+		return ""
+	}
+	o.archive.AddUnacknowledged(id, origin, keep)
+	return writer
+}
+
 // holders returns the first other nodes to hold the origin of a stream, up to count.
 func (o *streamOrigins) holders(id streams.ID, count int) []string {
 	nodes := o.gateway.nodes.streamHolders(id, count+1)
@@ -182,7 +192,7 @@
 		o.registry.Put(message.Stream, origin, keep)
 	}
 	if message.Write {
-		o.archive.Add(message.Stream, origin, keep)
+		o.archive.AddFor(lease.Node(from), message.Stream, origin, keep)
 	}
 }
 
--- a/internal/node/nodeindex.go
+++ b/internal/node/nodeindex.go
@@ -23,30 +23,48 @@
 	byRegion map[string][]string
 	// streamRanking ranks all nodes, including this one, as holders of stream origins.
 	streamRanking *streams.Ranking
-	// writers are the nodes that write the origins of streams to the table, by a hash of the stream; nil until
-	// they are needed.
+	// writers are the nodes that write the origins of streams to the table, by a hash of the stream; nil until they
+	// are needed.
 	writers []string
 }
 
-// originWriters is the number of nodes that write the origins of streams to the table, at most. In a smaller
-// fleet each node writes its own.
-const originWriters = 32
+// nodesPerOriginWriter is the number of nodes for which one writes the origins of streams to the table. All writers
+// share what the table takes, so each waits the longer between two writes the more of them there are.
+const nodesPerOriginWriter = 32
 
-// originWriter returns the node that writes the origin of a stream which began at this node.
+// originWriter returns the node that writes the origin of a stream to the table.
 func (n *nodeIndex) originWriter(id streams.ID) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.refresh()
-	if len(n.all) < originWriters {
-		return n.roster.Self()
+	if len(n.writers) == 0 {
+		n.writers = n.chooseWriters()
 	}
-	if n.writers == nil {
-		n.writers = make([]string, originWriters)
-		for i := range n.writers {
-			n.writers[i] = n.streamRanking.Holders(streams.ID{byte(i)}, 1)[0]
+	return n.writers[int(id[0])%len(n.writers)]
+}
+
+// chooseWriters returns the nodes that write origins, by a hash of the stream. The caller holds mu.
+func (n *nodeIndex) chooseWriters() []string {
+	writers := make([]string, len(n.all)/nodesPerOriginWriter+1)
+	for i := range writers {
+		if holders := n.streamRanking.Holders(streams.ID{byte(i)}, 1); len(holders) > 0 {
+			writers[i] = holders[0]
+		} else {
+			writers[i] = n.roster.Self()
 		}
 	}
-	return n.writers[int(id[0])%originWriters]
+	return writers
+}
+
+// originWriterCount returns the number of nodes that write origins, and whether this node is one of them.
+func (n *nodeIndex) originWriterCount() (count int, isWriter bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refresh()
+	if len(n.writers) == 0 {
+		n.writers = n.chooseWriters()
+	}
+	return len(n.writers), slices.Contains(n.writers, n.roster.Self())
 }
 
 // streamHolders returns the first count nodes, which may include this one, to hold the origin of a
--- a/internal/peer/kinds.go
+++ b/internal/peer/kinds.go
@@ -38,4 +38,6 @@
 	KindStreamReply Kind = 16
 	// KindHello makes a node that starts known to one that it has not read of in the table.
 	KindHello Kind = 17
+	// KindStreamOriginWritten tells a node that origins of streams which it sent are in the table.
+	KindStreamOriginWritten Kind = 18
 )
--- a/internal/streams/archive.go
+++ b/internal/streams/archive.go
@@ -27,6 +27,8 @@
 	// archiveTimeout bounds one write, and archiveErrorPause is the least time until another after a failure.
 	archiveTimeout    = time.Second
 	archiveErrorPause = 300 * time.Millisecond
+	// acknowledgementTimeout is how long a node waits until it writes an origin that another one was asked to write.
+	acknowledgementTimeout = 100 * time.Millisecond
 	// archiveIdleInterval is the least time between two looks at whether origins have to be written while none
 	// have.
 	archiveIdleInterval = 250 * time.Millisecond
@@ -52,12 +54,16 @@
 	Wanted   func(id ID) bool
 	// OwnsSweep reports whether this node removes the rows that others left behind.
 	OwnsSweep func() bool
+	// OnWritten is called for origins that were written for another node.
+	OnWritten func(sender string, ids []ID)
 	// OnError is called for failed reads and writes, and for rows that cannot be decoded, which are skipped.
 	OnError func(error)
 
 	mu sync.Mutex
 	// pending are the origins to be written, by pool and in the order in which they were added.
 	pending map[string][]pendingOrigin
+	// needed holds the pools whose origins are being written.
+	needed map[string]bool
 	// wake is signalled when an origin is added; nil until Run waits for one.
 	wake chan struct{}
 	// rowsBuilt counts the rows, for their keys, and failed are the origins whose write has failed. Only Run uses
@@ -74,6 +80,10 @@
 	id      ID
 	origin  Origin
 	expires time.Time
+	// due is when it is written if nobody has acknowledged it.
+	due time.Time
+	// sender is the node that awaits the acknowledgement; empty if none does.
+	sender string
 }
 
 // builtRow is a row that is to be written.
@@ -102,7 +112,20 @@
 }
 
 // Add queues the origin of a stream for the next batch. It does not block.
-func (a *Archive) Add(id ID, origin Origin, keep time.Duration) {
+func (a *Archive) Add(id ID, origin Origin, keep time.Duration) { a.add(id, origin, keep, 0, "") }
+
+// AddUnacknowledged queues the origin of a stream that another node was asked to write. It is written here unless
+// it is acknowledged soon.
+func (a *Archive) AddUnacknowledged(id ID, origin Origin, keep time.Duration) {
+	a.add(id, origin, keep, acknowledgementTimeout, "")
+}
+
+// AddFor queues the origin of a stream that began at another node, which awaits an acknowledgement.
+func (a *Archive) AddFor(sender string, id ID, origin Origin, keep time.Duration) {
+	a.add(id, origin, keep, 0, sender)
+}
+
+func (a *Archive) add(id ID, origin Origin, keep, delay time.Duration, sender string) {
 	keep = min(keep, maxArchiveRetention)
 	if keep <= 0 {
 		return
@@ -112,7 +135,9 @@
 	if a.pending == nil {
 		a.pending = map[string][]pendingOrigin{}
 	}
-	queue := append(a.pending[origin.Pool], pendingOrigin{id: id, origin: origin, expires: clock.Now().Add(keep)})
+	now := clock.Now()
+	added := pendingOrigin{id: id, origin: origin, expires: now.Add(keep), due: now.Add(delay), sender: sender}
+	queue := append(a.pending[origin.Pool], added)
 	a.pending[origin.Pool] = queue[max(0, len(queue)-maxPendingOrigins):]
 	select {
 	case a.wake <- struct{}{}:
@@ -120,6 +145,31 @@
 	}
 }
 
+// Acknowledge records that another node has written the origins of streams.
+func (a *Archive) Acknowledge(ids []ID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for pool, queue := range a.pending {
+		a.pending[pool] = slices.DeleteFunc(queue, func(pending pendingOrigin) bool {
+			return pending.sender == "" && slices.Contains(ids, pending.id)
+		})
+	}
+}
+
+// Writes reports whether origins of a pool are being written.
+func (a *Archive) Writes(pool string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.needed[pool]
+}
+
+// writesAny reports whether origins of any pool are being written.
+func (a *Archive) writesAny() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.needed) > 0
+}
+
 // Run writes batches until ctx is done.
 func (a *Archive) Run(ctx context.Context) {
 	var sweeps sync.WaitGroup
@@ -132,7 +182,7 @@
 		case err != nil:
 			a.OnError(err)
 			pause = max(pause, archiveErrorPause)
-		case !written && len(a.pendingPools()) > 0:
+		case !written && !a.writesAny() && len(a.pendingPools()) > 0:
 			pause = max(pause, archiveIdleInterval)
 		}
 		if !retry.Sleep(ctx, pause) || !a.awaitPending(ctx) {
@@ -186,22 +236,36 @@
 func (a *Archive) take(now time.Time) []pendingOrigin {
 	var taken []pendingOrigin
 	for _, pool := range a.pendingPools() {
-		needed := a.Needed(pool)
-		a.mu.Lock()
-		queue := a.pending[pool]
-		for len(queue) > 0 && !queue[0].expires.After(now) {
-			queue = queue[1:]
-		}
-		if needed {
-			taken, queue = append(taken, queue...), nil
-		}
-		a.pending[pool] = queue
-		if len(queue) == 0 {
-			delete(a.pending, pool)
+		taken = append(taken, a.takeOf(pool, a.Needed(pool), now)...)
+	}
+	return taken
+}
+
+// takeOf is take for one pool, whose origins are kept unless they are needed.
+func (a *Archive) takeOf(pool string, needed bool, now time.Time) []pendingOrigin {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.needed == nil {
+		a.needed = map[string]bool{}
+	}
+	var taken, left []pendingOrigin
+	for _, pending := range a.pending[pool] {
+		switch {
+		case !pending.expires.After(now):
+		case needed && !pending.due.After(now):
+			taken = append(taken, pending)
+		default:
+			left = append(left, pending)
 		}
-		a.mu.Unlock()
 	}
-	return slices.DeleteFunc(taken, func(pending pendingOrigin) bool { return !pending.expires.After(now) })
+	a.pending[pool], a.needed[pool] = left, true
+	if !needed {
+		delete(a.needed, pool)
+	}
+	if len(left) == 0 {
+		delete(a.pending, pool)
+	}
+	return taken
 }
 
 // pendingPools returns the pools with origins that wait to be written.
@@ -233,12 +297,31 @@
 	if err != nil {
 		return err
 	}
+	a.recordWritten(rows, versions)
+	a.acknowledge(origins)
+	return nil
+}
+
+// recordWritten records rows that this node has written.
+func (a *Archive) recordWritten(rows []builtRow, versions []uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for i, version := range versions {
 		a.written = append(a.written, writtenRow{key: rows[i].key, version: version, expires: rows[i].expires()})
 	}
-	return nil
+}
+
+// acknowledge tells other nodes that their origins have been written.
+func (a *Archive) acknowledge(origins []pendingOrigin) {
+	bySender := map[string][]ID{}
+	for _, written := range origins {
+		if written.sender != "" {
+			bySender[written.sender] = append(bySender[written.sender], written.id)
+		}
+	}
+	for sender, ids := range bySender {
+		a.OnWritten(sender, ids)
+	}
 }
 
 // build returns the rows for origins.
--- a/internal/streams/archive_test.go
+++ b/internal/streams/archive_test.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	needed bool
 	errors []error
+	// acknowledged are the streams that were written for other nodes.
+	acknowledged []ID
 }
 
 func newArchiveNode(service table.Service, name string) *archiveNode {
@@ -42,6 +44,11 @@
 		Interval:  func() time.Duration { return testInterval },
 		Wanted:    func(ID) bool { return true },
 		OwnsSweep: func() bool { return true },
+		OnWritten: func(sender string, ids []ID) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.acknowledged = append(n.acknowledged, ids...)
+		},
 		OnError: func(err error) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -143,6 +150,50 @@
 	})
 }
 
+// Guards against origins that nobody writes because the node that was asked to is gone, and against two writes of
+// each.
+func TestArchive_WritesWhatAnotherNodeDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := tabletest.New()
+		node, writer := newArchiveNode(service, "n"), newArchiveNode(service, "writer")
+		defer node.run(t)()
+		defer writer.run(t)()
+		origin := Origin{Pool: "p", SoftwareVersion: "v1"}
+		for i := range 20 {
+			id := NewID("", fmt.Sprint(i))
+			node.AddUnacknowledged(id, origin, testKeep)
+			if i%2 == 0 {
+				writer.AddFor("n", id, origin, testKeep)
+			}
+		}
+		time.Sleep(testInterval + 10*time.Millisecond)
+		writer.mu.Lock()
+		acknowledged := writer.acknowledged
+		writer.mu.Unlock()
+		node.Acknowledge(acknowledged)
+		time.Sleep(acknowledgementTimeout + testInterval)
+		written := map[ID]int{}
+		rows, err := table.ListAll(t.Context(), service, "origins")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, row := range rows {
+			origins, err := decodeArchiveRow(row.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, archived := range origins {
+				written[archived.id]++
+			}
+		}
+		for i := range 20 {
+			if times := written[NewID("", fmt.Sprint(i))]; times != 1 {
+				t.Errorf("stream %d is written %d times", i, times)
+			}
+		}
+	})
+}
+
 // Guards against a stream that is continued although it was recorded as ambiguous, or with two versions.
 func TestArchive_AmbiguousOriginsStayAmbiguous(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
