--- a/internal/node/unreadablesite_test.go
+++ b/internal/node/unreadablesite_test.go
@@ -1,9 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/jobs"
 )
 
 // writeUnreadableRows writes unreadable rows to each table that gateways read, with keys that
@@ -82,3 +86,55 @@
 	}
 	return total
 }
+
+// Guards against a node that ends, or stops following the list of replicas, because another writer left an entry that
+// is nested very deeply or has numbers out of range.
+func TestGateway_FollowsTheListBesideOddEntries(t *testing.T) {
+	nested := strings.Repeat("[", 20000) + strings.Repeat("]", 20000)
+	object := strings.Repeat(`{"a":`, 9000) + "1" + strings.Repeat("}", 9000)
+	entry := func(field, value string) string {
+		fields := map[string]string{
+			"service": `"llm"`, "address": `"127.0.0.1:9"`, "zone": `"z"`, "version": `"v1"`, "slots": "4", "state": `"ready"`,
+			"coldLeftMs": "0", "callSeq": "1", "born": "1764720000123",
+		}
+		fields[field] = value
+		var text []string
+		for name, value := range fields {
+			text = append(text, fmt.Sprintf("%q:%s", name, value))
+		}
+		return "{" + strings.Join(text, ",") + "}"
+	}
+	odd := []string{
+		nested, object, entry("extra", nested), entry("version", nested), entry("zone", object), entry("slots", "1e400"), entry("version", "1e400"),
+		entry("born", "1e400"), entry("born", "-9223372036854775809"), entry("callSeq", "1e400"), entry("coldLeftMs", "1e400"), entry("slots", "1e300"),
+		entry("address", `"127.0.0.1:70000"`), entry("address", `"127.0.0.1:-1"`), entry("address", `"127.0.0.1:99999999999999999999"`), entry("address", `"[::1%25x]:80"`),
+	}
+	nestedCBOR := []byte(strings.Repeat("\x81", 20000))
+	site := newGatewaySite(t, 1)
+	gateways := site.startAll("a", "b")
+	for round := range 3 {
+		for i, value := range odd {
+			site.store.PutValue("servers", "", fmt.Sprint("odd-", i, "-", round), []byte(value))
+			site.store.PutValue("op", "", fmt.Sprint("odd-", i, "-", round), []byte(value))
+		}
+		for _, part := range append(jobs.Parts(), "") {
+			site.store.PutValue(jobs.Group, part, fmt.Sprint("pool/odd", round), nestedCBOR)
+			site.store.PutValue(jobs.Group, part, fmt.Sprint("member/odd#", round), nestedCBOR)
+		}
+		site.store.PutValue(originPartition, "", fmt.Sprint("odd", round), nestedCBOR)
+		site.addServer(fmt.Sprint("i-new-", round), "")
+		site.configure(round+2, "resume")
+		for _, gateway := range append(gateways, site.start(fmt.Sprint("started-", round))) {
+			site.eventually("the list and the configuration are followed", func() bool {
+				_, listed := gateway.replicas.Get(fmt.Sprint("i-new-", round))
+				return listed && gateway.routes.Load().Version == uint64(round+2)
+			})
+			if status, text, _ := site.call(gateway, http.MethodPost, "/resume/x", fmt.Sprint("q", round, gateway.settings.Node.ID), nil); status != http.StatusOK {
+				t.Errorf("round %d: %d %q", round, status, text)
+			}
+		}
+	}
+	if listed, _ := gateways[0].replicas.Count(time.Now()); listed != len(site.servers) {
+		t.Errorf("%d replicas are listed, want %d", listed, len(site.servers))
+	}
+}
