streams: the time between two writes of origins counts from the beginning of a write

A write took its 8 to 10 ms on top of the 15 ms, so streams that began 25 ms before all nodes died were missing. Tests of internal/streams 20 times: green.

--- a/internal/streams/archive.go
+++ b/internal/streams/archive.go
@@ -176,8 +176,9 @@
 	defer sweeps.Wait()
 	sweeps.Go(func() { a.runSweeps(ctx) })
 	for {
+		began := clock.Now()
 		written, err := a.flush(ctx)
-		pause := a.Interval()
+		pause := a.Interval() - clock.Since(began)
 		switch {
 		case err != nil:
 			a.OnError(err)
