node: streams of a killed node: the node dies once all streams have begun

TestGateway_StreamsOfAKilledNodeKeepTheirSoftwareVersion was known red beside load, its message not kept. Cause: the test killed the node 80 ms after 48 streams had been asked for, and on a busy machine most had not begun by then; what has not begun is not taken up, and 43 of 48 had to go on.

Now the node dies once each stream has an event, and events are 200 ms apart so that none ends before.

--- a/internal/node/gatewaystreams_test.go
+++ b/internal/node/gatewaystreams_test.go
@@ -56,6 +56,8 @@
 	versions map[string]bool
 	// requests is the number of requests, continued the number that went on after an event.
 	requests, continued int
+	// onFirst, if set, is called for the first event.
+	onFirst func()
 }
 
 // errStreamLeft reports that the client closed the connection by itself.
@@ -108,6 +110,9 @@
 	}
 	if len(c.events) == 0 {
 		c.first = id
+		if c.onFirst != nil {
+			c.onFirst()
+		}
 	}
 	if after > 0 && len(c.events) == after {
 		c.continued++
@@ -227,12 +232,25 @@
 	for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
 		t.Run(fmt.Sprintf("%d versions", len(versions)), func(t *testing.T) {
 			site := newVersionedSite(t, versions...)
+			for _, server := range site.servers {
+				// No stream ends before the last one has begun.
+				server.EventTime = 10 * streamEventTime
+			}
 			killed := site.start("a")
 			others := []*Gateway{site.start("b"), site.start("c"), site.start("d")}
 			site.awaitPeers()
-			time.AfterFunc(4*streamEventTime, killed.Kill)
-			streams := runStreams(48, func(number int, stream *clientStream) {
-				if _, err := stream.read(killed, fmt.Sprintf("q%d", number), 0); err == nil || len(stream.events) == 0 {
+			const count = 48
+			var begun sync.WaitGroup
+			begun.Add(count)
+			go func() {
+				begun.Wait()
+				killed.Kill()
+			}()
+			streams := runStreams(count, func(number int, stream *clientStream) {
+				stream.onFirst = sync.OnceFunc(begun.Done)
+				_, err := stream.read(killed, fmt.Sprintf("q%d", number), 0)
+				stream.onFirst()
+				if err == nil || len(stream.events) == 0 {
 					return
 				}
 				_, _ = stream.read(others[number%len(others)], fmt.Sprintf("q%d-again", number), 0)
