streams: an acknowledgement does not cover an origin that became ambiguous since

Found by reading: an origin is recorded again as ambiguous if its replica turns out to have restarted with another version. If the message with it was lost, the acknowledgement of the first one also dropped the second from the node's own queue, so the table kept a version for a stream that nobody may continue; after a death of all nodes it would have gone on.

Besides, what is kept while it is not needed is no longer copied every 250 ms.

--- a/internal/streams/archive.go
+++ b/internal/streams/archive.go
@@ -145,13 +145,14 @@
 	}
 }
 
-// Acknowledge records that another node has written the origins of streams.
+// Acknowledge records that another node has written the origins of streams. It does not tell which origin that was, so
+// one that has become ambiguous since is written here too.
 func (a *Archive) Acknowledge(ids []ID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for pool, queue := range a.pending {
 		a.pending[pool] = slices.DeleteFunc(queue, func(pending pendingOrigin) bool {
-			return pending.sender == "" && slices.Contains(ids, pending.id)
+			return pending.sender == "" && !pending.origin.Ambiguous && slices.Contains(ids, pending.id)
 		})
 	}
 }
@@ -246,27 +247,47 @@
 func (a *Archive) takeOf(pool string, needed bool, now time.Time) []pendingOrigin {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.needed == nil {
-		a.needed = map[string]bool{}
+	queue := a.pending[pool]
+	for len(queue) > 0 && !queue[0].expires.After(now) {
+		queue = queue[1:]
 	}
-	var taken, left []pendingOrigin
-	for _, pending := range a.pending[pool] {
+	var due []pendingOrigin
+	if needed {
+		due, queue = splitDue(queue, now)
+	}
+	a.setNeeded(pool, needed)
+	a.pending[pool] = queue
+	if len(queue) == 0 {
+		delete(a.pending, pool)
+	}
+	return due
+}
+
+// splitDue returns the origins that are to be written now and those that are to be written later. Expired ones are
+// left out.
+func splitDue(queue []pendingOrigin, now time.Time) (due, later []pendingOrigin) {
+	for _, pending := range queue {
 		switch {
 		case !pending.expires.After(now):
-		case needed && !pending.due.After(now):
-			taken = append(taken, pending)
+		case pending.due.After(now):
+			later = append(later, pending)
 		default:
-			left = append(left, pending)
+			due = append(due, pending)
 		}
 	}
-	a.pending[pool], a.needed[pool] = left, true
+	return due, later
+}
+
+// setNeeded records whether origins of a pool are being written. The caller holds mu.
+func (a *Archive) setNeeded(pool string, needed bool) {
 	if !needed {
 		delete(a.needed, pool)
+		return
 	}
-	if len(left) == 0 {
-		delete(a.pending, pool)
+	if a.needed == nil {
+		a.needed = map[string]bool{}
 	}
-	return taken
+	a.needed[pool] = true
 }
 
 // pendingPools returns the pools with origins that wait to be written.
--- a/internal/streams/archive_test.go
+++ b/internal/streams/archive_test.go
@@ -215,6 +215,28 @@
 	})
 }
 
+// Guards against a stream that is continued because the acknowledgement of its first origin is taken for one of the
+// origin that made it ambiguous, which the other node never got.
+func TestArchive_AcknowledgementDoesNotCoverAnAmbiguousOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := tabletest.New()
+		node, writer := newArchiveNode(service, "n"), newArchiveNode(service, "writer")
+		defer node.run(t)()
+		defer writer.run(t)()
+		id, origin := NewID("", "x"), Origin{Pool: "p", SoftwareVersion: "v1"}
+		node.AddUnacknowledged(id, origin, testKeep)
+		writer.AddFor("n", id, origin, testKeep)
+		origin.Ambiguous = true
+		node.AddUnacknowledged(id, origin, testKeep)
+		time.Sleep(testInterval + 10*time.Millisecond)
+		node.Acknowledge([]ID{id})
+		time.Sleep(acknowledgementTimeout + testInterval)
+		if got := find(t, service, "x"); got != "ambiguous" {
+			t.Errorf("%q", got)
+		}
+	})
+}
+
 // Guards against origins that a failed write drops, and against a lookup that misses one that was written late.
 func TestArchive_WritesThroughFaults(t *testing.T) {
 	for _, fault := range []tabletest.Fault{tabletest.Down, tabletest.Throttled, tabletest.Lost} {
