poolsoftware: a pool of very many versions is recorded once

Found by reading: of more than 16 listed versions the row dropped some, which made it differ from the list at the next look, so each node wrote it every 50 ms once its turn had come. Rows of other writers can bring that about.

Now 16 listed versions are recorded (two are enough to know that there are several), and 16 that have left. TestRow_OfManyListedVersionsIsWrittenOnce: red before. TestRow_IsBounded asserts the new bound, 16 that have left beside the listed one (before: 16 with it), and which ones stay.

--- a/internal/poolsoftware/row.go
+++ b/internal/poolsoftware/row.go
@@ -1,6 +1,7 @@
 package poolsoftware
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,7 +12,8 @@
 	// retention is how long a version is recorded after its last replica has left, which is longer than
 	// streams last.
 	retention = time.Hour
-	// maxVersions bounds the versions of a pool. Those that left first are dropped.
+	// maxVersions bounds the listed versions of a pool that are recorded, and those that have left. Of the latter
+	// the first are dropped.
 	maxVersions = 16
 )
 
@@ -41,6 +43,8 @@
 // updated returns the row after the versions of all listed replicas of the pool are known at a time, and
 // whether it differs.
 func (r row) updated(listed []string, now int64) (next row, differs bool) {
+	// More would be dropped and added again at each update.
+	listed = listed[:min(len(listed), maxVersions)]
 	next.Versions = slices.Clone(r.Versions)
 	for i := range next.Versions {
 		recorded := &next.Versions[i]
@@ -66,19 +70,15 @@
 
 // trim drops versions that left long ago, and those that left first if there are too many.
 func (r *row) trim(now int64) {
-	r.Versions = slices.DeleteFunc(r.Versions, func(v version) bool { return !v.ranSince(now - retention.Milliseconds()) })
-	for len(r.Versions) > maxVersions {
-		first := 0
-		for i := range r.Versions {
-			if r.Versions[i].leftBefore(&r.Versions[first]) {
-				first = i
-			}
+	var listed, left []version
+	for _, recorded := range r.Versions {
+		switch {
+		case recorded.Left == 0:
+			listed = append(listed, recorded)
+		case recorded.ranSince(now - retention.Milliseconds()):
+			left = append(left, recorded)
 		}
-		r.Versions = slices.Delete(r.Versions, first, first+1)
 	}
-}
-
-// leftBefore reports whether a version left before another one, which may not have left.
-func (v *version) leftBefore(other *version) bool {
-	return v.Left != 0 && (other.Left == 0 || v.Left < other.Left)
+	slices.SortStableFunc(left, func(a, b version) int { return cmp.Compare(a.Left, b.Left) })
+	r.Versions = append(left[max(0, len(left)-maxVersions):], listed...)
 }
