forward: a reservation that is refused a connection tells that the replica may have restarted

By the logs node-14 asked server-2-1 for a slot at 55:17.815 and got 'connection refused'; at 17.87 it sent the stream there, got eight events of v3 and recorded v1, which its list still showed; the caller left and was back at node-11 at 18.03, before any list showed the restart.

Cause: a connection that is refused makes the version of what answers there next uncertain (5 s), but only attempts counted, not reservations. Class: evidence that is taken from one of several kinds of calls. The same in jobs, whose reservations count now too. Connections that are only late (NotAccepted) prove nothing, as before.

TestReserve_ReplicaThatWasNotListeningMayHaveRestarted: red before for a refused connection and for another replica at the address, green now.

--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// IsNotListening reports whether an error proves that the replica was not listening at its address.
+func IsNotListening(err error) bool {
+	return errors.Is(err, ErrMoved) || errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrNotAccepted)
+}
+
 // LacksMemory reports whether an attempt was ended because this node has no memory left for its answer, which
 // is not the replica's fault.
 func LacksMemory(err error) bool {
--- a/internal/forward/reserve.go
+++ b/internal/forward/reserve.go
@@ -121,6 +121,8 @@
 		return true
 	case errors.Is(err, ErrRefused):
 		c.forwarder.Replicas.MarkFull(candidate.Info, began)
+	case IsNotListening(err):
+		c.forwarder.Replicas.MarkNotListening(candidate.Info, clock.Now())
 	}
 	return false
 }
--- a/internal/forward/reserve_test.go
+++ b/internal/forward/reserve_test.go
@@ -15,6 +15,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/route"
+	"github.com/wheelhoist/wheelhoist/internal/streams"
 )
 
 // scriptedReserver answers reservation calls with its answer function and records them.
@@ -38,6 +39,20 @@
 	t.Helper()
 	forwarder := newForwarder(backend, 6)
 	forwarder.Reserver = reserver
+	saturate(forwarder)
+	return forwarder
+}
+
+// saturatedVersionedForwarder is like saturatedForwarder, with replicas of the given software versions, by ID.
+func saturatedVersionedForwarder(backend Backend, reserver Reserver, versions map[string]string) *Forwarder {
+	forwarder := newVersionedForwarder(backend, versions)
+	forwarder.Reserver = reserver
+	saturate(forwarder)
+	return forwarder
+}
+
+// saturate takes all slots of the replicas of a forwarder, which becomes one of two nodes.
+func saturate(forwarder *Forwarder) {
 	forwarder.Replicas.Divide("a", []place.Node{{ID: "a"}, {ID: "b"}})
 	now := time.Now()
 	for _, candidate := range forwarder.Replicas.List(now) {
@@ -45,7 +60,6 @@
 			forwarder.Replicas.Begin(candidate.ID, replica.RequestInfo{}, now)
 		}
 	}
-	return forwarder
 }
 
 func answerAll() *scriptedBackend {
@@ -243,3 +257,42 @@
 		return "slot", nil
 	}
 }
+
+// recordedOrigins records the origins of streams and knows none.
+type recordedOrigins struct{ recorded []streams.Origin }
+
+func (r *recordedOrigins) Record(_ streams.ID, origin streams.Origin, _ time.Time) {
+	r.recorded = append(r.recorded, origin)
+}
+
+func (*recordedOrigins) Find(context.Context, streams.Query) (streams.Origin, bool) {
+	return streams.Origin{}, false
+}
+
+// Guards against a stream that is recorded as begun by the listed version of a replica which refused a connection
+// for a reservation just before, so that another start may answer, and then goes on at that version elsewhere.
+func TestReserve_ReplicaThatWasNotListeningMayHaveRestarted(t *testing.T) {
+	for name, test := range map[string]struct {
+		err       error
+		ambiguous bool
+	}{
+		"refused connection": {ErrUnreachable, true},
+		"another replica":    {ErrMoved, true},
+		"no connection yet":  {errors.Join(ErrUnreachable, ErrNotAccepted), false},
+		"full":               {ErrRefused, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reserver := &scriptedReserver{answer: func(string) (string, error) { return "", outcome.AsNotDone(test.err) }}
+			forwarder := saturatedVersionedForwarder(answerAll(), reserver, map[string]string{"a": "v1", "b": "v1"})
+			origins := &recordedOrigins{}
+			forwarder.Origins = origins
+			_, _, err := do(t, forwarder, routeOf(route.Stream, true, 3))
+			if err != nil || len(reserver.asked) != 2 || len(origins.recorded) == 0 {
+				t.Fatalf("%v, asked %v, recorded %v", err, reserver.asked, origins.recorded)
+			}
+			if got := origins.recorded[0].Ambiguous; got != test.ambiguous {
+				t.Errorf("recorded %+v, want ambiguous %v", origins.recorded[0], test.ambiguous)
+			}
+		})
+	}
+}
--- a/internal/jobs/borrow.go
+++ b/internal/jobs/borrow.go
@@ -169,8 +169,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reservation, err := r.Reserver.Reserve(callCtx, chosen.Info, int(item.Tokens), reservationTTL)
-	if errors.Is(err, forward.ErrRefused) {
+	switch {
+	case errors.Is(err, forward.ErrRefused):
 		r.Replicas.MarkFull(chosen.Info, start)
+	case forward.IsNotListening(err):
+		r.Replicas.MarkNotListening(chosen.Info, clock.Now())
 	}
 	return reservation, err
 }
--- a/internal/replica/use.go
+++ b/internal/replica/use.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// MarkNotListening records that a replica, asked for a reservation, was not listening at its address. A later answer
+// from there may be of another start.
+func (s *Set) MarkNotListening(asked Info, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[asked.ID]; ok && e.info.SameStart(&asked) {
+		e.own().unreachableAt = now
+	}
+}
+
 // MarkPreempted records that an item was asked to stop, so that its slot counts as free.
 func (u *Use) MarkPreempted() {
 	u.set.mu.Lock()
