--- a/internal/node/gatewayarchive.go
+++ b/internal/node/gatewayarchive.go
@@ -40,10 +40,10 @@
 // newArchive returns the archive of the origins of streams.
 func (g *Gateway) newArchive(service table.Service, registry *streams.Registry) *streams.Archive {
 	return &streams.Archive{
-		Partition: originPartition, Table: service, Registry: registry, Writer: g.session.ID,
+		Partition: originPartition, Table: service, Registry: registry, Session: g.session.ID,
 		Needed:    func(pool string) bool { return g.softwareHistory(pool, severalVersionsPeriod).Several },
 		Interval:  g.originInterval,
-		Wanted:    func(id streams.ID) bool { return g.readsOrigin(id) },
+		Wanted:    g.readsOrigin,
 		OwnsSweep: func() bool { return g.owners.Preferred(originPartition) == g.session.ID() },
 		OnWritten: g.acknowledgeOrigins,
 		OnError:   func(err error) { g.sampled.Warn().Err(err).Msg("origins of streams not written or not read") },
@@ -57,11 +57,12 @@
 	if g.settings.Gateway.StoreWrites > 0 {
 		writes = max(1, g.settings.Gateway.StoreWrites/originWriteShare)
 	}
-	writing, isWriter := g.nodes.originWriterCount()
-	if !isWriter {
-		writing = len(g.nodes.others()) + 1
+	writers := g.nodes.originWriters()
+	sharing := len(writers)
+	if !slices.Contains(writers, g.settings.Node.ID) {
+		sharing = len(g.nodes.others()) + 1
 	}
-	return max(minOriginInterval, time.Duration(writing)*time.Second/time.Duration(writes))
+	return max(minOriginInterval, time.Duration(sharing)*time.Second/time.Duration(writes))
 }
 
 // readsOrigin reports whether this node reads the origin of a stream from the table itself.
--- a/internal/node/gatewaysoftware.go
+++ b/internal/node/gatewaysoftware.go
@@ -14,10 +14,10 @@
 
 // Nodes update the row of a pool one after the other, so that a change of versions takes one write.
 const (
-	// recordTurn is the time that each node leaves to the ones before it, and recordTurns the number of nodes
-	// that have a turn of their own.
-	recordTurn  = 150 * time.Millisecond
-	recordTurns = 8
+	// recordTurnTime is the time that each node leaves to the ones before it, and recordTurnNodes the number of
+	// nodes that have a turn of their own.
+	recordTurnTime  = 150 * time.Millisecond
+	recordTurnNodes = 8
 )
 
 // newPoolSoftware returns the records of the software versions that pools have run.
@@ -37,11 +37,11 @@
 
 // recordTurn returns how long this node leaves the update of a pool's row to other nodes.
 func (g *Gateway) recordTurn(pool string) time.Duration {
-	before := slices.Index(g.nodes.streamHolders(streams.NewID("", pool), recordTurns), g.settings.Node.ID)
+	before := slices.Index(g.nodes.streamHolders(streams.NewID("", pool), recordTurnNodes), g.settings.Node.ID)
 	if before < 0 {
-		before = recordTurns
+		before = recordTurnNodes
 	}
-	return time.Duration(before) * recordTurn
+	return time.Duration(before) * recordTurnTime
 }
 
 // softwareHistory returns what is known of the software versions of a pool, from the list of replicas and from
--- a/internal/node/nodeindex.go
+++ b/internal/node/nodeindex.go
@@ -34,39 +34,35 @@
 
 // originWriter returns the node that writes the origin of a stream to the table.
 func (n *nodeIndex) originWriter(id streams.ID) string {
+	writers := n.originWriters()
+	return writers[int(id[0])%len(writers)]
+}
+
+// originWriters returns the nodes that write origins, by a hash of the stream; at least one. The caller must not
+// modify the slice.
+func (n *nodeIndex) originWriters() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.refresh()
-	if len(n.writers) == 0 {
+	if n.writers == nil {
 		n.writers = n.chooseWriters()
 	}
-	return n.writers[int(id[0])%len(n.writers)]
+	return n.writers
 }
 
-// chooseWriters returns the nodes that write origins, by a hash of the stream. The caller holds mu.
+// chooseWriters chooses the nodes that write origins. A node that knows no members yet is its own writer. The caller
+// holds mu.
 func (n *nodeIndex) chooseWriters() []string {
 	writers := make([]string, len(n.all)/nodesPerOriginWriter+1)
 	for i := range writers {
+		writers[i] = n.roster.Self()
 		if holders := n.streamRanking.Holders(streams.ID{byte(i)}, 1); len(holders) > 0 {
 			writers[i] = holders[0]
-		} else {
-			writers[i] = n.roster.Self()
 		}
 	}
 	return writers
 }
 
-// originWriterCount returns the number of nodes that write origins, and whether this node is one of them.
-func (n *nodeIndex) originWriterCount() (count int, isWriter bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.refresh()
-	if len(n.writers) == 0 {
-		n.writers = n.chooseWriters()
-	}
-	return len(n.writers), slices.Contains(n.writers, n.roster.Self())
-}
-
 // streamHolders returns the first count nodes, which may include this one, to hold the origin of a
 // stream.
 func (n *nodeIndex) streamHolders(id streams.ID, count int) []string {
--- a/internal/streams/archive.go
+++ b/internal/streams/archive.go
@@ -42,8 +42,8 @@
 	// Partition is the partition of the rows.
 	Partition string
 	Table     table.Service
-	// Writer returns an ID that no other writer has, for the keys of rows.
-	Writer func() string
+	// Session returns the ID of the node's session, which makes the keys of its rows unique.
+	Session func() string
 	// Needed reports whether origins of a pool have to be written. Until then they are kept for their
 	// retention, so that those of streams that began just before are not missing.
 	Needed func(pool string) bool
@@ -355,7 +355,7 @@
 			return nil, err
 		}
 		a.rowsBuilt++
-		key := table.Key{Partition: a.Partition, Sort: fmt.Sprintf("%s/%s/%d", archiveKey(time.Now()), a.Writer(), a.rowsBuilt)}
+		key := table.Key{Partition: a.Partition, Sort: fmt.Sprintf("%s/%s/%d", archiveKey(time.Now()), a.Session(), a.rowsBuilt)}
 		rows = append(rows, builtRow{key: key, body: body, origins: chunk})
 	}
 	return rows, nil
