--- a/internal/lab/site/node.go
+++ b/internal/lab/site/node.go
@@ -208,3 +208,14 @@
 	n.inProcess, n.process = nil, nil
 	return inProcess, proc
 }
+
+// PID returns the id of the node's process, and a channel that is closed when it has ended. It returns
+// errNoProcess for a node that does not run as a process.
+func (n *Node) PID() (int, <-chan struct{}, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return 0, nil, Error.Wrap(errNoProcess)
+	}
+	return n.process.command.Process.Pid, n.process.exited, nil
+}
