ingress: an answer before the end of the body does not wait for the rest

Cause: net/http reads up to 256 KiB of the rest of a body before it writes the head of an answer, without a time limit.

Why this works: with "Connection: close" net/http writes the answer first. It reads the rest after that, for which the connection now has a deadline of a second: closing with unread bytes at once would reset the connection and might take the answer with it. Whole requests keep their connection (TestGuard_KeepsConnectionsOfWholeRequests).

Weighed: a full-duplex answer by http.ResponseController leaves the rest to the next request on the connection.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/peer"
@@ -223,11 +224,14 @@
 			g.closeListeners()
 			return Error.Wrap(err)
 		}
-		g.listeners = append(g.listeners, listener)
-		g.servers = append(g.servers, &http.Server{
+		guard := &ingress.Guard{}
+		g.listeners = append(g.listeners, guard.Listener(listener))
+		server := &http.Server{
 			Handler: endpoint.handler, ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 			MaxHeaderBytes: gatewayHeaderBytes,
-		})
+		}
+		guard.Protect(server)
+		g.servers = append(g.servers, server)
 	}
 	return nil
 }
