ingress: the bodies of all callers share one budget

Callers saw a process end for lack of memory: many bodies at once, in chunks of any size or announced, held just short of their end.

Cause: a body was allocated as announced before a byte had come, or by doubling up to the limit of a single one; nothing counted what all of them held together, nor the copies that a submission of a job needs. A body over the limit was read up to the limit before its refusal.

Bodies are read into segments that are reused. While there is no room, the request of the client that has stalled for a second and holds the most ends with 408; who waits for room in vain gets 503 with Retry-After. In calm nobody is ended, however slow. Requests that have been read are never ended for others. An announced body over the limit is refused at once.

Weighed: a minimum rate for all bodies (meets slow links in calm); refusing the newcomer (attackers would keep what they have); LimitListener (ordinary callers wait).

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -94,10 +94,21 @@
 	return nil
 }
 
+// Taken returns the bytes that the holder has taken from the budget.
+func (s *Share) Taken() int64 { return s.taken }
+
 // Await is like Hold, but waits for other holders to give back. All waits of a holder together are bounded.
 func (s *Share) Await(ctx context.Context, bytes int) error {
+	return s.AwaitReclaiming(ctx, bytes, func() {})
+}
+
+// AwaitReclaiming is like Await. It calls reclaim before each wait, which may make other holders give back.
+func (s *Share) AwaitReclaiming(ctx context.Context, bytes int, reclaim func()) error {
 	for {
 		err := s.Hold(bytes)
+		if err != nil {
+			reclaim()
+		}
 		if err == nil || s.waited >= s.patience() || !retry.Sleep(ctx, waitInterval) {
 			return err
 		}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,12 +4,149 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
+	"time"
+
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
+	"github.com/wheelhoist/wheelhoist/internal/clock"
 )
 
-// conn is an accepted connection.
+// phase is what happens on a connection.
+type phase int
+
+const (
+	// readingHead includes the time between two requests.
+	readingHead phase = iota
+	// readingBody is when a handler waits for the body.
+	readingBody
+	// processing is when the handler does not wait for the client.
+	processing
+	// closing is when the refusal has been sent and the rest of the request is discarded.
+	closing
+	// ended is when the request has been ended for others; its handler has not answered yet.
+	ended
+)
+
+// progressBytes is how much of a body has to arrive to count as progress.
+const progressBytes = 16 << 10
+
+// conn is an accepted connection. Only the goroutine that serves it reads it and changes its share.
 type conn struct {
 	net.Conn
 	guard *Guard
+	share bytebudget.Share
+
+	mu    sync.Mutex
+	phase phase
+	// since is when the client last made progress.
+	since time.Time
+	// held is what the connection has taken from the budget.
+	held int64
+	// waitingForRoom is set while the connection waits for others.
+	waitingForRoom bool
+}
+
+func newConn(guard *Guard, accepted net.Conn) *conn {
+	return &conn{Conn: accepted, guard: guard, share: bytebudget.Share{Budget: guard.Budget}, since: clock.Now()}
+}
+
+// waiting describes what a connection waits for.
+type waiting struct {
+	// forClient is set if it waits for its client, since when the client last made progress.
+	forClient bool
+	since     time.Time
+	// held is the number of bytes that it holds of the budget.
+	held int64
+}
+
+func (c *conn) waiting() waiting {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	forClient := c.phase == readingHead || c.phase == readingBody || c.phase == closing
+	return waiting{forClient: forClient && !c.waitingForRoom, since: c.since, held: c.held}
+}
+
+// setPhase changes the phase. It reports whether the request has not been ended meanwhile.
+func (c *conn) setPhase(next phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == ended && next != closing {
+		return false
+	}
+	c.phase = next
+	return true
+}
+
+// progressed records that the client made progress.
+func (c *conn) progressed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.since = clock.Now()
+}
+
+// awaitRequest begins to wait for the next request.
+func (c *conn) awaitRequest() {
+	c.release()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = readingHead, clock.Now()
+}
+
+// hold waits until the connection may make the node hold the given number of bytes. Clients that have stalled
+// make room. It returns bytebudget.ErrFull if there is none.
+func (c *conn) hold(ctx context.Context, bytes int) error {
+	err := c.share.Hold(bytes)
+	if err != nil {
+		c.setWaitingForRoom(true)
+		err = c.share.AwaitReclaiming(ctx, bytes, c.guard.endStalled)
+		c.setWaitingForRoom(false)
+	}
+	c.setHeld()
+	return err
+}
+
+func (c *conn) release() {
+	c.share.Release()
+	c.setHeld()
+}
+
+func (c *conn) setHeld() {
+	held := c.share.Taken()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held = held
+}
+
+// setWaitingForRoom begins or ends a wait for others, which is not the client's.
+func (c *conn) setWaitingForRoom(waits bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waitingForRoom = waits
+	c.since = clock.Now()
+}
+
+// endStalled ends the request of a client that has stalled: a handler that reads the body gets an error and can
+// still answer. It returns false if the request has been read by now.
+func (c *conn) endStalled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch c.phase {
+	case readingBody:
+		c.phase = ended
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		return true
+	case readingHead, closing:
+		_ = c.Conn.Close()
+		return true
+	default:
+		return false
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.guard.remove(c)
+	return c.Conn.Close()
 }
 
 // CloseWrite closes the direction to the client, so that it gets all that was written.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -12,7 +13,7 @@
 	lingerTime = time.Second
 )
 
-// handler returns a handler that closes connections after answers that come before the end of the body.
+// handler returns a handler that counts what requests make the node hold until next has returned.
 func (g *Guard) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
@@ -21,11 +22,13 @@
 			return
 		}
 		if r.Body == nil || r.Body == http.NoBody {
+			c.setPhase(processing)
 			next.ServeHTTP(w, r)
 			return
 		}
-		received := &body{ReadCloser: r.Body, conn: c}
-		r = r.WithContext(r.Context())
+		received := &body{ReadCloser: r.Body, conn: c, ctx: r.Context(), idleSince: clock.Now()}
+		c.setPhase(processing)
+		r = r.WithContext(context.WithValue(r.Context(), bodyKey{}, received))
 		r.Body = received
 		writer := &responseWriter{ResponseWriter: w, body: received}
 		next.ServeHTTP(writer, r)
@@ -61,6 +64,7 @@
 		return
 	}
 	w.Header().Set("Connection", "close")
+	w.body.conn.setPhase(closing)
 	_ = w.body.conn.SetReadDeadline(clock.Now().Add(lingerTime))
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,14 +1,107 @@
 // Package ingress bounds what the clients of a listener make a node hold: their connections, and the heads and
 // bodies of their requests.
+//
+// Bytes count once they have arrived, never when they are announced. All connections share one budget (package
+// bytebudget). While it has no room, connections whose client makes no progress end, those that hold the most
+// first. Requests that have
+// been read whole are never ended for others.
 package ingress
 
-import "net/http"
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
 
-// Guard bounds what the clients of one listener make a node hold. It is safe for concurrent use.
-type Guard struct{}
+	"github.com/zeebo/errs"
+
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
+	"github.com/wheelhoist/wheelhoist/internal/clock"
+)
+
+// Error is the error class of this package.
+var Error = errs.Class("ingress")
+
+// Reason says why a connection or a request was ended.
+type Reason string
+
+// Reasons.
+const (
+	// ClientStalled is a client that made no progress while others needed room.
+	ClientStalled Reason = "stalled while memory was short"
+	// MemoryShort is a request for which there was no room.
+	MemoryShort Reason = "memory is short"
+)
+
+// Guard bounds what the clients of one listener make a node hold. Exported fields must be set before use. It is
+// safe for concurrent use.
+type Guard struct {
+	// Budget is what all connections may make the node hold; several guards may share it.
+	Budget *bytebudget.Budget
+	// OnEnded, if set, is called for each connection or request that the guard ends.
+	OnEnded func(reason Reason, remote net.Addr)
+
+	mu          sync.Mutex
+	connections map[*conn]struct{}
+}
 
 // Protect makes a server keep the bounds. The server must serve a listener returned by Listener.
 func (g *Guard) Protect(server *http.Server) {
 	server.Handler = g.handler(server.Handler)
 	server.ConnContext = withConn
+	server.ConnState = func(accepted net.Conn, state http.ConnState) {
+		c := connOf(accepted)
+		switch {
+		case c == nil:
+		case state == http.StateIdle:
+			c.awaitRequest()
+		case state == http.StateClosed:
+			c.release()
+		}
+	}
+}
+
+func (g *Guard) ended(reason Reason, c *conn) {
+	if g.OnEnded != nil {
+		g.OnEnded(reason, c.RemoteAddr())
+	}
+}
+
+func (g *Guard) add(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.connections == nil {
+		g.connections = map[*conn]struct{}{}
+	}
+	g.connections[c] = struct{}{}
+}
+
+// stallTime is how long a client may make no progress while others need room.
+const stallTime = time.Second
+
+// endStalled ends the request of the client that holds the most of those that have stalled.
+func (g *Guard) endStalled() {
+	if victim := g.largestStalled(); victim != nil && victim.endStalled() {
+		g.ended(ClientStalled, victim)
+	}
+}
+
+func (g *Guard) largestStalled() *conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var largest *conn
+	most, stalledSince := int64(0), clock.Now().Add(-stallTime)
+	for c := range g.connections {
+		waiting := c.waiting()
+		if waiting.forClient && waiting.held > most && waiting.since.Before(stalledSince) {
+			largest, most = c, waiting.held
+		}
+	}
+	return largest
+}
+
+func (g *Guard) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.connections, c)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
 )
 
 // waitLimit bounds all waiting in these tests.
@@ -53,8 +58,12 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := ReadBody(w, r, 0)
 	switch {
+	case errors.Is(err, ErrStalled):
+		w.WriteHeader(http.StatusRequestTimeout)
+	case errors.Is(err, ErrMemoryShort):
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
 	default:
@@ -112,9 +121,86 @@
 	return response.StatusCode, string(body)
 }
 
+func (s *testServer) eventually(description string, condition func() bool) {
+	s.t.Helper()
+	for began := time.Now(); !condition(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > waitLimit {
+			s.t.Fatalf("timed out waiting for: %s", description)
+		}
+	}
+}
+
+// Guards against bytes that stay taken after their request or connection has ended.
+func TestGuard_GivesBackWhatEndedRequestsTook(t *testing.T) {
+	budget := &bytebudget.Budget{}
+	s := newTestServer(t, &Guard{Budget: budget})
+	kept := s.connect()
+	kept.post("/", 1<<20, 1<<20)
+	if status, body := kept.answer(); status != http.StatusOK || body != fmt.Sprint(1<<20) {
+		t.Fatalf("answer %d %q", status, body)
+	}
+	s.eventually("room after a request", func() bool { return budget.Used() == 0 })
+	gone := s.connect()
+	gone.post("/", 1<<20, 1<<19)
+	s.eventually("bytes that count", func() bool { return budget.Used() > 0 })
+	_ = gone.conn.Close()
+	s.eventually("room after a connection", func() bool { return budget.Used() == 0 })
+}
+
+// Guards against bodies that count before they have arrived.
+func TestGuard_AnnouncedBytesDoNotCount(t *testing.T) {
+	budget := &bytebudget.Budget{Limit: 1 << 20}
+	s := newTestServer(t, &Guard{Budget: budget})
+	for range 10 {
+		s.connect().post("/", 1<<30, 100)
+	}
+	c := s.connect()
+	c.post("/", 400<<10, 400<<10)
+	if status, _ := c.answer(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
+// Guards against clients that stop sending and keep the room of others, and against a refusal that they do not
+// get.
+func TestGuard_StalledClientsMakeRoom(t *testing.T) {
+	budget := &bytebudget.Budget{Limit: 1 << 20}
+	s := newTestServer(t, &Guard{Budget: budget})
+	stalled := s.connect()
+	stalled.post("/", 1<<20, 450<<10)
+	s.eventually("bytes that count", func() bool { return budget.Used() >= 400<<10 })
+	time.Sleep(stallTime)
+	c := s.connect()
+	c.post("/", 480<<10, 480<<10)
+	if status, _ := c.answer(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if status, _ := stalled.answer(); status != http.StatusRequestTimeout {
+		t.Errorf("status of the stalled client %d", status)
+	}
+}
+
+// Guards against a memory budget that requests in progress exceed.
+func TestGuard_RefusesWhatHasNoRoom(t *testing.T) {
+	budget := &bytebudget.Budget{Limit: 1 << 20}
+	s := newTestServer(t, &Guard{Budget: budget})
+	running := s.connect()
+	running.post("/wait", 450<<10, 450<<10)
+	<-s.waiting
+	c := s.connect()
+	c.post("/", 900<<10, 900<<10)
+	if status, _ := c.answer(); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", status)
+	}
+	close(s.finish)
+	if status, _ := running.answer(); status != http.StatusOK {
+		t.Errorf("status of the request in progress %d", status)
+	}
+}
+
 // Guards against a refusal that waits for the rest of a body, and against connections that stay open after it.
 func TestGuard_AnswersBeforeTheBody(t *testing.T) {
-	s := newTestServer(t, &Guard{})
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}})
 	c := s.connect()
 	c.post("/unread", 200_000, 100_000)
 	if status, _ := c.answer(); status != http.StatusNotFound {
@@ -127,7 +213,7 @@
 
 // Guards against a connection that is closed though its request was read whole.
 func TestGuard_KeepsConnectionsOfWholeRequests(t *testing.T) {
-	s := newTestServer(t, &Guard{})
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}})
 	c := s.connect()
 	for i, request := range []string{
 		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
@@ -141,3 +227,72 @@
 		}
 	}
 }
+
+// Guards against bodies that change on their way, whatever their size and however they arrive.
+func TestReadBody_ReturnsWhatArrives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.OneOf(rapid.IntRange(0, 40<<10), rapid.SampledFrom([]int{smallBody, smallBody + 1, segmentBytes, segmentBytes + 1, 2 * segmentBytes, 300_000})).Draw(t, "size")
+		sent := make([]byte, size)
+		for i := range sent {
+			sent[i] = byte(i * 7)
+		}
+		step := rapid.IntRange(1, 100_000).Draw(t, "step")
+		request, err := http.NewRequest(http.MethodPost, "/", &stepReader{rest: sent, step: step})
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.ContentLength = int64(size)
+		if rapid.Bool().Draw(t, "chunked") {
+			request.ContentLength = -1
+		}
+		got, err := ReadBody(nil, request, 0)
+		if err != nil || !bytes.Equal(got, sent) {
+			t.Fatalf("%d of %d bytes, %v", len(got), size, err)
+		}
+	})
+}
+
+// Guards against a body that ends early and is taken for a whole one, and against the wrong error.
+func TestReadBody_Errors(t *testing.T) {
+	short := errors.New("connection lost")
+	for _, length := range []int64{10, 100_000, -1} {
+		request, err := http.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader("abc"), &failingReader{short}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.ContentLength = length
+		if _, err := ReadBody(nil, request, 0); !errors.Is(err, short) {
+			t.Errorf("length %d: %v", length, err)
+		}
+	}
+	var tooLarge *http.MaxBytesError
+	for _, length := range []int64{11, -1} {
+		request, err := http.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 11)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.ContentLength = length
+		if _, err := ReadBody(nil, request, 10); !errors.As(err, &tooLarge) {
+			t.Errorf("length %d over the limit: %v", length, err)
+		}
+	}
+}
+
+// stepReader returns at most step bytes at a time.
+type stepReader struct {
+	rest []byte
+	step int
+}
+
+func (r *stepReader) Read(buffer []byte) (int, error) {
+	if len(r.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(buffer, r.rest[:min(r.step, len(r.rest))])
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+type failingReader struct{ err error }
+
+func (r *failingReader) Read([]byte) (int, error) { return 0, r.err }
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -18,5 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, guard: l.guard}, nil
+	c := newConn(l.guard, accepted)
+	l.guard.add(c)
+	return c, nil
 }
--- a/internal/lab/crowd/gateway_linux_test.go
+++ b/internal/lab/crowd/gateway_linux_test.go
@@ -1,8 +1,10 @@
 package crowd
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -121,6 +123,27 @@
 	n.requireAnswer("beside the crowd")
 }
 
+// Jobs of the largest size that are all whole take several times their bytes while they are accepted.
+func TestGateway_LargestJobsTogether(t *testing.T) {
+	n := startGateway(t, machine{smallMachine, manyDescriptors})
+	hold(n, n.address, 30, func(w io.Writer) error {
+		body := largestJob()
+		_, err := io.WriteString(w, head(batchPath, lengthLine(int64(len(body))))+body)
+		return err
+	})
+}
+
+// largestJob returns the body of a job with 200 items, just under maxBody.
+func largestJob() string {
+	const items = 200
+	content := strings.Repeat("eHh4", (maxBody/items-300)/4)
+	var requests []string
+	for range items {
+		requests = append(requests, fmt.Sprintf(`{"id": %q, "path": %q, "headers": {"Model": "m", "Token-Usage": "10,10"}, "body": %q, "tokenCount": 20}`, requestID(), batchPath, content))
+	}
+	return `{"requests": [` + strings.Join(requests, ",") + `]}`
+}
+
 // fewDescriptors is a limit that a crowd of manyConnections exceeds.
 const (
 	fewDescriptors  = 300
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -83,6 +83,7 @@
 	// sampled logs routine events: of more than sampleBurst lines a second it lets one in
 	// sampleEvery pass.
 	sampled zerolog.Logger
+	clients clientBounds
 	metrics *coreMetrics
 	// unreadable reports rows that cannot be read.
 	unreadable table.Unreadable
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -100,6 +100,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
 	}
 	g.build(log.With().Str("node", config.Node.ID).Logger())
+	g.clients.set(ingress.Machine{Megabytes: config.Gateway.MemoryMegabytes}.Limits())
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -224,7 +225,7 @@
 			g.closeListeners()
 			return Error.Wrap(err)
 		}
-		guard := &ingress.Guard{}
+		guard := g.newGuard()
 		g.listeners = append(g.listeners, guard.Listener(listener))
 		server := &http.Server{
 			Handler: endpoint.handler, ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
--- /dev/null
+++ b/internal/node/ingress.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
+)
+
+// endedBurst is the number of lines a second about ended clients; the metric counts all of them.
+const endedBurst = 5
+
+// clientBounds bound what the clients of all listeners of a node make it hold.
+type clientBounds struct {
+	ingress.Limits
+	received bytebudget.Budget
+}
+
+func (b *clientBounds) set(limits ingress.Limits) {
+	b.Limits, b.received.Limit = limits, limits.Bytes
+}
+
+// newGuard returns a guard of a listener.
+func (c *core) newGuard() *ingress.Guard {
+	log := c.log.Sample(&zerolog.BurstSampler{Burst: endedBurst, Period: time.Second})
+	return &ingress.Guard{
+		Budget: &c.clients.received,
+		OnEnded: func(reason ingress.Reason, remote net.Addr) {
+			c.metrics.clientsEnded.WithLabelValues(string(reason)).Inc()
+			log.Info().Str("reason", string(reason)).Stringer("remote", remote).Msg("client ended")
+		},
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -22,13 +22,15 @@
 // coreMetrics are the metrics of a core, named by the Prometheus conventions. Label values are
 // kinds and outcomes only, so the number of series is bounded.
 type coreMetrics struct {
-	registry    *prometheus.Registry
-	requests    *prometheus.CounterVec
-	rejected    *prometheus.CounterVec
-	attempts    *prometheus.CounterVec
-	firstEvent  *prometheus.HistogramVec
-	eventGap    *prometheus.HistogramVec
-	connections prometheus.Counter
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	rejected *prometheus.CounterVec
+	// clientsEnded counts the connections and requests of clients that were ended because of limits.
+	clientsEnded *prometheus.CounterVec
+	attempts     *prometheus.CounterVec
+	firstEvent   *prometheus.HistogramVec
+	eventGap     *prometheus.HistogramVec
+	connections  prometheus.Counter
 	// otherAnswers counts the answers of replicas that were for another request.
 	otherAnswers prometheus.Counter
 	// served counts requests by the distance of their replica.
@@ -86,6 +88,9 @@
 		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wheelhoist_gateway_turned_away_total", Help: "Requests turned away before they were forwarded, by reason.",
 		}, []string{"reason"}),
+		clientsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wheelhoist_clients_ended_total", Help: "Connections and requests of clients that this node ended because of its limits, by reason.",
+		}, []string{"reason"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wheelhoist_gateway_attempts_total", Help: "Attempts at replicas by route kind.",
 		}, []string{"kind"}),
@@ -173,7 +178,7 @@
 		Name: "wheelhoist_rows_unreadable_total", Help: "Versions of rows and objects that this node cannot read, by table and reason.",
 	}, []string{"table", "reason"})
 	m.registry.MustRegister(m.originLookups, m.continuations, m.unreadable, m.restarts, m.quarantined, m.cleared, m.released, m.trials, m.crashReportsCut, m.served, m.sharedEjections, m.noReplica, m.preemptions, m.reservations, m.predictionError, m.jobs, m.items, m.requests, m.rejected, m.attempts, m.firstEvent, m.eventGap, m.connections, m.otherAnswers,
-		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs)
+		m.storeCalls, m.storeTime, m.storeBytes, m.listCopies, m.relayFailures, m.droppedLogs, m.clientsEnded)
 	return m
 }
 
