ingress: heads count and end at the limit of the configuration

Callers saw: many heads that never end took the memory of a small machine.

Cause: net/http reads up to 132 KiB of a head whatever maxHeaderBytes says, before a handler sees it, and a head of short lines takes many times its bytes in its map.

Fix: the connection counts what arrives of a head, with 192 bytes more for each line, against the budget of the bodies, until the request is answered. Beyond the limit of the configuration (and the 4 KiB that net/http reads ahead) the caller gets 431 at once, without room in the budget 503 with Retry-After; the rest is discarded for a second, so that the answer arrives.

Ruled out: http.Server.MaxHeaderBytes, which is read for each request but must not change while a server runs.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -103,9 +103,9 @@
 	return true
 }
 
-// hold sets how many bytes of the body the node keeps.
+// hold sets how many bytes of the body the node keeps, beside the head.
 func (b *body) hold(bytes int) error {
-	err := b.conn.hold(b.ctx, bytes)
+	err := b.conn.hold(b.ctx, b.conn.headCost()+bytes)
 	if errors.Is(err, bytebudget.ErrFull) {
 		b.conn.guard.ended(MemoryShort, b.conn)
 		return Error.Wrap(ErrMemoryShort)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -35,6 +35,8 @@
 	net.Conn
 	guard *Guard
 	share bytebudget.Share
+	// headBytes and headLines are what has arrived of the head.
+	headBytes, headLines int
 
 	mu    sync.Mutex
 	phase phase
@@ -86,6 +88,7 @@
 
 // awaitRequest begins to wait for the next request.
 func (c *conn) awaitRequest() {
+	c.headBytes, c.headLines = 0, 0
 	c.release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// lingerTime is how long the rest of a refused request is discarded before its connection is closed.
+	// lingerTime is how long, and maxLinger how much in bytes, the rest of a refused request is discarded before
+	// its connection is closed.
 	lingerTime = time.Second
+	maxLinger  = 256 << 10
 )
 
 // handler returns a handler that counts what requests make the node hold until next has returned.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,6 +31,8 @@
 	ClientStalled Reason = "stalled while memory was short"
 	// MemoryShort is a request for which there was no room.
 	MemoryShort Reason = "memory is short"
+	// HeadTooLarge is a head over the limit.
+	HeadTooLarge Reason = "head over the limit"
 )
 
 // Guard bounds what the clients of one listener make a node hold. Exported fields must be set before use. It is
@@ -38,6 +40,10 @@
 type Guard struct {
 	// Budget is what all connections may make the node hold; several guards may share it.
 	Budget *bytebudget.Budget
+	// MaxHead returns the limit of a head in bytes. If nil, it is DefaultMaxHead.
+	MaxHead func() int
+	// RetryAfter is how long a caller should wait whose request is refused because memory is short.
+	RetryAfter time.Duration
 	// OnEnded, if set, is called for each connection or request that the guard ends.
 	OnEnded func(reason Reason, remote net.Addr)
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -198,6 +198,38 @@
 	}
 }
 
+// Guards against heads that are read on beyond their limit, and against a refusal that is lost with the
+// connection.
+func TestGuard_HeadOverTheLimit(t *testing.T) {
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}, MaxHead: func() int { return 8 << 10 }})
+	for name, line := range map[string]string{"long": "A: " + strings.Repeat("x", 30_000), "short": strings.Repeat("a:\r\n", 8_000)} {
+		c := s.connect()
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n" + line)
+		if status, _ := c.answer(); status != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("%s lines: status %d", name, status)
+		}
+	}
+}
+
+// Guards against heads that together take more than the budget: short lines take many times their bytes.
+func TestGuard_HeadsCount(t *testing.T) {
+	budget := &bytebudget.Budget{Limit: 256 << 10}
+	s := newTestServer(t, &Guard{Budget: budget, RetryAfter: time.Second})
+	refused := 0
+	for range 4 {
+		c := s.connect()
+		c.send("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1000))
+		_ = c.conn.SetReadDeadline(time.Now().Add(3 * stallTime))
+		response, err := http.ReadResponse(c.reader, nil)
+		if err == nil && response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
+			refused++
+		}
+	}
+	if refused == 0 || budget.Used() > budget.Limit {
+		t.Errorf("%d heads refused, %d bytes used", refused, budget.Used())
+	}
+}
+
 // Guards against a refusal that waits for the rest of a body, and against connections that stay open after it.
 func TestGuard_AnswersBeforeTheBody(t *testing.T) {
 	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}})
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -208,13 +208,16 @@
 	front := &platform.Front{Gateway: g, Jobs: &platform.JobFront{
 		Service: g.jobs, Timeout: jobTimeout, RetryAfter: g.RetryAfter,
 	}}
+	callers := g.newGuard()
+	callers.MaxHead = g.maxHead
 	endpoints := []struct {
 		address string
 		handler http.Handler
+		guard   *ingress.Guard
 	}{
-		{g.settings.Node.Listen, front},
-		{g.settings.Gateway.Readiness, front.ReadyHandler()},
-		{g.settings.Gateway.Metrics, g.statusHandler()},
+		{g.settings.Node.Listen, front, callers},
+		{g.settings.Gateway.Readiness, front.ReadyHandler(), g.newGuard()},
+		{g.settings.Gateway.Metrics, g.statusHandler(), g.newGuard()},
 	}
 	for _, endpoint := range endpoints {
 		if endpoint.address == "" {
@@ -225,13 +228,12 @@
 			g.closeListeners()
 			return Error.Wrap(err)
 		}
-		guard := g.newGuard()
-		g.listeners = append(g.listeners, guard.Listener(listener))
+		g.listeners = append(g.listeners, endpoint.guard.Listener(listener))
 		server := &http.Server{
 			Handler: endpoint.handler, ReadHeaderTimeout: gatewayHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 			MaxHeaderBytes: gatewayHeaderBytes,
 		}
-		guard.Protect(server)
+		endpoint.guard.Protect(server)
 		g.servers = append(g.servers, server)
 	}
 	return nil
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -27,10 +27,18 @@
 func (c *core) newGuard() *ingress.Guard {
 	log := c.log.Sample(&zerolog.BurstSampler{Burst: endedBurst, Period: time.Second})
 	return &ingress.Guard{
-		Budget: &c.clients.received,
+		Budget: &c.clients.received, RetryAfter: retryAfter,
 		OnEnded: func(reason ingress.Reason, remote net.Addr) {
 			c.metrics.clientsEnded.WithLabelValues(string(reason)).Inc()
 			log.Info().Str("reason", string(reason)).Stringer("remote", remote).Msg("client ended")
 		},
 	}
 }
+
+// maxHead returns the limit of a caller's head in bytes.
+func (g *Gateway) maxHead() int {
+	if routes := g.Routes(); routes != nil && routes.Limits.MaxHeaderBytes > 0 {
+		return routes.Limits.MaxHeaderBytes
+	}
+	return ingress.DefaultMaxHead
+}
