ingress: connections are bounded, and the longest waiting one makes room

Callers saw: with as many connections as a process has descriptors, idle or waiting for a body, nobody new was answered for a minute and nothing could be forwarded.

Cause: nothing bounds connections, and descriptors are shared with replicas, the store and other nodes.

A new connection beyond that takes the place of the one that has waited longest for its client: idle, in a head, or in a body without 16 KiB of progress. A request that has been read keeps its connection; if all have one, the newcomer is closed unread, so that its client may try another node.

Ruled out: netutil.LimitListener, which makes ordinary callers wait behind idle ones.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,8 +3,8 @@
 //
 // Bytes count once they have arrived, never when they are announced. All connections share one budget (package
 // bytebudget). While it has no room, connections whose client makes no progress end, those that hold the most
-// first. Requests that have
-// been read whole are never ended for others.
+// first. A new connection beyond the limit takes the place of the one that has waited longest for its client.
+// Requests that have been read whole are never ended for others.
 package ingress
 
 import (
@@ -27,6 +27,10 @@
 
 // Reasons.
 const (
+	// ConnectionReplaced is a connection that made room for a new one.
+	ConnectionReplaced Reason = "replaced by a new connection"
+	// ConnectionRefused is a new connection while all others have requests in progress.
+	ConnectionRefused Reason = "too many requests in progress"
 	// ClientStalled is a client that made no progress while others needed room.
 	ClientStalled Reason = "stalled while memory was short"
 	// MemoryShort is a request for which there was no room.
@@ -38,6 +42,8 @@
 // Guard bounds what the clients of one listener make a node hold. Exported fields must be set before use. It is
 // safe for concurrent use.
 type Guard struct {
+	// Connections is the number of connections that may be open; 0 means no limit.
+	Connections int
 	// Budget is what all connections may make the node hold; several guards may share it.
 	Budget *bytebudget.Budget
 	// MaxHead returns the limit of a head in bytes. If nil, it is DefaultMaxHead.
@@ -73,13 +79,46 @@
 	}
 }
 
-func (g *Guard) add(c *conn) {
+// add adds a connection. It reports whether there is room for it.
+func (g *Guard) add(c *conn) bool {
+	victim, ok := g.makeRoom(c)
+	if victim != nil {
+		g.ended(ConnectionReplaced, victim)
+		_ = victim.Close()
+	}
+	return ok
+}
+
+// makeRoom adds c, and returns the connection that has to end for it, if any. It adds nothing and returns false
+// if none can.
+func (g *Guard) makeRoom(c *conn) (victim *conn, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.connections == nil {
 		g.connections = map[*conn]struct{}{}
 	}
+	if g.Connections > 0 && len(g.connections) >= g.Connections {
+		if victim = g.longestWaiting(); victim == nil {
+			return nil, false
+		}
+		delete(g.connections, victim)
+	}
 	g.connections[c] = struct{}{}
+	return victim, true
+}
+
+// longestWaiting returns the connection that has waited longest for its client, or nil if none waits. The caller
+// holds mu.
+func (g *Guard) longestWaiting() *conn {
+	var longest *conn
+	var since time.Time
+	for c := range g.connections {
+		waiting := c.waiting()
+		if waiting.forClient && (longest == nil || waiting.since.Before(since)) {
+			longest, since = c, waiting.since
+		}
+	}
+	return longest
 }
 
 // stallTime is how long a client may make no progress while others need room.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -180,6 +180,23 @@
 	}
 }
 
+// Guards against a request that is ended for others though it has been read whole.
+func TestGuard_RequestsInProgressAreKept(t *testing.T) {
+	budget := &bytebudget.Budget{Limit: 1 << 20}
+	s := newTestServer(t, &Guard{Budget: budget, Connections: 1})
+	running := s.connect()
+	running.post("/wait", 450<<10, 450<<10)
+	<-s.waiting
+	time.Sleep(stallTime)
+	if status, _ := s.connect().answer(); status != 0 {
+		t.Errorf("status of a connection beyond the limit %d", status)
+	}
+	close(s.finish)
+	if status, _ := running.answer(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
 // Guards against a memory budget that requests in progress exceed.
 func TestGuard_RefusesWhatHasNoRoom(t *testing.T) {
 	budget := &bytebudget.Budget{Limit: 1 << 20}
@@ -198,6 +215,51 @@
 	}
 }
 
+// Guards against idle connections that keep new callers out, and against the end of the wrong one.
+func TestGuard_LongestIdleConnectionMakesRoom(t *testing.T) {
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}, Connections: 2})
+	first, second := s.connect(), s.connect()
+	for _, c := range []*client{second, first} {
+		c.post("/", 1, 1)
+		if status, _ := c.answer(); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	third := s.connect()
+	for name, c := range map[string]*client{"new": third, "last used": first} {
+		c.post("/", 1, 1)
+		if status, _ := c.answer(); status != http.StatusOK {
+			t.Errorf("status of the %s connection %d", name, status)
+		}
+	}
+	if status, _ := second.answer(); status != 0 {
+		t.Errorf("status of the longest idle connection %d", status)
+	}
+}
+
+// Guards against clients that keep their connection by single bytes.
+func TestGuard_SingleBytesAreNoProgress(t *testing.T) {
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}, Connections: 2})
+	trickling := s.connect()
+	trickling.post("/", 1000, 1)
+	time.Sleep(20 * time.Millisecond)
+	idle := s.connect()
+	idle.post("/", 1, 1)
+	if status, _ := idle.answer(); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	trickling.send("x")
+	time.Sleep(20 * time.Millisecond)
+	third := s.connect()
+	for name, c := range map[string]*client{"new": third, "idle": idle} {
+		c.post("/", 1, 1)
+		if status, _ := c.answer(); status != http.StatusOK {
+			t.Errorf("status of the %s connection %d", name, status)
+		}
+	}
+}
+
 // Guards against heads that are read on beyond their limit, and against a refusal that is lost with the
 // connection.
 func TestGuard_HeadOverTheLimit(t *testing.T) {
@@ -328,3 +390,12 @@
 type failingReader struct{ err error }
 
 func (r *failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// The limits leave room for the largest bodies of the platform on the smallest machine, and descriptors for
+// replicas.
+func TestMachine_Limits(t *testing.T) {
+	small := Machine{Megabytes: 144, Descriptors: 300}.Limits()
+	if small.Bytes < 2*(4<<20) || small.Connections < minConnections || 2*small.Connections >= 300 {
+		t.Errorf("limits of a small machine: %+v", small)
+	}
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -100,7 +100,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
 	}
 	g.build(log.With().Str("node", config.Node.ID).Logger())
-	g.clients.set(ingress.Machine{Megabytes: config.Gateway.MemoryMegabytes}.Limits())
+	g.clients.set(ingress.Machine{Megabytes: config.Gateway.MemoryMegabytes, Descriptors: config.Gateway.Descriptors}.Limits())
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -208,7 +208,7 @@
 	front := &platform.Front{Gateway: g, Jobs: &platform.JobFront{
 		Service: g.jobs, Timeout: jobTimeout, RetryAfter: g.RetryAfter,
 	}}
-	callers := g.newGuard()
+	callers := g.newGuard(g.clients.Connections)
 	callers.MaxHead = g.maxHead
 	endpoints := []struct {
 		address string
@@ -216,8 +216,8 @@
 		guard   *ingress.Guard
 	}{
 		{g.settings.Node.Listen, front, callers},
-		{g.settings.Gateway.Readiness, front.ReadyHandler(), g.newGuard()},
-		{g.settings.Gateway.Metrics, g.statusHandler(), g.newGuard()},
+		{g.settings.Gateway.Readiness, front.ReadyHandler(), g.newGuard(0)},
+		{g.settings.Gateway.Metrics, g.statusHandler(), g.newGuard(0)},
 	}
 	for _, endpoint := range endpoints {
 		if endpoint.address == "" {
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -23,11 +23,11 @@
 	b.Limits, b.received.Limit = limits, limits.Bytes
 }
 
-// newGuard returns a guard of a listener.
-func (c *core) newGuard() *ingress.Guard {
+// newGuard returns a guard of a listener that may have the given number of connections.
+func (c *core) newGuard(connections int) *ingress.Guard {
 	log := c.log.Sample(&zerolog.BurstSampler{Burst: endedBurst, Period: time.Second})
 	return &ingress.Guard{
-		Budget: &c.clients.received, RetryAfter: retryAfter,
+		Connections: connections, Budget: &c.clients.received, RetryAfter: retryAfter,
 		OnEnded: func(reason ingress.Reason, remote net.Addr) {
 			c.metrics.clientsEnded.WithLabelValues(string(reason)).Inc()
 			log.Info().Str("reason", string(reason)).Stringer("remote", remote).Msg("client ended")
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,6 +31,9 @@
 	Settle v1.Duration `json:"settle,omitempty"`
 	// MemoryMegabytes is the memory that the process may use; 0 means unknown.
 	MemoryMegabytes int `json:"memoryMegabytes,omitempty"`
+	// Descriptors is the number of descriptors that the process may have open; 0 means the limit of the
+	// process.
+	Descriptors int `json:"descriptors,omitempty"`
 	// Capacity holds the machine's resources other than memory; zero means unknown.
 	Capacity Capacity `json:"capacity,omitempty"`
 	Routing  Routing  `json:"routing,omitempty"`
@@ -163,6 +166,9 @@
 	if g.MemoryMegabytes < 0 {
 		found.Add("gateway.memoryMegabytes", "must not be negative")
 	}
+	if g.Descriptors < 0 {
+		found.Add("gateway.descriptors", "must not be negative")
+	}
 	if g.Capacity.Cores < 0 || g.Capacity.LinkMbps < 0 {
 		found.Add("gateway.capacity", "must not be negative")
 	}
