node: the listeners for readiness, metrics and other nodes are bounded too

Operators would see: a crowd at another listener than the callers' ends the process or takes all descriptors, so that it serves nobody; the same causes as at the callers' listener, found by its tests.

Fix: each has a guard of its own number of connections (16 for probes and metrics; for other nodes a quarter of what the descriptors allow, at most 320, since a relay answers 256 calls of followers at the same time) and shares the budget of bytes.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -395,7 +395,7 @@
 // replicas.
 func TestMachine_Limits(t *testing.T) {
 	small := Machine{Megabytes: 144, Descriptors: 300}.Limits()
-	if small.Bytes < 2*(4<<20) || small.Connections < minConnections || 2*small.Connections >= 300 {
+	if small.Bytes < 2*(4<<20) || small.Connections < minConnections || 2*small.Connections+2*ProbeConnections+small.PeerConnections >= 300 {
 		t.Errorf("limits of a small machine: %+v", small)
 	}
 }
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -13,6 +13,11 @@
 	// maxReserved is the number of descriptors that are left to files, the store, other nodes and listeners.
 	// Processes with few descriptors reserve a third of them.
 	maxReserved = 300
+	// peerShare is the part of the descriptors' connections that a listener for other nodes may have, and
+	// maxPeerConnections the most, some more than a relay answers at the same time.
+	peerShare, maxPeerConnections = 4, 320
+	// ProbeConnections is the number of connections of a listener for probes and metrics.
+	ProbeConnections = 16
 	// defaultDescriptors is the number of descriptors of a process that cannot tell it.
 	defaultDescriptors = 1024
 	// minConnections is the least number of connections of any listener.
@@ -21,8 +26,8 @@
 
 // Limits are what the clients of a process may make it hold.
 type Limits struct {
-	// Connections is the number of callers' connections.
-	Connections int
+	// Connections is the number of callers' connections, PeerConnections that of other nodes'.
+	Connections, PeerConnections int
 	// Bytes bounds heads and bodies.
 	Bytes int64
 }
@@ -47,7 +52,10 @@
 	descriptors := knownDescriptors(m.Descriptors)
 	byDescriptors := (descriptors - min(maxReserved, descriptors/3)) / 2
 	connections := max(minConnections, min(byMemory, byDescriptors))
-	return Limits{Connections: connections, Bytes: int64(memory * bodyShare)}
+	return Limits{
+		Connections: connections, PeerConnections: max(minConnections, min(maxPeerConnections, byDescriptors/peerShare)),
+		Bytes: int64(memory * bodyShare),
+	}
 }
 
 // knownDescriptors returns the lower one of the declared limit and that of the process.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -216,8 +216,8 @@
 		guard   *ingress.Guard
 	}{
 		{g.settings.Node.Listen, front, callers},
-		{g.settings.Gateway.Readiness, front.ReadyHandler(), g.newGuard(0)},
-		{g.settings.Gateway.Metrics, g.statusHandler(), g.newGuard(0)},
+		{g.settings.Gateway.Readiness, front.ReadyHandler(), g.newGuard(ingress.ProbeConnections)},
+		{g.settings.Gateway.Metrics, g.statusHandler(), g.newGuard(ingress.ProbeConnections)},
 	}
 	for _, endpoint := range endpoints {
 		if endpoint.address == "" {
--- a/internal/node/gatewaybootstrap.go
+++ b/internal/node/gatewaybootstrap.go
@@ -108,8 +108,10 @@
 	mux.HandleFunc("GET "+pathReplicaList, g.serveReplicaList)
 	mux.HandleFunc("GET "+pathFeed, g.relays.serve)
 	g.bootstrapServer = &http.Server{Handler: mux, ReadHeaderTimeout: bootstrapTimeout, IdleTimeout: bootstrapTimeout}
+	guard := g.newGuard(g.clients.PeerConnections)
+	guard.Protect(g.bootstrapServer)
 	go func() {
-		if err := g.bootstrapServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.bootstrapServer.Serve(guard.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			g.log.Error().Err(err).Msg("bootstrap listener failed")
 		}
 	}()
