node, server: the product's own interface has the bounds of the gateways

Callers would see the same as at a gateway: bodies of 4 MiB read by doubling, heads of up to 1 MB, connections without bound, a 401 that waits for the rest of a body.

Fix: the same guard, below TLS. A node has node.memoryMegabytes (default 256), by which it also sets the soft memory limit of its process, and a connection for each of node.maxStreams and 200 more. Bodies are read by ingress.ReadBody: 503 or 408 with "not executed" where memory is short, as before 413 over the limit. A body that could not be read is a 400, no longer a 413, for resources too.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -73,6 +73,7 @@
 	if config.Gateway.Enabled() {
 		return runGateway(ctx, config, std, level)
 	}
+	node.LimitMemory(config.Node.MemoryMegabytes)
 	log := zerolog.New(std.out).Level(level).With().Timestamp().Logger()
 	captureLibraryLog(log)
 	applied := log.With().Str("node", config.Node.ID).Logger()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -398,4 +398,7 @@
 	if small.Bytes < 2*(4<<20) || small.Connections < minConnections || 2*small.Connections+2*ProbeConnections+small.PeerConnections >= 300 {
 		t.Errorf("limits of a small machine: %+v", small)
 	}
+	if got := (Machine{Megabytes: 256, Requests: 2000}).Limits().Connections; got < 2000 {
+		t.Errorf("%d connections for 2000 requests", got)
+	}
 }
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -38,6 +38,9 @@
 	Megabytes int
 	// Descriptors is the number that it may have open; 0 means the limit of the process, which holds in any case.
 	Descriptors int
+	// Requests is the number of requests that may be in progress together whatever the memory; each needs a
+	// connection.
+	Requests int
 }
 
 // Limits returns what the clients of a process may make it hold. Each caller's connection may need a second
@@ -48,7 +51,7 @@
 		megabytes = DefaultMemory
 	}
 	memory := float64(megabytes) * (1 << 20)
-	byMemory := int(memory * connectionShare / connectionBytes)
+	byMemory := max(int(memory*connectionShare/connectionBytes), m.Requests)
 	descriptors := knownDescriptors(m.Descriptors)
 	byDescriptors := (descriptors - min(maxReserved, descriptors/3)) / 2
 	connections := max(minConnections, min(byMemory, byDescriptors))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -97,7 +97,7 @@
 func StartGateway(ctx context.Context, config *settings.Settings, log zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{settings: config, broadcastLimiter: rate.NewLimiter(rate.Every(broadcastInterval), 1), startedAt: clock.Now()}
 	if config.Gateway.MemoryMegabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(config.Gateway.MemoryMegabytes) * (1 << 20)))
+		LimitMemory(config.Gateway.MemoryMegabytes)
 	}
 	g.build(log.With().Str("node", config.Node.ID).Logger())
 	g.clients.set(ingress.Machine{Megabytes: config.Gateway.MemoryMegabytes, Descriptors: config.Gateway.Descriptors}.Limits())
@@ -116,6 +116,11 @@
 	return g, nil
 }
 
+// LimitMemory sets the soft memory limit of the Go runtime for a process that may use the given memory.
+func LimitMemory(megabytes int) {
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(megabytes) * (1 << 20)))
+}
+
 func (g *Gateway) build(log zerolog.Logger) {
 	metrics := newCoreMetrics()
 	g.store = platform.NewStore(g.settings.Gateway.Store, metrics.observeStoreCall)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
@@ -36,6 +37,8 @@
 
 const (
 	headerTimeout = 5 * time.Second
+	// spareConnections are those that may be open beside the ones of the permitted requests.
+	spareConnections = 200
 	// headsPollPerSession, times the number of live sessions, is the minimum time between two polls
 	// of the table's heads. It bounds the calls of all nodes together in large fleets.
 	headsPollPerSession = 1500 * time.Microsecond
@@ -104,7 +107,7 @@
 		return nil, err
 	}
 	n.build(log)
-	if err := n.buildServer(); err != nil {
+	if err := errors.Join(n.buildServer(), n.protect()); err != nil {
 		return nil, Error.Wrap(errors.Join(err, n.listener.Close()))
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -120,15 +123,26 @@
 		return Error.Wrap(err)
 	}
 	n.listener = listener
+	return nil
+}
+
+// protect bounds what the clients of the listener make this node hold, and adds TLS to it.
+func (n *Node) protect() error {
+	n.clients.set(ingress.Machine{
+		Megabytes: n.settings.Node.MemoryMegabytes, Requests: n.settings.Node.MaxStreams + spareConnections,
+	}.Limits())
+	guard := n.newGuard(n.clients.Connections)
+	guard.Protect(n.httpServer)
+	n.listener = guard.Listener(n.listener)
 	files := n.settings.TLS.Serve
 	if !files.Set() {
 		return nil
 	}
 	loader, err := tlsfile.NewLoader(tlsfile.Files{Certificate: files.Certificate, Key: files.Key})
 	if err != nil {
-		return Error.Wrap(errors.Join(err, listener.Close()))
+		return Error.Wrap(err)
 	}
-	n.listener = tls.NewListener(listener, loader.Server())
+	n.listener = tls.NewListener(n.listener, loader.Server())
 	return nil
 }
 
@@ -226,7 +240,7 @@
 		return err
 	}
 	n.server = handler
-	n.httpServer = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	n.httpServer = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: ingress.DefaultMaxHead}
 	return nil
 }
 
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/engine"
 	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/internal/idempotency"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/route"
 )
@@ -40,7 +40,7 @@
 		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, "this node takes no new work", notServingRetryAfter)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes))
+	body, err := ingress.ReadBody(ctx.ResponseWriter(), ctx.Request(), maxBodyBytes)
 	if err != nil {
 		refuseBody(ctx, err)
 		return
@@ -75,13 +75,19 @@
 	s.dispatch(ctx, target, newRequest(ctx, body, &parsed), parsed.Stream)
 }
 
+// refuseBody refuses a request whose body could not be read whole. Such a request has not run.
 func refuseBody(ctx iris.Context, err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refuse(ctx, iris.StatusRequestEntityTooLarge, openai.TypeInvalidRequest, "the body is larger than 4 MiB", 0)
-		return
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(ctx, iris.StatusRequestEntityTooLarge, openai.TypeInvalidRequest, "the body is too large", 0)
+	case errors.Is(err, ingress.ErrMemoryShort):
+		refuse(ctx, iris.StatusServiceUnavailable, openai.TypeOverloaded, err.Error(), overloadRetryAfter)
+	case errors.Is(err, ingress.ErrStalled):
+		refuse(ctx, iris.StatusRequestTimeout, openai.TypeOverloaded, err.Error(), overloadRetryAfter)
+	default:
+		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "the body could not be read", 0)
 	}
-	refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "the body could not be read", 0)
 }
 
 func (s *Server) admit(ctx iris.Context, parsed *openai.CompletionRequest) (*admission.Ticket, error) {
--- a/internal/server/resources.go
+++ b/internal/server/resources.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +11,7 @@
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/resource"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -123,9 +122,9 @@
 	if !ok {
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxResourceBytes))
+	body, err := ingress.ReadBody(ctx.ResponseWriter(), ctx.Request(), maxResourceBytes)
 	if err != nil {
-		refuse(ctx, iris.StatusRequestEntityTooLarge, openai.TypeInvalidRequest, "the resource is too large", 0)
+		refuseBody(ctx, err)
 		return
 	}
 	var declared v1.Resource
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	Listen string `json:"listen"`
 	// MaxStreams is the maximum number of online requests open at this node; default 2000.
 	MaxStreams int `json:"maxStreams,omitempty"`
+	// MemoryMegabytes is the memory that a node of the product's own interface may use, which bounds what
+	// callers make it hold; default 256. Gateways have gateway.memoryMegabytes.
+	MemoryMegabytes int `json:"memoryMegabytes,omitempty"`
 }
 
 // Platform configures the services of the platform.
@@ -138,6 +141,8 @@
 	DefaultRegion     = "local"
 	DefaultLogLevel   = "info"
 	DefaultMaxStreams = 2000
+	// DefaultMemoryMegabytes is the default of Node.MemoryMegabytes.
+	DefaultMemoryMegabytes = 256
 	// ShutdownTimeout bounds a planned shutdown, including the time for open streams to complete.
 	ShutdownTimeout = 5 * time.Minute
 )
@@ -160,6 +165,9 @@
 	if s.Node.MaxStreams == 0 {
 		s.Node.MaxStreams = DefaultMaxStreams
 	}
+	if s.Node.MemoryMegabytes == 0 {
+		s.Node.MemoryMegabytes = DefaultMemoryMegabytes
+	}
 }
 
 // setDefault sets an empty string to value.
@@ -182,6 +190,9 @@
 	if s.Node.MaxStreams < 0 {
 		found.Add("node.maxStreams", "must not be negative")
 	}
+	if s.Node.MemoryMegabytes < 0 {
+		found.Add("node.memoryMegabytes", "must not be negative")
+	}
 	s.Quarantine.validate(&found)
 	if s.Gateway.Enabled() {
 		s.Gateway.validate(&found)
