batch: an upload counts what it keeps, not all that has arrived

Fix: the uploader tells what it buffers (its segment, its line, the copy that is being stored).

Left: a segment is 256 lines whatever their size, so a file of lines of over 150 KB on average needs more than half of the budget of a node of 256 MB and is refused with 503; before, it could take 512 MB.

--- a/internal/batch/group.go
+++ b/internal/batch/group.go
@@ -80,7 +80,7 @@
 	var lines [][]byte
 	reader := bufio.NewReaderSize(bytes.NewReader(segment), 64<<10)
 	for ; ; lineNumber++ {
-		line, _, err := readLine(reader)
+		line, _, err := readLine(reader, nil, func(int) error { return nil })
 		if len(line) == 0 && errors.Is(err, io.EOF) {
 			return lines
 		}
--- a/internal/batch/upload.go
+++ b/internal/batch/upload.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
 	"github.com/wheelhoist/wheelhoist/internal/object"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/table"
@@ -28,6 +29,8 @@
 	MaxLines = 270_000
 	// maxFindings is the maximum number of findings stored for one file.
 	maxFindings = 100
+	// readBuffer is the size in bytes of the buffer for what arrives.
+	readBuffer = 64 << 10
 )
 
 // Codes of the findings about input files.
@@ -100,12 +103,14 @@
 }
 
 func (u *uploader) readAll(ctx context.Context, content io.Reader) error {
-	reader := bufio.NewReaderSize(content, 64<<10)
+	reader := bufio.NewReaderSize(content, readBuffer)
+	var buffer []byte
 	for {
-		line, tooLong, err := readLine(reader)
+		line, tooLong, err := readLine(reader, buffer, func(capacity int) error { return u.keep(ctx, capacity) })
 		if err != nil && !errors.Is(err, io.EOF) {
 			return Error.Wrap(outcome.AsNotDone(err))
 		}
+		buffer = line
 		atEOF := err != nil
 		if len(line) > 0 || tooLong || !atEOF {
 			if err := u.addLine(ctx, line, tooLong); err != nil {
@@ -122,9 +127,11 @@
 	return u.flush(ctx)
 }
 
-// readLine returns the next line without its line ending. For a line longer than MaxLineBytes,
-// tooLong is true and the line is empty or cut.
-func readLine(reader *bufio.Reader) (line []byte, tooLong bool, err error) {
+// readLine reads the next line into buffer, which may grow, and returns it without its line ending. For a line
+// longer than MaxLineBytes, tooLong is true and the line is empty or cut. It calls grown after each part of a long
+// line with the capacity of the buffer.
+func readLine(reader *bufio.Reader, buffer []byte, grown func(capacity int) error) (line []byte, tooLong bool, err error) {
+	line = buffer[:0]
 	for {
 		part, err := reader.ReadSlice('\n')
 		if len(line)+len(part) > MaxLineBytes {
@@ -134,13 +141,24 @@
 		if !tooLong {
 			line = append(line, part...)
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return bytes.TrimRight(line, "\r\n"), tooLong, err
+		}
+		if err := grown(cap(line)); err != nil {
+			return nil, false, err
 		}
-		return bytes.TrimRight(line, "\r\n"), tooLong, err
 	}
 }
 
+// keep tells how much memory the upload takes: what it has buffered, and the given number of bytes.
+func (u *uploader) keep(ctx context.Context, bytes int) error {
+	err := ingress.Keep(ctx, readBuffer+u.segment.Cap()+bytes)
+	if err != nil {
+		return Error.Wrap(fmt.Errorf("%w: %w", ErrNotAccepted, err))
+	}
+	return nil
+}
+
 // addLine counts, validates and stores a line. Blank lines are ignored.
 func (u *uploader) addLine(ctx context.Context, line []byte, tooLong bool) error {
 	if len(bytes.TrimSpace(line)) == 0 && !tooLong {
@@ -163,6 +181,9 @@
 	}
 	u.segment.Write(line)
 	u.segment.WriteByte('\n')
+	if err := u.keep(ctx, cap(line)); err != nil {
+		return err
+	}
 	if u.record.Lines%SegmentLines == 0 {
 		return u.flush(ctx)
 	}
@@ -201,6 +222,9 @@
 	if u.segment.Len() == 0 {
 		return nil
 	}
+	if err := u.keep(ctx, u.segment.Len()); err != nil {
+		return err
+	}
 	err := u.store.Put(ctx, segmentKey(u.record.ID, u.storedSegments), bytes.Clone(u.segment.Bytes()))
 	if err != nil {
 		return Error.Wrap(fmt.Errorf("%w: %w", ErrNotAccepted, err))
--- a/internal/lab/crowd/api_linux_test.go
+++ b/internal/lab/crowd/api_linux_test.go
@@ -101,7 +101,7 @@
 	const padding = 3 << 20
 	n := startSite(t, manyDescriptors)
 	body := fmt.Sprintf(`{"model": %q, "messages": [{"role": "user", "content": "question"}], "max_tokens": 4}`, profile.Urnik.Model) + strings.Repeat(" ", padding)
-	upload := "--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"f\"\r\n\r\n" + strings.Repeat(strings.Repeat(" ", 999)+"\n", 40_000) + "\r\n--b--\r\n"
+	upload := "--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"f\"\r\n\r\n" + strings.Repeat(strings.Repeat(" ", 999)+"\n", 90_000) + "\r\n--b--\r\n"
 	for name, request := range map[string]string{
 		"chat":   head(openai.PathChatCompletions, keyLine, lengthLine(int64(len(body)))) + body,
 		"upload": head(openai.PathFiles, keyLine, "Content-Type: multipart/form-data; boundary=b", lengthLine(int64(len(upload)))) + upload,
--- a/internal/server/batches.go
+++ b/internal/server/batches.go
@@ -13,6 +13,7 @@
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	v1 "github.com/wheelhoist/wheelhoist/api/v1"
 	"github.com/wheelhoist/wheelhoist/internal/batch"
+	"github.com/wheelhoist/wheelhoist/internal/ingress"
 )
 
 const (
@@ -29,6 +30,11 @@
 		return
 	}
 	ctx.Request().Body = http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxFileBytes)
+	// The file is passed on in parts, which the batch service counts.
+	if err := ingress.Keep(ctx.Request().Context(), 0); err != nil {
+		refuseBody(ctx, err)
+		return
+	}
 	reader, err := ctx.Request().MultipartReader()
 	if err != nil {
 		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "a multipart form is expected", 0)
