server: the body of a batch is bounded

Callers would see a process end: a POST to /v1/batches was read whole whatever its length, since the library's ReadJSON has no limit.

Fix: ingress.ReadBody with the limit of a completion, 413 over it.

--- a/internal/lab/crowd/api_linux_test.go
+++ b/internal/lab/crowd/api_linux_test.go
@@ -71,6 +71,13 @@
 	})
 }
 
+// The body of a batch names a file and is small; one without end is refused.
+func TestNode_BatchesFarOverTheLimit(t *testing.T) {
+	const sent = 200 << 20
+	n := startSite(t, manyDescriptors)
+	hold(n, n.address, 4, announced(openai.PathBatches, sent+1, sent, keyLine))
+}
+
 // A caller whose key is not known gets the refusal though it sends the rest of its body late.
 func TestNode_RefusalBeforeTheBody(t *testing.T) {
 	const clients = 50
--- a/internal/server/batches.go
+++ b/internal/server/batches.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"mime/multipart"
@@ -129,7 +130,12 @@
 		return
 	}
 	var request openai.BatchRequest
-	if err := ctx.ReadJSON(&request); err != nil {
+	body, err := ingress.ReadBody(ctx.ResponseWriter(), ctx.Request(), maxBodyBytes)
+	if err != nil {
+		refuseBody(ctx, err)
+		return
+	}
+	if err := json.Unmarshal(body, &request); err != nil {
 		refuse(ctx, iris.StatusBadRequest, openai.TypeInvalidRequest, "the body is not valid JSON: "+err.Error(), 0)
 		return
 	}
