--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -28,6 +28,19 @@
 A setting is ` + "`required`" + ` where that is its default; those of ` + "`platform`" + ` and ` + "`operator`" + ` only without
 ` + "`gateway.store`" + `. Durations have a unit, as 700ms or 5s.
 
+Limits that follow from settings, and why no client inside the limits of a configuration meets them while others do
+not hold more than theirs ([design 0025](design/0025-clients-outside-the-limits.md)):
+
+- Bytes of heads and bodies together: 0.3 of ` + "`gateway.memoryMegabytes` or `node.memoryMegabytes`" + `. A single
+  request may have half of it, 21 MiB on the smallest machine (144 MB); the largest body of a configuration is 4 MiB,
+  and counts three times as a job.
+- Connections of callers: memory / 256 KiB, at most half of the descriptors that are not reserved (300, or a third of
+  fewer); for the product's own interface at least ` + "`node.maxStreams`" + ` and 200 more. 576 on the smallest
+  machine. Beyond them the one that has waited longest for its client ends, which callers may meet at any time, as an
+  idle connection that is closed.
+- Heads: ` + "`limits.maxHeaderBytes`" + ` of the configuration, 128 KiB where there is none.
+- A second without progress (16 KiB of a body, or a head) ends a request only while another finds no room.
+
 | setting | type | default | finding if it is not accepted | meaning |
 |---|---|---|---|---|
 `
