ingress: heads and idle connections may take as long as the configuration says

Callers saw: 400 for a head that took 12 s though headerTimeoutMs was a minute; nobody tries again after a 400. The same for connections that rest for longer than two minutes.

Cause: the limits of the configuration were decoded and used nowhere; the server had constants of its own.

Fix: the guard of the callers' listener ends connections that wait for a head, after the time of the configuration at that moment; a shorter one than the former 10 s and 2 min does not hold, as a machine that was suspended or is slow reads late.

Ruled out: the timeouts of http.Server, which must not change while it runs.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -44,12 +44,35 @@
 	since time.Time
 	// held is what the connection has taken from the budget.
 	held int64
+	// timeout ends the connection while it waits for a head; nil if the timeouts of the server hold.
+	timeout *time.Timer
 	// waitingForRoom is set while the connection waits for others.
 	waitingForRoom bool
 }
 
 func newConn(guard *Guard, accepted net.Conn) *conn {
-	return &conn{Conn: accepted, guard: guard, share: bytebudget.Share{Budget: guard.Budget}, since: clock.Now()}
+	c := &conn{Conn: accepted, guard: guard, share: bytebudget.Share{Budget: guard.Budget}, since: clock.Now()}
+	if guard.Timeouts != nil {
+		c.timeout = time.AfterFunc(guard.Timeouts().Head, c.endLate)
+	}
+	return c
+}
+
+// endLate closes the connection if it still waits for a head.
+func (c *conn) endLate() {
+	c.mu.Lock()
+	late := c.phase == readingHead
+	c.mu.Unlock()
+	if late {
+		_ = c.Conn.Close()
+	}
+}
+
+// restartTimeout gives the client the given one of the timeouts from now on.
+func (c *conn) restartTimeout(choose func(Timeouts) time.Duration) {
+	if c.timeout != nil {
+		c.timeout.Reset(choose(c.guard.Timeouts()))
+	}
 }
 
 // waiting describes what a connection waits for.
@@ -90,6 +113,7 @@
 func (c *conn) awaitRequest() {
 	c.headBytes, c.headLines = 0, 0
 	c.release()
+	c.restartTimeout(func(timeouts Timeouts) time.Duration { return timeouts.Idle })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.since = readingHead, clock.Now()
@@ -149,6 +173,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.guard.remove(c)
+	if c.timeout != nil {
+		c.timeout.Stop()
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -52,6 +52,7 @@
 func (c *conn) receiveHead(part []byte) *headRefusal {
 	if c.headBytes == 0 {
 		c.progressed()
+		c.restartTimeout(func(timeouts Timeouts) time.Duration { return timeouts.Head })
 	}
 	c.headBytes += len(part)
 	c.headLines += bytes.Count(part, []byte{'\n'})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -48,6 +48,8 @@
 	Budget *bytebudget.Budget
 	// MaxHead returns the limit of a head in bytes. If nil, it is DefaultMaxHead.
 	MaxHead func() int
+	// Timeouts returns how long a client may take; it may change at any time. If nil, those of the server hold.
+	Timeouts func() Timeouts
 	// RetryAfter is how long a caller should wait whose request is refused because memory is short.
 	RetryAfter time.Duration
 	// OnEnded, if set, is called for each connection or request that the guard ends.
@@ -57,9 +59,20 @@
 	connections map[*conn]struct{}
 }
 
+// Timeouts are how long a client may take.
+type Timeouts struct {
+	// Head is the time for a head, from its first byte or from the begin of the connection.
+	Head time.Duration
+	// Idle is the time between two requests.
+	Idle time.Duration
+}
+
 // Protect makes a server keep the bounds. The server must serve a listener returned by Listener.
 func (g *Guard) Protect(server *http.Server) {
 	server.Handler = g.handler(server.Handler)
+	if g.Timeouts != nil {
+		server.ReadHeaderTimeout, server.IdleTimeout = 0, 0
+	}
 	server.ConnContext = withConn
 	server.ConnState = func(accepted net.Conn, state http.ConnState) {
 		c := connOf(accepted)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -292,6 +292,29 @@
 	}
 }
 
+// Guards against heads and idle connections that end before their time, or not at all.
+func TestGuard_Timeouts(t *testing.T) {
+	timeouts := Timeouts{Head: 300 * time.Millisecond, Idle: time.Hour}
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}, Timeouts: func() Timeouts { return timeouts }})
+	silent, slow, idle := s.connect(), s.connect(), s.connect()
+	slow.send("GET / HT")
+	idle.post("/wait", 1, 1)
+	<-s.waiting
+	for name, c := range map[string]*client{"silent": silent, "slow": slow} {
+		if status, _ := c.answer(); status != 0 && status != http.StatusBadRequest {
+			t.Errorf("status of a %s client %d", name, status)
+		}
+	}
+	close(s.finish)
+	for range 2 {
+		if status, _ := idle.answer(); status != http.StatusOK {
+			t.Errorf("status after a request that took longer than a head may, and after a pause: %d", status)
+		}
+		time.Sleep(2 * timeouts.Head)
+		idle.post("/", 1, 1)
+	}
+}
+
 // Guards against a refusal that waits for the rest of a body, and against connections that stay open after it.
 func TestGuard_AnswersBeforeTheBody(t *testing.T) {
 	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}})
--- a/internal/lab/crowd/calm_linux_test.go
+++ b/internal/lab/crowd/calm_linux_test.go
@@ -69,3 +69,18 @@
 	requireServed(t, n, "large chunks", 1, whole(chunks(streamPath, 64<<10, maxBody)))
 	n.requireBounds()
 }
+
+// A head may take as long as the configuration says.
+func TestGateway_SlowHeadIsServed(t *testing.T) {
+	n := startGatewayWithHeadTime(t, machine{smallMachine, manyDescriptors}, time.Minute)
+	requireServed(t, n, "slow head", 1, func(w io.Writer) error {
+		whole := head(streamPath, lengthLine(1)) + "x"
+		half := len(whole) / 2
+		if _, err := io.WriteString(w, whole[:half]); err != nil {
+			return err
+		}
+		time.Sleep(12 * time.Second)
+		_, err := io.WriteString(w, whole[half:])
+		return err
+	})
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -214,7 +214,7 @@
 		Service: g.jobs, Timeout: jobTimeout, RetryAfter: g.RetryAfter,
 	}}
 	callers := g.newGuard(g.clients.Connections)
-	callers.MaxHead = g.maxHead
+	callers.MaxHead, callers.Timeouts = g.maxHead, g.clientTimeouts
 	endpoints := []struct {
 		address string
 		handler http.Handler
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -42,3 +42,14 @@
 	}
 	return ingress.DefaultMaxHead
 }
+
+// clientTimeouts returns how long a caller may take: what the configuration says, or the defaults if these are
+// longer.
+func (g *Gateway) clientTimeouts() ingress.Timeouts {
+	timeouts := ingress.Timeouts{Head: gatewayHeaderTimeout, Idle: gatewayIdleTimeout}
+	if routes := g.Routes(); routes != nil {
+		timeouts.Head = max(timeouts.Head, routes.Limits.HeaderTimeout)
+		timeouts.Idle = max(timeouts.Idle, routes.Limits.IdleTimeout)
+	}
+	return timeouts
+}
--- a/internal/settings/page_test.go
+++ b/internal/settings/page_test.go
@@ -39,6 +39,8 @@
   machine. Beyond them the one that has waited longest for its client ends, which callers may meet at any time, as an
   idle connection that is closed.
 - Heads: ` + "`limits.maxHeaderBytes`" + ` of the configuration, 128 KiB where there is none.
+- Heads end after ` + "`limits.headerTimeoutMs`" + `, idle connections after ` + "`limits.idleTimeoutMs`" + `, but not
+  before 10 s and 2 min.
 - A second without progress (16 KiB of a body, or a head) ends a request only while another finds no room.
 
 | setting | type | default | finding if it is not accepted | meaning |
