ingress: no request begins on a connection that made room for a new one

Found by reading: between the choice of the connection that has waited longest and its end, its request may have been read; it would run though its client sees the connection close, which for requests that run at most once means that they may be sent again.

Fix: choice and end are one step under the connection's lock; a handler that finds its connection ended begins nothing.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -48,7 +48,7 @@
 	if errors.Is(err, io.EOF) {
 		b.complete = true
 	}
-	if !b.endRead() && !b.complete {
+	if !b.endRead() {
 		return 0, Error.Wrap(ErrStalled)
 	}
 	if !b.tellsIt && n > 0 {
@@ -64,10 +64,10 @@
 	c := b.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == ended {
+	switch c.phase {
+	case ended, gone:
 		return false
-	}
-	if c.phase == processing {
+	case processing:
 		c.phase = readingBody
 		c.since = c.since.Add(clock.Since(b.idleSince))
 	}
@@ -91,13 +91,16 @@
 	c := b.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case c.phase == ended && b.complete:
+	switch c.phase {
+	case gone:
+		return false
+	case ended:
+		if !b.complete {
+			return false
+		}
 		_ = c.SetReadDeadline(time.Time{})
 		c.phase = processing
-	case c.phase == ended:
-		return false
-	case c.phase == readingBody:
+	case readingBody:
 		c.phase = processing
 	}
 	return true
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -25,6 +25,8 @@
 	closing
 	// ended is when the request has been ended for others; its handler has not answered yet.
 	ended
+	// gone is when the connection has been ended for others. No request begins on it any more.
+	gone
 )
 
 // progressBytes is how much of a body has to arrive to count as progress.
@@ -62,6 +64,9 @@
 func (c *conn) endLate() {
 	c.mu.Lock()
 	late := c.phase == readingHead
+	if late {
+		c.phase = gone
+	}
 	c.mu.Unlock()
 	if late {
 		_ = c.Conn.Close()
@@ -87,15 +92,24 @@
 func (c *conn) waiting() waiting {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	forClient := c.phase == readingHead || c.phase == readingBody || c.phase == closing
-	return waiting{forClient: forClient && !c.waitingForRoom, since: c.since, held: c.held}
+	return waiting{forClient: c.waitsForClient(), since: c.since, held: c.held}
 }
 
-// setPhase changes the phase. It reports whether the request has not been ended meanwhile.
+// waitsForClient reports whether the connection waits for its client. The caller holds mu.
+func (c *conn) waitsForClient() bool {
+	switch c.phase {
+	case readingHead, readingBody, closing:
+		return !c.waitingForRoom
+	default:
+		return false
+	}
+}
+
+// setPhase changes the phase. It returns false if the connection has been ended for others.
 func (c *conn) setPhase(next phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == ended && next != closing {
+	if c.phase == gone {
 		return false
 	}
 	c.phase = next
@@ -114,9 +128,8 @@
 	c.headBytes, c.headLines = 0, 0
 	c.release()
 	c.restartTimeout(func(timeouts Timeouts) time.Duration { return timeouts.Idle })
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.phase, c.since = readingHead, clock.Now()
+	c.setPhase(readingHead)
+	c.progressed()
 }
 
 // hold waits until the connection may make the node hold the given number of bytes. Clients that have stalled
@@ -163,6 +176,7 @@
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		return true
 	case readingHead, closing:
+		c.phase = gone
 		_ = c.Conn.Close()
 		return true
 	default:
@@ -170,6 +184,17 @@
 	}
 }
 
+// endForOthers ends the connection unless it no longer waits for its client. The caller closes it.
+func (c *conn) endForOthers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waitsForClient() {
+		return false
+	}
+	c.phase = gone
+	return true
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.guard.remove(c)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -23,13 +23,14 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if !c.setPhase(processing) {
+			panic(http.ErrAbortHandler)
+		}
 		if r.Body == nil || r.Body == http.NoBody {
-			c.setPhase(processing)
 			next.ServeHTTP(w, r)
 			return
 		}
 		received := &body{ReadCloser: r.Body, conn: c, ctx: r.Context(), idleSince: clock.Now()}
-		c.setPhase(processing)
 		r = r.WithContext(context.WithValue(r.Context(), bodyKey{}, received))
 		r.Body = received
 		writer := &responseWriter{ResponseWriter: w, body: received}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -111,8 +111,15 @@
 		g.connections = map[*conn]struct{}{}
 	}
 	if g.Connections > 0 && len(g.connections) >= g.Connections {
-		if victim = g.longestWaiting(); victim == nil {
-			return nil, false
+		for victim == nil {
+			longest := g.longestWaiting()
+			if longest == nil {
+				return nil, false
+			}
+			// It may have been read whole meanwhile.
+			if longest.endForOthers() {
+				victim = longest
+			}
 		}
 		delete(g.connections, victim)
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -215,6 +215,23 @@
 	}
 }
 
+// Guards against a request that runs though its connection has been closed for a new one, which tells its client
+// that it does not run.
+func TestGuard_NoRequestBeginsOnAConnectionThatMadeRoom(t *testing.T) {
+	for _, begin := range []phase{readingHead, readingBody} {
+		guard := &Guard{Budget: &bytebudget.Budget{}, Connections: 1}
+		first, second := newConn(guard, &net.TCPConn{}), newConn(guard, &net.TCPConn{})
+		guard.add(first)
+		first.setPhase(begin)
+		if !guard.add(second) {
+			t.Fatal("no room for a new connection")
+		}
+		if first.setPhase(processing) || (&body{conn: first, complete: true}).endRead() {
+			t.Error("a request begins")
+		}
+	}
+}
+
 // Guards against idle connections that keep new callers out, and against the end of the wrong one.
 func TestGuard_LongestIdleConnectionMakesRoom(t *testing.T) {
 	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}, Connections: 2})
