ingress: a refused request gives its room back with the refusal

Who waited for room got it only once the connection of the stalled client had ended, up to a second and a half after its refusal, though nothing of its body was kept; by then most had waited in vain.

Evidence: TestResponseWriter_RefusalGivesBack, red without the change.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -67,6 +67,8 @@
 		return
 	}
 	w.Header().Set("Connection", "close")
+	// Nothing of the request is kept.
+	w.body.conn.release()
 	w.body.conn.setPhase(closing)
 	_ = w.body.conn.SetReadDeadline(clock.Now().Add(lingerTime))
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -164,19 +165,38 @@
 // Guards against clients that stop sending and keep the room of others, and against a refusal that they do not
 // get.
 func TestGuard_StalledClientsMakeRoom(t *testing.T) {
-	budget := &bytebudget.Budget{Limit: 1 << 20}
-	s := newTestServer(t, &Guard{Budget: budget})
-	stalled := s.connect()
-	stalled.post("/", 1<<20, 450<<10)
-	s.eventually("bytes that count", func() bool { return budget.Used() >= 400<<10 })
-	time.Sleep(stallTime)
-	c := s.connect()
-	c.post("/", 480<<10, 480<<10)
-	if status, _ := c.answer(); status != http.StatusOK {
-		t.Errorf("status %d", status)
+	// Of the rest of a body that is announced, some are discarded before their connection ends.
+	for _, announced := range []int{451 << 10, 1 << 20} {
+		budget := &bytebudget.Budget{Limit: 1 << 20}
+		s := newTestServer(t, &Guard{Budget: budget})
+		stalled := s.connect()
+		stalled.post("/", announced, 450<<10)
+		s.eventually("bytes that count", func() bool { return budget.Used() >= 400<<10 })
+		time.Sleep(stallTime)
+		c := s.connect()
+		c.post("/", 480<<10, 480<<10)
+		if status, _ := c.answer(); status != http.StatusOK {
+			t.Errorf("announced %d: status %d", announced, status)
+		}
+		if status, _ := stalled.answer(); status != http.StatusRequestTimeout {
+			t.Errorf("announced %d: status of the stalled client %d", announced, status)
+		}
+	}
+}
+
+// Guards against room that a refused request takes until its connection has ended.
+func TestResponseWriter_RefusalGivesBack(t *testing.T) {
+	budget := &bytebudget.Budget{}
+	serverSide, clientSide := net.Pipe()
+	t.Cleanup(func() { _, _ = serverSide.Close(), clientSide.Close() })
+	c := newConn(&Guard{Budget: budget}, serverSide)
+	if err := c.hold(t.Context(), 1<<20); err != nil {
+		t.Fatal(err)
 	}
-	if status, _ := stalled.answer(); status != http.StatusRequestTimeout {
-		t.Errorf("status of the stalled client %d", status)
+	writer := &responseWriter{ResponseWriter: httptest.NewRecorder(), body: &body{conn: c}}
+	writer.WriteHeader(http.StatusRequestTimeout)
+	if used := budget.Used(); used != 0 {
+		t.Errorf("%d bytes used after the refusal", used)
 	}
 }
 
