--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -25,11 +25,10 @@
 	io.ReadCloser
 	conn *conn
 	ctx  context.Context
-	// read is the number of bytes that have arrived, since those of the current step of progress.
+	// read is the number of bytes that have arrived, sinceProgress that of those since the last progress.
 	read, sinceProgress int
-	// kept is what the handler keeps, if it has told.
-	kept    int
-	tellsIt bool
+	// tells is set once the handler has told what it keeps.
+	tells bool
 	// idleSince is when the handler last stopped waiting for the client.
 	idleSince time.Time
 	// complete is set when the whole body has been read.
@@ -51,7 +50,7 @@
 	if !b.endRead() {
 		return 0, Error.Wrap(ErrStalled)
 	}
-	if !b.tellsIt && n > 0 {
+	if !b.tells && n > 0 {
 		if full := b.hold(b.read); full != nil {
 			return 0, full
 		}
@@ -123,7 +122,7 @@
 	if b == nil {
 		return nil
 	}
-	b.tellsIt = true
+	b.tells = true
 	return b.hold(bytes)
 }
 
