ingress: a head that is refused below TLS gets no plain answer

A caller over TLS whose head is over the limit would find plain text in its encrypted stream. Found by reading. The connection ends now; net/http answers 431 itself where it gets the head.

Evidence: TestGuard_EncryptedHeadOverTheLimit, red without the change.

--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -83,6 +83,9 @@
 	c.guard.ended(refusal.reason, c)
 	c.release()
 	c.setPhase(closing)
+	if c.guard.Encrypted {
+		return
+	}
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", refusal.status, http.StatusText(refusal.status))
 	if refusal.retryAfter > 0 {
 		answer += fmt.Sprintf("Retry-After: %.2f\r\n", refusal.retryAfter.Seconds())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -50,6 +50,9 @@
 	MaxHead func() int
 	// Timeouts returns how long a client may take; it may change at any time. If nil, those of the server hold.
 	Timeouts func() Timeouts
+	// Encrypted tells that the connections carry TLS: a head that is refused before the server gets it has no
+	// answer then.
+	Encrypted bool
 	// RetryAfter is how long a caller should wait whose request is refused because memory is short.
 	RetryAfter time.Duration
 	// OnEnded, if set, is called for each connection or request that the guard ends.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -310,6 +310,17 @@
 	}
 }
 
+// Guards against plain text in the middle of an encrypted connection.
+func TestGuard_EncryptedHeadOverTheLimit(t *testing.T) {
+	s := newTestServer(t, &Guard{Budget: &bytebudget.Budget{}, Encrypted: true, MaxHead: func() int { return 8 << 10 }})
+	c := s.connect()
+	c.send("GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 30_000))
+	_ = c.conn.SetReadDeadline(time.Now().Add(waitLimit))
+	if answer, _ := io.ReadAll(c.reader); strings.Contains(string(answer), "431") {
+		t.Errorf("answer %q", answer)
+	}
+}
+
 // Guards against heads that together take more than the budget: short lines take many times their bytes.
 func TestGuard_HeadsCount(t *testing.T) {
 	budget := &bytebudget.Budget{Limit: 256 << 10}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,10 +131,11 @@
 	n.clients.set(ingress.Machine{
 		Megabytes: n.settings.Node.MemoryMegabytes, Requests: n.settings.Node.MaxStreams + spareConnections,
 	}.Limits())
+	files := n.settings.TLS.Serve
 	guard := n.newGuard(n.clients.Connections)
+	guard.Encrypted = files.Set()
 	guard.Protect(n.httpServer)
 	n.listener = guard.Listener(n.listener)
-	files := n.settings.TLS.Serve
 	if !files.Set() {
 		return nil
 	}
