--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -115,8 +115,9 @@
 	return err
 }
 
-// Keep sets how many bytes the handler of a request keeps in place of all that has arrived of its body, for a
-// handler that keeps less, or more in another form. It returns ErrMemoryShort if there is no room.
+// Keep sets how many bytes the handler of a request keeps, from now on in place of all that has arrived of its body:
+// for a handler that passes the body on, or makes copies of it. It returns ErrMemoryShort if there is no room. The
+// context is that of the request; for any other, Keep does nothing.
 func Keep(ctx context.Context, bytes int) error {
 	b, _ := ctx.Value(bodyKey{}).(*body)
 	if b == nil {
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -13,9 +13,9 @@
 	// maxReserved is the number of descriptors that are left to files, the store, other nodes and listeners.
 	// Processes with few descriptors reserve a third of them.
 	maxReserved = 300
-	// peerShare is the part of the descriptors' connections that a listener for other nodes may have, and
-	// maxPeerConnections the most, some more than a relay answers at the same time.
-	peerShare, maxPeerConnections = 4, 320
+	// peerDivisor divides the connections that the descriptors allow: so many may a listener for other nodes have,
+	// at most maxPeerConnections, some more than the calls that a relay answers at the same time.
+	peerDivisor, maxPeerConnections = 4, 320
 	// ProbeConnections is the number of connections of a listener for probes and metrics.
 	ProbeConnections = 16
 	// defaultDescriptors is the number of descriptors of a process that cannot tell it.
@@ -56,7 +56,7 @@
 	byDescriptors := (descriptors - min(maxReserved, descriptors/3)) / 2
 	connections := max(minConnections, min(byMemory, byDescriptors))
 	return Limits{
-		Connections: connections, PeerConnections: max(minConnections, min(maxPeerConnections, byDescriptors/peerShare)),
+		Connections: connections, PeerConnections: max(minConnections, min(maxPeerConnections, byDescriptors/peerDivisor)),
 		Bytes: int64(memory * bodyShare),
 	}
 }
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -33,6 +33,6 @@
 			return c, nil
 		}
 		l.guard.ended(ConnectionRefused, c)
-		_ = accepted.Close()
+		_ = c.Close()
 	}
 }
