node: a node whose server cannot be built returns its error

Found by reading the change as a newcomer: the listener was protected even if the server had not been built, so Start would have panicked on a nil server in place of returning the error. No test: nothing outside can make the server's construction fail. A comment says when a handler aborts its connection.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -24,6 +24,7 @@
 			return
 		}
 		if !c.setPhase(processing) {
+			// The connection made room for a new one after its head had been read.
 			panic(http.ErrAbortHandler)
 		}
 		if r.Body == nil || r.Body == http.NoBody {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,10 @@
 		return nil, err
 	}
 	n.build(log)
-	if err := errors.Join(n.buildServer(), n.protect()); err != nil {
+	if err := n.buildServer(); err != nil {
+		return nil, Error.Wrap(errors.Join(err, n.listener.Close()))
+	}
+	if err := n.protect(); err != nil {
 		return nil, Error.Wrap(errors.Join(err, n.listener.Close()))
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
