dialer: a reset during an upload does not complete the answer

Callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The part was passed on as a complete answer.

Cause: the kernel reports a reset once. If the write of the upload takes the error, the read meets a plain end of the connection, which completes a body without a length.

Why it works: a connection remembers the first write that failed, and a read that meets the end first ends a write under way, since the write that took the error may not have returned.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -91,8 +91,8 @@
 // NewClient returns a client with its own connection pools. counter, which may be nil, counts the
 // bytes of control traffic.
 func NewClient(counter *traffic.Counter) *Client {
-	dial := dialer.New(dialTimeout).DialContext
-	controlDial := traffic.DialContext(dial)
+	dial := dialer.ReportResets(dialer.New(dialTimeout).DialContext)
+	controlDial := dial
 	if counter != nil {
 		controlDial = counter.Dial(dial)
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -91,7 +91,7 @@
 // countedTransport returns a transport whose bytes count as control traffic.
 func (n *Node) countedTransport() http.RoundTripper {
 	return &http.Transport{
-		DialContext:         n.control.Dial(dialer.New(callTimeout).DialContext),
+		DialContext:         n.control.Dial(dialer.ReportResets(dialer.New(callTimeout).DialContext)),
 		MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
 	}
 }
