httpfield: a response with a malformed name of a field is no answer

Callers saw: a replica in trouble sent an answer in whose head the name of a field held a blank. The line was passed on; behind "Content-Length :" the body ran to the end of the connection, and behind "Transfer-Encoding :" the sizes of the chunks were passed on as part of the body.

Cause: net/http refuses control bytes, tabs, delimiters and bytes over 127 in names, but takes blanks, and files the field under the name with the blank, so that no framing applies.

A failure with such a head is as broken as a success, so the outcome is unknown.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/dialer"
+	"github.com/wheelhoist/wheelhoist/internal/httpfield"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
@@ -102,8 +103,8 @@
 	}
 }
 
-func newTransport(dial traffic.DialContext, idle int) *http.Transport {
-	return &http.Transport{
+func newTransport(dial traffic.DialContext, idle int) http.RoundTripper {
+	return httpfield.Transport{Transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     time.Minute,
@@ -112,7 +113,7 @@
 		ReadBufferSize:      8 << 10,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 }
 
 // Close closes idle connections.
--- /dev/null
+++ b/internal/httpfield/httpfield.go
@@ -0,0 +1,40 @@
+// Package httpfield checks the names of the fields in the heads of HTTP responses.
+package httpfield
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformedName reports a response whose head has a field with a malformed name.
+var ErrMalformedName = errors.New("malformed name of a field")
+
+// CheckNames returns ErrMalformedName unless the names of all fields are tokens (RFC 9112, section 5.1). Package
+// http accepts blanks in them: a length or an encoding behind such a name is not applied to the body.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: %.32q", ErrMalformedName, name)
+		}
+	}
+	return nil
+}
+
+// Transport is an http.Transport that fails the requests whose responses have malformed names.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckNames(response.Header); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/httpfield"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/relay"
@@ -72,7 +73,9 @@
 func newRelays(from int, metrics *coreMetrics) *relays {
 	return &relays{
 		from: from, metrics: metrics, logs: map[feedGroup]*relay.Log{}, feeds: map[feedGroup]*relay.Feed{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: feedGroups, MaxResponseHeaderBytes: maxPeerHeader}},
+		client: &http.Client{Transport: httpfield.Transport{
+			Transport: &http.Transport{MaxIdleConnsPerHost: feedGroups, MaxResponseHeaderBytes: maxPeerHeader},
+		}},
 	}
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,6 +8,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/dialer"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
+	"github.com/wheelhoist/wheelhoist/internal/httpfield"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/server"
@@ -90,10 +91,10 @@
 
 // countedTransport returns a transport whose bytes count as control traffic.
 func (n *Node) countedTransport() http.RoundTripper {
-	return &http.Transport{
+	return httpfield.Transport{Transport: &http.Transport{
 		DialContext:         n.control.Dial(dialer.ReportResets(dialer.New(callTimeout).DialContext)),
 		MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
-	}
+	}}
 }
 
 // transport returns the transport to the table and the object store.
