node, forward: a planned stop refuses what it cannot finish

Callers saw: requests whose body ended late in the grace period of a planned stop were sent to a replica, run, and cut without an answer when the process ended, among them requests that may not be repeated.

Cause: Gateway.Stop knows when the process ends; nothing between the end of a body and an attempt did, nor waits for capacity, retries and claims.

Evidence: TestGateway_StopAnswersLateRequests was red before: of 16 late requests six were run and cut, four cut before their body had ended. TestGateway_StopAnswersWhatTakesTooLong was red before (no answer).

Why it works: before each attempt and each wait, a request whose answer could not come before the stop ends is refused as not run. The longest answer of its route in the last minutes says how long that takes; what is complete before callers have left is served as before. What is still open 0.2 s before the last moment is answered: 503 if it has not run, 504 if it may have; a body that is still arriving ends then. A request whose own deadline comes first is served. Items of jobs are handed back, as before.

Ruled out: the timeout of the route as the time that a request needs would refuse nearly all requests of a stop; a quantile of the answers would cut the longest ones. Deadlines sent to replicas are unchanged.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/bytebudget"
@@ -76,6 +77,10 @@
 
 	// answers bounds what all answers keep in memory together.
 	answers bytebudget.Budget
+	// answerTimes are those of online requests.
+	answerTimes answerTimes
+	// stop is the planned stop of this node; nil if none has begun.
+	stop atomic.Pointer[PlannedStop]
 }
 
 // call is the state of one request.
@@ -194,6 +199,9 @@
 func (c *call) run(ctx context.Context) error {
 	defer c.endTrial()
 	for {
+		if err := c.checkStop(); err != nil {
+			return c.withOutcome(err)
+		}
 		if err := c.checkQuarantine(ctx); err != nil {
 			return c.withOutcome(err)
 		}
@@ -219,10 +227,15 @@
 		if now := clock.Now(); !c.hasTimeFor(chosen, now) {
 			return c.withOutcome(c.outOfTimeError(now))
 		}
+		// The reservation and the trial may have taken long.
+		if err := c.checkStop(); err != nil {
+			return c.withOutcome(err)
+		}
 		began := clock.Now()
 		err = c.attempt(ctx, chosen)
 		c.reportToQuarantine(ctx, chosen, began, err)
 		if err == nil {
+			c.recordAnswerTime(began)
 			return nil
 		}
 		c.confirmSoftware()
@@ -249,12 +262,17 @@
 	}
 }
 
-// contextError distinguishes a timeout from a caller that disconnected.
+// contextError distinguishes a timeout and the stop of this node from a caller that disconnected.
 func contextError(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), ErrTimeout) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, ErrTimeout):
 		return ErrTimeout
+	case errors.Is(cause, ErrStopping):
+		return ErrStopping
+	default:
+		return ErrCallerDisconnected
 	}
-	return ErrCallerDisconnected
 }
 
 // withOutcome wraps the final error of a request with the outcome of the request.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -90,12 +90,16 @@
 	markCrashesKnown func()
 
 	stopping atomic.Bool
-	cancel   context.CancelFunc
+	// requests is done once open requests must end; endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	cancel      context.CancelFunc
 }
 
 // StartGateway builds a gateway and starts it. It serves requests once it knows its routes.
 func StartGateway(ctx context.Context, config *settings.Settings, log zerolog.Logger) (*Gateway, error) {
 	g := &Gateway{settings: config, broadcastLimiter: rate.NewLimiter(rate.Every(broadcastInterval), 1), startedAt: clock.Now()}
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	if config.Gateway.MemoryMegabytes > 0 {
 		LimitMemory(config.Gateway.MemoryMegabytes)
 	}
@@ -220,7 +224,7 @@
 		handler http.Handler
 		guard   *ingress.Guard
 	}{
-		{g.settings.Node.Listen, front, callers},
+		{g.settings.Node.Listen, g.endWithStop(front), callers},
 		{g.settings.Gateway.Readiness, front.ReadyHandler(), g.newGuard(ingress.ProbeConnections)},
 		{g.settings.Gateway.Metrics, g.statusHandler(), g.newGuard(ingress.ProbeConnections)},
 	}
--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/forward"
 )
 
 const (
@@ -13,12 +15,15 @@
 	stopNotice = 2600 * time.Millisecond
 	// stopReserve is the part of the grace period reserved for the last steps.
 	stopReserve = 600 * time.Millisecond
+	// answerReserve is the part before that in which requests that are still open are answered.
+	answerReserve = 200 * time.Millisecond
 	// defaultGrace is the grace period if the settings define none.
 	defaultGrace = 8 * time.Second
 )
 
 // Stop stops the gateway without interrupting requests: it fails readiness at once, serves while
-// callers may still arrive, completes open requests and returns within the grace period.
+// callers may still arrive, completes open requests and returns within the grace period. It refuses
+// requests that could not be answered until then.
 func (g *Gateway) Stop() {
 	began := clock.Now()
 	grace := time.Duration(g.settings.Gateway.Grace)
@@ -29,14 +34,20 @@
 	g.log.Info().Dur("grace_ms", grace).Msg("gateway stopping")
 	ctx, cancel := clock.WithDeadline(context.Background(), began.Add(grace-stopReserve), context.DeadlineExceeded)
 	defer cancel()
+	notice := min(stopNotice, grace/2)
+	answersEnd := began.Add(grace - stopReserve - answerReserve)
+	g.forwarder.BeginStop(forward.PlannedStop{NoticeEnd: began.Add(notice), End: answersEnd})
+	ending, cancelEnding := clock.WithDeadline(context.Background(), answersEnd, forward.ErrStopping)
+	defer cancelEnding()
+	context.AfterFunc(ending, func() { g.endRequests(forward.ErrStopping) })
 	handedBack := make(chan struct{})
 	go func() {
 		g.handBackJobs(ctx)
 		close(handedBack)
 	}()
-	time.Sleep(min(stopNotice, grace/2))
+	time.Sleep(notice)
 	for _, server := range g.servers {
-		// Requests still open at the deadline are cut off when the process exits.
+		// Answers still relayed at the deadline are cut off when the process exits.
 		_ = server.Shutdown(ctx)
 	}
 	<-handedBack
@@ -48,6 +59,21 @@
 	g.log.Info().Dur("took_ms", clock.Since(began)).Msg("gateway stopped")
 }
 
+// endWithStop ends requests that are still open when a planned stop leaves no more time for them.
+func (g *Gateway) endWithStop(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		stop := context.AfterFunc(g.requests, func() {
+			cancel(context.Cause(g.requests))
+			// The handler may be reading the body, which does not end with the context.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+		})
+		defer stop()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 // Kill stops the gateway immediately, like a crash. It is for tests.
 func (g *Gateway) Kill() {
 	for _, server := range g.servers {
