node: the only version of a pool is concluded from a list read now

Callers saw: while replicas of a new version joined, a node that was out of step for a few seconds (cut off, or standing still) continued streams that had begun at the new version elsewhere at the version that it knew.

Cause: a stream whose origin is not recorded is continued if its pool has run a single version, by a list of replicas of at most 3 s. That is older than a release may be. Streams that name no earlier request asked nobody; named ones gave up on replies that had arrived while the node stood still.

Why it works: the row of a replica is in the store before any stream begins at the replica. A node therefore concludes a single version only from a list that it read after the lookup began, by a call for changes beside its watcher; lookups share such calls. If another version has joined by then, a named stream is looked up once more. An origin at a version that is not listed is refused only once the list was read again.

Ruled out: a shorter age of the list allows a release within it; refusing without a read loses streams that could go on.

A node that cannot read the list refuses such streams, for up to 3 s more than before. Pools whose replicas report no version need no list, as before.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
+	"github.com/wheelhoist/wheelhoist/internal/coalesce"
 	"github.com/wheelhoist/wheelhoist/internal/ingress"
 	"github.com/wheelhoist/wheelhoist/internal/jobs"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
@@ -81,6 +82,8 @@
 
 	configWatch  *table.Watcher
 	replicaWatch *table.Watcher
+	// listReads are reads of the replica list beside those of replicaWatch.
+	listReads coalesce.Runs
 
 	servers   []*http.Server
 	listeners []net.Listener
--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -50,12 +50,22 @@
 	isRead bool
 	// membersAsked is set once the nodes to ask are known, and asked.
 	membersAsked bool
-	// lastAskedAt is when the last of them was asked for the first time.
+	// lastAskedAt is when the last of them was asked for the first time since the lookup last began to ask.
 	lastAskedAt time.Time
+	// listed is set if this node has read the list of replicas for the lookup.
+	listed bool
 }
 
 // run returns the origin of the stream and where it was found.
 func (l *originLookup) run(ctx context.Context) (streams.Origin, originSource) {
+	origin, source := l.search(ctx)
+	if source != originUnknown {
+		l.awaitListed(ctx, origin)
+	}
+	return origin, source
+}
+
+func (l *originLookup) search(ctx context.Context) (streams.Origin, originSource) {
 	if l.query.Named {
 		if origin, known := l.origins.registry.Get(l.query.ID); known {
 			return origin, originHere
@@ -68,16 +78,64 @@
 		}
 		l.refreshHistory()
 	}
+	severalBefore := l.history.Several
+	if origin, source := l.conclude(ctx); source != originUnknown {
+		return origin, source
+	}
+	if l.query.Named && l.history.Several && !severalBefore {
+		// Another version has joined: the table has origins now, and nodes that were silent may reply.
+		return l.ask(ctx)
+	}
+	return streams.Origin{}, originUnknown
+}
+
+// conclude returns the origin of a stream whose pool has run a single software version. Replicas of another one may
+// have joined, and begun the stream, since this node has read the list, so it does so once more; replicas that report
+// no version are not told apart by any list.
+func (l *originLookup) conclude(ctx context.Context) (streams.Origin, originSource) {
+	version, known := l.onlyVersion()
+	if known && version != "" {
+		version, known = l.confirmOnlyVersion(ctx)
+	}
+	if !known {
+		return streams.Origin{}, originUnknown
+	}
+	return streams.Origin{Pool: l.query.Pool, SoftwareVersion: version}, originOnlyVersion
+}
+
+// onlyVersion returns the only software version that the pool has run, by the list that this node has read, or by
+// what others report of the time before.
+func (l *originLookup) onlyVersion() (version string, known bool) {
 	switch {
 	case l.history.Several:
-		return streams.Origin{}, originUnknown
+		return "", false
 	case l.history.Single:
-		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.history.Version}, originOnlyVersion
+		return l.history.Version, true
 	case l.needed > 0 && l.witnesses >= l.needed:
-		return streams.Origin{Pool: l.query.Pool, SoftwareVersion: l.version}, originOnlyVersion
+		return l.version, true
 	default:
-		return streams.Origin{}, originUnknown
+		return "", false
+	}
+}
+
+// confirmOnlyVersion is like onlyVersion, by a list that is read now.
+func (l *originLookup) confirmOnlyVersion(ctx context.Context) (version string, known bool) {
+	if l.listed = l.origins.gateway.confirmListWithin(ctx, originLookupTimeout) == nil; !l.listed {
+		return "", false
+	}
+	l.refreshHistory()
+	return l.onlyVersion()
+}
+
+// awaitListed waits until this node has read the list of replicas once more if that shows none of the version of
+// the origin.
+func (l *originLookup) awaitListed(ctx context.Context, origin streams.Origin) {
+	gateway := l.origins.gateway
+	if origin.SoftwareVersion == "" || slices.Contains(gateway.replicas.PoolSoftware(origin.Pool, clock.Now()), origin.SoftwareVersion) {
+		return
 	}
+	// After an error the request is refused, as without replicas of the version.
+	l.listed = gateway.confirmListWithin(ctx, originLookupTimeout) == nil
 }
 
 // refreshHistory brings the history up to date. A node that has just started may not have read the list of
@@ -105,6 +163,7 @@
 	defer l.origins.pending.Forget(message.ID)
 	resend := time.NewTicker(originRequeryInterval)
 	defer resend.Stop()
+	l.lastAskedAt = clock.Now()
 	l.send(message)
 	for l.isOpen() {
 		l.readTable(ctx)
--- a/internal/node/gatewaystreams.go
+++ b/internal/node/gatewaystreams.go
@@ -175,7 +175,7 @@
 	log.Info().Str("resumes", lookup.query.Name).Hex("stream", lookup.query.ID[:]).Str("pool", lookup.query.Pool).
 		Str("found", string(source)).Str("software", origin.SoftwareVersion).Bool("ambiguous", origin.Ambiguous).
 		Int("asked", len(lookup.asked)).Int("silent", len(lookup.silent)).Int("nodes", len(o.gateway.nodes.others())).
-		Bool("several_versions", lookup.history.Several).Dur("uptime_ms", clock.Since(o.gateway.startedAt)).Dur("took_ms", took).
+		Bool("several_versions", lookup.history.Several).Bool("list_read", lookup.listed).Dur("uptime_ms", clock.Since(o.gateway.startedAt)).Dur("took_ms", took).
 		Msg("stream origin looked up")
 }
 
--- a/internal/node/gatewaystreams_test.go
+++ b/internal/node/gatewaystreams_test.go
@@ -56,6 +56,8 @@
 	versions map[string]bool
 	// requests is the number of requests, continued the number that went on after an event.
 	requests, continued int
+	// unnamed requests do not name the one that received the first event.
+	unnamed bool
 	// onFirst, if set, is called for the first event.
 	onFirst func()
 }
@@ -78,6 +80,8 @@
 	after := len(c.events)
 	if after > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(after))
+	}
+	if after > 0 && !c.unnamed {
 		request.Header.Set("Resumes", c.first)
 	}
 	c.requests++
