--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,7 +16,7 @@
 
 	"github.com/wheelhoist/wheelhoist/api/openai"
 	"github.com/wheelhoist/wheelhoist/internal/dialer"
-	"github.com/wheelhoist/wheelhoist/internal/httpfield"
+	"github.com/wheelhoist/wheelhoist/internal/httphead"
 	"github.com/wheelhoist/wheelhoist/internal/outcome"
 	"github.com/wheelhoist/wheelhoist/internal/traffic"
 )
@@ -104,7 +104,7 @@
 }
 
 func newTransport(dial traffic.DialContext, idle int) http.RoundTripper {
-	return httpfield.Transport{Transport: &http.Transport{
+	return httphead.Transport{Transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     time.Minute,
--- a/internal/httpfield/httpfield.go
+++ b/internal/httphead/httphead.go
@@ -1,5 +1,5 @@
-// Package httpfield checks the names of the fields in the heads of HTTP responses.
-package httpfield
+// Package httphead checks the heads of HTTP responses for what package http accepts though it is malformed.
+package httphead
 
 import (
 	"errors"
--- a/internal/httpfield/httpfield_test.go
+++ b/internal/httphead/httphead_test.go
@@ -1,4 +1,4 @@
-package httpfield
+package httphead
 
 import (
 	"bufio"
--- a/internal/node/gatewaylistcopy.go
+++ b/internal/node/gatewaylistcopy.go
@@ -12,7 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
-	"github.com/wheelhoist/wheelhoist/internal/httpfield"
+	"github.com/wheelhoist/wheelhoist/internal/httphead"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/listcopy"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
@@ -135,7 +135,7 @@
 
 // peerTransport returns a transport for single requests to other nodes.
 func peerTransport() http.RoundTripper {
-	return httpfield.Transport{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeader}}
+	return httphead.Transport{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeader}}
 }
 
 // fetchState requests the state that a node serves under a path, and decodes it into dst.
--- a/internal/node/gatewayrelay.go
+++ b/internal/node/gatewayrelay.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/wheelhoist/wheelhoist/internal/clock"
-	"github.com/wheelhoist/wheelhoist/internal/httpfield"
+	"github.com/wheelhoist/wheelhoist/internal/httphead"
 	"github.com/wheelhoist/wheelhoist/internal/lease"
 	"github.com/wheelhoist/wheelhoist/internal/place"
 	"github.com/wheelhoist/wheelhoist/internal/relay"
@@ -73,7 +73,7 @@
 func newRelays(from int, metrics *coreMetrics) *relays {
 	return &relays{
 		from: from, metrics: metrics, logs: map[feedGroup]*relay.Log{}, feeds: map[feedGroup]*relay.Feed{},
-		client: &http.Client{Transport: httpfield.Transport{
+		client: &http.Client{Transport: httphead.Transport{
 			Transport: &http.Transport{MaxIdleConnsPerHost: feedGroups, MaxResponseHeaderBytes: maxPeerHeader},
 		}},
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,7 +8,7 @@
 	"github.com/wheelhoist/wheelhoist/internal/clock"
 	"github.com/wheelhoist/wheelhoist/internal/dialer"
 	"github.com/wheelhoist/wheelhoist/internal/engine"
-	"github.com/wheelhoist/wheelhoist/internal/httpfield"
+	"github.com/wheelhoist/wheelhoist/internal/httphead"
 	"github.com/wheelhoist/wheelhoist/internal/inventory"
 	"github.com/wheelhoist/wheelhoist/internal/replica"
 	"github.com/wheelhoist/wheelhoist/internal/server"
@@ -91,7 +91,7 @@
 
 // countedTransport returns a transport whose bytes count as control traffic.
 func (n *Node) countedTransport() http.RoundTripper {
-	return httpfield.Transport{Transport: &http.Transport{
+	return httphead.Transport{Transport: &http.Transport{
 		DialContext:         n.control.Dial(dialer.ReportResets(dialer.New(callTimeout).DialContext)),
 		MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute,
 	}}
