httphead: an impossible status of an engine or the store is no answer

Callers saw (by a test only): an engine in trouble that answered with the status 000, 099 or 101 had its answer passed on as a refusal (422, also as the result of an item), and an upload to the store that was answered so counted as done.

Cause: package http takes any three digits, and what reads the answers looked only for 300 and above, or took all that is not 200 for a refusal.

Evidence: TestBackend_BrokenAnswersAreNoAnswers and TestStore_ImpossibleStatusesAreNoAnswer were red before in these forms; 199 and 600 and above were green and stay as guards.

Why it works: the transports to engines, to the store, table and objects, and to other nodes check the status beside the names. The outcome of such a call is unknown.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -12,6 +12,12 @@
 // ErrMalformedName reports a response whose head has a field with a malformed name.
 var ErrMalformedName = errors.New("malformed name of a field")
 
+// ErrImpossibleStatus reports a response whose status HTTP does not have, or that only comes before a response.
+var ErrImpossibleStatus = errors.New("impossible status")
+
+// maxStatus is the largest status (RFC 9110, section 15).
+const maxStatus = 599
+
 // CheckNames returns ErrMalformedName unless the names of all fields are tokens (RFC 9112, section 5.1). Package
 // http accepts blanks in them: a length or an encoding behind such a name is not applied to the body.
 func CheckNames(header http.Header) error {
@@ -23,7 +29,16 @@
 	return nil
 }
 
-// Transport is an http.Transport that fails the requests whose responses have malformed names.
+// checkStatus returns ErrImpossibleStatus unless a status is that of a final response.
+func checkStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return fmt.Errorf("%w: %d", ErrImpossibleStatus, status)
+	}
+	return nil
+}
+
+// Transport is an http.Transport that fails the requests whose responses have malformed names or impossible
+// statuses.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -32,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckNames(response.Header); err != nil {
+	if err := errors.Join(checkStatus(response.StatusCode), CheckNames(response.Header)); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
