engine: a refusal that was cut is no answer

Callers saw (by a test only): the answer of an engine that refused a request and broke off was passed on as a whole refusal with a part of its text (422), also as the result of an item; a cut 503 counted as a promise that the request had not run.

Cause: refusalError ignored the error of the read.

Evidence: two cases of TestBackend_BrokenAnswersAreNoAnswers were red before and are green now.

Why it works: the error of the read makes the outcome unknown.

--- a/internal/engine/brokenhead_test.go
+++ b/internal/engine/brokenhead_test.go
@@ -40,13 +40,15 @@
 	const framed = "\r\nContent-Length: 2\r\n\r\nno"
 	for name, answer := range map[string]string{
 		// The chunks would be read as the body.
-		"malformed name":     "HTTP/1.1 400 Bad Request\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
-		"status 000":         "HTTP/1.1 000 Status" + framed,
-		"status 099":         "HTTP/1.1 099 Status" + framed,
-		"status 199":         "HTTP/1.1 199 Status" + framed,
-		"status 600":         "HTTP/1.1 600 Status" + framed,
-		"status 999":         "HTTP/1.1 999 Status" + framed,
-		"switched protocols": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"malformed name":        "HTTP/1.1 400 Bad Request\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"status 000":            "HTTP/1.1 000 Status" + framed,
+		"status 099":            "HTTP/1.1 099 Status" + framed,
+		"status 199":            "HTTP/1.1 199 Status" + framed,
+		"status 600":            "HTTP/1.1 600 Status" + framed,
+		"status 999":            "HTTP/1.1 999 Status" + framed,
+		"switched protocols":    "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"refusal that was cut":  "HTTP/1.1 400 Bad Request\r\nContent-Length: 20\r\n\r\nthe prompt",
+		"overload that was cut": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 20\r\n\r\nthe",
 	} {
 		t.Run(name, func(t *testing.T) {
 			client := NewClient(nil)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -241,11 +241,14 @@
 }
 
 // refusalError returns the error for an answer without success: a RefusalError, or an error with an unknown
-// outcome if the engine failed at what it may have begun.
+// outcome if the answer was cut, or if the engine failed at what it may have begun.
 func refusalError(response *http.Response) error {
 	const maxRefusalBytes = 4096
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
 	_ = response.Body.Close()
+	if err != nil {
+		return Error.Wrap(outcome.AsUnknown(fmt.Errorf("%w: status %d: %w", ErrBroken, response.StatusCode, err)))
+	}
 	var answer openai.ErrorAnswer
 	message := strings.TrimSpace(string(body))
 	if json.Unmarshal(body, &answer) == nil && answer.Error.Message != "" {
