node: an old list that shows a stream's version does not delay the stream

The read is for a version that the list does not show; whether it does is now asked of the list as it is.

--- a/internal/replica/software.go
+++ b/internal/replica/software.go
@@ -169,6 +169,13 @@
 	return s.listedSoftware(pool)
 }
 
+// ListsSoftware reports whether a replica of a pool is listed with a software version, however old the list is.
+func (s *Set) ListsSoftware(pool, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.pool(pool), func(e *entry) bool { return e.info.SoftwareVersion == version })
+}
+
 // softwareListKnown reports whether the list shows all versions but those that were first listed within the last
 // maxSoftwareListAge. The caller holds mu.
 func (s *Set) softwareListKnown(now time.Time) bool {
--- a/internal/replica/software_test.go
+++ b/internal/replica/software_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// Guards against a listed version that counts as not listed while the list is old.
+func TestSet_ListsSoftware(t *testing.T) {
+	set, now := NewSet(), time.Now()
+	set.Put(Info{ID: "a", Pool: "p", SoftwareVersion: "v1"})
+	set.SetListTime(now.Add(-time.Hour), now)
+	for version, listed := range map[string]bool{"v1": true, "v2": false} {
+		if set.ListsSoftware("p", version) != listed {
+			t.Errorf("%s: listed %v", version, !listed)
+		}
+	}
+	if set.ListsSoftware("other", "v1") {
+		t.Error("listed in another pool")
+	}
+}
+
 // Guards against a change of the software version that is taken for the same start, if rows have no
 // start time.
 func TestSameStart_SoftwareVersionDistinguishesStarts(t *testing.T) {
