node: answers that have begun outlast the end of requests in a stop

Found by reading: the end of open requests, 0.2 s before the last moment of a planned stop, also cut streams that would have gone on until then, and ended in time in some cases.

Evidence: TestGateway_StreamsOutlastTheEndOfRequests is red without the exemption (the stream ends after three of six events), green with it.

Also: an ambiguous origin, which is refused anyway, does not wait for a read of the list of replicas.

--- a/internal/node/gatewayfront.go
+++ b/internal/node/gatewayfront.go
@@ -58,7 +58,7 @@
 	if err := g.admit(r.Context(), request); err != nil {
 		return forward.Result{}, err
 	}
-	result, err := g.forward(r.Context(), target, request, sink)
+	result, err := g.forward(r.Context(), target, request, exemptingSink{sink, r.Context()})
 	if err != nil && outcome.Of(err) == outcome.NotDone {
 		g.quota.Limiter.Refund(request.Tenant)
 	}
--- a/internal/node/gatewayoriginlookup.go
+++ b/internal/node/gatewayoriginlookup.go
@@ -131,7 +131,7 @@
 // the origin.
 func (l *originLookup) awaitListed(ctx context.Context, origin streams.Origin) {
 	gateway := l.origins.gateway
-	if origin.SoftwareVersion == "" || gateway.replicas.ListsSoftware(origin.Pool, origin.SoftwareVersion) {
+	if origin.Ambiguous || origin.SoftwareVersion == "" || gateway.replicas.ListsSoftware(origin.Pool, origin.SoftwareVersion) {
 		return
 	}
 	// After an error the request is refused, as without replicas of the version.
--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -59,7 +59,7 @@
 	g.log.Info().Dur("took_ms", clock.Since(began)).Msg("gateway stopped")
 }
 
-// endWithStop ends requests that are still open when a planned stop leaves no more time for them.
+// endWithStop ends requests whose answers have not begun when a planned stop leaves no more time for them.
 func (g *Gateway) endWithStop(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancelCause(r.Context())
@@ -70,10 +70,27 @@
 			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 		})
 		defer stop()
-		next.ServeHTTP(w, r.WithContext(ctx))
+		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, endKey{}, stop)))
 	})
 }
 
+// endKey is the context key of the function that exempts a request from endWithStop.
+type endKey struct{}
+
+// exemptingSink exempts a request from endWithStop once its answer begins. The answer goes on until the process ends.
+type exemptingSink struct {
+	forward.Sink
+	ctx context.Context
+}
+
+// Head implements forward.Sink.
+func (s exemptingSink) Head(status int, header http.Header) error {
+	if exempt, ok := s.ctx.Value(endKey{}).(func() bool); ok {
+		exempt()
+	}
+	return s.Sink.Head(status, header)
+}
+
 // Kill stops the gateway immediately, like a crash. It is for tests.
 func (g *Gateway) Kill() {
 	for _, server := range g.servers {
--- a/internal/node/gatewaystop_test.go
+++ b/internal/node/gatewaystop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/wheelhoist/wheelhoist/internal/forward"
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
@@ -131,3 +132,28 @@
 		t.Errorf("status %d, %v; want 504, since the request may have run", answer.status, answer.err)
 	}
 }
+
+// Guards against a stream that is cut while there is still time, because requests without an answer must end.
+func TestGateway_StreamsOutlastTheEndOfRequests(t *testing.T) {
+	site := newGatewaySite(t, 1)
+	site.servers[0].EventTime = 100 * time.Millisecond
+	site.configure(2, "once", "plain")
+	gateway := site.start("a")
+	site.eventually("routes in force", func() bool { return gateway.routes.Load().Version == 2 })
+	stream := openLate(t, gateway, "/once/x", "stream")
+	_, _ = io.WriteString(stream, "dy")
+	begun, err := http.ReadResponse(bufio.NewReader(stream), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, plain := openLate(t, gateway, "/plain/x", "plain"), make(chan lateAnswer, 1)
+	go func() { plain <- endLate(conn, time.Millisecond) }()
+	site.eventually("the plain request runs", func() bool { return len(site.servers[0].Runs()) == 2 })
+	gateway.endRequests(forward.ErrStopping)
+	if answer := <-plain; answer.err != nil || answer.status != http.StatusGatewayTimeout {
+		t.Errorf("plain: status %d, %v; want 504", answer.status, answer.err)
+	}
+	if text, err := io.ReadAll(begun.Body); err != nil || string(text) != wholeStream() {
+		t.Errorf("stream: %q, %v", text, err)
+	}
+}
