--- a/internal/node/gatewaystop.go
+++ b/internal/node/gatewaystop.go
@@ -35,11 +35,8 @@
 	ctx, cancel := clock.WithDeadline(context.Background(), began.Add(grace-stopReserve), context.DeadlineExceeded)
 	defer cancel()
 	notice := min(stopNotice, grace/2)
-	answersEnd := began.Add(grace - stopReserve - answerReserve)
-	g.forwarder.BeginStop(forward.PlannedStop{NoticeEnd: began.Add(notice), End: answersEnd})
-	ending, cancelEnding := clock.WithDeadline(context.Background(), answersEnd, forward.ErrStopping)
-	defer cancelEnding()
-	context.AfterFunc(ending, func() { g.endRequests(forward.ErrStopping) })
+	endRequests := g.beginStop(forward.PlannedStop{NoticeEnd: began.Add(notice), End: began.Add(grace - stopReserve - answerReserve)})
+	defer endRequests()
 	handedBack := make(chan struct{})
 	go func() {
 		g.handBackJobs(ctx)
@@ -59,6 +56,14 @@
 	g.log.Info().Dur("took_ms", clock.Since(began)).Msg("gateway stopped")
 }
 
+// beginStop makes requests end in time for a planned stop. The returned function ends those that are open.
+func (g *Gateway) beginStop(stop forward.PlannedStop) (end context.CancelFunc) {
+	g.forwarder.BeginStop(stop)
+	ending, end := clock.WithDeadline(context.Background(), stop.End, forward.ErrStopping)
+	context.AfterFunc(ending, func() { g.endRequests(forward.ErrStopping) })
+	return end
+}
+
 // endWithStop ends requests whose answers have not begun when a planned stop leaves no more time for them.
 func (g *Gateway) endWithStop(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
