review: case 6, streams with events of two software versions

Promise: ORDER: a stream goes on only at the software version that began it.

Order of events: an idle server starts again under its id with v2, the first of its pool, and gets streams before its entry in the list shows that; it crashes 0.7 s after its start. The store answers all the time.

What was seen: its 8 streams, of 48, go on at servers of v1 in the same answer, which ends as whole: 15 events of v2 and 25 of v1. The nodes take their begin for one of v1, as the list says.

--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -33,6 +33,7 @@
 // cases are the scripts by name. Each returns whether the rule held.
 var cases = map[string]func(*lab) bool{
 	"restart": restartCase, "reborn": rebornCase, "manyitems": manyItemsCase, "memory": memoryCase, "expiry": expiryCase,
+	"versions": versionsCase,
 }
 
 // lab is the surroundings of one case.
@@ -61,8 +62,8 @@
 }
 
 func main() {
-	if len(os.Args) == 7 && os.Args[1] == "server" {
-		os.Exit(serverMain(os.Args[2], os.Args[3], number(os.Args[4]), number(os.Args[5]), number(os.Args[6])))
+	if len(os.Args) == 8 && os.Args[1] == "server" {
+		os.Exit(serverMain(os.Args[2], os.Args[3], os.Args[4], number(os.Args[5]), number(os.Args[6]), number(os.Args[7])))
 	}
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: lab-2 CASE NODE-PROGRAM RECORD")
--- a/review/lab-2/server.go
+++ b/review/lab-2/server.go
@@ -14,9 +14,12 @@
 	"github.com/wheelhoist/wheelhoist/platform/standin"
 )
 
-// serverMain is the process of a model server whose answers have neither a length nor chunks.
-func serverMain(address, id string, events, eventMs, slots int) int {
-	server := &standin.Server{ID: id, Events: events, EventTime: time.Duration(eventMs) * time.Millisecond, Slots: slots, Unframed: true}
+// serverMain is the process of a model server. If version is empty its answers have neither a length nor chunks, else
+// chunks, and the version in each event.
+func serverMain(address, id, version string, events, eventMs, slots int) int {
+	server := &standin.Server{
+		ID: id, Version: version, Events: events, EventTime: time.Duration(eventMs) * time.Millisecond, Slots: slots, Unframed: version == "",
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -28,8 +31,11 @@
 
 // serverProcess is a model server in a process of its own, behind a link that can be cut.
 type serverProcess struct {
-	lab             *lab
-	id, address     string
+	lab         *lab
+	id, address string
+	// version is the software version; empty if it reports none, nor when it started.
+	version         string
+	started         time.Time
 	zone            string
 	events, eventMs int
 	slots           int
@@ -40,9 +46,10 @@
 func (s *serverProcess) start() {
 	program, err := os.Executable()
 	check(err)
-	s.command = exec.Command(program, "server", s.address, s.id, strconv.Itoa(s.events), strconv.Itoa(s.eventMs), strconv.Itoa(s.slots))
+	s.command = exec.Command(program, "server", s.address, s.id, s.version, strconv.Itoa(s.events), strconv.Itoa(s.eventMs), strconv.Itoa(s.slots))
 	s.command.Stderr = os.Stderr
 	s.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	s.started = time.Now()
 	check(s.command.Start())
 	for end := time.Now().Add(startLimit); ; time.Sleep(5 * time.Millisecond) {
 		conn, err := net.DialTimeout("tcp", s.address, time.Second)
@@ -58,7 +65,11 @@
 
 // enlist writes the row of the server, as it does itself from its start on.
 func (s *serverProcess) enlist() {
-	s.lab.store.Put("servers", s.id, standin.ServerRow(s.link.address, s.zone, s.slots, false))
+	entry := standin.Entry{Address: s.link.address, Zone: s.zone, Slots: s.slots}
+	if s.version != "" {
+		entry.Version, entry.Started = s.version, s.started
+	}
+	s.lab.store.Put("servers", s.id, entry.Row())
 }
 
 // kill ends the process.
