--- a/review/lab-2/blobs.go
+++ b/review/lab-2/blobs.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package main
 
 import (
@@ -11,18 +13,21 @@
 	"time"
 )
 
-// pacedStore is the store with the times that its settings tell: every call about an object takes blobTime, and
-// all of them share blobBytesPerS.
+// pacedStore is a store whose calls about objects take the time that its settings tell: each takes latency, and all
+// of them share bytesPerS.
 type pacedStore struct {
 	inner     http.Handler
 	bytesPerS float64
 	latency   time.Duration
 
-	mu                 sync.Mutex
-	next               time.Time
+	mu sync.Mutex
+	// next is when the bytes that were taken last have passed.
+	next time.Time
+	// read counts the bytes of objects that were read, done the reads that got all of them, broken the others.
 	read, done, broken int
 }
 
+// paceStep is how many bytes pass at a time, so that calls share the bandwidth evenly.
 const paceStep = 16 << 10
 
 // take waits until the shared bandwidth has passed a number of bytes.
@@ -46,6 +51,7 @@
 	}
 }
 
+// bufferedWriter keeps a response.
 type bufferedWriter struct {
 	header http.Header
 	status int
@@ -65,7 +71,8 @@
 	if r.Method == http.MethodPut {
 		body, err := io.ReadAll(r.Body)
 		if err != nil || p.pass(r.Context(), len(body)) != nil {
-			return
+			// The caller has left.
+			panic(http.ErrAbortHandler)
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
@@ -94,6 +101,7 @@
 	}
 }
 
+// pass waits until the shared bandwidth has passed a number of bytes, a step at a time.
 func (p *pacedStore) pass(ctx context.Context, n int) error {
 	for n > 0 {
 		step := min(paceStep, n)
@@ -111,6 +119,7 @@
 	*field++
 }
 
+// counts returns the megabytes of objects that were read, and the reads that got all of an object or a part.
 func (p *pacedStore) counts() (mb, done, broken int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 // Command lab-2 plays the cases of the second review against nodes that run as processes. All of it is on
 // loopback addresses and the real clock.
 package main
@@ -33,7 +35,7 @@
 // cases are the scripts by name. Each returns whether the rule held.
 var cases = map[string]func(*lab) bool{
 	"restart": restartCase, "reborn": rebornCase, "manyitems": manyItemsCase, "memory": memoryCase, "expiry": expiryCase,
-	"versions": versionsCase,
+	"versions": versionsCase, "target": targetCase,
 }
 
 // lab is the surroundings of one case.
--- a/review/lab-2/reader.go
+++ b/review/lab-2/reader.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package main
 
 import (
@@ -9,10 +11,9 @@
 type jobReader struct {
 	lab *lab
 
-	mu         sync.Mutex
-	ids        []string
-	listed     map[string]int
-	lastListed time.Time
+	mu     sync.Mutex
+	ids    []string
+	listed map[string]int
 }
 
 func newJobReader(l *lab) *jobReader { return &jobReader{lab: l, listed: map[string]int{}} }
@@ -42,7 +43,6 @@
 			}
 			r.mu.Lock()
 			r.listed[id] = position + len(results)
-			r.lastListed = time.Now()
 			r.mu.Unlock()
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -60,9 +60,15 @@
 	return listed, open
 }
 
-// last returns when an item was last found to be listed.
-func (r *jobReader) last() time.Time {
+// openItems returns the items that are not listed, by accepted job.
+func (r *jobReader) openItems() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lastListed
+	open := map[string]int{}
+	for _, id := range r.ids {
+		if left := itemsPerJob - r.listed[id]; left > 0 {
+			open[id] = left
+		}
+	}
+	return open
 }
--- a/review/lab-2/versions.go
+++ b/review/lab-2/versions.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package main
 
 import (
